Add the core types, the state charts and the interfaces

Cause: every later part needs ids, states, codes, events, actors, the runtime clock and the interfaces to the outside systems in one agreed shape. Change: typed ids and states, the chart interpreter with load-time checks, registries, bounded mailboxes, the paused loop, settings and cell configuration, HTTP clients of the store, the host list and the workers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= frostwick
+
+.PHONY: demo test lint format bench slopes docs clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m tools.bench
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m tools.slopes
+
+docs: $(VENV)/.installed
+	$(BIN)/python -m tools.write_docs
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/fuchsiarill/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State chart files, read by `fuchsiarill.state_chart`."""
--- /dev/null
+++ b/fuchsiarill/clock.py
@@ -0,0 +1,66 @@
+"""The clock of the runtime, and an event loop whose time tests advance.
+
+All code takes time from the running loop, never from `time`: under
+`PausedLoop` a test or a replay then covers hours in milliseconds.
+"""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar
+
+_Outcome = TypeVar('_Outcome')
+
+MS_PER_SECOND: Final = 1000
+
+
+def now_ms() -> int:
+    """Return the running loop's monotonic time in milliseconds."""
+    return int(asyncio.get_running_loop().time() * MS_PER_SECOND)
+
+
+async def sleep_ms(duration_ms: float) -> None:
+    """Suspend the calling task for a time of the runtime clock."""
+    await asyncio.sleep(duration_ms / MS_PER_SECOND)
+
+
+class _AdvancingSelector(selectors.DefaultSelector):
+    """Moves the loop's time forward where a selector would block."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.elapsed_s = 0.0
+
+    def select(
+        self,
+        timeout: float | None = None,
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(0)
+        if ready:
+            return ready
+        if timeout is None:
+            raise RuntimeError('paused loop: every task waits, no timer is set')
+        self.elapsed_s += max(timeout, 0)
+        return []
+
+
+class PausedLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time moves only to the next timer.
+
+    It does no waiting of its own, so each run takes the same course.
+    """
+
+    def __init__(self) -> None:
+        """Start at time zero."""
+        self._advancing = _AdvancingSelector()
+        super().__init__(self._advancing)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._advancing.elapsed_s
+
+
+def run_paused(main: Coroutine[Any, Any, _Outcome]) -> _Outcome:
+    """Run a coroutine to its end on a new `PausedLoop`."""
+    with asyncio.Runner(loop_factory=PausedLoop) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/fuchsiarill/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, configuration spread and links between the processes."""
--- /dev/null
+++ b/fuchsiarill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators and callers."""
--- /dev/null
+++ b/fuchsiarill/core/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions: synchronous, without I/O and without encoding."""
--- /dev/null
+++ b/fuchsiarill/events.py
@@ -0,0 +1,136 @@
+"""Numbered log events, one registry; `docs/EVENTS.md` is written from it.
+
+1xx process, 2xx configuration and membership, 3xx ownership and journal,
+4xx workers, 5xx jobs, 6xx requests.
+"""
+
+import sys
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from loguru import logger
+
+_BY_NUMBER: Final[dict[int, 'LogEvent']] = {}
+_TEXT_FORMAT: Final = (
+    '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[event]} {message}'
+)
+
+
+class Level(Enum):
+    """Severity, with the names that loguru uses."""
+
+    DEBUG = 'DEBUG'
+    INFO = 'INFO'
+    WARNING = 'WARNING'
+    ERROR = 'ERROR'
+
+
+class LogFormat(Enum):
+    """How log lines are written."""
+
+    TEXT = 'text'
+    JSON = 'json'
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One numbered event; creating it adds it to the registry.
+
+    `template` is filled with the fields given to `emit`. `advice` tells an
+    operator what to do.
+    """
+
+    number: int
+    level: Level
+    template: str
+    advice: str
+
+    def __post_init__(self) -> None:
+        """File the event; raises `ValueError` when its number is taken."""
+        if self.number in _BY_NUMBER:
+            raise ValueError(f'log event {self.number} is registered twice')
+        _BY_NUMBER[self.number] = self
+
+
+def all_events() -> list[LogEvent]:
+    """Return every event in the order of its number."""
+    return [_BY_NUMBER[number] for number in sorted(_BY_NUMBER)]
+
+
+def emit(event: LogEvent, **parts: object) -> None:
+    """Log an event with its fields."""
+    bound = logger.bind(event=event.number, **parts)
+    bound.log(event.level.value, event.template.format(**parts))
+
+
+def configure_logging(log_format: LogFormat, level: Level) -> None:
+    """Send log lines to standard error in the given format."""
+    logger.remove()
+    logger.configure(extra={'event': 0})
+    logger.add(
+        sys.stderr,
+        level=level.value,
+        format=_TEXT_FORMAT,
+        serialize=log_format is LogFormat.JSON,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+_NO_ACTION: Final = 'None.'
+
+PROCESS_STARTED: Final = LogEvent(
+    101,
+    Level.INFO,
+    'process {process} serves in failure domain {failure_domain}',
+    _NO_ACTION,
+)
+PROCESS_DRAINING: Final = LogEvent(
+    102,
+    Level.INFO,
+    'process {process} drains',
+    _NO_ACTION,
+)
+PROCESS_STOPPED: Final = LogEvent(
+    103,
+    Level.INFO,
+    'process {process} has stopped',
+    _NO_ACTION,
+)
+ACTOR_FAILED: Final = LogEvent(
+    104,
+    Level.ERROR,
+    'actor {actor} failed on {message_type}: {error}',
+    'Report the line as a defect; the process goes on with the next message.',
+)
+CONFIG_IN_FORCE: Final = LogEvent(
+    201,
+    Level.INFO,
+    'configuration generation {generation} is in force',
+    _NO_ACTION,
+)
+OWNERSHIP_ACQUIRED: Final = LogEvent(
+    301,
+    Level.INFO,
+    'partition {partition} is owned with epoch {epoch}',
+    _NO_ACTION,
+)
+OWNERSHIP_LOST: Final = LogEvent(
+    302,
+    Level.WARNING,
+    'partition {partition} is given up: {reason}',
+    'Check the store and the load of the process if this recurs.',
+)
+WORKER_UNREACHABLE: Final = LogEvent(
+    401,
+    Level.WARNING,
+    'worker {worker} does not answer',
+    'Check the host; its tasks restart elsewhere when their leases lapse.',
+)
+JOB_SETTLED: Final = LogEvent(
+    501,
+    Level.DEBUG,
+    'job {job} ended as {state}',
+    _NO_ACTION,
+)
--- /dev/null
+++ b/fuchsiarill/front/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front end for callers and operators."""
--- /dev/null
+++ b/fuchsiarill/ids.py
@@ -0,0 +1,41 @@
+"""Identifiers of everything that messages and records refer to.
+
+Each identifier is its own type, so that the type checker refuses a worker id
+where a task id is wanted.
+"""
+
+from typing import Final, NewType
+
+CustomerId = NewType('CustomerId', str)
+RegionId = NewType('RegionId', str)
+FailureDomain = NewType('FailureDomain', str)
+RackId = NewType('RackId', str)
+WorkerId = NewType('WorkerId', str)
+PartitionId = NewType('PartitionId', str)
+ProcessId = NewType('ProcessId', str)
+JobId = NewType('JobId', str)
+TaskId = NewType('TaskId', str)
+AttemptId = NewType('AttemptId', str)
+JobClass = NewType('JobClass', str)
+RequestId = NewType('RequestId', str)
+StoreKey = NewType('StoreKey', str)
+StoreLeaseId = NewType('StoreLeaseId', str)
+Epoch = NewType('Epoch', int)
+Generation = NewType('Generation', int)
+Revision = NewType('Revision', int)
+
+NO_EPOCH: Final = Epoch(0)
+ABSENT: Final = Revision(0)
+
+
+def task_id(job: JobId, position: int) -> TaskId:
+    """Return the id of the task at `position` within its job."""
+    return TaskId(f'{job}/{position}')
+
+
+def attempt_id(task: TaskId, epoch: Epoch, number: int) -> AttemptId:
+    """Return an attempt id that no other owner of the partition can produce.
+
+    The epoch is part of the id: a new owner starts counting from one again.
+    """
+    return AttemptId(f'{task}@{epoch}.{number}')
--- /dev/null
+++ b/fuchsiarill/owner/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of a partition: lease, journal, takeover, worker links."""
--- /dev/null
+++ b/fuchsiarill/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Narrow interfaces to the outside systems and their HTTP clients."""
--- /dev/null
+++ b/fuchsiarill/ports/http_ports.py
@@ -0,0 +1,202 @@
+"""HTTP clients of the store, the host list and the workers.
+
+Requests and answers are JSON objects of the message types of this package.
+"""
+
+from typing import Final, TypeVar
+
+from pydantic import BaseModel, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
+from fuchsiarill.ports.http_client import CallFailure, HttpClient
+from fuchsiarill.ports.store import (
+    StoreFailure,
+    Swap,
+    SwapOutcome,
+    SwapResult,
+    Versioned,
+)
+from fuchsiarill.ports.workers import ExchangeFailure
+from fuchsiarill.settings import (
+    HostListSettings,
+    StoreSettings,
+    WorkerSettings,
+)
+from fuchsiarill.workers import Exchange, HostEntry, WorkerReport
+
+_HTTP_OK: Final = 200
+_HTTP_GONE: Final = 410
+
+SWAPS: Final = TypeAdapter(Swap)
+SWAP_RESULTS: Final = TypeAdapter(SwapResult)
+VERSIONED: Final = TypeAdapter(Versioned)
+EXCHANGES: Final = TypeAdapter(Exchange)
+REPORTS: Final = TypeAdapter(WorkerReport)
+HOST_ENTRIES: Final = TypeAdapter(tuple[HostEntry, ...])
+
+_Answer = TypeVar('_Answer')
+
+
+class KeyRequest(BaseModel):
+    """Body of a read or a watch."""
+
+    key: StoreKey
+    after: Revision = Revision(0)
+    wait_ms: int = 0
+
+
+class LeaseRequest(BaseModel):
+    """Body of a lease call; `ttl_ms` is used by a grant only."""
+
+    lease_id: StoreLeaseId = StoreLeaseId('')
+    ttl_ms: int = 0
+
+
+class HttpStore:
+    """`StorePort` over HTTP."""
+
+    def __init__(self, settings: StoreSettings, client: HttpClient) -> None:
+        """Use the store at the URL in the settings."""
+        self._settings = settings
+        self._client = client
+
+    async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
+        """Read a key."""
+        body = KeyRequest(key=key)
+        return await self._call('get', body, VERSIONED)
+
+    async def swap(self, swap: Swap) -> SwapResult:
+        """Write a key if it still has the expected revision."""
+        answer = await self._client.post(
+            f'{self._settings.url}/v1/swap',
+            SWAPS.dump_json(swap),
+            self._settings.call_timeout_ms,
+        )
+        match answer:
+            case Success(got) if got.status == _HTTP_OK:
+                return SWAP_RESULTS.validate_json(got.body)
+            case _:
+                return SwapResult(SwapOutcome.UNKNOWN)
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Create a lease."""
+        return await self._lease_call('grant', LeaseRequest(ttl_ms=ttl_ms))
+
+    async def renew_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Extend a lease."""
+        return await self._lease_call('renew', LeaseRequest(lease_id=lease_id))
+
+    async def revoke_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """End a lease."""
+        return await self._lease_call('revoke', LeaseRequest(lease_id=lease_id))
+
+    async def watch(
+        self,
+        key: StoreKey,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[Versioned, StoreFailure]:
+        """Wait for a change of a key."""
+        body = KeyRequest(key=key, after=after, wait_ms=wait_ms)
+        return await self._call('watch', body, VERSIONED)
+
+    async def _lease_call(
+        self,
+        verb: str,
+        request: LeaseRequest,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        answer: Result[LeaseRequest, StoreFailure] = await self._call(
+            verb,
+            request,
+            TypeAdapter(LeaseRequest),
+        )
+        return answer.map(lambda lease: lease.lease_id)
+
+    async def _call(
+        self,
+        verb: str,
+        request: KeyRequest | LeaseRequest,
+        adapter: TypeAdapter[_Answer],
+    ) -> Result[_Answer, StoreFailure]:
+        timeout_ms = self._settings.call_timeout_ms
+        if isinstance(request, KeyRequest):
+            timeout_ms += request.wait_ms
+        answer = await self._client.post(
+            f'{self._settings.url}/v1/{verb}',
+            request.model_dump_json().encode(),
+            timeout_ms,
+        )
+        match answer:
+            case Success(got) if got.status == _HTTP_OK:
+                return Success(adapter.validate_json(got.body))
+            case Success(got) if got.status == _HTTP_GONE:
+                return Failure(StoreFailure.LEASE_UNKNOWN)
+            case _:
+                return Failure(StoreFailure.UNREACHABLE)
+
+
+class HttpHostList:
+    """`HostListPort` over HTTP."""
+
+    def __init__(self, settings: HostListSettings, client: HttpClient) -> None:
+        """Use the list at the URL in the settings."""
+        self._settings = settings
+        self._client = client
+
+    async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
+        """Return all listed hosts of the cell."""
+        answer = await self._client.post(
+            f'{self._settings.url}/v1/hosts',
+            b'{}',
+            self._settings.poll_interval_ms,
+        )
+        match answer:
+            case Success(got) if got.status == _HTTP_OK:
+                return Success(HOST_ENTRIES.validate_json(got.body))
+            case _:
+                return Failure(StoreFailure.UNREACHABLE)
+
+
+class HttpWorkers:
+    """`WorkerPort` over HTTP."""
+
+    def __init__(self, settings: WorkerSettings, client: HttpClient) -> None:
+        """Call workers with the deadline in the settings."""
+        self._settings = settings
+        self._client = client
+
+    async def exchange(
+        self,
+        address: str,
+        request: Exchange,
+    ) -> Result[WorkerReport, ExchangeFailure]:
+        """Send commands and renewals; return what the worker reports."""
+        answer = await self._client.post(
+            f'http://{address}/v1/exchange',
+            EXCHANGES.dump_json(request),
+            self._settings.call_timeout_ms,
+        )
+        match answer:
+            case Success(got) if got.status == _HTTP_OK:
+                return _parse_report(got.body)
+            case Failure(CallFailure.NOT_SENT):
+                return Failure(ExchangeFailure.NOT_SENT)
+            case _:
+                return Failure(ExchangeFailure.NO_ANSWER)
+
+
+def _parse_report(body: bytes) -> Result[WorkerReport, ExchangeFailure]:
+    try:
+        return Success(REPORTS.validate_json(body))
+    except ValidationError:
+        return Failure(ExchangeFailure.NO_ANSWER)
--- /dev/null
+++ b/fuchsiarill/ports/store.py
@@ -0,0 +1,99 @@
+"""Interface to the platform's key-value service.
+
+Every call counts against the rates of the service, a waiting watch too. A
+call that times out may have taken effect: `SwapOutcome.UNKNOWN` says so, and
+the caller reads the key and compares its own unique token.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from returns.result import Result
+
+from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
+
+
+class StoreFailure(Enum):
+    """Why a call without side effect, or a lease call, gave no answer."""
+
+    UNREACHABLE = 'unreachable'
+    LEASE_UNKNOWN = 'lease_unknown'
+
+
+class SwapOutcome(Enum):
+    """What became of a compare-and-swap."""
+
+    SWAPPED = 'swapped'
+    CONFLICT = 'conflict'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class Versioned:
+    """A value with its revision; an absent key has revision `ABSENT`."""
+
+    key: StoreKey
+    value: str | None
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Swap:
+    """A compare-and-swap; `value` of `None` deletes the key.
+
+    `expected` is the revision that the key must have, `ABSENT` for a key
+    that must not exist. With `lease_id` the key goes when the lease lapses.
+    """
+
+    key: StoreKey
+    value: str | None
+    expected: Revision = ABSENT
+    lease_id: StoreLeaseId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SwapResult:
+    """Outcome of a swap; `revision` is that of the key when swapped."""
+
+    outcome: SwapOutcome
+    revision: Revision = ABSENT
+
+
+class StorePort(Protocol):
+    """The calls that the system makes of the service."""
+
+    async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
+        """Read a key."""
+
+    async def swap(self, swap: Swap) -> SwapResult:
+        """Write a key if it still has the expected revision."""
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Create a lease that lapses `ttl_ms` after its last renewal."""
+
+    async def renew_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Extend a lease by its time to live."""
+
+    async def revoke_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """End a lease and delete its keys."""
+
+    async def watch(
+        self,
+        key: StoreKey,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[Versioned, StoreFailure]:
+        """Wait until the revision of a key differs from `after`.
+
+        Returns the unchanged value when `wait_ms` has passed.
+        """
--- /dev/null
+++ b/fuchsiarill/ports/workers.py
@@ -0,0 +1,30 @@
+"""Interface to the workers."""
+
+from enum import Enum
+from typing import Protocol
+
+from returns.result import Result
+
+from fuchsiarill.workers import Exchange, WorkerReport
+
+
+class ExchangeFailure(Enum):
+    """Why an exchange gave no report.
+
+    After `NOT_SENT` nothing of the exchange reached the worker; after
+    `NO_ANSWER` any part of it may have taken effect.
+    """
+
+    NOT_SENT = 'not_sent'
+    NO_ANSWER = 'no_answer'
+
+
+class WorkerPort(Protocol):
+    """The one call that the system makes of a worker."""
+
+    async def exchange(
+        self,
+        address: str,
+        request: Exchange,
+    ) -> Result[WorkerReport, ExchangeFailure]:
+        """Send commands and renewals; return what the worker reports."""
--- /dev/null
+++ b/fuchsiarill/records.py
@@ -0,0 +1,93 @@
+"""Records that the journal of a partition makes durable.
+
+The state of a ledger is the fold of these records in journal order. Times
+are left out: a monotonic clock means nothing to the next owner.
+"""
+
+from dataclasses import dataclass
+from typing import Final, Literal
+
+from pydantic import TypeAdapter
+
+from fuchsiarill.ids import AttemptId, Epoch, JobId, ProcessId, WorkerId
+from fuchsiarill.job import JobSpec
+from fuchsiarill.states import JobState
+
+
+@dataclass(frozen=True, slots=True)
+class EpochOpened:
+    """A new owner begins; older owners fail their next commit."""
+
+    epoch: Epoch
+    process: ProcessId
+    kind: Literal['epoch_opened'] = 'epoch_opened'
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """A job is acknowledged once this record is committed."""
+
+    job_id: JobId
+    spec: JobSpec
+    kind: Literal['job_accepted'] = 'job_accepted'
+
+
+@dataclass(frozen=True, slots=True)
+class StartIntended:
+    """A non-idempotent attempt may be started from now on."""
+
+    job_id: JobId
+    attempt_id: AttemptId
+    worker_id: WorkerId
+    kind: Literal['start_intended'] = 'start_intended'
+
+
+@dataclass(frozen=True, slots=True)
+class StartWithdrawn:
+    """An intended start is proved not to have run."""
+
+    job_id: JobId
+    attempt_id: AttemptId
+    kind: Literal['start_withdrawn'] = 'start_withdrawn'
+
+
+@dataclass(frozen=True, slots=True)
+class TaskFinished:
+    """One task of a job succeeded; its result is kept."""
+
+    job_id: JobId
+    position: int
+    output: str
+    kind: Literal['task_finished'] = 'task_finished'
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAsked:
+    """The job is not started again, by this owner or a later one."""
+
+    job_id: JobId
+    kind: Literal['cancel_asked'] = 'cancel_asked'
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """The job has its final state."""
+
+    job_id: JobId
+    state: JobState
+    kind: Literal['job_ended'] = 'job_ended'
+
+
+Record = (
+    EpochOpened
+    | JobAccepted
+    | StartIntended
+    | StartWithdrawn
+    | TaskFinished
+    | CancelAsked
+    | JobEnded
+)
+
+RECORDS: Final[TypeAdapter[tuple[Record, ...]]] = TypeAdapter(
+    tuple[Record, ...],
+)
--- /dev/null
+++ b/fuchsiarill/refusal.py
@@ -0,0 +1,35 @@
+"""The typed refusal that every fallible operation returns."""
+
+from dataclasses import dataclass
+
+from fuchsiarill.codes import ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request was not carried out.
+
+    `field` names the offending field of the request, if there is one.
+    `retry_after_ms` is set where the code says that a delay helps.
+    """
+
+    code: ResultCode
+    text: str
+    field: str | None = None
+    retry_after_ms: int | None = None
+
+
+def refuse(
+    code: ResultCode,
+    template: str,
+    *,
+    field: str | None = None,
+    retry_after_ms: int | None = None,
+    **parts: object,
+) -> Refusal:
+    """Build a refusal from a template of `texts`.
+
+    `field` is also available to the template.
+    """
+    text = template.format(field=field, **parts)
+    return Refusal(code, text, field, retry_after_ms)
--- /dev/null
+++ b/fuchsiarill/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces in paused time against stated outcomes."""
--- /dev/null
+++ b/fuchsiarill/resources.py
@@ -0,0 +1,71 @@
+"""The resource vector that workers offer and tasks hold."""
+
+from dataclasses import dataclass
+from typing import Final, Self
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Amounts of each resource; arithmetic is per component."""
+
+    processors_milli: int = 0
+    memory_mb: int = 0
+    accelerators_count: int = 0
+    slots_count: int = 0
+
+    def __add__(self, other: Self) -> 'Resources':
+        return Resources(
+            self.processors_milli + other.processors_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators_count + other.accelerators_count,
+            self.slots_count + other.slots_count,
+        )
+
+    def __sub__(self, other: Self) -> 'Resources':
+        return Resources(
+            self.processors_milli - other.processors_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators_count - other.accelerators_count,
+            self.slots_count - other.slots_count,
+        )
+
+    def fits_in(self, free: Self) -> bool:
+        """Tell whether every component is at most that of `free`."""
+        return (
+            self.processors_milli <= free.processors_milli
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators_count <= free.accelerators_count
+            and self.slots_count <= free.slots_count
+        )
+
+    def times(self, count: int) -> 'Resources':
+        """Return the vector for `count` equal holders."""
+        return Resources(
+            self.processors_milli * count,
+            self.memory_mb * count,
+            self.accelerators_count * count,
+            self.slots_count * count,
+        )
+
+    def dominant_share(self, total: Self) -> float:
+        """Return the largest fraction that any component has of `total`.
+
+        Source: dominant resource fairness, Ghodsi et al., NSDI 2011.
+        """
+        shares = [0.0]
+        for held, whole in zip(self.as_tuple(), total.as_tuple(), strict=True):
+            if whole > 0:
+                shares.append(held / whole)
+        return max(shares)
+
+    def as_tuple(self) -> tuple[int, int, int, int]:
+        """Return the components in field order."""
+        return (
+            self.processors_milli,
+            self.memory_mb,
+            self.accelerators_count,
+            self.slots_count,
+        )
+
+
+NOTHING: Final = Resources()
--- /dev/null
+++ b/fuchsiarill/settings.py
@@ -0,0 +1,88 @@
+"""Settings of one process, read from YAML at start.
+
+A process learns its addresses, its failure domain and where the outside
+systems are from here, and nothing else; all policy is in the cell
+configuration.
+"""
+
+from pathlib import Path
+from typing import Annotated
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field
+
+from fuchsiarill.events import Level, LogFormat
+from fuchsiarill.ids import FailureDomain, ProcessId, RegionId
+
+_Positive = Annotated[int, Field(gt=0)]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class StoreSettings(_Model):
+    """Where the store is and how ownership uses its leases."""
+
+    url: str
+    call_timeout_ms: _Positive = 1_000
+    owner_lease_ms: _Positive = 3_000
+    owner_renew_interval_ms: _Positive = 1_000
+    owner_margin_ms: _Positive = 300
+    commit_interval_ms: _Positive = 20
+
+
+class HttpSettings(_Model):
+    """The HTTP listener and its limits."""
+
+    host: str = '127.0.0.1'
+    port: int
+    threads_count: _Positive = 16
+    body_max_bytes: _Positive = 1_000_000
+    header_max_bytes: _Positive = 16_000
+    request_timeout_ms: _Positive = 10_000
+
+
+class PeerSettings(_Model):
+    """The listener for the other processes of the system."""
+
+    host: str = '127.0.0.1'
+    port: int
+    call_timeout_ms: _Positive = 2_000
+
+
+class HostListSettings(_Model):
+    """Where the host list is and how often it is read."""
+
+    url: str
+    poll_interval_ms: _Positive = 1_000
+
+
+class WorkerSettings(_Model):
+    """How workers are called."""
+
+    call_timeout_ms: _Positive = 2_000
+    silent_after_ms: _Positive = 5_000
+
+
+class ProcessSettings(_Model):
+    """Everything a daemon reads before it starts."""
+
+    process: ProcessId
+    region: RegionId
+    failure_domain: FailureDomain
+    http: HttpSettings
+    peers: PeerSettings
+    store: StoreSettings
+    host_list: HostListSettings
+    workers: WorkerSettings = WorkerSettings()
+    log_format: LogFormat = LogFormat.TEXT
+    log_level: Level = Level.INFO
+
+
+def load_settings(path: Path) -> ProcessSettings:
+    """Read the settings file.
+
+    Raises `OSError`, `yaml.YAMLError` or `pydantic.ValidationError`.
+    """
+    return ProcessSettings.model_validate(yaml.safe_load(path.read_text()))
--- /dev/null
+++ b/fuchsiarill/texts.py
@@ -0,0 +1,41 @@
+"""Every sentence that callers and operators read.
+
+Texts are `str.format` templates; the code that refuses a request fills in
+the fields and never words a sentence itself.
+"""
+
+from typing import Final
+
+UNKNOWN_CUSTOMER: Final = 'customer {customer!r} has no contract'
+KEY_CONFLICT: Final = (
+    'idempotency key {key!r} belongs to job {job} with a different body'
+)
+TASK_NEVER_FITS: Final = (
+    'no worker of partition {partition} offers {field}={wanted}; '
+    'the largest offers {largest}'
+)
+GANG_NEVER_FITS: Final = (
+    'a gang of {wanted} tasks does not fit: all workers of partition '
+    '{partition} together carry {largest}'
+)
+QUOTA_NEVER_FITS: Final = (
+    'the job needs {field}={wanted} at once; the contract holds {largest}'
+)
+RATE_EXCEEDED: Final = (
+    'customer {customer!r} may submit {rate} jobs a second, burst {burst}'
+)
+QUEUE_FULL: Final = 'customer {customer!r} has {queued} jobs waiting already'
+OWNER_UNAVAILABLE: Final = 'partition {partition} has no reachable owner'
+STORE_UNAVAILABLE: Final = 'the store does not answer; the job is not accepted'
+OVERLOADED: Final = 'the process has too many requests in progress'
+NOT_CONFIGURED: Final = 'the process has no cell configuration yet'
+DRAINING: Final = 'the process is shutting down'
+OUTCOME_UNCERTAIN: Final = (
+    'partition {partition} did not answer in time; repeat with the same key'
+)
+UNKNOWN_JOB: Final = 'job {job!r} is not known for this customer'
+UNKNOWN_ROUTE: Final = 'no route {method} {path}'
+MALFORMED: Final = '{problem}'
+TOO_LARGE: Final = 'the body has {size_bytes} bytes; {limit_bytes} are allowed'
+UNAUTHENTICATED: Final = 'a known bearer token is needed'
+FORBIDDEN: Final = 'the token does not permit this request'
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and the demo."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fuchsiarill."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of this repository; not part of the product."""
