--- /dev/null
+++ b/fuchsiarill/front/submissions.py
@@ -0,0 +1,125 @@
+"""The JSON form of submissions and answers, and the checks of their form."""
+
+from typing import Annotated, Any, Final
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from fuchsiarill import codes, texts
+from fuchsiarill.answers import JobAnswer
+from fuchsiarill.ids import CustomerId, JobClass
+from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.refusal import Refusal, refuse
+from fuchsiarill.resources import Resources
+
+_Text = Annotated[str, Field(min_length=1, max_length=200)]
+_Payload = Annotated[str, Field(max_length=100_000)]
+_Count = Annotated[int, Field(ge=0, le=10_000_000)]
+_Tasks = Annotated[int, Field(ge=1, le=10_000)]
+
+BATCH_MAX_COUNT: Final = 1000
+
+
+class TaskSize(BaseModel):
+    """Declared size of one task; a task always holds one slot."""
+
+    model_config = ConfigDict(extra='forbid', strict=True)
+
+    processors_milli: Annotated[int, Field(ge=1, le=10_000_000)]
+    memory_mb: Annotated[int, Field(ge=1, le=100_000_000)]
+    accelerators_count: _Count = 0
+
+
+class Submission(BaseModel):
+    """One job as a caller writes it."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    idempotency_key: _Text
+    workload: Workload = Workload.BATCH
+    execution: Execution = Execution.IDEMPOTENT
+    urgency: Urgency = Urgency.NORMAL
+    job_class: _Text = 'default'
+    tasks_count: _Tasks = 1
+    task_size: TaskSize
+    run_time_ms: Annotated[int, Field(ge=0, le=10_000_000_000)] = 0
+    payload: _Payload = ''
+
+
+class Batch(BaseModel):
+    """The body of a submission request."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    jobs: Annotated[
+        tuple[Submission, ...],
+        Field(min_length=1, max_length=BATCH_MAX_COUNT),
+    ]
+
+
+_BATCHES: Final = TypeAdapter(Batch)
+
+
+def parse_batch(
+    body: bytes,
+    customer: CustomerId,
+) -> Result[tuple[JobSpec, ...], Refusal]:
+    """Read the body of a submission request."""
+    try:
+        batch = _BATCHES.validate_json(body)
+    except ValidationError as invalid:
+        return Failure(_first_problem(invalid))
+    return Success(
+        tuple(_as_spec(submission, customer) for submission in batch.jobs),
+    )
+
+
+def answer_object(answer: JobAnswer) -> dict[str, Any]:
+    """Return the JSON object for one answer."""
+    written: dict[str, Any] = {
+        'code': answer.code.number,
+        'name': answer.code.name,
+    }
+    if answer.job_id is not None:
+        written['job_id'] = answer.job_id
+    if answer.state is not None:
+        written['state'] = answer.state.value
+        written['outputs'] = list(answer.outputs)
+    if answer.refusal is not None:
+        written['text'] = answer.refusal.text
+        written['field'] = answer.refusal.field
+        written['retry_after_ms'] = answer.refusal.retry_after_ms
+    return written
+
+
+def _first_problem(invalid: ValidationError) -> Refusal:
+    found = invalid.errors()[0]
+    field = '.'.join(str(part) for part in found['loc'])
+    problem = f'{field}: {found["msg"]}' if field else found['msg']
+    return refuse(
+        codes.MALFORMED,
+        texts.MALFORMED,
+        field=field or None,
+        problem=problem,
+    )
+
+
+def _as_spec(submission: Submission, customer: CustomerId) -> JobSpec:
+    size = submission.task_size
+    return JobSpec(
+        customer=customer,
+        idempotency_key=submission.idempotency_key,
+        workload=submission.workload,
+        execution=submission.execution,
+        urgency=submission.urgency,
+        job_class=JobClass(submission.job_class),
+        tasks_count=submission.tasks_count,
+        task_size=Resources(
+            size.processors_milli,
+            size.memory_mb,
+            size.accelerators_count,
+            slots_count=1,
+        ),
+        run_time_ms=submission.run_time_ms,
+        payload=submission.payload,
+    )
--- /dev/null
+++ b/fuchsiarill/owner/keys.py
@@ -0,0 +1,13 @@
+"""Keys of the store that belong to a partition."""
+
+from fuchsiarill.ids import PartitionId, StoreKey
+
+
+def owner_key(partition: PartitionId) -> StoreKey:
+    """Return the key that the owner holds under a lease."""
+    return StoreKey(f'partition/{partition}/owner')
+
+
+def entry_key(partition: PartitionId, index: int) -> StoreKey:
+    """Return the key of a journal entry; the first has index 1."""
+    return StoreKey(f'partition/{partition}/log/{index}')
--- /dev/null
+++ b/fuchsiarill/owner/messages.py
@@ -0,0 +1,113 @@
+"""Messages between the actors that own a partition."""
+
+from dataclasses import dataclass
+
+from fuchsiarill.actor import Reply
+from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
+from fuchsiarill.core.effects import CommandTask, StartTask
+from fuchsiarill.ids import AttemptId, Epoch, WorkerId
+from fuchsiarill.job import JobSpec
+from fuchsiarill.records import Record
+from fuchsiarill.workers import HostEntry, WorkerReport
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitJobs:
+    """Admit a batch; the reply holds one answer for each, in order."""
+
+    specs: tuple[JobSpec, ...]
+    reply: Reply[tuple[JobAnswer, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class AskJob:
+    """Answer a query, at the end of its wait at the latest."""
+
+    query: JobQuery
+    reply: Reply[JobAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJob:
+    """Cancel a job."""
+
+    cancel: JobCancel
+    reply: Reply[JobAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class HostsListed:
+    """The host list was read."""
+
+    entries: tuple[HostEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReported:
+    """A worker answered an exchange."""
+
+    report: WorkerReport
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerSilent:
+    """A worker has not answered for the time in the settings."""
+
+    worker_id: WorkerId
+
+
+@dataclass(frozen=True, slots=True)
+class OwnershipDeadline:
+    """Nothing that needs ownership may be sent after this time."""
+
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deposed:
+    """Another process owns the partition."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Put a record into the next group commit."""
+
+    sequence: int
+    record: Record
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """All records up to this sequence number are durable."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendStart:
+    """Send a start to the worker, unless `send_before_ms` has passed."""
+
+    start: StartTask
+    epoch: Epoch
+    send_before_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendCommand:
+    """Send a stop, checkpoint or throttle to the worker."""
+
+    command: CommandTask
+
+
+@dataclass(frozen=True, slots=True)
+class StartWithheld:
+    """A start was not sent because its deadline had passed."""
+
+    attempt_id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """It is time for the periodic work of the receiver."""
