Let the router be given its links

Cause: replay and tests need links that stay in one process. Change: the router takes the function that creates a link to a peer.

--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -1,6 +1,7 @@
 """Which partition a job belongs to, and the actor that finds its owner."""
 
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from fuchsiarill import codes, texts
@@ -26,7 +27,7 @@
     """Where to send messages for the owner of a partition."""
 
     found: OwnerFound
-    link: PeerLink | None
+    link: Actor | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,10 +89,15 @@
 class Router(Actor):
     """Knows the owner of each partition and passes messages to it."""
 
-    def __init__(self, settings: PeerSettings) -> None:
-        """Start with no owner known."""
+    def __init__(
+        self,
+        settings: PeerSettings,
+        connect: Callable[[PartitionId, str, PeerSettings], Actor] = PeerLink,
+    ) -> None:
+        """Start with no owner known; `connect` creates links to peers."""
         super().__init__('router')
         self._settings = settings
+        self._connect = connect
         self._routes: dict[PartitionId, OwnerRoute] = {}
 
     @handles(OwnerFound)
@@ -104,7 +110,7 @@
             await known.link.stop()
         link = None
         if message.mailbox is None and message.claim is not None:
-            link = PeerLink(
+            link = self._connect(
                 message.partition,
                 message.claim.peer_address,
                 self._settings,
