--- /dev/null
+++ b/fuchsiarill/core/admission.py
@@ -0,0 +1,229 @@
+"""Whether a submission is accepted: contract, size, queue and rate.
+
+What can never run is refused at once, with the field that makes it so. That
+takes the host list; until it was read, nothing is refused for its size.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from fuchsiarill import codes, texts
+from fuchsiarill.core.accounts import Account
+from fuchsiarill.core.limits import take_token
+from fuchsiarill.core.sizes import carried_count
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.refusal import Refusal, refuse
+from fuchsiarill.registry import Registry
+from fuchsiarill.resources import Resources
+
+Check = Callable[[CoreState, Account, JobSpec, int], Refusal | None]
+
+# The order in which the checks run; the rate comes last, so that only what is
+# accepted uses it up.
+_CHECKS_IN_ORDER: Final = (
+    'ownership',
+    'quota',
+    'task_size',
+    'gang_size',
+    'queue',
+    'rate',
+)
+ADMISSION_CHECKS: Final[Registry[str, Check]] = Registry('admission checks')
+_FIELDS: Final = (
+    'processors_milli',
+    'memory_mb',
+    'accelerators_count',
+    'slots_count',
+)
+_QUEUE_RETRY_MS: Final = 2_000
+_STORE_RETRY_MS: Final = 2_000
+
+
+def admit(
+    state: CoreState,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    """Return why a submission is refused; `None` accepts and counts it."""
+    account = state.accounts.get(spec.customer)
+    if account is None or account.contract is None:
+        return refuse(
+            codes.UNKNOWN_CUSTOMER,
+            texts.UNKNOWN_CUSTOMER,
+            field='customer',
+            customer=spec.customer,
+        )
+    for name in _CHECKS_IN_ORDER:
+        refusal = ADMISSION_CHECKS.lookup(name)(state, account, spec, now_ms)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+def starts_restricted(state: CoreState, spec: JobSpec) -> bool:
+    """Tell whether a job may start while ownership is not confirmed."""
+    return (
+        spec.urgency is Urgency.URGENT
+        and spec.execution is Execution.IDEMPOTENT
+    )
+
+
+@ADMISSION_CHECKS.register('ownership')
+def _check_ownership(
+    state: CoreState,
+    account: Account,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    if not state.restricted:
+        return None
+    contract = account.contract
+    volatile = contract is not None and contract.volatile_accept
+    if volatile and starts_restricted(state, spec):
+        return None
+    return refuse(
+        codes.STORE_UNAVAILABLE,
+        texts.STORE_UNAVAILABLE,
+        retry_after_ms=_STORE_RETRY_MS,
+    )
+
+
+@ADMISSION_CHECKS.register('quota')
+def _check_quota(
+    state: CoreState,
+    account: Account,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    needed = spec.task_size
+    if spec.workload is not Workload.BATCH:
+        needed = needed.times(spec.tasks_count)
+    excess = first_excess(needed, account.quota)
+    if excess is None:
+        return None
+    return refuse(
+        codes.NEVER_FITS,
+        texts.QUOTA_NEVER_FITS,
+        field=excess[0],
+        wanted=excess[1],
+        largest=excess[2],
+    )
+
+
+@ADMISSION_CHECKS.register('task_size')
+def _check_task(
+    state: CoreState,
+    account: Account,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    if not state.hosts_read:
+        return None
+    size = spec.task_size
+    if any(size.fits_in(capacity) for capacity in state.capacities):
+        return None
+    field, wanted, largest = _shortage(state, size)
+    return refuse(
+        codes.NEVER_FITS,
+        texts.TASK_NEVER_FITS,
+        field=field,
+        partition=state.partition,
+        wanted=wanted,
+        largest=largest,
+    )
+
+
+@ADMISSION_CHECKS.register('gang_size')
+def _check_gang(
+    state: CoreState,
+    account: Account,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    if not state.hosts_read or spec.workload is not Workload.GANG:
+        return None
+    carried = carried_count(state, spec.task_size)
+    if carried >= spec.tasks_count:
+        return None
+    return refuse(
+        codes.NEVER_FITS,
+        texts.GANG_NEVER_FITS,
+        field='tasks_count',
+        partition=state.partition,
+        wanted=spec.tasks_count,
+        largest=carried,
+    )
+
+
+@ADMISSION_CHECKS.register('queue')
+def _check_queue(
+    state: CoreState,
+    account: Account,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    contract = account.contract
+    if contract is None:
+        return None
+    queued = account.waiting_count + account.accepting_count
+    if queued < contract.waiting_jobs_max_count:
+        return None
+    return refuse(
+        codes.QUEUE_FULL,
+        texts.QUEUE_FULL,
+        retry_after_ms=_QUEUE_RETRY_MS,
+        customer=spec.customer,
+        queued=queued,
+    )
+
+
+@ADMISSION_CHECKS.register('rate')
+def _check_rate(
+    state: CoreState,
+    account: Account,
+    spec: JobSpec,
+    now_ms: int,
+) -> Refusal | None:
+    return take_token(account, now_ms)
+
+
+def first_excess(
+    wanted: Resources,
+    limit: Resources,
+) -> tuple[str, int, int] | None:
+    """Return the first field above its limit, with both amounts."""
+    return next(excesses(wanted, limit), None)
+
+
+def excesses(
+    wanted: Resources,
+    limit: Resources,
+) -> Iterator[tuple[str, int, int]]:
+    """Yield every field above its limit, with both amounts."""
+    rows = zip(_FIELDS, wanted.as_tuple(), limit.as_tuple(), strict=True)
+    for field, amount, largest in rows:
+        if amount > largest:
+            yield field, amount, largest
+
+
+def _shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
+    """Name a field that no worker offers, alone or with the others."""
+    largest = Resources(
+        *(
+            max(amounts, default=0)
+            for amounts in zip(
+                *(capacity.as_tuple() for capacity in state.capacities),
+                strict=True,
+            )
+        ),
+    )
+    excess = first_excess(size, largest)
+    if excess is not None:
+        return excess
+    # Each amount is offered by some worker, but no worker offers all.
+    nearest = max(
+        state.capacities,
+        key=lambda capacity: -len(list(excesses(size, capacity))),
+    )
+    return next(excesses(size, nearest))
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -1,25 +1,33 @@
-"""Steps of the attempt chart and the actions that the chart names."""
-
-from collections.abc import Callable
-from typing import Final
+"""Actions that the attempt chart names."""
 
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.job_actions import step_job
+from fuchsiarill.core.holding import give_back
+from fuchsiarill.core.learning import note_end
+from fuchsiarill.core.probation import note_success
+from fuchsiarill.core.requeue import (
+    ask_to_stop,
+    note_if_all_stopped,
+    position_of,
+    run_again,
+)
+from fuchsiarill.core.retries import (
+    after_failure,
+    after_success,
+    replica_ended,
+)
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.job import Attempt, Execution, JobRecord
+from fuchsiarill.core.steps import ATTEMPT_ACTIONS, step_job
+from fuchsiarill.job import (
+    Attempt,
+    Execution,
+    JobRecord,
+    StopReason,
+    Workload,
+)
 from fuchsiarill.records import StartWithdrawn, TaskFinished
-from fuchsiarill.registry import Registry
-from fuchsiarill.state_chart import load_chart
-from fuchsiarill.states import AttemptEvent, AttemptState, JobEvent
+from fuchsiarill.states import AttemptState, JobEvent
 from fuchsiarill.workers import CommandKind, TaskReport
 
-AttemptAction = Callable[[CoreState, Attempt, TaskReport | None, int], None]
-
-ATTEMPT_ACTIONS: Final[Registry[str, AttemptAction]] = Registry(
-    'attempt actions',
-)
-FAILURES_MAX_COUNT: Final = 3
-
 
 @ATTEMPT_ACTIONS.register('release')
 def _release(
@@ -28,12 +36,11 @@
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    worker = state.workers.get(attempt.worker_id)
-    if worker is not None and attempt.attempt_id in worker.attempts:
-        worker.attempts.discard(attempt.attempt_id)
-        worker.reserved -= attempt.reserved
-    state.attempts.pop(attempt.attempt_id, None)
-    _job_of(state, attempt).attempts.pop(attempt.attempt_id, None)
+    give_back(state, attempt, now_ms)
+    job = state.jobs[attempt.job_id]
+    position = position_of(attempt)
+    if job.moving.get(position) == attempt.attempt_id:
+        job.moving.pop(position)
 
 
 @ATTEMPT_ACTIONS.register('note_started')
@@ -43,10 +50,16 @@
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    job = _job_of(state, attempt)
+    job = state.jobs[attempt.job_id]
     if job.started_at_ms is None:
         job.started_at_ms = now_ms
     step_job(state, job, JobEvent.TASK_STARTED, now_ms)
+    if attempt.replaces is None:
+        return
+    job.moving.pop(position_of(attempt), None)
+    replaced = job.attempts.get(attempt.replaces)
+    if replaced is not None:
+        ask_to_stop(state, replaced, StopReason.MOVED, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('retry_at_once')
@@ -56,10 +69,12 @@
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    job = _job_of(state, attempt)
-    if job.spec.execution is Execution.AT_MOST_ONCE:
-        state.persist(StartWithdrawn(job.job_id, attempt.attempt_id))
-    _requeue(state, attempt, now_ms)
+    job = state.jobs[attempt.job_id]
+    _withdraw(state, job, attempt, now_ms)
+    if _is_partly_run(job):
+        step_job(state, job, JobEvent.GAVE_UP, now_ms)
+        return
+    run_again(state, job, position_of(attempt), now_ms)
 
 
 @ATTEMPT_ACTIONS.register('retry_later')
@@ -69,13 +84,10 @@
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    job = _job_of(state, attempt)
-    job.failures_count += 1
-    exhausted = job.failures_count >= FAILURES_MAX_COUNT
-    if exhausted or job.spec.execution is Execution.AT_MOST_ONCE:
-        step_job(state, job, JobEvent.GAVE_UP, now_ms)
-        return
-    _requeue(state, attempt, now_ms)
+    job = state.jobs[attempt.job_id]
+    if job.spec.workload is Workload.SERVICE:
+        _withdraw(state, job, attempt, now_ms)
+    after_failure(state, attempt, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('keep_result')
@@ -85,14 +97,16 @@
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    job = _job_of(state, attempt)
-    output = '' if report is None else report.output
-    position = position_of(attempt)
-    job.results[position] = output
-    state.persist(TaskFinished(job.job_id, position, output))
-    if len(job.results) == job.spec.tasks_count:
-        step_job(state, job, JobEvent.ALL_SUCCEEDED, now_ms)
-    _note_if_all_stopped(state, job, now_ms)
+    job = state.jobs[attempt.job_id]
+    note_success(state, attempt, now_ms)
+    note_end(state, attempt, report)
+    after_success(state, job)
+    if job.spec.workload is Workload.SERVICE:
+        replica_ended(state, attempt, now_ms)
+    else:
+        output = '' if report is None else report.output
+        _keep_output(state, job, position_of(attempt), output, now_ms)
+    note_if_all_stopped(state, job, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('resolve_lost')
@@ -102,11 +116,12 @@
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    job = _job_of(state, attempt)
+    job = state.jobs[attempt.job_id]
     if job.spec.execution is Execution.AT_MOST_ONCE:
         step_job(state, job, JobEvent.OUTCOME_LOST, now_ms)
-        return
-    _requeue(state, attempt, now_ms)
+    else:
+        run_again(state, job, position_of(attempt), now_ms)
+    note_if_all_stopped(state, job, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('send_stop')
@@ -121,67 +136,87 @@
     )
 
 
-@ATTEMPT_ACTIONS.register('note_stopped')
-def _note_stopped(
+@ATTEMPT_ACTIONS.register('withdraw')
+def _withdraw_action(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    _note_if_all_stopped(state, _job_of(state, attempt), now_ms)
-
-
-ATTEMPT_CHART: Final = load_chart(
-    'attempt',
-    AttemptState,
-    AttemptEvent,
-    ATTEMPT_ACTIONS,
-)
+    _withdraw(state, state.jobs[attempt.job_id], attempt, now_ms)
 
 
-def step_attempt(
+@ATTEMPT_ACTIONS.register('note_stopped')
+def _note_stopped(
     state: CoreState,
     attempt: Attempt,
-    event: AttemptEvent,
+    report: TaskReport | None,
     now_ms: int,
-    report: TaskReport | None = None,
-) -> bool:
-    """Apply an event; returns `False` when the chart ignores it."""
-    transition = ATTEMPT_CHART.step(attempt.state, event)
-    if transition is None:
+) -> None:
+    job = state.jobs[attempt.job_id]
+    if job.spec.workload is Workload.SERVICE:
+        # The next owner must know that this replica has stopped.
+        _withdraw(state, job, attempt, now_ms)
+    note_if_all_stopped(state, job, now_ms)
+    if job.spec.workload is not Workload.GANG:
+        run_again(state, job, position_of(attempt), now_ms)
+    elif attempt.stop_reason is not StopReason.GANG_RESTART:
+        run_again(state, job, position_of(attempt), now_ms)
+
+
+def _is_partly_run(job: JobRecord) -> bool:
+    """Tell whether other members of an at-most-once gang may have run."""
+    if job.spec.workload is not Workload.GANG:
         return False
-    attempt.state = transition.target
-    for action in transition.actions:
-        ATTEMPT_ACTIONS.lookup(action)(state, attempt, report, now_ms)
-    return True
-
-
-def stop_all(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    """Ask every attempt of a job to stop."""
-    for attempt in tuple(job.attempts.values()):
-        step_attempt(state, attempt, AttemptEvent.STOP_ASKED, now_ms)
-    _note_if_all_stopped(state, job, now_ms)
-
-
-def position_of(attempt: Attempt) -> int:
-    """Return the position of the attempt's task within its job."""
-    return int(attempt.task_id.rpartition('/')[2])
-
-
-def _job_of(state: CoreState, attempt: Attempt) -> JobRecord:
-    return state.jobs[attempt.job_id]
+    if job.spec.execution is not Execution.AT_MOST_ONCE:
+        return False
+    started = any(
+        attempt.state is not AttemptState.PLACED
+        for attempt in job.attempts.values()
+    )
+    return started or bool(job.results)
 
 
-def _requeue(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    job = _job_of(state, attempt)
-    if step_job(state, job, JobEvent.REQUEUED, now_ms):
-        job.waiting.append(position_of(attempt))
+def _withdraw(
+    state: CoreState,
+    job: JobRecord,
+    attempt: Attempt,
+    now_ms: int,
+) -> None:
+    if job.spec.execution is Execution.AT_MOST_ONCE:
+        withdrawn = StartWithdrawn(job.job_id, attempt.attempt_id)
+        state.persist_for(job, withdrawn, now_ms)
 
 
-def _note_if_all_stopped(
+def _keep_output(
     state: CoreState,
     job: JobRecord,
+    position: int,
+    output: str,
     now_ms: int,
 ) -> None:
-    if not job.attempts:
-        step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
+    if job.job_id in state.gang_restarts:
+        return
+    job.results[position] = output
+    complete = len(job.results) == job.spec.tasks_count
+    for finished in _durable_positions(job, position, complete):
+        record = TaskFinished(job.job_id, finished, job.results[finished])
+        state.persist_for(job, record, now_ms)
+    if complete:
+        step_job(state, job, JobEvent.ALL_SUCCEEDED, now_ms)
+
+
+def _durable_positions(
+    job: JobRecord,
+    position: int,
+    complete: bool,
+) -> list[int]:
+    # A gang that restarts discards its results, so the journal gets them only
+    # when no restart can follow.
+    restarts = (
+        job.spec.workload is Workload.GANG
+        and job.spec.execution is Execution.IDEMPOTENT
+    )
+    if not restarts:
+        return [position]
+    return sorted(job.results) if complete else []
--- /dev/null
+++ b/fuchsiarill/core/deciding.py
@@ -0,0 +1,177 @@
+"""One round of decisions: what starts now, and on which worker."""
+
+from itertools import islice
+from typing import Final
+
+from fuchsiarill.core.accounts import Account, Group, Obstacle
+from fuchsiarill.core.admission import starts_restricted
+from fuchsiarill.core.gangs import place_gang
+from fuchsiarill.core.ordering import ordering_of
+from fuchsiarill.core.placement import find_held_worker, find_worker
+from fuchsiarill.core.quotas import is_entitled, is_guaranteed, may_hold
+from fuchsiarill.core.reclaim import reclaim_for
+from fuchsiarill.core.reservations import has_room, is_valid
+from fuchsiarill.core.sizes import size_at_once, size_of
+from fuchsiarill.core.starting import start_next
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.timers import run_due
+from fuchsiarill.core.waiting import (
+    block,
+    dequeue,
+    reorder,
+    unblock,
+    unblock_all,
+)
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.job import JobRecord
+from fuchsiarill.resources import Resources
+
+# Steps of one call; the owner answers other messages in between.
+STEPS_MAX_COUNT: Final = 32
+# Sizes without room are tried again after this time, because a search looks
+# at a part of the workers only.
+_RETRY_INTERVAL_MS: Final = 1_000
+_SIZES_REMEMBERED_COUNT: Final = 64
+# Waiting jobs of one group for which room is reclaimed at a time.
+_RECLAIMED_JOBS_COUNT: Final = 32
+
+
+def decide(state: CoreState, now_ms: int) -> bool:
+    """Start what can start; returns `True` when there may be more to do."""
+    run_due(state, now_ms)
+    if now_ms - state.unblocked_at_ms >= _RETRY_INTERVAL_MS:
+        state.unblocked_at_ms = now_ms
+        unblock_all(state)
+    _wake_gangs(state)
+    steps_count = 0
+    while state.order and steps_count < STEPS_MAX_COUNT:
+        steps_count += 1
+        if not _advance(state, now_ms):
+            break
+    if steps_count == STEPS_MAX_COUNT:
+        return True
+    state.released.clear()
+    return False
+
+
+def _advance(state: CoreState, now_ms: int) -> bool:
+    """Start or set aside the next task; `False` ends the round."""
+    account = state.accounts[state.order[0][1]]
+    ordering = ordering_of(state)
+    group = ordering.group(account)
+    job = state.jobs[group.head()]
+    size = size_of(state, group.spec)
+    obstacle = _standing_obstacle(state, account, group)
+    if obstacle is not None:
+        block(state, account, group, obstacle)
+        return True
+    if _place(state, group, job, size, now_ms):
+        if job.waiting:
+            reorder(state, account)
+        else:
+            dequeue(state, job)
+        return True
+    rank = state.order[0][0]
+    block(state, account, group, Obstacle.ROOM, size)
+    if ordering.strict:
+        unblock(state, account, group)
+        return False
+    policy = ordering.preemptions.get(int(rank[0]))
+    if policy is not None:
+        _reclaim(state, account, group, policy, now_ms)
+    return True
+
+
+def _standing_obstacle(
+    state: CoreState,
+    account: Account,
+    group: Group,
+) -> Obstacle | None:
+    if account.contract is None:
+        return Obstacle.NO_CONTRACT
+    if state.restricted and not starts_restricted(state, group.spec):
+        return Obstacle.OWNERSHIP
+    if not may_hold(account, size_at_once(state, group.spec)):
+        return Obstacle.QUOTA
+    return None
+
+
+def _place(
+    state: CoreState,
+    group: Group,
+    job: JobRecord,
+    size: Resources,
+    now_ms: int,
+) -> bool:
+    if group.is_gang:
+        return place_gang(state, job, size, now_ms)
+    worker = _search(state, job, size, now_ms)
+    if worker is None:
+        return False
+    start_next(state, job, worker, size, now_ms)
+    return True
+
+
+def _search(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+    now_ms: int,
+) -> WorkerView | None:
+    if not any(less.fits_in(size) for less in state.no_room_for):
+        worker = find_worker(state, job, size)
+        if worker is not None:
+            return worker
+        if not job.failed_on:
+            _remember_no_room(state, size)
+    if not state.reservations:
+        return None
+    return find_held_worker(state, job, size, now_ms)
+
+
+def _remember_no_room(state: CoreState, size: Resources) -> None:
+    if len(state.no_room_for) < _SIZES_REMEMBERED_COUNT:
+        state.no_room_for.append(size)
+
+
+def _wake_gangs(state: CoreState) -> None:
+    """Let gangs try again whose workers have room by now, or are lost."""
+    if not state.released:
+        return
+    for group in tuple(state.blocked_gangs):
+        reservation = state.reservations.get(group.head())
+        if reservation is None:
+            continue
+        if has_room(state, reservation) or not is_valid(state, reservation):
+            unblock(state, state.accounts[group.customer], group)
+
+
+def _reclaim(
+    state: CoreState,
+    account: Account,
+    group: Group,
+    policy: str,
+    now_ms: int,
+) -> None:
+    """Make room for the first jobs of a group that is owed it."""
+    if group.is_gang:
+        return
+    size = size_of(state, group.spec)
+    owed = is_entitled if policy == 'urgent' else _is_guaranteed
+    for number, job_id in enumerate(
+        islice(group.jobs, _RECLAIMED_JOBS_COUNT),
+        start=1,
+    ):
+        if not owed(state, account, size.times(number)):
+            break
+        job = state.jobs[job_id]
+        if not reclaim_for(state, job, size, policy, now_ms):
+            break
+
+
+def _is_guaranteed(
+    state: CoreState,
+    account: Account,
+    more: Resources,
+) -> bool:
+    return is_guaranteed(account, more)
--- /dev/null
+++ b/fuchsiarill/core/estimate.py
@@ -0,0 +1,38 @@
+"""What is learned about the tasks of one job class of one customer."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from typing import Final
+
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.resources import NOTHING, Resources
+
+_SAMPLES_MAX_COUNT: Final = 32
+# Enough to tell a faulty worker from a faulty class.
+_WORKERS_MAX_COUNT: Final = 3
+
+
+@dataclass(slots=True)
+class Estimate:
+    """Latest samples and what follows from them.
+
+    `size` and `run_time_ms` are upper estimates, valid once there are enough
+    samples. `succeeded_on` holds a few workers on which a task succeeded.
+    """
+
+    peaks: deque[Resources] = field(
+        default_factory=lambda: deque(maxlen=_SAMPLES_MAX_COUNT),
+    )
+    run_times_ms: deque[int] = field(
+        default_factory=lambda: deque(maxlen=_SAMPLES_MAX_COUNT),
+    )
+    size: Resources = NOTHING
+    run_time_ms: int = 0
+    failed_count: int = 0
+    succeeded_on: set[WorkerId] = field(default_factory=set)
+
+    def note_success_on(self, worker_id: WorkerId) -> None:
+        """Remember a worker on which a task succeeded."""
+        if len(self.succeeded_on) < _WORKERS_MAX_COUNT:
+            self.succeeded_on.add(worker_id)
--- /dev/null
+++ b/fuchsiarill/core/explain.py
@@ -0,0 +1,136 @@
+"""Answers to the question why a job waits."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from fuchsiarill.core.accounts import Account, Group, Obstacle, group_key_of
+from fuchsiarill.core.admission import excesses, first_excess
+from fuchsiarill.core.sizes import size_at_once, size_of
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.waiting import is_waiting
+from fuchsiarill.ids import JobId
+from fuchsiarill.job import JobRecord
+from fuchsiarill.resources import Resources
+from fuchsiarill.states import JobState
+
+
+class WaitReason(Enum):
+    """What holds a job that does not run."""
+
+    NOTHING = 'nothing'
+    COMMIT = 'commit'
+    BACKOFF = 'backoff'
+    TURN = 'turn'
+    ROOM = 'room'
+    QUOTA = 'quota'
+    CONTRACT = 'contract'
+    OWNERSHIP = 'ownership'
+    CONFIRMATION = 'confirmation'
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What a job waits for.
+
+    `field` is the resource that holds it, of which it needs `wanted` and
+    could have `available`. `ahead_own_count` counts jobs of the same customer
+    before it, `ahead_customers_count` customers whose turn is earlier.
+    `starts_at_ms` is set when workers are held for it.
+    """
+
+    job_id: JobId
+    state: JobState
+    reason: WaitReason
+    waited_ms: int
+    field: str | None = None
+    wanted: int = 0
+    available: int = 0
+    ahead_own_count: int = 0
+    ahead_customers_count: int = 0
+    starts_at_ms: int | None = None
+
+
+_REASON_OF_STATE = {
+    JobState.ACCEPTING: WaitReason.COMMIT,
+    JobState.CANCELLING: WaitReason.CONFIRMATION,
+}
+_REASON_OF_OBSTACLE = {
+    Obstacle.ROOM: WaitReason.ROOM,
+    Obstacle.QUOTA: WaitReason.QUOTA,
+    Obstacle.NO_CONTRACT: WaitReason.CONTRACT,
+    Obstacle.OWNERSHIP: WaitReason.OWNERSHIP,
+}
+
+
+def explain(state: CoreState, job: JobRecord, now_ms: int) -> Explanation:
+    """Say what a job waits for."""
+    waited_ms = now_ms - job.accepted_at_ms
+    reason = _REASON_OF_STATE.get(job.state, WaitReason.NOTHING)
+    if not is_waiting(state, job):
+        if job.state is JobState.QUEUED:
+            reason = _reason_outside_queue(job)
+        return Explanation(job.job_id, job.state, reason, waited_ms)
+    account = state.accounts[job.spec.customer]
+    group = account.groups[group_key_of(job.spec)]
+    reason = WaitReason.TURN
+    if group.obstacle is not None:
+        reason = _REASON_OF_OBSTACLE[group.obstacle]
+    field, wanted, available = _held_by(state, account, group)
+    reservation = state.reservations.get(job.job_id)
+    return Explanation(
+        job_id=job.job_id,
+        state=job.state,
+        reason=reason,
+        waited_ms=waited_ms,
+        field=field,
+        wanted=wanted,
+        available=available,
+        ahead_own_count=_ahead_own_count(account, group, job),
+        ahead_customers_count=_ahead_customers_count(state, account),
+        starts_at_ms=None if reservation is None else reservation.starts_at_ms,
+    )
+
+
+def _reason_outside_queue(job: JobRecord) -> WaitReason:
+    return WaitReason.CONFIRMATION if job.attempts else WaitReason.BACKOFF
+
+
+def _held_by(
+    state: CoreState,
+    account: Account,
+    group: Group,
+) -> tuple[str | None, int, int]:
+    if group.obstacle is Obstacle.QUOTA:
+        wanted = size_at_once(state, group.spec)
+        return _first_excess(wanted, account.quota - account.held)
+    if group.obstacle is not Obstacle.ROOM:
+        return None, 0, 0
+    size = size_of(state, group.spec)
+    nearest = min(
+        (worker.free for worker in state.workers.values()),
+        key=lambda free: len(list(excesses(size, free))),
+        default=state.total_capacity,
+    )
+    return _first_excess(size, nearest)
+
+
+def _first_excess(
+    wanted: Resources,
+    available: Resources,
+) -> tuple[str | None, int, int]:
+    return first_excess(wanted, available) or (None, 0, 0)
+
+
+def _ahead_own_count(account: Account, group: Group, job: JobRecord) -> int:
+    return sum(
+        order < job.order
+        for other in account.groups.values()
+        if other.urgent or not group.urgent
+        for order in other.jobs.values()
+    )
+
+
+def _ahead_customers_count(state: CoreState, account: Account) -> int:
+    if account.rank is None:
+        return len(state.order)
+    return int(state.order.index((account.rank, account.customer)))
--- /dev/null
+++ b/fuchsiarill/core/gangs.py
@@ -0,0 +1,181 @@
+"""Gangs: all tasks of a job are placed together or none is.
+
+A gang without room reserves the workers on which it can start earliest. A
+worker is held for one gang at a time, so no two gangs wait for each other,
+and other tasks only use held workers when that does not delay the gang.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from itertools import islice, repeat
+from typing import Final
+
+from fuchsiarill.core.holding import refresh
+from fuchsiarill.core.placement import can_get_tasks, find_worker, suits
+from fuchsiarill.core.reservation import Reservation
+from fuchsiarill.core.reservations import (
+    drop_reservation,
+    has_room,
+    hold_workers,
+    is_valid,
+)
+from fuchsiarill.core.sizes import copies_in, run_time_of
+from fuchsiarill.core.starting import start_next
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.job import JobRecord
+from fuchsiarill.resources import Resources
+
+# Gangs that may hold workers at a time; the oldest in the order come first.
+_RESERVATIONS_MAX_COUNT: Final = 4
+# Workers looked at for each task of a gang, to bound the cost of a decision.
+_CANDIDATES_PER_TASK_COUNT: Final = 16
+_CANDIDATES_MIN_COUNT: Final = 512
+_OVERRUN_MS: Final = 1_000
+
+_Slot = tuple[int, WorkerId]
+
+
+def place_gang(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+    now_ms: int,
+) -> bool:
+    """Start all tasks of a gang, or reserve for it and return `False`."""
+    reservation = state.reservations.get(job.job_id)
+    if reservation is not None:
+        return _start_reserved(state, job, reservation, now_ms)
+    chosen = _choose(state, job, size, now_ms)
+    if len(chosen) < len(job.waiting):
+        _reserve(state, job, size, now_ms)
+        return False
+    for worker in chosen:
+        start_next(state, job, worker, size, now_ms)
+    return True
+
+
+def _start_reserved(
+    state: CoreState,
+    job: JobRecord,
+    reservation: Reservation,
+    now_ms: int,
+) -> bool:
+    if not is_valid(state, reservation):
+        drop_reservation(state, job.job_id, now_ms)
+        return False
+    if not has_room(state, reservation):
+        return False
+    for worker_id, count in reservation.counts.items():
+        for worker in repeat(state.workers[worker_id], count):
+            start_next(state, job, worker, reservation.size, now_ms)
+    drop_reservation(state, job.job_id, now_ms)
+    return True
+
+
+def _choose(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+    now_ms: int,
+) -> list[WorkerView]:
+    """Return a worker for each task, or fewer when there is no room.
+
+    Choices are reserved while the next is made and released at the end; no
+    other decision comes in between.
+    """
+    chosen: list[WorkerView] = []
+    while len(chosen) < len(job.waiting):
+        worker = find_worker(state, job, size)
+        if worker is None:
+            break
+        worker.reserved += size
+        refresh(state, worker, now_ms)
+        chosen.append(worker)
+    for worker in chosen:
+        worker.reserved -= size
+        refresh(state, worker, now_ms)
+    return chosen
+
+
+def _reserve(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+    now_ms: int,
+) -> None:
+    if len(state.reservations) >= _RESERVATIONS_MAX_COUNT:
+        return
+    tasks_count = len(job.waiting)
+    slots: list[_Slot] = []
+    for worker in _candidates(state, tasks_count, now_ms):
+        if suits(worker, job):
+            slots.extend(_slots_of(state, worker, size, now_ms))
+    if len(slots) < tasks_count:
+        return
+    slots.sort()
+    earliest = slots[:tasks_count]
+    reservation = Reservation(
+        job_id=job.job_id,
+        size=size,
+        counts=dict(Counter(worker_id for _time, worker_id in earliest)),
+        starts_at_ms=earliest[-1][0],
+        made_at_ms=now_ms,
+    )
+    hold_workers(state, reservation, now_ms)
+
+
+def _candidates(
+    state: CoreState,
+    tasks_count: int,
+    now_ms: int,
+) -> Iterator[WorkerView]:
+    usable = (
+        worker
+        for worker in state.workers.values()
+        if worker.held_for is None and can_get_tasks(worker, now_ms)
+    )
+    limit = tasks_count * _CANDIDATES_PER_TASK_COUNT
+    return islice(usable, max(limit, _CANDIDATES_MIN_COUNT))
+
+
+def _slots_of(
+    state: CoreState,
+    worker: WorkerView,
+    size: Resources,
+    now_ms: int,
+) -> list[_Slot]:
+    """Return when the worker has room for one, two and more tasks."""
+    room = worker.free
+    now = (now_ms, worker.worker_id)
+    slots = list(repeat(now, copies_in(room, size)))
+    for ends_at_ms, reserved in _releases(state, worker, now_ms):
+        room += reserved
+        gained_count = copies_in(room, size) - len(slots)
+        slots.extend(repeat((ends_at_ms, worker.worker_id), gained_count))
+    return slots
+
+
+def _releases(
+    state: CoreState,
+    worker: WorkerView,
+    now_ms: int,
+) -> list[tuple[int, Resources]]:
+    """Return when attempts are expected to end; services never do."""
+    releases = []
+    for attempt_id in worker.attempts:
+        attempt = state.attempts[attempt_id]
+        run_time_ms = run_time_of(state, state.jobs[attempt.job_id].spec)
+        if run_time_ms is None:
+            continue
+        ends_at_ms = attempt.placed_at_ms + run_time_ms
+        # An attempt past its expected end is taken to end soon.
+        ends_at_ms = max(ends_at_ms, now_ms + _OVERRUN_MS)
+        releases.append((ends_at_ms, attempt.reserved))
+    releases.sort(key=_release_time)
+    return releases
+
+
+def _release_time(release: tuple[int, Resources]) -> int:
+    return release[0]
--- /dev/null
+++ b/fuchsiarill/core/hosts.py
@@ -0,0 +1,93 @@
+"""What the host list and the configuration say of workers."""
+
+from collections import Counter
+
+from fuchsiarill.core.holding import refresh
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_worker
+from fuchsiarill.core.waiting import unblock_all
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.resources import NOTHING
+from fuchsiarill.states import WorkerEvent, WorkerState
+from fuchsiarill.workers import HostEntry, HostState
+
+
+def take_over_hosts(
+    state: CoreState,
+    entries: tuple[HostEntry, ...],
+    now_ms: int,
+) -> None:
+    """Take over one reading of the host list.
+
+    An empty list is taken for a fault of the list: to act on it would stop
+    every start.
+    """
+    if not entries and state.workers:
+        return
+    state.hosts_read = True
+    listed = {entry.worker_id for entry in entries}
+    for worker_id in tuple(state.workers):
+        if worker_id not in listed:
+            _unlist(state, worker_id, now_ms)
+    for entry in entries:
+        _list(state, entry, now_ms)
+    _sum_up(state)
+
+
+def apply_draining(state: CoreState, now_ms: int) -> None:
+    """Drain, and take back, the workers that the configuration names."""
+    draining = set(state.config.draining_workers)
+    for worker in state.workers.values():
+        _step_listed(state, worker, worker.worker_id in draining, now_ms)
+
+
+def _list(state: CoreState, entry: HostEntry, now_ms: int) -> None:
+    worker = state.workers.get(entry.worker_id)
+    if worker is None:
+        worker = WorkerView(entry, WorkerState.UNSEEN)
+        state.workers[entry.worker_id] = worker
+    elif worker.entry != entry:
+        # The index finds a worker by its entry.
+        state.index.remove(worker)
+        worker.entry = entry
+        refresh(state, worker, now_ms)
+    draining = entry.worker_id in state.config.draining_workers
+    _step_listed(state, worker, draining, now_ms)
+
+
+def _step_listed(
+    state: CoreState,
+    worker: WorkerView,
+    draining: bool,
+    now_ms: int,
+) -> None:
+    event = WorkerEvent.LISTED_LIVE
+    if draining or worker.entry.state is HostState.LEAVING:
+        event = WorkerEvent.LISTED_LEAVING
+    step_worker(state, worker, event, now_ms)
+
+
+def _unlist(state: CoreState, worker_id: WorkerId, now_ms: int) -> None:
+    worker = state.workers[worker_id]
+    step_worker(state, worker, WorkerEvent.UNLISTED, now_ms)
+    if not worker.attempts:
+        state.index.remove(worker)
+        state.workers.pop(worker_id)
+        state.released.pop(worker_id, None)
+
+
+def _sum_up(state: CoreState) -> None:
+    capacities = Counter(
+        worker.entry.capacity
+        for worker in state.workers.values()
+        if worker.state is not WorkerState.GONE
+    )
+    if capacities == state.capacities:
+        return
+    state.capacities = capacities
+    state.total_capacity = sum(
+        (capacity.times(count) for capacity, count in capacities.items()),
+        start=NOTHING,
+    )
+    unblock_all(state)
--- a/fuchsiarill/core/job_actions.py
+++ b/fuchsiarill/core/job_actions.py
@@ -1,70 +1,69 @@
-"""Steps of the job chart and the actions that the chart names."""
+"""Actions that the job chart names."""
 
-from collections.abc import Callable
 from functools import partial
 from typing import Final
 
 from fuchsiarill.core.effects import JobSettled
+from fuchsiarill.core.requeue import stop_all
+from fuchsiarill.core.reservations import drop_reservation
 from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import JOB_ACTIONS
+from fuchsiarill.core.waiting import dequeue, enqueue
+from fuchsiarill.ids import JobId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.records import CancelAsked, JobEnded
-from fuchsiarill.registry import Registry
-from fuchsiarill.state_chart import load_chart
-from fuchsiarill.states import JobEvent, JobState
 
-JobAction = Callable[[CoreState, JobRecord, int], None]
-
-JOB_ACTIONS: Final[Registry[str, JobAction]] = Registry('job actions')
+# Ended jobs are kept, so that a repeated submission gets its first answer.
+ENDED_MAX_COUNT: Final = 20_000
+ENDED_MAX_AGE_MS: Final = 86_400_000
 
 
 @JOB_ACTIONS.register('enqueue')
 def _enqueue(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    state.queue[job.job_id] = None
+    enqueue(state, job)
 
 
 @JOB_ACTIONS.register('dequeue')
 def _dequeue(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    state.queue.pop(job.job_id, None)
+    dequeue(state, job)
     job.waiting.clear()
+    state.reclaims.pop(job.job_id, None)
+    state.gang_restarts.pop(job.job_id, None)
+    drop_reservation(state, job.job_id, now_ms)
 
 
 @JOB_ACTIONS.register('persist_cancel')
 def _persist_cancel(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    state.persist(CancelAsked(job.job_id))
+    state.persist_for(job, CancelAsked(job.job_id), now_ms)
 
 
 @JOB_ACTIONS.register('stop_attempts')
 def _stop_attempts(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    # Imported here because attempt actions step the job chart in turn.
-    from fuchsiarill.core import attempt_actions  # noqa: PLC0415
-
-    attempt_actions.stop_all(state, job, now_ms)
+    stop_all(state, job, now_ms)
 
 
 @JOB_ACTIONS.register('settle')
 def _settle(state: CoreState, job: JobRecord, now_ms: int) -> None:
     ended = JobEnded(job.job_id, job.state)
-    state.persist(ended, partial(_announce, state, job))
+    state.persist_for(job, ended, now_ms, partial(_announce, state, job))
 
 
 def _announce(state: CoreState, job: JobRecord, now_ms: int) -> None:
     state.effects.append(JobSettled(job.job_id, job.state))
+    state.ended.append((now_ms, job.job_id))
+    while _has_expired(state, now_ms):
+        _forget(state, state.ended.popleft()[1])
 
 
-JOB_CHART: Final = load_chart('job', JobState, JobEvent, JOB_ACTIONS)
+def _has_expired(state: CoreState, now_ms: int) -> bool:
+    if len(state.ended) > ENDED_MAX_COUNT:
+        return True
+    return now_ms - state.ended[0][0] > ENDED_MAX_AGE_MS
 
 
-def step_job(
-    state: CoreState,
-    job: JobRecord,
-    event: JobEvent,
-    now_ms: int,
-) -> bool:
-    """Apply an event; returns `False` when the chart ignores it."""
-    transition = JOB_CHART.step(job.state, event)
-    if transition is None:
-        return False
-    job.state = transition.target
-    for action in transition.actions:
-        JOB_ACTIONS.lookup(action)(state, job, now_ms)
-    return True
+def _forget(state: CoreState, job_id: JobId) -> None:
+    job = state.jobs.get(job_id)
+    if job is None or job.attempts:
+        return
+    state.jobs.pop(job.job_id)
+    state.job_by_key.pop((job.spec.customer, job.spec.idempotency_key), None)
--- /dev/null
+++ b/fuchsiarill/core/learning.py
@@ -0,0 +1,182 @@
+"""Learns the size and the run time of each job class from usage reports.
+
+An attempt that needs more than it reserved grows where its worker has room.
+Without room the attempt itself is limited, never its neighbours.
+"""
+
+from typing import Final
+
+from fuchsiarill.core.effects import CommandTask
+from fuchsiarill.core.estimate import Estimate
+from fuchsiarill.core.holding import resize
+from fuchsiarill.core.requeue import ask_to_stop
+from fuchsiarill.core.sizes import has_evidence, size_of
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.job import (
+    Attempt,
+    Execution,
+    JobSpec,
+    StopReason,
+    Workload,
+)
+from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.states import AttemptState
+from fuchsiarill.workers import CommandKind, TaskReport
+
+SIZE_MARGIN_RATIO: Final = 1.15
+_PERCENTILE: Final = 0.95
+# Usage lags: the first reports of a task may not show its full size.
+_USAGE_REPORTS_MIN_COUNT: Final = 3
+# Learned sizes are rounded up to this many binary digits, so that classes of
+# like size share one search for room.
+_DIGITS_COUNT: Final = 4
+
+
+def note_usage(
+    state: CoreState,
+    attempt: Attempt,
+    report: TaskReport,
+    now_ms: int,
+) -> None:
+    """Take over the measured usage of a running attempt."""
+    if report.used == NOTHING or attempt.state is not AttemptState.RUNNING:
+        return
+    attempt.usage_reports_count += 1
+    attempt.peak = _larger(attempt.peak, _measured(report.used))
+    if not attempt.peak.fits_in(attempt.reserved):
+        _grow_or_limit(state, attempt, now_ms)
+        return
+    if not state.config.policies.learn_sizes:
+        return
+    spec = state.jobs[attempt.job_id].spec
+    if attempt.usage_reports_count == _USAGE_REPORTS_MIN_COUNT:
+        _add_peak(_estimate_of(state, spec), attempt.peak)
+    if attempt.usage_reports_count >= _USAGE_REPORTS_MIN_COUNT:
+        _shrink(state, attempt, spec, now_ms)
+
+
+def note_end(
+    state: CoreState,
+    attempt: Attempt,
+    report: TaskReport | None,
+) -> None:
+    """Learn from an attempt that succeeded."""
+    spec = state.jobs[attempt.job_id].spec
+    estimate = _estimate_of(state, spec)
+    if report is not None and report.run_time_ms:
+        estimate.run_times_ms.append(report.run_time_ms)
+        estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
+    if report is not None and report.used != NOTHING:
+        attempt.usage_reports_count += 1
+        attempt.peak = _larger(attempt.peak, _measured(report.used))
+    if attempt.usage_reports_count:
+        _add_peak(estimate, attempt.peak)
+
+
+def _estimate_of(state: CoreState, spec: JobSpec) -> Estimate:
+    key = (spec.customer, spec.job_class)
+    estimate = state.estimates.get(key)
+    if estimate is None:
+        estimate = Estimate()
+        state.estimates[key] = estimate
+    return estimate
+
+
+def _measured(used: Resources) -> Resources:
+    # Accelerators and slots are held whole; only the others are estimated.
+    return Resources(used.processors_milli, used.memory_mb)
+
+
+def _add_peak(estimate: Estimate, peak: Resources) -> None:
+    estimate.peaks.append(peak)
+    processors = [sample.processors_milli for sample in estimate.peaks]
+    memory = [sample.memory_mb for sample in estimate.peaks]
+    estimate.size = Resources(
+        _with_margin(_percentile(processors)),
+        _with_margin(_percentile(memory)),
+    )
+
+
+def _percentile(samples: list[int]) -> int:
+    samples.sort()
+    return samples[round((len(samples) - 1) * _PERCENTILE)]
+
+
+def _with_margin(amount: int) -> int:
+    raised = int(amount * SIZE_MARGIN_RATIO)
+    step = 1 << max(raised.bit_length() - _DIGITS_COUNT, 0)
+    return -(-raised // step) * step
+
+
+def _larger(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        max(one.processors_milli, other.processors_milli),
+        max(one.memory_mb, other.memory_mb),
+        max(one.accelerators_count, other.accelerators_count),
+        max(one.slots_count, other.slots_count),
+    )
+
+
+def _shrink(
+    state: CoreState,
+    attempt: Attempt,
+    spec: JobSpec,
+    now_ms: int,
+) -> None:
+    """Release what an attempt reserved and its class never uses."""
+    if not has_evidence(_estimate_of(state, spec)):
+        return
+    needed = _larger(size_of(state, spec), _padded(attempt))
+    if needed != attempt.reserved and needed.fits_in(attempt.reserved):
+        resize(state, attempt, needed, now_ms)
+
+
+def _padded(attempt: Attempt) -> Resources:
+    return Resources(
+        _with_margin(attempt.peak.processors_milli),
+        _with_margin(attempt.peak.memory_mb),
+        attempt.reserved.accelerators_count,
+        attempt.reserved.slots_count,
+    )
+
+
+def _grow_or_limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    wanted = _larger(attempt.reserved, _padded(attempt))
+    needed = _larger(attempt.reserved, attempt.peak)
+    worker = state.workers.get(attempt.worker_id)
+    for size in (wanted, needed):
+        more = size - attempt.reserved
+        if worker is not None and more.fits_in(worker.free):
+            resize(state, attempt, size, now_ms)
+            return
+    if not attempt.is_limited:
+        attempt.is_limited = True
+        _limit(state, attempt, now_ms)
+
+
+def _limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Throttle what needs processors; memory needs a start elsewhere."""
+    spec = state.jobs[attempt.job_id].spec
+    if attempt.peak.memory_mb <= attempt.reserved.memory_mb:
+        _command(state, attempt, CommandKind.THROTTLE)
+        return
+    # A task that may run only once goes on from its checkpoint. Without
+    # learning, a restart would have the same size and be stopped again.
+    once = spec.execution is Execution.AT_MOST_ONCE
+    if once or not state.config.policies.learn_sizes:
+        _command(state, attempt, CommandKind.CHECKPOINT)
+        return
+    _add_peak(_estimate_of(state, spec), attempt.peak)
+    if spec.workload is Workload.BATCH:
+        _command(state, attempt, CommandKind.CHECKPOINT)
+    ask_to_stop(state, attempt, StopReason.OVERUSE, now_ms)
+
+
+def _command(
+    state: CoreState,
+    attempt: Attempt,
+    kind: CommandKind,
+) -> None:
+    state.effects.append(
+        CommandTask(attempt.worker_id, attempt.attempt_id, kind),
+    )
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -6,51 +6,40 @@
 
 import hashlib
 from functools import partial
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
 from fuchsiarill import codes, texts
 from fuchsiarill.cell_config import CellConfig
-from fuchsiarill.core.attempt_actions import step_attempt
-from fuchsiarill.core.effects import Effect, StartTask
-from fuchsiarill.core.job_actions import step_job
-from fuchsiarill.core.placement import PLACEMENTS
-from fuchsiarill.core.state import CoreState, WorkerView
-from fuchsiarill.core.worker_actions import step_worker
-from fuchsiarill.ids import (
-    Epoch,
-    JobId,
-    PartitionId,
-    WorkerId,
-    attempt_id,
-    task_id,
+from fuchsiarill.core import attempt_actions, job_actions, worker_actions
+from fuchsiarill.core.admission import admit
+from fuchsiarill.core.deciding import decide
+from fuchsiarill.core.effects import Effect
+from fuchsiarill.core.explain import Explanation, explain
+from fuchsiarill.core.hosts import apply_draining, take_over_hosts
+from fuchsiarill.core.leases import lapse
+from fuchsiarill.core.quotas import account_of, apply_contracts
+from fuchsiarill.core.reports import take_over_report
+from fuchsiarill.core.snapshot import snapshot
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import (
+    load_charts,
+    step_attempt,
+    step_job,
+    step_worker,
 )
-from fuchsiarill.job import Attempt, Execution, JobRecord, JobSpec
-from fuchsiarill.records import JobAccepted, StartIntended
+from fuchsiarill.core.volatile import write_volatile
+from fuchsiarill.core.waiting import unblock_all
+from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
+from fuchsiarill.job import JobRecord, JobSpec
+from fuchsiarill.records import JobAccepted
 from fuchsiarill.refusal import Refusal, refuse
-from fuchsiarill.states import (
-    AttemptEvent,
-    AttemptState,
-    JobEvent,
-    JobState,
-    WorkerEvent,
-    WorkerState,
-)
-from fuchsiarill.workers import (
-    HostEntry,
-    HostState,
-    TaskOutcome,
-    TaskReport,
-    WorkerReport,
-)
+from fuchsiarill.states import AttemptEvent, JobEvent, JobState, WorkerEvent
+from fuchsiarill.workers import HostEntry, WorkerReport
 
-_EVENT_OF_OUTCOME = {
-    TaskOutcome.RUNNING: AttemptEvent.CONFIRMED,
-    TaskOutcome.SUCCEEDED: AttemptEvent.SUCCEEDED,
-    TaskOutcome.FAILED: AttemptEvent.FAILED,
-    TaskOutcome.STOPPED: AttemptEvent.STOPPED,
-    TaskOutcome.REFUSED: AttemptEvent.REFUSED,
-}
+# The modules whose import registers the actions of the charts.
+ACTION_MODULES = (attempt_actions, job_actions, worker_actions)
 _JOB_DIGEST_CHARACTERS = 20
 
 
@@ -71,47 +60,46 @@
         config: CellConfig,
     ) -> None:
         """Start with no jobs and no workers."""
+        load_charts()
         self.state = CoreState(partition, epoch, config)
+        apply_contracts(self.state)
 
     def configure(self, config: CellConfig, now_ms: int) -> None:
         """Put a newer configuration in force, also for queued jobs."""
         self.state.config = config
+        apply_contracts(self.state)
+        apply_draining(self.state, now_ms)
+        unblock_all(self.state)
 
     def submit(self, spec: JobSpec, now_ms: int) -> Result[JobId, Refusal]:
-        """Admit a job; it is durable once its record is committed."""
-        contract = self.state.config.contract_of(spec.customer)
-        if contract is None:
-            return Failure(
-                refuse(
-                    codes.UNKNOWN_CUSTOMER,
-                    texts.UNKNOWN_CUSTOMER,
-                    field='customer',
-                    customer=spec.customer,
-                ),
-            )
-        key = (spec.customer, spec.idempotency_key)
-        known = self.state.job_by_key.get(key)
+        """Admit a job; it is durable once its record is committed.
+
+        A job accepted while ownership is not confirmed is marked `volatile`
+        in its record and can start at once.
+        """
+        known = self.state.job_by_key.get(
+            (spec.customer, spec.idempotency_key),
+        )
         if known is not None:
             return self._repeated(known, spec)
-        job = JobRecord(
-            job_id=job_id_of(self.state.partition, spec),
-            spec=spec,
-            accepted_at_ms=now_ms,
-            state=JobState.ACCEPTING,
-            waiting=list(range(spec.tasks_count)),
-        )
-        self.state.jobs[job.job_id] = job
-        self.state.job_by_key[key] = job.job_id
-        self.state.persist(
-            JobAccepted(job.job_id, spec),
-            partial(self._accepted, job),
-        )
+        refusal = admit(self.state, spec, now_ms)
+        if refusal is not None:
+            return Failure(refusal)
+        job = self._new_job(spec, now_ms)
+        record = JobAccepted(job.job_id, spec)
+        then = partial(self._accepted, job)
+        self.state.persist_for(job, record, now_ms, then)
         return Success(job.job_id)
 
     def cancel(self, job_id: JobId, now_ms: int) -> bool:
         """Cancel a job; returns `False` when it has its final state."""
         job = self.state.jobs[job_id]
-        return step_job(self.state, job, JobEvent.CANCEL_ASKED, now_ms)
+        was_accepting = job.state is JobState.ACCEPTING
+        if not step_job(self.state, job, JobEvent.CANCEL_ASKED, now_ms):
+            return False
+        if was_accepting:
+            account_of(self.state, job.spec.customer).accepting_count -= 1
+        return True
 
     def committed(self, sequence: int, now_ms: int) -> None:
         """Note that the record with this sequence number is durable."""
@@ -121,40 +109,58 @@
 
     def hosts_listed(self, entries: tuple[HostEntry, ...], now_ms: int) -> None:
         """Take over what the host list says."""
-        for entry in entries:
-            worker = self.state.workers.get(entry.worker_id)
-            if worker is None:
-                worker = WorkerView(entry, WorkerState.UNSEEN)
-                self.state.workers[entry.worker_id] = worker
-            worker.entry = entry
-            event = WorkerEvent.LISTED_LIVE
-            if entry.state is HostState.LEAVING:
-                event = WorkerEvent.LISTED_LEAVING
-            step_worker(self.state, worker, event, now_ms)
-
-    def worker_reported(self, report: WorkerReport, now_ms: int) -> None:
-        """Take over what a worker says of its attempts."""
+        take_over_hosts(self.state, entries, now_ms)
+
+    def worker_reported(
+        self,
+        report: WorkerReport,
+        now_ms: int,
+        asked_at_ms: int | None = None,
+    ) -> None:
+        """Take over what a worker says of its attempts.
+
+        `asked_at_ms` is the time at which the exchange was sent.
+        """
         worker = self.state.workers.get(report.worker_id)
         if worker is None:
             return
-        worker.reported_at_ms = now_ms
-        step_worker(self.state, worker, WorkerEvent.REPORTED, now_ms)
-        for task in report.tasks:
-            self._task_reported(task, now_ms)
+        if asked_at_ms is None:
+            asked_at_ms = now_ms
+        take_over_report(self.state, worker, report, now_ms, asked_at_ms)
 
     def worker_silent(self, worker_id: WorkerId, now_ms: int) -> None:
         """Note that a worker has not answered for too long."""
-        worker = self.state.workers[worker_id]
-        step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
-
-    def decide(self, now_ms: int) -> None:
-        """Place what can be placed now."""
-        for job_id in tuple(self.state.queue):
-            job = self.state.jobs[job_id]
-            while job.waiting and self._place_one(job, now_ms):
-                job.waiting.pop(0)
-            if not job.waiting:
-                self.state.queue.pop(job_id, None)
+        worker = self.state.workers.get(worker_id)
+        if worker is not None:
+            step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
+
+    def start_withheld(self, attempt_id: AttemptId, now_ms: int) -> None:
+        """Note that a start was never sent and never will be."""
+        attempt = self.state.attempts.get(attempt_id)
+        if attempt is not None:
+            step_attempt(self.state, attempt, AttemptEvent.WITHDRAWN, now_ms)
+
+    def restrict(self, now_ms: int) -> None:
+        """Start only urgent idempotent work from now on."""
+        self.state.restricted = True
+
+    def unrestrict(self, now_ms: int) -> None:
+        """Start everything again; ownership is confirmed."""
+        self.state.restricted = False
+        write_volatile(self.state)
+        unblock_all(self.state)
+
+    def lapse(self, now_ms: int) -> None:
+        """Move on attempts whose leases have ended with certainty."""
+        lapse(self.state, now_ms)
+
+    def decide(self, now_ms: int) -> bool:
+        """Place what can be placed now.
+
+        The number of steps is bounded; returns `True` if there may be more to
+        do, so that the owner calls again after its other messages.
+        """
+        return decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects asked for since the last call."""
@@ -162,8 +168,34 @@
         self.state.effects = []
         return taken
 
+    def explain(self, job_id: JobId, now_ms: int) -> Explanation:
+        """Say what a job waits for; raises `KeyError`."""
+        return explain(self.state, self.state.jobs[job_id], now_ms)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return plain values that describe the state, for a dump."""
+        return snapshot(self.state)
+
+    def _new_job(self, spec: JobSpec, now_ms: int) -> JobRecord:
+        self.state.jobs_count += 1
+        job = JobRecord(
+            job_id=job_id_of(self.state.partition, spec),
+            spec=spec,
+            accepted_at_ms=now_ms,
+            state=JobState.ACCEPTING,
+            waiting=list(range(spec.tasks_count)),
+            order=self.state.jobs_count,
+            volatile=self.state.restricted,
+        )
+        self.state.jobs[job.job_id] = job
+        key = (spec.customer, spec.idempotency_key)
+        self.state.job_by_key[key] = job.job_id
+        account_of(self.state, spec.customer).accepting_count += 1
+        return job
+
     def _accepted(self, job: JobRecord, now_ms: int) -> None:
-        step_job(self.state, job, JobEvent.COMMITTED, now_ms)
+        if step_job(self.state, job, JobEvent.COMMITTED, now_ms):
+            account_of(self.state, job.spec.customer).accepting_count -= 1
 
     def _repeated(
         self,
@@ -181,71 +213,3 @@
                 job=known,
             ),
         )
-
-    def _task_reported(self, task: TaskReport, now_ms: int) -> None:
-        attempt = self.state.attempts.get(task.attempt_id)
-        if attempt is None:
-            return
-        event = _EVENT_OF_OUTCOME[task.outcome]
-        step_attempt(self.state, attempt, event, now_ms, task)
-
-    def _place_one(self, job: JobRecord, now_ms: int) -> bool:
-        contract = self.state.config.contract_of(job.spec.customer)
-        if contract is None:
-            return False
-        policy = PLACEMENTS.lookup(contract.placement)
-        worker = policy(self.state, job.spec.task_size)
-        if worker is None:
-            return False
-        self.state.attempts_count += 1
-        task = task_id(job.job_id, job.waiting[0])
-        attempt = Attempt(
-            attempt_id=attempt_id(
-                task,
-                self.state.epoch,
-                self.state.attempts_count,
-            ),
-            task_id=task,
-            job_id=job.job_id,
-            worker_id=worker.entry.worker_id,
-            reserved=job.spec.task_size,
-            state=AttemptState.PLACED,
-            placed_at_ms=now_ms,
-            lease_ends_at_ms=now_ms,
-        )
-        self.state.attempts[attempt.attempt_id] = attempt
-        job.attempts[attempt.attempt_id] = attempt
-        worker.attempts.add(attempt.attempt_id)
-        worker.reserved += attempt.reserved
-        self._start_when_allowed(job, attempt, now_ms)
-        return True
-
-    def _start_when_allowed(
-        self,
-        job: JobRecord,
-        attempt: Attempt,
-        now_ms: int,
-    ) -> None:
-        if job.spec.execution is Execution.IDEMPOTENT:
-            self._start(attempt, now_ms)
-            return
-        intent = StartIntended(
-            job.job_id,
-            attempt.attempt_id,
-            attempt.worker_id,
-        )
-        self.state.persist(intent, partial(self._start, attempt))
-
-    def _start(self, attempt: Attempt, now_ms: int) -> None:
-        if not step_attempt(self.state, attempt, AttemptEvent.SENT, now_ms):
-            return
-        spec = self.state.jobs[attempt.job_id].spec
-        self.state.effects.append(
-            StartTask(
-                worker_id=attempt.worker_id,
-                attempt_id=attempt.attempt_id,
-                reserved=attempt.reserved,
-                run_time_ms=spec.run_time_ms,
-                payload=spec.payload,
-            ),
-        )
--- /dev/null
+++ b/fuchsiarill/core/probation.py
@@ -0,0 +1,102 @@
+"""Workers that fail what succeeds elsewhere.
+
+A failure counts against a worker only when the same job, or its class, has
+succeeded on another worker. On probation a worker gets single tasks that are
+cheap to repeat; with each success it gets twice as many at once.
+"""
+
+from functools import partial
+from typing import Final
+
+from fuchsiarill.core.estimate import Estimate
+from fuchsiarill.core.holding import note_room, refresh
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_worker
+from fuchsiarill.core.timers import call_at
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.job import Attempt
+from fuchsiarill.states import WorkerEvent, WorkerState
+
+PROBES_NEEDED_COUNT: Final = 4
+PROBE_DELAY_FIRST_MS: Final = 2_000
+PROBE_DELAY_MAX_MS: Final = 300_000
+_DOUBLINGS_MAX_COUNT: Final = 8
+
+
+def note_failure(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Count a failure against the worker if others do better."""
+    job = state.jobs[attempt.job_id]
+    key = (job.spec.customer, job.spec.job_class)
+    estimate = state.estimates.setdefault(key, Estimate())
+    estimate.failed_count += 1
+    worker = state.workers.get(attempt.worker_id)
+    if worker is None:
+        return
+    elsewhere = estimate.succeeded_on - {attempt.worker_id}
+    if elsewhere or worker.state is WorkerState.PROBATION:
+        _strike(state, worker, now_ms)
+
+
+def note_success(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Clear the worker; those on which the job failed before are to blame."""
+    job = state.jobs[attempt.job_id]
+    key = (job.spec.customer, job.spec.job_class)
+    estimate = state.estimates.setdefault(key, Estimate())
+    others_knew = bool(estimate.succeeded_on - job.failed_on)
+    estimate.note_success_on(attempt.worker_id)
+    if not others_knew:
+        _blame(state, job.failed_on - {attempt.worker_id}, now_ms)
+    worker = state.workers.get(attempt.worker_id)
+    if worker is None:
+        return
+    worker.strikes_count = 0
+    if worker.state is WorkerState.PROBATION:
+        _probe_succeeded(state, worker, now_ms)
+
+
+def _blame(state: CoreState, worker_ids: set[WorkerId], now_ms: int) -> None:
+    for worker_id in sorted(worker_ids):
+        worker = state.workers.get(worker_id)
+        if worker is not None:
+            _strike(state, worker, now_ms)
+
+
+def _strike(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    worker.strikes_count += 1
+    if worker.state is WorkerState.PROBATION:
+        _delay_probe(state, worker, now_ms)
+        return
+    allowed_count = state.config.policies.probation_failures_count
+    if worker.strikes_count < allowed_count:
+        return
+    if step_worker(state, worker, WorkerEvent.FAILING, now_ms):
+        worker.probe_failures_count = 0
+        _delay_probe(state, worker, now_ms)
+
+
+def _delay_probe(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    worker.probes_count = 0
+    doublings = min(worker.probe_failures_count, _DOUBLINGS_MAX_COUNT)
+    delay_ms = min(PROBE_DELAY_FIRST_MS << doublings, PROBE_DELAY_MAX_MS)
+    worker.probe_failures_count += 1
+    worker.probe_after_ms = now_ms + delay_ms
+    refresh(state, worker, now_ms)
+    call_at(state, worker.probe_after_ms, partial(_probe, state, worker))
+
+
+def _probe(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    refresh(state, worker, now_ms)
+    note_room(state, worker)
+
+
+def _probe_succeeded(
+    state: CoreState,
+    worker: WorkerView,
+    now_ms: int,
+) -> None:
+    worker.probes_count += 1
+    if worker.probes_count >= PROBES_NEEDED_COUNT:
+        step_worker(state, worker, WorkerEvent.PROVED_GOOD, now_ms)
+        worker.probes_count = 0
+    _probe(state, worker, now_ms)
--- /dev/null
+++ b/fuchsiarill/core/quotas.py
@@ -0,0 +1,93 @@
+"""What each customer holds, may hold and is owed."""
+
+from fuchsiarill.cell_config import CellConfig, Contract
+from fuchsiarill.core.accounts import Account
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.ids import CustomerId
+from fuchsiarill.resources import NOTHING, Resources
+
+
+def account_of(state: CoreState, customer: CustomerId) -> Account:
+    """Return the account of a customer, new if there is none."""
+    account = state.accounts.get(customer)
+    if account is None:
+        account = Account(customer, None)
+        state.accounts[customer] = account
+    return account
+
+
+def apply_contracts(state: CoreState) -> None:
+    """Take over the contracts of the configuration in force."""
+    config = state.config
+    state.weights_sum = sum(row.weight for row in config.contracts) or 1.0
+    contracts = {row.customer: row for row in config.contracts}
+    for known in state.accounts.values():
+        _apply(known, contracts.get(known.customer), config)
+    for customer, contract in contracts.items():
+        if customer in state.accounts:
+            continue
+        account = account_of(state, customer)
+        account.tokens = contract.submit_burst_count
+        _apply(account, contract, config)
+
+
+def share_of(state: CoreState, account: Account) -> float:
+    """Return the dominant share of what the customer holds, by weight."""
+    held = account.held.dominant_share(state.total_capacity)
+    return held / _weight_of(account)
+
+
+def may_hold(account: Account, more: Resources) -> bool:
+    """Tell whether the quota permits to hold `more`."""
+    return (account.held + more).fits_in(account.quota)
+
+
+def is_guaranteed(account: Account, more: Resources) -> bool:
+    """Tell whether `more` is within what the contract guarantees."""
+    return (account.held + more).fits_in(account.guaranteed)
+
+
+def is_entitled(state: CoreState, account: Account, more: Resources) -> bool:
+    """Tell whether `more` is within the guarantee or the weighted share."""
+    if is_guaranteed(account, more):
+        return True
+    owed = _weight_of(account) / state.weights_sum
+    return (account.held + more).dominant_share(state.total_capacity) <= owed
+
+
+def borrows(account: Account) -> bool:
+    """Tell whether the customer holds more than it is guaranteed."""
+    left = account.held - account.reclaimed
+    return not left.fits_in(account.guaranteed)
+
+
+def _apply(
+    account: Account,
+    contract: Contract | None,
+    config: CellConfig,
+) -> None:
+    account.contract = contract
+    if contract is None:
+        account.quota = NOTHING
+        account.guaranteed = NOTHING
+        return
+    count = _partitions_count(config, contract)
+    account.quota = _share(contract.quota.as_resources(), count)
+    account.guaranteed = _share(contract.guaranteed.as_resources(), count)
+
+
+def _partitions_count(config: CellConfig, contract: Contract) -> int:
+    for region in config.regions:
+        if region.name == contract.region:
+            return region.partitions_count
+    return 1
+
+
+def _share(amounts: Resources, count: int) -> Resources:
+    # Rounded down, so that the shares of all partitions never exceed the
+    # quota of the contract.
+    return Resources(*(amount // count for amount in amounts.as_tuple()))
+
+
+def _weight_of(account: Account) -> float:
+    return 1.0 if account.contract is None else account.contract.weight
--- /dev/null
+++ b/fuchsiarill/core/requeue.py
@@ -0,0 +1,136 @@
+"""Tasks that have to run again: alone, or with their whole gang."""
+
+from functools import partial
+from typing import Final
+
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_attempt, step_job
+from fuchsiarill.core.timers import call_at
+from fuchsiarill.job import Attempt, JobRecord, StopReason, Workload
+from fuchsiarill.states import AttemptEvent, JobEvent, JobState
+
+_ALIVE: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
+
+
+def position_of(attempt: Attempt) -> int:
+    """Return the position of the attempt's task within its job."""
+    return int(attempt.task_id.rpartition('/')[2])
+
+
+def run_again(
+    state: CoreState,
+    job: JobRecord,
+    position: int,
+    now_ms: int,
+    delay_ms: int = 0,
+) -> None:
+    """Let a task wait for a new start; a gang restarts as a whole."""
+    if job.spec.workload is Workload.GANG:
+        _restart_gang(state, job, now_ms, delay_ms)
+        return
+    if delay_ms:
+        later = partial(_requeue, state, job, position)
+        call_at(state, now_ms + delay_ms, later)
+        return
+    _requeue(state, job, position, now_ms)
+
+
+def start_elsewhere(
+    state: CoreState,
+    job: JobRecord,
+    attempt: Attempt,
+    now_ms: int,
+) -> None:
+    """Let a replacement wait for its start while the attempt runs on."""
+    position = position_of(attempt)
+    if job.state not in _ALIVE or position in job.moving:
+        return
+    job.moving[position] = attempt.attempt_id
+    job.waiting.append(position)
+    step_job(state, job, JobEvent.REQUEUED, now_ms)
+
+
+def ask_to_stop(
+    state: CoreState,
+    attempt: Attempt,
+    reason: StopReason,
+    now_ms: int,
+) -> None:
+    """Ask an attempt to stop, noting what for."""
+    if attempt.stop_reason is None:
+        attempt.stop_reason = reason
+    step_attempt(state, attempt, AttemptEvent.STOP_ASKED, now_ms)
+
+
+def stop_all(state: CoreState, job: JobRecord, now_ms: int) -> None:
+    """Ask every attempt of a job that has ended to stop."""
+    for attempt in tuple(job.attempts.values()):
+        ask_to_stop(state, attempt, StopReason.JOB_ENDED, now_ms)
+    note_if_all_stopped(state, job, now_ms)
+
+
+def note_if_all_stopped(
+    state: CoreState,
+    job: JobRecord,
+    now_ms: int,
+) -> None:
+    """Step a job on when no attempt of it is left."""
+    if job.attempts:
+        return
+    if job.job_id in state.gang_restarts:
+        _requeue_gang(state, job, now_ms)
+        return
+    step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
+
+
+def _requeue(
+    state: CoreState,
+    job: JobRecord,
+    position: int,
+    now_ms: int,
+) -> None:
+    if job.state not in _ALIVE or not _is_needed(job, position):
+        return
+    job.waiting.append(position)
+    step_job(state, job, JobEvent.REQUEUED, now_ms)
+
+
+def _is_needed(job: JobRecord, position: int) -> bool:
+    if position in job.results or position in job.waiting:
+        return False
+    return all(
+        position_of(attempt) != position for attempt in job.attempts.values()
+    )
+
+
+def _restart_gang(
+    state: CoreState,
+    job: JobRecord,
+    now_ms: int,
+    delay_ms: int,
+) -> None:
+    if job.state not in _ALIVE:
+        return
+    due_ms = max(state.gang_restarts.get(job.job_id, 0), now_ms + delay_ms)
+    state.gang_restarts[job.job_id] = due_ms
+    for attempt in tuple(job.attempts.values()):
+        ask_to_stop(state, attempt, StopReason.GANG_RESTART, now_ms)
+    note_if_all_stopped(state, job, now_ms)
+
+
+def _requeue_gang(state: CoreState, job: JobRecord, now_ms: int) -> None:
+    due_ms = state.gang_restarts.pop(job.job_id)
+    if job.state not in _ALIVE:
+        return
+    job.results.clear()
+    if due_ms > now_ms:
+        call_at(state, due_ms, partial(_enqueue_gang, state, job))
+        return
+    _enqueue_gang(state, job, now_ms)
+
+
+def _enqueue_gang(state: CoreState, job: JobRecord, now_ms: int) -> None:
+    if job.state not in _ALIVE or job.attempts:
+        return
+    job.waiting = list(range(job.spec.tasks_count))
+    step_job(state, job, JobEvent.REQUEUED, now_ms)
--- /dev/null
+++ b/fuchsiarill/core/reservation.py
@@ -0,0 +1,22 @@
+"""Workers held for a job whose tasks do not fit yet."""
+
+from dataclasses import dataclass
+
+from fuchsiarill.ids import JobId, WorkerId
+from fuchsiarill.resources import Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Where and when a waiting job is expected to start.
+
+    `counts` maps each held worker to the number of tasks it will carry. Other
+    tasks use a held worker only if they end before `starts_at_ms` or leave
+    enough room.
+    """
+
+    job_id: JobId
+    size: Resources
+    counts: dict[WorkerId, int]
+    starts_at_ms: int
+    made_at_ms: int
--- /dev/null
+++ b/fuchsiarill/core/reservations.py
@@ -0,0 +1,52 @@
+"""Workers held for gangs: checks, and letting go of them."""
+
+from fuchsiarill.core.holding import note_room, refresh
+from fuchsiarill.core.reservation import Reservation
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.ids import JobId
+from fuchsiarill.states import WorkerState
+
+
+def hold_workers(
+    state: CoreState,
+    reservation: Reservation,
+    now_ms: int,
+) -> None:
+    """Keep the workers of a reservation from getting other tasks."""
+    state.reservations[reservation.job_id] = reservation
+    for worker_id in reservation.counts:
+        worker = state.workers[worker_id]
+        worker.held_for = reservation.job_id
+        refresh(state, worker, now_ms)
+
+
+def drop_reservation(state: CoreState, job_id: JobId, now_ms: int) -> None:
+    """Let go of the workers held for a job, if there are any."""
+    reservation = state.reservations.pop(job_id, None)
+    if reservation is None:
+        return
+    for worker_id in reservation.counts:
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            continue
+        worker.held_for = None
+        refresh(state, worker, now_ms)
+        note_room(state, worker)
+
+
+def has_room(state: CoreState, reservation: Reservation) -> bool:
+    """Tell whether every held worker has the room it is held for."""
+    for worker_id, count in reservation.counts.items():
+        needed = reservation.size.times(count)
+        if not needed.fits_in(state.workers[worker_id].free):
+            return False
+    return True
+
+
+def is_valid(state: CoreState, reservation: Reservation) -> bool:
+    """Tell whether all held workers may still get the tasks."""
+    for worker_id in reservation.counts:
+        worker = state.workers.get(worker_id)
+        if worker is None or worker.state is not WorkerState.READY:
+            return False
+    return True
--- /dev/null
+++ b/fuchsiarill/core/retries.py
@@ -0,0 +1,118 @@
+"""What follows on a failed attempt: when it is repeated, and how often.
+
+The retry budget of a customer grows with its successes, so that a fault that
+hits everything does not multiply the load.
+"""
+
+from itertools import islice
+from typing import Final
+
+from fuchsiarill.core.probation import note_failure
+from fuchsiarill.core.quotas import account_of
+from fuchsiarill.core.requeue import position_of, run_again
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_job
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.job import Attempt, Execution, JobRecord, Workload
+from fuchsiarill.states import JobEvent, WorkerState
+
+HEALTHY_WORKERS_MAX_COUNT: Final = 3
+BACKOFF_FIRST_MS: Final = 500
+BACKOFF_MAX_MS: Final = 60_000
+# Retries that a customer has before any success has earned it more.
+_CREDIT_FLOOR: Final = 10.0
+_CREDIT_MAX: Final = 100.0
+# A replica that ran this long begins its backoff anew.
+_STABLE_MS: Final = 600_000
+_JITTER_MIN: Final = 0.5
+
+
+def after_failure(
+    state: CoreState,
+    attempt: Attempt,
+    now_ms: int,
+) -> None:
+    """Repeat a failed attempt elsewhere, or end its job."""
+    job = state.jobs[attempt.job_id]
+    job.failures_count += 1
+    job.failed_on.add(attempt.worker_id)
+    note_failure(state, attempt, now_ms)
+    if job.spec.workload is Workload.SERVICE:
+        _restart_replica(state, job, attempt, now_ms)
+        return
+    amo = job.spec.execution is Execution.AT_MOST_ONCE
+    if amo or _failed_on_healthy_workers(state, job):
+        step_job(state, job, JobEvent.GAVE_UP, now_ms)
+        return
+    delay_ms = _delay_ms(state, job)
+    run_again(state, job, position_of(attempt), now_ms, delay_ms)
+
+
+def after_success(state: CoreState, job: JobRecord) -> None:
+    """Add to the retry budget of a customer."""
+    account = account_of(state, job.spec.customer)
+    if account.contract is None:
+        return
+    earned = account.retry_credit + account.contract.retry_budget_ratio
+    account.retry_credit = min(earned, _CREDIT_MAX)
+
+
+def replica_ended(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Restart a replica that ended by itself."""
+    job = state.jobs[attempt.job_id]
+    job.failures_count += 1
+    _restart_replica(state, job, attempt, now_ms)
+
+
+def backoff_ms(state: CoreState, failures_count: int) -> int:
+    """Return the delay after a number of failures, with jitter."""
+    doublings = min(max(failures_count - 1, 0), BACKOFF_MAX_MS.bit_length())
+    limit_ms = min(BACKOFF_FIRST_MS << doublings, BACKOFF_MAX_MS)
+    return int(limit_ms * (_JITTER_MIN + _JITTER_MIN * state.jitter.random()))
+
+
+def _restart_replica(
+    state: CoreState,
+    job: JobRecord,
+    attempt: Attempt,
+    now_ms: int,
+) -> None:
+    if now_ms - attempt.placed_at_ms >= _STABLE_MS:
+        job.failures_count = 1
+        job.failed_on.clear()
+    if len(job.failed_on) >= HEALTHY_WORKERS_MAX_COUNT:
+        job.failed_on.clear()
+    delay_ms = backoff_ms(state, job.failures_count)
+    run_again(state, job, position_of(attempt), now_ms, delay_ms)
+
+
+def _failed_on_healthy_workers(state: CoreState, job: JobRecord) -> bool:
+    healthy = [
+        worker_id
+        for worker_id in job.failed_on
+        if worker_id in state.workers
+        and state.workers[worker_id].state is WorkerState.READY
+    ]
+    ready = islice(
+        filter(_is_ready, state.workers.values()),
+        HEALTHY_WORKERS_MAX_COUNT,
+    )
+    if len(healthy) < len(list(ready)):
+        return False
+    if job.failures_count >= HEALTHY_WORKERS_MAX_COUNT:
+        return True
+    # There are too few workers to try others; the same ones are tried again.
+    job.failed_on.clear()
+    return False
+
+
+def _is_ready(worker: WorkerView) -> bool:
+    return worker.state is WorkerState.READY
+
+
+def _delay_ms(state: CoreState, job: JobRecord) -> int:
+    account = account_of(state, job.spec.customer)
+    if account.retry_credit < 1 - _CREDIT_FLOOR:
+        return BACKOFF_MAX_MS
+    account.retry_credit -= 1
+    return backoff_ms(state, job.failures_count)
--- /dev/null
+++ b/fuchsiarill/core/sizes.py
@@ -0,0 +1,139 @@
+"""How much a task reserves, and how long it is expected to run."""
+
+from typing import Final
+
+from fuchsiarill.core.estimate import Estimate
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.job import JobSpec, Workload
+from fuchsiarill.resources import Resources
+
+# Declared sizes are wrong by up to this factor; a class without evidence
+# reserves for the worst, so that no host is overcommitted before it reports.
+DECLARED_ERROR_RATIO: Final = 4
+EVIDENCE_MIN_COUNT: Final = 3
+RUN_TIME_MARGIN_RATIO: Final = 1.25
+_MARGINS: Final = (DECLARED_ERROR_RATIO, 2, 1)
+
+
+def size_of(state: CoreState, spec: JobSpec) -> Resources:
+    """Return what one task of a job reserves."""
+    if not state.config.policies.learn_sizes:
+        return spec.task_size
+    estimate = state.estimates.get((spec.customer, spec.job_class))
+    if estimate is None or not has_evidence(estimate):
+        return _unproven_size(state, spec)
+    return _capped(state, spec, _with_counts(spec, estimate.size))
+
+
+def size_at_once(state: CoreState, spec: JobSpec) -> Resources:
+    """Return what a job needs before anything of it can start."""
+    size = size_of(state, spec)
+    if spec.workload is Workload.GANG:
+        return size.times(spec.tasks_count)
+    return size
+
+
+def run_time_of(state: CoreState, spec: JobSpec) -> int | None:
+    """Return the expected run time; `None` for one without an end."""
+    if spec.workload is Workload.SERVICE:
+        return None
+    estimate = state.estimates.get((spec.customer, spec.job_class))
+    if estimate is not None and estimate.run_time_ms:
+        return int(estimate.run_time_ms * RUN_TIME_MARGIN_RATIO)
+    return spec.run_time_ms * DECLARED_ERROR_RATIO or None
+
+
+def has_evidence(estimate: Estimate) -> bool:
+    """Tell whether enough tasks of the class were measured."""
+    return len(estimate.peaks) >= EVIDENCE_MIN_COUNT
+
+
+def carried_count(state: CoreState, size: Resources) -> int:
+    """Return how many tasks of a size all listed workers carry together."""
+    return sum(
+        count * copies_in(capacity, size)
+        for capacity, count in state.capacities.items()
+    )
+
+
+def copies_in(room: Resources, size: Resources) -> int:
+    """Return how often a size fits into a room."""
+    copies = [
+        whole // part
+        for whole, part in zip(room.as_tuple(), size.as_tuple(), strict=True)
+        if part
+    ]
+    return max(min(copies, default=0), 0)
+
+
+def _unproven_size(state: CoreState, spec: JobSpec) -> Resources:
+    for margin in _MARGINS:
+        declared = spec.task_size
+        scaled = Resources(
+            declared.processors_milli * margin,
+            declared.memory_mb * margin,
+            declared.accelerators_count,
+            declared.slots_count,
+        )
+        size = _capped(state, spec, scaled)
+        if spec.workload is not Workload.GANG:
+            return size
+        # A gang that fits only with a smaller margin must still start.
+        if _gang_fits(state, spec, size):
+            return size
+    return spec.task_size
+
+
+def _gang_fits(state: CoreState, spec: JobSpec, size: Resources) -> bool:
+    account = state.accounts.get(spec.customer)
+    if account is not None and account.contract is not None:
+        if not size.times(spec.tasks_count).fits_in(account.quota):
+            return False
+    return carried_count(state, size) >= spec.tasks_count
+
+
+def _with_counts(spec: JobSpec, learned: Resources) -> Resources:
+    # Accelerators and slots are counted exactly, never estimated.
+    return Resources(
+        learned.processors_milli,
+        learned.memory_mb,
+        spec.task_size.accelerators_count,
+        spec.task_size.slots_count,
+    )
+
+
+def _capped(state: CoreState, spec: JobSpec, size: Resources) -> Resources:
+    account = state.accounts.get(spec.customer)
+    if account is not None and account.contract is not None:
+        size = _at_most(size, account.quota, spec.task_size)
+    fitting = [
+        capacity
+        for capacity in state.capacities
+        if spec.task_size.fits_in(capacity)
+    ]
+    if not fitting:
+        return size
+    largest = max(fitting, key=_plain_amounts)
+    return _at_most(size, largest, spec.task_size)
+
+
+def _plain_amounts(capacity: Resources) -> tuple[int, int]:
+    return (capacity.processors_milli, capacity.memory_mb)
+
+
+def _at_most(
+    size: Resources,
+    limit: Resources,
+    floor: Resources,
+) -> Resources:
+    return Resources(
+        min(size.processors_milli, _limit(limit, floor).processors_milli),
+        min(size.memory_mb, _limit(limit, floor).memory_mb),
+        size.accelerators_count,
+        size.slots_count,
+    )
+
+
+def _limit(limit: Resources, floor: Resources) -> Resources:
+    # A declared size above the limit stays visible as one that waits.
+    return limit if floor.fits_in(limit) else floor
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -4,15 +4,25 @@
 nothing themselves.
 """
 
+import random
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from sortedcontainers import SortedList
+
 from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.core.accounts import Account, Group
 from fuchsiarill.core.effects import Effect, PersistRecord
+from fuchsiarill.core.estimate import Estimate
+from fuchsiarill.core.reservation import Reservation
+from fuchsiarill.core.worker_index import WorkerIndex
+from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import (
     AttemptId,
     CustomerId,
     Epoch,
+    JobClass,
     JobId,
     PartitionId,
     WorkerId,
@@ -20,29 +30,21 @@
 from fuchsiarill.job import Attempt, JobRecord
 from fuchsiarill.records import Record
 from fuchsiarill.resources import NOTHING, Resources
-from fuchsiarill.states import WorkerState
-from fuchsiarill.workers import HostEntry
-
-
-@dataclass(slots=True)
-class WorkerView:
-    """What the owner knows of a worker and has reserved on it."""
 
-    entry: HostEntry
-    state: WorkerState
-    reserved: Resources = NOTHING
-    attempts: set[AttemptId] = field(default_factory=set)
-    reported_at_ms: int = 0
+__all__ = ('CoreState', 'Timer', 'WorkerView')  # noqa: WPS410
 
-    @property
-    def free(self) -> Resources:
-        """Return what is left of the capacity."""
-        return self.entry.capacity - self.reserved
+Timer = tuple[int, int, Callable[[int], None]]
 
 
 @dataclass(slots=True)
 class CoreState:
-    """Everything one owner knows of its partition."""
+    """Everything one owner knows of its partition.
+
+    `no_room_for` holds sizes for which no worker had room since capacity was
+    last released. `released` holds the workers with room released since the
+    last decision. `unrenewed` holds attempts whose leases are not extended.
+    `opened_at_ms` is the time of a takeover, `None` for a new partition.
+    """
 
     partition: PartitionId
     epoch: Epoch
@@ -53,13 +55,46 @@
     )
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
     workers: dict[WorkerId, WorkerView] = field(default_factory=dict)
-    queue: dict[JobId, None] = field(default_factory=dict)
+    accounts: dict[CustomerId, Account] = field(default_factory=dict)
+    index: WorkerIndex = field(default_factory=WorkerIndex)
+    capacities: Counter[Resources] = field(default_factory=Counter)
+    total_capacity: Resources = NOTHING
+    weights_sum: float = 1.0
+    order: 'SortedList[tuple[tuple[float, ...], CustomerId]]' = field(
+        default_factory=SortedList,
+    )
+    blocked: dict[Resources, dict[Group, None]] = field(default_factory=dict)
+    blocked_gangs: dict[Group, None] = field(default_factory=dict)
+    no_room_for: list[Resources] = field(default_factory=list)
+    released: dict[WorkerId, None] = field(default_factory=dict)
+    reservations: dict[JobId, Reservation] = field(default_factory=dict)
+    reclaims: dict[JobId, int] = field(default_factory=dict)
+    estimates: dict[tuple[CustomerId, JobClass], Estimate] = field(
+        default_factory=dict,
+    )
+    unrenewed: dict[AttemptId, None] = field(default_factory=dict)
+    ended: deque[tuple[int, JobId]] = field(default_factory=deque)
+    timers: list[Timer] = field(default_factory=list)
+    jitter: random.Random = field(default_factory=random.Random)
+    timers_count: int = 0
+    unblocked_at_ms: int = 0
+    gang_restarts: dict[JobId, int] = field(default_factory=dict)
+    hosts_read: bool = False
+    restricted: bool = False
+    opened_at_ms: int | None = None
+    volatile_records: list[Record] = field(default_factory=list)
+    volatile_jobs: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     after_commit: dict[int, Callable[[int], None]] = field(
         default_factory=dict,
     )
     sequence: int = 0
     attempts_count: int = 0
+    jobs_count: int = 0
+
+    def __post_init__(self) -> None:
+        """Seed the generator, so that a replay takes the same course."""
+        self.jitter.seed(f'{self.partition}/{self.epoch}')
 
     def persist(
         self,
@@ -75,3 +110,24 @@
             self.after_commit[self.sequence] = then
         self.effects.append(PersistRecord(self.sequence, record))
         return self.sequence
+
+    def persist_for(
+        self,
+        job: JobRecord,
+        record: Record,
+        now_ms: int,
+        then: Callable[[int], None] | None = None,
+    ) -> None:
+        """Make a record of a job durable.
+
+        The records of a volatile job are kept until the store is in reach
+        again; what follows on them happens at once.
+        """
+        if job.volatile:
+            self.volatile_jobs.add(job.job_id)
+        else:
+            self.persist(record, then)
+            return
+        self.volatile_records.append(record)
+        if then is not None:
+            then(now_ms)
--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -1,18 +1,26 @@
-"""Steps of the worker chart and the actions that the chart names."""
+"""Actions that the worker chart names."""
 
-from collections.abc import Callable
-from typing import Final
+from fuchsiarill.core.holding import note_room, refresh
+from fuchsiarill.core.requeue import ask_to_stop, start_elsewhere
+from fuchsiarill.core.reservations import drop_reservation
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import WORKER_ACTIONS, step_attempt
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.job import Execution, StopReason, Workload
+from fuchsiarill.states import AttemptEvent, AttemptState
 
-from fuchsiarill.core.attempt_actions import step_attempt
-from fuchsiarill.core.state import CoreState, WorkerView
-from fuchsiarill.job import Workload
-from fuchsiarill.registry import Registry
-from fuchsiarill.state_chart import load_chart
-from fuchsiarill.states import AttemptEvent, WorkerEvent, WorkerState
 
-WorkerAction = Callable[[CoreState, WorkerView, int], None]
+@WORKER_ACTIONS.register('offer')
+def _offer(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    refresh(state, worker, now_ms)
+    note_room(state, worker)
 
-WORKER_ACTIONS: Final[Registry[str, WorkerAction]] = Registry('worker actions')
+
+@WORKER_ACTIONS.register('withdraw')
+def _withdraw(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    refresh(state, worker, now_ms)
+    if worker.held_for is not None:
+        drop_reservation(state, worker.held_for, now_ms)
 
 
 @WORKER_ACTIONS.register('suspect_attempts')
@@ -21,43 +29,38 @@
     worker: WorkerView,
     now_ms: int,
 ) -> None:
+    # The exchange that was not answered may have extended the leases.
+    lease_ends_at_ms = now_ms + state.config.policies.task_lease_ms
     for attempt_id in tuple(worker.attempts):
         attempt = state.attempts[attempt_id]
+        if attempt_id not in state.unrenewed:
+            attempt.lease_ends_at_ms = max(
+                attempt.lease_ends_at_ms,
+                lease_ends_at_ms,
+            )
+        state.unrenewed[attempt_id] = None
         step_attempt(state, attempt, AttemptEvent.CONTACT_LOST, now_ms)
 
 
 @WORKER_ACTIONS.register('move_services')
-def _move_services(
+def move_services(
     state: CoreState,
     worker: WorkerView,
     now_ms: int,
 ) -> None:
+    """Let the replicas on a worker run elsewhere.
+
+    One that the worker does not confirm may have ended; it is started again
+    when its lease has lapsed.
+    """
     for attempt_id in tuple(worker.attempts):
         attempt = state.attempts[attempt_id]
-        if state.jobs[attempt.job_id].spec.workload is not Workload.SERVICE:
+        if attempt.state is not AttemptState.RUNNING:
             continue
-        step_attempt(state, attempt, AttemptEvent.STOP_ASKED, now_ms)
-
-
-WORKER_CHART: Final = load_chart(
-    'worker',
-    WorkerState,
-    WorkerEvent,
-    WORKER_ACTIONS,
-)
-
-
-def step_worker(
-    state: CoreState,
-    worker: WorkerView,
-    event: WorkerEvent,
-    now_ms: int,
-) -> bool:
-    """Apply an event; returns `False` when the chart ignores it."""
-    transition = WORKER_CHART.step(worker.state, event)
-    if transition is None:
-        return False
-    worker.state = transition.target
-    for action in transition.actions:
-        WORKER_ACTIONS.lookup(action)(state, worker, now_ms)
-    return True
+        job = state.jobs[attempt.job_id]
+        if job.spec.workload is not Workload.SERVICE:
+            continue
+        if job.spec.execution is Execution.AT_MOST_ONCE:
+            ask_to_stop(state, attempt, StopReason.MOVED, now_ms)
+        else:
+            start_elsewhere(state, job, attempt, now_ms)
--- /dev/null
+++ b/fuchsiarill/core/worker_index.py
@@ -0,0 +1,114 @@
+"""Index of workers by free resources.
+
+Workers lie in buckets by the binary magnitude of each free resource, so the
+number of buckets that a search passes depends on the shapes of workers and
+not on their number.
+"""
+
+from collections.abc import Iterator
+from itertools import islice
+
+from fuchsiarill.core.worker_view import BucketKey, WorkerView
+from fuchsiarill.ids import FailureDomain, WorkerId
+from fuchsiarill.resources import Resources
+
+_Bucket = dict[WorkerId, WorkerView]
+_Pool = dict[BucketKey, _Bucket]
+# Members looked at in one bucket; a worker that fits may be passed over in
+# a larger bucket, but is offered again when something on it is released.
+_PROBES_MAX_COUNT = 12
+_SEARCH_MAX_COUNT = 96
+
+
+def _bucket_of(free: Resources) -> BucketKey:
+    return (
+        free.processors_milli.bit_length(),
+        free.memory_mb.bit_length(),
+        free.accelerators_count.bit_length(),
+        free.slots_count.bit_length(),
+    )
+
+
+class WorkerIndex:
+    """The workers that may get tasks, by what they have free."""
+
+    def __init__(self) -> None:
+        """Create an index without workers."""
+        self._pools: dict[bool, _Pool] = {False: {}, True: {}}
+        self._domains: dict[tuple[FailureDomain, bool], _Pool] = {}
+
+    def place(self, worker: WorkerView) -> None:
+        """Put a worker where it belongs by its free resources."""
+        free = worker.free
+        bucket = _bucket_of(free)
+        if worker.bucket == bucket:
+            return
+        self.remove(worker)
+        if not free.slots_count or min(free.as_tuple()) < 0:
+            return
+        for pool in self._pools_of(worker):
+            pool.setdefault(bucket, {})[worker.worker_id] = worker
+        worker.bucket = bucket
+
+    def remove(self, worker: WorkerView) -> None:
+        """Take a worker out, if it is in."""
+        if worker.bucket is None:
+            return
+        for pool in self._pools_of(worker):
+            members = pool[worker.bucket]
+            members.pop(worker.worker_id)
+            if not members:
+                pool.pop(worker.bucket)
+        worker.bucket = None
+
+    def domains(self, accelerated: bool) -> list[FailureDomain]:
+        """Return the domains with such workers, by name."""
+        return sorted(
+            domain
+            for (domain, kind), pool in self._domains.items()
+            if kind is accelerated and pool
+        )
+
+    def search(
+        self,
+        size: Resources,
+        *,
+        accelerated: bool,
+        domain: FailureDomain | None = None,
+        fullest_first: bool = True,
+    ) -> Iterator[WorkerView]:
+        """Yield workers with room, from the fullest or the emptiest bucket."""
+        pool = self._pools[accelerated]
+        if domain is not None:
+            pool = self._domains.get((domain, accelerated), {})
+        yield from islice(
+            _members(pool, size, fullest_first),
+            _SEARCH_MAX_COUNT,
+        )
+
+    def _pools_of(self, worker: WorkerView) -> tuple[_Pool, _Pool]:
+        accelerated = worker.has_accelerators
+        place = (worker.entry.failure_domain, accelerated)
+        return self._pools[accelerated], self._domains.setdefault(place, {})
+
+
+def _members(
+    pool: _Pool,
+    size: Resources,
+    fullest_first: bool,
+) -> Iterator[WorkerView]:
+    processors, memory, accelerators, slots = _bucket_of(size)
+    fitting = [
+        (key[2], key[0] + key[1] + key[3], key)
+        for key in pool
+        if key[0] >= processors
+        and key[1] >= memory
+        and key[2] >= accelerators
+        and key[3] >= slots
+    ]
+    fitting.sort(reverse=not fullest_first)
+    for _accelerators, _fullness, key in fitting:
+        # A copy, because a caller may move the workers it is given.
+        for worker in tuple(islice(pool[key].values(), _PROBES_MAX_COUNT)):
+            if size.fits_in(worker.free):
+                yield worker
--- /dev/null
+++ b/fuchsiarill/core/worker_view.py
@@ -0,0 +1,48 @@
+"""What the owner of a partition knows of a worker."""
+
+from dataclasses import dataclass, field
+
+from fuchsiarill.ids import AttemptId, JobId, WorkerId
+from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.states import WorkerState
+from fuchsiarill.workers import HostEntry
+
+BucketKey = tuple[int, int, int, int]
+
+
+@dataclass(slots=True, eq=False)
+class WorkerView:
+    """What the owner knows of a worker and has reserved on it.
+
+    `held_for` is the gang that waits for room on the worker. `bucket` is the
+    place of the worker in the index, `None` while it gets no tasks.
+    `strikes_count` counts failures of what succeeded elsewhere,
+    `probes_count` the successes in a row since it is on probation.
+    """
+
+    entry: HostEntry
+    state: WorkerState
+    reserved: Resources = NOTHING
+    attempts: set[AttemptId] = field(default_factory=set)
+    reported_at_ms: int = 0
+    held_for: JobId | None = None
+    bucket: BucketKey | None = None
+    strikes_count: int = 0
+    probes_count: int = 0
+    probe_failures_count: int = 0
+    probe_after_ms: int = 0
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """Return the id of the worker."""
+        return self.entry.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Return what is left of the capacity."""
+        return self.entry.capacity - self.reserved
+
+    @property
+    def has_accelerators(self) -> bool:
+        """Tell whether the worker has accelerators."""
+        return self.entry.capacity.accelerators_count > 0
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -11,7 +11,7 @@
     TaskId,
     WorkerId,
 )
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import AttemptState, JobState
 
 
@@ -37,6 +37,16 @@
     NORMAL = 'normal'
 
 
+class StopReason(Enum):
+    """Why the owner asked an attempt to stop."""
+
+    JOB_ENDED = 'job_ended'
+    RECLAIMED = 'reclaimed'
+    MOVED = 'moved'
+    OVERUSE = 'overuse'
+    GANG_RESTART = 'gang_restart'
+
+
 @dataclass(frozen=True, slots=True)
 class JobSpec:
     """A submission that passed the checks of its form.
@@ -59,7 +69,13 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One run of one task on one worker, as the owner sees it."""
+    """One run of one task on one worker, as the owner sees it.
+
+    `peak` is the largest usage reported so far, `usage_reports_count` the
+    number of reports behind it. `replaces` is the replica that stops once
+    this attempt runs. `missed_count` counts reports of the worker in a row
+    that did not name the attempt.
+    """
 
     attempt_id: AttemptId
     task_id: TaskId
@@ -69,6 +85,12 @@
     state: AttemptState
     placed_at_ms: int
     lease_ends_at_ms: int
+    peak: Resources = NOTHING
+    usage_reports_count: int = 0
+    missed_count: int = 0
+    is_limited: bool = False
+    stop_reason: StopReason | None = None
+    replaces: AttemptId | None = None
 
 
 @dataclass(slots=True)
@@ -76,7 +98,11 @@
     """Everything the owner keeps of one job.
 
     `waiting` holds the positions of tasks that have no attempt, `results` the
-    output of each task that succeeded, by position.
+    output of each task that succeeded, by position. `order` numbers the jobs
+    of an owner in the order of their acceptance. `failed_on` holds the workers
+    on which an attempt failed. `moving` maps the position of a replica to the
+    attempt that stops once its replacement runs. A `volatile` job is not in
+    the journal.
     """
 
     job_id: JobId
@@ -88,3 +114,7 @@
     results: dict[int, str] = field(default_factory=dict)
     failures_count: int = 0
     started_at_ms: int | None = None
+    order: int = 0
+    failed_on: set[WorkerId] = field(default_factory=set)
+    moving: dict[int, AttemptId] = field(default_factory=dict)
+    volatile: bool = False
