Add the command line and the generated pages

Cause: operators and callers need a client, and the docs need tables of codes and events that can't go stale.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 .
 	$(BIN)/mypy
+	$(BIN)/python -m tools.write_docs --check
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
--- /dev/null
+++ b/fuchsiarill/commands/command.py
@@ -0,0 +1,75 @@
+"""Commands of the command line: a registry that decorators fill.
+
+A command is a function from its parsed arguments to an answer; the main
+module parses, calls it, prints the answer and ends with its exit status.
+"""
+
+from argparse import ArgumentParser, Namespace
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from fuchsiarill.codes import DONE, ExitStatus, ResultCode
+from fuchsiarill.commands.client import Client
+from fuchsiarill.registry import Registry
+
+
+@dataclass(frozen=True, slots=True)
+class CommandAnswer:
+    """What a command prints and how it ends.
+
+    `content` is a mapping or a list of mappings; `notes` are sentences for
+    people, printed to standard error.
+    """
+
+    content: Any
+    code: ResultCode = DONE
+    notes: tuple[str, ...] = ()
+
+    @property
+    def exit_status(self) -> ExitStatus:
+        """Return the exit status that belongs to the code."""
+        return self.code.exit_status
+
+
+CommandFunction = Callable[[Namespace, Client], CommandAnswer]
+ArgumentsFunction = Callable[[ArgumentParser], None]
+
+
+def no_arguments(parser: ArgumentParser) -> None:
+    """Declare no arguments beyond the common ones."""
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """One subcommand; `words` are what the operator types.
+
+    `example` is shown by `--help`.
+    """
+
+    words: tuple[str, ...]
+    summary: str
+    example: str
+    run: CommandFunction
+    arguments: ArgumentsFunction = field(default=no_arguments)
+
+
+COMMANDS: Final[Registry[tuple[str, ...], Command]] = Registry('commands')
+
+
+def command(
+    words: str,
+    summary: str,
+    example: str,
+    arguments: ArgumentsFunction = no_arguments,
+) -> Callable[[CommandFunction], CommandFunction]:
+    """Register the decorated function as the command `words`."""
+
+    def decorator(run: CommandFunction) -> CommandFunction:
+        key = tuple(words.split())
+        COMMANDS.register(key)(
+            Command(key, summary, example, run, arguments),
+        )
+        return run
+
+    return decorator
--- /dev/null
+++ b/fuchsiarill/commands/config_commands.py
@@ -0,0 +1,160 @@
+"""Commands on the cell configuration."""
+
+import getpass
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+from typing import Final
+
+import yaml
+
+from fuchsiarill import codes, texts
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.commands import config_edit
+from fuchsiarill.commands.client import Client, ServerAnswer
+from fuchsiarill.commands.command import CommandAnswer, command
+
+_WAIT_S: Final = 30.0
+
+
+def _file_argument(parser: ArgumentParser) -> None:
+    parser.add_argument('file', type=Path, help='configuration in YAML')
+
+
+def add_author(parser: ArgumentParser) -> None:
+    """Declare the name under which a change is written."""
+    parser.add_argument(
+        '--author',
+        default=getpass.getuser(),
+        help='name shown to other operators (default: the login name)',
+    )
+
+
+def add_wait(parser: ArgumentParser) -> None:
+    """Declare the options that wait for a change to be in force."""
+    parser.add_argument(
+        '--wait',
+        action='store_true',
+        help='end when every process has the change in force',
+    )
+    parser.add_argument(
+        '--wait-s',
+        type=float,
+        default=_WAIT_S,
+        help='longest wait in seconds (default: 30)',
+    )
+
+
+def _apply_arguments(parser: ArgumentParser) -> None:
+    _file_argument(parser)
+    add_author(parser)
+    add_wait(parser)
+
+
+def wait_if_asked(
+    client: Client,
+    options: Namespace,
+    written: CommandAnswer,
+) -> CommandAnswer:
+    """Wait for the spread of a successful change when `--wait` is given."""
+    if written.code != codes.DONE or not options.wait:
+        return written
+    return config_edit.wait_for_spread(
+        client,
+        written.content['generation'],
+        options.wait_s,
+    )
+
+
+@command(
+    'config check',
+    'Check a configuration file without writing it.',
+    'fuchsiarill config check examples/frostwick.yaml',
+    _file_argument,
+)
+def check(options: Namespace, client: Client) -> CommandAnswer:
+    """Check a file and name every problem with its line and field."""
+    text = options.file.read_text()
+    problems = config_edit.check_text(text)
+    if problems:
+        named = tuple(f'{options.file}: {problem}' for problem in problems)
+        return CommandAnswer(None, codes.CONFIG_INVALID, named)
+    contracts = len(yaml.safe_load(text)['contracts'])
+    note = texts.CONFIG_VALID.format(path=options.file, contracts=contracts)
+    return CommandAnswer(None, notes=(note,))
+
+
+@command(
+    'config show',
+    'Show the configuration in force.',
+    'fuchsiarill config show',
+)
+def show(options: Namespace, client: Client) -> CommandAnswer:
+    """Print the document as it was written."""
+    found = config_edit.read_document(client)
+    if isinstance(found, ServerAnswer):
+        return config_edit.refused(found)
+    note = f'generation {found.generation}, written by {found.author}'
+    if options.output == 'table':
+        return CommandAnswer(found.text.rstrip(), notes=(note,))
+    return CommandAnswer(yaml.safe_load(found.text), notes=(note,))
+
+
+@command(
+    'config diff',
+    'Show what a file would change.',
+    'fuchsiarill config diff cell.yaml',
+    _file_argument,
+)
+def diff(options: Namespace, client: Client) -> CommandAnswer:
+    """Compare a file with the document in force."""
+    found = config_edit.read_document(client)
+    if isinstance(found, ServerAnswer):
+        return config_edit.refused(found)
+    lines = config_edit.diff_lines(found.text, options.file.read_text())
+    if lines:
+        return CommandAnswer(list(lines))
+    note = texts.CONFIG_SAME.format(generation=found.generation)
+    return CommandAnswer(None, notes=(note,))
+
+
+@command(
+    'config apply',
+    'Write a configuration file as the next generation.',
+    'fuchsiarill config apply cell.yaml --wait',
+    _apply_arguments,
+)
+def apply_file(options: Namespace, client: Client) -> CommandAnswer:
+    """Check a file, write it and optionally wait for its spread."""
+    text = options.file.read_text()
+    problems = config_edit.check_text(text)
+    if problems:
+        return CommandAnswer(None, codes.CONFIG_INVALID, problems)
+    base = config_edit.read_document(client)
+    if isinstance(base, ServerAnswer):
+        return config_edit.refused(base)
+    written = config_edit.write_document(client, base, text, options.author)
+    answer = config_edit.written_answer(written, base)
+    return wait_if_asked(client, options, answer)
+
+
+@command(
+    'config schema',
+    'Print the JSON Schema of the cell configuration.',
+    'fuchsiarill config schema --output json > cell.schema.json',
+)
+def schema(options: Namespace, client: Client) -> CommandAnswer:
+    """Print the schema that configuration files are checked against."""
+    return CommandAnswer(CellConfig.model_json_schema())
+
+
+@command(
+    'config spread',
+    'Show the generation in force in each process.',
+    'fuchsiarill config spread',
+)
+def spread(options: Namespace, client: Client) -> CommandAnswer:
+    """List every process with the generation that it reports."""
+    answer = client.ask('GET', '/v1/config/spread')
+    if not answer.succeeded:
+        return config_edit.refused(answer)
+    return CommandAnswer(answer.body['processes'])
--- /dev/null
+++ b/fuchsiarill/commands/host_commands.py
@@ -0,0 +1,98 @@
+"""Commands on the workers: list them, retire them, take them back."""
+
+from argparse import ArgumentParser, Namespace
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from fuchsiarill import texts
+from fuchsiarill.commands import config_edit
+from fuchsiarill.commands.client import Client
+from fuchsiarill.commands.command import CommandAnswer, command
+from fuchsiarill.commands.config_commands import (
+    add_author,
+    add_wait,
+    wait_if_asked,
+)
+
+_DRAINING = 'draining_workers'
+
+
+def _worker_arguments(parser: ArgumentParser) -> None:
+    parser.add_argument('worker', help='id of the worker')
+    add_author(parser)
+    add_wait(parser)
+
+
+@command(
+    'host list',
+    'List the workers with their state, free resources and tasks.',
+    'fuchsiarill host list',
+)
+def list_hosts(options: Namespace, client: Client) -> CommandAnswer:
+    """Print one row for each worker."""
+    answer = client.ask('GET', '/v1/hosts')
+    if not answer.succeeded:
+        return config_edit.refused(answer)
+    return CommandAnswer(answer.body['hosts'])
+
+
+@command(
+    'host drain',
+    'Give a worker no new tasks and move its services away.',
+    'fuchsiarill host drain pour-hall-r1-w3 --wait',
+    _worker_arguments,
+)
+def drain(options: Namespace, client: Client) -> CommandAnswer:
+    """Add the worker to the draining workers of the configuration."""
+    return _edit_draining(options, client, _add, texts.HOST_DRAINS)
+
+
+@command(
+    'host undrain',
+    'Let a drained worker get tasks again.',
+    'fuchsiarill host undrain pour-hall-r1-w3',
+    _worker_arguments,
+)
+def undrain(options: Namespace, client: Client) -> CommandAnswer:
+    """Take the worker out of the draining workers."""
+    return _edit_draining(options, client, _remove, texts.HOST_RETURNS)
+
+
+def _edit_draining(
+    options: Namespace,
+    client: Client,
+    change: Callable[[str, Any], bool],
+    template: str,
+) -> CommandAnswer:
+    answer = config_edit.edit(
+        client,
+        options.author,
+        partial(change, options.worker),
+    )
+    if answer is None:
+        note = texts.HOST_UNCHANGED.format(worker=options.worker)
+        return CommandAnswer(None, notes=(note,))
+    if answer.content is not None:
+        note = template.format(
+            worker=options.worker,
+            generation=answer.content['generation'],
+        )
+        answer = CommandAnswer(answer.content, answer.code, (note,))
+    return wait_if_asked(client, options, answer)
+
+
+def _add(worker: str, document: Any) -> bool:
+    draining = document.setdefault(_DRAINING, [])
+    if worker in draining:
+        return False
+    draining.append(worker)
+    return True
+
+
+def _remove(worker: str, document: Any) -> bool:
+    draining = document.get(_DRAINING, [])
+    if worker not in draining:
+        return False
+    draining.remove(worker)
+    return True
--- /dev/null
+++ b/fuchsiarill/commands/status_commands.py
@@ -0,0 +1,41 @@
+"""Commands that show the processes of the system."""
+
+from argparse import ArgumentParser, Namespace
+
+from fuchsiarill.commands.client import Client
+from fuchsiarill.commands.command import CommandAnswer, command
+from fuchsiarill.commands.config_edit import refused
+
+
+def _process_argument(parser: ArgumentParser) -> None:
+    parser.add_argument('process', help='id of the process')
+
+
+@command(
+    'status',
+    'Show every process, its partitions, generation and load.',
+    'fuchsiarill status',
+)
+def status(options: Namespace, client: Client) -> CommandAnswer:
+    """Print one row for each process; names those out of reach."""
+    answer = client.ask('GET', '/v1/status')
+    if not answer.succeeded:
+        return refused(answer)
+    rows = answer.body['processes']
+    away = [row['process'] for row in rows if not row['reachable']]
+    notes = (f'out of reach: {", ".join(away)}',) if away else ()
+    return CommandAnswer(rows, notes=notes)
+
+
+@command(
+    'dump',
+    'Print the full state of a process.',
+    'fuchsiarill dump pour-hall-1 --output yaml',
+    _process_argument,
+)
+def dump(options: Namespace, client: Client) -> CommandAnswer:
+    """Print the state of every actor of a process."""
+    answer = client.ask('GET', f'/v1/dump?process={options.process}')
+    if not answer.succeeded:
+        return refused(answer)
+    return CommandAnswer(answer.body)
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -39,3 +39,27 @@
 TOO_LARGE: Final = 'the body has {size_bytes} bytes; {limit_bytes} are allowed'
 UNAUTHENTICATED: Final = 'a known bearer token is needed'
 FORBIDDEN: Final = 'the token does not permit this request'
+NO_SERVER: Final = 'no entry process answers: {faults}'
+INTERRUPTED: Final = 'interrupted'
+CONFIG_VALID: Final = '{path}: valid, {contracts} contracts'
+CONFIG_SAME: Final = 'no difference to generation {generation}'
+CONFIG_APPLIED: Final = 'generation {generation} is written'
+CONFIG_RACE: Final = (
+    'the configuration changed while this change was prepared: generation '
+    '{expected} was read, {author} wrote {present}; their change:'
+)
+SPREAD_COMPLETE: Final = (
+    'generation {generation} is in force in {count} processes'
+)
+SPREAD_INCOMPLETE: Final = (
+    'generation {generation} is not yet in force in: {processes}'
+)
+UNKNOWN_FIELD: Final = 'a contract has no field {name!r}'
+ASSIGNMENT_EXPECTED: Final = 'expected FIELD=VALUE, got {text!r}'
+HOST_DRAINS: Final = (
+    'worker {worker} gets no new tasks from generation {generation}'
+)
+HOST_RETURNS: Final = (
+    'worker {worker} gets tasks again from generation {generation}'
+)
+HOST_UNCHANGED: Final = 'worker {worker} is in that state already'
