Take lease ends from the worker link and keep volatile jobs simple

Cause: the link knows exactly until when a worker may run what it was told; the core guessed from reports.

Change: leases_extended() takes the end from the link; renewals seen without it carry a margin. Missing attempts are left to the link, which tells a restart from a start still on its way. holding.attach() reserves for attempts that were restored before their worker was listed.

--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -60,6 +60,10 @@
     ordering = ordering_of(state)
     group = ordering.group(account)
     job = state.jobs[group.head()]
+    if not job.waiting:
+        # Its tasks were found running after a takeover.
+        dequeue(state, job)
+        return True
     size = size_of(state, group.spec)
     obstacle = _standing_obstacle(state, account, group)
     if obstacle is not None:
--- a/fuchsiarill/core/holding.py
+++ b/fuchsiarill/core/holding.py
@@ -40,11 +40,22 @@
     _note_stoppable(account, job, attempt)
     reorder(state, account)
     worker = state.workers.get(attempt.worker_id)
-    if worker is None:
+    if worker is not None:
+        attach(state, worker, attempt, attempt.placed_at_ms)
+
+
+def attach(
+    state: CoreState,
+    worker: WorkerView,
+    attempt: Attempt,
+    now_ms: int,
+) -> None:
+    """Reserve on the worker, when it is known only after the attempt."""
+    if attempt.attempt_id in worker.attempts:
         return
     worker.attempts.add(attempt.attempt_id)
     worker.reserved += attempt.reserved
-    refresh(state, worker, attempt.placed_at_ms)
+    refresh(state, worker, now_ms)
 
 
 def give_back(state: CoreState, attempt: Attempt, now_ms: int) -> None:
@@ -63,7 +74,7 @@
     unblock_account(state, account)
     reorder(state, account)
     worker = state.workers.get(attempt.worker_id)
-    if worker is None:
+    if worker is None or attempt.attempt_id not in worker.attempts:
         return
     worker.attempts.discard(attempt.attempt_id)
     worker.reserved -= attempt.reserved
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -4,8 +4,7 @@
 
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt
-from fuchsiarill.core.worker_view import WorkerView
-from fuchsiarill.ids import AttemptId
+from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.states import AttemptEvent
 
 # A renewal reaches a worker at most one call time-out (2,000 ms) after it was
@@ -13,25 +12,46 @@
 LEASE_MARGIN_MS: Final = 2_500
 
 
+def lease_end_ms(state: CoreState, asked_at_ms: int) -> int:
+    """Return the end of leases that were granted in an exchange."""
+    lease_ms = state.config.policies.task_lease_ms
+    return asked_at_ms + lease_ms + LEASE_MARGIN_MS
+
+
 def renew_leases(
     state: CoreState,
-    worker: WorkerView,
     reported: set[AttemptId],
     asked_at_ms: int,
 ) -> None:
-    """Note that an answered exchange extended the leases of a worker."""
-    ends_at_ms = asked_at_ms + state.config.policies.task_lease_ms
-    for attempt_id in reported & worker.attempts:
-        attempt = state.attempts[attempt_id]
+    """Note that an answered exchange extended the leases of attempts."""
+    ends_at_ms = lease_end_ms(state, asked_at_ms)
+    for attempt_id in reported:
+        attempt = state.attempts.get(attempt_id)
+        if attempt is None:
+            continue
         attempt.lease_ends_at_ms = max(attempt.lease_ends_at_ms, ends_at_ms)
         state.unrenewed.pop(attempt_id, None)
 
 
+def extend_leases(
+    state: CoreState,
+    worker_id: WorkerId,
+    ends_at_ms: int,
+) -> None:
+    """Note until when a worker may run what it was last told to run."""
+    worker = state.workers.get(worker_id)
+    if worker is None:
+        return
+    for attempt_id in worker.attempts:
+        attempt = state.attempts[attempt_id]
+        attempt.lease_ends_at_ms = max(attempt.lease_ends_at_ms, ends_at_ms)
+
+
 def lapse(state: CoreState, now_ms: int) -> None:
     """Move on what no worker can be running any longer."""
     for attempt_id in tuple(state.unrenewed):
         attempt = state.attempts[attempt_id]
-        if now_ms < attempt.lease_ends_at_ms + LEASE_MARGIN_MS:
+        if now_ms < attempt.lease_ends_at_ms:
             continue
         state.unrenewed.pop(attempt_id)
         step_attempt(state, attempt, AttemptEvent.LEASE_LAPSED, now_ms)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -18,7 +18,7 @@
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
 from fuchsiarill.core.hosts import apply_draining, take_over_hosts
-from fuchsiarill.core.leases import lapse
+from fuchsiarill.core.leases import extend_leases, lapse
 from fuchsiarill.core.quotas import account_of, apply_contracts
 from fuchsiarill.core.reports import take_over_report
 from fuchsiarill.core.snapshot import snapshot
@@ -29,7 +29,6 @@
     step_job,
     step_worker,
 )
-from fuchsiarill.core.volatile import write_volatile
 from fuchsiarill.core.waiting import unblock_all
 from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
 from fuchsiarill.job import JobRecord, JobSpec
@@ -134,6 +133,10 @@
         if worker is not None:
             step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
 
+    def leases_extended(self, worker_id: WorkerId, ends_at_ms: int) -> None:
+        """Note until when a worker may run what it was told to run."""
+        extend_leases(self.state, worker_id, ends_at_ms)
+
     def start_withheld(self, attempt_id: AttemptId, now_ms: int) -> None:
         """Note that a start was never sent and never will be."""
         attempt = self.state.attempts.get(attempt_id)
@@ -147,7 +150,6 @@
     def unrestrict(self, now_ms: int) -> None:
         """Start everything again; ownership is confirmed."""
         self.state.restricted = False
-        write_volatile(self.state)
         unblock_all(self.state)
 
     def lapse(self, now_ms: int) -> None:
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -4,6 +4,7 @@
 
 from fuchsiarill.core.effects import StartTask
 from fuchsiarill.core.holding import take
+from fuchsiarill.core.leases import lease_end_ms
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt
 from fuchsiarill.core.worker_view import WorkerView
@@ -33,7 +34,7 @@
         reserved=size,
         state=AttemptState.PLACED,
         placed_at_ms=now_ms,
-        lease_ends_at_ms=now_ms + state.config.policies.task_lease_ms,
+        lease_ends_at_ms=lease_end_ms(state, now_ms),
         replaces=job.moving.get(position),
     )
     take(state, job, attempt)
@@ -56,7 +57,7 @@
 def _start(state: CoreState, attempt: Attempt, now_ms: int) -> None:
     if not step_attempt(state, attempt, AttemptEvent.SENT, now_ms):
         return
-    attempt.lease_ends_at_ms = now_ms + state.config.policies.task_lease_ms
+    attempt.lease_ends_at_ms = lease_end_ms(state, now_ms)
     spec = state.jobs[attempt.job_id].spec
     state.effects.append(
         StartTask(
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -43,7 +43,6 @@
     `no_room_for` holds sizes for which no worker had room since capacity was
     last released. `released` holds the workers with room released since the
     last decision. `unrenewed` holds attempts whose leases are not extended.
-    `opened_at_ms` is the time of a takeover, `None` for a new partition.
     """
 
     partition: PartitionId
@@ -81,9 +80,6 @@
     gang_restarts: dict[JobId, int] = field(default_factory=dict)
     hosts_read: bool = False
     restricted: bool = False
-    opened_at_ms: int | None = None
-    volatile_records: list[Record] = field(default_factory=list)
-    volatile_jobs: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     after_commit: dict[int, Callable[[int], None]] = field(
         default_factory=dict,
@@ -118,16 +114,14 @@
         now_ms: int,
         then: Callable[[int], None] | None = None,
     ) -> None:
-        """Make a record of a job durable.
+        """Make a record of a job durable, then call `then`.
 
-        The records of a volatile job are kept until the store is in reach
-        again; what follows on them happens at once.
+        While ownership is not confirmed, what follows on the records of a
+        volatile job does not wait for their commit.
         """
-        if job.volatile:
-            self.volatile_jobs.add(job.job_id)
-        else:
+        if not job.volatile:
             self.persist(record, then)
             return
-        self.volatile_records.append(record)
+        self.persist(record)
         if then is not None:
             then(now_ms)
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -10,7 +10,12 @@
 
 
 def enqueue(state: CoreState, job: JobRecord) -> None:
-    """Let a job wait for placement; a repeated call changes nothing."""
+    """Let a job wait for placement; a repeated call changes nothing.
+
+    A job without a task that waits is left out.
+    """
+    if not job.waiting:
+        return
     account = account_of(state, job.spec.customer)
     key = group_key_of(job.spec)
     group = account.groups.get(key)
--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -29,15 +29,8 @@
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    # The exchange that was not answered may have extended the leases.
-    lease_ends_at_ms = now_ms + state.config.policies.task_lease_ms
     for attempt_id in tuple(worker.attempts):
         attempt = state.attempts[attempt_id]
-        if attempt_id not in state.unrenewed:
-            attempt.lease_ends_at_ms = max(
-                attempt.lease_ends_at_ms,
-                lease_ends_at_ms,
-            )
         state.unrenewed[attempt_id] = None
         step_attempt(state, attempt, AttemptEvent.CONTACT_LOST, now_ms)
 
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -73,8 +73,7 @@
 
     `peak` is the largest usage reported so far, `usage_reports_count` the
     number of reports behind it. `replaces` is the replica that stops once
-    this attempt runs. `missed_count` counts reports of the worker in a row
-    that did not name the attempt.
+    this attempt runs.
     """
 
     attempt_id: AttemptId
@@ -87,7 +86,6 @@
     lease_ends_at_ms: int
     peak: Resources = NOTHING
     usage_reports_count: int = 0
-    missed_count: int = 0
     is_limited: bool = False
     stop_reason: StopReason | None = None
     replaces: AttemptId | None = None
