--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -17,7 +17,7 @@
     tuple[Urgency, Workload, Execution],
     JobClass,
     Resources,
-    int,
+    tuple[int, bool],
 ]
 Rank = tuple[float, ...]
 
@@ -31,8 +31,12 @@
     OWNERSHIP = 'ownership'
 
 
-def group_key_of(spec: JobSpec) -> GroupKey:
-    """Return what jobs must have in common to wait in one group."""
+def group_key_of(spec: JobSpec, retried: bool) -> GroupKey:
+    """Return what jobs must have in common to wait in one group.
+
+    A job that failed somewhere avoids workers, so it waits apart from those
+    that may use them.
+    """
     at_once_count = 1
     if spec.workload is Workload.GANG:
         at_once_count = spec.tasks_count
@@ -40,7 +44,7 @@
         (spec.urgency, spec.workload, spec.execution),
         spec.job_class,
         spec.task_size,
-        at_once_count,
+        (at_once_count, retried),
     )
 
 
@@ -83,8 +87,9 @@
 
     `contract` is `None` when the configuration in force has none.
     `stoppable` holds idempotent batch attempts and `services` idempotent
-    replicas, both without urgent ones and oldest first. `reclaimed` is the
-    part of `held` whose attempts were asked to stop for others.
+    replicas, both without urgent ones and oldest first. `urgent_held` is the
+    part of `held` for urgent jobs, `reclaimed` the part whose attempts
+    were asked to stop for others.
     """
 
     customer: CustomerId
@@ -95,6 +100,7 @@
     refilled_at_ms: int = 0
     retry_credit: float = 0
     held: Resources = NOTHING
+    urgent_held: Resources = NOTHING
     reclaimed: Resources = NOTHING
     waiting_count: int = 0
     accepting_count: int = 0
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -8,7 +8,7 @@
 from fuchsiarill.core.gangs import place_gang
 from fuchsiarill.core.ordering import ordering_of
 from fuchsiarill.core.placement import find_held_worker, find_worker
-from fuchsiarill.core.quotas import is_entitled, is_guaranteed, may_hold
+from fuchsiarill.core.quotas import is_guaranteed, is_owed_urgently, may_hold
 from fuchsiarill.core.reclaim import reclaim_for
 from fuchsiarill.core.reservations import has_room, is_valid
 from fuchsiarill.core.sizes import size_at_once, size_of
@@ -68,6 +68,8 @@
     obstacle = _standing_obstacle(state, account, group)
     if obstacle is not None:
         block(state, account, group, obstacle)
+        if obstacle is Obstacle.QUOTA and group.urgent:
+            _reclaim(state, account, group, 'urgent', now_ms)
         return True
     if _place(state, group, job, size, now_ms):
         if job.waiting:
@@ -161,7 +163,7 @@
     if group.is_gang:
         return
     size = size_of(state, group.spec)
-    owed = is_entitled if policy == 'urgent' else _is_guaranteed
+    owed = is_owed_urgently if policy == 'urgent' else _is_guaranteed
     for number, job_id in enumerate(
         islice(group.jobs, _RECLAIMED_JOBS_COUNT),
         start=1,
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from fuchsiarill.core.accounts import Account, Group, Obstacle, group_key_of
+from fuchsiarill.core.accounts import Account, Group, Obstacle
 from fuchsiarill.core.admission import excesses, first_excess
 from fuchsiarill.core.sizes import size_at_once, size_of
 from fuchsiarill.core.state import CoreState
@@ -67,11 +67,11 @@
     waited_ms = now_ms - job.accepted_at_ms
     reason = _REASON_OF_STATE.get(job.state, WaitReason.NOTHING)
     if not is_waiting(state, job):
-        if job.state is JobState.QUEUED:
-            reason = _reason_outside_queue(job)
+        if _awaits_restart(job):
+            reason = WaitReason.BACKOFF
         return Explanation(job.job_id, job.state, reason, waited_ms)
     account = state.accounts[job.spec.customer]
-    group = account.groups[group_key_of(job.spec)]
+    group = account.groups[state.group_keys[job.job_id]]
     reason = WaitReason.TURN
     if group.obstacle is not None:
         reason = _REASON_OF_OBSTACLE[group.obstacle]
@@ -91,8 +91,10 @@
     )
 
 
-def _reason_outside_queue(job: JobRecord) -> WaitReason:
-    return WaitReason.CONFIRMATION if job.attempts else WaitReason.BACKOFF
+def _awaits_restart(job: JobRecord) -> bool:
+    if job.state not in {JobState.QUEUED, JobState.RUNNING}:
+        return False
+    return len(job.attempts) + len(job.results) < job.spec.tasks_count
 
 
 def _held_by(
@@ -122,12 +124,14 @@
 
 
 def _ahead_own_count(account: Account, group: Group, job: JobRecord) -> int:
-    return sum(
-        order < job.order
-        for other in account.groups.values()
-        if other.urgent or not group.urgent
-        for order in other.jobs.values()
-    )
+    ahead_count = 0
+    for other in account.groups.values():
+        if other.urgent is group.urgent:
+            orders = other.jobs.values()
+            ahead_count += sum(order < job.order for order in orders)
+        elif other.urgent:
+            ahead_count += len(other.jobs)
+    return ahead_count
 
 
 def _ahead_customers_count(state: CoreState, account: Account) -> int:
--- a/fuchsiarill/core/holding.py
+++ b/fuchsiarill/core/holding.py
@@ -19,7 +19,7 @@
     Urgency,
     Workload,
 )
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import WorkerState
 
 # Tasks a worker on probation runs at once, doubled with each success.
@@ -35,7 +35,7 @@
     state.attempts[attempt.attempt_id] = attempt
     job.attempts[attempt.attempt_id] = attempt
     account = account_of(state, job.spec.customer)
-    account.held += attempt.reserved
+    _count(account, job, attempt.reserved)
     account.served_at_ms = max(account.served_at_ms, attempt.placed_at_ms)
     _note_stoppable(account, job, attempt)
     reorder(state, account)
@@ -66,7 +66,7 @@
     job = state.jobs[attempt.job_id]
     job.attempts.pop(attempt.attempt_id, None)
     account = account_of(state, job.spec.customer)
-    account.held -= attempt.reserved
+    _count(account, job, NOTHING - attempt.reserved)
     if attempt.stop_reason is StopReason.RECLAIMED:
         account.reclaimed -= attempt.reserved
     account.stoppable.pop(attempt.attempt_id, None)
@@ -91,8 +91,9 @@
     """Change what a running attempt holds."""
     before = attempt.reserved
     attempt.reserved = size
-    account = account_of(state, state.jobs[attempt.job_id].spec.customer)
-    account.held += size - before
+    job = state.jobs[attempt.job_id]
+    account = account_of(state, job.spec.customer)
+    _count(account, job, size - before)
     reorder(state, account)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
@@ -134,6 +135,12 @@
     return len(worker.attempts) < allowed_count
 
 
+def _count(account: Account, job: JobRecord, change: Resources) -> None:
+    account.held += change
+    if job.spec.urgency is Urgency.URGENT:
+        account.urgent_held += change
+
+
 def _note_stoppable(
     account: Account,
     job: JobRecord,
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -10,7 +10,7 @@
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.holding import resize
 from fuchsiarill.core.requeue import ask_to_stop
-from fuchsiarill.core.sizes import has_evidence, size_of
+from fuchsiarill.core.sizes import has_evidence, larger, size_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import (
     Attempt,
@@ -42,7 +42,7 @@
     if report.used == NOTHING or attempt.state is not AttemptState.RUNNING:
         return
     attempt.usage_reports_count += 1
-    attempt.peak = _larger(attempt.peak, _measured(report.used))
+    attempt.peak = larger(attempt.peak, _measured(report.used))
     if not attempt.peak.fits_in(attempt.reserved):
         _grow_or_limit(state, attempt, now_ms)
         return
@@ -68,7 +68,7 @@
         estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
     if report is not None and report.used != NOTHING:
         attempt.usage_reports_count += 1
-        attempt.peak = _larger(attempt.peak, _measured(report.used))
+        attempt.peak = larger(attempt.peak, _measured(report.used))
     if attempt.usage_reports_count:
         _add_peak(estimate, attempt.peak)
 
@@ -108,15 +108,6 @@
     return -(-raised // step) * step
 
 
-def _larger(one: Resources, other: Resources) -> Resources:
-    return Resources(
-        max(one.processors_milli, other.processors_milli),
-        max(one.memory_mb, other.memory_mb),
-        max(one.accelerators_count, other.accelerators_count),
-        max(one.slots_count, other.slots_count),
-    )
-
-
 def _shrink(
     state: CoreState,
     attempt: Attempt,
@@ -126,7 +117,7 @@
     """Release what an attempt reserved and its class never uses."""
     if not has_evidence(_estimate_of(state, spec)):
         return
-    needed = _larger(size_of(state, spec), _padded(attempt))
+    needed = larger(size_of(state, spec), _padded(attempt))
     if needed != attempt.reserved and needed.fits_in(attempt.reserved):
         resize(state, attempt, needed, now_ms)
 
@@ -141,8 +132,8 @@
 
 
 def _grow_or_limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    wanted = _larger(attempt.reserved, _padded(attempt))
-    needed = _larger(attempt.reserved, attempt.peak)
+    wanted = larger(attempt.reserved, _padded(attempt))
+    needed = larger(attempt.reserved, attempt.peak)
     worker = state.workers.get(attempt.worker_id)
     for size in (wanted, needed):
         more = size - attempt.reserved
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -11,8 +11,8 @@
 
 from fuchsiarill.core.accounts import Account, Group, Rank
 from fuchsiarill.core.quotas import (
-    is_entitled,
     is_guaranteed,
+    is_owed_urgently,
     share_of,
 )
 from fuchsiarill.core.sizes import size_at_once
@@ -104,7 +104,7 @@
 
 def _class_of(state: CoreState, account: Account, group: Group) -> int:
     size = size_at_once(state, group.spec)
-    if group.urgent and is_entitled(state, account, size):
+    if group.urgent and is_owed_urgently(state, account, size):
         return URGENT_RANK
     if is_guaranteed(account, size):
         return GUARANTEED_RANK
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -47,12 +47,32 @@
     return (account.held + more).fits_in(account.guaranteed)
 
 
-def is_entitled(state: CoreState, account: Account, more: Resources) -> bool:
-    """Tell whether `more` is within the guarantee or the weighted share."""
+def is_owed_urgently(
+    state: CoreState,
+    account: Account,
+    more: Resources,
+) -> bool:
+    """Tell whether urgent work is within the guarantee or weighted share.
+
+    What the customer holds for other work does not count: urgent work comes
+    before it.
+    """
+    wanted = account.urgent_held + more
+    if wanted.fits_in(account.guaranteed):
+        return True
+    return wanted.dominant_share(state.total_capacity) <= _owed(state, account)
+
+
+def is_within_share(
+    state: CoreState,
+    account: Account,
+    more: Resources,
+) -> bool:
+    """Tell whether all that is held is within guarantee or share."""
     if is_guaranteed(account, more):
         return True
-    owed = _weight_of(account) / state.weights_sum
-    return (account.held + more).dominant_share(state.total_capacity) <= owed
+    wanted = account.held - account.reclaimed + more
+    return wanted.dominant_share(state.total_capacity) <= _owed(state, account)
 
 
 def borrows(account: Account) -> bool:
@@ -89,5 +109,9 @@
     return Resources(*(amount // count for amount in amounts.as_tuple()))
 
 
+def _owed(state: CoreState, account: Account) -> float:
+    return _weight_of(account) / state.weights_sum
+
+
 def _weight_of(account: Account) -> float:
     return 1.0 if account.contract is None else account.contract.weight
--- a/fuchsiarill/core/reclaim.py
+++ b/fuchsiarill/core/reclaim.py
@@ -11,14 +11,14 @@
 
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.placement import can_get_tasks, suits
-from fuchsiarill.core.quotas import borrows, share_of
+from fuchsiarill.core.quotas import borrows, is_within_share, share_of
 from fuchsiarill.core.requeue import ask_to_stop
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.job import Attempt, JobRecord, StopReason
 from fuchsiarill.registry import Registry
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import AttemptState
 
 Preemption = Callable[[CoreState, Account], Iterable[AttemptId]]
@@ -61,8 +61,13 @@
 
 @PREEMPTIONS.register('urgent')
 def _for_urgent(state: CoreState, account: Account) -> Iterator[AttemptId]:
-    """Borrowed first, then what the customer runs itself."""
-    yield from _borrowed(state, account)
+    """Borrowed first, then what the customer runs itself.
+
+    A customer that has used its own share up for other work makes room
+    itself.
+    """
+    if is_within_share(state, account, NOTHING):
+        yield from _borrowed(state, account)
     yield from reversed(account.stoppable)
     yield from reversed(account.services)
 
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -20,8 +20,13 @@
     if not state.config.policies.learn_sizes:
         return spec.task_size
     estimate = state.estimates.get((spec.customer, spec.job_class))
-    if estimate is None or not has_evidence(estimate):
+    if estimate is None:
         return _unproven_size(state, spec)
+    if not has_evidence(estimate):
+        # Too little to lower the size, but enough to raise it.
+        needed = _with_counts(spec, estimate.size)
+        size = _unproven_size(state, spec)
+        return _capped(state, spec, larger(size, needed))
     return _capped(state, spec, _with_counts(spec, estimate.size))
 
 
@@ -48,6 +53,16 @@
     return len(estimate.peaks) >= EVIDENCE_MIN_COUNT
 
 
+def larger(one: Resources, other: Resources) -> Resources:
+    """Return the larger of each amount."""
+    return Resources(
+        max(one.processors_milli, other.processors_milli),
+        max(one.memory_mb, other.memory_mb),
+        max(one.accelerators_count, other.accelerators_count),
+        max(one.slots_count, other.slots_count),
+    )
+
+
 def carried_count(state: CoreState, size: Resources) -> int:
     """Return how many tasks of a size all listed workers carry together."""
     return sum(
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -12,7 +12,7 @@
 from sortedcontainers import SortedList
 
 from fuchsiarill.cell_config import CellConfig
-from fuchsiarill.core.accounts import Account, Group
+from fuchsiarill.core.accounts import Account, Group, GroupKey
 from fuchsiarill.core.effects import Effect, PersistRecord
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.reservation import Reservation
@@ -40,6 +40,7 @@
 class CoreState:
     """Everything one owner knows of its partition.
 
+    `group_keys` maps each waiting job to its group within the account.
     `no_room_for` holds sizes for which no worker had room since capacity was
     last released. `released` holds the workers with room released since the
     last decision. `unrenewed` holds attempts whose leases are not extended.
@@ -62,6 +63,7 @@
     order: 'SortedList[tuple[tuple[float, ...], CustomerId]]' = field(
         default_factory=SortedList,
     )
+    group_keys: dict[JobId, GroupKey] = field(default_factory=dict)
     blocked: dict[Resources, dict[Group, None]] = field(default_factory=dict)
     blocked_gangs: dict[Group, None] = field(default_factory=dict)
     no_room_for: list[Resources] = field(default_factory=list)
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -16,14 +16,15 @@
     """
     if not job.waiting:
         return
+    if job.job_id in state.group_keys:
+        return
     account = account_of(state, job.spec.customer)
-    key = group_key_of(job.spec)
+    key = group_key_of(job.spec, bool(job.failed_on))
     group = account.groups.get(key)
     if group is None:
         group = Group(account.customer, job.spec)
         account.groups[key] = group
-    if job.job_id in group.jobs:
-        return
+    state.group_keys[job.job_id] = key
     account.waiting_count += 1
     group.jobs[job.job_id] = job.order
     last_order = next(reversed(group.jobs.values()))
@@ -36,17 +37,15 @@
 
 def dequeue(state: CoreState, job: JobRecord) -> None:
     """Take a job out, if it waits."""
-    account = state.accounts.get(job.spec.customer)
-    if account is None:
-        return
-    key = group_key_of(job.spec)
-    group = account.groups.get(key)
-    if group is None or job.job_id not in group.jobs:
+    key = state.group_keys.pop(job.job_id, None)
+    if key is None:
         return
+    account = state.accounts[job.spec.customer]
+    group = account.groups[key]
     group.jobs.pop(job.job_id)
     account.waiting_count -= 1
     if not group.jobs:
-        unblock(state, account, group)
+        _clear_obstacle(state, group)
         account.ready.pop(group, None)
         account.groups.pop(key)
     reorder(state, account)
@@ -75,13 +74,7 @@
     """Make a blocked group ready again."""
     if group.obstacle is None:
         return
-    group.obstacle = None
-    state.blocked_gangs.pop(group, None)
-    alike = state.blocked.get(group.blocked_size)
-    if alike is not None:
-        alike.pop(group, None)
-        if not alike:
-            state.blocked.pop(group.blocked_size)
+    _clear_obstacle(state, group)
     account.ready[group] = None
     reorder(state, account)
 
@@ -129,14 +122,21 @@
         state.order.add((rank, account.customer))
 
 
+def _clear_obstacle(state: CoreState, group: Group) -> None:
+    group.obstacle = None
+    state.blocked_gangs.pop(group, None)
+    alike = state.blocked.get(group.blocked_size)
+    if alike is None:
+        return
+    alike.pop(group, None)
+    if not alike:
+        state.blocked.pop(group.blocked_size)
+
+
 def _is_older(group: Group, job: JobRecord) -> bool:
     return job.order < group.head_order()
 
 
 def is_waiting(state: CoreState, job: JobRecord) -> bool:
     """Tell whether a job waits for placement."""
-    account = state.accounts.get(job.spec.customer)
-    if account is None:
-        return False
-    group = account.groups.get(group_key_of(job.spec))
-    return group is not None and job.job_id in group.jobs
+    return job.job_id in state.group_keys
--- /dev/null
+++ b/tests/core_harness.py
@@ -0,0 +1,369 @@
+"""Drives a `PartitionCore` by the steps of a data-driven case.
+
+Records are committed at once. After every step the workers that are not
+silent report all that they run, and obey stops.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
+from fuchsiarill.core.partition import PartitionCore
+from fuchsiarill.ids import (
+    AttemptId,
+    CustomerId,
+    Epoch,
+    FailureDomain,
+    JobClass,
+    JobId,
+    PartitionId,
+    RackId,
+    RegionId,
+    WorkerId,
+)
+from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.registry import Registry
+from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.workers import (
+    CommandKind,
+    HostEntry,
+    HostState,
+    TaskOutcome,
+    TaskReport,
+    WorkerReport,
+)
+
+Step = Callable[['Cell', Any], None]
+
+STEPS: Final[Registry[str, Step]] = Registry('steps')
+_CAPACITY: Final = [4000, 8000, 0, 8]
+_ROUNDS_MAX_COUNT: Final = 50
+_LARGE: Final = {
+    'processors_milli': 10**6,
+    'memory_mb': 10**7,
+    'accelerators_count': 1000,
+    'slots_count': 10**4,
+}
+_FIELDS: Final = tuple(_LARGE)
+
+
+def contract(**changes: Any) -> dict[str, Any]:
+    """Return a contract without narrow limits, but for the changes."""
+    for name in ('quota', 'guaranteed'):
+        if name in changes:
+            amounts = zip(_FIELDS, changes[name], strict=True)
+            changes[name] = dict(amounts)
+    return {
+        'customer': 'a',
+        'region': 'r',
+        'quota': _LARGE,
+        'guaranteed': dict.fromkeys(_FIELDS, 0),
+        'submit_rate_per_s': 1000,
+        'submit_burst_count': 1000,
+        'token_sha256': 'none',
+    } | changes
+
+
+def cell_config(
+    contracts: list[dict[str, Any]],
+    policies: dict[str, Any],
+    draining: list[str],
+) -> CellConfig:
+    """Return a configuration; sizes are taken as declared by default."""
+    return CellConfig.model_validate(
+        {
+            'cell': 'test',
+            'regions': [{'name': 'r'}],
+            'contracts': [contract(**row) for row in contracts],
+            'policies': {'learn_sizes': False} | policies,
+            'draining_workers': draining,
+            'operator_token_sha256': 'none',
+        },
+    )
+
+
+def host_entry(name: str, row: dict[str, Any]) -> HostEntry:
+    """Return the entry of a worker in the host list."""
+    return HostEntry(
+        WorkerId(name),
+        'none',
+        RegionId('r'),
+        FailureDomain(row.get('domain', 'd0')),
+        RackId(row.get('rack', 'k0')),
+        Resources(*row.get('capacity', _CAPACITY)),
+        64,
+        HostState(row.get('state', 'live')),
+    )
+
+
+def job_spec(row: dict[str, Any]) -> JobSpec:
+    """Return a submission; `job` is its key."""
+    return JobSpec(
+        customer=CustomerId(row.get('customer', 'a')),
+        idempotency_key=row['job'],
+        workload=Workload(row.get('workload', 'batch')),
+        execution=Execution(row.get('execution', 'idempotent')),
+        urgency=Urgency(row.get('urgency', 'normal')),
+        job_class=JobClass(row.get('class', 'c')),
+        tasks_count=row.get('tasks', 1),
+        task_size=Resources(*row.get('size', [1000, 1000, 0, 1])),
+        run_time_ms=row.get('run_time_ms', 1000),
+        payload=row['job'],
+    )
+
+
+class Cell:  # noqa: WPS230
+    """A core, its workers and the time."""
+
+    def __init__(self, case: dict[str, Any]) -> None:
+        """Begin with the contracts, policies and workers of the case."""
+        self.now_ms = 0
+        self.contracts = case.get('contracts', [{}])
+        self.policies = case.get('policies', {})
+        self.draining: list[str] = []
+        self.hosts: dict[str, dict[str, Any]] = {}
+        self.silent: set[str] = set()
+        self.running: dict[AttemptId, StartTask] = {}
+        self.outcomes: dict[AttemptId, TaskOutcome] = {}
+        self.used: dict[str, Resources] = {}
+        self.commands: list[tuple[CommandKind, str]] = []
+        self.ids: dict[str, JobId] = {}
+        self.withheld: list[str] = []
+        self.core = PartitionCore(PartitionId('p'), Epoch(1), self.config())
+        for name, row in case.get('workers', {}).items():
+            self.hosts[name] = row or {}
+        if case.get('hosts_read', True):
+            self.list_hosts()
+        self.exchange()
+
+    def config(self) -> CellConfig:
+        """Return the configuration in force."""
+        return cell_config(self.contracts, self.policies, self.draining)
+
+    def run(self, steps: list[dict[str, Any]]) -> None:
+        """Carry out steps, with an exchange after each."""
+        for step in steps:
+            for name, argument in step.items():
+                STEPS.lookup(name)(self, argument)
+                self.exchange()
+
+    def list_hosts(self) -> None:
+        """Let the core read the host list."""
+        entries = [host_entry(name, row) for name, row in self.hosts.items()]
+        self.core.hosts_listed(tuple(entries), self.now_ms)
+
+    def exchange(self) -> None:
+        """Decide and exchange until nothing more follows."""
+        quiet_count = 0
+        for _round in range(_ROUNDS_MAX_COUNT):  # noqa: WPS122
+            more = self.core.decide(self.now_ms)
+            effects = self.core.take_effects()
+            for effect in effects:
+                self._carry_out(effect)
+            self.check_capacity()
+            for name in self.hosts:
+                if name not in self.silent:
+                    self.report(name)
+            busy = more or effects or self.core.state.effects
+            quiet_count = 0 if busy else quiet_count + 1
+            if quiet_count > 1:
+                return
+        raise AssertionError('decisions do not come to an end')
+
+    def report(self, name: str) -> None:
+        """Let a worker report what it runs and what has ended."""
+        tasks = [
+            self._task(attempt_id, start)
+            for attempt_id, start in tuple(self.running.items())
+            if start.worker_id == name
+        ]
+        for task in tasks:
+            if task.outcome is not TaskOutcome.RUNNING:
+                self.running.pop(task.attempt_id)
+        report = WorkerReport(WorkerId(name), Epoch(1), 0, tuple(tasks))
+        self.core.worker_reported(report, self.now_ms)
+
+    def placed(self, job: str) -> list[str]:
+        """Return the workers that run a job, in order."""
+        return sorted(
+            start.worker_id
+            for start in self.running.values()
+            if start.payload == job
+        )
+
+    def check_capacity(self) -> None:
+        """Fail when more is reserved on a worker than it has."""
+        for worker in self.core.state.workers.values():
+            held = sum(
+                (
+                    self.core.state.attempts[attempt_id].reserved
+                    for attempt_id in worker.attempts
+                ),
+                start=NOTHING,
+            )
+            assert held == worker.reserved
+            assert held.fits_in(worker.entry.capacity)
+
+    def _carry_out(self, effect: object) -> None:
+        if isinstance(effect, PersistRecord):
+            self.core.committed(effect.sequence, self.now_ms)
+        elif isinstance(effect, StartTask) and effect.payload in self.withheld:
+            self.withheld.remove(effect.payload)
+            self.core.start_withheld(effect.attempt_id, self.now_ms)
+        elif isinstance(effect, StartTask):
+            self.running[effect.attempt_id] = effect
+        elif isinstance(effect, CommandTask):
+            self._command(effect)
+
+    def _command(self, effect: CommandTask) -> None:
+        start = self.running.get(effect.attempt_id)
+        if start is None or start.worker_id in self.silent:
+            return
+        self.commands.append((effect.kind, start.payload))
+        if effect.kind is CommandKind.STOP:
+            self.outcomes[effect.attempt_id] = TaskOutcome.STOPPED
+
+    def _task(self, attempt_id: AttemptId, start: StartTask) -> TaskReport:
+        return TaskReport(
+            attempt_id,
+            self.outcomes.get(attempt_id, TaskOutcome.RUNNING),
+            start.reserved,
+            self.used.get(start.payload, NOTHING),
+            output=start.payload,
+        )
+
+
+@STEPS.register('submit')
+def _submit(cell: Cell, row: dict[str, Any]) -> None:
+    for number in range(row.get('copies', 1)):
+        name = f'{row["job"]}{number}' if 'copies' in row else row['job']
+        match cell.core.submit(job_spec(row | {'job': name}), cell.now_ms):
+            case Success(job_id):
+                assert 'refused' not in row, 'the job was accepted'
+                cell.ids[name] = job_id
+            case Failure(refusal):
+                assert refusal.code.name == row.get('refused'), refusal
+                assert refusal.field == row.get('field')
+                assert refusal.retry_after_ms == row.get('retry_after_ms')
+
+
+@STEPS.register('end')
+def _end(cell: Cell, rows: dict[str, str]) -> None:
+    for job, outcome in rows.items():
+        for attempt_id, start in cell.running.items():
+            if start.payload == job:
+                cell.outcomes[attempt_id] = TaskOutcome(outcome)
+
+
+@STEPS.register('end_one')
+def _end_one(cell: Cell, rows: dict[str, str]) -> None:
+    for job, outcome in rows.items():
+        attempt_id = next(_attempts_of(cell, job))
+        cell.outcomes[attempt_id] = TaskOutcome(outcome)
+
+
+@STEPS.register('cancel')
+def _cancel(cell: Cell, jobs: list[str]) -> None:
+    for job in jobs:
+        cell.core.cancel(cell.ids[job], cell.now_ms)
+
+
+@STEPS.register('advance_ms')
+def _advance(cell: Cell, duration_ms: int) -> None:
+    cell.now_ms += duration_ms
+    cell.core.lapse(cell.now_ms)
+
+
+@STEPS.register('silent')
+def _silence(cell: Cell, names: list[str]) -> None:
+    for name in names:
+        cell.silent.add(name)
+        cell.core.worker_silent(WorkerId(name), cell.now_ms)
+
+
+@STEPS.register('heard')
+def _hear(cell: Cell, names: list[str]) -> None:
+    cell.silent.difference_update(names)
+
+
+@STEPS.register('hosts')
+def _list(cell: Cell, rows: dict[str, Any]) -> None:
+    for name, row in rows.items():
+        cell.hosts.pop(name, None)
+        if row != 'unlisted':
+            cell.hosts[name] = row
+    cell.list_hosts()
+
+
+@STEPS.register('configure')
+def _configure(cell: Cell, changes: dict[str, Any]) -> None:
+    cell.contracts = changes.get('contracts', cell.contracts)
+    cell.policies = cell.policies | changes.get('policies', {})
+    cell.draining = changes.get('draining', cell.draining)
+    cell.core.configure(cell.config(), cell.now_ms)
+
+
+@STEPS.register('restrict')
+def _restrict(cell: Cell, wanted: bool) -> None:
+    if wanted:
+        cell.core.restrict(cell.now_ms)
+    else:
+        cell.core.unrestrict(cell.now_ms)
+
+
+@STEPS.register('uses')
+def _use(cell: Cell, rows: dict[str, list[int]]) -> None:
+    for job, used in rows.items():
+        cell.used[job] = Resources(*used)
+
+
+@STEPS.register('withhold')
+def _withhold(cell: Cell, jobs: list[str]) -> None:
+    cell.withheld.extend(jobs)
+
+
+@STEPS.register('runs')
+def _expect_running(cell: Cell, rows: dict[str, Any]) -> None:
+    for job, expected in rows.items():
+        placed = cell.placed(job)
+        found = len(placed) if isinstance(expected, int) else placed
+        assert found == expected, (job, placed)
+
+
+@STEPS.register('states')
+def _expect_states(cell: Cell, rows: dict[str, str]) -> None:
+    jobs = cell.core.state.jobs
+    found = {job: jobs[cell.ids[job]].state.value for job in rows}
+    assert found == rows
+
+
+@STEPS.register('worker_states')
+def _expect_worker_states(cell: Cell, rows: dict[str, str]) -> None:
+    workers = cell.core.state.workers
+    found = {name: workers[WorkerId(name)].state.value for name in rows}
+    assert found == rows
+
+
+@STEPS.register('explained')
+def _expect_explained(cell: Cell, rows: dict[str, dict[str, Any]]) -> None:
+    for job, expected in rows.items():
+        answer = cell.core.explain(cell.ids[job], cell.now_ms)
+        for name, wanted in expected.items():
+            found = getattr(answer, name)
+            assert getattr(found, 'value', found) == wanted, answer
+
+
+@STEPS.register('commanded')
+def _expect_commands(cell: Cell, rows: list[list[str]]) -> None:
+    found = [[kind.value, job] for kind, job in cell.commands]
+    assert found == rows
+    cell.commands.clear()
+
+
+def _attempts_of(cell: Cell, job: str) -> Iterator[AttemptId]:
+    for attempt_id, start in cell.running.items():
+        if start.payload == job:
+            yield attempt_id
