Offer released room to the first group that fits

Change: a decision offers the room of each released worker to the group that comes first among those that fit. Sizes are cached per group until something they depend on changes, shares per account. Add bench_decisions.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from fuchsiarill.cell_config import Contract
+from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.ids import AttemptId, CustomerId, JobClass, JobId
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
 from fuchsiarill.resources import NOTHING, Resources
@@ -52,15 +53,20 @@
 class Group:
     """Waiting jobs of one customer that need the same, oldest first.
 
-    `blocked_size` is the size for which no worker had room.
+    `blocked_size` is the size for which no worker had room. `size` is what a
+    task reserves, computed for `size_version`. Reclaiming is not tried again
+    before `reclaim_after_ms`.
     """
 
     customer: CustomerId
     spec: JobSpec
+    estimate: Estimate
     jobs: 'OrderedDict[JobId, int]' = field(default_factory=OrderedDict)
     obstacle: Obstacle | None = None
     blocked_size: Resources = NOTHING
-    blocked_at_ms: int = 0
+    reclaim_after_ms: int = 0
+    size: Resources = NOTHING
+    size_version: tuple[int, int] = (-1, -1)
 
     @property
     def urgent(self) -> bool:
@@ -85,7 +91,10 @@
 class Account:
     """Everything counted for one customer.
 
-    `contract` is `None` when the configuration in force has none.
+    `contract` is `None` when the configuration in force has none. `share` is
+    the weighted dominant share of `held`. Of the `groups`, those in `ready`
+    can be tried, `roomless` ones wait for room on a worker and `over_quota`
+    ones for the customer's own tasks to end.
     `stoppable` holds idempotent batch attempts and `services` idempotent
     replicas, both without urgent ones and oldest first. `urgent_held` is the
     part of `held` for urgent jobs, `reclaimed` the part whose attempts
@@ -100,6 +109,7 @@
     refilled_at_ms: int = 0
     retry_credit: float = 0
     held: Resources = NOTHING
+    share: float = 0
     urgent_held: Resources = NOTHING
     reclaimed: Resources = NOTHING
     waiting_count: int = 0
@@ -107,7 +117,10 @@
     served_at_ms: int = 0
     groups: dict[GroupKey, Group] = field(default_factory=dict)
     ready: dict[Group, None] = field(default_factory=dict)
+    roomless: dict[Group, None] = field(default_factory=dict)
+    over_quota: dict[Group, None] = field(default_factory=dict)
     rank: Rank | None = None
+    roomless_rank: Rank | None = None
     stoppable: 'OrderedDict[AttemptId, None]' = field(
         default_factory=OrderedDict,
     )
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -7,17 +7,22 @@
 from fuchsiarill.core.admission import starts_restricted
 from fuchsiarill.core.gangs import place_gang
 from fuchsiarill.core.ordering import ordering_of
-from fuchsiarill.core.placement import find_held_worker, find_worker
+from fuchsiarill.core.placement import (
+    find_held_worker,
+    find_released_worker,
+    find_worker,
+)
 from fuchsiarill.core.quotas import is_guaranteed, is_owed_urgently, may_hold
 from fuchsiarill.core.reclaim import reclaim_for
 from fuchsiarill.core.reservations import has_room, is_valid
-from fuchsiarill.core.sizes import size_at_once, size_of
+from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.starting import start_next
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.timers import run_due
 from fuchsiarill.core.waiting import (
     block,
     dequeue,
+    offer_room,
     reorder,
     unblock,
     unblock_all,
@@ -31,7 +36,9 @@
 # Sizes without room are tried again after this time, because a search looks
 # at a part of the workers only.
 _RETRY_INTERVAL_MS: Final = 1_000
-_SIZES_REMEMBERED_COUNT: Final = 64
+_SIZES_REMEMBERED_COUNT: Final = 16
+# Time after which room is looked for again where none could be reclaimed.
+_RECLAIM_INTERVAL_MS: Final = 100
 # Waiting jobs of one group for which room is reclaimed at a time.
 _RECLAIMED_JOBS_COUNT: Final = 32
 
@@ -44,27 +51,25 @@
         unblock_all(state)
     _wake_gangs(state)
     steps_count = 0
-    while state.order and steps_count < STEPS_MAX_COUNT:
+    while steps_count < STEPS_MAX_COUNT:
         steps_count += 1
-        if not _advance(state, now_ms):
-            break
-    if steps_count == STEPS_MAX_COUNT:
-        return True
-    state.released.clear()
-    return False
+        offer_room(state)
+        if not state.order or not _advance(state, now_ms):
+            return False
+    return True
 
 
 def _advance(state: CoreState, now_ms: int) -> bool:
     """Start or set aside the next task; `False` ends the round."""
     account = state.accounts[state.order[0][1]]
     ordering = ordering_of(state)
-    group = ordering.group(account)
+    group = ordering.first(account.ready)
     job = state.jobs[group.head()]
     if not job.waiting:
         # Its tasks were found running after a takeover.
         dequeue(state, job)
         return True
-    size = size_of(state, group.spec)
+    size = group_size(state, group)
     obstacle = _standing_obstacle(state, account, group)
     if obstacle is not None:
         block(state, account, group, obstacle)
@@ -97,7 +102,7 @@
         return Obstacle.NO_CONTRACT
     if state.restricted and not starts_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
-    if not may_hold(account, size_at_once(state, group.spec)):
+    if not may_hold(account, group_size_at_once(state, group)):
         return Obstacle.QUOTA
     return None
 
@@ -124,26 +129,27 @@
     size: Resources,
     now_ms: int,
 ) -> WorkerView | None:
-    if not any(less.fits_in(size) for less in state.no_room_for):
+    if any(less.fits_in(size) for less in state.no_room_for):
+        worker = find_released_worker(state, job, size)
+    else:
         worker = find_worker(state, job, size)
-        if worker is not None:
-            return worker
-        if not job.failed_on:
+        if worker is None and not job.failed_on:
             _remember_no_room(state, size)
-    if not state.reservations:
-        return None
-    return find_held_worker(state, job, size, now_ms)
+    if worker is None and state.reservations:
+        worker = find_held_worker(state, job, size, now_ms)
+    return worker
 
 
 def _remember_no_room(state: CoreState, size: Resources) -> None:
+    state.no_room_for = [
+        other for other in state.no_room_for if not size.fits_in(other)
+    ]
     if len(state.no_room_for) < _SIZES_REMEMBERED_COUNT:
         state.no_room_for.append(size)
 
 
 def _wake_gangs(state: CoreState) -> None:
     """Let gangs try again whose workers have room by now, or are lost."""
-    if not state.released:
-        return
     for group in tuple(state.blocked_gangs):
         reservation = state.reservations.get(group.head())
         if reservation is None:
@@ -160,9 +166,9 @@
     now_ms: int,
 ) -> None:
     """Make room for the first jobs of a group that is owed it."""
-    if group.is_gang:
+    if group.is_gang or now_ms < group.reclaim_after_ms:
         return
-    size = size_of(state, group.spec)
+    size = group_size(state, group)
     owed = is_owed_urgently if policy == 'urgent' else _is_guaranteed
     for number, job_id in enumerate(
         islice(group.jobs, _RECLAIMED_JOBS_COUNT),
@@ -172,6 +178,7 @@
             break
         job = state.jobs[job_id]
         if not reclaim_for(state, job, size, policy, now_ms):
+            group.reclaim_after_ms = now_ms + _RECLAIM_INTERVAL_MS
             break
 
 
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -18,7 +18,8 @@
     """Latest samples and what follows from them.
 
     `size` and `run_time_ms` are upper estimates, valid once there are enough
-    samples. `succeeded_on` holds a few workers on which a task succeeded.
+    samples; `version` counts changes of `size`. `succeeded_on` holds a few
+    workers on which a task succeeded.
     """
 
     peaks: deque[Resources] = field(
@@ -30,6 +31,7 @@
     size: Resources = NOTHING
     run_time_ms: int = 0
     failed_count: int = 0
+    version: int = 0
     succeeded_on: set[WorkerId] = field(default_factory=set)
 
     def note_success_on(self, worker_id: WorkerId) -> None:
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -5,7 +5,7 @@
 
 from fuchsiarill.core.accounts import Account, Group, Obstacle
 from fuchsiarill.core.admission import excesses, first_excess
-from fuchsiarill.core.sizes import size_at_once, size_of
+from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.waiting import is_waiting
 from fuchsiarill.ids import JobId
@@ -103,11 +103,11 @@
     group: Group,
 ) -> tuple[str | None, int, int]:
     if group.obstacle is Obstacle.QUOTA:
-        wanted = size_at_once(state, group.spec)
+        wanted = group_size_at_once(state, group)
         return _first_excess(wanted, account.quota - account.held)
     if group.obstacle is not Obstacle.ROOM:
         return None, 0, 0
-    size = size_of(state, group.spec)
+    size = group_size(state, group)
     nearest = min(
         (worker.free for worker in state.workers.values()),
         key=lambda free: len(list(excesses(size, free))),
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -25,7 +25,7 @@
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.job import JobRecord
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import NOTHING, Resources
 
 # Gangs that may hold workers at a time; the oldest in the order come first.
 _RESERVATIONS_MAX_COUNT: Final = 4
@@ -90,11 +90,11 @@
         worker = find_worker(state, job, size)
         if worker is None:
             break
-        worker.reserved += size
+        worker.reserve(size)
         refresh(state, worker, now_ms)
         chosen.append(worker)
     for worker in chosen:
-        worker.reserved -= size
+        worker.reserve(NOTHING - size)
         refresh(state, worker, now_ms)
     return chosen
 
--- a/fuchsiarill/core/holding.py
+++ b/fuchsiarill/core/holding.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from fuchsiarill.core.accounts import Account
-from fuchsiarill.core.quotas import account_of
+from fuchsiarill.core.quotas import account_of, share_of
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.waiting import reorder, unblock_account, wake_for
+from fuchsiarill.core.waiting import reorder, unblock_account
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import (
     Attempt,
@@ -35,7 +35,7 @@
     state.attempts[attempt.attempt_id] = attempt
     job.attempts[attempt.attempt_id] = attempt
     account = account_of(state, job.spec.customer)
-    _count(account, job, attempt.reserved)
+    _count(state, account, job, attempt.reserved)
     account.served_at_ms = max(account.served_at_ms, attempt.placed_at_ms)
     _note_stoppable(account, job, attempt)
     reorder(state, account)
@@ -54,7 +54,7 @@
     if attempt.attempt_id in worker.attempts:
         return
     worker.attempts.add(attempt.attempt_id)
-    worker.reserved += attempt.reserved
+    worker.reserve(attempt.reserved)
     refresh(state, worker, now_ms)
 
 
@@ -66,7 +66,8 @@
     job = state.jobs[attempt.job_id]
     job.attempts.pop(attempt.attempt_id, None)
     account = account_of(state, job.spec.customer)
-    _count(account, job, NOTHING - attempt.reserved)
+    released = NOTHING - attempt.reserved
+    _count(state, account, job, released)
     if attempt.stop_reason is StopReason.RECLAIMED:
         account.reclaimed -= attempt.reserved
     account.stoppable.pop(attempt.attempt_id, None)
@@ -77,7 +78,7 @@
     if worker is None or attempt.attempt_id not in worker.attempts:
         return
     worker.attempts.discard(attempt.attempt_id)
-    worker.reserved -= attempt.reserved
+    worker.reserve(released)
     refresh(state, worker, now_ms)
     note_room(state, worker)
 
@@ -93,12 +94,12 @@
     attempt.reserved = size
     job = state.jobs[attempt.job_id]
     account = account_of(state, job.spec.customer)
-    _count(account, job, size - before)
+    _count(state, account, job, size - before)
     reorder(state, account)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
-    worker.reserved += size - before
+    worker.reserve(size - before)
     refresh(state, worker, now_ms)
     if not before.fits_in(size):
         unblock_account(state, account)
@@ -114,11 +115,10 @@
 
 
 def note_room(state: CoreState, worker: WorkerView) -> None:
-    """Offer the room of a worker to those that wait for it."""
+    """Let the next decision offer the room of a worker."""
     if worker.state not in {WorkerState.READY, WorkerState.PROBATION}:
         return
     state.released[worker.worker_id] = None
-    wake_for(state, worker)
 
 
 def admits(worker: WorkerView, now_ms: int) -> bool:
@@ -135,8 +135,14 @@
     return len(worker.attempts) < allowed_count
 
 
-def _count(account: Account, job: JobRecord, change: Resources) -> None:
+def _count(
+    state: CoreState,
+    account: Account,
+    job: JobRecord,
+    change: Resources,
+) -> None:
     account.held += change
+    account.share = share_of(state, account)
     if job.spec.urgency is Urgency.URGENT:
         account.urgent_held += change
 
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from fuchsiarill.core.holding import refresh
+from fuchsiarill.core.quotas import refresh_shares
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_worker
 from fuchsiarill.core.waiting import unblock_all
@@ -50,7 +51,7 @@
     elif worker.entry != entry:
         # The index finds a worker by its entry.
         state.index.remove(worker)
-        worker.entry = entry
+        worker.relist(entry)
         refresh(state, worker, now_ms)
     draining = entry.worker_id in state.config.draining_workers
     _step_listed(state, worker, draining, now_ms)
@@ -86,8 +87,10 @@
     if capacities == state.capacities:
         return
     state.capacities = capacities
+    state.sizes_version += 1
     state.total_capacity = sum(
         (capacity.times(count) for capacity, count in capacities.items()),
         start=NOTHING,
     )
+    refresh_shares(state)
     unblock_all(state)
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -10,7 +10,13 @@
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.holding import resize
 from fuchsiarill.core.requeue import ask_to_stop
-from fuchsiarill.core.sizes import has_evidence, larger, size_of
+from fuchsiarill.core.sizes import (
+    EVIDENCE_MIN_COUNT,
+    estimate_of,
+    has_evidence,
+    larger,
+    size_of,
+)
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import (
     Attempt,
@@ -50,7 +56,7 @@
         return
     spec = state.jobs[attempt.job_id].spec
     if attempt.usage_reports_count == _USAGE_REPORTS_MIN_COUNT:
-        _add_peak(_estimate_of(state, spec), attempt.peak)
+        _add_peak(estimate_of(state, spec), attempt.peak)
     if attempt.usage_reports_count >= _USAGE_REPORTS_MIN_COUNT:
         _shrink(state, attempt, spec, now_ms)
 
@@ -62,7 +68,7 @@
 ) -> None:
     """Learn from an attempt that succeeded."""
     spec = state.jobs[attempt.job_id].spec
-    estimate = _estimate_of(state, spec)
+    estimate = estimate_of(state, spec)
     if report is not None and report.run_time_ms:
         estimate.run_times_ms.append(report.run_time_ms)
         estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
@@ -73,15 +79,6 @@
         _add_peak(estimate, attempt.peak)
 
 
-def _estimate_of(state: CoreState, spec: JobSpec) -> Estimate:
-    key = (spec.customer, spec.job_class)
-    estimate = state.estimates.get(key)
-    if estimate is None:
-        estimate = Estimate()
-        state.estimates[key] = estimate
-    return estimate
-
-
 def _measured(used: Resources) -> Resources:
     # Accelerators and slots are held whole; only the others are estimated.
     return Resources(used.processors_milli, used.memory_mb)
@@ -91,10 +88,13 @@
     estimate.peaks.append(peak)
     processors = [sample.processors_milli for sample in estimate.peaks]
     memory = [sample.memory_mb for sample in estimate.peaks]
-    estimate.size = Resources(
+    size = Resources(
         _with_margin(_percentile(processors)),
         _with_margin(_percentile(memory)),
     )
+    if size != estimate.size or len(estimate.peaks) <= EVIDENCE_MIN_COUNT:
+        estimate.size = size
+        estimate.version += 1
 
 
 def _percentile(samples: list[int]) -> int:
@@ -115,7 +115,7 @@
     now_ms: int,
 ) -> None:
     """Release what an attempt reserved and its class never uses."""
-    if not has_evidence(_estimate_of(state, spec)):
+    if not has_evidence(estimate_of(state, spec)):
         return
     needed = larger(size_of(state, spec), _padded(attempt))
     if needed != attempt.reserved and needed.fits_in(attempt.reserved):
@@ -157,7 +157,7 @@
     if once or not state.config.policies.learn_sizes:
         _command(state, attempt, CommandKind.CHECKPOINT)
         return
-    _add_peak(_estimate_of(state, spec), attempt.peak)
+    _add_peak(estimate_of(state, spec), attempt.peak)
     if spec.workload is Workload.BATCH:
         _command(state, attempt, CommandKind.CHECKPOINT)
     ask_to_stop(state, attempt, StopReason.OVERUSE, now_ms)
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -5,7 +5,7 @@
 with what a customer holds and waits for.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from types import MappingProxyType
 from typing import Final, Protocol
 
@@ -13,9 +13,8 @@
 from fuchsiarill.core.quotas import (
     is_guaranteed,
     is_owed_urgently,
-    share_of,
 )
-from fuchsiarill.core.sizes import size_at_once
+from fuchsiarill.core.sizes import group_size_at_once
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.registry import Registry
 
@@ -40,8 +39,8 @@
     strict: bool
     preemptions: Mapping[int, str]
 
-    def group(self, account: Account) -> Group:
-        """Return the ready group whose first job comes first."""
+    def first(self, groups: Collection[Group]) -> Group:
+        """Return the group of a customer whose first job comes first."""
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
         """Return the rank of a customer whose next group is known."""
@@ -67,10 +66,8 @@
         {URGENT_RANK: 'urgent', GUARANTEED_RANK: 'guaranteed'},
     )
 
-    def group(self, account: Account) -> Group:
-        if len(account.ready) == 1:
-            return next(iter(account.ready))
-        return min(account.ready, key=_urgent_then_oldest)
+    def first(self, groups: Collection[Group]) -> Group:
+        return min(groups, key=_urgent_then_oldest)
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
         weight = max(state.config.policies.waiting_weight, _AGEING_WEIGHT_MIN)
@@ -79,7 +76,7 @@
         ageing = since_ms * weight / _AGEING_MS
         return (
             _class_of(state, account, group),
-            share_of(state, account) + ageing,
+            account.share + ageing,
         )
 
 
@@ -90,8 +87,8 @@
     strict: bool = True
     preemptions: Mapping[int, str] = MappingProxyType({})
 
-    def group(self, account: Account) -> Group:
-        return min(account.ready, key=_oldest)
+    def first(self, groups: Collection[Group]) -> Group:
+        return min(groups, key=_oldest)
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
         return (0, group.head_order())
@@ -103,7 +100,7 @@
 
 
 def _class_of(state: CoreState, account: Account, group: Group) -> int:
-    size = size_at_once(state, group.spec)
+    size = group_size_at_once(state, group)
     if group.urgent and is_owed_urgently(state, account, size):
         return URGENT_RANK
     if is_guaranteed(account, size):
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -29,6 +29,7 @@
 # Workers compared before the best of them is taken.
 _COMPARED_COUNT: Final = 12
 _HELD_LOOKED_AT_COUNT: Final = 32
+_RELEASED_LOOKED_AT_COUNT: Final = 8
 
 
 def find_worker(
@@ -43,7 +44,7 @@
     worker = PLACEMENTS.lookup(contract.placement)(state, job, size)
     if worker is not None:
         return worker
-    return _released_worker(state, job, size)
+    return find_released_worker(state, job, size)
 
 
 @PLACEMENTS.register('first_fit')
@@ -136,8 +137,14 @@
 
 
 def _left_over(worker: WorkerView, size: Resources) -> float:
-    left = worker.free - size
-    return left.dominant_share(worker.entry.capacity)
+    free = worker.free
+    capacity = worker.entry.capacity
+    return max(
+        (free.processors_milli - size.processors_milli)
+        / capacity.processors_milli,
+        (free.memory_mb - size.memory_mb) / capacity.memory_mb,
+        (free.slots_count - size.slots_count) / capacity.slots_count,
+    )
 
 
 def _least_shared(
@@ -172,14 +179,17 @@
     return domains, racks
 
 
-def _released_worker(
+def find_released_worker(
     state: CoreState,
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    # The index looks at a few workers of each bucket; what was released just
-    # now is looked at in any case.
-    for worker_id in state.released:
+    """Return a worker on which room was released and not offered to all.
+
+    The index looks at a few workers of each bucket; these are looked at in
+    any case.
+    """
+    for worker_id in islice(state.released, _RELEASED_LOOKED_AT_COUNT):
         worker = state.workers[worker_id]
         if worker.bucket is None or not suits(worker, job):
             continue
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -8,8 +8,8 @@
 from functools import partial
 from typing import Final
 
-from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.holding import note_room, refresh
+from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_worker
 from fuchsiarill.core.timers import call_at
@@ -27,8 +27,7 @@
 def note_failure(state: CoreState, attempt: Attempt, now_ms: int) -> None:
     """Count a failure against the worker if others do better."""
     job = state.jobs[attempt.job_id]
-    key = (job.spec.customer, job.spec.job_class)
-    estimate = state.estimates.setdefault(key, Estimate())
+    estimate = estimate_of(state, job.spec)
     estimate.failed_count += 1
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
@@ -41,8 +40,7 @@
 def note_success(state: CoreState, attempt: Attempt, now_ms: int) -> None:
     """Clear the worker; those on which the job failed before are to blame."""
     job = state.jobs[attempt.job_id]
-    key = (job.spec.customer, job.spec.job_class)
-    estimate = state.estimates.setdefault(key, Estimate())
+    estimate = estimate_of(state, job.spec)
     others_knew = bool(estimate.succeeded_on - job.failed_on)
     estimate.note_success_on(attempt.worker_id)
     if not others_knew:
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -29,6 +29,14 @@
         account = account_of(state, customer)
         account.tokens = contract.submit_burst_count
         _apply(account, contract, config)
+    state.sizes_version += 1
+    refresh_shares(state)
+
+
+def refresh_shares(state: CoreState) -> None:
+    """Compute the shares again after a change of capacity or weights."""
+    for account in state.accounts.values():
+        account.share = share_of(state, account)
 
 
 def share_of(state: CoreState, account: Account) -> float:
--- a/fuchsiarill/core/reclaim.py
+++ b/fuchsiarill/core/reclaim.py
@@ -11,7 +11,7 @@
 
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.placement import can_get_tasks, suits
-from fuchsiarill.core.quotas import borrows, is_within_share, share_of
+from fuchsiarill.core.quotas import borrows, is_within_share
 from fuchsiarill.core.requeue import ask_to_stop
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
@@ -87,13 +87,17 @@
         for other in state.accounts.values()
         if other is not account and borrows(other)
     ]
-    borrowers.sort(key=lambda other: share_of(state, other), reverse=True)
+    borrowers.sort(key=_share, reverse=True)
     for other in borrowers:
         yield from reversed(other.stoppable)
     for other in borrowers:
         yield from reversed(other.services)
 
 
+def _share(account: Account) -> float:
+    return account.share
+
+
 def _victims(
     state: CoreState,
     job: JobRecord,
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from fuchsiarill.core.accounts import Group
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import JobSpec, Workload
@@ -30,12 +31,29 @@
     return _capped(state, spec, _with_counts(spec, estimate.size))
 
 
-def size_at_once(state: CoreState, spec: JobSpec) -> Resources:
-    """Return what a job needs before anything of it can start."""
-    size = size_of(state, spec)
-    if spec.workload is Workload.GANG:
-        return size.times(spec.tasks_count)
-    return size
+def group_size(state: CoreState, group: Group) -> Resources:
+    """Return what one task of a group reserves, computed once per change."""
+    version = (group.estimate.version, state.sizes_version)
+    if group.size_version != version:
+        group.size = size_of(state, group.spec)
+        group.size_version = version
+    return group.size
+
+
+def group_size_at_once(state: CoreState, group: Group) -> Resources:
+    """Return what a job of a group needs before anything of it can start."""
+    size = group_size(state, group)
+    return size.times(group.spec.tasks_count) if group.is_gang else size
+
+
+def estimate_of(state: CoreState, spec: JobSpec) -> Estimate:
+    """Return the estimate of a job's class, new if there is none."""
+    key = (spec.customer, spec.job_class)
+    estimate = state.estimates.get(key)
+    if estimate is None:
+        estimate = Estimate()
+        state.estimates[key] = estimate
+    return estimate
 
 
 def run_time_of(state: CoreState, spec: JobSpec) -> int | None:
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -12,7 +12,7 @@
 from sortedcontainers import SortedList
 
 from fuchsiarill.cell_config import CellConfig
-from fuchsiarill.core.accounts import Account, Group, GroupKey
+from fuchsiarill.core.accounts import Account, Group, GroupKey, Rank
 from fuchsiarill.core.effects import Effect, PersistRecord
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.reservation import Reservation
@@ -41,9 +41,13 @@
     """Everything one owner knows of its partition.
 
     `group_keys` maps each waiting job to its group within the account.
-    `no_room_for` holds sizes for which no worker had room since capacity was
-    last released. `released` holds the workers with room released since the
-    last decision. `unrenewed` holds attempts whose leases are not extended.
+    `order` ranks the customers with ready groups, `roomless_order` those with
+    groups that wait for room, whose sizes `roomless_sizes` counts.
+    `no_room_for` holds sizes for which no worker has room, except perhaps
+    those in `released`, whose room was not offered yet to all who wait;
+    `offered` holds the groups that the first of them was offered to.
+    `sizes_version` counts changes that all reserved sizes depend on.
+    `unrenewed` holds attempts whose leases are not extended.
     """
 
     partition: PartitionId
@@ -60,11 +64,16 @@
     capacities: Counter[Resources] = field(default_factory=Counter)
     total_capacity: Resources = NOTHING
     weights_sum: float = 1.0
-    order: 'SortedList[tuple[tuple[float, ...], CustomerId]]' = field(
+    sizes_version: int = 0
+    order: 'SortedList[tuple[Rank, CustomerId]]' = field(
         default_factory=SortedList,
     )
     group_keys: dict[JobId, GroupKey] = field(default_factory=dict)
-    blocked: dict[Resources, dict[Group, None]] = field(default_factory=dict)
+    roomless_order: 'SortedList[tuple[Rank, CustomerId]]' = field(
+        default_factory=SortedList,
+    )
+    roomless_sizes: Counter[Resources] = field(default_factory=Counter)
+    offered: set[Group] = field(default_factory=set)
     blocked_gangs: dict[Group, None] = field(default_factory=dict)
     no_room_for: list[Resources] = field(default_factory=list)
     released: dict[WorkerId, None] = field(default_factory=dict)
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -1,10 +1,19 @@
 """The waiting jobs: enter, leave, get blocked and become ready again."""
 
-from fuchsiarill.core.accounts import Account, Group, Obstacle, group_key_of
+from sortedcontainers import SortedList
+
+from fuchsiarill.core.accounts import (
+    Account,
+    Group,
+    Obstacle,
+    Rank,
+    group_key_of,
+)
 from fuchsiarill.core.ordering import ordering_of
 from fuchsiarill.core.quotas import account_of
+from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.ids import CustomerId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import NOTHING, Resources
 
@@ -14,21 +23,20 @@
 
     A job without a task that waits is left out.
     """
-    if not job.waiting:
-        return
-    if job.job_id in state.group_keys:
+    if not job.waiting or job.job_id in state.group_keys:
         return
     account = account_of(state, job.spec.customer)
     key = group_key_of(job.spec, bool(job.failed_on))
     group = account.groups.get(key)
     if group is None:
-        group = Group(account.customer, job.spec)
+        estimate = estimate_of(state, job.spec)
+        group = Group(account.customer, job.spec, estimate)
         account.groups[key] = group
     state.group_keys[job.job_id] = key
     account.waiting_count += 1
+    is_oldest = bool(group.jobs) and job.order < group.head_order()
     group.jobs[job.job_id] = job.order
-    last_order = next(reversed(group.jobs.values()))
-    if job.order < last_order or _is_older(group, job):
+    if is_oldest:
         group.jobs.move_to_end(job.job_id, last=False)
     if group.obstacle is None:
         account.ready[group] = None
@@ -45,12 +53,17 @@
     group.jobs.pop(job.job_id)
     account.waiting_count -= 1
     if not group.jobs:
-        _clear_obstacle(state, group)
+        _clear_obstacle(state, account, group)
         account.ready.pop(group, None)
         account.groups.pop(key)
     reorder(state, account)
 
 
+def is_waiting(state: CoreState, job: JobRecord) -> bool:
+    """Tell whether a job waits for placement."""
+    return job.job_id in state.group_keys
+
+
 def block(
     state: CoreState,
     account: Account,
@@ -61,12 +74,15 @@
     """Set a group aside until `obstacle` may have gone."""
     group.obstacle = obstacle
     account.ready.pop(group, None)
+    if obstacle is Obstacle.QUOTA:
+        account.over_quota[group] = None
     if obstacle is Obstacle.ROOM:
         group.blocked_size = size
         if group.is_gang:
             state.blocked_gangs[group] = None
         else:
-            state.blocked.setdefault(size, {})[group] = None
+            account.roomless[group] = None
+            state.roomless_sizes[size] += 1
     reorder(state, account)
 
 
@@ -74,7 +90,7 @@
     """Make a blocked group ready again."""
     if group.obstacle is None:
         return
-    _clear_obstacle(state, group)
+    _clear_obstacle(state, account, group)
     account.ready[group] = None
     reorder(state, account)
 
@@ -84,59 +100,125 @@
     state.no_room_for.clear()
     for account in state.accounts.values():
         for group in account.groups.values():
-            unblock(state, account, group)
+            if group.obstacle is not None:
+                _clear_obstacle(state, account, group)
+                account.ready[group] = None
         reorder(state, account)
 
 
 def unblock_account(state: CoreState, account: Account) -> None:
     """Make the groups ready that waited for the quota of their customer."""
-    for group in account.groups.values():
-        if group.obstacle is Obstacle.QUOTA:
-            unblock(state, account, group)
+    for group in tuple(account.over_quota):
+        unblock(state, account, group)
 
 
-def wake_for(state: CoreState, worker: WorkerView) -> None:
-    """Make the groups ready that fit into what a worker has free."""
-    free = worker.free
-    state.no_room_for = [
-        size for size in state.no_room_for if not size.fits_in(free)
-    ]
-    fitting = [size for size in state.blocked if size.fits_in(free)]
-    for size in fitting:
-        for group in tuple(state.blocked.get(size, ())):
+def offer_room(state: CoreState) -> None:
+    """Make the group ready that comes first for the room of a worker.
+
+    Goes through the released workers; one without a taker left is done with.
+    """
+    while state.released:
+        worker = state.workers[next(iter(state.released))]
+        group = None
+        if worker.bucket is not None:
+            group = _first_taker(state, worker.free)
+        if group is not None:
+            state.offered.add(group)
             unblock(state, state.accounts[group.customer], group)
+            return
+        state.released.pop(worker.worker_id)
+        state.offered.clear()
+        free = worker.free
+        state.no_room_for = [
+            size for size in state.no_room_for if not size.fits_in(free)
+        ]
 
 
 def reorder(state: CoreState, account: Account) -> None:
-    """Give an account its rank among those with ready groups."""
+    """Give an account its ranks among those with waiting groups."""
+    ordering = ordering_of(state)
     rank = None
     if account.ready:
-        ordering = ordering_of(state)
-        rank = ordering.rank(state, account, ordering.group(account))
-    if rank == account.rank:
-        return
-    if account.rank is not None:
-        state.order.remove((account.rank, account.customer))
-    account.rank = rank
-    if rank is not None:
-        state.order.add((rank, account.customer))
+        first = ordering.first(account.ready)
+        rank = ordering.rank(state, account, first)
+    if rank != account.rank:
+        _move(state.order, account.customer, account.rank, rank)
+        account.rank = rank
+    rank = None
+    if account.roomless:
+        first = ordering.first(account.roomless)
+        rank = ordering.rank(state, account, first)
+    if rank != account.roomless_rank:
+        _move(
+            state.roomless_order,
+            account.customer,
+            account.roomless_rank,
+            rank,
+        )
+        account.roomless_rank = rank
+
+
+def _move(
+    order: 'SortedList[tuple[Rank, CustomerId]]',
+    customer: CustomerId,
+    before: Rank | None,
+    after: Rank | None,
+) -> None:
+    if before is not None:
+        order.remove((before, customer))
+    if after is not None:
+        order.add((after, customer))
+
+
+def _first_taker(state: CoreState, free: Resources) -> Group | None:
+    """Return the group that comes first among those that fit."""
+    if not any(size.fits_in(free) for size in state.roomless_sizes):
+        return None
+    found: tuple[Rank, Group] | None = None
+    for account_rank, customer in state.roomless_order:
+        # Later accounts have no group with a lower rank than this.
+        if found is not None and found[0] <= account_rank:
+            break
+        candidate = _first_fitting(state, state.accounts[customer], free)
+        found = _earlier(found, candidate)
+    return None if found is None else found[1]
+
+
+def _earlier(
+    one: tuple[Rank, Group] | None,
+    other: tuple[Rank, Group] | None,
+) -> tuple[Rank, Group] | None:
+    if one is None or other is None:
+        return one or other
+    return one if one[0] <= other[0] else other
+
+
+def _first_fitting(
+    state: CoreState,
+    account: Account,
+    free: Resources,
+) -> tuple[Rank, Group] | None:
+    fitting = [
+        group
+        for group in account.roomless
+        if group.blocked_size.fits_in(free) and group not in state.offered
+    ]
+    if not fitting:
+        return None
+    ordering = ordering_of(state)
+    group = ordering.first(fitting)
+    return ordering.rank(state, account, group), group
 
 
-def _clear_obstacle(state: CoreState, group: Group) -> None:
+def _clear_obstacle(
+    state: CoreState,
+    account: Account,
+    group: Group,
+) -> None:
     group.obstacle = None
     state.blocked_gangs.pop(group, None)
-    alike = state.blocked.get(group.blocked_size)
-    if alike is None:
-        return
-    alike.pop(group, None)
-    if not alike:
-        state.blocked.pop(group.blocked_size)
-
-
-def _is_older(group: Group, job: JobRecord) -> bool:
-    return job.order < group.head_order()
-
-
-def is_waiting(state: CoreState, job: JobRecord) -> bool:
-    """Tell whether a job waits for placement."""
-    return job.job_id in state.group_keys
+    account.over_quota.pop(group, None)
+    if account.roomless.pop(group, group) is None:
+        state.roomless_sizes[group.blocked_size] -= 1
+        if not state.roomless_sizes[group.blocked_size]:
+            state.roomless_sizes.pop(group.blocked_size)
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -23,6 +23,7 @@
     entry: HostEntry
     state: WorkerState
     reserved: Resources = NOTHING
+    free: Resources = NOTHING
     attempts: set[AttemptId] = field(default_factory=set)
     reported_at_ms: int = 0
     held_for: JobId | None = None
@@ -37,10 +38,19 @@
         """Return the id of the worker."""
         return self.entry.worker_id
 
-    @property
-    def free(self) -> Resources:
-        """Return what is left of the capacity."""
-        return self.entry.capacity - self.reserved
+    def __post_init__(self) -> None:
+        """Compute what is free."""
+        self.free = self.entry.capacity - self.reserved
+
+    def reserve(self, change: Resources) -> None:
+        """Add to what is reserved; a negative change releases."""
+        self.reserved += change
+        self.free = self.entry.capacity - self.reserved
+
+    def relist(self, entry: HostEntry) -> None:
+        """Take over a changed entry of the host list."""
+        self.entry = entry
+        self.free = entry.capacity - self.reserved
 
     @property
     def has_accelerators(self) -> bool:
--- a/fuchsiarill/resources.py
+++ b/fuchsiarill/resources.py
@@ -52,11 +52,18 @@
 
         Source: dominant resource fairness, Ghodsi et al., NSDI 2011.
         """
-        shares = [0.0]
-        for held, whole in zip(self.as_tuple(), total.as_tuple(), strict=True):
-            if whole > 0:
-                shares.append(held / whole)
-        return max(shares)
+        # Written out, because every decision computes several shares.
+        share = 0.0
+        if total.processors_milli:
+            share = self.processors_milli / total.processors_milli
+        if total.memory_mb:
+            share = max(share, self.memory_mb / total.memory_mb)
+        if total.accelerators_count:
+            accelerators = self.accelerators_count / total.accelerators_count
+            share = max(share, accelerators)
+        if total.slots_count:
+            share = max(share, self.slots_count / total.slots_count)
+        return share
 
     def as_tuple(self) -> tuple[int, int, int, int]:
         """Return the components in field order."""
--- /dev/null
+++ b/tools/bench_decisions.py
@@ -0,0 +1,300 @@
+"""Latency and rate of decisions by the number of workers and waiting jobs.
+
+The cell is full; each step ends one task, submits one job and decides. The
+latency is that of the call which takes over the end of a task and places the
+next one; the rate counts all time spent in the core.
+"""
+
+import gc
+import itertools
+import random
+import time
+from collections.abc import Iterator
+from typing import Final
+
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
+from fuchsiarill.core.partition import PartitionCore
+from fuchsiarill.ids import (
+    AttemptId,
+    CustomerId,
+    Epoch,
+    FailureDomain,
+    JobClass,
+    PartitionId,
+    RackId,
+    RegionId,
+    WorkerId,
+)
+from fuchsiarill.job import Attempt, Execution, JobSpec, Urgency, Workload
+from fuchsiarill.resources import Resources
+from fuchsiarill.workers import (
+    HostEntry,
+    HostState,
+    TaskOutcome,
+    TaskReport,
+    WorkerReport,
+)
+from tools.measures import Measure, percentile
+
+_WORKERS_COUNTS: Final = (25, 1_000, 8_000, 32_000)
+_QUEUES: Final = (('queue of today', 200), ('queue of 10,000', 10_000))
+_STEPS_COUNT: Final = 3_000
+_CAPACITIES: Final = (
+    Resources(32_000, 128_000, 0, 8),
+    Resources(16_000, 32_000, 0, 8),
+    Resources(64_000, 128_000, 8, 8),
+)
+# Processors and memory of one task by class; each takes two slots.
+_SIZES: Final = (
+    (1_000, 4_000),
+    (2_000, 2_000),
+    (3_500, 7_000),
+    (4_000, 3_000),
+    (500, 1_000),
+)
+_AMOUNTS: Final = {
+    'processors_milli': 10**10,
+    'memory_mb': 10**11,
+    'accelerators_count': 10**6,
+    'slots_count': 10**7,
+}
+_URGENT_ONE_IN: Final = 20
+_MS_PER_S: Final = 1_000
+
+
+class FullCell:
+    """A core whose workers are full."""
+
+    def __init__(self, workers_count: int) -> None:
+        """Fill the workers with tasks."""
+        self.now_ms = 0
+        self._random = random.Random(workers_count)
+        self._customers = 4 if workers_count < 100 else 79
+        self.core = PartitionCore(
+            PartitionId('bench'),
+            Epoch(1),
+            _config(self._customers),
+        )
+        self._numbers = itertools.count()
+        self._running: list[StartTask] = []
+        self._stopped: list[CommandTask] = []
+        self._jobs_waiting = 0
+        entries = tuple(_entries(workers_count))
+        self.core.hosts_listed(entries, self.now_ms)
+        for entry in entries:
+            report = WorkerReport(entry.worker_id, Epoch(1), 0, ())
+            self.core.worker_reported(report, self.now_ms)
+        self._fill()
+
+    def wait_for(self, jobs_count: int) -> None:
+        """Let jobs wait, so that there are `jobs_count`."""
+        while self._jobs_waiting < jobs_count:
+            self.submit()
+            self.decide()
+
+    def submit(self) -> None:
+        """Submit a job and commit it."""
+        number = next(self._numbers)
+        kind = self._random.randrange(len(_SIZES))
+        urgency = Urgency.NORMAL
+        if not self._random.randrange(_URGENT_ONE_IN):
+            urgency = Urgency.URGENT
+        spec = JobSpec(
+            CustomerId(f'c{self._random.randrange(self._customers)}'),
+            f'k{number}',
+            Workload.BATCH,
+            Execution.IDEMPOTENT,
+            urgency,
+            JobClass(f'class{kind}'),
+            1,
+            Resources(*_SIZES[kind], 0, 2),
+            60_000,
+            '',
+        )
+        self.core.submit(spec, self.now_ms).unwrap()
+        self._jobs_waiting += 1
+        self._take()
+
+    def decide(self) -> bool:
+        """Decide and take over the starts."""
+        more = self.core.decide(self.now_ms)
+        self._take()
+        return more
+
+    def end_one(self) -> None:
+        """Let the worker of a random task report that it has ended."""
+        place = self._random.randrange(len(self._running))
+        ended = self._running[place]
+        last = self._running.pop()
+        if last is not ended:
+            self._running[place] = last
+        self.report(ended.worker_id, {ended.attempt_id: TaskOutcome.SUCCEEDED})
+
+    def stop_asked(self) -> None:
+        """Let workers confirm the stops that they were asked for."""
+        stopped = self._stopped
+        self._stopped = []
+        for command in stopped:
+            outcome = {command.attempt_id: TaskOutcome.STOPPED}
+            self.report(command.worker_id, outcome)
+            self._running = [
+                start
+                for start in self._running
+                if start.attempt_id != command.attempt_id
+            ]
+
+    def report(
+        self,
+        worker_id: WorkerId,
+        outcomes: dict[AttemptId, TaskOutcome],
+    ) -> None:
+        """Let a worker report all its tasks, some of which have ended."""
+        state = self.core.state
+        tasks = tuple(
+            self._task(outcomes.get(attempt_id), state.attempts[attempt_id])
+            for attempt_id in state.workers[worker_id].attempts
+        )
+        report = WorkerReport(worker_id, Epoch(1), 0, tasks)
+        self.core.worker_reported(report, self.now_ms)
+
+    def _task(
+        self,
+        ended: TaskOutcome | None,
+        attempt: Attempt,
+    ) -> TaskReport:
+        spec = self.core.state.jobs[attempt.job_id].spec
+        outcome = ended or TaskOutcome.RUNNING
+        return TaskReport(
+            attempt.attempt_id,
+            outcome,
+            attempt.reserved,
+            spec.task_size,
+            60_000,
+        )
+
+    def _take(self) -> None:
+        for effect in self.core.take_effects():
+            if isinstance(effect, PersistRecord):
+                self.core.committed(effect.sequence, self.now_ms)
+            elif isinstance(effect, StartTask):
+                self._running.append(effect)
+                self._jobs_waiting -= 1
+            elif isinstance(effect, CommandTask):
+                self._stopped.append(effect)
+
+    def _fill(self) -> None:
+        while self._jobs_waiting < 100:
+            self.submit()
+            self.submit()
+            self.decide()
+
+
+def measure(workers_count: int) -> Iterator[Measure]:
+    """Measure one size of cell with both queues."""
+    cell = FullCell(workers_count)
+    for queue, jobs_count in _QUEUES:
+        cell.wait_for(jobs_count)
+        gc.collect()
+        latencies_ms, total_s = _run(cell)
+        deployment = f'{workers_count} workers, {queue}'
+        yield Measure(
+            'decision_p99_ms',
+            round(percentile(latencies_ms, 0.99), 3),
+            'ms',
+            None,
+            '< 5',
+            deployment,
+        )
+        yield Measure(
+            'decisions_per_s',
+            round(len(latencies_ms) / total_s),
+            '1/s',
+            None,
+            '>= 3000',
+            deployment,
+        )
+
+
+def run() -> Iterator[Measure]:
+    """Measure every size of cell."""
+    p99s: dict[str, float] = {}
+    for workers_count in _WORKERS_COUNTS:
+        for found in measure(workers_count):
+            if found.measure == 'decision_p99_ms':
+                p99s[found.deployment] = found.value
+            yield found
+    for queue, _jobs_count in _QUEUES:
+        large = p99s[f'32000 workers, {queue}']
+        yield Measure(
+            'decision_p99_growth',
+            round(large / p99s[f'1000 workers, {queue}'], 2),
+            'ratio',
+            None,
+            '<= 2',
+            f'32000 workers against 1000, {queue}',
+        )
+
+
+def _run(cell: FullCell) -> tuple[list[float], float]:
+    latencies_ms: list[float] = []
+    began_s = time.perf_counter()
+    while len(latencies_ms) < _STEPS_COUNT:
+        cell.now_ms += 1
+        cell.submit()
+        step_began_s = time.perf_counter()
+        cell.end_one()
+        cell.decide()
+        elapsed_s = time.perf_counter() - step_began_s
+        cell.stop_asked()
+        latencies_ms.append(elapsed_s * _MS_PER_S)
+    return latencies_ms, time.perf_counter() - began_s
+
+
+def _config(customers_count: int) -> CellConfig:
+    return CellConfig.model_validate(
+        {
+            'cell': 'bench',
+            'regions': [{'name': 'r'}],
+            'contracts': [
+                {
+                    'customer': f'c{number}',
+                    'region': 'r',
+                    'quota': _AMOUNTS,
+                    'guaranteed': dict.fromkeys(_AMOUNTS, 0),
+                    'submit_rate_per_s': 10**9,
+                    'submit_burst_count': 10**9,
+                    'waiting_jobs_max_count': 10**6,
+                    'placement': 'pack' if number % 2 else 'spread',
+                    'token_sha256': 'none',
+                }
+                for number in range(customers_count)
+            ],
+            'operator_token_sha256': 'none',
+        },
+    )
+
+
+def _entries(workers_count: int) -> Iterator[HostEntry]:
+    for number in range(workers_count):
+        rack = number // 5
+        yield HostEntry(
+            WorkerId(f'w{number}'),
+            'none',
+            RegionId('r'),
+            FailureDomain(f'd{rack % 4}'),
+            RackId(f'k{rack}'),
+            _CAPACITIES[number % len(_CAPACITIES)],
+            64,
+            HostState.LIVE,
+        )
+
+
+def main() -> None:
+    """Print every measure."""
+    for found in run():
+        print(found.as_line(), flush=True)
+
+
+if __name__ == '__main__':
+    main()
