Rank customers once per decision and skip known reports

Cause: profiling showed 8 rankings of customers per placement, each computing keys of all groups, and a chart step for every running task of a report.

Change: changed customers are noted and ranked when the order is next read; groups keep their sort keys; a report of a running task is compared before it is stepped; room is retried for a few groups at a time instead of all at once.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -4,9 +4,11 @@
 looks at a few groups and never at all jobs.
 """
 
+import sys
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Final
 
 from fuchsiarill.cell_config import Contract
 from fuchsiarill.core.estimate import Estimate
@@ -21,6 +23,7 @@
     tuple[int, bool],
 ]
 Rank = tuple[float, ...]
+NO_ORDER: Final = sys.maxsize
 
 
 class Obstacle(Enum):
@@ -53,6 +56,7 @@
 class Group:
     """Waiting jobs of one customer that need the same, oldest first.
 
+    `first_order` is the acceptance number of the oldest.
     `blocked_size` is the size for which no worker had room. `size` is what a
     task reserves, computed for `size_version`. Reclaiming is not tried again
     before `reclaim_after_ms`.
@@ -62,29 +66,41 @@
     spec: JobSpec
     estimate: Estimate
     jobs: 'OrderedDict[JobId, int]' = field(default_factory=OrderedDict)
+    urgent: bool = False
+    is_gang: bool = False
+    first_order: int = NO_ORDER
+    urgent_then_order: tuple[bool, int] = (False, NO_ORDER)
     obstacle: Obstacle | None = None
     blocked_size: Resources = NOTHING
     reclaim_after_ms: int = 0
     size: Resources = NOTHING
     size_version: tuple[int, int] = (-1, -1)
 
-    @property
-    def urgent(self) -> bool:
-        """Tell whether the jobs are urgent."""
-        return self.spec.urgency is Urgency.URGENT
+    def __post_init__(self) -> None:
+        """Take from the submission what decisions ask for often."""
+        self.urgent = self.spec.urgency is Urgency.URGENT
+        self.is_gang = self.spec.workload is Workload.GANG
 
-    @property
-    def is_gang(self) -> bool:
-        """Tell whether all tasks of a job start together."""
-        return self.spec.workload is Workload.GANG
+    def add(self, job_id: JobId, order: int) -> None:
+        """Add a job in the order of acceptance, or in front when older."""
+        is_oldest = order < self.first_order
+        self.jobs[job_id] = order
+        if is_oldest:
+            self.jobs.move_to_end(job_id, last=False)
+            self._note_first(order)
+
+    def remove(self, job_id: JobId) -> None:
+        """Remove a job."""
+        self.jobs.pop(job_id)
+        self._note_first(next(iter(self.jobs.values()), NO_ORDER))
 
     def head(self) -> JobId:
         """Return the job that waits longest."""
         return next(iter(self.jobs))
 
-    def head_order(self) -> int:
-        """Return the acceptance number of the job that waits longest."""
-        return next(iter(self.jobs.values()))
+    def _note_first(self, order: int) -> None:
+        self.first_order = order
+        self.urgent_then_order = (not self.urgent, order)
 
 
 @dataclass(slots=True, eq=False)
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -23,9 +23,10 @@
     block,
     dequeue,
     offer_room,
+    rank_accounts,
     reorder,
+    retry_some,
     unblock,
-    unblock_all,
 )
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import JobRecord
@@ -33,27 +34,24 @@
 
 # Steps of one call; the owner answers other messages in between.
 STEPS_MAX_COUNT: Final = 32
-# Sizes without room are tried again after this time, because a search looks
-# at a part of the workers only.
-_RETRY_INTERVAL_MS: Final = 1_000
+_GANG_RETRY_INTERVAL_MS: Final = 500
 _SIZES_REMEMBERED_COUNT: Final = 16
 # Time after which room is looked for again where none could be reclaimed.
 _RECLAIM_INTERVAL_MS: Final = 100
 # Waiting jobs of one group for which room is reclaimed at a time.
-_RECLAIMED_JOBS_COUNT: Final = 32
+_RECLAIMED_JOBS_COUNT: Final = 8
 
 
 def decide(state: CoreState, now_ms: int) -> bool:
     """Start what can start; returns `True` when there may be more to do."""
     run_due(state, now_ms)
-    if now_ms - state.unblocked_at_ms >= _RETRY_INTERVAL_MS:
-        state.unblocked_at_ms = now_ms
-        unblock_all(state)
-    _wake_gangs(state)
+    retry_some(state, now_ms)
+    _wake_gangs(state, now_ms)
     steps_count = 0
     while steps_count < STEPS_MAX_COUNT:
         steps_count += 1
         offer_room(state)
+        rank_accounts(state)
         if not state.order or not _advance(state, now_ms):
             return False
     return True
@@ -148,11 +146,19 @@
         state.no_room_for.append(size)
 
 
-def _wake_gangs(state: CoreState) -> None:
-    """Let gangs try again whose workers have room by now, or are lost."""
+def _wake_gangs(state: CoreState, now_ms: int) -> None:
+    """Let gangs try again whose workers have room by now, or are lost.
+
+    Those without workers held for them try again after a time.
+    """
+    retried = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
+    if retried:
+        state.gangs_retried_at_ms = now_ms
     for group in tuple(state.blocked_gangs):
         reservation = state.reservations.get(group.head())
         if reservation is None:
+            if retried:
+                unblock(state, state.accounts[group.customer], group)
             continue
         if has_room(state, reservation) or not is_valid(state, reservation):
             unblock(state, state.accounts[group.customer], group)
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -7,7 +7,7 @@
 from fuchsiarill.core.admission import excesses, first_excess
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.waiting import is_waiting
+from fuchsiarill.core.waiting import is_waiting, rank_accounts
 from fuchsiarill.ids import JobId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
@@ -70,6 +70,7 @@
         if _awaits_restart(job):
             reason = WaitReason.BACKOFF
         return Explanation(job.job_id, job.state, reason, waited_ms)
+    rank_accounts(state)
     account = state.accounts[job.spec.customer]
     group = account.groups[state.group_keys[job.job_id]]
     reason = WaitReason.TURN
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -25,7 +25,7 @@
     StopReason,
     Workload,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import Resources
 from fuchsiarill.states import AttemptState
 from fuchsiarill.workers import CommandKind, TaskReport
 
@@ -45,10 +45,12 @@
     now_ms: int,
 ) -> None:
     """Take over the measured usage of a running attempt."""
-    if report.used == NOTHING or attempt.state is not AttemptState.RUNNING:
+    used = report.used
+    if attempt.state is not AttemptState.RUNNING or not _is_measured(used):
         return
     attempt.usage_reports_count += 1
-    attempt.peak = larger(attempt.peak, _measured(report.used))
+    if not used.fits_in(attempt.peak):
+        attempt.peak = larger(attempt.peak, _measured(used))
     if not attempt.peak.fits_in(attempt.reserved):
         _grow_or_limit(state, attempt, now_ms)
         return
@@ -72,13 +74,17 @@
     if report is not None and report.run_time_ms:
         estimate.run_times_ms.append(report.run_time_ms)
         estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
-    if report is not None and report.used != NOTHING:
+    if report is not None and _is_measured(report.used):
         attempt.usage_reports_count += 1
         attempt.peak = larger(attempt.peak, _measured(report.used))
     if attempt.usage_reports_count:
         _add_peak(estimate, attempt.peak)
 
 
+def _is_measured(used: Resources) -> bool:
+    return used.processors_milli > 0 or used.memory_mb > 0
+
+
 def _measured(used: Resources) -> Resources:
     # Accelerators and slots are held whole; only the others are estimated.
     return Resources(used.processors_milli, used.memory_mb)
@@ -115,8 +121,10 @@
     now_ms: int,
 ) -> None:
     """Release what an attempt reserved and its class never uses."""
-    if not has_evidence(estimate_of(state, spec)):
+    estimate = estimate_of(state, spec)
+    if attempt.sized_version == estimate.version or not has_evidence(estimate):
         return
+    attempt.sized_version = estimate.version
     needed = larger(size_of(state, spec), _padded(attempt))
     if needed != attempt.reserved and needed.fits_in(attempt.reserved):
         resize(state, attempt, needed, now_ms)
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection, Mapping
+from operator import attrgetter
 from types import MappingProxyType
 from typing import Final, Protocol
 
@@ -49,12 +50,8 @@
 ORDERINGS: Final[Registry[str, type[Ordering]]] = Registry('orderings')
 
 
-def _oldest(group: Group) -> int:
-    return group.head_order()
-
-
-def _urgent_then_oldest(group: Group) -> tuple[bool, int]:
-    return (not group.urgent, group.head_order())
+_oldest: Final = attrgetter('first_order')
+_urgent_then_oldest: Final = attrgetter('urgent_then_order')
 
 
 @ORDERINGS.register('fair')
@@ -91,7 +88,7 @@
         return min(groups, key=_oldest)
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
-        return (0, group.head_order())
+        return (0, group.first_order)
 
 
 def ordering_of(state: CoreState) -> Ordering:
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -52,6 +52,8 @@
 
 def is_guaranteed(account: Account, more: Resources) -> bool:
     """Tell whether `more` is within what the contract guarantees."""
+    if not account.guaranteed.slots_count:
+        return False
     return (account.held + more).fits_in(account.guaranteed)
 
 
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -10,13 +10,13 @@
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.states import (
     AttemptEvent,
+    AttemptState,
     WorkerEvent,
     WorkerState,
 )
 from fuchsiarill.workers import TaskOutcome, TaskReport, WorkerReport
 
 _EVENT_OF_OUTCOME: Final = {
-    TaskOutcome.RUNNING: AttemptEvent.CONFIRMED,
     TaskOutcome.SUCCEEDED: AttemptEvent.SUCCEEDED,
     TaskOutcome.FAILED: AttemptEvent.FAILED,
     TaskOutcome.STOPPED: AttemptEvent.STOPPED,
@@ -46,7 +46,11 @@
     attempt = state.attempts.get(task.attempt_id)
     if attempt is None:
         return
-    event = _EVENT_OF_OUTCOME[task.outcome]
-    step_attempt(state, attempt, event, now_ms, task)
     if task.outcome is TaskOutcome.RUNNING:
+        # Most of what workers report is known already.
+        if attempt.state is not AttemptState.RUNNING:
+            step_attempt(state, attempt, AttemptEvent.CONFIRMED, now_ms, task)
         note_usage(state, attempt, task, now_ms)
+        return
+    event = _EVENT_OF_OUTCOME[task.outcome]
+    step_attempt(state, attempt, event, now_ms, task)
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -42,7 +42,8 @@
 
     `group_keys` maps each waiting job to its group within the account.
     `order` ranks the customers with ready groups, `roomless_order` those with
-    groups that wait for room, whose sizes `roomless_sizes` counts.
+    groups that wait for room, whose sizes `roomless_sizes` counts and which
+    `roomless` holds by urgency. `unranked` customers have to be ranked anew.
     `no_room_for` holds sizes for which no worker has room, except perhaps
     those in `released`, whose room was not offered yet to all who wait;
     `offered` holds the groups that the first of them was offered to.
@@ -72,6 +73,10 @@
     roomless_order: 'SortedList[tuple[Rank, CustomerId]]' = field(
         default_factory=SortedList,
     )
+    roomless: dict[bool, dict[Group, None]] = field(
+        default_factory=lambda: {True: {}, False: {}},
+    )
+    unranked: dict[CustomerId, None] = field(default_factory=dict)
     roomless_sizes: Counter[Resources] = field(default_factory=Counter)
     offered: set[Group] = field(default_factory=set)
     blocked_gangs: dict[Group, None] = field(default_factory=dict)
@@ -87,7 +92,8 @@
     timers: list[Timer] = field(default_factory=list)
     jitter: random.Random = field(default_factory=random.Random)
     timers_count: int = 0
-    unblocked_at_ms: int = 0
+    retried_at_ms: int = 0
+    gangs_retried_at_ms: int = 0
     gang_restarts: dict[JobId, int] = field(default_factory=dict)
     hosts_read: bool = False
     restricted: bool = False
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -1,5 +1,8 @@
 """The waiting jobs: enter, leave, get blocked and become ready again."""
 
+from itertools import islice
+from typing import Final
+
 from sortedcontainers import SortedList
 
 from fuchsiarill.core.accounts import (
@@ -17,6 +20,10 @@
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import NOTHING, Resources
 
+_RETRY_INTERVAL_MS: Final = 100
+# Groups of each urgency that are tried again after every interval.
+_RETRIED_COUNT: Final = 4
+
 
 def enqueue(state: CoreState, job: JobRecord) -> None:
     """Let a job wait for placement; a repeated call changes nothing.
@@ -34,10 +41,10 @@
         account.groups[key] = group
     state.group_keys[job.job_id] = key
     account.waiting_count += 1
-    is_oldest = bool(group.jobs) and job.order < group.head_order()
-    group.jobs[job.job_id] = job.order
-    if is_oldest:
-        group.jobs.move_to_end(job.job_id, last=False)
+    group.add(job.job_id, job.order)
+    if group.urgent:
+        # Room may have to be reclaimed for one job more.
+        unblock(state, account, group)
     if group.obstacle is None:
         account.ready[group] = None
     reorder(state, account)
@@ -50,7 +57,7 @@
         return
     account = state.accounts[job.spec.customer]
     group = account.groups[key]
-    group.jobs.pop(job.job_id)
+    group.remove(job.job_id)
     account.waiting_count -= 1
     if not group.jobs:
         _clear_obstacle(state, account, group)
@@ -82,6 +89,7 @@
             state.blocked_gangs[group] = None
         else:
             account.roomless[group] = None
+            state.roomless[group.urgent][group] = None
             state.roomless_sizes[size] += 1
     reorder(state, account)
 
@@ -106,6 +114,21 @@
         reorder(state, account)
 
 
+def retry_some(state: CoreState, now_ms: int) -> None:
+    """Make a few groups ready again, those first that wait longest for it.
+
+    A search looks at a part of the workers only, and what others hold may
+    have become reclaimable.
+    """
+    if now_ms - state.retried_at_ms < _RETRY_INTERVAL_MS:
+        return
+    state.retried_at_ms = now_ms
+    state.no_room_for.clear()
+    for alike in state.roomless.values():
+        for group in tuple(islice(alike, _RETRIED_COUNT)):
+            unblock(state, state.accounts[group.customer], group)
+
+
 def unblock_account(state: CoreState, account: Account) -> None:
     """Make the groups ready that waited for the quota of their customer."""
     for group in tuple(account.over_quota):
@@ -117,6 +140,7 @@
 
     Goes through the released workers; one without a taker left is done with.
     """
+    rank_accounts(state)
     while state.released:
         worker = state.workers[next(iter(state.released))]
         group = None
@@ -135,6 +159,18 @@
 
 
 def reorder(state: CoreState, account: Account) -> None:
+    """Note that the ranks of an account may have changed."""
+    state.unranked[account.customer] = None
+
+
+def rank_accounts(state: CoreState) -> None:
+    """Compute the ranks that may have changed since the last call."""
+    while state.unranked:
+        customer = state.unranked.popitem()[0]
+        _rank(state, state.accounts[customer])
+
+
+def _rank(state: CoreState, account: Account) -> None:
     """Give an account its ranks among those with waiting groups."""
     ordering = ordering_of(state)
     rank = None
@@ -219,6 +255,7 @@
     state.blocked_gangs.pop(group, None)
     account.over_quota.pop(group, None)
     if account.roomless.pop(group, group) is None:
+        state.roomless[group.urgent].pop(group)
         state.roomless_sizes[group.blocked_size] -= 1
         if not state.roomless_sizes[group.blocked_size]:
             state.roomless_sizes.pop(group.blocked_size)
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -72,7 +72,8 @@
     """One run of one task on one worker, as the owner sees it.
 
     `peak` is the largest usage reported so far, `usage_reports_count` the
-    number of reports behind it. `replaces` is the replica that stops once
+    number of reports behind it. `sized_version` is the version of the estimate
+    that `reserved` was last compared with. `replaces` is the replica that stops once
     this attempt runs.
     """
 
@@ -86,6 +87,7 @@
     lease_ends_at_ms: int
     peak: Resources = NOTHING
     usage_reports_count: int = 0
+    sized_version: int = -1
     is_limited: bool = False
     stop_reason: StopReason | None = None
     replaces: AttemptId | None = None
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -79,6 +79,7 @@
         self._numbers = itertools.count()
         self._running: list[StartTask] = []
         self._stopped: list[CommandTask] = []
+        self._ended: set[AttemptId] = set()
         self._jobs_waiting = 0
         entries = tuple(_entries(workers_count))
         self.core.hosts_listed(entries, self.now_ms)
@@ -124,11 +125,9 @@
 
     def end_one(self) -> None:
         """Let the worker of a random task report that it has ended."""
-        place = self._random.randrange(len(self._running))
-        ended = self._running[place]
-        last = self._running.pop()
-        if last is not ended:
-            self._running[place] = last
+        ended = self._take_one()
+        while ended.attempt_id in self._ended:
+            ended = self._take_one()
         self.report(ended.worker_id, {ended.attempt_id: TaskOutcome.SUCCEEDED})
 
     def stop_asked(self) -> None:
@@ -138,11 +137,7 @@
         for command in stopped:
             outcome = {command.attempt_id: TaskOutcome.STOPPED}
             self.report(command.worker_id, outcome)
-            self._running = [
-                start
-                for start in self._running
-                if start.attempt_id != command.attempt_id
-            ]
+            self._ended.add(command.attempt_id)
 
     def report(
         self,
@@ -173,6 +168,14 @@
             60_000,
         )
 
+    def _take_one(self) -> StartTask:
+        place = self._random.randrange(len(self._running))
+        taken = self._running[place]
+        last = self._running.pop()
+        if last is not taken:
+            self._running[place] = last
+        return taken
+
     def _take(self) -> None:
         for effect in self.core.take_effects():
             if isinstance(effect, PersistRecord):
