--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,13 @@
+"""Runs every benchmark and prints one JSON line for each measure."""
+
+from tools import bench_decisions, bench_waiting
+
+
+def main() -> None:
+    """Run the benchmarks one after the other."""
+    bench_decisions.main()
+    bench_waiting.main()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tools/workloads.py
@@ -0,0 +1,377 @@
+"""Cells and job mixes of the two deployments, for the benchmarks."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.ids import (
+    CustomerId,
+    FailureDomain,
+    JobClass,
+    RackId,
+    RegionId,
+    WorkerId,
+)
+from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.workers import HostEntry, HostState
+
+_DOMAINS_COUNT: Final = 3
+_NOISE: Final = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Workers of one kind and the number of them in a rack."""
+
+    count: int
+    per_rack: int
+    capacity: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class JobKind:
+    """One class of jobs: its true size, and its share of all submissions.
+
+    The declared processors and memory are the true ones times
+    `declared_ratio`, the declared run time is `run_time_ms` times it.
+    """
+
+    customer: str
+    name: str
+    share: float
+    size: Resources
+    run_time_ms: int
+    declared_ratio: float
+    urgency: Urgency = Urgency.NORMAL
+    workload: Workload = Workload.BATCH
+    execution: Execution = Execution.IDEMPOTENT
+    tasks_count: int = 1
+
+    def work(self) -> Resources:
+        """Return the resources times milliseconds of one job."""
+        return self.size.times(self.tasks_count * self.run_time_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """A cell, its customers and what they submit.
+
+    `guaranteed` maps each customer to the part of the cell that it is owed.
+    """
+
+    name: str
+    placement: str
+    shapes: tuple[Shape, ...]
+    guaranteed: dict[str, float]
+    kinds: tuple[JobKind, ...]
+    services: tuple[JobKind, ...]
+
+    def capacity(self) -> Resources:
+        """Return what all workers offer together."""
+        return sum(
+            (shape.capacity.times(shape.count) for shape in self.shapes),
+            start=NOTHING,
+        )
+
+    def hosts(self) -> Iterator[HostEntry]:
+        """Yield the entries of the host list."""
+        for kind, shape in enumerate(self.shapes):
+            for number in range(shape.count):
+                rack = f'k{kind}-{number // shape.per_rack}'
+                domain = number // shape.per_rack % _DOMAINS_COUNT
+                yield HostEntry(
+                    WorkerId(f'w{kind}-{number}'),
+                    'none',
+                    RegionId('r'),
+                    FailureDomain(f'd{domain}'),
+                    RackId(rack),
+                    shape.capacity,
+                    64,
+                    HostState.LIVE,
+                )
+
+    def arrivals_per_ms(self, load: float) -> float:
+        """Return the rate that offers `load` of the scarcest resource.
+
+        Services hold a part of the capacity all the time.
+        """
+        held = sum(
+            (row.size.times(row.tasks_count) for row in self.services),
+            start=NOTHING,
+        )
+        left = (self.capacity() - held).as_tuple()
+        total_share = sum(kind.share for kind in self.kinds)
+        asked = sum(
+            (_scaled(kind.work(), kind.share) for kind in self.kinds),
+            start=NOTHING,
+        )
+        return load * min(
+            room * total_share / amount
+            for room, amount in zip(left, asked.as_tuple(), strict=True)
+            if amount
+        )
+
+    def config(self, policies: dict[str, Any], placement: str) -> CellConfig:
+        """Return a configuration with these policies."""
+        whole = self.capacity()
+        return CellConfig.model_validate(
+            {
+                'cell': self.name,
+                'regions': [{'name': 'r'}],
+                'policies': policies,
+                'contracts': [
+                    {
+                        'customer': customer,
+                        'region': 'r',
+                        'quota': _amounts(whole, 1),
+                        'guaranteed': _amounts(whole, part),
+                        'weight': part,
+                        'submit_rate_per_s': 10**6,
+                        'submit_burst_count': 10**6,
+                        'waiting_jobs_max_count': 10**6,
+                        'placement': placement,
+                        'token_sha256': 'none',
+                    }
+                    for customer, part in self.guaranteed.items()
+                ],
+                'operator_token_sha256': 'none',
+            },
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One submission, with what it really needs."""
+
+    at_ms: int
+    spec: JobSpec
+    size: Resources
+    run_time_ms: int
+
+
+def arrivals(
+    deployment: Deployment,
+    load: float,
+    until_ms: int,
+    seed: int,
+) -> list[Arrival]:
+    """Return services at the start and then jobs at random times."""
+    chance = random.Random(seed)
+    rows = [_arrival(0, kind, 0, chance) for kind in deployment.services]
+    rate = deployment.arrivals_per_ms(load)
+    shares = [kind.share for kind in deployment.kinds]
+    at_ms = 0.0
+    while at_ms < until_ms:
+        at_ms += chance.expovariate(rate)
+        kind = chance.choices(deployment.kinds, shares)[0]
+        rows.append(_arrival(int(at_ms), kind, len(rows), chance))
+    return rows
+
+
+def _arrival(
+    at_ms: int,
+    kind: JobKind,
+    number: int,
+    chance: random.Random,
+) -> Arrival:
+    noise = chance.uniform(1 - _NOISE, 1 + _NOISE)
+    size = Resources(
+        int(kind.size.processors_milli * noise),
+        int(kind.size.memory_mb * noise),
+        kind.size.accelerators_count,
+        kind.size.slots_count,
+    )
+    declared = Resources(
+        int(kind.size.processors_milli * kind.declared_ratio),
+        int(kind.size.memory_mb * kind.declared_ratio),
+        kind.size.accelerators_count,
+        kind.size.slots_count,
+    )
+    run_time_ms = 0
+    if kind.run_time_ms:
+        run_time_ms = int(chance.expovariate(1 / kind.run_time_ms)) + 1
+    spec = JobSpec(
+        CustomerId(kind.customer),
+        f'{kind.name}-{number}',
+        kind.workload,
+        kind.execution,
+        kind.urgency,
+        JobClass(kind.name),
+        kind.tasks_count,
+        declared,
+        int(kind.run_time_ms * kind.declared_ratio),
+        '',
+    )
+    return Arrival(at_ms, spec, size, run_time_ms)
+
+
+def _scaled(amounts: Resources, factor: float) -> Resources:
+    return Resources(*(int(amount * factor) for amount in amounts.as_tuple()))
+
+
+def _amounts(whole: Resources, part: float) -> dict[str, int]:
+    return {
+        'processors_milli': int(whole.processors_milli * part),
+        'memory_mb': int(whole.memory_mb * part),
+        'accelerators_count': int(whole.accelerators_count * part),
+        'slots_count': int(whole.slots_count * part),
+    }
+
+
+FROSTWICK: Final = Deployment(
+    name='frostwick',
+    placement='spread',
+    shapes=(
+        Shape(18, 5, Resources(32_000, 128_000, 0, 8)),
+        Shape(7, 3, Resources(64_000, 128_000, 8, 8)),
+    ),
+    guaranteed={'order-desk': 0.6, 'design-studio': 0.4},
+    kinds=(
+        JobKind(
+            'order-desk',
+            'dealer-order',
+            10,
+            Resources(1_000, 2_000, 0, 1),
+            1_500,
+            0.5,
+            urgency=Urgency.URGENT,
+            execution=Execution.AT_MOST_ONCE,
+        ),
+        JobKind(
+            'order-desk',
+            'late-costing',
+            4,
+            Resources(4_000, 12_000, 0, 1),
+            6_000,
+            0.25,
+            urgency=Urgency.URGENT,
+        ),
+        JobKind(
+            'order-desk',
+            'wax-costing',
+            30,
+            Resources(4_000, 14_000, 0, 1),
+            12_000,
+            4,
+        ),
+        JobKind(
+            'design-studio',
+            'label-art',
+            6,
+            Resources(6_000, 12_000, 1, 1),
+            20_000,
+            0.5,
+        ),
+        JobKind(
+            'design-studio',
+            'photo-check',
+            1.5,
+            Resources(4_000, 8_000, 1, 1),
+            15_000,
+            2,
+            workload=Workload.GANG,
+            tasks_count=4,
+        ),
+        JobKind(
+            'design-studio',
+            'preview',
+            10,
+            Resources(2_000, 4_000, 0, 1),
+            4_000,
+            1,
+        ),
+    ),
+    services=(
+        JobKind(
+            'order-desk',
+            'rack-watch',
+            0,
+            Resources(500, 1_000, 0, 1),
+            0,
+            1,
+            workload=Workload.SERVICE,
+            tasks_count=12,
+        ),
+    ),
+)
+
+COOPERATIVE: Final = Deployment(
+    name='cooperative',
+    placement='pack',
+    shapes=(
+        Shape(18, 5, Resources(16_000, 32_000, 0, 8)),
+        Shape(7, 3, Resources(32_000, 64_000, 8, 8)),
+    ),
+    guaranteed={'frame-planner': 0.6, 'light-studio': 0.4},
+    kinds=(
+        JobKind(
+            'frame-planner',
+            'frost-alert',
+            8,
+            Resources(500, 500, 0, 1),
+            1_000,
+            1,
+            urgency=Urgency.URGENT,
+        ),
+        JobKind(
+            'frame-planner',
+            'frame-plan',
+            14,
+            Resources(3_000, 5_000, 0, 1),
+            20_000,
+            0.25,
+        ),
+        JobKind(
+            'frame-planner',
+            'cut-list',
+            8,
+            Resources(1_000, 3_000, 0, 1),
+            8_000,
+            2,
+            execution=Execution.AT_MOST_ONCE,
+        ),
+        JobKind(
+            'frame-planner',
+            'venting',
+            10,
+            Resources(2_500, 3_500, 0, 1),
+            10_000,
+            4,
+        ),
+        JobKind(
+            'light-studio',
+            'glazing',
+            4,
+            Resources(4_000, 8_000, 1, 1),
+            40_000,
+            0.5,
+        ),
+        JobKind(
+            'light-studio',
+            'shade-study',
+            1,
+            Resources(3_000, 6_000, 1, 1),
+            30_000,
+            1,
+            workload=Workload.GANG,
+            tasks_count=4,
+        ),
+    ),
+    services=(
+        JobKind(
+            'frame-planner',
+            'sensor-watch',
+            0,
+            Resources(250, 500, 0, 1),
+            0,
+            1,
+            workload=Workload.SERVICE,
+            tasks_count=10,
+        ),
+    ),
+)
+
+DEPLOYMENTS: Final = (FROSTWICK, COOPERATIVE)
