Keep accelerator workers for the work that needs them

Cause: at a load of 1.3 plain work took the slots of accelerator workers while 500 accelerator jobs waited; replicas of a service gathered on one worker.

Change: while accelerator work waits, plain work beyond what its customer is owed stays off those workers. Services are spread under every policy. An attempt keeps 2% above its own peak.

--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -3,6 +3,7 @@
 from itertools import islice
 from typing import Final
 
+from fuchsiarill.core.accelerators import accelerators_wait
 from fuchsiarill.core.accounts import Account, Group, Obstacle
 from fuchsiarill.core.admission import starts_restricted
 from fuchsiarill.core.gangs import first_gangs, place_gang
@@ -135,13 +136,23 @@
         worker = find_released_worker(state, job, size)
     else:
         worker = find_worker(state, job, size)
-        if worker is None and not job.failed_on:
+        if worker is None and _looked_everywhere(state, job, size):
             _remember_no_room(state, size)
     if worker is None and state.reservations:
         worker = find_held_worker(state, job, size, now_ms)
     return worker
 
 
+def _looked_everywhere(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+) -> bool:
+    if job.failed_on:
+        return False
+    return bool(size.accelerators_count) or not accelerators_wait(state)
+
+
 def _remember_no_room(state: CoreState, size: Resources) -> None:
     state.no_room_for = [
         other for other in state.no_room_for if not size.fits_in(other)
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -28,7 +28,9 @@
 from fuchsiarill.states import AttemptState
 from fuchsiarill.workers import CommandKind, TaskReport
 
+# Above the size that a class needs, and above what an attempt has used.
 SIZE_MARGIN_RATIO: Final = 1.05
+OWN_MARGIN_RATIO: Final = 1.02
 _PERCENTILE: Final = 0.95
 # Usage lags: the first reports of a task may not show its full size.
 _USAGE_REPORTS_MIN_COUNT: Final = 3
@@ -94,8 +96,8 @@
     processors = [sample.processors_milli for sample in estimate.peaks]
     memory = [sample.memory_mb for sample in estimate.peaks]
     size = Resources(
-        _with_margin(_percentile(processors)),
-        _with_margin(_percentile(memory)),
+        _with_margin(_percentile(processors), SIZE_MARGIN_RATIO),
+        _with_margin(_percentile(memory), SIZE_MARGIN_RATIO),
     )
     if size != estimate.size or len(estimate.peaks) <= EVIDENCE_MIN_COUNT:
         estimate.size = size
@@ -107,8 +109,8 @@
     return samples[round((len(samples) - 1) * _PERCENTILE)]
 
 
-def _with_margin(amount: int) -> int:
-    raised = int(amount * SIZE_MARGIN_RATIO)
+def _with_margin(amount: int, ratio: float) -> int:
+    raised = int(amount * ratio)
     step = 1 << max(raised.bit_length() - _DIGITS_COUNT, 0)
     return -(-raised // step) * step
 
@@ -131,8 +133,8 @@
 
 def _padded(attempt: Attempt) -> Resources:
     return Resources(
-        _with_margin(attempt.peak.processors_milli),
-        _with_margin(attempt.peak.memory_mb),
+        _with_margin(attempt.peak.processors_milli, OWN_MARGIN_RATIO),
+        _with_margin(attempt.peak.memory_mb, OWN_MARGIN_RATIO),
         attempt.reserved.accelerators_count,
         attempt.reserved.slots_count,
     )
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -5,10 +5,11 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 from typing import Final
 
+from fuchsiarill.core.accelerators import may_use_accelerated
 from fuchsiarill.core.holding import admits
 from fuchsiarill.core.reservation import Reservation
 from fuchsiarill.core.reservations import held_until
@@ -16,7 +17,7 @@
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import FailureDomain
-from fuchsiarill.job import Execution, JobRecord, Workload
+from fuchsiarill.job import Execution, JobRecord, Urgency, Workload
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import Resources
 from fuchsiarill.states import WorkerState
@@ -69,8 +70,14 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return the worker whose scarcest resource is used up best."""
-    for accelerated in _kinds(size):
+    """Return the worker whose scarcest resource is used up best.
+
+    Replicas of a service are spread: their small sizes would gather on one
+    worker and use up its slots.
+    """
+    if job.spec.workload is Workload.SERVICE:
+        return spread(state, job, size)
+    for accelerated in _kinds(state, job, size):
         found = state.index.search(size, accelerated=accelerated)
         worker = _tightest(found, job, size)
         if worker is not None:
@@ -88,7 +95,7 @@
     if job.spec.workload is not Workload.SERVICE:
         return pack(state, job, size)
     domains, racks = _replicas(state, job)
-    for accelerated in _kinds(size):
+    for accelerated in _kinds(state, job, size):
         ordered = sorted(
             state.index.domains(accelerated),
             key=domains.__getitem__,
@@ -119,9 +126,26 @@
     )
 
 
-def _kinds(size: Resources) -> tuple[bool, ...]:
-    # Plain work goes to workers with accelerators only as a last resort.
-    return (True,) if size.accelerators_count else (False, True)
+def _kinds(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+) -> Iterator[bool]:
+    """Yield whether to look at workers with accelerators, in order."""
+    if not size.accelerators_count:
+        yield False
+    if _may_use_accelerated(state, job, size):
+        yield True
+
+
+def _may_use_accelerated(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+) -> bool:
+    account = state.accounts[job.spec.customer]
+    urgent = job.spec.urgency is Urgency.URGENT
+    return may_use_accelerated(state, account, size, urgent)
 
 
 def _tightest(
@@ -192,13 +216,24 @@
     """
     for worker_id in islice(state.released, _RELEASED_LOOKED_AT_COUNT):
         worker = state.workers[worker_id]
-        if worker.bucket is None or not suits(worker, job):
+        if worker.bucket is None or not size.fits_in(worker.free):
             continue
-        if size.fits_in(worker.free):
+        if suits(worker, job) and _is_left_to(state, worker, job, size):
             return worker
     return None
 
 
+def _is_left_to(
+    state: CoreState,
+    worker: WorkerView,
+    job: JobRecord,
+    size: Resources,
+) -> bool:
+    if not worker.has_accelerators:
+        return True
+    return _may_use_accelerated(state, job, size)
+
+
 def find_held_worker(
     state: CoreState,
     job: JobRecord,
@@ -206,6 +241,8 @@
     now_ms: int,
 ) -> WorkerView | None:
     """Return a worker that waits for a gang and loses nothing by the task."""
+    if not _may_use_accelerated(state, job, size):
+        return None
     run_time_ms = run_time_of(state, job.spec)
     for reservation in state.reservations.values():
         ends_in_time = (
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -5,6 +5,7 @@
 
 from sortedcontainers import SortedList
 
+from fuchsiarill.core.accelerators import may_use_accelerated
 from fuchsiarill.core.accounts import (
     Account,
     Group,
@@ -16,6 +17,7 @@
 from fuchsiarill.core.quotas import account_of
 from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import CustomerId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import NOTHING, Resources
@@ -145,7 +147,7 @@
         worker = state.workers[next(iter(state.released))]
         group = None
         if worker.bucket is not None:
-            group = _first_taker(state, worker.free)
+            group = _first_taker(state, worker)
         if group is not None:
             state.offered.add(group)
             unblock(state, state.accounts[group.customer], group)
@@ -206,8 +208,9 @@
         order.add((after, customer))
 
 
-def _first_taker(state: CoreState, free: Resources) -> Group | None:
+def _first_taker(state: CoreState, worker: WorkerView) -> Group | None:
     """Return the group that comes first among those that fit."""
+    free = worker.free
     if not any(size.fits_in(free) for size in state.roomless_sizes):
         return None
     found: tuple[Rank, Group] | None = None
@@ -215,7 +218,7 @@
         # Later accounts have no group with a lower rank than this.
         if found is not None and found[0] <= account_rank:
             break
-        candidate = _first_fitting(state, state.accounts[customer], free)
+        candidate = _first_fitting(state, state.accounts[customer], worker)
         found = _earlier(found, candidate)
     return None if found is None else found[1]
 
@@ -232,13 +235,25 @@
 def _first_fitting(
     state: CoreState,
     account: Account,
-    free: Resources,
+    worker: WorkerView,
 ) -> tuple[Rank, Group] | None:
+    free = worker.free
     fitting = [
         group
         for group in account.roomless
         if group.blocked_size.fits_in(free) and group not in state.offered
     ]
+    if worker.has_accelerators:
+        fitting = [
+            group
+            for group in fitting
+            if may_use_accelerated(
+                state,
+                account,
+                group.blocked_size,
+                group.urgent,
+            )
+        ]
     if not fitting:
         return None
     ordering = ordering_of(state)
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -59,13 +59,14 @@
 class Deployment:
     """A cell, its customers and what they submit.
 
-    `guaranteed` maps each customer to the part of the cell that it is owed.
+    `owners` names the customer that each shape of workers belongs to; its
+    contract guarantees it as much as these offer.
     """
 
     name: str
     placement: str
     shapes: tuple[Shape, ...]
-    guaranteed: dict[str, float]
+    owners: tuple[str, ...]
     kinds: tuple[JobKind, ...]
     services: tuple[JobKind, ...]
 
@@ -126,21 +127,25 @@
                     {
                         'customer': customer,
                         'region': 'r',
-                        'quota': _amounts(whole, 1),
-                        'guaranteed': _amounts(whole, part),
-                        'weight': part,
+                        'quota': _amounts(whole),
+                        'guaranteed': _amounts(own),
+                        'weight': own.dominant_share(whole),
                         'submit_rate_per_s': 10**6,
                         'submit_burst_count': 10**6,
                         'waiting_jobs_max_count': 10**6,
                         'placement': placement,
                         'token_sha256': 'none',
                     }
-                    for customer, part in self.guaranteed.items()
+                    for customer, own in self._owned()
                 ],
                 'operator_token_sha256': 'none',
             },
         )
 
+    def _owned(self) -> Iterator[tuple[str, Resources]]:
+        for customer, shape in zip(self.owners, self.shapes, strict=True):
+            yield customer, shape.capacity.times(shape.count)
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -212,12 +217,12 @@
     return Resources(*(int(amount * factor) for amount in amounts.as_tuple()))
 
 
-def _amounts(whole: Resources, part: float) -> dict[str, int]:
+def _amounts(whole: Resources) -> dict[str, int]:
     return {
-        'processors_milli': int(whole.processors_milli * part),
-        'memory_mb': int(whole.memory_mb * part),
-        'accelerators_count': int(whole.accelerators_count * part),
-        'slots_count': int(whole.slots_count * part),
+        'processors_milli': whole.processors_milli,
+        'memory_mb': whole.memory_mb,
+        'accelerators_count': whole.accelerators_count,
+        'slots_count': whole.slots_count,
     }
 
 
@@ -228,7 +233,7 @@
         Shape(18, 5, Resources(32_000, 128_000, 0, 8)),
         Shape(7, 3, Resources(64_000, 128_000, 8, 8)),
     ),
-    guaranteed={'order-desk': 0.6, 'design-studio': 0.4},
+    owners=('order-desk', 'design-studio'),
     kinds=(
         JobKind(
             'order-desk',
@@ -305,7 +310,7 @@
         Shape(18, 5, Resources(16_000, 32_000, 0, 8)),
         Shape(7, 3, Resources(32_000, 64_000, 8, 8)),
     ),
-    guaranteed={'frame-planner': 0.6, 'light-studio': 0.4},
+    owners=('frame-planner', 'light-studio'),
     kinds=(
         JobKind(
             'frame-planner',
