Let the oldest gangs take room as it is released

Change: a hold without room moves to a worker on which room was released. Few gangs hold workers at a time in a small cell. Services are submitted once all workers are known.

--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -6,7 +6,7 @@
 from fuchsiarill.core.accelerators import accelerators_wait
 from fuchsiarill.core.accounts import Account, Group, Obstacle
 from fuchsiarill.core.admission import starts_restricted
-from fuchsiarill.core.gangs import first_gangs, place_gang
+from fuchsiarill.core.gangs import first_gangs, place_gang, take_released_room
 from fuchsiarill.core.ordering import ordering_of
 from fuchsiarill.core.placement import (
     find_held_worker,
@@ -49,6 +49,7 @@
     """Start what can start; returns `True` when there may be more to do."""
     run_due(state, now_ms)
     retry_some(state, now_ms)
+    take_released_room(state, now_ms)
     _wake_gangs(state, now_ms)
     steps_count = 0
     while steps_count < STEPS_MAX_COUNT:
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -16,11 +16,13 @@
 from fuchsiarill.core.placement import can_get_tasks, find_worker, suits
 from fuchsiarill.core.reservation import Reservation
 from fuchsiarill.core.reservations import (
+    change_hold,
     drop_reservation,
     has_room,
     held_until,
     hold_workers,
     is_valid,
+    worker_without_room,
 )
 from fuchsiarill.core.sizes import copies_in, run_time_of
 from fuchsiarill.core.starting import start_next
@@ -29,11 +31,17 @@
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.states import WorkerState
 
-# Gangs that may hold workers at a time; the oldest in the order come first.
+# Gangs that may hold workers at a time: what they hold idles until all of it
+# is there, so a small cell has few.
+_RESERVATIONS_MIN_COUNT: Final = 2
 _RESERVATIONS_MAX_COUNT: Final = 16
+_WORKERS_PER_RESERVATION_COUNT: Final = 50
 # Waiting gangs of one group that are looked at in a decision.
 _GANGS_LOOKED_AT_COUNT: Final = 4
+# Gangs that take over room as it is released.
+_MOVED_COUNT: Final = 2
 # Workers looked at for each task of a gang, to bound the cost of a decision.
 _CANDIDATES_PER_TASK_COUNT: Final = 16
 _CANDIDATES_MIN_COUNT: Final = 512
@@ -61,6 +69,39 @@
     return islice(group.jobs, _GANGS_LOOKED_AT_COUNT)
 
 
+def take_released_room(state: CoreState, now_ms: int) -> None:
+    """Let the oldest gangs use room that is free sooner than expected.
+
+    The gang gives up its hold on a worker that has no room yet, so it never
+    holds more than it needs, and its start only comes nearer.
+    """
+    if not state.reservations:
+        return
+    for worker_id in tuple(state.released):
+        worker = state.workers[worker_id]
+        if worker.state is not WorkerState.READY:
+            continue
+        for reservation in islice(state.reservations.values(), _MOVED_COUNT):
+            _move_hold(state, reservation, worker, now_ms)
+
+
+def _move_hold(
+    state: CoreState,
+    reservation: Reservation,
+    worker: WorkerView,
+    now_ms: int,
+) -> None:
+    job = state.jobs[reservation.job_id]
+    spare = worker.free - held_until(worker, None)
+    if not reservation.size.fits_in(spare) or not suits(worker, job):
+        return
+    lacking = worker_without_room(state, reservation)
+    if lacking is None or lacking is worker:
+        return
+    for changed, change in ((lacking, -1), (worker, 1)):
+        change_hold(state, reservation, changed, change, now_ms)
+
+
 def _start_or_reserve(
     state: CoreState,
     job: JobRecord,
@@ -134,7 +175,7 @@
     size: Resources,
     now_ms: int,
 ) -> Reservation | None:
-    if len(state.reservations) >= _RESERVATIONS_MAX_COUNT:
+    if len(state.reservations) >= _allowed_count(state):
         return None
     tasks_count = len(job.waiting)
     slots: list[_Slot] = []
@@ -156,6 +197,14 @@
     return reservation
 
 
+def _allowed_count(state: CoreState) -> int:
+    by_size = len(state.workers) // _WORKERS_PER_RESERVATION_COUNT
+    return min(
+        max(by_size, _RESERVATIONS_MIN_COUNT),
+        _RESERVATIONS_MAX_COUNT,
+    )
+
+
 def _candidates(
     state: CoreState,
     tasks_count: int,
--- a/fuchsiarill/core/reservations.py
+++ b/fuchsiarill/core/reservations.py
@@ -42,11 +42,39 @@
 
     What was held before for others is kept for them.
     """
+    return worker_without_room(state, reservation) is None
+
+
+def worker_without_room(
+    state: CoreState,
+    reservation: Reservation,
+) -> WorkerView | None:
+    """Return a held worker that has no room yet, if there is one."""
     for worker_id in reservation.counts:
         worker = state.workers[worker_id]
         if not held_until(worker, reservation.job_id).fits_in(worker.free):
-            return False
-    return True
+            return worker
+    return None
+
+
+def change_hold(
+    state: CoreState,
+    reservation: Reservation,
+    worker: WorkerView,
+    change: int,
+    now_ms: int,
+) -> None:
+    """Hold room for more or fewer tasks on a worker."""
+    count = reservation.counts.pop(worker.worker_id, 0) + change
+    if count:
+        reservation.counts[worker.worker_id] = count
+        needed = reservation.size.times(count)
+        worker.holds[reservation.job_id] = needed
+    else:
+        worker.holds.pop(reservation.job_id)
+    refresh(state, worker, now_ms)
+    if change < 0:
+        note_room(state, worker)
 
 
 def held_until(worker: WorkerView, job_id: JobId | None) -> Resources:
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -20,6 +20,7 @@
 
 _DOMAINS_COUNT: Final = 3
 _NOISE: Final = 0.1
+_SERVICES_AT_MS: Final = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,12 +164,15 @@
     until_ms: int,
     seed: int,
 ) -> list[Arrival]:
-    """Return services at the start and then jobs at random times."""
+    """Return services, once all workers are known, and jobs at random times."""
     chance = random.Random(seed)
-    rows = [_arrival(0, kind, 0, chance) for kind in deployment.services]
+    rows = [
+        _arrival(_SERVICES_AT_MS, kind, 0, chance)
+        for kind in deployment.services
+    ]
     rate = deployment.arrivals_per_ms(load)
     shares = [kind.share for kind in deployment.kinds]
-    at_ms = 0.0
+    at_ms = float(_SERVICES_AT_MS)
     while at_ms < until_ms:
         at_ms += chance.expovariate(rate)
         kind = chance.choices(deployment.kinds, shares)[0]
