Rebuild the stand-ins as actors with a control path

The thin path's stand-ins used a thread for each connection, so 25 workers and their watches would have taken hundreds of threads, and no fault could be set. Each stand-in is now an actor; each connection is a task that applies the faults. A worker keeps its rules by a state chart and writes a log of what it saw; one process serves several workers.

--- /dev/null
+++ b/standins/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts of the stand-ins."""
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -1,68 +1,155 @@
-"""A threaded JSON-over-HTTP server that the stand-ins share."""
+"""A small JSON-over-HTTP server that the stand-ins share.
 
-import json
-from collections.abc import Callable, Iterable
+Each connection is a task that owns its socket, applies the faults and passes
+calls to the stand-in as messages. HTTP/1.1 with keep-alive and
+`Content-Length` bodies only.
+"""
+
+import asyncio
+import signal
 from dataclasses import dataclass
-from typing import Any
+from typing import Final
 
-from cheroot import wsgi
+from fuchsiarill.actor import Reply
+from fuchsiarill.clock import sleep_ms
+from standins.stand_in import CONTROL_PATH, Call, StandIn, StandInReply
 
+# A value of 1 MB, escaped as JSON, with its key.
+_BODY_MAX_BYTES: Final = 2_500_000
+_HEADER_MAX_BYTES: Final = 16_384
+# Above the longest watch that a client asks for.
+_REPLY_TIMEOUT_MS: Final = 300_000
+_LOOPBACK: Final = '127.0.0.1'
 
-@dataclass(frozen=True, slots=True)
-class StandInReply:
-    """HTTP status and encoded JSON body."""
 
-    status: int
+@dataclass(frozen=True, slots=True)
+class _Request:
+    path: str
     body: bytes
+    is_last: bool
 
 
-Handler = Callable[[bytes], StandInReply]
-
-
-class JsonServer:
-    """Serves POST requests from a table of paths."""
+class _Connection:
+    """Serves one connection until its peer closes it."""
 
     def __init__(
         self,
-        port: int,
-        handlers: dict[str, Handler],
-        threads_count: int = 16,
+        stand_in: StandIn,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        """Prepare a listener on loopback."""
-        self._handlers = handlers
-        self._server = wsgi.Server(
-            ('127.0.0.1', port),
-            self._respond,
-            numthreads=threads_count,
-        )
+        stand_in.connections_opened_count += 1
+        self._serial = stand_in.connections_opened_count
+        self._stand_in = stand_in
+        self._reader = reader
+        self._writer = writer
 
-    def serve(self) -> None:
-        """Serve until interrupted."""
+    async def serve(self) -> None:
         try:
-            self._server.start()
-        except KeyboardInterrupt:
-            self._server.stop()
+            await self._serve_requests()
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            return
+        except (ConnectionError, ValueError):
+            return
+        except asyncio.CancelledError:
+            # The process ends; `asyncio.streams` logs a cancelled connection.
+            return
+        finally:
+            self._writer.close()
 
-    def _respond(
-        self,
-        environ: dict[str, Any],
-        start_response: Callable[[str, list[tuple[str, str]]], object],
-    ) -> Iterable[bytes]:
-        handler = self._handlers.get(environ['PATH_INFO'])
-        body = environ['wsgi.input'].read(
-            int(environ.get('CONTENT_LENGTH') or 0),
+    async def _serve_requests(self) -> None:
+        while True:
+            request = await self._read()
+            reply = await self._answer_of(request)
+            if reply is None or reply.is_lost:
+                return
+            self._writer.write(
+                b'HTTP/1.1 %d stand-in\r\n'
+                b'Content-Type: application/json\r\n'
+                b'Content-Length: %d\r\n\r\n' % (reply.status, len(reply.body)),
+            )
+            self._writer.write(reply.body)
+            await self._writer.drain()
+            if request.is_last:
+                return
+
+    async def _read(self) -> _Request:
+        head = await self._reader.readuntil(b'\r\n\r\n')
+        lines = head.decode('latin-1').split('\r\n')
+        headers = {}
+        for line in lines[1:]:
+            name, _, text = line.partition(':')
+            headers[name.lower()] = text.strip()
+        length = int(headers.get('content-length', 0))
+        if length > _BODY_MAX_BYTES:
+            raise ValueError('body too large')
+        return _Request(
+            path=lines[0].split(' ')[1],
+            body=await self._reader.readexactly(length),
+            is_last=headers.get('connection', '').lower() == 'close',
         )
-        reply = handler(body) if handler else StandInReply(404, b'{}')
-        start_response(
-            f'{reply.status} stand-in',
-            [
-                ('Content-Type', 'application/json'),
-                ('Content-Length', str(len(reply.body))),
-            ],
+
+    async def _answer_of(self, request: _Request) -> StandInReply | None:
+        if request.path != CONTROL_PATH and not await self._passes_faults():
+            return None
+        reply: Reply[StandInReply] = Reply()
+        call = Call(request.path, request.body, reply)
+        if not self._stand_in.mailbox.send(call):
+            return StandInReply(503, b'{}')
+        return await reply.wait(_REPLY_TIMEOUT_MS)
+
+    async def _passes_faults(self) -> bool:
+        stand_in = self._stand_in
+        if self._serial <= stand_in.faults.silent_up_to:
+            await self._reader.read()
+            return False
+        if stand_in.faults.slow_ms:
+            await sleep_ms(stand_in.faults.slow_ms)
+        await stand_in.resumed.wait()
+        return not stand_in.faults.is_down
+
+
+class Listener:
+    """Accepts the connections of one stand-in."""
+
+    def __init__(self, stand_in: StandIn, port: int) -> None:
+        """Listen on loopback once started."""
+        self._stand_in = stand_in
+        self._port = port
+        self._open_count = 0
+
+    async def start(self) -> asyncio.Server:
+        """Listen."""
+        return await asyncio.start_server(
+            self._accept,
+            _LOOPBACK,
+            self._port,
+            limit=_HEADER_MAX_BYTES,
         )
-        return [reply.body]
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        limit = self._stand_in.connections_max
+        if limit is not None and self._open_count >= limit:
+            writer.close()
+            return
+        self._open_count += 1
+        try:
+            await _Connection(self._stand_in, reader, writer).serve()
+        finally:
+            self._open_count -= 1
 
 
-def json_reply(content: object, status: int = 200) -> StandInReply:
-    """Return a reply with a JSON body."""
-    return StandInReply(status, json.dumps(content).encode())
+async def serve_until_stopped(stand_ins: list[tuple[StandIn, int]]) -> None:
+    """Run stand-ins on their ports until SIGTERM or SIGINT."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    for stand_in, port in stand_ins:
+        stand_in.start()
+        await Listener(stand_in, port).start()
+    await stopping.wait()
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,11 +1,18 @@
-"""Stand-in of the platform's key-value service, as a process of its own."""
+"""Stand-in of the platform's key-value service, as a process of its own.
+
+Every call counts by its verb, a waiting watch as one. Beyond the common
+controls: `lose_swap_replies` loses the replies of the next N swaps after they
+took effect, `put` writes a key as an operator of the platform would.
+"""
 
 import argparse
-import threading
-import time
+import asyncio
 import uuid
 from dataclasses import dataclass
+from typing import Any, Final
 
+from fuchsiarill.actor import handles
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
 from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.http_ports import (
     SWAP_RESULTS,
@@ -14,140 +21,231 @@
     KeyRequest,
     LeaseRequest,
 )
-from fuchsiarill.ports.store import SwapOutcome, SwapResult, Versioned
-from standins.http_server import JsonServer, StandInReply, json_reply
+from fuchsiarill.ports.store import Swap, SwapOutcome, SwapResult, Versioned
+from fuchsiarill.registry import Registry
+from standins.http_server import serve_until_stopped
+from standins.stand_in import Call, Control, Route, StandIn, StandInReply
+from standins.stand_in import json_reply as as_json
+
+VALUE_MAX_BYTES: Final = 1_000_000
+_OK: Final = 200
+_GONE: Final = 410
+_TOO_LARGE: Final = 413
+_READS: Final = ('get', 'watch')
+
+ROUTES: Final[Registry[str, Route]] = Registry('store routes')
+CONTROLS: Final[Registry[str, Control]] = Registry('store controls')
 
 
 @dataclass(slots=True)
-class _Lease:
+class Lease:
+    """A lease and the keys that go with it."""
+
     ttl_ms: int
-    lapses_at_ms: float
+    lapses_at_ms: int
     keys: set[StoreKey]
 
 
-class StoreStandIn:
-    """Keys, revisions, leases and watches, guarded by one condition."""
+@dataclass(frozen=True, slots=True)
+class LeaseDue:
+    """A lease may have lapsed."""
+
+    lease_id: StoreLeaseId
+
+
+@dataclass(frozen=True, slots=True)
+class WatchDue:
+    """The time of a waiting watch is over."""
+
+    watch: Call
+    key: StoreKey
+
+
+class StoreStandIn(StandIn):
+    """Keys, revisions, leases and watches."""
+
+    routes = ROUTES
+    controls = CONTROLS
 
     def __init__(self) -> None:
         """Start empty."""
-        self._changed = threading.Condition()
+        super().__init__('store stand-in')
+        self.leases: dict[StoreLeaseId, Lease] = {}
+        self.lose_swap_replies_count = 0
         self._stored: dict[StoreKey, Versioned] = {}
-        self._leases: dict[StoreLeaseId, _Lease] = {}
+        self._watches: dict[StoreKey, list[Call]] = {}
         self._revision = 0
 
-    def get(self, body: bytes) -> StandInReply:
-        """Read a key."""
-        request = KeyRequest.model_validate_json(body)
-        with self._changed:
-            self._drop_lapsed()
-            return StandInReply(
-                200,
-                VERSIONED.dump_json(self._read(request.key)),
-            )
-
-    def swap(self, body: bytes) -> StandInReply:
-        """Compare and swap."""
-        swap = SWAPS.validate_json(body)
-        with self._changed:
-            self._drop_lapsed()
-            lease = self._leases.get(swap.lease_id or StoreLeaseId(''))
-            unleased = swap.lease_id is not None and lease is None
-            if self._read(swap.key).revision != swap.expected or unleased:
-                conflict = SwapResult(SwapOutcome.CONFLICT)
-                return StandInReply(200, SWAP_RESULTS.dump_json(conflict))
-            self._write(swap.key, swap.value)
-            if lease is not None:
-                lease.keys.add(swap.key)
-            swapped = SwapResult(
-                SwapOutcome.SWAPPED,
-                self._read(swap.key).revision,
-            )
-            return StandInReply(200, SWAP_RESULTS.dump_json(swapped))
-
-    def watch(self, body: bytes) -> StandInReply:
-        """Wait for a change of a key."""
-        request = KeyRequest.model_validate_json(body)
-        ends_at_ms = _now_ms() + request.wait_ms
-        with self._changed:
-            while self._read(request.key).revision == request.after:
-                left_ms = ends_at_ms - _now_ms()
-                if left_ms <= 0:
-                    break
-                self._changed.wait(left_ms / 1000)
-            return StandInReply(
-                200,
-                VERSIONED.dump_json(self._read(request.key)),
-            )
-
-    def grant(self, body: bytes) -> StandInReply:
-        """Create a lease."""
-        request = LeaseRequest.model_validate_json(body)
-        lease_id = StoreLeaseId(uuid.uuid4().hex)
-        with self._changed:
-            self._leases[lease_id] = _Lease(
-                request.ttl_ms,
-                _now_ms() + request.ttl_ms,
-                set(),
-            )
-        return json_reply({'lease_id': lease_id})
-
-    def renew(self, body: bytes) -> StandInReply:
-        """Extend a lease."""
-        request = LeaseRequest.model_validate_json(body)
-        with self._changed:
-            self._drop_lapsed()
-            lease = self._leases.get(request.lease_id)
-            if lease is None:
-                return json_reply({}, 410)
-            lease.lapses_at_ms = _now_ms() + lease.ttl_ms
-        return json_reply({'lease_id': request.lease_id})
-
-    def revoke(self, body: bytes) -> StandInReply:
-        """End a lease."""
-        request = LeaseRequest.model_validate_json(body)
-        with self._changed:
-            self._end_lease(request.lease_id)
-        return json_reply({'lease_id': request.lease_id})
-
-    def _read(self, key: StoreKey) -> Versioned:
+    @handles(LeaseDue)
+    async def on_lease_due(self, message: LeaseDue) -> None:
+        """End a lease that was not renewed, else look again later."""
+        lease = self.leases.get(message.lease_id)
+        if lease is None:
+            return
+        if lease.lapses_at_ms <= now_ms():
+            self.end_lease(message.lease_id)
+            return
+        self.send_at(lease.lapses_at_ms, message)
+
+    @handles(WatchDue)
+    async def on_watch_due(self, message: WatchDue) -> None:
+        """Answer a watch whose key has not changed."""
+        waiting = self._watches.get(message.key, [])
+        if message.watch in waiting:
+            waiting.remove(message.watch)
+            message.watch.reply.answer(self.reply_of(message.key))
+
+    def snapshot(self) -> dict[str, Any]:
+        """Add the calls by kind and what is stored."""
+        reads_count = sum(self.calls_count[verb] for verb in _READS)
+        return super().snapshot() | {
+            'reads_count': reads_count,
+            'writes_count': self.calls_count.total() - reads_count,
+            'keys': sorted(self._stored),
+            'waiting_watches_count': sum(map(len, self._watches.values())),
+            'leases_count': len(self.leases),
+        }
+
+    def read(self, key: StoreKey) -> Versioned:
+        """Return a key's value and revision."""
         return self._stored.get(key, Versioned(key, None, ABSENT))
 
-    def _write(self, key: StoreKey, value: str | None) -> None:
+    def reply_of(self, key: StoreKey) -> StandInReply:
+        """Return the reply to a read."""
+        return StandInReply(_OK, VERSIONED.dump_json(self.read(key)))
+
+    def write(self, key: StoreKey, text: str | None) -> None:
+        """Set or delete a key and answer its watches."""
         self._revision += 1
-        if value is None:
+        if text is None:
             self._stored.pop(key, None)
         else:
-            self._stored[key] = Versioned(key, value, Revision(self._revision))
-        self._changed.notify_all()
-
-    def _drop_lapsed(self) -> None:
-        for lease_id, lease in tuple(self._leases.items()):
-            if lease.lapses_at_ms <= _now_ms():
-                self._end_lease(lease_id)
-
-    def _end_lease(self, lease_id: StoreLeaseId) -> None:
-        lease = self._leases.pop(lease_id, None)
+            self._stored[key] = Versioned(key, text, Revision(self._revision))
+        for watch in self._watches.pop(key, ()):
+            watch.reply.answer(self.reply_of(key))
+
+    def wait(self, key: StoreKey, watch: Call, wait_ms: int) -> None:
+        """Keep a watch until its key changes or its time is over."""
+        self._watches.setdefault(key, []).append(watch)
+        self.send_at(now_ms() + wait_ms, WatchDue(watch, key))
+
+    def end_lease(self, lease_id: StoreLeaseId) -> None:
+        """Remove a lease with its keys."""
+        lease = self.leases.pop(lease_id, None)
         if lease is None:
             return
         for key in lease.keys:
-            self._write(key, None)
+            self.write(key, None)
+
+    def find_lease(self, lease_id: StoreLeaseId) -> Lease | None:
+        """Return a lease that has not lapsed."""
+        lease = self.leases.get(lease_id)
+        if lease is not None and lease.lapses_at_ms <= now_ms():
+            self.end_lease(lease_id)
+            return None
+        return lease
+
+    def send_at(self, due_ms: int, message: object) -> None:
+        """Send a message to the own mailbox at a time."""
+        asyncio.get_running_loop().call_at(
+            due_ms / MS_PER_SECOND,
+            self.mailbox.send,
+            message,
+        )
+
+
+@ROUTES.register('/v1/get')
+def _get(store: StoreStandIn, call: Call) -> StandInReply:
+    return store.reply_of(KeyRequest.model_validate_json(call.body).key)
+
+
+@ROUTES.register('/v1/swap')
+def _swap(store: StoreStandIn, call: Call) -> StandInReply:
+    swap = SWAPS.validate_json(call.body)
+    if len((swap.value or '').encode()) > VALUE_MAX_BYTES:
+        return as_json({}, _TOO_LARGE)
+    if not _apply(store, swap):
+        conflict = SwapResult(SwapOutcome.CONFLICT)
+        return StandInReply(_OK, SWAP_RESULTS.dump_json(conflict))
+    swapped = SwapResult(SwapOutcome.SWAPPED, store.read(swap.key).revision)
+    is_lost = store.lose_swap_replies_count > 0
+    if is_lost:
+        store.lose_swap_replies_count -= 1
+    return StandInReply(_OK, SWAP_RESULTS.dump_json(swapped), is_lost)
+
+
+def _apply(store: StoreStandIn, swap: Swap) -> bool:
+    lease = None
+    if swap.lease_id is not None:
+        lease = store.find_lease(swap.lease_id)
+        if lease is None:
+            return False
+    if store.read(swap.key).revision != swap.expected:
+        return False
+    for other in store.leases.values():
+        other.keys.discard(swap.key)
+    if lease is not None:
+        lease.keys.add(swap.key)
+    store.write(swap.key, swap.value)
+    return True
+
+
+@ROUTES.register('/v1/watch')
+def _watch(store: StoreStandIn, call: Call) -> StandInReply | None:
+    request = KeyRequest.model_validate_json(call.body)
+    if store.read(request.key).revision != request.after or not request.wait_ms:
+        return store.reply_of(request.key)
+    store.wait(request.key, call, request.wait_ms)
+    return None
+
+
+@ROUTES.register('/v1/grant')
+def _grant(store: StoreStandIn, call: Call) -> StandInReply:
+    request = LeaseRequest.model_validate_json(call.body)
+    lease_id = StoreLeaseId(uuid.uuid4().hex)
+    lapses_at_ms = now_ms() + request.ttl_ms
+    store.leases[lease_id] = Lease(request.ttl_ms, lapses_at_ms, set())
+    store.send_at(lapses_at_ms, LeaseDue(lease_id))
+    return as_json({'lease_id': lease_id})
+
+
+@ROUTES.register('/v1/renew')
+def _renew(store: StoreStandIn, call: Call) -> StandInReply:
+    request = LeaseRequest.model_validate_json(call.body)
+    lease = store.find_lease(request.lease_id)
+    if lease is None:
+        return as_json({}, _GONE)
+    lease.lapses_at_ms = now_ms() + lease.ttl_ms
+    return as_json({'lease_id': request.lease_id})
+
+
+@ROUTES.register('/v1/revoke')
+def _revoke(store: StoreStandIn, call: Call) -> StandInReply:
+    request = LeaseRequest.model_validate_json(call.body)
+    store.end_lease(request.lease_id)
+    return as_json({'lease_id': request.lease_id})
+
+
+@CONTROLS.register('lose_swap_replies')
+def _lose_swap_replies(store: StoreStandIn, count: int) -> None:
+    store.lose_swap_replies_count = count
+
+
+@CONTROLS.register('put')
+def _put(store: StoreStandIn, entries: dict[StoreKey, str | None]) -> None:
+    for key, text in entries.items():
+        store.write(key, text)
 
 
-def _now_ms() -> float:
-    return time.monotonic() * 1000
+async def _main(port: int) -> None:
+    await serve_until_stopped([(StoreStandIn(), port)])
 
 
 def main() -> None:
     """Serve on the port given."""
     parser = argparse.ArgumentParser(prog='standins.store')
     parser.add_argument('--port', type=int, required=True)
-    options = parser.parse_args()
-    store = StoreStandIn()
-    handlers = {
-        f'/v1/{verb}': getattr(store, verb)
-        for verb in ('get', 'swap', 'watch', 'grant', 'renew', 'revoke')
-    }
-    JsonServer(options.port, handlers, threads_count=64).serve()
+    asyncio.run(_main(parser.parse_args().port))
 
 
 if __name__ == '__main__':
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,135 +1,337 @@
-"""Stand-in of a worker, as a process of its own.
+"""Stand-in of a worker, which runs tasks under leases by its own clock.
 
-A task is a timer: it succeeds after its run time, with its payload as
-output. One process can serve several workers, each on a port of its own.
+It never enforces its capacity for the scheduler: it logs what it carried, so
+that overcommitment can be seen. Beyond the common controls: `fail_starts`
+lets everything fail that is started from then on.
 """
 
 import argparse
-import json
-import threading
-import time
+import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
+from importlib import resources
+from pathlib import Path
+from typing import Any, Final
 
-from fuchsiarill.ids import NO_EPOCH, AttemptId, WorkerId
+from fuchsiarill.actor import handles
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.ids import NO_EPOCH, AttemptId, TaskId
 from fuchsiarill.ports.http_ports import EXCHANGES, REPORTS
+from fuchsiarill.registry import Registry
+from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.state_chart import parse_chart
 from fuchsiarill.workers import (
     CommandKind,
     Exchange,
     StartCommand,
+    TaskCommand,
     TaskOutcome,
     TaskReport,
     WorkerReport,
 )
-from standins.http_server import JsonServer, StandInReply
+from standins.http_server import serve_until_stopped
+from standins.stand_in import Call, Control, Route, StandIn, StandInReply
+from standins.task import Task, TaskEvent, TaskState, real_load
+from standins.worker_log import LogKind, LogLine, WorkerLog
+from standins.worker_settings import (
+    OneWorker,
+    WorkerProcessSettings,
+    load_worker_settings,
+)
+
+_FAILING_RUN_TIME_MS: Final = 5
+
+ROUTES: Final[Registry[str, Route]] = Registry('worker routes')
+CONTROLS: Final[Registry[str, Control]] = Registry('worker controls')
+
 
+@dataclass(frozen=True, slots=True)
+class TaskDue:
+    """A task may have reached its end or that of its lease."""
 
-@dataclass(slots=True)
-class _Task:
-    start: StartCommand
-    outcome: TaskOutcome
-    ends_at_ms: float | None
-    lease_ends_at_ms: float
+    attempt_id: AttemptId
 
 
-class WorkerStandIn:
+class WorkerStandIn(StandIn):
     """The tasks of one worker."""
 
-    def __init__(self, worker_id: WorkerId) -> None:
-        """Start with no tasks."""
-        self._worker_id = worker_id
-        self._lock = threading.Lock()
-        self._highest_epoch = NO_EPOCH
-        self._tasks: dict[AttemptId, _Task] = {}
-
-    def exchange(self, body: bytes) -> StandInReply:
-        """Carry out one exchange."""
-        request = EXCHANGES.validate_json(body)
-        with self._lock:
-            self._advance()
-            if request.epoch >= self._highest_epoch:
-                self._highest_epoch = request.epoch
-                self._carry_out(request)
-            return StandInReply(200, REPORTS.dump_json(self._report()))
-
-    def _carry_out(self, request: Exchange) -> None:
-        lease_ends_at_ms = _now_ms() + request.lease_ms
+    routes = ROUTES
+    controls = CONTROLS
+
+    def __init__(
+        self,
+        worker: OneWorker,
+        settings: WorkerProcessSettings,
+    ) -> None:
+        """Start with no tasks and a line in the log."""
+        super().__init__(f'worker stand-in {worker.worker_id}')
+        self.worker = worker
+        self.settings = settings
+        self.fails_starts = False
+        self.highest_epoch = NO_EPOCH
+        self.tasks: dict[AttemptId, Task] = {}
+        self.checkpoints_ms: dict[TaskId, int] = {}
+        self._seen: set[AttemptId] = set()
+        self._log = WorkerLog(
+            settings.log_folder / f'{worker.worker_id}.jsonl',
+        )
+        self.connections_max = worker.connections_count
+        self._log.write(
+            LogLine(
+                now_ms(),
+                worker.worker_id,
+                LogKind.READY,
+                reserved=worker.capacity.as_resources(),
+            ),
+        )
+
+    @property
+    def clock_ms(self) -> int:
+        """Return the worker's own clock."""
+        return now_ms() + self.worker.clock_offset_ms
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of tasks that run."""
+        return sum(
+            task.state is TaskState.RUNNING for task in self.tasks.values()
+        )
+
+    def snapshot(self) -> dict[str, Any]:
+        """Add what runs and what was not acknowledged."""
+        return super().snapshot() | {
+            'worker': self.worker.worker_id,
+            'highest_epoch': self.highest_epoch,
+            'tasks': {
+                attempt_id: task.state.value
+                for attempt_id, task in self.tasks.items()
+            },
+        }
+
+    @handles(TaskDue)
+    async def on_due(self, message: TaskDue) -> None:
+        """End a task whose time or lease is over."""
+        task = self.tasks.get(message.attempt_id)
+        if task is None or task.state is not TaskState.RUNNING:
+            return
+        current_ms = now_ms()
+        if task.ends_at_ms is not None and task.ends_at_ms <= current_ms:
+            failed = TaskEvent.FAULTED if task.fails else TaskEvent.COMPLETED
+            self.step(task, failed)
+        elif task.lease_ends_at_ms <= current_ms:
+            self.step(task, TaskEvent.LEASE_LAPSED, 'lease lapsed')
+        else:
+            self.wake_at(task)
+
+    def carry_out(self, request: Exchange) -> None:
+        """Carry out an exchange, or refuse all of it for its epoch."""
+        if request.epoch < self.highest_epoch:
+            for start in request.starts:
+                self._log_line(LogKind.REFUSED, start, NOTHING, 'epoch')
+            return
+        self.highest_epoch = request.epoch
         for attempt_id in request.acknowledged:
-            self._tasks.pop(attempt_id, None)
-        for start in request.starts:
-            self._start(start, lease_ends_at_ms)
+            self._forget(attempt_id)
+        for command in request.commands:
+            self._obey(command)
+        lease_ends_at_ms = now_ms() + request.lease_ms
         for attempt_id in request.renewals:
-            held = self._tasks.get(attempt_id)
+            held = self.tasks.get(attempt_id)
             if held is not None:
                 held.lease_ends_at_ms = lease_ends_at_ms
-        for command in request.commands:
-            task = self._tasks.get(command.attempt_id)
-            if task is None or command.kind is not CommandKind.STOP:
-                continue
-            if task.outcome is TaskOutcome.RUNNING:
-                task.outcome = TaskOutcome.STOPPED
-
-    def _start(self, start: StartCommand, lease_ends_at_ms: float) -> None:
-        if start.attempt_id in self._tasks:
+        for start in request.starts:
+            self._start(start, lease_ends_at_ms)
+
+    def step(self, task: Task, event: TaskEvent, detail: str = '') -> None:
+        """Apply an event of the chart and run its actions."""
+        transition = TASK_CHART.step(task.state, event)
+        if transition is None:
             return
-        late = _now_ms() > start.start_before_worker_clock_ms
-        ends_at_ms = None
-        if start.run_time_ms:
-            ends_at_ms = _now_ms() + start.run_time_ms
-        self._tasks[start.attempt_id] = _Task(
-            start,
-            TaskOutcome.REFUSED if late else TaskOutcome.RUNNING,
-            ends_at_ms,
-            lease_ends_at_ms,
+        task.state = transition.target
+        for action in transition.actions:
+            TASK_ACTIONS.lookup(action)(self, task, detail)
+
+    def wake_at(self, task: Task) -> None:
+        """Send the worker a message when the task is due."""
+        asyncio.get_running_loop().call_at(
+            task.due_at_ms / MS_PER_SECOND,
+            self.mailbox.send,
+            TaskDue(task.start.attempt_id),
         )
-        event = 'refused' if late else 'started'
-        line = {'event': event, 'attempt': start.attempt_id}
-        print(json.dumps(line), flush=True)  # noqa: T201, WPS421
-
-    def _advance(self) -> None:
-        current_ms = _now_ms()
-        for task in self._tasks.values():
-            if task.outcome is not TaskOutcome.RUNNING:
-                continue
-            if task.ends_at_ms is not None and current_ms >= task.ends_at_ms:
-                task.outcome = TaskOutcome.SUCCEEDED
-                continue
-            if current_ms >= task.lease_ends_at_ms:
-                task.outcome = TaskOutcome.STOPPED
-
-    def _report(self) -> WorkerReport:
+
+    def log(self, kind: LogKind, task: Task, detail: str) -> None:
+        """Write a line about a task."""
+        self._log_line(kind, task.start, task.real, detail)
+
+    def report(self) -> WorkerReport:
+        """Return everything that runs and every outcome not acknowledged."""
         return WorkerReport(
-            self._worker_id,
-            self._highest_epoch,
-            int(_now_ms()),
-            tuple(
-                TaskReport(
-                    attempt_id=attempt_id,
-                    outcome=task.outcome,
-                    reserved=task.start.reserved,
-                    run_time_ms=task.start.run_time_ms,
-                    output=task.start.payload,
-                )
-                for attempt_id, task in self._tasks.items()
+            self.worker.worker_id,
+            self.highest_epoch,
+            self.clock_ms,
+            tuple(self._report_of(task) for task in self.tasks.values()),
+        )
+
+    def _start(self, start: StartCommand, lease_ends_at_ms: int) -> None:
+        if start.attempt_id in self._seen:
+            return
+        self._seen.add(start.attempt_id)
+        real = real_load(self.settings.deviation, start)
+        run_time_ms = real.run_time_ms
+        if self.fails_starts:
+            run_time_ms = _FAILING_RUN_TIME_MS
+        task = Task(
+            start,
+            real.size,
+            TASK_CHART.initial,
+            started_at_ms=now_ms(),
+            ends_at_ms=None,
+            lease_ends_at_ms=lease_ends_at_ms,
+            fails=self.fails_starts,
+        )
+        if run_time_ms:
+            done_ms = self.checkpoints_ms.get(task.task_id, 0)
+            task.ends_at_ms = now_ms() + max(1, run_time_ms - done_ms)
+        reason = self._reason_to_refuse(start)
+        self.tasks[start.attempt_id] = task
+        if reason is not None:
+            self.step(task, TaskEvent.TURNED_AWAY, reason)
+            return
+        self.step(task, TaskEvent.ADMITTED)
+        self.wake_at(task)
+
+    def _reason_to_refuse(self, start: StartCommand) -> str | None:
+        if self.clock_ms > start.start_before_worker_clock_ms:
+            return 'late'
+        # Each running task keeps one connection of the worker in use.
+        if self.running_count >= self.worker.connections_count:
+            return 'connections'
+        return None
+
+    def _obey(self, command: TaskCommand) -> None:
+        task = self.tasks.get(command.attempt_id)
+        if task is None or task.state is not TaskState.RUNNING:
+            return
+        self.log(LogKind.COMMAND, task, command.kind.value)
+        COMMANDS.lookup(command.kind)(self, task)
+
+    def _forget(self, attempt_id: AttemptId) -> None:
+        task = self.tasks.get(attempt_id)
+        if task is not None and task.state is not TaskState.RUNNING:
+            self.tasks.pop(attempt_id)
+
+    def _report_of(self, task: Task) -> TaskReport:
+        until_ms = task.ended_at_ms or now_ms()
+        elapsed_ms = until_ms - task.started_at_ms
+        measured = elapsed_ms >= self.settings.usage_lag_ms
+        is_ended = task.state is not TaskState.RUNNING
+        return TaskReport(
+            attempt_id=task.start.attempt_id,
+            outcome=TaskOutcome(task.state.value),
+            reserved=task.start.reserved,
+            used=task.real if measured or is_ended else NOTHING,
+            run_time_ms=elapsed_ms,
+            output=task.start.payload,
+        )
+
+    def _log_line(
+        self,
+        kind: LogKind,
+        start: StartCommand,
+        real: Resources,
+        detail: str,
+    ) -> None:
+        self._log.write(
+            LogLine(
+                now_ms(),
+                self.worker.worker_id,
+                kind,
+                start.attempt_id,
+                start.reserved,
+                real,
+                detail,
             ),
         )
 
 
-def _now_ms() -> float:
-    return time.monotonic() * 1000
+@ROUTES.register('/v1/exchange')
+def _exchange(worker: WorkerStandIn, call: Call) -> StandInReply:
+    request = EXCHANGES.validate_json(call.body)
+    worker.carry_out(request)
+    report = worker.report()
+    return StandInReply(200, REPORTS.dump_json(report))
+
+
+@CONTROLS.register('fail_starts')
+def _fail_starts(worker: WorkerStandIn, setting: bool) -> None:
+    worker.fails_starts = setting
+
+
+TaskAction = Callable[[WorkerStandIn, Task, str], None]
+TASK_ACTIONS: Final[Registry[str, TaskAction]] = Registry('task actions')
+
+
+@TASK_ACTIONS.register('log_start')
+def _log_start(worker: WorkerStandIn, task: Task, detail: str) -> None:
+    worker.log(LogKind.START, task, detail)
+
+
+@TASK_ACTIONS.register('log_refused')
+def _log_refused(worker: WorkerStandIn, task: Task, detail: str) -> None:
+    task.ended_at_ms = now_ms()
+    worker.log(LogKind.REFUSED, task, detail)
+
+
+@TASK_ACTIONS.register('log_end')
+def _log_end(worker: WorkerStandIn, task: Task, detail: str) -> None:
+    task.ended_at_ms = now_ms()
+    worker.log(LogKind.END, task, detail or task.state.value)
+
+
+CommandHandler = Callable[[WorkerStandIn, Task], None]
+COMMANDS: Final[Registry[CommandKind, CommandHandler]] = Registry('commands')
+
+
+@COMMANDS.register(CommandKind.STOP)
+def _stop(worker: WorkerStandIn, task: Task) -> None:
+    worker.step(task, TaskEvent.STOP_ASKED)
+
+
+@COMMANDS.register(CommandKind.CHECKPOINT)
+def _checkpoint(worker: WorkerStandIn, task: Task) -> None:
+    # A later attempt of the task on this worker goes on from here.
+    worker.checkpoints_ms[task.task_id] = now_ms() - task.started_at_ms
+
+
+@COMMANDS.register(CommandKind.THROTTLE)
+def _throttle(worker: WorkerStandIn, task: Task) -> None:
+    task.throttle(now_ms())
+
+
+TASK_CHART: Final = parse_chart(
+    'task',
+    resources.files('standins.charts').joinpath('task.yaml').read_text(),
+    TaskState,
+    TaskEvent,
+    TASK_ACTIONS,
+)
+
+
+async def _main(settings: WorkerProcessSettings) -> None:
+    await serve_until_stopped(
+        [
+            (WorkerStandIn(worker, settings), worker.port)
+            for worker in settings.workers
+        ],
+    )
 
 
 def main() -> None:
-    """Serve one worker."""
+    """Serve the workers of a settings file."""
     parser = argparse.ArgumentParser(prog='standins.worker')
-    parser.add_argument('--port', type=int, required=True)
-    parser.add_argument('--worker', type=WorkerId, required=True)
+    parser.add_argument('--config', type=Path, required=True)
     options = parser.parse_args()
-    worker = WorkerStandIn(options.worker)
-    JsonServer(
-        options.port,
-        {'/v1/exchange': worker.exchange},
-        threads_count=4,
-    ).serve()
+    asyncio.run(_main(load_worker_settings(options.config)))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/test_worker_standin.py
@@ -0,0 +1,236 @@
+"""The worker stand-in keeps the rules that the scheduler relies on."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure
+
+from fuchsiarill.cell_config import Amounts
+from fuchsiarill.ids import (
+    AttemptId,
+    Epoch,
+    FailureDomain,
+    RackId,
+    RegionId,
+    WorkerId,
+)
+from fuchsiarill.ports.http_ports import HttpWorkers
+from fuchsiarill.ports.workers import ExchangeFailure
+from fuchsiarill.resources import Resources
+from fuchsiarill.settings import WorkerSettings
+from fuchsiarill.workers import (
+    CommandKind,
+    Exchange,
+    StartCommand,
+    TaskCommand,
+    TaskOutcome,
+    WorkerReport,
+)
+from standins.worker import WorkerStandIn
+from standins.worker_log import LogKind, read_log
+from standins.worker_settings import (
+    Deviation,
+    OneWorker,
+    WorkerProcessSettings,
+)
+from tests.serving import Served, serving
+
+_SIZE = Resources(1000, 500, 0, 1)
+_FIRST = AttemptId('job/0@1.1')
+_SECOND = AttemptId('job/1@1.2')
+_EPOCH = Epoch(5)
+_LONG_MS = 600_000
+_NEVER_LATE_MS = 1_000_000_000_000
+
+
+def _worker(folder: Path, **changes: Any) -> WorkerStandIn:
+    capacity = Amounts(processors_milli=4000, memory_mb=8000, slots_count=8)
+    deviation = changes.pop('deviation', Deviation())
+    worker = OneWorker(
+        worker_id=WorkerId('w'),
+        port=0,
+        region=RegionId('r'),
+        failure_domain=FailureDomain('d'),
+        rack=RackId('k'),
+        capacity=capacity,
+        **changes,
+    )
+    settings = WorkerProcessSettings(
+        log_folder=folder,
+        workers=(worker,),
+        deviation=deviation,
+    )
+    return WorkerStandIn(worker, settings)
+
+
+def _start(
+    attempt_id: AttemptId = _FIRST,
+    run_time_ms: int = 0,
+    before_ms: int = _NEVER_LATE_MS,
+) -> StartCommand:
+    return StartCommand(attempt_id, _SIZE, run_time_ms, 'kind', before_ms)
+
+
+async def _exchange(served: Served, request: Exchange) -> WorkerReport:
+    port = HttpWorkers(WorkerSettings(), served.client)
+    return (await port.exchange(served.address, request)).unwrap()
+
+
+async def _until(
+    served: Served,
+    expected: Callable[[WorkerReport], bool],
+) -> WorkerReport:
+    while True:
+        report = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+        if expected(report):
+            return report
+
+
+def _outcomes(report: WorkerReport) -> dict[AttemptId, TaskOutcome]:
+    return {task.attempt_id: task.outcome for task in report.tasks}
+
+
+def test_lapsed_lease_stops_a_task(tmp_path: Path) -> None:
+    """Guards against a task that runs on when its owner cannot be reached."""
+
+    async def main() -> None:
+        async with serving(_worker(tmp_path)) as served:
+            request = Exchange(_EPOCH, 2000, (_start(), _start(_SECOND)))
+            await _exchange(served, request)
+            await _exchange(
+                served,
+                Exchange(_EPOCH, _LONG_MS, renewals=(_SECOND,)),
+            )
+            report = await _until(
+                served,
+                lambda got: got.tasks[0].outcome is TaskOutcome.STOPPED,
+            )
+            assert report.tasks[1].outcome is TaskOutcome.RUNNING
+
+    asyncio.run(main())
+    last = read_log(tmp_path / 'w.jsonl')[-1]
+    assert (last.kind, last.detail) == (LogKind.END, 'lease lapsed')
+
+
+def test_outcome_is_kept_until_acknowledged(tmp_path: Path) -> None:
+    """Guards against an outcome lost with the answer that carried it."""
+
+    async def main() -> None:
+        async with serving(_worker(tmp_path)) as served:
+            request = Exchange(_EPOCH, _LONG_MS, (_start(run_time_ms=1),))
+            await _exchange(served, request)
+            await _until(
+                served,
+                lambda got: got.tasks[0].outcome is TaskOutcome.SUCCEEDED,
+            )
+            again = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+            forgotten = await _exchange(
+                served,
+                Exchange(_EPOCH, _LONG_MS, acknowledged=(_FIRST,)),
+            )
+            repeated = await _exchange(served, request)
+            assert len(again.tasks) == 1
+            assert not forgotten.tasks
+            assert not repeated.tasks
+
+    asyncio.run(main())
+
+
+def test_starts_are_refused(tmp_path: Path) -> None:
+    """Guards against a start of an old owner, a late one and one too many."""
+
+    async def main() -> None:
+        worker = _worker(tmp_path, connections_count=1, clock_offset_ms=-5000)
+        async with serving(worker, threads_count=1) as served:
+            first = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+            late = _start(before_ms=first.worker_clock_ms - 1)
+            refused = await _exchange(
+                served,
+                Exchange(_EPOCH, _LONG_MS, (late,)),
+            )
+            stale = await _exchange(
+                served,
+                Exchange(Epoch(4), _LONG_MS, (_start(_SECOND),)),
+            )
+            many = (_start(_SECOND), _start(AttemptId('job/2@1.3')))
+            await _exchange(served, Exchange(_EPOCH, _LONG_MS, many))
+            assert _outcomes(refused) == {_FIRST: TaskOutcome.REFUSED}
+            assert stale.highest_epoch == _EPOCH
+            assert _SECOND not in _outcomes(stale)
+
+    asyncio.run(main())
+    reasons = [
+        (line.attempt, line.detail)
+        for line in read_log(tmp_path / 'w.jsonl')
+        if line.kind is LogKind.REFUSED
+    ]
+    assert reasons == [
+        (_FIRST, 'late'),
+        (_SECOND, 'epoch'),
+        ('job/2@1.3', 'connections'),
+    ]
+
+
+def test_silent_connection_is_replaced(tmp_path: Path) -> None:
+    """Guards against a client that waits for ever on a dead connection."""
+
+    async def main() -> None:
+        worker = _worker(tmp_path)
+        async with serving(worker, threads_count=1) as served:
+            await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+            await served.control(silence_open_connections=True)
+            settings = WorkerSettings(call_timeout_ms=50)
+            port = HttpWorkers(settings, served.client)
+            request = Exchange(_EPOCH, _LONG_MS, (_start(),))
+            silent = await port.exchange(served.address, request)
+            assert silent == Failure(ExchangeFailure.NO_ANSWER)
+            assert not worker.tasks
+            answered = await _exchange(served, request)
+            assert _outcomes(answered) == {_FIRST: TaskOutcome.RUNNING}
+
+    asyncio.run(main())
+
+
+def test_commands_and_failing_worker(tmp_path: Path) -> None:
+    """Guards against commands that the stand-in takes and does not obey."""
+
+    async def main() -> None:
+        worker = _worker(tmp_path)
+        async with serving(worker) as served:
+            starts = (_start(run_time_ms=_LONG_MS),)
+            await _exchange(served, Exchange(_EPOCH, _LONG_MS, starts))
+            kinds = (CommandKind.CHECKPOINT, CommandKind.STOP)
+            commands = tuple(TaskCommand(kind, _FIRST) for kind in kinds)
+            report = await _exchange(
+                served,
+                Exchange(_EPOCH, _LONG_MS, commands=commands),
+            )
+            assert _outcomes(report) == {_FIRST: TaskOutcome.STOPPED}
+            assert set(worker.checkpoints_ms) == {'job/0'}
+            await served.control(fail_starts=True)
+            failing = (_start(_SECOND, run_time_ms=_LONG_MS),)
+            await _exchange(served, Exchange(_EPOCH, _LONG_MS, failing))
+            await _until(
+                served,
+                lambda got: _outcomes(got)[_SECOND] is TaskOutcome.FAILED,
+            )
+
+    asyncio.run(main())
+
+
+def test_real_size_differs_by_the_seed(tmp_path: Path) -> None:
+    """Guards against runs whose real sizes do not repeat or stray too far."""
+
+    async def real(seed: int) -> Resources:
+        deviation = Deviation(seed=seed, size_factor_max=4)
+        worker = _worker(tmp_path, deviation=deviation)
+        worker.carry_out(Exchange(_EPOCH, _LONG_MS, (_start(),)))
+        return worker.tasks[_FIRST].real
+
+    drawn = [asyncio.run(real(seed)) for seed in (1, 1, 2, 3)]
+    assert drawn[0] == drawn[1]
+    assert len(set(drawn)) == 3
+    for size in drawn:
+        assert _SIZE.memory_mb // 4 <= size.memory_mb <= 4 * _SIZE.memory_mb
