Tell calls that were never sent from those that may have taken effect

A full client or a refused connection looked like a lost answer for the store, so a caller had to read the key back. `NOT_SENT` now proves that there was no effect. The wait for a thread counts towards the deadline, watches have threads of their own, threads do not hold up the end of the process, and an answer that cannot be read is a failure instead of an exception.

--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -1,24 +1,28 @@
-"""Blocking HTTP calls of `urllib3`, made from tasks through a thread pool.
+"""Blocking HTTP calls of `urllib3`, made from tasks through threads.
 
 The number of calls in progress is bounded; a further call is refused at once
-as not sent. A connection whose call misses its deadline is closed by
-`urllib3` and never used again, since its late answer would go to the next
-request.
+as not sent. The deadline of a call includes its wait for a thread. A
+connection whose call misses its deadline is closed by `urllib3` and never
+used again, since its late answer would go to the next request. Calls that
+wait for an event on purpose have threads of their own.
 """
 
-import asyncio
-from concurrent.futures import ThreadPoolExecutor
+import time
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from typing import Final
 
 import urllib3
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.clock import MS_PER_SECOND
+from fuchsiarill.ports.thread_lane import ThreadLane
 
 # One pool for each address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
+# A process watches the configuration and the owner of each partition.
+_WAITING_MAX_COUNT: Final = 16
 _NEVER_SENT: Final = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -43,16 +47,20 @@
 class HttpClient:
     """Makes POST requests with a JSON body and a deadline."""
 
-    def __init__(self, threads_count: int, in_progress_max: int) -> None:
-        """Create the pool of threads and of connections."""
-        self._threads = ThreadPoolExecutor(threads_count, 'http-client')
+    def __init__(
+        self,
+        threads_count: int,
+        in_progress_max: int,
+        waiting_max: int = _WAITING_MAX_COUNT,
+    ) -> None:
+        """Create the threads' lanes and the pool of connections."""
+        self._calls = ThreadLane('http-call', threads_count, in_progress_max)
+        self._waits = ThreadLane('http-wait', waiting_max, waiting_max)
         self._connections = urllib3.PoolManager(
             num_pools=_CONNECTION_POOLS_COUNT,
-            maxsize=threads_count,
+            maxsize=threads_count + waiting_max,
             retries=False,
         )
-        self._in_progress_max = in_progress_max
-        self._in_progress = 0
 
     async def post(
         self,
@@ -61,38 +69,53 @@
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
         """Send one request; never repeats it."""
-        if self._in_progress >= self._in_progress_max:
-            return Failure(CallFailure.NOT_SENT)
-        self._in_progress += 1
-        try:
-            return await asyncio.get_running_loop().run_in_executor(
-                self._threads,
-                self._post,
-                url,
-                body,
-                timeout_ms,
-            )
-        finally:
-            self._in_progress -= 1
+        return await self._run(self._calls, url, body, timeout_ms)
+
+    async def post_waiting(
+        self,
+        url: str,
+        body: bytes,
+        timeout_ms: int,
+    ) -> Result[HttpAnswer, CallFailure]:
+        """Send a request that the server answers when something happens."""
+        return await self._run(self._waits, url, body, timeout_ms)
 
     def close(self) -> None:
         """Close idle connections and let the threads end."""
         self._connections.clear()
-        self._threads.shutdown(wait=False, cancel_futures=True)
+        self._calls.close()
+        self._waits.close()
 
-    def _post(
+    async def _run(
         self,
+        lane: ThreadLane,
         url: str,
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
+        # The deadline is checked in the thread, where no loop is running.
+        deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
+        running = lane.run(partial(self._post, url, body, deadline_s))
+        if running is None:
+            return Failure(CallFailure.NOT_SENT)
+        return await running
+
+    def _post(
+        self,
+        url: str,
+        body: bytes,
+        deadline_s: float,
+    ) -> Result[HttpAnswer, CallFailure]:
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0:
+            return Failure(CallFailure.NOT_SENT)
         try:
             response = self._connections.request(
                 'POST',
                 url,
                 body=body,
                 headers={'Content-Type': 'application/json'},
-                timeout=urllib3.Timeout(total=timeout_ms / MS_PER_SECOND),
+                timeout=urllib3.Timeout(total=left_s),
             )
         except _NEVER_SENT:
             return Failure(CallFailure.NOT_SENT)
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -1,6 +1,8 @@
 """HTTP clients of the store, the host list and the workers.
 
 Requests and answers are JSON objects of the message types of this package.
+An answer that cannot be read is a failure like none at all: the call may have
+taken effect.
 """
 
 from typing import Final, TypeVar
@@ -9,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
-from fuchsiarill.ports.http_client import CallFailure, HttpClient
+from fuchsiarill.ports.http_client import CallFailure, HttpAnswer, HttpClient
 from fuchsiarill.ports.store import (
     StoreFailure,
     Swap,
@@ -27,6 +29,8 @@
 
 _HTTP_OK: Final = 200
 _HTTP_GONE: Final = 410
+# The store turns a value above its limit away before it does anything.
+_HTTP_TOO_LARGE: Final = 413
 
 SWAPS: Final = TypeAdapter(Swap)
 SWAP_RESULTS: Final = TypeAdapter(SwapResult)
@@ -53,6 +57,9 @@
     ttl_ms: int = 0
 
 
+_LEASES: Final = TypeAdapter(LeaseRequest)
+
+
 class HttpStore:
     """`StorePort` over HTTP."""
 
@@ -75,7 +82,12 @@
         )
         match answer:
             case Success(got) if got.status == _HTTP_OK:
-                return SWAP_RESULTS.validate_json(got.body)
+                unread = SwapResult(SwapOutcome.UNKNOWN)
+                return _parse(SWAP_RESULTS, got.body).value_or(unread)
+            case Success(got) if got.status == _HTTP_TOO_LARGE:
+                return SwapResult(SwapOutcome.NOT_SENT)
+            case Failure(CallFailure.NOT_SENT):
+                return SwapResult(SwapOutcome.NOT_SENT)
             case _:
                 return SwapResult(SwapOutcome.UNKNOWN)
 
@@ -108,7 +120,12 @@
     ) -> Result[Versioned, StoreFailure]:
         """Wait for a change of a key."""
         body = KeyRequest(key=key, after=after, wait_ms=wait_ms)
-        return await self._call('watch', body, VERSIONED)
+        answer = await self._client.post_waiting(
+            f'{self._settings.url}/v1/watch',
+            body.model_dump_json().encode(),
+            self._settings.call_timeout_ms + wait_ms,
+        )
+        return _read_store_answer(VERSIONED, answer)
 
     async def _lease_call(
         self,
@@ -118,7 +135,7 @@
         answer: Result[LeaseRequest, StoreFailure] = await self._call(
             verb,
             request,
-            TypeAdapter(LeaseRequest),
+            _LEASES,
         )
         return answer.map(lambda lease: lease.lease_id)
 
@@ -128,21 +145,12 @@
         request: KeyRequest | LeaseRequest,
         adapter: TypeAdapter[_Answer],
     ) -> Result[_Answer, StoreFailure]:
-        timeout_ms = self._settings.call_timeout_ms
-        if isinstance(request, KeyRequest):
-            timeout_ms += request.wait_ms
         answer = await self._client.post(
             f'{self._settings.url}/v1/{verb}',
             request.model_dump_json().encode(),
-            timeout_ms,
+            self._settings.call_timeout_ms,
         )
-        match answer:
-            case Success(got) if got.status == _HTTP_OK:
-                return Success(adapter.validate_json(got.body))
-            case Success(got) if got.status == _HTTP_GONE:
-                return Failure(StoreFailure.LEASE_UNKNOWN)
-            case _:
-                return Failure(StoreFailure.UNREACHABLE)
+        return _read_store_answer(adapter, answer)
 
 
 class HttpHostList:
@@ -160,11 +168,7 @@
             b'{}',
             self._settings.poll_interval_ms,
         )
-        match answer:
-            case Success(got) if got.status == _HTTP_OK:
-                return Success(HOST_ENTRIES.validate_json(got.body))
-            case _:
-                return Failure(StoreFailure.UNREACHABLE)
+        return _read_store_answer(HOST_ENTRIES, answer)
 
 
 class HttpWorkers:
@@ -188,15 +192,37 @@
         )
         match answer:
             case Success(got) if got.status == _HTTP_OK:
-                return _parse_report(got.body)
+                return _parse(REPORTS, got.body).alt(
+                    lambda _error: ExchangeFailure.NO_ANSWER,
+                )
             case Failure(CallFailure.NOT_SENT):
                 return Failure(ExchangeFailure.NOT_SENT)
             case _:
                 return Failure(ExchangeFailure.NO_ANSWER)
 
 
-def _parse_report(body: bytes) -> Result[WorkerReport, ExchangeFailure]:
+def _read_store_answer(
+    adapter: TypeAdapter[_Answer],
+    answer: Result[HttpAnswer, CallFailure],
+) -> Result[_Answer, StoreFailure]:
+    match answer:
+        case Success(got) if got.status == _HTTP_OK:
+            return _parse(adapter, got.body).alt(
+                lambda _error: StoreFailure.UNREACHABLE,
+            )
+        case Success(got) if got.status == _HTTP_GONE:
+            return Failure(StoreFailure.LEASE_UNKNOWN)
+        case Failure(CallFailure.NOT_SENT):
+            return Failure(StoreFailure.NOT_SENT)
+        case _:
+            return Failure(StoreFailure.UNREACHABLE)
+
+
+def _parse(
+    adapter: TypeAdapter[_Answer],
+    body: bytes,
+) -> Result[_Answer, ValidationError]:
     try:
-        return Success(REPORTS.validate_json(body))
-    except ValidationError:
-        return Failure(ExchangeFailure.NO_ANSWER)
+        return Success(adapter.validate_json(body))
+    except ValidationError as error:
+        return Failure(error)
--- a/fuchsiarill/ports/store.py
+++ b/fuchsiarill/ports/store.py
@@ -2,7 +2,8 @@
 
 Every call counts against the rates of the service, a waiting watch too. A
 call that times out may have taken effect: `SwapOutcome.UNKNOWN` says so, and
-the caller reads the key and compares its own unique token.
+the caller reads the key and compares its own unique token. `NOT_SENT` proves
+that a call had no effect, so that it can be repeated.
 """
 
 from dataclasses import dataclass
@@ -15,8 +16,13 @@
 
 
 class StoreFailure(Enum):
-    """Why a call without side effect, or a lease call, gave no answer."""
+    """Why a call without side effect, or a lease call, gave no answer.
 
+    After `NOT_SENT` nothing reached the service; after `UNREACHABLE` a lease
+    call may have taken effect.
+    """
+
+    NOT_SENT = 'not_sent'
     UNREACHABLE = 'unreachable'
     LEASE_UNKNOWN = 'lease_unknown'
 
@@ -27,6 +33,7 @@
     SWAPPED = 'swapped'
     CONFLICT = 'conflict'
     UNKNOWN = 'unknown'
+    NOT_SENT = 'not_sent'
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_http_ports.py
@@ -0,0 +1,221 @@
+"""The port clients against the stand-ins, with the faults of the network."""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from fuchsiarill.ids import ABSENT, Epoch, StoreKey, StoreLeaseId
+from fuchsiarill.ports.http_client import CallFailure, HttpClient
+from fuchsiarill.ports.http_ports import HttpStore, HttpWorkers
+from fuchsiarill.ports.store import StoreFailure, Swap, SwapOutcome
+from fuchsiarill.ports.workers import ExchangeFailure
+from fuchsiarill.settings import StoreSettings, WorkerSettings
+from fuchsiarill.workers import Exchange
+from standins.stand_in import Call, StandInReply
+from standins.store import ROUTES, VALUE_MAX_BYTES, StoreStandIn
+from tests.serving import Served, serving
+
+_KEY = StoreKey('key')
+_LONG_MS = 20_000
+
+
+class _BadStore(StoreStandIn):
+    """Answers every call with a body that is no answer."""
+
+    def _dispatch(self, call: Call) -> StandInReply | None:
+        if call.path in ROUTES:
+            return StandInReply(200, b'[]')
+        return super()._dispatch(call)
+
+
+def _store(served: Served, timeout_ms: int = _LONG_MS) -> HttpStore:
+    settings = StoreSettings(url=served.url, call_timeout_ms=timeout_ms)
+    return HttpStore(settings, served.client)
+
+
+def test_late_answer_goes_to_nobody() -> None:
+    """Guards against an answer that reaches the next call on its connection."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn(), threads_count=1) as served:
+            await served.control(put={'key': 'late', 'other': 'mine'})
+            await served.control(slow_ms=300)
+            missed = await _store(served, 50).get(_KEY)
+            await served.control(slow_ms=0)
+            found = await _store(served).get(StoreKey('other'))
+            assert missed == Failure(StoreFailure.UNREACHABLE)
+            assert found.unwrap().value == 'mine'
+
+    asyncio.run(main())
+
+
+def test_lost_reply_of_a_swap_is_unknown() -> None:
+    """Guards against a write that took effect and is taken for failed."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            await served.control(lose_swap_replies=1)
+            lost = await _store(served).swap(Swap(_KEY, 'written'))
+            found = await _store(served).get(_KEY)
+            assert lost.outcome is SwapOutcome.UNKNOWN
+            assert found.unwrap().value == 'written'
+
+    asyncio.run(main())
+
+
+def test_refused_connection_is_not_sent() -> None:
+    """Guards against waiting out a call that certainly had no effect."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            gone = Served(1, served.client)
+            swapped = await _store(gone).swap(Swap(_KEY, 'value'))
+            lease = await _store(gone).grant_lease(1000)
+            assert swapped.outcome is SwapOutcome.NOT_SENT
+            assert lease == Failure(StoreFailure.NOT_SENT)
+
+    asyncio.run(main())
+
+
+def test_store_down_may_have_taken_effect() -> None:
+    """Guards against taking a closed connection for a call not sent."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            await served.control(down=True)
+            swapped = await _store(served).swap(Swap(_KEY, 'value'))
+            assert swapped.outcome is SwapOutcome.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_value_above_the_limit_has_no_effect() -> None:
+    """Guards against a value that the platform's service would not take."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            fits = await _store(served).swap(
+                Swap(_KEY, 'x' * VALUE_MAX_BYTES),
+            )
+            larger = Swap(StoreKey('larger'), 'x' * (VALUE_MAX_BYTES + 1))
+            refused = await _store(served).swap(larger)
+            assert fits.outcome is SwapOutcome.SWAPPED
+            assert refused.outcome is SwapOutcome.NOT_SENT
+
+    asyncio.run(main())
+
+
+def test_watches_leave_the_threads_to_other_calls() -> None:
+    """Guards against watches that hold up the renewal of a lease."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn(), threads_count=1) as served:
+            store = _store(served)
+            watches = [
+                asyncio.create_task(store.watch(_KEY, ABSENT, _LONG_MS))
+                for _ in range(4)
+            ]
+            while True:
+                state = await served.control()
+                if state['waiting_watches_count'] == len(watches):
+                    break
+            await store.swap(Swap(_KEY, 'changed'))
+            seen = await asyncio.gather(*watches)
+            state = await served.control()
+            assert {found.unwrap().value for found in seen} == {'changed'}
+            assert state['calls_count'] == {'watch': 4, 'swap': 1}
+
+    asyncio.run(main())
+
+
+def test_watch_ends_without_a_change() -> None:
+    """Guards against a watch that waits for ever."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            seen = await _store(served).watch(_KEY, ABSENT, 20)
+            assert seen.unwrap().revision == ABSENT
+
+    asyncio.run(main())
+
+
+def test_calls_beyond_the_bound_are_not_sent() -> None:
+    """Guards against a queue of calls without limit."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            await served.control(paused=True)
+            client = HttpClient(threads_count=1, in_progress_max=2)
+            url = f'{served.url}/v1/get'
+            body = b'{"key": "key"}'
+            held = [
+                asyncio.create_task(client.post(url, body, _LONG_MS))
+                for _ in range(2)
+            ]
+            await asyncio.sleep(0)
+            further = await client.post(url, body, _LONG_MS)
+            await served.control(paused=False)
+            answers = await asyncio.gather(*held)
+            client.close()
+            assert further == Failure(CallFailure.NOT_SENT)
+            assert [answer.unwrap().status for answer in answers] == [200, 200]
+
+    asyncio.run(main())
+
+
+def test_wait_for_a_thread_counts_towards_the_deadline() -> None:
+    """Guards against a call that is sent long after its caller gave up."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            await served.control(paused=True)
+            client = HttpClient(threads_count=1, in_progress_max=2)
+            url = f'{served.url}/v1/get'
+            calls = [client.post(url, b'{}', 500) for _ in range(2)]
+            answers = await asyncio.gather(*calls)
+            client.close()
+            assert answers == [
+                Failure(CallFailure.NO_ANSWER),
+                Failure(CallFailure.NOT_SENT),
+            ]
+
+    asyncio.run(main())
+
+
+def test_answer_that_cannot_be_read_is_a_failure() -> None:
+    """Guards against an exception that stops the actor that made the call."""
+
+    async def main() -> None:
+        async with serving(_BadStore()) as served:
+            store = _store(served)
+            workers = HttpWorkers(WorkerSettings(), served.client)
+            report = await workers.exchange(
+                f'{served.address}/v1/get?',
+                Exchange(Epoch(1), 1000),
+            )
+            swapped = await store.swap(Swap(_KEY, 'value'))
+            assert swapped.outcome is SwapOutcome.UNKNOWN
+            unread = Failure(StoreFailure.UNREACHABLE)
+            assert await store.get(_KEY) == unread
+            assert await store.renew_lease(StoreLeaseId('id')) == unread
+            assert report == Failure(ExchangeFailure.NO_ANSWER)
+
+    asyncio.run(main())
+
+
+def test_lapsed_lease_takes_its_key_along() -> None:
+    """Guards against an owner key that outlives its owner."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            store = _store(served)
+            lease_id = (await store.grant_lease(3000)).unwrap()
+            held = Swap(_KEY, 'owner', lease_id=lease_id)
+            written = await store.swap(held)
+            seen = await store.watch(_KEY, written.revision, _LONG_MS)
+            renewed = await store.renew_lease(lease_id)
+            assert isinstance(seen, Success)
+            assert seen.unwrap().value is None
+            assert renewed == Failure(StoreFailure.LEASE_UNKNOWN)
+
+    asyncio.run(main())
