Add the demo: a cell on loopback, a mixed load, a killed owner

The counts come from the workers' logs and the callers' notes, never from the scheduler. All processes run in sessions of their own and are ended by their ids, also after Ctrl-C or a failure.

The tally's own tests pass.

--- a/standins/store.py
+++ b/standins/store.py
@@ -104,6 +104,7 @@
             'keys': sorted(self._stored),
             'waiting_watches_count': sum(map(len, self._watches.values())),
             'leases_count': len(self.leases),
+            'lose_swap_replies_count': self.lose_swap_replies_count,
         }
 
     def read(self, key: StoreKey) -> Versioned:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,9 @@
 
 It never enforces its capacity for the scheduler: it logs what it carried, so
 that overcommitment can be seen. Beyond the common controls: `fail_starts`
-lets everything fail that is started from then on.
+lets everything fail that is started from then on; `hold_starts` keeps back
+exchanges that start something, as a slow network would, until it is set to
+false again.
 """
 
 import argparse
@@ -68,6 +70,8 @@
         self.worker = worker
         self.settings = settings
         self.fails_starts = False
+        self.holds_starts = False
+        self.held: list[Call] = []
         self.highest_epoch = NO_EPOCH
         self.tasks: dict[AttemptId, Task] = {}
         self.checkpoints_ms: dict[TaskId, int] = {}
@@ -102,6 +106,7 @@
         return super().snapshot() | {
             'worker': self.worker.worker_id,
             'highest_epoch': self.highest_epoch,
+            'held_count': len(self.held),
             'tasks': {
                 attempt_id: task.state.value
                 for attempt_id, task in self.tasks.items()
@@ -255,8 +260,11 @@
 
 
 @ROUTES.register('/v1/exchange')
-def _exchange(worker: WorkerStandIn, call: Call) -> StandInReply:
+def _exchange(worker: WorkerStandIn, call: Call) -> StandInReply | None:
     request = EXCHANGES.validate_json(call.body)
+    if worker.holds_starts and request.starts:
+        worker.held.append(call)
+        return None
     worker.carry_out(request)
     report = worker.report()
     return StandInReply(200, REPORTS.dump_json(report))
@@ -267,6 +275,19 @@
     worker.fails_starts = setting
 
 
+@CONTROLS.register('hold_starts')
+def _hold_starts(worker: WorkerStandIn, setting: bool) -> None:
+    worker.holds_starts = setting
+    if setting:
+        return
+    held = worker.held
+    worker.held = []
+    for call in held:
+        reply = _exchange(worker, call)
+        if reply is not None:
+            call.reply.answer(reply)
+
+
 TaskAction = Callable[[WorkerStandIn, Task, str], None]
 TASK_ACTIONS: Final[Registry[str, TaskAction]] = Registry('task actions')
 
--- /dev/null
+++ b/tests/test_tally.py
@@ -0,0 +1,90 @@
+"""The demo's counts see what they are there to see."""
+
+from fuchsiarill import codes
+from fuchsiarill.ids import AttemptId, WorkerId
+from fuchsiarill.resources import NOTHING, Resources
+from standins.worker_log import LogKind, LogLine
+from tools.caller import JobNote
+from tools.tally import Fate, tally
+
+_ONE = WorkerId('one')
+_TWO = WorkerId('two')
+_CAPACITY = Resources(2000, 1000, 0, 2)
+_SIZE = Resources(1000, 500, 0, 1)
+
+
+def _line(
+    time_ms: int,
+    kind: LogKind,
+    attempt: str = '',
+    reserved: Resources = _SIZE,
+    worker: WorkerId = _ONE,
+) -> LogLine:
+    detail = 'succeeded' if kind is LogKind.END else ''
+    return LogLine(
+        time_ms,
+        worker,
+        kind,
+        AttemptId(attempt),
+        reserved,
+        NOTHING,
+        detail,
+    )
+
+
+def _note(**changes: str) -> JobNote:
+    body = {'idempotency_key': 'key'} | changes
+    return JobNote(body, 'job', codes.ACCEPTED.number)
+
+
+def test_job_without_outcome_is_lost() -> None:
+    """Guards against a demo that passes although a job is lost."""
+    logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
+    assert tally([_note()], logs).fates == {Fate.LOST: 1}
+    service = _note(workload='service')
+    assert tally([service], logs).fates == {Fate.FINISHED: 1}
+    logs[_ONE].append(_line(2, LogKind.END, 'job/0@1.1'))
+    assert tally([_note()], logs).fates == {Fate.FINISHED: 1}
+    assert tally([service], logs).fates == {Fate.LOST: 1}
+
+
+def test_overlapping_attempts_are_doubled() -> None:
+    """Guards against a demo that misses a task that runs in two places."""
+    one = [
+        _line(1, LogKind.START, 'job/0@1.1'),
+        _line(5, LogKind.END, 'job/0@1.1'),
+    ]
+    two = [_line(4, LogKind.START, 'job/0@2.1', worker=_TWO)]
+    assert tally([_note()], {_ONE: one, _TWO: two}).doubled == ['job/0']
+    two = [_line(5, LogKind.START, 'job/0@2.1', worker=_TWO)]
+    assert not tally([_note()], {_ONE: one, _TWO: two}).doubled
+    once = _note(execution='at_most_once')
+    assert tally([once], {_ONE: one, _TWO: two}).doubled == ['job/0']
+
+
+def test_overcommitted_worker_is_seen() -> None:
+    """Guards against a demo that misses a worker beyond its capacity."""
+    lines = [_line(0, LogKind.READY, reserved=_CAPACITY)]
+    lines.extend(
+        _line(1, LogKind.START, f'job/{number}@1.1') for number in range(2)
+    )
+    assert not tally([], {_ONE: lines}).overcommitted
+    freed = [
+        *lines,
+        _line(2, LogKind.END, 'job/0@1.1'),
+        _line(2, LogKind.START, 'job/2@1.1'),
+    ]
+    assert not tally([], {_ONE: freed}).overcommitted
+    lines.append(_line(2, LogKind.START, 'job/2@1.1'))
+    assert tally([], {_ONE: lines}).overcommitted == [_ONE]
+
+
+def test_refused_and_cancelled_jobs_must_not_run() -> None:
+    """Guards against a demo that misses a job that ran although refused."""
+    logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
+    refused = _note()
+    refused.code = codes.NEVER_FITS.number
+    assert tally([refused], logs).ran_though_refused == ['job']
+    cancelled = _note()
+    cancelled.cancel_acknowledged = True
+    assert tally([cancelled], logs).running_though_cancelled == ['job']
--- /dev/null
+++ b/tools/caller.py
@@ -0,0 +1,158 @@
+"""A customer's program: submits, waits and cancels through entry hosts.
+
+It keeps its own log of what it was told. When an entry host does not answer,
+or refuses for the moment, the same request with the same idempotency key
+goes to the next one.
+"""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import urllib3
+
+from fuchsiarill import codes
+
+_RETRY_PAUSE_S: Final = 0.2
+_TIMEOUT_S: Final = 5
+# Codes after which the same request is sent again.
+_PASSING: Final = frozenset(
+    code.number
+    for code in (
+        codes.OVERLOADED,
+        codes.OWNER_UNAVAILABLE,
+        codes.STORE_UNAVAILABLE,
+        codes.OUTCOME_UNCERTAIN,
+        codes.NOT_CONFIGURED,
+        codes.DRAINING,
+        codes.RATE_EXCEEDED,
+        codes.QUEUE_FULL,
+    )
+)
+_ACCEPTED: Final = frozenset(
+    (codes.ACCEPTED.number, codes.ACCEPTED_VOLATILE.number),
+)
+
+
+def clock_ms() -> int:
+    """Return the monotonic clock of the machine, as in the workers' logs."""
+    return int(time.monotonic() * 1000)
+
+
+@dataclass(slots=True)
+class JobNote:
+    """What a caller knows of one job it sent, with times of `clock_ms`."""
+
+    body: dict[str, Any]
+    job_id: str = ''
+    code: int = 0
+    tries_count: int = 0
+    sent_at_ms: int = 0
+    answered_at_ms: int = 0
+    cancel_acknowledged: bool = False
+
+    @property
+    def is_accepted(self) -> bool:
+        """Tell whether the job was acknowledged."""
+        return self.code in _ACCEPTED
+
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether the job was turned away for good."""
+        return bool(self.code) and not self.is_accepted
+
+    def take(self, answer: dict[str, Any]) -> None:
+        """Keep an answer, unless it only says to try again."""
+        if answer['code'] in _PASSING:
+            return
+        self.code = answer['code']
+        self.job_id = answer.get('job_id', '')
+        self.answered_at_ms = clock_ms()
+
+
+@dataclass(slots=True)
+class Caller:
+    """Sends the requests of one customer.
+
+    `entry_urls` is the order in which this caller turns to the entry hosts.
+    Requests that find no answer until `give_up_after_s` stay unacknowledged.
+    """
+
+    token: str
+    entry_urls: list[str]
+    give_up_after_s: float = 30
+    notes: list[JobNote] = field(default_factory=list)
+    _http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(retries=False, maxsize=8),
+    )
+
+    def submit(self, bodies: list[dict[str, Any]]) -> list[JobNote]:
+        """Submit a batch; jobs that are refused for now are sent again."""
+        sent = [JobNote(body, sent_at_ms=clock_ms()) for body in bodies]
+        self.notes.extend(sent)
+        for url in self._entries():
+            open_notes = [note for note in sent if not note.code]
+            if not open_notes:
+                break
+            self._submit_once(url, open_notes)
+        return sent
+
+    def cancel(self, note: JobNote) -> None:
+        """Cancel a job; repeated until it is acknowledged."""
+        path = f'/v1/jobs/{note.job_id}'
+        for url in self._entries():
+            answer = self.request('DELETE', url + path)
+            if answer is not None and answer['code'] not in _PASSING:
+                note.cancel_acknowledged = (
+                    answer['code'] == codes.CANCEL_STARTED.number
+                )
+                return
+
+    def query(self, job_id: str, wait_ms: int = 0) -> dict[str, Any]:
+        """Return what an entry host says of a job."""
+        path = f'/v1/jobs/{job_id}?wait_ms={wait_ms}'
+        for url in self._entries():
+            answer = self.request('GET', url + path, wait_ms / 1000)
+            if answer is not None and answer['code'] not in _PASSING:
+                return answer
+        return {}
+
+    def request(
+        self,
+        method: str,
+        url: str,
+        wait_s: float = 0,
+        body: dict[str, Any] | None = None,
+    ) -> dict[str, Any] | None:
+        """Send one request; returns `None` when there is no answer."""
+        try:
+            answer = self._http.request(
+                method,
+                url,
+                json=body,
+                headers={'Authorization': f'Bearer {self.token}'},
+                timeout=_TIMEOUT_S + wait_s,
+            )
+            read: dict[str, Any] = answer.json()
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+        return read
+
+    def _submit_once(self, url: str, notes: list[JobNote]) -> None:
+        bodies = []
+        for sent in notes:
+            sent.tries_count += 1
+            bodies.append(sent.body)
+        body = {'jobs': bodies}
+        answer = self.request('POST', f'{url}/v1/jobs', body=body)
+        if answer is None or 'answers' not in answer:
+            return
+        for note, one in zip(notes, answer['answers'], strict=True):
+            note.take(one)
+
+    def _entries(self) -> Iterator[str]:
+        ends_at_s = time.monotonic() + self.give_up_after_s
+        while time.monotonic() < ends_at_s:
+            yield from self.entry_urls
+            time.sleep(_RETRY_PAUSE_S)
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,170 @@
+"""Runs a small cell, kills the owner midway and counts what became of jobs.
+
+Ends with exit status 0 only when nothing was lost, doubled or overcommitted.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+from fuchsiarill.clock import MS_PER_SECOND, sleep_ms
+from fuchsiarill.ports.thread_lane import ThreadLane
+from tools.caller import Caller, JobNote, clock_ms
+from tools.cell import Cell
+from tools.demo_load import Team, make_jobs
+from tools.demo_table import (
+    fault_rows,
+    job_rows,
+    last_line,
+    takeover_row,
+    wait_row,
+)
+from tools.deployment import load_deployment
+from tools.tally import Tally, runs_of, tally
+
+_EXAMPLES: Final = Path(__file__).resolve().parent.parent / 'examples'
+_RUN_MAX_MS: Final = 45_000
+_BATCH_COUNT: Final = 8
+_BATCH_PAUSE_MS: Final = 400
+_KILL_AFTER_MS: Final = 3_000
+_POLL_INTERVAL_MS: Final = 500
+_CANCEL_EVERY: Final = 11
+_CALLERS_PER_CUSTOMER: Final = 2
+_THREADS_COUNT: Final = 8
+_FAILED_STATUS: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Share:
+    caller: Caller
+    jobs: list[dict[str, Any]]
+
+
+class Demo:
+    """One run against a cell that is ready."""
+
+    def __init__(self, cell: Cell) -> None:
+        """Create the callers of each customer."""
+        self._cell = cell
+        self._lane = ThreadLane('demo', _THREADS_COUNT, _THREADS_COUNT)
+        self._began_ms = clock_ms()
+        self._killed_at_ms = 0
+        self._store_before = cell.control(cell.store_url)
+        self._shares: list[_Share] = []
+        urls = list(cell.entry_urls.values())
+        for number, customer in enumerate(cell.deployment.customers):
+            jobs = make_jobs(Team(customer, number, seed=number))
+            for part in range(_CALLERS_PER_CUSTOMER):
+                first = (number + 2 * part) % len(urls)
+                caller = Caller(
+                    cell.deployment.tokens[customer],
+                    urls[first:] + urls[:first],
+                )
+                taken = jobs[part::_CALLERS_PER_CUSTOMER]
+                self._shares.append(_Share(caller, taken))
+
+    @property
+    def notes(self) -> list[JobNote]:
+        """Return what all callers noted."""
+        return [note for share in self._shares for note in share.caller.notes]
+
+    async def run(self) -> Tally:
+        """Send the load, kill the owner, wait for the end, print."""
+        try:
+            async with asyncio.timeout(_RUN_MAX_MS / MS_PER_SECOND):
+                await asyncio.gather(
+                    self._kill_owner(),
+                    *map(self._send, self._shares),
+                )
+        except TimeoutError:
+            _say('the callers did not get all their answers in time')
+        counted = await self._wait_settled()
+        self._print(counted)
+        return counted
+
+    async def _send(self, share: _Share) -> None:
+        sent_count = 0
+        for first in range(0, len(share.jobs), _BATCH_COUNT):
+            batch = share.jobs[first : first + _BATCH_COUNT]
+            for note in await self._call(partial(share.caller.submit, batch)):
+                sent_count += 1
+                if note.is_accepted and sent_count % _CANCEL_EVERY == 0:
+                    await self._call(partial(share.caller.cancel, note))
+            await sleep_ms(_BATCH_PAUSE_MS)
+
+    async def _kill_owner(self) -> None:
+        await sleep_ms(_KILL_AFTER_MS)
+        owner = self._cell.owner()
+        if owner is None:
+            raise RuntimeError('no process owns the partition')
+        self._cell.processes.kill(owner)
+        self._killed_at_ms = clock_ms()
+        _say(f'killed {owner}, the owner of the partition')
+
+    async def _wait_settled(self) -> Tally:
+        while True:
+            counted = tally(self.notes, self._cell.worker_logs())
+            spent_ms = clock_ms() - self._began_ms
+            if counted.is_settled or spent_ms > _RUN_MAX_MS:
+                return counted
+            await sleep_ms(_POLL_INTERVAL_MS)
+
+    async def _call(self, work: Any) -> Any:
+        running = self._lane.run(work)
+        if running is None:
+            raise RuntimeError('more callers than threads')
+        return await running
+
+    def _print(self, counted: Tally) -> None:
+        runs = runs_of(self._cell.worker_logs())
+        for row in job_rows(self.notes, counted):
+            _say(row)
+        _say(wait_row('urgent', self.notes, runs))
+        _say(wait_row('normal', self.notes, runs))
+        _say(takeover_row(runs, self._killed_at_ms))
+        _say(self._store_row())
+        for fault in fault_rows(counted):
+            _say(fault)
+
+    def _store_row(self) -> str:
+        after = self._cell.control(self._cell.store_url)
+        spent_s = (clock_ms() - self._began_ms) / MS_PER_SECOND
+        rates = []
+        for kind in ('reads', 'writes'):
+            count = after[f'{kind}_count'] - self._store_before[f'{kind}_count']
+            rates.append(f'{count / spent_s:.0f} {kind}/s')
+        return f'store: {", ".join(rates)}'
+
+
+def _say(line: str) -> None:
+    print(line, flush=True)
+
+
+def main() -> int:
+    """Run the demo of one deployment."""
+    parser = argparse.ArgumentParser(prog='tools.demo')
+    parser.add_argument('--deployment', default='frostwick')
+    options = parser.parse_args()
+    # SIGTERM ends the processes like Ctrl-C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    deployment = load_deployment(_EXAMPLES / f'{options.deployment}-hosts.yaml')
+    configuration = (_EXAMPLES / deployment.configuration).read_text()
+    with tempfile.TemporaryDirectory(prefix='fuchsiarill-demo-') as folder:
+        with Cell(deployment, configuration, Path(folder)) as cell:
+            _say(
+                f'{options.deployment}: {len(cell.entries)} workers, '
+                f'{len(cell.entry_urls)} entry processes are ready',
+            )
+            counted = asyncio.run(Demo(cell).run())
+    _say(last_line(counted))
+    return 0 if counted.is_good else _FAILED_STATUS
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,81 @@
+"""The hosts file beside an example: what the demo starts.
+
+It names failure domains, entry processes and workers by rack; ports are
+chosen when it is started.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field
+
+from fuchsiarill.cell_config import Amounts
+from fuchsiarill.ids import (
+    CustomerId,
+    FailureDomain,
+    ProcessId,
+    RackId,
+    RegionId,
+    WorkerId,
+)
+from standins.worker_settings import Deviation
+
+_Positive = Annotated[int, Field(gt=0)]
+_Count = Annotated[int, Field(ge=0)]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class EntryProcess(_Model):
+    """One daemon."""
+
+    process: ProcessId
+    failure_domain: FailureDomain
+
+
+class Rack(_Model):
+    """Workers of one shape in one rack."""
+
+    rack: RackId
+    failure_domain: FailureDomain
+    shape: str
+    workers_count: _Positive
+
+
+class Deployment(_Model):
+    """The whole file; `tokens` are those of the demo."""
+
+    deployment: str
+    configuration: Path
+    region: RegionId
+    host_list_lag_ms: _Count
+    tokens: dict[str, str]
+    entry_processes: tuple[EntryProcess, ...]
+    shapes: dict[str, Amounts]
+    racks: tuple[Rack, ...]
+    deviation: Deviation = Deviation()
+
+    @property
+    def customers(self) -> tuple[CustomerId, ...]:
+        """Return the customers, the larger team first."""
+        return tuple(
+            CustomerId(name) for name in self.tokens if name != 'operator'
+        )
+
+    def workers(self) -> Iterator[tuple[WorkerId, Rack]]:
+        """Return each worker with its rack."""
+        for rack in self.racks:
+            for number in range(1, rack.workers_count + 1):
+                yield WorkerId(f'{rack.rack}-{number:02}'), rack
+
+
+def load_deployment(path: Path) -> Deployment:
+    """Read a hosts file.
+
+    Raises `OSError`, `yaml.YAMLError` or `pydantic.ValidationError`.
+    """
+    return Deployment.model_validate(yaml.safe_load(path.read_text()))
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,105 @@
+"""Starts processes for the demo and the tests, and ends just these.
+
+Each process runs in a session of its own, so that Ctrl-C reaches only the
+launcher, which then ends all of them by their ids.
+"""
+
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+# Below the range from which the system takes ports of outgoing connections.
+_FIRST_PORT: Final = 12_000
+_LAST_PORT: Final = 32_000
+_STOP_TIMEOUT_S: Final = 10
+_POLL_INTERVAL_S: Final = 0.05
+_ROOT: Final = Path(__file__).resolve().parent.parent
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on loopback that nothing listens on."""
+    ports: list[int] = []
+    candidate = random.randrange(_FIRST_PORT, _LAST_PORT)
+    while len(ports) < count:
+        candidate += 1
+        if candidate > _LAST_PORT:
+            candidate = _FIRST_PORT
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', candidate))
+            except OSError:
+                continue
+        ports.append(candidate)
+    return ports
+
+
+def wait_until(
+    condition: Callable[[], bool],
+    what: str,
+    timeout_s: float = 60,
+) -> None:
+    """Wait for a condition; raises `TimeoutError` that names `what`."""
+    ends_at_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > ends_at_s:
+            raise TimeoutError(f'after {timeout_s} s: {what}')
+        time.sleep(_POLL_INTERVAL_S)
+
+
+class Processes:
+    """The processes of one launcher by name."""
+
+    def __init__(self, log_folder: Path) -> None:
+        """Write the output of each process to a file in the folder."""
+        self._log_folder = log_folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, module: str, *options: object) -> None:
+        """Run a module of this repository."""
+        with (self._log_folder / f'{name}.log').open('ab') as output:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, '-m', module, *map(str, options)],
+                cwd=_ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                start_new_session=True,
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self._running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End one process by SIGKILL and wait for its end."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def has_ended(self, name: str) -> bool:
+        """Tell whether a process has ended by itself."""
+        return self._running[name].poll() is not None
+
+    def exit_status(self, name: str) -> int:
+        """Wait for the end of a process and return its exit status."""
+        return self._running[name].wait(_STOP_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """End all processes, in the reverse order of their start."""
+        for process in reversed(self._running.values()):
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        ends_at_s = time.monotonic() + _STOP_TIMEOUT_S
+        for process in self._running.values():
+            try:
+                process.wait(max(0, ends_at_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._running.clear()
