--- a/tools/demo.py
+++ b/tools/demo.py
@@ -25,10 +25,9 @@
     takeover_row,
     wait_row,
 )
-from tools.deployment import load_deployment
+from tools.deployment import EXAMPLES, load_deployment
 from tools.tally import Tally, runs_of, tally
 
-_EXAMPLES: Final = Path(__file__).resolve().parent.parent / 'examples'
 _RUN_MAX_MS: Final = 45_000
 _BATCH_COUNT: Final = 8
 _BATCH_PAUSE_MS: Final = 400
@@ -153,8 +152,8 @@
     options = parser.parse_args()
     # SIGTERM ends the processes like Ctrl-C does.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    deployment = load_deployment(_EXAMPLES / f'{options.deployment}-hosts.yaml')
-    configuration = (_EXAMPLES / deployment.configuration).read_text()
+    deployment = load_deployment(EXAMPLES / f'{options.deployment}-hosts.yaml')
+    configuration = (EXAMPLES / deployment.configuration).read_text()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-demo-') as folder:
         with Cell(deployment, configuration, Path(folder)) as cell:
             _say(
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Final
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field
@@ -22,6 +22,8 @@
 )
 from standins.worker_settings import Deviation
 
+EXAMPLES: Final = Path(__file__).resolve().parent.parent / 'examples'
+
 _Positive = Annotated[int, Field(gt=0)]
 _Count = Annotated[int, Field(ge=0)]
 
--- /dev/null
+++ b/tools/run_cell.py
@@ -0,0 +1,39 @@
+"""Runs the cell of an example until Ctrl-C, to try things out by hand."""
+
+import argparse
+import signal
+import tempfile
+from pathlib import Path
+
+from tools.cell import Cell
+from tools.deployment import EXAMPLES, load_deployment
+
+
+def main() -> None:
+    """Start the cell, print where it is, wait for a signal."""
+    parser = argparse.ArgumentParser(prog='tools.run_cell')
+    parser.add_argument('--deployment', default='frostwick')
+    options = parser.parse_args()
+    # SIGTERM ends the processes like Ctrl-C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    deployment = load_deployment(EXAMPLES / f'{options.deployment}-hosts.yaml')
+    configuration = (EXAMPLES / deployment.configuration).read_text()
+    with tempfile.TemporaryDirectory(prefix='fuchsiarill-cell-') as folder:
+        with Cell(deployment, configuration, Path(folder)) as cell:
+            for process, url in cell.entry_urls.items():
+                print(f'{process}: {url}')
+            for name, token in deployment.tokens.items():
+                print(f'token of {name}: {token}')
+            print(f'logs: {folder}; Ctrl-C ends everything', flush=True)
+            _wait_for_interrupt()
+
+
+def _wait_for_interrupt() -> None:
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        return
+
+
+if __name__ == '__main__':
+    main()
