Hold the deadline of a call also against an answer in small pieces

The time-out of a socket starts anew with each piece, so a server that dripped its answer held its caller as long as it liked. The caller now gives up at the deadline; a call that still waits for a thread is withdrawn and counts as not sent. The test drips for 20 s against a deadline of 500 ms.

--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -1,12 +1,14 @@
 """Blocking HTTP calls of `urllib3`, made from tasks through threads.
 
 The number of calls in progress is bounded; a further call is refused at once
-as not sent. The deadline of a call includes its wait for a thread. A
-connection whose call misses its deadline is closed by `urllib3` and never
-used again, since its late answer would go to the next request. Calls that
-wait for an event on purpose have threads of their own.
+as not sent. The deadline of a call includes its wait for a thread, and holds
+for the caller also when an answer arrives in small pieces, each within the
+time-out of the socket. A connection whose call misses its deadline is closed
+by `urllib3` and never used again, since its late answer would go to the next
+request. Calls that wait for an event on purpose have threads of their own.
 """
 
+import asyncio
 import time
 from dataclasses import dataclass
 from enum import Enum
@@ -23,6 +25,8 @@
 _CONNECTION_POOLS_COUNT: Final = 512
 # A process watches the configuration and the owner of each partition.
 _WAITING_MAX_COUNT: Final = 16
+# The thread knows better whether a late call was sent; it is asked first.
+_THREAD_VERDICT_MS: Final = 50
 _NEVER_SENT: Final = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -98,7 +102,17 @@
         running = lane.run(partial(self._post, url, body, deadline_s))
         if running is None:
             return Failure(CallFailure.NOT_SENT)
-        return await running
+        try:
+            async with asyncio.timeout(
+                (timeout_ms + _THREAD_VERDICT_MS) / MS_PER_SECOND,
+            ):
+                return await asyncio.wrap_future(running)
+        except TimeoutError:
+            # Only a call that still waits for a thread can be cancelled.
+            is_unsent = running.cancel()
+        return Failure(
+            CallFailure.NOT_SENT if is_unsent else CallFailure.NO_ANSWER,
+        )
 
     def _post(
         self,
--- a/fuchsiarill/ports/thread_lane.py
+++ b/fuchsiarill/ports/thread_lane.py
@@ -5,7 +5,6 @@
 answer does not hold up the end of the process.
 """
 
-import asyncio
 import queue
 import threading
 from collections.abc import Callable
@@ -42,18 +41,19 @@
     def run(
         self,
         work: Callable[[], _Outcome],
-    ) -> asyncio.Future[_Outcome] | None:
+    ) -> Future[_Outcome] | None:
         """Run a function in a thread; returns `None` when the lane is full.
 
         A place is free again when the function has ended, also when nobody
-        waits for it any more.
+        waits for it any more. A function that waits for a thread can still
+        be cancelled.
         """
         if not self._vacant.acquire(blocking=False):
             return None
         future: Future[_Outcome] = Future()
         self._jobs.put(_Job(work, future))
         self._add_thread()
-        return asyncio.wrap_future(future)
+        return future
 
     def close(self) -> None:
         """Let the idle threads end."""
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -171,13 +171,41 @@
             await served.control(paused=True)
             client = HttpClient(threads_count=1, in_progress_max=2)
             url = f'{served.url}/v1/get'
-            calls = [client.post(url, b'{}', 500) for _ in range(2)]
-            answers = await asyncio.gather(*calls)
+            body = b'{"key": "key"}'
+            first = asyncio.create_task(client.post(url, body, _LONG_MS))
+            await asyncio.sleep(0)
+            second = await client.post(url, body, 100)
+            await served.control(paused=False)
+            answered = await first
             client.close()
-            assert answers == [
-                Failure(CallFailure.NO_ANSWER),
-                Failure(CallFailure.NOT_SENT),
-            ]
+            assert second == Failure(CallFailure.NOT_SENT)
+            assert answered.unwrap().status == 200
+            state = await served.control()
+            assert state['calls_count'] == {'get': 1}
+
+    asyncio.run(main())
+
+
+def test_answer_in_small_pieces_keeps_to_the_deadline() -> None:
+    """Guards against an answer that never ends and holds up its caller."""
+
+    async def drip(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n')
+        for _ in range(1000):
+            writer.write(b'x')
+            await asyncio.sleep(0.02)
+
+    async def main() -> None:
+        server = await asyncio.start_server(drip, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(threads_count=1, in_progress_max=1)
+        answer = await client.post(f'http://127.0.0.1:{port}/', b'', 500)
+        client.close()
+        server.close()
+        assert answer == Failure(CallFailure.NO_ANSWER)
 
     asyncio.run(main())
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -118,7 +118,7 @@
         running = self._lane.run(work)
         if running is None:
             raise RuntimeError('more callers than threads')
-        return await running
+        return await asyncio.wrap_future(running)
 
     def _print(self, counted: Tally) -> None:
         runs = runs_of(self._cell.worker_logs())
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -55,9 +55,17 @@
 class Processes:
     """The processes of one launcher by name."""
 
-    def __init__(self, log_folder: Path) -> None:
-        """Write the output of each process to a file in the folder."""
+    def __init__(
+        self,
+        log_folder: Path,
+        stop_timeout_s: float = _STOP_TIMEOUT_S,
+    ) -> None:
+        """Write the output of each process to a file in the folder.
+
+        A process that runs `stop_timeout_s` after SIGTERM is killed.
+        """
         self._log_folder = log_folder
+        self._stop_timeout_s = stop_timeout_s
         self._running: dict[str, subprocess.Popen[bytes]] = {}
 
     def start(self, name: str, module: str, *options: object) -> None:
@@ -72,6 +80,10 @@
                 start_new_session=True,
             )
 
+    def ids(self) -> list[int]:
+        """Return the ids of all processes."""
+        return [process.pid for process in self._running.values()]
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self._running[name].send_signal(number)
@@ -88,14 +100,14 @@
 
     def exit_status(self, name: str) -> int:
         """Wait for the end of a process and return its exit status."""
-        return self._running[name].wait(_STOP_TIMEOUT_S)
+        return self._running[name].wait(self._stop_timeout_s)
 
     def stop(self) -> None:
         """End all processes, in the reverse order of their start."""
         for process in reversed(self._running.values()):
             process.send_signal(signal.SIGCONT)
             process.terminate()
-        ends_at_s = time.monotonic() + _STOP_TIMEOUT_S
+        ends_at_s = time.monotonic() + self._stop_timeout_s
         for process in self._running.values():
             try:
                 process.wait(max(0, ends_at_s - time.monotonic()))
