Add the messages for lists, explanations and a changed configuration

The routes GET /v1/jobs, GET /v1/jobs/ID/why and the spread of the configuration need messages that the owner of a partition handles.

--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 
 from fuchsiarill.actor import Reply
-from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
+from fuchsiarill.answers import (
+    JobAnswer,
+    JobCancel,
+    JobList,
+    JobQuery,
+    JobWhy,
+)
+from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.core.effects import CommandTask, StartTask
 from fuchsiarill.ids import AttemptId, Epoch, WorkerId
 from fuchsiarill.job import JobSpec
@@ -111,3 +118,26 @@
 @dataclass(frozen=True, slots=True)
 class Tick:
     """It is time for the periodic work of the receiver."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChanged:
+    """A newer configuration is in force in this process."""
+
+    config: CellConfig
+
+
+@dataclass(frozen=True, slots=True)
+class ListJobs:
+    """List jobs of a customer, the latest accepted first."""
+
+    query: JobList
+    reply: Reply[tuple[JobAnswer, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainJob:
+    """Say what a job of a customer waits for."""
+
+    query: JobQuery
+    reply: Reply[JobWhy]
