--- /dev/null
+++ b/fuchsiarill/cluster/config_document.py
@@ -0,0 +1,59 @@
+"""The stored form of a configuration, with its generation and author."""
+
+from typing import Final
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.ids import Generation, StoreKey
+
+CONFIG_KEY: Final = StoreKey('config/current')
+
+# A lost store reply is resolved by this list, so it must be longer than the
+# number of changes that operators can make within one call's deadline.
+_TOKENS_COUNT: Final = 16
+
+
+class ConfigDocument(BaseModel):
+    """Value of the store key `config/current`.
+
+    `tokens` holds one unique token for each of the last generations, the
+    present one last; an author whose write had no answer finds its own here.
+    """
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    generation: Generation
+    author: str
+    text: str
+    tokens: tuple[str, ...] = ()
+
+    def successor(self, text: str, author: str, token: str) -> 'ConfigDocument':
+        """Return the document of the next generation."""
+        tokens = (*self.tokens, token)
+        return ConfigDocument(
+            generation=Generation(self.generation + 1),
+            author=author,
+            text=text,
+            tokens=tokens[-_TOKENS_COUNT:],
+        )
+
+
+# What an operator changes before any document is stored.
+NO_DOCUMENT: Final = ConfigDocument(
+    generation=Generation(0),
+    author='',
+    text='',
+)
+
+
+def read_document(encoded: str | None) -> Result[ConfigDocument, str]:
+    """Read the value of the store key; an absent one is no document."""
+    if encoded is None:
+        return Success(NO_DOCUMENT)
+    try:
+        return Success(ConfigDocument.model_validate_json(encoded))
+    except ValidationError as invalid:
+        problem = invalid.errors()[0]
+        field = '.'.join(str(part) for part in problem['loc'])
+        return Failure(f'{field}: {problem["msg"]}')
--- /dev/null
+++ b/fuchsiarill/cluster/member_table.py
@@ -0,0 +1,262 @@
+"""What a process knows of the others, and how two such tables are merged.
+
+A table has two parts. Details (address, failure domain, partitions owned)
+change rarely; a beat has a fixed size of 16 bytes on the wire and changes
+each second. An exchange carries all beats, but only the details that the
+other side lacks, so its size stays small with hundreds of members.
+"""
+
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Final
+
+from fuchsiarill.ids import FailureDomain, Generation, PartitionId, ProcessId
+from fuchsiarill.settings import MembershipSettings
+from fuchsiarill.state_chart import load_chart
+from fuchsiarill.states import MemberEvent, MemberState, ProcessState
+
+MEMBER_CHART: Final = load_chart('member', MemberState, MemberEvent)
+
+NO_GENERATION: Final = Generation(0)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberDetail:
+    """What changes rarely of a process.
+
+    `incarnation` is higher after each restart, `version` after each change
+    within one incarnation.
+    """
+
+    process: ProcessId
+    failure_domain: FailureDomain
+    address: str
+    incarnation: int
+    version: int = 0
+    state: ProcessState = ProcessState.STARTING
+    partitions: tuple[PartitionId, ...] = ()
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what tells an older detail from a newer one."""
+        return (self.incarnation, self.version)
+
+    @property
+    def key(self) -> int:
+        """Return the short name that beats use for this detail."""
+        named = f'{self.process}\n{self.incarnation}\n{self.version}'
+        return zlib.crc32(named.encode())
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """What changes all the time of a process; the highest counter wins."""
+
+    key: int
+    heartbeat: int
+    generation: Generation
+    load_permille: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """One message of an exchange; `wanted` names details by their key."""
+
+    beats: tuple[Beat, ...]
+    details: tuple[MemberDetail, ...] = ()
+    wanted: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A process as another one sees it."""
+
+    detail: MemberDetail
+    beat: Beat
+    heard_at_ms: int
+    state: MemberState = MemberState.LIVE
+
+    @property
+    def reachable(self) -> bool:
+        """Return whether the process is regarded as alive and listening."""
+        stopped = self.detail.state is ProcessState.STOPPED
+        return self.state is MemberState.LIVE and not stopped
+
+
+class MemberTable:
+    """All known members, the own process included."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        own: MemberDetail,
+        now_ms: int,
+    ) -> None:
+        """Start with the own process only."""
+        self._settings = settings
+        self._own_id = own.process
+        beat = Beat(own.key, 0, NO_GENERATION, 0)
+        self._members = {own.process: Member(own, beat, now_ms)}
+        self._ids = {own.key: own.process}
+        # Last beat of removed members: older news must not bring them back.
+        self._removed: dict[int, Member] = {}
+
+    @property
+    def own(self) -> Member:
+        """Return the own process."""
+        return self._members[self._own_id]
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all members in the order of their ids."""
+        return tuple(self._members[name] for name in sorted(self._members))
+
+    def change_own(self, detail: MemberDetail) -> None:
+        """Publish a new version of the own detail."""
+        own = self.own
+        changed = replace(detail, version=own.detail.version + 1)
+        beat = replace(own.beat, key=changed.key)
+        self._put(Member(changed, beat, own.heard_at_ms))
+
+    def beat(
+        self,
+        generation: Generation,
+        load_permille: int,
+        now_ms: int,
+    ) -> tuple[Member, ...]:
+        """Count the own heartbeat up and step the silent members.
+
+        Returns the members that were removed from the view.
+        """
+        own = self.own
+        counted = Beat(
+            own.detail.key,
+            own.beat.heartbeat + 1,
+            generation,
+            load_permille,
+        )
+        self._put(Member(own.detail, counted, now_ms))
+        for key, gone in tuple(self._removed.items()):
+            if now_ms - gone.heard_at_ms > self._settings.forget_after_ms:
+                self._removed.pop(key)
+        return tuple(
+            member
+            for member in self.members()
+            if self._check_silence(member, now_ms)
+        )
+
+    def opening(self) -> Gossip:
+        """Return the first message of an exchange."""
+        return Gossip(tuple(member.beat for member in self.members()))
+
+    def merge(self, received: Gossip, now_ms: int) -> Gossip:
+        """Take over what is newer, and return what the other side lacks."""
+        beats = {beat.key: beat for beat in received.beats}
+        for detail in received.details:
+            self._take_detail(detail, beats.get(detail.key), now_ms)
+        for beat in received.beats:
+            self._take_beat(beat, now_ms)
+        return Gossip(
+            beats=tuple(self._newer_than(beats)),
+            details=tuple(self._details_for(beats, received.wanted)),
+            wanted=tuple(key for key in beats if self._wants(beats[key])),
+        )
+
+    def requested(self, wanted: Iterable[int]) -> Gossip:
+        """Return the details that the other side asked for."""
+        details = tuple(self._details_for({}, tuple(wanted)))
+        keys = {detail.key for detail in details}
+        beats = (member.beat for member in self.members())
+        return Gossip(
+            tuple(beat for beat in beats if beat.key in keys),
+            details,
+        )
+
+    def _put(self, member: Member) -> None:
+        name = member.detail.process
+        known = self._members.get(name)
+        if known is not None:
+            self._ids.pop(known.detail.key, None)
+        self._members[name] = member
+        self._ids[member.detail.key] = name
+
+    def _check_silence(self, member: Member, now_ms: int) -> bool:
+        """Return whether the member was removed for its silence."""
+        if member.detail.process == self._own_id:
+            return False
+        limit_ms = self._settings.suspect_after_ms
+        if member.state is MemberState.SUSPECTED:
+            limit_ms = self._settings.remove_after_ms
+        if now_ms - member.heard_at_ms < limit_ms:
+            return False
+        step = MEMBER_CHART.step(member.state, MemberEvent.SILENT)
+        if step is None:
+            return False
+        if step.target is MemberState.REMOVED:
+            self._members.pop(member.detail.process)
+            self._ids.pop(member.detail.key)
+            self._removed[member.detail.key] = member
+            return True
+        self._put(replace(member, state=step.target))
+        return False
+
+    def _take_detail(
+        self,
+        detail: MemberDetail,
+        beat: Beat | None,
+        now_ms: int,
+    ) -> None:
+        if detail.process == self._own_id:
+            self._outbid(detail)
+            return
+        known = self._members.get(detail.process)
+        if known is not None and known.detail.order >= detail.order:
+            return
+        if beat is None or self._is_stale(beat):
+            return
+        if known is not None and known.detail.incarnation == detail.incarnation:
+            # The counter goes on within an incarnation.
+            if beat.heartbeat < known.beat.heartbeat:
+                beat = replace(beat, heartbeat=known.beat.heartbeat)
+        self._put(Member(detail, beat, now_ms))
+
+    def _outbid(self, detail: MemberDetail) -> None:
+        """Win over a detail of an earlier run with a later clock."""
+        own = self.own.detail
+        if detail.order > own.order:
+            self.change_own(replace(own, incarnation=detail.incarnation + 1))
+
+    def _take_beat(self, beat: Beat, now_ms: int) -> None:
+        name = self._ids.get(beat.key)
+        if name is None or name == self._own_id:
+            return
+        member = self._members[name]
+        if beat.heartbeat <= member.beat.heartbeat:
+            return
+        step = MEMBER_CHART.step(member.state, MemberEvent.HEARD)
+        state = member.state if step is None else step.target
+        self._members[name] = Member(member.detail, beat, now_ms, state)
+
+    def _newer_than(self, beats: dict[int, Beat]) -> Iterable[Beat]:
+        for member in self.members():
+            theirs = beats.get(member.detail.key)
+            if theirs is None or theirs.heartbeat < member.beat.heartbeat:
+                yield member.beat
+
+    def _details_for(
+        self,
+        beats: dict[int, Beat],
+        wanted: tuple[int, ...],
+    ) -> Iterable[MemberDetail]:
+        asked = set(wanted)
+        for member in self.members():
+            key = member.detail.key
+            if key in asked or (beats and key not in beats):
+                yield member.detail
+
+    def _wants(self, beat: Beat) -> bool:
+        return beat.key not in self._ids and not self._is_stale(beat)
+
+    def _is_stale(self, beat: Beat) -> bool:
+        gone = self._removed.get(beat.key)
+        return gone is not None and gone.beat.heartbeat >= beat.heartbeat
--- /dev/null
+++ b/fuchsiarill/cluster/membership.py
@@ -0,0 +1,314 @@
+"""The actor that knows the other processes: directory, gossip, view.
+
+Each second it exchanges its table with a few random peers. The directory in
+the store is read while no peer is known and changed on join and on leave.
+"""
+
+import random
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from returns.result import Success
+
+from fuchsiarill.actor import Mailbox, Reply, handles
+from fuchsiarill.clock import now_ms
+from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.member_table import (
+    NO_GENERATION,
+    Gossip,
+    Member,
+    MemberDetail,
+    MemberTable,
+)
+from fuchsiarill.cluster.peer_port import PeerPort
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.ids import Generation, PartitionId, ProcessId
+from fuchsiarill.owner.messages import Tick
+from fuchsiarill.settings import MembershipSettings
+from fuchsiarill.states import ProcessState
+
+# Bounds what a long life collects of addresses that may be gone for good.
+_ADDRESSES_MAX_COUNT: Final = 256
+
+# Every so many rounds a process that is no longer in the view is called, so
+# that two halves find each other again after a cut.
+_LOST_INTERVAL_ROUNDS: Final = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Gossiped:
+    """Another process sent its part of an exchange."""
+
+    received: Gossip
+    reply: Reply[Gossip]
+
+
+@dataclass(frozen=True, slots=True)
+class GossipAnswered:
+    """Another process answered an exchange; `None` for no answer."""
+
+    address: str
+    received: Gossip | None
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryRead:
+    """The directory was joined or read, or the store did not answer."""
+
+    joined: bool
+    addresses: dict[ProcessId, str]
+
+
+@dataclass(frozen=True, slots=True)
+class StateChanged:
+    """The own process entered a state."""
+
+    state: ProcessState
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionsOwned:
+    """The own process owns these partitions."""
+
+    partitions: tuple[PartitionId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationInForce:
+    """This generation of the configuration is in force here."""
+
+    generation: Generation
+
+
+@dataclass(frozen=True, slots=True)
+class LoadMeasured:
+    """Requests in progress, in thousandths of the permitted number."""
+
+    load_permille: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskView:
+    """Asks for all members in the view."""
+
+    reply: Reply[tuple[Member, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveCluster:
+    """Leave the directory and tell a few peers."""
+
+    reply: Reply[None]
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """Sent to subscribers after each round, changed or not."""
+
+    members: tuple[Member, ...]
+    own: ProcessId
+
+
+class Membership(SpawningActor):
+    """Owns the member table of its process."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        own: MemberDetail,
+        directory: Directory,
+        peers: PeerPort,
+        chance: random.Random,
+    ) -> None:
+        """Know the own process only; needs a running loop."""
+        super().__init__('membership')
+        self.subscribers: list[Mailbox] = []
+        self.table = MemberTable(settings, own, now_ms())
+        self._settings = settings
+        self._directory = directory
+        self._peers = peers
+        self._chance = chance
+        self._joined = False
+        self._addresses: dict[ProcessId, str] = {}
+        self._generation = NO_GENERATION
+        self._load_permille = 0
+        self._rounds_count = 0
+
+    def start(self) -> None:
+        """Run the actor, join the directory and gossip at an interval."""
+        super().start()
+        self.mailbox.send(Tick())
+        self.tick_every(self._settings.gossip_interval_ms, Tick())
+
+    @handles(Tick)
+    async def on_tick(self, message: Tick) -> None:
+        """Exchange tables with a few peers."""
+        removed = self.table.beat(
+            self._generation,
+            self._load_permille,
+            now_ms(),
+        )
+        self._remember(
+            {
+                member.detail.process: member.detail.address
+                for member in removed
+                if member.detail.state is not ProcessState.STOPPED
+            },
+        )
+        self._publish()
+        self._rounds_count += 1
+        if self._directory_due():
+            self.spawn(self._join_and_read())
+        for address in self._targets():
+            self.spawn(self._exchange(address, self.table.opening()))
+
+    @handles(DirectoryRead)
+    async def on_directory(self, message: DirectoryRead) -> None:
+        """Note where to look for peers, and call some at once."""
+        self._joined = self._joined or message.joined
+        self._remember(message.addresses)
+        for address in self._targets():
+            self.spawn(self._exchange(address, self.table.opening()))
+
+    @handles(Gossiped)
+    async def on_gossip(self, message: Gossiped) -> None:
+        """Merge what another process sent and answer with what it lacks."""
+        message.reply.answer(self.table.merge(message.received, now_ms()))
+        self._publish()
+
+    @handles(GossipAnswered)
+    async def on_answer(self, message: GossipAnswered) -> None:
+        """Merge the answer and send the details asked for."""
+        received = message.received
+        if received is None:
+            return
+        self.table.merge(received, now_ms())
+        wanted = self.table.requested(received.wanted)
+        if wanted.details:
+            self.spawn(self._exchange(message.address, wanted))
+        self._publish()
+
+    @handles(StateChanged)
+    async def on_state(self, message: StateChanged) -> None:
+        """Publish the state of the own process."""
+        self._change_own(replace(self.table.own.detail, state=message.state))
+
+    @handles(PartitionsOwned)
+    async def on_partitions(self, message: PartitionsOwned) -> None:
+        """Publish the partitions that the own process owns."""
+        own = self.table.own.detail
+        self._change_own(replace(own, partitions=message.partitions))
+
+    @handles(GenerationInForce)
+    async def on_generation(self, message: GenerationInForce) -> None:
+        """Publish the generation in force with the next beat."""
+        self._generation = message.generation
+        self.table.beat(self._generation, self._load_permille, now_ms())
+        self._publish()
+
+    @handles(LoadMeasured)
+    async def on_load(self, message: LoadMeasured) -> None:
+        """Publish the load with the next beat."""
+        self._load_permille = message.load_permille
+
+    @handles(AskView)
+    async def on_view(self, message: AskView) -> None:
+        """Return the view."""
+        message.reply.answer(self.table.members())
+
+    @handles(LeaveCluster)
+    async def on_leave(self, message: LeaveCluster) -> None:
+        """Leave; a failure only leaves an entry that gossip ignores."""
+        own = replace(self.table.own.detail, state=ProcessState.STOPPED)
+        self._change_own(own)
+        self.spawn(self._leave(message.reply))
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            **super().snapshot(),
+            'joined': self._joined,
+            'directory_count': len(self._addresses),
+            'members': [
+                {
+                    'process': member.detail.process,
+                    'address': member.detail.address,
+                    'incarnation': member.detail.incarnation,
+                    'heartbeat': member.beat.heartbeat,
+                    'generation': member.beat.generation,
+                    'state': member.state.value,
+                    'heard_at_ms': member.heard_at_ms,
+                }
+                for member in self.table.members()
+            ],
+        }
+
+    def _change_own(self, detail: MemberDetail) -> None:
+        self.table.change_own(detail)
+        self._publish()
+
+    def _publish(self) -> None:
+        view = ViewChanged(
+            self.table.members(),
+            self.table.own.detail.process,
+        )
+        for subscriber in self.subscribers:
+            subscriber.send(view)
+
+    def _remember(self, addresses: dict[ProcessId, str]) -> None:
+        for process, address in addresses.items():
+            self._addresses.pop(process, None)
+            self._addresses[process] = address
+        latest = list(self._addresses.items())[-_ADDRESSES_MAX_COUNT:]
+        self._addresses = dict(latest)
+
+    def _directory_due(self) -> bool:
+        """Say whether to call the store: before joining, or while alone."""
+        if self._joined and len(self.table.members()) > 1:
+            return False
+        return self._rounds_count % self._settings.directory_retry_rounds == 1
+
+    def _targets(self) -> list[str]:
+        own = self.table.own.detail
+        known = {
+            member.detail.address
+            for member in self.table.members()
+            if member.detail.process != own.process
+        }
+        lost = {*self._addresses.values(), *self._settings.seeds} - known
+        lost.discard(own.address)
+        count = self._settings.gossip_peers_count
+        targets = self._pick(known, count)
+        if not known:
+            return self._pick(lost, count)
+        if self._rounds_count % _LOST_INTERVAL_ROUNDS == 0:
+            targets.extend(self._pick(lost, 1))
+        return targets
+
+    def _pick(self, addresses: set[str], count: int) -> list[str]:
+        return self._chance.sample(
+            sorted(addresses),
+            min(count, len(addresses)),
+        )
+
+    async def _join_and_read(self) -> None:
+        joined = self._joined
+        if not joined:
+            joined = await self._directory.join(self.table.own.detail)
+        addresses = await self._directory.addresses()
+        self.mailbox.send(DirectoryRead(joined, addresses))
+
+    async def _exchange(self, address: str, opening: Gossip) -> None:
+        match await self._peers.gossip(address, opening):
+            case Success(answer):
+                self.mailbox.send(GossipAnswered(address, answer))
+            case _:
+                self.mailbox.send(GossipAnswered(address, None))
+
+    async def _leave(self, reply: Reply[None]) -> None:
+        for address in self._targets():
+            own = self.table.own
+            farewell = Gossip((own.beat,), (own.detail,))
+            await self._peers.gossip(address, farewell)
+        await self._directory.leave(self.table.own.detail)
+        reply.answer(None)
--- /dev/null
+++ b/fuchsiarill/cluster/peer_port.py
@@ -0,0 +1,44 @@
+"""The calls that the actors make of other processes, apart from encoding."""
+
+from enum import Enum
+from typing import Protocol
+
+from returns.result import Result
+
+from fuchsiarill.cluster.config_document import ConfigDocument
+from fuchsiarill.cluster.member_table import Gossip
+from fuchsiarill.ids import Generation
+
+
+class PeerFailure(Enum):
+    """Why a call gave no answer; `NOT_SENT` proves it had no effect."""
+
+    NOT_SENT = 'not_sent'
+    NO_ANSWER = 'no_answer'
+
+
+class PeerPort(Protocol):
+    """Calls to a process at an address `host:port`; all are safe to repeat."""
+
+    async def gossip(
+        self,
+        address: str,
+        message: Gossip,
+    ) -> Result[Gossip, PeerFailure]:
+        """Exchange member tables."""
+
+    async def offer_config(
+        self,
+        address: str,
+        document: ConfigDocument,
+    ) -> Result[Generation, PeerFailure]:
+        """Offer a document; returns the generation then in force there."""
+
+    async def fetch_config(
+        self,
+        address: str,
+    ) -> Result[ConfigDocument, PeerFailure]:
+        """Return the document in force there, or `NO_DOCUMENT`."""
+
+    async def dump(self, address: str) -> Result[str, PeerFailure]:
+        """Return the state of all actors there, as JSON."""
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -15,6 +15,7 @@
 from fuchsiarill.ids import FailureDomain, ProcessId, RegionId
 
 _Positive = Annotated[int, Field(gt=0)]
+_Retries = Annotated[int, Field(ge=2)]
 
 
 class _Model(BaseModel):
@@ -51,6 +52,36 @@
     call_timeout_ms: _Positive = 2_000
 
 
+class MembershipSettings(_Model):
+    """How processes find each other and notice silent ones.
+
+    `seeds` are addresses to try while the store is out of reach. The time
+    until suspicion is several times what news takes through 200 processes.
+    """
+
+    gossip_interval_ms: _Positive = 1_000
+    gossip_peers_count: _Positive = 3
+    suspect_after_ms: _Positive = 5_000
+    remove_after_ms: _Positive = 15_000
+    forget_after_ms: _Positive = 120_000
+    directory_retry_rounds: _Retries = 3
+    seeds: tuple[str, ...] = ()
+
+
+class ConfigSettings(_Model):
+    """How the cell configuration reaches this process.
+
+    The poll is the last resort after the watch, offers and gossip.
+    `collect_ms` bounds how long a starting process compares the store and
+    its peers before it takes the highest generation found.
+    """
+
+    watch_wait_ms: _Positive = 20_000
+    poll_interval_ms: _Positive = 30_000
+    retry_interval_ms: _Positive = 500
+    collect_ms: _Positive = 1_500
+
+
 class HostListSettings(_Model):
     """Where the host list is and how often it is read."""
 
@@ -76,6 +107,8 @@
     store: StoreSettings
     host_list: HostListSettings
     workers: WorkerSettings = WorkerSettings()
+    membership: MembershipSettings = MembershipSettings()
+    config: ConfigSettings = ConfigSettings()
     log_format: LogFormat = LogFormat.TEXT
     log_level: Level = Level.INFO
 
--- a/fuchsiarill/states.py
+++ b/fuchsiarill/states.py
@@ -157,3 +157,18 @@
 
     NEWER_OFFERED = 'newer_offered'
     OLDER_OFFERED = 'older_offered'
+
+
+class MemberState(Enum):
+    """How a process regards another process of the system."""
+
+    LIVE = 'live'
+    SUSPECTED = 'suspected'
+    REMOVED = 'removed'
+
+
+class MemberEvent(Enum):
+    """What can happen to a member of the system."""
+
+    HEARD = 'heard'
+    SILENT = 'silent'
