Check the configuration as a whole, with all problems at once

Only faults of single fields were found, numbers were read from texts and truth values, a key that occurs twice was taken silently and nested aliases could exhaust memory. Adds registered checks across fields, the limits of size and depth, the check of a change of partitions, the JSON schema and a digest.

--- /dev/null
+++ b/fuchsiarill/cell_checks.py
@@ -0,0 +1,207 @@
+"""Checks of a cell configuration that span several of its fields.
+
+They see only the parts whose own fields are right, so that a document with
+faults of both kinds is answered with all of them at once.
+"""
+
+from collections.abc import Callable, Hashable, Iterator
+from dataclasses import dataclass
+from importlib import import_module
+from typing import TYPE_CHECKING, Any, Final
+
+from fuchsiarill import texts
+from fuchsiarill.registry import Registry
+from fuchsiarill.yaml_document import FieldPath, Problem, YamlDocument
+
+if TYPE_CHECKING:
+    from fuchsiarill.cell_config import Amounts, Contract, Policies, Region
+
+_AMOUNT_FIELDS: Final = (
+    'processors_milli',
+    'memory_mb',
+    'accelerators_count',
+    'slots_count',
+)
+# A lease must outlive two lost exchanges.
+_EXCHANGES_PER_LEASE: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ValidParts:
+    """The well-formed parts of a document, by their position."""
+
+    document: YamlDocument
+    regions: 'dict[int, Region]'
+    contracts: 'dict[int, Contract]'
+    policies: 'Policies | None'
+    operator_token_sha256: str | None
+
+
+Check = Callable[[ValidParts], Iterator[Problem]]
+
+CHECKS: Final[Registry[str, Check]] = Registry('configuration checks')
+
+
+def cross_problems(parts: ValidParts) -> Iterator[Problem]:
+    """Run all registered checks."""
+    for name in CHECKS:
+        yield from CHECKS.lookup(name)(parts)
+
+
+@CHECKS.register('duplicates')
+def _duplicates(parts: ValidParts) -> Iterator[Problem]:
+    yield from _repeated(
+        parts.document,
+        {
+            ('regions', position, 'name'): region.name
+            for position, region in parts.regions.items()
+        },
+    )
+    yield from _repeated(
+        parts.document,
+        {
+            ('contracts', position, 'customer'): contract.customer
+            for position, contract in parts.contracts.items()
+        },
+    )
+
+
+@CHECKS.register('tokens')
+def _tokens(parts: ValidParts) -> Iterator[Problem]:
+    """Two holders of one token could not be told apart."""
+    holders = {parts.operator_token_sha256: 'the operators'}
+    for position, contract in sorted(parts.contracts.items()):
+        other = holders.setdefault(contract.token_sha256, contract.customer)
+        if other != contract.customer:
+            yield parts.document.problem(
+                ('contracts', position, 'token_sha256'),
+                texts.SAME_TOKEN.format(other=other),
+            )
+
+
+@CHECKS.register('references')
+def _references(parts: ValidParts) -> Iterator[Problem]:
+    names = {region.name for region in parts.regions.values()}
+    for position, contract in parts.contracts.items():
+        if contract.region not in names:
+            yield parts.document.problem(
+                ('contracts', position, 'region'),
+                texts.UNKNOWN_REGION.format(region=contract.region),
+            )
+
+
+@CHECKS.register('quotas')
+def _quotas(parts: ValidParts) -> Iterator[Problem]:
+    for position, contract in parts.contracts.items():
+        for field in _AMOUNT_FIELDS:
+            guaranteed = getattr(contract.guaranteed, field)
+            quota = getattr(contract.quota, field)
+            if guaranteed > quota:
+                yield parts.document.problem(
+                    ('contracts', position, 'guaranteed', field),
+                    texts.GUARANTEED_ABOVE_QUOTA.format(
+                        guaranteed=guaranteed,
+                        quota=quota,
+                    ),
+                )
+        if not contract.quota.slots_count:
+            yield parts.document.problem(
+                ('contracts', position, 'quota', 'slots_count'),
+                texts.QUOTA_WITHOUT_SLOTS,
+            )
+
+
+@CHECKS.register('sums')
+def _sums(parts: ValidParts) -> Iterator[Problem]:
+    for position, region in parts.regions.items():
+        if region.capacity is None:
+            continue
+        guarantees = [
+            contract.guaranteed
+            for contract in parts.contracts.values()
+            if contract.region == region.name
+        ]
+        for field in _AMOUNT_FIELDS:
+            total = _sum_of(guarantees, field)
+            capacity = getattr(region.capacity, field)
+            if total > capacity:
+                yield parts.document.problem(
+                    ('regions', position, 'capacity', field),
+                    texts.GUARANTEES_ABOVE_CAPACITY.format(
+                        total=total,
+                        capacity=capacity,
+                    ),
+                )
+
+
+@CHECKS.register('policies')
+def _policies(parts: ValidParts) -> Iterator[Problem]:
+    named: dict[FieldPath, tuple[str, str]] = {
+        ('contracts', position, 'placement'): ('placement', contract.placement)
+        for position, contract in parts.contracts.items()
+    }
+    if parts.policies is not None:
+        named['policies', 'ordering'] = ('ordering', parts.policies.ordering)
+    for path, (kind, name) in named.items():
+        known = _registered(kind)
+        if known is None or name in known:
+            continue
+        yield parts.document.problem(
+            path,
+            texts.UNKNOWN_POLICY.format(name=name, known=', '.join(known)),
+        )
+
+
+@CHECKS.register('leases')
+def _leases(parts: ValidParts) -> Iterator[Problem]:
+    policies = parts.policies
+    if policies is None:
+        return
+    shortest_ms = _EXCHANGES_PER_LEASE * policies.exchange_interval_ms
+    if policies.task_lease_ms < shortest_ms:
+        yield parts.document.problem(
+            ('policies', 'task_lease_ms'),
+            texts.LEASE_TOO_SHORT.format(
+                lease_ms=policies.task_lease_ms,
+                exchange_ms=policies.exchange_interval_ms,
+            ),
+        )
+
+
+def _repeated(
+    document: YamlDocument,
+    named: dict[FieldPath, str],
+) -> Iterator[Problem]:
+    first: dict[str, FieldPath] = {}
+    for path, name in named.items():
+        earlier = first.setdefault(name, path)
+        if earlier == path:
+            continue
+        line = document.problem(earlier, '').line
+        yield document.problem(
+            path,
+            texts.DUPLICATE_NAME.format(name=name, line=line),
+        )
+
+
+def _sum_of(amounts: 'list[Amounts]', field: str) -> int:
+    return sum(getattr(amount, field) for amount in amounts)
+
+
+# The registries are looked up at the time of a check: the modules of the
+# policies themselves import the configuration.
+_POLICY_REGISTRIES: Final = {
+    'placement': ('fuchsiarill.core.placement', 'PLACEMENTS'),
+    'ordering': ('fuchsiarill.core.ordering', 'ORDERINGS'),
+}
+
+
+def _registered(kind: str) -> list[str] | None:
+    module_name, attribute = _POLICY_REGISTRIES[kind]
+    try:
+        module = import_module(module_name)
+    except ModuleNotFoundError:
+        return None
+    registry: Registry[Hashable, Any] | None
+    registry = getattr(module, attribute, None)
+    return None if registry is None else [str(name) for name in registry]
--- a/fuchsiarill/cell_config.py
+++ b/fuchsiarill/cell_config.py
@@ -4,24 +4,50 @@
 once, each with its line and field.
 """
 
-from collections.abc import Iterator
-from typing import Annotated, Any, Final
+import hashlib
+import json
+from collections.abc import Iterable
+from typing import Annotated, Any, Final, TypeVar
 
-import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
-from fuchsiarill import codes
+from fuchsiarill import codes, texts
+from fuchsiarill.cell_checks import ValidParts, cross_problems
 from fuchsiarill.ids import CustomerId, RegionId, WorkerId
 from fuchsiarill.refusal import Refusal
 from fuchsiarill.resources import Resources
-
-_Count = Annotated[int, Field(ge=0)]
-_Positive = Annotated[int, Field(gt=0)]
+from fuchsiarill.yaml_document import (
+    Problem,
+    YamlDocument,
+    build_strictly,
+    read_yaml,
+)
+
+# Well above any region of the design and within 64 bits when summed.
+_AMOUNT_MAX: Final = 1_000_000_000_000
+_DURATION_MAX_MS: Final = 86_400_000
+_PARTITIONS_MAX_COUNT: Final = 1_000
+_TITLE_MAX_LENGTH: Final = 200
+
+_Count = Annotated[int, Field(ge=0, le=_AMOUNT_MAX)]
+_Positive = Annotated[int, Field(gt=0, le=_AMOUNT_MAX)]
+_DurationMs = Annotated[int, Field(gt=0, le=_DURATION_MAX_MS)]
+_Partitions = Annotated[int, Field(gt=0, le=_PARTITIONS_MAX_COUNT)]
+# Names are parts of store keys, job ids and metric labels.
+_NAME: Final = Field(pattern='^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$')
+_TITLE: Final = Field(min_length=1, max_length=_TITLE_MAX_LENGTH)
+_Customer = Annotated[CustomerId, _NAME]
+_Region = Annotated[RegionId, _NAME]
+_Worker = Annotated[WorkerId, _TITLE]
+_Sha256 = Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
 _Weight = Annotated[float, Field(gt=0, le=100)]
 _Fraction = Annotated[float, Field(ge=0, le=1)]
 
-MAX_CONFIG_BYTES: Final = 1_000_000
+# The store accepts values of 1 MB; the JSON around the text needs room too.
+MAX_CONFIG_BYTES: Final = 800_000
+
+_Part = TypeVar('_Part', bound=BaseModel)
 
 
 class _Model(BaseModel):
@@ -55,8 +81,8 @@
     token of the customer.
     """
 
-    customer: CustomerId
-    region: RegionId
+    customer: _Customer
+    region: _Region
     quota: Amounts
     guaranteed: Amounts
     weight: _Weight = 1
@@ -66,7 +92,7 @@
     retry_budget_ratio: _Fraction = 0.1
     placement: str = 'spread'
     volatile_accept: bool = False
-    token_sha256: str
+    token_sha256: _Sha256
 
 
 class Policies(_Model):
@@ -75,27 +101,31 @@
     ordering: str = 'fair'
     waiting_weight: _Fraction = 0.5
     learn_sizes: bool = True
-    task_lease_ms: _Positive = 15_000
-    exchange_interval_ms: _Positive = 1_000
+    task_lease_ms: _DurationMs = 15_000
+    exchange_interval_ms: _DurationMs = 1_000
     probation_failures_count: _Positive = 3
 
 
 class Region(_Model):
-    """A region and the number of partitions its racks are divided into."""
+    """A region and the number of partitions its racks are divided into.
+
+    With a declared `capacity` the guarantees of its contracts must fit in.
+    """
 
-    name: RegionId
-    partitions_count: _Positive = 1
+    name: _Region
+    partitions_count: _Partitions = 1
+    capacity: Amounts | None = None
 
 
 class CellConfig(_Model):
     """The whole document of one generation."""
 
-    cell: str
-    regions: tuple[Region, ...]
+    cell: Annotated[str, _TITLE]
+    regions: Annotated[tuple[Region, ...], Field(min_length=1)]
     contracts: tuple[Contract, ...]
     policies: Policies = Policies()
-    draining_workers: tuple[WorkerId, ...] = ()
-    operator_token_sha256: str
+    draining_workers: tuple[_Worker, ...] = ()
+    operator_token_sha256: _Sha256
 
     def contract_of(self, customer: CustomerId) -> Contract | None:
         """Return the contract of a customer, if it has one."""
@@ -107,50 +137,113 @@
 
 def parse_config(text: str) -> Result[CellConfig, tuple[Refusal, ...]]:
     """Read a configuration document; fails with every problem found."""
+    match read_yaml(text, MAX_CONFIG_BYTES):
+        case Success(document):
+            return _check(document)
+        case Failure(problems):
+            return Failure(_refusals(problems))
+    raise AssertionError(texts.NO_RESULT)
+
+
+def changed_partitions(
+    text: str,
+    before: CellConfig,
+    after: CellConfig,
+) -> tuple[Refusal, ...]:
+    """Return the problems of a change that would strand jobs.
+
+    `text` is the document of `after`, for the lines of its fields.
+    """
+    document = read_yaml(text, MAX_CONFIG_BYTES).unwrap()
+    positions = {
+        region.name: position for position, region in enumerate(after.regions)
+    }
+    problems = []
+    for region in before.regions:
+        position = positions.get(region.name)
+        if position is None:
+            removed = texts.REGION_REMOVED.format(region=region.name)
+            problems.append(document.problem(('regions',), removed))
+            continue
+        if after.regions[position].partitions_count == region.partitions_count:
+            continue
+        problems.append(
+            document.problem(
+                ('regions', position, 'partitions_count'),
+                texts.PARTITIONS_CHANGED.format(before=region.partitions_count),
+            ),
+        )
+    return _refusals(problems)
+
+
+def json_schema() -> dict[str, Any]:
+    """Return the JSON schema of the document, for editors and the docs."""
+    return CellConfig.model_json_schema()
+
+
+def config_digest(config: CellConfig) -> str:
+    """Return a digest that depends on the content only.
+
+    Comments, the order of keys and defaults that are left out or written
+    make no difference.
+    """
+    canonical = json.dumps(config.model_dump(mode='json'), sort_keys=True)
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def _check(
+    document: YamlDocument,
+) -> Result[CellConfig, tuple[Refusal, ...]]:
+    checked = document.check_model(CellConfig)
+    problems = list(checked.failure()) if _failed(checked) else []
+    problems.extend(cross_problems(_valid_parts(document)))
+    if problems:
+        problems.sort(key=lambda problem: problem.line)
+        return Failure(_refusals(problems))
+    return Success(checked.unwrap())
+
+
+def _failed(checked: Result[CellConfig, tuple[Problem, ...]]) -> bool:
+    return isinstance(checked, Failure)
+
+
+def _valid_parts(document: YamlDocument) -> ValidParts:
+    content = document.content
+    if not isinstance(content, dict):
+        content = {}
+    digest = content.get('operator_token_sha256')
+    return ValidParts(
+        document=document,
+        regions=_valid_items(Region, content.get('regions')),
+        contracts=_valid_items(Contract, content.get('contracts')),
+        policies=_valid_item(Policies, content.get('policies', {})),
+        operator_token_sha256=digest if isinstance(digest, str) else None,
+    )
+
+
+def _valid_items(
+    model: type[_Part],
+    content: Any,
+) -> dict[int, _Part]:
+    if not isinstance(content, list):
+        return {}
+    valid = {}
+    for position, one in enumerate(content):
+        built = _valid_item(model, one)
+        if built is not None:
+            valid[position] = built
+    return valid
+
+
+def _valid_item(model: type[_Part], content: Any) -> _Part | None:
     try:
-        root = yaml.compose(text, Loader=yaml.SafeLoader)
-        document = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        return Failure((_problem(str(error).replace('\n', ' ')),))
-    try:
-        return Success(CellConfig.model_validate(document))
-    except ValidationError as invalid:
-        return Failure(tuple(_named_problems(root, invalid)))
-
-
-def _problem(text: str, field: str | None = None) -> Refusal:
-    return Refusal(codes.CONFIG_INVALID, text, field)
-
-
-def _named_problems(
-    root: yaml.Node | None,
-    invalid: ValidationError,
-) -> Iterator[Refusal]:
-    for found in invalid.errors():
-        path = found['loc']
-        field = '.'.join(str(part) for part in path)
-        line = _line_of(root, path)
-        yield _problem(f'line {line}: {field}: {found["msg"]}', field)
-
-
-def _line_of(root: yaml.Node | None, path: tuple[Any, ...]) -> int:
-    if root is None:
-        return 1
-    node = root
-    for part in path:
-        child = _child(node, part)
-        if child is None:
-            break
-        node = child
-    return int(node.start_mark.line) + 1
-
-
-def _child(node: yaml.Node, part: Any) -> yaml.Node | None:
-    if isinstance(node, yaml.SequenceNode) and isinstance(part, int):
-        return node.value[part]  # type: ignore[no-any-return]
-    if not isinstance(node, yaml.MappingNode):
+        return build_strictly(model, content)
+    except ValidationError:
         return None
-    for key, child in node.value:
-        if key.value == part:
-            return child  # type: ignore[no-any-return]
-    return None
+
+
+def _refusals(problems: Iterable[Problem]) -> tuple[Refusal, ...]:
+    return tuple(
+        Refusal(codes.CONFIG_INVALID, problem.sentence, problem.field or None)
+        for problem in problems
+    )
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -39,7 +39,7 @@
     parser.add_argument('--config', type=Path, required=True)
     parser.add_argument('--check', action='store_true')
     options = parser.parse_args()
-    settings = load_settings(options.config)
+    settings = load_settings(options.config).unwrap()
     if options.check:
         return
     events.configure_logging(settings.log_format, settings.log_level)
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -2,19 +2,23 @@
 
 A process learns its addresses, its failure domain and where the outside
 systems are from here, and nothing else; all policy is in the cell
-configuration.
+configuration. `--check` of the daemon reports every problem at once.
 """
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Final
 
-import yaml
 from pydantic import BaseModel, ConfigDict, Field
+from returns.result import Failure, Result
 
 from fuchsiarill.events import Level, LogFormat
 from fuchsiarill.ids import FailureDomain, ProcessId, RegionId
+from fuchsiarill.yaml_document import read_yaml
 
+_SETTINGS_MAX_BYTES: Final = 100_000
 _Positive = Annotated[int, Field(gt=0)]
+_PORT_MAX: Final = 65_535
+_Port = Annotated[int, Field(ge=0, le=_PORT_MAX)]
 _Retries = Annotated[int, Field(ge=2)]
 
 
@@ -37,7 +41,7 @@
     """The HTTP listener and its limits."""
 
     host: str = '127.0.0.1'
-    port: int
+    port: _Port
     threads_count: _Positive = 16
     body_max_bytes: _Positive = 1_000_000
     header_max_bytes: _Positive = 16_000
@@ -48,7 +52,7 @@
     """The listener for the other processes of the system."""
 
     host: str = '127.0.0.1'
-    port: int
+    port: _Port
     call_timeout_ms: _Positive = 2_000
 
 
@@ -113,9 +117,19 @@
     log_level: Level = Level.INFO
 
 
-def load_settings(path: Path) -> ProcessSettings:
-    """Read the settings file.
-
-    Raises `OSError`, `yaml.YAMLError` or `pydantic.ValidationError`.
-    """
-    return ProcessSettings.model_validate(yaml.safe_load(path.read_text()))
+def load_settings(
+    path: Path,
+) -> Result[ProcessSettings, tuple[str, ...]]:
+    """Read the settings file; fails with one sentence for each problem."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((f'{path}: {error}',))
+    checked = read_yaml(text, _SETTINGS_MAX_BYTES).bind(
+        lambda document: document.check_model(ProcessSettings),
+    )
+    return checked.alt(
+        lambda problems: tuple(
+            f'{path}: {problem.sentence}' for problem in problems
+        ),
+    )
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -39,3 +39,40 @@
 TOO_LARGE: Final = 'the body has {size_bytes} bytes; {limit_bytes} are allowed'
 UNAUTHENTICATED: Final = 'a known bearer token is needed'
 FORBIDDEN: Final = 'the token does not permit this request'
+TOO_DEEP: Final = 'more than {limit} levels are nested'
+REPEATED_KEY: Final = 'the key occurs twice'
+DUPLICATE_NAME: Final = '{name!r} occurs twice, first at line {line}'
+SAME_TOKEN: Final = 'the same token is used by {other}'
+UNKNOWN_REGION: Final = 'region {region!r} is not in the list of regions'
+GUARANTEED_ABOVE_QUOTA: Final = (
+    'guaranteed {guaranteed} is more than the quota of {quota}'
+)
+QUOTA_WITHOUT_SLOTS: Final = (
+    'the quota holds no slots, so no task could ever run'
+)
+GUARANTEES_ABOVE_CAPACITY: Final = (
+    'the guarantees of all contracts sum up to {total}; '
+    'the region has {capacity}'
+)
+UNKNOWN_POLICY: Final = 'no policy {name!r}; there are {known}'
+LEASE_TOO_SHORT: Final = (
+    'a lease of {lease_ms} ms is less than three exchanges of {exchange_ms} ms'
+)
+PARTITIONS_CHANGED: Final = (
+    'the number of partitions was {before}; it cannot change, '
+    'since jobs and journals belong to a partition'
+)
+REGION_REMOVED: Final = (
+    'region {region!r} is missing; the jobs of its partitions would be lost'
+)
+CONFIG_CONFLICT: Final = (
+    'generation {generation} by {author!r} is in force, '
+    'not the expected generation {expected}'
+)
+CHANGE_UNCERTAIN: Final = (
+    'the store did not answer; read the configuration to see whether the '
+    'change was written'
+)
+STORE_SILENT: Final = 'the store does not answer; nothing was changed'
+NO_RESULT: Final = 'a result is neither success nor failure'
+ALIAS: Final = 'aliases are not allowed'
--- /dev/null
+++ b/tests/test_cell_config.py
@@ -0,0 +1,109 @@
+"""Faulty configurations and settings are refused with all their problems."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+from returns.result import Failure, Success
+
+from fuchsiarill.cell_config import (
+    MAX_CONFIG_BYTES,
+    changed_partitions,
+    config_digest,
+    parse_config,
+)
+from fuchsiarill.settings import load_settings
+
+_CASES = Path(__file__).with_name('cases')
+_CELL = (_CASES / 'cell.yaml').read_text()
+_SETTINGS = (_CASES / 'settings.yaml').read_text()
+
+
+def _cases(name: str) -> Any:
+    return yaml.safe_load((_CASES / name).read_text())
+
+
+def _with_lines(text: str, replaced: dict[int, str]) -> str:
+    lines = text.splitlines()
+    for number, line in replaced.items():
+        lines[number - 1] = line
+    return '\n'.join(lines)
+
+
+def _check(found: list[str], expected: list[str]) -> None:
+    starts = [
+        sentence[: len(start)]
+        for sentence, start in zip(found, expected, strict=False)
+    ]
+    assert (starts, len(found)) == (expected, len(expected)), found
+
+
+@pytest.mark.parametrize(
+    'case',
+    _cases('bad_configurations.yaml'),
+    ids=lambda case: case['name'],
+)
+def test_faulty_configuration_is_refused(case: dict[str, Any]) -> None:
+    """Guards against a fault that takes force, or hides another one."""
+    text = case.get('text')
+    if text is None:
+        text = _with_lines(_CELL, case['lines'])
+    refusals = parse_config(text).failure()
+    _check([refusal.text for refusal in refusals], case['problems'])
+
+
+@pytest.mark.parametrize(
+    'case',
+    _cases('bad_settings.yaml'),
+    ids=lambda case: case['name'],
+)
+def test_faulty_settings_are_refused(
+    case: dict[str, Any],
+    tmp_path: Path,
+) -> None:
+    """Guards against a daemon that starts with settings it misread."""
+    path = tmp_path / 'settings.yaml'
+    path.write_text(_with_lines(_SETTINGS, case['lines']))
+    expected = [f'{path}: {problem}' for problem in case['problems']]
+    _check(list(load_settings(path).failure()), expected)
+
+
+def test_right_documents_are_read(tmp_path: Path) -> None:
+    """Guards against checks that refuse right documents."""
+    assert isinstance(parse_config(_CELL), Success)
+    path = tmp_path / 'settings.yaml'
+    path.write_text(_SETTINGS)
+    assert isinstance(load_settings(path), Success)
+
+
+def test_size_limit() -> None:
+    """Guards against a document that the store would refuse."""
+    padded = _CELL + '#' * MAX_CONFIG_BYTES
+    assert isinstance(parse_config(padded), Failure)
+
+
+def test_digest_depends_on_content_only() -> None:
+    """Guards against processes that differ on whether they agree."""
+    plain = parse_config(_CELL).unwrap()
+    reworded = parse_config(f'# A comment.\n{_CELL}').unwrap()
+    changed = parse_config(_with_lines(_CELL, {11: '    weight: 3'})).unwrap()
+    assert config_digest(plain) == config_digest(reworded)
+    assert config_digest(plain) != config_digest(changed)
+
+
+@pytest.mark.parametrize(
+    ('line', 'start'),
+    [
+        ('  - {name: surat, partitions_count: 3}', 'line 5: regions.1.partit'),
+        ('  - {name: jamnagar, partitions_count: 2}', 'line 4: regions: regio'),
+    ],
+)
+def test_partitions_stay(line: str, start: str) -> None:
+    """Guards against a change after which jobs belong to no partition."""
+    before = parse_config(_CELL).unwrap()
+    text = _with_lines(_CELL, {5: line, 17: '    region: rajkot'})
+    after = parse_config(text).unwrap()
+    problems = changed_partitions(text, before, after)
+    _check([problem.text for problem in problems], [start])
+    assert not changed_partitions(_CELL, before, before)
