Add the trace format and the replay in paused time

Cause: the invariants have to be shown on the real actors, under any fault. Change: traces in YAML, checked with file, line and field; registries of event, fault and outcome kinds; fakes of store, host list, workers and network; several processes in one loop that can be killed, restarted and frozen between a check and the send after it; checker on what fakes and callers saw.

--- a/fuchsiarill/replay/__init__.py
+++ b/fuchsiarill/replay/__init__.py
@@ -1,1 +1,1 @@
-"""Replay of recorded traces in paused time against stated outcomes."""
+"""Replay of traces against stated outcomes, in paused time."""
--- /dev/null
+++ b/fuchsiarill/replay/callers.py
@@ -0,0 +1,244 @@
+"""The callers: submit, retry as the answers advise, and collect the results.
+
+Each job has a task of its own. A caller keeps its idempotency key, so a retry
+after an uncertain answer is safe.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.codes import Retry
+from fuchsiarill.ids import JobId, PartitionId
+from fuchsiarill.job import JobSpec
+from fuchsiarill.owner import messages
+from fuchsiarill.owner.owner_actor import FINAL_STATES
+from fuchsiarill.ports.http_client import CallFailure
+from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
+from fuchsiarill.replay.process import ReplayedProcess
+from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.routing import Route, partition_of_job, partition_of_key
+
+_RETRY_MS: Final = 200
+_RESULT_WAIT_MS: Final = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Manner:
+    """How a caller acts.
+
+    `via` names the only process it asks; without, the load balancer picks.
+    """
+
+    retries: bool = True
+    waits: bool = True
+    via: str | None = None
+
+
+class Callers:
+    """All callers of one replay."""
+
+    def __init__(
+        self,
+        log: SeenLog,
+        network: Network,
+        processes: dict[str, ReplayedProcess],
+        config: CellConfig,
+        chance: random.Random,
+    ) -> None:
+        """Call `processes`; `chance` is the load balancer's choice."""
+        self.config = config
+        self.job_ids: dict[str, JobId] = {}
+        self._log = log
+        self._network = network
+        self._processes = processes
+        self._chance = chance
+        self._endpoint = Endpoint('caller', CLIENT_DOMAIN)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def submit(self, spec: JobSpec, manner: Manner) -> None:
+        """Submit a job and follow it to its end."""
+        self._log.note(
+            SeenKind.SUBMITTED,
+            spec.customer,
+            key=spec.idempotency_key,
+            workload=spec.workload.value,
+            execution=spec.execution.value,
+            urgency=spec.urgency.value,
+            job_class=spec.job_class,
+            tasks_count=spec.tasks_count,
+            size=spec.task_size.as_tuple(),
+        )
+        self._run(self._follow(spec, manner))
+
+    def cancel(self, spec: JobSpec, manner: Manner) -> None:
+        """Cancel a job that was submitted before."""
+        self._run(self._cancel(spec, manner))
+
+    def _run(self, call: Any) -> None:
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow(self, spec: JobSpec, manner: Manner) -> None:
+        job_id = await self._accepted(spec, manner)
+        if job_id is None:
+            return
+        self.job_ids[spec.idempotency_key] = job_id
+        if manner.waits:
+            await self._collect(spec, job_id, manner)
+
+    async def _accepted(
+        self,
+        spec: JobSpec,
+        manner: Manner,
+    ) -> JobId | None:
+        partition = partition_of_key(
+            self.config,
+            spec.customer,
+            spec.idempotency_key,
+        )
+        if partition is None:
+            return None
+        build = partial(_submit_route, partition, spec)
+        while True:
+            answers = await self._ask(spec, 'submit', build, manner)
+            answer = None if answers is None else answers[0]
+            if answer is not None and answer.refusal is None:
+                accepted: JobId | None = answer.job_id
+                return accepted
+            delay_ms = _retry_delay_ms(answer)
+            if delay_ms is None or not manner.retries:
+                return None
+            await sleep_ms(delay_ms)
+
+    async def _collect(
+        self,
+        spec: JobSpec,
+        job_id: JobId,
+        manner: Manner,
+    ) -> None:
+        query = JobQuery(spec.customer, job_id, _RESULT_WAIT_MS)
+        build = partial(_ask_route, query)
+        while True:
+            answer = await self._ask(spec, 'query', build, manner)
+            if answer is not None and answer.state in FINAL_STATES:
+                self._log.note(
+                    SeenKind.JOB_ENDED,
+                    spec.customer,
+                    key=spec.idempotency_key,
+                    state=answer.state.value,
+                    code=answer.code.name,
+                    outputs=list(answer.outputs),
+                )
+                return
+            if answer is None or answer.refusal is not None:
+                await sleep_ms(_RETRY_MS)
+
+    async def _cancel(self, spec: JobSpec, manner: Manner) -> None:
+        key = spec.idempotency_key
+        job_id = self.job_ids.get(key)
+        self._log.note(SeenKind.CANCEL_ASKED, spec.customer, key=key)
+        while job_id is None:
+            await sleep_ms(_RETRY_MS)
+            job_id = self.job_ids.get(key)
+        cancel = JobCancel(spec.customer, job_id)
+        build = partial(_cancel_route, cancel)
+        while True:
+            answer = await self._ask(spec, 'cancel', build, manner)
+            if answer is not None and _retry_delay_ms(answer) is None:
+                return
+            await sleep_ms(_RETRY_MS)
+
+    async def _ask(
+        self,
+        spec: JobSpec,
+        call: str,
+        build: Callable[[Any], Route],
+        manner: Manner,
+    ) -> Any:
+        """Return the answer of one process, or `None` for none."""
+        process = self._pick(manner)
+        if process is None:
+            return None
+        timeout_ms = process.settings.http.request_timeout_ms
+        answered = await self._network.ask(
+            self._endpoint,
+            process.endpoint,
+            process.post(build),
+            timeout_ms,
+        )
+        match answered:
+            case Success(answer):
+                self._note_answer(spec, call, process.name, answer)
+                return answer
+            case Failure(CallFailure() as failure):
+                self._log.note(
+                    SeenKind.CALL_FAILED,
+                    spec.customer,
+                    key=spec.idempotency_key,
+                    call=call,
+                    process=process.name,
+                    failure=failure.value,
+                )
+        return None
+
+    def _pick(self, manner: Manner) -> ReplayedProcess | None:
+        if manner.via is not None:
+            return self._processes[manner.via]
+        alive = [one for one in self._processes.values() if one.takes_calls]
+        return self._chance.choice(alive) if alive else None
+
+    def _note_answer(
+        self,
+        spec: JobSpec,
+        call: str,
+        process: str,
+        answer: Any,
+    ) -> None:
+        one: JobAnswer = answer[0] if isinstance(answer, tuple) else answer
+        self._log.note(
+            SeenKind.ANSWERED,
+            spec.customer,
+            key=spec.idempotency_key,
+            call=call,
+            process=process,
+            code=one.code.name,
+            job=one.job_id or '',
+            refused=one.refusal is not None,
+        )
+
+
+def _retry_delay_ms(answer: JobAnswer | None) -> int | None:
+    """Return when to repeat a request, or `None` for not at all."""
+    if answer is None:
+        return _RETRY_MS
+    if answer.refusal is None or answer.code.retry is Retry.NEVER:
+        return None
+    return answer.refusal.retry_after_ms or _RETRY_MS
+
+
+def _submit_route(partition: PartitionId, spec: JobSpec, reply: Any) -> Route:
+    return Route(partition, messages.SubmitJobs((spec,), reply))
+
+
+def _ask_route(query: JobQuery, reply: Any) -> Route:
+    return Route(
+        partition_of_job(query.job_id),
+        messages.AskJob(query, reply),
+    )
+
+
+def _cancel_route(cancel: JobCancel, reply: Any) -> Route:
+    return Route(
+        partition_of_job(cancel.job_id),
+        messages.CancelJob(cancel, reply),
+    )
--- /dev/null
+++ b/fuchsiarill/replay/event_kinds.py
@@ -0,0 +1,237 @@
+"""Kinds of events: what callers, operators and the platform do."""
+
+import asyncio
+import random
+from typing import Annotated, Any
+
+from pydantic import Field
+
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.ids import CustomerId, JobClass
+from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.replay.callers import Manner
+from fuchsiarill.replay.deployment import TraceModel
+from fuchsiarill.replay.fake_workers import Truth
+from fuchsiarill.replay.kinds import EVENT_KINDS, EventKind
+from fuchsiarill.replay.world import World, worker_ids
+from fuchsiarill.resources import Resources
+from fuchsiarill.workers import HostState
+
+_Positive = Annotated[int, Field(gt=0)]
+_Count = Annotated[int, Field(ge=0)]
+_Factor = Annotated[float, Field(gt=0)]
+
+
+class Size(TraceModel):
+    """Declared size of one task."""
+
+    processors_milli: _Positive = 1000
+    memory_mb: _Positive = 1000
+    accelerators_count: _Count = 0
+
+
+class JobTemplate(EventKind):
+    """A job as callers submit it, and how it truly behaves.
+
+    A task truly uses `true_size_factor` times its declared size and runs
+    `true_run_time_factor` times as long; its first `fails_count` runs fail.
+    """
+
+    customer: CustomerId
+    workload: Workload = Workload.BATCH
+    execution: Execution = Execution.IDEMPOTENT
+    urgency: Urgency = Urgency.NORMAL
+    job_class: str = 'default'
+    tasks_count: _Positive = 1
+    size: Size = Size()
+    run_time_ms: _Count = 1000
+    true_size_factor: _Factor = 1
+    true_run_time_factor: _Factor = 1
+    fails_count: _Count = 0
+    retries: bool = True
+    waits: bool = True
+    via: str | None = None
+
+    def submit(self, world: World, key: str) -> None:
+        """Submit the job under a key."""
+        world.truths[key] = Truth(
+            self.true_size_factor,
+            self.true_run_time_factor,
+            self.fails_count,
+        )
+        spec = self._spec(key)
+        world.specs[key] = spec
+        world.callers.submit(spec, self._manner())
+
+    def _manner(self) -> Manner:
+        return Manner(self.retries, self.waits, self.via)
+
+    def _spec(self, key: str) -> JobSpec:
+        return JobSpec(
+            customer=self.customer,
+            idempotency_key=key,
+            workload=self.workload,
+            execution=self.execution,
+            urgency=self.urgency,
+            job_class=JobClass(self.job_class),
+            tasks_count=self.tasks_count,
+            task_size=Resources(
+                self.size.processors_milli,
+                self.size.memory_mb,
+                self.size.accelerators_count,
+                slots_count=1,
+            ),
+            run_time_ms=self.run_time_ms,
+            payload=key,
+        )
+
+
+@EVENT_KINDS.register('submit')
+class Submit(JobTemplate):
+    """One job; the same key again is a retry of the same submission."""
+
+    key: str
+
+    def happen(self, world: World) -> None:
+        """Submit it."""
+        self.submit(world, self.key)
+
+
+@EVENT_KINDS.register('stream')
+class Stream(JobTemplate):
+    """`count` jobs at `rate_per_s` with keys `<prefix>-<n>` from 1.
+
+    Gaps are exponential, or equal when `regular`. Run times are drawn between
+    `run_time_ms` and `run_time_max_ms` if that is given.
+    """
+
+    prefix: str
+    rate_per_s: _Factor
+    count: _Positive
+    regular: bool = False
+    run_time_max_ms: _Positive | None = None
+
+    def happen(self, world: World) -> None:
+        """Start the stream."""
+        chance = random.Random(world.chance.random())
+        world.keep(asyncio.create_task(self._emit(world, chance)))
+
+    async def _emit(self, world: World, chance: random.Random) -> None:
+        for number in range(1, self.count + 1):
+            drawn = self
+            if self.run_time_max_ms is not None:
+                run_time_ms = chance.randint(
+                    self.run_time_ms,
+                    self.run_time_max_ms,
+                )
+                drawn = self.model_copy(update={'run_time_ms': run_time_ms})
+            drawn.submit(world, f'{self.prefix}-{number}')
+            gap_s = 1 / self.rate_per_s
+            if not self.regular:
+                gap_s = chance.expovariate(self.rate_per_s)
+            await sleep_ms(gap_s * 1000)
+
+
+@EVENT_KINDS.register('cancel')
+class Cancel(EventKind):
+    """Cancel one job."""
+
+    key: str
+    via: str | None = None
+
+    def happen(self, world: World) -> None:
+        """Ask for the cancellation."""
+        world.callers.cancel(world.specs[self.key], Manner(via=self.via))
+
+
+@EVENT_KINDS.register('cancel_wave')
+class CancelWave(EventKind):
+    """Cancel every job so far whose key begins with `prefix`, at once."""
+
+    prefix: str
+
+    def happen(self, world: World) -> None:
+        """Ask for all cancellations."""
+        for key, spec in world.specs.items():
+            if key.startswith(self.prefix):
+                world.callers.cancel(spec, Manner())
+
+
+@EVENT_KINDS.register('retire')
+class Retire(EventKind):
+    """The host list shows workers as leaving."""
+
+    workers: tuple[str, ...]
+
+    def happen(self, world: World) -> None:
+        """Change the list."""
+        found = worker_ids(world.find_workers(self.workers))
+        world.host_list.change(found, HostState.LEAVING)
+
+
+@EVENT_KINDS.register('restore')
+class Restore(EventKind):
+    """The host list shows workers as live again."""
+
+    workers: tuple[str, ...]
+
+    def happen(self, world: World) -> None:
+        """Change the list."""
+        found = worker_ids(world.find_workers(self.workers))
+        world.host_list.change(found, HostState.LIVE)
+
+
+@EVENT_KINDS.register('unlist')
+class Unlist(EventKind):
+    """Workers are gone and vanish from the host list."""
+
+    workers: tuple[str, ...]
+
+    def happen(self, world: World) -> None:
+        """Change the list and end the workers."""
+        found = world.find_workers(self.workers)
+        world.host_list.unlist(worker_ids(found))
+        for worker in found:
+            worker.die()
+
+
+@EVENT_KINDS.register('configure')
+class Configure(EventKind):
+    """An operator changes the configuration or a contract.
+
+    `changes` are laid over the present document: mappings merge by key, and
+    `contracts` is a mapping of customers. `text` replaces the document.
+    """
+
+    changes: dict[str, Any] = Field(default_factory=dict)
+    text: str | None = None
+    author: str = 'operator'
+    via: str | None = None
+
+    def happen(self, world: World) -> None:
+        """Start the change."""
+        world.operators.change(self.changes, self.text, self.author, self.via)
+
+
+@EVENT_KINDS.register('configure_race')
+class ConfigureRace(EventKind):
+    """Several operators change the same generation at the same time."""
+
+    changes: tuple[dict[str, Any], ...]
+
+    def happen(self, world: World) -> None:
+        """Start all changes from the same document."""
+        for number, change in enumerate(self.changes, start=1):
+            world.operators.change(change, None, f'operator-{number}', None)
+
+
+@EVENT_KINDS.register('shutdown')
+class Shutdown(EventKind):
+    """SIGTERM: a process drains and ends; see `find_processes` for names."""
+
+    process: str
+
+    def happen(self, world: World) -> None:
+        """Ask for the shutdown."""
+        for process in world.find_processes(self.process):
+            process.shut_down()
--- /dev/null
+++ b/fuchsiarill/replay/fake_workers.py
@@ -0,0 +1,367 @@
+"""The fake worker: runs tasks as timers under leases, and its port.
+
+It follows the rules that the system relies on: it refuses a lower epoch and a
+start after its deadline, and stops a task whose lease has lapsed.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.actor import Actor, Reply, handles
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.ids import NO_EPOCH, AttemptId, WorkerId
+from fuchsiarill.ports.http_client import CallFailure
+from fuchsiarill.ports.workers import ExchangeFailure
+from fuchsiarill.replay.network import Endpoint, Network
+from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.settings import WorkerSettings
+from fuchsiarill.workers import (
+    CommandKind,
+    Exchange,
+    HostEntry,
+    StartCommand,
+    TaskCommand,
+    TaskOutcome,
+    TaskReport,
+    WorkerReport,
+)
+
+# Usage is measured over a window, so a report shows it late.
+_USAGE_LAG_MS: Final = 2_000
+_FAILS_AFTER_MS: Final = 50
+# Any value works; unequal clocks show a mixed-up clock domain.
+_CLOCK_STEP_MS: Final = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Truth:
+    """How a job behaves, as factors of what it declares."""
+
+    size_factor: float = 1
+    run_time_factor: float = 1
+    fails_count: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeAsked:
+    """One exchange as it arrives at the worker."""
+
+    request: Exchange
+    process: str
+    reply: Reply[Any]
+
+
+@dataclass(eq=False, slots=True)
+class _Task:
+    start: StartCommand
+    started_at_ms: int
+    used: Resources
+    outcome: TaskOutcome = TaskOutcome.RUNNING
+    lease_ends_at_ms: float = 0
+    is_due: bool = False
+
+
+class FakeWorker(Actor):
+    """The tasks of one worker."""
+
+    def __init__(
+        self,
+        log: SeenLog,
+        entry: HostEntry,
+        number: int,
+        truths: dict[str, Truth],
+    ) -> None:
+        """Start with no tasks; `truths` tells how each payload behaves."""
+        super().__init__(entry.worker_id)
+        self.endpoint = Endpoint(entry.worker_id, entry.failure_domain)
+        self.fails_all = False
+        self.size_factor = 1.0
+        self.run_time_factor = 1.0
+        self.clock_rate = 1.0
+        self.is_paused = False
+        self._log = log
+        self._clock_offset_ms = number * _CLOCK_STEP_MS
+        self._truths = truths
+        self._attempts: dict[AttemptId, _Task] = {}
+        self._held: list[ExchangeAsked] = []
+        self._highest_epoch = NO_EPOCH
+
+    @handles(ExchangeAsked)
+    async def on_exchange(self, message: ExchangeAsked) -> None:
+        """Carry out one exchange, or hold it while paused."""
+        if self.is_paused:
+            self._held.append(message)
+            return
+        if not self.endpoint.refusing:
+            self._exchange(message)
+
+    def runs(self, key: str) -> bool:
+        """Tell whether a task of the job with this payload runs here."""
+        return any(
+            task.start.payload == key and task.outcome is TaskOutcome.RUNNING
+            for task in self._attempts.values()
+        )
+
+    def die(self) -> None:
+        """Lose all tasks and everything that was known."""
+        self.endpoint.refusing = True
+        for task in tuple(self._attempts.values()):
+            self._end(task, TaskOutcome.STOPPED, 'worker died')
+        self._attempts.clear()
+        self._held.clear()
+        self._highest_epoch = NO_EPOCH
+
+    def come_back(self) -> None:
+        """Start anew; the monotonic clock of a restarted host is another."""
+        self.endpoint.refusing = False
+        self._clock_offset_ms -= now_ms()
+
+    def pause(self) -> None:
+        """Freeze the host."""
+        self.is_paused = True
+
+    def resume(self) -> None:
+        """Run on: lapsed leases have ended tasks, due ones end now."""
+        self.is_paused = False
+        for task in tuple(self._attempts.values()):
+            if task.is_due:
+                self._complete(task)
+        held = self._held
+        self._held = []
+        for message in held:
+            self._exchange(message)
+
+    def _exchange(self, message: ExchangeAsked) -> None:
+        request = message.request
+        if request.epoch < self._highest_epoch:
+            for start in request.starts:
+                self._refuse(start, message, 'epoch')
+            message.reply.answer(self._report())
+            return
+        self._highest_epoch = request.epoch
+        for attempt_id in request.acknowledged:
+            self._attempts.pop(attempt_id, None)
+        lease_ms = request.lease_ms / self.clock_rate
+        for start in request.starts:
+            self._start(start, message)
+            self._renew(start.attempt_id, lease_ms)
+        for attempt_id in request.renewals:
+            self._renew(attempt_id, lease_ms)
+        for command in request.commands:
+            self._command(command)
+        message.reply.answer(self._report())
+
+    def _start(self, start: StartCommand, message: ExchangeAsked) -> None:
+        if start.attempt_id in self._attempts:
+            return
+        truth = self._truths.get(start.payload, Truth())
+        used = _scaled(start.reserved, truth.size_factor * self.size_factor)
+        task = _Task(start, now_ms(), used)
+        self._attempts[start.attempt_id] = task
+        if self._clock_ms() > start.start_before_worker_clock_ms:
+            task.outcome = TaskOutcome.REFUSED
+            self._refuse(start, message, 'start_before')
+            return
+        self._log.note(
+            SeenKind.TASK_STARTED,
+            self.name,
+            **task_names(start),
+            epoch=message.request.epoch,
+            process=message.process,
+            reserved=start.reserved.as_tuple(),
+            used=used.as_tuple(),
+        )
+        if self._fails(start.payload, truth):
+            self._after(_FAILS_AFTER_MS, self._fail, task)
+            return
+        if start.run_time_ms:
+            factor = truth.run_time_factor * self.run_time_factor
+            self._after(start.run_time_ms * factor, self._complete, task)
+
+    def _fails(self, payload: str, truth: Truth) -> bool:
+        if self.fails_all:
+            return True
+        if truth.fails_count:
+            left = Truth(
+                truth.size_factor,
+                truth.run_time_factor,
+                truth.fails_count - 1,
+            )
+            self._truths[payload] = left
+            return True
+        return False
+
+    def _refuse(
+        self,
+        start: StartCommand,
+        message: ExchangeAsked,
+        reason: str,
+    ) -> None:
+        self._log.note(
+            SeenKind.START_REFUSED,
+            self.name,
+            **task_names(start),
+            epoch=message.request.epoch,
+            process=message.process,
+            reason=reason,
+        )
+
+    def _renew(self, attempt_id: AttemptId, lease_ms: float) -> None:
+        task = self._attempts.get(attempt_id)
+        if task is None or task.outcome is not TaskOutcome.RUNNING:
+            return
+        task.lease_ends_at_ms = now_ms() + lease_ms
+        self._after(lease_ms, self._check_lease, task)
+
+    def _check_lease(self, task: _Task) -> None:
+        if now_ms() >= int(task.lease_ends_at_ms):
+            self._end(task, TaskOutcome.STOPPED, 'lease lapsed')
+
+    def _command(self, command: TaskCommand) -> None:
+        task = self._attempts.get(command.attempt_id)
+        if task is None or task.outcome is not TaskOutcome.RUNNING:
+            return
+        self._log.note(
+            SeenKind.TASK_COMMANDED,
+            self.name,
+            **task_names(task.start),
+            command=command.kind.value,
+        )
+        if command.kind is CommandKind.STOP:
+            self._end(task, TaskOutcome.STOPPED, 'stopped')
+        if command.kind is CommandKind.THROTTLE:
+            task.used = task.start.reserved
+            self._log.note(
+                SeenKind.TASK_RESIZED,
+                self.name,
+                **task_names(task.start),
+                used=task.used.as_tuple(),
+            )
+
+    def _complete(self, task: _Task) -> None:
+        if self.is_paused:
+            task.is_due = True
+            return
+        self._end(task, TaskOutcome.SUCCEEDED, 'succeeded')
+
+    def _fail(self, task: _Task) -> None:
+        self._end(task, TaskOutcome.FAILED, 'failed')
+
+    def _end(self, task: _Task, outcome: TaskOutcome, reason: str) -> None:
+        if task.outcome is not TaskOutcome.RUNNING:
+            return
+        task.outcome = outcome
+        self._log.note(
+            SeenKind.TASK_ENDED,
+            self.name,
+            **task_names(task.start),
+            reserved=task.start.reserved.as_tuple(),
+            reason=reason,
+        )
+
+    def _report(self) -> WorkerReport:
+        return WorkerReport(
+            WorkerId(self.name),
+            self._highest_epoch,
+            int(self._clock_ms()),
+            tuple(_report_of(task) for task in self._attempts.values()),
+        )
+
+    def _clock_ms(self) -> float:
+        return now_ms() * self.clock_rate + self._clock_offset_ms
+
+    def _after(self, delay_ms: float, run: Any, task: _Task) -> None:
+        asyncio.get_running_loop().call_later(
+            delay_ms / MS_PER_SECOND,
+            run,
+            task,
+        )
+
+
+class ProcessWorkers:
+    """`WorkerPort` of one process."""
+
+    def __init__(
+        self,
+        settings: WorkerSettings,
+        network: Network,
+        source: Endpoint,
+        workers: dict[str, FakeWorker],
+    ) -> None:
+        """Call the workers by address from `source`."""
+        self._settings = settings
+        self._network = network
+        self._source = source
+        self._workers = workers
+
+    async def exchange(
+        self,
+        address: str,
+        request: Exchange,
+    ) -> Result[WorkerReport, ExchangeFailure]:
+        """Exchange with the worker at an address."""
+        worker = self._workers[address]
+        asked = partial(ExchangeAsked, request, self._source.name)
+        answer = await self._network.ask(
+            self._source,
+            worker.endpoint,
+            lambda reply: worker.mailbox.send(asked(reply)),
+            self._settings.call_timeout_ms,
+        )
+        match answer:
+            case Success(report):
+                return Success(report)
+            case Failure(CallFailure.NOT_SENT):
+                return Failure(ExchangeFailure.NOT_SENT)
+            case _:
+                return Failure(ExchangeFailure.NO_ANSWER)
+
+
+def task_names(start: StartCommand) -> dict[str, Any]:
+    """Return the details that name a task in the log.
+
+    The payload is the key that the trace gave the job.
+    """
+    task, _, _ = start.attempt_id.rpartition('@')
+    return {
+        'attempt': start.attempt_id,
+        'key': start.payload,
+        'position': int(task.rpartition('/')[2]),
+    }
+
+
+def output_of(key: str, position: int) -> str:
+    """Return what a task writes: unlike that of every other task."""
+    return f'{key} {position}'
+
+
+def _report_of(task: _Task) -> TaskReport:
+    used = NOTHING
+    if now_ms() - task.started_at_ms >= _USAGE_LAG_MS:
+        used = task.used
+    output = ''
+    if task.outcome is TaskOutcome.SUCCEEDED:
+        names = task_names(task.start)
+        output = output_of(task.start.payload, names['position'])
+    return TaskReport(
+        attempt_id=task.start.attempt_id,
+        outcome=task.outcome,
+        reserved=task.start.reserved,
+        used=used,
+        run_time_ms=now_ms() - task.started_at_ms,
+        output=output,
+    )
+
+
+def _scaled(size: Resources, factor: float) -> Resources:
+    return Resources(
+        int(size.processors_milli * factor),
+        int(size.memory_mb * factor),
+        size.accelerators_count,
+        size.slots_count,
+    )
--- /dev/null
+++ b/fuchsiarill/replay/fakes.py
@@ -0,0 +1,409 @@
+"""Fakes of the store and the host list, and the ports that call them.
+
+Both note what they saw. They follow the interfaces in `ports`; faults switch
+the attributes named after them.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.actor import Actor, Reply, handles
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId, WorkerId
+from fuchsiarill.ports.store import (
+    StoreFailure,
+    Swap,
+    SwapOutcome,
+    SwapResult,
+    Versioned,
+)
+from fuchsiarill.replay.network import SERVICE_DOMAIN, Endpoint, Network
+from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.settings import HostListSettings, StoreSettings
+from fuchsiarill.workers import HostEntry, HostState
+
+OWNER_KEYS: Final = 'partition/'
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """One call as it arrives at the store.
+
+    `argument` is a `Swap`, a lease id or a time to live, by `operation`.
+    """
+
+    operation: str
+    process: str
+    reply: Reply[Any]
+    key: StoreKey = StoreKey('')
+    argument: Any = None
+    wait_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_ms: int
+    lapses_at_ms: float
+    keys: set[StoreKey] = field(default_factory=set)
+
+
+class FakeStore(Actor):
+    """Keys, revisions, leases and watches in memory."""
+
+    def __init__(self, log: SeenLog) -> None:
+        """Start empty."""
+        super().__init__('store')
+        self.endpoint = Endpoint('store', SERVICE_DOMAIN)
+        self.is_silent = False
+        self.is_watch_stuck = False
+        self.delay_ms = 0
+        self.replies_to_lose: dict[str, int] = {}
+        self.stored: dict[StoreKey, Versioned] = {}
+        self._log = log
+        self._leases: dict[StoreLeaseId, _Lease] = {}
+        self._watches: list[StoreCall] = []
+        self._revision = 0
+        self._leases_count = 0
+
+    @handles(StoreCall)
+    async def on_call(self, call: StoreCall) -> None:
+        """Carry out one call."""
+        self._drop_lapsed()
+        if self.is_silent:
+            self._note(call, 'silent')
+            return
+        if call.operation == 'watch':
+            self._watch(call)
+            return
+        outcome = getattr(self, f'_{call.operation}')(call)
+        if self._loses_reply(call):
+            self._note(call, 'reply lost')
+            return
+        self._note(call, _outcome_name(outcome))
+        self._answer(call, outcome)
+
+    def read(self, key: StoreKey) -> Versioned:
+        """Return what a key holds now."""
+        self._drop_lapsed()
+        return self.stored.get(key, Versioned(key, None, ABSENT))
+
+    def put(self, key: StoreKey, text: str) -> None:
+        """Write a key as an operator did before the trace begins."""
+        self._write(key, text)
+
+    def _get(self, call: StoreCall) -> Result[Versioned, StoreFailure]:
+        return Success(self.read(call.key))
+
+    def _swap(self, call: StoreCall) -> SwapResult:
+        swap: Swap = call.argument
+        lease = self._leases.get(swap.lease_id or StoreLeaseId(''))
+        if self.read(swap.key).revision != swap.expected:
+            return SwapResult(SwapOutcome.CONFLICT)
+        if swap.lease_id is not None:
+            if lease is None:
+                return SwapResult(SwapOutcome.CONFLICT)
+            lease.keys.add(swap.key)
+        self._write(swap.key, swap.value)
+        return SwapResult(SwapOutcome.SWAPPED, self.read(swap.key).revision)
+
+    def _grant(self, call: StoreCall) -> Result[StoreLeaseId, StoreFailure]:
+        self._leases_count += 1
+        lease_id = StoreLeaseId(f'lease-{self._leases_count}')
+        self._leases[lease_id] = _Lease(
+            call.argument,
+            now_ms() + call.argument,
+        )
+        return Success(lease_id)
+
+    def _renew(self, call: StoreCall) -> Result[StoreLeaseId, StoreFailure]:
+        lease = self._leases.get(call.argument)
+        if lease is None:
+            return Failure(StoreFailure.LEASE_UNKNOWN)
+        lease.lapses_at_ms = now_ms() + lease.ttl_ms
+        return Success(call.argument)
+
+    def _revoke(self, call: StoreCall) -> Result[StoreLeaseId, StoreFailure]:
+        self._end_lease(call.argument)
+        return Success(call.argument)
+
+    def _watch(self, call: StoreCall) -> None:
+        self._note(call, 'waits')
+        if self.is_watch_stuck:
+            return
+        if self.read(call.key).revision != call.argument:
+            self._answer(call, Success(self.read(call.key)))
+            return
+        self._watches.append(call)
+        asyncio.get_running_loop().call_later(
+            call.wait_ms / MS_PER_SECOND,
+            self._end_watch,
+            call,
+        )
+
+    def _end_watch(self, call: StoreCall) -> None:
+        if call in self._watches:
+            self._watches.remove(call)
+            if not self.is_silent and not self.is_watch_stuck:
+                self._answer(call, Success(self.read(call.key)))
+
+    def _answer(self, call: StoreCall, outcome: Any) -> None:
+        asyncio.get_running_loop().call_later(
+            self.delay_ms / MS_PER_SECOND,
+            call.reply.answer,
+            outcome,
+        )
+
+    def _loses_reply(self, call: StoreCall) -> bool:
+        left_count = self.replies_to_lose.get(call.operation, 0)
+        if left_count:
+            self.replies_to_lose[call.operation] = left_count - 1
+        return left_count > 0
+
+    def _write(self, key: StoreKey, text: str | None) -> None:
+        self._revision += 1
+        if text is None:
+            self.stored.pop(key, None)
+        else:
+            self.stored[key] = Versioned(key, text, Revision(self._revision))
+        for call in tuple(self._watches):
+            if call.key == key:
+                self._end_watch(call)
+
+    def _drop_lapsed(self) -> None:
+        for lease_id, lease in tuple(self._leases.items()):
+            if lease.lapses_at_ms <= now_ms():
+                self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: StoreLeaseId) -> None:
+        lease = self._leases.pop(lease_id, None)
+        if lease is None:
+            return
+        for key in sorted(lease.keys):
+            self._write(key, None)
+
+    def _note(self, call: StoreCall, outcome: str) -> None:
+        self._log.note(
+            SeenKind.STORE_CALLED,
+            call.process,
+            operation=call.operation,
+            key=call.key,
+            outcome=outcome,
+        )
+
+
+class ProcessStore:
+    """`StorePort` of one process."""
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        network: Network,
+        source: Endpoint,
+        store: FakeStore,
+    ) -> None:
+        """Call `store` from `source`."""
+        self._settings = settings
+        self._network = network
+        self._source = source
+        self._store = store
+
+    async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
+        """Read a key."""
+        return await self._read('get', key)
+
+    async def swap(self, swap: Swap) -> SwapResult:
+        """Write a key if it still has the expected revision."""
+        answer = await self._call('swap', swap.key, swap)
+        match answer:
+            case Success(outcome):
+                swapped: SwapResult = outcome
+                return swapped
+            case _:
+                return SwapResult(SwapOutcome.UNKNOWN)
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Create a lease."""
+        return await self._read('grant', StoreKey(''), ttl_ms)
+
+    async def renew_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Extend a lease."""
+        return await self._read('renew', StoreKey(''), lease_id)
+
+    async def revoke_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """End a lease."""
+        return await self._read('revoke', StoreKey(''), lease_id)
+
+    async def watch(
+        self,
+        key: StoreKey,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[Versioned, StoreFailure]:
+        """Wait for a change of a key."""
+        return await self._read('watch', key, after, wait_ms)
+
+    async def _read(
+        self,
+        operation: str,
+        key: StoreKey,
+        argument: Any = None,
+        wait_ms: int = 0,
+    ) -> Result[Any, StoreFailure]:
+        answer = await self._call(operation, key, argument, wait_ms)
+        match answer:
+            case Success(outcome):
+                found: Result[Any, StoreFailure] = outcome
+                return found
+            case _:
+                return Failure(StoreFailure.UNREACHABLE)
+
+    async def _call(
+        self,
+        operation: str,
+        key: StoreKey,
+        argument: Any,
+        wait_ms: int = 0,
+    ) -> Result[Any, Any]:
+        call = partial(
+            StoreCall,
+            operation,
+            self._source.name,
+            key=key,
+            argument=argument,
+            wait_ms=wait_ms,
+        )
+        return await self._network.ask(
+            self._source,
+            self._store.endpoint,
+            lambda reply: self._store.mailbox.send(call(reply)),
+            self._settings.call_timeout_ms + wait_ms,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class HostsAsked:
+    """One read of the host list."""
+
+    process: str
+    reply: Reply[Any]
+
+
+class FakeHostList(Actor):
+    """The list of hosts, of the present or of `lag_ms` ago."""
+
+    def __init__(self, log: SeenLog, hosts: tuple[HostEntry, ...]) -> None:
+        """Start with all hosts live."""
+        super().__init__('host_list')
+        self.endpoint = Endpoint('host_list', SERVICE_DOMAIN)
+        self.lag_ms = 0
+        self.is_silent = False
+        self._log = log
+        self._history = [(0, hosts)]
+
+    @property
+    def hosts(self) -> tuple[HostEntry, ...]:
+        """Return the present entries."""
+        return self._history[-1][1]
+
+    def change(self, workers: list[WorkerId], state: HostState) -> None:
+        """List workers as live or leaving from now on."""
+        changed = []
+        for entry in self.hosts:
+            if entry.worker_id in workers:
+                changed.append(_with_state(entry, state))
+                continue
+            changed.append(entry)
+        self._history.append((now_ms(), tuple(changed)))
+        kind = SeenKind.HOST_BACK
+        if state is HostState.LEAVING:
+            kind = SeenKind.HOST_LEAVING
+        for worker_id in workers:
+            self._log.note(kind, worker_id)
+
+    def unlist(self, workers: list[WorkerId]) -> None:
+        """Take workers off the list."""
+        kept = tuple(
+            entry for entry in self.hosts if entry.worker_id not in workers
+        )
+        self._history.append((now_ms(), kept))
+
+    @handles(HostsAsked)
+    async def on_asked(self, message: HostsAsked) -> None:
+        """Answer with the entries that were true `lag_ms` ago."""
+        if self.is_silent:
+            return
+        shown = self._history[0][1]
+        for since_ms, entries in self._history:
+            if since_ms <= now_ms() - self.lag_ms:
+                shown = entries
+        self._log.note(SeenKind.HOSTS_FETCHED, message.process)
+        message.reply.answer(Success(shown))
+
+
+class ProcessHostList:
+    """`HostListPort` of one process."""
+
+    def __init__(
+        self,
+        settings: HostListSettings,
+        network: Network,
+        source: Endpoint,
+        host_list: FakeHostList,
+    ) -> None:
+        """Read `host_list` from `source`."""
+        self._settings = settings
+        self._network = network
+        self._source = source
+        self._host_list = host_list
+
+    async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
+        """Return all listed hosts."""
+        asked = partial(HostsAsked, self._source.name)
+        answer = await self._network.ask(
+            self._source,
+            self._host_list.endpoint,
+            lambda reply: self._host_list.mailbox.send(asked(reply)),
+            self._settings.poll_interval_ms,
+        )
+        match answer:
+            case Success(outcome):
+                listed: Result[tuple[HostEntry, ...], StoreFailure] = outcome
+                return listed
+            case _:
+                return Failure(StoreFailure.UNREACHABLE)
+
+
+def _with_state(entry: HostEntry, state: HostState) -> HostEntry:
+    return HostEntry(
+        entry.worker_id,
+        entry.address,
+        entry.region,
+        entry.failure_domain,
+        entry.rack,
+        entry.capacity,
+        entry.connections_count,
+        state,
+    )
+
+
+def _outcome_name(outcome: Any) -> str:
+    match outcome:
+        case SwapResult():
+            return str(outcome.outcome.value)
+        case Failure(reason):
+            return str(reason.value)
+        case _:
+            return 'done'
--- /dev/null
+++ b/fuchsiarill/replay/outcomes_jobs.py
@@ -0,0 +1,127 @@
+"""Outcomes about how far jobs come, and how soon."""
+
+import math
+from collections.abc import Iterator
+from typing import Annotated
+
+from pydantic import Field
+
+from fuchsiarill.replay.evidence import Evidence, JobOutcome
+from fuchsiarill.replay.kinds import OUTCOME_KINDS, Violation
+from fuchsiarill.states import JobState
+
+_Time = Annotated[int, Field(ge=0)]
+_Percentile = Annotated[float, Field(gt=0, le=100)]
+
+
+@OUTCOME_KINDS.register('all_finished')
+class AllFinished(JobOutcome):
+    """Every job has succeeded, and its caller knows, by `by_ms`.
+
+    Jobs that somebody cancels may also end as cancelled.
+    """
+
+    by_ms: _Time
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Look for jobs without an end, or with a bad or late one."""
+        for key, submission in self.selected(evidence):
+            end = evidence.ends.get(key)
+            if end is None:
+                yield Violation('never finished', submission)
+                continue
+            allowed = {JobState.SUCCEEDED.value}
+            if key in evidence.cancelled:
+                allowed.add(JobState.CANCELLED.value)
+            if end.details['state'] not in allowed:
+                yield Violation('did not succeed', end)
+            elif end.time_ms > self.by_ms:
+                yield Violation(f'finished after {self.by_ms} ms', end)
+
+
+@OUTCOME_KINDS.register('job_state')
+class JobStateAtEnd(JobOutcome):
+    """The final state that the callers of the chosen jobs received.
+
+    `open` means that no final state was received.
+    """
+
+    state: str
+    by_ms: _Time | None = None
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Compare the state of each job."""
+        chosen = list(self.selected(evidence))
+        if not chosen:
+            yield Violation(f'no job has a key that begins with {self.keys!r}')
+        for key, submission in chosen:
+            end = evidence.ends.get(key)
+            state = 'open' if end is None else end.details['state']
+            if state != self.state:
+                yield Violation(f'is {state}', end or submission)
+            elif end is not None and self._is_late(end.time_ms):
+                yield Violation(f'after {self.by_ms} ms', end)
+
+    def _is_late(self, time_ms: int) -> bool:
+        return self.by_ms is not None and time_ms > self.by_ms
+
+
+class _WaitOutcome(JobOutcome):
+    """Base of outcomes about the time from submission to first start."""
+
+    def waits(self, evidence: Evidence) -> dict[str, float]:
+        """Return the wait of each job; infinite when it never started.
+
+        A job that somebody cancels before its start is left out.
+        """
+        waits = {}
+        for key, submission in self.selected(evidence):
+            run = evidence.first_runs.get(key)
+            if run is not None:
+                waits[key] = float(run.began_ms - submission.time_ms)
+            elif key not in evidence.cancelled:
+                waits[key] = math.inf
+        return waits
+
+
+@OUTCOME_KINDS.register('started_within')
+class StartedWithin(_WaitOutcome):
+    """Every chosen job has its first start within `ms`.
+
+    Jobs submitted before `from_ms` or after `to_ms` are left out.
+    """
+
+    ms: _Time
+    from_ms: _Time = 0
+    to_ms: _Time | None = None
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Look for long waits."""
+        to_ms = evidence.duration_ms if self.to_ms is None else self.to_ms
+        for key, wait_ms in self.waits(evidence).items():
+            submission = evidence.submissions[key]
+            if not self.from_ms <= submission.time_ms <= to_ms:
+                continue
+            if wait_ms > self.ms:
+                yield Violation(f'waited {wait_ms} ms', submission)
+
+
+@OUTCOME_KINDS.register('waits_at_most')
+class WaitsAtMost(_WaitOutcome):
+    """The given percentile of the waits is at most `ms`."""
+
+    ms: _Time
+    percentile: _Percentile = 99
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Compare the percentile (nearest rank)."""
+        waits = self.waits(evidence)
+        if not waits:
+            yield Violation('no job is chosen')
+            return
+        ranked = sorted(waits, key=waits.__getitem__)
+        rank = math.ceil(len(ranked) * self.percentile / 100) - 1
+        key = ranked[rank]
+        if waits[key] > self.ms:
+            text = f'percentile {self.percentile} is {waits[key]} ms'
+            yield Violation(text, evidence.submissions[key])
--- /dev/null
+++ b/tests/test_replay_runs.py
@@ -0,0 +1,46 @@
+"""Replays are repeatable, and an unmet outcome names what broke it."""
+
+from fuchsiarill.replay.runner import replay
+from fuchsiarill.replay.trace import Trace, parse_trace
+
+_BUSY = """
+about: a stream with a fault
+duration_ms: 12000
+seed: 5
+events:
+  - at_ms: 500
+    stream: {prefix: s, customer: desk, rate_per_s: 20, count: 60}
+faults:
+  - at_ms: 2000
+    for_ms: 3000
+    kill: {process: owner}
+outcomes:
+  - all_finished: {by_ms: 12000}
+  - all_finished: {by_ms: 1000}
+"""
+
+
+def _trace(text: str) -> Trace:
+    return parse_trace('test.yaml', text).unwrap()
+
+
+def test_same_trace_gives_same_log() -> None:
+    """Guards against a course that a seed does not fix."""
+    logs = [replay(_trace(_BUSY)).log for _ in range(2)]
+    assert logs[0].entries == logs[1].entries
+
+
+def test_other_seed_gives_other_log() -> None:
+    """Guards against a seed that is read and not used."""
+    other = _trace(_BUSY.replace('seed: 5', 'seed: 6'))
+    assert replay(_trace(_BUSY)).log.digest() != replay(other).log.digest()
+
+
+def test_unmet_outcome_names_the_event() -> None:
+    """Guards against a verdict that nobody can trace."""
+    unmet = replay(_trace(_BUSY)).unmet
+    late = [found for found in unmet if found.outcome == 'all_finished']
+    assert late
+    event = late[-1].violations[-1].event
+    assert event is not None
+    assert event.details['key'] == 's-60'
