Call bootstrap once for each peer connection

Cause: two of three runs of make demo lost a second entry process: capnp aborted it with 'already shut down' (rpc-twoparty.c++:335). A probe outside the repository showed that bootstrap() on a connection whose peer is gone queues a message that fails in a destructor; calls on the capability itself fail cleanly, and closing the client makes no difference. Change: the link keeps the capability of its connection and drops both when a call fails.

--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -35,7 +35,7 @@
         self._partition = partition
         self._address = address
         self._settings = settings
-        self._client: Any = None
+        self._peer: Any = None
         self._calls: set[asyncio.Task[None]] = set()
 
     @handles(messages.SubmitJobs)
@@ -109,18 +109,24 @@
             async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
                 return await getattr(peer, method)(**request)
         except (capnp.KjException, TimeoutError):
-            self._client = None
+            self._peer = None
             return self._uncertain()
 
     async def _dial(self) -> Any:
-        if self._client is None:
+        """Return the remote capability, over a new connection if need be.
+
+        `bootstrap` is called once for each connection: calling it on a lost
+        connection makes capnp abort the process when the result is dropped.
+        """
+        if self._peer is None:
             host, _, port = self._address.rpartition(':')
             stream = await capnp.AsyncIoStream.create_connection(
                 host=host,
                 port=int(port),
             )
-            self._client = capnp.TwoPartyClient(stream)
-        return self._client.bootstrap().cast_as(SCHEMA.Peer)
+            client = capnp.TwoPartyClient(stream)
+            self._peer = client.bootstrap().cast_as(SCHEMA.Peer)
+        return self._peer
 
     def _spawn(self, call: Awaitable[None]) -> None:
         task = asyncio.ensure_future(call)
