--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -4,11 +4,14 @@
 looks at a few groups and never at all jobs.
 """
 
+import sys
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Final
 
 from fuchsiarill.cell_config import Contract
+from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.ids import AttemptId, CustomerId, JobClass, JobId
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
 from fuchsiarill.resources import NOTHING, Resources
@@ -20,6 +23,7 @@
     tuple[int, bool],
 ]
 Rank = tuple[float, ...]
+NO_ORDER: Final = sys.maxsize
 
 
 class Obstacle(Enum):
@@ -52,40 +56,61 @@
 class Group:
     """Waiting jobs of one customer that need the same, oldest first.
 
-    `blocked_size` is the size for which no worker had room.
+    `first_order` is the acceptance number of the oldest.
+    `blocked_size` is the size for which no worker had room. `size` is what a
+    task reserves, computed for `size_version`. Reclaiming is not tried again
+    before `reclaim_after_ms`.
     """
 
     customer: CustomerId
     spec: JobSpec
+    estimate: Estimate
     jobs: 'OrderedDict[JobId, int]' = field(default_factory=OrderedDict)
+    urgent: bool = False
+    is_gang: bool = False
+    first_order: int = NO_ORDER
+    urgent_then_order: tuple[bool, int] = (False, NO_ORDER)
     obstacle: Obstacle | None = None
     blocked_size: Resources = NOTHING
-    blocked_at_ms: int = 0
-
-    @property
-    def urgent(self) -> bool:
-        """Tell whether the jobs are urgent."""
-        return self.spec.urgency is Urgency.URGENT
-
-    @property
-    def is_gang(self) -> bool:
-        """Tell whether all tasks of a job start together."""
-        return self.spec.workload is Workload.GANG
+    reclaim_after_ms: int = 0
+    size: Resources = NOTHING
+    size_version: tuple[int, int] = (-1, -1)
+
+    def __post_init__(self) -> None:
+        """Take from the submission what decisions ask for often."""
+        self.urgent = self.spec.urgency is Urgency.URGENT
+        self.is_gang = self.spec.workload is Workload.GANG
+
+    def add(self, job_id: JobId, order: int) -> None:
+        """Add a job in the order of acceptance, or in front when older."""
+        is_oldest = order < self.first_order
+        self.jobs[job_id] = order
+        if is_oldest:
+            self.jobs.move_to_end(job_id, last=False)
+            self._note_first(order)
+
+    def remove(self, job_id: JobId) -> None:
+        """Remove a job."""
+        self.jobs.pop(job_id)
+        self._note_first(next(iter(self.jobs.values()), NO_ORDER))
 
     def head(self) -> JobId:
         """Return the job that waits longest."""
         return next(iter(self.jobs))
 
-    def head_order(self) -> int:
-        """Return the acceptance number of the job that waits longest."""
-        return next(iter(self.jobs.values()))
+    def _note_first(self, order: int) -> None:
+        self.first_order = order
+        self.urgent_then_order = (not self.urgent, order)
 
 
 @dataclass(slots=True, eq=False)
 class Account:
     """Everything counted for one customer.
 
-    `contract` is `None` when the configuration in force has none.
+    `contract` is `None` when the configuration in force has none. `share` is
+    the weighted dominant share of `held`. Of the `groups`, those in `ready`
+    can be tried, `roomless` ones wait for room on a worker and `over_quota`
+    ones for the customer's own tasks to end.
     `stoppable` holds idempotent batch attempts and `services` idempotent
     replicas, both without urgent ones and oldest first. `urgent_held` is the
     part of `held` for urgent jobs, `reclaimed` the part whose attempts
@@ -100,6 +125,7 @@
     refilled_at_ms: int = 0
     retry_credit: float = 0
     held: Resources = NOTHING
+    share: float = 0
     urgent_held: Resources = NOTHING
     reclaimed: Resources = NOTHING
     waiting_count: int = 0
@@ -107,7 +133,10 @@
     served_at_ms: int = 0
     groups: dict[GroupKey, Group] = field(default_factory=dict)
     ready: dict[Group, None] = field(default_factory=dict)
+    roomless: dict[Group, None] = field(default_factory=dict)
+    over_quota: dict[Group, None] = field(default_factory=dict)
     rank: Rank | None = None
+    roomless_rank: Rank | None = None
     stoppable: 'OrderedDict[AttemptId, None]' = field(
         default_factory=OrderedDict,
     )
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -29,6 +29,14 @@
         account = account_of(state, customer)
         account.tokens = contract.submit_burst_count
         _apply(account, contract, config)
+    state.sizes_version += 1
+    refresh_shares(state)
+
+
+def refresh_shares(state: CoreState) -> None:
+    """Compute the shares again after a change of capacity or weights."""
+    for account in state.accounts.values():
+        account.share = share_of(state, account)
 
 
 def share_of(state: CoreState, account: Account) -> float:
@@ -44,6 +52,8 @@
 
 def is_guaranteed(account: Account, more: Resources) -> bool:
     """Tell whether `more` is within what the contract guarantees."""
+    if not account.guaranteed.slots_count:
+        return False
     return (account.held + more).fits_in(account.guaranteed)
 
 
