--- a/fuchsiarill/replay/outcomes_jobs.py
+++ b/fuchsiarill/replay/outcomes_jobs.py
@@ -125,3 +125,57 @@
         if waits[key] > self.ms:
             text = f'percentile {self.percentile} is {waits[key]} ms'
             yield Violation(text, evidence.submissions[key])
+
+
+@OUTCOME_KINDS.register('stays_alive')
+class StaysAlive(JobOutcome):
+    """Each chosen job has a running task, with gaps of `gap_at_most_ms`.
+
+    Counted from its first start to `to_ms`, by default the end.
+    """
+
+    gap_at_most_ms: _Time
+    to_ms: _Time | None = None
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Look for gaps between the runs of a job."""
+        to_ms = evidence.duration_ms if self.to_ms is None else self.to_ms
+        for key, submission in self.selected(evidence):
+            runs = [run for run in evidence.runs if run.key == key]
+            if not runs:
+                yield Violation('never ran', submission)
+                continue
+            alive_until_ms = runs[0].began_ms
+            for run in runs:
+                if run.began_ms - alive_until_ms > self.gap_at_most_ms:
+                    text = f'nothing ran since {alive_until_ms} ms'
+                    yield Violation(text, run.start)
+                alive_until_ms = max(alive_until_ms, run.ended_ms)
+            if to_ms - alive_until_ms > self.gap_at_most_ms:
+                yield Violation(f'dead since {alive_until_ms} ms', submission)
+
+
+@OUTCOME_KINDS.register('gang_together')
+class GangTogether(JobOutcome):
+    """The first runs of all tasks of a gang begin within `ms`."""
+
+    ms: _Time
+    workload: str | None = 'gang'
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Compare the first starts of the tasks."""
+        for key, submission in self.selected(evidence):
+            tasks_count = submission.details['tasks_count']
+            starts = [
+                evidence.runs_by_task[(key, position)][0]
+                for position in range(tasks_count)
+                if (key, position) in evidence.runs_by_task
+            ]
+            if not starts:
+                continue
+            if len(starts) < tasks_count:
+                text = f'{len(starts)} of {tasks_count} tasks ever started'
+                yield Violation(text, submission)
+            began = [run.began_ms for run in starts]
+            if max(began) - min(began) > self.ms:
+                yield Violation(f'starts spread over {self.ms} ms', submission)
--- a/fuchsiarill/replay/outcomes_safety.py
+++ b/fuchsiarill/replay/outcomes_safety.py
@@ -300,3 +300,25 @@
         """Return the failures."""
         for event in evidence.log.of(SeenKind.ACTOR_FAILED):
             yield Violation('a handler raised', event)
+
+
+@OUTCOME_KINDS.register('safe')
+class Safe(OutcomeKind):
+    """All outcomes that must hold under any fault, without parameters."""
+
+    def violations(self, evidence: Evidence) -> Iterator[Violation]:
+        """Check each of them."""
+        for part in _SAFE:
+            for found in part.violations(evidence):
+                text = f'{type(part).__name__}: {found.text}'
+                yield Violation(text, found.event)
+
+
+_SAFE: Final[tuple[OutcomeKind, ...]] = (
+    NoHostOvercommitted(),
+    NeverTwiceAtOnce(),
+    AtMostOnce(),
+    EveryAnswerWhole(),
+    RefusedNeverRan(),
+    AcknowledgedNeverLost(),
+)
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -100,8 +100,9 @@
     def find_processes(self, name: str) -> list[ReplayedProcess]:
         """Return the processes that a trace names.
 
-        `owner` and `standby` are taken as they are now; `all` are those that
-        live; a failure domain stands for its processes.
+        `owner`, `standby` (one that is not) and `others` (all that are not)
+        are taken as they are now; `all` are those that live; a failure domain
+        stands for its processes.
         """
         alive = [one for one in self.processes.values() if one.is_alive]
         owner = self.owner_name()
@@ -109,6 +110,8 @@
             return [one for one in alive if one.name == owner]
         if name == 'standby':
             return [one for one in alive if one.name != owner][:1]
+        if name == 'others':
+            return [one for one in alive if one.name != owner]
         if name == 'all':
             return alive
         return [
