--- /dev/null
+++ b/fuchsiarill/core/reports.py
@@ -0,0 +1,52 @@
+"""What a worker reports, turned into events of attempts."""
+
+from typing import Final
+
+from fuchsiarill.core.learning import note_usage
+from fuchsiarill.core.leases import renew_leases
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_attempt, step_worker
+from fuchsiarill.core.worker_actions import move_services
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.states import (
+    AttemptEvent,
+    WorkerEvent,
+    WorkerState,
+)
+from fuchsiarill.workers import TaskOutcome, TaskReport, WorkerReport
+
+_EVENT_OF_OUTCOME: Final = {
+    TaskOutcome.RUNNING: AttemptEvent.CONFIRMED,
+    TaskOutcome.SUCCEEDED: AttemptEvent.SUCCEEDED,
+    TaskOutcome.FAILED: AttemptEvent.FAILED,
+    TaskOutcome.STOPPED: AttemptEvent.STOPPED,
+    TaskOutcome.REFUSED: AttemptEvent.REFUSED,
+}
+
+
+def take_over_report(
+    state: CoreState,
+    worker: WorkerView,
+    report: WorkerReport,
+    now_ms: int,
+    asked_at_ms: int,
+) -> None:
+    """Step the attempts of a worker by its report."""
+    worker.reported_at_ms = now_ms
+    step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
+    reported = {task.attempt_id for task in report.tasks}
+    renew_leases(state, reported, asked_at_ms)
+    for task in report.tasks:
+        _task_reported(state, task, now_ms)
+    if worker.state is WorkerState.LEAVING:
+        move_services(state, worker, now_ms)
+
+
+def _task_reported(state: CoreState, task: TaskReport, now_ms: int) -> None:
+    attempt = state.attempts.get(task.attempt_id)
+    if attempt is None:
+        return
+    event = _EVENT_OF_OUTCOME[task.outcome]
+    step_attempt(state, attempt, event, now_ms, task)
+    if task.outcome is TaskOutcome.RUNNING:
+        note_usage(state, attempt, task, now_ms)
