Check a trace's configuration as an operator's document

Cause: the deployments shared a token between an operator and a customer, which the core now refuses; a trace with it failed only while it ran.

--- a/fuchsiarill/replay/trace.py
+++ b/fuchsiarill/replay/trace.py
@@ -11,6 +11,8 @@
 from pydantic import BaseModel, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from fuchsiarill.cell_config import parse_config
+from fuchsiarill.refusal import Refusal
 from fuchsiarill.registry import Registry
 from fuchsiarill.replay import (  # noqa: F401
     event_kinds,
@@ -36,7 +38,7 @@
     FaultKind,
     OutcomeKind,
 )
-from fuchsiarill.replay.world import process_settings
+from fuchsiarill.replay.world import config_text, process_settings
 from fuchsiarill.settings import ProcessSettings
 
 _Kind = TypeVar('_Kind', bound=TraceModel)
@@ -187,7 +189,18 @@
             document = read_named(document)
         whole = dict(document)
         whole['config'] = merge(document.get('config', {}), frame.config)
-        return self._checked(Deployment, whole, ('deployment',))
+        deployment = self._checked(Deployment, whole, ('deployment',))
+        if deployment is not None:
+            self._check_config(deployment)
+        return deployment
+
+    def _check_config(self, deployment: Deployment) -> None:
+        """Apply the checks that an operator's document has to pass."""
+        match parse_config(config_text(deployment.config)):
+            case Failure(refusals):
+                for refusal in refusals:
+                    _, _, text = refusal.text.partition(': ')
+                    self._add(('config', *_path_of(refusal)), text)
 
     def _timed(
         self,
@@ -269,6 +282,11 @@
         self.problems.append(TraceProblem(self._file, line, field, text))
 
 
+def _path_of(refusal: Refusal) -> _Path:
+    parts = (refusal.field or '').split('.')
+    return tuple(int(part) if part.isdigit() else part for part in parts)
+
+
 def _cause_of(error: yaml.YAMLError) -> str:
     return str(getattr(error, 'problem', error))
 
