--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -1,16 +1,32 @@
 """The port clients against the stand-ins, with the faults of the network."""
 
 import asyncio
+from dataclasses import replace
 
 from returns.result import Failure, Success
 
-from fuchsiarill.ids import ABSENT, Epoch, StoreKey, StoreLeaseId
+from fuchsiarill.ids import (
+    ABSENT,
+    Epoch,
+    FailureDomain,
+    RackId,
+    RegionId,
+    StoreKey,
+    StoreLeaseId,
+    WorkerId,
+)
 from fuchsiarill.ports.http_client import CallFailure, HttpClient
-from fuchsiarill.ports.http_ports import HttpStore, HttpWorkers
+from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
 from fuchsiarill.ports.store import StoreFailure, Swap, SwapOutcome
 from fuchsiarill.ports.workers import ExchangeFailure
-from fuchsiarill.settings import StoreSettings, WorkerSettings
-from fuchsiarill.workers import Exchange
+from fuchsiarill.resources import NOTHING
+from fuchsiarill.settings import (
+    HostListSettings,
+    StoreSettings,
+    WorkerSettings,
+)
+from fuchsiarill.workers import Exchange, HostEntry, HostState
+from standins.host_list import HostListStandIn
 from standins.stand_in import Call, StandInReply
 from standins.store import ROUTES, VALUE_MAX_BYTES, StoreStandIn
 from tests.serving import Served, serving
@@ -231,6 +247,35 @@
     asyncio.run(main())
 
 
+def test_host_list_lags() -> None:
+    """Guards against a stand-in that shows a leaving host at once."""
+
+    async def main() -> None:
+        entry = HostEntry(
+            worker_id=WorkerId('w'),
+            address='127.0.0.1:1',
+            region=RegionId('r'),
+            failure_domain=FailureDomain('d'),
+            rack=RackId('k'),
+            capacity=NOTHING,
+            connections_count=64,
+            state=HostState.LIVE,
+        )
+        hosts = HostListStandIn((entry,), lag_ms=_LONG_MS)
+        async with serving(hosts) as served:
+            settings = HostListSettings(url=served.url)
+            port = HttpHostList(settings, served.client)
+            await served.control(states={'w': 'leaving'})
+            assert (await port.fetch()).unwrap() == (entry,)
+            await served.control(lag_ms=0)
+            seen = (await port.fetch()).unwrap()
+            assert seen == (replace(entry, state=HostState.LEAVING),)
+            await served.control(remove=['w'])
+            assert not (await port.fetch()).unwrap()
+
+    asyncio.run(main())
+
+
 def test_lapsed_lease_takes_its_key_along() -> None:
     """Guards against an owner key that outlives its owner."""
 
