Keep the tokens of the slopes' contracts distinct

Cause: the configuration check now refuses a token that is used twice. Change: tokens count from one.

--- a/tools/slope_measures.py
+++ b/tools/slope_measures.py
@@ -70,7 +70,7 @@
 def _config_text(contracts_count: int) -> str:
     head = 'cell: slopes\nregions: [{name: region-1}]\ncontracts:'
     contracts = ''.join(
-        _CONTRACT.format(number=number) for number in range(contracts_count)
+        _CONTRACT.format(number=number + 1) for number in range(contracts_count)
     )
     return f'{head}{contracts}operator_token_sha256: "{0:064x}"\n'
 
