--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -73,8 +73,8 @@
 
     `peak` is the largest usage reported so far, `usage_reports_count` the
     number of reports behind it. `sized_version` is the version of the estimate
-    that `reserved` was last compared with. `replaces` is the replica that stops once
-    this attempt runs.
+    that `reserved` was last compared with. `replaces` is the replica that
+    stops once this attempt runs.
     """
 
     attempt_id: AttemptId
