--- /dev/null
+++ b/fuchsiarill/cluster/config_spread.py
@@ -0,0 +1,292 @@
+"""The actor that holds the cell configuration of its process.
+
+A newer document comes from the store (see `config_source`), from an offer of
+the process that watches for the failure domain, or from a peer whose gossip
+tells of a higher generation. A lower one is never taken.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure
+
+from fuchsiarill import codes, events
+from fuchsiarill.actor import Mailbox, Reply, handles
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.cluster.config_change import (
+    ChangeAnswer,
+    ChangeRequest,
+    ConfigChange,
+    ConfigParser,
+)
+from fuchsiarill.cluster.config_document import NO_DOCUMENT, ConfigDocument
+from fuchsiarill.cluster.config_source import (
+    ConfigSource,
+    DocumentFound,
+    TakeTurn,
+)
+from fuchsiarill.cluster.member_table import NO_GENERATION, Member
+from fuchsiarill.cluster.membership import GenerationInForce, ViewChanged
+from fuchsiarill.cluster.peer_port import PeerPort
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.ids import Generation
+from fuchsiarill.owner.messages import ConfigChanged
+from fuchsiarill.ports.store import StorePort
+from fuchsiarill.registry import Registry
+from fuchsiarill.settings import ConfigSettings
+from fuchsiarill.state_chart import load_chart
+from fuchsiarill.states import (
+    ConfigurationEvent,
+    ConfigurationState,
+    MemberState,
+    ProcessState,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigOffered:
+    """Another process offers a document; the reply tells the generation."""
+
+    document: ConfigDocument
+    reply: Reply[Generation]
+
+
+@dataclass(frozen=True, slots=True)
+class AskDocument:
+    """Asks for the document in force, or `NO_DOCUMENT`."""
+
+    reply: Reply[ConfigDocument]
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeConfig:
+    """An operator's change."""
+
+    request: ChangeRequest
+    reply: Reply[ChangeAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class CollectingEnded:
+    """The time to compare sources at the start is over."""
+
+
+class ConfigSpread(SpawningActor):
+    """Owns the document in force and spreads newer ones."""
+
+    def __init__(
+        self,
+        settings: ConfigSettings,
+        store: StorePort,
+        peers: PeerPort,
+        parse: ConfigParser,
+        chance: random.Random,
+    ) -> None:
+        """Start without a configuration."""
+        super().__init__('config')
+        self.subscribers: list[Mailbox] = []
+        self.membership: Mailbox | None = None
+        self.state = CONFIGURATION_CHART.initial
+        self.document = NO_DOCUMENT
+        self.source = ConfigSource(settings, store, self.mailbox, chance)
+        self.parse = parse
+        self.rejected = NO_GENERATION
+        self._settings = settings
+        self._store = store
+        self._peers = peers
+        self._chance = chance
+        self._collecting = True
+        self._candidate = NO_DOCUMENT
+        self._pulling = False
+        self._watching = False
+        self._domain_addresses: tuple[str, ...] = ()
+
+    def start(self) -> None:
+        """Run the actor and look for a document."""
+        super().start()
+        self.source.start()
+        self.spawn(self._end_collecting())
+
+    async def stop(self) -> None:
+        """Stop reading the store, then the actor."""
+        await self.source.stop()
+        await super().stop()
+
+    @handles(ConfigOffered)
+    async def on_offer(self, message: ConfigOffered) -> None:
+        """Take an offered document if it is newer."""
+        await self._consider(message.document)
+        message.reply.answer(self.document.generation)
+
+    @handles(DocumentFound)
+    async def on_found(self, message: DocumentFound) -> None:
+        """Take a found document if it is newer."""
+        if message.of_peer:
+            self._pulling = False
+        if message.document is not None:
+            await self._consider(message.document)
+
+    @handles(CollectingEnded)
+    async def on_collected(self, message: CollectingEnded) -> None:
+        """Take the highest generation found so far."""
+        self._collecting = False
+        await self._consider(self._candidate)
+
+    @handles(AskDocument)
+    async def on_ask(self, message: AskDocument) -> None:
+        """Return the document in force."""
+        message.reply.answer(self.document)
+
+    @handles(ChangeConfig)
+    async def on_change(self, message: ChangeConfig) -> None:
+        """Carry out an operator's change beside the other messages."""
+        self.spawn(self._change(message))
+
+    @handles(ViewChanged)
+    async def on_view(self, message: ViewChanged) -> None:
+        """Watch the store if it is this process' turn; pull what is newer."""
+        own = next(
+            member
+            for member in message.members
+            if member.detail.process == message.own
+        )
+        domain = [
+            member
+            for member in message.members
+            if member.detail.failure_domain == own.detail.failure_domain
+        ]
+        self._domain_addresses = tuple(
+            member.detail.address for member in domain if member is not own
+        )
+        watching = _watcher_of(domain) is own
+        if watching is not self._watching:
+            self._watching = watching
+            self.source.mailbox.send(TakeTurn(watching))
+        self._pull_newer(message.members)
+
+    def announce(self, document: ConfigDocument, config: CellConfig) -> None:
+        """Hold a document and tell all who use it."""
+        self.document = document
+        changed = ConfigChanged(config)
+        for subscriber in self.subscribers:
+            subscriber.send(changed)
+        if self.membership is not None:
+            self.membership.send(GenerationInForce(document.generation))
+        if not self._watching:
+            return
+        for address in self._domain_addresses:
+            self.spawn(self._offer(address, document))
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump, without the text."""
+        return {
+            **super().snapshot(),
+            'state': self.state.value,
+            'generation': self.document.generation,
+            'author': self.document.author,
+            'rejected_generation': self.rejected,
+            'source': self.source.snapshot(),
+        }
+
+    async def _consider(self, document: ConfigDocument) -> None:
+        if self._collecting:
+            if document.generation > self._candidate.generation:
+                self._candidate = document
+            return
+        event = ConfigurationEvent.OLDER_OFFERED
+        if document.generation > self.document.generation:
+            event = ConfigurationEvent.NEWER_OFFERED
+        step = CONFIGURATION_CHART.step(self.state, event)
+        if step is None:
+            return
+        for action in step.actions:
+            if not await CONFIG_ACTIONS.lookup(action)(self, document):
+                return
+        self.state = step.target
+
+    def _pull_newer(self, members: tuple[Member, ...]) -> None:
+        known = max(self.document.generation, self.rejected)
+        if self._collecting:
+            known = self._candidate.generation
+        newer = [
+            member.detail.address
+            for member in members
+            if member.beat.generation > known
+        ]
+        if newer and not self._pulling:
+            self._pulling = True
+            self.spawn(self._pull(self._chance.choice(newer)))
+
+    async def _end_collecting(self) -> None:
+        await sleep_ms(self._settings.collect_ms)
+        self.mailbox.send(CollectingEnded())
+
+    async def _pull(self, address: str) -> None:
+        fetched = await self._peers.fetch_config(address)
+        found = DocumentFound(fetched.value_or(None), of_peer=True)
+        self.mailbox.send(found)
+
+    async def _offer(self, address: str, document: ConfigDocument) -> None:
+        await self._peers.offer_config(address, document)
+
+    async def _change(self, message: ChangeConfig) -> None:
+        change = ConfigChange(self._store, message.request, self.parse)
+        answer = await change.carry_out()
+        if answer.code is codes.DONE:
+            self.mailbox.send(DocumentFound(answer.document))
+        message.reply.answer(answer)
+
+
+ConfigAction = Callable[[ConfigSpread, ConfigDocument], Awaitable[bool]]
+
+CONFIG_ACTIONS: Final[Registry[str, ConfigAction]] = Registry(
+    'configuration actions',
+)
+
+
+@CONFIG_ACTIONS.register('put_in_force')
+async def _put_in_force(spread: ConfigSpread, document: ConfigDocument) -> bool:
+    """Check a document and announce it.
+
+    Returns `False` for a document that this process can't use; the one in
+    force stays.
+    """
+    if document.generation == spread.rejected:
+        return False
+    parsed = await spread.parse(document.text)
+    if isinstance(parsed, Failure):
+        spread.rejected = document.generation
+        events.emit(
+            events.CONFIG_REJECTED,
+            generation=document.generation,
+            author=document.author,
+            problem=parsed.failure()[0].text,
+        )
+        return False
+    spread.announce(document, parsed.unwrap())
+    events.emit(events.CONFIG_IN_FORCE, generation=document.generation)
+    return True
+
+
+CONFIGURATION_CHART: Final = load_chart(
+    'configuration',
+    ConfigurationState,
+    ConfigurationEvent,
+    CONFIG_ACTIONS,
+)
+
+_LEAVING_STATES: Final = frozenset(
+    (ProcessState.DRAINING, ProcessState.STOPPED),
+)
+
+
+def _watcher_of(domain: list[Member]) -> Member | None:
+    """Return the live member with the lowest id."""
+    for member in sorted(domain, key=lambda one: one.detail.process):
+        leaving = member.detail.state in _LEAVING_STATES
+        if member.state is MemberState.LIVE and not leaving:
+            return member
+    return None
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -10,6 +10,7 @@
 
 from returns.result import Success
 
+from fuchsiarill import events
 from fuchsiarill.actor import Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.cluster.directory import Directory
@@ -148,13 +149,7 @@
             self._load_permille,
             now_ms(),
         )
-        self._remember(
-            {
-                member.detail.process: member.detail.address
-                for member in removed
-                if member.detail.state is not ProcessState.STOPPED
-            },
-        )
+        self._note_removed(removed)
         self._publish()
         self._rounds_count += 1
         if self._directory_due():
@@ -255,6 +250,14 @@
         for subscriber in self.subscribers:
             subscriber.send(view)
 
+    def _note_removed(self, removed: tuple[Member, ...]) -> None:
+        for member in removed:
+            if member.detail.state is ProcessState.STOPPED:
+                continue
+            process = member.detail.process
+            events.emit(events.MEMBER_REMOVED, process=process)
+            self._remember({process: member.detail.address})
+
     def _remember(self, addresses: dict[ProcessId, str]) -> None:
         for process, address in addresses.items():
             self._addresses.pop(process, None)
--- a/fuchsiarill/cluster/spawning.py
+++ b/fuchsiarill/cluster/spawning.py
@@ -24,11 +24,12 @@
         """Return the number of calls in progress."""
         return len(self._calls)
 
-    def spawn(self, call: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, call: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a call as a task of this actor."""
         task = asyncio.get_running_loop().create_task(call, name=self.name)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
+        return task
 
     async def stop(self) -> None:
         """Cancel the calls in progress, then the actor."""
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -110,6 +110,19 @@
     'configuration generation {generation} is in force',
     _NO_ACTION,
 )
+CONFIG_REJECTED: Final = LogEvent(
+    202,
+    Level.ERROR,
+    'configuration generation {generation} by {author!r} is not taken: '
+    '{problem}',
+    'The generation before stays in force; apply a document without the fault.',
+)
+MEMBER_REMOVED: Final = LogEvent(
+    203,
+    Level.WARNING,
+    'process {process} has been silent and is removed from the view',
+    'Check the entry host and the links of its failure domain.',
+)
 OWNERSHIP_ACQUIRED: Final = LogEvent(
     301,
     Level.INFO,
--- /dev/null
+++ b/tests/cluster_fakes.py
@@ -0,0 +1,264 @@
+"""A store and links in memory for several processes in one paused loop."""
+
+import asyncio
+import random
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.actor import Mailbox, Reply
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.cluster.config_change import parse_in_loop
+from fuchsiarill.cluster.config_document import ConfigDocument
+from fuchsiarill.cluster.config_spread import (
+    AskDocument,
+    ConfigOffered,
+    ConfigSpread,
+)
+from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.member_table import Gossip, MemberDetail
+from fuchsiarill.cluster.membership import (
+    GenerationInForce,
+    Gossiped,
+    Membership,
+)
+from fuchsiarill.cluster.peer_port import PeerFailure
+from fuchsiarill.ids import (
+    ABSENT,
+    FailureDomain,
+    Generation,
+    ProcessId,
+    Revision,
+    StoreKey,
+    StoreLeaseId,
+)
+from fuchsiarill.ports.store import (
+    StoreFailure,
+    Swap,
+    SwapOutcome,
+    SwapResult,
+    Versioned,
+)
+from fuchsiarill.settings import ConfigSettings, MembershipSettings
+
+_CALL_MS = 2
+_DEADLINE_MS = 1_000
+
+
+@dataclass
+class FakeCell:
+    """What all processes share: stored keys, and which links are cut."""
+
+    stored: dict[StoreKey, Versioned] = field(default_factory=dict)
+    revision: int = 0
+    replies_to_lose: int = 0
+    cut_from_store: set[str] = field(default_factory=set)
+    cut_links: set[frozenset[str]] = field(default_factory=set)
+    watches: list[tuple[StoreKey, asyncio.Event]] = field(default_factory=list)
+    running: dict[str, 'FakeProcess'] = field(default_factory=dict)
+    swaps_count: int = 0
+    gossip_count: int = 0
+
+    def read(self, key: StoreKey) -> Versioned:
+        return self.stored.get(key, Versioned(key, None, ABSENT))
+
+
+class FakeStore:
+    """`StorePort` of one process."""
+
+    def __init__(self, cell: FakeCell, process: str) -> None:
+        self._cell = cell
+        self._process = process
+
+    async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
+        if not await self._reached():
+            return Failure(StoreFailure.UNREACHABLE)
+        return Success(self._cell.read(key))
+
+    async def swap(self, swap: Swap) -> SwapResult:
+        if not await self._reached():
+            return SwapResult(SwapOutcome.UNKNOWN)
+        cell = self._cell
+        cell.swaps_count += 1
+        if cell.read(swap.key).revision != swap.expected:
+            return SwapResult(SwapOutcome.CONFLICT)
+        cell.revision += 1
+        revision = Revision(cell.revision)
+        cell.stored[swap.key] = Versioned(swap.key, swap.value, revision)
+        for key, changed in cell.watches:
+            if key == swap.key:
+                changed.set()
+        if cell.replies_to_lose:
+            cell.replies_to_lose -= 1
+            await sleep_ms(_DEADLINE_MS)
+            return SwapResult(SwapOutcome.UNKNOWN)
+        return SwapResult(SwapOutcome.SWAPPED, revision)
+
+    async def watch(
+        self,
+        key: StoreKey,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[Versioned, StoreFailure]:
+        if not await self._reached():
+            return Failure(StoreFailure.UNREACHABLE)
+        changed = asyncio.Event()
+        self._cell.watches.append((key, changed))
+        if self._cell.read(key).revision == after:
+            await self._wait(changed, wait_ms)
+        self._cell.watches.remove((key, changed))
+        if not await self._reached():
+            return Failure(StoreFailure.UNREACHABLE)
+        return Success(self._cell.read(key))
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        raise NotImplementedError
+
+    async def renew_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        raise NotImplementedError
+
+    async def revoke_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        raise NotImplementedError
+
+    async def _wait(self, changed: asyncio.Event, wait_ms: int) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000):
+                await changed.wait()
+
+    async def _reached(self) -> bool:
+        await sleep_ms(_CALL_MS)
+        if self._process not in self._cell.cut_from_store:
+            return True
+        await sleep_ms(_DEADLINE_MS)
+        return False
+
+
+class FakePeers:
+    """`PeerPort` of one process."""
+
+    def __init__(self, cell: FakeCell, process: str) -> None:
+        self._cell = cell
+        self._process = process
+
+    async def gossip(
+        self,
+        address: str,
+        message: Gossip,
+    ) -> Result[Gossip, PeerFailure]:
+        peer = await self._peer(address)
+        if peer is None:
+            return Failure(PeerFailure.NO_ANSWER)
+        self._cell.gossip_count += 1
+        reply: Reply[Gossip] = Reply()
+        peer.membership.mailbox.send(Gossiped(message, reply))
+        return Success(await reply.wait(_DEADLINE_MS))
+
+    async def offer_config(
+        self,
+        address: str,
+        document: ConfigDocument,
+    ) -> Result[Generation, PeerFailure]:
+        peer = await self._peer(address)
+        if peer is None:
+            return Failure(PeerFailure.NO_ANSWER)
+        reply: Reply[Generation] = Reply()
+        peer.config.mailbox.send(ConfigOffered(document, reply))
+        return Success(await reply.wait(_DEADLINE_MS))
+
+    async def fetch_config(
+        self,
+        address: str,
+    ) -> Result[ConfigDocument, PeerFailure]:
+        peer = await self._peer(address)
+        if peer is None:
+            return Failure(PeerFailure.NO_ANSWER)
+        reply: Reply[ConfigDocument] = Reply()
+        peer.config.mailbox.send(AskDocument(reply))
+        return Success(await reply.wait(_DEADLINE_MS))
+
+    async def dump(self, address: str) -> Result[str, PeerFailure]:
+        return Failure(PeerFailure.NOT_SENT)
+
+    async def _peer(self, address: str) -> 'FakeProcess | None':
+        await sleep_ms(_CALL_MS)
+        link = frozenset((self._process, address))
+        peer = self._cell.running.get(address)
+        if link not in self._cell.cut_links and peer is not None:
+            return peer
+        await sleep_ms(_DEADLINE_MS)
+        return None
+
+
+class _Recorder(Mailbox):
+    """Passes messages on and notes each generation put in force."""
+
+    def __init__(self, receiver: Mailbox) -> None:
+        super().__init__()
+        self.generations: list[Generation] = []
+        self._receiver = receiver
+
+    def send(self, message: object) -> bool:
+        if isinstance(message, GenerationInForce):
+            self.generations.append(message.generation)
+        return self._receiver.send(message)
+
+
+class FakeProcess:
+    """Membership and configuration of one process; its id is its address."""
+
+    def __init__(
+        self,
+        cell: FakeCell,
+        process: str,
+        domain: str,
+        incarnation: int,
+        membership: MembershipSettings | None = None,
+    ) -> None:
+        chance = random.Random(f'{process} {incarnation}')
+        store = FakeStore(cell, process)
+        peers = FakePeers(cell, process)
+        self._cell = cell
+        self.process = process
+        self.membership = Membership(
+            membership or MembershipSettings(),
+            MemberDetail(
+                ProcessId(process),
+                FailureDomain(domain),
+                process,
+                incarnation,
+            ),
+            Directory(store),
+            peers,
+            chance,
+        )
+        self.config = ConfigSpread(
+            ConfigSettings(),
+            store,
+            peers,
+            parse_in_loop,
+            chance,
+        )
+        self.recorder = _Recorder(self.membership.mailbox)
+        self.config.membership = self.recorder
+        self.membership.subscribers.append(self.config.mailbox)
+
+    def start(self) -> None:
+        self._cell.running[self.process] = self
+        self.membership.start()
+        self.config.start()
+
+    async def stop(self) -> None:
+        """End as by a kill: nothing is said to anyone."""
+        self._cell.running.pop(self.process)
+        await self.membership.stop()
+        await self.config.stop()
