--- a/fuchsiarill/actor.py
+++ b/fuchsiarill/actor.py
@@ -37,9 +37,12 @@
             self._future.set_result(outcome)
 
     async def wait(self, timeout_ms: float) -> _Answer:
-        """Return the answer; raises `TimeoutError` after `timeout_ms`."""
+        """Return the answer; raises `TimeoutError` after `timeout_ms`.
+
+        The reply can be waited for again after that.
+        """
         async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-            return await self._future
+            return await asyncio.shield(self._future)
 
 
 class Mailbox:
@@ -118,6 +121,13 @@
         """Return the state for a dump; subclasses add theirs."""
         return {'actor': self.name, 'mailbox_count': len(self.mailbox)}
 
+    def fault(self) -> str | None:
+        """Return why a task of the actor has ended by itself, if one has."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled():
+                return repr(task.exception())
+        return None
+
     async def _tick(self, interval_ms: float, message: object) -> None:
         while True:
             await asyncio.sleep(interval_ms / MS_PER_SECOND)
--- a/fuchsiarill/cluster/config_document.py
+++ b/fuchsiarill/cluster/config_document.py
@@ -48,9 +48,15 @@
 
 
 def read_document(encoded: str | None) -> Result[ConfigDocument, str]:
-    """Read the value of the store key; an absent one is no document."""
+    """Read the value of the store key; an absent one is no document.
+
+    The first document can't come from an operator, since there is no contract
+    yet that names a token: it is put into the store as plain YAML.
+    """
     if encoded is None:
         return Success(NO_DOCUMENT)
+    if not encoded.startswith('{'):
+        return Success(NO_DOCUMENT.successor(encoded, 'first document', ''))
     try:
         return Success(ConfigDocument.model_validate_json(encoded))
     except ValidationError as invalid:
--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -11,7 +11,13 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from fuchsiarill.ids import FailureDomain, Generation, PartitionId, ProcessId
+from fuchsiarill.ids import (
+    FailureDomain,
+    Generation,
+    PartitionId,
+    ProcessId,
+    RegionId,
+)
 from fuchsiarill.settings import MembershipSettings
 from fuchsiarill.state_chart import load_chart
 from fuchsiarill.states import MemberEvent, MemberState, ProcessState
@@ -30,6 +36,7 @@
     """
 
     process: ProcessId
+    region: RegionId
     failure_domain: FailureDomain
     address: str
     incarnation: int
--- /dev/null
+++ b/fuchsiarill/cluster/owner_link.py
@@ -0,0 +1,234 @@
+"""Passes messages for one partition to its owner in another process.
+
+Submissions of concurrent requests are merged: while several calls are in
+progress further submissions wait and go together in the next call.
+"""
+
+import json
+from collections import deque
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill import texts
+from fuchsiarill.actor import Mailbox, handles
+from fuchsiarill.answers import JobAnswer, JobWhy, refused
+from fuchsiarill.cluster.encoding import read_answer, spec_fields
+from fuchsiarill.cluster.peer_port import PeerFailure
+from fuchsiarill.cluster.peers import RpcPeers
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.codes import OUTCOME_UNCERTAIN, OWNER_UNAVAILABLE
+from fuchsiarill.ids import PartitionId
+from fuchsiarill.job import JobSpec
+from fuchsiarill.owner import messages
+from fuchsiarill.refusal import refuse
+from fuchsiarill.routing import RouteStale
+from fuchsiarill.settings import PeerSettings
+
+# An owner answers a submission after its group commit, so several calls in
+# progress keep it busy; more would only make the batches smaller.
+_SUBMITS_IN_PROGRESS_MAX: Final = 8
+_RETRY_AFTER_MS: Final = 500
+
+
+class _Collector:
+    """Collects the answers to one message in the order of its specs."""
+
+    def __init__(self, message: messages.SubmitJobs) -> None:
+        self._reply = message.reply
+        self._answers: dict[int, JobAnswer] = {}
+        self._count = len(message.specs)
+
+    def put(self, position: int, answer: JobAnswer) -> None:
+        """Note one answer; the last one answers the message."""
+        self._answers[position] = answer
+        if len(self._answers) == self._count:
+            ordered = sorted(self._answers.items())
+            self._reply.answer(tuple(one for _, one in ordered))
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    spec: JobSpec
+    collector: _Collector
+    position: int
+
+
+class OwnerLink(SpawningActor):
+    """Makes the calls about the jobs of one partition."""
+
+    def __init__(
+        self,
+        partition: PartitionId,
+        address: str,
+        settings: PeerSettings,
+        peers: RpcPeers,
+        router: Mailbox,
+    ) -> None:
+        """Call the owner at `address`; tell `router` when it is not there."""
+        super().__init__(f'owner link {partition}')
+        self._partition = partition
+        self._address = address
+        self._settings = settings
+        self._peers = peers
+        self._router = router
+        self._pending: deque[_Pending] = deque()
+        self._submits_count = 0
+
+    @handles(messages.SubmitJobs)
+    async def on_submit(self, message: messages.SubmitJobs) -> None:
+        """Submit, merged with what else is pending."""
+        collector = _Collector(message)
+        self._pending.extend(
+            _Pending(spec, collector, position)
+            for position, spec in enumerate(message.specs)
+        )
+        if self._submits_count < _SUBMITS_IN_PROGRESS_MAX:
+            self._submits_count += 1
+            self.spawn(self._submit_pending())
+
+    @handles(messages.AskJob)
+    async def on_ask(self, message: messages.AskJob) -> None:
+        """Query remotely."""
+        self.spawn(self._ask(message))
+
+    @handles(messages.CancelJob)
+    async def on_cancel(self, message: messages.CancelJob) -> None:
+        """Cancel remotely."""
+        self.spawn(self._cancel(message))
+
+    @handles(messages.ListJobs)
+    async def on_list(self, message: messages.ListJobs) -> None:
+        """List remotely."""
+        self.spawn(self._list(message))
+
+    @handles(messages.ExplainJob)
+    async def on_explain(self, message: messages.ExplainJob) -> None:
+        """Explain remotely."""
+        self.spawn(self._explain(message))
+
+    async def stop(self) -> None:
+        """Answer what was not sent, then stop."""
+        unsent = self._refusal(PeerFailure.NOT_SENT)
+        for one in self._pending:
+            one.collector.put(one.position, unsent)
+        self._pending.clear()
+        await super().stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            **super().snapshot(),
+            'address': self._address,
+            'pending_count': len(self._pending),
+        }
+
+    async def _submit_pending(self) -> None:
+        while self._pending:
+            count = min(len(self._pending), self._settings.batch_max_count)
+            batch = [self._pending.popleft() for _ in range(count)]
+            answers = await self._submit([one.spec for one in batch])
+            for one, answer in zip(batch, answers, strict=True):
+                one.collector.put(one.position, answer)
+        self._submits_count -= 1
+
+    async def _submit(self, specs: list[JobSpec]) -> list[JobAnswer]:
+        encoded = [spec_fields(spec) for spec in specs]
+        received = await self._call('submit', specs=encoded)
+        if isinstance(received, Failure):
+            refusal = self._refusal(received.failure())
+            return [refusal for _ in specs]
+        return self._read(received.unwrap().answers)
+
+    async def _ask(self, message: messages.AskJob) -> None:
+        query = message.query
+        received = await self._call(
+            'query',
+            wait_ms=query.wait_ms,
+            customer=query.customer,
+            jobId=query.job_id,
+            waitMs=query.wait_ms,
+        )
+        message.reply.answer(self._single(received))
+
+    async def _cancel(self, message: messages.CancelJob) -> None:
+        cancel = message.cancel
+        received = await self._call(
+            'cancel',
+            customer=cancel.customer,
+            jobId=cancel.job_id,
+        )
+        message.reply.answer(self._single(received))
+
+    async def _list(self, message: messages.ListJobs) -> None:
+        query = message.query
+        received = await self._call(
+            'list',
+            customer=query.customer,
+            state='' if query.state is None else query.state.value,
+            limit=query.limit,
+        )
+        if isinstance(received, Failure):
+            message.reply.answer((self._refusal(received.failure()),))
+            return
+        message.reply.answer(tuple(self._read(received.unwrap().answers)))
+
+    async def _explain(self, message: messages.ExplainJob) -> None:
+        received = await self._call(
+            'why',
+            customer=message.query.customer,
+            jobId=message.query.job_id,
+        )
+        reasons = '{}'
+        if isinstance(received, Success):
+            reasons = received.unwrap().reasons
+        why = JobWhy(self._single(received), json.loads(reasons))
+        message.reply.answer(why)
+
+    async def _call(
+        self,
+        method: str,
+        wait_ms: int = 0,
+        **request: Any,
+    ) -> Result[Any, PeerFailure]:
+        request['partition'] = self._partition
+        received = await self._peers.call(
+            self._address,
+            method,
+            request,
+            wait_ms,
+        )
+        if isinstance(received, Failure):
+            self._report_stale()
+        return received
+
+    def _single(self, received: Result[Any, PeerFailure]) -> JobAnswer:
+        if isinstance(received, Failure):
+            return self._refusal(received.failure())
+        return self._read([received.unwrap().answer])[0]
+
+    def _read(self, encoded: Any) -> list[JobAnswer]:
+        answers = [read_answer(one) for one in encoded]
+        if any(answer.code is OWNER_UNAVAILABLE for answer in answers):
+            self._report_stale()
+        return answers
+
+    def _report_stale(self) -> None:
+        self._router.send(RouteStale(self._partition, self._address))
+
+    def _refusal(self, failure: PeerFailure) -> JobAnswer:
+        """Say whether the call may have had an effect."""
+        code = OUTCOME_UNCERTAIN
+        text = texts.OUTCOME_UNCERTAIN
+        if failure is PeerFailure.NOT_SENT:
+            code = OWNER_UNAVAILABLE
+            text = texts.OWNER_UNAVAILABLE
+        return refused(
+            refuse(
+                code,
+                text,
+                partition=self._partition,
+                retry_after_ms=_RETRY_AFTER_MS,
+            ),
+        )
--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -31,8 +31,47 @@
   retryAfterMs @6 :Int64;
 }
 
+# What changes rarely of a process; sent only to one that lacks it.
+struct MemberDetail {
+  process @0 :Text;
+  failureDomain @1 :Text;
+  address @2 :Text;
+  incarnation @3 :UInt64;
+  version @4 :UInt32;
+  state @5 :Text;
+  partitions @6 :List(Text);
+  region @7 :Text;
+}
+
+# What changes all the time, in 16 bytes; `key` names a version of a detail.
+struct Beat {
+  key @0 :UInt32;
+  heartbeat @1 :UInt32;
+  generation @2 :UInt32;
+  loadPermille @3 :UInt16;
+}
+
+struct Gossip {
+  beats @0 :List(Beat);
+  details @1 :List(MemberDetail);
+  wanted @2 :List(UInt32);
+}
+
+struct ConfigDocument {
+  generation @0 :UInt32;
+  author @1 :Text;
+  text @2 :Text;
+  tokens @3 :List(Text);
+}
+
 interface Peer {
   submit @0 (partition :Text, specs :List(JobSpec)) -> (answers :List(Answer));
   query @1 (partition :Text, customer :Text, jobId :Text, waitMs :Int64) -> (answer :Answer);
   cancel @2 (partition :Text, customer :Text, jobId :Text) -> (answer :Answer);
+  list @3 (partition :Text, customer :Text, state :Text, limit :UInt32) -> (answers :List(Answer));
+  why @4 (partition :Text, customer :Text, jobId :Text) -> (answer :Answer, reasons :Text);
+  gossip @5 (message :Gossip) -> (message :Gossip);
+  offerConfig @6 (document :ConfigDocument) -> (generation :UInt32);
+  fetchConfig @7 () -> (document :ConfigDocument);
+  dump @8 () -> (state :Text);
 }
--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -1,153 +1,165 @@
 """The link to one other process: one connection, a deadline for each call.
 
-A connection that misses a deadline is closed and never used again; the next
-call dials afresh. Calls run concurrently, and capnp matches the answers.
+A connection that misses a deadline is closed and never used again, since a
+late answer on it would show that it is slow and not that it works. Calls run
+concurrently, and capnp matches the answers. A call that is safe to repeat is
+repeated once over a fresh connection.
 """
 
 import asyncio
-from collections.abc import Awaitable
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Final
 
 import capnp
+from returns.result import Failure, Result, Success
 
-from fuchsiarill import codes, texts
-from fuchsiarill.actor import Actor, handles
-from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import MS_PER_SECOND
-from fuchsiarill.cluster.encoding import SCHEMA, read_answer, spec_fields
-from fuchsiarill.ids import PartitionId
-from fuchsiarill.owner import messages
-from fuchsiarill.refusal import refuse
+from fuchsiarill.cluster.encoding import SCHEMA
+from fuchsiarill.cluster.peer_port import PeerFailure
+from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.settings import PeerSettings
+from fuchsiarill.state_chart import load_chart
+from fuchsiarill.states import ConnectionEvent, ConnectionState
 
 
-class PeerLink(Actor):
-    """Passes messages for one partition to its owner in another process."""
+@dataclass(frozen=True, slots=True)
+class PeerCall:
+    """Call a method of the schema; the reply holds the received struct.
 
-    def __init__(
-        self,
-        partition: PartitionId,
-        address: str,
-        settings: PeerSettings,
-    ) -> None:
+    `timeout_ms` bounds each of the at most two tries.
+    """
+
+    method: str
+    request: dict[str, Any]
+    timeout_ms: int
+    reply: Reply[Result[Any, PeerFailure]]
+    repeatable: bool = True
+
+
+class Connection:
+    """One dialled connection; it steps the connection chart."""
+
+    def __init__(self, address: str) -> None:
+        """Start closed."""
+        self.state = CONNECTION_CHART.initial
+        self._address = address
+        self.peer: Any = None
+        self._stream: Any = None
+        self._client: Any = None
+
+    async def dial(self) -> None:
+        """Connect; raises `OSError`."""
+        self.step(ConnectionEvent.DIALLED)
+        host, _, port = self._address.rpartition(':')
+        try:
+            self._stream = await capnp.AsyncIoStream.create_connection(
+                host=host,
+                port=int(port),
+            )
+        except BaseException:
+            self.step(ConnectionEvent.FAILED)
+            raise
+        self._client = capnp.TwoPartyClient(self._stream)
+        self.peer = self._client.bootstrap().cast_as(SCHEMA.Peer)
+        self.step(ConnectionEvent.CONNECTED)
+
+    def step(self, event: ConnectionEvent) -> None:
+        """Apply an event of the chart and run its actions."""
+        transition = CONNECTION_CHART.step(self.state, event)
+        if transition is None:
+            return
+        self.state = transition.target
+        for action in transition.actions:
+            CONNECTION_ACTIONS[action](self)
+
+    def discard(self) -> None:
+        """Close the sockets; calls in progress fail."""
+        self._client.close()
+        self._stream.close()
+
+
+CONNECTION_ACTIONS: Final = {'discard': Connection.discard}
+CONNECTION_CHART: Final = load_chart(
+    'connection',
+    ConnectionState,
+    ConnectionEvent,
+    CONNECTION_ACTIONS,
+)
+
+
+class PeerLink(SpawningActor):
+    """Owns the connection to one address."""
+
+    def __init__(self, address: str, settings: PeerSettings) -> None:
         """Create the link; it dials at the first call."""
         super().__init__(f'peer link {address}')
-        self._partition = partition
-        self._address = address
+        self.address = address
         self._settings = settings
-        self._client: Any = None
-        self._calls: set[asyncio.Task[None]] = set()
-
-    @handles(messages.SubmitJobs)
-    async def on_submit(self, message: messages.SubmitJobs) -> None:
-        """Submit a batch remotely."""
-        self._spawn(self._submit(message))
-
-    @handles(messages.AskJob)
-    async def on_ask(self, message: messages.AskJob) -> None:
-        """Query remotely."""
-        self._spawn(self._ask(message))
-
-    @handles(messages.CancelJob)
-    async def on_cancel(self, message: messages.CancelJob) -> None:
-        """Cancel remotely."""
-        self._spawn(self._cancel(message))
-
-    async def _submit(self, message: messages.SubmitJobs) -> None:
-        encoded = [spec_fields(spec) for spec in message.specs]
-        received = await self._call(
-            'submit',
-            {'partition': self._partition, 'specs': encoded},
-            self._settings.call_timeout_ms,
-        )
-        if isinstance(received, JobAnswer):
-            message.reply.answer((received,) * len(message.specs))
+        self._connection: Connection | None = None
+        self._dialling = asyncio.Lock()
+        self._discarded_count = 0
+
+    @handles(PeerCall)
+    async def on_call(self, message: PeerCall) -> None:
+        """Make a call beside the others, up to the limit."""
+        if self.calls_count >= self._settings.calls_in_progress_max:
+            message.reply.answer(Failure(PeerFailure.NOT_SENT))
             return
-        message.reply.answer(
-            tuple(read_answer(answer) for answer in received.answers),
-        )
-
-    async def _ask(self, message: messages.AskJob) -> None:
-        query = message.query
-        received = await self._call(
-            'query',
-            {
-                'partition': self._partition,
-                'customer': query.customer,
-                'jobId': query.job_id,
-                'waitMs': query.wait_ms,
-            },
-            self._settings.call_timeout_ms + query.wait_ms,
-        )
-        message.reply.answer(_single(received))
-
-    async def _cancel(self, message: messages.CancelJob) -> None:
-        received = await self._call(
-            'cancel',
-            {
-                'partition': self._partition,
-                'customer': message.cancel.customer,
-                'jobId': message.cancel.job_id,
-            },
-            self._settings.call_timeout_ms,
-        )
-        message.reply.answer(_single(received))
-
-    async def _call(
-        self,
-        method: str,
-        request: dict[str, Any],
-        timeout_ms: int,
-    ) -> Any:
-        """Return the received struct, or a `JobAnswer` that refuses."""
+        self.spawn(self._carry_out(message))
+
+    async def stop(self) -> None:
+        """Fail the calls in progress and close the connection."""
+        await super().stop()
+        if self._connection is not None:
+            self._connection.step(ConnectionEvent.CLOSED)
+            self._connection = None
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        state = CONNECTION_CHART.initial
+        if self._connection is not None:
+            state = self._connection.state
+        return {
+            **super().snapshot(),
+            'connection': state.value,
+            'discarded_count': self._discarded_count,
+        }
+
+    async def _carry_out(self, call: PeerCall) -> None:
+        answer = await self._try(call)
+        if call.repeatable and answer == Failure(PeerFailure.NO_ANSWER):
+            answer = await self._try(call)
+        call.reply.answer(answer)
+
+    async def _try(self, call: PeerCall) -> Result[Any, PeerFailure]:
+        timeout_s = call.timeout_ms / MS_PER_SECOND
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                peer = await self._dial()
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connected()
         except (OSError, TimeoutError):
-            return self._unavailable()
+            return Failure(PeerFailure.NOT_SENT)
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                return await getattr(peer, method)(**request)
-        except (capnp.KjException, TimeoutError):
-            self._client = None
-            return self._uncertain()
-
-    async def _dial(self) -> Any:
-        if self._client is None:
-            host, _, port = self._address.rpartition(':')
-            stream = await capnp.AsyncIoStream.create_connection(
-                host=host,
-                port=int(port),
-            )
-            self._client = capnp.TwoPartyClient(stream)
-        return self._client.bootstrap().cast_as(SCHEMA.Peer)
-
-    def _spawn(self, call: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(call)
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
-
-    def _unavailable(self) -> JobAnswer:
-        return refused(
-            refuse(
-                codes.OWNER_UNAVAILABLE,
-                texts.OWNER_UNAVAILABLE,
-                partition=self._partition,
-                retry_after_ms=self._settings.call_timeout_ms,
-            ),
-        )
-
-    def _uncertain(self) -> JobAnswer:
-        return refused(
-            refuse(
-                codes.OUTCOME_UNCERTAIN,
-                texts.OUTCOME_UNCERTAIN,
-                partition=self._partition,
-            ),
-        )
-
-
-def _single(received: Any) -> JobAnswer:
-    if isinstance(received, JobAnswer):
-        return received
-    return read_answer(received.answer)
+            async with asyncio.timeout(timeout_s):
+                method = getattr(connection.peer, call.method)
+                return Success(await method(**call.request))
+        except TimeoutError:
+            self._discard(connection, ConnectionEvent.DEADLINE_MISSED)
+        except capnp.KjException:
+            self._discard(connection, ConnectionEvent.FAILED)
+        return Failure(PeerFailure.NO_ANSWER)
+
+    async def _connected(self) -> Connection:
+        async with self._dialling:
+            if self._connection is None:
+                fresh = Connection(self.address)
+                await fresh.dial()
+                self._connection = fresh
+            return self._connection
+
+    def _discard(self, connection: Connection, event: ConnectionEvent) -> None:
+        """Close a connection, unless another call has done so."""
+        connection.step(event)
+        if self._connection is connection:
+            self._connection = None
+            self._discarded_count += 1
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -1,29 +1,59 @@
 """The listener for calls of other processes.
 
-A call is for a partition that this process owns; if it does not, the answer
-says so and nothing was carried out.
+A call about jobs is for a partition that this process owns; if it does not,
+the answer says so and nothing was carried out. The servant answers before
+the caller's deadline, so that a slow owner does not cost the connection.
 """
 
+import json
 from functools import partial
-from typing import Any
+from typing import Any, Final, TypeVar
 
 import capnp
 
-from fuchsiarill.actor import Mailbox, Reply
-from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
+from fuchsiarill import codes, texts
+from fuchsiarill.actor import Reply
+from fuchsiarill.answers import (
+    JobAnswer,
+    JobCancel,
+    JobList,
+    JobQuery,
+    JobWhy,
+    refused,
+)
+from fuchsiarill.cluster.cluster_encoding import (
+    document_fields,
+    gossip_fields,
+    read_document_struct,
+    read_gossip,
+)
+from fuchsiarill.cluster.config_document import ConfigDocument
+from fuchsiarill.cluster.config_spread import AskDocument, ConfigOffered
 from fuchsiarill.cluster.encoding import SCHEMA, answer_fields, read_spec
-from fuchsiarill.ids import CustomerId, JobId, PartitionId
+from fuchsiarill.cluster.member_table import Gossip
+from fuchsiarill.cluster.membership import Gossiped
+from fuchsiarill.ids import CustomerId, Generation, JobId, PartitionId
 from fuchsiarill.owner import messages
-from fuchsiarill.routing import Route
+from fuchsiarill.process_messages import AskDump, Receivers
+from fuchsiarill.refusal import refuse
+from fuchsiarill.routing import JobMessage, Route, answer_all
 from fuchsiarill.settings import PeerSettings
+from fuchsiarill.states import JobState
+
+_Answer = TypeVar('_Answer')
+
+# Share of the caller's deadline after which the servant answers by itself.
+_DEADLINE_SHARE: Final = 0.8
+_RETRY_AFTER_MS: Final = 500
 
 
 class _PeerServant(SCHEMA.Peer.Server):  # type: ignore[misc]
     """Turns calls into messages and replies into answers."""
 
-    def __init__(self, router: Mailbox, settings: PeerSettings) -> None:
-        self._router = router
+    def __init__(self, receivers: Receivers, settings: PeerSettings) -> None:
+        self._receivers = receivers
         self._settings = settings
+        self._calls_count = 0
 
     async def submit(
         self,
@@ -34,8 +64,8 @@
     ) -> None:
         reply: Reply[tuple[JobAnswer, ...]] = Reply()
         batch = tuple(read_spec(spec) for spec in specs)
-        self._post(partition, messages.SubmitJobs(batch, reply))
-        answers = await reply.wait(self._settings.call_timeout_ms)
+        submit = messages.SubmitJobs(batch, reply)
+        answers = await self._job_answer(partition, submit, reply)
         _context.results.answers = [answer_fields(one) for one in answers]
 
     async def query(
@@ -49,8 +79,8 @@
     ) -> None:
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId), waitMs)
-        self._post(partition, messages.AskJob(query, reply))
-        answer = await reply.wait(self._settings.call_timeout_ms + waitMs)
+        ask = messages.AskJob(query, reply)
+        answer = await self._job_answer(partition, ask, reply, waitMs)
         _context.results.answer = answer_fields(answer)
 
     async def cancel(
@@ -63,32 +93,138 @@
     ) -> None:
         reply: Reply[JobAnswer] = Reply()
         cancel = JobCancel(CustomerId(customer), JobId(jobId))
-        self._post(partition, messages.CancelJob(cancel, reply))
-        answer = await reply.wait(self._settings.call_timeout_ms)
+        message = messages.CancelJob(cancel, reply)
+        answer = await self._job_answer(partition, message, reply)
         _context.results.answer = answer_fields(answer)
 
-    def _post(
+    async def list(
         self,
         partition: str,
-        message: messages.SubmitJobs | messages.AskJob | messages.CancelJob,
+        customer: str,
+        state: str,
+        limit: int,
+        _context: Any,
+        **_extra: Any,
+    ) -> None:
+        reply: Reply[tuple[JobAnswer, ...]] = Reply()
+        query = JobList(
+            CustomerId(customer),
+            JobState(state) if state else None,
+            limit,
+        )
+        message = messages.ListJobs(query, reply)
+        answers = await self._job_answer(partition, message, reply)
+        _context.results.answers = [answer_fields(one) for one in answers]
+
+    async def why(
+        self,
+        partition: str,
+        customer: str,
+        jobId: str,
+        _context: Any,
+        **_extra: Any,
+    ) -> None:
+        reply: Reply[JobWhy] = Reply()
+        query = JobQuery(CustomerId(customer), JobId(jobId))
+        message = messages.ExplainJob(query, reply)
+        why = await self._job_answer(partition, message, reply)
+        _context.results.answer = answer_fields(why.answer)
+        _context.results.reasons = json.dumps(dict(why.reasons))
+
+    async def gossip(self, message: Any, _context: Any, **_extra: Any) -> None:
+        reply: Reply[Gossip] = Reply()
+        self._receivers.membership.send(Gossiped(read_gossip(message), reply))
+        answer = await reply.wait(self._settings.call_timeout_ms)
+        _context.results.message = gossip_fields(answer)
+
+    async def offerConfig(  # noqa: N802
+        self,
+        document: Any,
+        _context: Any,
+        **_extra: Any,
+    ) -> None:
+        reply: Reply[Generation] = Reply()
+        offered = ConfigOffered(read_document_struct(document), reply)
+        self._receivers.config.send(offered)
+        generation = await reply.wait(self._settings.call_timeout_ms)
+        _context.results.generation = generation
+
+    async def fetchConfig(  # noqa: N802
+        self,
+        _context: Any,
+        **_extra: Any,
     ) -> None:
-        self._router.send(Route(PartitionId(partition), message, hops_left=0))
+        reply: Reply[ConfigDocument] = Reply()
+        self._receivers.config.send(AskDocument(reply))
+        document = await reply.wait(self._settings.call_timeout_ms)
+        _context.results.document = document_fields(document)
 
+    async def dump(self, _context: Any, **_extra: Any) -> None:
+        reply: Reply[str] = Reply()
+        self._receivers.process.send(AskDump(reply))
+        _context.results.state = await reply.wait(
+            self._settings.call_timeout_ms,
+        )
 
-async def serve_peers(router: Mailbox, settings: PeerSettings) -> Any:
+    async def _job_answer(
+        self,
+        partition: str,
+        message: JobMessage,
+        reply: Reply[_Answer],
+        wait_ms: int = 0,
+    ) -> _Answer:
+        """Return the answer of the owner, or a refusal in its form."""
+        name = PartitionId(partition)
+        if self._calls_count >= self._settings.calls_in_progress_max:
+            answer_all(message, _overloaded())
+        elif not self._receivers.router.send(Route(name, message, hops_left=0)):
+            answer_all(message, _overloaded())
+        self._calls_count += 1
+        try:
+            return await reply.wait(
+                _DEADLINE_SHARE * self._settings.call_timeout_ms + wait_ms,
+            )
+        except TimeoutError:
+            answer_all(message, _uncertain(name))
+        finally:
+            self._calls_count -= 1
+        return await reply.wait(self._settings.call_timeout_ms)
+
+
+async def serve_peers(receivers: Receivers, settings: PeerSettings) -> Any:
     """Listen for other processes; returns the server, which must be closed."""
     return await capnp.AsyncIoStream.create_server(
-        partial(_connected, router, settings),
+        partial(_connected, receivers, settings),
         settings.host,
         settings.port,
     )
 
 
 async def _connected(
-    router: Mailbox,
+    receivers: Receivers,
     settings: PeerSettings,
     stream: Any,
 ) -> None:
-    servant = _PeerServant(router, settings)
+    servant = _PeerServant(receivers, settings)
     server = capnp.TwoPartyServer(stream, bootstrap=servant)
     await server.on_disconnect()
+
+
+def _overloaded() -> JobAnswer:
+    return refused(
+        refuse(
+            codes.OVERLOADED,
+            texts.OVERLOADED,
+            retry_after_ms=_RETRY_AFTER_MS,
+        ),
+    )
+
+
+def _uncertain(partition: PartitionId) -> JobAnswer:
+    return refused(
+        refuse(
+            codes.OUTCOME_UNCERTAIN,
+            texts.OUTCOME_UNCERTAIN,
+            partition=partition,
+        ),
+    )
--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -182,6 +182,14 @@
     Retry.NEVER,
     'The server has no such path or method.',
 )
+UNKNOWN_PROCESS: Final = ResultCode(
+    210,
+    'unknown_process',
+    HTTPStatus.NOT_FOUND,
+    ExitStatus.BAD_REQUEST,
+    Retry.NEVER,
+    'No process with this id is in the view of the process asked.',
+)
 RATE_EXCEEDED: Final = ResultCode(
     301,
     'rate_exceeded',
@@ -247,6 +255,23 @@
     Retry.AFTER_DELAY,
     'The process is shutting down; ask another entry host.',
 )
+INTERNAL_FAULT: Final = ResultCode(
+    407,
+    'internal_fault',
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    ExitStatus.UNAVAILABLE,
+    Retry.AT_ONCE,
+    'The process met a fault of its own or did not answer itself in time; '
+    'repeat with the same key.',
+)
+PROCESS_UNREACHABLE: Final = ResultCode(
+    408,
+    'process_unreachable',
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    ExitStatus.UNAVAILABLE,
+    Retry.AT_ONCE,
+    'The process named in the request does not answer this one.',
+)
 JOB_SUCCEEDED: Final = ResultCode(
     501,
     'job_succeeded',
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -6,31 +6,55 @@
 
 import argparse
 import asyncio
+import random
 import signal
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import capnp
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from fuchsiarill import events
+from fuchsiarill.actor import Actor
 from fuchsiarill.cell_config import CellConfig, parse_config
-from fuchsiarill.clock import sleep_ms
+from fuchsiarill.cluster.config_change import ConfigParser
+from fuchsiarill.cluster.config_spread import ConfigSpread
+from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.member_table import MemberDetail
+from fuchsiarill.cluster.membership import Membership
+from fuchsiarill.cluster.owner_link import OwnerLink
 from fuchsiarill.cluster.peer_server import serve_peers
+from fuchsiarill.cluster.peers import Peers, RpcPeers
+from fuchsiarill.codes import ExitStatus
 from fuchsiarill.front.bridge import Bridge
+from fuchsiarill.front.front_actor import FrontActor
 from fuchsiarill.front.http_front import HttpFront
-from fuchsiarill.ids import StoreKey
-from fuchsiarill.owner.campaign import Campaign, Ports
+from fuchsiarill.front.metrics import CountingStore, Metrics
+from fuchsiarill.ids import PartitionId
+from fuchsiarill.owner.campaign import (
+    Campaign,
+    OwnerClaim,
+    OwnerFound,
+    Ports,
+)
+from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
-from fuchsiarill.routing import Router, partitions_of
+from fuchsiarill.ports.store import StorePort, Versioned
+from fuchsiarill.process import Parts, Process
+from fuchsiarill.process_messages import DrainAsked, Receivers
+from fuchsiarill.refusal import Refusal
+from fuchsiarill.routing import Router
 from fuchsiarill.settings import ProcessSettings, load_settings
 
-_CONFIG_KEY = StoreKey('config/current')
-_CONFIG_RETRY_MS = 500
 _CLIENT_THREADS_COUNT = 32
 _CLIENT_CALLS_MAX_COUNT = 512
-_REQUESTS_MAX_COUNT = 64
+_NS_PER_MS = 1_000_000
 
 
 def run() -> None:
@@ -39,90 +63,192 @@
     parser.add_argument('--config', type=Path, required=True)
     parser.add_argument('--check', action='store_true')
     options = parser.parse_args()
-    settings = load_settings(options.config).unwrap()
+    loaded = load_settings(options.config)
+    if isinstance(loaded, Failure):
+        sys.stderr.write('\n'.join((*loaded.failure(), '')))
+        sys.exit(ExitStatus.BAD_REQUEST.value)
     if options.check:
         return
+    settings = loaded.unwrap()
     events.configure_logging(settings.log_format, settings.log_level)
-    asyncio.run(_main(settings))
+    sys.exit(asyncio.run(_main(settings)))
 
 
-async def _main(settings: ProcessSettings) -> None:
+async def _main(settings: ProcessSettings) -> int:
     async with capnp.kj_loop():
-        await _serve(settings)
+        return await _serve(settings)
 
 
-async def _serve(settings: ProcessSettings) -> None:
-    loop = asyncio.get_running_loop()
-    stopping = _stop_signal(loop)
+@dataclass(frozen=True, slots=True)
+class _Daemon:
+    """The actors of a process, connected with each other."""
+
+    process: Process
+    receivers: Receivers
+    actors: tuple[Actor, ...]
+
+
+async def _serve(settings: ProcessSettings) -> int:
+    """Run all actors until the process ends; returns the exit status."""
     client = HttpClient(_CLIENT_THREADS_COUNT, _CLIENT_CALLS_MAX_COUNT)
-    ports = _ports(settings, client)
-    config = await _first_config(ports)
-    router = Router(settings.peers)
-    router.start()
-    campaigns = _start_campaigns(settings, config, ports, router)
-    front = HttpFront(
-        settings.http,
-        Bridge(loop, _REQUESTS_MAX_COUNT),
-        router.mailbox,
-        config,
-    )
-    server = await serve_peers(router.mailbox, settings.peers)
-    front.start()
-    events.emit(
-        events.PROCESS_STARTED,
-        process=settings.process,
-        failure_domain=settings.failure_domain,
+    parsing = ThreadPoolExecutor(1, 'config-parser')
+    metrics = Metrics()
+    ports = Ports(
+        CountingStore(HttpStore(settings.store, client), metrics),
+        HttpHostList(settings.host_list, client),
+        HttpWorkers(settings.workers, client),
     )
-    await stopping.wait()
-    await loop.run_in_executor(None, front.stop)
+    parse = partial(_parse_in_thread, parsing)
+    daemon = _assemble(settings, ports, metrics, parse)
+    server = await serve_peers(daemon.receivers, settings.peers)
+    for actor in daemon.actors:
+        actor.start()
+    _drain_on_signals(daemon.process)
+    await daemon.process.ended.wait()
     server.close()
-    await asyncio.gather(*(campaign.stop() for campaign in campaigns))
+    for ending in daemon.actors:
+        await ending.stop()
     client.close()
+    parsing.shutdown(wait=False)
+    events.emit(events.PROCESS_STOPPED, process=settings.process)
+    return int(daemon.process.has_failed)
 
 
-def _stop_signal(loop: asyncio.AbstractEventLoop) -> asyncio.Event:
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    return stopping
+def _assemble(
+    settings: ProcessSettings,
+    ports: Ports,
+    metrics: Metrics,
+    parse: ConfigParser,
+) -> _Daemon:
+    peers = Peers(settings.peers)
+    calls = RpcPeers(peers.mailbox, settings.peers)
+    chance = random.Random()
+    membership = Membership(
+        settings.membership,
+        _own_detail(settings),
+        Directory(ports.store),
+        calls,
+        chance,
+    )
+    config = ConfigSpread(settings.config, ports.store, calls, parse, chance)
+    router = _router(settings, ports.store, calls)
+    process = Process(
+        settings,
+        Parts(
+            membership.mailbox,
+            (peers, membership, config, config.source, router),
+            calls,
+            ports.host_list,
+        ),
+        partial(_open_campaign, settings, ports, router),
+    )
+    receivers = Receivers(
+        router.mailbox,
+        membership.mailbox,
+        config.mailbox,
+        process.mailbox,
+    )
+    front = _front(settings, receivers, metrics)
+    process.front = front
+    router.membership = membership.mailbox
+    config.membership = membership.mailbox
+    config.subscribers.extend((front.mailbox, process.mailbox))
+    membership.subscribers.extend(
+        (config.mailbox, router.mailbox, process.mailbox),
+    )
+    started = (peers, router, process, front, membership, config)
+    return _Daemon(process, receivers, started)
 
 
-def _ports(settings: ProcessSettings, client: HttpClient) -> Ports:
-    return Ports(
-        HttpStore(settings.store, client),
-        HttpHostList(settings.host_list, client),
-        HttpWorkers(settings.workers, client),
+def _front(
+    settings: ProcessSettings,
+    receivers: Receivers,
+    metrics: Metrics,
+) -> FrontActor:
+    bridge = Bridge(
+        asyncio.get_running_loop(),
+        settings.http.requests_max_count,
+        settings.http.waits_max_count,
     )
+    front = HttpFront(settings.http, bridge, receivers, metrics)
+    return FrontActor(front, receivers.membership)
+
+
+def _own_detail(settings: ProcessSettings) -> MemberDetail:
+    return MemberDetail(
+        settings.process,
+        settings.region,
+        settings.failure_domain,
+        f'{settings.peers.host}:{settings.peers.port}',
+        # Only tells runs of one process apart; a clock that steps back is
+        # outbid by the others' knowledge of the earlier run.
+        incarnation=time.time_ns() // _NS_PER_MS,
+    )
+
+
+def _router(
+    settings: ProcessSettings,
+    store: StorePort,
+    calls: RpcPeers,
+) -> Router:
+    router = Router(
+        settings.peers,
+        lambda partition, address, peers: OwnerLink(
+            partition,
+            address,
+            peers,
+            calls,
+            router.mailbox,
+        ),
+        partial(_look_up, store),
+    )
+    return router
+
+
+async def _look_up(
+    store: StorePort,
+    partition: PartitionId,
+) -> OwnerFound | None:
+    """Read the owner key; `None` when the store does not answer."""
+    match await store.get(owner_key(partition)):
+        case Success(found):
+            return OwnerFound(partition, _claim(found), mailbox=None)
+    return None
 
 
-async def _first_config(ports: Ports) -> CellConfig:
-    while True:
-        match await ports.store.get(_CONFIG_KEY):
-            case Success(found) if found.value is not None:
-                return parse_config(found.value).unwrap()
-        await sleep_ms(_CONFIG_RETRY_MS)
+def _claim(found: Versioned) -> OwnerClaim | None:
+    if found.value is None:
+        return None
+    return OwnerClaim.model_validate_json(found.value)
 
 
-def _start_campaigns(
+def _open_campaign(
     settings: ProcessSettings,
-    config: CellConfig,
     ports: Ports,
     router: Router,
-) -> list[Campaign]:
-    campaigns = []
-    for partition in partitions_of(config, settings.region):
-        campaign = Campaign(
-            settings,
-            partition,
-            config,
-            ports,
-            router.mailbox,
-        )
-        campaign.start()
-        campaign.mailbox.send(Tick())
-        campaign.tick_every(settings.store.owner_renew_interval_ms, Tick())
-        campaigns.append(campaign)
-    return campaigns
+    partition: PartitionId,
+    config: CellConfig,
+) -> Campaign:
+    campaign = Campaign(settings, partition, config, ports, router.mailbox)
+    campaign.start()
+    campaign.mailbox.send(Tick())
+    campaign.tick_every(settings.store.owner_renew_interval_ms, Tick())
+    return campaign
+
+
+async def _parse_in_thread(
+    threads: ThreadPoolExecutor,
+    text: str,
+) -> Result[CellConfig, tuple[Refusal, ...]]:
+    """A large document takes tens of milliseconds, in which a loop decides."""
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(threads, parse_config, text)
+
+
+def _drain_on_signals(process: Process) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.mailbox.send, DrainAsked())
 
 
 if __name__ == '__main__':
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -104,6 +104,12 @@
     'actor {actor} failed on {message_type}: {error}',
     'Report the line as a defect; the process goes on with the next message.',
 )
+ACTOR_DIED: Final = LogEvent(
+    105,
+    Level.ERROR,
+    'actor {actor} has ended by itself and the process ends: {error}',
+    'Report the line as a defect; another process takes over.',
+)
 CONFIG_IN_FORCE: Final = LogEvent(
     201,
     Level.INFO,
@@ -147,3 +153,9 @@
     'job {job} ended as {state}',
     _NO_ACTION,
 )
+REQUEST_FAILED: Final = LogEvent(
+    601,
+    Level.ERROR,
+    'request of {path} failed: {error}',
+    'Report the line as a defect; the caller was answered with its code.',
+)
--- /dev/null
+++ b/fuchsiarill/front/authentication.py
@@ -0,0 +1,38 @@
+"""Who sends a request, from its bearer token.
+
+The configuration holds digests only. A token is compared with all of them,
+each in constant time, so that the time taken tells nothing of a match.
+"""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from typing import Final
+
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.ids import CustomerId
+
+_SCHEME: Final = 'bearer'
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """A customer, or an operator when `customer` is `None`."""
+
+    customer: CustomerId | None
+
+
+OPERATOR: Final = Identity(None)
+
+
+def identify(config: CellConfig, authorization: str) -> Identity | None:
+    """Return the holder of the token in an `Authorization` header."""
+    scheme, _, token = authorization.partition(' ')
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    found = None
+    for contract in config.contracts:
+        if hmac.compare_digest(digest, contract.token_sha256):
+            found = Identity(contract.customer)
+    if hmac.compare_digest(digest, config.operator_token_sha256):
+        found = OPERATOR
+    return found if scheme.lower() == _SCHEME else None
--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -1,20 +1,38 @@
 """The bridge from HTTP threads to the actors.
 
-A thread posts a message into the loop and blocks on its reply; the number of
-requests in progress is bounded and a further one is refused.
+A thread posts messages into the loop and blocks on their replies; the number
+of requests in progress is bounded and a further one is refused. Requests
+that wait for an event have a smaller limit of their own, so that they leave
+threads for all others.
 """
 
 import asyncio
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import CancelledError
-from typing import TypeVar
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
 
 from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.clock import MS_PER_SECOND
 
 _Answer = TypeVar('_Answer')
 
+_PERMILLE: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A message to post; `build` puts the reply into it."""
+
+    mailbox: Mailbox
+    build: Callable[[Reply[Any]], object]
+
+
+class NotSentError(Exception):
+    """The process has no room for the request; nothing was carried out."""
+
 
 class Bridge:
     """Lets HTTP threads ask the actors of one loop."""
@@ -23,52 +41,90 @@
         self,
         loop: asyncio.AbstractEventLoop,
         in_progress_max: int,
+        waits_max: int = 0,
     ) -> None:
         """Serve at most `in_progress_max` asks at a time."""
         self._loop = loop
-        self._permits = threading.BoundedSemaphore(in_progress_max)
+        self._in_progress_max = in_progress_max
+        self._waits_max = waits_max
+        self._in_progress = 0
+        self._waits = 0
+        self._counts = threading.Lock()
 
-    def ask(
-        self,
-        mailbox: Mailbox,
-        build: Callable[[Reply[_Answer]], object],
-        timeout_ms: int,
-    ) -> _Answer | None:
-        """Post the message made by `build`; return its answer.
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests in progress."""
+        return self._in_progress
 
-        Returns `None` when the process has too many requests in progress or
-        the mailbox is full: nothing was carried out. Raises `TimeoutError`
-        when no answer came in time.
-        """
-        if not self._permits.acquire(blocking=False):
-            return None
+    @property
+    def load_permille(self) -> int:
+        """Return the requests in progress in thousandths of their limit."""
+        return _PERMILLE * self._in_progress // self._in_progress_max
+
+    @contextmanager
+    def admitted(self) -> Iterator[bool]:
+        """Count a request in progress; yields whether there was room."""
+        with self._counts:
+            admitted = self._in_progress < self._in_progress_max
+            self._in_progress += int(admitted)
         try:
-            return self._post(mailbox, build, timeout_ms)
-        except CancelledError:
-            raise TimeoutError from None
+            yield admitted
         finally:
-            self._permits.release()
+            with self._counts:
+                self._in_progress -= int(admitted)
 
-    def _post(
+    @contextmanager
+    def waiting(self) -> Iterator[bool]:
+        """Count a request that waits for an event."""
+        with self._counts:
+            admitted = self._waits < self._waits_max
+            self._waits += int(admitted)
+        try:
+            yield admitted
+        finally:
+            with self._counts:
+                self._waits -= int(admitted)
+
+    def ask(
         self,
         mailbox: Mailbox,
         build: Callable[[Reply[_Answer]], object],
         timeout_ms: int,
-    ) -> _Answer | None:
+    ) -> _Answer:
+        """Post one message and return its answer.
+
+        Raises `NotSentError`, or `TimeoutError` when no answer came in time.
+        """
+        answer = self.ask_all([Ask(mailbox, build)], timeout_ms)[0]
+        if isinstance(answer, Exception):
+            raise answer
+        return answer  # type: ignore[no-any-return]
+
+    def ask_all(self, asks: Sequence[Ask], timeout_ms: int) -> list[Any]:
+        """Post several messages at once; return an answer for each.
+
+        In place of an answer there may be a `NotSentError` or `TimeoutError`.
+        """
         asked = asyncio.run_coroutine_threadsafe(
-            _ask(mailbox, build, timeout_ms),
+            _gather(asks, timeout_ms),
             self._loop,
         )
-        answers = asked.result(2 * timeout_ms / MS_PER_SECOND)
-        return answers[0] if answers else None
-
-
-async def _ask(
-    mailbox: Mailbox,
-    build: Callable[[Reply[_Answer]], object],
-    timeout_ms: int,
-) -> list[_Answer]:
-    reply: Reply[_Answer] = Reply()
-    if mailbox.send(build(reply)):
-        return [await reply.wait(timeout_ms)]
-    return []
+        try:
+            # The loop keeps the deadline; twice of it means that it is gone.
+            return asked.result(2 * timeout_ms / MS_PER_SECOND)
+        except (TimeoutError, CancelledError):
+            return [TimeoutError() for _ in asks]
+
+
+async def _gather(asks: Sequence[Ask], timeout_ms: int) -> list[Any]:
+    return await asyncio.gather(
+        *(_ask(one, timeout_ms) for one in asks),
+        return_exceptions=True,
+    )
+
+
+async def _ask(one: Ask, timeout_ms: int) -> Any:
+    reply: Reply[Any] = Reply()
+    if not one.mailbox.send(one.build(reply)):
+        raise NotSentError
+    return await reply.wait(timeout_ms)
--- /dev/null
+++ b/fuchsiarill/front/caller_routes.py
@@ -0,0 +1,268 @@
+"""Routes of callers: submit, list, query, explain and cancel jobs."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill import codes, texts
+from fuchsiarill.actor import Reply
+from fuchsiarill.answers import (
+    JobAnswer,
+    JobCancel,
+    JobList,
+    JobQuery,
+    JobWhy,
+    refused,
+)
+from fuchsiarill.front.replies import (
+    RETRY_AFTER_MS,
+    HttpReply,
+    QueryError,
+    malformed,
+    refusal_reply,
+    reply_of,
+)
+from fuchsiarill.front.routes import Access, HttpRequest, route
+from fuchsiarill.front.submissions import answer_object, parse_batch
+from fuchsiarill.ids import CustomerId, JobId, PartitionId
+from fuchsiarill.job import JobSpec
+from fuchsiarill.owner import messages
+from fuchsiarill.refusal import Refusal, refuse
+from fuchsiarill.routing import (
+    JobMessage,
+    partition_of_job,
+    partition_of_key,
+    partitions_of,
+)
+from fuchsiarill.states import JobState
+
+if TYPE_CHECKING:
+    from fuchsiarill.front.http_front import HttpFront
+
+_WAIT_MAX_MS: Final = 30_000
+_LIST_DEFAULT_COUNT: Final = 100
+_LIST_MAX_COUNT: Final = 1_000
+_JOB: Final = '/v1/jobs/([^/]+)'
+
+
+@route('POST', '/v1/jobs', Access.CALLER, 'customer')
+def submit_jobs(front: 'HttpFront', request: HttpRequest) -> HttpReply:
+    """Submit a batch; the reply has one answer for each job, in order."""
+    parsed = _customer_in_force(front, request).bind(
+        lambda customer: parse_batch(request.body, customer),
+    )
+    if isinstance(parsed, Failure):
+        return refusal_reply(parsed.failure())
+    answers = _submit(front, parsed.unwrap())
+    for answer in answers:
+        front.metrics.count_submission(answer.code)
+    return HttpReply(
+        _common_status(answers),
+        {'answers': [answer_object(one) for one in answers]},
+    )
+
+
+@route('GET', '/v1/jobs', Access.CALLER, 'customer', 'state', 'limit')
+def list_jobs(front: 'HttpFront', request: HttpRequest) -> HttpReply:
+    """List own jobs, the latest accepted of each partition first."""
+    found = _customer_in_force(front, request)
+    if isinstance(found, Failure):
+        return refusal_reply(found.failure())
+    limit = request.count('limit', _LIST_DEFAULT_COUNT, _LIST_MAX_COUNT)
+    query = JobList(found.unwrap(), _state_of(request), limit)
+    jobs = _list(front, query)
+    refusals = [job for job in jobs if job.refusal is not None]
+    if refusals:
+        return reply_of(refusals[0])
+    listed = [answer_object(job) for job in jobs[:limit]]
+    return HttpReply(HTTPStatus.OK, {'jobs': listed})
+
+
+@route('GET', _JOB, Access.CALLER, 'customer', 'wait_ms')
+def query_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
+    """Return the state of a job; `wait_ms=N` waits for its end."""
+    wait_ms = request.count('wait_ms', 0, _WAIT_MAX_MS)
+    if not wait_ms:
+        return reply_of(_query(front, request, 0))
+    with front.bridge.waiting() as admitted:
+        if admitted:
+            return reply_of(_query(front, request, wait_ms))
+    answer = _query(front, request, 0)
+    body = answer_object(answer)
+    if answer.code is codes.NOT_FINISHED:
+        body['retry_after_ms'] = RETRY_AFTER_MS
+    return HttpReply(answer.code.http_status, body)
+
+
+@route('GET', f'{_JOB}/why', Access.CALLER, 'customer')
+def explain_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
+    """Say what a job waits for."""
+    why = _ask_about(
+        front,
+        request,
+        lambda customer, job_id, reply: messages.ExplainJob(
+            JobQuery(customer, job_id),
+            reply,
+        ),
+    )
+    if not isinstance(why, JobWhy):
+        return reply_of(why)
+    body = answer_object(why.answer) | {'why': dict(why.reasons)}
+    return HttpReply(why.answer.code.http_status, body)
+
+
+@route('DELETE', _JOB, Access.CALLER, 'customer')
+def cancel_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
+    """Cancel a job."""
+    return reply_of(
+        _ask_about(
+            front,
+            request,
+            lambda customer, job_id, reply: messages.CancelJob(
+                JobCancel(customer, job_id),
+                reply,
+            ),
+        ),
+    )
+
+
+def _submit(
+    front: 'HttpFront',
+    specs: tuple[JobSpec, ...],
+) -> list[JobAnswer]:
+    """Send one message to each partition; answer in the order of the specs."""
+    batches: dict[PartitionId, list[int]] = defaultdict(list)
+    for position, spec in enumerate(specs):
+        batches[_partition_of(front, spec)].append(position)
+    replies = front.ask_owners(
+        [
+            (partition, _submission([specs[one] for one in positions]))
+            for partition, positions in batches.items()
+        ],
+    )
+    answers: dict[int, JobAnswer] = {}
+    for positions, reply in zip(batches.values(), replies, strict=True):
+        if isinstance(reply, JobAnswer):
+            reply = (reply,) * len(positions)
+        answers.update(zip(positions, reply, strict=True))
+    return [answer for _, answer in sorted(answers.items())]
+
+
+def _list(front: 'HttpFront', query: JobList) -> list[JobAnswer]:
+    build = partial(messages.ListJobs, query)
+    partitions = _partitions_of(front, query.customer)
+    listed: list[JobAnswer] = []
+    for answer in front.ask_owners([(one, build) for one in partitions]):
+        listed.extend([answer] if isinstance(answer, JobAnswer) else answer)
+    return listed
+
+
+def _submission(
+    specs: list[JobSpec],
+) -> Callable[[Reply[Any]], JobMessage]:
+    return partial(messages.SubmitJobs, tuple(specs))
+
+
+def _query(
+    front: 'HttpFront',
+    request: HttpRequest,
+    wait_ms: int,
+) -> JobAnswer:
+    answer: JobAnswer = _ask_about(
+        front,
+        request,
+        lambda customer, job_id, reply: messages.AskJob(
+            JobQuery(customer, job_id, wait_ms),
+            reply,
+        ),
+        wait_ms,
+    )
+    return answer
+
+
+def _ask_about(
+    front: 'HttpFront',
+    request: HttpRequest,
+    build: Callable[[CustomerId, JobId, Reply[Any]], JobMessage],
+    wait_ms: int = 0,
+) -> Any:
+    """Ask the owner of the job that the path names."""
+    found = _customer_in_force(front, request)
+    if isinstance(found, Failure):
+        return refused(found.failure())
+    customer = found.unwrap()
+    job_id = JobId(request.parts[0])
+    partition = partition_of_job(job_id)
+    if partition not in _partitions_of(front, customer):
+        return refused(
+            refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id),
+        )
+    return front.ask_owners(
+        [(partition, lambda reply: build(customer, job_id, reply))],
+        wait_ms,
+    )[0]
+
+
+def _customer_in_force(
+    front: 'HttpFront',
+    request: HttpRequest,
+) -> Result[CustomerId, Refusal]:
+    """Return the customer, which must have a contract."""
+    found = request.customer()
+    if isinstance(found, Failure):
+        return found
+    customer = found.unwrap()
+    if _partitions_of(front, customer):
+        return Success(customer)
+    return Failure(
+        refuse(
+            codes.UNKNOWN_CUSTOMER,
+            texts.UNKNOWN_CUSTOMER,
+            customer=customer,
+        ),
+    )
+
+
+def _partitions_of(
+    front: 'HttpFront',
+    customer: CustomerId,
+) -> list[PartitionId]:
+    config = front.view.config
+    contract = None if config is None else config.contract_of(customer)
+    if config is None or contract is None:
+        return []
+    return partitions_of(config, contract.region)
+
+
+def _partition_of(front: 'HttpFront', spec: JobSpec) -> PartitionId:
+    """Return the partition of a job; a contract may go while it is read."""
+    partition = None
+    if front.view.config is not None:
+        partition = partition_of_key(
+            front.view.config,
+            spec.customer,
+            spec.idempotency_key,
+        )
+    return PartitionId('') if partition is None else partition
+
+
+def _state_of(request: HttpRequest) -> JobState | None:
+    name = request.query.get('state')
+    if name is None:
+        return None
+    try:
+        return JobState(name)
+    except ValueError:
+        raise QueryError(malformed('state', texts.UNKNOWN_STATE)) from None
+
+
+def _common_status(answers: list[JobAnswer]) -> HTTPStatus:
+    """Return the status that all answers share, else that of success."""
+    statuses = {answer.code.http_status for answer in answers}
+    if len(statuses) == 1 and len(answers) == 1:
+        return statuses.pop()
+    return HTTPStatus.OK
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -1,88 +1,114 @@
 """HTTP front end: routes are registered functions, run by cheroot's threads.
 
-The threads only parse, post a message through the bridge and wait; every
+The threads only parse, post messages through the bridge and wait; every
 decision is made by the actors.
 """
 
-import hashlib
-import hmac
 import json
-import re
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from http import HTTPStatus
+
 from typing import Any, Final
 
-from cheroot import wsgi
-from returns.result import Failure
+from cheroot import errors, wsgi
 
-from fuchsiarill import codes, texts
-from fuchsiarill.actor import Mailbox
-from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery, refused
+from fuchsiarill import codes, events, texts
+from fuchsiarill.actor import Mailbox, Reply
+from fuchsiarill.answers import JobAnswer, refused
 from fuchsiarill.cell_config import CellConfig
-from fuchsiarill.front.bridge import Bridge
-from fuchsiarill.front.submissions import answer_object, parse_batch
-from fuchsiarill.ids import CustomerId, JobId
-from fuchsiarill.job import JobSpec
-from fuchsiarill.owner import messages
-from fuchsiarill.refusal import refuse
-from fuchsiarill.registry import Registry
-from fuchsiarill.routing import Route, partition_of_job, partition_of_key
+from fuchsiarill.clock import MS_PER_SECOND
+from fuchsiarill.front import caller_routes, health_routes, operator_routes
+from fuchsiarill.front.authentication import OPERATOR, Identity, identify
+from fuchsiarill.front.bridge import Ask, Bridge, NotSentError
+from fuchsiarill.front.metrics import Metrics
+from fuchsiarill.front.replies import (
+    RETRY_AFTER_MS,
+    HttpReply,
+    QueryError,
+    overloaded,
+    refusal_reply,
+)
+from fuchsiarill.front.routes import (
+    Access,
+    Endpoint,
+    HttpRequest,
+    find_route,
+    parse_query,
+)
+from fuchsiarill.ids import PartitionId
+from fuchsiarill.process_messages import Receivers
+from fuchsiarill.refusal import Refusal, refuse
+from fuchsiarill.routing import JobMessage, Route
 from fuchsiarill.settings import HttpSettings
+from fuchsiarill.states import ProcessState
 
-_BEARER: Final = 'Bearer '
-
+_BuildMessage = Callable[[Reply[Any]], JobMessage]
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """The parts of a request that routes use."""
+ROUTE_GROUPS: Final = (caller_routes, health_routes, operator_routes)
 
-    method: str
-    path: str
-    query: str
-    body: bytes
-    customer: CustomerId
+# A body above the limit but below this multiple is read and answered on a
+# connection that stays open; the server closes one with a larger body.
+_READ_FACTOR: Final = 4
+_RAW_REQUEST: Final = 'fuchsiarill.request'
 
 
 @dataclass(frozen=True, slots=True)
-class HttpReply:
-    """Status and JSON body of a reply."""
+class FrontView:
+    """What the threads know of the process; replaced as a whole."""
 
-    status: HTTPStatus
-    body: Any
+    state: ProcessState = ProcessState.STARTING
+    config: CellConfig | None = None
 
 
-RouteHandler = Callable[['HttpFront', HttpRequest], HttpReply]
+class _Gateway(wsgi.Gateway_10):
+    """Lets the application close the connection after its reply."""
 
-ROUTES: Final[Registry[tuple[str, str], RouteHandler]] = Registry('routes')
+    def __init__(self, req: Any) -> None:
+        super().__init__(req)
+        self.env[_RAW_REQUEST] = req
 
 
 class HttpFront:
-    """Serves callers of one process."""
+    """Serves the callers and operators of one process."""
 
     def __init__(
         self,
         settings: HttpSettings,
         bridge: Bridge,
-        router: Mailbox,
-        config: CellConfig,
+        receivers: Receivers,
+        metrics: Metrics,
     ) -> None:
         """Prepare the listener; `start` opens it."""
         self.settings = settings
         self.bridge = bridge
-        self.router = router
-        self.config = config
+        self.receivers = receivers
+        self.metrics = metrics
+        self.view = FrontView()
+        timeout_s = -(-settings.request_timeout_ms // MS_PER_SECOND)
         self._server = wsgi.Server(
             (settings.host, settings.port),
             self._respond,
             numthreads=settings.threads_count,
+            request_queue_size=settings.connections_max_count,
+            accepted_queue_size=settings.connections_max_count,
+            timeout=timeout_s,
+            shutdown_timeout=timeout_s,
+        )
+        self._server.gateway = _Gateway
+        self._server.keep_alive_conn_limit = settings.connections_max_count
+        self._server.max_request_body_size = (
+            _READ_FACTOR * settings.body_max_bytes
         )
-        self._server.max_request_body_size = settings.body_max_bytes
         self._server.max_request_header_size = settings.header_max_bytes
 
+    @property
+    def port(self) -> int:
+        """Return the port in use, which the kernel may have chosen."""
+        return int(self._server.bind_addr[1])
+
     def start(self) -> None:
-        """Listen, in threads of the server."""
+        """Listen, in threads of the server; raises `OSError`."""
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
@@ -90,147 +116,206 @@
         """Finish requests in progress, then close the listener."""
         self._server.stop()
 
-    def ask(self, route: Callable[[Any], Route]) -> Any:
-        """Ask the owner of a partition; returns its answer or a refusal."""
-        try:
-            answer: Any = self.bridge.ask(
-                self.router,
-                route,
-                self.settings.request_timeout_ms,
-            )
-        except TimeoutError:
-            return refused(
-                refuse(
-                    codes.OUTCOME_UNCERTAIN,
-                    texts.OUTCOME_UNCERTAIN,
-                    partition='',
-                ),
-            )
-        return _overloaded() if answer is None else answer
+    def ask(
+        self,
+        mailbox: Mailbox,
+        build: Callable[[Reply[Any]], object],
+    ) -> Any:
+        """Ask an actor; raises `NotSentError` or `TimeoutError`."""
+        return self.bridge.ask(
+            mailbox,
+            build,
+            self.settings.request_timeout_ms,
+        )
+
+    def ask_owners(
+        self,
+        asks: Sequence[tuple[PartitionId, _BuildMessage]],
+        wait_ms: int = 0,
+    ) -> list[Any]:
+        """Ask the owners of partitions; each answer may be a refusal."""
+        answers = self.bridge.ask_all(
+            [
+                Ask(self.receivers.router, _routed(partition, build))
+                for partition, build in asks
+            ],
+            self.settings.request_timeout_ms + wait_ms,
+        )
+        return [
+            _as_refusal(answer, partition)
+            for answer, (partition, _) in zip(answers, asks, strict=True)
+        ]
 
     def _respond(
         self,
         environ: dict[str, Any],
         start_response: Callable[[str, list[tuple[str, str]]], object],
     ) -> Iterable[bytes]:
-        reply = self._reply(environ)
-        body = json.dumps(reply.body).encode()
+        with self.bridge.admitted() as admitted:
+            reply = self._reply_safely(environ, admitted)
+        if self.view.state is ProcessState.DRAINING:
+            environ[_RAW_REQUEST].close_connection = True
+        body, content_type = _encoded(reply.body)
+        headers = [
+            ('Content-Type', content_type),
+            ('Content-Length', str(len(body))),
+        ]
+        headers.extend(_retry_header(reply.body))
         status = f'{reply.status.value} {reply.status.phrase}'
-        start_response(
-            status,
-            [
-                ('Content-Type', 'application/json'),
-                ('Content-Length', str(len(body))),
-            ],
-        )
+        start_response(status, headers)
         return [body]
 
-    def _reply(self, environ: dict[str, Any]) -> HttpReply:
-        customer = self._customer_of(environ.get('HTTP_AUTHORIZATION', ''))
-        if customer is None:
-            return _error(
-                refused(
-                    refuse(codes.UNAUTHENTICATED, texts.UNAUTHENTICATED),
-                ),
-            )
-        length = int(environ.get('CONTENT_LENGTH') or 0)
-        request = HttpRequest(
-            method=environ['REQUEST_METHOD'],
-            path=environ['PATH_INFO'],
-            query=environ.get('QUERY_STRING', ''),
-            body=environ['wsgi.input'].read(length),
-            customer=customer,
-        )
-        for method, pattern in ROUTES:
-            if method != request.method:
-                continue
-            if re.fullmatch(pattern, request.path):
-                return ROUTES.lookup((method, pattern))(self, request)
-        return _error(
-            refused(
+    def _reply_safely(
+        self,
+        environ: dict[str, Any],
+        admitted: bool,
+    ) -> HttpReply:
+        try:
+            return self._reply(environ, admitted)
+        except QueryError as wrong:
+            return refusal_reply(wrong.refusal)
+        except TimeoutError:
+            return refusal_reply(
                 refuse(
-                    codes.UNKNOWN_ROUTE,
-                    texts.UNKNOWN_ROUTE,
-                    method=request.method,
-                    path=request.path,
+                    codes.INTERNAL_FAULT,
+                    texts.NO_ANSWER,
+                    retry_after_ms=RETRY_AFTER_MS,
                 ),
-            ),
-        )
+            )
+        except Exception as error:
+            events.emit(
+                events.REQUEST_FAILED,
+                path=environ['PATH_INFO'],
+                error=repr(error),
+            )
+            return refusal_reply(
+                refuse(codes.INTERNAL_FAULT, texts.INTERNAL_FAULT),
+            )
 
-    def _customer_of(self, authorization: str) -> CustomerId | None:
-        token = authorization.removeprefix(_BEARER)
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        for contract in self.config.contracts:
-            if hmac.compare_digest(digest, contract.token_sha256):
-                return contract.customer
-        return None
-
-
-@ROUTES.register(('POST', '/v1/jobs'))
-def submit_jobs(front: HttpFront, request: HttpRequest) -> HttpReply:
-    """Submit a batch; the reply has one answer for each job, in order."""
-    parsed = parse_batch(request.body, request.customer)
-    if isinstance(parsed, Failure):
-        return _error(refused(parsed.failure()))
-    answers = [_submit_one(front, spec) for spec in parsed.unwrap()]
-    return HttpReply(
-        HTTPStatus.OK,
-        {'answers': [answer_object(one) for one in answers]},
+    def _reply(self, environ: dict[str, Any], admitted: bool) -> HttpReply:
+        method = environ['REQUEST_METHOD']
+        body = _read_body(environ, self.settings.body_max_bytes)
+        found = find_route(method, environ['PATH_INFO'])
+        if found is None:
+            return refusal_reply(_unknown_route(environ))
+        endpoint, parts = found
+        identity = self._admit(environ, endpoint, admitted)
+        if isinstance(identity, Refusal):
+            return refusal_reply(identity)
+        if isinstance(body, Refusal):
+            return refusal_reply(body)
+        query = parse_query(environ.get('QUERY_STRING', ''), endpoint)
+        request = HttpRequest(identity, parts, query, body)
+        with self.metrics.timed(method, endpoint.handler.__name__):
+            return _handled(self, endpoint, request)
+
+    def _admit(
+        self,
+        environ: dict[str, Any],
+        endpoint: Endpoint,
+        admitted: bool,
+    ) -> Identity | Refusal:
+        """Return who asks, or why the request is not carried out."""
+        if endpoint.access is Access.OPEN:
+            return OPERATOR
+        if not admitted or self._is_overloaded():
+            return overloaded()
+        config = self.view.config
+        if config is None:
+            return refuse(
+                codes.NOT_CONFIGURED,
+                texts.NOT_CONFIGURED,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        identity = identify(config, environ.get('HTTP_AUTHORIZATION', ''))
+        if identity is None:
+            return refuse(codes.UNAUTHENTICATED, texts.UNAUTHENTICATED)
+        if endpoint.access is Access.OPERATOR and identity is not OPERATOR:
+            return refuse(codes.FORBIDDEN, texts.FORBIDDEN)
+        return identity
+
+    def _is_overloaded(self) -> bool:
+        """Shed before parsing; what waits in the loop would only get late."""
+        waiting_count = len(self.receivers.router)
+        return waiting_count > self.settings.messages_waiting_max_count
+
+
+def _handled(
+    front: HttpFront,
+    endpoint: Endpoint,
+    request: HttpRequest,
+) -> HttpReply:
+    try:
+        return endpoint.handler(front, request)
+    except NotSentError:
+        return refusal_reply(overloaded())
+
+
+def _routed(
+    partition: PartitionId,
+    build: _BuildMessage,
+) -> Callable[[Reply[Any]], Route]:
+    return lambda reply: Route(partition, build(reply))
+
+
+def _as_refusal(answer: Any, partition: PartitionId) -> Any:
+    if isinstance(answer, NotSentError):
+        return refused(overloaded())
+    if isinstance(answer, Exception):
+        return _uncertain(partition)
+    return answer
+
+
+def _uncertain(partition: PartitionId) -> JobAnswer:
+    return refused(
+        refuse(
+            codes.OUTCOME_UNCERTAIN,
+            texts.OUTCOME_UNCERTAIN,
+            partition=partition,
+        ),
     )
 
 
-def _submit_one(front: HttpFront, spec: JobSpec) -> JobAnswer:
-    partition = partition_of_key(
-        front.config,
-        spec.customer,
-        spec.idempotency_key,
-    )
-    if partition is None:
-        return _overloaded()
-    answers = front.ask(
-        lambda reply: Route(partition, messages.SubmitJobs((spec,), reply)),
-    )
-    if isinstance(answers, JobAnswer):
-        return answers
-    single: JobAnswer = answers[0]
-    return single
-
-
-@ROUTES.register(('GET', '/v1/jobs/[^/]+'))
-def query_job(front: HttpFront, request: HttpRequest) -> HttpReply:
-    """Return the state of a job; `wait_ms=N` waits for its end."""
-    job_id = JobId(request.path.rpartition('/')[2])
-    found = re.search(r'wait_ms=(\d+)', request.query)
-    wait_ms = int(found.group(1)) if found else 0
-    query = JobQuery(request.customer, job_id, wait_ms)
-    return _error(
-        front.ask(
-            lambda reply: Route(
-                partition_of_job(job_id),
-                messages.AskJob(query, reply),
-            ),
-        ),
+def _unknown_route(environ: dict[str, Any]) -> Refusal:
+    return refuse(
+        codes.UNKNOWN_ROUTE,
+        texts.UNKNOWN_ROUTE,
+        method=environ['REQUEST_METHOD'],
+        path=environ['PATH_INFO'],
     )
 
 
-@ROUTES.register(('DELETE', '/v1/jobs/[^/]+'))
-def cancel_job(front: HttpFront, request: HttpRequest) -> HttpReply:
-    """Cancel a job."""
-    job_id = JobId(request.path.rpartition('/')[2])
-    cancel = JobCancel(request.customer, job_id)
-    return _error(
-        front.ask(
-            lambda reply: Route(
-                partition_of_job(job_id),
-                messages.CancelJob(cancel, reply),
-            ),
-        ),
+def _read_body(environ: dict[str, Any], limit_bytes: int) -> bytes | Refusal:
+    """Read all of the body, so that the next request can be read."""
+    stream = environ['wsgi.input']
+    try:
+        if environ.get('HTTP_TRANSFER_ENCODING'):
+            body = stream.read()
+        else:
+            body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
+    except (OSError, ValueError, errors.MaxSizeExceeded) as error:
+        # What follows on the connection can't be told from the body.
+        environ[_RAW_REQUEST].close_connection = True
+        return refuse(codes.MALFORMED, texts.MALFORMED, problem=str(error))
+    if len(body) <= limit_bytes:
+        return bytes(body)
+    return refuse(
+        codes.TOO_LARGE,
+        texts.TOO_LARGE,
+        size_bytes=len(body),
+        limit_bytes=limit_bytes,
     )
 
 
-def _error(answer: JobAnswer) -> HttpReply:
-    return HttpReply(answer.code.http_status, answer_object(answer))
+def _encoded(body: Any) -> tuple[bytes, str]:
+    if isinstance(body, bytes):
+        return body, 'text/plain; version=0.0.4; charset=utf-8'
+    return json.dumps(body).encode(), 'application/json'
 
 
-def _overloaded() -> JobAnswer:
-    return refused(refuse(codes.OVERLOADED, texts.OVERLOADED))
+def _retry_header(body: Any) -> list[tuple[str, str]]:
+    """Return the delay in whole seconds, rounded up."""
+    if not isinstance(body, dict) or not body.get('retry_after_ms'):
+        return []
+    seconds = -(-body['retry_after_ms'] // MS_PER_SECOND)
+    return [('Retry-After', str(seconds))]
--- /dev/null
+++ b/fuchsiarill/front/metrics.py
@@ -0,0 +1,180 @@
+"""Metrics of one process, in a registry of its own.
+
+Labels are bounded: routes, codes and verbs are known names, and customers
+beyond a cap are counted together.
+"""
+
+from contextlib import AbstractContextManager
+from typing import Any, Final, TypeVar
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from returns.result import Failure, Result
+
+from fuchsiarill.codes import ResultCode
+from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
+from fuchsiarill.ports.store import (
+    StoreFailure,
+    StorePort,
+    Swap,
+    SwapOutcome,
+    SwapResult,
+    Versioned,
+)
+from fuchsiarill.process_messages import Measures
+
+_Answer = TypeVar('_Answer')
+
+_CUSTOMERS_MAX_COUNT: Final = 100
+_OTHERS: Final = 'others'
+_SECONDS: Final = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60)
+
+
+class Metrics:
+    """Counters and gauges, written by threads and by the loop."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self._registry = CollectorRegistry()
+        self._submissions = Counter(
+            'fuchsiarill_submissions',
+            'Jobs submitted to this entry process, by code of the answer.',
+            ('code',),
+            registry=self._registry,
+        )
+        self._requests = Histogram(
+            'fuchsiarill_request_seconds',
+            'Time of HTTP requests, waits included.',
+            ('method', 'route'),
+            buckets=_SECONDS,
+            registry=self._registry,
+        )
+        self._store_calls = Counter(
+            'fuchsiarill_store_calls',
+            'Calls of the store, by verb and whether an answer came.',
+            ('verb', 'answered'),
+            registry=self._registry,
+        )
+        self._generation = Gauge(
+            'fuchsiarill_config_generation',
+            'Generation of the configuration in force.',
+            registry=self._registry,
+        )
+        self._owned = Gauge(
+            'fuchsiarill_owned_partitions',
+            'Partitions that this process owns.',
+            registry=self._registry,
+        )
+        self._mailboxes = Gauge(
+            'fuchsiarill_mailbox_messages',
+            'Messages that wait for an actor.',
+            ('actor',),
+            registry=self._registry,
+        )
+        self._queued = Gauge(
+            'fuchsiarill_queued_jobs',
+            'Waiting jobs of a customer in the partitions owned here.',
+            ('customer',),
+            registry=self._registry,
+        )
+
+    def count_submission(self, code: ResultCode) -> None:
+        """Count the answer to one submitted job."""
+        self._submissions.labels(code.name).inc()
+
+    def timed(self, method: str, name: str) -> AbstractContextManager[Any]:
+        """Return a context whose time is that of a request."""
+        timer: AbstractContextManager[Any]
+        timer = self._requests.labels(method, name).time()
+        return timer
+
+    def count_store_call(self, verb: str, answered: bool) -> None:
+        """Count one call of the store."""
+        self._store_calls.labels(verb, str(answered).lower()).inc()
+
+    def written(self, measures: Measures) -> bytes:
+        """Return all metrics in the text format."""
+        self._generation.set(measures.generation)
+        self._owned.set(measures.owned_partitions_count)
+        self._mailboxes.clear()
+        for actor, count in measures.mailbox_counts.items():
+            self._mailboxes.labels(actor).set(count)
+        self._queued.clear()
+        for customer, queued in _capped(measures.queued_counts).items():
+            self._queued.labels(customer).set(queued)
+        return generate_latest(self._registry)
+
+
+class CountingStore:
+    """`StorePort` that counts the calls of another one."""
+
+    def __init__(self, store: StorePort, metrics: Metrics) -> None:
+        """Pass all calls on to `store`."""
+        self._store = store
+        self._metrics = metrics
+
+    async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
+        """Read a key."""
+        return self._counted('get', await self._store.get(key))
+
+    async def swap(self, swap: Swap) -> SwapResult:
+        """Write a key if it still has the expected revision."""
+        swapped = await self._store.swap(swap)
+        answered = swapped.outcome is not SwapOutcome.UNKNOWN
+        self._metrics.count_store_call('swap', answered)
+        return swapped
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Create a lease."""
+        return self._counted('grant', await self._store.grant_lease(ttl_ms))
+
+    async def renew_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """Extend a lease."""
+        return self._counted('renew', await self._store.renew_lease(lease_id))
+
+    async def revoke_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        """End a lease."""
+        return self._counted('revoke', await self._store.revoke_lease(lease_id))
+
+    async def watch(
+        self,
+        key: StoreKey,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[Versioned, StoreFailure]:
+        """Wait for a change of a key."""
+        watched = await self._store.watch(key, after, wait_ms)
+        return self._counted('watch', watched)
+
+    def _counted(
+        self,
+        verb: str,
+        answer: Result[_Answer, StoreFailure],
+    ) -> Result[_Answer, StoreFailure]:
+        silent = answer == Failure(StoreFailure.UNREACHABLE)
+        self._metrics.count_store_call(verb, not silent)
+        return answer
+
+
+def _capped(counts: dict[str, int]) -> dict[str, int]:
+    """Keep the customers with the longest queues; sum up the rest."""
+    ordered = sorted(counts.items(), key=lambda named: -named[1])
+    kept = dict(ordered[:_CUSTOMERS_MAX_COUNT])
+    rest = sum(count for _, count in ordered[_CUSTOMERS_MAX_COUNT:])
+    if rest:
+        kept[_OTHERS] = rest
+    return kept
--- /dev/null
+++ b/fuchsiarill/front/replies.py
@@ -0,0 +1,59 @@
+"""What handlers of routes return."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+
+from fuchsiarill import codes, texts
+from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.front.submissions import answer_object
+from fuchsiarill.refusal import Refusal, refuse
+
+# What a caller waits before it asks again, where nothing better is known.
+RETRY_AFTER_MS: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """Status and body of a reply; a `bytes` body is sent as plain text."""
+
+    status: HTTPStatus
+    body: Any
+
+
+class QueryError(Exception):
+    """A parameter of the query is wrong."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep the refusal to answer."""
+        super().__init__(refusal.text)
+        self.refusal = refusal
+
+
+def malformed(field: str, problem: str) -> Refusal:
+    """Return the refusal of one field."""
+    return refuse(
+        codes.MALFORMED,
+        texts.MALFORMED,
+        field=field,
+        problem=f'{field}: {problem}',
+    )
+
+
+def reply_of(answer: JobAnswer) -> HttpReply:
+    """Return the reply that carries one answer."""
+    return HttpReply(answer.code.http_status, answer_object(answer))
+
+
+def refusal_reply(refusal: Refusal) -> HttpReply:
+    """Return the reply that carries a refusal."""
+    return reply_of(refused(refusal))
+
+
+def overloaded() -> Refusal:
+    """Return the refusal of a request that is shed."""
+    return refuse(
+        codes.OVERLOADED,
+        texts.OVERLOADED,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/fuchsiarill/front/submissions.py
+++ b/fuchsiarill/front/submissions.py
@@ -2,7 +2,16 @@
 
 from typing import Annotated, Any, Final
 
-from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    TypeAdapter,
+    ValidationError,
+    ValidationInfo,
+    field_validator,
+)
+from pydantic_core import PydanticCustomError
 from returns.result import Failure, Result, Success
 
 from fuchsiarill import codes, texts
@@ -35,6 +44,7 @@
 
     model_config = ConfigDict(extra='forbid')
 
+    # Validators of later fields see those before them.
     idempotency_key: _Text
     workload: Workload = Workload.BATCH
     execution: Execution = Execution.IDEMPOTENT
@@ -45,6 +55,28 @@
     run_time_ms: Annotated[int, Field(ge=0, le=10_000_000_000)] = 0
     payload: _Payload = ''
 
+    @field_validator('execution')
+    @classmethod
+    def check_execution(
+        cls,
+        execution: Execution,
+        earlier: ValidationInfo,
+    ) -> Execution:
+        """A service is restarted, so it cannot be at most once."""
+        is_service = earlier.data.get('workload') is Workload.SERVICE
+        if is_service and execution is Execution.AT_MOST_ONCE:
+            raise PydanticCustomError('service', texts.SERVICE_AT_MOST_ONCE)
+        return execution
+
+    @field_validator('run_time_ms')
+    @classmethod
+    def check_run_time(cls, run_time_ms: int, earlier: ValidationInfo) -> int:
+        """A service has no run time."""
+        is_service = earlier.data.get('workload') is Workload.SERVICE
+        if is_service and run_time_ms:
+            raise PydanticCustomError('service', texts.SERVICE_RUN_TIME)
+        return run_time_ms
+
 
 class Batch(BaseModel):
     """The body of a submission request."""
@@ -66,9 +98,12 @@
 ) -> Result[tuple[JobSpec, ...], Refusal]:
     """Read the body of a submission request."""
     try:
-        batch = _BATCHES.validate_json(body)
+        batch = _BATCHES.validate_json(body, strict=True)
     except ValidationError as invalid:
-        return Failure(_first_problem(invalid))
+        return Failure(first_problem(invalid))
+    repeated = _repeated_key(batch)
+    if repeated is not None:
+        return Failure(repeated)
     return Success(
         tuple(_as_spec(submission, customer) for submission in batch.jobs),
     )
@@ -92,7 +127,8 @@
     return written
 
 
-def _first_problem(invalid: ValidationError) -> Refusal:
+def first_problem(invalid: ValidationError) -> Refusal:
+    """Return the refusal of a body, with the first field at fault."""
     found = invalid.errors()[0]
     field = '.'.join(str(part) for part in found['loc'])
     problem = f'{field}: {found["msg"]}' if field else found['msg']
@@ -104,6 +140,24 @@
     )
 
 
+def _repeated_key(batch: Batch) -> Refusal | None:
+    """Two jobs of one batch with the same key could not both be answered."""
+    first: dict[str, str] = {}
+    for position, submission in enumerate(batch.jobs):
+        field = f'jobs.{position}.idempotency_key'
+        earlier = first.setdefault(submission.idempotency_key, field)
+        if earlier == field:
+            continue
+        problem = texts.REPEATED_JOB_KEY.format(first=earlier)
+        return refuse(
+            codes.MALFORMED,
+            texts.MALFORMED,
+            field=field,
+            problem=f'{field}: {problem}',
+        )
+    return None
+
+
 def _as_spec(submission: Submission, customer: CustomerId) -> JobSpec:
     size = submission.task_size
     return JobSpec(
--- /dev/null
+++ b/fuchsiarill/process.py
@@ -0,0 +1,253 @@
+"""The actor that runs the life of a process by `charts/process.yaml`.
+
+It starts campaigns as the configuration names partitions, drains the process
+on request, and ends it when one of its actors has died.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill import codes, events, texts
+from fuchsiarill.actor import Actor, Mailbox, Reply, handles
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.cluster.membership import (
+    LeaveCluster,
+    StateChanged,
+    ViewChanged,
+)
+from fuchsiarill.cluster.peer_port import PeerPort
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.front.front_actor import StopFront
+from fuchsiarill.ids import PartitionId, ProcessId
+from fuchsiarill.owner.campaign import Campaign
+from fuchsiarill.owner.messages import ConfigChanged, Tick
+from fuchsiarill.ports.host_list import HostListPort
+from fuchsiarill.process_measures import host_rows, measures_of
+from fuchsiarill.process_messages import (
+    AskDump,
+    AskHosts,
+    AskMeasures,
+    DrainAsked,
+    ForwardDump,
+)
+from fuchsiarill.refusal import Refusal, refuse
+from fuchsiarill.routing import partitions_of
+from fuchsiarill.settings import ProcessSettings
+from fuchsiarill.state_chart import load_chart
+from fuchsiarill.states import ProcessEvent, ProcessState
+
+PROCESS_CHART: Final = load_chart('process', ProcessState, ProcessEvent)
+
+_GUARD_INTERVAL_MS: Final = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """The other actors of the process, and what it calls itself."""
+
+    membership: Mailbox
+    actors: tuple[Actor, ...]
+    peers: PeerPort
+    host_list: HostListPort
+
+
+class Process(SpawningActor):
+    """Steps the process chart and owns the campaigns."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        parts: Parts,
+        open_campaign: Callable[[PartitionId, CellConfig], Campaign],
+    ) -> None:
+        """Start without configuration and without campaigns."""
+        super().__init__('process')
+        self.state = PROCESS_CHART.initial
+        self.front: Actor | None = None
+        self.ended = asyncio.Event()
+        self.has_failed = False
+        self._settings = settings
+        self._parts = parts
+        self._open_campaign = open_campaign
+        self._config: CellConfig | None = None
+        self._campaigns: dict[PartitionId, Campaign] = {}
+        self._addresses: dict[ProcessId, str] = {}
+
+    def start(self) -> None:
+        """Run the actor and look after the others at an interval."""
+        super().start()
+        self.tick_every(_GUARD_INTERVAL_MS, Tick())
+
+    async def stop(self) -> None:
+        """Stop the campaigns at once; leases lapse if not handed over."""
+        await super().stop()
+        stopping = [campaign.stop() for campaign in self._campaigns.values()]
+        await asyncio.gather(*stopping)
+
+    @handles(ConfigChanged)
+    async def on_config(self, message: ConfigChanged) -> None:
+        """Campaign for new partitions and pass the configuration on."""
+        self._config = message.config
+        for campaign in self._campaigns.values():
+            campaign.mailbox.send(message)
+        if self.state in _LEAVING_STATES:
+            return
+        for partition in partitions_of(message.config, self._settings.region):
+            if partition not in self._campaigns:
+                self._campaigns[partition] = self._open_campaign(
+                    partition,
+                    message.config,
+                )
+        self._step(ProcessEvent.CONFIGURED)
+
+    @handles(ViewChanged)
+    async def on_view(self, message: ViewChanged) -> None:
+        """Tell the campaigns who else may own their partitions."""
+        self._addresses = {
+            member.detail.process: member.detail.address
+            for member in message.members
+        }
+
+    @handles(DrainAsked)
+    async def on_drain(self, message: DrainAsked) -> None:
+        """Drain once, within the time in the settings."""
+        if self.state is ProcessState.DRAINING:
+            return
+        events.emit(events.PROCESS_DRAINING, process=self._settings.process)
+        self._step(ProcessEvent.DRAIN_ASKED)
+        self.spawn(self._drain())
+
+    @handles(Tick)
+    async def on_tick(self, message: Tick) -> None:
+        """End the process if an actor has died; its state is lost."""
+        for actor in self._actors():
+            fault = actor.fault()
+            if fault is None:
+                continue
+            events.emit(events.ACTOR_DIED, actor=actor.name, error=fault)
+            self.has_failed = True
+            self.ended.set()
+
+    @handles(AskDump)
+    async def on_dump(self, message: AskDump) -> None:
+        """Return the state of every actor."""
+        message.reply.answer(self._dump())
+
+    @handles(ForwardDump)
+    async def on_forward(self, message: ForwardDump) -> None:
+        """Return the dump of the process named."""
+        if message.process in {None, self._settings.process}:
+            message.reply.answer(Success(self._dump()))
+            return
+        self.spawn(self._forward(message))
+
+    @handles(AskHosts)
+    async def on_hosts(self, message: AskHosts) -> None:
+        """Read the host list."""
+        self.spawn(self._read_hosts(message))
+
+    @handles(AskMeasures)
+    async def on_measures(self, message: AskMeasures) -> None:
+        """Return what the metrics show."""
+        dumped = [actor.snapshot() for actor in self._actors()]
+        message.reply.answer(measures_of(dumped))
+
+    def _actors(self) -> tuple[Actor, ...]:
+        fronts = () if self.front is None else (self.front,)
+        return (*self._parts.actors, *fronts, *self._campaigns.values())
+
+    def _dump(self) -> str:
+        state = {
+            'process': self._settings.process,
+            'region': self._settings.region,
+            'failure_domain': self._settings.failure_domain,
+            'state': self.state.value,
+            'actors': [actor.snapshot() for actor in self._actors()],
+        }
+        return json.dumps(state, default=str)
+
+    def _step(self, event: ProcessEvent) -> None:
+        step = PROCESS_CHART.step(self.state, event)
+        if step is None:
+            return
+        self.state = step.target
+        changed = StateChanged(step.target)
+        self._parts.membership.send(changed)
+        if self.front is not None:
+            self.front.mailbox.send(changed)
+        if step.target is ProcessState.SERVING:
+            events.emit(
+                events.PROCESS_STARTED,
+                process=self._settings.process,
+                failure_domain=self._settings.failure_domain,
+            )
+
+    async def _drain(self) -> None:
+        """Wait for the balancer, hand over, finish answers, leave."""
+        drain = self._settings.drain
+        await sleep_ms(drain.notice_ms)
+        if self.front is not None:
+            await _asked(
+                self.front.mailbox,
+                lambda reply: StopFront(drain.answers_ms, reply),
+                2 * drain.answers_ms,
+            )
+        await _asked(self._parts.membership, LeaveCluster, drain.leave_ms)
+        self._step(ProcessEvent.DRAINED)
+        self.ended.set()
+
+    async def _forward(self, message: ForwardDump) -> None:
+        address = self._addresses.get(message.process or ProcessId(''))
+        if address is None:
+            message.reply.answer(
+                Failure(
+                    refuse(
+                        codes.UNKNOWN_PROCESS,
+                        texts.UNKNOWN_PROCESS,
+                        process=message.process,
+                    ),
+                ),
+            )
+            return
+        dumped = await self._parts.peers.dump(address)
+        answer: Result[str, Refusal] = dumped.alt(
+            lambda failure: refuse(
+                codes.PROCESS_UNREACHABLE,
+                texts.PROCESS_UNREACHABLE,
+                process=message.process,
+            ),
+        )
+        message.reply.answer(answer)
+
+    async def _read_hosts(self, message: AskHosts) -> None:
+        found = await self._parts.host_list.fetch()
+        if isinstance(found, Failure):
+            message.reply.answer(None)
+            return
+        draining = () if self._config is None else self._config.draining_workers
+        message.reply.answer(host_rows(found.unwrap(), draining))
+
+
+_LEAVING_STATES: Final = frozenset(
+    (ProcessState.DRAINING, ProcessState.STOPPED),
+)
+
+
+async def _asked(
+    mailbox: Mailbox,
+    build: Callable[[Reply[Any]], object],
+    within_ms: int,
+) -> None:
+    """Send a message and wait for its reply, which may be late."""
+    reply: Reply[Any] = Reply()
+    mailbox.send(build(reply))
+    try:
+        await reply.wait(within_ms)
+    except TimeoutError:
+        return
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -17,6 +17,7 @@
 
 _SETTINGS_MAX_BYTES: Final = 100_000
 _Positive = Annotated[int, Field(gt=0)]
+_Count = Annotated[int, Field(ge=0)]
 _PORT_MAX: Final = 65_535
 _Port = Annotated[int, Field(ge=0, le=_PORT_MAX)]
 _Retries = Annotated[int, Field(ge=2)]
@@ -46,14 +47,21 @@
     body_max_bytes: _Positive = 1_000_000
     header_max_bytes: _Positive = 16_000
     request_timeout_ms: _Positive = 10_000
+    connections_max_count: _Positive = 256
+    requests_max_count: _Positive = 64
+    waits_max_count: _Count = 8
+    messages_waiting_max_count: _Positive = 2_048
 
 
 class PeerSettings(_Model):
-    """The listener for the other processes of the system."""
+    """The listener for the other processes and the calls to them."""
 
     host: str = '127.0.0.1'
     port: _Port
     call_timeout_ms: _Positive = 2_000
+    calls_in_progress_max: _Positive = 512
+    batch_max_count: _Positive = 256
+    idle_after_ms: _Positive = 60_000
 
 
 class MembershipSettings(_Model):
@@ -86,6 +94,19 @@
     collect_ms: _Positive = 1_500
 
 
+class DrainSettings(_Model):
+    """How long each step of a graceful end may take, one after the other.
+
+    `notice_ms` is the time in which the balancer notices that the readiness
+    check fails.
+    """
+
+    notice_ms: _Count = 2_000
+    hand_over_ms: _Positive = 5_000
+    answers_ms: _Positive = 10_000
+    leave_ms: _Positive = 2_000
+
+
 class HostListSettings(_Model):
     """Where the host list is and how often it is read."""
 
@@ -113,6 +134,7 @@
     workers: WorkerSettings = WorkerSettings()
     membership: MembershipSettings = MembershipSettings()
     config: ConfigSettings = ConfigSettings()
+    drain: DrainSettings = DrainSettings()
     log_format: LogFormat = LogFormat.TEXT
     log_level: Level = Level.INFO
 
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -29,6 +29,7 @@
     FailureDomain,
     Generation,
     ProcessId,
+    RegionId,
     Revision,
     StoreKey,
     StoreLeaseId,
@@ -233,6 +234,7 @@
             membership or MembershipSettings(),
             MemberDetail(
                 ProcessId(process),
+                RegionId('rajkot'),
                 FailureDomain(domain),
                 process,
                 incarnation,
