--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -49,7 +49,11 @@
         self._client: Any = None
 
     async def dial(self) -> None:
-        """Connect; raises `OSError`."""
+        """Connect; raises `OSError`.
+
+        `bootstrap` is called once for each connection: calling it on a lost
+        connection makes capnp abort the process when the result is dropped.
+        """
         self.step(ConnectionEvent.DIALLED)
         host, _, port = self._address.rpartition(':')
         try:
