--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -104,12 +104,31 @@
     'actor {actor} failed on {message_type}: {error}',
     'Report the line as a defect; the process goes on with the next message.',
 )
+ACTOR_DIED: Final = LogEvent(
+    105,
+    Level.ERROR,
+    'actor {actor} has ended by itself and the process ends: {error}',
+    'Report the line as a defect; another process takes over.',
+)
 CONFIG_IN_FORCE: Final = LogEvent(
     201,
     Level.INFO,
     'configuration generation {generation} is in force',
     _NO_ACTION,
 )
+CONFIG_REJECTED: Final = LogEvent(
+    202,
+    Level.ERROR,
+    'configuration generation {generation} by {author!r} is not taken: '
+    '{problem}',
+    'The generation before stays in force; apply a document without the fault.',
+)
+MEMBER_REMOVED: Final = LogEvent(
+    203,
+    Level.WARNING,
+    'process {process} has been silent and is removed from the view',
+    'Check the entry host and the links of its failure domain.',
+)
 OWNERSHIP_ACQUIRED: Final = LogEvent(
     301,
     Level.INFO,
@@ -134,3 +153,9 @@
     'job {job} ended as {state}',
     _NO_ACTION,
 )
+REQUEST_FAILED: Final = LogEvent(
+    601,
+    Level.ERROR,
+    'request of {path} failed: {error}',
+    'Report the line as a defect; the caller was answered with its code.',
+)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -1,25 +1,29 @@
-"""A link to a process that dies answers its callers and stays usable."""
+"""Links between processes answer their callers and stay usable."""
 
 import asyncio
 import socket
 from contextlib import closing
-from functools import partial
 from typing import Any, Final
 
 import capnp
 
 from fuchsiarill import codes
-from fuchsiarill.actor import Reply
+from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.answers import JobAnswer, JobQuery
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.encoding import SCHEMA, answer_fields
-from fuchsiarill.cluster.peer_link import PeerLink
-from fuchsiarill.ids import CustomerId, JobId, PartitionId
-from fuchsiarill.owner.messages import AskJob
+from fuchsiarill.cluster.owner_link import OwnerLink
+from fuchsiarill.cluster.peers import Peers, RpcPeers
+from fuchsiarill.ids import CustomerId, JobClass, JobId, PartitionId
+from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.owner.messages import AskJob, SubmitJobs
+from fuchsiarill.resources import Resources
+from fuchsiarill.routing import RouteStale
 from fuchsiarill.settings import PeerSettings
 
 # The verdict is the same if the link has not noticed the end by then.
 _NOTICED_MS: Final = 200
+_ANSWER_MS: Final = 20_000
 
 
 def _free_port() -> int:
@@ -30,54 +34,190 @@
 
 
 class _Servant(SCHEMA.Peer.Server):  # type: ignore[misc]
-    async def query(self, _context: Any, **_extra: Any) -> None:
-        _context.results.answer = answer_fields(JobAnswer(codes.NOT_FINISHED))
+    """Answers at once, or never while its peer is silent."""
 
+    def __init__(self, peer: '_Peer') -> None:
+        self._peer = peer
 
-async def _hang_up_when_told(told: asyncio.Event, stream: Any) -> None:
-    server = capnp.TwoPartyServer(stream, bootstrap=_Servant())
-    await told.wait()
-    stream.close()
-    await server.on_disconnect()
+    async def query(self, _context: Any, **_extra: Any) -> None:
+        await self._peer.answering(self)
+        _context.results.answer = answer_fields(JobAnswer(codes.NOT_FINISHED))
 
+    async def submit(self, specs: Any, _context: Any, **_extra: Any) -> None:
+        self._peer.batches.append(len(specs))
+        await self._peer.answering(self)
+        _context.results.answers = [
+            answer_fields(JobAnswer(codes.ACCEPTED, JobId(spec.idempotencyKey)))
+            for spec in specs
+        ]
+
+
+class _Peer:
+    """Another process and the link to it."""
+
+    def __init__(self, timeout_ms: int = 2_000) -> None:
+        self.port = _free_port()
+        self.settings = PeerSettings(
+            port=self.port,
+            call_timeout_ms=timeout_ms,
+            batch_max_count=5,
+        )
+        self.hang_up = asyncio.Event()
+        self.silent: set[_Servant] = set()
+        self.silent_count = 0
+        self.batches: list[int] = []
+        self.router = Mailbox()
+        self.peers = Peers(self.settings)
+        self.link = OwnerLink(
+            PartitionId('p'),
+            f'127.0.0.1:{self.port}',
+            self.settings,
+            RpcPeers(self.peers.mailbox, self.settings),
+            self.router,
+        )
+        self._server: Any = None
+
+    async def start(self) -> None:
+        self._server = await capnp.AsyncIoStream.create_server(
+            self._connected,
+            '127.0.0.1',
+            self.port,
+        )
+        self.peers.start()
+        self.link.start()
+
+    async def stop(self) -> None:
+        self._server.close()
+        await self.link.stop()
+        await self.peers.stop()
+
+    async def answering(self, servant: _Servant) -> None:
+        """The first `silent_count` connections never answer."""
+        if len(self.silent) < self.silent_count:
+            self.silent.add(servant)
+        if servant in self.silent:
+            await asyncio.Event().wait()
+
+    async def ask(self) -> JobAnswer:
+        reply: Reply[JobAnswer] = Reply()
+        query = JobQuery(CustomerId('a'), JobId('p-1'))
+        self.link.mailbox.send(AskJob(query, reply))
+        return await reply.wait(_ANSWER_MS)
+
+    async def submit(self, *keys: str) -> list[str]:
+        reply: Reply[tuple[JobAnswer, ...]] = Reply()
+        specs = tuple(_spec(key) for key in keys)
+        self.link.mailbox.send(SubmitJobs(specs, reply))
+        answers = await reply.wait(_ANSWER_MS)
+        return [answer.job_id or '' for answer in answers]
+
+    async def _connected(self, stream: Any) -> None:
+        server = capnp.TwoPartyServer(stream, bootstrap=_Servant(self))
+        await self.hang_up.wait()
+        stream.close()
+        await server.on_disconnect()
+
+
+def _spec(key: str) -> JobSpec:
+    return JobSpec(
+        customer=CustomerId('a'),
+        idempotency_key=key,
+        workload=Workload.BATCH,
+        execution=Execution.IDEMPOTENT,
+        urgency=Urgency.NORMAL,
+        job_class=JobClass('default'),
+        tasks_count=1,
+        task_size=Resources(1, 1, 0, 1),
+        run_time_ms=0,
+        payload='',
+    )
 
-async def _ask(link: PeerLink) -> JobAnswer:
-    reply: Reply[JobAnswer] = Reply()
-    query = JobQuery(CustomerId('a'), JobId('p-1'))
-    link.mailbox.send(AskJob(query, reply))
-    return await reply.wait(timeout_ms=20_000)
 
+def _run(main: Any) -> Any:
+    async def in_kj_loop() -> Any:
+        async with capnp.kj_loop():
+            return await main
 
-async def _ask_twice() -> list[JobAnswer]:
-    port = _free_port()
-    told = asyncio.Event()
-    server = await capnp.AsyncIoStream.create_server(
-        partial(_hang_up_when_told, told),
-        '127.0.0.1',
-        port,
-    )
-    link = PeerLink(
-        PartitionId('p'),
-        f'127.0.0.1:{port}',
-        PeerSettings(port=port),
-    )
-    link.start()
-    answers = [await _ask(link)]
-    told.set()
-    await sleep_ms(_NOTICED_MS)
-    answers.append(await _ask(link))
-    server.close()
-    await link.stop()
-    return answers
+    return asyncio.run(in_kj_loop())
 
 
 def test_lost_connection_leaves_process_alive() -> None:
     """Guards against an abort by capnp after a peer hung up while idle."""
 
-    async def main() -> Any:
-        async with capnp.kj_loop():
-            return await _ask_twice()
-
-    answers = asyncio.run(main())
-    assert answers[0].code == codes.NOT_FINISHED
-    assert len(answers) == 2
+    async def main() -> list[JobAnswer]:
+        peer = _Peer()
+        await peer.start()
+        answers = [await peer.ask()]
+        peer.hang_up.set()
+        await sleep_ms(_NOTICED_MS)
+        answers.append(await peer.ask())
+        peer.hang_up.clear()
+        answers.append(await peer.ask())
+        await peer.stop()
+        return answers
+
+    answers = _run(main())
+    assert answers[0].code is codes.NOT_FINISHED
+    assert answers[1].refusal is not None
+    assert answers[2].code is codes.NOT_FINISHED
+
+
+def test_silent_connection_is_replaced() -> None:
+    """Guards against a connection that is used after a missed deadline."""
+
+    async def main() -> None:
+        peer = _Peer(timeout_ms=200)
+        peer.silent_count = 1
+        await peer.start()
+        assert (await peer.ask()).code is codes.NOT_FINISHED
+        assert await peer.submit('a') == ['a']
+        assert not len(peer.router)
+        await peer.stop()
+
+    _run(main())
+
+
+def test_uncertain_outcome_is_said_and_reported() -> None:
+    """Guards against a submission that is called not sent after it was."""
+
+    async def main() -> None:
+        peer = _Peer(timeout_ms=200)
+        peer.silent_count = 2
+        await peer.start()
+        reply: Reply[tuple[JobAnswer, ...]] = Reply()
+        peer.link.mailbox.send(SubmitJobs((_spec('a'),), reply))
+        assert (await reply.wait(_ANSWER_MS))[0].code is codes.OUTCOME_UNCERTAIN
+        assert isinstance(await peer.router.receive(), RouteStale)
+        await peer.stop()
+
+    _run(main())
+
+
+def test_absent_process_is_said_to_be_unavailable() -> None:
+    """Guards against uncertainty about a call that was never sent."""
+
+    async def main() -> None:
+        peer = _Peer()
+        peer.peers.start()
+        peer.link.start()
+        assert (await peer.ask()).code is codes.OWNER_UNAVAILABLE
+        await peer.link.stop()
+        await peer.peers.stop()
+
+    _run(main())
+
+
+def test_submissions_are_merged_and_answered_in_order() -> None:
+    """Guards against answers that go to another request."""
+
+    async def main() -> None:
+        peer = _Peer()
+        await peer.start()
+        keys = [[f'{one}.{two}' for two in range(3)] for one in range(40)]
+        answers = await asyncio.gather(*(peer.submit(*one) for one in keys))
+        assert answers == keys
+        assert max(peer.batches) == 5
+        assert len(peer.batches) < len(keys)
+        await peer.stop()
+
+    _run(main())
