--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -141,7 +141,7 @@
 
     def _exchange(self, message: ExchangeAsked) -> None:
         request = message.request
-        if request.epoch < self._highest_epoch:
+        if self._is_stale(request):
             for start in request.starts:
                 self._refuse(start, message, 'epoch')
             message.reply.answer(self._report())
@@ -166,7 +166,7 @@
         used = scaled(truth.used, self.size_factor)
         task = _Task(start, now_ms(), used)
         self._attempts[start.attempt_id] = task
-        if self._clock_ms() > start.start_before_worker_clock_ms:
+        if self._is_late(start):
             task.outcome = TaskOutcome.REFUSED
             self._refuse(start, message, 'start_before')
             return
@@ -186,6 +186,12 @@
             factor = truth.run_time_factor * self.run_time_factor
             self._after(start.run_time_ms * factor, self._complete, task)
 
+    def _is_stale(self, request: Exchange) -> bool:
+        return request.epoch < self._highest_epoch
+
+    def _is_late(self, start: StartCommand) -> bool:
+        return self._clock_ms() > start.start_before_worker_clock_ms
+
     def _fails(self, payload: str, truth: Truth) -> bool:
         if self.fails_all:
             return True
