Count sizes in force, seed the configuration as a document

The count now takes the reserved size until the worker has reported the usage of the task, and that usage from then on; the table shows the old count and real use beyond capacity beside it.

The daemon now reads `config/current` as a document with generation and author, so the cell is seeded with one; each process gets the others as seeds for outages of the store.

--- a/standins/task.py
+++ b/standins/task.py
@@ -53,6 +53,7 @@
     lease_ends_at_ms: int
     ended_at_ms: int = 0
     fails: bool = False
+    is_measured: bool = False
 
     @property
     def task_id(self) -> TaskId:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -217,8 +217,8 @@
         task = self.tasks.get(command.attempt_id)
         if task is None or task.state is not TaskState.RUNNING:
             return
-        self.log(LogKind.COMMAND, task, command.kind.value)
         COMMANDS.lookup(command.kind)(self, task)
+        self.log(LogKind.COMMAND, task, command.kind.value)
 
     def _forget(self, attempt_id: AttemptId) -> None:
         task = self.tasks.get(attempt_id)
@@ -228,13 +228,16 @@
     def _report_of(self, task: Task) -> TaskReport:
         until_ms = task.ended_at_ms or now_ms()
         elapsed_ms = until_ms - task.started_at_ms
-        measured = elapsed_ms >= self.settings.usage_lag_ms
         is_ended = task.state is not TaskState.RUNNING
+        if not is_ended and not task.is_measured:
+            task.is_measured = elapsed_ms >= self.settings.usage_lag_ms
+            if task.is_measured:
+                self.log(LogKind.MEASURED, task, '')
         return TaskReport(
             attempt_id=task.start.attempt_id,
             outcome=TaskOutcome(task.state.value),
             reserved=task.start.reserved,
-            used=task.real if measured or is_ended else NOTHING,
+            used=task.real if task.is_measured or is_ended else NOTHING,
             run_time_ms=elapsed_ms,
             output=task.start.payload,
         )
--- a/standins/worker_log.py
+++ b/standins/worker_log.py
@@ -19,6 +19,7 @@
 
     READY = 'ready'
     START = 'start'
+    MEASURED = 'measured'
     END = 'end'
     REFUSED = 'refused'
     COMMAND = 'command'
@@ -28,8 +29,9 @@
 class LogLine:
     """One line.
 
-    A `READY` line has the capacity as `reserved`. `detail` is the outcome of
-    an `END`, the reason of a `REFUSED` and the kind of a `COMMAND`.
+    A `READY` line has the capacity as `reserved`. `MEASURED` is the first
+    report of real usage to an owner. `detail` is the outcome of an `END`, the
+    reason of a `REFUSED` and the kind of a `COMMAND`.
     """
 
     time_ms: int
--- a/tools/cell.py
+++ b/tools/cell.py
@@ -8,7 +8,8 @@
 import urllib3
 import yaml
 
-from fuchsiarill.ids import ProcessId, WorkerId
+from fuchsiarill.cluster.config_document import CONFIG_KEY, ConfigDocument
+from fuchsiarill.ids import Generation, ProcessId, WorkerId
 from fuchsiarill.ports.http_ports import HOST_ENTRIES
 from fuchsiarill.workers import HostEntry
 from standins.worker_log import LogLine, read_log
@@ -53,6 +54,11 @@
         self.store_url = f'http://127.0.0.1:{next(self._ports)}'
         self.host_list_url = f'http://127.0.0.1:{next(self._ports)}'
         self.entry_urls: dict[ProcessId, str] = {}
+        self._peer_ports: dict[ProcessId, int] = {}
+        for entry in deployment.entry_processes:
+            port = next(self._ports)
+            self.entry_urls[entry.process] = f'http://127.0.0.1:{port}'
+            self._peer_ports[entry.process] = next(self._ports)
 
     def __enter__(self) -> Self:
         """Start everything and wait until jobs are accepted."""
@@ -161,7 +167,7 @@
         platform.extend(map(self.worker_url, self.entries))
         for url in platform:
             self._wait_answering(url)
-        self.control(self.store_url, put={'config/current': self._document()})
+        self.control(self.store_url, put={CONFIG_KEY: self._document()})
 
     def _start_workers(self, name: str, workers: tuple[OneWorker, ...]) -> None:
         settings = WorkerProcessSettings(
@@ -188,14 +194,18 @@
         )
 
     def _write_settings(self, process: ProcessId, domain: str) -> None:
-        port = next(self._ports)
-        self.entry_urls[process] = f'http://127.0.0.1:{port}'
+        seeds = [
+            f'127.0.0.1:{port}'
+            for other, port in self._peer_ports.items()
+            if other != process
+        ]
         settings = {
             'process': process,
             'region': self.deployment.region,
             'failure_domain': domain,
-            'http': {'port': port},
-            'peers': {'port': next(self._ports)},
+            'http': {'port': int(self.entry_urls[process].rpartition(':')[2])},
+            'peers': {'port': self._peer_ports[process]},
+            'membership': {'seeds': seeds},
             'store': {'url': self.store_url},
             'host_list': {'url': self.host_list_url},
         } | self._settings
@@ -203,7 +213,12 @@
         path.write_text(yaml.safe_dump(settings))
 
     def _document(self) -> str:
-        return self.configuration
+        document = ConfigDocument(
+            generation=Generation(1),
+            author='tools.cell',
+            text=self.configuration,
+        )
+        return document.model_dump_json()
 
     def _wait_answering(self, url: str) -> None:
         wait_until(lambda: self._answers(url), f'{url} does not answer')
--- a/tools/demo_table.py
+++ b/tools/demo_table.py
@@ -71,7 +71,8 @@
     """Return what was done wrong, and real use beyond capacity."""
     rows = [
         f'workers whose real use went beyond capacity: '
-        f'{len(counted.really_exceeded)}',
+        f'{len(counted.really_exceeded)}; by the sizes at the start of tasks: '
+        f'{len(counted.first_reserved_exceeded)}',
     ]
     for title, found in (
         ('doubled task', counted.doubled),
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -1,9 +1,12 @@
 """Counts what became of jobs, from what workers and callers saw.
 
-Nothing here asks the scheduler. A task is doubled when two of its attempts
-run at the same time, or when a task that may run at most once is started
-twice. A job is lost when it was acknowledged, not cancelled, and neither
-finished nor, for a service, running with all replicas.
+Nothing here asks the scheduler. A worker is overcommitted when the sizes in
+force of its tasks exceed its capacity: the reserved size of a task until the
+worker has reported its usage to an owner, that usage from then on, since an
+owner may release what a task reserved and does not use. A task is doubled
+when two of its attempts run at the same time, or when a task that may run at
+most once is started twice. A job is lost when it was acknowledged, not
+cancelled, and neither finished nor, for a service, running with all replicas.
 """
 
 from collections import Counter, defaultdict
@@ -63,12 +66,16 @@
 
 @dataclass(slots=True)
 class Load:
-    """What one worker carried at most, and how often it was too much."""
+    """What one worker carried, and how often it was too much.
+
+    `first_reserved_exceeded_count` counts the sizes at the start of tasks,
+    whether an owner released a part of them or not.
+    """
 
     capacity: Resources = NOTHING
     overcommitted_count: int = 0
     really_exceeded_count: int = 0
-    most_tasks_count: int = 0
+    first_reserved_exceeded_count: int = 0
 
 
 @dataclass(slots=True)
@@ -80,6 +87,7 @@
     doubled: list[TaskId] = field(default_factory=list)
     overcommitted: list[WorkerId] = field(default_factory=list)
     really_exceeded: list[WorkerId] = field(default_factory=list)
+    first_reserved_exceeded: list[WorkerId] = field(default_factory=list)
     ran_though_refused: list[str] = field(default_factory=list)
     running_though_cancelled: list[str] = field(default_factory=list)
     fate_of: dict[str, Fate] = field(default_factory=dict)
@@ -129,47 +137,72 @@
         if note.body.get('execution') == 'at_most_once':
             once.add(note.job_id)
         _count_job(counted, note, runs)
-    for task, of_task in runs.items():
-        job_id = task.rpartition('/')[0]
-        pairs = combinations(of_task, 2)
-        twice = job_id in once and len(of_task) > 1
-        if twice or any(first.overlaps(then) for first, then in pairs):
-            counted.doubled.append(task)
+    counted.doubled.extend(
+        task
+        for task, of_task in runs.items()
+        if _is_doubled(of_task, task.rpartition('/')[0] in once)
+    )
     for worker, lines in logs.items():
-        load = load_of(lines)
-        if load.overcommitted_count:
-            counted.overcommitted.append(worker)
-        if load.really_exceeded_count:
-            counted.really_exceeded.append(worker)
+        _count_worker(counted, worker, load_of(lines))
     return counted
 
 
+def _is_doubled(of_task: list[Run], runs_once: bool) -> bool:
+    if runs_once and len(of_task) > 1:
+        return True
+    pairs = combinations(of_task, 2)
+    return any(first.overlaps(then) for first, then in pairs)
+
+
+def _count_worker(counted: Tally, worker: WorkerId, load: Load) -> None:
+    if load.overcommitted_count:
+        counted.overcommitted.append(worker)
+    if load.really_exceeded_count:
+        counted.really_exceeded.append(worker)
+    if load.first_reserved_exceeded_count:
+        counted.first_reserved_exceeded.append(worker)
+
+
+@dataclass(slots=True)
+class _Carried:
+    in_force: Resources
+    start: LogLine
+
+
 def load_of(lines: list[LogLine]) -> Load:
     """Add up what a worker carried, in the order of its log."""
     load = Load()
-    carried: dict[AttemptId, LogLine] = {}
+    carried: dict[AttemptId, _Carried] = {}
     for line in lines:
         if line.kind is LogKind.READY:
             load.capacity = line.reserved
-        elif line.kind is LogKind.START:
-            carried[line.attempt] = line
-            _note_load(load, carried.values())
-        elif line.kind is LogKind.END:
-            carried.pop(line.attempt)
+            continue
+        _carry(carried, line)
+        _note_load(load, carried.values())
     return load
 
 
-def _note_load(load: Load, carried: Iterable[LogLine]) -> None:
-    reserved = NOTHING
+def _carry(carried: dict[AttemptId, _Carried], line: LogLine) -> None:
+    if line.kind is LogKind.START:
+        carried[line.attempt] = _Carried(line.reserved, line)
+    elif line.kind is LogKind.END:
+        carried.pop(line.attempt)
+    elif line.kind is LogKind.MEASURED:
+        carried[line.attempt].in_force = line.real
+
+
+def _note_load(load: Load, carried: Iterable[_Carried]) -> None:
+    in_force = NOTHING
     real = NOTHING
-    tasks_count = 0
-    for line in carried:
-        reserved += line.reserved
-        real += line.real
-        tasks_count += 1
-    load.overcommitted_count += not reserved.fits_in(load.capacity)
-    load.really_exceeded_count += not real.fits_in(load.capacity)
-    load.most_tasks_count = max(load.most_tasks_count, tasks_count)
+    first_reserved = NOTHING
+    for task in carried:
+        in_force += task.in_force
+        real += task.start.real
+        first_reserved += task.start.reserved
+    capacity = load.capacity
+    load.overcommitted_count += not in_force.fits_in(capacity)
+    load.really_exceeded_count += not real.fits_in(capacity)
+    load.first_reserved_exceeded_count += not first_reserved.fits_in(capacity)
 
 
 def _count_job(
