--- /dev/null
+++ b/fuchsiarill/core/adoption.py
@@ -0,0 +1,297 @@
+"""Takeover of running tasks: adoption, strays and the end of the recovery.
+
+A worker answers the first exchange of a new owner with everything that it
+runs, and refuses older owners from then on. What it reports becomes an
+attempt of this owner; what it does not report does not run there.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from fuchsiarill.core.attempt_actions import step_attempt
+from fuchsiarill.core.effects import CommandTask
+from fuchsiarill.core.job_actions import step_job
+from fuchsiarill.core.ledger import (
+    job_of,
+    lapse_bound_ms,
+    position_of,
+    task_of,
+)
+from fuchsiarill.core.recovery import Stray
+from fuchsiarill.core.state import CoreState, WorkerView
+from fuchsiarill.ids import JobId, WorkerId
+from fuchsiarill.job import Attempt, Execution, JobRecord, Urgency
+from fuchsiarill.states import AttemptEvent, AttemptState, JobEvent, JobState
+from fuchsiarill.workers import (
+    CommandKind,
+    TaskOutcome,
+    TaskReport,
+    WorkerReport,
+)
+
+_OPEN: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
+# Other outcomes of an unknown attempt leave nothing to take over.
+_ADOPTED: Final = frozenset((TaskOutcome.RUNNING, TaskOutcome.SUCCEEDED))
+_MAY_RUN: Final = frozenset(
+    (
+        AttemptState.STARTING,
+        AttemptState.RUNNING,
+        AttemptState.STOPPING,
+        AttemptState.POSSIBLY_RUNNING,
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Reporter:
+    """The worker whose report is read, and the time of the report."""
+
+    worker: WorkerView
+    now_ms: int
+
+
+def worker_listed(state: CoreState, worker: WorkerView) -> None:
+    """Reserve the restored attempts of a worker that is now known."""
+    for attempt_id in state.recovery.intents:
+        attempt = state.attempts.get(attempt_id)
+        if attempt is None or attempt.worker_id != worker.entry.worker_id:
+            continue
+        _reserve(worker, attempt)
+
+
+def adopt(
+    state: CoreState,
+    worker: WorkerView,
+    report: WorkerReport,
+    now_ms: int,
+) -> None:
+    """Make the unknown tasks of a report attempts of this owner, or stop them.
+
+    Comes before the outcomes of the report are applied.
+    """
+    worker.incarnation = report.incarnation
+    _note_strays(state, report, now_ms)
+    reporter = _Reporter(worker, now_ms)
+    for task in report.tasks:
+        attempt = state.attempts.get(task.attempt_id)
+        if attempt is not None:
+            _stop_if_cancelled(state, attempt, task)
+        elif task.outcome in _ADOPTED:
+            _adopt_task(state, reporter, task)
+    state.recovery.answered.add(worker.entry.worker_id)
+
+
+def leases_extended(
+    state: CoreState,
+    worker_id: WorkerId,
+    lease_ends_at_ms: int,
+) -> None:
+    """Note until when a worker may run what it was last told to run."""
+    worker = state.workers.get(worker_id)
+    if worker is None:
+        return
+    for attempt_id in worker.attempts:
+        attempt = state.attempts[attempt_id]
+        if attempt.state in _MAY_RUN:
+            attempt.lease_ends_at_ms = max(
+                attempt.lease_ends_at_ms,
+                lease_ends_at_ms,
+            )
+
+
+def hold_accepted(state: CoreState, job: JobRecord) -> None:
+    """Hold a new job that an older owner may have started unrecorded.
+
+    Only urgent idempotent jobs of a `volatile_accept` contract are started
+    without a record, and known strays may belong to the job.
+    """
+    if job.job_id not in state.recovery.strays:
+        if not state.recovery.is_open or not _may_be_volatile(state, job):
+            return
+    state.recovery.held[job.job_id] = set(job.waiting)
+    job.waiting.clear()
+
+
+def advance_recovery(state: CoreState, now_ms: int) -> None:
+    """Start what was held once nothing of it can run unseen."""
+    recovery = state.recovery
+    if recovery.is_open and _is_complete(state, now_ms):
+        recovery.is_open = False
+        recovery.intents.clear()
+        for cancelled_id in tuple(recovery.cancelled):
+            _end_cancelled(state, state.jobs.get(cancelled_id), now_ms)
+        recovery.cancelled.clear()
+    if recovery.strays:
+        _drop_lapsed_strays(state, now_ms)
+    if recovery.is_open or not recovery.held:
+        return
+    for job_id in tuple(recovery.held):
+        if job_id not in recovery.strays:
+            _release(state, job_id, now_ms)
+
+
+def _is_complete(state: CoreState, now_ms: int) -> bool:
+    recovery = state.recovery
+    if now_ms >= recovery.ends_at_ms:
+        return True
+    if not recovery.hosts_known:
+        return False
+    return recovery.answered.issuperset(state.workers)
+
+
+def _end_cancelled(
+    state: CoreState,
+    job: JobRecord | None,
+    now_ms: int,
+) -> None:
+    if job is not None and not job.attempts:
+        step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
+
+
+def _release(state: CoreState, job_id: JobId, now_ms: int) -> None:
+    positions = state.recovery.held.pop(job_id)
+    job = state.jobs.get(job_id)
+    if job is None or not positions:
+        return
+    if step_job(state, job, JobEvent.REQUEUED, now_ms):
+        job.waiting.extend(sorted(positions))
+
+
+def _adopt_task(
+    state: CoreState,
+    reporter: _Reporter,
+    task: TaskReport,
+) -> None:
+    task_id = task_of(task.attempt_id)
+    job = state.jobs.get(job_of(task_id))
+    if job is None or not _takes(state, job, position_of(task_id)):
+        _stop_stray(state, reporter, task)
+        return
+    attempt = Attempt(
+        attempt_id=task.attempt_id,
+        task_id=task_id,
+        job_id=job.job_id,
+        worker_id=reporter.worker.entry.worker_id,
+        reserved=task.reserved,
+        state=AttemptState.POSSIBLY_RUNNING,
+        placed_at_ms=reporter.now_ms,
+        lease_ends_at_ms=reporter.now_ms,
+    )
+    state.attempts[attempt.attempt_id] = attempt
+    job.attempts[attempt.attempt_id] = attempt
+    _reserve(reporter.worker, attempt)
+    _forget_stray(state, task)
+    if job.state is JobState.CANCELLING:
+        step_attempt(
+            state,
+            attempt,
+            AttemptEvent.STOP_ASKED,
+            reporter.now_ms,
+        )
+
+
+def _takes(state: CoreState, job: JobRecord, position: int) -> bool:
+    """Remove a position from what is to be started, if it is there."""
+    if job.state is JobState.CANCELLING:
+        return job.job_id in state.recovery.cancelled
+    if job.state not in _OPEN:
+        return False
+    held = state.recovery.held.get(job.job_id, set())
+    if position in held:
+        held.discard(position)
+        return True
+    if position in job.waiting:
+        job.waiting.remove(position)
+        return True
+    return False
+
+
+def _stop_stray(
+    state: CoreState,
+    reporter: _Reporter,
+    task: TaskReport,
+) -> None:
+    if task.outcome is not TaskOutcome.RUNNING:
+        return
+    job_id = job_of(task_of(task.attempt_id))
+    worker_id = reporter.worker.entry.worker_id
+    lease_ms = lapse_bound_ms(state.config.policies.task_lease_ms)
+    strays = state.recovery.strays.setdefault(job_id, {})
+    strays[task.attempt_id] = Stray(worker_id, reporter.now_ms + lease_ms)
+    job = state.jobs.get(job_id)
+    if job is not None and job.state is JobState.ACCEPTING:
+        # Adopted from a later report, once the job is durable.
+        return
+    state.effects.append(
+        CommandTask(worker_id, task.attempt_id, CommandKind.STOP),
+    )
+
+
+def _stop_if_cancelled(
+    state: CoreState,
+    attempt: Attempt,
+    task: TaskReport,
+) -> None:
+    """Stop a restored attempt of a job whose cancellation was restored."""
+    if attempt.attempt_id not in state.recovery.intents:
+        return
+    if attempt.state is not AttemptState.STOPPING:
+        return
+    if task.outcome is TaskOutcome.RUNNING:
+        state.effects.append(
+            CommandTask(
+                attempt.worker_id,
+                attempt.attempt_id,
+                CommandKind.STOP,
+            ),
+        )
+
+
+def _note_strays(state: CoreState, report: WorkerReport, now_ms: int) -> None:
+    running = {
+        task.attempt_id
+        for task in report.tasks
+        if task.outcome is TaskOutcome.RUNNING
+    }
+    for job_id, strays in tuple(state.recovery.strays.items()):
+        for attempt_id, stray in tuple(strays.items()):
+            if stray.worker_id != report.worker_id:
+                continue
+            if attempt_id not in running:
+                strays.pop(attempt_id)
+        if not strays:
+            state.recovery.strays.pop(job_id)
+
+
+def _drop_lapsed_strays(state: CoreState, now_ms: int) -> None:
+    for job_id, strays in tuple(state.recovery.strays.items()):
+        for attempt_id, stray in tuple(strays.items()):
+            if stray.lease_ends_at_ms <= now_ms:
+                strays.pop(attempt_id)
+        if not strays:
+            state.recovery.strays.pop(job_id)
+
+
+def _forget_stray(state: CoreState, task: TaskReport) -> None:
+    job_id = job_of(task_of(task.attempt_id))
+    strays = state.recovery.strays.get(job_id, {})
+    strays.pop(task.attempt_id, None)
+    if not strays:
+        state.recovery.strays.pop(job_id, None)
+
+
+def _reserve(worker: WorkerView, attempt: Attempt) -> None:
+    if attempt.attempt_id in worker.attempts:
+        return
+    worker.attempts.add(attempt.attempt_id)
+    worker.reserved += attempt.reserved
+
+
+def _may_be_volatile(state: CoreState, job: JobRecord) -> bool:
+    spec = job.spec
+    if spec.urgency is not Urgency.URGENT:
+        return False
+    if spec.execution is not Execution.IDEMPOTENT:
+        return False
+    contract = state.config.contract_of(spec.customer)
+    return contract is not None and contract.volatile_accept
--- /dev/null
+++ b/fuchsiarill/core/ledger.py
@@ -0,0 +1,276 @@
+"""The durable part of a partition's state: the fold of its records.
+
+`LedgerImage` folds records in journal order and gives out the fewest records
+that fold to the same image, which is what a snapshot holds. `restore` builds
+the state of a new owner from an image.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from fuchsiarill import records
+from fuchsiarill.core.job_actions import step_job
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.ids import NO_EPOCH, AttemptId, Epoch, JobId, ProcessId, TaskId
+from fuchsiarill.job import Attempt, Execution, JobRecord, JobSpec
+from fuchsiarill.registry import Registry
+from fuchsiarill.states import AttemptState, JobEvent, JobState
+
+# Jobs that have ended are kept for repeated submissions and late queries;
+# the limit bounds the memory of an owner and the size of a snapshot.
+ENDED_MAX_COUNT: Final = 20_000
+# A worker measures its leases with its own clock, which may run 1% slow.
+_CLOCK_RATE: Final = 1.01
+
+
+@dataclass(slots=True)
+class JobImage:
+    """Everything durable of one job."""
+
+    spec: JobSpec
+    finished: dict[int, str] = field(default_factory=dict)
+    intents: dict[AttemptId, records.StartIntended] = field(
+        default_factory=dict
+    )
+    cancel_asked: bool = False
+    ended: JobState | None = None
+
+
+@dataclass(slots=True)
+class LedgerImage:
+    """Everything durable of one partition."""
+
+    epoch: Epoch = NO_EPOCH
+    process: ProcessId = ProcessId('')
+    task_lease_ms: int = 0
+    jobs: dict[JobId, JobImage] = field(default_factory=dict)
+    ended: dict[JobId, None] = field(default_factory=dict)
+
+    def apply(self, record: records.Record) -> None:
+        """Fold one record; records of forgotten jobs change nothing."""
+        _FOLDS.lookup(type(record))(self, record)
+
+    def compacted(self) -> Iterator[records.Record]:
+        """Yield the fewest records that fold to this image."""
+        yield records.EpochOpened(self.epoch, self.process, self.task_lease_ms)
+        # Jobs that have ended come in the order in which they ended.
+        for job_id in self.ended:
+            yield from _records_of(job_id, self.jobs[job_id])
+        for live_id, image in self.jobs.items():
+            if image.ended is None:
+                yield from _records_of(live_id, image)
+
+    def forget_ended(self) -> None:
+        """Drop the jobs that ended first beyond the limit."""
+        while len(self.ended) > ENDED_MAX_COUNT:
+            oldest = next(iter(self.ended))
+            self.ended.pop(oldest)
+            self.jobs.pop(oldest)
+
+
+_Fold = Callable[[LedgerImage, Any], None]
+_FOLDS: Final[Registry[type, _Fold]] = Registry('folds of records')
+
+
+def fold(journal: Iterable[records.Record]) -> LedgerImage:
+    """Return the image of records in journal order."""
+    image = LedgerImage()
+    for record in journal:
+        image.apply(record)
+    image.forget_ended()
+    return image
+
+
+def restore(
+    state: CoreState, journal: Iterable[records.Record], now_ms: int
+) -> None:
+    """Fill the state of a new owner; nothing may have happened before.
+
+    Until the recovery ends, nothing is started that may run already.
+    """
+    image = fold(journal)
+    lease_ms = max(image.task_lease_ms, state.config.policies.task_lease_ms)
+    state.recovery.is_open = image.epoch != NO_EPOCH
+    state.recovery.ends_at_ms = now_ms + lapse_bound_ms(lease_ms)
+    for job_id, job_image in image.jobs.items():
+        _restore_job(state, job_id, job_image, now_ms)
+
+
+def lapse_bound_ms(lease_ms: int) -> int:
+    """Return the longest time, in this clock, that a lease may last."""
+    return int(lease_ms * _CLOCK_RATE)
+
+
+def forget(state: CoreState, job_id: JobId) -> None:
+    """Drop a job that has ended and that no attempt belongs to."""
+    job = state.jobs.get(job_id)
+    if job is None or job.attempts:
+        return
+    state.jobs.pop(job_id)
+    state.job_by_key.pop((job.spec.customer, job.spec.idempotency_key), None)
+
+
+def task_of(attempt_id: AttemptId) -> TaskId:
+    """Return the task that an attempt id names."""
+    return TaskId(attempt_id.rpartition('@')[0])
+
+
+def job_of(task_id: TaskId) -> JobId:
+    """Return the job that a task id names."""
+    return JobId(task_id.rpartition('/')[0])
+
+
+def position_of(task_id: TaskId) -> int:
+    """Return the position of a task within its job."""
+    return int(task_id.rpartition('/')[2])
+
+
+def _restore_job(
+    state: CoreState,
+    job_id: JobId,
+    image: JobImage,
+    now_ms: int,
+) -> None:
+    job = JobRecord(
+        job_id=job_id,
+        spec=image.spec,
+        accepted_at_ms=now_ms,
+        state=image.ended or JobState.ACCEPTING,
+        waiting=[],
+        results=dict(image.finished),
+    )
+    state.jobs[job_id] = job
+    key = (image.spec.customer, image.spec.idempotency_key)
+    state.job_by_key[key] = job_id
+    if image.ended is not None:
+        return
+    for intent in image.intents.values():
+        _restore_intent(state, job, intent)
+    if image.cancel_asked:
+        _restore_cancelled(state, job, now_ms)
+        return
+    _restore_waiting(state, job, now_ms)
+
+
+def _restore_intent(
+    state: CoreState,
+    job: JobRecord,
+    intent: records.StartIntended,
+) -> None:
+    attempt = Attempt(
+        attempt_id=intent.attempt_id,
+        task_id=task_of(intent.attempt_id),
+        job_id=job.job_id,
+        worker_id=intent.worker_id,
+        reserved=job.spec.task_size,
+        state=AttemptState.POSSIBLY_RUNNING,
+        placed_at_ms=job.accepted_at_ms,
+        lease_ends_at_ms=state.recovery.ends_at_ms,
+    )
+    state.attempts[attempt.attempt_id] = attempt
+    job.attempts[attempt.attempt_id] = attempt
+    state.recovery.intents[attempt.attempt_id] = intent.incarnation
+
+
+def _restore_cancelled(state: CoreState, job: JobRecord, now_ms: int) -> None:
+    job.state = JobState.CANCELLING
+    for attempt in job.attempts.values():
+        attempt.state = AttemptState.STOPPING
+    if job.attempts:
+        return
+    if job.spec.execution is Execution.AT_MOST_ONCE:
+        step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
+        return
+    # Idempotent tasks left no record; workers may still report some.
+    state.recovery.cancelled[job.job_id] = None
+
+
+def _restore_waiting(state: CoreState, job: JobRecord, now_ms: int) -> None:
+    settled = set(job.results)
+    settled.update(
+        position_of(attempt.task_id) for attempt in job.attempts.values()
+    )
+    open_positions = [
+        position
+        for position in range(job.spec.tasks_count)
+        if position not in settled
+    ]
+    if job.spec.execution is Execution.AT_MOST_ONCE:
+        # A start without a committed intent has not left any owner.
+        job.waiting.extend(open_positions)
+    elif open_positions and state.recovery.is_open:
+        state.recovery.held[job.job_id] = set(open_positions)
+    step_job(state, job, JobEvent.COMMITTED, now_ms)
+    if len(job.results) == job.spec.tasks_count:
+        step_job(state, job, JobEvent.ALL_SUCCEEDED, now_ms)
+
+
+@_FOLDS.register(records.EpochOpened)
+def _fold_epoch(image: LedgerImage, record: records.EpochOpened) -> None:
+    image.epoch = max(image.epoch, record.epoch)
+    image.process = record.process
+    image.task_lease_ms = max(image.task_lease_ms, record.task_lease_ms)
+
+
+@_FOLDS.register(records.TaskLeaseRaised)
+def _fold_lease(image: LedgerImage, record: records.TaskLeaseRaised) -> None:
+    image.task_lease_ms = max(image.task_lease_ms, record.task_lease_ms)
+
+
+@_FOLDS.register(records.JobAccepted)
+def _fold_accepted(image: LedgerImage, record: records.JobAccepted) -> None:
+    image.jobs.setdefault(record.job_id, JobImage(record.spec))
+
+
+@_FOLDS.register(records.StartIntended)
+def _fold_intent(image: LedgerImage, record: records.StartIntended) -> None:
+    job = image.jobs.get(record.job_id)
+    if job is not None:
+        job.intents[record.attempt_id] = record
+
+
+@_FOLDS.register(records.StartWithdrawn)
+def _fold_withdrawn(image: LedgerImage, record: records.StartWithdrawn) -> None:
+    job = image.jobs.get(record.job_id)
+    if job is not None:
+        job.intents.pop(record.attempt_id, None)
+
+
+@_FOLDS.register(records.TaskFinished)
+def _fold_finished(image: LedgerImage, record: records.TaskFinished) -> None:
+    job = image.jobs.get(record.job_id)
+    if job is None:
+        return
+    job.finished.setdefault(record.position, record.output)
+    for attempt_id in tuple(job.intents):
+        if position_of(task_of(attempt_id)) == record.position:
+            job.intents.pop(attempt_id)
+
+
+@_FOLDS.register(records.CancelAsked)
+def _fold_cancel(image: LedgerImage, record: records.CancelAsked) -> None:
+    job = image.jobs.get(record.job_id)
+    if job is not None:
+        job.cancel_asked = True
+
+
+@_FOLDS.register(records.JobEnded)
+def _fold_ended(image: LedgerImage, record: records.JobEnded) -> None:
+    job = image.jobs.get(record.job_id)
+    if job is None or job.ended is not None:
+        return
+    job.ended = record.state
+    job.intents.clear()
+    image.ended[record.job_id] = None
+
+
+def _records_of(job_id: JobId, image: JobImage) -> Iterator[records.Record]:
+    yield records.JobAccepted(job_id, image.spec)
+    yield from image.intents.values()
+    for position, output in image.finished.items():
+        yield records.TaskFinished(job_id, position, output)
+    if image.cancel_asked:
+        yield records.CancelAsked(job_id)
+    if image.ended is not None:
+        yield records.JobEnded(job_id, image.ended)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -5,12 +5,14 @@
 """
 
 import hashlib
+from collections.abc import Iterable
 from functools import partial
 
 from returns.result import Failure, Result, Success
 
 from fuchsiarill import codes, texts
 from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.core import adoption, ledger
 from fuchsiarill.core.attempt_actions import step_attempt
 from fuchsiarill.core.effects import Effect, StartTask
 from fuchsiarill.core.job_actions import step_job
@@ -18,6 +20,7 @@
 from fuchsiarill.core.state import CoreState, WorkerView
 from fuchsiarill.core.worker_actions import step_worker
 from fuchsiarill.ids import (
+    AttemptId,
     Epoch,
     JobId,
     PartitionId,
@@ -25,8 +28,14 @@
     attempt_id,
     task_id,
 )
-from fuchsiarill.job import Attempt, Execution, JobRecord, JobSpec
-from fuchsiarill.records import JobAccepted, StartIntended
+from fuchsiarill.job import (
+    Attempt,
+    Execution,
+    JobRecord,
+    JobSpec,
+    Urgency,
+)
+from fuchsiarill.records import JobAccepted, Record, StartIntended
 from fuchsiarill.refusal import Refusal, refuse
 from fuchsiarill.states import (
     AttemptEvent,
@@ -52,6 +61,7 @@
     TaskOutcome.REFUSED: AttemptEvent.REFUSED,
 }
 _JOB_DIGEST_CHARACTERS = 20
+_LAPSING = frozenset((AttemptState.POSSIBLY_RUNNING, AttemptState.STOPPING))
 
 
 def job_id_of(partition: PartitionId, spec: JobSpec) -> JobId:
@@ -61,6 +71,12 @@
     return JobId(f'{partition}-{digest[:_JOB_DIGEST_CHARACTERS]}')
 
 
+def _is_urgent_idempotent(spec: JobSpec) -> bool:
+    if spec.urgency is not Urgency.URGENT:
+        return False
+    return spec.execution is Execution.IDEMPOTENT
+
+
 class PartitionCore:
     """All decisions about the jobs and the workers of one partition."""
 
@@ -77,6 +93,10 @@
         """Put a newer configuration in force, also for queued jobs."""
         self.state.config = config
 
+    def restore(self, records: Iterable[Record], now_ms: int) -> None:
+        """Take over the journal of older owners, before anything else."""
+        ledger.restore(self.state, records, now_ms)
+
     def submit(self, spec: JobSpec, now_ms: int) -> Result[JobId, Refusal]:
         """Admit a job; it is durable once its record is committed."""
         contract = self.state.config.contract_of(spec.customer)
@@ -126,11 +146,13 @@
             if worker is None:
                 worker = WorkerView(entry, WorkerState.UNSEEN)
                 self.state.workers[entry.worker_id] = worker
+                adoption.worker_listed(self.state, worker)
             worker.entry = entry
             event = WorkerEvent.LISTED_LIVE
             if entry.state is HostState.LEAVING:
                 event = WorkerEvent.LISTED_LEAVING
             step_worker(self.state, worker, event, now_ms)
+        self.state.recovery.hosts_known = True
 
     def worker_reported(self, report: WorkerReport, now_ms: int) -> None:
         """Take over what a worker says of its attempts."""
@@ -139,6 +161,7 @@
             return
         worker.reported_at_ms = now_ms
         step_worker(self.state, worker, WorkerEvent.REPORTED, now_ms)
+        adoption.adopt(self.state, worker, report, now_ms)
         for task in report.tasks:
             self._task_reported(task, now_ms)
 
@@ -147,10 +170,40 @@
         worker = self.state.workers[worker_id]
         step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
 
+    def leases_extended(self, worker_id: WorkerId, ends_at_ms: int) -> None:
+        """Note until when a worker may run what it was told to run."""
+        adoption.leases_extended(self.state, worker_id, ends_at_ms)
+
+    def lapse(self, now_ms: int) -> None:
+        """Give up attempts on silent workers whose leases have ended."""
+        for attempt in tuple(self.state.attempts.values()):
+            if attempt.lease_ends_at_ms > now_ms:
+                continue
+            if attempt.state in _LAPSING:
+                event = AttemptEvent.LEASE_LAPSED
+                step_attempt(self.state, attempt, event, now_ms)
+
+    def start_withheld(self, attempt_id: AttemptId, now_ms: int) -> None:
+        """Place a task again whose start was never sent."""
+        attempt = self.state.attempts.get(attempt_id)
+        if attempt is not None:
+            step_attempt(self.state, attempt, AttemptEvent.REFUSED, now_ms)
+
+    def restrict(self, now_ms: int) -> None:
+        """Start only urgent idempotent work from now on."""
+        self.state.restricted = True
+
+    def unrestrict(self, now_ms: int) -> None:
+        """Start all work again."""
+        self.state.restricted = False
+
     def decide(self, now_ms: int) -> None:
         """Place what can be placed now."""
+        adoption.advance_recovery(self.state, now_ms)
         for job_id in tuple(self.state.queue):
             job = self.state.jobs[job_id]
+            if self.state.restricted and not _is_urgent_idempotent(job.spec):
+                continue
             while job.waiting and self._place_one(job, now_ms):
                 job.waiting.pop(0)
             if not job.waiting:
@@ -163,6 +216,7 @@
         return taken
 
     def _accepted(self, job: JobRecord, now_ms: int) -> None:
+        adoption.hold_accepted(self.state, job)
         step_job(self.state, job, JobEvent.COMMITTED, now_ms)
 
     def _repeated(
@@ -233,6 +287,7 @@
             job.job_id,
             attempt.attempt_id,
             attempt.worker_id,
+            self.state.workers[attempt.worker_id].incarnation,
         )
         self.state.persist(intent, partial(self._start, attempt))
 
--- /dev/null
+++ b/fuchsiarill/core/recovery.py
@@ -0,0 +1,36 @@
+"""What a new owner does not know yet about the tasks of older owners."""
+
+from dataclasses import dataclass, field
+
+from fuchsiarill.ids import AttemptId, JobId, WorkerId
+
+
+@dataclass(slots=True)
+class Stray:
+    """An attempt that runs for no job of this owner and was told to stop."""
+
+    worker_id: WorkerId
+    lease_ends_at_ms: int
+
+
+@dataclass(slots=True)
+class Recovery:
+    """State between a takeover and the time when nothing old can run unseen.
+
+    `answered`: workers that answered since the takeover.
+    `held`: positions of tasks that may run on a worker that has not answered.
+    `intents`: unresolved non-idempotent starts of older owners, each with the
+    incarnation of its worker.
+    `cancelled`: cancelled jobs whose tasks workers may still report.
+    `strays`: kept until they are known to have ended, since the job that
+    they belong to may be submitted again.
+    """
+
+    is_open: bool = False
+    ends_at_ms: int = 0
+    hosts_known: bool = False
+    answered: set[WorkerId] = field(default_factory=set)
+    held: dict[JobId, set[int]] = field(default_factory=dict)
+    intents: dict[AttemptId, str] = field(default_factory=dict)
+    cancelled: dict[JobId, None] = field(default_factory=dict)
+    strays: dict[JobId, dict[AttemptId, Stray]] = field(default_factory=dict)
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -9,6 +9,7 @@
 
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.core.effects import Effect, PersistRecord
+from fuchsiarill.core.recovery import Recovery
 from fuchsiarill.ids import (
     AttemptId,
     CustomerId,
@@ -33,6 +34,7 @@
     reserved: Resources = NOTHING
     attempts: set[AttemptId] = field(default_factory=set)
     reported_at_ms: int = 0
+    incarnation: str = ''
 
     @property
     def free(self) -> Resources:
@@ -58,6 +60,8 @@
     after_commit: dict[int, Callable[[int], None]] = field(
         default_factory=dict,
     )
+    recovery: Recovery = field(default_factory=Recovery)
+    restricted: bool = False
     sequence: int = 0
     attempts_count: int = 0
 
--- a/fuchsiarill/records.py
+++ b/fuchsiarill/records.py
@@ -5,9 +5,9 @@
 """
 
 from dataclasses import dataclass
-from typing import Final, Literal
+from typing import Annotated, Final, Literal
 
-from pydantic import TypeAdapter
+from pydantic import Field, TypeAdapter
 
 from fuchsiarill.ids import AttemptId, Epoch, JobId, ProcessId, WorkerId
 from fuchsiarill.job import JobSpec
@@ -16,13 +16,26 @@
 
 @dataclass(frozen=True, slots=True)
 class EpochOpened:
-    """A new owner begins; older owners fail their next commit."""
+    """A new owner begins; older owners fail their next commit.
+
+    `task_lease_ms` is the longest task lease that the owner grants, so that
+    the next one knows how long its predecessor's tasks may run.
+    """
 
     epoch: Epoch
     process: ProcessId
+    task_lease_ms: int = 0
     kind: Literal['epoch_opened'] = 'epoch_opened'
 
 
+@dataclass(frozen=True, slots=True)
+class TaskLeaseRaised:
+    """The owner may grant longer task leases from now on."""
+
+    task_lease_ms: int
+    kind: Literal['task_lease_raised'] = 'task_lease_raised'
+
+
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
     """A job is acknowledged once this record is committed."""
@@ -34,11 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartIntended:
-    """A non-idempotent attempt may be started from now on."""
+    """A non-idempotent attempt may be started from now on.
+
+    `incarnation` is that of the worker at the time. A worker that still has
+    it and does not report the attempt has never started it.
+    """
 
     job_id: JobId
     attempt_id: AttemptId
     worker_id: WorkerId
+    incarnation: str = ''
     kind: Literal['start_intended'] = 'start_intended'
 
 
@@ -80,6 +98,7 @@
 
 Record = (
     EpochOpened
+    | TaskLeaseRaised
     | JobAccepted
     | StartIntended
     | StartWithdrawn
@@ -88,6 +107,6 @@
     | JobEnded
 )
 
-RECORDS: Final[TypeAdapter[tuple[Record, ...]]] = TypeAdapter(
-    tuple[Record, ...],
+RECORD: Final[TypeAdapter[Record]] = TypeAdapter(
+    Annotated[Record, Field(discriminator='kind')],
 )
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -117,10 +117,12 @@
 
     `highest_epoch` above that of the exchange means that all of it was
     refused. `tasks` holds everything that runs and every outcome that was
-    not acknowledged.
+    not acknowledged. `incarnation` changes when the worker restarts and has
+    forgotten its tasks; without one, every silence may be a restart.
     """
 
     worker_id: WorkerId
     highest_epoch: Epoch
     worker_clock_ms: int
     tasks: tuple[TaskReport, ...]
+    incarnation: str = ''
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,218 @@
+"""A new owner makes of the journal and the reports what the cases say."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+
+from fuchsiarill import records
+from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
+from fuchsiarill.core.ledger import fold, task_of
+from fuchsiarill.core.partition import PartitionCore
+from fuchsiarill.ids import (
+    AttemptId,
+    Epoch,
+    JobId,
+    PartitionId,
+    ProcessId,
+    WorkerId,
+)
+from fuchsiarill.job import Execution, Urgency
+from fuchsiarill.resources import Resources
+from fuchsiarill.states import JobState
+from fuchsiarill.workers import (
+    CommandKind,
+    TaskOutcome,
+    TaskReport,
+    WorkerReport,
+)
+from tests.builders import SIZE, cell, host, spec
+
+_CASES = yaml.safe_load(
+    Path(__file__).with_name('cases').joinpath('ledger.yaml').read_text(),
+)
+_LEASE_MS = 15_000
+_EPOCH = Epoch(3)
+
+
+class _Owner:
+    """A core whose commits succeed at once."""
+
+    def __init__(self, log: list[str], *, volatile: bool = False) -> None:
+        self.core = PartitionCore(
+            PartitionId('r.0'),
+            _EPOCH,
+            cell(volatile=volatile, task_lease_ms=_LEASE_MS),
+        )
+        old = ProcessId('old')
+        opened = records.EpochOpened(Epoch(2), old, _LEASE_MS)
+        self.core.restore((opened, *_parse(log)), 0)
+        self.starts: list[str] = []
+        self.stops: list[str] = []
+        self.settle(0)
+
+    def state_of(self, name: str) -> JobState:
+        job = self.core.state.jobs[JobId(name)]
+        return job.state
+
+    def reserved_on(self, name: str) -> Resources:
+        workers = self.core.state.workers
+        return workers[WorkerId(name)].reserved
+
+    def report(self, worker: str, lines: list[str], now_ms: int) -> None:
+        tasks = []
+        for line in lines:
+            outcome, name = line.split()
+            tasks.append(
+                TaskReport(AttemptId(name), TaskOutcome(outcome), SIZE),
+            )
+        self.core.worker_reported(
+            WorkerReport(WorkerId(worker), _EPOCH, 0, tuple(tasks)),
+            now_ms,
+        )
+
+    def settle(self, now_ms: int) -> None:
+        self.core.decide(now_ms)
+        effects = self.core.take_effects()
+        while effects:
+            for effect in effects:
+                self._carry_out(effect, now_ms)
+            self.core.decide(now_ms)
+            effects = self.core.take_effects()
+
+    def _carry_out(self, effect: object, now_ms: int) -> None:
+        if isinstance(effect, PersistRecord):
+            self.core.committed(effect.sequence, now_ms)
+        if isinstance(effect, StartTask):
+            self.starts.append(task_of(effect.attempt_id))
+        if isinstance(effect, CommandTask):
+            if effect.kind is CommandKind.STOP:
+                self.stops.append(effect.attempt_id)
+
+
+def _parse(log: list[str]) -> Iterator[records.Record]:
+    for line in log:
+        kind, name, *rest = line.split()
+        job_id = JobId(name.partition('/')[0])
+        match kind:
+            case 'accepted':
+                yield records.JobAccepted(job_id, _spec_of(name, rest))
+            case 'intent':
+                yield records.StartIntended(
+                    job_id,
+                    AttemptId(name),
+                    WorkerId(rest[0]),
+                )
+            case 'withdrawn':
+                yield records.StartWithdrawn(job_id, AttemptId(name))
+            case 'finished':
+                position = int(name.partition('/')[2])
+                yield records.TaskFinished(job_id, position, 'output')
+            case 'cancel':
+                yield records.CancelAsked(job_id)
+            case 'ended':
+                yield records.JobEnded(job_id, JobState(rest[0]))
+
+
+def _spec_of(name: str, rest: list[str]) -> Any:
+    execution = Execution.IDEMPOTENT
+    tasks_count = 1
+    for word in rest:
+        if word == 'at_most_once':
+            execution = Execution.AT_MOST_ONCE
+        elif word.startswith('tasks='):
+            tasks_count = int(word.partition('=')[2])
+    return spec(name, execution, tasks_count=tasks_count)
+
+
+@pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
+def test_takeover(case: dict[str, Any]) -> None:
+    """Guards against lost jobs and second starts after a takeover."""
+    owner = _Owner(case['log'])
+    owner.core.hosts_listed((host('w1'), host('w2')), 0)
+    reports = case.get('reports', {})
+    first, *others = case['answering']
+    owner.report(first, reports.get(first, []), 10)
+    owner.settle(10)
+    assert owner.starts == case['early']
+    for name in others:
+        owner.report(name, reports.get(name, []), 20)
+    owner.settle(20)
+    assert owner.starts == case['late']
+    expected_starts = case.get('lapsed')
+    if expected_starts is not None:
+        lapsed_ms = _LEASE_MS * 2
+        owner.report(first, [], lapsed_ms)
+        owner.core.lapse(lapsed_ms)
+        owner.settle(lapsed_ms)
+        assert owner.starts == expected_starts
+    assert owner.stops == case.get('stops', [])
+    for name, state in case['state'].items():
+        reached = owner.state_of(name)
+        if reached is JobState.QUEUED and owner.starts:
+            # Sent, and not yet confirmed by its worker.
+            reached = JobState.RUNNING
+        assert reached is JobState(state)
+
+
+@pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
+def test_compaction_keeps_the_image(case: dict[str, Any]) -> None:
+    """Guards against a snapshot that says something else than its log."""
+    image = fold(_parse(case['log']))
+    assert fold(image.compacted()) == image
+
+
+def test_adopted_attempt_is_reserved() -> None:
+    """Guards against a worker loaded beyond its capacity by a new owner."""
+    owner = _Owner(['accepted b at_most_once', 'intent b/0@1.1 w2'])
+    owner.core.hosts_listed((host('w1'), host('w2')), 0)
+    assert owner.reserved_on('w2') == SIZE
+    owner.report('w2', ['running b/0@1.1', 'running x/0@1.1'], 5)
+    assert owner.reserved_on('w2') == SIZE
+
+
+def test_same_key_after_takeover() -> None:
+    """Guards against a second job for a key that an older owner accepted."""
+    owner = _Owner([])
+    submitted = owner.core.submit(spec('key'), 0).unwrap()
+    owner.settle(0)
+    record = records.JobAccepted(submitted, spec('key'))
+    successor = PartitionCore(PartitionId('r.0'), Epoch(4), cell())
+    successor.restore((record,), 0)
+    assert successor.submit(spec('key'), 0).unwrap() == submitted
+    assert not successor.take_effects()
+
+
+def test_urgent_volatile_job_is_held() -> None:
+    """Guards against a second run of a job that only a worker knows of."""
+    owner = _Owner([], volatile=True)
+    owner.core.hosts_listed((host('w1'), host('w2')), 0)
+    owner.report('w1', [], 1)
+    urgent = spec('urgent', urgency=Urgency.URGENT)
+    job_id = owner.core.submit(urgent, 2).unwrap()
+    owner.settle(2)
+    assert not owner.starts
+    owner.report('w2', [f'running {job_id}/0@1.1'], 3)
+    owner.settle(3)
+    assert not owner.starts
+    assert owner.state_of(job_id) is JobState.RUNNING
+
+
+def test_stray_delays_its_resubmitted_job() -> None:
+    """Guards against a start while an older copy is still being stopped."""
+    owner = _Owner([], volatile=True)
+    owner.core.hosts_listed((host('w1'),), 0)
+    urgent = spec('urgent', urgency=Urgency.URGENT)
+    twin = PartitionCore(PartitionId('r.0'), _EPOCH, cell(volatile=True))
+    job_id = twin.submit(urgent, 0).unwrap()
+    owner.report('w1', [f'running {job_id}/0@1.1'], 1)
+    owner.settle(1)
+    assert owner.stops
+    owner.core.submit(urgent, 2)
+    owner.settle(2)
+    assert not owner.starts
+    owner.report('w1', [f'stopped {job_id}/0@1.1'], 3)
+    owner.settle(3)
+    assert owner.starts == [f'{job_id}/0']
