--- a/fuchsiarill/answers.py
+++ b/fuchsiarill/answers.py
@@ -4,7 +4,9 @@
 knows the encoding of the other.
 """
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
 
 from fuchsiarill.codes import ResultCode
 from fuchsiarill.ids import CustomerId, JobId
@@ -44,6 +46,29 @@
     job_id: JobId
 
 
+@dataclass(frozen=True, slots=True)
+class JobList:
+    """Asks for the jobs of a customer, at most `limit` of them.
+
+    `state` of `None` asks for jobs in any state.
+    """
+
+    customer: CustomerId
+    state: JobState | None = None
+    limit: int = 100
+
+
+@dataclass(frozen=True, slots=True)
+class JobWhy:
+    """Tells what a job waits for.
+
+    `reasons` can be written as JSON; it is empty when `answer` refuses.
+    """
+
+    answer: JobAnswer
+    reasons: Mapping[str, Any] = field(default_factory=dict)
+
+
 def refused(refusal: Refusal) -> JobAnswer:
     """Return the answer that carries a refusal."""
     return JobAnswer(refusal.code, refusal=refusal)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -7,6 +7,7 @@
 import hashlib
 from collections.abc import Iterable
 from functools import partial
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
@@ -113,19 +114,28 @@
         known = self.state.job_by_key.get(key)
         if known is not None:
             return self._repeated(known, spec)
+        if self.state.restricted and not (
+            contract.volatile_accept and _is_urgent_idempotent(spec)
+        ):
+            return Failure(
+                refuse(codes.STORE_UNAVAILABLE, texts.STORE_UNAVAILABLE),
+            )
         job = JobRecord(
             job_id=job_id_of(self.state.partition, spec),
             spec=spec,
             accepted_at_ms=now_ms,
             state=JobState.ACCEPTING,
             waiting=list(range(spec.tasks_count)),
+            volatile=self.state.restricted,
         )
         self.state.jobs[job.job_id] = job
         self.state.job_by_key[key] = job.job_id
         self.state.persist(
             JobAccepted(job.job_id, spec),
-            partial(self._accepted, job),
+            None if job.volatile else partial(self._accepted, job),
         )
+        if job.volatile:
+            self._accepted(job, now_ms)
         return Success(job.job_id)
 
     def cancel(self, job_id: JobId, now_ms: int) -> bool:
@@ -154,7 +164,12 @@
             step_worker(self.state, worker, event, now_ms)
         self.state.recovery.hosts_known = True
 
-    def worker_reported(self, report: WorkerReport, now_ms: int) -> None:
+    def worker_reported(
+        self,
+        report: WorkerReport,
+        now_ms: int,
+        asked_at_ms: int | None = None,
+    ) -> None:
         """Take over what a worker says of its attempts."""
         worker = self.state.workers.get(report.worker_id)
         if worker is None:
@@ -197,6 +212,15 @@
         """Start all work again."""
         self.state.restricted = False
 
+    def explain(self, job_id: JobId, now_ms: int) -> dict[str, Any]:
+        """Say what a job waits for."""
+        job = self.state.jobs[job_id]
+        return {'state': job.state.value}
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return plain values that describe the state, for a dump."""
+        return {'jobs_count': len(self.state.jobs)}
+
     def decide(self, now_ms: int) -> None:
         """Place what can be placed now."""
         adoption.advance_recovery(self.state, now_ms)
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -122,6 +122,26 @@
     'partition {partition} is given up: {reason}',
     'Check the store and the load of the process if this recurs.',
 )
+JOURNAL_REFUSED: Final = LogEvent(
+    303,
+    Level.ERROR,
+    'the journal of partition {partition} is not read: {fault}',
+    'Run a version that knows the format, or restore the keys of the '
+    'partition; nothing of it is changed meanwhile.',
+)
+OWNERSHIP_UNCONFIRMED: Final = LogEvent(
+    304,
+    Level.WARNING,
+    'the store does not confirm the ownership of partition {partition}; '
+    'only urgent idempotent work is started',
+    'Check the store and the network to it; running tasks go on.',
+)
+OWNERSHIP_CONFIRMED: Final = LogEvent(
+    305,
+    Level.INFO,
+    'the ownership of partition {partition} is confirmed again',
+    _NO_ACTION,
+)
 WORKER_UNREACHABLE: Final = LogEvent(
     401,
     Level.WARNING,
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -88,3 +88,4 @@
     results: dict[int, str] = field(default_factory=dict)
     failures_count: int = 0
     started_at_ms: int | None = None
+    volatile: bool = False
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -1,76 +1,52 @@
 """The actor that campaigns for the ownership of one partition.
 
-It holds the store lease while its process owns the partition, and steps the
-partition chart; the chart's actions are registered below.
+It steps the partition chart, whose actions are registered below. What takes
+long runs in actors of its own: the watch of the owner key, the renewals, the
+takeover of the journal and the owner itself.
 """
 
+import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
-from pydantic import BaseModel
-from returns.result import Failure, Success
+from returns.result import Success
 
 from fuchsiarill import events
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import now_ms
-from fuchsiarill.core.partition import PartitionCore
-from fuchsiarill.ids import (
-    NO_EPOCH,
-    Epoch,
-    PartitionId,
-    ProcessId,
-    StoreLeaseId,
-)
-from fuchsiarill.owner.host_poll import HostPoll
-from fuchsiarill.owner.journal import (
-    JournalActor,
-    JournalEntry,
-    read_journal,
-    write_entry,
+from fuchsiarill.ids import PartitionId
+from fuchsiarill.owner import campaign_messages, messages
+from fuchsiarill.owner.campaign_state import Contest, Helpers, Lease
+from fuchsiarill.owner.claims import (
+    OwnerClaim,
+    OwnerFound,
+    acquire,
+    parse_claim,
 )
+from fuchsiarill.owner.contest import contest_delay_ms
+from fuchsiarill.owner.journal_format import JournalFault
 from fuchsiarill.owner.keys import owner_key
-from fuchsiarill.owner.messages import OwnershipDeadline, Tick
-from fuchsiarill.owner.owner_actor import OwnerActor
-from fuchsiarill.ports.host_list import HostListPort
-from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
-from fuchsiarill.ports.workers import WorkerPort
-from fuchsiarill.records import EpochOpened
+from fuchsiarill.owner.lease_keeper import LeaseKeeper
+from fuchsiarill.owner.owner_watch import OwnerWatch
+from fuchsiarill.owner.serving import Ports, Serving
+from fuchsiarill.owner.takeover import Takeover
 from fuchsiarill.registry import Registry
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.state_chart import load_chart
 from fuchsiarill.states import PartitionEvent, PartitionState
 
-_DECIDE_INTERVAL_MS: Final = 100
-
-
-class OwnerClaim(BaseModel):
-    """Value of the owner key: who owns the partition and where it listens."""
-
-    process: ProcessId
-    peer_address: str
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerFound:
-    """Tells the router where a partition's owner is.
+__all__ = ('Campaign', 'OwnerClaim', 'OwnerFound', 'Ports')  # noqa: WPS410
 
-    `mailbox` is set when the owner is in this process.
-    """
-
-    partition: PartitionId
-    claim: OwnerClaim | None
-    mailbox: Mailbox | None
-
-
-@dataclass(frozen=True, slots=True)
-class Ports:
-    """The outside systems of one process."""
-
-    store: StorePort
-    host_list: HostListPort
-    workers: WorkerPort
+# The clocks of this process and of the store may differ by 1% in rate.
+_CLOCK_RATE: Final = 0.99
+# After a failed takeover, so that a journal that cannot be read is not tried
+# again at once by every process in turn.
+_RETRY_TAKEOVER_MS: Final = 2_000
+_REFUSED_JOURNAL_RETRY_MS: Final = 30_000
+_UNREADABLE: Final = frozenset(
+    (JournalFault.CORRUPT, JournalFault.NEWER_FORMAT),
+)
 
 
 class Campaign(Actor):
@@ -92,32 +68,152 @@
         self.ports = ports
         self.router = router
         self.state = PARTITION_CHART.initial
-        self.lease_id: StoreLeaseId | None = None
-        self.deadline_ms = 0
-        self.owner: OwnerActor | None = None
-        self.host_poll: HostPoll | None = None
-
-    @property
-    def claim(self) -> OwnerClaim:
-        """Return the claim that this process writes."""
-        peers = self.settings.peers
-        return OwnerClaim(
-            process=self.settings.process,
-            peer_address=f'{peers.host}:{peers.port}',
+        self.lease = Lease()
+        self.helpers = Helpers()
+        self.contest = Contest()
+        self.reason = ''
+
+    def start(self) -> None:
+        """Run the actor and watch the owner key."""
+        super().start()
+        self.watch()
+
+    async def stop(self) -> None:
+        """Stop at once, without handing over; the lease lapses."""
+        self.contest.cancel()
+        self.lease.cancel()
+        await super().stop()
+        await self.helpers.stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        dump = super().snapshot() | {
+            'partition': self.partition,
+            'state': self.state.value,
+            'deadline_ms': self.lease.deadline_ms,
+        }
+        if self.helpers.serving is not None:
+            dump.update(self.helpers.serving.snapshot())
+        return dump
+
+    @handles(messages.Tick)
+    async def on_tick(self, message: messages.Tick) -> None:
+        """Repeat what was refused; all else has timers of its own."""
+        self.helpers.repeat_config()
+
+    @handles(campaign_messages.OwnerSeen)
+    async def on_seen(self, message: campaign_messages.OwnerSeen) -> None:
+        """Tell the router; plan a claim when the partition is vacant."""
+        if self.state is not PartitionState.STANDBY:
+            return
+        claim = parse_claim(message.found)
+        self.router.send(OwnerFound(self.partition, claim, mailbox=None))
+        if message.found.value is not None:
+            self.contest.cancel()
+            return
+        if self.contest.is_leaving:
+            return
+        delay_ms = contest_delay_ms(
+            self.partition,
+            self.settings.process,
+            self.contest.loads,
         )
+        self.contest.plan(delay_ms, self.mailbox)
+
+    @handles(campaign_messages.CandidatesKnown)
+    async def on_candidates(
+        self,
+        message: campaign_messages.CandidatesKnown,
+    ) -> None:
+        """Note who else may claim the partition."""
+        self.contest.loads = message.loads
+        if self.helpers.watch is not None:
+            self.helpers.watch.mailbox.send(message)
+
+    @handles(campaign_messages.ContestDue)
+    async def on_due(self, message: campaign_messages.ContestDue) -> None:
+        """Claim the partition if it is still vacant."""
+        if not self.contest.is_leaving:
+            await self.step(PartitionEvent.VACANT)
+
+    @handles(campaign_messages.LeaseRenewed)
+    async def on_renewed(
+        self,
+        message: campaign_messages.LeaseRenewed,
+    ) -> None:
+        """Extend the deadline from the time the renewal was asked for."""
+        if not self.lease.has(message.token):
+            return
+        self.set_deadline(message.asked_at_ms)
+        await self.step(PartitionEvent.RENEWED)
+
+    @handles(campaign_messages.DeadlinePassed)
+    async def on_deadline(
+        self,
+        message: campaign_messages.DeadlinePassed,
+    ) -> None:
+        """Stop what needs ownership unless it was extended meanwhile."""
+        if now_ms() >= self.lease.deadline_ms:
+            self.reason = 'the store lease was not renewed in time'
+            await self.step(PartitionEvent.DEADLINE_PASSED)
+
+    @handles(campaign_messages.OwnershipLost)
+    async def on_lost(self, message: campaign_messages.OwnershipLost) -> None:
+        """Step down; the store has dropped the lease."""
+        if self.lease.has(message.token):
+            self.reason = 'the store lease lapsed'
+            await self.step(PartitionEvent.DEPOSED)
+
+    @handles(messages.Deposed)
+    async def on_deposed(self, message: messages.Deposed) -> None:
+        """Step down; another process owns the partition."""
+        self.reason = message.reason
+        await self.step(PartitionEvent.DEPOSED)
+
+    @handles(campaign_messages.TakenOver)
+    async def on_taken(self, message: campaign_messages.TakenOver) -> None:
+        """Serve the partition."""
+        if not self.lease.has(message.token):
+            return
+        self.helpers.journal = message.journal
+        await self.step(PartitionEvent.REPLAYED)
 
-    @handles(Tick)
-    async def on_tick(self, message: Tick) -> None:
-        """Renew what is owned; look whether the partition is vacant."""
-        if self.owner is not None:
-            await self.renew()
+    @handles(campaign_messages.TakeoverFailed)
+    async def on_failed(
+        self,
+        message: campaign_messages.TakeoverFailed,
+    ) -> None:
+        """Give the partition back; a journal in doubt is left alone."""
+        if not self.lease.has(message.token):
             return
-        found = await self.ports.store.get(owner_key(self.partition))
-        match found:
-            case Success(current) if current.value is None:
-                await self.step(PartitionEvent.VACANT)
-            case Success(current):
-                self._announce(current)
+        self.contest.pause(_RETRY_TAKEOVER_MS)
+        if message.fault in _UNREADABLE:
+            self.contest.pause(_REFUSED_JOURNAL_RETRY_MS)
+            events.emit(
+                events.JOURNAL_REFUSED,
+                partition=self.partition,
+                fault=message.fault.value,
+            )
+        self.reason = f'takeover failed: {message.fault.value}'
+        await self.step(PartitionEvent.DEPOSED)
+
+    @handles(messages.ConfigChanged)
+    async def on_config(self, message: messages.ConfigChanged) -> None:
+        """Pass a newer configuration on to the owner."""
+        self.config = message.config
+        self.helpers.configure(message)
+
+    @handles(messages.HandOver)
+    async def on_hand_over(self, message: messages.HandOver) -> None:
+        """Give up the partition for good, with its work finished."""
+        self.contest.is_leaving = True
+        self.contest.cancel()
+        self.reason = 'the process shuts down'
+        self.helpers.is_finished = True
+        await self.step(PartitionEvent.HANDOVER_ASKED)
+        if self.state is PartitionState.REPLAYING:
+            await self.step(PartitionEvent.DEPOSED)
+        message.reply.answer(self.helpers.is_finished)
 
     async def step(self, event: PartitionEvent) -> None:
         """Apply an event of the chart and run its actions."""
@@ -128,30 +224,23 @@
         for action in transition.actions:
             await CAMPAIGN_ACTIONS.lookup(action)(self)
 
-    async def renew(self) -> None:
-        """Extend the store lease and the deadline that follows from it."""
-        if self.lease_id is None:
-            return
-        asked_at_ms = now_ms()
-        renewed = await self.ports.store.renew_lease(self.lease_id)
-        match renewed:
-            case Success(_):
-                self.set_deadline(asked_at_ms)
-                await self.step(PartitionEvent.RENEWED)
-            case Failure(_) if now_ms() >= self.deadline_ms:
-                await self.step(PartitionEvent.DEADLINE_PASSED)
-
     def set_deadline(self, asked_at_ms: int) -> None:
         """Derive the deadline from the time a renewal was asked for."""
         store = self.settings.store
-        held_ms = store.owner_lease_ms - store.owner_margin_ms
-        self.deadline_ms = asked_at_ms + held_ms
-        if self.owner is not None:
-            self.owner.mailbox.send(OwnershipDeadline(self.deadline_ms))
-
-    def _announce(self, current: Versioned) -> None:
-        claim = OwnerClaim.model_validate_json(current.value or '')
-        self.router.send(OwnerFound(self.partition, claim, mailbox=None))
+        held_ms = int(store.owner_lease_ms * _CLOCK_RATE)
+        deadline_ms = asked_at_ms + held_ms - store.owner_margin_ms
+        self.lease.extend(deadline_ms, self.mailbox)
+        self.helpers.set_deadline(deadline_ms)
+
+    def watch(self) -> None:
+        """Watch the owner key."""
+        self.helpers.watch = OwnerWatch(
+            self.ports.store,
+            self.partition,
+            self.settings.process,
+            self.mailbox,
+        )
+        self.helpers.watch.start()
 
 
 CampaignAction = Callable[[Campaign], Awaitable[None]]
@@ -163,87 +252,79 @@
 
 @CAMPAIGN_ACTIONS.register('acquire')
 async def _acquire(campaign: Campaign) -> None:
-    asked_at_ms = now_ms()
     store = campaign.ports.store
-    granted = await store.grant_lease(campaign.settings.store.owner_lease_ms)
-    if not isinstance(granted, Success):
+    # A read costs the store less than the lease and the swap of a late claim.
+    found = await store.get(owner_key(campaign.partition))
+    held = None
+    if isinstance(found, Success) and found.unwrap().value is None:
+        held = await acquire(
+            store,
+            campaign.partition,
+            _new_claim(campaign.settings),
+            campaign.settings.store.owner_lease_ms,
+        )
+    if held is None:
         await campaign.step(PartitionEvent.NOT_ACQUIRED)
         return
-    campaign.lease_id = granted.unwrap()
-    written = await store.swap(
-        Swap(
-            key=owner_key(campaign.partition),
-            value=campaign.claim.model_dump_json(),
-            lease_id=campaign.lease_id,
-        ),
+    await campaign.helpers.stop()
+    campaign.lease.held = held
+    campaign.set_deadline(held.asked_at_ms)
+    campaign.helpers.keeper = LeaseKeeper(
+        store,
+        held,
+        campaign.settings.store.owner_renew_interval_ms,
+        campaign.mailbox,
     )
-    if written.outcome is not SwapOutcome.SWAPPED:
-        await store.revoke_lease(campaign.lease_id)
-        await campaign.step(PartitionEvent.NOT_ACQUIRED)
-        return
-    campaign.set_deadline(asked_at_ms)
+    campaign.helpers.keeper.start()
     await campaign.step(PartitionEvent.ACQUIRED)
 
 
 @CAMPAIGN_ACTIONS.register('replay')
 async def _replay(campaign: Campaign) -> None:
-    journal = await read_journal(campaign.ports.store, campaign.partition)
-    match journal:
-        case Success(entries):
-            await _open_epoch(campaign, entries)
-        case Failure(_):
-            await campaign.step(PartitionEvent.DEPOSED)
-
-
-async def _open_epoch(
-    campaign: Campaign,
-    entries: tuple[JournalEntry, ...],
-) -> None:
-    epoch = Epoch(_last_epoch(entries) + 1)
-    opened = await write_entry(
+    held = campaign.lease.held
+    if held is None:
+        return
+    campaign.helpers.takeover = Takeover(
         campaign.ports.store,
         campaign.partition,
-        len(entries) + 1,
-        (EpochOpened(epoch, campaign.settings.process),),
+        held.token,
+        campaign.lease.deadline_ms,
+        campaign.mailbox,
     )
-    if not opened:
-        await campaign.step(PartitionEvent.DEPOSED)
-        return
-    campaign.owner = OwnerActor(
-        PartitionCore(campaign.partition, epoch, campaign.config),
-        JournalActor(
-            campaign.ports.store,
-            campaign.partition,
-            len(entries) + 2,
-            campaign.settings.store.commit_interval_ms,
-        ),
-        campaign.ports.workers,
-        campaign.deadline_ms,
+    campaign.helpers.takeover.begin(
+        campaign.settings.process,
+        campaign.config.policies.task_lease_ms,
     )
-    await campaign.step(PartitionEvent.REPLAYED)
 
 
 @CAMPAIGN_ACTIONS.register('serve')
 async def _serve(campaign: Campaign) -> None:
-    owner = campaign.owner
-    if owner is None:
+    journal = campaign.helpers.journal
+    if journal is None:
         return
-    owner.journal.start()
-    owner.start()
-    owner.tick_every(_DECIDE_INTERVAL_MS, Tick())
-    campaign.host_poll = HostPoll(
-        campaign.settings.host_list,
-        campaign.ports.host_list,
-        owner.mailbox,
+    serving = Serving(
+        campaign.settings,
+        campaign.config,
+        campaign.ports,
+        campaign.mailbox,
     )
-    campaign.host_poll.start()
+    serving.begin(
+        campaign.partition,
+        journal,
+        campaign.lease.deadline_ms,
+    )
+    campaign.helpers.serving = serving
     events.emit(
         events.OWNERSHIP_ACQUIRED,
         partition=campaign.partition,
-        epoch=owner.core.state.epoch,
+        epoch=serving.epoch,
     )
     campaign.router.send(
-        OwnerFound(campaign.partition, campaign.claim, owner.mailbox),
+        OwnerFound(
+            campaign.partition,
+            _new_claim(campaign.settings),
+            serving.owner.mailbox,
+        ),
     )
 
 
@@ -253,30 +334,35 @@
     events.emit(
         events.OWNERSHIP_LOST,
         partition=campaign.partition,
-        reason='deposed',
+        reason=campaign.reason,
     )
-    if campaign.host_poll is not None:
-        await campaign.host_poll.stop()
-    if campaign.owner is not None:
-        await campaign.owner.stop()
-        await campaign.owner.journal.stop()
-        campaign.owner = None
+    campaign.lease.cancel()
+    await campaign.helpers.stop()
+    held = campaign.lease.held
+    campaign.lease.held = None
+    if held is not None:
+        # Frees the partition at once where the store still knows the lease.
+        await campaign.ports.store.revoke_lease(held.lease_id)
+    if not campaign.contest.is_leaving:
+        campaign.watch()
 
 
 @CAMPAIGN_ACTIONS.register('restrict')
 async def _restrict(campaign: Campaign) -> None:
-    """Needs no step: every start carries the deadline that has passed."""
+    events.emit(events.OWNERSHIP_UNCONFIRMED, partition=campaign.partition)
+    campaign.helpers.set_deadline(campaign.lease.deadline_ms)
 
 
 @CAMPAIGN_ACTIONS.register('unrestrict')
 async def _unrestrict(campaign: Campaign) -> None:
-    """Needs no step: the next starts carry the new deadline."""
+    events.emit(events.OWNERSHIP_CONFIRMED, partition=campaign.partition)
 
 
 @CAMPAIGN_ACTIONS.register('hand_over')
 async def _hand_over(campaign: Campaign) -> None:
-    if campaign.lease_id is not None:
-        await campaign.ports.store.revoke_lease(campaign.lease_id)
+    serving = campaign.helpers.serving
+    if serving is not None:
+        campaign.helpers.is_finished = await serving.finish()
     await campaign.step(PartitionEvent.RELEASED)
 
 
@@ -288,10 +374,10 @@
 )
 
 
-def _last_epoch(entries: tuple[JournalEntry, ...]) -> Epoch:
-    latest = NO_EPOCH
-    for entry in entries:
-        for record in entry.records:
-            if isinstance(record, EpochOpened):
-                latest = max(latest, record.epoch)
-    return latest
+def _new_claim(settings: ProcessSettings) -> OwnerClaim:
+    peers = settings.peers
+    return OwnerClaim(
+        process=settings.process,
+        peer_address=f'{peers.host}:{peers.port}',
+        token=uuid.uuid4().hex,
+    )
--- /dev/null
+++ b/fuchsiarill/owner/claims.py
@@ -0,0 +1,88 @@
+"""The claim in the owner key of a partition, and how it is made."""
+
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ValidationError
+from returns.result import Success
+
+from fuchsiarill.actor import Mailbox
+from fuchsiarill.clock import now_ms
+from fuchsiarill.ids import PartitionId, ProcessId, StoreLeaseId
+from fuchsiarill.owner.keys import owner_key
+from fuchsiarill.owner.store_calls import settle_swap
+from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
+
+
+class OwnerClaim(BaseModel):
+    """Value of the owner key: who owns the partition and where it listens.
+
+    `token` is unique to each takeover, so that a claim whose answer was lost
+    is recognized when the key is read.
+    """
+
+    process: ProcessId
+    peer_address: str
+    token: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerFound:
+    """Tells the router where a partition's owner is.
+
+    `mailbox` is set when the owner is in this process.
+    """
+
+    partition: PartitionId
+    claim: OwnerClaim | None
+    mailbox: Mailbox | None
+
+
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """A lease under which this process holds the owner key."""
+
+    lease_id: StoreLeaseId
+    asked_at_ms: int
+    token: str
+
+
+async def acquire(
+    store: StorePort,
+    partition: PartitionId,
+    claim: OwnerClaim,
+    lease_ms: int,
+) -> HeldLease | None:
+    """Claim a vacant partition under a new lease, or return `None`.
+
+    The time that counts is that before the lease was asked for. A claim that
+    was not made gives its lease back, and the lease takes a claim with it
+    that is written late.
+    """
+    asked_at_ms = now_ms()
+    granted = await store.grant_lease(lease_ms)
+    if not isinstance(granted, Success):
+        return None
+    lease_id = granted.unwrap()
+    written = await settle_swap(
+        store,
+        Swap(
+            owner_key(partition),
+            claim.model_dump_json(),
+            lease_id=lease_id,
+        ),
+        lambda: now_ms() < asked_at_ms + lease_ms,
+    )
+    if written.outcome is SwapOutcome.SWAPPED:
+        return HeldLease(lease_id, asked_at_ms, claim.token)
+    await store.revoke_lease(lease_id)
+    return None
+
+
+def parse_claim(found: Versioned) -> OwnerClaim | None:
+    """Return the claim in the owner key; `None` when there is none."""
+    if found.value is None:
+        return None
+    try:
+        return OwnerClaim.model_validate_json(found.value)
+    except ValidationError:
+        return None
--- /dev/null
+++ b/fuchsiarill/owner/durability.py
@@ -0,0 +1,101 @@
+"""What an owner has asked its journal to commit, and what waits for it."""
+
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
+from typing import Any, Final
+
+from fuchsiarill.actor import Mailbox
+from fuchsiarill.core.effects import PersistRecord
+from fuchsiarill.ids import JobId
+from fuchsiarill.owner import messages
+from fuchsiarill.records import JobEnded
+
+# Commits lag when more records wait than a few groups can hold.
+_LAG_MAX_COUNT: Final = 4_000
+_APPEND_MAX_COUNT: Final = 500
+
+
+class Durability:
+    """Passes records to the journal and follows its commits.
+
+    A record that the journal's full mailbox refuses is kept and passed on
+    later, in order.
+    """
+
+    def __init__(self, journal: Mailbox) -> None:
+        """Start before the first record of this owner."""
+        self._journal = journal
+        self._committed = 0
+        self._appended = 0
+        self._unsent: deque[PersistRecord] = deque()
+        self._lagging_since_ms: int | None = None
+        self._follow_ups: deque[tuple[int, Callable[[], None]]] = deque()
+        self._ending: dict[JobId, int] = {}
+
+    def append(self, records: Iterable[PersistRecord], now_ms: int) -> None:
+        """Ask for further records to be committed."""
+        for record in records:
+            self._unsent.append(record)
+            self._appended = record.sequence
+            if isinstance(record.record, JobEnded):
+                self._ending[record.record.job_id] = record.sequence
+        if self._unsent and self._lagging_since_ms is None:
+            self._lagging_since_ms = now_ms
+        while self._unsent:
+            batch = tuple(islice(self._unsent, _APPEND_MAX_COUNT))
+            if not self._journal.send(messages.Append(batch)):
+                return
+            for _ in batch:
+                self._unsent.popleft()
+
+    def committed(self, sequence: int, now_ms: int) -> Iterator[int]:
+        """Note a commit; yields the sequences that are durable by it."""
+        first = self._committed + 1
+        self._committed = max(sequence, self._committed)
+        self._lagging_since_ms = None
+        if self._committed < self._appended:
+            self._lagging_since_ms = now_ms
+        for job_id, ended_by in tuple(self._ending.items()):
+            if ended_by > sequence:
+                break
+            self._ending.pop(job_id)
+        yield from range(first, sequence + 1)
+        while self._follow_ups and self._follow_ups[0][0] <= sequence:
+            self._follow_ups.popleft()[1]()
+
+    def after_commit(
+        self, sequence: int, follow_up: Callable[[], None]
+    ) -> None:
+        """Call `follow_up` once all up to `sequence` is durable."""
+        if self.is_committed(sequence):
+            follow_up()
+            return
+        self._follow_ups.append((sequence, follow_up))
+
+    def is_committed(self, sequence: int) -> bool:
+        """Tell whether a record is durable."""
+        return sequence <= self._committed
+
+    def is_lagging(self) -> bool:
+        """Tell whether too many records wait for their commit."""
+        return self._appended - self._committed > _LAG_MAX_COUNT
+
+    def lag_ms(self, now_ms: int) -> int:
+        """Return for how long nothing was committed although records wait."""
+        if self._lagging_since_ms is None:
+            return 0
+        return now_ms - self._lagging_since_ms
+
+    def is_ending(self, job_id: JobId) -> bool:
+        """Tell whether the end of a job waits for its commit."""
+        return job_id in self._ending
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            'committed_sequence': self._committed,
+            'appended_sequence': self._appended,
+            'unsent_count': len(self._unsent),
+            'lagging_since_ms': self._lagging_since_ms,
+        }
--- /dev/null
+++ b/fuchsiarill/owner/fleet.py
@@ -0,0 +1,132 @@
+"""The links of one owner to the workers of its partition."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from fuchsiarill.actor import Mailbox
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.ids import AttemptId, PartitionId, WorkerId
+from fuchsiarill.owner import messages
+from fuchsiarill.owner.worker_link import LinkTerms, WorkerLink
+from fuchsiarill.ports.workers import WorkerPort
+from fuchsiarill.routing import partition_of_rack
+from fuchsiarill.workers import HostEntry
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPorts:
+    """What links are made with."""
+
+    workers: WorkerPort
+    owner: Mailbox
+
+
+class Fleet:
+    """Creates a link for each listed worker and ends those of others."""
+
+    def __init__(self, ports: FleetPorts, terms: LinkTerms) -> None:
+        """Start without links; all of them get the same terms."""
+        self.links: dict[WorkerId, WorkerLink] = {}
+        self._ports = ports
+        self._terms = terms
+        self._unlisted: set[WorkerId] = set()
+
+    async def list_hosts(
+        self,
+        entries: Iterable[HostEntry],
+        state: CoreState,
+    ) -> None:
+        """Link to new workers; a worker at a new address gets a new link."""
+        self._unlisted.update(self.links)
+        for entry in entries:
+            self._unlisted.discard(entry.worker_id)
+            link = self.links.get(entry.worker_id)
+            if link is not None and link.entry.address == entry.address:
+                continue
+            if link is not None:
+                await link.stop()
+            restored = _restored_on(entry.worker_id, state)
+            self._connect(entry, restored)
+
+    async def end_unlisted(self, state: CoreState) -> None:
+        """End the links of unlisted workers that can run nothing any more."""
+        for worker_id in tuple(self._unlisted):
+            worker = state.workers.get(worker_id)
+            if worker is not None and worker.attempts:
+                continue
+            self._unlisted.discard(worker_id)
+            await self.links.pop(worker_id).stop()
+
+    def send(self, worker_id: WorkerId, message: object) -> bool:
+        """Pass a message to a link; `False` when it was not taken."""
+        link = self.links.get(worker_id)
+        return link is not None and link.mailbox.send(message)
+
+    def change_lease(self, change: messages.LeaseChanged) -> None:
+        """Grant leases of another length from now on."""
+        self._terms = replace(
+            self._terms,
+            task_lease_ms=change.task_lease_ms,
+            exchange_interval_ms=change.exchange_interval_ms,
+        )
+        for link in self.links.values():
+            link.mailbox.send(change)
+
+    async def stop(self) -> None:
+        """End all links."""
+        for link in self.links.values():
+            await link.stop()
+        self.links.clear()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            worker_id: link.snapshot() for worker_id, link in self.links.items()
+        }
+
+    def _connect(
+        self,
+        entry: HostEntry,
+        restored: Mapping[AttemptId, str],
+    ) -> None:
+        link = WorkerLink(
+            entry,
+            replace(self._terms, restored=restored),
+            self._ports.workers,
+            self._ports.owner,
+        )
+        self.links[entry.worker_id] = link
+        link.start()
+
+
+def hosts_of_partition(
+    entries: Iterable[HostEntry],
+    state: CoreState,
+) -> tuple[HostEntry, ...]:
+    """Return the hosts whose racks belong to the partition."""
+    region = region_of(state.partition)
+    return tuple(
+        entry
+        for entry in entries
+        if entry.region == region
+        and state.partition
+        == partition_of_rack(state.config, entry.region, entry.rack)
+    )
+
+
+def region_of(partition: PartitionId) -> str:
+    """Return the region that is part of every partition id."""
+    return partition.rpartition('.')[0]
+
+
+def _restored_on(
+    worker_id: WorkerId,
+    state: CoreState,
+) -> dict[AttemptId, str]:
+    restored = {}
+    for attempt_id, incarnation in state.recovery.intents.items():
+        attempt = state.attempts.get(attempt_id)
+        if attempt is not None and attempt.worker_id == worker_id:
+            restored[attempt_id] = incarnation
+    return restored
--- /dev/null
+++ b/fuchsiarill/owner/job_replies.py
@@ -0,0 +1,71 @@
+"""What the owner answers about a job."""
+
+from typing import Final
+
+from fuchsiarill import codes, texts
+from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.ids import JobId, PartitionId
+from fuchsiarill.job import JobRecord
+from fuchsiarill.refusal import refuse
+from fuchsiarill.states import JobState
+
+CODE_OF_STATE: Final = {
+    JobState.SUCCEEDED: codes.JOB_SUCCEEDED,
+    JobState.FAILED: codes.JOB_FAILED,
+    JobState.CANCELLED: codes.JOB_CANCELLED,
+    JobState.UNKNOWN: codes.JOB_UNKNOWN,
+}
+FINAL_STATES: Final = frozenset(CODE_OF_STATE)
+_RETRY_MS: Final = 1_000
+
+
+def unknown_job(job_id: JobId) -> JobAnswer:
+    """Return the answer for a job that the customer does not have."""
+    return refused(refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id))
+
+
+def answer_of(job: JobRecord) -> JobAnswer:
+    """Return the answer for a job whose state is durable."""
+    code = CODE_OF_STATE.get(job.state, codes.NOT_FINISHED)
+    outputs = tuple(job.results[position] for position in sorted(job.results))
+    return JobAnswer(code, job.job_id, job.state, outputs)
+
+
+def unsettled_answer_of(job: JobRecord) -> JobAnswer:
+    """Return the answer for a job whose end is not durable yet."""
+    state = job.state
+    if state in FINAL_STATES:
+        state = JobState.RUNNING
+    return JobAnswer(codes.NOT_FINISHED, job.job_id, state)
+
+
+def overloaded() -> JobAnswer:
+    """Return the refusal while too much waits for its commit."""
+    return refused(
+        refuse(codes.OVERLOADED, texts.OVERLOADED, retry_after_ms=_RETRY_MS),
+    )
+
+
+def owner_unavailable(partition: PartitionId) -> JobAnswer:
+    """Return the refusal of an owner that gives its partition up."""
+    return refused(
+        refuse(
+            codes.OWNER_UNAVAILABLE,
+            texts.OWNER_UNAVAILABLE,
+            retry_after_ms=_RETRY_MS,
+            partition=partition,
+        ),
+    )
+
+
+def uncertain(answer: JobAnswer, partition: PartitionId) -> JobAnswer:
+    """Return what to say in place of an answer that is not durable in time."""
+    if answer.refusal is not None:
+        return answer
+    return refused(
+        refuse(
+            codes.OUTCOME_UNCERTAIN,
+            texts.OUTCOME_UNCERTAIN,
+            partition=partition,
+        ),
+    )
--- /dev/null
+++ b/fuchsiarill/owner/job_requests.py
@@ -0,0 +1,195 @@
+"""Requests of callers to the owner of a partition, and their answers.
+
+An acceptance is answered once its record is durable. Every wait has an end.
+"""
+
+from collections.abc import Callable
+from functools import partial
+
+import pydantic_core
+from returns.result import Success
+
+from fuchsiarill import codes
+from fuchsiarill.answers import JobAnswer, JobWhy, refused
+from fuchsiarill.clock import now_ms
+from fuchsiarill.core.partition import PartitionCore
+from fuchsiarill.ids import CustomerId, JobId
+from fuchsiarill.job import JobRecord, JobSpec
+from fuchsiarill.owner import messages
+from fuchsiarill.owner.durability import Durability
+from fuchsiarill.owner.job_replies import (
+    FINAL_STATES,
+    answer_of,
+    overloaded,
+    owner_unavailable,
+    uncertain,
+    unknown_job,
+    unsettled_answer_of,
+)
+from fuchsiarill.owner.waiters import CommitWaiter, Waiters
+from fuchsiarill.states import JobState
+
+
+class JobRequests:
+    """Carries out what callers ask for, and keeps who waits."""
+
+    def __init__(
+        self,
+        core: PartitionCore,
+        durability: Durability,
+        commit_timeout_ms: int,
+    ) -> None:
+        """Answer from `core`; give a commit `commit_timeout_ms`."""
+        self.waiters = Waiters()
+        self.is_closed = False
+        self._core = core
+        self._durability = durability
+        self._commit_timeout_ms = commit_timeout_ms
+
+    def submit(self, message: messages.SubmitJobs) -> None:
+        """Admit a batch and answer once all of it is durable."""
+        answers = tuple(self._admit(spec) for spec in message.specs)
+        if all(self._is_durable(answer) for answer in answers):
+            message.reply.answer(answers)
+            return
+        partition = self._core.state.partition
+        in_doubt = tuple(uncertain(answer, partition) for answer in answers)
+        self._answer_when_durable(
+            partial(message.reply.answer, answers),
+            partial(message.reply.answer, in_doubt),
+        )
+
+    def ask(self, message: messages.AskJob) -> None:
+        """Answer with the state of a job, at its end or that of the wait."""
+        query = message.query
+        job = self._job_of(query.customer, query.job_id)
+        if job is None:
+            message.reply.answer(unknown_job(query.job_id))
+            return
+        waits = query.wait_ms and not self.is_closed
+        if waits and not self._is_settled(job):
+            waits_until_ms = now_ms() + query.wait_ms
+            if self.waiters.wait_for_end(
+                job.job_id,
+                message.reply,
+                waits_until_ms,
+            ):
+                return
+        message.reply.answer(self.present(query.job_id))
+
+    def cancel(self, message: messages.CancelJob) -> None:
+        """Cancel a job of the asking customer."""
+        cancel = message.cancel
+        job = self._job_of(cancel.customer, cancel.job_id)
+        if job is None:
+            message.reply.answer(unknown_job(cancel.job_id))
+            return
+        if self._is_overloaded():
+            message.reply.answer(overloaded())
+            return
+        self._core.cancel(job.job_id, now_ms())
+        answer = JobAnswer(codes.CANCEL_STARTED, job.job_id, job.state)
+        in_doubt = uncertain(answer, self._core.state.partition)
+        self._answer_when_durable(
+            partial(message.reply.answer, answer),
+            partial(message.reply.answer, in_doubt),
+        )
+
+    def list_jobs(self, message: messages.ListJobs) -> None:
+        """List jobs of a customer, the latest accepted first."""
+        query = message.query
+        found: list[JobAnswer] = []
+        for job in reversed(self._core.state.jobs.values()):
+            if len(found) >= query.limit:
+                break
+            if job.spec.customer != query.customer:
+                continue
+            answer = self.present(job.job_id)
+            if query.state in {None, answer.state}:
+                found.append(answer)
+        message.reply.answer(tuple(found))
+
+    def explain(self, message: messages.ExplainJob) -> None:
+        """Say what a job of the asking customer waits for."""
+        query = message.query
+        if self._job_of(query.customer, query.job_id) is None:
+            message.reply.answer(JobWhy(unknown_job(query.job_id)))
+            return
+        explanation = self._core.explain(query.job_id, now_ms())
+        reasons = pydantic_core.to_jsonable_python(explanation)
+        message.reply.answer(JobWhy(self.present(query.job_id), reasons))
+
+    def ended(self, job_id: JobId) -> None:
+        """Answer all who wait for the end of a job."""
+        self.waiters.ended(job_id, self.present(job_id))
+
+    def expire(self) -> None:
+        """Answer all whose wait has ended."""
+        self.waiters.expire(now_ms(), self.present)
+
+    def close(self) -> None:
+        """Accept nothing more and let nobody wait for the end of a job."""
+        self.is_closed = True
+        self.waiters.expire_ends(self.present)
+
+    def present(self, job_id: JobId) -> JobAnswer:
+        """Return what is known of a job and durable."""
+        job = self._core.state.jobs.get(job_id)
+        if job is None:
+            return unknown_job(job_id)
+        if self._is_settled(job):
+            return answer_of(job)
+        return unsettled_answer_of(job)
+
+    def _admit(self, spec: JobSpec) -> JobAnswer:
+        state = self._core.state
+        if self.is_closed:
+            return owner_unavailable(state.partition)
+        is_known = (spec.customer, spec.idempotency_key) in state.job_by_key
+        if self._is_overloaded() and not is_known:
+            return overloaded()
+        submitted = self._core.submit(spec, now_ms())
+        if not isinstance(submitted, Success):
+            return refused(submitted.failure())
+        job_id = submitted.unwrap()
+        job = state.jobs[job_id]
+        code = codes.ACCEPTED_VOLATILE if job.volatile else codes.ACCEPTED
+        return JobAnswer(code, job_id)
+
+    def _is_overloaded(self) -> bool:
+        return self._durability.is_lagging() or self.waiters.is_full()
+
+    def _is_durable(self, answer: JobAnswer) -> bool:
+        if answer.code is not codes.ACCEPTED or answer.job_id is None:
+            return True
+        job = self._core.state.jobs[answer.job_id]
+        return job.state is not JobState.ACCEPTING
+
+    def _is_settled(self, job: JobRecord) -> bool:
+        if job.state not in FINAL_STATES:
+            return False
+        return not self._durability.is_ending(job.job_id)
+
+    def _job_of(self, customer: CustomerId, job_id: JobId) -> JobRecord | None:
+        job = self._core.state.jobs.get(job_id)
+        if job is None or job.spec.customer != customer:
+            return None
+        return job
+
+    def _answer_when_durable(
+        self,
+        committed: Callable[[], None],
+        given_up: Callable[[], None],
+    ) -> None:
+        sequence = self._core.state.sequence
+        if self._durability.is_committed(sequence):
+            committed()
+            return
+        self.waiters.wait_for_commit(
+            CommitWaiter(
+                sequence,
+                now_ms() + self._commit_timeout_ms,
+                committed,
+                given_up,
+            ),
+        )
--- /dev/null
+++ b/fuchsiarill/owner/journal_format.py
@@ -0,0 +1,121 @@
+"""The values that a journal keeps in the store, and their bounds."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Final
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.ids import Revision
+from fuchsiarill.records import RECORD, Record
+
+FORMAT: Final = 1
+# The service takes 1 MB; half of it leaves room for one large record.
+VALUE_MAX_BYTES: Final = 500_000
+GROUP_MAX_COUNT: Final = 1_000
+
+
+class JournalFault(Enum):
+    """Why a journal cannot be read."""
+
+    INTERRUPTED = 'interrupted'
+    OVERTAKEN = 'overtaken'
+    CORRUPT = 'corrupt'
+    NEWER_FORMAT = 'newer_format'
+
+
+@dataclass(frozen=True, slots=True)
+class JournalEntry:
+    """Value of an entry or of a snapshot chunk; `token` names its writer."""
+
+    format: int
+    token: str
+    records: tuple[Record, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Value of the head key.
+
+    `writer` is the token of the owner that claimed the journal: a head that
+    still has it proves that nobody has taken over. The entries before
+    `first_index` are covered by the snapshot; `chunk_revisions` has the
+    revision of each of its chunks.
+    """
+
+    format: int
+    writer: str
+    first_index: int = 1
+    snapshot: str = ''
+    chunk_revisions: tuple[Revision, ...] = ()
+
+
+ENTRIES: Final = TypeAdapter(JournalEntry)
+HEADS: Final = TypeAdapter(Head)
+
+
+@dataclass(frozen=True, slots=True)
+class Encoded:
+    """A record in the form in which the journal keeps it."""
+
+    sequence: int
+    record: Record
+    text: str
+    size_bytes: int
+
+
+def encode(sequence: int, record: Record) -> Encoded:
+    """Encode one record."""
+    encoded = RECORD.dump_json(record)
+    return Encoded(sequence, record, encoded.decode(), len(encoded))
+
+
+def entry_value(token: str, texts: Iterable[str]) -> str:
+    """Return the value that holds encoded records."""
+    body = ','.join(texts)
+    return f'{{"format":{FORMAT},"token":"{token}","records":[{body}]}}'
+
+
+def chunk_values(token: str, records: Iterable[Record]) -> Iterator[str]:
+    """Yield the values of the chunks of a snapshot."""
+    texts: list[str] = []
+    size_bytes = 0
+    for record in records:
+        encoded = encode(0, record)
+        if texts and size_bytes + encoded.size_bytes > VALUE_MAX_BYTES:
+            yield entry_value(token, texts)
+            texts = []
+            size_bytes = 0
+        texts.append(encoded.text)
+        size_bytes += encoded.size_bytes + 1
+    yield entry_value(token, texts)
+
+
+def parse_value(
+    adapter: TypeAdapter[Any],
+    text: str,
+) -> Result[Any, JournalFault]:
+    """Read a value; a newer format is told from damage."""
+    try:
+        parsed = adapter.validate_json(text)
+    except ValidationError:
+        return Failure(_fault_of(text))
+    if parsed.format != FORMAT:
+        return Failure(JournalFault.NEWER_FORMAT)
+    return Success(parsed)
+
+
+_DOCUMENTS: Final = TypeAdapter(dict[str, Any])
+
+
+def _fault_of(text: str) -> JournalFault:
+    try:
+        document = _DOCUMENTS.validate_json(text)
+    except ValidationError:
+        return JournalFault.CORRUPT
+    number = document.get('format')
+    if isinstance(number, int) and number > FORMAT:
+        return JournalFault.NEWER_FORMAT
+    return JournalFault.CORRUPT
--- /dev/null
+++ b/fuchsiarill/owner/journal_reader.py
@@ -0,0 +1,180 @@
+"""Takeover of a journal: claims its head, reads it and opens an epoch.
+
+The head is claimed first. From then on an older owner can neither move the
+head, so that no entry that is still to be read is deleted, nor prove a commit
+whose answer came after its lease.
+"""
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.ids import PartitionId, Revision, StoreKey
+from fuchsiarill.owner.journal_format import (
+    ENTRIES,
+    FORMAT,
+    HEADS,
+    Head,
+    JournalFault,
+    encode,
+    entry_value,
+    parse_value,
+)
+from fuchsiarill.owner.keys import chunk_key, entry_key, head_key
+from fuchsiarill.owner.store_calls import MayGoOn, read_key, settle_swap
+from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
+from fuchsiarill.records import Record
+
+_FIRST_WINDOW_COUNT: Final = 4
+_WINDOW_MAX_COUNT: Final = 32
+
+
+@dataclass(frozen=True, slots=True)
+class JournalClaim:
+    """Who takes a journal over, and while what."""
+
+    store: StorePort
+    partition: PartitionId
+    token: str
+    may_go_on: MayGoOn
+
+
+@dataclass(slots=True)
+class JournalRead:
+    """A journal that was read to its end.
+
+    `revisions` has the revision of each entry by its index.
+    """
+
+    head: Head
+    head_revision: Revision
+    records: list[Record] = field(default_factory=list)
+    revisions: dict[int, Revision] = field(default_factory=dict)
+
+    @property
+    def next_index(self) -> int:
+        """Return the index of the entry that comes next."""
+        return self.head.first_index + len(self.revisions)
+
+
+async def read_journal(
+    claim: JournalClaim,
+) -> Result[JournalRead, JournalFault]:
+    """Claim the head and read the snapshot and all entries after it."""
+    claimed = await _claim_head(claim)
+    match claimed:
+        case Failure(fault):
+            return Failure(fault)
+    journal = claimed.unwrap()
+    faulty = await _read_snapshot(claim, journal)
+    if faulty is None:
+        faulty = await _read_entries(claim, journal)
+    if faulty is not None:
+        return Failure(faulty)
+    return Success(journal)
+
+
+async def append_entry(
+    claim: JournalClaim,
+    journal: JournalRead,
+    record: Record,
+) -> JournalFault | None:
+    """Create the next entry; a conflict means that another was faster."""
+    swap = Swap(
+        entry_key(claim.partition, journal.next_index),
+        entry_value(claim.token, (encode(0, record).text,)),
+    )
+    written = await settle_swap(claim.store, swap, claim.may_go_on)
+    if written.outcome is SwapOutcome.UNKNOWN:
+        return JournalFault.INTERRUPTED
+    if written.outcome is SwapOutcome.CONFLICT:
+        return JournalFault.OVERTAKEN
+    journal.revisions[journal.next_index] = written.revision
+    journal.records.append(record)
+    return None
+
+
+async def _claim_head(
+    claim: JournalClaim,
+) -> Result[JournalRead, JournalFault]:
+    key = head_key(claim.partition)
+    found = await read_key(claim.store, key, claim.may_go_on)
+    if found is None:
+        return Failure(JournalFault.INTERRUPTED)
+    head = Head(FORMAT, claim.token)
+    if found.value is not None:
+        parsed = parse_value(HEADS, found.value)
+        if not isinstance(parsed, Success):
+            return Failure(parsed.failure())
+        head = replace(parsed.unwrap(), writer=claim.token)
+    swap = Swap(key, HEADS.dump_json(head).decode(), found.revision)
+    written = await settle_swap(claim.store, swap, claim.may_go_on)
+    if written.outcome is SwapOutcome.SWAPPED:
+        return Success(JournalRead(head, written.revision))
+    if written.outcome is SwapOutcome.CONFLICT:
+        return Failure(JournalFault.OVERTAKEN)
+    return Failure(JournalFault.INTERRUPTED)
+
+
+async def _read_snapshot(
+    claim: JournalClaim,
+    journal: JournalRead,
+) -> JournalFault | None:
+    head = journal.head
+    keys = [
+        chunk_key(claim.partition, head.snapshot, number)
+        for number in range(len(head.chunk_revisions))
+    ]
+    while keys:
+        window = keys[:_WINDOW_MAX_COUNT]
+        keys = keys[_WINDOW_MAX_COUNT:]
+        for found in await _read_all(claim, window):
+            if found is None:
+                return JournalFault.INTERRUPTED
+            if found.value is None:
+                return JournalFault.CORRUPT
+            faulty = _take(journal, found.value)
+            if faulty is not None:
+                return faulty
+    return None
+
+
+async def _read_entries(
+    claim: JournalClaim,
+    journal: JournalRead,
+) -> JournalFault | None:
+    window_count = _FIRST_WINDOW_COUNT
+    while True:
+        first = journal.next_index
+        window = [
+            entry_key(claim.partition, index)
+            for index in range(first, first + window_count)
+        ]
+        for found in await _read_all(claim, window):
+            if found is None:
+                return JournalFault.INTERRUPTED
+            if found.value is None:
+                return None
+            faulty = _take(journal, found.value)
+            if faulty is not None:
+                return faulty
+            journal.revisions[journal.next_index] = found.revision
+        window_count = min(2 * window_count, _WINDOW_MAX_COUNT)
+
+
+async def _read_all(
+    claim: JournalClaim,
+    keys: list[StoreKey],
+) -> list[Versioned | None]:
+    reads: Any = (read_key(claim.store, key, claim.may_go_on) for key in keys)
+    return list(await asyncio.gather(*reads))
+
+
+def _take(journal: JournalRead, text: str) -> JournalFault | None:
+    parsed = parse_value(ENTRIES, text)
+    if not isinstance(parsed, Success):
+        return parsed.failure()
+    journal.records.extend(parsed.unwrap().records)
+    return None
--- a/fuchsiarill/owner/keys.py
+++ b/fuchsiarill/owner/keys.py
@@ -11,3 +11,13 @@
 def entry_key(partition: PartitionId, index: int) -> StoreKey:
     """Return the key of a journal entry; the first has index 1."""
     return StoreKey(f'partition/{partition}/log/{index}')
+
+
+def head_key(partition: PartitionId) -> StoreKey:
+    """Return the key that names the snapshot and the first entry after it."""
+    return StoreKey(f'partition/{partition}/head')
+
+
+def chunk_key(partition: PartitionId, snapshot: str, chunk: int) -> StoreKey:
+    """Return the key of one chunk of a snapshot; the first has number 0."""
+    return StoreKey(f'partition/{partition}/snapshot/{snapshot}/{chunk}')
--- /dev/null
+++ b/fuchsiarill/owner/lease_keeper.py
@@ -0,0 +1,56 @@
+"""Renews the store lease of an owner, whatever else its process does."""
+
+from returns.result import Failure, Success
+
+from fuchsiarill.actor import Actor, Mailbox, handles
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.owner.campaign_messages import LeaseRenewed, OwnershipLost
+from fuchsiarill.owner.claims import HeldLease
+from fuchsiarill.owner.messages import Tick
+from fuchsiarill.owner.store_calls import backoff_ms
+from fuchsiarill.ports.store import StoreFailure, StorePort
+
+
+class LeaseKeeper(Actor):
+    """Renews one lease at an interval and sooner after a failure."""
+
+    def __init__(
+        self,
+        store: StorePort,
+        lease: HeldLease,
+        interval_ms: int,
+        campaign: Mailbox,
+    ) -> None:
+        """Keep `lease` for `campaign`."""
+        super().__init__('lease keeper')
+        self._store = store
+        self._lease = lease
+        self._interval_ms = interval_ms
+        self._campaign = campaign
+        self._failures_count = 0
+
+    def start(self) -> None:
+        """Run the actor; the first renewal comes after the interval."""
+        super().start()
+        self.mailbox.send(Tick())
+
+    @handles(Tick)
+    async def on_tick(self, message: Tick) -> None:
+        """Wait, renew once and plan the next renewal."""
+        delay_ms: float = self._interval_ms
+        if self._failures_count:
+            delay_ms = backoff_ms(self._lease.lease_id, self._failures_count)
+        await sleep_ms(delay_ms)
+        asked_at_ms = now_ms()
+        match await self._store.renew_lease(self._lease.lease_id):
+            case Success(_):
+                self._failures_count = 0
+                self._campaign.send(
+                    LeaseRenewed(self._lease.token, asked_at_ms),
+                )
+            case Failure(StoreFailure.LEASE_UNKNOWN):
+                self._campaign.send(OwnershipLost(self._lease.token))
+                return
+            case _:
+                self._failures_count += 1
+        self.mailbox.send(Tick())
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -3,11 +3,17 @@
 from dataclasses import dataclass
 
 from fuchsiarill.actor import Reply
-from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
-from fuchsiarill.core.effects import CommandTask, StartTask
-from fuchsiarill.ids import AttemptId, Epoch, WorkerId
+from fuchsiarill.answers import (
+    JobAnswer,
+    JobCancel,
+    JobList,
+    JobQuery,
+    JobWhy,
+)
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
+from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.job import JobSpec
-from fuchsiarill.records import Record
 from fuchsiarill.workers import HostEntry, WorkerReport
 
 
@@ -44,9 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """A worker answered an exchange."""
+    """A worker answered an exchange that was asked for at `asked_at_ms`.
+
+    What it was told to run may run until `lease_ends_at_ms`.
+    """
 
     report: WorkerReport
+    asked_at_ms: int = 0
+    lease_ends_at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +65,22 @@
     """A worker has not answered for the time in the settings."""
 
     worker_id: WorkerId
+    lease_ends_at_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomesHandled:
+    """The outcomes of these attempts are durable; the worker may forget."""
+
+    attempt_ids: tuple[AttemptId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseChanged:
+    """Grant task leases of this length, exchange at this interval."""
+
+    task_lease_ms: int
+    exchange_interval_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,10 +99,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Append:
-    """Put a record into the next group commit."""
+    """Put records into the next group commit."""
 
-    sequence: int
-    record: Record
+    records: tuple[PersistRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +116,6 @@
     """Send a start to the worker, unless `send_before_ms` has passed."""
 
     start: StartTask
-    epoch: Epoch
     send_before_ms: int
 
 
@@ -108,6 +133,46 @@
     attempt_id: AttemptId
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Give up the partition and do not claim it again.
+
+    The reply tells whether all that was in progress was finished.
+    """
+
+    reply: Reply[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class FinishWork:
+    """Accept nothing more; reply when everything is durable and answered."""
+
+    reply: Reply[bool]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """It is time for the periodic work of the receiver."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChanged:
+    """A newer configuration is in force in this process."""
+
+    config: CellConfig
+
+
+@dataclass(frozen=True, slots=True)
+class ListJobs:
+    """List jobs of a customer, the latest accepted first."""
+
+    query: JobList
+    reply: Reply[tuple[JobAnswer, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainJob:
+    """Say what a job of a customer waits for."""
+
+    query: JobQuery
+    reply: Reply[JobWhy]
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -1,13 +1,10 @@
 """The actor that owns a partition: feeds the core, carries out its effects."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, Final
 
-from returns.result import Failure, Success
-
-from fuchsiarill import codes, texts
-from fuchsiarill.actor import Actor, Reply, handles
-from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.core.effects import (
     CommandTask,
@@ -16,203 +13,300 @@
     StartTask,
 )
 from fuchsiarill.core.partition import PartitionCore
-from fuchsiarill.ids import JobId, WorkerId
-from fuchsiarill.job import JobRecord
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.ids import AttemptId, WorkerId
+from fuchsiarill.job import Execution, Urgency
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.journal import JournalActor
-from fuchsiarill.owner.worker_link import WorkerLink
+from fuchsiarill.owner.durability import Durability
+from fuchsiarill.owner.fleet import Fleet, FleetPorts, hosts_of_partition
+from fuchsiarill.owner.job_requests import JobRequests
+from fuchsiarill.owner.worker_link import LinkTerms
 from fuchsiarill.ports.workers import WorkerPort
-from fuchsiarill.refusal import refuse
+from fuchsiarill.records import TaskLeaseRaised
 from fuchsiarill.registry import Registry
-from fuchsiarill.states import JobState
+from fuchsiarill.settings import ProcessSettings
+from fuchsiarill.workers import TaskOutcome
 
 EffectHandler = Callable[['OwnerActor', Any], None]
 
 EFFECT_HANDLERS: Final[Registry[type, EffectHandler]] = Registry('effects')
-FINAL_STATES: Final = frozenset(
-    (
-        JobState.SUCCEEDED,
-        JobState.FAILED,
-        JobState.CANCELLED,
-        JobState.UNKNOWN,
-    ),
-)
+_DECIDE_INTERVAL_MS: Final = 100
+# Messages that may wait for one common decision; a burst of reports from all
+# workers of a partition is decided in a few steps.
+_BURST_MAX_COUNT: Final = 64
 
 
 class OwnerActor(Actor):
-    """Owns the core, the journal and the worker links of a partition."""
+    """Owns the core and the worker links of a partition."""
 
     def __init__(
         self,
         core: PartitionCore,
-        journal: JournalActor,
+        settings: ProcessSettings,
         worker_port: WorkerPort,
-        deadline_ms: int,
+        journal: Mailbox,
+        campaign: Mailbox,
     ) -> None:
-        """Create the owner; `deadline_ms` ends its first ownership lease."""
+        """Create the owner; it may send nothing before its first deadline."""
         super().__init__(f'owner {core.state.partition}')
+        policies = core.state.config.policies
         self.core = core
-        self.journal = journal
-        self.deadline_ms = deadline_ms
-        self.links: dict[WorkerId, WorkerLink] = {}
-        self._worker_port = worker_port
-        self._accepting: dict[int, list[Callable[[], None]]] = {}
-        self._waiting: dict[JobId, list[Reply[JobAnswer]]] = {}
-        journal.owner = self.mailbox
+        self.settings = settings
+        self.durability = Durability(journal)
+        self.requests = JobRequests(
+            core,
+            self.durability,
+            settings.http.request_timeout_ms,
+        )
+        self.fleet = Fleet(
+            FleetPorts(worker_port, self.mailbox),
+            LinkTerms(
+                core.state.epoch,
+                policies.task_lease_ms,
+                policies.exchange_interval_ms,
+                settings.workers.silent_after_ms,
+            ),
+        )
+        self.deadline_ms = 0
+        self.finishing: Reply[bool] | None = None
+        self._granted_lease_ms = policies.task_lease_ms
+        self._campaign = campaign
+        self._deposed: messages.Deposed | None = None
+        self._undecided_count = 0
+
+    def start(self) -> None:
+        """Run the actor and decide at an interval."""
+        super().start()
+        self.tick_every(_DECIDE_INTERVAL_MS, messages.Tick())
+
+    async def stop(self) -> None:
+        """Stop the actor and its links."""
+        await super().stop()
+        await self.fleet.stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return super().snapshot() | {
+            'epoch': self.core.state.epoch,
+            'deadline_ms': self.deadline_ms,
+            'restricted': self.core.state.restricted,
+            'waiting_for_commit_count': self.requests.waiters.commits_count,
+            'waiting_for_end_count': self.requests.waiters.ends_count,
+            'durability': self.durability.snapshot(),
+            'core': self.core.snapshot(),
+            'links': self.fleet.snapshot(),
+        }
 
     @handles(messages.SubmitJobs)
     async def on_submit(self, message: messages.SubmitJobs) -> None:
         """Admit a batch and answer once all of it is durable."""
-        answers = []
-        for spec in message.specs:
-            match self.core.submit(spec, now_ms()):
-                case Success(job_id):
-                    answers.append(JobAnswer(codes.ACCEPTED, job_id))
-                case Failure(refusal):
-                    answers.append(refused(refusal))
-        self._answer_when_durable(message.reply, tuple(answers))
-        self.carry_out()
+        if self._deposed is not None:
+            self.requests.close()
+        self.requests.submit(message)
+        self._settle()
 
     @handles(messages.AskJob)
     async def on_ask(self, message: messages.AskJob) -> None:
-        """Answer with the state of a job, now or at its end."""
-        job = self.core.state.jobs.get(message.query.job_id)
-        if job is None or job.spec.customer != message.query.customer:
-            message.reply.answer(_unknown_job(message.query.job_id))
-            return
-        if job.state in FINAL_STATES or not message.query.wait_ms:
-            message.reply.answer(_answer_of(job))
-            return
-        self._waiting.setdefault(job.job_id, []).append(message.reply)
+        """Answer with the state of a job, at its end or that of the wait."""
+        self.requests.ask(message)
 
     @handles(messages.CancelJob)
     async def on_cancel(self, message: messages.CancelJob) -> None:
         """Cancel a job of the asking customer."""
-        job = self.core.state.jobs.get(message.cancel.job_id)
-        if job is None or job.spec.customer != message.cancel.customer:
-            message.reply.answer(_unknown_job(message.cancel.job_id))
-            return
-        self.core.cancel(job.job_id, now_ms())
-        answer = JobAnswer(codes.CANCEL_STARTED, job.job_id, job.state)
-        self._answer_when_durable(message.reply, answer)
-        self.carry_out()
+        self.requests.cancel(message)
+        self._settle()
+
+    @handles(messages.ListJobs)
+    async def on_list(self, message: messages.ListJobs) -> None:
+        """List jobs of a customer, the latest accepted first."""
+        self.requests.list_jobs(message)
+
+    @handles(messages.ExplainJob)
+    async def on_explain(self, message: messages.ExplainJob) -> None:
+        """Say what a job of the asking customer waits for."""
+        self.requests.explain(message)
 
     @handles(messages.HostsListed)
     async def on_hosts(self, message: messages.HostsListed) -> None:
         """Take over the host list and link to new workers."""
-        self.core.hosts_listed(message.entries, now_ms())
-        policies = self.core.state.config.policies
-        for entry in message.entries:
-            if entry.worker_id in self.links:
-                continue
-            link = WorkerLink(
-                entry,
-                self.core.state.epoch,
-                self._worker_port,
-                self.mailbox,
-                policies.task_lease_ms,
-            )
-            self.links[entry.worker_id] = link
-            link.start()
-            link.mailbox.send(messages.Tick())
-            link.tick_every(policies.exchange_interval_ms, messages.Tick())
-        self.carry_out()
+        entries = hosts_of_partition(message.entries, self.core.state)
+        self.core.hosts_listed(entries, now_ms())
+        await self.fleet.list_hosts(entries, self.core.state)
+        self._settle()
 
     @handles(messages.WorkerReported)
     async def on_report(self, message: messages.WorkerReported) -> None:
-        """Take over a report."""
-        self.core.worker_reported(message.report, now_ms())
-        self.carry_out()
+        """Take over a report; outcomes are acknowledged when durable."""
+        report = message.report
+        self.core.worker_reported(report, now_ms(), message.asked_at_ms)
+        self.core.leases_extended(report.worker_id, message.lease_ends_at_ms)
+        ended = tuple(
+            task.attempt_id
+            for task in report.tasks
+            if task.outcome is not TaskOutcome.RUNNING
+        )
+        if ended:
+            self.durability.after_commit(
+                self.core.state.sequence,
+                partial(self._acknowledge, report.worker_id, ended),
+            )
+        self._settle()
 
     @handles(messages.WorkerSilent)
     async def on_silent(self, message: messages.WorkerSilent) -> None:
         """Regard a worker as out of reach."""
+        self.core.leases_extended(message.worker_id, message.lease_ends_at_ms)
         self.core.worker_silent(message.worker_id, now_ms())
-        self.carry_out()
+        self._settle()
+
+    @handles(messages.StartWithheld)
+    async def on_withheld(self, message: messages.StartWithheld) -> None:
+        """Take back a start that was not sent."""
+        self.core.start_withheld(message.attempt_id, now_ms())
+        self._settle()
 
     @handles(messages.Committed)
     async def on_committed(self, message: messages.Committed) -> None:
         """Follow up on durable records and answer who waited for them."""
-        for sequence in sorted(self.core.state.after_commit):
-            if sequence > message.sequence:
-                break
-            self.core.committed(sequence, now_ms())
-        for sequence in sorted(self._accepting):
-            if sequence > message.sequence:
-                break
-            for send_answer in self._accepting.pop(sequence):
-                send_answer()
-        self.carry_out()
+        current_ms = now_ms()
+        for sequence in self.durability.committed(message.sequence, current_ms):
+            self.core.committed(sequence, current_ms)
+        self.requests.waiters.committed(message.sequence)
+        self._restrict_if_needed()
+        self._settle()
 
     @handles(messages.OwnershipDeadline)
     async def on_deadline(self, message: messages.OwnershipDeadline) -> None:
-        """Note that ownership was extended."""
+        """Note until when this process owns the partition."""
         self.deadline_ms = message.deadline_ms
+        self._restrict_if_needed()
+
+    @handles(messages.ConfigChanged)
+    async def on_config(self, message: messages.ConfigChanged) -> None:
+        """Put a newer configuration in force."""
+        self.core.configure(message.config, now_ms())
+        policies = message.config.policies
+        change = messages.LeaseChanged(
+            policies.task_lease_ms,
+            policies.exchange_interval_ms,
+        )
+        if change.task_lease_ms > self._granted_lease_ms:
+            # The next owner must know of longer leases before workers do.
+            self._granted_lease_ms = change.task_lease_ms
+            sequence = self.core.state.persist(
+                TaskLeaseRaised(change.task_lease_ms),
+            )
+            self.durability.after_commit(
+                sequence,
+                partial(self.fleet.change_lease, change),
+            )
+        else:
+            self.fleet.change_lease(change)
+        self._settle()
+
+    @handles(messages.Deposed)
+    async def on_deposed(self, message: messages.Deposed) -> None:
+        """Start nothing more; the campaign ends this owner."""
+        self._deposed = message
+        self._campaign.send(message)
+
+    @handles(messages.FinishWork)
+    async def on_finish(self, message: messages.FinishWork) -> None:
+        """Accept and place nothing more; reply when all is answered."""
+        self.finishing = message.reply
+        self.requests.close()
+        self.carry_out()
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Decide again; time alone can change what is due."""
+        """Do what time alone makes due."""
+        current_ms = now_ms()
+        if self._deposed is not None:
+            self._campaign.send(self._deposed)
+        self.core.lapse(current_ms)
+        await self.fleet.end_unlisted(self.core.state)
+        self.requests.expire()
+        self._restrict_if_needed()
         self.carry_out()
 
     def carry_out(self) -> None:
         """Decide, and carry out all effects in their order."""
-        self.core.decide(now_ms())
+        self._undecided_count = 0
+        if self._deposed is None and self.finishing is None:
+            self.core.decide(now_ms())
+        records: list[PersistRecord] = []
         for effect in self.core.take_effects():
-            EFFECT_HANDLERS.lookup(type(effect))(self, effect)
-
-    def answer_waiting(self, job_id: JobId) -> None:
-        """Answer all who wait for the end of a job."""
-        job = self.core.state.jobs[job_id]
-        for reply in self._waiting.pop(job_id, ()):
-            reply.answer(_answer_of(job))
-
-    def _answer_when_durable(self, reply: Reply[Any], answer: Any) -> None:
-        sequence = self.core.state.sequence
-        if not self.core.state.effects:
-            reply.answer(answer)
+            if isinstance(effect, PersistRecord):
+                records.append(effect)
+            else:
+                EFFECT_HANDLERS.lookup(type(effect))(self, effect)
+        self.durability.append(records, now_ms())
+        self._finish_if_done()
+
+    def _settle(self) -> None:
+        """Decide, unless further messages wait for the same decision."""
+        if len(self.mailbox) and self._undecided_count < _BURST_MAX_COUNT:
+            self._undecided_count += 1
             return
-        self._accepting.setdefault(sequence, []).append(
-            lambda: reply.answer(answer),
-        )
-
+        self.carry_out()
 
-@EFFECT_HANDLERS.register(PersistRecord)
-def _persist(owner: OwnerActor, effect: PersistRecord) -> None:
-    owner.journal.mailbox.send(
-        messages.Append(effect.sequence, effect.record),
-    )
+    def _acknowledge(
+        self,
+        worker_id: WorkerId,
+        ended: Sequence[AttemptId],
+    ) -> None:
+        # A dropped acknowledgement is made again for the next report.
+        self.fleet.send(worker_id, messages.OutcomesHandled(tuple(ended)))
+
+    def _restrict_if_needed(self) -> None:
+        """Restrict the core while no new record can become durable in time."""
+        current_ms = now_ms()
+        stalled_ms = 2 * self.settings.store.call_timeout_ms
+        needed = current_ms >= self.deadline_ms
+        if self.durability.lag_ms(current_ms) >= stalled_ms:
+            needed = True
+        if needed and not self.core.state.restricted:
+            self.core.restrict(current_ms)
+        elif self.core.state.restricted and not needed:
+            self.core.unrestrict(current_ms)
+
+    def _finish_if_done(self) -> None:
+        if self.finishing is None:
+            return
+        if self.requests.waiters.commits_count:
+            return
+        if self.durability.is_committed(self.core.state.sequence):
+            self.finishing.answer(True)
 
 
 @EFFECT_HANDLERS.register(StartTask)
 def _start(owner: OwnerActor, effect: StartTask) -> None:
-    owner.links[effect.worker_id].mailbox.send(
-        messages.SendStart(effect, owner.core.state.epoch, owner.deadline_ms),
-    )
+    send_before_ms = owner.deadline_ms
+    if _needs_no_store(owner.core.state, effect.attempt_id):
+        # The worker itself refuses the start once it knows a newer owner.
+        window_ms = owner.settings.store.owner_lease_ms
+        send_before_ms = max(send_before_ms, now_ms() + window_ms)
+    message = messages.SendStart(effect, send_before_ms)
+    if not owner.fleet.send(effect.worker_id, message):
+        owner.core.start_withheld(effect.attempt_id, now_ms())
 
 
 @EFFECT_HANDLERS.register(CommandTask)
 def _command(owner: OwnerActor, effect: CommandTask) -> None:
-    owner.links[effect.worker_id].mailbox.send(messages.SendCommand(effect))
+    owner.fleet.send(effect.worker_id, messages.SendCommand(effect))
 
 
 @EFFECT_HANDLERS.register(JobSettled)
 def _settled(owner: OwnerActor, effect: JobSettled) -> None:
-    owner.answer_waiting(effect.job_id)
-
-
-def _unknown_job(job_id: JobId) -> JobAnswer:
-    return refused(refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id))
-
-
-_CODE_OF_STATE: Final = {
-    JobState.SUCCEEDED: codes.JOB_SUCCEEDED,
-    JobState.FAILED: codes.JOB_FAILED,
-    JobState.CANCELLED: codes.JOB_CANCELLED,
-    JobState.UNKNOWN: codes.JOB_UNKNOWN,
-}
-
-
-def _answer_of(job: JobRecord) -> JobAnswer:
-    code = _CODE_OF_STATE.get(job.state, codes.NOT_FINISHED)
-    outputs = tuple(job.results[position] for position in sorted(job.results))
-    return JobAnswer(code, job.job_id, job.state, outputs)
+    owner.requests.ended(effect.job_id)
+
+
+def _needs_no_store(state: CoreState, attempt_id: AttemptId) -> bool:
+    """Tell whether a start is permitted although the store is out of reach."""
+    attempt = state.attempts.get(attempt_id)
+    if attempt is None or not state.restricted:
+        return False
+    spec = state.jobs[attempt.job_id].spec
+    if spec.urgency is not Urgency.URGENT:
+        return False
+    return spec.execution is Execution.IDEMPOTENT
--- /dev/null
+++ b/fuchsiarill/owner/owner_watch.py
@@ -0,0 +1,67 @@
+"""Watches the owner key of a partition that this process does not own."""
+
+from collections.abc import Mapping
+
+from returns.result import Success
+
+from fuchsiarill.actor import Actor, Mailbox, handles
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.ids import ABSENT, PartitionId, ProcessId, Revision
+from fuchsiarill.owner.campaign_messages import CandidatesKnown, OwnerSeen
+from fuchsiarill.owner.contest import watch_wait_ms
+from fuchsiarill.owner.keys import owner_key
+from fuchsiarill.owner.messages import Tick
+from fuchsiarill.owner.store_calls import backoff_ms
+from fuchsiarill.ports.store import StorePort
+
+
+class OwnerWatch(Actor):
+    """Tells the campaign what the owner key holds, at once and on changes."""
+
+    def __init__(
+        self,
+        store: StorePort,
+        partition: PartitionId,
+        process: ProcessId,
+        campaign: Mailbox,
+    ) -> None:
+        """Watch for `campaign`."""
+        super().__init__(f'owner watch {partition}')
+        self._store = store
+        self._partition = partition
+        self._process = process
+        self._campaign = campaign
+        self._loads: Mapping[ProcessId, int] = {}
+        self._revision: Revision | None = None
+        self._failures_count = 0
+
+    def start(self) -> None:
+        """Run the actor and read the key."""
+        super().start()
+        self.mailbox.send(Tick())
+
+    @handles(CandidatesKnown)
+    async def on_candidates(self, message: CandidatesKnown) -> None:
+        """Watch as closely as the rank of this process asks for."""
+        self._loads = message.loads
+
+    @handles(Tick)
+    async def on_tick(self, message: Tick) -> None:
+        """Make one call and plan the next."""
+        key = owner_key(self._partition)
+        if self._revision is None:
+            answer = await self._store.get(key)
+        else:
+            wait_ms = watch_wait_ms(self._partition, self._process, self._loads)
+            answer = await self._store.watch(key, self._revision, wait_ms)
+        if isinstance(answer, Success):
+            found = answer.unwrap()
+            self._failures_count = 0
+            self._revision = found.revision
+            self._campaign.send(OwnerSeen(found))
+        else:
+            # What was seen before may have changed meanwhile.
+            self._revision = ABSENT if self._revision == ABSENT else None
+            await sleep_ms(backoff_ms(key, self._failures_count))
+            self._failures_count += 1
+        self.mailbox.send(Tick())
--- /dev/null
+++ b/fuchsiarill/owner/serving.py
@@ -0,0 +1,128 @@
+"""The actors that run while a process owns a partition."""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+from fuchsiarill.actor import Mailbox, Reply
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.core.partition import PartitionCore
+from fuchsiarill.ids import Epoch, PartitionId
+from fuchsiarill.owner import messages
+from fuchsiarill.owner.host_poll import HostPoll
+from fuchsiarill.owner.journal import JournalActor
+from fuchsiarill.owner.journal_reader import JournalRead
+from fuchsiarill.owner.owner_actor import OwnerActor
+from fuchsiarill.ports.host_list import HostListPort
+from fuchsiarill.ports.store import StorePort
+from fuchsiarill.ports.workers import WorkerPort
+from fuchsiarill.records import EpochOpened
+from fuchsiarill.settings import ProcessSettings
+
+# All partitions of the deployment commit at most this often a second; the
+# store also carries their renewals and stays under 150 writes/s.
+_COMMITS_PER_S: Final = 100
+_FINISH_TIMEOUT_MS: Final = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """The outside systems of one process."""
+
+    store: StorePort
+    host_list: HostListPort
+    workers: WorkerPort
+
+
+class Serving:
+    """The owner of one partition with its journal and host list."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        config: CellConfig,
+        ports: Ports,
+        campaign: Mailbox,
+    ) -> None:
+        """Nothing runs before `begin`."""
+        self._settings = settings
+        self._config = config
+        self._ports = ports
+        self._campaign = campaign
+
+    def begin(
+        self,
+        partition: PartitionId,
+        journal: JournalRead,
+        deadline_ms: int,
+    ) -> None:
+        """Restore the state of the partition and start all actors."""
+        *older, opened = journal.records
+        epoch = Epoch(0)
+        if isinstance(opened, EpochOpened):
+            epoch = opened.epoch
+        core = PartitionCore(partition, epoch, self._config)
+        core.restore(older, now_ms())
+        self.epoch = epoch
+        self.journal = JournalActor(
+            self._ports.store,
+            partition,
+            journal,
+            commit_interval_ms(self._settings, self._config),
+        )
+        self.owner = OwnerActor(
+            core,
+            self._settings,
+            self._ports.workers,
+            self.journal.mailbox,
+            self._campaign,
+        )
+        self.journal.owner = self.owner.mailbox
+        self.host_poll = HostPoll(
+            self._settings.host_list,
+            self._ports.host_list,
+            self.owner.mailbox,
+        )
+        self.set_deadline(deadline_ms)
+        for actor in (self.journal, self.owner, self.host_poll):
+            actor.start()
+
+    def set_deadline(self, deadline_ms: int) -> None:
+        """Tell all who act for the owner until when they may."""
+        deadline = messages.OwnershipDeadline(deadline_ms)
+        self.owner.mailbox.send(deadline)
+        self.journal.mailbox.send(deadline)
+
+    def tell_owner(self, message: object) -> bool:
+        """Pass a message to the owner; `False` when its mailbox is full."""
+        return self.owner.mailbox.send(message)
+
+    async def finish(self) -> bool:
+        """Let the owner finish its work; `False` when it took too long."""
+        reply: Reply[bool] = Reply()
+        if not self.tell_owner(messages.FinishWork(reply)):
+            return False
+        try:
+            return await reply.wait(_FINISH_TIMEOUT_MS)
+        except TimeoutError:
+            return False
+
+    async def stop(self) -> None:
+        """Stop all actors."""
+        await self.host_poll.stop()
+        await self.owner.stop()
+        await self.journal.stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            'owner': self.owner.snapshot(),
+            'journal': self.journal.snapshot(),
+        }
+
+
+def commit_interval_ms(settings: ProcessSettings, config: CellConfig) -> int:
+    """Return the least time between two commits of one partition."""
+    partitions_count = sum(region.partitions_count for region in config.regions)
+    share_ms = partitions_count * MS_PER_SECOND // _COMMITS_PER_S
+    return max(settings.store.commit_interval_ms, share_ms)
--- /dev/null
+++ b/fuchsiarill/owner/takeover.py
@@ -0,0 +1,72 @@
+"""Takes the journal of a partition over and opens the next epoch."""
+
+import asyncio
+
+from returns.result import Success
+
+from fuchsiarill.actor import Actor, Mailbox, handles
+from fuchsiarill.clock import now_ms
+from fuchsiarill.core.ledger import fold
+from fuchsiarill.ids import Epoch, PartitionId, ProcessId
+from fuchsiarill.owner.campaign_messages import TakenOver, TakeoverFailed
+from fuchsiarill.owner.journal_format import JournalFault
+from fuchsiarill.owner.journal_reader import (
+    JournalClaim,
+    JournalRead,
+    append_entry,
+    read_journal,
+)
+from fuchsiarill.owner.messages import OwnershipDeadline
+from fuchsiarill.ports.store import StorePort
+from fuchsiarill.records import EpochOpened
+
+
+class Takeover(Actor):
+    """One takeover; it goes on only while the ownership lasts."""
+
+    def __init__(
+        self,
+        store: StorePort,
+        partition: PartitionId,
+        token: str,
+        deadline_ms: int,
+        campaign: Mailbox,
+    ) -> None:
+        """Take the journal over for the claim with `token`."""
+        super().__init__(f'takeover {partition}')
+        self._claim = JournalClaim(store, partition, token, self._may_go_on)
+        self._deadline_ms = deadline_ms
+        self._campaign = campaign
+
+    def begin(self, process: ProcessId, task_lease_ms: int) -> None:
+        """Run the actor and the takeover."""
+        self.start()
+        taking = self._take_over(process, task_lease_ms)
+        self._tasks.append(asyncio.create_task(taking, name=self.name))
+
+    @handles(OwnershipDeadline)
+    async def on_deadline(self, message: OwnershipDeadline) -> None:
+        """Note that the ownership was extended."""
+        self._deadline_ms = message.deadline_ms
+
+    def _may_go_on(self) -> bool:
+        return now_ms() < self._deadline_ms
+
+    async def _take_over(self, process: ProcessId, task_lease_ms: int) -> None:
+        outcome = await read_journal(self._claim)
+        if not isinstance(outcome, Success):
+            self._fail(outcome.failure())
+            return
+        journal: JournalRead = outcome.unwrap()
+        image = fold(journal.records)
+        opened = EpochOpened(Epoch(image.epoch + 1), process, task_lease_ms)
+        fault = await append_entry(self._claim, journal, opened)
+        if fault is None and not self._may_go_on():
+            fault = JournalFault.INTERRUPTED
+        if fault is not None:
+            self._fail(fault)
+            return
+        self._campaign.send(TakenOver(self._claim.token, journal))
+
+    def _fail(self, fault: JournalFault) -> None:
+        self._campaign.send(TakeoverFailed(self._claim.token, fault))
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -4,32 +4,49 @@
 reports arrive in the order of the exchanges.
 """
 
-from typing import Final
+import asyncio
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from fuchsiarill.actor import Actor, Mailbox, handles
-from fuchsiarill.clock import now_ms
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.core.ledger import lapse_bound_ms
 from fuchsiarill.ids import AttemptId, Epoch
-from fuchsiarill.owner.messages import (
-    SendCommand,
-    SendStart,
-    StartWithheld,
-    Tick,
-    WorkerReported,
-    WorkerSilent,
-)
-from fuchsiarill.ports.workers import WorkerPort
+from fuchsiarill.owner import messages
+from fuchsiarill.owner.expectations import Expectations, SentStart
+from fuchsiarill.owner.spread import spread
+from fuchsiarill.ports.workers import ExchangeFailure, WorkerPort
 from fuchsiarill.workers import (
+    CommandKind,
     Exchange,
     HostEntry,
     StartCommand,
     TaskCommand,
-    TaskOutcome,
     WorkerReport,
 )
 
-_ENDED: Final = frozenset(TaskOutcome) - {TaskOutcome.RUNNING}
+# Spreads the exchanges of many workers that were listed at the same time.
+_JITTER: Final = 0.1
+_FULL_MAILBOX_RETRY_MS: Final = 50
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTerms:
+    """What a link is bound by.
+
+    `restored` has the unresolved starts of older owners on the worker, with
+    the incarnation that it had then.
+    """
+
+    epoch: Epoch
+    task_lease_ms: int
+    exchange_interval_ms: int
+    silent_after_ms: int
+    restored: Mapping[AttemptId, str] = field(default_factory=dict)
 
 
 class WorkerLink(Actor):
@@ -38,93 +55,274 @@
     def __init__(
         self,
         entry: HostEntry,
-        epoch: Epoch,
+        terms: LinkTerms,
         port: WorkerPort,
         owner: Mailbox,
-        lease_ms: int,
     ) -> None:
-        """Create the link; nothing is sent before the first tick."""
+        """Create the link; `start` begins the first exchange."""
         super().__init__(f'worker link {entry.worker_id}')
-        self._entry = entry
-        self._epoch = epoch
+        self.entry = entry
+        self._terms = terms
         self._port = port
         self._owner = owner
-        self._lease_ms = lease_ms
-        self._starts: list[SendStart] = []
-        self._commands: list[TaskCommand] = []
-        self._renewals: tuple[AttemptId, ...] = ()
-        self._acknowledged: tuple[AttemptId, ...] = ()
-        self._clock_offset_ms: int | None = None
-
-    @handles(SendStart)
-    async def on_start(self, message: SendStart) -> None:
+        self._rhythm = _Rhythm(self, terms.exchange_interval_ms)
+        self._starts: list[messages.SendStart] = []
+        self._commands: dict[tuple[AttemptId, CommandKind], None] = {}
+        self._acknowledged: set[AttemptId] = set()
+        self._expected = Expectations(terms.restored)
+        self._contact = _Contact(terms.task_lease_ms)
+        self._outbox: deque[object] = deque()
+
+    def start(self) -> None:
+        """Run the actor and exchange at once."""
+        super().start()
+        self._rhythm.soon()
+
+    async def stop(self) -> None:
+        """Stop the exchanges."""
+        self._rhythm.cancel()
+        await super().stop()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return super().snapshot() | {
+            'address': self.entry.address,
+            'running_count': len(self._expected.running),
+            'unanswered_starts_count': self._expected.unanswered_count,
+            'starts_waiting_count': len(self._starts),
+            'failing_since_ms': self._contact.failing_since_ms,
+            'silent': self._contact.is_silent,
+        }
+
+    @handles(messages.SendStart)
+    async def on_start(self, message: messages.SendStart) -> None:
         """Send a start with the next exchange, which begins at once."""
         self._starts.append(message)
-        self._exchange_soon()
+        self._rhythm.soon()
 
-    @handles(SendCommand)
-    async def on_command(self, message: SendCommand) -> None:
+    @handles(messages.SendCommand)
+    async def on_command(self, message: messages.SendCommand) -> None:
         """Send a command with the next exchange, which begins at once."""
         command = message.command
-        self._commands.append(TaskCommand(command.kind, command.attempt_id))
-        self._exchange_soon()
+        self._commands[(command.attempt_id, command.kind)] = None
+        self._rhythm.soon()
 
-    @handles(Tick)
-    async def on_tick(self, message: Tick) -> None:
+    @handles(messages.OutcomesHandled)
+    async def on_handled(self, message: messages.OutcomesHandled) -> None:
+        """Acknowledge outcomes in the next exchange."""
+        self._acknowledged.update(message.attempt_ids)
+
+    @handles(messages.LeaseChanged)
+    async def on_lease(self, message: messages.LeaseChanged) -> None:
+        """Grant leases of another length from the next exchange on."""
+        self._contact.task_lease_ms = message.task_lease_ms
+        self._rhythm.interval_ms = message.exchange_interval_ms
+
+    @handles(messages.Tick)
+    async def on_tick(self, message: messages.Tick) -> None:
         """Exchange with the worker once."""
-        request = Exchange(
-            epoch=self._epoch,
-            lease_ms=self._lease_ms,
-            starts=self._take_starts(),
-            commands=tuple(self._commands),
-            renewals=self._renewals,
-            acknowledged=self._acknowledged,
-        )
-        self._commands.clear()
-        answer = await self._port.exchange(self._entry.address, request)
+        self._rhythm.began()
+        asked_at_ms = now_ms()
+        request = self._request(asked_at_ms)
+        answer = await self._port.exchange(self.entry.address, request)
         match answer:
+            case Success(report) if report.highest_epoch > self._terms.epoch:
+                self._tell(messages.Deposed('a worker knows a newer owner'))
             case Success(report):
-                self._note(report)
-            case _:
-                self._owner.send(WorkerSilent(self._entry.worker_id))
+                self._answered(request, report, asked_at_ms)
+            case Failure(failure):
+                self._failed(request, failure, asked_at_ms)
+        self._flush()
+        if self._starts:
+            self._rhythm.soon()
+        else:
+            self._rhythm.later()
 
-    def _exchange_soon(self) -> None:
-        if not len(self.mailbox):
-            self.mailbox.send(Tick())
+    def _request(self, asked_at_ms: int) -> Exchange:
+        # A silent worker gets no renewal, so that its leases have an end.
+        renewals: tuple[AttemptId, ...] = ()
+        if not self._contact.is_silent:
+            renewals = tuple(sorted(self._expected.running))
+        return Exchange(
+            epoch=self._terms.epoch,
+            lease_ms=self._contact.task_lease_ms,
+            starts=self._take_starts(asked_at_ms),
+            commands=tuple(
+                TaskCommand(kind, attempt_id)
+                for attempt_id, kind in self._commands
+            ),
+            renewals=renewals,
+            acknowledged=tuple(sorted(self._acknowledged)),
+        )
 
-    def _take_starts(self) -> tuple[StartCommand, ...]:
+    def _take_starts(self, asked_at_ms: int) -> tuple[StartCommand, ...]:
         sent: list[StartCommand] = []
-        current_ms = now_ms()
-        for item in self._starts:
-            if self._clock_offset_ms is None:
-                self._owner.send(StartWithheld(item.start.attempt_id))
-                continue
-            if current_ms >= item.send_before_ms:
-                self._owner.send(StartWithheld(item.start.attempt_id))
+        offset_ms = self._contact.usable_offset_ms(
+            asked_at_ms - self._terms.silent_after_ms,
+        )
+        for waiting in self._starts:
+            start = waiting.start
+            if offset_ms is None or asked_at_ms >= waiting.send_before_ms:
+                self._tell(messages.StartWithheld(start.attempt_id))
                 continue
-            sent.append(
-                StartCommand(
-                    attempt_id=item.start.attempt_id,
-                    reserved=item.start.reserved,
-                    run_time_ms=item.start.run_time_ms,
-                    payload=item.start.payload,
-                    start_before_worker_clock_ms=item.send_before_ms
-                    + self._clock_offset_ms,
-                ),
+            command = StartCommand(
+                attempt_id=start.attempt_id,
+                reserved=start.reserved,
+                run_time_ms=start.run_time_ms,
+                payload=start.payload,
+                start_before_worker_clock_ms=waiting.send_before_ms + offset_ms,
+            )
+            expected = SentStart(
+                self._contact.incarnation,
+                command.start_before_worker_clock_ms,
+                waiting.send_before_ms,
             )
+            self._expected.expect(start.attempt_id, expected)
+            sent.append(command)
         self._starts.clear()
         return tuple(sent)
 
-    def _note(self, report: WorkerReport) -> None:
-        # The report was made before now, so its clock reading less the time
-        # of its arrival is at most the true offset: deadlines come out early.
-        self._clock_offset_ms = report.worker_clock_ms - now_ms()
-        self._renewals = tuple(
-            task.attempt_id
-            for task in report.tasks
-            if task.outcome is TaskOutcome.RUNNING
-        )
-        self._acknowledged = tuple(
-            task.attempt_id for task in report.tasks if task.outcome in _ENDED
+    def _answered(
+        self,
+        request: Exchange,
+        report: WorkerReport,
+        asked_at_ms: int,
+    ) -> None:
+        self._contact.answered(report)
+        self._contact.renewed(request.lease_ms)
+        missing = self._expected.observe(report, asked_at_ms)
+        for command in request.commands:
+            self._commands.pop((command.attempt_id, command.kind), None)
+        self._acknowledged.difference_update(request.acknowledged)
+        whole = replace(report, tasks=report.tasks + missing)
+        message = messages.WorkerReported(
+            whole,
+            asked_at_ms,
+            self._contact.lease_ends_at_ms,
         )
-        self._owner.send(WorkerReported(report))
+        self._flush()
+        # A report may be dropped, as the next one repeats it; what is missing
+        # from it is told only once.
+        if missing or self._outbox:
+            self._tell(message)
+        else:
+            self._owner.send(message)
+
+    def _failed(
+        self,
+        request: Exchange,
+        failure: ExchangeFailure,
+        asked_at_ms: int,
+    ) -> None:
+        if failure is ExchangeFailure.NOT_SENT:
+            for start in request.starts:
+                self._expected.withdraw(start.attempt_id)
+                self._tell(messages.StartWithheld(start.attempt_id))
+        elif request.renewals or request.starts:
+            self._contact.renewed(request.lease_ms)
+        silent_after_ms = self._terms.silent_after_ms
+        if self._contact.has_become_silent(asked_at_ms, silent_after_ms):
+            self._tell(
+                messages.WorkerSilent(
+                    self.entry.worker_id,
+                    self._contact.lease_ends_at_ms,
+                ),
+            )
+
+    def _tell(self, message: object) -> None:
+        self._outbox.append(message)
+
+    def _flush(self) -> None:
+        while self._outbox and self._owner.send(self._outbox[0]):
+            self._outbox.popleft()
+
+
+class _Contact:
+    """When the worker was last heard of, and what follows from it."""
+
+    def __init__(self, task_lease_ms: int) -> None:
+        self.task_lease_ms = task_lease_ms
+        self.lease_ends_at_ms = 0
+        self.failing_since_ms: int | None = None
+        self.is_silent = False
+        self.incarnation = ''
+        self._offset_ms = 0
+        self._answered_at_ms: int | None = None
+
+    def usable_offset_ms(self, not_before_ms: int) -> int | None:
+        """Return the clock offset of the worker, unless it is too old."""
+        if self._answered_at_ms is None:
+            return None
+        if self._answered_at_ms < not_before_ms:
+            return None
+        return self._offset_ms
+
+    def answered(self, report: WorkerReport) -> None:
+        """Take over the clock and the incarnation of a report.
+
+        The clock was read before now, so the difference is at most the true
+        offset and every `start_before` comes out early.
+        """
+        current_ms = now_ms()
+        self._answered_at_ms = current_ms
+        self._offset_ms = report.worker_clock_ms - current_ms
+        self.incarnation = report.incarnation
+        self.failing_since_ms = None
+        self.is_silent = False
+
+    def renewed(self, lease_ms: int) -> None:
+        """Note leases that the worker may have counted from now."""
+        ends_at_ms = now_ms() + lapse_bound_ms(lease_ms)
+        self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
+
+    def has_become_silent(self, asked_at_ms: int, after_ms: int) -> bool:
+        """Note a failed exchange; tells once when the worker is silent."""
+        if self.failing_since_ms is None:
+            self.failing_since_ms = asked_at_ms
+        if self.is_silent or now_ms() - self.failing_since_ms < after_ms:
+            return False
+        self.is_silent = True
+        return True
+
+
+class _Rhythm:
+    """Sends the ticks of a link: at once when asked, else at an interval."""
+
+    def __init__(self, link: WorkerLink, interval_ms: int) -> None:
+        self.interval_ms = interval_ms
+        self._link = link
+        self._is_asked = False
+        self._ticks_count = 0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def began(self) -> None:
+        """Note that the tick is being handled."""
+        self._is_asked = False
+        self._ticks_count += 1
+
+    def soon(self) -> None:
+        """Exchange once the messages before are handled."""
+        if self._is_asked:
+            return
+        self.cancel()
+        self._is_asked = self._link.mailbox.send(messages.Tick())
+        if not self._is_asked:
+            self._call_later(_FULL_MAILBOX_RETRY_MS)
+
+    def later(self) -> None:
+        """Exchange after the interval, spread by the id of the worker."""
+        if self._is_asked:
+            return
+        seed = f'{self._link.entry.worker_id} {self._ticks_count}'
+        factor = 1 + _JITTER * (2 * spread(seed) - 1)
+        self._call_later(self.interval_ms * factor)
+
+    def cancel(self) -> None:
+        """Forget the next tick."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _call_later(self, delay_ms: float) -> None:
+        self.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / MS_PER_SECOND, self.soon)
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -17,7 +17,7 @@
     RegionId,
 )
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.campaign import OwnerFound
+from fuchsiarill.owner.claims import OwnerFound
 from fuchsiarill.refusal import refuse
 from fuchsiarill.settings import PeerSettings
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -52,6 +52,7 @@
     tasks_count: int = 1,
     urgency: Urgency = Urgency.NORMAL,
     run_time_ms: int = 60_000,
+    payload: str = '',
 ) -> JobSpec:
     return JobSpec(
         customer=CUSTOMER,
@@ -63,7 +64,7 @@
         tasks_count=tasks_count,
         task_size=SIZE,
         run_time_ms=run_time_ms,
-        payload=key,
+        payload=payload or key,
     )
 
 
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,396 @@
+"""In-memory ports whose requests and answers can be lost, held or late.
+
+A process reaches everything through its `Line`. A held line keeps requests
+that were already sent and delivers them when it is released, as after a pause
+between the last check of a process and its send.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.clock import MS_PER_SECOND, now_ms, sleep_ms
+from fuchsiarill.ids import (
+    ABSENT,
+    NO_EPOCH,
+    AttemptId,
+    Epoch,
+    Revision,
+    StoreKey,
+    StoreLeaseId,
+    WorkerId,
+)
+from fuchsiarill.ports.store import (
+    StoreFailure,
+    Swap,
+    SwapOutcome,
+    SwapResult,
+    Versioned,
+)
+from fuchsiarill.ports.workers import ExchangeFailure
+from fuchsiarill.workers import (
+    CommandKind,
+    Exchange,
+    HostEntry,
+    StartCommand,
+    TaskOutcome,
+    TaskReport,
+    WorkerReport,
+)
+
+_Answer = TypeVar('_Answer')
+_LATENCY_MS = 2
+_TIMEOUT_MS = 1_000
+_WATCH_STEP_MS = 20
+
+
+class Line:
+    """How one process reaches the store and the workers."""
+
+    def __init__(self) -> None:
+        self.is_cut = False
+        self.is_held = False
+        self.lost_answers: Counter[str] = Counter()
+        self.lost_requests: Counter[str] = Counter()
+        self.calls: Counter[str] = Counter()
+        self._late: set[asyncio.Task[Any]] = set()
+
+    async def call(
+        self,
+        name: str,
+        request: Callable[[], _Answer],
+        timeout_ms: int = _TIMEOUT_MS,
+    ) -> _Answer | None:
+        """Deliver a request; `None` when no answer came in time."""
+        self.calls[name] += 1
+        delivery = asyncio.create_task(self._deliver(name, request))
+        self._late.add(delivery)
+        delivery.add_done_callback(self._late.discard)
+        await asyncio.wait((delivery,), timeout=timeout_ms / MS_PER_SECOND)
+        if not delivery.done():
+            return None
+        return delivery.result()
+
+    async def _deliver(
+        self,
+        name: str,
+        request: Callable[[], _Answer],
+    ) -> _Answer | None:
+        await sleep_ms(_LATENCY_MS)
+        while self.is_held:
+            await sleep_ms(_WATCH_STEP_MS)
+        if self.is_cut or _takes_one(self.lost_requests, name):
+            await sleep_ms(_TIMEOUT_MS)
+            return None
+        answer = request()
+        if _takes_one(self.lost_answers, name):
+            await sleep_ms(_TIMEOUT_MS)
+            return None
+        return answer
+
+
+def _takes_one(counts: Counter[str], name: str) -> bool:
+    if not counts[name]:
+        return False
+    counts[name] -= 1
+    return True
+
+
+@dataclass
+class _Lease:
+    ttl_ms: int
+    ends_at_ms: int
+    keys: set[StoreKey] = field(default_factory=set)
+
+
+class StoreState:
+    """The keys and leases of one store."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.largest_bytes = 0
+        self._keys: dict[StoreKey, Versioned] = {}
+        self._leases: dict[StoreLeaseId, _Lease] = {}
+        self._revision = 0
+
+    def read(self, key: StoreKey) -> Versioned:
+        self._drop_lapsed()
+        return self._keys.get(key, Versioned(key, None, ABSENT))
+
+    def keys(self) -> list[StoreKey]:
+        return sorted(self._keys)
+
+    def put(self, key: StoreKey, text: str | None) -> Revision:
+        self._revision += 1
+        if text is None:
+            self._keys.pop(key, None)
+            return ABSENT
+        self.largest_bytes = max(self.largest_bytes, len(text.encode()))
+        self._keys[key] = Versioned(key, text, Revision(self._revision))
+        return Revision(self._revision)
+
+    def swap(self, swap: Swap) -> SwapResult:
+        found = self.read(swap.key)
+        if found.revision != swap.expected:
+            return SwapResult(SwapOutcome.CONFLICT, found.revision)
+        if swap.lease_id is not None:
+            lease = self._leases.get(swap.lease_id)
+            if lease is None:
+                return SwapResult(SwapOutcome.CONFLICT)
+            lease.keys.add(swap.key)
+        revision = self.put(swap.key, swap.value)
+        return SwapResult(SwapOutcome.SWAPPED, revision)
+
+    def grant(self, ttl_ms: int) -> StoreLeaseId:
+        self._drop_lapsed()
+        self._revision += 1
+        lease_id = StoreLeaseId(f'lease-{self._revision}')
+        self._leases[lease_id] = _Lease(ttl_ms, now_ms() + ttl_ms)
+        return lease_id
+
+    def renew(self, lease_id: StoreLeaseId) -> bool:
+        self._drop_lapsed()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            return False
+        lease.ends_at_ms = now_ms() + lease.ttl_ms
+        return True
+
+    def revoke(self, lease_id: StoreLeaseId) -> bool:
+        lease = self._leases.pop(lease_id, None)
+        if lease is not None:
+            for key in lease.keys:
+                self.put(key, None)
+        return True
+
+    def _drop_lapsed(self) -> None:
+        for lease_id, lease in tuple(self._leases.items()):
+            if lease.ends_at_ms <= now_ms():
+                self.revoke(lease_id)
+
+
+class FakeStore:
+    """`StorePort` of one process."""
+
+    def __init__(self, state: StoreState, line: Line) -> None:
+        self._state = state
+        self._line = line
+
+    async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
+        return await self._read('get', key)
+
+    async def swap(self, swap: Swap) -> SwapResult:
+        answer = await self._call('swap', lambda: self._state.swap(swap))
+        return answer or SwapResult(SwapOutcome.UNKNOWN)
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        answer = await self._call('lease', lambda: self._state.grant(ttl_ms))
+        if answer is None:
+            return Failure(StoreFailure.UNREACHABLE)
+        return Success(answer)
+
+    async def renew_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        known = await self._call('lease', lambda: self._state.renew(lease_id))
+        if known is None:
+            return Failure(StoreFailure.UNREACHABLE)
+        if not known:
+            return Failure(StoreFailure.LEASE_UNKNOWN)
+        return Success(lease_id)
+
+    async def revoke_lease(
+        self,
+        lease_id: StoreLeaseId,
+    ) -> Result[StoreLeaseId, StoreFailure]:
+        done = await self._call('lease', lambda: self._state.revoke(lease_id))
+        if done is None:
+            return Failure(StoreFailure.UNREACHABLE)
+        return Success(lease_id)
+
+    async def watch(
+        self,
+        key: StoreKey,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[Versioned, StoreFailure]:
+        waits_until_ms = now_ms() + wait_ms
+        while self._state.read(key).revision == after:
+            if now_ms() >= waits_until_ms or self._line.is_cut:
+                break
+            await sleep_ms(_WATCH_STEP_MS)
+        return await self._read('watch', key)
+
+    async def _read(
+        self,
+        name: str,
+        key: StoreKey,
+    ) -> Result[Versioned, StoreFailure]:
+        found = await self._call(name, lambda: self._state.read(key))
+        if found is None:
+            return Failure(StoreFailure.UNREACHABLE)
+        return Success(found)
+
+    async def _call(
+        self,
+        name: str,
+        request: Callable[[], _Answer],
+    ) -> _Answer | None:
+        if self._state.is_down:
+            self._line.calls[name] += 1
+            await sleep_ms(_TIMEOUT_MS)
+            return None
+        return await self._line.call(name, request)
+
+
+@dataclass
+class RunningTask:
+    """One attempt on a worker."""
+
+    start: StartCommand
+    outcome: TaskOutcome
+    ends_at_ms: int
+    lease_ends_at_ms: int
+
+
+class FakeWorker:
+    """A worker with its own clock; `accepted` logs every start it took."""
+
+    def __init__(self, name: str, clock_ahead_ms: int) -> None:
+        self.worker_id = WorkerId(name)
+        self.is_cut = False
+        self.highest_epoch = NO_EPOCH
+        self.tasks: dict[AttemptId, RunningTask] = {}
+        self.accepted: list[tuple[AttemptId, Epoch]] = []
+        self.refused: list[AttemptId] = []
+        self._clock_ahead_ms = clock_ahead_ms
+        self._incarnation = 1
+
+    def clock_ms(self) -> int:
+        return now_ms() + self._clock_ahead_ms
+
+    def restart(self) -> None:
+        self._incarnation += 1
+        self.tasks.clear()
+        self.highest_epoch = NO_EPOCH
+
+    def running(self) -> list[AttemptId]:
+        self._advance()
+        return [
+            attempt_id
+            for attempt_id, task in self.tasks.items()
+            if task.outcome is TaskOutcome.RUNNING
+        ]
+
+    def exchange(self, request: Exchange) -> WorkerReport:
+        self._advance()
+        if request.epoch >= self.highest_epoch:
+            self.highest_epoch = request.epoch
+            self._carry_out(request)
+        else:
+            self.refused.extend(one.attempt_id for one in request.starts)
+        return WorkerReport(
+            self.worker_id,
+            self.highest_epoch,
+            self.clock_ms(),
+            tuple(
+                TaskReport(
+                    attempt_id,
+                    task.outcome,
+                    task.start.reserved,
+                    output=task.start.payload,
+                )
+                for attempt_id, task in self.tasks.items()
+            ),
+            f'{self.worker_id}-{self._incarnation}',
+        )
+
+    def _carry_out(self, request: Exchange) -> None:
+        lease_ends_at_ms = now_ms() + request.lease_ms
+        for acknowledged in request.acknowledged:
+            self.tasks.pop(acknowledged, None)
+        for attempt_id in request.renewals:
+            renewed = self.tasks.get(attempt_id)
+            if renewed is not None:
+                renewed.lease_ends_at_ms = lease_ends_at_ms
+        for command in request.commands:
+            task = self.tasks.get(command.attempt_id)
+            if task is None or command.kind is not CommandKind.STOP:
+                continue
+            if task.outcome is TaskOutcome.RUNNING:
+                task.outcome = TaskOutcome.STOPPED
+        for start in request.starts:
+            self._start(start, request.epoch, lease_ends_at_ms)
+
+    def _start(
+        self,
+        start: StartCommand,
+        epoch: Epoch,
+        lease_ends_at_ms: int,
+    ) -> None:
+        if start.attempt_id in self.tasks:
+            return
+        outcome = TaskOutcome.RUNNING
+        if self.clock_ms() > start.start_before_worker_clock_ms:
+            outcome = TaskOutcome.REFUSED
+            self.refused.append(start.attempt_id)
+        else:
+            self.accepted.append((start.attempt_id, epoch))
+        self.tasks[start.attempt_id] = RunningTask(
+            start,
+            outcome,
+            now_ms() + start.run_time_ms,
+            lease_ends_at_ms,
+        )
+
+    def _advance(self) -> None:
+        for task in self.tasks.values():
+            if task.outcome is not TaskOutcome.RUNNING:
+                continue
+            if task.lease_ends_at_ms <= now_ms():
+                task.outcome = TaskOutcome.STOPPED
+            if task.ends_at_ms <= min(now_ms(), task.lease_ends_at_ms):
+                task.outcome = TaskOutcome.SUCCEEDED
+
+
+class FakeWorkers:
+    """`WorkerPort` of one process."""
+
+    def __init__(self, workers: dict[str, FakeWorker], line: Line) -> None:
+        self._workers = workers
+        self._line = line
+
+    async def exchange(
+        self,
+        address: str,
+        request: Exchange,
+    ) -> Result[WorkerReport, ExchangeFailure]:
+        worker = self._workers[address]
+        if worker.is_cut:
+            await sleep_ms(_TIMEOUT_MS)
+            return Failure(ExchangeFailure.NO_ANSWER)
+        report = await self._line.call(
+            'start' if request.starts else 'exchange',
+            lambda: worker.exchange(request),
+        )
+        if report is None:
+            return Failure(ExchangeFailure.NO_ANSWER)
+        return Success(report)
+
+
+class FakeHostList:
+    """`HostListPort` with a fixed list."""
+
+    def __init__(self, entries: tuple[HostEntry, ...]) -> None:
+        self._entries = entries
+
+    async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
+        return Success(self._entries)
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,219 @@
+"""One owner and its successors: the paths that must always work."""
+
+import pytest
+
+from fuchsiarill import codes
+from fuchsiarill.answers import JobAnswer
+from fuchsiarill.clock import now_ms, run_paused, sleep_ms
+from fuchsiarill.job import Execution, Urgency
+from fuchsiarill.owner.keys import entry_key
+from fuchsiarill.owner.snapshots import SNAPSHOT_ENTRIES_COUNT
+from fuchsiarill.states import PartitionState
+from tests.builders import cell, spec
+from tests.world import PARTITION, World, is_accepted, job_id_of
+
+
+def test_job_runs_and_its_waiter_is_answered() -> None:
+    """Guards against a broken path from submission to result."""
+
+    async def main() -> None:
+        world = World()
+        world.start()
+        owner = await world.until_owned()
+        await sleep_ms(500)
+        for execution in Execution:
+            job = spec(execution.value, execution, run_time_ms=1_000)
+            answer = await world.submit_one(owner, job)
+            assert is_accepted(answer)
+            early = await world.ask(owner, job_id_of(answer), 300)
+            assert early.code is codes.NOT_FINISHED
+            ended = await world.ask(owner, job_id_of(answer), 5_000)
+            assert ended.code is codes.JOB_SUCCEEDED
+            assert ended.outputs == (execution.value,)
+        await world.stop()
+
+    run_paused(main())
+
+
+def test_killed_owner_is_replaced_within_5_s() -> None:
+    """Guards against a takeover that takes longer than stated or loses jobs."""
+
+    async def main() -> int:
+        world = World()
+        for _ in range(3):
+            world.start()
+        owner = await world.until_owned()
+        await sleep_ms(1_000)
+        accepted: list[JobAnswer] = []
+        for number in range(12):
+            execution = tuple(Execution)[number % 2]
+            job = spec(f'job {number}', execution, run_time_ms=20_000)
+            accepted.extend(await world.submit(owner, job))
+        assert all(is_accepted(answer) for answer in accepted)
+        killed_at_ms = now_ms()
+        await world.kill(owner)
+        successor = await world.until_owned()
+        probe = spec('probe', run_time_ms=100)
+        answer = await world.submit_one(successor, probe)
+        await world.cancel(successor, job_id_of(accepted[0]))
+        while not world.starts_of(answer):
+            await sleep_ms(10)
+        taken_ms = now_ms() - killed_at_ms
+        for earlier in accepted[1:]:
+            assert earlier.job_id is not None
+            ended = await world.ask(successor, job_id_of(earlier), 120_000)
+            assert ended.code is codes.JOB_SUCCEEDED
+        assert max(world.accepted_starts().values()) == 1
+        await world.stop()
+        return taken_ms
+
+    assert run_paused(main()) < 5_000
+
+
+def test_hand_over_is_faster_than_a_lease() -> None:
+    """Guards against a shutdown that cuts off answers or waits for a lease."""
+
+    async def main() -> None:
+        world = World()
+        owner = world.start()
+        await world.until_owned()
+        world.start()
+        await sleep_ms(500)
+        answer = await world.submit_one(owner, spec('job', run_time_ms=9_000))
+        began_ms = now_ms()
+        assert await world.hand_over(owner)
+        await world.kill(owner)
+        successor = await world.until_owned()
+        assert now_ms() - began_ms < 1_500
+        ended = await world.ask(successor, job_id_of(answer), 20_000)
+        assert ended.code is codes.JOB_SUCCEEDED
+        assert max(world.accepted_starts().values()) == 1
+        await world.stop()
+
+    run_paused(main())
+
+
+def test_store_outage_restricts_to_urgent_work() -> None:
+    """Guards against durable promises that nothing keeps, and lost urgency."""
+
+    async def main() -> None:
+        world = World(cell(volatile=True))
+        world.start()
+        owner = await world.until_owned()
+        await sleep_ms(500)
+        running = spec('running', run_time_ms=60_000)
+        early = await world.submit_one(owner, running)
+        await sleep_ms(100)
+        world.store.is_down = True
+        await sleep_ms(20_000)
+        urgent = spec('urgent', urgency=Urgency.URGENT, run_time_ms=500)
+        normal, volatile = await world.submit(owner, spec('normal'), urgent)
+        assert normal.code is codes.STORE_UNAVAILABLE
+        assert volatile.code is codes.ACCEPTED_VOLATILE
+        await sleep_ms(2_000)
+        assert world.starts_of(volatile) == 1
+        calls_before = owner.line.calls.total()
+        await sleep_ms(3_600_000)
+        store_calls = owner.line.calls.total() - calls_before
+        exchanges = owner.line.calls['exchange']
+        assert store_calls - exchanges < 2 * 3_600
+        world.store.is_down = False
+        owner = await world.until_owned(20_000)
+        ended = await world.ask(owner, job_id_of(early), 120_000)
+        assert ended.code is codes.JOB_SUCCEEDED
+        assert world.starts_of(early) == 1
+        await world.stop()
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('execution', list(Execution))
+@pytest.mark.parametrize('lost', ['lost_requests', 'lost_answers'])
+def test_lost_start_is_resolved(lost: str, execution: Execution) -> None:
+    """Guards against a start that hangs, or runs twice, when unanswered."""
+
+    async def main() -> None:
+        world = World()
+        world.start()
+        owner = await world.until_owned()
+        await sleep_ms(500)
+        getattr(owner.line, lost)['start'] = 1
+        job = spec('job', execution, run_time_ms=1_000)
+        answer = await world.submit_one(owner, job)
+        ended = await world.ask(owner, job_id_of(answer), 30_000)
+        assert ended.code is codes.JOB_SUCCEEDED
+        assert max(world.accepted_starts().values()) == 1
+        await world.stop()
+
+    run_paused(main())
+
+
+def test_restarted_worker_does_not_repeat_an_order() -> None:
+    """Guards against a second run of what a restarted worker has forgotten."""
+
+    async def main() -> None:
+        world = World()
+        world.start()
+        owner = await world.until_owned()
+        await sleep_ms(500)
+        once = spec('once', Execution.AT_MOST_ONCE)
+        again = spec('again', run_time_ms=1_000)
+        answers = await world.submit(owner, once, again)
+        await sleep_ms(100)
+        for worker in world.workers.values():
+            worker.restart()
+        lost = await world.ask(owner, job_id_of(answers[0]), 30_000)
+        assert lost.code is codes.JOB_UNKNOWN
+        repeated = await world.ask(owner, job_id_of(answers[1]), 30_000)
+        assert repeated.code is codes.JOB_SUCCEEDED
+        await world.stop()
+
+    run_paused(main())
+
+
+def test_snapshots_bound_the_journal() -> None:
+    """Guards against a journal that grows, and values that are too large."""
+
+    async def main() -> None:
+        world = World()
+        world.start()
+        owner = await world.until_owned()
+        large = [
+            spec(f'large {number}', run_time_ms=1, payload='x' * 90_000)
+            for number in range(12)
+        ]
+        accepted = list(await world.submit(owner, *large))
+        for number in range(200):
+            job = spec(f'job {number}', run_time_ms=1, payload='x' * 2_000)
+            accepted.extend(await world.submit(owner, job))
+            await sleep_ms(30)
+        await sleep_ms(20_000)
+        log = [key for key in world.store.keys() if '/log/' in key]
+        assert len(log) < 2 * SNAPSHOT_ENTRIES_COUNT
+        assert world.store.largest_bytes < 512_000
+        await world.kill(owner)
+        world.start()
+        owner = await world.until_owned()
+        for answer in accepted:
+            found = await world.ask(owner, job_id_of(answer))
+            assert found.code is codes.JOB_SUCCEEDED
+        await world.stop()
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('text', ['{"format":2,"entries":[]}', 'damaged'])
+def test_unreadable_journal_is_left_alone(text: str) -> None:
+    """Guards against a start from a journal that was not understood."""
+
+    async def main() -> None:
+        world = World()
+        world.store.put(entry_key(PARTITION, 1), text)
+        process = world.start()
+        await sleep_ms(60_000)
+        assert process.campaign.state is PartitionState.STANDBY
+        assert world.store.read(entry_key(PARTITION, 1)).value == text
+        assert process.line.calls.total() < 200
+        await world.stop()
+
+    run_paused(main())
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,215 @@
+"""A partition with several processes, over fake ports and in paused time."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+
+from fuchsiarill import codes
+from fuchsiarill.actor import Mailbox, Reply
+from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.core.ledger import task_of
+from fuchsiarill.ids import (
+    FailureDomain,
+    JobId,
+    PartitionId,
+    ProcessId,
+    TaskId,
+    task_id,
+)
+from fuchsiarill.job import JobSpec
+from fuchsiarill.owner import messages
+from fuchsiarill.owner.campaign import Campaign, Ports
+from fuchsiarill.settings import (
+    HostListSettings,
+    HttpSettings,
+    PeerSettings,
+    ProcessSettings,
+    StoreSettings,
+    WorkerSettings,
+)
+from fuchsiarill.states import PartitionState
+from tests.builders import CUSTOMER, REGION, cell, host
+from tests.fakes import (
+    FakeHostList,
+    FakeStore,
+    FakeWorker,
+    FakeWorkers,
+    Line,
+    StoreState,
+)
+
+PARTITION = PartitionId('r.0')
+REPLY_MS = 12_000
+_CLOCKS_AHEAD_MS = (5_000, 70_000)
+
+
+def settings_of(process: str) -> ProcessSettings:
+    return ProcessSettings(
+        process=ProcessId(process),
+        region=REGION,
+        failure_domain=FailureDomain('d'),
+        http=HttpSettings(port=1),
+        peers=PeerSettings(port=1),
+        store=StoreSettings(url=''),
+        host_list=HostListSettings(url=''),
+        workers=WorkerSettings(),
+    )
+
+
+@dataclass
+class Process:
+    """One process: its campaign and how it reaches the rest."""
+
+    name: str
+    line: Line
+    campaign: Campaign
+
+    def owner_mailbox(self) -> Mailbox | None:
+        """Return the mailbox of the owner, if there is one."""
+        serving = self.campaign.helpers.serving
+        return None if serving is None else serving.owner.mailbox
+
+    def owns(self) -> bool:
+        """Tell whether the process may act as owner right now."""
+        if self.campaign.state is not PartitionState.OWNING:
+            return False
+        return now_ms() < self.campaign.lease.deadline_ms
+
+
+class World:
+    """Everything around one partition."""
+
+    def __init__(self, config: CellConfig | None = None) -> None:
+        self.config = config or cell()
+        self.store = StoreState()
+        self.workers = {
+            name: FakeWorker(name, ahead_ms)
+            for name, ahead_ms in zip(
+                ('w1', 'w2'),
+                _CLOCKS_AHEAD_MS,
+                strict=True,
+            )
+        }
+        self.processes: list[Process] = []
+        self._started_count = 0
+
+    def start(self) -> Process:
+        """Start a further process."""
+        self._started_count += 1
+        name = f'p{self._started_count}'
+        line = Line()
+        ports = Ports(
+            FakeStore(self.store, line),
+            FakeHostList(tuple(host(worker) for worker in self.workers)),
+            FakeWorkers(self.workers, line),
+        )
+        campaign = Campaign(
+            settings_of(name),
+            PARTITION,
+            self.config,
+            ports,
+            Mailbox(),
+        )
+        process = Process(name, line, campaign)
+        self.processes.append(process)
+        campaign.start()
+        return process
+
+    async def kill(self, process: Process) -> None:
+        """End a process without letting it do anything more."""
+        self.processes.remove(process)
+        await process.campaign.stop()
+
+    async def until_owned(self, limit_ms: int = 10_000) -> Process:
+        """Wait for an owner."""
+        ends_at_ms = now_ms() + limit_ms
+        while now_ms() < ends_at_ms:
+            for process in self.processes:
+                if process.owns():
+                    return process
+            await sleep_ms(10)
+        raise AssertionError('nobody owns the partition')
+
+    async def submit(
+        self,
+        process: Process,
+        *specs: JobSpec,
+    ) -> tuple[JobAnswer, ...]:
+        """Submit to a process that believes to be the owner."""
+        mailbox = process.owner_mailbox()
+        assert mailbox is not None
+        reply: Reply[tuple[JobAnswer, ...]] = Reply()
+        mailbox.send(messages.SubmitJobs(specs, reply))
+        return await reply.wait(REPLY_MS)
+
+    async def submit_one(self, process: Process, job: JobSpec) -> JobAnswer:
+        """Submit a single job."""
+        answers = await self.submit(process, job)
+        return answers[0]
+
+    async def ask(
+        self,
+        process: Process,
+        job_id: JobId,
+        wait_ms: int = 0,
+    ) -> JobAnswer:
+        """Query a job."""
+        mailbox = process.owner_mailbox()
+        assert mailbox is not None
+        reply: Reply[JobAnswer] = Reply()
+        query = JobQuery(CUSTOMER, job_id, wait_ms)
+        mailbox.send(messages.AskJob(query, reply))
+        return await reply.wait(wait_ms + REPLY_MS)
+
+    async def cancel(self, process: Process, job_id: JobId) -> JobAnswer:
+        """Cancel a job."""
+        mailbox = process.owner_mailbox()
+        assert mailbox is not None
+        reply: Reply[JobAnswer] = Reply()
+        mailbox.send(messages.CancelJob(JobCancel(CUSTOMER, job_id), reply))
+        return await reply.wait(REPLY_MS)
+
+    async def hand_over(self, process: Process) -> bool:
+        """Let a process give up its partition."""
+        reply: Reply[bool] = Reply()
+        process.campaign.mailbox.send(messages.HandOver(reply))
+        return await reply.wait(REPLY_MS)
+
+    async def stop(self) -> None:
+        """Stop all processes."""
+        await asyncio.gather(
+            *(process.campaign.stop() for process in self.processes),
+        )
+
+    def accepted_starts(self) -> Counter[TaskId]:
+        """Return how often each task was started by any worker."""
+        return Counter(
+            task_of(attempt_id)
+            for worker in self.workers.values()
+            for attempt_id, _epoch in worker.accepted
+        )
+
+    def starts_of(self, answer: JobAnswer) -> int:
+        """Return how often the first task of a job was started."""
+        return self.accepted_starts()[task_id(job_id_of(answer), 0)]
+
+    def running_copies(self) -> Counter[TaskId]:
+        """Return how many copies of each task run now."""
+        return Counter(
+            task_of(attempt_id)
+            for worker in self.workers.values()
+            for attempt_id in worker.running()
+        )
+
+
+def is_accepted(answer: JobAnswer) -> bool:
+    """Tell whether an answer promises that the job is durable."""
+    return answer.code is codes.ACCEPTED
+
+
+def job_id_of(answer: JobAnswer) -> JobId:
+    """Return the job that an answer is about."""
+    assert answer.job_id is not None
+    return answer.job_id
