--- a/tests/world.py
+++ b/tests/world.py
@@ -18,7 +18,7 @@
     TaskId,
     task_id,
 )
-from fuchsiarill.job import JobSpec
+from fuchsiarill.job import Execution, JobSpec
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.campaign import Campaign, Ports
 from fuchsiarill.settings import (
@@ -71,6 +71,18 @@
         serving = self.campaign.helpers.serving
         return None if serving is None else serving.owner.mailbox
 
+    def at_most_once_jobs(self) -> list[JobId]:
+        """Return the non-idempotent jobs that the process knows as owner."""
+        serving = self.campaign.helpers.serving
+        if serving is None:
+            return []
+        jobs = serving.owner.core.state.jobs
+        return [
+            job.job_id
+            for job in jobs.values()
+            if job.spec.execution is Execution.AT_MOST_ONCE
+        ]
+
     def owns(self) -> bool:
         """Tell whether the process may act as owner right now."""
         if self.campaign.state is not PartitionState.OWNING:
