--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -8,9 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill.core.attempt_actions import step_attempt
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.job_actions import step_job
+from fuchsiarill.core.holding import refresh, take
 from fuchsiarill.core.ledger import (
     job_of,
     lapse_bound_ms,
@@ -18,10 +17,20 @@
     task_of,
 )
 from fuchsiarill.core.recovery import Stray
-from fuchsiarill.core.state import CoreState, WorkerView
-from fuchsiarill.ids import JobId, WorkerId
-from fuchsiarill.job import Attempt, Execution, JobRecord, Urgency
-from fuchsiarill.states import AttemptEvent, AttemptState, JobEvent, JobState
+from fuchsiarill.core.requeue import ask_to_stop, run_again
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_job
+from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.ids import JobId
+from fuchsiarill.job import (
+    Attempt,
+    Execution,
+    JobRecord,
+    StopReason,
+    Urgency,
+    Workload,
+)
+from fuchsiarill.states import AttemptState, JobEvent, JobState, WorkerState
 from fuchsiarill.workers import (
     CommandKind,
     TaskOutcome,
@@ -32,14 +41,6 @@
 _OPEN: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
 # Other outcomes of an unknown attempt leave nothing to take over.
 _ADOPTED: Final = frozenset((TaskOutcome.RUNNING, TaskOutcome.SUCCEEDED))
-_MAY_RUN: Final = frozenset(
-    (
-        AttemptState.STARTING,
-        AttemptState.RUNNING,
-        AttemptState.STOPPING,
-        AttemptState.POSSIBLY_RUNNING,
-    ),
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +51,19 @@
     now_ms: int
 
 
-def worker_listed(state: CoreState, worker: WorkerView) -> None:
+def worker_listed(
+    state: CoreState,
+    worker: WorkerView,
+    now_ms: int,
+) -> None:
     """Reserve the restored attempts of a worker that is now known."""
     for attempt_id in state.recovery.intents:
         attempt = state.attempts.get(attempt_id)
-        if attempt is None or attempt.worker_id != worker.entry.worker_id:
+        if attempt is None or attempt.worker_id != worker.worker_id:
             continue
-        _reserve(worker, attempt)
+        worker.attempts.add(attempt_id)
+        worker.reserve(attempt.reserved)
+    refresh(state, worker, now_ms)
 
 
 def adopt(
@@ -78,25 +85,7 @@
             _stop_if_cancelled(state, attempt, task)
         elif task.outcome in _ADOPTED:
             _adopt_task(state, reporter, task)
-    state.recovery.answered.add(worker.entry.worker_id)
-
-
-def leases_extended(
-    state: CoreState,
-    worker_id: WorkerId,
-    lease_ends_at_ms: int,
-) -> None:
-    """Note until when a worker may run what it was last told to run."""
-    worker = state.workers.get(worker_id)
-    if worker is None:
-        return
-    for attempt_id in worker.attempts:
-        attempt = state.attempts[attempt_id]
-        if attempt.state in _MAY_RUN:
-            attempt.lease_ends_at_ms = max(
-                attempt.lease_ends_at_ms,
-                lease_ends_at_ms,
-            )
+    state.recovery.answered.add(worker.worker_id)
 
 
 def hold_accepted(state: CoreState, job: JobRecord) -> None:
@@ -134,9 +123,12 @@
     recovery = state.recovery
     if now_ms >= recovery.ends_at_ms:
         return True
-    if not recovery.hosts_known:
+    if not state.hosts_read:
         return False
-    return recovery.answered.issuperset(state.workers)
+    return all(
+        worker_id in recovery.answered or worker.state is WorkerState.GONE
+        for worker_id, worker in state.workers.items()
+    )
 
 
 def _end_cancelled(
@@ -153,8 +145,13 @@
     job = state.jobs.get(job_id)
     if job is None or not positions:
         return
-    if step_job(state, job, JobEvent.REQUEUED, now_ms):
-        job.waiting.extend(sorted(positions))
+    if job.state not in _OPEN:
+        return
+    if job.spec.workload is Workload.GANG and (job.attempts or job.results):
+        run_again(state, job, min(positions), now_ms)
+        return
+    job.waiting.extend(sorted(positions))
+    step_job(state, job, JobEvent.REQUEUED, now_ms)
 
 
 def _adopt_task(
@@ -171,23 +168,16 @@
         attempt_id=task.attempt_id,
         task_id=task_id,
         job_id=job.job_id,
-        worker_id=reporter.worker.entry.worker_id,
+        worker_id=reporter.worker.worker_id,
         reserved=task.reserved,
         state=AttemptState.POSSIBLY_RUNNING,
         placed_at_ms=reporter.now_ms,
         lease_ends_at_ms=reporter.now_ms,
     )
-    state.attempts[attempt.attempt_id] = attempt
-    job.attempts[attempt.attempt_id] = attempt
-    _reserve(reporter.worker, attempt)
+    take(state, job, attempt)
     _forget_stray(state, task)
     if job.state is JobState.CANCELLING:
-        step_attempt(
-            state,
-            attempt,
-            AttemptEvent.STOP_ASKED,
-            reporter.now_ms,
-        )
+        ask_to_stop(state, attempt, StopReason.JOB_ENDED, reporter.now_ms)
 
 
 def _takes(state: CoreState, job: JobRecord, position: int) -> bool:
@@ -214,7 +204,7 @@
     if task.outcome is not TaskOutcome.RUNNING:
         return
     job_id = job_of(task_of(task.attempt_id))
-    worker_id = reporter.worker.entry.worker_id
+    worker_id = reporter.worker.worker_id
     lease_ms = lapse_bound_ms(state.config.policies.task_lease_ms)
     strays = state.recovery.strays.setdefault(job_id, {})
     strays[task.attempt_id] = Stray(worker_id, reporter.now_ms + lease_ms)
@@ -280,13 +270,6 @@
         state.recovery.strays.pop(job_id, None)
 
 
-def _reserve(worker: WorkerView, attempt: Attempt) -> None:
-    if attempt.attempt_id in worker.attempts:
-        return
-    worker.attempts.add(attempt.attempt_id)
-    worker.reserved += attempt.reserved
-
-
 def _may_be_volatile(state: CoreState, job: JobRecord) -> bool:
     spec = job.spec
     if spec.urgency is not Urgency.URGENT:
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -10,8 +10,9 @@
 from typing import Any, Final
 
 from fuchsiarill import records
-from fuchsiarill.core.job_actions import step_job
+from fuchsiarill.core.holding import take
 from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.steps import step_job
 from fuchsiarill.ids import NO_EPOCH, AttemptId, Epoch, JobId, ProcessId, TaskId
 from fuchsiarill.job import Attempt, Execution, JobRecord, JobSpec
 from fuchsiarill.registry import Registry
@@ -102,15 +103,6 @@
     return int(lease_ms * _CLOCK_RATE)
 
 
-def forget(state: CoreState, job_id: JobId) -> None:
-    """Drop a job that has ended and that no attempt belongs to."""
-    job = state.jobs.get(job_id)
-    if job is None or job.attempts:
-        return
-    state.jobs.pop(job_id)
-    state.job_by_key.pop((job.spec.customer, job.spec.idempotency_key), None)
-
-
 def task_of(attempt_id: AttemptId) -> TaskId:
     """Return the task that an attempt id names."""
     return TaskId(attempt_id.rpartition('@')[0])
@@ -139,11 +131,14 @@
         state=image.ended or JobState.ACCEPTING,
         waiting=[],
         results=dict(image.finished),
+        order=len(state.jobs) + 1,
     )
     state.jobs[job_id] = job
     key = (image.spec.customer, image.spec.idempotency_key)
     state.job_by_key[key] = job_id
+    state.jobs_count = len(state.jobs)
     if image.ended is not None:
+        state.ended.append((now_ms, job_id))
         return
     for intent in image.intents.values():
         _restore_intent(state, job, intent)
@@ -168,8 +163,8 @@
         placed_at_ms=job.accepted_at_ms,
         lease_ends_at_ms=state.recovery.ends_at_ms,
     )
-    state.attempts[attempt.attempt_id] = attempt
-    job.attempts[attempt.attempt_id] = attempt
+    take(state, job, attempt)
+    state.unrenewed[attempt.attempt_id] = None
     state.recovery.intents[attempt.attempt_id] = intent.incarnation
 
 
--- /dev/null
+++ b/fuchsiarill/core/ordering.py
@@ -0,0 +1,105 @@
+"""Ordering policies: which customer's job is looked at next.
+
+A policy ranks the customers that have jobs ready to be placed; the lowest
+rank comes first. Ranks do not depend on the present time, so they only change
+with what a customer holds and waits for.
+"""
+
+from collections.abc import Collection, Mapping
+from operator import attrgetter
+from types import MappingProxyType
+from typing import Final, Protocol
+
+from fuchsiarill.core.accounts import Account, Group, Rank
+from fuchsiarill.core.quotas import (
+    is_guaranteed,
+    is_owed_urgently,
+)
+from fuchsiarill.core.sizes import group_size_at_once
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.registry import Registry
+
+# A customer without a start for this time counts as holding nothing against
+# one that was just served and holds the whole cell.
+_AGEING_MS: Final = 300_000
+_AGEING_WEIGHT_MIN: Final = 0.1
+
+URGENT_RANK: Final = 0
+GUARANTEED_RANK: Final = 1
+BORROWING_RANK: Final = 2
+
+
+class Ordering(Protocol):
+    """How customers, and the groups of one customer, are ordered.
+
+    With `strict`, nothing overtakes a job that waits for room. `preemptions`
+    names the preemption policy for each first part of a rank that is owed
+    room.
+    """
+
+    strict: bool
+    preemptions: Mapping[int, str]
+
+    def first(self, groups: Collection[Group]) -> Group:
+        """Return the group of a customer whose first job comes first."""
+
+    def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
+        """Return the rank of a customer whose next group is known."""
+
+
+ORDERINGS: Final[Registry[str, type[Ordering]]] = Registry('orderings')
+
+
+_oldest: Final = attrgetter('first_order')
+_urgent_then_oldest: Final = attrgetter('urgent_then_order')
+
+
+@ORDERINGS.register('fair')
+class _Fair:
+    """Weighted dominant share, urgent jobs first within what is owed."""
+
+    strict: bool = False
+    preemptions: Mapping[int, str] = MappingProxyType(
+        {URGENT_RANK: 'urgent', GUARANTEED_RANK: 'guaranteed'},
+    )
+
+    def first(self, groups: Collection[Group]) -> Group:
+        return min(groups, key=_urgent_then_oldest)
+
+    def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
+        weight = max(state.config.policies.waiting_weight, _AGEING_WEIGHT_MIN)
+        head = state.jobs[group.head()]
+        since_ms = max(account.served_at_ms, head.accepted_at_ms)
+        ageing = since_ms * weight / _AGEING_MS
+        return (
+            _class_of(state, account, group),
+            account.share + ageing,
+        )
+
+
+@ORDERINGS.register('first_come')
+class _FirstCome:
+    """The order of acceptance, whoever the customer is."""
+
+    strict: bool = True
+    preemptions: Mapping[int, str] = MappingProxyType({})
+
+    def first(self, groups: Collection[Group]) -> Group:
+        return min(groups, key=_oldest)
+
+    def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
+        return (0, group.first_order)
+
+
+def ordering_of(state: CoreState) -> Ordering:
+    """Return the ordering that the configuration names."""
+    return ORDERINGS.lookup(state.config.policies.ordering)()
+
+
+def _class_of(state: CoreState, account: Account, group: Group) -> int:
+    size = group_size_at_once(state, group)
+    if group.urgent and is_owed_urgently(state, account, size):
+        return URGENT_RANK
+    if is_guaranteed(account, size):
+        return GUARANTEED_RANK
+    return BORROWING_RANK
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -28,7 +28,6 @@
 
     is_open: bool = False
     ends_at_ms: int = 0
-    hosts_known: bool = False
     answered: set[WorkerId] = field(default_factory=set)
     held: dict[JobId, set[int]] = field(default_factory=dict)
     intents: dict[AttemptId, str] = field(default_factory=dict)
--- a/fuchsiarill/owner/durability.py
+++ b/fuchsiarill/owner/durability.py
@@ -30,7 +30,7 @@
         self._appended = 0
         self._unsent: deque[PersistRecord] = deque()
         self._lagging_since_ms: int | None = None
-        self._follow_ups: deque[tuple[int, Callable[[], None]]] = deque()
+        self._follow_ups: deque[tuple[int, Callable[[], object]]] = deque()
         self._ending: dict[JobId, int] = {}
 
     def append(self, records: Iterable[PersistRecord], now_ms: int) -> None:
@@ -65,7 +65,7 @@
             self._follow_ups.popleft()[1]()
 
     def after_commit(
-        self, sequence: int, follow_up: Callable[[], None]
+        self, sequence: int, follow_up: Callable[[], object]
     ) -> None:
         """Call `follow_up` once all up to `sequence` is durable."""
         if self.is_committed(sequence):
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -42,6 +42,7 @@
         """Answer from `core`; give a commit `commit_timeout_ms`."""
         self.waiters = Waiters()
         self.is_closed = False
+        self.owned_until_ms = 0
         self._core = core
         self._durability = durability
         self._commit_timeout_ms = commit_timeout_ms
@@ -64,7 +65,7 @@
         query = message.query
         job = self._job_of(query.customer, query.job_id)
         if job is None:
-            message.reply.answer(unknown_job(query.job_id))
+            message.reply.answer(self._absent(query.job_id))
             return
         waits = query.wait_ms and not self.is_closed
         if waits and not self._is_settled(job):
@@ -82,7 +83,7 @@
         cancel = message.cancel
         job = self._job_of(cancel.customer, cancel.job_id)
         if job is None:
-            message.reply.answer(unknown_job(cancel.job_id))
+            message.reply.answer(self._absent(cancel.job_id))
             return
         if self._is_overloaded():
             message.reply.answer(overloaded())
@@ -113,7 +114,7 @@
         """Say what a job of the asking customer waits for."""
         query = message.query
         if self._job_of(query.customer, query.job_id) is None:
-            message.reply.answer(JobWhy(unknown_job(query.job_id)))
+            message.reply.answer(JobWhy(self._absent(query.job_id)))
             return
         explanation = self._core.explain(query.job_id, now_ms())
         reasons = pydantic_core.to_jsonable_python(explanation)
@@ -141,6 +142,20 @@
             return answer_of(job)
         return unsettled_answer_of(job)
 
+    def abandon(self) -> None:
+        """Answer all who wait; another owner knows the outcomes."""
+        self.close()
+        self.waiters.give_up_commits()
+
+    def _absent(self, job_id: JobId) -> JobAnswer:
+        """Answer for a job that is not here.
+
+        A newer owner may have accepted it when the ownership has lapsed.
+        """
+        if now_ms() >= self.owned_until_ms:
+            return owner_unavailable(self._core.state.partition)
+        return unknown_job(job_id)
+
     def _admit(self, spec: JobSpec) -> JobAnswer:
         state = self._core.state
         if self.is_closed:
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -150,6 +150,11 @@
     reply: Reply[bool]
 
 
+@dataclass(frozen=True, slots=True)
+class DecideMore:
+    """The last decision was cut short; other messages come first."""
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """It is time for the periodic work of the receiver."""
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -1,6 +1,6 @@
 """The actor that owns a partition: feeds the core, carries out its effects."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from functools import partial
 from typing import Any, Final
 
@@ -14,7 +14,7 @@
 )
 from fuchsiarill.core.partition import PartitionCore
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.ids import AttemptId, WorkerId
+from fuchsiarill.ids import AttemptId
 from fuchsiarill.job import Execution, Urgency
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.durability import Durability
@@ -82,6 +82,7 @@
     async def stop(self) -> None:
         """Stop the actor and its links."""
         await super().stop()
+        self.requests.abandon()
         await self.fleet.stop()
 
     def snapshot(self) -> dict[str, Any]:
@@ -102,6 +103,7 @@
         """Admit a batch and answer once all of it is durable."""
         if self._deposed is not None:
             self.requests.close()
+        self._restrict_if_needed()
         self.requests.submit(message)
         self._settle()
 
@@ -148,7 +150,12 @@
         if ended:
             self.durability.after_commit(
                 self.core.state.sequence,
-                partial(self._acknowledge, report.worker_id, ended),
+                # A dropped acknowledgement is made for the next report.
+                partial(
+                    self.fleet.send,
+                    report.worker_id,
+                    messages.OutcomesHandled(ended),
+                ),
             )
         self._settle()
 
@@ -179,6 +186,7 @@
     async def on_deadline(self, message: messages.OwnershipDeadline) -> None:
         """Note until when this process owns the partition."""
         self.deadline_ms = message.deadline_ms
+        self.requests.owned_until_ms = message.deadline_ms
         self._restrict_if_needed()
 
     @handles(messages.ConfigChanged)
@@ -217,6 +225,11 @@
         self.requests.close()
         self.carry_out()
 
+    @handles(messages.DecideMore)
+    async def on_more(self, message: messages.DecideMore) -> None:
+        """Go on with a decision that was cut short."""
+        self._settle()
+
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
         """Do what time alone makes due."""
@@ -233,7 +246,8 @@
         """Decide, and carry out all effects in their order."""
         self._undecided_count = 0
         if self._deposed is None and self.finishing is None:
-            self.core.decide(now_ms())
+            if self.core.decide(now_ms()):
+                self.mailbox.send(messages.DecideMore())
         records: list[PersistRecord] = []
         for effect in self.core.take_effects():
             if isinstance(effect, PersistRecord):
@@ -250,14 +264,6 @@
             return
         self.carry_out()
 
-    def _acknowledge(
-        self,
-        worker_id: WorkerId,
-        ended: Sequence[AttemptId],
-    ) -> None:
-        # A dropped acknowledgement is made again for the next report.
-        self.fleet.send(worker_id, messages.OutcomesHandled(tuple(ended)))
-
     def _restrict_if_needed(self) -> None:
         """Restrict the core while no new record can become durable in time."""
         current_ms = now_ms()
--- a/fuchsiarill/owner/waiters.py
+++ b/fuchsiarill/owner/waiters.py
@@ -64,6 +64,11 @@
         while self._commits and self._commits[0].sequence <= sequence:
             self._commits.popleft().committed()
 
+    def give_up_commits(self) -> None:
+        """End the wait of all who wait for a commit."""
+        while self._commits:
+            self._commits.popleft().given_up()
+
     def wait_for_end(
         self,
         job_id: JobId,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -32,7 +32,7 @@
         submit_rate_per_s=100_000,
         submit_burst_count=100_000,
         volatile_accept=volatile,
-        token_sha256='',
+        token_sha256='0' * 64,
     )
     return CellConfig.model_validate(
         {
@@ -40,7 +40,7 @@
             'regions': (Region(name=REGION),),
             'contracts': (contract,),
             'policies': {'task_lease_ms': task_lease_ms},
-            'operator_token_sha256': '',
+            'operator_token_sha256': '0' * 64,
         },
     )
 
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -190,13 +190,6 @@
                 submission.add_done_callback(self._note_answer)
                 self.submissions.append(submission)
 
-    def _note_answer(self, submission: asyncio.Task[JobAnswer]) -> None:
-        if submission.cancelled() or submission.exception() is not None:
-            return
-        answer = submission.result()
-        if is_accepted(answer):
-            self.accepted.add(job_id_of(answer))
-
     @invariant()
     def no_order_is_placed_twice(self) -> None:
         """A non-idempotent task is never started a second time."""
@@ -209,6 +202,13 @@
             if JobId(task_id.rpartition('/')[0]) in at_most_once:
                 assert count == 1, task_id
 
+    def _note_answer(self, submission: asyncio.Task[JobAnswer]) -> None:
+        if submission.cancelled() or submission.exception() is not None:
+            return
+        answer = submission.result()
+        if is_accepted(answer):
+            self.accepted.add(job_id_of(answer))
+
 
 class OwnershipMachine(_Machine):
     """Never two owners whose starts a worker takes at the same time."""
