--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Iterable
 from functools import partial
 from typing import Any
 
@@ -14,11 +15,13 @@
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.core import attempt_actions, job_actions, worker_actions
 from fuchsiarill.core.admission import admit
+from fuchsiarill.core.adoption import advance_recovery, hold_accepted
 from fuchsiarill.core.deciding import decide
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
 from fuchsiarill.core.hosts import apply_draining, take_over_hosts
 from fuchsiarill.core.leases import extend_leases, lapse
+from fuchsiarill.core.ledger import restore
 from fuchsiarill.core.quotas import account_of, apply_contracts
 from fuchsiarill.core.reports import take_over_report
 from fuchsiarill.core.snapshot import snapshot
@@ -32,7 +35,7 @@
 from fuchsiarill.core.waiting import unblock_all
 from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
 from fuchsiarill.job import JobRecord, JobSpec
-from fuchsiarill.records import JobAccepted
+from fuchsiarill.records import JobAccepted, Record
 from fuchsiarill.refusal import Refusal, refuse
 from fuchsiarill.states import AttemptEvent, JobEvent, JobState, WorkerEvent
 from fuchsiarill.workers import HostEntry, WorkerReport
@@ -63,6 +66,10 @@
         self.state = CoreState(partition, epoch, config)
         apply_contracts(self.state)
 
+    def restore(self, journal: Iterable[Record], now_ms: int) -> None:
+        """Take over the journal of older owners, before anything else."""
+        restore(self.state, journal, now_ms)
+
     def configure(self, config: CellConfig, now_ms: int) -> None:
         """Put a newer configuration in force, also for queued jobs."""
         self.state.config = config
@@ -162,6 +169,7 @@
         The number of steps is bounded; returns `True` if there may be more to
         do, so that the owner calls again after its other messages.
         """
+        advance_recovery(self.state, now_ms)
         return decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
@@ -196,6 +204,7 @@
         return job
 
     def _accepted(self, job: JobRecord, now_ms: int) -> None:
+        hold_accepted(self.state, job)
         if step_job(self.state, job, JobEvent.COMMITTED, now_ms):
             account_of(self.state, job.spec.customer).accepting_count -= 1
 
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -50,7 +50,12 @@
     if job.spec.execution is Execution.IDEMPOTENT:
         _start(state, attempt, now_ms)
         return
-    intent = StartIntended(job.job_id, attempt.attempt_id, attempt.worker_id)
+    intent = StartIntended(
+        job.job_id,
+        attempt.attempt_id,
+        attempt.worker_id,
+        state.workers[attempt.worker_id].incarnation,
+    )
     state.persist(intent, partial(_start, state, attempt))
 
 
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -20,7 +20,7 @@
 from fuchsiarill.ids import JobId, PartitionId
 from fuchsiarill.job import JobSpec
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.owner_actor import FINAL_STATES
+from fuchsiarill.owner.job_replies import FINAL_STATES
 from fuchsiarill.ports.http_client import CallFailure
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
 from fuchsiarill.replay.process import ReplayedProcess
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -20,7 +20,7 @@
     RegionId,
 )
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.campaign import OwnerClaim, OwnerFound
+from fuchsiarill.owner.claims import OwnerClaim, OwnerFound
 from fuchsiarill.refusal import refuse
 from fuchsiarill.settings import PeerSettings
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 from importlib import resources
@@ -69,6 +70,7 @@
         super().__init__(f'worker stand-in {worker.worker_id}')
         self.worker = worker
         self.settings = settings
+        self.incarnation = uuid.uuid4().hex
         self.fails_starts = False
         self.holds_starts = False
         self.held: list[Call] = []
@@ -175,6 +177,7 @@
             self.highest_epoch,
             self.clock_ms,
             tuple(self._report_of(task) for task in self.tasks.values()),
+            self.incarnation,
         )
 
     def _start(self, start: StartCommand, lease_ends_at_ms: int) -> None:
