--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -44,7 +44,7 @@
         waits_max: int = 0,
     ) -> None:
         """Serve at most `in_progress_max` asks at a time."""
-        self._loop = loop
+        self.loop = loop
         self._in_progress_max = in_progress_max
         self._waits_max = waits_max
         self._in_progress = 0
@@ -107,7 +107,7 @@
         """
         asked = asyncio.run_coroutine_threadsafe(
             _gather(asks, timeout_ms),
-            self._loop,
+            self.loop,
         )
         try:
             # The loop keeps the deadline; twice of it means that it is gone.
--- /dev/null
+++ b/tests/front_fakes.py
@@ -0,0 +1,226 @@
+"""A front on a port of the kernel's choice, with actors that answer at once."""
+
+import asyncio
+import json
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPResponse
+from pathlib import Path
+from typing import Any
+
+from returns.result import Success
+
+from fuchsiarill import codes
+from fuchsiarill.actor import Actor, handles
+from fuchsiarill.answers import JobAnswer, JobWhy
+from fuchsiarill.cell_config import parse_config
+from fuchsiarill.cluster.config_change import ChangeAnswer
+from fuchsiarill.cluster.config_document import ConfigDocument
+from fuchsiarill.cluster.config_spread import AskDocument, ChangeConfig
+from fuchsiarill.cluster.member_table import Beat, Member, MemberDetail
+from fuchsiarill.cluster.membership import AskView
+from fuchsiarill.front.bridge import Bridge
+from fuchsiarill.front.http_front import FrontView, HttpFront
+from fuchsiarill.front.metrics import Metrics
+from fuchsiarill.ids import (
+    FailureDomain,
+    Generation,
+    JobId,
+    PartitionId,
+    ProcessId,
+    RegionId,
+)
+from fuchsiarill.job import JobSpec
+from fuchsiarill.owner import messages
+from fuchsiarill.process_messages import (
+    AskHosts,
+    AskMeasures,
+    ForwardDump,
+    Measures,
+    Receivers,
+)
+from fuchsiarill.routing import Route
+from fuchsiarill.settings import HttpSettings
+from fuchsiarill.states import JobState, ProcessState
+
+CELL_TEXT = Path(__file__).with_name('cases').joinpath('cell.yaml').read_text()
+DESK = 'desk-token'
+STUDIO = 'studio-token'
+OPERATOR = 'operator-token'
+
+
+class FakeActors(Actor):
+    """Stands for the router, membership, configuration and the process."""
+
+    def __init__(self) -> None:
+        super().__init__('fake')
+        self.specs: dict[PartitionId, list[JobSpec]] = {}
+        self.submits_count = 0
+        self.waiting: list[messages.AskJob] = []
+        self.document = ConfigDocument(
+            generation=Generation(1),
+            author='first',
+            text=CELL_TEXT,
+        )
+
+    @handles(Route)
+    async def on_route(self, routed: Route) -> None:
+        message = routed.message
+        match message:
+            case messages.SubmitJobs():
+                self.submits_count += 1
+                accepted = self.specs.setdefault(routed.partition, [])
+                accepted.extend(message.specs)
+                message.reply.answer(
+                    tuple(
+                        JobAnswer(codes.ACCEPTED, JobId(spec.idempotency_key))
+                        for spec in message.specs
+                    ),
+                )
+            case messages.AskJob():
+                if message.query.wait_ms:
+                    self.waiting.append(message)
+                    return
+                message.reply.answer(_running(message.query.job_id))
+            case messages.ListJobs():
+                job_id = JobId(f'{routed.partition}-{message.query.customer}')
+                message.reply.answer((_running(job_id),))
+            case messages.ExplainJob():
+                why = JobWhy(_running(message.query.job_id), {'reason': 'room'})
+                message.reply.answer(why)
+            case messages.CancelJob():
+                job_id = message.cancel.job_id
+                answer = JobAnswer(codes.CANCEL_STARTED, job_id)
+                message.reply.answer(answer)
+
+    @handles(messages.Tick)
+    async def on_tick(self, message: messages.Tick) -> None:
+        """Answer all who wait for the end of a job."""
+        for waiting in self.waiting:
+            waiting.reply.answer(_running(waiting.query.job_id))
+
+    @handles(AskView)
+    async def on_view(self, message: AskView) -> None:
+        detail = MemberDetail(
+            ProcessId('entry-1'),
+            RegionId('rajkot'),
+            FailureDomain('pour-hall'),
+            '127.0.0.1:1',
+            incarnation=1,
+        )
+        beat = Beat(detail.key, 1, Generation(1), 0)
+        message.reply.answer((Member(detail, beat, 0),))
+
+    @handles(AskDocument)
+    async def on_document(self, message: AskDocument) -> None:
+        message.reply.answer(self.document)
+
+    @handles(ChangeConfig)
+    async def on_change(self, message: ChangeConfig) -> None:
+        conflict = ChangeAnswer(codes.CONFIG_CONFLICT, self.document)
+        message.reply.answer(conflict)
+
+    @handles(AskHosts)
+    async def on_hosts(self, message: AskHosts) -> None:
+        message.reply.answer([])
+
+    @handles(ForwardDump)
+    async def on_dump(self, message: ForwardDump) -> None:
+        message.reply.answer(Success('{"process": "entry-1"}'))
+
+    @handles(AskMeasures)
+    async def on_measures(self, message: AskMeasures) -> None:
+        queued = {f'team-{number}': number for number in range(150)}
+        message.reply.answer(Measures(1, 2, {'router': 3}, queued))
+
+
+@dataclass
+class Served:
+    """A running front and a client of it."""
+
+    front: HttpFront
+    actors: FakeActors
+
+    def connect(self) -> HTTPConnection:
+        return HTTPConnection('127.0.0.1', self.front.port, timeout=30)
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        token: str | None = DESK,
+    ) -> tuple[int, Any]:
+        connection = self.connect()
+        try:
+            return ask_over(connection, method, path, body, token)
+        finally:
+            connection.close()
+
+
+def ask_over(
+    connection: HTTPConnection,
+    method: str,
+    path: str,
+    body: Any = None,
+    token: str | None = DESK,
+) -> tuple[int, Any]:
+    """Send a request; `bytes` and `str` bodies are sent as they are."""
+    headers = {} if token is None else {'Authorization': f'Bearer {token}'}
+    raw = body
+    if not isinstance(body, bytes | str | None):
+        raw = json.dumps(body)
+    connection.request(method, path, raw, headers)
+    return read_answer(connection.getresponse())
+
+
+def read_answer(response: HTTPResponse) -> tuple[int, Any]:
+    return response.status, json.loads(response.read())
+
+
+@contextmanager
+def served(**settings: Any) -> Iterator[Served]:
+    """Serve until the block ends."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    starting = _start(HttpSettings(port=0, **settings))
+    made = asyncio.run_coroutine_threadsafe(starting, loop).result(30)
+    try:
+        yield made
+    finally:
+        _end(made, loop)
+        thread.join()
+
+
+def _end(made: Served, loop: asyncio.AbstractEventLoop) -> None:
+    made.front.stop()
+    stopping = asyncio.run_coroutine_threadsafe(made.actors.stop(), loop)
+    stopping.result(30)
+    loop.call_soon_threadsafe(loop.stop)
+
+
+async def _start(settings: HttpSettings) -> Served:
+    actors = FakeActors()
+    actors.start()
+    mailbox = actors.mailbox
+    front = HttpFront(
+        settings,
+        Bridge(
+            asyncio.get_running_loop(),
+            settings.requests_max_count,
+            settings.waits_max_count,
+        ),
+        Receivers(mailbox, mailbox, mailbox, mailbox),
+        Metrics(),
+    )
+    config = parse_config(CELL_TEXT).unwrap()
+    front.view = FrontView(ProcessState.SERVING, config)
+    front.start()
+    return Served(front, actors)
+
+
+def _running(job_id: JobId) -> JobAnswer:
+    return JobAnswer(codes.NOT_FINISHED, job_id, JobState.RUNNING)
