--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -95,7 +95,9 @@
         """Campaign for new partitions and pass the configuration on."""
         self._config = message.config
         for campaign in self._campaigns.values():
-            campaign.mailbox.send(message)
+            # Until the owner part is merged, a campaign ignores changes.
+            if ConfigChanged in campaign.handlers:
+                campaign.mailbox.send(message)
         if self.state in _LEAVING_STATES:
             return
         for partition in partitions_of(message.config, self._settings.region):
