Replay the membership, the configuration and the links between processes

Change: each replayed process runs Membership, ConfigSpread, Process, Router and OwnerLink as the daemon connects them; calls go through the real encoding and the real servant over the fake network. Operators change the document through a process. A replay no longer relies on tasks that obey their cancellation. Found: Campaign has no handler for ConfigChanged, so every process ends itself a second after a change of the configuration.

--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -28,6 +28,7 @@
 from fuchsiarill.routing import Route, partition_of_job, partition_of_key
 
 _RETRY_MS: Final = 200
+_PATIENCE_MS: Final = 1_000
 _RESULT_WAIT_MS: Final = 5_000
 
 
@@ -129,7 +130,13 @@
         query = JobQuery(spec.customer, job_id, _RESULT_WAIT_MS)
         build = partial(_ask_route, query)
         while True:
-            answer = await self._ask(spec, 'query', build, manner)
+            answer = await self._ask(
+                spec,
+                'query',
+                build,
+                manner,
+                _RESULT_WAIT_MS,
+            )
             if answer is not None and answer.state in FINAL_STATES:
                 self._log.note(
                     SeenKind.JOB_ENDED,
@@ -164,16 +171,20 @@
         call: str,
         build: Callable[[Any], Route],
         manner: Manner,
+        wait_ms: int = 0,
     ) -> Any:
         """Return the answer of one process, or `None` for none."""
         process = self._pick(manner)
         if process is None:
             return None
-        timeout_ms = process.settings.http.request_timeout_ms
+        # The front answers at its own deadline, before the caller gives up.
+        timeout_ms = (
+            process.settings.http.request_timeout_ms + wait_ms + _PATIENCE_MS
+        )
         answered = await self._network.ask(
             self._endpoint,
             process.endpoint,
-            process.post(build),
+            partial(process.ask_owner, build, wait_ms),
             timeout_ms,
         )
         match answered:
--- /dev/null
+++ b/fuchsiarill/replay/fake_front.py
@@ -0,0 +1,119 @@
+"""Takes the place of the HTTP front end: callers and operators without HTTP.
+
+It uses the same messages and deadlines as the routes in `front/`.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from fuchsiarill import codes, texts
+from fuchsiarill.actor import Actor, Reply, handles
+from fuchsiarill.answers import refused
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.cluster.config_document import ConfigDocument
+from fuchsiarill.cluster.config_spread import AskDocument
+from fuchsiarill.cluster.membership import StateChanged
+from fuchsiarill.front.front_actor import StopFront
+from fuchsiarill.owner.messages import ConfigChanged
+from fuchsiarill.process_messages import Receivers
+from fuchsiarill.refusal import refuse
+from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.routing import Route, answer_all
+from fuchsiarill.settings import ProcessSettings
+from fuchsiarill.states import ProcessState
+
+_CHECK_INTERVAL_MS = 20
+
+Build = Callable[[Reply[Any]], Any]
+
+
+class FakeFront(Actor):
+    """Passes requests on and knows whether the process takes any."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        receivers: Receivers,
+        log: SeenLog,
+    ) -> None:
+        """Serve nothing before a configuration is in force."""
+        super().__init__('front')
+        self.is_ready = False
+        self._settings = settings
+        self._receivers = receivers
+        self._log = log
+        self._has_config = False
+        self._is_open = True
+        self._in_progress = 0
+
+    @handles(ConfigChanged)
+    async def on_config(self, message: ConfigChanged) -> None:
+        """Note the generation in force, as an operator can ask for it."""
+        self._has_config = True
+        reply: Reply[ConfigDocument] = Reply()
+        self._receivers.config.send(AskDocument(reply))
+        document = await reply.wait(self._settings.http.request_timeout_ms)
+        self._log.note(
+            SeenKind.CONFIG_IN_FORCE,
+            self._settings.process,
+            generation=document.generation,
+        )
+
+    @handles(StateChanged)
+    async def on_state(self, message: StateChanged) -> None:
+        """Answer the check of the load balancer by the new state."""
+        self.is_ready = message.state is ProcessState.SERVING
+
+    @handles(StopFront)
+    async def on_stop(self, message: StopFront) -> None:
+        """Wait for the answers in progress, then take no more."""
+        ends_at_ms = now_ms() + message.within_ms
+        while self._in_progress and now_ms() < ends_at_ms:
+            await sleep_ms(_CHECK_INTERVAL_MS)
+        self._is_open = False
+        message.reply.answer(not self._in_progress)
+
+    async def ask_owner(self, build: Build, wait_ms: int) -> Any:
+        """Ask the owner of a partition, within the deadline of a request."""
+        route: Route = build(Reply())
+        if not self._has_config:
+            answer_all(
+                route.message,
+                refused(
+                    refuse(
+                        codes.NOT_CONFIGURED,
+                        texts.NOT_CONFIGURED,
+                        retry_after_ms=_CHECK_INTERVAL_MS,
+                    ),
+                ),
+            )
+        elif not self._receivers.router.send(route):
+            answer_all(
+                route.message,
+                refused(refuse(codes.OVERLOADED, texts.OVERLOADED)),
+            )
+        return await self._answer_of(route, wait_ms)
+
+    async def ask_config(self, build: Build) -> Any:
+        """Ask the actor that holds the configuration."""
+        reply: Reply[Any] = Reply()
+        self._receivers.config.send(build(reply))
+        return await reply.wait(self._settings.http.request_timeout_ms)
+
+    async def _answer_of(self, route: Route, wait_ms: int) -> Any:
+        reply: Reply[Any] = route.message.reply
+        self._in_progress += 1
+        try:
+            return await reply.wait(
+                self._settings.http.request_timeout_ms + wait_ms,
+            )
+        except TimeoutError:
+            uncertain = refuse(
+                codes.OUTCOME_UNCERTAIN,
+                texts.OUTCOME_UNCERTAIN,
+                partition=route.partition,
+            )
+            answer_all(route.message, refused(uncertain))
+        finally:
+            self._in_progress -= 1
+        return await reply.wait(self._settings.http.request_timeout_ms)
--- a/fuchsiarill/replay/fakes.py
+++ b/fuchsiarill/replay/fakes.py
@@ -44,6 +44,24 @@
     wait_ms: int = 0
 
 
+@dataclass(eq=False, slots=True)
+class ReplyLoss:
+    """The next `left_count` calls on matching keys get no answer."""
+
+    operation: str
+    prefix: str
+    left_count: int
+
+    def hits(self, call: StoreCall) -> bool:
+        """Tell whether this answer is lost, and count it."""
+        if call.operation != self.operation or not self.left_count:
+            return False
+        if not call.key.startswith(self.prefix):
+            return False
+        self.left_count -= 1
+        return True
+
+
 @dataclass(slots=True)
 class _Lease:
     ttl_ms: int
@@ -61,7 +79,7 @@
         self.is_silent = False
         self.is_watch_stuck = False
         self.delay_ms = 0
-        self.replies_to_lose: dict[str, int] = {}
+        self.losses: list[ReplyLoss] = []
         self.stored: dict[StoreKey, Versioned] = {}
         self._log = log
         self._leases: dict[StoreLeaseId, _Lease] = {}
@@ -158,10 +176,7 @@
         )
 
     def _loses_reply(self, call: StoreCall) -> bool:
-        left_count = self.replies_to_lose.get(call.operation, 0)
-        if left_count:
-            self.replies_to_lose[call.operation] = left_count - 1
-        return left_count > 0
+        return any(loss.hits(call) for loss in self.losses)
 
     def _write(self, key: StoreKey, text: str | None) -> None:
         self._revision += 1
--- a/fuchsiarill/replay/faults_links.py
+++ b/fuchsiarill/replay/faults_links.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field
 
+from fuchsiarill.replay.fakes import ReplyLoss
 from fuchsiarill.replay.kinds import (
     FAULT_KINDS,
     FaultKind,
@@ -114,15 +115,20 @@
 
 @FAULT_KINDS.register('store_loses_reply')
 class StoreLosesReply(FaultKind):
-    """The next `count` calls of a kind take effect without an answer."""
+    """The next `count` calls of a kind take effect without an answer.
+
+    Only calls on keys that begin with `prefix` count; lease calls have none.
+    """
 
     operation: Literal['swap', 'grant', 'renew', 'revoke'] = 'swap'
+    prefix: str = ''
     count: _Positive = 1
 
     def begin(self, world: World) -> Undo:
         """Lose replies."""
-        world.store.replies_to_lose[self.operation] = self.count
-        return partial(_forget, world.store.replies_to_lose, self.operation)
+        loss = ReplyLoss(self.operation, self.prefix, self.count)
+        world.store.losses.append(loss)
+        return partial(world.store.losses.remove, loss)
 
 
 @FAULT_KINDS.register('watch_stuck')
@@ -154,10 +160,6 @@
         return undo_switch(world.host_list, 'is_silent', setting=True)
 
 
-def _forget(counts: dict[str, int], operation: str) -> None:
-    counts.pop(operation, None)
-
-
 def _resolved(world: World, names: tuple[str, ...]) -> frozenset[str]:
     found = set(names)
     for name in names:
--- a/fuchsiarill/replay/loop.py
+++ b/fuchsiarill/replay/loop.py
@@ -12,7 +12,6 @@
 
 from fuchsiarill.clock import PausedLoop
 
-
 _Arguments = TypeVarTuple('_Arguments')
 
 
--- /dev/null
+++ b/fuchsiarill/replay/peer_calls.py
@@ -0,0 +1,111 @@
+"""Calls between processes: the real encoding and servant, a fake transport."""
+
+from typing import Any, Protocol
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.actor import Mailbox, Reply
+from fuchsiarill.cluster.peer_port import PeerFailure
+from fuchsiarill.cluster.peers import RpcPeers
+from fuchsiarill.ports.http_client import CallFailure
+from fuchsiarill.replay.network import Endpoint, Network
+from fuchsiarill.settings import PeerSettings
+
+
+class Struct:
+    """A received struct: attributes for fields, defaults for absent ones."""
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        """View the fields that the encoding wrote."""
+        self._fields = fields
+
+    def __getattr__(self, name: str) -> Any:
+        return received(self._fields.get(name, ''))
+
+
+def received(field: Any) -> Any:
+    """Return a field as the receiver of a struct reads it."""
+    if isinstance(field, dict):
+        return Struct(field)
+    if isinstance(field, list):
+        return [received(one) for one in field]
+    return field
+
+
+class CallContext:
+    """Where a servant leaves the results of a call."""
+
+    def __init__(self) -> None:
+        """Start without results; attributes of `results` become fields."""
+        self.fields: dict[str, Any] = {}
+        self.results = _Results(self.fields)
+
+
+class _Results:
+    """Collects results by attribute."""
+
+    _fields: dict[str, Any]
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        object.__setattr__(self, '_fields', fields)
+
+    def __setattr__(self, name: str, written: Any) -> None:
+        self._fields[name] = written
+
+
+class Listener(Protocol):
+    """A process that takes calls."""
+
+    endpoint: Endpoint
+
+    def serve(
+        self,
+        method: str,
+        request: dict[str, Any],
+        reply: Reply[Any],
+    ) -> bool:
+        """Run a method of the servant; answers with its results."""
+
+
+class PeerCalls(RpcPeers):
+    """Calls the processes at the addresses in `listeners`."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        network: Network,
+        source: Endpoint,
+        listeners: dict[str, Listener],
+    ) -> None:
+        """Call from `source`; there is no link actor behind it."""
+        super().__init__(Mailbox(), settings)
+        self._deadline_ms = settings.call_timeout_ms
+        self._network = network
+        self._source = source
+        self._listeners = listeners
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        request: dict[str, Any],
+        wait_ms: int = 0,
+        repeatable: bool = True,
+    ) -> Result[Any, PeerFailure]:
+        """Call a method of the schema; `wait_ms` is added to the deadline."""
+        listener = self._listeners.get(address)
+        if listener is None:
+            return Failure(PeerFailure.NOT_SENT)
+        answer = await self._network.ask(
+            self._source,
+            listener.endpoint,
+            lambda reply: listener.serve(method, request, reply),
+            self._deadline_ms + wait_ms,
+        )
+        match answer:
+            case Success(fields):
+                return Success(received(fields))
+            case Failure(CallFailure.NOT_SENT):
+                return Failure(PeerFailure.NOT_SENT)
+            case _:
+                return Failure(PeerFailure.NO_ANSWER)
--- a/fuchsiarill/replay/process.py
+++ b/fuchsiarill/replay/process.py
@@ -1,18 +1,20 @@
 """One process of the system in a replay: the real actors, on fake ports."""
 
 import asyncio
-from collections.abc import Callable
-from contextvars import copy_context
+from collections.abc import Callable, Coroutine
+from contextvars import Context, copy_context
 from enum import Enum
 from functools import partial
 from typing import Any, Final
 
 from fuchsiarill.actor import Reply
 from fuchsiarill.registry import Registry
-from fuchsiarill.replay.composition import Composition, Surroundings, compose
+from fuchsiarill.replay.composition import Composition, run_composition
+from fuchsiarill.replay.fake_front import Build
 from fuchsiarill.replay.loop import INCARNATION, Incarnation, ReplayLoop
-from fuchsiarill.replay.network import Endpoint, Post
+from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.seen import SeenKind
+from fuchsiarill.replay.surroundings import Surroundings
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.state_chart import load_chart
 
@@ -57,8 +59,7 @@
             refusing=True,
         )
         self.composition: Composition | None = None
-        self.is_draining = False
-        self._draining: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         self.incarnations = [Incarnation(settings.process, 0)]
 
     @property
@@ -80,7 +81,11 @@
     def takes_calls(self) -> bool:
         """Tell whether the platform's load balancer uses the process."""
         runs = self.state in {LifeState.RUNNING, LifeState.GATED}
-        return runs and not self.is_draining
+        return (
+            runs
+            and self.composition is not None
+            and (self.composition.front.is_ready)
+        )
 
     def step(self, event: LifeEvent) -> None:
         """Apply an event of the chart and run its actions."""
@@ -93,33 +98,77 @@
 
     def shut_down(self) -> None:
         """Send SIGTERM: the process drains and ends by itself."""
-        if self.composition is None or self.is_draining:
+        if self.composition is None:
             return
-        self.is_draining = True
         self.surroundings.log.note(SeenKind.SHUTDOWN_ASKED, self.name)
-        context = copy_context()
-        context.run(INCARNATION.set, self.incarnation)
-        self._draining = context.run(
-            asyncio.create_task,
-            self.composition.drain(),
+        self._context().run(self.composition.drain)
+
+    def serve(
+        self,
+        method: str,
+        request: dict[str, Any],
+        reply: Reply[Any],
+    ) -> bool:
+        """Take a call of another process."""
+        return self._spawn(
+            lambda present: present.serve(method, request, reply),
+        )
+
+    def ask_owner(
+        self,
+        build: Build,
+        wait_ms: int,
+        reply: Reply[Any],
+    ) -> bool:
+        """Take a request of a caller."""
+        return self._spawn(
+            lambda present: present.ask_owner(build, wait_ms, reply),
         )
-        self._draining.add_done_callback(self._drained)
 
-    def post(self, build: Callable[[Reply[Any]], Any]) -> Post:
-        """Return how a call is handed to the router of this process."""
-        return partial(self._hand_over, build)
+    def ask_config(self, build: Build, reply: Reply[Any]) -> bool:
+        """Take a request of an operator."""
+        return self._spawn(lambda present: present.ask_config(build, reply))
+
+    def boot(self) -> None:
+        """Start the actors of a new life."""
+        self.composition = self._context().run(
+            Composition,
+            self.settings,
+            self.endpoint,
+            self.surroundings,
+            self.incarnation.number,
+        )
+        running = self._context().run(run_composition, self.composition)
+        running.add_done_callback(partial(self._ended, self.incarnation))
+        self._tasks.add(running)
 
-    def _drained(self, draining: asyncio.Task[None]) -> None:
-        self.step(LifeEvent.STOPPED)
+    def _ended(
+        self,
+        incarnation: Incarnation,
+        running: asyncio.Task[None],
+    ) -> None:
+        self._tasks.discard(running)
+        if incarnation is self.incarnation:
+            self.step(LifeEvent.STOPPED)
 
-    def _hand_over(
+    def _spawn(
         self,
-        build: Callable[[Reply[Any]], Any],
-        reply: Reply[Any],
+        call: Callable[[Composition], Coroutine[Any, Any, None]],
     ) -> bool:
         if self.composition is None:
             return False
-        return self.composition.accept(build(reply))
+        task = asyncio.create_task(
+            call(self.composition),
+            context=self._context(),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    def _context(self) -> Context:
+        context = copy_context()
+        context.run(INCARNATION.set, self.incarnation)
+        return context
 
 
 LifeAction = Callable[[ReplayedProcess], None]
@@ -133,21 +182,13 @@
     process.incarnations.append(Incarnation(process.name, number))
     process.endpoint.refusing = False
     process.endpoint.gate = None
-    process.is_draining = False
     process.surroundings.log.note(
         SeenKind.PROCESS_STARTED,
         process.name,
         incarnation=number,
         domain=process.settings.failure_domain,
     )
-    context = copy_context()
-    context.run(INCARNATION.set, process.incarnation)
-    process.composition = context.run(
-        compose,
-        process.settings,
-        process.endpoint,
-        process.surroundings,
-    )
+    process.boot()
 
 
 @LIFE_ACTIONS.register('close_gate')
--- a/fuchsiarill/replay/runner.py
+++ b/fuchsiarill/replay/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from loguru import logger
 
@@ -16,6 +16,11 @@
 from fuchsiarill.replay.trace import Timed, Trace
 from fuchsiarill.replay.world import World
 
+_DISCARD_S: Final = 60
+_FAILURES: Final = frozenset(
+    (events.ACTOR_FAILED.number, events.ACTOR_DIED.number),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Replayed:
@@ -29,11 +34,30 @@
     """Run a trace; equal traces give equal logs."""
     # The code under replay draws its jitter from the module-wide generator.
     random.seed(trace.frame.seed)
-    with asyncio.Runner(loop_factory=ReplayLoop) as runner:
-        log = runner.run(_play(trace))
+    loop = ReplayLoop()
+    try:
+        log = loop.run_until_complete(_play(trace))
+    finally:
+        _discard(loop)
     return Replayed(log, check(trace, log))
 
 
+def _discard(loop: ReplayLoop) -> None:
+    """Cancel what still runs; the log is closed already.
+
+    Time is given by a timer, since a task may swallow its cancellation.
+    """
+    loop.set_exception_handler(_ignore)
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.run_until_complete(asyncio.sleep(_DISCARD_S))
+    loop.close()
+
+
+def _ignore(loop: asyncio.AbstractEventLoop, context: Any) -> None:
+    """Drops failures of tasks that were cut off in the middle."""
+
+
 async def _play(trace: Trace) -> SeenLog:
     frame = trace.frame
     world = World(trace.deployment, trace.domains, frame.settings, frame.seed)
@@ -88,7 +112,7 @@
 
 
 def _is_failure(record: Any) -> bool:
-    return bool(record['extra'].get('event') == events.ACTOR_FAILED.number)
+    return record['extra'].get('event') in _FAILURES
 
 
 class _Noting:
--- /dev/null
+++ b/fuchsiarill/replay/surroundings.py
@@ -0,0 +1,87 @@
+"""What a process reaches outside of itself, and how."""
+
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from fuchsiarill.cluster.member_table import MemberDetail
+from fuchsiarill.ids import PartitionId
+from fuchsiarill.owner.campaign import OwnerClaim, OwnerFound, Ports
+from fuchsiarill.owner.keys import owner_key
+from fuchsiarill.ports.store import StorePort
+from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
+from fuchsiarill.replay.fakes import (
+    FakeHostList,
+    FakeStore,
+    ProcessHostList,
+    ProcessStore,
+)
+from fuchsiarill.replay.network import Endpoint, Network
+from fuchsiarill.replay.peer_calls import Listener
+from fuchsiarill.replay.seen import SeenLog
+from fuchsiarill.settings import ProcessSettings
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Everything outside of a process that it can reach.
+
+    `listeners` maps the peer address of a process to how calls reach it.
+    """
+
+    log: SeenLog
+    network: Network
+    store: FakeStore
+    host_list: FakeHostList
+    workers: dict[str, FakeWorker]
+    listeners: dict[str, Listener]
+    seed: int
+
+
+def process_ports(
+    settings: ProcessSettings,
+    endpoint: Endpoint,
+    surroundings: Surroundings,
+) -> Ports:
+    """Return the ports of one process."""
+    network = surroundings.network
+    return Ports(
+        ProcessStore(settings.store, network, endpoint, surroundings.store),
+        ProcessHostList(
+            settings.host_list,
+            network,
+            endpoint,
+            surroundings.host_list,
+        ),
+        ProcessWorkers(
+            settings.workers,
+            network,
+            endpoint,
+            surroundings.workers,
+        ),
+    )
+
+
+def own_detail(settings: ProcessSettings, incarnation: int) -> MemberDetail:
+    """Return what others are told of one life of a process."""
+    return MemberDetail(
+        settings.process,
+        settings.region,
+        settings.failure_domain,
+        f'{settings.peers.host}:{settings.peers.port}',
+        incarnation=incarnation,
+    )
+
+
+async def read_owner(
+    store: StorePort,
+    partition: PartitionId,
+) -> OwnerFound | None:
+    """Read the owner key; `None` when the store does not answer."""
+    match await store.get(owner_key(partition)):
+        case Success(found):
+            claim = None
+            if found.value is not None:
+                claim = OwnerClaim.model_validate_json(found.value)
+            return OwnerFound(partition, claim, mailbox=None)
+    return None
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -7,12 +7,12 @@
 import yaml
 
 from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.cluster.config_document import CONFIG_KEY, NO_DOCUMENT
 from fuchsiarill.ids import CustomerId, PartitionId, WorkerId
 from fuchsiarill.job import JobSpec
 from fuchsiarill.owner.campaign import OwnerClaim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.replay.callers import Callers
-from fuchsiarill.replay.composition import CONFIG_KEY, Surroundings
 from fuchsiarill.replay.deployment import Deployment, merge
 from fuchsiarill.replay.fake_workers import FakeWorker, Truth
 from fuchsiarill.replay.fakes import FakeHostList, FakeStore
@@ -21,6 +21,7 @@
 from fuchsiarill.replay.operators import Operators
 from fuchsiarill.replay.process import LifeEvent, ReplayedProcess
 from fuchsiarill.replay.seen import SeenLog
+from fuchsiarill.replay.surroundings import Surroundings
 from fuchsiarill.routing import partitions_of
 from fuchsiarill.settings import ProcessSettings
 
@@ -56,7 +57,7 @@
             )
             for number, entry in enumerate(hosts, start=1)
         }
-        self.processes = self._create_processes(domains, settings)
+        self.processes = self._create_processes(domains, settings, seed)
         self._tasks: set[asyncio.Task[None]] = set()
         self.callers = Callers(
             self.log,
@@ -65,7 +66,12 @@
             deployment.config,
             self.chance,
         )
-        self.operators = Operators(self.log)
+        self.operators = Operators(
+            self.log,
+            self.network,
+            self.processes,
+            self.chance,
+        )
 
     @property
     def loop(self) -> ReplayLoop:
@@ -81,7 +87,12 @@
         self.host_list.start()
         for worker in self.workers.values():
             worker.start()
-        self.store.put(CONFIG_KEY, config_text(self.deployment.config))
+        first = NO_DOCUMENT.successor(
+            config_text(self.deployment.config),
+            'trace',
+            'first',
+        )
+        self.store.put(CONFIG_KEY, first.model_dump_json())
         for process in self.processes.values():
             process.step(LifeEvent.STARTED)
 
@@ -149,6 +160,7 @@
         self,
         domains: tuple[str, ...],
         settings: dict[str, Any],
+        seed: int,
     ) -> dict[str, ReplayedProcess]:
         surroundings = Surroundings(
             self.log,
@@ -157,6 +169,7 @@
             self.host_list,
             self.workers,
             {},
+            seed,
         )
         processes = {}
         for number, domain in enumerate(domains, start=1):
