--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -5,17 +5,19 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 from typing import Final
 
+from fuchsiarill.core.accelerators import may_use_accelerated
 from fuchsiarill.core.holding import admits
 from fuchsiarill.core.reservation import Reservation
+from fuchsiarill.core.reservations import held_until
 from fuchsiarill.core.sizes import run_time_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import FailureDomain
-from fuchsiarill.job import Execution, JobRecord, Workload
+from fuchsiarill.job import Execution, JobRecord, Urgency, Workload
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import Resources
 from fuchsiarill.states import WorkerState
@@ -68,8 +70,14 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return the worker whose scarcest resource is used up best."""
-    for accelerated in _kinds(size):
+    """Return the worker whose scarcest resource is used up best.
+
+    Replicas of a service are spread: their small sizes would gather on one
+    worker and use up its slots.
+    """
+    if job.spec.workload is Workload.SERVICE:
+        return spread(state, job, size)
+    for accelerated in _kinds(state, job, size):
         found = state.index.search(size, accelerated=accelerated)
         worker = _tightest(found, job, size)
         if worker is not None:
@@ -87,7 +95,7 @@
     if job.spec.workload is not Workload.SERVICE:
         return pack(state, job, size)
     domains, racks = _replicas(state, job)
-    for accelerated in _kinds(size):
+    for accelerated in _kinds(state, job, size):
         ordered = sorted(
             state.index.domains(accelerated),
             key=domains.__getitem__,
@@ -118,9 +126,26 @@
     )
 
 
-def _kinds(size: Resources) -> tuple[bool, ...]:
-    # Plain work goes to workers with accelerators only as a last resort.
-    return (True,) if size.accelerators_count else (False, True)
+def _kinds(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+) -> Iterator[bool]:
+    """Yield whether to look at workers with accelerators, in order."""
+    if not size.accelerators_count:
+        yield False
+    if _may_use_accelerated(state, job, size):
+        yield True
+
+
+def _may_use_accelerated(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+) -> bool:
+    account = state.accounts[job.spec.customer]
+    urgent = job.spec.urgency is Urgency.URGENT
+    return may_use_accelerated(state, account, size, urgent)
 
 
 def _tightest(
@@ -191,13 +216,24 @@
     """
     for worker_id in islice(state.released, _RELEASED_LOOKED_AT_COUNT):
         worker = state.workers[worker_id]
-        if worker.bucket is None or not suits(worker, job):
+        if worker.bucket is None or not size.fits_in(worker.free):
             continue
-        if size.fits_in(worker.free):
+        if suits(worker, job) and _is_left_to(state, worker, job, size):
             return worker
     return None
 
 
+def _is_left_to(
+    state: CoreState,
+    worker: WorkerView,
+    job: JobRecord,
+    size: Resources,
+) -> bool:
+    if not worker.has_accelerators:
+        return True
+    return _may_use_accelerated(state, job, size)
+
+
 def find_held_worker(
     state: CoreState,
     job: JobRecord,
@@ -205,19 +241,15 @@
     now_ms: int,
 ) -> WorkerView | None:
     """Return a worker that waits for a gang and loses nothing by the task."""
+    if not _may_use_accelerated(state, job, size):
+        return None
     run_time_ms = run_time_of(state, job.spec)
     for reservation in state.reservations.values():
         ends_in_time = (
             run_time_ms is not None
             and now_ms + run_time_ms <= reservation.starts_at_ms
         )
-        found = _unharmed_worker(
-            state,
-            job,
-            size,
-            reservation,
-            0 if ends_in_time else 1,
-        )
+        found = _unharmed_worker(state, job, size, reservation, ends_in_time)
         if found is not None:
             return found
     return None
@@ -228,22 +260,23 @@
     job: JobRecord,
     size: Resources,
     reservation: Reservation,
-    kept_ratio: int,
+    ends_in_time: bool,
 ) -> WorkerView | None:
-    """Return a held worker with room besides `kept_ratio` of what it keeps."""
-    held = islice(reservation.counts.items(), _HELD_LOOKED_AT_COUNT)
-    for worker_id, count in held:
+    """Return a held worker with room besides what it must keep."""
+    for worker_id in islice(reservation.counts, _HELD_LOOKED_AT_COUNT):
         worker = state.workers[worker_id]
         if worker.state is not WorkerState.READY or not suits(worker, job):
             continue
-        kept = reservation.size.times(count * kept_ratio)
-        if (size + kept).fits_in(worker.free):
+        needed = size
+        if not ends_in_time or len(worker.holds) > 1:
+            needed += held_until(worker, None)
+        if needed.fits_in(worker.free):
             return worker
     return None
 
 
 def can_get_tasks(worker: WorkerView, now_ms: int) -> bool:
     """Tell whether a worker takes tasks, be it held for a gang or not."""
-    if worker.held_for is None:
-        return admits(worker, now_ms)
-    return worker.state is WorkerState.READY
+    if worker.holds:
+        return worker.state is WorkerState.READY
+    return admits(worker, now_ms)
