--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from fuchsiarill.core.adoption import worker_listed
 from fuchsiarill.core.holding import refresh
 from fuchsiarill.core.quotas import refresh_shares
 from fuchsiarill.core.state import CoreState
@@ -48,6 +49,7 @@
     if worker is None:
         worker = WorkerView(entry, WorkerState.UNSEEN)
         state.workers[entry.worker_id] = worker
+        worker_listed(state, worker, now_ms)
     elif worker.entry != entry:
         # The index finds a worker by its entry.
         state.index.remove(worker)
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -104,12 +104,31 @@
     'actor {actor} failed on {message_type}: {error}',
     'Report the line as a defect; the process goes on with the next message.',
 )
+ACTOR_DIED: Final = LogEvent(
+    105,
+    Level.ERROR,
+    'actor {actor} has ended by itself and the process ends: {error}',
+    'Report the line as a defect; another process takes over.',
+)
 CONFIG_IN_FORCE: Final = LogEvent(
     201,
     Level.INFO,
     'configuration generation {generation} is in force',
     _NO_ACTION,
 )
+CONFIG_REJECTED: Final = LogEvent(
+    202,
+    Level.ERROR,
+    'configuration generation {generation} by {author!r} is not taken: '
+    '{problem}',
+    'The generation before stays in force; apply a document without the fault.',
+)
+MEMBER_REMOVED: Final = LogEvent(
+    203,
+    Level.WARNING,
+    'process {process} has been silent and is removed from the view',
+    'Check the entry host and the links of its failure domain.',
+)
 OWNERSHIP_ACQUIRED: Final = LogEvent(
     301,
     Level.INFO,
@@ -122,6 +141,26 @@
     'partition {partition} is given up: {reason}',
     'Check the store and the load of the process if this recurs.',
 )
+JOURNAL_REFUSED: Final = LogEvent(
+    303,
+    Level.ERROR,
+    'the journal of partition {partition} is not read: {fault}',
+    'Run a version that knows the format, or restore the keys of the '
+    'partition; nothing of it is changed meanwhile.',
+)
+OWNERSHIP_UNCONFIRMED: Final = LogEvent(
+    304,
+    Level.WARNING,
+    'the store does not confirm the ownership of partition {partition}; '
+    'only urgent idempotent work is started',
+    'Check the store and the network to it; running tasks go on.',
+)
+OWNERSHIP_CONFIRMED: Final = LogEvent(
+    305,
+    Level.INFO,
+    'the ownership of partition {partition} is confirmed again',
+    _NO_ACTION,
+)
 WORKER_UNREACHABLE: Final = LogEvent(
     401,
     Level.WARNING,
@@ -134,3 +173,9 @@
     'job {job} ended as {state}',
     _NO_ACTION,
 )
+REQUEST_FAILED: Final = LogEvent(
+    601,
+    Level.ERROR,
+    'request of {path} failed: {error}',
+    'Report the line as a defect; the caller was answered with its code.',
+)
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -63,7 +63,7 @@
         'guaranteed': dict.fromkeys(_FIELDS, 0),
         'submit_rate_per_s': 1000,
         'submit_burst_count': 1000,
-        'token_sha256': 'none',
+        'token_sha256': '0' * 64,
     } | changes
 
 
@@ -80,7 +80,7 @@
             'contracts': [contract(**row) for row in contracts],
             'policies': {'learn_sizes': False} | policies,
             'draining_workers': draining,
-            'operator_token_sha256': 'none',
+            'operator_token_sha256': '0' * 64,
         },
     )
 
