Give the benchmarks and the harness tokens of the valid form

Cause: the configuration now refuses a token digest that is not 64 hexadecimal digits.

Change: a digest of zeros.

--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -41,6 +41,7 @@
 STEPS: Final[Registry[str, Step]] = Registry('steps')
 _CAPACITY: Final = [4000, 8000, 0, 8]
 _ROUNDS_MAX_COUNT: Final = 50
+_NO_TOKEN: Final = '0' * 64
 _LARGE: Final = {
     'processors_milli': 10**6,
     'memory_mb': 10**7,
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -60,6 +60,7 @@
     'slots_count': 10**7,
 }
 _URGENT_ONE_IN: Final = 20
+_NO_TOKEN: Final = '0' * 64
 _MS_PER_S: Final = 1_000
 
 
@@ -269,11 +270,11 @@
                     'submit_burst_count': 10**9,
                     'waiting_jobs_max_count': 10**6,
                     'placement': 'pack' if number % 2 else 'spread',
-                    'token_sha256': 'none',
+                    'token_sha256': _NO_TOKEN,
                 }
                 for number in range(customers_count)
             ],
-            'operator_token_sha256': 'none',
+            'operator_token_sha256': _NO_TOKEN,
         },
     )
 
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -19,6 +19,7 @@
 from fuchsiarill.workers import HostEntry, HostState
 
 _DOMAINS_COUNT: Final = 3
+_NO_TOKEN: Final = '0' * 64
 _NOISE: Final = 0.1
 _SERVICES_AT_MS: Final = 2_000
 
@@ -135,11 +136,11 @@
                         'submit_burst_count': 10**6,
                         'waiting_jobs_max_count': 10**6,
                         'placement': placement,
-                        'token_sha256': 'none',
+                        'token_sha256': _NO_TOKEN,
                     }
                     for customer, own in self._owned()
                 ],
-                'operator_token_sha256': 'none',
+                'operator_token_sha256': _NO_TOKEN,
             },
         )
 
