--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from fuchsiarill.core.adoption import adopt
 from fuchsiarill.core.learning import note_usage
 from fuchsiarill.core.leases import renew_leases
 from fuchsiarill.core.state import CoreState
@@ -34,6 +35,7 @@
     """Step the attempts of a worker by its report."""
     worker.reported_at_ms = now_ms
     step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
+    adopt(state, worker, report, now_ms)
     reported = {task.attempt_id for task in report.tasks}
     renew_leases(state, reported, asked_at_ms)
     for task in report.tasks:
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -15,6 +15,7 @@
 from fuchsiarill.core.accounts import Account, Group, GroupKey, Rank
 from fuchsiarill.core.effects import Effect, PersistRecord
 from fuchsiarill.core.estimate import Estimate
+from fuchsiarill.core.recovery import Recovery
 from fuchsiarill.core.reservation import Reservation
 from fuchsiarill.core.worker_index import WorkerIndex
 from fuchsiarill.core.worker_view import WorkerView
@@ -96,6 +97,7 @@
     gangs_retried_at_ms: int = 0
     gang_restarts: dict[JobId, int] = field(default_factory=dict)
     hosts_read: bool = False
+    recovery: Recovery = field(default_factory=Recovery)
     restricted: bool = False
     effects: list[Effect] = field(default_factory=list)
     after_commit: dict[int, Callable[[int], None]] = field(
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -32,6 +32,7 @@
     probes_count: int = 0
     probe_failures_count: int = 0
     probe_after_ms: int = 0
+    incarnation: str = ''
 
     @property
     def worker_id(self) -> WorkerId:
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -93,6 +93,7 @@
         self._attempts: dict[AttemptId, _Task] = {}
         self._held: list[ExchangeAsked] = []
         self._highest_epoch = NO_EPOCH
+        self._restarts_count = 0
 
     @handles(ExchangeAsked)
     async def on_exchange(self, message: ExchangeAsked) -> None:
@@ -123,6 +124,7 @@
         """Start anew; the monotonic clock of a restarted host is another."""
         self.endpoint.refusing = False
         self._clock_offset_ms -= now_ms()
+        self._restarts_count += 1
 
     def pause(self) -> None:
         """Freeze the host."""
@@ -279,6 +281,7 @@
             self._highest_epoch,
             int(self._clock_ms()),
             tuple(_report_of(task) for task in self._attempts.values()),
+            f'{self.name} {self._restarts_count}',
         )
 
     def _clock_ms(self) -> float:
