--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -267,12 +267,13 @@
     def _restrict_if_needed(self) -> None:
         """Restrict the core while no new record can become durable in time."""
         current_ms = now_ms()
-        stalled_ms = 2 * self.settings.store.call_timeout_ms
+        stalled_ms = self.settings.store.call_timeout_ms
         needed = current_ms >= self.deadline_ms
         if self.durability.lag_ms(current_ms) >= stalled_ms:
             needed = True
         if needed and not self.core.state.restricted:
             self.core.restrict(current_ms)
+            self.requests.waiters.answer_early()
         elif self.core.state.restricted and not needed:
             self.core.unrestrict(current_ms)
 
--- a/fuchsiarill/owner/waiters.py
+++ b/fuchsiarill/owner/waiters.py
@@ -18,12 +18,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CommitWaiter:
-    """Told once all records up to `sequence` are durable, or too late."""
+    """Told once all records up to `sequence` are durable, or too late.
+
+    `answered_early` answers, if it can, without the commit.
+    """
 
     sequence: int
     waits_until_ms: int
     committed: Callable[[], None]
     given_up: Callable[[], None]
+    answered_early: Callable[[], bool] = bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +68,12 @@
         while self._commits and self._commits[0].sequence <= sequence:
             self._commits.popleft().committed()
 
+    def answer_early(self) -> None:
+        """Answer all who no longer need a commit."""
+        self._commits = deque(
+            waiter for waiter in self._commits if not waiter.answered_early()
+        )
+
     def give_up_commits(self) -> None:
         """End the wait of all who wait for a commit."""
         while self._commits:
