--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -80,6 +80,7 @@
         self._config: CellConfig | None = None
         self._campaigns: dict[PartitionId, Campaign] = {}
         self._addresses: dict[ProcessId, str] = {}
+        self._loads: dict[ProcessId, int] = {}
 
     def start(self) -> None:
         """Run the actor and look after the others at an interval."""
@@ -106,6 +107,9 @@
                     partition,
                     message.config,
                 )
+                self._campaigns[partition].mailbox.send(
+                    CandidatesKnown(self._loads),
+                )
         self._step(ProcessEvent.CONFIGURED)
 
     @handles(ViewChanged)
@@ -115,15 +119,16 @@
             member.detail.process: member.detail.address
             for member in message.members
         }
-        candidates = CandidatesKnown(
-            {
-                member.detail.process: len(member.detail.partitions)
-                for member in message.members
-                if self._is_candidate(member)
-            },
-        )
+        loads = {
+            member.detail.process: len(member.detail.partitions)
+            for member in message.members
+            if self._is_candidate(member)
+        }
+        if loads == self._loads:
+            return
+        self._loads = loads
         for campaign in self._campaigns.values():
-            campaign.mailbox.send(candidates)
+            campaign.mailbox.send(CandidatesKnown(loads))
 
     @handles(DrainAsked)
     async def on_drain(self, message: DrainAsked) -> None:
