--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -15,7 +15,11 @@
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.core import attempt_actions, job_actions, worker_actions
 from fuchsiarill.core.admission import admit
-from fuchsiarill.core.adoption import advance_recovery, hold_accepted
+from fuchsiarill.core.adoption import (
+    advance_recovery,
+    hold_accepted,
+    may_be_volatile,
+)
 from fuchsiarill.core.deciding import decide
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
@@ -151,8 +155,17 @@
             step_attempt(self.state, attempt, AttemptEvent.WITHDRAWN, now_ms)
 
     def restrict(self, now_ms: int) -> None:
-        """Start only urgent idempotent work from now on."""
+        """Start only urgent idempotent work from now on.
+
+        What may be accepted unrecorded does not wait for its commit.
+        """
         self.state.restricted = True
+        for job in tuple(self.state.jobs.values()):
+            if job.state is not JobState.ACCEPTING:
+                continue
+            if may_be_volatile(self.state, job.spec):
+                job.volatile = True
+                self._accepted(job, now_ms)
 
     def unrestrict(self, now_ms: int) -> None:
         """Start everything again; ownership is confirmed."""
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -58,6 +58,7 @@
         self._answer_when_durable(
             partial(message.reply.answer, answers),
             partial(message.reply.answer, in_doubt),
+            partial(self._answer_early, message, answers),
         )
 
     def ask(self, message: messages.AskJob) -> None:
@@ -166,11 +167,28 @@
         submitted = self._core.submit(spec, now_ms())
         if not isinstance(submitted, Success):
             return refused(submitted.failure())
-        job_id = submitted.unwrap()
-        job = state.jobs[job_id]
+        return self._acceptance(submitted.unwrap())
+
+    def _acceptance(self, job_id: JobId) -> JobAnswer:
+        job = self._core.state.jobs[job_id]
         code = codes.ACCEPTED_VOLATILE if job.volatile else codes.ACCEPTED
         return JobAnswer(code, job_id)
 
+    def _answer_early(
+        self,
+        message: messages.SubmitJobs,
+        answers: tuple[JobAnswer, ...],
+    ) -> bool:
+        """Answer a batch that has become volatile as a whole."""
+        present = tuple(
+            answer if answer.job_id is None else self._acceptance(answer.job_id)
+            for answer in answers
+        )
+        if not all(self._is_durable(answer) for answer in present):
+            return False
+        message.reply.answer(present)
+        return True
+
     def _is_overloaded(self) -> bool:
         return self._durability.is_lagging() or self.waiters.is_full()
 
@@ -195,6 +213,7 @@
         self,
         committed: Callable[[], None],
         given_up: Callable[[], None],
+        answered_early: Callable[[], bool] = bool,
     ) -> None:
         sequence = self._core.state.sequence
         if self._durability.is_committed(sequence):
@@ -206,5 +225,6 @@
                 now_ms() + self._commit_timeout_ms,
                 committed,
                 given_up,
+                answered_early,
             ),
         )
--- a/fuchsiarill/owner/serving.py
+++ b/fuchsiarill/owner/serving.py
@@ -22,7 +22,7 @@
 # All partitions of the deployment commit at most this often a second: 150
 # writes/s are the target, and their renewals and snapshots take the rest.
 _COMMITS_PER_S: Final = 90
-_FINISH_TIMEOUT_MS: Final = 5_000
+_FINISH_TIMEOUT_MS: Final = 4_000
 
 
 @dataclass(frozen=True, slots=True)
