--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -9,7 +9,7 @@
 import json
 import statistics
 
-from tools import slope_measures  # noqa: F401
+from tools import slope_core_measures, slope_measures  # noqa: F401
 from tools.measurement import MEASUREMENTS
 
 
