--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -8,6 +8,7 @@
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.owner import campaign_messages, messages
 from fuchsiarill.owner.claims import HeldLease
+from fuchsiarill.owner.closing import refuse_callers
 from fuchsiarill.owner.journal_reader import JournalRead
 from fuchsiarill.owner.lease_keeper import LeaseKeeper
 from fuchsiarill.owner.owner_watch import OwnerWatch
@@ -92,6 +93,7 @@
         self.journal: JournalRead | None = None
         self.is_finished = True
         self._config: messages.ConfigChanged | None = None
+        self._closing: set[asyncio.Task[None]] = set()
 
     def set_deadline(self, deadline_ms: int) -> None:
         """Pass the deadline on."""
@@ -112,14 +114,38 @@
         if self.serving.tell_owner(self._config):
             self._config = None
 
+    def fault(self) -> str | None:
+        """Return why a helper has ended by itself, if one has."""
+        faults = (
+            helper.fault()
+            for helper in (self.watch, self.keeper, self.serving)
+            if helper is not None
+        )
+        return next(filter(None, faults), None)
+
+    async def end(self) -> None:
+        """Stop all helpers and answer nobody any more."""
+        await self.stop()
+        for closing in tuple(self._closing):
+            closing.cancel()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
     async def stop(self) -> None:
         """Stop all helpers."""
         for helper in (self.watch, self.keeper, self.takeover, self.serving):
             if helper is not None:
                 await helper.stop()
+        if self.serving is not None:
+            self._refuse_callers(self.serving)
         self.watch = None
         self.keeper = None
         self.takeover = None
         self.serving = None
         self.journal = None
         self._config = None
+
+    def _refuse_callers(self, serving: Serving) -> None:
+        refusing = refuse_callers(serving.owner.mailbox, serving.partition)
+        closing = asyncio.create_task(refusing)
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
--- a/fuchsiarill/owner/serving.py
+++ b/fuchsiarill/owner/serving.py
@@ -64,6 +64,7 @@
         core = PartitionCore(partition, epoch, self._config)
         core.restore(older, now_ms())
         self.epoch = epoch
+        self.partition = partition
         self.journal = JournalActor(
             self._ports.store,
             partition,
@@ -111,6 +112,14 @@
         await self.owner.stop()
         await self.journal.stop()
 
+    def fault(self) -> str | None:
+        """Return why an actor has ended by itself, if one has."""
+        faults = (
+            actor.fault()
+            for actor in (self.owner, self.journal, self.host_poll)
+        )
+        return next(filter(None, faults), None)
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {
--- a/fuchsiarill/owner/takeover.py
+++ b/fuchsiarill/owner/takeover.py
@@ -4,6 +4,7 @@
 
 from returns.result import Success
 
+from fuchsiarill import events
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.core.ledger import fold
@@ -53,6 +54,21 @@
         return now_ms() < self._deadline_ms
 
     async def _take_over(self, process: ProcessId, task_lease_ms: int) -> None:
+        try:
+            await self._read_and_open(process, task_lease_ms)
+        except Exception as error:
+            events.emit(
+                events.OWNER_ACTOR_DIED,
+                actor=self.name,
+                error=repr(error),
+            )
+            self._fail(JournalFault.INTERRUPTED)
+
+    async def _read_and_open(
+        self,
+        process: ProcessId,
+        task_lease_ms: int,
+    ) -> None:
         outcome = await read_journal(self._claim)
         if not isinstance(outcome, Success):
             self._fail(outcome.failure())
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -9,6 +9,7 @@
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.answers import JobAnswer, JobWhy, refused
 from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.membership import PartitionsOwned, ViewChanged
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.ids import (
@@ -35,6 +36,8 @@
 
 _PARKED_MAX_COUNT: Final = 256
 _RETRY_AFTER_MS: Final = 500
+# Longer than the deadline of any call but a query that waits.
+_RETIRE_AFTER_MS: Final = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +150,7 @@
         if known is not None and known.found == message:
             return
         if known is not None and known.link is not None:
-            await known.link.stop()
+            self.spawn(self._retire(known.link))
         link = None
         if message.mailbox is None and message.claim is not None:
             link = self._connect(
@@ -270,6 +273,13 @@
             if route is None or not self._pass_on(route, one):
                 answer_all(one.message, _unavailable(partition))
 
+    async def _retire(self, link: Actor) -> None:
+        """Stop a link once the calls in progress have their answers."""
+        try:
+            await sleep_ms(_RETIRE_AFTER_MS)
+        finally:
+            await link.stop()
+
     def _publish_owned(self) -> None:
         if self.membership is None:
             return
