--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -26,6 +26,7 @@
     """Exit status of the command line."""
 
     SUCCESS = 0
+    UNMET = 1
     BAD_REQUEST = 2
     REFUSED = 3
     UNAVAILABLE = 4
@@ -272,6 +273,14 @@
     Retry.AT_ONCE,
     'The process named in the request does not answer this one.',
 )
+WAIT_ENDED: Final = ResultCode(
+    407,
+    'wait_ended',
+    HTTPStatus.OK,
+    ExitStatus.UNAVAILABLE,
+    Retry.AT_ONCE,
+    'The wait of a command ended before what it waited for.',
+)
 JOB_SUCCEEDED: Final = ResultCode(
     501,
     'job_succeeded',
@@ -328,3 +337,27 @@
     Retry.NEVER,
     'Another operator changed the configuration since it was read.',
 )
+TRACES_MET: Final = ResultCode(
+    107,
+    'traces_met',
+    HTTPStatus.OK,
+    ExitStatus.SUCCESS,
+    Retry.AT_ONCE,
+    'Every stated outcome of every trace holds.',
+)
+TRACE_INVALID: Final = ResultCode(
+    603,
+    'trace_invalid',
+    HTTPStatus.UNPROCESSABLE_ENTITY,
+    ExitStatus.BAD_REQUEST,
+    Retry.NEVER,
+    'A trace file has problems; each is named with file, line and field.',
+)
+TRACES_UNMET: Final = ResultCode(
+    604,
+    'traces_unmet',
+    HTTPStatus.OK,
+    ExitStatus.UNMET,
+    Retry.NEVER,
+    'A stated outcome of a trace does not hold.',
+)
--- a/fuchsiarill/commands/config_edit.py
+++ b/fuchsiarill/commands/config_edit.py
@@ -44,9 +44,7 @@
 
 def refused(answer: ServerAnswer) -> CommandAnswer:
     """Return the command's answer for a refusal by the server."""
-    notes = tuple(
-        str(problem['text']) for problem in answer.body.get('problems', ())
-    )
+    notes = tuple(answer.body.get('problems', ()))
     text = answer.body.get('text')
     if text and not notes:
         notes = (str(text),)
@@ -153,7 +151,7 @@
                 generation=generation,
                 processes=', '.join(behind),
             )
-            return CommandAnswer(processes, codes.OUTCOME_UNCERTAIN, (note,))
+            return CommandAnswer(processes, codes.WAIT_ENDED, (note,))
         time.sleep(_POLL_S)
 
 
--- a/fuchsiarill/commands/job_commands.py
+++ b/fuchsiarill/commands/job_commands.py
@@ -117,7 +117,7 @@
                 return CommandAnswer(answer.body, answer.code)
             return refused(answer)
         if left_ms <= 0:
-            return CommandAnswer(answer.body, codes.OUTCOME_UNCERTAIN)
+            return CommandAnswer(answer.body, codes.WAIT_ENDED)
 
 
 @command(
@@ -145,7 +145,7 @@
     answer = client.ask('GET', _path(f'/v1/jobs/{options.job}/why', options))
     if not answer.succeeded:
         return refused(answer)
-    return CommandAnswer(answer.body)
+    return CommandAnswer(answer.body['why'])
 
 
 def _read(name: str) -> str:
