--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -16,6 +16,7 @@
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
+from fuchsiarill.cluster.member_table import Member
 from fuchsiarill.cluster.membership import (
     LeaveCluster,
     StateChanged,
@@ -97,9 +98,7 @@
         """Campaign for new partitions and pass the configuration on."""
         self._config = message.config
         for campaign in self._campaigns.values():
-            # Until the owner part is merged, a campaign ignores changes.
-            if ConfigChanged in campaign.handlers:
-                campaign.mailbox.send(message)
+            campaign.mailbox.send(message)
         if self.state in _LEAVING_STATES:
             return
         for partition in partitions_of(message.config, self._settings.region):
@@ -123,8 +122,7 @@
         loads = {
             member.detail.process: len(member.detail.partitions)
             for member in message.members
-            if member.reachable
-            and member.detail.region == self._settings.region
+            if self._is_candidate(member)
         }
         if loads == self._loads:
             return
@@ -180,6 +178,13 @@
         fronts = () if self.front is None else (self.front,)
         return (*self._parts.actors, *fronts, *self._campaigns.values())
 
+    def _is_candidate(self, member: Member) -> bool:
+        """Say whether a process may come to own partitions of the region."""
+        detail = member.detail
+        in_region = detail.region == self._settings.region
+        serving = detail.state is ProcessState.SERVING
+        return in_region and serving and member.reachable
+
     def _dump(self) -> str:
         state = {
             'process': self._settings.process,
--- a/fuchsiarill/process_measures.py
+++ b/fuchsiarill/process_measures.py
@@ -8,7 +8,7 @@
 from fuchsiarill.process_messages import Measures
 from fuchsiarill.workers import HostEntry
 
-_QUEUED_FIELD: Final = 'queued_count'
+_QUEUED_FIELD: Final = 'waiting'
 
 
 def measures_of(dumped: Iterable[dict[str, Any]]) -> Measures:
