--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -161,6 +161,12 @@
     'the ownership of partition {partition} is confirmed again',
     _NO_ACTION,
 )
+OWNER_ACTOR_DIED: Final = LogEvent(
+    306,
+    Level.ERROR,
+    '{actor}: an actor has ended by itself: {error}',
+    'Report the line as a defect; the partition is given up and taken anew.',
+)
 WORKER_UNREACHABLE: Final = LogEvent(
     401,
     Level.WARNING,
