--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -3,12 +3,15 @@
 from typing import Final
 
 from fuchsiarill.core.adoption import adopt
+from fuchsiarill.core.holding import resize
 from fuchsiarill.core.learning import note_usage
 from fuchsiarill.core.leases import renew_leases
+from fuchsiarill.core.sizes import larger
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt, step_worker
 from fuchsiarill.core.worker_actions import move_services
 from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.job import Attempt
 from fuchsiarill.states import (
     AttemptEvent,
     AttemptState,
@@ -44,6 +47,22 @@
         move_services(state, worker, now_ms)
 
 
+def _take_over_size(
+    state: CoreState,
+    attempt: Attempt,
+    task: TaskReport,
+    now_ms: int,
+) -> None:
+    """Reserve what a start of an older owner reserved.
+
+    The journal has the declared size only, which may be far too small.
+    """
+    if attempt.usage_reports_count or task.reserved.fits_in(attempt.reserved):
+        return
+    needed = larger(task.reserved, attempt.reserved)
+    resize(state, attempt, needed, now_ms)
+
+
 def _task_reported(state: CoreState, task: TaskReport, now_ms: int) -> None:
     attempt = state.attempts.get(task.attempt_id)
     if attempt is None:
@@ -51,6 +70,7 @@
     if task.outcome is TaskOutcome.RUNNING:
         # Most of what workers report is known already.
         if attempt.state is not AttemptState.RUNNING:
+            _take_over_size(state, attempt, task, now_ms)
             step_attempt(state, attempt, AttemptEvent.CONFIRMED, now_ms, task)
         note_usage(state, attempt, task, now_ms)
         return
