Cut waits short in a drain and measure decisions

A caller that waited for the end of a job could be cut off when the drain ran out of time, or be told that its owner is gone. Waits are now released after half of the time for answers and answered with the state of the moment. The times of decisions are counted by the owner and shown by /metrics as a histogram.

--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import threading
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from concurrent.futures import CancelledError
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -30,6 +30,10 @@
     build: Callable[[Reply[Any]], object]
 
 
+class ReleasedError(Exception):
+    """The process drains and does not wait for the event."""
+
+
 class NotSentError(Exception):
     """The process has no room for the request; nothing was carried out."""
 
@@ -49,6 +53,7 @@
         self._waits_max = waits_max
         self._in_progress = 0
         self._waits = 0
+        self._released = asyncio.Event()
         self._counts = threading.Lock()
 
     @property
@@ -56,6 +61,10 @@
         """Return the number of requests in progress."""
         return self._in_progress
 
+    def release(self) -> None:
+        """End all waits for events; called in the loop."""
+        self._released.set()
+
     @property
     def load_permille(self) -> int:
         """Return the requests in progress in thousandths of their limit."""
@@ -100,21 +109,44 @@
             raise answer
         return answer  # type: ignore[no-any-return]
 
-    def ask_all(self, asks: Sequence[Ask], timeout_ms: int) -> list[Any]:
+    def ask_all(
+        self,
+        asks: Sequence[Ask],
+        timeout_ms: int,
+        waits: bool = False,
+    ) -> list[Any]:
         """Post several messages at once; return an answer for each.
 
-        In place of an answer there may be a `NotSentError` or `TimeoutError`.
+        In place of an answer there may be a `NotSentError` or `TimeoutError`,
+        and a `ReleasedError` for one that `waits` for an event.
         """
-        asked = asyncio.run_coroutine_threadsafe(
-            _gather(asks, timeout_ms),
-            self.loop,
-        )
+        gathered = _gather(asks, timeout_ms)
+        if waits:
+            gathered = self._until_released(gathered, len(asks))
+        asked = asyncio.run_coroutine_threadsafe(gathered, self.loop)
         try:
             # The loop keeps the deadline; twice of it means that it is gone.
             return asked.result(2 * timeout_ms / MS_PER_SECOND)
         except (TimeoutError, CancelledError):
             return [TimeoutError() for _ in asks]
 
+    async def _until_released(
+        self,
+        gathered: Coroutine[Any, Any, list[Any]],
+        count: int,
+    ) -> list[Any]:
+        answering = asyncio.ensure_future(gathered)
+        released = asyncio.ensure_future(self._released.wait())
+        await asyncio.wait(
+            (answering, released),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        released.cancel()
+        if answering.done():
+            return answering.result()
+        answering.cancel()
+        return [ReleasedError() for _ in range(count)]
+
 
 async def _gather(asks: Sequence[Ask], timeout_ms: int) -> list[Any]:
     return await asyncio.gather(
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -18,6 +18,7 @@
     JobWhy,
     refused,
 )
+from fuchsiarill.front.bridge import ReleasedError
 from fuchsiarill.front.replies import (
     RETRY_AFTER_MS,
     HttpReply,
@@ -46,6 +47,7 @@
 _WAIT_MAX_MS: Final = 30_000
 _LIST_DEFAULT_COUNT: Final = 100
 _LIST_MAX_COUNT: Final = 1_000
+_ASK_AGAIN: Final = (codes.OWNER_UNAVAILABLE, codes.OUTCOME_UNCERTAIN)
 _JOB: Final = '/v1/jobs/([^/]+)'
 
 
@@ -84,16 +86,18 @@
 
 @route('GET', _JOB, Access.CALLER, 'customer', 'wait_ms')
 def query_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return the state of a job; `wait_ms=N` waits for its end."""
+    """Return the state of a job; `wait_ms=N` waits for its end.
+
+    Where the wait is cut short, by too many others, by a drain of this
+    process or by a change of the owner, the answer is that of the moment.
+    """
     wait_ms = request.count('wait_ms', 0, _WAIT_MAX_MS)
-    if not wait_ms:
-        return reply_of(_query(front, request, 0))
-    with front.bridge.waiting() as admitted:
-        if admitted:
-            return reply_of(_query(front, request, wait_ms))
+    answer = _wait_for_end(front, request, wait_ms) if wait_ms else None
+    if answer is not None and answer.code not in _ASK_AGAIN:
+        return reply_of(answer)
     answer = _query(front, request, 0)
     body = answer_object(answer)
-    if answer.code is codes.NOT_FINISHED:
+    if wait_ms and answer.code is codes.NOT_FINISHED:
         body['retry_after_ms'] = RETRY_AFTER_MS
     return HttpReply(answer.code.http_status, body)
 
@@ -184,6 +188,21 @@
     return answer
 
 
+def _wait_for_end(
+    front: 'HttpFront',
+    request: HttpRequest,
+    wait_ms: int,
+) -> JobAnswer | None:
+    """Return the answer to a query that waits, if one came."""
+    with front.bridge.waiting() as admitted:
+        if not admitted:
+            return None
+        try:
+            return _query(front, request, wait_ms)
+        except ReleasedError:
+            return None
+
+
 def _ask_about(
     front: 'HttpFront',
     request: HttpRequest,
--- a/fuchsiarill/front/front_actor.py
+++ b/fuchsiarill/front/front_actor.py
@@ -18,6 +18,7 @@
 class StopFront:
     """Finish answers in progress and close the listener.
 
+    Callers that wait for the end of a job may do so for half of the time.
     The reply tells whether all requests were answered within `within_ms`.
     """
 
@@ -59,10 +60,11 @@
     @handles(StopFront)
     async def on_stop(self, message: StopFront) -> None:
         """Wait for the answers in progress, then close."""
-        ends_at_ms = now_ms() + message.within_ms
-        while self._front.bridge.in_progress and now_ms() < ends_at_ms:
-            await sleep_ms(_CHECK_INTERVAL_MS)
-        finished = not self._front.bridge.in_progress
+        bridge = self._front.bridge
+        await self._wait_idle(message.within_ms // 2)
+        bridge.release()
+        await self._wait_idle(message.within_ms // 2)
+        finished = not bridge.in_progress
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self._front.stop)
         message.reply.answer(finished)
@@ -74,3 +76,8 @@
             'state': self._front.view.state.value,
             'in_progress_count': self._front.bridge.in_progress,
         }
+
+    async def _wait_idle(self, within_ms: int) -> None:
+        ends_at_ms = now_ms() + within_ms
+        while self._front.bridge.in_progress and now_ms() < ends_at_ms:
+            await sleep_ms(_CHECK_INTERVAL_MS)
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -20,7 +20,12 @@
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.front import caller_routes, health_routes, operator_routes
 from fuchsiarill.front.authentication import OPERATOR, Identity, identify
-from fuchsiarill.front.bridge import Ask, Bridge, NotSentError
+from fuchsiarill.front.bridge import (
+    Ask,
+    Bridge,
+    NotSentError,
+    ReleasedError,
+)
 from fuchsiarill.front.metrics import Metrics
 from fuchsiarill.front.replies import (
     RETRY_AFTER_MS,
@@ -133,14 +138,21 @@
         asks: Sequence[tuple[PartitionId, _BuildMessage]],
         wait_ms: int = 0,
     ) -> list[Any]:
-        """Ask the owners of partitions; each answer may be a refusal."""
+        """Ask the owners of partitions; each answer may be a refusal.
+
+        `wait_ms` is how long the messages may wait for an event; raises
+        `ReleasedError` when the process drains meanwhile.
+        """
         answers = self.bridge.ask_all(
             [
                 Ask(self.receivers.router, _routed(partition, build))
                 for partition, build in asks
             ],
             self.settings.request_timeout_ms + wait_ms,
+            waits=bool(wait_ms),
         )
+        if any(isinstance(answer, ReleasedError) for answer in answers):
+            raise ReleasedError
         return [
             _as_refusal(answer, partition)
             for answer, (partition, _) in zip(answers, asks, strict=True)
--- a/fuchsiarill/front/metrics.py
+++ b/fuchsiarill/front/metrics.py
@@ -4,7 +4,9 @@
 beyond a cap are counted together.
 """
 
+from collections.abc import Iterator
 from contextlib import AbstractContextManager
+from itertools import accumulate
 from typing import Any, Final, TypeVar
 
 from prometheus_client import (
@@ -14,10 +16,13 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.metrics_core import HistogramMetricFamily
 from returns.result import Failure, Result
 
+from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.codes import ResultCode
 from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
+from fuchsiarill.owner.decision_times import BOUNDS_MS
 from fuchsiarill.ports.store import (
     StoreFailure,
     StorePort,
@@ -82,6 +87,8 @@
             ('customer',),
             registry=self._registry,
         )
+        self._decisions = _DecisionTimes()
+        self._registry.register(self._decisions)
 
     def count_submission(self, code: ResultCode) -> None:
         """Count the answer to one submitted job."""
@@ -101,6 +108,7 @@
         """Return all metrics in the text format."""
         self._generation.set(measures.generation)
         self._owned.set(measures.owned_partitions_count)
+        self._decisions.measures = measures
         self._mailboxes.clear()
         for actor, count in measures.mailbox_counts.items():
             self._mailboxes.labels(actor).set(count)
@@ -170,6 +178,24 @@
         return answer
 
 
+class _DecisionTimes:
+    """Collector of the decision times that the owners have counted."""
+
+    def __init__(self) -> None:
+        self.measures = Measures()
+
+    def collect(self) -> Iterator[HistogramMetricFamily]:
+        """Yield the one metric of this collector."""
+        bounds = [str(bound / MS_PER_SECOND) for bound in BOUNDS_MS]
+        totals = accumulate(self.measures.decision_counts)
+        yield HistogramMetricFamily(
+            'fuchsiarill_decision_seconds',
+            'Time of decisions in the partitions owned here.',
+            buckets=list(zip((*bounds, '+Inf'), totals, strict=False)),
+            sum_value=self.measures.decisions_ms / MS_PER_SECOND,
+        )
+
+
 def _capped(counts: dict[str, int]) -> dict[str, int]:
     """Keep the customers with the longest queues; sum up the rest."""
     ordered = sorted(counts.items(), key=lambda named: -named[1])
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -17,6 +17,7 @@
 from fuchsiarill.ids import AttemptId
 from fuchsiarill.job import Execution, Urgency
 from fuchsiarill.owner import messages
+from fuchsiarill.owner.decision_times import DecisionTimes
 from fuchsiarill.owner.durability import Durability
 from fuchsiarill.owner.fleet import Fleet, FleetPorts, hosts_of_partition
 from fuchsiarill.owner.job_requests import JobRequests
@@ -67,6 +68,7 @@
                 settings.workers.silent_after_ms,
             ),
         )
+        self.decision_times = DecisionTimes()
         self.deadline_ms = 0
         self.finishing: Reply[bool] | None = None
         self._granted_lease_ms = policies.task_lease_ms
@@ -93,6 +95,7 @@
             'restricted': self.core.state.restricted,
             'waiting_for_commit_count': self.requests.waiters.commits_count,
             'waiting_for_end_count': self.requests.waiters.ends_count,
+            'decision_times': self.decision_times.snapshot(),
             'durability': self.durability.snapshot(),
             'core': self.core.snapshot(),
             'links': self.fleet.snapshot(),
@@ -246,7 +249,9 @@
         """Decide, and carry out all effects in their order."""
         self._undecided_count = 0
         if self._deposed is None and self.finishing is None:
-            if self.core.decide(now_ms()):
+            with self.decision_times.measured():
+                decides_more = self.core.decide(now_ms())
+            if decides_more:
                 self.mailbox.send(messages.DecideMore())
         records: list[PersistRecord] = []
         for effect in self.core.take_effects():
--- a/fuchsiarill/process_measures.py
+++ b/fuchsiarill/process_measures.py
@@ -1,37 +1,44 @@
 """What metrics and operators read from dumped state."""
 
-from collections import Counter
 from collections.abc import Iterable, Sequence
-from typing import Any, Final
+from itertools import zip_longest
+from typing import Any
 
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.process_messages import Measures
 from fuchsiarill.workers import HostEntry
 
-_QUEUED_FIELD: Final = 'waiting'
-
 
 def measures_of(dumped: Iterable[dict[str, Any]]) -> Measures:
     """Return the measures in the snapshots of all actors.
 
     Actors of one kind, whose names share their first word, count together.
     """
-    generation = 0
-    owned_count = 0
-    mailboxes: Counter[str] = Counter()
-    queued: Counter[str] = Counter()
+    measures = Measures()
     for state in dumped:
         kind = state['actor'].split()[0]
-        mailboxes[kind] += state['mailbox_count']
-        generation = max(generation, state.get('generation', 0))
+        measures.mailbox_counts[kind] += state['mailbox_count']
+        generation = state.get('generation', 0)
+        measures.generation = max(measures.generation, generation)
         owner = state.get('owner')
-        if owner is None:
-            continue
-        owned_count += 1
-        mailboxes['owner'] += owner['mailbox_count']
-        for account in owner.get('core', {}).get('accounts', ()):
-            queued[account['customer']] += account.get(_QUEUED_FIELD, 0)
-    return Measures(generation, owned_count, dict(mailboxes), dict(queued))
+        if owner is not None:
+            _add_owner(measures, owner)
+    return measures
+
+
+def _add_owner(measures: Measures, owner: dict[str, Any]) -> None:
+    measures.owned_partitions_count += 1
+    measures.mailbox_counts['owner'] += owner['mailbox_count']
+    for account in owner['core']['accounts']:
+        measures.queued_counts[account['customer']] += account['waiting']
+    times = owner['decision_times']
+    measures.decisions_ms += times['sum_ms']
+    measures.decision_counts = tuple(
+        map(
+            sum,
+            zip_longest(measures.decision_counts, times['counts'], fillvalue=0),
+        ),
+    )
 
 
 def host_rows(
--- a/fuchsiarill/process_messages.py
+++ b/fuchsiarill/process_messages.py
@@ -1,6 +1,7 @@
 """Messages to the actor that runs the life of a process."""
 
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 from typing import Any
 
 from returns.result import Result
@@ -47,14 +48,20 @@
     reply: Reply[list[dict[str, Any]] | None]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Measures:
-    """What a scrape of the metrics reads from the actors."""
-
-    generation: int
-    owned_partitions_count: int
-    mailbox_counts: dict[str, int]
-    queued_counts: dict[str, int]
+    """What a scrape of the metrics reads from the actors.
+
+    `decision_counts` has one count for each bound of the decision times and
+    one without bound.
+    """
+
+    generation: int = 0
+    owned_partitions_count: int = 0
+    mailbox_counts: Counter[str] = field(default_factory=Counter)
+    queued_counts: Counter[str] = field(default_factory=Counter)
+    decision_counts: tuple[int, ...] = ()
+    decisions_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import threading
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -132,8 +133,9 @@
 
     @handles(AskMeasures)
     async def on_measures(self, message: AskMeasures) -> None:
-        queued = {f'team-{number}': number for number in range(150)}
-        message.reply.answer(Measures(1, 2, {'router': 3}, queued))
+        queued = Counter({f'team-{one}': one for one in range(150)})
+        measures = Measures(1, 2, Counter(router=3), queued, (1, 2), 3)
+        message.reply.answer(measures)
 
 
 @dataclass
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -199,6 +199,19 @@
         assert ended == {codes.NOT_FINISHED.number}
 
 
+def test_drain_answers_waiting_callers() -> None:
+    """Guards against a wait that a shutdown cuts off."""
+    path = '/v1/jobs/rajkot.0-7?wait_ms=30000'
+    with served() as front, ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(front.ask, 'GET', path)
+        while not front.actors.waiting:
+            assert front.ask('GET', '/healthz')[0] == 200
+        bridge = front.front.bridge
+        bridge.loop.call_soon_threadsafe(bridge.release)
+        status, answer = waiting.result()
+        assert (status, answer['code']) == (200, codes.NOT_FINISHED.number)
+
+
 def test_overload_and_missing_configuration() -> None:
     """Guards against work that is begun when it can only get late."""
     with served(requests_max_count=1) as front:
@@ -230,4 +243,5 @@
     connection.close()
     assert text.count('fuchsiarill_queued_jobs{') == 101
     assert 'fuchsiarill_config_generation 1.0' in text
+    assert 'fuchsiarill_decision_seconds_bucket{le="0.0005"} 3.0' in text
     assert 'token' not in text
