--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -13,6 +13,7 @@
 
 from returns.result import Failure, Success
 
+from fuchsiarill import codes
 from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
@@ -63,6 +64,7 @@
         self._processes = processes
         self._chance = chance
         self._endpoint = Endpoint('caller', CLIENT_DOMAIN)
+        self._volatile: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def submit(self, spec: JobSpec, manner: Manner) -> None:
@@ -90,12 +92,15 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _follow(self, spec: JobSpec, manner: Manner) -> None:
-        job_id = await self._accepted(spec, manner)
-        if job_id is None:
-            return
-        self.job_ids[spec.idempotency_key] = job_id
-        if manner.waits:
-            await self._collect(spec, job_id, manner)
+        while True:
+            job_id = await self._accepted(spec, manner)
+            if job_id is None:
+                return
+            self.job_ids[spec.idempotency_key] = job_id
+            if not manner.waits:
+                return
+            if await self._collect(spec, job_id, manner):
+                return
 
     async def _accepted(
         self,
@@ -114,6 +119,8 @@
             answers = await self._ask(spec, 'submit', build, manner)
             answer = None if answers is None else answers[0]
             if answer is not None and answer.refusal is None:
+                if answer.code is codes.ACCEPTED_VOLATILE:
+                    self._volatile.add(spec.idempotency_key)
                 accepted: JobId | None = answer.job_id
                 return accepted
             delay_ms = _retry_delay_ms(answer)
@@ -126,7 +133,11 @@
         spec: JobSpec,
         job_id: JobId,
         manner: Manner,
-    ) -> None:
+    ) -> bool:
+        """Wait for the result; `False` when the job has to be submitted again.
+
+        That is so for a job that was accepted as volatile and is forgotten.
+        """
         query = JobQuery(spec.customer, job_id, _RESULT_WAIT_MS)
         build = partial(_ask_route, query)
         while True:
@@ -146,7 +157,10 @@
                     code=answer.code.name,
                     outputs=list(answer.outputs),
                 )
-                return
+                return True
+            if answer is not None and answer.code is codes.UNKNOWN_JOB:
+                if spec.idempotency_key in self._volatile:
+                    return False
             if answer is None or answer.refusal is not None:
                 await sleep_ms(_RETRY_MS)
 
--- a/fuchsiarill/replay/faults_hosts.py
+++ b/fuchsiarill/replay/faults_hosts.py
@@ -1,7 +1,7 @@
 """Kinds of faults of processes and of workers."""
 
 from functools import partial
-from typing import Annotated, Any, Final
+from typing import Annotated, Any, Final, Literal
 
 from pydantic import Field
 
@@ -13,6 +13,7 @@
     undo_all,
     undo_switch,
 )
+from fuchsiarill.replay.network import CLIENT_DOMAIN, SERVICE_DOMAIN
 from fuchsiarill.replay.process import LifeEvent, ReplayedProcess
 from fuchsiarill.replay.world import World
 
@@ -20,6 +21,7 @@
 
 # Long enough that a tick and the starts it causes leave before the pause.
 _GATE_MS: Final = 150
+_NO_WORKERS: Final = frozenset((SERVICE_DOMAIN, CLIENT_DOMAIN))
 
 
 @FAULT_KINDS.register('kill')
@@ -42,15 +44,20 @@
 
     In the last `gate_ms` before, the process still runs but what it sends is
     held, as if it was stopped between a check and the send that follows; it
-    is delivered when the process resumes.
+    is delivered when the process resumes. Calls to the store and answers to
+    callers pass unless `held` is `all`, or nothing would be left to send.
     """
 
     process: str
     gate_ms: Annotated[int, Field(ge=0)] = _GATE_MS
+    held: Literal['workers', 'all'] = 'workers'
 
     def begin(self, world: World) -> Undo:
         """Close the gate, then freeze."""
         processes = world.find_processes(self.process)
+        exempt = _NO_WORKERS if self.held == 'workers' else frozenset[str]()
+        for process in processes:
+            process.endpoint.gate_exempt = exempt
         _step_all(processes, LifeEvent.GATE_CLOSED)
         world.loop.call_later(
             self.gate_ms / MS_PER_SECOND,
--- a/fuchsiarill/replay/network.py
+++ b/fuchsiarill/replay/network.py
@@ -33,14 +33,20 @@
 class Endpoint:
     """One end of calls.
 
-    `gate` collects what leaves while it is closed, `None` means open. A
-    `refusing` endpoint answers a dial with a reset.
+    `gate` collects what leaves while it is closed, `None` means open; calls
+    to the domains in `gate_exempt` pass. A `refusing` endpoint answers a dial
+    with a reset.
     """
 
     name: str
     domain: str
     refusing: bool = False
     gate: list['Call'] | None = None
+    gate_exempt: frozenset[str] = frozenset()
+
+    def holds(self, other: 'Endpoint') -> bool:
+        """Tell whether the gate holds what goes to `other`."""
+        return self.gate is not None and other.domain not in self.gate_exempt
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,7 +177,7 @@
 
     def send_back(self, call: Call, outcome: Any) -> None:
         """Carry an answer back to the source."""
-        if call.target.gate is not None:
+        if call.target.gate is not None and call.target.holds(call.source):
             # The answer leaves when the process runs on; a dead one is reset.
             call.target.gate.append(_held_answer(call, outcome))
             return
@@ -220,7 +226,7 @@
                 call.is_swallowed = True
 
     def _leave(self, call: Call) -> None:
-        if call.source.gate is not None:
+        if call.source.gate is not None and call.source.holds(call.target):
             call.source.gate.append(call)
             return
         delay_ms = self._latency_ms(call.source, call.target)
