--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -13,11 +13,10 @@
 
 from returns.result import Failure, Success
 
-from fuchsiarill import codes
 from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.codes import Retry
+from fuchsiarill.codes import ACCEPTED_VOLATILE, UNKNOWN_JOB, Retry
 from fuchsiarill.ids import JobId, PartitionId
 from fuchsiarill.job import JobSpec
 from fuchsiarill.owner import messages
@@ -119,15 +118,17 @@
             answers = await self._ask(spec, 'submit', build, manner)
             answer = None if answers is None else answers[0]
             if answer is not None and answer.refusal is None:
-                if answer.code is codes.ACCEPTED_VOLATILE:
-                    self._volatile.add(spec.idempotency_key)
-                accepted: JobId | None = answer.job_id
-                return accepted
+                return self._note_accepted(spec, answer)
             delay_ms = _retry_delay_ms(answer)
             if delay_ms is None or not manner.retries:
                 return None
             await sleep_ms(delay_ms)
 
+    def _note_accepted(self, spec: JobSpec, answer: JobAnswer) -> JobId | None:
+        if answer.code is ACCEPTED_VOLATILE:
+            self._volatile.add(spec.idempotency_key)
+        return answer.job_id
+
     async def _collect(
         self,
         spec: JobSpec,
@@ -148,22 +149,31 @@
                 manner,
                 _RESULT_WAIT_MS,
             )
-            if answer is not None and answer.state in FINAL_STATES:
-                self._log.note(
-                    SeenKind.JOB_ENDED,
-                    spec.customer,
-                    key=spec.idempotency_key,
-                    state=answer.state.value,
-                    code=answer.code.name,
-                    outputs=list(answer.outputs),
-                )
+            if answer is None:
+                await sleep_ms(_RETRY_MS)
+                continue
+            if answer.state in FINAL_STATES:
+                self._note_end(spec, answer)
                 return True
-            if answer is not None and answer.code is codes.UNKNOWN_JOB:
-                if spec.idempotency_key in self._volatile:
-                    return False
-            if answer is None or answer.refusal is not None:
+            if self._is_forgotten(spec, answer):
+                return False
+            if answer.refusal is not None:
                 await sleep_ms(_RETRY_MS)
 
+    def _is_forgotten(self, spec: JobSpec, answer: JobAnswer) -> bool:
+        is_volatile = spec.idempotency_key in self._volatile
+        return is_volatile and answer.code is UNKNOWN_JOB
+
+    def _note_end(self, spec: JobSpec, answer: JobAnswer) -> None:
+        self._log.note(
+            SeenKind.JOB_ENDED,
+            spec.customer,
+            key=spec.idempotency_key,
+            state='' if answer.state is None else answer.state.value,
+            code=answer.code.name,
+            outputs=list(answer.outputs),
+        )
+
     async def _cancel(self, spec: JobSpec, manner: Manner) -> None:
         key = spec.idempotency_key
         job_id = self.job_ids.get(key)
