--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -274,7 +274,7 @@
     'The process named in the request does not answer this one.',
 )
 WAIT_ENDED: Final = ResultCode(
-    407,
+    409,
     'wait_ended',
     HTTPStatus.OK,
     ExitStatus.UNAVAILABLE,
