--- a/tools/demo_table.py
+++ b/tools/demo_table.py
@@ -50,8 +50,11 @@
     return f'{urgency} jobs waited {middle} ms (median), {waits[-1]} ms (most)'
 
 
-def takeover_row(runs: dict[TaskId, list[Run]], killed_at_ms: int) -> str:
-    """Return how long nothing was placed after the owner was killed."""
+def takeover_ms(
+    runs: dict[TaskId, list[Run]],
+    killed_at_ms: int,
+) -> int | None:
+    """Return the time from the kill to the first start of a next owner."""
     all_runs = [run for of_task in runs.values() for run in of_task]
     last_epoch = max(
         (run.epoch for run in all_runs if run.started_at_ms <= killed_at_ms),
@@ -61,9 +64,14 @@
         (run.started_at_ms for run in all_runs if run.epoch > last_epoch),
         default=None,
     )
-    if placed_at_ms is None:
+    return None if placed_at_ms is None else placed_at_ms - killed_at_ms
+
+
+def takeover_row(runs: dict[TaskId, list[Run]], killed_at_ms: int) -> str:
+    """Return how long nothing was placed after the owner was killed."""
+    pause_ms = takeover_ms(runs, killed_at_ms)
+    if pause_ms is None:
         return 'nothing was placed after the owner was killed'
-    pause_ms = placed_at_ms - killed_at_ms
     return f'the next owner placed a task {pause_ms} ms after the kill'
 
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -84,6 +84,14 @@
         """Return the ids of all processes."""
         return [process.pid for process in self._running.values()]
 
+    def id_of(self, name: str) -> int:
+        """Return the id of one process."""
+        return self._running[name].pid
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process was started and not ended here."""
+        return name in self._running
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self._running[name].send_signal(number)
