--- a/fuchsiarill/owner/fleet.py
+++ b/fuchsiarill/owner/fleet.py
@@ -39,7 +39,9 @@
     ) -> None:
         """Link to new workers; a worker at a new address gets a new link."""
         self._unlisted.update(self.links)
-        for entry in entries:
+        listed = tuple(entries)
+        self._terms = replace(self._terms, workers_count=len(listed))
+        for entry in listed:
             self._unlisted.discard(entry.worker_id)
             link = self.links.get(entry.worker_id)
             if link is not None and link.entry.address == entry.address:
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -4,21 +4,20 @@
 reports arrive in the order of the exchanges.
 """
 
-import asyncio
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any, Final
+from typing import Any
 
 from returns.result import Failure, Success
 
 from fuchsiarill.actor import Actor, Mailbox, handles
-from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.clock import now_ms
 from fuchsiarill.core.ledger import lapse_bound_ms
 from fuchsiarill.ids import AttemptId, Epoch
 from fuchsiarill.owner import messages
+from fuchsiarill.owner.exchange_rhythm import ExchangeRhythm
 from fuchsiarill.owner.expectations import Expectations, SentStart
-from fuchsiarill.owner.spread import spread
 from fuchsiarill.ports.workers import ExchangeFailure, WorkerPort
 from fuchsiarill.workers import (
     CommandKind,
@@ -29,23 +28,21 @@
     WorkerReport,
 )
 
-# Spreads the exchanges of many workers that were listed at the same time.
-_JITTER: Final = 0.1
-_FULL_MAILBOX_RETRY_MS: Final = 50
-
 
 @dataclass(frozen=True, slots=True)
 class LinkTerms:
     """What a link is bound by.
 
     `restored` has the unresolved starts of older owners on the worker, with
-    the incarnation that it had then.
+    the incarnation that it had then. `workers_count` is the number of links
+    that share the owner's calls.
     """
 
     epoch: Epoch
     task_lease_ms: int
     exchange_interval_ms: int
     silent_after_ms: int
+    workers_count: int = 1
     restored: Mapping[AttemptId, str] = field(default_factory=dict)
 
 
@@ -65,7 +62,12 @@
         self._terms = terms
         self._port = port
         self._owner = owner
-        self._rhythm = _Rhythm(self, terms.exchange_interval_ms)
+        self._rhythm = ExchangeRhythm(
+            self.entry.worker_id,
+            terms.exchange_interval_ms,
+            terms.workers_count,
+            self._send_tick,
+        )
         self._starts: list[messages.SendStart] = []
         self._commands: dict[tuple[AttemptId, CommandKind], None] = {}
         self._acknowledged: set[AttemptId] = set()
@@ -129,6 +131,7 @@
             case Success(report) if report.highest_epoch > self._terms.epoch:
                 self._tell(messages.Deposed('a worker knows a newer owner'))
             case Success(report):
+                self._rhythm.note(request, report)
                 self._answered(request, report, asked_at_ms)
             case Failure(failure):
                 self._failed(request, failure, asked_at_ms)
@@ -138,6 +141,9 @@
         else:
             self._rhythm.later()
 
+    def _send_tick(self) -> bool:
+        return self.mailbox.send(messages.Tick())
+
     def _request(self, asked_at_ms: int) -> Exchange:
         # A silent worker gets no renewal, so that its leases have an end.
         renewals: tuple[AttemptId, ...] = ()
@@ -283,46 +289,3 @@
             return False
         self.is_silent = True
         return True
-
-
-class _Rhythm:
-    """Sends the ticks of a link: at once when asked, else at an interval."""
-
-    def __init__(self, link: WorkerLink, interval_ms: int) -> None:
-        self.interval_ms = interval_ms
-        self._link = link
-        self._is_asked = False
-        self._ticks_count = 0
-        self._timer: asyncio.TimerHandle | None = None
-
-    def began(self) -> None:
-        """Note that the tick is being handled."""
-        self._is_asked = False
-        self._ticks_count += 1
-
-    def soon(self) -> None:
-        """Exchange once the messages before are handled."""
-        if self._is_asked:
-            return
-        self.cancel()
-        self._is_asked = self._link.mailbox.send(messages.Tick())
-        if not self._is_asked:
-            self._call_later(_FULL_MAILBOX_RETRY_MS)
-
-    def later(self) -> None:
-        """Exchange after the interval, spread by the id of the worker."""
-        if self._is_asked:
-            return
-        seed = f'{self._link.entry.worker_id} {self._ticks_count}'
-        factor = 1 + _JITTER * (2 * spread(seed) - 1)
-        self._call_later(self.interval_ms * factor)
-
-    def cancel(self) -> None:
-        """Forget the next tick."""
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _call_later(self, delay_ms: float) -> None:
-        self.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_ms / MS_PER_SECOND, self.soon)
--- a/tools/bench_cell.py
+++ b/tools/bench_cell.py
@@ -5,6 +5,7 @@
 takeover are read from the workers' logs, calls from the store's own count.
 """
 
+import json
 import os
 import tempfile
 import threading
@@ -187,11 +188,13 @@
 
 
 def _job(key: str) -> dict[str, Any]:
+    size = {'processors_milli': 200, 'memory_mb': 200}
     return {
         'idempotency_key': key,
         'job_class': 'bench',
-        'task_size': {'processors_milli': 200, 'memory_mb': 200},
+        'task_size': size,
         'run_time_ms': _TASK_RUN_TIME_MS,
+        'payload': json.dumps({'class': 'bench', 'declared': size}),
     }
 
 
