Offer released room without moving the group between queues

Cause: a group that was offered room became ready, was placed and was blocked again, which ranked its customer three times; every sample of a settled class computed its estimate anew.

Change: the group stays where it waits while its task is placed; estimates of classes with many samples follow every fourth sample.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -13,7 +13,7 @@
 from fuchsiarill.cell_config import Contract
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.ids import AttemptId, CustomerId, JobClass, JobId
-from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
+from fuchsiarill.job import Execution, JobRecord, JobSpec, Urgency, Workload
 from fuchsiarill.resources import NOTHING, Resources
 
 GroupKey = tuple[
@@ -56,7 +56,8 @@
 class Group:
     """Waiting jobs of one customer that need the same, oldest first.
 
-    `first_order` is the acceptance number of the oldest.
+    `first_order` and `first_at_ms` are the acceptance number and the time of
+    acceptance of the oldest.
     `blocked_size` is the size for which no worker had room. `size` is what a
     task reserves, computed for `size_version`. Reclaiming is not tried again
     before `reclaim_after_ms`.
@@ -65,10 +66,13 @@
     customer: CustomerId
     spec: JobSpec
     estimate: Estimate
-    jobs: 'OrderedDict[JobId, int]' = field(default_factory=OrderedDict)
+    jobs: 'OrderedDict[JobId, JobRecord]' = field(
+        default_factory=OrderedDict,
+    )
     urgent: bool = False
     is_gang: bool = False
     first_order: int = NO_ORDER
+    first_at_ms: int = 0
     urgent_then_order: tuple[bool, int] = (False, NO_ORDER)
     obstacle: Obstacle | None = None
     blocked_size: Resources = NOTHING
@@ -81,26 +85,29 @@
         self.urgent = self.spec.urgency is Urgency.URGENT
         self.is_gang = self.spec.workload is Workload.GANG
 
-    def add(self, job_id: JobId, order: int) -> None:
+    def add(self, job: JobRecord) -> None:
         """Add a job in the order of acceptance, or in front when older."""
-        is_oldest = order < self.first_order
-        self.jobs[job_id] = order
-        if is_oldest:
-            self.jobs.move_to_end(job_id, last=False)
-            self._note_first(order)
+        self.jobs[job.job_id] = job
+        if job.order < self.first_order:
+            self.jobs.move_to_end(job.job_id, last=False)
+            self._note_first(job)
 
-    def remove(self, job_id: JobId) -> None:
+    def remove(self, job: JobRecord) -> None:
         """Remove a job."""
-        self.jobs.pop(job_id)
-        self._note_first(next(iter(self.jobs.values()), NO_ORDER))
+        self.jobs.pop(job.job_id)
+        if self.jobs:
+            self._note_first(next(iter(self.jobs.values())))
+        else:
+            self.first_order = NO_ORDER
 
     def head(self) -> JobId:
         """Return the job that waits longest."""
         return next(iter(self.jobs))
 
-    def _note_first(self, order: int) -> None:
-        self.first_order = order
-        self.urgent_then_order = (not self.urgent, order)
+    def _note_first(self, job: JobRecord) -> None:
+        self.first_order = job.order
+        self.first_at_ms = job.accepted_at_ms
+        self.urgent_then_order = (not self.urgent, job.order)
 
 
 @dataclass(slots=True, eq=False)
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiarill.core.accelerators import accelerators_wait
-from fuchsiarill.core.accounts import Account, Group, Obstacle
+from fuchsiarill.core.accounts import Account, Group, Obstacle, Rank
 from fuchsiarill.core.admission import starts_restricted
 from fuchsiarill.core.gangs import first_gangs, place_gang, take_released_room
 from fuchsiarill.core.ordering import ordering_of
@@ -23,7 +23,7 @@
 from fuchsiarill.core.waiting import (
     block,
     dequeue,
-    offer_room,
+    next_taker,
     rank_accounts,
     reorder,
     retry_some,
@@ -33,6 +33,8 @@
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
 
+# The group that is looked at, its customer, and the rank it has.
+_Turn = tuple[Account, Group, Rank]
 # Steps of one call; the owner answers other messages in between.
 STEPS_MAX_COUNT: Final = 32
 _GANG_RETRY_INTERVAL_MS: Final = 500
@@ -54,18 +56,37 @@
     steps_count = 0
     while steps_count < STEPS_MAX_COUNT:
         steps_count += 1
-        offer_room(state)
-        rank_accounts(state)
-        if not state.order or not _advance(state, now_ms):
+        turn = _next_turn(state)
+        if turn is None or not _advance(state, turn, now_ms):
             return False
     return True
 
 
-def _advance(state: CoreState, now_ms: int) -> bool:
-    """Start or set aside the next task; `False` ends the round."""
-    account = state.accounts[state.order[0][1]]
+def _next_turn(state: CoreState) -> _Turn | None:
+    """Return the group that is looked at next.
+
+    Room that was released goes to a group that waits for it, unless others
+    are ready; then the order decides between all of them.
+    """
+    rank_accounts(state)
     ordering = ordering_of(state)
-    group = ordering.first(account.ready)
+    taker = next_taker(state)
+    if taker is not None:
+        account = state.accounts[taker.customer]
+        if not state.order:
+            return account, taker, ordering.rank(state, account, taker)
+        unblock(state, account, taker)
+        rank_accounts(state)
+    if not state.order:
+        return None
+    rank, customer = state.order[0]
+    account = state.accounts[customer]
+    return account, ordering.first(account.ready), rank
+
+
+def _advance(state: CoreState, turn: _Turn, now_ms: int) -> bool:
+    """Start or set aside the next task; `False` ends the round."""
+    account, group, rank = turn
     job = state.jobs[group.head()]
     if not job.waiting:
         # Its tasks were found running after a takeover.
@@ -82,8 +103,18 @@
     if placed is not None:
         _after_start(state, account, group, placed)
         return True
-    rank = state.order[0][0]
+    return _without_room(state, turn, size, now_ms)
+
+
+def _without_room(
+    state: CoreState,
+    turn: _Turn,
+    size: Resources,
+    now_ms: int,
+) -> bool:
+    account, group, rank = turn
     block(state, account, group, Obstacle.ROOM, size)
+    ordering = ordering_of(state)
     if ordering.strict:
         unblock(state, account, group)
         return False
@@ -107,6 +138,10 @@
         reorder(state, account)
     else:
         dequeue(state, placed)
+    if group.obstacle is not None:
+        # It waits on for room, and may be offered that of the worker again.
+        state.offered.discard(group)
+        return
     size = group_size(state, group)
     if group.urgent or group.is_gang or not group.jobs:
         return
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -32,6 +32,7 @@
     run_time_ms: int = 0
     failed_count: int = 0
     version: int = 0
+    samples_count: int = 0
     succeeded_on: set[WorkerId] = field(default_factory=set)
 
     def note_success_on(self, worker_id: WorkerId) -> None:
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -128,8 +128,8 @@
     ahead_count = 0
     for other in account.groups.values():
         if other.urgent is group.urgent:
-            orders = other.jobs.values()
-            ahead_count += sum(order < job.order for order in orders)
+            others = other.jobs.values()
+            ahead_count += sum(row.order < job.order for row in others)
         elif other.urgent:
             ahead_count += len(other.jobs)
     return ahead_count
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -32,6 +32,9 @@
 SIZE_MARGIN_RATIO: Final = 1.05
 OWN_MARGIN_RATIO: Final = 1.02
 _PERCENTILE: Final = 0.95
+# With this many samples, estimates are computed anew for every fourth only.
+_SETTLED_COUNT: Final = 16
+_SAMPLES_PER_UPDATE_COUNT: Final = 4
 # Usage lags: the first reports of a task may not show its full size.
 _USAGE_REPORTS_MIN_COUNT: Final = 3
 # Learned sizes are rounded up to this many binary digits, so that classes of
@@ -74,7 +77,8 @@
     estimate = estimate_of(state, spec)
     if report is not None and report.run_time_ms:
         estimate.run_times_ms.append(report.run_time_ms)
-        estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
+        if not _is_settled(estimate):
+            estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
     if report is not None and _is_measured(report.used):
         attempt.usage_reports_count += 1
         attempt.peak = larger(attempt.peak, _measured(report.used))
@@ -93,6 +97,9 @@
 
 def _add_peak(estimate: Estimate, peak: Resources) -> None:
     estimate.peaks.append(peak)
+    estimate.samples_count += 1
+    if _is_settled(estimate) and peak.fits_in(estimate.size):
+        return
     processors = [sample.processors_milli for sample in estimate.peaks]
     memory = [sample.memory_mb for sample in estimate.peaks]
     size = Resources(
@@ -104,6 +111,13 @@
         estimate.version += 1
 
 
+def _is_settled(estimate: Estimate) -> bool:
+    """Tell whether one sample more can wait to be taken into account."""
+    if len(estimate.run_times_ms) < _SETTLED_COUNT:
+        return False
+    return bool(estimate.samples_count % _SAMPLES_PER_UPDATE_COUNT)
+
+
 def _percentile(samples: list[int]) -> int:
     samples.sort()
     return samples[round((len(samples) - 1) * _PERCENTILE)]
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -67,13 +67,10 @@
         return min(groups, key=_urgent_then_oldest)
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
-        weight = max(state.config.policies.waiting_weight, _AGEING_WEIGHT_MIN)
-        head = state.jobs[group.head()]
-        since_ms = max(account.served_at_ms, head.accepted_at_ms)
-        ageing = since_ms * weight / _AGEING_MS
+        since_ms = max(account.served_at_ms, group.first_at_ms)
         return (
             _class_of(state, account, group),
-            account.share + ageing,
+            account.share + since_ms * state.ageing_per_ms,
         )
 
 
@@ -96,7 +93,15 @@
     return ORDERINGS.lookup(state.config.policies.ordering)()
 
 
+def apply_ageing(state: CoreState) -> None:
+    """Take over the weight of waiting time from the configuration."""
+    weight = max(state.config.policies.waiting_weight, _AGEING_WEIGHT_MIN)
+    state.ageing_per_ms = weight / _AGEING_MS
+
+
 def _class_of(state: CoreState, account: Account, group: Group) -> int:
+    if not group.urgent and not account.guaranteed.slots_count:
+        return BORROWING_RANK
     size = group_size_at_once(state, group)
     if group.urgent and is_owed_urgently(state, account, size):
         return URGENT_RANK
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -22,6 +22,7 @@
 from fuchsiarill.core.hosts import apply_draining, take_over_hosts
 from fuchsiarill.core.leases import extend_leases, lapse
 from fuchsiarill.core.ledger import restore
+from fuchsiarill.core.ordering import apply_ageing
 from fuchsiarill.core.quotas import account_of, apply_contracts
 from fuchsiarill.core.reports import take_over_report
 from fuchsiarill.core.snapshot import snapshot
@@ -64,7 +65,7 @@
         """Start with no jobs and no workers."""
         load_charts()
         self.state = CoreState(partition, epoch, config)
-        apply_contracts(self.state)
+        self._apply_config()
 
     def restore(self, journal: Iterable[Record], now_ms: int) -> None:
         """Take over the journal of older owners, before anything else."""
@@ -73,7 +74,7 @@
     def configure(self, config: CellConfig, now_ms: int) -> None:
         """Put a newer configuration in force, also for queued jobs."""
         self.state.config = config
-        apply_contracts(self.state)
+        self._apply_config()
         apply_draining(self.state, now_ms)
         unblock_all(self.state)
 
@@ -186,6 +187,10 @@
         """Return plain values that describe the state, for a dump."""
         return snapshot(self.state)
 
+    def _apply_config(self) -> None:
+        apply_ageing(self.state)
+        apply_contracts(self.state)
+
     def _new_job(self, spec: JobSpec, now_ms: int) -> JobRecord:
         self.state.jobs_count += 1
         job = JobRecord(
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -49,7 +49,8 @@
     those in `released`, whose room was not offered yet to all who wait;
     `offered` holds the groups that the first of them was offered to.
     `sizes_version` counts changes that all reserved sizes depend on.
-    `unrenewed` holds attempts whose leases are not extended.
+    `ageing_per_ms` is what a wait counts against a share. `unrenewed` holds
+    attempts whose leases are not extended.
     """
 
     partition: PartitionId
@@ -67,6 +68,7 @@
     total_capacity: Resources = NOTHING
     weights_sum: float = 1.0
     sizes_version: int = 0
+    ageing_per_ms: float = 0
     order: 'SortedList[tuple[Rank, CustomerId]]' = field(
         default_factory=SortedList,
     )
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -43,7 +43,7 @@
         account.groups[key] = group
     state.group_keys[job.job_id] = key
     account.waiting_count += 1
-    group.add(job.job_id, job.order)
+    group.add(job)
     if group.urgent:
         # Room may have to be reclaimed for one job more.
         unblock(state, account, group)
@@ -59,7 +59,7 @@
         return
     account = state.accounts[job.spec.customer]
     group = account.groups[key]
-    group.remove(job.job_id)
+    group.remove(job)
     account.waiting_count -= 1
     if not group.jobs:
         _clear_obstacle(state, account, group)
@@ -81,6 +81,8 @@
     size: Resources = NOTHING,
 ) -> None:
     """Set a group aside until `obstacle` may have gone."""
+    if group.obstacle is not None:
+        _clear_obstacle(state, account, group)
     group.obstacle = obstacle
     account.ready.pop(group, None)
     if obstacle is Obstacle.QUOTA:
@@ -137,12 +139,11 @@
         unblock(state, account, group)
 
 
-def offer_room(state: CoreState) -> None:
-    """Make the group ready that comes first for the room of a worker.
+def next_taker(state: CoreState) -> Group | None:
+    """Return the group that comes first for the room of a worker.
 
     Goes through the released workers; one without a taker left is done with.
     """
-    rank_accounts(state)
     while state.released:
         worker = state.workers[next(iter(state.released))]
         group = None
@@ -150,14 +151,14 @@
             group = _first_taker(state, worker)
         if group is not None:
             state.offered.add(group)
-            unblock(state, state.accounts[group.customer], group)
-            return
+            return group
         state.released.pop(worker.worker_id)
         state.offered.clear()
         free = worker.free
         state.no_room_for = [
             size for size in state.no_room_for if not size.fits_in(free)
         ]
+    return None
 
 
 def reorder(state: CoreState, account: Account) -> None:
