--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -26,6 +26,7 @@
     Attempt,
     Execution,
     JobRecord,
+    JobSpec,
     StopReason,
     Urgency,
     Workload,
@@ -95,12 +96,22 @@
     without a record, and known strays may belong to the job.
     """
     if job.job_id not in state.recovery.strays:
-        if not state.recovery.is_open or not _may_be_volatile(state, job):
+        if not state.recovery.is_open or not may_be_volatile(state, job.spec):
             return
     state.recovery.held[job.job_id] = set(job.waiting)
     job.waiting.clear()
 
 
+def may_be_volatile(state: CoreState, spec: JobSpec) -> bool:
+    """Tell whether a job may be accepted without a durable record."""
+    if spec.urgency is not Urgency.URGENT:
+        return False
+    if spec.execution is not Execution.IDEMPOTENT:
+        return False
+    contract = state.config.contract_of(spec.customer)
+    return contract is not None and contract.volatile_accept
+
+
 def advance_recovery(state: CoreState, now_ms: int) -> None:
     """Start what was held once nothing of it can run unseen."""
     recovery = state.recovery
@@ -268,13 +279,3 @@
     strays.pop(task.attempt_id, None)
     if not strays:
         state.recovery.strays.pop(job_id, None)
-
-
-def _may_be_volatile(state: CoreState, job: JobRecord) -> bool:
-    spec = job.spec
-    if spec.urgency is not Urgency.URGENT:
-        return False
-    if spec.execution is not Execution.IDEMPOTENT:
-        return False
-    contract = state.config.contract_of(spec.customer)
-    return contract is not None and contract.volatile_accept
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -36,17 +36,13 @@
 from fuchsiarill.front.http_front import HttpFront
 from fuchsiarill.front.metrics import CountingStore, Metrics
 from fuchsiarill.ids import PartitionId
-from fuchsiarill.owner.campaign import (
-    Campaign,
-    OwnerClaim,
-    OwnerFound,
-    Ports,
-)
+from fuchsiarill.owner.campaign import Campaign, Ports
+from fuchsiarill.owner.claims import OwnerFound, parse_claim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
-from fuchsiarill.ports.store import StorePort, Versioned
+from fuchsiarill.ports.store import StorePort
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import DrainAsked, Receivers
 from fuchsiarill.refusal import Refusal
@@ -214,16 +210,10 @@
     """Read the owner key; `None` when the store does not answer."""
     match await store.get(owner_key(partition)):
         case Success(found):
-            return OwnerFound(partition, _claim(found), mailbox=None)
+            return OwnerFound(partition, parse_claim(found), mailbox=None)
     return None
 
 
-def _claim(found: Versioned) -> OwnerClaim | None:
-    if found.value is None:
-        return None
-    return OwnerClaim.model_validate_json(found.value)
-
-
 def _open_campaign(
     settings: ProcessSettings,
     ports: Ports,
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -14,7 +14,7 @@
 from fuchsiarill import events
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.cell_config import CellConfig
-from fuchsiarill.clock import now_ms
+from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner import campaign_messages, messages
 from fuchsiarill.owner.campaign_state import Contest, Helpers, Lease
@@ -44,6 +44,8 @@
 # again at once by every process in turn.
 _RETRY_TAKEOVER_MS: Final = 2_000
 _REFUSED_JOURNAL_RETRY_MS: Final = 30_000
+# Several times the latency between failure domains.
+_LATE_CALLS_MS: Final = 300
 _UNREADABLE: Final = frozenset(
     (JournalFault.CORRUPT, JournalFault.NEWER_FORMAT),
 )
@@ -83,7 +85,7 @@
         self.contest.cancel()
         self.lease.cancel()
         await super().stop()
-        await self.helpers.stop()
+        await self.helpers.end()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -98,8 +100,20 @@
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Repeat what was refused; all else has timers of its own."""
+        """Repeat what was refused; give up what has failed."""
         self.helpers.repeat_config()
+        # An acquisition ends within its message, unless it has failed.
+        await self.step(PartitionEvent.NOT_ACQUIRED)
+        fault = self.helpers.fault()
+        if fault is None:
+            return
+        events.emit(events.OWNER_ACTOR_DIED, actor=self.name, error=fault)
+        if self.state is PartitionState.STANDBY:
+            await self.helpers.stop()
+            self.watch()
+            return
+        self.reason = f'an actor has failed: {fault}'
+        await self.step(PartitionEvent.DEPOSED)
 
     @handles(campaign_messages.OwnerSeen)
     async def on_seen(self, message: campaign_messages.OwnerSeen) -> None:
@@ -210,9 +224,13 @@
         self.contest.cancel()
         self.reason = 'the process shuts down'
         self.helpers.is_finished = True
+        was_owner = self.helpers.serving is not None
         await self.step(PartitionEvent.HANDOVER_ASKED)
         if self.state is PartitionState.REPLAYING:
             await self.step(PartitionEvent.DEPOSED)
+        if was_owner:
+            # Calls that are on their way still get an answer here.
+            await sleep_ms(_LATE_CALLS_MS)
         message.reply.answer(self.helpers.is_finished)
 
     async def step(self, event: PartitionEvent) -> None:
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -16,6 +16,7 @@
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
+from fuchsiarill.cluster.member_table import Member
 from fuchsiarill.cluster.membership import (
     LeaveCluster,
     StateChanged,
@@ -26,7 +27,8 @@
 from fuchsiarill.front.front_actor import StopFront
 from fuchsiarill.ids import PartitionId, ProcessId
 from fuchsiarill.owner.campaign import Campaign
-from fuchsiarill.owner.messages import ConfigChanged, Tick
+from fuchsiarill.owner.campaign_messages import CandidatesKnown
+from fuchsiarill.owner.messages import ConfigChanged, HandOver, Tick
 from fuchsiarill.ports.host_list import HostListPort
 from fuchsiarill.process_measures import host_rows, measures_of
 from fuchsiarill.process_messages import (
@@ -78,6 +80,7 @@
         self._config: CellConfig | None = None
         self._campaigns: dict[PartitionId, Campaign] = {}
         self._addresses: dict[ProcessId, str] = {}
+        self._loads: dict[ProcessId, int] = {}
 
     def start(self) -> None:
         """Run the actor and look after the others at an interval."""
@@ -95,9 +98,7 @@
         """Campaign for new partitions and pass the configuration on."""
         self._config = message.config
         for campaign in self._campaigns.values():
-            # Until the owner part is merged, a campaign ignores changes.
-            if ConfigChanged in campaign.handlers:
-                campaign.mailbox.send(message)
+            campaign.mailbox.send(message)
         if self.state in _LEAVING_STATES:
             return
         for partition in partitions_of(message.config, self._settings.region):
@@ -106,6 +107,9 @@
                     partition,
                     message.config,
                 )
+                self._campaigns[partition].mailbox.send(
+                    CandidatesKnown(self._loads),
+                )
         self._step(ProcessEvent.CONFIGURED)
 
     @handles(ViewChanged)
@@ -115,6 +119,16 @@
             member.detail.process: member.detail.address
             for member in message.members
         }
+        loads = {
+            member.detail.process: len(member.detail.partitions)
+            for member in message.members
+            if self._is_candidate(member)
+        }
+        if loads == self._loads:
+            return
+        self._loads = loads
+        for campaign in self._campaigns.values():
+            campaign.mailbox.send(CandidatesKnown(loads))
 
     @handles(DrainAsked)
     async def on_drain(self, message: DrainAsked) -> None:
@@ -164,6 +178,13 @@
         fronts = () if self.front is None else (self.front,)
         return (*self._parts.actors, *fronts, *self._campaigns.values())
 
+    def _is_candidate(self, member: Member) -> bool:
+        """Say whether a process may come to own partitions of the region."""
+        detail = member.detail
+        in_region = detail.region == self._settings.region
+        serving = detail.state is ProcessState.SERVING
+        return in_region and serving and member.reachable
+
     def _dump(self) -> str:
         state = {
             'process': self._settings.process,
@@ -194,6 +215,12 @@
         """Wait for the balancer, hand over, finish answers, leave."""
         drain = self._settings.drain
         await sleep_ms(drain.notice_ms)
+        await asyncio.gather(
+            *(
+                _asked(campaign.mailbox, HandOver, drain.hand_over_ms)
+                for campaign in self._campaigns.values()
+            ),
+        )
         if self.front is not None:
             await _asked(
                 self.front.mailbox,
