Keep large tasks, gangs at their quota and moving services from waiting for ever

Cause: small tasks took each piece of room before a large one fitted; small jobs of a customer used up the quota that its gang waited for; a service at its quota could not start the replacement that a drain needs. Estimates of job classes, which callers name, were kept without bound.

Change: the first task in the order without a start for 20 s holds a worker like a gang of one; jobs younger than one that waited 10 s for the quota yield; a replacement does not count against the quota while its replica still runs; 10,000 estimates are kept.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -60,7 +60,7 @@
     acceptance of the oldest.
     `blocked_size` is the size for which no worker had room. `size` is what a
     task reserves, computed for `size_version`. Reclaiming is not tried again
-    before `reclaim_after_ms`.
+    before `reclaim_after_ms`. `served_at_ms` is the time of the last start.
     """
 
     customer: CustomerId
@@ -77,6 +77,7 @@
     obstacle: Obstacle | None = None
     blocked_size: Resources = NOTHING
     reclaim_after_ms: int = 0
+    served_at_ms: int = 0
     size: Resources = NOTHING
     size_version: tuple[int, int] = (-1, -1)
 
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -6,7 +6,12 @@
 from fuchsiarill.core.accelerators import accelerators_wait
 from fuchsiarill.core.accounts import Account, Group, Obstacle, Rank
 from fuchsiarill.core.admission import starts_restricted
-from fuchsiarill.core.gangs import first_gangs, place_gang, take_released_room
+from fuchsiarill.core.gangs import (
+    hold_for_task,
+    place_gang,
+    start_held,
+    take_released_room,
+)
 from fuchsiarill.core.ordering import ordering_of
 from fuchsiarill.core.placement import (
     find_held_worker,
@@ -15,7 +20,7 @@
 )
 from fuchsiarill.core.quotas import is_guaranteed, is_owed_urgently, may_hold
 from fuchsiarill.core.reclaim import reclaim_for
-from fuchsiarill.core.reservations import has_room, is_valid
+from fuchsiarill.core.reservations import drop_reservation, has_room, is_valid
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.starting import start_next
 from fuchsiarill.core.state import CoreState
@@ -43,6 +48,10 @@
 _RECLAIM_INTERVAL_MS: Final = 100
 # Waiting jobs of one group for which room is reclaimed at a time.
 _RECLAIMED_JOBS_COUNT: Final = 8
+# A group without a start for this time is taken to be kept out by smaller ones.
+_STARVING_MS: Final = 20_000
+# Time after which smaller jobs of a customer leave the quota to an older one.
+_QUOTA_PATIENCE_MS: Final = 10_000
 # Room that ends of tasks give back in this time costs no lost work.
 _GUARANTEED_PATIENCE_MS: Final = 5_000
 
@@ -93,7 +102,7 @@
         dequeue(state, job)
         return True
     size = group_size(state, group)
-    obstacle = _standing_obstacle(state, account, group)
+    obstacle = _standing_obstacle(state, account, group, now_ms)
     if obstacle is not None:
         block(state, account, group, obstacle)
         if obstacle is Obstacle.QUOTA and group.urgent:
@@ -115,6 +124,8 @@
     account, group, rank = turn
     block(state, account, group, Obstacle.ROOM, size)
     ordering = ordering_of(state)
+    if not ordering.strict and _starves(state, turn, now_ms):
+        hold_for_task(state, state.jobs[group.head()], size, now_ms)
     if ordering.strict:
         unblock(state, account, group)
         return False
@@ -124,6 +135,16 @@
     return True
 
 
+def _starves(state: CoreState, turn: _Turn, now_ms: int) -> bool:
+    """Tell whether the first group of all has not got any room for long."""
+    account, group, _rank = turn
+    since_ms = max(group.first_at_ms, group.served_at_ms)
+    if group.is_gang or now_ms - since_ms < _STARVING_MS:
+        return False
+    rank_accounts(state)
+    return bool(state.roomless_order[0][1] == account.customer)
+
+
 def _after_start(
     state: CoreState,
     account: Account,
@@ -161,16 +182,44 @@
     state: CoreState,
     account: Account,
     group: Group,
+    now_ms: int,
 ) -> Obstacle | None:
     if account.contract is None:
         return Obstacle.NO_CONTRACT
     if state.restricted and not starts_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
+    if state.jobs[group.head()].moving:
+        # A replacement holds the room of its replica twice for a moment.
+        return None
     if not may_hold(account, group_size_at_once(state, group)):
         return Obstacle.QUOTA
+    if account.over_quota and not group.urgent:
+        if _yields_quota(state, account, group, now_ms):
+            return Obstacle.QUOTA
     return None
 
 
+def _yields_quota(
+    state: CoreState,
+    account: Account,
+    group: Group,
+    now_ms: int,
+) -> bool:
+    """Tell whether an older job has waited long for more of the quota.
+
+    Smaller jobs of the same customer would otherwise use up each part of it
+    that comes free.
+    """
+    for other in account.over_quota:
+        if other.first_order > group.first_order:
+            continue
+        if now_ms - other.first_at_ms < _QUOTA_PATIENCE_MS:
+            continue
+        if group_size_at_once(state, other).fits_in(account.quota):
+            return True
+    return False
+
+
 def _place(
     state: CoreState,
     group: Group,
@@ -181,10 +230,13 @@
     """Start a task or a gang; returns its job, `None` without room."""
     if group.is_gang:
         return place_gang(state, group, size, now_ms)
-    worker = _search(state, job, size, now_ms)
-    if worker is None:
-        return None
-    start_next(state, job, worker, size, now_ms)
+    if not start_held(state, job, now_ms):
+        worker = _search(state, job, size, now_ms)
+        if worker is None:
+            return None
+        start_next(state, job, worker, size, now_ms)
+        drop_reservation(state, job.job_id, now_ms)
+    group.served_at_ms = now_ms
     return job
 
 
@@ -231,19 +283,18 @@
     retried = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
     if retried:
         state.gangs_retried_at_ms = now_ms
-    for group in tuple(state.blocked_gangs):
-        if retried or _may_start(state, group):
+    if retried:
+        for group in tuple(state.blocked_gangs):
             unblock(state, state.accounts[group.customer], group)
-
-
-def _may_start(state: CoreState, group: Group) -> bool:
-    for job_id in first_gangs(group):
-        reservation = state.reservations.get(job_id)
-        if reservation is None:
+    for job_id, reservation in tuple(state.reservations.items()):
+        if is_valid(state, reservation) and not has_room(state, reservation):
             continue
-        if not is_valid(state, reservation) or has_room(state, reservation):
-            return True
-    return False
+        account = state.accounts[state.jobs[job_id].spec.customer]
+        key = state.group_keys.get(job_id)
+        if key is None:
+            drop_reservation(state, job_id, now_ms)
+        else:
+            unblock(state, account, account.groups[key])
 
 
 def _reclaim(
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -64,6 +64,28 @@
     return None
 
 
+def hold_for_task(
+    state: CoreState,
+    job: JobRecord,
+    size: Resources,
+    now_ms: int,
+) -> None:
+    """Hold a worker for one task that smaller tasks would keep from starting.
+
+    It is a gang of one as far as the reservation goes.
+    """
+    if job.job_id not in state.reservations:
+        _reserve(state, job, size, 1, now_ms)
+
+
+def start_held(state: CoreState, job: JobRecord, now_ms: int) -> bool:
+    """Start what a reservation of the job has room for."""
+    reservation = state.reservations.get(job.job_id)
+    if reservation is None:
+        return False
+    return _start_reserved(state, job, reservation, now_ms)
+
+
 def first_gangs(group: Group) -> Iterator[JobId]:
     """Yield the gangs of a group that are looked at in a decision."""
     return islice(group.jobs, _GANGS_LOOKED_AT_COUNT)
@@ -108,10 +130,8 @@
     size: Resources,
     now_ms: int,
 ) -> bool:
-    reservation = state.reservations.get(job.job_id)
-    if reservation is not None:
-        if _start_reserved(state, job, reservation, now_ms):
-            return True
+    if start_held(state, job, now_ms):
+        return True
     chosen = _choose(state, job, size, now_ms)
     if len(chosen) == len(job.waiting):
         for worker in chosen:
@@ -120,7 +140,7 @@
         return True
     if job.job_id in state.reservations:
         return False
-    reservation = _reserve(state, job, size, now_ms)
+    reservation = _reserve(state, job, size, len(job.waiting), now_ms)
     if reservation is None:
         return False
     return _start_reserved(state, job, reservation, now_ms)
@@ -173,11 +193,11 @@
     state: CoreState,
     job: JobRecord,
     size: Resources,
+    tasks_count: int,
     now_ms: int,
 ) -> Reservation | None:
     if len(state.reservations) >= _allowed_count(state):
         return None
-    tasks_count = len(job.waiting)
     slots: list[_Slot] = []
     for worker in _candidates(state, tasks_count, now_ms):
         if suits(worker, job):
--- a/fuchsiarill/core/job_actions.py
+++ b/fuchsiarill/core/job_actions.py
@@ -52,7 +52,10 @@
     state.effects.append(JobSettled(job.job_id, job.state))
     state.ended.append((now_ms, job.job_id))
     while _has_expired(state, now_ms):
-        _forget(state, state.ended.popleft()[1])
+        expired = state.ended.popleft()
+        if not _forget(state, expired[1]):
+            state.ended.append(expired)
+            break
 
 
 def _has_expired(state: CoreState, now_ms: int) -> bool:
@@ -61,9 +64,13 @@
     return now_ms - state.ended[0][0] > ENDED_MAX_AGE_MS
 
 
-def _forget(state: CoreState, job_id: JobId) -> None:
+def _forget(state: CoreState, job_id: JobId) -> bool:
+    """Drop a job; returns `False` while attempts of it are being stopped."""
     job = state.jobs.get(job_id)
-    if job is None or job.attempts:
-        return
+    if job is None:
+        return True
+    if job.attempts:
+        return False
     state.jobs.pop(job.job_id)
     state.job_by_key.pop((job.spec.customer, job.spec.idempotency_key), None)
+    return True
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -13,6 +13,8 @@
 DECLARED_ERROR_RATIO: Final = 4
 EVIDENCE_MIN_COUNT: Final = 3
 RUN_TIME_MARGIN_RATIO: Final = 1.25
+# Callers name the classes; the oldest are forgotten.
+_ESTIMATES_MAX_COUNT: Final = 10_000
 _MARGINS: Final = (DECLARED_ERROR_RATIO, 2, 1)
 
 
@@ -53,6 +55,8 @@
     if estimate is None:
         estimate = Estimate()
         state.estimates[key] = estimate
+        if len(state.estimates) > _ESTIMATES_MAX_COUNT:
+            state.estimates.pop(next(iter(state.estimates)))
     return estimate
 
 
