Answer the callers of a link that stops

When the owner of a partition changed, calls in progress on the link to the old one were cancelled and their callers waited for their own deadline. They are now told at once that the outcome is uncertain; the front then asks for the state of the moment at the new owner.

--- a/fuchsiarill/cluster/owner_link.py
+++ b/fuchsiarill/cluster/owner_link.py
@@ -4,6 +4,7 @@
 progress further submissions wait and go together in the next call.
 """
 
+import asyncio
 import json
 from collections import deque
 from dataclasses import dataclass
@@ -193,12 +194,17 @@
         **request: Any,
     ) -> Result[Any, PeerFailure]:
         request['partition'] = self._partition
-        received = await self._peers.call(
-            self._address,
-            method,
-            request,
-            wait_ms,
-        )
+        try:
+            received = await self._peers.call(
+                self._address,
+                method,
+                request,
+                wait_ms,
+            )
+        except asyncio.CancelledError:
+            # The link stops because the owner has changed; the caller is told
+            # at once instead of waiting for its own deadline.
+            return Failure(PeerFailure.NO_ANSWER)
         if isinstance(received, Failure):
             self._report_stale()
         return received
--- /dev/null
+++ b/tests/test_peer_server.py
@@ -0,0 +1,193 @@
+"""Calls between processes carry every field of their messages."""
+
+import asyncio
+import socket
+from contextlib import closing
+from typing import Any
+
+import capnp
+import pytest
+from returns.result import Success
+
+from fuchsiarill import codes
+from fuchsiarill.actor import Actor, Mailbox, Reply, handles
+from fuchsiarill.answers import JobAnswer, JobList, JobQuery, JobWhy
+from fuchsiarill.cluster.config_document import NO_DOCUMENT, ConfigDocument
+from fuchsiarill.cluster.config_spread import AskDocument, ConfigOffered
+from fuchsiarill.cluster.member_table import Beat, Gossip, MemberDetail
+from fuchsiarill.cluster.membership import Gossiped
+from fuchsiarill.cluster.owner_link import OwnerLink
+from fuchsiarill.cluster.peer_server import serve_peers
+from fuchsiarill.cluster.peers import Peers, RpcPeers
+from fuchsiarill.ids import (
+    CustomerId,
+    FailureDomain,
+    Generation,
+    JobId,
+    PartitionId,
+    ProcessId,
+    RegionId,
+)
+from fuchsiarill.owner import messages
+from fuchsiarill.process_messages import AskDump, Receivers
+from fuchsiarill.refusal import Refusal
+from fuchsiarill.routing import Route
+from fuchsiarill.settings import PeerSettings
+from fuchsiarill.states import JobState, ProcessState
+
+_DETAIL = MemberDetail(
+    ProcessId('entry-1'),
+    RegionId('rajkot'),
+    FailureDomain('pour-hall'),
+    '127.0.0.1:1',
+    incarnation=1_800_000_000_000,
+    version=3,
+    state=ProcessState.DRAINING,
+    partitions=(PartitionId('rajkot.0'), PartitionId('rajkot.1')),
+)
+_GOSSIP = Gossip(
+    (Beat(_DETAIL.key, 2**32 - 1, Generation(7), 999),),
+    (_DETAIL,),
+    (1, 2**32 - 1),
+)
+_DOCUMENT = ConfigDocument(
+    generation=Generation(9),
+    author='dévi',
+    text='cell: "ä"\n',
+    tokens=('a', 'b'),
+)
+_ANSWERS = (
+    JobAnswer(codes.JOB_SUCCEEDED, JobId('a'), JobState.SUCCEEDED, ('x', '')),
+    JobAnswer(
+        codes.QUEUE_FULL,
+        refusal=Refusal(codes.QUEUE_FULL, 'full', 'jobs', 5),
+    ),
+)
+
+
+class _Receiver(Actor):
+    """Stands for all actors of the other process."""
+
+    def __init__(self) -> None:
+        super().__init__('receiver')
+        self.received: list[Any] = []
+
+    @handles(Gossiped)
+    async def on_gossip(self, message: Gossiped) -> None:
+        self.received.append(message.received)
+        message.reply.answer(_GOSSIP)
+
+    @handles(ConfigOffered)
+    async def on_offer(self, message: ConfigOffered) -> None:
+        self.received.append(message.document)
+        message.reply.answer(Generation(9))
+
+    @handles(AskDocument)
+    async def on_document(self, message: AskDocument) -> None:
+        message.reply.answer(NO_DOCUMENT)
+
+    @handles(AskDump)
+    async def on_dump(self, message: AskDump) -> None:
+        message.reply.answer('{}')
+
+    @handles(Route)
+    async def on_route(self, routed: Route) -> None:
+        message = routed.message
+        assert routed.hops_left == 0
+        match message:
+            case messages.ListJobs():
+                self.received.append(message.query)
+                message.reply.answer(_ANSWERS)
+            case messages.ExplainJob():
+                self.received.append(message.query)
+                why = JobWhy(_ANSWERS[0], {'reason': 'room', 'wanted': 3})
+                message.reply.answer(why)
+            case messages.AskJob():
+                """Left without answer, as by an owner that is too slow."""
+
+
+async def _converse() -> list[Any]:
+    with closing(socket.socket()) as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    settings = PeerSettings(port=port, call_timeout_ms=5_000)
+    receiver = _Receiver()
+    receiver.start()
+    mailbox = receiver.mailbox
+    server = await serve_peers(
+        Receivers(mailbox, mailbox, mailbox, mailbox),
+        settings,
+    )
+    peers = Peers(settings)
+    peers.start()
+    calls = RpcPeers(peers.mailbox, settings)
+    address = f'127.0.0.1:{port}'
+    router = Mailbox()
+    partition = PartitionId('rajkot.0')
+    link = OwnerLink(partition, address, settings, calls, router)
+    link.start()
+    found: list[Any] = [
+        await calls.gossip(address, _GOSSIP),
+        await calls.offer_config(address, _DOCUMENT),
+        await calls.fetch_config(address),
+        await calls.dump(address),
+    ]
+    found.extend(await _ask_about_jobs(link))
+    found.append(len(router))
+    server.close()
+    await link.stop()
+    await peers.stop()
+    await receiver.stop()
+    return [*found, receiver.received]
+
+
+async def _ask_about_jobs(link: OwnerLink) -> list[Any]:
+    listed: Reply[Any] = Reply()
+    query = JobList(CustomerId('a'), JobState.RUNNING, 7)
+    link.mailbox.send(messages.ListJobs(query, listed))
+    why: Reply[Any] = Reply()
+    about = JobQuery(CustomerId('a'), JobId('b'))
+    link.mailbox.send(messages.ExplainJob(about, why))
+    slow: Reply[Any] = Reply()
+    link.mailbox.send(messages.AskJob(about, slow))
+    return [await one.wait(20_000) for one in (listed, why, slow)]
+
+
+@pytest.fixture(scope='module')
+def conversation() -> list[Any]:
+    async def main() -> list[Any]:
+        async with capnp.kj_loop():
+            return await _converse()
+
+    return asyncio.run(main())
+
+
+def test_cluster_messages_arrive_whole(conversation: list[Any]) -> None:
+    """Guards against a field that the encoding leaves out."""
+    assert conversation[:4] == [
+        Success(_GOSSIP),
+        Success(Generation(9)),
+        Success(NO_DOCUMENT),
+        Success('{}'),
+    ]
+    assert conversation[-1][:2] == [_GOSSIP, _DOCUMENT]
+
+
+def test_job_messages_arrive_whole(conversation: list[Any]) -> None:
+    """Guards against an answer that loses a field on the way."""
+    listed, why = conversation[4:6]
+    assert listed == _ANSWERS
+    assert why == JobWhy(_ANSWERS[0], {'reason': 'room', 'wanted': 3})
+    assert conversation[-1][2:] == [
+        JobList(CustomerId('a'), JobState.RUNNING, 7),
+        JobQuery(CustomerId('a'), JobId('b')),
+    ]
+
+
+def test_slow_owner_does_not_cost_the_connection(
+    conversation: list[Any],
+) -> None:
+    """Guards against a slow owner that is taken for a dead one."""
+    slow, stale_count = conversation[6:8]
+    assert slow.code is codes.OUTCOME_UNCERTAIN
+    assert stale_count == 0
