Keep the real size of a task apart from its reserved one

Without a declared size in its payload a task of the stand-in took what was reserved for it. Such a task now takes a small fixed size. The new test fails on the code before.

--- a/standins/task.py
+++ b/standins/task.py
@@ -2,7 +2,8 @@
 
 A payload may be a JSON object with `class`, which selects the factors of the
 deviation, and `declared`, the size that its submitter declared. Without the
-latter the reserved size counts as declared.
+latter a task is small: its real size must not follow from the reserved one,
+or an owner that learns sizes reserves more and more for what it reserved.
 """
 
 import json
@@ -17,6 +18,8 @@
 from standins.worker_settings import Deviation
 
 _JITTER = 0.1
+_SMALL_PROCESSORS_MILLI = 250
+_SMALL_MEMORY_MB = 128
 
 
 class TaskState(Enum):
@@ -95,10 +98,9 @@
 def real_load(deviation: Deviation, start: StartCommand) -> RealLoad:
     """Return the real size and run time of an attempt."""
     payload = _read_payload(start.payload)
-    declared = start.reserved
-    stated = payload.get('declared')
-    if stated is not None:
-        declared = Resources(slots_count=1, **stated)
+    declared = payload.get('declared', {})
+    processors_milli = declared.get('processors_milli', _SMALL_PROCESSORS_MILLI)
+    memory_mb = declared.get('memory_mb', _SMALL_MEMORY_MB)
     kind = f'{deviation.seed}/{payload.get("class", start.payload)}'
     of_class = random.Random(kind)
     of_attempt = random.Random(f'{kind}/{start.attempt_id}')
@@ -106,10 +108,10 @@
     run_time = _factor(deviation.run_time_factor_max, of_class, of_attempt)
     return RealLoad(
         Resources(
-            max(1, int(declared.processors_milli * size)),
-            max(1, int(declared.memory_mb * size)),
-            declared.accelerators_count,
-            declared.slots_count,
+            max(1, int(processors_milli * size)),
+            max(1, int(memory_mb * size)),
+            start.reserved.accelerators_count,
+            start.reserved.slots_count,
         ),
         int(start.run_time_ms * run_time),
     )
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -38,6 +38,7 @@
 from tests.serving import Served, serving
 
 _SIZE = Resources(1000, 500, 0, 1)
+_PAYLOAD = '{"declared": {"processors_milli": 1000, "memory_mb": 500}}'
 _FIRST = AttemptId('job/0@1.1')
 _SECOND = AttemptId('job/1@1.2')
 _EPOCH = Epoch(5)
@@ -70,7 +71,7 @@
     run_time_ms: int = 0,
     before_ms: int = _NEVER_LATE_MS,
 ) -> StartCommand:
-    return StartCommand(attempt_id, _SIZE, run_time_ms, 'kind', before_ms)
+    return StartCommand(attempt_id, _SIZE, run_time_ms, _PAYLOAD, before_ms)
 
 
 async def _exchange(served: Served, request: Exchange) -> WorkerReport:
@@ -220,6 +221,23 @@
     asyncio.run(main())
 
 
+def test_real_size_does_not_follow_the_reserved_one(tmp_path: Path) -> None:
+    """Guards against an owner that learns ever larger sizes from itself.
+
+    Reservations of a class whose tasks took what was reserved grew sixteen
+    times, until one task filled a worker.
+    """
+
+    async def real(reserved: Resources) -> Resources:
+        worker = _worker(tmp_path)
+        start = StartCommand(_FIRST, reserved, 0, '', _NEVER_LATE_MS)
+        worker.carry_out(Exchange(_EPOCH, _LONG_MS, (start,)))
+        return worker.tasks[_FIRST].real
+
+    doubled = asyncio.run(real(_SIZE + _SIZE))
+    assert asyncio.run(real(_SIZE)).memory_mb == doubled.memory_mb
+
+
 def test_real_size_differs_by_the_seed(tmp_path: Path) -> None:
     """Guards against runs whose real sizes do not repeat or stray too far."""
 
