--- a/fuchsiarill/owner/journal.py
+++ b/fuchsiarill/owner/journal.py
@@ -59,6 +59,13 @@
         self._snapshot: asyncio.Task[None] | None = None
         self._is_deposed = False
 
+    async def stop(self) -> None:
+        """Stop the actor; a snapshot in progress is left unfinished."""
+        if self._snapshot is not None:
+            self._snapshot.cancel()
+            await asyncio.gather(self._snapshot, return_exceptions=True)
+        await super().stop()
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         head = self._position.head
@@ -147,8 +154,6 @@
         if not self._position.is_snapshot_due():
             return
         self._snapshot = asyncio.create_task(self._write_snapshot())
-        self._tasks = [task for task in self._tasks if not task.done()]
-        self._tasks.append(self._snapshot)
 
     async def _write_snapshot(self) -> None:
         if not await self._snapshots.write(self._image):
--- a/fuchsiarill/owner/serving.py
+++ b/fuchsiarill/owner/serving.py
@@ -22,7 +22,7 @@
 # All partitions of the deployment commit at most this often a second: 150
 # writes/s are the target, and their renewals and snapshots take the rest.
 _COMMITS_PER_S: Final = 90
-_FINISH_TIMEOUT_MS: Final = 5_000
+_FINISH_TIMEOUT_MS: Final = 4_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +64,7 @@
         core = PartitionCore(partition, epoch, self._config)
         core.restore(older, now_ms())
         self.epoch = epoch
+        self.partition = partition
         self.journal = JournalActor(
             self._ports.store,
             partition,
@@ -111,6 +112,14 @@
         await self.owner.stop()
         await self.journal.stop()
 
+    def fault(self) -> str | None:
+        """Return why an actor has ended by itself, if one has."""
+        faults = (
+            actor.fault()
+            for actor in (self.owner, self.journal, self.host_poll)
+        )
+        return next(filter(None, faults), None)
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -16,7 +16,7 @@
 from fuchsiarill.answers import JobAnswer, JobCancel, JobQuery
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.codes import Retry
+from fuchsiarill.codes import ACCEPTED_VOLATILE, UNKNOWN_JOB, Retry
 from fuchsiarill.ids import JobId, PartitionId
 from fuchsiarill.job import JobSpec
 from fuchsiarill.owner import messages
@@ -63,6 +63,7 @@
         self._processes = processes
         self._chance = chance
         self._endpoint = Endpoint('caller', CLIENT_DOMAIN)
+        self._volatile: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def submit(self, spec: JobSpec, manner: Manner) -> None:
@@ -90,12 +91,15 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _follow(self, spec: JobSpec, manner: Manner) -> None:
-        job_id = await self._accepted(spec, manner)
-        if job_id is None:
-            return
-        self.job_ids[spec.idempotency_key] = job_id
-        if manner.waits:
-            await self._collect(spec, job_id, manner)
+        while True:
+            job_id = await self._accepted(spec, manner)
+            if job_id is None:
+                return
+            self.job_ids[spec.idempotency_key] = job_id
+            if not manner.waits:
+                return
+            if await self._collect(spec, job_id, manner):
+                return
 
     async def _accepted(
         self,
@@ -114,19 +118,27 @@
             answers = await self._ask(spec, 'submit', build, manner)
             answer = None if answers is None else answers[0]
             if answer is not None and answer.refusal is None:
-                accepted: JobId | None = answer.job_id
-                return accepted
+                return self._note_accepted(spec, answer)
             delay_ms = _retry_delay_ms(answer)
             if delay_ms is None or not manner.retries:
                 return None
             await sleep_ms(delay_ms)
 
+    def _note_accepted(self, spec: JobSpec, answer: JobAnswer) -> JobId | None:
+        if answer.code is ACCEPTED_VOLATILE:
+            self._volatile.add(spec.idempotency_key)
+        return answer.job_id
+
     async def _collect(
         self,
         spec: JobSpec,
         job_id: JobId,
         manner: Manner,
-    ) -> None:
+    ) -> bool:
+        """Wait for the result; `False` when the job has to be submitted again.
+
+        That is so for a job that was accepted as volatile and is forgotten.
+        """
         query = JobQuery(spec.customer, job_id, _RESULT_WAIT_MS)
         build = partial(_ask_route, query)
         while True:
@@ -137,19 +149,31 @@
                 manner,
                 _RESULT_WAIT_MS,
             )
-            if answer is not None and answer.state in FINAL_STATES:
-                self._log.note(
-                    SeenKind.JOB_ENDED,
-                    spec.customer,
-                    key=spec.idempotency_key,
-                    state=answer.state.value,
-                    code=answer.code.name,
-                    outputs=list(answer.outputs),
-                )
-                return
-            if answer is None or answer.refusal is not None:
+            if answer is None:
+                await sleep_ms(_RETRY_MS)
+                continue
+            if answer.state in FINAL_STATES:
+                self._note_end(spec, answer)
+                return True
+            if self._is_forgotten(spec, answer):
+                return False
+            if answer.refusal is not None:
                 await sleep_ms(_RETRY_MS)
 
+    def _is_forgotten(self, spec: JobSpec, answer: JobAnswer) -> bool:
+        is_volatile = spec.idempotency_key in self._volatile
+        return is_volatile and answer.code is UNKNOWN_JOB
+
+    def _note_end(self, spec: JobSpec, answer: JobAnswer) -> None:
+        self._log.note(
+            SeenKind.JOB_ENDED,
+            spec.customer,
+            key=spec.idempotency_key,
+            state='' if answer.state is None else answer.state.value,
+            code=answer.code.name,
+            outputs=list(answer.outputs),
+        )
+
     async def _cancel(self, spec: JobSpec, manner: Manner) -> None:
         key = spec.idempotency_key
         job_id = self.job_ids.get(key)
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -19,7 +19,9 @@
 from fuchsiarill.workers import HostEntry, HostState
 
 _DOMAINS_COUNT: Final = 3
+_NO_TOKEN: Final = '0' * 64
 _NOISE: Final = 0.1
+_SERVICES_AT_MS: Final = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,11 +136,11 @@
                         'submit_burst_count': 10**6,
                         'waiting_jobs_max_count': 10**6,
                         'placement': placement,
-                        'token_sha256': 'none',
+                        'token_sha256': _NO_TOKEN,
                     }
                     for customer, own in self._owned()
                 ],
-                'operator_token_sha256': 'none',
+                'operator_token_sha256': _NO_TOKEN,
             },
         )
 
@@ -163,12 +165,15 @@
     until_ms: int,
     seed: int,
 ) -> list[Arrival]:
-    """Return services at the start and then jobs at random times."""
+    """Return services, once all workers are known, and jobs at random times."""
     chance = random.Random(seed)
-    rows = [_arrival(0, kind, 0, chance) for kind in deployment.services]
+    rows = [
+        _arrival(_SERVICES_AT_MS, kind, 0, chance)
+        for kind in deployment.services
+    ]
     rate = deployment.arrivals_per_ms(load)
     shares = [kind.share for kind in deployment.kinds]
-    at_ms = 0.0
+    at_ms = float(_SERVICES_AT_MS)
     while at_ms < until_ms:
         at_ms += chance.expovariate(rate)
         kind = chance.choices(deployment.kinds, shares)[0]
