Test failures end to end with real processes

Nothing had run the daemon against a store, workers and connections that fail. Two more check that the launcher leaves no process behind.

--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Failures end to end, with real processes."""
--- /dev/null
+++ b/tests/process/test_launcher.py
@@ -0,0 +1,59 @@
+"""The launcher leaves no process behind."""
+
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tools.processes import Processes, free_ports, wait_until
+
+
+def test_stopped_processes_are_gone(tmp_path: Path) -> None:
+    """Guards against processes left over after the demo or a test."""
+    processes = Processes(tmp_path)
+    for name, port in zip(('one', 'two'), free_ports(2), strict=True):
+        processes.start(name, 'standins.store', '--port', port)
+    ids = processes.ids()
+    processes.send_signal('one', signal.SIGSTOP)
+    processes.stop()
+    for process_id in ids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(process_id, 0)
+
+
+@pytest.fixture
+def launcher(tmp_path: Path) -> Iterator[Processes]:
+    """End what a failed test leaves; SIGTERM lets a launcher clean up."""
+    started = Processes(tmp_path, stop_timeout_s=60)
+    yield started
+    started.stop()
+
+
+def test_interrupted_cell_is_gone(tmp_path: Path, launcher: Processes) -> None:
+    """Guards against processes left over after Ctrl-C."""
+    launcher.start('cell', 'tools.run_cell')
+    output = tmp_path / 'cell.log'
+    wait_until(
+        lambda: 'Ctrl-C' in output.read_text() or launcher.has_ended('cell'),
+        'the cell has not started',
+    )
+    folder = Path(output.read_text().rpartition('logs: ')[2].split(';')[0])
+    launcher.send_signal('cell', signal.SIGINT)
+    wait_until(lambda: launcher.has_ended('cell'), 'the cell runs on')
+    assert launcher.exit_status('cell') == 0
+    assert not folder.exists()
+    assert not _processes_using(str(folder))
+
+
+def _processes_using(text: str) -> list[str]:
+    found = []
+    for path in Path('/proc').glob('[0-9]*/cmdline'):
+        try:
+            command = path.read_bytes().decode(errors='replace')
+        except OSError:
+            continue
+        if text in command:
+            found.append(command)
+    return found
--- /dev/null
+++ b/tests/process/test_owner_failures.py
@@ -0,0 +1,83 @@
+"""The owner of a partition dies or sleeps; another takes over."""
+
+import signal
+
+from fuchsiarill import codes
+from tests.process.harness import Harness, job, service
+from tools.processes import wait_until
+
+_STALE = {'late', 'epoch'}
+
+
+def test_owner_killed(harness: Harness) -> None:
+    """Guards against jobs lost, or run twice, when the owner dies."""
+    caller = harness.caller()
+    bodies = [
+        *(job(f'batch-{number}', 1000) for number in range(10)),
+        *(
+            job(f'order-{number}', 1000, execution='at_most_once')
+            for number in range(10)
+        ),
+        service('watch'),
+    ]
+    before = caller.submit(bodies)
+    owner = harness.owner()
+    harness.cell.processes.kill(owner)
+    harness.wait_other_owner(owner)
+    survivors = harness.caller(*harness.others(owner))
+    again = survivors.submit(bodies)
+    later = survivors.submit([job('later')])
+    assert [note.job_id for note in again] == [note.job_id for note in before]
+    assert later[0].is_accepted
+    harness.wait_settled()
+
+
+def test_owner_paused_beyond_its_lease(harness: Harness) -> None:
+    """Guards against an owner that wakes up and goes on as if it were one."""
+    caller = harness.caller()
+    watch = caller.submit([service('watch')])[0]
+    running = harness.wait_running(watch)
+    owner = harness.owner()
+    harness.cell.processes.send_signal(owner, signal.SIGSTOP)
+    harness.wait_other_owner(owner)
+    other = harness.caller(*harness.others(owner))
+    during = other.submit([job('during', execution='at_most_once')])[0]
+    harness.wait_settled()
+    harness.cell.processes.send_signal(owner, signal.SIGCONT)
+    woken = harness.caller(owner)
+    answer = woken.query(during.job_id, wait_ms=1000)
+    assert answer['code'] == codes.JOB_SUCCEEDED.number
+    assert woken.submit([job('after')])[0].is_accepted
+    harness.wait_settled()
+    assert [run.attempt for run in harness.runs(watch)] == [running.attempt]
+
+
+def test_start_of_a_paused_owner_arrives_late(harness: Harness) -> None:
+    """Guards against a start that outlives the ownership it was sent under."""
+    warm = harness.caller()
+    warm.submit([job(f'warm-{number}', 100) for number in range(20)])
+    harness.wait_settled()
+    owner = harness.owner()
+    harness.control_workers(hold_starts=True)
+    caller = harness.caller(*harness.others(owner))
+    order = caller.submit([job('order', execution='at_most_once')])[0]
+    wait_until(
+        lambda: any(
+            state['held_count'] for state in harness.control_workers().values()
+        ),
+        'no start was sent',
+    )
+    harness.cell.processes.send_signal(owner, signal.SIGSTOP)
+    harness.wait_other_owner(owner)
+    harness.control_workers(hold_starts=False)
+    wait_until(lambda: bool(harness.refusals()), 'no start was refused')
+    harness.cell.processes.send_signal(owner, signal.SIGCONT)
+    assert {line.detail for line in harness.refusals()} <= _STALE
+    settled = caller.query(order.job_id, wait_ms=30_000)
+    runs = harness.runs(order)
+    assert len(runs) <= 1
+    if settled['code'] == codes.JOB_SUCCEEDED.number:
+        assert [run.outcome for run in runs] == ['succeeded']
+    else:
+        assert settled['code'] == codes.JOB_UNKNOWN.number
+        assert not runs
