Show for each mechanism the trace that notices its absence

Cause: a trace that stays met without the mechanism it is meant for proves nothing; at first 6 of 10 mutations went unnoticed.

--- a/fuchsiarill/replay/fakes.py
+++ b/fuchsiarill/replay/fakes.py
@@ -109,6 +109,11 @@
         self._drop_lapsed()
         return self.stored.get(key, Versioned(key, None, ABSENT))
 
+    def drop_leases(self) -> None:
+        """End all leases before their time."""
+        for lease_id in tuple(self._leases):
+            self._end_lease(lease_id)
+
     def put(self, key: StoreKey, text: str) -> None:
         """Write a key as an operator did before the trace begins."""
         self._write(key, text)
--- a/fuchsiarill/replay/faults_links.py
+++ b/fuchsiarill/replay/faults_links.py
@@ -131,6 +131,16 @@
         return partial(world.store.losses.remove, loss)
 
 
+@FAULT_KINDS.register('store_drops_leases')
+class StoreDropsLeases(FaultKind):
+    """The store ends all leases at once, before their time."""
+
+    def begin(self, world: World) -> Undo:
+        """End the leases; there is nothing to undo."""
+        world.store.drop_leases()
+        return undo_all([])
+
+
 @FAULT_KINDS.register('watch_stuck')
 class WatchStuck(FaultKind):
     """Watches get no answer, not even at the end of their wait."""
--- /dev/null
+++ b/tools/mutations_owner.py
@@ -0,0 +1,135 @@
+"""Mutations of ownership, journal, links and configuration."""
+
+from dataclasses import replace
+from typing import Any, Final
+from unittest import mock
+
+from fuchsiarill.cluster import config_spread
+from fuchsiarill.cluster.config_change import ConfigChange
+from fuchsiarill.cluster.config_document import read_document
+from fuchsiarill.owner import fleet, store_calls
+from fuchsiarill.owner.campaign import Campaign
+from fuchsiarill.ports.store import SwapResult, Versioned
+from fuchsiarill.replay.fake_workers import FakeWorker
+from fuchsiarill.replay.fakes import FakeStore, StoreCall
+from fuchsiarill.states import ConfigurationEvent
+from tools.mutation import Patch, mutation
+
+_RENEW: Final = FakeWorker._renew
+_READ_KEY: Final = store_calls.read_key
+_SET_DEADLINE: Final = Campaign.set_deadline
+_SWAP: Final = FakeStore._swap
+_WRITE_OVER: Final = ConfigChange._write_over
+_FAR_MS: Final = 60_000
+
+
+@mutation("the worker's epoch check", 'owner_cut_off_from_the_store')
+def _no_epoch_check() -> tuple[Patch, ...]:
+    return (mock.patch.object(FakeWorker, '_is_stale', _never),)
+
+
+@mutation('start_before', 'owner_paused_and_worker_cut_off')
+def _no_start_before() -> tuple[Patch, ...]:
+    return (mock.patch.object(FakeWorker, '_is_late', _never),)
+
+
+@mutation('ownership deadline', 'owner_paused_and_worker_cut_off')
+def _no_deadline() -> tuple[Patch, ...]:
+    return (
+        mock.patch.object(
+            Campaign,
+            'set_deadline',
+            lambda campaign, asked_at_ms: _SET_DEADLINE(
+                campaign,
+                asked_at_ms + _FAR_MS,
+            ),
+        ),
+    )
+
+
+@mutation(
+    'fence of the log (expected revisions)',
+    'log_fences_two_owners_at_once',
+)
+def _no_fence() -> tuple[Patch, ...]:
+    return (mock.patch.object(FakeStore, '_swap', _swap_always),)
+
+
+@mutation(
+    'token of a write whose reply was lost',
+    'lost_store_reply_repeats_no_write',
+)
+def _no_token() -> tuple[Patch, ...]:
+    return (
+        mock.patch.object(
+            store_calls,
+            'read_key',
+            _read_without_value,
+        ),
+    )
+
+
+@mutation(
+    'generations only rise',
+    'i8_config_is_in_force_everywhere_and_never_reverts',
+)
+def _no_generation() -> tuple[Patch, ...]:
+    newer = ConfigurationEvent.NEWER_OFFERED
+    return (
+        mock.patch.object(
+            config_spread,
+            'ConfigurationEvent',
+            mock.Mock(NEWER_OFFERED=newer, OLDER_OFFERED=newer),
+        ),
+    )
+
+
+@mutation(
+    "an operator's expected generation", 'racing_operators_get_a_conflict'
+)
+def _no_expected_generation() -> tuple[Patch, ...]:
+    return (mock.patch.object(ConfigChange, '_write_over', _write_over_any),)
+
+
+@mutation('renewal of task leases', 'store_down_keeps_running_tasks_alive')
+def _no_renewals() -> tuple[Patch, ...]:
+    return (mock.patch.object(FakeWorker, '_renew', _renew_first_only),)
+
+
+@mutation('hosts of other partitions', 'i1_two_partitions_share_no_host')
+def _no_partition_of_hosts() -> tuple[Patch, ...]:
+    return (mock.patch.object(fleet, 'partition_of_rack', lambda *_: mock.ANY),)
+
+
+def _never(*_arguments: object) -> bool:
+    return False
+
+
+def _swap_always(store: FakeStore, call: StoreCall) -> SwapResult:
+    """Swap log keys whatever revision the writer expects."""
+    swap = call.argument
+    if '/log/' in swap.key:
+        swap = replace(swap, expected=store.read(swap.key).revision)
+    return _SWAP(store, replace(call, argument=swap))
+
+
+async def _read_without_value(*arguments: Any) -> Versioned | None:
+    found = await _READ_KEY(*arguments)
+    return None if found is None else replace(found, value='')
+
+
+async def _write_over_any(change: Any, found: Versioned, config: Any) -> Any:
+    """Write over whatever generation is present."""
+    present = read_document(found.value).unwrap()
+    change._request = replace(
+        change._request,
+        expected_generation=present.generation,
+    )
+    return await _WRITE_OVER(change, found, config)
+
+
+def _renew_first_only(worker: Any, attempt_id: Any, lease_ms: float) -> None:
+    """Grant the first lease of a task and no other."""
+    task = worker._attempts.get(attempt_id)
+    if task is not None and not task.lease_ends_at_ms:
+        _RENEW(worker, attempt_id, lease_ms)
