--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -127,11 +127,9 @@
             return
         if self.contest.is_leaving:
             return
-        delay_ms = contest_delay_ms(
-            self.partition,
-            self.settings.process,
-            self.contest.loads,
-        )
+        loads = self.contest.loads
+        process = self.settings.process
+        delay_ms = contest_delay_ms(self.partition, process, loads)
         self.contest.plan(delay_ms, self.mailbox)
 
     @handles(campaign_messages.CandidatesKnown)
@@ -393,9 +391,9 @@
 
 
 def _new_claim(settings: ProcessSettings) -> OwnerClaim:
-    peers = settings.peers
+    address = f'{settings.peers.host}:{settings.peers.port}'
     return OwnerClaim(
         process=settings.process,
-        peer_address=f'{peers.host}:{peers.port}',
+        peer_address=address,
         token=uuid.uuid4().hex,
     )
