Go on waiting for the end of a job when its owner changes

A process that woke up with a stale route refused a query that waits, and the front answered at once with the state of the moment: the process test test_owner_paused_beyond_its_lease got not_finished although the caller would have waited another second. The test and the tests of the front pass.

--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -10,7 +10,7 @@
 import threading
 from collections.abc import Callable, Coroutine, Iterator, Sequence
 from concurrent.futures import CancelledError
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 
@@ -65,6 +65,13 @@
         """End all waits for events; called in the loop."""
         self._released.set()
 
+    def pause(self, duration_ms: int) -> None:
+        """Let the calling thread wait, or less while the process drains."""
+        released = self._released.wait()
+        within = asyncio.wait_for(released, duration_ms / MS_PER_SECOND)
+        with suppress(TimeoutError):
+            asyncio.run_coroutine_threadsafe(within, self.loop).result()
+
     @property
     def load_permille(self) -> int:
         """Return the requests in progress in thousandths of their limit."""
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -18,6 +18,7 @@
     JobWhy,
     refused,
 )
+from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.front.bridge import ReleasedError
 from fuchsiarill.front.replies import (
     RETRY_AFTER_MS,
@@ -198,11 +199,29 @@
         if not admitted:
             return None
         try:
-            return _query(front, request, wait_ms)
+            return _query_again(front, request, wait_ms)
         except ReleasedError:
             return None
 
 
+def _query_again(
+    front: 'HttpFront',
+    request: HttpRequest,
+    wait_ms: int,
+) -> JobAnswer:
+    """Query until the wait is over while the owner changes."""
+    clock = front.bridge.loop.time
+    ends_at_s = clock() + wait_ms / MS_PER_SECOND
+    answer = _query(front, request, wait_ms)
+    while answer.code in _ASK_AGAIN:
+        front.bridge.pause(RETRY_AFTER_MS)
+        left_ms = int(MS_PER_SECOND * (ends_at_s - clock()))
+        if left_ms <= 0:
+            break
+        answer = _query(front, request, left_ms)
+    return answer
+
+
 def _ask_about(
     front: 'HttpFront',
     request: HttpRequest,
