--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -263,7 +263,7 @@
 ) -> list[tuple[int, Resources]]:
     """Return when attempts are expected to end; services never do."""
     releases = []
-    for attempt_id in worker.attempts:
+    for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
         run_time_ms = run_time_of(state, state.jobs[attempt.job_id].spec)
         if run_time_ms is None:
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -69,6 +69,8 @@
         """Start with no jobs and no workers."""
         load_charts()
         self.state = CoreState(partition, epoch, config)
+        # Partitions differ in their jitter, and a replay repeats it.
+        self.state.jitter.seed(f'{partition} {epoch}')
         self._apply_config()
 
     def restore(self, journal: Iterable[Record], now_ms: int) -> None:
--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -29,7 +29,7 @@
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    for attempt_id in tuple(worker.attempts):
+    for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
         state.unrenewed[attempt_id] = None
         step_attempt(state, attempt, AttemptEvent.CONTACT_LOST, now_ms)
@@ -46,7 +46,7 @@
     One that the worker does not confirm may have ended; it is started again
     when its lease has lapsed.
     """
-    for attempt_id in tuple(worker.attempts):
+    for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
         if attempt.state is not AttemptState.RUNNING:
             continue
