--- a/tools/tally.py
+++ b/tools/tally.py
@@ -2,8 +2,9 @@
 
 Nothing here asks the scheduler. A worker is overcommitted when the sizes in
 force of its tasks exceed its capacity: the reserved size of a task until the
-worker has reported its usage to an owner, that usage from then on, since an
-owner may release what a task reserved and does not use. A task is doubled
+worker has reported its usage to an owner, from then on that usage if it is
+less, since an owner may release what a task reserved and does not use. Use
+beyond the reserved size is counted apart, as real use. A task is doubled
 when two of its attempts run at the same time, or when a task that may run at
 most once is started twice. A job is lost when it was acknowledged, not
 cancelled, and neither finished nor, for a service, running with all replicas.
@@ -188,7 +189,9 @@
     elif line.kind is LogKind.END:
         carried.pop(line.attempt)
     elif line.kind is LogKind.MEASURED:
-        carried[line.attempt].in_force = line.real
+        carried[line.attempt].in_force = Resources(
+            *map(min, line.reserved.as_tuple(), line.real.as_tuple()),
+        )
 
 
 def _note_load(load: Load, carried: Iterable[_Carried]) -> None:
