Renew task leases past the ownership deadline only in a proved outage

Cause: an owner that had lost the store went on renewing task leases without end. Ruled out: stopping all renewals at the deadline, since tasks would then end in every outage of the store; relayed gossip as evidence, since it can be old. Change: a beat says whether the store is out of reach. An owner renews, and starts urgent volatile work, past its deadline only within 3 s of answers from every other failure domain that say so, and none that denies it. A new owner adds these 3 s to the longest lease. A limit: two cuts inside one failure domain can still make the evidence wrong.

--- a/fuchsiarill/cluster/cluster_encoding.py
+++ b/fuchsiarill/cluster/cluster_encoding.py
@@ -23,6 +23,7 @@
                 'heartbeat': beat.heartbeat,
                 'generation': beat.generation,
                 'loadPermille': beat.load_permille,
+                'storeIsDown': beat.store_is_down,
             }
             for beat in message.beats
         ],
@@ -40,6 +41,7 @@
                 beat.heartbeat,
                 Generation(beat.generation),
                 beat.loadPermille,
+                beat.storeIsDown,
             )
             for beat in encoded.beats
         ),
--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -64,6 +64,7 @@
     heartbeat: int
     generation: Generation
     load_permille: int
+    store_is_down: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +131,8 @@
         generation: Generation,
         load_permille: int,
         now_ms: int,
+        *,
+        store_is_down: bool = False,
     ) -> tuple[Member, ...]:
         """Count the own heartbeat up and step the silent members.
 
@@ -141,6 +144,7 @@
             own.beat.heartbeat + 1,
             generation,
             load_permille,
+            store_is_down,
         )
         self._put(Member(own.detail, counted, now_ms))
         for key, gone in tuple(self._removed.items()):
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -23,6 +23,7 @@
 )
 from fuchsiarill.cluster.peer_port import PeerPort
 from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.store_evidence import StoreEvidence
 from fuchsiarill.ids import Generation, PartitionId, ProcessId
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.settings import MembershipSettings
@@ -50,6 +51,7 @@
 
     address: str
     received: Gossip | None
+    asked_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +90,13 @@
     load_permille: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreHealthChanged:
+    """The store went out of reach of the own process, or came back."""
+
+    is_down: bool
+
+
 @dataclass(frozen=True, slots=True)
 class AskView:
     """Asks for all members in the view."""
@@ -104,10 +113,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewChanged:
-    """Sent to subscribers after each round, changed or not."""
+    """Sent to subscribers after each round, changed or not.
+
+    Until `outage_until_ms` the store is regarded as down for everyone.
+    """
 
     members: tuple[Member, ...]
     own: ProcessId
+    outage_until_ms: int = 0
 
 
 class Membership(SpawningActor):
@@ -133,8 +146,14 @@
         self._addresses: dict[ProcessId, str] = {}
         self._generation = NO_GENERATION
         self._load_permille = 0
+        self._store_is_down = False
+        self._evidence = StoreEvidence()
         self._rounds_count = 0
 
+    def note_store(self, is_down: bool) -> None:
+        """Tell the actor that the store went out of reach or came back."""
+        self.mailbox.send(StoreHealthChanged(is_down))
+
     def start(self) -> None:
         """Run the actor, join the directory and gossip at an interval."""
         super().start()
@@ -144,12 +163,7 @@
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
         """Exchange tables with a few peers."""
-        removed = self.table.beat(
-            self._generation,
-            self._load_permille,
-            now_ms(),
-        )
-        self._note_removed(removed)
+        self._beat()
         self._publish()
         self._rounds_count += 1
         if self._directory_due():
@@ -178,6 +192,11 @@
         if received is None:
             return
         self.table.merge(received, now_ms())
+        self._evidence.answered(
+            self.table.own,
+            self.table.members(),
+            (message.address, message.asked_at_ms),
+        )
         wanted = self.table.requested(received.wanted)
         if wanted.details:
             self.spawn(self._exchange(message.address, wanted))
@@ -198,7 +217,7 @@
     async def on_generation(self, message: GenerationInForce) -> None:
         """Publish the generation in force with the next beat."""
         self._generation = message.generation
-        self.table.beat(self._generation, self._load_permille, now_ms())
+        self._beat()
         self._publish()
 
     @handles(LoadMeasured)
@@ -206,6 +225,15 @@
         """Publish the load with the next beat."""
         self._load_permille = message.load_permille
 
+    @handles(StoreHealthChanged)
+    async def on_store(self, message: StoreHealthChanged) -> None:
+        """Publish whether the store is in reach, with a beat of its own.
+
+        Answers given from now on must not carry the earlier state.
+        """
+        self._store_is_down = message.is_down
+        self._beat()
+
     @handles(AskView)
     async def on_view(self, message: AskView) -> None:
         """Return the view."""
@@ -242,10 +270,20 @@
         self.table.change_own(detail)
         self._publish()
 
+    def _beat(self) -> None:
+        removed = self.table.beat(
+            self._generation,
+            self._load_permille,
+            now_ms(),
+            store_is_down=self._store_is_down,
+        )
+        self._note_removed(removed)
+
     def _publish(self) -> None:
         view = ViewChanged(
             self.table.members(),
             self.table.own.detail.process,
+            self._evidence.outage_until_ms(),
         )
         for subscriber in self.subscribers:
             subscriber.send(view)
@@ -302,11 +340,13 @@
         self.mailbox.send(DirectoryRead(joined, addresses))
 
     async def _exchange(self, address: str, opening: Gossip) -> None:
+        asked_at_ms = now_ms()
         match await self._peers.gossip(address, opening):
             case Success(answer):
-                self.mailbox.send(GossipAnswered(address, answer))
+                answered = GossipAnswered(address, answer, asked_at_ms)
             case _:
-                self.mailbox.send(GossipAnswered(address, None))
+                answered = GossipAnswered(address, None, asked_at_ms)
+        self.mailbox.send(answered)
 
     async def _leave(self, reply: Reply[None]) -> None:
         for address in self._targets():
--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -49,6 +49,7 @@
   heartbeat @1 :UInt32;
   generation @2 :UInt32;
   loadPermille @3 :UInt16;
+  storeIsDown @4 :Bool;
 }
 
 struct Gossip {
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -11,6 +11,7 @@
 
 from fuchsiarill import records
 from fuchsiarill.core.holding import take
+from fuchsiarill.core.recovery import OUTAGE_EVIDENCE_VALID_MS
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.ids import NO_EPOCH, AttemptId, Epoch, JobId, ProcessId, TaskId
@@ -93,7 +94,9 @@
     image = fold(journal)
     lease_ms = max(image.task_lease_ms, state.config.policies.task_lease_ms)
     state.recovery.is_open = image.epoch != NO_EPOCH
-    state.recovery.ends_at_ms = now_ms + lapse_bound_ms(lease_ms)
+    state.recovery.ends_at_ms = now_ms + lapse_bound_ms(
+        lease_ms + OUTAGE_EVIDENCE_VALID_MS,
+    )
     for job_id, job_image in image.jobs.items():
         _restore_job(state, job_id, job_image, now_ms)
 
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -1,9 +1,14 @@
 """What a new owner does not know yet about the tasks of older owners."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from fuchsiarill.ids import AttemptId, JobId, WorkerId
 
+# How long an older owner may renew task leases after it last had evidence of
+# an outage of the store; a new owner adds this to the longest task lease.
+OUTAGE_EVIDENCE_VALID_MS: Final = 3_000
+
 
 @dataclass(slots=True)
 class Stray:
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
 
@@ -43,6 +43,7 @@
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
 from fuchsiarill.ports.store import StorePort
+from fuchsiarill.ports.store_health import HealthNotingStore
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import DrainAsked, Receivers
 from fuchsiarill.refusal import Refusal
@@ -118,6 +119,8 @@
     metrics: Metrics,
     parse: ConfigParser,
 ) -> _Daemon:
+    store = HealthNotingStore(ports.store)
+    ports = replace(ports, store=store)
     peers = Peers(settings.peers)
     calls = RpcPeers(peers.mailbox, settings.peers)
     chance = random.Random()
@@ -128,6 +131,7 @@
         calls,
         chance,
     )
+    store.changed = membership.note_store
     config = ConfigSpread(settings.config, ports.store, calls, parse, chance)
     router = _router(settings, ports.store, calls)
     process = Process(
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -215,6 +215,12 @@
         self.config = message.config
         self.helpers.configure(message)
 
+    @handles(messages.StoreOutageSeen)
+    async def on_outage(self, message: messages.StoreOutageSeen) -> None:
+        """Tell the owner that its tasks may go on."""
+        if self.helpers.serving is not None:
+            self.helpers.serving.tell_owner(message)
+
     @handles(messages.HandOver)
     async def on_hand_over(self, message: messages.HandOver) -> None:
         """Give up the partition for good, with its work finished."""
--- a/fuchsiarill/owner/fleet.py
+++ b/fuchsiarill/owner/fleet.py
@@ -75,6 +75,12 @@
         for link in self.links.values():
             link.mailbox.send(change)
 
+    def allow_renewals(self, allowed: messages.RenewalsAllowed) -> None:
+        """Tell all links until when they may renew task leases."""
+        self._terms = replace(self._terms, renew_until_ms=allowed.until_ms)
+        for link in self.links.values():
+            link.mailbox.send(allowed)
+
     async def stop(self) -> None:
         """End all links."""
         for link in self.links.values():
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -90,6 +90,20 @@
     deadline_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreOutageSeen:
+    """Until this time the store is regarded as down for everyone."""
+
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewalsAllowed:
+    """No task lease may be granted or renewed after this time."""
+
+    until_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Deposed:
     """Another process owns the partition."""
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -70,6 +70,7 @@
         )
         self.decision_times = DecisionTimes()
         self.deadline_ms = 0
+        self.outage_until_ms = 0
         self.finishing: Reply[bool] | None = None
         self._granted_lease_ms = policies.task_lease_ms
         self._campaign = campaign
@@ -191,6 +192,13 @@
         self.deadline_ms = message.deadline_ms
         self.requests.owned_until_ms = message.deadline_ms
         self._restrict_if_needed()
+        self._allow_renewals()
+
+    @handles(messages.StoreOutageSeen)
+    async def on_outage(self, message: messages.StoreOutageSeen) -> None:
+        """Go on renewing task leases while nobody can take over."""
+        self.outage_until_ms = message.until_ms
+        self._allow_renewals()
 
     @handles(messages.ConfigChanged)
     async def on_config(self, message: messages.ConfigChanged) -> None:
@@ -269,6 +277,10 @@
             return
         self.carry_out()
 
+    def _allow_renewals(self) -> None:
+        until_ms = max(self.deadline_ms, self.outage_until_ms)
+        self.fleet.allow_renewals(messages.RenewalsAllowed(until_ms))
+
     def _restrict_if_needed(self) -> None:
         """Restrict the core while no new record can become durable in time."""
         current_ms = now_ms()
@@ -296,8 +308,7 @@
     send_before_ms = owner.deadline_ms
     if _needs_no_store(owner.core.state, effect.attempt_id):
         # The worker itself refuses the start once it knows a newer owner.
-        window_ms = owner.settings.store.owner_lease_ms
-        send_before_ms = max(send_before_ms, now_ms() + window_ms)
+        send_before_ms = max(send_before_ms, owner.outage_until_ms)
     message = messages.SendStart(effect, send_before_ms)
     if not owner.fleet.send(effect.worker_id, message):
         owner.core.start_withheld(effect.attempt_id, now_ms())
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -35,7 +35,7 @@
 
     `restored` has the unresolved starts of older owners on the worker, with
     the incarnation that it had then. `workers_count` is the number of links
-    that share the owner's calls.
+    that share the owner's calls, `renew_until_ms` ends the renewals.
     """
 
     epoch: Epoch
@@ -43,6 +43,7 @@
     exchange_interval_ms: int
     silent_after_ms: int
     workers_count: int = 1
+    renew_until_ms: int = 0
     restored: Mapping[AttemptId, str] = field(default_factory=dict)
 
 
@@ -73,6 +74,7 @@
         self._acknowledged: set[AttemptId] = set()
         self._expected = Expectations(terms.restored)
         self._contact = _Contact(terms.task_lease_ms)
+        self._renew_until_ms = terms.renew_until_ms
         self._outbox: deque[object] = deque()
 
     def start(self) -> None:
@@ -120,6 +122,11 @@
         self._contact.task_lease_ms = message.task_lease_ms
         self._rhythm.interval_ms = message.exchange_interval_ms
 
+    @handles(messages.RenewalsAllowed)
+    async def on_allowed(self, message: messages.RenewalsAllowed) -> None:
+        """Note until when task leases may be renewed."""
+        self._renew_until_ms = message.until_ms
+
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
         """Exchange with the worker once."""
@@ -145,9 +152,12 @@
         return self.mailbox.send(messages.Tick())
 
     def _request(self, asked_at_ms: int) -> Exchange:
-        # A silent worker gets no renewal, so that its leases have an end.
+        # A silent worker gets no renewal, so that its leases have an end. An
+        # owner that may have been replaced renews nothing, since the next
+        # one waits for these leases to end.
         renewals: tuple[AttemptId, ...] = ()
-        if not self._contact.is_silent:
+        may_renew = asked_at_ms < self._renew_until_ms
+        if may_renew and not self._contact.is_silent:
             renewals = tuple(sorted(self._expected.running))
         return Exchange(
             epoch=self._terms.epoch,
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -28,7 +28,12 @@
 from fuchsiarill.ids import PartitionId, ProcessId
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.owner.campaign_messages import CandidatesKnown
-from fuchsiarill.owner.messages import ConfigChanged, HandOver, Tick
+from fuchsiarill.owner.messages import (
+    ConfigChanged,
+    HandOver,
+    StoreOutageSeen,
+    Tick,
+)
 from fuchsiarill.ports.host_list import HostListPort
 from fuchsiarill.process_measures import host_rows, measures_of
 from fuchsiarill.process_messages import (
@@ -124,6 +129,10 @@
             for member in message.members
             if self._is_candidate(member)
         }
+        if message.outage_until_ms:
+            outage = StoreOutageSeen(message.outage_until_ms)
+            for told in self._campaigns.values():
+                told.mailbox.send(outage)
         if loads == self._loads:
             return
         self._loads = loads
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -17,6 +18,7 @@
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.ports.store import StorePort
+from fuchsiarill.ports.store_health import HealthNotingStore
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import DrainAsked, Receivers
 from fuchsiarill.replay.fake_front import Build, FakeFront
@@ -44,7 +46,9 @@
     ) -> None:
         """Create and connect the actors."""
         self.settings = settings
-        self.ports = process_ports(settings, endpoint, surroundings)
+        ports = process_ports(settings, endpoint, surroundings)
+        store = HealthNotingStore(ports.store)
+        self.ports = replace(ports, store=store)
         calls = PeerCalls(
             settings.peers,
             surroundings.network,
@@ -61,6 +65,7 @@
             calls,
             chance,
         )
+        store.changed = self.membership.note_store
         self.config = ConfigSpread(
             settings.config,
             self.ports.store,
