Reserve the largest size seen, and count real use beyond capacity again

Change: a class is sized by its largest sample with 3% and 0.6/n on top; the demo counts a worker as overcommitted by sizes in force or by real use.

--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -28,10 +28,13 @@
 from fuchsiarill.states import AttemptState
 from fuchsiarill.workers import CommandKind, TaskReport
 
-# Above the size that a class needs, and above what an attempt has used.
-SIZE_MARGIN_RATIO: Final = 1.05
+# Above the largest size that a class needed, and above what an attempt used.
+# Few samples may all be small ones, so they get a wider margin: 23% for
+# the first three, 5% for all that are kept.
+SIZE_MARGIN_RATIO: Final = 1.03
+_FEW_SAMPLES_MARGIN_RATIO: Final = 0.6
 OWN_MARGIN_RATIO: Final = 1.02
-_PERCENTILE: Final = 0.95
+_RUN_TIME_PERCENTILE: Final = 0.95
 # With this many samples, estimates are computed anew for every fourth only.
 _SETTLED_COUNT: Final = 16
 _SAMPLES_PER_UPDATE_COUNT: Final = 4
@@ -100,11 +103,13 @@
     estimate.samples_count += 1
     if _is_settled(estimate) and peak.fits_in(estimate.size):
         return
-    processors = [sample.processors_milli for sample in estimate.peaks]
-    memory = [sample.memory_mb for sample in estimate.peaks]
+    samples_count = len(estimate.peaks)
+    ratio = SIZE_MARGIN_RATIO + _FEW_SAMPLES_MARGIN_RATIO / samples_count
+    processors_milli = max(one.processors_milli for one in estimate.peaks)
+    memory_mb = max(one.memory_mb for one in estimate.peaks)
     size = Resources(
-        _with_margin(_percentile(processors), SIZE_MARGIN_RATIO),
-        _with_margin(_percentile(memory), SIZE_MARGIN_RATIO),
+        _with_margin(processors_milli, ratio),
+        _with_margin(memory_mb, ratio),
     )
     if size != estimate.size or len(estimate.peaks) <= EVIDENCE_MIN_COUNT:
         estimate.size = size
@@ -120,7 +125,7 @@
 
 def _percentile(samples: list[int]) -> int:
     samples.sort()
-    return samples[round((len(samples) - 1) * _PERCENTILE)]
+    return samples[round((len(samples) - 1) * _RUN_TIME_PERCENTILE)]
 
 
 def _with_margin(amount: int, ratio: float) -> int:
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -1,10 +1,10 @@
 """Counts what became of jobs, from what workers and callers saw.
 
-Nothing here asks the scheduler. A worker is overcommitted when the sizes in
-force of its tasks exceed its capacity: the reserved size of a task until the
-worker has reported its usage to an owner, from then on that usage if it is
-less, since an owner may release what a task reserved and does not use. Use
-beyond the reserved size is counted apart, as real use. A task is doubled
+Nothing here asks the scheduler. A worker is overcommitted when what its tasks
+really use exceeds its capacity, or when the sizes in force do: the reserved
+size of a task until the worker has reported its usage to an owner, from then
+on that usage if it is less, since an owner may release what a task reserved
+and does not use. The sizes at the start are counted apart. A task is doubled
 when two of its attempts run at the same time, or when a task that may run at
 most once is started twice. A job is lost when it was acknowledged, not
 cancelled, and neither finished nor, for a service, running with all replicas.
@@ -203,8 +203,10 @@
         real += task.start.real
         first_reserved += task.start.reserved
     capacity = load.capacity
-    load.overcommitted_count += not in_force.fits_in(capacity)
-    load.really_exceeded_count += not real.fits_in(capacity)
+    is_exceeded = not real.fits_in(capacity)
+    is_overcommitted = is_exceeded or not in_force.fits_in(capacity)
+    load.overcommitted_count += is_overcommitted
+    load.really_exceeded_count += is_exceeded
     load.first_reserved_exceeded_count += not first_reserved.fits_in(capacity)
 
 
