Assemble the actors of a process in one place

Cause: the daemon and the replay each connected the same actors, 60 lines twice, so that a new connection could be missed in one of them.

--- /dev/null
+++ b/fuchsiarill/assembly.py
@@ -0,0 +1,154 @@
+"""Connects the actors of one process; the daemon and the replay both use it."""
+
+import random
+from dataclasses import dataclass, replace
+
+from returns.result import Success
+
+from fuchsiarill.actor import Actor
+from fuchsiarill.cell_config import CellConfig
+from fuchsiarill.cluster.config_change import ConfigParser
+from fuchsiarill.cluster.config_spread import ConfigSpread
+from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.member_table import MemberDetail
+from fuchsiarill.cluster.membership import Membership
+from fuchsiarill.cluster.owner_link import OwnerLink
+from fuchsiarill.cluster.peers import RpcPeers
+from fuchsiarill.ids import PartitionId
+from fuchsiarill.owner.campaign import Campaign, Ports
+from fuchsiarill.owner.claims import OwnerFound, parse_claim
+from fuchsiarill.owner.keys import owner_key
+from fuchsiarill.owner.messages import Tick
+from fuchsiarill.ports.store_health import HealthNotingStore
+from fuchsiarill.process import Parts, Process
+from fuchsiarill.process_messages import Receivers
+from fuchsiarill.routing import Router
+from fuchsiarill.settings import PeerSettings, ProcessSettings
+
+
+@dataclass(frozen=True, slots=True)
+class Environment:
+    """What a process is and what it runs with."""
+
+    settings: ProcessSettings
+    own: MemberDetail
+    ports: Ports
+    calls: RpcPeers
+    parse: ConfigParser
+    chance: random.Random
+
+
+class Assembly:
+    """The actors of a process but for its front end."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        links: tuple[Actor, ...] = (),
+    ) -> None:
+        """Create the actors; the process also looks after `links`."""
+        settings = environment.settings
+        store = HealthNotingStore(environment.ports.store)
+        self._settings = settings
+        self._ports = replace(environment.ports, store=store)
+        self._calls = environment.calls
+        self.membership = Membership(
+            settings.membership,
+            environment.own,
+            Directory(store),
+            environment.calls,
+            environment.chance,
+        )
+        store.changed = self.membership.note_store
+        self.config = ConfigSpread(
+            settings.config,
+            store,
+            environment.calls,
+            environment.parse,
+            environment.chance,
+        )
+        self.router = Router(settings.peers, self._link, self._look_up)
+        own_actors = (
+            self.membership,
+            self.config,
+            self.config.source,
+            self.router,
+        )
+        self.process = Process(
+            settings,
+            Parts(
+                self.membership.mailbox,
+                (*links, *own_actors),
+                environment.calls,
+                self._ports.host_list,
+            ),
+            self._open_campaign,
+        )
+        self.receivers = Receivers(
+            self.router.mailbox,
+            self.membership.mailbox,
+            self.config.mailbox,
+            self.process.mailbox,
+        )
+
+    def attach_front(self, front: Actor) -> tuple[Actor, ...]:
+        """Connect the front end; returns all actors in their starting order."""
+        self.process.front = front
+        self.router.membership = self.membership.mailbox
+        self.config.membership = self.membership.mailbox
+        self.config.subscribers.extend((front.mailbox, self.process.mailbox))
+        self.membership.subscribers.extend(
+            (
+                self.config.mailbox,
+                self.router.mailbox,
+                self.process.mailbox,
+            ),
+        )
+        return (
+            self.router,
+            self.process,
+            front,
+            self.membership,
+            self.config,
+        )
+
+    def _link(
+        self,
+        partition: PartitionId,
+        address: str,
+        settings: PeerSettings,
+    ) -> Actor:
+        return OwnerLink(
+            partition,
+            address,
+            settings,
+            self._calls,
+            self.router.mailbox,
+        )
+
+    async def _look_up(self, partition: PartitionId) -> OwnerFound | None:
+        """Read the owner key; `None` when the store does not answer."""
+        match await self._ports.store.get(owner_key(partition)):
+            case Success(found):
+                return OwnerFound(partition, parse_claim(found), mailbox=None)
+        return None
+
+    def _open_campaign(
+        self,
+        partition: PartitionId,
+        config: CellConfig,
+    ) -> Campaign:
+        campaign = Campaign(
+            self._settings,
+            partition,
+            config,
+            self._ports,
+            self.router.mailbox,
+        )
+        campaign.start()
+        campaign.mailbox.send(Tick())
+        campaign.tick_every(
+            self._settings.store.owner_renew_interval_ms,
+            Tick(),
+        )
+        return campaign
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -11,22 +11,19 @@
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 
 import capnp
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from fuchsiarill import events
 from fuchsiarill.actor import Actor
+from fuchsiarill.assembly import Assembly, Environment
 from fuchsiarill.cell_config import CellConfig, parse_config
 from fuchsiarill.cluster.config_change import ConfigParser
-from fuchsiarill.cluster.config_spread import ConfigSpread
-from fuchsiarill.cluster.directory import Directory
 from fuchsiarill.cluster.member_table import MemberDetail
-from fuchsiarill.cluster.membership import Membership
-from fuchsiarill.cluster.owner_link import OwnerLink
 from fuchsiarill.cluster.peer_server import serve_peers
 from fuchsiarill.cluster.peers import Peers, RpcPeers
 from fuchsiarill.codes import ExitStatus
@@ -35,19 +32,12 @@
 from fuchsiarill.front.front_actor import FrontActor
 from fuchsiarill.front.http_front import HttpFront
 from fuchsiarill.front.metrics import CountingStore, Metrics
-from fuchsiarill.ids import PartitionId
-from fuchsiarill.owner.campaign import Campaign, Ports
-from fuchsiarill.owner.claims import OwnerFound, parse_claim
-from fuchsiarill.owner.keys import owner_key
-from fuchsiarill.owner.messages import Tick
+from fuchsiarill.owner.campaign import Ports
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
-from fuchsiarill.ports.store import StorePort
-from fuchsiarill.ports.store_health import HealthNotingStore
-from fuchsiarill.process import Parts, Process
+from fuchsiarill.process import Process
 from fuchsiarill.process_messages import DrainAsked, Receivers
 from fuchsiarill.refusal import Refusal
-from fuchsiarill.routing import Router
 from fuchsiarill.settings import ProcessSettings, load_settings
 
 _CLIENT_THREADS_COUNT = 32
@@ -119,47 +109,21 @@
     metrics: Metrics,
     parse: ConfigParser,
 ) -> _Daemon:
-    store = HealthNotingStore(ports.store)
-    ports = replace(ports, store=store)
     peers = Peers(settings.peers)
-    calls = RpcPeers(peers.mailbox, settings.peers)
-    chance = random.Random()
-    membership = Membership(
-        settings.membership,
-        _own_detail(settings),
-        Directory(ports.store),
-        calls,
-        chance,
-    )
-    store.changed = membership.note_store
-    config = ConfigSpread(settings.config, ports.store, calls, parse, chance)
-    router = _router(settings, ports.store, calls)
-    process = Process(
-        settings,
-        Parts(
-            membership.mailbox,
-            (peers, membership, config, config.source, router),
-            calls,
-            ports.host_list,
+    assembly = Assembly(
+        Environment(
+            settings,
+            _own_detail(settings),
+            ports,
+            RpcPeers(peers.mailbox, settings.peers),
+            parse,
+            random.Random(),
         ),
-        partial(_open_campaign, settings, ports, router),
-    )
-    receivers = Receivers(
-        router.mailbox,
-        membership.mailbox,
-        config.mailbox,
-        process.mailbox,
+        links=(peers,),
     )
-    front = _front(settings, receivers, metrics)
-    process.front = front
-    router.membership = membership.mailbox
-    config.membership = membership.mailbox
-    config.subscribers.extend((front.mailbox, process.mailbox))
-    membership.subscribers.extend(
-        (config.mailbox, router.mailbox, process.mailbox),
-    )
-    started = (peers, router, process, front, membership, config)
-    return _Daemon(process, receivers, started)
+    front = _front(settings, assembly.receivers, metrics)
+    started = (peers, *assembly.attach_front(front))
+    return _Daemon(assembly.process, assembly.receivers, started)
 
 
 def _front(
@@ -188,50 +152,6 @@
     )
 
 
-def _router(
-    settings: ProcessSettings,
-    store: StorePort,
-    calls: RpcPeers,
-) -> Router:
-    router = Router(
-        settings.peers,
-        lambda partition, address, peers: OwnerLink(
-            partition,
-            address,
-            peers,
-            calls,
-            router.mailbox,
-        ),
-        partial(_look_up, store),
-    )
-    return router
-
-
-async def _look_up(
-    store: StorePort,
-    partition: PartitionId,
-) -> OwnerFound | None:
-    """Read the owner key; `None` when the store does not answer."""
-    match await store.get(owner_key(partition)):
-        case Success(found):
-            return OwnerFound(partition, parse_claim(found), mailbox=None)
-    return None
-
-
-def _open_campaign(
-    settings: ProcessSettings,
-    ports: Ports,
-    router: Router,
-    partition: PartitionId,
-    config: CellConfig,
-) -> Campaign:
-    campaign = Campaign(settings, partition, config, ports, router.mailbox)
-    campaign.start()
-    campaign.mailbox.send(Tick())
-    campaign.tick_every(settings.store.owner_renew_interval_ms, Tick())
-    return campaign
-
-
 async def _parse_in_thread(
     threads: ThreadPoolExecutor,
     text: str,
--- a/fuchsiarill/replay/surroundings.py
+++ b/fuchsiarill/replay/surroundings.py
@@ -2,13 +2,8 @@
 
 from dataclasses import dataclass
 
-from returns.result import Success
-
 from fuchsiarill.cluster.member_table import MemberDetail
-from fuchsiarill.ids import PartitionId
-from fuchsiarill.owner.campaign import OwnerClaim, OwnerFound, Ports
-from fuchsiarill.owner.keys import owner_key
-from fuchsiarill.ports.store import StorePort
+from fuchsiarill.owner.campaign import Ports
 from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
 from fuchsiarill.replay.fakes import (
     FakeHostList,
@@ -71,17 +66,3 @@
         f'{settings.peers.host}:{settings.peers.port}',
         incarnation=incarnation,
     )
-
-
-async def read_owner(
-    store: StorePort,
-    partition: PartitionId,
-) -> OwnerFound | None:
-    """Read the owner key; `None` when the store does not answer."""
-    match await store.get(owner_key(partition)):
-        case Success(found):
-            claim = None
-            if found.value is not None:
-                claim = OwnerClaim.model_validate_json(found.value)
-            return OwnerFound(partition, claim, mailbox=None)
-    return None
