Split the fakes of the replay and drop re-exports

Change: the host list fake has its own module, the claim is made in claims.py, and everyone imports from where a name is defined.

--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -15,10 +15,11 @@
 from fuchsiarill.cluster.owner_link import OwnerLink
 from fuchsiarill.cluster.peers import RpcPeers
 from fuchsiarill.ids import PartitionId
-from fuchsiarill.owner.campaign import Campaign, Ports
+from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.owner.claims import OwnerFound, parse_claim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
+from fuchsiarill.owner.serving import Ports
 from fuchsiarill.ports.store_health import HealthNotingStore
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import Receivers
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -5,7 +5,6 @@
 takeover of the journal and the owner itself.
 """
 
-import uuid
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
@@ -19,9 +18,9 @@
 from fuchsiarill.owner import campaign_messages, messages
 from fuchsiarill.owner.campaign_state import Contest, Helpers, Lease
 from fuchsiarill.owner.claims import (
-    OwnerClaim,
     OwnerFound,
     acquire,
+    new_claim,
     parse_claim,
 )
 from fuchsiarill.owner.contest import contest_delay_ms
@@ -36,8 +35,6 @@
 from fuchsiarill.state_chart import load_chart
 from fuchsiarill.states import PartitionEvent, PartitionState
 
-__all__ = ('Campaign', 'OwnerClaim', 'OwnerFound', 'Ports')  # noqa: WPS410
-
 # The clocks of this process and of the store may differ by 1% in rate.
 _CLOCK_RATE: Final = 0.99
 # After a failed takeover, so that a journal that cannot be read is not tried
@@ -282,7 +279,7 @@
         held = await acquire(
             store,
             campaign.partition,
-            _new_claim(campaign.settings),
+            new_claim(campaign.settings),
             campaign.settings.store.owner_lease_ms,
         )
     if held is None:
@@ -344,7 +341,7 @@
     campaign.router.send(
         OwnerFound(
             campaign.partition,
-            _new_claim(campaign.settings),
+            new_claim(campaign.settings),
             serving.owner.mailbox,
         ),
     )
@@ -394,12 +391,3 @@
     PartitionEvent,
     CAMPAIGN_ACTIONS,
 )
-
-
-def _new_claim(settings: ProcessSettings) -> OwnerClaim:
-    address = f'{settings.peers.host}:{settings.peers.port}'
-    return OwnerClaim(
-        process=settings.process,
-        peer_address=address,
-        token=uuid.uuid4().hex,
-    )
--- a/fuchsiarill/owner/claims.py
+++ b/fuchsiarill/owner/claims.py
@@ -1,5 +1,6 @@
 """The claim in the owner key of a partition, and how it is made."""
 
+import uuid
 from dataclasses import dataclass
 
 from pydantic import BaseModel, ValidationError
@@ -11,6 +12,7 @@
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.store_calls import settle_swap
 from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
+from fuchsiarill.settings import ProcessSettings
 
 
 class OwnerClaim(BaseModel):
@@ -46,6 +48,15 @@
     token: str
 
 
+def new_claim(settings: ProcessSettings) -> OwnerClaim:
+    """Return a claim of this process, with a token of its own."""
+    return OwnerClaim(
+        process=settings.process,
+        peer_address=f'{settings.peers.host}:{settings.peers.port}',
+        token=uuid.uuid4().hex,
+    )
+
+
 async def acquire(
     store: StorePort,
     partition: PartitionId,
--- a/fuchsiarill/replay/surroundings.py
+++ b/fuchsiarill/replay/surroundings.py
@@ -3,14 +3,10 @@
 from dataclasses import dataclass
 
 from fuchsiarill.cluster.member_table import MemberDetail
-from fuchsiarill.owner.campaign import Ports
+from fuchsiarill.owner.serving import Ports
+from fuchsiarill.replay.fake_host_list import FakeHostList, ProcessHostList
 from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
-from fuchsiarill.replay.fakes import (
-    FakeHostList,
-    FakeStore,
-    ProcessHostList,
-    ProcessStore,
-)
+from fuchsiarill.replay.fakes import FakeStore, ProcessStore
 from fuchsiarill.replay.network import Endpoint, Network
 from fuchsiarill.replay.peer_calls import Listener
 from fuchsiarill.replay.seen import SeenLog
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -10,12 +10,13 @@
 from fuchsiarill.cluster.config_document import CONFIG_KEY, NO_DOCUMENT
 from fuchsiarill.ids import CustomerId, PartitionId, WorkerId
 from fuchsiarill.job import JobSpec
-from fuchsiarill.owner.campaign import OwnerClaim
+from fuchsiarill.owner.claims import OwnerClaim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.replay.callers import Callers
 from fuchsiarill.replay.deployment import Deployment, merge
 from fuchsiarill.replay.fake_workers import FakeWorker, Truth
-from fuchsiarill.replay.fakes import FakeHostList, FakeStore
+from fuchsiarill.replay.fake_host_list import FakeHostList
+from fuchsiarill.replay.fakes import FakeStore
 from fuchsiarill.replay.loop import ReplayLoop
 from fuchsiarill.replay.network import Network
 from fuchsiarill.replay.operators import Operators
