--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -66,7 +66,7 @@
     )
 
 
-@mutation('probation', 'worker_that_fails_everything_is_put_on_probation')
+@mutation('probation', 'worker_fails_all_and_wrong_declarations')
 def _no_probation() -> tuple[Patch, ...]:
     return (mock.patch.object(probation, '_strike', _nothing),)
 
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -7,6 +7,7 @@
 from fuchsiarill.cluster import config_spread
 from fuchsiarill.cluster.config_change import ConfigChange
 from fuchsiarill.cluster.config_document import read_document
+from fuchsiarill.cluster.store_evidence import StoreEvidence
 from fuchsiarill.owner import fleet, store_calls
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.ports.store import SwapResult, Versioned
@@ -21,6 +22,7 @@
 _SWAP: Final = FakeStore._swap
 _WRITE_OVER: Final = ConfigChange._write_over
 _FAR_MS: Final = 60_000
+_ENDLESS_MS: Final = 2**62
 
 
 @mutation("the worker's epoch check", 'owner_cut_off_from_the_store')
@@ -47,6 +49,20 @@
     )
 
 
+@mutation(
+    'evidence of a store outage before renewals go on',
+    'isolated_owner_renews_no_lease_for_ever',
+)
+def _no_evidence() -> tuple[Patch, ...]:
+    return (
+        mock.patch.object(
+            StoreEvidence,
+            'outage_until_ms',
+            lambda evidence: _ENDLESS_MS,
+        ),
+    )
+
+
 @mutation(
     'fence of the log (expected revisions)',
     'log_fences_two_owners_at_once',
