Use the usual terms for leases, preemption delays and orphaned tasks

Cause: a read-through found names that are not terms of the field. Result: behaviour unchanged; ledger, owner, core and stand-in tests pass.

--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -1,4 +1,4 @@
-"""Takeover of running tasks: adoption, strays and the end of the recovery.
+"""Takeover of running tasks: adoption, orphans and the end of the recovery.
 
 A worker answers the first exchange of a new owner with everything that it
 runs, and refuses older owners from then on. What it reports becomes an
@@ -16,7 +16,7 @@
     position_of,
     task_of,
 )
-from fuchsiarill.core.recovery import Stray
+from fuchsiarill.core.recovery import Orphan
 from fuchsiarill.core.requeue import ask_to_stop, run_again
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
@@ -78,7 +78,7 @@
     Comes before the outcomes of the report are applied.
     """
     worker.incarnation = report.incarnation
-    _note_strays(state, report, now_ms)
+    _note_orphans(state, report, now_ms)
     reporter = _Reporter(worker, now_ms)
     for task in report.tasks:
         attempt = state.attempts.get(task.attempt_id)
@@ -93,9 +93,9 @@
     """Hold a new job that an older owner may have started unrecorded.
 
     Only urgent idempotent jobs of a `volatile_accept` contract are started
-    without a record, and known strays may belong to the job.
+    without a record, and known orphans may belong to the job.
     """
-    if job.job_id not in state.recovery.strays:
+    if job.job_id not in state.recovery.orphans:
         if not state.recovery.is_open or not may_be_volatile(state, job.spec):
             return
     state.recovery.held[job.job_id] = set(job.waiting)
@@ -121,12 +121,12 @@
         for cancelled_id in tuple(recovery.cancelled):
             _end_cancelled(state, state.jobs.get(cancelled_id), now_ms)
         recovery.cancelled.clear()
-    if recovery.strays:
-        _drop_lapsed_strays(state, now_ms)
+    if recovery.orphans:
+        _drop_lapsed_orphans(state, now_ms)
     if recovery.is_open or not recovery.held:
         return
     for job_id in tuple(recovery.held):
-        if job_id not in recovery.strays:
+        if job_id not in recovery.orphans:
             _release(state, job_id, now_ms)
 
 
@@ -173,7 +173,7 @@
     task_id = task_of(task.attempt_id)
     job = state.jobs.get(job_of(task_id))
     if job is None or not _takes(state, job, position_of(task_id)):
-        _stop_stray(state, reporter, task)
+        _stop_orphan(state, reporter, task)
         return
     attempt = Attempt(
         attempt_id=task.attempt_id,
@@ -186,7 +186,7 @@
         lease_ends_at_ms=reporter.now_ms,
     )
     take(state, job, attempt)
-    _forget_stray(state, task)
+    _forget_orphan(state, task)
     if job.state is JobState.CANCELLING:
         ask_to_stop(state, attempt, StopReason.JOB_ENDED, reporter.now_ms)
 
@@ -207,7 +207,7 @@
     return False
 
 
-def _stop_stray(
+def _stop_orphan(
     state: CoreState,
     reporter: _Reporter,
     task: TaskReport,
@@ -217,8 +217,8 @@
     job_id = job_of(task_of(task.attempt_id))
     worker_id = reporter.worker.worker_id
     lease_ms = lapse_bound_ms(state.config.policies.task_lease_ms)
-    strays = state.recovery.strays.setdefault(job_id, {})
-    strays[task.attempt_id] = Stray(worker_id, reporter.now_ms + lease_ms)
+    orphans = state.recovery.orphans.setdefault(job_id, {})
+    orphans[task.attempt_id] = Orphan(worker_id, reporter.now_ms + lease_ms)
     job = state.jobs.get(job_id)
     if job is not None and job.state is JobState.ACCEPTING:
         # Adopted from a later report, once the job is durable.
@@ -248,34 +248,34 @@
         )
 
 
-def _note_strays(state: CoreState, report: WorkerReport, now_ms: int) -> None:
+def _note_orphans(state: CoreState, report: WorkerReport, now_ms: int) -> None:
     running = {
         task.attempt_id
         for task in report.tasks
         if task.outcome is TaskOutcome.RUNNING
     }
-    for job_id, strays in tuple(state.recovery.strays.items()):
-        for attempt_id, stray in tuple(strays.items()):
-            if stray.worker_id != report.worker_id:
+    for job_id, orphans in tuple(state.recovery.orphans.items()):
+        for attempt_id, orphan in tuple(orphans.items()):
+            if orphan.worker_id != report.worker_id:
                 continue
             if attempt_id not in running:
-                strays.pop(attempt_id)
-        if not strays:
-            state.recovery.strays.pop(job_id)
+                orphans.pop(attempt_id)
+        if not orphans:
+            state.recovery.orphans.pop(job_id)
 
 
-def _drop_lapsed_strays(state: CoreState, now_ms: int) -> None:
-    for job_id, strays in tuple(state.recovery.strays.items()):
-        for attempt_id, stray in tuple(strays.items()):
-            if stray.lease_ends_at_ms <= now_ms:
-                strays.pop(attempt_id)
-        if not strays:
-            state.recovery.strays.pop(job_id)
+def _drop_lapsed_orphans(state: CoreState, now_ms: int) -> None:
+    for job_id, orphans in tuple(state.recovery.orphans.items()):
+        for attempt_id, orphan in tuple(orphans.items()):
+            if orphan.lease_ends_at_ms <= now_ms:
+                orphans.pop(attempt_id)
+        if not orphans:
+            state.recovery.orphans.pop(job_id)
 
 
-def _forget_stray(state: CoreState, task: TaskReport) -> None:
+def _forget_orphan(state: CoreState, task: TaskReport) -> None:
     job_id = job_of(task_of(task.attempt_id))
-    strays = state.recovery.strays.get(job_id, {})
-    strays.pop(task.attempt_id, None)
-    if not strays:
-        state.recovery.strays.pop(job_id, None)
+    orphans = state.recovery.orphans.get(job_id, {})
+    orphans.pop(task.attempt_id, None)
+    if not orphans:
+        state.recovery.orphans.pop(job_id, None)
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -52,10 +52,12 @@
 # A group without a start for this time is taken to be kept out by smaller ones.
 _STARVING_MS: Final = 20_000
 # Time after which smaller jobs of a customer leave the quota to an older one.
-_QUOTA_PATIENCE_MS: Final = 10_000
+_QUOTA_YIELD_AFTER_MS: Final = 10_000
 # Room that ends of tasks give back in this time costs no lost work. Urgent work
 # has to start within 1,100 ms, of which the stops take their part.
-_PATIENCES_MS: Final = MappingProxyType({'urgent': 300, 'guaranteed': 5_000})
+_PREEMPT_AFTER_MS: Final = MappingProxyType(
+    {'urgent': 300, 'guaranteed': 5_000}
+)
 
 
 def decide(state: CoreState, now_ms: int) -> bool:
@@ -215,7 +217,7 @@
     for other in account.over_quota:
         if other.first_order > group.first_order:
             continue
-        if now_ms - other.first_at_ms < _QUOTA_PATIENCE_MS:
+        if now_ms - other.first_at_ms < _QUOTA_YIELD_AFTER_MS:
             continue
         if group_size_at_once(state, other).fits_in(account.quota):
             return True
@@ -309,8 +311,8 @@
     """Make room for the first jobs of a group that is owed it."""
     if group.is_gang or now_ms < group.reclaim_after_ms:
         return
-    patience_ms = _PATIENCES_MS[policy]
-    if now_ms - group.first_at_ms < patience_ms:
+    preempt_after_ms = _PREEMPT_AFTER_MS[policy]
+    if now_ms - group.first_at_ms < preempt_after_ms:
         return
     size = group_size(state, group)
     owed = is_owed_urgently if policy == 'urgent' else _is_guaranteed
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(slots=True)
-class Stray:
+class Orphan:
     """An attempt that runs for no job of this owner and was told to stop."""
 
     worker_id: WorkerId
@@ -27,7 +27,7 @@
     `intents`: unresolved non-idempotent starts of older owners, each with the
     incarnation of its worker.
     `cancelled`: cancelled jobs whose tasks workers may still report.
-    `strays`: kept until they are known to have ended, since the job that
+    `orphans`: kept until they are known to have ended, since the job that
     they belong to may be submitted again.
     """
 
@@ -37,4 +37,4 @@
     held: dict[JobId, set[int]] = field(default_factory=dict)
     intents: dict[AttemptId, str] = field(default_factory=dict)
     cancelled: dict[JobId, None] = field(default_factory=dict)
-    strays: dict[JobId, dict[AttemptId, Stray]] = field(default_factory=dict)
+    orphans: dict[JobId, dict[AttemptId, Orphan]] = field(default_factory=dict)
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -26,7 +26,7 @@
 from fuchsiarill.owner.contest import contest_delay_ms
 from fuchsiarill.owner.journal_format import JournalFault
 from fuchsiarill.owner.keys import owner_key
-from fuchsiarill.owner.lease_keeper import LeaseKeeper
+from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
 from fuchsiarill.owner.serving import Ports, Serving
 from fuchsiarill.owner.takeover import Takeover
@@ -288,13 +288,13 @@
     await campaign.helpers.stop()
     campaign.lease.held = held
     campaign.set_deadline(held.asked_at_ms)
-    campaign.helpers.keeper = LeaseKeeper(
+    campaign.helpers.renewer = LeaseRenewer(
         store,
         held,
         campaign.settings.store.owner_renew_interval_ms,
         campaign.mailbox,
     )
-    campaign.helpers.keeper.start()
+    campaign.helpers.renewer.start()
     await campaign.step(PartitionEvent.ACQUIRED)
 
 
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -10,7 +10,7 @@
 from fuchsiarill.owner.claims import HeldLease
 from fuchsiarill.owner.closing import refuse_callers
 from fuchsiarill.owner.journal_reader import JournalRead
-from fuchsiarill.owner.lease_keeper import LeaseKeeper
+from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
 from fuchsiarill.owner.serving import Serving
 from fuchsiarill.owner.takeover import Takeover
@@ -87,7 +87,7 @@
     def __init__(self) -> None:
         """Start with none running."""
         self.watch: OwnerWatch | None = None
-        self.keeper: LeaseKeeper | None = None
+        self.renewer: LeaseRenewer | None = None
         self.takeover: Takeover | None = None
         self.serving: Serving | None = None
         self.journal: JournalRead | None = None
@@ -118,7 +118,7 @@
         """Return why a helper has ended by itself, if one has."""
         faults = (
             helper.fault()
-            for helper in (self.watch, self.keeper, self.serving)
+            for helper in (self.watch, self.renewer, self.serving)
             if helper is not None
         )
         return next(filter(None, faults), None)
@@ -132,13 +132,13 @@
 
     async def stop(self) -> None:
         """Stop all helpers."""
-        for helper in (self.watch, self.keeper, self.takeover, self.serving):
+        for helper in (self.watch, self.renewer, self.takeover, self.serving):
             if helper is not None:
                 await helper.stop()
         if self.serving is not None:
             self._refuse_callers(self.serving)
         self.watch = None
-        self.keeper = None
+        self.renewer = None
         self.takeover = None
         self.serving = None
         self.journal = None
--- a/fuchsiarill/owner/exchange_rhythm.py
+++ b/fuchsiarill/owner/exchange_pacer.py
@@ -28,7 +28,7 @@
 _PER_TASK_MS: Final = 33
 
 
-class ExchangeRhythm:
+class ExchangePacer:
     """Sends the ticks of a link: at once when asked, else at its pace."""
 
     def __init__(
--- a/fuchsiarill/owner/lease_keeper.py
+++ b/fuchsiarill/owner/lease_renewer.py
@@ -11,7 +11,7 @@
 from fuchsiarill.ports.store import StoreFailure, StorePort
 
 
-class LeaseKeeper(Actor):
+class LeaseRenewer(Actor):
     """Renews one lease at an interval and sooner after a failure."""
 
     def __init__(
@@ -22,7 +22,7 @@
         campaign: Mailbox,
     ) -> None:
         """Keep `lease` for `campaign`."""
-        super().__init__('lease keeper')
+        super().__init__('lease renewer')
         self._store = store
         self._lease = lease
         self._interval_ms = interval_ms
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -16,7 +16,7 @@
 from fuchsiarill.core.ledger import lapse_bound_ms
 from fuchsiarill.ids import AttemptId, Epoch
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.exchange_rhythm import ExchangeRhythm
+from fuchsiarill.owner.exchange_pacer import ExchangePacer
 from fuchsiarill.owner.expectations import Expectations, SentStart
 from fuchsiarill.ports.workers import ExchangeFailure, WorkerPort
 from fuchsiarill.workers import (
@@ -63,7 +63,7 @@
         self._terms = terms
         self._port = port
         self._owner = owner
-        self._rhythm = ExchangeRhythm(
+        self._pacer = ExchangePacer(
             self.entry.worker_id,
             terms.exchange_interval_ms,
             terms.workers_count,
@@ -80,11 +80,11 @@
     def start(self) -> None:
         """Run the actor and exchange at once."""
         super().start()
-        self._rhythm.soon()
+        self._pacer.soon()
 
     async def stop(self) -> None:
         """Stop the exchanges."""
-        self._rhythm.cancel()
+        self._pacer.cancel()
         await super().stop()
 
     def snapshot(self) -> dict[str, Any]:
@@ -102,14 +102,14 @@
     async def on_start(self, message: messages.SendStart) -> None:
         """Send a start with the next exchange, which begins at once."""
         self._starts.append(message)
-        self._rhythm.soon()
+        self._pacer.soon()
 
     @handles(messages.SendCommand)
     async def on_command(self, message: messages.SendCommand) -> None:
         """Send a command with the next exchange, which begins at once."""
         command = message.command
         self._commands[(command.attempt_id, command.kind)] = None
-        self._rhythm.soon()
+        self._pacer.soon()
 
     @handles(messages.OutcomesHandled)
     async def on_handled(self, message: messages.OutcomesHandled) -> None:
@@ -120,7 +120,7 @@
     async def on_lease(self, message: messages.LeaseChanged) -> None:
         """Grant leases of another length from the next exchange on."""
         self._contact.task_lease_ms = message.task_lease_ms
-        self._rhythm.interval_ms = message.exchange_interval_ms
+        self._pacer.interval_ms = message.exchange_interval_ms
 
     @handles(messages.RenewalsAllowed)
     async def on_allowed(self, message: messages.RenewalsAllowed) -> None:
@@ -130,7 +130,7 @@
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
         """Exchange with the worker once."""
-        self._rhythm.began()
+        self._pacer.began()
         asked_at_ms = now_ms()
         request = self._request(asked_at_ms)
         answer = await self._port.exchange(self.entry.address, request)
@@ -138,15 +138,15 @@
             case Success(report) if report.highest_epoch > self._terms.epoch:
                 self._tell(messages.Deposed('a worker knows a newer owner'))
             case Success(report):
-                self._rhythm.note(request, report)
+                self._pacer.note(request, report)
                 self._answered(request, report, asked_at_ms)
             case Failure(failure):
                 self._failed(request, failure, asked_at_ms)
         self._flush()
         if self._starts:
-            self._rhythm.soon()
+            self._pacer.soon()
         else:
-            self._rhythm.later()
+            self._pacer.later()
 
     def _send_tick(self) -> bool:
         return self.mailbox.send(messages.Tick())
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -28,7 +28,7 @@
 from fuchsiarill.routing import Route, partition_of_job, partition_of_key
 
 _RETRY_MS: Final = 200
-_PATIENCE_MS: Final = 1_000
+_ANSWER_MARGIN_MS: Final = 1_000
 _RESULT_WAIT_MS: Final = 5_000
 
 
@@ -203,7 +203,9 @@
             return None
         # The front answers at its own deadline, before the caller gives up.
         timeout_ms = (
-            process.settings.http.request_timeout_ms + wait_ms + _PATIENCE_MS
+            process.settings.http.request_timeout_ms
+            + wait_ms
+            + _ANSWER_MARGIN_MS
         )
         answered = await self._network.ask(
             self._endpoint,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -200,7 +200,7 @@
     assert owner.state_of(job_id) is JobState.RUNNING
 
 
-def test_stray_delays_its_resubmitted_job() -> None:
+def test_orphan_delays_its_resubmitted_job() -> None:
     """Guards against a start while an older copy is still being stopped."""
     owner = _Owner([], volatile=True)
     owner.core.hosts_listed((host('w1'),), 0)
