--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -173,12 +173,6 @@
     'worker {worker} does not answer',
     'Check the host; its tasks restart elsewhere when their leases lapse.',
 )
-JOB_SETTLED: Final = LogEvent(
-    501,
-    Level.DEBUG,
-    'job {job} ended as {state}',
-    _NO_ACTION,
-)
 REQUEST_FAILED: Final = LogEvent(
     601,
     Level.ERROR,
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -4,6 +4,7 @@
 from functools import partial
 from typing import Any, Final
 
+from fuchsiarill import events
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.core.effects import (
@@ -166,6 +167,7 @@
     @handles(messages.WorkerSilent)
     async def on_silent(self, message: messages.WorkerSilent) -> None:
         """Regard a worker as out of reach."""
+        events.emit(events.WORKER_UNREACHABLE, worker=message.worker_id)
         self.core.leases_extended(message.worker_id, message.lease_ends_at_ms)
         self.core.worker_silent(message.worker_id, now_ms())
         self._settle()
