--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -1,13 +1,15 @@
 """Numbered log events, one registry; `docs/EVENTS.md` is written from it.
 
 1xx process, 2xx configuration and membership, 3xx ownership and journal,
-4xx workers, 5xx jobs, 6xx requests.
+4xx workers, 5xx jobs, 6xx requests, 7xx job graphs: 70x requests, 71x runs,
+72x workers, 73x ownership of pools, 74x outside systems.
 """
 
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final
+from typing import Any, Final
 
 from loguru import logger
 
@@ -78,6 +80,19 @@
     )
 
 
+def configure_structured(sink: Callable[[Any], None], level: Level) -> None:
+    """Send log lines to a sink that gets loguru's messages."""
+    logger.remove()
+    logger.configure(extra={'event': 0})
+    logger.add(
+        sink,
+        level=level.value,
+        format='{message}',
+        backtrace=False,
+        diagnose=False,
+    )
+
+
 _NO_ACTION: Final = 'None.'
 
 PROCESS_STARTED: Final = LogEvent(
@@ -179,3 +194,178 @@
     'request of {path} failed: {error}',
     'Report the line as a defect; the caller was answered with its code.',
 )
+GRAPH_ACCEPTED: Final = LogEvent(
+    701,
+    Level.INFO,
+    'job {job} of queue {queue} is accepted at revision {revision} after '
+    '{took_ms} ms, {attempts} calls',
+    _NO_ACTION,
+)
+GRAPH_REFUSED: Final = LogEvent(
+    702,
+    Level.WARNING,
+    'request {verb} of job {job} is refused with {code} after {took_ms} '
+    'ms: {reason}',
+    'Check the store and the links to it; the caller comes back by itself.',
+)
+GRAPH_CANCEL_ACCEPTED: Final = LogEvent(
+    703,
+    Level.INFO,
+    'the cancellation of job {job} is durable',
+    _NO_ACTION,
+)
+GRAPH_SETTLED: Final = LogEvent(
+    704,
+    Level.INFO,
+    'job {job} of queue {queue} is {phase} after {age_ms} ms, objective '
+    '{objective_ms} ms',
+    _NO_ACTION,
+)
+RUN_PLACED: Final = LogEvent(
+    711,
+    Level.INFO,
+    'attempt {attempt} of task {task} of job {job} goes to {worker} after '
+    '{waited_ms} ms, {free_milli} processors (milli) stay free, epoch '
+    '{epoch}',
+    _NO_ACTION,
+)
+RUN_ENDED: Final = LogEvent(
+    712,
+    Level.INFO,
+    'attempt {attempt} of task {task} of job {job} on {worker} ended as '
+    '{kind} after {ran_ms} ms, epoch {epoch}',
+    _NO_ACTION,
+)
+RUN_LOST: Final = LogEvent(
+    713,
+    Level.WARNING,
+    'attempt {attempt} of task {task} of job {job} is lost with {worker}',
+    'None; the task starts again.',
+)
+RUN_FOUND: Final = LogEvent(
+    714,
+    Level.INFO,
+    '{worker} runs attempt {attempt} of task {task} of job {job} that '
+    'this owner did not start; kept: {is_kept}',
+    _NO_ACTION,
+)
+START_REFUSED: Final = LogEvent(
+    715,
+    Level.WARNING,
+    '{worker} refuses attempt {attempt} of task {task} of job {job}: {failure}',
+    'None; the task starts elsewhere.',
+)
+RUN_STALLED: Final = LogEvent(
+    716,
+    Level.WARNING,
+    'attempt {attempt} of task {task} of job {job} stands still at '
+    '{percent}% on {worker} and is stopped',
+    'Check the worker if this recurs there.',
+)
+FILLER_PACED: Final = LogEvent(
+    717,
+    Level.INFO,
+    'job {job} on {worker} works at {percent}%: the worst tail beside it '
+    'is {tail_share} of its target',
+    _NO_ACTION,
+)
+WORKER_UNCONFIRMED: Final = LogEvent(
+    721,
+    Level.WARNING,
+    'worker {worker} gives no report ({failure}) and gets no work; {runs} '
+    'runs may be there',
+    'Check the host; its tasks restart elsewhere when their leases lapse.',
+)
+WORKER_SUSPENDED: Final = LogEvent(
+    722,
+    Level.WARNING,
+    'worker {worker} failed {failures} tasks in a row and gets no work '
+    'for {duration_ms} ms',
+    'Check the host.',
+)
+TENURE_WON: Final = LogEvent(
+    731,
+    Level.INFO,
+    'pool {pool} is owned with epoch {epoch} after {campaign_ms} ms',
+    _NO_ACTION,
+)
+POOL_LOADED: Final = LogEvent(
+    732,
+    Level.INFO,
+    'pool {pool} is loaded in epoch {epoch}: {jobs} keys of jobs, '
+    '{workers} workers to ask, term {term}',
+    _NO_ACTION,
+)
+INHERITANCE_SETTLED: Final = LogEvent(
+    733,
+    Level.INFO,
+    'every worker of the owner before of pool {pool} has answered or '
+    'lapsed, epoch {epoch}',
+    _NO_ACTION,
+)
+TENURE_LOST: Final = LogEvent(
+    734,
+    Level.WARNING,
+    'pool {pool} is given up, epoch {epoch}',
+    'Check the store and the load of the process if this recurs.',
+)
+TENURE_REFUTED: Final = LogEvent(
+    735,
+    Level.WARNING,
+    'epoch {epoch} of pool {pool} is over: {reason}',
+    'None; another process owns the pool.',
+)
+TENURE_SUSPENDED: Final = LogEvent(
+    736,
+    Level.WARNING,
+    'the lease of pool {pool} is overdue, nothing is ordered, epoch {epoch}',
+    'Check the store and the links to it.',
+)
+TENURE_RESUMED: Final = LogEvent(
+    737,
+    Level.INFO,
+    'the lease of pool {pool} is renewed, orders go on, epoch {epoch}',
+    _NO_ACTION,
+)
+WRITE_FENCED: Final = LogEvent(
+    738,
+    Level.WARNING,
+    'a write is refused: key {key} has revision {found} instead of {expected}',
+    'None; another process owns the pool.',
+)
+STORE_LOST: Final = LogEvent(
+    741,
+    Level.WARNING,
+    'the store has not answered for {prefix} for {failing_ms} ms: {failure}',
+    'Check the store and the links to it.',
+)
+STORE_REGAINED: Final = LogEvent(
+    742,
+    Level.INFO,
+    'the store answers for {prefix} again after {lost_ms} ms',
+    _NO_ACTION,
+)
+STORE_ANSWER_UNEXPECTED: Final = LogEvent(
+    743,
+    Level.ERROR,
+    'the store answered with status {status}',
+    'Report the line as a defect.',
+)
+DOCUMENT_UNREADABLE: Final = LogEvent(
+    744,
+    Level.WARNING,
+    '{key} at revision {revision} can not be used: {problem}',
+    'Correct the document; until then it is ignored.',
+)
+SETTINGS_RELOADED: Final = LogEvent(
+    745,
+    Level.INFO,
+    'the settings have been read again; changed: {is_changed}',
+    _NO_ACTION,
+)
+LOG_LINES_DROPPED: Final = LogEvent(
+    746,
+    Level.WARNING,
+    '{count} log lines were dropped, the output does not keep up',
+    'Read the output faster or raise the log level.',
+)
--- /dev/null
+++ b/fuchsiarill/graphs/__init__.py
@@ -0,0 +1,1 @@
+"""Job graphs: queues of jobs whose steps depend on each other."""
--- /dev/null
+++ b/fuchsiarill/graphs/core.py
@@ -0,0 +1,371 @@
+"""Decisions about one pool: jobs, workers and runs; no I/O.
+
+The owner feeds in what it learns, with the runtime clock in `now_ms`, and
+carries out the effects that `take_effects` returns.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from fuchsiarill import events
+from fuchsiarill.graphs import (
+    deciding,
+    draining,
+    pacing,
+    reports,
+    stalls,
+    worker_trust,
+)
+from fuchsiarill.graphs.effects import Effect, LookAt
+from fuchsiarill.graphs.job_actions import step_job
+from fuchsiarill.graphs.job_book import ATTEMPTS_PER_TERM, JobEntry
+from fuchsiarill.graphs.model import (
+    BornMs,
+    GraphConfig,
+    JobGraph,
+    PoolId,
+    QueueId,
+    QueuePolicy,
+    StepKey,
+    TaskKey,
+    Ticket,
+    WorkerEntry,
+    WorkerReport,
+)
+from fuchsiarill.graphs.progress import JobProgress
+from fuchsiarill.graphs.run_actions import order_stop, step_run
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.settings import TaskLeaseSettings
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import (
+    JobPhaseEvent,
+    RunEvent,
+    RunState,
+    StandingEvent,
+)
+from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.ids import Epoch, JobId, WorkerId
+from fuchsiarill.ports.agents import AgentFailure
+
+# A stop without an answer is ordered again after this time.
+_STOP_REPEAT_MS = 400
+
+
+class GraphCore:
+    """What the owner of a pool knows, and what follows from it."""
+
+    def __init__(
+        self,
+        pool: PoolId,
+        epoch: Epoch,
+        leases: TaskLeaseSettings,
+        term: int,
+    ) -> None:
+        """Start an owner's term; `term` counts the owners of the pool."""
+        self.state = PoolState(pool, epoch, leases)
+        self._term = term
+
+    def configure(self, config: GraphConfig) -> None:
+        """Take over the configuration for jobs that come from now on."""
+        self.state.config = config
+        for entry in self.state.jobs.values():
+            policy = config.queues.get(entry.graph.queue)
+            if policy is not None:
+                entry.policy = policy
+        self.state.free_version += 1
+
+    def add_job(
+        self,
+        graph: JobGraph,
+        progress: JobProgress,
+        now_ms: int,
+        *,
+        is_inherited: bool,
+    ) -> None:
+        """Take over an accepted job; a known one is ignored."""
+        if graph.job in self.state.jobs:
+            return
+        entry = JobEntry(graph, self._policy(graph), progress, now_ms)
+        entry.is_inherited = is_inherited
+        if is_inherited:
+            entry.attempt_floor = (self._term - 1) * ATTEMPTS_PER_TERM
+        self.state.jobs[graph.job] = entry
+        if not entry.is_active:
+            return
+        if graph.schedule is None:
+            entry.open_occurrence(0)
+        if entry.is_complete:
+            step_job(self.state, entry, JobPhaseEvent.ALL_SUCCEEDED, now_ms)
+
+    def cancel_job(self, job: JobId, now_ms: int) -> None:
+        """Cancel a job and stop what runs of it."""
+        entry = self.state.jobs.get(job)
+        if entry is not None:
+            step_job(self.state, entry, JobPhaseEvent.CANCEL_SEEN, now_ms)
+
+    def forget_job(self, job: JobId) -> None:
+        """Drop a settled job."""
+        self.state.jobs.pop(job, None)
+
+    def list_workers(self, entries: Iterable[WorkerEntry], now_ms: int) -> None:
+        """Take over the directory's entries of the pool."""
+        for worker in self.state.workers.list_entries(entries):
+            view = self.state.workers.find(worker)
+            if view is not None and view.born_ms:
+                self._reborn(view, now_ms)
+        self.state.free_version += 1
+
+    def expect_worker(
+        self,
+        worker: WorkerId,
+        address: str,
+        lapse_ms: int,
+    ) -> None:
+        """Note a worker to which an owner before may have given work."""
+        view = self.state.workers.add(worker, address)
+        view.is_recorded = True
+        view.lapse_ms = max(view.lapse_ms, lapse_ms)
+
+    def record_workers(self, workers: Iterable[WorkerId]) -> None:
+        """Note that workers stand in the durable fleet record."""
+        for worker in workers:
+            view = self.state.workers.find(worker)
+            if view is not None:
+                view.is_recorded = True
+        self.state.free_version += 1
+
+    def renewal_sent(self, worker: WorkerId, now_ms: int) -> None:
+        """Note that everything on a worker may run for one more lease."""
+        view = self.state.workers.find(worker)
+        if view is None:
+            return
+        leases = self.state.leases
+        longest_ms = leases.duration_ms * (1 + leases.clock_slowness)
+        view.lapse_ms = int(now_ms + longest_ms) + leases.wake_ms
+
+    def worker_reported(
+        self,
+        worker: WorkerId,
+        report: WorkerReport,
+        asked_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Take a report into account."""
+        view = self.state.workers.find(worker)
+        if view is None:
+            return
+        reports.take_report(self.state, view, report, asked_ms, now_ms)
+        self.state.free_version += 1
+
+    def worker_failed(
+        self,
+        worker: WorkerId,
+        failure: AgentFailure,
+        now_ms: int,
+    ) -> None:
+        """Note that a renewal got no report."""
+        view = self.state.workers.find(worker)
+        if view is None:
+            return
+        before = view.standing
+        self.state.workers.step(view, StandingEvent.WENT_SILENT)
+        if before is not view.standing:
+            events.emit(
+                events.WORKER_UNCONFIRMED,
+                worker=worker,
+                failure=failure.value,
+                runs=len(view.runs),
+            )
+        if failure is AgentFailure.OTHER_WORKER:
+            # The life that was meant has ended; another one answers.
+            view.lapse_ms = now_ms
+
+    def start_answered(
+        self,
+        worker: WorkerId,
+        task: TaskKey,
+        attempt: int,
+        failure: AgentFailure | None,
+        now_ms: int,
+    ) -> None:
+        """Take the outcome of an order to start into account."""
+        run = self._find_run(worker, task, attempt)
+        if run is None:
+            return
+        if failure is None:
+            if run.state is RunState.STARTING and run.listed_from_ms is None:
+                run.listed_from_ms = now_ms
+            step_run(self.state, run, RunEvent.CONFIRMED, now_ms)
+            return
+        if failure is AgentFailure.UNKNOWN:
+            step_run(self.state, run, RunEvent.UNANSWERED, now_ms)
+            return
+        self._refused(run, failure, now_ms)
+
+    def stop_answered(
+        self,
+        worker: WorkerId,
+        task: TaskKey,
+        attempt: int,
+        failure: AgentFailure | None,
+        now_ms: int,
+    ) -> None:
+        """Take the outcome of an order to stop into account."""
+        run = self._find_run(worker, task, attempt)
+        if run is None or failure is not None:
+            return
+        run.is_stop_answered = True
+        run.listed_from_ms = now_ms
+        self.state.effects.append(LookAt(worker))
+
+    def advised(
+        self,
+        step: StepKey,
+        asked: dict[WorkerId, BornMs],
+        granted: dict[WorkerId, Ticket],
+        expiry_ms: int,
+    ) -> None:
+        """Take over tickets for a step."""
+        self.state.tickets.advised(step, asked, granted, expiry_ms)
+        self._unblock(step)
+
+    def advice_failed(self, step: StepKey, now_ms: int) -> None:
+        """Note that an ask for advice got no answer."""
+        self.state.tickets.unanswered(step, now_ms)
+        self._unblock(step)
+
+    def tick(self, now_ms: int) -> None:
+        """Do what time alone brings."""
+        for view in list(self.state.workers):
+            self._lapse(view, now_ms)
+        self._open_due(now_ms)
+        self._repeat_stops(now_ms)
+        draining.leave_workers(self.state, now_ms)
+        pacing.pace_fillers(self.state, now_ms)
+        stalls.stop_stalled(self.state, now_ms)
+        self._settle_inheritance()
+        self.state.free_version += 1
+
+    def decide(self, now_ms: int) -> None:
+        """Start what can start."""
+        deciding.decide(self.state, now_ms)
+
+    def take_effects(self) -> list[Effect]:
+        """Return and drop the effects of the calls so far."""
+        effects = self.state.effects
+        self.state.effects = []
+        return effects
+
+    def take_dirty(self) -> set[JobId]:
+        """Return and drop the jobs whose progress has changed."""
+        dirty = self.state.dirty
+        self.state.dirty = set()
+        return dirty
+
+    def pending_counts(self) -> dict[QueueId, int]:
+        """Return for each queue the jobs of which nothing has started."""
+        counts: Counter[QueueId] = Counter()
+        for entry in self.state.jobs.values():
+            if entry.is_active and not entry.progress.has_started:
+                counts[entry.graph.queue] += 1
+        return dict(counts)
+
+    def _policy(self, graph: JobGraph) -> QueuePolicy:
+        """Return the queue's policy; a removed queue's jobs still run."""
+        config = self.state.config
+        policy = config.queues.get(graph.queue) if config else None
+        if policy is not None:
+            return policy
+        return QueuePolicy(graph.queue, '', '', graph.pool, 0)
+
+    def _find_run(
+        self,
+        worker: WorkerId,
+        task: TaskKey,
+        attempt: int,
+    ) -> Run | None:
+        view = self.state.workers.find(worker)
+        return None if view is None else view.runs.get((task, attempt))
+
+    def _refused(self, run: Run, failure: AgentFailure, now_ms: int) -> None:
+        events.emit(
+            events.START_REFUSED,
+            job=run.task.job,
+            task='.'.join(map(str, run.task[1:])),
+            attempt=run.attempt,
+            worker=run.worker,
+            failure=failure.value,
+        )
+        if failure is AgentFailure.TICKET_INVALID:
+            self.state.tickets.refuse(run.task.step_key, run.worker)
+        view = self.state.workers.find(run.worker)
+        if view is not None and failure is AgentFailure.UNHEALTHY:
+            worker_trust.note_failure(view, run.task, now_ms)
+        if view is not None and failure in {
+            AgentFailure.UNHEALTHY,
+            AgentFailure.NOT_SENT,
+            AgentFailure.CONNECTION_REFUSED,
+            AgentFailure.OTHER_WORKER,
+        }:
+            self.state.workers.step(view, StandingEvent.WENT_SILENT)
+        reports.stop_gang(self.state, run, now_ms)
+        step_run(self.state, run, RunEvent.REFUSED, now_ms)
+
+    def _reborn(self, view: WorkerView, now_ms: int) -> None:
+        if view.entry is None or view.entry.born_ms <= view.born_ms:
+            return
+        reports.start_new_life(self.state, view, now_ms)
+        view.born_ms = view.entry.born_ms
+        self.state.workers.step(view, StandingEvent.WENT_SILENT)
+
+    def _lapse(self, view: WorkerView, now_ms: int) -> None:
+        if now_ms <= view.lapse_ms:
+            return
+        view.is_accounted = True
+        if view.runs:
+            reports.lose_runs(self.state, view, now_ms)
+        if not view.is_listed:
+            self.state.workers.step(view, StandingEvent.LAPSED)
+
+    def _open_due(self, now_ms: int) -> None:
+        unix_ms = now_ms + self.state.unix_offset_ms
+        for entry in self.state.jobs.values():
+            schedule = entry.graph.schedule
+            if schedule is None or not entry.is_active:
+                continue
+            while entry.opened_occurrences < schedule.occurrences_count:
+                occurrence = entry.opened_occurrences
+                due_ms = schedule.start_at_ms + occurrence * schedule.period_ms
+                if unix_ms < due_ms:
+                    break
+                entry.open_occurrence(occurrence)
+
+    def _repeat_stops(self, now_ms: int) -> None:
+        for view in self.state.workers:
+            for run in list(view.runs.values()):
+                if run.stop_ordered_ms is None or run.is_stop_answered:
+                    continue
+                if now_ms - run.stop_ordered_ms >= _STOP_REPEAT_MS:
+                    order_stop(self.state, run, now_ms)
+
+    def _settle_inheritance(self) -> None:
+        state = self.state
+        if state.is_inheritance_settled:
+            return
+        for view in state.workers:
+            if view.is_recorded and not view.is_accounted:
+                return
+        state.is_inheritance_settled = True
+        events.emit(
+            events.INHERITANCE_SETTLED,
+            pool=state.pool,
+            epoch=state.epoch,
+        )
+
+    def _unblock(self, step: StepKey) -> None:
+        entry = self.state.jobs.get(step.job)
+        if entry is None:
+            return
+        found = entry.open_steps.get((step.occurrence, step.step))
+        if found is not None:
+            found.blocked_version = -1
--- /dev/null
+++ b/fuchsiarill/graphs/deciding.py
@@ -0,0 +1,185 @@
+"""Decides which waiting units start, and where."""
+
+from typing import Final
+
+from fuchsiarill import events
+from fuchsiarill.graphs.effects import AskAdvice, StartRun
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.model import StepKey, Ticket
+from fuchsiarill.graphs.ordering import rank_ms
+from fuchsiarill.graphs.placement import (
+    Request,
+    could_ever_fit,
+    has_room,
+    place_unit,
+    usable_workers,
+)
+from fuchsiarill.graphs.run_actions import hold_run
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.resources import NOTHING
+
+# Workers named in one ask; the service's bound.
+_ASKED_MAX_COUNT: Final = 100
+
+
+def decide(state: PoolState, now_ms: int) -> None:
+    """Start what can start, in the order of rank."""
+    ranked: list[tuple[int, StepKey, JobEntry, StepEntry]] = []
+    for entry in state.jobs.values():
+        if not entry.is_active or not _may_start(state, entry):
+            continue
+        for step in entry.open_steps.values():
+            if not step.waiting or step.blocked_version == state.free_version:
+                continue
+            ranked.append((rank_ms(entry, step, now_ms), step.key, entry, step))
+    ranked.sort(key=lambda row: row[:2])
+    for rank, _, entry, step in ranked:
+        _serve_step(state, entry, step, rank, now_ms)
+
+
+def _may_start(state: PoolState, entry: JobEntry) -> bool:
+    return state.is_inheritance_settled or not entry.is_inherited
+
+
+def _serve_step(
+    state: PoolState,
+    entry: JobEntry,
+    step: StepEntry,
+    rank: int,
+    now_ms: int,
+) -> None:
+    is_blocked = True
+    for unit in list(step.waiting.values()):
+        if unit.retry_ms > now_ms:
+            is_blocked = False
+            continue
+        request = Request(entry, step, unit, now_ms)
+        candidates = usable_workers(state, request)
+        if entry.policy.advice is not None:
+            holders = [
+                view
+                for view in candidates
+                if state.tickets.ticket_for(step.key, view, now_ms)
+            ]
+            placed = place_unit(state, request, holders)
+            if placed is None:
+                is_waiting = _ask(state, request, candidates, rank)
+                is_blocked = is_blocked and not is_waiting
+                break
+        else:
+            placed = place_unit(state, request, candidates)
+            if placed is None:
+                break
+        _start(state, request, placed)
+    if is_blocked and step.waiting:
+        step.blocked_version = state.free_version
+
+
+def _ask(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+    rank: int,
+) -> bool:
+    """Ask for advice where it could help; tells whether to look again."""
+    step = request.step
+    if not state.tickets.may_ask(step.key, request.now_ms):
+        return True
+    wanted = [
+        view
+        for view in candidates
+        if state.tickets.ticket_for(step.key, view, request.now_ms) is None
+    ]
+    known = [
+        view.worker
+        for view in wanted
+        if state.tickets.is_allowed(step.key, view.worker)
+        and has_room(step, view, NOTHING)
+    ]
+    unknown = [
+        view.worker
+        for view in wanted
+        if not state.tickets.is_allowed(step.key, view.worker)
+        and could_ever_fit(step.step, view)
+    ]
+    asked = (known + unknown)[:_ASKED_MAX_COUNT]
+    if not asked:
+        return False
+    state.tickets.asked(step.key)
+    state.effects.append(AskAdvice(step.key, tuple(asked), rank))
+    return True
+
+
+def _start(
+    state: PoolState,
+    request: Request,
+    placed: list[WorkerView],
+) -> None:
+    entry, step, unit = request.entry, request.step, request.unit
+    unit.last_attempt += 1
+    step.activate(unit)
+    if not entry.progress.has_started:
+        entry.progress.has_started = True
+    size = step.step.size
+    for task, view in zip(step.tasks_of(unit.key), placed, strict=True):
+        run = Run(
+            task,
+            unit.last_attempt,
+            unit.key,
+            view.worker,
+            step.step.charge,
+            size.processors_milli if step.step.is_filler else 0,
+            ordered_ms=request.now_ms,
+            progress_changed_ms=request.now_ms,
+        )
+        unit.runs[run.key] = run
+        step.runs_per_worker[view.worker] += 1
+        hold_run(state, run)
+        _order(state, request, run, view)
+
+
+def _order(
+    state: PoolState,
+    request: Request,
+    run: Run,
+    view: WorkerView,
+) -> None:
+    ticket: Ticket | None = None
+    if request.entry.policy.advice is not None:
+        ticket = state.tickets.ticket_for(
+            request.step.key,
+            view,
+            request.now_ms,
+        )
+    state.effects.append(
+        StartRun(
+            run.worker,
+            run.task,
+            run.attempt,
+            request.entry.graph.payload,
+            request.unit.checkpoint,
+            ticket,
+        ),
+    )
+    events.emit(
+        events.RUN_PLACED,
+        job=run.task.job,
+        task='.'.join(map(str, run.task[1:])),
+        attempt=run.attempt,
+        worker=run.worker,
+        waited_ms=request.now_ms - request.entry.accepted_ms,
+        free_milli=view.free.processors_milli,
+        epoch=state.epoch,
+    )
+
+
+def stale_workers(state: PoolState) -> list[WorkerId]:
+    """Return the workers that are neither listed nor run anything."""
+    return [
+        view.worker
+        for view in state.workers
+        if not view.is_listed and not view.runs
+    ]
--- /dev/null
+++ b/fuchsiarill/graphs/front.py
@@ -0,0 +1,73 @@
+"""What the HTTP threads of a process see, and how they reach its actors."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from fuchsiarill.actor import Mailbox, Reply
+from fuchsiarill.clock import MS_PER_SECOND
+from fuchsiarill.front.bridge import Bridge
+from fuchsiarill.graphs.intake import IntakeAnswer
+from fuchsiarill.graphs.model import GraphConfig
+from fuchsiarill.graphs.settings import GraphSettings
+
+_DEFAULT_PATIENCE_MS = 3000
+_REQUESTS_MAX_COUNT = 400
+# The bridge waits a little longer than the actor, which answers in time.
+_BRIDGE_MARGIN_MS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class FrontView:
+    """State of the process for its threads; replaced as a whole."""
+
+    config: GraphConfig | None = None
+    is_store_lost: bool = False
+    is_draining: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send connections here."""
+        return (
+            self.config is not None
+            and not self.is_store_lost
+            and not self.is_draining
+        )
+
+
+class Front:
+    """Lets threads ask the intake within the caller's patience."""
+
+    def __init__(self, settings: GraphSettings, intake: Mailbox) -> None:
+        """Connect with the running loop."""
+        self.settings = settings
+        self.view = FrontView()
+        self._loop = asyncio.get_running_loop()
+        self._bridge = Bridge(self._loop, _REQUESTS_MAX_COUNT)
+        self._intake = intake
+
+    def deadline_ms(self, patience_ms: int | None) -> int:
+        """Return when an answer is due, by the runtime clock."""
+        allowed_ms = patience_ms or _DEFAULT_PATIENCE_MS
+        margin_ms = self.settings.front.answer_margin_ms
+        now = int(self._loop.time() * MS_PER_SECOND)
+        return now + max(allowed_ms - margin_ms, allowed_ms // 2)
+
+    def ask(
+        self,
+        build: Callable[[Reply[IntakeAnswer]], Any],
+        deadline_ms: int,
+    ) -> IntakeAnswer:
+        """Ask the intake; raises `NotSentError` or `TimeoutError`."""
+        now = int(self._loop.time() * MS_PER_SECOND)
+        timeout_ms = deadline_ms - now + _BRIDGE_MARGIN_MS
+        return self._bridge.ask(self._intake, build, timeout_ms)
+
+    def ask_process(
+        self,
+        mailbox: Mailbox,
+        build: Callable[[Reply[Any]], Any],
+    ) -> Any:
+        """Ask another actor, for metrics and dumps."""
+        return self._bridge.ask(mailbox, build, _DEFAULT_PATIENCE_MS)
--- /dev/null
+++ b/fuchsiarill/graphs/job_actions.py
@@ -0,0 +1,56 @@
+"""Steps of the phase chart of jobs and their actions."""
+
+from collections.abc import Callable
+from typing import Final
+
+from fuchsiarill import events
+from fuchsiarill.graphs.job_book import JobEntry
+from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import JobPhase, JobPhaseEvent, RunEvent
+from fuchsiarill.registry import Registry
+from fuchsiarill.state_chart import load_chart
+
+_Action = Callable[[PoolState, JobEntry, int], None]
+
+JOB_ACTIONS: Final[Registry[str, _Action]] = Registry('job phase actions')
+
+
+@JOB_ACTIONS.register('stop_runs')
+def stop_runs(state: PoolState, entry: JobEntry, now_ms: int) -> None:
+    """Stop everything of the job that runs."""
+    for run in list(entry.runs()):
+        step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+
+
+@JOB_ACTIONS.register('settle')
+def settle(state: PoolState, entry: JobEntry, now_ms: int) -> None:
+    """Have the final phase made durable."""
+    entry.settled_ms = now_ms
+    state.touch(entry.job)
+    events.emit(
+        events.GRAPH_SETTLED,
+        job=entry.job,
+        queue=entry.graph.queue,
+        phase=entry.progress.phase.value,
+        age_ms=now_ms - entry.accepted_ms,
+        objective_ms=entry.objective_ms,
+    )
+
+
+_CHART: Final = load_chart('job_phase', JobPhase, JobPhaseEvent, JOB_ACTIONS)
+
+
+def step_job(
+    state: PoolState,
+    entry: JobEntry,
+    event: JobPhaseEvent,
+    now_ms: int,
+) -> None:
+    """Let an event happen to a job."""
+    transition = _CHART.step(entry.progress.phase, event)
+    if transition is None:
+        return
+    entry.progress.phase = transition.target
+    for action in transition.actions:
+        JOB_ACTIONS.lookup(action)(state, entry, now_ms)
--- /dev/null
+++ b/fuchsiarill/graphs/job_book.py
@@ -0,0 +1,217 @@
+"""Jobs of a pool: their steps, what waits in them and what has succeeded."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from functools import cached_property
+from typing import Final
+
+from fuchsiarill.graphs.model import (
+    NO_CHECKPOINT,
+    Checkpoint,
+    JobGraph,
+    QueuePolicy,
+    Step,
+    StepKey,
+    TaskKey,
+)
+from fuchsiarill.graphs.progress import JobProgress, UnitKey
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId, WorkerId
+
+# Attempts of an owner that follows another start above all that the other
+# can have made of a task without leaving a trace.
+ATTEMPTS_PER_TERM: Final = 100
+
+
+@dataclass(slots=True)
+class Unit:
+    """A task, or a gang, that has not succeeded."""
+
+    key: UnitKey
+    runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
+    last_attempt: int = 0
+    checkpoint: Checkpoint = NO_CHECKPOINT
+    # Workers where the unit failed; others are tried first.
+    failed_on: set[WorkerId] = field(default_factory=set)
+    # Not started again before this time.
+    retry_ms: int = 0
+
+
+class StepEntry:
+    """An open step of one occurrence."""
+
+    def __init__(self, key: StepKey, step: Step) -> None:
+        """Create the step without units."""
+        self.key = key
+        self.step = step
+        self.waiting: dict[UnitKey, Unit] = {}
+        self.active: dict[UnitKey, Unit] = {}
+        self.runs_per_worker: Counter[WorkerId] = Counter()
+        # Version of the free capacity at which nothing could be placed.
+        self.blocked_version = -1
+
+    @cached_property
+    def unit_keys(self) -> tuple[UnitKey, ...]:
+        """Return the units of the step."""
+        return unit_keys(self.key, self.step)
+
+    def tasks_of(self, unit: UnitKey) -> list[TaskKey]:
+        """Return the tasks that start together as `unit`."""
+        if not self.step.is_gang:
+            return [TaskKey(*self.key, unit.position)]
+        return [
+            TaskKey(*self.key, index) for index in range(self.step.tasks_count)
+        ]
+
+    def find_unit(self, key: UnitKey) -> Unit | None:
+        """Return a unit that has not succeeded."""
+        return self.active.get(key) or self.waiting.get(key)
+
+    def activate(self, unit: Unit) -> None:
+        """Move a unit from the waiting ones to those with runs."""
+        self.waiting.pop(unit.key, None)
+        self.active[unit.key] = unit
+
+    def requeue(self, unit: Unit) -> None:
+        """Let a unit without runs wait again."""
+        self.active.pop(unit.key, None)
+        self.waiting[unit.key] = unit
+        self.blocked_version = -1
+
+
+class JobEntry:
+    """A job with its durable progress and its open steps."""
+
+    def __init__(
+        self,
+        graph: JobGraph,
+        policy: QueuePolicy,
+        progress: JobProgress,
+        accepted_ms: int,
+    ) -> None:
+        """Create the entry without open steps."""
+        self.graph = graph
+        self.policy = policy
+        self.progress = progress
+        self.accepted_ms = accepted_ms
+        self.settled_ms = accepted_ms
+        self.open_steps: dict[tuple[int, int], StepEntry] = {}
+        self.opened_occurrences = 0
+        # Accepted before this owner was elected: the owner before may have
+        # started it on a worker that has not answered yet.
+        self.is_inherited = False
+        self.attempt_floor = 0
+
+    @property
+    def job(self) -> JobId:
+        """Return the id of the job."""
+        return self.graph.job
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether the job has not reached its final phase."""
+        return self.progress.phase is JobPhase.ACTIVE
+
+    @cached_property
+    def chains_ms(self) -> tuple[int, ...]:
+        """Return for each step the longest estimated time from its start."""
+        chains = [0] * len(self.graph.steps)
+        for position in range(len(self.graph.steps) - 1, -1, -1):
+            step = self.graph.steps[position]
+            chains[position] += step.estimate_ms
+            for earlier in step.after:
+                chains[earlier] = max(chains[earlier], chains[position])
+        return tuple(chains)
+
+    @cached_property
+    def objective_ms(self) -> int:
+        """Return the time after acceptance within which the job is owed."""
+        longest = max(self.chains_ms)
+        return int(self.policy.slack_factor * longest) + self.policy.target_ms
+
+    def latest_start_ms(self, step: StepEntry) -> int:
+        """Return when a step has to start for the job to be in time."""
+        _, occurrence, position = step.key
+        due_ms = self.accepted_ms
+        schedule = self.graph.schedule
+        if schedule is not None:
+            due_ms += occurrence * schedule.period_ms
+        return due_ms + self.objective_ms - self.chains_ms[position]
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Open the steps of an occurrence that wait for no other."""
+        self.opened_occurrences = max(self.opened_occurrences, occurrence + 1)
+        for position in range(len(self.graph.steps)):
+            self._open_if_ready(occurrence, position)
+
+    def succeed(self, step: StepEntry, unit: Unit) -> None:
+        """Record a unit's success and open the steps that it frees."""
+        step.active.pop(unit.key, None)
+        step.waiting.pop(unit.key, None)
+        self.progress.succeeded.add(unit.key)
+        if step.waiting or step.active:
+            return
+        occurrence = step.key.occurrence
+        self.open_steps.pop((occurrence, step.key.step), None)
+        for position, later in enumerate(self.graph.steps):
+            if step.key.step in later.after:
+                self._open_if_ready(occurrence, position)
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every unit of every occurrence has succeeded."""
+        return (
+            not self.open_steps
+            and self.opened_occurrences == self.graph.occurrences_count
+        )
+
+    def runs(self) -> Iterator[Run]:
+        """Return all runs that have not ended."""
+        for step in self.open_steps.values():
+            for unit in step.active.values():
+                yield from unit.runs.values()
+
+    def _open_if_ready(self, occurrence: int, position: int) -> None:
+        if (occurrence, position) in self.open_steps:
+            return
+        step = self.graph.steps[position]
+        for earlier in step.after:
+            if not self._is_step_done(occurrence, earlier):
+                return
+        key = StepKey(self.job, occurrence, position)
+        entry = StepEntry(key, step)
+        for unit_key in entry.unit_keys:
+            if unit_key in self.progress.succeeded:
+                continue
+            entry.waiting[unit_key] = self._unit(unit_key)
+        if entry.waiting:
+            self.open_steps[occurrence, position] = entry
+            return
+        for later_position, later in enumerate(self.graph.steps):
+            if position in later.after:
+                self._open_if_ready(occurrence, later_position)
+
+    def _is_step_done(self, occurrence: int, position: int) -> bool:
+        key = StepKey(self.job, occurrence, position)
+        return all(
+            unit in self.progress.succeeded
+            for unit in unit_keys(key, self.graph.steps[position])
+        )
+
+    def _unit(self, key: UnitKey) -> Unit:
+        failed = self.progress.failed_attempts.get(key, set())
+        return Unit(
+            key,
+            last_attempt=max(self.attempt_floor, *failed, 0),
+            checkpoint=self.progress.checkpoints.get(key, NO_CHECKPOINT),
+        )
+
+
+def unit_keys(key: StepKey, step: Step) -> tuple[UnitKey, ...]:
+    """Return the units of a step: a gang is one."""
+    count = 1 if step.is_gang else step.tasks_count
+    return tuple(
+        UnitKey(key.occurrence, key.step, index) for index in range(count)
+    )
--- /dev/null
+++ b/fuchsiarill/graphs/listener.py
@@ -0,0 +1,138 @@
+"""An HTTP listener whose requests are answered by a function."""
+
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, Final
+
+from cheroot import errors, wsgi
+
+from fuchsiarill import events
+from fuchsiarill.graphs.settings import FrontSettings
+
+_RAW_REQUEST: Final = 'fuchsiarill.request'
+_TIMEOUT_S: Final = 15
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request of a caller."""
+
+    method: str
+    host: str
+    path: str
+    body: bytes
+    # How long the caller waits; `None` when it does not say.
+    patience_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """What the caller gets."""
+
+    status: HTTPStatus
+    body: bytes = b''
+    content_type: str = 'application/json'
+    headers: tuple[tuple[str, str], ...] = field(default=())
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Lets the application close the connection after its reply."""
+
+    def __init__(self, req: Any) -> None:
+        super().__init__(req)
+        self.env[_RAW_REQUEST] = req
+
+
+class Listener:
+    """Serves one address in threads of its own."""
+
+    def __init__(
+        self,
+        address: str,
+        settings: FrontSettings,
+        answer: Callable[[Request], Response],
+        threads_count: int,
+    ) -> None:
+        """Prepare the listener; `start` opens it."""
+        host, port = address.rsplit(':', 1)
+        self._answer = answer
+        self.is_draining = False
+        self._server = wsgi.Server(
+            (host, int(port)),
+            self._respond,
+            numthreads=threads_count,
+            request_queue_size=settings.connections_max_count,
+            accepted_queue_size=settings.connections_max_count,
+            timeout=_TIMEOUT_S,
+            shutdown_timeout=1,
+        )
+        self._server.gateway = _Gateway
+        self._server.keep_alive_conn_limit = settings.connections_max_count
+
+    @property
+    def port(self) -> int:
+        """Return the port in use, which the kernel may have chosen."""
+        return int(self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Listen, in threads of the server; raises `OSError`."""
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def stop(self) -> None:
+        """Finish requests in progress, then close the listener."""
+        self._server.stop()
+
+    def _respond(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[[str, list[tuple[str, str]]], object],
+    ) -> Iterable[bytes]:
+        response = self._safely(environ)
+        if self.is_draining:
+            environ[_RAW_REQUEST].close_connection = True
+        headers = [
+            ('Content-Type', response.content_type),
+            ('Content-Length', str(len(response.body))),
+            *response.headers,
+        ]
+        status = f'{response.status.value} {response.status.phrase}'
+        start_response(status, headers)
+        return [response.body]
+
+    def _safely(self, environ: dict[str, Any]) -> Response:
+        try:
+            return self._answer(_request(environ))
+        except (OSError, ValueError, errors.MaxSizeExceeded) as error:
+            events.emit(
+                events.REQUEST_FAILED,
+                path=environ['PATH_INFO'],
+                error=repr(error),
+            )
+            return Response(HTTPStatus.BAD_REQUEST)
+        except Exception as error:
+            events.emit(
+                events.REQUEST_FAILED,
+                path=environ['PATH_INFO'],
+                error=repr(error),
+            )
+            # Nothing is known of the request, so it must not be refused.
+            return Response(HTTPStatus.BAD_GATEWAY)
+
+
+def _request(environ: dict[str, Any]) -> Request:
+    stream = environ['wsgi.input']
+    if environ.get('HTTP_TRANSFER_ENCODING'):
+        body = stream.read()
+    else:
+        body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
+    patience = environ.get('HTTP_X_DEADLINE_MS')
+    return Request(
+        environ['REQUEST_METHOD'],
+        environ.get('HTTP_HOST', '').split(':')[0],
+        environ['PATH_INFO'],
+        body,
+        int(float(patience)) if patience else None,
+    )
--- /dev/null
+++ b/fuchsiarill/graphs/metrics.py
@@ -0,0 +1,196 @@
+"""Metrics of a process that serves job graphs."""
+
+from typing import Final, TypeVar
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from returns.result import Failure, Result
+
+from fuchsiarill.clock import MS_PER_SECOND, now_ms
+from fuchsiarill.codes import ResultCode
+from fuchsiarill.graphs.model import EndKind, QueueId
+from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
+from fuchsiarill.ports.key_value import (
+    KeyValuePort,
+    KvChanges,
+    KvCommitted,
+    KvConflict,
+    KvFailure,
+    KvItem,
+    KvPage,
+    KvTransaction,
+)
+
+_Answer = TypeVar('_Answer')
+
+_SECONDS: Final = (0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
+
+
+class GraphMetrics:
+    """Counters, gauges and histograms in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self.registry = CollectorRegistry()
+        self.requests = Histogram(
+            'fuchsiarill_graph_request_seconds',
+            'Time of requests of callers, by verb and code of the answer.',
+            ('verb', 'code'),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.store_calls = Histogram(
+            'fuchsiarill_graph_store_call_seconds',
+            'Time of calls of the store, by kind and outcome.',
+            ('kind', 'outcome'),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.ends = Counter(
+            'fuchsiarill_graph_run_ends',
+            'Ends of runs, by kind.',
+            ('kind',),
+            registry=self.registry,
+        )
+        self.waits = Histogram(
+            'fuchsiarill_graph_wait_seconds',
+            'Time from acceptance to a start, by queue.',
+            ('queue',),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.owned = Gauge(
+            'fuchsiarill_graph_owned_pools',
+            'Pools that this process owns.',
+            registry=self.registry,
+        )
+        self.takeovers = Counter(
+            'fuchsiarill_graph_takeovers',
+            'Times that this process became the owner of a pool.',
+            registry=self.registry,
+        )
+        self.generation = Gauge(
+            'fuchsiarill_graph_config_generation',
+            'Generation of the configuration in force.',
+            registry=self.registry,
+        )
+        self.dropped_lines = Gauge(
+            'fuchsiarill_graph_log_lines_dropped',
+            'Log lines that the output did not keep up with.',
+            registry=self.registry,
+        )
+
+    def answered(self, verb: str, code: ResultCode, duration_s: float) -> None:
+        """Count a request of a caller."""
+        self.requests.labels(verb, code.name).observe(duration_s)
+
+    def ended(self, kind: EndKind) -> None:
+        """Count an end of a run."""
+        self.ends.labels(kind.value).inc()
+
+    def waited(self, queue: QueueId, wait_ms: int) -> None:
+        """Count a start."""
+        self.waits.labels(queue).observe(wait_ms / MS_PER_SECOND)
+
+    def written(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
+
+
+class ObservedStore:
+    """A store whose calls are measured."""
+
+    def __init__(self, store: KeyValuePort, metrics: GraphMetrics) -> None:
+        """Measure the calls of `store`."""
+        self._store = store
+        self._metrics = metrics
+
+    async def get(
+        self,
+        key: StoreKey,
+        timeout_ms: int,
+    ) -> Result[KvItem, KvFailure]:
+        """Read a key."""
+        started_ms = now_ms()
+        answer = await self._store.get(key, timeout_ms)
+        return self._observed('get', started_ms, answer)
+
+    async def list_prefix(
+        self,
+        prefix: str,
+        after: StoreKey | None,
+        timeout_ms: int,
+    ) -> Result[KvPage, KvFailure]:
+        """Read the items of a prefix that follow the key `after`."""
+        started_ms = now_ms()
+        answer = await self._store.list_prefix(prefix, after, timeout_ms)
+        return self._observed('list', started_ms, answer)
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[KvChanges, KvFailure]:
+        """Wait for changes of a prefix, for at most `wait_ms`."""
+        started_ms = now_ms()
+        answer = await self._store.watch_prefix(prefix, after, wait_ms)
+        return self._observed('watch', started_ms, answer)
+
+    async def commit(
+        self,
+        transaction: KvTransaction,
+        timeout_ms: int,
+    ) -> Result[KvCommitted | KvConflict, KvFailure]:
+        """Carry out a transaction."""
+        started_ms = now_ms()
+        answer = await self._store.commit(transaction, timeout_ms)
+        return self._observed('commit', started_ms, answer)
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """Create a lease."""
+        started_ms = now_ms()
+        answer = await self._store.grant_lease(ttl_ms, timeout_ms)
+        return self._observed('grant_lease', started_ms, answer)
+
+    async def renew_lease(
+        self,
+        lease: StoreLeaseId,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """Extend a lease."""
+        started_ms = now_ms()
+        answer = await self._store.renew_lease(lease, timeout_ms)
+        return self._observed('renew_lease', started_ms, answer)
+
+    async def end_lease(
+        self,
+        lease: StoreLeaseId,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """End a lease and delete its keys."""
+        started_ms = now_ms()
+        answer = await self._store.end_lease(lease, timeout_ms)
+        return self._observed('end_lease', started_ms, answer)
+
+    def _observed(
+        self,
+        kind: str,
+        started_ms: int,
+        answer: Result[_Answer, KvFailure],
+    ) -> Result[_Answer, KvFailure]:
+        outcome = 'answered'
+        if isinstance(answer, Failure):
+            outcome = answer.failure().value
+        duration_s = (now_ms() - started_ms) / MS_PER_SECOND
+        self._metrics.store_calls.labels(kind, outcome).observe(duration_s)
+        return answer
--- /dev/null
+++ b/fuchsiarill/graphs/placement.py
@@ -0,0 +1,195 @@
+"""Choice of workers for a unit."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from fuchsiarill.graphs import worker_trust
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import StandingState
+from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.registry import Registry
+from fuchsiarill.resources import NOTHING, Resources
+
+# Weights of a candidate's cost; the fit itself is at most 1.
+_REMOTE_COST: Final = 4.0
+_FAILED_THERE_COST: Final = 8.0
+_HARM_COST: Final = 2.0
+_SLOWNESS_COST: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What is to be placed, and when."""
+
+    entry: JobEntry
+    step: StepEntry
+    unit: Unit
+    now_ms: int
+
+
+_Cost = Callable[[PoolState, Request, WorkerView], float]
+
+COSTS: Final[Registry[str, _Cost]] = Registry('costs of a placement')
+
+
+@COSTS.register('fit')
+def _fit_cost(state: PoolState, request: Request, view: WorkerView) -> float:
+    """Prefer workers that are left nearly full, so that large tasks fit."""
+    if view.entry is None:
+        return 0
+    left = view.free - request.step.step.charge
+    share = left.dominant_share(view.entry.capacity)
+    # Tasks that last are spread, so that one worker takes few of them along.
+    return 1 - share if request.step.step.is_lasting else share
+
+
+@COSTS.register('remote')
+def _remote_cost(
+    state: PoolState,
+    request: Request,
+    view: WorkerView,
+) -> float:
+    """Prefer the rack where the data is."""
+    rack = request.step.step.data_rack
+    return _REMOTE_COST if rack and rack not in view.labels else 0
+
+
+@COSTS.register('failed_there')
+def _failed_cost(
+    state: PoolState,
+    request: Request,
+    view: WorkerView,
+) -> float:
+    """Avoid workers where the unit has failed."""
+    return _FAILED_THERE_COST * (view.worker in request.unit.failed_on)
+
+
+@COSTS.register('harm')
+def _harm_cost(state: PoolState, request: Request, view: WorkerView) -> float:
+    """Keep tasks that fill and tasks that serve apart."""
+    step = request.step.step
+    if step.is_filler:
+        crowding = 0.0
+        if view.entry is not None:
+            spare_milli = view.free.processors_milli - view.filler_milli
+            crowding = float(spare_milli < step.size.processors_milli)
+        return _HARM_COST * (bool(view.serving_count) + crowding)
+    if step.target_tail_ms is not None:
+        return _HARM_COST * bool(view.filler_milli)
+    return 0
+
+
+@COSTS.register('slowness')
+def _slowness_cost(
+    state: PoolState,
+    request: Request,
+    view: WorkerView,
+) -> float:
+    """Prefer workers on which tasks end sooner."""
+    return _SLOWNESS_COST * state.run_times.slowness(view.worker)
+
+
+def usable_workers(state: PoolState, request: Request) -> list[WorkerView]:
+    """Return the workers that may run the unit, full ones too."""
+    label = request.step.step.required_label
+    usable = []
+    for view in state.workers:
+        if view.standing is not StandingState.READY or not view.is_recorded:
+            continue
+        if not view.is_listed or view.entry is None:
+            continue
+        if label is not None and label not in view.labels:
+            continue
+        if not worker_trust.is_trusted(view, request.now_ms):
+            continue
+        if request.entry.policy.advice and state.tickets.is_denied(
+            request.step.key,
+            view.worker,
+        ):
+            continue
+        usable.append(view)
+    return usable
+
+
+def has_room(step: StepEntry, view: WorkerView, taken: Resources) -> bool:
+    """Tell whether a task fits beside what is held and `taken`."""
+    per_worker_max = step.step.per_worker_max
+    if per_worker_max is not None:
+        if step.runs_per_worker[view.worker] >= per_worker_max:
+            return False
+    return (step.step.charge + taken).fits_in(view.free)
+
+
+def place_unit(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+) -> list[WorkerView] | None:
+    """Return a worker for each task of the unit, or `None`."""
+    step = request.step.step
+    ranked = sorted(
+        candidates,
+        key=lambda view: _cost(state, request, view),
+    )
+    if not step.is_gang:
+        for view in ranked:
+            if has_room(request.step, view, NOTHING):
+                return [view]
+        return None
+    if step.is_rack_sensitive:
+        for rack in _racks(ranked):
+            in_rack = [view for view in ranked if view.rack == rack]
+            placed = _place_gang(request.step, in_rack)
+            if placed is not None:
+                return placed
+    return _place_gang(request.step, ranked)
+
+
+def _place_gang(
+    step: StepEntry,
+    ranked: list[WorkerView],
+) -> list[WorkerView] | None:
+    placed: list[WorkerView] = []
+    for view in ranked:
+        taken = NOTHING
+        count = 0
+        while len(placed) < step.step.tasks_count:
+            if not _has_gang_room(step, view, taken, count):
+                break
+            placed.append(view)
+            taken += step.step.charge
+            count += 1
+    return placed if len(placed) == step.step.tasks_count else None
+
+
+def _has_gang_room(
+    step: StepEntry,
+    view: WorkerView,
+    taken: Resources,
+    count: int,
+) -> bool:
+    per_worker_max = step.step.per_worker_max
+    if per_worker_max is not None:
+        if step.runs_per_worker[view.worker] + count >= per_worker_max:
+            return False
+    return (step.step.charge + taken).fits_in(view.free)
+
+
+def _cost(state: PoolState, request: Request, view: WorkerView) -> float:
+    return sum(COSTS.lookup(name)(state, request, view) for name in COSTS)
+
+
+def _racks(views: Iterable[WorkerView]) -> list[str | None]:
+    return list(dict.fromkeys(view.rack for view in views))
+
+
+def could_ever_fit(step: Step, view: WorkerView) -> bool:
+    """Tell whether a task of the step fits on the empty worker."""
+    return view.entry is not None and step.charge.fits_in(view.entry.capacity)
+
+
+WorkerIds = tuple[WorkerId, ...]
--- /dev/null
+++ b/fuchsiarill/graphs/process.py
@@ -0,0 +1,280 @@
+"""One process that serves job graphs: its actors and its life."""
+
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from fuchsiarill import events
+from fuchsiarill.actor import Actor, Reply, handles
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.graphs import records
+from fuchsiarill.graphs.advice import Advisor
+from fuchsiarill.graphs.feeds import (
+    Changed,
+    FeedSettings,
+    FeedState,
+    Listed,
+    PrefixFeed,
+)
+from fuchsiarill.graphs.front import Front
+from fuchsiarill.graphs.intake import Intake
+from fuchsiarill.graphs.metrics import GraphMetrics
+from fuchsiarill.graphs.model import GraphConfig, PoolId
+from fuchsiarill.graphs.owner_messages import ConfigInForce
+from fuchsiarill.graphs.pool_owner import OwnerContext
+from fuchsiarill.graphs.ports import DocumentError, GraphPorts
+from fuchsiarill.graphs.settings import GraphSettings
+from fuchsiarill.graphs.tenure import Candidate, Drain, OwnerKeySeen, Tenure
+from fuchsiarill.ids import Revision
+from fuchsiarill.ports.key_value import KvItem
+
+_CHECK_MS: Final = 500
+_HAND_OVER_MS: Final = 2500
+
+
+@dataclass(frozen=True, slots=True)
+class DrainProcess:
+    """The process has been asked to end."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskDump:
+    """Return the state of all actors."""
+
+    reply: Reply[dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Check:
+    """Look after the actors."""
+
+
+class GraphProcess(SpawningActor):
+    """Connects the actors of one process and supervises them."""
+
+    def __init__(
+        self,
+        settings: GraphSettings,
+        ports: GraphPorts,
+        metrics: GraphMetrics,
+    ) -> None:
+        """Create the actors; `start` runs them."""
+        super().__init__('process')
+        self._settings = settings
+        self._ports = ports
+        self._metrics = metrics
+        self._incarnation = f'{time.time_ns():x}'
+        self._advisor = Advisor(
+            ports.advisor,
+            settings.calls.advice_timeout_ms,
+        )
+        self._intake = Intake(ports.store, settings)
+        self.front = Front(settings, self._intake.mailbox)
+        self._tenures: dict[PoolId, Tenure] = {}
+        self._owner_keys: dict[PoolId, KvItem] = {}
+        self._control_revision = Revision(0)
+        self._config: GraphConfig | None = None
+        self._feeds = tuple(self._feed(prefix) for prefix in self._prefixes())
+        self._lost_prefixes: set[str] = set()
+        self._is_draining = False
+        self.exit_status: int | None = None
+
+    def start(self) -> None:
+        """Run all actors."""
+        super().start()
+        self.tick_every(_CHECK_MS, _Check())
+        for actor in (self._advisor, self._intake, *self._feeds):
+            actor.start()
+        events.emit(
+            events.PROCESS_STARTED,
+            process=self._settings.process,
+            failure_domain=self._settings.failure_domain,
+        )
+
+    async def stop(self) -> None:
+        """End all actors."""
+        for actor in self._actors():
+            await actor.stop()
+        await super().stop()
+
+    @handles(Listed)
+    async def on_listed(self, message: Listed) -> None:
+        """Take over a whole list of keys."""
+        if message.prefix == records.CONTROL_PREFIX:
+            self._control_revision = message.revision
+            self._owner_keys.clear()
+            self._take_owner_keys(message.items)
+            for pool, tenure in self._tenures.items():
+                if pool not in self._owner_keys:
+                    tenure.mailbox.send(OwnerKeySeen(self._absent(pool)))
+            return
+        self._take_config(message.items)
+
+    @handles(Changed)
+    async def on_changed(self, message: Changed) -> None:
+        """Take over changes of keys."""
+        if message.prefix == records.CONTROL_PREFIX:
+            self._take_owner_keys(message.items)
+            return
+        self._take_config(message.items)
+
+    @handles(FeedState)
+    async def on_feed_state(self, message: FeedState) -> None:
+        """Let the balancer choose others while the store is out of reach."""
+        if message.is_lost:
+            self._lost_prefixes.add(message.prefix)
+        else:
+            self._lost_prefixes.discard(message.prefix)
+        self._view(is_store_lost=bool(self._lost_prefixes))
+
+    @handles(DrainProcess)
+    async def on_drain(self, message: DrainProcess) -> None:
+        """Hand over what is owned, answer what is open, then end."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        events.emit(events.PROCESS_DRAINING, process=self._settings.process)
+        self._view(is_draining=True)
+        self.spawn(self._drain())
+
+    @handles(AskDump)
+    async def on_dump(self, message: AskDump) -> None:
+        """Return the state of all actors."""
+        message.reply.answer(
+            {
+                'process': self._settings.process,
+                'incarnation': self._incarnation,
+                'generation': self._config and self._config.generation,
+                'actors': [actor.snapshot() for actor in self._actors()],
+            },
+        )
+
+    @handles(_Check)
+    async def on_check(self, message: _Check) -> None:
+        """End the process when an actor has ended by itself."""
+        owned = [one for one in self._tenures.values() if one.is_owner]
+        self._metrics.owned.set(len(owned))
+        for actor in self._actors():
+            fault = actor.fault()
+            if fault is not None:
+                events.emit(
+                    events.ACTOR_DIED,
+                    actor=actor.name,
+                    error=fault,
+                )
+                self.exit_status = 1
+
+    def _prefixes(self) -> tuple[str, ...]:
+        return (records.CONTROL_PREFIX, self._ports.directory.config_prefix)
+
+    def _feed(self, prefix: str) -> PrefixFeed:
+        settings = FeedSettings(
+            prefix,
+            self._settings.watch_wait_ms,
+            self._settings.calls.store_timeout_ms,
+        )
+        return PrefixFeed(settings, self._ports.store, self.mailbox)
+
+    def _actors(self) -> Iterable[Actor]:
+        owners = [
+            tenure.owner
+            for tenure in self._tenures.values()
+            if tenure.owner is not None
+        ]
+        return (
+            self._advisor,
+            self._intake,
+            *self._feeds,
+            *self._tenures.values(),
+            *owners,
+        )
+
+    def _view(self, **changes: Any) -> None:
+        self.front.view = replace(self.front.view, **changes)
+
+    def _take_config(self, items: Iterable[KvItem]) -> None:
+        for item in items:
+            if item.key != self._ports.directory.config_key:
+                continue
+            if item.value is None:
+                continue
+            self._take_document(item, item.value)
+
+    def _take_document(self, item: KvItem, content: bytes) -> None:
+        try:
+            config = self._ports.directory.read_config(content)
+        except DocumentError as error:
+            events.emit(
+                events.DOCUMENT_UNREADABLE,
+                key=item.key,
+                revision=item.revision,
+                problem=str(error),
+            )
+            return
+        if self._config and config.generation <= self._config.generation:
+            return
+        self._config = config
+        self._metrics.generation.set(config.generation)
+        self._view(config=config)
+        events.emit(events.CONFIG_IN_FORCE, generation=config.generation)
+        for tenure in self._tenures.values():
+            tenure.mailbox.send(ConfigInForce(config))
+        for pool in config.pools:
+            if pool not in self._tenures:
+                self._open_tenure(pool, config)
+
+    def _open_tenure(self, pool: PoolId, config: GraphConfig) -> None:
+        tenure = Tenure(
+            pool,
+            config,
+            Candidate(
+                OwnerContext(
+                    self._settings,
+                    self._ports,
+                    self._advisor.mailbox,
+                    self.mailbox,
+                ),
+                self._incarnation,
+                self._owned_count,
+            ),
+        )
+        self._tenures[pool] = tenure
+        tenure.start()
+        if self._control_revision:
+            seen = self._owner_keys.get(pool, self._absent(pool))
+            tenure.mailbox.send(OwnerKeySeen(seen))
+
+    def _owned_count(self) -> int:
+        return sum(tenure.is_owner for tenure in self._tenures.values())
+
+    def _absent(self, pool: PoolId) -> KvItem:
+        key = records.owner_key(pool)
+        return KvItem(key, None, self._control_revision)
+
+    def _take_owner_keys(self, items: Iterable[KvItem]) -> None:
+        for item in items:
+            pool = records.owned_pool(item.key)
+            if pool is None:
+                continue
+            self._owner_keys[pool] = item
+            tenure = self._tenures.get(pool)
+            if tenure is not None:
+                tenure.mailbox.send(OwnerKeySeen(item))
+
+    async def _drain(self) -> None:
+        started_ms = now_ms()
+        replies: list[Reply[None]] = []
+        for tenure in self._tenures.values():
+            reply: Reply[None] = Reply()
+            tenure.mailbox.send(Drain(reply))
+            replies.append(reply)
+        for reply in replies:
+            try:
+                await reply.wait(_HAND_OVER_MS)
+            except TimeoutError:
+                break
+        drain_ms = self._settings.front.drain_ms
+        await sleep_ms(max(0, drain_ms - (now_ms() - started_ms)))
+        self.exit_status = 0
--- /dev/null
+++ b/fuchsiarill/graphs/record_writer.py
@@ -0,0 +1,128 @@
+"""Writes an owner's records, fenced by the owner key.
+
+Each transaction expects the owner key as it was when the owner was elected,
+so that nothing of a former owner is written, and the revision of each record,
+so that a transaction that takes effect late does not undo a newer one.
+"""
+
+from itertools import islice
+from typing import Final
+
+from returns.result import Failure, Success
+
+from fuchsiarill import events
+from fuchsiarill.actor import Actor, Mailbox, handles
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.graphs.owner_messages import (
+    OwnershipRefuted,
+    RecordsSaved,
+    SaveRecords,
+)
+from fuchsiarill.ids import ABSENT, Revision, StoreKey
+from fuchsiarill.ports.key_value import (
+    KeyValuePort,
+    KvConflict,
+    KvTransaction,
+    KvWrite,
+)
+
+# A transaction has at most 32 entries: the owner key, and for each record
+# its expectation and its write.
+_RECORDS_MAX_COUNT: Final = 15
+_RETRY_MS: Final = 120
+
+
+class RecordWriter(Actor):
+    """Makes the records of one owner durable, in the order of messages."""
+
+    def __init__(
+        self,
+        store: KeyValuePort,
+        fence: tuple[StoreKey, Revision],
+        timeout_ms: int,
+        owner: Mailbox,
+    ) -> None:
+        """Write under the fence, the owner key with its revision."""
+        super().__init__('record writer')
+        self._store = store
+        self._fence = fence
+        self._timeout_ms = timeout_ms
+        self._owner = owner
+        self._revisions: dict[StoreKey, Revision] = {}
+        self._is_refuted = False
+
+    def know(self, revisions: dict[StoreKey, Revision]) -> None:
+        """Take over the revisions of records that were loaded."""
+        self._revisions.update(revisions)
+
+    @handles(SaveRecords)
+    async def on_save(self, message: SaveRecords) -> None:
+        """Write all records of the message, then say so."""
+        rows = iter(message.records.items())
+        while batch := dict(islice(rows, _RECORDS_MAX_COUNT)):
+            await self._write(batch, ())
+        keys = iter(message.deletes)
+        while deletes := tuple(islice(keys, _RECORDS_MAX_COUNT)):
+            await self._write({}, deletes)
+        if not self._is_refuted:
+            self._owner.send(RecordsSaved(message))
+
+    async def _write(
+        self,
+        batch: dict[StoreKey, bytes],
+        deletes: tuple[StoreKey, ...],
+    ) -> None:
+        while not self._is_refuted:
+            transaction = self._transaction(batch, deletes)
+            answered = await self._store.commit(transaction, self._timeout_ms)
+            match answered:
+                case Success(KvConflict() as conflict):
+                    if self._is_applied(batch, conflict):
+                        return
+                case Success(committed):
+                    for key in batch:
+                        self._revisions[key] = committed.revision
+                    return
+                case Failure(_):
+                    await sleep_ms(_RETRY_MS)
+
+    def _transaction(
+        self,
+        batch: dict[StoreKey, bytes],
+        deletes: tuple[StoreKey, ...],
+    ) -> KvTransaction:
+        expected = [self._fence]
+        for key in batch:
+            expected.append((key, self._revisions.get(key, ABSENT)))
+        writes = tuple(KvWrite(key, text) for key, text in batch.items())
+        return KvTransaction(tuple(expected), writes, deletes)
+
+    def _is_applied(
+        self,
+        batch: dict[StoreKey, bytes],
+        conflict: KvConflict,
+    ) -> bool:
+        """Learn from a conflict; tells whether the batch stands as written.
+
+        A write whose answer was lost shows as a conflict with itself.
+        """
+        found = {item.key: item for item in conflict.items}
+        fence_key, fence_revision = self._fence
+        fence = found.get(fence_key)
+        if fence is None or fence.revision != fence_revision:
+            self._is_refuted = True
+            events.emit(
+                events.WRITE_FENCED,
+                key=fence_key,
+                expected=fence_revision,
+                found=None if fence is None else fence.revision,
+            )
+            self._owner.send(OwnershipRefuted('the owner key has changed'))
+            return False
+        is_applied = True
+        for key, text in batch.items():
+            item = found.get(key)
+            self._revisions[key] = ABSENT if item is None else item.revision
+            if item is None or item.value != text:
+                is_applied = False
+        return is_applied
--- /dev/null
+++ b/fuchsiarill/graphs/records.py
@@ -0,0 +1,250 @@
+"""JSON form of the records that the store keeps, and their keys.
+
+Keys: `control/owner/POOL` (ephemeral), `fleet/POOL`, `pending/POOL`,
+`jobs/POOL/JOB/graph`, `jobs/POOL/JOB/cancel`, `progress/POOL/JOB`.
+"""
+
+import json
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from typing import Any, Final
+
+from fuchsiarill.graphs.model import (
+    Checkpoint,
+    JobGraph,
+    PoolId,
+    QueueId,
+    Schedule,
+    Step,
+)
+from fuchsiarill.graphs.progress import JobProgress, UnitKey
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId, ProcessId, StoreKey, WorkerId
+from fuchsiarill.resources import Resources
+
+CONTROL_PREFIX: Final = 'control/'
+_OWNER_PREFIX: Final = 'control/owner/'
+_GRAPH: Final = 'graph'
+_CANCEL: Final = 'cancel'
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRecord:
+    """Which process owns a pool; `incarnation` tells its lives apart."""
+
+    process: ProcessId
+    incarnation: str
+    lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetMember:
+    """A worker that may run tasks of the pool."""
+
+    worker: WorkerId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetRecord:
+    """Every worker that an owner may have given work; `term` counts owners.
+
+    A new owner must have an answer of each, or wait for its leases to lapse.
+    """
+
+    term: int = 0
+    members: tuple[FleetMember, ...] = ()
+
+
+def owner_key(pool: PoolId) -> StoreKey:
+    """Return the ephemeral key that the owner of a pool holds."""
+    return StoreKey(f'{_OWNER_PREFIX}{pool}')
+
+
+def owned_pool(key: StoreKey) -> PoolId | None:
+    """Return the pool of an owner key, `None` for other keys."""
+    if not key.startswith(_OWNER_PREFIX):
+        return None
+    return PoolId(key.removeprefix(_OWNER_PREFIX))
+
+
+def fleet_key(pool: PoolId) -> StoreKey:
+    """Return the key of the pool's fleet record."""
+    return StoreKey(f'fleet/{pool}')
+
+
+def pending_key(pool: PoolId) -> StoreKey:
+    """Return the key of the counts of jobs that have not begun."""
+    return StoreKey(f'pending/{pool}')
+
+
+def jobs_prefix(pool: PoolId) -> str:
+    """Return the prefix of what callers asked of a pool."""
+    return f'jobs/{pool}/'
+
+
+def progress_prefix(pool: PoolId) -> str:
+    """Return the prefix of the progress of a pool's jobs."""
+    return f'progress/{pool}/'
+
+
+def graph_key(pool: PoolId, job: JobId) -> StoreKey:
+    """Return the key whose existence means that a job is accepted."""
+    return StoreKey(f'jobs/{pool}/{job}/{_GRAPH}')
+
+
+def cancel_key(pool: PoolId, job: JobId) -> StoreKey:
+    """Return the key whose existence means that a job is cancelled."""
+    return StoreKey(f'jobs/{pool}/{job}/{_CANCEL}')
+
+
+def progress_key(pool: PoolId, job: JobId) -> StoreKey:
+    """Return the key of a job's progress."""
+    return StoreKey(f'progress/{pool}/{job}')
+
+
+def job_of_key(key: StoreKey) -> JobId:
+    """Return the job of a key under `jobs/`."""
+    return JobId(key.split('/')[-2])
+
+
+def job_of_progress(key: StoreKey) -> JobId:
+    """Return the job of a key under `progress/`."""
+    return JobId(key.rsplit('/', 1)[-1])
+
+
+def is_cancel(key: StoreKey) -> bool:
+    """Tell whether a key under `jobs/` asks for a cancellation."""
+    return key.endswith(f'/{_CANCEL}')
+
+
+def encode_owner(record: OwnerRecord) -> bytes:
+    """Return the JSON form of an owner record."""
+    return _encode(asdict(record))
+
+
+def decode_owner(content: bytes) -> OwnerRecord:
+    """Read an owner record."""
+    return OwnerRecord(**json.loads(content))
+
+
+def encode_fleet(record: FleetRecord) -> bytes:
+    """Return the JSON form of a fleet record."""
+    rows = [[member.worker, member.address] for member in record.members]
+    return _encode({'term': record.term, 'members': rows})
+
+
+def decode_fleet(content: bytes) -> FleetRecord:
+    """Read a fleet record."""
+    document = json.loads(content)
+    members = tuple(
+        FleetMember(WorkerId(worker), address)
+        for worker, address in document['members']
+    )
+    return FleetRecord(document['term'], members)
+
+
+def encode_pending(counts: dict[QueueId, int]) -> bytes:
+    """Return the JSON form of the counts of jobs that have not begun."""
+    return _encode(counts)
+
+
+def decode_pending(content: bytes) -> dict[QueueId, int]:
+    """Read the counts of jobs that have not begun."""
+    counts: dict[QueueId, int] = json.loads(content)
+    return counts
+
+
+def encode_graph(graph: JobGraph) -> bytes:
+    """Return the JSON form of a job; defaults of steps are left out."""
+    document: dict[str, Any] = {
+        'queue': graph.queue,
+        'payload': graph.payload,
+        'steps': [_step_row(step) for step in graph.steps],
+    }
+    if graph.schedule is not None:
+        document['schedule'] = asdict(graph.schedule)
+    return _encode(document)
+
+
+def decode_graph(pool: PoolId, job: JobId, content: bytes) -> JobGraph:
+    """Read a job."""
+    document = json.loads(content)
+    schedule = document.get('schedule')
+    return JobGraph(
+        job,
+        QueueId(document['queue']),
+        pool,
+        document['payload'],
+        tuple(_step(row) for row in document['steps']),
+        Schedule(**schedule) if schedule else None,
+    )
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Return the JSON form of a job's progress."""
+    return _encode(
+        {
+            'phase': progress.phase.value,
+            'started': progress.has_started,
+            'succeeded': [list(unit) for unit in sorted(progress.succeeded)],
+            'failed': [
+                [*unit, sorted(attempts)]
+                for unit, attempts in progress.failed_attempts.items()
+            ],
+            'checkpoints': [
+                [*unit, checkpoint]
+                for unit, checkpoint in progress.checkpoints.items()
+            ],
+        },
+    )
+
+
+def decode_progress(content: bytes) -> JobProgress:
+    """Read a job's progress."""
+    document = json.loads(content)
+    return JobProgress(
+        JobPhase(document['phase']),
+        {UnitKey(*row) for row in document['succeeded']},
+        {UnitKey(*row[:3]): set(row[3]) for row in document['failed']},
+        {
+            UnitKey(*row[:3]): Checkpoint(row[3])
+            for row in document['checkpoints']
+        },
+        document['started'],
+    )
+
+
+def _encode(document: object) -> bytes:
+    return json.dumps(document, separators=(',', ':')).encode()
+
+
+def _step_row(step: Step) -> dict[str, Any]:
+    row = {
+        name: _plain(getattr(step, name))
+        for name in Step.__slots__
+        if getattr(step, name) != _STEP_DEFAULTS.get(name)
+    }
+    row['size'] = step.size.as_tuple()
+    return row
+
+
+def _plain(entry: object) -> object:
+    return list(entry) if isinstance(entry, tuple) else entry
+
+
+def _step(row: dict[str, Any]) -> Step:
+    parts = dict(row)
+    parts['size'] = Resources(*row['size'])
+    parts['after'] = tuple(row.get('after', ()))
+    return Step(**parts)
+
+
+def _defaults(names: Iterable[str]) -> dict[str, Any]:
+    plain = Step(1, Resources())
+    return {name: getattr(plain, name) for name in names if name != 'size'}
+
+
+_STEP_DEFAULTS: Final = _defaults(
+    name for name in Step.__slots__ if name != 'tasks_count'
+)
--- /dev/null
+++ b/fuchsiarill/graphs/reports.py
@@ -0,0 +1,209 @@
+"""Taking the reports of workers into account."""
+
+from fuchsiarill import events
+from fuchsiarill.graphs.ends import take_end
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.model import (
+    NO_END,
+    EndRow,
+    RunningRow,
+    TaskKey,
+    WorkerReport,
+)
+from fuchsiarill.graphs.progress import UnitKey
+from fuchsiarill.graphs.run_actions import hold_run, step_run
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
+from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.resources import NOTHING
+
+
+def take_report(
+    state: PoolState,
+    view: WorkerView,
+    report: WorkerReport,
+    asked_ms: int,
+    now_ms: int,
+) -> None:
+    """Bring the view of a worker up to date.
+
+    `asked_ms` is when the renewal left that the report answers.
+    """
+    if report.born_ms > view.born_ms:
+        start_new_life(state, view, now_ms)
+        view.born_ms = report.born_ms
+    elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
+        # Answers on different connections overtake each other.
+        return
+    view.clock_ms = report.clock_ms
+    view.is_accounted = True
+    offset_ms = report.clock_ms - now_ms
+    view.clock_offset_ms = max(view.clock_offset_ms or offset_ms, offset_ms)
+    state.workers.step(view, StandingEvent.REPORTED)
+    for row in report.running:
+        _take_running(state, view, row, now_ms)
+    for end in report.ended:
+        _take_unseen_end(state, view, end, now_ms)
+    _find_absent(state, view, report, asked_ms, now_ms)
+
+
+def start_new_life(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Take everything of a worker's life before as ended."""
+    lose_runs(state, view, now_ms)
+    view.seen_end = NO_END
+    view.durable_end = NO_END
+    view.clock_offset_ms = None
+    view.clock_ms = 0
+    view.failures_in_row.clear()
+    view.suspensions_count = 0
+    state.tickets.forget_worker(view.worker)
+    state.free_version += 1
+
+
+def lose_runs(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Take everything on a worker as ended without a report."""
+    for run in list(view.runs.values()):
+        events.emit(
+            events.RUN_LOST,
+            job=run.task.job,
+            task='.'.join(map(str, run.task[1:])),
+            attempt=run.attempt,
+            worker=view.worker,
+        )
+        stop_gang(state, run, now_ms)
+        step_run(state, run, RunEvent.WORKER_LOST, now_ms)
+
+
+def stop_gang(state: PoolState, run: Run, now_ms: int) -> None:
+    """Stop the other members of a run's gang."""
+    found = state.find_step(run.task)
+    if found is None:
+        return
+    unit = found[1].active.get(run.unit)
+    if unit is None:
+        return
+    for other in list(unit.runs.values()):
+        if other is not run and other.attempt == run.attempt:
+            step_run(state, other, RunEvent.STOP_ASKED, now_ms)
+
+
+def _take_running(
+    state: PoolState,
+    view: WorkerView,
+    row: RunningRow,
+    now_ms: int,
+) -> None:
+    run = view.runs.get((row.task, row.attempt))
+    if run is None:
+        run = _adopt(state, view, row, now_ms)
+    if run.progress_percent != row.progress_percent:
+        run.progress_percent = row.progress_percent
+        run.progress_changed_ms = now_ms
+    run.checkpoint = row.checkpoint
+    run.usage = row.usage
+    if run.listed_from_ms is None:
+        run.listed_from_ms = now_ms
+    step_run(state, run, RunEvent.LISTED, now_ms)
+    found = state.find_step(row.task)
+    unit = found[1].active.get(run.unit) if found else None
+    if unit is not None and row.checkpoint:
+        unit.checkpoint = row.checkpoint
+
+
+def _adopt(
+    state: PoolState,
+    view: WorkerView,
+    row: RunningRow,
+    now_ms: int,
+) -> Run:
+    """Take over a run of the owner before, or stop one that is not needed."""
+    entry = state.jobs.get(row.task.job)
+    run = Run(
+        row.task,
+        row.attempt,
+        _unit_key(entry, row.task),
+        view.worker,
+        entry.graph.steps[row.task.step].charge if entry else NOTHING,
+        ordered_ms=now_ms,
+        progress_changed_ms=now_ms,
+        listed_from_ms=now_ms,
+    )
+    if entry is not None and entry.graph.steps[row.task.step].is_filler:
+        size = entry.graph.steps[row.task.step].size
+        run.filler_milli = size.processors_milli
+    hold_run(state, run)
+    wanted = _wanted_unit(state, entry, run)
+    events.emit(
+        events.RUN_FOUND,
+        job=row.task.job,
+        task='.'.join(map(str, row.task[1:])),
+        attempt=row.attempt,
+        worker=view.worker,
+        is_kept=wanted is not None,
+    )
+    if wanted is None:
+        step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+        return run
+    step, unit = wanted
+    unit.runs[run.key] = run
+    unit.last_attempt = max(unit.last_attempt, run.attempt)
+    step.activate(unit)
+    step.runs_per_worker[view.worker] += 1
+    return run
+
+
+def _unit_key(entry: JobEntry | None, task: TaskKey) -> UnitKey:
+    is_gang = entry is not None and entry.graph.steps[task.step].is_gang
+    return UnitKey(task.occurrence, task.step, 0 if is_gang else task.position)
+
+
+def _wanted_unit(
+    state: PoolState,
+    entry: JobEntry | None,
+    run: Run,
+) -> tuple[StepEntry, Unit] | None:
+    if entry is None or not entry.is_active:
+        return None
+    occurrence = run.task.occurrence
+    for due in range(entry.opened_occurrences, occurrence + 1):
+        entry.open_occurrence(due)
+    found = state.find_step(run.task)
+    if found is None:
+        return None
+    unit = found[1].find_unit(run.unit)
+    if unit is None:
+        return None
+    for other in unit.runs.values():
+        if other.task == run.task or other.attempt != run.attempt:
+            return None
+    return found[1], unit
+
+
+def _take_unseen_end(
+    state: PoolState,
+    view: WorkerView,
+    end: EndRow,
+    now_ms: int,
+) -> None:
+    if end.sequence <= view.seen_end:
+        return
+    view.seen_end = end.sequence
+    take_end(state, view, end, now_ms)
+
+
+def _find_absent(
+    state: PoolState,
+    view: WorkerView,
+    report: WorkerReport,
+    asked_ms: int,
+    now_ms: int,
+) -> None:
+    listed = {(row.task, row.attempt) for row in report.running}
+    for run in list(view.runs.values()):
+        if run.key in listed or run.listed_from_ms is None:
+            continue
+        if run.listed_from_ms >= asked_ms or run.state is RunState.STARTING:
+            continue
+        stop_gang(state, run, now_ms)
+        step_run(state, run, RunEvent.ABSENT, now_ms)
--- /dev/null
+++ b/fuchsiarill/graphs/run_actions.py
@@ -0,0 +1,71 @@
+"""Steps of the run chart and their actions."""
+
+from collections.abc import Callable
+from typing import Final
+
+from fuchsiarill.graphs.effects import StopRun
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import RunEvent, RunState
+from fuchsiarill.registry import Registry
+from fuchsiarill.state_chart import load_chart
+
+_Action = Callable[[PoolState, Run, int], None]
+
+RUN_ACTIONS: Final[Registry[str, _Action]] = Registry('run actions')
+
+
+@RUN_ACTIONS.register('order_stop')
+def order_stop(state: PoolState, run: Run, now_ms: int) -> None:
+    """Ask the worker to end the run and to refuse it from now on."""
+    run.stop_ordered_ms = now_ms
+    run.is_stop_answered = False
+    state.effects.append(StopRun(run.worker, run.task, run.attempt))
+
+
+@RUN_ACTIONS.register('release')
+def release(state: PoolState, run: Run, now_ms: int) -> None:
+    """Give back the capacity and return the unit to the waiting ones."""
+    view = state.workers.find(run.worker)
+    found = state.find_step(run.task)
+    if view is not None:
+        view.release(run, is_serving=_is_serving(state, run))
+    state.free_version += 1
+    if found is None:
+        return
+    _, step = found
+    step.runs_per_worker[run.worker] -= 1
+    unit = step.active.get(run.unit)
+    if unit is None:
+        return
+    unit.runs.pop(run.key, None)
+    if not unit.runs:
+        step.requeue(unit)
+
+
+_CHART: Final = load_chart('run', RunState, RunEvent, RUN_ACTIONS)
+
+
+def step_run(state: PoolState, run: Run, event: RunEvent, now_ms: int) -> None:
+    """Let an event happen to a run."""
+    transition = _CHART.step(run.state, event)
+    if transition is None:
+        return
+    run.state = transition.target
+    for action in transition.actions:
+        RUN_ACTIONS.lookup(action)(state, run, now_ms)
+
+
+def hold_run(state: PoolState, run: Run) -> None:
+    """Count a new run against its worker."""
+    view = state.workers.find(run.worker)
+    if view is not None:
+        view.hold(run, is_serving=_is_serving(state, run))
+
+
+def _is_serving(state: PoolState, run: Run) -> bool:
+    entry = state.jobs.get(run.task.job)
+    if entry is None:
+        return False
+    step = entry.graph.steps[run.task.step]
+    return step.target_tail_ms is not None
--- /dev/null
+++ b/fuchsiarill/graphs/stalls.py
@@ -0,0 +1,49 @@
+"""Stops runs whose progress stands still on their worker."""
+
+from typing import Final
+
+from fuchsiarill import events
+from fuchsiarill.graphs import worker_trust
+from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import RunEvent, RunState
+from fuchsiarill.graphs.worker_book import WorkerView
+
+# Reports arrive at least each second; a run that moves shows it in two.
+_STALL_MS: Final = 3500
+_AT_WORK_PERCENT: Final = 100
+
+
+def stop_stalled(state: PoolState, now_ms: int) -> None:
+    """Stop runs that a reachable worker reports without any progress."""
+    for view in state.workers:
+        for run in list(view.runs.values()):
+            if run.state is not RunState.RUNNING:
+                continue
+            if not _is_stalled(state, view, run, now_ms):
+                continue
+            events.emit(
+                events.RUN_STALLED,
+                job=run.task.job,
+                task='.'.join(map(str, run.task[1:])),
+                attempt=run.attempt,
+                worker=view.worker,
+                percent=run.progress_percent,
+            )
+            worker_trust.note_failure(view, run.task, now_ms)
+            step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+
+
+def _is_stalled(
+    state: PoolState,
+    view: WorkerView,
+    run: Run,
+    now_ms: int,
+) -> bool:
+    found = state.find_step(run.task)
+    if found is None or run.filler_milli or found[1].step.is_gang:
+        return False
+    if run.progress_percent >= _AT_WORK_PERCENT:
+        return False
+    return now_ms - run.progress_changed_ms > _STALL_MS
--- /dev/null
+++ b/fuchsiarill/graphs/state.py
@@ -0,0 +1,55 @@
+"""State that the decisions about a pool share."""
+
+from dataclasses import dataclass, field
+
+from fuchsiarill.graphs.effects import Effect
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.model import GraphConfig, PoolId, QueueId, TaskKey
+from fuchsiarill.graphs.run_times import RunTimes
+from fuchsiarill.graphs.settings import TaskLeaseSettings
+from fuchsiarill.graphs.tickets import TicketBook
+from fuchsiarill.graphs.worker_book import WorkerBook
+from fuchsiarill.ids import Epoch, JobId
+
+
+@dataclass(slots=True)
+class PoolState:
+    """Everything that the owner of a pool knows."""
+
+    pool: PoolId
+    epoch: Epoch
+    leases: TaskLeaseSettings
+    config: GraphConfig | None = None
+    jobs: dict[JobId, JobEntry] = field(default_factory=dict)
+    workers: WorkerBook = field(default_factory=WorkerBook)
+    tickets: TicketBook = field(default_factory=TicketBook)
+    run_times: RunTimes = field(default_factory=RunTimes)
+    # Jobs whose progress differs from what is durable.
+    dirty: set[JobId] = field(default_factory=set)
+    effects: list[Effect] = field(default_factory=list)
+    # Rises whenever a placement that failed could succeed.
+    free_version: int = 0
+    # Every worker of the owner before has answered or has lapsed.
+    is_inheritance_settled: bool = False
+    # Unix time minus the runtime clock.
+    unix_offset_ms: int = 0
+
+    def find_step(self, task: TaskKey) -> tuple[JobEntry, StepEntry] | None:
+        """Return the open step of a task."""
+        entry = self.jobs.get(task.job)
+        if entry is None:
+            return None
+        step = entry.open_steps.get((task.occurrence, task.step))
+        return None if step is None else (entry, step)
+
+    def queue_jobs(self, queue: QueueId) -> list[JobEntry]:
+        """Return the active jobs of a queue."""
+        return [
+            entry
+            for entry in self.jobs.values()
+            if entry.is_active and entry.graph.queue == queue
+        ]
+
+    def touch(self, job: JobId) -> None:
+        """Note that a job's progress has to be made durable."""
+        self.dirty.add(job)
--- /dev/null
+++ b/fuchsiarill/graphs/tenure.py
@@ -0,0 +1,444 @@
+"""Election to owner of a pool, by an ephemeral key in the store.
+
+The revision at which the key was written is the epoch: it rises with each
+owner and fences both the store and the workers. The key lives under a lease;
+its holder orders nothing later than the lease's time to live after it asked
+for the last renewal.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill import events
+from fuchsiarill.actor import Reply, handles
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.graphs import records
+from fuchsiarill.graphs.lease_guard import LeaseGuard
+from fuchsiarill.graphs.model import GraphConfig, PoolId
+from fuchsiarill.graphs.owner_messages import ConfigInForce, OwnershipRefuted
+from fuchsiarill.graphs.pool_owner import OwnerContext, PoolOwner, Term
+from fuchsiarill.graphs.states import TenureEvent, TenureState
+from fuchsiarill.ids import ABSENT, Epoch, StoreLeaseId
+from fuchsiarill.ports.key_value import (
+    KvCommitted,
+    KvConflict,
+    KvFailure,
+    KvItem,
+    KvTransaction,
+    KvWrite,
+)
+from fuchsiarill.registry import Registry
+from fuchsiarill.state_chart import load_chart
+
+_TICK_MS: Final = 100
+# A process that owns another pool lets others go first.
+_OWNED_DELAY_MS: Final = 150
+_HAND_OVER_MS: Final = 1500
+_RETRY_MS: Final = 150
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerKeySeen:
+    """The owner key as the store's feed shows it."""
+
+    item: KvItem
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Give the pool up, then answer."""
+
+    reply: Reply[None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Election:
+    """Outcome of a campaign."""
+
+    epoch: Epoch | None
+    lease: StoreLeaseId | None = None
+    asked_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Renewal:
+    lease: StoreLeaseId
+    asked_ms: int
+    outcome: Result[StoreLeaseId, KvFailure]
+    # The owner key has been read after a time without renewals.
+    is_key_lost: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Time passes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A process as it appears in elections."""
+
+    context: OwnerContext
+    incarnation: str
+    # Pools that this process owns at the moment.
+    owned_count: Callable[[], int]
+
+
+_Action = Callable[['Tenure'], None]
+
+TENURE_ACTIONS: Final[Registry[str, _Action]] = Registry('tenure actions')
+
+
+class Tenure(SpawningActor):
+    """Relation of this process to the ownership of one pool."""
+
+    def __init__(
+        self,
+        pool: PoolId,
+        config: GraphConfig,
+        candidate: Candidate,
+    ) -> None:
+        """Start as a follower."""
+        super().__init__(f'tenure {pool}')
+        self.pool = pool
+        self.config = config
+        self.state = TenureState.FOLLOWING
+        self.owner: PoolOwner | None = None
+        self._candidate = candidate
+        self._context = candidate.context
+        self._settings = candidate.context.settings
+        self._store = candidate.context.ports.store
+        self._key_revision = ABSENT
+        self._is_vacant = False
+        self._election = _Election(None)
+        self._guard: LeaseGuard | None = None
+        self._renewed_ms = 0
+        self._is_renewing = False
+
+    def start(self) -> None:
+        """Run the actor and its ticks."""
+        super().start()
+        self.tick_every(_TICK_MS, _Tick())
+
+    async def stop(self) -> None:
+        """End the owner too."""
+        if self.owner is not None:
+            await self.owner.stop()
+        await super().stop()
+
+    @property
+    def is_owner(self) -> bool:
+        """Tell whether this process owns the pool."""
+        return self.owner is not None
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        snapshot = {
+            **super().snapshot(),
+            'pool': self.pool,
+            'state': self.state.value,
+            'key_revision': self._key_revision,
+        }
+        if self.owner is not None:
+            snapshot['owner'] = self.owner.snapshot()
+        return snapshot
+
+    @handles(OwnerKeySeen)
+    async def on_key_seen(self, message: OwnerKeySeen) -> None:
+        """Notice a vacancy, or that another owns the pool."""
+        item = message.item
+        if item.revision and item.revision < self._key_revision:
+            return
+        self._key_revision = max(item.revision, self._key_revision)
+        self._is_vacant = item.value is None
+        epoch = self._election.epoch
+        if epoch is not None and (
+            (item.value is None and item.revision > epoch)
+            or item.revision > epoch
+        ):
+            self._step(TenureEvent.OWNERSHIP_LOST)
+        if item.value is not None:
+            self._end_former_life(item.value)
+
+    @handles(ConfigInForce)
+    async def on_config(self, message: ConfigInForce) -> None:
+        """Pass a configuration on to the owner."""
+        self.config = message.config
+        if self.owner is not None:
+            self.owner.mailbox.send(message)
+
+    @handles(OwnershipRefuted)
+    async def on_refuted(self, message: OwnershipRefuted) -> None:
+        """Step down."""
+        events.emit(
+            events.TENURE_REFUTED,
+            pool=self.pool,
+            epoch=self._election.epoch,
+            reason=message.reason,
+        )
+        self._step(TenureEvent.OWNERSHIP_LOST)
+
+    @handles(_Election)
+    async def on_election(self, message: _Election) -> None:
+        """Take the outcome of a campaign into account."""
+        if message.epoch is None:
+            self._step(TenureEvent.NOT_ELECTED)
+            return
+        self._election = message
+        self._step(TenureEvent.ELECTED)
+        if self.state is TenureState.RELEASED and message.lease is not None:
+            self.spawn(self._end_lease(message.lease))
+
+    @handles(_Renewal)
+    async def on_renewal(self, message: _Renewal) -> None:
+        """Move the deadline of the ownership."""
+        self._is_renewing = False
+        if message.lease != self._election.lease or self._guard is None:
+            return
+        is_gone = message.outcome == Failure(KvFailure.LEASE_GONE)
+        if message.is_key_lost or is_gone:
+            events.emit(
+                events.TENURE_REFUTED,
+                pool=self.pool,
+                epoch=self._election.epoch,
+                reason='the lease or the owner key is gone',
+            )
+            self._step(TenureEvent.OWNERSHIP_LOST)
+            return
+        if isinstance(message.outcome, Success):
+            self._guard.extend(self._deadline_ms(message.asked_ms))
+            if self.state is TenureState.SUSPENDED:
+                self._step(TenureEvent.LEASE_RENEWED)
+
+    @handles(_Tick)
+    async def on_tick(self, message: _Tick) -> None:
+        """Campaign for a vacancy, renew the lease, notice its end."""
+        if self.state is TenureState.FOLLOWING and self._is_vacant:
+            self._step(TenureEvent.VACANCY_SEEN)
+        if self._guard is None:
+            return
+        if now_ms() >= self._guard.deadline_ms:
+            self._step(TenureEvent.LEASE_OVERDUE)
+        self._renew()
+
+    @handles(Drain)
+    async def on_drain(self, message: Drain) -> None:
+        """Hand the pool over, so that the next owner need not wait."""
+        self._step(TenureEvent.DRAIN_ASKED)
+        if self.owner is not None:
+            await self.owner.hand_over(_HAND_OVER_MS)
+            owner, self.owner = self.owner, None
+            await owner.stop()
+        if self._election.lease is not None:
+            await self._end_lease(self._election.lease)
+        message.reply.answer(None)
+
+    def campaign(self) -> None:
+        """Try to become the owner, in a task of its own."""
+        self.spawn(self._campaign())
+
+    def load(self) -> None:
+        """Begin the term."""
+        election = self._election
+        if election.epoch is None:
+            return
+        guard = LeaseGuard(self._deadline_ms(election.asked_ms))
+        self._guard = guard
+        self._renewed_ms = election.asked_ms
+        term = Term(self.pool, election.epoch, guard, self.config)
+        owner_context = OwnerContext(
+            self._context.settings,
+            self._context.ports,
+            self._context.advisor,
+            self.mailbox,
+        )
+        self.owner = PoolOwner(term, owner_context)
+        self.owner.start()
+        events.emit(
+            events.TENURE_WON,
+            pool=self.pool,
+            epoch=election.epoch,
+            campaign_ms=now_ms() - election.asked_ms,
+        )
+        self._step(TenureEvent.LOADED)
+
+    def step_down(self) -> None:
+        """End the term; the key belongs to another, or to nobody."""
+        events.emit(
+            events.TENURE_LOST,
+            pool=self.pool,
+            epoch=self._election.epoch,
+        )
+        if self._guard is not None:
+            self._guard.revoke()
+        if self.owner is not None:
+            self.spawn(self.owner.stop())
+        if self._election.lease is not None:
+            self.spawn(self._end_lease(self._election.lease))
+        self.owner = None
+        self._guard = None
+        self._election = _Election(None)
+
+    def note(self, event: events.LogEvent) -> None:
+        """Log a change of the tenure."""
+        events.emit(event, pool=self.pool, epoch=self._election.epoch)
+
+    def _step(self, event: TenureEvent) -> None:
+        transition = _CHART.step(self.state, event)
+        if transition is None:
+            return
+        self.state = transition.target
+        for action in transition.actions:
+            TENURE_ACTIONS.lookup(action)(self)
+
+    def _deadline_ms(self, asked_ms: int) -> int:
+        ownership = self._settings.ownership
+        return asked_ms + ownership.lease_ttl_ms - ownership.lease_margin_ms
+
+    async def _campaign(self) -> None:
+        ownership = self._settings.ownership
+        # Spread, so that most processes see the winner before they try.
+        delay_ms = random.random() * ownership.campaign_spread_ms
+        delay_ms += self._candidate.owned_count() * _OWNED_DELAY_MS
+        await sleep_ms(delay_ms)
+        if not self._is_vacant:
+            self.mailbox.send(_Election(None))
+            return
+        self.mailbox.send(await self._run_for_owner())
+
+    async def _run_for_owner(self) -> _Election:
+        ownership = self._settings.ownership
+        timeout_ms = self._settings.calls.store_timeout_ms
+        asked_ms = now_ms()
+        granted = await self._store.grant_lease(
+            ownership.lease_ttl_ms,
+            timeout_ms,
+        )
+        if isinstance(granted, Failure):
+            await sleep_ms(_RETRY_MS)
+            return _Election(None)
+        lease = granted.unwrap()
+        key = records.owner_key(self.pool)
+        record = records.OwnerRecord(
+            self._settings.process,
+            self._candidate.incarnation,
+            lease,
+        )
+        value = records.encode_owner(record)
+        answered = await self._store.commit(
+            KvTransaction(((key, ABSENT),), (KvWrite(key, value, lease),)),
+            timeout_ms,
+        )
+        match answered:
+            case Success(KvCommitted(revision)):
+                return _Election(Epoch(revision), lease, asked_ms)
+            case Success(KvConflict()):
+                await self._end_lease(lease)
+                return _Election(None)
+            case _:
+                return await self._read_back(value, lease, asked_ms)
+
+    async def _read_back(
+        self,
+        value: bytes,
+        lease: StoreLeaseId,
+        asked_ms: int,
+    ) -> _Election:
+        """Find out whether a write without an answer took effect."""
+        found = await self._store.get(
+            records.owner_key(self.pool),
+            self._settings.calls.store_timeout_ms,
+        )
+        if isinstance(found, Success) and found.unwrap().value == value:
+            revision = found.unwrap().revision
+            return _Election(Epoch(revision), lease, asked_ms)
+        # A write that takes effect later fails once its lease has ended.
+        await self._end_lease(lease)
+        await sleep_ms(_RETRY_MS)
+        return _Election(None)
+
+    def _renew(self) -> None:
+        interval_ms = self._settings.ownership.renewal_interval_ms
+        if self._is_renewing or now_ms() - self._renewed_ms < interval_ms:
+            return
+        lease = self._election.lease
+        if lease is not None:
+            self._is_renewing = True
+            self._renewed_ms = now_ms()
+            self.spawn(self._renew_lease(lease))
+
+    async def _renew_lease(self, lease: StoreLeaseId) -> None:
+        asked_ms = now_ms()
+        timeout_ms = self._settings.calls.store_timeout_ms
+        outcome = await self._store.renew_lease(lease, timeout_ms)
+        is_key_lost = False
+        if isinstance(outcome, Success):
+            if self.state is TenureState.SUSPENDED:
+                # Keys may have been taken away while nothing was heard.
+                found = await self._store.get(
+                    records.owner_key(self.pool),
+                    timeout_ms,
+                )
+                if isinstance(found, Failure):
+                    outcome = Failure(found.failure())
+                else:
+                    epoch = self._election.epoch
+                    is_key_lost = int(found.unwrap().revision) != epoch
+        self.mailbox.send(_Renewal(lease, asked_ms, outcome, is_key_lost))
+
+    async def _end_lease(self, lease: StoreLeaseId) -> None:
+        await self._store.end_lease(
+            lease,
+            self._settings.calls.store_timeout_ms,
+        )
+
+    def _end_former_life(self, value: bytes) -> None:
+        """End the lease that a former life of this process still holds."""
+        record = records.decode_owner(value)
+        if record.process != self._settings.process:
+            return
+        if record.incarnation != self._candidate.incarnation:
+            self.spawn(self._end_lease(StoreLeaseId(record.lease)))
+
+
+@TENURE_ACTIONS.register('campaign')
+def _campaign(tenure: Tenure) -> None:
+    tenure.campaign()
+
+
+@TENURE_ACTIONS.register('load')
+def _load(tenure: Tenure) -> None:
+    tenure.load()
+
+
+@TENURE_ACTIONS.register('serve')
+def _serve(tenure: Tenure) -> None:
+    """Loading goes on in the owner, which orders nothing before its end."""
+
+
+@TENURE_ACTIONS.register('suspend')
+def _suspend(tenure: Tenure) -> None:
+    tenure.note(events.TENURE_SUSPENDED)
+
+
+@TENURE_ACTIONS.register('resume')
+def _resume(tenure: Tenure) -> None:
+    tenure.note(events.TENURE_RESUMED)
+
+
+@TENURE_ACTIONS.register('step_down')
+def _step_down(tenure: Tenure) -> None:
+    tenure.step_down()
+
+
+@TENURE_ACTIONS.register('hand_over')
+def _hand_over(tenure: Tenure) -> None:
+    """The handler of the drain waits for the owner's last records."""
+
+
+_CHART: Final = load_chart('tenure', TenureState, TenureEvent, TENURE_ACTIONS)
--- /dev/null
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -0,0 +1,271 @@
+"""Orders to one worker and the renewal of its task leases."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure
+
+from fuchsiarill.actor import Mailbox, handles
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.graphs.effects import LookAt, PaceRun, StartRun, StopRun
+from fuchsiarill.graphs.lease_guard import LeaseGuard
+from fuchsiarill.graphs.model import (
+    NO_END,
+    BornMs,
+    EndSequence,
+    StartOrder,
+    WorkerReport,
+)
+from fuchsiarill.graphs.owner_messages import (
+    EndsDurable,
+    OwnershipRefuted,
+    RenewalFailed,
+    RenewalSent,
+    Reported,
+    StartAnswered,
+    StopAnswered,
+)
+from fuchsiarill.graphs.settings import GraphSettings
+from fuchsiarill.ids import Epoch
+from fuchsiarill.ports.agents import (
+    AgentAddress,
+    AgentFailure,
+    AgentPort,
+    PaceOrder,
+    RenewalOrder,
+    StopOrder,
+)
+
+_RETRY_MS: Final = 150
+# Ends are durable within some store calls; leases are renewed meanwhile.
+_DURABLE_WAIT_MS: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class ChannelContext:
+    """What a channel needs besides the worker."""
+
+    settings: GraphSettings
+    agents: AgentPort
+    epoch: Epoch
+    guard: LeaseGuard
+    owner: Mailbox
+
+
+class WorkerChannel(SpawningActor):
+    """Talks to one worker for the owner of its pool."""
+
+    def __init__(self, agent: AgentAddress, context: ChannelContext) -> None:
+        """Create the channel; `start` begins to renew."""
+        super().__init__(f'channel {agent.worker}')
+        self.agent = agent
+        self._context = context
+        self._born_ms = BornMs(0)
+        self._seen_end = NO_END
+        self._durable_end = NO_END
+        self._durable = asyncio.Event()
+        # Worker's clock minus the runtime clock; unknown before a report.
+        self._offset_ms: int | None = None
+        self._is_confirmed = False
+
+    def start(self) -> None:
+        """Run the actor and the renewals."""
+        super().start()
+        self._tasks.append(
+            asyncio.create_task(self._renew_forever(), name=self.name),
+        )
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {
+            **super().snapshot(),
+            'address': self.agent.address,
+            'durable_end': self._durable_end,
+            'seen_end': self._seen_end,
+            'is_confirmed': self._is_confirmed,
+        }
+
+    @handles(StartRun)
+    async def on_start(self, message: StartRun) -> None:
+        """Order a start."""
+        self.spawn(self._order_start(message))
+
+    @handles(StopRun)
+    async def on_stop(self, message: StopRun) -> None:
+        """Order a stop."""
+        self.spawn(self._order_stop(message))
+
+    @handles(PaceRun)
+    async def on_pace(self, message: PaceRun) -> None:
+        """Order a pace; a lost one is corrected by the next."""
+        self.spawn(self._order_pace(message))
+
+    @handles(LookAt)
+    async def on_look(self, message: LookAt) -> None:
+        """Ask for a report beside the renewal that waits."""
+        self.spawn(self._look())
+
+    @handles(EndsDurable)
+    async def on_durable(self, message: EndsDurable) -> None:
+        """Let the worker forget its ends."""
+        if message.born_ms == self._born_ms:
+            self._durable_end = max(self._durable_end, message.sequence)
+            self._durable.set()
+
+    async def _look(self) -> None:
+        await self._renew(wait_ms=0)
+
+    async def _renew_forever(self) -> None:
+        wait_ms = 0
+        while True:
+            if not self._context.guard.may_order():
+                await sleep_ms(_RETRY_MS)
+                continue
+            if await self._renew(wait_ms):
+                wait_ms = self._context.settings.task_lease.renewal_wait_ms
+                await self._await_durable()
+                continue
+            wait_ms = 0
+            await sleep_ms(_RETRY_MS)
+
+    async def _await_durable(self) -> None:
+        """Wait until the ends seen may be forgotten, or for a short time."""
+        deadline_ms = now_ms() + _DURABLE_WAIT_MS
+        while self._durable_end < self._seen_end:
+            left_ms = deadline_ms - now_ms()
+            if left_ms <= 0:
+                # A renewal that waits would be answered at once.
+                return
+            self._durable.clear()
+            try:
+                async with asyncio.timeout(left_ms / 1000):
+                    await self._durable.wait()
+            except TimeoutError:
+                return
+
+    async def _renew(self, wait_ms: int) -> bool:
+        if self._durable_end < self._seen_end:
+            wait_ms = 0
+        asked_ms = now_ms()
+        order = RenewalOrder(
+            self._context.epoch,
+            # A worker that may have a new life must not forget its ends.
+            self._durable_end if self._is_confirmed else NO_END,
+            self._expiry_ms(),
+            wait_ms,
+        )
+        self._context.owner.send(RenewalSent(self.agent.worker))
+        answered = await self._context.agents.renew(
+            self.agent,
+            order,
+            self._context.settings.calls.worker_timeout_ms,
+        )
+        if isinstance(answered, Failure):
+            self._is_confirmed = False
+            self._failed(answered.failure())
+            return False
+        self._learn(answered.unwrap())
+        self._context.owner.send(
+            Reported(self.agent.worker, answered.unwrap(), asked_ms),
+        )
+        return True
+
+    def _learn(self, report: WorkerReport) -> None:
+        if report.born_ms < self._born_ms:
+            return
+        if report.born_ms > self._born_ms:
+            self._born_ms = report.born_ms
+            self._seen_end = NO_END
+            self._durable_end = NO_END
+            self._offset_ms = None
+        self._is_confirmed = True
+        offset_ms = report.clock_ms - now_ms()
+        if self._offset_ms is None or offset_ms > self._offset_ms:
+            self._offset_ms = offset_ms
+        for end in report.ended:
+            self._seen_end = EndSequence(max(self._seen_end, end.sequence))
+
+    def _failed(self, failure: AgentFailure) -> None:
+        if failure is AgentFailure.FENCED:
+            self._context.owner.send(
+                OwnershipRefuted(f'{self.agent.worker} has a later epoch'),
+            )
+        self._context.owner.send(RenewalFailed(self.agent.worker, failure))
+
+    def _expiry_ms(self) -> int | None:
+        """Return when leases renewed now end, in the worker's clock."""
+        if self._offset_ms is None:
+            return None
+        duration_ms = self._context.settings.task_lease.duration_ms
+        return now_ms() + self._offset_ms + duration_ms
+
+    async def _order_start(self, message: StartRun) -> None:
+        failure = await self._start(message)
+        if failure is AgentFailure.FENCED:
+            self._failed(failure)
+        self._context.owner.send(
+            StartAnswered(
+                self.agent.worker,
+                message.task,
+                message.attempt,
+                failure,
+            ),
+        )
+
+    async def _start(self, message: StartRun) -> AgentFailure | None:
+        expiry_ms = self._expiry_ms()
+        if expiry_ms is None or not self._context.guard.may_order():
+            return AgentFailure.NOT_SENT
+        order = StartOrder(
+            message.task,
+            message.attempt,
+            message.payload,
+            self._context.epoch,
+            expiry_ms,
+            message.checkpoint,
+            message.ticket,
+        )
+        self._context.owner.send(RenewalSent(self.agent.worker))
+        answered = await self._context.agents.start(
+            self.agent,
+            order,
+            self._context.settings.calls.worker_timeout_ms,
+        )
+        match answered:
+            case Failure(AgentFailure() as failure):
+                return failure
+        return None
+
+    async def _order_stop(self, message: StopRun) -> None:
+        answered = await self._context.agents.stop(
+            self.agent,
+            StopOrder(message.task, message.attempt, self._context.epoch),
+            self._context.settings.calls.worker_timeout_ms,
+        )
+        failure = None
+        if isinstance(answered, Failure):
+            failure = answered.failure()
+        self._context.owner.send(
+            StopAnswered(
+                self.agent.worker,
+                message.task,
+                message.attempt,
+                failure,
+            ),
+        )
+
+    async def _order_pace(self, message: PaceRun) -> None:
+        if not self._context.guard.may_order():
+            return
+        await self._context.agents.pace(
+            self.agent,
+            PaceOrder(
+                message.task,
+                message.attempt,
+                message.percent,
+                self._context.epoch,
+            ),
+            self._context.settings.calls.worker_timeout_ms,
+        )
--- /dev/null
+++ b/fuchsiarill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform; it translates and decides nothing."""
--- /dev/null
+++ b/fuchsiarill/platform/advice_client.py
@@ -0,0 +1,44 @@
+"""The platform's advice service as our `AdvisorPort`."""
+
+import json
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.graphs.model import StepKey, Ticket
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.platform.answers import read_answer
+from fuchsiarill.platform.task_names import step_name
+from fuchsiarill.ports.agents import AgentFailure
+from fuchsiarill.ports.http_client import HttpCall, HttpClient
+
+_OK: Final = 200
+_BUSY: Final = 429
+
+
+class PlatformAdvisor:
+    """Asks the advice service through the HTTP client."""
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        """Use the service at `address`, a host with a port."""
+        self._url = f'http://{address}/advise'
+        self._client = client
+
+    async def advise(
+        self,
+        step: StepKey,
+        workers: tuple[WorkerId, ...],
+        timeout_ms: int,
+    ) -> Result[dict[WorkerId, Ticket], AgentFailure]:
+        """Return a ticket for each worker that may run the step."""
+        body = {'step_id': step_name(step), 'workers': list(workers)}
+        call = HttpCall('POST', self._url, json.dumps(body).encode())
+        answer = read_answer(await self._client.call(call, timeout_ms))
+        if answer.status == _BUSY:
+            return Failure(AgentFailure.UNHEALTHY)
+        if answer.status != _OK:
+            return Failure(AgentFailure.UNKNOWN)
+        granted = answer.body['granted']
+        return Success(
+            {WorkerId(worker): Ticket(ticket) for worker, ticket in granted},
+        )
--- /dev/null
+++ b/fuchsiarill/platform/callers.py
@@ -0,0 +1,176 @@
+"""Requests of the platform's clients, translated for our front."""
+
+import json
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+from fuchsiarill import codes
+from fuchsiarill.front.bridge import NotSentError
+from fuchsiarill.graphs.front import Front
+from fuchsiarill.graphs.intake import (
+    Cancel,
+    CountPending,
+    IntakeAnswer,
+    LookUp,
+    Submit,
+)
+from fuchsiarill.graphs.listener import Request, Response
+from fuchsiarill.graphs.metrics import GraphMetrics
+from fuchsiarill.graphs.model import QueuePolicy
+from fuchsiarill.graphs.ports import DocumentError
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId
+from fuchsiarill.platform.documents import read_job
+from fuchsiarill.registry import Registry
+
+_Handler = Callable[['Callers', Request, QueuePolicy, str], IntakeAnswer]
+
+VERBS: Final[Registry[tuple[str, bool], _Handler]] = Registry(
+    'requests by method, and whether they name a job',
+)
+
+# A 429 or 503 promises that a job never runs; an outcome that is not known
+# is a 504, after which the client tries again with the same id.
+_STATUSES: Final = {
+    codes.ACCEPTED: HTTPStatus.ACCEPTED,
+    codes.DONE: HTTPStatus.OK,
+    codes.UNKNOWN_JOB: HTTPStatus.GONE,
+    codes.UNKNOWN_ROUTE: HTTPStatus.NOT_FOUND,
+    codes.MALFORMED: HTTPStatus.BAD_REQUEST,
+    codes.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    codes.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    codes.NOT_CONFIGURED: HTTPStatus.SERVICE_UNAVAILABLE,
+    codes.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    codes.OUTCOME_UNCERTAIN: HTTPStatus.GATEWAY_TIMEOUT,
+}
+_PHASES: Final = {
+    JobPhase.SUCCEEDED: 'done',
+    JobPhase.FAILED: 'failed',
+    JobPhase.CANCELLED: 'cancelled',
+}
+
+
+class Callers:
+    """Answers the requests of clients."""
+
+    def __init__(self, front: Front, metrics: GraphMetrics) -> None:
+        """Answer through `front`."""
+        self.front = front
+        self._metrics = metrics
+
+    def answer(self, request: Request) -> Response:
+        """Return the answer to one request; runs in a thread."""
+        started_s = time.perf_counter()
+        outcome = self._outcome(request)
+        duration_s = time.perf_counter() - started_s
+        self._metrics.answered(request.method, outcome.code, duration_s)
+        return self._response(request, outcome)
+
+    def deadline_ms(self, request: Request) -> int:
+        """Return when the answer is due."""
+        return self.front.deadline_ms(request.patience_ms)
+
+    def _outcome(self, request: Request) -> IntakeAnswer:
+        config = self.front.view.config
+        if config is None:
+            return IntakeAnswer(codes.NOT_CONFIGURED)
+        policy = config.find_queue(request.host, request.path)
+        if policy is None:
+            return IntakeAnswer(codes.UNKNOWN_ROUTE)
+        if len(request.body) > config.limits.body_max_bytes:
+            return IntakeAnswer(codes.TOO_LARGE)
+        job = request.path.removeprefix(policy.prefix)
+        verb = (request.method, bool(job))
+        if verb not in VERBS:
+            return IntakeAnswer(codes.UNKNOWN_ROUTE)
+        try:
+            return VERBS.lookup(verb)(self, request, policy, job)
+        except DocumentError:
+            return IntakeAnswer(codes.MALFORMED)
+        except NotSentError:
+            return IntakeAnswer(codes.OVERLOADED)
+        except TimeoutError:
+            return IntakeAnswer(codes.OUTCOME_UNCERTAIN)
+
+    def _response(self, request: Request, outcome: IntakeAnswer) -> Response:
+        status = _STATUSES[outcome.code]
+        headers: tuple[tuple[str, str], ...] = ()
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after_s = self.front.settings.front.retry_after_s
+            headers = (('Retry-After', str(retry_after_s)),)
+        return Response(status, _body(request, outcome), headers=headers)
+
+
+def _body(request: Request, outcome: IntakeAnswer) -> bytes:
+    if outcome.code is not codes.DONE:
+        return json.dumps({'error': outcome.code.name}).encode()
+    if outcome.phase is None:
+        return json.dumps({'pending': outcome.pending_count}).encode()
+    state = _PHASES.get(outcome.phase)
+    if state is None:
+        state = 'running' if outcome.has_started else 'queued'
+    return json.dumps({'state': state}).encode()
+
+
+@VERBS.register(('POST', True))
+def _submit(
+    callers: Callers,
+    request: Request,
+    policy: QueuePolicy,
+    job: str,
+) -> IntakeAnswer:
+    graph = read_job(job, policy, request.body)
+    deadline_ms = callers.deadline_ms(request)
+    return callers.front.ask(
+        lambda reply: Submit(graph, deadline_ms, reply),
+        deadline_ms,
+    )
+
+
+@VERBS.register(('GET', True))
+def _look_up(
+    callers: Callers,
+    request: Request,
+    policy: QueuePolicy,
+    job: str,
+) -> IntakeAnswer:
+    deadline_ms = callers.deadline_ms(request)
+    return callers.front.ask(
+        lambda reply: LookUp(policy.pool, JobId(job), deadline_ms, reply),
+        deadline_ms,
+    )
+
+
+@VERBS.register(('DELETE', True))
+def _cancel(
+    callers: Callers,
+    request: Request,
+    policy: QueuePolicy,
+    job: str,
+) -> IntakeAnswer:
+    deadline_ms = callers.deadline_ms(request)
+    return callers.front.ask(
+        lambda reply: Cancel(policy.pool, JobId(job), deadline_ms, reply),
+        deadline_ms,
+    )
+
+
+@VERBS.register(('GET', False))
+def _count(
+    callers: Callers,
+    request: Request,
+    policy: QueuePolicy,
+    job: str,
+) -> IntakeAnswer:
+    deadline_ms = callers.deadline_ms(request)
+    return callers.front.ask(
+        lambda reply: CountPending(
+            policy.pool,
+            policy.queue,
+            deadline_ms,
+            reply,
+        ),
+        deadline_ms,
+    )
--- /dev/null
+++ b/fuchsiarill/platform/daemon.py
@@ -0,0 +1,210 @@
+"""The daemon as the platform runs it.
+
+The platform fills in `deploy/settings.yaml`, so the settings file has our
+own format; its path stands in an environment variable.
+"""
+
+import asyncio
+import json
+import os
+import selectors
+import signal
+import sys
+import time
+from functools import partial
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, Final
+
+from returns.result import Failure
+
+from fuchsiarill import events
+from fuchsiarill.codes import ExitStatus
+from fuchsiarill.collector import collect_seldom
+from fuchsiarill.graphs.front import Front
+from fuchsiarill.graphs.listener import Listener, Request, Response
+from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
+from fuchsiarill.graphs.ports import Directory, GraphPorts
+from fuchsiarill.graphs.process import AskDump, DrainProcess, GraphProcess
+from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
+from fuchsiarill.ids import StoreKey
+from fuchsiarill.log_sink import JsonLineSink
+from fuchsiarill.platform.advice_client import PlatformAdvisor
+from fuchsiarill.platform.callers import Callers
+from fuchsiarill.platform.documents import read_config, read_worker
+from fuchsiarill.platform.store_client import PlatformStore
+from fuchsiarill.platform.worker_client import PlatformWorkers
+from fuchsiarill.ports.http_client import HttpClient
+
+_SETTINGS_VARIABLE: Final = 'FUCHSIARILL_NODE_FILE'
+_CALLS_MAX_COUNT: Final = 2000
+_CHECK_S: Final = 0.05
+_READINESS_THREADS_COUNT: Final = 2
+_METRICS_THREADS_COUNT: Final = 1
+
+
+class BootTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock counts the time of a suspended machine.
+
+    With the monotonic clock an owner that wakes would still believe in a
+    lease that has lapsed meanwhile.
+    """
+
+    def __init__(self) -> None:
+        """Use the default selector."""
+        super().__init__(selectors.DefaultSelector())
+
+    def time(self) -> float:
+        """Return the time since the machine started, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def run() -> None:
+    """Run the daemon until SIGTERM or SIGINT."""
+    # Signals can arrive while the loop is not running yet.
+    for early in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(early, _ignore_reload if early is signal.SIGHUP else _end)
+    path = Path(os.environ.get(_SETTINGS_VARIABLE, ''))
+    loaded = load_graph_settings(path)
+    if isinstance(loaded, Failure):
+        sys.stderr.write('\n'.join((*loaded.failure(), '')))
+        sys.exit(ExitStatus.BAD_REQUEST.value)
+    settings = loaded.unwrap()
+    collect_seldom()
+    sink = JsonLineSink()
+    events.configure_structured(sink, settings.log_level)
+    with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+        status = runner.run(_serve(settings, path))
+    sink.flush()
+    # Threads that wait for answers do not hold up the end.
+    os._exit(status)
+
+
+def _ignore_reload(number: int, frame: Any) -> None:
+    """Settings are read after the start anyway."""
+
+
+def _end(number: int, frame: Any) -> None:
+    sys.exit(0)
+
+
+async def _serve(settings: GraphSettings, path: Path) -> int:
+    metrics = GraphMetrics()
+    client = HttpClient(
+        settings.calls.threads_max_count,
+        _CALLS_MAX_COUNT,
+        settings.calls.waits_max_count,
+    )
+    store = PlatformStore(settings.outside.store, client)
+    ports = GraphPorts(
+        ObservedStore(store, metrics),
+        PlatformWorkers(client),
+        PlatformAdvisor(settings.outside.advice, client),
+        Directory(
+            StoreKey('op/config'),
+            'op/',
+            'servers/',
+            read_config,
+            read_worker,
+        ),
+    )
+    process = GraphProcess(settings, ports, metrics)
+    listeners = _listeners(settings, process, metrics)
+    _handle_signals(process, path, settings)
+    process.start()
+    for listener in listeners:
+        listener.start()
+    while process.exit_status is None:
+        await asyncio.sleep(_CHECK_S)
+        if process.front.view.is_draining:
+            listeners[0].is_draining = True
+    listeners[0].stop()
+    events.emit(events.PROCESS_STOPPED, process=settings.process)
+    return process.exit_status
+
+
+def _listeners(
+    settings: GraphSettings,
+    process: GraphProcess,
+    metrics: GraphMetrics,
+) -> tuple[Listener, ...]:
+    callers = Callers(process.front, metrics)
+    return (
+        Listener(
+            settings.listen.callers,
+            settings.front,
+            callers.answer,
+            settings.front.threads_count,
+        ),
+        Listener(
+            settings.listen.readiness,
+            settings.front,
+            partial(_readiness, process.front),
+            _READINESS_THREADS_COUNT,
+        ),
+        Listener(
+            settings.listen.metrics,
+            settings.front,
+            partial(_inside, process, metrics),
+            _METRICS_THREADS_COUNT,
+        ),
+    )
+
+
+def _readiness(front: Front, request: Request) -> Response:
+    """Tell the platform's balancer whether to send connections."""
+    if request.path != '/readyz':
+        return Response(HTTPStatus.NOT_FOUND)
+    if front.view.is_ready:
+        return Response(HTTPStatus.OK)
+    return Response(HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _inside(
+    process: GraphProcess,
+    metrics: GraphMetrics,
+    request: Request,
+) -> Response:
+    """Serve metrics and the state dump."""
+    if request.path == '/metrics':
+        return Response(
+            HTTPStatus.OK,
+            metrics.written(),
+            'text/plain; version=0.0.4',
+        )
+    if request.path == '/dump':
+        state = process.front.ask_process(process.mailbox, AskDump)
+        return Response(HTTPStatus.OK, json.dumps(state, default=str).encode())
+    return Response(HTTPStatus.NOT_FOUND)
+
+
+def _handle_signals(
+    process: GraphProcess,
+    path: Path,
+    settings: GraphSettings,
+) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.mailbox.send, DrainProcess())
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+
+
+def _reload(path: Path, settings: GraphSettings) -> None:
+    """Read the settings again; addresses are taken at the next start."""
+    loaded = load_graph_settings(path)
+    if isinstance(loaded, Failure):
+        events.emit(
+            events.DOCUMENT_UNREADABLE,
+            key=str(path),
+            revision=0,
+            problem='; '.join(loaded.failure()),
+        )
+        return
+    events.emit(
+        events.SETTINGS_RELOADED,
+        is_changed=loaded.unwrap() != settings,
+    )
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/fuchsiarill/platform/documents.py
@@ -0,0 +1,210 @@
+"""Documents of the platform: configuration, worker entries, jobs.
+
+Every reader raises `DocumentError` for a document that it can't use.
+"""
+
+import json
+import re
+from typing import Any, Final
+
+from fuchsiarill.graphs.model import (
+    AdvicePolicy,
+    BornMs,
+    GraphConfig,
+    ImageId,
+    JobGraph,
+    Label,
+    PoolId,
+    PoolPolicy,
+    QueueId,
+    QueuePolicy,
+    RequestLimits,
+    Schedule,
+    Step,
+    WorkerEntry,
+    WorkerListing,
+)
+from fuchsiarill.graphs.ports import DocumentError
+from fuchsiarill.ids import FailureDomain, Generation, JobId, WorkerId
+from fuchsiarill.resources import Resources
+
+_JOB_ID: Final = re.compile('[0-9a-f]{16}')
+_PAYLOAD_MAX_BYTES: Final = 4000
+_LISTINGS: Final = {
+    'ready': WorkerListing.LIVE,
+    'draining': WorkerListing.LEAVING,
+}
+_NO_TIME: Final = 60000
+
+
+def read_config(content: bytes) -> GraphConfig:
+    """Read the operator's configuration."""
+    document = _object(content)
+    try:
+        queues = [_queue(row) for row in document['routes']]
+        pools = [_pool(row) for row in document['services']]
+        limits = document.get('limits', {})
+        return GraphConfig(
+            Generation(int(document['version'])),
+            {policy.queue: policy for policy in queues},
+            {policy.pool: policy for policy in pools},
+            RequestLimits(
+                limits.get('max_header_bytes', 16384),
+                limits.get('max_body_bytes', 262144),
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f'configuration: {error!r}') from error
+
+
+def read_worker(worker: WorkerId, content: bytes) -> WorkerEntry:
+    """Read the entry that a worker, or another writer, left of it."""
+    document = _object(content)
+    try:
+        return _worker(worker, document)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f'entry of {worker}: {error!r}') from error
+
+
+def read_job(job: str, policy: QueuePolicy, content: bytes) -> JobGraph:
+    """Read a job that a client hands in."""
+    if not _JOB_ID.fullmatch(job):
+        raise DocumentError(f'{job!r} is not a job id of 16 hex digits')
+    document = _object(content)
+    try:
+        return JobGraph(
+            JobId(job),
+            policy.queue,
+            policy.pool,
+            _payload(document.get('spec', '')),
+            _steps(document['phases']),
+            _schedule(document),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f'job {job}: {error!r}') from error
+
+
+def _object(content: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(content)
+    except ValueError as error:
+        raise DocumentError(f'not JSON: {error}') from error
+    if not isinstance(document, dict):
+        raise DocumentError('not a JSON object')
+    return document
+
+
+def _queue(row: dict[str, Any]) -> QueuePolicy:
+    advice = row.get('advice')
+    return QueuePolicy(
+        QueueId(row['name']),
+        row['host'],
+        row['prefix'],
+        PoolId(row['service']),
+        int(row.get('timeout_ms') or _NO_TIME),
+        int(row.get('priority', 0)),
+        int(row.get('max_attempts', 1)),
+        float(row.get('slack_factor', 1)),
+        int(row.get('target_runtime_ms', 0)),
+        advice
+        and AdvicePolicy(
+            float(advice['decision_ms']),
+            float(advice['interval_ms']),
+            int(advice['validity_ms']),
+        ),
+    )
+
+
+def _pool(row: dict[str, Any]) -> PoolPolicy:
+    return PoolPolicy(
+        PoolId(row['name']),
+        bool(row.get('rejects_overload', False)),
+        bool(row.get('standby', False)),
+    )
+
+
+def _worker(worker: WorkerId, document: dict[str, Any]) -> WorkerEntry:
+    capacity = document['capacity']
+    return WorkerEntry(
+        worker,
+        PoolId(_text(document['service'])),
+        _text(document['addr']),
+        FailureDomain(_text(document['zone'])),
+        Resources(
+            _count(capacity['cpu']),
+            _count(capacity['mem_mb']),
+            _count(capacity['gpu']),
+        ),
+        tuple(Label(_text(label)) for label in document['labels']),
+        _LISTINGS[document['state']],
+        BornMs(_count(document.get('born', 0))),
+        document.get('drain_left_ms'),
+    )
+
+
+def _text(content: object) -> str:
+    if not isinstance(content, str):
+        raise TypeError(f'{content!r} is not a text')
+    return content
+
+
+def _count(content: object) -> int:
+    if not isinstance(content, int) or isinstance(content, bool):
+        raise TypeError(f'{content!r} is not a whole number')
+    return content
+
+
+def _payload(payload: object) -> str:
+    text = _text(payload)
+    if len(text.encode()) > _PAYLOAD_MAX_BYTES:
+        raise ValueError(f'spec has over {_PAYLOAD_MAX_BYTES} bytes')
+    return text
+
+
+def _steps(rows: list[dict[str, Any]]) -> tuple[Step, ...]:
+    if not rows:
+        raise ValueError('a job has no steps')
+    steps = tuple(_step(row) for row in rows)
+    for position, step in enumerate(steps):
+        if any(not 0 <= earlier < position for earlier in step.after):
+            raise ValueError(f'step {position} names a step not before it')
+    return steps
+
+
+def _step(row: dict[str, Any]) -> Step:
+    count = _count(row.get('count', 1))
+    if count < 1:
+        raise ValueError('a step has no tasks')
+    return Step(
+        count,
+        Resources(
+            _count(row.get('cpu', 0)),
+            _count(row.get('mem_mb', 0)),
+            _count(row.get('gpu', 0)),
+        ),
+        estimate_ms=int(row.get('est_runtime_ms', 0)),
+        after=tuple(row.get('after', ())),
+        is_checkpointing=bool(row.get('checkpointing')),
+        is_gang=bool(row.get('gang')),
+        is_rack_sensitive=bool(row.get('rack_sensitive')),
+        is_speculative=bool(row.get('speculative')),
+        is_lasting=bool(row.get('long_running')),
+        is_filler=bool(row.get('fills')),
+        required_label=row.get('required_label') or None,
+        data_rack=row.get('data_rack') or None,
+        per_worker_max=row.get('max_per_server') or None,
+        image=ImageId(row['image']) if row.get('image') else None,
+        target_tail_ms=row.get('target_ms') or None,
+        disruptions_max=row.get('max_disruptions') or None,
+    )
+
+
+def _schedule(document: dict[str, Any]) -> Schedule | None:
+    count = int(document.get('repeat_count', 0))
+    if count <= 0:
+        return None
+    return Schedule(
+        int(document['start_at_ms']),
+        int(document.get('period_ms', 0)),
+        count,
+    )
--- /dev/null
+++ b/fuchsiarill/platform/store_client.py
@@ -0,0 +1,217 @@
+"""The platform's key-value store as our `KeyValuePort`.
+
+Values are base64 text on the wire. A 503 or 429 proves that a call did
+nothing; a call without an answer may have taken effect, or may still do so.
+"""
+
+import base64
+import json
+from typing import Any, Final
+from urllib.parse import urlencode
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill import events
+from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
+from fuchsiarill.platform.answers import PlatformAnswer, read_answer
+from fuchsiarill.ports.http_client import HttpCall, HttpClient
+from fuchsiarill.ports.key_value import (
+    KvChanges,
+    KvCommitted,
+    KvConflict,
+    KvFailure,
+    KvItem,
+    KvPage,
+    KvTransaction,
+    KvWrite,
+)
+
+_OK: Final = 200
+_LEASE_DONE: Final = frozenset((200, 202, 204))
+_ABSENT: Final = 404
+_GONE: Final = 410
+_CONFLICT: Final = 412
+_NOTHING_DONE: Final = frozenset((429, 503))
+# A watch is answered late by the links' delay and by a busy store.
+_WATCH_MARGIN_MS: Final = 600
+
+
+class PlatformStore:
+    """Makes the store's calls through the HTTP client."""
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        """Use the store at `address`, a host with a port."""
+        self._base = f'http://{address}'
+        self._client = client
+
+    async def get(
+        self,
+        key: StoreKey,
+        timeout_ms: int,
+    ) -> Result[KvItem, KvFailure]:
+        """Read a key; an absent one has no value and revision `ABSENT`."""
+        query = urlencode({'key': key})
+        answer = await self._call('GET', f'/kv-key?{query}', None, timeout_ms)
+        if answer.status == _ABSENT:
+            return Success(KvItem(key, None, ABSENT))
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        return Success(_item(answer.body))
+
+    async def list_prefix(
+        self,
+        prefix: str,
+        after: StoreKey | None,
+        timeout_ms: int,
+    ) -> Result[KvPage, KvFailure]:
+        """Read the items of a prefix that follow the key `after`."""
+        query = {'prefix': prefix}
+        if after is not None:
+            query['after'] = after
+        path = f'/kv-range?{urlencode(query)}'
+        answer = await self._call('GET', path, None, timeout_ms)
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        page = answer.body
+        return Success(
+            KvPage(
+                tuple(_item(row) for row in page['items']),
+                bool(page['has_more']),
+                Revision(page['at_rev']),
+            ),
+        )
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after: Revision,
+        wait_ms: int,
+    ) -> Result[KvChanges, KvFailure]:
+        """Wait for changes of a prefix, for at most `wait_ms`."""
+        query = urlencode(
+            {'prefix': prefix, 'after': after, 'wait_ms': wait_ms},
+        )
+        call = HttpCall('GET', f'{self._base}/kv-watch?{query}')
+        answered = await self._client.call_waiting(
+            call,
+            wait_ms + _WATCH_MARGIN_MS,
+        )
+        answer = read_answer(answered)
+        if answer.status == _GONE:
+            return Failure(KvFailure.COMPACTED)
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        return Success(
+            KvChanges(
+                tuple(_item(row) for row in answer.body['events']),
+                Revision(answer.body['at_rev']),
+            ),
+        )
+
+    async def commit(
+        self,
+        transaction: KvTransaction,
+        timeout_ms: int,
+    ) -> Result[KvCommitted | KvConflict, KvFailure]:
+        """Carry out a transaction."""
+        body = {
+            'expected': [
+                {'key': key, 'revision': revision}
+                for key, revision in transaction.expected
+            ],
+            'writes': [_write(write) for write in transaction.writes],
+            'deletes': list(transaction.deletes),
+        }
+        answer = await self._call('POST', '/kv-txn', body, timeout_ms)
+        if answer.status == _ABSENT:
+            return Failure(KvFailure.LEASE_GONE)
+        if answer.status == _CONFLICT:
+            rows = answer.body['items']
+            return Success(KvConflict(tuple(_item(row) for row in rows)))
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        return Success(KvCommitted(Revision(answer.body['revision'])))
+
+    async def grant_lease(
+        self,
+        ttl_ms: int,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """Create a lease that lapses `ttl_ms` after its last renewal."""
+        body = {'ttl_ms': ttl_ms}
+        answer = await self._call('POST', '/kv-lease', body, timeout_ms)
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        return Success(StoreLeaseId(str(answer.body['lease'])))
+
+    async def renew_lease(
+        self,
+        lease: StoreLeaseId,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """Extend a lease by its time to live."""
+        return await self._on_lease('POST', '/kv-keep', lease, timeout_ms)
+
+    async def end_lease(
+        self,
+        lease: StoreLeaseId,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """End a lease and delete its keys."""
+        return await self._on_lease(
+            'DELETE',
+            '/kv-lease-end',
+            lease,
+            timeout_ms,
+        )
+
+    async def _on_lease(
+        self,
+        method: str,
+        path: str,
+        lease: StoreLeaseId,
+        timeout_ms: int,
+    ) -> Result[StoreLeaseId, KvFailure]:
+        answer = await self._call(method, f'{path}/{lease}', None, timeout_ms)
+        if answer.status == _ABSENT:
+            return Failure(KvFailure.LEASE_GONE)
+        if answer.status not in _LEASE_DONE:
+            return Failure(_failure(answer))
+        return Success(lease)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        timeout_ms: int,
+    ) -> PlatformAnswer:
+        content = None if body is None else json.dumps(body).encode()
+        call = HttpCall(method, self._base + path, content)
+        return read_answer(await self._client.call(call, timeout_ms))
+
+
+def _failure(answer: PlatformAnswer) -> KvFailure:
+    if answer.status in _NOTHING_DONE or answer.is_unsent:
+        return KvFailure.REFUSED
+    if answer.status is not None and answer.status != _OK:
+        events.emit(events.STORE_ANSWER_UNEXPECTED, status=answer.status)
+    return KvFailure.UNKNOWN
+
+
+def _item(row: dict[str, Any]) -> KvItem:
+    content = row.get('value')
+    return KvItem(
+        StoreKey(row['key']),
+        None if content is None else base64.b64decode(content),
+        Revision(row.get('revision', ABSENT)),
+        Revision(row.get('created', ABSENT)),
+    )
+
+
+def _write(write: KvWrite) -> dict[str, Any]:
+    return {
+        'key': write.key,
+        'value': base64.b64encode(write.value).decode(),
+        'lease': 0 if write.lease is None else int(write.lease),
+    }
--- /dev/null
+++ b/fuchsiarill/platform/worker_client.py
@@ -0,0 +1,206 @@
+"""Workers of the platform as our `AgentPort`."""
+
+import json
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.graphs.model import (
+    BornMs,
+    Checkpoint,
+    EndKind,
+    EndRow,
+    EndSequence,
+    RunningRow,
+    StartOrder,
+    WorkerReport,
+)
+from fuchsiarill.platform.answers import PlatformAnswer, read_answer
+from fuchsiarill.platform.task_names import parse_task, task_name
+from fuchsiarill.ports.agents import (
+    AgentAddress,
+    AgentFailure,
+    PaceOrder,
+    RenewalOrder,
+    StopOrder,
+)
+from fuchsiarill.ports.http_client import CallFailure, HttpCall, HttpClient
+
+_OK: Final = 200
+_CONFLICT: Final = 409
+# A worker may hold the answer for this much longer than it was asked to.
+_RENEWAL_MARGIN_MS: Final = 700
+
+_CONFLICTS: Final = {
+    'fence': AgentFailure.FENCED,
+    'old': AgentFailure.SUPERSEDED,
+    'late': AgentFailure.EXPIRED,
+    'room': AgentFailure.NO_ROOM,
+    'ticket': AgentFailure.TICKET_INVALID,
+}
+_STATUSES: Final = {
+    400: AgentFailure.MALFORMED,
+    421: AgentFailure.OTHER_WORKER,
+    429: AgentFailure.UNHEALTHY,
+    503: AgentFailure.UNHEALTHY,
+}
+_CALL_FAILURES: Final = {
+    CallFailure.CONNECTION_REFUSED: AgentFailure.CONNECTION_REFUSED,
+    CallFailure.NOT_SENT: AgentFailure.NOT_SENT,
+}
+_END_KINDS: Final = {
+    'done': EndKind.SUCCEEDED,
+    'failed': EndKind.FAILED,
+    'stopped': EndKind.STOPPED,
+    'lapsed': EndKind.LAPSED,
+    'broken': EndKind.BROKEN,
+    'alone': EndKind.ALONE,
+}
+
+
+class PlatformWorkers:
+    """Makes the workers' calls through the HTTP client."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Use the connections of `client`."""
+        self._client = client
+
+    async def start(
+        self,
+        agent: AgentAddress,
+        order: StartOrder,
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        """Start a run; returns the worker's clock in ms."""
+        body = {
+            'task': task_name(order.task),
+            'attempt': order.attempt,
+            'spec': order.payload,
+            'deadline_ms': order.expiry_ms,
+            'fence_token': order.epoch,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        if order.ticket is not None:
+            body['ticket'] = order.ticket
+        return await self._order(agent, '/run-start', body, timeout_ms)
+
+    async def stop(
+        self,
+        agent: AgentAddress,
+        order: StopOrder,
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        """Stop a run; returns the worker's clock in ms."""
+        body = {
+            'task': task_name(order.task),
+            'attempt': order.attempt,
+            'fence_token': order.epoch,
+        }
+        return await self._order(agent, '/run-stop', body, timeout_ms)
+
+    async def pace(
+        self,
+        agent: AgentAddress,
+        order: PaceOrder,
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        """Set the pace of a run; returns the worker's clock in ms."""
+        body = {
+            'task': task_name(order.task),
+            'attempt': order.attempt,
+            'percent': order.percent,
+            'fence_token': order.epoch,
+        }
+        return await self._order(agent, '/pace', body, timeout_ms)
+
+    async def renew(
+        self,
+        agent: AgentAddress,
+        order: RenewalOrder,
+        timeout_ms: int,
+    ) -> Result[WorkerReport, AgentFailure]:
+        """Renew the task leases and return what runs and has ended."""
+        body = {
+            'fence_token': order.epoch,
+            'acked_seq': order.acknowledged,
+            'wait_ms': order.wait_ms,
+        }
+        if order.expiry_ms is not None:
+            body['deadline_ms'] = order.expiry_ms
+        call = _call(agent, '/hold', body)
+        limit_ms = timeout_ms + order.wait_ms
+        if order.wait_ms:
+            limit_ms += _RENEWAL_MARGIN_MS
+            answered = await self._client.call_waiting(call, limit_ms)
+        else:
+            answered = await self._client.call(call, limit_ms)
+        answer = read_answer(answered)
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        return Success(_report(answer.body))
+
+    async def _order(
+        self,
+        agent: AgentAddress,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        answered = await self._client.call(
+            _call(agent, path, body),
+            timeout_ms,
+        )
+        answer = read_answer(answered)
+        if answer.status != _OK:
+            return Failure(_failure(answer))
+        return Success(int(answer.body['clock_ms']))
+
+
+def _call(agent: AgentAddress, path: str, body: dict[str, Any]) -> HttpCall:
+    return HttpCall(
+        'POST',
+        f'http://{agent.address}{path}',
+        json.dumps(body).encode(),
+        {'X-Expect-Instance': agent.worker},
+    )
+
+
+def _failure(answer: PlatformAnswer) -> AgentFailure:
+    if answer.failure is not None:
+        return _CALL_FAILURES.get(answer.failure, AgentFailure.UNKNOWN)
+    if answer.status == _CONFLICT:
+        reason = answer.body.get('reason')
+        return _CONFLICTS.get(reason, AgentFailure.MALFORMED)
+    return _STATUSES.get(answer.status or 0, AgentFailure.UNKNOWN)
+
+
+def _report(body: dict[str, Any]) -> WorkerReport:
+    return WorkerReport(
+        int(body['clock_ms']),
+        BornMs(body.get('born', 0)),
+        tuple(_running(row) for row in body['running']),
+        tuple(_end(row) for row in body['finished']),
+    )
+
+
+def _running(row: list[Any]) -> RunningRow:
+    task, attempt, checkpoint, percent = row[:4]
+    return RunningRow(
+        parse_task(task),
+        attempt,
+        Checkpoint(checkpoint),
+        percent,
+        row[4] if len(row) > 4 else None,
+    )
+
+
+def _end(row: list[Any]) -> EndRow:
+    sequence, task, attempt, how, checkpoint = row
+    return EndRow(
+        EndSequence(sequence),
+        parse_task(task),
+        attempt,
+        _END_KINDS[how],
+        Checkpoint(checkpoint),
+    )
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -9,8 +9,9 @@
 """
 
 import asyncio
+import errno
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
 from typing import Final
@@ -27,6 +28,7 @@
 _WAITING_MAX_COUNT: Final = 16
 # The thread knows better whether a late call was sent; it is asked first.
 _THREAD_VERDICT_MS: Final = 50
+_JSON_HEADERS: Final = {'Content-Type': 'application/json'}
 _NEVER_SENT: Final = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -34,12 +36,24 @@
 
 
 class CallFailure(Enum):
-    """Why a call gave no answer; `NOT_SENT` proves it had no effect."""
+    """Why a call gave no answer; only after `NO_ANSWER` it may have acted."""
 
     NOT_SENT = 'not_sent'
+    # Nobody listens at the address.
+    CONNECTION_REFUSED = 'connection_refused'
     NO_ANSWER = 'no_answer'
 
 
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A request to make; `body` is JSON when present."""
+
+    method: str
+    url: str
+    body: bytes | None = None
+    headers: dict[str, str] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """Status and body of an answer."""
@@ -49,7 +63,7 @@
 
 
 class HttpClient:
-    """Makes POST requests with a JSON body and a deadline."""
+    """Makes requests with a JSON body and a deadline."""
 
     def __init__(
         self,
@@ -72,8 +86,9 @@
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Send one request; never repeats it."""
-        return await self._run(self._calls, url, body, timeout_ms)
+        """Send one POST request; never repeats it."""
+        answer = await self.call(HttpCall('POST', url, body), timeout_ms)
+        return answer.alt(_without_cause)
 
     async def post_waiting(
         self,
@@ -82,7 +97,25 @@
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
         """Send a request that the server answers when something happens."""
-        return await self._run(self._waits, url, body, timeout_ms)
+        call = HttpCall('POST', url, body)
+        answer = await self.call_waiting(call, timeout_ms)
+        return answer.alt(_without_cause)
+
+    async def call(
+        self,
+        call: HttpCall,
+        timeout_ms: int,
+    ) -> Result[HttpAnswer, CallFailure]:
+        """Make one request; never repeats it."""
+        return await self._run(self._calls, call, timeout_ms)
+
+    async def call_waiting(
+        self,
+        call: HttpCall,
+        timeout_ms: int,
+    ) -> Result[HttpAnswer, CallFailure]:
+        """Make a request that the server answers when something happens."""
+        return await self._run(self._waits, call, timeout_ms)
 
     def close(self) -> None:
         """Close idle connections and let the threads end."""
@@ -93,13 +126,12 @@
     async def _run(
         self,
         lane: ThreadLane,
-        url: str,
-        body: bytes,
+        call: HttpCall,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
         # The deadline is checked in the thread, where no loop is running.
         deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
-        running = lane.run(partial(self._post, url, body, deadline_s))
+        running = lane.run(partial(self._request, call, deadline_s))
         if running is None:
             return Failure(CallFailure.NOT_SENT)
         try:
@@ -114,10 +146,9 @@
             CallFailure.NOT_SENT if is_unsent else CallFailure.NO_ANSWER,
         )
 
-    def _post(
+    def _request(
         self,
-        url: str,
-        body: bytes,
+        call: HttpCall,
         deadline_s: float,
     ) -> Result[HttpAnswer, CallFailure]:
         left_s = deadline_s - time.monotonic()
@@ -125,14 +156,27 @@
             return Failure(CallFailure.NOT_SENT)
         try:
             response = self._connections.request(
-                'POST',
-                url,
-                body=body,
-                headers={'Content-Type': 'application/json'},
+                call.method,
+                call.url,
+                body=call.body,
+                headers=_JSON_HEADERS | call.headers,
                 timeout=urllib3.Timeout(total=left_s),
             )
-        except _NEVER_SENT:
-            return Failure(CallFailure.NOT_SENT)
+        except _NEVER_SENT as error:
+            return Failure(_unsent_cause(error))
         except urllib3.exceptions.HTTPError:
             return Failure(CallFailure.NO_ANSWER)
         return Success(HttpAnswer(response.status, response.data))
+
+
+def _unsent_cause(error: Exception) -> CallFailure:
+    cause = error.__cause__
+    if isinstance(cause, OSError) and cause.errno == errno.ECONNREFUSED:
+        return CallFailure.CONNECTION_REFUSED
+    return CallFailure.NOT_SENT
+
+
+def _without_cause(failure: CallFailure) -> CallFailure:
+    if failure is CallFailure.CONNECTION_REFUSED:
+        return CallFailure.NOT_SENT
+    return failure
