Spread asks for advice over all processes

Cause: the advice service serves one call at a time for each calling machine; two owners asked 496 times, 79 s of work, so steps waited seconds for tickets.

--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -65,6 +65,12 @@
   tokens @3 :List(Text);
 }
 
+# Lets a worker run one step of a job.
+struct Ticket {
+  worker @0 :Text;
+  ticket @1 :Text;
+}
+
 interface Peer {
   submit @0 (partition :Text, specs :List(JobSpec)) -> (answers :List(Answer));
   query @1 (partition :Text, customer :Text, jobId :Text, waitMs :Int64) -> (answer :Answer);
@@ -75,4 +81,6 @@
   offerConfig @6 (document :ConfigDocument) -> (generation :UInt32);
   fetchConfig @7 () -> (document :ConfigDocument);
   dump @8 () -> (state :Text);
+  # Asks the advice service; not `answered` means that it gave no answer.
+  advise @9 (job :Text, occurrence :UInt32, step :UInt32, workers :List(Text)) -> (answered :Bool, granted :List(Ticket));
 }
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
+from returns.result import Success
+
 from fuchsiarill import events
 from fuchsiarill.actor import Actor, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import records
-from fuchsiarill.graphs.advice import Advisor
+from fuchsiarill.graphs.advice import Advisor, PeersListed
 from fuchsiarill.graphs.feeds import (
     Changed,
     FeedSettings,
@@ -27,8 +29,8 @@
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Candidate, Drain, OwnerKeySeen, Tenure
-from fuchsiarill.ids import Revision
-from fuchsiarill.ports.key_value import KvItem
+from fuchsiarill.ids import ProcessId, Revision
+from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
 _CHECK_MS: Final = 500
 _HAND_OVER_MS: Final = 2500
@@ -74,6 +76,7 @@
         self.front = Front(settings, self._intake.mailbox)
         self._tenures: dict[PoolId, Tenure] = {}
         self._owner_keys: dict[PoolId, KvItem] = {}
+        self._peers: dict[ProcessId, str] = {}
         self._control_revision = Revision(0)
         self._config: GraphConfig | None = None
         self._feeds = tuple(self._feed(prefix) for prefix in self._prefixes())
@@ -105,7 +108,9 @@
         if message.prefix == records.CONTROL_PREFIX:
             self._control_revision = message.revision
             self._owner_keys.clear()
-            self._take_owner_keys(message.items)
+            self._peers.clear()
+            self._take_control(message.items)
+            self.spawn(self._tell_address())
             for pool, tenure in self._tenures.items():
                 if pool not in self._owner_keys:
                     tenure.mailbox.send(OwnerKeySeen(self._absent(pool)))
@@ -116,7 +121,7 @@
     async def on_changed(self, message: Changed) -> None:
         """Take over changes of keys."""
         if message.prefix == records.CONTROL_PREFIX:
-            self._take_owner_keys(message.items)
+            self._take_control(message.items)
             return
         self._take_config(message.items)
 
@@ -253,8 +258,12 @@
         key = records.owner_key(pool)
         return KvItem(key, None, self._control_revision)
 
-    def _take_owner_keys(self, items: Iterable[KvItem]) -> None:
+    def _take_control(self, items: Iterable[KvItem]) -> None:
         for item in items:
+            process = records.listed_process(item.key)
+            if process is not None:
+                self._take_peer(process, item)
+                continue
             pool = records.owned_pool(item.key)
             if pool is None:
                 continue
@@ -263,6 +272,34 @@
             if tenure is not None:
                 tenure.mailbox.send(OwnerKeySeen(item))
 
+    def _take_peer(self, process: ProcessId, item: KvItem) -> None:
+        if process == self._settings.process:
+            return
+        self._peers.pop(process, None)
+        if item.value is not None:
+            self._peers[process] = item.value.decode()
+        self._advisor.mailbox.send(PeersListed(dict(self._peers)))
+
+    async def _tell_address(self) -> None:
+        """Let the other processes know where this one listens."""
+        key = records.process_key(self._settings.process)
+        write = KvWrite(key, self._settings.listen.peers.encode())
+        while not self._is_draining:
+            answered = await self._ports.store.commit(
+                KvTransaction(writes=(write,)),
+                self._settings.calls.store_timeout_ms,
+            )
+            if isinstance(answered, Success):
+                return
+            await sleep_ms(_CHECK_MS)
+
+    async def _withdraw_address(self) -> None:
+        key = records.process_key(self._settings.process)
+        await self._ports.store.commit(
+            KvTransaction(deletes=(key,)),
+            self._settings.calls.store_timeout_ms,
+        )
+
     async def _drain(self) -> None:
         started_ms = now_ms()
         replies: list[Reply[None]] = []
@@ -275,6 +312,7 @@
                 await reply.wait(_HAND_OVER_MS)
             except TimeoutError:
                 break
+        await self._withdraw_address()
         drain_ms = self._settings.front.drain_ms
         await sleep_ms(max(0, drain_ms - (now_ms() - started_ms)))
         self.exit_status = 0
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -1,6 +1,6 @@
 """JSON form of the records that the store keeps, and their keys.
 
-Keys: `control/owner/POOL` (ephemeral), `fleet/POOL`, `pending/POOL`,
+Keys: `control/owner/POOL` (ephemeral), `control/process/PROCESS`, `fleet/POOL`, `pending/POOL`,
 `jobs/POOL/JOB/graph`, `jobs/POOL/JOB/cancel`, `progress/POOL/JOB`.
 """
 
@@ -24,6 +24,7 @@
 
 CONTROL_PREFIX: Final = 'control/'
 _OWNER_PREFIX: Final = 'control/owner/'
+_PROCESS_PREFIX: Final = 'control/process/'
 _GRAPH: Final = 'graph'
 _CANCEL: Final = 'cancel'
 
@@ -68,6 +69,18 @@
     return PoolId(key.removeprefix(_OWNER_PREFIX))
 
 
+def process_key(process: ProcessId) -> StoreKey:
+    """Return the key under which a process tells its peers its address."""
+    return StoreKey(f'{_PROCESS_PREFIX}{process}')
+
+
+def listed_process(key: StoreKey) -> ProcessId | None:
+    """Return the process of a process key, `None` for other keys."""
+    if not key.startswith(_PROCESS_PREFIX):
+        return None
+    return ProcessId(key.removeprefix(_PROCESS_PREFIX))
+
+
 def fleet_key(pool: PoolId) -> StoreKey:
     """Return the key of the pool's fleet record."""
     return StoreKey(f'fleet/{pool}')
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -22,6 +22,8 @@
 
     callers: str
     readiness: str
+    # Calls of the other processes.
+    peers: str
     # Metrics and the state dump.
     metrics: str
 
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+import capnp
 from returns.result import Failure
 
 from fuchsiarill import events
@@ -24,6 +25,7 @@
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.listener import Listener, Request, Response
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
+from fuchsiarill.graphs.peers import serve_help
 from fuchsiarill.graphs.ports import Directory, GraphPorts
 from fuchsiarill.graphs.process import AskDump, DrainProcess, GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
@@ -74,7 +76,7 @@
     sink = JsonLineSink()
     events.configure_structured(sink, settings.log_level)
     with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
-        status = runner.run(_serve(settings, path))
+        status = runner.run(_main(settings, path))
     sink.flush()
     # Threads that wait for answers do not hold up the end.
     os._exit(status)
@@ -88,6 +90,11 @@
     sys.exit(0)
 
 
+async def _main(settings: GraphSettings, path: Path) -> int:
+    async with capnp.kj_loop():
+        return await _serve(settings, path)
+
+
 async def _serve(settings: GraphSettings, path: Path) -> int:
     metrics = GraphMetrics()
     client = HttpClient(
@@ -111,6 +118,11 @@
     process = GraphProcess(settings, ports, metrics)
     listeners = _listeners(settings, process, metrics)
     _handle_signals(process, path, settings)
+    await serve_help(
+        settings.listen.peers,
+        ports.advisor,
+        settings.calls.advice_timeout_ms,
+    )
     process.start()
     for listener in listeners:
         listener.start()
