Keep what workers report of steps that are not open yet

Change: such a step is known but not open, its runs and ends are kept; runs count as stalled by the worker's last report, not by the owner's clock.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -366,6 +366,6 @@
         entry = self.state.jobs.get(step.job)
         if entry is None:
             return
-        found = entry.open_steps.get((step.occurrence, step.step))
+        found = entry.steps.get((step.occurrence, step.step))
         if found is not None:
             found.blocked_version = -1
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -31,8 +31,10 @@
     for entry in state.jobs.values():
         if not entry.is_active or not _may_start(state, entry):
             continue
-        for step in entry.open_steps.values():
-            if not step.waiting or step.blocked_version == state.free_version:
+        for step in entry.steps.values():
+            if not step.is_open or not step.waiting:
+                continue
+            if step.blocked_version == state.free_version:
                 continue
             ranked.append((rank_ms(entry, step, now_ms), step.key, entry, step))
     ranked.sort(key=lambda row: row[:2])
--- a/fuchsiarill/graphs/job_book.py
+++ b/fuchsiarill/graphs/job_book.py
@@ -40,12 +40,18 @@
 
 
 class StepEntry:
-    """An open step of one occurrence."""
+    """A step of one occurrence with something left to do.
+
+    A step that is not open waits for earlier ones. It is known before only
+    when a worker reports runs that an owner before has started, while the
+    ends that opened the step have not been reported yet.
+    """
 
     def __init__(self, key: StepKey, step: Step) -> None:
         """Create the step without units."""
         self.key = key
         self.step = step
+        self.is_open = False
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
@@ -97,7 +103,7 @@
         self.progress = progress
         self.accepted_ms = accepted_ms
         self.settled_ms = accepted_ms
-        self.open_steps: dict[tuple[int, int], StepEntry] = {}
+        self.steps: dict[tuple[int, int], StepEntry] = {}
         self.opened_occurrences = 0
         # Accepted before this owner was elected: the owner before may have
         # started it on a worker that has not answered yet.
@@ -154,7 +160,7 @@
         if step.waiting or step.active:
             return
         occurrence = step.key.occurrence
-        self.open_steps.pop((occurrence, step.key.step), None)
+        self.steps.pop((occurrence, step.key.step), None)
         for position, later in enumerate(self.graph.steps):
             if step.key.step in later.after:
                 self._open_if_ready(occurrence, position)
@@ -163,31 +169,39 @@
     def is_complete(self) -> bool:
         """Tell whether every unit of every occurrence has succeeded."""
         return (
-            not self.open_steps
+            not self.steps
             and self.opened_occurrences == self.graph.occurrences_count
         )
 
     def runs(self) -> Iterator[Run]:
         """Return all runs that have not ended."""
-        for step in self.open_steps.values():
+        for step in self.steps.values():
             for unit in step.active.values():
                 yield from unit.runs.values()
 
-    def _open_if_ready(self, occurrence: int, position: int) -> None:
-        if (occurrence, position) in self.open_steps:
-            return
+    def ensure_step(self, occurrence: int, position: int) -> StepEntry | None:
+        """Return a step, `None` when all its units have succeeded."""
+        entry = self.steps.get((occurrence, position))
+        if entry is not None:
+            return entry
         step = self.graph.steps[position]
-        for earlier in step.after:
-            if not self._is_step_done(occurrence, earlier):
-                return
-        key = StepKey(self.job, occurrence, position)
-        entry = StepEntry(key, step)
+        entry = StepEntry(StepKey(self.job, occurrence, position), step)
         for unit_key in entry.unit_keys:
             if unit_key in self.progress.succeeded:
                 continue
             entry.waiting[unit_key] = self._unit(unit_key)
-        if entry.waiting:
-            self.open_steps[occurrence, position] = entry
+        if not entry.waiting:
+            return None
+        self.steps[occurrence, position] = entry
+        return entry
+
+    def _open_if_ready(self, occurrence: int, position: int) -> None:
+        for earlier in self.graph.steps[position].after:
+            if not self._is_step_done(occurrence, earlier):
+                return
+        entry = self.ensure_step(occurrence, position)
+        if entry is not None:
+            entry.is_open = True
             return
         for later_position, later in enumerate(self.graph.steps):
             if position in later.after:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -361,7 +361,7 @@
         entry = self._core.state.jobs.get(ask.step.job)
         if entry is None or not entry.is_active:
             return False
-        step = entry.open_steps.get((ask.step.occurrence, ask.step.step))
+        step = entry.steps.get((ask.step.occurrence, ask.step.step))
         return step is not None and bool(step.waiting)
 
     def _validity_ms(self, job: JobId) -> int:
@@ -641,7 +641,7 @@
             len(step.waiting)
             for entry in state.jobs.values()
             if entry.is_active
-            for step in entry.open_steps.values()
+            for step in entry.steps.values()
         ),
         'is_inheritance_settled': state.is_inheritance_settled,
         'workers': [
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -38,6 +38,7 @@
         return
     view.clock_ms = report.clock_ms
     view.is_accounted = True
+    view.reported_ms = now_ms
     offset_ms = report.clock_ms - now_ms
     view.clock_offset_ms = max(view.clock_offset_ms or offset_ms, offset_ms)
     state.workers.step(view, StandingEvent.REPORTED)
@@ -166,8 +167,9 @@
     if entry is None or not entry.is_active:
         return None
     occurrence = run.task.occurrence
-    for due in range(entry.opened_occurrences, occurrence + 1):
-        entry.open_occurrence(due)
+    if entry.graph.schedule is not None:
+        for due in range(entry.opened_occurrences, occurrence + 1):
+            entry.open_occurrence(due)
     found = state.find_step(run.task)
     if found is None:
         return None
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -21,7 +21,7 @@
         for run in list(view.runs.values()):
             if run.state is not RunState.RUNNING:
                 continue
-            if not _is_stalled(state, view, run, now_ms):
+            if not _is_stalled(state, view, run):
                 continue
             events.emit(
                 events.RUN_STALLED,
@@ -39,11 +39,10 @@
     state: PoolState,
     view: WorkerView,
     run: Run,
-    now_ms: int,
 ) -> bool:
     found = state.find_step(run.task)
     if found is None or run.filler_milli or found[1].step.is_gang:
         return False
     if run.progress_percent >= _AT_WORK_PERCENT:
         return False
-    return now_ms - run.progress_changed_ms > _STALL_MS
+    return view.reported_ms - run.progress_changed_ms > _STALL_MS
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -35,11 +35,14 @@
     unix_offset_ms: int = 0
 
     def find_step(self, task: TaskKey) -> tuple[JobEntry, StepEntry] | None:
-        """Return the open step of a task."""
+        """Return the step of a task of a job that is not settled.
+
+        The step need not be open: see `StepEntry`.
+        """
         entry = self.jobs.get(task.job)
-        if entry is None:
+        if entry is None or task.step >= len(entry.graph.steps):
             return None
-        step = entry.open_steps.get((task.occurrence, task.step))
+        step = entry.ensure_step(task.occurrence, task.step)
         return None if step is None else (entry, step)
 
     def queue_jobs(self, queue: QueueId) -> list[JobEntry]:
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_book.py
@@ -47,6 +47,7 @@
         self.durable_end: EndSequence = NO_END
         # Everything there has lapsed by then, if no renewal is sent.
         self.lapse_ms = 0
+        self.reported_ms = 0
         # Worker's clock in the newest report.
         self.clock_ms = 0
         # Worker's clock minus the runtime clock, when last reported.
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -239,6 +239,8 @@
         return None
 
     async def _order_stop(self, message: StopRun) -> None:
+        if not self._context.guard.may_order():
+            return
         answered = await self._context.agents.stop(
             self.agent,
             StopOrder(message.task, message.attempt, self._context.epoch),
