Call the store through another process when it turns this one away

Change: RelayedStore repeats a failed call through a peer; all store calls are safe to repeat. A watch goes on from the last change seen, since an empty answer may come from a watch that has missed changes. The process ends as soon as no request is in progress.

--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -71,6 +71,45 @@
   ticket @1 :Text;
 }
 
+struct KeyRevision {
+  key @0 :Text;
+  revision @1 :Int64;
+}
+
+struct KeyValue {
+  key @0 :Text;
+  value @1 :Data;
+  hasValue @2 :Bool;
+  revision @3 :Int64;
+  created @4 :Int64;
+  lease @5 :Text;
+}
+
+# A call of the store that a process makes for one that can't reach it.
+struct StoreCall {
+  kind @0 :Text;
+  # Key, prefix or lease, by the kind.
+  name @1 :Text;
+  afterKey @2 :Text;
+  afterRevision @3 :Int64;
+  waitMs @4 :Int64;
+  ttlMs @5 :Int64;
+  timeoutMs @6 :Int64;
+  expected @7 :List(KeyRevision);
+  writes @8 :List(KeyValue);
+  deletes @9 :List(Text);
+}
+
+# `failure` is empty when the store has answered.
+struct StoreAnswer {
+  failure @0 :Text;
+  items @1 :List(KeyValue);
+  hasMore @2 :Bool;
+  revision @3 :Int64;
+  lease @4 :Text;
+  isConflict @5 :Bool;
+}
+
 interface Peer {
   submit @0 (partition :Text, specs :List(JobSpec)) -> (answers :List(Answer));
   query @1 (partition :Text, customer :Text, jobId :Text, waitMs :Int64) -> (answer :Answer);
@@ -83,4 +122,5 @@
   dump @8 () -> (state :Text);
   # Asks the advice service; not `answered` means that it gave no answer.
   advise @9 (job :Text, occurrence :UInt32, step :UInt32, workers :List(Text)) -> (answered :Bool, granted :List(Ticket));
+  callStore @10 (call :StoreCall) -> (answer :StoreAnswer);
 }
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -369,3 +369,9 @@
     '{count} log lines were dropped, the output does not keep up',
     'Read the output faster or raise the log level.',
 )
+STORE_RELAYED: Final = LogEvent(
+    747,
+    Level.WARNING,
+    'the store is called through other processes: {failure}',
+    'Check the links between this process and the store.',
+)
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -5,32 +5,24 @@
 """
 
 import heapq
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 from returns.result import Success
 
 from fuchsiarill.actor import Mailbox, handles
-from fuchsiarill.clock import now_ms
-from fuchsiarill.cluster.peer_link import PeerLink
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs.effects import AskAdvice
-from fuchsiarill.graphs.model import BornMs, StepKey, Ticket
+from fuchsiarill.graphs.model import BornMs, Ticket
 from fuchsiarill.graphs.owner_messages import Advised
+from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.peers import ask_peer
 from fuchsiarill.ids import ProcessId, WorkerId
 from fuchsiarill.ports.agents import AdvisorPort
-from fuchsiarill.settings import PeerSettings
 
-# A process that did not answer is left alone for this time.
-_SUSPENSION_MS: Final = 2000
 _OWN_LANE: Final = ProcessId('')
-
-_Ask = Callable[
-    [StepKey, tuple[WorkerId, ...]],
-    Awaitable[dict[WorkerId, Ticket] | None],
-]
+_Granted = dict[WorkerId, Ticket] | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,20 +36,13 @@
     is_wanted: Callable[[], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class PeersListed:
-    """Addresses of the other processes."""
-
-    addresses: dict[ProcessId, str]
-
-
 @dataclass(frozen=True, slots=True)
 class _LaneFree:
     """An ask through a lane has ended."""
 
     lane: ProcessId
     message: AdviceAsked
-    granted: dict[WorkerId, Ticket] | None
+    granted: _Granted
 
 
 @dataclass(order=True, slots=True)
@@ -67,32 +52,23 @@
     message: AdviceAsked = field(compare=False)
 
 
-@dataclass(slots=True)
-class _Lane:
-    ask: _Ask
-    link: PeerLink | None = None
-    is_busy: bool = False
-    suspended_until_ms: int = 0
-
-
 class Advisor(SpawningActor):
     """Spreads asks for advice over the lanes."""
 
-    def __init__(self, port: AdvisorPort, timeout_ms: int) -> None:
-        """Start with the own lane."""
+    def __init__(
+        self,
+        port: AdvisorPort,
+        links: PeerLinks,
+        timeout_ms: int,
+    ) -> None:
+        """Ask through `port` and through the processes of `links`."""
         super().__init__('advisor')
         self._port = port
+        self._links = links
         self._timeout_ms = timeout_ms
         self._waiting: list[_Waiting] = []
         self._asked_count = 0
-        self._lanes = {_OWN_LANE: _Lane(self._ask_service)}
-
-    async def stop(self) -> None:
-        """Close the links to the other processes too."""
-        for lane in self._lanes.values():
-            if lane.link is not None:
-                await lane.link.stop()
-        await super().stop()
+        self._busy: set[ProcessId] = set()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -100,7 +76,7 @@
             **super().snapshot(),
             'waiting_count': len(self._waiting),
             'asked_count': self._asked_count,
-            'lanes_count': len(self._lanes),
+            'busy_lanes_count': len(self._busy),
         }
 
     @handles(AdviceAsked)
@@ -111,31 +87,11 @@
         heapq.heappush(self._waiting, waiting)
         self._fill_lanes()
 
-    @handles(PeersListed)
-    async def on_peers(self, message: PeersListed) -> None:
-        """Open a lane for each process, and close those of former ones."""
-        for process, address in message.addresses.items():
-            lane = self._lanes.get(process)
-            if lane is not None and lane.link is not None:
-                if lane.link.address == address:
-                    continue
-                self.spawn(lane.link.stop())
-            self._open_lane(process, address)
-        for process in list(self._lanes):
-            if process != _OWN_LANE and process not in message.addresses:
-                former = self._lanes.pop(process).link
-                if former is not None:
-                    self.spawn(former.stop())
-
     @handles(_LaneFree)
     async def on_lane_free(self, message: _LaneFree) -> None:
         """Pass an answer on, or ask again through another lane."""
-        lane = self._lanes.get(message.lane)
-        if lane is not None:
-            lane.is_busy = False
+        self._busy.discard(message.lane)
         if message.granted is None and message.lane != _OWN_LANE:
-            if lane is not None:
-                lane.suspended_until_ms = now_ms() + _SUSPENSION_MS
             await self.on_asked(message.message)
             return
         asked = message.message
@@ -144,30 +100,15 @@
         )
         self._fill_lanes()
 
-    def _open_lane(self, process: ProcessId, address: str) -> None:
-        host, port = address.rsplit(':', 1)
-        settings = PeerSettings(host=host, port=int(port))
-        link = PeerLink(address, settings)
-        link.start()
-
-        async def ask(
-            step: StepKey,
-            workers: tuple[WorkerId, ...],
-        ) -> dict[WorkerId, Ticket] | None:
-            return await ask_peer(link.mailbox, step, workers, self._timeout_ms)
-
-        self._lanes[process] = _Lane(ask, link)
-
     def _fill_lanes(self) -> None:
-        now = now_ms()
-        for process, lane in self._lanes.items():
-            if lane.is_busy or lane.suspended_until_ms > now:
+        for lane in (_OWN_LANE, *self._links.processes):
+            if lane in self._busy:
                 continue
             message = self._next_wanted()
             if message is None:
                 return
-            lane.is_busy = True
-            self.spawn(self._ask(process, lane, message))
+            self._busy.add(lane)
+            self.spawn(self._ask(lane, message))
 
     def _next_wanted(self) -> AdviceAsked | None:
         while self._waiting:
@@ -179,21 +120,26 @@
             )
         return None
 
-    async def _ask(
-        self,
-        process: ProcessId,
-        lane: _Lane,
-        message: AdviceAsked,
-    ) -> None:
-        granted = await lane.ask(message.ask.step, message.ask.workers)
-        self.mailbox.send(_LaneFree(process, message, granted))
+    async def _ask(self, lane: ProcessId, message: AdviceAsked) -> None:
+        ask = message.ask
+        if lane == _OWN_LANE:
+            granted = await self._ask_service(ask)
+        else:
+            granted = await ask_peer(
+                self._links,
+                lane,
+                ask.step,
+                ask.workers,
+                self._timeout_ms,
+            )
+        self.mailbox.send(_LaneFree(lane, message, granted))
 
-    async def _ask_service(
-        self,
-        step: StepKey,
-        workers: tuple[WorkerId, ...],
-    ) -> dict[WorkerId, Ticket] | None:
-        answered = await self._port.advise(step, workers, self._timeout_ms)
+    async def _ask_service(self, ask: AskAdvice) -> _Granted:
+        answered = await self._port.advise(
+            ask.step,
+            ask.workers,
+            self._timeout_ms,
+        )
         match answered:
             case Success(granted):
                 return dict(granted)
--- a/fuchsiarill/graphs/feeds.py
+++ b/fuchsiarill/graphs/feeds.py
@@ -109,8 +109,10 @@
         match watched:
             case Success(changes):
                 self._succeeded()
-                self._after = max(self._after, changes.at_revision)
                 if changes.items:
+                    # An empty answer may come from a watch that has missed
+                    # changes, so its revision is not used.
+                    self._after = changes.items[-1].revision
                     changed = Changed(self._settings.prefix, changes.items)
                     self._receiver.send(changed)
                 await sleep_ms(self._settings.pause_ms)
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -59,6 +59,8 @@
         host, port = address.rsplit(':', 1)
         self._answer = answer
         self.is_draining = False
+        self._in_progress_count = 0
+        self._counting = threading.Lock()
         self._server = wsgi.Server(
             (host, int(port)),
             self._respond,
@@ -76,6 +78,11 @@
         """Return the port in use, which the kernel may have chosen."""
         return int(self._server.bind_addr[1])
 
+    @property
+    def in_progress_count(self) -> int:
+        """Return the number of requests that have no answer yet."""
+        return self._in_progress_count
+
     def start(self) -> None:
         """Listen, in threads of the server; raises `OSError`."""
         self._server.prepare()
@@ -90,7 +97,11 @@
         environ: dict[str, Any],
         start_response: Callable[[str, list[tuple[str, str]]], object],
     ) -> Iterable[bytes]:
+        with self._counting:
+            self._in_progress_count += 1
         response = self._safely(environ)
+        with self._counting:
+            self._in_progress_count -= 1
         if self.is_draining:
             environ[_RAW_REQUEST].close_connection = True
         headers = [
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -1,7 +1,8 @@
 """What the processes of the graph scheduler do for each other.
 
 The advice service serves one call at a time for each calling machine, so an
-owner spreads its asks over all processes.
+owner spreads its asks over all processes; and a process that the store turns
+away calls it through another one.
 """
 
 from functools import partial
@@ -10,19 +11,23 @@
 import capnp
 from returns.result import Failure, Success
 
-from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.cluster.encoding import SCHEMA
-from fuchsiarill.cluster.peer_link import PeerCall
 from fuchsiarill.graphs.model import StepKey, Ticket
-from fuchsiarill.ids import JobId, WorkerId
-from fuchsiarill.ports.agents import AdvisorPort
+from fuchsiarill.graphs.peer_links import PeerLinks
+from fuchsiarill.graphs.ports import GraphPorts
+from fuchsiarill.graphs.store_encoding import SERVANTS, answer_fields
+from fuchsiarill.ids import JobId, ProcessId, WorkerId
 
 
 class HelpServant(SCHEMA.Peer.Server):  # type: ignore[misc]
-    """Asks the advice service on behalf of another process."""
+    """Calls the outside systems on behalf of another process.
 
-    def __init__(self, advisor: AdvisorPort, timeout_ms: int) -> None:
-        self._advisor = advisor
+    Its ports reach the outside systems directly: a relayed call is not
+    relayed again.
+    """
+
+    def __init__(self, ports: GraphPorts, timeout_ms: int) -> None:
+        self._ports = ports
         self._timeout_ms = timeout_ms
 
     async def advise(
@@ -34,7 +39,7 @@
         _context: Any,
         **_extra: Any,
     ) -> None:
-        answered = await self._advisor.advise(
+        answered = await self._ports.advisor.advise(
             StepKey(JobId(job), occurrence, step),
             tuple(WorkerId(worker) for worker in workers),
             self._timeout_ms,
@@ -46,57 +51,51 @@
                 for worker, ticket in answered.unwrap().items()
             ]
 
+    async def callStore(  # noqa: N802
+        self,
+        call: Any,
+        _context: Any,
+        **_extra: Any,
+    ) -> None:
+        carry_out = SERVANTS.lookup(call.kind)
+        answered = await carry_out(self._ports.store, call)
+        _context.results.answer = answer_fields(answered)
 
-async def serve_help(
-    address: str,
-    advisor: AdvisorPort,
-    timeout_ms: int,
-) -> Any:
+
+async def serve_help(address: str, ports: GraphPorts, timeout_ms: int) -> Any:
     """Listen for other processes; returns the server, which must be closed."""
     host, port = address.rsplit(':', 1)
     return await capnp.AsyncIoStream.create_server(
-        partial(_connected, advisor, timeout_ms),
+        partial(_connected, ports, timeout_ms),
         host,
         int(port),
     )
 
 
 async def ask_peer(
-    link: Mailbox,
+    links: PeerLinks,
+    process: ProcessId,
     step: StepKey,
     workers: tuple[WorkerId, ...],
     timeout_ms: int,
 ) -> dict[WorkerId, Ticket] | None:
     """Ask for advice through a peer; returns `None` without an answer."""
-    reply: Reply[Any] = Reply()
     request = {
         'job': step.job,
         'occurrence': step.occurrence,
         'step': step.step,
         'workers': list(workers),
     }
-    link.send(
-        PeerCall('advise', request, timeout_ms, reply, repeatable=False),
-    )
-    try:
-        answered = await reply.wait(2 * timeout_ms)
-    except TimeoutError:
-        return None
+    answered = await links.call(process, 'advise', request, timeout_ms)
     if isinstance(answered, Failure):
         return None
-    result = answered.unwrap()
-    if not result.answered:
+    answer = answered.unwrap()
+    if not answer.answered:
         return None
-    return {
-        WorkerId(row.worker): Ticket(row.ticket) for row in result.granted
-    }
+    return {WorkerId(row.worker): Ticket(row.ticket) for row in answer.granted}
 
 
-async def _connected(
-    advisor: AdvisorPort,
-    timeout_ms: int,
-    stream: Any,
-) -> None:
-    servant = HelpServant(advisor, timeout_ms)
+async def _connected(ports: GraphPorts, timeout_ms: int, stream: Any) -> None:
+    servant = HelpServant(ports, timeout_ms)
     server = capnp.TwoPartyServer(stream, bootstrap=servant)
     await server.on_disconnect()
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -12,7 +12,7 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import records
-from fuchsiarill.graphs.advice import Advisor, PeersListed
+from fuchsiarill.graphs.advice import Advisor
 from fuchsiarill.graphs.feeds import (
     Changed,
     FeedSettings,
@@ -26,7 +26,9 @@
 from fuchsiarill.graphs.model import GraphConfig, PoolId
 from fuchsiarill.graphs.owner_messages import ConfigInForce
 from fuchsiarill.graphs.pool_owner import OwnerContext
+from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
+from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Candidate, Drain, OwnerKeySeen, Tenure
 from fuchsiarill.ids import ProcessId, Revision
@@ -62,14 +64,20 @@
         ports: GraphPorts,
         metrics: GraphMetrics,
     ) -> None:
-        """Create the actors; `start` runs them."""
+        """Create the actors; `start` runs them.
+
+        The store in `ports` is the one that is reached directly.
+        """
         super().__init__('process')
+        self._links = PeerLinks()
+        ports = replace(ports, store=RelayedStore(ports.store, self._links))
         self._settings = settings
         self._ports = ports
         self._metrics = metrics
         self._incarnation = f'{time.time_ns():x}'
         self._advisor = Advisor(
             ports.advisor,
+            self._links,
             settings.calls.advice_timeout_ms,
         )
         self._intake = Intake(ports.store, settings)
@@ -82,13 +90,19 @@
         self._feeds = tuple(self._feed(prefix) for prefix in self._prefixes())
         self._lost_prefixes: set[str] = set()
         self._is_draining = False
+        self._is_address_told = False
         self.exit_status: int | None = None
 
     def start(self) -> None:
         """Run all actors."""
         super().start()
         self.tick_every(_CHECK_MS, _Check())
-        for actor in (self._advisor, self._intake, *self._feeds):
+        for actor in (
+            self._links,
+            self._advisor,
+            self._intake,
+            *self._feeds,
+        ):
             actor.start()
         events.emit(
             events.PROCESS_STARTED,
@@ -110,7 +124,9 @@
             self._owner_keys.clear()
             self._peers.clear()
             self._take_control(message.items)
-            self.spawn(self._tell_address())
+            if not self._is_address_told:
+                self._is_address_told = True
+                self.spawn(self._tell_address())
             for pool, tenure in self._tenures.items():
                 if pool not in self._owner_keys:
                     tenure.mailbox.send(OwnerKeySeen(self._absent(pool)))
@@ -189,6 +205,7 @@
             if tenure.owner is not None
         ]
         return (
+            self._links,
             self._advisor,
             self._intake,
             *self._feeds,
@@ -259,6 +276,7 @@
         return KvItem(key, None, self._control_revision)
 
     def _take_control(self, items: Iterable[KvItem]) -> None:
+        before = dict(self._peers)
         for item in items:
             process = records.listed_process(item.key)
             if process is not None:
@@ -271,6 +289,10 @@
             tenure = self._tenures.get(pool)
             if tenure is not None:
                 tenure.mailbox.send(OwnerKeySeen(item))
+        # Sent once for all items: a link that is missing in between would be
+        # closed with the calls on it.
+        if self._peers != before:
+            self._links.mailbox.send(PeersListed(self._peers))
 
     def _take_peer(self, process: ProcessId, item: KvItem) -> None:
         if process == self._settings.process:
@@ -278,7 +300,6 @@
         self._peers.pop(process, None)
         if item.value is not None:
             self._peers[process] = item.value.decode()
-        self._advisor.mailbox.send(PeersListed(dict(self._peers)))
 
     async def _tell_address(self) -> None:
         """Let the other processes know where this one listens."""
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -41,6 +41,8 @@
 _SETTINGS_VARIABLE: Final = 'FUCHSIARILL_NODE_FILE'
 _CALLS_MAX_COUNT: Final = 2000
 _CHECK_S: Final = 0.05
+# Requests in progress are waited for during one second.
+_FINISH_CHECKS_COUNT: Final = 20
 _READINESS_THREADS_COUNT: Final = 2
 _METRICS_THREADS_COUNT: Final = 1
 
@@ -76,10 +78,7 @@
     sink = JsonLineSink()
     events.configure_structured(sink, settings.log_level)
     with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
-        status = runner.run(_main(settings, path))
-    sink.flush()
-    # Threads that wait for answers do not hold up the end.
-    os._exit(status)
+        runner.run(_main(settings, path, sink))
 
 
 def _ignore_reload(number: int, frame: Any) -> None:
@@ -90,12 +89,21 @@
     sys.exit(0)
 
 
-async def _main(settings: GraphSettings, path: Path) -> int:
+async def _main(
+    settings: GraphSettings,
+    path: Path,
+    sink: JsonLineSink,
+) -> None:
     async with capnp.kj_loop():
-        return await _serve(settings, path)
+        await _serve(settings, path, sink)
 
 
-async def _serve(settings: GraphSettings, path: Path) -> int:
+async def _serve(
+    settings: GraphSettings,
+    path: Path,
+    sink: JsonLineSink,
+) -> None:
+    """Run until the process ends; does not return."""
     metrics = GraphMetrics()
     client = HttpClient(
         settings.calls.threads_max_count,
@@ -120,7 +128,7 @@
     _handle_signals(process, path, settings)
     await serve_help(
         settings.listen.peers,
-        ports.advisor,
+        ports,
         settings.calls.advice_timeout_ms,
     )
     process.start()
@@ -130,9 +138,22 @@
         await asyncio.sleep(_CHECK_S)
         if process.front.view.is_draining:
             listeners[0].is_draining = True
-    listeners[0].stop()
+    await _finish_requests(listeners[0])
     events.emit(events.PROCESS_STOPPED, process=settings.process)
-    return process.exit_status
+    sink.flush()
+    # A close of each listener takes seconds, in which requests would be read
+    # and not answered.
+    os._exit(process.exit_status)
+
+
+async def _finish_requests(listener: Listener) -> None:
+    """Wait until no request is in progress, or for a limited time."""
+    for _ in range(_FINISH_CHECKS_COUNT):
+        if not listener.in_progress_count:
+            break
+        await asyncio.sleep(_CHECK_S)
+    # The last answer is on its way.
+    await asyncio.sleep(_CHECK_S)
 
 
 def _listeners(
