--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -375,3 +375,10 @@
     'the store is called through other processes: {failure}',
     'Check the links between this process and the store.',
 )
+RUN_PREEMPTED: Final = LogEvent(
+    718,
+    Level.INFO,
+    'attempt {attempt} of task {task} of job {job} on {worker} is stopped for '
+    'job {for_job} of priority {priority}',
+    _NO_ACTION,
+)
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -8,14 +8,7 @@
 from collections.abc import Iterable
 
 from fuchsiarill import events
-from fuchsiarill.graphs import (
-    deciding,
-    draining,
-    pacing,
-    reports,
-    stalls,
-    worker_trust,
-)
+from fuchsiarill.graphs import deciding, reports, worker_trust
 from fuchsiarill.graphs.effects import Effect, LookAt
 from fuchsiarill.graphs.job_actions import step_job
 from fuchsiarill.graphs.job_book import ATTEMPTS_PER_TERM, JobEntry
@@ -33,7 +26,7 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.progress import JobProgress
-from fuchsiarill.graphs.run_actions import order_stop, step_run
+from fuchsiarill.graphs.run_actions import step_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
@@ -42,13 +35,22 @@
     RunEvent,
     RunState,
     StandingEvent,
+    StandingState,
 )
+from fuchsiarill.graphs.ticking import TICKS
 from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
-# A stop without an answer is ordered again after this time.
-_STOP_REPEAT_MS = 400
+# A worker that answers like this may take nothing more for now.
+_SILENCING = frozenset(
+    (
+        AgentFailure.UNHEALTHY,
+        AgentFailure.NOT_SENT,
+        AgentFailure.CONNECTION_REFUSED,
+        AgentFailure.OTHER_WORKER,
+    ),
+)
 
 
 class GraphCore:
@@ -85,7 +87,12 @@
         """Take over an accepted job; a known one is ignored."""
         if graph.job in self.state.jobs:
             return
-        entry = JobEntry(graph, self._policy(graph), progress, now_ms)
+        expected_ms = tuple(
+            self.state.run_times.expected_ms(graph.queue, step)
+            for step in graph.steps
+        )
+        policy = self._policy(graph)
+        entry = JobEntry(graph, policy, progress, now_ms, expected_ms)
         entry.is_inherited = is_inherited
         if is_inherited:
             entry.attempt_floor = (self._term - 1) * ATTEMPTS_PER_TERM
@@ -176,8 +183,7 @@
                 failure=failure.value,
                 runs=len(view.runs),
             )
-        if failure is AgentFailure.OTHER_WORKER:
-            # The life that was meant has ended; another one answers.
+        if _has_ended(view, failure):
             view.lapse_ms = now_ms
 
     def start_answered(
@@ -236,14 +242,8 @@
 
     def tick(self, now_ms: int) -> None:
         """Do what time alone brings."""
-        for view in list(self.state.workers):
-            self._lapse(view, now_ms)
-        self._open_due(now_ms)
-        self._repeat_stops(now_ms)
-        draining.leave_workers(self.state, now_ms)
-        pacing.pace_fillers(self.state, now_ms)
-        stalls.stop_stalled(self.state, now_ms)
-        self._settle_inheritance()
+        for name in TICKS:
+            TICKS.lookup(name)(self.state, now_ms)
         self.state.free_version += 1
 
     def decide(self, now_ms: int) -> None:
@@ -301,12 +301,7 @@
         view = self.state.workers.find(run.worker)
         if view is not None and failure is AgentFailure.UNHEALTHY:
             worker_trust.note_failure(view, run.task, now_ms)
-        if view is not None and failure in {
-            AgentFailure.UNHEALTHY,
-            AgentFailure.NOT_SENT,
-            AgentFailure.CONNECTION_REFUSED,
-            AgentFailure.OTHER_WORKER,
-        }:
+        if view is not None and failure in _SILENCING:
             self.state.workers.step(view, StandingEvent.WENT_SILENT)
         reports.stop_gang(self.state, run, now_ms)
         step_run(self.state, run, RunEvent.REFUSED, now_ms)
@@ -318,50 +313,6 @@
         view.born_ms = view.entry.born_ms
         self.state.workers.step(view, StandingEvent.WENT_SILENT)
 
-    def _lapse(self, view: WorkerView, now_ms: int) -> None:
-        if now_ms <= view.lapse_ms:
-            return
-        view.is_accounted = True
-        if view.runs:
-            reports.lose_runs(self.state, view, now_ms)
-        if not view.is_listed:
-            self.state.workers.step(view, StandingEvent.LAPSED)
-
-    def _open_due(self, now_ms: int) -> None:
-        unix_ms = now_ms + self.state.unix_offset_ms
-        for entry in self.state.jobs.values():
-            schedule = entry.graph.schedule
-            if schedule is None or not entry.is_active:
-                continue
-            while entry.opened_occurrences < schedule.occurrences_count:
-                occurrence = entry.opened_occurrences
-                due_ms = schedule.start_at_ms + occurrence * schedule.period_ms
-                if unix_ms < due_ms:
-                    break
-                entry.open_occurrence(occurrence)
-
-    def _repeat_stops(self, now_ms: int) -> None:
-        for view in self.state.workers:
-            for run in list(view.runs.values()):
-                if run.stop_ordered_ms is None or run.is_stop_answered:
-                    continue
-                if now_ms - run.stop_ordered_ms >= _STOP_REPEAT_MS:
-                    order_stop(self.state, run, now_ms)
-
-    def _settle_inheritance(self) -> None:
-        state = self.state
-        if state.is_inheritance_settled:
-            return
-        for view in state.workers:
-            if view.is_recorded and not view.is_accounted:
-                return
-        state.is_inheritance_settled = True
-        events.emit(
-            events.INHERITANCE_SETTLED,
-            pool=state.pool,
-            epoch=state.epoch,
-        )
-
     def _unblock(self, step: StepKey) -> None:
         entry = self.state.jobs.get(step.job)
         if entry is None:
@@ -369,3 +320,13 @@
         found = entry.steps.get((step.occurrence, step.step))
         if found is not None:
             found.blocked_version = -1
+
+
+def _has_ended(view: WorkerView, failure: AgentFailure) -> bool:
+    """Tell whether a failure proves that the life of the worker is over."""
+    if failure is AgentFailure.OTHER_WORKER:
+        return True
+    # A worker that left has withdrawn its entry and closed its port. A closed
+    # port alone proves nothing: a broken link can reset connections too.
+    has_left = view.standing is StandingState.LEAVING and not view.is_listed
+    return has_left and failure is AgentFailure.CONNECTION_REFUSED
--- /dev/null
+++ b/fuchsiarill/graphs/core_dump.py
@@ -0,0 +1,39 @@
+"""State of the decisions about a pool, as operators see it."""
+
+from typing import Any
+
+from fuchsiarill.graphs.core import GraphCore
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.worker_book import WorkerView
+
+
+def dump_core(core: GraphCore) -> dict[str, Any]:
+    """Return the state for a dump."""
+    state = core.state
+    return {
+        'jobs_count': len(state.jobs),
+        'waiting_units_count': _waiting_units_count(state),
+        'is_inheritance_settled': state.is_inheritance_settled,
+        'workers': [_worker_row(view) for view in state.workers],
+    }
+
+
+def _waiting_units_count(state: PoolState) -> int:
+    return sum(
+        len(step.waiting)
+        for entry in state.jobs.values()
+        if entry.is_active
+        for step in entry.steps.values()
+    )
+
+
+def _worker_row(view: WorkerView) -> dict[str, Any]:
+    return {
+        'worker': view.worker,
+        'standing': view.standing.value,
+        'is_listed': view.is_listed,
+        'is_recorded': view.is_recorded,
+        'runs_count': len(view.runs),
+        'free': view.free.as_tuple(),
+        'suspended_until_ms': view.trust.suspended_until_ms,
+    }
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -1,10 +1,10 @@
 """Decides which waiting units start, and where."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from fuchsiarill import events
 from fuchsiarill.graphs.effects import AskAdvice, StartRun
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import (
@@ -14,70 +14,97 @@
     place_unit,
     usable_workers,
 )
+from fuchsiarill.graphs.preempting import preempt
 from fuchsiarill.graphs.run_actions import hold_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import NOTHING
 
+
+class _Ranked(NamedTuple):
+    """A step with something to start, by its rank."""
+
+    rank_ms: int
+    key: StepKey
+    entry: JobEntry
+    step: StepEntry
+
+
 # Workers named in one ask; the service's bound.
 _ASKED_MAX_COUNT: Final = 100
 
 
 def decide(state: PoolState, now_ms: int) -> None:
     """Start what can start, in the order of rank."""
-    ranked: list[tuple[int, StepKey, JobEntry, StepEntry]] = []
-    for entry in state.jobs.values():
-        if not entry.is_active or not _may_start(state, entry):
-            continue
-        for step in entry.steps.values():
-            if not step.is_open or not step.waiting:
-                continue
-            if step.blocked_version == state.free_version:
-                continue
-            ranked.append((rank_ms(entry, step, now_ms), step.key, entry, step))
+    ranked = [
+        _Ranked(rank_ms(entry, step, now_ms), step.key, entry, step)
+        for entry in state.jobs.values()
+        if _may_start(state, entry)
+        for step in entry.steps.values()
+        if _has_work(state, step)
+    ]
     ranked.sort(key=lambda row: row[:2])
-    for rank, _, entry, step in ranked:
-        _serve_step(state, entry, step, rank, now_ms)
+    for row in ranked:
+        _serve_step(state, row, now_ms)
 
 
 def _may_start(state: PoolState, entry: JobEntry) -> bool:
+    if not entry.is_active:
+        return False
     return state.is_inheritance_settled or not entry.is_inherited
 
 
-def _serve_step(
-    state: PoolState,
-    entry: JobEntry,
-    step: StepEntry,
-    rank: int,
-    now_ms: int,
-) -> None:
-    is_blocked = True
+def _has_work(state: PoolState, step: StepEntry) -> bool:
+    if not step.is_open or not step.waiting:
+        return False
+    return step.blocked_version != state.free_version
+
+
+def _serve_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
+    step = row.step
     for unit in list(step.waiting.values()):
-        if unit.retry_ms > now_ms:
-            is_blocked = False
-            continue
-        request = Request(entry, step, unit, now_ms)
+        request = Request(row.entry, step, unit, now_ms)
         candidates = usable_workers(state, request)
-        if entry.policy.advice is not None:
-            holders = [
-                view
-                for view in candidates
-                if state.tickets.ticket_for(step.key, view, now_ms)
-            ]
-            placed = place_unit(state, request, holders)
-            if placed is None:
-                is_waiting = _ask(state, request, candidates, rank)
-                is_blocked = is_blocked and not is_waiting
-                break
-        else:
-            placed = place_unit(state, request, candidates)
-            if placed is None:
-                break
+        holders = _ticket_holders(state, request, candidates)
+        placed = place_unit(state, request, holders)
+        if placed is None:
+            preempt(state, request, _allowed(state, request, candidates))
+            is_asked = _ask(state, request, candidates, row.rank_ms)
+            if not is_asked:
+                step.blocked_version = state.free_version
+            return
         _start(state, request, placed)
-    if is_blocked and step.waiting:
-        step.blocked_version = state.free_version
+
+
+def _ticket_holders(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+) -> list[WorkerView]:
+    """Return the workers that may be given the unit at once."""
+    if request.entry.policy.advice is None:
+        return candidates
+    return [
+        view
+        for view in candidates
+        if state.tickets.ticket_for(request.step.key, view, request.now_ms)
+    ]
+
+
+def _allowed(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+) -> list[WorkerView]:
+    """Return the workers that are known to be allowed to run the step."""
+    if request.entry.policy.advice is None:
+        return candidates
+    return [
+        view
+        for view in candidates
+        if state.tickets.is_allowed(request.step.key, view.worker)
+    ]
 
 
 def _ask(
@@ -87,6 +114,8 @@
     rank: int,
 ) -> bool:
     """Ask for advice where it could help; tells whether to look again."""
+    if request.entry.policy.advice is None:
+        return False
     step = request.step
     if not state.tickets.may_ask(step.key, request.now_ms):
         return True
@@ -139,6 +168,7 @@
         )
         unit.runs[run.key] = run
         step.runs_per_worker[view.worker] += 1
+        view.take_reservation(step.key)
         hold_run(state, run)
         _order(state, request, run, view)
 
@@ -176,12 +206,3 @@
         free_milli=view.free.processors_milli,
         epoch=state.epoch,
     )
-
-
-def stale_workers(state: PoolState) -> list[WorkerId]:
-    """Return the workers that are neither listed nor run anything."""
-    return [
-        view.worker
-        for view in state.workers
-        if not view.is_listed and not view.runs
-    ]
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -25,12 +25,16 @@
             continue
         if view.leaving_since_ms is None:
             view.leaving_since_ms = now_ms
-        for run in list(view.runs.values()):
-            found = state.find_step(run.task)
-            if found is None or run.state is not RunState.RUNNING:
-                continue
-            if _has_to_move(state, view, run, found, now_ms):
-                step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+        _leave(state, view, now_ms)
+
+
+def _leave(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    for run in list(view.runs.values()):
+        found = state.find_step(run.task)
+        if found is None or run.state is not RunState.RUNNING:
+            continue
+        if _has_to_move(state, view, run, found, now_ms):
+            step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 def _has_to_move(
@@ -41,23 +45,24 @@
     now_ms: int,
 ) -> bool:
     entry, step = found
-    if step.step.is_lasting:
-        return _has_room_elsewhere(state, view, step)
-    if not step.step.is_checkpointing:
-        return False
-    left_ms = _DRAIN_LEFT_MS
+    if not step.step.is_lasting:
+        if not step.step.is_checkpointing:
+            return False
+        expected_ms = state.run_times.expected_ms(entry.graph.queue, step.step)
+        left_ms = _left_ms(view, now_ms)
+        if expected_ms - (now_ms - run.ordered_ms) <= left_ms:
+            return False
+        if left_ms >= _MOVE_MS:
+            return False
+    return _has_room_elsewhere(state, view, step)
+
+
+def _left_ms(view: WorkerView, now_ms: int) -> int:
+    """Return the least time for which the worker goes on."""
+    notice_ms = _DRAIN_LEFT_MS
     if view.entry is not None and view.entry.drain_left_ms is not None:
-        left_ms = view.entry.drain_left_ms
-    since_ms = now_ms - (view.leaving_since_ms or now_ms)
-    expected_ms = state.run_times.expected_ms(entry.graph.queue, step.step)
-    remaining_ms = expected_ms - (now_ms - run.ordered_ms)
-    if remaining_ms <= left_ms - since_ms:
-        return False
-    return left_ms - since_ms < _MOVE_MS and _has_room_elsewhere(
-        state,
-        view,
-        step,
-    )
+        notice_ms = view.entry.drain_left_ms
+    return notice_ms - (now_ms - (view.leaving_since_ms or now_ms))
 
 
 def _has_room_elsewhere(
@@ -65,9 +70,10 @@
     view: WorkerView,
     step: StepEntry,
 ) -> bool:
-    for other in state.workers:
-        if other is view or other.standing is not StandingState.READY:
-            continue
-        if other.is_listed and has_room(step, other, NOTHING):
-            return True
-    return False
+    return any(
+        has_room(step, other, NOTHING)
+        for other in state.workers
+        if other is not view
+        and other.is_listed
+        and other.standing is StandingState.READY
+    )
--- a/fuchsiarill/graphs/ends.py
+++ b/fuchsiarill/graphs/ends.py
@@ -79,6 +79,7 @@
         duration_ms = context.now_ms - context.run.ordered_ms
         state.run_times.add(
             entry.graph.queue,
+            step.step,
             context.view.worker,
             duration_ms,
         )
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -14,8 +14,7 @@
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.codes import ResultCode
-from fuchsiarill.graphs import records
+from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.model import JobGraph, PoolId, QueueId
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
@@ -36,7 +35,7 @@
 class IntakeAnswer:
     """Outcome of a request."""
 
-    code: ResultCode
+    code: codes.ResultCode
     phase: JobPhase | None = None
     has_started: bool = False
     pending_count: int = 0
@@ -133,12 +132,12 @@
     async def _submit(self, message: Submit) -> None:
         graph = message.graph
         writing = _Writing('submit', graph.job, now_ms(), message.deadline_ms)
-        key = records.graph_key(graph.pool, graph.job)
+        key = keys.graph_key(graph.pool, graph.job)
         code = await self._create(key, records.encode_graph(graph), writing)
         message.reply.answer(IntakeAnswer(code))
 
     async def _cancel(self, message: Cancel) -> None:
-        key = records.graph_key(message.pool, message.job)
+        key = keys.graph_key(message.pool, message.job)
         writing = _Writing(
             'cancel',
             message.job,
@@ -156,7 +155,7 @@
         if found.unwrap().value is None:
             message.reply.answer(IntakeAnswer(codes.UNKNOWN_JOB))
             return
-        cancel_key = records.cancel_key(message.pool, message.job)
+        cancel_key = keys.cancel_key(message.pool, message.job)
         code = await self._create(cancel_key, b'{}', writing)
         if code is codes.ACCEPTED:
             events.emit(events.GRAPH_CANCEL_ACCEPTED, job=message.job)
@@ -167,7 +166,7 @@
         key: StoreKey,
         value: bytes,
         writing: _Writing,
-    ) -> ResultCode:
+    ) -> codes.ResultCode:
         """Create a key; one that is there already is as good.
 
         The transaction is safe to repeat, since the key may be created once.
@@ -224,7 +223,9 @@
         left_ms = writing.deadline_ms - now_ms()
         return max(1, min(self._calls_settings.store_timeout_ms, left_ms))
 
-    def _refuse(self, writing: _Writing, code: ResultCode) -> ResultCode:
+    def _refuse(
+        self, writing: _Writing, code: codes.ResultCode
+    ) -> codes.ResultCode:
         events.emit(
             events.GRAPH_REFUSED,
             verb=writing.verb,
@@ -257,7 +258,7 @@
         message: LookUp,
         timeout_ms: int,
     ) -> IntakeAnswer | None:
-        key = records.progress_key(message.pool, message.job)
+        key = keys.progress_key(message.pool, message.job)
         found = await self._store.get(key, timeout_ms)
         if isinstance(found, Failure):
             return None
@@ -270,7 +271,7 @@
                 progress.has_started,
             )
         found = await self._store.get(
-            records.graph_key(message.pool, message.job),
+            keys.graph_key(message.pool, message.job),
             timeout_ms,
         )
         if isinstance(found, Failure):
@@ -283,7 +284,7 @@
         held = self._pending.get(message.pool)
         if held is None or now_ms() - held.read_ms > _PENDING_AGE_MS:
             found = await self._store.get(
-                records.pending_key(message.pool),
+                keys.pending_key(message.pool),
                 self._calls_settings.store_timeout_ms,
             )
             if isinstance(found, Failure):
--- a/fuchsiarill/graphs/job_book.py
+++ b/fuchsiarill/graphs/job_book.py
@@ -35,8 +35,6 @@
     checkpoint: Checkpoint = NO_CHECKPOINT
     # Workers where the unit failed; others are tried first.
     failed_on: set[WorkerId] = field(default_factory=set)
-    # Not started again before this time.
-    retry_ms: int = 0
 
 
 class StepEntry:
@@ -96,12 +94,17 @@
         policy: QueuePolicy,
         progress: JobProgress,
         accepted_ms: int,
+        expected_ms: tuple[float, ...],
     ) -> None:
-        """Create the entry without open steps."""
+        """Create the entry without open steps.
+
+        `expected_ms` has the expected run time of a task of each step.
+        """
         self.graph = graph
         self.policy = policy
         self.progress = progress
         self.accepted_ms = accepted_ms
+        self._expected_ms = expected_ms
         self.settled_ms = accepted_ms
         self.steps: dict[tuple[int, int], StepEntry] = {}
         self.opened_occurrences = 0
@@ -122,11 +125,10 @@
 
     @cached_property
     def chains_ms(self) -> tuple[int, ...]:
-        """Return for each step the longest estimated time from its start."""
-        chains = [0] * len(self.graph.steps)
-        for position in range(len(self.graph.steps) - 1, -1, -1):
-            step = self.graph.steps[position]
-            chains[position] += step.estimate_ms
+        """Return for each step the longest expected time from its start."""
+        chains = [0 for _ in self.graph.steps]
+        for position, step in reversed(tuple(enumerate(self.graph.steps))):
+            chains[position] += int(self._expected_ms[position])
             for earlier in step.after:
                 chains[earlier] = max(chains[earlier], chains[position])
         return tuple(chains)
@@ -149,7 +151,7 @@
     def open_occurrence(self, occurrence: int) -> None:
         """Open the steps of an occurrence that wait for no other."""
         self.opened_occurrences = max(self.opened_occurrences, occurrence + 1)
-        for position in range(len(self.graph.steps)):
+        for position, _ in enumerate(self.graph.steps):
             self._open_if_ready(occurrence, position)
 
     def succeed(self, step: StepEntry, unit: Unit) -> None:
--- a/fuchsiarill/graphs/pacing.py
+++ b/fuchsiarill/graphs/pacing.py
@@ -8,7 +8,6 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunState
-from fuchsiarill.graphs.worker_book import WorkerView
 
 # A reported tail is a rough figure of the last half second; a change of pace
 # shows in the second one after it.
@@ -24,29 +23,23 @@
     for view in state.workers:
         if not view.serving_count or not view.filler_milli:
             continue
-        worst = _worst_share(state, view)
-        if worst is None:
-            continue
+        shares = [_tail_share(state, run) for run in view.runs.values()]
         for run in view.runs.values():
-            if run.filler_milli and run.state is RunState.RUNNING:
-                _pace(state, run, worst, now_ms)
+            _pace(state, run, max(shares), now_ms)
 
 
-def _worst_share(state: PoolState, view: WorkerView) -> float | None:
-    """Return the largest tail as a share of its target."""
-    worst: float | None = None
-    for run in view.runs.values():
-        entry = state.jobs.get(run.task.job)
-        if entry is None or run.usage is None:
-            continue
-        target_ms = entry.graph.steps[run.task.step].target_tail_ms
-        if target_ms is None:
-            continue
-        worst = max(worst or 0, run.usage / target_ms)
-    return worst
+def _tail_share(state: PoolState, run: Run) -> float:
+    """Return the tail of a serving task as a share of its target, else 0."""
+    entry = state.jobs.get(run.task.job)
+    if entry is None or run.usage is None:
+        return 0
+    target_ms = entry.graph.steps[run.task.step].target_tail_ms
+    return 0 if target_ms is None else run.usage / target_ms
 
 
 def _pace(state: PoolState, run: Run, worst: float, now_ms: int) -> None:
+    if not run.filler_milli or run.state is not RunState.RUNNING:
+        return
     if now_ms - run.paced_ms < _EFFECT_MS:
         return
     percent = run.pace_percent
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -10,7 +10,6 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import StandingState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.ids import WorkerId
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NOTHING, Resources
 
@@ -95,33 +94,38 @@
 
 def usable_workers(state: PoolState, request: Request) -> list[WorkerView]:
     """Return the workers that may run the unit, full ones too."""
+    return [
+        view
+        for view in state.workers
+        if _is_usable(view, request)
+        and not state.tickets.is_denied(request.step.key, view.worker)
+    ]
+
+
+def _is_usable(view: WorkerView, request: Request) -> bool:
+    if view.standing is not StandingState.READY:
+        return False
+    if not view.is_recorded or not view.is_listed:
+        return False
     label = request.step.step.required_label
-    usable = []
-    for view in state.workers:
-        if view.standing is not StandingState.READY or not view.is_recorded:
-            continue
-        if not view.is_listed or view.entry is None:
-            continue
-        if label is not None and label not in view.labels:
-            continue
-        if not worker_trust.is_trusted(view, request.now_ms):
-            continue
-        if request.entry.policy.advice and state.tickets.is_denied(
-            request.step.key,
-            view.worker,
-        ):
-            continue
-        usable.append(view)
-    return usable
-
-
-def has_room(step: StepEntry, view: WorkerView, taken: Resources) -> bool:
-    """Tell whether a task fits beside what is held and `taken`."""
+    if label is not None and label not in view.labels:
+        return False
+    return worker_trust.is_trusted(view, request.now_ms)
+
+
+def has_room(
+    step: StepEntry,
+    view: WorkerView,
+    taken: Resources,
+    taken_count: int = 0,
+) -> bool:
+    """Tell whether a task fits beside what is held and what is `taken`."""
     per_worker_max = step.step.per_worker_max
     if per_worker_max is not None:
-        if step.runs_per_worker[view.worker] >= per_worker_max:
+        runs_count = step.runs_per_worker[view.worker] + taken_count
+        if runs_count >= per_worker_max:
             return False
-    return (step.step.charge + taken).fits_in(view.free)
+    return (step.step.charge + taken).fits_in(view.free_for(step.key))
 
 
 def place_unit(
@@ -130,23 +134,30 @@
     candidates: list[WorkerView],
 ) -> list[WorkerView] | None:
     """Return a worker for each task of the unit, or `None`."""
-    step = request.step.step
     ranked = sorted(
         candidates,
         key=lambda view: _cost(state, request, view),
     )
-    if not step.is_gang:
-        for view in ranked:
-            if has_room(request.step, view, NOTHING):
-                return [view]
-        return None
-    if step.is_rack_sensitive:
+    if request.step.step.is_gang:
+        return _place_near(request.step, ranked)
+    for view in ranked:
+        if has_room(request.step, view, NOTHING):
+            return [view]
+    return None
+
+
+def _place_near(
+    step: StepEntry,
+    ranked: list[WorkerView],
+) -> list[WorkerView] | None:
+    """Place a gang, on one rack where that matters and is possible."""
+    if step.step.is_rack_sensitive:
         for rack in _racks(ranked):
             in_rack = [view for view in ranked if view.rack == rack]
-            placed = _place_gang(request.step, in_rack)
+            placed = _place_gang(step, in_rack)
             if placed is not None:
                 return placed
-    return _place_gang(request.step, ranked)
+    return _place_gang(step, ranked)
 
 
 def _place_gang(
@@ -155,28 +166,25 @@
 ) -> list[WorkerView] | None:
     placed: list[WorkerView] = []
     for view in ranked:
-        taken = NOTHING
-        count = 0
-        while len(placed) < step.step.tasks_count:
-            if not _has_gang_room(step, view, taken, count):
-                break
-            placed.append(view)
-            taken += step.step.charge
-            count += 1
+        wanted_count = step.step.tasks_count - len(placed)
+        placed.extend(_fill(step, view, wanted_count))
     return placed if len(placed) == step.step.tasks_count else None
 
 
-def _has_gang_room(
+def _fill(
     step: StepEntry,
     view: WorkerView,
-    taken: Resources,
-    count: int,
-) -> bool:
-    per_worker_max = step.step.per_worker_max
-    if per_worker_max is not None:
-        if step.runs_per_worker[view.worker] + count >= per_worker_max:
-            return False
-    return (step.step.charge + taken).fits_in(view.free)
+    wanted_count: int,
+) -> list[WorkerView]:
+    """Return the worker as often as it can take a task."""
+    taken = NOTHING
+    filled: list[WorkerView] = []
+    while len(filled) < wanted_count:
+        if not has_room(step, view, taken, len(filled)):
+            break
+        filled.append(view)
+        taken += step.step.charge
+    return filled
 
 
 def _cost(state: PoolState, request: Request, view: WorkerView) -> float:
@@ -190,6 +198,3 @@
 def could_ever_fit(step: Step, view: WorkerView) -> bool:
     """Tell whether a task of the step fits on the empty worker."""
     return view.entry is not None and step.charge.fits_in(view.entry.capacity)
-
-
-WorkerIds = tuple[WorkerId, ...]
--- /dev/null
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -0,0 +1,116 @@
+"""The channels of an owner to the workers of its pool."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from fuchsiarill.graphs.core import GraphCore
+from fuchsiarill.graphs.effects import LookAt, PaceRun, StartRun, StopRun
+from fuchsiarill.graphs.model import WorkerEntry
+from fuchsiarill.graphs.owner_messages import (
+    EndsDurable,
+    SeenEnds,
+    StartAnswered,
+)
+from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_channel import ChannelContext, WorkerChannel
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.ports.agents import AgentAddress, AgentFailure
+
+# An unlisted worker without runs is forgotten after this time, in which an
+# entry that lapsed with the store comes back.
+_UNLISTED_MS: Final = 3000
+
+Order = StartRun | StopRun | PaceRun | LookAt
+
+
+class PoolChannels:
+    """Opens a channel for each worker and closes those of former ones."""
+
+    def __init__(
+        self,
+        core: GraphCore,
+        context: ChannelContext,
+        spawn: Callable[[Coroutine[Any, Any, None]], object],
+    ) -> None:
+        """Start without channels; `spawn` runs the end of one."""
+        self._core = core
+        self._context = context
+        self._spawn = spawn
+        self._channels: dict[WorkerId, WorkerChannel] = {}
+        self._unlisted_ms: dict[WorkerId, int] = {}
+
+    async def stop(self) -> None:
+        """End all channels."""
+        for channel in self._channels.values():
+            await channel.stop()
+
+    def snapshot(self) -> list[dict[str, Any]]:
+        """Return the state of all channels for a dump."""
+        return [channel.snapshot() for channel in self._channels.values()]
+
+    def open(self, worker: WorkerId, address: str) -> None:
+        """Open a channel, in place of a former one."""
+        self._close(worker)
+        channel = WorkerChannel(AgentAddress(worker, address), self._context)
+        self._channels[worker] = channel
+        channel.start()
+
+    def follow(self, entries: list[WorkerEntry]) -> None:
+        """Open channels to listed workers that are new, or moved."""
+        for entry in entries:
+            channel = self._channels.get(entry.worker)
+            if channel is None or channel.agent.address != entry.address:
+                self.open(entry.worker, entry.address)
+
+    def carry(self, order: Order) -> None:
+        """Send an order to the channel of its worker."""
+        channel = self._channels.get(order.worker)
+        if channel is not None:
+            channel.mailbox.send(order)
+            return
+        if isinstance(order, StartRun):
+            self._context.owner.send(
+                StartAnswered(
+                    order.worker,
+                    order.task,
+                    order.attempt,
+                    AgentFailure.NOT_SENT,
+                ),
+            )
+
+    def ends_durable(self, seen: SeenEnds) -> None:
+        """Let a worker forget ends, unless it has a new life."""
+        view = self._core.state.workers.find(seen.worker)
+        if view is None or view.born_ms != seen.born_ms:
+            return
+        view.durable_end = max(view.durable_end, seen.sequence)
+        channel = self._channels.get(seen.worker)
+        if channel is not None:
+            channel.mailbox.send(EndsDurable(seen.born_ms, seen.sequence))
+
+    def forget_former(self, now_ms: int) -> bool:
+        """Forget workers that are gone; tells whether there was one."""
+        is_changed = False
+        for view in list(self._core.state.workers):
+            if view.is_listed or view.runs:
+                self._unlisted_ms.pop(view.worker, None)
+                continue
+            if now_ms <= view.lapse_ms:
+                self._let_lapse(view, now_ms)
+                continue
+            self._core.state.workers.remove(view.worker)
+            self._unlisted_ms.pop(view.worker, None)
+            self._close(view.worker)
+            is_changed = True
+        return is_changed
+
+    def _let_lapse(self, view: WorkerView, now_ms: int) -> None:
+        """Renew nothing more on a worker that stays unlisted."""
+        since_ms = self._unlisted_ms.setdefault(view.worker, now_ms)
+        if now_ms - since_ms > _UNLISTED_MS:
+            self._close(view.worker)
+
+    def _close(self, worker: WorkerId) -> None:
+        former = self._channels.pop(worker, None)
+        if former is not None:
+            self._spawn(former.stop())
--- /dev/null
+++ b/fuchsiarill/graphs/preempting.py
@@ -0,0 +1,146 @@
+"""Makes room for urgent steps by stopping less important runs.
+
+A queue may preempt queues of lower priority. Only runs that save their
+progress are stopped: they lose little, and go on from there elsewhere.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from fuchsiarill import events
+from fuchsiarill.graphs.placement import Request
+from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import RunEvent, RunState
+from fuchsiarill.graphs.worker_book import Reservation, WorkerView
+
+# A step preempts when it has to start within this time to be in time; the
+# stop, its report and the start take about as long.
+_URGENCY_MS: Final = 400
+# Room is kept until the stopped runs have ended and the step has started.
+_RESERVATION_MS: Final = 1500
+# A job that is later than this multiple of its objective earns nothing.
+_LATE_FACTOR: Final = 3
+# An accelerator is priced like eight processors.
+_ACCELERATOR_MILLI: Final = 8000
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """Runs to stop on a worker, and what their stop costs."""
+
+    view: WorkerView
+    victims: tuple[Run, ...]
+    cost: float
+
+
+def preempt(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+) -> None:
+    """Stop runs so that units of a blocked step can start."""
+    if not _is_worth_it(request):
+        return
+    step = request.step
+    wanted_count = step.step.tasks_count if step.step.is_gang else 1
+    reserved_count = sum(
+        reservation.step == step.key
+        for view in candidates
+        for reservation in view.reservations
+    )
+    if reserved_count:
+        return
+    choices: list[_Choice] = []
+    for view in candidates:
+        choice = _choose(state, request, view)
+        if choice is not None:
+            choices.append(choice)
+    choices.sort(key=lambda choice: choice.cost)
+    if len(choices) < wanted_count:
+        return
+    for choice in choices[:wanted_count]:
+        _carry_out(state, request, choice)
+
+
+def _is_worth_it(request: Request) -> bool:
+    entry = request.entry
+    if entry.latest_start_ms(request.step) - request.now_ms > _URGENCY_MS:
+        return False
+    worthless_ms = entry.accepted_ms + _LATE_FACTOR * entry.objective_ms
+    return request.step.step.is_lasting or request.now_ms < worthless_ms
+
+
+def _choose(
+    state: PoolState,
+    request: Request,
+    view: WorkerView,
+) -> _Choice | None:
+    """Return the cheapest runs whose end makes room for one task."""
+    step = request.step
+    per_worker_max = step.step.per_worker_max
+    if per_worker_max is not None:
+        if step.runs_per_worker[view.worker] >= per_worker_max:
+            return None
+    free = view.free_for(step.key)
+    victims: list[Run] = []
+    cost = 0.0
+    for run in sorted(_victims(state, request, view), key=_cost):
+        if step.step.charge.fits_in(free):
+            break
+        victims.append(run)
+        free += run.charge
+        cost += _cost(run)
+    if not step.step.charge.fits_in(free):
+        return None
+    return _Choice(view, tuple(victims), cost)
+
+
+def _victims(
+    state: PoolState,
+    request: Request,
+    view: WorkerView,
+) -> list[Run]:
+    victims = []
+    for run in view.runs.values():
+        found = state.find_step(run.task)
+        if found is None or run.state is not RunState.RUNNING:
+            continue
+        entry, step = found
+        if entry.policy.priority <= request.entry.policy.priority:
+            continue
+        if step.step.is_lasting or step.step.is_gang:
+            continue
+        if step.step.is_checkpointing:
+            victims.append(run)
+    return victims
+
+
+def _cost(run: Run) -> float:
+    """Return the work that a stop throws away, in processors."""
+    return run.charge.processors_milli + _ACCELERATOR_MILLI * (
+        run.charge.accelerators_count
+    )
+
+
+def _carry_out(state: PoolState, request: Request, choice: _Choice) -> None:
+    step = request.step
+    choice.view.reservations.append(
+        Reservation(
+            step.key,
+            step.step.charge,
+            request.now_ms + _RESERVATION_MS,
+        ),
+    )
+    for run in choice.victims:
+        events.emit(
+            events.RUN_PREEMPTED,
+            job=run.task.job,
+            task='.'.join(map(str, run.task[1:])),
+            attempt=run.attempt,
+            worker=run.worker,
+            for_job=request.entry.job,
+            priority=request.entry.policy.priority,
+        )
+        step_run(state, run, RunEvent.STOP_ASKED, request.now_ms)
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -11,7 +11,7 @@
 from fuchsiarill.actor import Actor, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.graphs import records
+from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.advice import Advisor
 from fuchsiarill.graphs.feeds import (
     Changed,
@@ -119,7 +119,7 @@
     @handles(Listed)
     async def on_listed(self, message: Listed) -> None:
         """Take over a whole list of keys."""
-        if message.prefix == records.CONTROL_PREFIX:
+        if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
             self._owner_keys.clear()
             self._peers.clear()
@@ -136,7 +136,7 @@
     @handles(Changed)
     async def on_changed(self, message: Changed) -> None:
         """Take over changes of keys."""
-        if message.prefix == records.CONTROL_PREFIX:
+        if message.prefix == keys.CONTROL_PREFIX:
             self._take_control(message.items)
             return
         self._take_config(message.items)
@@ -188,7 +188,7 @@
                 self.exit_status = 1
 
     def _prefixes(self) -> tuple[str, ...]:
-        return (records.CONTROL_PREFIX, self._ports.directory.config_prefix)
+        return (keys.CONTROL_PREFIX, self._ports.directory.config_prefix)
 
     def _feed(self, prefix: str) -> PrefixFeed:
         settings = FeedSettings(
@@ -204,14 +204,8 @@
             for tenure in self._tenures.values()
             if tenure.owner is not None
         ]
-        return (
-            self._links,
-            self._advisor,
-            self._intake,
-            *self._feeds,
-            *self._tenures.values(),
-            *owners,
-        )
+        services = (self._links, self._advisor, self._intake)
+        return (*services, *self._feeds, *self._tenures.values(), *owners)
 
     def _view(self, **changes: Any) -> None:
         self.front.view = replace(self.front.view, **changes)
@@ -272,17 +266,17 @@
         return sum(tenure.is_owner for tenure in self._tenures.values())
 
     def _absent(self, pool: PoolId) -> KvItem:
-        key = records.owner_key(pool)
+        key = keys.owner_key(pool)
         return KvItem(key, None, self._control_revision)
 
     def _take_control(self, items: Iterable[KvItem]) -> None:
         before = dict(self._peers)
         for item in items:
-            process = records.listed_process(item.key)
+            process = keys.listed_process(item.key)
             if process is not None:
                 self._take_peer(process, item)
                 continue
-            pool = records.owned_pool(item.key)
+            pool = keys.owned_pool(item.key)
             if pool is None:
                 continue
             self._owner_keys[pool] = item
@@ -303,7 +297,7 @@
 
     async def _tell_address(self) -> None:
         """Let the other processes know where this one listens."""
-        key = records.process_key(self._settings.process)
+        key = keys.process_key(self._settings.process)
         write = KvWrite(key, self._settings.listen.peers.encode())
         while not self._is_draining:
             answered = await self._ports.store.commit(
@@ -315,7 +309,7 @@
             await sleep_ms(_CHECK_MS)
 
     async def _withdraw_address(self) -> None:
-        key = records.process_key(self._settings.process)
+        key = keys.process_key(self._settings.process)
         await self._ports.store.commit(
             KvTransaction(deletes=(key,)),
             self._settings.calls.store_timeout_ms,
--- /dev/null
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -0,0 +1,124 @@
+"""Makes an owner's knowledge durable, one message at a time."""
+
+from typing import Final
+
+from fuchsiarill.actor import Mailbox
+from fuchsiarill.clock import now_ms
+from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs.core import GraphCore
+from fuchsiarill.graphs.model import QueueId
+from fuchsiarill.graphs.owner_messages import SaveRecords, SeenEnds
+from fuchsiarill.graphs.settings import RetentionSettings
+from fuchsiarill.ids import StoreKey
+
+# The counts of waiting jobs may be 2 s old.
+_PENDING_INTERVAL_MS: Final = 700
+
+
+class ProgressSaver:
+    """Gathers what has changed while the writer is at work."""
+
+    def __init__(
+        self,
+        core: GraphCore,
+        writer: Mailbox,
+        fleet_term: int,
+        retention: RetentionSettings,
+    ) -> None:
+        """Save what `core` changes through `writer`."""
+        self._core = core
+        self._pool = core.state.pool
+        self._writer = writer
+        self._fleet_term = fleet_term
+        self._retention = retention
+        self._is_saving = False
+        self._pending: dict[QueueId, int] = {}
+        self._pending_ms = 0
+
+    @property
+    def is_saving(self) -> bool:
+        """Tell whether the writer has not answered yet."""
+        return self._is_saving
+
+    def saved(self, message: SaveRecords) -> None:
+        """Note that a message of `save` is durable."""
+        if not message.fleet_workers:
+            self._is_saving = False
+
+    def save(self) -> tuple[SeenEnds, ...]:
+        """Send what has changed to the writer.
+
+        Returns the ends that workers may forget at once, since nothing had
+        to be written for them.
+        """
+        if self._is_saving:
+            return ()
+        changed = self._changed_progress()
+        changed.update(self._changed_counts())
+        deletes = self._expired_keys()
+        ends = self._unacknowledged_ends()
+        if not changed and not deletes:
+            return ends
+        self._is_saving = True
+        self._writer.send(SaveRecords(changed, deletes, ends))
+        return ()
+
+    def save_fleet(self) -> None:
+        """Have the workers recorded before any of them is given work."""
+        members = tuple(
+            records.FleetMember(view.worker, view.address)
+            for view in self._core.state.workers
+        )
+        record = records.FleetRecord(self._fleet_term, members)
+        self._writer.send(
+            SaveRecords(
+                {keys.fleet_key(self._pool): records.encode_fleet(record)},
+                fleet_workers=tuple(member.worker for member in members),
+            ),
+        )
+
+    def _changed_progress(self) -> dict[StoreKey, bytes]:
+        jobs = self._core.state.jobs
+        return {
+            keys.progress_key(self._pool, job): records.encode_progress(
+                jobs[job].progress,
+            )
+            for job in self._core.take_dirty()
+            if job in jobs
+        }
+
+    def _changed_counts(self) -> dict[StoreKey, bytes]:
+        now = now_ms()
+        if now - self._pending_ms < _PENDING_INTERVAL_MS:
+            return {}
+        self._pending_ms = now
+        counts = self._core.pending_counts()
+        if counts == self._pending:
+            return {}
+        self._pending = counts
+        key = keys.pending_key(self._pool)
+        return {key: records.encode_pending(counts)}
+
+    def _unacknowledged_ends(self) -> tuple[SeenEnds, ...]:
+        return tuple(
+            SeenEnds(view.worker, view.born_ms, view.seen_end)
+            for view in self._core.state.workers
+            if view.seen_end > view.durable_end
+        )
+
+    def _expired_keys(self) -> tuple[StoreKey, ...]:
+        """Drop jobs that ended long ago; returns their keys."""
+        oldest_ms = now_ms() - self._retention.settled_job_ms
+        expired: list[StoreKey] = []
+        for entry in list(self._core.state.jobs.values()):
+            if entry.is_active or entry.settled_ms > oldest_ms:
+                continue
+            self._core.forget_job(entry.job)
+            expired.extend(
+                (
+                    keys.graph_key(self._pool, entry.job),
+                    keys.cancel_key(self._pool, entry.job),
+                    keys.progress_key(self._pool, entry.job),
+                ),
+            )
+        return tuple(expired)
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -8,7 +8,7 @@
 from itertools import islice
 from typing import Final
 
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from fuchsiarill import events
 from fuchsiarill.actor import Actor, Mailbox, handles
@@ -21,6 +21,7 @@
 from fuchsiarill.ids import ABSENT, Revision, StoreKey
 from fuchsiarill.ports.key_value import (
     KeyValuePort,
+    KvCommitted,
     KvConflict,
     KvTransaction,
     KvWrite,
@@ -72,19 +73,26 @@
         batch: dict[StoreKey, bytes],
         deletes: tuple[StoreKey, ...],
     ) -> None:
+        """Try until the batch stands, or a later owner is known."""
         while not self._is_refuted:
-            transaction = self._transaction(batch, deletes)
-            answered = await self._store.commit(transaction, self._timeout_ms)
-            match answered:
-                case Success(KvConflict() as conflict):
-                    if self._is_applied(batch, conflict):
-                        return
-                case Success(committed):
-                    for key in batch:
-                        self._revisions[key] = committed.revision
-                    return
-                case Failure(_):
-                    await sleep_ms(_RETRY_MS)
+            answered = await self._store.commit(
+                self._transaction(batch, deletes),
+                self._timeout_ms,
+            )
+            if isinstance(answered, Failure):
+                await sleep_ms(_RETRY_MS)
+            elif self._is_settled(batch, answered.unwrap()):
+                return
+
+    def _is_settled(
+        self,
+        batch: dict[StoreKey, bytes],
+        outcome: KvCommitted | KvConflict,
+    ) -> bool:
+        if isinstance(outcome, KvConflict):
+            return self._is_applied(batch, outcome)
+        self._revisions.update(dict.fromkeys(batch, outcome.revision))
+        return True
 
     def _transaction(
         self,
@@ -92,8 +100,9 @@
         deletes: tuple[StoreKey, ...],
     ) -> KvTransaction:
         expected = [self._fence]
-        for key in batch:
-            expected.append((key, self._revisions.get(key, ABSENT)))
+        expected.extend(
+            (key, self._revisions.get(key, ABSENT)) for key in batch
+        )
         writes = tuple(KvWrite(key, text) for key, text in batch.items())
         return KvTransaction(tuple(expected), writes, deletes)
 
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -147,12 +147,11 @@
         failure = KvFailure.REFUSED
         if self._suspended_until_ms <= now_ms():
             answer = await direct()
-            match answer:
-                case Success(_):
-                    return answer
-                case Failure(KvFailure() as failure):
-                    if failure not in _UNREACHABLE:
-                        return answer
+            if isinstance(answer, Success):
+                return answer
+            failure = answer.failure()
+            if failure not in _UNREACHABLE:
+                return answer
         relayed = await self._relay(fields, read)
         if relayed is None:
             return Failure(failure)
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -15,7 +15,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_book import Trust, WorkerView
 from fuchsiarill.resources import NOTHING
 
 
@@ -39,8 +39,6 @@
     view.clock_ms = report.clock_ms
     view.is_accounted = True
     view.reported_ms = now_ms
-    offset_ms = report.clock_ms - now_ms
-    view.clock_offset_ms = max(view.clock_offset_ms or offset_ms, offset_ms)
     state.workers.step(view, StandingEvent.REPORTED)
     for row in report.running:
         _take_running(state, view, row, now_ms)
@@ -54,10 +52,8 @@
     lose_runs(state, view, now_ms)
     view.seen_end = NO_END
     view.durable_end = NO_END
-    view.clock_offset_ms = None
     view.clock_ms = 0
-    view.failures_in_row.clear()
-    view.suspensions_count = 0
+    view.trust = Trust()
     state.tickets.forget_worker(view.worker)
     state.free_version += 1
 
--- a/fuchsiarill/graphs/run_times.py
+++ b/fuchsiarill/graphs/run_times.py
@@ -1,52 +1,84 @@
-"""Run times learned from ended runs, since estimates are far off."""
+"""Run times learned from ended runs, since estimates are far off.
 
+The logarithms of run times and of their ratios to the estimates are taken as
+normally distributed. An expected run time weighs a queue's mean against the
+estimate by the inverse of their variances.
+"""
+
+import math
 from dataclasses import dataclass, field
 from typing import Final
 
 from fuchsiarill.graphs.model import QueueId, Step
 from fuchsiarill.ids import WorkerId
 
-_WEIGHT: Final = 0.15
 _SAMPLES_MIN: Final = 4
-_SPEED_MIN: Final = 0.1
+# Older samples count less than new ones beyond this number.
+_MEMORY_COUNT: Final = 60
+_SLOWNESS_MIN: Final = 0.1
+_VARIANCE_MIN: Final = 0.01
 
 
 @dataclass(slots=True)
-class _Mean:
-    mean_ms: float = 0
-    samples_count: int = 0
+class _Samples:
+    """Running mean and variance."""
+
+    count: int = 0
+    mean: float = 0
+    variance: float = 0
+
+    def add(self, sample: float) -> None:
+        self.count += 1
+        weight = 1 / min(self.count, _MEMORY_COUNT)
+        distance = sample - self.mean
+        self.mean += weight * distance
+        self.variance = (1 - weight) * (self.variance + weight * distance**2)
 
-    def add(self, sample_ms: float) -> None:
-        self.samples_count += 1
-        weight = max(_WEIGHT, 1 / self.samples_count)
-        self.mean_ms += weight * (sample_ms - self.mean_ms)
+    @property
+    def spread(self) -> float:
+        return max(self.variance, _VARIANCE_MIN)
 
 
 @dataclass(slots=True)
 class RunTimes:
-    """Mean run time of each queue, and how workers compare with it."""
+    """Run times by queue, and how workers compare with the mean."""
 
-    queues: dict[QueueId, _Mean] = field(default_factory=dict)
-    workers: dict[WorkerId, _Mean] = field(default_factory=dict)
+    durations: dict[QueueId, _Samples] = field(default_factory=dict)
+    errors: dict[QueueId, _Samples] = field(default_factory=dict)
+    workers: dict[WorkerId, _Samples] = field(default_factory=dict)
 
-    def add(self, queue: QueueId, worker: WorkerId, duration_ms: int) -> None:
+    def add(
+        self,
+        queue: QueueId,
+        step: Step,
+        worker: WorkerId,
+        duration_ms: int,
+    ) -> None:
         """Take a run that succeeded into account."""
-        mean = self.queues.setdefault(queue, _Mean())
-        if mean.samples_count >= _SAMPLES_MIN and mean.mean_ms > 0:
-            ratio = duration_ms / mean.mean_ms
-            self.workers.setdefault(worker, _Mean()).add(ratio)
-        mean.add(duration_ms)
+        expected_ms = max(self.expected_ms(queue, step), 1)
+        duration = math.log(max(duration_ms, 1))
+        samples = self.workers.setdefault(worker, _Samples())
+        samples.add(duration - math.log(expected_ms))
+        self.durations.setdefault(queue, _Samples()).add(duration)
+        if step.estimate_ms > 0:
+            error = duration - math.log(step.estimate_ms)
+            self.errors.setdefault(queue, _Samples()).add(error)
 
     def expected_ms(self, queue: QueueId, step: Step) -> float:
         """Return the expected run time of a task."""
-        mean = self.queues.get(queue)
-        if mean is None or mean.samples_count < _SAMPLES_MIN:
+        durations = self.durations.get(queue)
+        if durations is None or durations.count < _SAMPLES_MIN:
             return step.estimate_ms
-        return mean.mean_ms
+        errors = self.errors.get(queue)
+        if errors is None or step.estimate_ms <= 0:
+            return math.exp(durations.mean)
+        weight = durations.spread / (durations.spread + errors.spread)
+        estimate = math.log(step.estimate_ms) + errors.mean
+        return math.exp(weight * estimate + (1 - weight) * durations.mean)
 
     def slowness(self, worker: WorkerId) -> float:
-        """Return run times on a worker as a multiple of the mean."""
-        mean = self.workers.get(worker)
-        if mean is None or mean.samples_count < _SAMPLES_MIN:
+        """Return run times on a worker as a multiple of the expected."""
+        samples = self.workers.get(worker)
+        if samples is None or samples.count < _SAMPLES_MIN:
             return 1.0
-        return max(mean.mean_ms, _SPEED_MIN)
+        return max(math.exp(samples.mean), _SLOWNESS_MIN)
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -19,29 +19,28 @@
     """Stop runs that a reachable worker reports without any progress."""
     for view in state.workers:
         for run in list(view.runs.values()):
-            if run.state is not RunState.RUNNING:
-                continue
-            if not _is_stalled(state, view, run):
-                continue
-            events.emit(
-                events.RUN_STALLED,
-                job=run.task.job,
-                task='.'.join(map(str, run.task[1:])),
-                attempt=run.attempt,
-                worker=view.worker,
-                percent=run.progress_percent,
-            )
-            worker_trust.note_failure(view, run.task, now_ms)
-            step_run(state, run, RunEvent.STOP_ASKED, now_ms)
-
-
-def _is_stalled(
-    state: PoolState,
-    view: WorkerView,
-    run: Run,
-) -> bool:
+            if _is_stalled(state, view, run):
+                _stop(state, view, run, now_ms)
+
+
+def _stop(state: PoolState, view: WorkerView, run: Run, now_ms: int) -> None:
+    events.emit(
+        events.RUN_STALLED,
+        job=run.task.job,
+        task='.'.join(map(str, run.task[1:])),
+        attempt=run.attempt,
+        worker=view.worker,
+        percent=run.progress_percent,
+    )
+    worker_trust.note_failure(view, run.task, now_ms)
+    step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+
+
+def _is_stalled(state: PoolState, view: WorkerView, run: Run) -> bool:
+    if run.state is not RunState.RUNNING or run.filler_milli:
+        return False
     found = state.find_step(run.task)
-    if found is None or run.filler_milli or found[1].step.is_gang:
+    if found is None or found[1].step.is_gang:
         return False
     if run.progress_percent >= _AT_WORK_PERCENT:
         return False
--- a/fuchsiarill/graphs/store_encoding.py
+++ b/fuchsiarill/graphs/store_encoding.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import (
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
@@ -17,10 +17,15 @@
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.graphs import records
+from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import GraphConfig, PoolId
-from fuchsiarill.graphs.owner_messages import ConfigInForce, OwnershipRefuted
+from fuchsiarill.graphs.owner_messages import (
+    ConfigInForce,
+    OwnershipRefuted,
+    PoolLoaded,
+)
+from fuchsiarill.graphs.pool_loading import load_pool
 from fuchsiarill.graphs.pool_owner import OwnerContext, PoolOwner, Term
 from fuchsiarill.graphs.states import TenureEvent, TenureState
 from fuchsiarill.ids import ABSENT, Epoch, StoreLeaseId
@@ -65,6 +70,14 @@
     asked_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Loaded:
+    """The pool has been read for the term that an election began."""
+
+    election: _Election
+    loaded: PoolLoaded
+
+
 @dataclass(frozen=True, slots=True)
 class _Renewal:
     lease: StoreLeaseId
@@ -117,6 +130,7 @@
         self._is_vacant = False
         self._election = _Election(None)
         self._guard: LeaseGuard | None = None
+        self._loaded: PoolLoaded | None = None
         self._renewed_ms = 0
         self._is_renewing = False
 
@@ -157,10 +171,7 @@
         self._key_revision = max(item.revision, self._key_revision)
         self._is_vacant = item.value is None
         epoch = self._election.epoch
-        if epoch is not None and (
-            (item.value is None and item.revision > epoch)
-            or item.revision > epoch
-        ):
+        if epoch is not None and item.revision > epoch:
             self._step(TenureEvent.OWNERSHIP_LOST)
         if item.value is not None:
             self._end_former_life(item.value)
@@ -194,6 +205,13 @@
         if self.state is TenureState.RELEASED and message.lease is not None:
             self.spawn(self._end_lease(message.lease))
 
+    @handles(_Loaded)
+    async def on_loaded(self, message: _Loaded) -> None:
+        """Begin to own, unless the term has ended meanwhile."""
+        if message.election is self._election:
+            self._loaded = message.loaded
+            self._step(TenureEvent.LOADED)
+
     @handles(_Renewal)
     async def on_renewal(self, message: _Renewal) -> None:
         """Move the deadline of the ownership."""
@@ -232,7 +250,8 @@
         self._step(TenureEvent.DRAIN_ASKED)
         if self.owner is not None:
             await self.owner.hand_over(_HAND_OVER_MS)
-            owner, self.owner = self.owner, None
+            owner = self.owner
+            self.owner = None
             await owner.stop()
         if self._election.lease is not None:
             await self._end_lease(self._election.lease)
@@ -243,29 +262,28 @@
         self.spawn(self._campaign())
 
     def load(self) -> None:
-        """Begin the term."""
+        """Read what earlier owners left, in a task of its own."""
         election = self._election
-        if election.epoch is None:
-            return
-        guard = LeaseGuard(self._deadline_ms(election.asked_ms))
-        self._guard = guard
+        self._guard = LeaseGuard(self._deadline_ms(election.asked_ms))
         self._renewed_ms = election.asked_ms
-        term = Term(self.pool, election.epoch, guard, self.config)
-        owner_context = OwnerContext(
-            self._context.settings,
-            self._context.ports,
-            self._context.advisor,
-            self.mailbox,
-        )
-        self.owner = PoolOwner(term, owner_context)
-        self.owner.start()
         events.emit(
             events.TENURE_WON,
             pool=self.pool,
             epoch=election.epoch,
             campaign_ms=now_ms() - election.asked_ms,
         )
-        self._step(TenureEvent.LOADED)
+        self.spawn(self._load(election))
+
+    def serve(self) -> None:
+        """Begin the term with what has been loaded."""
+        epoch, loaded = self._election.epoch, self._loaded
+        if epoch is None or loaded is None or self._guard is None:
+            return
+        term = Term(self.pool, epoch, self._guard, self.config)
+        owner_context = replace(self._context, tenure=self.mailbox)
+        self.owner = PoolOwner(term, owner_context, loaded)
+        self.owner.start()
+        self._loaded = None
 
     def step_down(self) -> None:
         """End the term; the key belongs to another, or to nobody."""
@@ -323,7 +341,7 @@
             await sleep_ms(_RETRY_MS)
             return _Election(None)
         lease = granted.unwrap()
-        key = records.owner_key(self.pool)
+        key = keys.owner_key(self.pool)
         record = records.OwnerRecord(
             self._settings.process,
             self._candidate.incarnation,
@@ -351,7 +369,7 @@
     ) -> _Election:
         """Find out whether a write without an answer took effect."""
         found = await self._store.get(
-            records.owner_key(self.pool),
+            keys.owner_key(self.pool),
             self._settings.calls.store_timeout_ms,
         )
         if isinstance(found, Success) and found.unwrap().value == value:
@@ -381,7 +399,7 @@
             if self.state is TenureState.SUSPENDED:
                 # Keys may have been taken away while nothing was heard.
                 found = await self._store.get(
-                    records.owner_key(self.pool),
+                    keys.owner_key(self.pool),
                     timeout_ms,
                 )
                 if isinstance(found, Failure):
@@ -391,6 +409,14 @@
                     is_key_lost = int(found.unwrap().revision) != epoch
         self.mailbox.send(_Renewal(lease, asked_ms, outcome, is_key_lost))
 
+    async def _load(self, election: _Election) -> None:
+        loaded = await load_pool(
+            self._store,
+            self.pool,
+            self._settings.calls.store_timeout_ms,
+        )
+        self.mailbox.send(_Loaded(election, loaded))
+
     async def _end_lease(self, lease: StoreLeaseId) -> None:
         await self._store.end_lease(
             lease,
@@ -418,7 +444,7 @@
 
 @TENURE_ACTIONS.register('serve')
 def _serve(tenure: Tenure) -> None:
-    """Loading goes on in the owner, which orders nothing before its end."""
+    tenure.serve()
 
 
 @TENURE_ACTIONS.register('suspend')
--- /dev/null
+++ b/fuchsiarill/graphs/ticking.py
@@ -0,0 +1,101 @@
+"""What time alone brings: registered functions that run at each tick."""
+
+from collections.abc import Callable
+from typing import Final
+
+from fuchsiarill import events
+from fuchsiarill.graphs import draining, pacing, reports, stalls
+from fuchsiarill.graphs.job_book import JobEntry
+from fuchsiarill.graphs.run_actions import order_stop
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import StandingEvent
+from fuchsiarill.registry import Registry
+
+_Tick = Callable[[PoolState, int], None]
+
+# Run in the order of their names.
+TICKS: Final[Registry[str, _Tick]] = Registry('ticks')
+
+# A stop without an answer is ordered again after this time.
+_STOP_REPEAT_MS: Final = 400
+
+TICKS.register('4 leave workers')(draining.leave_workers)
+TICKS.register('5 pace fillers')(pacing.pace_fillers)
+TICKS.register('6 stop stalled runs')(stalls.stop_stalled)
+
+
+@TICKS.register('1 lapse')
+def _lapse(state: PoolState, now_ms: int) -> None:
+    """Take what runs on workers as ended when its leases have lapsed."""
+    for view in state.workers:
+        if now_ms <= view.lapse_ms:
+            continue
+        view.is_accounted = True
+        if view.runs:
+            reports.lose_runs(state, view, now_ms)
+        if not view.is_listed:
+            state.workers.step(view, StandingEvent.LAPSED)
+
+
+@TICKS.register('2 open occurrences')
+def _open_due(state: PoolState, now_ms: int) -> None:
+    """Open the occurrences of scheduled jobs that are due."""
+    unix_ms = now_ms + state.unix_offset_ms
+    for entry in state.jobs.values():
+        if entry.is_active:
+            _open_occurrences(entry, unix_ms)
+
+
+def _open_occurrences(entry: JobEntry, unix_ms: int) -> None:
+    schedule = entry.graph.schedule
+    if schedule is None:
+        return
+    while entry.opened_occurrences < schedule.occurrences_count:
+        occurrence = entry.opened_occurrences
+        if unix_ms < schedule.start_at_ms + occurrence * schedule.period_ms:
+            return
+        entry.open_occurrence(occurrence)
+
+
+@TICKS.register('3 repeat stops')
+def _repeat_stops(state: PoolState, now_ms: int) -> None:
+    """Order stops again that got no answer."""
+    for view in state.workers:
+        for run in list(view.runs.values()):
+            if _is_stop_overdue(run, now_ms):
+                order_stop(state, run, now_ms)
+
+
+def _is_stop_overdue(run: Run, now_ms: int) -> bool:
+    if run.stop_ordered_ms is None or run.is_stop_answered:
+        return False
+    return now_ms - run.stop_ordered_ms >= _STOP_REPEAT_MS
+
+
+@TICKS.register('7 settle inheritance')
+def _settle_inheritance(state: PoolState, now_ms: int) -> None:
+    """Let jobs of the owner before start when all workers are accounted."""
+    if state.is_inheritance_settled:
+        return
+    for view in state.workers:
+        if view.is_recorded and not view.is_accounted:
+            return
+    state.is_inheritance_settled = True
+    events.emit(
+        events.INHERITANCE_SETTLED,
+        pool=state.pool,
+        epoch=state.epoch,
+    )
+
+
+@TICKS.register('8 drop reservations')
+def _drop_reservations(state: PoolState, now_ms: int) -> None:
+    """Give up room that was kept in vain."""
+    for view in state.workers:
+        if view.reservations:
+            view.reservations = [
+                reservation
+                for reservation in view.reservations
+                if reservation.expiry_ms > now_ms
+            ]
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_book.py
@@ -1,6 +1,7 @@
 """Workers of a pool as their owner knows them."""
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 from typing import Final
 
 from fuchsiarill.graphs.model import (
@@ -8,6 +9,7 @@
     BornMs,
     EndSequence,
     Label,
+    StepKey,
     TaskKey,
     WorkerEntry,
     WorkerListing,
@@ -22,40 +24,54 @@
 _RACK_LABELS_MIN: Final = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Room that is kept for a step until `expiry_ms`."""
+
+    step: StepKey
+    charge: Resources
+    expiry_ms: int
+
+
+@dataclass(slots=True)
+class Trust:
+    """What the ends on a worker say of it."""
+
+    failures_in_row: set[TaskKey] = field(default_factory=set)
+    suspensions_count: int = 0
+    suspended_until_ms: int = 0
+
+
+@dataclass(slots=True)
 class WorkerView:
     """One worker: what it offers, what runs there and what it has said."""
 
-    def __init__(self, worker: WorkerId, address: str) -> None:
-        """Create a worker that has not answered yet."""
-        self.worker = worker
-        self.address = address
-        self.entry: WorkerEntry | None = None
-        self.standing = StandingState.UNCONFIRMED
-        self.is_listed = False
-        # In the durable fleet record, so that a next owner asks it too.
-        self.is_recorded = False
-        # Has answered this owner, or all that ran there has lapsed.
-        self.is_accounted = False
-        self.runs: dict[tuple[TaskKey, int], Run] = {}
-        self.held = NOTHING
-        self.filler_milli = 0
-        self.serving_count = 0
-        self.born_ms = _NO_BIRTH
-        # Ends up to here have been taken into account.
-        self.seen_end: EndSequence = NO_END
-        # Ends up to here are durable, and the worker may forget them.
-        self.durable_end: EndSequence = NO_END
-        # Everything there has lapsed by then, if no renewal is sent.
-        self.lapse_ms = 0
-        self.reported_ms = 0
-        # Worker's clock in the newest report.
-        self.clock_ms = 0
-        # Worker's clock minus the runtime clock, when last reported.
-        self.clock_offset_ms: int | None = None
-        self.leaving_since_ms: int | None = None
-        self.failures_in_row: set[TaskKey] = set()
-        self.suspensions_count = 0
-        self.suspended_until_ms = 0
+    worker: WorkerId
+    address: str
+    entry: WorkerEntry | None = None
+    standing: StandingState = StandingState.UNCONFIRMED
+    is_listed: bool = False
+    # In the durable fleet record, so that a next owner asks it too.
+    is_recorded: bool = False
+    # Has answered this owner, or all that ran there has lapsed.
+    is_accounted: bool = False
+    runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
+    held: Resources = NOTHING
+    reservations: list[Reservation] = field(default_factory=list)
+    filler_milli: int = 0
+    serving_count: int = 0
+    born_ms: BornMs = _NO_BIRTH
+    # Ends up to here have been taken into account.
+    seen_end: EndSequence = NO_END
+    # Ends up to here are durable, and the worker may forget them.
+    durable_end: EndSequence = NO_END
+    # Everything there has lapsed by then, if no renewal is sent.
+    lapse_ms: int = 0
+    reported_ms: int = 0
+    # Worker's clock in the newest report.
+    clock_ms: int = 0
+    leaving_since_ms: int | None = None
+    trust: Trust = field(default_factory=Trust)
 
     @property
     def free(self) -> Resources:
@@ -64,6 +80,21 @@
             return NOTHING
         return self.entry.capacity - self.held
 
+    def free_for(self, step: StepKey) -> Resources:
+        """Return what is neither held nor kept for another step."""
+        free = self.free
+        for reservation in self.reservations:
+            if reservation.step != step:
+                free -= reservation.charge
+        return free
+
+    def take_reservation(self, step: StepKey) -> None:
+        """Drop one reservation of a step whose task starts."""
+        for reservation in self.reservations:
+            if reservation.step == step:
+                self.reservations.remove(reservation)
+                return
+
     @property
     def labels(self) -> tuple[Label, ...]:
         """Return the worker's labels."""
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -156,7 +156,8 @@
             self._expiry_ms(),
             wait_ms,
         )
-        self._context.owner.send(RenewalSent(self.agent.worker))
+        if order.expiry_ms is not None:
+            self._context.owner.send(RenewalSent(self.agent.worker))
         answered = await self._context.agents.renew(
             self.agent,
             order,
@@ -195,8 +196,12 @@
         self._context.owner.send(RenewalFailed(self.agent.worker, failure))
 
     def _expiry_ms(self) -> int | None:
-        """Return when leases renewed now end, in the worker's clock."""
-        if self._offset_ms is None:
+        """Return when leases renewed now end, in the worker's clock.
+
+        A worker that has not answered is asked without a renewal: what runs
+        there would otherwise never be known to have lapsed.
+        """
+        if self._offset_ms is None or not self._is_confirmed:
             return None
         duration_ms = self._context.settings.task_lease.duration_ms
         return now_ms() + self._offset_ms + duration_ms
--- a/fuchsiarill/graphs/worker_trust.py
+++ b/fuchsiarill/graphs/worker_trust.py
@@ -15,25 +15,25 @@
 
 def note_success(view: WorkerView) -> None:
     """Trust the worker again."""
-    view.failures_in_row.clear()
-    view.suspensions_count = 0
+    view.trust.failures_in_row.clear()
+    view.trust.suspensions_count = 0
 
 
 def note_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
     """Suspend the worker when several tasks fail one after the other."""
-    view.failures_in_row.add(task)
-    if len(view.failures_in_row) < _FAILURES_MAX_COUNT:
+    view.trust.failures_in_row.add(task)
+    if len(view.trust.failures_in_row) < _FAILURES_MAX_COUNT:
         return
     duration_ms = min(
-        _SUSPENSION_MS * 2**view.suspensions_count,
+        _SUSPENSION_MS * 2**view.trust.suspensions_count,
         _SUSPENSION_MAX_MS,
     )
-    view.suspensions_count += 1
-    view.suspended_until_ms = now_ms + duration_ms
+    view.trust.suspensions_count += 1
+    view.trust.suspended_until_ms = now_ms + duration_ms
     events.emit(
         events.WORKER_SUSPENDED,
         worker=view.worker,
-        failures=len(view.failures_in_row),
+        failures=len(view.trust.failures_in_row),
         duration_ms=duration_ms,
     )
 
@@ -43,6 +43,6 @@
 
     After a suspension it is given one task at a time until one succeeds.
     """
-    if now_ms < view.suspended_until_ms:
+    if now_ms < view.trust.suspended_until_ms:
         return False
-    return view.suspensions_count == 0 or not view.runs
+    return view.trust.suspensions_count == 0 or not view.runs
--- a/fuchsiarill/log_sink.py
+++ b/fuchsiarill/log_sink.py
@@ -27,11 +27,6 @@
         self._has_lines = threading.Event()
         threading.Thread(target=self._write_forever, daemon=True).start()
 
-    @property
-    def dropped_count(self) -> int:
-        """Return the number of lines that were dropped."""
-        return self._dropped_count
-
     def __call__(self, message: Any) -> None:
         """Queue a message of loguru, or drop it."""
         if len(self._lines) >= _CAPACITY:
@@ -47,18 +42,23 @@
         self._lines.append(line)
         self._has_lines.set()
 
+    @property
+    def dropped_count(self) -> int:
+        """Return the number of lines that were dropped."""
+        return self._dropped_count
+
     def flush(self) -> None:
         """Write what is queued."""
         chunk: list[str] = []
         while self._lines:
             chunk.append(json.dumps(self._lines.popleft(), default=str))
         if self._dropped_count:
-            dropped, self._dropped_count = self._dropped_count, 0
             line = {
                 'level': 'WARNING',
                 'event': _DROPPED_EVENT,
-                'count': dropped,
+                'count': self._dropped_count,
             }
+            self._dropped_count = 0
             chunk.append(json.dumps(line))
         if chunk:
             self._stream.write('\n'.join((*chunk, '')))
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -45,6 +45,12 @@
     codes.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OUTCOME_UNCERTAIN: HTTPStatus.GATEWAY_TIMEOUT,
 }
+_FAILURES: Final = {
+    DocumentError: codes.MALFORMED,
+    NotSentError: codes.OVERLOADED,
+    TimeoutError: codes.OUTCOME_UNCERTAIN,
+}
+_FAILURE_TYPES: Final = tuple(_FAILURES)
 _PHASES: Final = {
     JobPhase.SUCCEEDED: 'done',
     JobPhase.FAILED: 'failed',
@@ -81,18 +87,17 @@
             return IntakeAnswer(codes.UNKNOWN_ROUTE)
         if len(request.body) > config.limits.body_max_bytes:
             return IntakeAnswer(codes.TOO_LARGE)
+        try:
+            return self._handled(request, policy)
+        except _FAILURE_TYPES as error:
+            return IntakeAnswer(_FAILURES[type(error)])
+
+    def _handled(self, request: Request, policy: QueuePolicy) -> IntakeAnswer:
         job = request.path.removeprefix(policy.prefix)
         verb = (request.method, bool(job))
         if verb not in VERBS:
             return IntakeAnswer(codes.UNKNOWN_ROUTE)
-        try:
-            return VERBS.lookup(verb)(self, request, policy, job)
-        except DocumentError:
-            return IntakeAnswer(codes.MALFORMED)
-        except NotSentError:
-            return IntakeAnswer(codes.OVERLOADED)
-        except TimeoutError:
-            return IntakeAnswer(codes.OUTCOME_UNCERTAIN)
+        return VERBS.lookup(verb)(self, request, policy, job)
 
     def _response(self, request: Request, outcome: IntakeAnswer) -> Response:
         status = _STATUSES[outcome.code]
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -69,11 +69,7 @@
     for early in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
         signal.signal(early, _ignore_reload if early is signal.SIGHUP else _end)
     path = Path(os.environ.get(_SETTINGS_VARIABLE, ''))
-    loaded = load_graph_settings(path)
-    if isinstance(loaded, Failure):
-        sys.stderr.write('\n'.join((*loaded.failure(), '')))
-        sys.exit(ExitStatus.BAD_REQUEST.value)
-    settings = loaded.unwrap()
+    settings = _load_or_exit(path)
     collect_seldom()
     sink = JsonLineSink()
     events.configure_structured(sink, settings.log_level)
@@ -81,6 +77,14 @@
         runner.run(_main(settings, path, sink))
 
 
+def _load_or_exit(path: Path) -> GraphSettings:
+    loaded = load_graph_settings(path)
+    if isinstance(loaded, Failure):
+        sys.stderr.write('\n'.join((*loaded.failure(), '')))
+        sys.exit(ExitStatus.BAD_REQUEST.value)
+    return loaded.unwrap()
+
+
 def _ignore_reload(number: int, frame: Any) -> None:
     """Settings are read after the start anyway."""
 
@@ -124,7 +128,6 @@
         ),
     )
     process = GraphProcess(settings, ports, metrics)
-    listeners = _listeners(settings, process, metrics)
     _handle_signals(process, path, settings)
     await serve_help(
         settings.listen.peers,
@@ -132,18 +135,23 @@
         settings.calls.advice_timeout_ms,
     )
     process.start()
+    listeners = _listeners(settings, process, metrics)
     for listener in listeners:
         listener.start()
-    while process.exit_status is None:
-        await asyncio.sleep(_CHECK_S)
-        if process.front.view.is_draining:
-            listeners[0].is_draining = True
-    await _finish_requests(listeners[0])
+    await _run_to_end(process, listeners[0])
     events.emit(events.PROCESS_STOPPED, process=settings.process)
     sink.flush()
     # A close of each listener takes seconds, in which requests would be read
     # and not answered.
-    os._exit(process.exit_status)
+    os._exit(process.exit_status or 0)
+
+
+async def _run_to_end(process: GraphProcess, listener: Listener) -> None:
+    """Wait for the end of the process and of the requests in progress."""
+    while process.exit_status is None:
+        await asyncio.sleep(_CHECK_S)
+        listener.is_draining = process.front.view.is_draining
+    await _finish_requests(listener)
 
 
 async def _finish_requests(listener: Listener) -> None:
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -34,26 +34,17 @@
     'ready': WorkerListing.LIVE,
     'draining': WorkerListing.LEAVING,
 }
-_NO_TIME: Final = 60000
+# A queue without a time-out of its own.
+_TIMEOUT_MS: Final = 60_000
+_UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
 
 
 def read_config(content: bytes) -> GraphConfig:
     """Read the operator's configuration."""
     document = _object(content)
     try:
-        queues = [_queue(row) for row in document['routes']]
-        pools = [_pool(row) for row in document['services']]
-        limits = document.get('limits', {})
-        return GraphConfig(
-            Generation(int(document['version'])),
-            {policy.queue: policy for policy in queues},
-            {policy.pool: policy for policy in pools},
-            RequestLimits(
-                limits.get('max_header_bytes', 16384),
-                limits.get('max_body_bytes', 262144),
-            ),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return _config(document)
+    except _UNREADABLE as error:
         raise DocumentError(f'configuration: {error!r}') from error
 
 
@@ -62,7 +53,7 @@
     document = _object(content)
     try:
         return _worker(worker, document)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise DocumentError(f'entry of {worker}: {error!r}') from error
 
 
@@ -80,7 +71,7 @@
             _steps(document['phases']),
             _schedule(document),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise DocumentError(f'job {job}: {error!r}') from error
 
 
@@ -94,6 +85,22 @@
     return document
 
 
+def _config(document: dict[str, Any]) -> GraphConfig:
+    queues = [_queue(row) for row in document['routes']]
+    pools = [_pool(row) for row in document['services']]
+    limits = document.get('limits', {})
+    usual = RequestLimits()
+    return GraphConfig(
+        Generation(int(document['version'])),
+        {policy.queue: policy for policy in queues},
+        {policy.pool: policy for policy in pools},
+        RequestLimits(
+            limits.get('max_header_bytes', usual.header_max_bytes),
+            limits.get('max_body_bytes', usual.body_max_bytes),
+        ),
+    )
+
+
 def _queue(row: dict[str, Any]) -> QueuePolicy:
     advice = row.get('advice')
     return QueuePolicy(
@@ -101,7 +108,7 @@
         row['host'],
         row['prefix'],
         PoolId(row['service']),
-        int(row.get('timeout_ms') or _NO_TIME),
+        int(row.get('timeout_ms') or _TIMEOUT_MS),
         int(row.get('priority', 0)),
         int(row.get('max_attempts', 1)),
         float(row.get('slack_factor', 1)),
