--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -26,7 +26,7 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.progress import JobProgress
-from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.run_actions import extend_leases, step_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
@@ -144,11 +144,8 @@
     def renewal_sent(self, worker: WorkerId, now_ms: int) -> None:
         """Note that everything on a worker may run for one more lease."""
         view = self.state.workers.find(worker)
-        if view is None:
-            return
-        leases = self.state.leases
-        longest_ms = leases.duration_ms * (1 + leases.clock_slowness)
-        view.lapse_ms = int(now_ms + longest_ms) + leases.wake_ms
+        if view is not None:
+            extend_leases(self.state, view, now_ms)
 
     def worker_reported(
         self,
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -15,7 +15,7 @@
     usable_workers,
 )
 from fuchsiarill.graphs.preempting import preempt
-from fuchsiarill.graphs.run_actions import hold_run
+from fuchsiarill.graphs.run_actions import extend_leases, hold_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
@@ -170,6 +170,7 @@
         step.runs_per_worker[view.worker] += 1
         view.take_reservation(step.key)
         hold_run(state, run)
+        extend_leases(state, view, request.now_ms)
         _order(state, request, run, view)
 
 
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preempting.py
@@ -102,19 +102,23 @@
     request: Request,
     view: WorkerView,
 ) -> list[Run]:
-    victims = []
-    for run in view.runs.values():
-        found = state.find_step(run.task)
-        if found is None or run.state is not RunState.RUNNING:
-            continue
-        entry, step = found
-        if entry.policy.priority <= request.entry.policy.priority:
-            continue
-        if step.step.is_lasting or step.step.is_gang:
-            continue
-        if step.step.is_checkpointing:
-            victims.append(run)
-    return victims
+    priority = request.entry.policy.priority
+    return [
+        run
+        for run in view.runs.values()
+        if run.state is RunState.RUNNING
+        and _may_be_preempted(state, run, priority)
+    ]
+
+
+def _may_be_preempted(state: PoolState, run: Run, priority: int) -> bool:
+    found = state.find_step(run.task)
+    if found is None or found[0].policy.priority <= priority:
+        return False
+    step = found[1].step
+    if step.is_lasting or step.is_gang:
+        return False
+    return step.is_checkpointing
 
 
 def _cost(run: Run) -> float:
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from fuchsiarill import events
-from fuchsiarill.actor import Actor, Reply, handles
+from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
@@ -63,13 +63,14 @@
         settings: GraphSettings,
         ports: GraphPorts,
         metrics: GraphMetrics,
+        links: PeerLinks | None = None,
     ) -> None:
         """Create the actors; `start` runs them.
 
         The store in `ports` is the one that is reached directly.
         """
         super().__init__('process')
-        self._links = PeerLinks()
+        self._links = links or PeerLinks()
         ports = replace(ports, store=RelayedStore(ports.store, self._links))
         self._settings = settings
         self._ports = ports
@@ -93,6 +94,11 @@
         self._is_address_told = False
         self.exit_status: int | None = None
 
+    @property
+    def intake(self) -> Mailbox:
+        """Return where requests of callers go."""
+        return self._intake.mailbox
+
     def start(self) -> None:
         """Run all actors."""
         super().start()
@@ -110,6 +116,10 @@
             failure_domain=self._settings.failure_domain,
         )
 
+    def drain(self) -> None:
+        """Ask the process to hand over and end."""
+        self.mailbox.send(DrainProcess())
+
     async def stop(self) -> None:
         """End all actors."""
         for actor in self._actors():
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -7,6 +7,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
+from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.registry import Registry
 from fuchsiarill.state_chart import load_chart
 
@@ -63,6 +64,13 @@
         view.hold(run, is_serving=_is_serving(state, run))
 
 
+def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Note that an order that extends all leases of a worker leaves."""
+    leases = state.leases
+    longest_ms = leases.duration_ms * (1 + leases.clock_slowness)
+    view.lapse_ms = int(now_ms + longest_ms) + leases.wake_ms
+
+
 def _is_serving(state: PoolState, run: Run) -> bool:
     entry = state.jobs.get(run.task.job)
     if entry is None:
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -27,7 +27,7 @@
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
 from fuchsiarill.graphs.peers import serve_help
 from fuchsiarill.graphs.ports import Directory, GraphPorts
-from fuchsiarill.graphs.process import AskDump, DrainProcess, GraphProcess
+from fuchsiarill.graphs.process import AskDump, GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
 from fuchsiarill.ids import StoreKey
 from fuchsiarill.log_sink import JsonLineSink
@@ -226,7 +226,7 @@
 ) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.mailbox.send, DrainProcess())
+        loop.add_signal_handler(number, process.drain)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
 
 
--- /dev/null
+++ b/standins/agent_model.py
@@ -0,0 +1,317 @@
+"""A model of the workers' agents, in memory, by the runtime clock.
+
+It keeps the promises that workers make (fencing, leases, ends that are listed
+until they are acknowledged) and notes what no owner may ever bring about.
+The payload of a job tells how its tasks behave: `duration_ms`, and `fails`,
+the number of attempts of each task that end as failed.
+"""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.graphs.model import (
+    BornMs,
+    Checkpoint,
+    EndKind,
+    EndRow,
+    EndSequence,
+    RunningRow,
+    StartOrder,
+    TaskKey,
+    WorkerReport,
+)
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.ports.agents import (
+    AgentAddress,
+    AgentFailure,
+    PaceOrder,
+    RenewalOrder,
+    StopOrder,
+)
+from fuchsiarill.resources import NOTHING, Resources
+
+_TRAVEL_MS = 5
+_POLL_MS = 5
+_LEASE_MAX_MS = 6000
+_FULL_PERCENT = 100
+
+
+@dataclass(slots=True)
+class _ModelRun:
+    task: TaskKey
+    attempt: int
+    started_ms: int
+    ends_ms: int | None
+    kind: EndKind
+    size: Resources
+
+
+@dataclass(slots=True)
+class AgentModel:
+    """One life of a worker."""
+
+    worker: WorkerId
+    capacity: Resources
+    born_ms: BornMs
+    sizes: dict[TaskKey, Resources]
+    epoch: int = 0
+    lease_ms: int = 0
+    runs: dict[tuple[TaskKey, int], _ModelRun] = field(default_factory=dict)
+    ended: list[EndRow] = field(default_factory=list)
+    ends_count: int = 0
+    refused_up_to: dict[TaskKey, int] = field(default_factory=dict)
+    is_silent: bool = False
+    # Starts are carried out, and no answer comes.
+    loses_answers: bool = False
+    # Every run ends as failed at once.
+    fails_all: bool = False
+
+    def clock_ms(self) -> int:
+        """Return the time since the worker started."""
+        return now_ms() - self.born_ms
+
+    def settle(self) -> None:
+        """End what has run its time or has lapsed."""
+        now = now_ms()
+        for run in list(self.runs.values()):
+            if run.ends_ms is not None and run.ends_ms <= now:
+                self.end(run, run.kind)
+        if self.clock_ms() > self.lease_ms:
+            for run in list(self.runs.values()):
+                self.end(run, EndKind.LAPSED)
+
+    def end(self, run: _ModelRun, kind: EndKind) -> None:
+        """End a run and list the end."""
+        self.runs.pop((run.task, run.attempt))
+        self.ends_count += 1
+        self.refused_up_to[run.task] = max(
+            self.refused_up_to.get(run.task, 0),
+            run.attempt,
+        )
+        self.ended.append(
+            EndRow(
+                EndSequence(self.ends_count),
+                run.task,
+                run.attempt,
+                kind,
+                Checkpoint(''),
+            ),
+        )
+
+    def extend(self, expiry_ms: int | None) -> None:
+        """Extend the leases; they never get shorter."""
+        if expiry_ms is not None:
+            longest_ms = self.clock_ms() + _LEASE_MAX_MS
+            self.lease_ms = max(self.lease_ms, min(expiry_ms, longest_ms))
+
+    def used(self) -> Resources:
+        """Return what all runs hold together."""
+        return sum((run.size for run in self.runs.values()), NOTHING)
+
+
+class Fleet:
+    """All workers, reached as an `AgentPort`, and what went wrong there."""
+
+    def __init__(self) -> None:
+        """Start without workers."""
+        self.agents: dict[str, AgentModel] = {}
+        self.sizes: dict[TaskKey, Resources] = {}
+        self.violations: list[str] = []
+        self.starts: list[tuple[TaskKey, int, WorkerId]] = []
+        self.succeeded: dict[TaskKey, WorkerId] = {}
+
+    def add(self, worker: str, capacity: Resources) -> AgentModel:
+        """Add a worker, or a new life of one."""
+        agent = AgentModel(
+            WorkerId(worker),
+            capacity,
+            BornMs(now_ms() + 1),
+            self.sizes,
+        )
+        self.agents[worker] = agent
+        return agent
+
+    async def start(
+        self,
+        agent: AgentAddress,
+        order: StartOrder,
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        """Start a run."""
+        model = await self._reach(agent, timeout_ms)
+        if isinstance(model, AgentFailure):
+            return Failure(model)
+        failure = self._check(model, order)
+        if failure is not None:
+            return Failure(failure)
+        self._begin(model, order)
+        if model.loses_answers:
+            await sleep_ms(timeout_ms)
+            return Failure(AgentFailure.UNKNOWN)
+        return Success(model.clock_ms())
+
+    async def stop(
+        self,
+        agent: AgentAddress,
+        order: StopOrder,
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        """Stop a run, and refuse it from now on."""
+        model = await self._reach(agent, timeout_ms)
+        if isinstance(model, AgentFailure):
+            return Failure(model)
+        if order.epoch < model.epoch:
+            return Failure(AgentFailure.FENCED)
+        model.epoch = order.epoch
+        model.refused_up_to[order.task] = max(
+            model.refused_up_to.get(order.task, 0),
+            order.attempt,
+        )
+        run = model.runs.get((order.task, order.attempt))
+        if run is not None:
+            model.end(run, EndKind.STOPPED)
+        return Success(model.clock_ms())
+
+    async def pace(
+        self,
+        agent: AgentAddress,
+        order: PaceOrder,
+        timeout_ms: int,
+    ) -> Result[int, AgentFailure]:
+        """Accept a pace without effect."""
+        model = await self._reach(agent, timeout_ms)
+        if isinstance(model, AgentFailure):
+            return Failure(model)
+        return Success(model.clock_ms())
+
+    async def renew(
+        self,
+        agent: AgentAddress,
+        order: RenewalOrder,
+        timeout_ms: int,
+    ) -> Result[WorkerReport, AgentFailure]:
+        """Renew the leases and return what runs and has ended."""
+        model = await self._reach(agent, timeout_ms + order.wait_ms)
+        if isinstance(model, AgentFailure):
+            return Failure(model)
+        if order.epoch < model.epoch:
+            return Failure(AgentFailure.FENCED)
+        model.epoch = order.epoch
+        model.extend(order.expiry_ms)
+        model.ended = [
+            end for end in model.ended if end.sequence > order.acknowledged
+        ]
+        deadline_ms = now_ms() + order.wait_ms
+        while not model.ended and now_ms() < deadline_ms:
+            await sleep_ms(_POLL_MS)
+            model.settle()
+        await sleep_ms(_TRAVEL_MS)
+        model.settle()
+        return Success(self._report(model))
+
+    async def _reach(
+        self,
+        agent: AgentAddress,
+        timeout_ms: int,
+    ) -> AgentModel | AgentFailure:
+        model = self.agents.get(agent.address)
+        if model is None:
+            return AgentFailure.CONNECTION_REFUSED
+        if model.is_silent:
+            await sleep_ms(timeout_ms)
+            return AgentFailure.UNKNOWN
+        await sleep_ms(_TRAVEL_MS)
+        if model.worker != agent.worker:
+            return AgentFailure.OTHER_WORKER
+        self._settle_all()
+        return model
+
+    def _settle_all(self) -> None:
+        for model in self.agents.values():
+            before = {run.task for run in model.runs.values()}
+            count = model.ends_count
+            model.settle()
+            if model.ends_count == count:
+                continue
+            for end in model.ended:
+                if end.kind is EndKind.SUCCEEDED and end.task in before:
+                    self.succeeded.setdefault(end.task, model.worker)
+
+    def _check(
+        self,
+        model: AgentModel,
+        order: StartOrder,
+    ) -> AgentFailure | None:
+        if order.epoch < model.epoch:
+            return AgentFailure.FENCED
+        model.epoch = order.epoch
+        if order.attempt <= model.refused_up_to.get(order.task, 0):
+            return AgentFailure.SUPERSEDED
+        if order.expiry_ms < model.clock_ms():
+            return AgentFailure.EXPIRED
+        return None
+
+    def _begin(self, model: AgentModel, order: StartOrder) -> None:
+        if (order.task, order.attempt) in model.runs:
+            return
+        self._note(model, order)
+        model.extend(order.expiry_ms)
+        behaviour: dict[str, Any] = json.loads(order.payload or '{}')
+        duration_ms = behaviour.get('duration_ms')
+        is_failing = order.attempt <= behaviour.get('fails', 0)
+        run = _ModelRun(
+            order.task,
+            order.attempt,
+            now_ms(),
+            None if duration_ms is None else now_ms() + duration_ms,
+            EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
+            self.sizes.get(order.task, NOTHING),
+        )
+        if model.fails_all:
+            run.ends_ms = now_ms()
+            run.kind = EndKind.FAILED
+        model.runs[order.task, order.attempt] = run
+        if not model.used().fits_in(model.capacity):
+            self.violations.append(f'{model.worker} is over its capacity')
+
+    def _note(self, model: AgentModel, order: StartOrder) -> None:
+        """Note a start, and what it breaks."""
+        self.starts.append((order.task, order.attempt, model.worker))
+        if self._is_success_known(order.task):
+            self.violations.append(f'{order.task} starts after its success')
+        for other in self.agents.values():
+            if any(task == order.task for task, _ in other.runs):
+                self.violations.append(f'{order.task} runs twice')
+
+    def _is_success_known(self, task: TaskKey) -> bool:
+        """Tell whether a task's success is certain to be taken note of.
+
+        A success whose worker's leases lapsed before it was acknowledged
+        need not be: nobody may have heard of it.
+        """
+        worker = self.succeeded.get(task)
+        if worker is None:
+            return False
+        model = self.agents[worker]
+        is_listed = any(end.task == task for end in model.ended)
+        return not is_listed or model.clock_ms() <= model.lease_ms
+
+    def _report(self, model: AgentModel) -> WorkerReport:
+        return WorkerReport(
+            model.clock_ms(),
+            model.born_ms,
+            tuple(
+                RunningRow(
+                    run.task,
+                    run.attempt,
+                    Checkpoint(''),
+                    _FULL_PERCENT,
+                )
+                for run in model.runs.values()
+            ),
+            tuple(model.ended),
+        )
--- /dev/null
+++ b/tests/graph_cell.py
@@ -0,0 +1,254 @@
+"""Several processes of the graph scheduler on models, in paused time."""
+
+import json
+from dataclasses import replace
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from fuchsiarill.actor import Reply
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.cluster.peer_port import PeerFailure
+from fuchsiarill.graphs import intake, keys, records
+from fuchsiarill.graphs.metrics import GraphMetrics
+from fuchsiarill.graphs.model import (
+    GraphConfig,
+    JobGraph,
+    PoolId,
+    PoolPolicy,
+    QueueId,
+    QueuePolicy,
+    Step,
+    StepKey,
+    TaskKey,
+    Ticket,
+    WorkerEntry,
+    WorkerListing,
+)
+from fuchsiarill.graphs.peer_links import PeerLinks
+from fuchsiarill.graphs.ports import Directory, GraphPorts
+from fuchsiarill.graphs.process import GraphProcess
+from fuchsiarill.graphs.settings import GraphSettings
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import (
+    FailureDomain,
+    Generation,
+    JobId,
+    ProcessId,
+    StoreKey,
+    WorkerId,
+)
+from fuchsiarill.ports.agents import AgentFailure
+from fuchsiarill.ports.key_value import KvWrite
+from fuchsiarill.resources import Resources
+from standins.agent_model import Fleet
+from standins.store_model import StoreModel, StorePath
+
+POOL = PoolId('costing')
+QUEUE = QueueId('quotes')
+CAPACITY = Resources(8000, 16000, 2)
+TASK_SIZE = Resources(2000, 1000)
+_CONFIG_KEY = StoreKey('settings/config')
+_PATIENCE_MS = 2500
+
+
+class NoPeers(PeerLinks):
+    """Links of a process whose peers are never reached."""
+
+    @property
+    def processes(self) -> tuple[ProcessId, ...]:
+        """Return no process."""
+        return ()
+
+    async def call(
+        self,
+        process: ProcessId,
+        method: str,
+        request: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[Any, PeerFailure]:
+        """Reach nobody."""
+        return Failure(PeerFailure.NOT_SENT)
+
+
+class AllowAll:
+    """An advice service that lets every worker run every step."""
+
+    async def advise(
+        self,
+        step: StepKey,
+        workers: tuple[WorkerId, ...],
+        timeout_ms: int,
+    ) -> Result[dict[WorkerId, Ticket], AgentFailure]:
+        """Return a ticket for each worker."""
+        await sleep_ms(20)
+        return Success({worker: Ticket('ticket') for worker in workers})
+
+
+def queue_policy(**changes: Any) -> QueuePolicy:
+    """Return the policy of the one queue."""
+    policy = QueuePolicy(
+        QUEUE,
+        'jobs.example',
+        '/quotes/',
+        POOL,
+        3000,
+        attempts_max=3,
+        slack_factor=2,
+        target_ms=500,
+    )
+    return replace(policy, **changes)
+
+
+class GraphCell:
+    """Processes, workers and a store that live in one paused loop."""
+
+    def __init__(self, processes_count: int, workers_count: int) -> None:
+        """Create everything; `start` runs it."""
+        self.store = StoreModel()
+        self.fleet = Fleet()
+        self.entries: dict[str, WorkerEntry] = {}
+        self.paths: dict[ProcessId, StorePath] = {}
+        self.processes: dict[ProcessId, GraphProcess] = {}
+        self.lives_count = 0
+        self.config = GraphConfig(
+            Generation(1),
+            {QUEUE: queue_policy()},
+            {POOL: PoolPolicy(POOL)},
+        )
+        self._names = [ProcessId(f'p{name}') for name in range(processes_count)]
+        self._workers_count = workers_count
+
+    async def start(self) -> None:
+        """Run all processes and list all workers."""
+        self.store.write(KvWrite(_CONFIG_KEY, b'1'))
+        for number in range(self._workers_count):
+            self.add_worker(f'w{number}')
+        for name in self._names:
+            self.run_process(name)
+
+    def add_worker(self, name: str) -> None:
+        """Start a worker, or a new life of one."""
+        agent = self.fleet.add(name, CAPACITY)
+        self.entries[name] = WorkerEntry(
+            WorkerId(name),
+            POOL,
+            name,
+            FailureDomain('d'),
+            CAPACITY,
+            (),
+            WorkerListing.LIVE,
+            agent.born_ms,
+        )
+        self.list_worker(name)
+
+    def list_worker(self, name: str) -> None:
+        """Write the entry of a worker."""
+        self.store.write(KvWrite(StoreKey(f'workers/{name}'), name.encode()))
+
+    def unlist_worker(self, name: str) -> None:
+        """Remove the entry of a worker."""
+        self.store.remove(StoreKey(f'workers/{name}'))
+
+    def run_process(self, name: ProcessId) -> None:
+        """Start a process."""
+        self.lives_count += 1
+        self.paths.setdefault(name, StorePath(self.store))
+        settings = GraphSettings.model_validate(
+            {
+                'process': name,
+                'failure_domain': 'd',
+                'listen': {
+                    'callers': 'none:1',
+                    'readiness': 'none:2',
+                    'peers': 'none:3',
+                    'metrics': 'none:4',
+                },
+                'outside': {'store': 'none:5'},
+            },
+        )
+        ports = GraphPorts(
+            self.paths[name],
+            self.fleet,
+            AllowAll(),
+            Directory(
+                _CONFIG_KEY,
+                'settings/',
+                'workers/',
+                lambda _: self.config,
+                lambda worker, _: self.entries[worker],
+            ),
+        )
+        process = GraphProcess(settings, ports, GraphMetrics(), NoPeers())
+        self.processes[name] = process
+        process.start()
+
+    async def kill(self, name: ProcessId) -> None:
+        """End a process without any farewell."""
+        await self.processes.pop(name).stop()
+
+    def owner(self) -> ProcessId | None:
+        """Return the process that the store names as owner."""
+        self.store.expire()
+        item = self.store.found.get(keys.owner_key(POOL))
+        if item is None or item.value is None:
+            return None
+        return records.decode_owner(item.value).process
+
+    async def submit(
+        self,
+        name: ProcessId,
+        job: str,
+        steps: tuple[Step, ...],
+        **behaviour: Any,
+    ) -> intake.IntakeAnswer:
+        """Hand a job in at a process."""
+        graph = JobGraph(
+            JobId(job),
+            QUEUE,
+            POOL,
+            json.dumps(behaviour),
+            steps,
+        )
+        for position, step in enumerate(steps):
+            for index in range(step.tasks_count):
+                task = TaskKey(JobId(job), 0, position, index)
+                self.fleet.sizes[task] = step.size
+        reply: Reply[intake.IntakeAnswer] = Reply()
+        self.processes[name].intake.send(
+            intake.Submit(graph, now_ms() + _PATIENCE_MS, reply),
+        )
+        return await reply.wait(2 * _PATIENCE_MS)
+
+    async def cancel(self, name: ProcessId, job: str) -> intake.IntakeAnswer:
+        """Cancel a job at a process."""
+        reply: Reply[intake.IntakeAnswer] = Reply()
+        self.processes[name].intake.send(
+            intake.Cancel(POOL, JobId(job), now_ms() + _PATIENCE_MS, reply),
+        )
+        return await reply.wait(2 * _PATIENCE_MS)
+
+    def phase(self, job: str) -> JobPhase | None:
+        """Return the durable phase of a job."""
+        item = self.store.found.get(keys.progress_key(POOL, JobId(job)))
+        if item is None or item.value is None:
+            return None
+        return records.decode_progress(item.value).phase
+
+    async def wait_phase(
+        self,
+        job: str,
+        phase: JobPhase,
+        within_ms: int,
+    ) -> None:
+        """Wait until a job is durably in a phase."""
+        deadline_ms = now_ms() + within_ms
+        while self.phase(job) is not phase:
+            assert now_ms() < deadline_ms, f'{job} is {self.phase(job)}'
+            await sleep_ms(20)
+
+    async def stop(self) -> None:
+        """End all processes, and check what the workers have seen."""
+        for name in list(self.processes):
+            await self.kill(name)
+        assert self.fleet.violations == []
--- /dev/null
+++ b/tests/test_graph_cell.py
@@ -0,0 +1,333 @@
+"""Jobs, owners and workers under failure, in paused time on models.
+
+Each test ends with a check that no task ran twice or after its success, and
+that no worker was over its capacity.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from fuchsiarill import codes
+from fuchsiarill.clock import now_ms, run_paused, sleep_ms
+from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import ProcessId
+from standins.store_model import PathFault
+from tests.graph_cell import TASK_SIZE, GraphCell
+
+P0 = ProcessId('p0')
+P1 = ProcessId('p1')
+TWO_STEPS = (Step(3, TASK_SIZE), Step(2, TASK_SIZE, after=(0,)))
+_Scenario = Callable[[GraphCell], Awaitable[None]]
+
+
+def play(
+    scenario: _Scenario,
+    processes_count: int = 3,
+    workers_count: int = 3,
+) -> None:
+    """Run a scenario on a cell that has an owner."""
+
+    async def main() -> None:
+        cell = GraphCell(processes_count, workers_count)
+        await cell.start()
+        await sleep_ms(1500)
+        await scenario(cell)
+        await cell.stop()
+
+    run_paused(main())
+
+
+def other(cell: GraphCell) -> ProcessId:
+    """Return a process that does not own the pool."""
+    owner = cell.owner()
+    return next(name for name in cell.processes if name != owner)
+
+
+def owner_of(cell: GraphCell) -> ProcessId:
+    """Return the owner, which must exist."""
+    owner = cell.owner()
+    assert owner is not None
+    return owner
+
+
+def test_steps_run_in_order() -> None:
+    """Guards against a step that starts before the step it follows."""
+
+    async def scenario(cell: GraphCell) -> None:
+        answer = await cell.submit(P0, 'a', TWO_STEPS, duration_ms=300)
+        assert answer.code is codes.ACCEPTED
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
+        steps = [task.step for task, _, _ in cell.fleet.starts]
+        assert steps == [0, 0, 0, 1, 1]
+
+    play(scenario)
+
+
+def test_repeated_submission_is_one_job() -> None:
+    """Guards against a second job for a request that was sent twice."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=100)
+        again = await cell.submit(P1, 'a', TWO_STEPS, duration_ms=100)
+        assert again.code is codes.ACCEPTED
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
+        assert len(cell.fleet.starts) == 5
+
+    play(scenario)
+
+
+def test_killed_owner_is_replaced() -> None:
+    """Guards against runs of a former owner that start a second time."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=2500)
+        await sleep_ms(500)
+        await cell.kill(owner_of(cell))
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+        assert len(cell.fleet.starts) == 5
+
+    play(scenario)
+
+
+def test_end_that_was_not_saved_is_known_to_the_next_owner() -> None:
+    """Guards against a dropped end of a step that is not open yet.
+
+    The owner sees the ends of the first step, starts the second one and is
+    replaced before it can save the ends. The next owner may hear of the
+    second step first.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=900)
+        await sleep_ms(600)
+        owner = owner_of(cell)
+        cell.paths[owner].fault = PathFault.REFUSED
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+
+    play(scenario)
+
+
+def test_lost_tasks_start_again_when_their_leases_have_lapsed() -> None:
+    """Guards against a worker that is asked and never taken as lost."""
+
+    async def scenario(cell: GraphCell) -> None:
+        lasting = (Step(2, TASK_SIZE, is_lasting=True, per_worker_max=1),)
+        await cell.submit(P0, 'a', lasting)
+        await sleep_ms(500)
+        lost = cell.fleet.starts[0][2]
+        cell.fleet.agents.pop(lost)
+        cell.unlist_worker(lost)
+        await sleep_ms(9000)
+        assert len(cell.fleet.starts) == 3
+
+    play(scenario)
+
+
+def test_unanswered_start_is_ruled_out_before_the_next() -> None:
+    """Guards against two runs of a task whose start got no answer."""
+
+    async def scenario(cell: GraphCell) -> None:
+        for agent in cell.fleet.agents.values():
+            agent.loses_answers = True
+        await cell.submit(P0, 'a', (Step(1, TASK_SIZE),), duration_ms=2000)
+        await sleep_ms(1500)
+        for agent in cell.fleet.agents.values():
+            agent.loses_answers = False
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
+
+    play(scenario)
+
+
+def test_silent_worker_keeps_its_tasks_until_they_lapse() -> None:
+    """Guards against a task that runs on behind a cut and elsewhere too."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', (Step(1, TASK_SIZE),), duration_ms=4000)
+        await sleep_ms(500)
+        worker = cell.fleet.starts[0][2]
+        cell.fleet.agents[worker].is_silent = True
+        await sleep_ms(9000)
+        cell.fleet.agents[worker].is_silent = False
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
+
+    play(scenario)
+
+
+def test_worker_that_starts_again_runs_nothing_of_before() -> None:
+    """Guards against tasks that are waited for after their worker's end."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', (Step(2, TASK_SIZE),), duration_ms=1500)
+        await sleep_ms(500)
+        cell.add_worker(cell.fleet.starts[0][2])
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 4500)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
+def test_outage_of_the_store_ends_no_task(fault: PathFault) -> None:
+    """Guards against leases that lapse while the store is away."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', (Step(2, TASK_SIZE),), duration_ms=6000)
+        await sleep_ms(500)
+        for path in cell.paths.values():
+            path.fault = fault
+        await sleep_ms(4500)
+        for path in cell.paths.values():
+            path.fault = PathFault.NONE
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
+        assert len(cell.fleet.starts) == 2
+
+    play(scenario)
+
+
+def test_refused_submission_never_runs() -> None:
+    """Guards against a refusal of a job that the store has accepted."""
+
+    async def scenario(cell: GraphCell) -> None:
+        name = other(cell)
+        cell.paths[name].fault = PathFault.REFUSED
+        answer = await cell.submit(name, 'a', TWO_STEPS, duration_ms=10)
+        assert answer.code is codes.STORE_UNAVAILABLE
+        await sleep_ms(2000)
+        assert not cell.fleet.starts
+
+    play(scenario)
+
+
+def test_lost_answer_is_no_refusal() -> None:
+    """Guards against a refusal when the job may have been accepted."""
+
+    async def scenario(cell: GraphCell) -> None:
+        name = other(cell)
+        cell.paths[name].fault = PathFault.ANSWER_LOST
+        started_ms = now_ms()
+        answer = await cell.submit(name, 'a', TWO_STEPS, duration_ms=10)
+        assert answer.code is codes.OUTCOME_UNCERTAIN
+        assert now_ms() - started_ms <= 3500
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
+
+    play(scenario)
+
+
+def test_cancelled_job_stops() -> None:
+    """Guards against tasks that run on after their job's cancellation."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', (Step(2, TASK_SIZE, is_lasting=True),))
+        await sleep_ms(400)
+        answer = await cell.cancel(P1, 'a')
+        assert answer.code is codes.ACCEPTED
+        await cell.wait_phase('a', JobPhase.CANCELLED, 1000)
+        await sleep_ms(1000)
+        assert not any(agent.runs for agent in cell.fleet.agents.values())
+
+    play(scenario)
+
+
+def test_job_fails_after_its_attempts() -> None:
+    """Guards against more failed attempts than the queue allows."""
+
+    async def scenario(cell: GraphCell) -> None:
+        one = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', one, duration_ms=50, fails=9)
+        await cell.submit(P0, 'b', one, duration_ms=50, fails=2)
+        await cell.wait_phase('a', JobPhase.FAILED, 15000)
+        await cell.wait_phase('b', JobPhase.SUCCEEDED, 15000)
+        attempts = [task.job for task, _, _ in cell.fleet.starts]
+        assert attempts.count('a') == 3  # type: ignore[arg-type]
+
+    play(scenario)
+
+
+def test_failures_are_counted_over_owners() -> None:
+    """Guards against attempts that a new owner does not know of."""
+
+    async def scenario(cell: GraphCell) -> None:
+        one = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', one, duration_ms=400, fails=1000)
+        await sleep_ms(650)
+        await cell.kill(owner_of(cell))
+        await cell.wait_phase('a', JobPhase.FAILED, 20000)
+        assert len(cell.fleet.starts) == 3
+
+    play(scenario)
+
+
+def test_gang_starts_as_a_whole() -> None:
+    """Guards against members that wait for others without room."""
+
+    async def scenario(cell: GraphCell) -> None:
+        gang = (Step(12, TASK_SIZE, is_gang=True),)
+        await cell.submit(P0, 'a', (Step(1, TASK_SIZE),), duration_ms=1000)
+        await cell.submit(P0, 'b', gang, duration_ms=300)
+        await sleep_ms(800)
+        assert len(cell.fleet.starts) == 1
+        await cell.wait_phase('b', JobPhase.SUCCEEDED, 4000)
+        assert len({attempt for _, attempt, _ in cell.fleet.starts}) == 1
+
+    play(scenario)
+
+
+def test_compaction_hides_no_job() -> None:
+    """Guards against a watch that misses what came before a compaction."""
+
+    async def scenario(cell: GraphCell) -> None:
+        cell.store.compact()
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=100)
+        cell.store.compact()
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 4000)
+
+    play(scenario)
+
+
+def test_owner_that_drains_hands_over_at_once() -> None:
+    """Guards against a pool that waits for the lease of a graceful end."""
+
+    async def scenario(cell: GraphCell) -> None:
+        owner = owner_of(cell)
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=1500)
+        await sleep_ms(300)
+        cell.processes[owner].drain()
+        await sleep_ms(600)
+        assert cell.owner() not in {None, owner}
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 5000)
+        assert len(cell.fleet.starts) == 5
+
+    play(scenario)
+
+
+def test_all_processes_killed_lose_nothing() -> None:
+    """Guards against accepted jobs that only an owner knew of."""
+
+    async def scenario(cell: GraphCell) -> None:
+        names = list(cell.processes)
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=700)
+        for name in names:
+            await cell.kill(name)
+        await sleep_ms(1000)
+        for name in names:
+            cell.run_process(name)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+
+    play(scenario)
+
+
+def test_worker_that_fails_everything_is_suspended() -> None:
+    """Guards against a bad worker that uses up the attempts of jobs."""
+
+    async def scenario(cell: GraphCell) -> None:
+        cell.fleet.agents['w0'].fails_all = True
+        for number in range(8):
+            one = (Step(1, TASK_SIZE),)
+            await cell.submit(P0, f'j{number}', one, duration_ms=200)
+        for number in range(8):
+            await cell.wait_phase(f'j{number}', JobPhase.SUCCEEDED, 9000)
+        bad = [worker for _, _, worker in cell.fleet.starts if worker == 'w0']
+        assert len(bad) <= 5
+
+    play(scenario)
--- a/tools/run_cell.py
+++ b/tools/run_cell.py
@@ -14,8 +14,10 @@
     parser = argparse.ArgumentParser(prog='tools.run_cell')
     parser.add_argument('--deployment', default='frostwick')
     options = parser.parse_args()
-    # SIGTERM ends the processes like Ctrl-C does.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # SIGTERM and SIGHUP end the processes like Ctrl-C does. A launcher that
+    # was started in the background inherits an ignored SIGINT.
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
     deployment = load_deployment(EXAMPLES / f'{options.deployment}-hosts.yaml')
     configuration = (EXAMPLES / deployment.configuration).read_text()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-cell-') as folder:
