Hold workers for blocked gangs, rank by priority, ask idle machines for advice

Cause: label jobs that need several workers at once starved behind those that need one, so three of 35 came later than three times their objective; quotes waited 0.8 s when their ask for advice queued behind a slow one of the other owner at the same machine.

--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -120,7 +120,8 @@
   offerConfig @6 (document :ConfigDocument) -> (generation :UInt32);
   fetchConfig @7 () -> (document :ConfigDocument);
   dump @8 () -> (state :Text);
-  # Asks the advice service; not `answered` means that it gave no answer.
-  advise @9 (job :Text, occurrence :UInt32, step :UInt32, workers :List(Text)) -> (answered :Bool, granted :List(Ticket));
+  # Asks the advice service; not `answered` means that it gave no answer, and
+  # `isBusy` that the process is asking something else and has not tried.
+  advise @9 (job :Text, occurrence :UInt32, step :UInt32, workers :List(Text)) -> (answered :Bool, granted :List(Ticket), isBusy :Bool);
   callStore @10 (call :StoreCall) -> (answer :StoreAnswer);
 }
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -382,3 +382,9 @@
     'job {for_job} of priority {priority}',
     _NO_ACTION,
 )
+REPORT_UNREADABLE: Final = LogEvent(
+    748,
+    Level.ERROR,
+    'the report of {worker} can not be read: {problem}',
+    'Check the version of the worker; it gets no work meanwhile.',
+)
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -12,16 +12,19 @@
 from returns.result import Success
 
 from fuchsiarill.actor import Mailbox, handles
+from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs.effects import AskAdvice
 from fuchsiarill.graphs.model import BornMs, Ticket
 from fuchsiarill.graphs.owner_messages import Advised
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.peers import ask_peer
+from fuchsiarill.graphs.ports import OneAtATime
 from fuchsiarill.ids import ProcessId, WorkerId
-from fuchsiarill.ports.agents import AdvisorPort
 
 _OWN_LANE: Final = ProcessId('')
+# A lane whose process asks something else is tried again after this time.
+_BUSY_MS: Final = 60
 _Granted = dict[WorkerId, Ticket] | None
 
 
@@ -45,6 +48,13 @@
     granted: _Granted
 
 
+@dataclass(frozen=True, slots=True)
+class _LaneRested:
+    """A lane that was busy with something else is tried again."""
+
+    lane: ProcessId
+
+
 @dataclass(order=True, slots=True)
 class _Waiting:
     rank_ms: int
@@ -57,12 +67,14 @@
 
     def __init__(
         self,
-        port: AdvisorPort,
+        process: ProcessId,
+        port: OneAtATime,
         links: PeerLinks,
         timeout_ms: int,
     ) -> None:
         """Ask through `port` and through the processes of `links`."""
         super().__init__('advisor')
+        self._process = process
         self._port = port
         self._links = links
         self._timeout_ms = timeout_ms
@@ -87,6 +99,12 @@
         heapq.heappush(self._waiting, waiting)
         self._fill_lanes()
 
+    @handles(_LaneRested)
+    async def on_lane_rested(self, message: _LaneRested) -> None:
+        """Use a lane again."""
+        self._busy.discard(message.lane)
+        self._fill_lanes()
+
     @handles(_LaneFree)
     async def on_lane_free(self, message: _LaneFree) -> None:
         """Pass an answer on, or ask again through another lane."""
@@ -101,7 +119,7 @@
         self._fill_lanes()
 
     def _fill_lanes(self) -> None:
-        for lane in (_OWN_LANE, *self._links.processes):
+        for lane in self._lanes():
             if lane in self._busy:
                 continue
             message = self._next_wanted()
@@ -110,6 +128,18 @@
             self._busy.add(lane)
             self.spawn(self._ask(lane, message))
 
+    def _lanes(self) -> list[ProcessId]:
+        """Return the lanes in the order in which they are used.
+
+        Each process begins with itself and goes on along the ring of names,
+        so that owners seldom ask through the same one.
+        """
+        ring = sorted(self._links.processes)
+        after = [name for name in ring if name > self._process]
+        before = [name for name in ring if name < self._process]
+        own = [] if self._port.is_busy else [_OWN_LANE]
+        return [*own, *after, *before]
+
     def _next_wanted(self) -> AdviceAsked | None:
         while self._waiting:
             message = heapq.heappop(self._waiting).message
@@ -124,15 +154,21 @@
         ask = message.ask
         if lane == _OWN_LANE:
             granted = await self._ask_service(ask)
-        else:
-            granted = await ask_peer(
-                self._links,
-                lane,
-                ask.step,
-                ask.workers,
-                self._timeout_ms,
-            )
-        self.mailbox.send(_LaneFree(lane, message, granted))
+            self.mailbox.send(_LaneFree(lane, message, granted))
+            return
+        advice = await ask_peer(
+            self._links,
+            lane,
+            ask.step,
+            ask.workers,
+            self._timeout_ms,
+        )
+        if not advice.is_busy:
+            self.mailbox.send(_LaneFree(lane, message, advice.granted))
+            return
+        self.mailbox.send(message)
+        await sleep_ms(_BUSY_MS)
+        self.mailbox.send(_LaneRested(lane))
 
     async def _ask_service(self, ask: AskAdvice) -> _Granted:
         answered = await self._port.advise(
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -4,6 +4,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs.effects import AskAdvice, StartRun
+from fuchsiarill.graphs.gang_holds import hold_for_gang
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
@@ -63,13 +64,16 @@
 
 def _serve_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
     step = row.step
+    step.rank_ms = row.rank_ms
     for unit in list(step.waiting.values()):
         request = Request(row.entry, step, unit, now_ms)
         candidates = usable_workers(state, request)
         holders = _ticket_holders(state, request, candidates)
         placed = place_unit(state, request, holders)
         if placed is None:
-            preempt(state, request, _allowed(state, request, candidates))
+            allowed = _allowed(state, request, candidates)
+            if not preempt(state, request, allowed) and step.step.is_gang:
+                hold_for_gang(state, request, allowed)
             is_asked = _ask(state, request, candidates, row.rank_ms)
             if not is_asked:
                 step.blocked_version = state.free_version
--- a/fuchsiarill/graphs/job_book.py
+++ b/fuchsiarill/graphs/job_book.py
@@ -53,6 +53,10 @@
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
+        # Runs that were stopped for the step end until then.
+        self.preempted_until_ms = 0
+        # Place in the order of steps when it was last served.
+        self.rank_ms = 0
         # Version of the free capacity at which nothing could be placed.
         self.blocked_version = -1
 
@@ -77,6 +81,7 @@
         """Move a unit from the waiting ones to those with runs."""
         self.waiting.pop(unit.key, None)
         self.active[unit.key] = unit
+        self.preempted_until_ms = 0
 
     def requeue(self, unit: Unit) -> None:
         """Let a unit without runs wait again."""
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -5,6 +5,7 @@
 away calls it through another one.
 """
 
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -39,6 +40,9 @@
         _context: Any,
         **_extra: Any,
     ) -> None:
+        if self._ports.advisor.is_busy:
+            _context.results.isBusy = True
+            return
         answered = await self._ports.advisor.advise(
             StepKey(JobId(job), occurrence, step),
             tuple(WorkerId(worker) for worker in workers),
@@ -72,14 +76,22 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAdvice:
+    """Answer of a peer; without tickets it could not ask."""
+
+    granted: dict[WorkerId, Ticket] | None = None
+    is_busy: bool = False
+
+
 async def ask_peer(
     links: PeerLinks,
     process: ProcessId,
     step: StepKey,
     workers: tuple[WorkerId, ...],
     timeout_ms: int,
-) -> dict[WorkerId, Ticket] | None:
-    """Ask for advice through a peer; returns `None` without an answer."""
+) -> PeerAdvice:
+    """Ask for advice through a peer."""
     request = {
         'job': step.job,
         'occurrence': step.occurrence,
@@ -88,11 +100,13 @@
     }
     answered = await links.call(process, 'advise', request, timeout_ms)
     if isinstance(answered, Failure):
-        return None
+        return PeerAdvice()
     answer = answered.unwrap()
     if not answer.answered:
-        return None
-    return {WorkerId(row.worker): Ticket(row.ticket) for row in answer.granted}
+        return PeerAdvice(is_busy=answer.isBusy)
+    return PeerAdvice(
+        {WorkerId(row.worker): Ticket(row.ticket) for row in answer.granted},
+    )
 
 
 async def _connected(ports: GraphPorts, timeout_ms: int, stream: Any) -> None:
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -125,7 +125,8 @@
         runs_count = step.runs_per_worker[view.worker] + taken_count
         if runs_count >= per_worker_max:
             return False
-    return (step.step.charge + taken).fits_in(view.free_for(step.key))
+    free = view.free_for(step.key, step.rank_ms)
+    return (step.step.charge + taken).fits_in(free)
 
 
 def place_unit(
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preempting.py
@@ -39,29 +39,26 @@
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
-) -> None:
-    """Stop runs so that units of a blocked step can start."""
+) -> bool:
+    """Stop runs so that units of a blocked step can start.
+
+    Tells whether runs have been stopped, now or a moment ago.
+    """
+    if request.now_ms < request.step.preempted_until_ms:
+        return True
     if not _is_worth_it(request):
-        return
-    step = request.step
-    wanted_count = step.step.tasks_count if step.step.is_gang else 1
-    reserved_count = sum(
-        reservation.step == step.key
-        for view in candidates
-        for reservation in view.reservations
-    )
-    if reserved_count:
-        return
-    choices: list[_Choice] = []
-    for view in candidates:
-        choice = _choose(state, request, view)
-        if choice is not None:
-            choices.append(choice)
+        return False
+    step = request.step.step
+    wanted_count = step.tasks_count if step.is_gang else 1
+    tried = [_choose(state, request, view) for view in candidates]
+    choices = [choice for choice in tried if choice is not None]
     choices.sort(key=lambda choice: choice.cost)
     if len(choices) < wanted_count:
-        return
+        return False
+    request.step.preempted_until_ms = request.now_ms + _RESERVATION_MS
     for choice in choices[:wanted_count]:
         _carry_out(state, request, choice)
+    return True
 
 
 def _is_worth_it(request: Request) -> bool:
@@ -83,7 +80,7 @@
     if per_worker_max is not None:
         if step.runs_per_worker[view.worker] >= per_worker_max:
             return None
-    free = view.free_for(step.key)
+    free = view.free_for(step.key, step.rank_ms)
     victims: list[Run] = []
     cost = 0.0
     for run in sorted(_victims(state, request, view), key=_cost):
@@ -133,6 +130,7 @@
     choice.view.reservations.append(
         Reservation(
             step.key,
+            step.rank_ms,
             step.step.charge,
             request.now_ms + _RESERVATION_MS,
         ),
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -77,6 +77,7 @@
         self._metrics = metrics
         self._incarnation = f'{time.time_ns():x}'
         self._advisor = Advisor(
+            settings.process,
             ports.advisor,
             self._links,
             settings.calls.advice_timeout_ms,
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_book.py
@@ -26,9 +26,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Room that is kept for a step until `expiry_ms`."""
+    """Room that is kept for a step until `expiry_ms`.
+
+    Steps with a lower rank are served first and do not regard it.
+    """
 
     step: StepKey
+    rank_ms: int
     charge: Resources
     expiry_ms: int
 
@@ -80,14 +84,23 @@
             return NOTHING
         return self.entry.capacity - self.held
 
-    def free_for(self, step: StepKey) -> Resources:
-        """Return what is neither held nor kept for another step."""
+    def free_for(self, step: StepKey, rank_ms: int) -> Resources:
+        """Return what is neither held nor kept for a step before this one."""
         free = self.free
         for reservation in self.reservations:
-            if reservation.step != step:
-                free -= reservation.charge
+            if reservation.step == step or reservation.rank_ms > rank_ms:
+                continue
+            free -= reservation.charge
         return free
 
+    def drop_reservations(self, step: StepKey) -> None:
+        """Keep no more room for a step."""
+        self.reservations = [
+            reservation
+            for reservation in self.reservations
+            if reservation.step != step
+        ]
+
     def take_reservation(self, step: StepKey) -> None:
         """Drop one reservation of a step whose task starts."""
         for reservation in self.reservations:
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -26,7 +26,7 @@
 from fuchsiarill.graphs.listener import Listener, Request, Response
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
 from fuchsiarill.graphs.peers import serve_help
-from fuchsiarill.graphs.ports import Directory, GraphPorts
+from fuchsiarill.graphs.ports import Directory, GraphPorts, OneAtATime
 from fuchsiarill.graphs.process import AskDump, GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
 from fuchsiarill.ids import StoreKey
@@ -118,7 +118,7 @@
     ports = GraphPorts(
         ObservedStore(store, metrics),
         PlatformWorkers(client),
-        PlatformAdvisor(settings.outside.advice, client),
+        OneAtATime(PlatformAdvisor(settings.outside.advice, client)),
         Directory(
             StoreKey('op/config'),
             'op/',
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
+from fuchsiarill import events
 from fuchsiarill.graphs.model import (
     BornMs,
     Checkpoint,
@@ -138,7 +139,15 @@
         answer = read_answer(answered)
         if answer.status != _OK:
             return Failure(_failure(answer))
-        return Success(_report(answer.body))
+        try:
+            return Success(_report(answer.body))
+        except (KeyError, TypeError, ValueError) as error:
+            events.emit(
+                events.REPORT_UNREADABLE,
+                worker=agent.worker,
+                problem=repr(error),
+            )
+            return Failure(AgentFailure.MALFORMED)
 
     async def _order(
         self,
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -26,7 +26,7 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.ports import Directory, GraphPorts
+from fuchsiarill.graphs.ports import Directory, GraphPorts, OneAtATime
 from fuchsiarill.graphs.process import GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
@@ -170,7 +170,7 @@
         ports = GraphPorts(
             self.paths[name],
             self.fleet,
-            AllowAll(),
+            OneAtATime(AllowAll()),
             Directory(
                 _CONFIG_KEY,
                 'settings/',
--- /dev/null
+++ b/tests/platform_server.py
@@ -0,0 +1,65 @@
+"""A loopback server that answers with what a test has put up."""
+
+import json
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from threading import Thread
+from typing import Any
+
+from cheroot import wsgi
+
+
+@dataclass(slots=True)
+class Canned:
+    """The answer to give, and the requests that came."""
+
+    status: int = 200
+    body: Any = field(default_factory=dict)
+    requests: list[tuple[str, str, Any, dict[str, str]]] = field(
+        default_factory=list,
+    )
+    address: str = ''
+
+    def respond(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Keep the request and give the answer."""
+        size = int(environ.get('CONTENT_LENGTH') or 0)
+        content = environ['wsgi.input'].read(size)
+        path = environ['PATH_INFO']
+        if environ.get('QUERY_STRING'):
+            path = f'{path}?{environ["QUERY_STRING"]}'
+        headers = {
+            name: text
+            for name, text in environ.items()
+            if name.startswith('HTTP_')
+        }
+        self.requests.append(
+            (
+                environ['REQUEST_METHOD'],
+                path,
+                json.loads(content) if content else None,
+                headers,
+            ),
+        )
+        raw = self.body
+        if not isinstance(raw, bytes):
+            raw = json.dumps(raw).encode()
+        start(f'{self.status} x', [('Content-Length', str(len(raw)))])
+        return [raw]
+
+
+@contextmanager
+def serve_canned() -> Iterator[Canned]:
+    """Serve on a free port of loopback."""
+    canned = Canned()
+    server = wsgi.Server(('127.0.0.1', 0), canned.respond, numthreads=2)
+    server.prepare()
+    thread = Thread(target=server.serve, daemon=True)
+    thread.start()
+    host, port = server.bind_addr
+    canned.address = f'{host}:{port}'
+    try:
+        yield canned
+    finally:
+        server.stop()
+        thread.join()
--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,283 @@
+"""Calls of the platform's store, workers and advice service on the wire."""
+
+import asyncio
+import base64
+from collections.abc import Coroutine, Iterator
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from fuchsiarill.graphs.model import (
+    Checkpoint,
+    EndKind,
+    EndSequence,
+    StartOrder,
+    StepKey,
+    TaskKey,
+    Ticket,
+)
+from fuchsiarill.ids import (
+    ABSENT,
+    Epoch,
+    JobId,
+    Revision,
+    StoreKey,
+    StoreLeaseId,
+    WorkerId,
+)
+from fuchsiarill.platform.advice_client import PlatformAdvisor
+from fuchsiarill.platform.store_client import PlatformStore
+from fuchsiarill.platform.worker_client import PlatformWorkers
+from fuchsiarill.ports.agents import AgentAddress, AgentFailure, RenewalOrder
+from fuchsiarill.ports.http_client import HttpClient
+from fuchsiarill.ports.key_value import (
+    KvCommitted,
+    KvConflict,
+    KvFailure,
+    KvItem,
+    KvTransaction,
+    KvWrite,
+)
+from tests.platform_server import Canned, serve_canned
+
+KEY = StoreKey('jobs/p/1/graph')
+TASK = TaskKey(JobId('5c0e7a21d94b36f8'), 0, 1, 17)
+ORDER = StartOrder(
+    TASK,
+    2,
+    'text',
+    Epoch(7),
+    486000,
+    Checkpoint('c'),
+    Ticket('t'),
+)
+_TIMEOUT_MS = 5000
+
+
+@pytest.fixture(name='canned')
+def serve() -> Iterator[Canned]:
+    """Serve canned answers."""
+    with serve_canned() as canned:
+        yield canned
+
+
+def run(call: Coroutine[Any, Any, Any]) -> Any:
+    """Run one call on a loop of its own."""
+    return asyncio.run(call)
+
+
+def store(canned: Canned) -> PlatformStore:
+    """Return a client of the canned store."""
+    return PlatformStore(canned.address, HttpClient(2, 4))
+
+
+def agent(canned: Canned) -> AgentAddress:
+    """Return the address of the canned worker."""
+    return AgentAddress(WorkerId('i-1'), canned.address)
+
+
+def test_item_is_decoded(canned: Canned) -> None:
+    """Guards against values that are taken as they are on the wire."""
+    canned.body = {
+        'key': KEY,
+        'value': base64.b64encode(b'node').decode(),
+        'revision': 412,
+        'created': 400,
+        'lease': 0,
+        'at_rev': 530,
+    }
+    found = run(store(canned).get(KEY, _TIMEOUT_MS))
+    assert found == Success(KvItem(KEY, b'node', Revision(412), Revision(400)))
+
+
+def test_absent_key_is_an_answer(canned: Canned) -> None:
+    """Guards against an absent key that looks like a failure."""
+    canned.status = 404
+    found = run(store(canned).get(KEY, _TIMEOUT_MS))
+    assert found == Success(KvItem(KEY, None, ABSENT))
+
+
+@pytest.mark.parametrize(
+    ('status', 'failure'),
+    [
+        (503, KvFailure.REFUSED),
+        (429, KvFailure.REFUSED),
+        (404, KvFailure.LEASE_GONE),
+        (500, KvFailure.UNKNOWN),
+    ],
+)
+def test_failed_transaction(
+    canned: Canned,
+    status: int,
+    failure: KvFailure,
+) -> None:
+    """Guards against an unknown outcome that is taken for a refusal."""
+    canned.status = status
+    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    assert outcome == Failure(failure)
+
+
+def test_unreachable_store_has_done_nothing() -> None:
+    """Guards against a doubt about a call that was never sent."""
+    nobody = PlatformStore('127.0.0.1:1', HttpClient(2, 4))
+    outcome = run(nobody.commit(KvTransaction(), _TIMEOUT_MS))
+    assert outcome == Failure(KvFailure.REFUSED)
+
+
+def test_unreadable_success_is_no_answer(canned: Canned) -> None:
+    """Guards against a cut body that is taken for a refusal."""
+    canned.body = b'{"revi'
+    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    assert outcome == Failure(KvFailure.UNKNOWN)
+
+
+def test_transaction_on_the_wire(canned: Canned) -> None:
+    """Guards against conditions or leases that get lost on the way."""
+    canned.body = {'revision': 9}
+    transaction = KvTransaction(
+        ((KEY, ABSENT),),
+        (KvWrite(KEY, b'x', StoreLeaseId('77')),),
+        (StoreKey('old'),),
+    )
+    outcome = run(store(canned).commit(transaction, _TIMEOUT_MS))
+    assert outcome == Success(KvCommitted(Revision(9)))
+    assert canned.requests[0][:3] == (
+        'POST',
+        '/kv-txn',
+        {
+            'expected': [{'key': KEY, 'revision': 0}],
+            'writes': [{'key': KEY, 'value': 'eA==', 'lease': 77}],
+            'deletes': ['old'],
+        },
+    )
+
+
+def test_conflict_shows_the_keys(canned: Canned) -> None:
+    """Guards against a conflict that does not tell what stands there."""
+    canned.status = 412
+    canned.body = {'items': [{'key': KEY, 'value': 'eA==', 'revision': 3}]}
+    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    assert outcome == Success(
+        KvConflict((KvItem(KEY, b'x', Revision(3)),)),
+    )
+
+
+def test_watch(canned: Canned) -> None:
+    """Guards against deletions that look like writes."""
+    canned.body = {
+        'events': [
+            {'key': 'a', 'value': 'eA==', 'revision': 4, 'created': 4},
+            {'key': 'b', 'revision': 5, 'compacted': True},
+        ],
+        'at_rev': 6,
+    }
+    changes = run(store(canned).watch_prefix('x/', Revision(3), 100)).unwrap()
+    assert [item.value for item in changes.items] == [b'x', None]
+    assert canned.requests[0][1] == '/kv-watch?prefix=x%2F&after=3&wait_ms=100'
+    canned.status = 410
+    gone = run(store(canned).watch_prefix('x/', Revision(3), 100))
+    assert gone == Failure(KvFailure.COMPACTED)
+
+
+def test_start_on_the_wire(canned: Canned) -> None:
+    """Guards against an order that reaches another life of a worker."""
+    canned.body = {'clock_ms': 482113}
+    workers = PlatformWorkers(HttpClient(2, 4))
+    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    assert outcome == Success(482113)
+    method, path, body, headers = canned.requests[0]
+    assert (method, path) == ('POST', '/run-start')
+    assert headers['HTTP_X_EXPECT_INSTANCE'] == 'i-1'
+    assert body == {
+        'task': '5c0e7a21d94b36f8.0.1.17',
+        'attempt': 2,
+        'spec': 'text',
+        'deadline_ms': 486000,
+        'fence_token': 7,
+        'checkpoint': 'c',
+        'ticket': 't',
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'reason', 'failure'),
+    [
+        (409, 'fence', AgentFailure.FENCED),
+        (409, 'old', AgentFailure.SUPERSEDED),
+        (409, 'late', AgentFailure.EXPIRED),
+        (409, 'room', AgentFailure.NO_ROOM),
+        (409, 'ticket', AgentFailure.TICKET_INVALID),
+        (421, '', AgentFailure.OTHER_WORKER),
+        (429, '', AgentFailure.UNHEALTHY),
+        (503, '', AgentFailure.UNHEALTHY),
+        (400, '', AgentFailure.MALFORMED),
+        (500, '', AgentFailure.UNKNOWN),
+    ],
+)
+def test_refused_start(
+    canned: Canned,
+    status: int,
+    reason: str,
+    failure: AgentFailure,
+) -> None:
+    """Guards against a refusal that is read as another one."""
+    canned.status = status
+    canned.body = {'clock_ms': 1, 'reason': reason}
+    workers = PlatformWorkers(HttpClient(2, 4))
+    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    assert outcome == Failure(failure)
+
+
+def test_report(canned: Canned) -> None:
+    """Guards against ends that are read as another kind."""
+    name = '5c0e7a21d94b36f8.0.1.17'
+    canned.body = {
+        'clock_ms': 5,
+        'born': 99,
+        'running': [[name, 2, 'c', 41, 12.5], [name, 3, '', 100]],
+        'finished': [
+            [number, name, 1, how, '']
+            for number, how in enumerate(
+                ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'),
+                start=1,
+            )
+        ],
+    }
+    workers = PlatformWorkers(HttpClient(2, 4))
+    order = RenewalOrder(Epoch(7), EndSequence(57), None, 0)
+    report = run(workers.renew(agent(canned), order, _TIMEOUT_MS)).unwrap()
+    assert [row.usage for row in report.running] == [12.5, None]
+    assert [end.kind for end in report.ended] == list(EndKind)
+    assert report.born_ms == 99
+    assert canned.requests[0][2] == {
+        'fence_token': 7,
+        'acked_seq': 57,
+        'wait_ms': 0,
+    }
+
+
+def test_unreadable_report_is_no_report(canned: Canned) -> None:
+    """Guards against an actor that fails on a report of another shape."""
+    canned.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
+    workers = PlatformWorkers(HttpClient(2, 4))
+    order = RenewalOrder(Epoch(7), EndSequence(0), None, 0)
+    outcome = run(workers.renew(agent(canned), order, _TIMEOUT_MS))
+    assert outcome == Failure(AgentFailure.MALFORMED)
+
+
+def test_advice(canned: Canned) -> None:
+    """Guards against tickets that are given to the wrong worker."""
+    canned.body = {'granted': [['i-1', 'c81e'], ['i-2', 'c82e']]}
+    advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
+    step = StepKey(JobId('5c0e7a21d94b36f8'), 0, 1)
+    workers = (WorkerId('i-1'), WorkerId('i-2'), WorkerId('i-3'))
+    tickets = run(advisor.advise(step, workers, _TIMEOUT_MS)).unwrap()
+    assert tickets == {'i-1': 'c81e', 'i-2': 'c82e'}
+    assert canned.requests[0][2] == {
+        'step_id': '5c0e7a21d94b36f8.0.1',
+        'workers': ['i-1', 'i-2', 'i-3'],
+    }
+    canned.status = 429
+    busy = run(advisor.advise(step, workers, _TIMEOUT_MS))
+    assert busy == Failure(AgentFailure.UNHEALTHY)
