Keep room while tickets are asked for, and ask before a worker is free

Cause: a step whose ticket had expired asked again when a worker became free, and another step with a valid ticket took the worker meanwhile, again and again. Change: allowed workers are asked for when they are expected to have room by the time the tickets arrive; room on a free one is kept until then. Answers to asks are logged.

--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -388,3 +388,9 @@
     'the report of {worker} can not be read: {problem}',
     'Check the version of the worker; it gets no work meanwhile.',
 )
+STEP_ADVISED: Final = LogEvent(
+    719,
+    Level.INFO,
+    'step {step} of job {job} may run on {granted} of {asked} workers asked',
+    _NO_ACTION,
+)
--- /dev/null
+++ b/fuchsiarill/graphs/asking.py
@@ -0,0 +1,127 @@
+"""Decides when to ask which workers may run a step."""
+
+from typing import Final
+
+from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.model import AdvicePolicy
+from fuchsiarill.graphs.placement import Request, could_ever_fit, has_room
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.worker_book import Reservation, WorkerView
+from fuchsiarill.graphs.worker_waits import wait_ms
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.resources import NOTHING
+
+# Workers named in one ask; the service's bound.
+_ASKED_MAX_COUNT: Final = 100
+# Travel of an ask and of the start that follows.
+_TRAVEL_MS: Final = 150
+
+
+def allowed_workers(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+) -> list[WorkerView]:
+    """Return the workers that are known to be allowed to run the step."""
+    if request.entry.policy.advice is None:
+        return candidates
+    return [
+        view
+        for view in candidates
+        if state.tickets.is_allowed(request.step.key, view.worker)
+    ]
+
+
+def ask(
+    state: PoolState,
+    request: Request,
+    candidates: list[WorkerView],
+) -> bool:
+    """Ask for advice where it could help; tells whether to look again."""
+    policy = request.entry.policy.advice
+    if policy is None:
+        return False
+    step = request.step
+    if not state.tickets.may_ask(step.key, request.now_ms):
+        return True
+    without = [
+        view
+        for view in candidates
+        if state.tickets.ticket_for(step.key, view, request.now_ms) is None
+    ]
+    known = _soon_free(state, request, without, policy)
+    unknown = _unknown(state, request, without)
+    asked = (known + unknown)[:_ASKED_MAX_COUNT]
+    if not asked:
+        return False
+    allowed = allowed_workers(state, request, without)
+    _keep_room(request, allowed, _duration_ms(policy, len(asked)))
+    state.tickets.asked(step.key)
+    state.effects.append(AskAdvice(step.key, tuple(asked), step.rank_ms))
+    return True
+
+
+def _soon_free(
+    state: PoolState,
+    request: Request,
+    views: list[WorkerView],
+    policy: AdvicePolicy,
+) -> list[WorkerId]:
+    """Return allowed workers that have room when the tickets arrive."""
+    within_ms = _duration_ms(policy, 1)
+    return [
+        view.worker
+        for view in allowed_workers(state, request, views)
+        if wait_ms(state, request, view) <= within_ms
+    ]
+
+
+def _unknown(
+    state: PoolState,
+    request: Request,
+    views: list[WorkerView],
+) -> list[WorkerId]:
+    """Return workers of which it is not known whether they are allowed."""
+    step = request.step
+    return [
+        view.worker
+        for view in views
+        if not state.tickets.is_allowed(step.key, view.worker)
+        and could_ever_fit(step.step, view)
+    ]
+
+
+def _keep_room(
+    request: Request,
+    views: list[WorkerView],
+    duration_ms: int,
+) -> None:
+    """Keep room for the step until its tickets are there.
+
+    Otherwise a step of a higher rank that holds a ticket by chance takes the
+    room, again and again.
+    """
+    step = request.step
+    for view in views:
+        view.drop_reservations(step.key)
+    kept_count = 0
+    for view in views:
+        if kept_count == len(step.waiting):
+            return
+        if not has_room(step, view, NOTHING):
+            continue
+        kept_count += 1
+        view.reservations.append(
+            Reservation(
+                step.key,
+                step.rank_ms,
+                step.step.charge,
+                request.now_ms + duration_ms,
+            ),
+        )
+
+
+def _duration_ms(policy: AdvicePolicy, workers_count: int) -> int:
+    """Return how long an ask takes."""
+    asked_ms = policy.decision_ms + policy.interval_ms * workers_count
+    return int(asked_ms) + _TRAVEL_MS
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -230,6 +230,14 @@
     ) -> None:
         """Take over tickets for a step."""
         self.state.tickets.advised(step, asked, granted, expiry_ms)
+        events.emit(
+            events.STEP_ADVISED,
+            job=step.job,
+            step=f'{step.occurrence}.{step.step}',
+            asked=len(asked),
+            granted=len(granted),
+            workers=','.join(sorted(granted)),
+        )
         self._unblock(step)
 
     def advice_failed(self, step: StepKey, now_ms: int) -> None:
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -1,17 +1,16 @@
 """Decides which waiting units start, and where."""
 
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from fuchsiarill import events
-from fuchsiarill.graphs.effects import AskAdvice, StartRun
+from fuchsiarill.graphs import asking
+from fuchsiarill.graphs.effects import StartRun
 from fuchsiarill.graphs.gang_holds import hold_for_gang
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import (
     Request,
-    could_ever_fit,
-    has_room,
     place_unit,
     usable_workers,
 )
@@ -20,7 +19,6 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.resources import NOTHING
 
 
 class _Ranked(NamedTuple):
@@ -32,10 +30,6 @@
     step: StepEntry
 
 
-# Workers named in one ask; the service's bound.
-_ASKED_MAX_COUNT: Final = 100
-
-
 def decide(state: PoolState, now_ms: int) -> None:
     """Start what can start, in the order of rank."""
     ranked = [
@@ -71,81 +65,38 @@
         holders = _ticket_holders(state, request, candidates)
         placed = place_unit(state, request, holders)
         if placed is None:
-            allowed = _allowed(state, request, candidates)
-            if not preempt(state, request, allowed) and step.step.is_gang:
-                hold_for_gang(state, request, allowed)
-            is_asked = _ask(state, request, candidates, row.rank_ms)
-            if not is_asked:
-                step.blocked_version = state.free_version
+            _help_blocked(state, request, candidates)
             return
         _start(state, request, placed)
 
 
-def _ticket_holders(
+def _help_blocked(
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
-) -> list[WorkerView]:
-    """Return the workers that may be given the unit at once."""
-    if request.entry.policy.advice is None:
-        return candidates
-    return [
-        view
-        for view in candidates
-        if state.tickets.ticket_for(request.step.key, view, request.now_ms)
-    ]
+) -> None:
+    """Make room for a unit that can't be placed, or ask for tickets."""
+    step = request.step
+    allowed = asking.allowed_workers(state, request, candidates)
+    if not preempt(state, request, allowed) and step.step.is_gang:
+        hold_for_gang(state, request, allowed)
+    if not asking.ask(state, request, candidates):
+        step.blocked_version = state.free_version
 
 
-def _allowed(
+def _ticket_holders(
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
 ) -> list[WorkerView]:
-    """Return the workers that are known to be allowed to run the step."""
+    """Return the workers that may be given the unit at once."""
     if request.entry.policy.advice is None:
         return candidates
     return [
         view
         for view in candidates
-        if state.tickets.is_allowed(request.step.key, view.worker)
-    ]
-
-
-def _ask(
-    state: PoolState,
-    request: Request,
-    candidates: list[WorkerView],
-    rank: int,
-) -> bool:
-    """Ask for advice where it could help; tells whether to look again."""
-    if request.entry.policy.advice is None:
-        return False
-    step = request.step
-    if not state.tickets.may_ask(step.key, request.now_ms):
-        return True
-    wanted = [
-        view
-        for view in candidates
-        if state.tickets.ticket_for(step.key, view, request.now_ms) is None
-    ]
-    known = [
-        view.worker
-        for view in wanted
-        if state.tickets.is_allowed(step.key, view.worker)
-        and has_room(step, view, NOTHING)
-    ]
-    unknown = [
-        view.worker
-        for view in wanted
-        if not state.tickets.is_allowed(step.key, view.worker)
-        and could_ever_fit(step.step, view)
+        if state.tickets.ticket_for(request.step.key, view, request.now_ms)
     ]
-    asked = (known + unknown)[:_ASKED_MAX_COUNT]
-    if not asked:
-        return False
-    state.tickets.asked(step.key)
-    state.effects.append(AskAdvice(step.key, tuple(asked), rank))
-    return True
 
 
 def _start(
--- /dev/null
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -0,0 +1,40 @@
+"""Expected time until a worker has room."""
+
+from operator import itemgetter
+from typing import Final
+
+from fuchsiarill.graphs.placement import Request
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.worker_book import WorkerView
+
+NEVER_MS: Final = 1_000_000_000
+
+
+def wait_ms(state: PoolState, request: Request, view: WorkerView) -> float:
+    """Return the expected time until a task of the step fits."""
+    step = request.step
+    free = view.free_for(step.key, step.rank_ms)
+    ends = [
+        (_left_ms(state, request, run), run.charge)
+        for run in view.runs.values()
+    ]
+    longest_ms = 0.0
+    for left_ms, charge in sorted(ends, key=itemgetter(0)):
+        if step.step.charge.fits_in(free):
+            break
+        free += charge
+        longest_ms = left_ms
+    return longest_ms if step.step.charge.fits_in(free) else NEVER_MS
+
+
+def _left_ms(state: PoolState, request: Request, run: Run) -> float:
+    """Return the expected time until a run ends."""
+    found = state.find_step(run.task)
+    if found is None:
+        return 0
+    entry, step = found
+    if step.step.is_lasting:
+        return NEVER_MS
+    expected_ms = state.run_times.expected_ms(entry.graph.queue, step.step)
+    return max(expected_ms - (request.now_ms - run.ordered_ms), 0)
