Replace lost owners sooner, and explain jobs from logs

Cause: after an owner's loss, its jobs waited 9 s for a dark worker: the time to live of its lease, and the longest task lease. Change: the fleet record names the owner that wrote it; one whose lease is found ended, or that was a former life of the process, is over and only task leases are waited for. Leases of owners 2.5 -> 1.9 s, of tasks 6 -> 5 s. Relayed watches are short. The command explain puts the log lines of a job in order and concludes.

--- /dev/null
+++ b/fuchsiarill/commands/explain_command.py
@@ -0,0 +1,52 @@
+"""The command that explains a job from logs; it needs no running process."""
+
+import sys
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+from fuchsiarill import codes, texts
+from fuchsiarill.commands.client import Client
+from fuchsiarill.commands.command import CommandAnswer, command
+from fuchsiarill.explain_logs import conclude, read_story
+
+
+def _arguments(parser: ArgumentParser) -> None:
+    parser.add_argument('job', help='id of the job')
+    parser.add_argument(
+        'logs',
+        nargs='*',
+        type=Path,
+        help='log file of a process (default: standard input)',
+    )
+
+
+@command(
+    'explain',
+    'Say from logs what became of a job, and why.',
+    'fuchsiarill explain 5c0e7a21d94b36f8 logs/*.jsonl',
+    _arguments,
+)
+def explain(options: Namespace, client: Client) -> CommandAnswer:
+    """Print the lines of a job in order; the conclusion is a note.
+
+    Raises `OSError` for a file that can't be read.
+    """
+    sources = [path.read_text().splitlines() for path in options.logs]
+    story = read_story(options.job, sources or [sys.stdin])
+    notes = []
+    if story.unreadable_count:
+        notes.append(texts.LINES_UNREADABLE.format(story.unreadable_count))
+    if not story.lines:
+        notes.append(texts.JOB_UNSEEN)
+        return CommandAnswer(None, codes.UNKNOWN_JOB, tuple(notes))
+    notes.append(conclude(story))
+    rows = [
+        {
+            'time': line['time'],
+            'event': line['event'],
+            'level': line['level'],
+            'text': line['text'],
+        }
+        for line in story.lines
+    ]
+    return CommandAnswer(rows, notes=tuple(notes))
--- a/fuchsiarill/commands/main.py
+++ b/fuchsiarill/commands/main.py
@@ -19,6 +19,7 @@
 from fuchsiarill.commands import (  # noqa: F401
     config_commands,
     contract_commands,
+    explain_command,
     host_commands,
     job_commands,
     replay_command,
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -33,6 +33,8 @@
     jobs_revision: Revision
     progress: tuple[KvItem, ...]
     revisions: dict[StoreKey, Revision]
+    # The owner before can order nothing any more.
+    is_former_over: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -1,52 +1,87 @@
 """Reads what earlier owners of a pool left in the store."""
 
-from returns.result import Failure
+from dataclasses import dataclass
+
+from returns.result import Failure, Result
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.feeds import list_all
 from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.graphs.owner_messages import PoolLoaded
-from fuchsiarill.ports.key_value import KeyValuePort, KvItem
+from fuchsiarill.ids import ProcessId, Revision, StoreKey, StoreLeaseId
+from fuchsiarill.ports.key_value import KeyValuePort, KvFailure, KvItem
 
 _RETRY_MS = 100
 
 
-async def load_pool(
-    store: KeyValuePort,
-    pool: PoolId,
-    timeout_ms: int,
-) -> PoolLoaded:
-    """Read the records of a pool; tries until all have been read."""
-    while True:
-        loaded = await _try_to_load(store, pool, timeout_ms)
-        if loaded is not None:
-            return loaded
-        await sleep_ms(_RETRY_MS)
-
-
-async def _try_to_load(
-    store: KeyValuePort,
-    pool: PoolId,
-    timeout_ms: int,
-) -> PoolLoaded | None:
-    fleet = await store.get(keys.fleet_key(pool), timeout_ms)
-    pending = await store.get(keys.pending_key(pool), timeout_ms)
-    jobs = await list_all(store, keys.jobs_prefix(pool), timeout_ms)
-    progress = await list_all(store, keys.progress_prefix(pool), timeout_ms)
-    answers = (fleet, pending, jobs, progress)
-    if any(isinstance(answer, Failure) for answer in answers):
-        return None
-    job_items, jobs_revision = jobs.unwrap()
-    progress_items, _ = progress.unwrap()
-    known = (fleet.unwrap(), pending.unwrap(), *progress_items)
-    return PoolLoaded(
-        _fleet(fleet.unwrap()),
-        job_items,
-        jobs_revision,
-        progress_items,
-        {found.key: found.revision for found in known},
-    )
+@dataclass(frozen=True, slots=True)
+class PoolLoader:
+    """Reads the records of a pool for a process."""
+
+    store: KeyValuePort
+    pool: PoolId
+    process: ProcessId
+    timeout_ms: int
+
+    async def load(self) -> PoolLoaded:
+        """Read the records; tries until all have been read."""
+        while True:
+            loaded = await self._try_to_load()
+            if loaded is not None:
+                return loaded
+            await sleep_ms(_RETRY_MS)
+
+    async def _try_to_load(self) -> PoolLoaded | None:
+        fleet = await self._get(keys.fleet_key(self.pool))
+        pending = await self._get(keys.pending_key(self.pool))
+        jobs = await self._list(keys.jobs_prefix(self.pool))
+        progress = await self._list(keys.progress_prefix(self.pool))
+        answers = (fleet, pending, jobs, progress)
+        if any(isinstance(answer, Failure) for answer in answers):
+            return None
+        record = _fleet(fleet.unwrap())
+        is_former_over = await self._is_former_over(record.owner)
+        if is_former_over is None:
+            return None
+        saved = progress.unwrap()[0]
+        known = (fleet.unwrap(), pending.unwrap(), *saved)
+        return PoolLoaded(
+            record,
+            *jobs.unwrap(),
+            saved,
+            {found.key: found.revision for found in known},
+            is_former_over,
+        )
+
+    async def _is_former_over(
+        self,
+        former: records.OwnerRecord | None,
+    ) -> bool | None:
+        """Tell whether the former owner can order nothing any more.
+
+        A former life of this process is over. Another owner stops before its
+        lease ends; but when its key was taken away, it may not know yet, and
+        its lease is found alive. Returns `None` without an answer.
+        """
+        if former is None or former.process == self.process:
+            return True
+        ended = await self.store.end_lease(
+            StoreLeaseId(former.lease),
+            self.timeout_ms,
+        )
+        if ended == Failure(KvFailure.LEASE_GONE):
+            return True
+        return None if isinstance(ended, Failure) else False
+
+    async def _get(self, key: StoreKey) -> Result[KvItem, KvFailure]:
+        return await self.store.get(key, self.timeout_ms)
+
+    async def _list(
+        self,
+        prefix: str,
+    ) -> Result[tuple[tuple[KvItem, ...], Revision], KvFailure]:
+        return await list_all(self.store, prefix, self.timeout_ms)
 
 
 def _fleet(found: KvItem) -> records.FleetRecord:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from fuchsiarill import events
@@ -57,6 +57,7 @@
     epoch: Epoch
     guard: LeaseGuard
     config: GraphConfig
+    owner: records.OwnerRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,12 +89,17 @@
         settings = context.settings
         self._term = term
         self._context = context
-        self._fleet = loaded.fleet
+        self._fleet = replace(
+            loaded.fleet,
+            term=loaded.fleet.term + 1,
+            owner=term.owner,
+        )
+        self._is_former_over = loaded.is_former_over
         self.core = GraphCore(
             term.pool,
             term.epoch,
             settings.task_lease,
-            loaded.fleet.term + 1,
+            self._fleet.term,
         )
         self.core.configure(term.config)
         self._directory = WorkerDirectory(term.pool, context.ports.directory)
@@ -107,7 +113,7 @@
         self._saver = ProgressSaver(
             self.core,
             self._writer.mailbox,
-            loaded.fleet.term + 1,
+            self._fleet,
             settings.retention,
         )
         channel_context = ChannelContext(
@@ -143,7 +149,7 @@
             epoch=self._term.epoch,
             jobs=len(self.core.state.jobs),
             workers=len(self._fleet.members),
-            term=self._fleet.term + 1,
+            term=self._fleet.term,
         )
 
     async def stop(self) -> None:
@@ -326,11 +332,12 @@
         return entry.policy.advice.validity_ms
 
     def _longest_leases_ms(self) -> int:
-        """Return for how long the owner before may have granted leases."""
+        """Return for how long leases of the owner before may last."""
         leases = self._context.settings.task_lease
-        tasks_ms = leases.duration_ms * (1 + leases.clock_slowness)
-        ownership_ms = self._context.settings.ownership.lease_ttl_ms
-        return int(ownership_ms + tasks_ms) + leases.wake_ms
+        longest_ms = leases.longest_ms
+        if not self._is_former_over:
+            longest_ms += self._context.settings.ownership.lease_ttl_ms
+        return longest_ms
 
     def _make_feeds(self, jobs_revision: Revision) -> tuple[PrefixFeed, ...]:
         wait_ms = self._context.settings.watch_wait_ms
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -1,5 +1,6 @@
 """Makes an owner's knowledge durable, one message at a time."""
 
+from dataclasses import replace
 from typing import Final
 
 from fuchsiarill.actor import Mailbox
@@ -22,14 +23,14 @@
         self,
         core: GraphCore,
         writer: Mailbox,
-        fleet_term: int,
+        fleet: records.FleetRecord,
         retention: RetentionSettings,
     ) -> None:
         """Save what `core` changes through `writer`."""
         self._core = core
         self._pool = core.state.pool
         self._writer = writer
-        self._fleet_term = fleet_term
+        self._fleet = fleet
         self._retention = retention
         self._is_saving = False
         self._pending: dict[QueueId, int] = {}
@@ -69,7 +70,7 @@
             records.FleetMember(view.worker, view.address)
             for view in self._core.state.workers
         )
-        record = records.FleetRecord(self._fleet_term, members)
+        record = replace(self._fleet, members=members)
         self._writer.send(
             SaveRecords(
                 {keys.fleet_key(self._pool): records.encode_fleet(record)},
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -41,10 +41,12 @@
     """Every worker that an owner may have given work; `term` counts owners.
 
     A new owner must have an answer of each, or wait for its leases to lapse.
+    `owner` is the one that wrote the record.
     """
 
     term: int = 0
     members: tuple[FleetMember, ...] = ()
+    owner: OwnerRecord | None = None
 
 
 def encode_owner(record: OwnerRecord) -> bytes:
@@ -60,7 +62,13 @@
 def encode_fleet(record: FleetRecord) -> bytes:
     """Return the JSON form of a fleet record."""
     rows = [[member.worker, member.address] for member in record.members]
-    return _encode({'term': record.term, 'members': rows})
+    return _encode(
+        {
+            'term': record.term,
+            'members': rows,
+            'owner': asdict(record.owner) if record.owner else None,
+        },
+    )
 
 
 def decode_fleet(content: bytes) -> FleetRecord:
@@ -70,7 +78,12 @@
         FleetMember(WorkerId(worker), address)
         for worker, address in document['members']
     )
-    return FleetRecord(document['term'], members)
+    owner = document['owner']
+    return FleetRecord(
+        document['term'],
+        members,
+        OwnerRecord(**owner) if owner else None,
+    )
 
 
 def encode_pending(counts: dict[QueueId, int]) -> bytes:
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -31,8 +31,9 @@
 
 # The store answers within 300 ms even when it is 60 times slower than usual.
 _DIRECT_TIMEOUT_MS: Final = 450
-# A relayed watch fails when the store has been silent for this long.
-_WATCH_MARGIN_MS: Final = 700
+# A relayed watch is short, so that the own path is soon tried again.
+_WATCH_MS: Final = 300
+_WATCH_MARGIN_MS: Final = 450
 # The own path is tried again after this time.
 _SUSPENSION_MS: Final = 1000
 _UNREACHABLE: Final = frozenset((KvFailure.REFUSED, KvFailure.UNKNOWN))
@@ -82,7 +83,7 @@
         """Wait for changes of a prefix, for at most `wait_ms`."""
         return await self._call(
             lambda: self._store.watch_prefix(prefix, after, wait_ms),
-            encoding.watch_fields(prefix, after, wait_ms),
+            encoding.watch_fields(prefix, after, min(wait_ms, _WATCH_MS)),
             encoding.read_changes,
         )
 
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -66,9 +66,7 @@
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Note that an order that extends all leases of a worker leaves."""
-    leases = state.leases
-    longest_ms = leases.duration_ms * (1 + leases.clock_slowness)
-    view.lapse_ms = int(now_ms + longest_ms) + leases.wake_ms
+    view.lapse_ms = now_ms + state.leases.longest_ms
 
 
 def _is_serving(state: PoolState, run: Run) -> bool:
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -41,8 +41,8 @@
 
     # An owner that was killed is replaced after this time at the latest;
     # shorter outages of the store do not suspend the owner.
-    lease_ttl_ms: int = 2500
-    renewal_interval_ms: int = 500
+    lease_ttl_ms: int = 1900
+    renewal_interval_ms: int = 350
     # Covers the links' delay and the clocks' difference in rate.
     lease_margin_ms: int = 300
     campaign_spread_ms: int = 40
@@ -51,8 +51,11 @@
 class TaskLeaseSettings(_Section):
     """Timing of the leases under which tasks run on workers."""
 
-    # From the bounds of the platform.
-    duration_ms: int = 6000
+    # Outlasts the replacement of an owner and an outage of the store of four
+    # seconds; tasks of a lost worker start elsewhere after it.
+    wanted_ms: int = 5000
+    # Workers shorten longer leases to this.
+    allowed_ms: int = 6000
     # A worker's clock may be this much slow.
     clock_slowness: float = 0.02
     # A woken worker ends what has lapsed within this time.
@@ -62,6 +65,17 @@
     stop_grace_ms: int = 400
     gang_wait_ms: int = 3000
 
+    @property
+    def duration_ms(self) -> int:
+        """Return the length of a lease, by the worker's clock."""
+        return min(self.wanted_ms, self.allowed_ms)
+
+    @property
+    def longest_ms(self) -> int:
+        """Return when all has ended that an order leaves running."""
+        slow_ms = self.duration_ms * (1 + self.clock_slowness)
+        return int(slow_ms) + self.wake_ms
+
 
 class CallSettings(_Section):
     """Deadlines of calls."""
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -25,7 +25,7 @@
     OwnershipRefuted,
     PoolLoaded,
 )
-from fuchsiarill.graphs.pool_loading import load_pool
+from fuchsiarill.graphs.pool_loading import PoolLoader
 from fuchsiarill.graphs.pool_owner import OwnerContext, PoolOwner, Term
 from fuchsiarill.graphs.states import TenureEvent, TenureState
 from fuchsiarill.ids import ABSENT, Epoch, StoreLeaseId
@@ -279,7 +279,13 @@
         epoch, loaded = self._election.epoch, self._loaded
         if epoch is None or loaded is None or self._guard is None:
             return
-        term = Term(self.pool, epoch, self._guard, self.config)
+        term = Term(
+            self.pool,
+            epoch,
+            self._guard,
+            self.config,
+            self._record(self._election.lease),
+        )
         owner_context = replace(self._context, tenure=self.mailbox)
         self.owner = PoolOwner(term, owner_context, loaded)
         self.owner.start()
@@ -342,12 +348,7 @@
             return _Election(None)
         lease = granted.unwrap()
         key = keys.owner_key(self.pool)
-        record = records.OwnerRecord(
-            self._settings.process,
-            self._candidate.incarnation,
-            lease,
-        )
-        value = records.encode_owner(record)
+        value = records.encode_owner(self._record(lease))
         answered = await self._store.commit(
             KvTransaction(((key, ABSENT),), (KvWrite(key, value, lease),)),
             timeout_ms,
@@ -361,6 +362,13 @@
             case _:
                 return await self._read_back(value, lease, asked_ms)
 
+    def _record(self, lease: StoreLeaseId | None) -> records.OwnerRecord:
+        return records.OwnerRecord(
+            self._settings.process,
+            self._candidate.incarnation,
+            lease or '',
+        )
+
     async def _read_back(
         self,
         value: bytes,
@@ -410,11 +418,13 @@
         self.mailbox.send(_Renewal(lease, asked_ms, outcome, is_key_lost))
 
     async def _load(self, election: _Election) -> None:
-        loaded = await load_pool(
+        loader = PoolLoader(
             self._store,
             self.pool,
+            self._settings.process,
             self._settings.calls.store_timeout_ms,
         )
+        loaded = await loader.load()
         self.mailbox.send(_Loaded(election, loaded))
 
     async def _end_lease(self, lease: StoreLeaseId) -> None:
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -113,3 +113,25 @@
 SERVICE_RUN_TIME: Final = 'a service runs until it is cancelled'
 SERVICE_AT_MOST_ONCE: Final = 'a service is started again when it ends'
 REPEATED_JOB_KEY: Final = 'the key occurs twice, first at {first}'
+JOB_USED_UP_ATTEMPTS: Final = (
+    'The job failed: {failed} runs ended as failed, and a task has no attempt '
+    'left.'
+)
+JOB_SETTLED: Final = (
+    'The job is {phase} after {age_ms} ms, objective {objective_ms} ms; its '
+    'first run started after {wait_ms} ms; runs lost with their worker: '
+    '{lost}, failed: {failed}, stopped: {stopped}.'
+)
+JOB_REFUSED: Final = (
+    'The request to {verb} the job was refused with {code} after {took_ms} '
+    'ms: {reason}.'
+)
+JOB_UNSEEN: Final = 'No log names the job: no process has decided about it.'
+JOB_NOT_PLACED: Final = (
+    'The job is accepted and no run was placed: look for the owner of its '
+    'pool (events 731 to 738) and for the answers to its asks (719).'
+)
+JOB_UNFINISHED: Final = (
+    'The job is not settled: {placed} runs were placed and {ended} have ended.'
+)
+LINES_UNREADABLE: Final = '{} log lines that name the job can not be read.'
--- /dev/null
+++ b/tests/test_explain_logs.py
@@ -0,0 +1,79 @@
+"""Explanations of jobs from logs."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fuchsiarill.codes import ExitStatus
+from fuchsiarill.commands.main import main
+from fuchsiarill.explain_logs import conclude, read_story
+
+JOB = '5c0e7a21d94b36f8'
+ACCEPTED = {'event': 701, 'queue': 'q', 'revision': 3, 'took_ms': 20}
+REFUSED = {
+    'event': 702,
+    'verb': 'submit',
+    'code': 'store_unavailable',
+    'took_ms': 700,
+    'reason': '6 calls of the store failed',
+}
+PLACED = {'event': 711, 'waited_ms': 45}
+FAILED = {'event': 712, 'kind': 'failed'}
+SETTLED = {
+    'event': 704,
+    'phase': 'succeeded',
+    'age_ms': 900,
+    'objective_ms': 800,
+}
+
+
+def line(number: int, parts: dict[str, Any]) -> str:
+    """Return a log line as a process writes it."""
+    common = {'time': number, 'level': 'INFO', 'job': JOB, 'text': 't'}
+    return json.dumps(common | parts)
+
+
+@pytest.mark.parametrize(
+    ('story', 'words'),
+    [
+        ([REFUSED], 'refused with store_unavailable after 700 ms'),
+        ([ACCEPTED], 'no run was placed'),
+        ([ACCEPTED, PLACED], '1 runs were placed and 0 have ended'),
+        (
+            [ACCEPTED, PLACED, FAILED, SETTLED],
+            'succeeded after 900 ms, objective 800 ms; its first run started '
+            'after 45 ms; runs lost with their worker: 0, failed: 1',
+        ),
+        (
+            [ACCEPTED, PLACED, FAILED, SETTLED | {'phase': 'failed'}],
+            '1 runs ended as failed',
+        ),
+    ],
+)
+def test_conclusion(story: list[dict[str, Any]], words: str) -> None:
+    """Guards against an explanation that names the wrong cause."""
+    lines = [line(number, parts) for number, parts in enumerate(story)]
+    # Lines of several processes arrive in any order and with prefixes.
+    sources = [[f'  1.2 entry-1 {text}'] for text in reversed(lines)]
+    found = read_story(JOB, sources)
+    assert [one['time'] for one in found.lines] == list(range(len(story)))
+    assert words in conclude(found)
+
+
+def test_command(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a broken line that hides all others."""
+    log = tmp_path / 'log'
+    log.write_text('\n'.join((line(1, ACCEPTED), f'{{"job": "{JOB}"')))
+    assert main(['explain', JOB, str(log)]) is ExitStatus.SUCCESS
+    printed = capsys.readouterr()
+    assert '701' in printed.out
+    assert '1 log lines that name the job can not be read' in printed.err
+    assert main(['explain', 'other', str(log)]) is not ExitStatus.SUCCESS
+    missing = str(tmp_path / 'none')
+    assert main(['explain', JOB, missing]) is ExitStatus.BAD_REQUEST
+    assert 'none' in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_pool_loading.py
@@ -0,0 +1,57 @@
+"""What a new owner learns of the one before it."""
+
+import pytest
+
+from fuchsiarill.clock import run_paused, sleep_ms
+from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs.pool_loading import PoolLoader
+from fuchsiarill.ids import ProcessId
+from fuchsiarill.ports.key_value import KvWrite
+from standins.store_model import StoreModel, StorePath
+from tests.graph_cell import POOL
+
+_TTL_MS = 1900
+_TIMEOUT_MS = 500
+
+
+@pytest.mark.parametrize(
+    ('former', 'waited_ms', 'is_over'),
+    [
+        ('other', 0, False),
+        ('other', _TTL_MS + 1, True),
+        ('own', 0, True),
+        (None, 0, True),
+    ],
+)
+def test_former_owner(
+    former: str | None,
+    waited_ms: int,
+    is_over: bool,
+) -> None:
+    """Guards against a wait that is too short for an owner that goes on.
+
+    The key of an owner may be taken away while its lease, and so its right
+    to order, goes on.
+    """
+
+    async def main() -> bool:
+        path = StorePath(StoreModel())
+        granted = await path.grant_lease(_TTL_MS, _TIMEOUT_MS)
+        owner = None
+        if former is not None:
+            owner = records.OwnerRecord(
+                ProcessId(former),
+                'x',
+                granted.unwrap(),
+            )
+        fleet = records.FleetRecord(3, (), owner)
+        path.model.write(
+            KvWrite(keys.fleet_key(POOL), records.encode_fleet(fleet)),
+        )
+        await sleep_ms(waited_ms)
+        loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS)
+        loaded = await loader.load()
+        assert loaded.fleet == fleet
+        return loaded.is_former_over
+
+    assert run_paused(main()) is is_over
