--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -43,6 +43,10 @@
 _TICK_MS: Final = 100
 # A process that owns another pool lets others go first.
 _OWNED_DELAY_MS: Final = 150
+# In a rolling restart those that started last are not restarted again, so a
+# process waits longer the longer it has run, up to a minute.
+_SENIORITY_DELAY: Final = 0.002
+_SENIORITY_MAX_MS: Final = 60_000
 _HAND_OVER_MS: Final = 1500
 _RETRY_MS: Final = 150
 
@@ -126,6 +130,7 @@
         self._context = candidate.context
         self._settings = candidate.context.settings
         self._store = candidate.context.ports.store
+        self._started_ms = now_ms()
         self._key_revision = ABSENT
         self._is_vacant = False
         self._election = _Election(None)
@@ -253,8 +258,11 @@
             owner = self.owner
             self.owner = None
             await owner.stop()
-        if self._election.lease is not None:
-            await self._end_lease(self._election.lease)
+        self._guard = None
+        lease = self._election.lease
+        self._election = _Election(None)
+        if lease is not None:
+            await self._end_lease(lease)
         message.reply.answer(None)
 
     def campaign(self) -> None:
@@ -329,6 +337,8 @@
         # Spread, so that most processes see the winner before they try.
         delay_ms = random.random() * ownership.campaign_spread_ms
         delay_ms += self._candidate.owned_count() * _OWNED_DELAY_MS
+        uptime_ms = min(now_ms() - self._started_ms, _SENIORITY_MAX_MS)
+        delay_ms += uptime_ms * _SENIORITY_DELAY
         await sleep_ms(delay_ms)
         if not self._is_vacant:
             self.mailbox.send(_Election(None))
