Split tenure and owner, count ends, waits and takeovers

Change: campaigner.py, tenure_messages.py, owner_context.py and job_intake.py hold what they carried; ends, waits and takeovers are counted.

--- /dev/null
+++ b/fuchsiarill/graphs/campaigner.py
@@ -0,0 +1,100 @@
+"""One try of a process to become the owner of a pool."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Failure, Success
+
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs.model import PoolId
+from fuchsiarill.graphs.settings import GraphSettings
+from fuchsiarill.ids import ABSENT, Epoch, StoreLeaseId
+from fuchsiarill.ports.key_value import (
+    KeyValuePort,
+    KvCommitted,
+    KvConflict,
+    KvTransaction,
+    KvWrite,
+)
+
+_RETRY_MS: Final = 150
+
+
+@dataclass(frozen=True, slots=True)
+class Election:
+    """Outcome of a campaign; without an epoch it was not won."""
+
+    epoch: Epoch | None
+    lease: StoreLeaseId | None = None
+    asked_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Campaigner:
+    """Writes the owner key of a pool, if nobody holds it."""
+
+    store: KeyValuePort
+    settings: GraphSettings
+    pool: PoolId
+    incarnation: str
+
+    async def run(self) -> Election:
+        """Grant a lease and write the key under it."""
+        ownership = self.settings.ownership
+        asked_ms = now_ms()
+        granted = await self.store.grant_lease(
+            ownership.lease_ttl_ms,
+            self.settings.calls.store_timeout_ms,
+        )
+        if isinstance(granted, Failure):
+            await sleep_ms(_RETRY_MS)
+            return Election(None)
+        lease = granted.unwrap()
+        key = keys.owner_key(self.pool)
+        write = KvWrite(key, records.encode_owner(self.record(lease)), lease)
+        answered = await self.store.commit(
+            KvTransaction(((key, ABSENT),), (write,)),
+            self.settings.calls.store_timeout_ms,
+        )
+        match answered:
+            case Success(KvCommitted(revision)):
+                return Election(Epoch(revision), lease, asked_ms)
+            case Success(KvConflict()):
+                await self.end_lease(lease)
+                return Election(None)
+            case _:
+                return await self._read_back(write, lease, asked_ms)
+
+    def record(self, lease: StoreLeaseId | None) -> records.OwnerRecord:
+        """Return how the owner names itself."""
+        return records.OwnerRecord(
+            self.settings.process,
+            self.incarnation,
+            lease or '',
+        )
+
+    async def end_lease(self, lease: StoreLeaseId) -> None:
+        """Give a lease up; one that can't be ended lapses."""
+        await self.store.end_lease(
+            lease,
+            self.settings.calls.store_timeout_ms,
+        )
+
+    async def _read_back(
+        self,
+        write: KvWrite,
+        lease: StoreLeaseId,
+        asked_ms: int,
+    ) -> Election:
+        """Find out whether a write without an answer took effect."""
+        found = await self.store.get(
+            write.key,
+            self.settings.calls.store_timeout_ms,
+        )
+        if isinstance(found, Success) and found.unwrap().value == write.value:
+            return Election(Epoch(found.unwrap().revision), lease, asked_ms)
+        # A write that takes effect later fails once its lease has ended.
+        await self.end_lease(lease)
+        await sleep_ms(_RETRY_MS)
+        return Election(None)
--- /dev/null
+++ b/fuchsiarill/graphs/job_intake.py
@@ -0,0 +1,40 @@
+"""Takes jobs and cancellations from the store into the decisions."""
+
+from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs.core import GraphCore
+from fuchsiarill.graphs.progress import JobProgress
+from fuchsiarill.ids import JobId
+from fuchsiarill.ports.key_value import KvItem
+
+
+def take_jobs(
+    core: GraphCore,
+    found: tuple[KvItem, ...],
+    progress_found: tuple[KvItem, ...],
+    now_ms: int,
+) -> None:
+    """Take over records of jobs, with the progress that is known of them.
+
+    A job that was created before the owner was elected is inherited.
+    """
+    progress = {
+        keys.job_of_progress(row.key): row.value for row in progress_found
+    }
+    cancelled: list[JobId] = []
+    for row in found:
+        if row.value is None:
+            continue
+        job = keys.job_of_key(row.key)
+        if keys.is_cancel(row.key):
+            cancelled.append(job)
+            continue
+        saved = progress.get(job)
+        core.add_job(
+            records.decode_graph(core.state.pool, job, row.value),
+            records.decode_progress(saved) if saved else JobProgress(),
+            now_ms,
+            is_inherited=row.created < core.state.epoch,
+        )
+    # A cancellation may be listed before its job.
+    for job in cancelled:
+        core.cancel_job(job, now_ms)
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -79,11 +79,6 @@
             'Generation of the configuration in force.',
             registry=self.registry,
         )
-        self.dropped_lines = Gauge(
-            'fuchsiarill_graph_log_lines_dropped',
-            'Log lines that the output did not keep up with.',
-            registry=self.registry,
-        )
 
     def answered(self, verb: str, code: ResultCode, duration_s: float) -> None:
         """Count a request of a caller."""
--- /dev/null
+++ b/fuchsiarill/graphs/owner_context.py
@@ -0,0 +1,34 @@
+"""What an owner of a pool is given."""
+
+from dataclasses import dataclass
+
+from fuchsiarill.actor import Mailbox
+from fuchsiarill.graphs import records
+from fuchsiarill.graphs.lease_guard import LeaseGuard
+from fuchsiarill.graphs.metrics import GraphMetrics
+from fuchsiarill.graphs.model import GraphConfig, PoolId
+from fuchsiarill.graphs.ports import GraphPorts
+from fuchsiarill.graphs.settings import GraphSettings
+from fuchsiarill.ids import Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """One ownership of a pool."""
+
+    pool: PoolId
+    epoch: Epoch
+    guard: LeaseGuard
+    config: GraphConfig
+    owner: records.OwnerRecord
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerContext:
+    """What an owner needs of its process."""
+
+    settings: GraphSettings
+    ports: GraphPorts
+    advisor: Mailbox
+    tenure: Mailbox
+    metrics: GraphMetrics
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -2,14 +2,14 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any, Final
 
 from fuchsiarill import events
-from fuchsiarill.actor import Mailbox, handles
+from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
 from fuchsiarill.graphs.advice import AdviceAsked
 from fuchsiarill.graphs.core import GraphCore
@@ -29,16 +29,13 @@
     Listed,
     PrefixFeed,
 )
-from fuchsiarill.graphs.lease_guard import LeaseGuard
-from fuchsiarill.graphs.model import GraphConfig, PoolId
+from fuchsiarill.graphs.job_intake import take_jobs
+from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
-from fuchsiarill.graphs.ports import GraphPorts
-from fuchsiarill.graphs.progress import JobProgress
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
-from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.worker_channel import ChannelContext
-from fuchsiarill.ids import Epoch, JobId, Revision
+from fuchsiarill.ids import JobId, Revision
 from fuchsiarill.ports.key_value import KvItem
 from fuchsiarill.registry import Registry
 
@@ -49,27 +46,6 @@
 _NS_PER_MS: Final = 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Term:
-    """One ownership of a pool."""
-
-    pool: PoolId
-    epoch: Epoch
-    guard: LeaseGuard
-    config: GraphConfig
-    owner: records.OwnerRecord
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerContext:
-    """What an owner needs of its process."""
-
-    settings: GraphSettings
-    ports: GraphPorts
-    advisor: Mailbox
-    tenure: Mailbox
-
-
 _Carrier = Callable[['PoolOwner', Any], None]
 
 EFFECTS: Final[Registry[type, _Carrier]] = Registry('effects of an owner')
@@ -116,14 +92,17 @@
             self._fleet,
             settings.retention,
         )
-        channel_context = ChannelContext(
-            settings,
-            context.ports.agents,
-            term.epoch,
-            term.guard,
-            self.mailbox,
+        self.channels = PoolChannels(
+            self.core,
+            ChannelContext(
+                settings,
+                context.ports.agents,
+                term.epoch,
+                term.guard,
+                self.mailbox,
+            ),
+            self.spawn,
         )
-        self.channels = PoolChannels(self.core, channel_context, self.spawn)
         self._feeds = self._make_feeds(loaded.jobs_revision)
         self._is_decision_due = False
         self._take_jobs(loaded.jobs, loaded.progress)
@@ -143,14 +122,7 @@
         self._saver.save_fleet()
         for feed in self._feeds:
             feed.start()
-        events.emit(
-            events.POOL_LOADED,
-            pool=self._term.pool,
-            epoch=self._term.epoch,
-            jobs=len(self.core.state.jobs),
-            workers=len(self._fleet.members),
-            term=self._fleet.term,
-        )
+        self._note_takeover()
 
     async def stop(self) -> None:
         """End all that the owner has started."""
@@ -201,6 +173,10 @@
     @handles(messages.Reported)
     async def on_reported(self, message: messages.Reported) -> None:
         """Take over a report."""
+        view = self.core.state.workers.find(message.worker)
+        for end in message.report.ended:
+            if view is not None and end.sequence > view.seen_end:
+                self._context.metrics.ended(end.kind)
         self.core.worker_reported(
             message.worker,
             message.report,
@@ -305,6 +281,13 @@
                 return
             await sleep_ms(_HAND_OVER_CHECK_MS)
 
+    def observe_start(self, start: StartRun) -> None:
+        """Measure how long a job has waited for a start."""
+        entry = self.core.state.jobs.get(start.task.job)
+        if entry is not None:
+            wait_ms = now_ms() - entry.accepted_ms
+            self._context.metrics.waited(entry.graph.queue, wait_ms)
+
     def ask_advice(self, ask: AskAdvice) -> None:
         """Send an ask to the advisor of the process."""
         asked = {}
@@ -316,6 +299,17 @@
             AdviceAsked(ask, asked, self.mailbox, lambda: self._is_wanted(ask)),
         )
 
+    def _note_takeover(self) -> None:
+        self._context.metrics.takeovers.inc()
+        events.emit(
+            events.POOL_LOADED,
+            pool=self._term.pool,
+            epoch=self._term.epoch,
+            jobs=len(self.core.state.jobs),
+            workers=len(self._fleet.members),
+            term=self._fleet.term,
+        )
+
     def _is_wanted(self, ask: AskAdvice) -> bool:
         entry = self.core.state.jobs.get(ask.step.job)
         if entry is None or not entry.is_active:
@@ -365,27 +359,7 @@
         found: tuple[KvItem, ...],
         progress_found: tuple[KvItem, ...],
     ) -> None:
-        progress = {
-            keys.job_of_progress(row.key): row.value for row in progress_found
-        }
-        cancelled: list[JobId] = []
-        for row in found:
-            if row.value is None:
-                continue
-            job = keys.job_of_key(row.key)
-            if keys.is_cancel(row.key):
-                cancelled.append(job)
-                continue
-            saved = progress.get(job)
-            self.core.add_job(
-                records.decode_graph(self._term.pool, job, row.value),
-                records.decode_progress(saved) if saved else JobProgress(),
-                now_ms(),
-                is_inherited=row.created < self._term.epoch,
-            )
-        # A cancellation may be listed before its job.
-        for job in cancelled:
-            self.core.cancel_job(job, now_ms())
+        take_jobs(self.core, found, progress_found, now_ms())
         self._plan_decision()
 
     def _list_workers(self) -> None:
@@ -407,6 +381,11 @@
 
 
 @EFFECTS.register(StartRun)
+def _carry_start(owner: PoolOwner, effect: StartRun) -> None:
+    owner.observe_start(effect)
+    owner.channels.carry(effect)
+
+
 @EFFECTS.register(StopRun)
 @EFFECTS.register(PaceRun)
 @EFFECTS.register(LookAt)
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -24,13 +24,14 @@
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.model import GraphConfig, PoolId
+from fuchsiarill.graphs.owner_context import OwnerContext
 from fuchsiarill.graphs.owner_messages import ConfigInForce
-from fuchsiarill.graphs.pool_owner import OwnerContext
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
-from fuchsiarill.graphs.tenure import Candidate, Drain, OwnerKeySeen, Tenure
+from fuchsiarill.graphs.tenure import Tenure
+from fuchsiarill.graphs.tenure_messages import Candidate, Drain, OwnerKeySeen
 from fuchsiarill.ids import ProcessId, Revision
 from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
@@ -262,6 +263,7 @@
                     self._ports,
                     self._advisor.mailbox,
                     self.mailbox,
+                    self._metrics,
                 ),
                 self._incarnation,
                 self._owned_count,
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -8,35 +8,38 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any, Final
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from fuchsiarill import events
-from fuchsiarill.actor import Reply, handles
+from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs.campaigner import Campaigner, Election
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import GraphConfig, PoolId
+from fuchsiarill.graphs.owner_context import Term
 from fuchsiarill.graphs.owner_messages import (
     ConfigInForce,
     OwnershipRefuted,
     PoolLoaded,
 )
 from fuchsiarill.graphs.pool_loading import PoolLoader
-from fuchsiarill.graphs.pool_owner import OwnerContext, PoolOwner, Term
+from fuchsiarill.graphs.pool_owner import PoolOwner
 from fuchsiarill.graphs.states import TenureEvent, TenureState
-from fuchsiarill.ids import ABSENT, Epoch, StoreLeaseId
-from fuchsiarill.ports.key_value import (
-    KvCommitted,
-    KvConflict,
-    KvFailure,
-    KvItem,
-    KvTransaction,
-    KvWrite,
+from fuchsiarill.graphs.tenure_messages import (
+    Candidate,
+    Drain,
+    OwnerKeySeen,
+    PoolRead,
+    RenewalAnswered,
+    TenureTick,
 )
+from fuchsiarill.ids import ABSENT, StoreLeaseId
+from fuchsiarill.ports.key_value import KvFailure
 from fuchsiarill.registry import Registry
 from fuchsiarill.state_chart import load_chart
 
@@ -51,61 +54,6 @@
 _RETRY_MS: Final = 150
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerKeySeen:
-    """The owner key as the store's feed shows it."""
-
-    item: KvItem
-
-
-@dataclass(frozen=True, slots=True)
-class Drain:
-    """Give the pool up, then answer."""
-
-    reply: Reply[None]
-
-
-@dataclass(frozen=True, slots=True)
-class _Election:
-    """Outcome of a campaign."""
-
-    epoch: Epoch | None
-    lease: StoreLeaseId | None = None
-    asked_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class _Loaded:
-    """The pool has been read for the term that an election began."""
-
-    election: _Election
-    loaded: PoolLoaded
-
-
-@dataclass(frozen=True, slots=True)
-class _Renewal:
-    lease: StoreLeaseId
-    asked_ms: int
-    outcome: Result[StoreLeaseId, KvFailure]
-    # The owner key has been read after a time without renewals.
-    is_key_lost: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class _Tick:
-    """Time passes."""
-
-
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A process as it appears in elections."""
-
-    context: OwnerContext
-    incarnation: str
-    # Pools that this process owns at the moment.
-    owned_count: Callable[[], int]
-
-
 _Action = Callable[['Tenure'], None]
 
 TENURE_ACTIONS: Final[Registry[str, _Action]] = Registry('tenure actions')
@@ -130,10 +78,16 @@
         self._context = candidate.context
         self._settings = candidate.context.settings
         self._store = candidate.context.ports.store
+        self._campaigner = Campaigner(
+            self._store,
+            self._settings,
+            pool,
+            candidate.incarnation,
+        )
         self._started_ms = now_ms()
         self._key_revision = ABSENT
         self._is_vacant = False
-        self._election = _Election(None)
+        self._election = Election(None)
         self._guard: LeaseGuard | None = None
         self._loaded: PoolLoaded | None = None
         self._renewed_ms = 0
@@ -142,7 +96,7 @@
     def start(self) -> None:
         """Run the actor and its ticks."""
         super().start()
-        self.tick_every(_TICK_MS, _Tick())
+        self.tick_every(_TICK_MS, TenureTick())
 
     async def stop(self) -> None:
         """End the owner too."""
@@ -199,8 +153,8 @@
         )
         self._step(TenureEvent.OWNERSHIP_LOST)
 
-    @handles(_Election)
-    async def on_election(self, message: _Election) -> None:
+    @handles(Election)
+    async def on_election(self, message: Election) -> None:
         """Take the outcome of a campaign into account."""
         if message.epoch is None:
             self._step(TenureEvent.NOT_ELECTED)
@@ -208,17 +162,17 @@
         self._election = message
         self._step(TenureEvent.ELECTED)
         if self.state is TenureState.RELEASED and message.lease is not None:
-            self.spawn(self._end_lease(message.lease))
+            self.spawn(self._campaigner.end_lease(message.lease))
 
-    @handles(_Loaded)
-    async def on_loaded(self, message: _Loaded) -> None:
+    @handles(PoolRead)
+    async def on_loaded(self, message: PoolRead) -> None:
         """Begin to own, unless the term has ended meanwhile."""
         if message.election is self._election:
             self._loaded = message.loaded
             self._step(TenureEvent.LOADED)
 
-    @handles(_Renewal)
-    async def on_renewal(self, message: _Renewal) -> None:
+    @handles(RenewalAnswered)
+    async def on_renewal(self, message: RenewalAnswered) -> None:
         """Move the deadline of the ownership."""
         self._is_renewing = False
         if message.lease != self._election.lease or self._guard is None:
@@ -238,8 +192,8 @@
             if self.state is TenureState.SUSPENDED:
                 self._step(TenureEvent.LEASE_RENEWED)
 
-    @handles(_Tick)
-    async def on_tick(self, message: _Tick) -> None:
+    @handles(TenureTick)
+    async def on_tick(self, message: TenureTick) -> None:
         """Campaign for a vacancy, renew the lease, notice its end."""
         if self.state is TenureState.FOLLOWING and self._is_vacant:
             self._step(TenureEvent.VACANCY_SEEN)
@@ -260,9 +214,9 @@
             await owner.stop()
         self._guard = None
         lease = self._election.lease
-        self._election = _Election(None)
+        self._election = Election(None)
         if lease is not None:
-            await self._end_lease(lease)
+            await self._campaigner.end_lease(lease)
         message.reply.answer(None)
 
     def campaign(self) -> None:
@@ -292,7 +246,7 @@
             epoch,
             self._guard,
             self.config,
-            self._record(self._election.lease),
+            self._campaigner.record(self._election.lease),
         )
         owner_context = replace(self._context, tenure=self.mailbox)
         self.owner = PoolOwner(term, owner_context, loaded)
@@ -311,10 +265,10 @@
         if self.owner is not None:
             self.spawn(self.owner.stop())
         if self._election.lease is not None:
-            self.spawn(self._end_lease(self._election.lease))
+            self.spawn(self._campaigner.end_lease(self._election.lease))
         self.owner = None
         self._guard = None
-        self._election = _Election(None)
+        self._election = Election(None)
 
     def note(self, event: events.LogEvent) -> None:
         """Log a change of the tenure."""
@@ -341,62 +295,9 @@
         delay_ms += uptime_ms * _SENIORITY_DELAY
         await sleep_ms(delay_ms)
         if not self._is_vacant:
-            self.mailbox.send(_Election(None))
+            self.mailbox.send(Election(None))
             return
-        self.mailbox.send(await self._run_for_owner())
-
-    async def _run_for_owner(self) -> _Election:
-        ownership = self._settings.ownership
-        timeout_ms = self._settings.calls.store_timeout_ms
-        asked_ms = now_ms()
-        granted = await self._store.grant_lease(
-            ownership.lease_ttl_ms,
-            timeout_ms,
-        )
-        if isinstance(granted, Failure):
-            await sleep_ms(_RETRY_MS)
-            return _Election(None)
-        lease = granted.unwrap()
-        key = keys.owner_key(self.pool)
-        value = records.encode_owner(self._record(lease))
-        answered = await self._store.commit(
-            KvTransaction(((key, ABSENT),), (KvWrite(key, value, lease),)),
-            timeout_ms,
-        )
-        match answered:
-            case Success(KvCommitted(revision)):
-                return _Election(Epoch(revision), lease, asked_ms)
-            case Success(KvConflict()):
-                await self._end_lease(lease)
-                return _Election(None)
-            case _:
-                return await self._read_back(value, lease, asked_ms)
-
-    def _record(self, lease: StoreLeaseId | None) -> records.OwnerRecord:
-        return records.OwnerRecord(
-            self._settings.process,
-            self._candidate.incarnation,
-            lease or '',
-        )
-
-    async def _read_back(
-        self,
-        value: bytes,
-        lease: StoreLeaseId,
-        asked_ms: int,
-    ) -> _Election:
-        """Find out whether a write without an answer took effect."""
-        found = await self._store.get(
-            keys.owner_key(self.pool),
-            self._settings.calls.store_timeout_ms,
-        )
-        if isinstance(found, Success) and found.unwrap().value == value:
-            revision = found.unwrap().revision
-            return _Election(Epoch(revision), lease, asked_ms)
-        # A write that takes effect later fails once its lease has ended.
-        await self._end_lease(lease)
-        await sleep_ms(_RETRY_MS)
-        return _Election(None)
+        self.mailbox.send(await self._campaigner.run())
 
     def _renew(self) -> None:
         interval_ms = self._settings.ownership.renewal_interval_ms
@@ -425,9 +326,11 @@
                 else:
                     epoch = self._election.epoch
                     is_key_lost = int(found.unwrap().revision) != epoch
-        self.mailbox.send(_Renewal(lease, asked_ms, outcome, is_key_lost))
+        self.mailbox.send(
+            RenewalAnswered(lease, asked_ms, outcome, is_key_lost)
+        )
 
-    async def _load(self, election: _Election) -> None:
+    async def _load(self, election: Election) -> None:
         loader = PoolLoader(
             self._store,
             self.pool,
@@ -435,13 +338,7 @@
             self._settings.calls.store_timeout_ms,
         )
         loaded = await loader.load()
-        self.mailbox.send(_Loaded(election, loaded))
-
-    async def _end_lease(self, lease: StoreLeaseId) -> None:
-        await self._store.end_lease(
-            lease,
-            self._settings.calls.store_timeout_ms,
-        )
+        self.mailbox.send(PoolRead(election, loaded))
 
     def _end_former_life(self, value: bytes) -> None:
         """End the lease that a former life of this process still holds."""
@@ -449,7 +346,7 @@
         if record.process != self._settings.process:
             return
         if record.incarnation != self._candidate.incarnation:
-            self.spawn(self._end_lease(StoreLeaseId(record.lease)))
+            self.spawn(self._campaigner.end_lease(StoreLeaseId(record.lease)))
 
 
 @TENURE_ACTIONS.register('campaign')
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -107,6 +107,7 @@
         """Create everything; `start` runs it."""
         self.store = StoreModel()
         self.fleet = Fleet()
+        self.metrics = GraphMetrics()
         self.entries: dict[str, WorkerEntry] = {}
         self.paths: dict[ProcessId, StorePath] = {}
         self.processes: dict[ProcessId, GraphProcess] = {}
@@ -179,7 +180,7 @@
                 lambda worker, _: self.entries[worker],
             ),
         )
-        process = GraphProcess(settings, ports, GraphMetrics(), NoPeers())
+        process = GraphProcess(settings, ports, self.metrics, NoPeers())
         self.processes[name] = process
         process.start()
 
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -331,3 +331,23 @@
         assert len(bad) <= 5
 
     play(scenario)
+
+
+def test_metrics_count_what_happened() -> None:
+    """Guards against metrics that nobody counts."""
+
+    async def scenario(cell: GraphCell) -> None:
+        one = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', one, duration_ms=50, fails=1)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
+        written = cell.metrics.written().decode()
+        for sample in (
+            'fuchsiarill_graph_takeovers_total 1.0',
+            'fuchsiarill_graph_run_ends_total{kind="failed"} 1.0',
+            'fuchsiarill_graph_run_ends_total{kind="succeeded"} 1.0',
+            'fuchsiarill_graph_wait_seconds_count{queue="quotes"} 2.0',
+            'fuchsiarill_graph_config_generation 1.0',
+        ):
+            assert sample in written
+
+    play(scenario)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -13,13 +13,13 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.ports import DocumentError
+from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.records import (
     decode_graph,
     decode_progress,
     encode_graph,
     encode_progress,
 )
-from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.platform.documents import read_config, read_job, read_worker
