Drop idle connections to an address when one has gone silent

Change: a call that misses its deadline drops all idle connections to the address. Result: the new test fails without the change.

--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -164,10 +164,27 @@
             )
         except _NEVER_SENT as error:
             return Failure(_unsent_cause(error))
+        except urllib3.exceptions.ReadTimeoutError:
+            # Something between the two ends may have lost track of all open
+            # connections, so none of the idle ones is used again.
+            self._drop_idle(call.url)
+            return Failure(CallFailure.NO_ANSWER)
         except urllib3.exceptions.HTTPError:
             return Failure(CallFailure.NO_ANSWER)
         return Success(HttpAnswer(response.status, response.data))
 
+    def _drop_idle(self, url: str) -> None:
+        """Close the idle connections to the address of `url`.
+
+        A connection that is in use is closed when its call has ended.
+        """
+        address = urllib3.util.parse_url(url)
+        pools = self._connections.pools
+        for key in pools.keys():  # noqa: SIM118
+            if (key.key_host, key.key_port) == (address.host, address.port):
+                # Another thread may have dropped it already.
+                pools.pop(key, None)
+
 
 def _unsent_cause(error: Exception) -> CallFailure:
     cause = error.__cause__
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -144,6 +144,24 @@
     asyncio.run(main())
 
 
+def test_silent_connections_cost_one_call() -> None:
+    """Guards against a call lost for each idle connection gone silent."""
+
+    async def main() -> None:
+        async with serving(StoreStandIn()) as served:
+            await served.control(slow_ms=50)
+            store = _store(served)
+            await asyncio.gather(*(store.get(_KEY) for _ in range(3)))
+            await served.control(slow_ms=0, silence_open_connections=True)
+            missed = await _store(served, 200).get(_KEY)
+            assert missed == Failure(StoreFailure.UNREACHABLE)
+            patient = _store(served, 2_000)
+            found = await asyncio.gather(*(patient.get(_KEY) for _ in range(3)))
+            assert all(isinstance(one, Success) for one in found)
+
+    asyncio.run(main())
+
+
 def test_watch_ends_without_a_change() -> None:
     """Guards against a watch that waits for ever."""
 
