Take out repeats and dead pieces of the graph scheduler

Cause: a read-through of the change found the label of a task written out in seven places, room kept by three copies of one call, the rest of a gang stopped and the unit of a task found by two, the sorted costs of a placement looked up again for each candidate, an action of the standing chart that nothing ran, and settings, a property and a method without a user. A name of the wire stood outside the adapter (drain_left_ms). Change: TaskKey.label, Step.filler_milli, WorkerView.reserve, stop_others, unit_of and known_step take their place; costs are looked up once; what was dead is gone; the field is notice_left_ms.

--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/asking.py
@@ -6,7 +6,7 @@
 from fuchsiarill.graphs.model import AdvicePolicy
 from fuchsiarill.graphs.placement import Request, could_ever_fit, has_room
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import Reservation, WorkerView
+from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.graphs.worker_waits import wait_ms
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import NOTHING
@@ -111,14 +111,7 @@
         if not has_room(step, view, NOTHING):
             continue
         kept_count += 1
-        view.reservations.append(
-            Reservation(
-                step.key,
-                step.rank_ms,
-                step.step.charge,
-                request.now_ms + duration_ms,
-            ),
-        )
+        view.reserve(step, request.now_ms + duration_ms)
 
 
 def _duration_ms(policy: AdvicePolicy, workers_count: int) -> int:
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -296,7 +296,7 @@
         events.emit(
             events.START_REFUSED,
             job=run.task.job,
-            task='.'.join(map(str, run.task[1:])),
+            task=run.task.label,
             attempt=run.attempt,
             worker=run.worker,
             failure=failure.value,
@@ -319,10 +319,7 @@
         self.state.workers.step(view, StandingEvent.WENT_SILENT)
 
     def _unblock(self, step: StepKey) -> None:
-        entry = self.state.jobs.get(step.job)
-        if entry is None:
-            return
-        found = entry.steps.get((step.occurrence, step.step))
+        found = self.state.known_step(step)
         if found is not None:
             found.blocked_version = -1
 
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -109,7 +109,6 @@
     step.activate(unit)
     if not entry.progress.has_started:
         entry.progress.has_started = True
-    size = step.step.size
     for task, view in zip(step.tasks_of(unit.key), placed, strict=True):
         run = Run(
             task,
@@ -117,7 +116,7 @@
             unit.key,
             view.worker,
             step.step.charge,
-            size.processors_milli if step.step.is_filler else 0,
+            step.step.filler_milli,
             ordered_ms=request.now_ms,
             progress_changed_ms=request.now_ms,
         )
@@ -155,7 +154,7 @@
     events.emit(
         events.RUN_PLACED,
         job=run.task.job,
-        task='.'.join(map(str, run.task[1:])),
+        task=run.task.label,
         attempt=run.attempt,
         worker=run.worker,
         waited_ms=request.now_ms - request.entry.accepted_ms,
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -60,8 +60,8 @@
 def _left_ms(view: WorkerView, now_ms: int) -> int:
     """Return the least time for which the worker goes on."""
     notice_ms = _DRAIN_LEFT_MS
-    if view.entry is not None and view.entry.drain_left_ms is not None:
-        notice_ms = view.entry.drain_left_ms
+    if view.entry is not None and view.entry.notice_left_ms is not None:
+        notice_ms = view.entry.notice_left_ms
     return notice_ms - (now_ms - (view.leaving_since_ms or now_ms))
 
 
--- a/fuchsiarill/graphs/ends.py
+++ b/fuchsiarill/graphs/ends.py
@@ -7,10 +7,9 @@
 from fuchsiarill import events
 from fuchsiarill.graphs import worker_trust
 from fuchsiarill.graphs.job_actions import step_job
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import EndKind, EndRow
-from fuchsiarill.graphs.progress import UnitKey
-from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.run_actions import step_run, stop_others
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import JobPhaseEvent, RunEvent
@@ -64,8 +63,7 @@
     if found is None:
         return None
     entry, step = found
-    index = 0 if step.step.is_gang else row.task.position
-    unit = step.find_unit(UnitKey(row.task.occurrence, row.task.step, index))
+    unit = step.find_unit(unit_of(step.step, row.task))
     if unit is None or not entry.is_active:
         return None
     return EndContext(state, view, row, entry, step, unit, run, now_ms)
@@ -134,14 +132,13 @@
         unit.checkpoint = row.checkpoint
         context.entry.progress.checkpoints[unit.key] = row.checkpoint
     # What is left of a gang works no more; its room is needed.
-    for other in list(unit.runs.values()):
-        if other is not context.run and other.attempt == row.attempt:
-            step_run(
-                context.state,
-                other,
-                RunEvent.STOP_ASKED,
-                context.now_ms,
-            )
+    stop_others(
+        context.state,
+        unit,
+        row.attempt,
+        context.run,
+        context.now_ms,
+    )
 
 
 def _log_end(
@@ -154,7 +151,7 @@
     events.emit(
         events.RUN_ENDED,
         job=row.task.job,
-        task='.'.join(map(str, row.task[1:])),
+        task=row.task.label,
         attempt=row.attempt,
         worker=view.worker,
         kind=row.kind.value,
--- a/fuchsiarill/graphs/gang_holds.py
+++ b/fuchsiarill/graphs/gang_holds.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import Reservation, WorkerView
+from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
 
 # Renewed at each decision about the gang, which ticks bring about.
@@ -33,11 +33,4 @@
     for candidate_ms, position in waits[: step.step.tasks_count]:
         if candidate_ms >= NEVER_MS:
             return
-        candidates[position].reservations.append(
-            Reservation(
-                step.key,
-                step.rank_ms,
-                step.step.charge,
-                request.now_ms + _HOLD_MS,
-            ),
-        )
+        candidates[position].reserve(step, request.now_ms + _HOLD_MS)
--- a/fuchsiarill/graphs/job_book.py
+++ b/fuchsiarill/graphs/job_book.py
@@ -230,6 +230,12 @@
         )
 
 
+def unit_of(step: Step, task: TaskKey) -> UnitKey:
+    """Return the unit that a task starts with."""
+    position = 0 if step.is_gang else task.position
+    return UnitKey(task.occurrence, task.step, position)
+
+
 def unit_keys(key: StepKey, step: Step) -> tuple[UnitKey, ...]:
     """Return the units of a step: a gang is one."""
     count = 1 if step.is_gang else step.tasks_count
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -49,6 +49,11 @@
         """Return the step that the task belongs to."""
         return StepKey(self.job, self.occurrence, self.step)
 
+    @property
+    def label(self) -> str:
+        """Return the place of the task within its job, for logs."""
+        return f'{self.occurrence}.{self.step}.{self.position}'
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -74,6 +79,11 @@
     target_tail_ms: int | None = None
     disruptions_max: int | None = None
 
+    @property
+    def filler_milli(self) -> int:
+        """Return the processors that a task uses where others leave them."""
+        return self.size.processors_milli if self.is_filler else 0
+
     @property
     def charge(self) -> Resources:
         """Return what a task of the step counts against a worker."""
@@ -195,7 +205,7 @@
     listing: WorkerListing
     born_ms: BornMs
     # Least time until a leaving worker ends.
-    drain_left_ms: int | None = None
+    notice_left_ms: int | None = None
 
 
 class EndKind(Enum):
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -189,7 +189,7 @@
 
 
 def _cost(state: PoolState, request: Request, view: WorkerView) -> float:
-    return sum(COSTS.lookup(name)(state, request, view) for name in COSTS)
+    return sum(cost(state, request, view) for cost in _ALL_COSTS)
 
 
 def _racks(views: Iterable[WorkerView]) -> list[str | None]:
@@ -199,3 +199,7 @@
 def could_ever_fit(step: Step, view: WorkerView) -> bool:
     """Tell whether a task of the step fits on the empty worker."""
     return view.entry is not None and step.charge.fits_in(view.entry.capacity)
+
+
+# Costs are summed for each candidate of each unit, so they are looked up once.
+_ALL_COSTS: Final = tuple(COSTS.lookup(name) for name in COSTS)
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -314,7 +314,7 @@
         entry = self.core.state.jobs.get(ask.step.job)
         if entry is None or not entry.is_active:
             return False
-        step = entry.steps.get((ask.step.occurrence, ask.step.step))
+        step = self.core.state.known_step(ask.step)
         if step is None or not step.waiting:
             return False
         return self._term.guard.may_order()
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preempting.py
@@ -13,7 +13,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
-from fuchsiarill.graphs.worker_book import Reservation, WorkerView
+from fuchsiarill.graphs.worker_book import WorkerView
 
 # A step preempts when it has to start within this time to be in time; the
 # stop, its report and the start take about as long.
@@ -126,20 +126,12 @@
 
 
 def _carry_out(state: PoolState, request: Request, choice: _Choice) -> None:
-    step = request.step
-    choice.view.reservations.append(
-        Reservation(
-            step.key,
-            step.rank_ms,
-            step.step.charge,
-            request.now_ms + _RESERVATION_MS,
-        ),
-    )
+    choice.view.reserve(request.step, request.now_ms + _RESERVATION_MS)
     for run in choice.victims:
         events.emit(
             events.RUN_PREEMPTED,
             job=run.task.job,
-            task='.'.join(map(str, run.task[1:])),
+            task=run.task.label,
             attempt=run.attempt,
             worker=run.worker,
             for_job=request.entry.job,
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -1,23 +1,26 @@
 """Taking the reports of workers into account."""
 
+from typing import Final
+
 from fuchsiarill import events
 from fuchsiarill.graphs.ends import take_end
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
     EndRow,
     RunningRow,
-    TaskKey,
+    Step,
     WorkerReport,
 )
-from fuchsiarill.graphs.progress import UnitKey
-from fuchsiarill.graphs.run_actions import hold_run, step_run
+from fuchsiarill.graphs.run_actions import hold_run, step_run, stop_others
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
 from fuchsiarill.graphs.worker_book import Trust, WorkerView
 from fuchsiarill.resources import NOTHING
 
+_UNKNOWN_STEP: Final = Step(1, NOTHING)
+
 
 def take_report(
     state: PoolState,
@@ -64,7 +67,7 @@
         events.emit(
             events.RUN_LOST,
             job=run.task.job,
-            task='.'.join(map(str, run.task[1:])),
+            task=run.task.label,
             attempt=run.attempt,
             worker=view.worker,
         )
@@ -78,11 +81,8 @@
     if found is None:
         return
     unit = found[1].active.get(run.unit)
-    if unit is None:
-        return
-    for other in list(unit.runs.values()):
-        if other is not run and other.attempt == run.attempt:
-            step_run(state, other, RunEvent.STOP_ASKED, now_ms)
+    if unit is not None:
+        stop_others(state, unit, run.attempt, run, now_ms)
 
 
 def _take_running(
@@ -116,25 +116,25 @@
 ) -> Run:
     """Take over a run of the owner before, or stop one that is not needed."""
     entry = state.jobs.get(row.task.job)
+    # Nothing is known of the size of a job that has been forgotten.
+    spec = entry.graph.steps[row.task.step] if entry else _UNKNOWN_STEP
     run = Run(
         row.task,
         row.attempt,
-        _unit_key(entry, row.task),
+        unit_of(spec, row.task),
         view.worker,
-        entry.graph.steps[row.task.step].charge if entry else NOTHING,
+        spec.charge,
+        spec.filler_milli,
         ordered_ms=now_ms,
         progress_changed_ms=now_ms,
         listed_from_ms=now_ms,
     )
-    if entry is not None and entry.graph.steps[row.task.step].is_filler:
-        size = entry.graph.steps[row.task.step].size
-        run.filler_milli = size.processors_milli
     hold_run(state, run)
     wanted = _wanted_unit(state, entry, run)
     events.emit(
         events.RUN_FOUND,
         job=row.task.job,
-        task='.'.join(map(str, row.task[1:])),
+        task=row.task.label,
         attempt=row.attempt,
         worker=view.worker,
         is_kept=wanted is not None,
@@ -150,11 +150,6 @@
     return run
 
 
-def _unit_key(entry: JobEntry | None, task: TaskKey) -> UnitKey:
-    is_gang = entry is not None and entry.graph.steps[task.step].is_gang
-    return UnitKey(task.occurrence, task.step, 0 if is_gang else task.position)
-
-
 def _wanted_unit(
     state: PoolState,
     entry: JobEntry | None,
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from fuchsiarill.graphs.effects import StopRun
+from fuchsiarill.graphs.job_book import Unit
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
@@ -57,6 +58,19 @@
         RUN_ACTIONS.lookup(action)(state, run, now_ms)
 
 
+def stop_others(
+    state: PoolState,
+    unit: Unit,
+    attempt: int,
+    kept: Run | None,
+    now_ms: int,
+) -> None:
+    """Stop the runs of one attempt of a unit, but for `kept`."""
+    for other in list(unit.runs.values()):
+        if other is not kept and other.attempt == attempt:
+            step_run(state, other, RunEvent.STOP_ASKED, now_ms)
+
+
 def hold_run(state: PoolState, run: Run) -> None:
     """Count a new run against its worker."""
     view = state.workers.find(run.worker)
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -1,7 +1,6 @@
 """Settings of a process that serves job graphs, in YAML."""
 
 from pathlib import Path
-from typing import Final
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -10,8 +9,6 @@
 from fuchsiarill.events import Level
 from fuchsiarill.ids import FailureDomain, ProcessId
 
-_EXAMPLE_WATCH_MS: Final = 1000
-
 
 class _Section(BaseModel):
     model_config = ConfigDict(frozen=True, extra='forbid')
@@ -33,7 +30,6 @@
 
     store: str
     advice: str = ''
-    machines: str = ''
 
 
 class OwnershipSettings(_Section):
@@ -62,8 +58,6 @@
     wake_ms: int = 300
     # A worker answers a renewal that waits for an end after this time.
     renewal_wait_ms: int = 1000
-    stop_grace_ms: int = 400
-    gang_wait_ms: int = 3000
 
     @property
     def duration_ms(self) -> int:
@@ -122,7 +116,7 @@
     retention: RetentionSettings = Field(default_factory=RetentionSettings)
     # A watch that hears nothing is answered after this time, so that a
     # silent connection is noticed within the bound of configurations.
-    watch_wait_ms: int = _EXAMPLE_WATCH_MS
+    watch_wait_ms: int = 1000
     log_level: Level = Level.INFO
 
 
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -27,7 +27,7 @@
     events.emit(
         events.RUN_STALLED,
         job=run.task.job,
-        task='.'.join(map(str, run.task[1:])),
+        task=run.task.label,
         attempt=run.attempt,
         worker=view.worker,
         percent=run.progress_percent,
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -4,7 +4,7 @@
 
 from fuchsiarill.graphs.effects import Effect
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry
-from fuchsiarill.graphs.model import GraphConfig, PoolId, QueueId, TaskKey
+from fuchsiarill.graphs.model import GraphConfig, PoolId, StepKey, TaskKey
 from fuchsiarill.graphs.run_times import RunTimes
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.tickets import TicketBook
@@ -45,13 +45,12 @@
         step = entry.ensure_step(task.occurrence, task.step)
         return None if step is None else (entry, step)
 
-    def queue_jobs(self, queue: QueueId) -> list[JobEntry]:
-        """Return the active jobs of a queue."""
-        return [
-            entry
-            for entry in self.jobs.values()
-            if entry.is_active and entry.graph.queue == queue
-        ]
+    def known_step(self, key: StepKey) -> StepEntry | None:
+        """Return the step of a key, if something is left to do in it."""
+        entry = self.jobs.get(key.job)
+        if entry is None:
+            return None
+        return entry.steps.get((key.occurrence, key.step))
 
     def touch(self, job: JobId) -> None:
         """Note that a job's progress has to be made durable."""
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_book.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from fuchsiarill.graphs.job_book import StepEntry
 from fuchsiarill.graphs.model import (
     NO_END,
     BornMs,
@@ -93,6 +94,12 @@
             free -= reservation.charge
         return free
 
+    def reserve(self, step: StepEntry, expiry_ms: int) -> None:
+        """Keep room for one task of a step."""
+        self.reservations.append(
+            Reservation(step.key, step.rank_ms, step.step.charge, expiry_ms),
+        )
+
     def drop_reservations(self, step: StepKey) -> None:
         """Keep no more room for a step."""
         self.reservations = [
@@ -145,16 +152,12 @@
             'standing',
             StandingState,
             StandingEvent,
-            ('lose_runs',),
         )
         self._views: dict[WorkerId, WorkerView] = {}
 
     def __iter__(self) -> Iterator[WorkerView]:
         return iter(self._views.values())
 
-    def __len__(self) -> int:
-        return len(self._views)
-
     def find(self, worker: WorkerId) -> WorkerView | None:
         """Return a known worker."""
         return self._views.get(worker)
@@ -171,13 +174,11 @@
         """Forget a worker."""
         self._views.pop(worker, None)
 
-    def step(self, view: WorkerView, event: StandingEvent) -> tuple[str, ...]:
-        """Let an event happen to a worker; returns the chart's actions."""
+    def step(self, view: WorkerView, event: StandingEvent) -> None:
+        """Let an event happen to a worker."""
         transition = self._chart.step(view.standing, event)
-        if transition is None:
-            return ()
-        view.standing = transition.target
-        return transition.actions
+        if transition is not None:
+            view.standing = transition.target
 
     def list_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
         """Take over the directory; returns the workers with a new life."""
--- a/fuchsiarill/log_sink.py
+++ b/fuchsiarill/log_sink.py
@@ -42,11 +42,6 @@
         self._lines.append(line)
         self._has_lines.set()
 
-    @property
-    def dropped_count(self) -> int:
-        """Return the number of lines that were dropped."""
-        return self._dropped_count
-
     def flush(self) -> None:
         """Write what is queued."""
         chunk: list[str] = []
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -64,7 +64,7 @@
         encoded(WORKER | {'state': 'draining', 'drain_left_ms': 1500}),
     )
     assert leaving.listing is WorkerListing.LEAVING
-    assert leaving.drain_left_ms == 1500
+    assert leaving.notice_left_ms == 1500
 
 
 @pytest.mark.parametrize(
