Bound holds for gangs, preemptions of a task, and probation of a worker

Cause: three ways in which a task could wait without end. A gang held workers for as long as it waited, also for a run that does not end. A task could be preempted by every urgent job. A suspended worker was tried again only when nothing ran there, which a lasting task prevents for ever.

Each has a test that failed before.

--- a/fuchsiarill/graphs/gang_holds.py
+++ b/fuchsiarill/graphs/gang_holds.py
@@ -6,6 +6,7 @@
 
 from typing import Final
 
+from fuchsiarill.graphs.job_book import StepEntry
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
@@ -13,6 +14,10 @@
 
 # Renewed at each decision about the gang, which ticks bring about.
 _HOLD_MS: Final = 250
+# A gang that has not started by then lets others have the workers for a
+# while: what it waits for may never end. Most runs are over by then.
+_HOLDING_MAX_MS: Final = 6000
+_PAUSE_MS: Final = 2000
 
 
 def hold_for_gang(
@@ -24,6 +29,8 @@
     step = request.step
     for former in state.workers:
         former.drop_reservations(step.key)
+    if _is_pausing(step, request.now_ms):
+        return
     waits = sorted(
         (wait_ms(state, request, candidate), position)
         for position, candidate in enumerate(candidates)
@@ -34,3 +41,13 @@
         if candidate_ms >= NEVER_MS:
             return
         candidates[position].reserve(step, request.now_ms + _HOLD_MS)
+
+
+def _is_pausing(step: StepEntry, now_ms: int) -> bool:
+    if step.held_since_ms is None:
+        step.held_since_ms = now_ms
+    held_ms = now_ms - step.held_since_ms
+    if held_ms >= _HOLDING_MAX_MS + _PAUSE_MS:
+        step.held_since_ms = now_ms
+        return False
+    return held_ms >= _HOLDING_MAX_MS
--- a/fuchsiarill/graphs/job_book.py
+++ b/fuchsiarill/graphs/job_book.py
@@ -35,6 +35,7 @@
     checkpoint: Checkpoint = NO_CHECKPOINT
     # Workers where the unit failed; others are tried first.
     failed_on: set[WorkerId] = field(default_factory=set)
+    preemptions_count: int = 0
 
 
 class StepEntry:
@@ -55,6 +56,8 @@
         self.runs_per_worker: Counter[WorkerId] = Counter()
         # Runs that were stopped for the step end until then.
         self.preempted_until_ms = 0
+        # When workers were first kept for the step, a gang that waits.
+        self.held_since_ms: int | None = None
         # Place in the order of steps when it was last served.
         self.rank_ms = 0
         # Version of the free capacity at which nothing could be placed.
@@ -82,6 +85,7 @@
         self.waiting.pop(unit.key, None)
         self.active[unit.key] = unit
         self.preempted_until_ms = 0
+        self.held_since_ms = None
 
     def requeue(self, unit: Unit) -> None:
         """Let a unit without runs wait again."""
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preempting.py
@@ -20,6 +20,9 @@
 _URGENCY_MS: Final = 400
 # Room is kept until the stopped runs have ended and the step has started.
 _RESERVATION_MS: Final = 1500
+# A task that was stopped as often runs to its end, so that a row of urgent
+# jobs does not keep it from ending at all.
+_PREEMPTIONS_MAX_COUNT: Final = 3
 # A job that is later than this multiple of its objective earns nothing.
 _LATE_FACTOR: Final = 3
 # An accelerator is priced like eight processors.
@@ -113,9 +116,10 @@
     if found is None or found[0].policy.priority <= priority:
         return False
     step = found[1].step
-    if step.is_lasting or step.is_gang:
+    if step.is_lasting or step.is_gang or not step.is_checkpointing:
         return False
-    return step.is_checkpointing
+    unit = found[1].active.get(run.unit)
+    return unit is None or unit.preemptions_count < _PREEMPTIONS_MAX_COUNT
 
 
 def _cost(run: Run) -> float:
@@ -128,6 +132,7 @@
 def _carry_out(state: PoolState, request: Request, choice: _Choice) -> None:
     choice.view.reserve(request.step, request.now_ms + _RESERVATION_MS)
     for run in choice.victims:
+        _count_preemption(state, run)
         events.emit(
             events.RUN_PREEMPTED,
             job=run.task.job,
@@ -138,3 +143,10 @@
             priority=request.entry.policy.priority,
         )
         step_run(state, run, RunEvent.STOP_ASKED, request.now_ms)
+
+
+def _count_preemption(state: PoolState, run: Run) -> None:
+    found = state.find_step(run.task)
+    unit = found[1].active.get(run.unit) if found else None
+    if unit is not None:
+        unit.preemptions_count += 1
--- a/fuchsiarill/graphs/worker_trust.py
+++ b/fuchsiarill/graphs/worker_trust.py
@@ -41,8 +41,14 @@
 def is_trusted(view: WorkerView, now_ms: int) -> bool:
     """Tell whether the worker may be given work.
 
-    After a suspension it is given one task at a time until one succeeds.
+    After a suspension it is given one task at a time until one succeeds. Tasks
+    from before do not count: one that lasts would shut the worker out.
     """
-    if now_ms < view.trust.suspended_until_ms:
+    trust = view.trust
+    if now_ms < trust.suspended_until_ms:
         return False
-    return view.trust.suspensions_count == 0 or not view.runs
+    if trust.suspensions_count == 0:
+        return True
+    return all(
+        run.ordered_ms < trust.suspended_until_ms for run in view.runs.values()
+    )
--- /dev/null
+++ b/tests/graph_owner.py
@@ -0,0 +1,157 @@
+"""A core whose workers report when a test says so."""
+
+from typing import Final
+
+from fuchsiarill.graphs.core import GraphCore
+from fuchsiarill.graphs.effects import Effect, StartRun
+from fuchsiarill.graphs.model import (
+    AdvicePolicy,
+    BornMs,
+    Checkpoint,
+    EndKind,
+    EndRow,
+    EndSequence,
+    GraphConfig,
+    JobGraph,
+    PoolId,
+    PoolPolicy,
+    QueueId,
+    QueuePolicy,
+    RunningRow,
+    Step,
+    TaskKey,
+    WorkerEntry,
+    WorkerListing,
+    WorkerReport,
+)
+from fuchsiarill.graphs.progress import JobProgress
+from fuchsiarill.graphs.settings import TaskLeaseSettings
+from fuchsiarill.ids import (
+    Epoch,
+    FailureDomain,
+    Generation,
+    JobId,
+    WorkerId,
+)
+from fuchsiarill.resources import Resources
+
+POOL: Final = PoolId('costing')
+URGENT: Final = QueueId('urgent')
+BATCH: Final = QueueId('batch')
+ADVISED: Final = QueueId('advised')
+SIZE: Final = Resources(1000, 1000)
+CAPACITY: Final = Resources(2000, 4000)
+CONFIG: Final = GraphConfig(
+    Generation(1),
+    {
+        URGENT: QueuePolicy(
+            URGENT, 'h', '/u/', POOL, 3000, priority=0, attempts_max=2
+        ),
+        BATCH: QueuePolicy(
+            BATCH, 'h', '/b/', POOL, 3000, priority=2, attempts_max=2
+        ),
+        ADVISED: QueuePolicy(
+            ADVISED,
+            'h',
+            '/a/',
+            POOL,
+            3000,
+            priority=3,
+            attempts_max=2,
+            advice=AdvicePolicy(20, 1, 5000),
+        ),
+    },
+    {POOL: PoolPolicy(POOL)},
+)
+
+
+class Owner:
+    """A core with workers that report when the test says so."""
+
+    def __init__(self, *workers: str, term: int = 1) -> None:
+        """Create a core that knows the workers and has heard of them."""
+        self.now_ms = 1000
+        self.core = GraphCore(POOL, Epoch(7), TaskLeaseSettings(), term)
+        self.core.configure(CONFIG)
+        self.core.list_workers([entry(name) for name in workers], self.now_ms)
+        self.core.record_workers([WorkerId(name) for name in workers])
+        self.ends_count = 0
+
+    def add_job(
+        self,
+        job: str,
+        *steps: Step,
+        queue: QueueId = BATCH,
+        is_inherited: bool = False,
+    ) -> None:
+        """Accept a job."""
+        graph = JobGraph(JobId(job), queue, POOL, '', steps)
+        self.core.add_job(
+            graph,
+            JobProgress(),
+            self.now_ms,
+            is_inherited=is_inherited,
+        )
+
+    def report(
+        self,
+        worker: str,
+        running: tuple[RunningRow, ...] = (),
+        ended: tuple[EndRow, ...] = (),
+        born_ms: int = 1,
+    ) -> None:
+        """Let a worker report."""
+        self.now_ms += 10
+        report = WorkerReport(self.now_ms, BornMs(born_ms), running, ended)
+        asked_ms = self.now_ms - 5
+        self.core.worker_reported(
+            WorkerId(worker),
+            report,
+            asked_ms,
+            self.now_ms,
+        )
+
+    def decide(self) -> list[Effect]:
+        """Let time pass, decide and return the effects."""
+        self.now_ms += 10
+        self.core.tick(self.now_ms)
+        self.core.decide(self.now_ms)
+        return self.core.take_effects()
+
+    def starts(self) -> list[StartRun]:
+        """Decide and return the starts."""
+        return [one for one in self.decide() if isinstance(one, StartRun)]
+
+
+def entry(worker: str) -> WorkerEntry:
+    """Return the entry of a live worker."""
+    return WorkerEntry(
+        WorkerId(worker),
+        POOL,
+        f'{worker}:1',
+        FailureDomain('d'),
+        CAPACITY,
+        (),
+        WorkerListing.LIVE,
+        BornMs(1),
+    )
+
+
+def task(job: str, step: int = 0, position: int = 0) -> TaskKey:
+    """Return a task of the only occurrence."""
+    return TaskKey(JobId(job), 0, step, position)
+
+
+def running(key: TaskKey, attempt: int = 1) -> RunningRow:
+    """Return the row of a run."""
+    return RunningRow(key, attempt, Checkpoint(''), 50)
+
+
+def ended(
+    key: TaskKey,
+    sequence: int = 1,
+    kind: EndKind = EndKind.SUCCEEDED,
+    attempt: int = 1,
+) -> EndRow:
+    """Return the row of an end."""
+    return EndRow(EndSequence(sequence), key, attempt, kind, Checkpoint(''))
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -1,149 +1,21 @@
 """Decisions about a pool, fed with reports by hand."""
 
-from typing import Final
-
-from fuchsiarill.graphs.core import GraphCore
-from fuchsiarill.graphs.effects import Effect, StartRun, StopRun
-from fuchsiarill.graphs.model import (
-    BornMs,
-    Checkpoint,
-    EndKind,
-    EndRow,
-    EndSequence,
-    GraphConfig,
-    JobGraph,
-    PoolId,
-    PoolPolicy,
-    QueueId,
-    QueuePolicy,
-    RunningRow,
-    Step,
-    TaskKey,
-    WorkerEntry,
-    WorkerListing,
-    WorkerReport,
-)
-from fuchsiarill.graphs.progress import JobProgress
-from fuchsiarill.graphs.settings import TaskLeaseSettings
-from fuchsiarill.ids import (
-    Epoch,
-    FailureDomain,
-    Generation,
-    JobId,
-    WorkerId,
-)
+from fuchsiarill.graphs.effects import StopRun
+from fuchsiarill.graphs.model import BornMs, EndKind, Step, WorkerReport
+from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.resources import Resources
-
-POOL: Final = PoolId('costing')
-URGENT: Final = QueueId('urgent')
-BATCH: Final = QueueId('batch')
-SIZE: Final = Resources(1000, 1000)
-CAPACITY: Final = Resources(2000, 4000)
-CONFIG: Final = GraphConfig(
-    Generation(1),
-    {
-        URGENT: QueuePolicy(
-            URGENT, 'h', '/u/', POOL, 3000, priority=0, attempts_max=2
-        ),
-        BATCH: QueuePolicy(
-            BATCH, 'h', '/b/', POOL, 3000, priority=2, attempts_max=2
-        ),
-    },
-    {POOL: PoolPolicy(POOL)},
+from tests.graph_owner import (
+    CAPACITY,
+    SIZE,
+    URGENT,
+    Owner,
+    ended,
+    entry,
+    running,
+    task,
 )
 
 
-class Owner:
-    """A core with workers that report when the test says so."""
-
-    def __init__(self, *workers: str, term: int = 1) -> None:
-        """Create a core that knows the workers and has heard of them."""
-        self.now_ms = 1000
-        self.core = GraphCore(POOL, Epoch(7), TaskLeaseSettings(), term)
-        self.core.configure(CONFIG)
-        self.core.list_workers([entry(name) for name in workers], self.now_ms)
-        self.core.record_workers([WorkerId(name) for name in workers])
-        self.ends_count = 0
-
-    def add_job(
-        self,
-        job: str,
-        *steps: Step,
-        queue: QueueId = BATCH,
-        is_inherited: bool = False,
-    ) -> None:
-        """Accept a job."""
-        graph = JobGraph(JobId(job), queue, POOL, '', steps)
-        self.core.add_job(
-            graph,
-            JobProgress(),
-            self.now_ms,
-            is_inherited=is_inherited,
-        )
-
-    def report(
-        self,
-        worker: str,
-        running: tuple[RunningRow, ...] = (),
-        ended: tuple[EndRow, ...] = (),
-    ) -> None:
-        """Let a worker report."""
-        self.now_ms += 10
-        report = WorkerReport(self.now_ms, BornMs(1), running, ended)
-        asked_ms = self.now_ms - 5
-        self.core.worker_reported(
-            WorkerId(worker),
-            report,
-            asked_ms,
-            self.now_ms,
-        )
-
-    def decide(self) -> list[Effect]:
-        """Let time pass, decide and return the effects."""
-        self.now_ms += 10
-        self.core.tick(self.now_ms)
-        self.core.decide(self.now_ms)
-        return self.core.take_effects()
-
-    def starts(self) -> list[StartRun]:
-        """Decide and return the starts."""
-        return [one for one in self.decide() if isinstance(one, StartRun)]
-
-
-def entry(worker: str) -> WorkerEntry:
-    """Return the entry of a live worker."""
-    return WorkerEntry(
-        WorkerId(worker),
-        POOL,
-        f'{worker}:1',
-        FailureDomain('d'),
-        CAPACITY,
-        (),
-        WorkerListing.LIVE,
-        BornMs(1),
-    )
-
-
-def task(job: str, step: int = 0, position: int = 0) -> TaskKey:
-    """Return a task of the only occurrence."""
-    return TaskKey(JobId(job), 0, step, position)
-
-
-def running(key: TaskKey, attempt: int = 1) -> RunningRow:
-    """Return the row of a run."""
-    return RunningRow(key, attempt, Checkpoint(''), 50)
-
-
-def ended(
-    key: TaskKey,
-    sequence: int = 1,
-    kind: EndKind = EndKind.SUCCEEDED,
-    attempt: int = 1,
-) -> EndRow:
-    """Return the row of an end."""
-    return EndRow(EndSequence(sequence), key, attempt, kind, Checkpoint(''))
-
-
 def test_run_of_a_step_that_is_not_open_is_kept() -> None:
     """Guards against a second run of what an owner before has started.
 
@@ -268,3 +140,83 @@
     owner.report('w1')
     owner.add_job('a', Step(4, SIZE, per_worker_max=1))
     assert sorted(one.worker for one in owner.starts()) == ['w0', 'w1']
+
+
+def test_suspended_worker_with_a_lasting_task_is_tried_again() -> None:
+    """Guards against a worker that a lasting task shuts out for ever.
+
+    After a suspension a worker gets one task at a time; what ran there before
+    must not count as that task.
+    """
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('watch', Step(1, SIZE, is_lasting=True))
+    owner.starts()
+    watch = (running(task('watch')),)
+    owner.report('w0', watch)
+    for number in (1, 2):
+        owner.add_job(f'f{number}', Step(1, SIZE))
+        assert len(owner.starts()) == 1
+        failed = ended(task(f'f{number}'), number, EndKind.FAILED)
+        owner.report('w0', watch, (failed,))
+        owner.core.cancel_job(JobId(f'f{number}'), owner.now_ms)
+    owner.add_job('probe', Step(2, Resources(400, 400)))
+    assert not owner.starts()
+    owner.now_ms += 2500
+    owner.report('w0', watch)
+    assert len(owner.starts()) == 1
+
+
+def test_task_is_not_preempted_without_end() -> None:
+    """Guards against a task that is stopped for every urgent job."""
+    owner = Owner('w0')
+    owner.report('w0')
+    saving = Step(1, CAPACITY, estimate_ms=60000, is_checkpointing=True)
+    owner.add_job('saving', saving)
+    sequence = 0
+    stops_count = 0
+    for round_number in range(8):
+        for start in owner.starts():
+            owner.report('w0', (running(start.task, start.attempt),))
+        quote = f'q{round_number}'
+        owner.add_job(quote, Step(1, SIZE, estimate_ms=100), queue=URGENT)
+        stops = [one for one in owner.decide() if isinstance(one, StopRun)]
+        for stop in stops:
+            stops_count += 1
+            sequence += 1
+            end = ended(stop.task, sequence, EndKind.STOPPED, stop.attempt)
+            owner.report('w0', (), (end,))
+        for start in owner.starts():
+            sequence += 1
+            done = ended(start.task, sequence, attempt=start.attempt)
+            owner.report('w0', (), (done,))
+    assert 0 < stops_count < 6
+
+
+def test_gang_that_does_not_start_gives_its_room_up() -> None:
+    """Guards against workers kept idle for a gang that never starts.
+
+    One of the two workers that the gang needs is taken by a run that lasts
+    far longer than expected. Both jobs are so late that they earn nothing.
+    """
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.report('w1')
+    owner.add_job('long', Step(1, CAPACITY, estimate_ms=500))
+    start = owner.starts()[0]
+    busy, free = start.worker, {'w0': 'w1', 'w1': 'w0'}[start.worker]
+    gang = Step(2, CAPACITY, estimate_ms=100, is_gang=True)
+    owner.add_job('gang', gang, queue=URGENT)
+    owner.decide()
+    owner.add_job('small', Step(1, SIZE, estimate_ms=100))
+    assert not owner.starts()
+    owner.now_ms += 60000
+    started_count = 0
+    for _ in range(100):
+        owner.now_ms += 100
+        owner.report(busy, (running(start.task),))
+        owner.report(free)
+        started_count += len(owner.starts())
+        if started_count:
+            return
+    raise AssertionError('the small task never started')
