Ask for advice again when an answer is lost

Cause: a step counted as asked until an answer came. An unforeseen error in the task that asks, or an ask that waited while its only lane was in use by another process, left the step without tickets for ever. Answers about a former life of a worker excluded the worker of the present life.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -46,6 +46,8 @@
     lane: ProcessId
     message: AdviceAsked
     granted: _Granted
+    # Another lane may have the answer that this one could not get.
+    is_asked_again: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +111,7 @@
     async def on_lane_free(self, message: _LaneFree) -> None:
         """Pass an answer on, or ask again through another lane."""
         self._busy.discard(message.lane)
-        if message.granted is None and message.lane != _OWN_LANE:
+        if message.is_asked_again:
             await self.on_asked(message.message)
             return
         asked = message.message
@@ -120,13 +122,21 @@
 
     def _fill_lanes(self) -> None:
         for lane in self._lanes():
-            if lane in self._busy:
-                continue
-            message = self._next_wanted()
-            if message is None:
+            if not self._waiting:
                 return
+            if lane not in self._busy:
+                self._fill(lane)
+
+    def _fill(self, lane: ProcessId) -> None:
+        if lane == _OWN_LANE and self._port.is_busy:
+            # Another process asks through this one.
+            self._busy.add(lane)
+            self.spawn(self._rest(lane))
+            return
+        message = self._next_wanted()
+        if message is not None:
             self._busy.add(lane)
-            self.spawn(self._ask(lane, message))
+            self.spawn(self._use_lane(lane, message))
 
     def _lanes(self) -> list[ProcessId]:
         """Return the lanes in the order in which they are used.
@@ -137,8 +147,7 @@
         ring = sorted(self._links.processes)
         after = [name for name in ring if name > self._process]
         before = [name for name in ring if name < self._process]
-        own = [] if self._port.is_busy else [_OWN_LANE]
-        return [*own, *after, *before]
+        return [_OWN_LANE, *after, *before]
 
     def _next_wanted(self) -> AdviceAsked | None:
         while self._waiting:
@@ -150,6 +159,17 @@
             )
         return None
 
+    async def _use_lane(self, lane: ProcessId, message: AdviceAsked) -> None:
+        try:
+            await self._ask(lane, message)
+        except Exception:
+            self.mailbox.send(_LaneFree(lane, message, None))
+            raise
+
+    async def _rest(self, lane: ProcessId) -> None:
+        await sleep_ms(_BUSY_MS)
+        self.mailbox.send(_LaneRested(lane))
+
     async def _ask(self, lane: ProcessId, message: AdviceAsked) -> None:
         ask = message.ask
         if lane == _OWN_LANE:
@@ -164,11 +184,13 @@
             self._timeout_ms,
         )
         if not advice.is_busy:
-            self.mailbox.send(_LaneFree(lane, message, advice.granted))
+            granted = advice.granted
+            self.mailbox.send(
+                _LaneFree(lane, message, granted, granted is None),
+            )
             return
         self.mailbox.send(message)
-        await sleep_ms(_BUSY_MS)
-        self.mailbox.send(_LaneRested(lane))
+        await self._rest(lane)
 
     async def _ask_service(self, ask: AskAdvice) -> _Granted:
         answered = await self._port.advise(
--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/asking.py
@@ -56,7 +56,7 @@
         return False
     allowed = allowed_workers(state, request, without)
     _keep_room(request, allowed, _duration_ms(policy, len(asked)))
-    state.tickets.asked(step.key)
+    state.tickets.asked(step.key, request.now_ms)
     state.effects.append(AskAdvice(step.key, tuple(asked), step.rank_ms))
     return True
 
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -228,7 +228,15 @@
         granted: dict[WorkerId, Ticket],
         expiry_ms: int,
     ) -> None:
-        """Take over tickets for a step."""
+        """Take over tickets for a step.
+
+        What was asked of a former life of a worker says nothing of this one.
+        """
+        asked = {
+            worker: born_ms
+            for worker, born_ms in asked.items()
+            if self._is_same_life(worker, born_ms)
+        }
         self.state.tickets.advised(step, asked, granted, expiry_ms)
         events.emit(
             events.STEP_ADVISED,
@@ -275,6 +283,10 @@
                 counts[entry.graph.queue] += 1
         return dict(counts)
 
+    def _is_same_life(self, worker: WorkerId, born_ms: BornMs) -> bool:
+        view = self.state.workers.find(worker)
+        return view is not None and view.born_ms == born_ms
+
     def _policy(self, graph: JobGraph) -> QueuePolicy:
         """Return the queue's policy; a removed queue's jobs still run."""
         config = self.state.config
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -11,6 +11,9 @@
 _USE_MARGIN_MS: Final = 250
 # An ask that got no answer is repeated after this time.
 _RETRY_MS: Final = 100
+# An answer that has not come by then is taken as lost. An ask waits for the
+# asks before it, and the queue is longest just after a takeover.
+_ANSWER_LOST_MS: Final = 15_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,8 +29,8 @@
     # The policy of a step never changes: a worker is allowed or it is not.
     allowed: set[WorkerId] = field(default_factory=set)
     denied: set[WorkerId] = field(default_factory=set)
-    is_asked: bool = False
-    retry_ms: int = 0
+    # No further ask is made before, while one is under way or has failed.
+    next_ask_ms: int = 0
 
 
 class TicketBook:
@@ -63,21 +66,18 @@
     def may_ask(self, step: StepKey, now_ms: int) -> bool:
         """Tell whether no ask for the step is under way."""
         advice = self._steps.get(step)
-        if advice is None:
-            return True
-        return not advice.is_asked and advice.retry_ms <= now_ms
+        return advice is None or advice.next_ask_ms <= now_ms
 
-    def asked(self, step: StepKey) -> None:
+    def asked(self, step: StepKey, now_ms: int) -> None:
         """Note that an ask is under way."""
-        self._steps.setdefault(step, _StepAdvice()).is_asked = True
+        advice = self._steps.setdefault(step, _StepAdvice())
+        advice.next_ask_ms = now_ms + _ANSWER_LOST_MS
 
     def unanswered(self, step: StepKey, now_ms: int) -> None:
         """Note that an ask got no answer."""
         advice = self._steps.get(step)
-        if advice is None:
-            return
-        advice.is_asked = False
-        advice.retry_ms = now_ms + _RETRY_MS
+        if advice is not None:
+            advice.next_ask_ms = now_ms + _RETRY_MS
 
     def advised(
         self,
@@ -90,7 +90,7 @@
         advice = self._steps.get(step)
         if advice is None:
             return
-        advice.is_asked = False
+        advice.next_ask_ms = 0
         for worker, born_ms in asked.items():
             ticket = granted.get(worker)
             if ticket is None:
