Treat answers of another shape as unknown, and log failed calls of actors

Cause: a success whose JSON has another shape raised in the task that made the call, and errors of such tasks were not logged.

--- a/fuchsiarill/cluster/spawning.py
+++ b/fuchsiarill/cluster/spawning.py
@@ -8,6 +8,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from fuchsiarill import events
 from fuchsiarill.actor import Actor
 
 
@@ -28,7 +29,7 @@
         """Run a call as a task of this actor."""
         task = asyncio.get_running_loop().create_task(call, name=self.name)
         self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        task.add_done_callback(self._call_ended)
         return task
 
     async def stop(self) -> None:
@@ -42,3 +43,13 @@
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {**super().snapshot(), 'calls_count': self.calls_count}
+
+    def _call_ended(self, task: asyncio.Task[None]) -> None:
+        self._calls.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            events.emit(
+                events.CALL_FAILED,
+                actor=self.name,
+                error=repr(error),
+            )
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -125,6 +125,13 @@
     'actor {actor} has ended by itself and the process ends: {error}',
     'Report the line as a defect; another process takes over.',
 )
+CALL_FAILED: Final = LogEvent(
+    106,
+    Level.ERROR,
+    'a call of actor {actor} failed: {error}',
+    'Report the line as a defect; what waited for the call runs into its '
+    'deadline.',
+)
 CONFIG_IN_FORCE: Final = LogEvent(
     201,
     Level.INFO,
@@ -382,11 +389,11 @@
     'job {for_job} of priority {priority}',
     _NO_ACTION,
 )
-REPORT_UNREADABLE: Final = LogEvent(
+ANSWER_UNREADABLE: Final = LogEvent(
     748,
     Level.ERROR,
-    'the report of {worker} can not be read: {problem}',
-    'Check the version of the worker; it gets no work meanwhile.',
+    'an answer of {source} can not be read: {problem}',
+    'Check its version; the outcome of the call counts as unknown.',
 )
 STEP_ADVISED: Final = LogEvent(
     719,
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -94,7 +94,7 @@
     job: JobId
     started_ms: int
     deadline_ms: int
-    attempts_count: int = 0
+    failures_count: int = 0
     # An attempt without an answer may have taken effect.
     may_have_happened: bool = False
 
@@ -173,7 +173,6 @@
         """
         transaction = KvTransaction(((key, ABSENT),), (KvWrite(key, value),))
         while True:
-            writing.attempts_count += 1
             answered = await self._store.commit(
                 transaction,
                 self._timeout_ms(writing),
@@ -206,11 +205,12 @@
             queue=key.split('/')[1],
             revision=revision,
             took_ms=now_ms() - writing.started_ms,
-            attempts=writing.attempts_count,
+            attempts=writing.failures_count + 1,
         )
 
     async def _may_repeat(self, writing: _Writing) -> bool:
-        """Wait before the next attempt, if there is time for one."""
+        """Wait after a failed attempt, if there is time for another."""
+        writing.failures_count += 1
         await sleep_ms(self._calls_settings.submit_retry_ms)
         now = now_ms()
         if writing.may_have_happened:
@@ -232,7 +232,7 @@
             job=writing.job,
             code=code.name,
             took_ms=now_ms() - writing.started_ms,
-            reason=f'{writing.attempts_count} calls of the store failed',
+            reason=f'{writing.failures_count} calls of the store failed',
         )
         return code
 
--- a/fuchsiarill/platform/advice_client.py
+++ b/fuchsiarill/platform/advice_client.py
@@ -1,13 +1,13 @@
 """The platform's advice service as our `AdvisorPort`."""
 
 import json
-from typing import Final
+from typing import Any, Final
 
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.platform.answers import read_answer
+from fuchsiarill.platform.answers import parse_body, read_answer
 from fuchsiarill.platform.task_names import step_name
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.ports.http_client import HttpCall, HttpClient
@@ -38,7 +38,13 @@
             return Failure(AgentFailure.UNHEALTHY)
         if answer.status != _OK:
             return Failure(AgentFailure.UNKNOWN)
-        granted = answer.body['granted']
-        return Success(
-            {WorkerId(worker): Ticket(ticket) for worker, ticket in granted},
-        )
+        tickets = parse_body(answer, _tickets, 'the advice service')
+        if tickets is None:
+            return Failure(AgentFailure.UNKNOWN)
+        return Success(tickets)
+
+
+def _tickets(body: dict[str, Any]) -> dict[WorkerId, Ticket]:
+    return {
+        WorkerId(worker): Ticket(ticket) for worker, ticket in body['granted']
+    }
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -1,15 +1,18 @@
 """Reading of HTTP answers of the platform and its workers."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from returns.result import Failure, Result
 
+from fuchsiarill import events
 from fuchsiarill.ports.http_client import CallFailure, HttpAnswer
 
 _SUCCESS_CLASS: Final = 2
 _STATUSES_PER_CLASS: Final = 100
+_Parsed = TypeVar('_Parsed')
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +20,7 @@
     """Status and decoded body; without a status there was no answer."""
 
     status: int | None
-    body: Any = field(default_factory=dict)
+    body: dict[str, Any] = field(default_factory=dict)
     failure: CallFailure | None = None
 
     @property
@@ -32,15 +35,44 @@
 def read_answer(
     answered: Result[HttpAnswer, CallFailure],
 ) -> PlatformAnswer:
-    """Decode an answer; an unreadable success counts as no answer."""
+    """Decode an answer; an unreadable success counts as no answer.
+
+    Each body on the platform is a JSON object.
+    """
     if isinstance(answered, Failure):
         return PlatformAnswer(None, failure=answered.failure())
     answer = answered.unwrap()
+    body = _read_object(answer.body)
+    if body is not None:
+        return PlatformAnswer(answer.status, body)
+    if answer.status // _STATUSES_PER_CLASS == _SUCCESS_CLASS:
+        return PlatformAnswer(None, failure=CallFailure.NO_ANSWER)
+    return PlatformAnswer(answer.status)
+
+
+def parse_body(
+    answer: PlatformAnswer,
+    parse: Callable[[dict[str, Any]], _Parsed],
+    source: str,
+) -> _Parsed | None:
+    """Parse the body of a success; logs one that can not be parsed.
+
+    `source` names in the log who has answered.
+    """
+    try:
+        return parse(answer.body)
+    except (KeyError, TypeError, ValueError) as error:
+        events.emit(
+            events.ANSWER_UNREADABLE,
+            source=source,
+            problem=repr(error),
+        )
+        return None
+
+
+def _read_object(content: bytes) -> dict[str, Any] | None:
     try:
-        body = json.loads(answer.body) if answer.body else {}
+        body = json.loads(content) if content else {}
     except ValueError:
-        is_success = answer.status // _STATUSES_PER_CLASS == _SUCCESS_CLASS
-        if is_success:
-            return PlatformAnswer(None, failure=CallFailure.NO_ANSWER)
-        body = {}
-    return PlatformAnswer(answer.status, body)
+        return None
+    return body if isinstance(body, dict) else None
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -6,14 +6,15 @@
 
 import base64
 import json
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
 
 from returns.result import Failure, Result, Success
 
 from fuchsiarill import events
 from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
-from fuchsiarill.platform.answers import PlatformAnswer, read_answer
+from fuchsiarill.platform.answers import PlatformAnswer, parse_body, read_answer
 from fuchsiarill.ports.http_client import HttpCall, HttpClient
 from fuchsiarill.ports.key_value import (
     KvChanges,
@@ -34,6 +35,8 @@
 _NOTHING_DONE: Final = frozenset((429, 503))
 # A watch is answered late by the links' delay and by a busy store.
 _WATCH_MARGIN_MS: Final = 600
+_SOURCE: Final = 'the store'
+_Parsed = TypeVar('_Parsed')
 
 
 class PlatformStore:
@@ -54,9 +57,7 @@
         answer = await self._call('GET', f'/kv-key?{query}', None, timeout_ms)
         if answer.status == _ABSENT:
             return Success(KvItem(key, None, ABSENT))
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        return Success(_item(answer.body))
+        return _parsed(answer, _item)
 
     async def list_prefix(
         self,
@@ -70,16 +71,7 @@
             query['after'] = after
         path = f'/kv-range?{urlencode(query)}'
         answer = await self._call('GET', path, None, timeout_ms)
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        page = answer.body
-        return Success(
-            KvPage(
-                tuple(_item(row) for row in page['items']),
-                bool(page['has_more']),
-                Revision(page['at_rev']),
-            ),
-        )
+        return _parsed(answer, _page)
 
     async def watch_prefix(
         self,
@@ -99,14 +91,7 @@
         answer = read_answer(answered)
         if answer.status == _GONE:
             return Failure(KvFailure.COMPACTED)
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        return Success(
-            KvChanges(
-                tuple(_item(row) for row in answer.body['events']),
-                Revision(answer.body['at_rev']),
-            ),
-        )
+        return _parsed(answer, _changes)
 
     async def commit(
         self,
@@ -126,11 +111,8 @@
         if answer.status == _ABSENT:
             return Failure(KvFailure.LEASE_GONE)
         if answer.status == _CONFLICT:
-            rows = answer.body['items']
-            return Success(KvConflict(tuple(_item(row) for row in rows)))
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        return Success(KvCommitted(Revision(answer.body['revision'])))
+            return _found(parse_body(answer, _conflict, _SOURCE))
+        return _parsed(answer, _committed)
 
     async def grant_lease(
         self,
@@ -140,9 +122,7 @@
         """Create a lease that lapses `ttl_ms` after its last renewal."""
         body = {'ttl_ms': ttl_ms}
         answer = await self._call('POST', '/kv-lease', body, timeout_ms)
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        return Success(StoreLeaseId(str(answer.body['lease'])))
+        return _parsed(answer, _lease)
 
     async def renew_lease(
         self,
@@ -199,6 +179,47 @@
     return KvFailure.UNKNOWN
 
 
+def _parsed(
+    answer: PlatformAnswer,
+    parse: Callable[[dict[str, Any]], _Parsed],
+) -> Result[_Parsed, KvFailure]:
+    if answer.status != _OK:
+        return Failure(_failure(answer))
+    return _found(parse_body(answer, parse, _SOURCE))
+
+
+def _found(parsed: _Parsed | None) -> Result[_Parsed, KvFailure]:
+    """Return what was parsed; an unreadable answer tells no outcome."""
+    return Failure(KvFailure.UNKNOWN) if parsed is None else Success(parsed)
+
+
+def _page(body: dict[str, Any]) -> KvPage:
+    return KvPage(
+        tuple(_item(row) for row in body['items']),
+        bool(body['has_more']),
+        Revision(int(body['at_rev'])),
+    )
+
+
+def _changes(body: dict[str, Any]) -> KvChanges:
+    return KvChanges(
+        tuple(_item(row) for row in body['events']),
+        Revision(int(body['at_rev'])),
+    )
+
+
+def _conflict(body: dict[str, Any]) -> KvConflict:
+    return KvConflict(tuple(_item(row) for row in body['items']))
+
+
+def _committed(body: dict[str, Any]) -> KvCommitted:
+    return KvCommitted(Revision(int(body['revision'])))
+
+
+def _lease(body: dict[str, Any]) -> StoreLeaseId:
+    return StoreLeaseId(str(body['lease']))
+
+
 def _item(row: dict[str, Any]) -> KvItem:
     content = row.get('value')
     return KvItem(
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -5,7 +5,6 @@
 
 from returns.result import Failure, Result, Success
 
-from fuchsiarill import events
 from fuchsiarill.graphs.model import (
     BornMs,
     Checkpoint,
@@ -16,7 +15,7 @@
     StartOrder,
     WorkerReport,
 )
-from fuchsiarill.platform.answers import PlatformAnswer, read_answer
+from fuchsiarill.platform.answers import PlatformAnswer, parse_body, read_answer
 from fuchsiarill.platform.task_names import parse_task, task_name
 from fuchsiarill.ports.agents import (
     AgentAddress,
@@ -139,15 +138,10 @@
         answer = read_answer(answered)
         if answer.status != _OK:
             return Failure(_failure(answer))
-        try:
-            return Success(_report(answer.body))
-        except (KeyError, TypeError, ValueError) as error:
-            events.emit(
-                events.REPORT_UNREADABLE,
-                worker=agent.worker,
-                problem=repr(error),
-            )
+        report = parse_body(answer, _report, agent.worker)
+        if report is None:
             return Failure(AgentFailure.MALFORMED)
+        return Success(report)
 
     async def _order(
         self,
@@ -163,7 +157,10 @@
         answer = read_answer(answered)
         if answer.status != _OK:
             return Failure(_failure(answer))
-        return Success(int(answer.body['clock_ms']))
+        clock_ms = parse_body(answer, _clock_ms, agent.worker)
+        if clock_ms is None:
+            return Failure(AgentFailure.UNKNOWN)
+        return Success(clock_ms)
 
 
 def _call(agent: AgentAddress, path: str, body: dict[str, Any]) -> HttpCall:
@@ -179,11 +176,15 @@
     if answer.failure is not None:
         return _CALL_FAILURES.get(answer.failure, AgentFailure.UNKNOWN)
     if answer.status == _CONFLICT:
-        reason = answer.body.get('reason')
+        reason = str(answer.body.get('reason'))
         return _CONFLICTS.get(reason, AgentFailure.MALFORMED)
     return _STATUSES.get(answer.status or 0, AgentFailure.UNKNOWN)
 
 
+def _clock_ms(body: dict[str, Any]) -> int:
+    return int(body['clock_ms'])
+
+
 def _report(body: dict[str, Any]) -> WorkerReport:
     return WorkerReport(
         int(body['clock_ms']),
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -281,3 +281,49 @@
     canned.status = 429
     busy = run(advisor.advise(step, workers, _TIMEOUT_MS))
     assert busy == Failure(AgentFailure.UNHEALTHY)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'[]', b'3', b'{"revision": null}', b'{"items": 1}'],
+)
+def test_success_of_another_shape_is_no_answer(
+    canned: Canned,
+    body: bytes,
+) -> None:
+    """Guards against an error that ends the task which made the call."""
+    canned.body = body
+    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    assert outcome == Failure(KvFailure.UNKNOWN)
+    found = run(store(canned).list_prefix('jobs/', None, _TIMEOUT_MS))
+    assert found == Failure(KvFailure.UNKNOWN)
+
+
+@pytest.mark.parametrize('body', [b'[]', b'{}', b'{"clock_ms": "soon"}'])
+def test_start_with_an_unreadable_answer_may_run(
+    canned: Canned,
+    body: bytes,
+) -> None:
+    """Guards against a second start of what an odd answer has confirmed."""
+    canned.body = body
+    workers = PlatformWorkers(HttpClient(2, 4))
+    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    assert outcome == Failure(AgentFailure.UNKNOWN)
+
+
+def test_refusal_without_an_object_is_a_refusal(canned: Canned) -> None:
+    """Guards against a refusal that fails for the shape of its body."""
+    canned.status = 409
+    canned.body = b'"fence"'
+    workers = PlatformWorkers(HttpClient(2, 4))
+    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    assert outcome == Failure(AgentFailure.MALFORMED)
+
+
+def test_advice_of_another_shape_is_no_answer(canned: Canned) -> None:
+    """Guards against an ask that is lost with an odd answer."""
+    canned.body = {'granted': [1]}
+    advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
+    step = StepKey(JobId('5c0e7a21d94b36f8'), 0, 1)
+    outcome = run(advisor.advise(step, (WorkerId('i-1'),), _TIMEOUT_MS))
+    assert outcome == Failure(AgentFailure.UNKNOWN)
