Let a class avoid a worker on which it fails before it succeeds anywhere

A class whose first tasks take 10 s elsewhere sent 19 tasks to a worker that failed each at once; 22 starts there instead of 20.

--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -1,6 +1,6 @@
 """What is learned about the tasks of one job class of one customer."""
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from typing import Final
@@ -19,7 +19,8 @@
 
     `size` and `run_time_ms` are upper estimates, valid once there are enough
     samples; `version` counts changes of `size`. `succeeded_on` holds a few
-    workers on which a task succeeded.
+    workers on which a task succeeded, `failed_on` how often tasks failed on
+    each worker.
     """
 
     peaks: deque[Resources] = field(
@@ -34,6 +35,7 @@
     version: int = 0
     samples_count: int = 0
     succeeded_on: set[WorkerId] = field(default_factory=set)
+    failed_on: Counter[WorkerId] = field(default_factory=Counter)
 
     def note_success_on(self, worker_id: WorkerId) -> None:
         """Remember a worker on which a task succeeded."""
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -117,6 +117,8 @@
     """Tell whether a job may use a worker that has room."""
     if worker.worker_id in job.failed_on:
         return False
+    if (job.spec.customer, job.spec.job_class) in worker.avoided_by:
+        return False
     if worker.state is not WorkerState.PROBATION:
         return True
     # A probe may fail, so it must be cheap to repeat.
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import Final
 
+from fuchsiarill.core import avoidance
 from fuchsiarill.core.holding import note_room, refresh
 from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
@@ -32,6 +33,8 @@
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
+    if not estimate.succeeded_on:
+        avoidance.note_failure(state, job.spec, worker, now_ms)
     elsewhere = estimate.succeeded_on - {attempt.worker_id}
     if elsewhere or worker.state is WorkerState.PROBATION:
         _strike(state, worker, now_ms)
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -2,12 +2,19 @@
 
 from dataclasses import dataclass, field
 
-from fuchsiarill.ids import AttemptId, JobId, WorkerId
+from fuchsiarill.ids import (
+    AttemptId,
+    CustomerId,
+    JobClass,
+    JobId,
+    WorkerId,
+)
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import WorkerState
 from fuchsiarill.workers import HostEntry
 
 BucketKey = tuple[int, int, int, int]
+ClassKey = tuple[CustomerId, JobClass]
 
 
 @dataclass(slots=True, eq=False)
@@ -18,7 +25,8 @@
     in the order in which they get it. `bucket` is the
     place of the worker in the index, `None` while it gets no tasks.
     `strikes_count` counts failures of what succeeded elsewhere,
-    `probes_count` the successes in a row since it is on probation.
+    `probes_count` the successes in a row since it is on probation. Classes
+    in `avoided_by` go to other workers first.
     """
 
     entry: HostEntry
@@ -34,6 +42,7 @@
     probe_failures_count: int = 0
     probe_after_ms: int = 0
     incarnation: str = ''
+    avoided_by: set[ClassKey] = field(default_factory=set)
 
     @property
     def worker_id(self) -> WorkerId:
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -25,7 +25,7 @@
 _ENDLESS_MS: Final = 2**62
 
 
-@mutation("the worker's epoch check", 'owner_cut_off_from_the_store')
+@mutation("the worker's epoch check", 'workers_refuse_a_stale_owner')
 def _no_epoch_check() -> tuple[Patch, ...]:
     return (mock.patch.object(FakeWorker, '_is_stale', _never),)
 
@@ -65,7 +65,7 @@
 
 @mutation(
     'fence of the log (expected revisions)',
-    'log_fences_two_owners_at_once',
+    'log_refuses_a_write_that_was_held',
 )
 def _no_fence() -> tuple[Patch, ...]:
     return (mock.patch.object(FakeStore, '_swap', _swap_always),)
