--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -351,3 +351,41 @@
             assert sample in written
 
     play(scenario)
+
+
+def test_process_that_restarted_last_becomes_owner() -> None:
+    """Guards against a row of takeovers while processes restart in turn.
+
+    A process that has just restarted is the last one to be stopped again.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(8000)
+        restarted = other(cell)
+        await cell.kill(restarted)
+        await sleep_ms(200)
+        cell.run_process(restarted)
+        await sleep_ms(1000)
+        cell.processes[owner_of(cell)].drain()
+        await sleep_ms(1500)
+        assert owner_of(cell) == restarted
+
+    play(scenario, processes_count=5)
+
+
+def test_drained_process_answers_before_it_ends() -> None:
+    """Guards against requests that the end of their process cuts off."""
+
+    async def scenario(cell: GraphCell) -> None:
+        process = cell.processes[P0]
+        process.drain()
+        await sleep_ms(50)
+        assert not process.front.view.is_ready
+        assert process.exit_status is None
+        answer = await cell.submit(P0, 'a', TWO_STEPS, duration_ms=100)
+        assert answer.code is codes.ACCEPTED
+        await sleep_ms(5000)
+        assert process.exit_status == 0
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
+
+    play(scenario)
--- /dev/null
+++ b/tests/test_graph_ticks.py
@@ -0,0 +1,175 @@
+"""What time alone brings: stalls, pacing of fillers, leaving workers."""
+
+from dataclasses import replace
+
+import pytest
+
+from fuchsiarill.graphs.effects import Effect, PaceRun, StopRun
+from fuchsiarill.graphs.model import (
+    Checkpoint,
+    EndKind,
+    RunningRow,
+    Step,
+    WorkerListing,
+)
+from fuchsiarill.resources import Resources
+from tests.graph_owner import (
+    CAPACITY,
+    SIZE,
+    Owner,
+    ended,
+    entry,
+    running,
+    task,
+)
+
+_TARGET_MS = 100
+SERVING = Step(1, SIZE, is_lasting=True, target_tail_ms=_TARGET_MS)
+FILLING = Step(1, SIZE, estimate_ms=60000, is_filler=True)
+
+
+def row(job: str, percent: int, usage: float | None = None) -> RunningRow:
+    """Return the row of a run with its percent and its usage."""
+    return RunningRow(task(job), 1, Checkpoint(''), percent, usage)
+
+
+def stops(effects: list[Effect]) -> list[StopRun]:
+    """Return the stops among the effects."""
+    return [one for one in effects if isinstance(one, StopRun)]
+
+
+def paces(effects: list[Effect]) -> list[int]:
+    """Return the paces that are set."""
+    return [one.percent for one in effects if isinstance(one, PaceRun)]
+
+
+@pytest.mark.parametrize(
+    ('step', 'percents', 'is_stopped'),
+    [
+        (Step(1, SIZE), (10, 10), True),
+        (Step(1, SIZE), (10, 20), False),
+        (Step(1, SIZE, is_lasting=True), (40, 40), True),
+        (Step(1, SIZE, is_lasting=True), (100, 100), False),
+        (FILLING, (10, 10), False),
+    ],
+)
+def test_run_that_stands_still_is_stopped(
+    step: Step,
+    percents: tuple[int, int],
+    *,
+    is_stopped: bool,
+) -> None:
+    """Guards against a task that waits for ever on a worker that hangs.
+
+    A lasting task is at 100 once it is at work, and a filler moves only as
+    fast as others leave it processors.
+    """
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('a', step)
+    assert len(owner.starts()) == 1
+    owner.report('w0', (row('a', percents[0]),))
+    owner.decide()
+    owner.now_ms += 4000
+    owner.report('w0', (row('a', percents[1]),))
+    assert bool(stops(owner.decide())) is is_stopped
+
+
+def test_silent_worker_is_not_taken_as_stalled() -> None:
+    """Guards against a stop of runs of which nothing new is known."""
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SIZE))
+    owner.starts()
+    owner.report('w0', (row('a', 10),))
+    owner.now_ms += 4000
+    assert not stops(owner.decide())
+
+
+def fill_beside_serving() -> Owner:
+    """Return an owner with a filler beside a serving task."""
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('serving', SERVING)
+    owner.starts()
+    owner.add_job('filling', FILLING)
+    owner.starts()
+    return owner
+
+
+def test_filler_is_paced_by_the_tail_beside_it() -> None:
+    """Guards against fillers that harm a serving task, or stand for ever."""
+    owner = fill_beside_serving()
+    rows = (row('serving', 100, 150), row('filling', 5, 1))
+    owner.report('w0', rows)
+    owner.now_ms += 1000
+    assert paces(owner.decide()) == [0]
+    # A reported tail still shows the time before the change.
+    owner.report('w0', rows)
+    assert not paces(owner.decide())
+    seen = []
+    for _ in range(8):
+        owner.now_ms += 1000
+        owner.report('w0', (row('serving', 100, 20), row('filling', 5, 1)))
+        seen.extend(paces(owner.decide()))
+    assert seen == [25, 50, 75, 100]
+
+
+def test_filler_keeps_its_pace_near_the_target() -> None:
+    """Guards against a pace that changes with every small change of load."""
+    owner = fill_beside_serving()
+    owner.report('w0', (row('serving', 100, 75), row('filling', 5, 1)))
+    owner.now_ms += 1000
+    assert not paces(owner.decide())
+
+
+@pytest.mark.parametrize(
+    ('others', 'is_moved'),
+    [(('w1',), True), ((), False)],
+)
+def test_lasting_task_leaves_a_leaving_worker(
+    others: tuple[str, ...],
+    *,
+    is_moved: bool,
+) -> None:
+    """Guards against a lasting task that ends with its worker.
+
+    Without room elsewhere it is of more use where it is.
+    """
+    owner = Owner('w0', *others)
+    owner.report('w0')
+    owner.add_job('watch', Step(1, SIZE, is_lasting=True))
+    owner.starts()
+    owner.report('w0', (running(task('watch')),))
+    for other in others:
+        owner.report(other)
+    leaving = replace(entry('w0'), listing=WorkerListing.LEAVING)
+    owner.core.list_workers([leaving, *map(entry, others)], owner.now_ms)
+    assert bool(stops(owner.decide())) is is_moved
+    if not is_moved:
+        return
+    end = ended(task('watch'), kind=EndKind.STOPPED)
+    owner.report('w0', (), (end,))
+    assert [start.worker for start in owner.starts()] == ['w1']
+
+
+def test_gang_gets_the_workers_that_become_free() -> None:
+    """Guards against a gang that small tasks keep from ever starting."""
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.report('w1')
+    owner.add_job('first', Step(1, CAPACITY, estimate_ms=1000))
+    owner.add_job('second', Step(1, CAPACITY, estimate_ms=1000))
+    where = {one.task.job: one.worker for one in owner.starts()}
+    assert len(where) == 2
+    gang = Step(2, CAPACITY, estimate_ms=100, is_gang=True)
+    owner.add_job('gang', gang)
+    owner.decide()
+    half = Resources(CAPACITY.processors_milli // 2, 100)
+    owner.add_job('small', Step(4, half, estimate_ms=5000))
+    for number, job in enumerate(('first', 'second')):
+        done = ended(task(job), 1)
+        owner.report(where[job], (), (done,))  # type: ignore[index]
+        starts = owner.starts()
+        assert len(starts) == 2 * number
+    assert {start.task.job for start in starts} == {'gang'}
--- /dev/null
+++ b/tests/test_relayed_store.py
@@ -0,0 +1,172 @@
+"""A store that is reached through another process, over real capnp."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import capnp
+import pytest
+from returns.result import Failure, Success
+
+from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
+from fuchsiarill.graphs.peers import ask_peer, serve_help
+from fuchsiarill.graphs.ports import (
+    Directory,
+    DocumentError,
+    GraphPorts,
+    OneAtATime,
+)
+from fuchsiarill.graphs.relayed_store import RelayedStore
+from fuchsiarill.ids import (
+    ABSENT,
+    JobId,
+    ProcessId,
+    Revision,
+    StoreKey,
+    WorkerId,
+)
+from fuchsiarill.graphs.model import GraphConfig, StepKey, Ticket, WorkerEntry
+from fuchsiarill.ports.key_value import (
+    KvCommitted,
+    KvConflict,
+    KvFailure,
+    KvTransaction,
+    KvWrite,
+)
+from standins.agent_model import Fleet
+from standins.store_model import PathFault, StoreModel, StorePath
+from tests.graph_cell import AllowAll
+
+KEY = StoreKey('jobs/a')
+PEER = ProcessId('p1')
+_TIMEOUT_MS = 700
+
+
+class _Relay:
+    """A process whose path to the store may fail, and a peer that helps."""
+
+    def __init__(self) -> None:
+        self.model = StoreModel()
+        self.own = StorePath(self.model)
+        self.helper = StorePath(self.model)
+        self.links = PeerLinks()
+        self.store = RelayedStore(self.own, self.links)
+
+    def ports(self) -> GraphPorts:
+        """Return the outside systems of the peer."""
+        directory = Directory(KEY, '', '', _read_config, _read_worker)
+        return GraphPorts(
+            self.helper,
+            Fleet(),
+            OneAtATime(AllowAll()),
+            directory,
+        )
+
+
+def _read_config(content: bytes) -> GraphConfig:
+    raise DocumentError('a peer reads no configuration')
+
+
+def _read_worker(worker: WorkerId, content: bytes) -> WorkerEntry:
+    raise DocumentError('a peer reads no workers')
+
+
+def play(scenario: Callable[[_Relay], Awaitable[None]]) -> None:
+    """Run a scenario with a peer that listens on loopback."""
+
+    async def main() -> None:
+        relay = _Relay()
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            address = f'127.0.0.1:{probe.getsockname()[1]}'
+        async with capnp.kj_loop():
+            server = await serve_help(address, relay.ports(), 5000)
+            relay.links.start()
+            relay.links.mailbox.send(PeersListed({PEER: address}))
+            await asyncio.sleep(0.05)
+            await scenario(relay)
+            await relay.links.stop()
+            server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
+def test_calls_go_through_a_peer(fault: PathFault) -> None:
+    """Guards against a process that is useless without its own path."""
+
+    async def scenario(relay: _Relay) -> None:
+        relay.own.fault = fault
+        transaction = KvTransaction(((KEY, ABSENT),), (KvWrite(KEY, b'1'),))
+        written = await relay.store.commit(transaction, _TIMEOUT_MS)
+        assert isinstance(written.unwrap(), KvCommitted)
+        found = (await relay.store.get(KEY, _TIMEOUT_MS)).unwrap()
+        assert found.value == b'1'
+        again = await relay.store.commit(transaction, _TIMEOUT_MS)
+        assert isinstance(again.unwrap(), KvConflict)
+        page = await relay.store.list_prefix('jobs/', None, _TIMEOUT_MS)
+        assert [item.key for item in page.unwrap().items] == [KEY]
+        changes = await relay.store.watch_prefix('jobs/', Revision(1), 200)
+        assert [item.key for item in changes.unwrap().items] == [KEY]
+
+    play(scenario)
+
+
+def test_lease_is_kept_through_a_peer() -> None:
+    """Guards against an owner that loses its lease with its own path."""
+
+    async def scenario(relay: _Relay) -> None:
+        lease = (await relay.store.grant_lease(1500, _TIMEOUT_MS)).unwrap()
+        relay.own.fault = PathFault.SILENT
+        kept = await relay.store.renew_lease(lease, _TIMEOUT_MS)
+        assert kept == Success(lease)
+        ended = await relay.store.end_lease(lease, _TIMEOUT_MS)
+        assert ended == Success(lease)
+        gone = await relay.store.renew_lease(lease, _TIMEOUT_MS)
+        assert gone == Failure(KvFailure.LEASE_GONE)
+
+    play(scenario)
+
+
+def test_refusal_of_the_peer_does_not_settle_a_lost_answer() -> None:
+    """Guards against a refusal of what the own call may have written."""
+
+    async def scenario(relay: _Relay) -> None:
+        relay.own.fault = PathFault.ANSWER_LOST
+        relay.helper.fault = PathFault.REFUSED
+        transaction = KvTransaction(((KEY, ABSENT),), (KvWrite(KEY, b'1'),))
+        written = await relay.store.commit(transaction, _TIMEOUT_MS)
+        assert written == Failure(KvFailure.UNKNOWN)
+        assert KEY in relay.model.found
+
+    play(scenario)
+
+
+def test_advice_is_asked_through_a_peer() -> None:
+    """Guards against tickets that are lost between two processes."""
+
+    async def scenario(relay: _Relay) -> None:
+        step = StepKey(JobId('a'), 0, 1)
+        workers = (WorkerId('w0'), WorkerId('w1'))
+        advice = await ask_peer(relay.links, PEER, step, workers, 1000)
+        assert advice.granted == {
+            WorkerId('w0'): Ticket('ticket'),
+            WorkerId('w1'): Ticket('ticket'),
+        }
+
+    play(scenario)
+
+
+def test_busy_peer_says_so() -> None:
+    """Guards against asks that queue up behind those of another process."""
+
+    async def scenario(relay: _Relay) -> None:
+        step = StepKey(JobId('a'), 0, 1)
+        asks = [
+            ask_peer(relay.links, PEER, step, (WorkerId('w0'),), 1000)
+            for _ in range(2)
+        ]
+        advices = await asyncio.gather(*asks)
+        assert sorted(advice.is_busy for advice in advices) == [False, True]
+
+    play(scenario)
