Keep room for a step while its ask for tickets is under way

Cause: room was kept only on workers that had room when the ask was made. A step that waits for a run to end asks before that, so a later step that held a ticket by chance took the room. Found by the test for kept rooms.

--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/asking.py
@@ -4,12 +4,11 @@
 
 from fuchsiarill.graphs.effects import AskAdvice
 from fuchsiarill.graphs.model import AdvicePolicy
-from fuchsiarill.graphs.placement import Request, could_ever_fit, has_room
+from fuchsiarill.graphs.placement import Request, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_waits import wait_ms
+from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.resources import NOTHING
 
 # Workers named in one ask; the service's bound.
 _ASKED_MAX_COUNT: Final = 100
@@ -51,11 +50,10 @@
     ]
     known = _soon_free(state, request, without, policy)
     unknown = _unknown(state, request, without)
-    asked = (known + unknown)[:_ASKED_MAX_COUNT]
+    asked = ([view.worker for view in known] + unknown)[:_ASKED_MAX_COUNT]
     if not asked:
         return False
-    allowed = allowed_workers(state, request, without)
-    _keep_room(request, allowed, _duration_ms(policy, len(asked)))
+    _keep_room(request, known, _duration_ms(policy, len(asked)))
     state.tickets.asked(step.key, request.now_ms)
     state.effects.append(AskAdvice(step.key, tuple(asked), step.rank_ms))
     return True
@@ -66,14 +64,20 @@
     request: Request,
     views: list[WorkerView],
     policy: AdvicePolicy,
-) -> list[WorkerId]:
-    """Return allowed workers that have room when the tickets arrive."""
+) -> list[WorkerView]:
+    """Return allowed workers that have room when the tickets arrive.
+
+    Those that have it sooner come first.
+    """
     within_ms = _duration_ms(policy, 1)
-    return [
-        view.worker
+    waits = {
+        view.worker: wait_ms(state, request, view)
         for view in allowed_workers(state, request, views)
-        if wait_ms(state, request, view) <= within_ms
+    }
+    known = [
+        view for view in views if waits.get(view.worker, NEVER_MS) <= within_ms
     ]
+    return sorted(known, key=lambda view: waits[view.worker])
 
 
 def _unknown(
@@ -104,13 +108,7 @@
     step = request.step
     for view in views:
         view.drop_reservations(step.key)
-    kept_count = 0
-    for view in views:
-        if kept_count == len(step.waiting):
-            return
-        if not has_room(step, view, NOTHING):
-            continue
-        kept_count += 1
+    for view in views[: len(step.waiting)]:
         view.reserve(step, request.now_ms + duration_ms)
 
 
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -22,7 +22,15 @@
 from fuchsiarill.graphs.ports import OneAtATime
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
-from tests.graph_owner import ADVISED, SIZE, Owner, ended, running, task
+from tests.graph_owner import (
+    ADVISED,
+    CAPACITY,
+    SIZE,
+    Owner,
+    ended,
+    running,
+    task,
+)
 
 W0 = WorkerId('w0')
 GRANT = {W0: Ticket('t')}
@@ -37,14 +45,13 @@
     return [one for one in owner.decide() if isinstance(one, AskAdvice)]
 
 
-def grant(owner: Owner, step: StepKey = STEP, born_ms: int = 1) -> None:
+def grant(
+    owner: Owner,
+    step: StepKey = STEP,
+    valid_ms: int = _VALID_MS,
+) -> None:
     """Let the advice service allow the worker."""
-    owner.core.advised(
-        step,
-        {W0: BornMs(born_ms)},
-        GRANT,
-        owner.now_ms + _VALID_MS,
-    )
+    owner.core.advised(step, LIVES, GRANT, owner.now_ms + valid_ms)
 
 
 def test_lost_answer_does_not_end_the_asking() -> None:
@@ -84,6 +91,29 @@
     assert [one.attempt for one in owner.starts()] == [2]
 
 
+def test_room_is_kept_while_tickets_are_asked_for() -> None:
+    """Guards against a later step that takes the room, again and again.
+
+    The earlier step has to renew its ticket while the later one holds one by
+    chance.
+    """
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('a', Step(2, CAPACITY, estimate_ms=100), queue=ADVISED)
+    asks(owner)
+    grant(owner, valid_ms=500)
+    assert len(owner.starts()) == 1
+    owner.now_ms += 600
+    owner.report('w0', (running(task('a')),))
+    owner.add_job('b', Step(1, SIZE), queue=ADVISED)
+    assert {one.step.job for one in asks(owner)} == {'a', 'b'}
+    grant(owner, StepKey(JobId('b'), 0, 0))
+    owner.report('w0', (), (ended(task('a')),))
+    assert not owner.starts()
+    grant(owner)
+    assert [one.task.job for one in owner.starts()] == ['a']
+
+
 class _Service:
     """An advice service that answers after a while."""
 
