Place the units of a step with one ranking of workers; prefer larger machines as owners

Cause: on grown sites (126 workers of a pool, 300 starts a second) one owner computed the cost of every worker for each task: 1.50 ms of processor time a start at 18 jobs a second, 2.11 ms at 40 (trial on this machine, decisions only). Machines with less than 0.75 processors or 50 Mbit/s wait longer before they campaign.

--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -9,15 +9,12 @@
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
-from fuchsiarill.graphs.placement import (
-    Request,
-    place_unit,
-    usable_workers,
-)
+from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.preempting import preempt
 from fuchsiarill.graphs.run_actions import extend_leases, hold_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.step_placer import StepPlacer
 from fuchsiarill.graphs.worker_book import WorkerView
 
 
@@ -59,15 +56,13 @@
 def _serve_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
     step = row.step
     step.rank_ms = row.rank_ms
+    placer = StepPlacer(state, row.entry, step, now_ms)
     for unit in list(step.waiting.values()):
-        request = Request(row.entry, step, unit, now_ms)
-        candidates = usable_workers(state, request)
-        holders = _ticket_holders(state, request, candidates)
-        placed = place_unit(state, request, holders)
+        placed = placer.place(unit)
         if placed is None:
-            _help_blocked(state, request, candidates)
+            _help_blocked(state, placer.request(unit), placer.usable(unit))
             return
-        _start(state, request, placed)
+        _start(state, placer.request(unit), placed)
 
 
 def _help_blocked(
@@ -84,21 +79,6 @@
         step.blocked_version = state.free_version
 
 
-def _ticket_holders(
-    state: PoolState,
-    request: Request,
-    candidates: list[WorkerView],
-) -> list[WorkerView]:
-    """Return the workers that may be given the unit at once."""
-    if request.entry.policy.advice is None:
-        return candidates
-    return [
-        view
-        for view in candidates
-        if state.tickets.ticket_for(request.step.key, view, request.now_ms)
-    ]
-
-
 def _start(
     state: PoolState,
     request: Request,
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -125,33 +125,26 @@
         runs_count = step.runs_per_worker[view.worker] + taken_count
         if runs_count >= per_worker_max:
             return False
+    if not step.step.charge.fits_in(view.free):
+        return False
     free = view.free_for(step.key, step.rank_ms)
     return (step.step.charge + taken).fits_in(free)
 
 
-def place_unit(
+def place_gang(
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
 ) -> list[WorkerView] | None:
-    """Return a worker for each task of the unit, or `None`."""
+    """Return a worker for each task of a gang, or `None`.
+
+    They are on one rack where that matters and is possible.
+    """
+    step = request.step
     ranked = sorted(
         candidates,
-        key=lambda view: _cost(state, request, view),
+        key=lambda view: cost_of(state, request, view),
     )
-    if request.step.step.is_gang:
-        return _place_near(request.step, ranked)
-    for view in ranked:
-        if has_room(request.step, view, NOTHING):
-            return [view]
-    return None
-
-
-def _place_near(
-    step: StepEntry,
-    ranked: list[WorkerView],
-) -> list[WorkerView] | None:
-    """Place a gang, on one rack where that matters and is possible."""
     if step.step.is_rack_sensitive:
         for rack in _racks(ranked):
             in_rack = [view for view in ranked if view.rack == rack]
@@ -188,7 +181,8 @@
     return filled
 
 
-def _cost(state: PoolState, request: Request, view: WorkerView) -> float:
+def cost_of(state: PoolState, request: Request, view: WorkerView) -> float:
+    """Return the cost of a task on a worker; the lowest is preferred."""
     return sum(cost(state, request, view) for cost in _ALL_COSTS)
 
 
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -1,6 +1,7 @@
 """Settings of a process that serves job graphs, in YAML."""
 
 from pathlib import Path
+from typing import Final
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -32,6 +33,29 @@
     advice: str = ''
 
 
+# An owner of some hundred workers uses this much; see docs/CAPACITY.md.
+_OWNER_PROCESSORS: Final = 0.75
+_OWNER_LINK_MBPS: Final = 50.0
+
+
+class MachineSettings(_Section):
+    """What the machine of the process offers."""
+
+    # Share that the process gets of each processor, and their speed as a
+    # multiple of a usual one.
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
+    link_mbps: float = 1000.0
+
+    @property
+    def is_small(self) -> bool:
+        """Tell whether an owner is better run on another machine."""
+        processors = self.processor_share * self.processor_speed
+        return processors < _OWNER_PROCESSORS or (
+            self.link_mbps < _OWNER_LINK_MBPS
+        )
+
+
 class OwnershipSettings(_Section):
     """Timing of the lease under which a process owns a pool."""
 
@@ -109,6 +133,7 @@
     failure_domain: FailureDomain
     listen: ListenSettings
     outside: OutsideSettings
+    machine: MachineSettings = Field(default_factory=MachineSettings)
     ownership: OwnershipSettings = Field(default_factory=OwnershipSettings)
     task_lease: TaskLeaseSettings = Field(default_factory=TaskLeaseSettings)
     calls: CallSettings = Field(default_factory=CallSettings)
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -46,6 +46,9 @@
 _TICK_MS: Final = 100
 # A process that owns another pool lets others go first.
 _OWNED_DELAY_MS: Final = 150
+# A small machine leaves ownership to larger ones. The delay is longer than a
+# campaign takes, with the difference in speed.
+_SMALL_DELAY_MS: Final = 250
 # In a rolling restart those that started last are not restarted again, so a
 # process waits longer the longer it has run, up to a minute.
 _SENIORITY_DELAY: Final = 0.002
@@ -291,6 +294,7 @@
         # Spread, so that most processes see the winner before they try.
         delay_ms = random.random() * ownership.campaign_spread_ms
         delay_ms += self._candidate.owned_count() * _OWNED_DELAY_MS
+        delay_ms += self._settings.machine.is_small * _SMALL_DELAY_MS
         uptime_ms = min(now_ms() - self._started_ms, _SENIORITY_MAX_MS)
         delay_ms += uptime_ms * _SENIORITY_DELAY
         await sleep_ms(delay_ms)
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_book.py
@@ -62,6 +62,8 @@
     is_accounted: bool = False
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
     held: Resources = NOTHING
+    # What the worker offers and is not held.
+    free: Resources = NOTHING
     reservations: list[Reservation] = field(default_factory=list)
     filler_milli: int = 0
     serving_count: int = 0
@@ -78,13 +80,6 @@
     leaving_since_ms: int | None = None
     trust: Trust = field(default_factory=Trust)
 
-    @property
-    def free(self) -> Resources:
-        """Return what is not held."""
-        if self.entry is None:
-            return NOTHING
-        return self.entry.capacity - self.held
-
     def free_for(self, step: StepKey, rank_ms: int) -> Resources:
         """Return what is neither held nor kept for a step before this one."""
         free = self.free
@@ -131,6 +126,7 @@
         """Count a run against the worker."""
         self.runs[run.key] = run
         self.held += run.charge
+        self._count_free()
         self.filler_milli += run.filler_milli
         self.serving_count += int(is_serving)
 
@@ -139,9 +135,20 @@
         if self.runs.pop(run.key, None) is None:
             return
         self.held -= run.charge
+        self._count_free()
         self.filler_milli -= run.filler_milli
         self.serving_count -= int(is_serving)
 
+    def list_entry(self, entry: WorkerEntry) -> None:
+        """Take over the entry of the directory."""
+        self.entry = entry
+        self.address = entry.address
+        self._count_free()
+
+    def _count_free(self) -> None:
+        if self.entry is not None:
+            self.free = self.entry.capacity - self.held
+
 
 class WorkerBook:
     """All workers that are listed or may still run something."""
@@ -195,8 +202,7 @@
         return reborn
 
     def _list_entry(self, view: WorkerView, entry: WorkerEntry) -> None:
-        view.entry = entry
-        view.address = entry.address
+        view.list_entry(entry)
         if entry.listing is WorkerListing.LEAVING:
             self.step(view, StandingEvent.LISTED_LEAVING)
             return
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -112,6 +112,8 @@
         self.paths: dict[ProcessId, StorePath] = {}
         self.processes: dict[ProcessId, GraphProcess] = {}
         self.lives_count = 0
+        # Processes on machines that are too small for an owner.
+        self.small: set[ProcessId] = set()
         self.config = GraphConfig(
             Generation(1),
             {QUEUE: queue_policy()},
@@ -166,6 +168,7 @@
                     'metrics': 'none:4',
                 },
                 'outside': {'store': 'none:5'},
+                'machine': {'link_mbps': 10 if name in self.small else 1000},
             },
         )
         ports = GraphPorts(
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -389,3 +389,20 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
 
     play(scenario)
+
+
+def test_small_machine_owns_only_without_a_larger_one() -> None:
+    """Guards against an owner on a machine that cannot carry it."""
+
+    async def main() -> None:
+        cell = GraphCell(4, 1)
+        cell.small = {P0, P1, ProcessId('p2')}
+        await cell.start()
+        await sleep_ms(1500)
+        assert cell.owner() == 'p3'
+        await cell.kill(ProcessId('p3'))
+        await sleep_ms(4000)
+        assert cell.owner() in cell.small
+        await cell.stop()
+
+    run_paused(main())
--- /dev/null
+++ b/tests/test_step_placer.py
@@ -0,0 +1,64 @@
+"""Placement of many units of one step."""
+
+import pytest
+
+from fuchsiarill.graphs import placement, step_placer
+from fuchsiarill.graphs.model import EndKind, Step
+from fuchsiarill.resources import Resources
+from tests.graph_owner import CAPACITY, SIZE, Owner, ended, task
+
+_WORKERS_COUNT = 40
+
+
+@pytest.fixture(name='costs')
+def count_costs(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """Count how often the cost of a worker is computed."""
+    counts = [0]
+    compute = placement.cost_of
+
+    def counted(*arguments: object) -> float:
+        counts[0] += 1
+        return compute(*arguments)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(step_placer, 'cost_of', counted)
+    return counts
+
+
+def fleet() -> Owner:
+    """Return an owner that has heard of many workers."""
+    names = [f'w{number}' for number in range(_WORKERS_COUNT)]
+    owner = Owner(*names)
+    for name in names:
+        owner.report(name)
+    return owner
+
+
+def test_wide_step_computes_few_costs(costs: list[int]) -> None:
+    """Guards against decisions that slow down with tasks times workers.
+
+    With 126 workers they took 1.5 ms a start, and then half of a processor
+    at 300 starts a second.
+    """
+    owner = fleet()
+    owner.add_job('wide', Step(_WORKERS_COUNT, SIZE))
+    assert len(owner.starts()) == _WORKERS_COUNT
+    assert costs[0] <= 2 * _WORKERS_COUNT
+
+
+def test_units_of_a_step_fill_workers_up() -> None:
+    """Guards against costs that are not computed anew after a placement."""
+    owner = fleet()
+    owner.add_job('a', Step(4, SIZE))
+    per_worker = CAPACITY.processors_milli // SIZE.processors_milli
+    assert len({one.worker for one in owner.starts()}) == 4 // per_worker
+
+
+def test_unit_avoids_the_worker_where_it_failed() -> None:
+    """Guards against a unit that returns to where it has just failed."""
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.report('w1')
+    owner.add_job('a', Step(1, Resources(500, 500)))
+    first = owner.starts()[0].worker
+    owner.report(first, (), (ended(task('a'), kind=EndKind.FAILED),))
+    assert owner.starts()[0].worker != first
