Let lasting and long tasks end the probation of a worker

Cause: a suspended worker got one task at a time until one succeeded. A task that lasts never succeeds, so the next task that only this worker may run waited for ever; behind a long run it waited for the whole run. Found by a hypothesis machine of job graphs (tests/test_graph_machine.py), which plays jobs, cuts, restarts, lost answers and failing workers, and asks that all is done in the end. A lasting task at work now ends the probation, and a run that has gone on for 2 s no longer counts as the one task.

--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from fuchsiarill import events
+from fuchsiarill.graphs import worker_trust
 from fuchsiarill.graphs.ends import take_end
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
@@ -13,7 +14,7 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.run_actions import hold_run, step_run, stop_others
-from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
 from fuchsiarill.graphs.worker_book import Trust, WorkerView
@@ -103,9 +104,14 @@
         run.listed_from_ms = now_ms
     step_run(state, run, RunEvent.LISTED, now_ms)
     found = state.find_step(row.task)
-    unit = found[1].active.get(run.unit) if found else None
+    if found is None:
+        return
+    step = found[1]
+    unit = step.active.get(run.unit)
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
+    if step.step.is_lasting and row.progress_percent == AT_WORK_PERCENT:
+        worker_trust.note_at_work(view, run)
 
 
 def _adopt(
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -1,6 +1,7 @@
 """One run of a task on a worker."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from fuchsiarill.graphs.model import (
     FULL_PACE_PERCENT,
@@ -13,6 +14,9 @@
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import Resources
 
+# Progress of a task that lasts once it is at work.
+AT_WORK_PERCENT: Final = 100
+
 
 @dataclass(slots=True)
 class Run:
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -5,14 +5,13 @@
 from fuchsiarill import events
 from fuchsiarill.graphs import worker_trust
 from fuchsiarill.graphs.run_actions import step_run
-from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
 from fuchsiarill.graphs.worker_book import WorkerView
 
 # Reports arrive at least each second; a run that moves shows it in two.
 _STALL_MS: Final = 3500
-_AT_WORK_PERCENT: Final = 100
 
 
 def stop_stalled(state: PoolState, now_ms: int) -> None:
@@ -42,6 +41,6 @@
     found = state.find_step(run.task)
     if found is None or found[1].step.is_gang:
         return False
-    if run.progress_percent >= _AT_WORK_PERCENT:
+    if run.progress_percent >= AT_WORK_PERCENT:
         return False
     return view.reported_ms - run.progress_changed_ms > _STALL_MS
--- a/fuchsiarill/graphs/worker_trust.py
+++ b/fuchsiarill/graphs/worker_trust.py
@@ -4,6 +4,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs.model import TaskKey
+from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.worker_book import WorkerView
 
 # Two tasks that fail one after the other are rare on a sound worker, where at
@@ -11,6 +12,9 @@
 _FAILURES_MAX_COUNT: Final = 2
 _SUSPENSION_MS: Final = 2000
 _SUSPENSION_MAX_MS: Final = 8000
+# A worker that fails what it starts does so within this time. Where only one
+# worker may run a task, the task waits this long at most for others there.
+_PROOF_MS: Final = 2000
 
 
 def note_success(view: WorkerView) -> None:
@@ -19,6 +23,15 @@
     view.trust.suspensions_count = 0
 
 
+def note_at_work(view: WorkerView, run: Run) -> None:
+    """Trust the worker again when a task that lasts has begun its work.
+
+    Such a task never succeeds. One from before a suspension proves nothing.
+    """
+    if run.ordered_ms >= view.trust.suspended_until_ms:
+        view.trust.suspensions_count = 0
+
+
 def note_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
     """Suspend the worker when several tasks fail one after the other."""
     view.trust.failures_in_row.add(task)
@@ -42,7 +55,8 @@
     """Tell whether the worker may be given work.
 
     After a suspension it is given one task at a time until one succeeds. Tasks
-    from before do not count: one that lasts would shut the worker out.
+    that have run for a while do not count: one that lasts, or takes long,
+    would shut the worker out.
     """
     trust = view.trust
     if now_ms < trust.suspended_until_ms:
@@ -50,5 +64,5 @@
     if trust.suspensions_count == 0:
         return True
     return all(
-        run.ordered_ms < trust.suspended_until_ms for run in view.runs.values()
+        now_ms - run.ordered_ms >= _PROOF_MS for run in view.runs.values()
     )
--- /dev/null
+++ b/tests/graph_world.py
@@ -0,0 +1,332 @@
+"""A core with workers and an advice service that behave by themselves.
+
+Time passes in steps. Workers end runs, let leases lapse and report; orders to
+those out of reach get no answer, and may be carried out later.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from fuchsiarill.graphs.effects import (
+    AskAdvice,
+    Effect,
+    LookAt,
+    PaceRun,
+    StartRun,
+    StopRun,
+)
+from fuchsiarill.graphs.model import (
+    BornMs,
+    Checkpoint,
+    EndKind,
+    EndRow,
+    EndSequence,
+    QueueId,
+    RunningRow,
+    Step,
+    TaskKey,
+    Ticket,
+    WorkerListing,
+    WorkerReport,
+)
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.ports.agents import AgentFailure
+from fuchsiarill.resources import NOTHING, Resources
+from tests.graph_owner import CAPACITY, Owner, entry
+
+_STEP_MS = 50
+_ADVICE_MS = 100
+_LEASE_MS = 5000
+_AT_WORK_PERCENT = 100
+_HALF_PERCENT = 50
+
+_Key = tuple[TaskKey, int]
+
+
+@dataclass(slots=True)
+class ModelRun:
+    """A run on a worker; without `ends_ms` it lasts."""
+
+    size: Resources
+    ends_ms: int | None
+    kind: EndKind
+
+
+@dataclass(slots=True)
+class ModelWorker:
+    """One life of a worker."""
+
+    name: str
+    born_ms: int
+    runs: dict[_Key, ModelRun] = field(default_factory=dict)
+    ended: list[EndRow] = field(default_factory=list)
+    ends_count: int = 0
+    refused: dict[TaskKey, int] = field(default_factory=dict)
+    lease_until_ms: int = 0
+    is_reachable: bool = True
+    is_leaving: bool = False
+    loses_answers: bool = False
+    fails_all: bool = False
+
+    def end(self, key: _Key, kind: EndKind) -> None:
+        """End a run and list the end."""
+        self.runs.pop(key)
+        self.ends_count += 1
+        task, attempt = key
+        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        sequence = EndSequence(self.ends_count)
+        self.ended.append(
+            EndRow(sequence, task, attempt, kind, Checkpoint('')),
+        )
+
+    def settle(self, now_ms: int) -> None:
+        """End what has run its time or has lapsed."""
+        for key, run in list(self.runs.items()):
+            if run.ends_ms is not None and run.ends_ms <= now_ms:
+                self.end(key, run.kind)
+            elif now_ms > self.lease_until_ms:
+                self.end(key, EndKind.LAPSED)
+
+    def used(self) -> Resources:
+        """Return what all runs hold together."""
+        return sum((run.size for run in self.runs.values()), NOTHING)
+
+
+class World:
+    """The owner's core and everything around it."""
+
+    def __init__(self, *names: str) -> None:
+        """Create live workers."""
+        self.owner = Owner(*names)
+        self.workers = {name: ModelWorker(name, born_ms=1) for name in names}
+        self.steps: dict[tuple[str, int], Step] = {}
+        self.run_ms: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
+        self.succeeded: set[TaskKey] = set()
+        self.violations: list[str] = []
+        self.advice: list[tuple[int, AskAdvice]] = []
+        self.loses_advice = False
+        # Orders without an answer: when the owner gives up on them.
+        self.unanswered: list[tuple[int, StartRun]] = []
+
+    @property
+    def now_ms(self) -> int:
+        """Return the runtime clock."""
+        return self.owner.now_ms
+
+    def list_workers(self) -> None:
+        """Show the directory to the owner."""
+        entries = []
+        for worker in self.workers.values():
+            listed = replace(
+                entry(worker.name),
+                born_ms=BornMs(worker.born_ms),
+            )
+            if worker.is_leaving:
+                listed = replace(listed, listing=WorkerListing.LEAVING)
+            entries.append(listed)
+        self.owner.core.list_workers(entries, self.now_ms)
+        self.owner.core.record_workers(
+            [listed.worker for listed in entries],
+        )
+
+    def submit(
+        self,
+        queue: QueueId,
+        steps: list[Step],
+        run_ms: int,
+        failures: int,
+    ) -> None:
+        """Accept a job of which each task fails some times at first."""
+        job = f'j{len(self.run_ms)}'
+        for position, step in enumerate(steps):
+            self.steps[job, position] = step
+        self.run_ms[job] = run_ms
+        self.failures[job] = failures
+        self.owner.add_job(job, *steps, queue=queue)
+
+    def restart(self, name: str) -> None:
+        """End a worker with all that it runs, and begin a new life."""
+        self.workers[name] = ModelWorker(name, born_ms=self.now_ms)
+        self.list_workers()
+
+    def pass_time(self, duration_ms: int) -> None:
+        """Let everything happen that time brings."""
+        for _ in range(duration_ms // _STEP_MS):
+            self.owner.now_ms += _STEP_MS
+            for worker in self.workers.values():
+                worker.settle(self.now_ms)
+                self._renew(worker)
+            self._answer()
+            self._decide()
+
+    def _decide(self) -> None:
+        core = self.owner.core
+        core.tick(self.now_ms)
+        core.decide(self.now_ms)
+        for effect in core.take_effects():
+            self._carry_out(effect)
+        core.take_dirty()
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case StartRun():
+                self._start(effect)
+            case StopRun():
+                self._stop(effect)
+            case AskAdvice():
+                self.advice.append((self.now_ms + _ADVICE_MS, effect))
+            case LookAt():
+                self._renew(self.workers[effect.worker])
+            case PaceRun():
+                pass
+
+    def _start(self, order: StartRun) -> None:
+        worker = self.workers[order.worker]
+        if worker.is_reachable:
+            self.owner.core.renewal_sent(order.worker, self.now_ms)
+            if self._begin(worker, order):
+                return
+        self.unanswered.append((self.now_ms + 7 * _STEP_MS, order))
+
+    def _begin(self, worker: ModelWorker, order: StartRun) -> bool:
+        """Carry a start out; tells whether it has been answered."""
+        failure: AgentFailure | None = None
+        if order.attempt <= worker.refused.get(order.task, 0):
+            failure = AgentFailure.SUPERSEDED
+        elif self._is_unadvised(order):
+            failure = AgentFailure.TICKET_INVALID
+        else:
+            self._run(worker, order)
+        if worker.loses_answers:
+            return False
+        self.owner.core.start_answered(
+            order.worker,
+            order.task,
+            order.attempt,
+            failure,
+            self.now_ms,
+        )
+        return True
+
+    def _is_unadvised(self, order: StartRun) -> bool:
+        return order.ticket is not None and order.ticket != Ticket(order.worker)
+
+    def _run(self, worker: ModelWorker, order: StartRun) -> None:
+        task = order.task
+        step = self.steps[task.job, task.step]
+        self._note(worker, task)
+        failing = order.attempt <= self.failures.get(task.job, 0)
+        is_failing = worker.fails_all or failing
+        ends_ms: int | None = self.now_ms + self.run_ms[task.job]
+        if step.is_lasting and not is_failing:
+            ends_ms = None
+        worker.lease_until_ms = self.now_ms + _LEASE_MS
+        worker.runs[task, order.attempt] = ModelRun(
+            step.charge,
+            ends_ms,
+            EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
+        )
+        if not worker.used().fits_in(CAPACITY):
+            self.violations.append(f'{worker.name} is over its capacity')
+
+    def _note(self, worker: ModelWorker, task: TaskKey) -> None:
+        if task in self.succeeded:
+            self.violations.append(f'{task} starts after its success')
+        for other in self.workers.values():
+            if any(running == task for running, _ in other.runs):
+                self.violations.append(f'{task} runs twice')
+
+    def _stop(self, order: StopRun) -> None:
+        worker = self.workers[order.worker]
+        if not worker.is_reachable:
+            return
+        worker.refused[order.task] = max(
+            worker.refused.get(order.task, 0),
+            order.attempt,
+        )
+        if (order.task, order.attempt) in worker.runs:
+            worker.end((order.task, order.attempt), EndKind.STOPPED)
+        if worker.loses_answers:
+            return
+        self.owner.core.stop_answered(
+            order.worker,
+            order.task,
+            order.attempt,
+            None,
+            self.now_ms,
+        )
+
+    def _renew(self, worker: ModelWorker) -> None:
+        name = WorkerId(worker.name)
+        core = self.owner.core
+        if not worker.is_reachable:
+            core.worker_failed(name, AgentFailure.UNKNOWN, self.now_ms)
+            return
+        core.renewal_sent(name, self.now_ms)
+        if worker.runs:
+            worker.lease_until_ms = self.now_ms + _LEASE_MS
+        report = WorkerReport(
+            self.now_ms - worker.born_ms,
+            BornMs(worker.born_ms),
+            tuple(
+                RunningRow(task, attempt, Checkpoint(''), _percent(run))
+                for (task, attempt), run in worker.runs.items()
+            ),
+            tuple(worker.ended),
+        )
+        for end in worker.ended:
+            if end.kind is EndKind.SUCCEEDED:
+                self.succeeded.add(end.task)
+        core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
+        worker.ended.clear()
+
+    def _answer(self) -> None:
+        due = [
+            order for at_ms, order in self.unanswered if at_ms <= self.now_ms
+        ]
+        self.unanswered = [
+            row for row in self.unanswered if row[0] > self.now_ms
+        ]
+        for order in due:
+            self.owner.core.start_answered(
+                order.worker,
+                order.task,
+                order.attempt,
+                AgentFailure.UNKNOWN,
+                self.now_ms,
+            )
+        asks = [ask for at_ms, ask in self.advice if at_ms <= self.now_ms]
+        self.advice = [row for row in self.advice if row[0] > self.now_ms]
+        for ask in asks:
+            self._advise(ask)
+
+    def _advise(self, ask: AskAdvice) -> None:
+        if self.loses_advice:
+            return
+        views = self.owner.core.state.workers
+        asked = {
+            worker: view.born_ms
+            for worker in ask.workers
+            if (view := views.find(worker)) is not None
+        }
+        granted = {
+            worker: Ticket(worker)
+            for worker in asked
+            if is_allowed(ask.step.job, worker)
+        }
+        self.owner.core.advised(
+            ask.step,
+            asked,
+            granted,
+            self.now_ms + 2000,
+        )
+
+
+def is_allowed(job: str, worker: str) -> bool:
+    """Tell whether the policy lets a worker run the steps of a job."""
+    number = int(job.removeprefix('j'))
+    return worker == f'w{number % 3}'
+
+
+def _percent(run: ModelRun) -> int:
+    return _AT_WORK_PERCENT if run.ends_ms is None else _HALF_PERCENT
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -220,3 +220,27 @@
         if started_count:
             return
     raise AssertionError('the small task never started')
+
+
+def test_lasting_tasks_start_on_the_only_worker_that_may_run_them() -> None:
+    """Guards against a worker on probation whose task never succeeds.
+
+    Both tasks fail once, which suspends the worker. Then one of them starts,
+    and lasts. Found by tests/test_graph_machine.py.
+    """
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('watch', Step(2, SIZE, is_lasting=True))
+    assert len(owner.starts()) == 2
+    ends = tuple(
+        ended(task('watch', 0, index), index + 1, EndKind.FAILED)
+        for index in range(2)
+    )
+    owner.report('w0', (), ends)
+    owner.now_ms += 2500
+    owner.report('w0')
+    first = owner.starts()
+    assert len(first) == 1
+    owner.now_ms += 2500
+    owner.report('w0', (running(first[0].task, 2),))
+    assert len(owner.starts()) == 1
--- /dev/null
+++ b/tests/test_graph_machine.py
@@ -0,0 +1,175 @@
+"""Job graphs under arbitrary sequences of jobs, ends and faults."""
+
+from dataclasses import replace
+from typing import Final
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from fuchsiarill.graphs.model import QueueId, Step
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId
+from fuchsiarill.resources import Resources
+from tests.graph_owner import ADVISED, BATCH, URGENT
+from tests.graph_world import World
+
+_NAMES = ('w0', 'w1', 'w2')
+_RECOVERY_MS = 90_000
+_CHECK_MS = 1000
+
+
+def _step(tasks_count: int, processors: int, kind: str) -> Step:
+    # What lasts must leave room for everything else.
+    size = Resources(30 if kind == 'lasting' else processors, 100)
+    return Step(
+        tasks_count,
+        size,
+        is_gang=kind == 'gang',
+        is_lasting=kind == 'lasting',
+        is_checkpointing=kind == 'saving',
+    )
+
+
+_STEPS: Final = st.builds(
+    _step,
+    st.integers(1, 3),
+    st.sampled_from([400, 1000, 1500]),
+    st.sampled_from(['plain', 'gang', 'lasting', 'saving']),
+)
+
+
+class GraphMachine(RuleBasedStateMachine):
+    """Whatever happens, nothing runs twice, and in the end all is done."""
+
+    def __init__(self) -> None:
+        """Start with live workers and no jobs."""
+        super().__init__()
+        self.world = World(*_NAMES)
+        self.world.pass_time(100)
+
+    @rule(
+        queue=st.sampled_from([URGENT, BATCH, ADVISED]),
+        step=_STEPS,
+        run_ms=st.sampled_from([100, 900, 2500]),
+        failures=st.integers(0, 1),
+        is_chain=st.booleans(),
+    )
+    def submit(
+        self,
+        queue: QueueId,
+        step: Step,
+        run_ms: int,
+        failures: int,
+        *,
+        is_chain: bool,
+    ) -> None:
+        """Accept a job that fits the empty fleet."""
+        if step.is_gang and queue == ADVISED:
+            # Only one worker may run the steps of a job.
+            step = replace(step, tasks_count=1)
+        steps = [replace(step, estimate_ms=run_ms)]
+        if is_chain and not step.is_lasting:
+            steps.append(Step(1, step.size, run_ms, after=(0,)))
+        self.world.submit(queue, steps, run_ms, failures)
+
+    @rule(duration_ms=st.sampled_from([50, 300, 1200, 6000]))
+    def wait(self, duration_ms: int) -> None:
+        """Let time pass."""
+        self.world.pass_time(duration_ms)
+
+    @rule(number=st.integers(0, 20))
+    def cancel(self, number: int) -> None:
+        """Cancel a job, if there is one of that number."""
+        job = JobId(f'j{number}')
+        self.world.owner.core.cancel_job(job, self.world.now_ms)
+
+    @rule(name=st.sampled_from(_NAMES))
+    def restart(self, name: str) -> None:
+        """End a worker and start it again."""
+        self.world.restart(name)
+
+    @rule(name=st.sampled_from(_NAMES))
+    def cut(self, name: str) -> None:
+        """Cut a worker off, or connect it again."""
+        worker = self.world.workers[name]
+        worker.is_reachable = not worker.is_reachable
+
+    @rule(name=st.sampled_from(_NAMES))
+    def lose_answers(self, name: str) -> None:
+        """Lose the answers to orders, or no longer."""
+        worker = self.world.workers[name]
+        worker.loses_answers = not worker.loses_answers
+
+    @rule(name=st.sampled_from(_NAMES))
+    def fail_all(self, name: str) -> None:
+        """Let a worker fail all that it starts, or no longer."""
+        worker = self.world.workers[name]
+        worker.fails_all = not worker.fails_all
+
+    @rule(name=st.sampled_from(_NAMES))
+    def leave(self, name: str) -> None:
+        """Let a worker announce its end, or take that back."""
+        worker = self.world.workers[name]
+        worker.is_leaving = not worker.is_leaving
+        self.world.list_workers()
+
+    @rule()
+    def lose_advice(self) -> None:
+        """Lose answers to asks for advice, or no longer."""
+        self.world.loses_advice = not self.world.loses_advice
+
+    @invariant()
+    def promises_hold(self) -> None:
+        """Nothing runs twice, and no worker is over its capacity."""
+        assert not self.world.violations
+
+    @invariant()
+    def room_is_counted_exactly(self) -> None:
+        """What a worker holds is the sum of its runs."""
+        for view in self.world.owner.core.state.workers:
+            held = sum(
+                run.charge.processors_milli for run in view.runs.values()
+            )
+            assert view.held.processors_milli == held
+
+    def teardown(self) -> None:
+        """Mend everything; all jobs must come to their end."""
+        self.world.loses_advice = False
+        for worker in self.world.workers.values():
+            worker.is_reachable = True
+            worker.is_leaving = False
+            worker.loses_answers = False
+            worker.fails_all = False
+        self.world.list_workers()
+        waited_ms = 0
+        while self._unfinished() and waited_ms < _RECOVERY_MS:
+            self.world.pass_time(_CHECK_MS)
+            waited_ms += _CHECK_MS
+        assert not self._unfinished(), self._unfinished()
+        assert not self.world.violations
+
+    def _unfinished(self) -> list[JobId]:
+        """Return the jobs that wait, or of which a lasting task is missing."""
+        running = {
+            task
+            for worker in self.world.workers.values()
+            for task, _ in worker.runs
+        }
+        unfinished = []
+        for job, entry in self.world.owner.core.state.jobs.items():
+            if entry.progress.phase is not JobPhase.ACTIVE:
+                continue
+            step = entry.graph.steps[0]
+            count = sum(task.job == job for task in running)
+            if not step.is_lasting or count < step.tasks_count:
+                unfinished.append(job)
+        return unfinished
+
+
+TestGraphMachine = GraphMachine.TestCase
+TestGraphMachine.settings = settings(
+    max_examples=40,
+    stateful_step_count=30,
+    deadline=None,
+)
