--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= frostwick
+# The product's own interface, or that of the users' platform.
+INTERFACE ?= own
+SEED ?= 1
+MINUTES ?= 1
+DEMO_own = $(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
+DEMO_platform = $(BIN)/python -m tools.platform_demo
 
-.PHONY: setup demo cell test lint format bench slopes docs clean
+.PHONY: setup demo soak cell test lint format bench slopes docs clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -13,7 +19,10 @@
 setup: $(VENV)/.installed
 
 demo: $(VENV)/.installed
-	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
+	$(DEMO_$(INTERFACE))
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m tools.soak --seed $(SEED) --minutes $(MINUTES)
 
 cell: $(VENV)/.installed
 	$(BIN)/python -m tools.run_cell --deployment $(DEPLOYMENT)
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -2,8 +2,9 @@
 
 It keeps the promises that workers make (fencing, leases, ends that are listed
 until they are acknowledged) and notes what no owner may ever bring about.
-The payload of a job tells how its tasks behave: `duration_ms`, and `fails`,
-the number of attempts of each task that end as failed.
+The payload of a job tells how its tasks behave: `duration_ms`, `fails`, the
+number of attempts of each task that end as failed, and `size`, what a task
+uses, unless a test has put that into `sizes`.
 """
 
 import json
@@ -269,7 +270,7 @@
             now_ms(),
             None if duration_ms is None else now_ms() + duration_ms,
             EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
-            self.sizes.get(order.task, NOTHING),
+            self._size(order, behaviour),
         )
         if model.fails_all:
             run.ends_ms = now_ms()
@@ -278,6 +279,16 @@
         if not model.used().fits_in(model.capacity):
             self.violations.append(f'{model.worker} is over its capacity')
 
+    def _size(
+        self,
+        order: StartOrder,
+        behaviour: dict[str, Any],
+    ) -> Resources:
+        told = behaviour.get('size')
+        if told is None:
+            return self.sizes.get(order.task, NOTHING)
+        return Resources(*told)
+
     def _note(self, model: AgentModel, order: StartOrder) -> None:
         """Note a start, and what it breaks."""
         self.starts.append((order.task, order.attempt, model.worker))
--- /dev/null
+++ b/standins/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform on loopback, as one process."""
--- /dev/null
+++ b/standins/emulator/worker_routes.py
@@ -0,0 +1,162 @@
+"""Workers and the advice service by the platform's protocol."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from returns.result import Result, Success
+
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.graphs.model import (
+    Checkpoint,
+    EndKind,
+    EndSequence,
+    StartOrder,
+    Ticket,
+    WorkerReport,
+)
+from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.platform.task_names import parse_task, task_name
+from fuchsiarill.ports.agents import (
+    AgentAddress,
+    AgentFailure,
+    PaceOrder,
+    RenewalOrder,
+    StopOrder,
+)
+from standins.agent_model import AgentModel
+from standins.emulator.calls import ROUTES, Answer, Call
+from standins.emulator.cell import EmulatedCell
+
+_TIMEOUT_MS: Final = 5000
+_ADVICE_MS: Final = 20
+_CONFLICTS: Final = {
+    AgentFailure.FENCED: 'fence',
+    AgentFailure.SUPERSEDED: 'old',
+    AgentFailure.EXPIRED: 'late',
+    AgentFailure.NO_ROOM: 'room',
+}
+
+
+_HOW: Final = {
+    EndKind.SUCCEEDED: 'done',
+    EndKind.FAILED: 'failed',
+    EndKind.STOPPED: 'stopped',
+    EndKind.LAPSED: 'lapsed',
+    EndKind.BROKEN: 'broken',
+    EndKind.ALONE: 'alone',
+}
+
+
+@ROUTES.register('POST /run-start')
+async def _start(cell: EmulatedCell, call: Call) -> Answer:
+    body = call.document
+    order = StartOrder(
+        parse_task(body['task']),
+        body['attempt'],
+        body['spec'],
+        Epoch(body['fence_token']),
+        body['deadline_ms'],
+        Checkpoint(body.get('checkpoint', '')),
+        Ticket(body['ticket']) if 'ticket' in body else None,
+    )
+    started = await cell.fleet.start(_agent(call), order, _TIMEOUT_MS)
+    return _agent_answer(cell, call, started, _clock)
+
+
+@ROUTES.register('POST /run-stop')
+async def _stop(cell: EmulatedCell, call: Call) -> Answer:
+    body = call.document
+    order = StopOrder(
+        parse_task(body['task']),
+        body['attempt'],
+        Epoch(body['fence_token']),
+    )
+    stopped = await cell.fleet.stop(_agent(call), order, _TIMEOUT_MS)
+    return _agent_answer(cell, call, stopped, _clock)
+
+
+@ROUTES.register('POST /pace')
+async def _pace(cell: EmulatedCell, call: Call) -> Answer:
+    body = call.document
+    order = PaceOrder(
+        parse_task(body['task']),
+        body['attempt'],
+        body['percent'],
+        Epoch(body['fence_token']),
+    )
+    paced = await cell.fleet.pace(_agent(call), order, _TIMEOUT_MS)
+    return _agent_answer(cell, call, paced, _clock)
+
+
+@ROUTES.register('POST /hold')
+async def _hold(cell: EmulatedCell, call: Call) -> Answer:
+    body = call.document
+    order = RenewalOrder(
+        Epoch(body['fence_token']),
+        EndSequence(body['acked_seq']),
+        body.get('deadline_ms'),
+        body.get('wait_ms', 0),
+    )
+    reported = await cell.fleet.renew(_agent(call), order, _TIMEOUT_MS)
+    return _agent_answer(cell, call, reported, _report)
+
+
+@ROUTES.register('POST /advise')
+async def _advise(cell: EmulatedCell, call: Call) -> Answer:
+    await sleep_ms(_ADVICE_MS)
+    rows = [[worker, 'ticket'] for worker in call.document['workers']]
+    return Answer(200, {'granted': rows})
+
+
+def _agent(call: Call) -> AgentAddress:
+    return AgentAddress(WorkerId(call.instance), call.instance)
+
+
+def _clock(model: AgentModel, _: object) -> dict[str, Any]:
+    return {'clock_ms': model.clock_ms()}
+
+
+def _report(model: AgentModel, report: WorkerReport) -> dict[str, Any]:
+    return {
+        'clock_ms': report.clock_ms,
+        'born': report.born_ms,
+        'running': [
+            [
+                task_name(row.task),
+                row.attempt,
+                row.checkpoint,
+                row.progress_percent,
+            ]
+            for row in report.running
+        ],
+        'finished': [
+            [
+                row.sequence,
+                task_name(row.task),
+                row.attempt,
+                _HOW[row.kind],
+                row.checkpoint,
+            ]
+            for row in report.ended
+        ],
+    }
+
+
+def _agent_answer(
+    cell: EmulatedCell,
+    call: Call,
+    answered: Result[Any, AgentFailure],
+    write: Callable[[AgentModel, Any], dict[str, Any]],
+) -> Answer:
+    model = cell.fleet.agents.get(call.instance)
+    if model is None:
+        return Answer(421)
+    if isinstance(answered, Success):
+        return Answer(200, write(model, answered.unwrap()))
+    failure = answered.failure()
+    reason = _CONFLICTS.get(failure)
+    if reason is not None:
+        return Answer(409, {'clock_ms': model.clock_ms(), 'reason': reason})
+    if failure is AgentFailure.UNKNOWN:
+        return Answer(None)
+    return Answer(503)
--- /dev/null
+++ b/tools/platform_cell.py
@@ -0,0 +1,174 @@
+"""A cell on the emulated platform: emulator and daemons as processes."""
+
+import json
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final, Self
+
+import urllib3
+import yaml
+
+from standins.emulator.cell import QUEUE_HOST, QUEUE_PREFIX
+from tools.processes import Processes, free_ports, wait_until
+
+_PORTS_PER_DAEMON: Final = 5
+_OK: Final = 200
+_TIMEOUT: Final = urllib3.Timeout(total=4)
+_EMULATOR: Final = 'emulator'
+_SETTINGS_VARIABLE: Final = 'FUCHSIARILL_NODE_FILE'
+
+
+@dataclass(frozen=True, slots=True)
+class Daemon:
+    """Ports of one daemon on loopback."""
+
+    name: str
+    number: int
+    store: int
+    callers: int
+    readiness: int
+    peers: int
+    metrics: int
+
+
+class PlatformCell:
+    """Starts, disturbs and ends the processes of one cell."""
+
+    def __init__(
+        self,
+        folder: Path,
+        daemons_count: int,
+        workers_count: int,
+    ) -> None:
+        """Prepare; entering the context starts everything."""
+        self.processes = Processes(folder)
+        self._folder = folder
+        self.workers = [f'w{number}' for number in range(workers_count)]
+        ports = iter(free_ports(daemons_count * _PORTS_PER_DAEMON))
+        self.daemons = {
+            f'p{number}': Daemon(
+                f'p{number}',
+                number,
+                *(next(ports) for _ in range(_PORTS_PER_DAEMON)),
+            )
+            for number in range(daemons_count)
+        }
+        self._store_ports = [one.store for one in self.daemons.values()]
+        self._http = urllib3.PoolManager(
+            retries=False,
+            timeout=_TIMEOUT,
+            maxsize=daemons_count,
+        )
+
+    def __enter__(self) -> Self:
+        """Start everything and wait until jobs are accepted."""
+        try:
+            self._start()
+        except BaseException:
+            self.processes.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End everything."""
+        self.processes.stop()
+
+    def start_daemon(self, name: str) -> None:
+        """Start one daemon, or start it again on its ports."""
+        daemon = self.daemons[name]
+        path = self._folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(self._settings(daemon)))
+        self.processes.start(
+            name,
+            'fuchsiarill.platform.daemon',
+            environment={_SETTINGS_VARIABLE: str(path)},
+        )
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether a daemon takes requests."""
+        port = self.daemons[name].readiness
+        try:
+            answer = self._http.request(
+                'GET',
+                f'http://127.0.0.1:{port}/readyz',
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == _OK
+
+    def control(self, **faults: Any) -> dict[str, Any]:
+        """Set faults of the emulator; returns what it has seen."""
+        answer = self._http.request(
+            'POST',
+            f'http://127.0.0.1:{self._store_ports[0]}/control',
+            body=json.dumps(faults),
+        )
+        seen: dict[str, Any] = answer.json()
+        return seen
+
+    def owner(self) -> str | None:
+        """Return the daemon that the store names as owner of the pool."""
+        owner = self.control()['owner']
+        return None if owner is None else str(owner['process'])
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one daemon."""
+        self.processes.send_signal(name, number)
+
+    def call(
+        self,
+        daemon: str,
+        method: str,
+        job: str,
+        document: dict[str, Any] | None = None,
+    ) -> tuple[int | None, dict[str, Any]]:
+        """Make a caller's request; the status is `None` without an answer."""
+        port = self.daemons[daemon].callers
+        try:
+            answer = self._http.request(
+                method,
+                f'http://127.0.0.1:{port}{QUEUE_PREFIX}{job}',
+                body=None if document is None else json.dumps(document),
+                headers={'Host': QUEUE_HOST, 'X-Deadline-Ms': '3000'},
+            )
+        except urllib3.exceptions.HTTPError:
+            return None, {}
+        return answer.status, answer.json() if answer.data else {}
+
+    def _start(self) -> None:
+        self.processes.start(
+            _EMULATOR,
+            'standins.emulator',
+            '--workers',
+            len(self.workers),
+            '--ports',
+            *self._store_ports,
+        )
+        for name in self.daemons:
+            self.start_daemon(name)
+        wait_until(
+            lambda: all(map(self.is_ready, self.daemons)),
+            f'not all daemons are ready; see {self._folder}',
+        )
+        wait_until(lambda: self.owner() is not None, 'nobody owns the pool')
+
+    def _settings(self, daemon: Daemon) -> dict[str, Any]:
+        store = f'127.0.0.1:{daemon.store}'
+        return {
+            'process': daemon.name,
+            'failure_domain': f'zone-{daemon.number % 2}',
+            'listen': {
+                'callers': f'127.0.0.1:{daemon.callers}',
+                'readiness': f'127.0.0.1:{daemon.readiness}',
+                'peers': f'127.0.0.1:{daemon.peers}',
+                'metrics': f'127.0.0.1:{daemon.metrics}',
+            },
+            'outside': {'store': store, 'advice': store},
+        }
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -4,6 +4,7 @@
 launcher, which then ends all of them by their ids.
 """
 
+import os
 import random
 import signal
 import socket
@@ -68,12 +69,19 @@
         self._stop_timeout_s = stop_timeout_s
         self._running: dict[str, subprocess.Popen[bytes]] = {}
 
-    def start(self, name: str, module: str, *options: object) -> None:
-        """Run a module of this repository."""
+    def start(
+        self,
+        name: str,
+        module: str,
+        *options: object,
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        """Run a module of this repository; `environment` adds variables."""
         with (self._log_folder / f'{name}.log').open('ab') as output:
             self._running[name] = subprocess.Popen(
                 [sys.executable, '-m', module, *map(str, options)],
                 cwd=_ROOT,
+                env=os.environ | (environment or {}),
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
