--- a/tools/cell.py
+++ b/tools/cell.py
@@ -2,8 +2,7 @@
 
 import json
 from pathlib import Path
-from types import TracebackType
-from typing import Any, Final, Self
+from typing import Any, Final
 
 import urllib3
 import yaml
@@ -19,14 +18,19 @@
     host_entry,
 )
 from tools.deployment import Deployment
-from tools.processes import Processes, free_ports, wait_until
+from tools.processes import (
+    LaunchedCell,
+    Processes,
+    free_ports,
+    wait_until,
+)
 
 _WORKERS_PER_PROCESS: Final = 9
 _OK: Final = 200
 _TIMEOUT: Final = urllib3.Timeout(total=5)
 
 
-class Cell:
+class Cell(LaunchedCell):
     """Starts, disturbs and ends the processes of one deployment."""
 
     def __init__(
@@ -39,7 +43,7 @@
         """Prepare; `settings` are laid over those of each daemon."""
         self.deployment = deployment
         self.configuration = configuration
-        self.processes = Processes(folder)
+        super().__init__(Processes(folder))
         self.entries: dict[WorkerId, HostEntry] = {}
         self._folder = folder
         self._settings = settings or {}
@@ -60,24 +64,6 @@
             self.entry_urls[entry.process] = f'http://127.0.0.1:{port}'
             self._peer_ports[entry.process] = next(self._ports)
 
-    def __enter__(self) -> Self:
-        """Start everything and wait until jobs are accepted."""
-        try:
-            self._start()
-        except BaseException:
-            self.processes.stop()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """End everything."""
-        self.processes.stop()
-
     def start_entry(self, process: ProcessId) -> None:
         """Start one daemon, or start it again on its ports."""
         path = self._folder / f'{process}.yaml'
--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -4,14 +4,18 @@
 import signal
 from dataclasses import dataclass
 from pathlib import Path
-from types import TracebackType
-from typing import Any, Final, Self
+from typing import Any, Final
 
 import urllib3
 import yaml
 
 from standins.emulator.cell import QUEUE_HOST, QUEUE_PREFIX
-from tools.processes import Processes, free_ports, wait_until
+from tools.processes import (
+    LaunchedCell,
+    Processes,
+    free_ports,
+    wait_until,
+)
 
 _PORTS_PER_DAEMON: Final = 5
 _OK: Final = 200
@@ -33,7 +37,7 @@
     metrics: int
 
 
-class PlatformCell:
+class PlatformCell(LaunchedCell):
     """Starts, disturbs and ends the processes of one cell."""
 
     def __init__(
@@ -43,7 +47,7 @@
         workers_count: int,
     ) -> None:
         """Prepare; entering the context starts everything."""
-        self.processes = Processes(folder)
+        super().__init__(Processes(folder))
         self._folder = folder
         self.workers = [f'w{number}' for number in range(workers_count)]
         ports = iter(free_ports(daemons_count * _PORTS_PER_DAEMON))
@@ -62,24 +66,6 @@
             maxsize=daemons_count,
         )
 
-    def __enter__(self) -> Self:
-        """Start everything and wait until jobs are accepted."""
-        try:
-            self._start()
-        except BaseException:
-            self.processes.stop()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """End everything."""
-        self.processes.stop()
-
     def start_daemon(self, name: str) -> None:
         """Start one daemon, or start it again on its ports."""
         daemon = self.daemons[name]
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -7,14 +7,13 @@
 import signal
 import sys
 import tempfile
-import threading
 import time
 from collections import Counter
 from pathlib import Path
 from typing import Final
 
 from tools.platform_cell import PlatformCell
-from tools.platform_load import Fate, Load
+from tools.platform_load import Fate, Load, settle, start_loads
 
 _DAEMONS_COUNT: Final = 3
 _WORKERS_COUNT: Final = 6
@@ -23,8 +22,6 @@
 _GAP_S: Final = 0.2
 _CANCEL_EVERY: Final = 7
 _KILL_AFTER_S: Final = 2.0
-_SETTLE_S: Final = 40.0
-_POLL_S: Final = 0.5
 _FAILED_STATUS: Final = 1
 
 
@@ -43,16 +40,13 @@
 
 
 def _run(cell: PlatformCell) -> int:
-    loads = [Load(cell, seed) for seed in range(_CALLERS_COUNT)]
-    threads = [
-        threading.Thread(
-            target=load.run,
-            args=(_JOBS_COUNT, _GAP_S, _CANCEL_EVERY),
-        )
-        for load in loads
-    ]
-    for thread in threads:
-        thread.start()
+    loads, threads = start_loads(
+        cell,
+        range(_CALLERS_COUNT),
+        _JOBS_COUNT,
+        _GAP_S,
+        _CANCEL_EVERY,
+    )
     time.sleep(_KILL_AFTER_S)
     owner = cell.owner()
     if owner is not None:
@@ -66,15 +60,6 @@
     return _report(cell, loads)
 
 
-def settle(loads: list[Load]) -> None:
-    """Wait until all jobs are final, or for a limited time."""
-    ends_at_s = time.monotonic() + _SETTLE_S
-    while time.monotonic() < ends_at_s:
-        if all([load.look() for load in loads]):
-            return
-        time.sleep(_POLL_S)
-
-
 def _report(cell: PlatformCell, loads: list[Load]) -> int:
     seen = cell.control()
     jobs = [job for load in loads for job in load.jobs]
--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -13,6 +13,8 @@
 _PAUSE_S: Final = 0.25
 _ACCEPTED: Final = frozenset((200, 202))
 _REFUSED: Final = frozenset((400, 404, 413, 429, 503))
+_SETTLE_S: Final = 40.0
+_POLL_S: Final = 0.5
 _GONE: Final = 410
 _FINAL_STATES: Final = frozenset(('done', 'failed', 'cancelled'))
 _ID_DIGITS: Final = 16
@@ -135,6 +137,30 @@
         return f'{draw.getrandbits(4 * _ID_DIGITS):0{_ID_DIGITS}x}'
 
 
+def start_loads(
+    cell: PlatformCell,
+    seeds: range,
+    *options: float,
+) -> tuple[list[Load], list[threading.Thread]]:
+    """Start a load for each seed; `options` are those of `Load.run`."""
+    loads = [Load(cell, seed) for seed in seeds]
+    threads = [
+        threading.Thread(target=load.run, args=options) for load in loads
+    ]
+    for thread in threads:
+        thread.start()
+    return loads, threads
+
+
+def settle(loads: list[Load]) -> None:
+    """Wait until all jobs are final, or for a limited time."""
+    ends_at_s = time.monotonic() + _SETTLE_S
+    while time.monotonic() < ends_at_s:
+        if all([load.look() for load in loads]):
+            return
+        time.sleep(_POLL_S)
+
+
 def _document(draw: random.Random) -> dict[str, Any]:
     """Return a job of one or two steps whose tasks tell their size."""
     size = draw.choice(_SIZES)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -13,7 +13,8 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Final
+from types import TracebackType
+from typing import Final, Self
 
 # Below the range from which the system takes ports of outgoing connections.
 _FIRST_PORT: Final = 12_000
@@ -131,3 +132,33 @@
                 process.kill()
                 process.wait()
         self._running.clear()
+
+
+class LaunchedCell:
+    """A cell whose processes live as long as its context."""
+
+    def __init__(self, processes: Processes) -> None:
+        """Use `processes`, none of which has been started."""
+        self.processes = processes
+
+    def __enter__(self) -> Self:
+        """Start everything and wait until jobs are accepted."""
+        try:
+            self._start()
+        except BaseException:
+            self.processes.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End everything."""
+        self.processes.stop()
+
+    def _start(self) -> None:
+        """Start all processes, and wait until they serve."""
+        raise NotImplementedError
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,15 +12,13 @@
 import signal
 import sys
 import tempfile
-import threading
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
 
 from tools.platform_cell import PlatformCell
-from tools.platform_demo import settle
-from tools.platform_load import Fate, Load
+from tools.platform_load import Fate, Load, settle, start_loads
 from tools.soak_faults import FAULTS, End
 
 _DAEMONS_COUNT: Final = 4
@@ -103,16 +101,13 @@
 
 def play(cell: PlatformCell, seed: int, duration_s: float) -> int:
     """Play a seed on a cell that is ready; returns the exit status."""
-    loads = [Load(cell, 1000 * seed + part) for part in range(_CALLERS_COUNT)]
-    threads = [
-        threading.Thread(
-            target=load.run,
-            args=(_JOBS_MAX_COUNT, _GAP_S, _CANCEL_EVERY),
-        )
-        for load in loads
-    ]
-    for thread in threads:
-        thread.start()
+    loads, threads = start_loads(
+        cell,
+        range(1000 * seed, 1000 * seed + _CALLERS_COUNT),
+        _JOBS_MAX_COUNT,
+        _GAP_S,
+        _CANCEL_EVERY,
+    )
     try:
         Schedule(cell, seed).run(duration_s)
     finally:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -8,7 +8,7 @@
 import random
 import signal
 from collections.abc import Callable
-from functools import partial
+from functools import partial, wraps
 from typing import Any, Final
 
 from fuchsiarill.registry import Registry
@@ -17,6 +17,7 @@
 
 End = Callable[[], None]
 _Fault = Callable[[PlatformCell, random.Random], End]
+_Hit = Callable[[PlatformCell, str], End]
 
 FAULTS: Final[Registry[str, _Fault]] = Registry('faults of the soak')
 
@@ -41,40 +42,44 @@
         cell.send_signal(name, signal.SIGCONT)
 
 
-def _running(cell: PlatformCell, draw: random.Random) -> str:
+def _running(cell: PlatformCell, draw: random.Random) -> str | None:
     """Return a daemon that runs, the owner in half of the cases."""
-    owner = cell.owner()
-    if owner is not None and draw.randrange(2):
-        if cell.processes.is_running(owner):
-            return owner
     names = [name for name in cell.daemons if cell.processes.is_running(name)]
-    return draw.choice(names or list(cell.daemons))
+    owner = cell.owner()
+    if owner in names and draw.randrange(2):
+        return owner
+    return draw.choice(names) if names else None
+
+
+def _hits_daemon(hit: _Hit) -> _Fault:
+    """Make a fault of what is done to one daemon that runs."""
+
+    @wraps(hit)
+    def wrapper(cell: PlatformCell, draw: random.Random) -> End:
+        name = _running(cell, draw)
+        return _do_nothing if name is None else hit(cell, name)
+
+    return wrapper
 
 
 @FAULTS.register('kill')
-def _kill(cell: PlatformCell, draw: random.Random) -> End:
-    name = _running(cell, draw)
-    if not cell.processes.is_running(name):
-        return _do_nothing
+@_hits_daemon
+def _kill(cell: PlatformCell, name: str) -> End:
     cell.processes.kill(name)
     return partial(cell.start_daemon, name)
 
 
 @FAULTS.register('restart')
-def _restart(cell: PlatformCell, draw: random.Random) -> End:
+@_hits_daemon
+def _restart(cell: PlatformCell, name: str) -> End:
     """Ask a daemon to end, and start it again when it has."""
-    name = _running(cell, draw)
-    if not cell.processes.is_running(name):
-        return _do_nothing
     cell.send_signal(name, signal.SIGTERM)
     return partial(_start_when_ended, cell, name)
 
 
 @FAULTS.register('pause')
-def _pause(cell: PlatformCell, draw: random.Random) -> End:
-    name = _running(cell, draw)
-    if not cell.processes.is_running(name):
-        return _do_nothing
+@_hits_daemon
+def _pause(cell: PlatformCell, name: str) -> End:
     cell.send_signal(name, signal.SIGSTOP)
     return partial(_resume, cell, name)
 
