Rule out starts that may have reached a new life of their worker

Cause: when a worker restarted, everything ordered from its life before was taken as lost. A start that was on its way reached the new life, ran there, and the task started elsewhere too. Runs that the former life has never listed are now stopped and waited for, as a start without an answer is.

--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -13,13 +13,19 @@
     Step,
     WorkerReport,
 )
-from fuchsiarill.graphs.run_actions import hold_run, step_run, stop_others
+from fuchsiarill.graphs.run_actions import (
+    hold_run,
+    order_stop,
+    step_run,
+    stop_others,
+)
 from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
 from fuchsiarill.graphs.worker_book import Trust, WorkerView
 from fuchsiarill.resources import NOTHING
 
+_BEING_STOPPED: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
 _UNKNOWN_STEP: Final = Step(1, NOTHING)
 
 
@@ -52,8 +58,16 @@
 
 
 def start_new_life(state: PoolState, view: WorkerView, now_ms: int) -> None:
-    """Take everything of a worker's life before as ended."""
-    lose_runs(state, view, now_ms)
+    """Take everything of a worker's life before as ended.
+
+    A run that the former life has not listed may be one of the new life: the
+    order to start it can arrive after the restart.
+    """
+    for run in list(view.runs.values()):
+        if run.is_listed:
+            _lose(state, view, run, now_ms)
+        else:
+            _rule_out(state, run, now_ms)
     view.seen_end = NO_END
     view.durable_end = NO_END
     view.clock_ms = 0
@@ -65,15 +79,29 @@
 def lose_runs(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Take everything on a worker as ended without a report."""
     for run in list(view.runs.values()):
-        events.emit(
-            events.RUN_LOST,
-            job=run.task.job,
-            task=run.task.label,
-            attempt=run.attempt,
-            worker=view.worker,
-        )
-        stop_gang(state, run, now_ms)
-        step_run(state, run, RunEvent.WORKER_LOST, now_ms)
+        _lose(state, view, run, now_ms)
+
+
+def _lose(state: PoolState, view: WorkerView, run: Run, now_ms: int) -> None:
+    events.emit(
+        events.RUN_LOST,
+        job=run.task.job,
+        task=run.task.label,
+        attempt=run.attempt,
+        worker=view.worker,
+    )
+    stop_gang(state, run, now_ms)
+    step_run(state, run, RunEvent.WORKER_LOST, now_ms)
+
+
+def _rule_out(state: PoolState, run: Run, now_ms: int) -> None:
+    """Stop a run of which it is not known whether the worker has it."""
+    run.listed_from_ms = None
+    stop_gang(state, run, now_ms)
+    if run.state in _BEING_STOPPED:
+        order_stop(state, run, now_ms)
+    else:
+        step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 def stop_gang(state: PoolState, run: Run, now_ms: int) -> None:
@@ -98,6 +126,7 @@
     if run.progress_percent != row.progress_percent:
         run.progress_percent = row.progress_percent
         run.progress_changed_ms = now_ms
+    run.is_listed = True
     run.checkpoint = row.checkpoint
     run.usage = row.usage
     if run.listed_from_ms is None:
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -34,6 +34,8 @@
     # From when on a report that does not list the run means that it is gone;
     # unknown while neither the start nor a stop has been answered.
     listed_from_ms: int | None = None
+    # A report of the worker's present life has listed the run.
+    is_listed: bool = False
     stop_ordered_ms: int | None = None
     is_stop_answered: bool = False
     checkpoint: Checkpoint = NO_CHECKPOINT
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -105,6 +105,8 @@
         self.violations: list[str] = []
         self.advice: list[tuple[int, AskAdvice]] = []
         self.loses_advice = False
+        # Starts on their way; they reach whatever life the worker has then.
+        self.in_flight: list[StartRun] = []
         # Orders without an answer: when the owner gives up on them.
         self.unanswered: list[tuple[int, StartRun]] = []
 
@@ -153,6 +155,10 @@
         """Let everything happen that time brings."""
         for _ in range(duration_ms // _STEP_MS):
             self.owner.now_ms += _STEP_MS
+            arriving = self.in_flight
+            self.in_flight = []
+            for order in arriving:
+                self._start(order)
             for worker in self.workers.values():
                 worker.settle(self.now_ms)
                 self._renew(worker)
@@ -170,7 +176,9 @@
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case StartRun():
-                self._start(effect)
+                self.in_flight.append(effect)
+                core = self.owner.core
+                core.renewal_sent(effect.worker, self.now_ms)
             case StopRun():
                 self._stop(effect)
             case AskAdvice():
@@ -182,10 +190,8 @@
 
     def _start(self, order: StartRun) -> None:
         worker = self.workers[order.worker]
-        if worker.is_reachable:
-            self.owner.core.renewal_sent(order.worker, self.now_ms)
-            if self._begin(worker, order):
-                return
+        if worker.is_reachable and self._begin(worker, order):
+            return
         self.unanswered.append((self.now_ms + 7 * _STEP_MS, order))
 
     def _begin(self, worker: ModelWorker, order: StartRun) -> bool:
--- a/tests/process/test_launcher.py
+++ b/tests/process/test_launcher.py
@@ -2,6 +2,9 @@
 
 import os
 import signal
+import subprocess
+import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -57,3 +60,50 @@
         if text in command:
             found.append(command)
     return found
+
+
+_LAUNCHER = """
+import sys, time
+from pathlib import Path
+from tools.processes import Processes, end_on_signals
+
+end_on_signals()
+started = Processes(Path(sys.argv[1]))
+try:
+    started.start('one', 'http.server', '0')
+    print(started.id_of('one'), flush=True)
+    time.sleep(60)
+finally:
+    started.stop()
+"""
+
+
+@pytest.mark.parametrize(
+    'number',
+    [signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGKILL],
+)
+def test_launcher_leaves_nothing_behind(
+    tmp_path: Path,
+    number: signal.Signals,
+) -> None:
+    """Guards against processes that outlive their launcher."""
+    with subprocess.Popen(
+        [sys.executable, '-c', _LAUNCHER, str(tmp_path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    ) as launcher:
+        assert launcher.stdout is not None
+        child = int(launcher.stdout.readline())
+        # The child must be at work before it is left.
+        time.sleep(1)
+        launcher.send_signal(number)
+    wait_until(lambda: _has_ended(child), f'process {child} runs on', 15)
+
+
+def _has_ended(process_id: int) -> bool:
+    """Tell whether a process is gone, or waits to be collected."""
+    try:
+        state = Path(f'/proc/{process_id}/stat').read_text()
+    except FileNotFoundError:
+        return True
+    return state.rpartition(')')[2].split()[0] == 'Z'
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -244,3 +244,41 @@
     owner.now_ms += 2500
     owner.report('w0', (running(first[0].task, 2),))
     assert len(owner.starts()) == 1
+
+
+def test_start_that_may_have_reached_a_new_life_is_ruled_out() -> None:
+    """Guards against a second run of a task whose worker has restarted.
+
+    The order to start was on its way when the worker restarted under its id,
+    so the new life may run the task. Found by the soak, seed 1.
+    """
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.report('w1')
+    owner.add_job('a', Step(1, SIZE))
+    start = owner.starts()[0]
+    owner.report(start.worker, born_ms=9)
+    effects = owner.decide()
+    assert [type(one) for one in effects] == [StopRun]
+    owner.core.stop_answered(
+        start.worker,
+        start.task,
+        start.attempt,
+        None,
+        owner.now_ms,
+    )
+    assert not owner.starts()
+    owner.now_ms += 100
+    owner.report(start.worker, born_ms=9)
+    assert [one.attempt for one in owner.starts()] == [2]
+
+
+def test_run_that_a_former_life_has_listed_is_over() -> None:
+    """Guards against a wait for a task that ended with its worker."""
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SIZE))
+    owner.starts()
+    owner.report('w0', (running(task('a')),))
+    owner.report('w0', born_ms=9)
+    assert [one.attempt for one in owner.starts()] == [2]
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,7 +5,6 @@
 
 import argparse
 import asyncio
-import signal
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -26,6 +25,7 @@
     wait_row,
 )
 from tools.deployment import EXAMPLES, load_deployment
+from tools.processes import end_on_signals
 from tools.tally import Tally, runs_of, tally
 
 _RUN_MAX_MS: Final = 45_000
@@ -150,8 +150,7 @@
     parser = argparse.ArgumentParser(prog='tools.demo')
     parser.add_argument('--deployment', default='frostwick')
     options = parser.parse_args()
-    # SIGTERM ends the processes like Ctrl-C does.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    end_on_signals()
     deployment = load_deployment(EXAMPLES / f'{options.deployment}-hosts.yaml')
     configuration = (EXAMPLES / deployment.configuration).read_text()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-demo-') as folder:
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -4,7 +4,6 @@
 The last line has the form of that of `tools.demo`.
 """
 
-import signal
 import sys
 import tempfile
 import time
@@ -14,6 +13,7 @@
 
 from tools.platform_cell import PlatformCell
 from tools.platform_load import Fate, Load, settle, start_loads
+from tools.processes import end_on_signals
 
 _DAEMONS_COUNT: Final = 3
 _WORKERS_COUNT: Final = 6
@@ -27,8 +27,7 @@
 
 def main() -> int:
     """Run the demo."""
-    # SIGTERM ends the processes like Ctrl-C does.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-demo-') as folder:
         with PlatformCell(
             Path(folder),
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,7 +1,8 @@
 """Starts processes for the demo and the tests, and ends just these.
 
 Each process runs in a session of its own, so that Ctrl-C reaches only the
-launcher, which then ends all of them by their ids.
+launcher, which then ends all of them by their ids. When the launcher itself
+is killed, they end by themselves (`tools/attached.py`).
 """
 
 import os
@@ -54,6 +55,15 @@
         time.sleep(_POLL_INTERVAL_S)
 
 
+def end_on_signals() -> None:
+    """Let SIGTERM and SIGHUP end the launcher as Ctrl-C does.
+
+    A launcher that was started in the background inherits an ignored SIGINT.
+    """
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
+
+
 class Processes:
     """The processes of one launcher by name."""
 
@@ -80,7 +90,14 @@
         """Run a module of this repository; `environment` adds variables."""
         with (self._log_folder / f'{name}.log').open('ab') as output:
             self._running[name] = subprocess.Popen(
-                [sys.executable, '-m', module, *map(str, options)],
+                [
+                    sys.executable,
+                    '-m',
+                    'tools.attached',
+                    str(os.getpid()),
+                    module,
+                    *map(str, options),
+                ],
                 cwd=_ROOT,
                 env=os.environ | (environment or {}),
                 stdin=subprocess.DEVNULL,
--- a/tools/run_cell.py
+++ b/tools/run_cell.py
@@ -7,6 +7,7 @@
 
 from tools.cell import Cell
 from tools.deployment import EXAMPLES, load_deployment
+from tools.processes import end_on_signals
 
 
 def main() -> None:
@@ -14,10 +15,7 @@
     parser = argparse.ArgumentParser(prog='tools.run_cell')
     parser.add_argument('--deployment', default='frostwick')
     options = parser.parse_args()
-    # SIGTERM and SIGHUP end the processes like Ctrl-C does. A launcher that
-    # was started in the background inherits an ignored SIGINT.
-    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
-        signal.signal(number, signal.default_int_handler)
+    end_on_signals()
     deployment = load_deployment(EXAMPLES / f'{options.deployment}-hosts.yaml')
     configuration = (EXAMPLES / deployment.configuration).read_text()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-cell-') as folder:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,7 +9,6 @@
 import argparse
 import heapq
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 
 from tools.platform_cell import PlatformCell
 from tools.platform_load import Fate, Load, settle, start_loads
+from tools.processes import end_on_signals
 from tools.soak_faults import FAULTS, End
 
 _DAEMONS_COUNT: Final = 4
@@ -88,14 +88,13 @@
     parser = argparse.ArgumentParser(prog='tools.soak')
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--minutes', type=float, default=1)
+    parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
     options = parser.parse_args()
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-soak-') as folder:
-        with PlatformCell(
-            Path(folder),
-            _DAEMONS_COUNT,
-            _WORKERS_COUNT,
-        ) as cell:
+        logs = options.logs or Path(folder)
+        logs.mkdir(parents=True, exist_ok=True)
+        with PlatformCell(logs, _DAEMONS_COUNT, _WORKERS_COUNT) as cell:
             return play(cell, options.seed, options.minutes * 60)
 
 
