--- a/fuchsiarill/graphs/gang_holds.py
+++ b/fuchsiarill/graphs/gang_holds.py
@@ -6,7 +6,6 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.job_book import StepEntry
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
@@ -29,7 +28,9 @@
     step = request.step
     for former in state.workers:
         former.drop_reservations(step.key)
-    if _is_pausing(step, request.now_ms):
+    if step.held_since_ms is None:
+        step.held_since_ms = request.now_ms
+    if _is_pausing(request.now_ms - step.held_since_ms):
         return
     waits = sorted(
         (wait_ms(state, request, candidate), position)
@@ -43,11 +44,5 @@
         candidates[position].reserve(step, request.now_ms + _HOLD_MS)
 
 
-def _is_pausing(step: StepEntry, now_ms: int) -> bool:
-    if step.held_since_ms is None:
-        step.held_since_ms = now_ms
-    held_ms = now_ms - step.held_since_ms
-    if held_ms >= _HOLDING_MAX_MS + _PAUSE_MS:
-        step.held_since_ms = now_ms
-        return False
-    return held_ms >= _HOLDING_MAX_MS
+def _is_pausing(waited_ms: int) -> bool:
+    return waited_ms % (_HOLDING_MAX_MS + _PAUSE_MS) >= _HOLDING_MAX_MS
