--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -32,6 +32,7 @@
 from fuchsiarill.front.front_actor import FrontActor
 from fuchsiarill.front.http_front import HttpFront
 from fuchsiarill.front.metrics import CountingStore, Metrics
+from fuchsiarill.log_setup import log_to_stderr
 from fuchsiarill.owner.serving import Ports
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
@@ -59,7 +60,7 @@
         return
     settings = loaded.unwrap()
     collect_seldom()
-    events.configure_logging(settings.log_format, settings.log_level)
+    log_to_stderr(settings.log_format, settings.log_level)
     sys.exit(asyncio.run(_main(settings)))
 
 
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -5,18 +5,13 @@
 72x workers, 73x ownership of pools, 74x outside systems.
 """
 
-import sys
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Final
+from typing import Final
 
 from loguru import logger
 
 _BY_NUMBER: Final[dict[int, 'LogEvent']] = {}
-_TEXT_FORMAT: Final = (
-    '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[event]} {message}'
-)
 
 
 class Level(Enum):
@@ -66,33 +61,6 @@
     bound.log(event.level.value, event.template.format(**parts))
 
 
-def configure_logging(log_format: LogFormat, level: Level) -> None:
-    """Send log lines to standard error in the given format."""
-    logger.remove()
-    logger.configure(extra={'event': 0})
-    logger.add(
-        sys.stderr,
-        level=level.value,
-        format=_TEXT_FORMAT,
-        serialize=log_format is LogFormat.JSON,
-        backtrace=False,
-        diagnose=False,
-    )
-
-
-def configure_structured(sink: Callable[[Any], None], level: Level) -> None:
-    """Send log lines to a sink that gets loguru's messages."""
-    logger.remove()
-    logger.configure(extra={'event': 0})
-    logger.add(
-        sink,
-        level=level.value,
-        format='{message}',
-        backtrace=False,
-        diagnose=False,
-    )
-
-
 _NO_ACTION: Final = 'None.'
 
 PROCESS_STARTED: Final = LogEvent(
--- a/fuchsiarill/log_sink.py
+++ b/fuchsiarill/log_sink.py
@@ -10,10 +10,11 @@
 from collections import deque
 from typing import Any, Final, TextIO
 
+from fuchsiarill.events import LOG_LINES_DROPPED
+
 _CAPACITY: Final = 5000
 _FLUSH_INTERVAL_S: Final = 0.2
 _MS_PER_SECOND: Final = 1000
-_DROPPED_EVENT: Final = 746
 
 
 class JsonLineSink:
@@ -49,8 +50,8 @@
             chunk.append(json.dumps(self._lines.popleft(), default=str))
         if self._dropped_count:
             line = {
-                'level': 'WARNING',
-                'event': _DROPPED_EVENT,
+                'level': LOG_LINES_DROPPED.level.value,
+                'event': LOG_LINES_DROPPED.number,
                 'count': self._dropped_count,
             }
             self._dropped_count = 0
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -30,6 +30,7 @@
 from fuchsiarill.graphs.process import AskDump, GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
 from fuchsiarill.ids import StoreKey
+from fuchsiarill.log_setup import log_to_sink
 from fuchsiarill.log_sink import JsonLineSink
 from fuchsiarill.platform.advice_client import PlatformAdvisor
 from fuchsiarill.platform.callers import Callers
@@ -72,7 +73,7 @@
     settings = _load_or_exit(path)
     collect_seldom()
     sink = JsonLineSink()
-    events.configure_structured(sink, settings.log_level)
+    log_to_sink(sink, settings.log_level)
     with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
         runner.run(_main(settings, path, sink))
 
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -1,13 +1,14 @@
 """Several processes of the graph scheduler on models, in paused time."""
 
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.actor import Reply
-from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.clock import now_ms, run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
 from fuchsiarill.graphs import intake, keys, records
 from fuchsiarill.graphs.metrics import GraphMetrics
@@ -48,6 +49,9 @@
 QUEUE = QueueId('quotes')
 CAPACITY = Resources(8000, 16000, 2)
 TASK_SIZE = Resources(2000, 1000)
+P0 = ProcessId('p0')
+P1 = ProcessId('p1')
+TWO_STEPS = (Step(3, TASK_SIZE), Step(2, TASK_SIZE, after=(0,)))
 _CONFIG_KEY = StoreKey('settings/config')
 _PATIENCE_MS = 2500
 
@@ -256,3 +260,36 @@
         for name in list(self.processes):
             await self.kill(name)
         assert self.fleet.violations == []
+
+
+Scenario = Callable[[GraphCell], Awaitable[None]]
+
+
+def play(
+    scenario: Scenario,
+    processes_count: int = 3,
+    workers_count: int = 3,
+) -> None:
+    """Run a scenario on a cell that has an owner."""
+
+    async def main() -> None:
+        cell = GraphCell(processes_count, workers_count)
+        await cell.start()
+        await sleep_ms(1500)
+        await scenario(cell)
+        await cell.stop()
+
+    run_paused(main())
+
+
+def other(cell: GraphCell) -> ProcessId:
+    """Return a process that does not own the pool."""
+    owner = cell.owner()
+    return next(name for name in cell.processes if name != owner)
+
+
+def owner_of(cell: GraphCell) -> ProcessId:
+    """Return the owner, which must exist."""
+    owner = cell.owner()
+    assert owner is not None
+    return owner
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -1,55 +1,25 @@
-"""Jobs, owners and workers under failure, in paused time on models.
+"""Jobs and workers of a pool under failure, in paused time on models.
 
 Each test ends with a check that no task ran twice or after its success, and
 that no worker was over its capacity.
 """
 
-from collections.abc import Awaitable, Callable
-
 import pytest
 
 from fuchsiarill import codes
-from fuchsiarill.clock import now_ms, run_paused, sleep_ms
+from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import ProcessId
 from standins.store_model import PathFault
-from tests.graph_cell import TASK_SIZE, GraphCell
-
-P0 = ProcessId('p0')
-P1 = ProcessId('p1')
-TWO_STEPS = (Step(3, TASK_SIZE), Step(2, TASK_SIZE, after=(0,)))
-_Scenario = Callable[[GraphCell], Awaitable[None]]
-
-
-def play(
-    scenario: _Scenario,
-    processes_count: int = 3,
-    workers_count: int = 3,
-) -> None:
-    """Run a scenario on a cell that has an owner."""
-
-    async def main() -> None:
-        cell = GraphCell(processes_count, workers_count)
-        await cell.start()
-        await sleep_ms(1500)
-        await scenario(cell)
-        await cell.stop()
-
-    run_paused(main())
-
-
-def other(cell: GraphCell) -> ProcessId:
-    """Return a process that does not own the pool."""
-    owner = cell.owner()
-    return next(name for name in cell.processes if name != owner)
-
-
-def owner_of(cell: GraphCell) -> ProcessId:
-    """Return the owner, which must exist."""
-    owner = cell.owner()
-    assert owner is not None
-    return owner
+from tests.graph_cell import (
+    P0,
+    P1,
+    TASK_SIZE,
+    TWO_STEPS,
+    GraphCell,
+    other,
+    play,
+)
 
 
 def test_steps_run_in_order() -> None:
@@ -78,37 +48,6 @@
     play(scenario)
 
 
-def test_killed_owner_is_replaced() -> None:
-    """Guards against runs of a former owner that start a second time."""
-
-    async def scenario(cell: GraphCell) -> None:
-        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=2500)
-        await sleep_ms(500)
-        await cell.kill(owner_of(cell))
-        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
-        assert len(cell.fleet.starts) == 5
-
-    play(scenario)
-
-
-def test_end_that_was_not_saved_is_known_to_the_next_owner() -> None:
-    """Guards against a dropped end of a step that is not open yet.
-
-    The owner sees the ends of the first step, starts the second one and is
-    replaced before it can save the ends. The next owner may hear of the
-    second step first.
-    """
-
-    async def scenario(cell: GraphCell) -> None:
-        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=900)
-        await sleep_ms(600)
-        owner = owner_of(cell)
-        cell.paths[owner].fault = PathFault.REFUSED
-        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
-
-    play(scenario)
-
-
 def test_lost_tasks_start_again_when_their_leases_have_lapsed() -> None:
     """Guards against a worker that is asked and never taken as lost."""
 
@@ -244,20 +183,6 @@
     play(scenario)
 
 
-def test_failures_are_counted_over_owners() -> None:
-    """Guards against attempts that a new owner does not know of."""
-
-    async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=400, fails=1000)
-        await sleep_ms(650)
-        await cell.kill(owner_of(cell))
-        await cell.wait_phase('a', JobPhase.FAILED, 20000)
-        assert len(cell.fleet.starts) == 3
-
-    play(scenario)
-
-
 def test_gang_starts_as_a_whole() -> None:
     """Guards against members that wait for others without room."""
 
@@ -285,38 +210,6 @@
     play(scenario)
 
 
-def test_owner_that_drains_hands_over_at_once() -> None:
-    """Guards against a pool that waits for the lease of a graceful end."""
-
-    async def scenario(cell: GraphCell) -> None:
-        owner = owner_of(cell)
-        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=1500)
-        await sleep_ms(300)
-        cell.processes[owner].drain()
-        await sleep_ms(600)
-        assert cell.owner() not in {None, owner}
-        await cell.wait_phase('a', JobPhase.SUCCEEDED, 5000)
-        assert len(cell.fleet.starts) == 5
-
-    play(scenario)
-
-
-def test_all_processes_killed_lose_nothing() -> None:
-    """Guards against accepted jobs that only an owner knew of."""
-
-    async def scenario(cell: GraphCell) -> None:
-        names = list(cell.processes)
-        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=700)
-        for name in names:
-            await cell.kill(name)
-        await sleep_ms(1000)
-        for name in names:
-            cell.run_process(name)
-        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
-
-    play(scenario)
-
-
 def test_worker_that_fails_everything_is_suspended() -> None:
     """Guards against a bad worker that uses up the attempts of jobs."""
 
@@ -351,58 +244,3 @@
             assert sample in written
 
     play(scenario)
-
-
-def test_process_that_restarted_last_becomes_owner() -> None:
-    """Guards against a row of takeovers while processes restart in turn.
-
-    A process that has just restarted is the last one to be stopped again.
-    """
-
-    async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(8000)
-        restarted = other(cell)
-        await cell.kill(restarted)
-        await sleep_ms(200)
-        cell.run_process(restarted)
-        await sleep_ms(1000)
-        cell.processes[owner_of(cell)].drain()
-        await sleep_ms(1500)
-        assert owner_of(cell) == restarted
-
-    play(scenario, processes_count=5)
-
-
-def test_drained_process_answers_before_it_ends() -> None:
-    """Guards against requests that the end of their process cuts off."""
-
-    async def scenario(cell: GraphCell) -> None:
-        process = cell.processes[P0]
-        process.drain()
-        await sleep_ms(50)
-        assert not process.front.view.is_ready
-        assert process.exit_status is None
-        answer = await cell.submit(P0, 'a', TWO_STEPS, duration_ms=100)
-        assert answer.code is codes.ACCEPTED
-        await sleep_ms(5000)
-        assert process.exit_status == 0
-        await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
-
-    play(scenario)
-
-
-def test_small_machine_owns_only_without_a_larger_one() -> None:
-    """Guards against an owner on a machine that cannot carry it."""
-
-    async def main() -> None:
-        cell = GraphCell(4, 1)
-        cell.small = {P0, P1, ProcessId('p2')}
-        await cell.start()
-        await sleep_ms(1500)
-        assert cell.owner() == 'p3'
-        await cell.kill(ProcessId('p3'))
-        await sleep_ms(4000)
-        assert cell.owner() in cell.small
-        await cell.stop()
-
-    run_paused(main())
--- /dev/null
+++ b/tests/test_graph_ownership.py
@@ -0,0 +1,154 @@
+"""Owners that are killed, drained and replaced, in paused time on models.
+
+Each test ends with a check that no task ran twice or after its success, and
+that no worker was over its capacity.
+"""
+
+from fuchsiarill import codes
+from fuchsiarill.clock import run_paused, sleep_ms
+from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import ProcessId
+from standins.store_model import PathFault
+from tests.graph_cell import (
+    P0,
+    P1,
+    TASK_SIZE,
+    TWO_STEPS,
+    GraphCell,
+    other,
+    owner_of,
+    play,
+)
+
+
+def test_killed_owner_is_replaced() -> None:
+    """Guards against runs of a former owner that start a second time."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=2500)
+        await sleep_ms(500)
+        await cell.kill(owner_of(cell))
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+        assert len(cell.fleet.starts) == 5
+
+    play(scenario)
+
+
+def test_end_that_was_not_saved_is_known_to_the_next_owner() -> None:
+    """Guards against a dropped end of a step that is not open yet.
+
+    The owner sees the ends of the first step, starts the second one and is
+    replaced before it can save the ends. The next owner may hear of the
+    second step first.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=900)
+        await sleep_ms(600)
+        owner = owner_of(cell)
+        cell.paths[owner].fault = PathFault.REFUSED
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+
+    play(scenario)
+
+
+def test_failures_are_counted_over_owners() -> None:
+    """Guards against attempts that a new owner does not know of."""
+
+    async def scenario(cell: GraphCell) -> None:
+        one = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', one, duration_ms=400, fails=1000)
+        await sleep_ms(650)
+        await cell.kill(owner_of(cell))
+        await cell.wait_phase('a', JobPhase.FAILED, 20000)
+        assert len(cell.fleet.starts) == 3
+
+    play(scenario)
+
+
+def test_owner_that_drains_hands_over_at_once() -> None:
+    """Guards against a pool that waits for the lease of a graceful end."""
+
+    async def scenario(cell: GraphCell) -> None:
+        owner = owner_of(cell)
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=1500)
+        await sleep_ms(300)
+        cell.processes[owner].drain()
+        await sleep_ms(600)
+        assert cell.owner() not in {None, owner}
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 5000)
+        assert len(cell.fleet.starts) == 5
+
+    play(scenario)
+
+
+def test_all_processes_killed_lose_nothing() -> None:
+    """Guards against accepted jobs that only an owner knew of."""
+
+    async def scenario(cell: GraphCell) -> None:
+        names = list(cell.processes)
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=700)
+        for name in names:
+            await cell.kill(name)
+        await sleep_ms(1000)
+        for name in names:
+            cell.run_process(name)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+
+    play(scenario)
+
+
+def test_process_that_restarted_last_becomes_owner() -> None:
+    """Guards against a row of takeovers while processes restart in turn.
+
+    A process that has just restarted is the last one to be stopped again.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(8000)
+        restarted = other(cell)
+        await cell.kill(restarted)
+        await sleep_ms(200)
+        cell.run_process(restarted)
+        await sleep_ms(1000)
+        cell.processes[owner_of(cell)].drain()
+        await sleep_ms(1500)
+        assert owner_of(cell) == restarted
+
+    play(scenario, processes_count=5)
+
+
+def test_drained_process_answers_before_it_ends() -> None:
+    """Guards against requests that the end of their process cuts off."""
+
+    async def scenario(cell: GraphCell) -> None:
+        process = cell.processes[P0]
+        process.drain()
+        await sleep_ms(50)
+        assert not process.front.view.is_ready
+        assert process.exit_status is None
+        answer = await cell.submit(P0, 'a', TWO_STEPS, duration_ms=100)
+        assert answer.code is codes.ACCEPTED
+        await sleep_ms(5000)
+        assert process.exit_status == 0
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
+
+    play(scenario)
+
+
+def test_small_machine_owns_only_without_a_larger_one() -> None:
+    """Guards against an owner on a machine that cannot carry it."""
+
+    async def main() -> None:
+        cell = GraphCell(4, 1)
+        cell.small = {P0, P1, ProcessId('p2')}
+        await cell.start()
+        await sleep_ms(1500)
+        assert cell.owner() == 'p3'
+        await cell.kill(ProcessId('p3'))
+        await sleep_ms(4000)
+        assert cell.owner() in cell.small
+        await cell.stop()
+
+    run_paused(main())
