Take repeated code and work out of the graph scheduler and its stand-ins

Cause: found on reading the whole change again. Requests to place a unit were built three times for each task. A list after a gap decoded every known job, and each decision looked for expired records among all jobs. The emulator and the soak had state that nothing read.

Result: one piece of code for each; a request is built once; known jobs are skipped before they are decoded, and expired records are looked for each 700 ms. No check or expectation changed.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -320,8 +320,7 @@
             worker_trust.note_failure(view, run.task, now_ms)
         if view is not None and failure in _SILENCING:
             self.state.workers.step(view, StandingEvent.WENT_SILENT)
-        reports.stop_gang(self.state, run, now_ms)
-        step_run(self.state, run, RunEvent.REFUSED, now_ms)
+        reports.drop_run(self.state, run, RunEvent.REFUSED, now_ms)
 
     def _reborn(self, view: WorkerView, now_ms: int) -> None:
         if view.entry is None or view.entry.born_ms <= view.born_ms:
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -56,13 +56,14 @@
 def _serve_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
     step = row.step
     step.rank_ms = row.rank_ms
-    placer = StepPlacer(state, row.entry, step, now_ms)
+    placer = StepPlacer(state)
     for unit in list(step.waiting.values()):
-        placed = placer.place(unit)
+        request = Request(row.entry, step, unit, now_ms)
+        placed = placer.place(request)
         if placed is None:
-            _help_blocked(state, placer.request(unit), placer.usable(unit))
+            _help_blocked(state, request, placer.usable(request))
             return
-        _start(state, placer.request(unit), placed)
+        _start(state, request, placed)
 
 
 def _help_blocked(
--- a/fuchsiarill/graphs/job_intake.py
+++ b/fuchsiarill/graphs/job_intake.py
@@ -3,7 +3,6 @@
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.progress import JobProgress
-from fuchsiarill.ids import JobId
 from fuchsiarill.ports.key_value import KvItem
 
 
@@ -20,21 +19,20 @@
     progress = {
         keys.job_of_progress(row.key): row.value for row in progress_found
     }
-    cancelled: list[JobId] = []
-    for row in found:
-        if row.value is None:
-            continue
+    present = [(row, row.value) for row in found if row.value is not None]
+    for row, content in present:
         job = keys.job_of_key(row.key)
-        if keys.is_cancel(row.key):
-            cancelled.append(job)
+        # A list after a gap names every job again.
+        if keys.is_cancel(row.key) or job in core.state.jobs:
             continue
         saved = progress.get(job)
         core.add_job(
-            records.decode_graph(core.state.pool, job, row.value),
+            records.decode_graph(core.state.pool, job, content),
             records.decode_progress(saved) if saved else JobProgress(),
             now_ms,
             is_inherited=row.created < core.state.epoch,
         )
     # A cancellation may be listed before its job.
-    for job in cancelled:
-        core.cancel_job(job, now_ms)
+    for row, _ in present:
+        if keys.is_cancel(row.key):
+            core.cancel_job(keys.job_of_key(row.key), now_ms)
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preempting.py
@@ -146,7 +146,6 @@
 
 
 def _count_preemption(state: PoolState, run: Run) -> None:
-    found = state.find_step(run.task)
-    unit = found[1].active.get(run.unit) if found else None
+    unit = state.active_unit(run)
     if unit is not None:
         unit.preemptions_count += 1
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -12,8 +12,9 @@
 from fuchsiarill.graphs.settings import RetentionSettings
 from fuchsiarill.ids import StoreKey
 
-# The counts of waiting jobs may be 2 s old.
-_PENDING_INTERVAL_MS: Final = 700
+# What needs a look at all jobs is done at this interval; the counts of waiting
+# jobs may be 2 s old.
+_REVIEW_INTERVAL_MS: Final = 700
 
 
 class ProgressSaver:
@@ -34,7 +35,7 @@
         self._retention = retention
         self._is_saving = False
         self._pending: dict[QueueId, int] = {}
-        self._pending_ms = 0
+        self._reviewed_ms = 0
 
     @property
     def is_saving(self) -> bool:
@@ -55,8 +56,13 @@
         if self._is_saving:
             return ()
         changed = self._changed_progress()
-        changed.update(self._changed_counts())
-        deletes = self._expired_keys()
+        deletes: tuple[StoreKey, ...] = ()
+        now = now_ms()
+        if now - self._reviewed_ms >= _REVIEW_INTERVAL_MS:
+            self._reviewed_ms = now
+            changed.update(self._changed_counts())
+            oldest_ms = now - self._retention.settled_job_ms
+            deletes = self._expired_keys(oldest_ms)
         ends = self._unacknowledged_ends()
         if not changed and not deletes:
             return ends
@@ -89,10 +95,6 @@
         }
 
     def _changed_counts(self) -> dict[StoreKey, bytes]:
-        now = now_ms()
-        if now - self._pending_ms < _PENDING_INTERVAL_MS:
-            return {}
-        self._pending_ms = now
         counts = self._core.pending_counts()
         if counts == self._pending:
             return {}
@@ -107,9 +109,8 @@
             if view.seen_end > view.durable_end
         )
 
-    def _expired_keys(self) -> tuple[StoreKey, ...]:
+    def _expired_keys(self, oldest_ms: int) -> tuple[StoreKey, ...]:
         """Drop jobs that ended long ago; returns their keys."""
-        oldest_ms = now_ms() - self._retention.settled_job_ms
         expired: list[StoreKey] = []
         for entry in list(self._core.state.jobs.values()):
             if entry.is_active or entry.settled_ms > oldest_ms:
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Final, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -54,9 +55,9 @@
         timeout_ms: int,
     ) -> Result[KvItem, KvFailure]:
         """Read a key."""
-        direct_ms = min(timeout_ms, _DIRECT_TIMEOUT_MS)
-        return await self._call(
-            lambda: self._store.get(key, direct_ms),
+        return await self._call_briefly(
+            partial(self._store.get, key),
+            timeout_ms,
             encoding.get_fields(key, timeout_ms),
             encoding.read_item,
         )
@@ -93,9 +94,9 @@
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
         """Carry out a transaction."""
-        direct_ms = min(timeout_ms, _DIRECT_TIMEOUT_MS)
-        return await self._call(
-            lambda: self._store.commit(transaction, direct_ms),
+        return await self._call_briefly(
+            partial(self._store.commit, transaction),
+            timeout_ms,
             encoding.commit_fields(transaction, timeout_ms),
             encoding.read_commit,
         )
@@ -106,9 +107,9 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """Create a lease."""
-        direct_ms = min(timeout_ms, _DIRECT_TIMEOUT_MS)
-        return await self._call(
-            lambda: self._store.grant_lease(ttl_ms, direct_ms),
+        return await self._call_briefly(
+            partial(self._store.grant_lease, ttl_ms),
+            timeout_ms,
             encoding.grant_fields(ttl_ms, timeout_ms),
             encoding.read_lease,
         )
@@ -119,9 +120,9 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """Extend a lease by its time to live."""
-        direct_ms = min(timeout_ms, _DIRECT_TIMEOUT_MS)
-        return await self._call(
-            lambda: self._store.renew_lease(lease, direct_ms),
+        return await self._call_briefly(
+            partial(self._store.renew_lease, lease),
+            timeout_ms,
             encoding.lease_fields('renew', lease, timeout_ms),
             encoding.read_lease,
         )
@@ -132,13 +133,24 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """End a lease and delete its keys."""
-        direct_ms = min(timeout_ms, _DIRECT_TIMEOUT_MS)
-        return await self._call(
-            lambda: self._store.end_lease(lease, direct_ms),
+        return await self._call_briefly(
+            partial(self._store.end_lease, lease),
+            timeout_ms,
             encoding.lease_fields('end', lease, timeout_ms),
             encoding.read_lease,
         )
 
+    async def _call_briefly(
+        self,
+        direct: Callable[[int], Awaitable[Result[_Answer, KvFailure]]],
+        timeout_ms: int,
+        fields: dict[str, Any],
+        read: _Read[_Answer],
+    ) -> Result[_Answer, KvFailure]:
+        """Leave time for the detour in the deadline of the direct call."""
+        direct_ms = min(timeout_ms, _DIRECT_TIMEOUT_MS)
+        return await self._call(partial(direct, direct_ms), fields, read)
+
     async def _call(
         self,
         direct: Callable[[], Awaitable[Result[_Answer, KvFailure]]],
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -90,26 +90,33 @@
         attempt=run.attempt,
         worker=view.worker,
     )
-    stop_gang(state, run, now_ms)
-    step_run(state, run, RunEvent.WORKER_LOST, now_ms)
+    drop_run(state, run, RunEvent.WORKER_LOST, now_ms)
 
 
 def _rule_out(state: PoolState, run: Run, now_ms: int) -> None:
     """Stop a run of which it is not known whether the worker has it."""
     run.listed_from_ms = None
-    stop_gang(state, run, now_ms)
+    _stop_gang(state, run, now_ms)
     if run.state in _BEING_STOPPED:
         order_stop(state, run, now_ms)
     else:
         step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
-def stop_gang(state: PoolState, run: Run, now_ms: int) -> None:
+def drop_run(
+    state: PoolState,
+    run: Run,
+    event: RunEvent,
+    now_ms: int,
+) -> None:
+    """End a run without a reported end, and stop the rest of its gang."""
+    _stop_gang(state, run, now_ms)
+    step_run(state, run, event, now_ms)
+
+
+def _stop_gang(state: PoolState, run: Run, now_ms: int) -> None:
     """Stop the other members of a run's gang."""
-    found = state.find_step(run.task)
-    if found is None:
-        return
-    unit = found[1].active.get(run.unit)
+    unit = state.active_unit(run)
     if unit is not None:
         stop_others(state, unit, run.attempt, run, now_ms)
 
@@ -233,5 +240,4 @@
             continue
         if run.listed_from_ms >= asked_ms or run.state is RunState.STARTING:
             continue
-        stop_gang(state, run, now_ms)
-        step_run(state, run, RunEvent.ABSENT, now_ms)
+        drop_run(state, run, RunEvent.ABSENT, now_ms)
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 
 from fuchsiarill.graphs.effects import Effect
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import GraphConfig, PoolId, StepKey, TaskKey
 from fuchsiarill.graphs.run_times import RunTimes
+from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.tickets import TicketBook
 from fuchsiarill.graphs.worker_book import WorkerBook
@@ -45,6 +46,11 @@
         step = entry.ensure_step(task.occurrence, task.step)
         return None if step is None else (entry, step)
 
+    def active_unit(self, run: Run) -> Unit | None:
+        """Return the unit that a run is an attempt of, if it still is."""
+        found = self.find_step(run.task)
+        return None if found is None else found[1].active.get(run.unit)
+
     def known_step(self, key: StepKey) -> StepEntry | None:
         """Return the step of a key, if something is left to do in it."""
         entry = self.jobs.get(key.job)
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -3,10 +3,12 @@
 import json
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 from fuchsiarill import codes
+from fuchsiarill.actor import Reply
 from fuchsiarill.front.bridge import NotSentError
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.intake import (
@@ -74,9 +76,14 @@
         self._metrics.answered(request.method, outcome.code, duration_s)
         return self._response(request, outcome)
 
-    def deadline_ms(self, request: Request) -> int:
-        """Return when the answer is due."""
-        return self.front.deadline_ms(request.patience_ms)
+    def ask(
+        self,
+        request: Request,
+        build: Callable[[int, Reply[IntakeAnswer]], Any],
+    ) -> IntakeAnswer:
+        """Ask the intake with a message of the deadline and a reply."""
+        deadline_ms = self.front.deadline_ms(request.patience_ms)
+        return self.front.ask(partial(build, deadline_ms), deadline_ms)
 
     def _outcome(self, request: Request) -> IntakeAnswer:
         config = self.front.view.config
@@ -127,11 +134,7 @@
     job: str,
 ) -> IntakeAnswer:
     graph = read_job(job, policy, request.body)
-    deadline_ms = callers.deadline_ms(request)
-    return callers.front.ask(
-        lambda reply: Submit(graph, deadline_ms, reply),
-        deadline_ms,
-    )
+    return callers.ask(request, partial(Submit, graph))
 
 
 @VERBS.register(('GET', True))
@@ -141,11 +144,7 @@
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
-    deadline_ms = callers.deadline_ms(request)
-    return callers.front.ask(
-        lambda reply: LookUp(policy.pool, JobId(job), deadline_ms, reply),
-        deadline_ms,
-    )
+    return callers.ask(request, partial(LookUp, policy.pool, JobId(job)))
 
 
 @VERBS.register(('DELETE', True))
@@ -155,11 +154,7 @@
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
-    deadline_ms = callers.deadline_ms(request)
-    return callers.front.ask(
-        lambda reply: Cancel(policy.pool, JobId(job), deadline_ms, reply),
-        deadline_ms,
-    )
+    return callers.ask(request, partial(Cancel, policy.pool, JobId(job)))
 
 
 @VERBS.register(('GET', False))
@@ -169,13 +164,5 @@
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
-    deadline_ms = callers.deadline_ms(request)
-    return callers.front.ask(
-        lambda reply: CountPending(
-            policy.pool,
-            policy.queue,
-            deadline_ms,
-            reply,
-        ),
-        deadline_ms,
-    )
+    build = partial(CountPending, policy.pool, policy.queue)
+    return callers.ask(request, build)
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -174,7 +174,7 @@
 def _failure(answer: PlatformAnswer) -> KvFailure:
     if answer.status in _NOTHING_DONE or answer.is_unsent:
         return KvFailure.REFUSED
-    if answer.status is not None and answer.status != _OK:
+    if answer.status is not None:
         events.emit(events.STORE_ANSWER_UNEXPECTED, status=answer.status)
     return KvFailure.UNKNOWN
 
--- a/standins/emulator/calls.py
+++ b/standins/emulator/calls.py
@@ -11,9 +11,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Status and document of an answer; without a status none is sent."""
+    """Status and document of an answer."""
 
-    status: int | None
+    status: int
     document: Any = field(default_factory=dict)
 
 
@@ -34,6 +34,9 @@
         return self.path.rpartition('/')[2]
 
 
+# For a call whose caller has given up by now; what it gets does not matter.
+UNANSWERED: Final = Answer(500)
+
 Route = Callable[[EmulatedCell, Call], Awaitable[Answer]]
 
 # By method and first part of the path.
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -5,7 +5,6 @@
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.ids import StoreKey
-from fuchsiarill.platform.task_names import task_name
 from fuchsiarill.ports.key_value import KvWrite
 from fuchsiarill.resources import Resources
 from standins.agent_model import AgentModel, Fleet
@@ -29,7 +28,6 @@
         self.doors = [StorePath(self.store) for _ in range(doors_count)]
         self._workers_count = workers_count
         self._beats_count = 0
-        self.unlisted: set[str] = set()
 
     async def run(self, address: str) -> None:
         """Write the configuration, then the workers' entries for ever.
@@ -42,8 +40,7 @@
         while True:
             self._beats_count += 1
             for number, agent in enumerate(self.fleet.agents.values()):
-                if agent.worker not in self.unlisted:
-                    self._list(agent, number, address)
+                self._list(agent, number, address)
             await sleep_ms(_HEARTBEAT_MS)
 
     def restart(self, name: str) -> None:
@@ -55,12 +52,6 @@
         owner = self.store.found.get(StoreKey(f'control/owner/{POOL}'))
         return {
             'violations': self.fleet.violations,
-            'starts_count': len(self.fleet.starts),
-            'running': [
-                task_name(task)
-                for agent in self.fleet.agents.values()
-                for task, _ in agent.runs
-            ],
             'started_jobs': sorted(
                 {task.job for task, _, _ in self.fleet.starts},
             ),
--- a/standins/emulator/door.py
+++ b/standins/emulator/door.py
@@ -62,9 +62,6 @@
             self._loop,
         )
         answer = answering.result(_ANSWER_S)
-        if answer.status is None:
-            # The caller has given up by now; what it gets does not matter.
-            answer = Answer(500)
         body = json.dumps(answer.document).encode()
         start_response(
             f'{answer.status} emulator',
--- a/standins/emulator/store_routes.py
+++ b/standins/emulator/store_routes.py
@@ -14,7 +14,7 @@
     KvTransaction,
     KvWrite,
 )
-from standins.emulator.calls import ROUTES, Answer, Call
+from standins.emulator.calls import ROUTES, UNANSWERED, Answer, Call
 from standins.emulator.cell import EmulatedCell
 
 _TIMEOUT_MS: Final = 5000
@@ -119,7 +119,7 @@
         return Answer(200, write(answered.unwrap()))
     failure = answered.failure()
     if failure is KvFailure.UNKNOWN:
-        return Answer(None)
+        return UNANSWERED
     return Answer(_STORE_FAILURES[failure])
 
 
--- a/standins/emulator/worker_routes.py
+++ b/standins/emulator/worker_routes.py
@@ -24,7 +24,7 @@
     StopOrder,
 )
 from standins.agent_model import AgentModel
-from standins.emulator.calls import ROUTES, Answer, Call
+from standins.emulator.calls import ROUTES, UNANSWERED, Answer, Call
 from standins.emulator.cell import EmulatedCell
 
 _TIMEOUT_MS: Final = 5000
@@ -158,5 +158,5 @@
     if reason is not None:
         return Answer(409, {'clock_ms': model.clock_ms(), 'reason': reason})
     if failure is AgentFailure.UNKNOWN:
-        return Answer(None)
+        return UNANSWERED
     return Answer(503)
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -4,8 +4,11 @@
 """
 
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
+from typing import TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -25,6 +28,7 @@
 _ANSWER_MS = 10
 _POLL_MS = 5
 _PAGE_MAX_COUNT = 500
+_Answer = TypeVar('_Answer')
 
 
 class PathFault(Enum):
@@ -108,6 +112,47 @@
                 self.remove(key)
         return True
 
+    def read(self, key: StoreKey) -> Result[KvItem, KvFailure]:
+        """Return a key; an absent one has no value."""
+        self.expire()
+        return Success(self.found.get(key, KvItem(key, None, ABSENT)))
+
+    def page(
+        self,
+        prefix: str,
+        after: StoreKey | None,
+    ) -> Result[KvPage, KvFailure]:
+        """Return the next items of a prefix."""
+        self.expire()
+        rows = [
+            self.found[key]
+            for key in sorted(self.found)
+            if key.startswith(prefix) and (after is None or key > after)
+        ]
+        page = tuple(rows[:_PAGE_MAX_COUNT])
+        return Success(KvPage(page, len(rows) > len(page), self.revision))
+
+    def grant(self, ttl_ms: int) -> Result[StoreLeaseId, KvFailure]:
+        """Create a lease."""
+        lease = StoreLeaseId(str(next(self.lease_ids)))
+        self.leases[lease] = _Lease(ttl_ms, now_ms() + ttl_ms)
+        return Success(lease)
+
+    def renew(self, lease: StoreLeaseId) -> Result[StoreLeaseId, KvFailure]:
+        """Extend a lease by its time to live."""
+        self.expire()
+        state = self.leases.get(lease)
+        if state is None:
+            return Failure(KvFailure.LEASE_GONE)
+        state.deadline_ms = now_ms() + state.ttl_ms
+        return Success(lease)
+
+    def revoke(self, lease: StoreLeaseId) -> Result[StoreLeaseId, KvFailure]:
+        """End a lease that a caller gives up."""
+        if self.end(lease):
+            return Success(lease)
+        return Failure(KvFailure.LEASE_GONE)
+
     def compact(self) -> None:
         """Drop the history."""
         self.compacted_revision = self.revision
@@ -139,11 +184,7 @@
         timeout_ms: int,
     ) -> Result[KvItem, KvFailure]:
         """Read a key."""
-        failure = await self._enter(timeout_ms)
-        if failure is not None:
-            return Failure(failure)
-        self.model.expire()
-        return Success(self.model.found.get(key, KvItem(key, None, ABSENT)))
+        return await self._call(partial(self.model.read, key), timeout_ms)
 
     async def list_prefix(
         self,
@@ -152,17 +193,8 @@
         timeout_ms: int,
     ) -> Result[KvPage, KvFailure]:
         """Read the items of a prefix that follow the key `after`."""
-        failure = await self._enter(timeout_ms)
-        if failure is not None:
-            return Failure(failure)
-        self.model.expire()
-        rows = [
-            self.model.found[key]
-            for key in sorted(self.model.found)
-            if key.startswith(prefix) and (after is None or key > after)
-        ]
-        page = tuple(rows[:_PAGE_MAX_COUNT])
-        return Success(KvPage(page, len(rows) > len(page), self.model.revision))
+        page = partial(self.model.page, prefix, after)
+        return await self._call(page, timeout_ms)
 
     async def watch_prefix(
         self,
@@ -214,12 +246,7 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """Create a lease."""
-        failure = await self._enter(timeout_ms)
-        if failure is not None:
-            return Failure(failure)
-        lease = StoreLeaseId(str(next(self.model.lease_ids)))
-        self.model.leases[lease] = _Lease(ttl_ms, now_ms() + ttl_ms)
-        return Success(lease)
+        return await self._call(partial(self.model.grant, ttl_ms), timeout_ms)
 
     async def renew_lease(
         self,
@@ -227,15 +254,7 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """Extend a lease by its time to live."""
-        failure = await self._enter(timeout_ms)
-        if failure is not None:
-            return Failure(failure)
-        self.model.expire()
-        state = self.model.leases.get(lease)
-        if state is None:
-            return Failure(KvFailure.LEASE_GONE)
-        state.deadline_ms = now_ms() + state.ttl_ms
-        return Success(lease)
+        return await self._call(partial(self.model.renew, lease), timeout_ms)
 
     async def end_lease(
         self,
@@ -243,12 +262,15 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """End a lease and delete its keys."""
+        return await self._call(partial(self.model.revoke, lease), timeout_ms)
+
+    async def _call(
+        self,
+        carry_out: Callable[[], Result[_Answer, KvFailure]],
+        timeout_ms: int,
+    ) -> Result[_Answer, KvFailure]:
         failure = await self._enter(timeout_ms)
-        if failure is not None:
-            return Failure(failure)
-        if self.model.end(lease):
-            return Success(lease)
-        return Failure(KvFailure.LEASE_GONE)
+        return carry_out() if failure is None else Failure(failure)
 
     async def _enter(self, timeout_ms: int) -> KvFailure | None:
         """Travel to the store; returns why nothing is done there."""
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -28,6 +28,7 @@
     WorkerListing,
     WorkerReport,
 )
+from fuchsiarill.graphs.runs import AT_WORK_PERCENT
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import NOTHING, Resources
@@ -36,7 +37,6 @@
 _STEP_MS = 50
 _ADVICE_MS = 100
 _LEASE_MS = 5000
-_AT_WORK_PERCENT = 100
 _HALF_PERCENT = 50
 
 _Key = tuple[TaskKey, int]
@@ -335,4 +335,4 @@
 
 
 def _percent(run: ModelRun) -> int:
-    return _AT_WORK_PERCENT if run.ends_ms is None else _HALF_PERCENT
+    return AT_WORK_PERCENT if run.ends_ms is None else _HALF_PERCENT
--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -1,7 +1,6 @@
 """A cell on the emulated platform: emulator and daemons as processes."""
 
 import json
-import signal
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -104,10 +103,6 @@
         owner = self.control()['owner']
         return None if owner is None else str(owner['process'])
 
-    def send_signal(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to one daemon."""
-        self.processes.send_signal(name, number)
-
     def call(
         self,
         daemon: str,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -42,7 +42,6 @@
 
     at_s: float
     number: int
-    name: str = field(compare=False)
     end: End = field(compare=False)
 
 
@@ -76,7 +75,7 @@
         end = FAULTS.lookup(name)(self._cell, self._draw)
         self._begun_count += 1
         due_s = time.monotonic() + lasts_s
-        heapq.heappush(self._due, _Due(due_s, self._begun_count, name, end))
+        heapq.heappush(self._due, _Due(due_s, self._begun_count, end))
 
     def _end_due(self, now_s: float) -> None:
         while self._due and self._due[0].at_s <= now_s:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -32,14 +32,14 @@
 
 def _start_when_ended(cell: PlatformCell, name: str) -> None:
     if cell.processes.is_running(name):
-        cell.send_signal(name, signal.SIGCONT)
+        cell.processes.send_signal(name, signal.SIGCONT)
         cell.processes.exit_status(name)
         cell.start_daemon(name)
 
 
 def _resume(cell: PlatformCell, name: str) -> None:
     if cell.processes.is_running(name):
-        cell.send_signal(name, signal.SIGCONT)
+        cell.processes.send_signal(name, signal.SIGCONT)
 
 
 def _running(cell: PlatformCell, draw: random.Random) -> str | None:
@@ -73,14 +73,14 @@
 @_hits_daemon
 def _restart(cell: PlatformCell, name: str) -> End:
     """Ask a daemon to end, and start it again when it has."""
-    cell.send_signal(name, signal.SIGTERM)
+    cell.processes.send_signal(name, signal.SIGTERM)
     return partial(_start_when_ended, cell, name)
 
 
 @FAULTS.register('pause')
 @_hits_daemon
 def _pause(cell: PlatformCell, name: str) -> End:
-    cell.send_signal(name, signal.SIGSTOP)
+    cell.processes.send_signal(name, signal.SIGSTOP)
     return partial(_resume, cell, name)
 
 
