Name modules after what they hold

Cause: several module names were gerunds or private words (asking, feeds, holding, contest, closing, door, surroundings, the books of jobs and workers, the standing chart), some differed by one letter, and core and graphs named the same kind of module differently.

Change: modules take the usual terms: advice_requests, run_ends, prefix_watch, worker_suspension, gang_reservations, job_loading, job_entries, worker_table, decision_round and preemption (both in core and in graphs), resource_accounting, worker_holds, wait_queue, rate_limit, election_delay, late_requests, partition_service, hash_fraction, thread_pool, simulated_environment and http_endpoint. The chart of a worker's standing is worker_availability. Names that leave a process are the same.

--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -19,7 +19,7 @@
 from fuchsiarill.owner.claims import OwnerFound, parse_claim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.ports.store_health import HealthNotingStore
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import Receivers
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -1,7 +1,6 @@
 """Actions that the attempt chart names."""
 
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.holding import give_back
 from fuchsiarill.core.learning import note_end
 from fuchsiarill.core.probation import note_success
 from fuchsiarill.core.requeue import (
@@ -10,6 +9,7 @@
     position_of,
     run_again,
 )
+from fuchsiarill.core.resource_accounting import give_back
 from fuchsiarill.core.retries import (
     after_failure,
     after_success,
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -7,7 +7,7 @@
 from fuchsiarill.core.admission import excesses, first_excess
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.waiting import is_waiting, rank_accounts
+from fuchsiarill.core.wait_queue import is_waiting, rank_accounts
 from fuchsiarill.ids import JobId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
--- a/fuchsiarill/core/job_actions.py
+++ b/fuchsiarill/core/job_actions.py
@@ -5,10 +5,10 @@
 
 from fuchsiarill.core.effects import JobSettled
 from fuchsiarill.core.requeue import stop_all
-from fuchsiarill.core.reservations import drop_reservation
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import JOB_ACTIONS
-from fuchsiarill.core.waiting import dequeue, enqueue
+from fuchsiarill.core.wait_queue import dequeue, enqueue
+from fuchsiarill.core.worker_holds import drop_reservation
 from fuchsiarill.ids import JobId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.records import CancelAsked, JobEnded
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -10,8 +10,8 @@
 from typing import Any, Final
 
 from fuchsiarill import records
-from fuchsiarill.core.holding import take
 from fuchsiarill.core.recovery import OUTAGE_EVIDENCE_VALID_MS
+from fuchsiarill.core.resource_accounting import take
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.ids import NO_EPOCH, AttemptId, Epoch, JobId, ProcessId, TaskId
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -20,7 +20,7 @@
     hold_accepted,
     may_be_volatile,
 )
-from fuchsiarill.core.deciding import decide
+from fuchsiarill.core.decision_round import decide
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
 from fuchsiarill.core.hosts import apply_draining, take_over_hosts
@@ -37,7 +37,7 @@
     step_job,
     step_worker,
 )
-from fuchsiarill.core.waiting import unblock_all
+from fuchsiarill.core.wait_queue import unblock_all
 from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
 from fuchsiarill.job import JobRecord, JobSpec
 from fuchsiarill.records import JobAccepted, Record
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -3,9 +3,9 @@
 from typing import Final
 
 from fuchsiarill.core.adoption import adopt
-from fuchsiarill.core.holding import resize
 from fuchsiarill.core.learning import note_usage
 from fuchsiarill.core.leases import renew_leases
+from fuchsiarill.core.resource_accounting import resize
 from fuchsiarill.core.sizes import larger
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt, step_worker
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -3,8 +3,8 @@
 from functools import partial
 
 from fuchsiarill.core.effects import StartTask
-from fuchsiarill.core.holding import take
 from fuchsiarill.core.leases import lease_end_ms
+from fuchsiarill.core.resource_accounting import take
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt
 from fuchsiarill.core.worker_view import WorkerView
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -33,7 +33,7 @@
 from fuchsiarill.front.http_front import HttpFront
 from fuchsiarill.front.metrics import CountingStore, Metrics
 from fuchsiarill.log_setup import log_to_stderr
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
 from fuchsiarill.process import Process
--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -6,7 +6,7 @@
 from fuchsiarill.graphs.model import AdvicePolicy
 from fuchsiarill.graphs.placement import Request, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
 from fuchsiarill.ids import WorkerId
 
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 
 from fuchsiarill import events
-from fuchsiarill.graphs import deciding, reports, worker_trust
+from fuchsiarill.graphs import decision_round, reports, worker_suspension
 from fuchsiarill.graphs.effects import Effect, LookAt
 from fuchsiarill.graphs.job_actions import step_job
-from fuchsiarill.graphs.job_book import ATTEMPTS_PER_TERM, JobEntry
+from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
     BornMs,
     GraphConfig,
@@ -38,7 +38,7 @@
     StandingState,
 )
 from fuchsiarill.graphs.ticking import TICKS
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
@@ -261,7 +261,7 @@
 
     def decide(self, now_ms: int) -> None:
         """Start what can start."""
-        deciding.decide(self.state, now_ms)
+        decision_round.decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
         """Return and drop the effects of the calls so far."""
@@ -317,7 +317,7 @@
             self.state.tickets.refuse(run.task.step_key, run.worker)
         view = self.state.workers.find(run.worker)
         if view is not None and failure is AgentFailure.UNHEALTHY:
-            worker_trust.note_failure(view, run.task, now_ms)
+            worker_suspension.note_failure(view, run.task, now_ms)
         if view is not None and failure in _SILENCING:
             self.state.workers.step(view, StandingEvent.WENT_SILENT)
         reports.drop_run(self.state, run, RunEvent.REFUSED, now_ms)
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -4,7 +4,7 @@
 
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 
 def dump_core(core: GraphCore) -> dict[str, Any]:
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.placement import has_room
 from fuchsiarill.graphs.run_actions import step_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
 # A leaving worker serves at least this long after its notice.
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill.graphs import worker_trust
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import StandingState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NOTHING, Resources
 
@@ -110,7 +110,7 @@
     label = request.step.step.required_label
     if label is not None and label not in view.labels:
         return False
-    return worker_trust.is_trusted(view, request.now_ms)
+    return worker_suspension.is_trusted(view, request.now_ms)
 
 
 def has_room(
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -11,8 +11,8 @@
     SeenEnds,
     StartAnswered,
 )
-from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.graphs.worker_channel import ChannelContext, WorkerChannel
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentAddress, AgentFailure
 
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -6,9 +6,9 @@
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.graphs import keys, records
-from fuchsiarill.graphs.feeds import list_all
 from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.graphs.owner_messages import PoolLoaded
+from fuchsiarill.graphs.prefix_watch import list_all
 from fuchsiarill.ids import ProcessId, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import KeyValuePort, KvFailure, KvItem
 
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -22,16 +22,16 @@
     StartRun,
     StopRun,
 )
-from fuchsiarill.graphs.feeds import (
+from fuchsiarill.graphs.job_loading import take_jobs
+from fuchsiarill.graphs.owner_context import OwnerContext, Term
+from fuchsiarill.graphs.pool_channels import Order, PoolChannels
+from fuchsiarill.graphs.prefix_watch import (
     Changed,
     FeedSettings,
     FeedState,
     Listed,
     PrefixFeed,
 )
-from fuchsiarill.graphs.job_intake import take_jobs
-from fuchsiarill.graphs.owner_context import OwnerContext, Term
-from fuchsiarill.graphs.pool_channels import Order, PoolChannels
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
 from fuchsiarill.graphs.worker_channel import ChannelContext
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -13,13 +13,6 @@
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.advice import Advisor
-from fuchsiarill.graphs.feeds import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
-)
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.metrics import GraphMetrics
@@ -28,6 +21,13 @@
 from fuchsiarill.graphs.owner_messages import ConfigInForce
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
+from fuchsiarill.graphs.prefix_watch import (
+    Changed,
+    FeedSettings,
+    FeedState,
+    Listed,
+    PrefixFeed,
+)
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Tenure
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -3,9 +3,8 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_trust
-from fuchsiarill.graphs.ends import take_end
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
+from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
     EndRow,
@@ -19,10 +18,11 @@
     step_run,
     stop_others,
 )
+from fuchsiarill.graphs.run_ends import take_end
 from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
-from fuchsiarill.graphs.worker_book import Trust, WorkerView
+from fuchsiarill.graphs.worker_table import Trust, WorkerView
 from fuchsiarill.resources import NOTHING
 
 _BEING_STOPPED: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
@@ -147,7 +147,7 @@
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
     if step.step.is_lasting and row.progress_percent == AT_WORK_PERCENT:
-        worker_trust.note_at_work(view, run)
+        worker_suspension.note_at_work(view, run)
 
 
 def _adopt(
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 
 from fuchsiarill.graphs.effects import Effect
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import GraphConfig, PoolId, StepKey, TaskKey
 from fuchsiarill.graphs.run_times import RunTimes
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.tickets import TicketBook
-from fuchsiarill.graphs.worker_book import WorkerBook
+from fuchsiarill.graphs.worker_table import WorkerBook
 from fuchsiarill.ids import Epoch, JobId
 
 
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -5,7 +5,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs import draining, pacing, reports, stalls
-from fuchsiarill.graphs.job_book import JobEntry
+from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import order_stop
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from fuchsiarill.graphs.job_book import StepEntry
+from fuchsiarill.graphs.job_entries import StepEntry
 from fuchsiarill.graphs.model import (
     NO_END,
     BornMs,
@@ -156,7 +156,7 @@
     def __init__(self) -> None:
         """Start with no workers."""
         self._chart: StateChart[StandingState, StandingEvent] = load_chart(
-            'standing',
+            'worker_availability',
             StandingState,
             StandingEvent,
         )
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -23,12 +23,12 @@
     new_claim,
     parse_claim,
 )
-from fuchsiarill.owner.contest import contest_delay_ms
+from fuchsiarill.owner.election_delay import contest_delay_ms
 from fuchsiarill.owner.journal_format import JournalFault
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
-from fuchsiarill.owner.serving import Ports, Serving
+from fuchsiarill.owner.partition_service import Ports, Serving
 from fuchsiarill.owner.takeover import Takeover
 from fuchsiarill.registry import Registry
 from fuchsiarill.settings import ProcessSettings
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -8,11 +8,11 @@
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.owner import campaign_messages, messages
 from fuchsiarill.owner.claims import HeldLease
-from fuchsiarill.owner.closing import refuse_callers
 from fuchsiarill.owner.journal_reader import JournalRead
+from fuchsiarill.owner.late_requests import refuse_callers
 from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
-from fuchsiarill.owner.serving import Serving
+from fuchsiarill.owner.partition_service import Serving
 from fuchsiarill.owner.takeover import Takeover
 
 
--- a/fuchsiarill/owner/contest.py
+++ b/fuchsiarill/owner/election_delay.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from fuchsiarill.ids import PartitionId, ProcessId
-from fuchsiarill.owner.spread import spread
+from fuchsiarill.owner.hash_fraction import spread
 
 # One turn covers a read and a claim; the longest delay keeps a takeover
 # within 5 s when all who come first have failed too.
--- a/fuchsiarill/owner/exchange_pacer.py
+++ b/fuchsiarill/owner/exchange_pacer.py
@@ -11,7 +11,7 @@
 
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.owner.spread import spread
+from fuchsiarill.owner.hash_fraction import spread
 from fuchsiarill.workers import Exchange, TaskOutcome, WorkerReport
 
 # Spreads the exchanges of many workers that were listed at the same time.
--- a/fuchsiarill/owner/owner_watch.py
+++ b/fuchsiarill/owner/owner_watch.py
@@ -8,7 +8,7 @@
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.ids import ABSENT, PartitionId, ProcessId, Revision
 from fuchsiarill.owner.campaign_messages import CandidatesKnown, OwnerSeen
-from fuchsiarill.owner.contest import watch_wait_ms
+from fuchsiarill.owner.election_delay import watch_wait_ms
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.owner.store_calls import backoff_ms
--- a/fuchsiarill/owner/store_calls.py
+++ b/fuchsiarill/owner/store_calls.py
@@ -12,7 +12,7 @@
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.ids import StoreKey
-from fuchsiarill.owner.spread import spread
+from fuchsiarill.owner.hash_fraction import spread
 from fuchsiarill.ports.store import (
     StorePort,
     Swap,
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -20,7 +20,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.clock import MS_PER_SECOND
-from fuchsiarill.ports.thread_lane import ThreadLane
+from fuchsiarill.ports.thread_pool import ThreadLane
 
 # One pool for each address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -12,7 +12,7 @@
 from fuchsiarill.replay.fake_front import Build, FakeFront
 from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.peer_calls import CallContext, PeerCalls, received
-from fuchsiarill.replay.surroundings import (
+from fuchsiarill.replay.simulated_environment import (
     Surroundings,
     own_detail,
     process_ports,
--- a/fuchsiarill/replay/process.py
+++ b/fuchsiarill/replay/process.py
@@ -14,7 +14,7 @@
 from fuchsiarill.replay.loop import INCARNATION, Incarnation, ReplayLoop
 from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.seen import SeenKind
-from fuchsiarill.replay.surroundings import Surroundings
+from fuchsiarill.replay.simulated_environment import Surroundings
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.state_chart import load_chart
 
--- a/fuchsiarill/replay/surroundings.py
+++ b/fuchsiarill/replay/simulated_environment.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from fuchsiarill.cluster.member_table import MemberDetail
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.replay.fake_host_list import FakeHostList, ProcessHostList
 from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
 from fuchsiarill.replay.fakes import FakeStore, ProcessStore
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -14,15 +14,15 @@
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.replay.callers import Callers
 from fuchsiarill.replay.deployment import Deployment, merge
-from fuchsiarill.replay.fake_workers import FakeWorker, Truth
 from fuchsiarill.replay.fake_host_list import FakeHostList
+from fuchsiarill.replay.fake_workers import FakeWorker, Truth
 from fuchsiarill.replay.fakes import FakeStore
 from fuchsiarill.replay.loop import ReplayLoop
 from fuchsiarill.replay.network import Network
 from fuchsiarill.replay.operators import Operators
 from fuchsiarill.replay.process import LifeEvent, ReplayedProcess
 from fuchsiarill.replay.seen import SeenLog
-from fuchsiarill.replay.surroundings import Surroundings
+from fuchsiarill.replay.simulated_environment import Surroundings
 from fuchsiarill.routing import partitions_of
 from fuchsiarill.settings import ProcessSettings
 
--- a/standins/emulator/__main__.py
+++ b/standins/emulator/__main__.py
@@ -9,7 +9,7 @@
 import signal
 
 from standins.emulator.cell import EmulatedCell
-from standins.emulator.door import LOOPBACK, Door
+from standins.emulator.http_endpoint import LOOPBACK, Door
 
 
 async def _serve(workers_count: int, ports: list[int]) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -58,7 +58,7 @@
 
     @handles(CandidatesKnown)
     async def on_candidates(self, message: CandidatesKnown) -> None:
-        self._note('CandidatesKnown')
+        self._note('CandidatesUpdated')
 
     async def fetch(self) -> Failure[StoreFailure]:
         return Failure(StoreFailure.UNREACHABLE)
@@ -119,7 +119,7 @@
         assert not process.has_failed
         times = recorder.told
         assert list(times) == [
-            'CandidatesKnown',
+            'CandidatesUpdated',
             'serving',
             'draining',
             'HandOver',
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,7 +21,7 @@
 from fuchsiarill.job import Execution, JobSpec
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.campaign import Campaign
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.settings import (
     HostListSettings,
     HttpSettings,
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from fuchsiarill.clock import MS_PER_SECOND, sleep_ms
-from fuchsiarill.ports.thread_lane import ThreadLane
+from fuchsiarill.ports.thread_pool import ThreadLane
 from tools.caller import Caller, JobNote, clock_ms
 from tools.cell import Cell
 from tools.demo_load import Team, make_jobs
