Name messages after the request or the event that they report

Cause: messages were called AskX, XAsked, Looked, Seen, Found, Known, Listed or Changed; the same kind of message had different names in different packages, and some did not say what they report.

The time at which a request was sent is requested_at_ms or requested_ms. Kinds of records, log fields and dump keys are the same; log entries of a failed actor name the message class, so they show the new name.

--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -16,7 +16,7 @@
 from fuchsiarill.cluster.peers import RpcPeers
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner.campaign import Campaign
-from fuchsiarill.owner.claims import OwnerFound, parse_claim
+from fuchsiarill.owner.claims import OwnerLocated, parse_claim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.owner.partition_service import Ports
@@ -127,11 +127,11 @@
             self.router.mailbox,
         )
 
-    async def _look_up(self, partition: PartitionId) -> OwnerFound | None:
+    async def _look_up(self, partition: PartitionId) -> OwnerLocated | None:
         """Read the owner key; `None` when the store does not answer."""
         match await self._ports.store.get(owner_key(partition)):
             case Success(found):
-                return OwnerFound(partition, parse_claim(found), mailbox=None)
+                return OwnerLocated(partition, parse_claim(found), mailbox=None)
         return None
 
     def _open_campaign(
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DocumentFound:
+class DocumentFetched:
     """The store or a peer answered with a document; `None` for no answer."""
 
     document: ConfigDocument | None
@@ -120,7 +120,7 @@
     def _report(self, found: Versioned) -> None:
         document = read_document(found.value)
         if isinstance(document, Success):
-            self._config.send(DocumentFound(document.unwrap()))
+            self._config.send(DocumentFetched(document.unwrap()))
             return
         events.emit(
             events.CONFIG_REJECTED,
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -246,8 +246,8 @@
             job.intents.pop(attempt_id)
 
 
-@_FOLDS.register(records.CancelAsked)
-def _fold_cancel(image: LedgerImage, record: records.CancelAsked) -> None:
+@_FOLDS.register(records.CancelRequested)
+def _fold_cancel(image: LedgerImage, record: records.CancelRequested) -> None:
     job = image.jobs.get(record.job_id)
     if job is not None:
         job.cancel_asked = True
@@ -269,6 +269,6 @@
     for position, output in image.finished.items():
         yield records.TaskFinished(job_id, position, output)
     if image.cancel_asked:
-        yield records.CancelAsked(job_id)
+        yield records.CancelRequested(job_id)
     if image.ended is not None:
         yield records.JobEnded(job_id, image.ended)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -128,18 +128,18 @@
         self,
         report: WorkerReport,
         now_ms: int,
-        asked_at_ms: int | None = None,
+        requested_at_ms: int | None = None,
     ) -> None:
         """Take over what a worker says of its attempts.
 
-        `asked_at_ms` is the time at which the exchange was sent.
+        `requested_at_ms` is the time at which the exchange was sent.
         """
         worker = self.state.workers.get(report.worker_id)
         if worker is None:
             return
-        if asked_at_ms is None:
-            asked_at_ms = now_ms
-        take_over_report(self.state, worker, report, now_ms, asked_at_ms)
+        if requested_at_ms is None:
+            requested_at_ms = now_ms
+        take_over_report(self.state, worker, report, now_ms, requested_at_ms)
 
     def worker_silent(self, worker_id: WorkerId, now_ms: int) -> None:
         """Note that a worker has not answered for too long."""
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -33,14 +33,14 @@
     worker: WorkerView,
     report: WorkerReport,
     now_ms: int,
-    asked_at_ms: int,
+    requested_at_ms: int,
 ) -> None:
     """Step the attempts of a worker by its report."""
     worker.reported_at_ms = now_ms
     step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
     adopt(state, worker, report, now_ms)
     reported = {task.attempt_id for task in report.tasks}
-    renew_leases(state, reported, asked_at_ms)
+    renew_leases(state, reported, requested_at_ms)
     for task in report.tasks:
         _task_reported(state, task, now_ms)
     if worker.state is WorkerState.LEAVING:
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy
 from fuchsiarill.graphs.placement import Request, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
@@ -55,7 +55,7 @@
         return False
     _keep_room(request, known, _duration_ms(policy, len(asked)))
     state.tickets.asked(step.key, request.now_ms)
-    state.effects.append(AskAdvice(step.key, tuple(asked), step.rank_ms))
+    state.effects.append(RequestAdvice(step.key, tuple(asked), step.rank_ms))
     return True
 
 
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -9,7 +9,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs import decision_round, reports, worker_suspension
-from fuchsiarill.graphs.effects import Effect, LookAt
+from fuchsiarill.graphs.effects import Effect, RequestReport
 from fuchsiarill.graphs.job_actions import step_job
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
@@ -151,14 +151,14 @@
         self,
         worker: WorkerId,
         report: WorkerReport,
-        asked_ms: int,
+        requested_ms: int,
         now_ms: int,
     ) -> None:
         """Take a report into account."""
         view = self.state.workers.find(worker)
         if view is None:
             return
-        reports.take_report(self.state, view, report, asked_ms, now_ms)
+        reports.take_report(self.state, view, report, requested_ms, now_ms)
         self.state.free_version += 1
 
     def worker_failed(
@@ -219,7 +219,7 @@
             return
         run.is_stop_answered = True
         run.listed_from_ms = now_ms
-        self.state.effects.append(LookAt(worker))
+        self.state.effects.append(RequestReport(worker))
 
     def advised(
         self,
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -38,12 +38,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reported:
-    """A worker answered a renewal that left at `asked_ms`."""
+class WorkerReported:
+    """A worker answered a renewal that left at `requested_ms`."""
 
     worker: WorkerId
     report: WorkerReport
-    asked_ms: int
+    requested_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Advised:
+class AdviceAnswered:
     """Outcome of an ask for advice; no tickets when there was no answer."""
 
     step: StepKey
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from fuchsiarill.graphs.core import GraphCore
-from fuchsiarill.graphs.effects import LookAt, PaceRun, StartRun, StopRun
+from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
 from fuchsiarill.graphs.model import WorkerEntry
 from fuchsiarill.graphs.owner_messages import (
     EndsDurable,
@@ -20,7 +20,7 @@
 # entry that lapsed with the store comes back.
 _UNLISTED_MS: Final = 3000
 
-Order = StartRun | StopRun | PaceRun | LookAt
+Order = StartRun | StopRun | PaceRun | RequestReport
 
 
 class PoolChannels:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -11,14 +11,14 @@
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
-from fuchsiarill.graphs.advice import AdviceAsked
+from fuchsiarill.graphs.advice import AdviceRequest
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
 from fuchsiarill.graphs.effects import (
-    AskAdvice,
-    LookAt,
     PaceRun,
+    RequestAdvice,
+    RequestReport,
     StartRun,
     StopRun,
 )
@@ -26,11 +26,11 @@
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
 from fuchsiarill.graphs.prefix_watch import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
+    PrefixChanged,
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+    PrefixWatchState,
 )
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
@@ -148,8 +148,8 @@
         self.core.configure(message.config)
         self._plan_decision()
 
-    @handles(Listed)
-    async def on_listed(self, message: Listed) -> None:
+    @handles(PrefixListed)
+    async def on_listed(self, message: PrefixListed) -> None:
         """Take over a whole list after a gap."""
         if message.prefix == self._context.ports.directory.workers_prefix:
             self._directory.replace(message.items)
@@ -157,8 +157,8 @@
             return
         self._take_jobs(message.items, ())
 
-    @handles(Changed)
-    async def on_changed(self, message: Changed) -> None:
+    @handles(PrefixChanged)
+    async def on_changed(self, message: PrefixChanged) -> None:
         """Take over changes of the directory, or what callers ask."""
         if message.prefix == self._context.ports.directory.workers_prefix:
             if self._directory.change(message.items):
@@ -166,12 +166,12 @@
             return
         self._take_jobs(message.items, ())
 
-    @handles(FeedState)
-    async def on_feed_state(self, message: FeedState) -> None:
+    @handles(PrefixWatchState)
+    async def on_watch_state(self, message: PrefixWatchState) -> None:
         """Feeds recover by themselves."""
 
-    @handles(messages.Reported)
-    async def on_reported(self, message: messages.Reported) -> None:
+    @handles(messages.WorkerReported)
+    async def on_reported(self, message: messages.WorkerReported) -> None:
         """Take over a report."""
         view = self.core.state.workers.find(message.worker)
         for end in message.report.ended:
@@ -180,7 +180,7 @@
         self.core.worker_reported(
             message.worker,
             message.report,
-            message.asked_ms,
+            message.requested_ms,
             now_ms(),
         )
         self._plan_decision()
@@ -220,8 +220,8 @@
         )
         self._plan_decision()
 
-    @handles(messages.Advised)
-    async def on_advised(self, message: messages.Advised) -> None:
+    @handles(messages.AdviceAnswered)
+    async def on_advised(self, message: messages.AdviceAnswered) -> None:
         """Take over tickets."""
         if message.granted is None:
             self.core.advice_failed(message.step, now_ms())
@@ -288,7 +288,7 @@
             wait_ms = now_ms() - entry.accepted_ms
             self._context.metrics.waited(entry.graph.queue, wait_ms)
 
-    def ask_advice(self, ask: AskAdvice) -> None:
+    def ask_advice(self, ask: RequestAdvice) -> None:
         """Send an ask to the advisor of the process."""
         asked = {}
         for worker in ask.workers:
@@ -296,7 +296,9 @@
             if view is not None:
                 asked[worker] = view.born_ms
         self._context.advisor.send(
-            AdviceAsked(ask, asked, self.mailbox, lambda: self._is_wanted(ask)),
+            AdviceRequest(
+                ask, asked, self.mailbox, lambda: self._is_wanted(ask)
+            ),
         )
 
     def _note_takeover(self) -> None:
@@ -310,7 +312,7 @@
             term=self._fleet.term,
         )
 
-    def _is_wanted(self, ask: AskAdvice) -> bool:
+    def _is_wanted(self, ask: RequestAdvice) -> bool:
         entry = self.core.state.jobs.get(ask.step.job)
         if entry is None or not entry.is_active:
             return False
@@ -333,16 +335,16 @@
             longest_ms += self._context.settings.ownership.lease_ttl_ms
         return longest_ms
 
-    def _make_feeds(self, jobs_revision: Revision) -> tuple[PrefixFeed, ...]:
+    def _make_feeds(self, jobs_revision: Revision) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
         timeout_ms = self._context.settings.calls.store_timeout_ms
-        jobs = FeedSettings(
+        jobs = PrefixWatchSettings(
             keys.jobs_prefix(self._term.pool),
             wait_ms,
             timeout_ms,
             after=jobs_revision,
         )
-        workers = FeedSettings(
+        workers = PrefixWatchSettings(
             self._context.ports.directory.workers_prefix,
             wait_ms,
             timeout_ms,
@@ -350,8 +352,8 @@
         )
         store = self._context.ports.store
         return (
-            PrefixFeed(jobs, store, self.mailbox),
-            PrefixFeed(workers, store, self.mailbox),
+            PrefixWatcher(jobs, store, self.mailbox),
+            PrefixWatcher(workers, store, self.mailbox),
         )
 
     def _take_jobs(
@@ -388,11 +390,11 @@
 
 @EFFECTS.register(StopRun)
 @EFFECTS.register(PaceRun)
-@EFFECTS.register(LookAt)
+@EFFECTS.register(RequestReport)
 def _carry_order(owner: PoolOwner, effect: Order) -> None:
     owner.channels.carry(effect)
 
 
-@EFFECTS.register(AskAdvice)
-def _ask_advice(owner: PoolOwner, effect: AskAdvice) -> None:
+@EFFECTS.register(RequestAdvice)
+def _ask_advice(owner: PoolOwner, effect: RequestAdvice) -> None:
     owner.ask_advice(effect)
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -22,11 +22,11 @@
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
 from fuchsiarill.graphs.prefix_watch import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
+    PrefixChanged,
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+    PrefixWatchState,
 )
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskDump:
+class GetDump:
     """Return the state of all actors."""
 
     reply: Reply[dict[str, Any]]
@@ -128,8 +128,8 @@
             await actor.stop()
         await super().stop()
 
-    @handles(Listed)
-    async def on_listed(self, message: Listed) -> None:
+    @handles(PrefixListed)
+    async def on_listed(self, message: PrefixListed) -> None:
         """Take over a whole list of keys."""
         if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
@@ -145,16 +145,16 @@
             return
         self._take_config(message.items)
 
-    @handles(Changed)
-    async def on_changed(self, message: Changed) -> None:
+    @handles(PrefixChanged)
+    async def on_changed(self, message: PrefixChanged) -> None:
         """Take over changes of keys."""
         if message.prefix == keys.CONTROL_PREFIX:
             self._take_control(message.items)
             return
         self._take_config(message.items)
 
-    @handles(FeedState)
-    async def on_feed_state(self, message: FeedState) -> None:
+    @handles(PrefixWatchState)
+    async def on_watch_state(self, message: PrefixWatchState) -> None:
         """Let the balancer choose others while the store is out of reach."""
         if message.is_lost:
             self._lost_prefixes.add(message.prefix)
@@ -172,8 +172,8 @@
         self._view(is_draining=True)
         self.spawn(self._drain())
 
-    @handles(AskDump)
-    async def on_dump(self, message: AskDump) -> None:
+    @handles(GetDump)
+    async def on_dump(self, message: GetDump) -> None:
         """Return the state of all actors."""
         message.reply.answer(
             {
@@ -202,13 +202,13 @@
     def _prefixes(self) -> tuple[str, ...]:
         return (keys.CONTROL_PREFIX, self._ports.directory.config_prefix)
 
-    def _feed(self, prefix: str) -> PrefixFeed:
-        settings = FeedSettings(
+    def _feed(self, prefix: str) -> PrefixWatcher:
+        settings = PrefixWatchSettings(
             prefix,
             self._settings.watch_wait_ms,
             self._settings.calls.store_timeout_ms,
         )
-        return PrefixFeed(settings, self._ports.store, self.mailbox)
+        return PrefixWatcher(settings, self._ports.store, self.mailbox)
 
     def _actors(self) -> Iterable[Actor]:
         owners = [
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -33,12 +33,12 @@
     state: PoolState,
     view: WorkerView,
     report: WorkerReport,
-    asked_ms: int,
+    requested_ms: int,
     now_ms: int,
 ) -> None:
     """Bring the view of a worker up to date.
 
-    `asked_ms` is when the renewal left that the report answers.
+    `requested_ms` is when the renewal left that the report answers.
     """
     if report.born_ms > view.born_ms:
         start_new_life(state, view, now_ms)
@@ -54,7 +54,7 @@
         _take_running(state, view, row, now_ms)
     for end in report.ended:
         _take_unseen_end(state, view, end, now_ms)
-    _find_absent(state, view, report, asked_ms, now_ms)
+    _find_absent(state, view, report, requested_ms, now_ms)
 
 
 def start_new_life(state: PoolState, view: WorkerView, now_ms: int) -> None:
@@ -231,13 +231,13 @@
     state: PoolState,
     view: WorkerView,
     report: WorkerReport,
-    asked_ms: int,
+    requested_ms: int,
     now_ms: int,
 ) -> None:
     listed = {(row.task, row.attempt) for row in report.running}
     for run in list(view.runs.values()):
         if run.key in listed or run.listed_from_ms is None:
             continue
-        if run.listed_from_ms >= asked_ms or run.state is RunState.STARTING:
+        if run.listed_from_ms >= requested_ms or run.state is RunState.STARTING:
             continue
         drop_run(state, run, RunEvent.ABSENT, now_ms)
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -78,7 +78,7 @@
 
     def _due(self, campaign: Mailbox) -> None:
         self._timer = None
-        campaign.send(campaign_messages.ContestDue())
+        campaign.send(campaign_messages.ElectionDue())
 
 
 class Helpers:
--- a/fuchsiarill/owner/late_requests.py
+++ b/fuchsiarill/owner/late_requests.py
@@ -18,7 +18,7 @@
 _LATE_MS: Final = 2_000
 _CALLER_MESSAGES: Final = (
     messages.SubmitJobs,
-    messages.AskJob,
+    messages.QueryJob,
     messages.CancelJob,
     messages.ListJobs,
     messages.ExplainJob,
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -27,7 +27,7 @@
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
 from fuchsiarill.graphs.peers import serve_help
 from fuchsiarill.graphs.ports import Directory, GraphPorts, OneAtATime
-from fuchsiarill.graphs.process import AskDump, GraphProcess
+from fuchsiarill.graphs.process import GetDump, GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
 from fuchsiarill.ids import StoreKey
 from fuchsiarill.log_setup import log_to_sink
@@ -215,7 +215,7 @@
             'text/plain; version=0.0.4',
         )
     if request.path == '/dump':
-        state = process.front.ask_process(process.mailbox, AskDump)
+        state = process.front.ask_process(process.mailbox, GetDump)
         return Response(HTTPStatus.OK, json.dumps(state, default=str).encode())
     return Response(HTTPStatus.NOT_FOUND)
 
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -270,7 +270,7 @@
 def _ask_route(query: JobQuery, reply: Any) -> Route:
     return Route(
         partition_of_job(query.job_id),
-        messages.AskJob(query, reply),
+        messages.QueryJob(query, reply),
     )
 
 
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -8,7 +8,7 @@
 from fuchsiarill.assembly import Assembly, Environment
 from fuchsiarill.cluster.config_change import parse_in_loop
 from fuchsiarill.cluster.peer_server import PeerServant
-from fuchsiarill.process_messages import DrainAsked
+from fuchsiarill.process_messages import DrainRequested
 from fuchsiarill.replay.fake_front import Build, FakeFront
 from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.peer_calls import CallContext, PeerCalls, received
@@ -64,7 +64,7 @@
 
     def drain(self) -> None:
         """Ask for a graceful end, as SIGTERM does."""
-        self.process.mailbox.send(DrainAsked())
+        self.process.mailbox.send(DrainRequested())
 
     async def serve(
         self,
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -12,7 +12,7 @@
 from fuchsiarill.actor import Reply
 from fuchsiarill.cluster.config_change import ChangeAnswer, ChangeRequest
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument, ChangeConfig
+from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.replay.deployment import merge
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
 from fuchsiarill.replay.process import ReplayedProcess
@@ -69,7 +69,7 @@
         rewrite: Any,
         author: str,
     ) -> None:
-        shown = await self._ask(process, AskDocument)
+        shown = await self._ask(process, GetDocument)
         match shown:
             case Success(document):
                 request = ChangeRequest(
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -12,9 +12,9 @@
 from fuchsiarill.cluster.config_change import parse_in_loop
 from fuchsiarill.cluster.config_document import ConfigDocument
 from fuchsiarill.cluster.config_spread import (
-    AskDocument,
     ConfigOffered,
     ConfigSpread,
+    GetDocument,
 )
 from fuchsiarill.cluster.directory import Directory
 from fuchsiarill.cluster.member_table import Gossip, MemberDetail
@@ -184,7 +184,7 @@
         if peer is None:
             return Failure(PeerFailure.NO_ANSWER)
         reply: Reply[ConfigDocument] = Reply()
-        peer.config.mailbox.send(AskDocument(reply))
+        peer.config.mailbox.send(GetDocument(reply))
         return Success(await reply.wait(_DEADLINE_MS))
 
     async def dump(self, address: str) -> Result[str, PeerFailure]:
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -8,8 +8,8 @@
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.graphs.advice import AdviceAsked, Advisor
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.advice import AdviceRequest, Advisor
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import (
     BornMs,
     EndKind,
@@ -17,7 +17,7 @@
     StepKey,
     Ticket,
 )
-from fuchsiarill.graphs.owner_messages import Advised
+from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.ports import OneAtATime
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
@@ -40,9 +40,9 @@
 _LOST_MS = 30_000
 
 
-def asks(owner: Owner) -> list[AskAdvice]:
+def asks(owner: Owner) -> list[RequestAdvice]:
     """Decide and return the asks."""
-    return [one for one in owner.decide() if isinstance(one, AskAdvice)]
+    return [one for one in owner.decide() if isinstance(one, RequestAdvice)]
 
 
 def grant(
@@ -165,7 +165,9 @@
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
     advisor.mailbox.send(
-        AdviceAsked(AskAdvice(STEP, (W0,), 0), LIVES, receiver, lambda: True),
+        AdviceRequest(
+            RequestAdvice(STEP, (W0,), 0), LIVES, receiver, lambda: True
+        ),
     )
     return advisor
 
@@ -184,7 +186,9 @@
         advisor = ask_once(_Links(), port, receiver)
         await other
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, LIVES, GRANT)
+            assert await receiver.receive() == AdviceAnswered(
+                STEP, LIVES, GRANT
+            )
         await advisor.stop()
 
     run_paused(main())
@@ -202,7 +206,7 @@
         await sleep_ms(10)
         advisor = ask_once(links, port, receiver)
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, LIVES, None)
+            assert await receiver.receive() == AdviceAnswered(STEP, LIVES, None)
         await other
         assert advisor.snapshot()['busy_lanes_count'] == 0
         await advisor.stop()
