Replace words of daily life in names by technical terms

The state of a worker in the graph scheduler is its availability; its dump key is the same. Settings, wire names, log fields and metrics are the same.

--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -20,7 +20,7 @@
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.owner.partition_service import Ports
-from fuchsiarill.ports.store_health import HealthNotingStore
+from fuchsiarill.ports.store_health import HealthTrackingStore
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.routing import Router
@@ -36,7 +36,7 @@
     ports: Ports
     calls: RpcPeers
     parse: ConfigParser
-    chance: random.Random
+    random_source: random.Random
 
 
 class Assembly:
@@ -49,7 +49,7 @@
     ) -> None:
         """Create the actors; the process also looks after `links`."""
         settings = environment.settings
-        store = HealthNotingStore(environment.ports.store)
+        store = HealthTrackingStore(environment.ports.store)
         self._settings = settings
         self._ports = replace(environment.ports, store=store)
         self._calls = environment.calls
@@ -58,15 +58,15 @@
             environment.own,
             Directory(store),
             environment.calls,
-            environment.chance,
+            environment.random_source,
         )
-        store.changed = self.membership.note_store
+        store.changed = self.membership.update_store_state
         self.config = ConfigSpread(
             settings.config,
             store,
             environment.calls,
             environment.parse,
-            environment.chance,
+            environment.random_source,
         )
         self.router = Router(settings.peers, self._link, self._look_up)
         own_actors = (
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -53,14 +53,14 @@
         settings: ConfigSettings,
         store: StorePort,
         config: Mailbox,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
         """Read the store through `store`."""
         super().__init__('config source')
         self._settings = settings
         self._store = store
         self._config = config
-        self._chance = chance
+        self._random_source = random_source
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -130,5 +130,7 @@
         )
 
     def _jittered(self, wait_ms: float) -> float:
-        ratio = self._chance.uniform(1 - _JITTER_RATIO, 1 + _JITTER_RATIO)
+        ratio = self._random_source.uniform(
+            1 - _JITTER_RATIO, 1 + _JITTER_RATIO
+        )
         return wait_ms * ratio
--- a/fuchsiarill/cluster/config_spread.py
+++ b/fuchsiarill/cluster/config_spread.py
@@ -83,7 +83,7 @@
         store: StorePort,
         peers: PeerPort,
         parse: ConfigParser,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
         """Start without a configuration."""
         super().__init__('config')
@@ -91,13 +91,13 @@
         self.membership: Mailbox | None = None
         self.state = CONFIGURATION_CHART.initial
         self.document = NO_DOCUMENT
-        self.source = ConfigSource(settings, store, self.mailbox, chance)
+        self.source = ConfigSource(settings, store, self.mailbox, random_source)
         self.parse = parse
         self.rejected = NO_GENERATION
         self._settings = settings
         self._store = store
         self._peers = peers
-        self._chance = chance
+        self._random_source = random_source
         self._collecting = True
         self._candidate = NO_DOCUMENT
         self._pulling = False
@@ -218,7 +218,7 @@
         ]
         if newer and not self._pulling:
             self._pulling = True
-            self.spawn(self._pull(self._chance.choice(newer)))
+            self.spawn(self._pull(self._random_source.choice(newer)))
 
     async def _end_collecting(self) -> None:
         await sleep_ms(self._settings.collect_ms)
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -132,7 +132,7 @@
         own: MemberDetail,
         directory: Directory,
         peers: PeerPort,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
         """Know the own process only; needs a running loop."""
         super().__init__('membership')
@@ -141,7 +141,7 @@
         self._settings = settings
         self._directory = directory
         self._peers = peers
-        self._chance = chance
+        self._random_source = random_source
         self._joined = False
         self._addresses: dict[ProcessId, str] = {}
         self._generation = NO_GENERATION
@@ -150,7 +150,7 @@
         self._evidence = StoreEvidence()
         self._rounds_count = 0
 
-    def note_store(self, is_down: bool) -> None:
+    def update_store_state(self, is_down: bool) -> None:
         """Tell the actor that the store went out of reach or came back."""
         self.mailbox.send(StoreHealthChanged(is_down))
 
@@ -327,7 +327,7 @@
         return targets
 
     def _pick(self, addresses: set[str], count: int) -> list[str]:
-        return self._chance.sample(
+        return self._random_source.sample(
             sorted(addresses),
             min(count, len(addresses)),
         )
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -47,7 +47,7 @@
 _RETRY_AFTER_MS: Final = 500
 
 
-class PeerServant(SCHEMA.Peer.Server):  # type: ignore[misc]
+class PeerCallServer(SCHEMA.Peer.Server):  # type: ignore[misc]
     """Turns calls into messages and replies into answers."""
 
     def __init__(self, receivers: Receivers, settings: PeerSettings) -> None:
@@ -205,7 +205,7 @@
     settings: PeerSettings,
     stream: Any,
 ) -> None:
-    servant = PeerServant(receivers, settings)
+    servant = PeerCallServer(receivers, settings)
     server = capnp.TwoPartyServer(stream, bootstrap=servant)
     await server.on_disconnect()
 
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -39,8 +39,8 @@
     give_back(state, attempt, now_ms)
     job = state.jobs[attempt.job_id]
     position = position_of(attempt)
-    if job.moving.get(position) == attempt.attempt_id:
-        job.moving.pop(position)
+    if job.replaced_attempts.get(position) == attempt.attempt_id:
+        job.replaced_attempts.pop(position)
 
 
 @ATTEMPT_ACTIONS.register('note_started')
@@ -56,7 +56,7 @@
     step_job(state, job, JobEvent.TASK_STARTED, now_ms)
     if attempt.replaces is None:
         return
-    job.moving.pop(position_of(attempt), None)
+    job.replaced_attempts.pop(position_of(attempt), None)
     replaced = job.attempts.get(attempt.replaces)
     if replaced is not None:
         ask_to_stop(state, replaced, StopReason.MOVED, now_ms)
--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -192,7 +192,7 @@
         return Obstacle.NO_CONTRACT
     if state.restricted and not starts_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
-    if state.jobs[group.head()].moving:
+    if state.jobs[group.head()].replaced_attempts:
         # A replacement holds the room of its replica twice for a moment.
         return None
     if not may_hold(account, group_size_at_once(state, group)):
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -129,7 +129,9 @@
     for other in account.groups.values():
         if other.urgent is group.urgent:
             others = other.jobs.values()
-            ahead_count += sum(row.order < job.order for row in others)
+            ahead_count += sum(
+                row.acceptance_number < job.acceptance_number for row in others
+            )
         elif other.urgent:
             ahead_count += len(other.jobs)
     return ahead_count
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -15,7 +15,7 @@
 from fuchsiarill.workers import HostEntry, HostState
 
 
-def take_over_hosts(
+def apply_host_list(
     state: CoreState,
     entries: tuple[HostEntry, ...],
     now_ms: int,
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -63,7 +63,7 @@
             if image.ended is None:
                 yield from _records_of(live_id, image)
 
-    def forget_ended(self) -> None:
+    def evict_ended_jobs(self) -> None:
         """Drop the jobs that ended first beyond the limit."""
         while len(self.ended) > ENDED_MAX_COUNT:
             oldest = next(iter(self.ended))
@@ -80,7 +80,7 @@
     image = LedgerImage()
     for record in journal:
         image.apply(record)
-    image.forget_ended()
+    image.evict_ended_jobs()
     return image
 
 
@@ -134,7 +134,7 @@
         state=image.ended or JobState.ACCEPTING,
         waiting=[],
         results=dict(image.finished),
-        order=len(state.jobs) + 1,
+        acceptance_number=len(state.jobs) + 1,
     )
     state.jobs[job_id] = job
     key = (image.spec.customer, image.spec.idempotency_key)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -23,12 +23,12 @@
 from fuchsiarill.core.decision_round import decide
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
-from fuchsiarill.core.hosts import apply_draining, take_over_hosts
+from fuchsiarill.core.hosts import apply_draining, apply_host_list
 from fuchsiarill.core.leases import extend_leases, lapse
 from fuchsiarill.core.ledger import restore
 from fuchsiarill.core.ordering import apply_ageing
 from fuchsiarill.core.quotas import account_of, apply_contracts
-from fuchsiarill.core.reports import take_over_report
+from fuchsiarill.core.reports import apply_report
 from fuchsiarill.core.snapshot import snapshot
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import (
@@ -122,7 +122,7 @@
 
     def hosts_listed(self, entries: tuple[HostEntry, ...], now_ms: int) -> None:
         """Take over what the host list says."""
-        take_over_hosts(self.state, entries, now_ms)
+        apply_host_list(self.state, entries, now_ms)
 
     def worker_reported(
         self,
@@ -139,7 +139,7 @@
             return
         if requested_at_ms is None:
             requested_at_ms = now_ms
-        take_over_report(self.state, worker, report, now_ms, requested_at_ms)
+        apply_report(self.state, worker, report, now_ms, requested_at_ms)
 
     def worker_silent(self, worker_id: WorkerId, now_ms: int) -> None:
         """Note that a worker has not answered for too long."""
@@ -214,7 +214,7 @@
             accepted_at_ms=now_ms,
             state=JobState.ACCEPTING,
             waiting=list(range(spec.tasks_count)),
-            order=self.state.jobs_count,
+            acceptance_number=self.state.jobs_count,
             volatile=self.state.restricted,
         )
         self.state.jobs[job.job_id] = job
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -28,7 +28,7 @@
 }
 
 
-def take_over_report(
+def apply_report(
     state: CoreState,
     worker: WorkerView,
     report: WorkerReport,
--- a/fuchsiarill/front/health_routes.py
+++ b/fuchsiarill/front/health_routes.py
@@ -31,4 +31,4 @@
 def metrics(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Write the metrics in the text format of Prometheus."""
     measures = front.ask(front.receivers.process, GetMeasures)
-    return HttpReply(HTTPStatus.OK, front.metrics.written(measures))
+    return HttpReply(HTTPStatus.OK, front.metrics.render(measures))
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -18,8 +18,8 @@
 from fuchsiarill.graphs.model import BornMs, Ticket
 from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.peers import ask_peer
-from fuchsiarill.graphs.ports import OneAtATime
+from fuchsiarill.graphs.peers import request_advice_from_peer
+from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import ProcessId, WorkerId
 
 _OWN_LANE: Final = ProcessId('')
@@ -70,7 +70,7 @@
     def __init__(
         self,
         process: ProcessId,
-        port: OneAtATime,
+        port: BusyTrackingAdvisor,
         links: PeerLinks,
         timeout_ms: int,
     ) -> None:
@@ -176,7 +176,7 @@
             granted = await self._ask_service(ask)
             self.mailbox.send(_LaneFree(lane, message, granted))
             return
-        advice = await ask_peer(
+        advice = await request_advice_from_peer(
             self._links,
             lane,
             ask.step,
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -30,10 +30,10 @@
 def _worker_row(view: WorkerView) -> dict[str, Any]:
     return {
         'worker': view.worker,
-        'standing': view.standing.value,
+        'standing': view.availability.value,
         'is_listed': view.is_listed,
         'is_recorded': view.is_recorded,
         'runs_count': len(view.runs),
         'free': view.free.as_tuple(),
-        'suspended_until_ms': view.trust.suspended_until_ms,
+        'suspended_until_ms': view.failure_record.suspended_until_ms,
     }
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -34,7 +34,7 @@
     progress: tuple[KvItem, ...]
     revisions: dict[StoreKey, Revision]
     # The owner before can order nothing any more.
-    is_former_over: bool
+    is_previous_owner_inactive: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -62,7 +62,7 @@
             if channel is None or channel.agent.address != entry.address:
                 self.open(entry.worker, entry.address)
 
-    def carry(self, order: Order) -> None:
+    def send_order(self, order: Order) -> None:
         """Send an order to the channel of its worker."""
         channel = self._channels.get(order.worker)
         if channel is not None:
@@ -88,14 +88,14 @@
         if channel is not None:
             channel.mailbox.send(EndsDurable(seen.born_ms, seen.sequence))
 
-    def forget_former(self, now_ms: int) -> bool:
+    def remove_gone_workers(self, now_ms: int) -> bool:
         """Forget workers that are gone; tells whether there was one."""
         is_changed = False
         for view in list(self._core.state.workers):
             if view.is_listed or view.runs:
                 self._unlisted_ms.pop(view.worker, None)
                 continue
-            if now_ms <= view.lapse_ms:
+            if now_ms <= view.lease_expiry_ms:
                 self._let_lapse(view, now_ms)
                 continue
             self._core.state.workers.remove(view.worker)
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -22,7 +22,7 @@
     StartRun,
     StopRun,
 )
-from fuchsiarill.graphs.job_loading import take_jobs
+from fuchsiarill.graphs.job_loading import load_jobs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
 from fuchsiarill.graphs.prefix_watch import (
@@ -70,7 +70,7 @@
             term=loaded.fleet.term + 1,
             owner=term.owner,
         )
-        self._is_former_over = loaded.is_former_over
+        self._is_former_over = loaded.is_previous_owner_inactive
         self.core = GraphCore(
             term.pool,
             term.epoch,
@@ -78,14 +78,14 @@
             self._fleet.term,
         )
         self.core.configure(term.config)
-        self._directory = WorkerDirectory(term.pool, context.ports.directory)
+        self._directory = WorkerDirectory(term.pool, context.ports.documents)
         self._writer = RecordWriter(
             context.ports.store,
             (keys.owner_key(term.pool), Revision(term.epoch)),
             settings.calls.store_timeout_ms,
             self.mailbox,
         )
-        self._writer.know(loaded.revisions)
+        self._writer.add_revisions(loaded.revisions)
         self._saver = ProgressSaver(
             self.core,
             self._writer.mailbox,
@@ -113,7 +113,7 @@
         self.tick_every(_TICK_MS, messages.PoolTick())
         self._writer.start()
         for member in self._fleet.members:
-            self.core.expect_worker(
+            self.core.add_inherited_worker(
                 member.worker,
                 member.address,
                 now_ms() + self._longest_leases_ms(),
@@ -151,7 +151,7 @@
     @handles(PrefixListed)
     async def on_listed(self, message: PrefixListed) -> None:
         """Take over a whole list after a gap."""
-        if message.prefix == self._context.ports.directory.workers_prefix:
+        if message.prefix == self._context.ports.documents.workers_prefix:
             self._directory.replace(message.items)
             self._list_workers()
             return
@@ -160,7 +160,7 @@
     @handles(PrefixChanged)
     async def on_changed(self, message: PrefixChanged) -> None:
         """Take over changes of the directory, or what callers ask."""
-        if message.prefix == self._context.ports.directory.workers_prefix:
+        if message.prefix == self._context.ports.documents.workers_prefix:
             if self._directory.change(message.items):
                 self._list_workers()
             return
@@ -226,7 +226,7 @@
         if message.granted is None:
             self.core.advice_failed(message.step, now_ms())
         else:
-            self.core.advised(
+            self.core.advice_received(
                 message.step,
                 message.asked,
                 message.granted,
@@ -257,7 +257,7 @@
         # The time of day may jump, so it is read anew each time.
         self.core.state.unix_offset_ms = time.time_ns() // _NS_PER_MS - now
         self.core.tick(now)
-        if self.channels.forget_former(now):
+        if self.channels.remove_gone_workers(now):
             self._saver.save_fleet()
         self._plan_decision()
 
@@ -316,7 +316,7 @@
         entry = self.core.state.jobs.get(ask.step.job)
         if entry is None or not entry.is_active:
             return False
-        step = self.core.state.known_step(ask.step)
+        step = self.core.state.find_unfinished_step(ask.step)
         if step is None or not step.waiting:
             return False
         return self._term.guard.may_order()
@@ -345,7 +345,7 @@
             after=jobs_revision,
         )
         workers = PrefixWatchSettings(
-            self._context.ports.directory.workers_prefix,
+            self._context.ports.documents.workers_prefix,
             wait_ms,
             timeout_ms,
             pause_ms=_DIRECTORY_PAUSE_MS,
@@ -361,12 +361,12 @@
         found: tuple[KvItem, ...],
         progress_found: tuple[KvItem, ...],
     ) -> None:
-        take_jobs(self.core, found, progress_found, now_ms())
+        load_jobs(self.core, found, progress_found, now_ms())
         self._plan_decision()
 
     def _list_workers(self) -> None:
         entries = self._directory.entries()
-        self.core.list_workers(entries, now_ms())
+        self.core.update_workers(entries, now_ms())
         self.channels.follow(entries)
         if any(not view.is_recorded for view in self.core.state.workers):
             self._saver.save_fleet()
@@ -383,16 +383,16 @@
 
 
 @EFFECTS.register(StartRun)
-def _carry_start(owner: PoolOwner, effect: StartRun) -> None:
+def _send_start(owner: PoolOwner, effect: StartRun) -> None:
     owner.observe_start(effect)
-    owner.channels.carry(effect)
+    owner.channels.send_order(effect)
 
 
 @EFFECTS.register(StopRun)
 @EFFECTS.register(PaceRun)
 @EFFECTS.register(RequestReport)
-def _carry_order(owner: PoolOwner, effect: Order) -> None:
-    owner.channels.carry(effect)
+def _send_order(owner: PoolOwner, effect: Order) -> None:
+    owner.channels.send_order(effect)
 
 
 @EFFECTS.register(RequestAdvice)
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -200,7 +200,7 @@
                 self.exit_status = 1
 
     def _prefixes(self) -> tuple[str, ...]:
-        return (keys.CONTROL_PREFIX, self._ports.directory.config_prefix)
+        return (keys.CONTROL_PREFIX, self._ports.documents.config_prefix)
 
     def _feed(self, prefix: str) -> PrefixWatcher:
         settings = PrefixWatchSettings(
@@ -224,7 +224,7 @@
 
     def _take_config(self, items: Iterable[KvItem]) -> None:
         for item in items:
-            if item.key != self._ports.directory.config_key:
+            if item.key != self._ports.documents.config_key:
                 continue
             if item.value is None:
                 continue
@@ -232,7 +232,7 @@
 
     def _take_document(self, item: KvItem, content: bytes) -> None:
         try:
-            config = self._ports.directory.read_config(content)
+            config = self._ports.documents.read_config(content)
         except DocumentError as error:
             events.emit(
                 events.DOCUMENT_UNREADABLE,
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -80,7 +80,7 @@
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Note that an order that extends all leases of a worker leaves."""
-    view.lapse_ms = now_ms + state.leases.longest_ms
+    view.lease_expiry_ms = now_ms + state.leases.longest_ms
 
 
 def _is_serving(state: PoolState, run: Run) -> bool:
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -36,7 +36,7 @@
 END_KINDS: Final[Registry[EndKind, _Handler]] = Registry('kinds of ends')
 
 
-def take_end(
+def apply_run_end(
     state: PoolState,
     view: WorkerView,
     row: EndRow,
@@ -72,7 +72,7 @@
 @END_KINDS.register(EndKind.SUCCEEDED)
 def _succeeded(context: EndContext) -> None:
     state, entry, step = context.state, context.entry, context.step
-    worker_suspension.note_success(context.view)
+    worker_suspension.record_success(context.view)
     if context.run is not None:
         duration_ms = context.now_ms - context.run.ordered_ms
         state.run_times.add(
@@ -109,7 +109,7 @@
 @END_KINDS.register(EndKind.FAILED)
 def _failed(context: EndContext) -> None:
     state, entry, unit = context.state, context.entry, context.unit
-    worker_suspension.note_failure(
+    worker_suspension.record_failure(
         context.view, context.row.task, context.now_ms
     )
     unit.failed_on.add(context.view.worker)
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -31,7 +31,7 @@
         worker=view.worker,
         percent=run.progress_percent,
     )
-    worker_suspension.note_failure(view, run.task, now_ms)
+    worker_suspension.record_failure(view, run.task, now_ms)
     step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -16,19 +16,19 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner import campaign_messages, messages
-from fuchsiarill.owner.campaign_state import Contest, Helpers, Lease
+from fuchsiarill.owner.campaign_state import ElectionTimer, Helpers, Lease
 from fuchsiarill.owner.claims import (
     OwnerLocated,
     acquire,
     new_claim,
     parse_claim,
 )
-from fuchsiarill.owner.election_delay import contest_delay_ms
+from fuchsiarill.owner.election_delay import election_delay_ms
 from fuchsiarill.owner.journal_format import JournalFault
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
-from fuchsiarill.owner.partition_service import Ports, Serving
+from fuchsiarill.owner.partition_service import PartitionService, Ports
 from fuchsiarill.owner.takeover import Takeover
 from fuchsiarill.registry import Registry
 from fuchsiarill.settings import ProcessSettings
@@ -69,7 +69,7 @@
         self.state = PARTITION_CHART.initial
         self.lease = Lease()
         self.helpers = Helpers()
-        self.contest = Contest()
+        self.election = ElectionTimer()
         self.reason = ''
 
     def start(self) -> None:
@@ -79,7 +79,7 @@
 
     async def stop(self) -> None:
         """Stop at once, without handing over; the lease lapses."""
-        self.contest.cancel()
+        self.election.cancel()
         self.lease.cancel()
         await super().stop()
         await self.helpers.end()
@@ -120,14 +120,14 @@
         claim = parse_claim(message.found)
         self.router.send(OwnerLocated(self.partition, claim, mailbox=None))
         if message.found.value is not None:
-            self.contest.cancel()
+            self.election.cancel()
             return
-        if self.contest.is_leaving:
+        if self.election.is_leaving:
             return
-        loads = self.contest.loads
+        loads = self.election.loads
         process = self.settings.process
-        delay_ms = contest_delay_ms(self.partition, process, loads)
-        self.contest.plan(delay_ms, self.mailbox)
+        delay_ms = election_delay_ms(self.partition, process, loads)
+        self.election.plan(delay_ms, self.mailbox)
 
     @handles(campaign_messages.CandidatesUpdated)
     async def on_candidates(
@@ -135,14 +135,14 @@
         message: campaign_messages.CandidatesUpdated,
     ) -> None:
         """Note who else may claim the partition."""
-        self.contest.loads = message.loads
+        self.election.loads = message.loads
         if self.helpers.watch is not None:
             self.helpers.watch.mailbox.send(message)
 
     @handles(campaign_messages.ElectionDue)
     async def on_due(self, message: campaign_messages.ElectionDue) -> None:
         """Claim the partition if it is still vacant."""
-        if not self.contest.is_leaving:
+        if not self.election.is_leaving:
             await self.step(PartitionEvent.VACANT)
 
     @handles(campaign_messages.LeaseRenewed)
@@ -195,9 +195,9 @@
         """Give the partition back; a journal in doubt is left alone."""
         if not self.lease.has(message.token):
             return
-        self.contest.pause(_RETRY_TAKEOVER_MS)
+        self.election.pause(_RETRY_TAKEOVER_MS)
         if message.fault in _UNREADABLE:
-            self.contest.pause(_REFUSED_JOURNAL_RETRY_MS)
+            self.election.pause(_REFUSED_JOURNAL_RETRY_MS)
             events.emit(
                 events.JOURNAL_REFUSED,
                 partition=self.partition,
@@ -216,13 +216,13 @@
     async def on_outage(self, message: messages.StoreOutageConfirmed) -> None:
         """Tell the owner that its tasks may go on."""
         if self.helpers.serving is not None:
-            self.helpers.serving.tell_owner(message)
+            self.helpers.serving.notify_owner(message)
 
     @handles(messages.HandOver)
     async def on_hand_over(self, message: messages.HandOver) -> None:
         """Give up the partition for good, with its work finished."""
-        self.contest.is_leaving = True
-        self.contest.cancel()
+        self.election.is_leaving = True
+        self.election.cancel()
         self.reason = 'the process shuts down'
         self.helpers.is_finished = True
         was_owner = self.helpers.serving is not None
@@ -321,7 +321,7 @@
     journal = campaign.helpers.journal
     if journal is None:
         return
-    serving = Serving(
+    serving = PartitionService(
         campaign.settings,
         campaign.config,
         campaign.ports,
@@ -362,7 +362,7 @@
     if held is not None:
         # Frees the partition at once where the store still knows the lease.
         await campaign.ports.store.revoke_lease(held.lease_id)
-    if not campaign.contest.is_leaving:
+    if not campaign.election.is_leaving:
         campaign.watch()
 
 
--- a/fuchsiarill/owner/late_requests.py
+++ b/fuchsiarill/owner/late_requests.py
@@ -25,7 +25,9 @@
 )
 
 
-async def refuse_callers(mailbox: Mailbox, partition: PartitionId) -> None:
+async def refuse_late_requests(
+    mailbox: Mailbox, partition: PartitionId
+) -> None:
     """Answer callers in the mailbox of a stopped owner for some time."""
     with suppress(TimeoutError):
         async with asyncio.timeout(_LATE_MS / MS_PER_SECOND):
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -29,13 +29,13 @@
         log: SeenLog,
         network: Network,
         processes: dict[str, ReplayedProcess],
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
-        """Ask `processes`, chosen by `chance` where none is named."""
+        """Ask `processes`, chosen by `random_source` where none is named."""
         self._log = log
         self._network = network
         self._processes = processes
-        self._chance = chance
+        self._random_source = random_source
         self._endpoint = Endpoint('operator', CLIENT_DOMAIN)
         self._draining: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -54,7 +54,7 @@
         if not alive:
             self._refused(author, _NO_ANSWER)
             return
-        process = self._chance.choice(alive)
+        process = self._random_source.choice(alive)
         task = asyncio.create_task(
             self._change(
                 process, partial(_changed_text, changes, text), author
--- a/fuchsiarill/replay/simulated_environment.py
+++ b/fuchsiarill/replay/simulated_environment.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Surroundings:
+class SimulatedEnvironment:
     """Everything outside of a process that it can reach.
 
     `listeners` maps the peer address of a process to how calls reach it.
@@ -32,23 +32,23 @@
 def process_ports(
     settings: ProcessSettings,
     endpoint: Endpoint,
-    surroundings: Surroundings,
+    environment: SimulatedEnvironment,
 ) -> Ports:
     """Return the ports of one process."""
-    network = surroundings.network
+    network = environment.network
     return Ports(
-        ProcessStore(settings.store, network, endpoint, surroundings.store),
+        ProcessStore(settings.store, network, endpoint, environment.store),
         ProcessHostList(
             settings.host_list,
             network,
             endpoint,
-            surroundings.host_list,
+            environment.host_list,
         ),
         ProcessWorkers(
             settings.workers,
             network,
             endpoint,
-            surroundings.workers,
+            environment.workers,
         ),
     )
 
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -225,7 +225,7 @@
         incarnation: int,
         membership: MembershipSettings | None = None,
     ) -> None:
-        chance = random.Random(f'{process} {incarnation}')
+        random_source = random.Random(f'{process} {incarnation}')
         store = FakeStore(cell, process)
         peers = FakePeers(cell, process)
         self._cell = cell
@@ -241,14 +241,14 @@
             ),
             Directory(store),
             peers,
-            chance,
+            random_source,
         )
         self.config = ConfigSpread(
             ConfigSettings(),
             store,
             peers,
             parse_in_loop,
-            chance,
+            random_source,
         )
         self.recorder = _Recorder(self.membership.mailbox)
         self.config.membership = self.recorder
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -126,7 +126,7 @@
             if worker.is_leaving:
                 listed = replace(listed, listing=WorkerListing.LEAVING)
             entries.append(listed)
-        self.owner.core.list_workers(entries, self.now_ms)
+        self.owner.core.update_workers(entries, self.now_ms)
         self.owner.core.record_workers(
             [listed.worker for listed in entries],
         )
@@ -320,7 +320,7 @@
             for worker in asked
             if is_allowed(ask.step.job, worker)
         }
-        self.owner.core.advised(
+        self.owner.core.advice_received(
             ask.step,
             asked,
             granted,
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -19,7 +19,7 @@
 )
 from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.ports import OneAtATime
+from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from tests.graph_owner import (
@@ -51,7 +51,7 @@
     valid_ms: int = _VALID_MS,
 ) -> None:
     """Let the advice service allow the worker."""
-    owner.core.advised(step, LIVES, GRANT, owner.now_ms + valid_ms)
+    owner.core.advice_received(step, LIVES, GRANT, owner.now_ms + valid_ms)
 
 
 def test_lost_answer_does_not_end_the_asking() -> None:
@@ -73,7 +73,7 @@
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
     assert len(asks(owner)) == 1
     owner.report('w0', born_ms=9)
-    owner.core.advised(STEP, LIVES, {}, owner.now_ms + _VALID_MS)
+    owner.core.advice_received(STEP, LIVES, {}, owner.now_ms + _VALID_MS)
     assert len(asks(owner)) == 1
 
 
@@ -158,7 +158,7 @@
 
 def ask_once(
     links: PeerLinks,
-    port: OneAtATime,
+    port: BusyTrackingAdvisor,
     receiver: Mailbox,
 ) -> Advisor:
     """Start an advisor that is asked once."""
@@ -179,7 +179,7 @@
     """
 
     async def main() -> None:
-        port = OneAtATime(_Service())
+        port = BusyTrackingAdvisor(_Service())
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
         receiver = Mailbox()
@@ -200,7 +200,7 @@
     async def main() -> None:
         receiver = Mailbox()
         service = _Service()
-        port = OneAtATime(service)
+        port = BusyTrackingAdvisor(service)
         links = _Links('p1', is_failing=True)
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
