--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/asking.py
@@ -1,4 +1,4 @@
-"""Decides when to ask which workers may run a step."""
+"""Decides when to request advice on which workers may run a step."""
 
 from typing import Final
 
@@ -7,13 +7,13 @@
 from fuchsiarill.graphs.placement import Request, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
+from fuchsiarill.graphs.worker_waits import NEVER_MS, expected_wait_ms
 from fuchsiarill.ids import WorkerId
 
-# Workers named in one ask; the service's bound.
-_ASKED_MAX_COUNT: Final = 100
-# Travel of an ask and of the start that follows.
-_TRAVEL_MS: Final = 150
+# The advice service accepts at most this many workers in one request.
+_WORKERS_MAX_COUNT: Final = 100
+# Network time of a request and of the start order that follows it.
+_TRANSIT_MS: Final = 150
 
 
 def allowed_workers(
@@ -21,7 +21,10 @@
     request: Request,
     candidates: list[WorkerView],
 ) -> list[WorkerView]:
-    """Return the workers that are known to be allowed to run the step."""
+    """Return the candidates that the advice service is known to allow.
+
+    A queue without advice allows all candidates.
+    """
     if request.entry.policy.advice is None:
         return candidates
     return [
@@ -31,61 +34,67 @@
     ]
 
 
-def ask(
+def request_advice(
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
 ) -> bool:
-    """Ask for advice where it could help; tells whether to look again."""
+    """Request tickets for candidates that have none.
+
+    Returns whether a request for the step is in progress.
+    """
     policy = request.entry.policy.advice
     if policy is None:
         return False
     step = request.step
-    if not state.tickets.may_ask(step.key, request.now_ms):
+    if not state.tickets.may_request(step.key, request.now_ms):
         return True
-    without = [
+    unticketed = [
         view
         for view in candidates
         if state.tickets.ticket_for(step.key, view, request.now_ms) is None
     ]
-    known = _soon_free(state, request, without, policy)
-    unknown = _unknown(state, request, without)
-    asked = ([view.worker for view in known] + unknown)[:_ASKED_MAX_COUNT]
-    if not asked:
+    soon = _soon_available(state, request, unticketed, policy)
+    unknown = _workers_without_answer(state, request, unticketed)
+    requested = ([view.worker for view in soon] + unknown)[:_WORKERS_MAX_COUNT]
+    if not requested:
         return False
-    _keep_room(request, known, _duration_ms(policy, len(asked)))
-    state.tickets.asked(step.key, request.now_ms)
-    state.effects.append(AskAdvice(step.key, tuple(asked), step.rank_ms))
+    _reserve_room(request, soon, _duration_ms(policy, len(requested)))
+    state.tickets.request_sent(step.key, request.now_ms)
+    state.effects.append(AskAdvice(step.key, tuple(requested), step.rank_ms))
     return True
 
 
-def _soon_free(
+def _soon_available(
     state: PoolState,
     request: Request,
     views: list[WorkerView],
     policy: AdvicePolicy,
 ) -> list[WorkerView]:
-    """Return allowed workers that have room when the tickets arrive.
+    """Return the allowed workers expected to have room when tickets arrive.
 
-    Those that have it sooner come first.
+    Sorted by the expected time until they have room.
     """
     within_ms = _duration_ms(policy, 1)
     waits = {
-        view.worker: wait_ms(state, request, view)
+        view.worker: expected_wait_ms(state, request, view)
         for view in allowed_workers(state, request, views)
     }
-    known = [
+    soon = [
         view for view in views if waits.get(view.worker, NEVER_MS) <= within_ms
     ]
-    return sorted(known, key=lambda view: waits[view.worker])
+    return sorted(soon, key=lambda view: waits[view.worker])
 
 
-def _unknown(
+def _workers_without_answer(
     state: PoolState,
     request: Request,
     views: list[WorkerView],
 ) -> list[WorkerId]:
-    """Return workers of which it is not known whether they are allowed."""
+    """Return workers that the advice service has not allowed so far.
+
+    Workers on which a task of the step can never fit are left out.
+    """
     step = request.step
     return [
         view.worker
@@ -95,15 +104,15 @@
     ]
 
 
-def _keep_room(
+def _reserve_room(
     request: Request,
     views: list[WorkerView],
     duration_ms: int,
 ) -> None:
-    """Keep room for the step until its tickets are there.
+    """Reserve room for the step until its tickets arrive.
 
-    Otherwise a step of a higher rank that holds a ticket by chance takes the
-    room, again and again.
+    Without it, a step that is served later and happens to hold a ticket takes
+    the room repeatedly.
     """
     step = request.step
     for view in views:
@@ -113,6 +122,6 @@
 
 
 def _duration_ms(policy: AdvicePolicy, workers_count: int) -> int:
-    """Return how long an ask takes."""
-    asked_ms = policy.decision_ms + policy.interval_ms * workers_count
-    return int(asked_ms) + _TRAVEL_MS
+    """Return the expected time from a request to the start of a task."""
+    service_ms = policy.decision_ms + policy.interval_ms * workers_count
+    return int(service_ms) + _TRANSIT_MS
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -1,7 +1,7 @@
 """Decisions about one pool: jobs, workers and runs; no I/O.
 
-The owner feeds in what it learns, with the runtime clock in `now_ms`, and
-carries out the effects that `take_effects` returns.
+The owner passes in reports, answers and records, with the runtime clock in
+`now_ms`, and executes the effects that `take_effects` returns.
 """
 
 from collections import Counter
@@ -42,8 +42,9 @@
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
-# A worker that answers like this may take nothing more for now.
-_SILENCING = frozenset(
+# A worker that refuses a start for one of these reasons gets no new run until
+# it has reported again.
+_AVAILABILITY_FAILURES = frozenset(
     (
         AgentFailure.UNHEALTHY,
         AgentFailure.NOT_SENT,
@@ -54,7 +55,7 @@
 
 
 class GraphCore:
-    """What the owner of a pool knows, and what follows from it."""
+    """State of a pool and the decisions of its owner."""
 
     def __init__(
         self,
@@ -63,12 +64,16 @@
         leases: TaskLeaseSettings,
         term: int,
     ) -> None:
-        """Start an owner's term; `term` counts the owners of the pool."""
+        """Create the state of a new owner; `term` counts the pool's owners."""
         self.state = PoolState(pool, epoch, leases)
         self._term = term
 
     def configure(self, config: GraphConfig) -> None:
-        """Take over the configuration for jobs that come from now on."""
+        """Apply a configuration.
+
+        Known jobs get the new policy of their queue, or keep the old one if
+        the queue has been removed.
+        """
         self.state.config = config
         for entry in self.state.jobs.values():
             policy = config.queues.get(entry.graph.queue)
@@ -84,7 +89,11 @@
         *,
         is_inherited: bool,
     ) -> None:
-        """Take over an accepted job; a known one is ignored."""
+        """Add an accepted job; a known job is ignored.
+
+        `is_inherited` tells that the job was accepted before this owner was
+        elected.
+        """
         if graph.job in self.state.jobs:
             return
         expected_ms = tuple(
@@ -105,21 +114,21 @@
             step_job(self.state, entry, JobPhaseEvent.ALL_SUCCEEDED, now_ms)
 
     def cancel_job(self, job: JobId, now_ms: int) -> None:
-        """Cancel a job and stop what runs of it."""
+        """Cancel a job and stop its runs."""
         entry = self.state.jobs.get(job)
         if entry is not None:
             step_job(self.state, entry, JobPhaseEvent.CANCEL_SEEN, now_ms)
 
     def forget_job(self, job: JobId) -> None:
-        """Drop a settled job."""
+        """Remove a settled job."""
         self.state.jobs.pop(job, None)
 
     def list_workers(self, entries: Iterable[WorkerEntry], now_ms: int) -> None:
-        """Take over the directory's entries of the pool."""
-        for worker in self.state.workers.list_entries(entries):
+        """Apply the directory's entries of the pool, the complete list."""
+        for worker in self.state.workers.update_entries(entries):
             view = self.state.workers.find(worker)
             if view is not None and view.born_ms:
-                self._reborn(view, now_ms)
+                self._reset_if_restarted(view, now_ms)
         self.state.free_version += 1
 
     def expect_worker(
@@ -128,13 +137,16 @@
         address: str,
         lapse_ms: int,
     ) -> None:
-        """Note a worker to which an owner before may have given work."""
+        """Add a worker on which a previous owner may have started runs.
+
+        Task leases granted by that owner have ended after `lapse_ms`.
+        """
         view = self.state.workers.add(worker, address)
         view.is_recorded = True
         view.lapse_ms = max(view.lapse_ms, lapse_ms)
 
     def record_workers(self, workers: Iterable[WorkerId]) -> None:
-        """Note that workers stand in the durable fleet record."""
+        """Mark workers as contained in the durable fleet record."""
         for worker in workers:
             view = self.state.workers.find(worker)
             if view is not None:
@@ -142,7 +154,7 @@
         self.state.free_version += 1
 
     def renewal_sent(self, worker: WorkerId, now_ms: int) -> None:
-        """Note that everything on a worker may run for one more lease."""
+        """Extend the task leases of a worker: a renewal has been sent."""
         view = self.state.workers.find(worker)
         if view is not None:
             extend_leases(self.state, view, now_ms)
@@ -151,14 +163,14 @@
         self,
         worker: WorkerId,
         report: WorkerReport,
-        asked_ms: int,
+        requested_ms: int,
         now_ms: int,
     ) -> None:
-        """Take a report into account."""
+        """Apply the report that answers the renewal sent at `requested_ms`."""
         view = self.state.workers.find(worker)
         if view is None:
             return
-        reports.take_report(self.state, view, report, asked_ms, now_ms)
+        reports.apply_report(self.state, view, report, requested_ms, now_ms)
         self.state.free_version += 1
 
     def worker_failed(
@@ -167,7 +179,10 @@
         failure: AgentFailure,
         now_ms: int,
     ) -> None:
-        """Note that a renewal got no report."""
+        """Mark a worker as unconfirmed after a failed renewal.
+
+        Its leases end at once if the failure proves that it has ended.
+        """
         view = self.state.workers.find(worker)
         if view is None:
             return
@@ -180,7 +195,7 @@
                 failure=failure.value,
                 runs=len(view.runs),
             )
-        if _has_ended(view, failure):
+        if _proves_worker_end(view, failure):
             view.lapse_ms = now_ms
 
     def start_answered(
@@ -191,19 +206,19 @@
         failure: AgentFailure | None,
         now_ms: int,
     ) -> None:
-        """Take the outcome of an order to start into account."""
+        """Apply the outcome of a start order, started without a `failure`."""
         run = self._find_run(worker, task, attempt)
         if run is None:
             return
         if failure is None:
-            if run.state is RunState.STARTING and run.listed_from_ms is None:
-                run.listed_from_ms = now_ms
+            if run.state is RunState.STARTING and run.visible_since_ms is None:
+                run.visible_since_ms = now_ms
             step_run(self.state, run, RunEvent.CONFIRMED, now_ms)
             return
         if failure is AgentFailure.UNKNOWN:
             step_run(self.state, run, RunEvent.UNANSWERED, now_ms)
             return
-        self._refused(run, failure, now_ms)
+        self._handle_refusal(run, failure, now_ms)
 
     def stop_answered(
         self,
@@ -213,82 +228,89 @@
         failure: AgentFailure | None,
         now_ms: int,
     ) -> None:
-        """Take the outcome of an order to stop into account."""
+        """Apply the outcome of a stop order, and request a report.
+
+        Ticks repeat a failed order.
+        """
         run = self._find_run(worker, task, attempt)
         if run is None or failure is not None:
             return
         run.is_stop_answered = True
-        run.listed_from_ms = now_ms
+        run.visible_since_ms = now_ms
         self.state.effects.append(LookAt(worker))
 
     def advised(
         self,
         step: StepKey,
-        asked: dict[WorkerId, BornMs],
+        requested: dict[WorkerId, BornMs],
         granted: dict[WorkerId, Ticket],
         expiry_ms: int,
     ) -> None:
-        """Take over tickets for a step.
+        """Store the tickets for a step, and which workers got none.
 
-        What was asked of a former life of a worker says nothing of this one.
+        Workers that have restarted since the request are ignored: the answer
+        does not hold for the new incarnation.
         """
-        asked = {
+        requested = {
             worker: born_ms
-            for worker, born_ms in asked.items()
-            if self._is_same_life(worker, born_ms)
+            for worker, born_ms in requested.items()
+            if self._is_same_incarnation(worker, born_ms)
         }
-        self.state.tickets.advised(step, asked, granted, expiry_ms)
+        self.state.tickets.store_answer(step, requested, granted, expiry_ms)
         events.emit(
             events.STEP_ADVISED,
             job=step.job,
             step=f'{step.occurrence}.{step.step}',
-            asked=len(asked),
+            asked=len(requested),
             granted=len(granted),
             workers=','.join(sorted(granted)),
         )
         self._unblock(step)
 
     def advice_failed(self, step: StepKey, now_ms: int) -> None:
-        """Note that an ask for advice got no answer."""
-        self.state.tickets.unanswered(step, now_ms)
+        """Allow a new request for advice after one without an answer."""
+        self.state.tickets.request_failed(step, now_ms)
         self._unblock(step)
 
     def tick(self, now_ms: int) -> None:
-        """Do what time alone brings."""
+        """Run all periodic actions."""
         for name in TICKS:
             TICKS.lookup(name)(self.state, now_ms)
         self.state.free_version += 1
 
     def decide(self, now_ms: int) -> None:
-        """Start what can start."""
+        """Place waiting units and start them."""
         deciding.decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
-        """Return and drop the effects of the calls so far."""
+        """Return and clear the effects of the calls so far."""
         effects = self.state.effects
         self.state.effects = []
         return effects
 
     def take_dirty(self) -> set[JobId]:
-        """Return and drop the jobs whose progress has changed."""
+        """Return and clear the set of jobs whose progress has changed."""
         dirty = self.state.dirty
         self.state.dirty = set()
         return dirty
 
     def pending_counts(self) -> dict[QueueId, int]:
-        """Return for each queue the jobs of which nothing has started."""
+        """Return per queue the number of active jobs without any start."""
         counts: Counter[QueueId] = Counter()
         for entry in self.state.jobs.values():
             if entry.is_active and not entry.progress.has_started:
                 counts[entry.graph.queue] += 1
         return dict(counts)
 
-    def _is_same_life(self, worker: WorkerId, born_ms: BornMs) -> bool:
+    def _is_same_incarnation(self, worker: WorkerId, born_ms: BornMs) -> bool:
         view = self.state.workers.find(worker)
         return view is not None and view.born_ms == born_ms
 
     def _policy(self, graph: JobGraph) -> QueuePolicy:
-        """Return the queue's policy; a removed queue's jobs still run."""
+        """Return the queue's policy, a default one if the queue was removed.
+
+        Jobs of a removed queue still run.
+        """
         config = self.state.config
         policy = config.queues.get(graph.queue) if config else None
         if policy is not None:
@@ -304,7 +326,9 @@
         view = self.state.workers.find(worker)
         return None if view is None else view.runs.get((task, attempt))
 
-    def _refused(self, run: Run, failure: AgentFailure, now_ms: int) -> None:
+    def _handle_refusal(
+        self, run: Run, failure: AgentFailure, now_ms: int
+    ) -> None:
         events.emit(
             events.START_REFUSED,
             job=run.task.job,
@@ -314,18 +338,18 @@
             failure=failure.value,
         )
         if failure is AgentFailure.TICKET_INVALID:
-            self.state.tickets.refuse(run.task.step_key, run.worker)
+            self.state.tickets.discard_ticket(run.task.step_key, run.worker)
         view = self.state.workers.find(run.worker)
         if view is not None and failure is AgentFailure.UNHEALTHY:
-            worker_trust.note_failure(view, run.task, now_ms)
-        if view is not None and failure in _SILENCING:
+            worker_trust.record_failure(view, run.task, now_ms)
+        if view is not None and failure in _AVAILABILITY_FAILURES:
             self.state.workers.step(view, StandingEvent.WENT_SILENT)
-        reports.drop_run(self.state, run, RunEvent.REFUSED, now_ms)
+        reports.end_unreported_run(self.state, run, RunEvent.REFUSED, now_ms)
 
-    def _reborn(self, view: WorkerView, now_ms: int) -> None:
+    def _reset_if_restarted(self, view: WorkerView, now_ms: int) -> None:
         if view.entry is None or view.entry.born_ms <= view.born_ms:
             return
-        reports.start_new_life(self.state, view, now_ms)
+        reports.reset_restarted_worker(self.state, view, now_ms)
         view.born_ms = view.entry.born_ms
         self.state.workers.step(view, StandingEvent.WENT_SILENT)
 
@@ -335,11 +359,11 @@
             found.blocked_version = -1
 
 
-def _has_ended(view: WorkerView, failure: AgentFailure) -> bool:
-    """Tell whether a failure proves that the life of the worker is over."""
+def _proves_worker_end(view: WorkerView, failure: AgentFailure) -> bool:
+    """Tell whether a failure proves that the worker process has ended."""
     if failure is AgentFailure.OTHER_WORKER:
         return True
-    # A worker that left has withdrawn its entry and closed its port. A closed
+    # A worker that leaves withdraws its entry and closes its port. A closed
     # port alone proves nothing: a broken link can reset connections too.
     has_left = view.standing is StandingState.LEAVING and not view.is_listed
     return has_left and failure is AgentFailure.CONNECTION_REFUSED
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -1,4 +1,4 @@
-"""State of the decisions about a pool, as operators see it."""
+"""Dump of a pool's state for operators."""
 
 from typing import Any
 
@@ -8,7 +8,7 @@
 
 
 def dump_core(core: GraphCore) -> dict[str, Any]:
-    """Return the state for a dump."""
+    """Return the state as a document of plain types."""
     state = core.state
     return {
         'jobs_count': len(state.jobs),
@@ -35,5 +35,5 @@
         'is_recorded': view.is_recorded,
         'runs_count': len(view.runs),
         'free': view.free.as_tuple(),
-        'suspended_until_ms': view.trust.suspended_until_ms,
+        'suspended_until_ms': view.failure_record.suspended_until_ms,
     }
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/deciding.py
@@ -5,13 +5,13 @@
 from fuchsiarill import events
 from fuchsiarill.graphs import asking
 from fuchsiarill.graphs.effects import StartRun
-from fuchsiarill.graphs.gang_holds import hold_for_gang
+from fuchsiarill.graphs.gang_holds import reserve_for_gang
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.preempting import preempt
-from fuchsiarill.graphs.run_actions import extend_leases, hold_run
+from fuchsiarill.graphs.run_actions import extend_leases, allocate_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.step_placer import StepPlacer
@@ -19,7 +19,7 @@
 
 
 class _Ranked(NamedTuple):
-    """A step with something to start, by its rank."""
+    """A step with units that can start, sorted by its rank."""
 
     rank_ms: int
     key: StepKey
@@ -28,17 +28,17 @@
 
 
 def decide(state: PoolState, now_ms: int) -> None:
-    """Start what can start, in the order of rank."""
+    """Start waiting units in the order of the ranks of their steps."""
     ranked = [
         _Ranked(rank_ms(entry, step, now_ms), step.key, entry, step)
         for entry in state.jobs.values()
         if _may_start(state, entry)
         for step in entry.steps.values()
-        if _has_work(state, step)
+        if _has_startable_units(state, step)
     ]
     ranked.sort(key=lambda row: row[:2])
     for row in ranked:
-        _serve_step(state, row, now_ms)
+        _schedule_step(state, row, now_ms)
 
 
 def _may_start(state: PoolState, entry: JobEntry) -> bool:
@@ -47,13 +47,13 @@
     return state.is_inheritance_settled or not entry.is_inherited
 
 
-def _has_work(state: PoolState, step: StepEntry) -> bool:
+def _has_startable_units(state: PoolState, step: StepEntry) -> bool:
     if not step.is_open or not step.waiting:
         return False
     return step.blocked_version != state.free_version
 
 
-def _serve_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
+def _schedule_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
     step = row.step
     step.rank_ms = row.rank_ms
     placer = StepPlacer(state)
@@ -61,22 +61,25 @@
         request = Request(row.entry, step, unit, now_ms)
         placed = placer.place(request)
         if placed is None:
-            _help_blocked(state, request, placer.usable(request))
+            _handle_blocked(state, request, placer.usable(request))
             return
         _start(state, request, placed)
 
 
-def _help_blocked(
+def _handle_blocked(
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
 ) -> None:
-    """Make room for a unit that can't be placed, or ask for tickets."""
+    """Make room or request tickets for a unit that could not be placed.
+
+    If neither is in progress, the step is skipped until capacity changes.
+    """
     step = request.step
     allowed = asking.allowed_workers(state, request, candidates)
     if not preempt(state, request, allowed) and step.step.is_gang:
-        hold_for_gang(state, request, allowed)
-    if not asking.ask(state, request, candidates):
+        reserve_for_gang(state, request, allowed)
+    if not asking.request_advice(state, request, candidates):
         step.blocked_version = state.free_version
 
 
@@ -103,13 +106,13 @@
         )
         unit.runs[run.key] = run
         step.runs_per_worker[view.worker] += 1
-        view.take_reservation(step.key)
-        hold_run(state, run)
+        view.consume_reservation(step.key)
+        allocate_run(state, run)
         extend_leases(state, view, request.now_ms)
-        _order(state, request, run, view)
+        _order_start(state, request, run, view)
 
 
-def _order(
+def _order_start(
     state: PoolState,
     request: Request,
     run: Run,
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -1,4 +1,4 @@
-"""Moves work away from workers that leave."""
+"""Moves runs away from workers that leave."""
 
 from typing import Final
 
@@ -11,33 +11,38 @@
 from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.resources import NOTHING
 
-# A leaving worker serves at least this long after its notice.
-_DRAIN_LEFT_MS: Final = 2000
-# A stopped run is listed, started elsewhere and restored meanwhile.
+# Without a stated notice, a leaving worker serves at least this long after it.
+_DEFAULT_NOTICE_MS: Final = 2000
+# Time to stop a run, get its end reported and restore it on another worker.
 _MOVE_MS: Final = 700
 
 
-def leave_workers(state: PoolState, now_ms: int) -> None:
-    """Stop runs on leaving workers that would not end there in time."""
+def drain_workers(state: PoolState, now_ms: int) -> None:
+    """Stop runs on leaving workers that would not end before the worker.
+
+    Lasting runs are stopped at once. Others are stopped as late as possible,
+    and only if they save checkpoints. A run without room on another worker is
+    left running.
+    """
     for view in state.workers:
         if view.standing is not StandingState.LEAVING:
             view.leaving_since_ms = None
             continue
         if view.leaving_since_ms is None:
             view.leaving_since_ms = now_ms
-        _leave(state, view, now_ms)
+        _drain_worker(state, view, now_ms)
 
 
-def _leave(state: PoolState, view: WorkerView, now_ms: int) -> None:
+def _drain_worker(state: PoolState, view: WorkerView, now_ms: int) -> None:
     for run in list(view.runs.values()):
         found = state.find_step(run.task)
         if found is None or run.state is not RunState.RUNNING:
             continue
-        if _has_to_move(state, view, run, found, now_ms):
+        if _must_move(state, view, run, found, now_ms):
             step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
-def _has_to_move(
+def _must_move(
     state: PoolState,
     view: WorkerView,
     run: Run,
@@ -49,17 +54,17 @@
         if not step.step.is_checkpointing:
             return False
         expected_ms = state.run_times.expected_ms(entry.graph.queue, step.step)
-        left_ms = _left_ms(view, now_ms)
-        if expected_ms - (now_ms - run.ordered_ms) <= left_ms:
+        remaining_ms = _remaining_ms(view, now_ms)
+        if expected_ms - (now_ms - run.ordered_ms) <= remaining_ms:
             return False
-        if left_ms >= _MOVE_MS:
+        if remaining_ms >= _MOVE_MS:
             return False
     return _has_room_elsewhere(state, view, step)
 
 
-def _left_ms(view: WorkerView, now_ms: int) -> int:
-    """Return the least time for which the worker goes on."""
-    notice_ms = _DRAIN_LEFT_MS
+def _remaining_ms(view: WorkerView, now_ms: int) -> int:
+    """Return the minimum time until the worker ends."""
+    notice_ms = _DEFAULT_NOTICE_MS
     if view.entry is not None and view.entry.notice_left_ms is not None:
         notice_ms = view.entry.notice_left_ms
     return notice_ms - (now_ms - (view.leaving_since_ms or now_ms))
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -1,4 +1,4 @@
-"""What the decisions ask their surroundings to do."""
+"""Effects of decisions, which the owner of the pool executes."""
 
 from dataclasses import dataclass
 
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Order a worker to end a run and to refuse it from now on."""
+    """Order a worker to end a run and to refuse later starts of it."""
 
     worker: WorkerId
     task: TaskKey
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceRun:
-    """Order a worker to let a run work at a share of its speed."""
+    """Order a worker to run a task at `percent` of its full speed."""
 
     worker: WorkerId
     task: TaskKey
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AskAdvice:
-    """Ask which workers may run a step; a lower `rank_ms` is more urgent."""
+    """Request tickets for a step; a lower `rank_ms` is more urgent."""
 
     step: StepKey
     workers: tuple[WorkerId, ...]
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LookAt:
-    """Ask a worker at once what runs on it."""
+    """Request a report of a worker without waiting for its next renewal."""
 
     worker: WorkerId
 
--- a/fuchsiarill/graphs/ends.py
+++ b/fuchsiarill/graphs/ends.py
@@ -1,4 +1,4 @@
-"""What the end of a run means for its unit and its job."""
+"""Effect of the end of a run on its unit and its job."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 from fuchsiarill.graphs.job_actions import step_job
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import EndKind, EndRow
-from fuchsiarill.graphs.run_actions import step_run, stop_others
+from fuchsiarill.graphs.run_actions import step_run, stop_attempt
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import JobPhaseEvent, RunEvent
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndContext:
-    """An end together with what it ended."""
+    """A reported end with the unit and, if known, the run that it ended."""
 
     state: PoolState
     view: WorkerView
@@ -33,16 +33,16 @@
 
 _Handler = Callable[[EndContext], None]
 
-END_KINDS: Final[Registry[EndKind, _Handler]] = Registry('kinds of ends')
+END_KINDS: Final[Registry[EndKind, _Handler]] = Registry('kinds of run ends')
 
 
-def take_end(
+def apply_run_end(
     state: PoolState,
     view: WorkerView,
     row: EndRow,
     now_ms: int,
 ) -> None:
-    """Take an end that a worker lists into account, once."""
+    """Apply an end that a worker reports; must be called once for each."""
     run = view.runs.get((row.task, row.attempt))
     context = _context(state, view, row, run, now_ms)
     _log_end(state, view, row, run, now_ms)
@@ -72,7 +72,7 @@
 @END_KINDS.register(EndKind.SUCCEEDED)
 def _succeeded(context: EndContext) -> None:
     state, entry, step = context.state, context.entry, context.step
-    worker_trust.note_success(context.view)
+    worker_trust.record_success(context.view)
     if context.run is not None:
         duration_ms = context.now_ms - context.run.ordered_ms
         state.run_times.add(
@@ -83,11 +83,12 @@
         )
     if step.step.is_lasting:
         return
-    entry.succeed(step, context.unit)
-    state.touch(entry.job)
+    entry.complete_unit(step, context.unit)
+    state.mark_dirty(entry.job)
     if not step.waiting and not step.active:
-        state.tickets.forget(step.key)
-    # Members of a gang end together; copies of a task are not needed.
+        state.tickets.remove_step(step.key)
+    # The members of a gang end by themselves, at the same time. Other copies
+    # of a single task are not needed any more.
     for other in list(context.unit.runs.values()):
         if other is context.run:
             continue
@@ -109,14 +110,14 @@
 @END_KINDS.register(EndKind.FAILED)
 def _failed(context: EndContext) -> None:
     state, entry, unit = context.state, context.entry, context.unit
-    worker_trust.note_failure(context.view, context.row.task, context.now_ms)
+    worker_trust.record_failure(context.view, context.row.task, context.now_ms)
     unit.failed_on.add(context.view.worker)
     _returned(context)
     if context.step.step.is_lasting:
         return
     failed = entry.progress.failed_attempts.setdefault(unit.key, set())
     failed.add(context.row.attempt)
-    state.touch(entry.job)
+    state.mark_dirty(entry.job)
     if len(failed) >= entry.policy.attempts_max:
         step_job(state, entry, JobPhaseEvent.ATTEMPTS_USED_UP, context.now_ms)
 
@@ -131,8 +132,9 @@
     if row.checkpoint and context.step.step.is_checkpointing:
         unit.checkpoint = row.checkpoint
         context.entry.progress.checkpoints[unit.key] = row.checkpoint
-    # What is left of a gang works no more; its room is needed.
-    stop_others(
+    # The other members of a gang make no progress without this one, and their
+    # capacity is needed.
+    stop_attempt(
         context.state,
         unit,
         row.attempt,
--- a/fuchsiarill/graphs/gang_holds.py
+++ b/fuchsiarill/graphs/gang_holds.py
@@ -1,7 +1,7 @@
-"""Keeps workers for a gang that waits for others to become free.
+"""Reserves workers for a gang until enough of them are free.
 
-Without this, tasks that need one worker take each worker that becomes free,
-and a gang that needs several at once starves.
+Without reservations, tasks that need one worker take each worker that becomes
+free, and a gang that needs several at once starves.
 """
 
 from typing import Final
@@ -9,40 +9,43 @@
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
+from fuchsiarill.graphs.worker_waits import NEVER_MS, expected_wait_ms
 
-# Renewed at each decision about the gang, which ticks bring about.
-_HOLD_MS: Final = 250
-# A gang that has not started by then lets others have the workers for a
-# while: what it waits for may never end. Most runs are over by then.
-_HOLDING_MAX_MS: Final = 6000
+# Renewed at each decision about the gang; ticks cause decisions more often.
+_RESERVATION_MS: Final = 250
+# A gang that has not started by then releases the workers during a pause,
+# because a run that it waits for may never end. Most runs take less time.
+_RESERVING_MAX_MS: Final = 6000
 _PAUSE_MS: Final = 2000
 
 
-def hold_for_gang(
+def reserve_for_gang(
     state: PoolState,
     request: Request,
     candidates: list[WorkerView],
 ) -> None:
-    """Keep room on the workers that are free for the gang first."""
+    """Reserve room on the workers with the shortest expected wait.
+
+    Reserves nothing during a pause, or when too few workers can have room.
+    """
     step = request.step
-    for former in state.workers:
-        former.drop_reservations(step.key)
-    if step.held_since_ms is None:
-        step.held_since_ms = request.now_ms
-    if _is_pausing(request.now_ms - step.held_since_ms):
+    for view in state.workers:
+        view.drop_reservations(step.key)
+    if step.reserving_since_ms is None:
+        step.reserving_since_ms = request.now_ms
+    if _is_pausing(request.now_ms - step.reserving_since_ms):
         return
     waits = sorted(
-        (wait_ms(state, request, candidate), position)
+        (expected_wait_ms(state, request, candidate), position)
         for position, candidate in enumerate(candidates)
     )
     if len(waits) < step.step.tasks_count:
         return
-    for candidate_ms, position in waits[: step.step.tasks_count]:
-        if candidate_ms >= NEVER_MS:
+    for wait_ms, position in waits[: step.step.tasks_count]:
+        if wait_ms >= NEVER_MS:
             return
-        candidates[position].reserve(step, request.now_ms + _HOLD_MS)
+        candidates[position].reserve(step, request.now_ms + _RESERVATION_MS)
 
 
 def _is_pausing(waited_ms: int) -> bool:
-    return waited_ms % (_HOLDING_MAX_MS + _PAUSE_MS) >= _HOLDING_MAX_MS
+    return waited_ms % (_RESERVING_MAX_MS + _PAUSE_MS) >= _RESERVING_MAX_MS
--- a/fuchsiarill/graphs/job_actions.py
+++ b/fuchsiarill/graphs/job_actions.py
@@ -1,4 +1,4 @@
-"""Steps of the phase chart of jobs and their actions."""
+"""Transitions of the job phase chart and the actions that it names."""
 
 from collections.abc import Callable
 from typing import Final
@@ -18,16 +18,16 @@
 
 @JOB_ACTIONS.register('stop_runs')
 def stop_runs(state: PoolState, entry: JobEntry, now_ms: int) -> None:
-    """Stop everything of the job that runs."""
+    """Stop all runs of the job."""
     for run in list(entry.runs()):
         step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 @JOB_ACTIONS.register('settle')
 def settle(state: PoolState, entry: JobEntry, now_ms: int) -> None:
-    """Have the final phase made durable."""
+    """Record the final phase, which has to be made durable."""
     entry.settled_ms = now_ms
-    state.touch(entry.job)
+    state.mark_dirty(entry.job)
     events.emit(
         events.GRAPH_SETTLED,
         job=entry.job,
@@ -47,7 +47,10 @@
     event: JobPhaseEvent,
     now_ms: int,
 ) -> None:
-    """Let an event happen to a job."""
+    """Apply an event to a job and run the actions of the transition.
+
+    An event without a transition in the current phase is ignored.
+    """
     transition = _CHART.step(entry.progress.phase, event)
     if transition is None:
         return
--- a/fuchsiarill/graphs/job_book.py
+++ b/fuchsiarill/graphs/job_book.py
@@ -1,4 +1,4 @@
-"""Jobs of a pool: their steps, what waits in them and what has succeeded."""
+"""Jobs of a pool, their steps and the units that have not succeeded."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -20,52 +20,53 @@
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
 
-# Attempts of an owner that follows another start above all that the other
-# can have made of a task without leaving a trace.
+# Offset of the attempt numbers of each further owner. It exceeds the number of
+# attempts that the previous owner can have made of a task without a record.
 ATTEMPTS_PER_TERM: Final = 100
 
 
 @dataclass(slots=True)
 class Unit:
-    """A task, or a gang, that has not succeeded."""
+    """A task or a gang that has not succeeded, with its runs."""
 
     key: UnitKey
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
     last_attempt: int = 0
     checkpoint: Checkpoint = NO_CHECKPOINT
-    # Workers where the unit failed; others are tried first.
+    # Workers on which the unit failed; others are preferred.
     failed_on: set[WorkerId] = field(default_factory=set)
     preemptions_count: int = 0
 
 
 class StepEntry:
-    """A step of one occurrence with something left to do.
+    """A step of one occurrence with units that have not succeeded.
 
-    A step that is not open waits for earlier ones. It is known before only
-    when a worker reports runs that an owner before has started, while the
-    ends that opened the step have not been reported yet.
+    A step that is not open waits for the steps that it depends on. Its entry
+    exists before it is open only if a worker reports runs that a previous
+    owner has started, while the ends that opened the step have not been
+    reported yet.
     """
 
     def __init__(self, key: StepKey, step: Step) -> None:
-        """Create the step without units."""
+        """Create an entry without units that is not open."""
         self.key = key
         self.step = step
         self.is_open = False
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
-        # Runs that were stopped for the step end until then.
+        # Runs stopped for the step are expected to have ended by then.
         self.preempted_until_ms = 0
-        # When workers were first kept for the step, a gang that waits.
-        self.held_since_ms: int | None = None
-        # Place in the order of steps when it was last served.
+        # When workers were first reserved for the step, if it is a gang.
+        self.reserving_since_ms: int | None = None
+        # Rank at the last decision about the step.
         self.rank_ms = 0
-        # Version of the free capacity at which nothing could be placed.
+        # `PoolState.free_version` at which no unit could be placed.
         self.blocked_version = -1
 
     @cached_property
     def unit_keys(self) -> tuple[UnitKey, ...]:
-        """Return the units of the step."""
+        """Return the keys of all units of the step, succeeded ones too."""
         return unit_keys(self.key, self.step)
 
     def tasks_of(self, unit: UnitKey) -> list[TaskKey]:
@@ -77,25 +78,25 @@
         ]
 
     def find_unit(self, key: UnitKey) -> Unit | None:
-        """Return a unit that has not succeeded."""
+        """Return a unit, or `None` if it has succeeded."""
         return self.active.get(key) or self.waiting.get(key)
 
     def activate(self, unit: Unit) -> None:
-        """Move a unit from the waiting ones to those with runs."""
+        """Move a unit from `waiting` to `active`: it gets runs."""
         self.waiting.pop(unit.key, None)
         self.active[unit.key] = unit
         self.preempted_until_ms = 0
-        self.held_since_ms = None
+        self.reserving_since_ms = None
 
     def requeue(self, unit: Unit) -> None:
-        """Let a unit without runs wait again."""
+        """Move a unit without runs from `active` back to `waiting`."""
         self.active.pop(unit.key, None)
         self.waiting[unit.key] = unit
         self.blocked_version = -1
 
 
 class JobEntry:
-    """A job with its durable progress and its open steps."""
+    """A job with its durable progress and its unfinished steps."""
 
     def __init__(
         self,
@@ -105,9 +106,9 @@
         accepted_ms: int,
         expected_ms: tuple[float, ...],
     ) -> None:
-        """Create the entry without open steps.
+        """Create the entry without step entries.
 
-        `expected_ms` has the expected run time of a task of each step.
+        `expected_ms` is the expected run time of a task, for each step.
         """
         self.graph = graph
         self.policy = policy
@@ -117,8 +118,8 @@
         self.settled_ms = accepted_ms
         self.steps: dict[tuple[int, int], StepEntry] = {}
         self.opened_occurrences = 0
-        # Accepted before this owner was elected: the owner before may have
-        # started it on a worker that has not answered yet.
+        # Accepted before this owner was elected: the previous owner may have
+        # started it on a worker that has not reported yet.
         self.is_inherited = False
         self.attempt_floor = 0
 
@@ -133,38 +134,41 @@
         return self.progress.phase is JobPhase.ACTIVE
 
     @cached_property
-    def chains_ms(self) -> tuple[int, ...]:
-        """Return for each step the longest expected time from its start."""
-        chains = [0 for _ in self.graph.steps]
+    def critical_paths_ms(self) -> tuple[int, ...]:
+        """Return for each step the longest expected time to the job's end.
+
+        It counts from the start of the step.
+        """
+        paths_ms = [0 for _ in self.graph.steps]
         for position, step in reversed(tuple(enumerate(self.graph.steps))):
-            chains[position] += int(self._expected_ms[position])
+            paths_ms[position] += int(self._expected_ms[position])
             for earlier in step.after:
-                chains[earlier] = max(chains[earlier], chains[position])
-        return tuple(chains)
+                paths_ms[earlier] = max(paths_ms[earlier], paths_ms[position])
+        return tuple(paths_ms)
 
     @cached_property
     def objective_ms(self) -> int:
-        """Return the time after acceptance within which the job is owed."""
-        longest = max(self.chains_ms)
+        """Return the time after acceptance in which the job should succeed."""
+        longest = max(self.critical_paths_ms)
         return int(self.policy.slack_factor * longest) + self.policy.target_ms
 
     def latest_start_ms(self, step: StepEntry) -> int:
-        """Return when a step has to start for the job to be in time."""
+        """Return when a step has to start for the job to meet its objective."""
         _, occurrence, position = step.key
         due_ms = self.accepted_ms
         schedule = self.graph.schedule
         if schedule is not None:
             due_ms += occurrence * schedule.period_ms
-        return due_ms + self.objective_ms - self.chains_ms[position]
+        return due_ms + self.objective_ms - self.critical_paths_ms[position]
 
     def open_occurrence(self, occurrence: int) -> None:
-        """Open the steps of an occurrence that wait for no other."""
+        """Open the steps of an occurrence whose dependencies have succeeded."""
         self.opened_occurrences = max(self.opened_occurrences, occurrence + 1)
         for position, _ in enumerate(self.graph.steps):
             self._open_if_ready(occurrence, position)
 
-    def succeed(self, step: StepEntry, unit: Unit) -> None:
-        """Record a unit's success and open the steps that it frees."""
+    def complete_unit(self, step: StepEntry, unit: Unit) -> None:
+        """Record a unit's success; open the steps that waited only for it."""
         step.active.pop(unit.key, None)
         step.waiting.pop(unit.key, None)
         self.progress.succeeded.add(unit.key)
@@ -191,7 +195,10 @@
                 yield from unit.runs.values()
 
     def ensure_step(self, occurrence: int, position: int) -> StepEntry | None:
-        """Return a step, `None` when all its units have succeeded."""
+        """Return a step entry, created if needed.
+
+        Returns `None` when all units of the step have succeeded.
+        """
         entry = self.steps.get((occurrence, position))
         if entry is not None:
             return entry
@@ -235,13 +242,13 @@
 
 
 def unit_of(step: Step, task: TaskKey) -> UnitKey:
-    """Return the unit that a task starts with."""
+    """Return the unit that a task belongs to."""
     position = 0 if step.is_gang else task.position
     return UnitKey(task.occurrence, task.step, position)
 
 
 def unit_keys(key: StepKey, step: Step) -> tuple[UnitKey, ...]:
-    """Return the units of a step: a gang is one."""
+    """Return the keys of the units of a step; a gang is a single unit."""
     count = 1 if step.is_gang else step.tasks_count
     return tuple(
         UnitKey(key.occurrence, key.step, index) for index in range(count)
--- a/fuchsiarill/graphs/job_intake.py
+++ b/fuchsiarill/graphs/job_intake.py
@@ -1,4 +1,4 @@
-"""Takes jobs and cancellations from the store into the decisions."""
+"""Loads records of jobs and cancellations into the core."""
 
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.core import GraphCore
@@ -12,9 +12,9 @@
     progress_found: tuple[KvItem, ...],
     now_ms: int,
 ) -> None:
-    """Take over records of jobs, with the progress that is known of them.
+    """Add the jobs of the records with their progress; cancel jobs.
 
-    A job that was created before the owner was elected is inherited.
+    A job whose record was created before the owner was elected is inherited.
     """
     progress = {
         keys.job_of_progress(row.key): row.value for row in progress_found
@@ -22,7 +22,7 @@
     present = [(row, row.value) for row in found if row.value is not None]
     for row, content in present:
         job = keys.job_of_key(row.key)
-        # A list after a gap names every job again.
+        # A full list after a gap in the watch contains known jobs too.
         if keys.is_cancel(row.key) or job in core.state.jobs:
             continue
         saved = progress.get(job)
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -1,8 +1,8 @@
 """Types of job graphs, queues and pools.
 
 A job graph has steps; a step has tasks of one size, which may start when all
-tasks of the earlier steps that it names have succeeded. A queue is where
-callers hand jobs in; its policy says which pool of workers runs them.
+tasks of the earlier steps that it names have succeeded. Callers submit jobs to
+a queue, whose policy says which pool of workers runs them.
 """
 
 from collections.abc import Mapping
@@ -19,7 +19,7 @@
 Label = NewType('Label', str)
 Checkpoint = NewType('Checkpoint', str)
 Ticket = NewType('Ticket', str)
-# Start of a worker's life; tells lives of one worker id apart.
+# Start time of a worker; identifies its incarnation after a restart.
 BornMs = NewType('BornMs', int)
 EndSequence = NewType('EndSequence', int)
 
@@ -29,7 +29,7 @@
 
 
 class StepKey(NamedTuple):
-    """One step of one occurrence of a job."""
+    """Key of a step within one occurrence of a job."""
 
     job: JobId
     occurrence: int
@@ -37,7 +37,7 @@
 
 
 class TaskKey(NamedTuple):
-    """One task; `position` counts within the step."""
+    """Key of a task; `position` is its index within the step."""
 
     job: JobId
     occurrence: int
@@ -46,18 +46,18 @@
 
     @property
     def step_key(self) -> StepKey:
-        """Return the step that the task belongs to."""
+        """Return the key of the step that the task belongs to."""
         return StepKey(self.job, self.occurrence, self.step)
 
     @property
     def label(self) -> str:
-        """Return the place of the task within its job, for logs."""
+        """Return occurrence, step and position of the task, for logs."""
         return f'{self.occurrence}.{self.step}.{self.position}'
 
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Tasks of one size, and where and how they run."""
+    """Tasks of one size, their constraints and how they run."""
 
     tasks_count: int
     size: Resources
@@ -65,28 +65,28 @@
     after: tuple[int, ...] = ()
     is_checkpointing: bool = False
     is_gang: bool = False
-    # A gang over several racks takes `remote_penalty` times as long.
+    # A gang spread over several racks takes `remote_penalty` times as long.
     is_rack_sensitive: bool = False
     is_speculative: bool = False
     is_lasting: bool = False
-    # Uses the processors that other tasks leave; its own are not counted.
+    # Uses processors that other tasks leave idle; it reserves none itself.
     is_filler: bool = False
     required_label: Label | None = None
     data_rack: Label | None = None
     per_worker_max: int | None = None
     image: ImageId | None = None
-    # Upper bound of the tail of the response times of a serving task.
+    # Upper bound of the tail latency of a serving task.
     target_tail_ms: int | None = None
     disruptions_max: int | None = None
 
     @property
     def filler_milli(self) -> int:
-        """Return the processors that a task uses where others leave them."""
+        """Return the idle processors that a filler task can use, else 0."""
         return self.size.processors_milli if self.is_filler else 0
 
     @property
     def charge(self) -> Resources:
-        """Return what a task of the step counts against a worker."""
+        """Return the resources that a task is charged on its worker."""
         if not self.is_filler:
             return self.size
         return Resources(
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobGraph:
-    """A job as its caller handed it in."""
+    """A job as its caller submitted it."""
 
     job: JobId
     queue: QueueId
@@ -124,7 +124,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AdvicePolicy:
-    """Some workers only may run a step; an external service knows which."""
+    """Timing of the advice service that decides which workers may run a step.
+
+    A request takes `decision_ms` and `interval_ms` for each worker; a ticket
+    is valid for `validity_ms`.
+    """
 
     decision_ms: float
     interval_ms: float
@@ -133,7 +137,10 @@
 
 @dataclass(frozen=True, slots=True)
 class QueuePolicy:
-    """What a queue's jobs are owed; `host` and `prefix` select the queue."""
+    """Objectives and limits of a queue's jobs.
+
+    Requests are assigned to the queue by `host` and path `prefix`.
+    """
 
     queue: QueueId
     host: str
@@ -149,10 +156,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolPolicy:
-    """Workers that run the same queues."""
+    """Properties of a pool: workers that run the same queues."""
 
     pool: PoolId
-    # Workers of the pool refuse a task that does not fit.
+    # Workers of the pool refuse a task that exceeds their free capacity.
     rejects_overload: bool = False
     is_standby: bool = False
 
@@ -175,7 +182,7 @@
     limits: RequestLimits = field(default_factory=RequestLimits)
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
-        """Return the queue with the longest prefix of `path`."""
+        """Return the queue of `host` with the longest matching prefix."""
         found: QueuePolicy | None = None
         for policy in self.queues.values():
             if policy.host != host or not path.startswith(policy.prefix):
@@ -186,7 +193,7 @@
 
 
 class WorkerListing(Enum):
-    """What the directory of workers says of a worker."""
+    """State of a worker in the directory."""
 
     LIVE = 'live'
     LEAVING = 'leaving'
@@ -194,7 +201,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """A worker as the directory lists it."""
+    """Entry of a worker in the directory."""
 
     worker: WorkerId
     pool: PoolId
@@ -204,7 +211,7 @@
     labels: tuple[Label, ...]
     listing: WorkerListing
     born_ms: BornMs
-    # Least time until a leaving worker ends.
+    # Minimum time until a leaving worker ends.
     notice_left_ms: int | None = None
 
 
@@ -217,25 +224,25 @@
     LAPSED = 'lapsed'
     # Another member of the gang ended.
     BROKEN = 'broken'
-    # The other members of the gang were not there in time.
+    # The other members of the gang did not start in time.
     ALONE = 'alone'
 
 
 @dataclass(frozen=True, slots=True)
 class RunningRow:
-    """A run that a worker reports."""
+    """A run that a worker reports as running."""
 
     task: TaskKey
     attempt: int
     checkpoint: Checkpoint
     progress_percent: int
-    # Tail in ms of a serving task, else processors in use.
+    # Tail latency in ms of a serving task, else processors in use.
     usage: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class EndRow:
-    """An end that a worker reports until it is acknowledged."""
+    """End of a run, which a worker reports until it is acknowledged."""
 
     sequence: EndSequence
     task: TaskKey
@@ -246,7 +253,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """Answer of a worker to a renewal of its task leases."""
+    """Answer of a worker to a renewal of its task leases.
+
+    `clock_ms` is the time of the answer in the worker's clock.
+    """
 
     clock_ms: int
     born_ms: BornMs
@@ -256,7 +266,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Asks a worker to run a task; `expiry_ms` is in the worker's clock."""
+    """Order to run a task; the lease ends at `expiry_ms`, worker's clock."""
 
     task: TaskKey
     attempt: int
--- a/fuchsiarill/graphs/ordering.py
+++ b/fuchsiarill/graphs/ordering.py
@@ -1,23 +1,24 @@
-"""Order in which waiting steps are served."""
+"""Order in which waiting steps are scheduled."""
 
 from typing import Final
 
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry
 
-# A job that is late earns a fraction until this multiple of its objective.
+# A late job has reduced value up to this multiple of its objective, and none
+# after it.
 _LATE_FACTOR: Final = 3
-# Multiples that keep the parts of a rank apart: a time of the runtime clock
-# stays below the first one, three years in ms.
+# Factors that separate the parts of a rank: a time of the runtime clock stays
+# below the first one, three years in ms.
 _PRIORITY_MS: Final = 100_000_000_000
 _LATENESS_MS: Final = 100 * _PRIORITY_MS
 
 
 def rank_ms(entry: JobEntry, step: StepEntry, now_ms: int) -> int:
-    """Return the rank of a step; the lowest is served first.
+    """Return the rank of a step; the lowest is scheduled first.
 
-    Jobs that can still be in time come before late ones, and those before
-    jobs that earn nothing any more. Among them the priority of the queue
-    decides, then the latest time at which the step has to start.
+    Jobs within their objective precede late ones, and those precede jobs that
+    have no value any more. Equals are ordered by the priority of the queue,
+    then by the latest time at which the step has to start.
     """
     rank = entry.policy.priority * _PRIORITY_MS
     if step.step.is_lasting:
--- a/fuchsiarill/graphs/pacing.py
+++ b/fuchsiarill/graphs/pacing.py
@@ -1,4 +1,4 @@
-"""Slows tasks that fill while they disturb tasks that serve."""
+"""Slows filler tasks while they raise the latency of serving tasks."""
 
 from typing import Final
 
@@ -9,27 +9,31 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunState
 
-# A reported tail is a rough figure of the last half second; a change of pace
-# shows in the second one after it.
-_EFFECT_MS: Final = 900
-# Shares of the target above which fillers slow, and below which they speed up.
+# A reported tail latency is a rough estimate over the last half second; a
+# change of pace shows in the second such interval after it.
+_ADJUSTMENT_INTERVAL_MS: Final = 900
+# Shares of the target latency above which fillers are stopped, and below which
+# they are sped up.
 _SLOW_SHARE: Final = 0.9
 _SPEED_UP_SHARE: Final = 0.6
 _PACES_PERCENT: Final = (0, 25, 50, 75, FULL_PACE_PERCENT)
 
 
 def pace_fillers(state: PoolState, now_ms: int) -> None:
-    """Set the pace of fillers by the worst tail beside them."""
+    """Set the pace of fillers by the worst tail latency on their worker."""
     for view in state.workers:
         if not view.serving_count or not view.filler_milli:
             continue
         shares = [_tail_share(state, run) for run in view.runs.values()]
         for run in view.runs.values():
-            _pace(state, run, max(shares), now_ms)
+            _adjust_pace(state, run, max(shares), now_ms)
 
 
 def _tail_share(state: PoolState, run: Run) -> float:
-    """Return the tail of a serving task as a share of its target, else 0."""
+    """Return the tail latency of a task as a share of its target.
+
+    Returns 0 for a task without a target or a reported latency.
+    """
     entry = state.jobs.get(run.task.job)
     if entry is None or run.usage is None:
         return 0
@@ -37,16 +41,19 @@
     return 0 if target_ms is None else run.usage / target_ms
 
 
-def _pace(state: PoolState, run: Run, worst: float, now_ms: int) -> None:
+def _adjust_pace(
+    state: PoolState, run: Run, worst_share: float, now_ms: int
+) -> None:
     if not run.filler_milli or run.state is not RunState.RUNNING:
         return
-    if now_ms - run.paced_ms < _EFFECT_MS:
+    if now_ms - run.paced_ms < _ADJUSTMENT_INTERVAL_MS:
         return
     percent = run.pace_percent
-    if worst > _SLOW_SHARE:
-        # Harm counts from its first second, so a filler stops at once.
+    if worst_share > _SLOW_SHARE:
+        # Violations of the target count from the first second, so a filler
+        # stops at once.
         percent = _PACES_PERCENT[0]
-    elif worst < _SPEED_UP_SHARE:
+    elif worst_share < _SPEED_UP_SHARE:
         position = _PACES_PERCENT.index(run.pace_percent)
         percent = _PACES_PERCENT[min(position + 1, len(_PACES_PERCENT) - 1)]
     if percent == run.pace_percent:
@@ -59,5 +66,5 @@
         job=run.task.job,
         worker=run.worker,
         percent=percent,
-        tail_share=round(worst, 2),
+        tail_share=round(worst_share, 2),
     )
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -1,4 +1,4 @@
-"""Choice of workers for a unit."""
+"""Choice of workers for a unit by constraints, room and cost."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -13,16 +13,16 @@
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NOTHING, Resources
 
-# Weights of a candidate's cost; the fit itself is at most 1.
+# Weights of the parts of a candidate's cost; the fit is at most 1.
 _REMOTE_COST: Final = 4.0
 _FAILED_THERE_COST: Final = 8.0
-_HARM_COST: Final = 2.0
+_INTERFERENCE_COST: Final = 2.0
 _SLOWNESS_COST: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """What is to be placed, and when."""
+    """A unit to place, with its job and step, and the time of the decision."""
 
     entry: JobEntry
     step: StepEntry
@@ -32,17 +32,17 @@
 
 _Cost = Callable[[PoolState, Request, WorkerView], float]
 
-COSTS: Final[Registry[str, _Cost]] = Registry('costs of a placement')
+COSTS: Final[Registry[str, _Cost]] = Registry('placement costs')
 
 
 @COSTS.register('fit')
 def _fit_cost(state: PoolState, request: Request, view: WorkerView) -> float:
-    """Prefer workers that are left nearly full, so that large tasks fit."""
+    """Prefer the fullest workers, so that others keep room for large tasks."""
     if view.entry is None:
         return 0
     left = view.free - request.step.step.charge
     share = left.dominant_share(view.entry.capacity)
-    # Tasks that last are spread, so that one worker takes few of them along.
+    # Lasting tasks are spread, so that the loss of a worker affects few.
     return 1 - share if request.step.step.is_lasting else share
 
 
@@ -52,7 +52,7 @@
     request: Request,
     view: WorkerView,
 ) -> float:
-    """Prefer the rack where the data is."""
+    """Prefer workers in the rack that holds the data."""
     rack = request.step.step.data_rack
     return _REMOTE_COST if rack and rack not in view.labels else 0
 
@@ -63,22 +63,24 @@
     request: Request,
     view: WorkerView,
 ) -> float:
-    """Avoid workers where the unit has failed."""
+    """Avoid workers on which the unit has failed."""
     return _FAILED_THERE_COST * (view.worker in request.unit.failed_on)
 
 
 @COSTS.register('harm')
-def _harm_cost(state: PoolState, request: Request, view: WorkerView) -> float:
-    """Keep tasks that fill and tasks that serve apart."""
+def _interference_cost(
+    state: PoolState, request: Request, view: WorkerView
+) -> float:
+    """Keep filler tasks and serving tasks on different workers."""
     step = request.step.step
     if step.is_filler:
-        crowding = 0.0
+        contention = 0.0
         if view.entry is not None:
             spare_milli = view.free.processors_milli - view.filler_milli
-            crowding = float(spare_milli < step.size.processors_milli)
-        return _HARM_COST * (bool(view.serving_count) + crowding)
+            contention = float(spare_milli < step.size.processors_milli)
+        return _INTERFERENCE_COST * (bool(view.serving_count) + contention)
     if step.target_tail_ms is not None:
-        return _HARM_COST * bool(view.filler_milli)
+        return _INTERFERENCE_COST * bool(view.filler_milli)
     return 0
 
 
@@ -88,12 +90,12 @@
     request: Request,
     view: WorkerView,
 ) -> float:
-    """Prefer workers on which tasks end sooner."""
+    """Prefer workers on which tasks take less time."""
     return _SLOWNESS_COST * state.run_times.slowness(view.worker)
 
 
 def usable_workers(state: PoolState, request: Request) -> list[WorkerView]:
-    """Return the workers that may run the unit, full ones too."""
+    """Return the workers that may run the unit, with or without room."""
     return [
         view
         for view in state.workers
@@ -110,25 +112,29 @@
     label = request.step.step.required_label
     if label is not None and label not in view.labels:
         return False
-    return worker_trust.is_trusted(view, request.now_ms)
+    return worker_trust.is_eligible(view, request.now_ms)
 
 
 def has_room(
     step: StepEntry,
     view: WorkerView,
-    taken: Resources,
-    taken_count: int = 0,
+    tentative: Resources,
+    tentative_count: int = 0,
 ) -> bool:
-    """Tell whether a task fits beside what is held and what is `taken`."""
+    """Tell whether a task fits on a worker.
+
+    Room that is allocated or reserved is not available. `tentative` is the
+    charge of `tentative_count` tasks of the step placed in the same decision.
+    """
     per_worker_max = step.step.per_worker_max
     if per_worker_max is not None:
-        runs_count = step.runs_per_worker[view.worker] + taken_count
+        runs_count = step.runs_per_worker[view.worker] + tentative_count
         if runs_count >= per_worker_max:
             return False
     if not step.step.charge.fits_in(view.free):
         return False
     free = view.free_for(step.key, step.rank_ms)
-    return (step.step.charge + taken).fits_in(free)
+    return (step.step.charge + tentative).fits_in(free)
 
 
 def place_gang(
@@ -136,9 +142,9 @@
     request: Request,
     candidates: list[WorkerView],
 ) -> list[WorkerView] | None:
-    """Return a worker for each task of a gang, or `None`.
+    """Return a worker for each task of a gang, or `None` without room for all.
 
-    They are on one rack where that matters and is possible.
+    A rack-sensitive gang is placed in a single rack if possible.
     """
     step = request.step
     ranked = sorted(
@@ -161,28 +167,28 @@
     placed: list[WorkerView] = []
     for view in ranked:
         wanted_count = step.step.tasks_count - len(placed)
-        placed.extend(_fill(step, view, wanted_count))
+        placed.extend(_pack(step, view, wanted_count))
     return placed if len(placed) == step.step.tasks_count else None
 
 
-def _fill(
+def _pack(
     step: StepEntry,
     view: WorkerView,
     wanted_count: int,
 ) -> list[WorkerView]:
-    """Return the worker as often as it can take a task."""
-    taken = NOTHING
-    filled: list[WorkerView] = []
-    while len(filled) < wanted_count:
-        if not has_room(step, view, taken, len(filled)):
+    """Return the worker once per task that fits, at most `wanted_count`."""
+    tentative = NOTHING
+    packed: list[WorkerView] = []
+    while len(packed) < wanted_count:
+        if not has_room(step, view, tentative, len(packed)):
             break
-        filled.append(view)
-        taken += step.step.charge
-    return filled
+        packed.append(view)
+        tentative += step.step.charge
+    return packed
 
 
 def cost_of(state: PoolState, request: Request, view: WorkerView) -> float:
-    """Return the cost of a task on a worker; the lowest is preferred."""
+    """Return the cost of running a task on a worker; the lowest is best."""
     return sum(cost(state, request, view) for cost in _ALL_COSTS)
 
 
@@ -191,9 +197,9 @@
 
 
 def could_ever_fit(step: Step, view: WorkerView) -> bool:
-    """Tell whether a task of the step fits on the empty worker."""
+    """Tell whether a task of the step fits on the worker when it is empty."""
     return view.entry is not None and step.charge.fits_in(view.entry.capacity)
 
 
-# Costs are summed for each candidate of each unit, so they are looked up once.
+# Looked up once, since costs are summed for each candidate of each unit.
 _ALL_COSTS: Final = tuple(COSTS.lookup(name) for name in COSTS)
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preempting.py
@@ -1,7 +1,7 @@
-"""Makes room for urgent steps by stopping less important runs.
+"""Makes room for urgent steps by stopping runs of lower priority.
 
-A queue may preempt queues of lower priority. Only runs that save their
-progress are stopped: they lose little, and go on from there elsewhere.
+A queue may preempt queues of lower priority. Only runs that save checkpoints
+are stopped: they lose little work and resume on another worker.
 """
 
 from dataclasses import dataclass
@@ -15,23 +15,23 @@
 from fuchsiarill.graphs.states import RunEvent, RunState
 from fuchsiarill.graphs.worker_book import WorkerView
 
-# A step preempts when it has to start within this time to be in time; the
-# stop, its report and the start take about as long.
+# A step preempts when it has to start within this time to meet the objective;
+# the stop, its report and the start take about as long.
 _URGENCY_MS: Final = 400
-# Room is kept until the stopped runs have ended and the step has started.
+# Room is reserved until the stopped runs have ended and the step has started.
 _RESERVATION_MS: Final = 1500
-# A task that was stopped as often runs to its end, so that a row of urgent
-# jobs does not keep it from ending at all.
+# A task preempted this often runs to its end, so that a series of urgent jobs
+# does not keep it from ever ending.
 _PREEMPTIONS_MAX_COUNT: Final = 3
-# A job that is later than this multiple of its objective earns nothing.
+# A job later than this multiple of its objective has no value any more.
 _LATE_FACTOR: Final = 3
-# An accelerator is priced like eight processors.
+# An accelerator costs as much as eight processors.
 _ACCELERATOR_MILLI: Final = 8000
 
 
 @dataclass(frozen=True, slots=True)
-class _Choice:
-    """Runs to stop on a worker, and what their stop costs."""
+class _Preemption:
+    """Runs to stop on a worker, and the cost of stopping them."""
 
     view: WorkerView
     victims: tuple[Run, ...]
@@ -45,26 +45,31 @@
 ) -> bool:
     """Stop runs so that units of a blocked step can start.
 
-    Tells whether runs have been stopped, now or a moment ago.
+    Returns whether runs are being stopped for the step, by this call or by an
+    earlier one whose reservation is still valid.
     """
     if request.now_ms < request.step.preempted_until_ms:
         return True
-    if not _is_worth_it(request):
+    if not _may_preempt(request):
         return False
     step = request.step.step
     wanted_count = step.tasks_count if step.is_gang else 1
-    tried = [_choose(state, request, view) for view in candidates]
-    choices = [choice for choice in tried if choice is not None]
-    choices.sort(key=lambda choice: choice.cost)
-    if len(choices) < wanted_count:
+    options = [
+        _cheapest_preemption(state, request, view) for view in candidates
+    ]
+    preemptions = [
+        preemption for preemption in options if preemption is not None
+    ]
+    preemptions.sort(key=lambda preemption: preemption.cost)
+    if len(preemptions) < wanted_count:
         return False
     request.step.preempted_until_ms = request.now_ms + _RESERVATION_MS
-    for choice in choices[:wanted_count]:
-        _carry_out(state, request, choice)
+    for preemption in preemptions[:wanted_count]:
+        _execute(state, request, preemption)
     return True
 
 
-def _is_worth_it(request: Request) -> bool:
+def _may_preempt(request: Request) -> bool:
     entry = request.entry
     if entry.latest_start_ms(request.step) - request.now_ms > _URGENCY_MS:
         return False
@@ -72,12 +77,15 @@
     return request.step.step.is_lasting or request.now_ms < worthless_ms
 
 
-def _choose(
+def _cheapest_preemption(
     state: PoolState,
     request: Request,
     view: WorkerView,
-) -> _Choice | None:
-    """Return the cheapest runs whose end makes room for one task."""
+) -> _Preemption | None:
+    """Return the cheapest runs whose end makes room for one task.
+
+    Returns `None` if the end of all preemptible runs is not enough.
+    """
     step = request.step
     per_worker_max = step.step.per_worker_max
     if per_worker_max is not None:
@@ -94,7 +102,7 @@
         cost += _cost(run)
     if not step.step.charge.fits_in(free):
         return None
-    return _Choice(view, tuple(victims), cost)
+    return _Preemption(view, tuple(victims), cost)
 
 
 def _victims(
@@ -123,15 +131,17 @@
 
 
 def _cost(run: Run) -> float:
-    """Return the work that a stop throws away, in processors."""
+    """Return the cost of stopping a run, in thousandths of a processor."""
     return run.charge.processors_milli + _ACCELERATOR_MILLI * (
         run.charge.accelerators_count
     )
 
 
-def _carry_out(state: PoolState, request: Request, choice: _Choice) -> None:
-    choice.view.reserve(request.step, request.now_ms + _RESERVATION_MS)
-    for run in choice.victims:
+def _execute(
+    state: PoolState, request: Request, preemption: _Preemption
+) -> None:
+    preemption.view.reserve(request.step, request.now_ms + _RESERVATION_MS)
+    for run in preemption.victims:
         _count_preemption(state, run)
         events.emit(
             events.RUN_PREEMPTED,
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -1,4 +1,4 @@
-"""What must outlast an owner of a job: ends, failures and checkpoints."""
+"""Durable progress of jobs, which the next owner of the pool loads."""
 
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -8,9 +8,10 @@
 
 
 class UnitKey(NamedTuple):
-    """What starts together within a job: one task, or a whole gang.
+    """Key of a unit: tasks of a job that start together.
 
-    A gang has the position of its first task.
+    A unit is one task, or a whole gang, which has the position of its first
+    task.
     """
 
     occurrence: int
@@ -20,12 +21,12 @@
 
 @dataclass(slots=True)
 class JobProgress:
-    """Durable progress of a job; a new job has none."""
+    """Durable progress of a job; the defaults are those of a new job."""
 
     phase: JobPhase = JobPhase.ACTIVE
-    # Units whose end as succeeded has been seen.
+    # Units of which a successful end has been reported.
     succeeded: set[UnitKey] = field(default_factory=set)
-    # Numbers of the attempts that ended as failed.
+    # Numbers of the failed attempts.
     failed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
     checkpoints: dict[UnitKey, Checkpoint] = field(default_factory=dict)
     has_started: bool = False
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -1,10 +1,10 @@
-"""Taking the reports of workers into account."""
+"""Applies the reports of workers to the state of the pool."""
 
 from typing import Final
 
 from fuchsiarill import events
 from fuchsiarill.graphs import worker_trust
-from fuchsiarill.graphs.ends import take_end
+from fuchsiarill.graphs.ends import apply_run_end
 from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
@@ -14,75 +14,81 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.run_actions import (
-    hold_run,
+    allocate_run,
     order_stop,
     step_run,
-    stop_others,
+    stop_attempt,
 )
-from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
+from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
-from fuchsiarill.graphs.worker_book import Trust, WorkerView
+from fuchsiarill.graphs.worker_book import FailureRecord, WorkerView
 from fuchsiarill.resources import NOTHING
 
 _BEING_STOPPED: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
 _UNKNOWN_STEP: Final = Step(1, NOTHING)
 
 
-def take_report(
+def apply_report(
     state: PoolState,
     view: WorkerView,
     report: WorkerReport,
-    asked_ms: int,
+    requested_ms: int,
     now_ms: int,
 ) -> None:
-    """Bring the view of a worker up to date.
+    """Update a worker and its runs from a report.
 
-    `asked_ms` is when the renewal left that the report answers.
+    `requested_ms` is when the renewal was sent that the report answers. A
+    report older than the last one is ignored.
     """
     if report.born_ms > view.born_ms:
-        start_new_life(state, view, now_ms)
+        reset_restarted_worker(state, view, now_ms)
         view.born_ms = report.born_ms
     elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
-        # Answers on different connections overtake each other.
+        # Answers on different connections can overtake each other.
         return
     view.clock_ms = report.clock_ms
-    view.is_accounted = True
+    view.is_reconciled = True
     view.reported_ms = now_ms
     state.workers.step(view, StandingEvent.REPORTED)
     for row in report.running:
-        _take_running(state, view, row, now_ms)
+        _apply_running_row(state, view, row, now_ms)
     for end in report.ended:
-        _take_unseen_end(state, view, end, now_ms)
-    _find_absent(state, view, report, asked_ms, now_ms)
+        _apply_new_end(state, view, end, now_ms)
+    _end_absent_runs(state, view, report, requested_ms, now_ms)
 
 
-def start_new_life(state: PoolState, view: WorkerView, now_ms: int) -> None:
-    """Take everything of a worker's life before as ended.
+def reset_restarted_worker(
+    state: PoolState, view: WorkerView, now_ms: int
+) -> None:
+    """Mark the runs of a worker's previous incarnation as lost.
 
-    A run that the former life has not listed may be one of the new life: the
-    order to start it can arrive after the restart.
+    A run that the previous incarnation has not reported may run in the new
+    one, because the start order can arrive after the restart. Such a run is
+    stopped instead.
     """
     for run in list(view.runs.values()):
         if run.is_listed:
-            _lose(state, view, run, now_ms)
+            _mark_lost(state, view, run, now_ms)
         else:
-            _rule_out(state, run, now_ms)
+            _stop_unconfirmed_run(state, run, now_ms)
     view.seen_end = NO_END
     view.durable_end = NO_END
     view.clock_ms = 0
-    view.trust = Trust()
-    state.tickets.forget_worker(view.worker)
+    view.failure_record = FailureRecord()
+    state.tickets.remove_worker(view.worker)
     state.free_version += 1
 
 
-def lose_runs(state: PoolState, view: WorkerView, now_ms: int) -> None:
-    """Take everything on a worker as ended without a report."""
+def mark_runs_lost(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Mark all runs on a worker as lost: they ended without a report."""
     for run in list(view.runs.values()):
-        _lose(state, view, run, now_ms)
+        _mark_lost(state, view, run, now_ms)
 
 
-def _lose(state: PoolState, view: WorkerView, run: Run, now_ms: int) -> None:
+def _mark_lost(
+    state: PoolState, view: WorkerView, run: Run, now_ms: int
+) -> None:
     events.emit(
         events.RUN_LOST,
         job=run.task.job,
@@ -90,38 +96,38 @@
         attempt=run.attempt,
         worker=view.worker,
     )
-    drop_run(state, run, RunEvent.WORKER_LOST, now_ms)
+    end_unreported_run(state, run, RunEvent.WORKER_LOST, now_ms)
 
 
-def _rule_out(state: PoolState, run: Run, now_ms: int) -> None:
-    """Stop a run of which it is not known whether the worker has it."""
-    run.listed_from_ms = None
-    _stop_gang(state, run, now_ms)
+def _stop_unconfirmed_run(state: PoolState, run: Run, now_ms: int) -> None:
+    """Stop a run that the worker may or may not have started."""
+    run.visible_since_ms = None
+    _stop_gang_members(state, run, now_ms)
     if run.state in _BEING_STOPPED:
         order_stop(state, run, now_ms)
     else:
         step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
-def drop_run(
+def end_unreported_run(
     state: PoolState,
     run: Run,
     event: RunEvent,
     now_ms: int,
 ) -> None:
-    """End a run without a reported end, and stop the rest of its gang."""
-    _stop_gang(state, run, now_ms)
+    """End a run whose end was not reported; stop the rest of its gang."""
+    _stop_gang_members(state, run, now_ms)
     step_run(state, run, event, now_ms)
 
 
-def _stop_gang(state: PoolState, run: Run, now_ms: int) -> None:
+def _stop_gang_members(state: PoolState, run: Run, now_ms: int) -> None:
     """Stop the other members of a run's gang."""
     unit = state.active_unit(run)
     if unit is not None:
-        stop_others(state, unit, run.attempt, run, now_ms)
+        stop_attempt(state, unit, run.attempt, run, now_ms)
 
 
-def _take_running(
+def _apply_running_row(
     state: PoolState,
     view: WorkerView,
     row: RunningRow,
@@ -136,8 +142,8 @@
     run.is_listed = True
     run.checkpoint = row.checkpoint
     run.usage = row.usage
-    if run.listed_from_ms is None:
-        run.listed_from_ms = now_ms
+    if run.visible_since_ms is None:
+        run.visible_since_ms = now_ms
     step_run(state, run, RunEvent.LISTED, now_ms)
     found = state.find_step(row.task)
     if found is None:
@@ -146,8 +152,8 @@
     unit = step.active.get(run.unit)
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
-    if step.step.is_lasting and row.progress_percent == AT_WORK_PERCENT:
-        worker_trust.note_at_work(view, run)
+    if step.step.is_lasting and row.progress_percent == INITIALIZED_PERCENT:
+        worker_trust.record_initialized(view, run)
 
 
 def _adopt(
@@ -156,9 +162,9 @@
     row: RunningRow,
     now_ms: int,
 ) -> Run:
-    """Take over a run of the owner before, or stop one that is not needed."""
+    """Adopt a run that a previous owner started; stop it if not needed."""
     entry = state.jobs.get(row.task.job)
-    # Nothing is known of the size of a job that has been forgotten.
+    # The size of a run is unknown if its job has been removed.
     spec = entry.graph.steps[row.task.step] if entry else _UNKNOWN_STEP
     run = Run(
         row.task,
@@ -169,22 +175,22 @@
         spec.filler_milli,
         ordered_ms=now_ms,
         progress_changed_ms=now_ms,
-        listed_from_ms=now_ms,
+        visible_since_ms=now_ms,
     )
-    hold_run(state, run)
-    wanted = _wanted_unit(state, entry, run)
+    allocate_run(state, run)
+    adopted = _unit_for_adoption(state, entry, run)
     events.emit(
         events.RUN_FOUND,
         job=row.task.job,
         task=row.task.label,
         attempt=row.attempt,
         worker=view.worker,
-        is_kept=wanted is not None,
+        is_kept=adopted is not None,
     )
-    if wanted is None:
+    if adopted is None:
         step_run(state, run, RunEvent.STOP_ASKED, now_ms)
         return run
-    step, unit = wanted
+    step, unit = adopted
     unit.runs[run.key] = run
     unit.last_attempt = max(unit.last_attempt, run.attempt)
     step.activate(unit)
@@ -192,7 +198,7 @@
     return run
 
 
-def _wanted_unit(
+def _unit_for_adoption(
     state: PoolState,
     entry: JobEntry | None,
     run: Run,
@@ -215,7 +221,7 @@
     return found[1], unit
 
 
-def _take_unseen_end(
+def _apply_new_end(
     state: PoolState,
     view: WorkerView,
     end: EndRow,
@@ -224,20 +230,23 @@
     if end.sequence <= view.seen_end:
         return
     view.seen_end = end.sequence
-    take_end(state, view, end, now_ms)
+    apply_run_end(state, view, end, now_ms)
 
 
-def _find_absent(
+def _end_absent_runs(
     state: PoolState,
     view: WorkerView,
     report: WorkerReport,
-    asked_ms: int,
+    requested_ms: int,
     now_ms: int,
 ) -> None:
     listed = {(row.task, row.attempt) for row in report.running}
     for run in list(view.runs.values()):
-        if run.key in listed or run.listed_from_ms is None:
+        if run.key in listed or run.visible_since_ms is None:
             continue
-        if run.listed_from_ms >= asked_ms or run.state is RunState.STARTING:
+        if (
+            run.visible_since_ms >= requested_ms
+            or run.state is RunState.STARTING
+        ):
             continue
-        drop_run(state, run, RunEvent.ABSENT, now_ms)
+        end_unreported_run(state, run, RunEvent.ABSENT, now_ms)
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -1,4 +1,4 @@
-"""Steps of the run chart and their actions."""
+"""Transitions of the run chart and the actions that it names."""
 
 from collections.abc import Callable
 from typing import Final
@@ -19,7 +19,7 @@
 
 @RUN_ACTIONS.register('order_stop')
 def order_stop(state: PoolState, run: Run, now_ms: int) -> None:
-    """Ask the worker to end the run and to refuse it from now on."""
+    """Order the worker to end the run and to refuse later starts of it."""
     run.stop_ordered_ms = now_ms
     run.is_stop_answered = False
     state.effects.append(StopRun(run.worker, run.task, run.attempt))
@@ -27,7 +27,7 @@
 
 @RUN_ACTIONS.register('release')
 def release(state: PoolState, run: Run, now_ms: int) -> None:
-    """Give back the capacity and return the unit to the waiting ones."""
+    """Release the run's capacity; requeue its unit if it has no other runs."""
     view = state.workers.find(run.worker)
     found = state.find_step(run.task)
     if view is not None:
@@ -49,7 +49,10 @@
 
 
 def step_run(state: PoolState, run: Run, event: RunEvent, now_ms: int) -> None:
-    """Let an event happen to a run."""
+    """Apply an event to a run and run the actions of the transition.
+
+    An event without a transition in the current state is ignored.
+    """
     transition = _CHART.step(run.state, event)
     if transition is None:
         return
@@ -58,28 +61,28 @@
         RUN_ACTIONS.lookup(action)(state, run, now_ms)
 
 
-def stop_others(
+def stop_attempt(
     state: PoolState,
     unit: Unit,
     attempt: int,
     kept: Run | None,
     now_ms: int,
 ) -> None:
-    """Stop the runs of one attempt of a unit, but for `kept`."""
+    """Stop the runs of one attempt of a unit except `kept`."""
     for other in list(unit.runs.values()):
         if other is not kept and other.attempt == attempt:
             step_run(state, other, RunEvent.STOP_ASKED, now_ms)
 
 
-def hold_run(state: PoolState, run: Run) -> None:
-    """Count a new run against its worker."""
+def allocate_run(state: PoolState, run: Run) -> None:
+    """Allocate the capacity of a new run on its worker."""
     view = state.workers.find(run.worker)
     if view is not None:
-        view.hold(run, is_serving=_is_serving(state, run))
+        view.allocate(run, is_serving=_is_serving(state, run))
 
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
-    """Note that an order that extends all leases of a worker leaves."""
+    """Extend all task leases of a worker: an order that renews them is sent."""
     view.lapse_ms = now_ms + state.leases.longest_ms
 
 
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -1,4 +1,4 @@
-"""One run of a task on a worker."""
+"""Run of a task on a worker."""
 
 from dataclasses import dataclass
 from typing import Final
@@ -14,27 +14,27 @@
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import Resources
 
-# Progress of a task that lasts once it is at work.
-AT_WORK_PERCENT: Final = 100
+# Progress that a lasting task reports once it has been initialized.
+INITIALIZED_PERCENT: Final = 100
 
 
 @dataclass(slots=True)
 class Run:
-    """State of a run; `charge` is held on the worker until it has ended."""
+    """State of a run; `charge` is allocated on the worker until it ends."""
 
     task: TaskKey
     attempt: int
     unit: UnitKey
     worker: WorkerId
     charge: Resources
-    # Processors that a filler uses when others leave them.
+    # Idle processors that a filler task can use.
     filler_milli: int = 0
     state: RunState = RunState.STARTING
     ordered_ms: int = 0
-    # From when on a report that does not list the run means that it is gone;
-    # unknown while neither the start nor a stop has been answered.
-    listed_from_ms: int | None = None
-    # A report of the worker's present life has listed the run.
+    # A report requested after this time lists the run unless it has ended;
+    # `None` while neither the start nor a stop has been answered.
+    visible_since_ms: int | None = None
+    # A report of the worker's present incarnation has listed the run.
     is_listed: bool = False
     stop_ordered_ms: int | None = None
     is_stop_answered: bool = False
@@ -47,5 +47,5 @@
 
     @property
     def key(self) -> tuple[TaskKey, int]:
-        """Return the task and the number of the attempt."""
+        """Return the task key and the attempt number."""
         return (self.task, self.attempt)
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -1,21 +1,25 @@
-"""Stops runs whose progress stands still on their worker."""
+"""Stops runs that make no progress on their worker."""
 
 from typing import Final
 
 from fuchsiarill import events
 from fuchsiarill.graphs import worker_trust
 from fuchsiarill.graphs.run_actions import step_run
-from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
+from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
 from fuchsiarill.graphs.worker_book import WorkerView
 
-# Reports arrive at least each second; a run that moves shows it in two.
+# Reports arrive at least once a second; progress shows within two reports.
 _STALL_MS: Final = 3500
 
 
 def stop_stalled(state: PoolState, now_ms: int) -> None:
-    """Stop runs that a reachable worker reports without any progress."""
+    """Stop runs that a worker keeps reporting without progress.
+
+    Time without reports does not count, so a silent worker is not taken as
+    stalled. Exempt are fillers, gangs, and lasting tasks once initialized.
+    """
     for view in state.workers:
         for run in list(view.runs.values()):
             if _is_stalled(state, view, run):
@@ -31,7 +35,7 @@
         worker=view.worker,
         percent=run.progress_percent,
     )
-    worker_trust.note_failure(view, run.task, now_ms)
+    worker_trust.record_failure(view, run.task, now_ms)
     step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
@@ -41,6 +45,6 @@
     found = state.find_step(run.task)
     if found is None or found[1].step.is_gang:
         return False
-    if run.progress_percent >= AT_WORK_PERCENT:
+    if run.progress_percent >= INITIALIZED_PERCENT:
         return False
     return view.reported_ms - run.progress_changed_ms > _STALL_MS
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -1,4 +1,4 @@
-"""State that the decisions about a pool share."""
+"""State shared by the decisions about a pool."""
 
 from dataclasses import dataclass, field
 
@@ -8,14 +8,14 @@
 from fuchsiarill.graphs.run_times import RunTimes
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
-from fuchsiarill.graphs.tickets import TicketBook
+from fuchsiarill.graphs.tickets import TicketCache
 from fuchsiarill.graphs.worker_book import WorkerBook
 from fuchsiarill.ids import Epoch, JobId
 
 
 @dataclass(slots=True)
 class PoolState:
-    """Everything that the owner of a pool knows."""
+    """State of a pool in its owner."""
 
     pool: PoolId
     epoch: Epoch
@@ -23,22 +23,23 @@
     config: GraphConfig | None = None
     jobs: dict[JobId, JobEntry] = field(default_factory=dict)
     workers: WorkerBook = field(default_factory=WorkerBook)
-    tickets: TicketBook = field(default_factory=TicketBook)
+    tickets: TicketCache = field(default_factory=TicketCache)
     run_times: RunTimes = field(default_factory=RunTimes)
-    # Jobs whose progress differs from what is durable.
+    # Jobs whose progress differs from their durable record.
     dirty: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
-    # Rises whenever a placement that failed could succeed.
+    # Incremented whenever a placement that failed could succeed.
     free_version: int = 0
-    # Every worker of the owner before has answered or has lapsed.
+    # Every worker of the previous owner has reported, or its leases have ended.
     is_inheritance_settled: bool = False
     # Unix time minus the runtime clock.
     unix_offset_ms: int = 0
 
     def find_step(self, task: TaskKey) -> tuple[JobEntry, StepEntry] | None:
-        """Return the step of a task of a job that is not settled.
+        """Return the job and the step of a task.
 
-        The step need not be open: see `StepEntry`.
+        Returns `None` if the job is unknown or the step has succeeded. A
+        missing step entry is created; it need not be open, see `StepEntry`.
         """
         entry = self.jobs.get(task.job)
         if entry is None or task.step >= len(entry.graph.steps):
@@ -47,17 +48,17 @@
         return None if step is None else (entry, step)
 
     def active_unit(self, run: Run) -> Unit | None:
-        """Return the unit that a run is an attempt of, if it still is."""
+        """Return the unit of a run, or `None` if the unit is not active."""
         found = self.find_step(run.task)
         return None if found is None else found[1].active.get(run.unit)
 
     def known_step(self, key: StepKey) -> StepEntry | None:
-        """Return the step of a key, if something is left to do in it."""
+        """Return the step of a key if it has an entry."""
         entry = self.jobs.get(key.job)
         if entry is None:
             return None
         return entry.steps.get((key.occurrence, key.step))
 
-    def touch(self, job: JobId) -> None:
-        """Note that a job's progress has to be made durable."""
+    def mark_dirty(self, job: JobId) -> None:
+        """Mark a job whose progress has to be made durable."""
         self.dirty.add(job)
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -4,24 +4,24 @@
 
 
 class RunState(Enum):
-    """Life of one run of a task on one worker."""
+    """States of the run chart: one run of a task on one worker."""
 
     STARTING = 'starting'
     RUNNING = 'running'
-    # The start got no answer; a stop rules the run out.
+    # The start order got no answer; a stop makes sure that it does not run.
     UNCERTAIN = 'uncertain'
     STOPPING = 'stopping'
     ENDED = 'ended'
 
 
 class RunEvent(Enum):
-    """What can happen to a run."""
+    """Events of the run chart."""
 
     CONFIRMED = 'confirmed'
     REFUSED = 'refused'
     UNANSWERED = 'unanswered'
     LISTED = 'listed'
-    # A report asked for after the last answer does not list the run.
+    # A report requested after the last answer does not list the run.
     ABSENT = 'absent'
     STOP_ASKED = 'stop_asked'
     END_REPORTED = 'end_reported'
@@ -29,18 +29,18 @@
 
 
 class StandingState(Enum):
-    """How an owner regards a worker."""
+    """Whether the owner of a pool may start runs on a worker."""
 
-    # Not fenced yet, or its last answer is missing: no starts.
+    # Not fenced yet, or the last request got no answer: no starts.
     UNCONFIRMED = 'unconfirmed'
     READY = 'ready'
     LEAVING = 'leaving'
-    # Neither listed nor answering, and all its task leases have lapsed.
+    # Neither listed nor answering, and all its task leases have expired.
     GONE = 'gone'
 
 
 class StandingEvent(Enum):
-    """What can happen to a worker."""
+    """Events that change whether a worker may get runs."""
 
     REPORTED = 'reported'
     WENT_SILENT = 'went_silent'
@@ -50,19 +50,19 @@
 
 
 class TenureState(Enum):
-    """Relation of a process to the ownership of a pool."""
+    """States of the tenure chart: ownership of a pool by a process."""
 
     FOLLOWING = 'following'
     CAMPAIGNING = 'campaigning'
     LOADING = 'loading'
     OWNING = 'owning'
-    # The lease could not be renewed in time: nothing is ordered.
+    # The lease could not be renewed in time: no orders are sent.
     SUSPENDED = 'suspended'
     RELEASED = 'released'
 
 
 class TenureEvent(Enum):
-    """What can happen to the ownership of a pool."""
+    """Events of the tenure chart."""
 
     VACANCY_SEEN = 'vacancy_seen'
     ELECTED = 'elected'
@@ -84,7 +84,7 @@
 
 
 class JobPhaseEvent(Enum):
-    """What can happen to a job graph."""
+    """Events of the job phase chart."""
 
     ALL_SUCCEEDED = 'all_succeeded'
     ATTEMPTS_USED_UP = 'attempts_used_up'
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -1,7 +1,8 @@
-"""Places the units of one step, the best worker first.
+"""Places the units of one step on the workers of the lowest cost.
 
-Costs are computed once for each worker that has room, and anew only where a
-unit has been placed: a wide step costs little more than a narrow one.
+Costs are computed once for each worker that has room, and again only for a
+worker that got a unit, so that a step with many tasks takes little more time
+than one with few.
 """
 
 import heapq
@@ -15,48 +16,48 @@
 )
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_trust import is_trusted
+from fuchsiarill.graphs.worker_trust import is_eligible
 from fuchsiarill.resources import NOTHING
 
 _Ranked = tuple[float, int, WorkerView]
 
 
 class StepPlacer:
-    """Chooses workers for the requests of one step at one time."""
+    """Chooses workers for the units of one step within one decision."""
 
     def __init__(self, state: PoolState) -> None:
-        """Start without a ranking; the first request makes it."""
+        """Create a placer; the first request ranks the workers."""
         self._state = state
         self._usable: list[WorkerView] | None = None
         self._heap: list[_Ranked] | None = None
-        # The worker that was chosen last; its cost has changed since.
+        # The worker chosen last; its cost has changed since.
         self._chosen: _Ranked | None = None
 
     def usable(self, request: Request) -> list[WorkerView]:
-        """Return the workers that may run the step, full ones too."""
+        """Return the workers that may run the step, with or without room."""
         if self._usable is None:
             self._usable = usable_workers(self._state, request)
         return self._usable
 
     def place(self, request: Request) -> list[WorkerView] | None:
-        """Return a worker for each task of the unit, or `None`."""
+        """Return a worker for each task of the unit, or `None` without room."""
         if request.step.step.is_gang:
-            return place_gang(self._state, request, self._holders(request))
+            return place_gang(self._state, request, self._permitted(request))
         if request.unit.failed_on:
-            return self._place_again(request)
+            return self._place_retry(request)
         heap = self._ranked(request)
         while heap:
             ranked = heap[0]
-            if _may_take(request, ranked[-1]):
+            if _can_start(request, ranked[-1]):
                 self._chosen = ranked
                 return [ranked[-1]]
             heapq.heappop(heap)
         return None
 
-    def _place_again(self, request: Request) -> list[WorkerView] | None:
-        """Place a unit that avoids the workers on which it has failed."""
-        holders = self._holders(request)
-        views = [view for view in holders if _may_take(request, view)]
+    def _place_retry(self, request: Request) -> list[WorkerView] | None:
+        """Place a unit that prefers workers on which it has not failed."""
+        permitted = self._permitted(request)
+        views = [view for view in permitted if _can_start(request, view)]
         if not views:
             return None
         costs = [cost_of(self._state, request, view) for view in views]
@@ -68,8 +69,8 @@
         if self._heap is None:
             self._heap = [
                 (cost_of(self._state, request, view), position, view)
-                for position, view in enumerate(self._holders(request))
-                if _may_take(request, view)
+                for position, view in enumerate(self._permitted(request))
+                if _can_start(request, view)
             ]
             heapq.heapify(self._heap)
         elif self._chosen is not None:
@@ -79,8 +80,8 @@
         self._chosen = None
         return self._heap
 
-    def _holders(self, request: Request) -> list[WorkerView]:
-        """Return the workers that may be given the unit at once."""
+    def _permitted(self, request: Request) -> list[WorkerView]:
+        """Return the usable workers that need no ticket or have a valid one."""
         usable = self.usable(request)
         if request.entry.policy.advice is None:
             return usable
@@ -92,7 +93,7 @@
         ]
 
 
-def _may_take(request: Request, view: WorkerView) -> bool:
+def _can_start(request: Request, view: WorkerView) -> bool:
     if not has_room(request.step, view, NOTHING):
         return False
-    return is_trusted(view, request.now_ms)
+    return is_eligible(view, request.now_ms)
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -1,4 +1,7 @@
-"""Tickets that let a worker run a step of a queue with advice."""
+"""Cache of tickets, which allow a worker to run a step.
+
+Queues with advice need them; the advice service issues them.
+"""
 
 from dataclasses import dataclass, field
 from typing import Final
@@ -7,17 +10,17 @@
 from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.ids import WorkerId
 
-# A start reaches its worker this much later, at most, than it is decided.
+# A start order reaches its worker at most this long after the decision.
 _USE_MARGIN_MS: Final = 250
-# An ask that got no answer is repeated after this time.
+# A failed request is repeated after this time.
 _RETRY_MS: Final = 100
-# An answer that has not come by then is taken as lost. An ask waits for the
-# asks before it, and the queue is longest just after a takeover.
+# An answer that has not arrived by then is taken as lost. A request waits for
+# earlier ones, and their queue is longest just after a takeover.
 _ANSWER_LOST_MS: Final = 15_000
 
 
 @dataclass(frozen=True, slots=True)
-class _Held:
+class _CachedTicket:
     ticket: Ticket
     expiry_ms: int
     born_ms: BornMs
@@ -25,19 +28,19 @@
 
 @dataclass(slots=True)
 class _StepAdvice:
-    tickets: dict[WorkerId, _Held] = field(default_factory=dict)
-    # The policy of a step never changes: a worker is allowed or it is not.
+    tickets: dict[WorkerId, _CachedTicket] = field(default_factory=dict)
+    # Answers of the service: they never change for a step and a worker.
     allowed: set[WorkerId] = field(default_factory=set)
     denied: set[WorkerId] = field(default_factory=set)
-    # No further ask is made before, while one is under way or has failed.
-    next_ask_ms: int = 0
+    # No request is sent earlier, since one is in progress or has failed.
+    next_request_ms: int = 0
 
 
-class TicketBook:
-    """What the advice service has said of each open step."""
+class TicketCache:
+    """Tickets and answers of the advice service for each open step."""
 
     def __init__(self) -> None:
-        """Start without any advice."""
+        """Create an empty cache."""
         self._steps: dict[StepKey, _StepAdvice] = {}
 
     def ticket_for(
@@ -46,72 +49,75 @@
         view: WorkerView,
         now_ms: int,
     ) -> Ticket | None:
-        """Return a ticket that is valid long enough for a start."""
+        """Return a ticket that is valid long enough for a start order.
+
+        Tickets of an earlier incarnation of the worker are not valid.
+        """
         advice = self._steps.get(step)
-        held = advice.tickets.get(view.worker) if advice else None
-        if held is None or held.expiry_ms < now_ms + _USE_MARGIN_MS:
+        cached = advice.tickets.get(view.worker) if advice else None
+        if cached is None or cached.expiry_ms < now_ms + _USE_MARGIN_MS:
             return None
-        return held.ticket if held.born_ms == view.born_ms else None
+        return cached.ticket if cached.born_ms == view.born_ms else None
 
     def is_denied(self, step: StepKey, worker: WorkerId) -> bool:
-        """Tell whether the worker is known not to be allowed."""
+        """Tell whether the service has denied the worker."""
         advice = self._steps.get(step)
         return advice is not None and worker in advice.denied
 
     def is_allowed(self, step: StepKey, worker: WorkerId) -> bool:
-        """Tell whether the worker is known to be allowed."""
+        """Tell whether the service has allowed the worker."""
         advice = self._steps.get(step)
         return advice is not None and worker in advice.allowed
 
-    def may_ask(self, step: StepKey, now_ms: int) -> bool:
-        """Tell whether no ask for the step is under way."""
+    def may_request(self, step: StepKey, now_ms: int) -> bool:
+        """Tell whether a request for the step may be sent now."""
         advice = self._steps.get(step)
-        return advice is None or advice.next_ask_ms <= now_ms
+        return advice is None or advice.next_request_ms <= now_ms
 
-    def asked(self, step: StepKey, now_ms: int) -> None:
-        """Note that an ask is under way."""
+    def request_sent(self, step: StepKey, now_ms: int) -> None:
+        """Block requests for the step until its answer or the time limit."""
         advice = self._steps.setdefault(step, _StepAdvice())
-        advice.next_ask_ms = now_ms + _ANSWER_LOST_MS
+        advice.next_request_ms = now_ms + _ANSWER_LOST_MS
 
-    def unanswered(self, step: StepKey, now_ms: int) -> None:
-        """Note that an ask got no answer."""
+    def request_failed(self, step: StepKey, now_ms: int) -> None:
+        """Allow a request for the step after the retry interval."""
         advice = self._steps.get(step)
         if advice is not None:
-            advice.next_ask_ms = now_ms + _RETRY_MS
+            advice.next_request_ms = now_ms + _RETRY_MS
 
-    def advised(
+    def store_answer(
         self,
         step: StepKey,
-        asked: dict[WorkerId, BornMs],
+        requested: dict[WorkerId, BornMs],
         granted: dict[WorkerId, Ticket],
         expiry_ms: int,
     ) -> None:
-        """Take over the answer to an ask."""
+        """Store an answer; workers without a ticket are denied."""
         advice = self._steps.get(step)
         if advice is None:
             return
-        advice.next_ask_ms = 0
-        for worker, born_ms in asked.items():
+        advice.next_request_ms = 0
+        for worker, born_ms in requested.items():
             ticket = granted.get(worker)
             if ticket is None:
                 advice.denied.add(worker)
                 continue
             advice.allowed.add(worker)
-            advice.tickets[worker] = _Held(ticket, expiry_ms, born_ms)
+            advice.tickets[worker] = _CachedTicket(ticket, expiry_ms, born_ms)
 
-    def refuse(self, step: StepKey, worker: WorkerId) -> None:
-        """Drop a ticket that a worker has refused."""
+    def discard_ticket(self, step: StepKey, worker: WorkerId) -> None:
+        """Remove a ticket that a worker has refused."""
         advice = self._steps.get(step)
         if advice is not None:
             advice.tickets.pop(worker, None)
 
-    def forget_worker(self, worker: WorkerId) -> None:
-        """Drop what was said of a worker whose life has ended."""
+    def remove_worker(self, worker: WorkerId) -> None:
+        """Remove all answers for a worker that has restarted."""
         for advice in self._steps.values():
             advice.tickets.pop(worker, None)
             advice.allowed.discard(worker)
             advice.denied.discard(worker)
 
-    def forget(self, step: StepKey) -> None:
-        """Drop the advice for a step that has nothing more to start."""
+    def remove_step(self, step: StepKey) -> None:
+        """Remove all answers for a step without units left to start."""
         self._steps.pop(step, None)
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -1,4 +1,4 @@
-"""What time alone brings: registered functions that run at each tick."""
+"""Periodic actions: registered functions that run at each tick."""
 
 from collections.abc import Callable
 from typing import Final
@@ -14,33 +14,33 @@
 
 _Tick = Callable[[PoolState, int], None]
 
-# Run in the order of their names.
+# Run in the order of their names, hence the numbers.
 TICKS: Final[Registry[str, _Tick]] = Registry('ticks')
 
-# A stop without an answer is ordered again after this time.
+# A stop order without an answer is repeated after this time.
 _STOP_REPEAT_MS: Final = 400
 
-TICKS.register('4 leave workers')(draining.leave_workers)
+TICKS.register('4 drain workers')(draining.drain_workers)
 TICKS.register('5 pace fillers')(pacing.pace_fillers)
 TICKS.register('6 stop stalled runs')(stalls.stop_stalled)
 
 
-@TICKS.register('1 lapse')
-def _lapse(state: PoolState, now_ms: int) -> None:
-    """Take what runs on workers as ended when its leases have lapsed."""
+@TICKS.register('1 expire leases')
+def _expire_leases(state: PoolState, now_ms: int) -> None:
+    """Mark runs as lost when the task leases of their worker have expired."""
     for view in state.workers:
         if now_ms <= view.lapse_ms:
             continue
-        view.is_accounted = True
+        view.is_reconciled = True
         if view.runs:
-            reports.lose_runs(state, view, now_ms)
+            reports.mark_runs_lost(state, view, now_ms)
         if not view.is_listed:
             state.workers.step(view, StandingEvent.LAPSED)
 
 
 @TICKS.register('2 open occurrences')
 def _open_due(state: PoolState, now_ms: int) -> None:
-    """Open the occurrences of scheduled jobs that are due."""
+    """Open the due occurrences of scheduled jobs."""
     unix_ms = now_ms + state.unix_offset_ms
     for entry in state.jobs.values():
         if entry.is_active:
@@ -60,7 +60,7 @@
 
 @TICKS.register('3 repeat stops')
 def _repeat_stops(state: PoolState, now_ms: int) -> None:
-    """Order stops again that got no answer."""
+    """Repeat stop orders that got no answer."""
     for view in state.workers:
         for run in list(view.runs.values()):
             if _is_stop_overdue(run, now_ms):
@@ -75,11 +75,14 @@
 
 @TICKS.register('7 settle inheritance')
 def _settle_inheritance(state: PoolState, now_ms: int) -> None:
-    """Let jobs of the owner before start when all workers are accounted."""
+    """Allow inherited jobs to start once all their workers are reconciled.
+
+    Before that, a run of the previous owner may exist unknown to this one.
+    """
     if state.is_inheritance_settled:
         return
     for view in state.workers:
-        if view.is_recorded and not view.is_accounted:
+        if view.is_recorded and not view.is_reconciled:
             return
     state.is_inheritance_settled = True
     events.emit(
@@ -91,7 +94,7 @@
 
 @TICKS.register('8 drop reservations')
 def _drop_reservations(state: PoolState, now_ms: int) -> None:
-    """Give up room that was kept in vain."""
+    """Drop expired reservations."""
     for view in state.workers:
         if view.reservations:
             view.reservations = [
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_book.py
@@ -1,4 +1,4 @@
-"""Workers of a pool as their owner knows them."""
+"""State of the workers of a pool in its owner."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -21,15 +21,15 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
 
-_NO_BIRTH: Final = BornMs(0)
+_NOT_REPORTED: Final = BornMs(0)
 _RACK_LABELS_MIN: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Room that is kept for a step until `expiry_ms`.
+    """Room that is reserved for a step until `expiry_ms`.
 
-    Steps with a lower rank are served first and do not regard it.
+    Steps with a lower rank are scheduled first and ignore it.
     """
 
     step: StepKey
@@ -39,8 +39,8 @@
 
 
 @dataclass(slots=True)
-class Trust:
-    """What the ends on a worker say of it."""
+class FailureRecord:
+    """Recent failures on a worker and its suspensions."""
 
     failures_in_row: set[TaskKey] = field(default_factory=set)
     suspensions_count: int = 0
@@ -49,39 +49,42 @@
 
 @dataclass(slots=True)
 class WorkerView:
-    """One worker: what it offers, what runs there and what it has said."""
+    """State of one worker: capacity, runs, reservations and last report."""
 
     worker: WorkerId
     address: str
     entry: WorkerEntry | None = None
     standing: StandingState = StandingState.UNCONFIRMED
     is_listed: bool = False
-    # In the durable fleet record, so that a next owner asks it too.
+    # In the durable fleet record, so that the next owner contacts it too.
     is_recorded: bool = False
-    # Has answered this owner, or all that ran there has lapsed.
-    is_accounted: bool = False
+    # Has reported to this owner, or all its task leases have expired.
+    is_reconciled: bool = False
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
-    held: Resources = NOTHING
-    # What the worker offers and is not held.
+    allocated: Resources = NOTHING
+    # Capacity minus `allocated`.
     free: Resources = NOTHING
     reservations: list[Reservation] = field(default_factory=list)
     filler_milli: int = 0
     serving_count: int = 0
-    born_ms: BornMs = _NO_BIRTH
-    # Ends up to here have been taken into account.
+    born_ms: BornMs = _NOT_REPORTED
+    # Sequence number of the last end that has been applied.
     seen_end: EndSequence = NO_END
-    # Ends up to here are durable, and the worker may forget them.
+    # Ends up to this number are durable; the worker may delete them.
     durable_end: EndSequence = NO_END
-    # Everything there has lapsed by then, if no renewal is sent.
+    # All task leases have expired by then unless a renewal is sent.
     lapse_ms: int = 0
     reported_ms: int = 0
-    # Worker's clock in the newest report.
+    # The worker's clock in the latest report.
     clock_ms: int = 0
     leaving_since_ms: int | None = None
-    trust: Trust = field(default_factory=Trust)
+    failure_record: FailureRecord = field(default_factory=FailureRecord)
 
     def free_for(self, step: StepKey, rank_ms: int) -> Resources:
-        """Return what is neither held nor kept for a step before this one."""
+        """Return the room that a step of this rank can use.
+
+        Reservations of steps that are scheduled earlier are subtracted.
+        """
         free = self.free
         for reservation in self.reservations:
             if reservation.step == step or reservation.rank_ms > rank_ms:
@@ -90,21 +93,21 @@
         return free
 
     def reserve(self, step: StepEntry, expiry_ms: int) -> None:
-        """Keep room for one task of a step."""
+        """Reserve room for one task of a step."""
         self.reservations.append(
             Reservation(step.key, step.rank_ms, step.step.charge, expiry_ms),
         )
 
     def drop_reservations(self, step: StepKey) -> None:
-        """Keep no more room for a step."""
+        """Remove all reservations of a step."""
         self.reservations = [
             reservation
             for reservation in self.reservations
             if reservation.step != step
         ]
 
-    def take_reservation(self, step: StepKey) -> None:
-        """Drop one reservation of a step whose task starts."""
+    def consume_reservation(self, step: StepKey) -> None:
+        """Remove one reservation of a step, for a task that starts."""
         for reservation in self.reservations:
             if reservation.step == step:
                 self.reservations.remove(reservation)
@@ -112,49 +115,49 @@
 
     @property
     def labels(self) -> tuple[Label, ...]:
-        """Return the worker's labels."""
+        """Return the labels of the directory, none without an entry."""
         return self.entry.labels if self.entry else ()
 
     @property
     def rack(self) -> Label | None:
-        """Return the rack, which is the last label."""
+        """Return the rack, which is the last of at least two labels."""
         if len(self.labels) < _RACK_LABELS_MIN:
             return None
         return self.labels[-1]
 
-    def hold(self, run: Run, is_serving: bool) -> None:
-        """Count a run against the worker."""
+    def allocate(self, run: Run, is_serving: bool) -> None:
+        """Add a run and allocate its charge."""
         self.runs[run.key] = run
-        self.held += run.charge
-        self._count_free()
+        self.allocated += run.charge
+        self._update_free()
         self.filler_milli += run.filler_milli
         self.serving_count += int(is_serving)
 
     def release(self, run: Run, is_serving: bool) -> None:
-        """Give back what a run held."""
+        """Remove a run and release its charge; does nothing if unknown."""
         if self.runs.pop(run.key, None) is None:
             return
-        self.held -= run.charge
-        self._count_free()
+        self.allocated -= run.charge
+        self._update_free()
         self.filler_milli -= run.filler_milli
         self.serving_count -= int(is_serving)
 
-    def list_entry(self, entry: WorkerEntry) -> None:
-        """Take over the entry of the directory."""
+    def apply_entry(self, entry: WorkerEntry) -> None:
+        """Set the directory entry, and the address and capacity from it."""
         self.entry = entry
         self.address = entry.address
-        self._count_free()
+        self._update_free()
 
-    def _count_free(self) -> None:
+    def _update_free(self) -> None:
         if self.entry is not None:
-            self.free = self.entry.capacity - self.held
+            self.free = self.entry.capacity - self.allocated
 
 
 class WorkerBook:
-    """All workers that are listed or may still run something."""
+    """All workers that are listed or may still have runs."""
 
     def __init__(self) -> None:
-        """Start with no workers."""
+        """Create an empty table."""
         self._chart: StateChart[StandingState, StandingEvent] = load_chart(
             'standing',
             StandingState,
@@ -166,11 +169,11 @@
         return iter(self._views.values())
 
     def find(self, worker: WorkerId) -> WorkerView | None:
-        """Return a known worker."""
+        """Return the worker, or `None` if it is unknown."""
         return self._views.get(worker)
 
     def add(self, worker: WorkerId, address: str) -> WorkerView:
-        """Return the worker, new if it was not known."""
+        """Return the worker; an unknown one is added with `address`."""
         view = self._views.get(worker)
         if view is None:
             view = WorkerView(worker, address)
@@ -178,31 +181,34 @@
         return view
 
     def remove(self, worker: WorkerId) -> None:
-        """Forget a worker."""
+        """Remove a worker; an unknown one is ignored."""
         self._views.pop(worker, None)
 
     def step(self, view: WorkerView, event: StandingEvent) -> None:
-        """Let an event happen to a worker."""
+        """Apply an event to a worker; ignored without a transition."""
         transition = self._chart.step(view.standing, event)
         if transition is not None:
             view.standing = transition.target
 
-    def list_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
-        """Take over the directory; returns the workers with a new life."""
-        reborn: set[WorkerId] = set()
+    def update_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
+        """Apply the complete directory.
+
+        Returns the workers that are new or have restarted.
+        """
+        restarted: set[WorkerId] = set()
         listed: set[WorkerId] = set()
         for entry in entries:
             listed.add(entry.worker)
             view = self.add(entry.worker, entry.address)
             if view.born_ms < entry.born_ms:
-                reborn.add(entry.worker)
-            self._list_entry(view, entry)
+                restarted.add(entry.worker)
+            self._apply_listing(view, entry)
         for view in self._views.values():
             view.is_listed = view.worker in listed
-        return reborn
+        return restarted
 
-    def _list_entry(self, view: WorkerView, entry: WorkerEntry) -> None:
-        view.list_entry(entry)
+    def _apply_listing(self, view: WorkerView, entry: WorkerEntry) -> None:
+        view.apply_entry(entry)
         if entry.listing is WorkerListing.LEAVING:
             self.step(view, StandingEvent.LISTED_LEAVING)
             return
--- a/fuchsiarill/graphs/worker_trust.py
+++ b/fuchsiarill/graphs/worker_trust.py
@@ -1,4 +1,4 @@
-"""Suspension of workers that fail what they start."""
+"""Suspension of workers on which tasks fail repeatedly."""
 
 from typing import Final
 
@@ -7,61 +7,66 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.worker_book import WorkerView
 
-# Two tasks that fail one after the other are rare on a sound worker, where at
-# most a tenth of the runs fail by their own fault.
+# Two consecutive failures of different tasks are rare on a healthy worker,
+# where at most a tenth of the runs fail through their own fault.
 _FAILURES_MAX_COUNT: Final = 2
 _SUSPENSION_MS: Final = 2000
 _SUSPENSION_MAX_MS: Final = 8000
-# A worker that fails what it starts does so within this time. Where only one
-# worker may run a task, the task waits this long at most for others there.
+# A faulty worker fails its tasks within this time. If only one worker may run a
+# task, this is the longest time that the task waits there for another one.
 _PROOF_MS: Final = 2000
 
 
-def note_success(view: WorkerView) -> None:
-    """Trust the worker again."""
-    view.trust.failures_in_row.clear()
-    view.trust.suspensions_count = 0
+def record_success(view: WorkerView) -> None:
+    """Reset the failures and end the probation after a success."""
+    view.failure_record.failures_in_row.clear()
+    view.failure_record.suspensions_count = 0
 
 
-def note_at_work(view: WorkerView, run: Run) -> None:
-    """Trust the worker again when a task that lasts has begun its work.
+def record_initialized(view: WorkerView, run: Run) -> None:
+    """End the probation when a lasting task has been initialized.
 
-    Such a task never succeeds. One from before a suspension proves nothing.
+    Such a task never succeeds. A task that was started before the suspension
+    proves nothing.
     """
-    if run.ordered_ms >= view.trust.suspended_until_ms:
-        view.trust.suspensions_count = 0
+    if run.ordered_ms >= view.failure_record.suspended_until_ms:
+        view.failure_record.suspensions_count = 0
 
 
-def note_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
-    """Suspend the worker when several tasks fail one after the other."""
-    view.trust.failures_in_row.add(task)
-    if len(view.trust.failures_in_row) < _FAILURES_MAX_COUNT:
+def record_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
+    """Suspend the worker after several consecutive failed tasks.
+
+    Each suspension without a success in between doubles the time, up to a
+    maximum.
+    """
+    view.failure_record.failures_in_row.add(task)
+    if len(view.failure_record.failures_in_row) < _FAILURES_MAX_COUNT:
         return
     duration_ms = min(
-        _SUSPENSION_MS * 2**view.trust.suspensions_count,
+        _SUSPENSION_MS * 2**view.failure_record.suspensions_count,
         _SUSPENSION_MAX_MS,
     )
-    view.trust.suspensions_count += 1
-    view.trust.suspended_until_ms = now_ms + duration_ms
+    view.failure_record.suspensions_count += 1
+    view.failure_record.suspended_until_ms = now_ms + duration_ms
     events.emit(
         events.WORKER_SUSPENDED,
         worker=view.worker,
-        failures=len(view.trust.failures_in_row),
+        failures=len(view.failure_record.failures_in_row),
         duration_ms=duration_ms,
     )
 
 
-def is_trusted(view: WorkerView, now_ms: int) -> bool:
-    """Tell whether the worker may be given work.
+def is_eligible(view: WorkerView, now_ms: int) -> bool:
+    """Tell whether the worker may get a run: not while it is suspended.
 
-    After a suspension it is given one task at a time until one succeeds. Tasks
-    that have run for a while do not count: one that lasts, or takes long,
-    would shut the worker out.
+    After a suspension it is on probation: it gets one task at a time until one
+    succeeds. Tasks that have run for a while do not count, since a lasting or
+    long task would exclude the worker.
     """
-    trust = view.trust
-    if now_ms < trust.suspended_until_ms:
+    record = view.failure_record
+    if now_ms < record.suspended_until_ms:
         return False
-    if trust.suspensions_count == 0:
+    if record.suspensions_count == 0:
         return True
     return all(
         now_ms - run.ordered_ms >= _PROOF_MS for run in view.runs.values()
--- a/fuchsiarill/graphs/worker_waits.py
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -1,4 +1,4 @@
-"""Expected time until a worker has room."""
+"""Expected time until a worker has room for a task."""
 
 from operator import itemgetter
 from typing import Final
@@ -11,25 +11,30 @@
 NEVER_MS: Final = 1_000_000_000
 
 
-def wait_ms(state: PoolState, request: Request, view: WorkerView) -> float:
-    """Return the expected time until a task of the step fits."""
+def expected_wait_ms(
+    state: PoolState, request: Request, view: WorkerView
+) -> float:
+    """Return the expected time until a task of the step fits on a worker.
+
+    Returns `NEVER_MS` if it does not fit when all runs have ended.
+    """
     step = request.step
     free = view.free_for(step.key, step.rank_ms)
     ends = [
-        (_left_ms(state, request, run), run.charge)
+        (_remaining_ms(state, request, run), run.charge)
         for run in view.runs.values()
     ]
-    longest_ms = 0.0
-    for left_ms, charge in sorted(ends, key=itemgetter(0)):
+    latest_end_ms = 0.0
+    for remaining_ms, charge in sorted(ends, key=itemgetter(0)):
         if step.step.charge.fits_in(free):
             break
         free += charge
-        longest_ms = left_ms
-    return longest_ms if step.step.charge.fits_in(free) else NEVER_MS
+        latest_end_ms = remaining_ms
+    return latest_end_ms if step.step.charge.fits_in(free) else NEVER_MS
 
 
-def _left_ms(state: PoolState, request: Request, run: Run) -> float:
-    """Return the expected time until a run ends."""
+def _remaining_ms(state: PoolState, request: Request, run: Run) -> float:
+    """Return the expected time until a run ends, `NEVER_MS` if it lasts."""
     found = state.find_step(run.task)
     if found is None:
         return 0
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -103,11 +103,11 @@
         """Let a worker report."""
         self.now_ms += 10
         report = WorkerReport(self.now_ms, BornMs(born_ms), running, ended)
-        asked_ms = self.now_ms - 5
+        requested_ms = self.now_ms - 5
         self.core.worker_reported(
             WorkerId(worker),
             report,
-            asked_ms,
+            requested_ms,
             self.now_ms,
         )
 
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -28,7 +28,7 @@
     WorkerListing,
     WorkerReport,
 )
-from fuchsiarill.graphs.runs import AT_WORK_PERCENT
+from fuchsiarill.graphs.runs import INITIALIZED_PERCENT
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import NOTHING, Resources
@@ -78,7 +78,7 @@
             EndRow(sequence, task, attempt, kind, Checkpoint('')),
         )
 
-    def settle(self, now_ms: int) -> None:
+    def end_due_runs(self, now_ms: int) -> None:
         """End what has run its time or has lapsed."""
         for key, run in list(self.runs.items()):
             if run.ends_ms is not None and run.ends_ms <= now_ms:
@@ -160,9 +160,9 @@
             for order in arriving:
                 self._start(order)
             for worker in self.workers.values():
-                worker.settle(self.now_ms)
+                worker.end_due_runs(self.now_ms)
                 self._renew(worker)
-            self._answer()
+            self._deliver_answers()
             self._decide()
 
     def _decide(self) -> None:
@@ -170,10 +170,10 @@
         core.tick(self.now_ms)
         core.decide(self.now_ms)
         for effect in core.take_effects():
-            self._carry_out(effect)
+            self._execute(effect)
         core.take_dirty()
 
-    def _carry_out(self, effect: Effect) -> None:
+    def _execute(self, effect: Effect) -> None:
         match effect:
             case StartRun():
                 self.in_flight.append(effect)
@@ -190,11 +190,11 @@
 
     def _start(self, order: StartRun) -> None:
         worker = self.workers[order.worker]
-        if worker.is_reachable and self._begin(worker, order):
+        if worker.is_reachable and self._deliver_start(worker, order):
             return
         self.unanswered.append((self.now_ms + 7 * _STEP_MS, order))
 
-    def _begin(self, worker: ModelWorker, order: StartRun) -> bool:
+    def _deliver_start(self, worker: ModelWorker, order: StartRun) -> bool:
         """Carry a start out; tells whether it has been answered."""
         failure: AgentFailure | None = None
         if order.attempt <= worker.refused.get(order.task, 0):
@@ -220,7 +220,7 @@
     def _run(self, worker: ModelWorker, order: StartRun) -> None:
         task = order.task
         step = self.steps[task.job, task.step]
-        self._note(worker, task)
+        self._check_start(worker, task)
         failing = order.attempt <= self.failures.get(task.job, 0)
         is_failing = worker.fails_all or failing
         ends_ms: int | None = self.now_ms + self.run_ms[task.job]
@@ -235,7 +235,7 @@
         if not worker.used().fits_in(CAPACITY):
             self.violations.append(f'{worker.name} is over its capacity')
 
-    def _note(self, worker: ModelWorker, task: TaskKey) -> None:
+    def _check_start(self, worker: ModelWorker, task: TaskKey) -> None:
         if task in self.succeeded:
             self.violations.append(f'{task} starts after its success')
         for other in self.workers.values():
@@ -286,7 +286,7 @@
         core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
         worker.ended.clear()
 
-    def _answer(self) -> None:
+    def _deliver_answers(self) -> None:
         due = [
             order for at_ms, order in self.unanswered if at_ms <= self.now_ms
         ]
@@ -301,28 +301,30 @@
                 AgentFailure.UNKNOWN,
                 self.now_ms,
             )
-        asks = [ask for at_ms, ask in self.advice if at_ms <= self.now_ms]
+        requests = [
+            request for at_ms, request in self.advice if at_ms <= self.now_ms
+        ]
         self.advice = [row for row in self.advice if row[0] > self.now_ms]
-        for ask in asks:
-            self._advise(ask)
+        for request in requests:
+            self._advise(request)
 
-    def _advise(self, ask: AskAdvice) -> None:
+    def _advise(self, request: AskAdvice) -> None:
         if self.loses_advice:
             return
         views = self.owner.core.state.workers
-        asked = {
+        born_ms_of = {
             worker: view.born_ms
-            for worker in ask.workers
+            for worker in request.workers
             if (view := views.find(worker)) is not None
         }
         granted = {
             worker: Ticket(worker)
-            for worker in asked
-            if is_allowed(ask.step.job, worker)
+            for worker in born_ms_of
+            if is_allowed(request.step.job, worker)
         }
         self.owner.core.advised(
-            ask.step,
-            asked,
+            request.step,
+            born_ms_of,
             granted,
             self.now_ms + 2000,
         )
@@ -335,4 +337,4 @@
 
 
 def _percent(run: ModelRun) -> int:
-    return AT_WORK_PERCENT if run.ends_ms is None else _HALF_PERCENT
+    return INITIALIZED_PERCENT if run.ends_ms is None else _HALF_PERCENT
--- a/tests/test_graph_machine.py
+++ b/tests/test_graph_machine.py
@@ -128,10 +128,10 @@
     def room_is_counted_exactly(self) -> None:
         """What a worker holds is the sum of its runs."""
         for view in self.world.owner.core.state.workers:
-            held = sum(
+            allocated = sum(
                 run.charge.processors_milli for run in view.runs.values()
             )
-            assert view.held.processors_milli == held
+            assert view.allocated.processors_milli == allocated
 
     def teardown(self) -> None:
         """Mend everything; all jobs must come to their end."""
