Reword the tests of the decisions about job graphs

Cause: doc comments and names of these tests used figures of speech (a new life, a hopeless job, room given up), and most loops called their variable `one`.

Change: each test says which failure it guards against in one or two plain sentences; four tests and two invariants have clearer names, and loop variables name the effect or the order that they hold. The reset after a restart is `apply_restart`, the check for suspension `may_receive_runs`. Assertions and their bounds are the same.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -349,7 +349,7 @@
     def _reset_if_restarted(self, view: WorkerView, now_ms: int) -> None:
         if view.entry is None or view.entry.born_ms <= view.born_ms:
             return
-        reports.reset_restarted_worker(self.state, view, now_ms)
+        reports.apply_restart(self.state, view, now_ms)
         view.born_ms = view.entry.born_ms
         self.state.workers.step(view, StandingEvent.WENT_SILENT)
 
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -112,7 +112,7 @@
     label = request.step.step.required_label
     if label is not None and label not in view.labels:
         return False
-    return worker_trust.is_eligible(view, request.now_ms)
+    return worker_trust.may_receive_runs(view, request.now_ms)
 
 
 def has_room(
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -42,7 +42,7 @@
     report older than the last one is ignored.
     """
     if report.born_ms > view.born_ms:
-        reset_restarted_worker(state, view, now_ms)
+        apply_restart(state, view, now_ms)
         view.born_ms = report.born_ms
     elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
         # Answers on different connections can overtake each other.
@@ -58,9 +58,7 @@
     _end_absent_runs(state, view, report, requested_ms, now_ms)
 
 
-def reset_restarted_worker(
-    state: PoolState, view: WorkerView, now_ms: int
-) -> None:
+def apply_restart(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Mark the runs of a worker's previous incarnation as lost.
 
     A run that the previous incarnation has not reported may run in the new
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -16,7 +16,7 @@
 )
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_trust import is_eligible
+from fuchsiarill.graphs.worker_trust import may_receive_runs
 from fuchsiarill.resources import NOTHING
 
 _Ranked = tuple[float, int, WorkerView]
@@ -96,4 +96,4 @@
 def _can_start(request: Request, view: WorkerView) -> bool:
     if not has_room(request.step, view, NOTHING):
         return False
-    return is_eligible(view, request.now_ms)
+    return may_receive_runs(view, request.now_ms)
--- a/fuchsiarill/graphs/worker_trust.py
+++ b/fuchsiarill/graphs/worker_trust.py
@@ -56,7 +56,7 @@
     )
 
 
-def is_eligible(view: WorkerView, now_ms: int) -> bool:
+def may_receive_runs(view: WorkerView, now_ms: int) -> bool:
     """Tell whether the worker may get a run: not while it is suspended.
 
     After a suspension it is on probation: it gets one task at a time until one
--- a/fuchsiarill/graphs/worker_waits.py
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -34,7 +34,7 @@
 
 
 def _remaining_ms(state: PoolState, request: Request, run: Run) -> float:
-    """Return the expected time until a run ends, `NEVER_MS` if it lasts."""
+    """Return the expected time until a run ends, `NEVER_MS` if lasting."""
     found = state.find_step(run.task)
     if found is None:
         return 0
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -1,4 +1,4 @@
-"""A core whose workers report when a test says so."""
+"""Test harness: a core whose workers report on request of a test."""
 
 from typing import Final
 
@@ -66,10 +66,10 @@
 
 
 class Owner:
-    """A core with workers that report when the test says so."""
+    """A core, its clock and the reports of its workers."""
 
     def __init__(self, *workers: str, term: int = 1) -> None:
-        """Create a core that knows the workers and has heard of them."""
+        """Create a core with listed and recorded workers, without reports."""
         self.now_ms = 1000
         self.core = GraphCore(POOL, Epoch(7), TaskLeaseSettings(), term)
         self.core.configure(CONFIG)
@@ -100,7 +100,7 @@
         ended: tuple[EndRow, ...] = (),
         born_ms: int = 1,
     ) -> None:
-        """Let a worker report."""
+        """Deliver a report of a worker, 10 ms later."""
         self.now_ms += 10
         report = WorkerReport(self.now_ms, BornMs(born_ms), running, ended)
         requested_ms = self.now_ms - 5
@@ -112,19 +112,21 @@
         )
 
     def decide(self) -> list[Effect]:
-        """Let time pass, decide and return the effects."""
+        """Advance the clock by 10 ms, tick, decide and return the effects."""
         self.now_ms += 10
         self.core.tick(self.now_ms)
         self.core.decide(self.now_ms)
         return self.core.take_effects()
 
     def starts(self) -> list[StartRun]:
-        """Decide and return the starts."""
-        return [one for one in self.decide() if isinstance(one, StartRun)]
+        """Decide and return the start orders."""
+        return [
+            effect for effect in self.decide() if isinstance(effect, StartRun)
+        ]
 
 
 def entry(worker: str) -> WorkerEntry:
-    """Return the entry of a live worker."""
+    """Return the directory entry of a live worker."""
     return WorkerEntry(
         WorkerId(worker),
         POOL,
@@ -138,12 +140,12 @@
 
 
 def task(job: str, step: int = 0, position: int = 0) -> TaskKey:
-    """Return a task of the only occurrence."""
+    """Return the key of a task of the first occurrence."""
     return TaskKey(JobId(job), 0, step, position)
 
 
 def running(key: TaskKey, attempt: int = 1) -> RunningRow:
-    """Return the row of a run."""
+    """Return a reported run at 50 percent."""
     return RunningRow(key, attempt, Checkpoint(''), 50)
 
 
@@ -153,5 +155,5 @@
     kind: EndKind = EndKind.SUCCEEDED,
     attempt: int = 1,
 ) -> EndRow:
-    """Return the row of an end."""
+    """Return a reported end."""
     return EndRow(EndSequence(sequence), key, attempt, kind, Checkpoint(''))
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -1,7 +1,8 @@
-"""A core with workers and an advice service that behave by themselves.
+"""Simulation of a core with its workers and an advice service.
 
-Time passes in steps. Workers end runs, let leases lapse and report; orders to
-those out of reach get no answer, and may be carried out later.
+Time advances in steps. Workers end runs, expire leases and report. Start orders
+arrive a step later, perhaps at a restarted worker; orders to unreachable
+workers get no answer.
 """
 
 from dataclasses import dataclass, field, replace
@@ -44,7 +45,7 @@
 
 @dataclass(slots=True)
 class ModelRun:
-    """A run on a worker; without `ends_ms` it lasts."""
+    """A run on a simulated worker; without `ends_ms` it never ends."""
 
     size: Resources
     ends_ms: int | None
@@ -53,7 +54,7 @@
 
 @dataclass(slots=True)
 class ModelWorker:
-    """One life of a worker."""
+    """One incarnation of a simulated worker."""
 
     name: str
     born_ms: int
@@ -68,7 +69,7 @@
     fails_all: bool = False
 
     def end(self, key: _Key, kind: EndKind) -> None:
-        """End a run and list the end."""
+        """End a run, report the end and refuse the attempt from now on."""
         self.runs.pop(key)
         self.ends_count += 1
         task, attempt = key
@@ -79,7 +80,7 @@
         )
 
     def end_due_runs(self, now_ms: int) -> None:
-        """End what has run its time or has lapsed."""
+        """End the runs whose run time is over or whose lease has expired."""
         for key, run in list(self.runs.items()):
             if run.ends_ms is not None and run.ends_ms <= now_ms:
                 self.end(key, run.kind)
@@ -87,12 +88,12 @@
                 self.end(key, EndKind.LAPSED)
 
     def used(self) -> Resources:
-        """Return what all runs hold together."""
+        """Return the sum of the resources of all runs."""
         return sum((run.size for run in self.runs.values()), NOTHING)
 
 
 class World:
-    """The owner's core and everything around it."""
+    """An owner's core, simulated workers and the advice service."""
 
     def __init__(self, *names: str) -> None:
         """Create live workers."""
@@ -105,9 +106,10 @@
         self.violations: list[str] = []
         self.advice: list[tuple[int, AskAdvice]] = []
         self.loses_advice = False
-        # Starts on their way; they reach whatever life the worker has then.
+        # Start orders in transit; they reach the worker's incarnation of that
+        # time.
         self.in_flight: list[StartRun] = []
-        # Orders without an answer: when the owner gives up on them.
+        # Start orders without an answer, with the time at which they time out.
         self.unanswered: list[tuple[int, StartRun]] = []
 
     @property
@@ -116,7 +118,7 @@
         return self.owner.now_ms
 
     def list_workers(self) -> None:
-        """Show the directory to the owner."""
+        """Pass the current directory to the owner."""
         entries = []
         for worker in self.workers.values():
             listed = replace(
@@ -138,7 +140,7 @@
         run_ms: int,
         failures: int,
     ) -> None:
-        """Accept a job of which each task fails some times at first."""
+        """Submit a job whose tasks fail in the first `failures` attempts."""
         job = f'j{len(self.run_ms)}'
         for position, step in enumerate(steps):
             self.steps[job, position] = step
@@ -147,12 +149,12 @@
         self.owner.add_job(job, *steps, queue=queue)
 
     def restart(self, name: str) -> None:
-        """End a worker with all that it runs, and begin a new life."""
+        """Restart a worker under its id; all its runs are lost."""
         self.workers[name] = ModelWorker(name, born_ms=self.now_ms)
         self.list_workers()
 
     def pass_time(self, duration_ms: int) -> None:
-        """Let everything happen that time brings."""
+        """Advance the clock in steps; run workers, advice and decisions."""
         for _ in range(duration_ms // _STEP_MS):
             self.owner.now_ms += _STEP_MS
             arriving = self.in_flight
@@ -195,7 +197,7 @@
         self.unanswered.append((self.now_ms + 7 * _STEP_MS, order))
 
     def _deliver_start(self, worker: ModelWorker, order: StartRun) -> bool:
-        """Carry a start out; tells whether it has been answered."""
+        """Deliver a start order; returns whether it has been answered."""
         failure: AgentFailure | None = None
         if order.attempt <= worker.refused.get(order.task, 0):
             failure = AgentFailure.SUPERSEDED
@@ -331,7 +333,7 @@
 
 
 def is_allowed(job: str, worker: str) -> bool:
-    """Tell whether the policy lets a worker run the steps of a job."""
+    """Tell whether the advice service allows a worker for a job."""
     number = int(job.removeprefix('j'))
     return worker == f'w{number % 3}'
 
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -1,4 +1,4 @@
-"""Decisions about a pool, fed with reports by hand."""
+"""Decisions about a pool on reports that each test makes."""
 
 from fuchsiarill.graphs.effects import StopRun
 from fuchsiarill.graphs.model import BornMs, EndKind, Step, WorkerReport
@@ -17,10 +17,10 @@
 
 
 def test_run_of_a_step_that_is_not_open_is_kept() -> None:
-    """Guards against a second run of what an owner before has started.
+    """Guards against a second run of a task that a previous owner started.
 
-    A worker may report a run of the second step before another reports the
-    end of the first one.
+    A worker may report a run of the second step before another worker reports
+    the end of the first step.
     """
     owner = Owner('w0', 'w1', term=2)
     owner.core.expect_worker(WorkerId('w0'), 'w0:1', 9000)
@@ -38,31 +38,34 @@
 
 
 def test_inherited_job_waits_for_every_worker() -> None:
-    """Guards against a start while a worker that may run it is silent."""
+    """Guards against a second run of a job that a silent worker still runs."""
     owner = Owner('w0', 'w1', term=2)
     for worker in ('w0', 'w1'):
         owner.core.expect_worker(WorkerId(worker), f'{worker}:1', 9000)
     owner.add_job('old', Step(1, SIZE), is_inherited=True)
     owner.add_job('new', Step(1, SIZE))
     owner.report('w0')
-    assert [one.task.job for one in owner.starts()] == ['new']
+    assert [start.task.job for start in owner.starts()] == ['new']
     owner.now_ms = 9001
     owner.core.renewal_sent(WorkerId('w0'), owner.now_ms)
     owner.report('w0', (running(task('new')),))
-    assert [one.task.job for one in owner.starts()] == ['old']
+    assert [start.task.job for start in owner.starts()] == ['old']
 
 
 def test_attempts_of_a_new_owner_are_above_those_before() -> None:
-    """Guards against a number that the owner before has used unnoticed."""
+    """Guards against an attempt number that a previous owner has used.
+
+    The previous owner may have started attempts without a durable record.
+    """
     owner = Owner('w0', term=3)
     owner.core.expect_worker(WorkerId('w0'), 'w0:1', 9000)
     owner.add_job('old', Step(1, SIZE), is_inherited=True)
     owner.report('w0')
-    assert [one.attempt for one in owner.starts()] == [201]
+    assert [start.attempt for start in owner.starts()] == [201]
 
 
 def test_room_is_free_only_after_the_end() -> None:
-    """Guards against a worker over its capacity while a run is stopped."""
+    """Guards against a start on a worker whose stopped run has not ended."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(2, SIZE))
@@ -77,11 +80,11 @@
         rows[1:],
         (ended(task('a'), kind=EndKind.STOPPED),),
     )
-    assert [one.task.job for one in owner.starts()] == ['b']
+    assert [start.task.job for start in owner.starts()] == ['b']
 
 
-def test_urgent_step_preempts_what_saves_its_progress() -> None:
-    """Guards against an urgent job that waits behind batch work."""
+def test_urgent_step_preempts_a_run_that_saves_its_progress() -> None:
+    """Guards against an urgent job that waits for batch jobs."""
     owner = Owner('w0')
     owner.report('w0')
     saving = Step(1, SIZE, estimate_ms=60000, is_checkpointing=True)
@@ -91,19 +94,19 @@
     assert len(owner.starts()) == 2
     owner.report('w0', (running(task('plain')), running(task('saving'))))
     owner.add_job('quote', Step(1, SIZE, estimate_ms=100), queue=URGENT)
-    stops = [one for one in owner.decide() if isinstance(one, StopRun)]
-    assert [one.task.job for one in stops] == ['saving']
+    stops = [effect for effect in owner.decide() if isinstance(effect, StopRun)]
+    assert [stop.task.job for stop in stops] == ['saving']
     owner.add_job('later', Step(1, SIZE, estimate_ms=10))
     owner.report(
         'w0',
         (running(task('plain')),),
         (ended(task('saving'), kind=EndKind.STOPPED),),
     )
-    assert [one.task.job for one in owner.starts()] == ['quote']
+    assert [start.task.job for start in owner.starts()] == ['quote']
 
 
 def test_older_report_changes_nothing() -> None:
-    """Guards against answers that overtake each other on connections."""
+    """Guards against a report overtaken by a newer one on a connection."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE))
@@ -111,26 +114,26 @@
     stale = WorkerReport(owner.now_ms, BornMs(1), (running(task('a')),), ())
     owner.report('w0', (), (ended(task('a'), kind=EndKind.FAILED),))
     owner.core.worker_reported(WorkerId('w0'), stale, 1, owner.now_ms)
-    assert [one.attempt for one in owner.starts()] == [2]
+    assert [start.attempt for start in owner.starts()] == [2]
 
 
 def test_unlisted_worker_gets_nothing_new() -> None:
-    """Guards against work for a worker that has left the directory."""
+    """Guards against a start on a worker that has left the directory."""
     owner = Owner('w0', 'w1')
     owner.report('w0')
     owner.report('w1')
     owner.core.list_workers([entry('w1')], owner.now_ms)
     owner.add_job('a', Step(2, SIZE))
-    assert {one.worker for one in owner.starts()} == {'w1'}
+    assert {start.worker for start in owner.starts()} == {'w1'}
 
 
 def test_job_that_never_fits_blocks_nobody() -> None:
-    """Guards against a hopeless job at the head of the queue."""
+    """Guards against a job that fits no worker and holds up later jobs."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('huge', Step(1, Resources(99000, 1)), queue=URGENT)
     owner.add_job('small', Step(1, SIZE))
-    assert [one.task.job for one in owner.starts()] == ['small']
+    assert [start.task.job for start in owner.starts()] == ['small']
 
 
 def test_limit_of_tasks_on_a_worker_holds() -> None:
@@ -139,14 +142,14 @@
     owner.report('w0')
     owner.report('w1')
     owner.add_job('a', Step(4, SIZE, per_worker_max=1))
-    assert sorted(one.worker for one in owner.starts()) == ['w0', 'w1']
+    assert sorted(start.worker for start in owner.starts()) == ['w0', 'w1']
 
 
 def test_suspended_worker_with_a_lasting_task_is_tried_again() -> None:
-    """Guards against a worker that a lasting task shuts out for ever.
+    """Guards against a worker that a lasting task excludes for ever.
 
-    After a suspension a worker gets one task at a time; what ran there before
-    must not count as that task.
+    After a suspension a worker gets one task at a time; a task started before
+    the suspension must not count.
     """
     owner = Owner('w0')
     owner.report('w0')
@@ -168,7 +171,7 @@
 
 
 def test_task_is_not_preempted_without_end() -> None:
-    """Guards against a task that is stopped for every urgent job."""
+    """Guards against a task that every urgent job preempts again."""
     owner = Owner('w0')
     owner.report('w0')
     saving = Step(1, CAPACITY, estimate_ms=60000, is_checkpointing=True)
@@ -180,7 +183,9 @@
             owner.report('w0', (running(start.task, start.attempt),))
         quote = f'q{round_number}'
         owner.add_job(quote, Step(1, SIZE, estimate_ms=100), queue=URGENT)
-        stops = [one for one in owner.decide() if isinstance(one, StopRun)]
+        stops = [
+            effect for effect in owner.decide() if isinstance(effect, StopRun)
+        ]
         for stop in stops:
             stops_count += 1
             sequence += 1
@@ -193,11 +198,11 @@
     assert 0 < stops_count < 6
 
 
-def test_gang_that_does_not_start_gives_its_room_up() -> None:
-    """Guards against workers kept idle for a gang that never starts.
+def test_gang_that_does_not_start_releases_its_reservations() -> None:
+    """Guards against workers reserved without end for a gang.
 
-    One of the two workers that the gang needs is taken by a run that lasts
-    far longer than expected. Both jobs are so late that they earn nothing.
+    One of the two workers that the gang needs is used by a run that takes far
+    longer than expected. Both jobs are so late that they have no value.
     """
     owner = Owner('w0', 'w1')
     owner.report('w0')
@@ -223,10 +228,10 @@
 
 
 def test_lasting_tasks_start_on_the_only_worker_that_may_run_them() -> None:
-    """Guards against a worker on probation whose task never succeeds.
+    """Guards against a probation that a lasting task never ends.
 
-    Both tasks fail once, which suspends the worker. Then one of them starts,
-    and lasts. Found by tests/test_graph_machine.py.
+    Both tasks fail once, which suspends the worker. Then one of them starts
+    and never succeeds, since it lasts. Found by tests/test_graph_machine.py.
     """
     owner = Owner('w0')
     owner.report('w0')
@@ -246,11 +251,11 @@
     assert len(owner.starts()) == 1
 
 
-def test_start_that_may_have_reached_a_new_life_is_ruled_out() -> None:
+def test_start_that_may_have_reached_a_restarted_worker_is_stopped() -> None:
     """Guards against a second run of a task whose worker has restarted.
 
-    The order to start was on its way when the worker restarted under its id,
-    so the new life may run the task. Found by the soak, seed 1.
+    The start order was in transit when the worker restarted under its id, so
+    the new incarnation may run the task. Found by the soak, seed 1.
     """
     owner = Owner('w0', 'w1')
     owner.report('w0')
@@ -259,7 +264,7 @@
     start = owner.starts()[0]
     owner.report(start.worker, born_ms=9)
     effects = owner.decide()
-    assert [type(one) for one in effects] == [StopRun]
+    assert [type(effect) for effect in effects] == [StopRun]
     owner.core.stop_answered(
         start.worker,
         start.task,
@@ -270,15 +275,15 @@
     assert not owner.starts()
     owner.now_ms += 100
     owner.report(start.worker, born_ms=9)
-    assert [one.attempt for one in owner.starts()] == [2]
+    assert [start.attempt for start in owner.starts()] == [2]
 
 
-def test_run_that_a_former_life_has_listed_is_over() -> None:
-    """Guards against a wait for a task that ended with its worker."""
+def test_run_listed_before_a_restart_has_ended() -> None:
+    """Guards against a task that is never restarted after its worker was."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE))
     owner.starts()
     owner.report('w0', (running(task('a')),))
     owner.report('w0', born_ms=9)
-    assert [one.attempt for one in owner.starts()] == [2]
+    assert [start.attempt for start in owner.starts()] == [2]
--- a/tests/test_graph_machine.py
+++ b/tests/test_graph_machine.py
@@ -1,4 +1,4 @@
-"""Job graphs under arbitrary sequences of jobs, ends and faults."""
+"""Decisions about job graphs under random sequences of jobs and faults."""
 
 from dataclasses import replace
 from typing import Final
@@ -20,7 +20,7 @@
 
 
 def _step(tasks_count: int, processors: int, kind: str) -> Step:
-    # What lasts must leave room for everything else.
+    # Lasting tasks must leave room for all other jobs.
     size = Resources(30 if kind == 'lasting' else processors, 100)
     return Step(
         tasks_count,
@@ -40,7 +40,12 @@
 
 
 class GraphMachine(RuleBasedStateMachine):
-    """Whatever happens, nothing runs twice, and in the end all is done."""
+    """Guards against double runs, overload and jobs that never end.
+
+    Jobs, cancellations, restarts, lost answers and failing workers come in any
+    order. No task may run twice and no worker may exceed its capacity; all
+    jobs must end after the faults are repaired.
+    """
 
     def __init__(self) -> None:
         """Start with live workers and no jobs."""
@@ -64,9 +69,9 @@
         *,
         is_chain: bool,
     ) -> None:
-        """Accept a job that fits the empty fleet."""
+        """Submit a job that fits on the workers when they are empty."""
         if step.is_gang and queue == ADVISED:
-            # Only one worker may run the steps of a job.
+            # The advice service allows one worker for the steps of a job.
             step = replace(step, tasks_count=1)
         steps = [replace(step, estimate_ms=run_ms)]
         if is_chain and not step.is_lasting:
@@ -86,47 +91,47 @@
 
     @rule(name=st.sampled_from(_NAMES))
     def restart(self, name: str) -> None:
-        """End a worker and start it again."""
+        """Restart a worker; its runs are lost."""
         self.world.restart(name)
 
     @rule(name=st.sampled_from(_NAMES))
     def cut(self, name: str) -> None:
-        """Cut a worker off, or connect it again."""
+        """Disconnect a worker, or connect it again."""
         worker = self.world.workers[name]
         worker.is_reachable = not worker.is_reachable
 
     @rule(name=st.sampled_from(_NAMES))
     def lose_answers(self, name: str) -> None:
-        """Lose the answers to orders, or no longer."""
+        """Start or stop losing the answers of a worker to orders."""
         worker = self.world.workers[name]
         worker.loses_answers = not worker.loses_answers
 
     @rule(name=st.sampled_from(_NAMES))
     def fail_all(self, name: str) -> None:
-        """Let a worker fail all that it starts, or no longer."""
+        """Start or stop failing all tasks on a worker."""
         worker = self.world.workers[name]
         worker.fails_all = not worker.fails_all
 
     @rule(name=st.sampled_from(_NAMES))
     def leave(self, name: str) -> None:
-        """Let a worker announce its end, or take that back."""
+        """Let a worker announce that it leaves, or withdraw the notice."""
         worker = self.world.workers[name]
         worker.is_leaving = not worker.is_leaving
         self.world.list_workers()
 
     @rule()
     def lose_advice(self) -> None:
-        """Lose answers to asks for advice, or no longer."""
+        """Start or stop losing the answers of the advice service."""
         self.world.loses_advice = not self.world.loses_advice
 
     @invariant()
-    def promises_hold(self) -> None:
-        """Nothing runs twice, and no worker is over its capacity."""
+    def runs_are_exclusive_and_fit(self) -> None:
+        """No task runs twice, and no worker exceeds its capacity."""
         assert not self.world.violations
 
     @invariant()
-    def room_is_counted_exactly(self) -> None:
-        """What a worker holds is the sum of its runs."""
+    def allocated_capacity_matches_runs(self) -> None:
+        """The allocated capacity of a worker is the sum of its runs."""
         for view in self.world.owner.core.state.workers:
             allocated = sum(
                 run.charge.processors_milli for run in view.runs.values()
@@ -134,7 +139,7 @@
             assert view.allocated.processors_milli == allocated
 
     def teardown(self) -> None:
-        """Mend everything; all jobs must come to their end."""
+        """Repair all faults; all jobs must end within the recovery time."""
         self.world.loses_advice = False
         for worker in self.world.workers.values():
             worker.is_reachable = True
@@ -150,7 +155,10 @@
         assert not self.world.violations
 
     def _unfinished(self) -> list[JobId]:
-        """Return the jobs that wait, or of which a lasting task is missing."""
+        """Return active jobs that have not ended.
+
+        A job of lasting tasks counts only while one of them does not run.
+        """
         running = {
             task
             for worker in self.world.workers.values()
--- a/tests/test_graph_ticks.py
+++ b/tests/test_graph_ticks.py
@@ -1,4 +1,4 @@
-"""What time alone brings: stalls, pacing of fillers, leaving workers."""
+"""Periodic decisions: stalls, pacing of fillers, leaving workers, gangs."""
 
 from dataclasses import replace
 
@@ -29,18 +29,18 @@
 
 
 def row(job: str, percent: int, usage: float | None = None) -> RunningRow:
-    """Return the row of a run with its percent and its usage."""
+    """Return a reported run with its progress and usage."""
     return RunningRow(task(job), 1, Checkpoint(''), percent, usage)
 
 
 def stops(effects: list[Effect]) -> list[StopRun]:
-    """Return the stops among the effects."""
-    return [one for one in effects if isinstance(one, StopRun)]
+    """Return the stop orders among the effects."""
+    return [effect for effect in effects if isinstance(effect, StopRun)]
 
 
 def paces(effects: list[Effect]) -> list[int]:
-    """Return the paces that are set."""
-    return [one.percent for one in effects if isinstance(one, PaceRun)]
+    """Return the percentages of the pace orders among the effects."""
+    return [effect.percent for effect in effects if isinstance(effect, PaceRun)]
 
 
 @pytest.mark.parametrize(
@@ -59,10 +59,10 @@
     *,
     is_stopped: bool,
 ) -> None:
-    """Guards against a task that waits for ever on a worker that hangs.
+    """Guards against a task that hangs on its worker for ever.
 
-    A lasting task is at 100 once it is at work, and a filler moves only as
-    fast as others leave it processors.
+    A lasting task stays at 100 percent once initialized, and the progress of a
+    filler depends on the processors that other tasks leave idle.
     """
     owner = Owner('w0')
     owner.report('w0')
@@ -76,7 +76,7 @@
 
 
 def test_silent_worker_is_not_taken_as_stalled() -> None:
-    """Guards against a stop of runs of which nothing new is known."""
+    """Guards against a stop of runs only because reports are missing."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE))
@@ -87,7 +87,7 @@
 
 
 def fill_beside_serving() -> Owner:
-    """Return an owner with a filler beside a serving task."""
+    """Return an owner whose worker runs a serving task and a filler."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('serving', SERVING)
@@ -98,13 +98,13 @@
 
 
 def test_filler_is_paced_by_the_tail_beside_it() -> None:
-    """Guards against fillers that harm a serving task, or stand for ever."""
+    """Guards against fillers that slow a serving task, or never resume."""
     owner = fill_beside_serving()
     rows = (row('serving', 100, 150), row('filling', 5, 1))
     owner.report('w0', rows)
     owner.now_ms += 1000
     assert paces(owner.decide()) == [0]
-    # A reported tail still shows the time before the change.
+    # The reported tail latency still covers the time before the change.
     owner.report('w0', rows)
     assert not paces(owner.decide())
     seen = []
@@ -116,7 +116,7 @@
 
 
 def test_filler_keeps_its_pace_near_the_target() -> None:
-    """Guards against a pace that changes with every small change of load."""
+    """Guards against a pace that follows every small change of load."""
     owner = fill_beside_serving()
     owner.report('w0', (row('serving', 100, 75), row('filling', 5, 1)))
     owner.now_ms += 1000
@@ -132,9 +132,9 @@
     *,
     is_moved: bool,
 ) -> None:
-    """Guards against a lasting task that ends with its worker.
+    """Guards against a lasting task that runs until its worker ends.
 
-    Without room elsewhere it is of more use where it is.
+    Without room on another worker it stays, so that it runs as long as it can.
     """
     owner = Owner('w0', *others)
     owner.report('w0')
@@ -154,13 +154,13 @@
 
 
 def test_gang_gets_the_workers_that_become_free() -> None:
-    """Guards against a gang that small tasks keep from ever starting."""
+    """Guards against a gang that small tasks prevent from ever starting."""
     owner = Owner('w0', 'w1')
     owner.report('w0')
     owner.report('w1')
     owner.add_job('first', Step(1, CAPACITY, estimate_ms=1000))
     owner.add_job('second', Step(1, CAPACITY, estimate_ms=1000))
-    where = {one.task.job: one.worker for one in owner.starts()}
+    where = {start.task.job: start.worker for start in owner.starts()}
     assert len(where) == 2
     gang = Step(2, CAPACITY, estimate_ms=100, is_gang=True)
     owner.add_job('gang', gang)
--- a/tests/test_step_placer.py
+++ b/tests/test_step_placer.py
@@ -25,7 +25,7 @@
 
 
 def fleet() -> Owner:
-    """Return an owner that has heard of many workers."""
+    """Return an owner to which many workers have reported."""
     names = [f'w{number}' for number in range(_WORKERS_COUNT)]
     owner = Owner(*names)
     for name in names:
@@ -34,10 +34,10 @@
 
 
 def test_wide_step_computes_few_costs(costs: list[int]) -> None:
-    """Guards against decisions that slow down with tasks times workers.
+    """Guards against a cost of decisions that grows with tasks times workers.
 
-    With 126 workers they took 1.5 ms a start, and then half of a processor
-    at 300 starts a second.
+    With 126 workers it was 1.5 ms a start, half of a processor at 300 starts a
+    second.
     """
     owner = fleet()
     owner.add_job('wide', Step(_WORKERS_COUNT, SIZE))
@@ -46,15 +46,15 @@
 
 
 def test_units_of_a_step_fill_workers_up() -> None:
-    """Guards against costs that are not computed anew after a placement."""
+    """Guards against costs that are not updated after a placement."""
     owner = fleet()
     owner.add_job('a', Step(4, SIZE))
     per_worker = CAPACITY.processors_milli // SIZE.processors_milli
-    assert len({one.worker for one in owner.starts()}) == 4 // per_worker
+    assert len({start.worker for start in owner.starts()}) == 4 // per_worker
 
 
 def test_unit_avoids_the_worker_where_it_failed() -> None:
-    """Guards against a unit that returns to where it has just failed."""
+    """Guards against a retry on the worker on which the unit has failed."""
     owner = Owner('w0', 'w1')
     owner.report('w0')
     owner.report('w1')
