--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy
 from fuchsiarill.graphs.placement import Request, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, expected_wait_ms
 from fuchsiarill.ids import WorkerId
 
@@ -61,7 +61,9 @@
         return False
     _reserve_room(request, soon, _duration_ms(policy, len(requested)))
     state.tickets.request_sent(step.key, request.now_ms)
-    state.effects.append(AskAdvice(step.key, tuple(requested), step.rank_ms))
+    state.effects.append(
+        RequestAdvice(step.key, tuple(requested), step.rank_ms)
+    )
     return True
 
 
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 
 from fuchsiarill import events
-from fuchsiarill.graphs import deciding, reports, worker_trust
-from fuchsiarill.graphs.effects import Effect, LookAt
+from fuchsiarill.graphs import decision_round, reports, worker_suspension
+from fuchsiarill.graphs.effects import Effect, RequestReport
 from fuchsiarill.graphs.job_actions import step_job
-from fuchsiarill.graphs.job_book import ATTEMPTS_PER_TERM, JobEntry
+from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
     BornMs,
     GraphConfig,
@@ -31,14 +31,14 @@
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import (
+    AvailabilityEvent,
+    AvailabilityState,
     JobPhaseEvent,
     RunEvent,
     RunState,
-    StandingEvent,
-    StandingState,
 )
 from fuchsiarill.graphs.ticking import TICKS
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
@@ -119,11 +119,13 @@
         if entry is not None:
             step_job(self.state, entry, JobPhaseEvent.CANCEL_SEEN, now_ms)
 
-    def forget_job(self, job: JobId) -> None:
+    def remove_job(self, job: JobId) -> None:
         """Remove a settled job."""
         self.state.jobs.pop(job, None)
 
-    def list_workers(self, entries: Iterable[WorkerEntry], now_ms: int) -> None:
+    def update_workers(
+        self, entries: Iterable[WorkerEntry], now_ms: int
+    ) -> None:
         """Apply the directory's entries of the pool, the complete list."""
         for worker in self.state.workers.update_entries(entries):
             view = self.state.workers.find(worker)
@@ -131,19 +133,19 @@
                 self._reset_if_restarted(view, now_ms)
         self.state.free_version += 1
 
-    def expect_worker(
+    def add_inherited_worker(
         self,
         worker: WorkerId,
         address: str,
-        lapse_ms: int,
+        lease_expiry_ms: int,
     ) -> None:
         """Add a worker on which a previous owner may have started runs.
 
-        Task leases granted by that owner have ended after `lapse_ms`.
+        Task leases granted by that owner have ended after `lease_expiry_ms`.
         """
         view = self.state.workers.add(worker, address)
         view.is_recorded = True
-        view.lapse_ms = max(view.lapse_ms, lapse_ms)
+        view.lease_expiry_ms = max(view.lease_expiry_ms, lease_expiry_ms)
 
     def record_workers(self, workers: Iterable[WorkerId]) -> None:
         """Mark workers as contained in the durable fleet record."""
@@ -186,9 +188,9 @@
         view = self.state.workers.find(worker)
         if view is None:
             return
-        before = view.standing
-        self.state.workers.step(view, StandingEvent.WENT_SILENT)
-        if before is not view.standing:
+        before = view.availability
+        self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
+        if before is not view.availability:
             events.emit(
                 events.WORKER_UNCONFIRMED,
                 worker=worker,
@@ -196,7 +198,7 @@
                 runs=len(view.runs),
             )
         if _proves_worker_end(view, failure):
-            view.lapse_ms = now_ms
+            view.lease_expiry_ms = now_ms
 
     def start_answered(
         self,
@@ -237,9 +239,9 @@
             return
         run.is_stop_answered = True
         run.visible_since_ms = now_ms
-        self.state.effects.append(LookAt(worker))
+        self.state.effects.append(RequestReport(worker))
 
-    def advised(
+    def advice_received(
         self,
         step: StepKey,
         requested: dict[WorkerId, BornMs],
@@ -280,7 +282,7 @@
 
     def decide(self, now_ms: int) -> None:
         """Place waiting units and start them."""
-        deciding.decide(self.state, now_ms)
+        decision_round.decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects of the calls so far."""
@@ -341,9 +343,9 @@
             self.state.tickets.discard_ticket(run.task.step_key, run.worker)
         view = self.state.workers.find(run.worker)
         if view is not None and failure is AgentFailure.UNHEALTHY:
-            worker_trust.record_failure(view, run.task, now_ms)
+            worker_suspension.record_failure(view, run.task, now_ms)
         if view is not None and failure in _AVAILABILITY_FAILURES:
-            self.state.workers.step(view, StandingEvent.WENT_SILENT)
+            self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
         reports.end_unreported_run(self.state, run, RunEvent.REFUSED, now_ms)
 
     def _reset_if_restarted(self, view: WorkerView, now_ms: int) -> None:
@@ -351,10 +353,10 @@
             return
         reports.apply_restart(self.state, view, now_ms)
         view.born_ms = view.entry.born_ms
-        self.state.workers.step(view, StandingEvent.WENT_SILENT)
+        self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
 
     def _unblock(self, step: StepKey) -> None:
-        found = self.state.known_step(step)
+        found = self.state.find_unfinished_step(step)
         if found is not None:
             found.blocked_version = -1
 
@@ -365,5 +367,7 @@
         return True
     # A worker that leaves withdraws its entry and closes its port. A closed
     # port alone proves nothing: a broken link can reset connections too.
-    has_left = view.standing is StandingState.LEAVING and not view.is_listed
+    has_left = (
+        view.availability is AvailabilityState.LEAVING and not view.is_listed
+    )
     return has_left and failure is AgentFailure.CONNECTION_REFUSED
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -3,19 +3,19 @@
 from typing import NamedTuple
 
 from fuchsiarill import events
-from fuchsiarill.graphs import asking
+from fuchsiarill.graphs import advice_requests
 from fuchsiarill.graphs.effects import StartRun
-from fuchsiarill.graphs.gang_holds import reserve_for_gang
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.gang_reservations import reserve_for_gang
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import Request
-from fuchsiarill.graphs.preempting import preempt
-from fuchsiarill.graphs.run_actions import extend_leases, allocate_run
+from fuchsiarill.graphs.preemption import preempt
+from fuchsiarill.graphs.run_actions import allocate_run, extend_leases
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.step_placer import StepPlacer
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 
 class _Ranked(NamedTuple):
@@ -76,10 +76,10 @@
     If neither is in progress, the step is skipped until capacity changes.
     """
     step = request.step
-    allowed = asking.allowed_workers(state, request, candidates)
+    allowed = advice_requests.allowed_workers(state, request, candidates)
     if not preempt(state, request, allowed) and step.step.is_gang:
         reserve_for_gang(state, request, allowed)
-    if not asking.request_advice(state, request, candidates):
+    if not advice_requests.request_advice(state, request, candidates):
         step.blocked_version = state.free_version
 
 
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.placement import has_room
 from fuchsiarill.graphs.run_actions import step_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import RunEvent, RunState, StandingState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.states import AvailabilityState, RunEvent, RunState
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
 # Without a stated notice, a leaving worker serves at least this long after it.
@@ -25,7 +25,7 @@
     left running.
     """
     for view in state.workers:
-        if view.standing is not StandingState.LEAVING:
+        if view.availability is not AvailabilityState.LEAVING:
             view.leaving_since_ms = None
             continue
         if view.leaving_since_ms is None:
@@ -80,5 +80,5 @@
         for other in state.workers
         if other is not view
         and other.is_listed
-        and other.standing is StandingState.READY
+        and other.availability is AvailabilityState.READY
     )
--- a/fuchsiarill/graphs/ordering.py
+++ b/fuchsiarill/graphs/ordering.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 
 # A late job has reduced value up to this multiple of its objective, and none
 # after it.
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -3,9 +3,8 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_trust
-from fuchsiarill.graphs.ends import apply_run_end
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
+from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
     EndRow,
@@ -19,10 +18,11 @@
     step_run,
     stop_attempt,
 )
+from fuchsiarill.graphs.run_ends import apply_run_end
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
-from fuchsiarill.graphs.worker_book import FailureRecord, WorkerView
+from fuchsiarill.graphs.states import AvailabilityEvent, RunEvent, RunState
+from fuchsiarill.graphs.worker_table import FailureRecord, WorkerView
 from fuchsiarill.resources import NOTHING
 
 _BEING_STOPPED: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
@@ -50,7 +50,7 @@
     view.clock_ms = report.clock_ms
     view.is_reconciled = True
     view.reported_ms = now_ms
-    state.workers.step(view, StandingEvent.REPORTED)
+    state.workers.step(view, AvailabilityEvent.REPORTED)
     for row in report.running:
         _apply_running_row(state, view, row, now_ms)
     for end in report.ended:
@@ -151,7 +151,7 @@
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
     if step.step.is_lasting and row.progress_percent == INITIALIZED_PERCENT:
-        worker_trust.record_initialized(view, run)
+        worker_suspension.record_initialized(view, run)
 
 
 def _adopt(
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -28,7 +28,7 @@
     WORKER_LOST = 'worker_lost'
 
 
-class StandingState(Enum):
+class AvailabilityState(Enum):
     """Whether the owner of a pool may start runs on a worker."""
 
     # Not fenced yet, or the last request got no answer: no starts.
@@ -39,7 +39,7 @@
     GONE = 'gone'
 
 
-class StandingEvent(Enum):
+class AvailabilityEvent(Enum):
     """Events that change whether a worker may get runs."""
 
     REPORTED = 'reported'
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -15,8 +15,8 @@
     usable_workers,
 )
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_trust import may_receive_runs
+from fuchsiarill.graphs.worker_suspension import may_receive_runs
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
 _Ranked = tuple[float, int, WorkerView]
--- a/fuchsiarill/graphs/worker_trust.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -5,7 +5,7 @@
 from fuchsiarill import events
 from fuchsiarill.graphs.model import TaskKey
 from fuchsiarill.graphs.runs import Run
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 # Two consecutive failures of different tasks are rare on a healthy worker,
 # where at most a tenth of the runs fail through their own fault.
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from fuchsiarill.graphs.job_book import StepEntry
+from fuchsiarill.graphs.job_entries import StepEntry
 from fuchsiarill.graphs.model import (
     NO_END,
     BornMs,
@@ -16,7 +16,7 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.runs import Run
-from fuchsiarill.graphs.states import StandingEvent, StandingState
+from fuchsiarill.graphs.states import AvailabilityEvent, AvailabilityState
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
@@ -54,7 +54,7 @@
     worker: WorkerId
     address: str
     entry: WorkerEntry | None = None
-    standing: StandingState = StandingState.UNCONFIRMED
+    availability: AvailabilityState = AvailabilityState.UNCONFIRMED
     is_listed: bool = False
     # In the durable fleet record, so that the next owner contacts it too.
     is_recorded: bool = False
@@ -73,7 +73,7 @@
     # Ends up to this number are durable; the worker may delete them.
     durable_end: EndSequence = NO_END
     # All task leases have expired by then unless a renewal is sent.
-    lapse_ms: int = 0
+    lease_expiry_ms: int = 0
     reported_ms: int = 0
     # The worker's clock in the latest report.
     clock_ms: int = 0
@@ -153,15 +153,17 @@
             self.free = self.entry.capacity - self.allocated
 
 
-class WorkerBook:
+class WorkerTable:
     """All workers that are listed or may still have runs."""
 
     def __init__(self) -> None:
         """Create an empty table."""
-        self._chart: StateChart[StandingState, StandingEvent] = load_chart(
-            'standing',
-            StandingState,
-            StandingEvent,
+        self._chart: StateChart[AvailabilityState, AvailabilityEvent] = (
+            load_chart(
+                'worker_availability',
+                AvailabilityState,
+                AvailabilityEvent,
+            )
         )
         self._views: dict[WorkerId, WorkerView] = {}
 
@@ -184,11 +186,11 @@
         """Remove a worker; an unknown one is ignored."""
         self._views.pop(worker, None)
 
-    def step(self, view: WorkerView, event: StandingEvent) -> None:
+    def step(self, view: WorkerView, event: AvailabilityEvent) -> None:
         """Apply an event to a worker; ignored without a transition."""
-        transition = self._chart.step(view.standing, event)
+        transition = self._chart.step(view.availability, event)
         if transition is not None:
-            view.standing = transition.target
+            view.availability = transition.target
 
     def update_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
         """Apply the complete directory.
@@ -210,6 +212,6 @@
     def _apply_listing(self, view: WorkerView, entry: WorkerEntry) -> None:
         view.apply_entry(entry)
         if entry.listing is WorkerListing.LEAVING:
-            self.step(view, StandingEvent.LISTED_LEAVING)
+            self.step(view, AvailabilityEvent.LISTED_LEAVING)
             return
-        self.step(view, StandingEvent.LISTED_LIVE)
+        self.step(view, AvailabilityEvent.LISTED_LIVE)
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field, replace
 
 from fuchsiarill.graphs.effects import (
-    AskAdvice,
     Effect,
-    LookAt,
     PaceRun,
+    RequestAdvice,
+    RequestReport,
     StartRun,
     StopRun,
 )
@@ -104,7 +104,7 @@
         self.failures: dict[str, int] = {}
         self.succeeded: set[TaskKey] = set()
         self.violations: list[str] = []
-        self.advice: list[tuple[int, AskAdvice]] = []
+        self.advice: list[tuple[int, RequestAdvice]] = []
         self.loses_advice = False
         # Start orders in transit; they reach the worker's incarnation of that
         # time.
@@ -128,7 +128,7 @@
             if worker.is_leaving:
                 listed = replace(listed, listing=WorkerListing.LEAVING)
             entries.append(listed)
-        self.owner.core.list_workers(entries, self.now_ms)
+        self.owner.core.update_workers(entries, self.now_ms)
         self.owner.core.record_workers(
             [listed.worker for listed in entries],
         )
@@ -183,9 +183,9 @@
                 core.renewal_sent(effect.worker, self.now_ms)
             case StopRun():
                 self._stop(effect)
-            case AskAdvice():
+            case RequestAdvice():
                 self.advice.append((self.now_ms + _ADVICE_MS, effect))
-            case LookAt():
+            case RequestReport():
                 self._renew(self.workers[effect.worker])
             case PaceRun():
                 pass
@@ -310,7 +310,7 @@
         for request in requests:
             self._advise(request)
 
-    def _advise(self, request: AskAdvice) -> None:
+    def _advise(self, request: RequestAdvice) -> None:
         if self.loses_advice:
             return
         views = self.owner.core.state.workers
@@ -324,7 +324,7 @@
             for worker in born_ms_of
             if is_allowed(request.step.job, worker)
         }
-        self.owner.core.advised(
+        self.owner.core.advice_received(
             request.step,
             born_ms_of,
             granted,
