Name the directory step of the simulated pool after its effect

Cause: World.list_workers in the tests returns no list.

Change: it is called publish_directory, as it passes the directory to the core.

--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -117,7 +117,7 @@
         """Return the runtime clock."""
         return self.owner.now_ms
 
-    def list_workers(self) -> None:
+    def publish_directory(self) -> None:
         """Pass the current directory to the owner."""
         entries = []
         for worker in self.workers.values():
@@ -151,7 +151,7 @@
     def restart(self, name: str) -> None:
         """Restart a worker under its id; all its runs are lost."""
         self.workers[name] = ModelWorker(name, born_ms=self.now_ms)
-        self.list_workers()
+        self.publish_directory()
 
     def pass_time(self, duration_ms: int) -> None:
         """Advance the clock in steps; run workers, advice and decisions."""
--- a/tests/test_graph_machine.py
+++ b/tests/test_graph_machine.py
@@ -117,7 +117,7 @@
         """Let a worker announce that it leaves, or withdraw the notice."""
         worker = self.world.workers[name]
         worker.is_leaving = not worker.is_leaving
-        self.world.list_workers()
+        self.world.publish_directory()
 
     @rule()
     def lose_advice(self) -> None:
@@ -146,7 +146,7 @@
             worker.is_leaving = False
             worker.loses_answers = False
             worker.fails_all = False
-        self.world.list_workers()
+        self.world.publish_directory()
         waited_ms = 0
         while self._unfinished() and waited_ms < _RECOVERY_MS:
             self.world.pass_time(_CHECK_MS)
