Merge the wording of the decisions about job graphs

Cause: comments and names of the graph decisions used words of daily life (take, know, life, trust) and doc comments that repeated names. Change: comments, doc comments, private names and test descriptions in the usual terms; no statement differs but for names.

--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -1,7 +1,8 @@
-"""A core with workers and an advice service that behave by themselves.
+"""Simulation of a core with its workers and an advice service.
 
-Time passes in steps. Workers end runs, let leases lapse and report; orders to
-those out of reach get no answer, and may be carried out later.
+Time advances in steps. Workers end runs, expire leases and report. Start orders
+arrive a step later, perhaps at a restarted worker; orders to unreachable
+workers get no answer.
 """
 
 from dataclasses import dataclass, field, replace
@@ -28,7 +29,7 @@
     WorkerListing,
     WorkerReport,
 )
-from fuchsiarill.graphs.runs import AT_WORK_PERCENT
+from fuchsiarill.graphs.runs import INITIALIZED_PERCENT
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import NOTHING, Resources
@@ -44,7 +45,7 @@
 
 @dataclass(slots=True)
 class ModelRun:
-    """A run on a worker; without `ends_ms` it lasts."""
+    """A run on a simulated worker; without `ends_ms` it never ends."""
 
     size: Resources
     ends_ms: int | None
@@ -53,7 +54,7 @@
 
 @dataclass(slots=True)
 class ModelWorker:
-    """One life of a worker."""
+    """One incarnation of a simulated worker."""
 
     name: str
     born_ms: int
@@ -68,7 +69,7 @@
     fails_all: bool = False
 
     def end(self, key: _Key, kind: EndKind) -> None:
-        """End a run and list the end."""
+        """End a run, report the end and refuse the attempt from now on."""
         self.runs.pop(key)
         self.ends_count += 1
         task, attempt = key
@@ -78,8 +79,8 @@
             EndRow(sequence, task, attempt, kind, Checkpoint('')),
         )
 
-    def settle(self, now_ms: int) -> None:
-        """End what has run its time or has lapsed."""
+    def end_due_runs(self, now_ms: int) -> None:
+        """End the runs whose run time is over or whose lease has expired."""
         for key, run in list(self.runs.items()):
             if run.ends_ms is not None and run.ends_ms <= now_ms:
                 self.end(key, run.kind)
@@ -87,12 +88,12 @@
                 self.end(key, EndKind.LAPSED)
 
     def used(self) -> Resources:
-        """Return what all runs hold together."""
+        """Return the sum of the resources of all runs."""
         return sum((run.size for run in self.runs.values()), NOTHING)
 
 
 class World:
-    """The owner's core and everything around it."""
+    """An owner's core, simulated workers and the advice service."""
 
     def __init__(self, *names: str) -> None:
         """Create live workers."""
@@ -105,9 +106,10 @@
         self.violations: list[str] = []
         self.advice: list[tuple[int, RequestAdvice]] = []
         self.loses_advice = False
-        # Starts on their way; they reach whatever life the worker has then.
+        # Start orders in transit; they reach the worker's incarnation of that
+        # time.
         self.in_flight: list[StartRun] = []
-        # Orders without an answer: when the owner gives up on them.
+        # Start orders without an answer, with the time at which they time out.
         self.unanswered: list[tuple[int, StartRun]] = []
 
     @property
@@ -115,8 +117,8 @@
         """Return the runtime clock."""
         return self.owner.now_ms
 
-    def list_workers(self) -> None:
-        """Show the directory to the owner."""
+    def publish_directory(self) -> None:
+        """Pass the current directory to the owner."""
         entries = []
         for worker in self.workers.values():
             listed = replace(
@@ -138,7 +140,7 @@
         run_ms: int,
         failures: int,
     ) -> None:
-        """Accept a job of which each task fails some times at first."""
+        """Submit a job whose tasks fail in the first `failures` attempts."""
         job = f'j{len(self.run_ms)}'
         for position, step in enumerate(steps):
             self.steps[job, position] = step
@@ -147,12 +149,12 @@
         self.owner.add_job(job, *steps, queue=queue)
 
     def restart(self, name: str) -> None:
-        """End a worker with all that it runs, and begin a new life."""
+        """Restart a worker under its id; all its runs are lost."""
         self.workers[name] = ModelWorker(name, born_ms=self.now_ms)
-        self.list_workers()
+        self.publish_directory()
 
     def pass_time(self, duration_ms: int) -> None:
-        """Let everything happen that time brings."""
+        """Advance the clock in steps; run workers, advice and decisions."""
         for _ in range(duration_ms // _STEP_MS):
             self.owner.now_ms += _STEP_MS
             arriving = self.in_flight
@@ -160,9 +162,9 @@
             for order in arriving:
                 self._start(order)
             for worker in self.workers.values():
-                worker.settle(self.now_ms)
+                worker.end_due_runs(self.now_ms)
                 self._renew(worker)
-            self._answer()
+            self._deliver_answers()
             self._decide()
 
     def _decide(self) -> None:
@@ -170,10 +172,10 @@
         core.tick(self.now_ms)
         core.decide(self.now_ms)
         for effect in core.take_effects():
-            self._carry_out(effect)
+            self._execute(effect)
         core.take_dirty()
 
-    def _carry_out(self, effect: Effect) -> None:
+    def _execute(self, effect: Effect) -> None:
         match effect:
             case StartRun():
                 self.in_flight.append(effect)
@@ -190,12 +192,12 @@
 
     def _start(self, order: StartRun) -> None:
         worker = self.workers[order.worker]
-        if worker.is_reachable and self._begin(worker, order):
+        if worker.is_reachable and self._deliver_start(worker, order):
             return
         self.unanswered.append((self.now_ms + 7 * _STEP_MS, order))
 
-    def _begin(self, worker: ModelWorker, order: StartRun) -> bool:
-        """Carry a start out; tells whether it has been answered."""
+    def _deliver_start(self, worker: ModelWorker, order: StartRun) -> bool:
+        """Deliver a start order; returns whether it has been answered."""
         failure: AgentFailure | None = None
         if order.attempt <= worker.refused.get(order.task, 0):
             failure = AgentFailure.SUPERSEDED
@@ -220,7 +222,7 @@
     def _run(self, worker: ModelWorker, order: StartRun) -> None:
         task = order.task
         step = self.steps[task.job, task.step]
-        self._note(worker, task)
+        self._check_start(worker, task)
         failing = order.attempt <= self.failures.get(task.job, 0)
         is_failing = worker.fails_all or failing
         ends_ms: int | None = self.now_ms + self.run_ms[task.job]
@@ -235,7 +237,7 @@
         if not worker.used().fits_in(CAPACITY):
             self.violations.append(f'{worker.name} is over its capacity')
 
-    def _note(self, worker: ModelWorker, task: TaskKey) -> None:
+    def _check_start(self, worker: ModelWorker, task: TaskKey) -> None:
         if task in self.succeeded:
             self.violations.append(f'{task} starts after its success')
         for other in self.workers.values():
@@ -286,7 +288,7 @@
         core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
         worker.ended.clear()
 
-    def _answer(self) -> None:
+    def _deliver_answers(self) -> None:
         due = [
             order for at_ms, order in self.unanswered if at_ms <= self.now_ms
         ]
@@ -301,38 +303,40 @@
                 AgentFailure.UNKNOWN,
                 self.now_ms,
             )
-        asks = [ask for at_ms, ask in self.advice if at_ms <= self.now_ms]
+        requests = [
+            request for at_ms, request in self.advice if at_ms <= self.now_ms
+        ]
         self.advice = [row for row in self.advice if row[0] > self.now_ms]
-        for ask in asks:
-            self._advise(ask)
+        for request in requests:
+            self._advise(request)
 
-    def _advise(self, ask: RequestAdvice) -> None:
+    def _advise(self, request: RequestAdvice) -> None:
         if self.loses_advice:
             return
         views = self.owner.core.state.workers
-        asked = {
+        born_ms_of = {
             worker: view.born_ms
-            for worker in ask.workers
+            for worker in request.workers
             if (view := views.find(worker)) is not None
         }
         granted = {
             worker: Ticket(worker)
-            for worker in asked
-            if is_allowed(ask.step.job, worker)
+            for worker in born_ms_of
+            if is_allowed(request.step.job, worker)
         }
         self.owner.core.advice_received(
-            ask.step,
-            asked,
+            request.step,
+            born_ms_of,
             granted,
             self.now_ms + 2000,
         )
 
 
 def is_allowed(job: str, worker: str) -> bool:
-    """Tell whether the policy lets a worker run the steps of a job."""
+    """Tell whether the advice service allows a worker for a job."""
     number = int(job.removeprefix('j'))
     return worker == f'w{number % 3}'
 
 
 def _percent(run: ModelRun) -> int:
-    return AT_WORK_PERCENT if run.ends_ms is None else _HALF_PERCENT
+    return INITIALIZED_PERCENT if run.ends_ms is None else _HALF_PERCENT
