Reword the tests of pool ownership, advice and relayed calls

Assertions, numbers and scenarios are the same. Two classes that handle a failed call name the method alike (_handle_failure).

--- a/fuchsiarill/graphs/feeds.py
+++ b/fuchsiarill/graphs/feeds.py
@@ -93,7 +93,7 @@
             self._settings.timeout_ms,
         )
         if isinstance(listed, Failure):
-            await self._record_failure(listed.failure())
+            await self._handle_failure(listed.failure())
             return
         items, revision = listed.unwrap()
         self._record_success()
@@ -119,9 +119,9 @@
             case Failure(KvFailure.COMPACTED):
                 self._after = Revision(0)
             case Failure(KvFailure() as failure):
-                await self._record_failure(failure)
+                await self._handle_failure(failure)
 
-    async def _record_failure(self, failure: KvFailure) -> None:
+    async def _handle_failure(self, failure: KvFailure) -> None:
         now = now_ms()
         if self._failing_since_ms is None:
             self._failing_since_ms = now
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -239,7 +239,7 @@
     @handles(messages.RecordsSaved)
     async def on_saved(self, message: messages.RecordsSaved) -> None:
         """Let workers discard run ends that are durable."""
-        self._saver.on_saved(message.saved)
+        self._saver.mark_saved(message.saved)
         for seen in message.saved.ends:
             self.channels.ends_durable(seen)
         if message.saved.fleet_workers:
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -42,7 +42,7 @@
         """Return whether the writer has still to confirm a message."""
         return self._is_saving
 
-    def on_saved(self, message: SaveRecords) -> None:
+    def mark_saved(self, message: SaveRecords) -> None:
         """Record that the records of a message are durable."""
         if not message.fleet_workers:
             self._is_saving = False
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -166,7 +166,7 @@
         )
         if isinstance(answered, Failure):
             self._is_confirmed = False
-            self._report_failure(answered.failure())
+            self._handle_failure(answered.failure())
             return False
         self._apply_report(answered.unwrap())
         self._context.owner.send(
@@ -189,7 +189,7 @@
         for end in report.ended:
             self._seen_end = EndSequence(max(self._seen_end, end.sequence))
 
-    def _report_failure(self, failure: AgentFailure) -> None:
+    def _handle_failure(self, failure: AgentFailure) -> None:
         if failure is AgentFailure.FENCED:
             self._context.owner.send(
                 OwnershipRefuted(f'{self.agent.worker} has a later epoch'),
@@ -210,7 +210,7 @@
     async def _send_start(self, message: StartRun) -> None:
         failure = await self._start(message)
         if failure is AgentFailure.FENCED:
-            self._report_failure(failure)
+            self._handle_failure(failure)
         self._context.owner.send(
             StartAnswered(
                 self.agent.worker,
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -1,4 +1,4 @@
-"""Several processes of the graph scheduler on models, in paused time."""
+"""Several processes of the graph scheduler, on models in simulated time."""
 
 import json
 from collections.abc import Awaitable, Callable
@@ -53,15 +53,15 @@
 P1 = ProcessId('p1')
 TWO_STEPS = (Step(3, TASK_SIZE), Step(2, TASK_SIZE, after=(0,)))
 _CONFIG_KEY = StoreKey('settings/config')
-_PATIENCE_MS = 2500
+_CALLER_TIMEOUT_MS = 2500
 
 
 class NoPeers(PeerLinks):
-    """Links of a process whose peers are never reached."""
+    """Links of a process that can't reach any peer."""
 
     @property
     def processes(self) -> tuple[ProcessId, ...]:
-        """Return no process."""
+        """Return an empty tuple."""
         return ()
 
     async def call(
@@ -71,12 +71,12 @@
         request: dict[str, Any],
         timeout_ms: int,
     ) -> Result[Any, PeerFailure]:
-        """Reach nobody."""
+        """Fail without sending the call."""
         return Failure(PeerFailure.NOT_SENT)
 
 
 class AllowAll:
-    """An advice service that lets every worker run every step."""
+    """An advice service that grants a ticket to every worker."""
 
     async def advise(
         self,
@@ -90,7 +90,7 @@
 
 
 def queue_policy(**changes: Any) -> QueuePolicy:
-    """Return the policy of the one queue."""
+    """Return the policy of the only queue, with changes."""
     policy = QueuePolicy(
         QUEUE,
         'jobs.example',
@@ -105,17 +105,17 @@
 
 
 class GraphCell:
-    """Processes, workers and a store that live in one paused loop."""
+    """Processes, workers and a store in one loop with simulated time."""
 
     def __init__(self, processes_count: int, workers_count: int) -> None:
-        """Create everything; `start` runs it."""
+        """Create the cell; `start` runs it."""
         self.store = StoreModel()
         self.fleet = Fleet()
         self.metrics = GraphMetrics()
         self.entries: dict[str, WorkerEntry] = {}
         self.paths: dict[ProcessId, StorePath] = {}
         self.processes: dict[ProcessId, GraphProcess] = {}
-        self.lives_count = 0
+        self.process_starts_count = 0
         # Processes on machines that are too small for an owner.
         self.small: set[ProcessId] = set()
         self.config = GraphConfig(
@@ -127,7 +127,7 @@
         self._workers_count = workers_count
 
     async def start(self) -> None:
-        """Run all processes and list all workers."""
+        """Start all processes and workers, and list the workers."""
         self.store.write(KvWrite(_CONFIG_KEY, b'1'))
         for number in range(self._workers_count):
             self.add_worker(f'w{number}')
@@ -135,7 +135,7 @@
             self.run_process(name)
 
     def add_worker(self, name: str) -> None:
-        """Start a worker, or a new life of one."""
+        """Start or restart a worker and list it."""
         agent = self.fleet.add(name, CAPACITY)
         self.entries[name] = WorkerEntry(
             WorkerId(name),
@@ -150,16 +150,16 @@
         self.list_worker(name)
 
     def list_worker(self, name: str) -> None:
-        """Write the entry of a worker."""
+        """Write the directory entry of a worker."""
         self.store.write(KvWrite(StoreKey(f'workers/{name}'), name.encode()))
 
     def unlist_worker(self, name: str) -> None:
-        """Remove the entry of a worker."""
+        """Remove the directory entry of a worker."""
         self.store.remove(StoreKey(f'workers/{name}'))
 
     def run_process(self, name: ProcessId) -> None:
         """Start a process."""
-        self.lives_count += 1
+        self.process_starts_count += 1
         self.paths.setdefault(name, StorePath(self.store))
         settings = GraphSettings.model_validate(
             {
@@ -192,11 +192,11 @@
         process.start()
 
     async def kill(self, name: ProcessId) -> None:
-        """End a process without any farewell."""
+        """Stop a process without a drain."""
         await self.processes.pop(name).stop()
 
     def owner(self) -> ProcessId | None:
-        """Return the process that the store names as owner."""
+        """Return the process in the owner key, if there is one."""
         self.store.expire()
         item = self.store.found.get(keys.owner_key(POOL))
         if item is None or item.value is None:
@@ -210,7 +210,7 @@
         steps: tuple[Step, ...],
         **behaviour: Any,
     ) -> intake.IntakeAnswer:
-        """Hand a job in at a process."""
+        """Submit a job to a process; `behaviour` controls its tasks."""
         graph = JobGraph(
             JobId(job),
             QUEUE,
@@ -224,17 +224,19 @@
                 self.fleet.sizes[task] = step.size
         reply: Reply[intake.IntakeAnswer] = Reply()
         self.processes[name].intake.send(
-            intake.Submit(graph, now_ms() + _PATIENCE_MS, reply),
+            intake.Submit(graph, now_ms() + _CALLER_TIMEOUT_MS, reply),
         )
-        return await reply.wait(2 * _PATIENCE_MS)
+        return await reply.wait(2 * _CALLER_TIMEOUT_MS)
 
     async def cancel(self, name: ProcessId, job: str) -> intake.IntakeAnswer:
-        """Cancel a job at a process."""
+        """Send the cancellation of a job to a process."""
         reply: Reply[intake.IntakeAnswer] = Reply()
         self.processes[name].intake.send(
-            intake.Cancel(POOL, JobId(job), now_ms() + _PATIENCE_MS, reply),
+            intake.Cancel(
+                POOL, JobId(job), now_ms() + _CALLER_TIMEOUT_MS, reply
+            ),
         )
-        return await reply.wait(2 * _PATIENCE_MS)
+        return await reply.wait(2 * _CALLER_TIMEOUT_MS)
 
     def phase(self, job: str) -> JobPhase | None:
         """Return the durable phase of a job."""
@@ -249,14 +251,14 @@
         phase: JobPhase,
         within_ms: int,
     ) -> None:
-        """Wait until a job is durably in a phase."""
+        """Wait until the durable phase of a job is `phase`."""
         deadline_ms = now_ms() + within_ms
         while self.phase(job) is not phase:
             assert now_ms() < deadline_ms, f'{job} is {self.phase(job)}'
             await sleep_ms(20)
 
     async def stop(self) -> None:
-        """End all processes, and check what the workers have seen."""
+        """Stop all processes, and check for violations on the workers."""
         for name in list(self.processes):
             await self.kill(name)
         assert self.fleet.violations == []
@@ -270,7 +272,7 @@
     processes_count: int = 3,
     workers_count: int = 3,
 ) -> None:
-    """Run a scenario on a cell that has an owner."""
+    """Run a scenario on a cell after the election of an owner."""
 
     async def main() -> None:
         cell = GraphCell(processes_count, workers_count)
@@ -289,7 +291,7 @@
 
 
 def owner_of(cell: GraphCell) -> ProcessId:
-    """Return the owner, which must exist."""
+    """Return the owner of the pool, which must exist."""
     owner = cell.owner()
     assert owner is not None
     return owner
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -1,4 +1,4 @@
-"""Asks for advice: when they are made, and through which process."""
+"""Requests for advice: when they are made, and through which process."""
 
 import asyncio
 from typing import Any
@@ -34,15 +34,17 @@
 
 W0 = WorkerId('w0')
 GRANT = {W0: Ticket('t')}
-LIVES = {W0: BornMs(1)}
+INCARNATIONS = {W0: BornMs(1)}
 STEP = StepKey(JobId('a'), 0, 0)
 _VALID_MS = 60_000
-_LOST_MS = 30_000
+_ANSWER_LOST_MS = 30_000
 
 
-def asks(owner: Owner) -> list[AskAdvice]:
-    """Decide and return the asks."""
-    return [one for one in owner.decide() if isinstance(one, AskAdvice)]
+def advice_requests(owner: Owner) -> list[AskAdvice]:
+    """Decide and return the requests for advice."""
+    return [
+        effect for effect in owner.decide() if isinstance(effect, AskAdvice)
+    ]
 
 
 def grant(
@@ -50,72 +52,75 @@
     step: StepKey = STEP,
     valid_ms: int = _VALID_MS,
 ) -> None:
-    """Let the advice service allow the worker."""
-    owner.core.advised(step, LIVES, GRANT, owner.now_ms + valid_ms)
+    """Grant a ticket to the worker."""
+    owner.core.advised(step, INCARNATIONS, GRANT, owner.now_ms + valid_ms)
 
 
-def test_lost_answer_does_not_end_the_asking() -> None:
-    """Guards against a step that waits for ever for an answer."""
+def test_request_is_repeated_after_a_lost_answer() -> None:
+    """Guards against a step that waits forever for a lost answer."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
-    assert len(asks(owner)) == 1
-    assert not asks(owner)
-    owner.now_ms += _LOST_MS
+    assert len(advice_requests(owner)) == 1
+    assert not advice_requests(owner)
+    owner.now_ms += _ANSWER_LOST_MS
     owner.report('w0')
-    assert len(asks(owner)) == 1
+    assert len(advice_requests(owner)) == 1
 
 
-def test_answer_about_a_former_life_says_nothing() -> None:
-    """Guards against a worker that is excluded by the life before."""
+def test_answer_for_an_earlier_incarnation_is_ignored() -> None:
+    """Guards against excluding a restarted worker by an outdated answer."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
-    assert len(asks(owner)) == 1
+    assert len(advice_requests(owner)) == 1
     owner.report('w0', born_ms=9)
-    owner.core.advised(STEP, LIVES, {}, owner.now_ms + _VALID_MS)
-    assert len(asks(owner)) == 1
+    owner.core.advised(STEP, INCARNATIONS, {}, owner.now_ms + _VALID_MS)
+    assert len(advice_requests(owner)) == 1
 
 
 def test_preempted_task_starts_again_on_its_only_worker() -> None:
-    """Guards against a task that is lost after it was preempted."""
+    """Guards against a task that never starts again after a preemption."""
     owner = Owner('w0')
     owner.report('w0')
     saving = Step(1, SIZE, estimate_ms=60000, is_checkpointing=True)
     owner.add_job('a', saving, queue=ADVISED)
-    assert len(asks(owner)) == 1
+    assert len(advice_requests(owner)) == 1
     grant(owner)
     assert len(owner.starts()) == 1
     owner.report('w0', (running(task('a')),))
     owner.report('w0', (), (ended(task('a'), kind=EndKind.STOPPED),))
-    assert [one.attempt for one in owner.starts()] == [2]
+    assert [start.attempt for start in owner.starts()] == [2]
 
 
-def test_room_is_kept_while_tickets_are_asked_for() -> None:
-    """Guards against a later step that takes the room, again and again.
+def test_capacity_is_kept_while_tickets_are_requested() -> None:
+    """Guards against a later step that takes the capacity of an earlier one.
 
-    The earlier step has to renew its ticket while the later one holds one by
-    chance.
+    The ticket of the earlier step has expired, while the later step holds a
+    valid ticket.
     """
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(2, CAPACITY, estimate_ms=100), queue=ADVISED)
-    asks(owner)
+    advice_requests(owner)
     grant(owner, valid_ms=500)
     assert len(owner.starts()) == 1
     owner.now_ms += 600
     owner.report('w0', (running(task('a')),))
     owner.add_job('b', Step(1, SIZE), queue=ADVISED)
-    assert {one.step.job for one in asks(owner)} == {'a', 'b'}
+    assert {request.step.job for request in advice_requests(owner)} == {
+        'a',
+        'b',
+    }
     grant(owner, StepKey(JobId('b'), 0, 0))
     owner.report('w0', (), (ended(task('a')),))
     assert not owner.starts()
     grant(owner)
-    assert [one.task.job for one in owner.starts()] == ['a']
+    assert [start.task.job for start in owner.starts()] == ['a']
 
 
 class _Service:
-    """An advice service that answers after a while."""
+    """An advice service that answers after 100 ms."""
 
     def __init__(self) -> None:
         self.calls_count = 0
@@ -132,7 +137,7 @@
 
 
 class _Links(PeerLinks):
-    """Links to processes that answer as a test says."""
+    """Links to processes that do not answer, or raise if `is_failing`."""
 
     def __init__(self, *processes: str, is_failing: bool = False) -> None:
         super().__init__()
@@ -156,24 +161,26 @@
         return Failure(PeerFailure.NO_ANSWER)
 
 
-def ask_once(
+def start_with_request(
     links: PeerLinks,
     port: OneAtATime,
     receiver: Mailbox,
 ) -> Advisor:
-    """Start an advisor that is asked once."""
+    """Start an advisor and send it one request."""
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
     advisor.mailbox.send(
-        AdviceAsked(AskAdvice(STEP, (W0,), 0), LIVES, receiver, lambda: True),
+        AdviceAsked(
+            AskAdvice(STEP, (W0,), 0), INCARNATIONS, receiver, lambda: True
+        ),
     )
     return advisor
 
 
-def test_ask_waits_until_the_own_process_is_free() -> None:
-    """Guards against an ask that is forgotten while no lane is free.
+def test_request_waits_until_the_local_route_is_free() -> None:
+    """Guards against a request that is lost while no route is free.
 
-    Another process asks through this one, and there are no peers to go to.
+    Another process calls the service through this one, and there are no peers.
     """
 
     async def main() -> None:
@@ -181,17 +188,19 @@
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
         receiver = Mailbox()
-        advisor = ask_once(_Links(), port, receiver)
+        advisor = start_with_request(_Links(), port, receiver)
         await other
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, LIVES, GRANT)
+            assert await receiver.receive() == Advised(
+                STEP, INCARNATIONS, GRANT
+            )
         await advisor.stop()
 
     run_paused(main())
 
 
-def test_lane_that_fails_is_used_again() -> None:
-    """Guards against an ask, and its lane, lost with an unforeseen error."""
+def test_route_is_released_after_an_unexpected_error() -> None:
+    """Guards against an unexpected error that loses a request and its route."""
 
     async def main() -> None:
         receiver = Mailbox()
@@ -200,9 +209,9 @@
         links = _Links('p1', is_failing=True)
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
-        advisor = ask_once(links, port, receiver)
+        advisor = start_with_request(links, port, receiver)
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, LIVES, None)
+            assert await receiver.receive() == Advised(STEP, INCARNATIONS, None)
         await other
         assert advisor.snapshot()['busy_lanes_count'] == 0
         await advisor.stop()
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -1,7 +1,7 @@
-"""Jobs and workers of a pool under failure, in paused time on models.
+"""Jobs and workers of a pool under failures, on models in simulated time.
 
 Each test ends with a check that no task ran twice or after its success, and
-that no worker was over its capacity.
+that no worker exceeded its capacity.
 """
 
 import pytest
@@ -49,7 +49,7 @@
 
 
 def test_lost_tasks_start_again_when_their_leases_have_lapsed() -> None:
-    """Guards against a worker that is asked and never taken as lost."""
+    """Guards against a lost worker whose tasks never start elsewhere."""
 
     async def scenario(cell: GraphCell) -> None:
         lasting = (Step(2, TASK_SIZE, is_lasting=True, per_worker_max=1),)
@@ -65,7 +65,7 @@
 
 
 def test_unanswered_start_is_ruled_out_before_the_next() -> None:
-    """Guards against two runs of a task whose start got no answer."""
+    """Guards against two runs of a task when the start order got no answer."""
 
     async def scenario(cell: GraphCell) -> None:
         for agent in cell.fleet.agents.values():
@@ -80,7 +80,7 @@
 
 
 def test_silent_worker_keeps_its_tasks_until_they_lapse() -> None:
-    """Guards against a task that runs on behind a cut and elsewhere too."""
+    """Guards against a task that runs on both sides of a network partition."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(1, TASK_SIZE),), duration_ms=4000)
@@ -94,8 +94,8 @@
     play(scenario)
 
 
-def test_worker_that_starts_again_runs_nothing_of_before() -> None:
-    """Guards against tasks that are waited for after their worker's end."""
+def test_restarted_worker_has_lost_its_runs() -> None:
+    """Guards against waiting for runs that a worker's restart has ended."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(2, TASK_SIZE),), duration_ms=1500)
@@ -107,8 +107,8 @@
 
 
 @pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
-def test_outage_of_the_store_ends_no_task(fault: PathFault) -> None:
-    """Guards against leases that lapse while the store is away."""
+def test_store_outage_ends_no_task(fault: PathFault) -> None:
+    """Guards against task leases that lapse during a store outage."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(2, TASK_SIZE),), duration_ms=6000)
@@ -154,7 +154,7 @@
 
 
 def test_cancelled_job_stops() -> None:
-    """Guards against tasks that run on after their job's cancellation."""
+    """Guards against tasks that keep running after a cancellation."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(2, TASK_SIZE, is_lasting=True),))
@@ -172,9 +172,9 @@
     """Guards against more failed attempts than the queue allows."""
 
     async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=50, fails=9)
-        await cell.submit(P0, 'b', one, duration_ms=50, fails=2)
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=50, fails=9)
+        await cell.submit(P0, 'b', single_task, duration_ms=50, fails=2)
         await cell.wait_phase('a', JobPhase.FAILED, 15000)
         await cell.wait_phase('b', JobPhase.SUCCEEDED, 15000)
         attempts = [task.job for task, _, _ in cell.fleet.starts]
@@ -184,7 +184,7 @@
 
 
 def test_gang_starts_as_a_whole() -> None:
-    """Guards against members that wait for others without room."""
+    """Guards against a gang of which only some members have started."""
 
     async def scenario(cell: GraphCell) -> None:
         gang = (Step(12, TASK_SIZE, is_gang=True),)
@@ -199,7 +199,7 @@
 
 
 def test_compaction_hides_no_job() -> None:
-    """Guards against a watch that misses what came before a compaction."""
+    """Guards against a watch that misses changes from before a compaction."""
 
     async def scenario(cell: GraphCell) -> None:
         cell.store.compact()
@@ -211,27 +211,29 @@
 
 
 def test_worker_that_fails_everything_is_suspended() -> None:
-    """Guards against a bad worker that uses up the attempts of jobs."""
+    """Guards against a faulty worker that uses up the attempts of jobs."""
 
     async def scenario(cell: GraphCell) -> None:
         cell.fleet.agents['w0'].fails_all = True
         for number in range(8):
-            one = (Step(1, TASK_SIZE),)
-            await cell.submit(P0, f'j{number}', one, duration_ms=200)
+            single_task = (Step(1, TASK_SIZE),)
+            await cell.submit(P0, f'j{number}', single_task, duration_ms=200)
         for number in range(8):
             await cell.wait_phase(f'j{number}', JobPhase.SUCCEEDED, 9000)
-        bad = [worker for _, _, worker in cell.fleet.starts if worker == 'w0']
-        assert len(bad) <= 5
+        failed_starts = [
+            worker for _, _, worker in cell.fleet.starts if worker == 'w0'
+        ]
+        assert len(failed_starts) <= 5
 
     play(scenario)
 
 
-def test_metrics_count_what_happened() -> None:
-    """Guards against metrics that nobody counts."""
+def test_metrics_count_events() -> None:
+    """Guards against metrics that are never updated."""
 
     async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=50, fails=1)
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=50, fails=1)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
         written = cell.metrics.written().decode()
         for sample in (
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -1,7 +1,7 @@
-"""Owners that are killed, drained and replaced, in paused time on models.
+"""Owners that are killed, drained and replaced, on models in simulated time.
 
 Each test ends with a check that no task ran twice or after its success, and
-that no worker was over its capacity.
+that no worker exceeded its capacity.
 """
 
 from fuchsiarill import codes
@@ -23,7 +23,7 @@
 
 
 def test_killed_owner_is_replaced() -> None:
-    """Guards against runs of a former owner that start a second time."""
+    """Guards against a second start of tasks that the killed owner started."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', TWO_STEPS, duration_ms=2500)
@@ -35,12 +35,12 @@
     play(scenario)
 
 
-def test_end_that_was_not_saved_is_known_to_the_next_owner() -> None:
-    """Guards against a dropped end of a step that is not open yet.
+def test_unsaved_run_end_reaches_the_next_owner() -> None:
+    """Guards against a dropped run end of a step that is not open yet.
 
-    The owner sees the ends of the first step, starts the second one and is
-    replaced before it can save the ends. The next owner may hear of the
-    second step first.
+    The owner receives the run ends of the first step, starts the second step
+    and is replaced before it can save them. The next owner may receive reports
+    on the second step first.
     """
 
     async def scenario(cell: GraphCell) -> None:
@@ -53,12 +53,12 @@
     play(scenario)
 
 
-def test_failures_are_counted_over_owners() -> None:
-    """Guards against attempts that a new owner does not know of."""
+def test_failures_are_counted_across_owners() -> None:
+    """Guards against failed attempts that a new owner does not count."""
 
     async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=400, fails=1000)
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=400, fails=1000)
         await sleep_ms(650)
         await cell.kill(owner_of(cell))
         await cell.wait_phase('a', JobPhase.FAILED, 20000)
@@ -68,7 +68,7 @@
 
 
 def test_owner_that_drains_hands_over_at_once() -> None:
-    """Guards against a pool that waits for the lease of a graceful end."""
+    """Guards against waiting for the lease of an owner that was drained."""
 
     async def scenario(cell: GraphCell) -> None:
         owner = owner_of(cell)
@@ -84,7 +84,7 @@
 
 
 def test_all_processes_killed_lose_nothing() -> None:
-    """Guards against accepted jobs that only an owner knew of."""
+    """Guards against accepted jobs that are not in the store."""
 
     async def scenario(cell: GraphCell) -> None:
         names = list(cell.processes)
@@ -100,7 +100,7 @@
 
 
 def test_process_that_restarted_last_becomes_owner() -> None:
-    """Guards against a row of takeovers while processes restart in turn.
+    """Guards against repeated takeovers in a rolling restart.
 
     A process that has just restarted is the last one to be stopped again.
     """
@@ -120,7 +120,7 @@
 
 
 def test_drained_process_answers_before_it_ends() -> None:
-    """Guards against requests that the end of their process cuts off."""
+    """Guards against requests that get no answer because of a drain."""
 
     async def scenario(cell: GraphCell) -> None:
         process = cell.processes[P0]
@@ -138,7 +138,7 @@
 
 
 def test_small_machine_owns_only_without_a_larger_one() -> None:
-    """Guards against an owner on a machine that cannot carry it."""
+    """Guards against an owner on a machine that is too small for it."""
 
     async def main() -> None:
         cell = GraphCell(4, 1)
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -1,4 +1,4 @@
-"""What a new owner learns of the one before it."""
+"""Whether a new owner has to wait for the previous owner."""
 
 import pytest
 
@@ -15,7 +15,7 @@
 
 
 @pytest.mark.parametrize(
-    ('former', 'waited_ms', 'is_over'),
+    ('previous', 'waited_ms', 'is_inactive'),
     [
         ('other', 0, False),
         ('other', _TTL_MS + 1, True),
@@ -23,24 +23,24 @@
         (None, 0, True),
     ],
 )
-def test_former_owner(
-    former: str | None,
+def test_previous_owner(
+    previous: str | None,
     waited_ms: int,
-    is_over: bool,
+    is_inactive: bool,
 ) -> None:
-    """Guards against a wait that is too short for an owner that goes on.
+    """Guards against a takeover while the previous owner still sends orders.
 
-    The key of an owner may be taken away while its lease, and so its right
-    to order, goes on.
+    The key of an owner may be deleted while its lease, and so its right to
+    send orders, is still valid.
     """
 
     async def main() -> bool:
         path = StorePath(StoreModel())
         granted = await path.grant_lease(_TTL_MS, _TIMEOUT_MS)
         owner = None
-        if former is not None:
+        if previous is not None:
             owner = records.OwnerRecord(
-                ProcessId(former),
+                ProcessId(previous),
                 'x',
                 granted.unwrap(),
             )
@@ -54,4 +54,4 @@
         assert loaded.fleet == fleet
         return loaded.is_former_over
 
-    assert run_paused(main()) is is_over
+    assert run_paused(main()) is is_inactive
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -1,4 +1,4 @@
-"""A store that is reached through another process, over real capnp."""
+"""A store that is called through a peer, over a real capnp connection."""
 
 import asyncio
 import socket
@@ -42,21 +42,21 @@
 _TIMEOUT_MS = 700
 
 
-class _Relay:
-    """A process whose path to the store may fail, and a peer that helps."""
+class _RelayedCell:
+    """A process whose path to the store may fail, and a peer that relays."""
 
     def __init__(self) -> None:
         self.model = StoreModel()
-        self.own = StorePath(self.model)
-        self.helper = StorePath(self.model)
+        self.direct = StorePath(self.model)
+        self.peer_path = StorePath(self.model)
         self.links = PeerLinks()
-        self.store = RelayedStore(self.own, self.links)
+        self.store = RelayedStore(self.direct, self.links)
 
     def ports(self) -> GraphPorts:
         """Return the outside systems of the peer."""
         directory = Directory(KEY, '', '', _read_config, _read_worker)
         return GraphPorts(
-            self.helper,
+            self.peer_path,
             Fleet(),
             OneAtATime(AllowAll()),
             directory,
@@ -71,11 +71,11 @@
     raise DocumentError('a peer reads no workers')
 
 
-def play(scenario: Callable[[_Relay], Awaitable[None]]) -> None:
-    """Run a scenario with a peer that listens on loopback."""
+def play(scenario: Callable[[_RelayedCell], Awaitable[None]]) -> None:
+    """Run a scenario with a peer on a loopback address."""
 
     async def main() -> None:
-        relay = _Relay()
+        relay = _RelayedCell()
         with socket.socket() as probe:
             probe.bind(('127.0.0.1', 0))
             address = f'127.0.0.1:{probe.getsockname()[1]}'
@@ -93,10 +93,10 @@
 
 @pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
 def test_calls_go_through_a_peer(fault: PathFault) -> None:
-    """Guards against a process that is useless without its own path."""
+    """Guards against a process that fails without a direct path."""
 
-    async def scenario(relay: _Relay) -> None:
-        relay.own.fault = fault
+    async def scenario(relay: _RelayedCell) -> None:
+        relay.direct.fault = fault
         transaction = KvTransaction(((KEY, ABSENT),), (KvWrite(KEY, b'1'),))
         written = await relay.store.commit(transaction, _TIMEOUT_MS)
         assert isinstance(written.unwrap(), KvCommitted)
@@ -113,11 +113,11 @@
 
 
 def test_lease_is_kept_through_a_peer() -> None:
-    """Guards against an owner that loses its lease with its own path."""
+    """Guards against an owner that loses its lease with its direct path."""
 
-    async def scenario(relay: _Relay) -> None:
+    async def scenario(relay: _RelayedCell) -> None:
         lease = (await relay.store.grant_lease(1500, _TIMEOUT_MS)).unwrap()
-        relay.own.fault = PathFault.SILENT
+        relay.direct.fault = PathFault.SILENT
         kept = await relay.store.renew_lease(lease, _TIMEOUT_MS)
         assert kept == Success(lease)
         ended = await relay.store.end_lease(lease, _TIMEOUT_MS)
@@ -129,11 +129,11 @@
 
 
 def test_refusal_of_the_peer_does_not_settle_a_lost_answer() -> None:
-    """Guards against a refusal of what the own call may have written."""
+    """Guards against a refusal after a direct call that may have written."""
 
-    async def scenario(relay: _Relay) -> None:
-        relay.own.fault = PathFault.ANSWER_LOST
-        relay.helper.fault = PathFault.REFUSED
+    async def scenario(relay: _RelayedCell) -> None:
+        relay.direct.fault = PathFault.ANSWER_LOST
+        relay.peer_path.fault = PathFault.REFUSED
         transaction = KvTransaction(((KEY, ABSENT),), (KvWrite(KEY, b'1'),))
         written = await relay.store.commit(transaction, _TIMEOUT_MS)
         assert written == Failure(KvFailure.UNKNOWN)
@@ -142,10 +142,10 @@
     play(scenario)
 
 
-def test_advice_is_asked_through_a_peer() -> None:
-    """Guards against tickets that are lost between two processes."""
+def test_advice_is_requested_through_a_peer() -> None:
+    """Guards against tickets that are lost on the way from a peer."""
 
-    async def scenario(relay: _Relay) -> None:
+    async def scenario(relay: _RelayedCell) -> None:
         step = StepKey(JobId('a'), 0, 1)
         workers = (WorkerId('w0'), WorkerId('w1'))
         advice = await ask_peer(relay.links, PEER, step, workers, 1000)
@@ -157,16 +157,16 @@
     play(scenario)
 
 
-def test_busy_peer_says_so() -> None:
-    """Guards against asks that queue up behind those of another process."""
+def test_busy_peer_rejects_a_request() -> None:
+    """Guards against requests that queue behind those of another process."""
 
-    async def scenario(relay: _Relay) -> None:
+    async def scenario(relay: _RelayedCell) -> None:
         step = StepKey(JobId('a'), 0, 1)
-        asks = [
+        calls = [
             ask_peer(relay.links, PEER, step, (WorkerId('w0'),), 1000)
             for _ in range(2)
         ]
-        advices = await asyncio.gather(*asks)
+        advices = await asyncio.gather(*calls)
         assert sorted(advice.is_busy for advice in advices) == [False, True]
 
     play(scenario)
