Name store watches, effect handlers and test scenarios after their role

They are now _watchers, _send_start, _send_order, _request_advice, run_scenario and follower_of; RecordWriter.add_revisions says what it does. Actor names and other outward texts are the same.

--- a/fuchsiarill/graphs/lease_guard.py
+++ b/fuchsiarill/graphs/lease_guard.py
@@ -11,7 +11,7 @@
     """
 
     def __init__(self, deadline_ms: int) -> None:
-        """Start with the deadline that the first lease gives."""
+        """Start with the deadline of the first lease."""
         self._deadline_ms = deadline_ms
         self._is_revoked = False
 
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -139,11 +139,11 @@
         body = stream.read()
     else:
         body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
-    patience = environ.get('HTTP_X_DEADLINE_MS')
+    deadline_header = environ.get('HTTP_X_DEADLINE_MS')
     return Request(
         environ['REQUEST_METHOD'],
         environ.get('HTTP_HOST', '').split(':')[0],
         environ['PATH_INFO'],
         body,
-        int(float(patience)) if patience else None,
+        int(float(deadline_header)) if deadline_header else None,
     )
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -142,7 +142,7 @@
         transaction: KvTransaction,
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
-        """Carry out a transaction."""
+        """Execute a transaction."""
         started_ms = now_ms()
         answer = await self._store.commit(transaction, timeout_ms)
         return self._observe('commit', started_ms, answer)
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -45,12 +45,12 @@
         if is_former_over is None:
             return None
         saved = progress.unwrap()[0]
-        known = (fleet.unwrap(), pending.unwrap(), *saved)
+        items = (fleet.unwrap(), pending.unwrap(), *saved)
         return PoolLoaded(
             record,
             *jobs.unwrap(),
             saved,
-            {found.key: found.revision for found in known},
+            {item.key: item.revision for item in items},
             is_former_over,
         )
 
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -87,7 +87,7 @@
             settings.calls.store_timeout_ms,
             self.mailbox,
         )
-        self._writer.load_revisions(loaded.revisions)
+        self._writer.add_revisions(loaded.revisions)
         self._saver = ProgressSaver(
             self.core,
             self._writer.mailbox,
@@ -105,7 +105,7 @@
             ),
             self.spawn,
         )
-        self._feeds = self._make_feeds(loaded.jobs_revision)
+        self._watchers = self._make_watchers(loaded.jobs_revision)
         self._is_decision_due = False
         self._apply_jobs(loaded.jobs, loaded.progress)
 
@@ -122,14 +122,14 @@
             )
             self.channels.open(member.worker, member.address)
         self._saver.save_fleet()
-        for feed in self._feeds:
-            feed.start()
+        for watcher in self._watchers:
+            watcher.start()
         self._report_takeover()
 
     async def stop(self) -> None:
         """Stop the watches, the channels and the record writer."""
-        for feed in self._feeds:
-            await feed.stop()
+        for watcher in self._watchers:
+            await watcher.stop()
         await self.channels.stop()
         await self._writer.stop()
         await super().stop()
@@ -340,7 +340,7 @@
             longest_ms += self._context.settings.ownership.lease_ttl_ms
         return longest_ms
 
-    def _make_feeds(self, jobs_revision: Revision) -> tuple[PrefixFeed, ...]:
+    def _make_watchers(self, jobs_revision: Revision) -> tuple[PrefixFeed, ...]:
         wait_ms = self._context.settings.watch_wait_ms
         timeout_ms = self._context.settings.calls.store_timeout_ms
         jobs = FeedSettings(
@@ -388,7 +388,7 @@
 
 
 @EFFECT_HANDLERS.register(StartRun)
-def _handle_start(owner: PoolOwner, effect: StartRun) -> None:
+def _send_start(owner: PoolOwner, effect: StartRun) -> None:
     owner.observe_start(effect)
     owner.channels.send_order(effect)
 
@@ -396,10 +396,10 @@
 @EFFECT_HANDLERS.register(StopRun)
 @EFFECT_HANDLERS.register(PaceRun)
 @EFFECT_HANDLERS.register(LookAt)
-def _handle_order(owner: PoolOwner, effect: Order) -> None:
+def _send_order(owner: PoolOwner, effect: Order) -> None:
     owner.channels.send_order(effect)
 
 
 @EFFECT_HANDLERS.register(AskAdvice)
-def _handle_advice_request(owner: PoolOwner, effect: AskAdvice) -> None:
+def _request_advice(owner: PoolOwner, effect: AskAdvice) -> None:
     owner.request_advice(effect)
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -90,7 +90,9 @@
         self._peers: dict[ProcessId, str] = {}
         self._control_revision = Revision(0)
         self._config: GraphConfig | None = None
-        self._feeds = tuple(self._feed(prefix) for prefix in self._prefixes())
+        self._watchers = tuple(
+            self._make_watcher(prefix) for prefix in self._prefixes()
+        )
         self._lost_prefixes: set[str] = set()
         self._is_draining = False
         self._is_address_published = False
@@ -109,7 +111,7 @@
             self._links,
             self._advisor,
             self._intake,
-            *self._feeds,
+            *self._watchers,
         ):
             actor.start()
         events.emit(
@@ -141,7 +143,9 @@
                 self.spawn(self._publish_address())
             for pool, tenure in self._tenures.items():
                 if pool not in self._owner_keys:
-                    tenure.mailbox.send(OwnerKeySeen(self._absent(pool)))
+                    tenure.mailbox.send(
+                        OwnerKeySeen(self._absent_owner_key(pool))
+                    )
             return
         self._apply_config_items(message.items)
 
@@ -202,7 +206,7 @@
     def _prefixes(self) -> tuple[str, ...]:
         return (keys.CONTROL_PREFIX, self._ports.directory.config_prefix)
 
-    def _feed(self, prefix: str) -> PrefixFeed:
+    def _make_watcher(self, prefix: str) -> PrefixFeed:
         settings = FeedSettings(
             prefix,
             self._settings.watch_wait_ms,
@@ -217,7 +221,7 @@
             if tenure.owner is not None
         ]
         services = (self._links, self._advisor, self._intake)
-        return (*services, *self._feeds, *self._tenures.values(), *owners)
+        return (*services, *self._watchers, *self._tenures.values(), *owners)
 
     def _update_view(self, **changes: Any) -> None:
         self.front.view = replace(self.front.view, **changes)
@@ -272,13 +276,13 @@
         self._tenures[pool] = tenure
         tenure.start()
         if self._control_revision:
-            seen = self._owner_keys.get(pool, self._absent(pool))
+            seen = self._owner_keys.get(pool, self._absent_owner_key(pool))
             tenure.mailbox.send(OwnerKeySeen(seen))
 
     def _owned_count(self) -> int:
         return sum(tenure.is_owner for tenure in self._tenures.values())
 
-    def _absent(self, pool: PoolId) -> KvItem:
+    def _absent_owner_key(self, pool: PoolId) -> KvItem:
         key = keys.owner_key(pool)
         return KvItem(key, None, self._control_revision)
 
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -52,7 +52,7 @@
         self._revisions: dict[StoreKey, Revision] = {}
         self._is_ownership_lost = False
 
-    def load_revisions(self, revisions: dict[StoreKey, Revision]) -> None:
+    def add_revisions(self, revisions: dict[StoreKey, Revision]) -> None:
         """Record the revisions of records that were loaded."""
         self._revisions.update(revisions)
 
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -93,7 +93,7 @@
         transaction: KvTransaction,
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
-        """Carry out a transaction."""
+        """Execute a transaction."""
         return await self._call_with_limit(
             partial(self._store.commit, transaction),
             timeout_ms,
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -267,7 +267,7 @@
 Scenario = Callable[[GraphCell], Awaitable[None]]
 
 
-def play(
+def run_scenario(
     scenario: Scenario,
     processes_count: int = 3,
     workers_count: int = 3,
@@ -284,7 +284,7 @@
     run_paused(main())
 
 
-def other(cell: GraphCell) -> ProcessId:
+def follower_of(cell: GraphCell) -> ProcessId:
     """Return a process that does not own the pool."""
     owner = cell.owner()
     return next(name for name in cell.processes if name != owner)
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -17,8 +17,8 @@
     TASK_SIZE,
     TWO_STEPS,
     GraphCell,
-    other,
-    play,
+    follower_of,
+    run_scenario,
 )
 
 
@@ -32,7 +32,7 @@
         steps = [task.step for task, _, _ in cell.fleet.starts]
         assert steps == [0, 0, 0, 1, 1]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_repeated_submission_is_one_job() -> None:
@@ -45,7 +45,7 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
         assert len(cell.fleet.starts) == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_lost_tasks_start_again_when_their_leases_have_lapsed() -> None:
@@ -61,7 +61,7 @@
         await sleep_ms(9000)
         assert len(cell.fleet.starts) == 3
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_unanswered_start_is_ruled_out_before_the_next() -> None:
@@ -76,7 +76,7 @@
             agent.loses_answers = False
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_silent_worker_keeps_its_tasks_until_they_lapse() -> None:
@@ -91,7 +91,7 @@
         cell.fleet.agents[worker].is_silent = False
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_restarted_worker_has_lost_its_runs() -> None:
@@ -103,7 +103,7 @@
         cell.add_worker(cell.fleet.starts[0][2])
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 4500)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
@@ -121,28 +121,28 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
         assert len(cell.fleet.starts) == 2
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_refused_submission_never_runs() -> None:
     """Guards against a refusal of a job that the store has accepted."""
 
     async def scenario(cell: GraphCell) -> None:
-        name = other(cell)
+        name = follower_of(cell)
         cell.paths[name].fault = PathFault.REFUSED
         answer = await cell.submit(name, 'a', TWO_STEPS, duration_ms=10)
         assert answer.code is codes.STORE_UNAVAILABLE
         await sleep_ms(2000)
         assert not cell.fleet.starts
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_lost_answer_is_no_refusal() -> None:
     """Guards against a refusal when the job may have been accepted."""
 
     async def scenario(cell: GraphCell) -> None:
-        name = other(cell)
+        name = follower_of(cell)
         cell.paths[name].fault = PathFault.ANSWER_LOST
         started_ms = now_ms()
         answer = await cell.submit(name, 'a', TWO_STEPS, duration_ms=10)
@@ -150,7 +150,7 @@
         assert now_ms() - started_ms <= 3500
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_cancelled_job_stops() -> None:
@@ -165,7 +165,7 @@
         await sleep_ms(1000)
         assert not any(agent.runs for agent in cell.fleet.agents.values())
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_job_fails_after_its_attempts() -> None:
@@ -180,7 +180,7 @@
         attempts = [task.job for task, _, _ in cell.fleet.starts]
         assert attempts.count('a') == 3  # type: ignore[arg-type]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_gang_starts_as_a_whole() -> None:
@@ -195,7 +195,7 @@
         await cell.wait_phase('b', JobPhase.SUCCEEDED, 4000)
         assert len({attempt for _, attempt, _ in cell.fleet.starts}) == 1
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_compaction_hides_no_job() -> None:
@@ -207,7 +207,7 @@
         cell.store.compact()
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 4000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_worker_that_fails_everything_is_suspended() -> None:
@@ -225,7 +225,7 @@
         ]
         assert len(failed_starts) <= 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_metrics_count_events() -> None:
@@ -245,4 +245,4 @@
         ):
             assert sample in written
 
-    play(scenario)
+    run_scenario(scenario)
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -16,9 +16,9 @@
     TASK_SIZE,
     TWO_STEPS,
     GraphCell,
-    other,
+    follower_of,
     owner_of,
-    play,
+    run_scenario,
 )
 
 
@@ -32,7 +32,7 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
         assert len(cell.fleet.starts) == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_unsaved_run_end_reaches_the_next_owner() -> None:
@@ -50,7 +50,7 @@
         cell.paths[owner].fault = PathFault.REFUSED
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_failures_are_counted_across_owners() -> None:
@@ -64,7 +64,7 @@
         await cell.wait_phase('a', JobPhase.FAILED, 20000)
         assert len(cell.fleet.starts) == 3
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_owner_that_drains_hands_over_at_once() -> None:
@@ -80,7 +80,7 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 5000)
         assert len(cell.fleet.starts) == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_all_processes_killed_lose_nothing() -> None:
@@ -96,7 +96,7 @@
             cell.run_process(name)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_process_that_restarted_last_becomes_owner() -> None:
@@ -107,7 +107,7 @@
 
     async def scenario(cell: GraphCell) -> None:
         await sleep_ms(8000)
-        restarted = other(cell)
+        restarted = follower_of(cell)
         await cell.kill(restarted)
         await sleep_ms(200)
         cell.run_process(restarted)
@@ -116,7 +116,7 @@
         await sleep_ms(1500)
         assert owner_of(cell) == restarted
 
-    play(scenario, processes_count=5)
+    run_scenario(scenario, processes_count=5)
 
 
 def test_drained_process_answers_before_it_ends() -> None:
@@ -134,7 +134,7 @@
         assert process.exit_status == 0
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_small_machine_owns_only_without_a_larger_one() -> None:
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -71,7 +71,7 @@
     raise DocumentError('a peer reads no workers')
 
 
-def play(scenario: Callable[[_RelayedCell], Awaitable[None]]) -> None:
+def run_scenario(scenario: Callable[[_RelayedCell], Awaitable[None]]) -> None:
     """Run a scenario with a peer on a loopback address."""
 
     async def main() -> None:
@@ -109,7 +109,7 @@
         changes = await relay.store.watch_prefix('jobs/', Revision(1), 200)
         assert [item.key for item in changes.unwrap().items] == [KEY]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_lease_is_kept_through_a_peer() -> None:
@@ -125,7 +125,7 @@
         gone = await relay.store.renew_lease(lease, _TIMEOUT_MS)
         assert gone == Failure(KvFailure.LEASE_GONE)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_refusal_of_the_peer_does_not_settle_a_lost_answer() -> None:
@@ -139,7 +139,7 @@
         assert written == Failure(KvFailure.UNKNOWN)
         assert KEY in relay.model.found
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_advice_is_requested_through_a_peer() -> None:
@@ -154,7 +154,7 @@
             WorkerId('w1'): Ticket('ticket'),
         }
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_busy_peer_rejects_a_request() -> None:
@@ -169,4 +169,4 @@
         advices = await asyncio.gather(*calls)
         assert sorted(advice.is_busy for advice in advices) == [False, True]
 
-    play(scenario)
+    run_scenario(scenario)
