--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -14,12 +14,12 @@
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import BornMs, Ticket
-from fuchsiarill.graphs.owner_messages import Advised
+from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.peers import ask_peer
-from fuchsiarill.graphs.ports import OneAtATime
+from fuchsiarill.graphs.peers import request_advice_from_peer
+from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import ProcessId, WorkerId
 
 _LOCAL_ROUTE: Final = ProcessId('')
@@ -29,10 +29,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AdviceAsked:
+class AdviceRequest:
     """A request for advice, and the mailbox that receives the answer."""
 
-    request: AskAdvice
+    request: RequestAdvice
     # Incarnation of each worker when the request was made.
     incarnations: dict[WorkerId, BornMs]
     receiver: Mailbox
@@ -45,7 +45,7 @@
     """A call through a route has ended."""
 
     route: ProcessId
-    message: AdviceAsked
+    message: AdviceRequest
     granted: _Granted
     # Another route may get the answer that this one failed to get.
     is_retried: bool = False
@@ -62,7 +62,7 @@
 class _QueuedRequest:
     rank_ms: int
     number: int
-    message: AdviceAsked = field(compare=False)
+    message: AdviceRequest = field(compare=False)
 
 
 class Advisor(SpawningActor):
@@ -71,7 +71,7 @@
     def __init__(
         self,
         process: ProcessId,
-        port: OneAtATime,
+        port: BusyTrackingAdvisor,
         links: PeerLinks,
         timeout_ms: int,
     ) -> None:
@@ -94,8 +94,8 @@
             'busy_lanes_count': len(self._busy),
         }
 
-    @handles(AdviceAsked)
-    async def on_request(self, message: AdviceAsked) -> None:
+    @handles(AdviceRequest)
+    async def on_request(self, message: AdviceRequest) -> None:
         """Queue a request."""
         self._requests_count += 1
         waiting = _QueuedRequest(
@@ -119,7 +119,7 @@
             return
         answered = message.message
         answered.receiver.send(
-            Advised(
+            AdviceAnswered(
                 answered.request.step,
                 answered.incarnations,
                 message.granted,
@@ -156,18 +156,20 @@
         before = [name for name in ring if name < self._process]
         return [_LOCAL_ROUTE, *after, *before]
 
-    def _next_wanted(self) -> AdviceAsked | None:
+    def _next_wanted(self) -> AdviceRequest | None:
         while self._waiting:
             message = heapq.heappop(self._waiting).message
             if message.is_wanted():
                 return message
             message.receiver.send(
-                Advised(message.request.step, message.incarnations, None),
+                AdviceAnswered(
+                    message.request.step, message.incarnations, None
+                ),
             )
         return None
 
     async def _call_through(
-        self, route: ProcessId, message: AdviceAsked
+        self, route: ProcessId, message: AdviceRequest
     ) -> None:
         try:
             await self._call(route, message)
@@ -179,13 +181,13 @@
         await sleep_ms(_BUSY_RETRY_MS)
         self.mailbox.send(_RouteRetryDue(route))
 
-    async def _call(self, route: ProcessId, message: AdviceAsked) -> None:
+    async def _call(self, route: ProcessId, message: AdviceRequest) -> None:
         request = message.request
         if route == _LOCAL_ROUTE:
             granted = await self._call_service(request)
             self.mailbox.send(_RouteReleased(route, message, granted))
             return
-        advice = await ask_peer(
+        advice = await request_advice_from_peer(
             self._links,
             route,
             request.step,
@@ -201,7 +203,7 @@
         self.mailbox.send(message)
         await self._retry_later(route)
 
-    async def _call_service(self, request: AskAdvice) -> _Granted:
+    async def _call_service(self, request: RequestAdvice) -> _Granted:
         answered = await self._port.advise(
             request.step,
             request.workers,
--- a/fuchsiarill/graphs/front.py
+++ b/fuchsiarill/graphs/front.py
@@ -47,13 +47,13 @@
         self._bridge = Bridge(self._loop, _REQUESTS_MAX_COUNT)
         self._intake = intake
 
-    def deadline_ms(self, patience_ms: int | None) -> int:
+    def deadline_ms(self, caller_timeout_ms: int | None) -> int:
         """Return the deadline of an answer, by the runtime clock.
 
         It precedes the caller's own deadline by the answer margin, but by at
         most half of the caller's time.
         """
-        allowed_ms = patience_ms or _DEFAULT_CALLER_TIMEOUT_MS
+        allowed_ms = caller_timeout_ms or _DEFAULT_CALLER_TIMEOUT_MS
         margin_ms = self.settings.front.answer_margin_ms
         now = int(self._loop.time() * MS_PER_SECOND)
         return now + max(allowed_ms - margin_ms, allowed_ms // 2)
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -24,7 +24,7 @@
     path: str
     body: bytes
     # How long the caller waits; `None` when the header is missing.
-    patience_ms: int | None
+    caller_timeout_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -34,16 +34,16 @@
     progress: tuple[KvItem, ...]
     revisions: dict[StoreKey, Revision]
     # The previous owner can send no more orders.
-    is_former_over: bool
+    is_previous_owner_inactive: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Reported:
-    """A worker answered a renewal that was sent at `asked_ms`."""
+class WorkerReported:
+    """A worker answered a renewal that was sent at `requested_ms`."""
 
     worker: WorkerId
     report: WorkerReport
-    asked_ms: int
+    requested_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Advised:
+class AdviceAnswered:
     """Outcome of a request for advice; without an answer, no tickets."""
 
     step: StepKey
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -4,15 +4,15 @@
 from typing import Any, Final
 
 from fuchsiarill.graphs.core import GraphCore
-from fuchsiarill.graphs.effects import LookAt, PaceRun, StartRun, StopRun
+from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
 from fuchsiarill.graphs.model import WorkerEntry
 from fuchsiarill.graphs.owner_messages import (
     EndsDurable,
     SeenEnds,
     StartAnswered,
 )
-from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.graphs.worker_channel import ChannelContext, WorkerChannel
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentAddress, AgentFailure
 
@@ -20,7 +20,7 @@
 # that expired during an outage of the store reappears within it.
 _UNLISTED_GRACE_MS: Final = 3000
 
-Order = StartRun | StopRun | PaceRun | LookAt
+Order = StartRun | StopRun | PaceRun | RequestReport
 
 
 class PoolChannels:
@@ -98,7 +98,7 @@
             if view.is_listed or view.runs:
                 self._unlisted_since_ms.pop(view.worker, None)
                 continue
-            if now_ms <= view.lapse_ms:
+            if now_ms <= view.lease_expiry_ms:
                 self._stop_renewals_if_unlisted(view, now_ms)
                 continue
             self._core.state.workers.remove(view.worker)
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -11,27 +11,27 @@
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
-from fuchsiarill.graphs.advice import AdviceAsked
+from fuchsiarill.graphs.advice import AdviceRequest
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
 from fuchsiarill.graphs.effects import (
-    AskAdvice,
-    LookAt,
     PaceRun,
+    RequestAdvice,
+    RequestReport,
     StartRun,
     StopRun,
 )
-from fuchsiarill.graphs.feeds import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
-)
-from fuchsiarill.graphs.job_intake import take_jobs
+from fuchsiarill.graphs.job_loading import load_jobs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
+from fuchsiarill.graphs.prefix_watch import (
+    PrefixChanged,
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+    PrefixWatchState,
+)
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
 from fuchsiarill.graphs.worker_channel import ChannelContext
@@ -72,7 +72,7 @@
             term=loaded.fleet.term + 1,
             owner=term.owner,
         )
-        self._is_previous_owner_inactive = loaded.is_former_over
+        self._is_previous_owner_inactive = loaded.is_previous_owner_inactive
         self.core = GraphCore(
             term.pool,
             term.epoch,
@@ -80,7 +80,7 @@
             self._fleet.term,
         )
         self.core.configure(term.config)
-        self._directory = WorkerDirectory(term.pool, context.ports.directory)
+        self._directory = WorkerDirectory(term.pool, context.ports.documents)
         self._writer = RecordWriter(
             context.ports.store,
             (keys.owner_key(term.pool), Revision(term.epoch)),
@@ -115,7 +115,7 @@
         self.tick_every(_TICK_MS, messages.PoolTick())
         self._writer.start()
         for member in self._fleet.members:
-            self.core.expect_worker(
+            self.core.add_inherited_worker(
                 member.worker,
                 member.address,
                 now_ms() + self._longest_lease_ms(),
@@ -150,30 +150,30 @@
         self.core.configure(message.config)
         self._schedule_decision()
 
-    @handles(Listed)
-    async def on_listed(self, message: Listed) -> None:
+    @handles(PrefixListed)
+    async def on_listed(self, message: PrefixListed) -> None:
         """Apply a full list, as read at the start or after a gap."""
-        if message.prefix == self._context.ports.directory.workers_prefix:
+        if message.prefix == self._context.ports.documents.workers_prefix:
             self._directory.replace(message.items)
             self._update_workers()
             return
         self._apply_jobs(message.items, ())
 
-    @handles(Changed)
-    async def on_changed(self, message: Changed) -> None:
+    @handles(PrefixChanged)
+    async def on_changed(self, message: PrefixChanged) -> None:
         """Apply changes of worker entries, jobs and cancellations."""
-        if message.prefix == self._context.ports.directory.workers_prefix:
+        if message.prefix == self._context.ports.documents.workers_prefix:
             if self._directory.apply_changes(message.items):
                 self._update_workers()
             return
         self._apply_jobs(message.items, ())
 
-    @handles(FeedState)
-    async def on_feed_state(self, message: FeedState) -> None:
+    @handles(PrefixWatchState)
+    async def on_watch_state(self, message: PrefixWatchState) -> None:
         """Ignore outages; the watches recover by themselves."""
 
-    @handles(messages.Reported)
-    async def on_reported(self, message: messages.Reported) -> None:
+    @handles(messages.WorkerReported)
+    async def on_reported(self, message: messages.WorkerReported) -> None:
         """Apply a worker's report."""
         view = self.core.state.workers.find(message.worker)
         for end in message.report.ended:
@@ -182,7 +182,7 @@
         self.core.worker_reported(
             message.worker,
             message.report,
-            message.asked_ms,
+            message.requested_ms,
             now_ms(),
         )
         self._schedule_decision()
@@ -222,13 +222,13 @@
         )
         self._schedule_decision()
 
-    @handles(messages.Advised)
-    async def on_advised(self, message: messages.Advised) -> None:
+    @handles(messages.AdviceAnswered)
+    async def on_advised(self, message: messages.AdviceAnswered) -> None:
         """Apply tickets, or the failure of a request for advice."""
         if message.granted is None:
             self.core.advice_failed(message.step, now_ms())
         else:
-            self.core.advised(
+            self.core.advice_received(
                 message.step,
                 message.incarnations,
                 message.granted,
@@ -290,7 +290,7 @@
             wait_ms = now_ms() - entry.accepted_ms
             self._context.metrics.waited(entry.graph.queue, wait_ms)
 
-    def request_advice(self, request: AskAdvice) -> None:
+    def request_advice(self, request: RequestAdvice) -> None:
         """Send a request for advice to the advisor of the process."""
         incarnations = {}
         for worker in request.workers:
@@ -298,7 +298,7 @@
             if view is not None:
                 incarnations[worker] = view.born_ms
         self._context.advisor.send(
-            AdviceAsked(
+            AdviceRequest(
                 request,
                 incarnations,
                 self.mailbox,
@@ -317,11 +317,11 @@
             term=self._fleet.term,
         )
 
-    def _is_wanted(self, request: AskAdvice) -> bool:
+    def _is_wanted(self, request: RequestAdvice) -> bool:
         entry = self.core.state.jobs.get(request.step.job)
         if entry is None or not entry.is_active:
             return False
-        step = self.core.state.known_step(request.step)
+        step = self.core.state.find_unfinished_step(request.step)
         if step is None or not step.waiting:
             return False
         return self._term.guard.may_order()
@@ -340,25 +340,27 @@
             longest_ms += self._context.settings.ownership.lease_ttl_ms
         return longest_ms
 
-    def _make_watchers(self, jobs_revision: Revision) -> tuple[PrefixFeed, ...]:
+    def _make_watchers(
+        self, jobs_revision: Revision
+    ) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
         timeout_ms = self._context.settings.calls.store_timeout_ms
-        jobs = FeedSettings(
+        jobs = PrefixWatchSettings(
             keys.jobs_prefix(self._term.pool),
             wait_ms,
             timeout_ms,
             after=jobs_revision,
         )
-        workers = FeedSettings(
-            self._context.ports.directory.workers_prefix,
+        workers = PrefixWatchSettings(
+            self._context.ports.documents.workers_prefix,
             wait_ms,
             timeout_ms,
             pause_ms=_DIRECTORY_PAUSE_MS,
         )
         store = self._context.ports.store
         return (
-            PrefixFeed(jobs, store, self.mailbox),
-            PrefixFeed(workers, store, self.mailbox),
+            PrefixWatcher(jobs, store, self.mailbox),
+            PrefixWatcher(workers, store, self.mailbox),
         )
 
     def _apply_jobs(
@@ -366,12 +368,12 @@
         found: tuple[KvItem, ...],
         progress_found: tuple[KvItem, ...],
     ) -> None:
-        take_jobs(self.core, found, progress_found, now_ms())
+        load_jobs(self.core, found, progress_found, now_ms())
         self._schedule_decision()
 
     def _update_workers(self) -> None:
         entries = self._directory.entries()
-        self.core.list_workers(entries, now_ms())
+        self.core.update_workers(entries, now_ms())
         self.channels.update(entries)
         if any(not view.is_recorded for view in self.core.state.workers):
             self._saver.save_fleet()
@@ -395,11 +397,11 @@
 
 @EFFECT_HANDLERS.register(StopRun)
 @EFFECT_HANDLERS.register(PaceRun)
-@EFFECT_HANDLERS.register(LookAt)
+@EFFECT_HANDLERS.register(RequestReport)
 def _send_order(owner: PoolOwner, effect: Order) -> None:
     owner.channels.send_order(effect)
 
 
-@EFFECT_HANDLERS.register(AskAdvice)
-def _request_advice(owner: PoolOwner, effect: AskAdvice) -> None:
+@EFFECT_HANDLERS.register(RequestAdvice)
+def _request_advice(owner: PoolOwner, effect: RequestAdvice) -> None:
     owner.request_advice(effect)
--- a/fuchsiarill/graphs/ports.py
+++ b/fuchsiarill/graphs/ports.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Directory:
+class DocumentLayout:
     """Keys and parsers of the documents of operators and workers."""
 
     config_key: StoreKey
@@ -28,7 +28,7 @@
     read_worker: Callable[[WorkerId, bytes], WorkerEntry]
 
 
-class OneAtATime:
+class BusyTrackingAdvisor:
     """An advisor that tracks whether a call of this process is in progress.
 
     The service handles one call at a time for each machine, so a concurrent
@@ -65,5 +65,5 @@
 
     store: KeyValuePort
     agents: AgentPort
-    advisor: OneAtATime
-    directory: Directory
+    advisor: BusyTrackingAdvisor
+    documents: DocumentLayout
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -13,13 +13,6 @@
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.advice import Advisor
-from fuchsiarill.graphs.feeds import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
-)
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.metrics import GraphMetrics
@@ -28,6 +21,13 @@
 from fuchsiarill.graphs.owner_messages import ConfigInForce
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
+from fuchsiarill.graphs.prefix_watch import (
+    PrefixChanged,
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+    PrefixWatchState,
+)
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Tenure
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskDump:
+class GetDump:
     """Request for the state of all actors."""
 
     reply: Reply[dict[str, Any]]
@@ -130,8 +130,8 @@
             await actor.stop()
         await super().stop()
 
-    @handles(Listed)
-    async def on_listed(self, message: Listed) -> None:
+    @handles(PrefixListed)
+    async def on_listed(self, message: PrefixListed) -> None:
         """Apply a full list of control keys or of the configuration."""
         if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
@@ -149,16 +149,16 @@
             return
         self._apply_config_items(message.items)
 
-    @handles(Changed)
-    async def on_changed(self, message: Changed) -> None:
+    @handles(PrefixChanged)
+    async def on_changed(self, message: PrefixChanged) -> None:
         """Apply changes of control keys or of the configuration."""
         if message.prefix == keys.CONTROL_PREFIX:
             self._apply_control(message.items)
             return
         self._apply_config_items(message.items)
 
-    @handles(FeedState)
-    async def on_feed_state(self, message: FeedState) -> None:
+    @handles(PrefixWatchState)
+    async def on_watch_state(self, message: PrefixWatchState) -> None:
         """Report not ready to the load balancer during a store outage."""
         if message.is_lost:
             self._lost_prefixes.add(message.prefix)
@@ -176,8 +176,8 @@
         self._update_view(is_draining=True)
         self.spawn(self._drain())
 
-    @handles(AskDump)
-    async def on_dump(self, message: AskDump) -> None:
+    @handles(GetDump)
+    async def on_dump(self, message: GetDump) -> None:
         """Return the state of all actors."""
         message.reply.answer(
             {
@@ -204,15 +204,15 @@
                 self.exit_status = 1
 
     def _prefixes(self) -> tuple[str, ...]:
-        return (keys.CONTROL_PREFIX, self._ports.directory.config_prefix)
+        return (keys.CONTROL_PREFIX, self._ports.documents.config_prefix)
 
-    def _make_watcher(self, prefix: str) -> PrefixFeed:
-        settings = FeedSettings(
+    def _make_watcher(self, prefix: str) -> PrefixWatcher:
+        settings = PrefixWatchSettings(
             prefix,
             self._settings.watch_wait_ms,
             self._settings.calls.store_timeout_ms,
         )
-        return PrefixFeed(settings, self._ports.store, self.mailbox)
+        return PrefixWatcher(settings, self._ports.store, self.mailbox)
 
     def _actors(self) -> Iterable[Actor]:
         owners = [
@@ -228,7 +228,7 @@
 
     def _apply_config_items(self, items: Iterable[KvItem]) -> None:
         for item in items:
-            if item.key != self._ports.directory.config_key:
+            if item.key != self._ports.documents.config_key:
                 continue
             if item.value is None:
                 continue
@@ -236,7 +236,7 @@
 
     def _apply_config(self, item: KvItem, content: bytes) -> None:
         try:
-            config = self._ports.directory.read_config(content)
+            config = self._ports.documents.read_config(content)
         except DocumentError as error:
             events.emit(
                 events.DOCUMENT_UNREADABLE,
--- a/fuchsiarill/graphs/tenure_messages.py
+++ b/fuchsiarill/graphs/tenure_messages.py
@@ -37,10 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalAnswered:
-    """Outcome of a lease renewal that was sent at `asked_ms`."""
+    """Outcome of a lease renewal that was sent at `requested_ms`."""
 
     lease: StoreLeaseId
-    asked_ms: int
+    requested_ms: int
     outcome: Result[StoreLeaseId, KvFailure]
     # After a suspension, the owner key had another revision.
     is_key_lost: bool = False
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -8,8 +8,8 @@
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.graphs.advice import AdviceAsked, Advisor
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.advice import AdviceRequest, Advisor
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import (
     BornMs,
     EndKind,
@@ -17,9 +17,9 @@
     StepKey,
     Ticket,
 )
-from fuchsiarill.graphs.owner_messages import Advised
+from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.ports import OneAtATime
+from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from tests.graph_owner import (
@@ -40,10 +40,10 @@
 _ANSWER_LOST_MS = 30_000
 
 
-def advice_requests(owner: Owner) -> list[AskAdvice]:
+def advice_requests(owner: Owner) -> list[RequestAdvice]:
     """Decide and return the requests for advice."""
     return [
-        effect for effect in owner.decide() if isinstance(effect, AskAdvice)
+        effect for effect in owner.decide() if isinstance(effect, RequestAdvice)
     ]
 
 
@@ -53,7 +53,9 @@
     valid_ms: int = _VALID_MS,
 ) -> None:
     """Grant a ticket to the worker."""
-    owner.core.advised(step, INCARNATIONS, GRANT, owner.now_ms + valid_ms)
+    owner.core.advice_received(
+        step, INCARNATIONS, GRANT, owner.now_ms + valid_ms
+    )
 
 
 def test_request_is_repeated_after_a_lost_answer() -> None:
@@ -75,7 +77,7 @@
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
     assert len(advice_requests(owner)) == 1
     owner.report('w0', born_ms=9)
-    owner.core.advised(STEP, INCARNATIONS, {}, owner.now_ms + _VALID_MS)
+    owner.core.advice_received(STEP, INCARNATIONS, {}, owner.now_ms + _VALID_MS)
     assert len(advice_requests(owner)) == 1
 
 
@@ -163,15 +165,15 @@
 
 def start_with_request(
     links: PeerLinks,
-    port: OneAtATime,
+    port: BusyTrackingAdvisor,
     receiver: Mailbox,
 ) -> Advisor:
     """Start an advisor and send it one request."""
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
     advisor.mailbox.send(
-        AdviceAsked(
-            AskAdvice(STEP, (W0,), 0), INCARNATIONS, receiver, lambda: True
+        AdviceRequest(
+            RequestAdvice(STEP, (W0,), 0), INCARNATIONS, receiver, lambda: True
         ),
     )
     return advisor
@@ -184,14 +186,14 @@
     """
 
     async def main() -> None:
-        port = OneAtATime(_Service())
+        port = BusyTrackingAdvisor(_Service())
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
         receiver = Mailbox()
         advisor = start_with_request(_Links(), port, receiver)
         await other
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(
+            assert await receiver.receive() == AdviceAnswered(
                 STEP, INCARNATIONS, GRANT
             )
         await advisor.stop()
@@ -205,13 +207,15 @@
     async def main() -> None:
         receiver = Mailbox()
         service = _Service()
-        port = OneAtATime(service)
+        port = BusyTrackingAdvisor(service)
         links = _Links('p1', is_failing=True)
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
         advisor = start_with_request(links, port, receiver)
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, INCARNATIONS, None)
+            assert await receiver.receive() == AdviceAnswered(
+                STEP, INCARNATIONS, None
+            )
         await other
         assert advisor.snapshot()['busy_lanes_count'] == 0
         await advisor.stop()
