Name the loss of a pool's ownership alike in message and chart

The message OwnershipRefuted and its handlers named what the chart and the partition owner call a lost ownership.

They are now OwnershipLost, on_ownership_lost, on_advice_answered and call_server; log events and their texts are the same.

--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -118,7 +118,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwnershipRefuted:
+class OwnershipLost:
     """A worker or the store shows that a later owner exists."""
 
     reason: str
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAdvice:
-    """Answer of a peer; `granted` is `None` if the call failed."""
+    """Answer of a peer; without an answer of the service, no tickets."""
 
     granted: dict[WorkerId, Ticket] | None = None
     is_busy: bool = False
@@ -114,6 +114,6 @@
 async def _serve_connection(
     ports: GraphPorts, timeout_ms: int, stream: Any
 ) -> None:
-    servant = OutsideCallServer(ports, timeout_ms)
-    server = capnp.TwoPartyServer(stream, bootstrap=servant)
+    call_server = OutsideCallServer(ports, timeout_ms)
+    server = capnp.TwoPartyServer(stream, bootstrap=call_server)
     await server.on_disconnect()
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -223,7 +223,9 @@
         self._schedule_decision()
 
     @handles(messages.AdviceAnswered)
-    async def on_advised(self, message: messages.AdviceAnswered) -> None:
+    async def on_advice_answered(
+        self, message: messages.AdviceAnswered
+    ) -> None:
         """Apply tickets, or the failure of a request for advice."""
         if message.granted is None:
             self.core.advice_failed(message.step, now_ms())
@@ -246,8 +248,8 @@
             self.core.record_workers(message.saved.fleet_workers)
         self._schedule_decision()
 
-    @handles(messages.OwnershipRefuted)
-    async def on_refuted(self, message: messages.OwnershipRefuted) -> None:
+    @handles(messages.OwnershipLost)
+    async def on_ownership_lost(self, message: messages.OwnershipLost) -> None:
         """Send no more orders: a later owner exists."""
         self._term.guard.revoke()
         self._context.tenure.send(message)
--- a/fuchsiarill/graphs/prefix_watch.py
+++ b/fuchsiarill/graphs/prefix_watch.py
@@ -56,7 +56,7 @@
 
 
 class PrefixWatcher(Actor):
-    """Sends `PrefixListed`, then `PrefixChanged` for every change, to one mailbox."""
+    """Sends `PrefixListed`, then `PrefixChanged` for each batch of changes."""
 
     def __init__(
         self,
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -14,7 +14,7 @@
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.graphs.owner_messages import (
-    OwnershipRefuted,
+    OwnershipLost,
     RecordsSaved,
     SaveRecords,
 )
@@ -126,7 +126,7 @@
                 expected=fence_revision,
                 found=None if fence is None else fence.revision,
             )
-            self._owner.send(OwnershipRefuted('the owner key has changed'))
+            self._owner.send(OwnershipLost('the owner key has changed'))
             return False
         is_applied = True
         for key, text in batch.items():
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -24,7 +24,7 @@
 from fuchsiarill.graphs.owner_context import Term
 from fuchsiarill.graphs.owner_messages import (
     ConfigInForce,
-    OwnershipRefuted,
+    OwnershipLost,
     PoolLoaded,
 )
 from fuchsiarill.graphs.pool_loading import PoolLoader
@@ -145,8 +145,8 @@
         if self.owner is not None:
             self.owner.mailbox.send(message)
 
-    @handles(OwnershipRefuted)
-    async def on_refuted(self, message: OwnershipRefuted) -> None:
+    @handles(OwnershipLost)
+    async def on_ownership_lost(self, message: OwnershipLost) -> None:
         """Step down, since a later owner exists."""
         events.emit(
             events.TENURE_REFUTED,
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -20,7 +20,7 @@
 )
 from fuchsiarill.graphs.owner_messages import (
     EndsDurable,
-    OwnershipRefuted,
+    OwnershipLost,
     RenewalFailed,
     RenewalSent,
     StartAnswered,
@@ -192,7 +192,7 @@
     def _handle_failure(self, failure: AgentFailure) -> None:
         if failure is AgentFailure.FENCED:
             self._context.owner.send(
-                OwnershipRefuted(f'{self.agent.worker} has a later epoch'),
+                OwnershipLost(f'{self.agent.worker} has a later epoch'),
             )
         self._context.owner.send(RenewalFailed(self.agent.worker, failure))
 
