Merge the wording of ownership, processes and links of job graphs

Cause: lanes, asks, feeds and former owners in the actors of the graph scheduler. Change: routes, requests, prefix watches and previous owners; doc comments state what is returned and guaranteed. Outer names (dump keys, log fields, actor names) stay.

--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -1,7 +1,7 @@
-"""Owners that are killed, drained and replaced, in paused time on models.
+"""Owners that are killed, drained and replaced, on models in simulated time.
 
 Each test ends with a check that no task ran twice or after its success, and
-that no worker was over its capacity.
+that no worker exceeded its capacity.
 """
 
 from fuchsiarill import codes
@@ -16,14 +16,14 @@
     TASK_SIZE,
     TWO_STEPS,
     GraphCell,
-    other,
+    follower_of,
     owner_of,
-    play,
+    run_scenario,
 )
 
 
 def test_killed_owner_is_replaced() -> None:
-    """Guards against runs of a former owner that start a second time."""
+    """Guards against a second start of tasks that the killed owner started."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', TWO_STEPS, duration_ms=2500)
@@ -32,15 +32,15 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
         assert len(cell.fleet.starts) == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_end_that_was_not_saved_is_known_to_the_next_owner() -> None:
-    """Guards against a dropped end of a step that is not open yet.
+def test_unsaved_run_end_reaches_the_next_owner() -> None:
+    """Guards against a dropped run end of a step that is not open yet.
 
-    The owner sees the ends of the first step, starts the second one and is
-    replaced before it can save the ends. The next owner may hear of the
-    second step first.
+    The owner receives the run ends of the first step, starts the second step
+    and is replaced before it can save them. The next owner may receive reports
+    on the second step first.
     """
 
     async def scenario(cell: GraphCell) -> None:
@@ -50,25 +50,25 @@
         cell.paths[owner].fault = PathFault.REFUSED
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_failures_are_counted_over_owners() -> None:
-    """Guards against attempts that a new owner does not know of."""
+def test_failures_are_counted_across_owners() -> None:
+    """Guards against failed attempts that a new owner does not count."""
 
     async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=400, fails=1000)
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=400, fails=1000)
         await sleep_ms(650)
         await cell.kill(owner_of(cell))
         await cell.wait_phase('a', JobPhase.FAILED, 20000)
         assert len(cell.fleet.starts) == 3
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_owner_that_drains_hands_over_at_once() -> None:
-    """Guards against a pool that waits for the lease of a graceful end."""
+    """Guards against waiting for the lease of an owner that was drained."""
 
     async def scenario(cell: GraphCell) -> None:
         owner = owner_of(cell)
@@ -80,11 +80,11 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 5000)
         assert len(cell.fleet.starts) == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_all_processes_killed_lose_nothing() -> None:
-    """Guards against accepted jobs that only an owner knew of."""
+    """Guards against accepted jobs that are not in the store."""
 
     async def scenario(cell: GraphCell) -> None:
         names = list(cell.processes)
@@ -96,18 +96,18 @@
             cell.run_process(name)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_process_that_restarted_last_becomes_owner() -> None:
-    """Guards against a row of takeovers while processes restart in turn.
+    """Guards against repeated takeovers in a rolling restart.
 
     A process that has just restarted is the last one to be stopped again.
     """
 
     async def scenario(cell: GraphCell) -> None:
         await sleep_ms(8000)
-        restarted = other(cell)
+        restarted = follower_of(cell)
         await cell.kill(restarted)
         await sleep_ms(200)
         cell.run_process(restarted)
@@ -116,11 +116,11 @@
         await sleep_ms(1500)
         assert owner_of(cell) == restarted
 
-    play(scenario, processes_count=5)
+    run_scenario(scenario, processes_count=5)
 
 
 def test_drained_process_answers_before_it_ends() -> None:
-    """Guards against requests that the end of their process cuts off."""
+    """Guards against requests that get no answer because of a drain."""
 
     async def scenario(cell: GraphCell) -> None:
         process = cell.processes[P0]
@@ -134,11 +134,11 @@
         assert process.exit_status == 0
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_small_machine_owns_only_without_a_larger_one() -> None:
-    """Guards against an owner on a machine that cannot carry it."""
+    """Guards against an owner on a machine that is too small for it."""
 
     async def main() -> None:
         cell = GraphCell(4, 1)
