Reword the interfaces to outside systems and their clients

Comments of the ports used everyday verbs for mechanisms, and private names such as the thread pool's lanes and vacancies said little about their role.

Comments and doc comments now state effects, units and errors. Private names follow the usual terms: long polls, work items, capacity. No behaviour changes.

--- a/fuchsiarill/ports/agents.py
+++ b/fuchsiarill/ports/agents.py
@@ -18,31 +18,31 @@
 
 
 class AgentFailure(Enum):
-    """Why an order to a worker was not carried out, or may not have been."""
+    """Why a worker did not, or possibly did not, execute an order."""
 
     # The worker has seen a higher epoch.
     FENCED = 'fenced'
-    # The attempt was stopped or has ended there.
+    # The attempt was stopped or has ended on the worker.
     SUPERSEDED = 'superseded'
-    # The expiry of the order had passed.
+    # The order reached the worker after its expiry.
     EXPIRED = 'expired'
     NO_ROOM = 'no_room'
     TICKET_INVALID = 'ticket_invalid'
-    # The worker is unhealthy and has done nothing.
+    # The worker is unhealthy and has not executed the order.
     UNHEALTHY = 'unhealthy'
-    # Another life of a worker is at the address.
+    # A worker with another id or incarnation listens at the address.
     OTHER_WORKER = 'other_worker'
     MALFORMED = 'malformed'
     # No process listens at the address.
     CONNECTION_REFUSED = 'connection_refused'
     NOT_SENT = 'not_sent'
-    # The order may have been carried out, or may be later.
+    # The order may have been executed, or may still be.
     UNKNOWN = 'unknown'
 
 
 @dataclass(frozen=True, slots=True)
 class AgentAddress:
-    """The worker that is meant and where it listens."""
+    """The id of a worker and the address at which it listens."""
 
     worker: WorkerId
     address: str
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopOrder:
-    """Asks a worker to end a run, and to refuse it from now on."""
+    """Tells a worker to stop a run and to refuse later starts of it."""
 
     task: TaskKey
     attempt: int
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceOrder:
-    """Limits the share at which a task works."""
+    """Limits a task to a percentage of its full speed."""
 
     task: TaskKey
     attempt: int
@@ -69,11 +69,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalOrder:
-    """Extends the leases of all that runs on a worker.
+    """Extends the leases of all runs on a worker.
 
-    `expiry_ms` is in the worker's clock; without it nothing is extended.
-    Ends up to `acknowledged` are forgotten by the worker. The answer may
-    wait `wait_ms` for an end.
+    `expiry_ms` is in the worker's clock; if it is `None`, no lease is
+    extended. The worker discards run ends up to `acknowledged`. It may delay
+    its response by up to `wait_ms` until a run ends.
     """
 
     epoch: Epoch
@@ -83,7 +83,7 @@
 
 
 class AgentPort(Protocol):
-    """The calls that an owner makes of workers."""
+    """The calls that an owner makes to workers."""
 
     async def start(
         self,
@@ -107,7 +107,7 @@
         order: PaceOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Set the pace of a run; returns the worker's clock in ms."""
+        """Limit the speed of a run; returns the worker's clock in ms."""
 
     async def renew(
         self,
@@ -115,11 +115,11 @@
         order: RenewalOrder,
         timeout_ms: int,
     ) -> Result[WorkerReport, AgentFailure]:
-        """Renew the task leases and return what runs and has ended."""
+        """Renew task leases; returns the running and the ended runs."""
 
 
 class AdvisorPort(Protocol):
-    """The service that knows which workers may run a step."""
+    """The service that decides which workers may run a step."""
 
     async def advise(
         self,
--- a/fuchsiarill/ports/host_list.py
+++ b/fuchsiarill/ports/host_list.py
@@ -1,4 +1,4 @@
-"""Interface to the platform's list of hosts, which lags."""
+"""Interface to the platform's host list, which may be out of date."""
 
 from typing import Protocol
 
@@ -9,7 +9,7 @@
 
 
 class HostListPort(Protocol):
-    """The one call that the system makes of the list."""
+    """The only call that the system makes to the host list."""
 
     async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
         """Return all listed hosts of the cell."""
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -1,11 +1,11 @@
-"""Blocking HTTP calls of `urllib3`, made from tasks through threads.
-
-The number of calls in progress is bounded; a further call is refused at once
-as not sent. The deadline of a call includes its wait for a thread, and holds
-for the caller also when an answer arrives in small pieces, each within the
-time-out of the socket. A connection whose call misses its deadline is closed
-by `urllib3` and never used again, since its late answer would go to the next
-request. Calls that wait for an event on purpose have threads of their own.
+"""Blocking `urllib3` calls for asyncio tasks, made in threads.
+
+The number of calls in progress is bounded; a further call fails at once as
+not sent. The deadline of a call includes its wait for a thread. It also holds
+if a response arrives in small pieces, each within the socket time-out. If a
+call misses its deadline, `urllib3` closes its connection, since the late
+response would otherwise be read by the next request. Long polls have their
+own threads.
 """
 
 import asyncio
@@ -22,24 +22,25 @@
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.ports.thread_lane import ThreadLane
 
-# One pool for each address; a partition has up to about 400 workers.
+# One pool per address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
 # A process watches the configuration and the owner of each partition.
-_WAITING_MAX_COUNT: Final = 16
-# The thread knows better whether a late call was sent; it is asked first.
-_THREAD_VERDICT_MS: Final = 50
+_LONG_POLLS_MAX_COUNT: Final = 16
+# Time past the deadline in which the thread may still report whether a late
+# call was sent, which only the thread knows for certain.
+_THREAD_RESULT_GRACE_MS: Final = 50
 _JSON_HEADERS: Final = {'Content-Type': 'application/json'}
-_NEVER_SENT: Final = (
+_NOT_SENT_ERRORS: Final = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
 )
 
 
 class CallFailure(Enum):
-    """Why a call gave no answer; only after `NO_ANSWER` it may have acted."""
+    """Why a call failed; only after `NO_ANSWER` it may have taken effect."""
 
     NOT_SENT = 'not_sent'
-    # Nobody listens at the address.
+    # No process listens at the address.
     CONNECTION_REFUSED = 'connection_refused'
     NO_ANSWER = 'no_answer'
 
@@ -56,27 +57,29 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """Status and body of an answer."""
+    """Status and body of a response."""
 
     status: int
     body: bytes
 
 
 class HttpClient:
-    """Makes requests with a JSON body and a deadline."""
+    """Makes HTTP requests with a JSON body and a deadline."""
 
     def __init__(
         self,
         threads_count: int,
         in_progress_max: int,
-        waiting_max: int = _WAITING_MAX_COUNT,
+        long_polls_max: int = _LONG_POLLS_MAX_COUNT,
     ) -> None:
-        """Create the threads' lanes and the pool of connections."""
+        """Create the thread pools and the connection pools."""
         self._calls = ThreadLane('http-call', threads_count, in_progress_max)
-        self._waits = ThreadLane('http-wait', waiting_max, waiting_max)
+        self._long_polls = ThreadLane(
+            'http-wait', long_polls_max, long_polls_max
+        )
         self._connections = urllib3.PoolManager(
             num_pools=_CONNECTION_POOLS_COUNT,
-            maxsize=threads_count + waiting_max,
+            maxsize=threads_count + long_polls_max,
             retries=False,
         )
 
@@ -86,7 +89,7 @@
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Send one POST request; never repeats it."""
+        """Send one POST request without retries."""
         answer = await self.call(HttpCall('POST', url, body), timeout_ms)
         return answer.alt(_without_cause)
 
@@ -96,7 +99,7 @@
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Send a request that the server answers when something happens."""
+        """Send one POST request that the server answers on an event."""
         call = HttpCall('POST', url, body)
         answer = await self.call_waiting(call, timeout_ms)
         return answer.alt(_without_cause)
@@ -106,7 +109,7 @@
         call: HttpCall,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Make one request; never repeats it."""
+        """Make one request without retries."""
         return await self._run(self._calls, call, timeout_ms)
 
     async def call_waiting(
@@ -114,33 +117,35 @@
         call: HttpCall,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Make a request that the server answers when something happens."""
-        return await self._run(self._waits, call, timeout_ms)
+        """Make one request that the server answers on an event."""
+        return await self._run(self._long_polls, call, timeout_ms)
 
     def close(self) -> None:
-        """Close idle connections and let the threads end."""
+        """Close idle connections and let idle threads exit."""
         self._connections.clear()
         self._calls.close()
-        self._waits.close()
+        self._long_polls.close()
 
     async def _run(
         self,
-        lane: ThreadLane,
+        threads: ThreadLane,
         call: HttpCall,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        # The deadline is checked in the thread, where no loop is running.
+        # The thread checks the deadline and has no event loop, so the deadline
+        # uses `time.monotonic`.
         deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
-        running = lane.run(partial(self._request, call, deadline_s))
+        running = threads.run(partial(self._request, call, deadline_s))
         if running is None:
             return Failure(CallFailure.NOT_SENT)
         try:
             async with asyncio.timeout(
-                (timeout_ms + _THREAD_VERDICT_MS) / MS_PER_SECOND,
+                (timeout_ms + _THREAD_RESULT_GRACE_MS) / MS_PER_SECOND,
             ):
                 return await asyncio.wrap_future(running)
         except TimeoutError:
-            # Only a call that still waits for a thread can be cancelled.
+            # Only a call that still waits for a thread can be cancelled; it
+            # was not sent.
             is_unsent = running.cancel()
         return Failure(
             CallFailure.NOT_SENT if is_unsent else CallFailure.NO_ANSWER,
@@ -151,8 +156,8 @@
         call: HttpCall,
         deadline_s: float,
     ) -> Result[HttpAnswer, CallFailure]:
-        left_s = deadline_s - time.monotonic()
-        if left_s <= 0:
+        remaining_s = deadline_s - time.monotonic()
+        if remaining_s <= 0:
             return Failure(CallFailure.NOT_SENT)
         try:
             response = self._connections.request(
@@ -160,13 +165,13 @@
                 call.url,
                 body=call.body,
                 headers=_JSON_HEADERS | call.headers,
-                timeout=urllib3.Timeout(total=left_s),
+                timeout=urllib3.Timeout(total=remaining_s),
             )
-        except _NEVER_SENT as error:
+        except _NOT_SENT_ERRORS as error:
             return Failure(_unsent_cause(error))
         except urllib3.exceptions.ReadTimeoutError:
-            # Something between the two ends may have lost track of all open
-            # connections, so none of the idle ones is used again.
+            # A device on the network path may have dropped the state of all
+            # open connections, so none of the idle ones is reused.
             self._drop_idle(call.url)
             return Failure(CallFailure.NO_ANSWER)
         except urllib3.exceptions.HTTPError:
@@ -176,13 +181,13 @@
     def _drop_idle(self, url: str) -> None:
         """Close the idle connections to the address of `url`.
 
-        A connection that is in use is closed when its call has ended.
+        A connection in use is closed at the end of its call.
         """
         address = urllib3.util.parse_url(url)
         pools = self._connections.pools
         for key in pools.keys():  # noqa: SIM118
             if (key.key_host, key.key_port) == (address.host, address.port):
-                # Another thread may have dropped it already.
+                # Another thread may have removed the pool already.
                 pools.pop(key, None)
 
 
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -1,8 +1,7 @@
 """HTTP clients of the store, the host list and the workers.
 
-Requests and answers are JSON objects of the message types of this package.
-An answer that cannot be read is a failure like none at all: the call may have
-taken effect.
+Requests and responses are JSON objects of the message types of this package.
+A malformed response counts as a missing one: the call may have taken effect.
 """
 
 from typing import Final, TypeVar
@@ -29,7 +28,7 @@
 
 _HTTP_OK: Final = 200
 _HTTP_GONE: Final = 410
-# The store turns a value above its limit away before it does anything.
+# The store rejects a value above its limit before it has any effect.
 _HTTP_TOO_LARGE: Final = 413
 
 SWAPS: Final = TypeAdapter(Swap)
@@ -51,7 +50,7 @@
 
 
 class LeaseRequest(BaseModel):
-    """Body of a lease call; `ttl_ms` is used by a grant only."""
+    """Body of a lease call; only a grant uses `ttl_ms`."""
 
     lease_id: StoreLeaseId = StoreLeaseId('')
     ttl_ms: int = 0
@@ -81,10 +80,10 @@
             self._settings.call_timeout_ms,
         )
         match answer:
-            case Success(got) if got.status == _HTTP_OK:
-                unread = SwapResult(SwapOutcome.UNKNOWN)
-                return _parse(SWAP_RESULTS, got.body).value_or(unread)
-            case Success(got) if got.status == _HTTP_TOO_LARGE:
+            case Success(response) if response.status == _HTTP_OK:
+                malformed = SwapResult(SwapOutcome.UNKNOWN)
+                return _parse(SWAP_RESULTS, response.body).value_or(malformed)
+            case Success(response) if response.status == _HTTP_TOO_LARGE:
                 return SwapResult(SwapOutcome.NOT_SENT)
             case Failure(CallFailure.NOT_SENT):
                 return SwapResult(SwapOutcome.NOT_SENT)
@@ -175,7 +174,7 @@
     """`WorkerPort` over HTTP."""
 
     def __init__(self, settings: WorkerSettings, client: HttpClient) -> None:
-        """Call workers with the deadline in the settings."""
+        """Call workers with the time-out in the settings."""
         self._settings = settings
         self._client = client
 
@@ -184,15 +183,15 @@
         address: str,
         request: Exchange,
     ) -> Result[WorkerReport, ExchangeFailure]:
-        """Send commands and renewals; return what the worker reports."""
+        """Send commands and renewals; returns the worker's report."""
         answer = await self._client.post(
             f'http://{address}/v1/exchange',
             EXCHANGES.dump_json(request),
             self._settings.call_timeout_ms,
         )
         match answer:
-            case Success(got) if got.status == _HTTP_OK:
-                return _parse(REPORTS, got.body).alt(
+            case Success(response) if response.status == _HTTP_OK:
+                return _parse(REPORTS, response.body).alt(
                     lambda _error: ExchangeFailure.NO_ANSWER,
                 )
             case Failure(CallFailure.NOT_SENT):
@@ -206,11 +205,11 @@
     answer: Result[HttpAnswer, CallFailure],
 ) -> Result[_Answer, StoreFailure]:
     match answer:
-        case Success(got) if got.status == _HTTP_OK:
-            return _parse(adapter, got.body).alt(
+        case Success(response) if response.status == _HTTP_OK:
+            return _parse(adapter, response.body).alt(
                 lambda _error: StoreFailure.UNREACHABLE,
             )
-        case Success(got) if got.status == _HTTP_GONE:
+        case Success(response) if response.status == _HTTP_GONE:
             return Failure(StoreFailure.LEASE_UNKNOWN)
         case Failure(CallFailure.NOT_SENT):
             return Failure(StoreFailure.NOT_SENT)
--- a/fuchsiarill/ports/key_value.py
+++ b/fuchsiarill/ports/key_value.py
@@ -1,8 +1,8 @@
 """Interface to a key-value service with ranges, watches and transactions.
 
-A call that got no answer may have taken effect, also seconds later while its
-conditions still hold: `KvFailure.UNKNOWN` says so. `REFUSED` proves that
-nothing was done.
+After `KvFailure.UNKNOWN` a call may have taken effect, or may still do so
+seconds later while its conditions hold. `REFUSED` proves that it had no
+effect.
 """
 
 from dataclasses import dataclass
@@ -15,12 +15,12 @@
 
 
 class KvFailure(Enum):
-    """Why a call of the service has no outcome."""
+    """Why a call to the service failed."""
 
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
     LEASE_GONE = 'lease_gone'
-    # The history after the revision asked for has been dropped.
+    # The service has discarded the history after the requested revision.
     COMPACTED = 'compacted'
 
 
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KvPage:
-    """Items of a prefix in the order of their keys."""
+    """One page of the items of a prefix, in key order."""
 
     items: tuple[KvItem, ...]
     has_more: bool
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KvChanges:
-    """Changes in the order of their revisions; go on from `at_revision`."""
+    """Changes in revision order; continue the watch after `at_revision`."""
 
     items: tuple[KvItem, ...]
     at_revision: Revision
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KvWrite:
-    """A key to write; with `lease` it goes when the lease ends."""
+    """A key to write; if `lease` is set, the key is deleted with the lease."""
 
     key: StoreKey
     value: bytes
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KvTransaction:
-    """Writes and deletes that happen together, or not at all.
+    """Writes and deletes that are applied atomically.
 
     `expected` holds the revisions that keys must have, `ABSENT` for a key
     that must not exist.
@@ -75,20 +75,20 @@
 
 @dataclass(frozen=True, slots=True)
 class KvCommitted:
-    """The transaction happened; its writes have this revision."""
+    """The transaction was applied; its writes have this revision."""
 
     revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
 class KvConflict:
-    """An expectation was wrong; `items` holds the keys as they are."""
+    """An expected revision did not match; `items` holds the actual keys."""
 
     items: tuple[KvItem, ...]
 
 
 class KeyValuePort(Protocol):
-    """The calls that the system makes of the service."""
+    """The calls that the system makes to the service."""
 
     async def get(
         self,
@@ -103,7 +103,7 @@
         after: StoreKey | None,
         timeout_ms: int,
     ) -> Result[KvPage, KvFailure]:
-        """Read the items of a prefix that follow the key `after`."""
+        """Read a page of the items of a prefix that follow the key `after`."""
 
     async def watch_prefix(
         self,
@@ -111,14 +111,14 @@
         after: Revision,
         wait_ms: int,
     ) -> Result[KvChanges, KvFailure]:
-        """Wait for changes of a prefix, for at most `wait_ms`."""
+        """Wait up to `wait_ms` for changes of a prefix later than `after`."""
 
     async def commit(
         self,
         transaction: KvTransaction,
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
-        """Carry out a transaction."""
+        """Apply a transaction if all expected revisions match."""
 
     async def grant_lease(
         self,
@@ -132,7 +132,7 @@
         lease: StoreLeaseId,
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
-        """Extend a lease by its time to live."""
+        """Reset the remaining time of a lease to its time to live."""
 
     async def end_lease(
         self,
--- a/fuchsiarill/ports/store.py
+++ b/fuchsiarill/ports/store.py
@@ -1,9 +1,9 @@
 """Interface to the platform's key-value service.
 
-Every call counts against the rates of the service, a waiting watch too. A
-call that times out may have taken effect: `SwapOutcome.UNKNOWN` says so, and
-the caller reads the key and compares its own unique token. `NOT_SENT` proves
-that a call had no effect, so that it can be repeated.
+Every call, including a pending watch, counts against the rate limits of the
+service. After `SwapOutcome.UNKNOWN`, as on a time-out, a swap may have taken
+effect: the caller reads the key and looks for its own unique token.
+`NOT_SENT` proves that a call had no effect, so that it can be repeated.
 """
 
 from dataclasses import dataclass
@@ -16,7 +16,7 @@
 
 
 class StoreFailure(Enum):
-    """Why a call without side effect, or a lease call, gave no answer.
+    """Why a read, a watch or a lease call failed.
 
     After `NOT_SENT` nothing reached the service; after `UNREACHABLE` a lease
     call may have taken effect.
@@ -28,7 +28,7 @@
 
 
 class SwapOutcome(Enum):
-    """What became of a compare-and-swap."""
+    """Outcome of a compare-and-swap."""
 
     SWAPPED = 'swapped'
     CONFLICT = 'conflict'
@@ -50,7 +50,8 @@
     """A compare-and-swap; `value` of `None` deletes the key.
 
     `expected` is the revision that the key must have, `ABSENT` for a key
-    that must not exist. With `lease_id` the key goes when the lease lapses.
+    that must not exist. If `lease_id` is set, the key is deleted when the
+    lease lapses.
     """
 
     key: StoreKey
@@ -61,14 +62,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SwapResult:
-    """Outcome of a swap; `revision` is that of the key when swapped."""
+    """Outcome of a swap; after `SWAPPED`, the new revision of the key."""
 
     outcome: SwapOutcome
     revision: Revision = ABSENT
 
 
 class StorePort(Protocol):
-    """The calls that the system makes of the service."""
+    """The calls that the system makes to the service."""
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
         """Read a key."""
@@ -86,7 +87,7 @@
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        """Extend a lease by its time to live."""
+        """Reset the remaining time of a lease to its time to live."""
 
     async def revoke_lease(
         self,
--- a/fuchsiarill/ports/store_health.py
+++ b/fuchsiarill/ports/store_health.py
@@ -1,4 +1,4 @@
-"""Notes whether the last call to the store was answered."""
+"""Tracks whether the last call to the store was answered."""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -21,25 +21,26 @@
 
 
 class HealthNotingStore:
-    """`StorePort` that tells when the store goes out of reach or comes back.
+    """`StorePort` that reports when the store becomes (un)reachable.
 
-    `changed` is called on each change with whether the store is down.
+    `changed` is called on each change; its argument is `True` if the store is
+    down.
     """
 
     def __init__(self, store: StorePort) -> None:
-        """Regard the store as in reach until a call fails."""
+        """Assume that the store is reachable until a call fails."""
         self.changed: Callable[[bool], object] | None = None
         self._store = store
         self._is_down = False
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
         """Read a key."""
-        return self._noted(await self._store.get(key))
+        return self._track(await self._store.get(key))
 
     async def swap(self, swap: Swap) -> SwapResult:
         """Write a key if it still has the expected revision."""
         written = await self._store.swap(swap)
-        self._note(is_down=written.outcome not in _ANSWERED)
+        self._update(is_down=written.outcome not in _ANSWERED)
         return written
 
     async def grant_lease(
@@ -47,21 +48,21 @@
         ttl_ms: int,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """Create a lease."""
-        return self._noted(await self._store.grant_lease(ttl_ms))
+        return self._track(await self._store.grant_lease(ttl_ms))
 
     async def renew_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """Extend a lease."""
-        return self._noted(await self._store.renew_lease(lease_id))
+        return self._track(await self._store.renew_lease(lease_id))
 
     async def revoke_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """End a lease."""
-        return self._noted(await self._store.revoke_lease(lease_id))
+        return self._track(await self._store.revoke_lease(lease_id))
 
     async def watch(
         self,
@@ -70,19 +71,19 @@
         wait_ms: int,
     ) -> Result[Versioned, StoreFailure]:
         """Wait for a change of a key."""
-        return self._noted(await self._store.watch(key, after, wait_ms))
+        return self._track(await self._store.watch(key, after, wait_ms))
 
-    def _noted(
+    def _track(
         self,
         answer: Result[_Found, StoreFailure],
     ) -> Result[_Found, StoreFailure]:
         is_down = isinstance(answer, Failure) and (
             answer.failure() is not StoreFailure.LEASE_UNKNOWN
         )
-        self._note(is_down=is_down)
+        self._update(is_down=is_down)
         return answer
 
-    def _note(self, *, is_down: bool) -> None:
+    def _update(self, *, is_down: bool) -> None:
         if is_down == self._is_down:
             return
         self._is_down = is_down
--- a/fuchsiarill/ports/thread_lane.py
+++ b/fuchsiarill/ports/thread_lane.py
@@ -1,8 +1,8 @@
-"""A bounded number of blocking calls, each in a thread.
+"""A thread pool with a bounded number of calls in progress.
 
-A call that finds the lane full is turned away at once, so nothing queues
-without limit. The threads are daemon threads: a call that still waits for its
-answer does not hold up the end of the process.
+A call above the bound is refused at once, so that the queue is bounded. The
+threads are daemon threads, so that a blocked call does not delay the exit of
+the process.
 """
 
 import queue
@@ -16,13 +16,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Job:
+class _WorkItem:
     work: Callable[[], Any]
     future: Future[Any]
 
 
 class ThreadLane:
-    """Runs blocking functions for tasks of the event loop."""
+    """Runs blocking functions in threads for asyncio tasks."""
 
     def __init__(
         self,
@@ -30,64 +30,64 @@
         threads_count: int,
         in_progress_max: int,
     ) -> None:
-        """Allow `in_progress_max` calls, of which some wait for a thread."""
+        """Allow `in_progress_max` calls, including those without a thread."""
         self._name = name
         self._threads_max = threads_count
         self._threads_count = 0
-        self._vacant = threading.BoundedSemaphore(in_progress_max)
-        self._jobs: queue.SimpleQueue[_Job | None] = queue.SimpleQueue()
+        self._capacity = threading.BoundedSemaphore(in_progress_max)
+        self._items: queue.SimpleQueue[_WorkItem | None] = queue.SimpleQueue()
         self._idle = threading.Semaphore(0)
 
     def run(
         self,
         work: Callable[[], _Outcome],
     ) -> Future[_Outcome] | None:
-        """Run a function in a thread; returns `None` when the lane is full.
+        """Run a function in a thread; returns `None` if the bound is reached.
 
-        A place is free again when the function has ended, also when nobody
-        waits for it any more. A function that waits for a thread can still
-        be cancelled.
+        The function counts as in progress until it has ended, even if its
+        result is no longer awaited. It can be cancelled while it waits for a
+        thread.
         """
-        if not self._vacant.acquire(blocking=False):
+        if not self._capacity.acquire(blocking=False):
             return None
         future: Future[_Outcome] = Future()
-        self._jobs.put(_Job(work, future))
-        self._add_thread()
+        self._items.put(_WorkItem(work, future))
+        self._start_thread_if_needed()
         return future
 
     def close(self) -> None:
-        """Let the idle threads end."""
+        """Let the threads exit once they are idle."""
         for _ in range(self._threads_count):
-            self._jobs.put(None)
+            self._items.put(None)
 
-    def _add_thread(self) -> None:
+    def _start_thread_if_needed(self) -> None:
         if self._idle.acquire(blocking=False):
             return
         if self._threads_count >= self._threads_max:
             return
         self._threads_count += 1
         threading.Thread(
-            target=self._work,
+            target=self._process_items,
             name=f'{self._name} {self._threads_count}',
             daemon=True,
         ).start()
 
-    def _work(self) -> None:
+    def _process_items(self) -> None:
         while True:
-            job = self._jobs.get()
-            if job is None:
+            item = self._items.get()
+            if item is None:
                 return
-            self._carry_out(job)
+            self._execute(item)
             self._idle.release()
 
-    def _carry_out(self, job: _Job) -> None:
-        started = job.future.set_running_or_notify_cancel()
+    def _execute(self, item: _WorkItem) -> None:
+        started = item.future.set_running_or_notify_cancel()
         try:
-            outcome = job.work() if started else None
+            outcome = item.work() if started else None
         except Exception as error:
-            self._vacant.release()
-            job.future.set_exception(error)
+            self._capacity.release()
+            item.future.set_exception(error)
             return
-        self._vacant.release()
+        self._capacity.release()
         if started:
-            job.future.set_result(outcome)
+            item.future.set_result(outcome)
--- a/fuchsiarill/ports/workers.py
+++ b/fuchsiarill/ports/workers.py
@@ -9,7 +9,7 @@
 
 
 class ExchangeFailure(Enum):
-    """Why an exchange gave no report.
+    """Why an exchange returned no report.
 
     After `NOT_SENT` nothing of the exchange reached the worker; after
     `NO_ANSWER` any part of it may have taken effect.
@@ -20,11 +20,11 @@
 
 
 class WorkerPort(Protocol):
-    """The one call that the system makes of a worker."""
+    """The only call that the system makes to a worker."""
 
     async def exchange(
         self,
         address: str,
         request: Exchange,
     ) -> Result[WorkerReport, ExchangeFailure]:
-        """Send commands and renewals; return what the worker reports."""
+        """Send commands and renewals; returns the worker's report."""
