--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -1,8 +1,8 @@
 """The actor that campaigns for the ownership of one partition.
 
-It steps the partition chart, whose actions are registered below. What takes
-long runs in actors of its own: the watch of the owner key, the renewals, the
-takeover of the journal and the owner itself.
+It interprets the partition chart, whose actions are registered below.
+Long-running work has actors of its own: the watch of the owner key, the lease
+renewals, the takeover of the journal and the owner itself.
 """
 
 from collections.abc import Awaitable, Callable
@@ -16,7 +16,7 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner import campaign_messages, messages
-from fuchsiarill.owner.campaign_state import Contest, Helpers, Lease
+from fuchsiarill.owner.campaign_state import ChildActors, Contest, Lease
 from fuchsiarill.owner.claims import (
     OwnerFound,
     acquire,
@@ -37,19 +37,19 @@
 
 # The clocks of this process and of the store may differ by 1% in rate.
 _CLOCK_RATE: Final = 0.99
-# After a failed takeover, so that a journal that cannot be read is not tried
-# again at once by every process in turn.
-_RETRY_TAKEOVER_MS: Final = 2_000
-_REFUSED_JOURNAL_RETRY_MS: Final = 30_000
-# Several times the latency between failure domains.
-_LATE_CALLS_MS: Final = 300
+# Delays after a failed takeover. Without them every process in turn would at
+# once try to read the same unreadable journal.
+_TAKEOVER_RETRY_MS: Final = 2_000
+_UNREADABLE_JOURNAL_RETRY_MS: Final = 30_000
+# Several times the network latency between failure domains.
+_LATE_REQUESTS_GRACE_MS: Final = 300
 _UNREADABLE: Final = frozenset(
     (JournalFault.CORRUPT, JournalFault.NEWER_FORMAT),
 )
 
 
 class Campaign(Actor):
-    """Acquires, keeps and gives up the ownership of one partition."""
+    """Acquires, keeps and releases the ownership of one partition."""
 
     def __init__(
         self,
@@ -68,7 +68,7 @@
         self.router = router
         self.state = PARTITION_CHART.initial
         self.lease = Lease()
-        self.helpers = Helpers()
+        self.children = ChildActors()
         self.contest = Contest()
         self.reason = ''
 
@@ -78,11 +78,11 @@
         self.watch()
 
     async def stop(self) -> None:
-        """Stop at once, without handing over; the lease lapses."""
+        """Stop at once without a handover; the store lease lapses later."""
         self.contest.cancel()
         self.lease.cancel()
         await super().stop()
-        await self.helpers.end()
+        await self.children.shut_down()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -91,30 +91,31 @@
             'state': self.state.value,
             'deadline_ms': self.lease.deadline_ms,
         }
-        if self.helpers.serving is not None:
-            dump.update(self.helpers.serving.snapshot())
+        if self.children.service is not None:
+            dump.update(self.children.service.snapshot())
         return dump
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Repeat what was refused; give up what has failed."""
-        self.helpers.repeat_config()
-        # An acquisition ends within its message, unless it has failed.
+        """Resend a refused configuration; restart or step down on a fault."""
+        self.children.resend_config()
+        # An acquisition completes while its message is handled, so a campaign
+        # that is still acquiring at a tick has failed to acquire.
         await self.step(PartitionEvent.NOT_ACQUIRED)
-        fault = self.helpers.fault()
+        fault = self.children.fault()
         if fault is None:
             return
         events.emit(events.OWNER_ACTOR_DIED, actor=self.name, error=fault)
         if self.state is PartitionState.STANDBY:
-            await self.helpers.stop()
+            await self.children.stop()
             self.watch()
             return
         self.reason = f'an actor has failed: {fault}'
         await self.step(PartitionEvent.DEPOSED)
 
     @handles(campaign_messages.OwnerSeen)
-    async def on_seen(self, message: campaign_messages.OwnerSeen) -> None:
-        """Tell the router; plan a claim when the partition is vacant."""
+    async def on_owner_key(self, message: campaign_messages.OwnerSeen) -> None:
+        """Update the router; schedule a claim if the partition is vacant."""
         if self.state is not PartitionState.STANDBY:
             return
         claim = parse_claim(message.found)
@@ -127,20 +128,23 @@
         loads = self.contest.loads
         process = self.settings.process
         delay_ms = contest_delay_ms(self.partition, process, loads)
-        self.contest.plan(delay_ms, self.mailbox)
+        self.contest.schedule(delay_ms, self.mailbox)
 
     @handles(campaign_messages.CandidatesKnown)
     async def on_candidates(
         self,
         message: campaign_messages.CandidatesKnown,
     ) -> None:
-        """Note who else may claim the partition."""
+        """Store the candidates and forward them to the owner watch."""
         self.contest.loads = message.loads
-        if self.helpers.watch is not None:
-            self.helpers.watch.mailbox.send(message)
+        if self.children.watch is not None:
+            self.children.watch.mailbox.send(message)
 
     @handles(campaign_messages.ContestDue)
-    async def on_due(self, message: campaign_messages.ContestDue) -> None:
+    async def on_election_due(
+        self,
+        message: campaign_messages.ContestDue,
+    ) -> None:
         """Claim the partition if it is still vacant."""
         if not self.contest.is_leaving:
             await self.step(PartitionEvent.VACANT)
@@ -150,8 +154,8 @@
         self,
         message: campaign_messages.LeaseRenewed,
     ) -> None:
-        """Extend the deadline from the time the renewal was asked for."""
-        if not self.lease.has(message.token):
+        """Extend the deadline, counted from the sending of the renewal."""
+        if not self.lease.matches(message.token):
             return
         self.set_deadline(message.asked_at_ms)
         await self.step(PartitionEvent.RENEWED)
@@ -161,43 +165,50 @@
         self,
         message: campaign_messages.DeadlinePassed,
     ) -> None:
-        """Stop what needs ownership unless it was extended meanwhile."""
+        """Restrict the owner or end a takeover unless extended meanwhile."""
         if now_ms() >= self.lease.deadline_ms:
             self.reason = 'the store lease was not renewed in time'
             await self.step(PartitionEvent.DEADLINE_PASSED)
 
     @handles(campaign_messages.OwnershipLost)
-    async def on_lost(self, message: campaign_messages.OwnershipLost) -> None:
-        """Step down; the store has dropped the lease."""
-        if self.lease.has(message.token):
+    async def on_lease_lost(
+        self,
+        message: campaign_messages.OwnershipLost,
+    ) -> None:
+        """Step down because the store no longer holds the lease."""
+        if self.lease.matches(message.token):
             self.reason = 'the store lease lapsed'
             await self.step(PartitionEvent.DEPOSED)
 
     @handles(messages.Deposed)
     async def on_deposed(self, message: messages.Deposed) -> None:
-        """Step down; another process owns the partition."""
+        """Step down because another process owns the partition."""
         self.reason = message.reason
         await self.step(PartitionEvent.DEPOSED)
 
     @handles(campaign_messages.TakenOver)
-    async def on_taken(self, message: campaign_messages.TakenOver) -> None:
-        """Serve the partition."""
-        if not self.lease.has(message.token):
+    async def on_taken_over(self, message: campaign_messages.TakenOver) -> None:
+        """Start to serve the partition from the journal that was read."""
+        if not self.lease.matches(message.token):
             return
-        self.helpers.journal = message.journal
+        self.children.journal = message.journal
         await self.step(PartitionEvent.REPLAYED)
 
     @handles(campaign_messages.TakeoverFailed)
-    async def on_failed(
+    async def on_takeover_failed(
         self,
         message: campaign_messages.TakeoverFailed,
     ) -> None:
-        """Give the partition back; a journal in doubt is left alone."""
-        if not self.lease.has(message.token):
+        """Release the partition and delay the next claim.
+
+        The delay is longer for a journal that is corrupt or of a newer
+        format; none of its entries is replaced.
+        """
+        if not self.lease.matches(message.token):
             return
-        self.contest.pause(_RETRY_TAKEOVER_MS)
+        self.contest.pause(_TAKEOVER_RETRY_MS)
         if message.fault in _UNREADABLE:
-            self.contest.pause(_REFUSED_JOURNAL_RETRY_MS)
+            self.contest.pause(_UNREADABLE_JOURNAL_RETRY_MS)
             events.emit(
                 events.JOURNAL_REFUSED,
                 partition=self.partition,
@@ -208,34 +219,37 @@
 
     @handles(messages.ConfigChanged)
     async def on_config(self, message: messages.ConfigChanged) -> None:
-        """Pass a newer configuration on to the owner."""
+        """Forward a newer configuration to the owner."""
         self.config = message.config
-        self.helpers.configure(message)
+        self.children.configure(message)
 
     @handles(messages.StoreOutageSeen)
     async def on_outage(self, message: messages.StoreOutageSeen) -> None:
-        """Tell the owner that its tasks may go on."""
-        if self.helpers.serving is not None:
-            self.helpers.serving.tell_owner(message)
+        """Forward the outage, during which task leases may be renewed."""
+        if self.children.service is not None:
+            self.children.service.notify_owner(message)
 
     @handles(messages.HandOver)
     async def on_hand_over(self, message: messages.HandOver) -> None:
-        """Give up the partition for good, with its work finished."""
+        """Finish pending work, release the partition and never claim again.
+
+        The reply tells whether all work was finished in time.
+        """
         self.contest.is_leaving = True
         self.contest.cancel()
         self.reason = 'the process shuts down'
-        self.helpers.is_finished = True
-        was_owner = self.helpers.serving is not None
+        self.children.is_work_finished = True
+        was_owner = self.children.service is not None
         await self.step(PartitionEvent.HANDOVER_ASKED)
         if self.state is PartitionState.REPLAYING:
             await self.step(PartitionEvent.DEPOSED)
         if was_owner:
-            # Calls that are on their way still get an answer here.
-            await sleep_ms(_LATE_CALLS_MS)
-        message.reply.answer(self.helpers.is_finished)
+            # Requests that are already in transit still get an answer here.
+            await sleep_ms(_LATE_REQUESTS_GRACE_MS)
+        message.reply.answer(self.children.is_work_finished)
 
     async def step(self, event: PartitionEvent) -> None:
-        """Apply an event of the chart and run its actions."""
+        """Apply a chart event and run the actions of its transition."""
         transition = PARTITION_CHART.step(self.state, event)
         if transition is None:
             return
@@ -244,22 +258,22 @@
             await CAMPAIGN_ACTIONS.lookup(action)(self)
 
     def set_deadline(self, asked_at_ms: int) -> None:
-        """Derive the deadline from the time a renewal was asked for."""
+        """Derive the deadline from the time at which a renewal was sent."""
         store = self.settings.store
         held_ms = int(store.owner_lease_ms * _CLOCK_RATE)
         deadline_ms = asked_at_ms + held_ms - store.owner_margin_ms
         self.lease.extend(deadline_ms, self.mailbox)
-        self.helpers.set_deadline(deadline_ms)
+        self.children.set_deadline(deadline_ms)
 
     def watch(self) -> None:
-        """Watch the owner key."""
-        self.helpers.watch = OwnerWatch(
+        """Start the watch of the owner key."""
+        self.children.watch = OwnerWatch(
             self.ports.store,
             self.partition,
             self.settings.process,
             self.mailbox,
         )
-        self.helpers.watch.start()
+        self.children.watch.start()
 
 
 CampaignAction = Callable[[Campaign], Awaitable[None]]
@@ -272,7 +286,8 @@
 @CAMPAIGN_ACTIONS.register('acquire')
 async def _acquire(campaign: Campaign) -> None:
     store = campaign.ports.store
-    # A read costs the store less than the lease and the swap of a late claim.
+    # A read costs the store less than a lease and a swap that fail because
+    # another process has claimed the partition first.
     found = await store.get(owner_key(campaign.partition))
     held = None
     if isinstance(found, Success) and found.unwrap().value is None:
@@ -285,16 +300,16 @@
     if held is None:
         await campaign.step(PartitionEvent.NOT_ACQUIRED)
         return
-    await campaign.helpers.stop()
+    await campaign.children.stop()
     campaign.lease.held = held
     campaign.set_deadline(held.asked_at_ms)
-    campaign.helpers.renewer = LeaseRenewer(
+    campaign.children.renewer = LeaseRenewer(
         store,
         held,
         campaign.settings.store.owner_renew_interval_ms,
         campaign.mailbox,
     )
-    campaign.helpers.renewer.start()
+    campaign.children.renewer.start()
     await campaign.step(PartitionEvent.ACQUIRED)
 
 
@@ -303,14 +318,14 @@
     held = campaign.lease.held
     if held is None:
         return
-    campaign.helpers.takeover = Takeover(
+    campaign.children.takeover = Takeover(
         campaign.ports.store,
         campaign.partition,
         held.token,
         campaign.lease.deadline_ms,
         campaign.mailbox,
     )
-    campaign.helpers.takeover.begin(
+    campaign.children.takeover.begin(
         campaign.settings.process,
         campaign.config.policies.task_lease_ms,
     )
@@ -318,31 +333,31 @@
 
 @CAMPAIGN_ACTIONS.register('serve')
 async def _serve(campaign: Campaign) -> None:
-    journal = campaign.helpers.journal
+    journal = campaign.children.journal
     if journal is None:
         return
-    serving = Serving(
+    service = Serving(
         campaign.settings,
         campaign.config,
         campaign.ports,
         campaign.mailbox,
     )
-    serving.begin(
+    service.begin(
         campaign.partition,
         journal,
         campaign.lease.deadline_ms,
     )
-    campaign.helpers.serving = serving
+    campaign.children.service = service
     events.emit(
         events.OWNERSHIP_ACQUIRED,
         partition=campaign.partition,
-        epoch=serving.epoch,
+        epoch=service.epoch,
     )
     campaign.router.send(
         OwnerFound(
             campaign.partition,
             new_claim(campaign.settings),
-            serving.owner.mailbox,
+            service.owner.mailbox,
         ),
     )
 
@@ -356,11 +371,12 @@
         reason=campaign.reason,
     )
     campaign.lease.cancel()
-    await campaign.helpers.stop()
+    await campaign.children.stop()
     held = campaign.lease.held
     campaign.lease.held = None
     if held is not None:
-        # Frees the partition at once where the store still knows the lease.
+        # If the store still holds the lease, this frees the partition without
+        # waiting for the lease to lapse.
         await campaign.ports.store.revoke_lease(held.lease_id)
     if not campaign.contest.is_leaving:
         campaign.watch()
@@ -369,7 +385,7 @@
 @CAMPAIGN_ACTIONS.register('restrict')
 async def _restrict(campaign: Campaign) -> None:
     events.emit(events.OWNERSHIP_UNCONFIRMED, partition=campaign.partition)
-    campaign.helpers.set_deadline(campaign.lease.deadline_ms)
+    campaign.children.set_deadline(campaign.lease.deadline_ms)
 
 
 @CAMPAIGN_ACTIONS.register('unrestrict')
@@ -379,9 +395,9 @@
 
 @CAMPAIGN_ACTIONS.register('hand_over')
 async def _hand_over(campaign: Campaign) -> None:
-    serving = campaign.helpers.serving
-    if serving is not None:
-        campaign.helpers.is_finished = await serving.finish()
+    service = campaign.children.service
+    if service is not None:
+        campaign.children.is_work_finished = await service.finish()
     await campaign.step(PartitionEvent.RELEASED)
 
 
--- a/fuchsiarill/owner/campaign_messages.py
+++ b/fuchsiarill/owner/campaign_messages.py
@@ -1,4 +1,4 @@
-"""Messages that a campaign gets from its helpers and from membership."""
+"""Messages to a campaign from its child actors and from membership."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipLost:
-    """The store does not know the lease of the owner any longer."""
+    """The store no longer holds the lease of the owner."""
 
     token: str
 
@@ -23,14 +23,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerSeen:
-    """The owner key was read."""
+    """Result of a read or a watch of the owner key."""
 
     found: Versioned
 
 
 @dataclass(frozen=True, slots=True)
 class ContestDue:
-    """The turn of this process to claim a vacant partition has come."""
+    """The delay before this process claims a vacant partition is over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TakenOver:
-    """The journal was read and an epoch opened."""
+    """The journal was read and a new epoch was opened in it."""
 
     token: str
     journal: JournalRead
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeoverFailed:
-    """The journal could not be taken over."""
+    """The journal could not be read, or its next epoch not be opened."""
 
     token: str
     fault: JournalFault
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -1,4 +1,4 @@
-"""The parts of a campaign's state: its lease, its plan and its helpers."""
+"""Parts of a campaign's state: lease, election timer and child actors."""
 
 import asyncio
 from collections.abc import Mapping
@@ -17,7 +17,7 @@
 
 
 class Lease:
-    """The store lease of this process and the deadline that follows from it."""
+    """The store lease of this process and the ownership deadline."""
 
     def __init__(self) -> None:
         """Start without a lease."""
@@ -25,12 +25,12 @@
         self.deadline_ms = 0
         self._timer: asyncio.TimerHandle | None = None
 
-    def has(self, token: str) -> bool:
-        """Tell whether the lease in hand is that of the claim."""
+    def matches(self, token: str) -> bool:
+        """Return whether the held lease belongs to the claim with `token`."""
         return self.held is not None and self.held.token == token
 
     def extend(self, deadline_ms: int, campaign: Mailbox) -> None:
-        """Set the deadline and tell the campaign when it passes."""
+        """Set the deadline; `DeadlinePassed` is sent once it has passed."""
         self.cancel()
         self.deadline_ms = deadline_ms
         self._timer = asyncio.get_running_loop().call_later(
@@ -40,112 +40,112 @@
         )
 
     def cancel(self) -> None:
-        """Stop the timer."""
+        """Cancel the timer of the deadline."""
         if self._timer is not None:
             self._timer.cancel()
 
 
 class Contest:
-    """When this process claims the partition next."""
+    """Timer for the next claim of the partition by this process."""
 
     def __init__(self) -> None:
-        """Start without a plan."""
+        """Start without a scheduled claim."""
         self.loads: Mapping[ProcessId, int] = {}
         self.is_leaving = False
         self._not_before_ms = 0
         self._timer: asyncio.TimerHandle | None = None
 
     def pause(self, pause_ms: int) -> None:
-        """Claim nothing for some time."""
+        """Delay all claims until `pause_ms` from now."""
         self._not_before_ms = now_ms() + pause_ms
 
-    def plan(self, delay_ms: float, campaign: Mailbox) -> None:
-        """Claim after the delay, unless that is planned already."""
+    def schedule(self, delay_ms: float, campaign: Mailbox) -> None:
+        """Schedule a claim after the delay unless one is scheduled."""
         if self._timer is not None:
             return
         due_ms = max(delay_ms, self._not_before_ms - now_ms())
         self._timer = asyncio.get_running_loop().call_later(
             due_ms / MS_PER_SECOND,
-            self._due,
+            self._expire,
             campaign,
         )
 
     def cancel(self) -> None:
-        """Drop the plan."""
+        """Cancel the scheduled claim."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _due(self, campaign: Mailbox) -> None:
+    def _expire(self, campaign: Mailbox) -> None:
         self._timer = None
         campaign.send(campaign_messages.ContestDue())
 
 
-class Helpers:
-    """The actors that work for a campaign, as its state needs them."""
+class ChildActors:
+    """The child actors of a campaign; its state decides which of them run."""
 
     def __init__(self) -> None:
-        """Start with none running."""
+        """Start without a running actor."""
         self.watch: OwnerWatch | None = None
         self.renewer: LeaseRenewer | None = None
         self.takeover: Takeover | None = None
-        self.serving: Serving | None = None
+        self.service: Serving | None = None
         self.journal: JournalRead | None = None
-        self.is_finished = True
+        self.is_work_finished = True
         self._config: messages.ConfigChanged | None = None
-        self._closing: set[asyncio.Task[None]] = set()
+        self._refusals: set[asyncio.Task[None]] = set()
 
     def set_deadline(self, deadline_ms: int) -> None:
-        """Pass the deadline on."""
+        """Forward the ownership deadline to the takeover and the owner."""
         if self.takeover is not None:
             self.takeover.mailbox.send(messages.OwnershipDeadline(deadline_ms))
-        if self.serving is not None:
-            self.serving.set_deadline(deadline_ms)
+        if self.service is not None:
+            self.service.set_deadline(deadline_ms)
 
     def configure(self, message: messages.ConfigChanged) -> None:
-        """Pass a newer configuration to the owner."""
+        """Forward a newer configuration to the owner."""
         self._config = message
-        self.repeat_config()
+        self.resend_config()
 
-    def repeat_config(self) -> None:
-        """Pass on a configuration that a full mailbox has refused."""
-        if self.serving is None or self._config is None:
+    def resend_config(self) -> None:
+        """Send again a configuration that a full mailbox has refused."""
+        if self.service is None or self._config is None:
             return
-        if self.serving.tell_owner(self._config):
+        if self.service.notify_owner(self._config):
             self._config = None
 
     def fault(self) -> str | None:
-        """Return why a helper has ended by itself, if one has."""
+        """Return the error with which a child has ended by itself, if any."""
         faults = (
-            helper.fault()
-            for helper in (self.watch, self.renewer, self.serving)
-            if helper is not None
+            child.fault()
+            for child in (self.watch, self.renewer, self.service)
+            if child is not None
         )
         return next(filter(None, faults), None)
 
-    async def end(self) -> None:
-        """Stop all helpers and answer nobody any more."""
+    async def shut_down(self) -> None:
+        """Stop all actors and the refusal of late requests."""
         await self.stop()
-        for closing in tuple(self._closing):
-            closing.cancel()
-        await asyncio.gather(*self._closing, return_exceptions=True)
+        for refusal in tuple(self._refusals):
+            refusal.cancel()
+        await asyncio.gather(*self._refusals, return_exceptions=True)
 
     async def stop(self) -> None:
-        """Stop all helpers."""
-        for helper in (self.watch, self.renewer, self.takeover, self.serving):
-            if helper is not None:
-                await helper.stop()
-        if self.serving is not None:
-            self._refuse_callers(self.serving)
+        """Stop all actors; late requests to the owner are still refused."""
+        for child in (self.watch, self.renewer, self.takeover, self.service):
+            if child is not None:
+                await child.stop()
+        if self.service is not None:
+            self._refuse_late_requests(self.service)
         self.watch = None
         self.renewer = None
         self.takeover = None
-        self.serving = None
+        self.service = None
         self.journal = None
         self._config = None
 
-    def _refuse_callers(self, serving: Serving) -> None:
-        refusing = refuse_callers(serving.owner.mailbox, serving.partition)
-        closing = asyncio.create_task(refusing)
-        self._closing.add(closing)
-        closing.add_done_callback(self._closing.discard)
+    def _refuse_late_requests(self, service: Serving) -> None:
+        refusing = refuse_callers(service.owner.mailbox, service.partition)
+        refusal = asyncio.create_task(refusing)
+        self._refusals.add(refusal)
+        refusal.add_done_callback(self._refusals.discard)
--- a/fuchsiarill/owner/claims.py
+++ b/fuchsiarill/owner/claims.py
@@ -1,4 +1,4 @@
-"""The claim in the owner key of a partition, and how it is made."""
+"""The claim that a process writes to the owner key of a partition."""
 
 import uuid
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 from fuchsiarill.clock import now_ms
 from fuchsiarill.ids import PartitionId, ProcessId, StoreLeaseId
 from fuchsiarill.owner.keys import owner_key
-from fuchsiarill.owner.store_calls import settle_swap
+from fuchsiarill.owner.store_calls import swap_until_resolved
 from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
 from fuchsiarill.settings import ProcessSettings
 
@@ -18,8 +18,8 @@
 class OwnerClaim(BaseModel):
     """Value of the owner key: who owns the partition and where it listens.
 
-    `token` is unique to each takeover, so that a claim whose answer was lost
-    is recognized when the key is read.
+    `token` is unique to each takeover, so that a claim whose response was
+    lost is recognized when the key is read.
     """
 
     process: ProcessId
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldLease:
-    """A lease under which this process holds the owner key."""
+    """The store lease to which the owner key of this process is attached."""
 
     lease_id: StoreLeaseId
     asked_at_ms: int
@@ -49,7 +49,7 @@
 
 
 def new_claim(settings: ProcessSettings) -> OwnerClaim:
-    """Return a claim of this process, with a token of its own."""
+    """Return a claim of this process with a new unique token."""
     return OwnerClaim(
         process=settings.process,
         peer_address=f'{settings.peers.host}:{settings.peers.port}',
@@ -65,16 +65,16 @@
 ) -> HeldLease | None:
     """Claim a vacant partition under a new lease, or return `None`.
 
-    The time that counts is that before the lease was asked for. A claim that
-    was not made gives its lease back, and the lease takes a claim with it
-    that is written late.
+    The lease is counted from before its grant was requested. If the claim
+    fails, the lease is revoked, which also deletes a claim that the store
+    writes late.
     """
     asked_at_ms = now_ms()
     granted = await store.grant_lease(lease_ms)
     if not isinstance(granted, Success):
         return None
     lease_id = granted.unwrap()
-    written = await settle_swap(
+    written = await swap_until_resolved(
         store,
         Swap(
             owner_key(partition),
@@ -90,7 +90,7 @@
 
 
 def parse_claim(found: Versioned) -> OwnerClaim | None:
-    """Return the claim in the owner key; `None` when there is none."""
+    """Return the claim in the owner key; `None` if absent or malformed."""
     if found.value is None:
         return None
     try:
--- a/fuchsiarill/owner/closing.py
+++ b/fuchsiarill/owner/closing.py
@@ -1,7 +1,8 @@
-"""Refuses what reaches an owner that has stopped.
+"""Refuses requests that reach an owner after it has stopped.
 
-The router and the links of other processes learn of the end a little later;
-until then their messages would get no answer and their callers no certainty.
+The router and the links of other processes notice the stop with a delay.
+Until then requests to the old mailbox would time out and leave their clients
+uncertain about the outcome.
 """
 
 import asyncio
@@ -15,8 +16,8 @@
 from fuchsiarill.owner.job_replies import owner_unavailable
 from fuchsiarill.routing import answer_all
 
-_LATE_MS: Final = 2_000
-_CALLER_MESSAGES: Final = (
+_GRACE_PERIOD_MS: Final = 2_000
+_CLIENT_REQUESTS: Final = (
     messages.SubmitJobs,
     messages.AskJob,
     messages.CancelJob,
@@ -26,14 +27,14 @@
 
 
 async def refuse_callers(mailbox: Mailbox, partition: PartitionId) -> None:
-    """Answer callers in the mailbox of a stopped owner for some time."""
+    """Refuse requests in a stopped owner's mailbox for a grace period."""
     with suppress(TimeoutError):
-        async with asyncio.timeout(_LATE_MS / MS_PER_SECOND):
+        async with asyncio.timeout(_GRACE_PERIOD_MS / MS_PER_SECOND):
             await _refuse_all(mailbox, partition)
 
 
 async def _refuse_all(mailbox: Mailbox, partition: PartitionId) -> None:
     while True:
         message = await mailbox.receive()
-        if isinstance(message, _CALLER_MESSAGES):
+        if isinstance(message, _CLIENT_REQUESTS):
             answer_all(message, owner_unavailable(partition))
--- a/fuchsiarill/owner/contest.py
+++ b/fuchsiarill/owner/contest.py
@@ -1,7 +1,8 @@
-"""Which process claims a vacant partition first.
+"""Delays that decide which process claims a vacant partition first.
 
-All of them see the vacancy at the same time. Each waits for its turn and then
-reads the key again, so that as a rule only one writes.
+All processes notice the vacancy at the same time. Each waits for a delay that
+depends on its rank and then reads the key again, so that usually only one
+process writes it.
 """
 
 from collections.abc import Mapping
@@ -10,14 +11,14 @@
 from fuchsiarill.ids import PartitionId, ProcessId
 from fuchsiarill.owner.spread import spread
 
-# One turn covers a read and a claim; the longest delay keeps a takeover
-# within 5 s when all who come first have failed too.
-_TURN_MS: Final = 100
+# One step covers a read and a claim. The longest delay keeps a takeover within
+# 5 s even if all processes of lower rank have failed too.
+_RANK_STEP_MS: Final = 100
 _LONGEST_DELAY_MS: Final = 1_000
 _UNRANKED_DELAY_MS: Final = 300
-_CLOSE_WATCH_MS: Final = 2_000
-_LOOSE_WATCH_MS: Final = 20_000
-_CLOSE_WATCHERS_COUNT: Final = 3
+_SHORT_WATCH_MS: Final = 2_000
+_LONG_WATCH_MS: Final = 20_000
+_SHORT_WATCHERS_COUNT: Final = 3
 
 
 def contest_delay_ms(
@@ -25,11 +26,15 @@
     process: ProcessId,
     loads: Mapping[ProcessId, int],
 ) -> float:
-    """Return how long to wait: least loaded first, then by rendezvous hash."""
+    """Return how long to wait before a claim.
+
+    Processes are ranked by the number of partitions they own, then by
+    rendezvous hash.
+    """
     rank = _rank(partition, process, loads)
     if rank is None:
         return _UNRANKED_DELAY_MS * spread(f'{partition} {process}')
-    return min(_TURN_MS * rank, _LONGEST_DELAY_MS)
+    return min(_RANK_STEP_MS * rank, _LONGEST_DELAY_MS)
 
 
 def watch_wait_ms(
@@ -37,15 +42,16 @@
     process: ProcessId,
     loads: Mapping[ProcessId, int],
 ) -> int:
-    """Return how long one watch of the owner key lasts.
+    """Return the duration of one watch of the owner key.
 
-    A watch on a connection that has gone silent notices nothing until its
-    end. The first in rank watch closely; the others save calls.
+    A watch on a silently broken connection notices no change before it ends.
+    The processes of lowest rank therefore use short watches; the others use
+    long ones to save calls.
     """
     rank = _rank(partition, process, loads)
-    if rank is None or rank < _CLOSE_WATCHERS_COUNT:
-        return _CLOSE_WATCH_MS
-    return _LOOSE_WATCH_MS
+    if rank is None or rank < _SHORT_WATCHERS_COUNT:
+        return _SHORT_WATCH_MS
+    return _LONG_WATCH_MS
 
 
 def _rank(
--- a/fuchsiarill/owner/decision_times.py
+++ b/fuchsiarill/owner/decision_times.py
@@ -1,4 +1,4 @@
-"""How long the decisions of an owner take, for the metrics."""
+"""Histogram of the durations of an owner's decisions, for the metrics."""
 
 import asyncio
 from bisect import bisect_left
@@ -8,28 +8,28 @@
 
 from fuchsiarill.clock import MS_PER_SECOND
 
-# The target for the slowest hundredth is 5 ms.
+# The target for the 99th percentile is 5 ms.
 BOUNDS_MS: Final = (0.25, 0.5, 1, 2, 5, 10, 25, 100)
 
 
 class DecisionTimes:
-    """Counts decisions by their duration; the last count has no bound."""
+    """Counts decisions by duration; the last bucket has no upper bound."""
 
     def __init__(self) -> None:
-        """Start without a decision."""
+        """Start with empty buckets."""
         self._counts = [0 for _ in (*BOUNDS_MS, None)]
         self._sum_ms = 0.0
 
     @contextmanager
-    def measured(self) -> Iterator[None]:
-        """Count the time of the block as one decision."""
+    def measure(self) -> Iterator[None]:
+        """Count the duration of the `with` block as one decision."""
         loop = asyncio.get_running_loop()
-        began_s = loop.time()
+        started_s = loop.time()
         yield
-        taken_ms = MS_PER_SECOND * (loop.time() - began_s)
-        self._counts[bisect_left(BOUNDS_MS, taken_ms)] += 1
-        self._sum_ms += taken_ms
+        elapsed_ms = MS_PER_SECOND * (loop.time() - started_s)
+        self._counts[bisect_left(BOUNDS_MS, elapsed_ms)] += 1
+        self._sum_ms += elapsed_ms
 
     def snapshot(self) -> dict[str, Any]:
-        """Return the counts for a dump."""
+        """Return the counts and the sum of all durations for a dump."""
         return {'counts': tuple(self._counts), 'sum_ms': self._sum_ms}
--- a/fuchsiarill/owner/durability.py
+++ b/fuchsiarill/owner/durability.py
@@ -1,4 +1,4 @@
-"""What an owner has asked its journal to commit, and what waits for it."""
+"""Tracks the records that an owner has sent to its journal."""
 
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
@@ -11,16 +11,16 @@
 from fuchsiarill.owner import messages
 from fuchsiarill.records import JobEnded
 
-# Commits lag when more records wait than a few groups can hold.
+# More uncommitted records than a few group commits can hold count as a lag.
 _LAG_MAX_COUNT: Final = 4_000
 _APPEND_MAX_COUNT: Final = 500
 
 
 class Durability:
-    """Passes records to the journal and follows its commits.
+    """Sends records to the journal and tracks which of them are committed.
 
-    A record that the journal's full mailbox refuses is kept and passed on
-    later, in order.
+    Records that the journal's full mailbox refuses are kept and sent later,
+    in order.
     """
 
     def __init__(self, journal: Mailbox) -> None:
@@ -34,7 +34,7 @@
         self._ending: dict[JobId, int] = {}
 
     def append(self, records: Iterable[PersistRecord], now_ms: int) -> None:
-        """Ask for further records to be committed."""
+        """Send records to the journal, after those that are still unsent."""
         for record in records:
             self._unsent.append(record)
             self._appended = record.sequence
@@ -50,14 +50,18 @@
                 self._unsent.popleft()
 
     def committed(self, sequence: int, now_ms: int) -> Iterator[int]:
-        """Note a commit; yields the sequences that are durable by it."""
+        """Record a commit of all records up to `sequence`.
+
+        Yields the sequence numbers that became durable, then runs the
+        follow-ups that waited for them.
+        """
         first = self._committed + 1
         self._committed = max(sequence, self._committed)
         self._lagging_since_ms = None
         if self._committed < self._appended:
             self._lagging_since_ms = now_ms
-        for job_id, ended_by in tuple(self._ending.items()):
-            if ended_by > sequence:
+        for job_id, end_sequence in tuple(self._ending.items()):
+            if end_sequence > sequence:
                 break
             self._ending.pop(job_id)
         yield from range(first, sequence + 1)
@@ -67,28 +71,28 @@
     def after_commit(
         self, sequence: int, follow_up: Callable[[], object]
     ) -> None:
-        """Call `follow_up` once all up to `sequence` is durable."""
+        """Call `follow_up` once all records up to `sequence` are durable."""
         if self.is_committed(sequence):
             follow_up()
             return
         self._follow_ups.append((sequence, follow_up))
 
     def is_committed(self, sequence: int) -> bool:
-        """Tell whether a record is durable."""
+        """Return whether the record with this sequence number is durable."""
         return sequence <= self._committed
 
     def is_lagging(self) -> bool:
-        """Tell whether too many records wait for their commit."""
+        """Return whether too many records wait for their commit."""
         return self._appended - self._committed > _LAG_MAX_COUNT
 
     def lag_ms(self, now_ms: int) -> int:
-        """Return for how long nothing was committed although records wait."""
+        """Return how long records have waited without any commit."""
         if self._lagging_since_ms is None:
             return 0
         return now_ms - self._lagging_since_ms
 
     def is_ending(self, job_id: JobId) -> bool:
-        """Tell whether the end of a job waits for its commit."""
+        """Return whether the record of a job's end is not committed yet."""
         return job_id in self._ending
 
     def snapshot(self) -> dict[str, Any]:
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -1,8 +1,8 @@
-"""What a worker may hold although its last report does not show it.
+"""Resolves attempts that a worker's report should list but does not.
 
-A report names everything that runs and every outcome that was not
-acknowledged. An attempt that is missing was either never started or was
-forgotten in a restart of the worker; its incarnation tells which.
+A report lists every running attempt and every unacknowledged outcome. A
+missing attempt was either never started or was lost in a restart of the
+worker; the incarnation of the worker distinguishes the two cases.
 """
 
 from collections.abc import Mapping
@@ -15,10 +15,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SentStart:
-    """A start without an answer.
+    """A start command that no report has resolved yet.
 
-    The worker refuses it after `start_before_worker_clock_ms`. A restart sets
-    that clock back; then `send_before_ms` counts, in the owner's clock.
+    The worker refuses it after `start_before_worker_clock_ms`. A restart of
+    the worker resets that clock; then `send_before_ms`, in the owner's clock,
+    applies instead.
     """
 
     incarnation: str
@@ -27,10 +28,13 @@
 
 
 class Expectations:
-    """The attempts of one worker that its next report should name."""
+    """The attempts that the next report of one worker should list."""
 
     def __init__(self, restored: Mapping[AttemptId, str]) -> None:
-        """Expect restored starts; the worker refuses them by their epoch."""
+        """Expect starts of earlier owners, with the worker's incarnation then.
+
+        The worker refuses such a start by its epoch if it arrives late.
+        """
         self._starts = {
             attempt_id: SentStart(incarnation)
             for attempt_id, incarnation in restored.items()
@@ -39,7 +43,7 @@
 
     @property
     def running(self) -> frozenset[AttemptId]:
-        """Return what ran at the last report."""
+        """Return the attempts that ran at the last report."""
         return self._running
 
     @property
@@ -48,11 +52,11 @@
         return len(self._starts)
 
     def expect(self, attempt_id: AttemptId, start: SentStart) -> None:
-        """Note a start that is about to be sent."""
+        """Record a start that is about to be sent."""
         self._starts[attempt_id] = start
 
     def withdraw(self, attempt_id: AttemptId) -> None:
-        """Forget a start that has provably not been sent."""
+        """Remove a start that is known not to have been sent."""
         self._starts.pop(attempt_id, None)
 
     def observe(
@@ -60,18 +64,18 @@
         report: WorkerReport,
         asked_at_ms: int,
     ) -> tuple[TaskReport, ...]:
-        """Return the outcomes of attempts that the report should name.
+        """Return the outcomes of attempts that are missing from the report.
 
-        `asked_at_ms` is when the exchange of the report was asked for.
+        `asked_at_ms` is the time at which the exchange was requested.
         """
-        named = {task.attempt_id for task in report.tasks}
+        listed = {task.attempt_id for task in report.tasks}
         missing = [
             TaskReport(attempt_id, TaskOutcome.STOPPED, NOTHING)
-            for attempt_id in sorted(self._running - named)
+            for attempt_id in sorted(self._running - listed)
         ]
         for attempt_id, start in tuple(self._starts.items()):
             outcome = _outcome_of(start, report, asked_at_ms)
-            if attempt_id in named:
+            if attempt_id in listed:
                 self._starts.pop(attempt_id)
             elif outcome is not None:
                 self._starts.pop(attempt_id)
@@ -89,12 +93,12 @@
     report: WorkerReport,
     asked_at_ms: int,
 ) -> TaskOutcome | None:
-    """Return what became of a missing start; `None` if it may still arrive."""
+    """Return the outcome of a missing start; `None` if it may still arrive."""
     if report.incarnation and start.incarnation == report.incarnation:
         if report.worker_clock_ms > start.start_before_worker_clock_ms:
             return TaskOutcome.REFUSED
         return None
-    # The worker may have run the attempt and forgotten it in a restart.
+    # The worker may have run the attempt and lost it in a restart.
     if asked_at_ms > start.send_before_ms:
         return TaskOutcome.STOPPED
     return None
--- a/fuchsiarill/owner/fleet.py
+++ b/fuchsiarill/owner/fleet.py
@@ -16,28 +16,28 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetPorts:
-    """What links are made with."""
+    """The worker port and the owner's mailbox, which all links share."""
 
     workers: WorkerPort
     owner: Mailbox
 
 
 class Fleet:
-    """Creates a link for each listed worker and ends those of others."""
+    """Keeps a link for each listed worker and stops unneeded ones."""
 
     def __init__(self, ports: FleetPorts, terms: LinkTerms) -> None:
-        """Start without links; all of them get the same terms."""
+        """Start without links; `terms` apply to all of them."""
         self.links: dict[WorkerId, WorkerLink] = {}
         self._ports = ports
         self._terms = terms
         self._unlisted: set[WorkerId] = set()
 
-    async def list_hosts(
+    async def update_hosts(
         self,
         entries: Iterable[HostEntry],
         state: CoreState,
     ) -> None:
-        """Link to new workers; a worker at a new address gets a new link."""
+        """Create links to new workers; replace those with a new address."""
         self._unlisted.update(self.links)
         listed = tuple(entries)
         self._terms = replace(self._terms, workers_count=len(listed))
@@ -48,11 +48,11 @@
                 continue
             if link is not None:
                 await link.stop()
-            restored = _restored_on(entry.worker_id, state)
+            restored = _restored_starts(entry.worker_id, state)
             self._connect(entry, restored)
 
-    async def end_unlisted(self, state: CoreState) -> None:
-        """End the links of unlisted workers that can run nothing any more."""
+    async def stop_unlisted(self, state: CoreState) -> None:
+        """Stop the links of unlisted workers that have no attempts left."""
         for worker_id in tuple(self._unlisted):
             worker = state.workers.get(worker_id)
             if worker is not None and worker.attempts:
@@ -61,12 +61,12 @@
             await self.links.pop(worker_id).stop()
 
     def send(self, worker_id: WorkerId, message: object) -> bool:
-        """Pass a message to a link; `False` when it was not taken."""
+        """Send a message to a link; `False` if there is none or it is full."""
         link = self.links.get(worker_id)
         return link is not None and link.mailbox.send(message)
 
     def change_lease(self, change: messages.LeaseChanged) -> None:
-        """Grant leases of another length from now on."""
+        """Apply a new lease length and exchange interval to all links."""
         self._terms = replace(
             self._terms,
             task_lease_ms=change.task_lease_ms,
@@ -76,19 +76,19 @@
             link.mailbox.send(change)
 
     def allow_renewals(self, allowed: messages.RenewalsAllowed) -> None:
-        """Tell all links until when they may renew task leases."""
+        """Set for all links the time until which they may renew task leases."""
         self._terms = replace(self._terms, renew_until_ms=allowed.until_ms)
         for link in self.links.values():
             link.mailbox.send(allowed)
 
     async def stop(self) -> None:
-        """End all links."""
+        """Stop all links."""
         for link in self.links.values():
             await link.stop()
         self.links.clear()
 
     def snapshot(self) -> dict[str, Any]:
-        """Return the state for a dump."""
+        """Return the state of each link for a dump, by worker."""
         return {
             worker_id: link.snapshot() for worker_id, link in self.links.items()
         }
@@ -124,11 +124,11 @@
 
 
 def region_of(partition: PartitionId) -> str:
-    """Return the region that is part of every partition id."""
+    """Return the region part of a partition id."""
     return partition.rpartition('.')[0]
 
 
-def _restored_on(
+def _restored_starts(
     worker_id: WorkerId,
     state: CoreState,
 ) -> dict[AttemptId, str]:
--- a/fuchsiarill/owner/host_poll.py
+++ b/fuchsiarill/owner/host_poll.py
@@ -1,4 +1,4 @@
-"""Reads the host list at an interval and passes it to the owner."""
+"""Polls the host list and sends it to the owner."""
 
 from returns.result import Success
 
@@ -9,7 +9,7 @@
 
 
 class HostPoll(Actor):
-    """Polls the host list for one owner."""
+    """Polls the host list at an interval on behalf of one owner."""
 
     def __init__(
         self,
@@ -17,7 +17,7 @@
         port: HostListPort,
         owner: Mailbox,
     ) -> None:
-        """Read the list through `port`."""
+        """Read the list from `port` and send it to `owner`."""
         super().__init__('host poll')
         self._settings = settings
         self._port = port
@@ -31,7 +31,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Read the list once; an outage leaves the last one in use."""
+        """Read the list; if that fails, the previous list stays in use."""
         match await self._port.fetch():
             case Success(entries):
                 self._owner.send(HostsListed(entries))
--- a/fuchsiarill/owner/job_replies.py
+++ b/fuchsiarill/owner/job_replies.py
@@ -1,4 +1,4 @@
-"""What the owner answers about a job."""
+"""Answers of the owner to requests about jobs."""
 
 from typing import Final
 
@@ -20,7 +20,7 @@
 
 
 def unknown_job(job_id: JobId) -> JobAnswer:
-    """Return the answer for a job that the customer does not have."""
+    """Return the refusal for a job id that the customer does not have."""
     return refused(refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id))
 
 
@@ -32,7 +32,7 @@
 
 
 def unsettled_answer_of(job: JobRecord) -> JobAnswer:
-    """Return the answer for a job whose end is not durable yet."""
+    """Return the answer for a job whose end, if any, is not durable yet."""
     state = job.state
     if state in FINAL_STATES:
         state = JobState.RUNNING
@@ -40,14 +40,14 @@
 
 
 def overloaded() -> JobAnswer:
-    """Return the refusal while too much waits for its commit."""
+    """Return the refusal while too many records or clients await commits."""
     return refused(
         refuse(codes.OVERLOADED, texts.OVERLOADED, retry_after_ms=_RETRY_MS),
     )
 
 
 def owner_unavailable(partition: PartitionId) -> JobAnswer:
-    """Return the refusal of an owner that gives its partition up."""
+    """Return the refusal of an owner that is giving up its partition."""
     return refused(
         refuse(
             codes.OWNER_UNAVAILABLE,
@@ -59,7 +59,7 @@
 
 
 def uncertain(answer: JobAnswer, partition: PartitionId) -> JobAnswer:
-    """Return what to say in place of an answer that is not durable in time."""
+    """Return `OUTCOME_UNCERTAIN` in place of an answer; keep a refusal."""
     if answer.refusal is not None:
         return answer
     return refused(
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -1,6 +1,6 @@
-"""Requests of callers to the owner of a partition, and their answers.
+"""Handles client requests that reach the owner of a partition.
 
-An acceptance is answered once its record is durable. Every wait has an end.
+An acceptance is answered once its record is durable. Every wait is bounded.
 """
 
 from collections.abc import Callable
@@ -31,7 +31,7 @@
 
 
 class JobRequests:
-    """Carries out what callers ask for, and keeps who waits."""
+    """Executes client requests and holds the clients that wait."""
 
     def __init__(
         self,
@@ -39,7 +39,7 @@
         durability: Durability,
         commit_timeout_ms: int,
     ) -> None:
-        """Answer from `core`; give a commit `commit_timeout_ms`."""
+        """Answer from `core`; wait for a commit up to `commit_timeout_ms`."""
         self.waiters = Waiters()
         self.is_closed = False
         self.owned_until_ms = 0
@@ -61,12 +61,12 @@
             partial(self._answer_early, message, answers),
         )
 
-    def ask(self, message: messages.AskJob) -> None:
-        """Answer with the state of a job, at its end or that of the wait."""
+    def query(self, message: messages.AskJob) -> None:
+        """Answer with the job's state at its end or when the wait expires."""
         query = message.query
         job = self._job_of(query.customer, query.job_id)
         if job is None:
-            message.reply.answer(self._absent(query.job_id))
+            message.reply.answer(self._missing_job_answer(query.job_id))
             return
         waits = query.wait_ms and not self.is_closed
         if waits and not self._is_settled(job):
@@ -77,14 +77,14 @@
                 waits_until_ms,
             ):
                 return
-        message.reply.answer(self.present(query.job_id))
+        message.reply.answer(self.current_answer(query.job_id))
 
     def cancel(self, message: messages.CancelJob) -> None:
-        """Cancel a job of the asking customer."""
+        """Cancel a job if it belongs to the customer."""
         cancel = message.cancel
         job = self._job_of(cancel.customer, cancel.job_id)
         if job is None:
-            message.reply.answer(self._absent(cancel.job_id))
+            message.reply.answer(self._missing_job_answer(cancel.job_id))
             return
         if self._is_overloaded():
             message.reply.answer(overloaded())
@@ -98,7 +98,7 @@
         )
 
     def list_jobs(self, message: messages.ListJobs) -> None:
-        """List jobs of a customer, the latest accepted first."""
+        """List jobs of a customer, most recently accepted first."""
         query = message.query
         found: list[JobAnswer] = []
         for job in reversed(self._core.state.jobs.values()):
@@ -106,36 +106,36 @@
                 break
             if job.spec.customer != query.customer:
                 continue
-            answer = self.present(job.job_id)
+            answer = self.current_answer(job.job_id)
             if query.state in {None, answer.state}:
                 found.append(answer)
         message.reply.answer(tuple(found))
 
     def explain(self, message: messages.ExplainJob) -> None:
-        """Say what a job of the asking customer waits for."""
+        """Explain what a job waits for if it belongs to the customer."""
         query = message.query
         if self._job_of(query.customer, query.job_id) is None:
-            message.reply.answer(JobWhy(self._absent(query.job_id)))
+            message.reply.answer(JobWhy(self._missing_job_answer(query.job_id)))
             return
         explanation = self._core.explain(query.job_id, now_ms())
         reasons = pydantic_core.to_jsonable_python(explanation)
-        message.reply.answer(JobWhy(self.present(query.job_id), reasons))
+        message.reply.answer(JobWhy(self.current_answer(query.job_id), reasons))
 
     def ended(self, job_id: JobId) -> None:
-        """Answer all who wait for the end of a job."""
-        self.waiters.ended(job_id, self.present(job_id))
+        """Answer all clients that wait for the end of a job."""
+        self.waiters.ended(job_id, self.current_answer(job_id))
 
     def expire(self) -> None:
-        """Answer all whose wait has ended."""
-        self.waiters.expire(now_ms(), self.present)
+        """Answer all clients whose wait has expired."""
+        self.waiters.expire(now_ms(), self.current_answer)
 
     def close(self) -> None:
-        """Accept nothing more and let nobody wait for the end of a job."""
+        """Refuse new jobs and answer all that wait for the end of a job."""
         self.is_closed = True
-        self.waiters.expire_ends(self.present)
+        self.waiters.expire_ends(self.current_answer)
 
-    def present(self, job_id: JobId) -> JobAnswer:
-        """Return what is known of a job and durable."""
+    def current_answer(self, job_id: JobId) -> JobAnswer:
+        """Return the answer for a job; an end counts once it is durable."""
         job = self._core.state.jobs.get(job_id)
         if job is None:
             return unknown_job(job_id)
@@ -144,14 +144,14 @@
         return unsettled_answer_of(job)
 
     def abandon(self) -> None:
-        """Answer all who wait; another owner knows the outcomes."""
+        """Answer all waiting clients; uncommitted outcomes are uncertain."""
         self.close()
         self.waiters.give_up_commits()
 
-    def _absent(self, job_id: JobId) -> JobAnswer:
-        """Answer for a job that is not here.
+    def _missing_job_answer(self, job_id: JobId) -> JobAnswer:
+        """Return the refusal for a job that this owner does not have.
 
-        A newer owner may have accepted it when the ownership has lapsed.
+        Once the ownership has lapsed, a newer owner may have accepted it.
         """
         if now_ms() >= self.owned_until_ms:
             return owner_unavailable(self._core.state.partition)
@@ -179,14 +179,14 @@
         message: messages.SubmitJobs,
         answers: tuple[JobAnswer, ...],
     ) -> bool:
-        """Answer a batch that has become volatile as a whole."""
-        present = tuple(
+        """Answer a batch if none of its jobs awaits a commit any more."""
+        current = tuple(
             answer if answer.job_id is None else self._acceptance(answer.job_id)
             for answer in answers
         )
-        if not all(self._is_durable(answer) for answer in present):
+        if not all(self._is_durable(answer) for answer in current):
             return False
-        message.reply.answer(present)
+        message.reply.answer(current)
         return True
 
     def _is_overloaded(self) -> bool:
@@ -211,20 +211,20 @@
 
     def _answer_when_durable(
         self,
-        committed: Callable[[], None],
-        given_up: Callable[[], None],
-        answered_early: Callable[[], bool] = bool,
+        on_commit: Callable[[], None],
+        on_uncertain: Callable[[], None],
+        try_early_answer: Callable[[], bool] = bool,
     ) -> None:
         sequence = self._core.state.sequence
         if self._durability.is_committed(sequence):
-            committed()
+            on_commit()
             return
         self.waiters.wait_for_commit(
             CommitWaiter(
                 sequence,
                 now_ms() + self._commit_timeout_ms,
-                committed,
-                given_up,
-                answered_early,
+                on_commit,
+                on_uncertain,
+                try_early_answer,
             ),
         )
--- a/fuchsiarill/owner/journal.py
+++ b/fuchsiarill/owner/journal.py
@@ -1,8 +1,8 @@
 """The journal of a partition: group commits to a chain of store keys.
 
-Each commit writes the next entry at the revision that its key had before. A
-new owner writes the next entry with its epoch, so that the commit of an older
-owner conflicts: the chain itself fences.
+Each commit is a compare-and-swap of the next entry's key against its last
+known revision. A new owner first writes the next entry, with its epoch, so
+that a commit of an older owner conflicts: the chain itself fences.
 """
 
 import asyncio
@@ -31,8 +31,9 @@
 class JournalActor(Actor):
     """Commits the records of one owner in groups.
 
-    While the store is away a commit is tried with growing delays; what comes
-    in meanwhile waits here and in the mailbox, and then with the owner.
+    During a store outage a commit is retried with growing delays. Further
+    records wait here and in the mailbox; once that is full, the owner keeps
+    them.
     """
 
     def __init__(
@@ -42,7 +43,7 @@
         journal: JournalRead,
         commit_interval_ms: int,
     ) -> None:
-        """Continue the chain where `journal` ends."""
+        """Continue the chain after the last entry of `journal`."""
         super().__init__(f'journal {partition}')
         self.owner: Mailbox | None = None
         self._position = JournalPosition(
@@ -55,12 +56,12 @@
         self._image = fold(journal.records)
         self._commit_interval_ms = commit_interval_ms
         self._pending: deque[Encoded] = deque()
-        self._began_at_ms: int | None = None
+        self._last_commit_at_ms: int | None = None
         self._snapshot: asyncio.Task[None] | None = None
         self._is_deposed = False
 
     async def stop(self) -> None:
-        """Stop the actor; a snapshot in progress is left unfinished."""
+        """Stop the actor and cancel a snapshot in progress."""
         if self._snapshot is not None:
             self._snapshot.cancel()
             await asyncio.gather(self._snapshot, return_exceptions=True)
@@ -79,34 +80,34 @@
 
     @handles(messages.Append)
     async def on_append(self, message: messages.Append) -> None:
-        """Add records to the next commit."""
+        """Queue records for the next commit."""
         for effect in message.records:
             self._pending.append(encode(effect.sequence, effect.record))
         await self._commit_if_due()
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Commit what is pending."""
+        """Commit pending records if the commit interval has passed."""
         await self._commit_if_due()
 
     async def _commit_if_due(self) -> None:
         if not self._pending or self._is_deposed:
             return
-        left_ms = 0
-        if self._began_at_ms is not None:
-            due_ms = self._began_at_ms + self._commit_interval_ms
-            left_ms = due_ms - now_ms()
-        if left_ms > 0:
+        remaining_ms = 0
+        if self._last_commit_at_ms is not None:
+            due_ms = self._last_commit_at_ms + self._commit_interval_ms
+            remaining_ms = due_ms - now_ms()
+        if remaining_ms > 0:
             asyncio.get_running_loop().call_later(
-                left_ms / MS_PER_SECOND,
+                remaining_ms / MS_PER_SECOND,
                 self.mailbox.send,
                 messages.Tick(),
             )
             return
-        self._began_at_ms = now_ms()
-        await self._commit(self._take_group())
+        self._last_commit_at_ms = now_ms()
+        await self._commit(self._next_group())
 
-    def _take_group(self) -> list[Encoded]:
+    def _next_group(self) -> list[Encoded]:
         group: list[Encoded] = []
         size_bytes = 0
         while self._pending and len(group) < GROUP_MAX_COUNT:
@@ -125,17 +126,19 @@
         text = entry_value(
             position.head.writer,
             position.next_index,
-            (one.text for one in group),
+            (encoded.text for encoded in group),
         )
         written = await self._log.write(position.next_index, text)
         if written.outcome is not SwapOutcome.SWAPPED:
-            await self._tell(messages.Deposed('another owner took over'))
+            await self._notify_owner(
+                messages.Deposed('another owner took over')
+            )
             self._is_deposed = True
             return
         position.next_index += 1
-        for one in group:
-            self._image.apply(one.record)
-        await self._tell(messages.Committed(group[-1].sequence))
+        for encoded in group:
+            self._image.apply(encoded.record)
+        await self._notify_owner(messages.Committed(group[-1].sequence))
         self._snapshot_if_due()
         await self._commit_if_due()
 
@@ -144,7 +147,7 @@
         if self._snapshot is not None:
             await asyncio.wait((self._snapshot,))
 
-    async def _tell(self, message: object) -> None:
+    async def _notify_owner(self, message: object) -> None:
         while self.owner is not None and not self.owner.send(message):
             await sleep_ms(_FULL_MAILBOX_RETRY_MS)
 
@@ -157,5 +160,7 @@
 
     async def _write_snapshot(self) -> None:
         if not await self._snapshots.write(self._image):
-            await self._tell(messages.Deposed('another owner took the head'))
+            await self._notify_owner(
+                messages.Deposed('another owner took the head')
+            )
             self._is_deposed = True
--- a/fuchsiarill/owner/journal_format.py
+++ b/fuchsiarill/owner/journal_format.py
@@ -1,4 +1,4 @@
-"""The values that a journal keeps in the store, and their bounds."""
+"""Format and size limits of the values that a journal stores."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 from fuchsiarill.records import RECORD, Record
 
 FORMAT: Final = 1
-# The service takes 1 MB; half of it leaves room for one large record.
+# The service accepts 1 MB; half of it leaves space for one large record.
 VALUE_MAX_BYTES: Final = 500_000
 GROUP_MAX_COUNT: Final = 1_000
 
@@ -30,8 +30,8 @@
 class JournalEntry:
     """Value of an entry or of a snapshot chunk.
 
-    `token` names its writer. An entry has its index, since the key may still
-    hold an older one; a chunk has index 0.
+    `token` identifies the writer. An entry contains its index, because its key
+    may still hold an older entry; a chunk has index 0.
     """
 
     format: int
@@ -44,10 +44,10 @@
 class Head:
     """Value of the head key.
 
-    `writer` is the token of the owner that claimed the journal: a head that
-    still has it proves that nobody has taken over. The entries before
-    `first_index` are covered by the snapshot; `chunk_revisions` has the
-    revision of each of its chunks.
+    `writer` is the token of the owner that claimed the journal: while the head
+    contains it, no other owner has taken over. The snapshot covers the entries
+    before `first_index`; `chunk_revisions` holds the revision of each of its
+    chunks.
     """
 
     format: int
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Encoded:
-    """A record in the form in which the journal keeps it."""
+    """A record with its serialized form and size."""
 
     sequence: int
     record: Record
@@ -72,13 +72,13 @@
 
 
 def encode(sequence: int, record: Record) -> Encoded:
-    """Encode one record."""
+    """Serialize one record."""
     encoded = RECORD.dump_json(record)
     return Encoded(sequence, record, encoded.decode(), len(encoded))
 
 
 def entry_value(token: str, index: int, texts: Iterable[str]) -> str:
-    """Return the value that holds encoded records."""
+    """Return the value of an entry or chunk with serialized records."""
     front = f'"format":{FORMAT},"token":"{token}","index":{index}'
     body = ','.join(texts)
     return f'{{{front},"records":[{body}]}}'
@@ -105,12 +105,12 @@
 
 
 def parse_head(text: str) -> Result[Head, JournalFault]:
-    """Read the value of the head key."""
+    """Parse the value of the head key."""
     return _parse(_HEADS, text)
 
 
 def parse_entry(text: str) -> Result[JournalEntry, JournalFault]:
-    """Read the value of a log key or of a snapshot chunk."""
+    """Parse the value of a log key or of a snapshot chunk."""
     return _parse(_ENTRIES, text)
 
 
@@ -118,7 +118,7 @@
     adapter: TypeAdapter[Any],
     text: str,
 ) -> Result[Any, JournalFault]:
-    """Read a value; a newer format is told from damage."""
+    """Parse a value; a newer format is distinguished from corruption."""
     try:
         parsed = adapter.validate_json(text)
     except ValidationError:
--- a/fuchsiarill/owner/journal_reader.py
+++ b/fuchsiarill/owner/journal_reader.py
@@ -1,7 +1,7 @@
-"""Takeover of a journal: claims its head, reads it and opens an epoch.
+"""Claims and reads the journal of a partition in a takeover.
 
-The head is claimed first. From then on an older owner can neither move the
-head nor replace the chunks that are still to be read.
+The head is claimed first. From then on an older owner can neither update the
+head nor replace the snapshot chunks that are still to be read.
 """
 
 import asyncio
@@ -23,7 +23,11 @@
 )
 from fuchsiarill.owner.keys import chunk_key, entry_key, head_key
 from fuchsiarill.owner.log_writer import LogWriter
-from fuchsiarill.owner.store_calls import MayGoOn, read_key, settle_swap
+from fuchsiarill.owner.store_calls import (
+    MayContinue,
+    read_key,
+    swap_until_resolved,
+)
 from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
 from fuchsiarill.records import Record
 
@@ -33,17 +37,20 @@
 
 @dataclass(frozen=True, slots=True)
 class JournalClaim:
-    """Who takes a journal over, and while what."""
+    """A takeover of a journal by the writer with `token`.
+
+    Store calls are repeated only while `may_continue` permits it.
+    """
 
     store: StorePort
     partition: PartitionId
     token: str
-    may_go_on: MayGoOn
+    may_continue: MayContinue
 
 
 @dataclass(slots=True)
 class JournalRead:
-    """A journal that was read to its end."""
+    """The contents of a claimed journal, as far as they were read."""
 
     head: Head
     head_revision: Revision
@@ -53,12 +60,12 @@
 
     @property
     def next_index(self) -> int:
-        """Return the index of the entry that comes next."""
+        """Return the index of the next entry to be read or written."""
         return self.head.first_index + self.entries_count
 
 
 @dataclass(frozen=True, slots=True)
-class _Taken:
+class _EntryResult:
     fault: JournalFault | None = None
     is_end: bool = False
 
@@ -66,17 +73,17 @@
 async def read_journal(
     claim: JournalClaim,
 ) -> Result[JournalRead, JournalFault]:
-    """Claim the head and read the snapshot and all entries after it."""
+    """Claim the head, then read the snapshot and all entries after it."""
     claimed = await _claim_head(claim)
     match claimed:
         case Failure(fault):
             return Failure(fault)
     journal = claimed.unwrap()
-    faulty = await _read_snapshot(claim, journal)
-    if faulty is None:
-        faulty = await _read_entries(claim, journal)
-    if faulty is not None:
-        return Failure(faulty)
+    read_fault = await _read_snapshot(claim, journal)
+    if read_fault is None:
+        read_fault = await _read_entries(claim, journal)
+    if read_fault is not None:
+        return Failure(read_fault)
     return Success(journal)
 
 
@@ -85,10 +92,10 @@
     journal: JournalRead,
     record: Record,
 ) -> JournalFault | None:
-    """Create the next entry; a conflict means that another was faster."""
+    """Write the next entry; `OVERTAKEN` if another owner has written it."""
     index = journal.next_index
     text = entry_value(claim.token, index, (encode(0, record).text,))
-    written = await journal.log.write(index, text, claim.may_go_on)
+    written = await journal.log.write(index, text, claim.may_continue)
     if written.outcome is SwapOutcome.UNKNOWN:
         return JournalFault.INTERRUPTED
     if written.outcome is SwapOutcome.CONFLICT:
@@ -102,7 +109,7 @@
     claim: JournalClaim,
 ) -> Result[JournalRead, JournalFault]:
     key = head_key(claim.partition)
-    found = await read_key(claim.store, key, claim.may_go_on)
+    found = await read_key(claim.store, key, claim.may_continue)
     if found is None:
         return Failure(JournalFault.INTERRUPTED)
     head = Head(FORMAT, claim.token)
@@ -112,7 +119,7 @@
             return Failure(parsed.failure())
         head = replace(parsed.unwrap(), writer=claim.token)
     swap = Swap(key, head_value(head), found.revision)
-    written = await settle_swap(claim.store, swap, claim.may_go_on)
+    written = await swap_until_resolved(claim.store, swap, claim.may_continue)
     if written.outcome is SwapOutcome.SWAPPED:
         log = LogWriter(claim.store, claim.partition)
         return Success(JournalRead(head, written.revision, log))
@@ -137,7 +144,7 @@
         for found in await _read_all(claim, window):
             if found is None:
                 return JournalFault.INTERRUPTED
-            fault = _take_chunk(journal, found, revisions[0])
+            fault = _apply_chunk(journal, found, revisions[0])
             if fault is not None:
                 return fault
             revisions = revisions[1:]
@@ -158,9 +165,9 @@
         for found in await _read_all(claim, window):
             if found is None:
                 return JournalFault.INTERRUPTED
-            taken = _take_next(journal, found)
-            if taken.is_end or taken.fault is not None:
-                return taken.fault
+            applied = _apply_entry(journal, found)
+            if applied.is_end or applied.fault is not None:
+                return applied.fault
         window_count = min(2 * window_count, _WINDOW_MAX_COUNT)
 
 
@@ -168,11 +175,13 @@
     claim: JournalClaim,
     keys: list[StoreKey],
 ) -> list[Versioned | None]:
-    reads: Any = (read_key(claim.store, key, claim.may_go_on) for key in keys)
+    reads: Any = (
+        read_key(claim.store, key, claim.may_continue) for key in keys
+    )
     return list(await asyncio.gather(*reads))
 
 
-def _take_chunk(
+def _apply_chunk(
     journal: JournalRead,
     found: Versioned,
     revision: Revision,
@@ -186,20 +195,20 @@
     return None
 
 
-def _take_next(journal: JournalRead, found: Versioned) -> _Taken:
-    """Take the next entry, unless its key holds an older one or nothing."""
+def _apply_entry(journal: JournalRead, found: Versioned) -> _EntryResult:
+    """Append the next entry; an empty key or an older entry ends the log."""
     index = journal.next_index
-    journal.log.note(index, found.revision)
+    journal.log.record(index, found.revision)
     if found.value is None:
-        return _Taken(is_end=True)
+        return _EntryResult(is_end=True)
     parsed = parse_entry(found.value)
     if not isinstance(parsed, Success):
-        return _Taken(parsed.failure())
+        return _EntryResult(parsed.failure())
     entry = parsed.unwrap()
     if entry.index < index:
-        return _Taken(is_end=True)
+        return _EntryResult(is_end=True)
     if entry.index > index:
-        return _Taken(JournalFault.OVERTAKEN)
+        return _EntryResult(JournalFault.OVERTAKEN)
     journal.records.extend(entry.records)
     journal.entries_count += 1
-    return _Taken()
+    return _EntryResult()
--- a/fuchsiarill/owner/keys.py
+++ b/fuchsiarill/owner/keys.py
@@ -1,16 +1,16 @@
-"""Keys of the store that belong to a partition."""
+"""Store keys of a partition."""
 
 from typing import Final
 
 from fuchsiarill.ids import PartitionId, StoreKey
 
-# The log is a ring of keys: an entry takes the place of one that a snapshot
-# covers, which saves the write that would delete it.
+# The log is a ring of keys: an entry overwrites one that a snapshot covers,
+# which saves a write to delete that one.
 LOG_KEYS_COUNT: Final = 256
 
 
 def owner_key(partition: PartitionId) -> StoreKey:
-    """Return the key that the owner holds under a lease."""
+    """Return the key of the owner's claim, which is attached to a lease."""
     return StoreKey(f'partition/{partition}/owner')
 
 
@@ -20,7 +20,7 @@
 
 
 def head_key(partition: PartitionId) -> StoreKey:
-    """Return the key that names the snapshot and the first entry after it."""
+    """Return the key of the head, which refers to the current snapshot."""
     return StoreKey(f'partition/{partition}/head')
 
 
--- a/fuchsiarill/owner/lease_renewer.py
+++ b/fuchsiarill/owner/lease_renewer.py
@@ -1,4 +1,4 @@
-"""Renews the store lease of an owner, whatever else its process does."""
+"""Renews the store lease of an owner, independent of its other work."""
 
 from returns.result import Failure, Success
 
@@ -12,7 +12,7 @@
 
 
 class LeaseRenewer(Actor):
-    """Renews one lease at an interval and sooner after a failure."""
+    """Renews one lease at an interval, or after a back-off on failure."""
 
     def __init__(
         self,
@@ -21,7 +21,7 @@
         interval_ms: int,
         campaign: Mailbox,
     ) -> None:
-        """Keep `lease` for `campaign`."""
+        """Renew `lease` and report the outcomes to `campaign`."""
         super().__init__('lease renewer')
         self._store = store
         self._lease = lease
@@ -36,7 +36,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Wait, renew once and plan the next renewal."""
+        """Wait, renew once and schedule the next renewal."""
         delay_ms: float = self._interval_ms
         if self._failures_count:
             delay_ms = backoff_ms(self._lease.lease_id, self._failures_count)
--- a/fuchsiarill/owner/log_writer.py
+++ b/fuchsiarill/owner/log_writer.py
@@ -1,8 +1,8 @@
 """Writes entries to the ring of log keys of a partition.
 
-An entry replaces the one that had its key before, at exactly the revision
-that the writer knows. An older owner knows no revision that a newer one has
-written, so that its commits conflict.
+An entry replaces the previous one under its key only at the revision that the
+writer has read or written. An older owner has none of the revisions that a
+newer owner wrote, so that its commits conflict.
 """
 
 from returns.result import Success
@@ -11,10 +11,10 @@
 from fuchsiarill.owner.journal_format import parse_entry
 from fuchsiarill.owner.keys import LOG_KEYS_COUNT, entry_key
 from fuchsiarill.owner.store_calls import (
-    MayGoOn,
+    MayContinue,
     always,
     read_key,
-    settle_swap,
+    swap_until_resolved,
 )
 from fuchsiarill.ports.store import (
     StorePort,
@@ -26,46 +26,46 @@
 
 
 class LogWriter:
-    """Knows the revisions of the log keys, as far as they were read."""
+    """Writes log keys at the last revisions it has read or written."""
 
     def __init__(self, store: StorePort, partition: PartitionId) -> None:
-        """Start with no revision known."""
+        """Start without any known revision."""
         self._store = store
         self._partition = partition
         self._revisions: dict[int, Revision] = {}
 
-    def note(self, index: int, revision: Revision) -> None:
-        """Note the revision of the key that an entry uses."""
+    def record(self, index: int, revision: Revision) -> None:
+        """Record the revision of the key that an entry uses."""
         self._revisions[index % LOG_KEYS_COUNT] = revision
 
     async def write(
         self,
         index: int,
         text: str,
-        may_go_on: MayGoOn = always,
+        may_continue: MayContinue = always,
     ) -> SwapResult:
-        """Write the entry with this index; older entries give way."""
+        """Write an entry; conflicts unless its key is empty or older."""
         key = entry_key(self._partition, index)
         expected = self._revisions.get(index % LOG_KEYS_COUNT)
         if expected is None:
-            found = await read_key(self._store, key, may_go_on)
+            found = await read_key(self._store, key, may_continue)
             if found is None:
                 return SwapResult(SwapOutcome.UNKNOWN)
             if not is_older(found, index):
                 return SwapResult(SwapOutcome.CONFLICT, found.revision)
             expected = found.revision
-        written = await settle_swap(
+        written = await swap_until_resolved(
             self._store,
             Swap(key, text, expected),
-            may_go_on,
+            may_continue,
         )
         if written.outcome is SwapOutcome.SWAPPED:
-            self.note(index, written.revision)
+            self.record(index, written.revision)
         return written
 
 
 def is_older(found: Versioned, index: int) -> bool:
-    """Tell whether a log key holds nothing or an entry before `index`."""
+    """Return whether a log key is empty or has an entry before `index`."""
     if found.value is None:
         return True
     parsed = parse_entry(found.value)
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitJobs:
-    """Admit a batch; the reply holds one answer for each, in order."""
+    """Admit a batch; the reply holds one answer per job, in order."""
 
     specs: tuple[JobSpec, ...]
     reply: Reply[tuple[JobAnswer, ...]]
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AskJob:
-    """Answer a query, at the end of its wait at the latest."""
+    """Query a job; the answer may wait for its end up to the query's limit."""
 
     query: JobQuery
     reply: Reply[JobAnswer]
@@ -50,9 +50,9 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """A worker answered an exchange that was asked for at `asked_at_ms`.
+    """A worker answered an exchange that was requested at `asked_at_ms`.
 
-    What it was told to run may run until `lease_ends_at_ms`.
+    Attempts that the worker was told to run may run until `lease_ends_at_ms`.
     """
 
     report: WorkerReport
@@ -62,22 +62,22 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerSilent:
-    """A worker has not answered for the time in the settings."""
+    """A worker has not answered for `silent_after_ms` of the settings."""
 
     worker_id: WorkerId
     lease_ends_at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class OutcomesHandled:
-    """The outcomes of these attempts are durable; the worker may forget."""
+class OutcomesCommitted:
+    """The outcomes of these attempts are durable and can be acknowledged."""
 
     attempt_ids: tuple[AttemptId, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseChanged:
-    """Grant task leases of this length, exchange at this interval."""
+    """The length of task leases or the exchange interval has changed."""
 
     task_lease_ms: int
     exchange_interval_ms: int
@@ -85,21 +85,21 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipDeadline:
-    """Nothing that needs ownership may be sent after this time."""
+    """Commands that need ownership must not be sent after this time."""
 
     deadline_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class StoreOutageSeen:
-    """Until this time the store is regarded as down for everyone."""
+    """The store is regarded as down for all processes until this time."""
 
     until_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class RenewalsAllowed:
-    """No task lease may be granted or renewed after this time."""
+    """Task leases may be granted or renewed only until this time."""
 
     until_ms: int
 
@@ -113,7 +113,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Append:
-    """Put records into the next group commit."""
+    """Add records to the next group commit."""
 
     records: tuple[PersistRecord, ...]
 
@@ -127,7 +127,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendStart:
-    """Send a start to the worker, unless `send_before_ms` has passed."""
+    """Send a start to the worker unless `send_before_ms` has passed."""
 
     start: StartTask
     send_before_ms: int
@@ -149,9 +149,9 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOver:
-    """Give up the partition and do not claim it again.
+    """Release the partition and do not claim it again.
 
-    The reply tells whether all that was in progress was finished.
+    The reply tells whether all work in progress was finished.
     """
 
     reply: Reply[bool]
@@ -159,19 +159,19 @@
 
 @dataclass(frozen=True, slots=True)
 class FinishWork:
-    """Accept nothing more; reply when everything is durable and answered."""
+    """Refuse new work; reply once all is durable and answered."""
 
     reply: Reply[bool]
 
 
 @dataclass(frozen=True, slots=True)
-class DecideMore:
-    """The last decision was cut short; other messages come first."""
+class ContinueDecision:
+    """Continue a decision that was interrupted to handle other messages."""
 
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """It is time for the periodic work of the receiver."""
+    """Triggers the periodic work of the receiver."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,7 +183,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListJobs:
-    """List jobs of a customer, the latest accepted first."""
+    """List jobs of a customer, most recently accepted first."""
 
     query: JobList
     reply: Reply[tuple[JobAnswer, ...]]
@@ -191,7 +191,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplainJob:
-    """Say what a job of a customer waits for."""
+    """Explain what a job of a customer waits for."""
 
     query: JobQuery
     reply: Reply[JobWhy]
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -1,4 +1,4 @@
-"""The actor that owns a partition: feeds the core, carries out its effects."""
+"""The actor that owns a partition: drives the core, executes its effects."""
 
 from collections.abc import Callable
 from functools import partial
@@ -33,8 +33,8 @@
 
 EFFECT_HANDLERS: Final[Registry[type, EffectHandler]] = Registry('effects')
 _DECIDE_INTERVAL_MS: Final = 100
-# Messages that may wait for one common decision; a burst of reports from all
-# workers of a partition is decided in a few steps.
+# Messages that may share one decision. A burst of reports from all workers of a
+# partition then needs only a few decisions.
 _BURST_MAX_COUNT: Final = 64
 
 
@@ -49,7 +49,7 @@
         journal: Mailbox,
         campaign: Mailbox,
     ) -> None:
-        """Create the owner; it may send nothing before its first deadline."""
+        """Create the owner; it may send no starts before its first deadline."""
         super().__init__(f'owner {core.state.partition}')
         policies = core.state.config.policies
         self.core = core
@@ -110,40 +110,40 @@
             self.requests.close()
         self._restrict_if_needed()
         self.requests.submit(message)
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.AskJob)
     async def on_ask(self, message: messages.AskJob) -> None:
-        """Answer with the state of a job, at its end or that of the wait."""
-        self.requests.ask(message)
+        """Answer with the job's state at its end or when the wait expires."""
+        self.requests.query(message)
 
     @handles(messages.CancelJob)
     async def on_cancel(self, message: messages.CancelJob) -> None:
-        """Cancel a job of the asking customer."""
+        """Cancel a job if it belongs to the customer."""
         self.requests.cancel(message)
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.ListJobs)
     async def on_list(self, message: messages.ListJobs) -> None:
-        """List jobs of a customer, the latest accepted first."""
+        """List jobs of a customer, most recently accepted first."""
         self.requests.list_jobs(message)
 
     @handles(messages.ExplainJob)
     async def on_explain(self, message: messages.ExplainJob) -> None:
-        """Say what a job of the asking customer waits for."""
+        """Explain what a job waits for if it belongs to the customer."""
         self.requests.explain(message)
 
     @handles(messages.HostsListed)
     async def on_hosts(self, message: messages.HostsListed) -> None:
-        """Take over the host list and link to new workers."""
+        """Apply a new host list and create links to new workers."""
         entries = hosts_of_partition(message.entries, self.core.state)
         self.core.hosts_listed(entries, now_ms())
-        await self.fleet.list_hosts(entries, self.core.state)
-        self._settle()
+        await self.fleet.update_hosts(entries, self.core.state)
+        self._decide_or_defer()
 
     @handles(messages.WorkerReported)
     async def on_report(self, message: messages.WorkerReported) -> None:
-        """Take over a report; outcomes are acknowledged when durable."""
+        """Apply a report; its outcomes are acknowledged once durable."""
         report = message.report
         self.core.worker_reported(report, now_ms(), message.asked_at_ms)
         self.core.leases_extended(report.worker_id, message.lease_ends_at_ms)
@@ -155,42 +155,42 @@
         if ended:
             self.durability.after_commit(
                 self.core.state.sequence,
-                # A dropped acknowledgement is made for the next report.
+                # A dropped acknowledgement follows the worker's next report.
                 partial(
                     self.fleet.send,
                     report.worker_id,
-                    messages.OutcomesHandled(ended),
+                    messages.OutcomesCommitted(ended),
                 ),
             )
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.WorkerSilent)
     async def on_silent(self, message: messages.WorkerSilent) -> None:
-        """Regard a worker as out of reach."""
+        """Treat a worker as unreachable."""
         events.emit(events.WORKER_UNREACHABLE, worker=message.worker_id)
         self.core.leases_extended(message.worker_id, message.lease_ends_at_ms)
         self.core.worker_silent(message.worker_id, now_ms())
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.StartWithheld)
     async def on_withheld(self, message: messages.StartWithheld) -> None:
-        """Take back a start that was not sent."""
+        """Undo a start that was not sent."""
         self.core.start_withheld(message.attempt_id, now_ms())
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.Committed)
     async def on_committed(self, message: messages.Committed) -> None:
-        """Follow up on durable records and answer who waited for them."""
+        """Apply a commit and answer the clients that waited for it."""
         current_ms = now_ms()
         for sequence in self.durability.committed(message.sequence, current_ms):
             self.core.committed(sequence, current_ms)
         self.requests.waiters.committed(message.sequence)
         self._restrict_if_needed()
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.OwnershipDeadline)
     async def on_deadline(self, message: messages.OwnershipDeadline) -> None:
-        """Note until when this process owns the partition."""
+        """Extend the time until which this process owns the partition."""
         self.deadline_ms = message.deadline_ms
         self.requests.owned_until_ms = message.deadline_ms
         self._restrict_if_needed()
@@ -198,13 +198,13 @@
 
     @handles(messages.StoreOutageSeen)
     async def on_outage(self, message: messages.StoreOutageSeen) -> None:
-        """Go on renewing task leases while nobody can take over."""
+        """Continue to renew task leases while no process can take over."""
         self.outage_until_ms = message.until_ms
         self._allow_renewals()
 
     @handles(messages.ConfigChanged)
     async def on_config(self, message: messages.ConfigChanged) -> None:
-        """Put a newer configuration in force."""
+        """Apply a newer configuration; longer leases wait for their commit."""
         self.core.configure(message.config, now_ms())
         policies = message.config.policies
         change = messages.LeaseChanged(
@@ -212,7 +212,8 @@
             policies.exchange_interval_ms,
         )
         if change.task_lease_ms > self._granted_lease_ms:
-            # The next owner must know of longer leases before workers do.
+            # A longer lease must be in the journal before a worker gets it, so
+            # that the next owner waits long enough.
             self._granted_lease_ms = change.task_lease_ms
             sequence = self.core.state.persist(
                 TaskLeaseRaised(change.task_lease_ms),
@@ -223,46 +224,46 @@
             )
         else:
             self.fleet.change_lease(change)
-        self._settle()
+        self._decide_or_defer()
 
     @handles(messages.Deposed)
     async def on_deposed(self, message: messages.Deposed) -> None:
-        """Start nothing more; the campaign ends this owner."""
+        """Start no more tasks; the campaign stops this owner."""
         self._deposed = message
         self._campaign.send(message)
 
     @handles(messages.FinishWork)
     async def on_finish(self, message: messages.FinishWork) -> None:
-        """Accept and place nothing more; reply when all is answered."""
+        """Accept and place no more work; reply once all is answered."""
         self.finishing = message.reply
         self.requests.close()
-        self.carry_out()
+        self.decide_and_execute()
 
-    @handles(messages.DecideMore)
-    async def on_more(self, message: messages.DecideMore) -> None:
-        """Go on with a decision that was cut short."""
-        self._settle()
+    @handles(messages.ContinueDecision)
+    async def on_continue(self, message: messages.ContinueDecision) -> None:
+        """Continue an interrupted decision."""
+        self._decide_or_defer()
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Do what time alone makes due."""
+        """Process timeouts, then decide."""
         current_ms = now_ms()
         if self._deposed is not None:
             self._campaign.send(self._deposed)
         self.core.lapse(current_ms)
-        await self.fleet.end_unlisted(self.core.state)
+        await self.fleet.stop_unlisted(self.core.state)
         self.requests.expire()
         self._restrict_if_needed()
-        self.carry_out()
+        self.decide_and_execute()
 
-    def carry_out(self) -> None:
-        """Decide, and carry out all effects in their order."""
+    def decide_and_execute(self) -> None:
+        """Decide, then execute all effects in their order."""
         self._undecided_count = 0
         if self._deposed is None and self.finishing is None:
-            with self.decision_times.measured():
-                decides_more = self.core.decide(now_ms())
-            if decides_more:
-                self.mailbox.send(messages.DecideMore())
+            with self.decision_times.measure():
+                is_interrupted = self.core.decide(now_ms())
+            if is_interrupted:
+                self.mailbox.send(messages.ContinueDecision())
         records: list[PersistRecord] = []
         for effect in self.core.take_effects():
             if isinstance(effect, PersistRecord):
@@ -272,12 +273,12 @@
         self.durability.append(records, now_ms())
         self._finish_if_done()
 
-    def _settle(self) -> None:
-        """Decide, unless further messages wait for the same decision."""
+    def _decide_or_defer(self) -> None:
+        """Decide, unless further messages wait that can share the decision."""
         if len(self.mailbox) and self._undecided_count < _BURST_MAX_COUNT:
             self._undecided_count += 1
             return
-        self.carry_out()
+        self.decide_and_execute()
 
     def _allow_renewals(self) -> None:
         until_ms = max(self.deadline_ms, self.outage_until_ms)
@@ -309,7 +310,7 @@
 def _start(owner: OwnerActor, effect: StartTask) -> None:
     send_before_ms = owner.deadline_ms
     if _needs_no_store(owner.core.state, effect.attempt_id):
-        # The worker itself refuses the start once it knows a newer owner.
+        # A worker that knows a newer owner refuses the start by its epoch.
         send_before_ms = max(send_before_ms, owner.outage_until_ms)
     message = messages.SendStart(effect, send_before_ms)
     if not owner.fleet.send(effect.worker_id, message):
@@ -327,7 +328,7 @@
 
 
 def _needs_no_store(state: CoreState, attempt_id: AttemptId) -> bool:
-    """Tell whether a start is permitted although the store is out of reach."""
+    """Return whether a start is permitted while the store is unreachable."""
     attempt = state.attempts.get(attempt_id)
     if attempt is None or not state.restricted:
         return False
--- a/fuchsiarill/owner/owner_watch.py
+++ b/fuchsiarill/owner/owner_watch.py
@@ -16,7 +16,7 @@
 
 
 class OwnerWatch(Actor):
-    """Tells the campaign what the owner key holds, at once and on changes."""
+    """Reports the value of the owner key to the campaign, and each change."""
 
     def __init__(
         self,
@@ -25,7 +25,7 @@
         process: ProcessId,
         campaign: Mailbox,
     ) -> None:
-        """Watch for `campaign`."""
+        """Watch on behalf of `campaign`."""
         super().__init__(f'owner watch {partition}')
         self._store = store
         self._partition = partition
@@ -42,12 +42,12 @@
 
     @handles(CandidatesKnown)
     async def on_candidates(self, message: CandidatesKnown) -> None:
-        """Watch as closely as the rank of this process asks for."""
+        """Store the loads; the rank of this process sets the watch length."""
         self._loads = message.loads
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Make one call and plan the next."""
+        """Read or watch the key once and trigger the next call."""
         key = owner_key(self._partition)
         if self._revision is None:
             answer = await self._store.get(key)
@@ -60,7 +60,8 @@
             self._revision = found.revision
             self._campaign.send(OwnerSeen(found))
         else:
-            # What was seen before may have changed meanwhile.
+            # The key may have changed during the failure, so it is read again
+            # unless it was absent.
             self._revision = ABSENT if self._revision == ABSENT else None
             await sleep_ms(backoff_ms(key, self._failures_count))
             self._failures_count += 1
--- a/fuchsiarill/owner/serving.py
+++ b/fuchsiarill/owner/serving.py
@@ -19,15 +19,15 @@
 from fuchsiarill.records import EpochOpened
 from fuchsiarill.settings import ProcessSettings
 
-# All partitions of the deployment commit at most this often a second: 150
-# writes/s are the target, and their renewals and snapshots take the rest.
+# Limit for the commits of all partitions together. The target is 150 writes/s,
+# of which renewals and snapshots need the rest.
 _COMMITS_PER_S: Final = 90
 _FINISH_TIMEOUT_MS: Final = 4_000
 
 
 @dataclass(frozen=True, slots=True)
 class Ports:
-    """The outside systems of one process."""
+    """The interfaces of one process to the outside systems."""
 
     store: StorePort
     host_list: HostListPort
@@ -35,7 +35,7 @@
 
 
 class Serving:
-    """The owner of one partition with its journal and host list."""
+    """The owner of one partition with its journal and its host poll."""
 
     def __init__(
         self,
@@ -44,7 +44,7 @@
         ports: Ports,
         campaign: Mailbox,
     ) -> None:
-        """Nothing runs before `begin`."""
+        """Store the dependencies; `begin` creates and starts the actors."""
         self._settings = settings
         self._config = config
         self._ports = ports
@@ -89,17 +89,17 @@
             actor.start()
 
     def set_deadline(self, deadline_ms: int) -> None:
-        """Tell the owner until when it may start tasks."""
-        self.tell_owner(messages.OwnershipDeadline(deadline_ms))
+        """Send the owner the time until which it may start tasks."""
+        self.notify_owner(messages.OwnershipDeadline(deadline_ms))
 
-    def tell_owner(self, message: object) -> bool:
-        """Pass a message to the owner; `False` when its mailbox is full."""
+    def notify_owner(self, message: object) -> bool:
+        """Send a message to the owner; `False` if its mailbox is full."""
         return self.owner.mailbox.send(message)
 
     async def finish(self) -> bool:
-        """Let the owner finish its work; `False` when it took too long."""
+        """Let the owner finish its work; `False` on a time-out."""
         reply: Reply[bool] = Reply()
-        if not self.tell_owner(messages.FinishWork(reply)):
+        if not self.notify_owner(messages.FinishWork(reply)):
             return False
         try:
             return await reply.wait(_FINISH_TIMEOUT_MS)
@@ -113,7 +113,7 @@
         await self.journal.stop()
 
     def fault(self) -> str | None:
-        """Return why an actor has ended by itself, if one has."""
+        """Return the error with which an actor has ended by itself, if any."""
         faults = (
             actor.fault()
             for actor in (self.owner, self.journal, self.host_poll)
@@ -129,7 +129,7 @@
 
 
 def commit_interval_ms(settings: ProcessSettings, config: CellConfig) -> int:
-    """Return the least time between two commits of one partition."""
+    """Return the minimum time between two commits of one partition."""
     partitions_count = sum(region.partitions_count for region in config.regions)
     share_ms = partitions_count * MS_PER_SECOND // _COMMITS_PER_S
     return max(settings.store.commit_interval_ms, share_ms)
--- a/fuchsiarill/owner/snapshots.py
+++ b/fuchsiarill/owner/snapshots.py
@@ -1,4 +1,4 @@
-"""Writes snapshots of a journal, in turn to two sets of chunk keys."""
+"""Writes snapshots of a journal, alternating between two sets of keys."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -16,13 +16,13 @@
     parse_head,
 )
 from fuchsiarill.owner.keys import LOG_KEYS_COUNT, chunk_key, head_key
-from fuchsiarill.owner.store_calls import read_key, settle_swap
+from fuchsiarill.owner.store_calls import read_key, swap_until_resolved
 from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome
 from fuchsiarill.records import Record
 
 SNAPSHOT_ENTRIES_COUNT: Final = 64
-# A snapshot of many chunks is written less often, which keeps its chunks a
-# small share of the writes; half of the ring must be left for commits.
+# Larger snapshots are written less often, so that chunks remain a small share
+# of all writes. Half of the ring must remain free for commits.
 _ENTRIES_PER_CHUNK: Final = 16
 _ENTRIES_MAX_COUNT: Final = LOG_KEYS_COUNT // 2
 _FIRST_SET: Final = 'a'
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True)
 class JournalPosition:
-    """Where the journal stands, as its only writer knows it."""
+    """The current head and next index of the journal of this owner."""
 
     head: Head
     head_revision: Revision
@@ -43,7 +43,7 @@
         return self.next_index - self.head.first_index
 
     def is_snapshot_due(self) -> bool:
-        """Tell whether enough entries came after the last snapshot."""
+        """Return whether enough entries follow the last snapshot."""
         chunks_count = len(self.head.chunk_revisions)
         due_count = max(
             SNAPSHOT_ENTRIES_COUNT,
@@ -52,7 +52,7 @@
         return self.entries_count >= min(due_count, _ENTRIES_MAX_COUNT)
 
     def is_full(self) -> bool:
-        """Tell whether the next entry would replace one that is needed."""
+        """Return whether the next entry would replace an uncovered one."""
         return self.entries_count >= LOG_KEYS_COUNT
 
 
@@ -65,7 +65,7 @@
         partition: PartitionId,
         position: JournalPosition,
     ) -> None:
-        """Use the position of the journal that it belongs to."""
+        """Share `position` with the journal and update its head."""
         self._store = store
         self._partition = partition
         self._position = position
@@ -86,7 +86,7 @@
         revisions = await self._write_chunks(chosen, records)
         if revisions is None:
             return False
-        return await self._move_head(
+        return await self._update_head(
             replace(
                 previous,
                 format=FORMAT,
@@ -114,22 +114,24 @@
     async def _write_chunk(self, key: StoreKey, text: str) -> Revision | None:
         """Replace a chunk, unless a newer owner may have written it.
 
-        A revision that this owner has not written itself counts only when
-        the head is still claimed by it after the revision was read.
+        A revision that this owner has not written itself is trusted only if
+        a later read shows that the head still belongs to this owner.
         """
         while True:
             expected = self._revisions.pop(key, None)
             if expected is None:
                 found = await read_key(self._store, key)
-                if found is None or not await self._is_ours():
+                if found is None or not await self._holds_head():
                     return None
                 expected = found.revision
-            written = await settle_swap(self._store, Swap(key, text, expected))
+            written = await swap_until_resolved(
+                self._store, Swap(key, text, expected)
+            )
             if written.outcome is SwapOutcome.SWAPPED:
                 self._revisions[key] = written.revision
                 return written.revision
 
-    async def _is_ours(self) -> bool:
+    async def _holds_head(self) -> bool:
         found = await read_key(self._store, head_key(self._partition))
         if found is None or found.value is None:
             return False
@@ -138,9 +140,9 @@
             return False
         return bool(head.unwrap().writer == self._position.head.writer)
 
-    async def _move_head(self, head: Head) -> bool:
+    async def _update_head(self, head: Head) -> bool:
         position = self._position
-        moved = await settle_swap(
+        updated = await swap_until_resolved(
             self._store,
             Swap(
                 head_key(self._partition),
@@ -148,8 +150,8 @@
                 position.head_revision,
             ),
         )
-        if moved.outcome is not SwapOutcome.SWAPPED:
+        if updated.outcome is not SwapOutcome.SWAPPED:
             return False
         position.head = head
-        position.head_revision = moved.revision
+        position.head_revision = updated.revision
         return True
--- a/fuchsiarill/owner/spread.py
+++ b/fuchsiarill/owner/spread.py
@@ -1,4 +1,4 @@
-"""Deterministic spreading, in place of random delays."""
+"""Deterministic pseudo-random fractions for jitter and ranking."""
 
 import zlib
 from typing import Final
@@ -7,5 +7,5 @@
 
 
 def spread(seed: str) -> float:
-    """Return a share of one that is evenly spread over seeds."""
+    """Map a seed to [0, 1) such that seeds are evenly distributed."""
     return zlib.crc32(seed.encode()) / _CRC_RANGE
--- a/fuchsiarill/owner/store_calls.py
+++ b/fuchsiarill/owner/store_calls.py
@@ -1,8 +1,8 @@
-"""Calls of the store that are repeated until their outcome is known.
+"""Store calls that are retried until their outcome is known.
 
-A swap whose answer was lost is resolved by reading the key: values carry the
-token of their writer. It is sent again only after a read has found the key as
-it was before, so that a repeated swap can never hide another writer's.
+A swap whose response was lost is resolved by a read of the key, since values
+contain the token of their writer. The swap is sent again only after a read
+that found the key unchanged, so that it cannot hide another writer's swap.
 """
 
 from collections.abc import Callable
@@ -25,65 +25,65 @@
 _LONGEST_DELAY_MS: Final = 2_000
 _DOUBLINGS_MAX_COUNT: Final = 6
 
-MayGoOn = Callable[[], bool]
+MayContinue = Callable[[], bool]
 
 
 def always() -> bool:
-    """Permit every further try."""
+    """Permit every further attempt."""
     return True
 
 
-def backoff_ms(seed: str, tries_count: int) -> float:
-    """Return the delay before a further try.
+def backoff_ms(seed: str, attempts_count: int) -> float:
+    """Return the delay before a further attempt.
 
-    It doubles up to its limit; the second half is spread by the seed, so that
-    processes which failed together do not return together.
+    The delay doubles up to its limit. Its second half is jitter that depends
+    on the seed, so that processes that fail together do not retry together.
     """
-    doublings = min(tries_count, _DOUBLINGS_MAX_COUNT)
+    doublings = min(attempts_count, _DOUBLINGS_MAX_COUNT)
     delay_ms: float = min(_FIRST_DELAY_MS * 2**doublings, _LONGEST_DELAY_MS)
-    return delay_ms * (1 + spread(f'{seed} {tries_count}')) / 2
+    return delay_ms * (1 + spread(f'{seed} {attempts_count}')) / 2
 
 
 async def read_key(
     store: StorePort,
     key: StoreKey,
-    may_go_on: MayGoOn = always,
+    may_continue: MayContinue = always,
 ) -> Versioned | None:
-    """Read a key; returns `None` when no further try is permitted."""
-    tries_count = 0
-    while may_go_on():
+    """Read a key; returns `None` once no further attempt is permitted."""
+    attempts_count = 0
+    while may_continue():
         answer = await store.get(key)
         if isinstance(answer, Success):
             found: Versioned = answer.unwrap()
             return found
-        await sleep_ms(backoff_ms(key, tries_count))
-        tries_count += 1
+        await sleep_ms(backoff_ms(key, attempts_count))
+        attempts_count += 1
     return None
 
 
-async def settle_swap(
+async def swap_until_resolved(
     store: StorePort,
     swap: Swap,
-    may_go_on: MayGoOn = always,
+    may_continue: MayContinue = always,
 ) -> SwapResult:
-    """Swap and learn the outcome.
+    """Swap and determine the outcome.
 
-    The value must be unique to the writer. `UNKNOWN` comes back only when no
-    further try is permitted.
+    The value must be unique to the writer. Returns `UNKNOWN` only if no
+    further attempt is permitted.
     """
-    tries_count = 0
-    while may_go_on():
+    attempts_count = 0
+    while may_continue():
         written = await store.swap(swap)
         if written.outcome is SwapOutcome.SWAPPED:
             return written
         if written.outcome is SwapOutcome.UNKNOWN:
-            await sleep_ms(backoff_ms(swap.key, tries_count))
-        found = await read_key(store, swap.key, may_go_on)
+            await sleep_ms(backoff_ms(swap.key, attempts_count))
+        found = await read_key(store, swap.key, may_continue)
         if found is None:
             break
         if found.value == swap.value:
             return SwapResult(SwapOutcome.SWAPPED, found.revision)
         if found.revision != swap.expected:
             return SwapResult(SwapOutcome.CONFLICT, found.revision)
-        tries_count += 1
+        attempts_count += 1
     return SwapResult(SwapOutcome.UNKNOWN)
--- a/fuchsiarill/owner/takeover.py
+++ b/fuchsiarill/owner/takeover.py
@@ -1,4 +1,4 @@
-"""Takes the journal of a partition over and opens the next epoch."""
+"""Takes over the journal of a partition and opens the next epoch."""
 
 import asyncio
 
@@ -23,7 +23,7 @@
 
 
 class Takeover(Actor):
-    """One takeover; it goes on only while the ownership lasts."""
+    """One takeover; it continues only until the ownership deadline."""
 
     def __init__(
         self,
@@ -33,24 +33,24 @@
         deadline_ms: int,
         campaign: Mailbox,
     ) -> None:
-        """Take the journal over for the claim with `token`."""
+        """Take over the journal on behalf of the claim with `token`."""
         super().__init__(f'takeover {partition}')
-        self._claim = JournalClaim(store, partition, token, self._may_go_on)
+        self._claim = JournalClaim(store, partition, token, self._may_continue)
         self._deadline_ms = deadline_ms
         self._campaign = campaign
 
     def begin(self, process: ProcessId, task_lease_ms: int) -> None:
-        """Run the actor and the takeover."""
+        """Start the actor and the takeover as tasks."""
         self.start()
-        taking = self._take_over(process, task_lease_ms)
-        self._tasks.append(asyncio.create_task(taking, name=self.name))
+        takeover = self._take_over(process, task_lease_ms)
+        self._tasks.append(asyncio.create_task(takeover, name=self.name))
 
     @handles(OwnershipDeadline)
     async def on_deadline(self, message: OwnershipDeadline) -> None:
-        """Note that the ownership was extended."""
+        """Extend the deadline of the takeover."""
         self._deadline_ms = message.deadline_ms
 
-    def _may_go_on(self) -> bool:
+    def _may_continue(self) -> bool:
         return now_ms() < self._deadline_ms
 
     async def _take_over(self, process: ProcessId, task_lease_ms: int) -> None:
@@ -77,7 +77,7 @@
         image = fold(journal.records)
         opened = EpochOpened(Epoch(image.epoch + 1), process, task_lease_ms)
         fault = await append_entry(self._claim, journal, opened)
-        if fault is None and not self._may_go_on():
+        if fault is None and not self._may_continue():
             fault = JournalFault.INTERRUPTED
         if fault is not None:
             self._fail(fault)
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -1,7 +1,7 @@
-"""The link to one worker: sends commands, renews leases, reports.
+"""The link to one worker: sends commands, renews leases, forwards reports.
 
-The link owns the exchanges with its worker; at most one is in progress, so
-reports arrive in the order of the exchanges.
+At most one exchange with the worker is in progress, so that reports arrive in
+the order of the exchanges.
 """
 
 from collections import deque
@@ -31,11 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkTerms:
-    """What a link is bound by.
+    """Parameters of a link.
 
-    `restored` has the unresolved starts of older owners on the worker, with
-    the incarnation that it had then. `workers_count` is the number of links
-    that share the owner's calls, `renew_until_ms` ends the renewals.
+    `restored` holds the unresolved starts of older owners on the worker, with
+    its incarnation at that time. `workers_count` is the number of links that
+    share the owner's call rate. No lease is renewed from `renew_until_ms` on.
     """
 
     epoch: Epoch
@@ -48,7 +48,7 @@
 
 
 class WorkerLink(Actor):
-    """Talks to one worker on behalf of one owner."""
+    """Exchanges commands and reports with one worker for one owner."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
         port: WorkerPort,
         owner: Mailbox,
     ) -> None:
-        """Create the link; `start` begins the first exchange."""
+        """Create the link; `start` triggers the first exchange."""
         super().__init__(f'worker link {entry.worker_id}')
         self.entry = entry
         self._terms = terms
@@ -73,14 +73,14 @@
         self._commands: dict[tuple[AttemptId, CommandKind], None] = {}
         self._acknowledged: set[AttemptId] = set()
         self._expected = Expectations(terms.restored)
-        self._contact = _Contact(terms.task_lease_ms)
+        self._contact = _ContactState(terms.task_lease_ms)
         self._renew_until_ms = terms.renew_until_ms
         self._outbox: deque[object] = deque()
 
     def start(self) -> None:
-        """Run the actor and exchange at once."""
+        """Run the actor and trigger the first exchange."""
         super().start()
-        self._pacer.soon()
+        self._pacer.request_tick()
 
     async def stop(self) -> None:
         """Stop the exchanges."""
@@ -100,61 +100,65 @@
 
     @handles(messages.SendStart)
     async def on_start(self, message: messages.SendStart) -> None:
-        """Send a start with the next exchange, which begins at once."""
+        """Queue a start and trigger an exchange."""
         self._starts.append(message)
-        self._pacer.soon()
+        self._pacer.request_tick()
 
     @handles(messages.SendCommand)
     async def on_command(self, message: messages.SendCommand) -> None:
-        """Send a command with the next exchange, which begins at once."""
+        """Queue a command and trigger an exchange."""
         command = message.command
         self._commands[(command.attempt_id, command.kind)] = None
-        self._pacer.soon()
+        self._pacer.request_tick()
 
-    @handles(messages.OutcomesHandled)
-    async def on_handled(self, message: messages.OutcomesHandled) -> None:
-        """Acknowledge outcomes in the next exchange."""
+    @handles(messages.OutcomesCommitted)
+    async def on_outcomes_committed(
+        self, message: messages.OutcomesCommitted
+    ) -> None:
+        """Queue the acknowledgement of outcomes for the next exchange."""
         self._acknowledged.update(message.attempt_ids)
 
     @handles(messages.LeaseChanged)
     async def on_lease(self, message: messages.LeaseChanged) -> None:
-        """Grant leases of another length from the next exchange on."""
+        """Apply the lease length and interval from the next exchange on."""
         self._contact.task_lease_ms = message.task_lease_ms
         self._pacer.interval_ms = message.exchange_interval_ms
 
     @handles(messages.RenewalsAllowed)
     async def on_allowed(self, message: messages.RenewalsAllowed) -> None:
-        """Note until when task leases may be renewed."""
+        """Set the time until which task leases may be renewed."""
         self._renew_until_ms = message.until_ms
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Exchange with the worker once."""
-        self._pacer.began()
+        """Perform one exchange with the worker and schedule the next."""
+        self._pacer.tick_started()
         asked_at_ms = now_ms()
         request = self._request(asked_at_ms)
         answer = await self._port.exchange(self.entry.address, request)
         match answer:
             case Success(report) if report.highest_epoch > self._terms.epoch:
-                self._tell(messages.Deposed('a worker knows a newer owner'))
+                self._notify_owner(
+                    messages.Deposed('a worker knows a newer owner')
+                )
             case Success(report):
-                self._pacer.note(request, report)
-                self._answered(request, report, asked_at_ms)
+                self._pacer.record(request, report)
+                self._on_report(request, report, asked_at_ms)
             case Failure(failure):
-                self._failed(request, failure, asked_at_ms)
+                self._on_failure(request, failure, asked_at_ms)
         self._flush()
         if self._starts:
-            self._pacer.soon()
+            self._pacer.request_tick()
         else:
-            self._pacer.later()
+            self._pacer.schedule_tick()
 
     def _send_tick(self) -> bool:
         return self.mailbox.send(messages.Tick())
 
     def _request(self, asked_at_ms: int) -> Exchange:
-        # A silent worker gets no renewal, so that its leases have an end. An
-        # owner that may have been replaced renews nothing, since the next
-        # one waits for these leases to end.
+        # A silent worker gets no renewals, so that its leases lapse. An owner
+        # that may have been replaced renews nothing, because the next owner
+        # waits for these leases to lapse.
         renewals: tuple[AttemptId, ...] = ()
         may_renew = asked_at_ms < self._renew_until_ms
         if may_renew and not self._contact.is_silent:
@@ -162,7 +166,7 @@
         return Exchange(
             epoch=self._terms.epoch,
             lease_ms=self._contact.task_lease_ms,
-            starts=self._take_starts(asked_at_ms),
+            starts=self._prepare_starts(asked_at_ms),
             commands=tuple(
                 TaskCommand(kind, attempt_id)
                 for attempt_id, kind in self._commands
@@ -171,60 +175,60 @@
             acknowledged=tuple(sorted(self._acknowledged)),
         )
 
-    def _take_starts(self, asked_at_ms: int) -> tuple[StartCommand, ...]:
+    def _prepare_starts(self, asked_at_ms: int) -> tuple[StartCommand, ...]:
         sent: list[StartCommand] = []
         offset_ms = self._contact.usable_offset_ms(
             asked_at_ms - self._terms.silent_after_ms,
         )
-        for waiting in self._starts:
-            start = waiting.start
-            if offset_ms is None or asked_at_ms >= waiting.send_before_ms:
-                self._tell(messages.StartWithheld(start.attempt_id))
+        for pending in self._starts:
+            start = pending.start
+            if offset_ms is None or asked_at_ms >= pending.send_before_ms:
+                self._notify_owner(messages.StartWithheld(start.attempt_id))
                 continue
             command = StartCommand(
                 attempt_id=start.attempt_id,
                 reserved=start.reserved,
                 run_time_ms=start.run_time_ms,
                 payload=start.payload,
-                start_before_worker_clock_ms=waiting.send_before_ms + offset_ms,
+                start_before_worker_clock_ms=pending.send_before_ms + offset_ms,
             )
             expected = SentStart(
                 self._contact.incarnation,
                 command.start_before_worker_clock_ms,
-                waiting.send_before_ms,
+                pending.send_before_ms,
             )
             self._expected.expect(start.attempt_id, expected)
             sent.append(command)
         self._starts.clear()
         return tuple(sent)
 
-    def _answered(
+    def _on_report(
         self,
         request: Exchange,
         report: WorkerReport,
         asked_at_ms: int,
     ) -> None:
-        self._contact.answered(report)
-        self._contact.renewed(request.lease_ms)
+        self._contact.record_answer(report)
+        self._contact.record_leases(request.lease_ms)
         missing = self._expected.observe(report, asked_at_ms)
         for command in request.commands:
             self._commands.pop((command.attempt_id, command.kind), None)
         self._acknowledged.difference_update(request.acknowledged)
-        whole = replace(report, tasks=report.tasks + missing)
+        complete = replace(report, tasks=report.tasks + missing)
         message = messages.WorkerReported(
-            whole,
+            complete,
             asked_at_ms,
             self._contact.lease_ends_at_ms,
         )
         self._flush()
-        # A report may be dropped, as the next one repeats it; what is missing
-        # from it is told only once.
+        # A report may be dropped, since the next one repeats it. Missing
+        # attempts are reported only once and must not be dropped.
         if missing or self._outbox:
-            self._tell(message)
+            self._notify_owner(message)
         else:
             self._owner.send(message)
 
-    def _failed(
+    def _on_failure(
         self,
         request: Exchange,
         failure: ExchangeFailure,
@@ -233,19 +237,19 @@
         if failure is ExchangeFailure.NOT_SENT:
             for start in request.starts:
                 self._expected.withdraw(start.attempt_id)
-                self._tell(messages.StartWithheld(start.attempt_id))
+                self._notify_owner(messages.StartWithheld(start.attempt_id))
         elif request.renewals or request.starts:
-            self._contact.renewed(request.lease_ms)
+            self._contact.record_leases(request.lease_ms)
         silent_after_ms = self._terms.silent_after_ms
-        if self._contact.has_become_silent(asked_at_ms, silent_after_ms):
-            self._tell(
+        if self._contact.record_failure(asked_at_ms, silent_after_ms):
+            self._notify_owner(
                 messages.WorkerSilent(
                     self.entry.worker_id,
                     self._contact.lease_ends_at_ms,
                 ),
             )
 
-    def _tell(self, message: object) -> None:
+    def _notify_owner(self, message: object) -> None:
         self._outbox.append(message)
 
     def _flush(self) -> None:
@@ -253,8 +257,8 @@
             self._outbox.popleft()
 
 
-class _Contact:
-    """When the worker was last heard of, and what follows from it."""
+class _ContactState:
+    """Last contact with the worker, its clock offset and lease bounds."""
 
     def __init__(self, task_lease_ms: int) -> None:
         self.task_lease_ms = task_lease_ms
@@ -263,36 +267,36 @@
         self.is_silent = False
         self.incarnation = ''
         self._offset_ms = 0
-        self._answered_at_ms: int | None = None
+        self._last_answer_at_ms: int | None = None
 
     def usable_offset_ms(self, not_before_ms: int) -> int | None:
-        """Return the clock offset of the worker, unless it is too old."""
-        if self._answered_at_ms is None:
+        """Return the clock offset if it is not older than `not_before_ms`."""
+        if self._last_answer_at_ms is None:
             return None
-        if self._answered_at_ms < not_before_ms:
+        if self._last_answer_at_ms < not_before_ms:
             return None
         return self._offset_ms
 
-    def answered(self, report: WorkerReport) -> None:
-        """Take over the clock and the incarnation of a report.
+    def record_answer(self, report: WorkerReport) -> None:
+        """Update the clock offset and the incarnation from a report.
 
-        The clock was read before now, so the difference is at most the true
-        offset and every `start_before` comes out early.
+        The worker read its clock before now, so the difference is at most the
+        true offset, and a `start_before` derived from it is never too late.
         """
         current_ms = now_ms()
-        self._answered_at_ms = current_ms
+        self._last_answer_at_ms = current_ms
         self._offset_ms = report.worker_clock_ms - current_ms
         self.incarnation = report.incarnation
         self.failing_since_ms = None
         self.is_silent = False
 
-    def renewed(self, lease_ms: int) -> None:
-        """Note leases that the worker may have counted from now."""
+    def record_leases(self, lease_ms: int) -> None:
+        """Record leases that the worker may count from now at the latest."""
         ends_at_ms = now_ms() + lapse_bound_ms(lease_ms)
         self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
 
-    def has_become_silent(self, asked_at_ms: int, after_ms: int) -> bool:
-        """Note a failed exchange; tells once when the worker is silent."""
+    def record_failure(self, asked_at_ms: int, after_ms: int) -> bool:
+        """Record a failed exchange; `True` if the worker just became silent."""
         if self.failing_since_ms is None:
             self.failing_since_ms = asked_at_ms
         if self.is_silent or now_ms() - self.failing_since_ms < after_ms:
--- a/tests/world.py
+++ b/tests/world.py
@@ -69,15 +69,15 @@
 
     def owner_mailbox(self) -> Mailbox | None:
         """Return the mailbox of the owner, if there is one."""
-        serving = self.campaign.helpers.serving
-        return None if serving is None else serving.owner.mailbox
+        service = self.campaign.children.service
+        return None if service is None else service.owner.mailbox
 
     def at_most_once_jobs(self) -> list[JobId]:
         """Return the non-idempotent jobs that the process knows as owner."""
-        serving = self.campaign.helpers.serving
-        if serving is None:
+        service = self.campaign.children.service
+        if service is None:
             return []
-        jobs = serving.owner.core.state.jobs
+        jobs = service.owner.core.state.jobs
         return [
             job.job_id
             for job in jobs.values()
