Reword the tests of ownership and of the HTTP clients

Test doc comments named the guarded failure in figures of speech, and the fake network was called a line that holds and releases.

Each test now states the failure it guards against. The fakes have a NetworkLink, and a withdrawn campaign is called so. Names of state-machine rules are unchanged, since Hypothesis orders rules by name. No assertion changes.

--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -123,7 +123,7 @@
         if message.found.value is not None:
             self.contest.cancel()
             return
-        if self.contest.is_leaving:
+        if self.contest.is_withdrawn:
             return
         loads = self.contest.loads
         process = self.settings.process
@@ -146,7 +146,7 @@
         message: campaign_messages.ContestDue,
     ) -> None:
         """Claim the partition if it is still vacant."""
-        if not self.contest.is_leaving:
+        if not self.contest.is_withdrawn:
             await self.step(PartitionEvent.VACANT)
 
     @handles(campaign_messages.LeaseRenewed)
@@ -235,7 +235,7 @@
 
         The reply tells whether all work was finished in time.
         """
-        self.contest.is_leaving = True
+        self.contest.is_withdrawn = True
         self.contest.cancel()
         self.reason = 'the process shuts down'
         self.children.is_work_finished = True
@@ -378,7 +378,7 @@
         # If the store still holds the lease, this frees the partition without
         # waiting for the lease to lapse.
         await campaign.ports.store.revoke_lease(held.lease_id)
-    if not campaign.contest.is_leaving:
+    if not campaign.contest.is_withdrawn:
         campaign.watch()
 
 
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -51,7 +51,7 @@
     def __init__(self) -> None:
         """Start without a scheduled claim."""
         self.loads: Mapping[ProcessId, int] = {}
-        self.is_leaving = False
+        self.is_withdrawn = False
         self._not_before_ms = 0
         self._timer: asyncio.TimerHandle | None = None
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,8 +1,8 @@
-"""In-memory ports whose requests and answers can be lost, held or late.
+"""In-memory ports whose requests and responses can be lost or delayed.
 
-A process reaches everything through its `Line`. A held line keeps requests
-that were already sent and delivers them when it is released, as after a pause
-between the last check of a process and its send.
+A process reaches the store and the workers through its `NetworkLink`. A held
+link queues requests and delivers them when it is released. This simulates a
+process that pauses between its last check and its send.
 """
 
 import asyncio
@@ -48,18 +48,18 @@
 _WATCH_STEP_MS = 20
 
 
-class Line:
-    """How one process reaches the store and the workers."""
+class NetworkLink:
+    """Connection of one process to the store and the workers."""
 
     def __init__(self) -> None:
         self.is_cut = False
         self.is_held = False
-        self.holds_at = ''
+        self.hold_on_call = ''
         self.unreachable: set[str] = set()
         self.lost_answers: Counter[str] = Counter()
         self.lost_requests: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
-        self._late: set[asyncio.Task[Any]] = set()
+        self._deliveries: set[asyncio.Task[Any]] = set()
 
     async def call(
         self,
@@ -67,12 +67,12 @@
         request: Callable[[], _Answer],
         timeout_ms: int = _TIMEOUT_MS,
     ) -> _Answer | None:
-        """Deliver a request; `None` when no answer came in time."""
+        """Deliver a request; `None` if no response arrives in time."""
         self.calls[name] += 1
-        self.is_held = self.is_held or name == self.holds_at
+        self.is_held = self.is_held or name == self.hold_on_call
         delivery = asyncio.create_task(self._deliver(name, request))
-        self._late.add(delivery)
-        delivery.add_done_callback(self._late.discard)
+        self._deliveries.add(delivery)
+        delivery.add_done_callback(self._deliveries.discard)
         await asyncio.wait((delivery,), timeout=timeout_ms / MS_PER_SECOND)
         if not delivery.done():
             return None
@@ -86,17 +86,17 @@
         await sleep_ms(_LATENCY_MS)
         while self.is_held:
             await sleep_ms(_WATCH_STEP_MS)
-        if self.is_cut or _takes_one(self.lost_requests, name):
+        if self.is_cut or _consume_fault(self.lost_requests, name):
             await sleep_ms(_TIMEOUT_MS)
             return None
         answer = request()
-        if _takes_one(self.lost_answers, name):
+        if _consume_fault(self.lost_answers, name):
             await sleep_ms(_TIMEOUT_MS)
             return None
         return answer
 
 
-def _takes_one(counts: Counter[str], name: str) -> bool:
+def _consume_fault(counts: Counter[str], name: str) -> bool:
     if not counts[name]:
         return False
     counts[name] -= 1
@@ -111,7 +111,7 @@
 
 
 class StoreState:
-    """The keys and leases of one store."""
+    """Keys and leases of the simulated store."""
 
     def __init__(self) -> None:
         self.is_down = False
@@ -179,9 +179,9 @@
 class FakeStore:
     """`StorePort` of one process."""
 
-    def __init__(self, state: StoreState, line: Line) -> None:
+    def __init__(self, state: StoreState, link: NetworkLink) -> None:
         self._state = state
-        self._line = line
+        self._link = link
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
         return await self._read('get', key)
@@ -227,7 +227,7 @@
     ) -> Result[Versioned, StoreFailure]:
         waits_until_ms = now_ms() + wait_ms
         while self._state.read(key).revision == after:
-            if now_ms() >= waits_until_ms or self._line.is_cut:
+            if now_ms() >= waits_until_ms or self._link.is_cut:
                 break
             await sleep_ms(_WATCH_STEP_MS)
         return await self._read('watch', key)
@@ -248,10 +248,10 @@
         request: Callable[[], _Answer],
     ) -> _Answer | None:
         if self._state.is_down:
-            self._line.calls[name] += 1
+            self._link.calls[name] += 1
             await sleep_ms(_TIMEOUT_MS)
             return None
-        return await self._line.call(name, request)
+        return await self._link.call(name, request)
 
 
 @dataclass
@@ -265,7 +265,7 @@
 
 
 class FakeWorker:
-    """A worker with its own clock; `accepted` logs every start it took."""
+    """A worker with its own clock; `accepted` lists all accepted starts."""
 
     def __init__(self, name: str, clock_ahead_ms: int) -> None:
         self.worker_id = WorkerId(name)
@@ -297,9 +297,9 @@
         self._advance()
         if request.epoch >= self.highest_epoch:
             self.highest_epoch = request.epoch
-            self._carry_out(request)
+            self._execute(request)
         else:
-            self.refused.extend(one.attempt_id for one in request.starts)
+            self.refused.extend(start.attempt_id for start in request.starts)
         return WorkerReport(
             self.worker_id,
             self.highest_epoch,
@@ -316,7 +316,7 @@
             f'{self.worker_id}-{self._incarnation}',
         )
 
-    def _carry_out(self, request: Exchange) -> None:
+    def _execute(self, request: Exchange) -> None:
         lease_ends_at_ms = now_ms() + request.lease_ms
         for acknowledged in request.acknowledged:
             self.tasks.pop(acknowledged, None)
@@ -367,9 +367,11 @@
 class FakeWorkers:
     """`WorkerPort` of one process."""
 
-    def __init__(self, workers: dict[str, FakeWorker], line: Line) -> None:
+    def __init__(
+        self, workers: dict[str, FakeWorker], link: NetworkLink
+    ) -> None:
         self._workers = workers
-        self._line = line
+        self._link = link
 
     async def exchange(
         self,
@@ -377,10 +379,10 @@
         request: Exchange,
     ) -> Result[WorkerReport, ExchangeFailure]:
         worker = self._workers[address]
-        if worker.is_cut or address in self._line.unreachable:
+        if worker.is_cut or address in self._link.unreachable:
             await sleep_ms(_TIMEOUT_MS)
             return Failure(ExchangeFailure.NO_ANSWER)
-        report = await self._line.call(
+        report = await self._link.call(
             'start' if request.starts else 'exchange',
             lambda: worker.exchange(request),
         )
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -1,4 +1,4 @@
-"""Stand-ins served within a test's own event loop."""
+"""Serves stand-ins in the event loop of a test."""
 
 import asyncio
 import json
@@ -12,16 +12,16 @@
 
 
 class Served:
-    """A stand-in with its URL and a client."""
+    """A stand-in that is being served, with its URL and a client."""
 
     def __init__(self, port: int, client: HttpClient) -> None:
-        """Keep where the stand-in is."""
+        """Derive address and URL from the port."""
         self.address = f'127.0.0.1:{port}'
         self.url = f'http://{self.address}'
         self.client = client
 
     async def control(self, **settings: Any) -> dict[str, Any]:
-        """Set faults; returns the state of the stand-in."""
+        """Inject faults; returns the state of the stand-in."""
         answer = await self.client.post(
             f'{self.url}/control',
             json.dumps(settings).encode(),
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -1,4 +1,4 @@
-"""The port clients against the stand-ins, with the faults of the network."""
+"""The HTTP clients of the ports against stand-ins with network faults."""
 
 import asyncio
 from dataclasses import replace
@@ -36,7 +36,7 @@
 
 
 class _BadStore(StoreStandIn):
-    """Answers every call with a body that is no answer."""
+    """Answers every call with a malformed body."""
 
     def _dispatch(self, call: Call) -> StandInReply | None:
         if call.path in ROUTES:
@@ -49,8 +49,8 @@
     return HttpStore(settings, served.client)
 
 
-def test_late_answer_goes_to_nobody() -> None:
-    """Guards against an answer that reaches the next call on its connection."""
+def test_late_response_reaches_no_other_call() -> None:
+    """Guards against a late response read by the next call of a connection."""
 
     async def main() -> None:
         async with serving(StoreStandIn(), threads_count=1) as served:
@@ -66,7 +66,7 @@
 
 
 def test_lost_reply_of_a_swap_is_unknown() -> None:
-    """Guards against a write that took effect and is taken for failed."""
+    """Guards against reporting a write that took effect as failed."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -80,7 +80,7 @@
 
 
 def test_refused_connection_is_not_sent() -> None:
-    """Guards against waiting out a call that certainly had no effect."""
+    """Guards against treating a call without effect as uncertain."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -94,7 +94,7 @@
 
 
 def test_store_down_may_have_taken_effect() -> None:
-    """Guards against taking a closed connection for a call not sent."""
+    """Guards against treating a closed connection as a call not sent."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -106,7 +106,7 @@
 
 
 def test_value_above_the_limit_has_no_effect() -> None:
-    """Guards against a value that the platform's service would not take."""
+    """Guards against an oversized value that is accepted or uncertain."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -122,7 +122,7 @@
 
 
 def test_watches_leave_the_threads_to_other_calls() -> None:
-    """Guards against watches that hold up the renewal of a lease."""
+    """Guards against watches that block the renewal of a lease."""
 
     async def main() -> None:
         async with serving(StoreStandIn(), threads_count=1) as served:
@@ -145,7 +145,7 @@
 
 
 def test_silent_connections_cost_one_call() -> None:
-    """Guards against a call lost for each idle connection gone silent."""
+    """Guards against a failed call for each idle connection gone silent."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -157,13 +157,13 @@
             assert missed == Failure(StoreFailure.UNREACHABLE)
             patient = _store(served, 2_000)
             found = await asyncio.gather(*(patient.get(_KEY) for _ in range(3)))
-            assert all(isinstance(one, Success) for one in found)
+            assert all(isinstance(read, Success) for read in found)
 
     asyncio.run(main())
 
 
 def test_watch_ends_without_a_change() -> None:
-    """Guards against a watch that waits for ever."""
+    """Guards against a watch that never returns."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -174,7 +174,7 @@
 
 
 def test_calls_beyond_the_bound_are_not_sent() -> None:
-    """Guards against a queue of calls without limit."""
+    """Guards against an unbounded queue of calls."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -198,7 +198,7 @@
 
 
 def test_wait_for_a_thread_counts_towards_the_deadline() -> None:
-    """Guards against a call that is sent long after its caller gave up."""
+    """Guards against a call that is sent after its deadline."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
@@ -221,7 +221,7 @@
 
 
 def test_answer_in_small_pieces_keeps_to_the_deadline() -> None:
-    """Guards against an answer that never ends and holds up its caller."""
+    """Guards against a slow response that blocks its caller."""
 
     async def drip(
         reader: asyncio.StreamReader,
@@ -244,8 +244,8 @@
     asyncio.run(main())
 
 
-def test_answer_that_cannot_be_read_is_a_failure() -> None:
-    """Guards against an exception that stops the actor that made the call."""
+def test_malformed_response_is_a_failure() -> None:
+    """Guards against a malformed response that stops the calling actor."""
 
     async def main() -> None:
         async with serving(_BadStore()) as served:
@@ -257,16 +257,16 @@
             )
             swapped = await store.swap(Swap(_KEY, 'value'))
             assert swapped.outcome is SwapOutcome.UNKNOWN
-            unread = Failure(StoreFailure.UNREACHABLE)
-            assert await store.get(_KEY) == unread
-            assert await store.renew_lease(StoreLeaseId('id')) == unread
+            malformed = Failure(StoreFailure.UNREACHABLE)
+            assert await store.get(_KEY) == malformed
+            assert await store.renew_lease(StoreLeaseId('id')) == malformed
             assert report == Failure(ExchangeFailure.NO_ANSWER)
 
     asyncio.run(main())
 
 
 def test_host_list_lags() -> None:
-    """Guards against a stand-in that shows a leaving host at once."""
+    """Guards against a stand-in that lists a leaving host without delay."""
 
     async def main() -> None:
         entry = HostEntry(
@@ -294,7 +294,7 @@
     asyncio.run(main())
 
 
-def test_lapsed_lease_takes_its_key_along() -> None:
+def test_lapsed_lease_deletes_its_key() -> None:
     """Guards against an owner key that outlives its owner."""
 
     async def main() -> None:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,4 +1,4 @@
-"""One owner and its successors: the paths that must always work."""
+"""An owner and its successors: basic operation and single faults."""
 
 import asyncio
 
@@ -16,7 +16,7 @@
 
 
 def test_job_runs_and_its_waiter_is_answered() -> None:
-    """Guards against a broken path from submission to result."""
+    """Guards against a job whose submission, wait or result is lost."""
 
     async def main() -> None:
         world = World()
@@ -27,9 +27,9 @@
             job = spec(execution.value, execution, run_time_ms=1_000)
             answer = await world.submit_one(owner, job)
             assert is_accepted(answer)
-            early = await world.ask(owner, job_id_of(answer), 300)
+            early = await world.query(owner, job_id_of(answer), 300)
             assert early.code is codes.NOT_FINISHED
-            ended = await world.ask(owner, job_id_of(answer), 5_000)
+            ended = await world.query(owner, job_id_of(answer), 5_000)
             assert ended.code is codes.JOB_SUCCEEDED
             assert ended.outputs == (execution.value,)
         await world.stop()
@@ -38,7 +38,7 @@
 
 
 def test_killed_owner_is_replaced_within_5_s() -> None:
-    """Guards against a takeover that takes longer than stated or loses jobs."""
+    """Guards against a takeover that takes over 5 s or loses jobs."""
 
     async def main() -> int:
         world = World()
@@ -60,20 +60,20 @@
         await world.cancel(successor, job_id_of(accepted[0]))
         while not world.starts_of(answer):
             await sleep_ms(10)
-        taken_ms = now_ms() - killed_at_ms
+        takeover_ms = now_ms() - killed_at_ms
         for earlier in accepted[1:]:
             assert earlier.job_id is not None
-            ended = await world.ask(successor, job_id_of(earlier), 120_000)
+            ended = await world.query(successor, job_id_of(earlier), 120_000)
             assert ended.code is codes.JOB_SUCCEEDED
         assert max(world.accepted_starts().values()) == 1
         await world.stop()
-        return taken_ms
+        return takeover_ms
 
     assert run_paused(main()) < 5_000
 
 
 def test_hand_over_is_faster_than_a_lease() -> None:
-    """Guards against a shutdown that cuts off answers or waits for a lease."""
+    """Guards against a shutdown that drops answers or awaits a lease."""
 
     async def main() -> None:
         world = World()
@@ -87,7 +87,7 @@
         await world.kill(owner)
         successor = await world.until_owned()
         assert now_ms() - began_ms < 1_500
-        ended = await world.ask(successor, job_id_of(answer), 20_000)
+        ended = await world.query(successor, job_id_of(answer), 20_000)
         assert ended.code is codes.JOB_SUCCEEDED
         assert max(world.accepted_starts().values()) == 1
         await world.stop()
@@ -96,7 +96,10 @@
 
 
 def test_store_outage_restricts_to_urgent_work() -> None:
-    """Guards against durable promises that nothing keeps, and lost urgency."""
+    """Guards against durable acceptances while the store is unreachable.
+
+    Urgent jobs must still start, and retries must not overload the store.
+    """
 
     async def main() -> None:
         world = World(cell(volatile=True))
@@ -107,7 +110,7 @@
         early = await world.submit_one(owner, running)
         await sleep_ms(100)
         world.store.is_down = True
-        # What the membership tells while every domain has lost the store.
+        # Membership sends this once all failure domains have lost the store.
         outage = StoreOutageSeen(now_ms() + 2 * 3_600_000)
         owner.campaign.mailbox.send(outage)
         await sleep_ms(20_000)
@@ -117,14 +120,14 @@
         assert volatile.code is codes.ACCEPTED_VOLATILE
         await sleep_ms(2_000)
         assert world.starts_of(volatile) == 1
-        calls_before = owner.line.calls.total()
+        calls_before = owner.link.calls.total()
         await sleep_ms(3_600_000)
-        store_calls = owner.line.calls.total() - calls_before
-        exchanges = owner.line.calls['exchange']
+        store_calls = owner.link.calls.total() - calls_before
+        exchanges = owner.link.calls['exchange']
         assert store_calls - exchanges < 2 * 3_600
         world.store.is_down = False
         owner = await world.until_owned(20_000)
-        ended = await world.ask(owner, job_id_of(early), 120_000)
+        ended = await world.query(owner, job_id_of(early), 120_000)
         assert ended.code is codes.JOB_SUCCEEDED
         assert world.starts_of(early) == 1
         await world.stop()
@@ -135,17 +138,17 @@
 @pytest.mark.parametrize('execution', list(Execution))
 @pytest.mark.parametrize('lost', ['lost_requests', 'lost_answers'])
 def test_lost_start_is_resolved(lost: str, execution: Execution) -> None:
-    """Guards against a start that hangs, or runs twice, when unanswered."""
+    """Guards against an unanswered start that blocks its job or runs twice."""
 
     async def main() -> None:
         world = World()
         world.start()
         owner = await world.until_owned()
         await sleep_ms(500)
-        getattr(owner.line, lost)['start'] = 1
+        getattr(owner.link, lost)['start'] = 1
         job = spec('job', execution, run_time_ms=1_000)
         answer = await world.submit_one(owner, job)
-        ended = await world.ask(owner, job_id_of(answer), 30_000)
+        ended = await world.query(owner, job_id_of(answer), 30_000)
         assert ended.code is codes.JOB_SUCCEEDED
         assert max(world.accepted_starts().values()) == 1
         await world.stop()
@@ -154,7 +157,7 @@
 
 
 def test_start_after_the_deadline_is_refused() -> None:
-    """Guards against a late start where no worker knows the new owner."""
+    """Guards against a late start on workers that know no newer owner."""
 
     async def main() -> None:
         world = World()
@@ -162,13 +165,13 @@
         await world.until_owned()
         await sleep_ms(500)
         successor = world.start()
-        successor.line.unreachable.update(world.workers)
-        owner.line.holds_at = 'start'
+        successor.link.unreachable.update(world.workers)
+        owner.link.hold_on_call = 'start'
         await world.submit(owner, spec('late'))
         await sleep_ms(10_000)
         assert successor.owns()
-        owner.line.holds_at = ''
-        owner.line.is_held = False
+        owner.link.hold_on_call = ''
+        owner.link.is_held = False
         await sleep_ms(1_000)
         assert not world.accepted_starts()
         assert any(worker.refused for worker in world.workers.values())
@@ -178,7 +181,7 @@
 
 
 def test_stale_owner_acknowledges_nothing() -> None:
-    """Guards against an acknowledgement that no journal holds."""
+    """Guards against an acceptance of a job that is in no journal."""
 
     async def main() -> None:
         world = World()
@@ -186,10 +189,10 @@
         await world.until_owned()
         world.start()
         await sleep_ms(500)
-        owner.line.is_held = True
+        owner.link.is_held = True
         submission = asyncio.create_task(world.submit(owner, spec('late')))
         await sleep_ms(6_000)
-        owner.line.is_held = False
+        owner.link.is_held = False
         answers = await submission
         assert not is_accepted(answers[0])
         await world.stop()
@@ -197,21 +200,21 @@
     run_paused(main())
 
 
-def test_forgotten_unanswered_order_is_unknown() -> None:
-    """Guards against a second start after a lost answer and a restart."""
+def test_unanswered_order_lost_in_a_restart_is_unknown() -> None:
+    """Guards against a second start after a lost response and a restart."""
 
     async def main() -> None:
         world = World()
         world.start()
         owner = await world.until_owned()
         await sleep_ms(500)
-        owner.line.lost_answers['start'] = 1
+        owner.link.lost_answers['start'] = 1
         once = spec('once', Execution.AT_MOST_ONCE)
         answer = await world.submit_one(owner, once)
         await sleep_ms(100)
         for worker in world.workers.values():
             worker.restart()
-        ended = await world.ask(owner, job_id_of(answer), 30_000)
+        ended = await world.query(owner, job_id_of(answer), 30_000)
         assert ended.code is codes.JOB_UNKNOWN
         assert world.starts_of(answer) == 1
         await world.stop()
@@ -220,7 +223,7 @@
 
 
 def test_restarted_worker_does_not_repeat_an_order() -> None:
-    """Guards against a second run of what a restarted worker has forgotten."""
+    """Guards against a second run of an order lost in a worker restart."""
 
     async def main() -> None:
         world = World()
@@ -233,9 +236,9 @@
         await sleep_ms(100)
         for worker in world.workers.values():
             worker.restart()
-        lost = await world.ask(owner, job_id_of(answers[0]), 30_000)
+        lost = await world.query(owner, job_id_of(answers[0]), 30_000)
         assert lost.code is codes.JOB_UNKNOWN
-        repeated = await world.ask(owner, job_id_of(answers[1]), 30_000)
+        repeated = await world.query(owner, job_id_of(answers[1]), 30_000)
         assert repeated.code is codes.JOB_SUCCEEDED
         await world.stop()
 
@@ -243,7 +246,7 @@
 
 
 def test_snapshots_bound_the_journal() -> None:
-    """Guards against a journal that grows, and values that are too large."""
+    """Guards against an unbounded journal and against oversized values."""
 
     async def main() -> None:
         world = World()
@@ -268,7 +271,7 @@
         world.start()
         owner = await world.until_owned()
         for answer in accepted:
-            found = await world.ask(owner, job_id_of(answer))
+            found = await world.query(owner, job_id_of(answer))
             assert found.code is codes.JOB_SUCCEEDED
         await world.stop()
 
@@ -276,8 +279,8 @@
 
 
 @pytest.mark.parametrize('text', ['{"format":2}', 'damaged'])
-def test_unreadable_journal_is_left_alone(text: str) -> None:
-    """Guards against a start from a journal that was not understood."""
+def test_unreadable_journal_is_not_changed(text: str) -> None:
+    """Guards against serving or changing a journal that cannot be parsed."""
 
     async def main() -> None:
         world = World()
@@ -286,7 +289,7 @@
         await sleep_ms(60_000)
         assert process.campaign.state is PartitionState.STANDBY
         assert world.store.read(entry_key(PARTITION, 1)).value == text
-        assert process.line.calls.total() < 200
+        assert process.link.calls.total() < 200
         await world.stop()
 
     run_paused(main())
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -1,7 +1,7 @@
-"""State machines over processes that pause, die and lose what they send.
+"""State machine tests with processes that pause, crash or lose messages.
 
-Both run in paused time and without random input of their own, so that a
-failure has the same course at each run.
+Both run in simulated time and with derandomized input, so that a failure is
+reproducible.
 """
 
 import asyncio
@@ -31,7 +31,7 @@
     stateful_step_count=15,
     deadline=None,
     derandomize=True,
-    # A shorter course takes minutes to find; the first one found will do.
+    # Shrinking takes minutes, so the first failing example is reported.
     phases=(Phase.generate,),
 )
 
@@ -42,13 +42,13 @@
 _numbers = strategies.lists(strategies.integers(0, 40), max_size=4)
 _pauses = strategies.integers(1, _LONGEST_PAUSE_MS)
 _workers = strategies.sampled_from(('w1', 'w2'))
-_moments = strategies.sampled_from((0, 1, 2, 3, 5, 12))
+_short_delays = strategies.sampled_from((0, 1, 2, 3, 5, 12))
 _indexes = strategies.integers(0, _PROCESSES_COUNT - 1)
 _calls = strategies.sampled_from(('get', 'swap', 'lease', 'start', 'exchange'))
 
 
-class _Machine(RuleBasedStateMachine):
-    """Rules that all machines share."""
+class _PartitionMachine(RuleBasedStateMachine):
+    """Rules and invariants that all machines share."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -69,21 +69,25 @@
         return self.runner.run(step)
 
     async def watch(self) -> None:
-        """Note what must not be at any time, also within a rule."""
+        """Record violations at any time, also while a rule runs."""
         while True:
             await sleep_ms(_WATCH_INTERVAL_MS)
-            owning = [one.name for one in self.world.processes if one.owns()]
+            owning = [
+                process.name
+                for process in self.world.processes
+                if process.owns()
+            ]
             if len(owning) > 1:
-                self.violations.append(f'several own: {owning}')
+                self.violations.append(f'several owners: {owning}')
             for task_id, count in self.world.running_copies().items():
                 if count > 1:
                     self.violations.append(f'{count} copies of {task_id}')
 
-    async def heal(self) -> None:
-        """End all faults."""
+    async def clear_faults(self) -> None:
+        """Clear all pending faults."""
         for process in self.world.processes:
-            process.line.lost_answers.clear()
-            process.line.lost_requests.clear()
+            process.link.lost_answers.clear()
+            process.link.lost_requests.clear()
 
     @initialize()
     def begin(self) -> None:
@@ -108,29 +112,29 @@
 
         self.run(submit())
 
-    @rule(numbers=_numbers, sent_ms=_moments, pause_ms=_pauses)
+    @rule(numbers=_numbers, sent_ms=_short_delays, pause_ms=_pauses)
     def pause_owners(
         self,
         numbers: list[int],
         sent_ms: int,
         pause_ms: int,
     ) -> None:
-        """Pause every owner after its last check; what it sent comes late."""
+        """Pause every owner after its last check; its requests arrive late."""
 
         async def pause() -> None:
             self.submit_to_owners(numbers)
             await sleep_ms(sent_ms)
             paused = self.owners()
             for process in paused:
-                process.line.is_held = True
+                process.link.is_held = True
             await sleep_ms(pause_ms)
             for resumed in paused:
-                resumed.line.is_held = False
+                resumed.link.is_held = False
             await sleep_ms(sent_ms)
 
         self.run(pause())
 
-    @rule(numbers=_numbers, sent_ms=_moments)
+    @rule(numbers=_numbers, sent_ms=_short_delays)
     def kill_owners(self, numbers: list[int], sent_ms: int) -> None:
         async def kill() -> None:
             self.submit_to_owners(numbers)
@@ -143,12 +147,12 @@
 
     @rule(numbers=_numbers, name=_calls, answers=strategies.booleans())
     def lose(self, numbers: list[int], name: str, answers: bool) -> None:
-        """Lose a request, or an answer after its effect, of each owner."""
+        """Lose a request, or a response after its effect, of each process."""
 
         async def lose() -> None:
             for process in self.world.processes:
-                line = process.line
-                counts = line.lost_answers if answers else line.lost_requests
+                link = process.link
+                counts = link.lost_answers if answers else link.lost_requests
                 counts[name] += 1
             self.submit_to_owners(numbers)
             await sleep_ms(_LOSS_MS)
@@ -167,18 +171,18 @@
 
     @rule(index=_indexes)
     def cut_off(self, index: int) -> None:
-        """Cut one process off for longer than its lease."""
+        """Disconnect one process for longer than its lease."""
 
         async def cut_off() -> None:
             process = self.world.processes[index]
-            process.line.is_cut = True
+            process.link.is_cut = True
             await sleep_ms(_LONGEST_PAUSE_MS)
-            process.line.is_cut = False
+            process.link.is_cut = False
 
         self.run(cut_off())
 
     def owners(self) -> list[Process]:
-        """Return all that serve, be it by mistake."""
+        """Return all processes that act as owner, rightly or not."""
         return [
             process
             for process in self.world.processes
@@ -186,7 +190,7 @@
         ]
 
     def submit_to_owners(self, numbers: list[int]) -> None:
-        """Submit to all that serve, and note what they promise.
+        """Submit to all processes that act as owner; record accepted jobs.
 
         Odd numbers are non-idempotent orders.
         """
@@ -201,18 +205,18 @@
         ]
         for process in self.owners():
             for job in specs:
-                asking = self.world.submit_one(process, job)
-                submission = asyncio.create_task(asking)
-                submission.add_done_callback(self._note_answer)
+                submitting = self.world.submit_one(process, job)
+                submission = asyncio.create_task(submitting)
+                submission.add_done_callback(self._record_answer)
                 self.submissions.append(submission)
 
     @invariant()
-    def nothing_was_noted(self) -> None:
+    def no_violation_was_recorded(self) -> None:
         assert not self.violations, self.violations[:3]
 
     @invariant()
-    def no_order_is_placed_twice(self) -> None:
-        """A non-idempotent task is never started a second time."""
+    def no_order_is_started_twice(self) -> None:
+        """Guards against a second start of a non-idempotent task."""
         at_most_once = {
             job_id
             for process in self.world.processes
@@ -222,7 +226,7 @@
             if JobId(task_id.rpartition('/')[0]) in at_most_once:
                 assert count == 1, task_id
 
-    def _note_answer(self, submission: asyncio.Task[JobAnswer]) -> None:
+    def _record_answer(self, submission: asyncio.Task[JobAnswer]) -> None:
         if submission.cancelled() or submission.exception() is not None:
             return
         answer = submission.result()
@@ -230,12 +234,12 @@
             self.accepted.add(job_id_of(answer))
 
 
-class OwnershipMachine(_Machine):
-    """Never two owners whose starts a worker takes at the same time."""
+class OwnershipMachine(_PartitionMachine):
+    """Guards against two owners whose starts a worker accepts at once."""
 
     @invariant()
     def starts_come_from_rising_epochs(self) -> None:
-        """The late start of a stale owner is refused."""
+        """Guards against accepting a late start of a stale owner."""
         for worker in self.world.workers.values():
             epochs = [epoch for _attempt, epoch in worker.accepted]
             assert epochs == sorted(epochs)
@@ -250,22 +254,22 @@
         self.run(cut())
 
 
-class DurabilityMachine(_Machine):
-    """An acknowledged job survives, whatever dies."""
+class DurabilityMachine(_PartitionMachine):
+    """Guards against the loss of an acknowledged job after any crash."""
 
     @rule(name=_workers)
     def restart_worker(self, name: str) -> None:
         self.world.workers[name].restart()
 
     def teardown(self) -> None:
-        """After all faults every accepted job comes to its end."""
+        """Check that every accepted job ends once all faults are over."""
 
         async def recover() -> None:
-            await self.heal()
+            await self.clear_faults()
             await sleep_ms(20_000)
             owner = await self.world.until_owned()
             for job_id in sorted(self.accepted):
-                answer = await self.world.ask(owner, job_id, 60_000)
+                answer = await self.world.query(owner, job_id, 60_000)
                 assert answer.state in FINAL_STATES, (job_id, answer)
 
         try:
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,4 +1,4 @@
-"""A partition with several processes, over fake ports and in paused time."""
+"""Several processes of one partition, on fake ports and simulated time."""
 
 import asyncio
 from collections import Counter
@@ -37,7 +37,7 @@
     FakeStore,
     FakeWorker,
     FakeWorkers,
-    Line,
+    NetworkLink,
     StoreState,
 )
 
@@ -61,10 +61,10 @@
 
 @dataclass
 class Process:
-    """One process: its campaign and how it reaches the rest."""
+    """One process: its campaign and its link to the store and workers."""
 
     name: str
-    line: Line
+    link: NetworkLink
     campaign: Campaign
 
     def owner_mailbox(self) -> Mailbox | None:
@@ -85,14 +85,14 @@
         ]
 
     def owns(self) -> bool:
-        """Tell whether the process may act as owner right now."""
+        """Return whether the process may act as owner now."""
         if self.campaign.state is not PartitionState.OWNING:
             return False
         return now_ms() < self.campaign.lease.deadline_ms
 
 
 class World:
-    """Everything around one partition."""
+    """Store, workers and processes of one partition."""
 
     def __init__(self, config: CellConfig | None = None) -> None:
         self.config = config or cell()
@@ -109,14 +109,14 @@
         self._started_count = 0
 
     def start(self) -> Process:
-        """Start a further process."""
+        """Start another process."""
         self._started_count += 1
         name = f'p{self._started_count}'
-        line = Line()
+        link = NetworkLink()
         ports = Ports(
-            FakeStore(self.store, line),
+            FakeStore(self.store, link),
             FakeHostList(tuple(host(worker) for worker in self.workers)),
-            FakeWorkers(self.workers, line),
+            FakeWorkers(self.workers, link),
         )
         campaign = Campaign(
             settings_of(name),
@@ -125,32 +125,32 @@
             ports,
             Mailbox(),
         )
-        process = Process(name, line, campaign)
+        process = Process(name, link, campaign)
         self.processes.append(process)
         campaign.start()
         return process
 
     async def kill(self, process: Process) -> None:
-        """End a process without letting it do anything more."""
+        """Stop a process at once, without a handover."""
         self.processes.remove(process)
         await process.campaign.stop()
 
     async def until_owned(self, limit_ms: int = 10_000) -> Process:
-        """Wait for an owner."""
+        """Wait until a process owns the partition; fails after `limit_ms`."""
         ends_at_ms = now_ms() + limit_ms
         while now_ms() < ends_at_ms:
             for process in self.processes:
                 if process.owns():
                     return process
             await sleep_ms(10)
-        raise AssertionError('nobody owns the partition')
+        raise AssertionError('no process owns the partition')
 
     async def submit(
         self,
         process: Process,
         *specs: JobSpec,
     ) -> tuple[JobAnswer, ...]:
-        """Submit to a process that believes to be the owner."""
+        """Submit jobs to a process that regards itself as the owner."""
         mailbox = process.owner_mailbox()
         assert mailbox is not None
         reply: Reply[tuple[JobAnswer, ...]] = Reply()
@@ -162,7 +162,7 @@
         answers = await self.submit(process, job)
         return answers[0]
 
-    async def ask(
+    async def query(
         self,
         process: Process,
         job_id: JobId,
@@ -172,8 +172,8 @@
         mailbox = process.owner_mailbox()
         assert mailbox is not None
         reply: Reply[JobAnswer] = Reply()
-        query = JobQuery(CUSTOMER, job_id, wait_ms)
-        mailbox.send(messages.AskJob(query, reply))
+        job_query = JobQuery(CUSTOMER, job_id, wait_ms)
+        mailbox.send(messages.AskJob(job_query, reply))
         return await reply.wait(wait_ms + REPLY_MS)
 
     async def cancel(self, process: Process, job_id: JobId) -> JobAnswer:
@@ -185,7 +185,7 @@
         return await reply.wait(REPLY_MS)
 
     async def hand_over(self, process: Process) -> bool:
-        """Let a process give up its partition."""
+        """Let a process release its partition; returns whether it finished."""
         reply: Reply[bool] = Reply()
         process.campaign.mailbox.send(messages.HandOver(reply))
         return await reply.wait(REPLY_MS)
@@ -197,7 +197,7 @@
         )
 
     def accepted_starts(self) -> Counter[TaskId]:
-        """Return how often each task was started by any worker."""
+        """Return how often workers accepted a start of each task."""
         return Counter(
             task_of(attempt_id)
             for worker in self.workers.values()
@@ -205,11 +205,11 @@
         )
 
     def starts_of(self, answer: JobAnswer) -> int:
-        """Return how often the first task of a job was started."""
+        """Return how often workers accepted a start of a job's first task."""
         return self.accepted_starts()[task_id(job_id_of(answer), 0)]
 
     def running_copies(self) -> Counter[TaskId]:
-        """Return how many copies of each task run now."""
+        """Return the number of copies of each task that are running."""
         return Counter(
             task_of(attempt_id)
             for worker in self.workers.values()
@@ -218,7 +218,7 @@
 
 
 def is_accepted(answer: JobAnswer) -> bool:
-    """Tell whether an answer promises that the job is durable."""
+    """Return whether an answer confirms that the job is durable."""
     return answer.code is codes.ACCEPTED
 
 
