Restore the reason of the call limit of an owner

The reworded comment no longer said that decisions get all processor time that calls leave, and StartWithheld named only one of its causes. Both comments are corrected; only comments change, flake8 passes.

--- a/fuchsiarill/owner/exchange_pacer.py
+++ b/fuchsiarill/owner/exchange_pacer.py
@@ -19,7 +19,7 @@
 _FULL_MAILBOX_RETRY_MS: Final = 50
 
 _INTERVAL_MIN_MS: Final = 100
-# One process can make about 700 calls per second, but needs most of its
+# One process can make about 700 calls per second, but needs the rest of its
 # processor time for decisions.
 _CALLS_MAX_PER_S: Final = 200
 # An exchange takes about 670 bytes and 330 more for each task. At this rate a
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -142,7 +142,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartWithheld:
-    """A start was not sent because its deadline had passed."""
+    """A start was not sent, for example because its deadline had passed."""
 
     attempt_id: AttemptId
 
