--- a/fuchsiarill/charts/__init__.py
+++ b/fuchsiarill/charts/__init__.py
@@ -1,1 +1,1 @@
-"""State chart files, read by `fuchsiarill.state_chart`."""
+"""State chart files, interpreted by `fuchsiarill.state_chart`."""
--- a/fuchsiarill/core/accelerators.py
+++ b/fuchsiarill/core/accelerators.py
@@ -1,7 +1,8 @@
-"""Workers with accelerators are kept for the work that needs them.
+"""Reserves workers with accelerators for the jobs that need them.
 
-While such work waits, other work uses them only within what its customer is
-owed: each slot that it takes may leave an accelerator without one.
+While such a job waits, other jobs use these workers only within the
+entitlement of their customer: each slot that they occupy may leave an
+accelerator without a slot.
 """
 
 from fuchsiarill.core.accounts import Account
@@ -10,9 +11,9 @@
 from fuchsiarill.resources import Resources
 
 
-def accelerators_wait(state: CoreState) -> bool:
-    """Tell whether a job that needs accelerators waits for room."""
-    if any(size.accelerators_count for size in state.roomless_sizes):
+def accelerator_jobs_wait(state: CoreState) -> bool:
+    """Tell whether a job that needs accelerators waits for capacity."""
+    if any(size.accelerators_count for size in state.unplaceable_sizes):
         return True
     return any(
         group.spec.task_size.accelerators_count for group in state.blocked_gangs
@@ -26,7 +27,7 @@
     urgent: bool,
 ) -> bool:
     """Tell whether a task may use a worker with accelerators now."""
-    if size.accelerators_count or not accelerators_wait(state):
+    if size.accelerators_count or not accelerator_jobs_wait(state):
         return True
     if urgent and is_owed_urgently(state, account, size):
         return True
--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -1,7 +1,7 @@
-"""What the owner keeps of each customer, and the jobs that wait in groups.
+"""Accounts of the customers, and the groups of their waiting jobs.
 
-Jobs of one customer that need the same wait in one group, so that a decision
-looks at a few groups and never at all jobs.
+Jobs of a customer with the same requirements wait in one group, so that a
+decision examines a few groups instead of all jobs.
 """
 
 import sys
@@ -27,7 +27,7 @@
 
 
 class Obstacle(Enum):
-    """What keeps a group of jobs from being placed."""
+    """Why a group of jobs cannot be placed."""
 
     ROOM = 'room'
     QUOTA = 'quota'
@@ -36,10 +36,10 @@
 
 
 def group_key_of(spec: JobSpec, retried: bool) -> GroupKey:
-    """Return what jobs must have in common to wait in one group.
+    """Return the key that all jobs of one group share.
 
-    A job that failed somewhere avoids workers, so it waits apart from those
-    that may use them.
+    A retried job must avoid the workers on which it failed, so it is grouped
+    apart from jobs that may use any worker.
     """
     at_once_count = 1
     if spec.workload is Workload.GANG:
@@ -54,13 +54,14 @@
 
 @dataclass(slots=True, eq=False)
 class Group:
-    """Waiting jobs of one customer that need the same, oldest first.
+    """Waiting jobs of a customer with the same requirements, oldest first.
 
     `first_order` and `first_at_ms` are the acceptance number and the time of
-    acceptance of the oldest.
-    `blocked_size` is the size for which no worker had room. `size` is what a
-    task reserves, computed for `size_version`. Reclaiming is not tried again
-    before `reclaim_after_ms`. `served_at_ms` is the time of the last start.
+    acceptance of the oldest job.
+    `blocked_size` is the size for which no worker had free capacity. `size` is
+    the reservation of one task, computed for `size_version`. Reclaiming is not
+    tried again before `reclaim_after_ms`. `served_at_ms` is the time of the
+    last start.
     """
 
     customer: CustomerId
@@ -82,30 +83,30 @@
     size_version: tuple[int, int] = (-1, -1)
 
     def __post_init__(self) -> None:
-        """Take from the submission what decisions ask for often."""
+        """Cache the properties of the jobs that decisions read often."""
         self.urgent = self.spec.urgency is Urgency.URGENT
         self.is_gang = self.spec.workload is Workload.GANG
 
     def add(self, job: JobRecord) -> None:
-        """Add a job in the order of acceptance, or in front when older."""
+        """Append a job, or put it first if it was accepted earlier."""
         self.jobs[job.job_id] = job
         if job.order < self.first_order:
             self.jobs.move_to_end(job.job_id, last=False)
-            self._note_first(job)
+            self._update_first(job)
 
     def remove(self, job: JobRecord) -> None:
-        """Remove a job."""
+        """Remove a job that waits in the group."""
         self.jobs.pop(job.job_id)
         if self.jobs:
-            self._note_first(next(iter(self.jobs.values())))
+            self._update_first(next(iter(self.jobs.values())))
         else:
             self.first_order = NO_ORDER
 
     def head(self) -> JobId:
-        """Return the job that waits longest."""
+        """Return the job that has waited longest."""
         return next(iter(self.jobs))
 
-    def _note_first(self, job: JobRecord) -> None:
+    def _update_first(self, job: JobRecord) -> None:
         self.first_order = job.order
         self.first_at_ms = job.accepted_at_ms
         self.urgent_then_order = (not self.urgent, job.order)
@@ -113,16 +114,19 @@
 
 @dataclass(slots=True, eq=False)
 class Account:
-    """Everything counted for one customer.
-
-    `contract` is `None` when the configuration in force has none. `share` is
-    the weighted dominant share of `held`. Of the `groups`, those in `ready`
-    can be tried, `roomless` ones wait for room on a worker and `over_quota`
-    ones for the customer's own tasks to end.
-    `stoppable` holds idempotent batch attempts and `services` idempotent
-    replicas, both without urgent ones and oldest first. `urgent_held` is the
-    part of `held` for urgent jobs, `reclaimed` the part whose attempts
-    were asked to stop for others.
+    """Resources, limits and waiting groups of one customer.
+
+    `contract` is `None` if the configuration in force has none for the
+    customer. `held` is the sum of its reservations and `share` the weighted
+    dominant share of `held`. `urgent_held` is the part of `held` for urgent
+    jobs, `reclaimed` the part whose attempts were asked to stop in favour of
+    other jobs.
+    Of the `groups`, those in `ready` can be tried, those in `unplaceable` wait
+    for free capacity on a worker, and those in `over_quota` wait until tasks
+    of the same customer end.
+    `preemptible_batch` holds idempotent batch attempts and
+    `preemptible_services` idempotent replicas, oldest first. Neither holds
+    urgent attempts.
     """
 
     customer: CustomerId
@@ -141,13 +145,13 @@
     served_at_ms: int = 0
     groups: dict[GroupKey, Group] = field(default_factory=dict)
     ready: dict[Group, None] = field(default_factory=dict)
-    roomless: dict[Group, None] = field(default_factory=dict)
+    unplaceable: dict[Group, None] = field(default_factory=dict)
     over_quota: dict[Group, None] = field(default_factory=dict)
     rank: Rank | None = None
-    roomless_rank: Rank | None = None
-    stoppable: 'OrderedDict[AttemptId, None]' = field(
+    unplaceable_rank: Rank | None = None
+    preemptible_batch: 'OrderedDict[AttemptId, None]' = field(
         default_factory=OrderedDict,
     )
-    services: 'OrderedDict[AttemptId, None]' = field(
+    preemptible_services: 'OrderedDict[AttemptId, None]' = field(
         default_factory=OrderedDict,
     )
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -1,7 +1,8 @@
-"""Whether a submission is accepted: contract, size, queue and rate.
+"""Admission of submissions: contract, size, queue length and rate.
 
-What can never run is refused at once, with the field that makes it so. That
-takes the host list; until it was read, nothing is refused for its size.
+A job that can never run is refused at once, with the field that exceeds its
+limit. The size of the workers is known from the host list; until it has been
+read, no job is refused for its size.
 """
 
 from collections.abc import Callable, Iterator
@@ -10,7 +11,7 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.limits import take_token
-from fuchsiarill.core.sizes import carried_count
+from fuchsiarill.core.sizes import total_copies_count
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
 from fuchsiarill.refusal import Refusal, refuse
@@ -19,8 +20,8 @@
 
 Check = Callable[[CoreState, Account, JobSpec, int], Refusal | None]
 
-# The order in which the checks run; the rate comes last, so that only what is
-# accepted uses it up.
+# The checks run in this order. The rate comes last, so that only accepted
+# submissions use up tokens.
 _CHECKS_IN_ORDER: Final = (
     'ownership',
     'quota',
@@ -45,7 +46,7 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    """Return why a submission is refused; `None` accepts and counts it."""
+    """Return the refusal; `None` accepts the submission and counts it."""
     account = state.accounts.get(spec.customer)
     if account is None or account.contract is None:
         return refuse(
@@ -143,8 +144,8 @@
 ) -> Refusal | None:
     if not state.hosts_read or spec.workload is not Workload.GANG:
         return None
-    carried = carried_count(state, spec.task_size)
-    if carried >= spec.tasks_count:
+    copies_count = total_copies_count(state, spec.task_size)
+    if copies_count >= spec.tasks_count:
         return None
     return refuse(
         codes.NEVER_FITS,
@@ -152,7 +153,7 @@
         field='tasks_count',
         partition=state.partition,
         wanted=spec.tasks_count,
-        largest=carried,
+        largest=copies_count,
     )
 
 
@@ -210,7 +211,7 @@
 
 
 def _shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
-    """Name a field that no worker offers, alone or with the others."""
+    """Return a field that no worker satisfies, alone or with the others."""
     largest = Resources(
         *(
             max(amounts, default=0)
@@ -223,7 +224,7 @@
     excess = first_excess(size, largest)
     if excess is not None:
         return excess
-    # Each amount is offered by some worker, but no worker offers all.
+    # Each amount fits some worker, but no worker fits all of them.
     nearest = max(
         state.capacities,
         key=lambda capacity: -len(list(excesses(size, capacity))),
--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -1,15 +1,15 @@
 """Takeover of running tasks: adoption, orphans and the end of the recovery.
 
-A worker answers the first exchange of a new owner with everything that it
-runs, and refuses older owners from then on. What it reports becomes an
-attempt of this owner; what it does not report does not run there.
+A worker answers the first exchange of a new owner with all tasks that it
+runs, and refuses older owners from then on. Each reported task becomes an
+attempt of this owner; a task that is not reported does not run there.
 """
 
 from dataclasses import dataclass
 from typing import Final
 
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.holding import refresh, take
+from fuchsiarill.core.holding import refresh_index, reserve_attempt
 from fuchsiarill.core.ledger import (
     job_of,
     lapse_bound_ms,
@@ -17,7 +17,7 @@
     task_of,
 )
 from fuchsiarill.core.recovery import Orphan
-from fuchsiarill.core.requeue import ask_to_stop, run_again
+from fuchsiarill.core.requeue import request_stop, requeue_task
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.core.worker_view import WorkerView
@@ -39,61 +39,61 @@
     WorkerReport,
 )
 
-_OPEN: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
-# Other outcomes of an unknown attempt leave nothing to take over.
+_ACTIVE_STATES: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
+# An unknown attempt with another outcome needs no adoption.
 _ADOPTED: Final = frozenset((TaskOutcome.RUNNING, TaskOutcome.SUCCEEDED))
 
 
 @dataclass(frozen=True, slots=True)
-class _Reporter:
-    """The worker whose report is read, and the time of the report."""
+class _ReportContext:
+    """The worker whose report is applied, and the time of the report."""
 
     worker: WorkerView
     now_ms: int
 
 
-def worker_listed(
+def reserve_restored_attempts(
     state: CoreState,
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    """Reserve the restored attempts of a worker that is now known."""
+    """Reserve the restored attempts of a worker once it is listed."""
     for attempt_id in state.recovery.intents:
         attempt = state.attempts.get(attempt_id)
         if attempt is None or attempt.worker_id != worker.worker_id:
             continue
         worker.attempts.add(attempt_id)
         worker.reserve(attempt.reserved)
-    refresh(state, worker, now_ms)
+    refresh_index(state, worker, now_ms)
 
 
-def adopt(
+def adopt_tasks(
     state: CoreState,
     worker: WorkerView,
     report: WorkerReport,
     now_ms: int,
 ) -> None:
-    """Make the unknown tasks of a report attempts of this owner, or stop them.
+    """Adopt the unknown tasks of a report as attempts, or stop them.
 
-    Comes before the outcomes of the report are applied.
+    Must run before the outcomes of the report are applied.
     """
     worker.incarnation = report.incarnation
-    _note_orphans(state, report, now_ms)
-    reporter = _Reporter(worker, now_ms)
+    _drop_ended_orphans(state, report, now_ms)
+    context = _ReportContext(worker, now_ms)
     for task in report.tasks:
         attempt = state.attempts.get(task.attempt_id)
         if attempt is not None:
             _stop_if_cancelled(state, attempt, task)
         elif task.outcome in _ADOPTED:
-            _adopt_task(state, reporter, task)
+            _adopt_task(state, context, task)
     state.recovery.answered.add(worker.worker_id)
 
 
 def hold_accepted(state: CoreState, job: JobRecord) -> None:
-    """Hold a new job that an older owner may have started unrecorded.
+    """Hold a new job that an older owner may have started without a record.
 
-    Only urgent idempotent jobs of a `volatile_accept` contract are started
-    without a record, and known orphans may belong to the job.
+    That is possible for urgent idempotent jobs of a `volatile_accept`
+    contract, and for a job to which known orphans belong.
     """
     if job.job_id not in state.recovery.orphans:
         if not state.recovery.is_open or not may_be_volatile(state, job.spec):
@@ -113,7 +113,7 @@
 
 
 def advance_recovery(state: CoreState, now_ms: int) -> None:
-    """Start what was held once nothing of it can run unseen."""
+    """Release held tasks once no unreported copy of them can run."""
     recovery = state.recovery
     if recovery.is_open and _is_complete(state, now_ms):
         recovery.is_open = False
@@ -127,7 +127,7 @@
         return
     for job_id in tuple(recovery.held):
         if job_id not in recovery.orphans:
-            _release(state, job_id, now_ms)
+            _release_held(state, job_id, now_ms)
 
 
 def _is_complete(state: CoreState, now_ms: int) -> bool:
@@ -151,15 +151,15 @@
         step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
 
 
-def _release(state: CoreState, job_id: JobId, now_ms: int) -> None:
+def _release_held(state: CoreState, job_id: JobId, now_ms: int) -> None:
     positions = state.recovery.held.pop(job_id)
     job = state.jobs.get(job_id)
     if job is None or not positions:
         return
-    if job.state not in _OPEN:
+    if job.state not in _ACTIVE_STATES:
         return
     if job.spec.workload is Workload.GANG and (job.attempts or job.results):
-        run_again(state, job, min(positions), now_ms)
+        requeue_task(state, job, min(positions), now_ms)
         return
     job.waiting.extend(sorted(positions))
     step_job(state, job, JobEvent.REQUEUED, now_ms)
@@ -167,35 +167,35 @@
 
 def _adopt_task(
     state: CoreState,
-    reporter: _Reporter,
+    context: _ReportContext,
     task: TaskReport,
 ) -> None:
     task_id = task_of(task.attempt_id)
     job = state.jobs.get(job_of(task_id))
-    if job is None or not _takes(state, job, position_of(task_id)):
-        _stop_orphan(state, reporter, task)
+    if job is None or not _claim_position(state, job, position_of(task_id)):
+        _stop_orphan(state, context, task)
         return
     attempt = Attempt(
         attempt_id=task.attempt_id,
         task_id=task_id,
         job_id=job.job_id,
-        worker_id=reporter.worker.worker_id,
+        worker_id=context.worker.worker_id,
         reserved=task.reserved,
         state=AttemptState.POSSIBLY_RUNNING,
-        placed_at_ms=reporter.now_ms,
-        lease_ends_at_ms=reporter.now_ms,
+        placed_at_ms=context.now_ms,
+        lease_ends_at_ms=context.now_ms,
     )
-    take(state, job, attempt)
-    _forget_orphan(state, task)
+    reserve_attempt(state, job, attempt)
+    _drop_orphan(state, task)
     if job.state is JobState.CANCELLING:
-        ask_to_stop(state, attempt, StopReason.JOB_ENDED, reporter.now_ms)
+        request_stop(state, attempt, StopReason.JOB_ENDED, context.now_ms)
 
 
-def _takes(state: CoreState, job: JobRecord, position: int) -> bool:
-    """Remove a position from what is to be started, if it is there."""
+def _claim_position(state: CoreState, job: JobRecord, position: int) -> bool:
+    """Claim a position for adoption; `False` if it is not awaited."""
     if job.state is JobState.CANCELLING:
         return job.job_id in state.recovery.cancelled
-    if job.state not in _OPEN:
+    if job.state not in _ACTIVE_STATES:
         return False
     held = state.recovery.held.get(job.job_id, set())
     if position in held:
@@ -209,16 +209,16 @@
 
 def _stop_orphan(
     state: CoreState,
-    reporter: _Reporter,
+    context: _ReportContext,
     task: TaskReport,
 ) -> None:
     if task.outcome is not TaskOutcome.RUNNING:
         return
     job_id = job_of(task_of(task.attempt_id))
-    worker_id = reporter.worker.worker_id
+    worker_id = context.worker.worker_id
     lease_ms = lapse_bound_ms(state.config.policies.task_lease_ms)
     orphans = state.recovery.orphans.setdefault(job_id, {})
-    orphans[task.attempt_id] = Orphan(worker_id, reporter.now_ms + lease_ms)
+    orphans[task.attempt_id] = Orphan(worker_id, context.now_ms + lease_ms)
     job = state.jobs.get(job_id)
     if job is not None and job.state is JobState.ACCEPTING:
         # Adopted from a later report, once the job is durable.
@@ -233,7 +233,7 @@
     attempt: Attempt,
     task: TaskReport,
 ) -> None:
-    """Stop a restored attempt of a job whose cancellation was restored."""
+    """Stop a restored attempt if its job was cancelled before the takeover."""
     if attempt.attempt_id not in state.recovery.intents:
         return
     if attempt.state is not AttemptState.STOPPING:
@@ -248,7 +248,9 @@
         )
 
 
-def _note_orphans(state: CoreState, report: WorkerReport, now_ms: int) -> None:
+def _drop_ended_orphans(
+    state: CoreState, report: WorkerReport, now_ms: int
+) -> None:
     running = {
         task.attempt_id
         for task in report.tasks
@@ -273,7 +275,7 @@
             state.recovery.orphans.pop(job_id)
 
 
-def _forget_orphan(state: CoreState, task: TaskReport) -> None:
+def _drop_orphan(state: CoreState, task: TaskReport) -> None:
     job_id = job_of(task_of(task.attempt_id))
     orphans = state.recovery.orphans.get(job_id, {})
     orphans.pop(task.attempt_id, None)
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -1,19 +1,19 @@
-"""Actions that the attempt chart names."""
+"""Actions of the attempt chart, `charts/attempt.yaml`."""
 
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.holding import give_back
-from fuchsiarill.core.learning import note_end
-from fuchsiarill.core.probation import note_success
+from fuchsiarill.core.holding import release_attempt
+from fuchsiarill.core.learning import learn_from_success
+from fuchsiarill.core.probation import record_success
 from fuchsiarill.core.requeue import (
-    ask_to_stop,
-    note_if_all_stopped,
+    request_stop,
+    advance_if_all_stopped,
     position_of,
-    run_again,
+    requeue_task,
 )
 from fuchsiarill.core.retries import (
-    after_failure,
-    after_success,
-    replica_ended,
+    handle_failure,
+    earn_retry_credit,
+    restart_ended_replica,
 )
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import ATTEMPT_ACTIONS, step_job
@@ -29,22 +29,22 @@
 from fuchsiarill.workers import CommandKind, TaskReport
 
 
-@ATTEMPT_ACTIONS.register('release')
-def _release(
+@ATTEMPT_ACTIONS.register('release_resources')
+def _release_resources(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    give_back(state, attempt, now_ms)
+    release_attempt(state, attempt, now_ms)
     job = state.jobs[attempt.job_id]
     position = position_of(attempt)
     if job.moving.get(position) == attempt.attempt_id:
         job.moving.pop(position)
 
 
-@ATTEMPT_ACTIONS.register('note_started')
-def _note_started(
+@ATTEMPT_ACTIONS.register('handle_started')
+def _handle_started(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
@@ -59,26 +59,26 @@
     job.moving.pop(position_of(attempt), None)
     replaced = job.attempts.get(attempt.replaces)
     if replaced is not None:
-        ask_to_stop(state, replaced, StopReason.MOVED, now_ms)
+        request_stop(state, replaced, StopReason.MOVED, now_ms)
 
 
-@ATTEMPT_ACTIONS.register('retry_at_once')
-def _retry_at_once(
+@ATTEMPT_ACTIONS.register('retry_immediately')
+def _retry_immediately(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
     job = state.jobs[attempt.job_id]
-    _withdraw(state, job, attempt, now_ms)
+    _persist_withdrawal(state, job, attempt, now_ms)
     if _is_partly_run(job):
         step_job(state, job, JobEvent.GAVE_UP, now_ms)
         return
-    run_again(state, job, position_of(attempt), now_ms)
+    requeue_task(state, job, position_of(attempt), now_ms)
 
 
-@ATTEMPT_ACTIONS.register('retry_later')
-def _retry_later(
+@ATTEMPT_ACTIONS.register('retry_after_failure')
+def _retry_after_failure(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
@@ -86,27 +86,27 @@
 ) -> None:
     job = state.jobs[attempt.job_id]
     if job.spec.workload is Workload.SERVICE:
-        _withdraw(state, job, attempt, now_ms)
-    after_failure(state, attempt, now_ms)
+        _persist_withdrawal(state, job, attempt, now_ms)
+    handle_failure(state, attempt, now_ms)
 
 
-@ATTEMPT_ACTIONS.register('keep_result')
-def _keep_result(
+@ATTEMPT_ACTIONS.register('record_success')
+def _record_success(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
     job = state.jobs[attempt.job_id]
-    note_success(state, attempt, now_ms)
-    note_end(state, attempt, report)
-    after_success(state, job)
+    record_success(state, attempt, now_ms)
+    learn_from_success(state, attempt, report)
+    earn_retry_credit(state, job)
     if job.spec.workload is Workload.SERVICE:
-        replica_ended(state, attempt, now_ms)
+        restart_ended_replica(state, attempt, now_ms)
     else:
         output = '' if report is None else report.output
-        _keep_output(state, job, position_of(attempt), output, now_ms)
-    note_if_all_stopped(state, job, now_ms)
+        _record_output(state, job, position_of(attempt), output, now_ms)
+    advance_if_all_stopped(state, job, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('resolve_lost')
@@ -120,8 +120,8 @@
     if job.spec.execution is Execution.AT_MOST_ONCE:
         step_job(state, job, JobEvent.OUTCOME_LOST, now_ms)
     else:
-        run_again(state, job, position_of(attempt), now_ms)
-    note_if_all_stopped(state, job, now_ms)
+        requeue_task(state, job, position_of(attempt), now_ms)
+    advance_if_all_stopped(state, job, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('send_stop')
@@ -136,18 +136,18 @@
     )
 
 
-@ATTEMPT_ACTIONS.register('withdraw')
-def _withdraw_action(
+@ATTEMPT_ACTIONS.register('persist_withdrawal')
+def _withdraw_start(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    _withdraw(state, state.jobs[attempt.job_id], attempt, now_ms)
+    _persist_withdrawal(state, state.jobs[attempt.job_id], attempt, now_ms)
 
 
-@ATTEMPT_ACTIONS.register('note_stopped')
-def _note_stopped(
+@ATTEMPT_ACTIONS.register('handle_stopped')
+def _handle_stopped(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
@@ -155,13 +155,13 @@
 ) -> None:
     job = state.jobs[attempt.job_id]
     if job.spec.workload is Workload.SERVICE:
-        # The next owner must know that this replica has stopped.
-        _withdraw(state, job, attempt, now_ms)
-    note_if_all_stopped(state, job, now_ms)
+        # A later owner must be able to tell that this replica has stopped.
+        _persist_withdrawal(state, job, attempt, now_ms)
+    advance_if_all_stopped(state, job, now_ms)
     if job.spec.workload is not Workload.GANG:
-        run_again(state, job, position_of(attempt), now_ms)
+        requeue_task(state, job, position_of(attempt), now_ms)
     elif attempt.stop_reason is not StopReason.GANG_RESTART:
-        run_again(state, job, position_of(attempt), now_ms)
+        requeue_task(state, job, position_of(attempt), now_ms)
 
 
 def _is_partly_run(job: JobRecord) -> bool:
@@ -177,7 +177,7 @@
     return started or bool(job.results)
 
 
-def _withdraw(
+def _persist_withdrawal(
     state: CoreState,
     job: JobRecord,
     attempt: Attempt,
@@ -188,7 +188,7 @@
         state.persist_for(job, withdrawn, now_ms)
 
 
-def _keep_output(
+def _record_output(
     state: CoreState,
     job: JobRecord,
     position: int,
@@ -211,8 +211,8 @@
     position: int,
     complete: bool,
 ) -> list[int]:
-    # A gang that restarts discards its results, so the journal gets them only
-    # when no restart can follow.
+    # A restart of a gang discards its results, so they are recorded only once
+    # no restart can follow.
     restarts = (
         job.spec.workload is Workload.GANG
         and job.spec.execution is Execution.IDEMPOTENT
--- a/fuchsiarill/core/avoidance.py
+++ b/fuchsiarill/core/avoidance.py
@@ -1,13 +1,13 @@
-"""Workers that a class avoids before it has succeeded anywhere.
+"""Workers that a job class avoids before it has succeeded anywhere.
 
-Without a success elsewhere it is open whether the worker or the class is at
-fault, so the worker keeps its state, and the class goes to others first.
+Without a success elsewhere, either the worker or the class may be at fault.
+The worker keeps its state, and the class uses other workers for a time.
 """
 
 from functools import partial
 from typing import Final
 
-from fuchsiarill.core.holding import note_room
+from fuchsiarill.core.holding import mark_released
 from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.timers import call_at
@@ -15,19 +15,20 @@
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.job import JobSpec
 
-# Long enough for tasks to end elsewhere, which shows what is at fault.
+# Long enough for tasks to end on other workers, which shows whether the worker
+# or the class is at fault.
 AVOIDANCE_MS: Final = 15_000
-# A class that fails on as many workers is taken to be at fault itself.
+# A class that fails on more workers is considered to be at fault itself.
 _FAILED_ON_MAX_COUNT: Final = 3
 
 
-def note_failure(
+def record_failure(
     state: CoreState,
     spec: JobSpec,
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    """Let a class avoid a worker on which it fails again and again."""
+    """Count a failure; after several, the class avoids the worker."""
     estimate = estimate_of(state, spec)
     if len(estimate.failed_on) > _FAILED_ON_MAX_COUNT:
         return
@@ -36,11 +37,11 @@
     if estimate.failed_on[worker.worker_id] < allowed_count:
         return
     worker.avoided_by.add((spec.customer, spec.job_class))
-    end = partial(_end, state, spec, worker.worker_id)
+    end = partial(_end_avoidance, state, spec, worker.worker_id)
     call_at(state, now_ms + AVOIDANCE_MS, end)
 
 
-def _end(
+def _end_avoidance(
     state: CoreState,
     spec: JobSpec,
     worker_id: WorkerId,
@@ -51,4 +52,4 @@
         return
     worker.avoided_by.discard((spec.customer, spec.job_class))
     estimate_of(state, spec).failed_on.pop(worker_id, None)
-    note_room(state, worker)
+    mark_released(state, worker)
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/deciding.py
@@ -1,17 +1,17 @@
-"""One round of decisions: what starts now, and on which worker."""
+"""One round of decisions: which tasks start now, and on which workers."""
 
 from itertools import islice
 from types import MappingProxyType
 from typing import Final
 
-from fuchsiarill.core.accelerators import accelerators_wait
+from fuchsiarill.core.accelerators import accelerator_jobs_wait
 from fuchsiarill.core.accounts import Account, Group, Obstacle, Rank
 from fuchsiarill.core.admission import starts_restricted
 from fuchsiarill.core.gangs import (
-    hold_for_task,
+    reserve_for_task,
     place_gang,
-    start_held,
-    take_released_room,
+    start_if_reserved,
+    move_holds_to_released,
 )
 from fuchsiarill.core.ordering import ordering_of
 from fuchsiarill.core.placement import (
@@ -21,7 +21,11 @@
 )
 from fuchsiarill.core.quotas import is_guaranteed, is_owed_urgently, may_hold
 from fuchsiarill.core.reclaim import reclaim_for
-from fuchsiarill.core.reservations import drop_reservation, has_room, is_valid
+from fuchsiarill.core.reservations import (
+    drop_reservation,
+    has_capacity,
+    is_valid,
+)
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.starting import start_next
 from fuchsiarill.core.state import CoreState
@@ -29,84 +33,91 @@
 from fuchsiarill.core.waiting import (
     block,
     dequeue,
-    next_taker,
+    group_for_released_capacity,
     rank_accounts,
-    reorder,
-    retry_some,
+    mark_unranked,
+    retry_unplaceable,
     unblock,
 )
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
 
-# The group that is looked at, its customer, and the rank it has.
-_Turn = tuple[Account, Group, Rank]
+# The account and the group to try next, and the rank of the account.
+_Candidate = tuple[Account, Group, Rank]
 # Steps of one call; the owner answers other messages in between.
 STEPS_MAX_COUNT: Final = 32
 _GANG_RETRY_INTERVAL_MS: Final = 500
-_SIZES_REMEMBERED_COUNT: Final = 16
-# Time after which room is looked for again where none could be reclaimed.
+_FAILED_SEARCH_SIZES_MAX_COUNT: Final = 16
+# Delay before reclaiming is tried again for a group without a victim.
 _RECLAIM_INTERVAL_MS: Final = 100
-# Waiting jobs of one group for which room is reclaimed at a time.
+# Waiting jobs of one group for which capacity is reclaimed at a time.
 _RECLAIMED_JOBS_COUNT: Final = 8
-# A group without a start for this time is taken to be kept out by smaller ones.
+# A group without a start for this time is considered starved by smaller jobs.
 _STARVING_MS: Final = 20_000
-# Time after which smaller jobs of a customer leave the quota to an older one.
+# Wait of an older job after which smaller ones of its customer no longer use
+# the quota that it needs.
 _QUOTA_YIELD_AFTER_MS: Final = 10_000
-# Room that ends of tasks give back in this time costs no lost work. Urgent work
-# has to start within 1,100 ms, of which the stops take their part.
+# Capacity that is released by ending tasks within this time costs no lost work.
+# Urgent jobs have to start within 1,100 ms, which includes the stops.
 _PREEMPT_AFTER_MS: Final = MappingProxyType(
     {'urgent': 300, 'guaranteed': 5_000}
 )
 
 
 def decide(state: CoreState, now_ms: int) -> bool:
-    """Start what can start; returns `True` when there may be more to do."""
+    """Start waiting tasks; returns `True` if there may be more to do."""
     run_due(state, now_ms)
-    retry_some(state, now_ms)
-    take_released_room(state, now_ms)
-    _wake_gangs(state, now_ms)
+    retry_unplaceable(state, now_ms)
+    move_holds_to_released(state, now_ms)
+    _unblock_gangs(state, now_ms)
     steps_count = 0
     while steps_count < STEPS_MAX_COUNT:
         steps_count += 1
-        turn = _next_turn(state)
-        if turn is None or not _advance(state, turn, now_ms):
+        candidate = _next_candidate(state)
+        if candidate is None or not _try_candidate(state, candidate, now_ms):
             return False
     return True
 
 
-def _next_turn(state: CoreState) -> _Turn | None:
-    """Return the group that is looked at next.
+def _next_candidate(state: CoreState) -> _Candidate | None:
+    """Return the group to try next.
 
-    Room that was released goes to a group that waits for it, unless others
-    are ready; then the order decides between all of them.
+    Released capacity is offered to an unplaceable group that fits. If other
+    groups are ready, the ordering policy decides between all of them.
     """
     rank_accounts(state)
     ordering = ordering_of(state)
-    taker = next_taker(state)
-    if taker is not None:
-        account = state.accounts[taker.customer]
-        if not state.order:
-            return account, taker, ordering.rank(state, account, taker)
-        unblock(state, account, taker)
+    offered_group = group_for_released_capacity(state)
+    if offered_group is not None:
+        account = state.accounts[offered_group.customer]
+        if not state.ready_order:
+            return (
+                account,
+                offered_group,
+                ordering.rank(state, account, offered_group),
+            )
+        unblock(state, account, offered_group)
         rank_accounts(state)
-    if not state.order:
+    if not state.ready_order:
         return None
-    rank, customer = state.order[0]
+    rank, customer = state.ready_order[0]
     account = state.accounts[customer]
-    return account, ordering.first(account.ready), rank
+    return account, ordering.first_group(account.ready), rank
 
 
-def _advance(state: CoreState, turn: _Turn, now_ms: int) -> bool:
-    """Start or set aside the next task; `False` ends the round."""
-    account, group, rank = turn
+def _try_candidate(
+    state: CoreState, candidate: _Candidate, now_ms: int
+) -> bool:
+    """Start the next task or block its group; `False` ends the round."""
+    account, group, rank = candidate
     job = state.jobs[group.head()]
     if not job.waiting:
         # Its tasks were found running after a takeover.
         dequeue(state, job)
         return True
     size = group_size(state, group)
-    obstacle = _standing_obstacle(state, account, group, now_ms)
+    obstacle = _find_obstacle(state, account, group, now_ms)
     if obstacle is not None:
         block(state, account, group, obstacle)
         if obstacle is Obstacle.QUOTA and group.urgent:
@@ -116,20 +127,20 @@
     if placed is not None:
         _after_start(state, account, group, placed)
         return True
-    return _without_room(state, turn, size, now_ms)
+    return _handle_failed_search(state, candidate, size, now_ms)
 
 
-def _without_room(
+def _handle_failed_search(
     state: CoreState,
-    turn: _Turn,
+    candidate: _Candidate,
     size: Resources,
     now_ms: int,
 ) -> bool:
-    account, group, rank = turn
+    account, group, rank = candidate
     block(state, account, group, Obstacle.ROOM, size)
     ordering = ordering_of(state)
-    if not ordering.strict and _starves(state, turn, now_ms):
-        hold_for_task(state, state.jobs[group.head()], size, now_ms)
+    if not ordering.strict and _is_starving(state, candidate, now_ms):
+        reserve_for_task(state, state.jobs[group.head()], size, now_ms)
     if ordering.strict:
         unblock(state, account, group)
         return False
@@ -139,14 +150,14 @@
     return True
 
 
-def _starves(state: CoreState, turn: _Turn, now_ms: int) -> bool:
-    """Tell whether the first group of all has not got any room for long."""
-    account, group, _rank = turn
+def _is_starving(state: CoreState, candidate: _Candidate, now_ms: int) -> bool:
+    """Tell whether the unplaceable group of the first rank is starving."""
+    account, group, _rank = candidate
     since_ms = max(group.first_at_ms, group.served_at_ms)
     if group.is_gang or now_ms - since_ms < _STARVING_MS:
         return False
     rank_accounts(state)
-    return bool(state.roomless_order[0][1] == account.customer)
+    return bool(state.unplaceable_order[0][1] == account.customer)
 
 
 def _after_start(
@@ -155,16 +166,16 @@
     group: Group,
     placed: JobRecord,
 ) -> None:
-    """Go on with the group, or block it if it has taken the last room.
+    """Keep the group ready, or block it if no further task of it fits.
 
-    Urgent groups go on, as room may have to be reclaimed for them.
+    Urgent groups stay ready, as capacity may have to be reclaimed for them.
     """
     if placed.waiting:
-        reorder(state, account)
+        mark_unranked(state, account)
     else:
         dequeue(state, placed)
     if group.obstacle is not None:
-        # It waits on for room, and may be offered that of the worker again.
+        # Still blocked; released capacity may be offered to it again.
         state.offered.discard(group)
         return
     size = group_size(state, group)
@@ -172,7 +183,9 @@
         return
     if ordering_of(state).strict or state.reservations:
         return
-    if not any(less.fits_in(size) for less in state.no_room_for):
+    if not any(
+        failed_size.fits_in(size) for failed_size in state.failed_search_sizes
+    ):
         return
     if any(
         size.fits_in(state.workers[worker_id].free)
@@ -182,7 +195,7 @@
     block(state, account, group, Obstacle.ROOM, size)
 
 
-def _standing_obstacle(
+def _find_obstacle(
     state: CoreState,
     account: Account,
     group: Group,
@@ -193,7 +206,8 @@
     if state.restricted and not starts_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
     if state.jobs[group.head()].moving:
-        # A replacement holds the room of its replica twice for a moment.
+        # A replacement and its replica are counted together until the replica
+        # stops, which may exceed the quota.
         return None
     if not may_hold(account, group_size_at_once(state, group)):
         return Obstacle.QUOTA
@@ -209,10 +223,10 @@
     group: Group,
     now_ms: int,
 ) -> bool:
-    """Tell whether an older job has waited long for more of the quota.
+    """Tell whether an older job of the customer has waited long for quota.
 
-    Smaller jobs of the same customer would otherwise use up each part of it
-    that comes free.
+    Smaller jobs of the same customer would otherwise use up each part of the
+    quota that is released.
     """
     for other in account.over_quota:
         if other.first_order > group.first_order:
@@ -231,10 +245,10 @@
     size: Resources,
     now_ms: int,
 ) -> JobRecord | None:
-    """Start a task or a gang; returns its job, `None` without room."""
+    """Start a task or a gang; returns its job, `None` if it does not fit."""
     if group.is_gang:
         return place_gang(state, group, size, now_ms)
-    if not start_held(state, job, now_ms):
+    if not start_if_reserved(state, job, now_ms):
         worker = _search(state, job, size, now_ms)
         if worker is None:
             return None
@@ -250,39 +264,41 @@
     size: Resources,
     now_ms: int,
 ) -> WorkerView | None:
-    if any(less.fits_in(size) for less in state.no_room_for):
+    if any(
+        failed_size.fits_in(size) for failed_size in state.failed_search_sizes
+    ):
         worker = find_released_worker(state, job, size)
     else:
         worker = find_worker(state, job, size)
-        if worker is None and _looked_everywhere(state, job, size):
-            _remember_no_room(state, size)
+        if worker is None and _searched_all_workers(state, job, size):
+            _record_failed_search(state, size)
     if worker is None and state.reservations:
         worker = find_held_worker(state, job, size, now_ms)
     return worker
 
 
-def _looked_everywhere(
+def _searched_all_workers(
     state: CoreState,
     job: JobRecord,
     size: Resources,
 ) -> bool:
     if job.failed_on:
         return False
-    return bool(size.accelerators_count) or not accelerators_wait(state)
+    return bool(size.accelerators_count) or not accelerator_jobs_wait(state)
 
 
-def _remember_no_room(state: CoreState, size: Resources) -> None:
-    state.no_room_for = [
-        other for other in state.no_room_for if not size.fits_in(other)
+def _record_failed_search(state: CoreState, size: Resources) -> None:
+    state.failed_search_sizes = [
+        other for other in state.failed_search_sizes if not size.fits_in(other)
     ]
-    if len(state.no_room_for) < _SIZES_REMEMBERED_COUNT:
-        state.no_room_for.append(size)
+    if len(state.failed_search_sizes) < _FAILED_SEARCH_SIZES_MAX_COUNT:
+        state.failed_search_sizes.append(size)
 
 
-def _wake_gangs(state: CoreState, now_ms: int) -> None:
-    """Let gangs try again whose workers have room by now, or are lost.
+def _unblock_gangs(state: CoreState, now_ms: int) -> None:
+    """Unblock gangs whose held workers have capacity by now, or are lost.
 
-    All try again after a time, as there may be room on other workers.
+    All gangs are unblocked at intervals, as other workers may have capacity.
     """
     retried = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
     if retried:
@@ -291,7 +307,9 @@
         for group in tuple(state.blocked_gangs):
             unblock(state, state.accounts[group.customer], group)
     for job_id, reservation in tuple(state.reservations.items()):
-        if is_valid(state, reservation) and not has_room(state, reservation):
+        if is_valid(state, reservation) and not has_capacity(
+            state, reservation
+        ):
             continue
         account = state.accounts[state.jobs[job_id].spec.customer]
         key = state.group_keys.get(job_id)
@@ -308,19 +326,19 @@
     policy: str,
     now_ms: int,
 ) -> None:
-    """Make room for the first jobs of a group that is owed it."""
+    """Reclaim capacity for the first jobs, within the entitlement."""
     if group.is_gang or now_ms < group.reclaim_after_ms:
         return
     preempt_after_ms = _PREEMPT_AFTER_MS[policy]
     if now_ms - group.first_at_ms < preempt_after_ms:
         return
     size = group_size(state, group)
-    owed = is_owed_urgently if policy == 'urgent' else _is_guaranteed
+    is_entitled = is_owed_urgently if policy == 'urgent' else _is_guaranteed
     for number, job_id in enumerate(
         islice(group.jobs, _RECLAIMED_JOBS_COUNT),
         start=1,
     ):
-        if not owed(state, account, size.times(number)):
+        if not is_entitled(state, account, size.times(number)):
             break
         job = state.jobs[job_id]
         if not reclaim_for(state, job, size, policy, now_ms):
--- a/fuchsiarill/core/effects.py
+++ b/fuchsiarill/core/effects.py
@@ -1,4 +1,4 @@
-"""What the decisions of a partition ask its owner to do."""
+"""Effects: the actions that a partition's decisions request of its owner."""
 
 from dataclasses import dataclass
 
@@ -11,9 +11,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PersistRecord:
-    """Put a record into the next group commit.
+    """Add a record to the next group commit.
 
-    `sequence` comes back in `PartitionCore.committed`, in rising order.
+    The owner passes `sequence` to `PartitionCore.committed`, in rising order.
     """
 
     sequence: int
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Send a start to a worker."""
+    """Send the start of an attempt to a worker."""
 
     worker_id: WorkerId
     attempt_id: AttemptId
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandTask:
-    """Send a stop, checkpoint or throttle to a worker."""
+    """Send a stop, checkpoint or throttle of an attempt to a worker."""
 
     worker_id: WorkerId
     attempt_id: AttemptId
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSettled:
-    """The final state of a job is durable; answer whoever waits."""
+    """The final state of a job is durable; waiting requests can be answered."""
 
     job_id: JobId
     state: JobState
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -1,4 +1,4 @@
-"""What is learned about the tasks of one job class of one customer."""
+"""Estimated size and run time of the tasks of one job class."""
 
 from collections import Counter, deque
 from dataclasses import dataclass, field
@@ -9,13 +9,13 @@
 from fuchsiarill.resources import NOTHING, Resources
 
 _SAMPLES_MAX_COUNT: Final = 32
-# Enough to tell a faulty worker from a faulty class.
+# Enough to distinguish a faulty worker from a faulty class.
 _WORKERS_MAX_COUNT: Final = 3
 
 
 @dataclass(slots=True)
 class Estimate:
-    """Latest samples and what follows from them.
+    """Latest samples of a job class, and the estimates based on them.
 
     `size` and `run_time_ms` are upper estimates, valid once there are enough
     samples; `version` counts changes of `size`. `succeeded_on` holds a few
@@ -37,7 +37,7 @@
     succeeded_on: set[WorkerId] = field(default_factory=set)
     failed_on: Counter[WorkerId] = field(default_factory=Counter)
 
-    def note_success_on(self, worker_id: WorkerId) -> None:
-        """Remember a worker on which a task succeeded."""
+    def record_success_on(self, worker_id: WorkerId) -> None:
+        """Add a worker on which a task succeeded, up to a limit."""
         if len(self.succeeded_on) < _WORKERS_MAX_COUNT:
             self.succeeded_on.add(worker_id)
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -1,4 +1,4 @@
-"""Answers to the question why a job waits."""
+"""Explains why a job waits."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -15,7 +15,7 @@
 
 
 class WaitReason(Enum):
-    """What holds a job that does not run."""
+    """Why a job does not run."""
 
     NOTHING = 'nothing'
     COMMIT = 'commit'
@@ -30,12 +30,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
-    """What a job waits for.
+    """Why a job waits, and how many jobs and customers precede it.
 
-    `field` is the resource that holds it, of which it needs `wanted` and
-    could have `available`. `ahead_own_count` counts jobs of the same customer
-    before it, `ahead_customers_count` customers whose turn is earlier.
-    `starts_at_ms` is set when workers are held for it.
+    `field` is the limiting resource, of which the job needs `wanted` and
+    only `available` is left. `ahead_own_count` counts earlier jobs of the same
+    customer, `ahead_customers_count` customers with a lower rank.
+    `starts_at_ms` is the expected start if workers are held for the job.
     """
 
     job_id: JobId
@@ -63,7 +63,7 @@
 
 
 def explain(state: CoreState, job: JobRecord, now_ms: int) -> Explanation:
-    """Say what a job waits for."""
+    """Return why a job waits; the reason is `NOTHING` if it does not."""
     waited_ms = now_ms - job.accepted_at_ms
     reason = _REASON_OF_STATE.get(job.state, WaitReason.NOTHING)
     if not is_waiting(state, job):
@@ -76,7 +76,7 @@
     reason = WaitReason.TURN
     if group.obstacle is not None:
         reason = _REASON_OF_OBSTACLE[group.obstacle]
-    field, wanted, available = _held_by(state, account, group)
+    field, wanted, available = _limiting_resource(state, account, group)
     reservation = state.reservations.get(job.job_id)
     return Explanation(
         job_id=job.job_id,
@@ -98,7 +98,7 @@
     return len(job.attempts) + len(job.results) < job.spec.tasks_count
 
 
-def _held_by(
+def _limiting_resource(
     state: CoreState,
     account: Account,
     group: Group,
@@ -137,5 +137,5 @@
 
 def _ahead_customers_count(state: CoreState, account: Account) -> int:
     if account.rank is None:
-        return len(state.order)
-    return int(state.order.index((account.rank, account.customer)))
+        return len(state.ready_order)
+    return int(state.ready_order.index((account.rank, account.customer)))
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -1,9 +1,9 @@
-"""Gangs: all tasks of a job are placed together or none is.
+"""Gang scheduling: all tasks of a job are placed together or none is.
 
-A gang without room reserves the workers on which it can start earliest. Gangs
-held for on one worker get their room in the order of their reservations, so
-no two wait for each other, and other tasks only use held workers when that
-delays no gang.
+A gang that does not fit yet reserves the workers on which it can start
+earliest. Reservations on the same worker are served in the order in which
+they were made, so that no two gangs wait for each other. Other tasks use a
+held worker only if that delays no gang.
 """
 
 from collections import Counter
@@ -12,17 +12,17 @@
 from typing import Final
 
 from fuchsiarill.core.accounts import Group
-from fuchsiarill.core.holding import refresh
-from fuchsiarill.core.placement import can_get_tasks, find_worker, suits
+from fuchsiarill.core.holding import refresh_index
+from fuchsiarill.core.placement import can_get_tasks, find_worker, is_eligible
 from fuchsiarill.core.reservation import Reservation
 from fuchsiarill.core.reservations import (
     change_hold,
     drop_reservation,
-    has_room,
-    held_until,
+    has_capacity,
+    held_up_to,
     hold_workers,
     is_valid,
-    worker_without_room,
+    worker_lacking_capacity,
 )
 from fuchsiarill.core.sizes import copies_in, run_time_of
 from fuchsiarill.core.starting import start_next
@@ -33,19 +33,20 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import WorkerState
 
-# Gangs that may hold workers at a time: what they hold idles until all of it
-# is there, so a small cell has few.
+# Limits of the reservations at a time: held capacity is idle until all of it
+# is free, so a small cell permits few of them.
 _RESERVATIONS_MIN_COUNT: Final = 2
 _RESERVATIONS_MAX_COUNT: Final = 16
 _WORKERS_PER_RESERVATION_COUNT: Final = 50
-# Waiting gangs of one group that are looked at in a decision.
-_GANGS_LOOKED_AT_COUNT: Final = 4
-# Gangs that take over room as it is released.
-_MOVED_COUNT: Final = 2
-# Workers looked at for each task of a gang, to bound the cost of a decision.
+# Waiting gangs of one group that are examined in a decision.
+_GANGS_EXAMINED_COUNT: Final = 4
+# Oldest reservations that may move to workers with released capacity.
+_MOVED_RESERVATIONS_COUNT: Final = 2
+# Workers examined for each task of a gang, to bound the cost of a decision.
 _CANDIDATES_PER_TASK_COUNT: Final = 16
 _CANDIDATES_MIN_COUNT: Final = 512
-_OVERRUN_MS: Final = 1_000
+# Expected remaining run time of an attempt that runs longer than expected.
+_OVERDUE_END_MS: Final = 1_000
 
 _Slot = tuple[int, WorkerId]
 
@@ -56,7 +57,7 @@
     size: Resources,
     now_ms: int,
 ) -> JobRecord | None:
-    """Start one of the first gangs of a group, and reserve for the others."""
+    """Start one of the oldest gangs of a group, or make reservations."""
     for job_id in first_gangs(group):
         job = state.jobs[job_id]
         if _start_or_reserve(state, job, size, now_ms):
@@ -64,38 +65,38 @@
     return None
 
 
-def hold_for_task(
+def reserve_for_task(
     state: CoreState,
     job: JobRecord,
     size: Resources,
     now_ms: int,
 ) -> None:
-    """Hold a worker for one task that smaller tasks would keep from starting.
+    """Reserve a worker for a task that smaller tasks would starve.
 
-    It is a gang of one as far as the reservation goes.
+    The task is treated as a gang of one.
     """
     if job.job_id not in state.reservations:
         _reserve(state, job, size, 1, now_ms)
 
 
-def start_held(state: CoreState, job: JobRecord, now_ms: int) -> bool:
-    """Start what a reservation of the job has room for."""
+def start_if_reserved(state: CoreState, job: JobRecord, now_ms: int) -> bool:
+    """Start all tasks of a job once its reservation has capacity."""
     reservation = state.reservations.get(job.job_id)
     if reservation is None:
         return False
-    return _start_reserved(state, job, reservation, now_ms)
+    return _start_on_reserved(state, job, reservation, now_ms)
 
 
 def first_gangs(group: Group) -> Iterator[JobId]:
-    """Yield the gangs of a group that are looked at in a decision."""
-    return islice(group.jobs, _GANGS_LOOKED_AT_COUNT)
+    """Yield the gangs of a group that are examined in a decision."""
+    return islice(group.jobs, _GANGS_EXAMINED_COUNT)
 
 
-def take_released_room(state: CoreState, now_ms: int) -> None:
-    """Let the oldest gangs use room that is free sooner than expected.
+def move_holds_to_released(state: CoreState, now_ms: int) -> None:
+    """Move holds of the oldest gangs to capacity released early.
 
-    The gang gives up its hold on a worker that has no room yet, so it never
-    holds more than it needs, and its start only comes nearer.
+    The gang releases its hold on a worker that lacks capacity, so it never
+    holds more than it needs, and its start is never delayed.
     """
     if not state.reservations:
         return
@@ -103,7 +104,9 @@
         worker = state.workers[worker_id]
         if worker.state is not WorkerState.READY:
             continue
-        for reservation in islice(state.reservations.values(), _MOVED_COUNT):
+        for reservation in islice(
+            state.reservations.values(), _MOVED_RESERVATIONS_COUNT
+        ):
             _move_hold(state, reservation, worker, now_ms)
 
 
@@ -114,13 +117,13 @@
     now_ms: int,
 ) -> None:
     job = state.jobs[reservation.job_id]
-    spare = worker.free - held_until(worker, None)
-    if not reservation.size.fits_in(spare) or not suits(worker, job):
+    spare = worker.free - held_up_to(worker, None)
+    if not reservation.size.fits_in(spare) or not is_eligible(worker, job):
         return
-    lacking = worker_without_room(state, reservation)
-    if lacking is None or lacking is worker:
+    full_worker = worker_lacking_capacity(state, reservation)
+    if full_worker is None or full_worker is worker:
         return
-    for changed, change in ((lacking, -1), (worker, 1)):
+    for changed, change in ((full_worker, -1), (worker, 1)):
         change_hold(state, reservation, changed, change, now_ms)
 
 
@@ -130,9 +133,9 @@
     size: Resources,
     now_ms: int,
 ) -> bool:
-    if start_held(state, job, now_ms):
+    if start_if_reserved(state, job, now_ms):
         return True
-    chosen = _choose(state, job, size, now_ms)
+    chosen = _choose_workers(state, job, size, now_ms)
     if len(chosen) == len(job.waiting):
         for worker in chosen:
             start_next(state, job, worker, size, now_ms)
@@ -143,10 +146,10 @@
     reservation = _reserve(state, job, size, len(job.waiting), now_ms)
     if reservation is None:
         return False
-    return _start_reserved(state, job, reservation, now_ms)
+    return _start_on_reserved(state, job, reservation, now_ms)
 
 
-def _start_reserved(
+def _start_on_reserved(
     state: CoreState,
     job: JobRecord,
     reservation: Reservation,
@@ -155,7 +158,7 @@
     if not is_valid(state, reservation):
         drop_reservation(state, job.job_id, now_ms)
         return False
-    if not has_room(state, reservation):
+    if not has_capacity(state, reservation):
         return False
     for worker_id, count in reservation.counts.items():
         for worker in repeat(state.workers[worker_id], count):
@@ -164,16 +167,16 @@
     return True
 
 
-def _choose(
+def _choose_workers(
     state: CoreState,
     job: JobRecord,
     size: Resources,
     now_ms: int,
 ) -> list[WorkerView]:
-    """Return a worker for each task, or fewer when there is no room.
+    """Return a worker for each task, or fewer if capacity does not suffice.
 
-    Choices are reserved while the next is made and released at the end; no
-    other decision comes in between.
+    Each choice is reserved until all are made, so that the next one takes it
+    into account. No other decision is made in the meantime.
     """
     chosen: list[WorkerView] = []
     while len(chosen) < len(job.waiting):
@@ -181,11 +184,11 @@
         if worker is None:
             break
         worker.reserve(size)
-        refresh(state, worker, now_ms)
+        refresh_index(state, worker, now_ms)
         chosen.append(worker)
     for worker in chosen:
         worker.reserve(NOTHING - size)
-        refresh(state, worker, now_ms)
+        refresh_index(state, worker, now_ms)
     return chosen
 
 
@@ -200,8 +203,8 @@
         return None
     slots: list[_Slot] = []
     for worker in _candidates(state, tasks_count, now_ms):
-        if suits(worker, job):
-            slots.extend(_slots_of(state, worker, size, now_ms))
+        if is_eligible(worker, job):
+            slots.extend(_start_slots_of(state, worker, size, now_ms))
     if len(slots) < tasks_count:
         return None
     slots.sort()
@@ -239,29 +242,29 @@
     return islice(usable, max(limit, _CANDIDATES_MIN_COUNT))
 
 
-def _slots_of(
+def _start_slots_of(
     state: CoreState,
     worker: WorkerView,
     size: Resources,
     now_ms: int,
 ) -> list[_Slot]:
-    """Return when the worker has room for one, two and more tasks."""
-    room = worker.free - held_until(worker, None)
+    """Return when the worker has capacity for one, two and more tasks."""
+    available = worker.free - held_up_to(worker, None)
     now = (now_ms, worker.worker_id)
-    slots = list(repeat(now, copies_in(room, size)))
-    for ends_at_ms, reserved in _releases(state, worker, now_ms):
-        room += reserved
-        gained_count = copies_in(room, size) - len(slots)
+    slots = list(repeat(now, copies_in(available, size)))
+    for ends_at_ms, reserved in _expected_releases(state, worker, now_ms):
+        available += reserved
+        gained_count = copies_in(available, size) - len(slots)
         slots.extend(repeat((ends_at_ms, worker.worker_id), gained_count))
     return slots
 
 
-def _releases(
+def _expected_releases(
     state: CoreState,
     worker: WorkerView,
     now_ms: int,
 ) -> list[tuple[int, Resources]]:
-    """Return when attempts are expected to end; services never do."""
+    """Return when attempts are expected to end; services are left out."""
     releases = []
     for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
@@ -269,8 +272,8 @@
         if run_time_ms is None:
             continue
         ends_at_ms = attempt.placed_at_ms + run_time_ms
-        # An attempt past its expected end is taken to end soon.
-        ends_at_ms = max(ends_at_ms, now_ms + _OVERRUN_MS)
+        # An overdue attempt is expected to end soon.
+        ends_at_ms = max(ends_at_ms, now_ms + _OVERDUE_END_MS)
         releases.append((ends_at_ms, attempt.reserved))
     releases.sort(key=_release_time)
     return releases
--- a/fuchsiarill/core/holding.py
+++ b/fuchsiarill/core/holding.py
@@ -1,7 +1,7 @@
-"""Reservations on workers: the only place that changes what is held.
+"""Accounting of the resources that attempts reserve.
 
-Every change keeps the worker, the index, the account of the customer and the
-groups that wait for room in step.
+Every change keeps the worker, the index, the account of the customer and its
+blocked groups consistent.
 """
 
 from typing import Final
@@ -9,7 +9,7 @@
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.quotas import account_of, share_of
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.waiting import reorder, unblock_account
+from fuchsiarill.core.waiting import mark_unranked, unblock_account
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import (
     Attempt,
@@ -22,44 +22,45 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import WorkerState
 
-# Tasks a worker on probation runs at once, doubled with each success.
+# Tasks that a worker on probation runs at once, doubled with each success.
 _PROBES_FIRST_COUNT: Final = 1
 
 
-def take(state: CoreState, job: JobRecord, attempt: Attempt) -> None:
-    """Reserve for an attempt on its worker and on the customer's account.
+def reserve_attempt(state: CoreState, job: JobRecord, attempt: Attempt) -> None:
+    """Reserve resources for an attempt on its worker and its account.
 
-    Also used for attempts found on a worker after a takeover; then the worker
-    may be held above its capacity, and gets nothing until that has passed.
+    Also used for attempts that a worker reports after a takeover. These may
+    exceed the capacity of the worker, which then gets no tasks until enough
+    of them have ended.
     """
     state.attempts[attempt.attempt_id] = attempt
     job.attempts[attempt.attempt_id] = attempt
     account = account_of(state, job.spec.customer)
-    _count(state, account, job, attempt.reserved)
+    _add_to_account(state, account, job, attempt.reserved)
     account.served_at_ms = max(account.served_at_ms, attempt.placed_at_ms)
-    _note_stoppable(account, job, attempt)
-    reorder(state, account)
+    _add_preemptible(account, job, attempt)
+    mark_unranked(state, account)
     worker = state.workers.get(attempt.worker_id)
     if worker is not None:
-        attach(state, worker, attempt, attempt.placed_at_ms)
+        reserve_on_worker(state, worker, attempt, attempt.placed_at_ms)
 
 
-def attach(
+def reserve_on_worker(
     state: CoreState,
     worker: WorkerView,
     attempt: Attempt,
     now_ms: int,
 ) -> None:
-    """Reserve on the worker, when it is known only after the attempt."""
+    """Reserve an attempt on its worker; a repeated call changes nothing."""
     if attempt.attempt_id in worker.attempts:
         return
     worker.attempts.add(attempt.attempt_id)
     worker.reserve(attempt.reserved)
-    refresh(state, worker, now_ms)
+    refresh_index(state, worker, now_ms)
 
 
-def give_back(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Release what an attempt held; a repeated call changes nothing."""
+def release_attempt(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Release an attempt's resources; a repeated call changes nothing."""
     if state.attempts.pop(attempt.attempt_id, None) is None:
         return
     state.unrenewed.pop(attempt.attempt_id, None)
@@ -67,61 +68,61 @@
     job.attempts.pop(attempt.attempt_id, None)
     account = account_of(state, job.spec.customer)
     released = NOTHING - attempt.reserved
-    _count(state, account, job, released)
+    _add_to_account(state, account, job, released)
     if attempt.stop_reason is StopReason.RECLAIMED:
         account.reclaimed -= attempt.reserved
-    account.stoppable.pop(attempt.attempt_id, None)
-    account.services.pop(attempt.attempt_id, None)
+    account.preemptible_batch.pop(attempt.attempt_id, None)
+    account.preemptible_services.pop(attempt.attempt_id, None)
     unblock_account(state, account)
-    reorder(state, account)
+    mark_unranked(state, account)
     worker = state.workers.get(attempt.worker_id)
     if worker is None or attempt.attempt_id not in worker.attempts:
         return
     worker.attempts.discard(attempt.attempt_id)
     worker.reserve(released)
-    refresh(state, worker, now_ms)
-    note_room(state, worker)
+    refresh_index(state, worker, now_ms)
+    mark_released(state, worker)
 
 
-def resize(
+def resize_attempt(
     state: CoreState,
     attempt: Attempt,
     size: Resources,
     now_ms: int,
 ) -> None:
-    """Change what a running attempt holds."""
+    """Change the reservation of a running attempt."""
     before = attempt.reserved
     attempt.reserved = size
     job = state.jobs[attempt.job_id]
     account = account_of(state, job.spec.customer)
-    _count(state, account, job, size - before)
-    reorder(state, account)
+    _add_to_account(state, account, job, size - before)
+    mark_unranked(state, account)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
     worker.reserve(size - before)
-    refresh(state, worker, now_ms)
+    refresh_index(state, worker, now_ms)
     if not before.fits_in(size):
         unblock_account(state, account)
-        note_room(state, worker)
+        mark_released(state, worker)
 
 
-def refresh(state: CoreState, worker: WorkerView, now_ms: int) -> None:
-    """Put a worker into the index, or take it out if it gets no tasks."""
-    if admits(worker, now_ms):
-        state.index.place(worker)
+def refresh_index(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    """Update the index entry of a worker; one that gets no tasks has none."""
+    if accepts_tasks(worker, now_ms):
+        state.index.update(worker)
     else:
         state.index.remove(worker)
 
 
-def note_room(state: CoreState, worker: WorkerView) -> None:
-    """Let the next decision offer the room of a worker."""
+def mark_released(state: CoreState, worker: WorkerView) -> None:
+    """Let the next decision offer the free capacity of a worker."""
     if worker.state not in {WorkerState.READY, WorkerState.PROBATION}:
         return
     state.released[worker.worker_id] = None
 
 
-def admits(worker: WorkerView, now_ms: int) -> bool:
+def accepts_tasks(worker: WorkerView, now_ms: int) -> bool:
     """Tell whether a worker may get further tasks of any job."""
     if worker.holds:
         return False
@@ -135,7 +136,7 @@
     return len(worker.attempts) < allowed_count
 
 
-def _count(
+def _add_to_account(
     state: CoreState,
     account: Account,
     job: JobRecord,
@@ -147,7 +148,7 @@
         account.urgent_held += change
 
 
-def _note_stoppable(
+def _add_preemptible(
     account: Account,
     job: JobRecord,
     attempt: Attempt,
@@ -158,6 +159,6 @@
     if spec.urgency is Urgency.URGENT:
         return
     if spec.workload is Workload.SERVICE:
-        account.services[attempt.attempt_id] = None
+        account.preemptible_services[attempt.attempt_id] = None
     elif spec.workload is Workload.BATCH:
-        account.stoppable[attempt.attempt_id] = None
+        account.preemptible_batch[attempt.attempt_id] = None
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -1,9 +1,9 @@
-"""What the host list and the configuration say of workers."""
+"""Applies the host list and the configured draining to the workers."""
 
 from collections import Counter
 
-from fuchsiarill.core.adoption import worker_listed
-from fuchsiarill.core.holding import refresh
+from fuchsiarill.core.adoption import reserve_restored_attempts
+from fuchsiarill.core.holding import refresh_index
 from fuchsiarill.core.quotas import refresh_shares
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_worker
@@ -15,15 +15,15 @@
 from fuchsiarill.workers import HostEntry, HostState
 
 
-def take_over_hosts(
+def apply_host_list(
     state: CoreState,
     entries: tuple[HostEntry, ...],
     now_ms: int,
 ) -> None:
-    """Take over one reading of the host list.
+    """Add, update and remove workers by the host list.
 
-    An empty list is taken for a fault of the list: to act on it would stop
-    every start.
+    An empty list is ignored as a fault of the list: applying it would stop
+    all starts.
     """
     if not entries and state.workers:
         return
@@ -31,30 +31,30 @@
     listed = {entry.worker_id for entry in entries}
     for worker_id in tuple(state.workers):
         if worker_id not in listed:
-            _unlist(state, worker_id, now_ms)
+            _remove_unlisted(state, worker_id, now_ms)
     for entry in entries:
-        _list(state, entry, now_ms)
-    _sum_up(state)
+        _apply_entry(state, entry, now_ms)
+    _update_capacities(state)
 
 
 def apply_draining(state: CoreState, now_ms: int) -> None:
-    """Drain, and take back, the workers that the configuration names."""
+    """Start or end the draining of workers by the configuration."""
     draining = set(state.config.draining_workers)
     for worker in state.workers.values():
         _step_listed(state, worker, worker.worker_id in draining, now_ms)
 
 
-def _list(state: CoreState, entry: HostEntry, now_ms: int) -> None:
+def _apply_entry(state: CoreState, entry: HostEntry, now_ms: int) -> None:
     worker = state.workers.get(entry.worker_id)
     if worker is None:
         worker = WorkerView(entry, WorkerState.UNSEEN)
         state.workers[entry.worker_id] = worker
-        worker_listed(state, worker, now_ms)
+        reserve_restored_attempts(state, worker, now_ms)
     elif worker.entry != entry:
-        # The index finds a worker by its entry.
+        # The index locates a worker by its entry.
         state.index.remove(worker)
-        worker.relist(entry)
-        refresh(state, worker, now_ms)
+        worker.update_entry(entry)
+        refresh_index(state, worker, now_ms)
     draining = entry.worker_id in state.config.draining_workers
     _step_listed(state, worker, draining, now_ms)
 
@@ -71,7 +71,9 @@
     step_worker(state, worker, event, now_ms)
 
 
-def _unlist(state: CoreState, worker_id: WorkerId, now_ms: int) -> None:
+def _remove_unlisted(
+    state: CoreState, worker_id: WorkerId, now_ms: int
+) -> None:
     worker = state.workers[worker_id]
     step_worker(state, worker, WorkerEvent.UNLISTED, now_ms)
     if not worker.attempts:
@@ -80,7 +82,7 @@
         state.released.pop(worker_id, None)
 
 
-def _sum_up(state: CoreState) -> None:
+def _update_capacities(state: CoreState) -> None:
     capacities = Counter(
         worker.entry.capacity
         for worker in state.workers.values()
--- a/fuchsiarill/core/job_actions.py
+++ b/fuchsiarill/core/job_actions.py
@@ -1,4 +1,4 @@
-"""Actions that the job chart names."""
+"""Actions of the job chart, `charts/job.yaml`."""
 
 from functools import partial
 from typing import Final
@@ -13,7 +13,7 @@
 from fuchsiarill.job import JobRecord
 from fuchsiarill.records import CancelAsked, JobEnded
 
-# Ended jobs are kept, so that a repeated submission gets its first answer.
+# Ended jobs are kept, so that a repeated submission gets its original answer.
 ENDED_MAX_COUNT: Final = 20_000
 ENDED_MAX_AGE_MS: Final = 86_400_000
 
@@ -27,7 +27,7 @@
 def _dequeue(state: CoreState, job: JobRecord, now_ms: int) -> None:
     dequeue(state, job)
     job.waiting.clear()
-    state.reclaims.pop(job.job_id, None)
+    state.reclaim_pending_until_ms.pop(job.job_id, None)
     state.gang_restarts.pop(job.job_id, None)
     drop_reservation(state, job.job_id, now_ms)
 
@@ -42,18 +42,18 @@
     stop_all(state, job, now_ms)
 
 
-@JOB_ACTIONS.register('settle')
-def _settle(state: CoreState, job: JobRecord, now_ms: int) -> None:
+@JOB_ACTIONS.register('persist_outcome')
+def _persist_outcome(state: CoreState, job: JobRecord, now_ms: int) -> None:
     ended = JobEnded(job.job_id, job.state)
-    state.persist_for(job, ended, now_ms, partial(_announce, state, job))
+    state.persist_for(job, ended, now_ms, partial(_publish_outcome, state, job))
 
 
-def _announce(state: CoreState, job: JobRecord, now_ms: int) -> None:
+def _publish_outcome(state: CoreState, job: JobRecord, now_ms: int) -> None:
     state.effects.append(JobSettled(job.job_id, job.state))
     state.ended.append((now_ms, job.job_id))
     while _has_expired(state, now_ms):
         expired = state.ended.popleft()
-        if not _forget(state, expired[1]):
+        if not _evict(state, expired[1]):
             state.ended.append(expired)
             break
 
@@ -64,8 +64,8 @@
     return now_ms - state.ended[0][0] > ENDED_MAX_AGE_MS
 
 
-def _forget(state: CoreState, job_id: JobId) -> bool:
-    """Drop a job; returns `False` while attempts of it are being stopped."""
+def _evict(state: CoreState, job_id: JobId) -> bool:
+    """Remove a job; returns `False` while attempts of it are being stopped."""
     job = state.jobs.get(job_id)
     if job is None:
         return True
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -1,20 +1,20 @@
 """Learns the size and the run time of each job class from usage reports.
 
-An attempt that needs more than it reserved grows where its worker has room.
-Without room the attempt itself is limited, never its neighbours.
+The reservation of an attempt that uses more is raised if its worker has free
+capacity. Otherwise the attempt itself is limited, never other attempts.
 """
 
 from typing import Final
 
 from fuchsiarill.core.effects import CommandTask
 from fuchsiarill.core.estimate import Estimate
-from fuchsiarill.core.holding import resize
-from fuchsiarill.core.requeue import ask_to_stop
+from fuchsiarill.core.holding import resize_attempt
+from fuchsiarill.core.requeue import request_stop
 from fuchsiarill.core.sizes import (
     EVIDENCE_MIN_COUNT,
     estimate_of,
     has_evidence,
-    larger,
+    elementwise_max,
 )
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import (
@@ -28,36 +28,39 @@
 from fuchsiarill.states import AttemptState
 from fuchsiarill.workers import CommandKind, TaskReport
 
-# Above the largest size that a class needed, and above what an attempt used.
-# Few samples may all be small ones, so they get a wider margin: 23% for
-# the first three, 5% for all that are kept.
+# Margins above the largest usage of a class and above that of one attempt.
+# Few samples may all be small ones, so a class with few has a wider margin: 23%
+# with three samples, 5% with as many as are kept.
 SIZE_MARGIN_RATIO: Final = 1.03
 _FEW_SAMPLES_MARGIN_RATIO: Final = 0.6
-OWN_MARGIN_RATIO: Final = 1.02
+ATTEMPT_MARGIN_RATIO: Final = 1.02
 _RUN_TIME_PERCENTILE: Final = 0.95
-# With this many samples, estimates are computed anew for every fourth only.
-_SETTLED_COUNT: Final = 16
+# From this many samples on, only every fourth updates the estimates.
+_DEFERRED_UPDATES_MIN_COUNT: Final = 16
 _SAMPLES_PER_UPDATE_COUNT: Final = 4
 # Usage lags: the first reports of a task may not show its full size.
 _USAGE_REPORTS_MIN_COUNT: Final = 3
 # Learned sizes are rounded up to this many binary digits, so that classes of
-# like size share one search for room.
+# similar size share one search for a worker.
 _DIGITS_COUNT: Final = 6
 
 
-def note_usage(
+def record_usage(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport,
     now_ms: int,
 ) -> None:
-    """Take over the measured usage of a running attempt."""
+    """Apply the measured usage of a running attempt.
+
+    Adapts its reservation and adds a sample to the estimate of its class.
+    """
     used = report.used
     if attempt.state is not AttemptState.RUNNING or not _is_measured(used):
         return
     attempt.usage_reports_count += 1
     if not used.fits_in(attempt.peak):
-        attempt.peak = larger(attempt.peak, _measured(used))
+        attempt.peak = elementwise_max(attempt.peak, _measured(used))
     if not attempt.peak.fits_in(attempt.reserved):
         _grow_or_limit(state, attempt, now_ms)
         return
@@ -70,21 +73,21 @@
         _shrink(state, attempt, spec, now_ms)
 
 
-def note_end(
+def learn_from_success(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
 ) -> None:
-    """Learn from an attempt that succeeded."""
+    """Add run time and usage of a succeeded attempt to the estimate."""
     spec = state.jobs[attempt.job_id].spec
     estimate = estimate_of(state, spec)
     if report is not None and report.run_time_ms:
         estimate.run_times_ms.append(report.run_time_ms)
-        if not _is_settled(estimate):
+        if not _may_defer_update(estimate):
             estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
     if report is not None and _is_measured(report.used):
         attempt.usage_reports_count += 1
-        attempt.peak = larger(attempt.peak, _measured(report.used))
+        attempt.peak = elementwise_max(attempt.peak, _measured(report.used))
     if attempt.usage_reports_count:
         _add_peak(estimate, attempt.peak)
 
@@ -94,14 +97,15 @@
 
 
 def _measured(used: Resources) -> Resources:
-    # Accelerators and slots are held whole; only the others are estimated.
+    # Accelerators and slots are reserved as declared; only the others are
+    # estimated.
     return Resources(used.processors_milli, used.memory_mb)
 
 
 def _add_peak(estimate: Estimate, peak: Resources) -> None:
     estimate.peaks.append(peak)
     estimate.samples_count += 1
-    if _is_settled(estimate) and peak.fits_in(estimate.size):
+    if _may_defer_update(estimate) and peak.fits_in(estimate.size):
         return
     samples_count = len(estimate.peaks)
     ratio = SIZE_MARGIN_RATIO + _FEW_SAMPLES_MARGIN_RATIO / samples_count
@@ -116,9 +120,9 @@
         estimate.version += 1
 
 
-def _is_settled(estimate: Estimate) -> bool:
-    """Tell whether one sample more can wait to be taken into account."""
-    if len(estimate.run_times_ms) < _SETTLED_COUNT:
+def _may_defer_update(estimate: Estimate) -> bool:
+    """Tell whether the estimate need not be updated for this sample."""
+    if len(estimate.run_times_ms) < _DEFERRED_UPDATES_MIN_COUNT:
         return False
     return bool(estimate.samples_count % _SAMPLES_PER_UPDATE_COUNT)
 
@@ -140,58 +144,59 @@
     spec: JobSpec,
     now_ms: int,
 ) -> None:
-    """Release what an attempt reserved and has not used so far."""
+    """Release the part of a reservation that the attempt has not used."""
     estimate = estimate_of(state, spec)
     if attempt.sized_version == estimate.version or not has_evidence(estimate):
         return
     attempt.sized_version = estimate.version
-    needed = _padded(attempt)
+    needed = _usage_with_margin(attempt)
     if needed != attempt.reserved and needed.fits_in(attempt.reserved):
-        resize(state, attempt, needed, now_ms)
+        resize_attempt(state, attempt, needed, now_ms)
 
 
-def _padded(attempt: Attempt) -> Resources:
+def _usage_with_margin(attempt: Attempt) -> Resources:
     return Resources(
-        _with_margin(attempt.peak.processors_milli, OWN_MARGIN_RATIO),
-        _with_margin(attempt.peak.memory_mb, OWN_MARGIN_RATIO),
+        _with_margin(attempt.peak.processors_milli, ATTEMPT_MARGIN_RATIO),
+        _with_margin(attempt.peak.memory_mb, ATTEMPT_MARGIN_RATIO),
         attempt.reserved.accelerators_count,
         attempt.reserved.slots_count,
     )
 
 
 def _grow_or_limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    wanted = larger(attempt.reserved, _padded(attempt))
-    needed = larger(attempt.reserved, attempt.peak)
+    wanted = elementwise_max(attempt.reserved, _usage_with_margin(attempt))
+    needed = elementwise_max(attempt.reserved, attempt.peak)
     worker = state.workers.get(attempt.worker_id)
     for size in (wanted, needed):
         more = size - attempt.reserved
         if worker is not None and more.fits_in(worker.free):
-            resize(state, attempt, size, now_ms)
+            resize_attempt(state, attempt, size, now_ms)
             return
     if not attempt.is_limited:
         attempt.is_limited = True
-        _limit(state, attempt, now_ms)
+        _limit_attempt(state, attempt, now_ms)
 
 
-def _limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Throttle what needs processors; memory needs a start elsewhere."""
+def _limit_attempt(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Throttle an excess of processors; restart for an excess of memory."""
     spec = state.jobs[attempt.job_id].spec
     if attempt.peak.memory_mb <= attempt.reserved.memory_mb:
-        _command(state, attempt, CommandKind.THROTTLE)
+        _send_command(state, attempt, CommandKind.THROTTLE)
         return
-    # A task that may run only once goes on from its checkpoint. Without
-    # learning, a restart would have the same size and be stopped again.
+    # An at-most-once task may not be restarted; it continues from its
+    # checkpoint. Without learning, a restarted task would reserve the same
+    # size and be stopped again.
     once = spec.execution is Execution.AT_MOST_ONCE
     if once or not state.config.policies.learn_sizes:
-        _command(state, attempt, CommandKind.CHECKPOINT)
+        _send_command(state, attempt, CommandKind.CHECKPOINT)
         return
     _add_peak(estimate_of(state, spec), attempt.peak)
     if spec.workload is Workload.BATCH:
-        _command(state, attempt, CommandKind.CHECKPOINT)
-    ask_to_stop(state, attempt, StopReason.OVERUSE, now_ms)
+        _send_command(state, attempt, CommandKind.CHECKPOINT)
+    request_stop(state, attempt, StopReason.OVERUSE, now_ms)
 
 
-def _command(
+def _send_command(
     state: CoreState,
     attempt: Attempt,
     kind: CommandKind,
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -1,4 +1,4 @@
-"""Task leases, as the owner must assume that the workers see them."""
+"""Upper bounds of the task leases that the workers hold."""
 
 from typing import Final
 
@@ -8,12 +8,12 @@
 from fuchsiarill.states import AttemptEvent
 
 # A renewal reaches a worker at most one call time-out (2,000 ms) after it was
-# asked for; the rest covers clocks that differ by 1% over a lease.
+# sent; the rest covers clocks that differ by 1% over a lease.
 LEASE_MARGIN_MS: Final = 2_500
 
 
 def lease_end_ms(state: CoreState, asked_at_ms: int) -> int:
-    """Return the end of leases that were granted in an exchange."""
+    """Return the latest end of a lease granted in an exchange of that time."""
     lease_ms = state.config.policies.task_lease_ms
     return asked_at_ms + lease_ms + LEASE_MARGIN_MS
 
@@ -23,7 +23,7 @@
     reported: set[AttemptId],
     asked_at_ms: int,
 ) -> None:
-    """Note that an answered exchange extended the leases of attempts."""
+    """Extend the leases of attempts that a worker has reported."""
     ends_at_ms = lease_end_ms(state, asked_at_ms)
     for attempt_id in reported:
         attempt = state.attempts.get(attempt_id)
@@ -38,7 +38,7 @@
     worker_id: WorkerId,
     ends_at_ms: int,
 ) -> None:
-    """Note until when a worker may run what it was last told to run."""
+    """Extend the leases of all attempts of a worker up to `ends_at_ms`."""
     worker = state.workers.get(worker_id)
     if worker is None:
         return
@@ -48,7 +48,7 @@
 
 
 def lapse(state: CoreState, now_ms: int) -> None:
-    """Move on what no worker can be running any longer."""
+    """Step the attempts that no worker can still run, as leases have ended."""
     for attempt_id in tuple(state.unrenewed):
         attempt = state.attempts[attempt_id]
         if now_ms < attempt.lease_ends_at_ms:
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -1,8 +1,8 @@
 """The durable part of a partition's state: the fold of its records.
 
-`LedgerImage` folds records in journal order and gives out the fewest records
-that fold to the same image, which is what a snapshot holds. `restore` builds
-the state of a new owner from an image.
+`LedgerImage` folds records in journal order and yields the fewest records that
+fold to the same image, which form a snapshot. `restore` builds the state of a
+new owner from an image.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -10,7 +10,7 @@
 from typing import Any, Final
 
 from fuchsiarill import records
-from fuchsiarill.core.holding import take
+from fuchsiarill.core.holding import reserve_attempt
 from fuchsiarill.core.recovery import OUTAGE_EVIDENCE_VALID_MS
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True)
 class JobImage:
-    """Everything durable of one job."""
+    """Durable state of one job."""
 
     spec: JobSpec
     finished: dict[int, str] = field(default_factory=dict)
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True)
 class LedgerImage:
-    """Everything durable of one partition."""
+    """Durable state of one partition."""
 
     epoch: Epoch = NO_EPOCH
     process: ProcessId = ProcessId('')
@@ -50,7 +50,7 @@
     ended: dict[JobId, None] = field(default_factory=dict)
 
     def apply(self, record: records.Record) -> None:
-        """Fold one record; records of forgotten jobs change nothing."""
+        """Fold one record; records of evicted jobs change nothing."""
         _FOLDS.lookup(type(record))(self, record)
 
     def compacted(self) -> Iterator[records.Record]:
@@ -64,7 +64,7 @@
                 yield from _records_of(live_id, image)
 
     def forget_ended(self) -> None:
-        """Drop the jobs that ended first beyond the limit."""
+        """Evict the jobs that ended first, down to the limit."""
         while len(self.ended) > ENDED_MAX_COUNT:
             oldest = next(iter(self.ended))
             self.ended.pop(oldest)
@@ -87,9 +87,9 @@
 def restore(
     state: CoreState, journal: Iterable[records.Record], now_ms: int
 ) -> None:
-    """Fill the state of a new owner; nothing may have happened before.
+    """Restore the state of a new owner; `state` must be newly created.
 
-    Until the recovery ends, nothing is started that may run already.
+    Until the recovery ends, no task is started that may already run.
     """
     image = fold(journal)
     lease_ms = max(image.task_lease_ms, state.config.policies.task_lease_ms)
@@ -102,17 +102,17 @@
 
 
 def lapse_bound_ms(lease_ms: int) -> int:
-    """Return the longest time, in this clock, that a lease may last."""
+    """Return the longest duration of a lease, measured by this clock."""
     return int(lease_ms * _CLOCK_RATE)
 
 
 def task_of(attempt_id: AttemptId) -> TaskId:
-    """Return the task that an attempt id names."""
+    """Return the task id that an attempt id contains."""
     return TaskId(attempt_id.rpartition('@')[0])
 
 
 def job_of(task_id: TaskId) -> JobId:
-    """Return the job that a task id names."""
+    """Return the job id that a task id contains."""
     return JobId(task_id.rpartition('/')[0])
 
 
@@ -166,7 +166,7 @@
         placed_at_ms=job.accepted_at_ms,
         lease_ends_at_ms=state.recovery.ends_at_ms,
     )
-    take(state, job, attempt)
+    reserve_attempt(state, job, attempt)
     state.unrenewed[attempt.attempt_id] = None
     state.recovery.intents[attempt.attempt_id] = intent.incarnation
 
@@ -180,7 +180,7 @@
     if job.spec.execution is Execution.AT_MOST_ONCE:
         step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
         return
-    # Idempotent tasks left no record; workers may still report some.
+    # Starts of idempotent tasks are not recorded; workers may report some.
     state.recovery.cancelled[job.job_id] = None
 
 
@@ -195,7 +195,7 @@
         if position not in settled
     ]
     if job.spec.execution is Execution.AT_MOST_ONCE:
-        # A start without a committed intent has not left any owner.
+        # No owner sends a start before its intent is committed.
         job.waiting.extend(open_positions)
     elif open_positions and state.recovery.is_open:
         state.recovery.held[job.job_id] = set(open_positions)
--- a/fuchsiarill/core/limits.py
+++ b/fuchsiarill/core/limits.py
@@ -11,7 +11,7 @@
 
 
 def take_token(account: Account, now_ms: int) -> Refusal | None:
-    """Count one submission; returns the refusal when the rate is exceeded."""
+    """Count one submission; returns a refusal if the rate is exceeded."""
     contract = account.contract
     if contract is None:
         return None
@@ -45,5 +45,5 @@
     elapsed_ms = now_ms - account.refilled_at_ms
     account.refilled_at_ms = now_ms
     gained = elapsed_ms * rate_per_s / _MS_PER_SECOND
-    # The minimum also cuts what a smaller burst no longer permits.
+    # The minimum also discards tokens above a burst that was lowered.
     account.tokens = min(account.tokens + gained, burst_count)
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -1,8 +1,8 @@
-"""Ordering policies: which customer's job is looked at next.
+"""Ordering policies: which customer's job is tried next.
 
 A policy ranks the customers that have jobs ready to be placed; the lowest
-rank comes first. Ranks do not depend on the present time, so they only change
-with what a customer holds and waits for.
+rank comes first. Ranks do not depend on the current time, so they change only
+with the reservations and the waiting jobs of a customer.
 """
 
 from collections.abc import Collection, Mapping
@@ -19,8 +19,8 @@
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.registry import Registry
 
-# A customer without a start for this time counts as holding nothing against
-# one that was just served and holds the whole cell.
+# After this time without a start, a customer that holds the whole cell ranks
+# equal to one that holds nothing and has just had a start, at a weight of 1.
 _AGEING_MS: Final = 300_000
 _AGEING_WEIGHT_MIN: Final = 0.1
 
@@ -30,21 +30,21 @@
 
 
 class Ordering(Protocol):
-    """How customers, and the groups of one customer, are ordered.
+    """Policy that orders customers, and the groups of one customer.
 
-    With `strict`, nothing overtakes a job that waits for room. `preemptions`
-    names the preemption policy for each first part of a rank that is owed
-    room.
+    With `strict`, no job overtakes a job that waits for capacity.
+    `preemptions` maps the first part of a rank to the preemption policy for
+    groups of that rank; ranks that are not in it preempt no attempts.
     """
 
     strict: bool
     preemptions: Mapping[int, str]
 
-    def first(self, groups: Collection[Group]) -> Group:
-        """Return the group of a customer whose first job comes first."""
+    def first_group(self, groups: Collection[Group]) -> Group:
+        """Return the group of a customer that comes first."""
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
-        """Return the rank of a customer whose next group is known."""
+        """Return the rank of a customer whose first group is `group`."""
 
 
 ORDERINGS: Final[Registry[str, type[Ordering]]] = Registry('orderings')
@@ -56,32 +56,32 @@
 
 @ORDERINGS.register('fair')
 class _Fair:
-    """Weighted dominant share, urgent jobs first within what is owed."""
+    """Weighted dominant share, urgent jobs first within the entitlement."""
 
     strict: bool = False
     preemptions: Mapping[int, str] = MappingProxyType(
         {URGENT_RANK: 'urgent', GUARANTEED_RANK: 'guaranteed'},
     )
 
-    def first(self, groups: Collection[Group]) -> Group:
+    def first_group(self, groups: Collection[Group]) -> Group:
         return min(groups, key=_urgent_then_oldest)
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
         since_ms = max(account.served_at_ms, group.first_at_ms)
         return (
-            _class_of(state, account, group),
+            _priority_class(state, account, group),
             account.share + since_ms * state.ageing_per_ms,
         )
 
 
 @ORDERINGS.register('first_come')
 class _FirstCome:
-    """The order of acceptance, whoever the customer is."""
+    """The order of acceptance, across all customers."""
 
     strict: bool = True
     preemptions: Mapping[int, str] = MappingProxyType({})
 
-    def first(self, groups: Collection[Group]) -> Group:
+    def first_group(self, groups: Collection[Group]) -> Group:
         return min(groups, key=_oldest)
 
     def rank(self, state: CoreState, account: Account, group: Group) -> Rank:
@@ -89,17 +89,17 @@
 
 
 def ordering_of(state: CoreState) -> Ordering:
-    """Return the ordering that the configuration names."""
+    """Return the ordering policy that the configuration names."""
     return ORDERINGS.lookup(state.config.policies.ordering)()
 
 
 def apply_ageing(state: CoreState) -> None:
-    """Take over the weight of waiting time from the configuration."""
+    """Apply the configured weight of waiting time."""
     weight = max(state.config.policies.waiting_weight, _AGEING_WEIGHT_MIN)
     state.ageing_per_ms = weight / _AGEING_MS
 
 
-def _class_of(state: CoreState, account: Account, group: Group) -> int:
+def _priority_class(state: CoreState, account: Account, group: Group) -> int:
     if not group.urgent and not account.guaranteed.slots_count:
         return BORROWING_RANK
     size = group_size_at_once(state, group)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -1,7 +1,7 @@
-"""The decisions of one partition, composed.
+"""Entry point to the decisions of one partition.
 
-`PartitionCore` takes what the owner has learned, with the time, and gives out
-effects. It does no I/O, so a replay drives it as the owner actor does.
+`PartitionCore` is given events and the time by the owner, and returns effects.
+It does no I/O, so a replay can drive it in the same way as the owner actor.
 """
 
 import hashlib
@@ -23,12 +23,12 @@
 from fuchsiarill.core.deciding import decide
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
-from fuchsiarill.core.hosts import apply_draining, take_over_hosts
+from fuchsiarill.core.hosts import apply_draining, apply_host_list
 from fuchsiarill.core.leases import extend_leases, lapse
 from fuchsiarill.core.ledger import restore
 from fuchsiarill.core.ordering import apply_ageing
 from fuchsiarill.core.quotas import account_of, apply_contracts
-from fuchsiarill.core.reports import take_over_report
+from fuchsiarill.core.reports import apply_report
 from fuchsiarill.core.snapshot import snapshot
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import (
@@ -51,14 +51,14 @@
 
 
 def job_id_of(partition: PartitionId, spec: JobSpec) -> JobId:
-    """Return the id that a submission always gets, whoever owns it."""
+    """Return the job id of a submission, which is the same for every owner."""
     identity = f'{spec.customer}\n{spec.idempotency_key}'
     digest = hashlib.sha256(identity.encode()).hexdigest()
     return JobId(f'{partition}-{digest[:_JOB_DIGEST_CHARACTERS]}')
 
 
 class PartitionCore:
-    """All decisions about the jobs and the workers of one partition."""
+    """Decides about the jobs and the workers of one partition."""
 
     def __init__(
         self,
@@ -69,16 +69,16 @@
         """Start with no jobs and no workers."""
         load_charts()
         self.state = CoreState(partition, epoch, config)
-        # Partitions differ in their jitter, and a replay repeats it.
+        # Jitter differs between partitions, and a replay repeats it.
         self.state.jitter.seed(f'{partition} {epoch}')
         self._apply_config()
 
     def restore(self, journal: Iterable[Record], now_ms: int) -> None:
-        """Take over the journal of older owners, before anything else."""
+        """Restore the state from the journal; must be the first call."""
         restore(self.state, journal, now_ms)
 
     def configure(self, config: CellConfig, now_ms: int) -> None:
-        """Put a newer configuration in force, also for queued jobs."""
+        """Apply a newer configuration, to queued jobs as well."""
         self.state.config = config
         self._apply_config()
         apply_draining(self.state, now_ms)
@@ -90,11 +90,11 @@
         A job accepted while ownership is not confirmed is marked `volatile`
         in its record and can start at once.
         """
-        known = self.state.job_by_key.get(
+        existing = self.state.job_by_key.get(
             (spec.customer, spec.idempotency_key),
         )
-        if known is not None:
-            return self._repeated(known, spec)
+        if existing is not None:
+            return self._handle_repeated(existing, spec)
         refusal = admit(self.state, spec, now_ms)
         if refusal is not None:
             return Failure(refusal)
@@ -105,7 +105,7 @@
         return Success(job.job_id)
 
     def cancel(self, job_id: JobId, now_ms: int) -> bool:
-        """Cancel a job; returns `False` when it has its final state."""
+        """Cancel a job; returns `False` if it is in a final state."""
         job = self.state.jobs[job_id]
         was_accepting = job.state is JobState.ACCEPTING
         if not step_job(self.state, job, JobEvent.CANCEL_ASKED, now_ms):
@@ -115,14 +115,14 @@
         return True
 
     def committed(self, sequence: int, now_ms: int) -> None:
-        """Note that the record with this sequence number is durable."""
+        """Continue after the record with this sequence number is durable."""
         follow_up = self.state.after_commit.pop(sequence, None)
         if follow_up is not None:
             follow_up(now_ms)
 
     def hosts_listed(self, entries: tuple[HostEntry, ...], now_ms: int) -> None:
-        """Take over what the host list says."""
-        take_over_hosts(self.state, entries, now_ms)
+        """Add, update and remove workers by the host list."""
+        apply_host_list(self.state, entries, now_ms)
 
     def worker_reported(
         self,
@@ -130,7 +130,7 @@
         now_ms: int,
         asked_at_ms: int | None = None,
     ) -> None:
-        """Take over what a worker says of its attempts.
+        """Apply the report of a worker about its attempts.
 
         `asked_at_ms` is the time at which the exchange was sent.
         """
@@ -139,28 +139,29 @@
             return
         if asked_at_ms is None:
             asked_at_ms = now_ms
-        take_over_report(self.state, worker, report, now_ms, asked_at_ms)
+        apply_report(self.state, worker, report, now_ms, asked_at_ms)
 
     def worker_silent(self, worker_id: WorkerId, now_ms: int) -> None:
-        """Note that a worker has not answered for too long."""
+        """Handle a worker that has not answered for too long."""
         worker = self.state.workers.get(worker_id)
         if worker is not None:
             step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
 
     def leases_extended(self, worker_id: WorkerId, ends_at_ms: int) -> None:
-        """Note until when a worker may run what it was told to run."""
+        """Extend the leases of all attempts of a worker."""
         extend_leases(self.state, worker_id, ends_at_ms)
 
     def start_withheld(self, attempt_id: AttemptId, now_ms: int) -> None:
-        """Note that a start was never sent and never will be."""
+        """Withdraw an attempt whose start was not sent and never will be."""
         attempt = self.state.attempts.get(attempt_id)
         if attempt is not None:
             step_attempt(self.state, attempt, AttemptEvent.WITHDRAWN, now_ms)
 
     def restrict(self, now_ms: int) -> None:
-        """Start only urgent idempotent work from now on.
+        """Start only urgent idempotent jobs from now on.
 
-        What may be accepted unrecorded does not wait for its commit.
+        Jobs that may be volatile no longer wait for the commit of their
+        acceptance.
         """
         self.state.restricted = True
         for job in tuple(self.state.jobs.values()):
@@ -171,16 +172,16 @@
                 self._accepted(job, now_ms)
 
     def unrestrict(self, now_ms: int) -> None:
-        """Start everything again; ownership is confirmed."""
+        """Start all jobs again, as ownership is confirmed."""
         self.state.restricted = False
         unblock_all(self.state)
 
     def lapse(self, now_ms: int) -> None:
-        """Move on attempts whose leases have ended with certainty."""
+        """Step the attempts whose leases have certainly ended."""
         lapse(self.state, now_ms)
 
     def decide(self, now_ms: int) -> bool:
-        """Place what can be placed now.
+        """Place the tasks that can be placed now.
 
         The number of steps is bounded; returns `True` if there may be more to
         do, so that the owner calls again after its other messages.
@@ -189,17 +190,17 @@
         return decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
-        """Return and clear the effects asked for since the last call."""
+        """Return and clear the effects requested since the last call."""
         taken = self.state.effects
         self.state.effects = []
         return taken
 
     def explain(self, job_id: JobId, now_ms: int) -> Explanation:
-        """Say what a job waits for; raises `KeyError`."""
+        """Return why a job waits; raises `KeyError` for an unknown job."""
         return explain(self.state, self.state.jobs[job_id], now_ms)
 
     def snapshot(self) -> dict[str, Any]:
-        """Return plain values that describe the state, for a dump."""
+        """Return the state as plain values, for a dump."""
         return snapshot(self.state)
 
     def _apply_config(self) -> None:
@@ -228,19 +229,19 @@
         if step_job(self.state, job, JobEvent.COMMITTED, now_ms):
             account_of(self.state, job.spec.customer).accepting_count -= 1
 
-    def _repeated(
+    def _handle_repeated(
         self,
-        known: JobId,
+        existing: JobId,
         spec: JobSpec,
     ) -> Result[JobId, Refusal]:
-        if self.state.jobs[known].spec == spec:
-            return Success(known)
+        if self.state.jobs[existing].spec == spec:
+            return Success(existing)
         return Failure(
             refuse(
                 codes.KEY_CONFLICT,
                 texts.KEY_CONFLICT,
                 field='idempotency_key',
                 key=spec.idempotency_key,
-                job=known,
+                job=existing,
             ),
         )
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -1,4 +1,4 @@
-"""Placement policies: which worker carries a task.
+"""Placement policies: which worker runs a task.
 
 A policy is a function from the state, a job and the size of one of its tasks
 to a worker; contracts name the policy to use.
@@ -10,9 +10,9 @@
 from typing import Final
 
 from fuchsiarill.core.accelerators import may_use_accelerated
-from fuchsiarill.core.holding import admits
+from fuchsiarill.core.holding import accepts_tasks
 from fuchsiarill.core.reservation import Reservation
-from fuchsiarill.core.reservations import held_until
+from fuchsiarill.core.reservations import held_up_to
 from fuchsiarill.core.sizes import run_time_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
@@ -28,10 +28,10 @@
 ]
 
 PLACEMENTS: Final[Registry[str, PlacementPolicy]] = Registry('placements')
-# Workers compared before the best of them is taken.
+# Eligible workers that are compared for the best choice.
 _COMPARED_COUNT: Final = 12
-_HELD_LOOKED_AT_COUNT: Final = 32
-_RELEASED_LOOKED_AT_COUNT: Final = 8
+_HELD_EXAMINED_COUNT: Final = 32
+_RELEASED_EXAMINED_COUNT: Final = 8
 
 
 def find_worker(
@@ -55,9 +55,9 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return the first worker with room; a plain scan for comparison."""
+    """Return the first worker with capacity; a linear scan as a baseline."""
     for worker in state.workers.values():
-        if worker.bucket is None or not suits(worker, job):
+        if worker.bucket is None or not is_eligible(worker, job):
             continue
         if size.fits_in(worker.free):
             return worker
@@ -70,16 +70,16 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return the worker whose scarcest resource is used up best.
+    """Return the worker that would have the least free resources left.
 
-    Replicas of a service are spread: their small sizes would gather on one
+    Replicas of a service are spread: being small, they would be packed on one
     worker and use up its slots.
     """
     if job.spec.workload is Workload.SERVICE:
         return spread(state, job, size)
-    for accelerated in _kinds(state, job, size):
+    for accelerated in _accelerator_options(state, job, size):
         found = state.index.search(size, accelerated=accelerated)
-        worker = _tightest(found, job, size)
+        worker = _best_fit(found, job, size)
         if worker is not None:
             return worker
     return None
@@ -91,11 +91,11 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Spread services over failure domains and racks; pack all else."""
+    """Spread services over failure domains and racks; pack other jobs."""
     if job.spec.workload is not Workload.SERVICE:
         return pack(state, job, size)
-    domains, racks = _replicas(state, job)
-    for accelerated in _kinds(state, job, size):
+    domains, racks = _count_replicas(state, job)
+    for accelerated in _accelerator_options(state, job, size):
         ordered = sorted(
             state.index.domains(accelerated),
             key=domains.__getitem__,
@@ -107,33 +107,33 @@
                 domain=domain,
                 fullest_first=False,
             )
-            worker = _least_shared(found, job, racks)
+            worker = _least_colocated(found, job, racks)
             if worker is not None:
                 return worker
     return None
 
 
-def suits(worker: WorkerView, job: JobRecord) -> bool:
-    """Tell whether a job may use a worker that has room."""
+def is_eligible(worker: WorkerView, job: JobRecord) -> bool:
+    """Tell whether a job may use a worker, apart from its capacity."""
     if worker.worker_id in job.failed_on:
         return False
     if (job.spec.customer, job.spec.job_class) in worker.avoided_by:
         return False
     if worker.state is not WorkerState.PROBATION:
         return True
-    # A probe may fail, so it must be cheap to repeat.
+    # A task on a worker on probation may fail, so it must be cheap to repeat.
     return (
         job.spec.execution is Execution.IDEMPOTENT
         and job.spec.workload is Workload.BATCH
     )
 
 
-def _kinds(
+def _accelerator_options(
     state: CoreState,
     job: JobRecord,
     size: Resources,
 ) -> Iterator[bool]:
-    """Yield whether to look at workers with accelerators, in order."""
+    """Yield whether to search workers with accelerators, in order."""
     if not size.accelerators_count:
         yield False
     if _may_use_accelerated(state, job, size):
@@ -150,20 +150,20 @@
     return may_use_accelerated(state, account, size, urgent)
 
 
-def _tightest(
+def _best_fit(
     found: Iterable[WorkerView],
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    suitable = (worker for worker in found if suits(worker, job))
+    suitable = (worker for worker in found if is_eligible(worker, job))
     return min(
         islice(suitable, _COMPARED_COUNT),
-        key=lambda worker: _left_over(worker, size),
+        key=lambda worker: _largest_free_ratio(worker, size),
         default=None,
     )
 
 
-def _left_over(worker: WorkerView, size: Resources) -> float:
+def _largest_free_ratio(worker: WorkerView, size: Resources) -> float:
     free = worker.free
     capacity = worker.entry.capacity
     return max(
@@ -174,12 +174,12 @@
     )
 
 
-def _least_shared(
+def _least_colocated(
     found: Iterable[WorkerView],
     job: JobRecord,
     racks: Counter[str],
 ) -> WorkerView | None:
-    suitable = (worker for worker in found if suits(worker, job))
+    suitable = (worker for worker in found if is_eligible(worker, job))
     return min(
         islice(suitable, _COMPARED_COUNT),
         key=lambda worker: (
@@ -190,7 +190,7 @@
     )
 
 
-def _replicas(
+def _count_replicas(
     state: CoreState,
     job: JobRecord,
 ) -> tuple[Counter[FailureDomain], Counter[str]]:
@@ -211,21 +211,23 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return a worker on which room was released and not offered to all.
+    """Return a worker with released capacity that the task fits.
 
-    The index looks at a few workers of each bucket; these are looked at in
-    any case.
+    A search of the index examines a few workers of each bucket only, so
+    workers with released capacity are examined separately.
     """
-    for worker_id in islice(state.released, _RELEASED_LOOKED_AT_COUNT):
+    for worker_id in islice(state.released, _RELEASED_EXAMINED_COUNT):
         worker = state.workers[worker_id]
         if worker.bucket is None or not size.fits_in(worker.free):
             continue
-        if suits(worker, job) and _is_left_to(state, worker, job, size):
+        if is_eligible(worker, job) and _may_use_worker(
+            state, worker, job, size
+        ):
             return worker
     return None
 
 
-def _is_left_to(
+def _may_use_worker(
     state: CoreState,
     worker: WorkerView,
     job: JobRecord,
@@ -242,7 +244,7 @@
     size: Resources,
     now_ms: int,
 ) -> WorkerView | None:
-    """Return a worker that waits for a gang and loses nothing by the task."""
+    """Return a worker held for a gang that the task does not delay."""
     if not _may_use_accelerated(state, job, size):
         return None
     run_time_ms = run_time_of(state, job.spec)
@@ -251,34 +253,38 @@
             run_time_ms is not None
             and now_ms + run_time_ms <= reservation.starts_at_ms
         )
-        found = _unharmed_worker(state, job, size, reservation, ends_in_time)
+        found = _held_worker_with_spare(
+            state, job, size, reservation, ends_in_time
+        )
         if found is not None:
             return found
     return None
 
 
-def _unharmed_worker(
+def _held_worker_with_spare(
     state: CoreState,
     job: JobRecord,
     size: Resources,
     reservation: Reservation,
     ends_in_time: bool,
 ) -> WorkerView | None:
-    """Return a held worker with room besides what it must keep."""
-    for worker_id in islice(reservation.counts, _HELD_LOOKED_AT_COUNT):
+    """Return a held worker with capacity beyond what it must keep free."""
+    for worker_id in islice(reservation.counts, _HELD_EXAMINED_COUNT):
         worker = state.workers[worker_id]
-        if worker.state is not WorkerState.READY or not suits(worker, job):
+        if worker.state is not WorkerState.READY or not is_eligible(
+            worker, job
+        ):
             continue
         needed = size
         if not ends_in_time or len(worker.holds) > 1:
-            needed += held_until(worker, None)
+            needed += held_up_to(worker, None)
         if needed.fits_in(worker.free):
             return worker
     return None
 
 
 def can_get_tasks(worker: WorkerView, now_ms: int) -> bool:
-    """Tell whether a worker takes tasks, be it held for a gang or not."""
+    """Tell whether a worker gets tasks, whether or not a gang holds it."""
     if worker.holds:
         return worker.state is WorkerState.READY
-    return admits(worker, now_ms)
+    return accepts_tasks(worker, now_ms)
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -1,15 +1,15 @@
-"""Workers that fail what succeeds elsewhere.
+"""Probation of workers on which tasks fail that succeed elsewhere.
 
-A failure counts against a worker only when the same job, or its class, has
+A failure counts against a worker only if the same job, or its class, has
 succeeded on another worker. On probation a worker gets single tasks that are
-cheap to repeat; with each success it gets twice as many at once.
+cheap to repeat, and twice as many at once after each success.
 """
 
 from functools import partial
 from typing import Final
 
 from fuchsiarill.core import avoidance
-from fuchsiarill.core.holding import note_room, refresh
+from fuchsiarill.core.holding import mark_released, refresh_index
 from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_worker
@@ -25,8 +25,8 @@
 _DOUBLINGS_MAX_COUNT: Final = 8
 
 
-def note_failure(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Count a failure against the worker if others do better."""
+def record_failure(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Count a failure against the worker if the class succeeded elsewhere."""
     job = state.jobs[attempt.job_id]
     estimate = estimate_of(state, job.spec)
     estimate.failed_count += 1
@@ -34,20 +34,24 @@
     if worker is None:
         return
     if not estimate.succeeded_on:
-        avoidance.note_failure(state, job.spec, worker, now_ms)
+        avoidance.record_failure(state, job.spec, worker, now_ms)
     elsewhere = estimate.succeeded_on - {attempt.worker_id}
     if elsewhere or worker.state is WorkerState.PROBATION:
         _strike(state, worker, now_ms)
 
 
-def note_success(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Clear the worker; those on which the job failed before are to blame."""
+def record_success(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Clear the failures of the worker.
+
+    If the class had succeeded on no worker but those on which the job failed,
+    these failures count against their workers.
+    """
     job = state.jobs[attempt.job_id]
     estimate = estimate_of(state, job.spec)
-    others_knew = bool(estimate.succeeded_on - job.failed_on)
-    estimate.note_success_on(attempt.worker_id)
-    if not others_knew:
-        _blame(state, job.failed_on - {attempt.worker_id}, now_ms)
+    had_succeeded_elsewhere = bool(estimate.succeeded_on - job.failed_on)
+    estimate.record_success_on(attempt.worker_id)
+    if not had_succeeded_elsewhere:
+        _strike_all(state, job.failed_on - {attempt.worker_id}, now_ms)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
@@ -56,7 +60,9 @@
         _probe_succeeded(state, worker, now_ms)
 
 
-def _blame(state: CoreState, worker_ids: set[WorkerId], now_ms: int) -> None:
+def _strike_all(
+    state: CoreState, worker_ids: set[WorkerId], now_ms: int
+) -> None:
     for worker_id in sorted(worker_ids):
         worker = state.workers.get(worker_id)
         if worker is not None:
@@ -82,13 +88,13 @@
     delay_ms = min(PROBE_DELAY_FIRST_MS << doublings, PROBE_DELAY_MAX_MS)
     worker.probe_failures_count += 1
     worker.probe_after_ms = now_ms + delay_ms
-    refresh(state, worker, now_ms)
-    call_at(state, worker.probe_after_ms, partial(_probe, state, worker))
+    refresh_index(state, worker, now_ms)
+    call_at(state, worker.probe_after_ms, partial(_allow_probe, state, worker))
 
 
-def _probe(state: CoreState, worker: WorkerView, now_ms: int) -> None:
-    refresh(state, worker, now_ms)
-    note_room(state, worker)
+def _allow_probe(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    refresh_index(state, worker, now_ms)
+    mark_released(state, worker)
 
 
 def _probe_succeeded(
@@ -100,4 +106,4 @@
     if worker.probes_count >= PROBES_NEEDED_COUNT:
         step_worker(state, worker, WorkerEvent.PROVED_GOOD, now_ms)
         worker.probes_count = 0
-    _probe(state, worker, now_ms)
+    _allow_probe(state, worker, now_ms)
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -1,4 +1,4 @@
-"""What each customer holds, may hold and is owed."""
+"""Quota, guarantee and weighted share of each customer."""
 
 from fuchsiarill.cell_config import CellConfig, Contract
 from fuchsiarill.core.accounts import Account
@@ -17,18 +17,18 @@
 
 
 def apply_contracts(state: CoreState) -> None:
-    """Take over the contracts of the configuration in force."""
+    """Apply the contracts of the configuration in force."""
     config = state.config
     state.weights_sum = sum(row.weight for row in config.contracts) or 1.0
     contracts = {row.customer: row for row in config.contracts}
     for known in state.accounts.values():
-        _apply(known, contracts.get(known.customer), config)
+        _apply_contract(known, contracts.get(known.customer), config)
     for customer, contract in contracts.items():
         if customer in state.accounts:
             continue
         account = account_of(state, customer)
         account.tokens = contract.submit_burst_count
-        _apply(account, contract, config)
+        _apply_contract(account, contract, config)
     state.sizes_version += 1
     refresh_shares(state)
 
@@ -40,18 +40,18 @@
 
 
 def share_of(state: CoreState, account: Account) -> float:
-    """Return the dominant share of what the customer holds, by weight."""
+    """Return the dominant share of a customer, divided by its weight."""
     held = account.held.dominant_share(state.total_capacity)
     return held / _weight_of(account)
 
 
 def may_hold(account: Account, more: Resources) -> bool:
-    """Tell whether the quota permits to hold `more`."""
+    """Tell whether the quota permits `more` reservations."""
     return (account.held + more).fits_in(account.quota)
 
 
 def is_guaranteed(account: Account, more: Resources) -> bool:
-    """Tell whether `more` is within what the contract guarantees."""
+    """Tell whether the guarantee of the contract covers `more`."""
     if not account.guaranteed.slots_count:
         return False
     return (account.held + more).fits_in(account.guaranteed)
@@ -62,15 +62,17 @@
     account: Account,
     more: Resources,
 ) -> bool:
-    """Tell whether urgent work is within the guarantee or weighted share.
+    """Tell whether urgent jobs are within the guarantee or weighted share.
 
-    What the customer holds for other work does not count: urgent work comes
-    before it.
+    Reservations of the customer for other jobs are not counted, as urgent jobs
+    come first.
     """
     wanted = account.urgent_held + more
     if wanted.fits_in(account.guaranteed):
         return True
-    return wanted.dominant_share(state.total_capacity) <= _owed(state, account)
+    return wanted.dominant_share(state.total_capacity) <= _entitled_share(
+        state, account
+    )
 
 
 def is_within_share(
@@ -78,20 +80,22 @@
     account: Account,
     more: Resources,
 ) -> bool:
-    """Tell whether all that is held is within guarantee or share."""
+    """Tell whether all reservations are within guarantee or share."""
     if is_guaranteed(account, more):
         return True
     wanted = account.held - account.reclaimed + more
-    return wanted.dominant_share(state.total_capacity) <= _owed(state, account)
+    return wanted.dominant_share(state.total_capacity) <= _entitled_share(
+        state, account
+    )
 
 
 def borrows(account: Account) -> bool:
-    """Tell whether the customer holds more than it is guaranteed."""
+    """Tell whether the customer holds more than its guarantee."""
     left = account.held - account.reclaimed
     return not left.fits_in(account.guaranteed)
 
 
-def _apply(
+def _apply_contract(
     account: Account,
     contract: Contract | None,
     config: CellConfig,
@@ -102,8 +106,8 @@
         account.guaranteed = NOTHING
         return
     count = _partitions_count(config, contract)
-    account.quota = _share(contract.quota.as_resources(), count)
-    account.guaranteed = _share(contract.guaranteed.as_resources(), count)
+    account.quota = _divide(contract.quota.as_resources(), count)
+    account.guaranteed = _divide(contract.guaranteed.as_resources(), count)
 
 
 def _partitions_count(config: CellConfig, contract: Contract) -> int:
@@ -113,13 +117,13 @@
     return 1
 
 
-def _share(amounts: Resources, count: int) -> Resources:
+def _divide(amounts: Resources, count: int) -> Resources:
     # Rounded down, so that the shares of all partitions never exceed the
     # quota of the contract.
     return Resources(*(amount // count for amount in amounts.as_tuple()))
 
 
-def _owed(state: CoreState, account: Account) -> float:
+def _entitled_share(state: CoreState, account: Account) -> float:
     return _weight_of(account) / state.weights_sum
 
 
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -1,4 +1,4 @@
-"""What a new owner does not know yet about the tasks of older owners."""
+"""State of the recovery from a takeover."""
 
 from dataclasses import dataclass, field
 from typing import Final
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class Orphan:
-    """An attempt that runs for no job of this owner and was told to stop."""
+    """An attempt without a job of this owner, which a worker has to stop."""
 
     worker_id: WorkerId
     lease_ends_at_ms: int
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class Recovery:
-    """State between a takeover and the time when nothing old can run unseen.
+    """State from a takeover until no unreported task of older owners can run.
 
     `answered`: workers that answered since the takeover.
     `held`: positions of tasks that may run on a worker that has not answered.
--- a/fuchsiarill/core/requeue.py
+++ b/fuchsiarill/core/requeue.py
@@ -1,4 +1,4 @@
-"""Tasks that have to run again: alone, or with their whole gang."""
+"""Requeues tasks: single ones, or a gang as a whole."""
 
 from functools import partial
 from typing import Final
@@ -9,7 +9,7 @@
 from fuchsiarill.job import Attempt, JobRecord, StopReason, Workload
 from fuchsiarill.states import AttemptEvent, JobEvent, JobState
 
-_ALIVE: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
+_ACTIVE_STATES: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
 
 
 def position_of(attempt: Attempt) -> int:
@@ -17,14 +17,14 @@
     return int(attempt.task_id.rpartition('/')[2])
 
 
-def run_again(
+def requeue_task(
     state: CoreState,
     job: JobRecord,
     position: int,
     now_ms: int,
     delay_ms: int = 0,
 ) -> None:
-    """Let a task wait for a new start; a gang restarts as a whole."""
+    """Queue a task for another start; a gang restarts as a whole."""
     if job.spec.workload is Workload.GANG:
         _restart_gang(state, job, now_ms, delay_ms)
         return
@@ -35,46 +35,46 @@
     _requeue(state, job, position, now_ms)
 
 
-def start_elsewhere(
+def request_replacement(
     state: CoreState,
     job: JobRecord,
     attempt: Attempt,
     now_ms: int,
 ) -> None:
-    """Let a replacement wait for its start while the attempt runs on."""
+    """Queue a replacement of a replica, which runs until that has started."""
     position = position_of(attempt)
-    if job.state not in _ALIVE or position in job.moving:
+    if job.state not in _ACTIVE_STATES or position in job.moving:
         return
     job.moving[position] = attempt.attempt_id
     job.waiting.append(position)
     step_job(state, job, JobEvent.REQUEUED, now_ms)
 
 
-def ask_to_stop(
+def request_stop(
     state: CoreState,
     attempt: Attempt,
     reason: StopReason,
     now_ms: int,
 ) -> None:
-    """Ask an attempt to stop, noting what for."""
+    """Stop an attempt; the first reason given is kept."""
     if attempt.stop_reason is None:
         attempt.stop_reason = reason
     step_attempt(state, attempt, AttemptEvent.STOP_ASKED, now_ms)
 
 
 def stop_all(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    """Ask every attempt of a job that has ended to stop."""
+    """Stop every attempt of a job that has ended."""
     for attempt in tuple(job.attempts.values()):
-        ask_to_stop(state, attempt, StopReason.JOB_ENDED, now_ms)
-    note_if_all_stopped(state, job, now_ms)
+        request_stop(state, attempt, StopReason.JOB_ENDED, now_ms)
+    advance_if_all_stopped(state, job, now_ms)
 
 
-def note_if_all_stopped(
+def advance_if_all_stopped(
     state: CoreState,
     job: JobRecord,
     now_ms: int,
 ) -> None:
-    """Step a job on when no attempt of it is left."""
+    """Requeue a restarting gang, or step the job, if no attempt is left."""
     if job.attempts:
         return
     if job.job_id in state.gang_restarts:
@@ -89,7 +89,7 @@
     position: int,
     now_ms: int,
 ) -> None:
-    if job.state not in _ALIVE or not _is_needed(job, position):
+    if job.state not in _ACTIVE_STATES or not _is_needed(job, position):
         return
     job.waiting.append(position)
     step_job(state, job, JobEvent.REQUEUED, now_ms)
@@ -109,18 +109,18 @@
     now_ms: int,
     delay_ms: int,
 ) -> None:
-    if job.state not in _ALIVE:
+    if job.state not in _ACTIVE_STATES:
         return
     due_ms = max(state.gang_restarts.get(job.job_id, 0), now_ms + delay_ms)
     state.gang_restarts[job.job_id] = due_ms
     for attempt in tuple(job.attempts.values()):
-        ask_to_stop(state, attempt, StopReason.GANG_RESTART, now_ms)
-    note_if_all_stopped(state, job, now_ms)
+        request_stop(state, attempt, StopReason.GANG_RESTART, now_ms)
+    advance_if_all_stopped(state, job, now_ms)
 
 
 def _requeue_gang(state: CoreState, job: JobRecord, now_ms: int) -> None:
     due_ms = state.gang_restarts.pop(job.job_id)
-    if job.state not in _ALIVE:
+    if job.state not in _ACTIVE_STATES:
         return
     job.results.clear()
     if due_ms > now_ms:
@@ -130,7 +130,7 @@
 
 
 def _enqueue_gang(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    if job.state not in _ALIVE or job.attempts:
+    if job.state not in _ACTIVE_STATES or job.attempts:
         return
     job.waiting = list(range(job.spec.tasks_count))
     step_job(state, job, JobEvent.REQUEUED, now_ms)
--- a/fuchsiarill/core/reservation.py
+++ b/fuchsiarill/core/reservation.py
@@ -1,4 +1,4 @@
-"""Workers held for a job whose tasks do not fit yet."""
+"""Reservation of workers for a job whose tasks do not fit yet."""
 
 from dataclasses import dataclass
 
@@ -10,9 +10,9 @@
 class Reservation:
     """Where and when a waiting job is expected to start.
 
-    `counts` maps each held worker to the number of tasks it will carry. Other
-    tasks use a held worker only if they end before `starts_at_ms` or leave
-    enough room.
+    `counts` maps each held worker to the number of tasks that it will run.
+    Other tasks use a held worker only if they end before `starts_at_ms` or
+    leave enough free capacity.
     """
 
     job_id: JobId
--- a/fuchsiarill/core/reservations.py
+++ b/fuchsiarill/core/reservations.py
@@ -1,6 +1,6 @@
-"""Workers held for gangs: checks, and letting go of them."""
+"""Holds the workers of reservations, and releases them."""
 
-from fuchsiarill.core.holding import note_room, refresh
+from fuchsiarill.core.holding import mark_released, refresh_index
 from fuchsiarill.core.reservation import Reservation
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
@@ -14,17 +14,17 @@
     reservation: Reservation,
     now_ms: int,
 ) -> None:
-    """Keep the workers of a reservation from getting other tasks."""
+    """Store a reservation and hold its workers."""
     state.reservations[reservation.job_id] = reservation
     for worker_id in reservation.counts:
         worker = state.workers[worker_id]
         count = reservation.counts[worker_id]
         worker.holds[reservation.job_id] = reservation.size.times(count)
-        refresh(state, worker, now_ms)
+        refresh_index(state, worker, now_ms)
 
 
 def drop_reservation(state: CoreState, job_id: JobId, now_ms: int) -> None:
-    """Let go of the workers held for a job, if there are any."""
+    """Release the workers held for a job, if there are any."""
     reservation = state.reservations.pop(job_id, None)
     if reservation is None:
         return
@@ -33,26 +33,26 @@
         if worker is None:
             continue
         worker.holds.pop(job_id, None)
-        refresh(state, worker, now_ms)
-        note_room(state, worker)
+        refresh_index(state, worker, now_ms)
+        mark_released(state, worker)
 
 
-def has_room(state: CoreState, reservation: Reservation) -> bool:
-    """Tell whether every held worker has the room it is held for.
+def has_capacity(state: CoreState, reservation: Reservation) -> bool:
+    """Tell whether every held worker has the capacity that it is held for.
 
-    What was held before for others is kept for them.
+    Capacity held for earlier reservations is not available.
     """
-    return worker_without_room(state, reservation) is None
+    return worker_lacking_capacity(state, reservation) is None
 
 
-def worker_without_room(
+def worker_lacking_capacity(
     state: CoreState,
     reservation: Reservation,
 ) -> WorkerView | None:
-    """Return a held worker that has no room yet, if there is one."""
+    """Return a held worker that lacks capacity, if there is one."""
     for worker_id in reservation.counts:
         worker = state.workers[worker_id]
-        if not held_until(worker, reservation.job_id).fits_in(worker.free):
+        if not held_up_to(worker, reservation.job_id).fits_in(worker.free):
             return worker
     return None
 
@@ -64,7 +64,7 @@
     change: int,
     now_ms: int,
 ) -> None:
-    """Hold room for more or fewer tasks on a worker."""
+    """Hold a worker for `change` more tasks, or for fewer if negative."""
     count = reservation.counts.pop(worker.worker_id, 0) + change
     if count:
         reservation.counts[worker.worker_id] = count
@@ -72,13 +72,13 @@
         worker.holds[reservation.job_id] = needed
     else:
         worker.holds.pop(reservation.job_id)
-    refresh(state, worker, now_ms)
+    refresh_index(state, worker, now_ms)
     if change < 0:
-        note_room(state, worker)
+        mark_released(state, worker)
 
 
-def held_until(worker: WorkerView, job_id: JobId | None) -> Resources:
-    """Return what is held for jobs up to this one, or for all of them."""
+def held_up_to(worker: WorkerView, job_id: JobId | None) -> Resources:
+    """Return the resources held for jobs up to this one; `None`: for all."""
     needed = NOTHING
     for held_for, held in worker.holds.items():
         needed += held
@@ -88,7 +88,7 @@
 
 
 def is_valid(state: CoreState, reservation: Reservation) -> bool:
-    """Tell whether all held workers may still get the tasks."""
+    """Tell whether all held workers are still listed and ready."""
     for worker_id in reservation.counts:
         worker = state.workers.get(worker_id)
         if worker is None or worker.state is not WorkerState.READY:
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -1,4 +1,4 @@
-"""What follows on a failed attempt: when it is repeated, and how often.
+"""Retries of failed attempts: backoff, limits and the retry budget.
 
 The retry budget of a customer grows with its successes, so that a fault that
 hits everything does not multiply the load.
@@ -7,9 +7,9 @@
 from itertools import islice
 from typing import Final
 
-from fuchsiarill.core.probation import note_failure
+from fuchsiarill.core.probation import record_failure
 from fuchsiarill.core.quotas import account_of
-from fuchsiarill.core.requeue import position_of, run_again
+from fuchsiarill.core.requeue import position_of, requeue_task
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.core.worker_view import WorkerView
@@ -19,37 +19,37 @@
 HEALTHY_WORKERS_MAX_COUNT: Final = 3
 BACKOFF_FIRST_MS: Final = 500
 BACKOFF_MAX_MS: Final = 60_000
-# Retries that a customer has before any success has earned it more.
+# Retries that a customer has before its first success.
 _CREDIT_FLOOR: Final = 10.0
 _CREDIT_MAX: Final = 100.0
-# A replica that ran this long begins its backoff anew.
+# The backoff of a replica that ran this long starts again.
 _STABLE_MS: Final = 600_000
 _JITTER_MIN: Final = 0.5
 
 
-def after_failure(
+def handle_failure(
     state: CoreState,
     attempt: Attempt,
     now_ms: int,
 ) -> None:
-    """Repeat a failed attempt elsewhere, or end its job."""
+    """Requeue the task of a failed attempt, or fail its job."""
     job = state.jobs[attempt.job_id]
     job.failures_count += 1
     job.failed_on.add(attempt.worker_id)
-    note_failure(state, attempt, now_ms)
+    record_failure(state, attempt, now_ms)
     if job.spec.workload is Workload.SERVICE:
         _restart_replica(state, job, attempt, now_ms)
         return
-    amo = job.spec.execution is Execution.AT_MOST_ONCE
-    if amo or _failed_on_healthy_workers(state, job):
+    at_most_once = job.spec.execution is Execution.AT_MOST_ONCE
+    if at_most_once or _failed_on_healthy_workers(state, job):
         step_job(state, job, JobEvent.GAVE_UP, now_ms)
         return
     delay_ms = _delay_ms(state, job)
-    run_again(state, job, position_of(attempt), now_ms, delay_ms)
+    requeue_task(state, job, position_of(attempt), now_ms, delay_ms)
 
 
-def after_success(state: CoreState, job: JobRecord) -> None:
-    """Add to the retry budget of a customer."""
+def earn_retry_credit(state: CoreState, job: JobRecord) -> None:
+    """Add the credit of one success to the retry budget of the customer."""
     account = account_of(state, job.spec.customer)
     if account.contract is None:
         return
@@ -57,7 +57,9 @@
     account.retry_credit = min(earned, _CREDIT_MAX)
 
 
-def replica_ended(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+def restart_ended_replica(
+    state: CoreState, attempt: Attempt, now_ms: int
+) -> None:
     """Restart a replica that ended by itself."""
     job = state.jobs[attempt.job_id]
     job.failures_count += 1
@@ -65,7 +67,7 @@
 
 
 def backoff_ms(state: CoreState, failures_count: int) -> int:
-    """Return the delay after a number of failures, with jitter."""
+    """Return the exponential delay after a number of failures, with jitter."""
     doublings = min(max(failures_count - 1, 0), BACKOFF_MAX_MS.bit_length())
     limit_ms = min(BACKOFF_FIRST_MS << doublings, BACKOFF_MAX_MS)
     return int(limit_ms * (_JITTER_MIN + _JITTER_MIN * state.jitter.random()))
@@ -83,7 +85,7 @@
     if len(job.failed_on) >= HEALTHY_WORKERS_MAX_COUNT:
         job.failed_on.clear()
     delay_ms = backoff_ms(state, job.failures_count)
-    run_again(state, job, position_of(attempt), now_ms, delay_ms)
+    requeue_task(state, job, position_of(attempt), now_ms, delay_ms)
 
 
 def _failed_on_healthy_workers(state: CoreState, job: JobRecord) -> bool:
@@ -101,7 +103,8 @@
         return False
     if job.failures_count >= HEALTHY_WORKERS_MAX_COUNT:
         return True
-    # There are too few workers to try others; the same ones are tried again.
+    # The job has failed on all of the few ready workers, so they are tried
+    # again.
     job.failed_on.clear()
     return False
 
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -1,4 +1,4 @@
-"""How much a task reserves, and how long it is expected to run."""
+"""Reservation and expected run time of a task."""
 
 from typing import Final
 
@@ -8,33 +8,35 @@
 from fuchsiarill.job import JobSpec, Workload
 from fuchsiarill.resources import Resources
 
-# Declared sizes are wrong by up to this factor; a class without evidence
-# reserves for the worst, so that no host is overcommitted before it reports.
+# Declared sizes are wrong by up to this factor. A class without evidence
+# reserves for the worst case, so that no host is overcommitted before usage is
+# reported.
 DECLARED_ERROR_RATIO: Final = 4
 EVIDENCE_MIN_COUNT: Final = 3
 RUN_TIME_MARGIN_RATIO: Final = 1.25
-# Callers name the classes; the oldest are forgotten.
+# Callers choose the names of classes, so their number is limited; the oldest
+# estimates are evicted.
 _ESTIMATES_MAX_COUNT: Final = 10_000
 _MARGINS: Final = (DECLARED_ERROR_RATIO, 2, 1)
 
 
 def size_of(state: CoreState, spec: JobSpec) -> Resources:
-    """Return what one task of a job reserves."""
+    """Return the reservation of one task of a job."""
     if not state.config.policies.learn_sizes:
         return spec.task_size
     estimate = state.estimates.get((spec.customer, spec.job_class))
     if estimate is None:
-        return _unproven_size(state, spec)
+        return _size_without_evidence(state, spec)
     if not has_evidence(estimate):
-        # Too little to lower the size, but enough to raise it.
+        # Few samples may raise the size but not lower it.
         needed = _with_counts(spec, estimate.size)
-        size = _unproven_size(state, spec)
-        return _capped(state, spec, larger(size, needed))
+        size = _size_without_evidence(state, spec)
+        return _capped(state, spec, elementwise_max(size, needed))
     return _capped(state, spec, _with_counts(spec, estimate.size))
 
 
 def group_size(state: CoreState, group: Group) -> Resources:
-    """Return what one task of a group reserves, computed once per change."""
+    """Return the reservation of one task of a group, which is cached."""
     version = (group.estimate.version, state.sizes_version)
     if group.size_version != version:
         group.size = size_of(state, group.spec)
@@ -43,13 +45,13 @@
 
 
 def group_size_at_once(state: CoreState, group: Group) -> Resources:
-    """Return what a job of a group needs before anything of it can start."""
+    """Return what must be free at once to start a job of a group."""
     size = group_size(state, group)
     return size.times(group.spec.tasks_count) if group.is_gang else size
 
 
 def estimate_of(state: CoreState, spec: JobSpec) -> Estimate:
-    """Return the estimate of a job's class, new if there is none."""
+    """Return the estimate of a job's class, creating it if needed."""
     key = (spec.customer, spec.job_class)
     estimate = state.estimates.get(key)
     if estimate is None:
@@ -61,7 +63,7 @@
 
 
 def run_time_of(state: CoreState, spec: JobSpec) -> int | None:
-    """Return the expected run time; `None` for one without an end."""
+    """Return the expected run time in milliseconds; `None` if unlimited."""
     if spec.workload is Workload.SERVICE:
         return None
     estimate = state.estimates.get((spec.customer, spec.job_class))
@@ -75,8 +77,8 @@
     return len(estimate.peaks) >= EVIDENCE_MIN_COUNT
 
 
-def larger(one: Resources, other: Resources) -> Resources:
-    """Return the larger of each amount."""
+def elementwise_max(one: Resources, other: Resources) -> Resources:
+    """Return the maximum of each resource."""
     return Resources(
         max(one.processors_milli, other.processors_milli),
         max(one.memory_mb, other.memory_mb),
@@ -85,25 +87,27 @@
     )
 
 
-def carried_count(state: CoreState, size: Resources) -> int:
-    """Return how many tasks of a size all listed workers carry together."""
+def total_copies_count(state: CoreState, size: Resources) -> int:
+    """Return how many tasks of a size fit all listed workers when empty."""
     return sum(
         count * copies_in(capacity, size)
         for capacity, count in state.capacities.items()
     )
 
 
-def copies_in(room: Resources, size: Resources) -> int:
-    """Return how often a size fits into a room."""
+def copies_in(available: Resources, size: Resources) -> int:
+    """Return how many tasks of a size fit into `available`."""
     copies = [
         whole // part
-        for whole, part in zip(room.as_tuple(), size.as_tuple(), strict=True)
+        for whole, part in zip(
+            available.as_tuple(), size.as_tuple(), strict=True
+        )
         if part
     ]
     return max(min(copies, default=0), 0)
 
 
-def _unproven_size(state: CoreState, spec: JobSpec) -> Resources:
+def _size_without_evidence(state: CoreState, spec: JobSpec) -> Resources:
     for margin in _MARGINS:
         declared = spec.task_size
         scaled = Resources(
@@ -115,7 +119,7 @@
         size = _capped(state, spec, scaled)
         if spec.workload is not Workload.GANG:
             return size
-        # A gang that fits only with a smaller margin must still start.
+        # A gang that fits only with a smaller margin must be able to start.
         if _gang_fits(state, spec, size):
             return size
     return spec.task_size
@@ -126,7 +130,7 @@
     if account is not None and account.contract is not None:
         if not size.times(spec.tasks_count).fits_in(account.quota):
             return False
-    return carried_count(state, size) >= spec.tasks_count
+    return total_copies_count(state, size) >= spec.tasks_count
 
 
 def _with_counts(spec: JobSpec, learned: Resources) -> Resources:
@@ -142,7 +146,7 @@
 def _capped(state: CoreState, spec: JobSpec, size: Resources) -> Resources:
     account = state.accounts.get(spec.customer)
     if account is not None and account.contract is not None:
-        size = _at_most(size, account.quota, spec.task_size)
+        size = _clamped(size, account.quota, spec.task_size)
     fitting = [
         capacity
         for capacity in state.capacities
@@ -151,26 +155,30 @@
     if not fitting:
         return size
     largest = max(fitting, key=_plain_amounts)
-    return _at_most(size, largest, spec.task_size)
+    return _clamped(size, largest, spec.task_size)
 
 
 def _plain_amounts(capacity: Resources) -> tuple[int, int]:
     return (capacity.processors_milli, capacity.memory_mb)
 
 
-def _at_most(
+def _clamped(
     size: Resources,
     limit: Resources,
     floor: Resources,
 ) -> Resources:
     return Resources(
-        min(size.processors_milli, _limit(limit, floor).processors_milli),
-        min(size.memory_mb, _limit(limit, floor).memory_mb),
+        min(
+            size.processors_milli,
+            _effective_limit(limit, floor).processors_milli,
+        ),
+        min(size.memory_mb, _effective_limit(limit, floor).memory_mb),
         size.accelerators_count,
         size.slots_count,
     )
 
 
-def _limit(limit: Resources, floor: Resources) -> Resources:
-    # A declared size above the limit stays visible as one that waits.
+def _effective_limit(limit: Resources, floor: Resources) -> Resources:
+    # A declared size above the limit is not reduced, so that the job waits and
+    # its reason can be explained.
     return limit if floor.fits_in(limit) else floor
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -1,9 +1,9 @@
-"""Starts of attempts: reserve, make the intent durable, send."""
+"""Starts of attempts: reserve, commit the intent, send the start."""
 
 from functools import partial
 
 from fuchsiarill.core.effects import StartTask
-from fuchsiarill.core.holding import take
+from fuchsiarill.core.holding import reserve_attempt
 from fuchsiarill.core.leases import lease_end_ms
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt
@@ -22,7 +22,10 @@
     size: Resources,
     now_ms: int,
 ) -> None:
-    """Place the next waiting task of a job on a worker and start it."""
+    """Place the next waiting task of a job on a worker and start it.
+
+    A non-idempotent task is sent only once its intent is durable.
+    """
     position = job.waiting.pop(0)
     state.attempts_count += 1
     task = task_id(job.job_id, position)
@@ -37,7 +40,7 @@
         lease_ends_at_ms=lease_end_ms(state, now_ms),
         replaces=job.moving.get(position),
     )
-    take(state, job, attempt)
+    reserve_attempt(state, job, attempt)
     _start_when_allowed(state, job, attempt, now_ms)
 
 
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -1,7 +1,7 @@
 """State that the decision modules of one partition share.
 
-Only `PartitionCore` holds it; the modules of `core` get it passed and keep
-nothing themselves.
+Only `PartitionCore` keeps a reference to it. The modules of `core` get it as
+an argument and have no state of their own.
 """
 
 import random
@@ -39,18 +39,21 @@
 
 @dataclass(slots=True)
 class CoreState:
-    """Everything one owner knows of its partition.
+    """State of one partition, as known to its owner.
 
     `group_keys` maps each waiting job to its group within the account.
-    `order` ranks the customers with ready groups, `roomless_order` those with
-    groups that wait for room, whose sizes `roomless_sizes` counts and which
-    `roomless` holds by urgency. `unranked` customers have to be ranked anew.
-    `no_room_for` holds sizes for which no worker has room, except perhaps
-    those in `released`, whose room was not offered yet to all who wait;
-    `offered` holds the groups that the first of them was offered to.
+    `ready_order` ranks the customers with ready groups. `unplaceable` holds the
+    groups that wait for capacity, by urgency; `unplaceable_sizes` counts their
+    sizes and `unplaceable_order` ranks their customers. The ranks of
+    `unranked` customers are out of date.
+    `released` holds workers whose free capacity has not been offered yet to
+    all unplaceable groups, `offered` the groups that the first of them was
+    offered to. `failed_search_sizes` holds sizes for which no other worker
+    has capacity.
     `sizes_version` counts changes that all reserved sizes depend on.
-    `ageing_per_ms` is what a wait counts against a share. `unrenewed` holds
-    attempts whose leases are not extended.
+    `ageing_per_ms` converts waiting time to a share, for ranks. `unrenewed`
+    holds attempts whose leases are not extended. `reclaim_pending_until_ms`
+    gives for a job the time until which requested stops may be confirmed.
     """
 
     partition: PartitionId
@@ -69,24 +72,24 @@
     weights_sum: float = 1.0
     sizes_version: int = 0
     ageing_per_ms: float = 0
-    order: 'SortedList[tuple[Rank, CustomerId]]' = field(
+    ready_order: 'SortedList[tuple[Rank, CustomerId]]' = field(
         default_factory=SortedList,
     )
     group_keys: dict[JobId, GroupKey] = field(default_factory=dict)
-    roomless_order: 'SortedList[tuple[Rank, CustomerId]]' = field(
+    unplaceable_order: 'SortedList[tuple[Rank, CustomerId]]' = field(
         default_factory=SortedList,
     )
-    roomless: dict[bool, dict[Group, None]] = field(
+    unplaceable: dict[bool, dict[Group, None]] = field(
         default_factory=lambda: {True: {}, False: {}},
     )
     unranked: dict[CustomerId, None] = field(default_factory=dict)
-    roomless_sizes: Counter[Resources] = field(default_factory=Counter)
+    unplaceable_sizes: Counter[Resources] = field(default_factory=Counter)
     offered: set[Group] = field(default_factory=set)
     blocked_gangs: dict[Group, None] = field(default_factory=dict)
-    no_room_for: list[Resources] = field(default_factory=list)
+    failed_search_sizes: list[Resources] = field(default_factory=list)
     released: dict[WorkerId, None] = field(default_factory=dict)
     reservations: dict[JobId, Reservation] = field(default_factory=dict)
-    reclaims: dict[JobId, int] = field(default_factory=dict)
+    reclaim_pending_until_ms: dict[JobId, int] = field(default_factory=dict)
     estimates: dict[tuple[CustomerId, JobClass], Estimate] = field(
         default_factory=dict,
     )
@@ -110,7 +113,7 @@
     jobs_count: int = 0
 
     def __post_init__(self) -> None:
-        """Seed the generator, so that a replay takes the same course."""
+        """Seed the random generator, so that a replay is deterministic."""
         self.jitter.seed(f'{self.partition}/{self.epoch}')
 
     def persist(
@@ -118,7 +121,7 @@
         record: Record,
         then: Callable[[int], None] | None = None,
     ) -> int:
-        """Ask for a record to be made durable; returns its sequence number.
+        """Request the commit of a record; returns its sequence number.
 
         `then` is called with the time in milliseconds once it is committed.
         """
@@ -135,10 +138,10 @@
         now_ms: int,
         then: Callable[[int], None] | None = None,
     ) -> None:
-        """Make a record of a job durable, then call `then`.
+        """Request the commit of a record of a job, then call `then`.
 
-        While ownership is not confirmed, what follows on the records of a
-        volatile job does not wait for their commit.
+        For a volatile job, accepted while ownership is not confirmed, `then`
+        is called at once and does not wait for the commit.
         """
         if not job.volatile:
             self.persist(record, then)
--- a/fuchsiarill/core/steps.py
+++ b/fuchsiarill/core/steps.py
@@ -1,4 +1,4 @@
-"""Steps of the job, attempt and worker charts.
+"""Transitions of the job, attempt and worker charts.
 
 The actions that the charts name are registered in `job_actions`,
 `attempt_actions` and `worker_actions`; a chart is loaded, and checked against
@@ -37,19 +37,19 @@
 
 @cache
 def job_chart() -> StateChart[JobState, JobEvent]:
-    """Return the chart of jobs."""
+    """Return the state chart of jobs, loaded once."""
     return load_chart('job', JobState, JobEvent, JOB_ACTIONS)
 
 
 @cache
 def attempt_chart() -> StateChart[AttemptState, AttemptEvent]:
-    """Return the chart of attempts."""
+    """Return the state chart of attempts, loaded once."""
     return load_chart('attempt', AttemptState, AttemptEvent, ATTEMPT_ACTIONS)
 
 
 @cache
 def worker_chart() -> StateChart[WorkerState, WorkerEvent]:
-    """Return the chart of workers."""
+    """Return the state chart of workers, loaded once."""
     return load_chart('worker', WorkerState, WorkerEvent, WORKER_ACTIONS)
 
 
--- a/fuchsiarill/core/timers.py
+++ b/fuchsiarill/core/timers.py
@@ -1,4 +1,4 @@
-"""Work that becomes due at a time, carried out by `decide`."""
+"""Timers, run at the start of each round of decisions."""
 
 import heapq
 from collections.abc import Callable
@@ -11,13 +11,13 @@
     due_ms: int,
     callback: Callable[[int], None],
 ) -> None:
-    """Call back with the time once `due_ms` has passed."""
+    """Schedule `callback`, which gets the time of its call."""
     state.timers_count += 1
     heapq.heappush(state.timers, (due_ms, state.timers_count, callback))
 
 
 def run_due(state: CoreState, now_ms: int) -> None:
-    """Carry out what has become due, in the order of its time."""
+    """Run the callbacks that are due, in the order of their times."""
     while state.timers and state.timers[0][0] <= now_ms:
         callback = heapq.heappop(state.timers)[2]
         callback(now_ms)
--- a/fuchsiarill/core/waiting.py
+++ b/fuchsiarill/core/waiting.py
@@ -1,4 +1,4 @@
-"""The waiting jobs: enter, leave, get blocked and become ready again."""
+"""Queue of the waiting jobs, in groups that are ready or blocked."""
 
 from itertools import islice
 from types import MappingProxyType
@@ -29,9 +29,9 @@
 
 
 def enqueue(state: CoreState, job: JobRecord) -> None:
-    """Let a job wait for placement; a repeated call changes nothing.
+    """Queue a job for placement; a repeated call changes nothing.
 
-    A job without a task that waits is left out.
+    A job without a waiting task is not queued.
     """
     if not job.waiting or job.job_id in state.group_keys:
         return
@@ -46,15 +46,15 @@
     account.waiting_count += 1
     group.add(job)
     if group.urgent:
-        # Room may have to be reclaimed for one job more.
+        # Capacity may have to be reclaimed for the added job.
         unblock(state, account, group)
     if group.obstacle is None:
         account.ready[group] = None
-    reorder(state, account)
+    mark_unranked(state, account)
 
 
 def dequeue(state: CoreState, job: JobRecord) -> None:
-    """Take a job out, if it waits."""
+    """Remove a job from the queue, if it waits."""
     key = state.group_keys.pop(job.job_id, None)
     if key is None:
         return
@@ -66,11 +66,11 @@
         _clear_obstacle(state, account, group)
         account.ready.pop(group, None)
         account.groups.pop(key)
-    reorder(state, account)
+    mark_unranked(state, account)
 
 
 def is_waiting(state: CoreState, job: JobRecord) -> bool:
-    """Tell whether a job waits for placement."""
+    """Tell whether a job is queued for placement."""
     return job.job_id in state.group_keys
 
 
@@ -81,7 +81,7 @@
     obstacle: Obstacle,
     size: Resources = NOTHING,
 ) -> None:
-    """Set a group aside until `obstacle` may have gone."""
+    """Block a group until `obstacle` may have been removed."""
     if group.obstacle is not None:
         _clear_obstacle(state, account, group)
     group.obstacle = obstacle
@@ -93,10 +93,10 @@
         if group.is_gang:
             state.blocked_gangs[group] = None
         else:
-            account.roomless[group] = None
-            state.roomless[group.urgent][group] = None
-            state.roomless_sizes[size] += 1
-    reorder(state, account)
+            account.unplaceable[group] = None
+            state.unplaceable[group.urgent][group] = None
+            state.unplaceable_sizes[size] += 1
+    mark_unranked(state, account)
 
 
 def unblock(state: CoreState, account: Account, group: Group) -> None:
@@ -105,65 +105,65 @@
         return
     _clear_obstacle(state, account, group)
     account.ready[group] = None
-    reorder(state, account)
+    mark_unranked(state, account)
 
 
 def unblock_all(state: CoreState) -> None:
-    """Make every group ready again, as after a change of configuration."""
-    state.no_room_for.clear()
+    """Make every group ready again, for instance with a new configuration."""
+    state.failed_search_sizes.clear()
     for account in state.accounts.values():
         for group in account.groups.values():
             if group.obstacle is not None:
                 _clear_obstacle(state, account, group)
                 account.ready[group] = None
-        reorder(state, account)
+        mark_unranked(state, account)
 
 
-def retry_some(state: CoreState, now_ms: int) -> None:
-    """Make a few groups ready again, those first that wait longest for it.
+def retry_unplaceable(state: CoreState, now_ms: int) -> None:
+    """Make a few unplaceable groups ready again, longest blocked first.
 
-    A search looks at a part of the workers only, and what others hold may
-    have become reclaimable.
+    A search examines only a part of the workers, and reservations of other
+    customers may have become reclaimable.
     """
     if now_ms - state.retried_at_ms < _RETRY_INTERVAL_MS:
         return
     state.retried_at_ms = now_ms
-    state.no_room_for.clear()
-    for urgent, alike in state.roomless.items():
-        for group in tuple(islice(alike, _RETRIED_COUNTS[urgent])):
+    state.failed_search_sizes.clear()
+    for urgent, groups in state.unplaceable.items():
+        for group in tuple(islice(groups, _RETRIED_COUNTS[urgent])):
             unblock(state, state.accounts[group.customer], group)
 
 
 def unblock_account(state: CoreState, account: Account) -> None:
-    """Make the groups ready that waited for the quota of their customer."""
+    """Make the groups of a customer ready that its quota had blocked."""
     for group in tuple(account.over_quota):
         unblock(state, account, group)
 
 
-def next_taker(state: CoreState) -> Group | None:
-    """Return the group that comes first for the room of a worker.
+def group_for_released_capacity(state: CoreState) -> Group | None:
+    """Return the first unplaceable group that fits a released worker.
 
-    Goes through the released workers; one without a taker left is done with.
+    A worker that no further group fits is removed from the released ones.
     """
     while state.released:
         worker = state.workers[next(iter(state.released))]
         group = None
         if worker.bucket is not None:
-            group = _first_taker(state, worker)
+            group = _first_group_for_worker(state, worker)
         if group is not None:
             state.offered.add(group)
             return group
         state.released.pop(worker.worker_id)
         state.offered.clear()
         free = worker.free
-        state.no_room_for = [
-            size for size in state.no_room_for if not size.fits_in(free)
+        state.failed_search_sizes = [
+            size for size in state.failed_search_sizes if not size.fits_in(free)
         ]
     return None
 
 
-def reorder(state: CoreState, account: Account) -> None:
-    """Note that the ranks of an account may have changed."""
+def mark_unranked(state: CoreState, account: Account) -> None:
+    """Have the ranks of an account computed again before the next use."""
     state.unranked[account.customer] = None
 
 
@@ -175,57 +175,59 @@
 
 
 def _rank(state: CoreState, account: Account) -> None:
-    """Give an account its ranks among those with waiting groups."""
+    """Update the ranks of an account by its ready and unplaceable groups."""
     ordering = ordering_of(state)
     rank = None
     if account.ready:
-        first = ordering.first(account.ready)
+        first = ordering.first_group(account.ready)
         rank = ordering.rank(state, account, first)
     if rank != account.rank:
-        _move(state.order, account.customer, account.rank, rank)
+        _reposition(state.ready_order, account.customer, account.rank, rank)
         account.rank = rank
     rank = None
-    if account.roomless:
-        first = ordering.first(account.roomless)
+    if account.unplaceable:
+        first = ordering.first_group(account.unplaceable)
         rank = ordering.rank(state, account, first)
-    if rank != account.roomless_rank:
-        _move(
-            state.roomless_order,
+    if rank != account.unplaceable_rank:
+        _reposition(
+            state.unplaceable_order,
             account.customer,
-            account.roomless_rank,
+            account.unplaceable_rank,
             rank,
         )
-        account.roomless_rank = rank
+        account.unplaceable_rank = rank
 
 
-def _move(
-    order: 'SortedList[tuple[Rank, CustomerId]]',
+def _reposition(
+    ranking: 'SortedList[tuple[Rank, CustomerId]]',
     customer: CustomerId,
     before: Rank | None,
     after: Rank | None,
 ) -> None:
     if before is not None:
-        order.remove((before, customer))
+        ranking.remove((before, customer))
     if after is not None:
-        order.add((after, customer))
+        ranking.add((after, customer))
 
 
-def _first_taker(state: CoreState, worker: WorkerView) -> Group | None:
-    """Return the group that comes first among those that fit."""
+def _first_group_for_worker(
+    state: CoreState, worker: WorkerView
+) -> Group | None:
+    """Return the first in rank of the unplaceable groups that fit a worker."""
     free = worker.free
-    if not any(size.fits_in(free) for size in state.roomless_sizes):
+    if not any(size.fits_in(free) for size in state.unplaceable_sizes):
         return None
     found: tuple[Rank, Group] | None = None
-    for account_rank, customer in state.roomless_order:
+    for account_rank, customer in state.unplaceable_order:
         # Later accounts have no group with a lower rank than this.
         if found is not None and found[0] <= account_rank:
             break
         candidate = _first_fitting(state, state.accounts[customer], worker)
-        found = _earlier(found, candidate)
+        found = _lower_ranked(found, candidate)
     return None if found is None else found[1]
 
 
-def _earlier(
+def _lower_ranked(
     one: tuple[Rank, Group] | None,
     other: tuple[Rank, Group] | None,
 ) -> tuple[Rank, Group] | None:
@@ -242,7 +244,7 @@
     free = worker.free
     fitting = [
         group
-        for group in account.roomless
+        for group in account.unplaceable
         if group.blocked_size.fits_in(free) and group not in state.offered
     ]
     if worker.has_accelerators:
@@ -259,7 +261,7 @@
     if not fitting:
         return None
     ordering = ordering_of(state)
-    group = ordering.first(fitting)
+    group = ordering.first_group(fitting)
     return ordering.rank(state, account, group), group
 
 
@@ -271,8 +273,8 @@
     group.obstacle = None
     state.blocked_gangs.pop(group, None)
     account.over_quota.pop(group, None)
-    if account.roomless.pop(group, group) is None:
-        state.roomless[group.urgent].pop(group)
-        state.roomless_sizes[group.blocked_size] -= 1
-        if not state.roomless_sizes[group.blocked_size]:
-            state.roomless_sizes.pop(group.blocked_size)
+    if account.unplaceable.pop(group, group) is None:
+        state.unplaceable[group.urgent].pop(group)
+        state.unplaceable_sizes[group.blocked_size] -= 1
+        if not state.unplaceable_sizes[group.blocked_size]:
+            state.unplaceable_sizes.pop(group.blocked_size)
--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -1,7 +1,7 @@
-"""Actions that the worker chart names."""
+"""Actions of the worker chart, `charts/worker.yaml`."""
 
-from fuchsiarill.core.holding import note_room, refresh
-from fuchsiarill.core.requeue import ask_to_stop, start_elsewhere
+from fuchsiarill.core.holding import mark_released, refresh_index
+from fuchsiarill.core.requeue import request_stop, request_replacement
 from fuchsiarill.core.reservations import drop_reservation
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import WORKER_ACTIONS, step_attempt
@@ -10,21 +10,23 @@
 from fuchsiarill.states import AttemptEvent, AttemptState
 
 
-@WORKER_ACTIONS.register('offer')
-def _offer(state: CoreState, worker: WorkerView, now_ms: int) -> None:
-    refresh(state, worker, now_ms)
-    note_room(state, worker)
+@WORKER_ACTIONS.register('offer_capacity')
+def _offer_capacity(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    refresh_index(state, worker, now_ms)
+    mark_released(state, worker)
 
 
-@WORKER_ACTIONS.register('withdraw')
-def _withdraw(state: CoreState, worker: WorkerView, now_ms: int) -> None:
-    refresh(state, worker, now_ms)
+@WORKER_ACTIONS.register('withdraw_capacity')
+def _withdraw_capacity(
+    state: CoreState, worker: WorkerView, now_ms: int
+) -> None:
+    refresh_index(state, worker, now_ms)
     for job_id in tuple(worker.holds):
         drop_reservation(state, job_id, now_ms)
 
 
-@WORKER_ACTIONS.register('suspect_attempts')
-def _suspect_attempts(
+@WORKER_ACTIONS.register('mark_contact_lost')
+def _mark_contact_lost(
     state: CoreState,
     worker: WorkerView,
     now_ms: int,
@@ -41,10 +43,11 @@
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    """Let the replicas on a worker run elsewhere.
+    """Request replacements on other workers for the running replicas.
 
-    One that the worker does not confirm may have ended; it is started again
-    when its lease has lapsed.
+    An at-most-once replica is stopped before it is replaced. A replica that
+    the worker does not confirm may have ended; it is started again once its
+    lease has lapsed.
     """
     for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
@@ -54,6 +57,6 @@
         if job.spec.workload is not Workload.SERVICE:
             continue
         if job.spec.execution is Execution.AT_MOST_ONCE:
-            ask_to_stop(state, attempt, StopReason.MOVED, now_ms)
+            request_stop(state, attempt, StopReason.MOVED, now_ms)
         else:
-            start_elsewhere(state, job, attempt, now_ms)
+            request_replacement(state, job, attempt, now_ms)
--- a/fuchsiarill/core/worker_index.py
+++ b/fuchsiarill/core/worker_index.py
@@ -1,7 +1,7 @@
 """Index of workers by free resources.
 
-Workers lie in buckets by the binary magnitude of each free resource, so the
-number of buckets that a search passes depends on the shapes of workers and
+Workers are kept in buckets by the binary magnitude of each free resource, so
+the number of buckets that a search visits depends on the shapes of workers and
 not on their number.
 """
 
@@ -14,9 +14,9 @@
 
 _Bucket = dict[WorkerId, WorkerView]
 _Pool = dict[BucketKey, _Bucket]
-# Members looked at in one bucket; a worker that fits may be passed over in
-# a larger bucket, but is offered again when something on it is released.
-_PROBES_MAX_COUNT = 12
+# Workers examined in one bucket. A worker that fits may be missed in a larger
+# bucket, but is offered separately when resources on it are released.
+_BUCKET_EXAMINED_COUNT = 12
 _SEARCH_MAX_COUNT = 96
 
 
@@ -30,15 +30,15 @@
 
 
 class WorkerIndex:
-    """The workers that may get tasks, by what they have free."""
+    """The workers that may get tasks, by their free resources."""
 
     def __init__(self) -> None:
         """Create an index without workers."""
         self._pools: dict[bool, _Pool] = {False: {}, True: {}}
         self._domains: dict[tuple[FailureDomain, bool], _Pool] = {}
 
-    def place(self, worker: WorkerView) -> None:
-        """Put a worker where it belongs by its free resources."""
+    def update(self, worker: WorkerView) -> None:
+        """Move a worker to its bucket; an exhausted one is removed."""
         free = worker.free
         bucket = _bucket_of(free)
         if worker.bucket == bucket:
@@ -51,7 +51,7 @@
         worker.bucket = bucket
 
     def remove(self, worker: WorkerView) -> None:
-        """Take a worker out, if it is in."""
+        """Remove a worker, if it is in the index."""
         if worker.bucket is None:
             return
         for pool in self._pools_of(worker):
@@ -62,7 +62,7 @@
         worker.bucket = None
 
     def domains(self, accelerated: bool) -> list[FailureDomain]:
-        """Return the domains with such workers, by name."""
+        """Return the domains that have such workers, sorted by name."""
         return sorted(
             domain
             for (domain, kind), pool in self._domains.items()
@@ -77,7 +77,7 @@
         domain: FailureDomain | None = None,
         fullest_first: bool = True,
     ) -> Iterator[WorkerView]:
-        """Yield workers with room, from the fullest or the emptiest bucket."""
+        """Yield workers that `size` fits, by how full their buckets are."""
         pool = self._pools[accelerated]
         if domain is not None:
             pool = self._domains.get((domain, accelerated), {})
@@ -88,8 +88,8 @@
 
     def _pools_of(self, worker: WorkerView) -> tuple[_Pool, _Pool]:
         accelerated = worker.has_accelerators
-        place = (worker.entry.failure_domain, accelerated)
-        return self._pools[accelerated], self._domains.setdefault(place, {})
+        update = (worker.entry.failure_domain, accelerated)
+        return self._pools[accelerated], self._domains.setdefault(update, {})
 
 
 def _members(
@@ -108,7 +108,7 @@
     ]
     fitting.sort(reverse=not fullest_first)
     for _accelerators, _fullness, key in fitting:
-        # A copy, because a caller may move the workers it is given.
-        for worker in tuple(islice(pool[key].values(), _PROBES_MAX_COUNT)):
+        # Copied, as the caller may move the yielded workers to other buckets.
+        for worker in tuple(islice(pool[key].values(), _BUCKET_EXAMINED_COUNT)):
             if size.fits_in(worker.free):
                 yield worker
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -1,4 +1,4 @@
-"""What the owner of a partition knows of a worker."""
+"""State of a worker as known to the owner of its partition."""
 
 from dataclasses import dataclass, field
 
@@ -19,14 +19,14 @@
 
 @dataclass(slots=True, eq=False)
 class WorkerView:
-    """What the owner knows of a worker and has reserved on it.
+    """State of a worker and the resources reserved on it.
 
-    `holds` maps gangs that wait for room on the worker to what they need,
-    in the order in which they get it. `bucket` is the
-    place of the worker in the index, `None` while it gets no tasks.
-    `strikes_count` counts failures of what succeeded elsewhere,
-    `probes_count` the successes in a row since it is on probation. Classes
-    in `avoided_by` go to other workers first.
+    `holds` maps each job with a reservation of the worker to the resources
+    that it needs there, in the order of the reservations. `bucket` is the
+    bucket of the worker in the index, `None` while it gets no tasks.
+    `strikes_count` counts failures of tasks that succeed elsewhere,
+    `probes_count` the consecutive successes on probation. Classes in
+    `avoided_by` use other workers.
     """
 
     entry: HostEntry
@@ -50,16 +50,16 @@
         return self.entry.worker_id
 
     def __post_init__(self) -> None:
-        """Compute what is free."""
+        """Compute the free resources."""
         self.free = self.entry.capacity - self.reserved
 
     def reserve(self, change: Resources) -> None:
-        """Add to what is reserved; a negative change releases."""
+        """Add to the reserved resources; a negative change releases some."""
         self.reserved += change
         self.free = self.entry.capacity - self.reserved
 
-    def relist(self, entry: HostEntry) -> None:
-        """Take over a changed entry of the host list."""
+    def update_entry(self, entry: HostEntry) -> None:
+        """Apply a changed entry of the host list."""
         self.entry = entry
         self.free = entry.capacity - self.reserved
 
