--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,4 +1,4 @@
-"""Small values that many tests need."""
+"""Builders of configurations, submissions and host entries for tests."""
 
 from fuchsiarill.cell_config import Amounts, CellConfig, Contract, Region
 from fuchsiarill.ids import (
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -1,7 +1,7 @@
 """Drives a `PartitionCore` by the steps of a data-driven case.
 
-Records are committed at once. After every step the workers that are not
-silent report all that they run, and obey stops.
+Records are committed at once. After every step, the workers that are not
+silent report all tasks that they run and comply with stops.
 """
 
 from collections.abc import Callable, Iterator
@@ -42,17 +42,17 @@
 _CAPACITY: Final = [4000, 8000, 0, 8]
 _ROUNDS_MAX_COUNT: Final = 50
 _NO_TOKEN: Final = '0' * 64
-_LARGE: Final = {
+_UNLIMITED: Final = {
     'processors_milli': 10**6,
     'memory_mb': 10**7,
     'accelerators_count': 1000,
     'slots_count': 10**4,
 }
-_FIELDS: Final = tuple(_LARGE)
+_FIELDS: Final = tuple(_UNLIMITED)
 
 
 def contract(**changes: Any) -> dict[str, Any]:
-    """Return a contract without narrow limits, but for the changes."""
+    """Return a contract with wide limits, except for the changes."""
     for name in ('quota', 'guaranteed'):
         if name in changes:
             amounts = zip(_FIELDS, changes[name], strict=True)
@@ -60,7 +60,7 @@
     return {
         'customer': 'a',
         'region': 'r',
-        'quota': _LARGE,
+        'quota': _UNLIMITED,
         'guaranteed': dict.fromkeys(_FIELDS, 0),
         'submit_rate_per_s': 1000,
         'submit_burst_count': 1000,
@@ -73,7 +73,7 @@
     policies: dict[str, Any],
     draining: list[str],
 ) -> CellConfig:
-    """Return a configuration; sizes are taken as declared by default."""
+    """Return a configuration that by default uses the declared sizes."""
     return CellConfig.model_validate(
         {
             'cell': 'test',
@@ -87,7 +87,7 @@
 
 
 def host_entry(name: str, row: dict[str, Any]) -> HostEntry:
-    """Return the entry of a worker in the host list."""
+    """Return the host list entry of a worker."""
     return HostEntry(
         WorkerId(name),
         'none',
@@ -101,7 +101,7 @@
 
 
 def job_spec(row: dict[str, Any]) -> JobSpec:
-    """Return a submission; `job` is its key."""
+    """Return a submission; `job` is its idempotency key."""
     return JobSpec(
         customer=CustomerId(row.get('customer', 'a')),
         idempotency_key=row['job'],
@@ -117,10 +117,10 @@
 
 
 class Cell:  # noqa: WPS230
-    """A core, its workers and the time."""
+    """A core with simulated workers and a simulated clock."""
 
     def __init__(self, case: dict[str, Any]) -> None:
-        """Begin with the contracts, policies and workers of the case."""
+        """Set up the contracts, policies and workers of the case."""
         self.now_ms = 0
         self.contracts = case.get('contracts', [{}])
         self.policies = case.get('policies', {})
@@ -145,25 +145,25 @@
         return cell_config(self.contracts, self.policies, self.draining)
 
     def run(self, steps: list[dict[str, Any]]) -> None:
-        """Carry out steps, with an exchange after each."""
+        """Perform steps, with an exchange after each."""
         for step in steps:
             for name, argument in step.items():
                 STEPS.lookup(name)(self, argument)
                 self.exchange()
 
     def list_hosts(self) -> None:
-        """Let the core read the host list."""
+        """Pass the host list to the core."""
         entries = [host_entry(name, row) for name, row in self.hosts.items()]
         self.core.hosts_listed(tuple(entries), self.now_ms)
 
     def exchange(self) -> None:
-        """Decide and exchange until nothing more follows."""
+        """Decide and exchange until no further effects follow."""
         quiet_count = 0
         for _round in range(_ROUNDS_MAX_COUNT):  # noqa: WPS122
             more = self.core.decide(self.now_ms)
             effects = self.core.take_effects()
             for effect in effects:
-                self._carry_out(effect)
+                self._apply_effect(effect)
             self.check_capacity()
             for name in self.hosts:
                 if name not in self.silent:
@@ -172,10 +172,10 @@
             quiet_count = 0 if busy else quiet_count + 1
             if quiet_count > 1:
                 return
-        raise AssertionError('decisions do not come to an end')
+        raise AssertionError('decisions do not terminate')
 
     def report(self, name: str) -> None:
-        """Let a worker report what it runs and what has ended."""
+        """Report the running and the ended tasks of a worker."""
         tasks = [
             self._task(attempt_id, start)
             for attempt_id, start in tuple(self.running.items())
@@ -188,7 +188,7 @@
         self.core.worker_reported(report, self.now_ms)
 
     def placed(self, job: str) -> list[str]:
-        """Return the workers that run a job, in order."""
+        """Return the workers that run a job, sorted by name."""
         return sorted(
             start.worker_id
             for start in self.running.values()
@@ -196,7 +196,7 @@
         )
 
     def check_capacity(self) -> None:
-        """Fail when more is reserved on a worker than it has."""
+        """Check that no worker has reservations above its capacity."""
         for worker in self.core.state.workers.values():
             held = sum(
                 (
@@ -208,7 +208,7 @@
             assert held == worker.reserved
             assert held.fits_in(worker.entry.capacity)
 
-    def _carry_out(self, effect: object) -> None:
+    def _apply_effect(self, effect: object) -> None:
         if isinstance(effect, PersistRecord):
             self.core.committed(effect.sequence, self.now_ms)
         elif isinstance(effect, StartTask) and effect.payload in self.withheld:
@@ -279,14 +279,14 @@
 
 
 @STEPS.register('silent')
-def _silence(cell: Cell, names: list[str]) -> None:
+def _disconnect(cell: Cell, names: list[str]) -> None:
     for name in names:
         cell.silent.add(name)
         cell.core.worker_silent(WorkerId(name), cell.now_ms)
 
 
 @STEPS.register('heard')
-def _hear(cell: Cell, names: list[str]) -> None:
+def _reconnect(cell: Cell, names: list[str]) -> None:
     cell.silent.difference_update(names)
 
 
@@ -316,7 +316,7 @@
 
 
 @STEPS.register('uses')
-def _use(cell: Cell, rows: dict[str, list[int]]) -> None:
+def _set_usage(cell: Cell, rows: dict[str, list[int]]) -> None:
     for job, used in rows.items():
         cell.used[job] = Resources(*used)
 
--- a/tests/test_core_cases.py
+++ b/tests/test_core_cases.py
@@ -1,4 +1,4 @@
-"""Decisions of the core, by the cases in `cases/core_*.yaml`.
+"""Tests of the core, driven by the cases in `cases/core_*.yaml`.
 
 Each case names the failure that it guards against.
 """
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -1,4 +1,4 @@
-"""Gangs, single tasks and capacity under arbitrary sequences of events."""
+"""Tests of the core under arbitrary sequences of events."""
 
 from typing import Any
 
@@ -28,7 +28,7 @@
     """Submissions, ends, cancellations and lost workers in any order."""
 
     def __init__(self) -> None:
-        """Start without a cell; `begin` draws its policies."""
+        """Start with an empty cell; `begin` draws the policies."""
         super().__init__()
         self.cell = Cell({})
         self.jobs: list[str] = []
@@ -36,7 +36,7 @@
 
     @initialize(learn=st.booleans(), ordering=st.sampled_from(['fair']))
     def begin(self, learn: bool, ordering: str) -> None:
-        """Build the cell."""
+        """Create the cell with the drawn policies."""
         self.cell = Cell(
             {
                 'workers': _WORKERS,
@@ -64,7 +64,7 @@
 
     @rule(pick=st.randoms(use_true_random=False), ends=st.booleans())
     def end_job(self, pick: Any, ends: bool) -> None:
-        """Let all that runs of a job end."""
+        """End all running tasks of a job."""
         running = sorted({row.payload for row in self.cell.running.values()})
         if running:
             outcome = 'succeeded' if ends else 'failed'
@@ -78,13 +78,13 @@
 
     @rule(name=st.sampled_from(sorted(_WORKERS)))
     def lose(self, name: str) -> None:
-        """Cut a worker off; it stops its tasks when their leases end."""
+        """Disconnect a worker, which stops its tasks when their leases end."""
         self.perform('silent', [name])
 
     @precondition(lambda machine: machine.cell.silent)
     @rule()
     def return_workers(self) -> None:
-        """Connect the workers again after their leases have ended."""
+        """Reconnect the workers after their leases have ended."""
         for attempt_id, start in tuple(self.cell.running.items()):
             if start.worker_id in self.cell.silent:
                 self.cell.running.pop(attempt_id)
@@ -93,13 +93,13 @@
 
     @rule(duration_ms=st.sampled_from([100, 1_000, 60_000]))
     def wait(self, duration_ms: int) -> None:
-        """Let time pass, but not beyond the leases of silent workers."""
+        """Advance the time, but not beyond the leases of silent workers."""
         if not self.cell.silent:
             self.perform('advance_ms', duration_ms)
 
     @rule()
     def drain_queue(self) -> None:
-        """Let everything that can end do so; each gang then had its turn."""
+        """End all tasks repeatedly; guards against jobs that never start."""
         if self.cell.silent:
             self.return_workers()
         for _turn in range(_GANG_WAITS_MAX_COUNT):  # noqa: WPS122
@@ -125,7 +125,7 @@
 
     @invariant()
     def gangs_are_whole(self) -> None:
-        """No gang is placed in part, and no worker serves two gangs."""
+        """Guards against partly placed gangs and workers held twice."""
         for job in self.cell.core.state.jobs.values():
             if job.spec.workload is Workload.GANG and job.waiting:
                 assert not job.attempts
@@ -138,7 +138,7 @@
 
     @invariant()
     def accounts_add_up(self) -> None:
-        """Accounts hold what their attempts reserve, and never less."""
+        """Guards against accounts that differ from their attempts."""
         self.cell.check_capacity()
         state = self.cell.core.state
         for account in state.accounts.values():
@@ -152,7 +152,7 @@
 
     @invariant()
     def no_task_runs_twice(self) -> None:
-        """Workers run an at-most-once task and a gang member only once."""
+        """Guards against two runs of a batch task or a gang member."""
         seen: set[str] = set()
         for attempt_id, start in self.cell.running.items():
             spec = self.spec_of(start.payload)
@@ -163,7 +163,7 @@
             assert size_of(self.cell.core.state, spec) is not None
 
     def perform(self, name: str, argument: Any) -> None:
-        """Carry out a step of the harness."""
+        """Perform a step of the harness."""
         STEPS.lookup(name)(self.cell, argument)
         self.cell.exchange()
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""A new owner makes of the journal and the reports what the cases say."""
+"""Tests of the state that a new owner restores from journal and reports."""
 
 from collections.abc import Iterator
 from pathlib import Path
@@ -38,7 +38,7 @@
 
 
 class _Owner:
-    """A core whose commits succeed at once."""
+    """A restored core whose commits succeed at once."""
 
     def __init__(self, log: list[str], *, volatile: bool = False) -> None:
         self.core = PartitionCore(
@@ -78,11 +78,11 @@
         effects = self.core.take_effects()
         while effects:
             for effect in effects:
-                self._carry_out(effect, now_ms)
+                self._apply_effect(effect, now_ms)
             self.core.decide(now_ms)
             effects = self.core.take_effects()
 
-    def _carry_out(self, effect: object, now_ms: int) -> None:
+    def _apply_effect(self, effect: object, now_ms: int) -> None:
         if isinstance(effect, PersistRecord):
             self.core.committed(effect.sequence, now_ms)
         if isinstance(effect, StartTask):
@@ -159,13 +159,13 @@
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_compaction_keeps_the_image(case: dict[str, Any]) -> None:
-    """Guards against a snapshot that says something else than its log."""
+    """Guards against a snapshot that differs from its log."""
     image = fold(_parse(case['log']))
     assert fold(image.compacted()) == image
 
 
 def test_adopted_attempt_is_reserved() -> None:
-    """Guards against a worker loaded beyond its capacity by a new owner."""
+    """Guards against a new owner that overcommits a worker."""
     owner = _Owner(['accepted b at_most_once', 'intent b/0@1.1 w2'])
     owner.core.hosts_listed((host('w1'), host('w2')), 0)
     assert owner.reserved_on('w2') == SIZE
@@ -186,7 +186,7 @@
 
 
 def test_urgent_volatile_job_is_held() -> None:
-    """Guards against a second run of a job that only a worker knows of."""
+    """Guards against a second run of a volatile job that a worker runs."""
     owner = _Owner([], volatile=True)
     owner.core.hosts_listed((host('w1'), host('w2')), 0)
     owner.report('w1', [], 1)
@@ -201,12 +201,12 @@
 
 
 def test_orphan_delays_its_resubmitted_job() -> None:
-    """Guards against a start while an older copy is still being stopped."""
+    """Guards against a start while an orphan is still being stopped."""
     owner = _Owner([], volatile=True)
     owner.core.hosts_listed((host('w1'),), 0)
     urgent = spec('urgent', urgency=Urgency.URGENT)
-    twin = PartitionCore(PartitionId('r.0'), _EPOCH, cell(volatile=True))
-    job_id = twin.submit(urgent, 0).unwrap()
+    other_core = PartitionCore(PartitionId('r.0'), _EPOCH, cell(volatile=True))
+    job_id = other_core.submit(urgent, 0).unwrap()
     owner.report('w1', [f'running {job_id}/0@1.1'], 1)
     owner.settle(1)
     assert owner.stops
