--- a/fuchsiarill/answers.py
+++ b/fuchsiarill/answers.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JobWhy:
+class JobExplanation:
     """Tells what a job waits for.
 
     `reasons` can be written as JSON; it is empty when `answer` refuses.
--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -16,11 +16,11 @@
 from fuchsiarill.cluster.peers import RpcPeers
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner.campaign import Campaign
-from fuchsiarill.owner.claims import OwnerFound, parse_claim
+from fuchsiarill.owner.claims import OwnerLocated, parse_claim
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
-from fuchsiarill.owner.serving import Ports
-from fuchsiarill.ports.store_health import HealthNotingStore
+from fuchsiarill.owner.partition_service import Ports
+from fuchsiarill.ports.store_health import HealthTrackingStore
 from fuchsiarill.process import Parts, Process
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.routing import Router
@@ -36,7 +36,7 @@
     ports: Ports
     calls: RpcPeers
     parse: ConfigParser
-    chance: random.Random
+    random_source: random.Random
 
 
 class Assembly:
@@ -49,7 +49,7 @@
     ) -> None:
         """Create the actors; the process also looks after `links`."""
         settings = environment.settings
-        store = HealthNotingStore(environment.ports.store)
+        store = HealthTrackingStore(environment.ports.store)
         self._settings = settings
         self._ports = replace(environment.ports, store=store)
         self._calls = environment.calls
@@ -58,15 +58,15 @@
             environment.own,
             Directory(store),
             environment.calls,
-            environment.chance,
+            environment.random_source,
         )
-        store.changed = self.membership.note_store
+        store.changed = self.membership.update_store_state
         self.config = ConfigSpread(
             settings.config,
             store,
             environment.calls,
             environment.parse,
-            environment.chance,
+            environment.random_source,
         )
         self.router = Router(settings.peers, self._link, self._look_up)
         own_actors = (
@@ -127,11 +127,11 @@
             self.router.mailbox,
         )
 
-    async def _look_up(self, partition: PartitionId) -> OwnerFound | None:
+    async def _look_up(self, partition: PartitionId) -> OwnerLocated | None:
         """Read the owner key; `None` when the store does not answer."""
         match await self._ports.store.get(owner_key(partition)):
             case Success(found):
-                return OwnerFound(partition, parse_claim(found), mailbox=None)
+                return OwnerLocated(partition, parse_claim(found), mailbox=None)
         return None
 
     def _open_campaign(
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DocumentFound:
+class DocumentFetched:
     """The store or a peer answered with a document; `None` for no answer."""
 
     document: ConfigDocument | None
@@ -53,14 +53,14 @@
         settings: ConfigSettings,
         store: StorePort,
         config: Mailbox,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
         """Read the store through `store`."""
         super().__init__('config source')
         self._settings = settings
         self._store = store
         self._config = config
-        self._chance = chance
+        self._random_source = random_source
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -120,7 +120,7 @@
     def _report(self, found: Versioned) -> None:
         document = read_document(found.value)
         if isinstance(document, Success):
-            self._config.send(DocumentFound(document.unwrap()))
+            self._config.send(DocumentFetched(document.unwrap()))
             return
         events.emit(
             events.CONFIG_REJECTED,
@@ -130,5 +130,7 @@
         )
 
     def _jittered(self, wait_ms: float) -> float:
-        ratio = self._chance.uniform(1 - _JITTER_RATIO, 1 + _JITTER_RATIO)
+        ratio = self._random_source.uniform(
+            1 - _JITTER_RATIO, 1 + _JITTER_RATIO
+        )
         return wait_ms * ratio
--- a/fuchsiarill/cluster/config_spread.py
+++ b/fuchsiarill/cluster/config_spread.py
@@ -25,7 +25,7 @@
 from fuchsiarill.cluster.config_document import NO_DOCUMENT, ConfigDocument
 from fuchsiarill.cluster.config_source import (
     ConfigSource,
-    DocumentFound,
+    DocumentFetched,
     TakeTurn,
 )
 from fuchsiarill.cluster.member_table import NO_GENERATION, Member
@@ -55,7 +55,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskDocument:
+class GetDocument:
     """Asks for the document in force, or `NO_DOCUMENT`."""
 
     reply: Reply[ConfigDocument]
@@ -83,7 +83,7 @@
         store: StorePort,
         peers: PeerPort,
         parse: ConfigParser,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
         """Start without a configuration."""
         super().__init__('config')
@@ -91,13 +91,13 @@
         self.membership: Mailbox | None = None
         self.state = CONFIGURATION_CHART.initial
         self.document = NO_DOCUMENT
-        self.source = ConfigSource(settings, store, self.mailbox, chance)
+        self.source = ConfigSource(settings, store, self.mailbox, random_source)
         self.parse = parse
         self.rejected = NO_GENERATION
         self._settings = settings
         self._store = store
         self._peers = peers
-        self._chance = chance
+        self._random_source = random_source
         self._collecting = True
         self._candidate = NO_DOCUMENT
         self._pulling = False
@@ -121,8 +121,8 @@
         await self._consider(message.document)
         message.reply.answer(self.document.generation)
 
-    @handles(DocumentFound)
-    async def on_found(self, message: DocumentFound) -> None:
+    @handles(DocumentFetched)
+    async def on_found(self, message: DocumentFetched) -> None:
         """Take a found document if it is newer."""
         if message.of_peer:
             self._pulling = False
@@ -135,8 +135,8 @@
         self._collecting = False
         await self._consider(self._candidate)
 
-    @handles(AskDocument)
-    async def on_ask(self, message: AskDocument) -> None:
+    @handles(GetDocument)
+    async def on_get_document(self, message: GetDocument) -> None:
         """Return the document in force."""
         message.reply.answer(self.document)
 
@@ -218,7 +218,7 @@
         ]
         if newer and not self._pulling:
             self._pulling = True
-            self.spawn(self._pull(self._chance.choice(newer)))
+            self.spawn(self._pull(self._random_source.choice(newer)))
 
     async def _end_collecting(self) -> None:
         await sleep_ms(self._settings.collect_ms)
@@ -226,7 +226,7 @@
 
     async def _pull(self, address: str) -> None:
         fetched = await self._peers.fetch_config(address)
-        found = DocumentFound(fetched.value_or(None), of_peer=True)
+        found = DocumentFetched(fetched.value_or(None), of_peer=True)
         self.mailbox.send(found)
 
     async def _offer(self, address: str, document: ConfigDocument) -> None:
@@ -236,7 +236,7 @@
         change = ConfigChange(self._store, message.request, self.parse)
         answer = await change.carry_out()
         if answer.code is codes.DONE:
-            self.mailbox.send(DocumentFound(answer.document))
+            self.mailbox.send(DocumentFetched(answer.document))
         message.reply.answer(answer)
 
 
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -51,7 +51,7 @@
 
     address: str
     received: Gossip | None
-    asked_at_ms: int
+    requested_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +98,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskView:
+class GetView:
     """Asks for all members in the view."""
 
     reply: Reply[tuple[Member, ...]]
@@ -132,7 +132,7 @@
         own: MemberDetail,
         directory: Directory,
         peers: PeerPort,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
         """Know the own process only; needs a running loop."""
         super().__init__('membership')
@@ -141,7 +141,7 @@
         self._settings = settings
         self._directory = directory
         self._peers = peers
-        self._chance = chance
+        self._random_source = random_source
         self._joined = False
         self._addresses: dict[ProcessId, str] = {}
         self._generation = NO_GENERATION
@@ -150,7 +150,7 @@
         self._evidence = StoreEvidence()
         self._rounds_count = 0
 
-    def note_store(self, is_down: bool) -> None:
+    def update_store_state(self, is_down: bool) -> None:
         """Tell the actor that the store went out of reach or came back."""
         self.mailbox.send(StoreHealthChanged(is_down))
 
@@ -195,7 +195,7 @@
         self._evidence.answered(
             self.table.own,
             self.table.members(),
-            (message.address, message.asked_at_ms),
+            (message.address, message.requested_at_ms),
         )
         wanted = self.table.requested(received.wanted)
         if wanted.details:
@@ -234,8 +234,8 @@
         self._store_is_down = message.is_down
         self._beat()
 
-    @handles(AskView)
-    async def on_view(self, message: AskView) -> None:
+    @handles(GetView)
+    async def on_view(self, message: GetView) -> None:
         """Return the view."""
         message.reply.answer(self.table.members())
 
@@ -327,7 +327,7 @@
         return targets
 
     def _pick(self, addresses: set[str], count: int) -> list[str]:
-        return self._chance.sample(
+        return self._random_source.sample(
             sorted(addresses),
             min(count, len(addresses)),
         )
@@ -340,12 +340,12 @@
         self.mailbox.send(DirectoryRead(joined, addresses))
 
     async def _exchange(self, address: str, opening: Gossip) -> None:
-        asked_at_ms = now_ms()
+        requested_at_ms = now_ms()
         match await self._peers.gossip(address, opening):
             case Success(answer):
-                answered = GossipAnswered(address, answer, asked_at_ms)
+                answered = GossipAnswered(address, answer, requested_at_ms)
             case _:
-                answered = GossipAnswered(address, None, asked_at_ms)
+                answered = GossipAnswered(address, None, requested_at_ms)
         self.mailbox.send(answered)
 
     async def _leave(self, reply: Reply[None]) -> None:
--- a/fuchsiarill/cluster/owner_link.py
+++ b/fuchsiarill/cluster/owner_link.py
@@ -14,7 +14,7 @@
 
 from fuchsiarill import texts
 from fuchsiarill.actor import Mailbox, handles
-from fuchsiarill.answers import JobAnswer, JobWhy, refused
+from fuchsiarill.answers import JobAnswer, JobExplanation, refused
 from fuchsiarill.cluster.encoding import read_answer, spec_fields
 from fuchsiarill.cluster.peer_port import PeerFailure
 from fuchsiarill.cluster.peers import RpcPeers
@@ -89,8 +89,8 @@
             self._submits_count += 1
             self.spawn(self._submit_pending())
 
-    @handles(messages.AskJob)
-    async def on_ask(self, message: messages.AskJob) -> None:
+    @handles(messages.QueryJob)
+    async def on_query(self, message: messages.QueryJob) -> None:
         """Query remotely."""
         self.spawn(self._ask(message))
 
@@ -142,7 +142,7 @@
             return [refusal for _ in specs]
         return self._read(received.unwrap().answers)
 
-    async def _ask(self, message: messages.AskJob) -> None:
+    async def _ask(self, message: messages.QueryJob) -> None:
         query = message.query
         received = await self._call(
             'query',
@@ -184,7 +184,7 @@
         reasons = '{}'
         if isinstance(received, Success):
             reasons = received.unwrap().reasons
-        why = JobWhy(self._single(received), json.loads(reasons))
+        why = JobExplanation(self._single(received), json.loads(reasons))
         message.reply.answer(why)
 
     async def _call(
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -16,9 +16,9 @@
 from fuchsiarill.answers import (
     JobAnswer,
     JobCancel,
+    JobExplanation,
     JobList,
     JobQuery,
-    JobWhy,
     refused,
 )
 from fuchsiarill.cluster.cluster_encoding import (
@@ -28,13 +28,13 @@
     read_gossip,
 )
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument, ConfigOffered
+from fuchsiarill.cluster.config_spread import ConfigOffered, GetDocument
 from fuchsiarill.cluster.encoding import SCHEMA, answer_fields, read_spec
 from fuchsiarill.cluster.member_table import Gossip
 from fuchsiarill.cluster.membership import Gossiped
 from fuchsiarill.ids import CustomerId, Generation, JobId, PartitionId
 from fuchsiarill.owner import messages
-from fuchsiarill.process_messages import AskDump, Receivers
+from fuchsiarill.process_messages import GetDump, Receivers
 from fuchsiarill.refusal import refuse
 from fuchsiarill.routing import JobMessage, Route, answer_all
 from fuchsiarill.settings import PeerSettings
@@ -47,7 +47,7 @@
 _RETRY_AFTER_MS: Final = 500
 
 
-class PeerServant(SCHEMA.Peer.Server):  # type: ignore[misc]
+class PeerCallServer(SCHEMA.Peer.Server):  # type: ignore[misc]
     """Turns calls into messages and replies into answers."""
 
     def __init__(self, receivers: Receivers, settings: PeerSettings) -> None:
@@ -79,7 +79,7 @@
     ) -> None:
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId), waitMs)
-        ask = messages.AskJob(query, reply)
+        ask = messages.QueryJob(query, reply)
         answer = await self._job_answer(partition, ask, reply, waitMs)
         _context.results.answer = answer_fields(answer)
 
@@ -124,7 +124,7 @@
         _context: Any,
         **_extra: Any,
     ) -> None:
-        reply: Reply[JobWhy] = Reply()
+        reply: Reply[JobExplanation] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId))
         message = messages.ExplainJob(query, reply)
         why = await self._job_answer(partition, message, reply)
@@ -155,13 +155,13 @@
         **_extra: Any,
     ) -> None:
         reply: Reply[ConfigDocument] = Reply()
-        self._receivers.config.send(AskDocument(reply))
+        self._receivers.config.send(GetDocument(reply))
         document = await reply.wait(self._settings.call_timeout_ms)
         _context.results.document = document_fields(document)
 
     async def dump(self, _context: Any, **_extra: Any) -> None:
         reply: Reply[str] = Reply()
-        self._receivers.process.send(AskDump(reply))
+        self._receivers.process.send(GetDump(reply))
         _context.results.state = await reply.wait(
             self._settings.call_timeout_ms,
         )
@@ -205,7 +205,7 @@
     settings: PeerSettings,
     stream: Any,
 ) -> None:
-    servant = PeerServant(receivers, settings)
+    servant = PeerCallServer(receivers, settings)
     server = capnp.TwoPartyServer(stream, bootstrap=servant)
     await server.on_disconnect()
 
--- a/fuchsiarill/cluster/store_evidence.py
+++ b/fuchsiarill/cluster/store_evidence.py
@@ -32,7 +32,7 @@
         expected from the failure domain of every other process in the region,
         and for ever: silence of a whole domain may be a cut.
         """
-        address, asked_at_ms = call
+        address, requested_at_ms = call
         for member in members:
             detail = member.detail
             if detail.process == own.detail.process:
@@ -41,7 +41,7 @@
                 continue
             self._down_at_ms.setdefault(detail.failure_domain, 0)
             if detail.address == address:
-                self._note(member, asked_at_ms)
+                self._note(member, requested_at_ms)
 
     def outage_until_ms(self) -> int:
         """Return until when an outage may be assumed; 0 without evidence."""
@@ -50,9 +50,11 @@
             return 0
         return oldest_ms + OUTAGE_EVIDENCE_VALID_MS
 
-    def _note(self, member: Member, asked_at_ms: int) -> None:
+    def _note(self, member: Member, requested_at_ms: int) -> None:
         if not member.beat.store_is_down:
-            self._up_at_ms = max(self._up_at_ms, asked_at_ms)
+            self._up_at_ms = max(self._up_at_ms, requested_at_ms)
             return
         domain = member.detail.failure_domain
-        self._down_at_ms[domain] = max(self._down_at_ms[domain], asked_at_ms)
+        self._down_at_ms[domain] = max(
+            self._down_at_ms[domain], requested_at_ms
+        )
--- a/fuchsiarill/commands/explain_command.py
+++ b/fuchsiarill/commands/explain_command.py
@@ -7,7 +7,7 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.commands.client import Client
 from fuchsiarill.commands.command import CommandAnswer, command
-from fuchsiarill.explain_logs import conclude, read_story
+from fuchsiarill.explain_logs import conclude, read_history
 
 
 def _arguments(parser: ArgumentParser) -> None:
@@ -32,14 +32,14 @@
     Raises `OSError` for a file that can't be read.
     """
     sources = [path.read_text().splitlines() for path in options.logs]
-    story = read_story(options.job, sources or [sys.stdin])
+    history = read_history(options.job, sources or [sys.stdin])
     notes = []
-    if story.unreadable_count:
-        notes.append(texts.LINES_UNREADABLE.format(story.unreadable_count))
-    if not story.lines:
+    if history.unreadable_count:
+        notes.append(texts.LINES_UNREADABLE.format(history.unreadable_count))
+    if not history.lines:
         notes.append(texts.JOB_UNSEEN)
         return CommandAnswer(None, codes.UNKNOWN_JOB, tuple(notes))
-    notes.append(conclude(story))
+    notes.append(conclude(history))
     rows = [
         {
             'time': line['time'],
@@ -47,6 +47,6 @@
             'level': line['level'],
             'text': line['text'],
         }
-        for line in story.lines
+        for line in history.lines
     ]
     return CommandAnswer(rows, notes=tuple(notes))
--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -90,7 +90,7 @@
     def add(self, job: JobRecord) -> None:
         """Append a job, or put it first if it was accepted earlier."""
         self.jobs[job.job_id] = job
-        if job.order < self.first_order:
+        if job.acceptance_number < self.first_order:
             self.jobs.move_to_end(job.job_id, last=False)
             self._update_first(job)
 
@@ -107,9 +107,9 @@
         return next(iter(self.jobs))
 
     def _update_first(self, job: JobRecord) -> None:
-        self.first_order = job.order
+        self.first_order = job.acceptance_number
         self.first_at_ms = job.accepted_at_ms
-        self.urgent_then_order = (not self.urgent, job.order)
+        self.urgent_then_order = (not self.urgent, job.acceptance_number)
 
 
 @dataclass(slots=True, eq=False)
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -10,7 +10,7 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.core.accounts import Account
-from fuchsiarill.core.limits import take_token
+from fuchsiarill.core.rate_limit import take_token
 from fuchsiarill.core.sizes import total_copies_count
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.holding import refresh_index, reserve_attempt
 from fuchsiarill.core.ledger import (
     job_of,
     lapse_bound_ms,
@@ -18,6 +17,7 @@
 )
 from fuchsiarill.core.recovery import Orphan
 from fuchsiarill.core.requeue import request_stop, requeue_task
+from fuchsiarill.core.resource_accounting import refresh_index, reserve_attempt
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.core.worker_view import WorkerView
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -1,18 +1,18 @@
 """Actions of the attempt chart, `charts/attempt.yaml`."""
 
 from fuchsiarill.core.effects import CommandTask
-from fuchsiarill.core.holding import release_attempt
 from fuchsiarill.core.learning import learn_from_success
 from fuchsiarill.core.probation import record_success
 from fuchsiarill.core.requeue import (
-    request_stop,
     advance_if_all_stopped,
     position_of,
+    request_stop,
     requeue_task,
 )
+from fuchsiarill.core.resource_accounting import release_attempt
 from fuchsiarill.core.retries import (
-    handle_failure,
     earn_retry_credit,
+    handle_failure,
     restart_ended_replica,
 )
 from fuchsiarill.core.state import CoreState
@@ -39,8 +39,8 @@
     release_attempt(state, attempt, now_ms)
     job = state.jobs[attempt.job_id]
     position = position_of(attempt)
-    if job.moving.get(position) == attempt.attempt_id:
-        job.moving.pop(position)
+    if job.replaced_attempts.get(position) == attempt.attempt_id:
+        job.replaced_attempts.pop(position)
 
 
 @ATTEMPT_ACTIONS.register('handle_started')
@@ -56,7 +56,7 @@
     step_job(state, job, JobEvent.TASK_STARTED, now_ms)
     if attempt.replaces is None:
         return
-    job.moving.pop(position_of(attempt), None)
+    job.replaced_attempts.pop(position_of(attempt), None)
     replaced = job.attempts.get(attempt.replaces)
     if replaced is not None:
         request_stop(state, replaced, StopReason.MOVED, now_ms)
--- a/fuchsiarill/core/avoidance.py
+++ b/fuchsiarill/core/avoidance.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Final
 
-from fuchsiarill.core.holding import mark_released
+from fuchsiarill.core.resource_accounting import mark_released
 from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.timers import call_at
--- a/fuchsiarill/core/deciding.py
+++ b/fuchsiarill/core/decision_round.py
@@ -8,10 +8,10 @@
 from fuchsiarill.core.accounts import Account, Group, Obstacle, Rank
 from fuchsiarill.core.admission import starts_restricted
 from fuchsiarill.core.gangs import (
-    reserve_for_task,
+    move_holds_to_released,
     place_gang,
+    reserve_for_task,
     start_if_reserved,
-    move_holds_to_released,
 )
 from fuchsiarill.core.ordering import ordering_of
 from fuchsiarill.core.placement import (
@@ -19,26 +19,26 @@
     find_released_worker,
     find_worker,
 )
+from fuchsiarill.core.preemption import reclaim_for
 from fuchsiarill.core.quotas import is_guaranteed, is_owed_urgently, may_hold
-from fuchsiarill.core.reclaim import reclaim_for
-from fuchsiarill.core.reservations import (
-    drop_reservation,
-    has_capacity,
-    is_valid,
-)
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.starting import start_next
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.timers import run_due
-from fuchsiarill.core.waiting import (
+from fuchsiarill.core.wait_queue import (
     block,
     dequeue,
     group_for_released_capacity,
-    rank_accounts,
     mark_unranked,
+    rank_accounts,
     retry_unplaceable,
     unblock,
 )
+from fuchsiarill.core.worker_holds import (
+    drop_reservation,
+    has_capacity,
+    is_valid,
+)
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
@@ -205,7 +205,7 @@
         return Obstacle.NO_CONTRACT
     if state.restricted and not starts_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
-    if state.jobs[group.head()].moving:
+    if state.jobs[group.head()].replaced_attempts:
         # A replacement and its replica are counted together until the replica
         # stops, which may exceed the quota.
         return None
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -7,7 +7,7 @@
 from fuchsiarill.core.admission import excesses, first_excess
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.waiting import is_waiting, rank_accounts
+from fuchsiarill.core.wait_queue import is_waiting, rank_accounts
 from fuchsiarill.ids import JobId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
@@ -129,7 +129,9 @@
     for other in account.groups.values():
         if other.urgent is group.urgent:
             others = other.jobs.values()
-            ahead_count += sum(row.order < job.order for row in others)
+            ahead_count += sum(
+                row.acceptance_number < job.acceptance_number for row in others
+            )
         elif other.urgent:
             ahead_count += len(other.jobs)
     return ahead_count
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -12,10 +12,13 @@
 from typing import Final
 
 from fuchsiarill.core.accounts import Group
-from fuchsiarill.core.holding import refresh_index
 from fuchsiarill.core.placement import can_get_tasks, find_worker, is_eligible
 from fuchsiarill.core.reservation import Reservation
-from fuchsiarill.core.reservations import (
+from fuchsiarill.core.resource_accounting import refresh_index
+from fuchsiarill.core.sizes import copies_in, run_time_of
+from fuchsiarill.core.starting import start_next
+from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.worker_holds import (
     change_hold,
     drop_reservation,
     has_capacity,
@@ -24,9 +27,6 @@
     is_valid,
     worker_lacking_capacity,
 )
-from fuchsiarill.core.sizes import copies_in, run_time_of
-from fuchsiarill.core.starting import start_next
-from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.job import JobRecord
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -3,11 +3,11 @@
 from collections import Counter
 
 from fuchsiarill.core.adoption import reserve_restored_attempts
-from fuchsiarill.core.holding import refresh_index
 from fuchsiarill.core.quotas import refresh_shares
+from fuchsiarill.core.resource_accounting import refresh_index
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_worker
-from fuchsiarill.core.waiting import unblock_all
+from fuchsiarill.core.wait_queue import unblock_all
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import NOTHING
--- a/fuchsiarill/core/job_actions.py
+++ b/fuchsiarill/core/job_actions.py
@@ -5,13 +5,13 @@
 
 from fuchsiarill.core.effects import JobSettled
 from fuchsiarill.core.requeue import stop_all
-from fuchsiarill.core.reservations import drop_reservation
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import JOB_ACTIONS
-from fuchsiarill.core.waiting import dequeue, enqueue
+from fuchsiarill.core.wait_queue import dequeue, enqueue
+from fuchsiarill.core.worker_holds import drop_reservation
 from fuchsiarill.ids import JobId
 from fuchsiarill.job import JobRecord
-from fuchsiarill.records import CancelAsked, JobEnded
+from fuchsiarill.records import CancelRequested, JobEnded
 
 # Ended jobs are kept, so that a repeated submission gets its original answer.
 ENDED_MAX_COUNT: Final = 20_000
@@ -34,7 +34,7 @@
 
 @JOB_ACTIONS.register('persist_cancel')
 def _persist_cancel(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    state.persist_for(job, CancelAsked(job.job_id), now_ms)
+    state.persist_for(job, CancelRequested(job.job_id), now_ms)
 
 
 @JOB_ACTIONS.register('stop_attempts')
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -8,13 +8,13 @@
 
 from fuchsiarill.core.effects import CommandTask
 from fuchsiarill.core.estimate import Estimate
-from fuchsiarill.core.holding import resize_attempt
 from fuchsiarill.core.requeue import request_stop
+from fuchsiarill.core.resource_accounting import resize_attempt
 from fuchsiarill.core.sizes import (
     EVIDENCE_MIN_COUNT,
+    elementwise_max,
     estimate_of,
     has_evidence,
-    elementwise_max,
 )
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import (
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -12,19 +12,19 @@
 LEASE_MARGIN_MS: Final = 2_500
 
 
-def lease_end_ms(state: CoreState, asked_at_ms: int) -> int:
+def lease_end_ms(state: CoreState, requested_at_ms: int) -> int:
     """Return the latest end of a lease granted in an exchange of that time."""
     lease_ms = state.config.policies.task_lease_ms
-    return asked_at_ms + lease_ms + LEASE_MARGIN_MS
+    return requested_at_ms + lease_ms + LEASE_MARGIN_MS
 
 
 def renew_leases(
     state: CoreState,
     reported: set[AttemptId],
-    asked_at_ms: int,
+    requested_at_ms: int,
 ) -> None:
     """Extend the leases of attempts that a worker has reported."""
-    ends_at_ms = lease_end_ms(state, asked_at_ms)
+    ends_at_ms = lease_end_ms(state, requested_at_ms)
     for attempt_id in reported:
         attempt = state.attempts.get(attempt_id)
         if attempt is None:
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -10,8 +10,8 @@
 from typing import Any, Final
 
 from fuchsiarill import records
-from fuchsiarill.core.holding import reserve_attempt
 from fuchsiarill.core.recovery import OUTAGE_EVIDENCE_VALID_MS
+from fuchsiarill.core.resource_accounting import reserve_attempt
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.ids import NO_EPOCH, AttemptId, Epoch, JobId, ProcessId, TaskId
@@ -63,7 +63,7 @@
             if image.ended is None:
                 yield from _records_of(live_id, image)
 
-    def forget_ended(self) -> None:
+    def evict_ended_jobs(self) -> None:
         """Evict the jobs that ended first, down to the limit."""
         while len(self.ended) > ENDED_MAX_COUNT:
             oldest = next(iter(self.ended))
@@ -80,7 +80,7 @@
     image = LedgerImage()
     for record in journal:
         image.apply(record)
-    image.forget_ended()
+    image.evict_ended_jobs()
     return image
 
 
@@ -134,7 +134,7 @@
         state=image.ended or JobState.ACCEPTING,
         waiting=[],
         results=dict(image.finished),
-        order=len(state.jobs) + 1,
+        acceptance_number=len(state.jobs) + 1,
     )
     state.jobs[job_id] = job
     key = (image.spec.customer, image.spec.idempotency_key)
@@ -246,8 +246,8 @@
             job.intents.pop(attempt_id)
 
 
-@_FOLDS.register(records.CancelAsked)
-def _fold_cancel(image: LedgerImage, record: records.CancelAsked) -> None:
+@_FOLDS.register(records.CancelRequested)
+def _fold_cancel(image: LedgerImage, record: records.CancelRequested) -> None:
     job = image.jobs.get(record.job_id)
     if job is not None:
         job.cancel_asked = True
@@ -269,6 +269,6 @@
     for position, output in image.finished.items():
         yield records.TaskFinished(job_id, position, output)
     if image.cancel_asked:
-        yield records.CancelAsked(job_id)
+        yield records.CancelRequested(job_id)
     if image.ended is not None:
         yield records.JobEnded(job_id, image.ended)
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -20,7 +20,7 @@
     hold_accepted,
     may_be_volatile,
 )
-from fuchsiarill.core.deciding import decide
+from fuchsiarill.core.decision_round import decide
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
 from fuchsiarill.core.hosts import apply_draining, apply_host_list
@@ -37,7 +37,7 @@
     step_job,
     step_worker,
 )
-from fuchsiarill.core.waiting import unblock_all
+from fuchsiarill.core.wait_queue import unblock_all
 from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
 from fuchsiarill.job import JobRecord, JobSpec
 from fuchsiarill.records import JobAccepted, Record
@@ -128,18 +128,18 @@
         self,
         report: WorkerReport,
         now_ms: int,
-        asked_at_ms: int | None = None,
+        requested_at_ms: int | None = None,
     ) -> None:
         """Apply the report of a worker about its attempts.
 
-        `asked_at_ms` is the time at which the exchange was sent.
+        `requested_at_ms` is the time at which the exchange was sent.
         """
         worker = self.state.workers.get(report.worker_id)
         if worker is None:
             return
-        if asked_at_ms is None:
-            asked_at_ms = now_ms
-        apply_report(self.state, worker, report, now_ms, asked_at_ms)
+        if requested_at_ms is None:
+            requested_at_ms = now_ms
+        apply_report(self.state, worker, report, now_ms, requested_at_ms)
 
     def worker_silent(self, worker_id: WorkerId, now_ms: int) -> None:
         """Handle a worker that has not answered for too long."""
@@ -215,7 +215,7 @@
             accepted_at_ms=now_ms,
             state=JobState.ACCEPTING,
             waiting=list(range(spec.tasks_count)),
-            order=self.state.jobs_count,
+            acceptance_number=self.state.jobs_count,
             volatile=self.state.restricted,
         )
         self.state.jobs[job.job_id] = job
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -10,11 +10,11 @@
 from typing import Final
 
 from fuchsiarill.core.accelerators import may_use_accelerated
-from fuchsiarill.core.holding import accepts_tasks
 from fuchsiarill.core.reservation import Reservation
-from fuchsiarill.core.reservations import held_up_to
+from fuchsiarill.core.resource_accounting import accepts_tasks
 from fuchsiarill.core.sizes import run_time_of
 from fuchsiarill.core.state import CoreState
+from fuchsiarill.core.worker_holds import held_up_to
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import FailureDomain
 from fuchsiarill.job import Execution, JobRecord, Urgency, Workload
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from fuchsiarill.core import avoidance
-from fuchsiarill.core.holding import mark_released, refresh_index
+from fuchsiarill.core.resource_accounting import mark_released, refresh_index
 from fuchsiarill.core.sizes import estimate_of
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_worker
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -3,9 +3,9 @@
 from typing import Final
 
 from fuchsiarill.core.adoption import adopt_tasks
-from fuchsiarill.core.holding import resize_attempt
 from fuchsiarill.core.learning import record_usage
 from fuchsiarill.core.leases import renew_leases
+from fuchsiarill.core.resource_accounting import resize_attempt
 from fuchsiarill.core.sizes import elementwise_max
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt, step_worker
@@ -33,14 +33,14 @@
     worker: WorkerView,
     report: WorkerReport,
     now_ms: int,
-    asked_at_ms: int,
+    requested_at_ms: int,
 ) -> None:
     """Renew leases and step attempts by the report of a worker."""
     worker.reported_at_ms = now_ms
     step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
     adopt_tasks(state, worker, report, now_ms)
     reported = {task.attempt_id for task in report.tasks}
-    renew_leases(state, reported, asked_at_ms)
+    renew_leases(state, reported, requested_at_ms)
     for task in report.tasks:
         _apply_task_report(state, task, now_ms)
     if worker.state is WorkerState.LEAVING:
--- a/fuchsiarill/core/requeue.py
+++ b/fuchsiarill/core/requeue.py
@@ -43,9 +43,9 @@
 ) -> None:
     """Queue a replacement of a replica, which runs until that has started."""
     position = position_of(attempt)
-    if job.state not in _ACTIVE_STATES or position in job.moving:
+    if job.state not in _ACTIVE_STATES or position in job.replaced_attempts:
         return
-    job.moving[position] = attempt.attempt_id
+    job.replaced_attempts[position] = attempt.attempt_id
     job.waiting.append(position)
     step_job(state, job, JobEvent.REQUEUED, now_ms)
 
--- a/fuchsiarill/core/holding.py
+++ b/fuchsiarill/core/resource_accounting.py
@@ -9,7 +9,7 @@
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.quotas import account_of, share_of
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.waiting import mark_unranked, unblock_account
+from fuchsiarill.core.wait_queue import mark_unranked, unblock_account
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import (
     Attempt,
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -3,8 +3,8 @@
 from functools import partial
 
 from fuchsiarill.core.effects import StartTask
-from fuchsiarill.core.holding import reserve_attempt
 from fuchsiarill.core.leases import lease_end_ms
+from fuchsiarill.core.resource_accounting import reserve_attempt
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt
 from fuchsiarill.core.worker_view import WorkerView
@@ -38,7 +38,7 @@
         state=AttemptState.PLACED,
         placed_at_ms=now_ms,
         lease_ends_at_ms=lease_end_ms(state, now_ms),
-        replaces=job.moving.get(position),
+        replaces=job.replaced_attempts.get(position),
     )
     reserve_attempt(state, job, attempt)
     _start_when_allowed(state, job, attempt, now_ms)
--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -1,10 +1,10 @@
 """Actions of the worker chart, `charts/worker.yaml`."""
 
-from fuchsiarill.core.holding import mark_released, refresh_index
-from fuchsiarill.core.requeue import request_stop, request_replacement
-from fuchsiarill.core.reservations import drop_reservation
+from fuchsiarill.core.requeue import request_replacement, request_stop
+from fuchsiarill.core.resource_accounting import mark_released, refresh_index
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import WORKER_ACTIONS, step_attempt
+from fuchsiarill.core.worker_holds import drop_reservation
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import Execution, StopReason, Workload
 from fuchsiarill.states import AttemptEvent, AttemptState
--- a/fuchsiarill/core/reservations.py
+++ b/fuchsiarill/core/worker_holds.py
@@ -1,7 +1,7 @@
 """Holds the workers of reservations, and releases them."""
 
-from fuchsiarill.core.holding import mark_released, refresh_index
 from fuchsiarill.core.reservation import Reservation
+from fuchsiarill.core.resource_accounting import mark_released, refresh_index
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import JobId
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -33,11 +33,11 @@
 from fuchsiarill.front.http_front import HttpFront
 from fuchsiarill.front.metrics import CountingStore, Metrics
 from fuchsiarill.log_setup import log_to_stderr
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.ports.http_client import HttpClient
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
 from fuchsiarill.process import Process
-from fuchsiarill.process_messages import DrainAsked, Receivers
+from fuchsiarill.process_messages import DrainRequested, Receivers
 from fuchsiarill.refusal import Refusal
 from fuchsiarill.settings import ProcessSettings, load_settings
 
@@ -165,7 +165,7 @@
 def _drain_on_signals(process: Process) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.mailbox.send, DrainAsked())
+        loop.add_signal_handler(number, process.mailbox.send, DrainRequested())
 
 
 if __name__ == '__main__':
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -12,41 +12,43 @@
 
 
 @dataclass(slots=True)
-class JobStory:
+class JobHistory:
     """What the logs say of a job."""
 
     lines: list[dict[str, Any]] = field(default_factory=list)
     unreadable_count: int = 0
 
 
-def read_story(job: str, sources: Iterable[Iterable[str]]) -> JobStory:
+def read_history(job: str, sources: Iterable[Iterable[str]]) -> JobHistory:
     """Collect the lines of a job from the logs of several processes.
 
     A line may have a prefix, such as a time and the name of a process.
     """
-    story = JobStory()
+    history = JobHistory()
     for source in sources:
         for text in source:
-            _take_line(story, job, text)
-    story.lines.sort(key=lambda line: float(line['time']))
-    return story
+            _take_line(history, job, text)
+    history.lines.sort(key=lambda line: float(line['time']))
+    return history
 
 
-def conclude(story: JobStory) -> str:
+def conclude(history: JobHistory) -> str:
     """Return in a sentence what decided the job's fate."""
-    by_event = {line['event']: line for line in story.lines}
+    by_event = {line['event']: line for line in history.lines}
     kinds = Counter(
-        line.get('kind') for line in story.lines if _is(line, events.RUN_ENDED)
+        line.get('kind')
+        for line in history.lines
+        if _is(line, events.RUN_ENDED)
     )
     settled = by_event.get(events.GRAPH_SETTLED.number)
-    placed = _first(story, events.RUN_PLACED)
+    placed = _first(history, events.RUN_PLACED)
     if settled is not None and settled['phase'] == 'failed':
         return texts.JOB_USED_UP_ATTEMPTS.format(failed=kinds['failed'])
     if settled is not None:
         wait_ms = None if placed is None else placed['waited_ms']
         return texts.JOB_SETTLED.format(
             wait_ms=wait_ms,
-            lost=_count(story, events.RUN_LOST),
+            lost=_count(history, events.RUN_LOST),
             failed=kinds['failed'],
             stopped=kinds['stopped'],
             **settled,
@@ -59,33 +61,35 @@
     if placed is None:
         return texts.JOB_NOT_PLACED
     return texts.JOB_UNFINISHED.format(
-        placed=_count(story, events.RUN_PLACED),
+        placed=_count(history, events.RUN_PLACED),
         ended=sum(kinds.values()),
     )
 
 
-def _take_line(story: JobStory, job: str, text: str) -> None:
+def _take_line(history: JobHistory, job: str, text: str) -> None:
     if job not in text:
         return
     try:
         line = json.loads(text[text.index(_LINE_START) :])
     except ValueError:
-        story.unreadable_count += 1
+        history.unreadable_count += 1
         return
     if line.get('job') == job and 'time' in line and 'event' in line:
-        story.lines.append(line)
+        history.lines.append(line)
 
 
 def _is(line: dict[str, Any], event: events.LogEvent) -> bool:
     return bool(line['event'] == event.number)
 
 
-def _count(story: JobStory, event: events.LogEvent) -> int:
-    return sum(_is(line, event) for line in story.lines)
+def _count(history: JobHistory, event: events.LogEvent) -> int:
+    return sum(_is(line, event) for line in history.lines)
 
 
-def _first(story: JobStory, event: events.LogEvent) -> dict[str, Any] | None:
-    for line in story.lines:
+def _first(
+    history: JobHistory, event: events.LogEvent
+) -> dict[str, Any] | None:
+    for line in history.lines:
         if _is(line, event):
             return line
     return None
--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class ActorRequest:
     """A message to post; `build` puts the reply into it."""
 
     mailbox: Mailbox
@@ -111,14 +111,14 @@
 
         Raises `NotSentError`, or `TimeoutError` when no answer came in time.
         """
-        answer = self.ask_all([Ask(mailbox, build)], timeout_ms)[0]
+        answer = self.ask_all([ActorRequest(mailbox, build)], timeout_ms)[0]
         if isinstance(answer, Exception):
             raise answer
         return answer  # type: ignore[no-any-return]
 
     def ask_all(
         self,
-        asks: Sequence[Ask],
+        asks: Sequence[ActorRequest],
         timeout_ms: int,
         waits: bool = False,
     ) -> list[Any]:
@@ -155,14 +155,14 @@
         return [ReleasedError() for _ in range(count)]
 
 
-async def _gather(asks: Sequence[Ask], timeout_ms: int) -> list[Any]:
+async def _gather(asks: Sequence[ActorRequest], timeout_ms: int) -> list[Any]:
     return await asyncio.gather(
         *(_ask(one, timeout_ms) for one in asks),
         return_exceptions=True,
     )
 
 
-async def _ask(one: Ask, timeout_ms: int) -> Any:
+async def _ask(one: ActorRequest, timeout_ms: int) -> Any:
     reply: Reply[Any] = Reply()
     if not one.mailbox.send(one.build(reply)):
         raise NotSentError
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -13,9 +13,9 @@
 from fuchsiarill.answers import (
     JobAnswer,
     JobCancel,
+    JobExplanation,
     JobList,
     JobQuery,
-    JobWhy,
     refused,
 )
 from fuchsiarill.clock import MS_PER_SECOND
@@ -114,7 +114,7 @@
             reply,
         ),
     )
-    if not isinstance(why, JobWhy):
+    if not isinstance(why, JobExplanation):
         return reply_of(why)
     body = answer_object(why.answer) | {'why': dict(why.reasons)}
     return HttpReply(why.answer.code.http_status, body)
@@ -180,7 +180,7 @@
     answer: JobAnswer = _ask_about(
         front,
         request,
-        lambda customer, job_id, reply: messages.AskJob(
+        lambda customer, job_id, reply: messages.QueryJob(
             JobQuery(customer, job_id, wait_ms),
             reply,
         ),
--- a/fuchsiarill/front/health_routes.py
+++ b/fuchsiarill/front/health_routes.py
@@ -5,7 +5,7 @@
 
 from fuchsiarill.front.replies import HttpReply
 from fuchsiarill.front.routes import Access, HttpRequest, route
-from fuchsiarill.process_messages import AskMeasures
+from fuchsiarill.process_messages import GetMeasures
 from fuchsiarill.states import ProcessState
 
 if TYPE_CHECKING:
@@ -30,5 +30,5 @@
 @route('GET', '/metrics', Access.OPEN)
 def metrics(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Write the metrics in the text format of Prometheus."""
-    measures = front.ask(front.receivers.process, AskMeasures)
-    return HttpReply(HTTPStatus.OK, front.metrics.written(measures))
+    measures = front.ask(front.receivers.process, GetMeasures)
+    return HttpReply(HTTPStatus.OK, front.metrics.render(measures))
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -8,7 +8,6 @@
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-
 from typing import Any, Final
 
 from cheroot import errors, wsgi
@@ -21,7 +20,7 @@
 from fuchsiarill.front import caller_routes, health_routes, operator_routes
 from fuchsiarill.front.authentication import OPERATOR, Identity, identify
 from fuchsiarill.front.bridge import (
-    Ask,
+    ActorRequest,
     Bridge,
     NotSentError,
     ReleasedError,
@@ -145,7 +144,7 @@
         """
         answers = self.bridge.ask_all(
             [
-                Ask(self.receivers.router, _routed(partition, build))
+                ActorRequest(self.receivers.router, _routed(partition, build))
                 for partition, build in asks
             ],
             self.settings.request_timeout_ms + wait_ms,
--- a/fuchsiarill/front/metrics.py
+++ b/fuchsiarill/front/metrics.py
@@ -104,7 +104,7 @@
         """Count one call of the store."""
         self._store_calls.labels(verb, str(answered).lower()).inc()
 
-    def written(self, measures: Measures) -> bytes:
+    def render(self, measures: Measures) -> bytes:
         """Return all metrics in the text format."""
         self._generation.set(measures.generation)
         self._owned.set(measures.owned_partitions_count)
--- a/fuchsiarill/front/operator_routes.py
+++ b/fuchsiarill/front/operator_routes.py
@@ -10,9 +10,9 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.cluster.config_change import ChangeAnswer, ChangeRequest
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument, ChangeConfig
+from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.cluster.member_table import Member
-from fuchsiarill.cluster.membership import AskView
+from fuchsiarill.cluster.membership import GetView
 from fuchsiarill.front.replies import (
     RETRY_AFTER_MS,
     HttpReply,
@@ -21,7 +21,7 @@
 from fuchsiarill.front.routes import Access, HttpRequest, route
 from fuchsiarill.front.submissions import first_problem
 from fuchsiarill.ids import Generation, ProcessId
-from fuchsiarill.process_messages import AskHosts, ForwardDump
+from fuchsiarill.process_messages import ForwardDump, GetHosts
 from fuchsiarill.refusal import refuse
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
 @route('GET', '/v1/config', Access.OPERATOR)
 def show_config(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Return the document in force in this process."""
-    document: ConfigDocument = front.ask(front.receivers.config, AskDocument)
+    document: ConfigDocument = front.ask(front.receivers.config, GetDocument)
     return HttpReply(
         HTTPStatus.OK,
         {
@@ -97,7 +97,7 @@
 @route('GET', '/v1/hosts', Access.OPERATOR)
 def show_hosts(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Return the host list, as this process reads it now."""
-    hosts = front.ask(front.receivers.process, AskHosts)
+    hosts = front.ask(front.receivers.process, GetHosts)
     if hosts is None:
         return refusal_reply(
             refuse(
@@ -148,7 +148,7 @@
 
 
 def _rows(front: 'HttpFront') -> list[dict[str, Any]]:
-    members = front.ask(front.receivers.membership, AskView)
+    members = front.ask(front.receivers.membership, GetView)
     return [_row(member) for member in members]
 
 
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -14,12 +14,12 @@
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import BornMs, Ticket
-from fuchsiarill.graphs.owner_messages import Advised
+from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.peers import ask_peer
-from fuchsiarill.graphs.ports import OneAtATime
+from fuchsiarill.graphs.peers import request_advice_from_peer
+from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import ProcessId, WorkerId
 
 _OWN_LANE: Final = ProcessId('')
@@ -29,10 +29,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AdviceAsked:
+class AdviceRequest:
     """An ask with the lives of its workers and who gets the answer."""
 
-    ask: AskAdvice
+    ask: RequestAdvice
     asked: dict[WorkerId, BornMs]
     receiver: Mailbox
     # Whether the step still has something to start.
@@ -44,7 +44,7 @@
     """An ask through a lane has ended."""
 
     lane: ProcessId
-    message: AdviceAsked
+    message: AdviceRequest
     granted: _Granted
     # Another lane may have the answer that this one could not get.
     is_asked_again: bool = False
@@ -61,7 +61,7 @@
 class _Waiting:
     rank_ms: int
     number: int
-    message: AdviceAsked = field(compare=False)
+    message: AdviceRequest = field(compare=False)
 
 
 class Advisor(SpawningActor):
@@ -70,7 +70,7 @@
     def __init__(
         self,
         process: ProcessId,
-        port: OneAtATime,
+        port: BusyTrackingAdvisor,
         links: PeerLinks,
         timeout_ms: int,
     ) -> None:
@@ -93,8 +93,8 @@
             'busy_lanes_count': len(self._busy),
         }
 
-    @handles(AdviceAsked)
-    async def on_asked(self, message: AdviceAsked) -> None:
+    @handles(AdviceRequest)
+    async def on_asked(self, message: AdviceRequest) -> None:
         """Queue an ask."""
         self._asked_count += 1
         waiting = _Waiting(message.ask.rank_ms, self._asked_count, message)
@@ -116,7 +116,7 @@
             return
         asked = message.message
         asked.receiver.send(
-            Advised(asked.ask.step, asked.asked, message.granted),
+            AdviceAnswered(asked.ask.step, asked.asked, message.granted),
         )
         self._fill_lanes()
 
@@ -149,17 +149,17 @@
         before = [name for name in ring if name < self._process]
         return [_OWN_LANE, *after, *before]
 
-    def _next_wanted(self) -> AdviceAsked | None:
+    def _next_wanted(self) -> AdviceRequest | None:
         while self._waiting:
             message = heapq.heappop(self._waiting).message
             if message.is_wanted():
                 return message
             message.receiver.send(
-                Advised(message.ask.step, message.asked, None),
+                AdviceAnswered(message.ask.step, message.asked, None),
             )
         return None
 
-    async def _use_lane(self, lane: ProcessId, message: AdviceAsked) -> None:
+    async def _use_lane(self, lane: ProcessId, message: AdviceRequest) -> None:
         try:
             await self._ask(lane, message)
         except Exception:
@@ -170,13 +170,13 @@
         await sleep_ms(_BUSY_MS)
         self.mailbox.send(_LaneRested(lane))
 
-    async def _ask(self, lane: ProcessId, message: AdviceAsked) -> None:
+    async def _ask(self, lane: ProcessId, message: AdviceRequest) -> None:
         ask = message.ask
         if lane == _OWN_LANE:
             granted = await self._ask_service(ask)
             self.mailbox.send(_LaneFree(lane, message, granted))
             return
-        advice = await ask_peer(
+        advice = await request_advice_from_peer(
             self._links,
             lane,
             ask.step,
@@ -192,7 +192,7 @@
         self.mailbox.send(message)
         await self._rest(lane)
 
-    async def _ask_service(self, ask: AskAdvice) -> _Granted:
+    async def _ask_service(self, ask: RequestAdvice) -> _Granted:
         answered = await self._port.advise(
             ask.step,
             ask.workers,
--- a/fuchsiarill/graphs/asking.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy
 from fuchsiarill.graphs.placement import Request, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
 from fuchsiarill.ids import WorkerId
 
@@ -55,7 +55,7 @@
         return False
     _keep_room(request, known, _duration_ms(policy, len(asked)))
     state.tickets.asked(step.key, request.now_ms)
-    state.effects.append(AskAdvice(step.key, tuple(asked), step.rank_ms))
+    state.effects.append(RequestAdvice(step.key, tuple(asked), step.rank_ms))
     return True
 
 
--- a/fuchsiarill/graphs/campaigner.py
+++ b/fuchsiarill/graphs/campaigner.py
@@ -27,7 +27,7 @@
 
     epoch: Epoch | None
     lease: StoreLeaseId | None = None
-    asked_ms: int = 0
+    requested_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,7 @@
     async def run(self) -> Election:
         """Grant a lease and write the key under it."""
         ownership = self.settings.ownership
-        asked_ms = now_ms()
+        requested_ms = now_ms()
         granted = await self.store.grant_lease(
             ownership.lease_ttl_ms,
             self.settings.calls.store_timeout_ms,
@@ -59,12 +59,12 @@
         )
         match answered:
             case Success(KvCommitted(revision)):
-                return Election(Epoch(revision), lease, asked_ms)
+                return Election(Epoch(revision), lease, requested_ms)
             case Success(KvConflict()):
                 await self.end_lease(lease)
                 return Election(None)
             case _:
-                return await self._read_back(write, lease, asked_ms)
+                return await self._read_back(write, lease, requested_ms)
 
     def record(self, lease: StoreLeaseId | None) -> records.OwnerRecord:
         """Return how the owner names itself."""
@@ -85,7 +85,7 @@
         self,
         write: KvWrite,
         lease: StoreLeaseId,
-        asked_ms: int,
+        requested_ms: int,
     ) -> Election:
         """Find out whether a write without an answer took effect."""
         found = await self.store.get(
@@ -93,7 +93,7 @@
             self.settings.calls.store_timeout_ms,
         )
         if isinstance(found, Success) and found.unwrap().value == write.value:
-            return Election(Epoch(found.unwrap().revision), lease, asked_ms)
+            return Election(Epoch(found.unwrap().revision), lease, requested_ms)
         # A write that takes effect later fails once its lease has ended.
         await self.end_lease(lease)
         await sleep_ms(_RETRY_MS)
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 
 from fuchsiarill import events
-from fuchsiarill.graphs import deciding, reports, worker_trust
-from fuchsiarill.graphs.effects import Effect, LookAt
+from fuchsiarill.graphs import decision_round, reports, worker_suspension
+from fuchsiarill.graphs.effects import Effect, RequestReport
 from fuchsiarill.graphs.job_actions import step_job
-from fuchsiarill.graphs.job_book import ATTEMPTS_PER_TERM, JobEntry
+from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
     BornMs,
     GraphConfig,
@@ -31,14 +31,14 @@
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import (
+    AvailabilityEvent,
+    AvailabilityState,
     JobPhaseEvent,
     RunEvent,
     RunState,
-    StandingEvent,
-    StandingState,
 )
 from fuchsiarill.graphs.ticking import TICKS
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
@@ -110,11 +110,13 @@
         if entry is not None:
             step_job(self.state, entry, JobPhaseEvent.CANCEL_SEEN, now_ms)
 
-    def forget_job(self, job: JobId) -> None:
+    def remove_job(self, job: JobId) -> None:
         """Drop a settled job."""
         self.state.jobs.pop(job, None)
 
-    def list_workers(self, entries: Iterable[WorkerEntry], now_ms: int) -> None:
+    def update_workers(
+        self, entries: Iterable[WorkerEntry], now_ms: int
+    ) -> None:
         """Take over the directory's entries of the pool."""
         for worker in self.state.workers.list_entries(entries):
             view = self.state.workers.find(worker)
@@ -122,16 +124,16 @@
                 self._reborn(view, now_ms)
         self.state.free_version += 1
 
-    def expect_worker(
+    def add_inherited_worker(
         self,
         worker: WorkerId,
         address: str,
-        lapse_ms: int,
+        lease_expiry_ms: int,
     ) -> None:
         """Note a worker to which an owner before may have given work."""
         view = self.state.workers.add(worker, address)
         view.is_recorded = True
-        view.lapse_ms = max(view.lapse_ms, lapse_ms)
+        view.lease_expiry_ms = max(view.lease_expiry_ms, lease_expiry_ms)
 
     def record_workers(self, workers: Iterable[WorkerId]) -> None:
         """Note that workers stand in the durable fleet record."""
@@ -151,14 +153,14 @@
         self,
         worker: WorkerId,
         report: WorkerReport,
-        asked_ms: int,
+        requested_ms: int,
         now_ms: int,
     ) -> None:
         """Take a report into account."""
         view = self.state.workers.find(worker)
         if view is None:
             return
-        reports.take_report(self.state, view, report, asked_ms, now_ms)
+        reports.apply_report(self.state, view, report, requested_ms, now_ms)
         self.state.free_version += 1
 
     def worker_failed(
@@ -171,9 +173,9 @@
         view = self.state.workers.find(worker)
         if view is None:
             return
-        before = view.standing
-        self.state.workers.step(view, StandingEvent.WENT_SILENT)
-        if before is not view.standing:
+        before = view.availability
+        self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
+        if before is not view.availability:
             events.emit(
                 events.WORKER_UNCONFIRMED,
                 worker=worker,
@@ -181,7 +183,7 @@
                 runs=len(view.runs),
             )
         if _has_ended(view, failure):
-            view.lapse_ms = now_ms
+            view.lease_expiry_ms = now_ms
 
     def start_answered(
         self,
@@ -219,9 +221,9 @@
             return
         run.is_stop_answered = True
         run.listed_from_ms = now_ms
-        self.state.effects.append(LookAt(worker))
+        self.state.effects.append(RequestReport(worker))
 
-    def advised(
+    def advice_received(
         self,
         step: StepKey,
         asked: dict[WorkerId, BornMs],
@@ -235,7 +237,7 @@
         asked = {
             worker: born_ms
             for worker, born_ms in asked.items()
-            if self._is_same_life(worker, born_ms)
+            if self._is_same_incarnation(worker, born_ms)
         }
         self.state.tickets.advised(step, asked, granted, expiry_ms)
         events.emit(
@@ -261,7 +263,7 @@
 
     def decide(self, now_ms: int) -> None:
         """Start what can start."""
-        deciding.decide(self.state, now_ms)
+        decision_round.decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
         """Return and drop the effects of the calls so far."""
@@ -283,7 +285,7 @@
                 counts[entry.graph.queue] += 1
         return dict(counts)
 
-    def _is_same_life(self, worker: WorkerId, born_ms: BornMs) -> bool:
+    def _is_same_incarnation(self, worker: WorkerId, born_ms: BornMs) -> bool:
         view = self.state.workers.find(worker)
         return view is not None and view.born_ms == born_ms
 
@@ -317,20 +319,20 @@
             self.state.tickets.refuse(run.task.step_key, run.worker)
         view = self.state.workers.find(run.worker)
         if view is not None and failure is AgentFailure.UNHEALTHY:
-            worker_trust.note_failure(view, run.task, now_ms)
+            worker_suspension.record_failure(view, run.task, now_ms)
         if view is not None and failure in _SILENCING:
-            self.state.workers.step(view, StandingEvent.WENT_SILENT)
+            self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
         reports.drop_run(self.state, run, RunEvent.REFUSED, now_ms)
 
     def _reborn(self, view: WorkerView, now_ms: int) -> None:
         if view.entry is None or view.entry.born_ms <= view.born_ms:
             return
-        reports.start_new_life(self.state, view, now_ms)
+        reports.apply_restart(self.state, view, now_ms)
         view.born_ms = view.entry.born_ms
-        self.state.workers.step(view, StandingEvent.WENT_SILENT)
+        self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
 
     def _unblock(self, step: StepKey) -> None:
-        found = self.state.known_step(step)
+        found = self.state.find_unfinished_step(step)
         if found is not None:
             found.blocked_version = -1
 
@@ -341,5 +343,7 @@
         return True
     # A worker that left has withdrawn its entry and closed its port. A closed
     # port alone proves nothing: a broken link can reset connections too.
-    has_left = view.standing is StandingState.LEAVING and not view.is_listed
+    has_left = (
+        view.availability is AvailabilityState.LEAVING and not view.is_listed
+    )
     return has_left and failure is AgentFailure.CONNECTION_REFUSED
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -4,7 +4,7 @@
 
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 
 def dump_core(core: GraphCore) -> dict[str, Any]:
@@ -30,10 +30,10 @@
 def _worker_row(view: WorkerView) -> dict[str, Any]:
     return {
         'worker': view.worker,
-        'standing': view.standing.value,
+        'standing': view.availability.value,
         'is_listed': view.is_listed,
         'is_recorded': view.is_recorded,
         'runs_count': len(view.runs),
         'free': view.free.as_tuple(),
-        'suspended_until_ms': view.trust.suspended_until_ms,
+        'suspended_until_ms': view.failure_record.suspended_until_ms,
     }
--- a/fuchsiarill/graphs/deciding.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -3,19 +3,19 @@
 from typing import NamedTuple
 
 from fuchsiarill import events
-from fuchsiarill.graphs import asking
+from fuchsiarill.graphs import advice_requests
 from fuchsiarill.graphs.effects import StartRun
-from fuchsiarill.graphs.gang_holds import hold_for_gang
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.gang_reservations import hold_for_gang
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import Request
-from fuchsiarill.graphs.preempting import preempt
+from fuchsiarill.graphs.preemption import preempt
 from fuchsiarill.graphs.run_actions import extend_leases, hold_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.step_placer import StepPlacer
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 
 class _Ranked(NamedTuple):
@@ -73,10 +73,10 @@
 ) -> None:
     """Make room for a unit that can't be placed, or ask for tickets."""
     step = request.step
-    allowed = asking.allowed_workers(state, request, candidates)
+    allowed = advice_requests.allowed_workers(state, request, candidates)
     if not preempt(state, request, allowed) and step.step.is_gang:
         hold_for_gang(state, request, allowed)
-    if not asking.ask(state, request, candidates):
+    if not advice_requests.ask(state, request, candidates):
         step.blocked_version = state.free_version
 
 
--- a/fuchsiarill/graphs/directory.py
+++ b/fuchsiarill/graphs/directory.py
@@ -2,7 +2,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs.model import PoolId, WorkerEntry
-from fuchsiarill.graphs.ports import Directory, DocumentError
+from fuchsiarill.graphs.ports import DocumentError, DocumentLayout
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.key_value import KvItem
 
@@ -10,7 +10,7 @@
 class WorkerDirectory:
     """Reads entries; one that can't be read names no worker to use."""
 
-    def __init__(self, pool: PoolId, directory: Directory) -> None:
+    def __init__(self, pool: PoolId, directory: DocumentLayout) -> None:
         """Start without entries."""
         self._pool = pool
         self._directory = directory
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.placement import has_room
 from fuchsiarill.graphs.run_actions import step_run
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import RunEvent, RunState, StandingState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.states import AvailabilityState, RunEvent, RunState
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
 # A leaving worker serves at least this long after its notice.
@@ -20,7 +20,7 @@
 def leave_workers(state: PoolState, now_ms: int) -> None:
     """Stop runs on leaving workers that would not end there in time."""
     for view in state.workers:
-        if view.standing is not StandingState.LEAVING:
+        if view.availability is not AvailabilityState.LEAVING:
             view.leaving_since_ms = None
             continue
         if view.leaving_since_ms is None:
@@ -75,5 +75,5 @@
         for other in state.workers
         if other is not view
         and other.is_listed
-        and other.standing is StandingState.READY
+        and other.availability is AvailabilityState.READY
     )
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskAdvice:
+class RequestAdvice:
     """Ask which workers may run a step; a lower `rank_ms` is more urgent."""
 
     step: StepKey
@@ -47,10 +47,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LookAt:
+class RequestReport:
     """Ask a worker at once what runs on it."""
 
     worker: WorkerId
 
 
-Effect = StartRun | StopRun | PaceRun | AskAdvice | LookAt
+Effect = StartRun | StopRun | PaceRun | RequestAdvice | RequestReport
--- a/fuchsiarill/graphs/front.py
+++ b/fuchsiarill/graphs/front.py
@@ -47,9 +47,9 @@
         self._bridge = Bridge(self._loop, _REQUESTS_MAX_COUNT)
         self._intake = intake
 
-    def deadline_ms(self, patience_ms: int | None) -> int:
+    def deadline_ms(self, caller_timeout_ms: int | None) -> int:
         """Return when an answer is due, by the runtime clock."""
-        allowed_ms = patience_ms or _DEFAULT_PATIENCE_MS
+        allowed_ms = caller_timeout_ms or _DEFAULT_PATIENCE_MS
         margin_ms = self.settings.front.answer_margin_ms
         now = int(self._loop.time() * MS_PER_SECOND)
         return now + max(allowed_ms - margin_ms, allowed_ms // 2)
--- a/fuchsiarill/graphs/gang_holds.py
+++ b/fuchsiarill/graphs/gang_reservations.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, wait_ms
 
 # Renewed at each decision about the gang, which ticks bring about.
--- a/fuchsiarill/graphs/job_actions.py
+++ b/fuchsiarill/graphs/job_actions.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs.job_book import JobEntry
+from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import step_run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import JobPhase, JobPhaseEvent, RunEvent
--- a/fuchsiarill/graphs/job_intake.py
+++ b/fuchsiarill/graphs/job_loading.py
@@ -6,7 +6,7 @@
 from fuchsiarill.ports.key_value import KvItem
 
 
-def take_jobs(
+def load_jobs(
     core: GraphCore,
     found: tuple[KvItem, ...],
     progress_found: tuple[KvItem, ...],
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -24,7 +24,7 @@
     path: str
     body: bytes
     # How long the caller waits; `None` when it does not say.
-    patience_ms: int | None
+    caller_timeout_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -92,7 +92,7 @@
         """Count a start."""
         self.waits.labels(queue).observe(wait_ms / MS_PER_SECOND)
 
-    def written(self) -> bytes:
+    def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
 
--- a/fuchsiarill/graphs/ordering.py
+++ b/fuchsiarill/graphs/ordering.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 
 # A job that is late earns a fraction until this multiple of its objective.
 _LATE_FACTOR: Final = 3
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -34,16 +34,16 @@
     progress: tuple[KvItem, ...]
     revisions: dict[StoreKey, Revision]
     # The owner before can order nothing any more.
-    is_former_over: bool
+    is_previous_owner_inactive: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Reported:
-    """A worker answered a renewal that left at `asked_ms`."""
+class WorkerReported:
+    """A worker answered a renewal that left at `requested_ms`."""
 
     worker: WorkerId
     report: WorkerReport
-    asked_ms: int
+    requested_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Advised:
+class AdviceAnswered:
     """Outcome of an ask for advice; no tickets when there was no answer."""
 
     step: StepKey
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -16,11 +16,11 @@
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.ports import GraphPorts
-from fuchsiarill.graphs.store_encoding import SERVANTS, answer_fields
+from fuchsiarill.graphs.store_encoding import STORE_CALL_HANDLERS, answer_fields
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
 
 
-class HelpServant(SCHEMA.Peer.Server):  # type: ignore[misc]
+class OutsideCallServer(SCHEMA.Peer.Server):  # type: ignore[misc]
     """Calls the outside systems on behalf of another process.
 
     Its ports reach the outside systems directly: a relayed call is not
@@ -61,12 +61,14 @@
         _context: Any,
         **_extra: Any,
     ) -> None:
-        carry_out = SERVANTS.lookup(call.kind)
+        carry_out = STORE_CALL_HANDLERS.lookup(call.kind)
         answered = await carry_out(self._ports.store, call)
         _context.results.answer = answer_fields(answered)
 
 
-async def serve_help(address: str, ports: GraphPorts, timeout_ms: int) -> Any:
+async def serve_graph_peers(
+    address: str, ports: GraphPorts, timeout_ms: int
+) -> Any:
     """Listen for other processes; returns the server, which must be closed."""
     host, port = address.rsplit(':', 1)
     return await capnp.AsyncIoStream.create_server(
@@ -84,7 +86,7 @@
     is_busy: bool = False
 
 
-async def ask_peer(
+async def request_advice_from_peer(
     links: PeerLinks,
     process: ProcessId,
     step: StepKey,
@@ -110,6 +112,6 @@
 
 
 async def _connected(ports: GraphPorts, timeout_ms: int, stream: Any) -> None:
-    servant = HelpServant(ports, timeout_ms)
+    servant = OutsideCallServer(ports, timeout_ms)
     server = capnp.TwoPartyServer(stream, bootstrap=servant)
     await server.on_disconnect()
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill.graphs import worker_trust
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import StandingState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.states import AvailabilityState
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NOTHING, Resources
 
@@ -103,14 +103,14 @@
 
 
 def _is_usable(view: WorkerView, request: Request) -> bool:
-    if view.standing is not StandingState.READY:
+    if view.availability is not AvailabilityState.READY:
         return False
     if not view.is_recorded or not view.is_listed:
         return False
     label = request.step.step.required_label
     if label is not None and label not in view.labels:
         return False
-    return worker_trust.is_trusted(view, request.now_ms)
+    return worker_suspension.may_receive_runs(view, request.now_ms)
 
 
 def has_room(
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -4,15 +4,15 @@
 from typing import Any, Final
 
 from fuchsiarill.graphs.core import GraphCore
-from fuchsiarill.graphs.effects import LookAt, PaceRun, StartRun, StopRun
+from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
 from fuchsiarill.graphs.model import WorkerEntry
 from fuchsiarill.graphs.owner_messages import (
     EndsDurable,
     SeenEnds,
     StartAnswered,
 )
-from fuchsiarill.graphs.worker_book import WorkerView
 from fuchsiarill.graphs.worker_channel import ChannelContext, WorkerChannel
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentAddress, AgentFailure
 
@@ -20,7 +20,7 @@
 # entry that lapsed with the store comes back.
 _UNLISTED_MS: Final = 3000
 
-Order = StartRun | StopRun | PaceRun | LookAt
+Order = StartRun | StopRun | PaceRun | RequestReport
 
 
 class PoolChannels:
@@ -62,7 +62,7 @@
             if channel is None or channel.agent.address != entry.address:
                 self.open(entry.worker, entry.address)
 
-    def carry(self, order: Order) -> None:
+    def send_order(self, order: Order) -> None:
         """Send an order to the channel of its worker."""
         channel = self._channels.get(order.worker)
         if channel is not None:
@@ -88,14 +88,14 @@
         if channel is not None:
             channel.mailbox.send(EndsDurable(seen.born_ms, seen.sequence))
 
-    def forget_former(self, now_ms: int) -> bool:
+    def remove_gone_workers(self, now_ms: int) -> bool:
         """Forget workers that are gone; tells whether there was one."""
         is_changed = False
         for view in list(self._core.state.workers):
             if view.is_listed or view.runs:
                 self._unlisted_ms.pop(view.worker, None)
                 continue
-            if now_ms <= view.lapse_ms:
+            if now_ms <= view.lease_expiry_ms:
                 self._let_lapse(view, now_ms)
                 continue
             self._core.state.workers.remove(view.worker)
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -6,9 +6,9 @@
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.graphs import keys, records
-from fuchsiarill.graphs.feeds import list_all
 from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.graphs.owner_messages import PoolLoaded
+from fuchsiarill.graphs.prefix_watch import list_all
 from fuchsiarill.ids import ProcessId, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import KeyValuePort, KvFailure, KvItem
 
@@ -41,8 +41,8 @@
         if any(isinstance(answer, Failure) for answer in answers):
             return None
         record = _fleet(fleet.unwrap())
-        is_former_over = await self._is_former_over(record.owner)
-        if is_former_over is None:
+        is_previous_owner_inactive = await self._is_former_over(record.owner)
+        if is_previous_owner_inactive is None:
             return None
         saved = progress.unwrap()[0]
         known = (fleet.unwrap(), pending.unwrap(), *saved)
@@ -51,7 +51,7 @@
             *jobs.unwrap(),
             saved,
             {found.key: found.revision for found in known},
-            is_former_over,
+            is_previous_owner_inactive,
         )
 
     async def _is_former_over(
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -11,27 +11,27 @@
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
-from fuchsiarill.graphs.advice import AdviceAsked
+from fuchsiarill.graphs.advice import AdviceRequest
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
 from fuchsiarill.graphs.effects import (
-    AskAdvice,
-    LookAt,
     PaceRun,
+    RequestAdvice,
+    RequestReport,
     StartRun,
     StopRun,
 )
-from fuchsiarill.graphs.feeds import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
-)
-from fuchsiarill.graphs.job_intake import take_jobs
+from fuchsiarill.graphs.job_loading import load_jobs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
+from fuchsiarill.graphs.prefix_watch import (
+    PrefixChanged,
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+    PrefixWatchState,
+)
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
 from fuchsiarill.graphs.worker_channel import ChannelContext
@@ -70,7 +70,7 @@
             term=loaded.fleet.term + 1,
             owner=term.owner,
         )
-        self._is_former_over = loaded.is_former_over
+        self._is_former_over = loaded.is_previous_owner_inactive
         self.core = GraphCore(
             term.pool,
             term.epoch,
@@ -78,14 +78,14 @@
             self._fleet.term,
         )
         self.core.configure(term.config)
-        self._directory = WorkerDirectory(term.pool, context.ports.directory)
+        self._directory = WorkerDirectory(term.pool, context.ports.documents)
         self._writer = RecordWriter(
             context.ports.store,
             (keys.owner_key(term.pool), Revision(term.epoch)),
             settings.calls.store_timeout_ms,
             self.mailbox,
         )
-        self._writer.know(loaded.revisions)
+        self._writer.add_revisions(loaded.revisions)
         self._saver = ProgressSaver(
             self.core,
             self._writer.mailbox,
@@ -113,7 +113,7 @@
         self.tick_every(_TICK_MS, messages.PoolTick())
         self._writer.start()
         for member in self._fleet.members:
-            self.core.expect_worker(
+            self.core.add_inherited_worker(
                 member.worker,
                 member.address,
                 now_ms() + self._longest_leases_ms(),
@@ -148,30 +148,30 @@
         self.core.configure(message.config)
         self._plan_decision()
 
-    @handles(Listed)
-    async def on_listed(self, message: Listed) -> None:
+    @handles(PrefixListed)
+    async def on_listed(self, message: PrefixListed) -> None:
         """Take over a whole list after a gap."""
-        if message.prefix == self._context.ports.directory.workers_prefix:
+        if message.prefix == self._context.ports.documents.workers_prefix:
             self._directory.replace(message.items)
             self._list_workers()
             return
         self._take_jobs(message.items, ())
 
-    @handles(Changed)
-    async def on_changed(self, message: Changed) -> None:
+    @handles(PrefixChanged)
+    async def on_changed(self, message: PrefixChanged) -> None:
         """Take over changes of the directory, or what callers ask."""
-        if message.prefix == self._context.ports.directory.workers_prefix:
+        if message.prefix == self._context.ports.documents.workers_prefix:
             if self._directory.change(message.items):
                 self._list_workers()
             return
         self._take_jobs(message.items, ())
 
-    @handles(FeedState)
-    async def on_feed_state(self, message: FeedState) -> None:
+    @handles(PrefixWatchState)
+    async def on_watch_state(self, message: PrefixWatchState) -> None:
         """Feeds recover by themselves."""
 
-    @handles(messages.Reported)
-    async def on_reported(self, message: messages.Reported) -> None:
+    @handles(messages.WorkerReported)
+    async def on_reported(self, message: messages.WorkerReported) -> None:
         """Take over a report."""
         view = self.core.state.workers.find(message.worker)
         for end in message.report.ended:
@@ -180,7 +180,7 @@
         self.core.worker_reported(
             message.worker,
             message.report,
-            message.asked_ms,
+            message.requested_ms,
             now_ms(),
         )
         self._plan_decision()
@@ -220,13 +220,13 @@
         )
         self._plan_decision()
 
-    @handles(messages.Advised)
-    async def on_advised(self, message: messages.Advised) -> None:
+    @handles(messages.AdviceAnswered)
+    async def on_advised(self, message: messages.AdviceAnswered) -> None:
         """Take over tickets."""
         if message.granted is None:
             self.core.advice_failed(message.step, now_ms())
         else:
-            self.core.advised(
+            self.core.advice_received(
                 message.step,
                 message.asked,
                 message.granted,
@@ -257,7 +257,7 @@
         # The time of day may jump, so it is read anew each time.
         self.core.state.unix_offset_ms = time.time_ns() // _NS_PER_MS - now
         self.core.tick(now)
-        if self.channels.forget_former(now):
+        if self.channels.remove_gone_workers(now):
             self._saver.save_fleet()
         self._plan_decision()
 
@@ -288,7 +288,7 @@
             wait_ms = now_ms() - entry.accepted_ms
             self._context.metrics.waited(entry.graph.queue, wait_ms)
 
-    def ask_advice(self, ask: AskAdvice) -> None:
+    def ask_advice(self, ask: RequestAdvice) -> None:
         """Send an ask to the advisor of the process."""
         asked = {}
         for worker in ask.workers:
@@ -296,7 +296,9 @@
             if view is not None:
                 asked[worker] = view.born_ms
         self._context.advisor.send(
-            AdviceAsked(ask, asked, self.mailbox, lambda: self._is_wanted(ask)),
+            AdviceRequest(
+                ask, asked, self.mailbox, lambda: self._is_wanted(ask)
+            ),
         )
 
     def _note_takeover(self) -> None:
@@ -310,11 +312,11 @@
             term=self._fleet.term,
         )
 
-    def _is_wanted(self, ask: AskAdvice) -> bool:
+    def _is_wanted(self, ask: RequestAdvice) -> bool:
         entry = self.core.state.jobs.get(ask.step.job)
         if entry is None or not entry.is_active:
             return False
-        step = self.core.state.known_step(ask.step)
+        step = self.core.state.find_unfinished_step(ask.step)
         if step is None or not step.waiting:
             return False
         return self._term.guard.may_order()
@@ -333,25 +335,25 @@
             longest_ms += self._context.settings.ownership.lease_ttl_ms
         return longest_ms
 
-    def _make_feeds(self, jobs_revision: Revision) -> tuple[PrefixFeed, ...]:
+    def _make_feeds(self, jobs_revision: Revision) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
         timeout_ms = self._context.settings.calls.store_timeout_ms
-        jobs = FeedSettings(
+        jobs = PrefixWatchSettings(
             keys.jobs_prefix(self._term.pool),
             wait_ms,
             timeout_ms,
             after=jobs_revision,
         )
-        workers = FeedSettings(
-            self._context.ports.directory.workers_prefix,
+        workers = PrefixWatchSettings(
+            self._context.ports.documents.workers_prefix,
             wait_ms,
             timeout_ms,
             pause_ms=_DIRECTORY_PAUSE_MS,
         )
         store = self._context.ports.store
         return (
-            PrefixFeed(jobs, store, self.mailbox),
-            PrefixFeed(workers, store, self.mailbox),
+            PrefixWatcher(jobs, store, self.mailbox),
+            PrefixWatcher(workers, store, self.mailbox),
         )
 
     def _take_jobs(
@@ -359,12 +361,12 @@
         found: tuple[KvItem, ...],
         progress_found: tuple[KvItem, ...],
     ) -> None:
-        take_jobs(self.core, found, progress_found, now_ms())
+        load_jobs(self.core, found, progress_found, now_ms())
         self._plan_decision()
 
     def _list_workers(self) -> None:
         entries = self._directory.entries()
-        self.core.list_workers(entries, now_ms())
+        self.core.update_workers(entries, now_ms())
         self.channels.follow(entries)
         if any(not view.is_recorded for view in self.core.state.workers):
             self._saver.save_fleet()
@@ -381,18 +383,18 @@
 
 
 @EFFECTS.register(StartRun)
-def _carry_start(owner: PoolOwner, effect: StartRun) -> None:
+def _send_start(owner: PoolOwner, effect: StartRun) -> None:
     owner.observe_start(effect)
-    owner.channels.carry(effect)
+    owner.channels.send_order(effect)
 
 
 @EFFECTS.register(StopRun)
 @EFFECTS.register(PaceRun)
-@EFFECTS.register(LookAt)
-def _carry_order(owner: PoolOwner, effect: Order) -> None:
-    owner.channels.carry(effect)
+@EFFECTS.register(RequestReport)
+def _send_order(owner: PoolOwner, effect: Order) -> None:
+    owner.channels.send_order(effect)
 
 
-@EFFECTS.register(AskAdvice)
-def _ask_advice(owner: PoolOwner, effect: AskAdvice) -> None:
+@EFFECTS.register(RequestAdvice)
+def _ask_advice(owner: PoolOwner, effect: RequestAdvice) -> None:
     owner.ask_advice(effect)
--- a/fuchsiarill/graphs/ports.py
+++ b/fuchsiarill/graphs/ports.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Directory:
+class DocumentLayout:
     """Where operators and workers leave their documents in the store."""
 
     config_key: StoreKey
@@ -28,7 +28,7 @@
     read_worker: Callable[[WorkerId, bytes], WorkerEntry]
 
 
-class OneAtATime:
+class BusyTrackingAdvisor:
     """An advisor that tells whether a call of this process is in progress.
 
     The service serves one call of a machine after the other, so a second one
@@ -65,5 +65,5 @@
 
     store: KeyValuePort
     agents: AgentPort
-    advisor: OneAtATime
-    directory: Directory
+    advisor: BusyTrackingAdvisor
+    documents: DocumentLayout
--- a/fuchsiarill/graphs/preempting.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -13,7 +13,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 # A step preempts when it has to start within this time to be in time; the
 # stop, its report and the start take about as long.
--- a/fuchsiarill/graphs/feeds.py
+++ b/fuchsiarill/graphs/prefix_watch.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class PrefixListed:
     """All items of the prefix at `revision`, or newer."""
 
     prefix: str
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Changed:
+class PrefixChanged:
     """Items that were written or deleted since."""
 
     prefix: str
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FeedState:
+class PrefixWatchState:
     """The feed has lost the store, or has it again."""
 
     prefix: str
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FeedSettings:
+class PrefixWatchSettings:
     """What a feed follows and how closely."""
 
     prefix: str
@@ -55,12 +55,12 @@
     after: Revision = Revision(0)
 
 
-class PrefixFeed(Actor):
-    """Sends `Listed`, then `Changed` for every change, to one mailbox."""
+class PrefixWatcher(Actor):
+    """Sends `PrefixListed`, then `PrefixChanged` for every change, to one mailbox."""
 
     def __init__(
         self,
-        settings: FeedSettings,
+        settings: PrefixWatchSettings,
         store: KeyValuePort,
         receiver: Mailbox,
     ) -> None:
@@ -98,7 +98,9 @@
         items, revision = listed.unwrap()
         self._succeeded()
         self._after = revision
-        self._receiver.send(Listed(self._settings.prefix, items, revision))
+        self._receiver.send(
+            PrefixListed(self._settings.prefix, items, revision)
+        )
 
     async def _watch(self) -> None:
         watched = await self._store.watch_prefix(
@@ -113,7 +115,9 @@
                     # An empty answer may come from a watch that has missed
                     # changes, so its revision is not used.
                     self._after = changes.items[-1].revision
-                    changed = Changed(self._settings.prefix, changes.items)
+                    changed = PrefixChanged(
+                        self._settings.prefix, changes.items
+                    )
                     self._receiver.send(changed)
                 await sleep_ms(self._settings.pause_ms)
             case Failure(KvFailure.COMPACTED):
@@ -134,7 +138,9 @@
                 failure=failure.value,
                 failing_ms=failing_ms,
             )
-            self._receiver.send(FeedState(self._settings.prefix, is_lost=True))
+            self._receiver.send(
+                PrefixWatchState(self._settings.prefix, is_lost=True)
+            )
         await sleep_ms(_RETRY_MS)
 
     def _succeeded(self) -> None:
@@ -144,7 +150,9 @@
                 prefix=self._settings.prefix,
                 lost_ms=now_ms() - self._failing_since_ms,
             )
-            self._receiver.send(FeedState(self._settings.prefix, is_lost=False))
+            self._receiver.send(
+                PrefixWatchState(self._settings.prefix, is_lost=False)
+            )
         self._is_lost = False
         self._failing_since_ms = None
 
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -13,13 +13,6 @@
 from fuchsiarill.cluster.spawning import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.advice import Advisor
-from fuchsiarill.graphs.feeds import (
-    Changed,
-    FeedSettings,
-    FeedState,
-    Listed,
-    PrefixFeed,
-)
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.metrics import GraphMetrics
@@ -28,6 +21,13 @@
 from fuchsiarill.graphs.owner_messages import ConfigInForce
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.ports import DocumentError, GraphPorts
+from fuchsiarill.graphs.prefix_watch import (
+    PrefixChanged,
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+    PrefixWatchState,
+)
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Tenure
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskDump:
+class GetDump:
     """Return the state of all actors."""
 
     reply: Reply[dict[str, Any]]
@@ -128,8 +128,8 @@
             await actor.stop()
         await super().stop()
 
-    @handles(Listed)
-    async def on_listed(self, message: Listed) -> None:
+    @handles(PrefixListed)
+    async def on_listed(self, message: PrefixListed) -> None:
         """Take over a whole list of keys."""
         if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
@@ -145,16 +145,16 @@
             return
         self._take_config(message.items)
 
-    @handles(Changed)
-    async def on_changed(self, message: Changed) -> None:
+    @handles(PrefixChanged)
+    async def on_changed(self, message: PrefixChanged) -> None:
         """Take over changes of keys."""
         if message.prefix == keys.CONTROL_PREFIX:
             self._take_control(message.items)
             return
         self._take_config(message.items)
 
-    @handles(FeedState)
-    async def on_feed_state(self, message: FeedState) -> None:
+    @handles(PrefixWatchState)
+    async def on_watch_state(self, message: PrefixWatchState) -> None:
         """Let the balancer choose others while the store is out of reach."""
         if message.is_lost:
             self._lost_prefixes.add(message.prefix)
@@ -172,8 +172,8 @@
         self._view(is_draining=True)
         self.spawn(self._drain())
 
-    @handles(AskDump)
-    async def on_dump(self, message: AskDump) -> None:
+    @handles(GetDump)
+    async def on_dump(self, message: GetDump) -> None:
         """Return the state of all actors."""
         message.reply.answer(
             {
@@ -200,15 +200,15 @@
                 self.exit_status = 1
 
     def _prefixes(self) -> tuple[str, ...]:
-        return (keys.CONTROL_PREFIX, self._ports.directory.config_prefix)
+        return (keys.CONTROL_PREFIX, self._ports.documents.config_prefix)
 
-    def _feed(self, prefix: str) -> PrefixFeed:
-        settings = FeedSettings(
+    def _feed(self, prefix: str) -> PrefixWatcher:
+        settings = PrefixWatchSettings(
             prefix,
             self._settings.watch_wait_ms,
             self._settings.calls.store_timeout_ms,
         )
-        return PrefixFeed(settings, self._ports.store, self.mailbox)
+        return PrefixWatcher(settings, self._ports.store, self.mailbox)
 
     def _actors(self) -> Iterable[Actor]:
         owners = [
@@ -224,7 +224,7 @@
 
     def _take_config(self, items: Iterable[KvItem]) -> None:
         for item in items:
-            if item.key != self._ports.directory.config_key:
+            if item.key != self._ports.documents.config_key:
                 continue
             if item.value is None:
                 continue
@@ -232,7 +232,7 @@
 
     def _take_document(self, item: KvItem, content: bytes) -> None:
         try:
-            config = self._ports.directory.read_config(content)
+            config = self._ports.documents.read_config(content)
         except DocumentError as error:
             events.emit(
                 events.DOCUMENT_UNREADABLE,
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -115,7 +115,7 @@
         for entry in list(self._core.state.jobs.values()):
             if entry.is_active or entry.settled_ms > oldest_ms:
                 continue
-            self._core.forget_job(entry.job)
+            self._core.remove_job(entry.job)
             expired.extend(
                 (
                     keys.graph_key(self._pool, entry.job),
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -52,7 +52,7 @@
         self._revisions: dict[StoreKey, Revision] = {}
         self._is_refuted = False
 
-    def know(self, revisions: dict[StoreKey, Revision]) -> None:
+    def add_revisions(self, revisions: dict[StoreKey, Revision]) -> None:
         """Take over the revisions of records that were loaded."""
         self._revisions.update(revisions)
 
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -3,9 +3,8 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_trust
-from fuchsiarill.graphs.ends import take_end
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
+from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
     EndRow,
@@ -19,29 +18,30 @@
     step_run,
     stop_others,
 )
+from fuchsiarill.graphs.run_ends import apply_run_end
 from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import RunEvent, RunState, StandingEvent
-from fuchsiarill.graphs.worker_book import Trust, WorkerView
+from fuchsiarill.graphs.states import AvailabilityEvent, RunEvent, RunState
+from fuchsiarill.graphs.worker_table import FailureRecord, WorkerView
 from fuchsiarill.resources import NOTHING
 
 _BEING_STOPPED: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
 _UNKNOWN_STEP: Final = Step(1, NOTHING)
 
 
-def take_report(
+def apply_report(
     state: PoolState,
     view: WorkerView,
     report: WorkerReport,
-    asked_ms: int,
+    requested_ms: int,
     now_ms: int,
 ) -> None:
     """Bring the view of a worker up to date.
 
-    `asked_ms` is when the renewal left that the report answers.
+    `requested_ms` is when the renewal left that the report answers.
     """
     if report.born_ms > view.born_ms:
-        start_new_life(state, view, now_ms)
+        apply_restart(state, view, now_ms)
         view.born_ms = report.born_ms
     elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
         # Answers on different connections overtake each other.
@@ -49,15 +49,15 @@
     view.clock_ms = report.clock_ms
     view.is_accounted = True
     view.reported_ms = now_ms
-    state.workers.step(view, StandingEvent.REPORTED)
+    state.workers.step(view, AvailabilityEvent.REPORTED)
     for row in report.running:
         _take_running(state, view, row, now_ms)
     for end in report.ended:
         _take_unseen_end(state, view, end, now_ms)
-    _find_absent(state, view, report, asked_ms, now_ms)
+    _find_absent(state, view, report, requested_ms, now_ms)
 
 
-def start_new_life(state: PoolState, view: WorkerView, now_ms: int) -> None:
+def apply_restart(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Take everything of a worker's life before as ended.
 
     A run that the former life has not listed may be one of the new life: the
@@ -71,7 +71,7 @@
     view.seen_end = NO_END
     view.durable_end = NO_END
     view.clock_ms = 0
-    view.trust = Trust()
+    view.failure_record = FailureRecord()
     state.tickets.forget_worker(view.worker)
     state.free_version += 1
 
@@ -147,7 +147,7 @@
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
     if step.step.is_lasting and row.progress_percent == AT_WORK_PERCENT:
-        worker_trust.note_at_work(view, run)
+        worker_suspension.record_at_work(view, run)
 
 
 def _adopt(
@@ -224,20 +224,20 @@
     if end.sequence <= view.seen_end:
         return
     view.seen_end = end.sequence
-    take_end(state, view, end, now_ms)
+    apply_run_end(state, view, end, now_ms)
 
 
 def _find_absent(
     state: PoolState,
     view: WorkerView,
     report: WorkerReport,
-    asked_ms: int,
+    requested_ms: int,
     now_ms: int,
 ) -> None:
     listed = {(row.task, row.attempt) for row in report.running}
     for run in list(view.runs.values()):
         if run.key in listed or run.listed_from_ms is None:
             continue
-        if run.listed_from_ms >= asked_ms or run.state is RunState.STARTING:
+        if run.listed_from_ms >= requested_ms or run.state is RunState.STARTING:
             continue
         drop_run(state, run, RunEvent.ABSENT, now_ms)
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -4,11 +4,11 @@
 from typing import Final
 
 from fuchsiarill.graphs.effects import StopRun
-from fuchsiarill.graphs.job_book import Unit
+from fuchsiarill.graphs.job_entries import Unit
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
 from fuchsiarill.state_chart import load_chart
 
@@ -80,7 +80,7 @@
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Note that an order that extends all leases of a worker leaves."""
-    view.lapse_ms = now_ms + state.leases.longest_ms
+    view.lease_expiry_ms = now_ms + state.leases.longest_ms
 
 
 def _is_serving(state: PoolState, run: Run) -> bool:
--- a/fuchsiarill/graphs/ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -5,15 +5,15 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_trust
+from fuchsiarill.graphs import worker_suspension
 from fuchsiarill.graphs.job_actions import step_job
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit, unit_of
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import EndKind, EndRow
 from fuchsiarill.graphs.run_actions import step_run, stop_others
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import JobPhaseEvent, RunEvent
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
 
 
@@ -36,7 +36,7 @@
 END_KINDS: Final[Registry[EndKind, _Handler]] = Registry('kinds of ends')
 
 
-def take_end(
+def apply_run_end(
     state: PoolState,
     view: WorkerView,
     row: EndRow,
@@ -72,7 +72,7 @@
 @END_KINDS.register(EndKind.SUCCEEDED)
 def _succeeded(context: EndContext) -> None:
     state, entry, step = context.state, context.entry, context.step
-    worker_trust.note_success(context.view)
+    worker_suspension.record_success(context.view)
     if context.run is not None:
         duration_ms = context.now_ms - context.run.ordered_ms
         state.run_times.add(
@@ -109,7 +109,9 @@
 @END_KINDS.register(EndKind.FAILED)
 def _failed(context: EndContext) -> None:
     state, entry, unit = context.state, context.entry, context.unit
-    worker_trust.note_failure(context.view, context.row.task, context.now_ms)
+    worker_suspension.record_failure(
+        context.view, context.row.task, context.now_ms
+    )
     unit.failed_on.add(context.view.worker)
     _returned(context)
     if context.step.step.is_lasting:
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -3,12 +3,12 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_trust
+from fuchsiarill.graphs import worker_suspension
 from fuchsiarill.graphs.run_actions import step_run
 from fuchsiarill.graphs.runs import AT_WORK_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 # Reports arrive at least each second; a run that moves shows it in two.
 _STALL_MS: Final = 3500
@@ -31,7 +31,7 @@
         worker=view.worker,
         percent=run.progress_percent,
     )
-    worker_trust.note_failure(view, run.task, now_ms)
+    worker_suspension.record_failure(view, run.task, now_ms)
     step_run(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 
 from fuchsiarill.graphs.effects import Effect
-from fuchsiarill.graphs.job_book import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import GraphConfig, PoolId, StepKey, TaskKey
 from fuchsiarill.graphs.run_times import RunTimes
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.tickets import TicketBook
-from fuchsiarill.graphs.worker_book import WorkerBook
+from fuchsiarill.graphs.worker_table import WorkerTable
 from fuchsiarill.ids import Epoch, JobId
 
 
@@ -22,7 +22,7 @@
     leases: TaskLeaseSettings
     config: GraphConfig | None = None
     jobs: dict[JobId, JobEntry] = field(default_factory=dict)
-    workers: WorkerBook = field(default_factory=WorkerBook)
+    workers: WorkerTable = field(default_factory=WorkerTable)
     tickets: TicketBook = field(default_factory=TicketBook)
     run_times: RunTimes = field(default_factory=RunTimes)
     # Jobs whose progress differs from what is durable.
@@ -51,7 +51,7 @@
         found = self.find_step(run.task)
         return None if found is None else found[1].active.get(run.unit)
 
-    def known_step(self, key: StepKey) -> StepEntry | None:
+    def find_unfinished_step(self, key: StepKey) -> StepEntry | None:
         """Return the step of a key, if something is left to do in it."""
         entry = self.jobs.get(key.job)
         if entry is None:
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -28,7 +28,7 @@
     WORKER_LOST = 'worker_lost'
 
 
-class StandingState(Enum):
+class AvailabilityState(Enum):
     """How an owner regards a worker."""
 
     # Not fenced yet, or its last answer is missing: no starts.
@@ -39,7 +39,7 @@
     GONE = 'gone'
 
 
-class StandingEvent(Enum):
+class AvailabilityEvent(Enum):
     """What can happen to a worker."""
 
     REPORTED = 'reported'
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -14,8 +14,8 @@
     usable_workers,
 )
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
-from fuchsiarill.graphs.worker_trust import is_trusted
+from fuchsiarill.graphs.worker_suspension import may_receive_runs
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
 _Ranked = tuple[float, int, WorkerView]
@@ -95,4 +95,4 @@
 def _may_take(request: Request, view: WorkerView) -> bool:
     if not has_room(request.step, view, NOTHING):
         return False
-    return is_trusted(view, request.now_ms)
+    return may_receive_runs(view, request.now_ms)
--- a/fuchsiarill/graphs/store_encoding.py
+++ b/fuchsiarill/graphs/store_encoding.py
@@ -23,7 +23,7 @@
 _Servant = Callable[[KeyValuePort, Any], Awaitable[Result[Any, KvFailure]]]
 
 # How a process carries out each kind of call for another.
-SERVANTS: Final[Registry[str, _Servant]] = Registry('relayed calls')
+STORE_CALL_HANDLERS: Final[Registry[str, _Servant]] = Registry('relayed calls')
 
 
 def get_fields(key: StoreKey, timeout_ms: int) -> _Fields:
@@ -144,18 +144,18 @@
             return {'lease': lease}
 
 
-@SERVANTS.register('get')
+@STORE_CALL_HANDLERS.register('get')
 async def _get(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     return await store.get(StoreKey(call.name), call.timeoutMs)
 
 
-@SERVANTS.register('list')
+@STORE_CALL_HANDLERS.register('list')
 async def _list(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     after = StoreKey(call.afterKey) if call.afterKey else None
     return await store.list_prefix(call.name, after, call.timeoutMs)
 
 
-@SERVANTS.register('watch')
+@STORE_CALL_HANDLERS.register('watch')
 async def _watch(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     return await store.watch_prefix(
         call.name,
@@ -164,7 +164,7 @@
     )
 
 
-@SERVANTS.register('commit')
+@STORE_CALL_HANDLERS.register('commit')
 async def _commit(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     transaction = KvTransaction(
         tuple(
@@ -183,17 +183,17 @@
     return await store.commit(transaction, call.timeoutMs)
 
 
-@SERVANTS.register('grant')
+@STORE_CALL_HANDLERS.register('grant')
 async def _grant(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     return await store.grant_lease(call.ttlMs, call.timeoutMs)
 
 
-@SERVANTS.register('renew')
+@STORE_CALL_HANDLERS.register('renew')
 async def _renew(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     return await store.renew_lease(StoreLeaseId(call.name), call.timeoutMs)
 
 
-@SERVANTS.register('end')
+@STORE_CALL_HANDLERS.register('end')
 async def _end(store: KeyValuePort, call: Any) -> Result[Any, KvFailure]:
     return await store.end_lease(StoreLeaseId(call.name), call.timeoutMs)
 
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -191,7 +191,7 @@
             self._step(TenureEvent.OWNERSHIP_LOST)
             return
         if isinstance(message.outcome, Success):
-            self._guard.extend(self._deadline_ms(message.asked_ms))
+            self._guard.extend(self._deadline_ms(message.requested_ms))
             if self.state is TenureState.SUSPENDED:
                 self._step(TenureEvent.LEASE_RENEWED)
 
@@ -229,13 +229,13 @@
     def load(self) -> None:
         """Read what earlier owners left, in a task of its own."""
         election = self._election
-        self._guard = LeaseGuard(self._deadline_ms(election.asked_ms))
-        self._renewed_ms = election.asked_ms
+        self._guard = LeaseGuard(self._deadline_ms(election.requested_ms))
+        self._renewed_ms = election.requested_ms
         events.emit(
             events.TENURE_WON,
             pool=self.pool,
             epoch=election.epoch,
-            campaign_ms=now_ms() - election.asked_ms,
+            campaign_ms=now_ms() - election.requested_ms,
         )
         self.spawn(self._load(election))
 
@@ -285,9 +285,9 @@
         for action in transition.actions:
             TENURE_ACTIONS.lookup(action)(self)
 
-    def _deadline_ms(self, asked_ms: int) -> int:
+    def _deadline_ms(self, requested_ms: int) -> int:
         ownership = self._settings.ownership
-        return asked_ms + ownership.lease_ttl_ms - ownership.lease_margin_ms
+        return requested_ms + ownership.lease_ttl_ms - ownership.lease_margin_ms
 
     async def _campaign(self) -> None:
         ownership = self._settings.ownership
@@ -314,7 +314,7 @@
             self.spawn(self._renew_lease(lease))
 
     async def _renew_lease(self, lease: StoreLeaseId) -> None:
-        asked_ms = now_ms()
+        requested_ms = now_ms()
         timeout_ms = self._settings.calls.store_timeout_ms
         outcome = await self._store.renew_lease(lease, timeout_ms)
         is_key_lost = False
@@ -331,7 +331,7 @@
                     epoch = self._election.epoch
                     is_key_lost = int(found.unwrap().revision) != epoch
         self.mailbox.send(
-            RenewalAnswered(lease, asked_ms, outcome, is_key_lost)
+            RenewalAnswered(lease, requested_ms, outcome, is_key_lost)
         )
 
     async def _load(self, election: Election) -> None:
--- a/fuchsiarill/graphs/tenure_messages.py
+++ b/fuchsiarill/graphs/tenure_messages.py
@@ -38,7 +38,7 @@
 @dataclass(frozen=True, slots=True)
 class RenewalAnswered:
     lease: StoreLeaseId
-    asked_ms: int
+    requested_ms: int
     outcome: Result[StoreLeaseId, KvFailure]
     # The owner key has been read after a time without renewals.
     is_key_lost: bool = False
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiarill.graphs.model import BornMs, StepKey, Ticket
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 
 # A start reaches its worker this much later, at most, than it is decided.
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -5,11 +5,11 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs import draining, pacing, reports, stalls
-from fuchsiarill.graphs.job_book import JobEntry
+from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import order_stop
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import StandingEvent
+from fuchsiarill.graphs.states import AvailabilityEvent
 from fuchsiarill.registry import Registry
 
 _Tick = Callable[[PoolState, int], None]
@@ -29,13 +29,13 @@
 def _lapse(state: PoolState, now_ms: int) -> None:
     """Take what runs on workers as ended when its leases have lapsed."""
     for view in state.workers:
-        if now_ms <= view.lapse_ms:
+        if now_ms <= view.lease_expiry_ms:
             continue
         view.is_accounted = True
         if view.runs:
             reports.lose_runs(state, view, now_ms)
         if not view.is_listed:
-            state.workers.step(view, StandingEvent.LAPSED)
+            state.workers.step(view, AvailabilityEvent.LAPSED)
 
 
 @TICKS.register('2 open occurrences')
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -9,7 +9,7 @@
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning import SpawningActor
-from fuchsiarill.graphs.effects import LookAt, PaceRun, StartRun, StopRun
+from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import (
     NO_END,
@@ -23,9 +23,9 @@
     OwnershipRefuted,
     RenewalFailed,
     RenewalSent,
-    Reported,
     StartAnswered,
     StopAnswered,
+    WorkerReported,
 )
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.ids import Epoch
@@ -102,8 +102,8 @@
         """Order a pace; a lost one is corrected by the next."""
         self.spawn(self._order_pace(message))
 
-    @handles(LookAt)
-    async def on_look(self, message: LookAt) -> None:
+    @handles(RequestReport)
+    async def on_request_report(self, message: RequestReport) -> None:
         """Ask for a report beside the renewal that waits."""
         self.spawn(self._look())
 
@@ -148,7 +148,7 @@
     async def _renew(self, wait_ms: int) -> bool:
         if self._durable_end < self._seen_end:
             wait_ms = 0
-        asked_ms = now_ms()
+        requested_ms = now_ms()
         order = RenewalOrder(
             self._context.epoch,
             # A worker that may have a new life must not forget its ends.
@@ -169,7 +169,7 @@
             return False
         self._learn(answered.unwrap())
         self._context.owner.send(
-            Reported(self.agent.worker, answered.unwrap(), asked_ms),
+            WorkerReported(self.agent.worker, answered.unwrap(), requested_ms),
         )
         return True
 
--- a/fuchsiarill/graphs/worker_book.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from fuchsiarill.graphs.job_book import StepEntry
+from fuchsiarill.graphs.job_entries import StepEntry
 from fuchsiarill.graphs.model import (
     NO_END,
     BornMs,
@@ -16,7 +16,7 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.runs import Run
-from fuchsiarill.graphs.states import StandingEvent, StandingState
+from fuchsiarill.graphs.states import AvailabilityEvent, AvailabilityState
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class Trust:
+class FailureRecord:
     """What the ends on a worker say of it."""
 
     failures_in_row: set[TaskKey] = field(default_factory=set)
@@ -54,7 +54,7 @@
     worker: WorkerId
     address: str
     entry: WorkerEntry | None = None
-    standing: StandingState = StandingState.UNCONFIRMED
+    availability: AvailabilityState = AvailabilityState.UNCONFIRMED
     is_listed: bool = False
     # In the durable fleet record, so that a next owner asks it too.
     is_recorded: bool = False
@@ -73,12 +73,12 @@
     # Ends up to here are durable, and the worker may forget them.
     durable_end: EndSequence = NO_END
     # Everything there has lapsed by then, if no renewal is sent.
-    lapse_ms: int = 0
+    lease_expiry_ms: int = 0
     reported_ms: int = 0
     # Worker's clock in the newest report.
     clock_ms: int = 0
     leaving_since_ms: int | None = None
-    trust: Trust = field(default_factory=Trust)
+    failure_record: FailureRecord = field(default_factory=FailureRecord)
 
     def free_for(self, step: StepKey, rank_ms: int) -> Resources:
         """Return what is neither held nor kept for a step before this one."""
@@ -150,15 +150,17 @@
             self.free = self.entry.capacity - self.held
 
 
-class WorkerBook:
+class WorkerTable:
     """All workers that are listed or may still run something."""
 
     def __init__(self) -> None:
         """Start with no workers."""
-        self._chart: StateChart[StandingState, StandingEvent] = load_chart(
-            'standing',
-            StandingState,
-            StandingEvent,
+        self._chart: StateChart[AvailabilityState, AvailabilityEvent] = (
+            load_chart(
+                'worker_availability',
+                AvailabilityState,
+                AvailabilityEvent,
+            )
         )
         self._views: dict[WorkerId, WorkerView] = {}
 
@@ -181,11 +183,11 @@
         """Forget a worker."""
         self._views.pop(worker, None)
 
-    def step(self, view: WorkerView, event: StandingEvent) -> None:
+    def step(self, view: WorkerView, event: AvailabilityEvent) -> None:
         """Let an event happen to a worker."""
-        transition = self._chart.step(view.standing, event)
+        transition = self._chart.step(view.availability, event)
         if transition is not None:
-            view.standing = transition.target
+            view.availability = transition.target
 
     def list_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
         """Take over the directory; returns the workers with a new life."""
@@ -204,6 +206,6 @@
     def _list_entry(self, view: WorkerView, entry: WorkerEntry) -> None:
         view.list_entry(entry)
         if entry.listing is WorkerListing.LEAVING:
-            self.step(view, StandingEvent.LISTED_LEAVING)
+            self.step(view, AvailabilityEvent.LISTED_LEAVING)
             return
-        self.step(view, StandingEvent.LISTED_LIVE)
+        self.step(view, AvailabilityEvent.LISTED_LIVE)
--- a/fuchsiarill/graphs/worker_waits.py
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -6,7 +6,7 @@
 from fuchsiarill.graphs.placement import Request
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_book import WorkerView
+from fuchsiarill.graphs.worker_table import WorkerView
 
 NEVER_MS: Final = 1_000_000_000
 
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -100,7 +100,7 @@
     `waiting` holds the positions of tasks that have no attempt, `results` the
     output of each task that succeeded, by position. `order` numbers the jobs
     of an owner in the order of their acceptance. `failed_on` holds the workers
-    on which an attempt failed. `moving` maps the position of a replica to the
+    on which an attempt failed. `replaced_attempts` maps the position of a replica to the
     attempt that stops once its replacement runs. A `volatile` job is not in
     the journal.
     """
@@ -114,7 +114,7 @@
     results: dict[int, str] = field(default_factory=dict)
     failures_count: int = 0
     started_at_ms: int | None = None
-    order: int = 0
+    acceptance_number: int = 0
     failed_on: set[WorkerId] = field(default_factory=set)
-    moving: dict[int, AttemptId] = field(default_factory=dict)
+    replaced_attempts: dict[int, AttemptId] = field(default_factory=dict)
     volatile: bool = False
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -16,19 +16,19 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner import campaign_messages, messages
-from fuchsiarill.owner.campaign_state import Contest, Helpers, Lease
+from fuchsiarill.owner.campaign_state import ElectionTimer, Helpers, Lease
 from fuchsiarill.owner.claims import (
-    OwnerFound,
+    OwnerLocated,
     acquire,
     new_claim,
     parse_claim,
 )
-from fuchsiarill.owner.contest import contest_delay_ms
+from fuchsiarill.owner.election_delay import election_delay_ms
 from fuchsiarill.owner.journal_format import JournalFault
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
-from fuchsiarill.owner.serving import Ports, Serving
+from fuchsiarill.owner.partition_service import PartitionService, Ports
 from fuchsiarill.owner.takeover import Takeover
 from fuchsiarill.registry import Registry
 from fuchsiarill.settings import ProcessSettings
@@ -69,7 +69,7 @@
         self.state = PARTITION_CHART.initial
         self.lease = Lease()
         self.helpers = Helpers()
-        self.contest = Contest()
+        self.election = ElectionTimer()
         self.reason = ''
 
     def start(self) -> None:
@@ -79,7 +79,7 @@
 
     async def stop(self) -> None:
         """Stop at once, without handing over; the lease lapses."""
-        self.contest.cancel()
+        self.election.cancel()
         self.lease.cancel()
         await super().stop()
         await self.helpers.end()
@@ -112,37 +112,37 @@
         self.reason = f'an actor has failed: {fault}'
         await self.step(PartitionEvent.DEPOSED)
 
-    @handles(campaign_messages.OwnerSeen)
-    async def on_seen(self, message: campaign_messages.OwnerSeen) -> None:
+    @handles(campaign_messages.OwnerKeyRead)
+    async def on_seen(self, message: campaign_messages.OwnerKeyRead) -> None:
         """Tell the router; plan a claim when the partition is vacant."""
         if self.state is not PartitionState.STANDBY:
             return
         claim = parse_claim(message.found)
-        self.router.send(OwnerFound(self.partition, claim, mailbox=None))
+        self.router.send(OwnerLocated(self.partition, claim, mailbox=None))
         if message.found.value is not None:
-            self.contest.cancel()
+            self.election.cancel()
             return
-        if self.contest.is_leaving:
+        if self.election.is_leaving:
             return
-        loads = self.contest.loads
+        loads = self.election.loads
         process = self.settings.process
-        delay_ms = contest_delay_ms(self.partition, process, loads)
-        self.contest.plan(delay_ms, self.mailbox)
+        delay_ms = election_delay_ms(self.partition, process, loads)
+        self.election.plan(delay_ms, self.mailbox)
 
-    @handles(campaign_messages.CandidatesKnown)
+    @handles(campaign_messages.CandidatesUpdated)
     async def on_candidates(
         self,
-        message: campaign_messages.CandidatesKnown,
+        message: campaign_messages.CandidatesUpdated,
     ) -> None:
         """Note who else may claim the partition."""
-        self.contest.loads = message.loads
+        self.election.loads = message.loads
         if self.helpers.watch is not None:
             self.helpers.watch.mailbox.send(message)
 
-    @handles(campaign_messages.ContestDue)
-    async def on_due(self, message: campaign_messages.ContestDue) -> None:
+    @handles(campaign_messages.ElectionDue)
+    async def on_due(self, message: campaign_messages.ElectionDue) -> None:
         """Claim the partition if it is still vacant."""
-        if not self.contest.is_leaving:
+        if not self.election.is_leaving:
             await self.step(PartitionEvent.VACANT)
 
     @handles(campaign_messages.LeaseRenewed)
@@ -153,7 +153,7 @@
         """Extend the deadline from the time the renewal was asked for."""
         if not self.lease.has(message.token):
             return
-        self.set_deadline(message.asked_at_ms)
+        self.set_deadline(message.requested_at_ms)
         await self.step(PartitionEvent.RENEWED)
 
     @handles(campaign_messages.DeadlinePassed)
@@ -195,9 +195,9 @@
         """Give the partition back; a journal in doubt is left alone."""
         if not self.lease.has(message.token):
             return
-        self.contest.pause(_RETRY_TAKEOVER_MS)
+        self.election.pause(_RETRY_TAKEOVER_MS)
         if message.fault in _UNREADABLE:
-            self.contest.pause(_REFUSED_JOURNAL_RETRY_MS)
+            self.election.pause(_REFUSED_JOURNAL_RETRY_MS)
             events.emit(
                 events.JOURNAL_REFUSED,
                 partition=self.partition,
@@ -212,17 +212,17 @@
         self.config = message.config
         self.helpers.configure(message)
 
-    @handles(messages.StoreOutageSeen)
-    async def on_outage(self, message: messages.StoreOutageSeen) -> None:
+    @handles(messages.StoreOutageConfirmed)
+    async def on_outage(self, message: messages.StoreOutageConfirmed) -> None:
         """Tell the owner that its tasks may go on."""
         if self.helpers.serving is not None:
-            self.helpers.serving.tell_owner(message)
+            self.helpers.serving.notify_owner(message)
 
     @handles(messages.HandOver)
     async def on_hand_over(self, message: messages.HandOver) -> None:
         """Give up the partition for good, with its work finished."""
-        self.contest.is_leaving = True
-        self.contest.cancel()
+        self.election.is_leaving = True
+        self.election.cancel()
         self.reason = 'the process shuts down'
         self.helpers.is_finished = True
         was_owner = self.helpers.serving is not None
@@ -243,11 +243,11 @@
         for action in transition.actions:
             await CAMPAIGN_ACTIONS.lookup(action)(self)
 
-    def set_deadline(self, asked_at_ms: int) -> None:
+    def set_deadline(self, requested_at_ms: int) -> None:
         """Derive the deadline from the time a renewal was asked for."""
         store = self.settings.store
         held_ms = int(store.owner_lease_ms * _CLOCK_RATE)
-        deadline_ms = asked_at_ms + held_ms - store.owner_margin_ms
+        deadline_ms = requested_at_ms + held_ms - store.owner_margin_ms
         self.lease.extend(deadline_ms, self.mailbox)
         self.helpers.set_deadline(deadline_ms)
 
@@ -287,7 +287,7 @@
         return
     await campaign.helpers.stop()
     campaign.lease.held = held
-    campaign.set_deadline(held.asked_at_ms)
+    campaign.set_deadline(held.requested_at_ms)
     campaign.helpers.renewer = LeaseRenewer(
         store,
         held,
@@ -321,7 +321,7 @@
     journal = campaign.helpers.journal
     if journal is None:
         return
-    serving = Serving(
+    serving = PartitionService(
         campaign.settings,
         campaign.config,
         campaign.ports,
@@ -339,7 +339,7 @@
         epoch=serving.epoch,
     )
     campaign.router.send(
-        OwnerFound(
+        OwnerLocated(
             campaign.partition,
             new_claim(campaign.settings),
             serving.owner.mailbox,
@@ -349,7 +349,7 @@
 
 @CAMPAIGN_ACTIONS.register('step_down')
 async def _step_down(campaign: Campaign) -> None:
-    campaign.router.send(OwnerFound(campaign.partition, None, mailbox=None))
+    campaign.router.send(OwnerLocated(campaign.partition, None, mailbox=None))
     events.emit(
         events.OWNERSHIP_LOST,
         partition=campaign.partition,
@@ -362,7 +362,7 @@
     if held is not None:
         # Frees the partition at once where the store still knows the lease.
         await campaign.ports.store.revoke_lease(held.lease_id)
-    if not campaign.contest.is_leaving:
+    if not campaign.election.is_leaving:
         campaign.watch()
 
 
--- a/fuchsiarill/owner/campaign_messages.py
+++ b/fuchsiarill/owner/campaign_messages.py
@@ -22,19 +22,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwnerSeen:
+class OwnerKeyRead:
     """The owner key was read."""
 
     found: Versioned
 
 
 @dataclass(frozen=True, slots=True)
-class ContestDue:
+class ElectionDue:
     """The turn of this process to claim a vacant partition has come."""
 
 
 @dataclass(frozen=True, slots=True)
-class CandidatesKnown:
+class CandidatesUpdated:
     """The live processes of the region and how many partitions each owns."""
 
     loads: Mapping[ProcessId, int]
@@ -45,7 +45,7 @@
     """The lease of the owner was renewed."""
 
     token: str
-    asked_at_ms: int
+    requested_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -8,11 +8,11 @@
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.owner import campaign_messages, messages
 from fuchsiarill.owner.claims import HeldLease
-from fuchsiarill.owner.closing import refuse_callers
 from fuchsiarill.owner.journal_reader import JournalRead
+from fuchsiarill.owner.late_requests import refuse_late_requests
 from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
-from fuchsiarill.owner.serving import Serving
+from fuchsiarill.owner.partition_service import PartitionService
 from fuchsiarill.owner.takeover import Takeover
 
 
@@ -45,7 +45,7 @@
             self._timer.cancel()
 
 
-class Contest:
+class ElectionTimer:
     """When this process claims the partition next."""
 
     def __init__(self) -> None:
@@ -78,7 +78,7 @@
 
     def _due(self, campaign: Mailbox) -> None:
         self._timer = None
-        campaign.send(campaign_messages.ContestDue())
+        campaign.send(campaign_messages.ElectionDue())
 
 
 class Helpers:
@@ -89,7 +89,7 @@
         self.watch: OwnerWatch | None = None
         self.renewer: LeaseRenewer | None = None
         self.takeover: Takeover | None = None
-        self.serving: Serving | None = None
+        self.serving: PartitionService | None = None
         self.journal: JournalRead | None = None
         self.is_finished = True
         self._config: messages.ConfigChanged | None = None
@@ -111,7 +111,7 @@
         """Pass on a configuration that a full mailbox has refused."""
         if self.serving is None or self._config is None:
             return
-        if self.serving.tell_owner(self._config):
+        if self.serving.notify_owner(self._config):
             self._config = None
 
     def fault(self) -> str | None:
@@ -144,8 +144,10 @@
         self.journal = None
         self._config = None
 
-    def _refuse_callers(self, serving: Serving) -> None:
-        refusing = refuse_callers(serving.owner.mailbox, serving.partition)
+    def _refuse_callers(self, serving: PartitionService) -> None:
+        refusing = refuse_late_requests(
+            serving.owner.mailbox, serving.partition
+        )
         closing = asyncio.create_task(refusing)
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
--- a/fuchsiarill/owner/claims.py
+++ b/fuchsiarill/owner/claims.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwnerFound:
+class OwnerLocated:
     """Tells the router where a partition's owner is.
 
     `mailbox` is set when the owner is in this process.
@@ -44,7 +44,7 @@
     """A lease under which this process holds the owner key."""
 
     lease_id: StoreLeaseId
-    asked_at_ms: int
+    requested_at_ms: int
     token: str
 
 
@@ -69,7 +69,7 @@
     was not made gives its lease back, and the lease takes a claim with it
     that is written late.
     """
-    asked_at_ms = now_ms()
+    requested_at_ms = now_ms()
     granted = await store.grant_lease(lease_ms)
     if not isinstance(granted, Success):
         return None
@@ -81,10 +81,10 @@
             claim.model_dump_json(),
             lease_id=lease_id,
         ),
-        lambda: now_ms() < asked_at_ms + lease_ms,
+        lambda: now_ms() < requested_at_ms + lease_ms,
     )
     if written.outcome is SwapOutcome.SWAPPED:
-        return HeldLease(lease_id, asked_at_ms, claim.token)
+        return HeldLease(lease_id, requested_at_ms, claim.token)
     await store.revoke_lease(lease_id)
     return None
 
--- a/fuchsiarill/owner/contest.py
+++ b/fuchsiarill/owner/election_delay.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from fuchsiarill.ids import PartitionId, ProcessId
-from fuchsiarill.owner.spread import spread
+from fuchsiarill.owner.hash_fraction import hash_fraction
 
 # One turn covers a read and a claim; the longest delay keeps a takeover
 # within 5 s when all who come first have failed too.
@@ -20,7 +20,7 @@
 _CLOSE_WATCHERS_COUNT: Final = 3
 
 
-def contest_delay_ms(
+def election_delay_ms(
     partition: PartitionId,
     process: ProcessId,
     loads: Mapping[ProcessId, int],
@@ -28,7 +28,7 @@
     """Return how long to wait: least loaded first, then by rendezvous hash."""
     rank = _rank(partition, process, loads)
     if rank is None:
-        return _UNRANKED_DELAY_MS * spread(f'{partition} {process}')
+        return _UNRANKED_DELAY_MS * hash_fraction(f'{partition} {process}')
     return min(_TURN_MS * rank, _LONGEST_DELAY_MS)
 
 
@@ -59,7 +59,7 @@
         loads,
         key=lambda candidate: (
             loads[candidate],
-            spread(f'{partition} {candidate}'),
+            hash_fraction(f'{partition} {candidate}'),
         ),
     )
     return ordered.index(process)
--- a/fuchsiarill/owner/exchange_pacer.py
+++ b/fuchsiarill/owner/exchange_pacer.py
@@ -11,7 +11,7 @@
 
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.owner.spread import spread
+from fuchsiarill.owner.hash_fraction import hash_fraction
 from fuchsiarill.workers import Exchange, TaskOutcome, WorkerReport
 
 # Spreads the exchanges of many workers that were listed at the same time.
@@ -86,7 +86,7 @@
         if self._is_asked:
             return
         seed = f'{self._worker_id} {self._ticks_count}'
-        factor = 1 + _JITTER * (2 * spread(seed) - 1)
+        factor = 1 + _JITTER * (2 * hash_fraction(seed) - 1)
         self._call_later(self._pace_ms * factor)
 
     def cancel(self) -> None:
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -58,11 +58,11 @@
     def observe(
         self,
         report: WorkerReport,
-        asked_at_ms: int,
+        requested_at_ms: int,
     ) -> tuple[TaskReport, ...]:
         """Return the outcomes of attempts that the report should name.
 
-        `asked_at_ms` is when the exchange of the report was asked for.
+        `requested_at_ms` is when the exchange of the report was asked for.
         """
         named = {task.attempt_id for task in report.tasks}
         missing = [
@@ -70,7 +70,7 @@
             for attempt_id in sorted(self._running - named)
         ]
         for attempt_id, start in tuple(self._starts.items()):
-            outcome = _outcome_of(start, report, asked_at_ms)
+            outcome = _outcome_of(start, report, requested_at_ms)
             if attempt_id in named:
                 self._starts.pop(attempt_id)
             elif outcome is not None:
@@ -87,7 +87,7 @@
 def _outcome_of(
     start: SentStart,
     report: WorkerReport,
-    asked_at_ms: int,
+    requested_at_ms: int,
 ) -> TaskOutcome | None:
     """Return what became of a missing start; `None` if it may still arrive."""
     if report.incarnation and start.incarnation == report.incarnation:
@@ -95,6 +95,6 @@
             return TaskOutcome.REFUSED
         return None
     # The worker may have run the attempt and forgotten it in a restart.
-    if asked_at_ms > start.send_before_ms:
+    if requested_at_ms > start.send_before_ms:
         return TaskOutcome.STOPPED
     return None
--- a/fuchsiarill/owner/spread.py
+++ b/fuchsiarill/owner/hash_fraction.py
@@ -6,6 +6,6 @@
 _CRC_RANGE: Final = 4_294_967_296
 
 
-def spread(seed: str) -> float:
+def hash_fraction(seed: str) -> float:
     """Return a share of one that is evenly spread over seeds."""
     return zlib.crc32(seed.encode()) / _CRC_RANGE
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from fuchsiarill import codes
-from fuchsiarill.answers import JobAnswer, JobWhy, refused
+from fuchsiarill.answers import JobAnswer, JobExplanation, refused
 from fuchsiarill.clock import now_ms
 from fuchsiarill.core.partition import PartitionCore
 from fuchsiarill.ids import CustomerId, JobId
@@ -61,7 +61,7 @@
             partial(self._answer_early, message, answers),
         )
 
-    def ask(self, message: messages.AskJob) -> None:
+    def ask(self, message: messages.QueryJob) -> None:
         """Answer with the state of a job, at its end or that of the wait."""
         query = message.query
         job = self._job_of(query.customer, query.job_id)
@@ -115,11 +115,13 @@
         """Say what a job of the asking customer waits for."""
         query = message.query
         if self._job_of(query.customer, query.job_id) is None:
-            message.reply.answer(JobWhy(self._absent(query.job_id)))
+            message.reply.answer(JobExplanation(self._absent(query.job_id)))
             return
         explanation = self._core.explain(query.job_id, now_ms())
         reasons = pydantic_core.to_jsonable_python(explanation)
-        message.reply.answer(JobWhy(self.present(query.job_id), reasons))
+        message.reply.answer(
+            JobExplanation(self.present(query.job_id), reasons)
+        )
 
     def ended(self, job_id: JobId) -> None:
         """Answer all who wait for the end of a job."""
--- a/fuchsiarill/owner/closing.py
+++ b/fuchsiarill/owner/late_requests.py
@@ -18,14 +18,16 @@
 _LATE_MS: Final = 2_000
 _CALLER_MESSAGES: Final = (
     messages.SubmitJobs,
-    messages.AskJob,
+    messages.QueryJob,
     messages.CancelJob,
     messages.ListJobs,
     messages.ExplainJob,
 )
 
 
-async def refuse_callers(mailbox: Mailbox, partition: PartitionId) -> None:
+async def refuse_late_requests(
+    mailbox: Mailbox, partition: PartitionId
+) -> None:
     """Answer callers in the mailbox of a stopped owner for some time."""
     with suppress(TimeoutError):
         async with asyncio.timeout(_LATE_MS / MS_PER_SECOND):
--- a/fuchsiarill/owner/lease_renewer.py
+++ b/fuchsiarill/owner/lease_renewer.py
@@ -41,12 +41,12 @@
         if self._failures_count:
             delay_ms = backoff_ms(self._lease.lease_id, self._failures_count)
         await sleep_ms(delay_ms)
-        asked_at_ms = now_ms()
+        requested_at_ms = now_ms()
         match await self._store.renew_lease(self._lease.lease_id):
             case Success(_):
                 self._failures_count = 0
                 self._campaign.send(
-                    LeaseRenewed(self._lease.token, asked_at_ms),
+                    LeaseRenewed(self._lease.token, requested_at_ms),
                 )
             case Failure(StoreFailure.LEASE_UNKNOWN):
                 self._campaign.send(OwnershipLost(self._lease.token))
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -6,9 +6,9 @@
 from fuchsiarill.answers import (
     JobAnswer,
     JobCancel,
+    JobExplanation,
     JobList,
     JobQuery,
-    JobWhy,
 )
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskJob:
+class QueryJob:
     """Answer a query, at the end of its wait at the latest."""
 
     query: JobQuery
@@ -50,13 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """A worker answered an exchange that was asked for at `asked_at_ms`.
+    """A worker answered an exchange that was asked for at `requested_at_ms`.
 
     What it was told to run may run until `lease_ends_at_ms`.
     """
 
     report: WorkerReport
-    asked_at_ms: int = 0
+    requested_at_ms: int = 0
     lease_ends_at_ms: int = 0
 
 
@@ -91,7 +91,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoreOutageSeen:
+class StoreOutageConfirmed:
     """Until this time the store is regarded as down for everyone."""
 
     until_ms: int
@@ -194,4 +194,4 @@
     """Say what a job of a customer waits for."""
 
     query: JobQuery
-    reply: Reply[JobWhy]
+    reply: Reply[JobExplanation]
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -112,8 +112,8 @@
         self.requests.submit(message)
         self._settle()
 
-    @handles(messages.AskJob)
-    async def on_ask(self, message: messages.AskJob) -> None:
+    @handles(messages.QueryJob)
+    async def on_query(self, message: messages.QueryJob) -> None:
         """Answer with the state of a job, at its end or that of the wait."""
         self.requests.ask(message)
 
@@ -145,7 +145,7 @@
     async def on_report(self, message: messages.WorkerReported) -> None:
         """Take over a report; outcomes are acknowledged when durable."""
         report = message.report
-        self.core.worker_reported(report, now_ms(), message.asked_at_ms)
+        self.core.worker_reported(report, now_ms(), message.requested_at_ms)
         self.core.leases_extended(report.worker_id, message.lease_ends_at_ms)
         ended = tuple(
             task.attempt_id
@@ -196,8 +196,8 @@
         self._restrict_if_needed()
         self._allow_renewals()
 
-    @handles(messages.StoreOutageSeen)
-    async def on_outage(self, message: messages.StoreOutageSeen) -> None:
+    @handles(messages.StoreOutageConfirmed)
+    async def on_outage(self, message: messages.StoreOutageConfirmed) -> None:
         """Go on renewing task leases while nobody can take over."""
         self.outage_until_ms = message.until_ms
         self._allow_renewals()
--- a/fuchsiarill/owner/owner_watch.py
+++ b/fuchsiarill/owner/owner_watch.py
@@ -7,8 +7,8 @@
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.ids import ABSENT, PartitionId, ProcessId, Revision
-from fuchsiarill.owner.campaign_messages import CandidatesKnown, OwnerSeen
-from fuchsiarill.owner.contest import watch_wait_ms
+from fuchsiarill.owner.campaign_messages import CandidatesUpdated, OwnerKeyRead
+from fuchsiarill.owner.election_delay import watch_wait_ms
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.owner.store_calls import backoff_ms
@@ -40,8 +40,8 @@
         super().start()
         self.mailbox.send(Tick())
 
-    @handles(CandidatesKnown)
-    async def on_candidates(self, message: CandidatesKnown) -> None:
+    @handles(CandidatesUpdated)
+    async def on_candidates(self, message: CandidatesUpdated) -> None:
         """Watch as closely as the rank of this process asks for."""
         self._loads = message.loads
 
@@ -58,7 +58,7 @@
             found = answer.unwrap()
             self._failures_count = 0
             self._revision = found.revision
-            self._campaign.send(OwnerSeen(found))
+            self._campaign.send(OwnerKeyRead(found))
         else:
             # What was seen before may have changed meanwhile.
             self._revision = ABSENT if self._revision == ABSENT else None
--- a/fuchsiarill/owner/serving.py
+++ b/fuchsiarill/owner/partition_service.py
@@ -34,7 +34,7 @@
     workers: WorkerPort
 
 
-class Serving:
+class PartitionService:
     """The owner of one partition with its journal and host list."""
 
     def __init__(
@@ -90,16 +90,16 @@
 
     def set_deadline(self, deadline_ms: int) -> None:
         """Tell the owner until when it may start tasks."""
-        self.tell_owner(messages.OwnershipDeadline(deadline_ms))
+        self.notify_owner(messages.OwnershipDeadline(deadline_ms))
 
-    def tell_owner(self, message: object) -> bool:
+    def notify_owner(self, message: object) -> bool:
         """Pass a message to the owner; `False` when its mailbox is full."""
         return self.owner.mailbox.send(message)
 
     async def finish(self) -> bool:
         """Let the owner finish its work; `False` when it took too long."""
         reply: Reply[bool] = Reply()
-        if not self.tell_owner(messages.FinishWork(reply)):
+        if not self.notify_owner(messages.FinishWork(reply)):
             return False
         try:
             return await reply.wait(_FINISH_TIMEOUT_MS)
--- a/fuchsiarill/owner/snapshots.py
+++ b/fuchsiarill/owner/snapshots.py
@@ -81,7 +81,7 @@
         chosen = _FIRST_SET
         if previous.snapshot == _FIRST_SET:
             chosen = _SECOND_SET
-        image.forget_ended()
+        image.evict_ended_jobs()
         records = tuple(image.compacted())
         revisions = await self._write_chunks(chosen, records)
         if revisions is None:
--- a/fuchsiarill/owner/store_calls.py
+++ b/fuchsiarill/owner/store_calls.py
@@ -12,7 +12,7 @@
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.ids import StoreKey
-from fuchsiarill.owner.spread import spread
+from fuchsiarill.owner.hash_fraction import hash_fraction
 from fuchsiarill.ports.store import (
     StorePort,
     Swap,
@@ -41,7 +41,7 @@
     """
     doublings = min(tries_count, _DOUBLINGS_MAX_COUNT)
     delay_ms: float = min(_FIRST_DELAY_MS * 2**doublings, _LONGEST_DELAY_MS)
-    return delay_ms * (1 + spread(f'{seed} {tries_count}')) / 2
+    return delay_ms * (1 + hash_fraction(f'{seed} {tries_count}')) / 2
 
 
 async def read_key(
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -131,17 +131,17 @@
     async def on_tick(self, message: messages.Tick) -> None:
         """Exchange with the worker once."""
         self._pacer.began()
-        asked_at_ms = now_ms()
-        request = self._request(asked_at_ms)
+        requested_at_ms = now_ms()
+        request = self._request(requested_at_ms)
         answer = await self._port.exchange(self.entry.address, request)
         match answer:
             case Success(report) if report.highest_epoch > self._terms.epoch:
                 self._tell(messages.Deposed('a worker knows a newer owner'))
             case Success(report):
                 self._pacer.note(request, report)
-                self._answered(request, report, asked_at_ms)
+                self._answered(request, report, requested_at_ms)
             case Failure(failure):
-                self._failed(request, failure, asked_at_ms)
+                self._failed(request, failure, requested_at_ms)
         self._flush()
         if self._starts:
             self._pacer.soon()
@@ -151,18 +151,18 @@
     def _send_tick(self) -> bool:
         return self.mailbox.send(messages.Tick())
 
-    def _request(self, asked_at_ms: int) -> Exchange:
+    def _request(self, requested_at_ms: int) -> Exchange:
         # A silent worker gets no renewal, so that its leases have an end. An
         # owner that may have been replaced renews nothing, since the next
         # one waits for these leases to end.
         renewals: tuple[AttemptId, ...] = ()
-        may_renew = asked_at_ms < self._renew_until_ms
+        may_renew = requested_at_ms < self._renew_until_ms
         if may_renew and not self._contact.is_silent:
             renewals = tuple(sorted(self._expected.running))
         return Exchange(
             epoch=self._terms.epoch,
             lease_ms=self._contact.task_lease_ms,
-            starts=self._take_starts(asked_at_ms),
+            starts=self._take_starts(requested_at_ms),
             commands=tuple(
                 TaskCommand(kind, attempt_id)
                 for attempt_id, kind in self._commands
@@ -171,14 +171,14 @@
             acknowledged=tuple(sorted(self._acknowledged)),
         )
 
-    def _take_starts(self, asked_at_ms: int) -> tuple[StartCommand, ...]:
+    def _take_starts(self, requested_at_ms: int) -> tuple[StartCommand, ...]:
         sent: list[StartCommand] = []
         offset_ms = self._contact.usable_offset_ms(
-            asked_at_ms - self._terms.silent_after_ms,
+            requested_at_ms - self._terms.silent_after_ms,
         )
         for waiting in self._starts:
             start = waiting.start
-            if offset_ms is None or asked_at_ms >= waiting.send_before_ms:
+            if offset_ms is None or requested_at_ms >= waiting.send_before_ms:
                 self._tell(messages.StartWithheld(start.attempt_id))
                 continue
             command = StartCommand(
@@ -202,18 +202,18 @@
         self,
         request: Exchange,
         report: WorkerReport,
-        asked_at_ms: int,
+        requested_at_ms: int,
     ) -> None:
         self._contact.answered(report)
         self._contact.renewed(request.lease_ms)
-        missing = self._expected.observe(report, asked_at_ms)
+        missing = self._expected.observe(report, requested_at_ms)
         for command in request.commands:
             self._commands.pop((command.attempt_id, command.kind), None)
         self._acknowledged.difference_update(request.acknowledged)
         whole = replace(report, tasks=report.tasks + missing)
         message = messages.WorkerReported(
             whole,
-            asked_at_ms,
+            requested_at_ms,
             self._contact.lease_ends_at_ms,
         )
         self._flush()
@@ -228,7 +228,7 @@
         self,
         request: Exchange,
         failure: ExchangeFailure,
-        asked_at_ms: int,
+        requested_at_ms: int,
     ) -> None:
         if failure is ExchangeFailure.NOT_SENT:
             for start in request.starts:
@@ -237,7 +237,7 @@
         elif request.renewals or request.starts:
             self._contact.renewed(request.lease_ms)
         silent_after_ms = self._terms.silent_after_ms
-        if self._contact.has_become_silent(asked_at_ms, silent_after_ms):
+        if self._contact.has_become_silent(requested_at_ms, silent_after_ms):
             self._tell(
                 messages.WorkerSilent(
                     self.entry.worker_id,
@@ -291,10 +291,10 @@
         ends_at_ms = now_ms() + lapse_bound_ms(lease_ms)
         self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
 
-    def has_become_silent(self, asked_at_ms: int, after_ms: int) -> bool:
+    def has_become_silent(self, requested_at_ms: int, after_ms: int) -> bool:
         """Note a failed exchange; tells once when the worker is silent."""
         if self.failing_since_ms is None:
-            self.failing_since_ms = asked_at_ms
+            self.failing_since_ms = requested_at_ms
         if self.is_silent or now_ms() - self.failing_since_ms < after_ms:
             return False
         self.is_silent = True
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -82,7 +82,7 @@
         build: Callable[[int, Reply[IntakeAnswer]], Any],
     ) -> IntakeAnswer:
         """Ask the intake with a message of the deadline and a reply."""
-        deadline_ms = self.front.deadline_ms(request.patience_ms)
+        deadline_ms = self.front.deadline_ms(request.caller_timeout_ms)
         return self.front.ask(partial(build, deadline_ms), deadline_ms)
 
     def _outcome(self, request: Request) -> IntakeAnswer:
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -25,9 +25,13 @@
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.listener import Listener, Request, Response
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
-from fuchsiarill.graphs.peers import serve_help
-from fuchsiarill.graphs.ports import Directory, GraphPorts, OneAtATime
-from fuchsiarill.graphs.process import AskDump, GraphProcess
+from fuchsiarill.graphs.peers import serve_graph_peers
+from fuchsiarill.graphs.ports import (
+    BusyTrackingAdvisor,
+    DocumentLayout,
+    GraphPorts,
+)
+from fuchsiarill.graphs.process import GetDump, GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings, load_graph_settings
 from fuchsiarill.ids import StoreKey
 from fuchsiarill.log_setup import log_to_sink
@@ -119,8 +123,8 @@
     ports = GraphPorts(
         ObservedStore(store, metrics),
         PlatformWorkers(client),
-        OneAtATime(PlatformAdvisor(settings.outside.advice, client)),
-        Directory(
+        BusyTrackingAdvisor(PlatformAdvisor(settings.outside.advice, client)),
+        DocumentLayout(
             StoreKey('op/config'),
             'op/',
             'servers/',
@@ -130,7 +134,7 @@
     )
     process = GraphProcess(settings, ports, metrics)
     _handle_signals(process, path, settings)
-    await serve_help(
+    await serve_graph_peers(
         settings.listen.peers,
         ports,
         settings.calls.advice_timeout_ms,
@@ -211,11 +215,11 @@
     if request.path == '/metrics':
         return Response(
             HTTPStatus.OK,
-            metrics.written(),
+            metrics.render(),
             'text/plain; version=0.0.4',
         )
     if request.path == '/dump':
-        state = process.front.ask_process(process.mailbox, AskDump)
+        state = process.front.ask_process(process.mailbox, GetDump)
         return Response(HTTPStatus.OK, json.dumps(state, default=str).encode())
     return Response(HTTPStatus.NOT_FOUND)
 
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -84,7 +84,7 @@
             {'prefix': prefix, 'after': after, 'wait_ms': wait_ms},
         )
         call = HttpCall('GET', f'{self._base}/kv-watch?{query}')
-        answered = await self._client.call_waiting(
+        answered = await self._client.call_long_poll(
             call,
             wait_ms + _WATCH_MARGIN_MS,
         )
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -132,7 +132,7 @@
         limit_ms = timeout_ms + order.wait_ms
         if order.wait_ms:
             limit_ms += _RENEWAL_MARGIN_MS
-            answered = await self._client.call_waiting(call, limit_ms)
+            answered = await self._client.call_long_poll(call, limit_ms)
         else:
             answered = await self._client.call(call, limit_ms)
         answer = read_answer(answered)
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -20,7 +20,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.clock import MS_PER_SECOND
-from fuchsiarill.ports.thread_lane import ThreadLane
+from fuchsiarill.ports.thread_pool import BoundedThreadPool
 
 # One pool for each address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
@@ -72,8 +72,10 @@
         waiting_max: int = _WAITING_MAX_COUNT,
     ) -> None:
         """Create the threads' lanes and the pool of connections."""
-        self._calls = ThreadLane('http-call', threads_count, in_progress_max)
-        self._waits = ThreadLane('http-wait', waiting_max, waiting_max)
+        self._calls = BoundedThreadPool(
+            'http-call', threads_count, in_progress_max
+        )
+        self._waits = BoundedThreadPool('http-wait', waiting_max, waiting_max)
         self._connections = urllib3.PoolManager(
             num_pools=_CONNECTION_POOLS_COUNT,
             maxsize=threads_count + waiting_max,
@@ -90,7 +92,7 @@
         answer = await self.call(HttpCall('POST', url, body), timeout_ms)
         return answer.alt(_without_cause)
 
-    async def post_waiting(
+    async def post_long_poll(
         self,
         url: str,
         body: bytes,
@@ -98,7 +100,7 @@
     ) -> Result[HttpAnswer, CallFailure]:
         """Send a request that the server answers when something happens."""
         call = HttpCall('POST', url, body)
-        answer = await self.call_waiting(call, timeout_ms)
+        answer = await self.call_long_poll(call, timeout_ms)
         return answer.alt(_without_cause)
 
     async def call(
@@ -109,7 +111,7 @@
         """Make one request; never repeats it."""
         return await self._run(self._calls, call, timeout_ms)
 
-    async def call_waiting(
+    async def call_long_poll(
         self,
         call: HttpCall,
         timeout_ms: int,
@@ -125,7 +127,7 @@
 
     async def _run(
         self,
-        lane: ThreadLane,
+        lane: BoundedThreadPool,
         call: HttpCall,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -120,7 +120,7 @@
     ) -> Result[Versioned, StoreFailure]:
         """Wait for a change of a key."""
         body = KeyRequest(key=key, after=after, wait_ms=wait_ms)
-        answer = await self._client.post_waiting(
+        answer = await self._client.post_long_poll(
             f'{self._settings.url}/v1/watch',
             body.model_dump_json().encode(),
             self._settings.call_timeout_ms + wait_ms,
--- a/fuchsiarill/ports/store_health.py
+++ b/fuchsiarill/ports/store_health.py
@@ -20,7 +20,7 @@
 _ANSWERED = frozenset((SwapOutcome.SWAPPED, SwapOutcome.CONFLICT))
 
 
-class HealthNotingStore:
+class HealthTrackingStore:
     """`StorePort` that tells when the store goes out of reach or comes back.
 
     `changed` is called on each change with whether the store is down.
--- a/fuchsiarill/ports/thread_lane.py
+++ b/fuchsiarill/ports/thread_pool.py
@@ -21,7 +21,7 @@
     future: Future[Any]
 
 
-class ThreadLane:
+class BoundedThreadPool:
     """Runs blocking functions for tasks of the event loop."""
 
     def __init__(
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -27,21 +27,21 @@
 from fuchsiarill.front.front_actor import StopFront
 from fuchsiarill.ids import PartitionId, ProcessId
 from fuchsiarill.owner.campaign import Campaign
-from fuchsiarill.owner.campaign_messages import CandidatesKnown
+from fuchsiarill.owner.campaign_messages import CandidatesUpdated
 from fuchsiarill.owner.messages import (
     ConfigChanged,
     HandOver,
-    StoreOutageSeen,
+    StoreOutageConfirmed,
     Tick,
 )
 from fuchsiarill.ports.host_list import HostListPort
 from fuchsiarill.process_measures import host_rows, measures_of
 from fuchsiarill.process_messages import (
-    AskDump,
-    AskHosts,
-    AskMeasures,
-    DrainAsked,
+    DrainRequested,
     ForwardDump,
+    GetDump,
+    GetHosts,
+    GetMeasures,
 )
 from fuchsiarill.refusal import Refusal, refuse
 from fuchsiarill.routing import partitions_of
@@ -113,7 +113,7 @@
                     message.config,
                 )
                 self._campaigns[partition].mailbox.send(
-                    CandidatesKnown(self._loads),
+                    CandidatesUpdated(self._loads),
                 )
         self._step(ProcessEvent.CONFIGURED)
 
@@ -130,17 +130,17 @@
             if self._is_candidate(member)
         }
         if message.outage_until_ms:
-            outage = StoreOutageSeen(message.outage_until_ms)
+            outage = StoreOutageConfirmed(message.outage_until_ms)
             for told in self._campaigns.values():
                 told.mailbox.send(outage)
         if loads == self._loads:
             return
         self._loads = loads
         for campaign in self._campaigns.values():
-            campaign.mailbox.send(CandidatesKnown(loads))
+            campaign.mailbox.send(CandidatesUpdated(loads))
 
-    @handles(DrainAsked)
-    async def on_drain(self, message: DrainAsked) -> None:
+    @handles(DrainRequested)
+    async def on_drain(self, message: DrainRequested) -> None:
         """Drain once, within the time in the settings."""
         if self.state is ProcessState.DRAINING:
             return
@@ -159,8 +159,8 @@
             self.has_failed = True
             self.ended.set()
 
-    @handles(AskDump)
-    async def on_dump(self, message: AskDump) -> None:
+    @handles(GetDump)
+    async def on_dump(self, message: GetDump) -> None:
         """Return the state of every actor."""
         message.reply.answer(self._dump())
 
@@ -172,13 +172,13 @@
             return
         self.spawn(self._forward(message))
 
-    @handles(AskHosts)
-    async def on_hosts(self, message: AskHosts) -> None:
+    @handles(GetHosts)
+    async def on_hosts(self, message: GetHosts) -> None:
         """Read the host list."""
         self.spawn(self._read_hosts(message))
 
-    @handles(AskMeasures)
-    async def on_measures(self, message: AskMeasures) -> None:
+    @handles(GetMeasures)
+    async def on_measures(self, message: GetMeasures) -> None:
         """Return what the metrics show."""
         dumped = [actor.snapshot() for actor in self._actors()]
         message.reply.answer(measures_of(dumped))
@@ -263,7 +263,7 @@
         )
         message.reply.answer(answer)
 
-    async def _read_hosts(self, message: AskHosts) -> None:
+    async def _read_hosts(self, message: GetHosts) -> None:
         found = await self._parts.host_list.fetch()
         if isinstance(found, Failure):
             message.reply.answer(None)
--- a/fuchsiarill/process_messages.py
+++ b/fuchsiarill/process_messages.py
@@ -22,12 +22,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainAsked:
+class DrainRequested:
     """The process is to end gracefully."""
 
 
 @dataclass(frozen=True, slots=True)
-class AskDump:
+class GetDump:
     """Asks for the state of all actors of this process, as JSON."""
 
     reply: Reply[str]
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskHosts:
+class GetHosts:
     """Asks for the host list as rows; `None` when it can't be read."""
 
     reply: Reply[list[dict[str, Any]] | None]
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskMeasures:
+class GetMeasures:
     """Asks for the measures of this moment."""
 
     reply: Reply[Measures]
--- a/fuchsiarill/records.py
+++ b/fuchsiarill/records.py
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CancelAsked:
+class CancelRequested:
     """The job is not started again, by this owner or a later one."""
 
     job_id: JobId
@@ -103,7 +103,7 @@
     | StartIntended
     | StartWithdrawn
     | TaskFinished
-    | CancelAsked
+    | CancelRequested
     | JobEnded
 )
 
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -53,15 +53,15 @@
         network: Network,
         processes: dict[str, ReplayedProcess],
         config: CellConfig,
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
-        """Call `processes`; `chance` is the load balancer's choice."""
+        """Call `processes`; `random_source` is the load balancer's choice."""
         self.config = config
         self.job_ids: dict[str, JobId] = {}
         self._log = log
         self._network = network
         self._processes = processes
-        self._chance = chance
+        self._random_source = random_source
         self._endpoint = Endpoint('caller', CLIENT_DOMAIN)
         self._volatile: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -232,7 +232,7 @@
         if manner.via is not None:
             return self._processes[manner.via]
         alive = [one for one in self._processes.values() if one.takes_calls]
-        return self._chance.choice(alive) if alive else None
+        return self._random_source.choice(alive) if alive else None
 
     def _note_answer(
         self,
@@ -270,7 +270,7 @@
 def _ask_route(query: JobQuery, reply: Any) -> Route:
     return Route(
         partition_of_job(query.job_id),
-        messages.AskJob(query, reply),
+        messages.QueryJob(query, reply),
     )
 
 
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -7,13 +7,13 @@
 from fuchsiarill.actor import Reply
 from fuchsiarill.assembly import Assembly, Environment
 from fuchsiarill.cluster.config_change import parse_in_loop
-from fuchsiarill.cluster.peer_server import PeerServant
-from fuchsiarill.process_messages import DrainAsked
+from fuchsiarill.cluster.peer_server import PeerCallServer
+from fuchsiarill.process_messages import DrainRequested
 from fuchsiarill.replay.fake_front import Build, FakeFront
 from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.peer_calls import CallContext, PeerCalls, received
-from fuchsiarill.replay.surroundings import (
-    Surroundings,
+from fuchsiarill.replay.simulated_environment import (
+    SimulatedEnvironment,
     own_detail,
     process_ports,
 )
@@ -27,32 +27,32 @@
         self,
         settings: ProcessSettings,
         endpoint: Endpoint,
-        surroundings: Surroundings,
+        environment: SimulatedEnvironment,
         incarnation: int,
     ) -> None:
         """Create and connect the actors."""
         calls = PeerCalls(
             settings.peers,
-            surroundings.network,
+            environment.network,
             endpoint,
-            surroundings.listeners,
+            environment.listeners,
         )
         assembly = Assembly(
             Environment(
                 settings,
                 own_detail(settings, incarnation),
-                process_ports(settings, endpoint, surroundings),
+                process_ports(settings, endpoint, environment),
                 calls,
                 parse_in_loop,
                 random.Random(
-                    f'{surroundings.seed} {settings.process} {incarnation}',
+                    f'{environment.seed} {settings.process} {incarnation}',
                 ),
             ),
         )
         self.process = assembly.process
-        self.front = FakeFront(settings, assembly.receivers, surroundings.log)
+        self.front = FakeFront(settings, assembly.receivers, environment.log)
         self._actors = assembly.attach_front(self.front)
-        self._servant = PeerServant(assembly.receivers, settings.peers)
+        self._servant = PeerCallServer(assembly.receivers, settings.peers)
 
     async def run(self) -> None:
         """Run the actors until the process ends by itself."""
@@ -64,7 +64,7 @@
 
     def drain(self) -> None:
         """Ask for a graceful end, as SIGTERM does."""
-        self.process.mailbox.send(DrainAsked())
+        self.process.mailbox.send(DrainRequested())
 
     async def serve(
         self,
--- a/fuchsiarill/replay/event_kinds.py
+++ b/fuchsiarill/replay/event_kinds.py
@@ -113,14 +113,14 @@
 
     def happen(self, world: World) -> None:
         """Start the stream."""
-        chance = random.Random(world.chance.random())
-        world.keep(asyncio.create_task(self._emit(world, chance)))
+        random_source = random.Random(world.random_source.random())
+        world.keep(asyncio.create_task(self._emit(world, random_source)))
 
-    async def _emit(self, world: World, chance: random.Random) -> None:
+    async def _emit(self, world: World, random_source: random.Random) -> None:
         for number in range(1, self.count + 1):
             drawn = self
             if self.run_time_max_ms is not None:
-                run_time_ms = chance.randint(
+                run_time_ms = random_source.randint(
                     self.run_time_ms,
                     self.run_time_max_ms,
                 )
@@ -128,7 +128,7 @@
             drawn.submit(world, f'{self.prefix}-{number}')
             gap_s = 1 / self.rate_per_s
             if not self.regular:
-                gap_s = chance.expovariate(self.rate_per_s)
+                gap_s = random_source.expovariate(self.rate_per_s)
             await sleep_ms(gap_s * 1000)
 
 
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -11,7 +11,7 @@
 from fuchsiarill.answers import refused
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument
+from fuchsiarill.cluster.config_spread import GetDocument
 from fuchsiarill.cluster.membership import StateChanged
 from fuchsiarill.front.front_actor import StopFront
 from fuchsiarill.owner.messages import ConfigChanged
@@ -51,7 +51,7 @@
         """Note the generation in force, as an operator can ask for it."""
         self._has_config = True
         reply: Reply[ConfigDocument] = Reply()
-        self._receivers.config.send(AskDocument(reply))
+        self._receivers.config.send(GetDocument(reply))
         document = await reply.wait(self._settings.http.request_timeout_ms)
         self._log.note(
             SeenKind.CONFIG_IN_FORCE,
--- a/fuchsiarill/replay/fake_host_list.py
+++ b/fuchsiarill/replay/fake_host_list.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HostsAsked:
+class HostsRequested:
     """One read of the host list."""
 
     process: str
@@ -63,8 +63,8 @@
         )
         self._history.append((now_ms(), kept))
 
-    @handles(HostsAsked)
-    async def on_asked(self, message: HostsAsked) -> None:
+    @handles(HostsRequested)
+    async def on_asked(self, message: HostsRequested) -> None:
         """Answer with the entries that were true `lag_ms` ago."""
         if self.is_silent:
             return
@@ -94,7 +94,7 @@
 
     async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
         """Return all listed hosts."""
-        asked = partial(HostsAsked, self._source.name)
+        asked = partial(HostsRequested, self._source.name)
         answer = await self._network.ask(
             self._source,
             self._host_list.endpoint,
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ExchangeAsked:
+class ExchangeRequested:
     """One exchange as it arrives at the worker."""
 
     request: Exchange
@@ -91,12 +91,12 @@
         self._clock_offset_ms = number * _CLOCK_STEP_MS
         self._truths = truths
         self._attempts: dict[AttemptId, _Task] = {}
-        self._held: list[ExchangeAsked] = []
+        self._held: list[ExchangeRequested] = []
         self._highest_epoch = NO_EPOCH
         self._restarts_count = 0
 
-    @handles(ExchangeAsked)
-    async def on_exchange(self, message: ExchangeAsked) -> None:
+    @handles(ExchangeRequested)
+    async def on_exchange(self, message: ExchangeRequested) -> None:
         """Carry out one exchange, or hold it while paused."""
         if self.is_paused:
             self._held.append(message)
@@ -141,7 +141,7 @@
         for message in held:
             self._exchange(message)
 
-    def _exchange(self, message: ExchangeAsked) -> None:
+    def _exchange(self, message: ExchangeRequested) -> None:
         request = message.request
         if self._is_stale(request):
             for start in request.starts:
@@ -161,7 +161,7 @@
             self._command(command)
         message.reply.answer(self._report())
 
-    def _start(self, start: StartCommand, message: ExchangeAsked) -> None:
+    def _start(self, start: StartCommand, message: ExchangeRequested) -> None:
         if start.attempt_id in self._attempts:
             return
         truth = self._truths.get(start.payload, Truth())
@@ -210,7 +210,7 @@
     def _refuse(
         self,
         start: StartCommand,
-        message: ExchangeAsked,
+        message: ExchangeRequested,
         reason: str,
     ) -> None:
         self._log.note(
@@ -318,7 +318,7 @@
     ) -> Result[WorkerReport, ExchangeFailure]:
         """Exchange with the worker at an address."""
         worker = self._workers[address]
-        asked = partial(ExchangeAsked, request, self._source.name)
+        asked = partial(ExchangeRequested, request, self._source.name)
         answer = await self._network.ask(
             self._source,
             worker.endpoint,
--- a/fuchsiarill/replay/network.py
+++ b/fuchsiarill/replay/network.py
@@ -145,13 +145,15 @@
 class Network:
     """Carries calls with latency and applies the faults of links."""
 
-    def __init__(self, latencies: Latencies, chance: random.Random) -> None:
-        """Carry calls without faults; `chance` draws the jitter."""
+    def __init__(
+        self, latencies: Latencies, random_source: random.Random
+    ) -> None:
+        """Carry calls without faults; `random_source` draws the jitter."""
         self.cuts: list[Link] = []
         self.silences: list[Silence] = []
         self.latenesses: list[Lateness] = []
         self._latencies = latencies
-        self._chance = chance
+        self._random_source = random_source
         self._calls: dict[Call, None] = {}
         # Empty, so that what travels belongs to no process.
         self._context = Context()
@@ -267,7 +269,7 @@
             base_ms = _SERVICE_LATENCY_MS
         elif len(domains) == 1:
             base_ms = _SAME_DOMAIN_LATENCY_MS
-        return base_ms * (1 + _JITTER_FRACTION * self._chance.random())
+        return base_ms * (1 + _JITTER_FRACTION * self._random_source.random())
 
     def _later(
         self,
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -12,7 +12,7 @@
 from fuchsiarill.actor import Reply
 from fuchsiarill.cluster.config_change import ChangeAnswer, ChangeRequest
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument, ChangeConfig
+from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.replay.deployment import merge
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
 from fuchsiarill.replay.process import ReplayedProcess
@@ -29,13 +29,13 @@
         log: SeenLog,
         network: Network,
         processes: dict[str, ReplayedProcess],
-        chance: random.Random,
+        random_source: random.Random,
     ) -> None:
-        """Ask `processes`, chosen by `chance` where none is named."""
+        """Ask `processes`, chosen by `random_source` where none is named."""
         self._log = log
         self._network = network
         self._processes = processes
-        self._chance = chance
+        self._random_source = random_source
         self._endpoint = Endpoint('operator', CLIENT_DOMAIN)
         self._draining: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -54,7 +54,7 @@
         if not alive:
             self._refused(author, _NO_ANSWER)
             return
-        process = self._chance.choice(alive)
+        process = self._random_source.choice(alive)
         task = asyncio.create_task(
             self._change(
                 process, partial(_changed_text, changes, text), author
@@ -69,7 +69,7 @@
         rewrite: Any,
         author: str,
     ) -> None:
-        shown = await self._ask(process, AskDocument)
+        shown = await self._ask(process, GetDocument)
         match shown:
             case Success(document):
                 request = ChangeRequest(
--- a/fuchsiarill/replay/process.py
+++ b/fuchsiarill/replay/process.py
@@ -14,7 +14,7 @@
 from fuchsiarill.replay.loop import INCARNATION, Incarnation, ReplayLoop
 from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.seen import SeenKind
-from fuchsiarill.replay.surroundings import Surroundings
+from fuchsiarill.replay.simulated_environment import SimulatedEnvironment
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.state_chart import load_chart
 
@@ -45,12 +45,12 @@
     def __init__(
         self,
         settings: ProcessSettings,
-        surroundings: Surroundings,
+        environment: SimulatedEnvironment,
         loop: ReplayLoop,
     ) -> None:
         """Create a process that does not run yet."""
         self.settings = settings
-        self.surroundings = surroundings
+        self.environment = environment
         self.loop = loop
         self.state = LIFE_CHART.initial
         self.endpoint = Endpoint(
@@ -100,7 +100,7 @@
         """Send SIGTERM: the process drains and ends by itself."""
         if self.composition is None:
             return
-        self.surroundings.log.note(SeenKind.SHUTDOWN_ASKED, self.name)
+        self.environment.log.note(SeenKind.SHUTDOWN_ASKED, self.name)
         self._context().run(self.composition.drain)
 
     def serve(
@@ -135,7 +135,7 @@
             Composition,
             self.settings,
             self.endpoint,
-            self.surroundings,
+            self.environment,
             self.incarnation.number,
         )
         running = self._context().run(run_composition, self.composition)
@@ -182,7 +182,7 @@
     process.incarnations.append(Incarnation(process.name, number))
     process.endpoint.refusing = False
     process.endpoint.gate = None
-    process.surroundings.log.note(
+    process.environment.log.note(
         SeenKind.PROCESS_STARTED,
         process.name,
         incarnation=number,
@@ -204,7 +204,7 @@
 @LIFE_ACTIONS.register('release')
 def _release(process: ReplayedProcess) -> None:
     process.incarnation.release(process.loop)
-    process.surroundings.network.open_gate(process.endpoint)
+    process.environment.network.open_gate(process.endpoint)
 
 
 @LIFE_ACTIONS.register('end')
@@ -213,8 +213,8 @@
     process.composition = None
     process.endpoint.gate = None
     process.endpoint.refusing = True
-    process.surroundings.network.reset(process.endpoint)
-    process.surroundings.log.note(SeenKind.PROCESS_ENDED, process.name)
+    process.environment.network.reset(process.endpoint)
+    process.environment.log.note(SeenKind.PROCESS_ENDED, process.name)
 
 
 LIFE_CHART: Final = load_chart(
--- a/fuchsiarill/replay/surroundings.py
+++ b/fuchsiarill/replay/simulated_environment.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from fuchsiarill.cluster.member_table import MemberDetail
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.replay.fake_host_list import FakeHostList, ProcessHostList
 from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
 from fuchsiarill.replay.fakes import FakeStore, ProcessStore
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Surroundings:
+class SimulatedEnvironment:
     """Everything outside of a process that it can reach.
 
     `listeners` maps the peer address of a process to how calls reach it.
@@ -32,23 +32,23 @@
 def process_ports(
     settings: ProcessSettings,
     endpoint: Endpoint,
-    surroundings: Surroundings,
+    environment: SimulatedEnvironment,
 ) -> Ports:
     """Return the ports of one process."""
-    network = surroundings.network
+    network = environment.network
     return Ports(
-        ProcessStore(settings.store, network, endpoint, surroundings.store),
+        ProcessStore(settings.store, network, endpoint, environment.store),
         ProcessHostList(
             settings.host_list,
             network,
             endpoint,
-            surroundings.host_list,
+            environment.host_list,
         ),
         ProcessWorkers(
             settings.workers,
             network,
             endpoint,
-            surroundings.workers,
+            environment.workers,
         ),
     )
 
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -14,15 +14,15 @@
 from fuchsiarill.owner.keys import owner_key
 from fuchsiarill.replay.callers import Callers
 from fuchsiarill.replay.deployment import Deployment, merge
-from fuchsiarill.replay.fake_workers import FakeWorker, Truth
 from fuchsiarill.replay.fake_host_list import FakeHostList
+from fuchsiarill.replay.fake_workers import FakeWorker, Truth
 from fuchsiarill.replay.fakes import FakeStore
 from fuchsiarill.replay.loop import ReplayLoop
 from fuchsiarill.replay.network import Network
 from fuchsiarill.replay.operators import Operators
 from fuchsiarill.replay.process import LifeEvent, ReplayedProcess
 from fuchsiarill.replay.seen import SeenLog
-from fuchsiarill.replay.surroundings import Surroundings
+from fuchsiarill.replay.simulated_environment import SimulatedEnvironment
 from fuchsiarill.routing import partitions_of
 from fuchsiarill.settings import ProcessSettings
 
@@ -41,9 +41,9 @@
     ) -> None:
         """Create everything; one process for each entry of `domains`."""
         self.deployment = deployment
-        self.chance = random.Random(seed)
+        self.random_source = random.Random(seed)
         self.log = SeenLog()
-        self.network = Network(deployment.latencies, self.chance)
+        self.network = Network(deployment.latencies, self.random_source)
         self.truths: dict[str, Truth] = {}
         self.specs: dict[str, JobSpec] = {}
         self.store = FakeStore(self.log)
@@ -65,13 +65,13 @@
             self.network,
             self.processes,
             deployment.config,
-            self.chance,
+            self.random_source,
         )
         self.operators = Operators(
             self.log,
             self.network,
             self.processes,
-            self.chance,
+            self.random_source,
         )
 
     @property
@@ -163,7 +163,7 @@
         settings: dict[str, Any],
         seed: int,
     ) -> dict[str, ReplayedProcess]:
-        surroundings = Surroundings(
+        environment = SimulatedEnvironment(
             self.log,
             self.network,
             self.store,
@@ -178,11 +178,11 @@
             own = process_settings(name, domain, self.deployment, settings)
             process = ReplayedProcess(
                 ProcessSettings.model_validate(own),
-                surroundings,
+                environment,
                 self.loop,
             )
             processes[name] = process
-            surroundings.listeners[f'{name}:{_PEER_PORT}'] = process
+            environment.listeners[f'{name}:{_PEER_PORT}'] = process
         return processes
 
 
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -7,7 +7,7 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.actor import Actor, Mailbox, handles
-from fuchsiarill.answers import JobAnswer, JobWhy, refused
+from fuchsiarill.answers import JobAnswer, JobExplanation, refused
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.membership import PartitionsOwned, ViewChanged
@@ -21,18 +21,18 @@
     RegionId,
 )
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.claims import OwnerClaim, OwnerFound
+from fuchsiarill.owner.claims import OwnerClaim, OwnerLocated
 from fuchsiarill.refusal import refuse
 from fuchsiarill.settings import PeerSettings
 
 JobMessage = (
     messages.SubmitJobs
-    | messages.AskJob
+    | messages.QueryJob
     | messages.CancelJob
     | messages.ListJobs
     | messages.ExplainJob
 )
-OwnerLookUp = Callable[[PartitionId], Awaitable[OwnerFound | None]]
+OwnerLookUp = Callable[[PartitionId], Awaitable[OwnerLocated | None]]
 
 _PARKED_MAX_COUNT: Final = 256
 _RETRY_AFTER_MS: Final = 500
@@ -44,7 +44,7 @@
 class OwnerRoute:
     """Where to send messages for the owner of a partition."""
 
-    found: OwnerFound
+    found: OwnerLocated
     link: Actor | None
 
 
@@ -71,11 +71,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OwnerLooked:
+class OwnerLookedUp:
     """The owner key was read; `None` when the store did not answer."""
 
     partition: PartitionId
-    found: OwnerFound | None
+    found: OwnerLocated | None
 
 
 def partitions_of(config: CellConfig, region: RegionId) -> list[PartitionId]:
@@ -143,8 +143,8 @@
         self._looking: set[PartitionId] = set()
         self._parked: list[Route] = []
 
-    @handles(OwnerFound)
-    async def on_found(self, message: OwnerFound) -> None:
+    @handles(OwnerLocated)
+    async def on_found(self, message: OwnerLocated) -> None:
         """Note where the owner of a partition is."""
         known = self._routes.get(message.partition)
         if known is not None and known.found == message:
@@ -182,8 +182,8 @@
         if claim is not None and claim.peer_address == message.address:
             self._refresh(message.partition)
 
-    @handles(OwnerLooked)
-    async def on_looked(self, message: OwnerLooked) -> None:
+    @handles(OwnerLookedUp)
+    async def on_looked(self, message: OwnerLookedUp) -> None:
         """Use a route that was looked up, unless the owner is here."""
         self._looking.discard(message.partition)
         route = self._routes.get(message.partition)
@@ -204,7 +204,7 @@
             )
             for partition in member.detail.partitions:
                 if self._claim_of(partition) is None:
-                    await self.on_found(OwnerFound(partition, claim, None))
+                    await self.on_found(OwnerLocated(partition, claim, None))
 
     async def stop(self) -> None:
         """Stop the links too."""
@@ -254,7 +254,7 @@
 
     async def _look(self, look_up: OwnerLookUp, partition: PartitionId) -> None:
         found = await look_up(partition)
-        self.mailbox.send(OwnerLooked(partition, found))
+        self.mailbox.send(OwnerLookedUp(partition, found))
 
     def _park(self, message: Route) -> None:
         if len(self._parked) >= _PARKED_MAX_COUNT:
@@ -299,7 +299,7 @@
         case messages.ListJobs():
             message.reply.answer((answer,))
         case messages.ExplainJob():
-            message.reply.answer(JobWhy(answer))
+            message.reply.answer(JobExplanation(answer))
         case _:
             message.reply.answer(answer)
 
--- a/standins/emulator/__main__.py
+++ b/standins/emulator/__main__.py
@@ -9,7 +9,7 @@
 import signal
 
 from standins.emulator.cell import EmulatedCell
-from standins.emulator.door import LOOPBACK, Door
+from standins.emulator.http_endpoint import LOOPBACK, HttpEndpoint
 
 
 async def _serve(workers_count: int, ports: list[int]) -> None:
@@ -19,7 +19,7 @@
         loop.add_signal_handler(number, stopping.set)
     cell = EmulatedCell(workers_count, len(ports))
     for port, path in zip(ports, cell.doors, strict=True):
-        Door(cell, port, path, loop).start()
+        HttpEndpoint(cell, port, path, loop).start()
     address = f'{LOOPBACK}:{ports[0]}'
     running = asyncio.create_task(cell.run(address))
     await stopping.wait()
--- a/standins/emulator/calls.py
+++ b/standins/emulator/calls.py
@@ -26,7 +26,7 @@
     document: dict[str, Any]
     instance: str
     # Port of the store through which the call came.
-    door: StorePath
+    store_path: StorePath
 
     @property
     def last_part(self) -> str:
--- a/standins/emulator/door.py
+++ b/standins/emulator/http_endpoint.py
@@ -25,7 +25,7 @@
 _ANSWER_S: Final = 40
 
 
-class Door:
+class HttpEndpoint:
     """One port; its threads pass calls to the loop of the models."""
 
     def __init__(
--- a/standins/emulator/store_routes.py
+++ b/standins/emulator/store_routes.py
@@ -28,7 +28,7 @@
 @ROUTES.register('GET /kv-key')
 async def _get(cell: EmulatedCell, call: Call) -> Answer:
     key = StoreKey(call.query['key'])
-    found = await call.door.get(key, _TIMEOUT_MS)
+    found = await call.store_path.get(key, _TIMEOUT_MS)
     if isinstance(found, Success) and found.unwrap().value is None:
         return Answer(404, {'at_rev': cell.store.revision})
     return _store_answer(found, _item)
@@ -37,7 +37,7 @@
 @ROUTES.register('GET /kv-range')
 async def _range(cell: EmulatedCell, call: Call) -> Answer:
     after = call.query.get('after')
-    page = await call.door.list_prefix(
+    page = await call.store_path.list_prefix(
         call.query['prefix'],
         None if after is None else StoreKey(after),
         _TIMEOUT_MS,
@@ -54,7 +54,7 @@
 
 @ROUTES.register('GET /kv-watch')
 async def _watch(cell: EmulatedCell, call: Call) -> Answer:
-    changes = await call.door.watch_prefix(
+    changes = await call.store_path.watch_prefix(
         call.query['prefix'],
         Revision(int(call.query['after'])),
         int(call.query['wait_ms']),
@@ -78,7 +78,7 @@
         tuple(_write(row) for row in call.document['writes']),
         tuple(StoreKey(key) for key in call.document['deletes']),
     )
-    committed = await call.door.commit(transaction, _TIMEOUT_MS)
+    committed = await call.store_path.commit(transaction, _TIMEOUT_MS)
     if isinstance(committed, Success):
         outcome = committed.unwrap()
         if isinstance(outcome, KvConflict):
@@ -90,7 +90,7 @@
 @ROUTES.register('POST /kv-lease')
 async def _grant(cell: EmulatedCell, call: Call) -> Answer:
     ttl_ms = call.document['ttl_ms']
-    granted = await call.door.grant_lease(ttl_ms, _TIMEOUT_MS)
+    granted = await call.store_path.grant_lease(ttl_ms, _TIMEOUT_MS)
     return _store_answer(
         granted,
         lambda lease: {'lease': int(lease), 'ttl_ms': ttl_ms},
@@ -100,14 +100,14 @@
 @ROUTES.register('POST /kv-keep')
 async def _keep(cell: EmulatedCell, call: Call) -> Answer:
     lease = StoreLeaseId(call.last_part)
-    kept = await call.door.renew_lease(lease, _TIMEOUT_MS)
+    kept = await call.store_path.renew_lease(lease, _TIMEOUT_MS)
     return _store_answer(kept, lambda _: {})
 
 
 @ROUTES.register('DELETE /kv-lease-end')
 async def _end(cell: EmulatedCell, call: Call) -> Answer:
     lease = StoreLeaseId(call.last_part)
-    ended = await call.door.end_lease(lease, _TIMEOUT_MS)
+    ended = await call.store_path.end_lease(lease, _TIMEOUT_MS)
     return _store_answer(ended, lambda _: {})
 
 
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -12,9 +12,9 @@
 from fuchsiarill.cluster.config_change import parse_in_loop
 from fuchsiarill.cluster.config_document import ConfigDocument
 from fuchsiarill.cluster.config_spread import (
-    AskDocument,
     ConfigOffered,
     ConfigSpread,
+    GetDocument,
 )
 from fuchsiarill.cluster.directory import Directory
 from fuchsiarill.cluster.member_table import Gossip, MemberDetail
@@ -184,7 +184,7 @@
         if peer is None:
             return Failure(PeerFailure.NO_ANSWER)
         reply: Reply[ConfigDocument] = Reply()
-        peer.config.mailbox.send(AskDocument(reply))
+        peer.config.mailbox.send(GetDocument(reply))
         return Success(await reply.wait(_DEADLINE_MS))
 
     async def dump(self, address: str) -> Result[str, PeerFailure]:
@@ -225,7 +225,7 @@
         incarnation: int,
         membership: MembershipSettings | None = None,
     ) -> None:
-        chance = random.Random(f'{process} {incarnation}')
+        random_source = random.Random(f'{process} {incarnation}')
         store = FakeStore(cell, process)
         peers = FakePeers(cell, process)
         self._cell = cell
@@ -241,14 +241,14 @@
             ),
             Directory(store),
             peers,
-            chance,
+            random_source,
         )
         self.config = ConfigSpread(
             ConfigSettings(),
             store,
             peers,
             parse_in_loop,
-            chance,
+            random_source,
         )
         self.recorder = _Recorder(self.membership.mailbox)
         self.config.membership = self.recorder
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -15,13 +15,13 @@
 
 from fuchsiarill import codes
 from fuchsiarill.actor import Actor, handles
-from fuchsiarill.answers import JobAnswer, JobWhy
+from fuchsiarill.answers import JobAnswer, JobExplanation
 from fuchsiarill.cell_config import parse_config
 from fuchsiarill.cluster.config_change import ChangeAnswer
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument, ChangeConfig
+from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.cluster.member_table import Beat, Member, MemberDetail
-from fuchsiarill.cluster.membership import AskView
+from fuchsiarill.cluster.membership import GetView
 from fuchsiarill.front.bridge import Bridge
 from fuchsiarill.front.http_front import FrontView, HttpFront
 from fuchsiarill.front.metrics import Metrics
@@ -36,9 +36,9 @@
 from fuchsiarill.job import JobSpec
 from fuchsiarill.owner import messages
 from fuchsiarill.process_messages import (
-    AskHosts,
-    AskMeasures,
     ForwardDump,
+    GetHosts,
+    GetMeasures,
     Measures,
     Receivers,
 )
@@ -59,7 +59,7 @@
         super().__init__('fake')
         self.specs: dict[PartitionId, list[JobSpec]] = {}
         self.submits_count = 0
-        self.waiting: list[messages.AskJob] = []
+        self.waiting: list[messages.QueryJob] = []
         self.document = ConfigDocument(
             generation=Generation(1),
             author='first',
@@ -80,7 +80,7 @@
                         for spec in message.specs
                     ),
                 )
-            case messages.AskJob():
+            case messages.QueryJob():
                 if message.query.wait_ms:
                     self.waiting.append(message)
                     return
@@ -89,7 +89,9 @@
                 job_id = JobId(f'{routed.partition}-{message.query.customer}')
                 message.reply.answer((_running(job_id),))
             case messages.ExplainJob():
-                why = JobWhy(_running(message.query.job_id), {'reason': 'room'})
+                why = JobExplanation(
+                    _running(message.query.job_id), {'reason': 'room'}
+                )
                 message.reply.answer(why)
             case messages.CancelJob():
                 job_id = message.cancel.job_id
@@ -102,8 +104,8 @@
         for waiting in self.waiting:
             waiting.reply.answer(_running(waiting.query.job_id))
 
-    @handles(AskView)
-    async def on_view(self, message: AskView) -> None:
+    @handles(GetView)
+    async def on_view(self, message: GetView) -> None:
         detail = MemberDetail(
             ProcessId('entry-1'),
             RegionId('rajkot'),
@@ -114,8 +116,8 @@
         beat = Beat(detail.key, 1, Generation(1), 0)
         message.reply.answer((Member(detail, beat, 0),))
 
-    @handles(AskDocument)
-    async def on_document(self, message: AskDocument) -> None:
+    @handles(GetDocument)
+    async def on_document(self, message: GetDocument) -> None:
         message.reply.answer(self.document)
 
     @handles(ChangeConfig)
@@ -123,16 +125,16 @@
         conflict = ChangeAnswer(codes.CONFIG_CONFLICT, self.document)
         message.reply.answer(conflict)
 
-    @handles(AskHosts)
-    async def on_hosts(self, message: AskHosts) -> None:
+    @handles(GetHosts)
+    async def on_hosts(self, message: GetHosts) -> None:
         message.reply.answer([])
 
     @handles(ForwardDump)
     async def on_dump(self, message: ForwardDump) -> None:
         message.reply.answer(Success('{"process": "entry-1"}'))
 
-    @handles(AskMeasures)
-    async def on_measures(self, message: AskMeasures) -> None:
+    @handles(GetMeasures)
+    async def on_measures(self, message: GetMeasures) -> None:
         queued = Counter({f'team-{one}': one for one in range(150)})
         measures = Measures(1, 2, Counter(router=3), queued, (1, 2), 3)
         message.reply.answer(measures)
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -27,7 +27,11 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.ports import Directory, GraphPorts, OneAtATime
+from fuchsiarill.graphs.ports import (
+    BusyTrackingAdvisor,
+    DocumentLayout,
+    GraphPorts,
+)
 from fuchsiarill.graphs.process import GraphProcess
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
@@ -178,8 +182,8 @@
         ports = GraphPorts(
             self.paths[name],
             self.fleet,
-            OneAtATime(AllowAll()),
-            Directory(
+            BusyTrackingAdvisor(AllowAll()),
+            DocumentLayout(
                 _CONFIG_KEY,
                 'settings/',
                 'workers/',
