--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -73,7 +73,7 @@
         self.now_ms = 1000
         self.core = GraphCore(POOL, Epoch(7), TaskLeaseSettings(), term)
         self.core.configure(CONFIG)
-        self.core.list_workers([entry(name) for name in workers], self.now_ms)
+        self.core.update_workers([entry(name) for name in workers], self.now_ms)
         self.core.record_workers([WorkerId(name) for name in workers])
         self.ends_count = 0
 
@@ -103,11 +103,11 @@
         """Let a worker report."""
         self.now_ms += 10
         report = WorkerReport(self.now_ms, BornMs(born_ms), running, ended)
-        asked_ms = self.now_ms - 5
+        requested_ms = self.now_ms - 5
         self.core.worker_reported(
             WorkerId(worker),
             report,
-            asked_ms,
+            requested_ms,
             self.now_ms,
         )
 
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field, replace
 
 from fuchsiarill.graphs.effects import (
-    AskAdvice,
     Effect,
-    LookAt,
     PaceRun,
+    RequestAdvice,
+    RequestReport,
     StartRun,
     StopRun,
 )
@@ -103,7 +103,7 @@
         self.failures: dict[str, int] = {}
         self.succeeded: set[TaskKey] = set()
         self.violations: list[str] = []
-        self.advice: list[tuple[int, AskAdvice]] = []
+        self.advice: list[tuple[int, RequestAdvice]] = []
         self.loses_advice = False
         # Starts on their way; they reach whatever life the worker has then.
         self.in_flight: list[StartRun] = []
@@ -126,7 +126,7 @@
             if worker.is_leaving:
                 listed = replace(listed, listing=WorkerListing.LEAVING)
             entries.append(listed)
-        self.owner.core.list_workers(entries, self.now_ms)
+        self.owner.core.update_workers(entries, self.now_ms)
         self.owner.core.record_workers(
             [listed.worker for listed in entries],
         )
@@ -181,9 +181,9 @@
                 core.renewal_sent(effect.worker, self.now_ms)
             case StopRun():
                 self._stop(effect)
-            case AskAdvice():
+            case RequestAdvice():
                 self.advice.append((self.now_ms + _ADVICE_MS, effect))
-            case LookAt():
+            case RequestReport():
                 self._renew(self.workers[effect.worker])
             case PaceRun():
                 pass
@@ -306,7 +306,7 @@
         for ask in asks:
             self._advise(ask)
 
-    def _advise(self, ask: AskAdvice) -> None:
+    def _advise(self, ask: RequestAdvice) -> None:
         if self.loses_advice:
             return
         views = self.owner.core.state.workers
@@ -320,7 +320,7 @@
             for worker in asked
             if is_allowed(ask.step.job, worker)
         }
-        self.owner.core.advised(
+        self.owner.core.advice_received(
             ask.step,
             asked,
             granted,
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill.codes import ExitStatus
 from fuchsiarill.commands.main import main
-from fuchsiarill.explain_logs import conclude, read_story
+from fuchsiarill.explain_logs import conclude, read_history
 
 JOB = '5c0e7a21d94b36f8'
 ACCEPTED = {'event': 701, 'queue': 'q', 'revision': 3, 'took_ms': 20}
@@ -57,7 +57,7 @@
     lines = [line(number, parts) for number, parts in enumerate(story)]
     # Lines of several processes arrive in any order and with prefixes.
     sources = [[f'  1.2 entry-1 {text}'] for text in reversed(lines)]
-    found = read_story(JOB, sources)
+    found = read_history(JOB, sources)
     assert [one['time'] for one in found.lines] == list(range(len(story)))
     assert words in conclude(found)
 
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -8,8 +8,8 @@
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.graphs.advice import AdviceAsked, Advisor
-from fuchsiarill.graphs.effects import AskAdvice
+from fuchsiarill.graphs.advice import AdviceRequest, Advisor
+from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import (
     BornMs,
     EndKind,
@@ -17,9 +17,9 @@
     StepKey,
     Ticket,
 )
-from fuchsiarill.graphs.owner_messages import Advised
+from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.ports import OneAtATime
+from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from tests.graph_owner import (
@@ -40,9 +40,9 @@
 _LOST_MS = 30_000
 
 
-def asks(owner: Owner) -> list[AskAdvice]:
+def asks(owner: Owner) -> list[RequestAdvice]:
     """Decide and return the asks."""
-    return [one for one in owner.decide() if isinstance(one, AskAdvice)]
+    return [one for one in owner.decide() if isinstance(one, RequestAdvice)]
 
 
 def grant(
@@ -51,7 +51,7 @@
     valid_ms: int = _VALID_MS,
 ) -> None:
     """Let the advice service allow the worker."""
-    owner.core.advised(step, LIVES, GRANT, owner.now_ms + valid_ms)
+    owner.core.advice_received(step, LIVES, GRANT, owner.now_ms + valid_ms)
 
 
 def test_lost_answer_does_not_end_the_asking() -> None:
@@ -73,7 +73,7 @@
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
     assert len(asks(owner)) == 1
     owner.report('w0', born_ms=9)
-    owner.core.advised(STEP, LIVES, {}, owner.now_ms + _VALID_MS)
+    owner.core.advice_received(STEP, LIVES, {}, owner.now_ms + _VALID_MS)
     assert len(asks(owner)) == 1
 
 
@@ -158,14 +158,16 @@
 
 def ask_once(
     links: PeerLinks,
-    port: OneAtATime,
+    port: BusyTrackingAdvisor,
     receiver: Mailbox,
 ) -> Advisor:
     """Start an advisor that is asked once."""
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
     advisor.mailbox.send(
-        AdviceAsked(AskAdvice(STEP, (W0,), 0), LIVES, receiver, lambda: True),
+        AdviceRequest(
+            RequestAdvice(STEP, (W0,), 0), LIVES, receiver, lambda: True
+        ),
     )
     return advisor
 
@@ -177,14 +179,16 @@
     """
 
     async def main() -> None:
-        port = OneAtATime(_Service())
+        port = BusyTrackingAdvisor(_Service())
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
         receiver = Mailbox()
         advisor = ask_once(_Links(), port, receiver)
         await other
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, LIVES, GRANT)
+            assert await receiver.receive() == AdviceAnswered(
+                STEP, LIVES, GRANT
+            )
         await advisor.stop()
 
     run_paused(main())
@@ -196,13 +200,13 @@
     async def main() -> None:
         receiver = Mailbox()
         service = _Service()
-        port = OneAtATime(service)
+        port = BusyTrackingAdvisor(service)
         links = _Links('p1', is_failing=True)
         other = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
         advisor = ask_once(links, port, receiver)
         async with asyncio.timeout(2):
-            assert await receiver.receive() == Advised(STEP, LIVES, None)
+            assert await receiver.receive() == AdviceAnswered(STEP, LIVES, None)
         await other
         assert advisor.snapshot()['busy_lanes_count'] == 0
         await advisor.stop()
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -233,7 +233,7 @@
         one = (Step(1, TASK_SIZE),)
         await cell.submit(P0, 'a', one, duration_ms=50, fails=1)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
-        written = cell.metrics.written().decode()
+        written = cell.metrics.render().decode()
         for sample in (
             'fuchsiarill_graph_takeovers_total 1.0',
             'fuchsiarill_graph_run_ends_total{kind="failed"} 1.0',
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -23,8 +23,8 @@
     end of the first one.
     """
     owner = Owner('w0', 'w1', term=2)
-    owner.core.expect_worker(WorkerId('w0'), 'w0:1', 9000)
-    owner.core.expect_worker(WorkerId('w1'), 'w1:1', 9000)
+    owner.core.add_inherited_worker(WorkerId('w0'), 'w0:1', 9000)
+    owner.core.add_inherited_worker(WorkerId('w1'), 'w1:1', 9000)
     steps = (Step(1, SIZE), Step(2, SIZE, after=(0,)))
     owner.add_job('a', *steps, is_inherited=True)
     done = ended(task('a', 1, 1))
@@ -41,7 +41,7 @@
     """Guards against a start while a worker that may run it is silent."""
     owner = Owner('w0', 'w1', term=2)
     for worker in ('w0', 'w1'):
-        owner.core.expect_worker(WorkerId(worker), f'{worker}:1', 9000)
+        owner.core.add_inherited_worker(WorkerId(worker), f'{worker}:1', 9000)
     owner.add_job('old', Step(1, SIZE), is_inherited=True)
     owner.add_job('new', Step(1, SIZE))
     owner.report('w0')
@@ -55,7 +55,7 @@
 def test_attempts_of_a_new_owner_are_above_those_before() -> None:
     """Guards against a number that the owner before has used unnoticed."""
     owner = Owner('w0', term=3)
-    owner.core.expect_worker(WorkerId('w0'), 'w0:1', 9000)
+    owner.core.add_inherited_worker(WorkerId('w0'), 'w0:1', 9000)
     owner.add_job('old', Step(1, SIZE), is_inherited=True)
     owner.report('w0')
     assert [one.attempt for one in owner.starts()] == [201]
@@ -119,7 +119,7 @@
     owner = Owner('w0', 'w1')
     owner.report('w0')
     owner.report('w1')
-    owner.core.list_workers([entry('w1')], owner.now_ms)
+    owner.core.update_workers([entry('w1')], owner.now_ms)
     owner.add_job('a', Step(2, SIZE))
     assert {one.worker for one in owner.starts()} == {'w1'}
 
--- a/tests/test_graph_ticks.py
+++ b/tests/test_graph_ticks.py
@@ -144,7 +144,7 @@
     for other in others:
         owner.report(other)
     leaving = replace(entry('w0'), listing=WorkerListing.LEAVING)
-    owner.core.list_workers([leaving, *map(entry, others)], owner.now_ms)
+    owner.core.update_workers([leaving, *map(entry, others)], owner.now_ms)
     assert bool(stops(owner.decide())) is is_moved
     if not is_moved:
         return
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -111,7 +111,7 @@
                 position = int(name.partition('/')[2])
                 yield records.TaskFinished(job_id, position, 'output')
             case 'cancel':
-                yield records.CancelAsked(job_id)
+                yield records.CancelRequested(job_id)
             case 'ended':
                 yield records.JobEnded(job_id, JobState(rest[0]))
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -9,7 +9,7 @@
 from fuchsiarill.clock import now_ms, run_paused, sleep_ms
 from fuchsiarill.job import Execution, Urgency
 from fuchsiarill.owner.keys import LOG_KEYS_COUNT, entry_key
-from fuchsiarill.owner.messages import StoreOutageSeen
+from fuchsiarill.owner.messages import StoreOutageConfirmed
 from fuchsiarill.states import PartitionState
 from tests.builders import cell, spec
 from tests.world import PARTITION, World, is_accepted, job_id_of
@@ -108,7 +108,7 @@
         await sleep_ms(100)
         world.store.is_down = True
         # What the membership tells while every domain has lost the store.
-        outage = StoreOutageSeen(now_ms() + 2 * 3_600_000)
+        outage = StoreOutageConfirmed(now_ms() + 2 * 3_600_000)
         owner.campaign.mailbox.send(outage)
         await sleep_ms(20_000)
         urgent = spec('urgent', urgency=Urgency.URGENT, run_time_ms=500)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -16,7 +16,7 @@
 from fuchsiarill.cluster.peers import Peers, RpcPeers
 from fuchsiarill.ids import CustomerId, JobClass, JobId, PartitionId
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
-from fuchsiarill.owner.messages import AskJob, SubmitJobs
+from fuchsiarill.owner.messages import QueryJob, SubmitJobs
 from fuchsiarill.resources import Resources
 from fuchsiarill.routing import RouteStale
 from fuchsiarill.settings import PeerSettings
@@ -101,7 +101,7 @@
     async def ask(self) -> JobAnswer:
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CustomerId('a'), JobId('p-1'))
-        self.link.mailbox.send(AskJob(query, reply))
+        self.link.mailbox.send(QueryJob(query, reply))
         return await reply.wait(_ANSWER_MS)
 
     async def submit(self, *keys: str) -> list[str]:
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -11,9 +11,9 @@
 
 from fuchsiarill import codes
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
-from fuchsiarill.answers import JobAnswer, JobList, JobQuery, JobWhy
+from fuchsiarill.answers import JobAnswer, JobExplanation, JobList, JobQuery
 from fuchsiarill.cluster.config_document import NO_DOCUMENT, ConfigDocument
-from fuchsiarill.cluster.config_spread import AskDocument, ConfigOffered
+from fuchsiarill.cluster.config_spread import ConfigOffered, GetDocument
 from fuchsiarill.cluster.member_table import Beat, Gossip, MemberDetail
 from fuchsiarill.cluster.membership import Gossiped
 from fuchsiarill.cluster.owner_link import OwnerLink
@@ -29,7 +29,7 @@
     RegionId,
 )
 from fuchsiarill.owner import messages
-from fuchsiarill.process_messages import AskDump, Receivers
+from fuchsiarill.process_messages import GetDump, Receivers
 from fuchsiarill.refusal import Refusal
 from fuchsiarill.routing import Route
 from fuchsiarill.settings import PeerSettings
@@ -82,12 +82,12 @@
         self.received.append(message.document)
         message.reply.answer(Generation(9))
 
-    @handles(AskDocument)
-    async def on_document(self, message: AskDocument) -> None:
+    @handles(GetDocument)
+    async def on_document(self, message: GetDocument) -> None:
         message.reply.answer(NO_DOCUMENT)
 
-    @handles(AskDump)
-    async def on_dump(self, message: AskDump) -> None:
+    @handles(GetDump)
+    async def on_dump(self, message: GetDump) -> None:
         message.reply.answer('{}')
 
     @handles(Route)
@@ -100,9 +100,11 @@
                 message.reply.answer(_ANSWERS)
             case messages.ExplainJob():
                 self.received.append(message.query)
-                why = JobWhy(_ANSWERS[0], {'reason': 'room', 'wanted': 3})
+                why = JobExplanation(
+                    _ANSWERS[0], {'reason': 'room', 'wanted': 3}
+                )
                 message.reply.answer(why)
-            case messages.AskJob():
+            case messages.QueryJob():
                 """Left without answer, as by an owner that is too slow."""
 
 
@@ -149,7 +151,7 @@
     about = JobQuery(CustomerId('a'), JobId('b'))
     link.mailbox.send(messages.ExplainJob(about, why))
     slow: Reply[Any] = Reply()
-    link.mailbox.send(messages.AskJob(about, slow))
+    link.mailbox.send(messages.QueryJob(about, slow))
     return [await one.wait(20_000) for one in (listed, why, slow)]
 
 
@@ -177,7 +179,7 @@
     """Guards against an answer that loses a field on the way."""
     listed, why = conversation[4:6]
     assert listed == _ANSWERS
-    assert why == JobWhy(_ANSWERS[0], {'reason': 'room', 'wanted': 3})
+    assert why == JobExplanation(_ANSWERS[0], {'reason': 'room', 'wanted': 3})
     assert conversation[-1][2:] == [
         JobList(CustomerId('a'), JobState.RUNNING, 7),
         JobQuery(CustomerId('a'), JobId('b')),
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -52,6 +52,6 @@
         loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS)
         loaded = await loader.load()
         assert loaded.fleet == fleet
-        return loaded.is_former_over
+        return loaded.is_previous_owner_inactive
 
     assert run_paused(main()) is is_over
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,11 +15,11 @@
 from fuchsiarill.cluster.membership import LeaveCluster, StateChanged
 from fuchsiarill.front.front_actor import StopFront
 from fuchsiarill.ids import PartitionId
-from fuchsiarill.owner.campaign_messages import CandidatesKnown
+from fuchsiarill.owner.campaign_messages import CandidatesUpdated
 from fuchsiarill.owner.messages import ConfigChanged, HandOver
 from fuchsiarill.ports.store import StoreFailure
 from fuchsiarill.process import Parts, Process
-from fuchsiarill.process_messages import DrainAsked
+from fuchsiarill.process_messages import DrainRequested
 from fuchsiarill.settings import load_settings
 from fuchsiarill.states import ProcessState
 from tests.cluster_fakes import FakeCell, FakePeers
@@ -56,9 +56,9 @@
     async def on_config(self, message: ConfigChanged) -> None:
         self._note('ConfigChanged')
 
-    @handles(CandidatesKnown)
-    async def on_candidates(self, message: CandidatesKnown) -> None:
-        self._note('CandidatesKnown')
+    @handles(CandidatesUpdated)
+    async def on_candidates(self, message: CandidatesUpdated) -> None:
+        self._note('CandidatesUpdated')
 
     async def fetch(self) -> Failure[StoreFailure]:
         return Failure(StoreFailure.UNREACHABLE)
@@ -111,15 +111,15 @@
         process.mailbox.send(_config())
         await sleep_ms(10)
         assert process.state is ProcessState.SERVING
-        process.mailbox.send(DrainAsked())
-        process.mailbox.send(DrainAsked())
+        process.mailbox.send(DrainRequested())
+        process.mailbox.send(DrainRequested())
         await process.ended.wait()
         await sleep_ms(10)
         assert opened == ['rajkot.0']
         assert not process.has_failed
         times = recorder.told
         assert list(times) == [
-            'CandidatesKnown',
+            'CandidatesUpdated',
             'serving',
             'draining',
             'HandOver',
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -8,13 +8,14 @@
 import pytest
 from returns.result import Failure, Success
 
+from fuchsiarill.graphs.model import GraphConfig, StepKey, Ticket, WorkerEntry
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
-from fuchsiarill.graphs.peers import ask_peer, serve_help
+from fuchsiarill.graphs.peers import request_advice_from_peer, serve_graph_peers
 from fuchsiarill.graphs.ports import (
-    Directory,
+    BusyTrackingAdvisor,
     DocumentError,
+    DocumentLayout,
     GraphPorts,
-    OneAtATime,
 )
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.ids import (
@@ -25,7 +26,6 @@
     StoreKey,
     WorkerId,
 )
-from fuchsiarill.graphs.model import GraphConfig, StepKey, Ticket, WorkerEntry
 from fuchsiarill.ports.key_value import (
     KvCommitted,
     KvConflict,
@@ -54,11 +54,11 @@
 
     def ports(self) -> GraphPorts:
         """Return the outside systems of the peer."""
-        directory = Directory(KEY, '', '', _read_config, _read_worker)
+        directory = DocumentLayout(KEY, '', '', _read_config, _read_worker)
         return GraphPorts(
             self.helper,
             Fleet(),
-            OneAtATime(AllowAll()),
+            BusyTrackingAdvisor(AllowAll()),
             directory,
         )
 
@@ -80,7 +80,7 @@
             probe.bind(('127.0.0.1', 0))
             address = f'127.0.0.1:{probe.getsockname()[1]}'
         async with capnp.kj_loop():
-            server = await serve_help(address, relay.ports(), 5000)
+            server = await serve_graph_peers(address, relay.ports(), 5000)
             relay.links.start()
             relay.links.mailbox.send(PeersListed({PEER: address}))
             await asyncio.sleep(0.05)
@@ -148,7 +148,9 @@
     async def scenario(relay: _Relay) -> None:
         step = StepKey(JobId('a'), 0, 1)
         workers = (WorkerId('w0'), WorkerId('w1'))
-        advice = await ask_peer(relay.links, PEER, step, workers, 1000)
+        advice = await request_advice_from_peer(
+            relay.links, PEER, step, workers, 1000
+        )
         assert advice.granted == {
             WorkerId('w0'): Ticket('ticket'),
             WorkerId('w1'): Ticket('ticket'),
@@ -163,7 +165,9 @@
     async def scenario(relay: _Relay) -> None:
         step = StepKey(JobId('a'), 0, 1)
         asks = [
-            ask_peer(relay.links, PEER, step, (WorkerId('w0'),), 1000)
+            request_advice_from_peer(
+                relay.links, PEER, step, (WorkerId('w0'),), 1000
+            )
             for _ in range(2)
         ]
         advices = await asyncio.gather(*asks)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -23,8 +23,8 @@
     ProcessId,
     RegionId,
 )
-from fuchsiarill.owner.claims import OwnerClaim, OwnerFound
-from fuchsiarill.owner.messages import AskJob
+from fuchsiarill.owner.claims import OwnerClaim, OwnerLocated
+from fuchsiarill.owner.messages import QueryJob
 from fuchsiarill.routing import Route, Router, RouteStale
 from fuchsiarill.settings import PeerSettings
 
@@ -58,7 +58,7 @@
         self.address = address
         self.reads_count = 0
 
-    async def look_up(self, partition: PartitionId) -> OwnerFound | None:
+    async def look_up(self, partition: PartitionId) -> OwnerLocated | None:
         self.reads_count += 1
         await sleep_ms(50)
         if self.address is None:
@@ -66,9 +66,9 @@
         return _found(self.address)
 
 
-def _found(address: str, mailbox: Mailbox | None = None) -> OwnerFound:
+def _found(address: str, mailbox: Mailbox | None = None) -> OwnerLocated:
     claim = OwnerClaim(process=ProcessId(address), peer_address=address)
-    return OwnerFound(_PARTITION, claim, mailbox)
+    return OwnerLocated(_PARTITION, claim, mailbox)
 
 
 def _run(
@@ -87,7 +87,7 @@
 
 async def _route(router: Router, hops_left: int = 1) -> Reply[JobAnswer]:
     reply: Reply[JobAnswer] = Reply()
-    ask = AskJob(JobQuery(CustomerId('a'), JobId('rajkot.0-1')), reply)
+    ask = QueryJob(JobQuery(CustomerId('a'), JobId('rajkot.0-1')), reply)
     router.mailbox.send(Route(_PARTITION, ask, hops_left))
     await asyncio.sleep(0)
     return reply
--- a/tests/test_store_evidence.py
+++ b/tests/test_store_evidence.py
@@ -34,7 +34,7 @@
     """Guards against an owner behind a cut link that renews task leases."""
     own = _member('p1', 'north')
     evidence = StoreEvidence()
-    for process, domain, asked_at_ms, is_down in case['answers']:
+    for process, domain, requested_at_ms, is_down in case['answers']:
         others = (own, _member(process, domain, is_down=is_down))
-        evidence.answered(own, others, (process, asked_at_ms))
+        evidence.answered(own, others, (process, requested_at_ms))
     assert evidence.outage_until_ms() == case['until_ms']
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,7 +21,7 @@
 from fuchsiarill.job import Execution, JobSpec
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.campaign import Campaign
-from fuchsiarill.owner.serving import Ports
+from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.settings import (
     HostListSettings,
     HttpSettings,
@@ -173,7 +173,7 @@
         assert mailbox is not None
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CUSTOMER, job_id, wait_ms)
-        mailbox.send(messages.AskJob(query, reply))
+        mailbox.send(messages.QueryJob(query, reply))
         return await reply.wait(wait_ms + REPLY_MS)
 
     async def cancel(self, process: Process, job_id: JobId) -> JobAnswer:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from fuchsiarill.clock import MS_PER_SECOND, sleep_ms
-from fuchsiarill.ports.thread_lane import ThreadLane
+from fuchsiarill.ports.thread_pool import BoundedThreadPool
 from tools.caller import Caller, JobNote, clock_ms
 from tools.cell import Cell
 from tools.demo_load import Team, make_jobs
@@ -51,7 +51,7 @@
     def __init__(self, cell: Cell) -> None:
         """Create the callers of each customer."""
         self._cell = cell
-        self._lane = ThreadLane('demo', _THREADS_COUNT, _THREADS_COUNT)
+        self._lane = BoundedThreadPool('demo', _THREADS_COUNT, _THREADS_COUNT)
         self._began_ms = clock_ms()
         self._killed_at_ms = 0
         self._store_before = cell.control(cell.store_url)
--- a/tools/graph_decisions.py
+++ b/tools/graph_decisions.py
@@ -123,7 +123,7 @@
         }
         self._core = GraphCore(_POOL, Epoch(1), TaskLeaseSettings(), 1)
         self._core.configure(_config())
-        self._core.list_workers(
+        self._core.update_workers(
             [_entry(number) for number in range(workers_count)],
             0,
         )
--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -10,8 +10,8 @@
     ledger,
     ordering,
     partition,
+    preemption,
     probation,
-    reclaim,
     sizes,
     starting,
 )
@@ -85,7 +85,7 @@
 
 @mutation('preemption', 'frostwick_guarantee_holds_in_a_full_cell')
 def _no_preemption() -> tuple[Patch, ...]:
-    return (mock.patch.object(reclaim, '_victims', _no_victims),)
+    return (mock.patch.object(preemption, '_victims', _no_victims),)
 
 
 @mutation('refusal of what can never fit', 'i4_refused_job_never_ran')
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -41,9 +41,9 @@
         mock.patch.object(
             Campaign,
             'set_deadline',
-            lambda campaign, asked_at_ms: _SET_DEADLINE(
+            lambda campaign, requested_at_ms: _SET_DEADLINE(
                 campaign,
-                asked_at_ms + _FAR_MS,
+                requested_at_ms + _FAR_MS,
             ),
         ),
     )
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -166,18 +166,18 @@
     seed: int,
 ) -> list[Arrival]:
     """Return services, once all workers are known, and jobs at random times."""
-    chance = random.Random(seed)
+    random_source = random.Random(seed)
     rows = [
-        _arrival(_SERVICES_AT_MS, kind, 0, chance)
+        _arrival(_SERVICES_AT_MS, kind, 0, random_source)
         for kind in deployment.services
     ]
     rate = deployment.arrivals_per_ms(load)
     shares = [kind.share for kind in deployment.kinds]
     at_ms = float(_SERVICES_AT_MS)
     while at_ms < until_ms:
-        at_ms += chance.expovariate(rate)
-        kind = chance.choices(deployment.kinds, shares)[0]
-        rows.append(_arrival(int(at_ms), kind, len(rows), chance))
+        at_ms += random_source.expovariate(rate)
+        kind = random_source.choices(deployment.kinds, shares)[0]
+        rows.append(_arrival(int(at_ms), kind, len(rows), random_source))
     return rows
 
 
@@ -185,9 +185,9 @@
     at_ms: int,
     kind: JobKind,
     number: int,
-    chance: random.Random,
+    random_source: random.Random,
 ) -> Arrival:
-    noise = chance.uniform(1 - _NOISE, 1 + _NOISE)
+    noise = random_source.uniform(1 - _NOISE, 1 + _NOISE)
     size = Resources(
         int(kind.size.processors_milli * noise),
         int(kind.size.memory_mb * noise),
@@ -202,7 +202,7 @@
     )
     run_time_ms = 0
     if kind.run_time_ms:
-        run_time_ms = int(chance.expovariate(1 / kind.run_time_ms)) + 1
+        run_time_ms = int(random_source.expovariate(1 / kind.run_time_ms)) + 1
     spec = JobSpec(
         CustomerId(kind.customer),
         f'{kind.name}-{number}',
