Reword three doc comments of the core

They used "asked to stop", "what must be free" and "hits everything". They now name the capacity, the jobs and the attempts that are meant.

Doc comments only. mypy and flake8 pass; tests/test_core_cases.py, test_core_machine.py, test_ledger.py, test_owner.py, test_ownership_machine.py and test_state_chart.py pass (119 tests).

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -119,8 +119,8 @@
     `contract` is `None` if the configuration in force has none for the
     customer. `held` is the sum of its reservations and `share` the weighted
     dominant share of `held`. `urgent_held` is the part of `held` for urgent
-    jobs, `reclaimed` the part whose attempts were asked to stop in favour of
-    other jobs.
+    jobs, `reclaimed` the part whose attempts are being stopped for other
+    jobs.
     Of the `groups`, those in `ready` can be tried, those in `unplaceable` wait
     for free capacity on a worker, and those in `over_quota` wait until tasks
     of the same customer end.
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -1,7 +1,7 @@
 """Retries of failed attempts: backoff, limits and the retry budget.
 
 The retry budget of a customer grows with its successes, so that a fault that
-hits everything does not multiply the load.
+affects all jobs does not multiply the load.
 """
 
 from itertools import islice
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -45,7 +45,7 @@
 
 
 def group_size_at_once(state: CoreState, group: Group) -> Resources:
-    """Return what must be free at once to start a job of a group."""
+    """Return the capacity that must be free to start a job of a group."""
     size = group_size(state, group)
     return size.times(group.spec.tasks_count) if group.is_gang else size
 
