--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The examples are valid and fit together."""
+"""The example settings are valid and consistent with each other."""
 
 import hashlib
 
@@ -16,7 +16,7 @@
 
 @pytest.mark.parametrize('name', _NAMES)
 def test_example_fits_its_workers(name: str) -> None:
-    """Guards against guarantees that the workers of the example cannot keep."""
+    """Guards against guarantees beyond the capacity of the workers."""
     deployment = load_deployment(EXAMPLES / f'{name}-hosts.yaml')
     text = (EXAMPLES / deployment.configuration).read_text()
     config = parse_config(text).unwrap()
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize('name', _NAMES)
 def test_demo_tokens_are_those_of_the_example(name: str) -> None:
-    """Guards against a demo whose callers are not known."""
+    """Guards against tokens of the demo that the configuration rejects."""
     deployment = load_deployment(EXAMPLES / f'{name}-hosts.yaml')
     text = (EXAMPLES / deployment.configuration).read_text()
     config = parse_config(text).unwrap()
@@ -49,13 +49,13 @@
     for contract in config.contracts:
         digests[contract.customer] = contract.token_sha256
     assert digests == {
-        owner: hashlib.sha256(token.encode()).hexdigest()
-        for owner, token in deployment.tokens.items()
+        caller: hashlib.sha256(token.encode()).hexdigest()
+        for caller, token in deployment.tokens.items()
     }
 
 
 def test_daemon_settings_are_valid() -> None:
-    """Guards against an example that the daemon does not start with."""
+    """Guards against an example with which the daemon does not start."""
     text = (EXAMPLES / 'fuchsiarilld.yaml').read_text()
     settings = ProcessSettings.model_validate(yaml.safe_load(text))
     assert settings.process == 'pour-hall-1'
--- a/tests/test_platform_demo.py
+++ b/tests/test_platform_demo.py
@@ -1,4 +1,4 @@
-"""Real daemons on the emulated platform."""
+"""Demo and soak with real daemons on the emulated platform."""
 
 import subprocess
 import sys
@@ -14,7 +14,7 @@
     ],
 )
 def test_nothing_is_lost(module: str, options: tuple[str, ...]) -> None:
-    """Guards against jobs that are lost or run twice in real processes."""
+    """Guards against jobs lost or run twice when daemons and workers fail."""
     ended = subprocess.run(
         [sys.executable, '-m', module, *options],
         capture_output=True,
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -1,11 +1,11 @@
-"""The demo's counts see what they are there to see."""
+"""The demo counts job outcomes and detects faults in worker logs."""
 
 from fuchsiarill import codes
 from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.resources import NOTHING, Resources
 from standins.worker_log import LogKind, LogLine
 from tools.caller import JobNote
-from tools.tally import Fate, tally
+from tools.tally import Outcome, tally
 
 _ONE = WorkerId('one')
 _TWO = WorkerId('two')
@@ -41,12 +41,12 @@
 def test_job_without_outcome_is_lost() -> None:
     """Guards against a demo that passes although a job is lost."""
     logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
-    assert tally([_note()], logs).fates == {Fate.LOST: 1}
+    assert tally([_note()], logs).outcomes == {Outcome.LOST: 1}
     service = _note(workload='service')
-    assert tally([service], logs).fates == {Fate.FINISHED: 1}
+    assert tally([service], logs).outcomes == {Outcome.FINISHED: 1}
     logs[_ONE].append(_line(2, LogKind.END, 'job/0@1.1'))
-    assert tally([_note()], logs).fates == {Fate.FINISHED: 1}
-    assert tally([service], logs).fates == {Fate.LOST: 1}
+    assert tally([_note()], logs).outcomes == {Outcome.FINISHED: 1}
+    assert tally([service], logs).outcomes == {Outcome.LOST: 1}
 
 
 def test_overlapping_attempts_are_doubled() -> None:
@@ -64,40 +64,40 @@
 
 
 def test_overcommitted_worker_is_seen() -> None:
-    """Guards against a demo that misses a worker beyond its capacity."""
+    """Guards against a demo that misses an overcommitted worker."""
     lines = [_line(0, LogKind.READY, reserved=_CAPACITY)]
     lines.extend(
         _line(1, LogKind.START, f'job/{number}@1.1') for number in range(2)
     )
     assert not tally([], {_ONE: lines}).overcommitted
-    freed = [
+    after_end = [
         *lines,
         _line(2, LogKind.END, 'job/0@1.1'),
         _line(2, LogKind.START, 'job/2@1.1'),
     ]
-    assert not tally([], {_ONE: freed}).overcommitted
+    assert not tally([], {_ONE: after_end}).overcommitted
     lines.append(_line(2, LogKind.START, 'job/2@1.1'))
     assert tally([], {_ONE: lines}).overcommitted == [_ONE]
 
 
 def test_measured_size_counts_from_its_report_on() -> None:
-    """Guards against a size that is released before it is known."""
-    whole = _line(1, LogKind.START, 'job/0@1.1', _CAPACITY)
+    """Guards against counting measured usage before its report."""
+    oversized = _line(1, LogKind.START, 'job/0@1.1', _CAPACITY)
     measured = _line(2, LogKind.MEASURED, 'job/0@1.1', _CAPACITY, real=_SIZE)
     second = _line(3, LogKind.START, 'job/1@1.1')
     ready = _line(0, LogKind.READY, reserved=_CAPACITY)
-    early = tally([], {_ONE: [ready, whole, second, measured]})
+    early = tally([], {_ONE: [ready, oversized, second, measured]})
     assert early.overcommitted == [_ONE]
-    late = tally([], {_ONE: [ready, whole, measured, second]})
+    late = tally([], {_ONE: [ready, oversized, measured, second]})
     assert not late.overcommitted
     assert late.first_reserved_exceeded == [_ONE]
     third = _line(4, LogKind.START, 'job/2@1.1')
-    beyond = tally([], {_ONE: [ready, whole, measured, second, third]})
-    assert beyond.overcommitted == [_ONE]
+    third_start = tally([], {_ONE: [ready, oversized, measured, second, third]})
+    assert third_start.overcommitted == [_ONE]
 
 
 def test_refused_and_cancelled_jobs_must_not_run() -> None:
-    """Guards against a demo that misses a job that ran although refused."""
+    """Guards against missing runs of refused or cancelled jobs."""
     logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
     refused = _note()
     refused.code = codes.NEVER_FITS.number
--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -1,1 +1,1 @@
-"""Commands of this repository; not part of the product."""
+"""Development commands: demos, benchmarks and tests; not installed."""
--- a/tools/attached.py
+++ b/tools/attached.py
@@ -1,7 +1,7 @@
 """Runs a module that ends with the process that launched it.
 
-A launcher that is killed can't end its processes. Each of them looks for its
-launcher, and ends when another process has become its parent.
+A launcher that is killed can't end its processes. Each of them polls the id of
+its parent, and ends when that is no longer the launcher.
 """
 
 import os
@@ -12,29 +12,29 @@
 import time
 from typing import Final
 
-_CHECK_S: Final = 0.5
-# Time for an end by SIGTERM, as launchers give it.
-_GRACE_S: Final = 10
+_CHECK_INTERVAL_S: Final = 0.5
+# Time from SIGTERM to SIGKILL, the same as in `tools/processes.py`.
+_STOP_TIMEOUT_S: Final = 10
 
 
 def main() -> None:
-    """Run `MODULE OPTIONS...` for the launcher with the id that is given."""
+    """Run `MODULE OPTIONS...`; the first argument is the launcher's id."""
     launcher, module, *options = sys.argv[1:]
-    watching = threading.Thread(
-        target=_end_with,
+    watcher = threading.Thread(
+        target=_end_with_launcher,
         args=(int(launcher),),
         daemon=True,
     )
-    watching.start()
+    watcher.start()
     sys.argv = [module, *options]
     runpy.run_module(module, run_name='__main__', alter_sys=True)
 
 
-def _end_with(launcher: int) -> None:
+def _end_with_launcher(launcher: int) -> None:
     while os.getppid() == launcher:
-        time.sleep(_CHECK_S)
+        time.sleep(_CHECK_INTERVAL_S)
     os.kill(os.getpid(), signal.SIGTERM)
-    time.sleep(_GRACE_S)
+    time.sleep(_STOP_TIMEOUT_S)
     os.kill(os.getpid(), signal.SIGKILL)
 
 
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -1,8 +1,8 @@
-"""A customer's program: submits, waits and cancels through entry hosts.
+"""A customer's client: submits, queries and cancels jobs on entry hosts.
 
-It keeps its own log of what it was told. When an entry host does not answer,
-or refuses for the moment, the same request with the same idempotency key
-goes to the next one.
+It records the answer to each job. When an entry host does not answer, or
+answers with a retriable code, the same request with the same idempotency key
+goes to the next entry host.
 """
 
 import time
@@ -16,8 +16,8 @@
 
 _RETRY_PAUSE_S: Final = 0.2
 _TIMEOUT_S: Final = 5
-# Codes after which the same request is sent again.
-_PASSING: Final = frozenset(
+# Codes that are not final; the same request is sent again.
+_RETRIABLE: Final = frozenset(
     code.number
     for code in (
         codes.OVERLOADED,
@@ -36,18 +36,21 @@
 
 
 def clock_ms() -> int:
-    """Return the monotonic clock of the machine, as in the workers' logs."""
+    """Return the monotonic clock of the machine; workers' logs use it too."""
     return int(time.monotonic() * 1000)
 
 
 @dataclass(slots=True)
 class JobNote:
-    """What a caller knows of one job it sent, with times of `clock_ms`."""
+    """A submitted job and its answer; times are of `clock_ms`.
+
+    `code` is 0 until an entry host accepts the job or refuses it for good.
+    """
 
     body: dict[str, Any]
     job_id: str = ''
     code: int = 0
-    tries_count: int = 0
+    attempts_count: int = 0
     sent_at_ms: int = 0
     answered_at_ms: int = 0
     cancel_acknowledged: bool = False
@@ -59,12 +62,12 @@
 
     @property
     def is_refused(self) -> bool:
-        """Tell whether the job was turned away for good."""
+        """Tell whether the job was refused with a final code."""
         return bool(self.code) and not self.is_accepted
 
-    def take(self, answer: dict[str, Any]) -> None:
-        """Keep an answer, unless it only says to try again."""
-        if answer['code'] in _PASSING:
+    def apply_answer(self, answer: dict[str, Any]) -> None:
+        """Record a final answer; one with a retriable code is ignored."""
+        if answer['code'] in _RETRIABLE:
             return
         self.code = answer['code']
         self.job_id = answer.get('job_id', '')
@@ -75,8 +78,8 @@
 class Caller:
     """Sends the requests of one customer.
 
-    `entry_urls` is the order in which this caller turns to the entry hosts.
-    Requests that find no answer until `give_up_after_s` stay unacknowledged.
+    `entry_urls` is the order in which this caller tries the entry hosts.
+    Requests without an answer after `give_up_after_s` stay unacknowledged.
     """
 
     token: str
@@ -88,10 +91,10 @@
     )
 
     def submit(self, bodies: list[dict[str, Any]]) -> list[JobNote]:
-        """Submit a batch; jobs that are refused for now are sent again."""
+        """Submit a batch; jobs without a final answer are sent again."""
         sent = [JobNote(body, sent_at_ms=clock_ms()) for body in bodies]
         self.notes.extend(sent)
-        for url in self._entries():
+        for url in self._urls_until_deadline():
             open_notes = [note for note in sent if not note.code]
             if not open_notes:
                 break
@@ -99,22 +102,22 @@
         return sent
 
     def cancel(self, note: JobNote) -> None:
-        """Cancel a job; repeated until it is acknowledged."""
+        """Cancel a job; retried until there is a final answer."""
         path = f'/v1/jobs/{note.job_id}'
-        for url in self._entries():
+        for url in self._urls_until_deadline():
             answer = self.request('DELETE', url + path)
-            if answer is not None and answer['code'] not in _PASSING:
+            if answer is not None and answer['code'] not in _RETRIABLE:
                 note.cancel_acknowledged = (
                     answer['code'] == codes.CANCEL_STARTED.number
                 )
                 return
 
     def query(self, job_id: str, wait_ms: int = 0) -> dict[str, Any]:
-        """Return what an entry host says of a job."""
+        """Return the answer about a job; `{}` when none came in time."""
         path = f'/v1/jobs/{job_id}?wait_ms={wait_ms}'
-        for url in self._entries():
+        for url in self._urls_until_deadline():
             answer = self.request('GET', url + path, wait_ms / 1000)
-            if answer is not None and answer['code'] not in _PASSING:
+            if answer is not None and answer['code'] not in _RETRIABLE:
                 return answer
         return {}
 
@@ -125,7 +128,7 @@
         wait_s: float = 0,
         body: dict[str, Any] | None = None,
     ) -> dict[str, Any] | None:
-        """Send one request; returns `None` when there is no answer."""
+        """Send one request; returns `None` without a JSON answer."""
         try:
             answer = self._http.request(
                 method,
@@ -134,25 +137,25 @@
                 headers={'Authorization': f'Bearer {self.token}'},
                 timeout=_TIMEOUT_S + wait_s,
             )
-            read: dict[str, Any] = answer.json()
+            document: dict[str, Any] = answer.json()
         except (urllib3.exceptions.HTTPError, ValueError):
             return None
-        return read
+        return document
 
     def _submit_once(self, url: str, notes: list[JobNote]) -> None:
         bodies = []
-        for sent in notes:
-            sent.tries_count += 1
-            bodies.append(sent.body)
+        for open_note in notes:
+            open_note.attempts_count += 1
+            bodies.append(open_note.body)
         body = {'jobs': bodies}
         answer = self.request('POST', f'{url}/v1/jobs', body=body)
         if answer is None or 'answers' not in answer:
             return
-        for note, one in zip(notes, answer['answers'], strict=True):
-            note.take(one)
+        for note, job_answer in zip(notes, answer['answers'], strict=True):
+            note.apply_answer(job_answer)
 
-    def _entries(self) -> Iterator[str]:
-        ends_at_s = time.monotonic() + self.give_up_after_s
-        while time.monotonic() < ends_at_s:
+    def _urls_until_deadline(self) -> Iterator[str]:
+        deadline_s = time.monotonic() + self.give_up_after_s
+        while time.monotonic() < deadline_s:
             yield from self.entry_urls
             time.sleep(_RETRY_PAUSE_S)
--- a/tools/cell.py
+++ b/tools/cell.py
@@ -1,4 +1,4 @@
-"""A whole cell on loopback: stand-ins of the platform and entry processes."""
+"""A cell on loopback: entry processes and stand-ins for the platform."""
 
 import json
 from pathlib import Path
@@ -31,7 +31,7 @@
 
 
 class Cell(LaunchedCell):
-    """Starts, disturbs and ends the processes of one deployment."""
+    """Starts and ends the processes of a deployment, and injects faults."""
 
     def __init__(
         self,
@@ -40,7 +40,7 @@
         folder: Path,
         settings: dict[str, Any] | None = None,
     ) -> None:
-        """Prepare; `settings` are laid over those of each daemon."""
+        """Allocate ports; `settings` override the settings of each daemon."""
         self.deployment = deployment
         self.configuration = configuration
         super().__init__(Processes(folder))
@@ -65,7 +65,7 @@
             self._peer_ports[entry.process] = next(self._ports)
 
     def start_entry(self, process: ProcessId) -> None:
-        """Start one daemon, or start it again on its ports."""
+        """Start or restart one daemon; its ports stay the same."""
         path = self._folder / f'{process}.yaml'
         self.processes.start(
             process,
@@ -75,7 +75,7 @@
         )
 
     def is_ready(self, process: ProcessId) -> bool:
-        """Tell whether a daemon takes requests."""
+        """Tell whether a daemon answers that it is ready for requests."""
         try:
             answer = self._http.request(
                 'GET',
@@ -86,14 +86,14 @@
         return answer.status == _OK
 
     def wait_ready(self, process: ProcessId) -> None:
-        """Wait until a daemon takes requests."""
+        """Wait until a daemon is ready; raises `TimeoutError`."""
         wait_until(
             lambda: self.is_ready(process),
             f'{process} is not ready; see {self._folder}/{process}.log',
         )
 
     def owner(self) -> ProcessId | None:
-        """Return the owner of the first partition, from the store."""
+        """Return the owner of the first partition as the store names it."""
         key = f'partition/{self.deployment.region}.0/owner'
         found = self._post(f'{self.store_url}/v1/get', {'key': key})
         if found['value'] is None:
@@ -101,15 +101,15 @@
         return ProcessId(json.loads(found['value'])['process'])
 
     def control(self, url: str, **settings: Any) -> dict[str, Any]:
-        """Set faults of a stand-in and return its state."""
+        """Change faults of the stand-in at `url` and return its state."""
         return self._post(f'{url}/control', settings)
 
     def worker_url(self, worker: WorkerId) -> str:
-        """Return where a worker is."""
+        """Return the base URL of a worker."""
         return f'http://{self.entries[worker].address}'
 
     def worker_logs(self) -> dict[WorkerId, list[LogLine]]:
-        """Return what each worker has seen so far."""
+        """Return the log lines that each worker has written so far."""
         return {
             worker: read_log(self._folder / f'{worker}.jsonl')
             for worker in self.entries
@@ -122,7 +122,9 @@
             self.start_entry(entry.process)
         for process in self.entry_urls:
             self.wait_ready(process)
-        wait_until(lambda: self.owner() is not None, 'no process owns')
+        wait_until(
+            lambda: self.owner() is not None, 'no process owns the partition'
+        )
 
     def _start_platform(self) -> None:
         self.processes.start(
@@ -146,8 +148,8 @@
             self.entries[worker.worker_id] = host_entry(worker)
         for number in range(0, -(-len(workers) // _WORKERS_PER_PROCESS)):
             first = number * _WORKERS_PER_PROCESS
-            taken = workers[first : first + _WORKERS_PER_PROCESS]
-            self._start_workers(f'workers-{number}', tuple(taken))
+            group = workers[first : first + _WORKERS_PER_PROCESS]
+            self._start_workers(f'workers-{number}', tuple(group))
         self._start_host_list()
         platform = [self.store_url, self.host_list_url]
         platform.extend(map(self.worker_url, self.entries))
@@ -220,5 +222,5 @@
         answer = self._http.request('POST', url, json=body)
         if answer.status != _OK:
             raise RuntimeError(f'{url}: {answer.data.decode()}')
-        read: dict[str, Any] = answer.json()
-        return read
+        document: dict[str, Any] = answer.json()
+        return document
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,6 +1,7 @@
-"""Runs a small cell, kills the owner midway and counts what became of jobs.
+"""Runs a small cell, kills the owner under load and counts job outcomes.
 
-Ends with exit status 0 only when nothing was lost, doubled or overcommitted.
+The exit status is 0 only when no job was lost, no task doubled and no worker
+overcommitted.
 """
 
 import argparse
@@ -40,22 +41,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Share:
+class _LoadShare:
     caller: Caller
     jobs: list[dict[str, Any]]
 
 
 class Demo:
-    """One run against a cell that is ready."""
+    """One run of the load against a cell that is ready."""
 
     def __init__(self, cell: Cell) -> None:
-        """Create the callers of each customer."""
+        """Create the callers of each customer and divide its jobs."""
         self._cell = cell
-        self._lane = BoundedThreadPool('demo', _THREADS_COUNT, _THREADS_COUNT)
-        self._began_ms = clock_ms()
+        self._thread_pool = BoundedThreadPool(
+            'demo', _THREADS_COUNT, _THREADS_COUNT
+        )
+        self._started_at_ms = clock_ms()
         self._killed_at_ms = 0
         self._store_before = cell.control(cell.store_url)
-        self._shares: list[_Share] = []
+        self._load_shares: list[_LoadShare] = []
         urls = list(cell.entry_urls.values())
         for number, customer in enumerate(cell.deployment.customers):
             jobs = make_jobs(Team(customer, number, seed=number))
@@ -65,29 +68,33 @@
                     cell.deployment.tokens[customer],
                     urls[first:] + urls[:first],
                 )
-                taken = jobs[part::_CALLERS_PER_CUSTOMER]
-                self._shares.append(_Share(caller, taken))
+                own_jobs = jobs[part::_CALLERS_PER_CUSTOMER]
+                self._load_shares.append(_LoadShare(caller, own_jobs))
 
     @property
     def notes(self) -> list[JobNote]:
-        """Return what all callers noted."""
-        return [note for share in self._shares for note in share.caller.notes]
+        """Return the records of all jobs that callers submitted."""
+        return [
+            note for share in self._load_shares for note in share.caller.notes
+        ]
 
     async def run(self) -> Tally:
-        """Send the load, kill the owner, wait for the end, print."""
+        """Submit the jobs, kill the owner, wait until settled, and report."""
         try:
             async with asyncio.timeout(_RUN_MAX_MS / MS_PER_SECOND):
                 await asyncio.gather(
                     self._kill_owner(),
-                    *map(self._send, self._shares),
+                    *map(self._submit_jobs, self._load_shares),
                 )
         except TimeoutError:
-            _say('the callers did not get all their answers in time')
+            _print_line(
+                'callers still wait for answers after the maximum run time'
+            )
         counted = await self._wait_settled()
         self._print(counted)
         return counted
 
-    async def _send(self, share: _Share) -> None:
+    async def _submit_jobs(self, share: _LoadShare) -> None:
         sent_count = 0
         for first in range(0, len(share.jobs), _BATCH_COUNT):
             batch = share.jobs[first : first + _BATCH_COUNT]
@@ -104,36 +111,38 @@
             raise RuntimeError('no process owns the partition')
         self._cell.processes.kill(owner)
         self._killed_at_ms = clock_ms()
-        _say(f'killed {owner}, the owner of the partition')
+        _print_line(f'killed {owner}, the owner of the partition')
 
     async def _wait_settled(self) -> Tally:
         while True:
             counted = tally(self.notes, self._cell.worker_logs())
-            spent_ms = clock_ms() - self._began_ms
+            spent_ms = clock_ms() - self._started_at_ms
             if counted.is_settled or spent_ms > _RUN_MAX_MS:
                 return counted
             await sleep_ms(_POLL_INTERVAL_MS)
 
-    async def _call(self, work: Any) -> Any:
-        running = self._lane.run(work)
-        if running is None:
-            raise RuntimeError('more callers than threads')
-        return await asyncio.wrap_future(running)
+    async def _call(self, request: Any) -> Any:
+        future = self._thread_pool.run(request)
+        if future is None:
+            raise RuntimeError(
+                'no idle thread: there are more callers than threads'
+            )
+        return await asyncio.wrap_future(future)
 
     def _print(self, counted: Tally) -> None:
         runs = runs_of(self._cell.worker_logs())
         for row in job_rows(self.notes, counted):
-            _say(row)
-        _say(wait_row('urgent', self.notes, runs))
-        _say(wait_row('normal', self.notes, runs))
-        _say(takeover_row(runs, self._killed_at_ms))
-        _say(self._store_row())
+            _print_line(row)
+        _print_line(wait_row('urgent', self.notes, runs))
+        _print_line(wait_row('normal', self.notes, runs))
+        _print_line(takeover_row(runs, self._killed_at_ms))
+        _print_line(self._store_row())
         for fault in fault_rows(counted):
-            _say(fault)
+            _print_line(fault)
 
     def _store_row(self) -> str:
         after = self._cell.control(self._cell.store_url)
-        spent_s = (clock_ms() - self._began_ms) / MS_PER_SECOND
+        spent_s = (clock_ms() - self._started_at_ms) / MS_PER_SECOND
         rates = []
         for kind in ('reads', 'writes'):
             count = after[f'{kind}_count'] - self._store_before[f'{kind}_count']
@@ -141,12 +150,12 @@
         return f'store: {", ".join(rates)}'
 
 
-def _say(line: str) -> None:
+def _print_line(line: str) -> None:
     print(line, flush=True)
 
 
 def main() -> int:
-    """Run the demo of one deployment."""
+    """Run the demo on the cell of one deployment; returns the exit status."""
     parser = argparse.ArgumentParser(prog='tools.demo')
     parser.add_argument('--deployment', default='frostwick')
     options = parser.parse_args()
@@ -155,12 +164,12 @@
     configuration = (EXAMPLES / deployment.configuration).read_text()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-demo-') as folder:
         with Cell(deployment, configuration, Path(folder)) as cell:
-            _say(
+            _print_line(
                 f'{options.deployment}: {len(cell.entries)} workers, '
                 f'{len(cell.entry_urls)} entry processes are ready',
             )
             counted = asyncio.run(Demo(cell).run())
-    _say(last_line(counted))
+    _print_line(last_line(counted))
     return 0 if counted.is_good else _FAILED_STATUS
 
 
--- a/tools/demo_load.py
+++ b/tools/demo_load.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 _BATCH_COUNT: Final = 60
-_ONCE_COUNT: Final = 20
+_AT_MOST_ONCE_COUNT: Final = 20
 _URGENT_COUNT: Final = 12
 _SERVICES_COUNT: Final = 5
 _GANGS_COUNT: Final = 6
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Team:
-    """How the jobs of one customer look."""
+    """Parameters of the jobs of one customer."""
 
     prefix: str
     accelerators_count: int
@@ -24,55 +24,75 @@
 
 
 def make_jobs(team: Team) -> list[dict[str, Any]]:
-    """Return the jobs in the order in which they are sent."""
-    drawn = random.Random(team.seed)
+    """Return the jobs in the order of their submission: services first."""
+    random_source = random.Random(team.seed)
     jobs = [
-        *(_batch(team, drawn, number) for number in range(_BATCH_COUNT)),
-        *(_once(team, drawn, number) for number in range(_ONCE_COUNT)),
-        *(_urgent(team, drawn, number) for number in range(_URGENT_COUNT)),
-        *(_gang(team, drawn, number) for number in range(_GANGS_COUNT)),
+        *(
+            _batch(team, random_source, number)
+            for number in range(_BATCH_COUNT)
+        ),
+        *(
+            _at_most_once(team, random_source, number)
+            for number in range(_AT_MOST_ONCE_COUNT)
+        ),
+        *(
+            _urgent(team, random_source, number)
+            for number in range(_URGENT_COUNT)
+        ),
+        *(_gang(team, random_source, number) for number in range(_GANGS_COUNT)),
     ]
-    drawn.shuffle(jobs)
+    random_source.shuffle(jobs)
     services = [
-        _service(team, drawn, number) for number in range(_SERVICES_COUNT)
+        _service(team, random_source, number)
+        for number in range(_SERVICES_COUNT)
     ]
     return [*services, _oversized(team), *jobs]
 
 
-def _batch(team: Team, drawn: random.Random, number: int) -> dict[str, Any]:
-    return _job(team, f'batch-{number}', drawn) | {
-        'tasks_count': drawn.randint(1, 3),
-        'run_time_ms': drawn.randint(300, 1500),
+def _batch(
+    team: Team, random_source: random.Random, number: int
+) -> dict[str, Any]:
+    return _job(team, f'batch-{number}', random_source) | {
+        'tasks_count': random_source.randint(1, 3),
+        'run_time_ms': random_source.randint(300, 1500),
     }
 
 
-def _once(team: Team, drawn: random.Random, number: int) -> dict[str, Any]:
-    return _job(team, f'order-{number}', drawn) | {
+def _at_most_once(
+    team: Team, random_source: random.Random, number: int
+) -> dict[str, Any]:
+    return _job(team, f'order-{number}', random_source) | {
         'execution': 'at_most_once',
-        'run_time_ms': drawn.randint(300, 1000),
+        'run_time_ms': random_source.randint(300, 1000),
     }
 
 
-def _urgent(team: Team, drawn: random.Random, number: int) -> dict[str, Any]:
-    return _job(team, f'alert-{number}', drawn) | {
+def _urgent(
+    team: Team, random_source: random.Random, number: int
+) -> dict[str, Any]:
+    return _job(team, f'alert-{number}', random_source) | {
         'urgency': 'urgent',
-        'run_time_ms': drawn.randint(100, 300),
+        'run_time_ms': random_source.randint(100, 300),
     }
 
 
-def _gang(team: Team, drawn: random.Random, number: int) -> dict[str, Any]:
+def _gang(
+    team: Team, random_source: random.Random, number: int
+) -> dict[str, Any]:
     accelerators_count = min(team.accelerators_count, 1)
-    return _job(team, f'gang-{number}', drawn, accelerators_count) | {
+    return _job(team, f'gang-{number}', random_source, accelerators_count) | {
         'workload': 'gang',
-        'tasks_count': drawn.randint(3, 6),
-        'run_time_ms': drawn.randint(800, 2000),
+        'tasks_count': random_source.randint(3, 6),
+        'run_time_ms': random_source.randint(800, 2000),
     }
 
 
-def _service(team: Team, drawn: random.Random, number: int) -> dict[str, Any]:
-    return _job(team, f'watch-{number}', drawn) | {
+def _service(
+    team: Team, random_source: random.Random, number: int
+) -> dict[str, Any]:
+    return _job(team, f'watch-{number}', random_source) | {
         'workload': 'service',
-        'tasks_count': drawn.randint(1, 3),
+        'tasks_count': random_source.randint(1, 3),
     }
 
 
@@ -85,18 +105,18 @@
 def _job(
     team: Team,
     name: str,
-    drawn: random.Random,
+    random_source: random.Random,
     accelerators_count: int = 0,
 ) -> dict[str, Any]:
     size = {
-        'processors_milli': drawn.choice((500, 1000, 2000, 3000)),
-        'memory_mb': drawn.choice((512, 1024, 2048)),
+        'processors_milli': random_source.choice((500, 1000, 2000, 3000)),
+        'memory_mb': random_source.choice((512, 1024, 2048)),
         'accelerators_count': accelerators_count,
     }
-    kind = f'{team.prefix}-{name.partition("-")[0]}'
+    job_class = f'{team.prefix}-{name.partition("-")[0]}'
     return {
         'idempotency_key': f'{team.prefix}-{name}',
-        'job_class': kind,
+        'job_class': job_class,
         'task_size': size,
-        'payload': json.dumps({'class': kind, 'declared': size}),
+        'payload': json.dumps({'class': job_class, 'declared': size}),
     }
--- a/tools/demo_table.py
+++ b/tools/demo_table.py
@@ -6,29 +6,29 @@
 
 from fuchsiarill.ids import TaskId
 from tools.caller import JobNote
-from tools.tally import Fate, Run, Tally
+from tools.tally import Outcome, Run, Tally
 
 _COLUMNS: Final = (
-    Fate.FINISHED,
-    Fate.CANCELLED,
-    Fate.REFUSED,
-    Fate.LOST,
-    Fate.UNANSWERED,
+    Outcome.FINISHED,
+    Outcome.CANCELLED,
+    Outcome.REFUSED,
+    Outcome.LOST,
+    Outcome.UNANSWERED,
 )
 
 
 def job_rows(notes: Iterable[JobNote], counted: Tally) -> list[str]:
-    """Return one row for each class of jobs with its fates."""
-    by_class: dict[str, Counter[Fate]] = {}
+    """Return a header and, for each job class, the count of each outcome."""
+    by_class: dict[str, Counter[Outcome]] = {}
     for note in notes:
-        fate = counted.fate_of[note.body['idempotency_key']]
-        by_class.setdefault(note.body['job_class'], Counter())[fate] += 1
-    titles = ''.join(f'{fate.value:>11}' for fate in _COLUMNS)
+        outcome = counted.outcome_of[note.body['idempotency_key']]
+        by_class.setdefault(note.body['job_class'], Counter())[outcome] += 1
+    titles = ''.join(f'{outcome.value:>11}' for outcome in _COLUMNS)
     rows = [f'{"jobs":<24}{"submitted":>10}{titles}']
     for job_class in sorted(by_class):
-        fates = by_class[job_class]
-        amounts = ''.join(f'{fates[fate]:>11}' for fate in _COLUMNS)
-        rows.append(f'{job_class:<24}{fates.total():>10}{amounts}')
+        outcomes = by_class[job_class]
+        counts = ''.join(f'{outcomes[outcome]:>11}' for outcome in _COLUMNS)
+        rows.append(f'{job_class:<24}{outcomes.total():>10}{counts}')
     return rows
 
 
@@ -37,7 +37,7 @@
     notes: Iterable[JobNote],
     runs: dict[TaskId, list[Run]],
 ) -> str:
-    """Return the times from sending a job to the start of its first task."""
+    """Return median and maximum time from submission to the first start."""
     waits = []
     for note in notes:
         first = runs.get(TaskId(f'{note.job_id}/0'))
@@ -46,16 +46,19 @@
     if not waits:
         return f'{urgency} jobs: none started'
     waits.sort()
-    middle = waits[len(waits) // 2]
-    return f'{urgency} jobs waited {middle} ms (median), {waits[-1]} ms (most)'
+    median = waits[len(waits) // 2]
+    return f'{urgency} jobs waited {median} ms (median), {waits[-1]} ms (most)'
 
 
 def takeover_ms(
     runs: dict[TaskId, list[Run]],
     killed_at_ms: int,
 ) -> int | None:
-    """Return the time from the kill to the first start of a next owner."""
-    all_runs = [run for of_task in runs.values() for run in of_task]
+    """Return the time from the kill to the first start in a later epoch.
+
+    Returns `None` when no later owner has started a task.
+    """
+    all_runs = [run for task_runs in runs.values() for run in task_runs]
     last_epoch = max(
         (run.epoch for run in all_runs if run.started_at_ms <= killed_at_ms),
         default=0,
@@ -68,7 +71,7 @@
 
 
 def takeover_row(runs: dict[TaskId, list[Run]], killed_at_ms: int) -> str:
-    """Return how long nothing was placed after the owner was killed."""
+    """Return the time until the next owner placed a task after the kill."""
     pause_ms = takeover_ms(runs, killed_at_ms)
     if pause_ms is None:
         return 'nothing was placed after the owner was killed'
@@ -76,7 +79,7 @@
 
 
 def fault_rows(counted: Tally) -> list[str]:
-    """Return what was done wrong, and real use beyond capacity."""
+    """Return the workers whose usage exceeded capacity, and all faults."""
     rows = [
         f'workers whose real use went beyond capacity: '
         f'{len(counted.really_exceeded)}; by the sizes at the start of tasks: '
@@ -91,21 +94,21 @@
         rows.extend(f'{title}: {name}' for name in found)
     rows.extend(
         f'lost job: {key}'
-        for key, fate in counted.fate_of.items()
-        if fate is Fate.LOST
+        for key, outcome in counted.outcome_of.items()
+        if outcome is Outcome.LOST
     )
     return rows
 
 
 def last_line(counted: Tally) -> str:
-    """Return the line that scripts read."""
-    fates = counted.fates
+    """Return the summary line that scripts parse."""
+    outcomes = counted.outcomes
     return (
         f'demo: submitted={counted.submitted_count} '
-        f'finished={fates[Fate.FINISHED]} '
-        f'cancelled={fates[Fate.CANCELLED]} '
-        f'refused={fates[Fate.REFUSED]} '
-        f'lost={fates[Fate.LOST]} '
+        f'finished={outcomes[Outcome.FINISHED]} '
+        f'cancelled={outcomes[Outcome.CANCELLED]} '
+        f'refused={outcomes[Outcome.REFUSED]} '
+        f'lost={outcomes[Outcome.LOST]} '
         f'doubled={len(counted.doubled)} '
         f'overcommitted={len(counted.overcommitted)}'
     )
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -1,7 +1,7 @@
-"""The hosts file beside an example: what the demo starts.
+"""Hosts file of an example: the processes that the demo starts.
 
-It names failure domains, entry processes and workers by rack; ports are
-chosen when it is started.
+It lists the failure domains, the entry processes and the workers by rack.
+Ports are chosen at the start.
 """
 
 from collections.abc import Iterator
@@ -33,14 +33,14 @@
 
 
 class EntryProcess(_Model):
-    """One daemon."""
+    """Name and failure domain of one daemon."""
 
     process: ProcessId
     failure_domain: FailureDomain
 
 
 class Rack(_Model):
-    """Workers of one shape in one rack."""
+    """Workers of one rack, all with the capacity called `shape`."""
 
     rack: RackId
     failure_domain: FailureDomain
@@ -49,7 +49,10 @@
 
 
 class Deployment(_Model):
-    """The whole file; `tokens` are those of the demo."""
+    """Content of the file; `tokens` are the callers' tokens by customer.
+
+    The operator's token has the name `operator`.
+    """
 
     deployment: str
     configuration: Path
@@ -63,20 +66,20 @@
 
     @property
     def customers(self) -> tuple[CustomerId, ...]:
-        """Return the customers, the larger team first."""
+        """Return the customers; the file lists the larger team first."""
         return tuple(
             CustomerId(name) for name in self.tokens if name != 'operator'
         )
 
     def workers(self) -> Iterator[tuple[WorkerId, Rack]]:
-        """Return each worker with its rack."""
+        """Yield each worker with its rack, numbered from 1 in each rack."""
         for rack in self.racks:
             for number in range(1, rack.workers_count + 1):
                 yield WorkerId(f'{rack.rack}-{number:02}'), rack
 
 
 def load_deployment(path: Path) -> Deployment:
-    """Read a hosts file.
+    """Read and validate a hosts file.
 
     Raises `OSError`, `yaml.YAMLError` or `pydantic.ValidationError`.
     """
--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -1,4 +1,4 @@
-"""A cell on the emulated platform: emulator and daemons as processes."""
+"""A cell on the emulated platform: processes of emulator and daemons."""
 
 import json
 from dataclasses import dataclass
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Daemon:
-    """Ports of one daemon on loopback."""
+    """Name of one daemon and its ports on loopback."""
 
     name: str
     number: int
@@ -37,7 +37,7 @@
 
 
 class PlatformCell(LaunchedCell):
-    """Starts, disturbs and ends the processes of one cell."""
+    """Starts and ends the processes of a cell, and injects faults."""
 
     def __init__(
         self,
@@ -45,7 +45,7 @@
         daemons_count: int,
         workers_count: int,
     ) -> None:
-        """Prepare; entering the context starts everything."""
+        """Allocate ports; entering the context starts all processes."""
         super().__init__(Processes(folder))
         self._folder = folder
         self.workers = [f'w{number}' for number in range(workers_count)]
@@ -58,7 +58,7 @@
             )
             for number in range(daemons_count)
         }
-        self._store_ports = [one.store for one in self.daemons.values()]
+        self._store_ports = [daemon.store for daemon in self.daemons.values()]
         self._http = urllib3.PoolManager(
             retries=False,
             timeout=_TIMEOUT,
@@ -66,7 +66,7 @@
         )
 
     def start_daemon(self, name: str) -> None:
-        """Start one daemon, or start it again on its ports."""
+        """Start or restart one daemon; its ports stay the same."""
         daemon = self.daemons[name]
         path = self._folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(self._settings(daemon)))
@@ -77,7 +77,7 @@
         )
 
     def is_ready(self, name: str) -> bool:
-        """Tell whether a daemon takes requests."""
+        """Tell whether a daemon answers that it is ready for requests."""
         port = self.daemons[name].readiness
         try:
             answer = self._http.request(
@@ -89,17 +89,17 @@
         return answer.status == _OK
 
     def control(self, **faults: Any) -> dict[str, Any]:
-        """Set faults of the emulator; returns what it has seen."""
+        """Change faults of the emulator and return its state."""
         answer = self._http.request(
             'POST',
             f'http://127.0.0.1:{self._store_ports[0]}/control',
             body=json.dumps(faults),
         )
-        seen: dict[str, Any] = answer.json()
-        return seen
+        state: dict[str, Any] = answer.json()
+        return state
 
     def owner(self) -> str | None:
-        """Return the daemon that the store names as owner of the pool."""
+        """Return the owner of the pool as the store names it."""
         owner = self.control()['owner']
         return None if owner is None else str(owner['process'])
 
@@ -110,7 +110,7 @@
         job: str,
         document: dict[str, Any] | None = None,
     ) -> tuple[int | None, dict[str, Any]]:
-        """Make a caller's request; the status is `None` without an answer."""
+        """Send a caller's request; without a response the status is `None`."""
         port = self.daemons[daemon].callers
         try:
             answer = self._http.request(
@@ -138,7 +138,7 @@
             lambda: all(map(self.is_ready, self.daemons)),
             f'not all daemons are ready; see {self._folder}',
         )
-        wait_until(lambda: self.owner() is not None, 'nobody owns the pool')
+        wait_until(lambda: self.owner() is not None, 'no daemon owns the pool')
 
     def _settings(self, daemon: Daemon) -> dict[str, Any]:
         store = f'127.0.0.1:{daemon.store}'
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -1,7 +1,7 @@
-"""Runs a cell on the emulated platform and kills the owner midway.
+"""Runs a cell on the emulated platform and kills the owner under load.
 
-Ends with exit status 0 only when nothing was lost, doubled or overcommitted.
-The last line has the form of that of `tools.demo`.
+The exit status is 0 only when no job was lost, no task doubled and no worker
+overcommitted. The last line has the same format as that of `tools.demo`.
 """
 
 import sys
@@ -12,21 +12,26 @@
 from typing import Final
 
 from tools.platform_cell import PlatformCell
-from tools.platform_load import Fate, Load, settle, start_loads
+from tools.platform_load import (
+    CallerLoad,
+    Outcome,
+    start_loads,
+    wait_for_final_states,
+)
 from tools.processes import end_on_signals
 
 _DAEMONS_COUNT: Final = 3
 _WORKERS_COUNT: Final = 6
 _CALLERS_COUNT: Final = 3
 _JOBS_COUNT: Final = 20
-_GAP_S: Final = 0.2
+_SUBMIT_INTERVAL_S: Final = 0.2
 _CANCEL_EVERY: Final = 7
 _KILL_AFTER_S: Final = 2.0
 _FAILED_STATUS: Final = 1
 
 
 def main() -> int:
-    """Run the demo."""
+    """Run the demo on a cell of its own; returns the exit status."""
     end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-demo-') as folder:
         with PlatformCell(
@@ -34,7 +39,7 @@
             _DAEMONS_COUNT,
             _WORKERS_COUNT,
         ) as cell:
-            _say(f'{_WORKERS_COUNT} workers, {_DAEMONS_COUNT} processes')
+            _print_line(f'{_WORKERS_COUNT} workers, {_DAEMONS_COUNT} processes')
             return _run(cell)
 
 
@@ -43,41 +48,42 @@
         cell,
         range(_CALLERS_COUNT),
         _JOBS_COUNT,
-        _GAP_S,
+        _SUBMIT_INTERVAL_S,
         _CANCEL_EVERY,
     )
     time.sleep(_KILL_AFTER_S)
     owner = cell.owner()
     if owner is not None:
         cell.processes.kill(owner)
-        _say(f'killed {owner}, the owner of the pool')
+        _print_line(f'killed {owner}, the owner of the pool')
         time.sleep(1)
         cell.start_daemon(owner)
     for thread in threads:
         thread.join()
-    settle(loads)
+    wait_for_final_states(loads)
     return _report(cell, loads)
 
 
-def _report(cell: PlatformCell, loads: list[Load]) -> int:
-    seen = cell.control()
+def _report(cell: PlatformCell, loads: list[CallerLoad]) -> int:
+    state = cell.control()
     jobs = [job for load in loads for job in load.jobs]
-    fates = Counter(job.fate for job in jobs)
-    over = [row for row in seen['violations'] if 'capacity' in row]
-    doubled = [row for row in seen['violations'] if 'capacity' not in row]
-    for row in seen['violations']:
-        _say(row)
-    _say(
-        f'demo: submitted={len(jobs)} finished={fates[Fate.FINISHED]} '
-        f'cancelled={fates[Fate.CANCELLED]} refused={fates[Fate.REFUSED]} '
-        f'lost={fates[Fate.LOST]} doubled={len(doubled)} '
-        f'overcommitted={len(over)}',
+    outcomes = Counter(job.outcome for job in jobs)
+    overcommitted = [row for row in state['violations'] if 'capacity' in row]
+    doubled = [row for row in state['violations'] if 'capacity' not in row]
+    for row in state['violations']:
+        _print_line(row)
+    _print_line(
+        f'demo: submitted={len(jobs)} finished={outcomes[Outcome.FINISHED]} '
+        f'cancelled={outcomes[Outcome.CANCELLED]} '
+        f'refused={outcomes[Outcome.REFUSED]} '
+        f'lost={outcomes[Outcome.LOST]} doubled={len(doubled)} '
+        f'overcommitted={len(overcommitted)}',
     )
-    is_good = not seen['violations'] and not fates[Fate.LOST]
+    is_good = not state['violations'] and not outcomes[Outcome.LOST]
     return 0 if is_good else _FAILED_STATUS
 
 
-def _say(line: str) -> None:
+def _print_line(line: str) -> None:
     print(line, flush=True)
 
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,4 +1,4 @@
-"""Starts processes for the demo and the tests, and ends just these.
+"""Starts processes for the demo and the tests, and ends only those.
 
 Each process runs in a session of its own, so that Ctrl-C reaches only the
 launcher, which then ends all of them by their ids. When the launcher itself
@@ -17,7 +17,7 @@
 from types import TracebackType
 from typing import Final, Self
 
-# Below the range from which the system takes ports of outgoing connections.
+# Below the ephemeral port range, so no outgoing connection takes them.
 _FIRST_PORT: Final = 12_000
 _LAST_PORT: Final = 32_000
 _STOP_TIMEOUT_S: Final = 10
@@ -26,7 +26,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nothing listens on."""
+    """Return loopback ports that were free when probed."""
     ports: list[int] = []
     candidate = random.randrange(_FIRST_PORT, _LAST_PORT)
     while len(ports) < count:
@@ -47,25 +47,26 @@
     what: str,
     timeout_s: float = 60,
 ) -> None:
-    """Wait for a condition; raises `TimeoutError` that names `what`."""
-    ends_at_s = time.monotonic() + timeout_s
+    """Poll a condition; raises `TimeoutError` that names `what`."""
+    deadline_s = time.monotonic() + timeout_s
     while not condition():
-        if time.monotonic() > ends_at_s:
+        if time.monotonic() > deadline_s:
             raise TimeoutError(f'after {timeout_s} s: {what}')
         time.sleep(_POLL_INTERVAL_S)
 
 
 def end_on_signals() -> None:
-    """Let SIGTERM and SIGHUP end the launcher as Ctrl-C does.
+    """Make SIGTERM and SIGHUP end the launcher as Ctrl-C does.
 
-    A launcher that was started in the background inherits an ignored SIGINT.
+    SIGINT is set as well: a launcher that was started in the background
+    inherits it as ignored.
     """
     for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
         signal.signal(number, signal.default_int_handler)
 
 
 class Processes:
-    """The processes of one launcher by name."""
+    """Subprocesses of one launcher, keyed by name."""
 
     def __init__(
         self,
@@ -74,7 +75,7 @@
     ) -> None:
         """Write the output of each process to a file in the folder.
 
-        A process that runs `stop_timeout_s` after SIGTERM is killed.
+        A process that still runs `stop_timeout_s` after SIGTERM is killed.
         """
         self._log_folder = log_folder
         self._stop_timeout_s = stop_timeout_s
@@ -107,15 +108,18 @@
             )
 
     def ids(self) -> list[int]:
-        """Return the ids of all processes."""
+        """Return the process ids in the order of their start."""
         return [process.pid for process in self._running.values()]
 
     def id_of(self, name: str) -> int:
-        """Return the id of one process."""
+        """Return a process id; raises `KeyError` for an unknown name."""
         return self._running[name].pid
 
     def is_running(self, name: str) -> bool:
-        """Tell whether a process was started and not ended here."""
+        """Tell whether a process was started and not ended by this object.
+
+        Stays true when the process ends by itself.
+        """
         return name in self._running
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
@@ -123,7 +127,7 @@
         self._running[name].send_signal(number)
 
     def kill(self, name: str) -> None:
-        """End one process by SIGKILL and wait for its end."""
+        """End one process with SIGKILL and wait until it has ended."""
         process = self._running.pop(name)
         process.kill()
         process.wait()
@@ -133,18 +137,24 @@
         return self._running[name].poll() is not None
 
     def exit_status(self, name: str) -> int:
-        """Wait for the end of a process and return its exit status."""
+        """Wait until a process has ended and return its exit status.
+
+        Raises `subprocess.TimeoutExpired` after the stop timeout.
+        """
         return self._running[name].wait(self._stop_timeout_s)
 
     def stop(self) -> None:
-        """End all processes, in the reverse order of their start."""
+        """End all processes, in the reverse order of their start.
+
+        A process that is paused gets SIGCONT first, to handle SIGTERM.
+        """
         for process in reversed(self._running.values()):
             process.send_signal(signal.SIGCONT)
             process.terminate()
-        ends_at_s = time.monotonic() + self._stop_timeout_s
+        deadline_s = time.monotonic() + self._stop_timeout_s
         for process in self._running.values():
             try:
-                process.wait(max(0, ends_at_s - time.monotonic()))
+                process.wait(max(0, deadline_s - time.monotonic()))
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
@@ -152,14 +162,14 @@
 
 
 class LaunchedCell:
-    """A cell whose processes live as long as its context."""
+    """A cell whose processes run until its context is left."""
 
     def __init__(self, processes: Processes) -> None:
-        """Use `processes`, none of which has been started."""
+        """Launch with `processes`, none of which has been started."""
         self.processes = processes
 
     def __enter__(self) -> Self:
-        """Start everything and wait until jobs are accepted."""
+        """Start all processes and wait until jobs are accepted."""
         try:
             self._start()
         except BaseException:
@@ -173,9 +183,9 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """End everything."""
+        """End all processes."""
         self.processes.stop()
 
     def _start(self) -> None:
-        """Start all processes, and wait until they serve."""
+        """Start all processes and wait until they serve requests."""
         raise NotImplementedError
--- a/tools/run_cell.py
+++ b/tools/run_cell.py
@@ -1,4 +1,4 @@
-"""Runs the cell of an example until Ctrl-C, to try things out by hand."""
+"""Runs the cell of an example until Ctrl-C, for manual tests."""
 
 import argparse
 import signal
@@ -11,7 +11,7 @@
 
 
 def main() -> None:
-    """Start the cell, print where it is, wait for a signal."""
+    """Start the cell, print its URLs and tokens, and wait for a signal."""
     parser = argparse.ArgumentParser(prog='tools.run_cell')
     parser.add_argument('--deployment', default='frostwick')
     options = parser.parse_args()
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -1,8 +1,8 @@
-"""Faults that the soak injects, each with its end.
+"""Faults that the soak test injects.
 
-A fault is a function that begins it and returns what ends it. Those that hit
-a daemon act by signals or on its path to the store; the others act in the
-emulator.
+A registered function begins a fault and returns the function that ends it.
+Faults of daemons use signals or act on the path to the store; the others are
+set in the emulator.
 """
 
 import random
@@ -15,22 +15,22 @@
 from standins.store_model import PathFault
 from tools.platform_cell import PlatformCell
 
-End = Callable[[], None]
-_Fault = Callable[[PlatformCell, random.Random], End]
-_Hit = Callable[[PlatformCell, str], End]
+EndFault = Callable[[], None]
+_Fault = Callable[[PlatformCell, random.Random], EndFault]
+_DaemonFault = Callable[[PlatformCell, str], EndFault]
 
 FAULTS: Final[Registry[str, _Fault]] = Registry('faults of the soak')
 
 
 def _do_nothing() -> None:
-    """Nothing is left to be ended."""
+    """Ends a fault that needs no action to end."""
 
 
-def _set(cell: PlatformCell, **faults: Any) -> None:
+def _set_faults(cell: PlatformCell, **faults: Any) -> None:
     cell.control(**faults)
 
 
-def _start_when_ended(cell: PlatformCell, name: str) -> None:
+def _restart_when_ended(cell: PlatformCell, name: str) -> None:
     if cell.processes.is_running(name):
         cell.processes.send_signal(name, signal.SIGCONT)
         cell.processes.exit_status(name)
@@ -42,80 +42,90 @@
         cell.processes.send_signal(name, signal.SIGCONT)
 
 
-def _running(cell: PlatformCell, draw: random.Random) -> str | None:
-    """Return a daemon that runs, the owner in half of the cases."""
+def _draw_running_daemon(
+    cell: PlatformCell, random_source: random.Random
+) -> str | None:
+    """Return a running daemon; half of the draws prefer the owner."""
     names = [name for name in cell.daemons if cell.processes.is_running(name)]
     owner = cell.owner()
-    if owner in names and draw.randrange(2):
+    if owner in names and random_source.randrange(2):
         return owner
-    return draw.choice(names) if names else None
+    return random_source.choice(names) if names else None
 
 
-def _hits_daemon(hit: _Hit) -> _Fault:
-    """Make a fault of what is done to one daemon that runs."""
+def _on_running_daemon(daemon_fault: _DaemonFault) -> _Fault:
+    """Apply the decorated fault to a running daemon, if there is one."""
 
-    @wraps(hit)
-    def wrapper(cell: PlatformCell, draw: random.Random) -> End:
-        name = _running(cell, draw)
-        return _do_nothing if name is None else hit(cell, name)
+    @wraps(daemon_fault)
+    def wrapper(cell: PlatformCell, random_source: random.Random) -> EndFault:
+        name = _draw_running_daemon(cell, random_source)
+        return _do_nothing if name is None else daemon_fault(cell, name)
 
     return wrapper
 
 
 @FAULTS.register('kill')
-@_hits_daemon
-def _kill(cell: PlatformCell, name: str) -> End:
+@_on_running_daemon
+def _kill(cell: PlatformCell, name: str) -> EndFault:
     cell.processes.kill(name)
     return partial(cell.start_daemon, name)
 
 
 @FAULTS.register('restart')
-@_hits_daemon
-def _restart(cell: PlatformCell, name: str) -> End:
-    """Ask a daemon to end, and start it again when it has."""
+@_on_running_daemon
+def _restart(cell: PlatformCell, name: str) -> EndFault:
+    """Stop a daemon with SIGTERM; the end of the fault restarts it."""
     cell.processes.send_signal(name, signal.SIGTERM)
-    return partial(_start_when_ended, cell, name)
+    return partial(_restart_when_ended, cell, name)
 
 
 @FAULTS.register('pause')
-@_hits_daemon
-def _pause(cell: PlatformCell, name: str) -> End:
+@_on_running_daemon
+def _pause(cell: PlatformCell, name: str) -> EndFault:
     cell.processes.send_signal(name, signal.SIGSTOP)
     return partial(_resume, cell, name)
 
 
 @FAULTS.register('store_path')
-def _store_path(cell: PlatformCell, draw: random.Random) -> End:
-    """Let the store fail for one daemon, or for all."""
-    fault = draw.choice((PathFault.REFUSED, PathFault.ANSWER_LOST))
+def _break_store_path(
+    cell: PlatformCell, random_source: random.Random
+) -> EndFault:
+    """Break the path to the store for one daemon, or for all."""
+    fault = random_source.choice((PathFault.REFUSED, PathFault.ANSWER_LOST))
     numbers = [daemon.number for daemon in cell.daemons.values()]
-    if draw.randrange(3):
-        numbers = [draw.choice(numbers)]
+    if random_source.randrange(3):
+        numbers = [random_source.choice(numbers)]
     cell.control(store_fault=dict.fromkeys(map(str, numbers), fault.value))
-    mended = dict.fromkeys(map(str, numbers), PathFault.NONE.value)
-    return partial(_set, cell, store_fault=mended)
+    cleared = dict.fromkeys(map(str, numbers), PathFault.NONE.value)
+    return partial(_set_faults, cell, store_fault=cleared)
 
 
 @FAULTS.register('compact')
-def _compact(cell: PlatformCell, draw: random.Random) -> End:
+def _compact(cell: PlatformCell, random_source: random.Random) -> EndFault:
     cell.control(compact=True)
     return _do_nothing
 
 
 @FAULTS.register('worker_restart')
-def _restart_worker(cell: PlatformCell, draw: random.Random) -> End:
-    cell.control(restart_worker=draw.choice(cell.workers))
+def _restart_worker(
+    cell: PlatformCell, random_source: random.Random
+) -> EndFault:
+    cell.control(restart_worker=random_source.choice(cell.workers))
     return _do_nothing
 
 
 @FAULTS.register('worker_silent')
-def _silence_worker(cell: PlatformCell, draw: random.Random) -> End:
-    cell.control(silent_workers=[draw.choice(cell.workers)])
-    return partial(_set, cell, silent_workers=[])
+def _make_worker_silent(
+    cell: PlatformCell, random_source: random.Random
+) -> EndFault:
+    cell.control(silent_workers=[random_source.choice(cell.workers)])
+    return partial(_set_faults, cell, silent_workers=[])
 
 
 @FAULTS.register('worker_deaf')
-def _deafen_worker(cell: PlatformCell, draw: random.Random) -> End:
-    """Let a worker carry starts out without an answer."""
-    cell.control(deaf_workers=[draw.choice(cell.workers)])
-    return partial(_set, cell, deaf_workers=[])
+def _lose_start_answers(
+    cell: PlatformCell, random_source: random.Random
+) -> EndFault:
+    """Make a worker execute starts without an answer."""
+    cell.control(deaf_workers=[random_source.choice(cell.workers)])
+    return partial(_set_faults, cell, deaf_workers=[])
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -1,13 +1,14 @@
-"""Counts what became of jobs, from what workers and callers saw.
-
-Nothing here asks the scheduler. A worker is overcommitted when what its tasks
-really use exceeds its capacity, or when the sizes in force do: the reserved
-size of a task until the worker has reported its usage to an owner, from then
-on that usage if it is less, since an owner may release what a task reserved
-and does not use. The sizes at the start are counted apart. A task is doubled
-when two of its attempts run at the same time, or when a task that may run at
-most once is started twice. A job is lost when it was acknowledged, not
-cancelled, and neither finished nor, for a service, running with all replicas.
+"""Counts job outcomes and faults from the logs of workers and callers.
+
+The scheduler is not queried. A worker is overcommitted when the real usage of
+its tasks exceeds its capacity, or when the sizes in force do. The size in
+force of a task is its reserved size until the worker has reported its usage
+to an owner, and from then on that usage if it is less, since an owner may
+release resources that a task reserved and does not use. Sizes at the start of
+tasks are counted separately. A task is doubled when two of its attempts run
+at the same time, or when a task that may run at most once is started twice. A
+job is lost when it was acknowledged, not cancelled, and neither finished nor,
+for a service, running with all replicas.
 """
 
 from collections import Counter, defaultdict
@@ -24,11 +25,11 @@
 WorkerLogs = dict[WorkerId, list[LogLine]]
 
 _SUCCEEDED = 'succeeded'
-_ENDLESS_MS = 2**62
+_NO_END_MS = 2**62
 
 
-class Fate(Enum):
-    """What became of a job, as workers and callers saw it."""
+class Outcome(Enum):
+    """Outcome of a job, from the logs of workers and callers."""
 
     FINISHED = 'finished'
     CANCELLED = 'cancelled'
@@ -44,7 +45,7 @@
     attempt: AttemptId
     worker: WorkerId
     started_at_ms: int
-    ended_at_ms: int = _ENDLESS_MS
+    ended_at_ms: int = _NO_END_MS
     outcome: str = ''
 
     @property
@@ -58,7 +59,7 @@
         return int(self.attempt.rpartition('@')[2].partition('.')[0])
 
     def overlaps(self, other: 'Run') -> bool:
-        """Tell whether both ran at one time."""
+        """Tell whether both ran at the same time."""
         return (
             self.started_at_ms < other.ended_at_ms
             and other.started_at_ms < self.ended_at_ms
@@ -66,11 +67,11 @@
 
 
 @dataclass(slots=True)
-class Load:
-    """What one worker carried, and how often it was too much.
+class WorkerLoad:
+    """Capacity of a worker and how many log lines show it exceeded.
 
-    `first_reserved_exceeded_count` counts the sizes at the start of tasks,
-    whether an owner released a part of them or not.
+    `first_reserved_exceeded_count` counts with the sizes at the start of
+    tasks, whether an owner released a part of them or not.
     """
 
     capacity: Resources = NOTHING
@@ -81,33 +82,40 @@
 
 @dataclass(slots=True)
 class Tally:
-    """The counts; the last three of a good run are 0."""
+    """Outcomes of all jobs and the faults found; see `is_good`.
+
+    Workers in `really_exceeded` are in `overcommitted` as well, while
+    `first_reserved_exceeded` alone is no fault.
+    """
 
     submitted_count: int = 0
-    fates: Counter[Fate] = field(default_factory=Counter)
+    outcomes: Counter[Outcome] = field(default_factory=Counter)
     doubled: list[TaskId] = field(default_factory=list)
     overcommitted: list[WorkerId] = field(default_factory=list)
     really_exceeded: list[WorkerId] = field(default_factory=list)
     first_reserved_exceeded: list[WorkerId] = field(default_factory=list)
     ran_though_refused: list[str] = field(default_factory=list)
     running_though_cancelled: list[str] = field(default_factory=list)
-    fate_of: dict[str, Fate] = field(default_factory=dict)
+    outcome_of: dict[str, Outcome] = field(default_factory=dict)
 
     @property
     def is_good(self) -> bool:
-        """Tell whether no promise was broken."""
+        """Tell whether no guarantee of the scheduler was violated."""
         broken = (
             self.doubled,
             self.overcommitted,
             self.ran_though_refused,
             self.running_though_cancelled,
         )
-        return not self.fates[Fate.LOST] and not any(broken)
+        return not self.outcomes[Outcome.LOST] and not any(broken)
 
     @property
     def is_settled(self) -> bool:
-        """Tell whether every answered job has come to its end."""
-        return not self.fates[Fate.LOST] and not self.running_though_cancelled
+        """Tell whether no acknowledged job is open or runs after its cancel."""
+        return (
+            not self.outcomes[Outcome.LOST]
+            and not self.running_though_cancelled
+        )
 
 
 def runs_of(logs: WorkerLogs) -> dict[TaskId, list[Run]]:
@@ -123,39 +131,39 @@
             elif line.kind is LogKind.END:
                 by_attempt[line.attempt].ended_at_ms = line.time_ms
                 by_attempt[line.attempt].outcome = line.detail
-    for of_task in runs.values():
-        of_task.sort(key=lambda run: run.started_at_ms)
+    for task_runs in runs.values():
+        task_runs.sort(key=lambda run: run.started_at_ms)
     return runs
 
 
 def tally(notes: Iterable[JobNote], logs: WorkerLogs) -> Tally:
-    """Count everything."""
+    """Count the outcomes of the jobs and the faults in the logs."""
     counted = Tally()
     runs = runs_of(logs)
-    once: set[str] = set()
+    at_most_once_ids: set[str] = set()
     for note in notes:
         counted.submitted_count += 1
         if note.body.get('execution') == 'at_most_once':
-            once.add(note.job_id)
+            at_most_once_ids.add(note.job_id)
         _count_job(counted, note, runs)
     counted.doubled.extend(
         task
-        for task, of_task in runs.items()
-        if _is_doubled(of_task, task.rpartition('/')[0] in once)
+        for task, task_runs in runs.items()
+        if _is_doubled(task_runs, task.rpartition('/')[0] in at_most_once_ids)
     )
     for worker, lines in logs.items():
         _count_worker(counted, worker, load_of(lines))
     return counted
 
 
-def _is_doubled(of_task: list[Run], runs_once: bool) -> bool:
-    if runs_once and len(of_task) > 1:
+def _is_doubled(task_runs: list[Run], is_at_most_once: bool) -> bool:
+    if is_at_most_once and len(task_runs) > 1:
         return True
-    pairs = combinations(of_task, 2)
-    return any(first.overlaps(then) for first, then in pairs)
+    pairs = combinations(task_runs, 2)
+    return any(first.overlaps(second) for first, second in pairs)
 
 
-def _count_worker(counted: Tally, worker: WorkerId, load: Load) -> None:
+def _count_worker(counted: Tally, worker: WorkerId, load: WorkerLoad) -> None:
     if load.overcommitted_count:
         counted.overcommitted.append(worker)
     if load.really_exceeded_count:
@@ -165,40 +173,40 @@
 
 
 @dataclass(slots=True)
-class _Carried:
+class _RunningTask:
     in_force: Resources
     start: LogLine
 
 
-def load_of(lines: list[LogLine]) -> Load:
-    """Add up what a worker carried, in the order of its log."""
-    load = Load()
-    carried: dict[AttemptId, _Carried] = {}
+def load_of(lines: list[LogLine]) -> WorkerLoad:
+    """Compare the tasks of a worker with its capacity after each line."""
+    load = WorkerLoad()
+    running: dict[AttemptId, _RunningTask] = {}
     for line in lines:
         if line.kind is LogKind.READY:
             load.capacity = line.reserved
             continue
-        _carry(carried, line)
-        _note_load(load, carried.values())
+        _apply_line(running, line)
+        _count_exceeded(load, running.values())
     return load
 
 
-def _carry(carried: dict[AttemptId, _Carried], line: LogLine) -> None:
+def _apply_line(running: dict[AttemptId, _RunningTask], line: LogLine) -> None:
     if line.kind is LogKind.START:
-        carried[line.attempt] = _Carried(line.reserved, line)
+        running[line.attempt] = _RunningTask(line.reserved, line)
     elif line.kind is LogKind.END:
-        carried.pop(line.attempt)
+        running.pop(line.attempt)
     elif line.kind is LogKind.MEASURED:
-        carried[line.attempt].in_force = Resources(
+        running[line.attempt].in_force = Resources(
             *map(min, line.reserved.as_tuple(), line.real.as_tuple()),
         )
 
 
-def _note_load(load: Load, carried: Iterable[_Carried]) -> None:
+def _count_exceeded(load: WorkerLoad, running: Iterable[_RunningTask]) -> None:
     in_force = NOTHING
     real = NOTHING
     first_reserved = NOTHING
-    for task in carried:
+    for task in running:
         in_force += task.in_force
         real += task.start.real
         first_reserved += task.start.reserved
@@ -216,38 +224,42 @@
     runs: dict[TaskId, list[Run]],
 ) -> None:
     tasks_count = note.body.get('tasks_count', 1)
-    of_tasks = [
+    runs_of_tasks = [
         runs.get(TaskId(f'{note.job_id}/{position}'), [])
         for position in range(tasks_count)
     ]
-    fate = _fate(note, of_tasks)
-    counted.fates[fate] += 1
-    counted.fate_of[note.body['idempotency_key']] = fate
-    if fate is Fate.REFUSED and note.job_id and any(of_tasks):
+    outcome = _outcome_of_job(note, runs_of_tasks)
+    counted.outcomes[outcome] += 1
+    counted.outcome_of[note.body['idempotency_key']] = outcome
+    if outcome is Outcome.REFUSED and note.job_id and any(runs_of_tasks):
         counted.ran_though_refused.append(note.job_id)
-    if fate is Fate.CANCELLED and any(map(_is_running, of_tasks)):
+    if outcome is Outcome.CANCELLED and any(map(_is_running, runs_of_tasks)):
         counted.running_though_cancelled.append(note.job_id)
 
 
-def _fate(note: JobNote, of_tasks: list[list[Run]]) -> Fate:
+def _outcome_of_job(note: JobNote, runs_of_tasks: list[list[Run]]) -> Outcome:
     if note.is_refused:
-        return Fate.REFUSED
+        return Outcome.REFUSED
     if not note.is_accepted:
-        return Fate.UNANSWERED
+        return Outcome.UNANSWERED
     is_complete = _has_succeeded
     if note.body.get('workload') == 'service':
         is_complete = _is_running
     if note.cancel_acknowledged:
         finished = is_complete is _has_succeeded and all(
-            map(_has_succeeded, of_tasks),
+            map(_has_succeeded, runs_of_tasks),
         )
-        return Fate.FINISHED if finished else Fate.CANCELLED
-    return Fate.FINISHED if all(map(is_complete, of_tasks)) else Fate.LOST
+        return Outcome.FINISHED if finished else Outcome.CANCELLED
+    return (
+        Outcome.FINISHED
+        if all(map(is_complete, runs_of_tasks))
+        else Outcome.LOST
+    )
 
 
-def _has_succeeded(of_task: list[Run]) -> bool:
-    return any(run.outcome == _SUCCEEDED for run in of_task)
+def _has_succeeded(task_runs: list[Run]) -> bool:
+    return any(run.outcome == _SUCCEEDED for run in task_runs)
 
 
-def _is_running(of_task: list[Run]) -> bool:
-    return any(not run.outcome for run in of_task)
+def _is_running(task_runs: list[Run]) -> bool:
+    return any(not run.outcome for run in task_runs)
