Reword the benchmarks, the slopes and the mutations

The customers of a benchmark deployment are customers, not owners. The originals that mutations call are _ORIGINAL_*. Names of measurements and mutations, patched names, targets and printed columns are the same.

Benchmarks, slopes and mutations were not run.

--- a/tools/bench_cell.py
+++ b/tools/bench_cell.py
@@ -1,8 +1,8 @@
 """Control cost, recovery and configuration spread of real processes.
 
-Runs the cell of each example on loopback: idle, under a bounded load, through
-the loss of the owner, and through a change of the configuration. Starts and
-takeover are read from the workers' logs, calls from the store's own count.
+Runs the cell of each example on loopback: idle, during a change of the
+configuration, under a bounded load, and after a kill of the owner. Starts and
+takeover are read from the workers' logs, calls from the store's counters.
 """
 
 import json
@@ -31,73 +31,75 @@
 _BATCH_COUNT: Final = 50
 _BATCH_PAUSE_S: Final = 0.1
 _TASK_RUN_TIME_MS: Final = 200
-_POLL_S: Final = 0.02
+_POLL_INTERVAL_S: Final = 0.02
 _TICKS_PER_S: Final = os.sysconf('SC_CLK_TCK')
 _MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
 class Costs:
-    """What a span of time cost."""
+    """Store calls and processor time of a cell over a period."""
 
-    span_s: float
+    period_s: float
     reads_count: int
     writes_count: int
     processor_s: float
 
     def measures(self, phase: str, cell: Cell) -> Iterator[Measure]:
-        """Return the rates of the whole deployment."""
-        where = f'{cell.deployment.deployment}, {phase}'
-        reads_per_s = self.reads_count / self.span_s
-        writes_per_s = self.writes_count / self.span_s
-        cores = self.processor_s / self.span_s / len(cell.entry_urls)
-        yield _measure('store_reads_per_s', reads_per_s, '1/s', '< 500', where)
+        """Yield store calls per second, and cores per entry process."""
+        deployment = f'{cell.deployment.deployment}, {phase}'
+        reads_per_s = self.reads_count / self.period_s
+        writes_per_s = self.writes_count / self.period_s
+        cores = self.processor_s / self.period_s / len(cell.entry_urls)
+        yield _measure(
+            'store_reads_per_s', reads_per_s, '1/s', '< 500', deployment
+        )
         yield _measure(
             'store_writes_per_s',
             writes_per_s,
             '1/s',
             '< 150',
-            where,
+            deployment,
         )
         yield _measure(
             'entry_process_cores',
             cores,
             'cores',
             None,
-            where,
+            deployment,
         )
 
 
 class CostMeter:
-    """Takes the difference of counters over a span of time."""
+    """Measures store calls and processor time since its creation."""
 
     def __init__(self, cell: Cell) -> None:
-        """Begin the span now."""
+        """Read the counters at the beginning of the period."""
         self._cell = cell
         self._began_s = time.monotonic()
         self._store = cell.control(cell.store_url)
-        self._processor_s = self._spent_s()
+        self._processor_time_s = self._entry_processes_s()
 
     def read(self) -> Costs:
-        """Return the costs since the beginning of the span."""
+        """Return the costs since the beginning of the period."""
         store = self._cell.control(self._cell.store_url)
         return Costs(
             time.monotonic() - self._began_s,
             store['reads_count'] - self._store['reads_count'],
             store['writes_count'] - self._store['writes_count'],
-            self._spent_s() - self._processor_s,
+            self._entry_processes_s() - self._processor_time_s,
         )
 
-    def _spent_s(self) -> float:
+    def _entry_processes_s(self) -> float:
         return sum(
-            _processor_s(self._cell.processes.id_of(process))
+            _processor_time_s(self._cell.processes.id_of(process))
             for process in self._cell.entry_urls
             if self._cell.processes.is_running(process)
         )
 
 
 def run() -> Iterator[Measure]:
-    """Measure both deployments."""
+    """Measure the cell of each example."""
     for name in _DEPLOYMENTS:
         deployment = load_deployment(EXAMPLES / f'{name}-hosts.yaml')
         configuration = (EXAMPLES / deployment.configuration).read_text()
@@ -110,27 +112,27 @@
     meter = CostMeter(cell)
     time.sleep(_IDLE_S)
     yield from meter.read().measures('idle', cell)
-    yield _spread(cell)
+    yield _config_spread(cell)
     callers = _callers(cell)
     meter = CostMeter(cell)
     began_ms = clock_ms()
-    _load(callers)
+    _run_load(callers)
     costs = meter.read()
     yield from costs.measures('peak', cell)
-    yield _starts(cell, began_ms, costs)
+    yield _start_rate(cell, began_ms, costs)
     yield _recovery(cell, callers)
 
 
-def _spread(cell: Cell) -> Measure:
+def _config_spread(cell: Cell) -> Measure:
     operator = Caller(
         cell.deployment.tokens['operator'],
         list(cell.entry_urls.values()),
     )
     first = operator.entry_urls[0]
-    found = operator.request('GET', f'{first}/v1/config') or {}
+    present = operator.request('GET', f'{first}/v1/config') or {}
     change = {
-        'text': f'{found["text"]}\n# changed by the benchmark\n',
-        'expected_generation': found['generation'],
+        'text': f'{present["text"]}\n# changed by the benchmark\n',
+        'expected_generation': present['generation'],
         'author': 'tools.bench_cell',
     }
     began_s = time.monotonic()
@@ -141,7 +143,7 @@
         if answer.get('generation', 0) >= written['generation']:
             pending.pop()
             continue
-        time.sleep(_POLL_S)
+        time.sleep(_POLL_INTERVAL_S)
     return _measure(
         'config_spread_s',
         time.monotonic() - began_s,
@@ -163,9 +165,9 @@
     ]
 
 
-def _load(callers: list[Caller]) -> None:
+def _run_load(callers: list[Caller]) -> None:
     threads = [
-        threading.Thread(target=_send, args=(caller, number))
+        threading.Thread(target=_submit_until_deadline, args=(caller, number))
         for number, caller in enumerate(callers)
     ]
     for thread in threads:
@@ -174,10 +176,10 @@
         thread.join()
 
 
-def _send(caller: Caller, number: int) -> None:
-    ends_at_s = time.monotonic() + _LOAD_S
+def _submit_until_deadline(caller: Caller, number: int) -> None:
+    deadline_s = time.monotonic() + _LOAD_S
     sent_count = len(caller.notes)
-    while time.monotonic() < ends_at_s:
+    while time.monotonic() < deadline_s:
         bodies = [
             _job(f'bench-{number}-{sent_count + offset}')
             for offset in range(_BATCH_COUNT)
@@ -198,16 +200,16 @@
     }
 
 
-def _starts(cell: Cell, began_ms: int, costs: Costs) -> Measure:
+def _start_rate(cell: Cell, began_ms: int, costs: Costs) -> Measure:
     started = [
         run
-        for of_task in runs_of(cell.worker_logs()).values()
-        for run in of_task
+        for task_runs in runs_of(cell.worker_logs()).values()
+        for run in task_runs
         if run.started_at_ms >= began_ms
     ]
     return _measure(
         'task_starts_per_s',
-        len(started) / costs.span_s,
+        len(started) / costs.period_s,
         '1/s',
         None,
         f'{cell.deployment.deployment}, peak',
@@ -215,7 +217,7 @@
 
 
 def _recovery(cell: Cell, callers: list[Caller]) -> Measure:
-    sending = threading.Thread(target=_load, args=(callers,))
+    sending = threading.Thread(target=_run_load, args=(callers,))
     sending.start()
     owner = cell.owner()
     if owner is None:
@@ -224,25 +226,25 @@
     killed_at_ms = clock_ms()
     cell.entry_urls.pop(ProcessId(owner))
     wait_until(
-        lambda: _taken_over_ms(cell, killed_at_ms) is not None,
+        lambda: _takeover_ms(cell, killed_at_ms) is not None,
         'no new owner places tasks',
     )
     sending.join()
     return _measure(
         'recovery_s',
-        (_taken_over_ms(cell, killed_at_ms) or 0) / _MS_PER_S,
+        (_takeover_ms(cell, killed_at_ms) or 0) / _MS_PER_S,
         's',
         '< 5',
         cell.deployment.deployment,
     )
 
 
-def _taken_over_ms(cell: Cell, killed_at_ms: int) -> int | None:
+def _takeover_ms(cell: Cell, killed_at_ms: int) -> int | None:
     return takeover_ms(runs_of(cell.worker_logs()), killed_at_ms)
 
 
-def _processor_s(process_id: int) -> float:
-    """Return user and system time of a process; source: proc(5), stat."""
+def _processor_time_s(process_id: int) -> float:
+    """Return user and system time of a process, fields of proc(5) stat."""
     text = Path(f'/proc/{process_id}/stat').read_text()
     fields = text.rpartition(')')[2].split()
     user_ticks, system_ticks = fields[11:13]
@@ -254,15 +256,15 @@
     measured: float,
     unit: str,
     target: str | None,
-    where: str,
+    deployment: str,
 ) -> Measure:
-    return Measure(name, round(measured, 3), unit, None, target, where)
+    return Measure(name, round(measured, 3), unit, None, target, deployment)
 
 
 def main() -> None:
-    """Print every measure."""
-    for found in run():
-        print(found.as_line(), flush=True)
+    """Print every measure as one JSON line."""
+    for measured in run():
+        print(measured.as_line(), flush=True)
 
 
 if __name__ == '__main__':
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -1,8 +1,8 @@
 """Latency and rate of decisions by the number of workers and waiting jobs.
 
-The cell is full; each step ends one task, submits one job and decides. The
-latency is that of the call which takes over the end of a task and places the
-next one; the rate counts all processor time that the steps take.
+The cell is full; each step submits one job, ends one task and decides. The
+latency covers the report that ends the task and the decision that places the
+next one; the rate is by the processor time of whole steps.
 """
 
 import gc
@@ -54,22 +54,22 @@
     (4_000, 3_000),
     (500, 1_000),
 )
-_AMOUNTS: Final = {
+_QUOTA: Final = {
     'processors_milli': 10**10,
     'memory_mb': 10**11,
     'accelerators_count': 10**6,
     'slots_count': 10**7,
 }
-_URGENT_ONE_IN: Final = 20
-_NO_TOKEN: Final = '0' * 64
+_JOBS_PER_URGENT_JOB: Final = 20
+_UNUSED_TOKEN_SHA256: Final = '0' * 64
 _MS_PER_S: Final = 1_000
 
 
 class FullCell:
-    """A core whose workers are full."""
+    """A `PartitionCore` whose workers are filled with tasks."""
 
     def __init__(self, workers_count: int) -> None:
-        """Fill the workers with tasks."""
+        """List the workers and submit jobs until 100 of them wait."""
         self.now_ms = 0
         self._random = random.Random(workers_count)
         self._customers = 4 if workers_count < 100 else 79
@@ -90,18 +90,18 @@
             self.core.worker_reported(report, self.now_ms)
         self._fill()
 
-    def wait_for(self, jobs_count: int) -> None:
-        """Let jobs wait, so that there are `jobs_count`."""
+    def fill_queue(self, jobs_count: int) -> None:
+        """Submit jobs until `jobs_count` of them wait."""
         while self._jobs_waiting < jobs_count:
             self.submit()
             self.decide()
 
     def submit(self) -> None:
-        """Submit a job and commit it."""
+        """Submit a random job and confirm the commits of its records."""
         number = next(self._numbers)
-        kind = self._random.randrange(len(_SIZES))
+        size_index = self._random.randrange(len(_SIZES))
         urgency = Urgency.NORMAL
-        if not self._random.randrange(_URGENT_ONE_IN):
+        if not self._random.randrange(_JOBS_PER_URGENT_JOB):
             urgency = Urgency.URGENT
         spec = JobSpec(
             CustomerId(f'c{self._random.randrange(self._customers)}'),
@@ -109,31 +109,31 @@
             Workload.BATCH,
             Execution.IDEMPOTENT,
             urgency,
-            JobClass(f'class{kind}'),
+            JobClass(f'class{size_index}'),
             1,
-            Resources(*_SIZES[kind], 0, 2),
+            Resources(*_SIZES[size_index], 0, 2),
             60_000,
             '',
         )
         self.core.submit(spec, self.now_ms).unwrap()
         self._jobs_waiting += 1
-        self._take()
+        self._apply_effects()
 
     def decide(self) -> bool:
-        """Decide and take over the starts."""
-        more = self.core.decide(self.now_ms)
-        self._take()
-        return more
+        """Decide and apply the effects; tells whether more may be decided."""
+        is_unfinished = self.core.decide(self.now_ms)
+        self._apply_effects()
+        return is_unfinished
 
-    def end_one(self) -> None:
-        """Let the worker of a random task report that it has ended."""
-        ended = self._take_one()
+    def end_random_task(self) -> None:
+        """Report the success of a random running task."""
+        ended = self._remove_random_running()
         while ended.attempt_id in self._ended:
-            ended = self._take_one()
+            ended = self._remove_random_running()
         self.report(ended.worker_id, {ended.attempt_id: TaskOutcome.SUCCEEDED})
 
-    def stop_asked(self) -> None:
-        """Let workers confirm the stops that they were asked for."""
+    def confirm_stops(self) -> None:
+        """Report the end of every task that the core ordered to stop."""
         stopped = self._stopped
         self._stopped = []
         for command in stopped:
@@ -146,16 +146,18 @@
         worker_id: WorkerId,
         outcomes: dict[AttemptId, TaskOutcome],
     ) -> None:
-        """Let a worker report all its tasks, some of which have ended."""
+        """Report all tasks of a worker; those in `outcomes` have ended."""
         state = self.core.state
         tasks = tuple(
-            self._task(outcomes.get(attempt_id), state.attempts[attempt_id])
+            self._task_report(
+                outcomes.get(attempt_id), state.attempts[attempt_id]
+            )
             for attempt_id in state.workers[worker_id].attempts
         )
         report = WorkerReport(worker_id, Epoch(1), 0, tasks)
         self.core.worker_reported(report, self.now_ms)
 
-    def _task(
+    def _task_report(
         self,
         ended: TaskOutcome | None,
         attempt: Attempt,
@@ -170,15 +172,15 @@
             60_000,
         )
 
-    def _take_one(self) -> StartTask:
-        place = self._random.randrange(len(self._running))
-        taken = self._running[place]
+    def _remove_random_running(self) -> StartTask:
+        position = self._random.randrange(len(self._running))
+        removed = self._running[position]
         last = self._running.pop()
-        if last is not taken:
-            self._running[place] = last
-        return taken
+        if last is not removed:
+            self._running[position] = last
+        return removed
 
-    def _take(self) -> None:
+    def _apply_effects(self) -> None:
         for effect in self.core.take_effects():
             if isinstance(effect, PersistRecord):
                 self.core.committed(effect.sequence, self.now_ms)
@@ -196,10 +198,10 @@
 
 
 def measure(workers_count: int) -> Iterator[Measure]:
-    """Measure one size of cell with both queues."""
+    """Measure a cell of `workers_count` workers with each queue length."""
     cell = FullCell(workers_count)
     for queue, jobs_count in _QUEUES:
-        cell.wait_for(jobs_count)
+        cell.fill_queue(jobs_count)
         gc.collect()
         latencies_ms, total_s = _run(cell)
         deployment = f'{workers_count} workers, {queue}'
@@ -222,14 +224,14 @@
 
 
 def run() -> Iterator[Measure]:
-    """Measure every size of cell."""
+    """Measure every cell size, then the growth from 1000 workers on."""
     collect_seldom()
     p99s: dict[str, float] = {}
     for workers_count in _WORKERS_COUNTS:
-        for found in measure(workers_count):
-            if found.measure == 'decision_p99_ms':
-                p99s[found.deployment] = found.value
-            yield found
+        for measured in measure(workers_count):
+            if measured.measure == 'decision_p99_ms':
+                p99s[measured.deployment] = measured.value
+            yield measured
     for queue, _jobs_count in _QUEUES:
         large = p99s[f'32000 workers, {queue}']
         yield Measure(
@@ -249,10 +251,10 @@
         cell.now_ms += 1
         cell.submit()
         step_began_s = time.perf_counter()
-        cell.end_one()
+        cell.end_random_task()
         cell.decide()
         elapsed_s = time.perf_counter() - step_began_s
-        cell.stop_asked()
+        cell.confirm_stops()
         latencies_ms.append(elapsed_s * _MS_PER_S)
     return latencies_ms, time.process_time() - began_s
 
@@ -266,17 +268,17 @@
                 {
                     'customer': f'c{number}',
                     'region': 'r',
-                    'quota': _AMOUNTS,
-                    'guaranteed': dict.fromkeys(_AMOUNTS, 0),
+                    'quota': _QUOTA,
+                    'guaranteed': dict.fromkeys(_QUOTA, 0),
                     'submit_rate_per_s': 10**9,
                     'submit_burst_count': 10**9,
                     'waiting_jobs_max_count': 10**6,
                     'placement': 'pack' if number % 2 else 'spread',
-                    'token_sha256': _NO_TOKEN,
+                    'token_sha256': _UNUSED_TOKEN_SHA256,
                 }
                 for number in range(customers_count)
             ],
-            'operator_token_sha256': _NO_TOKEN,
+            'operator_token_sha256': _UNUSED_TOKEN_SHA256,
         },
     )
 
@@ -297,9 +299,9 @@
 
 
 def main() -> None:
-    """Print every measure."""
-    for found in run():
-        print(found.as_line(), flush=True)
+    """Print every measure as one JSON line."""
+    for measured in run():
+        print(measured.as_line(), flush=True)
 
 
 if __name__ == '__main__':
--- a/tools/bench_waiting.py
+++ b/tools/bench_waiting.py
@@ -1,7 +1,8 @@
 """Waiting time and packing of both deployments, in virtual time.
 
-Three sets of policies run the same arrivals: those of the deployment, the
-same without learning, and first come with first fit at declared sizes.
+Three sets of policies run with the same arrivals: those of the deployment,
+the same without learned sizes, and the baseline: first come, first fit at
+declared sizes.
 """
 
 from collections.abc import Iterator
@@ -20,18 +21,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Contender:
-    """A set of policies; no `placement` means that of the deployment."""
+class PolicySet:
+    """Policies to compare; `placement` defaults to the deployment's."""
 
     name: str
     policies: dict[str, Any]
     placement: str | None = None
 
 
-_CONTENDERS: Final = (
-    Contender('fair', {'ordering': 'fair', 'learn_sizes': True}),
-    Contender('fair, not learned', {'learn_sizes': False}),
-    Contender(
+_POLICY_SETS: Final = (
+    PolicySet('fair', {'ordering': 'fair', 'learn_sizes': True}),
+    PolicySet('fair, not learned', {'learn_sizes': False}),
+    PolicySet(
         _BASELINE,
         {'ordering': 'first_come', 'learn_sizes': False},
         'first_fit',
@@ -40,8 +41,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Outcome:
-    """What one run has shown."""
+class RunMeasures:
+    """Measures of one run within the window."""
 
     wait_p50_ms: float
     wait_p99_ms: float
@@ -51,18 +52,18 @@
     stopped_count: int
 
 
-def outcome_of(
+def simulate(
     deployment: Deployment,
     load: float,
-    contender: Contender,
-) -> Outcome:
-    """Run one set of policies at one load."""
-    placement = contender.placement or deployment.placement
-    config = deployment.config(contender.policies, placement)
+    policy_set: PolicySet,
+) -> RunMeasures:
+    """Simulate one set of policies at one load."""
+    placement = policy_set.placement or deployment.placement
+    config = deployment.config(policy_set.policies, placement)
     loop = CellLoop(deployment, config, (_WARM_UP_MS, _UNTIL_MS))
     tally = loop.run(arrivals(deployment, load, _UNTIL_MS, _SEED))
     waits = loop.waits_in_window()
-    return Outcome(
+    return RunMeasures(
         wait_p50_ms=percentile(waits, 0.5),
         wait_p99_ms=percentile(waits, 0.99),
         urgent_wait_p99_ms=percentile(loop.waits_in_window(urgent=True), 0.99),
@@ -73,94 +74,97 @@
 
 
 def run() -> Iterator[Measure]:
-    """Measure both deployments at all loads."""
+    """Compare the policies for each deployment and load."""
     for deployment in DEPLOYMENTS:
         for load in _LOADS:
-            found = {
-                contender.name: outcome_of(deployment, load, contender)
-                for contender in _CONTENDERS
+            measures_by_policy = {
+                policy_set.name: simulate(deployment, load, policy_set)
+                for policy_set in _POLICY_SETS
             }
-            yield from _waits(deployment, load, found)
+            yield from _waits(deployment, load, measures_by_policy)
             if deployment is COOPERATIVE and load > 1:
-                yield from _packing(deployment, found)
+                yield from _packing(deployment, measures_by_policy)
 
 
 def _waits(
     deployment: Deployment,
     load: float,
-    found: dict[str, Outcome],
+    measures_by_policy: dict[str, RunMeasures],
 ) -> Iterator[Measure]:
-    baseline = found[_BASELINE]
-    for name, outcome in found.items():
+    baseline = measures_by_policy[_BASELINE]
+    for name, measures in measures_by_policy.items():
         if name == _BASELINE:
             continue
-        where = f'{deployment.name}, load {load}, {name}'
+        measured_deployment = f'{deployment.name}, load {load}, {name}'
         half_ms = baseline.wait_p99_ms / 2
         yield Measure(
             'wait_p50_ms',
-            outcome.wait_p50_ms,
+            measures.wait_p50_ms,
             'ms',
             baseline.wait_p50_ms,
             None,
-            where,
+            measured_deployment,
         )
         yield Measure(
             'wait_p99_ms',
-            outcome.wait_p99_ms,
+            measures.wait_p99_ms,
             'ms',
             baseline.wait_p99_ms,
             f'<= {half_ms}' if load == _LOADS[1] else None,
-            where,
+            measured_deployment,
         )
         yield Measure(
             'urgent_wait_p99_ms',
-            outcome.urgent_wait_p99_ms,
+            measures.urgent_wait_p99_ms,
             'ms',
             baseline.urgent_wait_p99_ms,
             '< 1100',
-            where,
+            measured_deployment,
         )
         yield Measure(
             'overcommitted_hosts',
-            outcome.overcommitted_count,
+            measures.overcommitted_count,
             'hosts',
             baseline.overcommitted_count,
             '== 0',
-            where,
+            measured_deployment,
         )
 
 
 def _packing(
     deployment: Deployment,
-    found: dict[str, Outcome],
+    measures_by_policy: dict[str, RunMeasures],
 ) -> Iterator[Measure]:
-    for name, outcome in found.items():
+    for name, measures in measures_by_policy.items():
         if name == _BASELINE:
             continue
         yield Measure(
             'packing_ratio',
-            round(outcome.packing_ratio, 4),
+            round(measures.packing_ratio, 4),
             'of the fluid bound',
-            round(found[_BASELINE].packing_ratio, 4),
+            round(measures_by_policy[_BASELINE].packing_ratio, 4),
             '>= 0.90',
             f'{deployment.name}, load {_LOADS[-1]}, {name}',
         )
 
 
 def _packing_ratio(deployment: Deployment, used: list[float]) -> float:
-    """Return the use of the scarcest resource; a fluid would use it whole."""
+    """Return the used part of the scarcest resource.
+
+    It is 1 for work that can be divided without limit, as a fluid can.
+    """
     duration_ms = _UNTIL_MS - _WARM_UP_MS
-    whole = deployment.capacity().as_tuple()
+    total = deployment.capacity().as_tuple()
     return max(
         amount / (capacity * duration_ms)
-        for amount, capacity in zip(used, whole, strict=True)
+        for amount, capacity in zip(used, total, strict=True)
     )
 
 
 def main() -> None:
-    """Print every measure."""
-    for found in run():
-        print(found.as_line(), flush=True)
+    """Print every measure as one JSON line."""
+    for measured in run():
+        print(measured.as_line(), flush=True)
 
 
 if __name__ == '__main__':
--- a/tools/graph_decisions.py
+++ b/tools/graph_decisions.py
@@ -1,8 +1,9 @@
-"""Cost of the decisions of one owner of job graphs, without any I/O.
+"""Processor time of the decisions of one owner of job graphs, without I/O.
 
-A load of wide jobs runs on workers that are modelled by their ends alone;
-the clock is the model's. Printed are the processor time that decisions take
-for each start, and the starts a second that would use up one processor.
+A load of jobs with many tasks runs in virtual time; a worker model reports
+only runs and their ends. Printed are the processor time of all decisions
+divided by the number of starts, and the starts per second that would use up
+one processor.
 """
 
 import random
@@ -70,23 +71,23 @@
         is_checkpointing=True,
     ),
 )
-# Jobs a second for each worker; the second load leaves jobs waiting.
-_LOADS: Final = (0.14, 0.3)
-_SIZES: Final = (18, 63, 126, 400)
+# Jobs per second and worker; the second load leaves jobs waiting.
+_JOBS_PER_S_PER_WORKER: Final = (0.14, 0.3)
+_WORKERS_COUNTS: Final = (18, 63, 126, 400)
 
 _RunKey = tuple[TaskKey, int]
 
 
 @dataclass(slots=True)
 class _Worker:
-    """Runs on a worker by the time of their end, and ends not reported."""
+    """Running runs with the times of their ends, and ends not reported."""
 
     ends_ms: dict[_RunKey, int] = field(default_factory=dict)
     ended: list[EndRow] = field(default_factory=list)
     ends_count: int = 0
     report_due_ms: int = 0
 
-    def settle(self, now_ms: int) -> None:
+    def end_due_runs(self, now_ms: int) -> None:
         for key, ends_ms in list(self.ends_ms.items()):
             if ends_ms <= now_ms:
                 self.end(key, EndKind.SUCCEEDED)
@@ -109,10 +110,10 @@
 
 
 class Load:
-    """Jobs at a rate on a number of workers, and what decisions cost."""
+    """Jobs submitted at a rate to a cell, and the cost of its decisions."""
 
     def __init__(self, workers_count: int, jobs_per_s: float) -> None:
-        """Prepare an empty cell."""
+        """Create a core with idle workers."""
         self._random = random.Random(workers_count)
         self._jobs_per_s = jobs_per_s
         self._workers = {
@@ -131,28 +132,28 @@
         self._next_job_ms = 0.0
         self._jobs_count = 0
         self.starts_count = 0
-        self.spent_s = 0.0
+        self.processor_s = 0.0
 
-    def play(self) -> None:
-        """Play the load."""
+    def run(self) -> None:
+        """Simulate `_DURATION_MS` of the load."""
         for now_ms in range(_STEP_MS, _DURATION_MS, _STEP_MS):
-            self._accept(now_ms)
+            self._submit_due_jobs(now_ms)
             for worker, model in self._workers.items():
                 self._report(worker, model, now_ms)
             if not now_ms % _TICK_MS:
                 self._measure(self._core.tick, now_ms)
             self._measure(self._core.decide, now_ms)
             for effect in self._measure(self._core.take_effects):
-                self._carry_out(effect, now_ms)
+                self._apply_effect(effect, now_ms)
             self._core.take_dirty()
 
     def _measure(self, call: Callable[..., Any], *arguments: Any) -> Any:
         before_s = time.process_time()
-        answer = call(*arguments)
-        self.spent_s += time.process_time() - before_s
-        return answer
+        returned = call(*arguments)
+        self.processor_s += time.process_time() - before_s
+        return returned
 
-    def _accept(self, now_ms: int) -> None:
+    def _submit_due_jobs(self, now_ms: int) -> None:
         while self._next_job_ms <= now_ms:
             gap_s = self._random.expovariate(self._jobs_per_s)
             self._next_job_ms += gap_s * 1000
@@ -173,7 +174,7 @@
             )
 
     def _report(self, worker: WorkerId, model: _Worker, now_ms: int) -> None:
-        model.settle(now_ms)
+        model.end_due_runs(now_ms)
         if not model.ended and model.report_due_ms > now_ms:
             return
         model.report_due_ms = now_ms + _REPORT_MS
@@ -186,7 +187,7 @@
             now_ms,
         )
 
-    def _carry_out(self, effect: Any, now_ms: int) -> None:
+    def _apply_effect(self, effect: Any, now_ms: int) -> None:
         match effect:
             case StartRun(worker, task, attempt):
                 self.starts_count += 1
@@ -209,13 +210,13 @@
     """Print a row for each number of workers and each load."""
     logger.remove()
     print('workers | jobs/s | starts | ms a start | starts/s of one processor')
-    for workers_count in _SIZES:
-        for share in _LOADS:
-            load = Load(workers_count, workers_count * share)
-            load.play()
-            start_ms = load.spent_s * 1000 / load.starts_count
+    for workers_count in _WORKERS_COUNTS:
+        for rate_per_worker in _JOBS_PER_S_PER_WORKER:
+            load = Load(workers_count, workers_count * rate_per_worker)
+            load.run()
+            start_ms = load.processor_s * 1000 / load.starts_count
             print(
-                f'{workers_count} | {workers_count * share:.1f} | '
+                f'{workers_count} | {workers_count * rate_per_worker:.1f} | '
                 f'{load.starts_count} | {start_ms:.3f} | '
                 f'{1000 / start_ms:.0f}',
             )
--- a/tools/measurement.py
+++ b/tools/measurement.py
@@ -1,4 +1,4 @@
-"""Registry of the measurements that `tools.slopes` fits."""
+"""Registry of the measurements to which `tools.slopes` fits lines."""
 
 import time
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Measurement:
-    """A cost as a function of a size."""
+    """A cost in `unit` as a function of a size; `per` names the size."""
 
     unit: str
     per: str
@@ -27,7 +27,7 @@
     per: str,
     sizes: tuple[int, ...],
 ) -> Callable[[Callable[[int], float]], Callable[[int], float]]:
-    """Register the decorated function; `per` names what `sizes` counts."""
+    """Register the decorated function, to be called with each size."""
 
     def decorator(measure: Callable[[int], float]) -> Callable[[int], float]:
         entry = Measurement(unit, per, sizes, measure)
@@ -38,9 +38,9 @@
 
 
 def processor_ms(work: Callable[[], object], repeats: int) -> float:
-    """Return the least processor time of one call in milliseconds.
+    """Return the minimum processor time of `work` in milliseconds.
 
-    The least of several runs is the one that other load disturbed least.
+    The minimum of several calls is least disturbed by other load.
     """
     best = float('inf')
     for _ in range(repeats):
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -1,4 +1,4 @@
-"""Measures that the benchmarks print, one JSON line each."""
+"""Measured values that the benchmarks print, one JSON line each."""
 
 import json
 from collections.abc import Sequence
@@ -21,7 +21,7 @@
     deployment: str
 
     def as_line(self) -> str:
-        """Return the line to print."""
+        """Return the JSON object to print."""
         return json.dumps(asdict(self))
 
 
--- a/tools/mutation.py
+++ b/tools/mutation.py
@@ -1,4 +1,4 @@
-"""The registry of mutations: patches that switch off one mechanism each."""
+"""Registry of mutations: patches that each disable one mechanism."""
 
 from collections.abc import Callable
 from contextlib import AbstractContextManager
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Mutation:
-    """Patches that switch a mechanism off, and the trace meant for it."""
+    """Patches that disable a mechanism, and the trace that tests it."""
 
     trace: str
     patches: Callable[[], tuple[Patch, ...]]
@@ -28,7 +28,7 @@
     [Callable[[], tuple[Patch, ...]]],
     Callable[[], tuple[Patch, ...]],
 ]:
-    """Register the patches of a mutation."""
+    """Register the function that creates the patches of a mutation."""
 
     def decorator(
         patches: Callable[[], tuple[Patch, ...]],
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,7 +1,7 @@
-"""Switches off one mechanism at a time and shows which trace notices.
+"""Mutation tests: disables one mechanism at a time and replays its trace.
 
-A mutation patches the loaded code in memory; the trace that is meant for the
-mechanism must then have an unmet outcome that it meets otherwise.
+A mutation patches the loaded code in memory. The trace that tests the
+mechanism must then have an unmet outcome that it meets without the mutation.
 """
 
 import sys
@@ -20,22 +20,22 @@
 
 
 def main() -> int:
-    """Print the table; returns 1 if a mutation goes unnoticed."""
+    """Print a table; returns 1 if a trace does not detect its mutation."""
     logger.remove()
-    is_unnoticed = False
+    is_undetected = False
     for name in MUTATIONS:
-        mutated = MUTATIONS.lookup(name)
-        trace = load_trace(_TRACES / f'{mutated.trace}.yaml').unwrap()
+        mutation = MUTATIONS.lookup(name)
+        trace = load_trace(_TRACES / f'{mutation.trace}.yaml').unwrap()
         before = {found.outcome for found in replay(trace).unmet}
         with ExitStack() as stack:
-            for patch in mutated.patches():
+            for patch in mutation.patches():
                 stack.enter_context(patch)
             after = {found.outcome for found in replay(trace).unmet}
-        noticed = sorted(after - before)
-        is_unnoticed = is_unnoticed or not noticed
-        verdict = f'red: {", ".join(noticed)}' if noticed else 'not red'
-        print(f'{name} | {mutated.trace} | {verdict}')
-    return int(is_unnoticed)
+        detected = sorted(after - before)
+        is_undetected = is_undetected or not detected
+        verdict = f'red: {", ".join(detected)}' if detected else 'not red'
+        print(f'{name} | {mutation.trace} | {verdict}')
+    return int(is_undetected)
 
 
 if __name__ == '__main__':
--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -19,8 +19,8 @@
 from fuchsiarill.workers import HostState
 from tools.mutation import Patch, mutation
 
-_LAPSE: Final = leases.lapse
-_SUBMIT: Final = partition.PartitionCore.submit
+_ORIGINAL_LAPSE: Final = leases.lapse
+_ORIGINAL_SUBMIT: Final = partition.PartitionCore.submit
 
 
 @mutation(
@@ -28,7 +28,7 @@
     'i2_costing_run_waits_for_the_lease_of_a_lost_host',
 )
 def _no_lease_wait() -> tuple[Patch, ...]:
-    return (mock.patch.object(partition, 'lapse', _lapse_at_once),)
+    return (mock.patch.object(partition, 'lapse', _expire_at_once),)
 
 
 @mutation(
@@ -68,13 +68,13 @@
 
 @mutation('probation', 'worker_fails_all_and_wrong_declarations')
 def _no_probation() -> tuple[Patch, ...]:
-    return (mock.patch.object(probation, '_strike', _nothing),)
+    return (mock.patch.object(probation, '_strike', _do_nothing),)
 
 
 @mutation('urgent first', 'frostwick_urgent_costing_starts_in_a_full_cell')
 def _no_urgency() -> tuple[Patch, ...]:
     return (
-        mock.patch.object(ordering, 'is_owed_urgently', _never),
+        mock.patch.object(ordering, 'is_owed_urgently', _return_false),
         mock.patch.object(
             ordering,
             '_urgent_then_oldest',
@@ -109,17 +109,17 @@
             'submit',
             lambda core, spec, now_ms: (
                 core.state.job_by_key.clear(),
-                _SUBMIT(core, spec, now_ms),
+                _ORIGINAL_SUBMIT(core, spec, now_ms),
             )[1],
         ),
     )
 
 
-def _never(*_arguments: object) -> bool:
+def _return_false(*_arguments: object) -> bool:
     return False
 
 
-def _nothing(*_arguments: object) -> None:
+def _do_nothing(*_arguments: object) -> None:
     """Does nothing."""
 
 
@@ -127,7 +127,7 @@
     return ()
 
 
-def _lapse_at_once(state: Any, now_ms: int) -> None:
+def _expire_at_once(state: Any, now_ms: int) -> None:
     for attempt_id in tuple(state.unrenewed):
         state.attempts[attempt_id].lease_ends_at_ms = now_ms
-    _LAPSE(state, now_ms)
+    _ORIGINAL_LAPSE(state, now_ms)
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -16,23 +16,23 @@
 from fuchsiarill.states import ConfigurationEvent
 from tools.mutation import Patch, mutation
 
-_RENEW: Final = FakeWorker._renew
-_READ_KEY: Final = store_calls.read_key
-_SET_DEADLINE: Final = Campaign.set_deadline
-_SWAP: Final = FakeStore._swap
-_WRITE_OVER: Final = ConfigChange._write_over
-_FAR_MS: Final = 60_000
-_ENDLESS_MS: Final = 2**62
+_ORIGINAL_RENEW: Final = FakeWorker._renew
+_ORIGINAL_READ_KEY: Final = store_calls.read_key
+_ORIGINAL_SET_DEADLINE: Final = Campaign.set_deadline
+_ORIGINAL_SWAP: Final = FakeStore._swap
+_ORIGINAL_WRITE_OVER: Final = ConfigChange._write_over
+_DEADLINE_EXTENSION_MS: Final = 60_000
+_NO_END_MS: Final = 2**62
 
 
 @mutation("the worker's epoch check", 'workers_refuse_a_stale_owner')
 def _no_epoch_check() -> tuple[Patch, ...]:
-    return (mock.patch.object(FakeWorker, '_is_stale', _never),)
+    return (mock.patch.object(FakeWorker, '_is_stale', _return_false),)
 
 
 @mutation('start_before', 'owner_paused_and_worker_cut_off')
 def _no_start_before() -> tuple[Patch, ...]:
-    return (mock.patch.object(FakeWorker, '_is_late', _never),)
+    return (mock.patch.object(FakeWorker, '_is_late', _return_false),)
 
 
 @mutation('ownership deadline', 'owner_paused_and_worker_cut_off')
@@ -41,9 +41,9 @@
         mock.patch.object(
             Campaign,
             'set_deadline',
-            lambda campaign, requested_at_ms: _SET_DEADLINE(
+            lambda campaign, requested_at_ms: _ORIGINAL_SET_DEADLINE(
                 campaign,
-                requested_at_ms + _FAR_MS,
+                requested_at_ms + _DEADLINE_EXTENSION_MS,
             ),
         ),
     )
@@ -58,7 +58,7 @@
         mock.patch.object(
             StoreEvidence,
             'outage_until_ms',
-            lambda evidence: _ENDLESS_MS,
+            lambda evidence: _NO_END_MS,
         ),
     )
 
@@ -117,7 +117,7 @@
     return (mock.patch.object(fleet, 'partition_of_rack', lambda *_: mock.ANY),)
 
 
-def _never(*_arguments: object) -> bool:
+def _return_false(*_arguments: object) -> bool:
     return False
 
 
@@ -126,26 +126,26 @@
     swap = call.argument
     if '/log/' in swap.key:
         swap = replace(swap, expected=store.read(swap.key).revision)
-    return _SWAP(store, replace(call, argument=swap))
+    return _ORIGINAL_SWAP(store, replace(call, argument=swap))
 
 
 async def _read_without_value(*arguments: Any) -> Versioned | None:
-    found = await _READ_KEY(*arguments)
-    return None if found is None else replace(found, value='')
+    stored = await _ORIGINAL_READ_KEY(*arguments)
+    return None if stored is None else replace(stored, value='')
 
 
-async def _write_over_any(change: Any, found: Versioned, config: Any) -> Any:
-    """Write over whatever generation is present."""
-    present = read_document(found.value).unwrap()
+async def _write_over_any(change: Any, stored: Versioned, config: Any) -> Any:
+    """Overwrite the document whatever its present generation."""
+    present = read_document(stored.value).unwrap()
     change._request = replace(
         change._request,
         expected_generation=present.generation,
     )
-    return await _WRITE_OVER(change, found, config)
+    return await _ORIGINAL_WRITE_OVER(change, stored, config)
 
 
 def _renew_first_only(worker: Any, attempt_id: Any, lease_ms: float) -> None:
-    """Grant the first lease of a task and no other."""
+    """Grant the first lease of a task and ignore renewals."""
     task = worker._attempts.get(attempt_id)
     if task is not None and not task.lease_ends_at_ms:
-        _RENEW(worker, attempt_id, lease_ms)
+        _ORIGINAL_RENEW(worker, attempt_id, lease_ms)
--- a/tools/slope_core_measures.py
+++ b/tools/slope_core_measures.py
@@ -1,4 +1,4 @@
-"""Measurements of the decisions, the journal and the gossip by size."""
+"""Measurements of core, journal and gossip as functions of a size."""
 
 import gc
 import tracemalloc
@@ -40,9 +40,9 @@
 from tools.bench_decisions import FullCell
 from tools.measurement import measurement, processor_ms
 
-_CELLS: Final = (100, 200, 400, 800)
-_JOBS: Final = (500, 1_000, 2_000, 4_000)
-_MEMBERS: Final = (8, 25, 50, 100, 200)
+_WORKERS_COUNTS: Final = (100, 200, 400, 800)
+_JOBS_COUNTS: Final = (500, 1_000, 2_000, 4_000)
+_MEMBERS_COUNTS: Final = (8, 25, 50, 100, 200)
 _PARTITION: Final = PartitionId('region-1.0')
 _REPEATS: Final = 3
 
@@ -84,27 +84,27 @@
     return records
 
 
-def _waiting_cell(jobs_count: int) -> FullCell:
+def _cell_with_queue(jobs_count: int) -> FullCell:
     cell = FullCell(25)
-    cell.wait_for(jobs_count)
+    cell.fill_queue(jobs_count)
     return cell
 
 
-@measurement('owner_memory_by_worker', 'bytes', 'full worker', _CELLS)
+@measurement('owner_memory_by_worker', 'bytes', 'full worker', _WORKERS_COUNTS)
 def owner_memory_by_worker(workers_count: int) -> float:
-    """Return what the core allocates for workers and their four tasks."""
+    """Return the bytes allocated for workers and their four tasks each."""
     return _allocated_bytes(partial(FullCell, workers_count))
 
 
-@measurement('owner_memory_by_job', 'bytes', 'waiting job', _JOBS)
+@measurement('owner_memory_by_job', 'bytes', 'waiting job', _JOBS_COUNTS)
 def owner_memory_by_job(jobs_count: int) -> float:
-    """Return what the core allocates for waiting jobs of one task."""
-    return _allocated_bytes(partial(_waiting_cell, jobs_count))
+    """Return the bytes allocated for waiting jobs of one task each."""
+    return _allocated_bytes(partial(_cell_with_queue, jobs_count))
 
 
-@measurement('report_ms', 'ms', 'workers that report', _CELLS)
+@measurement('report_ms', 'ms', 'workers that report', _WORKERS_COUNTS)
 def report_ms(workers_count: int) -> float:
-    """Return the core's time for one unchanged report of each worker."""
+    """Return the core's time for an unchanged report of every worker."""
     cell = FullCell(workers_count)
     workers = tuple(cell.core.state.workers)
     cell.now_ms += 1_000
@@ -117,7 +117,7 @@
         cell.report(worker_id, {})
 
 
-@measurement('journal_bytes', 'bytes', 'job', _JOBS)
+@measurement('journal_bytes', 'bytes', 'job', _JOBS_COUNTS)
 def journal_bytes(jobs_count: int) -> float:
     """Return the bytes that finished jobs add to the journal."""
     return sum(
@@ -126,9 +126,9 @@
     )
 
 
-@measurement('restore_ms', 'ms', 'job', _JOBS)
+@measurement('restore_ms', 'ms', 'job', _JOBS_COUNTS)
 def restore_ms(jobs_count: int) -> float:
-    """Return the time to decode and fold the records of finished jobs."""
+    """Return the time to decode and apply the records of finished jobs."""
     texts = [
         encode(sequence, record).text
         for sequence, record in enumerate(_records(jobs_count))
@@ -152,14 +152,14 @@
     )
 
 
-@measurement('gossip_bytes', 'bytes', 'member', _MEMBERS)
+@measurement('gossip_bytes', 'bytes', 'member', _MEMBERS_COUNTS)
 def gossip_bytes(members_count: int) -> float:
     """Return the packed capnp bytes of one gossip message of beats."""
     encoded = SCHEMA.Gossip.new_message(**gossip_fields(_beats(members_count)))
     return len(encoded.to_bytes())
 
 
-@measurement('gossip_merge_ms', 'ms', 'member', _MEMBERS)
+@measurement('gossip_merge_ms', 'ms', 'member', _MEMBERS_COUNTS)
 def gossip_merge_ms(members_count: int) -> float:
     """Return the time to merge the beats and the details of all members."""
     details = tuple(
--- a/tools/slope_measures.py
+++ b/tools/slope_measures.py
@@ -15,8 +15,8 @@
 )
 from tools.measurement import measurement, processor_ms
 
-_TASKS: Final = (4, 8, 16, 32, 64)
-_CONTRACTS: Final = (2, 10, 40, 80, 160)
+_TASKS_COUNTS: Final = (4, 8, 16, 32, 64)
+_CONTRACTS_COUNTS: Final = (2, 10, 40, 80, 160)
 _REPEATS: Final = 20
 
 _CONTRACT: Final = """
@@ -75,13 +75,13 @@
     return f'{head}{contracts}operator_token_sha256: "{0:064x}"\n'
 
 
-@measurement('exchange_bytes', 'bytes', 'task of the worker', _TASKS)
+@measurement('exchange_bytes', 'bytes', 'task of the worker', _TASKS_COUNTS)
 def exchange_bytes(tasks_count: int) -> float:
     """Return the JSON bytes of one exchange, request and report."""
     return len(_request(tasks_count)) + len(_report(tasks_count))
 
 
-@measurement('exchange_codec_ms', 'ms', 'task of the worker', _TASKS)
+@measurement('exchange_codec_ms', 'ms', 'task of the worker', _TASKS_COUNTS)
 def exchange_codec_ms(tasks_count: int) -> float:
     """Return the owner's time to encode a request and decode a report."""
     return processor_ms(
@@ -90,13 +90,13 @@
     )
 
 
-@measurement('config_bytes', 'bytes', 'contract', _CONTRACTS)
+@measurement('config_bytes', 'bytes', 'contract', _CONTRACTS_COUNTS)
 def config_bytes(contracts_count: int) -> float:
-    """Return the size of the configuration document."""
+    """Return the UTF-8 bytes of the configuration document."""
     return len(_config_text(contracts_count).encode())
 
 
-@measurement('config_parse_ms', 'ms', 'contract', _CONTRACTS)
+@measurement('config_parse_ms', 'ms', 'contract', _CONTRACTS_COUNTS)
 def config_parse_ms(contracts_count: int) -> float:
     """Return the time to read and check the configuration document."""
     text = _config_text(contracts_count)
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -1,8 +1,8 @@
-"""Measures how cost grows with size, and fits a line to each measure.
+"""Measures how costs grow with size, and fits a line to each measurement.
 
-Every measurement is a registered function from a size to a cost. The output
-is one JSON object a line: intercept, slope, and the largest residual as a
-fraction of the largest value, from at least four sizes.
+Every measurement is a registered function from a size to a cost, measured at
+four sizes or more. The output is one JSON object per line, with intercept,
+slope, and the largest residual as a fraction of the largest value.
 """
 
 import argparse
@@ -19,8 +19,8 @@
     measured = [entry.measure(size) for size in entry.sizes]
     line = statistics.linear_regression(entry.sizes, measured)
     residuals = [
-        abs(found - line.slope * size - line.intercept)
-        for size, found in zip(entry.sizes, measured, strict=True)
+        abs(cost - line.slope * size - line.intercept)
+        for size, cost in zip(entry.sizes, measured, strict=True)
     ]
     return {
         'measure': name,
@@ -30,12 +30,12 @@
         'intercept': line.intercept,
         'residual_ratio': max(residuals) / max(measured),
         'sizes': entry.sizes,
-        'measured': [round(found, 4) for found in measured],
+        'measured': [round(cost, 4) for cost in measured],
     }
 
 
 def main() -> None:
-    """Run the measurements named, or all."""
+    """Run the measurements named on the command line, or all."""
     parser = argparse.ArgumentParser(prog='tools.slopes')
     parser.add_argument('names', nargs='*')
     options = parser.parse_args()
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -19,14 +19,14 @@
 from fuchsiarill.workers import HostEntry, HostState
 
 _DOMAINS_COUNT: Final = 3
-_NO_TOKEN: Final = '0' * 64
-_NOISE: Final = 0.1
+_UNUSED_TOKEN_SHA256: Final = '0' * 64
+_SIZE_NOISE: Final = 0.1
 _SERVICES_AT_MS: Final = 2_000
 
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """Workers of one kind and the number of them in a rack."""
+    """Capacity of one kind of workers, their number and those per rack."""
 
     count: int
     per_rack: int
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobKind:
-    """One class of jobs: its true size, and its share of all submissions.
+    """One class of jobs: its true size, and its weight among submissions.
 
     The declared processors and memory are the true ones times
     `declared_ratio`, the declared run time is `run_time_ms` times it.
@@ -52,41 +52,41 @@
     execution: Execution = Execution.IDEMPOTENT
     tasks_count: int = 1
 
-    def work(self) -> Resources:
+    def resource_time(self) -> Resources:
         """Return the resources times milliseconds of one job."""
         return self.size.times(self.tasks_count * self.run_time_ms)
 
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """A cell, its customers and what they submit.
+    """A cell, its customers and their job classes.
 
-    `owners` names the customer that each shape of workers belongs to; its
-    contract guarantees it as much as these offer.
+    `customers` names one customer for each shape of workers; its contract
+    guarantees it the capacity of these workers.
     """
 
     name: str
     placement: str
     shapes: tuple[Shape, ...]
-    owners: tuple[str, ...]
+    customers: tuple[str, ...]
     kinds: tuple[JobKind, ...]
     services: tuple[JobKind, ...]
 
     def capacity(self) -> Resources:
-        """Return what all workers offer together."""
+        """Return the total capacity of all workers."""
         return sum(
             (shape.capacity.times(shape.count) for shape in self.shapes),
             start=NOTHING,
         )
 
     def hosts(self) -> Iterator[HostEntry]:
-        """Yield the entries of the host list."""
-        for kind, shape in enumerate(self.shapes):
+        """Yield the host list entries; racks alternate between domains."""
+        for shape_index, shape in enumerate(self.shapes):
             for number in range(shape.count):
-                rack = f'k{kind}-{number // shape.per_rack}'
+                rack = f'k{shape_index}-{number // shape.per_rack}'
                 domain = number // shape.per_rack % _DOMAINS_COUNT
                 yield HostEntry(
-                    WorkerId(f'w{kind}-{number}'),
+                    WorkerId(f'w{shape_index}-{number}'),
                     'none',
                     RegionId('r'),
                     FailureDomain(f'd{domain}'),
@@ -97,29 +97,35 @@
                 )
 
     def arrivals_per_ms(self, load: float) -> float:
-        """Return the rate that offers `load` of the scarcest resource.
+        """Return the submission rate at a load of the scarcest resource.
 
-        Services hold a part of the capacity all the time.
+        `load` is a fraction of the capacity that services, which run all the
+        time, leave to other jobs.
         """
-        held = sum(
-            (row.size.times(row.tasks_count) for row in self.services),
+        service_use = sum(
+            (
+                service.size.times(service.tasks_count)
+                for service in self.services
+            ),
             start=NOTHING,
         )
-        left = (self.capacity() - held).as_tuple()
+        capacity = (self.capacity() - service_use).as_tuple()
         total_share = sum(kind.share for kind in self.kinds)
-        asked = sum(
-            (_scaled(kind.work(), kind.share) for kind in self.kinds),
+        demand = sum(
+            (_scaled(kind.resource_time(), kind.share) for kind in self.kinds),
             start=NOTHING,
         )
         return load * min(
-            room * total_share / amount
-            for room, amount in zip(left, asked.as_tuple(), strict=True)
+            available * total_share / amount
+            for available, amount in zip(
+                capacity, demand.as_tuple(), strict=True
+            )
             if amount
         )
 
     def config(self, policies: dict[str, Any], placement: str) -> CellConfig:
-        """Return a configuration with these policies."""
-        whole = self.capacity()
+        """Return a configuration with these policies and one placement."""
+        total = self.capacity()
         return CellConfig.model_validate(
             {
                 'cell': self.name,
@@ -129,29 +135,29 @@
                     {
                         'customer': customer,
                         'region': 'r',
-                        'quota': _amounts(whole),
-                        'guaranteed': _amounts(own),
-                        'weight': own.dominant_share(whole),
+                        'quota': _amounts(total),
+                        'guaranteed': _amounts(guaranteed),
+                        'weight': guaranteed.dominant_share(total),
                         'submit_rate_per_s': 10**6,
                         'submit_burst_count': 10**6,
                         'waiting_jobs_max_count': 10**6,
                         'placement': placement,
-                        'token_sha256': _NO_TOKEN,
+                        'token_sha256': _UNUSED_TOKEN_SHA256,
                     }
-                    for customer, own in self._owned()
+                    for customer, guaranteed in self._guarantees()
                 ],
-                'operator_token_sha256': _NO_TOKEN,
+                'operator_token_sha256': _UNUSED_TOKEN_SHA256,
             },
         )
 
-    def _owned(self) -> Iterator[tuple[str, Resources]]:
-        for customer, shape in zip(self.owners, self.shapes, strict=True):
+    def _guarantees(self) -> Iterator[tuple[str, Resources]]:
+        for customer, shape in zip(self.customers, self.shapes, strict=True):
             yield customer, shape.capacity.times(shape.count)
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """One submission, with what it really needs."""
+    """One submission, with its true size and run time."""
 
     at_ms: int
     spec: JobSpec
@@ -167,7 +173,7 @@
 ) -> list[Arrival]:
     """Return services, once all workers are known, and jobs at random times."""
     random_source = random.Random(seed)
-    rows = [
+    scheduled = [
         _arrival(_SERVICES_AT_MS, kind, 0, random_source)
         for kind in deployment.services
     ]
@@ -177,8 +183,10 @@
     while at_ms < until_ms:
         at_ms += random_source.expovariate(rate)
         kind = random_source.choices(deployment.kinds, shares)[0]
-        rows.append(_arrival(int(at_ms), kind, len(rows), random_source))
-    return rows
+        scheduled.append(
+            _arrival(int(at_ms), kind, len(scheduled), random_source)
+        )
+    return scheduled
 
 
 def _arrival(
@@ -187,7 +195,7 @@
     number: int,
     random_source: random.Random,
 ) -> Arrival:
-    noise = random_source.uniform(1 - _NOISE, 1 + _NOISE)
+    noise = random_source.uniform(1 - _SIZE_NOISE, 1 + _SIZE_NOISE)
     size = Resources(
         int(kind.size.processors_milli * noise),
         int(kind.size.memory_mb * noise),
@@ -222,12 +230,12 @@
     return Resources(*(int(amount * factor) for amount in amounts.as_tuple()))
 
 
-def _amounts(whole: Resources) -> dict[str, int]:
+def _amounts(total: Resources) -> dict[str, int]:
     return {
-        'processors_milli': whole.processors_milli,
-        'memory_mb': whole.memory_mb,
-        'accelerators_count': whole.accelerators_count,
-        'slots_count': whole.slots_count,
+        'processors_milli': total.processors_milli,
+        'memory_mb': total.memory_mb,
+        'accelerators_count': total.accelerators_count,
+        'slots_count': total.slots_count,
     }
 
 
@@ -238,7 +246,7 @@
         Shape(18, 5, Resources(32_000, 128_000, 0, 8)),
         Shape(7, 3, Resources(64_000, 128_000, 8, 8)),
     ),
-    owners=('order-desk', 'design-studio'),
+    customers=('order-desk', 'design-studio'),
     kinds=(
         JobKind(
             'order-desk',
@@ -315,7 +323,7 @@
         Shape(18, 5, Resources(16_000, 32_000, 0, 8)),
         Shape(7, 3, Resources(32_000, 64_000, 8, 8)),
     ),
-    owners=('frame-planner', 'light-studio'),
+    customers=('frame-planner', 'light-studio'),
     kinds=(
         JobKind(
             'frame-planner',
