--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -1,7 +1,7 @@
-"""Jobs and workers of a pool under failure, in paused time on models.
+"""Jobs and workers of a pool under failures, on models in simulated time.
 
 Each test ends with a check that no task ran twice or after its success, and
-that no worker was over its capacity.
+that no worker exceeded its capacity.
 """
 
 import pytest
@@ -17,8 +17,8 @@
     TASK_SIZE,
     TWO_STEPS,
     GraphCell,
-    other,
-    play,
+    follower_of,
+    run_scenario,
 )
 
 
@@ -32,7 +32,7 @@
         steps = [task.step for task, _, _ in cell.fleet.starts]
         assert steps == [0, 0, 0, 1, 1]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_repeated_submission_is_one_job() -> None:
@@ -45,11 +45,11 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
         assert len(cell.fleet.starts) == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_lost_tasks_start_again_when_their_leases_have_lapsed() -> None:
-    """Guards against a worker that is asked and never taken as lost."""
+    """Guards against a lost worker whose tasks never start elsewhere."""
 
     async def scenario(cell: GraphCell) -> None:
         lasting = (Step(2, TASK_SIZE, is_lasting=True, per_worker_max=1),)
@@ -61,11 +61,11 @@
         await sleep_ms(9000)
         assert len(cell.fleet.starts) == 3
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_unanswered_start_is_ruled_out_before_the_next() -> None:
-    """Guards against two runs of a task whose start got no answer."""
+    """Guards against two runs of a task when the start order got no answer."""
 
     async def scenario(cell: GraphCell) -> None:
         for agent in cell.fleet.agents.values():
@@ -76,11 +76,11 @@
             agent.loses_answers = False
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_silent_worker_keeps_its_tasks_until_they_lapse() -> None:
-    """Guards against a task that runs on behind a cut and elsewhere too."""
+    """Guards against a task that runs on both sides of a network partition."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(1, TASK_SIZE),), duration_ms=4000)
@@ -91,11 +91,11 @@
         cell.fleet.agents[worker].is_silent = False
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_worker_that_starts_again_runs_nothing_of_before() -> None:
-    """Guards against tasks that are waited for after their worker's end."""
+def test_restarted_worker_has_lost_its_runs() -> None:
+    """Guards against waiting for runs that a worker's restart has ended."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(2, TASK_SIZE),), duration_ms=1500)
@@ -103,12 +103,12 @@
         cell.add_worker(cell.fleet.starts[0][2])
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 4500)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
-def test_outage_of_the_store_ends_no_task(fault: PathFault) -> None:
-    """Guards against leases that lapse while the store is away."""
+def test_store_outage_ends_no_task(fault: PathFault) -> None:
+    """Guards against task leases that lapse during a store outage."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(2, TASK_SIZE),), duration_ms=6000)
@@ -121,28 +121,28 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
         assert len(cell.fleet.starts) == 2
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_refused_submission_never_runs() -> None:
     """Guards against a refusal of a job that the store has accepted."""
 
     async def scenario(cell: GraphCell) -> None:
-        name = other(cell)
+        name = follower_of(cell)
         cell.paths[name].fault = PathFault.REFUSED
         answer = await cell.submit(name, 'a', TWO_STEPS, duration_ms=10)
         assert answer.code is codes.STORE_UNAVAILABLE
         await sleep_ms(2000)
         assert not cell.fleet.starts
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_lost_answer_is_no_refusal() -> None:
     """Guards against a refusal when the job may have been accepted."""
 
     async def scenario(cell: GraphCell) -> None:
-        name = other(cell)
+        name = follower_of(cell)
         cell.paths[name].fault = PathFault.ANSWER_LOST
         started_ms = now_ms()
         answer = await cell.submit(name, 'a', TWO_STEPS, duration_ms=10)
@@ -150,11 +150,11 @@
         assert now_ms() - started_ms <= 3500
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_cancelled_job_stops() -> None:
-    """Guards against tasks that run on after their job's cancellation."""
+    """Guards against tasks that keep running after a cancellation."""
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', (Step(2, TASK_SIZE, is_lasting=True),))
@@ -165,26 +165,26 @@
         await sleep_ms(1000)
         assert not any(agent.runs for agent in cell.fleet.agents.values())
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_job_fails_after_its_attempts() -> None:
     """Guards against more failed attempts than the queue allows."""
 
     async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=50, fails=9)
-        await cell.submit(P0, 'b', one, duration_ms=50, fails=2)
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=50, fails=9)
+        await cell.submit(P0, 'b', single_task, duration_ms=50, fails=2)
         await cell.wait_phase('a', JobPhase.FAILED, 15000)
         await cell.wait_phase('b', JobPhase.SUCCEEDED, 15000)
         attempts = [task.job for task, _, _ in cell.fleet.starts]
         assert attempts.count('a') == 3  # type: ignore[arg-type]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_gang_starts_as_a_whole() -> None:
-    """Guards against members that wait for others without room."""
+    """Guards against a gang of which only some members have started."""
 
     async def scenario(cell: GraphCell) -> None:
         gang = (Step(12, TASK_SIZE, is_gang=True),)
@@ -195,11 +195,11 @@
         await cell.wait_phase('b', JobPhase.SUCCEEDED, 4000)
         assert len({attempt for _, attempt, _ in cell.fleet.starts}) == 1
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_compaction_hides_no_job() -> None:
-    """Guards against a watch that misses what came before a compaction."""
+    """Guards against a watch that misses changes from before a compaction."""
 
     async def scenario(cell: GraphCell) -> None:
         cell.store.compact()
@@ -207,31 +207,33 @@
         cell.store.compact()
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 4000)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_worker_that_fails_everything_is_suspended() -> None:
-    """Guards against a bad worker that uses up the attempts of jobs."""
+    """Guards against a faulty worker that uses up the attempts of jobs."""
 
     async def scenario(cell: GraphCell) -> None:
         cell.fleet.agents['w0'].fails_all = True
         for number in range(8):
-            one = (Step(1, TASK_SIZE),)
-            await cell.submit(P0, f'j{number}', one, duration_ms=200)
+            single_task = (Step(1, TASK_SIZE),)
+            await cell.submit(P0, f'j{number}', single_task, duration_ms=200)
         for number in range(8):
             await cell.wait_phase(f'j{number}', JobPhase.SUCCEEDED, 9000)
-        bad = [worker for _, _, worker in cell.fleet.starts if worker == 'w0']
-        assert len(bad) <= 5
+        failed_starts = [
+            worker for _, _, worker in cell.fleet.starts if worker == 'w0'
+        ]
+        assert len(failed_starts) <= 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_metrics_count_what_happened() -> None:
-    """Guards against metrics that nobody counts."""
+def test_metrics_count_events() -> None:
+    """Guards against metrics that are never updated."""
 
     async def scenario(cell: GraphCell) -> None:
-        one = (Step(1, TASK_SIZE),)
-        await cell.submit(P0, 'a', one, duration_ms=50, fails=1)
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=50, fails=1)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
         written = cell.metrics.render().decode()
         for sample in (
@@ -243,4 +245,4 @@
         ):
             assert sample in written
 
-    play(scenario)
+    run_scenario(scenario)
