Name the parts of the platform adapter after what they do

Cause: doc comments such as "The platform's store as our port", "a call never left" or "tells no outcome" and names such as `_inside`, `_handled`, `_found` and `_NOTHING_DONE` needed the code to be understood. The class `Callers` stood for the handler of callers' requests.

Change: `Callers` is `CallerRequestHandler`, `VERBS` `REQUEST_HANDLERS`; private functions and constants are named after their effect or the statuses that they hold. The doc comments state errors, time limits and the reasons in terms of the field; tests name the failure that they guard against. Names and values on the wire are the same.

--- a/fuchsiarill/platform/__init__.py
+++ b/fuchsiarill/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter to the users' platform; it translates and decides nothing."""
+"""Adapter to the users' platform: translates messages, takes no decisions."""
--- a/fuchsiarill/platform/advice_client.py
+++ b/fuchsiarill/platform/advice_client.py
@@ -1,4 +1,4 @@
-"""The platform's advice service as our `AdvisorPort`."""
+"""`AdvisorPort` implemented by calls to the platform's advice service."""
 
 import json
 from typing import Any, Final
@@ -17,7 +17,7 @@
 
 
 class PlatformAdvisor:
-    """Asks the advice service through the HTTP client."""
+    """Requests tickets from the advice service over HTTP."""
 
     def __init__(self, address: str, client: HttpClient) -> None:
         """Use the service at `address`, a host with a port."""
@@ -30,7 +30,11 @@
         workers: tuple[WorkerId, ...],
         timeout_ms: int,
     ) -> Result[dict[WorkerId, Ticket], AgentFailure]:
-        """Return a ticket for each worker that may run the step."""
+        """Return a ticket for each worker that may run the step.
+
+        Fails with `UNHEALTHY` while the service is busy, and with `UNKNOWN`
+        when no readable answer arrives.
+        """
         body = {'step_id': step_name(step), 'workers': list(workers)}
         call = HttpCall('POST', self._url, json.dumps(body).encode())
         answer = read_answer(await self._client.call(call, timeout_ms))
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -1,4 +1,4 @@
-"""Reading of HTTP answers of the platform and its workers."""
+"""Decodes HTTP answers of the platform and its workers."""
 
 import json
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformAnswer:
-    """Status and decoded body; without a status there was no answer."""
+    """Status and decoded body; `status` is `None` without a usable answer."""
 
     status: int | None
     body: dict[str, Any] = field(default_factory=dict)
@@ -25,7 +25,7 @@
 
     @property
     def is_unsent(self) -> bool:
-        """Tell whether the call never left."""
+        """Return whether the request certainly did not reach the server."""
         return self.failure in {
             CallFailure.NOT_SENT,
             CallFailure.CONNECTION_REFUSED,
@@ -35,9 +35,9 @@
 def read_answer(
     answered: Result[HttpAnswer, CallFailure],
 ) -> PlatformAnswer:
-    """Decode an answer; an unreadable success counts as no answer.
+    """Decode an answer; a 2xx with an unreadable body counts as no answer.
 
-    Each body on the platform is a JSON object.
+    Every body that the platform sends is a JSON object.
     """
     if isinstance(answered, Failure):
         return PlatformAnswer(None, failure=answered.failure())
@@ -55,9 +55,9 @@
     parse: Callable[[dict[str, Any]], _Parsed],
     source: str,
 ) -> _Parsed | None:
-    """Parse the body of a success; logs one that can not be parsed.
+    """Parse the body of an answer; logs a failure and returns `None`.
 
-    `source` names in the log who has answered.
+    `source` names the sender of the answer in the log line.
     """
     try:
         return parse(answer.body)
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -1,4 +1,4 @@
-"""Requests of the platform's clients, translated for our front."""
+"""Translates requests of the platform's clients into intake messages."""
 
 import json
 import time
@@ -27,14 +27,17 @@
 from fuchsiarill.platform.documents import read_job
 from fuchsiarill.registry import Registry
 
-_Handler = Callable[['Callers', Request, QueuePolicy, str], IntakeAnswer]
+_Handler = Callable[
+    ['CallerRequestHandler', Request, QueuePolicy, str],
+    IntakeAnswer,
+]
 
-VERBS: Final[Registry[tuple[str, bool], _Handler]] = Registry(
-    'requests by method, and whether they name a job',
+REQUEST_HANDLERS: Final[Registry[tuple[str, bool], _Handler]] = Registry(
+    'request handlers by HTTP method and presence of a job id',
 )
 
-# A 429 or 503 promises that a job never runs; an outcome that is not known
-# is a 504, after which the client tries again with the same id.
+# A 429 or 503 guarantees that the job never runs. An unknown outcome is a 504,
+# after which the client retries with the same job id.
 _STATUSES: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
@@ -60,28 +63,32 @@
 }
 
 
-class Callers:
-    """Answers the requests of clients."""
+class CallerRequestHandler:
+    """Answers HTTP requests of clients; maps result codes to statuses."""
 
     def __init__(self, front: Front, metrics: GraphMetrics) -> None:
-        """Answer through `front`."""
+        """Create a handler that sends messages through `front`."""
         self.front = front
         self._metrics = metrics
 
     def answer(self, request: Request) -> Response:
-        """Return the answer to one request; runs in a thread."""
+        """Answer one request; called in a thread of the listener."""
         started_s = time.perf_counter()
         outcome = self._outcome(request)
         duration_s = time.perf_counter() - started_s
         self._metrics.answered(request.method, outcome.code, duration_s)
         return self._response(request, outcome)
 
-    def ask(
+    def call_intake(
         self,
         request: Request,
         build: Callable[[int, Reply[IntakeAnswer]], Any],
     ) -> IntakeAnswer:
-        """Ask the intake with a message of the deadline and a reply."""
+        """Send a message to the intake and wait for its answer.
+
+        `build` creates the message from the deadline and the reply. Raises
+        `NotSentError` or `TimeoutError`.
+        """
         deadline_ms = self.front.deadline_ms(request.caller_timeout_ms)
         return self.front.ask(partial(build, deadline_ms), deadline_ms)
 
@@ -95,16 +102,16 @@
         if len(request.body) > config.limits.body_max_bytes:
             return IntakeAnswer(codes.TOO_LARGE)
         try:
-            return self._handled(request, policy)
+            return self._dispatch(request, policy)
         except _FAILURE_TYPES as error:
             return IntakeAnswer(_FAILURES[type(error)])
 
-    def _handled(self, request: Request, policy: QueuePolicy) -> IntakeAnswer:
+    def _dispatch(self, request: Request, policy: QueuePolicy) -> IntakeAnswer:
         job = request.path.removeprefix(policy.prefix)
-        verb = (request.method, bool(job))
-        if verb not in VERBS:
+        route = (request.method, bool(job))
+        if route not in REQUEST_HANDLERS:
             return IntakeAnswer(codes.UNKNOWN_ROUTE)
-        return VERBS.lookup(verb)(self, request, policy, job)
+        return REQUEST_HANDLERS.lookup(route)(self, request, policy, job)
 
     def _response(self, request: Request, outcome: IntakeAnswer) -> Response:
         status = _STATUSES[outcome.code]
@@ -126,43 +133,47 @@
     return json.dumps({'state': state}).encode()
 
 
-@VERBS.register(('POST', True))
+@REQUEST_HANDLERS.register(('POST', True))
 def _submit(
-    callers: Callers,
+    handler: CallerRequestHandler,
     request: Request,
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
     graph = read_job(job, policy, request.body)
-    return callers.ask(request, partial(Submit, graph))
+    return handler.call_intake(request, partial(Submit, graph))
 
 
-@VERBS.register(('GET', True))
+@REQUEST_HANDLERS.register(('GET', True))
 def _look_up(
-    callers: Callers,
+    handler: CallerRequestHandler,
     request: Request,
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
-    return callers.ask(request, partial(LookUp, policy.pool, JobId(job)))
+    return handler.call_intake(
+        request, partial(LookUp, policy.pool, JobId(job))
+    )
 
 
-@VERBS.register(('DELETE', True))
+@REQUEST_HANDLERS.register(('DELETE', True))
 def _cancel(
-    callers: Callers,
+    handler: CallerRequestHandler,
     request: Request,
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
-    return callers.ask(request, partial(Cancel, policy.pool, JobId(job)))
+    return handler.call_intake(
+        request, partial(Cancel, policy.pool, JobId(job))
+    )
 
 
-@VERBS.register(('GET', False))
+@REQUEST_HANDLERS.register(('GET', False))
 def _count(
-    callers: Callers,
+    handler: CallerRequestHandler,
     request: Request,
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
     build = partial(CountPending, policy.pool, policy.queue)
-    return callers.ask(request, build)
+    return handler.call_intake(request, build)
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -1,7 +1,7 @@
-"""The daemon as the platform runs it.
+"""Entry point of the daemon on the users' platform.
 
-The platform fills in `deploy/settings.yaml`, so the settings file has our
-own format; its path stands in an environment variable.
+The platform fills in the template `deploy/settings.yaml`, so this project
+defines the format. An environment variable holds the path of the result.
 """
 
 import asyncio
@@ -37,7 +37,7 @@
 from fuchsiarill.log_setup import log_to_sink
 from fuchsiarill.log_sink import JsonLineSink
 from fuchsiarill.platform.advice_client import PlatformAdvisor
-from fuchsiarill.platform.callers import Callers
+from fuchsiarill.platform.callers import CallerRequestHandler
 from fuchsiarill.platform.documents import read_config, read_worker
 from fuchsiarill.platform.store_client import PlatformStore
 from fuchsiarill.platform.worker_client import PlatformWorkers
@@ -45,18 +45,18 @@
 
 _SETTINGS_VARIABLE: Final = 'FUCHSIARILL_NODE_FILE'
 _CALLS_MAX_COUNT: Final = 2000
-_CHECK_S: Final = 0.05
-# Requests in progress are waited for during one second.
-_FINISH_CHECKS_COUNT: Final = 20
+_POLL_INTERVAL_S: Final = 0.05
+# 20 polls of 50 ms: requests in progress get one second to finish.
+_FINISH_POLLS_COUNT: Final = 20
 _READINESS_THREADS_COUNT: Final = 2
 _METRICS_THREADS_COUNT: Final = 1
 
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock counts the time of a suspended machine.
+    """Event loop whose clock includes the time the machine is suspended.
 
-    With the monotonic clock an owner that wakes would still believe in a
-    lease that has lapsed meanwhile.
+    The monotonic clock stops during a suspension: after it an owner would
+    treat a lease as valid that has expired meanwhile.
     """
 
     def __init__(self) -> None:
@@ -64,15 +64,18 @@
         super().__init__(selectors.DefaultSelector())
 
     def time(self) -> float:
-        """Return the time since the machine started, in seconds."""
+        """Return the time since boot in seconds, suspensions included."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def run() -> None:
     """Run the daemon until SIGTERM or SIGINT."""
-    # Signals can arrive while the loop is not running yet.
-    for early in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
-        signal.signal(early, _ignore_reload if early is signal.SIGHUP else _end)
+    # Signals can arrive before the loop runs.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(
+            number,
+            _ignore_reload if number is signal.SIGHUP else _exit_on_signal,
+        )
     path = Path(os.environ.get(_SETTINGS_VARIABLE, ''))
     settings = _load_or_exit(path)
     collect_seldom()
@@ -91,10 +94,10 @@
 
 
 def _ignore_reload(number: int, frame: Any) -> None:
-    """Settings are read after the start anyway."""
+    """Ignore a reload before the loop runs: the start reads the settings."""
 
 
-def _end(number: int, frame: Any) -> None:
+def _exit_on_signal(number: int, frame: Any) -> None:
     sys.exit(0)
 
 
@@ -112,7 +115,7 @@
     path: Path,
     sink: JsonLineSink,
 ) -> None:
-    """Run until the process ends; does not return."""
+    """Run the daemon, then exit the process; does not return."""
     metrics = GraphMetrics()
     client = HttpClient(
         settings.calls.threads_max_count,
@@ -143,30 +146,30 @@
     listeners = _listeners(settings, process, metrics)
     for listener in listeners:
         listener.start()
-    await _run_to_end(process, listeners[0])
+    await _wait_for_end(process, listeners[0])
     events.emit(events.PROCESS_STOPPED, process=settings.process)
     sink.flush()
-    # A close of each listener takes seconds, in which requests would be read
-    # and not answered.
+    # Closing the listeners takes seconds, in which requests would be read but
+    # not answered.
     os._exit(process.exit_status or 0)
 
 
-async def _run_to_end(process: GraphProcess, listener: Listener) -> None:
-    """Wait for the end of the process and of the requests in progress."""
+async def _wait_for_end(process: GraphProcess, listener: Listener) -> None:
+    """Wait until the process ends, then finish requests in progress."""
     while process.exit_status is None:
-        await asyncio.sleep(_CHECK_S)
+        await asyncio.sleep(_POLL_INTERVAL_S)
         listener.is_draining = process.front.view.is_draining
     await _finish_requests(listener)
 
 
 async def _finish_requests(listener: Listener) -> None:
     """Wait until no request is in progress, or for a limited time."""
-    for _ in range(_FINISH_CHECKS_COUNT):
+    for _ in range(_FINISH_POLLS_COUNT):
         if not listener.in_progress_count:
             break
-        await asyncio.sleep(_CHECK_S)
-    # The last answer is on its way.
-    await asyncio.sleep(_CHECK_S)
+        await asyncio.sleep(_POLL_INTERVAL_S)
+    # A request leaves the count before its answer has been sent.
+    await asyncio.sleep(_POLL_INTERVAL_S)
 
 
 def _listeners(
@@ -174,12 +177,12 @@
     process: GraphProcess,
     metrics: GraphMetrics,
 ) -> tuple[Listener, ...]:
-    callers = Callers(process.front, metrics)
+    handler = CallerRequestHandler(process.front, metrics)
     return (
         Listener(
             settings.listen.callers,
             settings.front,
-            callers.answer,
+            handler.answer,
             settings.front.threads_count,
         ),
         Listener(
@@ -191,14 +194,14 @@
         Listener(
             settings.listen.metrics,
             settings.front,
-            partial(_inside, process, metrics),
+            partial(_serve_diagnostics, process, metrics),
             _METRICS_THREADS_COUNT,
         ),
     )
 
 
 def _readiness(front: Front, request: Request) -> Response:
-    """Tell the platform's balancer whether to send connections."""
+    """Answer the readiness check of the platform's load balancer."""
     if request.path != '/readyz':
         return Response(HTTPStatus.NOT_FOUND)
     if front.view.is_ready:
@@ -206,7 +209,7 @@
     return Response(HTTPStatus.SERVICE_UNAVAILABLE)
 
 
-def _inside(
+def _serve_diagnostics(
     process: GraphProcess,
     metrics: GraphMetrics,
     request: Request,
@@ -236,7 +239,7 @@
 
 
 def _reload(path: Path, settings: GraphSettings) -> None:
-    """Read the settings again; addresses are taken at the next start."""
+    """Check the settings file; changes take effect at the next start."""
     loaded = load_graph_settings(path)
     if isinstance(loaded, Failure):
         events.emit(
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -1,6 +1,6 @@
-"""Documents of the platform: configuration, worker entries, jobs.
+"""Parsers of platform documents: configuration, worker entries, jobs.
 
-Every reader raises `DocumentError` for a document that it can't use.
+Every parser raises `DocumentError` for an invalid document.
 """
 
 import json
@@ -30,35 +30,34 @@
 
 _JOB_ID: Final = re.compile('[0-9a-f]{16}')
 _PAYLOAD_MAX_BYTES: Final = 4000
-_LISTINGS: Final = {
+_LISTING_BY_STATE: Final = {
     'ready': WorkerListing.LIVE,
     'draining': WorkerListing.LEAVING,
 }
-# A queue without a time-out of its own.
-_TIMEOUT_MS: Final = 60_000
-_UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
+_QUEUE_TIMEOUT_DEFAULT_MS: Final = 60_000
+_PARSE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
 
 
 def read_config(content: bytes) -> GraphConfig:
-    """Read the operator's configuration."""
+    """Parse the operator's configuration."""
     document = _object(content)
     try:
         return _config(document)
-    except _UNREADABLE as error:
+    except _PARSE_ERRORS as error:
         raise DocumentError(f'configuration: {error!r}') from error
 
 
 def read_worker(worker: WorkerId, content: bytes) -> WorkerEntry:
-    """Read the entry that a worker, or another writer, left of it."""
+    """Parse a worker's entry, which the worker or another writer stored."""
     document = _object(content)
     try:
         return _worker(worker, document)
-    except _UNREADABLE as error:
+    except _PARSE_ERRORS as error:
         raise DocumentError(f'entry of {worker}: {error!r}') from error
 
 
 def read_job(job: str, policy: QueuePolicy, content: bytes) -> JobGraph:
-    """Read a job that a client hands in."""
+    """Parse a submitted job; `job` must be an id of 16 hex digits."""
     if not _JOB_ID.fullmatch(job):
         raise DocumentError(f'{job!r} is not a job id of 16 hex digits')
     document = _object(content)
@@ -71,7 +70,7 @@
             _steps(document['phases']),
             _schedule(document),
         )
-    except _UNREADABLE as error:
+    except _PARSE_ERRORS as error:
         raise DocumentError(f'job {job}: {error!r}') from error
 
 
@@ -89,14 +88,14 @@
     queues = [_queue(row) for row in document['routes']]
     pools = [_pool(row) for row in document['services']]
     limits = document.get('limits', {})
-    usual = RequestLimits()
+    defaults = RequestLimits()
     return GraphConfig(
         Generation(int(document['version'])),
         {policy.queue: policy for policy in queues},
         {policy.pool: policy for policy in pools},
         RequestLimits(
-            limits.get('max_header_bytes', usual.header_max_bytes),
-            limits.get('max_body_bytes', usual.body_max_bytes),
+            limits.get('max_header_bytes', defaults.header_max_bytes),
+            limits.get('max_body_bytes', defaults.body_max_bytes),
         ),
     )
 
@@ -108,7 +107,7 @@
         row['host'],
         row['prefix'],
         PoolId(row['service']),
-        int(row.get('timeout_ms') or _TIMEOUT_MS),
+        int(row.get('timeout_ms') or _QUEUE_TIMEOUT_DEFAULT_MS),
         int(row.get('priority', 0)),
         int(row.get('max_attempts', 1)),
         float(row.get('slack_factor', 1)),
@@ -143,7 +142,7 @@
             _count(capacity['gpu']),
         ),
         tuple(Label(_text(label)) for label in document['labels']),
-        _LISTINGS[document['state']],
+        _LISTING_BY_STATE[document['state']],
         BornMs(_count(document.get('born', 0))),
         document.get('drain_left_ms'),
     )
@@ -174,7 +173,9 @@
     steps = tuple(_step(row) for row in rows)
     for position, step in enumerate(steps):
         if any(not 0 <= earlier < position for earlier in step.after):
-            raise ValueError(f'step {position} names a step not before it')
+            raise ValueError(
+                f'step {position} may depend on earlier steps only'
+            )
     return steps
 
 
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -1,7 +1,7 @@
-"""The platform's key-value store as our `KeyValuePort`.
+"""`KeyValuePort` implemented by calls to the platform's key-value store.
 
-Values are base64 text on the wire. A 503 or 429 proves that a call did
-nothing; a call without an answer may have taken effect, or may still do so.
+Values are base64 text on the wire. A 503 or 429 proves that a call had no
+effect; a call without an answer may have taken effect, or may still do so.
 """
 
 import base64
@@ -28,19 +28,19 @@
 )
 
 _OK: Final = 200
-_LEASE_DONE: Final = frozenset((200, 202, 204))
-_ABSENT: Final = 404
+_LEASE_OK_STATUSES: Final = frozenset((200, 202, 204))
+_NOT_FOUND: Final = 404
 _GONE: Final = 410
-_CONFLICT: Final = 412
-_NOTHING_DONE: Final = frozenset((429, 503))
-# A watch is answered late by the links' delay and by a busy store.
+_CONDITION_UNMET: Final = 412
+_NO_EFFECT_STATUSES: Final = frozenset((429, 503))
+# Allowance beyond the requested wait for network delay and a busy store.
 _WATCH_MARGIN_MS: Final = 600
 _SOURCE: Final = 'the store'
 _Parsed = TypeVar('_Parsed')
 
 
 class PlatformStore:
-    """Makes the store's calls through the HTTP client."""
+    """HTTP client of the platform's store."""
 
     def __init__(self, address: str, client: HttpClient) -> None:
         """Use the store at `address`, a host with a port."""
@@ -55,9 +55,9 @@
         """Read a key; an absent one has no value and revision `ABSENT`."""
         query = urlencode({'key': key})
         answer = await self._call('GET', f'/kv-key?{query}', None, timeout_ms)
-        if answer.status == _ABSENT:
+        if answer.status == _NOT_FOUND:
             return Success(KvItem(key, None, ABSENT))
-        return _parsed(answer, _item)
+        return _parse_answer(answer, _item)
 
     async def list_prefix(
         self,
@@ -71,7 +71,7 @@
             query['after'] = after
         path = f'/kv-range?{urlencode(query)}'
         answer = await self._call('GET', path, None, timeout_ms)
-        return _parsed(answer, _page)
+        return _parse_answer(answer, _page)
 
     async def watch_prefix(
         self,
@@ -91,14 +91,14 @@
         answer = read_answer(answered)
         if answer.status == _GONE:
             return Failure(KvFailure.COMPACTED)
-        return _parsed(answer, _changes)
+        return _parse_answer(answer, _changes)
 
     async def commit(
         self,
         transaction: KvTransaction,
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
-        """Carry out a transaction."""
+        """Apply a transaction; an unmet condition yields a `KvConflict`."""
         body = {
             'expected': [
                 {'key': key, 'revision': revision}
@@ -108,21 +108,21 @@
             'deletes': list(transaction.deletes),
         }
         answer = await self._call('POST', '/kv-txn', body, timeout_ms)
-        if answer.status == _ABSENT:
+        if answer.status == _NOT_FOUND:
             return Failure(KvFailure.LEASE_GONE)
-        if answer.status == _CONFLICT:
-            return _found(parse_body(answer, _conflict, _SOURCE))
-        return _parsed(answer, _committed)
+        if answer.status == _CONDITION_UNMET:
+            return _parsed_or_unknown(parse_body(answer, _conflict, _SOURCE))
+        return _parse_answer(answer, _committed)
 
     async def grant_lease(
         self,
         ttl_ms: int,
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
-        """Create a lease that lapses `ttl_ms` after its last renewal."""
+        """Create a lease that expires `ttl_ms` after its last renewal."""
         body = {'ttl_ms': ttl_ms}
         answer = await self._call('POST', '/kv-lease', body, timeout_ms)
-        return _parsed(answer, _lease)
+        return _parse_answer(answer, _lease)
 
     async def renew_lease(
         self,
@@ -130,7 +130,7 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """Extend a lease by its time to live."""
-        return await self._on_lease('POST', '/kv-keep', lease, timeout_ms)
+        return await self._call_lease('POST', '/kv-keep', lease, timeout_ms)
 
     async def end_lease(
         self,
@@ -138,14 +138,14 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         """End a lease and delete its keys."""
-        return await self._on_lease(
+        return await self._call_lease(
             'DELETE',
             '/kv-lease-end',
             lease,
             timeout_ms,
         )
 
-    async def _on_lease(
+    async def _call_lease(
         self,
         method: str,
         path: str,
@@ -153,9 +153,9 @@
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
         answer = await self._call(method, f'{path}/{lease}', None, timeout_ms)
-        if answer.status == _ABSENT:
+        if answer.status == _NOT_FOUND:
             return Failure(KvFailure.LEASE_GONE)
-        if answer.status not in _LEASE_DONE:
+        if answer.status not in _LEASE_OK_STATUSES:
             return Failure(_failure(answer))
         return Success(lease)
 
@@ -172,24 +172,24 @@
 
 
 def _failure(answer: PlatformAnswer) -> KvFailure:
-    if answer.status in _NOTHING_DONE or answer.is_unsent:
+    if answer.status in _NO_EFFECT_STATUSES or answer.is_unsent:
         return KvFailure.REFUSED
     if answer.status is not None:
         events.emit(events.STORE_ANSWER_UNEXPECTED, status=answer.status)
     return KvFailure.UNKNOWN
 
 
-def _parsed(
+def _parse_answer(
     answer: PlatformAnswer,
     parse: Callable[[dict[str, Any]], _Parsed],
 ) -> Result[_Parsed, KvFailure]:
     if answer.status != _OK:
         return Failure(_failure(answer))
-    return _found(parse_body(answer, parse, _SOURCE))
+    return _parsed_or_unknown(parse_body(answer, parse, _SOURCE))
 
 
-def _found(parsed: _Parsed | None) -> Result[_Parsed, KvFailure]:
-    """Return what was parsed; an unreadable answer tells no outcome."""
+def _parsed_or_unknown(parsed: _Parsed | None) -> Result[_Parsed, KvFailure]:
+    """Return the parsed answer; `UNKNOWN` for an unreadable one."""
     return Failure(KvFailure.UNKNOWN) if parsed is None else Success(parsed)
 
 
--- a/fuchsiarill/platform/task_names.py
+++ b/fuchsiarill/platform/task_names.py
@@ -5,16 +5,16 @@
 
 
 def task_name(task: TaskKey) -> str:
-    """Return the name of a task."""
+    """Return the wire name of a task."""
     return f'{task.job}.{task.occurrence}.{task.step}.{task.position}'
 
 
 def step_name(step: StepKey) -> str:
-    """Return the name of a step of one occurrence."""
+    """Return JOB.OCCURRENCE.STEP for a step of one occurrence."""
     return f'{step.job}.{step.occurrence}.{step.step}'
 
 
 def parse_task(name: str) -> TaskKey:
-    """Return the task of a name; raises `ValueError`."""
+    """Parse the wire name of a task; raises `ValueError`."""
     job, occurrence, step, index = name.split('.')
     return TaskKey(JobId(job), int(occurrence), int(step), int(index))
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -1,4 +1,4 @@
-"""Workers of the platform as our `AgentPort`."""
+"""`AgentPort` implemented by calls to the platform's workers."""
 
 import json
 from typing import Any, Final
@@ -28,17 +28,17 @@
 
 _OK: Final = 200
 _CONFLICT: Final = 409
-# A worker may hold the answer for this much longer than it was asked to.
+# A worker may answer a long poll this much later than `wait_ms`.
 _RENEWAL_MARGIN_MS: Final = 700
 
-_CONFLICTS: Final = {
+_FAILURE_BY_REASON: Final = {
     'fence': AgentFailure.FENCED,
     'old': AgentFailure.SUPERSEDED,
     'late': AgentFailure.EXPIRED,
     'room': AgentFailure.NO_ROOM,
     'ticket': AgentFailure.TICKET_INVALID,
 }
-_STATUSES: Final = {
+_FAILURE_BY_STATUS: Final = {
     400: AgentFailure.MALFORMED,
     421: AgentFailure.OTHER_WORKER,
     429: AgentFailure.UNHEALTHY,
@@ -59,7 +59,7 @@
 
 
 class PlatformWorkers:
-    """Makes the workers' calls through the HTTP client."""
+    """HTTP client of the platform's workers."""
 
     def __init__(self, client: HttpClient) -> None:
         """Use the connections of `client`."""
@@ -83,7 +83,7 @@
             body['checkpoint'] = order.checkpoint
         if order.ticket is not None:
             body['ticket'] = order.ticket
-        return await self._order(agent, '/run-start', body, timeout_ms)
+        return await self._send_order(agent, '/run-start', body, timeout_ms)
 
     async def stop(
         self,
@@ -97,7 +97,7 @@
             'attempt': order.attempt,
             'fence_token': order.epoch,
         }
-        return await self._order(agent, '/run-stop', body, timeout_ms)
+        return await self._send_order(agent, '/run-stop', body, timeout_ms)
 
     async def pace(
         self,
@@ -112,7 +112,7 @@
             'percent': order.percent,
             'fence_token': order.epoch,
         }
-        return await self._order(agent, '/pace', body, timeout_ms)
+        return await self._send_order(agent, '/pace', body, timeout_ms)
 
     async def renew(
         self,
@@ -120,7 +120,7 @@
         order: RenewalOrder,
         timeout_ms: int,
     ) -> Result[WorkerReport, AgentFailure]:
-        """Renew the task leases and return what runs and has ended."""
+        """Renew the task leases; returns the running and the ended runs."""
         body = {
             'fence_token': order.epoch,
             'acked_seq': order.acknowledged,
@@ -143,7 +143,7 @@
             return Failure(AgentFailure.MALFORMED)
         return Success(report)
 
-    async def _order(
+    async def _send_order(
         self,
         agent: AgentAddress,
         path: str,
@@ -177,8 +177,8 @@
         return _CALL_FAILURES.get(answer.failure, AgentFailure.UNKNOWN)
     if answer.status == _CONFLICT:
         reason = str(answer.body.get('reason'))
-        return _CONFLICTS.get(reason, AgentFailure.MALFORMED)
-    return _STATUSES.get(answer.status or 0, AgentFailure.UNKNOWN)
+        return _FAILURE_BY_REASON.get(reason, AgentFailure.MALFORMED)
+    return _FAILURE_BY_STATUS.get(answer.status or 0, AgentFailure.UNKNOWN)
 
 
 def _clock_ms(body: dict[str, Any]) -> int:
@@ -206,11 +206,11 @@
 
 
 def _end(row: list[Any]) -> EndRow:
-    sequence, task, attempt, how, checkpoint = row
+    sequence, task, attempt, kind, checkpoint = row
     return EndRow(
         EndSequence(sequence),
         parse_task(task),
         attempt,
-        _END_KINDS[how],
+        _END_KINDS[kind],
         Checkpoint(checkpoint),
     )
--- a/tests/platform_server.py
+++ b/tests/platform_server.py
@@ -1,4 +1,4 @@
-"""A loopback server that answers with what a test has put up."""
+"""A loopback HTTP server that sends the answer set by a test."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class Canned:
-    """The answer to give, and the requests that came."""
+    """The answer to send, and the requests received."""
 
     status: int = 200
     body: Any = field(default_factory=dict)
@@ -22,7 +22,7 @@
     address: str = ''
 
     def respond(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
-        """Keep the request and give the answer."""
+        """Record the request and send the answer."""
         size = int(environ.get('CONTENT_LENGTH') or 0)
         content = environ['wsgi.input'].read(size)
         path = environ['PATH_INFO']
@@ -50,7 +50,7 @@
 
 @contextmanager
 def serve_canned() -> Iterator[Canned]:
-    """Serve on a free port of loopback."""
+    """Serve on a free port of the loopback interface."""
     canned = Canned()
     server = wsgi.Server(('127.0.0.1', 0), canned.respond, numthreads=2)
     server.prepare()
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -1,4 +1,4 @@
-"""Calls of the platform's store, workers and advice service on the wire."""
+"""Wire format of calls to the platform's store, workers and advice service."""
 
 import asyncio
 import base64
@@ -57,7 +57,7 @@
 
 @pytest.fixture(name='canned')
 def serve() -> Iterator[Canned]:
-    """Serve canned answers."""
+    """Serve the answer that a test sets."""
     with serve_canned() as canned:
         yield canned
 
@@ -68,17 +68,17 @@
 
 
 def store(canned: Canned) -> PlatformStore:
-    """Return a client of the canned store."""
+    """Return a client that sends the calls of a store to `canned`."""
     return PlatformStore(canned.address, HttpClient(2, 4))
 
 
 def agent(canned: Canned) -> AgentAddress:
-    """Return the address of the canned worker."""
+    """Return the address of `canned` as that of worker i-1."""
     return AgentAddress(WorkerId('i-1'), canned.address)
 
 
 def test_item_is_decoded(canned: Canned) -> None:
-    """Guards against values that are taken as they are on the wire."""
+    """Guards against values that are returned in base64."""
     canned.body = {
         'key': KEY,
         'value': base64.b64encode(b'node').decode(),
@@ -92,7 +92,7 @@
 
 
 def test_absent_key_is_an_answer(canned: Canned) -> None:
-    """Guards against an absent key that looks like a failure."""
+    """Guards against an absent key that is reported as a failure."""
     canned.status = 404
     found = run(store(canned).get(KEY, _TIMEOUT_MS))
     assert found == Success(KvItem(KEY, None, ABSENT))
@@ -112,28 +112,28 @@
     status: int,
     failure: KvFailure,
 ) -> None:
-    """Guards against an unknown outcome that is taken for a refusal."""
+    """Guards against an unknown outcome that is reported as a refusal."""
     canned.status = status
     outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(failure)
 
 
 def test_unreachable_store_has_done_nothing() -> None:
-    """Guards against a doubt about a call that was never sent."""
-    nobody = PlatformStore('127.0.0.1:1', HttpClient(2, 4))
-    outcome = run(nobody.commit(KvTransaction(), _TIMEOUT_MS))
+    """Guards against an unknown outcome of a call that was never sent."""
+    unreachable = PlatformStore('127.0.0.1:1', HttpClient(2, 4))
+    outcome = run(unreachable.commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.REFUSED)
 
 
 def test_unreadable_success_is_no_answer(canned: Canned) -> None:
-    """Guards against a cut body that is taken for a refusal."""
+    """Guards against a truncated body that is reported as a refusal."""
     canned.body = b'{"revi'
     outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.UNKNOWN)
 
 
 def test_transaction_on_the_wire(canned: Canned) -> None:
-    """Guards against conditions or leases that get lost on the way."""
+    """Guards against conditions or leases that are missing from the request."""
     canned.body = {'revision': 9}
     transaction = KvTransaction(
         ((KEY, ABSENT),),
@@ -154,7 +154,7 @@
 
 
 def test_conflict_shows_the_keys(canned: Canned) -> None:
-    """Guards against a conflict that does not tell what stands there."""
+    """Guards against a conflict without the present items."""
     canned.status = 412
     canned.body = {'items': [{'key': KEY, 'value': 'eA==', 'revision': 3}]}
     outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
@@ -164,7 +164,7 @@
 
 
 def test_watch(canned: Canned) -> None:
-    """Guards against deletions that look like writes."""
+    """Guards against deletions that are read as writes."""
     canned.body = {
         'events': [
             {'key': 'a', 'value': 'eA==', 'revision': 4, 'created': 4},
@@ -181,7 +181,7 @@
 
 
 def test_start_on_the_wire(canned: Canned) -> None:
-    """Guards against an order that reaches another life of a worker."""
+    """Guards against an order that another worker at the address accepts."""
     canned.body = {'clock_ms': 482113}
     workers = PlatformWorkers(HttpClient(2, 4))
     outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
@@ -221,7 +221,7 @@
     reason: str,
     failure: AgentFailure,
 ) -> None:
-    """Guards against a refusal that is read as another one."""
+    """Guards against a refusal that is mapped to the wrong failure."""
     canned.status = status
     canned.body = {'clock_ms': 1, 'reason': reason}
     workers = PlatformWorkers(HttpClient(2, 4))
@@ -230,7 +230,7 @@
 
 
 def test_report(canned: Canned) -> None:
-    """Guards against ends that are read as another kind."""
+    """Guards against ends that are mapped to the wrong kind."""
     name = '5c0e7a21d94b36f8.0.1.17'
     canned.body = {
         'clock_ms': 5,
@@ -258,7 +258,7 @@
 
 
 def test_unreadable_report_is_no_report(canned: Canned) -> None:
-    """Guards against an actor that fails on a report of another shape."""
+    """Guards against a malformed report that raises in the calling actor."""
     canned.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
     workers = PlatformWorkers(HttpClient(2, 4))
     order = RenewalOrder(Epoch(7), EndSequence(0), None, 0)
@@ -267,7 +267,7 @@
 
 
 def test_advice(canned: Canned) -> None:
-    """Guards against tickets that are given to the wrong worker."""
+    """Guards against tickets that are assigned to the wrong worker."""
     canned.body = {'granted': [['i-1', 'c81e'], ['i-2', 'c82e']]}
     advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
     step = StepKey(JobId('5c0e7a21d94b36f8'), 0, 1)
@@ -291,7 +291,7 @@
     canned: Canned,
     body: bytes,
 ) -> None:
-    """Guards against an error that ends the task which made the call."""
+    """Guards against a malformed body that raises in the calling task."""
     canned.body = body
     outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.UNKNOWN)
@@ -304,7 +304,7 @@
     canned: Canned,
     body: bytes,
 ) -> None:
-    """Guards against a second start of what an odd answer has confirmed."""
+    """Guards against a second start after an unreadable confirmation."""
     canned.body = body
     workers = PlatformWorkers(HttpClient(2, 4))
     outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
@@ -312,7 +312,7 @@
 
 
 def test_refusal_without_an_object_is_a_refusal(canned: Canned) -> None:
-    """Guards against a refusal that fails for the shape of its body."""
+    """Guards against a refusal whose body is no JSON object and raises."""
     canned.status = 409
     canned.body = b'"fence"'
     workers = PlatformWorkers(HttpClient(2, 4))
@@ -321,7 +321,7 @@
 
 
 def test_advice_of_another_shape_is_no_answer(canned: Canned) -> None:
-    """Guards against an ask that is lost with an odd answer."""
+    """Guards against a malformed answer that raises and loses the request."""
     canned.body = {'granted': [1]}
     advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
     step = StepKey(JobId('5c0e7a21d94b36f8'), 0, 1)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,4 +1,4 @@
-"""Documents of the platform as our types."""
+"""Parsing of platform documents, and their records in the store."""
 
 import json
 from typing import Any
@@ -45,12 +45,12 @@
 
 
 def encoded(document: object) -> bytes:
-    """Return a document as it arrives."""
+    """Return a document as JSON bytes."""
     return json.dumps(document).encode()
 
 
 def test_worker_entry() -> None:
-    """Guards against sizes and states that are read as others."""
+    """Guards against sizes and states that are parsed wrongly."""
     entry = read_worker(WorkerId('i-1'), encoded(WORKER))
     assert entry.capacity == Resources(16000, 32768, 1)
     assert entry.listing is WorkerListing.LIVE
@@ -80,20 +80,20 @@
     ],
 )
 def test_entry_of_another_writer_is_refused(changes: dict[str, Any]) -> None:
-    """Guards against entries that name a worker and can't be used."""
+    """Guards against invalid entries that are accepted as workers."""
     with pytest.raises(DocumentError):
         read_worker(WorkerId('i-1'), encoded(WORKER | changes))
 
 
 @pytest.mark.parametrize('content', [b'\xff\x00', b'[]', b'{}', b'{"state"'])
 def test_unreadable_entry_is_refused(content: bytes) -> None:
-    """Guards against an actor that fails on bytes of another writer."""
+    """Guards against bytes of another writer that raise an unexpected error."""
     with pytest.raises(DocumentError):
         read_worker(WorkerId('i-1'), content)
 
 
 def test_config() -> None:
-    """Guards against policies that belong to another queue."""
+    """Guards against a request that gets the policy of another queue."""
     config = read_config(
         encoded(
             {
@@ -138,7 +138,7 @@
 
 
 def test_config_that_lacks_a_part_is_refused() -> None:
-    """Guards against a half-read configuration in force."""
+    """Guards against an incomplete configuration that comes into force."""
     with pytest.raises(DocumentError):
         read_config(encoded({'version': 7, 'routes': [{'name': 'r-1'}]}))
 
@@ -174,8 +174,8 @@
     graph = read_job(JOB, POLICY, encoded(body))
     assert graph.occurrences_count == 3
     assert graph.steps[1].charge == Resources(0, 256, 2)
-    again = decode_graph(graph.pool, graph.job, encode_graph(graph))
-    assert again == graph
+    decoded = decode_graph(graph.pool, graph.job, encode_graph(graph))
+    assert decoded == graph
 
 
 def test_progress_survives_the_store() -> None:
@@ -203,6 +203,6 @@
     ],
 )
 def test_malformed_job_is_refused(job: str, body: dict[str, Any]) -> None:
-    """Guards against a job that can't be run and is accepted."""
+    """Guards against accepting a job that can't be run."""
     with pytest.raises(DocumentError):
         read_job(job, POLICY, encoded(body))
