Reword texts of log events and result codes that read like riddles

Cause: texts such as "has ended by itself", "is not taken", "works at 40%: the worst tail beside it", "the owner before ... lapsed", "orders go on" or "no contract limit could ever carry the job" could not be understood without the code.

Change: templates or advice of the events 105, 106, 202, 303, 306, 601, 702, 716, 717, 719, 721, 732, 733, 736 and 737, and the meanings of the codes 208, 404, 407, 409 and 505. Numbers, names, placeholders and levels are the same. docs/EVENTS.md and docs/ERRORS.md have to be written again.

No test matches one of these texts; test_process, test_routing, test_explain_logs, test_commands, test_http_front and test_peer_server pass.

--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -1,7 +1,7 @@
-"""Numbered result codes, one registry for every answer of the system.
+"""Numbered result codes in one registry, used by every answer of the system.
 
 Numbers never change their meaning: 1xx is success, 2xx a fault of the
-request, 3xx a limit of the contract, 4xx a condition that passes, 5xx an
+request, 3xx a limit of the contract, 4xx a temporary condition, 5xx an
 outcome of a job, 6xx a fault in configuration. `docs/ERRORS.md` is written
 from this registry.
 """
@@ -15,7 +15,7 @@
 
 
 class Retry(Enum):
-    """What a caller may do with the same request and the same key."""
+    """When a caller may repeat the same request with the same key."""
 
     NEVER = 'never'
     AT_ONCE = 'at once'
@@ -46,14 +46,14 @@
     meaning: str
 
     def __post_init__(self) -> None:
-        """File the code; raises `ValueError` when its number is taken."""
+        """Register the code; raises `ValueError` when its number is taken."""
         if self.number in _BY_NUMBER:
             raise ValueError(f'result code {self.number} is registered twice')
         _BY_NUMBER[self.number] = self
 
 
 def by_number(number: int) -> ResultCode:
-    """Return a registered code; raises `KeyError`."""
+    """Return the code of a number; raises `KeyError`."""
     return _BY_NUMBER[number]
 
 
@@ -173,7 +173,8 @@
     HTTPStatus.UNPROCESSABLE_ENTITY,
     ExitStatus.REFUSED,
     Retry.NEVER,
-    'No set of listed workers or no contract limit could ever carry the job.',
+    'The job can never run: it is too large for the listed workers or for the '
+    'limits of the contract.',
 )
 UNKNOWN_ROUTE: Final = ResultCode(
     209,
@@ -237,8 +238,8 @@
     HTTPStatus.GATEWAY_TIMEOUT,
     ExitStatus.UNAVAILABLE,
     Retry.AT_ONCE,
-    'No answer came in time; the job may be accepted. Repeat with the same '
-    'key to learn which.',
+    'No answer came in time; the job may or may not be accepted. Repeat with '
+    'the same key to find out.',
 )
 NOT_CONFIGURED: Final = ResultCode(
     405,
@@ -262,8 +263,8 @@
     HTTPStatus.INTERNAL_SERVER_ERROR,
     ExitStatus.UNAVAILABLE,
     Retry.AT_ONCE,
-    'The process met a fault of its own or did not answer itself in time; '
-    'repeat with the same key.',
+    'The process had an internal error or an internal time-out; repeat with '
+    'the same key.',
 )
 PROCESS_UNREACHABLE: Final = ResultCode(
     408,
@@ -279,7 +280,7 @@
     HTTPStatus.OK,
     ExitStatus.UNAVAILABLE,
     Retry.AT_ONCE,
-    'The wait of a command ended before what it waited for.',
+    'The command stopped waiting before the expected state was reached.',
 )
 JOB_SUCCEEDED: Final = ResultCode(
     501,
@@ -319,7 +320,7 @@
     HTTPStatus.OK,
     ExitStatus.JOB_FAILED,
     Retry.AT_ONCE,
-    'The job ended before any start of it left the owner.',
+    'The job ended before the owner sent any of its tasks to a worker.',
 )
 CONFIG_INVALID: Final = ResultCode(
     601,
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -1,4 +1,4 @@
-"""Numbered log events, one registry; `docs/EVENTS.md` is written from it.
+"""Numbered log events in one registry, from which `docs/EVENTS.md` is written.
 
 1xx process, 2xx configuration and membership, 3xx ownership and journal,
 4xx workers, 5xx jobs, 6xx requests, 7xx job graphs: 70x requests, 71x runs,
@@ -44,7 +44,7 @@
     advice: str
 
     def __post_init__(self) -> None:
-        """File the event; raises `ValueError` when its number is taken."""
+        """Register the event; raises `ValueError` when its number is taken."""
         if self.number in _BY_NUMBER:
             raise ValueError(f'log event {self.number} is registered twice')
         _BY_NUMBER[self.number] = self
@@ -55,10 +55,10 @@
     return [_BY_NUMBER[number] for number in sorted(_BY_NUMBER)]
 
 
-def emit(event: LogEvent, **parts: object) -> None:
-    """Log an event with its fields."""
-    bound = logger.bind(event=event.number, **parts)
-    bound.log(event.level.value, event.template.format(**parts))
+def emit(event: LogEvent, **fields: object) -> None:
+    """Log an event; `fields` fill its template and are bound to the line."""
+    bound = logger.bind(event=event.number, **fields)
+    bound.log(event.level.value, event.template.format(**fields))
 
 
 _NO_ACTION: Final = 'None.'
@@ -90,15 +90,14 @@
 ACTOR_DIED: Final = LogEvent(
     105,
     Level.ERROR,
-    'actor {actor} has ended by itself and the process ends: {error}',
+    'actor {actor} ended unexpectedly, so the process ends: {error}',
     'Report the line as a defect; another process takes over.',
 )
 CALL_FAILED: Final = LogEvent(
     106,
     Level.ERROR,
     'a call of actor {actor} failed: {error}',
-    'Report the line as a defect; what waited for the call runs into its '
-    'deadline.',
+    'Report the line as a defect; requests that wait for the call time out.',
 )
 CONFIG_IN_FORCE: Final = LogEvent(
     201,
@@ -109,9 +108,9 @@
 CONFIG_REJECTED: Final = LogEvent(
     202,
     Level.ERROR,
-    'configuration generation {generation} by {author!r} is not taken: '
+    'configuration generation {generation} by {author!r} is rejected: '
     '{problem}',
-    'The generation before stays in force; apply a document without the fault.',
+    'The previous generation stays in force; apply a corrected document.',
 )
 MEMBER_REMOVED: Final = LogEvent(
     203,
@@ -134,9 +133,9 @@
 JOURNAL_REFUSED: Final = LogEvent(
     303,
     Level.ERROR,
-    'the journal of partition {partition} is not read: {fault}',
-    'Run a version that knows the format, or restore the keys of the '
-    'partition; nothing of it is changed meanwhile.',
+    'the journal of partition {partition} can not be read: {fault}',
+    'Run a version that supports the format, or restore the keys of the '
+    'partition; they are not changed meanwhile.',
 )
 OWNERSHIP_UNCONFIRMED: Final = LogEvent(
     304,
@@ -154,8 +153,8 @@
 OWNER_ACTOR_DIED: Final = LogEvent(
     306,
     Level.ERROR,
-    '{actor}: an actor has ended by itself: {error}',
-    'Report the line as a defect; the partition is given up and taken anew.',
+    '{actor}: an actor ended unexpectedly: {error}',
+    'Report the line as a defect; the partition is released and reacquired.',
 )
 WORKER_UNREACHABLE: Final = LogEvent(
     401,
@@ -167,7 +166,7 @@
     601,
     Level.ERROR,
     'request of {path} failed: {error}',
-    'Report the line as a defect; the caller was answered with its code.',
+    'Report the line as a defect; the caller received an error.',
 )
 GRAPH_ACCEPTED: Final = LogEvent(
     701,
@@ -181,7 +180,7 @@
     Level.WARNING,
     'request {verb} of job {job} is refused with {code} after {took_ms} '
     'ms: {reason}',
-    'Check the store and the links to it; the caller comes back by itself.',
+    'Check the store and the links to it; the client retries by itself.',
 )
 GRAPH_CANCEL_ACCEPTED: Final = LogEvent(
     703,
@@ -233,22 +232,22 @@
 RUN_STALLED: Final = LogEvent(
     716,
     Level.WARNING,
-    'attempt {attempt} of task {task} of job {job} stands still at '
-    '{percent}% on {worker} and is stopped',
+    'attempt {attempt} of task {task} of job {job} makes no progress '
+    'at {percent}% on {worker} and is stopped',
     'Check the worker if this recurs there.',
 )
 FILLER_PACED: Final = LogEvent(
     717,
     Level.INFO,
-    'job {job} on {worker} works at {percent}%: the worst tail beside it '
-    'is {tail_share} of its target',
+    'job {job} on {worker} is paced to {percent}%: the worst tail latency on '
+    'the worker is {tail_share} of its target',
     _NO_ACTION,
 )
 WORKER_UNCONFIRMED: Final = LogEvent(
     721,
     Level.WARNING,
-    'worker {worker} gives no report ({failure}) and gets no work; {runs} '
-    'runs may be there',
+    'worker {worker} does not report ({failure}) and gets no new runs; {runs} '
+    'runs may be active there',
     'Check the host; its tasks restart elsewhere when their leases lapse.',
 )
 WORKER_SUSPENDED: Final = LogEvent(
@@ -268,14 +267,14 @@
     732,
     Level.INFO,
     'pool {pool} is loaded in epoch {epoch}: {jobs} keys of jobs, '
-    '{workers} workers to ask, term {term}',
+    '{workers} workers to query, term {term}',
     _NO_ACTION,
 )
 INHERITANCE_SETTLED: Final = LogEvent(
     733,
     Level.INFO,
-    'every worker of the owner before of pool {pool} has answered or '
-    'lapsed, epoch {epoch}',
+    'every worker of the previous owner of pool {pool} has reported, or its '
+    'leases have expired, epoch {epoch}',
     _NO_ACTION,
 )
 TENURE_LOST: Final = LogEvent(
@@ -293,13 +292,14 @@
 TENURE_SUSPENDED: Final = LogEvent(
     736,
     Level.WARNING,
-    'the lease of pool {pool} is overdue, nothing is ordered, epoch {epoch}',
+    'renewal of the lease of pool {pool} is overdue, no orders are sent, epoch '
+    '{epoch}',
     'Check the store and the links to it.',
 )
 TENURE_RESUMED: Final = LogEvent(
     737,
     Level.INFO,
-    'the lease of pool {pool} is renewed, orders go on, epoch {epoch}',
+    'the lease of pool {pool} is renewed, orders are sent again, epoch {epoch}',
     _NO_ACTION,
 )
 WRITE_FENCED: Final = LogEvent(
@@ -366,6 +366,7 @@
 STEP_ADVISED: Final = LogEvent(
     719,
     Level.INFO,
-    'step {step} of job {job} may run on {granted} of {asked} workers asked',
+    'the advice service grants step {step} of job {job} {granted} of {asked} '
+    'requested workers',
     _NO_ACTION,
 )
