--- a/fuchsiarill/actor.py
+++ b/fuchsiarill/actor.py
@@ -1,4 +1,4 @@
-"""Actors: tasks that own their state and talk by messages.
+"""Actors: tasks that own their state and exchange messages.
 
 An actor handles one message at a time, so its state needs no lock. Mailboxes
 are bounded: a full one refuses a message, and the sender answers its caller
@@ -21,9 +21,9 @@
 
 
 class Reply(Generic[_Answer]):
-    """Where the receiver of a message leaves its answer.
+    """Holds the answer to one message.
 
-    The answer is dropped when the asker no longer waits.
+    An answer that arrives after the sender stopped waiting is ignored.
     """
 
     def __init__(self) -> None:
@@ -103,12 +103,12 @@
         self._tasks.append(asyncio.create_task(self._run(), name=self.name))
 
     def tick_every(self, interval_ms: float, message: object) -> None:
-        """Send `message` to the own mailbox at a fixed interval.
+        """Send `message` to the actor's own mailbox at a fixed interval.
 
         A tick that finds the mailbox full is dropped.
         """
-        ticking = self._tick(interval_ms, message)
-        self._tasks.append(asyncio.create_task(ticking, name=self.name))
+        ticks = self._tick(interval_ms, message)
+        self._tasks.append(asyncio.create_task(ticks, name=self.name))
 
     async def stop(self) -> None:
         """Cancel the actor's tasks and wait for their end."""
@@ -118,11 +118,11 @@
         self._tasks.clear()
 
     def snapshot(self) -> dict[str, Any]:
-        """Return the state for a dump; subclasses add theirs."""
+        """Return the state for a dump; subclasses add their own entries."""
         return {'actor': self.name, 'mailbox_count': len(self.mailbox)}
 
     def fault(self) -> str | None:
-        """Return why a task of the actor has ended by itself, if one has."""
+        """Return the error of a task that ended without `stop`, or `None`."""
         for task in self._tasks:
             if task.done() and not task.cancelled():
                 return repr(task.exception())
--- a/fuchsiarill/answers.py
+++ b/fuchsiarill/answers.py
@@ -1,7 +1,7 @@
-"""Requests about jobs and their answers, as the processes exchange them.
+"""Requests about jobs and the answers to them, free of any encoding.
 
 Front ends build the requests, the owner of a partition answers them; neither
-knows the encoding of the other.
+depends on the encoding that the other uses.
 """
 
 from collections.abc import Mapping
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobQuery:
-    """Asks for the state of a job; waits for its end up to `wait_ms`."""
+    """Requests the state of a job; waits up to `wait_ms` for its end."""
 
     customer: CustomerId
     job_id: JobId
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobCancel:
-    """Asks to cancel a job."""
+    """Requests the cancellation of a job."""
 
     customer: CustomerId
     job_id: JobId
@@ -48,9 +48,9 @@
 
 @dataclass(frozen=True, slots=True)
 class JobList:
-    """Asks for the jobs of a customer, at most `limit` of them.
+    """Requests at most `limit` jobs of a customer.
 
-    `state` of `None` asks for jobs in any state.
+    A `state` of `None` selects jobs in any state.
     """
 
     customer: CustomerId
@@ -60,9 +60,9 @@
 
 @dataclass(frozen=True, slots=True)
 class JobExplanation:
-    """Tells what a job waits for.
+    """Explains what a job waits for.
 
-    `reasons` can be written as JSON; it is empty when `answer` refuses.
+    `reasons` can be encoded as JSON; it is empty when `answer` is a refusal.
     """
 
     answer: JobAnswer
--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -21,7 +21,7 @@
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.ports.store_health import HealthTrackingStore
-from fuchsiarill.process import Parts, Process
+from fuchsiarill.process import Process, ProcessContext
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.routing import Router
 from fuchsiarill.settings import PeerSettings, ProcessSettings
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Environment:
-    """What a process is and what it runs with."""
+    """Identity, settings and outside dependencies of a process."""
 
     settings: ProcessSettings
     own: MemberDetail
@@ -40,14 +40,14 @@
 
 
 class Assembly:
-    """The actors of a process but for its front end."""
+    """The actors of a process, except its front end."""
 
     def __init__(
         self,
         environment: Environment,
         links: tuple[Actor, ...] = (),
     ) -> None:
-        """Create the actors; the process also looks after `links`."""
+        """Create the actors; the process checks `links` for failures too."""
         settings = environment.settings
         store = HealthTrackingStore(environment.ports.store)
         self._settings = settings
@@ -77,7 +77,7 @@
         )
         self.process = Process(
             settings,
-            Parts(
+            ProcessContext(
                 self.membership.mailbox,
                 (*links, *own_actors),
                 environment.calls,
@@ -93,7 +93,7 @@
         )
 
     def attach_front(self, front: Actor) -> tuple[Actor, ...]:
-        """Connect the front end; returns all actors in their starting order."""
+        """Connect the front end; returns all actors in the order of start."""
         self.process.front = front
         self.router.membership = self.membership.mailbox
         self.config.membership = self.membership.mailbox
--- a/fuchsiarill/cell_checks.py
+++ b/fuchsiarill/cell_checks.py
@@ -1,7 +1,7 @@
 """Checks of a cell configuration that span several of its fields.
 
-They see only the parts whose own fields are right, so that a document with
-faults of both kinds is answered with all of them at once.
+They run on the parts whose own fields are valid, so that one answer reports
+faults of single fields together with those that span several.
 """
 
 from collections.abc import Callable, Hashable, Iterator
@@ -22,13 +22,13 @@
     'accelerators_count',
     'slots_count',
 )
-# A lease must outlive two lost exchanges.
+# A lease must last through two lost exchanges.
 _EXCHANGES_PER_LEASE: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
 class ValidParts:
-    """The well-formed parts of a document, by their position."""
+    """The valid parts of a document; items of lists by their position."""
 
     document: YamlDocument
     regions: 'dict[int, Region]'
@@ -42,22 +42,22 @@
 CHECKS: Final[Registry[str, Check]] = Registry('configuration checks')
 
 
-def cross_problems(parts: ValidParts) -> Iterator[Problem]:
-    """Run all registered checks."""
+def cross_field_problems(parts: ValidParts) -> Iterator[Problem]:
+    """Run all registered checks; yields the problems that they find."""
     for name in CHECKS:
         yield from CHECKS.lookup(name)(parts)
 
 
 @CHECKS.register('duplicates')
 def _duplicates(parts: ValidParts) -> Iterator[Problem]:
-    yield from _repeated(
+    yield from _duplicate_names(
         parts.document,
         {
             ('regions', position, 'name'): region.name
             for position, region in parts.regions.items()
         },
     )
-    yield from _repeated(
+    yield from _duplicate_names(
         parts.document,
         {
             ('contracts', position, 'customer'): contract.customer
@@ -68,7 +68,7 @@
 
 @CHECKS.register('tokens')
 def _tokens(parts: ValidParts) -> Iterator[Problem]:
-    """Two holders of one token could not be told apart."""
+    """Report shared tokens: a request would not identify its sender."""
     holders = {parts.operator_token_sha256: 'the operators'}
     for position, contract in sorted(parts.contracts.items()):
         other = holders.setdefault(contract.token_sha256, contract.customer)
@@ -136,14 +136,17 @@
 
 @CHECKS.register('policies')
 def _policies(parts: ValidParts) -> Iterator[Problem]:
-    named: dict[FieldPath, tuple[str, str]] = {
+    names_by_path: dict[FieldPath, tuple[str, str]] = {
         ('contracts', position, 'placement'): ('placement', contract.placement)
         for position, contract in parts.contracts.items()
     }
     if parts.policies is not None:
-        named['policies', 'ordering'] = ('ordering', parts.policies.ordering)
-    for path, (kind, name) in named.items():
-        known = _registered(kind)
+        names_by_path['policies', 'ordering'] = (
+            'ordering',
+            parts.policies.ordering,
+        )
+    for path, (kind, name) in names_by_path.items():
+        known = _registered_names(kind)
         if known is None or name in known:
             continue
         yield parts.document.problem(
@@ -168,12 +171,12 @@
         )
 
 
-def _repeated(
+def _duplicate_names(
     document: YamlDocument,
-    named: dict[FieldPath, str],
+    names_by_path: dict[FieldPath, str],
 ) -> Iterator[Problem]:
     first: dict[str, FieldPath] = {}
-    for path, name in named.items():
+    for path, name in names_by_path.items():
         earlier = first.setdefault(name, path)
         if earlier == path:
             continue
@@ -188,15 +191,15 @@
     return sum(getattr(amount, field) for amount in amounts)
 
 
-# The registries are looked up at the time of a check: the modules of the
-# policies themselves import the configuration.
+# Imported at the time of a check to avoid a cycle: the modules of the policies
+# import the configuration.
 _POLICY_REGISTRIES: Final = {
     'placement': ('fuchsiarill.core.placement', 'PLACEMENTS'),
     'ordering': ('fuchsiarill.core.ordering', 'ORDERINGS'),
 }
 
 
-def _registered(kind: str) -> list[str] | None:
+def _registered_names(kind: str) -> list[str] | None:
     module_name, attribute = _POLICY_REGISTRIES[kind]
     try:
         module = import_module(module_name)
--- a/fuchsiarill/cell_config.py
+++ b/fuchsiarill/cell_config.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill import codes, texts
-from fuchsiarill.cell_checks import ValidParts, cross_problems
+from fuchsiarill.cell_checks import ValidParts, cross_field_problems
 from fuchsiarill.ids import CustomerId, RegionId, WorkerId
 from fuchsiarill.refusal import Refusal
 from fuchsiarill.resources import Resources
@@ -24,7 +24,7 @@
     read_yaml,
 )
 
-# Well above any region of the design and within 64 bits when summed.
+# Far above the planned size of a region; sums still fit into 64 bits.
 _AMOUNT_MAX: Final = 1_000_000_000_000
 _DURATION_MAX_MS: Final = 86_400_000
 _PARTITIONS_MAX_COUNT: Final = 1_000
@@ -44,7 +44,7 @@
 _Weight = Annotated[float, Field(gt=0, le=100)]
 _Fraction = Annotated[float, Field(ge=0, le=1)]
 
-# The store accepts values of 1 MB; the JSON around the text needs room too.
+# The store accepts values up to 1 MB, including the JSON around the text.
 MAX_CONFIG_BYTES: Final = 800_000
 
 _Part = TypeVar('_Part', bound=BaseModel)
@@ -55,7 +55,7 @@
 
 
 class Amounts(_Model):
-    """Amounts of resources in a contract."""
+    """Amounts of resources in a contract or a region."""
 
     processors_milli: _Count
     memory_mb: _Count
@@ -63,7 +63,7 @@
     slots_count: _Count
 
     def as_resources(self) -> Resources:
-        """Return the vector used by decisions."""
+        """Return the amounts as the vector that scheduling decisions use."""
         return Resources(
             self.processors_milli,
             self.memory_mb,
@@ -73,12 +73,12 @@
 
 
 class Contract(_Model):
-    """Everything one customer is owed and bound by.
+    """Entitlements and limits of one customer.
 
-    `guaranteed` is held against all others when the cell is full; between
-    it and `quota` the customer borrows what nobody else is owed, in
-    proportion to `weight`. `token_sha256` is the hex digest of the bearer
-    token of the customer.
+    `guaranteed` stays available to the customer when the cell is full. Between
+    `guaranteed` and `quota` the customer borrows capacity that is guaranteed to
+    nobody else, in proportion to `weight`. `token_sha256` is the hex digest of
+    the bearer token of the customer.
     """
 
     customer: _Customer
@@ -96,7 +96,7 @@
 
 
 class Policies(_Model):
-    """Names of registered policies and their weights."""
+    """Names of registered policies, and their parameters."""
 
     ordering: str = 'fair'
     waiting_weight: _Fraction = 0.5
@@ -109,7 +109,7 @@
 class Region(_Model):
     """A region and the number of partitions its racks are divided into.
 
-    With a declared `capacity` the guarantees of its contracts must fit in.
+    If `capacity` is declared, the guarantees of its contracts must fit into it.
     """
 
     name: _Region
@@ -150,9 +150,9 @@
     before: CellConfig,
     after: CellConfig,
 ) -> tuple[Refusal, ...]:
-    """Return the problems of a change that would strand jobs.
+    """Return the partition changes that would leave jobs without partition.
 
-    `text` is the document of `after`, for the lines of its fields.
+    `text` is the document of `after` and gives the line of each field.
     """
     document = read_yaml(text, MAX_CONFIG_BYTES).unwrap()
     positions = {
@@ -184,8 +184,8 @@
 def config_digest(config: CellConfig) -> str:
     """Return a digest that depends on the content only.
 
-    Comments, the order of keys and defaults that are left out or written
-    make no difference.
+    Comments, the order of keys and whether a default is written out make no
+    difference.
     """
     canonical = json.dumps(config.model_dump(mode='json'), sort_keys=True)
     return hashlib.sha256(canonical.encode()).hexdigest()
@@ -195,15 +195,15 @@
     document: YamlDocument,
 ) -> Result[CellConfig, tuple[Refusal, ...]]:
     checked = document.check_model(CellConfig)
-    problems = list(checked.failure()) if _failed(checked) else []
-    problems.extend(cross_problems(_valid_parts(document)))
+    problems = list(checked.failure()) if _is_failure(checked) else []
+    problems.extend(cross_field_problems(_valid_parts(document)))
     if problems:
         problems.sort(key=lambda problem: problem.line)
         return Failure(_refusals(problems))
     return Success(checked.unwrap())
 
 
-def _failed(checked: Result[CellConfig, tuple[Problem, ...]]) -> bool:
+def _is_failure(checked: Result[CellConfig, tuple[Problem, ...]]) -> bool:
     return isinstance(checked, Failure)
 
 
@@ -228,8 +228,8 @@
     if not isinstance(content, list):
         return {}
     valid = {}
-    for position, one in enumerate(content):
-        built = _valid_item(model, one)
+    for position, entry in enumerate(content):
+        built = _valid_item(model, entry)
         if built is not None:
             valid[position] = built
     return valid
--- a/fuchsiarill/clock.py
+++ b/fuchsiarill/clock.py
@@ -1,7 +1,7 @@
-"""The clock of the runtime, and an event loop whose time tests advance.
+"""The clock of the runtime, and an event loop with virtual time.
 
-All code takes time from the running loop, never from `time`: under
-`PausedLoop` a test or a replay then covers hours in milliseconds.
+All code takes time from the running loop, never from `time`, so that a test or
+a replay under `PausedLoop` covers hours in milliseconds.
 """
 
 import asyncio
@@ -20,12 +20,12 @@
 
 
 async def sleep_ms(duration_ms: float) -> None:
-    """Suspend the calling task for a time of the runtime clock."""
+    """Suspend the calling task for `duration_ms` of the loop's time."""
     await asyncio.sleep(duration_ms / MS_PER_SECOND)
 
 
 class _AdvancingSelector(selectors.DefaultSelector):
-    """Moves the loop's time forward where a selector would block."""
+    """Advances the virtual time where another selector would block."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -47,7 +47,7 @@
 class PausedLoop(asyncio.SelectorEventLoop):
     """Event loop whose time moves only to the next timer.
 
-    It does no waiting of its own, so each run takes the same course.
+    It never blocks, so every run has the same sequence of events.
     """
 
     def __init__(self) -> None:
--- a/fuchsiarill/collector.py
+++ b/fuchsiarill/collector.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 # With the defaults (700, 10, 10) the collector ran every few decisions and
-# took a third of their time; nearly all objects end by their reference count.
+# took a third of their time; reference counts free nearly all objects.
 _YOUNG_COUNT: Final = 50_000
 _MIDDLE_COUNT: Final = 20
 _OLD_COUNT: Final = 100
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon `fuchsiarilld`: reads settings, starts the actors, waits.
+"""The daemon `fuchsiarilld`: reads settings, runs the actors.
 
 Every entry host runs the same program; which partitions it owns is decided
 by the campaigns.
@@ -81,14 +81,14 @@
 async def _serve(settings: ProcessSettings) -> int:
     """Run all actors until the process ends; returns the exit status."""
     client = HttpClient(_CLIENT_THREADS_COUNT, _CLIENT_CALLS_MAX_COUNT)
-    parsing = ThreadPoolExecutor(1, 'config-parser')
+    parser_pool = ThreadPoolExecutor(1, 'config-parser')
     metrics = Metrics()
     ports = Ports(
         CountingStore(HttpStore(settings.store, client), metrics),
         HttpHostList(settings.host_list, client),
         HttpWorkers(settings.workers, client),
     )
-    parse = partial(_parse_in_thread, parsing)
+    parse = partial(_parse_in_thread, parser_pool)
     daemon = _assemble(settings, ports, metrics, parse)
     server = await serve_peers(daemon.receivers, settings.peers)
     for actor in daemon.actors:
@@ -96,10 +96,10 @@
     _drain_on_signals(daemon.process)
     await daemon.process.ended.wait()
     server.close()
-    for ending in daemon.actors:
-        await ending.stop()
+    for actor_to_stop in daemon.actors:
+        await actor_to_stop.stop()
     client.close()
-    parsing.shutdown(wait=False)
+    parser_pool.shutdown(wait=False)
     events.emit(events.PROCESS_STOPPED, process=settings.process)
     return int(daemon.process.has_failed)
 
@@ -147,8 +147,9 @@
         settings.region,
         settings.failure_domain,
         f'{settings.peers.host}:{settings.peers.port}',
-        # Only tells runs of one process apart; a clock that steps back is
-        # outbid by the others' knowledge of the earlier run.
+        # Distinguishes the runs of one process. If the clock was set back,
+        # membership raises the value above that of the earlier run, which
+        # it learns from the other processes.
         incarnation=time.time_ns() // _NS_PER_MS,
     )
 
@@ -157,7 +158,7 @@
     threads: ThreadPoolExecutor,
     text: str,
 ) -> Result[CellConfig, tuple[Refusal, ...]]:
-    """A large document takes tens of milliseconds, in which a loop decides."""
+    """Parse off the loop, which a large document blocks for tens of ms."""
     loop = asyncio.get_running_loop()
     return await loop.run_in_executor(threads, parse_config, text)
 
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -1,4 +1,4 @@
-"""Puts the log lines of one job in order and says what decided its fate."""
+"""Sorts the log lines of one job and states the cause of its outcome."""
 
 import json
 from collections import Counter
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True)
 class JobHistory:
-    """What the logs say of a job."""
+    """Log lines of a job by time, and the number of unreadable lines."""
 
     lines: list[dict[str, Any]] = field(default_factory=list)
     unreadable_count: int = 0
@@ -27,13 +27,13 @@
     history = JobHistory()
     for source in sources:
         for text in source:
-            _take_line(history, job, text)
+            _add_line(history, job, text)
     history.lines.sort(key=lambda line: float(line['time']))
     return history
 
 
 def conclude(history: JobHistory) -> str:
-    """Return in a sentence what decided the job's fate."""
+    """Return a sentence that states the outcome of the job and its cause."""
     by_event = {line['event']: line for line in history.lines}
     kinds = Counter(
         line.get('kind')
@@ -66,7 +66,7 @@
     )
 
 
-def _take_line(history: JobHistory, job: str, text: str) -> None:
+def _add_line(history: JobHistory, job: str, text: str) -> None:
     if job not in text:
         return
     try:
--- a/fuchsiarill/ids.py
+++ b/fuchsiarill/ids.py
@@ -1,7 +1,7 @@
 """Identifiers of everything that messages and records refer to.
 
-Each identifier is its own type, so that the type checker refuses a worker id
-where a task id is wanted.
+Each identifier is its own type, so that the type checker rejects a worker id
+where a task id is expected.
 """
 
 from typing import Final, NewType
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -1,4 +1,4 @@
-"""What callers submit, and what the owner keeps of each job and attempt."""
+"""Submissions of callers, and the owner's records of jobs and attempts."""
 
 from dataclasses import dataclass, field
 from enum import Enum
@@ -16,7 +16,7 @@
 
 
 class Workload(Enum):
-    """How the tasks of a job belong together."""
+    """How the tasks of a job relate to each other."""
 
     SERVICE = 'service'
     BATCH = 'batch'
@@ -38,7 +38,7 @@
 
 
 class StopReason(Enum):
-    """Why the owner asked an attempt to stop."""
+    """Why the owner stops an attempt."""
 
     JOB_ENDED = 'job_ended'
     RECLAIMED = 'reclaimed'
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
-    """A submission that passed the checks of its form.
+    """A submission whose fields are valid.
 
     `run_time_ms` is declared; a service declares zero and runs until it is
     cancelled. `job_class` groups jobs whose size and run time are alike.
@@ -71,10 +71,9 @@
 class Attempt:
     """One run of one task on one worker, as the owner sees it.
 
-    `peak` is the largest usage reported so far, `usage_reports_count` the
-    number of reports behind it. `sized_version` is the version of the estimate
-    that `reserved` was last compared with. `replaces` is the replica that
-    stops once this attempt runs.
+    `peak` is the largest usage in `usage_reports_count` reports so far.
+    `sized_version` is the version of the estimate that `reserved` was last
+    compared with. `replaces` is the replica that stops once this attempt runs.
     """
 
     attempt_id: AttemptId
@@ -95,7 +94,7 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """Everything the owner keeps of one job.
+    """State of one job at the owner of its partition.
 
     `waiting` holds the positions of tasks that have no attempt, `results` the
     output of each task that succeeded, by position. `acceptance_number` numbers
--- a/fuchsiarill/log_setup.py
+++ b/fuchsiarill/log_setup.py
@@ -1,4 +1,4 @@
-"""Where log lines go, and in which form."""
+"""Configures the output and the format of log lines."""
 
 import sys
 from collections.abc import Callable
@@ -24,7 +24,7 @@
 
 
 def log_to_sink(sink: Callable[[Any], None], level: Level) -> None:
-    """Send log lines to a sink that gets loguru's messages."""
+    """Send log lines to a sink, which receives loguru's messages."""
     _send_to(sink, level, '{message}')
 
 
--- a/fuchsiarill/log_sink.py
+++ b/fuchsiarill/log_sink.py
@@ -1,7 +1,7 @@
 """Writes log lines as JSON without ever blocking the caller.
 
-A thread writes what a bounded queue holds. When the output does not keep up,
-lines are dropped, counted, and the count is written as a line of its own.
+A thread writes the lines of a bounded queue. When the output does not keep
+up, lines are dropped, and a line of its own reports their count.
 """
 
 import json
@@ -29,7 +29,7 @@
         threading.Thread(target=self._write_forever, daemon=True).start()
 
     def __call__(self, message: Any) -> None:
-        """Queue a message of loguru, or drop it."""
+        """Queue a message of loguru; drops it when the queue is full."""
         if len(self._lines) >= _CAPACITY:
             self._dropped_count += 1
             return
@@ -44,7 +44,7 @@
         self._has_lines.set()
 
     def flush(self) -> None:
-        """Write what is queued."""
+        """Write all queued lines and the count of dropped lines."""
         chunk: list[str] = []
         while self._lines:
             chunk.append(json.dumps(self._lines.popleft(), default=str))
@@ -65,5 +65,5 @@
             self._has_lines.wait()
             self._has_lines.clear()
             self.flush()
-            # Lines gather, so that a busy process makes few system calls.
+            # Lines are batched, so that a busy process makes few system calls.
             threading.Event().wait(_FLUSH_INTERVAL_S)
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -1,7 +1,7 @@
-"""The actor that runs the life of a process by `charts/process.yaml`.
+"""Actor for the lifecycle of a process, with states of `charts/process.yaml`.
 
-It starts campaigns as the configuration names partitions, drains the process
-on request, and ends it when one of its actors has died.
+It starts a campaign for each partition in the configuration, drains the
+process on request, and ends it when one of its actors has failed.
 """
 
 import asyncio
@@ -35,7 +35,7 @@
     Tick,
 )
 from fuchsiarill.ports.host_list import HostListPort
-from fuchsiarill.process_measures import host_rows, measures_of
+from fuchsiarill.process_measures import host_rows, sum_measures
 from fuchsiarill.process_messages import (
     DrainRequested,
     ForwardDump,
@@ -51,12 +51,12 @@
 
 PROCESS_CHART: Final = load_chart('process', ProcessState, ProcessEvent)
 
-_GUARD_INTERVAL_MS: Final = 1_000
+_ACTOR_CHECK_INTERVAL_MS: Final = 1_000
 
 
 @dataclass(frozen=True, slots=True)
-class Parts:
-    """The other actors of the process, and what it calls itself."""
+class ProcessContext:
+    """The other actors of the process, and the ports that it calls directly."""
 
     membership: Mailbox
     actors: tuple[Actor, ...]
@@ -65,12 +65,12 @@
 
 
 class Process(SpawningActor):
-    """Steps the process chart and owns the campaigns."""
+    """Advances the process chart and owns the campaigns."""
 
     def __init__(
         self,
         settings: ProcessSettings,
-        parts: Parts,
+        context: ProcessContext,
         open_campaign: Callable[[PartitionId, CellConfig], Campaign],
     ) -> None:
         """Start without configuration and without campaigns."""
@@ -80,7 +80,7 @@
         self.ended = asyncio.Event()
         self.has_failed = False
         self._settings = settings
-        self._parts = parts
+        self._context = context
         self._open_campaign = open_campaign
         self._config: CellConfig | None = None
         self._campaigns: dict[PartitionId, Campaign] = {}
@@ -88,23 +88,23 @@
         self._loads: dict[ProcessId, int] = {}
 
     def start(self) -> None:
-        """Run the actor and look after the others at an interval."""
+        """Run the actor; checks the others for failures at an interval."""
         super().start()
-        self.tick_every(_GUARD_INTERVAL_MS, Tick())
+        self.tick_every(_ACTOR_CHECK_INTERVAL_MS, Tick())
 
     async def stop(self) -> None:
-        """Stop the campaigns at once; leases lapse if not handed over."""
+        """Stop the campaigns at once; leases not handed over expire."""
         await super().stop()
         stopping = [campaign.stop() for campaign in self._campaigns.values()]
         await asyncio.gather(*stopping)
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
-        """Campaign for new partitions and pass the configuration on."""
+        """Start campaigns for new partitions; forward the configuration."""
         self._config = message.config
         for campaign in self._campaigns.values():
             campaign.mailbox.send(message)
-        if self.state in _LEAVING_STATES:
+        if self.state in _ENDING_STATES:
             return
         for partition in partitions_of(message.config, self._settings.region):
             if partition not in self._campaigns:
@@ -119,7 +119,7 @@
 
     @handles(ViewChanged)
     async def on_view(self, message: ViewChanged) -> None:
-        """Tell the campaigns who else may own their partitions."""
+        """Forward candidates for ownership and store outages to campaigns."""
         self._addresses = {
             member.detail.process: member.detail.address
             for member in message.members
@@ -131,8 +131,8 @@
         }
         if message.outage_until_ms:
             outage = StoreOutageConfirmed(message.outage_until_ms)
-            for told in self._campaigns.values():
-                told.mailbox.send(outage)
+            for notified in self._campaigns.values():
+                notified.mailbox.send(outage)
         if loads == self._loads:
             return
         self._loads = loads
@@ -150,7 +150,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """End the process if an actor has died; its state is lost."""
+        """End the process if an actor has failed: its state is lost."""
         for actor in self._actors():
             fault = actor.fault()
             if fault is None:
@@ -166,7 +166,7 @@
 
     @handles(ForwardDump)
     async def on_forward(self, message: ForwardDump) -> None:
-        """Return the dump of the process named."""
+        """Return the dump of this process or of the requested peer."""
         if message.process in {None, self._settings.process}:
             message.reply.answer(Success(self._dump()))
             return
@@ -174,21 +174,21 @@
 
     @handles(GetHosts)
     async def on_hosts(self, message: GetHosts) -> None:
-        """Read the host list."""
+        """Answer with the host list, without blocking the actor."""
         self.spawn(self._read_hosts(message))
 
     @handles(GetMeasures)
     async def on_measures(self, message: GetMeasures) -> None:
-        """Return what the metrics show."""
-        dumped = [actor.snapshot() for actor in self._actors()]
-        message.reply.answer(measures_of(dumped))
+        """Return the measures that the metrics export."""
+        snapshots = [actor.snapshot() for actor in self._actors()]
+        message.reply.answer(sum_measures(snapshots))
 
     def _actors(self) -> tuple[Actor, ...]:
         fronts = () if self.front is None else (self.front,)
-        return (*self._parts.actors, *fronts, *self._campaigns.values())
+        return (*self._context.actors, *fronts, *self._campaigns.values())
 
     def _is_candidate(self, member: Member) -> bool:
-        """Say whether a process may come to own partitions of the region."""
+        """Return whether a process may become owner of local partitions."""
         detail = member.detail
         in_region = detail.region == self._settings.region
         serving = detail.state is ProcessState.SERVING
@@ -210,7 +210,7 @@
             return
         self.state = step.target
         changed = StateChanged(step.target)
-        self._parts.membership.send(changed)
+        self._context.membership.send(changed)
         if self.front is not None:
             self.front.mailbox.send(changed)
         if step.target is ProcessState.SERVING:
@@ -221,22 +221,26 @@
             )
 
     async def _drain(self) -> None:
-        """Wait for the balancer, hand over, finish answers, leave."""
+        """Wait for the load balancer, hand over, finish answers, leave."""
         drain = self._settings.drain
         await sleep_ms(drain.notice_ms)
         await asyncio.gather(
             *(
-                _asked(campaign.mailbox, HandOver, drain.hand_over_ms)
+                _request_and_wait(
+                    campaign.mailbox, HandOver, drain.hand_over_ms
+                )
                 for campaign in self._campaigns.values()
             ),
         )
         if self.front is not None:
-            await _asked(
+            await _request_and_wait(
                 self.front.mailbox,
                 lambda reply: StopFront(drain.answers_ms, reply),
                 2 * drain.answers_ms,
             )
-        await _asked(self._parts.membership, LeaveCluster, drain.leave_ms)
+        await _request_and_wait(
+            self._context.membership, LeaveCluster, drain.leave_ms
+        )
         self._step(ProcessEvent.DRAINED)
         self.ended.set()
 
@@ -253,7 +257,7 @@
                 ),
             )
             return
-        dumped = await self._parts.peers.dump(address)
+        dumped = await self._context.peers.dump(address)
         answer: Result[str, Refusal] = dumped.alt(
             lambda failure: refuse(
                 codes.PROCESS_UNREACHABLE,
@@ -264,7 +268,7 @@
         message.reply.answer(answer)
 
     async def _read_hosts(self, message: GetHosts) -> None:
-        found = await self._parts.host_list.fetch()
+        found = await self._context.host_list.fetch()
         if isinstance(found, Failure):
             message.reply.answer(None)
             return
@@ -272,20 +276,20 @@
         message.reply.answer(host_rows(found.unwrap(), draining))
 
 
-_LEAVING_STATES: Final = frozenset(
+_ENDING_STATES: Final = frozenset(
     (ProcessState.DRAINING, ProcessState.STOPPED),
 )
 
 
-async def _asked(
+async def _request_and_wait(
     mailbox: Mailbox,
     build: Callable[[Reply[Any]], object],
-    within_ms: int,
+    timeout_ms: int,
 ) -> None:
-    """Send a message and wait for its reply, which may be late."""
+    """Send a message and wait for its reply; a time-out is ignored."""
     reply: Reply[Any] = Reply()
     mailbox.send(build(reply))
     try:
-        await reply.wait(within_ms)
+        await reply.wait(timeout_ms)
     except TimeoutError:
         return
--- a/fuchsiarill/process_measures.py
+++ b/fuchsiarill/process_measures.py
@@ -1,4 +1,4 @@
-"""What metrics and operators read from dumped state."""
+"""Computes measures for metrics, and rows of the host list for operators."""
 
 from collections.abc import Iterable, Sequence
 from itertools import zip_longest
@@ -9,18 +9,19 @@
 from fuchsiarill.workers import HostEntry
 
 
-def measures_of(dumped: Iterable[dict[str, Any]]) -> Measures:
-    """Return the measures in the snapshots of all actors.
+def sum_measures(snapshots: Iterable[dict[str, Any]]) -> Measures:
+    """Add up the measures in the snapshots of all actors.
 
-    Actors of one kind, whose names share their first word, count together.
+    Mailboxes of actors of one kind, whose names share their first word, are
+    counted together.
     """
     measures = Measures()
-    for state in dumped:
-        kind = state['actor'].split()[0]
-        measures.mailbox_counts[kind] += state['mailbox_count']
-        generation = state.get('generation', 0)
+    for snapshot in snapshots:
+        kind = snapshot['actor'].split()[0]
+        measures.mailbox_counts[kind] += snapshot['mailbox_count']
+        generation = snapshot.get('generation', 0)
         measures.generation = max(measures.generation, generation)
-        owner = state.get('owner')
+        owner = snapshot.get('owner')
         if owner is not None:
             _add_owner(measures, owner)
     return measures
--- a/fuchsiarill/process_messages.py
+++ b/fuchsiarill/process_messages.py
@@ -1,4 +1,4 @@
-"""Messages to the actor that runs the life of a process."""
+"""Messages to the actor that controls the lifecycle of a process."""
 
 from collections import Counter
 from dataclasses import dataclass, field
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Receivers:
-    """The actors that requests of callers and other processes go to."""
+    """Mailboxes for the requests of callers and of other processes."""
 
     router: Mailbox
     membership: Mailbox
@@ -23,19 +23,19 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainRequested:
-    """The process is to end gracefully."""
+    """Requests a graceful end of the process."""
 
 
 @dataclass(frozen=True, slots=True)
 class GetDump:
-    """Asks for the state of all actors of this process, as JSON."""
+    """Requests the state of all actors of this process, as JSON."""
 
     reply: Reply[str]
 
 
 @dataclass(frozen=True, slots=True)
 class ForwardDump:
-    """Asks for the dump of a process; `None` stands for this one."""
+    """Requests the dump of a process; `None` means this process."""
 
     process: ProcessId | None
     reply: Reply[Result[str, Refusal]]
@@ -43,17 +43,17 @@
 
 @dataclass(frozen=True, slots=True)
 class GetHosts:
-    """Asks for the host list as rows; `None` when it can't be read."""
+    """Requests the host list as rows; `None` when it can't be read."""
 
     reply: Reply[list[dict[str, Any]] | None]
 
 
 @dataclass(slots=True)
 class Measures:
-    """What a scrape of the metrics reads from the actors.
+    """Values that a scrape of the metrics reads from the actors.
 
-    `decision_counts` has one count for each bound of the decision times and
-    one without bound.
+    `decision_counts` has one count for each upper bound of decision times, and
+    one for longer times.
     """
 
     generation: int = 0
@@ -66,6 +66,6 @@
 
 @dataclass(frozen=True, slots=True)
 class GetMeasures:
-    """Asks for the measures of this moment."""
+    """Requests the current measures."""
 
     reply: Reply[Measures]
--- a/fuchsiarill/records.py
+++ b/fuchsiarill/records.py
@@ -1,7 +1,7 @@
 """Records that the journal of a partition makes durable.
 
 The state of a ledger is the fold of these records in journal order. Times
-are left out: a monotonic clock means nothing to the next owner.
+are left out: the monotonic time of one host is meaningless to the next owner.
 """
 
 from dataclasses import dataclass
@@ -16,10 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EpochOpened:
-    """A new owner begins; older owners fail their next commit.
+    """A new owner starts an epoch; the next commit of an older owner fails.
 
     `task_lease_ms` is the longest task lease that the owner grants, so that
-    the next one knows how long its predecessor's tasks may run.
+    the next owner knows how long tasks of this one may still run.
     """
 
     epoch: Epoch
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobEnded:
-    """The job has its final state."""
+    """The job reached its final state."""
 
     job_id: JobId
     state: JobState
--- a/fuchsiarill/refusal.py
+++ b/fuchsiarill/refusal.py
@@ -25,11 +25,11 @@
     *,
     field: str | None = None,
     retry_after_ms: int | None = None,
-    **parts: object,
+    **fields: object,
 ) -> Refusal:
     """Build a refusal from a template of `texts`.
 
-    `field` is also available to the template.
+    `field` and `fields` fill the template.
     """
-    text = template.format(field=field, **parts)
+    text = template.format(field=field, **fields)
     return Refusal(code, text, field, retry_after_ms)
--- a/fuchsiarill/registry.py
+++ b/fuchsiarill/registry.py
@@ -16,7 +16,7 @@
         self._entries: dict[_Key, _Entry] = {}
 
     def register(self, key: _Key) -> Callable[[_Entry], _Entry]:
-        """Return a decorator that files its target under `key`.
+        """Return a decorator that registers its target under `key`.
 
         Raises `ValueError` when the key is taken.
         """
--- a/fuchsiarill/resources.py
+++ b/fuchsiarill/resources.py
@@ -1,4 +1,4 @@
-"""The resource vector that workers offer and tasks hold."""
+"""The resource vector that workers offer and tasks reserve."""
 
 from dataclasses import dataclass
 from typing import Final, Self
@@ -30,7 +30,7 @@
         )
 
     def fits_in(self, free: Self) -> bool:
-        """Tell whether every component is at most that of `free`."""
+        """Return whether every component is at most that of `free`."""
         return (
             self.processors_milli <= free.processors_milli
             and self.memory_mb <= free.memory_mb
@@ -39,7 +39,7 @@
         )
 
     def times(self, count: int) -> 'Resources':
-        """Return the vector for `count` equal holders."""
+        """Return the vector with every component multiplied by `count`."""
         return Resources(
             self.processors_milli * count,
             self.memory_mb * count,
@@ -52,7 +52,7 @@
 
         Source: dominant resource fairness, Ghodsi et al., NSDI 2011.
         """
-        # Written out, because every decision computes several shares.
+        # No loop, for speed: every decision computes several shares.
         share = 0.0
         if total.processors_milli:
             share = self.processors_milli / total.processors_milli
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -1,4 +1,4 @@
-"""Which partition a job belongs to, and the actor that finds its owner."""
+"""Maps jobs to partitions, and forwards messages to partition owners."""
 
 import zlib
 from collections.abc import Awaitable, Callable
@@ -36,7 +36,7 @@
 
 _PARKED_MAX_COUNT: Final = 256
 _RETRY_AFTER_MS: Final = 500
-# Longer than the deadline of any call but a query that waits.
+# Longer than the deadline of any call except a query that waits.
 _RETIRE_AFTER_MS: Final = 10_000
 
 
@@ -44,17 +44,17 @@
 class OwnerRoute:
     """Where to send messages for the owner of a partition."""
 
-    found: OwnerLocated
+    location: OwnerLocated
     link: Actor | None
 
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Pass a message to the owner of a partition.
+    """Requests that a message is forwarded to the owner of a partition.
 
-    The reply of `message` is answered here when no owner is known. A call of
-    another process has no `hops_left`: two processes with stale routes must
-    not pass it to and fro.
+    The router answers the reply of `message` itself when no owner is known. A
+    call from another process has no `hops_left`: two processes with stale
+    routes must not forward it to each other in a loop.
     """
 
     partition: PartitionId
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteStale:
-    """The owner was not found at this address."""
+    """`address` did not serve a call as the owner of the partition."""
 
     partition: PartitionId
     address: str
@@ -72,10 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerLookedUp:
-    """The owner key was read; `None` when the store did not answer."""
+    """The owner key was read; `location` is `None` if the store was silent."""
 
     partition: PartitionId
-    found: OwnerLocated | None
+    location: OwnerLocated | None
 
 
 def partitions_of(config: CellConfig, region: RegionId) -> list[PartitionId]:
@@ -121,7 +121,7 @@
 
 
 class Router(SpawningActor):
-    """Knows the owner of each partition and passes messages to it."""
+    """Tracks the owner of each partition and forwards messages to it."""
 
     def __init__(
         self,
@@ -140,14 +140,14 @@
         self._connect = connect
         self._look_up = look_up
         self._routes: dict[PartitionId, OwnerRoute] = {}
-        self._looking: set[PartitionId] = set()
+        self._lookups: set[PartitionId] = set()
         self._parked: list[Route] = []
 
     @handles(OwnerLocated)
-    async def on_found(self, message: OwnerLocated) -> None:
-        """Note where the owner of a partition is."""
+    async def on_located(self, message: OwnerLocated) -> None:
+        """Record the location of an owner; forward parked messages."""
         known = self._routes.get(message.partition)
-        if known is not None and known.found == message:
+        if known is not None and known.location == message:
             return
         if known is not None and known.link is not None:
             self.spawn(self._retire(known.link))
@@ -165,36 +165,36 @@
 
     @handles(Route)
     async def on_route(self, message: Route) -> None:
-        """Pass a message on, or answer that no owner is known."""
+        """Forward a message, park it during a lookup, or refuse it."""
         route = self._routes.get(message.partition)
-        if route is not None and self._pass_on(route, message):
+        if route is not None and self._forward(route, message):
             return
-        if message.hops_left and self._refresh(message.partition):
+        if message.hops_left and self._start_lookup(message.partition):
             self._park(message)
             return
         answer_all(message.message, _unavailable(message.partition))
 
     @handles(RouteStale)
     async def on_stale(self, message: RouteStale) -> None:
-        """Look where the owner is now."""
+        """Look the owner up again, unless the route has changed already."""
         route = self._routes.get(message.partition)
-        claim = None if route is None else route.found.claim
+        claim = None if route is None else route.location.claim
         if claim is not None and claim.peer_address == message.address:
-            self._refresh(message.partition)
+            self._start_lookup(message.partition)
 
     @handles(OwnerLookedUp)
-    async def on_looked(self, message: OwnerLookedUp) -> None:
-        """Use a route that was looked up, unless the owner is here."""
-        self._looking.discard(message.partition)
+    async def on_looked_up(self, message: OwnerLookedUp) -> None:
+        """Use the owner that was read, unless this process is the owner."""
+        self._lookups.discard(message.partition)
         route = self._routes.get(message.partition)
-        is_here = route is not None and route.found.mailbox is not None
-        if message.found is not None and not is_here:
-            await self.on_found(message.found)
+        is_here = route is not None and route.location.mailbox is not None
+        if message.location is not None and not is_here:
+            await self.on_located(message.location)
         self._release(message.partition)
 
     @handles(ViewChanged)
     async def on_view(self, message: ViewChanged) -> None:
-        """Learn owners from gossip where the campaigns of no one tell."""
+        """Take owners from gossip for partitions without a known claim."""
         for member in message.members:
             if member.detail.process == message.own or not member.reachable:
                 continue
@@ -204,10 +204,10 @@
             )
             for partition in member.detail.partitions:
                 if self._claim_of(partition) is None:
-                    await self.on_found(OwnerLocated(partition, claim, None))
+                    await self.on_located(OwnerLocated(partition, claim, None))
 
     async def stop(self) -> None:
-        """Stop the links too."""
+        """Stop the router and its links."""
         await super().stop()
         for route in self._routes.values():
             if route.link is not None:
@@ -231,10 +231,10 @@
 
     def _claim_of(self, partition: PartitionId) -> OwnerClaim | None:
         route = self._routes.get(partition)
-        return None if route is None else route.found.claim
+        return None if route is None else route.location.claim
 
-    def _pass_on(self, route: OwnerRoute, message: Route) -> bool:
-        receiver = route.found.mailbox
+    def _forward(self, route: OwnerRoute, message: Route) -> bool:
+        receiver = route.location.mailbox
         if receiver is None and route.link is not None and message.hops_left:
             receiver = route.link.mailbox
         if receiver is None:
@@ -243,18 +243,20 @@
             answer_all(message.message, _overloaded())
         return True
 
-    def _refresh(self, partition: PartitionId) -> bool:
-        """Start to look an owner up; `False` when there is no way to."""
+    def _start_lookup(self, partition: PartitionId) -> bool:
+        """Start a lookup of an owner; returns `False` without `look_up`."""
         if self._look_up is None:
             return False
-        if partition not in self._looking:
-            self._looking.add(partition)
-            self.spawn(self._look(self._look_up, partition))
+        if partition not in self._lookups:
+            self._lookups.add(partition)
+            self.spawn(self._read_owner(self._look_up, partition))
         return True
 
-    async def _look(self, look_up: OwnerLookUp, partition: PartitionId) -> None:
-        found = await look_up(partition)
-        self.mailbox.send(OwnerLookedUp(partition, found))
+    async def _read_owner(
+        self, look_up: OwnerLookUp, partition: PartitionId
+    ) -> None:
+        location = await look_up(partition)
+        self.mailbox.send(OwnerLookedUp(partition, location))
 
     def _park(self, message: Route) -> None:
         if len(self._parked) >= _PARKED_MAX_COUNT:
@@ -263,18 +265,20 @@
         self._parked.append(message)
 
     def _release(self, partition: PartitionId) -> None:
-        """Pass on, or refuse, what waited for the owner of a partition."""
-        waiting = [one for one in self._parked if one.partition == partition]
+        """Forward or refuse the messages parked for a partition."""
+        waiting = [
+            parked for parked in self._parked if parked.partition == partition
+        ]
         self._parked = [
-            one for one in self._parked if one.partition != partition
+            parked for parked in self._parked if parked.partition != partition
         ]
         route = self._routes.get(partition)
-        for one in waiting:
-            if route is None or not self._pass_on(route, one):
-                answer_all(one.message, _unavailable(partition))
+        for released in waiting:
+            if route is None or not self._forward(route, released):
+                answer_all(released.message, _unavailable(partition))
 
     async def _retire(self, link: Actor) -> None:
-        """Stop a link once the calls in progress have their answers."""
+        """Stop a link after a delay in which its calls in progress end."""
         try:
             await sleep_ms(_RETIRE_AFTER_MS)
         finally:
@@ -286,13 +290,13 @@
         owned = sorted(
             partition
             for partition, known in self._routes.items()
-            if known.found.mailbox is not None
+            if known.location.mailbox is not None
         )
         self.membership.send(PartitionsOwned(tuple(owned)))
 
 
 def answer_all(message: JobMessage, answer: JobAnswer) -> None:
-    """Give the same answer to everything that a message asks."""
+    """Answer each request in a message with the same answer."""
     match message:
         case messages.SubmitJobs():
             message.reply.answer((answer,) * len(message.specs))
@@ -305,7 +309,7 @@
 
 
 def _owner_of(route: OwnerRoute) -> ProcessId | None:
-    claim = route.found.claim
+    claim = route.location.claim
     return None if claim is None else claim.process
 
 
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -1,8 +1,8 @@
 """Settings of one process, read from YAML at start.
 
-A process learns its addresses, its failure domain and where the outside
-systems are from here, and nothing else; all policy is in the cell
-configuration. `--check` of the daemon reports every problem at once.
+They hold only names, the failure domain, addresses, limits, times and log
+options; all policy is in the cell configuration. `--check` of the daemon
+reports every problem at once.
 """
 
 from pathlib import Path
@@ -28,7 +28,7 @@
 
 
 class StoreSettings(_Model):
-    """Where the store is and how ownership uses its leases."""
+    """Address of the store, and times of its calls and ownership leases."""
 
     url: str
     call_timeout_ms: _Positive = 1_000
@@ -54,7 +54,7 @@
 
 
 class PeerSettings(_Model):
-    """The listener for the other processes and the calls to them."""
+    """The listener for other processes, and limits of calls to them."""
 
     host: str = '127.0.0.1'
     port: _Port
@@ -65,10 +65,11 @@
 
 
 class MembershipSettings(_Model):
-    """How processes find each other and notice silent ones.
+    """How processes discover each other and detect silent ones.
 
-    `seeds` are addresses to try while the store is out of reach. The time
-    until suspicion is several times what news takes through 200 processes.
+    `seeds` are addresses to try while the store is unreachable.
+    `suspect_after_ms` is several times as long as gossip takes to reach 200
+    processes.
     """
 
     gossip_interval_ms: _Positive = 1_000
@@ -83,9 +84,9 @@
 class ConfigSettings(_Model):
     """How the cell configuration reaches this process.
 
-    The poll is the last resort after the watch, offers and gossip.
+    Polling is the fallback for the watch, offers and gossip.
     `collect_ms` bounds how long a starting process compares the store and
-    its peers before it takes the highest generation found.
+    its peers before it uses the highest generation found.
     """
 
     watch_wait_ms: _Positive = 20_000
@@ -95,10 +96,10 @@
 
 
 class DrainSettings(_Model):
-    """How long each step of a graceful end may take, one after the other.
+    """Longest duration of each step of a drain, in the order of the steps.
 
-    `notice_ms` is the time in which the balancer notices that the readiness
-    check fails.
+    `notice_ms` is the time in which the load balancer detects that the
+    readiness check fails.
     """
 
     notice_ms: _Count = 2_000
@@ -108,21 +109,21 @@
 
 
 class HostListSettings(_Model):
-    """Where the host list is and how often it is read."""
+    """Address of the host list, and the interval of reading it."""
 
     url: str
     poll_interval_ms: _Positive = 1_000
 
 
 class WorkerSettings(_Model):
-    """How workers are called."""
+    """Time limits of calls to workers."""
 
     call_timeout_ms: _Positive = 2_000
     silent_after_ms: _Positive = 5_000
 
 
 class ProcessSettings(_Model):
-    """Everything a daemon reads before it starts."""
+    """The whole settings file of a daemon."""
 
     process: ProcessId
     region: RegionId
--- a/fuchsiarill/state_chart.py
+++ b/fuchsiarill/state_chart.py
@@ -2,7 +2,7 @@
 
 A chart file names its states and transitions. Loading checks the file against
 the `Enum` classes of states and events, so a misspelt name, an unreachable
-state or an event that no transition uses is an error at start and not in use.
+state or an event that no transition uses is reported at start, not at run time.
 """
 
 from collections.abc import Iterable
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Transition(Generic[_State]):
-    """Where an event leads, and the actions to run on the way."""
+    """Target state of an event, and the actions of the transition."""
 
     target: _State
     actions: tuple[str, ...] = ()
@@ -38,7 +38,7 @@
         initial: _State,
         table: dict[tuple[_State, _Event], Transition[_State]],
     ) -> None:
-        """Keep the parts that `load_chart` has checked."""
+        """Create a chart without checks; `load_chart` makes them."""
         self.initial = initial
         self._table = table
         self.final = frozenset(type(initial)) - {state for state, _ in table}
--- a/fuchsiarill/states.py
+++ b/fuchsiarill/states.py
@@ -7,7 +7,7 @@
 
 
 class JobState(Enum):
-    """Life of a job, from acceptance to its final outcome."""
+    """States of a job, from acceptance to its final outcome."""
 
     ACCEPTING = 'accepting'
     QUEUED = 'queued'
@@ -20,7 +20,7 @@
 
 
 class JobEvent(Enum):
-    """What can happen to a job."""
+    """Events that change the state of a job."""
 
     COMMITTED = 'committed'
     TASK_STARTED = 'task_started'
@@ -33,7 +33,7 @@
 
 
 class AttemptState(Enum):
-    """Life of one attempt to run a task on one worker."""
+    """States of one attempt to run a task on one worker."""
 
     PLACED = 'placed'
     STARTING = 'starting'
@@ -48,7 +48,7 @@
 
 
 class AttemptEvent(Enum):
-    """What can happen to an attempt."""
+    """Events that change the state of an attempt."""
 
     SENT = 'sent'
     CONFIRMED = 'confirmed'
@@ -63,7 +63,7 @@
 
 
 class WorkerState(Enum):
-    """How the owner of a partition regards a worker."""
+    """State of a worker as the owner of a partition sees it."""
 
     UNSEEN = 'unseen'
     READY = 'ready'
@@ -74,7 +74,7 @@
 
 
 class WorkerEvent(Enum):
-    """What can happen to a worker."""
+    """Events that change the state of a worker."""
 
     REPORTED = 'reported'
     WENT_SILENT = 'went_silent'
@@ -86,7 +86,7 @@
 
 
 class PartitionState(Enum):
-    """What a process is to a partition."""
+    """Role of a process in the ownership of a partition."""
 
     STANDBY = 'standby'
     ACQUIRING = 'acquiring'
@@ -97,7 +97,7 @@
 
 
 class PartitionEvent(Enum):
-    """What can happen to the ownership of a partition."""
+    """Events that change the role of a process for a partition."""
 
     VACANT = 'vacant'
     ACQUIRED = 'acquired'
@@ -111,7 +111,7 @@
 
 
 class ProcessState(Enum):
-    """Life of a daemon process."""
+    """States of a daemon process."""
 
     STARTING = 'starting'
     SERVING = 'serving'
@@ -120,7 +120,7 @@
 
 
 class ProcessEvent(Enum):
-    """What can happen to a daemon process."""
+    """Events that change the state of a daemon process."""
 
     CONFIGURED = 'configured'
     DRAIN_ASKED = 'drain_asked'
@@ -128,7 +128,7 @@
 
 
 class ConnectionState(Enum):
-    """Life of one outgoing connection."""
+    """States of one outgoing connection."""
 
     CLOSED = 'closed'
     CONNECTING = 'connecting'
@@ -136,7 +136,7 @@
 
 
 class ConnectionEvent(Enum):
-    """What can happen to a connection."""
+    """Events that change the state of a connection."""
 
     DIALLED = 'dialled'
     CONNECTED = 'connected'
@@ -146,21 +146,21 @@
 
 
 class ConfigurationState(Enum):
-    """What a process knows of the cell configuration."""
+    """Whether a process has a cell configuration in force."""
 
     NONE = 'none'
     IN_FORCE = 'in_force'
 
 
 class ConfigurationEvent(Enum):
-    """What can happen to the configuration of a process."""
+    """Offers of a cell configuration to a process."""
 
     NEWER_OFFERED = 'newer_offered'
     OLDER_OFFERED = 'older_offered'
 
 
 class MemberState(Enum):
-    """How a process regards another process of the system."""
+    """State of another process as the membership view shows it."""
 
     LIVE = 'live'
     SUSPECTED = 'suspected'
@@ -168,7 +168,7 @@
 
 
 class MemberEvent(Enum):
-    """What can happen to a member of the system."""
+    """Events that change the state of a member."""
 
     HEARD = 'heard'
     SILENT = 'silent'
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -1,7 +1,7 @@
-"""Every sentence that callers and operators read.
+"""Texts that callers and operators read.
 
-Texts are `str.format` templates; the code that refuses a request fills in
-the fields and never words a sentence itself.
+They are `str.format` templates; the code that refuses a request fills in the
+fields and holds no sentence itself.
 """
 
 from typing import Final
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -1,6 +1,6 @@
-"""What the owner of a partition and a worker tell each other.
+"""Messages between the owner of a partition and a worker.
 
-These are the messages, not their encoding; `ports.workers` encodes them.
+Their encoding is separate, in `ports.workers`.
 Times named `*_worker_clock_ms` are in the monotonic clock of the worker.
 """
 
@@ -19,14 +19,14 @@
 
 
 class HostState(Enum):
-    """What the host list says of a worker."""
+    """State of a worker in the host list."""
 
     LIVE = 'live'
     LEAVING = 'leaving'
 
 
 class TaskOutcome(Enum):
-    """What a worker says of an attempt."""
+    """State of an attempt as its worker reports it."""
 
     RUNNING = 'running'
     SUCCEEDED = 'succeeded'
@@ -36,7 +36,7 @@
 
 
 class CommandKind(Enum):
-    """What the owner can ask of a worker besides a start."""
+    """Commands of the owner to a worker, other than a start."""
 
     STOP = 'stop'
     CHECKPOINT = 'checkpoint'
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartCommand:
-    """Asks a worker to start an attempt and grants its first lease.
+    """Starts an attempt on a worker and grants its first lease.
 
     The worker refuses the start when its clock has passed
     `start_before_worker_clock_ms`.
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskCommand:
-    """Asks a worker to stop, checkpoint or throttle an attempt."""
+    """Stops, checkpoints or throttles an attempt on a worker."""
 
     kind: CommandKind
     attempt_id: AttemptId
@@ -85,7 +85,7 @@
     """One request to a worker.
 
     Every attempt in `renewals` and every start gets a lease of `lease_ms`.
-    Outcomes in `acknowledged` may be forgotten by the worker.
+    The worker may discard the outcomes in `acknowledged`.
     """
 
     epoch: Epoch
@@ -100,7 +100,7 @@
 class TaskReport:
     """State of one attempt on a worker.
 
-    `used` is measured usage and lags; it is nothing until first measured.
+    `used` is the measured usage, with a lag; zero before the first measurement.
     """
 
     attempt_id: AttemptId
@@ -115,10 +115,11 @@
 class WorkerReport:
     """Answer of a worker to an exchange.
 
-    `highest_epoch` above that of the exchange means that all of it was
-    refused. `tasks` holds everything that runs and every outcome that was
-    not acknowledged. `incarnation` changes when the worker restarts and has
-    forgotten its tasks; without one, every silence may be a restart.
+    A `highest_epoch` above that of the exchange means that the worker refused
+    the whole exchange. `tasks` holds all running attempts and all outcomes not
+    yet acknowledged. `incarnation` changes when the worker restarts and loses
+    its tasks; if it is empty, the worker may have restarted in any gap between
+    reports.
     """
 
     worker_id: WorkerId
--- a/fuchsiarill/yaml_document.py
+++ b/fuchsiarill/yaml_document.py
@@ -1,7 +1,7 @@
-"""Reading of YAML documents in which each problem has a line and a field.
+"""Reads YAML documents and reports each problem with its line and field.
 
-Cell configuration and process settings are both read here, so operators see
-the same form of message for either.
+Cell configuration and process settings are both read here, so that operators
+see messages of the same form for either.
 """
 
 import json
@@ -18,7 +18,7 @@
 # Deeper documents would exhaust the stack of the recursive YAML composer.
 _DEPTH_MAX: Final = 20
 
-# libyaml reads a document of 1,600 lines about eight times as fast.
+# libyaml reads 1,600 lines about eight times as fast as the Python loader.
 _LOADER: Final[Any] = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 FieldPath = tuple[Any, ...]
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """One fault of a document; `line` counts from 1."""
+    """One problem of a document; `line` counts from 1."""
 
     line: int
     field: str
@@ -35,7 +35,7 @@
 
     @property
     def sentence(self) -> str:
-        """Return the problem as operators read it."""
+        """Return `line N: FIELD: TEXT`, the form that operators read."""
         place = f'line {self.line}'
         if self.field:
             place = f'{place}: {self.field}'
@@ -43,10 +43,10 @@
 
 
 class YamlDocument:
-    """A document whose syntax is right, with the lines of its fields."""
+    """A document of valid syntax, with the line of each field."""
 
     def __init__(self, root: yaml.Node | None, content: Any) -> None:
-        """Keep the node tree beside the plain content."""
+        """Create a document from its node tree and its plain content."""
         self.content = content
         self._root = root
 
@@ -56,7 +56,7 @@
         return Problem(self._line_of(path), field, text)
 
     def repeated_keys(self) -> Iterator[Problem]:
-        """Find keys that occur twice; YAML would keep the last silently."""
+        """Yield keys that occur twice; YAML silently keeps the last one."""
         pending: list[tuple[FieldPath, yaml.Node | None]] = [((), self._root)]
         while pending:
             path, node = pending.pop()
@@ -74,8 +74,8 @@
             return Success(build_strictly(model, self.content))
         except ValidationError as invalid:
             problems = [
-                self.problem(found['loc'], found['msg'])
-                for found in invalid.errors()
+                self.problem(error['loc'], error['msg'])
+                for error in invalid.errors()
             ]
             problems.sort(key=lambda problem: problem.line)
             return Failure(tuple(problems))
@@ -93,10 +93,10 @@
 
 
 def build_strictly(model: type[_Model], content: Any) -> _Model:
-    """Build a model without converting text or truth values to numbers.
+    """Build a model without converting strings or booleans to numbers.
 
-    The way through JSON lets lists become tuples and texts `Enum` members,
-    which pydantic refuses for Python objects. Raises `ValidationError`.
+    Validation of JSON accepts lists for tuples and strings for `Enum` members,
+    which the strict mode refuses for Python objects. Raises `ValidationError`.
     """
     encoded = json.dumps(content, default=str)
     return model.model_validate_json(encoded, strict=True)
@@ -106,7 +106,7 @@
     text: str,
     size_max_bytes: int,
 ) -> Result[YamlDocument, tuple[Problem, ...]]:
-    """Read one document; fails on faults of syntax, size and depth."""
+    """Read one document; fails on invalid syntax or excess size or depth."""
     try:
         size_bytes = len(text.encode())
     except UnicodeEncodeError as error:
--- a/tests/test_cell_config.py
+++ b/tests/test_cell_config.py
@@ -45,7 +45,7 @@
     ids=lambda case: case['name'],
 )
 def test_faulty_configuration_is_refused(case: dict[str, Any]) -> None:
-    """Guards against a fault that takes force, or hides another one."""
+    """Guards against a faulty document in force, or a fault hiding others."""
     text = case.get('text')
     if text is None:
         text = _with_lines(_CELL, case['lines'])
@@ -62,7 +62,7 @@
     case: dict[str, Any],
     tmp_path: Path,
 ) -> None:
-    """Guards against a daemon that starts with settings it misread."""
+    """Guards against a daemon that starts with invalid settings."""
     path = tmp_path / 'settings.yaml'
     path.write_text(_with_lines(_SETTINGS, case['lines']))
     expected = [f'{path}: {problem}' for problem in case['problems']]
@@ -70,7 +70,7 @@
 
 
 def test_right_documents_are_read(tmp_path: Path) -> None:
-    """Guards against checks that refuse right documents."""
+    """Guards against checks that refuse valid documents."""
     assert isinstance(parse_config(_CELL), Success)
     path = tmp_path / 'settings.yaml'
     path.write_text(_SETTINGS)
@@ -84,11 +84,11 @@
 
 
 def test_digest_depends_on_content_only() -> None:
-    """Guards against processes that differ on whether they agree."""
+    """Guards against processes whose digests differ for equal content."""
     plain = parse_config(_CELL).unwrap()
-    reworded = parse_config(f'# A comment.\n{_CELL}').unwrap()
+    commented = parse_config(f'# A comment.\n{_CELL}').unwrap()
     changed = parse_config(_with_lines(_CELL, {11: '    weight: 3'})).unwrap()
-    assert config_digest(plain) == config_digest(reworded)
+    assert config_digest(plain) == config_digest(commented)
     assert config_digest(plain) != config_digest(changed)
 
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -8,7 +8,7 @@
 
 
 def test_paused_loop_skips_an_hour() -> None:
-    """Guards against tests that take the time they simulate."""
+    """Guards against tests that wait in real time."""
 
     async def main() -> int:
         began_ms = now_ms()
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -1,4 +1,4 @@
-"""Explanations of jobs from logs."""
+"""Explanations of the outcome of jobs from logs."""
 
 import json
 from pathlib import Path
@@ -36,7 +36,7 @@
 
 
 @pytest.mark.parametrize(
-    ('story', 'words'),
+    ('logged', 'words'),
     [
         ([REFUSED], 'refused with store_unavailable after 700 ms'),
         ([ACCEPTED], 'no run was placed'),
@@ -52,13 +52,13 @@
         ),
     ],
 )
-def test_conclusion(story: list[dict[str, Any]], words: str) -> None:
+def test_conclusion(logged: list[dict[str, Any]], words: str) -> None:
     """Guards against an explanation that names the wrong cause."""
-    lines = [line(number, parts) for number, parts in enumerate(story)]
+    lines = [line(number, parts) for number, parts in enumerate(logged)]
     # Lines of several processes arrive in any order and with prefixes.
     sources = [[f'  1.2 entry-1 {text}'] for text in reversed(lines)]
     found = read_history(JOB, sources)
-    assert [one['time'] for one in found.lines] == list(range(len(story)))
+    assert [entry['time'] for entry in found.lines] == list(range(len(logged)))
     assert words in conclude(found)
 
 
@@ -66,7 +66,7 @@
     tmp_path: Path,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    """Guards against a broken line that hides all others."""
+    """Guards against an unreadable line that hides all others."""
     log = tmp_path / 'log'
     log.write_text('\n'.join((line(1, ACCEPTED), f'{{"job": "{JOB}"')))
     assert main(['explain', JOB, str(log)]) is ExitStatus.SUCCESS
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,4 +1,4 @@
-"""The life of a process: configured, drained in order, ended on a fault."""
+"""Lifecycle of a process: configuration, drain in order, end on a fault."""
 
 import asyncio
 import sys
@@ -18,7 +18,7 @@
 from fuchsiarill.owner.campaign_messages import CandidatesUpdated
 from fuchsiarill.owner.messages import ConfigChanged, HandOver
 from fuchsiarill.ports.store import StoreFailure
-from fuchsiarill.process import Parts, Process
+from fuchsiarill.process import Process, ProcessContext
 from fuchsiarill.process_messages import DrainRequested
 from fuchsiarill.settings import load_settings
 from fuchsiarill.states import ProcessState
@@ -29,48 +29,48 @@
 
 
 class _Recorder(Actor):
-    """Stands for all other actors; notes what it is told, with the time."""
+    """Replaces all other actors; records the time of each message."""
 
     def __init__(self, answering: bool = True) -> None:
         super().__init__('recorder')
-        self.told: dict[str, int] = {}
+        self.received_ms: dict[str, int] = {}
         self._answering = answering
 
     @handles(HandOver)
     async def on_hand_over(self, message: HandOver) -> None:
-        self._asked(message)
+        self._record_request(message)
 
     @handles(StopFront)
     async def on_stop(self, message: StopFront) -> None:
-        self._asked(message)
+        self._record_request(message)
 
     @handles(LeaveCluster)
     async def on_leave(self, message: LeaveCluster) -> None:
-        self._asked(message)
+        self._record_request(message)
 
     @handles(StateChanged)
     async def on_state(self, message: StateChanged) -> None:
-        self._note(message.state.value)
+        self._record(message.state.value)
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
-        self._note('ConfigChanged')
+        self._record('ConfigChanged')
 
     @handles(CandidatesUpdated)
     async def on_candidates(self, message: CandidatesUpdated) -> None:
-        self._note('CandidatesUpdated')
+        self._record('CandidatesUpdated')
 
     async def fetch(self) -> Failure[StoreFailure]:
         return Failure(StoreFailure.UNREACHABLE)
 
-    def _asked(self, message: Any) -> None:
-        self._note(type(message).__name__)
+    def _record_request(self, message: Any) -> None:
+        self._record(type(message).__name__)
         if self._answering:
             message.reply.answer(True)
 
-    def _note(self, name: str) -> None:
+    def _record(self, name: str) -> None:
         loop = asyncio.get_running_loop()
-        self.told.setdefault(name, round(1000 * loop.time()))
+        self.received_ms.setdefault(name, round(1000 * loop.time()))
 
 
 def _process(recorder: _Recorder, opened: list[PartitionId]) -> Process:
@@ -80,13 +80,13 @@
         opened.append(partition)
         return recorder
 
-    parts = Parts(
+    context = ProcessContext(
         recorder.mailbox,
         (recorder,),
         FakePeers(FakeCell(), 'entry-1'),
         recorder,
     )
-    process = Process(settings, parts, open_campaign)
+    process = Process(settings, context, open_campaign)
     process.front = recorder
     return process
 
@@ -97,9 +97,9 @@
 
 @pytest.mark.parametrize('answering', [True, False])
 def test_drain_takes_its_steps_in_order(answering: bool) -> None:
-    """Guards against a drain that has no end, or closes before it hands over.
+    """Guards against a drain that never ends, or closes before handing over.
 
-    Without answers each step takes all of its time in the settings.
+    Without answers each step takes its whole time limit in the settings.
     """
 
     async def main() -> None:
@@ -117,7 +117,7 @@
         await sleep_ms(10)
         assert opened == ['rajkot.0']
         assert not process.has_failed
-        times = recorder.told
+        times = recorder.received_ms
         assert list(times) == [
             'CandidatesUpdated',
             'serving',
@@ -134,7 +134,7 @@
 
 
 def test_new_partition_starts_a_campaign() -> None:
-    """Guards against a region that nobody serves until a restart."""
+    """Guards against a new partition that has no campaign until a restart."""
 
     async def main() -> None:
         recorder = _Recorder()
@@ -142,9 +142,9 @@
         process = _process(recorder, opened)
         recorder.start()
         process.start()
-        wider = _CELL.replace('name: rajkot', 'name: jamnagar', 1)
-        wider = wider.replace('region: rajkot', 'region: jamnagar')
-        process.mailbox.send(ConfigChanged(parse_config(wider).unwrap()))
+        moved_cell = _CELL.replace('name: rajkot', 'name: jamnagar', 1)
+        moved_cell = moved_cell.replace('region: rajkot', 'region: jamnagar')
+        process.mailbox.send(ConfigChanged(parse_config(moved_cell).unwrap()))
         await sleep_ms(10)
         assert not opened
         process.mailbox.send(_config())
@@ -155,7 +155,7 @@
 
 
 def test_dead_actor_ends_the_process() -> None:
-    """Guards against a process that answers without one of its actors."""
+    """Guards against a process that keeps serving without one of its actors."""
 
     async def main() -> None:
         recorder = _Recorder()
@@ -181,7 +181,7 @@
     monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    """Guards against a daemon that starts, or is silent, on wrong settings."""
+    """Guards against a daemon that accepts invalid settings, or is silent."""
     path = tmp_path / 'settings.yaml'
     text = (_CASES / 'settings.yaml').read_text()
     path.write_text(text.replace('log_format: json', line))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""The router finds owners, and tells when it can't."""
+"""The router forwards messages to owners, or refuses them without an owner."""
 
 import asyncio
 from collections.abc import Callable
@@ -35,7 +35,7 @@
     """Creates links that only collect their messages."""
 
     def __init__(self) -> None:
-        self.made: dict[str, Actor] = {}
+        self.actors: dict[str, Actor] = {}
 
     def connect(
         self,
@@ -43,16 +43,16 @@
         address: str,
         settings: PeerSettings,
     ) -> Actor:
-        self.made[address] = Actor(f'link {address}')
-        self.made[address].start = lambda: None  # type: ignore[method-assign]
-        return self.made[address]
+        self.actors[address] = Actor(f'link {address}')
+        self.actors[address].start = lambda: None  # type: ignore[method-assign]
+        return self.actors[address]
 
     def counts(self) -> dict[str, int]:
-        return {name: len(link.mailbox) for name, link in self.made.items()}
+        return {name: len(link.mailbox) for name, link in self.actors.items()}
 
 
 class _Store:
-    """Looks owners up; slow, and silent while `address` is `None`."""
+    """Looks owners up in 50 ms; without an answer while `address` is `None`."""
 
     def __init__(self, address: str | None) -> None:
         self.address = address
@@ -63,23 +63,23 @@
         await sleep_ms(50)
         if self.address is None:
             return None
-        return _found(self.address)
+        return _location(self.address)
 
 
-def _found(address: str, mailbox: Mailbox | None = None) -> OwnerLocated:
+def _location(address: str, mailbox: Mailbox | None = None) -> OwnerLocated:
     claim = OwnerClaim(process=ProcessId(address), peer_address=address)
     return OwnerLocated(_PARTITION, claim, mailbox)
 
 
 def _run(
     store: _Store,
-    play: Callable[[Router, _Links], Any],
+    scenario: Callable[[Router, _Links], Any],
 ) -> None:
     async def main() -> None:
         links = _Links()
         router = Router(PeerSettings(port=0), links.connect, store.look_up)
         router.start()
-        await play(router, links)
+        await scenario(router, links)
         await router.stop()
 
     run_paused(main())
@@ -87,8 +87,8 @@
 
 async def _route(router: Router, hops_left: int = 1) -> Reply[JobAnswer]:
     reply: Reply[JobAnswer] = Reply()
-    ask = QueryJob(JobQuery(CustomerId('a'), JobId('rajkot.0-1')), reply)
-    router.mailbox.send(Route(_PARTITION, ask, hops_left))
+    query = QueryJob(JobQuery(CustomerId('a'), JobId('rajkot.0-1')), reply)
+    router.mailbox.send(Route(_PARTITION, query, hops_left))
     await asyncio.sleep(0)
     return reply
 
@@ -97,46 +97,46 @@
     """Guards against a refusal by a process that has just started."""
     store = _Store('other')
 
-    async def play(router: Router, links: _Links) -> None:
+    async def scenario(router: Router, links: _Links) -> None:
         for _ in range(3):
             await _route(router)
         await sleep_ms(100)
         assert links.counts() == {'other': 3}
         assert store.reads_count == 1
 
-    _run(store, play)
+    _run(store, scenario)
 
 
 def test_silent_store_is_told() -> None:
     """Guards against a caller that waits until its own time-out."""
     store = _Store(None)
 
-    async def play(router: Router, links: _Links) -> None:
+    async def scenario(router: Router, links: _Links) -> None:
         reply = await _route(router)
         assert (await reply.wait(100)).code is codes.OWNER_UNAVAILABLE
 
-    _run(store, play)
+    _run(store, scenario)
 
 
 def test_call_of_another_process_goes_no_further() -> None:
-    """Guards against a call that two stale routes pass to and fro."""
+    """Guards against a call that two stale routes forward in a loop."""
     store = _Store('other')
 
-    async def play(router: Router, links: _Links) -> None:
-        router.mailbox.send(_found('other'))
+    async def scenario(router: Router, links: _Links) -> None:
+        router.mailbox.send(_location('other'))
         reply = await _route(router, hops_left=0)
         assert (await reply.wait(100)).code is codes.OWNER_UNAVAILABLE
         assert links.counts() == {'other': 0}
 
-    _run(store, play)
+    _run(store, scenario)
 
 
 def test_stale_route_is_replaced_once() -> None:
-    """Guards against a route to a dead owner that stays, or many reads."""
+    """Guards against a route to a dead owner that is kept, or many reads."""
     store = _Store('new')
 
-    async def play(router: Router, links: _Links) -> None:
-        router.mailbox.send(_found('old'))
+    async def scenario(router: Router, links: _Links) -> None:
+        router.mailbox.send(_location('old'))
         for _ in range(5):
             router.mailbox.send(RouteStale(_PARTITION, 'old'))
         await sleep_ms(100)
@@ -145,25 +145,25 @@
         assert links.counts() == {'old': 0, 'new': 1}
         assert store.reads_count == 1
 
-    _run(store, play)
+    _run(store, scenario)
 
 
 def test_owner_here_is_published_and_not_replaced() -> None:
-    """Guards against an old owner key that hides the owner in this process."""
+    """Guards against an old owner key that replaces the local owner."""
     store = _Store('old')
 
-    async def play(router: Router, links: _Links) -> None:
+    async def scenario(router: Router, links: _Links) -> None:
         owner = Mailbox()
         router.membership = Mailbox()
         await _route(router)
-        router.mailbox.send(_found('here', owner))
+        router.mailbox.send(_location('here', owner))
         await sleep_ms(100)
         assert len(owner) == 1
         published = await router.membership.receive()
         assert published == PartitionsOwned((_PARTITION,))
-        assert not links.made
+        assert not links.actors
 
-    _run(store, play)
+    _run(store, scenario)
 
 
 def test_owner_is_learnt_from_gossip() -> None:
@@ -179,11 +179,11 @@
     )
     member = Member(detail, Beat(detail.key, 1, NO_GENERATION, 0), 0)
 
-    async def play(router: Router, links: _Links) -> None:
+    async def scenario(router: Router, links: _Links) -> None:
         router.mailbox.send(ViewChanged((member,), ProcessId('own')))
         await _route(router)
         await sleep_ms(1)
         assert links.counts() == {'other': 1}
         assert not store.reads_count
 
-    _run(store, play)
+    _run(store, scenario)
--- a/tests/test_state_chart.py
+++ b/tests/test_state_chart.py
@@ -22,7 +22,7 @@
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_faulty_chart_is_refused(case: dict[str, str]) -> None:
-    """Guards against a fault in a chart that shows only when used."""
+    """Guards against a fault in a chart that shows only at run time."""
     with pytest.raises(ChartError) as caught:
         parse_chart('case', case['text'], ProcessState, ProcessEvent)
     assert case['error'] in str(caught.value)
