--- a/fuchsiarill/cluster/__init__.py
+++ b/fuchsiarill/cluster/__init__.py
@@ -1,1 +1,1 @@
-"""Membership, configuration spread and links between the processes."""
+"""Membership, configuration distribution and links between processes."""
--- a/fuchsiarill/cluster/cluster_encoding.py
+++ b/fuchsiarill/cluster/cluster_encoding.py
@@ -15,7 +15,7 @@
 
 
 def gossip_fields(message: Gossip) -> dict[str, Any]:
-    """Return a gossip message in the field names of the schema."""
+    """Return a gossip message as fields of the schema."""
     return {
         'beats': [
             {
@@ -33,7 +33,7 @@
 
 
 def read_gossip(encoded: Any) -> Gossip:
-    """Return the gossip message of a received struct."""
+    """Decode the struct of a gossip message."""
     return Gossip(
         beats=tuple(
             Beat(
@@ -51,7 +51,7 @@
 
 
 def document_fields(document: ConfigDocument) -> dict[str, Any]:
-    """Return a configuration document in the field names of the schema."""
+    """Return a configuration document as fields of the schema."""
     return {
         'generation': document.generation,
         'author': document.author,
@@ -61,7 +61,7 @@
 
 
 def read_document_struct(encoded: Any) -> ConfigDocument:
-    """Return the configuration document of a received struct."""
+    """Decode the struct of a configuration document."""
     return ConfigDocument(
         generation=Generation(encoded.generation),
         author=encoded.author,
--- a/fuchsiarill/cluster/config_change.py
+++ b/fuchsiarill/cluster/config_change.py
@@ -30,31 +30,31 @@
 )
 from fuchsiarill.refusal import Refusal, refuse
 
-# The same write may be repeated: only one with its revision can take effect.
-_TRIES_COUNT: Final = 3
+# Repeating the write is safe: at most one swap of a revision takes effect.
+_ATTEMPTS_COUNT: Final = 3
 _RETRY_AFTER_MS: Final = 1_000
 
 
 class ConfigParser(Protocol):
-    """Parses a document; a thread does it where a loop must not wait."""
+    """Parses a document, in a thread where the event loop must not block."""
 
     async def __call__(
         self,
         text: str,
     ) -> Result[CellConfig, tuple[Refusal, ...]]:
-        """Return the configuration or every problem found."""
+        """Return the configuration, or all problems of the document."""
 
 
 async def parse_in_loop(
     text: str,
 ) -> Result[CellConfig, tuple[Refusal, ...]]:
-    """Parse in the running loop, which waits meanwhile."""
+    """Parse in the running event loop, which is blocked meanwhile."""
     return parse_config(text)
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeRequest:
-    """What an operator wants in force in place of a known generation."""
+    """A new document that is to replace the expected generation."""
 
     text: str
     expected_generation: Generation
@@ -63,10 +63,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeAnswer:
-    """What became of a change.
+    """Result of a change.
 
-    `document` is the one written when `code` is `DONE`, and the present one
-    when it is `CONFIG_CONFLICT`.
+    `document` is the document written when `code` is `DONE`, and the current
+    document when `code` is `CONFIG_CONFLICT`.
     """
 
     code: codes.ResultCode
@@ -75,7 +75,7 @@
 
 
 class ConfigChange:
-    """Carries out one change."""
+    """Writes one change to the store and determines its result."""
 
     def __init__(
         self,
@@ -83,26 +83,26 @@
         request: ChangeRequest,
         parse: ConfigParser,
     ) -> None:
-        """Prepare the change with a token of its own."""
+        """Prepare the change and generate its unique token."""
         self._store = store
         self._request = request
         self._parse = parse
         self._token = uuid.uuid4().hex
         self._sent = False
 
-    async def carry_out(self) -> ChangeAnswer:
-        """Check the document, write it and find out what became of it."""
+    async def execute(self) -> ChangeAnswer:
+        """Validate the document, write it and return the result."""
         parsed = await self._parse(self._request.text)
         if isinstance(parsed, Failure):
             return ChangeAnswer(codes.CONFIG_INVALID, None, parsed.failure())
-        for _ in range(_TRIES_COUNT):
+        for _ in range(_ATTEMPTS_COUNT):
             answer = await self._try_once(parsed.unwrap())
             if answer is not None:
                 return answer
         return self._no_answer()
 
     async def _try_once(self, config: CellConfig) -> ChangeAnswer | None:
-        """Return the answer once it is known."""
+        """Read and swap once; returns `None` while the result is unknown."""
         match await self._store.get(CONFIG_KEY):
             case Success(found):
                 return await self._write_over(found, config)
@@ -119,10 +119,10 @@
             return ChangeAnswer(codes.CONFIG_INVALID, None, (problem,))
         before = present.unwrap()
         if self._sent and self._token in before.tokens:
-            return ChangeAnswer(codes.DONE, self._written(before))
+            return ChangeAnswer(codes.DONE, self._own_document(before))
         if before.generation != self._request.expected_generation:
             return self._conflict(before)
-        problems = await self._stranding(before, config)
+        problems = await self._partition_problems(before, config)
         if problems:
             return ChangeAnswer(codes.CONFIG_INVALID, None, problems)
         return await self._swap(found, before)
@@ -143,11 +143,11 @@
         )
         if swapped.outcome is SwapOutcome.SWAPPED:
             return ChangeAnswer(codes.DONE, after)
-        # A conflict may be with the own write of an earlier try.
+        # The conflict may be with the write of an earlier attempt.
         return None
 
-    def _written(self, later: ConfigDocument) -> ConfigDocument:
-        """Return the own document, which others may have followed."""
+    def _own_document(self, later: ConfigDocument) -> ConfigDocument:
+        """Return the document of this change, which may be superseded."""
         age = len(later.tokens) - 1 - later.tokens.index(self._token)
         if not age:
             return later
@@ -157,7 +157,7 @@
             text=self._request.text,
         )
 
-    async def _stranding(
+    async def _partition_problems(
         self,
         before: ConfigDocument,
         after: CellConfig,
--- a/fuchsiarill/cluster/config_document.py
+++ b/fuchsiarill/cluster/config_document.py
@@ -9,8 +9,9 @@
 
 CONFIG_KEY: Final = StoreKey('config/current')
 
-# A lost store reply is resolved by this list, so it must be longer than the
-# number of changes that operators can make within one call's deadline.
+# This list tells whether a write whose reply was lost took effect, so it must
+# be longer than the number of changes that operators can make within one
+# call's deadline.
 _TOKENS_COUNT: Final = 16
 
 
@@ -18,7 +19,8 @@
     """Value of the store key `config/current`.
 
     `tokens` holds one unique token for each of the last generations, the
-    present one last; an author whose write had no answer finds its own here.
+    current one last. A writer that got no answer finds its token here if its
+    write took effect.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
@@ -39,7 +41,7 @@
         )
 
 
-# What an operator changes before any document is stored.
+# Stands for the current document until a document is stored.
 NO_DOCUMENT: Final = ConfigDocument(
     generation=Generation(0),
     author='',
@@ -48,10 +50,10 @@
 
 
 def read_document(encoded: str | None) -> Result[ConfigDocument, str]:
-    """Read the value of the store key; an absent one is no document.
+    """Parse the value of the store key; `NO_DOCUMENT` if the key is absent.
 
-    The first document can't come from an operator, since there is no contract
-    yet that names a token: it is put into the store as plain YAML.
+    The first document can't be written through the HTTP interface, since no
+    token is configured yet: it is put into the store as plain YAML.
     """
     if encoded is None:
         return Success(NO_DOCUMENT)
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -1,7 +1,7 @@
-"""The actor that reads the configuration from the store: poll and watch.
+"""The actor that reads the configuration from the store by poll and watch.
 
-One process of each failure domain holds a watch, since a waiting watch
-counts as a call; all others poll seldom.
+Only one process of each failure domain keeps a watch, since a pending watch
+counts as a store call; the others poll at a long interval.
 """
 
 import asyncio
@@ -25,14 +25,14 @@
 from fuchsiarill.ports.store import StoreFailure, StorePort, Versioned
 from fuchsiarill.settings import ConfigSettings
 
-# Spreads the calls of many processes that fail at the same moment.
+# Spreads the retries of many processes whose calls fail at the same time.
 _JITTER_RATIO: Final = 0.25
 _RETRY_GROWTH: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
-class TakeTurn:
-    """Begin or end to watch for the failure domain."""
+class SetWatching:
+    """Start or stop the watch on behalf of the failure domain."""
 
     watching: bool
 
@@ -42,11 +42,11 @@
     """The store or a peer answered with a document; `None` for no answer."""
 
     document: ConfigDocument | None
-    of_peer: bool = False
+    from_peer: bool = False
 
 
 class ConfigSource(SpawningActor):
-    """Reports each document that it reads to the actor of the configuration."""
+    """Sends each document that it reads to the configuration actor."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
         config: Mailbox,
         random_source: random.Random,
     ) -> None:
-        """Read the store through `store`."""
+        """Read from `store` and send documents to `config`."""
         super().__init__('config source')
         self._settings = settings
         self._store = store
@@ -64,13 +64,13 @@
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Run the actor and poll."""
+        """Run the actor and start polling."""
         super().start()
         self.spawn(self._poll())
 
-    @handles(TakeTurn)
-    async def on_turn(self, message: TakeTurn) -> None:
-        """Begin or end the watch."""
+    @handles(SetWatching)
+    async def on_set_watching(self, message: SetWatching) -> None:
+        """Start or stop the watch."""
         if message.watching and self._watch is None:
             self._watch = self.spawn(self._watch_store())
         if not message.watching and self._watch is not None:
@@ -82,7 +82,7 @@
         return {**super().snapshot(), 'watching': self._watch is not None}
 
     async def _poll(self) -> None:
-        """Read the store often until it answers, then seldom."""
+        """Poll the store; retry failed reads sooner, at growing intervals."""
         retry_ms = self._settings.retry_interval_ms
         while True:
             wait_ms = self._settings.poll_interval_ms
@@ -102,9 +102,9 @@
                 revision,
                 self._settings.watch_wait_ms,
             )
-            revision = await self._watched(watched, revision)
+            revision = await self._report_if_changed(watched, revision)
 
-    async def _watched(
+    async def _report_if_changed(
         self,
         watched: Result[Versioned, StoreFailure],
         revision: Revision,
--- a/fuchsiarill/cluster/config_spread.py
+++ b/fuchsiarill/cluster/config_spread.py
@@ -1,8 +1,9 @@
 """The actor that holds the cell configuration of its process.
 
-A newer document comes from the store (see `config_source`), from an offer of
-the process that watches for the failure domain, or from a peer whose gossip
-tells of a higher generation. A lower one is never taken.
+A newer document comes from the store (see `config_source`), from an offer by
+the process that watches the store for the failure domain, or from a peer
+whose gossip reports a higher generation. A lower generation is never put in
+force.
 """
 
 import random
@@ -26,7 +27,7 @@
 from fuchsiarill.cluster.config_source import (
     ConfigSource,
     DocumentFetched,
-    TakeTurn,
+    SetWatching,
 )
 from fuchsiarill.cluster.member_table import NO_GENERATION, Member
 from fuchsiarill.cluster.membership import GenerationInForce, ViewChanged
@@ -48,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigOffered:
-    """Another process offers a document; the reply tells the generation."""
+    """A peer offers a document; the reply is the generation in force."""
 
     document: ConfigDocument
     reply: Reply[Generation]
@@ -56,14 +57,14 @@
 
 @dataclass(frozen=True, slots=True)
 class GetDocument:
-    """Asks for the document in force, or `NO_DOCUMENT`."""
+    """Requests the document in force, or `NO_DOCUMENT`."""
 
     reply: Reply[ConfigDocument]
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeConfig:
-    """An operator's change."""
+    """Requests a change of the configuration by an operator."""
 
     request: ChangeRequest
     reply: Reply[ChangeAnswer]
@@ -71,11 +72,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CollectingEnded:
-    """The time to compare sources at the start is over."""
+    """The period for comparing sources at start-up is over."""
 
 
 class ConfigSpread(SpawningActor):
-    """Owns the document in force and spreads newer ones."""
+    """Owns the document in force and distributes newer documents."""
 
     def __init__(
         self,
@@ -105,7 +106,7 @@
         self._domain_addresses: tuple[str, ...] = ()
 
     def start(self) -> None:
-        """Run the actor and look for a document."""
+        """Run the actor and start collecting documents."""
         super().start()
         self.source.start()
         self.spawn(self._end_collecting())
@@ -117,23 +118,23 @@
 
     @handles(ConfigOffered)
     async def on_offer(self, message: ConfigOffered) -> None:
-        """Take an offered document if it is newer."""
-        await self._consider(message.document)
+        """Put an offered document in force if it is newer."""
+        await self._handle_document(message.document)
         message.reply.answer(self.document.generation)
 
     @handles(DocumentFetched)
-    async def on_found(self, message: DocumentFetched) -> None:
-        """Take a found document if it is newer."""
-        if message.of_peer:
+    async def on_fetched(self, message: DocumentFetched) -> None:
+        """Put a fetched document in force if it is newer."""
+        if message.from_peer:
             self._pulling = False
         if message.document is not None:
-            await self._consider(message.document)
+            await self._handle_document(message.document)
 
     @handles(CollectingEnded)
     async def on_collected(self, message: CollectingEnded) -> None:
-        """Take the highest generation found so far."""
+        """Put the highest generation collected so far in force."""
         self._collecting = False
-        await self._consider(self._candidate)
+        await self._handle_document(self._candidate)
 
     @handles(GetDocument)
     async def on_get_document(self, message: GetDocument) -> None:
@@ -142,12 +143,12 @@
 
     @handles(ChangeConfig)
     async def on_change(self, message: ChangeConfig) -> None:
-        """Carry out an operator's change beside the other messages."""
+        """Carry out an operator's change concurrently with other messages."""
         self.spawn(self._change(message))
 
     @handles(ViewChanged)
     async def on_view(self, message: ViewChanged) -> None:
-        """Watch the store if it is this process' turn; pull what is newer."""
+        """Start or stop the watch by the view, and pull a newer document."""
         own = next(
             member
             for member in message.members
@@ -161,14 +162,14 @@
         self._domain_addresses = tuple(
             member.detail.address for member in domain if member is not own
         )
-        watching = _watcher_of(domain) is own
+        watching = _elect_watcher(domain) is own
         if watching is not self._watching:
             self._watching = watching
-            self.source.mailbox.send(TakeTurn(watching))
+            self.source.mailbox.send(SetWatching(watching))
         self._pull_newer(message.members)
 
     def announce(self, document: ConfigDocument, config: CellConfig) -> None:
-        """Hold a document and tell all who use it."""
+        """Put a document in force and notify subscribers and peers."""
         self.document = document
         changed = ConfigChanged(config)
         for subscriber in self.subscribers:
@@ -191,7 +192,7 @@
             'source': self.source.snapshot(),
         }
 
-    async def _consider(self, document: ConfigDocument) -> None:
+    async def _handle_document(self, document: ConfigDocument) -> None:
         if self._collecting:
             if document.generation > self._candidate.generation:
                 self._candidate = document
@@ -226,7 +227,7 @@
 
     async def _pull(self, address: str) -> None:
         fetched = await self._peers.fetch_config(address)
-        found = DocumentFetched(fetched.value_or(None), of_peer=True)
+        found = DocumentFetched(fetched.value_or(None), from_peer=True)
         self.mailbox.send(found)
 
     async def _offer(self, address: str, document: ConfigDocument) -> None:
@@ -234,7 +235,7 @@
 
     async def _change(self, message: ChangeConfig) -> None:
         change = ConfigChange(self._store, message.request, self.parse)
-        answer = await change.carry_out()
+        answer = await change.execute()
         if answer.code is codes.DONE:
             self.mailbox.send(DocumentFetched(answer.document))
         message.reply.answer(answer)
@@ -249,10 +250,10 @@
 
 @CONFIG_ACTIONS.register('put_in_force')
 async def _put_in_force(spread: ConfigSpread, document: ConfigDocument) -> bool:
-    """Check a document and announce it.
+    """Parse a document and announce it.
 
-    Returns `False` for a document that this process can't use; the one in
-    force stays.
+    Returns `False` for a document that this process can't parse; the document
+    in force stays.
     """
     if document.generation == spread.rejected:
         return False
@@ -283,9 +284,9 @@
 )
 
 
-def _watcher_of(domain: list[Member]) -> Member | None:
-    """Return the live member with the lowest id."""
-    for member in sorted(domain, key=lambda one: one.detail.process):
+def _elect_watcher(domain: list[Member]) -> Member | None:
+    """Return the live member with the lowest id that is not leaving."""
+    for member in sorted(domain, key=lambda other: other.detail.process):
         leaving = member.detail.state in _LEAVING_STATES
         if member.state is MemberState.LIVE and not leaving:
             return member
--- a/fuchsiarill/cluster/directory.py
+++ b/fuchsiarill/cluster/directory.py
@@ -1,8 +1,8 @@
-"""The store's directory of processes, changed on join and on leave only.
+"""The directory of processes in the store, changed on join and leave only.
 
-`members` lists the failure domains, `members/<domain>` the processes of one.
-Entries are only where a starting process looks first; who is alive is told
-by gossip.
+`members` lists the failure domains, `members/<domain>` the processes of each.
+Entries only give a starting process its first contacts; gossip determines
+which processes are alive.
 """
 
 import json
@@ -19,13 +19,13 @@
 
 DOMAINS_KEY: Final = StoreKey('members')
 
-# A process that was killed never leaves; the oldest entries make room.
+# A killed process leaves its entry behind; the oldest entries are dropped.
 _ENTRIES_MAX_COUNT: Final = 64
-_SWAP_TRIES_COUNT: Final = 8
+_SWAP_ATTEMPTS_COUNT: Final = 8
 
 
 class DirectoryEntry(BaseModel):
-    """Where one process listens for the others."""
+    """Address at which a process listens for peers, and its incarnation."""
 
     address: str
     incarnation: int
@@ -49,7 +49,7 @@
         self._store = store
 
     async def join(self, own: MemberDetail) -> bool:
-        """Enter a process; returns whether that is confirmed."""
+        """Add a process; returns whether the store confirmed it."""
         joined = await self._change(
             members_key(own.failure_domain),
             partial(_with_entry, own),
@@ -60,14 +60,14 @@
         )
 
     async def leave(self, own: MemberDetail) -> bool:
-        """Remove a process; a later run of it stays entered."""
+        """Remove a process; the entry of a later incarnation stays."""
         return await self._change(
             members_key(own.failure_domain),
             partial(_without_entry, own),
         )
 
     async def addresses(self) -> dict[ProcessId, str]:
-        """Return the addresses of all entered processes, as far as known."""
+        """Return the addresses of all entries that can be read."""
         found: dict[ProcessId, str] = {}
         for domain in _read_domains(await self._value(DOMAINS_KEY)):
             entries = _read_entries(await self._value(members_key(domain)))
@@ -89,10 +89,10 @@
     ) -> bool:
         """Swap until the key has the changed value or the store fails.
 
-        Every try reads first, so one whose answer was lost is recognised by
-        its effect.
+        Every attempt reads first, so a swap whose answer was lost is
+        recognised by its effect.
         """
-        for _ in range(_SWAP_TRIES_COUNT):
+        for _ in range(_SWAP_ATTEMPTS_COUNT):
             match await self._store.get(key):
                 case Success(found):
                     done = await self._try_once(found, change(found.value))
@@ -116,7 +116,7 @@
         address=own.address,
         incarnation=own.incarnation,
     )
-    latest = sorted(entries.items(), key=lambda named: named[1].incarnation)
+    latest = sorted(entries.items(), key=lambda item: item[1].incarnation)
     return _write_entries(dict(latest[-_ENTRIES_MAX_COUNT:]))
 
 
--- a/fuchsiarill/cluster/encoding.py
+++ b/fuchsiarill/cluster/encoding.py
@@ -1,4 +1,4 @@
-"""Conversion between the messages and their capnp form."""
+"""Conversion between job messages and their capnp form."""
 
 from importlib import resources
 from typing import Any, Final
@@ -24,7 +24,7 @@
 
 
 def spec_fields(spec: JobSpec) -> dict[str, Any]:
-    """Return a job spec in the field names of the schema."""
+    """Return a job spec as fields of the schema."""
     size = spec.task_size
     return {
         'customer': spec.customer,
@@ -46,7 +46,7 @@
 
 
 def read_spec(encoded: Any) -> JobSpec:
-    """Return the job spec of a received struct."""
+    """Decode the struct of a job spec."""
     size = encoded.taskSize
     return JobSpec(
         customer=CustomerId(encoded.customer),
@@ -68,7 +68,7 @@
 
 
 def answer_fields(answer: JobAnswer) -> dict[str, Any]:
-    """Return an answer in the field names of the schema."""
+    """Return an answer as fields of the schema."""
     encoded: dict[str, Any] = {
         'codeNumber': answer.code.number,
         'jobId': answer.job_id or '',
@@ -83,7 +83,7 @@
 
 
 def read_answer(encoded: Any) -> JobAnswer:
-    """Return the answer of a received struct."""
+    """Decode the struct of an answer."""
     code = codes.by_number(encoded.codeNumber)
     refusal = None
     if encoded.refusalText:
--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -1,4 +1,4 @@
-"""What a process knows of the others, and how two such tables are merged.
+"""Table of the known processes, and the merge of two tables by gossip.
 
 A table has two parts. Details (address, failure domain, partitions owned)
 change rarely; a beat has a fixed size of 16 bytes on the wire and changes
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberDetail:
-    """What changes rarely of a process.
+    """Rarely changing attributes of a process.
 
     `incarnation` is higher after each restart, `version` after each change
     within one incarnation.
@@ -46,19 +46,19 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Return what tells an older detail from a newer one."""
+        """Return the sort key by which a newer detail is recognised."""
         return (self.incarnation, self.version)
 
     @property
     def key(self) -> int:
-        """Return the short name that beats use for this detail."""
+        """Return the checksum by which beats refer to this detail."""
         named = f'{self.process}\n{self.incarnation}\n{self.version}'
         return zlib.crc32(named.encode())
 
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """What changes all the time of a process; the highest counter wins."""
+    """Frequently changing state of a process; the highest heartbeat wins."""
 
     key: int
     heartbeat: int
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """One message of an exchange; `wanted` names details by their key."""
+    """One message of an exchange; `wanted` holds keys of missing details."""
 
     beats: tuple[Beat, ...]
     details: tuple[MemberDetail, ...] = ()
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A process as another one sees it."""
+    """A process as seen by the process that holds the table."""
 
     detail: MemberDetail
     beat: Beat
@@ -107,7 +107,7 @@
         beat = Beat(own.key, 0, NO_GENERATION, 0)
         self._members = {own.process: Member(own, beat, now_ms)}
         self._ids = {own.key: own.process}
-        # Last beat of removed members: older news must not bring them back.
+        # Removed members by key: older gossip must not add them again.
         self._removed: dict[int, Member] = {}
 
     @property
@@ -119,7 +119,7 @@
         """Return all members in the order of their ids."""
         return tuple(self._members[name] for name in sorted(self._members))
 
-    def change_own(self, detail: MemberDetail) -> None:
+    def update_own(self, detail: MemberDetail) -> None:
         """Publish a new version of the own detail."""
         own = self.own
         changed = replace(detail, version=own.detail.version + 1)
@@ -134,7 +134,7 @@
         *,
         store_is_down: bool = False,
     ) -> tuple[Member, ...]:
-        """Count the own heartbeat up and step the silent members.
+        """Increment the own heartbeat and check the members for silence.
 
         Returns the members that were removed from the view.
         """
@@ -161,20 +161,20 @@
         return Gossip(tuple(member.beat for member in self.members()))
 
     def merge(self, received: Gossip, now_ms: int) -> Gossip:
-        """Take over what is newer, and return what the other side lacks."""
+        """Merge newer beats and details; return those that the sender lacks."""
         beats = {beat.key: beat for beat in received.beats}
         for detail in received.details:
-            self._take_detail(detail, beats.get(detail.key), now_ms)
+            self._merge_detail(detail, beats.get(detail.key), now_ms)
         for beat in received.beats:
-            self._take_beat(beat, now_ms)
+            self._merge_beat(beat, now_ms)
         return Gossip(
             beats=tuple(self._newer_than(beats)),
             details=tuple(self._details_for(beats, received.wanted)),
             wanted=tuple(key for key in beats if self._wants(beats[key])),
         )
 
-    def requested(self, wanted: Iterable[int]) -> Gossip:
-        """Return the details that the other side asked for."""
+    def requested_details(self, wanted: Iterable[int]) -> Gossip:
+        """Return the details that the other side requested."""
         details = tuple(self._details_for({}, tuple(wanted)))
         keys = {detail.key for detail in details}
         beats = (member.beat for member in self.members())
@@ -211,14 +211,14 @@
         self._put(replace(member, state=step.target))
         return False
 
-    def _take_detail(
+    def _merge_detail(
         self,
         detail: MemberDetail,
         beat: Beat | None,
         now_ms: int,
     ) -> None:
         if detail.process == self._own_id:
-            self._outbid(detail)
+            self._supersede(detail)
             return
         known = self._members.get(detail.process)
         if known is not None and known.detail.order >= detail.order:
@@ -226,18 +226,18 @@
         if beat is None or self._is_stale(beat):
             return
         if known is not None and known.detail.incarnation == detail.incarnation:
-            # The counter goes on within an incarnation.
+            # The heartbeat never decreases within an incarnation.
             if beat.heartbeat < known.beat.heartbeat:
                 beat = replace(beat, heartbeat=known.beat.heartbeat)
         self._put(Member(detail, beat, now_ms))
 
-    def _outbid(self, detail: MemberDetail) -> None:
-        """Win over a detail of an earlier run with a later clock."""
+    def _supersede(self, detail: MemberDetail) -> None:
+        """Supersede a detail of an earlier run whose clock was ahead."""
         own = self.own.detail
         if detail.order > own.order:
-            self.change_own(replace(own, incarnation=detail.incarnation + 1))
+            self.update_own(replace(own, incarnation=detail.incarnation + 1))
 
-    def _take_beat(self, beat: Beat, now_ms: int) -> None:
+    def _merge_beat(self, beat: Beat, now_ms: int) -> None:
         name = self._ids.get(beat.key)
         if name is None or name == self._own_id:
             return
@@ -250,8 +250,8 @@
 
     def _newer_than(self, beats: dict[int, Beat]) -> Iterable[Beat]:
         for member in self.members():
-            theirs = beats.get(member.detail.key)
-            if theirs is None or theirs.heartbeat < member.beat.heartbeat:
+            received = beats.get(member.detail.key)
+            if received is None or received.heartbeat < member.beat.heartbeat:
                 yield member.beat
 
     def _details_for(
@@ -259,10 +259,10 @@
         beats: dict[int, Beat],
         wanted: tuple[int, ...],
     ) -> Iterable[MemberDetail]:
-        asked = set(wanted)
+        requested = set(wanted)
         for member in self.members():
             key = member.detail.key
-            if key in asked or (beats and key not in beats):
+            if key in requested or (beats and key not in beats):
                 yield member.detail
 
     def _wants(self, beat: Beat) -> bool:
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -1,4 +1,4 @@
-"""The actor that knows the other processes: directory, gossip, view.
+"""The membership actor: directory, gossip and view of the processes.
 
 Each second it exchanges its table with a few random peers. The directory in
 the store is read while no peer is known and changed on join and on leave.
@@ -29,17 +29,18 @@
 from fuchsiarill.settings import MembershipSettings
 from fuchsiarill.states import ProcessState
 
-# Bounds what a long life collects of addresses that may be gone for good.
+# Bounds the addresses that a long-running process keeps of peers that may
+# never return.
 _ADDRESSES_MAX_COUNT: Final = 256
 
-# Every so many rounds a process that is no longer in the view is called, so
-# that two halves find each other again after a cut.
+# Interval at which a process that is no longer in the view is called, so that
+# both sides of a network split find each other again.
 _LOST_INTERVAL_ROUNDS: Final = 5
 
 
 @dataclass(frozen=True, slots=True)
-class Gossiped:
-    """Another process sent its part of an exchange."""
+class GossipReceived:
+    """Another process sent its message of an exchange."""
 
     received: Gossip
     reply: Reply[Gossip]
@@ -78,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GenerationInForce:
-    """This generation of the configuration is in force here."""
+    """This generation of the configuration is in force in the own process."""
 
     generation: Generation
 
@@ -92,21 +93,21 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreHealthChanged:
-    """The store went out of reach of the own process, or came back."""
+    """The store became unreachable from the own process, or reachable."""
 
     is_down: bool
 
 
 @dataclass(frozen=True, slots=True)
 class GetView:
-    """Asks for all members in the view."""
+    """Requests all members in the view."""
 
     reply: Reply[tuple[Member, ...]]
 
 
 @dataclass(frozen=True, slots=True)
 class LeaveCluster:
-    """Leave the directory and tell a few peers."""
+    """Requests to leave the directory and to notify a few peers."""
 
     reply: Reply[None]
 
@@ -115,7 +116,7 @@
 class ViewChanged:
     """Sent to subscribers after each round, changed or not.
 
-    Until `outage_until_ms` the store is regarded as down for everyone.
+    Until `outage_until_ms` the store is regarded as down for all processes.
     """
 
     members: tuple[Member, ...]
@@ -134,7 +135,7 @@
         peers: PeerPort,
         random_source: random.Random,
     ) -> None:
-        """Know the own process only; needs a running loop."""
+        """Start with the own process only; needs a running loop."""
         super().__init__('membership')
         self.subscribers: list[Mailbox] = []
         self.table = MemberTable(settings, own, now_ms())
@@ -151,7 +152,7 @@
         self._rounds_count = 0
 
     def update_store_state(self, is_down: bool) -> None:
-        """Tell the actor that the store went out of reach or came back."""
+        """Report to the actor whether the store is unreachable."""
         self.mailbox.send(StoreHealthChanged(is_down))
 
     def start(self) -> None:
@@ -166,38 +167,38 @@
         self._beat()
         self._publish()
         self._rounds_count += 1
-        if self._directory_due():
+        if self._is_directory_due():
             self.spawn(self._join_and_read())
         for address in self._targets():
             self.spawn(self._exchange(address, self.table.opening()))
 
     @handles(DirectoryRead)
     async def on_directory(self, message: DirectoryRead) -> None:
-        """Note where to look for peers, and call some at once."""
+        """Keep the addresses of possible peers and call some at once."""
         self._joined = self._joined or message.joined
-        self._remember(message.addresses)
+        self._keep_addresses(message.addresses)
         for address in self._targets():
             self.spawn(self._exchange(address, self.table.opening()))
 
-    @handles(Gossiped)
-    async def on_gossip(self, message: Gossiped) -> None:
-        """Merge what another process sent and answer with what it lacks."""
+    @handles(GossipReceived)
+    async def on_gossip(self, message: GossipReceived) -> None:
+        """Merge a message and answer with the state that its sender lacks."""
         message.reply.answer(self.table.merge(message.received, now_ms()))
         self._publish()
 
     @handles(GossipAnswered)
     async def on_answer(self, message: GossipAnswered) -> None:
-        """Merge the answer and send the details asked for."""
+        """Merge the answer and send the requested details."""
         received = message.received
         if received is None:
             return
         self.table.merge(received, now_ms())
-        self._evidence.answered(
+        self._evidence.record_answer(
             self.table.own,
             self.table.members(),
             (message.address, message.requested_at_ms),
         )
-        wanted = self.table.requested(received.wanted)
+        wanted = self.table.requested_details(received.wanted)
         if wanted.details:
             self.spawn(self._exchange(message.address, wanted))
         self._publish()
@@ -205,17 +206,17 @@
     @handles(StateChanged)
     async def on_state(self, message: StateChanged) -> None:
         """Publish the state of the own process."""
-        self._change_own(replace(self.table.own.detail, state=message.state))
+        self._update_own(replace(self.table.own.detail, state=message.state))
 
     @handles(PartitionsOwned)
     async def on_partitions(self, message: PartitionsOwned) -> None:
         """Publish the partitions that the own process owns."""
         own = self.table.own.detail
-        self._change_own(replace(own, partitions=message.partitions))
+        self._update_own(replace(own, partitions=message.partitions))
 
     @handles(GenerationInForce)
     async def on_generation(self, message: GenerationInForce) -> None:
-        """Publish the generation in force with the next beat."""
+        """Publish the generation in force with an immediate beat."""
         self._generation = message.generation
         self._beat()
         self._publish()
@@ -227,9 +228,9 @@
 
     @handles(StoreHealthChanged)
     async def on_store(self, message: StoreHealthChanged) -> None:
-        """Publish whether the store is in reach, with a beat of its own.
+        """Publish whether the store is reachable, with an immediate beat.
 
-        Answers given from now on must not carry the earlier state.
+        Gossip answers sent from now on must not carry the earlier state.
         """
         self._store_is_down = message.is_down
         self._beat()
@@ -241,9 +242,9 @@
 
     @handles(LeaveCluster)
     async def on_leave(self, message: LeaveCluster) -> None:
-        """Leave; a failure only leaves an entry that gossip ignores."""
+        """Leave; a failure leaves only an entry that gossip ignores."""
         own = replace(self.table.own.detail, state=ProcessState.STOPPED)
-        self._change_own(own)
+        self._update_own(own)
         self.spawn(self._leave(message.reply))
 
     def snapshot(self) -> dict[str, Any]:
@@ -266,8 +267,8 @@
             ],
         }
 
-    def _change_own(self, detail: MemberDetail) -> None:
-        self.table.change_own(detail)
+    def _update_own(self, detail: MemberDetail) -> None:
+        self.table.update_own(detail)
         self._publish()
 
     def _beat(self) -> None:
@@ -277,7 +278,7 @@
             now_ms(),
             store_is_down=self._store_is_down,
         )
-        self._note_removed(removed)
+        self._report_removed(removed)
 
     def _publish(self) -> None:
         view = ViewChanged(
@@ -288,23 +289,23 @@
         for subscriber in self.subscribers:
             subscriber.send(view)
 
-    def _note_removed(self, removed: tuple[Member, ...]) -> None:
+    def _report_removed(self, removed: tuple[Member, ...]) -> None:
         for member in removed:
             if member.detail.state is ProcessState.STOPPED:
                 continue
             process = member.detail.process
             events.emit(events.MEMBER_REMOVED, process=process)
-            self._remember({process: member.detail.address})
+            self._keep_addresses({process: member.detail.address})
 
-    def _remember(self, addresses: dict[ProcessId, str]) -> None:
+    def _keep_addresses(self, addresses: dict[ProcessId, str]) -> None:
         for process, address in addresses.items():
             self._addresses.pop(process, None)
             self._addresses[process] = address
         latest = list(self._addresses.items())[-_ADDRESSES_MAX_COUNT:]
         self._addresses = dict(latest)
 
-    def _directory_due(self) -> bool:
-        """Say whether to call the store: before joining, or while alone."""
+    def _is_directory_due(self) -> bool:
+        """Return whether to call the store: before joining or without peers."""
         if self._joined and len(self.table.members()) > 1:
             return False
         return self._rounds_count % self._settings.directory_retry_rounds == 1
@@ -319,14 +320,14 @@
         lost = {*self._addresses.values(), *self._settings.seeds} - known
         lost.discard(own.address)
         count = self._settings.gossip_peers_count
-        targets = self._pick(known, count)
+        targets = self._sample(known, count)
         if not known:
-            return self._pick(lost, count)
+            return self._sample(lost, count)
         if self._rounds_count % _LOST_INTERVAL_ROUNDS == 0:
-            targets.extend(self._pick(lost, 1))
+            targets.extend(self._sample(lost, 1))
         return targets
 
-    def _pick(self, addresses: set[str], count: int) -> list[str]:
+    def _sample(self, addresses: set[str], count: int) -> list[str]:
         return self._random_source.sample(
             sorted(addresses),
             min(count, len(addresses)),
@@ -351,7 +352,7 @@
     async def _leave(self, reply: Reply[None]) -> None:
         for address in self._targets():
             own = self.table.own
-            farewell = Gossip((own.beat,), (own.detail,))
-            await self._peers.gossip(address, farewell)
+            last_message = Gossip((own.beat,), (own.detail,))
+            await self._peers.gossip(address, last_message)
         await self._directory.leave(self.table.own.detail)
         reply.answer(None)
--- a/fuchsiarill/cluster/owner_link.py
+++ b/fuchsiarill/cluster/owner_link.py
@@ -1,7 +1,7 @@
 """Passes messages for one partition to its owner in another process.
 
-Submissions of concurrent requests are merged: while several calls are in
-progress further submissions wait and go together in the next call.
+Submissions of concurrent requests are batched: while several calls are in
+progress, further submissions wait and are sent together in the next call.
 """
 
 import asyncio
@@ -42,11 +42,11 @@
         self._count = len(message.specs)
 
     def put(self, position: int, answer: JobAnswer) -> None:
-        """Note one answer; the last one answers the message."""
+        """Store one answer; the last answer completes the reply."""
         self._answers[position] = answer
         if len(self._answers) == self._count:
             ordered = sorted(self._answers.items())
-            self._reply.answer(tuple(one for _, one in ordered))
+            self._reply.answer(tuple(answer for _, answer in ordered))
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +57,7 @@
 
 
 class OwnerLink(SpawningActor):
-    """Makes the calls about the jobs of one partition."""
+    """Makes the calls for the jobs of one partition."""
 
     def __init__(
         self,
@@ -67,7 +67,7 @@
         peers: RpcPeers,
         router: Mailbox,
     ) -> None:
-        """Call the owner at `address`; tell `router` when it is not there."""
+        """Call the owner at `address`; report stale routes to `router`."""
         super().__init__(f'owner link {partition}')
         self._partition = partition
         self._address = address
@@ -79,7 +79,7 @@
 
     @handles(messages.SubmitJobs)
     async def on_submit(self, message: messages.SubmitJobs) -> None:
-        """Submit, merged with what else is pending."""
+        """Submit, batched with the other pending submissions."""
         collector = _Collector(message)
         self._pending.extend(
             _Pending(spec, collector, position)
@@ -91,29 +91,29 @@
 
     @handles(messages.QueryJob)
     async def on_query(self, message: messages.QueryJob) -> None:
-        """Query remotely."""
-        self.spawn(self._ask(message))
+        """Forward a query to the owner."""
+        self.spawn(self._query(message))
 
     @handles(messages.CancelJob)
     async def on_cancel(self, message: messages.CancelJob) -> None:
-        """Cancel remotely."""
+        """Forward a cancellation to the owner."""
         self.spawn(self._cancel(message))
 
     @handles(messages.ListJobs)
     async def on_list(self, message: messages.ListJobs) -> None:
-        """List remotely."""
+        """Forward a list request to the owner."""
         self.spawn(self._list(message))
 
     @handles(messages.ExplainJob)
     async def on_explain(self, message: messages.ExplainJob) -> None:
-        """Explain remotely."""
+        """Forward a request for an explanation to the owner."""
         self.spawn(self._explain(message))
 
     async def stop(self) -> None:
-        """Answer what was not sent, then stop."""
-        unsent = self._refusal(PeerFailure.NOT_SENT)
-        for one in self._pending:
-            one.collector.put(one.position, unsent)
+        """Refuse the pending submissions, then stop."""
+        unsent = self._refuse(PeerFailure.NOT_SENT)
+        for pending in self._pending:
+            pending.collector.put(pending.position, unsent)
         self._pending.clear()
         await super().stop()
 
@@ -129,20 +129,20 @@
         while self._pending:
             count = min(len(self._pending), self._settings.batch_max_count)
             batch = [self._pending.popleft() for _ in range(count)]
-            answers = await self._submit([one.spec for one in batch])
-            for one, answer in zip(batch, answers, strict=True):
-                one.collector.put(one.position, answer)
+            answers = await self._submit([pending.spec for pending in batch])
+            for pending, answer in zip(batch, answers, strict=True):
+                pending.collector.put(pending.position, answer)
         self._submits_count -= 1
 
     async def _submit(self, specs: list[JobSpec]) -> list[JobAnswer]:
         encoded = [spec_fields(spec) for spec in specs]
         received = await self._call('submit', specs=encoded)
         if isinstance(received, Failure):
-            refusal = self._refusal(received.failure())
+            refusal = self._refuse(received.failure())
             return [refusal for _ in specs]
-        return self._read(received.unwrap().answers)
+        return self._read_answers(received.unwrap().answers)
 
-    async def _ask(self, message: messages.QueryJob) -> None:
+    async def _query(self, message: messages.QueryJob) -> None:
         query = message.query
         received = await self._call(
             'query',
@@ -151,7 +151,7 @@
             jobId=query.job_id,
             waitMs=query.wait_ms,
         )
-        message.reply.answer(self._single(received))
+        message.reply.answer(self._read_single(received))
 
     async def _cancel(self, message: messages.CancelJob) -> None:
         cancel = message.cancel
@@ -160,7 +160,7 @@
             customer=cancel.customer,
             jobId=cancel.job_id,
         )
-        message.reply.answer(self._single(received))
+        message.reply.answer(self._read_single(received))
 
     async def _list(self, message: messages.ListJobs) -> None:
         query = message.query
@@ -171,9 +171,11 @@
             limit=query.limit,
         )
         if isinstance(received, Failure):
-            message.reply.answer((self._refusal(received.failure()),))
+            message.reply.answer((self._refuse(received.failure()),))
             return
-        message.reply.answer(tuple(self._read(received.unwrap().answers)))
+        message.reply.answer(
+            tuple(self._read_answers(received.unwrap().answers))
+        )
 
     async def _explain(self, message: messages.ExplainJob) -> None:
         received = await self._call(
@@ -184,8 +186,11 @@
         reasons = '{}'
         if isinstance(received, Success):
             reasons = received.unwrap().reasons
-        why = JobExplanation(self._single(received), json.loads(reasons))
-        message.reply.answer(why)
+        explanation = JobExplanation(
+            self._read_single(received),
+            json.loads(reasons),
+        )
+        message.reply.answer(explanation)
 
     async def _call(
         self,
@@ -202,20 +207,20 @@
                 wait_ms,
             )
         except asyncio.CancelledError:
-            # The link stops because the owner has changed; the caller is told
-            # at once instead of waiting for its own deadline.
+            # The link stops because the owner has changed; the caller is
+            # answered at once instead of waiting for its own deadline.
             return Failure(PeerFailure.NO_ANSWER)
         if isinstance(received, Failure):
             self._report_stale()
         return received
 
-    def _single(self, received: Result[Any, PeerFailure]) -> JobAnswer:
+    def _read_single(self, received: Result[Any, PeerFailure]) -> JobAnswer:
         if isinstance(received, Failure):
-            return self._refusal(received.failure())
-        return self._read([received.unwrap().answer])[0]
+            return self._refuse(received.failure())
+        return self._read_answers([received.unwrap().answer])[0]
 
-    def _read(self, encoded: Any) -> list[JobAnswer]:
-        answers = [read_answer(one) for one in encoded]
+    def _read_answers(self, encoded: Any) -> list[JobAnswer]:
+        answers = [read_answer(struct) for struct in encoded]
         if any(answer.code is OWNER_UNAVAILABLE for answer in answers):
             self._report_stale()
         return answers
@@ -223,8 +228,8 @@
     def _report_stale(self) -> None:
         self._router.send(RouteStale(self._partition, self._address))
 
-    def _refusal(self, failure: PeerFailure) -> JobAnswer:
-        """Say whether the call may have had an effect."""
+    def _refuse(self, failure: PeerFailure) -> JobAnswer:
+        """Return a refusal; its code says if the call may have taken effect."""
         code = OUTCOME_UNCERTAIN
         text = texts.OUTCOME_UNCERTAIN
         if failure is PeerFailure.NOT_SENT:
--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -1,5 +1,5 @@
 @0xd5b6cf0a3a1e7f21;
-# Messages between the processes of the system. Enum values travel by name.
+# Messages between processes of the system. Enum values are encoded by name.
 
 struct Resources {
   processorsMilli @0 :Int64;
@@ -31,7 +31,8 @@
   retryAfterMs @6 :Int64;
 }
 
-# What changes rarely of a process; sent only to one that lacks it.
+# Rarely changing attributes of a process; sent only to a process that lacks
+# them.
 struct MemberDetail {
   process @0 :Text;
   failureDomain @1 :Text;
@@ -43,7 +44,8 @@
   region @7 :Text;
 }
 
-# What changes all the time, in 16 bytes; `key` names a version of a detail.
+# Frequently changing state of a process, in 16 bytes; `key` identifies a
+# version of its detail.
 struct Beat {
   key @0 :UInt32;
   heartbeat @1 :UInt32;
@@ -85,10 +87,10 @@
   lease @5 :Text;
 }
 
-# A call of the store that a process makes for one that can't reach it.
+# A store call that a process makes for a process that can't reach the store.
 struct StoreCall {
   kind @0 :Text;
-  # Key, prefix or lease, by the kind.
+  # Key, prefix or lease, depending on `kind`.
   name @1 :Text;
   afterKey @2 :Text;
   afterRevision @3 :Int64;
@@ -120,8 +122,9 @@
   offerConfig @6 (document :ConfigDocument) -> (generation :UInt32);
   fetchConfig @7 () -> (document :ConfigDocument);
   dump @8 () -> (state :Text);
-  # Asks the advice service; not `answered` means that it gave no answer, and
-  # `isBusy` that the process is asking something else and has not tried.
+  # Requests advice from the advice service. `answered` is false when the
+  # service gave no answer; `isBusy` is true when the process has another
+  # request in progress and did not try.
   advise @9 (job :Text, occurrence :UInt32, step :UInt32, workers :List(Text)) -> (answered :Bool, granted :List(Ticket), isBusy :Bool);
   callStore @10 (call :StoreCall) -> (answer :StoreAnswer);
 }
--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -1,9 +1,9 @@
 """The link to one other process: one connection, a deadline for each call.
 
-A connection that misses a deadline is closed and never used again, since a
-late answer on it would show that it is slow and not that it works. Calls run
-concurrently, and capnp matches the answers. A call that is safe to repeat is
-repeated once over a fresh connection.
+A connection that misses a deadline is closed and never used again: a late
+answer would show that the connection is slow, not that it works. Calls run
+concurrently, and capnp matches answers to calls. A call that is safe to
+repeat is repeated once over a new connection.
 """
 
 import asyncio
@@ -27,7 +27,7 @@
 class PeerCall:
     """Call a method of the schema; the reply holds the received struct.
 
-    `timeout_ms` bounds each of the at most two tries.
+    `timeout_ms` bounds each of the at most two attempts.
     """
 
     method: str
@@ -38,7 +38,7 @@
 
 
 class Connection:
-    """One dialled connection; it steps the connection chart."""
+    """One connection, whose state follows the connection chart."""
 
     def __init__(self, address: str) -> None:
         """Start closed."""
@@ -101,16 +101,16 @@
         self.address = address
         self._settings = settings
         self._connection: Connection | None = None
-        self._dialling = asyncio.Lock()
+        self._dial_lock = asyncio.Lock()
         self._discarded_count = 0
 
     @handles(PeerCall)
     async def on_call(self, message: PeerCall) -> None:
-        """Make a call beside the others, up to the limit."""
+        """Make a call concurrently with others, up to the limit."""
         if self.calls_count >= self._settings.calls_in_progress_max:
             message.reply.answer(Failure(PeerFailure.NOT_SENT))
             return
-        self.spawn(self._carry_out(message))
+        self.spawn(self._execute(message))
 
     async def stop(self) -> None:
         """Fail the calls in progress and close the connection."""
@@ -130,17 +130,17 @@
             'discarded_count': self._discarded_count,
         }
 
-    async def _carry_out(self, call: PeerCall) -> None:
-        answer = await self._try(call)
+    async def _execute(self, call: PeerCall) -> None:
+        answer = await self._attempt(call)
         if call.repeatable and answer == Failure(PeerFailure.NO_ANSWER):
-            answer = await self._try(call)
+            answer = await self._attempt(call)
         call.reply.answer(answer)
 
-    async def _try(self, call: PeerCall) -> Result[Any, PeerFailure]:
+    async def _attempt(self, call: PeerCall) -> Result[Any, PeerFailure]:
         timeout_s = call.timeout_ms / MS_PER_SECOND
         try:
             async with asyncio.timeout(timeout_s):
-                connection = await self._connected()
+                connection = await self._get_connection()
         except (OSError, TimeoutError):
             return Failure(PeerFailure.NOT_SENT)
         try:
@@ -153,12 +153,12 @@
             self._discard(connection, ConnectionEvent.FAILED)
         return Failure(PeerFailure.NO_ANSWER)
 
-    async def _connected(self) -> Connection:
-        async with self._dialling:
+    async def _get_connection(self) -> Connection:
+        async with self._dial_lock:
             if self._connection is None:
-                fresh = Connection(self.address)
-                await fresh.dial()
-                self._connection = fresh
+                connection = Connection(self.address)
+                await connection.dial()
+                self._connection = connection
             return self._connection
 
     def _discard(self, connection: Connection, event: ConnectionEvent) -> None:
--- a/fuchsiarill/cluster/peer_port.py
+++ b/fuchsiarill/cluster/peer_port.py
@@ -1,4 +1,4 @@
-"""The calls that the actors make of other processes, apart from encoding."""
+"""The calls that actors make to other processes, without their encoding."""
 
 from enum import Enum
 from typing import Protocol
@@ -32,13 +32,13 @@
         address: str,
         document: ConfigDocument,
     ) -> Result[Generation, PeerFailure]:
-        """Offer a document; returns the generation then in force there."""
+        """Offer a document; returns the generation in force at the peer."""
 
     async def fetch_config(
         self,
         address: str,
     ) -> Result[ConfigDocument, PeerFailure]:
-        """Return the document in force there, or `NO_DOCUMENT`."""
+        """Return the document in force at the peer, or `NO_DOCUMENT`."""
 
     async def dump(self, address: str) -> Result[str, PeerFailure]:
-        """Return the state of all actors there, as JSON."""
+        """Return the state of all actors of the peer, as JSON."""
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -1,8 +1,8 @@
-"""The listener for calls of other processes.
+"""The listener for calls from other processes.
 
-A call about jobs is for a partition that this process owns; if it does not,
-the answer says so and nothing was carried out. The servant answers before
-the caller's deadline, so that a slow owner does not cost the connection.
+A job call names a partition; if this process does not own it, the answer is
+a refusal and the call had no effect. The server answers before the caller's
+deadline, so that a slow owner does not make the caller close the connection.
 """
 
 import json
@@ -31,7 +31,7 @@
 from fuchsiarill.cluster.config_spread import ConfigOffered, GetDocument
 from fuchsiarill.cluster.encoding import SCHEMA, answer_fields, read_spec
 from fuchsiarill.cluster.member_table import Gossip
-from fuchsiarill.cluster.membership import Gossiped
+from fuchsiarill.cluster.membership import GossipReceived
 from fuchsiarill.ids import CustomerId, Generation, JobId, PartitionId
 from fuchsiarill.owner import messages
 from fuchsiarill.process_messages import GetDump, Receivers
@@ -42,13 +42,14 @@
 
 _Answer = TypeVar('_Answer')
 
-# Share of the caller's deadline after which the servant answers by itself.
+# Share of the caller's deadline after which the server stops waiting for the
+# owner and answers that the outcome is uncertain.
 _DEADLINE_SHARE: Final = 0.8
 _RETRY_AFTER_MS: Final = 500
 
 
 class PeerCallServer(SCHEMA.Peer.Server):  # type: ignore[misc]
-    """Turns calls into messages and replies into answers."""
+    """Converts calls to messages for actors, and their replies to answers."""
 
     def __init__(self, receivers: Receivers, settings: PeerSettings) -> None:
         self._receivers = receivers
@@ -64,9 +65,9 @@
     ) -> None:
         reply: Reply[tuple[JobAnswer, ...]] = Reply()
         batch = tuple(read_spec(spec) for spec in specs)
-        submit = messages.SubmitJobs(batch, reply)
-        answers = await self._job_answer(partition, submit, reply)
-        _context.results.answers = [answer_fields(one) for one in answers]
+        message = messages.SubmitJobs(batch, reply)
+        answers = await self._job_answer(partition, message, reply)
+        _context.results.answers = [answer_fields(answer) for answer in answers]
 
     async def query(
         self,
@@ -79,8 +80,8 @@
     ) -> None:
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId), waitMs)
-        ask = messages.QueryJob(query, reply)
-        answer = await self._job_answer(partition, ask, reply, waitMs)
+        message = messages.QueryJob(query, reply)
+        answer = await self._job_answer(partition, message, reply, waitMs)
         _context.results.answer = answer_fields(answer)
 
     async def cancel(
@@ -114,7 +115,7 @@
         )
         message = messages.ListJobs(query, reply)
         answers = await self._job_answer(partition, message, reply)
-        _context.results.answers = [answer_fields(one) for one in answers]
+        _context.results.answers = [answer_fields(answer) for answer in answers]
 
     async def why(
         self,
@@ -127,13 +128,15 @@
         reply: Reply[JobExplanation] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId))
         message = messages.ExplainJob(query, reply)
-        why = await self._job_answer(partition, message, reply)
-        _context.results.answer = answer_fields(why.answer)
-        _context.results.reasons = json.dumps(dict(why.reasons))
+        explanation = await self._job_answer(partition, message, reply)
+        _context.results.answer = answer_fields(explanation.answer)
+        _context.results.reasons = json.dumps(dict(explanation.reasons))
 
     async def gossip(self, message: Any, _context: Any, **_extra: Any) -> None:
         reply: Reply[Gossip] = Reply()
-        self._receivers.membership.send(Gossiped(read_gossip(message), reply))
+        self._receivers.membership.send(
+            GossipReceived(read_gossip(message), reply)
+        )
         answer = await reply.wait(self._settings.call_timeout_ms)
         _context.results.message = gossip_fields(answer)
 
@@ -173,7 +176,7 @@
         reply: Reply[_Answer],
         wait_ms: int = 0,
     ) -> _Answer:
-        """Return the answer of the owner, or a refusal in its form."""
+        """Return the owner's answer, or a refusal of the same type."""
         name = PartitionId(partition)
         if self._calls_count >= self._settings.calls_in_progress_max:
             answer_all(message, _overloaded())
@@ -194,19 +197,19 @@
 async def serve_peers(receivers: Receivers, settings: PeerSettings) -> Any:
     """Listen for other processes; returns the server, which must be closed."""
     return await capnp.AsyncIoStream.create_server(
-        partial(_connected, receivers, settings),
+        partial(_serve_connection, receivers, settings),
         settings.host,
         settings.port,
     )
 
 
-async def _connected(
+async def _serve_connection(
     receivers: Receivers,
     settings: PeerSettings,
     stream: Any,
 ) -> None:
-    servant = PeerCallServer(receivers, settings)
-    server = capnp.TwoPartyServer(stream, bootstrap=servant)
+    handler = PeerCallServer(receivers, settings)
+    server = capnp.TwoPartyServer(stream, bootstrap=handler)
     await server.on_disconnect()
 
 
--- a/fuchsiarill/cluster/peers.py
+++ b/fuchsiarill/cluster/peers.py
@@ -1,4 +1,4 @@
-"""The actor that owns the links, and the calls that others make through it."""
+"""The actor that owns the links to peers, and the port that calls them."""
 
 from dataclasses import dataclass
 from typing import Any, Final
@@ -22,7 +22,7 @@
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.settings import PeerSettings
 
-# The link waits twice for an answer and twice for a connection at most.
+# The link waits at most twice for a connection and twice for an answer.
 _WAITS_COUNT: Final = 4
 
 
@@ -35,7 +35,7 @@
 
 
 class Peers(SpawningActor):
-    """Has one link for each address in use."""
+    """Owns one link for each address in use."""
 
     def __init__(self, settings: PeerSettings) -> None:
         """Start without links."""
@@ -45,7 +45,7 @@
         self._used_at_ms: dict[str, int] = {}
 
     def start(self) -> None:
-        """Run the actor and look for idle links at an interval."""
+        """Run the actor and check for idle links at an interval."""
         super().start()
         self.tick_every(self._settings.idle_after_ms, Tick())
 
@@ -69,7 +69,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Close the links that nobody has used for a while."""
+        """Close the links that have been idle for `idle_after_ms`."""
         for address, used_at_ms in tuple(self._used_at_ms.items()):
             link = self._links[address]
             idle_ms = now_ms() - used_at_ms
@@ -112,7 +112,7 @@
         address: str,
         document: ConfigDocument,
     ) -> Result[Generation, PeerFailure]:
-        """Offer a document; returns the generation then in force there."""
+        """Offer a document; returns the generation in force at the peer."""
         answer = await self.call(
             address,
             'offerConfig',
@@ -124,14 +124,14 @@
         self,
         address: str,
     ) -> Result[ConfigDocument, PeerFailure]:
-        """Return the document in force there, or `NO_DOCUMENT`."""
+        """Return the document in force at the peer, or `NO_DOCUMENT`."""
         answer = await self.call(address, 'fetchConfig', {})
         return answer.map(
             lambda received: read_document_struct(received.document),
         )
 
     async def dump(self, address: str) -> Result[str, PeerFailure]:
-        """Return the state of all actors there, as JSON."""
+        """Return the state of all actors of the peer, as JSON."""
         answer = await self.call(address, 'dump', {})
         return answer.map(lambda received: str(received.state))
 
--- a/fuchsiarill/cluster/spawning.py
+++ b/fuchsiarill/cluster/spawning.py
@@ -1,7 +1,7 @@
-"""An actor that makes calls beside its handlers.
+"""Base class of actors that make calls concurrently with their handlers.
 
 A handler that awaited a call to another process would block the mailbox for
-the length of its deadline; the call runs as a task and posts its answer.
+up to the call's deadline, so the call runs as a task and posts its answer.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 
 
 class SpawningActor(Actor):
-    """Base of actors with calls in progress; `stop` cancels them."""
+    """An actor with calls in progress; `stop` cancels them."""
 
     def __init__(self, name: str) -> None:
         """Start without a call in progress."""
--- a/fuchsiarill/cluster/store_evidence.py
+++ b/fuchsiarill/cluster/store_evidence.py
@@ -1,11 +1,11 @@
-"""Whether the store is down for everyone, as far as this process can tell.
-
-An owner that loses the store can't tell an outage from a cut link. In an
-outage it may go on renewing task leases; behind a cut link a new owner waits
-for these leases to end, so renewals must end too. The evidence of an outage
-is that a process in every failure domain has said, in an answer to a call of
-this process, that the store is out of its reach too. Relayed words don't
-count: they may be old.
+"""Evidence that the store is down for all processes, not only for this one.
+
+An owner that loses the store can't distinguish a store outage from a failure
+of its own link. In an outage it may continue to renew task leases; behind a
+failed link a new owner waits for these leases to expire, so renewals must
+stop. The evidence of an outage is that a process in every failure domain has
+reported, in an answer to a call of this process, that it can't reach the
+store either. Relayed reports don't count, since they may be outdated.
 """
 
 from fuchsiarill.cluster.member_table import Member
@@ -13,24 +13,25 @@
 
 
 class StoreEvidence:
-    """What other processes have answered about the store."""
+    """Answers of other processes about whether they reach the store."""
 
     def __init__(self) -> None:
-        """Know of no other process."""
+        """Start without evidence."""
         self._down_at_ms: dict[str, int] = {}
         self._up_at_ms = 0
 
-    def answered(
+    def record_answer(
         self,
         own: Member,
         members: tuple[Member, ...],
         call: tuple[str, int],
     ) -> None:
-        """Take over what the process at an address says of the store.
+        """Record what the process at an address reports about the store.
 
-        `call` is the address and the time at which it was asked. Evidence is
-        expected from the failure domain of every other process in the region,
-        and for ever: silence of a whole domain may be a cut.
+        `call` is the address and the time at which the call was sent. Evidence
+        is required from the failure domain of every other process seen in the
+        region, even after the process has left the view: the silence of a
+        whole domain may be a network failure.
         """
         address, requested_at_ms = call
         for member in members:
@@ -41,16 +42,16 @@
                 continue
             self._down_at_ms.setdefault(detail.failure_domain, 0)
             if detail.address == address:
-                self._note(member, requested_at_ms)
+                self._record(member, requested_at_ms)
 
     def outage_until_ms(self) -> int:
-        """Return until when an outage may be assumed; 0 without evidence."""
+        """Return the end of the assumed outage; 0 without evidence."""
         oldest_ms = min(self._down_at_ms.values(), default=0)
         if oldest_ms <= self._up_at_ms:
             return 0
         return oldest_ms + OUTAGE_EVIDENCE_VALID_MS
 
-    def _note(self, member: Member, requested_at_ms: int) -> None:
+    def _record(self, member: Member, requested_at_ms: int) -> None:
         if not member.beat.store_is_down:
             self._up_at_ms = max(self._up_at_ms, requested_at_ms)
             return
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -20,7 +20,7 @@
 from fuchsiarill.cluster.member_table import Gossip, MemberDetail
 from fuchsiarill.cluster.membership import (
     GenerationInForce,
-    Gossiped,
+    GossipReceived,
     Membership,
 )
 from fuchsiarill.cluster.peer_port import PeerFailure
@@ -161,7 +161,7 @@
             return Failure(PeerFailure.NO_ANSWER)
         self._cell.gossip_count += 1
         reply: Reply[Gossip] = Reply()
-        peer.membership.mailbox.send(Gossiped(message, reply))
+        peer.membership.mailbox.send(GossipReceived(message, reply))
         return Success(await reply.wait(_DEADLINE_MS))
 
     async def offer_config(
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -15,7 +15,7 @@
 from fuchsiarill.cluster.config_document import NO_DOCUMENT, ConfigDocument
 from fuchsiarill.cluster.config_spread import ConfigOffered, GetDocument
 from fuchsiarill.cluster.member_table import Beat, Gossip, MemberDetail
-from fuchsiarill.cluster.membership import Gossiped
+from fuchsiarill.cluster.membership import GossipReceived
 from fuchsiarill.cluster.owner_link import OwnerLink
 from fuchsiarill.cluster.peer_server import serve_peers
 from fuchsiarill.cluster.peers import Peers, RpcPeers
@@ -72,8 +72,8 @@
         super().__init__('receiver')
         self.received: list[Any] = []
 
-    @handles(Gossiped)
-    async def on_gossip(self, message: Gossiped) -> None:
+    @handles(GossipReceived)
+    async def on_gossip(self, message: GossipReceived) -> None:
         self.received.append(message.received)
         message.reply.answer(_GOSSIP)
 
--- a/tests/test_store_evidence.py
+++ b/tests/test_store_evidence.py
@@ -36,5 +36,5 @@
     evidence = StoreEvidence()
     for process, domain, requested_at_ms, is_down in case['answers']:
         others = (own, _member(process, domain, is_down=is_down))
-        evidence.answered(own, others, (process, requested_at_ms))
+        evidence.record_answer(own, others, (process, requested_at_ms))
     assert evidence.outage_until_ms() == case['until_ms']
