Reword the HTTP front end

Doc comments described the bridge and the routes by questions and answers of people ("who asks", "what a caller waits before it asks again").

Names of route handlers are metric labels and stay.

--- a/fuchsiarill/front/authentication.py
+++ b/fuchsiarill/front/authentication.py
@@ -1,7 +1,7 @@
-"""Who sends a request, from its bearer token.
+"""Identification of the sender of a request by its bearer token.
 
 The configuration holds digests only. A token is compared with all of them,
-each in constant time, so that the time taken tells nothing of a match.
+each in constant time, so that the time taken reveals nothing of a match.
 """
 
 import hashlib
--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -1,9 +1,9 @@
 """The bridge from HTTP threads to the actors.
 
 A thread posts messages into the loop and blocks on their replies; the number
-of requests in progress is bounded and a further one is refused. Requests
-that wait for an event have a smaller limit of their own, so that they leave
-threads for all others.
+of requests in progress is bounded and further requests are refused. Requests
+that wait for an event have a smaller limit of their own, so that threads
+remain for other requests.
 """
 
 import asyncio
@@ -24,22 +24,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ActorRequest:
-    """A message to post; `build` puts the reply into it."""
+    """A message to post; `build` creates it for a given reply."""
 
     mailbox: Mailbox
     build: Callable[[Reply[Any]], object]
 
 
 class ReleasedError(Exception):
-    """The process drains and does not wait for the event."""
+    """The process is draining and no longer waits for the event."""
 
 
 class NotSentError(Exception):
-    """The process has no room for the request; nothing was carried out."""
+    """The mailbox of the actor is full; the request had no effect."""
 
 
 class Bridge:
-    """Lets HTTP threads ask the actors of one loop."""
+    """Lets HTTP threads send requests to the actors of one event loop."""
 
     def __init__(
         self,
@@ -47,7 +47,7 @@
         in_progress_max: int,
         waits_max: int = 0,
     ) -> None:
-        """Serve at most `in_progress_max` asks at a time."""
+        """Admit at most `in_progress_max` requests at a time."""
         self.loop = loop
         self._in_progress_max = in_progress_max
         self._waits_max = waits_max
@@ -66,7 +66,7 @@
         self._released.set()
 
     def pause(self, duration_ms: int) -> None:
-        """Let the calling thread wait, or less while the process drains."""
+        """Block the calling thread, at most until the process drains."""
         released = self._released.wait()
         within = asyncio.wait_for(released, duration_ms / MS_PER_SECOND)
         with suppress(TimeoutError):
@@ -79,7 +79,7 @@
 
     @contextmanager
     def admitted(self) -> Iterator[bool]:
-        """Count a request in progress; yields whether there was room."""
+        """Count a request in progress; yields whether the limit allows it."""
         with self._counts:
             admitted = self._in_progress < self._in_progress_max
             self._in_progress += int(admitted)
@@ -91,7 +91,7 @@
 
     @contextmanager
     def waiting(self) -> Iterator[bool]:
-        """Count a request that waits for an event."""
+        """Count a request that waits; yields whether the limit allows it."""
         with self._counts:
             admitted = self._waits < self._waits_max
             self._waits += int(admitted)
@@ -118,24 +118,24 @@
 
     def ask_all(
         self,
-        asks: Sequence[ActorRequest],
+        requests: Sequence[ActorRequest],
         timeout_ms: int,
         waits: bool = False,
     ) -> list[Any]:
         """Post several messages at once; return an answer for each.
 
         In place of an answer there may be a `NotSentError` or `TimeoutError`,
-        and a `ReleasedError` for one that `waits` for an event.
+        and a `ReleasedError` where the messages wait for an event (`waits`).
         """
-        gathered = _gather(asks, timeout_ms)
+        gathered = _gather(requests, timeout_ms)
         if waits:
-            gathered = self._until_released(gathered, len(asks))
-        asked = asyncio.run_coroutine_threadsafe(gathered, self.loop)
+            gathered = self._until_released(gathered, len(requests))
+        future = asyncio.run_coroutine_threadsafe(gathered, self.loop)
         try:
-            # The loop keeps the deadline; twice of it means that it is gone.
-            return asked.result(2 * timeout_ms / MS_PER_SECOND)
+            # The loop enforces the deadline; after twice as long it has ended.
+            return future.result(2 * timeout_ms / MS_PER_SECOND)
         except (TimeoutError, CancelledError):
-            return [TimeoutError() for _ in asks]
+            return [TimeoutError() for _ in requests]
 
     async def _until_released(
         self,
@@ -155,15 +155,17 @@
         return [ReleasedError() for _ in range(count)]
 
 
-async def _gather(asks: Sequence[ActorRequest], timeout_ms: int) -> list[Any]:
+async def _gather(
+    requests: Sequence[ActorRequest], timeout_ms: int
+) -> list[Any]:
     return await asyncio.gather(
-        *(_ask(one, timeout_ms) for one in asks),
+        *(_ask(request, timeout_ms) for request in requests),
         return_exceptions=True,
     )
 
 
-async def _ask(one: ActorRequest, timeout_ms: int) -> Any:
+async def _ask(request: ActorRequest, timeout_ms: int) -> Any:
     reply: Reply[Any] = Reply()
-    if not one.mailbox.send(one.build(reply)):
+    if not request.mailbox.send(request.build(reply)):
         raise NotSentError
     return await reply.wait(timeout_ms)
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -48,14 +48,14 @@
 _WAIT_MAX_MS: Final = 30_000
 _LIST_DEFAULT_COUNT: Final = 100
 _LIST_MAX_COUNT: Final = 1_000
-_ASK_AGAIN: Final = (codes.OWNER_UNAVAILABLE, codes.OUTCOME_UNCERTAIN)
+_RETRIED_CODES: Final = (codes.OWNER_UNAVAILABLE, codes.OUTCOME_UNCERTAIN)
 _JOB: Final = '/v1/jobs/([^/]+)'
 
 
 @route('POST', '/v1/jobs', Access.CALLER, 'customer')
 def submit_jobs(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Submit a batch; the reply has one answer for each job, in order."""
-    parsed = _customer_in_force(front, request).bind(
+    parsed = _customer_with_contract(front, request).bind(
         lambda customer: parse_batch(request.body, customer),
     )
     if isinstance(parsed, Failure):
@@ -65,14 +65,14 @@
         front.metrics.count_submission(answer.code)
     return HttpReply(
         _common_status(answers),
-        {'answers': [answer_object(one) for one in answers]},
+        {'answers': [answer_object(item) for item in answers]},
     )
 
 
 @route('GET', '/v1/jobs', Access.CALLER, 'customer', 'state', 'limit')
 def list_jobs(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """List own jobs, the latest accepted of each partition first."""
-    found = _customer_in_force(front, request)
+    """List jobs of a customer, the latest accepted of each partition first."""
+    found = _customer_with_contract(front, request)
     if isinstance(found, Failure):
         return refusal_reply(found.failure())
     limit = request.count('limit', _LIST_DEFAULT_COUNT, _LIST_MAX_COUNT)
@@ -89,12 +89,12 @@
 def query_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Return the state of a job; `wait_ms=N` waits for its end.
 
-    Where the wait is cut short, by too many others, by a drain of this
-    process or by a change of the owner, the answer is that of the moment.
+    If the wait ends early, because too many requests wait, this process drains
+    or the owner changes, the answer is the current state.
     """
     wait_ms = request.count('wait_ms', 0, _WAIT_MAX_MS)
     answer = _wait_for_end(front, request, wait_ms) if wait_ms else None
-    if answer is not None and answer.code not in _ASK_AGAIN:
+    if answer is not None and answer.code not in _RETRIED_CODES:
         return reply_of(answer)
     answer = _query(front, request, 0)
     body = answer_object(answer)
@@ -105,8 +105,8 @@
 
 @route('GET', f'{_JOB}/why', Access.CALLER, 'customer')
 def explain_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Say what a job waits for."""
-    why = _ask_about(
+    """Explain what a job waits for."""
+    explanation = _ask_owner_of_job(
         front,
         request,
         lambda customer, job_id, reply: messages.ExplainJob(
@@ -114,17 +114,19 @@
             reply,
         ),
     )
-    if not isinstance(why, JobExplanation):
-        return reply_of(why)
-    body = answer_object(why.answer) | {'why': dict(why.reasons)}
-    return HttpReply(why.answer.code.http_status, body)
+    if not isinstance(explanation, JobExplanation):
+        return reply_of(explanation)
+    body = answer_object(explanation.answer) | {
+        'why': dict(explanation.reasons),
+    }
+    return HttpReply(explanation.answer.code.http_status, body)
 
 
 @route('DELETE', _JOB, Access.CALLER, 'customer')
 def cancel_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Cancel a job."""
     return reply_of(
-        _ask_about(
+        _ask_owner_of_job(
             front,
             request,
             lambda customer, job_id, reply: messages.CancelJob(
@@ -139,13 +141,16 @@
     front: 'HttpFront',
     specs: tuple[JobSpec, ...],
 ) -> list[JobAnswer]:
-    """Send one message to each partition; answer in the order of the specs."""
+    """Send one message to each partition; return answers in spec order."""
     batches: dict[PartitionId, list[int]] = defaultdict(list)
     for position, spec in enumerate(specs):
         batches[_partition_of(front, spec)].append(position)
     replies = front.ask_owners(
         [
-            (partition, _submission([specs[one] for one in positions]))
+            (
+                partition,
+                _submission([specs[index] for index in positions]),
+            )
             for partition, positions in batches.items()
         ],
     )
@@ -161,7 +166,7 @@
     build = partial(messages.ListJobs, query)
     partitions = _partitions_of(front, query.customer)
     listed: list[JobAnswer] = []
-    for answer in front.ask_owners([(one, build) for one in partitions]):
+    for answer in front.ask_owners([(name, build) for name in partitions]):
         listed.extend([answer] if isinstance(answer, JobAnswer) else answer)
     return listed
 
@@ -177,7 +182,7 @@
     request: HttpRequest,
     wait_ms: int,
 ) -> JobAnswer:
-    answer: JobAnswer = _ask_about(
+    answer: JobAnswer = _ask_owner_of_job(
         front,
         request,
         lambda customer, job_id, reply: messages.QueryJob(
@@ -194,26 +199,26 @@
     request: HttpRequest,
     wait_ms: int,
 ) -> JobAnswer | None:
-    """Return the answer to a query that waits, if one came."""
+    """Return the answer to a waiting query, or `None` if it can't wait."""
     with front.bridge.waiting() as admitted:
         if not admitted:
             return None
         try:
-            return _query_again(front, request, wait_ms)
+            return _repeat_query(front, request, wait_ms)
         except ReleasedError:
             return None
 
 
-def _query_again(
+def _repeat_query(
     front: 'HttpFront',
     request: HttpRequest,
     wait_ms: int,
 ) -> JobAnswer:
-    """Query until the wait is over while the owner changes."""
+    """Repeat the query while the owner changes, until the wait is over."""
     clock = front.bridge.loop.time
     ends_at_s = clock() + wait_ms / MS_PER_SECOND
     answer = _query(front, request, wait_ms)
-    while answer.code in _ASK_AGAIN:
+    while answer.code in _RETRIED_CODES:
         front.bridge.pause(RETRY_AFTER_MS)
         left_ms = int(MS_PER_SECOND * (ends_at_s - clock()))
         if left_ms <= 0:
@@ -222,14 +227,14 @@
     return answer
 
 
-def _ask_about(
+def _ask_owner_of_job(
     front: 'HttpFront',
     request: HttpRequest,
     build: Callable[[CustomerId, JobId, Reply[Any]], JobMessage],
     wait_ms: int = 0,
 ) -> Any:
-    """Ask the owner of the job that the path names."""
-    found = _customer_in_force(front, request)
+    """Send a message to the owner of the job that the path names."""
+    found = _customer_with_contract(front, request)
     if isinstance(found, Failure):
         return refused(found.failure())
     customer = found.unwrap()
@@ -245,11 +250,11 @@
     )[0]
 
 
-def _customer_in_force(
+def _customer_with_contract(
     front: 'HttpFront',
     request: HttpRequest,
 ) -> Result[CustomerId, Refusal]:
-    """Return the customer, which must have a contract."""
+    """Return the customer, or a refusal if it has no contract."""
     found = request.customer()
     if isinstance(found, Failure):
         return found
@@ -277,7 +282,10 @@
 
 
 def _partition_of(front: 'HttpFront', spec: JobSpec) -> PartitionId:
-    """Return the partition of a job; a contract may go while it is read."""
+    """Return the partition of a job, or an empty id.
+
+    The contract may have been removed since the request was checked.
+    """
     partition = None
     if front.view.config is not None:
         partition = partition_of_key(
@@ -299,7 +307,7 @@
 
 
 def _common_status(answers: list[JobAnswer]) -> HTTPStatus:
-    """Return the status that all answers share, else that of success."""
+    """Return the status of a single answer, and that of success for a batch."""
     statuses = {answer.code.http_status for answer in answers}
     if len(statuses) == 1 and len(answers) == 1:
         return statuses.pop()
--- a/fuchsiarill/front/front_actor.py
+++ b/fuchsiarill/front/front_actor.py
@@ -1,4 +1,4 @@
-"""The actor that owns the HTTP server and what its threads know."""
+"""The actor that owns the HTTP server and the state its threads read."""
 
 import asyncio
 from dataclasses import dataclass, replace
@@ -18,8 +18,8 @@
 class StopFront:
     """Finish answers in progress and close the listener.
 
-    Callers that wait for the end of a job may do so for half of the time.
-    The reply tells whether all requests were answered within `within_ms`.
+    Requests that wait for the end of a job may continue for half of the time.
+    The reply is whether all requests were answered within `within_ms`.
     """
 
     within_ms: int
@@ -27,10 +27,10 @@
 
 
 class FrontActor(Actor):
-    """Gives the threads a new view when something changes."""
+    """Replaces the view of the threads when configuration or state changes."""
 
     def __init__(self, front: HttpFront, membership: Mailbox) -> None:
-        """Serve through `front`; tell its load to `membership`."""
+        """Serve through `front`; report its load to `membership`."""
         super().__init__('front')
         self._front = front
         self._membership = membership
@@ -48,7 +48,7 @@
 
     @handles(StateChanged)
     async def on_state(self, message: StateChanged) -> None:
-        """Answer the questions of the balancer by the new state."""
+        """Answer health and readiness checks by the new state."""
         self._front.view = replace(self._front.view, state=message.state)
 
     @handles(Tick)
--- a/fuchsiarill/front/health_routes.py
+++ b/fuchsiarill/front/health_routes.py
@@ -1,4 +1,4 @@
-"""Routes without token: liveness, readiness and metrics."""
+"""Routes without authentication: liveness, readiness and metrics."""
 
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -14,13 +14,13 @@
 
 @route('GET', '/healthz', Access.OPEN)
 def liveness(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Answer as long as a thread of the server does."""
+    """Answer as long as a thread of the server can respond."""
     return HttpReply(HTTPStatus.OK, {'state': front.view.state.value})
 
 
 @route('GET', '/readyz', Access.OPEN)
 def readiness(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Tell the balancer whether to send requests here."""
+    """Return whether the load balancer should send requests here."""
     status = HTTPStatus.SERVICE_UNAVAILABLE
     if front.view.state is ProcessState.SERVING:
         status = HTTPStatus.OK
@@ -29,6 +29,6 @@
 
 @route('GET', '/metrics', Access.OPEN)
 def metrics(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Write the metrics in the text format of Prometheus."""
+    """Return the metrics in the text format of Prometheus."""
     measures = front.ask(front.receivers.process, GetMeasures)
     return HttpReply(HTTPStatus.OK, front.metrics.render(measures))
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -51,15 +51,15 @@
 
 ROUTE_GROUPS: Final = (caller_routes, health_routes, operator_routes)
 
-# A body above the limit but below this multiple is read and answered on a
-# connection that stays open; the server closes one with a larger body.
+# A body above the limit but below this multiple of it is read and refused on a
+# connection that stays open; on a larger body the server closes the connection.
 _READ_FACTOR: Final = 4
 _RAW_REQUEST: Final = 'fuchsiarill.request'
 
 
 @dataclass(frozen=True, slots=True)
 class FrontView:
-    """What the threads know of the process; replaced as a whole."""
+    """State of the process for its HTTP threads; replaced as a whole."""
 
     state: ProcessState = ProcessState.STARTING
     config: CellConfig | None = None
@@ -112,7 +112,7 @@
         return int(self._server.bind_addr[1])
 
     def start(self) -> None:
-        """Listen, in threads of the server; raises `OSError`."""
+        """Listen and serve in threads of the server; raises `OSError`."""
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
@@ -134,18 +134,20 @@
 
     def ask_owners(
         self,
-        asks: Sequence[tuple[PartitionId, _BuildMessage]],
+        requests: Sequence[tuple[PartitionId, _BuildMessage]],
         wait_ms: int = 0,
     ) -> list[Any]:
-        """Ask the owners of partitions; each answer may be a refusal.
+        """Send requests to partition owners; each answer may be a refusal.
 
-        `wait_ms` is how long the messages may wait for an event; raises
+        `wait_ms` is how long the requests may wait for an event; raises
         `ReleasedError` when the process drains meanwhile.
         """
         answers = self.bridge.ask_all(
             [
-                ActorRequest(self.receivers.router, _routed(partition, build))
-                for partition, build in asks
+                ActorRequest(
+                    self.receivers.router, _route_builder(partition, build)
+                )
+                for partition, build in requests
             ],
             self.settings.request_timeout_ms + wait_ms,
             waits=bool(wait_ms),
@@ -154,7 +156,7 @@
             raise ReleasedError
         return [
             _as_refusal(answer, partition)
-            for answer, (partition, _) in zip(answers, asks, strict=True)
+            for answer, (partition, _) in zip(answers, requests, strict=True)
         ]
 
     def _respond(
@@ -166,7 +168,7 @@
             reply = self._reply_safely(environ, admitted)
         if self.view.state is ProcessState.DRAINING:
             environ[_RAW_REQUEST].close_connection = True
-        body, content_type = _encoded(reply.body)
+        body, content_type = _encode_body(reply.body)
         headers = [
             ('Content-Type', content_type),
             ('Content-Length', str(len(body))),
@@ -183,8 +185,8 @@
     ) -> HttpReply:
         try:
             return self._reply(environ, admitted)
-        except QueryError as wrong:
-            return refusal_reply(wrong.refusal)
+        except QueryError as invalid:
+            return refusal_reply(invalid.refusal)
         except TimeoutError:
             return refusal_reply(
                 refuse(
@@ -210,7 +212,7 @@
         if found is None:
             return refusal_reply(_unknown_route(environ))
         endpoint, parts = found
-        identity = self._admit(environ, endpoint, admitted)
+        identity = self._authorize(environ, endpoint, admitted)
         if isinstance(identity, Refusal):
             return refusal_reply(identity)
         if isinstance(body, Refusal):
@@ -218,15 +220,15 @@
         query = parse_query(environ.get('QUERY_STRING', ''), endpoint)
         request = HttpRequest(identity, parts, query, body)
         with self.metrics.timed(method, endpoint.handler.__name__):
-            return _handled(self, endpoint, request)
+            return _call_handler(self, endpoint, request)
 
-    def _admit(
+    def _authorize(
         self,
         environ: dict[str, Any],
         endpoint: Endpoint,
         admitted: bool,
     ) -> Identity | Refusal:
-        """Return who asks, or why the request is not carried out."""
+        """Return the identity of the sender, or the refusal of the request."""
         if endpoint.access is Access.OPEN:
             return OPERATOR
         if not admitted or self._is_overloaded():
@@ -246,12 +248,16 @@
         return identity
 
     def _is_overloaded(self) -> bool:
-        """Shed before parsing; what waits in the loop would only get late."""
+        """Return whether too many messages wait for the router.
+
+        Further requests are shed before parsing, since they would be answered
+        too late.
+        """
         waiting_count = len(self.receivers.router)
         return waiting_count > self.settings.messages_waiting_max_count
 
 
-def _handled(
+def _call_handler(
     front: HttpFront,
     endpoint: Endpoint,
     request: HttpRequest,
@@ -262,7 +268,7 @@
         return refusal_reply(overloaded())
 
 
-def _routed(
+def _route_builder(
     partition: PartitionId,
     build: _BuildMessage,
 ) -> Callable[[Reply[Any]], Route]:
@@ -305,7 +311,7 @@
         else:
             body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
     except (OSError, ValueError, errors.MaxSizeExceeded) as error:
-        # What follows on the connection can't be told from the body.
+        # The rest of the body can't be distinguished from the next request.
         environ[_RAW_REQUEST].close_connection = True
         return refuse(codes.MALFORMED, texts.MALFORMED, problem=str(error))
     if len(body) <= limit_bytes:
@@ -318,7 +324,7 @@
     )
 
 
-def _encoded(body: Any) -> tuple[bytes, str]:
+def _encode_body(body: Any) -> tuple[bytes, str]:
     if isinstance(body, bytes):
         return body, 'text/plain; version=0.0.4; charset=utf-8'
     return json.dumps(body).encode(), 'application/json'
--- a/fuchsiarill/front/metrics.py
+++ b/fuchsiarill/front/metrics.py
@@ -95,7 +95,7 @@
         self._submissions.labels(code.name).inc()
 
     def timed(self, method: str, name: str) -> AbstractContextManager[Any]:
-        """Return a context whose time is that of a request."""
+        """Return a context manager that measures the time of a request."""
         timer: AbstractContextManager[Any]
         timer = self._requests.labels(method, name).time()
         return timer
@@ -119,7 +119,7 @@
 
 
 class CountingStore:
-    """`StorePort` that counts the calls of another one."""
+    """`StorePort` that counts the calls passed to another store."""
 
     def __init__(self, store: StorePort, metrics: Metrics) -> None:
         """Pass all calls on to `store`."""
@@ -173,19 +173,19 @@
         verb: str,
         answer: Result[_Answer, StoreFailure],
     ) -> Result[_Answer, StoreFailure]:
-        silent = answer == Failure(StoreFailure.UNREACHABLE)
-        self._metrics.count_store_call(verb, not silent)
+        unreachable = answer == Failure(StoreFailure.UNREACHABLE)
+        self._metrics.count_store_call(verb, not unreachable)
         return answer
 
 
 class _DecisionTimes:
-    """Collector of the decision times that the owners have counted."""
+    """Collector of the decision times that the owners have measured."""
 
     def __init__(self) -> None:
         self.measures = Measures()
 
     def collect(self) -> Iterator[HistogramMetricFamily]:
-        """Yield the one metric of this collector."""
+        """Yield the only metric of this collector."""
         bounds = [str(bound / MS_PER_SECOND) for bound in BOUNDS_MS]
         totals = accumulate(self.measures.decision_counts)
         yield HistogramMetricFamily(
@@ -198,7 +198,7 @@
 
 def _capped(counts: dict[str, int]) -> dict[str, int]:
     """Keep the customers with the longest queues; sum up the rest."""
-    ordered = sorted(counts.items(), key=lambda named: -named[1])
+    ordered = sorted(counts.items(), key=lambda item: -item[1])
     kept = dict(ordered[:_CUSTOMERS_MAX_COUNT])
     rest = sum(count for _, count in ordered[_CUSTOMERS_MAX_COUNT:])
     if rest:
--- a/fuchsiarill/front/operator_routes.py
+++ b/fuchsiarill/front/operator_routes.py
@@ -57,19 +57,19 @@
 
 @route('PUT', '/v1/config', Access.OPERATOR)
 def change_config(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Write the next generation, if the expected one is still present."""
+    """Write the next generation if the store still holds the expected one."""
     try:
         change = _Change.model_validate_json(request.body, strict=True)
     except ValidationError as invalid:
         return refusal_reply(first_problem(invalid))
-    wanted = ChangeRequest(
+    change_request = ChangeRequest(
         change.text,
         Generation(change.expected_generation),
         change.author,
     )
     answer: ChangeAnswer = front.ask(
         front.receivers.config,
-        lambda reply: ChangeConfig(wanted, reply),
+        lambda reply: ChangeConfig(change_request, reply),
     )
     return HttpReply(answer.code.http_status, _change_body(answer))
 
@@ -96,7 +96,7 @@
 
 @route('GET', '/v1/hosts', Access.OPERATOR)
 def show_hosts(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return the host list, as this process reads it now."""
+    """Return the host list as this process reads it now."""
     hosts = front.ask(front.receivers.process, GetHosts)
     if hosts is None:
         return refusal_reply(
@@ -111,7 +111,7 @@
 
 @route('GET', '/v1/dump', Access.OPERATOR, 'process')
 def dump(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return the state of every actor, here or in another process."""
+    """Return the state of every actor of this or another process."""
     name = request.query.get('process')
     answer = front.ask(
         front.receivers.process,
--- a/fuchsiarill/front/replies.py
+++ b/fuchsiarill/front/replies.py
@@ -1,4 +1,4 @@
-"""What handlers of routes return."""
+"""Replies that route handlers return."""
 
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -9,7 +9,7 @@
 from fuchsiarill.front.submissions import answer_object
 from fuchsiarill.refusal import Refusal, refuse
 
-# What a caller waits before it asks again, where nothing better is known.
+# Delay before a caller should retry where no better estimate is known.
 RETRY_AFTER_MS: Final = 500
 
 
@@ -22,16 +22,16 @@
 
 
 class QueryError(Exception):
-    """A parameter of the query is wrong."""
+    """A parameter of the query string is invalid."""
 
     def __init__(self, refusal: Refusal) -> None:
-        """Keep the refusal to answer."""
+        """Keep the refusal that is sent as the reply."""
         super().__init__(refusal.text)
         self.refusal = refusal
 
 
 def malformed(field: str, problem: str) -> Refusal:
-    """Return the refusal of one field."""
+    """Return the refusal of an invalid field."""
     return refuse(
         codes.MALFORMED,
         texts.MALFORMED,
--- a/fuchsiarill/front/routes.py
+++ b/fuchsiarill/front/routes.py
@@ -1,4 +1,4 @@
-"""The registry of routes, and what their handlers get."""
+"""The registry of routes, and the requests passed to their handlers."""
 
 import re
 from collections.abc import Callable, Mapping
@@ -21,7 +21,7 @@
 
 
 class Access(Enum):
-    """Who may use a route; operators may use those of callers too."""
+    """Who may use a route; operators may use caller routes too."""
 
     OPEN = 'open'
     CALLER = 'caller'
@@ -32,8 +32,8 @@
 class HttpRequest:
     """The parts of a request that handlers use.
 
-    `parts` are the groups of the path. Routes without token have an identity
-    of an operator, which they don't use.
+    `parts` are the groups matched in the path. Routes without authentication
+    get the identity of an operator, which they don't use.
     """
 
     identity: Identity
@@ -54,7 +54,7 @@
         return Failure(refuse(codes.FORBIDDEN, texts.FORBIDDEN))
 
     def count(self, name: str, default: int, limit: int) -> int:
-        """Return a number of the query; raises `QueryError`."""
+        """Return a count, capped at `limit`; raises `QueryError`."""
         text = self.query.get(name)
         if text is None:
             return default
@@ -84,7 +84,7 @@
     access: Access,
     *known_parameters: str,
 ) -> Callable[[Handler], Handler]:
-    """Register a handler; `known_parameters` are those its query may have."""
+    """Register a handler; `known_parameters` are allowed in its query."""
 
     def decorator(handler: Handler) -> Handler:
         endpoint = Endpoint(access, handler, frozenset(known_parameters))
@@ -109,7 +109,7 @@
 
 
 def parse_query(text: str, endpoint: Endpoint) -> Mapping[str, str]:
-    """Return the parameters; raises `QueryError` for one not known."""
+    """Return the parameters; raises `QueryError` if unknown or repeated."""
     named = parse_qsl(text, keep_blank_values=True)
     for name, _value in named:
         if name not in endpoint.known_parameters:
--- a/fuchsiarill/front/submissions.py
+++ b/fuchsiarill/front/submissions.py
@@ -1,4 +1,4 @@
-"""The JSON form of submissions and answers, and the checks of their form."""
+"""JSON encoding and validation of submissions, and encoding of answers."""
 
 from typing import Annotated, Any, Final
 
@@ -40,11 +40,11 @@
 
 
 class Submission(BaseModel):
-    """One job as a caller writes it."""
+    """One job as submitted by a caller."""
 
     model_config = ConfigDict(extra='forbid')
 
-    # Validators of later fields see those before them.
+    # The order matters: a validator sees only the fields before its own.
     idempotency_key: _Text
     workload: Workload = Workload.BATCH
     execution: Execution = Execution.IDEMPOTENT
@@ -62,7 +62,7 @@
         execution: Execution,
         earlier: ValidationInfo,
     ) -> Execution:
-        """A service is restarted, so it cannot be at most once."""
+        """Refuse `at_most_once` for a service, since services are restarted."""
         is_service = earlier.data.get('workload') is Workload.SERVICE
         if is_service and execution is Execution.AT_MOST_ONCE:
             raise PydanticCustomError('service', texts.SERVICE_AT_MOST_ONCE)
@@ -71,7 +71,7 @@
     @field_validator('run_time_ms')
     @classmethod
     def check_run_time(cls, run_time_ms: int, earlier: ValidationInfo) -> int:
-        """A service has no run time."""
+        """Refuse a run time for a service, which has none."""
         is_service = earlier.data.get('workload') is Workload.SERVICE
         if is_service and run_time_ms:
             raise PydanticCustomError('service', texts.SERVICE_RUN_TIME)
@@ -111,24 +111,24 @@
 
 def answer_object(answer: JobAnswer) -> dict[str, Any]:
     """Return the JSON object for one answer."""
-    written: dict[str, Any] = {
+    encoded: dict[str, Any] = {
         'code': answer.code.number,
         'name': answer.code.name,
     }
     if answer.job_id is not None:
-        written['job_id'] = answer.job_id
+        encoded['job_id'] = answer.job_id
     if answer.state is not None:
-        written['state'] = answer.state.value
-        written['outputs'] = list(answer.outputs)
+        encoded['state'] = answer.state.value
+        encoded['outputs'] = list(answer.outputs)
     if answer.refusal is not None:
-        written['text'] = answer.refusal.text
-        written['field'] = answer.refusal.field
-        written['retry_after_ms'] = answer.refusal.retry_after_ms
-    return written
+        encoded['text'] = answer.refusal.text
+        encoded['field'] = answer.refusal.field
+        encoded['retry_after_ms'] = answer.refusal.retry_after_ms
+    return encoded
 
 
 def first_problem(invalid: ValidationError) -> Refusal:
-    """Return the refusal of a body, with the first field at fault."""
+    """Return the refusal of a body, which names its first invalid field."""
     found = invalid.errors()[0]
     field = '.'.join(str(part) for part in found['loc'])
     problem = f'{field}: {found["msg"]}' if field else found['msg']
@@ -141,7 +141,7 @@
 
 
 def _repeated_key(batch: Batch) -> Refusal | None:
-    """Two jobs of one batch with the same key could not both be answered."""
+    """Refuse two jobs with the same key, since only one could be answered."""
     first: dict[str, str] = {}
     for position, submission in enumerate(batch.jobs):
         field = f'jobs.{position}.idempotency_key'
