Reword the command line

Client.ask becomes Client.request, since it sends an HTTP request; _complain becomes _report_error, _worst _first_failure, _race _conflict_answer, and wait_if_asked wait_if_requested. Doc comments name the outcome of a command. Output and help texts stay.

--- a/fuchsiarill/commands/client.py
+++ b/fuchsiarill/commands/client.py
@@ -1,6 +1,6 @@
 """HTTP client of the command line.
 
-It asks the entry processes in the order given until one answers. Repeating a
+It tries the entry processes in the given order until one answers. Repeating a
 submission at another process is safe, since its idempotency key makes it the
 same job; a change of the configuration is safe since it names the generation
 that it expects.
@@ -16,14 +16,14 @@
 from fuchsiarill import codes
 
 _TIMEOUT_S: Final = 15.0
-_PASSING: Final = frozenset(
+_TRANSIENT_STATUSES: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT),
 )
 
 
 @dataclass(frozen=True, slots=True)
 class ClientSettings:
-    """Where the entry processes are and who asks."""
+    """URLs of the entry processes and the token of the caller."""
 
     servers: tuple[str, ...]
     token: str
@@ -38,7 +38,7 @@
 
     @property
     def succeeded(self) -> bool:
-        """Tell whether the code stands for success."""
+        """Return whether the code stands for success."""
         return self.code.exit_status is codes.ExitStatus.SUCCESS
 
 
@@ -47,7 +47,7 @@
 
 
 class Client:
-    """Asks the entry processes of one cell."""
+    """Sends requests to the entry processes of one cell."""
 
     def __init__(self, settings: ClientSettings) -> None:
         """Use the servers and the token in the settings."""
@@ -57,7 +57,7 @@
             timeout=urllib3.Timeout(_TIMEOUT_S),
         )
 
-    def ask(
+    def request(
         self,
         method: str,
         path: str,
@@ -68,17 +68,17 @@
         faults = []
         for server in self._settings.servers:
             try:
-                last = self._ask_one(f'{server}{path}', method, body)
+                last = self._request_one(f'{server}{path}', method, body)
             except urllib3.exceptions.HTTPError as fault:
                 faults.append(f'{server}: {fault}')
                 continue
-            if last.code.http_status not in _PASSING:
+            if last.code.http_status not in _TRANSIENT_STATUSES:
                 break
         if last is None:
             raise ServersUnreachableError('; '.join(faults))
         return last
 
-    def _ask_one(
+    def _request_one(
         self,
         url: str,
         method: str,
--- a/fuchsiarill/commands/command.py
+++ b/fuchsiarill/commands/command.py
@@ -18,8 +18,8 @@
 class CommandAnswer:
     """What a command prints and how it ends.
 
-    `content` is a mapping or a list of mappings; `notes` are sentences for
-    people, printed to standard error.
+    `content` is a mapping or a list of mappings; `notes` are messages for
+    the user, printed to standard error.
     """
 
     content: Any
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """One subcommand; `words` are what the operator types.
+    """One subcommand; `words` are typed by the user to select it.
 
     `example` is shown by `--help`.
     """
--- a/fuchsiarill/commands/config_commands.py
+++ b/fuchsiarill/commands/config_commands.py
@@ -21,7 +21,7 @@
 
 
 def add_author(parser: ArgumentParser) -> None:
-    """Declare the name under which a change is written."""
+    """Declare the option for the author of a change."""
     parser.add_argument(
         '--author',
         default=getpass.getuser(),
@@ -30,7 +30,7 @@
 
 
 def add_wait(parser: ArgumentParser) -> None:
-    """Declare the options that wait for a change to be in force."""
+    """Declare the options for waiting until a change is in force."""
     parser.add_argument(
         '--wait',
         action='store_true',
@@ -50,12 +50,12 @@
     add_wait(parser)
 
 
-def wait_if_asked(
+def wait_if_requested(
     client: Client,
     options: Namespace,
     written: CommandAnswer,
 ) -> CommandAnswer:
-    """Wait for the spread of a successful change when `--wait` is given."""
+    """Wait until a written change is in force if `--wait` is given."""
     if written.code != codes.DONE or not options.wait:
         return written
     return config_edit.wait_for_spread(
@@ -72,7 +72,7 @@
     _file_argument,
 )
 def check(options: Namespace, client: Client) -> CommandAnswer:
-    """Check a file and name every problem with its line and field."""
+    """Check a file and report every problem with its line and field."""
     text = options.file.read_text()
     problems = config_edit.check_text(text)
     if problems:
@@ -124,7 +124,7 @@
     _apply_arguments,
 )
 def apply_file(options: Namespace, client: Client) -> CommandAnswer:
-    """Check a file, write it and optionally wait for its spread."""
+    """Check a file, write it and optionally wait until it is in force."""
     text = options.file.read_text()
     problems = config_edit.check_text(text)
     if problems:
@@ -133,8 +133,8 @@
     if isinstance(base, ServerAnswer):
         return config_edit.refused(base)
     written = config_edit.write_document(client, base, text, options.author)
-    answer = config_edit.written_answer(written, base)
-    return wait_if_asked(client, options, answer)
+    answer = config_edit.write_result(written, base)
+    return wait_if_requested(client, options, answer)
 
 
 @command(
@@ -154,7 +154,7 @@
 )
 def spread(options: Namespace, client: Client) -> CommandAnswer:
     """List every process with the generation that it reports."""
-    answer = client.ask('GET', '/v1/config/spread')
+    answer = client.request('GET', '/v1/config/spread')
     if not answer.succeeded:
         return config_edit.refused(answer)
     return CommandAnswer(answer.body['processes'])
--- a/fuchsiarill/commands/config_edit.py
+++ b/fuchsiarill/commands/config_edit.py
@@ -1,7 +1,7 @@
 """Reading and changing the cell configuration through an entry process.
 
-A change names the generation that it was made from; when another operator
-was faster, the answer shows what they changed.
+A change names the generation that it was made from; if another operator has
+written a later one, the answer shows their changes.
 """
 
 import difflib
@@ -31,8 +31,8 @@
 
 
 def read_document(client: Client) -> Document | ServerAnswer:
-    """Return the document in force, or the answer that refused it."""
-    answer = client.ask('GET', '/v1/config')
+    """Return the document in force, or the refusal by the server."""
+    answer = client.request('GET', '/v1/config')
     if not answer.succeeded:
         return answer
     return Document(
@@ -78,8 +78,8 @@
     text: str,
     author: str,
 ) -> ServerAnswer:
-    """Write a new document on top of `base`."""
-    return client.ask(
+    """Write a new document as the successor of `base`."""
+    return client.request(
         'PUT',
         '/v1/config',
         {
@@ -90,13 +90,13 @@
     )
 
 
-def written_answer(
+def write_result(
     answer: ServerAnswer,
     base: Document,
 ) -> CommandAnswer:
     """Return the command's answer to a write."""
     if answer.code == codes.CONFIG_CONFLICT:
-        return _race(answer, base)
+        return _conflict_answer(answer, base)
     if not answer.succeeded:
         return refused(answer)
     generation = answer.body['generation']
@@ -111,7 +111,7 @@
 ) -> CommandAnswer | None:
     """Change the parsed document in place and write it.
 
-    Returns `None` when `change` returns `False`: nothing was to be changed.
+    Returns `None` when `change` returns `False`, since nothing has changed.
     """
     base = read_document(client)
     if isinstance(base, ServerAnswer):
@@ -120,7 +120,7 @@
     if not change(document):
         return None
     text = yaml.safe_dump(document, sort_keys=False)
-    return written_answer(write_document(client, base, text, author), base)
+    return write_result(write_document(client, base, text, author), base)
 
 
 def wait_for_spread(
@@ -131,16 +131,16 @@
     """Wait until every process reports at least `generation` in force."""
     ends_at_s = time.monotonic() + wait_s
     while True:
-        answer = client.ask('GET', '/v1/config/spread')
+        answer = client.request('GET', '/v1/config/spread')
         if not answer.succeeded:
             return refused(answer)
         processes = answer.body['processes']
-        behind = [
+        lagging = [
             row['process']
             for row in processes
             if row['generation'] < generation
         ]
-        if not behind:
+        if not lagging:
             note = texts.SPREAD_COMPLETE.format(
                 generation=generation,
                 count=len(processes),
@@ -149,13 +149,13 @@
         if time.monotonic() >= ends_at_s:
             note = texts.SPREAD_INCOMPLETE.format(
                 generation=generation,
-                processes=', '.join(behind),
+                processes=', '.join(lagging),
             )
             return CommandAnswer(processes, codes.WAIT_ENDED, (note,))
         time.sleep(_POLL_S)
 
 
-def _race(answer: ServerAnswer, base: Document) -> CommandAnswer:
+def _conflict_answer(answer: ServerAnswer, base: Document) -> CommandAnswer:
     present = answer.body
     head = texts.CONFIG_RACE.format(
         expected=base.generation,
--- a/fuchsiarill/commands/contract_commands.py
+++ b/fuchsiarill/commands/contract_commands.py
@@ -14,12 +14,12 @@
 from fuchsiarill.commands.config_commands import (
     add_author,
     add_wait,
-    wait_if_asked,
+    wait_if_requested,
 )
 
 
 class AssignmentError(ValueError):
-    """An argument of `contract set` names no field of a contract."""
+    """An argument of `contract set` does not name a field of a contract."""
 
 
 def _customer_argument(parser: ArgumentParser) -> None:
@@ -48,7 +48,9 @@
     found = config_edit.read_document(client)
     if isinstance(found, ServerAnswer):
         return config_edit.refused(found)
-    return CommandAnswer([_public(row) for row in _contracts(found.text)])
+    return CommandAnswer(
+        [_without_digest(row) for row in _contracts(found.text)]
+    )
 
 
 @command(
@@ -64,7 +66,7 @@
         return config_edit.refused(found)
     for row in _contracts(found.text):
         if row['customer'] == options.customer:
-            return CommandAnswer(_public(row))
+            return CommandAnswer(_without_digest(row))
     return _unknown(options.customer)
 
 
@@ -77,17 +79,17 @@
 def set_fields(options: Namespace, client: Client) -> CommandAnswer:
     """Write the configuration with changed fields of one contract."""
     try:
-        changes = [_assignment(text) for text in options.assignments]
+        changes = [_parse_assignment(text) for text in options.assignments]
     except AssignmentError as fault:
         return CommandAnswer(None, codes.CONFIG_INVALID, (str(fault),))
     answer = config_edit.edit(
         client,
         options.author,
-        partial(_change, options.customer, changes),
+        partial(_apply_assignments, options.customer, changes),
     )
     if answer is None:
         return _unknown(options.customer)
-    return wait_if_asked(client, options, answer)
+    return wait_if_requested(client, options, answer)
 
 
 def _contracts(text: str) -> list[dict[str, Any]]:
@@ -95,7 +97,7 @@
     return rows
 
 
-def _public(row: dict[str, Any]) -> dict[str, Any]:
+def _without_digest(row: dict[str, Any]) -> dict[str, Any]:
     return {name: row[name] for name in row if name != 'token_sha256'}
 
 
@@ -104,7 +106,7 @@
     return CommandAnswer(None, codes.UNKNOWN_CUSTOMER, (note,))
 
 
-def _assignment(text: str) -> tuple[tuple[str, ...], Any]:
+def _parse_assignment(text: str) -> tuple[tuple[str, ...], Any]:
     name, found, written = text.partition('=')
     if not found:
         raise AssignmentError(texts.ASSIGNMENT_EXPECTED.format(text=text))
@@ -117,7 +119,7 @@
     return path, yaml.safe_load(written)
 
 
-def _change(
+def _apply_assignments(
     customer: str,
     changes: list[tuple[tuple[str, ...], Any]],
     document: Any,
--- a/fuchsiarill/commands/explain_command.py
+++ b/fuchsiarill/commands/explain_command.py
@@ -27,7 +27,7 @@
     _arguments,
 )
 def explain(options: Namespace, client: Client) -> CommandAnswer:
-    """Print the lines of a job in order; the conclusion is a note.
+    """Print the log lines of a job in order; the conclusion is a note.
 
     Raises `OSError` for a file that can't be read.
     """
--- a/fuchsiarill/commands/host_commands.py
+++ b/fuchsiarill/commands/host_commands.py
@@ -1,4 +1,4 @@
-"""Commands on the workers: list them, retire them, take them back."""
+"""Commands that list, drain and undrain workers."""
 
 from argparse import ArgumentParser, Namespace
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 from fuchsiarill.commands.config_commands import (
     add_author,
     add_wait,
-    wait_if_asked,
+    wait_if_requested,
 )
 
 _DRAINING = 'draining_workers'
@@ -31,7 +31,7 @@
 )
 def list_hosts(options: Namespace, client: Client) -> CommandAnswer:
     """Print one row for each worker."""
-    answer = client.ask('GET', '/v1/hosts')
+    answer = client.request('GET', '/v1/hosts')
     if not answer.succeeded:
         return config_edit.refused(answer)
     return CommandAnswer(answer.body['hosts'])
@@ -55,7 +55,7 @@
     _worker_arguments,
 )
 def undrain(options: Namespace, client: Client) -> CommandAnswer:
-    """Take the worker out of the draining workers."""
+    """Remove the worker from the draining workers of the configuration."""
     return _edit_draining(options, client, _remove, texts.HOST_RETURNS)
 
 
@@ -79,7 +79,7 @@
             generation=answer.content['generation'],
         )
         answer = CommandAnswer(answer.content, answer.code, (note,))
-    return wait_if_asked(client, options, answer)
+    return wait_if_requested(client, options, answer)
 
 
 def _add(worker: str, document: Any) -> bool:
--- a/fuchsiarill/commands/job_commands.py
+++ b/fuchsiarill/commands/job_commands.py
@@ -14,7 +14,7 @@
 from fuchsiarill.commands.command import CommandAnswer, command
 from fuchsiarill.commands.config_edit import refused
 
-_ONE_WAIT_MS: Final = 5000
+_REQUEST_WAIT_MS: Final = 5000
 _DEFAULT_WAIT_S: Final = 3600.0
 
 
@@ -56,17 +56,17 @@
     _submit_arguments,
 )
 def submit(options: Namespace, client: Client) -> CommandAnswer:
-    """Submit a batch; ends with the first code that is not success."""
+    """Submit a batch; the result is the first code that is not success."""
     text = _read(options.file)
     loaded = yaml.safe_load(text)
     if isinstance(loaded, dict) and 'jobs' in loaded:
         loaded = loaded['jobs']
     jobs = loaded if isinstance(loaded, list) else [loaded]
-    answer = client.ask('POST', _path('/v1/jobs', options), {'jobs': jobs})
+    answer = client.request('POST', _path('/v1/jobs', options), {'jobs': jobs})
     if not answer.succeeded:
         return refused(answer)
     rows = answer.body['answers']
-    return CommandAnswer(rows, _worst(rows))
+    return CommandAnswer(rows, _first_failure(rows))
 
 
 @command(
@@ -78,7 +78,7 @@
 def list_jobs(options: Namespace, client: Client) -> CommandAnswer:
     """Print one row for each job."""
     path = _path('/v1/jobs', options, state=options.state, limit=options.limit)
-    answer = client.ask('GET', path)
+    answer = client.request('GET', path)
     if not answer.succeeded:
         return refused(answer)
     return CommandAnswer(answer.body['jobs'])
@@ -91,8 +91,8 @@
     _job_argument,
 )
 def show(options: Namespace, client: Client) -> CommandAnswer:
-    """Print one job; the exit status tells nothing of its outcome."""
-    answer = client.ask('GET', _path(f'/v1/jobs/{options.job}', options))
+    """Print one job; the exit status does not depend on its outcome."""
+    answer = client.request('GET', _path(f'/v1/jobs/{options.job}', options))
     if 'state' in answer.body:
         return CommandAnswer(answer.body)
     return refused(answer)
@@ -105,13 +105,13 @@
     _wait_arguments,
 )
 def wait(options: Namespace, client: Client) -> CommandAnswer:
-    """Wait in bounded requests; the exit status tells the outcome."""
+    """Wait in bounded requests; the exit status depends on the outcome."""
     ends_at_s = time.monotonic() + options.wait_s
     while True:
         left_ms = int((ends_at_s - time.monotonic()) * 1000)
-        wait_ms = max(0, min(_ONE_WAIT_MS, left_ms))
+        wait_ms = max(0, min(_REQUEST_WAIT_MS, left_ms))
         path = _path(f'/v1/jobs/{options.job}', options, wait_ms=wait_ms)
-        answer = client.ask('GET', path)
+        answer = client.request('GET', path)
         if answer.code != codes.NOT_FINISHED:
             if 'state' in answer.body:
                 return CommandAnswer(answer.body, answer.code)
@@ -128,7 +128,7 @@
 )
 def cancel(options: Namespace, client: Client) -> CommandAnswer:
     """Cancel a job; its tasks are stopped in the background."""
-    answer = client.ask('DELETE', _path(f'/v1/jobs/{options.job}', options))
+    answer = client.request('DELETE', _path(f'/v1/jobs/{options.job}', options))
     if not answer.succeeded:
         return refused(answer)
     return CommandAnswer(answer.body)
@@ -140,9 +140,11 @@
     'fuchsiarill job why rajkot.0-4f1c',
     _job_argument,
 )
-def why(options: Namespace, client: Client) -> CommandAnswer:
-    """Print the limit or resource that holds a job and its place."""
-    answer = client.ask('GET', _path(f'/v1/jobs/{options.job}/why', options))
+def explain(options: Namespace, client: Client) -> CommandAnswer:
+    """Print the limit or resource that delays a job, and its position."""
+    answer = client.request(
+        'GET', _path(f'/v1/jobs/{options.job}/why', options)
+    )
     if not answer.succeeded:
         return refused(answer)
     return CommandAnswer(answer.body['why'])
@@ -158,7 +160,7 @@
     return f'{path}?{urlencode(given)}' if given else path
 
 
-def _worst(rows: list[dict[str, Any]]) -> codes.ResultCode:
+def _first_failure(rows: list[dict[str, Any]]) -> codes.ResultCode:
     for row in rows:
         found = codes.by_number(row['code'])
         if found.exit_status is not codes.ExitStatus.SUCCESS:
--- a/fuchsiarill/commands/main.py
+++ b/fuchsiarill/commands/main.py
@@ -49,14 +49,14 @@
     try:
         answer = _run_chosen(options)
     except ServersUnreachableError as fault:
-        return _complain(
+        return _report_error(
             texts.NO_SERVER.format(faults=fault),
             codes.ExitStatus.UNAVAILABLE,
         )
     except OSError as fault:
-        return _complain(str(fault), codes.ExitStatus.BAD_REQUEST)
+        return _report_error(str(fault), codes.ExitStatus.BAD_REQUEST)
     except KeyboardInterrupt:
-        return _complain(texts.INTERRUPTED, codes.ExitStatus.UNAVAILABLE)
+        return _report_error(texts.INTERRUPTED, codes.ExitStatus.UNAVAILABLE)
     _print(answer, options)
     return answer.exit_status
 
@@ -139,7 +139,7 @@
             print(line, file=sys.stderr)
 
 
-def _complain(text: str, status: codes.ExitStatus) -> codes.ExitStatus:
+def _report_error(text: str, status: codes.ExitStatus) -> codes.ExitStatus:
     print(f'fuchsiarill: {text}', file=sys.stderr)
     return status
 
--- a/fuchsiarill/commands/status_commands.py
+++ b/fuchsiarill/commands/status_commands.py
@@ -17,13 +17,13 @@
     'fuchsiarill status',
 )
 def status(options: Namespace, client: Client) -> CommandAnswer:
-    """Print one row for each process; names those out of reach."""
-    answer = client.ask('GET', '/v1/status')
+    """Print one row for each process; a note lists unreachable ones."""
+    answer = client.request('GET', '/v1/status')
     if not answer.succeeded:
         return refused(answer)
     rows = answer.body['processes']
-    away = [row['process'] for row in rows if not row['reachable']]
-    notes = (f'out of reach: {", ".join(away)}',) if away else ()
+    unreachable = [row['process'] for row in rows if not row['reachable']]
+    notes = (f'out of reach: {", ".join(unreachable)}',) if unreachable else ()
     return CommandAnswer(rows, notes=notes)
 
 
@@ -35,7 +35,7 @@
 )
 def dump(options: Namespace, client: Client) -> CommandAnswer:
     """Print the state of every actor of a process."""
-    answer = client.ask('GET', f'/v1/dump?process={options.process}')
+    answer = client.request('GET', f'/v1/dump?process={options.process}')
     if not answer.succeeded:
         return refused(answer)
     return CommandAnswer(answer.body)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -24,7 +24,7 @@
         self.asked: list[str] = []
         self._answers = list(answers)
 
-    def ask(
+    def request(
         self,
         method: str,
         path: str,
