--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -147,8 +147,8 @@
             store_is_down,
         )
         self._put(Member(own.detail, counted, now_ms))
-        for key, gone in tuple(self._removed.items()):
-            if now_ms - gone.heard_at_ms > self._settings.forget_after_ms:
+        for key, removed in tuple(self._removed.items()):
+            if now_ms - removed.heard_at_ms > self._settings.forget_after_ms:
                 self._removed.pop(key)
         return tuple(
             member
@@ -269,5 +269,5 @@
         return beat.key not in self._ids and not self._is_stale(beat)
 
     def _is_stale(self, beat: Beat) -> bool:
-        gone = self._removed.get(beat.key)
-        return gone is not None and gone.beat.heartbeat >= beat.heartbeat
+        removed = self._removed.get(beat.key)
+        return removed is not None and removed.beat.heartbeat >= beat.heartbeat
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -1,4 +1,4 @@
-"""A store and links in memory for several processes in one paused loop."""
+"""In-memory store and links for several processes in one paused loop."""
 
 import asyncio
 import random
@@ -49,7 +49,7 @@
 
 @dataclass
 class FakeCell:
-    """What all processes share: stored keys, and which links are cut."""
+    """State that all processes share: stored keys and failed links."""
 
     stored: dict[StoreKey, Versioned] = field(default_factory=dict)
     revision: int = 0
@@ -73,12 +73,12 @@
         self._process = process
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
-        if not await self._reached():
+        if not await self._reaches_store():
             return Failure(StoreFailure.UNREACHABLE)
         return Success(self._cell.read(key))
 
     async def swap(self, swap: Swap) -> SwapResult:
-        if not await self._reached():
+        if not await self._reaches_store():
             return SwapResult(SwapOutcome.UNKNOWN)
         cell = self._cell
         cell.swaps_count += 1
@@ -102,14 +102,14 @@
         after: Revision,
         wait_ms: int,
     ) -> Result[Versioned, StoreFailure]:
-        if not await self._reached():
+        if not await self._reaches_store():
             return Failure(StoreFailure.UNREACHABLE)
         changed = asyncio.Event()
         self._cell.watches.append((key, changed))
         if self._cell.read(key).revision == after:
             await self._wait(changed, wait_ms)
         self._cell.watches.remove((key, changed))
-        if not await self._reached():
+        if not await self._reaches_store():
             return Failure(StoreFailure.UNREACHABLE)
         return Success(self._cell.read(key))
 
@@ -136,7 +136,7 @@
             async with asyncio.timeout(wait_ms / 1000):
                 await changed.wait()
 
-    async def _reached(self) -> bool:
+    async def _reaches_store(self) -> bool:
         await sleep_ms(_CALL_MS)
         if self._process not in self._cell.cut_from_store:
             return True
@@ -156,7 +156,7 @@
         address: str,
         message: Gossip,
     ) -> Result[Gossip, PeerFailure]:
-        peer = await self._peer(address)
+        peer = await self._reach_peer(address)
         if peer is None:
             return Failure(PeerFailure.NO_ANSWER)
         self._cell.gossip_count += 1
@@ -169,7 +169,7 @@
         address: str,
         document: ConfigDocument,
     ) -> Result[Generation, PeerFailure]:
-        peer = await self._peer(address)
+        peer = await self._reach_peer(address)
         if peer is None:
             return Failure(PeerFailure.NO_ANSWER)
         reply: Reply[Generation] = Reply()
@@ -180,7 +180,7 @@
         self,
         address: str,
     ) -> Result[ConfigDocument, PeerFailure]:
-        peer = await self._peer(address)
+        peer = await self._reach_peer(address)
         if peer is None:
             return Failure(PeerFailure.NO_ANSWER)
         reply: Reply[ConfigDocument] = Reply()
@@ -190,7 +190,7 @@
     async def dump(self, address: str) -> Result[str, PeerFailure]:
         return Failure(PeerFailure.NOT_SENT)
 
-    async def _peer(self, address: str) -> 'FakeProcess | None':
+    async def _reach_peer(self, address: str) -> 'FakeProcess | None':
         await sleep_ms(_CALL_MS)
         link = frozenset((self._process, address))
         peer = self._cell.running.get(address)
@@ -201,7 +201,7 @@
 
 
 class _Recorder(Mailbox):
-    """Passes messages on and notes each generation put in force."""
+    """Forwards messages and records each generation put in force."""
 
     def __init__(self, receiver: Mailbox) -> None:
         super().__init__()
@@ -260,7 +260,7 @@
         self.config.start()
 
     async def stop(self) -> None:
-        """End as by a kill: nothing is said to anyone."""
+        """Stop without notifying any peer, as if the process were killed."""
         self._cell.running.pop(self.process)
         await self.membership.stop()
         await self.config.stop()
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -1,4 +1,4 @@
-"""A front on a port of the kernel's choice, with actors that answer at once."""
+"""An HTTP front on a free port, with fake actors that answer at once."""
 
 import asyncio
 import json
@@ -53,7 +53,7 @@
 
 
 class FakeActors(Actor):
-    """Stands for the router, membership, configuration and the process."""
+    """Replaces the router, membership, configuration and process actors."""
 
     def __init__(self) -> None:
         super().__init__('fake')
@@ -89,10 +89,10 @@
                 job_id = JobId(f'{routed.partition}-{message.query.customer}')
                 message.reply.answer((_running(job_id),))
             case messages.ExplainJob():
-                why = JobExplanation(
+                explanation = JobExplanation(
                     _running(message.query.job_id), {'reason': 'room'}
                 )
-                message.reply.answer(why)
+                message.reply.answer(explanation)
             case messages.CancelJob():
                 job_id = message.cancel.job_id
                 answer = JobAnswer(codes.CANCEL_STARTED, job_id)
@@ -100,7 +100,7 @@
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Answer all who wait for the end of a job."""
+        """Answer all queries that wait for the end of a job."""
         for waiting in self.waiting:
             waiting.reply.answer(_running(waiting.query.job_id))
 
@@ -135,14 +135,14 @@
 
     @handles(GetMeasures)
     async def on_measures(self, message: GetMeasures) -> None:
-        queued = Counter({f'team-{one}': one for one in range(150)})
+        queued = Counter({f'team-{count}': count for count in range(150)})
         measures = Measures(1, 2, Counter(router=3), queued, (1, 2), 3)
         message.reply.answer(measures)
 
 
 @dataclass
-class Served:
-    """A running front and a client of it."""
+class RunningFront:
+    """A running front and a client for it."""
 
     front: HttpFront
     actors: FakeActors
@@ -185,28 +185,28 @@
 
 
 @contextmanager
-def served(**settings: Any) -> Iterator[Served]:
-    """Serve until the block ends."""
+def running_front(**settings: Any) -> Iterator[RunningFront]:
+    """Run a front until the block ends."""
     loop = asyncio.new_event_loop()
     thread = threading.Thread(target=loop.run_forever)
     thread.start()
     starting = _start(HttpSettings(port=0, **settings))
-    made = asyncio.run_coroutine_threadsafe(starting, loop).result(30)
+    running = asyncio.run_coroutine_threadsafe(starting, loop).result(30)
     try:
-        yield made
+        yield running
     finally:
-        _end(made, loop)
+        _end(running, loop)
         thread.join()
 
 
-def _end(made: Served, loop: asyncio.AbstractEventLoop) -> None:
-    made.front.stop()
-    stopping = asyncio.run_coroutine_threadsafe(made.actors.stop(), loop)
+def _end(running: RunningFront, loop: asyncio.AbstractEventLoop) -> None:
+    running.front.stop()
+    stopping = asyncio.run_coroutine_threadsafe(running.actors.stop(), loop)
     stopping.result(30)
     loop.call_soon_threadsafe(loop.stop)
 
 
-async def _start(settings: HttpSettings) -> Served:
+async def _start(settings: HttpSettings) -> RunningFront:
     actors = FakeActors()
     actors.start()
     mailbox = actors.mailbox
@@ -223,7 +223,7 @@
     config = parse_config(CELL_TEXT).unwrap()
     front.view = FrontView(ProcessState.SERVING, config)
     front.start()
-    return Served(front, actors)
+    return RunningFront(front, actors)
 
 
 def _running(job_id: JobId) -> JobAnswer:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -16,12 +16,12 @@
 
 
 class ScriptedClient(Client):
-    """Gives prepared answers and notes what was asked."""
+    """Gives prepared answers and records the requests."""
 
     def __init__(self, answers: list[Any]) -> None:
         """Answer in the order given."""
         super().__init__(ClientSettings((), ''))
-        self.asked: list[str] = []
+        self.requests: list[str] = []
         self._answers = list(answers)
 
     def request(
@@ -31,7 +31,7 @@
         body: object | None = None,
     ) -> ServerAnswer:
         """Return the next prepared answer."""
-        self.asked.append(f'{method} {path}')
+        self.requests.append(f'{method} {path}')
         answer = self._answers.pop(0)
         number = answer.get('code', codes.DONE.number)
         return ServerAnswer(codes.by_number(number), answer)
@@ -49,7 +49,7 @@
     status = command_line.main(case['words'].split())
     printed = capsys.readouterr()
     assert status.value == case['exit']
-    assert client.asked == case['asked']
+    assert client.requests == case['asked']
     assert case.get('prints', '') in printed.out
     assert case.get('errors', '') in printed.err
     hidden = case.get('hides')
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -77,7 +77,7 @@
 
 
 class ConfigurationSpread(RuleBasedStateMachine):
-    """Racing operators, lost replies, restarts and cut links."""
+    """Concurrent changes, lost replies, restarts and failed links."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -106,11 +106,11 @@
         self.cell.replies_to_lose += 1
 
     @rule(name=st.sampled_from(_NAMES))
-    def cut_or_mend_store(self, name: str) -> None:
+    def cut_or_restore_store(self, name: str) -> None:
         self.cell.cut_from_store ^= {name}
 
     @rule(one=st.sampled_from(_NAMES), other=st.sampled_from(_NAMES))
-    def cut_or_mend_link(self, one: str, other: str) -> None:
+    def cut_or_restore_link(self, one: str, other: str) -> None:
         self.cell.cut_links ^= {frozenset((one, other))}
 
     @rule(name=st.sampled_from(_NAMES), generation=st.integers(1, 3))
@@ -173,7 +173,7 @@
         for position, answer in enumerate(answers, first + 1):
             if answer.code is not codes.DONE:
                 continue
-            # Two operators were told that theirs is this generation.
+            # Fails if two operators were told that they wrote this generation.
             assert expected + 1 not in self.accepted
             self.accepted[expected + 1] = f'author {position}'
 
@@ -196,7 +196,7 @@
 
 
 def test_change_reaches_all_processes_in_a_second() -> None:
-    """Guards against a spread that waits for a poll."""
+    """Guards against a change that other processes get only by a poll."""
 
     async def main() -> None:
         cell = FakeCell()
@@ -205,7 +205,7 @@
         await _change(processes[4], 1, 'second')
         # Digests of tokens are part of the document, not of a dump.
         assert 'sha256' not in str(processes[4].config.snapshot())
-        while {one.config.document.generation for one in processes} != {2}:
+        while {peer.config.document.generation for peer in processes} != {2}:
             await sleep_ms(1)
         assert now_ms() - began_ms < 1_000
 
@@ -213,7 +213,7 @@
 
 
 def test_starting_process_without_store_asks_peers() -> None:
-    """Guards against a process that is never ready while the store is out."""
+    """Guards against a process that is never ready during a store outage."""
 
     async def main() -> None:
         cell = FakeCell()
@@ -222,7 +222,7 @@
         alone = FakeProcess(cell, 'new', _DOMAINS[0], 1)
         alone.start()
         await sleep_ms(10_000)
-        # It knows no peer: nothing is in force, so requests are refused.
+        # The process knows no peer: nothing is in force, requests are refused.
         assert alone.config.document.generation == 0
         cell.cut_from_store.discard('new')
         cell.stored.pop(CONFIG_KEY)
@@ -252,7 +252,7 @@
     code: codes.ResultCode,
     problem: str,
 ) -> None:
-    """Guards against a faulty or stale change that is written."""
+    """Guards against an invalid or outdated change that is written."""
 
     async def main() -> None:
         cell = FakeCell()
@@ -266,7 +266,7 @@
 
 
 def test_lost_reply_followed_by_another_change() -> None:
-    """Guards against a conflict told to an operator whose change was taken."""
+    """Guards against a conflict reported for a change that was written."""
 
     async def main() -> None:
         cell = FakeCell()
@@ -284,8 +284,8 @@
     run_paused(main())
 
 
-def test_document_that_cannot_be_read_is_not_taken() -> None:
-    """Guards against a newer program's document that stops an older one."""
+def test_invalid_document_is_not_put_in_force() -> None:
+    """Guards against an older release that stops at a newer one's document."""
 
     async def main() -> None:
         cell = FakeCell()
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -1,4 +1,4 @@
-"""The HTTP front refuses what is wrong and keeps callers apart."""
+"""The HTTP front refuses invalid requests and isolates customers."""
 
 import socket
 from collections.abc import Iterator
@@ -18,10 +18,10 @@
     DESK,
     OPERATOR,
     STUDIO,
-    Served,
+    RunningFront,
     ask_over,
     read_answer,
-    served,
+    running_front,
 )
 
 _JOB = {
@@ -37,8 +37,8 @@
 
 
 @pytest.fixture(scope='module')
-def shared() -> Iterator[Served]:
-    with served() as front:
+def shared() -> Iterator[RunningFront]:
+    with running_front() as front:
         yield front
 
 
@@ -55,8 +55,8 @@
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
-def test_bad_submission(shared: Served, case: dict[str, Any]) -> None:
-    """Guards against a faulty body that is taken or breaks the connection."""
+def test_bad_submission(shared: RunningFront, case: dict[str, Any]) -> None:
+    """Guards against a bad body that is accepted or breaks the connection."""
     before_count = shared.actors.submits_count
     connection = shared.connect()
     status, answer = ask_over(connection, 'POST', '/v1/jobs', _body(case))
@@ -69,28 +69,30 @@
     connection.close()
 
 
-def test_right_contradictions_are_none(shared: Served) -> None:
-    """Guards against the refusal of a gang of one or a plain service."""
+def test_valid_combinations_are_accepted(shared: RunningFront) -> None:
+    """Guards against the refusal of a gang of one task or a plain service."""
     for changed in ({'workload': 'gang'}, {'workload': 'service'}):
         body = {'jobs': [_JOB | changed]}
         assert shared.ask('POST', '/v1/jobs', body)[0] == 202
 
 
-def test_batch_is_grouped_and_answered_in_order(shared: Served) -> None:
-    """Guards against answers in the order of partitions, or a call per job."""
+def test_batch_is_grouped_and_answered_in_order(shared: RunningFront) -> None:
+    """Guards against answers in partition order, or one call for each job."""
     keys = [f'key-{number}' for number in range(50)]
     before_count = shared.actors.submits_count
     body = {'jobs': [_JOB | {'idempotency_key': key} for key in keys]}
     _, answer = shared.ask('POST', '/v1/jobs', body, STUDIO)
-    assert [one['job_id'] for one in answer['answers']] == keys
+    assert [job['job_id'] for job in answer['answers']] == keys
     # The region of the design studio has two partitions.
     assert shared.actors.submits_count == before_count + 2
 
 
 @pytest.mark.parametrize('token', [None, '', 'desk', f'{DESK}x', '\xff'])
 @pytest.mark.parametrize('path', ['/v1/jobs', '/v1/config', '/v1/dump'])
-def test_unknown_token(shared: Served, path: str, token: str | None) -> None:
-    """Guards against a route that needs no token by mistake."""
+def test_unknown_token(
+    shared: RunningFront, path: str, token: str | None
+) -> None:
+    """Guards against a route that lacks authentication by mistake."""
     assert shared.ask('GET', path, None, token)[0] == 401
 
 
@@ -98,8 +100,8 @@
     'path',
     ['config', 'config/spread', 'status', 'hosts', 'dump'],
 )
-def test_routes_of_operators(shared: Served, path: str) -> None:
-    """Guards against a caller that sees the state of others."""
+def test_routes_of_operators(shared: RunningFront, path: str) -> None:
+    """Guards against a caller that can read the state of other customers."""
     assert shared.ask('GET', f'/v1/{path}')[0] == 403
     assert shared.ask('GET', f'/v1/{path}', None, OPERATOR)[0] == 200
 
@@ -130,28 +132,28 @@
     ],
 )
 def test_routes_of_callers(
-    shared: Served,
+    shared: RunningFront,
     method: str,
     path: str,
     token: str,
     code: int | None,
 ) -> None:
-    """Guards against the jobs of another customer, and wrong parameters."""
+    """Guards against access to jobs of other customers, and bad parameters."""
     status, answer = shared.ask(method, path, None, token)
     assert answer.get('code') == code
     expected = 200 if code is None else codes.by_number(code).http_status
     assert status == expected
 
 
-def test_conflict_carries_the_present_document(shared: Served) -> None:
-    """Guards against an operator who can't see what others changed."""
+def test_conflict_carries_the_present_document(shared: RunningFront) -> None:
+    """Guards against an operator who can't see the changes of others."""
     body = {'text': '', 'expected_generation': 0, 'author': 'me'}
     status, answer = shared.ask('PUT', '/v1/config', body, OPERATOR)
     assert (status, answer['generation'], answer['author']) == (409, 1, 'first')
     assert answer['document'] == CELL_TEXT
 
 
-def test_chunked_bodies(shared: Served) -> None:
+def test_chunked_bodies(shared: RunningFront) -> None:
     """Guards against a chunked body that is ignored or never ends."""
     body = '{"jobs": [{"idempotency_key": "a", "task_size": {'
     rest = '"processors_milli": 1, "memory_mb": 1}}]}'
@@ -168,8 +170,8 @@
     connection.close()
 
 
-def test_broken_chunk_closes_the_connection(shared: Served) -> None:
-    """Guards against the rest of a broken body that is read as a request."""
+def test_malformed_chunk_closes_the_connection(shared: RunningFront) -> None:
+    """Guards against the rest of a malformed body that is read as a request."""
     with socket.create_connection(('127.0.0.1', shared.front.port)) as raw:
         raw.sendall(
             b'POST /v1/jobs HTTP/1.1\r\nHost: a\r\n'
@@ -181,10 +183,10 @@
 
 
 def test_waits_leave_threads_for_others() -> None:
-    """Guards against waiting callers that use up all threads."""
+    """Guards against waiting requests that occupy all threads."""
     path = '/v1/jobs/rajkot.0-7?wait_ms=30000'
     limits = {'threads_count': 4, 'waits_max_count': 2}
-    with served(**limits) as front, ThreadPoolExecutor(2) as pool:
+    with running_front(**limits) as front, ThreadPoolExecutor(2) as pool:
         waiting = [pool.submit(front.ask, 'GET', path) for _ in range(2)]
         while len(front.actors.waiting) < 2:
             assert front.ask('GET', '/healthz')[0] == 200
@@ -195,14 +197,14 @@
         tick = messages.Tick()
         loop = front.front.bridge.loop
         loop.call_soon_threadsafe(front.actors.mailbox.send, tick)
-        ended = {one.result()[1]['code'] for one in waiting}
+        ended = {query.result()[1]['code'] for query in waiting}
         assert ended == {codes.NOT_FINISHED.number}
 
 
 def test_drain_answers_waiting_callers() -> None:
-    """Guards against a wait that a shutdown cuts off."""
+    """Guards against a waiting request that a shutdown leaves unanswered."""
     path = '/v1/jobs/rajkot.0-7?wait_ms=30000'
-    with served() as front, ThreadPoolExecutor(1) as pool:
+    with running_front() as front, ThreadPoolExecutor(1) as pool:
         waiting = pool.submit(front.ask, 'GET', path)
         while not front.actors.waiting:
             assert front.ask('GET', '/healthz')[0] == 200
@@ -213,8 +215,8 @@
 
 
 def test_overload_and_missing_configuration() -> None:
-    """Guards against work that is begun when it can only get late."""
-    with served(requests_max_count=1) as front:
+    """Guards against work that starts when it would be answered too late."""
+    with running_front(requests_max_count=1) as front:
         with front.front.bridge.admitted():
             status, answer = front.ask('GET', '/v1/jobs')
             assert (status, answer['code']) == (503, codes.OVERLOADED.number)
@@ -235,8 +237,8 @@
         connection.close()
 
 
-def test_metrics_are_bounded(shared: Served) -> None:
-    """Guards against labels that grow with callers, and secrets in them."""
+def test_metrics_are_bounded(shared: RunningFront) -> None:
+    """Guards against labels that grow with callers, and tokens in metrics."""
     connection = shared.connect()
     connection.request('GET', '/metrics')
     text = connection.getresponse().read().decode()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Processes find each other, notice silent ones and forget old news."""
+"""Processes find each other, detect failures and ignore outdated gossip."""
 
 from collections.abc import Iterable
 
@@ -24,7 +24,7 @@
     return processes
 
 
-def _seen(process: FakeProcess, reachable: bool = True) -> list[str]:
+def _in_view(process: FakeProcess, reachable: bool = True) -> list[str]:
     return [
         member.detail.process
         for member in process.membership.table.members()
@@ -36,35 +36,37 @@
     return [process.process for process in processes]
 
 
-def test_all_find_each_other_and_notice_a_silent_one() -> None:
-    """Guards against a view that misses a process or keeps a dead one."""
+def test_all_find_each_other_and_detect_a_failure() -> None:
+    """Guards against a view that misses a process or keeps a failed one."""
 
     async def main() -> None:
         cell = FakeCell()
         processes = _start(cell, 8)
         await sleep_ms(5_000)
         for process in processes:
-            assert _seen(process) == _names(processes)
+            assert _in_view(process) == _names(processes)
         killed = processes.pop(3)
         await killed.stop()
         await sleep_ms(9_000)
         for process in processes:
-            assert _seen(process, reachable=False) == [killed.process]
+            assert _in_view(process, reachable=False) == [killed.process]
         await sleep_ms(2 * _REMOVED_AFTER_MS)
         for process in processes:
             assert len(process.membership.table.members()) == 7
         restarted = FakeProcess(cell, killed.process, _DOMAINS[0], 2)
         restarted.start()
         await sleep_ms(5_000)
-        assert _seen(processes[0]) == _names(
-            sorted([*processes, restarted], key=lambda one: one.process),
+        assert _in_view(processes[0]) == _names(
+            sorted(
+                [*processes, restarted], key=lambda process: process.process
+            ),
         )
 
     run_paused(main())
 
 
 def test_restart_with_an_earlier_clock_is_seen() -> None:
-    """Guards against a process that is ignored after its clock stepped back."""
+    """Guards against a process that is ignored after its clock is set back."""
 
     async def main() -> None:
         cell = FakeCell()
@@ -82,8 +84,8 @@
     run_paused(main())
 
 
-def test_halves_find_each_other_after_a_cut() -> None:
-    """Guards against a cut after which two halves stay apart for good."""
+def test_split_is_healed_when_links_recover() -> None:
+    """Guards against a network split that lasts after its links recover."""
 
     async def main() -> None:
         cell = FakeCell()
@@ -95,17 +97,17 @@
             for other in processes[3:]
         }
         await sleep_ms(3 * _REMOVED_AFTER_MS)
-        assert _seen(processes[0]) == _names(processes[:3])
+        assert _in_view(processes[0]) == _names(processes[:3])
         cell.cut_links.clear()
         await sleep_ms(2 * _REMOVED_AFTER_MS)
         for process in processes:
-            assert _seen(process) == _names(processes)
+            assert _in_view(process) == _names(processes)
 
     run_paused(main())
 
 
 def test_directory_changes_on_join_and_leave_only() -> None:
-    """Guards against heartbeats that cost writes to the store."""
+    """Guards against heartbeats that write to the store."""
 
     async def main() -> None:
         cell = FakeCell()
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -21,7 +21,7 @@
 from fuchsiarill.routing import RouteStale
 from fuchsiarill.settings import PeerSettings
 
-# The verdict is the same if the link has not noticed the end by then.
+# The test also holds if the link has not noticed the lost connection by then.
 _NOTICED_MS: Final = 200
 _ANSWER_MS: Final = 20_000
 
@@ -33,8 +33,8 @@
         return port
 
 
-class _Servant(SCHEMA.Peer.Server):  # type: ignore[misc]
-    """Answers at once, or never while its peer is silent."""
+class _PeerHandler(SCHEMA.Peer.Server):  # type: ignore[misc]
+    """Answers at once, or never while its connection is silent."""
 
     def __init__(self, peer: '_Peer') -> None:
         self._peer = peer
@@ -62,8 +62,8 @@
             call_timeout_ms=timeout_ms,
             batch_max_count=5,
         )
-        self.hang_up = asyncio.Event()
-        self.silent: set[_Servant] = set()
+        self.disconnect = asyncio.Event()
+        self.silent: set[_PeerHandler] = set()
         self.silent_count = 0
         self.batches: list[int] = []
         self.router = Mailbox()
@@ -91,14 +91,14 @@
         await self.link.stop()
         await self.peers.stop()
 
-    async def answering(self, servant: _Servant) -> None:
-        """The first `silent_count` connections never answer."""
+    async def answering(self, handler: _PeerHandler) -> None:
+        """Never return on the first `silent_count` connections."""
         if len(self.silent) < self.silent_count:
-            self.silent.add(servant)
-        if servant in self.silent:
+            self.silent.add(handler)
+        if handler in self.silent:
             await asyncio.Event().wait()
 
-    async def ask(self) -> JobAnswer:
+    async def query(self) -> JobAnswer:
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CustomerId('a'), JobId('p-1'))
         self.link.mailbox.send(QueryJob(query, reply))
@@ -112,8 +112,8 @@
         return [answer.job_id or '' for answer in answers]
 
     async def _connected(self, stream: Any) -> None:
-        server = capnp.TwoPartyServer(stream, bootstrap=_Servant(self))
-        await self.hang_up.wait()
+        server = capnp.TwoPartyServer(stream, bootstrap=_PeerHandler(self))
+        await self.disconnect.wait()
         stream.close()
         await server.on_disconnect()
 
@@ -142,17 +142,17 @@
 
 
 def test_lost_connection_leaves_process_alive() -> None:
-    """Guards against an abort by capnp after a peer hung up while idle."""
+    """Guards against an abort by capnp when an idle connection is closed."""
 
     async def main() -> list[JobAnswer]:
         peer = _Peer()
         await peer.start()
-        answers = [await peer.ask()]
-        peer.hang_up.set()
+        answers = [await peer.query()]
+        peer.disconnect.set()
         await sleep_ms(_NOTICED_MS)
-        answers.append(await peer.ask())
-        peer.hang_up.clear()
-        answers.append(await peer.ask())
+        answers.append(await peer.query())
+        peer.disconnect.clear()
+        answers.append(await peer.query())
         await peer.stop()
         return answers
 
@@ -169,7 +169,7 @@
         peer = _Peer(timeout_ms=1_000)
         peer.silent_count = 1
         await peer.start()
-        assert (await peer.ask()).code is codes.NOT_FINISHED
+        assert (await peer.query()).code is codes.NOT_FINISHED
         assert await peer.submit('a') == ['a']
         assert not len(peer.router)
         await peer.stop()
@@ -177,8 +177,8 @@
     _run(main())
 
 
-def test_uncertain_outcome_is_said_and_reported() -> None:
-    """Guards against a submission that is called not sent after it was."""
+def test_uncertain_outcome_is_reported() -> None:
+    """Guards against a sent submission that is reported as not sent."""
 
     async def main() -> None:
         peer = _Peer(timeout_ms=1_000)
@@ -194,35 +194,35 @@
 
 
 def test_stopped_link_answers_its_callers() -> None:
-    """Guards against callers that wait when the owner has changed."""
+    """Guards against callers that wait after the owner has changed."""
 
     async def main() -> None:
         peer = _Peer(timeout_ms=_ANSWER_MS)
         peer.silent_count = 1
         await peer.start()
-        asked = asyncio.ensure_future(peer.ask())
+        queried = asyncio.ensure_future(peer.query())
         submitted: Reply[tuple[JobAnswer, ...]] = Reply()
         specs = tuple(_spec(str(number)) for number in range(50))
         peer.link.mailbox.send(SubmitJobs(specs, submitted))
         while not peer.batches:
             await sleep_ms(1)
         await peer.link.stop()
-        assert (await asked).code is codes.OUTCOME_UNCERTAIN
-        answered = {one.code for one in await submitted.wait(_ANSWER_MS)}
+        assert (await queried).code is codes.OUTCOME_UNCERTAIN
+        answered = {answer.code for answer in await submitted.wait(_ANSWER_MS)}
         assert answered <= {codes.OUTCOME_UNCERTAIN, codes.OWNER_UNAVAILABLE}
         await peer.stop()
 
     _run(main())
 
 
-def test_absent_process_is_said_to_be_unavailable() -> None:
-    """Guards against uncertainty about a call that was never sent."""
+def test_absent_process_is_reported_unavailable() -> None:
+    """Guards against an uncertain outcome of a call that was never sent."""
 
     async def main() -> None:
         peer = _Peer()
         peer.peers.start()
         peer.link.start()
-        assert (await peer.ask()).code is codes.OWNER_UNAVAILABLE
+        assert (await peer.query()).code is codes.OWNER_UNAVAILABLE
         await peer.link.stop()
         await peer.peers.stop()
 
@@ -230,13 +230,13 @@
 
 
 def test_submissions_are_merged_and_answered_in_order() -> None:
-    """Guards against answers that go to another request."""
+    """Guards against answers that are assigned to another request."""
 
     async def main() -> None:
         peer = _Peer()
         await peer.start()
-        keys = [[f'{one}.{two}' for two in range(3)] for one in range(40)]
-        answers = await asyncio.gather(*(peer.submit(*one) for one in keys))
+        keys = [[f'{batch}.{job}' for job in range(3)] for batch in range(40)]
+        answers = await asyncio.gather(*(peer.submit(*batch) for batch in keys))
         assert answers == keys
         assert max(peer.batches) == 5
         assert len(peer.batches) < len(keys)
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -66,7 +66,7 @@
 
 
 class _Receiver(Actor):
-    """Stands for all actors of the other process."""
+    """Replaces all actors of the other process."""
 
     def __init__(self) -> None:
         super().__init__('receiver')
@@ -100,15 +100,15 @@
                 message.reply.answer(_ANSWERS)
             case messages.ExplainJob():
                 self.received.append(message.query)
-                why = JobExplanation(
+                explanation = JobExplanation(
                     _ANSWERS[0], {'reason': 'room', 'wanted': 3}
                 )
-                message.reply.answer(why)
+                message.reply.answer(explanation)
             case messages.QueryJob():
-                """Left without answer, as by an owner that is too slow."""
+                """Never answered, as by an owner that is too slow."""
 
 
-async def _converse() -> list[Any]:
+async def _make_calls() -> list[Any]:
     with closing(socket.socket()) as probe:
         probe.bind(('127.0.0.1', 0))
         port = probe.getsockname()[1]
@@ -134,7 +134,7 @@
         await calls.fetch_config(address),
         await calls.dump(address),
     ]
-    found.extend(await _ask_about_jobs(link))
+    found.extend(await _make_job_calls(link))
     found.append(len(router))
     server.close()
     await link.stop()
@@ -143,53 +143,55 @@
     return [*found, receiver.received]
 
 
-async def _ask_about_jobs(link: OwnerLink) -> list[Any]:
+async def _make_job_calls(link: OwnerLink) -> list[Any]:
     listed: Reply[Any] = Reply()
     query = JobList(CustomerId('a'), JobState.RUNNING, 7)
     link.mailbox.send(messages.ListJobs(query, listed))
-    why: Reply[Any] = Reply()
-    about = JobQuery(CustomerId('a'), JobId('b'))
-    link.mailbox.send(messages.ExplainJob(about, why))
+    explained: Reply[Any] = Reply()
+    job_query = JobQuery(CustomerId('a'), JobId('b'))
+    link.mailbox.send(messages.ExplainJob(job_query, explained))
     slow: Reply[Any] = Reply()
-    link.mailbox.send(messages.QueryJob(about, slow))
-    return [await one.wait(20_000) for one in (listed, why, slow)]
+    link.mailbox.send(messages.QueryJob(job_query, slow))
+    return [await reply.wait(20_000) for reply in (listed, explained, slow)]
 
 
 @pytest.fixture(scope='module')
-def conversation() -> list[Any]:
+def call_results() -> list[Any]:
     async def main() -> list[Any]:
         async with capnp.kj_loop():
-            return await _converse()
+            return await _make_calls()
 
     return asyncio.run(main())
 
 
-def test_cluster_messages_arrive_whole(conversation: list[Any]) -> None:
+def test_cluster_messages_keep_every_field(call_results: list[Any]) -> None:
     """Guards against a field that the encoding leaves out."""
-    assert conversation[:4] == [
+    assert call_results[:4] == [
         Success(_GOSSIP),
         Success(Generation(9)),
         Success(NO_DOCUMENT),
         Success('{}'),
     ]
-    assert conversation[-1][:2] == [_GOSSIP, _DOCUMENT]
+    assert call_results[-1][:2] == [_GOSSIP, _DOCUMENT]
 
 
-def test_job_messages_arrive_whole(conversation: list[Any]) -> None:
-    """Guards against an answer that loses a field on the way."""
-    listed, why = conversation[4:6]
+def test_job_messages_keep_every_field(call_results: list[Any]) -> None:
+    """Guards against an answer that loses a field in transit."""
+    listed, explained = call_results[4:6]
     assert listed == _ANSWERS
-    assert why == JobExplanation(_ANSWERS[0], {'reason': 'room', 'wanted': 3})
-    assert conversation[-1][2:] == [
+    assert explained == JobExplanation(
+        _ANSWERS[0], {'reason': 'room', 'wanted': 3}
+    )
+    assert call_results[-1][2:] == [
         JobList(CustomerId('a'), JobState.RUNNING, 7),
         JobQuery(CustomerId('a'), JobId('b')),
     ]
 
 
-def test_slow_owner_does_not_cost_the_connection(
-    conversation: list[Any],
+def test_slow_owner_does_not_close_the_connection(
+    call_results: list[Any],
 ) -> None:
-    """Guards against a slow owner that is taken for a dead one."""
-    slow, stale_count = conversation[6:8]
+    """Guards against a slow owner that is regarded as unreachable."""
+    slow, stale_count = call_results[6:8]
     assert slow.code is codes.OUTCOME_UNCERTAIN
     assert stale_count == 0
