Say "this process" in doc comments of membership

"The own process" is not English usage, and some doc comments still began with "what".

Doc comments of the member table, the membership actor, the store evidence and the command registry are reworded; no name changes.

--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -93,7 +93,7 @@
 
 
 class MemberTable:
-    """All known members, the own process included."""
+    """All known members, including this process."""
 
     def __init__(
         self,
@@ -101,7 +101,7 @@
         own: MemberDetail,
         now_ms: int,
     ) -> None:
-        """Start with the own process only."""
+        """Start with this process only."""
         self._settings = settings
         self._own_id = own.process
         beat = Beat(own.key, 0, NO_GENERATION, 0)
@@ -112,7 +112,7 @@
 
     @property
     def own(self) -> Member:
-        """Return the own process."""
+        """Return the member that stands for this process."""
         return self._members[self._own_id]
 
     def members(self) -> tuple[Member, ...]:
@@ -120,7 +120,7 @@
         return tuple(self._members[name] for name in sorted(self._members))
 
     def update_own(self, detail: MemberDetail) -> None:
-        """Publish a new version of the own detail."""
+        """Publish a new version of the detail of this process."""
         own = self.own
         changed = replace(detail, version=own.detail.version + 1)
         beat = replace(own.beat, key=changed.key)
@@ -134,7 +134,7 @@
         *,
         store_is_down: bool = False,
     ) -> tuple[Member, ...]:
-        """Increment the own heartbeat and check the members for silence.
+        """Increment this process's heartbeat and check the others for silence.
 
         Returns the members that were removed from the view.
         """
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -65,21 +65,21 @@
 
 @dataclass(frozen=True, slots=True)
 class StateChanged:
-    """The own process entered a state."""
+    """This process entered a state."""
 
     state: ProcessState
 
 
 @dataclass(frozen=True, slots=True)
 class PartitionsOwned:
-    """The own process owns these partitions."""
+    """This process owns these partitions."""
 
     partitions: tuple[PartitionId, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class GenerationInForce:
-    """This generation of the configuration is in force in the own process."""
+    """This generation of the configuration is in force in this process."""
 
     generation: Generation
 
@@ -93,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreHealthChanged:
-    """The store became unreachable from the own process, or reachable."""
+    """The store became unreachable from this process, or reachable again."""
 
     is_down: bool
 
@@ -135,7 +135,7 @@
         peers: PeerPort,
         random_source: random.Random,
     ) -> None:
-        """Start with the own process only; needs a running loop."""
+        """Start with this process only; needs a running loop."""
         super().__init__('membership')
         self.subscribers: list[Mailbox] = []
         self.table = MemberTable(settings, own, now_ms())
@@ -205,12 +205,12 @@
 
     @handles(StateChanged)
     async def on_state(self, message: StateChanged) -> None:
-        """Publish the state of the own process."""
+        """Publish the state of this process."""
         self._update_own(replace(self.table.own.detail, state=message.state))
 
     @handles(PartitionsOwned)
     async def on_partitions(self, message: PartitionsOwned) -> None:
-        """Publish the partitions that the own process owns."""
+        """Publish the partitions that this process owns."""
         own = self.table.own.detail
         self._update_own(replace(own, partitions=message.partitions))
 
--- a/fuchsiarill/cluster/store_evidence.py
+++ b/fuchsiarill/cluster/store_evidence.py
@@ -26,7 +26,7 @@
         members: tuple[Member, ...],
         call: tuple[str, int],
     ) -> None:
-        """Record what the process at an address reports about the store.
+        """Record the state of the store as reported from an address.
 
         `call` is the address and the time at which the call was sent. Evidence
         is required from the failure domain of every other process seen in the
--- a/fuchsiarill/commands/command.py
+++ b/fuchsiarill/commands/command.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandAnswer:
-    """What a command prints and how it ends.
+    """Output and result of a command.
 
     `content` is a mapping or a list of mappings; `notes` are messages for
     the user, printed to standard error.
