--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins of the outside systems, for tests and the demo."""
+"""Stand-ins of the outside systems for tests and the demo."""
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -1,10 +1,10 @@
-"""A model of the workers' agents, in memory, by the runtime clock.
+"""In-memory model of the agents on the workers, timed by the runtime clock.
 
-It keeps the promises that workers make (fencing, leases, ends that are listed
-until they are acknowledged) and notes what no owner may ever bring about.
-The payload of a job tells how its tasks behave: `duration_ms`, `fails`, the
-number of attempts of each task that end as failed, and `size`, what a task
-uses, unless a test has put that into `sizes`.
+It implements the guarantees of workers (fencing, leases, ends that are listed
+until they are acknowledged) and records violations that no owner may cause.
+The payload of a job controls its tasks: `duration_ms`; `fails`, the number of
+attempts of each task that end as failed; and `size`, the resources that a
+task uses. Without `size`, the entry of the task in `sizes` applies.
 """
 
 import json
@@ -35,8 +35,8 @@
 )
 from fuchsiarill.resources import NOTHING, Resources
 
-_TRAVEL_MS = 5
-_POLL_MS = 5
+_NETWORK_DELAY_MS = 5
+_POLL_INTERVAL_MS = 5
 _LEASE_MAX_MS = 6000
 _FULL_PERCENT = 100
 
@@ -53,44 +53,44 @@
 
 @dataclass(slots=True)
 class AgentModel:
-    """One life of a worker."""
+    """One incarnation of a worker, from its start to its restart."""
 
     worker: WorkerId
     capacity: Resources
     born_ms: BornMs
     sizes: dict[TaskKey, Resources]
     epoch: int = 0
-    lease_ms: int = 0
+    lease_expiry_ms: int = 0
     runs: dict[tuple[TaskKey, int], _ModelRun] = field(default_factory=dict)
     ended: list[EndRow] = field(default_factory=list)
     ends_count: int = 0
-    refused_up_to: dict[TaskKey, int] = field(default_factory=dict)
+    highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
     is_silent: bool = False
-    # Starts are carried out, and no answer comes.
+    # Starts are carried out, but not answered.
     loses_answers: bool = False
-    # Every run ends as failed at once.
+    # Every run fails as soon as it starts.
     fails_all: bool = False
 
     def clock_ms(self) -> int:
-        """Return the time since the worker started."""
+        """Return the worker's clock, which starts at zero with the worker."""
         return now_ms() - self.born_ms
 
-    def settle(self) -> None:
-        """End what has run its time or has lapsed."""
+    def end_due_runs(self) -> None:
+        """End the runs whose duration or lease is over."""
         now = now_ms()
         for run in list(self.runs.values()):
             if run.ends_ms is not None and run.ends_ms <= now:
                 self.end(run, run.kind)
-        if self.clock_ms() > self.lease_ms:
+        if self.clock_ms() > self.lease_expiry_ms:
             for run in list(self.runs.values()):
                 self.end(run, EndKind.LAPSED)
 
     def end(self, run: _ModelRun, kind: EndKind) -> None:
-        """End a run and list the end."""
+        """End a run, list its end, and refuse the attempt from then on."""
         self.runs.pop((run.task, run.attempt))
         self.ends_count += 1
-        self.refused_up_to[run.task] = max(
-            self.refused_up_to.get(run.task, 0),
+        self.highest_refused_attempt[run.task] = max(
+            self.highest_refused_attempt.get(run.task, 0),
             run.attempt,
         )
         self.ended.append(
@@ -103,19 +103,21 @@
             ),
         )
 
-    def extend(self, expiry_ms: int | None) -> None:
-        """Extend the leases; they never get shorter."""
+    def extend_leases(self, expiry_ms: int | None) -> None:
+        """Extend the leases; an earlier expiry does not shorten them."""
         if expiry_ms is not None:
             longest_ms = self.clock_ms() + _LEASE_MAX_MS
-            self.lease_ms = max(self.lease_ms, min(expiry_ms, longest_ms))
+            self.lease_expiry_ms = max(
+                self.lease_expiry_ms, min(expiry_ms, longest_ms)
+            )
 
     def used(self) -> Resources:
-        """Return what all runs hold together."""
+        """Return the sum of the resources that the runs use."""
         return sum((run.size for run in self.runs.values()), NOTHING)
 
 
 class Fleet:
-    """All workers, reached as an `AgentPort`, and what went wrong there."""
+    """An `AgentPort` to all workers, which also records violations."""
 
     def __init__(self) -> None:
         """Start without workers."""
@@ -126,7 +128,7 @@
         self.succeeded: dict[TaskKey, WorkerId] = {}
 
     def add(self, worker: str, capacity: Resources) -> AgentModel:
-        """Add a worker, or a new life of one."""
+        """Add a worker, or replace it by a new incarnation without runs."""
         agent = AgentModel(
             WorkerId(worker),
             capacity,
@@ -142,14 +144,14 @@
         order: StartOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Start a run."""
+        """Start a run unless the same attempt is already running."""
         model = await self._reach(agent, timeout_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        failure = self._check(model, order)
+        failure = self._find_rejection(model, order)
         if failure is not None:
             return Failure(failure)
-        self._begin(model, order)
+        self._start_run(model, order)
         if model.loses_answers:
             await sleep_ms(timeout_ms)
             return Failure(AgentFailure.UNKNOWN)
@@ -161,15 +163,15 @@
         order: StopOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Stop a run, and refuse it from now on."""
+        """Stop a run, and refuse later starts of its attempt."""
         model = await self._reach(agent, timeout_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
         if order.epoch < model.epoch:
             return Failure(AgentFailure.FENCED)
         model.epoch = order.epoch
-        model.refused_up_to[order.task] = max(
-            model.refused_up_to.get(order.task, 0),
+        model.highest_refused_attempt[order.task] = max(
+            model.highest_refused_attempt.get(order.task, 0),
             order.attempt,
         )
         run = model.runs.get((order.task, order.attempt))
@@ -183,7 +185,7 @@
         order: PaceOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Accept a pace without effect."""
+        """Accept a change of pace; the model ignores it."""
         model = await self._reach(agent, timeout_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
@@ -195,23 +197,26 @@
         order: RenewalOrder,
         timeout_ms: int,
     ) -> Result[WorkerReport, AgentFailure]:
-        """Renew the leases and return what runs and has ended."""
+        """Renew the leases and return the running and the ended attempts.
+
+        Waits up to `order.wait_ms` for an end that is not acknowledged.
+        """
         model = await self._reach(agent, timeout_ms + order.wait_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
         if order.epoch < model.epoch:
             return Failure(AgentFailure.FENCED)
         model.epoch = order.epoch
-        model.extend(order.expiry_ms)
+        model.extend_leases(order.expiry_ms)
         model.ended = [
             end for end in model.ended if end.sequence > order.acknowledged
         ]
         deadline_ms = now_ms() + order.wait_ms
         while not model.ended and now_ms() < deadline_ms:
-            await sleep_ms(_POLL_MS)
-            model.settle()
-        await sleep_ms(_TRAVEL_MS)
-        model.settle()
+            await sleep_ms(_POLL_INTERVAL_MS)
+            model.end_due_runs()
+        await sleep_ms(_NETWORK_DELAY_MS)
+        model.end_due_runs()
         return Success(self._report(model))
 
     async def _reach(
@@ -225,24 +230,24 @@
         if model.is_silent:
             await sleep_ms(timeout_ms)
             return AgentFailure.UNKNOWN
-        await sleep_ms(_TRAVEL_MS)
+        await sleep_ms(_NETWORK_DELAY_MS)
         if model.worker != agent.worker:
             return AgentFailure.OTHER_WORKER
-        self._settle_all()
+        self._end_all_due_runs()
         return model
 
-    def _settle_all(self) -> None:
+    def _end_all_due_runs(self) -> None:
         for model in self.agents.values():
             before = {run.task for run in model.runs.values()}
-            count = model.ends_count
-            model.settle()
-            if model.ends_count == count:
+            previous_count = model.ends_count
+            model.end_due_runs()
+            if model.ends_count == previous_count:
                 continue
             for end in model.ended:
                 if end.kind is EndKind.SUCCEEDED and end.task in before:
                     self.succeeded.setdefault(end.task, model.worker)
 
-    def _check(
+    def _find_rejection(
         self,
         model: AgentModel,
         order: StartOrder,
@@ -250,17 +255,17 @@
         if order.epoch < model.epoch:
             return AgentFailure.FENCED
         model.epoch = order.epoch
-        if order.attempt <= model.refused_up_to.get(order.task, 0):
+        if order.attempt <= model.highest_refused_attempt.get(order.task, 0):
             return AgentFailure.SUPERSEDED
         if order.expiry_ms < model.clock_ms():
             return AgentFailure.EXPIRED
         return None
 
-    def _begin(self, model: AgentModel, order: StartOrder) -> None:
+    def _start_run(self, model: AgentModel, order: StartOrder) -> None:
         if (order.task, order.attempt) in model.runs:
             return
-        self._note(model, order)
-        model.extend(order.expiry_ms)
+        self._record_start(model, order)
+        model.extend_leases(order.expiry_ms)
         behaviour: dict[str, Any] = json.loads(order.payload or '{}')
         duration_ms = behaviour.get('duration_ms')
         is_failing = order.attempt <= behaviour.get('fails', 0)
@@ -284,32 +289,32 @@
         order: StartOrder,
         behaviour: dict[str, Any],
     ) -> Resources:
-        told = behaviour.get('size')
-        if told is None:
+        size_in_payload = behaviour.get('size')
+        if size_in_payload is None:
             return self.sizes.get(order.task, NOTHING)
-        return Resources(*told)
+        return Resources(*size_in_payload)
 
-    def _note(self, model: AgentModel, order: StartOrder) -> None:
-        """Note a start, and what it breaks."""
+    def _record_start(self, model: AgentModel, order: StartOrder) -> None:
+        """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
-        if self._is_success_known(order.task):
+        if self._must_success_be_recorded(order.task):
             self.violations.append(f'{order.task} starts after its success')
         for other in self.agents.values():
             if any(task == order.task for task, _ in other.runs):
                 self.violations.append(f'{order.task} runs twice')
 
-    def _is_success_known(self, task: TaskKey) -> bool:
-        """Tell whether a task's success is certain to be taken note of.
+    def _must_success_be_recorded(self, task: TaskKey) -> bool:
+        """Tell whether an owner must record, or have recorded, a success.
 
-        A success whose worker's leases lapsed before it was acknowledged
-        need not be: nobody may have heard of it.
+        It need not when the worker's leases lapsed before the success was
+        acknowledged: the report may have reached no owner.
         """
         worker = self.succeeded.get(task)
         if worker is None:
             return False
         model = self.agents[worker]
         is_listed = any(end.task == task for end in model.ended)
-        return not is_listed or model.clock_ms() <= model.lease_ms
+        return not is_listed or model.clock_ms() <= model.lease_expiry_ms
 
     def _report(self, model: AgentModel) -> WorkerReport:
         return WorkerReport(
--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -1,1 +1,1 @@
-"""The users' platform on loopback, as one process."""
+"""Emulator of the users' platform: one process on loopback ports."""
--- a/standins/emulator/__main__.py
+++ b/standins/emulator/__main__.py
@@ -1,7 +1,8 @@
 """Runs the emulator until SIGTERM or SIGINT.
 
-Each process of the scheduler gets a port of its own for the store, so that
-its path can fail alone. The first port serves workers and advice too.
+Each scheduler process uses a separate store port, so that its path to the
+store can fail alone. All ports serve the same routes; workers and advice are
+reached on the first.
 """
 
 import argparse
@@ -18,16 +19,16 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     cell = EmulatedCell(workers_count, len(ports))
-    for port, path in zip(ports, cell.doors, strict=True):
+    for port, path in zip(ports, cell.store_paths, strict=True):
         HttpEndpoint(cell, port, path, loop).start()
     address = f'{LOOPBACK}:{ports[0]}'
-    running = asyncio.create_task(cell.run(address))
+    cell_task = asyncio.create_task(cell.run(address))
     await stopping.wait()
-    running.cancel()
+    cell_task.cancel()
 
 
 def main() -> None:
-    """Serve until SIGTERM or SIGINT."""
+    """Parse the options and serve until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(prog='standins.emulator')
     parser.add_argument('--workers', type=int, default=6)
     parser.add_argument('--ports', type=int, nargs='+', required=True)
--- a/standins/emulator/calls.py
+++ b/standins/emulator/calls.py
@@ -1,4 +1,4 @@
-"""Calls that the emulator takes, and the registry of their routes."""
+"""Calls to the emulator, their answers and the registry of routes."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Status and document of an answer."""
+    """HTTP status and JSON document of an answer."""
 
     status: int
     document: Any = field(default_factory=dict)
@@ -19,25 +19,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A request, read from the wire."""
+    """A parsed HTTP request."""
 
     path: str
     query: dict[str, str]
     document: dict[str, Any]
     instance: str
-    # Port of the store through which the call came.
+    # Path to the store that belongs to the port of the call.
     store_path: StorePath
 
     @property
     def last_part(self) -> str:
-        """Return what follows the last slash of the path."""
+        """Return the last segment of the path."""
         return self.path.rpartition('/')[2]
 
 
-# For a call whose caller has given up by now; what it gets does not matter.
+# For a call whose caller has already timed out; its content is not used.
 UNANSWERED: Final = Answer(500)
 
 Route = Callable[[EmulatedCell, Call], Awaitable[Answer]]
 
-# By method and first part of the path.
+# Keys are the method and the first segment of the path.
 ROUTES: Final[Registry[str, Route]] = Registry('routes of the emulator')
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -1,4 +1,4 @@
-"""The models, and the documents that workers and operators write."""
+"""State of the emulator: the models and the documents in the store."""
 
 import json
 from typing import Any, Final
@@ -19,36 +19,38 @@
 
 
 class EmulatedCell:
-    """The models, and the documents that workers and operators write."""
+    """Holds the models and writes the documents of workers and operators."""
 
-    def __init__(self, workers_count: int, doors_count: int) -> None:
-        """Create the workers; `run` keeps their entries alive."""
+    def __init__(self, workers_count: int, store_paths_count: int) -> None:
+        """Create the models; `run` adds the workers and their entries."""
         self.store = StoreModel()
         self.fleet = Fleet()
-        self.doors = [StorePath(self.store) for _ in range(doors_count)]
+        self.store_paths = [
+            StorePath(self.store) for _ in range(store_paths_count)
+        ]
         self._workers_count = workers_count
-        self._beats_count = 0
+        self._heartbeats_count = 0
 
     async def run(self, address: str) -> None:
-        """Write the configuration, then the workers' entries for ever.
+        """Write the configuration, then the workers' entries periodically.
 
-        All workers are reached at `address`; calls name the one they mean.
+        All workers share `address`; a header of each call names the worker.
         """
         self._put('op/config', _configuration())
         for number in range(self._workers_count):
             self.fleet.add(f'w{number}', CAPACITY)
         while True:
-            self._beats_count += 1
+            self._heartbeats_count += 1
             for number, agent in enumerate(self.fleet.agents.values()):
-                self._list(agent, number, address)
+                self._write_worker_entry(agent, number, address)
             await sleep_ms(_HEARTBEAT_MS)
 
     def restart(self, name: str) -> None:
-        """Begin a new life of a worker."""
+        """Replace a worker by a new incarnation, which runs nothing."""
         self.fleet.add(name, CAPACITY)
 
-    def seen(self) -> dict[str, Any]:
-        """Return what workers and the store have seen."""
+    def observations(self) -> dict[str, Any]:
+        """Return the violations, the started jobs and the current owner."""
         owner = self.store.found.get(StoreKey(f'control/owner/{POOL}'))
         return {
             'violations': self.fleet.violations,
@@ -62,7 +64,9 @@
         content = json.dumps(document).encode()
         self.store.write(KvWrite(StoreKey(key), content))
 
-    def _list(self, agent: AgentModel, number: int, address: str) -> None:
+    def _write_worker_entry(
+        self, agent: AgentModel, number: int, address: str
+    ) -> None:
         self._put(
             f'servers/{agent.worker}',
             {
@@ -79,7 +83,7 @@
                     'gpu': 0,
                 },
                 'labels': ['a', f'r{number // _RACK_SIZE}'],
-                'seq_no': self._beats_count,
+                'seq_no': self._heartbeats_count,
                 'born': agent.born_ms,
             },
         )
--- a/standins/emulator/controls.py
+++ b/standins/emulator/controls.py
@@ -1,7 +1,7 @@
 """Faults of the emulator, set by `POST /control`.
 
-The body names faults with their settings; the answer is what workers and the
-store have seen.
+The body maps names of faults to settings. The answer has the violations, the
+started jobs and the current owner.
 """
 
 from collections.abc import Callable
@@ -21,37 +21,37 @@
 async def _control(cell: EmulatedCell, call: Call) -> Answer:
     for name, setting in call.document.items():
         CONTROLS.lookup(name)(cell, setting)
-    return Answer(200, cell.seen())
+    return Answer(200, cell.observations())
 
 
 @CONTROLS.register('store_fault')
 def _set_store_fault(cell: EmulatedCell, setting: dict[str, str]) -> None:
-    """Let the path of single processes fail: a fault by number of its port."""
+    """Set the faults of store paths, by the position of their port."""
     for number, fault in setting.items():
-        cell.doors[int(number)].fault = PathFault(fault)
+        cell.store_paths[int(number)].fault = PathFault(fault)
 
 
 @CONTROLS.register('compact')
 def _compact(cell: EmulatedCell, setting: bool) -> None:
-    """Drop the history of the store."""
+    """Compact the store, which drops its history."""
     cell.store.compact()
 
 
 @CONTROLS.register('restart_worker')
 def _restart_worker(cell: EmulatedCell, setting: str) -> None:
-    """End a worker with all that it runs, and begin a new life."""
+    """Restart a worker, which ends all its runs without a report."""
     cell.restart(setting)
 
 
 @CONTROLS.register('silent_workers')
 def _set_silent(cell: EmulatedCell, setting: list[str]) -> None:
-    """Cut these workers off, and no others."""
+    """Let exactly these workers leave every call unanswered."""
     for agent in cell.fleet.agents.values():
         agent.is_silent = agent.worker in setting
 
 
 @CONTROLS.register('deaf_workers')
 def _set_deaf(cell: EmulatedCell, setting: list[str]) -> None:
-    """Let these workers, and no others, carry starts out unanswered."""
+    """Let exactly these workers carry out starts without an answer."""
     for agent in cell.fleet.agents.values():
         agent.loses_answers = agent.worker in setting
--- a/standins/emulator/http_endpoint.py
+++ b/standins/emulator/http_endpoint.py
@@ -1,4 +1,4 @@
-"""A port of the emulator."""
+"""HTTP server for one port of the emulator."""
 
 import asyncio
 import json
@@ -19,14 +19,14 @@
 from standins.store_model import StorePath
 
 LOOPBACK: Final = '127.0.0.1'
-# A daemon watches at most six prefixes, and holds a call to each worker.
+# A daemon watches at most six prefixes and has one long poll to each worker.
 _THREADS_COUNT: Final = 96
-# Longer than any call may wait.
-_ANSWER_S: Final = 40
+# Longer than the longest wait of a call.
+_ANSWER_TIMEOUT_S: Final = 40
 
 
 class HttpEndpoint:
-    """One port; its threads pass calls to the loop of the models."""
+    """Serves one port; its threads pass calls to the loop of the models."""
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
         )
 
     def start(self) -> None:
-        """Serve in threads."""
+        """Open the port and serve it in daemon threads."""
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
@@ -57,11 +57,11 @@
     ) -> Iterable[bytes]:
         length = int(environ.get('CONTENT_LENGTH') or 0)
         content = environ['wsgi.input'].read(length) if length else b'{}'
-        answering = asyncio.run_coroutine_threadsafe(
+        pending_answer = asyncio.run_coroutine_threadsafe(
             self._answer(environ, content),
             self._loop,
         )
-        answer = answering.result(_ANSWER_S)
+        answer = pending_answer.result(_ANSWER_TIMEOUT_S)
         body = json.dumps(answer.document).encode()
         start_response(
             f'{answer.status} emulator',
--- a/standins/emulator/store_routes.py
+++ b/standins/emulator/store_routes.py
@@ -1,4 +1,4 @@
-"""The store by the platform's protocol."""
+"""Routes of the store in the platform's protocol."""
 
 import base64
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 from standins.emulator.cell import EmulatedCell
 
 _TIMEOUT_MS: Final = 5000
-_STORE_FAILURES: Final = {
+_STATUS_BY_FAILURE: Final = {
     KvFailure.REFUSED: 503,
     KvFailure.COMPACTED: 410,
     KvFailure.LEASE_GONE: 404,
@@ -113,14 +113,14 @@
 
 def _store_answer(
     answered: Result[Any, KvFailure],
-    write: Callable[[Any], dict[str, Any]],
+    encode: Callable[[Any], dict[str, Any]],
 ) -> Answer:
     if isinstance(answered, Success):
-        return Answer(200, write(answered.unwrap()))
+        return Answer(200, encode(answered.unwrap()))
     failure = answered.failure()
     if failure is KvFailure.UNKNOWN:
         return UNANSWERED
-    return Answer(_STORE_FAILURES[failure])
+    return Answer(_STATUS_BY_FAILURE[failure])
 
 
 def _item(item: KvItem) -> dict[str, Any]:
--- a/standins/emulator/worker_routes.py
+++ b/standins/emulator/worker_routes.py
@@ -1,4 +1,4 @@
-"""Workers and the advice service by the platform's protocol."""
+"""Routes of workers and the advice service in the platform's protocol."""
 
 from collections.abc import Callable
 from typing import Any, Final
@@ -28,8 +28,8 @@
 from standins.emulator.cell import EmulatedCell
 
 _TIMEOUT_MS: Final = 5000
-_ADVICE_MS: Final = 20
-_CONFLICTS: Final = {
+_ADVICE_DELAY_MS: Final = 20
+_CONFLICT_REASONS: Final = {
     AgentFailure.FENCED: 'fence',
     AgentFailure.SUPERSEDED: 'old',
     AgentFailure.EXPIRED: 'late',
@@ -37,7 +37,7 @@
 }
 
 
-_HOW: Final = {
+_END_NAMES: Final = {
     EndKind.SUCCEEDED: 'done',
     EndKind.FAILED: 'failed',
     EndKind.STOPPED: 'stopped',
@@ -103,7 +103,7 @@
 
 @ROUTES.register('POST /advise')
 async def _advise(cell: EmulatedCell, call: Call) -> Answer:
-    await sleep_ms(_ADVICE_MS)
+    await sleep_ms(_ADVICE_DELAY_MS)
     rows = [[worker, 'ticket'] for worker in call.document['workers']]
     return Answer(200, {'granted': rows})
 
@@ -134,7 +134,7 @@
                 row.sequence,
                 task_name(row.task),
                 row.attempt,
-                _HOW[row.kind],
+                _END_NAMES[row.kind],
                 row.checkpoint,
             ]
             for row in report.ended
@@ -146,15 +146,15 @@
     cell: EmulatedCell,
     call: Call,
     answered: Result[Any, AgentFailure],
-    write: Callable[[AgentModel, Any], dict[str, Any]],
+    encode: Callable[[AgentModel, Any], dict[str, Any]],
 ) -> Answer:
     model = cell.fleet.agents.get(call.instance)
     if model is None:
         return Answer(421)
     if isinstance(answered, Success):
-        return Answer(200, write(model, answered.unwrap()))
+        return Answer(200, encode(model, answered.unwrap()))
     failure = answered.failure()
-    reason = _CONFLICTS.get(failure)
+    reason = _CONFLICT_REASONS.get(failure)
     if reason is not None:
         return Answer(409, {'clock_ms': model.clock_ms(), 'reason': reason})
     if failure is AgentFailure.UNKNOWN:
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -1,7 +1,8 @@
-"""Stand-in of the platform's list of hosts, which lags behind the truth.
+"""Stand-in of the platform's list of hosts, which shows changes late.
 
-Controls: `lag_ms` is the age of what a reader sees, `states` sets workers to
-`live` or `leaving`, `remove` takes workers off, `entries` replaces the list.
+Controls: `lag_ms` is the delay until a change is visible, `states` sets
+workers to `live` or `leaving`, `remove` removes workers, `entries` replaces
+the list.
 """
 
 import argparse
@@ -25,24 +26,24 @@
 
 
 class HostListStandIn(StandIn):
-    """The versions of the list with the times at which they came about."""
+    """Keeps the versions of the list with the time of each change."""
 
     routes = ROUTES
     controls = CONTROLS
 
     def __init__(self, entries: _Entries, lag_ms: int) -> None:
-        """Start with a list that is visible at once."""
+        """Start with a list that is visible immediately."""
         super().__init__('host list stand-in')
         self.lag_ms = lag_ms
         self._versions: list[tuple[int, _Entries]] = [(-lag_ms, entries)]
 
     @property
     def latest(self) -> _Entries:
-        """Return the list as it is, whether visible yet or not."""
+        """Return the newest version, even if it is not visible yet."""
         return self._versions[-1][1]
 
     def snapshot(self) -> dict[str, Any]:
-        """Add the latest list."""
+        """Add the lag and the newest version of the list."""
         return super().snapshot() | {
             'lag_ms': self.lag_ms,
             'workers': {
@@ -50,14 +51,20 @@
             },
         }
 
-    def change(self, entries: _Entries) -> None:
-        """Replace the list; readers see it after the lag."""
+    def replace_entries(self, entries: _Entries) -> None:
+        """Replace the list; the new version is visible after the lag."""
         self._versions.append((now_ms(), entries))
 
     def visible(self) -> _Entries:
-        """Return the newest list that is at least as old as the lag."""
-        seen_from_ms = now_ms() - self.lag_ms
-        while len(self._versions) > 1 and self._versions[1][0] <= seen_from_ms:
+        """Return the newest version that is at least as old as the lag.
+
+        Drops the versions that are older than that.
+        """
+        visible_before_ms = now_ms() - self.lag_ms
+        while (
+            len(self._versions) > 1
+            and self._versions[1][0] <= visible_before_ms
+        ):
             self._versions.pop(0)
         return self._versions[0][1]
 
@@ -74,7 +81,7 @@
 
 @CONTROLS.register('states')
 def _set_states(hosts: HostListStandIn, states: dict[str, str]) -> None:
-    hosts.change(
+    hosts.replace_entries(
         tuple(
             replace(
                 entry,
@@ -89,7 +96,7 @@
 
 @CONTROLS.register('remove')
 def _remove(hosts: HostListStandIn, workers: list[WorkerId]) -> None:
-    hosts.change(
+    hosts.replace_entries(
         tuple(
             entry for entry in hosts.latest if entry.worker_id not in workers
         ),
@@ -98,7 +105,7 @@
 
 @CONTROLS.register('entries')
 def _set_entries(hosts: HostListStandIn, entries: list[Any]) -> None:
-    hosts.change(HOST_ENTRIES.validate_python(entries))
+    hosts.replace_entries(HOST_ENTRIES.validate_python(entries))
 
 
 async def _main(port: int, entries: _Entries, lag_ms: int) -> None:
@@ -107,7 +114,7 @@
 
 
 def main() -> None:
-    """Serve the entries of a JSON file."""
+    """Serve the host entries of a JSON file until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(prog='standins.host_list')
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--hosts', type=Path, required=True)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -1,8 +1,8 @@
-"""A small JSON-over-HTTP server that the stand-ins share.
+"""The JSON-over-HTTP server of the stand-ins.
 
 Each connection is a task that owns its socket, applies the faults and passes
-calls to the stand-in as messages. HTTP/1.1 with keep-alive and
-`Content-Length` bodies only.
+calls to the stand-in as messages. Supports only HTTP/1.1 with keep-alive and
+bodies with a `Content-Length`.
 """
 
 import asyncio
@@ -14,10 +14,10 @@
 from fuchsiarill.clock import sleep_ms
 from standins.stand_in import CONTROL_PATH, Call, StandIn, StandInReply
 
-# A value of 1 MB, escaped as JSON, with its key.
+# Room for a value of 1 MB, escaped as JSON, and its key.
 _BODY_MAX_BYTES: Final = 2_500_000
 _HEADER_MAX_BYTES: Final = 16_384
-# Above the longest watch that a client asks for.
+# Longer than the longest watch that a client requests.
 _REPLY_TIMEOUT_MS: Final = 300_000
 _LOOPBACK: Final = '127.0.0.1'
 
@@ -52,7 +52,8 @@
         except (ConnectionError, ValueError):
             return
         except asyncio.CancelledError:
-            # The process ends; `asyncio.streams` logs a cancelled connection.
+            # The process is shutting down. `asyncio.streams` would log the
+            # cancellation if it were raised further.
             return
         finally:
             self._writer.close()
@@ -60,7 +61,7 @@
     async def _serve_requests(self) -> None:
         while True:
             request = await self._read()
-            reply = await self._answer_of(request)
+            reply = await self._obtain_reply(request)
             if reply is None or reply.is_lost:
                 return
             self._writer.write(
@@ -89,8 +90,8 @@
             is_last=headers.get('connection', '').lower() == 'close',
         )
 
-    async def _answer_of(self, request: _Request) -> StandInReply | None:
-        if request.path != CONTROL_PATH and not await self._passes_faults():
+    async def _obtain_reply(self, request: _Request) -> StandInReply | None:
+        if request.path != CONTROL_PATH and not await self._apply_faults():
             return None
         reply: Reply[StandInReply] = Reply()
         call = Call(request.path, request.body, reply)
@@ -98,9 +99,10 @@
             return StandInReply(503, b'{}')
         return await reply.wait(_REPLY_TIMEOUT_MS)
 
-    async def _passes_faults(self) -> bool:
+    async def _apply_faults(self) -> bool:
+        """Apply the faults; return whether the call may be handled."""
         stand_in = self._stand_in
-        if self._serial <= stand_in.faults.silent_up_to:
+        if self._serial <= stand_in.faults.last_silent_serial:
             await self._reader.read()
             return False
         if stand_in.faults.slow_ms:
@@ -110,16 +112,16 @@
 
 
 class Listener:
-    """Accepts the connections of one stand-in."""
+    """Accepts connections to one stand-in, up to its limit."""
 
     def __init__(self, stand_in: StandIn, port: int) -> None:
-        """Listen on loopback once started."""
+        """Prepare to listen on a loopback port; `start` opens it."""
         self._stand_in = stand_in
         self._port = port
         self._open_count = 0
 
     async def start(self) -> asyncio.Server:
-        """Listen."""
+        """Open the port; port 0 selects a free one."""
         return await asyncio.start_server(
             self._accept,
             _LOOPBACK,
--- a/standins/stand_in.py
+++ b/standins/stand_in.py
@@ -1,8 +1,8 @@
 """Base of the stand-ins: an actor with routes, faults and a control path.
 
-Requests are JSON by POST. `POST /control` sets faults: each field of its
-body names a registered control. Its answer is the state of the stand-in, so
-an empty object only reads.
+Requests are POSTs of JSON. `POST /control` sets faults: each field of its
+body names a registered control. It returns the state of the stand-in, so an
+empty object reads the state without changing it.
 """
 
 import asyncio
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StandInReply:
-    """HTTP status and encoded JSON body; a lost one is never sent."""
+    """HTTP status and encoded JSON body; a lost reply is never sent."""
 
     status: int
     body: bytes
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """One request; the connection's task waits for the reply."""
+    """One request; the task of the connection waits for the reply."""
 
     path: str
     body: bytes
@@ -40,15 +40,15 @@
 class Faults:
     """Faults that the connections apply before a call is handled.
 
-    While `is_down` a connection is closed without an answer. While
-    `is_paused` calls wait and are handled late. A connection with a serial
-    number up to `silent_up_to` reads and never answers.
+    While `is_down` is set, each call closes its connection without a reply.
+    While `is_paused` is set, calls wait and are handled later. Connections
+    with a serial number up to `last_silent_serial` read but never reply.
     """
 
     is_down: bool = False
     is_paused: bool = False
     slow_ms: int = 0
-    silent_up_to: int = 0
+    last_silent_serial: int = 0
 
 
 Route = Callable[[Any, Call], StandInReply | None]
@@ -58,8 +58,8 @@
 class StandIn(Actor):
     """Handles calls one at a time.
 
-    A route returns the reply, or `None` when it keeps the call and answers
-    later. Subclasses set `routes`, and `controls` beyond the common ones.
+    A route returns the reply, or `None` when it keeps the call to reply
+    later. Subclasses define `routes`, and `controls` besides the common ones.
     """
 
     routes: ClassVar[Registry[str, Route]]
@@ -77,7 +77,7 @@
 
     @handles(Call)
     async def on_call(self, call: Call) -> None:
-        """Handle one call."""
+        """Handle one call; a malformed request gets status 400."""
         try:
             reply = self._dispatch(call)
         except (ValueError, KeyError, TypeError) as error:
@@ -86,7 +86,7 @@
             call.reply.answer(reply)
 
     def snapshot(self) -> dict[str, Any]:
-        """Return what `POST /control` answers."""
+        """Return the state that `POST /control` replies with."""
         return super().snapshot() | {
             'calls_count': dict(self.calls_count),
             'connections_opened_count': self.connections_opened_count,
@@ -95,14 +95,14 @@
     def _dispatch(self, call: Call) -> StandInReply | None:
         if call.path == CONTROL_PATH:
             for name, setting in json.loads(call.body or b'{}').items():
-                self._control_of(name)(self, setting)
+                self._find_control(name)(self, setting)
             return json_reply(self.snapshot())
         if call.path not in self.routes:
             return json_reply({}, 404)
         self.calls_count[call.path.rpartition('/')[2]] += 1
         return self.routes.lookup(call.path)(self, call)
 
-    def _control_of(self, name: str) -> Control:
+    def _find_control(self, name: str) -> Control:
         if name in COMMON_CONTROLS:
             return COMMON_CONTROLS.lookup(name)
         return self.controls.lookup(name)
@@ -132,10 +132,12 @@
 
 @COMMON_CONTROLS.register('silence_open_connections')
 def _silence(stand_in: StandIn, setting: bool) -> None:
-    silent_up_to = stand_in.connections_opened_count if setting else 0
-    stand_in.faults = replace(stand_in.faults, silent_up_to=silent_up_to)
+    last_silent_serial = stand_in.connections_opened_count if setting else 0
+    stand_in.faults = replace(
+        stand_in.faults, last_silent_serial=last_silent_serial
+    )
 
 
-def json_reply(written: object, status: int = 200) -> StandInReply:
-    """Return a reply with a JSON body."""
-    return StandInReply(status, json.dumps(written).encode())
+def json_reply(document: object, status: int = 200) -> StandInReply:
+    """Return a reply with the document encoded as JSON."""
+    return StandInReply(status, json.dumps(document).encode())
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,8 +1,9 @@
-"""Stand-in of the platform's key-value service, as a process of its own.
+"""Stand-in of the platform's key-value service, run as a process.
 
-Every call counts by its verb, a waiting watch as one. Beyond the common
-controls: `lose_swap_replies` loses the replies of the next N swaps after they
-took effect, `put` writes a key as an operator of the platform would.
+Calls are counted by verb; a watch counts as one call however long it waits.
+Controls besides the common ones: `lose_swap_replies` drops the replies to the
+next N swaps after they took effect, `put` writes keys unconditionally, as an
+operator of the platform would.
 """
 
 import argparse
@@ -39,36 +40,36 @@
 
 @dataclass(slots=True)
 class Lease:
-    """A lease and the keys that go with it."""
+    """A lease and the keys that are deleted when it ends."""
 
     ttl_ms: int
-    lapses_at_ms: int
+    expires_at_ms: int
     keys: set[StoreKey]
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseDue:
-    """A lease may have lapsed."""
+    """The lease expires at this time unless it has been renewed."""
 
     lease_id: StoreLeaseId
 
 
 @dataclass(frozen=True, slots=True)
 class WatchDue:
-    """The time of a waiting watch is over."""
+    """The wait time of a watch is over."""
 
     watch: Call
     key: StoreKey
 
 
 class StoreStandIn(StandIn):
-    """Keys, revisions, leases and watches."""
+    """Stores versioned keys, and serves leases and watches."""
 
     routes = ROUTES
     controls = CONTROLS
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Start without keys, leases and watches."""
         super().__init__('store stand-in')
         self.leases: dict[StoreLeaseId, Lease] = {}
         self.lose_swap_replies_count = 0
@@ -78,25 +79,25 @@
 
     @handles(LeaseDue)
     async def on_lease_due(self, message: LeaseDue) -> None:
-        """End a lease that was not renewed, else look again later."""
+        """End an expired lease, or check a renewed one again at its expiry."""
         lease = self.leases.get(message.lease_id)
         if lease is None:
             return
-        if lease.lapses_at_ms <= now_ms():
+        if lease.expires_at_ms <= now_ms():
             self.end_lease(message.lease_id)
             return
-        self.send_at(lease.lapses_at_ms, message)
+        self.send_at(lease.expires_at_ms, message)
 
     @handles(WatchDue)
     async def on_watch_due(self, message: WatchDue) -> None:
-        """Answer a watch whose key has not changed."""
-        waiting = self._watches.get(message.key, [])
-        if message.watch in waiting:
-            waiting.remove(message.watch)
+        """Reply to a watch whose key has not changed in time."""
+        watches = self._watches.get(message.key, [])
+        if message.watch in watches:
+            watches.remove(message.watch)
             message.watch.reply.answer(self.reply_of(message.key))
 
     def snapshot(self) -> dict[str, Any]:
-        """Add the calls by kind and what is stored."""
+        """Add the counts of calls, and the keys, watches and leases."""
         reads_count = sum(self.calls_count[verb] for verb in _READS)
         return super().snapshot() | {
             'reads_count': reads_count,
@@ -108,15 +109,15 @@
         }
 
     def read(self, key: StoreKey) -> Versioned:
-        """Return a key's value and revision."""
+        """Return the value and revision of a key, `ABSENT` if it is not set."""
         return self._stored.get(key, Versioned(key, None, ABSENT))
 
     def reply_of(self, key: StoreKey) -> StandInReply:
-        """Return the reply to a read."""
+        """Return the reply to a read of a key."""
         return StandInReply(_OK, VERSIONED.dump_json(self.read(key)))
 
     def write(self, key: StoreKey, text: str | None) -> None:
-        """Set or delete a key and answer its watches."""
+        """Set a key, or delete it for `None`, and reply to its watches."""
         self._revision += 1
         if text is None:
             self._stored.pop(key, None)
@@ -125,13 +126,13 @@
         for watch in self._watches.pop(key, ()):
             watch.reply.answer(self.reply_of(key))
 
-    def wait(self, key: StoreKey, watch: Call, wait_ms: int) -> None:
-        """Keep a watch until its key changes or its time is over."""
+    def add_watch(self, key: StoreKey, watch: Call, wait_ms: int) -> None:
+        """Keep a watch until its key changes or `wait_ms` have passed."""
         self._watches.setdefault(key, []).append(watch)
         self.send_at(now_ms() + wait_ms, WatchDue(watch, key))
 
     def end_lease(self, lease_id: StoreLeaseId) -> None:
-        """Remove a lease with its keys."""
+        """Remove a lease and delete its keys."""
         lease = self.leases.pop(lease_id, None)
         if lease is None:
             return
@@ -139,15 +140,15 @@
             self.write(key, None)
 
     def find_lease(self, lease_id: StoreLeaseId) -> Lease | None:
-        """Return a lease that has not lapsed."""
+        """Return a lease that has not expired; an expired one is ended."""
         lease = self.leases.get(lease_id)
-        if lease is not None and lease.lapses_at_ms <= now_ms():
+        if lease is not None and lease.expires_at_ms <= now_ms():
             self.end_lease(lease_id)
             return None
         return lease
 
     def send_at(self, due_ms: int, message: object) -> None:
-        """Send a message to the own mailbox at a time."""
+        """Send a message to this actor at a time of the monotonic clock."""
         asyncio.get_running_loop().call_at(
             due_ms / MS_PER_SECOND,
             self.mailbox.send,
@@ -196,7 +197,7 @@
     request = KeyRequest.model_validate_json(call.body)
     if store.read(request.key).revision != request.after or not request.wait_ms:
         return store.reply_of(request.key)
-    store.wait(request.key, call, request.wait_ms)
+    store.add_watch(request.key, call, request.wait_ms)
     return None
 
 
@@ -204,9 +205,9 @@
 def _grant(store: StoreStandIn, call: Call) -> StandInReply:
     request = LeaseRequest.model_validate_json(call.body)
     lease_id = StoreLeaseId(uuid.uuid4().hex)
-    lapses_at_ms = now_ms() + request.ttl_ms
-    store.leases[lease_id] = Lease(request.ttl_ms, lapses_at_ms, set())
-    store.send_at(lapses_at_ms, LeaseDue(lease_id))
+    expires_at_ms = now_ms() + request.ttl_ms
+    store.leases[lease_id] = Lease(request.ttl_ms, expires_at_ms, set())
+    store.send_at(expires_at_ms, LeaseDue(lease_id))
     return as_json({'lease_id': lease_id})
 
 
@@ -216,7 +217,7 @@
     lease = store.find_lease(request.lease_id)
     if lease is None:
         return as_json({}, _GONE)
-    lease.lapses_at_ms = now_ms() + lease.ttl_ms
+    lease.expires_at_ms = now_ms() + lease.ttl_ms
     return as_json({'lease_id': request.lease_id})
 
 
@@ -243,7 +244,7 @@
 
 
 def main() -> None:
-    """Serve on the port given."""
+    """Serve on the given port until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(prog='standins.store')
     parser.add_argument('--port', type=int, required=True)
     asyncio.run(_main(parser.parse_args().port))
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -1,6 +1,7 @@
-"""A model of the platform's store, in memory, by the runtime clock.
+"""In-memory model of the platform's store, timed by the runtime clock.
 
-Every process has a path of its own to the store, whose faults a test sets.
+Each process reaches the store through its own path, on which a test can set
+a fault.
 """
 
 import itertools
@@ -25,21 +26,21 @@
     KvWrite,
 )
 
-_ANSWER_MS = 10
-_POLL_MS = 5
+_STORE_DELAY_MS = 10
+_POLL_INTERVAL_MS = 5
 _PAGE_MAX_COUNT = 500
 _Answer = TypeVar('_Answer')
 
 
 class PathFault(Enum):
-    """What happens to the calls of one process."""
+    """Fault that affects all store calls of one process."""
 
     NONE = 'none'
-    # Nothing is done, and the caller is told so.
+    # The call has no effect, and the caller gets an error.
     REFUSED = 'refused'
-    # Nothing is done, and no answer comes.
+    # The call has no effect, and the caller gets no answer.
     SILENT = 'silent'
-    # The call is carried out, and no answer comes.
+    # A commit takes effect, but its answer is lost.
     ANSWER_LOST = 'answer_lost'
 
 
@@ -51,10 +52,10 @@
 
 @dataclass(slots=True)
 class StoreModel:
-    """Items, their history and leases."""
+    """The items, their history since the last compaction, and the leases."""
 
     found: dict[StoreKey, KvItem] = field(default_factory=dict)
-    held: dict[StoreKey, StoreLeaseId] = field(default_factory=dict)
+    lease_by_key: dict[StoreKey, StoreLeaseId] = field(default_factory=dict)
     history: list[KvItem] = field(default_factory=list)
     leases: dict[StoreLeaseId, _Lease] = field(default_factory=dict)
     revision: Revision = Revision(1)
@@ -64,11 +65,11 @@
     )
 
     def write(self, write: KvWrite) -> None:
-        """Write a key without a condition, as an operator does."""
+        """Write a key unconditionally, as an operator does."""
         self.apply(KvTransaction(writes=(write,)))
 
     def apply(self, transaction: KvTransaction) -> KvCommitted | KvConflict:
-        """Carry out a transaction."""
+        """Commit a transaction if all expected revisions match."""
         self.expire()
         current = [
             self.found.get(key, KvItem(key, None, ABSENT))
@@ -89,31 +90,31 @@
         return KvCommitted(self.revision)
 
     def remove(self, key: StoreKey) -> None:
-        """Delete a key, as the end of a lease does."""
+        """Delete a key at the current revision, as the end of a lease does."""
         if self.found.pop(key, None) is None:
             return
-        self.held.pop(key, None)
+        self.lease_by_key.pop(key, None)
         self.history.append(KvItem(key, None, self.revision))
 
     def expire(self) -> None:
-        """End the leases whose time has passed."""
+        """End the leases whose deadline has passed."""
         now = now_ms()
         for lease, state in list(self.leases.items()):
             if state.deadline_ms <= now:
                 self.end(lease)
 
     def end(self, lease: StoreLeaseId) -> bool:
-        """End a lease; tells whether there was one."""
+        """End a lease and delete its keys; return whether it existed."""
         if self.leases.pop(lease, None) is None:
             return False
         self.revision = Revision(self.revision + 1)
-        for key, holder in list(self.held.items()):
+        for key, holder in list(self.lease_by_key.items()):
             if holder == lease:
                 self.remove(key)
         return True
 
     def read(self, key: StoreKey) -> Result[KvItem, KvFailure]:
-        """Return a key; an absent one has no value."""
+        """Return the item of a key, without a value if it is not set."""
         self.expire()
         return Success(self.found.get(key, KvItem(key, None, ABSENT)))
 
@@ -122,7 +123,7 @@
         prefix: str,
         after: StoreKey | None,
     ) -> Result[KvPage, KvFailure]:
-        """Return the next items of a prefix."""
+        """Return the next items of a prefix, at most one page of them."""
         self.expire()
         rows = [
             self.found[key]
@@ -133,7 +134,7 @@
         return Success(KvPage(page, len(rows) > len(page), self.revision))
 
     def grant(self, ttl_ms: int) -> Result[StoreLeaseId, KvFailure]:
-        """Create a lease."""
+        """Create a lease that ends after `ttl_ms` without renewal."""
         lease = StoreLeaseId(str(next(self.lease_ids)))
         self.leases[lease] = _Lease(ttl_ms, now_ms() + ttl_ms)
         return Success(lease)
@@ -148,29 +149,29 @@
         return Success(lease)
 
     def revoke(self, lease: StoreLeaseId) -> Result[StoreLeaseId, KvFailure]:
-        """End a lease that a caller gives up."""
+        """End a lease at the request of its holder."""
         if self.end(lease):
             return Success(lease)
         return Failure(KvFailure.LEASE_GONE)
 
     def compact(self) -> None:
-        """Drop the history."""
+        """Drop the history; watches from an older revision then fail."""
         self.compacted_revision = self.revision
         self.history.clear()
 
     def _put(self, write: KvWrite) -> None:
-        before = self.found.get(write.key)
-        created = self.revision if before is None else before.created
+        previous = self.found.get(write.key)
+        created = self.revision if previous is None else previous.created
         item = KvItem(write.key, write.value, self.revision, created)
         self.found[write.key] = item
-        self.held.pop(write.key, None)
+        self.lease_by_key.pop(write.key, None)
         if write.lease is not None:
-            self.held[write.key] = write.lease
+            self.lease_by_key[write.key] = write.lease
         self.history.append(item)
 
 
 class StorePath:
-    """The store as one process reaches it."""
+    """The path of one process to the store, with its fault."""
 
     def __init__(self, model: StoreModel) -> None:
         """Start without faults."""
@@ -183,7 +184,7 @@
         key: StoreKey,
         timeout_ms: int,
     ) -> Result[KvItem, KvFailure]:
-        """Read a key."""
+        """Read the item of a key."""
         return await self._call(partial(self.model.read, key), timeout_ms)
 
     async def list_prefix(
@@ -202,8 +203,8 @@
         after: Revision,
         wait_ms: int,
     ) -> Result[KvChanges, KvFailure]:
-        """Wait for changes of a prefix, for at most `wait_ms`."""
-        failure = await self._enter(wait_ms)
+        """Return the changes of a prefix; wait up to `wait_ms` for one."""
+        failure = await self._transmit(wait_ms)
         if failure is not None:
             return Failure(failure)
         deadline_ms = now_ms() + wait_ms
@@ -220,15 +221,15 @@
                 return Success(KvChanges(rows, self.model.revision))
             if self.fault is not PathFault.NONE:
                 return Failure(KvFailure.UNKNOWN)
-            await sleep_ms(_POLL_MS)
+            await sleep_ms(_POLL_INTERVAL_MS)
 
     async def commit(
         self,
         transaction: KvTransaction,
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
-        """Carry out a transaction."""
-        failure = await self._enter(timeout_ms)
+        """Commit a transaction; a write under an ended lease fails."""
+        failure = await self._transmit(timeout_ms)
         if failure is not None:
             return Failure(failure)
         for write in transaction.writes:
@@ -245,7 +246,7 @@
         ttl_ms: int,
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
-        """Create a lease."""
+        """Create a lease with the given time to live."""
         return await self._call(partial(self.model.grant, ttl_ms), timeout_ms)
 
     async def renew_lease(
@@ -266,19 +267,19 @@
 
     async def _call(
         self,
-        carry_out: Callable[[], Result[_Answer, KvFailure]],
+        operation: Callable[[], Result[_Answer, KvFailure]],
         timeout_ms: int,
     ) -> Result[_Answer, KvFailure]:
-        failure = await self._enter(timeout_ms)
-        return carry_out() if failure is None else Failure(failure)
+        failure = await self._transmit(timeout_ms)
+        return operation() if failure is None else Failure(failure)
 
-    async def _enter(self, timeout_ms: int) -> KvFailure | None:
-        """Travel to the store; returns why nothing is done there."""
+    async def _transmit(self, timeout_ms: int) -> KvFailure | None:
+        """Delay a call; return the failure if it does not reach the store."""
         self.calls_count += 1
         if self.fault is PathFault.SILENT:
             await sleep_ms(timeout_ms)
             return KvFailure.UNKNOWN
-        await sleep_ms(_ANSWER_MS)
+        await sleep_ms(_STORE_DELAY_MS)
         if self.fault is PathFault.REFUSED:
             return KvFailure.REFUSED
         return None
--- a/standins/task.py
+++ b/standins/task.py
@@ -1,9 +1,9 @@
-"""One attempt on a worker stand-in: a timer with a size.
+"""An attempt on a worker stand-in, simulated by a timer and a size.
 
 A payload may be a JSON object with `class`, which selects the factors of the
-deviation, and `declared`, the size that its submitter declared. Without the
-latter a task is small: its real size must not follow from the reserved one,
-or an owner that learns sizes reserves more and more for what it reserved.
+deviation, and `declared`, the size that its submitter declared. A task without
+a declared size is small. Its real size must not depend on the reserved one:
+otherwise an owner that learns sizes would keep raising its reservations.
 """
 
 import json
@@ -23,7 +23,7 @@
 
 
 class TaskState(Enum):
-    """Life of an attempt on a worker."""
+    """State of an attempt on a worker."""
 
     OFFERED = 'offered'
     RUNNING = 'running'
@@ -34,7 +34,7 @@
 
 
 class TaskEvent(Enum):
-    """What can happen to an attempt on a worker."""
+    """Event in the life cycle of an attempt on a worker."""
 
     ADMITTED = 'admitted'
     TURNED_AWAY = 'turned_away'
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True)
 class Task:
-    """One attempt; a service has no `ends_at_ms`."""
+    """One attempt; `ends_at_ms` is `None` for a service."""
 
     start: StartCommand
     real: Resources
@@ -65,20 +65,23 @@
 
     @property
     def due_at_ms(self) -> int:
-        """Return when the attempt ends next if nothing is heard of it."""
+        """Return when the attempt ends unless its lease is renewed."""
         if self.ends_at_ms is None:
             return self.lease_ends_at_ms
         return min(self.ends_at_ms, self.lease_ends_at_ms)
 
     def throttle(self, current_ms: int) -> None:
-        """Hold the processors to the reserved ones; the rest takes longer."""
+        """Limit the processors to the reserved ones.
+
+        The remaining run time grows in proportion.
+        """
         reserved_milli = self.start.reserved.processors_milli
         if self.real.processors_milli <= reserved_milli:
             return
-        stretch = self.real.processors_milli / reserved_milli
+        slowdown = self.real.processors_milli / reserved_milli
         if self.ends_at_ms is not None:
-            left_ms = (self.ends_at_ms - current_ms) * stretch
-            self.ends_at_ms = current_ms + int(left_ms)
+            remaining_ms = (self.ends_at_ms - current_ms) * slowdown
+            self.ends_at_ms = current_ms + int(remaining_ms)
         self.real = Resources(
             reserved_milli,
             self.real.memory_mb,
@@ -89,23 +92,29 @@
 
 @dataclass(frozen=True, slots=True)
 class RealLoad:
-    """What an attempt takes in truth; a service has a run time of zero."""
+    """Real size and run time of an attempt; a service has run time 0."""
 
     size: Resources
     run_time_ms: int
 
 
 def real_load(deviation: Deviation, start: StartCommand) -> RealLoad:
-    """Return the real size and run time of an attempt."""
+    """Return the real load of an attempt.
+
+    Its factors are reproducible: they are drawn from the seed, the class and
+    the attempt id.
+    """
     payload = _read_payload(start.payload)
     declared = payload.get('declared', {})
     processors_milli = declared.get('processors_milli', _SMALL_PROCESSORS_MILLI)
     memory_mb = declared.get('memory_mb', _SMALL_MEMORY_MB)
     kind = f'{deviation.seed}/{payload.get("class", start.payload)}'
-    of_class = random.Random(kind)
-    of_attempt = random.Random(f'{kind}/{start.attempt_id}')
-    size = _factor(deviation.size_factor_max, of_class, of_attempt)
-    run_time = _factor(deviation.run_time_factor_max, of_class, of_attempt)
+    class_random = random.Random(kind)
+    attempt_random = random.Random(f'{kind}/{start.attempt_id}')
+    size = _factor(deviation.size_factor_max, class_random, attempt_random)
+    run_time = _factor(
+        deviation.run_time_factor_max, class_random, attempt_random
+    )
     return RealLoad(
         Resources(
             max(1, int(processors_milli * size)),
@@ -119,13 +128,13 @@
 
 def _factor(
     maximum: float,
-    of_class: random.Random,
-    of_attempt: random.Random,
+    class_random: random.Random,
+    attempt_random: random.Random,
 ) -> float:
-    drawn: float = maximum ** of_class.uniform(-1, 1)
+    factor: float = maximum ** class_random.uniform(-1, 1)
     if maximum > 1:
-        drawn *= of_attempt.uniform(1 - _JITTER, 1 + _JITTER)
-    return min(max(drawn, 1 / maximum), maximum)
+        factor *= attempt_random.uniform(1 - _JITTER, 1 + _JITTER)
+    return min(max(factor, 1 / maximum), maximum)
 
 
 def _read_payload(payload: str) -> dict[str, Any]:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,10 +1,10 @@
-"""Stand-in of a worker, which runs tasks under leases by its own clock.
+"""Stand-in of a worker that runs tasks under leases by its own clock.
 
-It never enforces its capacity for the scheduler: it logs what it carried, so
-that overcommitment can be seen. Beyond the common controls: `fail_starts`
-lets everything fail that is started from then on; `hold_starts` keeps back
-exchanges that start something, as a slow network would, until it is set to
-false again.
+It does not enforce its capacity, but logs the size of each task, so that
+overcommitment by the scheduler can be detected. Controls besides the common
+ones: `fail_starts` makes all tasks fail that are started from then on;
+`hold_starts` delays exchanges with start commands, as a slow network would,
+until it is set to false.
 """
 
 import argparse
@@ -50,13 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskDue:
-    """A task may have reached its end or that of its lease."""
+    """The run time or the lease of a task may have ended."""
 
     attempt_id: AttemptId
 
 
 class WorkerStandIn(StandIn):
-    """The tasks of one worker."""
+    """Runs the tasks of one worker and reports on them."""
 
     routes = ROUTES
     controls = CONTROLS
@@ -66,7 +66,7 @@
         worker: OneWorker,
         settings: WorkerProcessSettings,
     ) -> None:
-        """Start with no tasks and a line in the log."""
+        """Start without tasks, and log the capacity."""
         super().__init__(f'worker stand-in {worker.worker_id}')
         self.worker = worker
         self.settings = settings
@@ -77,7 +77,7 @@
         self.highest_epoch = NO_EPOCH
         self.tasks: dict[AttemptId, Task] = {}
         self.checkpoints_ms: dict[TaskId, int] = {}
-        self._seen: set[AttemptId] = set()
+        self._received: set[AttemptId] = set()
         self._log = WorkerLog(
             settings.log_folder / f'{worker.worker_id}.jsonl',
         )
@@ -93,18 +93,18 @@
 
     @property
     def clock_ms(self) -> int:
-        """Return the worker's own clock."""
+        """Return the time of the worker's clock, which may be offset."""
         return now_ms() + self.worker.clock_offset_ms
 
     @property
     def running_count(self) -> int:
-        """Return the number of tasks that run."""
+        """Return the number of running tasks."""
         return sum(
             task.state is TaskState.RUNNING for task in self.tasks.values()
         )
 
     def snapshot(self) -> dict[str, Any]:
-        """Add what runs and what was not acknowledged."""
+        """Add the tasks that run or whose outcome is not acknowledged."""
         return super().snapshot() | {
             'worker': self.worker.worker_id,
             'highest_epoch': self.highest_epoch,
@@ -117,35 +117,35 @@
 
     @handles(TaskDue)
     async def on_due(self, message: TaskDue) -> None:
-        """End a task whose time or lease is over."""
+        """End a task whose run time or lease is over, or check it later."""
         task = self.tasks.get(message.attempt_id)
         if task is None or task.state is not TaskState.RUNNING:
             return
         current_ms = now_ms()
         if task.ends_at_ms is not None and task.ends_at_ms <= current_ms:
-            failed = TaskEvent.FAULTED if task.fails else TaskEvent.COMPLETED
-            self.step(task, failed)
+            ending = TaskEvent.FAULTED if task.fails else TaskEvent.COMPLETED
+            self.step(task, ending)
         elif task.lease_ends_at_ms <= current_ms:
             self.step(task, TaskEvent.LEASE_LAPSED, 'lease lapsed')
         else:
-            self.wake_at(task)
+            self.schedule_due_check(task)
 
     def carry_out(self, request: Exchange) -> None:
-        """Carry out an exchange, or refuse all of it for its epoch."""
+        """Carry out an exchange, or refuse all of it if its epoch is old."""
         if request.epoch < self.highest_epoch:
             for start in request.starts:
                 self._log_line(LogKind.REFUSED, start, NOTHING, 'epoch')
             return
         self.highest_epoch = request.epoch
         for attempt_id in request.acknowledged:
-            self._forget(attempt_id)
+            self._drop_acknowledged(attempt_id)
         for command in request.commands:
-            self._obey(command)
+            self._execute_command(command)
         lease_ends_at_ms = now_ms() + request.lease_ms
         for attempt_id in request.renewals:
-            held = self.tasks.get(attempt_id)
-            if held is not None:
-                held.lease_ends_at_ms = lease_ends_at_ms
+            task = self.tasks.get(attempt_id)
+            if task is not None:
+                task.lease_ends_at_ms = lease_ends_at_ms
         for start in request.starts:
             self._start(start, lease_ends_at_ms)
 
@@ -158,8 +158,8 @@
         for action in transition.actions:
             TASK_ACTIONS.lookup(action)(self, task, detail)
 
-    def wake_at(self, task: Task) -> None:
-        """Send the worker a message when the task is due."""
+    def schedule_due_check(self, task: Task) -> None:
+        """Send this worker a message when the task or its lease ends."""
         asyncio.get_running_loop().call_at(
             task.due_at_ms / MS_PER_SECOND,
             self.mailbox.send,
@@ -167,11 +167,11 @@
         )
 
     def log(self, kind: LogKind, task: Task, detail: str) -> None:
-        """Write a line about a task."""
+        """Write a line on a task to the log."""
         self._log_line(kind, task.start, task.real, detail)
 
     def report(self) -> WorkerReport:
-        """Return everything that runs and every outcome not acknowledged."""
+        """Return the running tasks and the unacknowledged outcomes."""
         return WorkerReport(
             self.worker.worker_id,
             self.highest_epoch,
@@ -181,9 +181,9 @@
         )
 
     def _start(self, start: StartCommand, lease_ends_at_ms: int) -> None:
-        if start.attempt_id in self._seen:
+        if start.attempt_id in self._received:
             return
-        self._seen.add(start.attempt_id)
+        self._received.add(start.attempt_id)
         real = real_load(self.settings.deviation, start)
         run_time_ms = real.run_time_ms
         if self.fails_starts:
@@ -198,32 +198,32 @@
             fails=self.fails_starts,
         )
         if run_time_ms:
-            done_ms = self.checkpoints_ms.get(task.task_id, 0)
-            task.ends_at_ms = now_ms() + max(1, run_time_ms - done_ms)
-        reason = self._reason_to_refuse(start)
+            checkpointed_ms = self.checkpoints_ms.get(task.task_id, 0)
+            task.ends_at_ms = now_ms() + max(1, run_time_ms - checkpointed_ms)
+        reason = self._find_refusal_reason(start)
         self.tasks[start.attempt_id] = task
         if reason is not None:
             self.step(task, TaskEvent.TURNED_AWAY, reason)
             return
         self.step(task, TaskEvent.ADMITTED)
-        self.wake_at(task)
+        self.schedule_due_check(task)
 
-    def _reason_to_refuse(self, start: StartCommand) -> str | None:
+    def _find_refusal_reason(self, start: StartCommand) -> str | None:
         if self.clock_ms > start.start_before_worker_clock_ms:
             return 'late'
-        # Each running task keeps one connection of the worker in use.
+        # Each running task occupies one connection of the worker.
         if self.running_count >= self.worker.connections_count:
             return 'connections'
         return None
 
-    def _obey(self, command: TaskCommand) -> None:
+    def _execute_command(self, command: TaskCommand) -> None:
         task = self.tasks.get(command.attempt_id)
         if task is None or task.state is not TaskState.RUNNING:
             return
         COMMANDS.lookup(command.kind)(self, task)
         self.log(LogKind.COMMAND, task, command.kind.value)
 
-    def _forget(self, attempt_id: AttemptId) -> None:
+    def _drop_acknowledged(self, attempt_id: AttemptId) -> None:
         task = self.tasks.get(attempt_id)
         if task is not None and task.state is not TaskState.RUNNING:
             self.tasks.pop(attempt_id)
@@ -326,7 +326,7 @@
 
 @COMMANDS.register(CommandKind.CHECKPOINT)
 def _checkpoint(worker: WorkerStandIn, task: Task) -> None:
-    # A later attempt of the task on this worker goes on from here.
+    # A later attempt of the task on this worker resumes at this run time.
     worker.checkpoints_ms[task.task_id] = now_ms() - task.started_at_ms
 
 
@@ -354,7 +354,7 @@
 
 
 def main() -> None:
-    """Serve the workers of a settings file."""
+    """Serve the workers of a settings file until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(prog='standins.worker')
     parser.add_argument('--config', type=Path, required=True)
     options = parser.parse_args()
--- a/standins/worker_log.py
+++ b/standins/worker_log.py
@@ -1,7 +1,7 @@
-"""What a worker stand-in saw, as JSON lines in a file.
+"""Log of a worker stand-in: a file of JSON lines.
 
-Times are of the system's monotonic clock, which all processes of the machine
-share, so that logs of several workers can be compared.
+Times are those of the system's monotonic clock, which all processes of the
+machine share, so that the logs of several workers can be compared.
 """
 
 from enum import Enum
@@ -15,7 +15,7 @@
 
 
 class LogKind(Enum):
-    """What a line reports."""
+    """Kind of the event that a line reports."""
 
     READY = 'ready'
     START = 'start'
@@ -27,11 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One line.
+    """One line of the log.
 
-    A `READY` line has the capacity as `reserved`. `MEASURED` is the first
-    report of real usage to an owner. `detail` is the outcome of an `END`, the
-    reason of a `REFUSED` and the kind of a `COMMAND`.
+    A `READY` line has the capacity in `reserved`. A `MEASURED` line marks the
+    first report of real usage to an owner. `detail` is the outcome in an `END`
+    line, the reason in a `REFUSED` and the kind in a `COMMAND` line.
     """
 
     time_ms: int
@@ -47,19 +47,19 @@
 
 
 class WorkerLog:
-    """Appends lines; each is written before the worker answers."""
+    """Appends lines without buffering, so before the worker replies."""
 
     def __init__(self, path: Path) -> None:
         """Open the file for appending."""
         self._file = path.open('ab', buffering=0)
 
     def write(self, line: LogLine) -> None:
-        """Append one line."""
+        """Append one line to the file."""
         self._file.write(b'%s\n' % _LINES.dump_json(line))
 
 
 def read_log(path: Path) -> list[LogLine]:
-    """Return the complete lines of a log."""
+    """Return the lines of a log, without an incomplete last one."""
     content = path.read_bytes()
     complete = content[: content.rfind(b'\n') + 1]
     return [_LINES.validate_json(line) for line in complete.splitlines()]
--- a/standins/worker_settings.py
+++ b/standins/worker_settings.py
@@ -1,4 +1,4 @@
-"""The YAML file of one worker process, which can serve several workers."""
+"""Settings file of one worker process, which can serve many workers."""
 
 from pathlib import Path
 from typing import Annotated
@@ -19,10 +19,10 @@
 
 
 class Deviation(_Model):
-    """How far real sizes and run times are from the declared ones.
+    """Deviation of real sizes and run times from the declared ones.
 
-    Each class of payloads gets a factor between `1 / max` and `max`, drawn
-    from the seed; each attempt varies by a tenth around it.
+    Each class of payloads has a factor between `1 / max` and `max`, drawn
+    from the seed; the factor of an attempt differs from it by up to a tenth.
     """
 
     seed: int = 1
@@ -31,9 +31,9 @@
 
 
 class OneWorker(_Model):
-    """One worker: where it is and what it offers.
+    """Location, capacity and clock of one worker.
 
-    `clock_offset_ms` is the difference of its clock from the system's.
+    `clock_offset_ms` is added to the system clock to get the worker's clock.
     """
 
     worker_id: WorkerId
@@ -56,7 +56,7 @@
 
 
 def load_worker_settings(path: Path) -> WorkerProcessSettings:
-    """Read the file.
+    """Read and validate a settings file.
 
     Raises `OSError`, `yaml.YAMLError` or `pydantic.ValidationError`.
     """
@@ -66,7 +66,7 @@
 
 
 def host_entry(worker: OneWorker) -> HostEntry:
-    """Return the row of the host list for a live worker."""
+    """Return the host list entry of a live worker."""
     return HostEntry(
         worker_id=worker.worker_id,
         address=f'127.0.0.1:{worker.port}',
