Say which failure each process test guards against

Cause: doc comments told scenes ("an owner that wakes up and goes on as if it were one") and names such as others, made, _until or woken were vague.

Change: doc comments name the failure and its cause; other_processes, wait_for_new_owner, _exchange_until and similar names; time-out messages say which condition was not met. Assertions and bounds are the same.

--- a/tests/process/__init__.py
+++ b/tests/process/__init__.py
@@ -1,1 +1,1 @@
-"""Failures end to end, with real processes."""
+"""End-to-end tests of failures with real processes."""
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -1,4 +1,4 @@
-"""The harness: a cell of real processes that is ended after each test."""
+"""Fixture that runs a cell of real processes for each test."""
 
 from collections.abc import Iterator
 from pathlib import Path
@@ -14,7 +14,7 @@
 
 @pytest.fixture
 def harness(tmp_path: Path) -> Iterator[Harness]:
-    """Run a cell with three entry processes and four workers."""
+    """Run a cell of three entry processes and four workers, then end it."""
     deployment = load_deployment(_CASES / 'process_hosts.yaml')
     configuration = (_CASES / deployment.configuration).read_text()
     with Cell(deployment, configuration, tmp_path) as cell:
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -1,7 +1,7 @@
-"""What the tests with real processes share.
+"""Harness of the tests with real processes.
 
-Waiting is by polling a condition, with a deadline far above what is usual,
-so that a slow machine does not change the verdict.
+It waits by polling a condition. The deadlines are far above the usual wait,
+so that a slow machine does not fail a test.
 """
 
 import json
@@ -18,7 +18,7 @@
 
 
 def job(key: str, run_time_ms: int = 300, **changes: Any) -> dict[str, Any]:
-    """Return the body of a small batch job."""
+    """Return the request body of a batch job with one small task."""
     body = {
         'idempotency_key': key,
         'task_size': _SIZE,
@@ -29,60 +29,63 @@
 
 
 def service(key: str) -> dict[str, Any]:
-    """Return the body of a service with one replica."""
+    """Return the request body of a service with one replica."""
     return job(key, 0, workload='service')
 
 
 class Harness:
-    """A cell with callers, and the questions that tests ask of it."""
+    """A cell with its callers, and queries on its state and logs."""
 
     def __init__(self, cell: Cell) -> None:
-        """Start with no caller."""
+        """Start without callers."""
         self.cell = cell
         self._callers: list[Caller] = []
 
     def owner(self) -> ProcessId:
-        """Return the owner of the partition; there must be one."""
-        wait_until(lambda: self.cell.owner() is not None, 'no owner')
+        """Wait until the partition has an owner, and return it."""
+        wait_until(
+            lambda: self.cell.owner() is not None,
+            'the partition has no owner',
+        )
         found = self.cell.owner()
         assert found is not None
         return found
 
-    def others(self, process: ProcessId) -> list[ProcessId]:
-        """Return all entry processes but one."""
+    def other_processes(self, process: ProcessId) -> list[ProcessId]:
+        """Return all entry processes except one."""
         return [name for name in self.cell.entry_urls if name != process]
 
-    def wait_other_owner(self, process: ProcessId) -> ProcessId:
-        """Wait until a process other than this one owns the partition."""
+    def wait_for_new_owner(self, process: ProcessId) -> ProcessId:
+        """Wait until another process owns the partition, and return it."""
         wait_until(
             lambda: self.cell.owner() not in {None, process},
-            f'nobody took over from {process}',
+            f'no process took over from {process}',
         )
         return self.owner()
 
     def caller(self, *processes: ProcessId) -> Caller:
-        """Return a caller that turns to these processes in turn."""
+        """Return a caller that uses these processes in turn, all by default."""
         urls = [self.cell.entry_urls[name] for name in processes]
-        made = Caller(
+        new_caller = Caller(
             self.cell.deployment.tokens['desk'],
             urls or list(self.cell.entry_urls.values()),
             give_up_after_s=60,
         )
-        self._callers.append(made)
-        return made
+        self._callers.append(new_caller)
+        return new_caller
 
     def tally(self) -> Tally:
-        """Count what became of the jobs of all callers."""
+        """Count the outcomes of the jobs of all callers."""
         notes = [note for caller in self._callers for note in caller.notes]
         return tally(notes, self.cell.worker_logs())
 
     def wait_settled(self) -> None:
-        """Wait until all jobs came to their end, then check all promises."""
-        wait_until(lambda: self.tally().is_settled, 'jobs are still open')
+        """Wait until all jobs are settled, then check all guarantees."""
+        wait_until(lambda: self.tally().is_settled, 'not all jobs are settled')
         self.check()
 
     def check(self) -> None:
-        """Check that nothing was lost, doubled or overcommitted."""
+        """Check that no job was lost or doubled, no worker overcommitted."""
         counted = self.tally()
         assert counted.is_good, counted
 
@@ -91,21 +94,21 @@
         all_runs = runs_of(self.cell.worker_logs())
         return [
             run
-            for task, of_task in all_runs.items()
+            for task, task_runs in all_runs.items()
             if task == f'{note.job_id}/0'
-            for run in of_task
+            for run in task_runs
         ]
 
     def wait_running(self, note: JobNote) -> Run:
-        """Wait until the first task of a job runs."""
+        """Wait until the first task of a job runs, and return its last run."""
         wait_until(
             lambda: any(not run.outcome for run in self.runs(note)),
-            f'{note.job_id} does not run',
+            f'{note.job_id} is not running',
         )
         return self.runs(note)[-1]
 
     def refusals(self) -> list[LogLine]:
-        """Return all starts that workers refused."""
+        """Return the log lines of all starts that workers refused."""
         return [
             line
             for lines in self.cell.worker_logs().values()
@@ -114,7 +117,7 @@
         ]
 
     def control_workers(self, **settings: Any) -> dict[WorkerId, Any]:
-        """Set faults of all workers; returns their states."""
+        """Set faults on all workers and return their states."""
         return {
             worker: self.cell.control(self.cell.worker_url(worker), **settings)
             for worker in self.cell.entries
--- a/tests/process/test_graceful_shutdown.py
+++ b/tests/process/test_graceful_shutdown.py
@@ -1,4 +1,4 @@
-"""SIGTERM: answers in progress are completed, the partition is handed over."""
+"""SIGTERM completes requests in progress and hands over the partition."""
 
 import json
 import signal
@@ -16,23 +16,23 @@
 
 @pytest.mark.parametrize('role', ['owner', 'other'])
 def test_answer_in_progress_is_completed(harness: Harness, role: str) -> None:
-    """Guards against a shutdown that cuts off an answer."""
+    """Guards against a shutdown that drops a request in progress."""
     caller = harness.caller()
     note = caller.submit([job('slow', 3000)])[0]
     harness.wait_running(note)
     owner = harness.owner()
-    leaving = owner if role == 'owner' else harness.others(owner)[0]
+    leaving = owner if role == 'owner' else harness.other_processes(owner)[0]
     address = urlsplit(harness.cell.entry_urls[leaving]).netloc
-    waiting = HTTPConnection(address, timeout=_TIMEOUT_S)
+    connection = HTTPConnection(address, timeout=_TIMEOUT_S)
     headers = {'Authorization': f'Bearer {caller.token}'}
     path = f'/v1/jobs/{note.job_id}?wait_ms=8000'
-    waiting.request('GET', path, headers=headers)
-    # Connections are accepted in order: once a later one has its answer, the
-    # waiting request has reached the process.
+    connection.request('GET', path, headers=headers)
+    # Connections are accepted in order: once a later one has been answered,
+    # the waiting request has reached the process.
     assert harness.cell.is_ready(leaving)
     harness.cell.processes.send_signal(leaving, signal.SIGTERM)
-    answer = json.loads(waiting.getresponse().read())
-    waiting.close()
+    answer = json.loads(connection.getresponse().read())
+    connection.close()
     assert answer['job_id'] == note.job_id
     assert answer['code'] in {
         codes.JOB_SUCCEEDED.number,
@@ -43,6 +43,6 @@
         f'{leaving} has not ended',
     )
     assert harness.cell.processes.exit_status(leaving) == 0
-    rest = harness.caller(*harness.others(leaving))
-    assert rest.submit([job('after')])[0].is_accepted
+    other_caller = harness.caller(*harness.other_processes(leaving))
+    assert other_caller.submit([job('after')])[0].is_accepted
     harness.wait_settled()
--- a/tests/process/test_launcher.py
+++ b/tests/process/test_launcher.py
@@ -1,4 +1,4 @@
-"""The launcher leaves no process behind."""
+"""Tests that the launcher of processes ends all of them."""
 
 import os
 import signal
@@ -14,7 +14,7 @@
 
 
 def test_stopped_processes_are_gone(tmp_path: Path) -> None:
-    """Guards against processes left over after the demo or a test."""
+    """Guards against processes that survive a stop, even when paused."""
     processes = Processes(tmp_path)
     for name, port in zip(('one', 'two'), free_ports(2), strict=True):
         processes.start(name, 'standins.store', '--port', port)
@@ -28,14 +28,14 @@
 
 @pytest.fixture
 def launcher(tmp_path: Path) -> Iterator[Processes]:
-    """End what a failed test leaves; SIGTERM lets a launcher clean up."""
+    """End the processes of a failed test; SIGTERM lets a launcher clean up."""
     started = Processes(tmp_path, stop_timeout_s=60)
     yield started
     started.stop()
 
 
 def test_interrupted_cell_is_gone(tmp_path: Path, launcher: Processes) -> None:
-    """Guards against processes left over after Ctrl-C."""
+    """Guards against processes or files that survive Ctrl-C."""
     launcher.start('cell', 'tools.run_cell')
     output = tmp_path / 'cell.log'
     wait_until(
@@ -44,7 +44,7 @@
     )
     folder = Path(output.read_text().rpartition('logs: ')[2].split(';')[0])
     launcher.send_signal('cell', signal.SIGINT)
-    wait_until(lambda: launcher.has_ended('cell'), 'the cell runs on')
+    wait_until(lambda: launcher.has_ended('cell'), 'the cell is still running')
     assert launcher.exit_status('cell') == 0
     assert not folder.exists()
     assert not _processes_using(str(folder))
@@ -94,14 +94,18 @@
     ) as launcher:
         assert launcher.stdout is not None
         child = int(launcher.stdout.readline())
-        # The child must be at work before it is left.
+        # The child must have started its module before its launcher ends.
         time.sleep(1)
         launcher.send_signal(number)
-    wait_until(lambda: _has_ended(child), f'process {child} runs on', 15)
+    wait_until(
+        lambda: _has_ended(child),
+        f'process {child} is still running',
+        15,
+    )
 
 
 def _has_ended(process_id: int) -> bool:
-    """Tell whether a process is gone, or waits to be collected."""
+    """Tell whether a process is gone or a zombie."""
     try:
         state = Path(f'/proc/{process_id}/stat').read_text()
     except FileNotFoundError:
--- a/tests/process/test_owner_failures.py
+++ b/tests/process/test_owner_failures.py
@@ -1,4 +1,4 @@
-"""The owner of a partition dies or sleeps; another takes over."""
+"""The owner of a partition is killed or paused; another one takes over."""
 
 import signal
 
@@ -11,7 +11,7 @@
 
 
 def test_owner_killed(harness: Harness) -> None:
-    """Guards against jobs lost, or run twice, when the owner dies."""
+    """Guards against jobs that are lost or run twice after an owner's crash."""
     caller = harness.caller()
     bodies = [
         *(job(f'batch-{number}', 1000) for number in range(10)),
@@ -24,8 +24,8 @@
     before = caller.submit(bodies)
     owner = harness.owner()
     harness.cell.processes.kill(owner)
-    harness.wait_other_owner(owner)
-    survivors = harness.caller(*harness.others(owner))
+    harness.wait_for_new_owner(owner)
+    survivors = harness.caller(*harness.other_processes(owner))
     again = survivors.submit(bodies)
     later = survivors.submit([job('later')])
     assert [note.job_id for note in again] == [note.job_id for note in before]
@@ -34,33 +34,33 @@
 
 
 def test_owner_paused_beyond_its_lease(harness: Harness) -> None:
-    """Guards against an owner that wakes up and goes on as if it were one."""
+    """Guards against a resumed process that acts as owner without a lease."""
     caller = harness.caller()
     watch = caller.submit([service('watch')])[0]
     running = harness.wait_running(watch)
     owner = harness.owner()
     harness.cell.processes.send_signal(owner, signal.SIGSTOP)
-    harness.wait_other_owner(owner)
-    other = harness.caller(*harness.others(owner))
+    harness.wait_for_new_owner(owner)
+    other = harness.caller(*harness.other_processes(owner))
     during = other.submit([job('during', execution='at_most_once')])[0]
     harness.wait_settled()
     harness.cell.processes.send_signal(owner, signal.SIGCONT)
-    woken = harness.caller(owner)
-    answer = woken.query(during.job_id, wait_ms=1000)
+    resumed = harness.caller(owner)
+    answer = resumed.query(during.job_id, wait_ms=1000)
     assert answer['code'] == codes.JOB_SUCCEEDED.number
-    assert woken.submit([job('after')])[0].is_accepted
+    assert resumed.submit([job('after')])[0].is_accepted
     harness.wait_settled()
     assert [run.attempt for run in harness.runs(watch)] == [running.attempt]
 
 
 def test_start_of_a_paused_owner_arrives_late(harness: Harness) -> None:
-    """Guards against a start that outlives the ownership it was sent under."""
-    warm = harness.caller()
-    warm.submit([job(f'warm-{number}', 100) for number in range(20)])
+    """Guards against a start that takes effect after its owner was replaced."""
+    first_caller = harness.caller()
+    first_caller.submit([job(f'warm-{number}', 100) for number in range(20)])
     harness.wait_settled()
     owner = harness.owner()
     harness.control_workers(hold_starts=True)
-    caller = harness.caller(*harness.others(owner))
+    caller = harness.caller(*harness.other_processes(owner))
     order = caller.submit([job('order', execution='at_most_once')])[0]
     wait_until(
         lambda: any(
@@ -69,7 +69,7 @@
         'no start was sent',
     )
     harness.cell.processes.send_signal(owner, signal.SIGSTOP)
-    harness.wait_other_owner(owner)
+    harness.wait_for_new_owner(owner)
     harness.control_workers(hold_starts=False)
     wait_until(lambda: bool(harness.refusals()), 'no start was refused')
     harness.cell.processes.send_signal(owner, signal.SIGCONT)
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -1,4 +1,4 @@
-"""The worker stand-in keeps the rules that the scheduler relies on."""
+"""Tests of the worker behaviour that the scheduler relies on."""
 
 import asyncio
 from collections.abc import Callable
@@ -43,7 +43,7 @@
 _SECOND = AttemptId('job/1@1.2')
 _EPOCH = Epoch(5)
 _LONG_MS = 600_000
-_NEVER_LATE_MS = 1_000_000_000_000
+_NO_TIME_LIMIT_MS = 1_000_000_000_000
 
 
 def _worker(folder: Path, **changes: Any) -> WorkerStandIn:
@@ -69,7 +69,7 @@
 def _start(
     attempt_id: AttemptId = _FIRST,
     run_time_ms: int = 0,
-    before_ms: int = _NEVER_LATE_MS,
+    before_ms: int = _NO_TIME_LIMIT_MS,
 ) -> StartCommand:
     return StartCommand(attempt_id, _SIZE, run_time_ms, _PAYLOAD, before_ms)
 
@@ -79,13 +79,13 @@
     return (await port.exchange(served.address, request)).unwrap()
 
 
-async def _until(
+async def _exchange_until(
     served: Served,
-    expected: Callable[[WorkerReport], bool],
+    condition: Callable[[WorkerReport], bool],
 ) -> WorkerReport:
     while True:
         report = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
-        if expected(report):
+        if condition(report):
             return report
 
 
@@ -94,7 +94,7 @@
 
 
 def test_lapsed_lease_stops_a_task(tmp_path: Path) -> None:
-    """Guards against a task that runs on when its owner cannot be reached."""
+    """Guards against a task that runs on when no owner renews its lease."""
 
     async def main() -> None:
         async with serving(_worker(tmp_path)) as served:
@@ -104,7 +104,7 @@
                 served,
                 Exchange(_EPOCH, _LONG_MS, renewals=(_SECOND,)),
             )
-            report = await _until(
+            report = await _exchange_until(
                 served,
                 lambda got: got.tasks[0].outcome is TaskOutcome.STOPPED,
             )
@@ -116,31 +116,35 @@
 
 
 def test_outcome_is_kept_until_acknowledged(tmp_path: Path) -> None:
-    """Guards against an outcome lost with the answer that carried it."""
+    """Guards against an outcome that is lost with a lost answer."""
 
     async def main() -> None:
         async with serving(_worker(tmp_path)) as served:
             request = Exchange(_EPOCH, _LONG_MS, (_start(run_time_ms=1),))
             await _exchange(served, request)
-            await _until(
+            await _exchange_until(
                 served,
                 lambda got: got.tasks[0].outcome is TaskOutcome.SUCCEEDED,
             )
             again = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
-            forgotten = await _exchange(
+            after_acknowledgement = await _exchange(
                 served,
                 Exchange(_EPOCH, _LONG_MS, acknowledged=(_FIRST,)),
             )
             repeated = await _exchange(served, request)
             assert len(again.tasks) == 1
-            assert not forgotten.tasks
+            assert not after_acknowledgement.tasks
             assert not repeated.tasks
 
     asyncio.run(main())
 
 
 def test_starts_are_refused(tmp_path: Path) -> None:
-    """Guards against a start of an old owner, a late one and one too many."""
+    """Guards against accepting stale, late or excess starts.
+
+    These are starts with an old epoch, after their time limit, or beyond the
+    number of connections.
+    """
 
     async def main() -> None:
         worker = _worker(tmp_path, connections_count=1, clock_offset_ms=-5000)
@@ -155,8 +159,8 @@
                 served,
                 Exchange(Epoch(4), _LONG_MS, (_start(_SECOND),)),
             )
-            many = (_start(_SECOND), _start(AttemptId('job/2@1.3')))
-            await _exchange(served, Exchange(_EPOCH, _LONG_MS, many))
+            two_starts = (_start(_SECOND), _start(AttemptId('job/2@1.3')))
+            await _exchange(served, Exchange(_EPOCH, _LONG_MS, two_starts))
             assert _outcomes(refused) == {_FIRST: TaskOutcome.REFUSED}
             assert stale.highest_epoch == _EPOCH
             assert _SECOND not in _outcomes(stale)
@@ -175,7 +179,7 @@
 
 
 def test_silent_connection_is_replaced(tmp_path: Path) -> None:
-    """Guards against a client that waits for ever on a dead connection."""
+    """Guards against a client that waits for ever on a silent connection."""
 
     async def main() -> None:
         worker = _worker(tmp_path)
@@ -195,7 +199,7 @@
 
 
 def test_commands_and_failing_worker(tmp_path: Path) -> None:
-    """Guards against commands that the stand-in takes and does not obey."""
+    """Guards against commands that are accepted but not carried out."""
 
     async def main() -> None:
         worker = _worker(tmp_path)
@@ -213,7 +217,7 @@
             await served.control(fail_starts=True)
             failing = (_start(_SECOND, run_time_ms=_LONG_MS),)
             await _exchange(served, Exchange(_EPOCH, _LONG_MS, failing))
-            await _until(
+            await _exchange_until(
                 served,
                 lambda got: _outcomes(got)[_SECOND] is TaskOutcome.FAILED,
             )
@@ -222,15 +226,15 @@
 
 
 def test_real_size_does_not_follow_the_reserved_one(tmp_path: Path) -> None:
-    """Guards against an owner that learns ever larger sizes from itself.
+    """Guards against sizes that an owner learns from its own reservations.
 
-    Reservations of a class whose tasks took what was reserved grew sixteen
-    times, until one task filled a worker.
+    When tasks used as much as was reserved, the reservations of their class
+    grew sixteenfold, until one task filled a worker.
     """
 
     async def real(reserved: Resources) -> Resources:
         worker = _worker(tmp_path)
-        start = StartCommand(_FIRST, reserved, 0, '', _NEVER_LATE_MS)
+        start = StartCommand(_FIRST, reserved, 0, '', _NO_TIME_LIMIT_MS)
         worker.carry_out(Exchange(_EPOCH, _LONG_MS, (start,)))
         return worker.tasks[_FIRST].real
 
@@ -239,7 +243,7 @@
 
 
 def test_real_size_differs_by_the_seed(tmp_path: Path) -> None:
-    """Guards against runs whose real sizes do not repeat or stray too far."""
+    """Guards against real sizes that vary for a seed or exceed the factor."""
 
     async def real(seed: int) -> Resources:
         deviation = Deviation(seed=seed, size_factor_max=4)
