--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= frostwick
-# The product's own interface, or that of the users' platform.
+# `own` is this project's interface, `platform` that of the users' platform.
 INTERFACE ?= own
 SEED ?= 1
 MINUTES ?= 1
