--- a/fuchsiarill/replay/__init__.py
+++ b/fuchsiarill/replay/__init__.py
@@ -1,1 +1,1 @@
-"""Replay of traces against stated outcomes, in paused time."""
+"""Replays traces in virtual time and checks the outcomes that they state."""
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -1,7 +1,7 @@
-"""The callers: submit, retry as the answers advise, and collect the results.
+"""Simulated callers: submit jobs, retry as answers advise, collect results.
 
-Each job has a task of its own. A caller keeps its idempotency key, so a retry
-after an uncertain answer is safe.
+Each job runs in its own asyncio task. A retry uses the same idempotency key,
+so it is safe after an uncertain answer.
 """
 
 import asyncio
@@ -23,8 +23,8 @@
 from fuchsiarill.owner.job_replies import FINAL_STATES
 from fuchsiarill.ports.http_client import CallFailure
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
+from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.replay.process import ReplayedProcess
-from fuchsiarill.replay.seen import SeenKind, SeenLog
 from fuchsiarill.routing import Route, partition_of_job, partition_of_key
 
 _RETRY_MS: Final = 200
@@ -33,10 +33,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Manner:
-    """How a caller acts.
+class CallerOptions:
+    """Whether a caller retries and waits, and which process it calls.
 
-    `via` names the only process it asks; without, the load balancer picks.
+    `via` names the only process that it calls; by default the load balancer
+    chooses one for each call.
     """
 
     retries: bool = True
@@ -49,13 +50,13 @@
 
     def __init__(
         self,
-        log: SeenLog,
+        log: ObservationLog,
         network: Network,
         processes: dict[str, ReplayedProcess],
         config: CellConfig,
         random_source: random.Random,
     ) -> None:
-        """Call `processes`; `random_source` is the load balancer's choice."""
+        """Call `processes`, chosen by `random_source` as load balancer."""
         self.config = config
         self.job_ids: dict[str, JobId] = {}
         self._log = log
@@ -66,10 +67,10 @@
         self._volatile: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def submit(self, spec: JobSpec, manner: Manner) -> None:
-        """Submit a job and follow it to its end."""
-        self._log.note(
-            SeenKind.SUBMITTED,
+    def submit(self, spec: JobSpec, options: CallerOptions) -> None:
+        """Start a task that submits a job and waits for its result."""
+        self._log.record(
+            ObservationKind.SUBMITTED,
             spec.customer,
             key=spec.idempotency_key,
             workload=spec.workload.value,
@@ -79,32 +80,32 @@
             tasks_count=spec.tasks_count,
             size=spec.task_size.as_tuple(),
         )
-        self._run(self._follow(spec, manner))
+        self._start_task(self._run_job(spec, options))
 
-    def cancel(self, spec: JobSpec, manner: Manner) -> None:
-        """Cancel a job that was submitted before."""
-        self._run(self._cancel(spec, manner))
+    def cancel(self, spec: JobSpec, options: CallerOptions) -> None:
+        """Start a task that cancels a job, once its id is known."""
+        self._start_task(self._cancel(spec, options))
 
-    def _run(self, call: Any) -> None:
+    def _start_task(self, call: Any) -> None:
         task = asyncio.create_task(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _follow(self, spec: JobSpec, manner: Manner) -> None:
+    async def _run_job(self, spec: JobSpec, options: CallerOptions) -> None:
         while True:
-            job_id = await self._accepted(spec, manner)
+            job_id = await self._submit_until_accepted(spec, options)
             if job_id is None:
                 return
             self.job_ids[spec.idempotency_key] = job_id
-            if not manner.waits:
+            if not options.waits:
                 return
-            if await self._collect(spec, job_id, manner):
+            if await self._wait_for_result(spec, job_id, options):
                 return
 
-    async def _accepted(
+    async def _submit_until_accepted(
         self,
         spec: JobSpec,
-        manner: Manner,
+        options: CallerOptions,
     ) -> JobId | None:
         partition = partition_of_key(
             self.config,
@@ -115,58 +116,61 @@
             return None
         build = partial(_submit_route, partition, spec)
         while True:
-            answers = await self._ask(spec, 'submit', build, manner)
+            answers = await self._call(spec, 'submit', build, options)
             answer = None if answers is None else answers[0]
             if answer is not None and answer.refusal is None:
-                return self._note_accepted(spec, answer)
+                return self._record_acceptance(spec, answer)
             delay_ms = _retry_delay_ms(answer)
-            if delay_ms is None or not manner.retries:
+            if delay_ms is None or not options.retries:
                 return None
             await sleep_ms(delay_ms)
 
-    def _note_accepted(self, spec: JobSpec, answer: JobAnswer) -> JobId | None:
+    def _record_acceptance(
+        self, spec: JobSpec, answer: JobAnswer
+    ) -> JobId | None:
         if answer.code is ACCEPTED_VOLATILE:
             self._volatile.add(spec.idempotency_key)
         return answer.job_id
 
-    async def _collect(
+    async def _wait_for_result(
         self,
         spec: JobSpec,
         job_id: JobId,
-        manner: Manner,
+        options: CallerOptions,
     ) -> bool:
         """Wait for the result; `False` when the job has to be submitted again.
 
-        That is so for a job that was accepted as volatile and is forgotten.
+        That is the case when the system has lost a job that it accepted as
+        volatile.
         """
         query = JobQuery(spec.customer, job_id, _RESULT_WAIT_MS)
-        build = partial(_ask_route, query)
+        build = partial(_query_route, query)
         while True:
-            answer = await self._ask(
+            answer = await self._call(
                 spec,
                 'query',
                 build,
-                manner,
+                options,
                 _RESULT_WAIT_MS,
             )
             if answer is None:
                 await sleep_ms(_RETRY_MS)
                 continue
             if answer.state in FINAL_STATES:
-                self._note_end(spec, answer)
+                self._record_end(spec, answer)
                 return True
-            if self._is_forgotten(spec, answer):
+            if self._is_lost_volatile(spec, answer):
                 return False
             if answer.refusal is not None:
                 await sleep_ms(_RETRY_MS)
 
-    def _is_forgotten(self, spec: JobSpec, answer: JobAnswer) -> bool:
+    def _is_lost_volatile(self, spec: JobSpec, answer: JobAnswer) -> bool:
         is_volatile = spec.idempotency_key in self._volatile
         return is_volatile and answer.code is UNKNOWN_JOB
 
-    def _note_end(self, spec: JobSpec, answer: JobAnswer) -> None:
-        self._log.note(
-            SeenKind.JOB_ENDED,
+    def _record_end(self, spec: JobSpec, answer: JobAnswer) -> None:
+        self._log.record(
+            ObservationKind.JOB_ENDED,
             spec.customer,
             key=spec.idempotency_key,
             state='' if answer.state is None else answer.state.value,
@@ -174,52 +178,52 @@
             outputs=list(answer.outputs),
         )
 
-    async def _cancel(self, spec: JobSpec, manner: Manner) -> None:
+    async def _cancel(self, spec: JobSpec, options: CallerOptions) -> None:
         key = spec.idempotency_key
         job_id = self.job_ids.get(key)
-        self._log.note(SeenKind.CANCEL_ASKED, spec.customer, key=key)
+        self._log.record(ObservationKind.CANCEL_ASKED, spec.customer, key=key)
         while job_id is None:
             await sleep_ms(_RETRY_MS)
             job_id = self.job_ids.get(key)
         cancel = JobCancel(spec.customer, job_id)
         build = partial(_cancel_route, cancel)
         while True:
-            answer = await self._ask(spec, 'cancel', build, manner)
+            answer = await self._call(spec, 'cancel', build, options)
             if answer is not None and _retry_delay_ms(answer) is None:
                 return
             await sleep_ms(_RETRY_MS)
 
-    async def _ask(
+    async def _call(
         self,
         spec: JobSpec,
         call: str,
         build: Callable[[Any], Route],
-        manner: Manner,
+        options: CallerOptions,
         wait_ms: int = 0,
     ) -> Any:
-        """Return the answer of one process, or `None` for none."""
-        process = self._pick(manner)
+        """Return the answer of one process, or `None` if none arrives."""
+        process = self._choose_process(options)
         if process is None:
             return None
-        # The front answers at its own deadline, before the caller gives up.
+        # The front end answers at its own deadline, before this time-out.
         timeout_ms = (
             process.settings.http.request_timeout_ms
             + wait_ms
             + _ANSWER_MARGIN_MS
         )
-        answered = await self._network.ask(
+        answered = await self._network.call(
             self._endpoint,
             process.endpoint,
-            partial(process.ask_owner, build, wait_ms),
+            partial(process.call_owner, build, wait_ms),
             timeout_ms,
         )
         match answered:
             case Success(answer):
-                self._note_answer(spec, call, process.name, answer)
+                self._record_answer(spec, call, process.name, answer)
                 return answer
             case Failure(CallFailure() as failure):
-                self._log.note(
-                    SeenKind.CALL_FAILED,
+                self._log.record(
+                    ObservationKind.CALL_FAILED,
                     spec.customer,
                     key=spec.idempotency_key,
                     call=call,
@@ -228,34 +232,40 @@
                 )
         return None
 
-    def _pick(self, manner: Manner) -> ReplayedProcess | None:
-        if manner.via is not None:
-            return self._processes[manner.via]
-        alive = [one for one in self._processes.values() if one.takes_calls]
-        return self._random_source.choice(alive) if alive else None
-
-    def _note_answer(
+    def _choose_process(self, options: CallerOptions) -> ReplayedProcess | None:
+        if options.via is not None:
+            return self._processes[options.via]
+        available = [
+            process
+            for process in self._processes.values()
+            if process.accepts_calls
+        ]
+        return self._random_source.choice(available) if available else None
+
+    def _record_answer(
         self,
         spec: JobSpec,
         call: str,
         process: str,
         answer: Any,
     ) -> None:
-        one: JobAnswer = answer[0] if isinstance(answer, tuple) else answer
-        self._log.note(
-            SeenKind.ANSWERED,
+        job_answer: JobAnswer = (
+            answer[0] if isinstance(answer, tuple) else answer
+        )
+        self._log.record(
+            ObservationKind.ANSWERED,
             spec.customer,
             key=spec.idempotency_key,
             call=call,
             process=process,
-            code=one.code.name,
-            job=one.job_id or '',
-            refused=one.refusal is not None,
+            code=job_answer.code.name,
+            job=job_answer.job_id or '',
+            refused=job_answer.refusal is not None,
         )
 
 
 def _retry_delay_ms(answer: JobAnswer | None) -> int | None:
-    """Return when to repeat a request, or `None` for not at all."""
+    """Return the delay before a retry, or `None` if none is advised."""
     if answer is None:
         return _RETRY_MS
     if answer.refusal is None or answer.code.retry is Retry.NEVER:
@@ -267,7 +277,7 @@
     return Route(partition, messages.SubmitJobs((spec,), reply))
 
 
-def _ask_route(query: JobQuery, reply: Any) -> Route:
+def _query_route(query: JobQuery, reply: Any) -> Route:
     return Route(
         partition_of_job(query.job_id),
         messages.QueryJob(query, reply),
--- a/fuchsiarill/replay/checker.py
+++ b/fuchsiarill/replay/checker.py
@@ -1,35 +1,38 @@
-"""Checks the stated outcomes of a trace against what was seen."""
+"""Checks the stated outcomes of a trace against the observation log."""
 
 from dataclasses import dataclass
 from typing import Final
 
 from fuchsiarill.replay.evidence import Evidence
 from fuchsiarill.replay.kinds import OutcomeKind, Violation
+from fuchsiarill.replay.observations import ObservationLog
 from fuchsiarill.replay.outcomes_safety import NoActorFailed
-from fuchsiarill.replay.seen import SeenLog
-from fuchsiarill.replay.trace import Stated, Trace
+from fuchsiarill.replay.trace import Trace, TraceEntry
 
-_ALWAYS: Final[Stated[OutcomeKind]] = Stated(
+_IMPLICIT_OUTCOME: Final[TraceEntry[OutcomeKind]] = TraceEntry(
     'no_actor_failed',
     NoActorFailed(),
 )
 
 
 @dataclass(frozen=True, slots=True)
-class Unmet:
-    """An outcome that does not hold, with everything that contradicts it."""
+class UnmetOutcome:
+    """An outcome that does not hold, with all its violations."""
 
     outcome: str
     violations: tuple[Violation, ...]
 
 
-def check(trace: Trace, log: SeenLog) -> list[Unmet]:
-    """Return the outcomes that the log contradicts."""
-    evidence = Evidence(log, trace.deployment, trace.frame.duration_ms)
+def check(trace: Trace, log: ObservationLog) -> list[UnmetOutcome]:
+    """Return the outcomes of the trace that the log violates.
+
+    `no_actor_failed` is checked for every trace.
+    """
+    evidence = Evidence(log, trace.deployment, trace.header.duration_ms)
     unmet = []
-    stated_outcomes = (*trace.outcomes, _ALWAYS)
+    stated_outcomes = (*trace.outcomes, _IMPLICIT_OUTCOME)
     for stated in stated_outcomes:
-        found = tuple(stated.kind.violations(evidence))
-        if found:
-            unmet.append(Unmet(stated.name, found))
+        violations = tuple(stated.kind.violations(evidence))
+        if violations:
+            unmet.append(UnmetOutcome(stated.name, violations))
     return unmet
--- a/fuchsiarill/replay/command.py
+++ b/fuchsiarill/replay/command.py
@@ -1,7 +1,7 @@
-"""Replays trace files and prints what does not hold.
+"""Replays trace files and prints the violations of unmet outcomes.
 
 Exit status: 0 when every outcome is met, 1 when one is not, 2 when a trace
-is bad.
+file is invalid or cannot be read.
 """
 
 import sys
@@ -13,7 +13,7 @@
 from loguru import logger
 from returns.result import Failure, Success
 
-from fuchsiarill.replay.runner import Replayed, replay
+from fuchsiarill.replay.runner import ReplayResult, replay
 from fuchsiarill.replay.trace import Trace, load_trace
 
 _SHOWN_COUNT: Final = 3
@@ -21,7 +21,7 @@
 
 
 class ReplayStatus(Enum):
-    """Exit status of a replay."""
+    """Exit status of a replay; the highest one of all files counts."""
 
     MET = 0
     UNMET = 1
@@ -29,7 +29,7 @@
 
 
 def replay_files(paths: Iterable[Path]) -> int:
-    """Replay all files in order; returns the exit status."""
+    """Replay files in order and return the highest exit status."""
     logger.remove()
     return max(_replay_file(path).value for path in paths)
 
@@ -61,10 +61,10 @@
     return ReplayStatus.UNMET if replayed.unmet else ReplayStatus.MET
 
 
-def _summary(trace: Trace, replayed: Replayed) -> str:
-    verdict = 'unmet' if replayed.unmet else 'met'
+def _summary(trace: Trace, replayed: ReplayResult) -> str:
+    status = 'unmet' if replayed.unmet else 'met'
     return (
-        f'{verdict:5} {trace.name}: {len(trace.outcomes)} outcomes, '
+        f'{status:5} {trace.name}: {len(trace.outcomes)} outcomes, '
         f'{len(replayed.unmet)} unmet, {len(replayed.log.entries)} events, '
         f'log {replayed.log.digest()[:_DIGEST_CHARACTERS]}'
     )
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -1,4 +1,4 @@
-"""The actors of one process, connected as the daemon connects them."""
+"""The actors of one replayed process, connected as in the daemon."""
 
 import asyncio
 import random
@@ -21,7 +21,7 @@
 
 
 class Composition:
-    """The running actors of one life of a process."""
+    """The running actors of one incarnation of a process."""
 
     def __init__(
         self,
@@ -52,18 +52,18 @@
         self.process = assembly.process
         self.front = FakeFront(settings, assembly.receivers, environment.log)
         self._actors = assembly.attach_front(self.front)
-        self._servant = PeerCallServer(assembly.receivers, settings.peers)
+        self._peer_server = PeerCallServer(assembly.receivers, settings.peers)
 
     async def run(self) -> None:
-        """Run the actors until the process ends by itself."""
-        for starting in self._actors:
-            starting.start()
+        """Run the actors until the process ends by itself, then stop them."""
+        for actor in self._actors:
+            actor.start()
         await self.process.ended.wait()
-        for ending in self._actors:
-            await ending.stop()
+        for actor in self._actors:
+            await actor.stop()
 
     def drain(self) -> None:
-        """Ask for a graceful end, as SIGTERM does."""
+        """Request a graceful shutdown, as SIGTERM does."""
         self.process.mailbox.send(DrainRequested())
 
     async def serve(
@@ -72,33 +72,35 @@
         request: dict[str, Any],
         reply: Reply[Any],
     ) -> None:
-        """Run a method of the servant; without answer when it fails."""
+        """Run a method of the peer server; a time-out gives no answer."""
         context = CallContext()
         arguments = {name: received(request[name]) for name in request}
         try:
-            await getattr(self._servant, method)(**arguments, _context=context)
+            await getattr(self._peer_server, method)(
+                **arguments, _context=context
+            )
         except TimeoutError:
             return
         reply.answer(context.fields)
 
-    async def ask_owner(
+    async def call_owner(
         self,
         build: Build,
         wait_ms: int,
         reply: Reply[Any],
     ) -> None:
-        """Answer a caller."""
-        reply.answer(await self.front.ask_owner(build, wait_ms))
+        """Pass a caller's request to a partition owner and its answer back."""
+        reply.answer(await self.front.call_owner(build, wait_ms))
 
-    async def ask_config(self, build: Build, reply: Reply[Any]) -> None:
-        """Answer an operator; without answer when the actor is silent."""
+    async def call_config(self, build: Build, reply: Reply[Any]) -> None:
+        """Pass on an operator's request; a time-out gives no answer."""
         try:
-            answer = await self.front.ask_config(build)
+            answer = await self.front.call_config(build)
         except TimeoutError:
             return
         reply.answer(answer)
 
 
 def run_composition(composition: Composition) -> asyncio.Task[None]:
-    """Run a process as a task of the present context."""
+    """Run the actors in a task of the current context."""
     return asyncio.create_task(composition.run())
--- a/fuchsiarill/replay/deployment.py
+++ b/fuchsiarill/replay/deployment.py
@@ -1,4 +1,4 @@
-"""Deployments that traces name: domains, latencies, workers, configuration."""
+"""Named deployments: domains, latencies, workers and configuration."""
 
 from importlib import resources
 from typing import Annotated, Any, Final
@@ -16,13 +16,16 @@
 
 
 class TraceModel(BaseModel):
-    """Base of everything that a trace file holds."""
+    """Base of the models of trace files; rejects unknown fields."""
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
 
 class WorkerGroup(TraceModel):
-    """Equal workers; racks go to the failure domains in turn."""
+    """Equal workers in racks of `rack_size`.
+
+    Consecutive racks are assigned to the failure domains round-robin.
+    """
 
     prefix: str
     count: _Positive
@@ -43,11 +46,11 @@
 
     @property
     def latencies(self) -> Latencies:
-        """Return the latencies for the network."""
+        """Return the latencies that the simulated network uses."""
         return Latencies(self.domain_latency_ms, self.client_latency_ms)
 
     def hosts(self) -> tuple[HostEntry, ...]:
-        """Return all workers as the host list shows them."""
+        """Return the host list entries of all workers, as live."""
         return tuple(
             self._entry(group, index)
             for group in self.worker_groups
@@ -70,7 +73,7 @@
 
 
 def named_deployments() -> list[str]:
-    """Return the names that a trace may use."""
+    """Return the names of the deployments in the package, sorted."""
     return sorted(
         entry.name.removesuffix('.yaml')
         for entry in _NAMED.iterdir()
@@ -79,17 +82,18 @@
 
 
 def read_named(name: str) -> dict[str, Any]:
-    """Return the document of a named deployment."""
+    """Load the YAML document of a named deployment."""
     text = _NAMED.joinpath(f'{name}.yaml').read_text()
     document: dict[str, Any] = yaml.safe_load(text)
     return document
 
 
 def merge(base: Any, changes: Any) -> Any:
-    """Lay changes over a document.
+    """Return a document with changes merged into it.
 
     Mappings merge by key. A list of contracts merges by customer when the
-    changes are a mapping of customers. Everything else is replaced.
+    changes are a mapping of customers; a null entry removes the contract.
+    Everything else is replaced.
     """
     if isinstance(base, dict) and isinstance(changes, dict):
         merged = dict(base)
--- a/fuchsiarill/replay/event_kinds.py
+++ b/fuchsiarill/replay/event_kinds.py
@@ -1,4 +1,4 @@
-"""Kinds of events: what callers, operators and the platform do."""
+"""Kinds of events: actions of callers, operators and the platform."""
 
 import asyncio
 import random
@@ -9,9 +9,9 @@
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.ids import CustomerId, JobClass
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
-from fuchsiarill.replay.callers import Manner
+from fuchsiarill.replay.callers import CallerOptions
 from fuchsiarill.replay.deployment import TraceModel
-from fuchsiarill.replay.fake_workers import Truth, scaled
+from fuchsiarill.replay.fake_workers import TaskProfile, scaled
 from fuchsiarill.replay.kinds import EVENT_KINDS, EventKind
 from fuchsiarill.replay.world import World, worker_ids
 from fuchsiarill.resources import Resources
@@ -31,10 +31,11 @@
 
 
 class JobTemplate(EventKind):
-    """A job as callers submit it, and how it truly behaves.
+    """A job as callers declare it, and how its tasks actually behave.
 
-    A task truly uses `true_size_factor` times its declared size and runs
-    `true_run_time_factor` times as long; its first `fails_count` runs fail.
+    A task uses `true_size_factor` times its declared size and runs for
+    `true_run_time_factor` times its declared run time. The first
+    `fails_count` runs of the job fail.
     """
 
     customer: CustomerId
@@ -53,18 +54,18 @@
     via: str | None = None
 
     def submit(self, world: World, key: str) -> None:
-        """Submit the job under a key."""
+        """Submit the job under an idempotency key."""
         spec = self._spec(key)
-        world.truths[key] = Truth(
+        world.profiles[key] = TaskProfile(
             scaled(spec.task_size, self.true_size_factor),
             self.true_run_time_factor,
             self.fails_count,
         )
         world.specs[key] = spec
-        world.callers.submit(spec, self._manner())
+        world.callers.submit(spec, self._options())
 
-    def _manner(self) -> Manner:
-        return Manner(self.retries, self.waits, self.via)
+    def _options(self) -> CallerOptions:
+        return CallerOptions(self.retries, self.waits, self.via)
 
     def _spec(self, key: str) -> JobSpec:
         return JobSpec(
@@ -88,21 +89,21 @@
 
 @EVENT_KINDS.register('submit')
 class Submit(JobTemplate):
-    """One job; the same key again is a retry of the same submission."""
+    """Submit one job; a key that was used before is a retry of that job."""
 
     key: str
 
-    def happen(self, world: World) -> None:
-        """Submit it."""
+    def apply(self, world: World) -> None:
+        """Submit the job."""
         self.submit(world, self.key)
 
 
 @EVENT_KINDS.register('stream')
 class Stream(JobTemplate):
-    """`count` jobs at `rate_per_s` with keys `<prefix>-<n>` from 1.
+    """Submit `count` jobs at `rate_per_s` with keys `<prefix>-<n>` from 1.
 
-    Gaps are exponential, or equal when `regular`. Run times are drawn between
-    `run_time_ms` and `run_time_max_ms` if that is given.
+    Intervals are exponentially distributed, or equal when `regular`. Run
+    times are uniform between `run_time_ms` and `run_time_max_ms`, if given.
     """
 
     prefix: str
@@ -111,10 +112,10 @@
     regular: bool = False
     run_time_max_ms: _Positive | None = None
 
-    def happen(self, world: World) -> None:
-        """Start the stream."""
+    def apply(self, world: World) -> None:
+        """Start a task that submits the jobs."""
         random_source = random.Random(world.random_source.random())
-        world.keep(asyncio.create_task(self._emit(world, random_source)))
+        world.track_task(asyncio.create_task(self._emit(world, random_source)))
 
     async def _emit(self, world: World, random_source: random.Random) -> None:
         for number in range(1, self.count + 1):
@@ -134,27 +135,27 @@
 
 @EVENT_KINDS.register('cancel')
 class Cancel(EventKind):
-    """Cancel one job."""
+    """Cancel the job that was submitted under a key."""
 
     key: str
     via: str | None = None
 
-    def happen(self, world: World) -> None:
-        """Ask for the cancellation."""
-        world.callers.cancel(world.specs[self.key], Manner(via=self.via))
+    def apply(self, world: World) -> None:
+        """Start the cancellation."""
+        world.callers.cancel(world.specs[self.key], CallerOptions(via=self.via))
 
 
 @EVENT_KINDS.register('cancel_wave')
 class CancelWave(EventKind):
-    """Cancel every job so far whose key begins with `prefix`, at once."""
+    """Cancel all jobs submitted so far whose key begins with `prefix`."""
 
     prefix: str
 
-    def happen(self, world: World) -> None:
-        """Ask for all cancellations."""
+    def apply(self, world: World) -> None:
+        """Start all cancellations at the same time."""
         for key, spec in world.specs.items():
             if key.startswith(self.prefix):
-                world.callers.cancel(spec, Manner())
+                world.callers.cancel(spec, CallerOptions())
 
 
 @EVENT_KINDS.register('retire')
@@ -163,10 +164,10 @@
 
     workers: tuple[str, ...]
 
-    def happen(self, world: World) -> None:
-        """Change the list."""
-        found = worker_ids(world.find_workers(self.workers))
-        world.host_list.change(found, HostState.LEAVING)
+    def apply(self, world: World) -> None:
+        """Mark the workers as leaving in the host list."""
+        workers = worker_ids(world.find_workers(self.workers))
+        world.host_list.change(workers, HostState.LEAVING)
 
 
 @EVENT_KINDS.register('restore')
@@ -175,31 +176,31 @@
 
     workers: tuple[str, ...]
 
-    def happen(self, world: World) -> None:
-        """Change the list."""
-        found = worker_ids(world.find_workers(self.workers))
-        world.host_list.change(found, HostState.LIVE)
+    def apply(self, world: World) -> None:
+        """Mark the workers as live in the host list."""
+        workers = worker_ids(world.find_workers(self.workers))
+        world.host_list.change(workers, HostState.LIVE)
 
 
 @EVENT_KINDS.register('unlist')
 class Unlist(EventKind):
-    """Workers are gone and vanish from the host list."""
+    """Workers crash and are removed from the host list."""
 
     workers: tuple[str, ...]
 
-    def happen(self, world: World) -> None:
-        """Change the list and end the workers."""
-        found = world.find_workers(self.workers)
-        world.host_list.unlist(worker_ids(found))
-        for worker in found:
-            worker.die()
+    def apply(self, world: World) -> None:
+        """Remove the workers from the list and end their tasks."""
+        workers = world.find_workers(self.workers)
+        world.host_list.unlist(worker_ids(workers))
+        for worker in workers:
+            worker.crash()
 
 
 @EVENT_KINDS.register('configure')
 class Configure(EventKind):
     """An operator changes the configuration or a contract.
 
-    `changes` are laid over the present document: mappings merge by key, and
+    `changes` are merged into the current document: mappings merge by key, and
     `contracts` is a mapping of customers. `text` replaces the document.
     """
 
@@ -208,8 +209,8 @@
     author: str = 'operator'
     via: str | None = None
 
-    def happen(self, world: World) -> None:
-        """Start the change."""
+    def apply(self, world: World) -> None:
+        """Start the change request."""
         world.operators.change(self.changes, self.text, self.author, self.via)
 
 
@@ -219,19 +220,19 @@
 
     changes: tuple[dict[str, Any], ...]
 
-    def happen(self, world: World) -> None:
-        """Start all changes from the same document."""
+    def apply(self, world: World) -> None:
+        """Start all change requests, based on the same document."""
         for number, change in enumerate(self.changes, start=1):
             world.operators.change(change, None, f'operator-{number}', None)
 
 
 @EVENT_KINDS.register('shutdown')
 class Shutdown(EventKind):
-    """SIGTERM: a process drains and ends; see `find_processes` for names."""
+    """SIGTERM: processes drain and end; names as in `find_processes`."""
 
     process: str
 
-    def happen(self, world: World) -> None:
-        """Ask for the shutdown."""
+    def apply(self, world: World) -> None:
+        """Send SIGTERM to the processes."""
         for process in world.find_processes(self.process):
             process.shut_down()
--- a/fuchsiarill/replay/evidence.py
+++ b/fuchsiarill/replay/evidence.py
@@ -1,4 +1,4 @@
-"""What outcomes are checked against: the log, put into order by task."""
+"""The observation log of a replay, indexed by job, task and run."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -7,13 +7,20 @@
 
 from fuchsiarill.replay.deployment import Deployment
 from fuchsiarill.replay.kinds import OutcomeKind
-from fuchsiarill.replay.seen import Seen, SeenKind, SeenLog
+from fuchsiarill.replay.observations import (
+    Observation,
+    ObservationKind,
+    ObservationLog,
+)
 from fuchsiarill.resources import Resources
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One run of a task on a worker; an open end is that of the replay."""
+    """One run of a task on a worker.
+
+    A run that has not ended gets the end of the replay as `ended_ms`.
+    """
 
     key: str
     position: int
@@ -21,19 +28,19 @@
     began_ms: int
     ended_ms: int
     reserved: Resources
-    start: Seen
+    start: Observation
 
 
 class Evidence:
-    """The log of one replay and what follows from it directly."""
+    """The log of a replay with views derived from it, for outcome checks."""
 
     def __init__(
         self,
-        log: SeenLog,
+        log: ObservationLog,
         deployment: Deployment,
         duration_ms: int,
     ) -> None:
-        """Look at a closed log."""
+        """Use a closed log; the views are computed on first use."""
         self.log = log
         self.deployment = deployment
         self.duration_ms = duration_ms
@@ -46,26 +53,27 @@
         }
 
     @cached_property
-    def submissions(self) -> dict[str, Seen]:
+    def submissions(self) -> dict[str, Observation]:
         """Return the first submission of each key."""
-        first: dict[str, Seen] = {}
-        for entry in self.log.of(SeenKind.SUBMITTED):
+        first: dict[str, Observation] = {}
+        for entry in self.log.of(ObservationKind.SUBMITTED):
             first.setdefault(entry.details['key'], entry)
         return first
 
     @cached_property
-    def ends(self) -> dict[str, Seen]:
-        """Return the final answer for each key that got one."""
+    def ends(self) -> dict[str, Observation]:
+        """Return the final answer that the caller got, by key."""
         return {
             entry.details['key']: entry
-            for entry in self.log.of(SeenKind.JOB_ENDED)
+            for entry in self.log.of(ObservationKind.JOB_ENDED)
         }
 
     @cached_property
     def cancelled(self) -> frozenset[str]:
-        """Return the keys that somebody asked to cancel."""
+        """Return the keys of jobs whose cancellation was requested."""
         return frozenset(
-            entry.details['key'] for entry in self.log.of(SeenKind.CANCEL_ASKED)
+            entry.details['key']
+            for entry in self.log.of(ObservationKind.CANCEL_ASKED)
         )
 
     @cached_property
@@ -73,7 +81,7 @@
         """Return the runs of all tasks in the order of their starts."""
         ended = {
             (entry.who, entry.details['attempt']): entry.time_ms
-            for entry in self.log.of(SeenKind.TASK_ENDED)
+            for entry in self.log.of(ObservationKind.TASK_ENDED)
         }
         return [
             Run(
@@ -88,7 +96,7 @@
                 Resources(*start.details['reserved']),
                 start,
             )
-            for start in self.log.of(SeenKind.TASK_STARTED)
+            for start in self.log.of(ObservationKind.TASK_STARTED)
         ]
 
     @cached_property
@@ -101,7 +109,7 @@
 
     @cached_property
     def runs_by_task(self) -> dict[tuple[str, int], list[Run]]:
-        """Return the runs of each task."""
+        """Return the runs of each task, by key and position."""
         grouped: dict[tuple[str, int], list[Run]] = {}
         for run in self.runs:
             grouped.setdefault((run.key, run.position), []).append(run)
@@ -109,7 +117,10 @@
 
 
 class JobOutcome(OutcomeKind):
-    """Base of outcomes about jobs; all filters must match."""
+    """Base of outcomes about jobs.
+
+    It applies to jobs that match all filters; `keys` is a prefix of keys.
+    """
 
     keys: str = ''
     customer: str | None = None
@@ -117,8 +128,8 @@
     job_class: str | None = None
     workload: str | None = None
 
-    def selected(self, evidence: Evidence) -> Iterator[tuple[str, Seen]]:
-        """Yield the key and the submission of each job that is meant."""
+    def selected(self, evidence: Evidence) -> Iterator[tuple[str, Observation]]:
+        """Yield the key and the submission of each matching job."""
         for key, submission in evidence.submissions.items():
             if not key.startswith(self.keys):
                 continue
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -1,4 +1,4 @@
-"""Takes the place of the HTTP front end: callers and operators without HTTP.
+"""Fake of the front end: passes calls to the actors without HTTP.
 
 It uses the same messages and deadlines as the routes in `front/`.
 """
@@ -17,7 +17,7 @@
 from fuchsiarill.owner.messages import ConfigChanged
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.refusal import refuse
-from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.routing import Route, answer_all
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.states import ProcessState
@@ -28,15 +28,15 @@
 
 
 class FakeFront(Actor):
-    """Passes requests on and knows whether the process takes any."""
+    """Passes requests to actors and tracks the readiness of the process."""
 
     def __init__(
         self,
         settings: ProcessSettings,
         receivers: Receivers,
-        log: SeenLog,
+        log: ObservationLog,
     ) -> None:
-        """Serve nothing before a configuration is in force."""
+        """Refuse callers' requests until a configuration is in force."""
         super().__init__('front')
         self.is_ready = False
         self._settings = settings
@@ -48,33 +48,37 @@
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
-        """Note the generation in force, as an operator can ask for it."""
+        """Record the generation in force, as operators can query it."""
         self._has_config = True
         reply: Reply[ConfigDocument] = Reply()
         self._receivers.config.send(GetDocument(reply))
         document = await reply.wait(self._settings.http.request_timeout_ms)
-        self._log.note(
-            SeenKind.CONFIG_IN_FORCE,
+        self._log.record(
+            ObservationKind.CONFIG_IN_FORCE,
             self._settings.process,
             generation=document.generation,
         )
 
     @handles(StateChanged)
     async def on_state(self, message: StateChanged) -> None:
-        """Answer the check of the load balancer by the new state."""
+        """Update the readiness that the load balancer checks."""
         self.is_ready = message.state is ProcessState.SERVING
 
     @handles(StopFront)
     async def on_stop(self, message: StopFront) -> None:
-        """Wait for the answers in progress, then take no more."""
+        """Wait for the answers in progress, then close the front end."""
         ends_at_ms = now_ms() + message.within_ms
         while self._in_progress and now_ms() < ends_at_ms:
             await sleep_ms(_CHECK_INTERVAL_MS)
         self._is_open = False
         message.reply.answer(not self._in_progress)
 
-    async def ask_owner(self, build: Build, wait_ms: int) -> Any:
-        """Ask the owner of a partition, within the deadline of a request."""
+    async def call_owner(self, build: Build, wait_ms: int) -> Any:
+        """Route a request to a partition owner and return the answer.
+
+        Without an answer within the request time-out plus `wait_ms`, the
+        answer is that the outcome is uncertain.
+        """
         route: Route = build(Reply())
         if not self._has_config:
             answer_all(
@@ -92,15 +96,15 @@
                 route.message,
                 refused(refuse(codes.OVERLOADED, texts.OVERLOADED)),
             )
-        return await self._answer_of(route, wait_ms)
+        return await self._wait_for_answer(route, wait_ms)
 
-    async def ask_config(self, build: Build) -> Any:
-        """Ask the actor that holds the configuration."""
+    async def call_config(self, build: Build) -> Any:
+        """Return the configuration actor's answer; raises `TimeoutError`."""
         reply: Reply[Any] = Reply()
         self._receivers.config.send(build(reply))
         return await reply.wait(self._settings.http.request_timeout_ms)
 
-    async def _answer_of(self, route: Route, wait_ms: int) -> Any:
+    async def _wait_for_answer(self, route: Route, wait_ms: int) -> Any:
         reply: Reply[Any] = route.message.reply
         self._in_progress += 1
         try:
--- a/fuchsiarill/replay/fake_host_list.py
+++ b/fuchsiarill/replay/fake_host_list.py
@@ -1,4 +1,4 @@
-"""Fake of the host list, and the port that calls it."""
+"""Fake of the host list, and the `HostListPort` that calls it."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -11,23 +11,25 @@
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.store import StoreFailure
 from fuchsiarill.replay.network import SERVICE_DOMAIN, Endpoint, Network
-from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.settings import HostListSettings
 from fuchsiarill.workers import HostEntry, HostState
 
 
 @dataclass(frozen=True, slots=True)
 class HostsRequested:
-    """One read of the host list."""
+    """One read of the host list, as it arrives there."""
 
     process: str
     reply: Reply[Any]
 
 
 class FakeHostList(Actor):
-    """The list of hosts, of the present or of `lag_ms` ago."""
+    """The host list; it answers with its state of `lag_ms` ago."""
 
-    def __init__(self, log: SeenLog, hosts: tuple[HostEntry, ...]) -> None:
+    def __init__(
+        self, log: ObservationLog, hosts: tuple[HostEntry, ...]
+    ) -> None:
         """Start with all hosts live."""
         super().__init__('host_list')
         self.endpoint = Endpoint('host_list', SERVICE_DOMAIN)
@@ -38,11 +40,11 @@
 
     @property
     def hosts(self) -> tuple[HostEntry, ...]:
-        """Return the present entries."""
+        """Return the current entries, without the lag."""
         return self._history[-1][1]
 
     def change(self, workers: list[WorkerId], state: HostState) -> None:
-        """List workers as live or leaving from now on."""
+        """Change the listed state of workers from now on."""
         changed = []
         for entry in self.hosts:
             if entry.worker_id in workers:
@@ -50,29 +52,29 @@
                 continue
             changed.append(entry)
         self._history.append((now_ms(), tuple(changed)))
-        kind = SeenKind.HOST_BACK
+        kind = ObservationKind.HOST_BACK
         if state is HostState.LEAVING:
-            kind = SeenKind.HOST_LEAVING
+            kind = ObservationKind.HOST_LEAVING
         for worker_id in workers:
-            self._log.note(kind, worker_id)
+            self._log.record(kind, worker_id)
 
     def unlist(self, workers: list[WorkerId]) -> None:
-        """Take workers off the list."""
+        """Remove workers from the list."""
         kept = tuple(
             entry for entry in self.hosts if entry.worker_id not in workers
         )
         self._history.append((now_ms(), kept))
 
     @handles(HostsRequested)
-    async def on_asked(self, message: HostsRequested) -> None:
-        """Answer with the entries that were true `lag_ms` ago."""
+    async def on_hosts_requested(self, message: HostsRequested) -> None:
+        """Answer with the entries of `lag_ms` ago, unless silent."""
         if self.is_silent:
             return
         shown = self._history[0][1]
         for since_ms, entries in self._history:
             if since_ms <= now_ms() - self.lag_ms:
                 shown = entries
-        self._log.note(SeenKind.HOSTS_FETCHED, message.process)
+        self._log.record(ObservationKind.HOSTS_FETCHED, message.process)
         message.reply.answer(Success(shown))
 
 
@@ -93,12 +95,12 @@
         self._host_list = host_list
 
     async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
-        """Return all listed hosts."""
-        asked = partial(HostsRequested, self._source.name)
-        answer = await self._network.ask(
+        """Return all listed hosts, or a failure after the poll interval."""
+        build_request = partial(HostsRequested, self._source.name)
+        answer = await self._network.call(
             self._source,
             self._host_list.endpoint,
-            lambda reply: self._host_list.mailbox.send(asked(reply)),
+            lambda reply: self._host_list.mailbox.send(build_request(reply)),
             self._settings.poll_interval_ms,
         )
         match answer:
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -1,7 +1,8 @@
-"""The fake worker: runs tasks as timers under leases, and its port.
+"""Fake of a worker, and the `WorkerPort` that calls it.
 
-It follows the rules that the system relies on: it refuses a lower epoch and a
-start after its deadline, and stops a task whose lease has lapsed.
+Tasks are timers under leases. The fake follows the rules that the system
+relies on: it refuses exchanges of a lower epoch and starts after their
+deadline, and stops a task whose lease has expired.
 """
 
 import asyncio
@@ -17,7 +18,7 @@
 from fuchsiarill.ports.http_client import CallFailure
 from fuchsiarill.ports.workers import ExchangeFailure
 from fuchsiarill.replay.network import Endpoint, Network
-from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.settings import WorkerSettings
 from fuchsiarill.workers import (
@@ -31,18 +32,19 @@
     WorkerReport,
 )
 
-# Usage is measured over a window, so a report on a running task shows it late.
+# Usage is measured over a window, so reports on running tasks lag behind.
 _USAGE_LAG_MS: Final = 2_000
 _FAILS_AFTER_MS: Final = 50
-# Any value works; unequal clocks show a mixed-up clock domain.
+# Clocks of workers differ so that a mixed-up clock shows; any value works.
 _CLOCK_STEP_MS: Final = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
-class Truth:
-    """How a job behaves: what a task uses, how long it runs, what fails.
+class TaskProfile:
+    """Actual behaviour of a job's tasks: usage, run time and failures.
 
-    Use follows from the declared size and never from what is reserved.
+    Usage depends on the declared size, never on what is reserved. The next
+    `fails_count` runs fail.
     """
 
     used: Resources = NOTHING
@@ -70,16 +72,16 @@
 
 
 class FakeWorker(Actor):
-    """The tasks of one worker."""
+    """One worker with its tasks, its clock and the highest epoch seen."""
 
     def __init__(
         self,
-        log: SeenLog,
+        log: ObservationLog,
         entry: HostEntry,
         number: int,
-        truths: dict[str, Truth],
+        profiles: dict[str, TaskProfile],
     ) -> None:
-        """Start with no tasks; `truths` tells how each payload behaves."""
+        """Create a worker without tasks; `profiles` has payloads as keys."""
         super().__init__(entry.worker_id)
         self.endpoint = Endpoint(entry.worker_id, entry.failure_domain)
         self.fails_all = False
@@ -89,7 +91,7 @@
         self.is_paused = False
         self._log = log
         self._clock_offset_ms = number * _CLOCK_STEP_MS
-        self._truths = truths
+        self._profiles = profiles
         self._attempts: dict[AttemptId, _Task] = {}
         self._held: list[ExchangeRequested] = []
         self._highest_epoch = NO_EPOCH
@@ -97,41 +99,44 @@
 
     @handles(ExchangeRequested)
     async def on_exchange(self, message: ExchangeRequested) -> None:
-        """Carry out one exchange, or hold it while paused."""
+        """Execute an exchange, or queue it while the host is paused."""
         if self.is_paused:
             self._held.append(message)
             return
         if not self.endpoint.refusing:
-            self._exchange(message)
+            self._apply_exchange(message)
 
     def runs(self, key: str) -> bool:
-        """Tell whether a task of the job with this payload runs here."""
+        """Return whether a task of the job with this payload runs here."""
         return any(
             task.start.payload == key and task.outcome is TaskOutcome.RUNNING
             for task in self._attempts.values()
         )
 
-    def die(self) -> None:
-        """Lose all tasks and everything that was known."""
+    def crash(self) -> None:
+        """End all tasks and lose all state, including the highest epoch."""
         self.endpoint.refusing = True
         for task in tuple(self._attempts.values()):
-            self._end(task, TaskOutcome.STOPPED, 'worker died')
+            self._end_task(task, TaskOutcome.STOPPED, 'worker died')
         self._attempts.clear()
         self._held.clear()
         self._highest_epoch = NO_EPOCH
 
-    def come_back(self) -> None:
-        """Start anew; the monotonic clock of a restarted host is another."""
+    def restart(self) -> None:
+        """Accept exchanges again, with a monotonic clock that restarts."""
         self.endpoint.refusing = False
         self._clock_offset_ms -= now_ms()
         self._restarts_count += 1
 
     def pause(self) -> None:
-        """Freeze the host."""
+        """Freeze the host: exchanges are queued and tasks do not finish."""
         self.is_paused = True
 
     def resume(self) -> None:
-        """Run on: lapsed leases have ended tasks, due ones end now."""
+        """Finish the tasks that are due and execute the queued exchanges.
+
+        Leases expire during the pause, so some tasks have ended already.
+        """
         self.is_paused = False
         for task in tuple(self._attempts.values()):
             if task.is_due:
@@ -139,9 +144,9 @@
         held = self._held
         self._held = []
         for message in held:
-            self._exchange(message)
+            self._apply_exchange(message)
 
-    def _exchange(self, message: ExchangeRequested) -> None:
+    def _apply_exchange(self, message: ExchangeRequested) -> None:
         request = message.request
         if self._is_stale(request):
             for start in request.starts:
@@ -153,40 +158,42 @@
             self._attempts.pop(attempt_id, None)
         lease_ms = request.lease_ms / self.clock_rate
         for start in request.starts:
-            self._start(start, message)
+            self._start_task(start, message)
             self._renew(start.attempt_id, lease_ms)
         for attempt_id in request.renewals:
             self._renew(attempt_id, lease_ms)
         for command in request.commands:
-            self._command(command)
+            self._apply_command(command)
         message.reply.answer(self._report())
 
-    def _start(self, start: StartCommand, message: ExchangeRequested) -> None:
+    def _start_task(
+        self, start: StartCommand, message: ExchangeRequested
+    ) -> None:
         if start.attempt_id in self._attempts:
             return
-        truth = self._truths.get(start.payload, Truth())
-        used = scaled(truth.used, self.size_factor)
+        profile = self._profiles.get(start.payload, TaskProfile())
+        used = scaled(profile.used, self.size_factor)
         task = _Task(start, now_ms(), used)
         self._attempts[start.attempt_id] = task
         if self._is_late(start):
             task.outcome = TaskOutcome.REFUSED
             self._refuse(start, message, 'start_before')
             return
-        self._log.note(
-            SeenKind.TASK_STARTED,
+        self._log.record(
+            ObservationKind.TASK_STARTED,
             self.name,
-            **task_names(start),
+            **task_details(start),
             epoch=message.request.epoch,
             process=message.process,
             reserved=start.reserved.as_tuple(),
             used=used.as_tuple(),
         )
-        if self._fails(start.payload, truth):
-            self._after(_FAILS_AFTER_MS, self._fail, task)
+        if self._consume_failure(start.payload, profile):
+            self._schedule(_FAILS_AFTER_MS, self._fail, task)
             return
         if start.run_time_ms:
-            factor = truth.run_time_factor * self.run_time_factor
-            self._after(start.run_time_ms * factor, self._complete, task)
+            factor = profile.run_time_factor * self.run_time_factor
+            self._schedule(start.run_time_ms * factor, self._complete, task)
 
     def _is_stale(self, request: Exchange) -> bool:
         return request.epoch < self._highest_epoch
@@ -194,16 +201,17 @@
     def _is_late(self, start: StartCommand) -> bool:
         return self._clock_ms() > start.start_before_worker_clock_ms
 
-    def _fails(self, payload: str, truth: Truth) -> bool:
+    def _consume_failure(self, payload: str, profile: TaskProfile) -> bool:
+        """Return whether a run fails, and count its failure."""
         if self.fails_all:
             return True
-        if truth.fails_count:
-            left = Truth(
-                truth.used,
-                truth.run_time_factor,
-                truth.fails_count - 1,
+        if profile.fails_count:
+            remaining = TaskProfile(
+                profile.used,
+                profile.run_time_factor,
+                profile.fails_count - 1,
             )
-            self._truths[payload] = left
+            self._profiles[payload] = remaining
             return True
         return False
 
@@ -213,10 +221,10 @@
         message: ExchangeRequested,
         reason: str,
     ) -> None:
-        self._log.note(
-            SeenKind.START_REFUSED,
+        self._log.record(
+            ObservationKind.START_REFUSED,
             self.name,
-            **task_names(start),
+            **task_details(start),
             epoch=message.request.epoch,
             process=message.process,
             reason=reason,
@@ -227,30 +235,30 @@
         if task is None or task.outcome is not TaskOutcome.RUNNING:
             return
         task.lease_ends_at_ms = now_ms() + lease_ms
-        self._after(lease_ms, self._check_lease, task)
+        self._schedule(lease_ms, self._check_lease, task)
 
     def _check_lease(self, task: _Task) -> None:
         if now_ms() >= int(task.lease_ends_at_ms):
-            self._end(task, TaskOutcome.STOPPED, 'lease lapsed')
+            self._end_task(task, TaskOutcome.STOPPED, 'lease lapsed')
 
-    def _command(self, command: TaskCommand) -> None:
+    def _apply_command(self, command: TaskCommand) -> None:
         task = self._attempts.get(command.attempt_id)
         if task is None or task.outcome is not TaskOutcome.RUNNING:
             return
-        self._log.note(
-            SeenKind.TASK_COMMANDED,
+        self._log.record(
+            ObservationKind.TASK_COMMANDED,
             self.name,
-            **task_names(task.start),
+            **task_details(task.start),
             command=command.kind.value,
         )
         if command.kind is CommandKind.STOP:
-            self._end(task, TaskOutcome.STOPPED, 'stopped')
+            self._end_task(task, TaskOutcome.STOPPED, 'stopped')
         if command.kind is CommandKind.THROTTLE:
             task.used = task.start.reserved
-            self._log.note(
-                SeenKind.TASK_RESIZED,
+            self._log.record(
+                ObservationKind.TASK_RESIZED,
                 self.name,
-                **task_names(task.start),
+                **task_details(task.start),
                 used=task.used.as_tuple(),
             )
 
@@ -258,19 +266,19 @@
         if self.is_paused:
             task.is_due = True
             return
-        self._end(task, TaskOutcome.SUCCEEDED, 'succeeded')
+        self._end_task(task, TaskOutcome.SUCCEEDED, 'succeeded')
 
     def _fail(self, task: _Task) -> None:
-        self._end(task, TaskOutcome.FAILED, 'failed')
+        self._end_task(task, TaskOutcome.FAILED, 'failed')
 
-    def _end(self, task: _Task, outcome: TaskOutcome, reason: str) -> None:
+    def _end_task(self, task: _Task, outcome: TaskOutcome, reason: str) -> None:
         if task.outcome is not TaskOutcome.RUNNING:
             return
         task.outcome = outcome
-        self._log.note(
-            SeenKind.TASK_ENDED,
+        self._log.record(
+            ObservationKind.TASK_ENDED,
             self.name,
-            **task_names(task.start),
+            **task_details(task.start),
             reserved=task.start.reserved.as_tuple(),
             reason=reason,
         )
@@ -287,7 +295,7 @@
     def _clock_ms(self) -> float:
         return now_ms() * self.clock_rate + self._clock_offset_ms
 
-    def _after(self, delay_ms: float, run: Any, task: _Task) -> None:
+    def _schedule(self, delay_ms: float, run: Any, task: _Task) -> None:
         asyncio.get_running_loop().call_later(
             delay_ms / MS_PER_SECOND,
             run,
@@ -305,7 +313,7 @@
         source: Endpoint,
         workers: dict[str, FakeWorker],
     ) -> None:
-        """Call the workers by address from `source`."""
+        """Call `workers`, a mapping by address, from `source`."""
         self._settings = settings
         self._network = network
         self._source = source
@@ -316,13 +324,13 @@
         address: str,
         request: Exchange,
     ) -> Result[WorkerReport, ExchangeFailure]:
-        """Exchange with the worker at an address."""
+        """Send an exchange to a worker and return its report."""
         worker = self._workers[address]
-        asked = partial(ExchangeRequested, request, self._source.name)
-        answer = await self._network.ask(
+        build_request = partial(ExchangeRequested, request, self._source.name)
+        answer = await self._network.call(
             self._source,
             worker.endpoint,
-            lambda reply: worker.mailbox.send(asked(reply)),
+            lambda reply: worker.mailbox.send(build_request(reply)),
             self._settings.call_timeout_ms,
         )
         match answer:
@@ -334,10 +342,10 @@
                 return Failure(ExchangeFailure.NO_ANSWER)
 
 
-def task_names(start: StartCommand) -> dict[str, Any]:
-    """Return the details that name a task in the log.
+def task_details(start: StartCommand) -> dict[str, Any]:
+    """Return the log details that identify a task.
 
-    The payload is the key that the trace gave the job.
+    The payload is the key of the job in the trace.
     """
     task, _, _ = start.attempt_id.rpartition('@')
     return {
@@ -348,7 +356,7 @@
 
 
 def output_of(key: str, position: int) -> str:
-    """Return what a task writes: unlike that of every other task."""
+    """Return the output of a task, which is unique to it."""
     return f'{key} {position}'
 
 
@@ -359,8 +367,8 @@
         used = task.used
     output = ''
     if task.outcome is TaskOutcome.SUCCEEDED:
-        names = task_names(task.start)
-        output = output_of(task.start.payload, names['position'])
+        details = task_details(task.start)
+        output = output_of(task.start.payload, details['position'])
     return TaskReport(
         attempt_id=task.start.attempt_id,
         outcome=task.outcome,
@@ -372,7 +380,7 @@
 
 
 def scaled(size: Resources, factor: float) -> Resources:
-    """Return a size with processors and memory multiplied."""
+    """Return a size with processors and memory multiplied by `factor`."""
     return Resources(
         int(size.processors_milli * factor),
         int(size.memory_mb * factor),
--- a/fuchsiarill/replay/fakes.py
+++ b/fuchsiarill/replay/fakes.py
@@ -1,7 +1,6 @@
-"""Fake of the store, and the port that calls it.
+"""Fake of the store, and the `StorePort` that calls it.
 
-It notes what it saw and follows the interface in `ports`; faults switch the
-attributes named after them.
+It records each call in the log. Faults set its public attributes.
 """
 
 import asyncio
@@ -22,7 +21,7 @@
     Versioned,
 )
 from fuchsiarill.replay.network import SERVICE_DOMAIN, Endpoint, Network
-from fuchsiarill.replay.seen import SeenKind, SeenLog
+from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.settings import StoreSettings
 
 OWNER_KEYS: Final = 'partition/'
@@ -45,34 +44,37 @@
 
 @dataclass(eq=False, slots=True)
 class ReplyLoss:
-    """The next `left_count` calls on matching keys get no answer."""
+    """Drops the replies of the next `remaining_count` matching calls.
+
+    A call matches by its operation and by the prefix of its key.
+    """
 
     operation: str
     prefix: str
-    left_count: int
+    remaining_count: int
 
-    def hits(self, call: StoreCall) -> bool:
-        """Tell whether this answer is lost, and count it."""
-        if call.operation != self.operation or not self.left_count:
+    def applies_to(self, call: StoreCall) -> bool:
+        """Return whether the reply to this call is lost, and count it."""
+        if call.operation != self.operation or not self.remaining_count:
             return False
         if not call.key.startswith(self.prefix):
             return False
-        self.left_count -= 1
+        self.remaining_count -= 1
         return True
 
 
 @dataclass(slots=True)
 class _Lease:
     ttl_ms: int
-    lapses_at_ms: float
+    expires_at_ms: float
     keys: set[StoreKey] = field(default_factory=set)
 
 
 class FakeStore(Actor):
-    """Keys, revisions, leases and watches in memory."""
+    """An in-memory store with revisions, leases and watches."""
 
-    def __init__(self, log: SeenLog) -> None:
-        """Start empty."""
+    def __init__(self, log: ObservationLog) -> None:
+        """Create an empty store without faults."""
         super().__init__('store')
         self.endpoint = Endpoint('store', SERVICE_DOMAIN)
         self.is_silent = False
@@ -88,33 +90,33 @@
 
     @handles(StoreCall)
     async def on_call(self, call: StoreCall) -> None:
-        """Carry out one call."""
-        self._drop_lapsed()
+        """Execute a call and answer it, unless a fault loses the reply."""
+        self._end_expired_leases()
         if self.is_silent:
-            self._note(call, 'silent')
+            self._record(call, 'silent')
             return
         if call.operation == 'watch':
             self._watch(call)
             return
         outcome = getattr(self, f'_{call.operation}')(call)
         if self._loses_reply(call):
-            self._note(call, 'reply lost')
+            self._record(call, 'reply lost')
             return
-        self._note(call, _outcome_name(outcome))
+        self._record(call, _outcome_name(outcome))
         self._answer(call, outcome)
 
     def read(self, key: StoreKey) -> Versioned:
-        """Return what a key holds now."""
-        self._drop_lapsed()
+        """Return the current value and revision of a key."""
+        self._end_expired_leases()
         return self.stored.get(key, Versioned(key, None, ABSENT))
 
     def drop_leases(self) -> None:
-        """End all leases before their time."""
+        """End all leases before they expire and delete their keys."""
         for lease_id in tuple(self._leases):
             self._end_lease(lease_id)
 
     def put(self, key: StoreKey, text: str) -> None:
-        """Write a key as an operator did before the trace begins."""
+        """Write a key directly, to prepare the state before a trace."""
         self._write(key, text)
 
     def _get(self, call: StoreCall) -> Result[Versioned, StoreFailure]:
@@ -145,7 +147,7 @@
         lease = self._leases.get(call.argument)
         if lease is None:
             return Failure(StoreFailure.LEASE_UNKNOWN)
-        lease.lapses_at_ms = now_ms() + lease.ttl_ms
+        lease.expires_at_ms = now_ms() + lease.ttl_ms
         return Success(call.argument)
 
     def _revoke(self, call: StoreCall) -> Result[StoreLeaseId, StoreFailure]:
@@ -153,7 +155,7 @@
         return Success(call.argument)
 
     def _watch(self, call: StoreCall) -> None:
-        self._note(call, 'waits')
+        self._record(call, 'waits')
         if self.is_watch_stuck:
             return
         if self.read(call.key).revision != call.argument:
@@ -180,7 +182,7 @@
         )
 
     def _loses_reply(self, call: StoreCall) -> bool:
-        return any(loss.hits(call) for loss in self.losses)
+        return any(loss.applies_to(call) for loss in self.losses)
 
     def _write(self, key: StoreKey, text: str | None) -> None:
         self._revision += 1
@@ -192,9 +194,9 @@
             if call.key == key:
                 self._end_watch(call)
 
-    def _drop_lapsed(self) -> None:
+    def _end_expired_leases(self) -> None:
         for lease_id, lease in tuple(self._leases.items()):
-            if lease.lapses_at_ms <= now_ms():
+            if lease.expires_at_ms <= now_ms():
                 self._end_lease(lease_id)
 
     def _end_lease(self, lease_id: StoreLeaseId) -> None:
@@ -204,9 +206,9 @@
         for key in sorted(lease.keys):
             self._write(key, None)
 
-    def _note(self, call: StoreCall, outcome: str) -> None:
-        self._log.note(
-            SeenKind.STORE_CALLED,
+    def _record(self, call: StoreCall, outcome: str) -> None:
+        self._log.record(
+            ObservationKind.STORE_CALLED,
             call.process,
             operation=call.operation,
             key=call.key,
@@ -231,11 +233,14 @@
         self._store = store
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
-        """Read a key."""
+        """Read the value and revision of a key."""
         return await self._read('get', key)
 
     async def swap(self, swap: Swap) -> SwapResult:
-        """Write a key if it still has the expected revision."""
+        """Write a key if it still has the expected revision.
+
+        Without an answer in time, the outcome is `UNKNOWN`.
+        """
         answer = await self._call('swap', swap.key, swap)
         match answer:
             case Success(outcome):
@@ -248,21 +253,21 @@
         self,
         ttl_ms: int,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        """Create a lease."""
+        """Create a lease that expires after `ttl_ms` unless renewed."""
         return await self._read('grant', StoreKey(''), ttl_ms)
 
     async def renew_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        """Extend a lease."""
+        """Extend a lease by its time to live from now."""
         return await self._read('renew', StoreKey(''), lease_id)
 
     async def revoke_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        """End a lease."""
+        """End a lease and delete its keys."""
         return await self._read('revoke', StoreKey(''), lease_id)
 
     async def watch(
@@ -271,7 +276,7 @@
         after: Revision,
         wait_ms: int,
     ) -> Result[Versioned, StoreFailure]:
-        """Wait for a change of a key."""
+        """Wait up to `wait_ms` for a revision of a key other than `after`."""
         return await self._read('watch', key, after, wait_ms)
 
     async def _read(
@@ -284,8 +289,8 @@
         answer = await self._call(operation, key, argument, wait_ms)
         match answer:
             case Success(outcome):
-                found: Result[Any, StoreFailure] = outcome
-                return found
+                read: Result[Any, StoreFailure] = outcome
+                return read
             case _:
                 return Failure(StoreFailure.UNREACHABLE)
 
@@ -304,7 +309,7 @@
             argument=argument,
             wait_ms=wait_ms,
         )
-        return await self._network.ask(
+        return await self._network.call(
             self._source,
             self._store.endpoint,
             lambda reply: self._store.mailbox.send(call(reply)),
--- a/fuchsiarill/replay/faults_hosts.py
+++ b/fuchsiarill/replay/faults_hosts.py
@@ -1,4 +1,4 @@
-"""Kinds of faults of processes and of workers."""
+"""Kinds of faults: failures of processes and of workers."""
 
 from functools import partial
 from typing import Annotated, Any, Final, Literal
@@ -14,38 +14,39 @@
     undo_switch,
 )
 from fuchsiarill.replay.network import CLIENT_DOMAIN, SERVICE_DOMAIN
-from fuchsiarill.replay.process import LifeEvent, ReplayedProcess
+from fuchsiarill.replay.process import LifecycleEvent, ReplayedProcess
 from fuchsiarill.replay.world import World
 
 _Factor = Annotated[float, Field(gt=0)]
 
-# Long enough that a tick and the starts it causes leave before the pause.
+# Long enough that a tick and the starts it causes are sent before the pause.
 _GATE_MS: Final = 150
-_NO_WORKERS: Final = frozenset((SERVICE_DOMAIN, CLIENT_DOMAIN))
+_DOMAINS_WITHOUT_WORKERS: Final = frozenset((SERVICE_DOMAIN, CLIENT_DOMAIN))
 
 
 @FAULT_KINDS.register('kill')
 class Kill(FaultKind):
-    """SIGKILL; with a length the process starts again at its end."""
+    """SIGKILL; a fault with a duration restarts the process at its end."""
 
     process: str
 
     def begin(self, world: World) -> Undo:
-        """Kill."""
+        """Kill the processes."""
         processes = world.find_processes(self.process)
         for process in processes:
-            process.step(LifeEvent.KILLED)
-        return partial(_step_all, processes, LifeEvent.STARTED)
+            process.step(LifecycleEvent.KILLED)
+        return partial(_step_all, processes, LifecycleEvent.STARTED)
 
 
 @FAULT_KINDS.register('pause')
 class Pause(FaultKind):
     """SIGSTOP until the end of the fault.
 
-    In the last `gate_ms` before, the process still runs but what it sends is
-    held, as if it was stopped between a check and the send that follows; it
-    is delivered when the process resumes. Calls to the store and answers to
-    callers pass unless `held` is `all`, or nothing would be left to send.
+    In the first `gate_ms` of the fault the process still runs, but its
+    messages are held until it resumes, as if it had been stopped between a
+    check and the send that follows. Calls to the store and answers to
+    callers still pass unless `held` is `all`: without them the process would
+    have no starts to send.
     """
 
     process: str
@@ -53,46 +54,50 @@
     held: Literal['workers', 'all'] = 'workers'
 
     def begin(self, world: World) -> Undo:
-        """Close the gate, then freeze."""
+        """Close the gate, and freeze the processes after `gate_ms`."""
         processes = world.find_processes(self.process)
-        exempt = _NO_WORKERS if self.held == 'workers' else frozenset[str]()
+        exempt = (
+            _DOMAINS_WITHOUT_WORKERS
+            if self.held == 'workers'
+            else frozenset[str]()
+        )
         for process in processes:
             process.endpoint.gate_exempt = exempt
-        _step_all(processes, LifeEvent.GATE_CLOSED)
+        _step_all(processes, LifecycleEvent.GATE_CLOSED)
         world.loop.call_later(
             self.gate_ms / MS_PER_SECOND,
-            partial(_step_all, processes, LifeEvent.FROZEN),
+            partial(_step_all, processes, LifecycleEvent.FROZEN),
         )
-        return partial(_step_all, processes, LifeEvent.RESUMED)
+        return partial(_step_all, processes, LifecycleEvent.RESUMED)
 
 
 @FAULT_KINDS.register('worker_dies')
 class WorkerDies(FaultKind):
-    """Hosts fail with all their tasks; at the end they start again, empty."""
+    """Hosts crash with all their tasks and restart empty at the end."""
 
     workers: tuple[str, ...]
 
     def begin(self, world: World) -> Undo:
-        """Let the workers die."""
+        """Crash the workers and reset the connections to them."""
         workers = world.find_workers(self.workers)
         for worker in workers:
-            worker.die()
+            worker.crash()
             world.network.reset(worker.endpoint)
-        return undo_all([one.come_back for one in workers])
+        return undo_all([host.restart for host in workers])
 
 
 @FAULT_KINDS.register('worker_pauses')
 class WorkerPauses(FaultKind):
-    """Hosts freeze; exchanges that reach them wait for the end."""
+    """Hosts freeze; exchanges that reach them are queued until the end."""
 
     workers: tuple[str, ...]
 
     def begin(self, world: World) -> Undo:
-        """Freeze."""
+        """Freeze the workers."""
         workers = world.find_workers(self.workers)
         for worker in workers:
             worker.pause()
-        return undo_all([one.resume for one in workers])
+        return undo_all([host.resume for host in workers])
 
 
 class _WorkerSwitch(FaultKind):
@@ -101,7 +106,7 @@
     workers: tuple[str, ...]
 
     def switch(self, world: World, attribute: str, setting: Any) -> Undo:
-        """Set an attribute; the returned call sets it back."""
+        """Set an attribute; the returned call restores its old value."""
         return undo_all(
             [
                 undo_switch(worker, attribute, setting)
@@ -112,32 +117,32 @@
 
 @FAULT_KINDS.register('worker_fails_all')
 class WorkerFailsAll(_WorkerSwitch):
-    """Every task that workers start fails after 50 ms."""
+    """Every task that the workers start fails after 50 ms."""
 
     def begin(self, world: World) -> Undo:
-        """Let tasks fail."""
+        """Make tasks fail."""
         return self.switch(world, 'fails_all', setting=True)
 
 
 @FAULT_KINDS.register('worker_uses_more')
 class WorkerUsesMore(_WorkerSwitch):
-    """Tasks started there use `factor` times their declared size."""
+    """Tasks that start there use `factor` times as much as elsewhere."""
 
     factor: _Factor
 
     def begin(self, world: World) -> Undo:
-        """Let tasks use more."""
+        """Set the factor of the workers."""
         return self.switch(world, 'size_factor', self.factor)
 
 
 @FAULT_KINDS.register('worker_runs_longer')
 class WorkerRunsLonger(_WorkerSwitch):
-    """Tasks started there run `factor` times as long as declared."""
+    """Tasks that start there run `factor` times as long as elsewhere."""
 
     factor: _Factor
 
     def begin(self, world: World) -> Undo:
-        """Let tasks run longer."""
+        """Set the factor of the workers."""
         return self.switch(world, 'run_time_factor', self.factor)
 
 
@@ -148,10 +153,10 @@
     rate: _Factor
 
     def begin(self, world: World) -> Undo:
-        """Change the rate."""
+        """Set the clock rate of the workers."""
         return self.switch(world, 'clock_rate', self.rate)
 
 
-def _step_all(processes: list[ReplayedProcess], event: LifeEvent) -> None:
+def _step_all(processes: list[ReplayedProcess], event: LifecycleEvent) -> None:
     for process in processes:
         process.step(event)
--- a/fuchsiarill/replay/faults_links.py
+++ b/fuchsiarill/replay/faults_links.py
@@ -1,4 +1,4 @@
-"""Kinds of faults of links, of the store and of the host list."""
+"""Kinds of faults: failures of links, the store and the host list."""
 
 from functools import partial
 from typing import Annotated, Literal
@@ -13,16 +13,16 @@
     undo_all,
     undo_switch,
 )
-from fuchsiarill.replay.network import Lateness, Link, Silence
+from fuchsiarill.replay.network import AnswerDelay, Link, SilentLink
 from fuchsiarill.replay.world import World
 
 _Positive = Annotated[int, Field(gt=0)]
 
 
 class _LinkFault(FaultKind):
-    """Base of faults on the calls between endpoints.
+    """Base of faults that affect calls between two sets of endpoints.
 
-    Each side names processes, workers, failure domains, `store`,
+    Each set names processes, workers, failure domains, `store`,
     `host_list` or `client`.
     """
 
@@ -30,20 +30,20 @@
     calls_to: tuple[str, ...]
 
     def links(self, world: World) -> tuple[Link, Link]:
-        """Return the link and its reverse."""
-        sources = _resolved(world, self.calls_from)
-        targets = _resolved(world, self.calls_to)
+        """Return the link from `calls_from` to `calls_to` and its reverse."""
+        sources = _endpoint_names(world, self.calls_from)
+        targets = _endpoint_names(world, self.calls_to)
         return Link(sources, targets), Link(targets, sources)
 
 
 @FAULT_KINDS.register('cut')
 class Cut(_LinkFault):
-    """Nothing passes; with `one_way` only messages from the first side."""
+    """Messages are lost; with `one_way`, only those from `calls_from`."""
 
     one_way: bool = False
 
     def begin(self, world: World) -> Undo:
-        """Cut."""
+        """Cut the link."""
         cuts = list(self.links(world))
         if self.one_way:
             cuts.pop()
@@ -55,24 +55,25 @@
 
 @FAULT_KINDS.register('connection_silent')
 class ConnectionSilent(_LinkFault):
-    """Present connections never answer again; new ones work.
+    """Open connections never answer again; new connections work.
 
-    The next call of each pair has no answer; it takes effect if `reaches`.
+    The next call of each pair of endpoints gets no answer; with `reaches` it
+    takes effect all the same.
     """
 
     reaches: bool = False
 
     def begin(self, world: World) -> Undo:
-        """Silence the connections."""
+        """Silence the open connections."""
         link, _ = self.links(world)
-        silence = Silence(link, self.reaches)
-        world.network.silence(silence)
-        return partial(world.network.silences.remove, silence)
+        silent_link = SilentLink(link, self.reaches)
+        world.network.silence(silent_link)
+        return partial(world.network.silent_links.remove, silent_link)
 
 
 @FAULT_KINDS.register('answers_late')
 class AnswersLate(_LinkFault):
-    """Every `every`-th answer comes `delay_ms` late and crosses others."""
+    """Every `every`-th answer arrives `delay_ms` late, after later ones."""
 
     delay_ms: _Positive
     every: _Positive = 2
@@ -80,22 +81,22 @@
     def begin(self, world: World) -> Undo:
         """Delay answers."""
         link, _ = self.links(world)
-        lateness = Lateness(link, self.delay_ms, self.every)
-        world.network.latenesses.append(lateness)
-        return partial(world.network.latenesses.remove, lateness)
+        answer_delay = AnswerDelay(link, self.delay_ms, self.every)
+        world.network.answer_delays.append(answer_delay)
+        return partial(world.network.answer_delays.remove, answer_delay)
 
 
 @FAULT_KINDS.register('store_down')
 class StoreDown(FaultKind):
-    """The store refuses connections or, `silent`, never answers.
+    """The store refuses connections or, when `silent`, never answers.
 
-    Its leases lapse on time meanwhile.
+    Its leases still expire on time.
     """
 
     mode: Literal['refusing', 'silent'] = 'silent'
 
     def begin(self, world: World) -> Undo:
-        """Take the store down."""
+        """Make the store unavailable."""
         if self.mode == 'refusing':
             world.network.reset(world.store.endpoint)
             return undo_switch(world.store.endpoint, 'refusing', setting=True)
@@ -109,15 +110,16 @@
     delay_ms: _Positive
 
     def begin(self, world: World) -> Undo:
-        """Slow the store."""
+        """Delay the store's answers."""
         return undo_switch(world.store, 'delay_ms', self.delay_ms)
 
 
 @FAULT_KINDS.register('store_loses_reply')
 class StoreLosesReply(FaultKind):
-    """The next `count` calls of a kind take effect without an answer.
+    """The next `count` calls of an operation take effect without an answer.
 
-    Only calls on keys that begin with `prefix` count; lease calls have none.
+    Only calls on keys that begin with `prefix` count; lease calls have no
+    key.
     """
 
     operation: Literal['swap', 'grant', 'renew', 'revoke'] = 'swap'
@@ -125,7 +127,7 @@
     count: _Positive = 1
 
     def begin(self, world: World) -> Undo:
-        """Lose replies."""
+        """Drop the replies."""
         loss = ReplyLoss(self.operation, self.prefix, self.count)
         world.store.losses.append(loss)
         return partial(world.store.losses.remove, loss)
@@ -133,7 +135,7 @@
 
 @FAULT_KINDS.register('store_drops_leases')
 class StoreDropsLeases(FaultKind):
-    """The store ends all leases at once, before their time."""
+    """The store ends all leases before they expire."""
 
     def begin(self, world: World) -> Undo:
         """End the leases; there is nothing to undo."""
@@ -143,7 +145,7 @@
 
 @FAULT_KINDS.register('watch_stuck')
 class WatchStuck(FaultKind):
-    """Watches get no answer, not even at the end of their wait."""
+    """Watches get no answer, not even at the end of their wait time."""
 
     def begin(self, world: World) -> Undo:
         """Stop answering watches."""
@@ -152,27 +154,27 @@
 
 @FAULT_KINDS.register('host_list_lags')
 class HostListLags(FaultKind):
-    """The list shows what was true `lag_ms` ago."""
+    """The host list shows its state of `lag_ms` ago."""
 
     lag_ms: _Positive
 
     def begin(self, world: World) -> Undo:
-        """Let the list lag."""
+        """Set the lag of the host list."""
         return undo_switch(world.host_list, 'lag_ms', self.lag_ms)
 
 
 @FAULT_KINDS.register('host_list_down')
 class HostListDown(FaultKind):
-    """The list never answers."""
+    """The host list never answers."""
 
     def begin(self, world: World) -> Undo:
-        """Take the list down."""
+        """Stop answering reads of the host list."""
         return undo_switch(world.host_list, 'is_silent', setting=True)
 
 
-def _resolved(world: World, names: tuple[str, ...]) -> frozenset[str]:
-    found = set(names)
+def _endpoint_names(world: World, names: tuple[str, ...]) -> frozenset[str]:
+    resolved = set(names)
     for name in names:
-        found.update(one.name for one in world.find_processes(name))
-        found.update(one.name for one in world.find_workers((name,)))
-    return frozenset(found)
+        resolved.update(process.name for process in world.find_processes(name))
+        resolved.update(worker.name for worker in world.find_workers((name,)))
+    return frozenset(resolved)
--- a/fuchsiarill/replay/kinds.py
+++ b/fuchsiarill/replay/kinds.py
@@ -1,6 +1,6 @@
-"""What a trace can hold, in three registries that decorators fill.
+"""Registries of the event, fault and outcome kinds that traces can use.
 
-Each kind is a model of its parameters with the method that acts on them.
+Each kind is a model of its parameters with a method that applies them.
 """
 
 from collections.abc import Callable, Iterator
@@ -10,7 +10,7 @@
 
 from fuchsiarill.registry import Registry
 from fuchsiarill.replay.deployment import TraceModel
-from fuchsiarill.replay.seen import Seen
+from fuchsiarill.replay.observations import Observation
 
 if TYPE_CHECKING:
     from fuchsiarill.replay.evidence import Evidence
@@ -20,27 +20,27 @@
 
 
 class EventKind(TraceModel):
-    """Something that callers, operators or the platform do."""
+    """An action of callers, operators or the platform."""
 
-    def happen(self, world: 'World') -> None:
-        """Let it happen now; what takes time runs on as a task."""
+    def apply(self, world: 'World') -> None:
+        """Perform the action now; longer work continues in a task."""
         raise NotImplementedError
 
 
 class FaultKind(TraceModel):
-    """Something that goes wrong for a time."""
+    """A failure with a limited duration, or until the end of the trace."""
 
     def begin(self, world: 'World') -> Undo:
-        """Let the fault begin; returns what ends it."""
+        """Start the fault and return the call that ends it."""
         raise NotImplementedError
 
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """Why an outcome is not met, and the event that shows it, if one does."""
+    """A reason why an outcome is not met, and the event that shows it."""
 
     text: str
-    event: Seen | None = None
+    event: Observation | None = None
 
     def __str__(self) -> str:
         if self.event is None:
@@ -49,10 +49,10 @@
 
 
 class OutcomeKind(TraceModel):
-    """A statement about what the fakes and the callers saw."""
+    """A statement about the observations of the fakes and the callers."""
 
     def violations(self, evidence: 'Evidence') -> Iterator[Violation]:
-        """Yield everything that contradicts the statement."""
+        """Yield everything that violates the statement."""
         raise NotImplementedError
 
 
@@ -64,14 +64,14 @@
 
 
 def undo_switch(target: Any, attribute: str, setting: Any) -> Undo:
-    """Set an attribute; the returned call sets it back."""
-    before = getattr(target, attribute)
+    """Set an attribute; the returned call restores its old value."""
+    old_setting = getattr(target, attribute)
     setattr(target, attribute, setting)
-    return partial(setattr, target, attribute, before)
+    return partial(setattr, target, attribute, old_setting)
 
 
 def undo_all(calls: list[Undo]) -> Undo:
-    """Return one call for several."""
+    """Return a call that makes all given calls in order."""
     return partial(_call_all, calls)
 
 
--- a/fuchsiarill/replay/loop.py
+++ b/fuchsiarill/replay/loop.py
@@ -1,8 +1,8 @@
-"""An event loop that holds and ends single processes of a replay.
+"""An event loop that can stop single processes of a replay.
 
 Several processes share the loop. Each task carries the incarnation of its
 process in its context; while an incarnation is held, none of its callbacks
-runs, as after SIGSTOP. A killed process is held for good.
+runs, as after SIGSTOP. A killed process stays held until the replay ends.
 """
 
 import asyncio
@@ -16,29 +16,29 @@
 
 
 class Incarnation:
-    """One life of a process, from its start to its end."""
+    """One run of a process from a start to the following end."""
 
     def __init__(self, process: str, number: int) -> None:
-        """Start running; a restart of the process gets the next number."""
+        """Create a running incarnation; `number` counts the starts."""
         self.process = process
         self.number = number
         self.is_held = False
-        self._parked: list[_Callback] = []
+        self._deferred: list[_Callback] = []
 
-    def park(self, callback: '_Callback') -> None:
-        """Keep a callback that came due while the process is held."""
-        self._parked.append(callback)
+    def defer(self, callback: '_Callback') -> None:
+        """Queue a callback that is due while the process is held."""
+        self._deferred.append(callback)
 
     def hold(self) -> None:
-        """Run no callback from now on."""
+        """Run no callbacks until `release`."""
         self.is_held = True
 
     def release(self, loop: 'ReplayLoop') -> None:
-        """Run again, first what came due in the meantime, in its order."""
+        """Run callbacks again, first the deferred ones in their order."""
         self.is_held = False
-        parked = self._parked
-        self._parked = []
-        for callback in parked:
+        deferred = self._deferred
+        self._deferred = []
+        for callback in deferred:
             loop.call_soon(callback, context=callback.context)
 
 
@@ -49,13 +49,13 @@
 
 
 def process_name() -> str:
-    """Return the process whose code runs, or an empty name."""
+    """Return the name of the running process, empty outside of one."""
     incarnation = INCARNATION.get()
     return '' if incarnation is None else incarnation.process
 
 
 class _Callback:
-    """A callback of a process, run unless its process is held."""
+    """A callback of a process; deferred while the process is held."""
 
     def __init__(
         self,
@@ -71,17 +71,17 @@
         self._arguments = arguments
 
     def __call__(self) -> None:
-        # A timer that was cancelled after it was parked must not fire.
+        # A timer that was cancelled after it was deferred must not fire.
         if self.handle is not None and self.handle.cancelled():
             return
         if self._incarnation.is_held:
-            self._incarnation.park(self)
+            self._incarnation.defer(self)
             return
         self._run(*self._arguments)
 
 
 class ReplayLoop(PausedLoop):
-    """Paused loop that knows which process a callback belongs to."""
+    """Loop in virtual time that assigns each callback to its process."""
 
     def call_soon(
         self,
@@ -89,7 +89,7 @@
         *args: Unpack[_Arguments],
         context: Context | None = None,
     ) -> asyncio.Handle:
-        """Schedule a callback as one of its process."""
+        """Schedule a callback for the process of its context."""
         if isinstance(callback, _Callback):
             return super().call_soon(callback, context=context)
         wrapped = _wrap(callback, args, context)
@@ -106,7 +106,7 @@
         *args: Unpack[_Arguments],
         context: Context | None = None,
     ) -> asyncio.TimerHandle:
-        """Schedule a timer as one of its process."""
+        """Schedule a timer for the process of its context."""
         wrapped = _wrap(callback, args, context)
         if wrapped is None:
             return super().call_at(when, callback, *args, context=context)
--- a/fuchsiarill/replay/network.py
+++ b/fuchsiarill/replay/network.py
@@ -1,8 +1,9 @@
-"""The fake network between processes, workers, store, host list and callers.
+"""Simulated network of processes, workers, store, host list and callers.
 
-A call leaves its source, arrives after a latency, and its answer travels
-back. Faults act here: a gate holds what leaves a process, a cut drops what
-crosses it, a silent connection swallows one call, late answers cross others.
+Calls and their answers arrive after a latency. Faults apply here: a gate
+holds the messages that a process sends, a cut drops the messages of a link, a
+silent connection loses one call or its answer, and delayed answers arrive out
+of order.
 """
 
 import asyncio
@@ -23,19 +24,19 @@
 SERVICE_DOMAIN: Final = 'service'
 _SAME_DOMAIN_LATENCY_MS: Final = 0.5
 _SERVICE_LATENCY_MS: Final = 1.0
-# Enough to let answers of concurrent calls cross each other.
+# Enough that answers of concurrent calls arrive out of order.
 _JITTER_FRACTION: Final = 0.3
 
-Post = Callable[[Reply[Any]], bool]
+Deliver = Callable[[Reply[Any]], bool]
 
 
 @dataclass(eq=False, slots=True)
 class Endpoint:
-    """One end of calls.
+    """A source or target of calls.
 
-    `gate` collects what leaves while it is closed, `None` means open; calls
-    to the domains in `gate_exempt` pass. A `refusing` endpoint answers a dial
-    with a reset.
+    `gate` holds outgoing messages while it is closed; `None` means open.
+    Messages to the domains in `gate_exempt` pass. A `refusing` endpoint
+    resets new connections.
     """
 
     name: str
@@ -45,13 +46,13 @@
     gate_exempt: frozenset[str] = frozenset()
 
     def holds(self, other: 'Endpoint') -> bool:
-        """Tell whether the gate holds what goes to `other`."""
+        """Return whether a closed gate holds messages to `other`."""
         return self.gate is not None and other.domain not in self.gate_exempt
 
 
 @dataclass(frozen=True, slots=True)
 class Latencies:
-    """One-way times between failure domains and to callers."""
+    """One-way latencies between failure domains and to callers."""
 
     between_domains_ms: float
     client_ms: float
@@ -59,7 +60,7 @@
 
 @dataclass(eq=False, slots=True)
 class Link:
-    """The calls from one set of endpoints to another that a fault hits.
+    """The calls from one set of endpoints to another that a fault affects.
 
     Each set holds names of endpoints and of domains.
     """
@@ -68,66 +69,76 @@
     targets: frozenset[str]
 
     def covers(self, source: Endpoint, target: Endpoint) -> bool:
-        """Tell whether a message from `source` to `target` is hit."""
-        return _among(source, self.sources) and _among(target, self.targets)
+        """Return whether a message from `source` to `target` is affected."""
+        return _is_named(source, self.sources) and _is_named(
+            target, self.targets
+        )
 
 
 @dataclass(eq=False, slots=True)
-class Silence:
-    """Swallows the next call of each pair; `reaches` lets it take effect."""
+class SilentLink:
+    """Leaves the next call of each pair of endpoints without an answer.
+
+    With `reaches` the call arrives and only its answer is lost.
+    """
 
     link: Link
     reaches: bool
-    hit: set[tuple[str, str]] = field(default_factory=set)
+    affected_pairs: set[tuple[str, str]] = field(default_factory=set)
 
-    def swallows(self, source: Endpoint, target: Endpoint) -> bool:
-        """Tell whether this call uses a silent connection."""
+    def applies_to(self, source: Endpoint, target: Endpoint) -> bool:
+        """Return whether a call uses a silent connection.
+
+        It does so once for each pair: later calls use a new connection.
+        """
         pair = (source.name, target.name)
-        if pair in self.hit or not self.link.covers(source, target):
+        if pair in self.affected_pairs or not self.link.covers(source, target):
             return False
-        self.hit.add(pair)
+        self.affected_pairs.add(pair)
         return True
 
 
 @dataclass(eq=False, slots=True)
-class Lateness:
-    """Delays every n-th answer on a link."""
+class AnswerDelay:
+    """Delays every `every`-th answer on a link."""
 
     link: Link
     delay_ms: float
     every: int
-    seen_count: int = 0
+    answers_count: int = 0
 
     def delay_of(self, source: Endpoint, target: Endpoint) -> float:
         """Return the extra delay of an answer to a call."""
         if not self.link.covers(source, target):
             return 0
-        self.seen_count += 1
-        return 0 if self.seen_count % self.every else self.delay_ms
+        self.answers_count += 1
+        return 0 if self.answers_count % self.every else self.delay_ms
 
 
 class Call:
-    """One call on its way."""
+    """A call in progress, with the future of its outcome."""
 
-    def __init__(self, source: Endpoint, target: Endpoint, post: Post) -> None:
-        """Prepare a call; `post` hands it over at the target."""
+    def __init__(
+        self, source: Endpoint, target: Endpoint, deliver: Deliver
+    ) -> None:
+        """Prepare a call; `deliver` passes it to the target on arrival."""
         self.source = source
         self.target = target
-        self.post = post
-        self.is_swallowed = False
+        self.deliver = deliver
+        self.is_unanswered = False
         loop = asyncio.get_running_loop()
         self.outcome: asyncio.Future[Result[Any, CallFailure]] = (
             loop.create_future()
         )
 
     def end(self, outcome: Result[Any, CallFailure]) -> None:
-        """Give the caller its outcome; only the first counts."""
+        """Set the outcome for the caller; later outcomes are ignored."""
         if not self.outcome.done():
             self.outcome.set_result(outcome)
 
 
 class _WireReply(Reply[Any]):
-    """Sends the answer back over the network."""
+    """Sends the first answer back over the network."""
 
     def __init__(self, network: 'Network', call: Call) -> None:
         super().__init__()
@@ -139,36 +150,36 @@
         if self._is_answered:
             return
         self._is_answered = True
-        self._network.send_back(self._call, outcome)
+        self._network.send_answer(self._call, outcome)
 
 
 class Network:
-    """Carries calls with latency and applies the faults of links."""
+    """Delivers calls with latency and applies the faults of links."""
 
     def __init__(
         self, latencies: Latencies, random_source: random.Random
     ) -> None:
-        """Carry calls without faults; `random_source` draws the jitter."""
+        """Create a network without faults; `random_source` draws jitter."""
         self.cuts: list[Link] = []
-        self.silences: list[Silence] = []
-        self.latenesses: list[Lateness] = []
+        self.silent_links: list[SilentLink] = []
+        self.answer_delays: list[AnswerDelay] = []
         self._latencies = latencies
         self._random_source = random_source
         self._calls: dict[Call, None] = {}
-        # Empty, so that what travels belongs to no process.
+        # Empty, so that messages in transit belong to no process.
         self._context = Context()
 
-    async def ask(
+    async def call(
         self,
         source: Endpoint,
         target: Endpoint,
-        post: Post,
+        deliver: Deliver,
         timeout_ms: float,
     ) -> Result[Any, CallFailure]:
-        """Call and wait for the answer, `timeout_ms` at most."""
-        call = Call(source, target, post)
+        """Call `target` and wait for its answer, for at most `timeout_ms`."""
+        call = Call(source, target, deliver)
         self._calls[call] = None
-        self._leave(call)
+        self._send(call)
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
                 return await call.outcome
@@ -177,35 +188,36 @@
         finally:
             self._calls.pop(call, None)
 
-    def send_back(self, call: Call, outcome: Any) -> None:
-        """Carry an answer back to the source."""
+    def send_answer(self, call: Call, outcome: Any) -> None:
+        """Send an answer back to the source of a call."""
         if call.target.gate is not None and call.target.holds(call.source):
-            # The answer leaves when the process runs on; a dead one is reset.
+            # It is sent when the process resumes; if it is killed instead,
+            # the connection is reset.
             call.target.gate.append(_held_answer(call, outcome))
             return
         delay_ms = self._latency_ms(call.target, call.source)
         delay_ms += sum(
-            lateness.delay_of(call.source, call.target)
-            for lateness in self.latenesses
+            answer_delay.delay_of(call.source, call.target)
+            for answer_delay in self.answer_delays
         )
-        self._later(delay_ms, self._returned, call, Success(outcome))
+        self._schedule(delay_ms, self._on_return, call, Success(outcome))
 
     def calls_to(self, endpoint: Endpoint) -> int:
-        """Return how many callers wait for an answer of an endpoint."""
+        """Return the number of calls that wait for an endpoint's answer."""
         return sum(1 for call in self._calls if call.target is endpoint)
 
     def open_gate(self, endpoint: Endpoint) -> None:
-        """Let go what the gate has held."""
+        """Open the gate and send the messages that it held."""
         held = endpoint.gate or []
         endpoint.gate = None
         for call in held:
             if call.source is endpoint:
-                self._leave(call)
+                self._send(call)
                 continue
-            call.post(_WireReply(self, call))
+            call.deliver(_WireReply(self, call))
 
     def drop_held(self, endpoint: Endpoint) -> None:
-        """Forget what the gate has held: its process died."""
+        """Drop the messages that the gate held, after the process died."""
         endpoint.gate = None
 
     def reset(self, endpoint: Endpoint) -> None:
@@ -213,47 +225,47 @@
         for call in tuple(self._calls):
             if call.target is endpoint:
                 failure = Failure(CallFailure.NO_ANSWER)
-                self._later(
+                self._schedule(
                     self._latency_ms(endpoint, call.source),
-                    self._returned,
+                    self._on_return,
                     call,
                     failure,
                 )
 
-    def silence(self, silence: Silence) -> None:
-        """Make the present connections of a link silent for good."""
-        self.silences.append(silence)
+    def silence(self, silent_link: SilentLink) -> None:
+        """Silence the open connections of a link, with calls in progress."""
+        self.silent_links.append(silent_link)
         for call in tuple(self._calls):
-            if silence.swallows(call.source, call.target):
-                call.is_swallowed = True
+            if silent_link.applies_to(call.source, call.target):
+                call.is_unanswered = True
 
-    def _leave(self, call: Call) -> None:
+    def _send(self, call: Call) -> None:
         if call.source.gate is not None and call.source.holds(call.target):
             call.source.gate.append(call)
             return
         delay_ms = self._latency_ms(call.source, call.target)
-        self._later(delay_ms, self._arrived, call)
+        self._schedule(delay_ms, self._on_arrival, call)
 
-    def _arrived(self, call: Call) -> None:
+    def _on_arrival(self, call: Call) -> None:
         if self._is_cut(call.source, call.target):
             return
         if call.target.refusing:
             refused = Failure(CallFailure.NOT_SENT)
             delay_ms = self._latency_ms(call.target, call.source)
-            self._later(delay_ms, self._returned, call, refused)
+            self._schedule(delay_ms, self._on_return, call, refused)
             return
         if not self._is_silent(call):
-            call.post(_WireReply(self, call))
+            call.deliver(_WireReply(self, call))
 
     def _is_silent(self, call: Call) -> bool:
-        for silence in self.silences:
-            if silence.swallows(call.source, call.target):
-                call.is_swallowed = True
-                return not silence.reaches
+        for silent_link in self.silent_links:
+            if silent_link.applies_to(call.source, call.target):
+                call.is_unanswered = True
+                return not silent_link.reaches
         return False
 
-    def _returned(self, call: Call, outcome: Result[Any, CallFailure]) -> None:
-        if call.is_swallowed or self._is_cut(call.target, call.source):
+    def _on_return(self, call: Call, outcome: Result[Any, CallFailure]) -> None:
+        if call.is_unanswered or self._is_cut(call.target, call.source):
             return
         call.end(outcome)
 
@@ -271,7 +283,7 @@
             base_ms = _SAME_DOMAIN_LATENCY_MS
         return base_ms * (1 + _JITTER_FRACTION * self._random_source.random())
 
-    def _later(
+    def _schedule(
         self,
         delay_ms: float,
         run: Callable[..., None],
@@ -286,10 +298,10 @@
 
 
 def _held_answer(call: Call, outcome: Any) -> Call:
-    held = Call(call.source, call.target, call.post)
+    held = Call(call.source, call.target, call.deliver)
     held.outcome = call.outcome
-    held.is_swallowed = call.is_swallowed
-    held.post = partial(_answer_at_once, outcome)
+    held.is_unanswered = call.is_unanswered
+    held.deliver = partial(_answer_at_once, outcome)
     return held
 
 
@@ -298,5 +310,5 @@
     return True
 
 
-def _among(endpoint: Endpoint, names: frozenset[str]) -> bool:
+def _is_named(endpoint: Endpoint, names: frozenset[str]) -> bool:
     return endpoint.name in names or endpoint.domain in names
--- a/fuchsiarill/replay/seen.py
+++ b/fuchsiarill/replay/observations.py
@@ -1,4 +1,4 @@
-"""What the fakes and the callers saw: an ordered list of events with time."""
+"""Log of what the fakes and the callers observed in a replay."""
 
 import hashlib
 import json
@@ -9,8 +9,8 @@
 from fuchsiarill.clock import now_ms
 
 
-class SeenKind(Enum):
-    """What a fake or a caller can see."""
+class ObservationKind(Enum):
+    """Kinds of events that fakes and callers record."""
 
     TASK_STARTED = 'task_started'
     START_REFUSED = 'start_refused'
@@ -38,11 +38,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seen:
-    """One event; `who` saw it or caused it, `details` depend on the kind."""
+class Observation:
+    """An event; `who` observed or caused it, `details` depend on `kind`."""
 
     time_ms: int
-    kind: SeenKind
+    kind: ObservationKind
     who: str
     details: dict[str, Any]
 
@@ -53,34 +53,34 @@
         return f'{self.time_ms} ms {self.kind.value} {self.who} {parts}'
 
 
-class SeenLog:
-    """The events of one replay in their order."""
+class ObservationLog:
+    """The observed events of one replay, in order of time."""
 
     def __init__(self) -> None:
-        """Start empty and open."""
-        self.entries: list[Seen] = []
+        """Create an empty log that accepts events."""
+        self.entries: list[Observation] = []
         self._is_open = True
 
-    def note(self, kind: SeenKind, who: str, **details: Any) -> None:
-        """Add an event at the present time; ignored once closed."""
+    def record(self, kind: ObservationKind, who: str, **details: Any) -> None:
+        """Add an event at the current time; ignored once closed."""
         if self._is_open:
-            self.entries.append(Seen(now_ms(), kind, who, details))
+            self.entries.append(Observation(now_ms(), kind, who, details))
 
     def close(self) -> None:
-        """Ignore what the end of the replay itself causes."""
+        """Ignore further events, which only the end of the replay causes."""
         self._is_open = False
 
-    def of(self, *kinds: SeenKind) -> list[Seen]:
-        """Return the events of some kinds."""
+    def of(self, *kinds: ObservationKind) -> list[Observation]:
+        """Return the events of the given kinds in order."""
         return [entry for entry in self.entries if entry.kind in kinds]
 
     def digest(self) -> str:
-        """Return a digest that is equal for equal logs."""
+        """Return a SHA-256 digest of all events, in hexadecimal."""
         lines = [
             json.dumps(
-                [one.time_ms, one.kind.value, one.who, one.details],
+                [entry.time_ms, entry.kind.value, entry.who, entry.details],
                 sort_keys=True,
             )
-            for one in self.entries
+            for entry in self.entries
         ]
         return hashlib.sha256('\n'.join(lines).encode()).hexdigest()
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -1,4 +1,4 @@
-"""The operators: change the configuration through a process of the system."""
+"""Simulated operators: change the configuration through a process."""
 
 import asyncio
 import random
@@ -15,8 +15,8 @@
 from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.replay.deployment import merge
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
+from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.replay.process import ReplayedProcess
-from fuchsiarill.replay.seen import SeenKind, SeenLog
 
 _NO_ANSWER: Final = 'no_answer'
 
@@ -26,12 +26,12 @@
 
     def __init__(
         self,
-        log: SeenLog,
+        log: ObservationLog,
         network: Network,
         processes: dict[str, ReplayedProcess],
         random_source: random.Random,
     ) -> None:
-        """Ask `processes`, chosen by `random_source` where none is named."""
+        """Call `processes`, chosen by `random_source` if none is named."""
         self._log = log
         self._network = network
         self._processes = processes
@@ -47,14 +47,21 @@
         author: str,
         via: str | None,
     ) -> None:
-        """Lay changes over the present document, or replace its text."""
-        alive = [one for one in self._processes.values() if one.takes_calls]
+        """Merge changes into the current document, or replace its text.
+
+        `via` names the process that is called.
+        """
+        available = [
+            process
+            for process in self._processes.values()
+            if process.accepts_calls
+        ]
         if via is not None:
-            alive = [self._processes[via]]
-        if not alive:
-            self._refused(author, _NO_ANSWER)
+            available = [self._processes[via]]
+        if not available:
+            self._record_refusal(author, _NO_ANSWER)
             return
-        process = self._random_source.choice(alive)
+        process = self._random_source.choice(available)
         task = asyncio.create_task(
             self._change(
                 process, partial(_changed_text, changes, text), author
@@ -69,8 +76,8 @@
         rewrite: Any,
         author: str,
     ) -> None:
-        shown = await self._ask(process, GetDocument)
-        match shown:
+        current = await self._call(process, GetDocument)
+        match current:
             case Success(document):
                 request = ChangeRequest(
                     rewrite(document),
@@ -78,51 +85,51 @@
                     author,
                 )
                 build = partial(ChangeConfig, request)
-                answer = await self._ask(process, build)
-                self._note(answer, author)
+                answer = await self._call(process, build)
+                self._record(answer, author)
                 return
-        self._refused(author, _NO_ANSWER)
+        self._record_refusal(author, _NO_ANSWER)
 
-    async def _ask(
+    async def _call(
         self,
         process: ReplayedProcess,
         build: Any,
     ) -> Result[Any, Any]:
-        return await self._network.ask(
+        return await self._network.call(
             self._endpoint,
             process.endpoint,
-            partial(_post, process, build),
+            partial(_deliver, process, build),
             process.settings.http.request_timeout_ms,
         )
 
-    def _note(self, answer: Result[ChangeAnswer, Any], author: str) -> None:
+    def _record(self, answer: Result[ChangeAnswer, Any], author: str) -> None:
         match answer:
             case Success(ChangeAnswer(codes.DONE, ConfigDocument() as written)):
-                self._log.note(
-                    SeenKind.CONFIG_WRITTEN,
+                self._log.record(
+                    ObservationKind.CONFIG_WRITTEN,
                     author,
                     generation=written.generation,
                 )
-                self._note_draining(written)
+                self._record_draining(written)
             case Success(refused):
-                self._refused(author, refused.code.name)
+                self._record_refusal(author, refused.code.name)
             case _:
-                self._refused(author, _NO_ANSWER)
+                self._record_refusal(author, _NO_ANSWER)
 
-    def _note_draining(self, document: ConfigDocument) -> None:
-        present = set(yaml.safe_load(document.text)['draining_workers'])
-        for worker in sorted(present - self._draining):
-            self._log.note(SeenKind.HOST_LEAVING, worker)
-        for restored in sorted(self._draining - present):
-            self._log.note(SeenKind.HOST_BACK, restored)
-        self._draining = present
+    def _record_draining(self, document: ConfigDocument) -> None:
+        draining = set(yaml.safe_load(document.text)['draining_workers'])
+        for worker in sorted(draining - self._draining):
+            self._log.record(ObservationKind.HOST_LEAVING, worker)
+        for restored in sorted(self._draining - draining):
+            self._log.record(ObservationKind.HOST_BACK, restored)
+        self._draining = draining
 
-    def _refused(self, author: str, code: str) -> None:
-        self._log.note(SeenKind.CONFIG_REFUSED, author, code=code)
+    def _record_refusal(self, author: str, code: str) -> None:
+        self._log.record(ObservationKind.CONFIG_REFUSED, author, code=code)
 
 
-def _post(process: ReplayedProcess, build: Any, reply: Reply[Any]) -> bool:
-    return process.ask_config(build, reply)
+def _deliver(process: ReplayedProcess, build: Any, reply: Reply[Any]) -> bool:
+    return process.call_config(build, reply)
 
 
 def _changed_text(
--- a/fuchsiarill/replay/outcomes_config.py
+++ b/fuchsiarill/replay/outcomes_config.py
@@ -1,4 +1,4 @@
-"""Outcomes about the configuration (I8)."""
+"""Outcomes about the configuration (invariant I8)."""
 
 from collections.abc import Iterator
 from typing import Annotated
@@ -7,7 +7,7 @@
 
 from fuchsiarill.replay.evidence import Evidence
 from fuchsiarill.replay.kinds import OUTCOME_KINDS, OutcomeKind, Violation
-from fuchsiarill.replay.seen import Seen, SeenKind
+from fuchsiarill.replay.observations import Observation, ObservationKind
 
 _Time = Annotated[int, Field(ge=0)]
 
@@ -16,16 +16,16 @@
 class ConfigInForceEverywhere(OutcomeKind):
     """An accepted generation is in force in every process `within_ms`.
 
-    Processes named in `except_processes`, and those that do not live that
-    long, are left out. A later generation counts as well.
+    Processes named in `except_processes`, and those that do not run for all
+    of that time, are left out. A later generation counts as well.
     """
 
     within_ms: _Time
     except_processes: tuple[str, ...] = ()
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look, for each accepted change, who has it in time."""
-        written = evidence.log.of(SeenKind.CONFIG_WRITTEN)
+        """Find the processes that lack an accepted change when it is due."""
+        written = evidence.log.of(ObservationKind.CONFIG_WRITTEN)
         if not written:
             yield Violation('no change was accepted')
         for change in written:
@@ -33,18 +33,20 @@
             if due_ms > evidence.duration_ms:
                 yield Violation('accepted too late to be checked', change)
                 continue
-            yield from self._lacking(evidence, change, due_ms)
+            yield from self._find_processes_without(evidence, change, due_ms)
 
-    def _lacking(
+    def _find_processes_without(
         self,
         evidence: Evidence,
-        change: Seen,
+        change: Observation,
         due_ms: int,
     ) -> Iterator[Violation]:
-        for process in _living(evidence, change.time_ms, due_ms):
+        for process in _processes_alive_throughout(
+            evidence, change.time_ms, due_ms
+        ):
             if process in self.except_processes:
                 continue
-            if not _has(evidence, process, change, due_ms):
+            if not _has_generation(evidence, process, change, due_ms):
                 yield Violation(f'not in force in {process}', change)
 
 
@@ -53,13 +55,13 @@
     """No process replaces a generation by a lower one."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Compare consecutive generations of each life of a process."""
+        """Compare consecutive generations of each incarnation."""
         latest: dict[str, int] = {}
         for event in evidence.log.of(
-            SeenKind.CONFIG_IN_FORCE,
-            SeenKind.PROCESS_STARTED,
+            ObservationKind.CONFIG_IN_FORCE,
+            ObservationKind.PROCESS_STARTED,
         ):
-            if event.kind is SeenKind.PROCESS_STARTED:
+            if event.kind is ObservationKind.PROCESS_STARTED:
                 latest.pop(event.who, None)
                 continue
             generation = event.details['generation']
@@ -68,26 +70,30 @@
             latest[event.who] = generation
 
 
-def _living(evidence: Evidence, from_ms: int, to_ms: int) -> list[str]:
-    """Return the processes that live all the time from one to the other."""
+def _processes_alive_throughout(
+    evidence: Evidence, from_ms: int, to_ms: int
+) -> list[str]:
+    """Return the processes that run from `from_ms` to `to_ms`."""
     alive: dict[str, int] = {}
     for event in evidence.log.of(
-        SeenKind.PROCESS_STARTED,
-        SeenKind.PROCESS_ENDED,
+        ObservationKind.PROCESS_STARTED,
+        ObservationKind.PROCESS_ENDED,
     ):
         if event.time_ms > to_ms:
             break
-        if event.kind is SeenKind.PROCESS_STARTED:
+        if event.kind is ObservationKind.PROCESS_STARTED:
             alive[event.who] = event.time_ms
             continue
         alive.pop(event.who, None)
     return [who for who, since_ms in alive.items() if since_ms <= from_ms]
 
 
-def _has(evidence: Evidence, process: str, change: Seen, due_ms: int) -> bool:
+def _has_generation(
+    evidence: Evidence, process: str, change: Observation, due_ms: int
+) -> bool:
     return any(
         event.who == process
         and event.time_ms <= due_ms
         and event.details['generation'] >= change.details['generation']
-        for event in evidence.log.of(SeenKind.CONFIG_IN_FORCE)
+        for event in evidence.log.of(ObservationKind.CONFIG_IN_FORCE)
     )
--- a/fuchsiarill/replay/outcomes_jobs.py
+++ b/fuchsiarill/replay/outcomes_jobs.py
@@ -1,4 +1,4 @@
-"""Outcomes about how far jobs come, and how soon."""
+"""Outcomes about the final states of jobs and their waiting times."""
 
 import math
 from collections.abc import Iterator
@@ -16,15 +16,15 @@
 
 @OUTCOME_KINDS.register('all_finished')
 class AllFinished(JobOutcome):
-    """Every job has succeeded, and its caller knows, by `by_ms`.
+    """Every job has succeeded, and its caller has the result, by `by_ms`.
 
-    Jobs that somebody cancels may also end as cancelled.
+    Jobs whose cancellation is requested may also end as cancelled.
     """
 
     by_ms: _Time
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for jobs without an end, or with a bad or late one."""
+        """Find jobs that did not end, did not succeed or ended too late."""
         for key, submission in self.selected(evidence):
             end = evidence.ends.get(key)
             if end is None:
@@ -41,7 +41,7 @@
 
 @OUTCOME_KINDS.register('job_state')
 class JobStateAtEnd(JobOutcome):
-    """The final state that the callers of the chosen jobs received.
+    """The final state that the callers of the selected jobs received.
 
     `open` means that no final state was received.
     """
@@ -51,10 +51,10 @@
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
         """Compare the state of each job."""
-        chosen = list(self.selected(evidence))
-        if not chosen:
+        selected = list(self.selected(evidence))
+        if not selected:
             yield Violation(f'no job has a key that begins with {self.keys!r}')
-        for key, submission in chosen:
+        for key, submission in selected:
             end = evidence.ends.get(key)
             state = 'open' if end is None else end.details['state']
             if state != self.state:
@@ -70,9 +70,9 @@
     """Base of outcomes about the time from submission to first start."""
 
     def waits(self, evidence: Evidence) -> dict[str, float]:
-        """Return the wait of each job; infinite when it never started.
+        """Return the wait of each job in ms; infinite if it never started.
 
-        A job that somebody cancels before its start is left out.
+        A job that is cancelled before its start is left out.
         """
         waits = {}
         for key, submission in self.selected(evidence):
@@ -86,7 +86,7 @@
 
 @OUTCOME_KINDS.register('started_within')
 class StartedWithin(_WaitOutcome):
-    """Every chosen job has its first start within `ms`.
+    """Every selected job has its first start within `ms`.
 
     Jobs submitted before `from_ms` or after `to_ms` are left out.
     """
@@ -96,7 +96,7 @@
     to_ms: _Time | None = None
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for long waits."""
+        """Find jobs that waited too long."""
         to_ms = evidence.duration_ms if self.to_ms is None else self.to_ms
         for key, wait_ms in self.waits(evidence).items():
             submission = evidence.submissions[key]
@@ -108,16 +108,16 @@
 
 @OUTCOME_KINDS.register('waits_at_most')
 class WaitsAtMost(_WaitOutcome):
-    """The given percentile of the waits is at most `ms`."""
+    """The given percentile of the waiting times is at most `ms`."""
 
     ms: _Time
     percentile: _Percentile = 99
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Compare the percentile (nearest rank)."""
+        """Compare the percentile, by the nearest-rank method."""
         waits = self.waits(evidence)
         if not waits:
-            yield Violation('no job is chosen')
+            yield Violation('no job is selected')
             return
         ranked = sorted(waits, key=waits.__getitem__)
         rank = math.ceil(len(ranked) * self.percentile / 100) - 1
--- a/fuchsiarill/replay/outcomes_load.py
+++ b/fuchsiarill/replay/outcomes_load.py
@@ -1,4 +1,4 @@
-"""Outcomes about control cost, shares and counts."""
+"""Outcomes about the load of the store, shares and event counts."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -8,13 +8,13 @@
 
 from fuchsiarill.replay.evidence import Evidence
 from fuchsiarill.replay.kinds import OUTCOME_KINDS, OutcomeKind, Violation
-from fuchsiarill.replay.seen import Seen, SeenKind
+from fuchsiarill.replay.observations import Observation, ObservationKind
 
 _Time = Annotated[int, Field(ge=0)]
 _Positive = Annotated[int, Field(gt=0)]
 _Count = Annotated[int, Field(ge=0)]
 
-# How the platform counts the calls of its store.
+# The platform's limits count the calls of the store in these two groups.
 _GROUP_OF_OPERATION: Final = {
     'get': 'reads',
     'watch': 'reads',
@@ -27,9 +27,10 @@
 
 @OUTCOME_KINDS.register('store_calls_at_most')
 class StoreCallsAtMost(OutcomeKind):
-    """The store gets at most so many calls a second, by kind.
+    """The store gets at most the given numbers of reads and writes a second.
 
-    Averaged over windows of `window_ms` from time 0.
+    Averaged over consecutive windows of `window_ms` from time 0; calls
+    before `from_ms` do not count.
     """
 
     reads_per_s: _Positive | None = None
@@ -38,10 +39,10 @@
     from_ms: _Time = 0
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Count the calls of each window."""
+        """Count the calls of each window and report each excess once."""
         limits = {'reads': self.reads_per_s, 'writes': self.writes_per_s}
         counts: Counter[tuple[str, int]] = Counter()
-        for event in evidence.log.of(SeenKind.STORE_CALLED):
+        for event in evidence.log.of(ObservationKind.STORE_CALLED):
             if event.time_ms < self.from_ms:
                 continue
             group = _GROUP_OF_OPERATION[event.details['operation']]
@@ -57,10 +58,10 @@
 
 @OUTCOME_KINDS.register('share_at_least')
 class ShareAtLeast(OutcomeKind):
-    """A customer holds at least `fraction` of the cell in a time span.
+    """A customer holds at least `fraction` of the cell on average.
 
-    The average of its reserved processors from `from_ms` to `to_ms`, as a
-    fraction of all processors.
+    That is the average of its reserved processors from `from_ms` to `to_ms`
+    as a fraction of all processors.
     """
 
     customer: str
@@ -69,8 +70,8 @@
     to_ms: _Positive
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Add up what the customer's runs held."""
-        whole = sum(
+        """Add up the processor time that the customer's runs reserved."""
+        total = sum(
             capacity.processors_milli
             for capacity in evidence.capacities.values()
         )
@@ -82,19 +83,19 @@
             ended_ms = min(run.ended_ms, self.to_ms)
             span_ms = max(0, ended_ms - began_ms)
             held += run.reserved.processors_milli * span_ms
-        share = held / whole / (self.to_ms - self.from_ms)
+        share = held / total / (self.to_ms - self.from_ms)
         if share < self.fraction:
             yield Violation(f'{self.customer} held {share:.3f} of the cell')
 
 
 @OUTCOME_KINDS.register('count')
 class CountOf(OutcomeKind):
-    """How many events of a kind were seen, with the details in `where`.
+    """The number of events of a kind that have the details in `where`.
 
-    The key `who` of `where` is compared with who saw or caused it.
+    The key `who` of `where` is compared with the event's `who`.
     """
 
-    of: SeenKind
+    of: ObservationKind
     where: dict[str, Any] = Field(default_factory=dict)
     from_ms: _Time = 0
     to_ms: _Time | None = None
@@ -102,23 +103,24 @@
     at_most: _Count | None = None
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Count the events."""
+        """Count the events from `from_ms` to `to_ms`."""
         to_ms = evidence.duration_ms if self.to_ms is None else self.to_ms
-        found = [
+        matching = [
             event
             for event in evidence.log.of(self.of)
-            if self.from_ms <= event.time_ms <= to_ms and self._is_meant(event)
+            if self.from_ms <= event.time_ms <= to_ms
+            and self._is_counted(event)
         ]
-        text = f'{len(found)} {self.of.value} where {self.where}'
-        if len(found) < self.at_least:
+        text = f'{len(matching)} {self.of.value} where {self.where}'
+        if len(matching) < self.at_least:
             yield Violation(f'{text}, at least {self.at_least} expected')
-        if self.at_most is not None and len(found) > self.at_most:
+        if self.at_most is not None and len(matching) > self.at_most:
             yield Violation(
                 f'{text}, at most {self.at_most} expected',
-                found[self.at_most],
+                matching[self.at_most],
             )
 
-    def _is_meant(self, event: Seen) -> bool:
+    def _is_counted(self, event: Observation) -> bool:
         details = {**event.details, 'who': event.who}
         return all(
             details.get(name) == wanted for name, wanted in self.where.items()
--- a/fuchsiarill/replay/outcomes_safety.py
+++ b/fuchsiarill/replay/outcomes_safety.py
@@ -1,4 +1,4 @@
-"""Outcomes that must hold in every trace: the invariants I1 to I7."""
+"""Outcomes for the safety invariants I1 to I7."""
 
 from collections.abc import Iterator
 from typing import Annotated, Final
@@ -9,60 +9,64 @@
 from fuchsiarill.replay.evidence import Evidence, JobOutcome, Run
 from fuchsiarill.replay.fake_workers import output_of
 from fuchsiarill.replay.kinds import OUTCOME_KINDS, OutcomeKind, Violation
-from fuchsiarill.replay.seen import Seen, SeenKind
+from fuchsiarill.replay.observations import Observation, ObservationKind
 from fuchsiarill.resources import NOTHING, Resources
 
 _Time = Annotated[int, Field(ge=0)]
 
-# These leave open whether the request was carried out.
+# After these codes the request may or may not have been carried out.
 _UNCERTAIN_CODES: Final = frozenset((codes.OUTCOME_UNCERTAIN.name,))
-# An exchange in progress when the process ends fails this much later.
-_SHUTDOWN_ECHO_MS: Final = 1_000
+# An exchange in progress when a process ends fails up to this much later.
+_LATE_FAILURE_MS: Final = 1_000
 
 
 @OUTCOME_KINDS.register('no_host_overcommitted')
 class NoHostOvercommitted(OutcomeKind):
-    """What runs on a worker never uses more than its capacity (I1).
+    """The tasks on a worker never use more than its capacity (I1).
 
-    True use counts, not what was declared or reserved; slots and
-    accelerators are part of it. It may be exceeded for `used_within_ms`.
+    Actual usage counts, not declared or reserved sizes; it includes slots and
+    accelerators. It may exceed the capacity for up to `used_within_ms`.
     """
 
     used_within_ms: _Time = 0
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Add up what runs on each worker, event by event."""
+        """Add up the usage on each worker after each event."""
         used: dict[str, dict[str, Resources]] = {}
-        over: dict[str, Seen] = {}
+        overloaded_since: dict[str, Observation] = {}
         for event in evidence.log.of(
-            SeenKind.TASK_STARTED,
-            SeenKind.TASK_RESIZED,
-            SeenKind.TASK_ENDED,
+            ObservationKind.TASK_STARTED,
+            ObservationKind.TASK_RESIZED,
+            ObservationKind.TASK_ENDED,
         ):
-            yield from _too_long(over, event.time_ms, self.used_within_ms)
+            yield from _find_long_overloads(
+                overloaded_since, event.time_ms, self.used_within_ms
+            )
             tasks = used.setdefault(event.who, {})
             tasks[event.details['attempt']] = Resources(
                 *event.details.get('used', NOTHING.as_tuple()),
             )
-            whole = sum(tasks.values(), NOTHING)
-            if whole.fits_in(evidence.capacities[event.who]):
-                over.pop(event.who, None)
+            total = sum(tasks.values(), NOTHING)
+            if total.fits_in(evidence.capacities[event.who]):
+                overloaded_since.pop(event.who, None)
                 continue
-            over.setdefault(event.who, event)
+            overloaded_since.setdefault(event.who, event)
             if not self.used_within_ms:
-                yield Violation(f'loaded with {whole.as_tuple()}', event)
-        yield from _too_long(over, evidence.duration_ms, self.used_within_ms)
+                yield Violation(f'loaded with {total.as_tuple()}', event)
+        yield from _find_long_overloads(
+            overloaded_since, evidence.duration_ms, self.used_within_ms
+        )
 
 
-def _too_long(
-    over: dict[str, Seen],
+def _find_long_overloads(
+    overloaded_since: dict[str, Observation],
     now_ms: int,
     within_ms: int,
 ) -> Iterator[Violation]:
-    for who, since in tuple(over.items()):
+    for who, since in tuple(overloaded_since.items()):
         if within_ms and now_ms - since.time_ms > within_ms:
-            over.pop(who)
-            yield Violation(f'loaded too much for over {within_ms} ms', since)
+            overloaded_since.pop(who)
+            yield Violation(f'overloaded for more than {within_ms} ms', since)
 
 
 @OUTCOME_KINDS.register('never_twice_at_once')
@@ -70,14 +74,14 @@
     """No task runs in two places at the same time (I2)."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Compare each run of a task with the one before."""
-        chosen = {key for key, _ in self.selected(evidence)}
+        """Compare each run of a task with the runs before it."""
+        selected_keys = {key for key, _ in self.selected(evidence)}
         for (key, _position), runs in evidence.runs_by_task.items():
-            if key in chosen:
-                yield from _overlaps(runs)
+            if key in selected_keys:
+                yield from _find_overlaps(runs)
 
 
-def _overlaps(runs: list[Run]) -> Iterator[Violation]:
+def _find_overlaps(runs: list[Run]) -> Iterator[Violation]:
     busy_until_ms = 0
     worker = ''
     for run in runs:
@@ -91,17 +95,17 @@
 
 @OUTCOME_KINDS.register('at_most_once')
 class AtMostOnce(JobOutcome):
-    """A task of an `at_most_once` job is started once or never (I5)."""
+    """A task of an `at_most_once` job is started at most once (I5)."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Count the runs of each task."""
-        chosen = {
+        """Find second and later runs of a task."""
+        selected_keys = {
             key
             for key, submission in self.selected(evidence)
             if submission.details['execution'] == 'at_most_once'
         }
         for (key, _position), runs in evidence.runs_by_task.items():
-            if key not in chosen:
+            if key not in selected_keys:
                 continue
             for run in runs[1:]:
                 yield Violation('runs again', run.start)
@@ -112,7 +116,7 @@
     """Each caller gets the complete result of its own job (I3)."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Compare the outputs with those of the tasks of that key."""
+        """Compare each result with the outputs of the job's own tasks."""
         for key, submission in self.selected(evidence):
             end = evidence.ends.get(key)
             if end is None or end.details['state'] != 'succeeded':
@@ -123,11 +127,11 @@
             ]
             if end.details['outputs'] != expected:
                 yield Violation('wrong result', end)
-        yield from self._changed_ids(evidence)
+        yield from self._find_changed_ids(evidence)
 
-    def _changed_ids(self, evidence: Evidence) -> Iterator[Violation]:
+    def _find_changed_ids(self, evidence: Evidence) -> Iterator[Violation]:
         known: dict[str, str] = {}
-        for event in evidence.log.of(SeenKind.ANSWERED):
+        for event in evidence.log.of(ObservationKind.ANSWERED):
             job_id = event.details['job']
             if not job_id:
                 continue
@@ -138,12 +142,12 @@
 
 @OUTCOME_KINDS.register('refused_never_ran')
 class RefusedNeverRan(JobOutcome):
-    """A job that was rejected as not run did not run (I4)."""
+    """A job that was refused, or reported as not run, did not run (I4)."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for runs of keys that got nothing but definite refusals."""
-        chosen = {key for key, _ in self.selected(evidence)}
-        refused = chosen - _possibly_accepted(evidence)
+        """Find runs of jobs that got only definite refusals."""
+        selected_keys = {key for key, _ in self.selected(evidence)}
+        refused = selected_keys - _possibly_accepted(evidence)
         for run in evidence.runs:
             if run.key in refused:
                 yield Violation('was refused', run.start)
@@ -155,17 +159,19 @@
 def _possibly_accepted(evidence: Evidence) -> set[str]:
     accepted = set()
     answered = set()
-    for event in evidence.log.of(SeenKind.ANSWERED, SeenKind.CALL_FAILED):
+    for event in evidence.log.of(
+        ObservationKind.ANSWERED, ObservationKind.CALL_FAILED
+    ):
         if event.details['call'] != 'submit':
             continue
         answered.add(event.details['key'])
-        if _leaves_open(event):
+        if _may_have_run(event):
             accepted.add(event.details['key'])
     return accepted | (set(evidence.submissions) - answered)
 
 
-def _leaves_open(event: Seen) -> bool:
-    if event.kind is SeenKind.CALL_FAILED:
+def _may_have_run(event: Observation) -> bool:
+    if event.kind is ObservationKind.CALL_FAILED:
         return bool(event.details['failure'] == 'no_answer')
     is_uncertain = event.details['code'] in _UNCERTAIN_CODES
     return is_uncertain or not event.details['refused']
@@ -173,18 +179,21 @@
 
 @OUTCOME_KINDS.register('acknowledged_never_lost')
 class AcknowledgedNeverLost(JobOutcome):
-    """A job that was acknowledged as durable stays known."""
+    """A job that was acknowledged as durable never becomes unknown."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for answers that deny an acknowledged job."""
-        chosen = {key for key, _ in self.selected(evidence)}
+        """Find `unknown_job` answers for jobs acknowledged before."""
+        selected_keys = {key for key, _ in self.selected(evidence)}
         acknowledged = set()
-        for event in evidence.log.of(SeenKind.ANSWERED):
+        for event in evidence.log.of(ObservationKind.ANSWERED):
             key = event.details['key']
             code = event.details['code']
             if code == codes.ACCEPTED.name:
                 acknowledged.add(key)
-            if code == codes.UNKNOWN_JOB.name and key in acknowledged & chosen:
+            if (
+                code == codes.UNKNOWN_JOB.name
+                and key in acknowledged & selected_keys
+            ):
                 yield Violation('was acknowledged', event)
 
 
@@ -192,23 +201,24 @@
 class NoWorkAfterRetiring(OutcomeKind):
     """A leaving worker gets no new task after `within_ms` (I6).
 
-    The host list or `draining_workers` of the configuration says so.
+    A worker is leaving while the host list shows it as leaving or the
+    configuration has it in `draining_workers`.
     """
 
     within_ms: _Time
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for late starts."""
+        """Find starts on workers that have been leaving for too long."""
         leaving: dict[str, int] = {}
         for event in evidence.log.of(
-            SeenKind.HOST_LEAVING,
-            SeenKind.HOST_BACK,
-            SeenKind.TASK_STARTED,
+            ObservationKind.HOST_LEAVING,
+            ObservationKind.HOST_BACK,
+            ObservationKind.TASK_STARTED,
         ):
-            if event.kind is SeenKind.HOST_LEAVING:
+            if event.kind is ObservationKind.HOST_LEAVING:
                 leaving.setdefault(event.who, event.time_ms)
                 continue
-            if event.kind is SeenKind.HOST_BACK:
+            if event.kind is ObservationKind.HOST_BACK:
                 leaving.pop(event.who, None)
                 continue
             since_ms = leaving.get(event.who, event.time_ms)
@@ -218,47 +228,49 @@
 
 @OUTCOME_KINDS.register('shutdown_cuts_nothing')
 class ShutdownCutsNothing(OutcomeKind):
-    """No caller loses an answer to a graceful shutdown (I7)."""
+    """No caller loses an answer because of a graceful shutdown (I7)."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for calls that fail or are uncertain because of one."""
-        asked: dict[str, int] = {}
-        ended: dict[str, int] = {}
+        """Find failed calls and uncertain answers caused by a shutdown."""
+        requested_ms: dict[str, int] = {}
+        ended_ms: dict[str, int] = {}
         for event in evidence.log.entries:
-            if event.kind is SeenKind.SHUTDOWN_ASKED:
-                asked[event.who] = event.time_ms
-                ended[event.who] = evidence.duration_ms
-            if event.kind is SeenKind.PROCESS_ENDED:
-                ended[event.who] = event.time_ms
-            if _is_cut_call(event, asked):
+            if event.kind is ObservationKind.SHUTDOWN_ASKED:
+                requested_ms[event.who] = event.time_ms
+                ended_ms[event.who] = evidence.duration_ms
+            if event.kind is ObservationKind.PROCESS_ENDED:
+                ended_ms[event.who] = event.time_ms
+            if _is_lost_answer(event, requested_ms):
                 yield Violation('the process shut down', event)
-            if _is_uncertain(event) and _within(event, asked, ended):
+            if _is_uncertain(event) and _is_during_shutdown(
+                event, requested_ms, ended_ms
+            ):
                 yield Violation('a process shut down', event)
 
 
-def _is_cut_call(event: Seen, asked: dict[str, int]) -> bool:
+def _is_lost_answer(event: Observation, requested_ms: dict[str, int]) -> bool:
     return (
-        event.kind is SeenKind.CALL_FAILED
+        event.kind is ObservationKind.CALL_FAILED
         and event.details['failure'] == 'no_answer'
-        and event.details['process'] in asked
+        and event.details['process'] in requested_ms
     )
 
 
-def _is_uncertain(event: Seen) -> bool:
+def _is_uncertain(event: Observation) -> bool:
     return (
-        event.kind is SeenKind.ANSWERED
+        event.kind is ObservationKind.ANSWERED
         and event.details['code'] in _UNCERTAIN_CODES
     )
 
 
-def _within(
-    event: Seen,
-    asked: dict[str, int],
-    ended: dict[str, int],
+def _is_during_shutdown(
+    event: Observation,
+    requested_ms: dict[str, int],
+    ended_ms: dict[str, int],
 ) -> bool:
     return any(
-        asked[who] <= event.time_ms <= ended[who] + _SHUTDOWN_ECHO_MS
-        for who in asked
+        requested_ms[who] <= event.time_ms <= ended_ms[who] + _LATE_FAILURE_MS
+        for who in requested_ms
     )
 
 
@@ -267,21 +279,21 @@
     """No handler of an actor raised; checked in every trace."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Return the failures."""
-        for event in evidence.log.of(SeenKind.ACTOR_FAILED):
+        """Report every failure in the log."""
+        for event in evidence.log.of(ObservationKind.ACTOR_FAILED):
             yield Violation('a handler raised', event)
 
 
 @OUTCOME_KINDS.register('safe')
 class Safe(OutcomeKind):
-    """All outcomes that must hold under any fault, without parameters."""
+    """The outcomes that must hold under any fault, with default parameters."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Check each of them."""
-        for part in _SAFE:
-            for found in part.violations(evidence):
-                text = f'{type(part).__name__}: {found.text}'
-                yield Violation(text, found.event)
+        """Check each of the outcomes."""
+        for outcome in _SAFE:
+            for violation in outcome.violations(evidence):
+                text = f'{type(outcome).__name__}: {violation.text}'
+                yield Violation(text, violation.event)
 
 
 _SAFE: Final[tuple[OutcomeKind, ...]] = (
--- a/fuchsiarill/replay/outcomes_tasks.py
+++ b/fuchsiarill/replay/outcomes_tasks.py
@@ -1,4 +1,4 @@
-"""Outcomes about the tasks of one job together."""
+"""Outcomes about all tasks of a job."""
 
 from collections.abc import Iterator
 from typing import Annotated
@@ -7,35 +7,38 @@
 
 from fuchsiarill.replay.evidence import Evidence, JobOutcome, Run
 from fuchsiarill.replay.kinds import OUTCOME_KINDS, Violation
-from fuchsiarill.replay.seen import Seen
+from fuchsiarill.replay.observations import Observation
 
 _Time = Annotated[int, Field(ge=0)]
 
 
 @OUTCOME_KINDS.register('stays_alive')
 class StaysAlive(JobOutcome):
-    """Each chosen job has a running task, with gaps of `gap_at_most_ms`.
+    """Each selected job always has a running task, but for short gaps.
 
-    Counted from its first start to `to_ms`, by default the end.
+    Checked from its first start to `to_ms`, by default the end of the replay;
+    gaps last at most `gap_at_most_ms`.
     """
 
     gap_at_most_ms: _Time
     to_ms: _Time | None = None
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Look for gaps between the runs of a job."""
+        """Find gaps between the runs of a job, and a final one."""
         to_ms = evidence.duration_ms if self.to_ms is None else self.to_ms
         for key, submission in self.selected(evidence):
             runs = [run for run in evidence.runs if run.key == key]
             if not runs:
                 yield Violation('never ran', submission)
                 continue
-            yield from self._gaps(runs)
+            yield from self._find_gaps(runs)
             alive_until_ms = max(run.ended_ms for run in runs)
             if to_ms - alive_until_ms > self.gap_at_most_ms:
-                yield Violation(f'dead since {alive_until_ms} ms', submission)
+                yield Violation(
+                    f'nothing ran since {alive_until_ms} ms', submission
+                )
 
-    def _gaps(self, runs: list[Run]) -> Iterator[Violation]:
+    def _find_gaps(self, runs: list[Run]) -> Iterator[Violation]:
         alive_until_ms = runs[0].began_ms
         for run in runs:
             if run.began_ms - alive_until_ms > self.gap_at_most_ms:
@@ -46,30 +49,32 @@
 
 @OUTCOME_KINDS.register('gang_together')
 class GangTogether(JobOutcome):
-    """The first runs of all tasks of a gang begin within `ms`, or none."""
+    """The first runs of all tasks of a gang start within `ms`, or none do."""
 
     ms: _Time
     workload: str | None = 'gang'
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Compare the first starts of the tasks."""
+        """Compare the first start times of the tasks of each job."""
         for key, submission in self.selected(evidence):
             tasks_count = submission.details['tasks_count']
             began = _first_starts_ms(evidence, key, tasks_count)
             if began:
-                yield from self._spread(began, tasks_count, submission)
+                yield from self._find_spread(began, tasks_count, submission)
 
-    def _spread(
+    def _find_spread(
         self,
         began: list[int],
         tasks_count: int,
-        submission: Seen,
+        submission: Observation,
     ) -> Iterator[Violation]:
         if len(began) < tasks_count:
-            text = f'{len(began)} of {tasks_count} tasks ever started'
+            text = f'{len(began)} of {tasks_count} tasks started'
             yield Violation(text, submission)
         if max(began) - min(began) > self.ms:
-            yield Violation(f'starts spread over {self.ms} ms', submission)
+            yield Violation(
+                f'starts spread over more than {self.ms} ms', submission
+            )
 
 
 def _first_starts_ms(
--- a/fuchsiarill/replay/peer_calls.py
+++ b/fuchsiarill/replay/peer_calls.py
@@ -1,4 +1,4 @@
-"""Calls between processes: the real encoding and servant, a fake transport."""
+"""Calls between processes: real encoding and server, simulated transport."""
 
 from typing import Any, Protocol
 
@@ -13,10 +13,10 @@
 
 
 class Struct:
-    """A received struct: attributes for fields, defaults for absent ones."""
+    """A received struct: fields are attributes, empty text when absent."""
 
     def __init__(self, fields: dict[str, Any]) -> None:
-        """View the fields that the encoding wrote."""
+        """Wrap the fields that the encoding wrote."""
         self._fields = fields
 
     def __getattr__(self, name: str) -> Any:
@@ -28,21 +28,21 @@
     if isinstance(field, dict):
         return Struct(field)
     if isinstance(field, list):
-        return [received(one) for one in field]
+        return [received(element) for element in field]
     return field
 
 
 class CallContext:
-    """Where a servant leaves the results of a call."""
+    """Call context in which a peer server sets the results of a call."""
 
     def __init__(self) -> None:
-        """Start without results; attributes of `results` become fields."""
+        """Create empty results; attributes set on `results` become fields."""
         self.fields: dict[str, Any] = {}
         self.results = _Results(self.fields)
 
 
 class _Results:
-    """Collects results by attribute."""
+    """Stores attributes that are set as fields of the answer."""
 
     _fields: dict[str, Any]
 
@@ -54,7 +54,7 @@
 
 
 class Listener(Protocol):
-    """A process that takes calls."""
+    """A process that accepts calls of other processes."""
 
     endpoint: Endpoint
 
@@ -64,11 +64,11 @@
         request: dict[str, Any],
         reply: Reply[Any],
     ) -> bool:
-        """Run a method of the servant; answers with its results."""
+        """Run a method of the peer server and answer with its results."""
 
 
 class PeerCalls(RpcPeers):
-    """Calls the processes at the addresses in `listeners`."""
+    """Calls other processes, which `listeners` maps by address."""
 
     def __init__(
         self,
@@ -77,7 +77,7 @@
         source: Endpoint,
         listeners: dict[str, Listener],
     ) -> None:
-        """Call from `source`; there is no link actor behind it."""
+        """Call from `source`; the mailbox of the link actor is unused."""
         super().__init__(Mailbox(), settings)
         self._deadline_ms = settings.call_timeout_ms
         self._network = network
@@ -92,11 +92,11 @@
         wait_ms: int = 0,
         repeatable: bool = True,
     ) -> Result[Any, PeerFailure]:
-        """Call a method of the schema; `wait_ms` is added to the deadline."""
+        """Call a method of the schema; `wait_ms` extends the time-out."""
         listener = self._listeners.get(address)
         if listener is None:
             return Failure(PeerFailure.NOT_SENT)
-        answer = await self._network.ask(
+        answer = await self._network.call(
             self._source,
             listener.endpoint,
             lambda reply: listener.serve(method, request, reply),
--- a/fuchsiarill/replay/process.py
+++ b/fuchsiarill/replay/process.py
@@ -1,4 +1,4 @@
-"""One process of the system in a replay: the real actors, on fake ports."""
+"""One process of the system in a replay: real actors on fake ports."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -13,14 +13,14 @@
 from fuchsiarill.replay.fake_front import Build
 from fuchsiarill.replay.loop import INCARNATION, Incarnation, ReplayLoop
 from fuchsiarill.replay.network import Endpoint
-from fuchsiarill.replay.seen import SeenKind
+from fuchsiarill.replay.observations import ObservationKind
 from fuchsiarill.replay.simulated_environment import SimulatedEnvironment
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.state_chart import load_chart
 
 
-class LifeState(Enum):
-    """Whether the operating system runs a process."""
+class LifecycleState(Enum):
+    """Whether a process exists, runs, and may send messages."""
 
     DEAD = 'dead'
     RUNNING = 'running'
@@ -28,8 +28,8 @@
     PAUSED = 'paused'
 
 
-class LifeEvent(Enum):
-    """What can happen to a process from outside."""
+class LifecycleEvent(Enum):
+    """Signals and other events that change the state of a process."""
 
     STARTED = 'started'
     GATE_CLOSED = 'gate_closed'
@@ -40,7 +40,7 @@
 
 
 class ReplayedProcess:
-    """A process that can be killed, started again and paused."""
+    """A process that can be killed, restarted and paused."""
 
     def __init__(
         self,
@@ -48,11 +48,11 @@
         environment: SimulatedEnvironment,
         loop: ReplayLoop,
     ) -> None:
-        """Create a process that does not run yet."""
+        """Create a process that is not started yet."""
         self.settings = settings
         self.environment = environment
         self.loop = loop
-        self.state = LIFE_CHART.initial
+        self.state = LIFECYCLE_CHART.initial
         self.endpoint = Endpoint(
             settings.process,
             settings.failure_domain,
@@ -69,38 +69,41 @@
 
     @property
     def incarnation(self) -> Incarnation:
-        """Return the present life, or the last one."""
+        """Return the current incarnation, or the last one when dead."""
         return self.incarnations[-1]
 
     @property
     def is_alive(self) -> bool:
-        """Tell whether the process exists, paused or not."""
-        return self.state is not LifeState.DEAD
+        """Return whether the process exists, paused or not."""
+        return self.state is not LifecycleState.DEAD
 
     @property
-    def takes_calls(self) -> bool:
-        """Tell whether the platform's load balancer uses the process."""
-        runs = self.state in {LifeState.RUNNING, LifeState.GATED}
+    def accepts_calls(self) -> bool:
+        """Return whether the platform's load balancer uses the process."""
+        runs = self.state in {LifecycleState.RUNNING, LifecycleState.GATED}
         return (
             runs
             and self.composition is not None
             and (self.composition.front.is_ready)
         )
 
-    def step(self, event: LifeEvent) -> None:
-        """Apply an event of the chart and run its actions."""
-        transition = LIFE_CHART.step(self.state, event)
+    def step(self, event: LifecycleEvent) -> None:
+        """Apply an event to the state chart and run the actions.
+
+        An event without a transition from the current state is ignored.
+        """
+        transition = LIFECYCLE_CHART.step(self.state, event)
         if transition is None:
             return
         self.state = transition.target
         for action in transition.actions:
-            LIFE_ACTIONS.lookup(action)(self)
+            LIFECYCLE_ACTIONS.lookup(action)(self)
 
     def shut_down(self) -> None:
         """Send SIGTERM: the process drains and ends by itself."""
         if self.composition is None:
             return
-        self.environment.log.note(SeenKind.SHUTDOWN_ASKED, self.name)
+        self.environment.log.record(ObservationKind.SHUTDOWN_ASKED, self.name)
         self._context().run(self.composition.drain)
 
     def serve(
@@ -109,28 +112,28 @@
         request: dict[str, Any],
         reply: Reply[Any],
     ) -> bool:
-        """Take a call of another process."""
+        """Accept a call of another process; `False` when dead."""
         return self._spawn(
-            lambda present: present.serve(method, request, reply),
+            lambda current: current.serve(method, request, reply),
         )
 
-    def ask_owner(
+    def call_owner(
         self,
         build: Build,
         wait_ms: int,
         reply: Reply[Any],
     ) -> bool:
-        """Take a request of a caller."""
+        """Accept a caller's request; `False` when dead."""
         return self._spawn(
-            lambda present: present.ask_owner(build, wait_ms, reply),
+            lambda current: current.call_owner(build, wait_ms, reply),
         )
 
-    def ask_config(self, build: Build, reply: Reply[Any]) -> bool:
-        """Take a request of an operator."""
-        return self._spawn(lambda present: present.ask_config(build, reply))
+    def call_config(self, build: Build, reply: Reply[Any]) -> bool:
+        """Accept an operator's request; `False` when dead."""
+        return self._spawn(lambda current: current.call_config(build, reply))
 
     def boot(self) -> None:
-        """Start the actors of a new life."""
+        """Create and start the actors of the current incarnation."""
         self.composition = self._context().run(
             Composition,
             self.settings,
@@ -149,7 +152,7 @@
     ) -> None:
         self._tasks.discard(running)
         if incarnation is self.incarnation:
-            self.step(LifeEvent.STOPPED)
+            self.step(LifecycleEvent.STOPPED)
 
     def _spawn(
         self,
@@ -171,19 +174,21 @@
         return context
 
 
-LifeAction = Callable[[ReplayedProcess], None]
+LifecycleAction = Callable[[ReplayedProcess], None]
 
-LIFE_ACTIONS: Final[Registry[str, LifeAction]] = Registry('life actions')
+LIFECYCLE_ACTIONS: Final[Registry[str, LifecycleAction]] = Registry(
+    'lifecycle actions'
+)
 
 
-@LIFE_ACTIONS.register('boot')
+@LIFECYCLE_ACTIONS.register('boot')
 def _boot(process: ReplayedProcess) -> None:
     number = process.incarnation.number + 1
     process.incarnations.append(Incarnation(process.name, number))
     process.endpoint.refusing = False
     process.endpoint.gate = None
-    process.environment.log.note(
-        SeenKind.PROCESS_STARTED,
+    process.environment.log.record(
+        ObservationKind.PROCESS_STARTED,
         process.name,
         incarnation=number,
         domain=process.settings.failure_domain,
@@ -191,35 +196,35 @@
     process.boot()
 
 
-@LIFE_ACTIONS.register('close_gate')
+@LIFECYCLE_ACTIONS.register('close_gate')
 def _close_gate(process: ReplayedProcess) -> None:
     process.endpoint.gate = []
 
 
-@LIFE_ACTIONS.register('hold')
+@LIFECYCLE_ACTIONS.register('hold')
 def _hold(process: ReplayedProcess) -> None:
     process.incarnation.hold()
 
 
-@LIFE_ACTIONS.register('release')
+@LIFECYCLE_ACTIONS.register('release')
 def _release(process: ReplayedProcess) -> None:
     process.incarnation.release(process.loop)
     process.environment.network.open_gate(process.endpoint)
 
 
-@LIFE_ACTIONS.register('end')
+@LIFECYCLE_ACTIONS.register('end')
 def _end(process: ReplayedProcess) -> None:
     process.incarnation.hold()
     process.composition = None
     process.endpoint.gate = None
     process.endpoint.refusing = True
     process.environment.network.reset(process.endpoint)
-    process.environment.log.note(SeenKind.PROCESS_ENDED, process.name)
+    process.environment.log.record(ObservationKind.PROCESS_ENDED, process.name)
 
 
-LIFE_CHART: Final = load_chart(
+LIFECYCLE_CHART: Final = load_chart(
     'replayed_process',
-    LifeState,
-    LifeEvent,
-    LIFE_ACTIONS,
+    LifecycleState,
+    LifecycleEvent,
+    LIFECYCLE_ACTIONS,
 )
--- a/fuchsiarill/replay/simulated_environment.py
+++ b/fuchsiarill/replay/simulated_environment.py
@@ -1,4 +1,4 @@
-"""What a process reaches outside of itself, and how."""
+"""The simulated systems outside of a process and its ports to them."""
 
 from dataclasses import dataclass
 
@@ -8,19 +8,19 @@
 from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
 from fuchsiarill.replay.fakes import FakeStore, ProcessStore
 from fuchsiarill.replay.network import Endpoint, Network
+from fuchsiarill.replay.observations import ObservationLog
 from fuchsiarill.replay.peer_calls import Listener
-from fuchsiarill.replay.seen import SeenLog
 from fuchsiarill.settings import ProcessSettings
 
 
 @dataclass(frozen=True, slots=True)
 class SimulatedEnvironment:
-    """Everything outside of a process that it can reach.
+    """The systems outside of a process that it can call.
 
-    `listeners` maps the peer address of a process to how calls reach it.
+    `listeners` maps peer addresses to the processes that accept calls there.
     """
 
-    log: SeenLog
+    log: ObservationLog
     network: Network
     store: FakeStore
     host_list: FakeHostList
@@ -34,7 +34,7 @@
     endpoint: Endpoint,
     environment: SimulatedEnvironment,
 ) -> Ports:
-    """Return the ports of one process."""
+    """Return the ports of a process, which call from its endpoint."""
     network = environment.network
     return Ports(
         ProcessStore(settings.store, network, endpoint, environment.store),
@@ -54,7 +54,7 @@
 
 
 def own_detail(settings: ProcessSettings, incarnation: int) -> MemberDetail:
-    """Return what others are told of one life of a process."""
+    """Return the member detail that one incarnation publishes."""
     return MemberDetail(
         settings.process,
         settings.region,
--- a/fuchsiarill/replay/trace.py
+++ b/fuchsiarill/replay/trace.py
@@ -1,4 +1,6 @@
-"""The trace format: YAML checked with pydantic, problems named with line.
+"""The trace format: YAML that is validated with pydantic.
+
+Problems are reported with file, line and field.
 
 `docs/TRACES.md` describes it for people who write traces.
 """
@@ -47,13 +49,13 @@
 _Positive = Annotated[int, Field(gt=0)]
 _Time = Annotated[int, Field(ge=0)]
 _Path = tuple[int | str, ...]
-_Entry = dict[str, Any] | str
+_RawEntry = dict[str, Any] | str
 
-_FRAME_FIELDS: Final = frozenset(('at_ms', 'for_ms'))
+_TIMING_FIELDS: Final = frozenset(('at_ms', 'for_ms'))
 
 
 class _TraceFile(TraceModel):
-    """The outer part of a trace file; entries are checked by their kind."""
+    """Top level of a trace file; the models of the kinds check entries."""
 
     about: str
     proves: tuple[str, ...] = ()
@@ -64,9 +66,9 @@
     duration_ms: _Positive
     settings: dict[str, Any] = Field(default_factory=dict)
     config: dict[str, Any] = Field(default_factory=dict)
-    events: tuple[_Entry, ...] = ()
-    faults: tuple[_Entry, ...] = ()
-    outcomes: tuple[_Entry, ...]
+    events: tuple[_RawEntry, ...] = ()
+    faults: tuple[_RawEntry, ...] = ()
+    outcomes: tuple[_RawEntry, ...]
 
 
 class _Timing(TraceModel):
@@ -75,8 +77,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Timed(Generic[_Kind]):
-    """An event or a fault with its time; `for_ms` is the length of a fault."""
+class TimedEntry(Generic[_Kind]):
+    """An event or a fault with its time; `for_ms` is a fault's duration."""
 
     at_ms: int
     name: str
@@ -85,8 +87,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Stated(Generic[_Kind]):
-    """One stated outcome."""
+class TraceEntry(Generic[_Kind]):
+    """An entry of a trace file: the name of its kind and its parameters."""
 
     name: str
     kind: _Kind
@@ -94,20 +96,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Trace:
-    """A trace that passed all checks."""
+    """A trace that passed validation."""
 
     name: str
-    frame: _TraceFile
+    header: _TraceFile
     deployment: Deployment
     domains: tuple[str, ...]
-    events: tuple[Timed[EventKind], ...]
-    faults: tuple[Timed[FaultKind], ...]
-    outcomes: tuple[Stated[OutcomeKind], ...]
+    events: tuple[TimedEntry[EventKind], ...]
+    faults: tuple[TimedEntry[FaultKind], ...]
+    outcomes: tuple[TraceEntry[OutcomeKind], ...]
 
 
 @dataclass(frozen=True, slots=True)
 class TraceProblem:
-    """One problem of a trace file."""
+    """A problem in a trace file, with its place."""
 
     file: str
     line: int
@@ -119,7 +121,7 @@
 
 
 def load_trace(path: Path) -> Result[Trace, tuple[TraceProblem, ...]]:
-    """Read a trace file; raises `OSError`."""
+    """Read and validate a trace file; raises `OSError`."""
     return parse_trace(str(path), path.read_text())
 
 
@@ -127,7 +129,7 @@
     file: str,
     text: str,
 ) -> Result[Trace, tuple[TraceProblem, ...]]:
-    """Check a trace; fails with every problem found."""
+    """Validate a trace; a failure holds every problem found."""
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         document = yaml.safe_load(text)
@@ -143,128 +145,132 @@
 
 
 class _Reader:
-    """Checks one document and collects its problems."""
+    """Validates one document and collects its problems."""
 
     def __init__(self, file: str, root: yaml.Node | None) -> None:
-        """Keep the nodes for line numbers."""
+        """Keep the YAML nodes to find line numbers."""
         self.problems: list[TraceProblem] = []
         self._file = file
         self._root = root
 
     def read(self, document: Any) -> Trace | None:
         """Return the trace, or `None` when there are problems."""
-        frame = self._checked(_TraceFile, document, ())
-        if frame is None:
+        header = self._validate(_TraceFile, document, ())
+        if header is None:
             return None
-        deployment = self._deployment(frame)
-        events = self._timed(frame.events, EVENT_KINDS, 'events')
-        faults = self._timed(frame.faults, FAULT_KINDS, 'faults')
-        outcomes = self._stated(frame.outcomes)
+        deployment = self._deployment(header)
+        events = self._read_timed_entries(header.events, EVENT_KINDS, 'events')
+        faults = self._read_timed_entries(header.faults, FAULT_KINDS, 'faults')
+        outcomes = self._read_outcomes(header.outcomes)
         if deployment is None:
             return None
-        domains = frame.process_domains or deployment.domains
-        own = process_settings('p1', domains[0], deployment, frame.settings)
-        self._checked(ProcessSettings, own, ('settings',))
+        domains = header.process_domains or deployment.domains
+        sample = process_settings('p1', domains[0], deployment, header.settings)
+        self._validate(ProcessSettings, sample, ('settings',))
         if self.problems:
             return None
         return Trace(
             Path(self._file).stem,
-            frame,
+            header,
             deployment,
             tuple(
                 domains[number % len(domains)]
-                for number in range(frame.processes_count)
+                for number in range(header.processes_count)
             ),
             tuple(events),
             tuple(faults),
             tuple(outcomes),
         )
 
-    def _deployment(self, frame: _TraceFile) -> Deployment | None:
-        document = frame.deployment
+    def _deployment(self, header: _TraceFile) -> Deployment | None:
+        document = header.deployment
         if isinstance(document, str):
             known = named_deployments()
             if document not in known:
                 self._add(('deployment',), f'is not one of {known}')
                 return None
             document = read_named(document)
-        whole = dict(document)
-        whole['config'] = merge(document.get('config', {}), frame.config)
-        deployment = self._checked(Deployment, whole, ('deployment',))
+        merged = dict(document)
+        merged['config'] = merge(document.get('config', {}), header.config)
+        deployment = self._validate(Deployment, merged, ('deployment',))
         if deployment is not None:
             self._check_config(deployment)
         return deployment
 
     def _check_config(self, deployment: Deployment) -> None:
-        """Apply the checks that an operator's document has to pass."""
+        """Apply the checks that an operator's configuration has to pass."""
         match parse_config(config_text(deployment.config)):
             case Failure(refusals):
                 for refusal in refusals:
                     _, _, text = refusal.text.partition(': ')
                     self._add(('config', *_path_of(refusal)), text)
 
-    def _timed(
+    def _read_timed_entries(
         self,
-        entries: tuple[_Entry, ...],
+        entries: tuple[_RawEntry, ...],
         registry: Registry[str, type[_Kind]],
         section: str,
-    ) -> list[Timed[_Kind]]:
-        read = []
+    ) -> list[TimedEntry[_Kind]]:
+        parsed_entries = []
         for index, entry in enumerate(entries):
             path = (section, index)
             if isinstance(entry, str):
                 self._add(path, 'needs at_ms')
                 continue
-            frame = {
-                name: entry[name] for name in entry if name in _FRAME_FIELDS
+            timing_fields = {
+                name: entry[name] for name in entry if name in _TIMING_FIELDS
+            }
+            kind_fields = {
+                name: entry[name] for name in entry if name not in timing_fields
             }
-            rest = {name: entry[name] for name in entry if name not in frame}
-            timing = self._checked(_Timing, frame, path)
-            found = self._of_kind(rest, registry, path)
-            if timing is not None and found is not None:
-                read.append(
-                    Timed(
+            timing = self._validate(_Timing, timing_fields, path)
+            parsed = self._read_entry(kind_fields, registry, path)
+            if timing is not None and parsed is not None:
+                parsed_entries.append(
+                    TimedEntry(
                         timing.at_ms,
-                        found.name,
-                        found.kind,
+                        parsed.name,
+                        parsed.kind,
                         timing.for_ms,
                     ),
                 )
-        return read
+        return parsed_entries
 
-    def _stated(
+    def _read_outcomes(
         self,
-        entries: tuple[_Entry, ...],
-    ) -> list[Stated[OutcomeKind]]:
-        read = []
+        entries: tuple[_RawEntry, ...],
+    ) -> list[TraceEntry[OutcomeKind]]:
+        parsed_entries = []
         for index, entry in enumerate(entries):
-            whole = {entry: {}} if isinstance(entry, str) else entry
-            found = self._of_kind(whole, OUTCOME_KINDS, ('outcomes', index))
-            if found is not None:
-                read.append(found)
-        return read
-
-    def _of_kind(
+            mapping = {entry: {}} if isinstance(entry, str) else entry
+            parsed = self._read_entry(
+                mapping, OUTCOME_KINDS, ('outcomes', index)
+            )
+            if parsed is not None:
+                parsed_entries.append(parsed)
+        return parsed_entries
+
+    def _read_entry(
         self,
         entry: dict[str, Any],
         registry: Registry[str, type[_Kind]],
         path: _Path,
-    ) -> Stated[_Kind] | None:
+    ) -> TraceEntry[_Kind] | None:
         if len(entry) != 1:
             self._add(path, f'needs exactly one kind, found {sorted(entry)}')
             return None
-        name, stated = next(iter(entry.items()))
+        name, fields = next(iter(entry.items()))
         if name not in registry:
             self._add((*path, name), f'is not one of {list(registry)}')
             return None
-        kind = self._checked(
+        kind = self._validate(
             registry.lookup(name),
-            {} if stated is None else stated,
+            {} if fields is None else fields,
             (*path, name),
         )
-        return None if kind is None else Stated(name, kind)
+        return None if kind is None else TraceEntry(name, kind)
 
-    def _checked(
+    def _validate(
         self,
         model: type[_Model],
         document: Any,
@@ -273,8 +279,8 @@
         try:
             return model.model_validate(document)
         except ValidationError as invalid:
-            for found in invalid.errors():
-                self._add((*path, *found['loc']), found['msg'])
+            for error in invalid.errors():
+                self._add((*path, *error['loc']), error['msg'])
         return None
 
     def _add(self, path: _Path, text: str) -> None:
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -1,4 +1,4 @@
-"""The world of one replay: processes, fakes and callers in one loop."""
+"""The simulated world of a replay: processes, fakes and callers."""
 
 import asyncio
 import random
@@ -15,13 +15,13 @@
 from fuchsiarill.replay.callers import Callers
 from fuchsiarill.replay.deployment import Deployment, merge
 from fuchsiarill.replay.fake_host_list import FakeHostList
-from fuchsiarill.replay.fake_workers import FakeWorker, Truth
+from fuchsiarill.replay.fake_workers import FakeWorker, TaskProfile
 from fuchsiarill.replay.fakes import FakeStore
 from fuchsiarill.replay.loop import ReplayLoop
 from fuchsiarill.replay.network import Network
+from fuchsiarill.replay.observations import ObservationLog
 from fuchsiarill.replay.operators import Operators
-from fuchsiarill.replay.process import LifeEvent, ReplayedProcess
-from fuchsiarill.replay.seen import SeenLog
+from fuchsiarill.replay.process import LifecycleEvent, ReplayedProcess
 from fuchsiarill.replay.simulated_environment import SimulatedEnvironment
 from fuchsiarill.routing import partitions_of
 from fuchsiarill.settings import ProcessSettings
@@ -30,7 +30,7 @@
 
 
 class World:
-    """Everything that a trace acts on."""
+    """The processes, fakes, callers and operators that a trace acts on."""
 
     def __init__(
         self,
@@ -39,12 +39,12 @@
         settings: dict[str, Any],
         seed: int,
     ) -> None:
-        """Create everything; one process for each entry of `domains`."""
+        """Create all parts, with one process for each entry of `domains`."""
         self.deployment = deployment
         self.random_source = random.Random(seed)
-        self.log = SeenLog()
+        self.log = ObservationLog()
         self.network = Network(deployment.latencies, self.random_source)
-        self.truths: dict[str, Truth] = {}
+        self.profiles: dict[str, TaskProfile] = {}
         self.specs: dict[str, JobSpec] = {}
         self.store = FakeStore(self.log)
         hosts = deployment.hosts()
@@ -54,7 +54,7 @@
                 self.log,
                 entry,
                 number,
-                self.truths,
+                self.profiles,
             )
             for number, entry in enumerate(hosts, start=1)
         }
@@ -76,14 +76,14 @@
 
     @property
     def loop(self) -> ReplayLoop:
-        """Return the running loop."""
+        """Return the running loop; raises `TypeError` for another kind."""
         loop = asyncio.get_running_loop()
         if not isinstance(loop, ReplayLoop):
             raise TypeError('a world needs a ReplayLoop')
         return loop
 
     def begin(self) -> None:
-        """Run the fakes, write the configuration, start the processes."""
+        """Start the fakes, write the configuration, start the processes."""
         self.store.start()
         self.host_list.start()
         for worker in self.workers.values():
@@ -95,45 +95,47 @@
         )
         self.store.put(CONFIG_KEY, first.model_dump_json())
         for process in self.processes.values():
-            process.step(LifeEvent.STARTED)
+            process.step(LifecycleEvent.STARTED)
 
-    def keep(self, task: asyncio.Task[None]) -> None:
-        """Hold a reference to a running task until its end."""
+    def track_task(self, task: asyncio.Task[None]) -> None:
+        """Keep a reference to a running task until it ends."""
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def end(self) -> None:
-        """Stop noting; let held tasks be cancelled with the loop."""
+        """Close the log and release held tasks, so that they can end."""
         self.log.close()
         for process in self.processes.values():
             for incarnation in process.incarnations:
                 incarnation.release(process.loop)
 
     def find_processes(self, name: str) -> list[ReplayedProcess]:
-        """Return the processes that a trace names.
+        """Return the processes that a name in a trace stands for.
 
-        `owner`, `standby` (one that is not) and `others` (all that are not)
-        are taken as they are now; `all` are those that live; a failure domain
-        stands for its processes.
+        `owner` is the current owner of the first partition, `standby` one
+        other process that is alive and `others` all others; `all` are those
+        that are alive; a failure domain stands for its processes.
         """
-        alive = [one for one in self.processes.values() if one.is_alive]
+        alive = [
+            process for process in self.processes.values() if process.is_alive
+        ]
         owner = self.owner_name()
         if name == 'owner':
-            return [one for one in alive if one.name == owner]
+            return [process for process in alive if process.name == owner]
         if name == 'standby':
-            return [one for one in alive if one.name != owner][:1]
+            return [process for process in alive if process.name != owner][:1]
         if name == 'others':
-            return [one for one in alive if one.name != owner]
+            return [process for process in alive if process.name != owner]
         if name == 'all':
             return alive
         return [
-            one
-            for one in self.processes.values()
-            if name in {one.name, one.endpoint.domain}
+            process
+            for process in self.processes.values()
+            if name in {process.name, process.endpoint.domain}
         ]
 
     def find_workers(self, names: tuple[str, ...]) -> list[FakeWorker]:
-        """Return the workers that a trace names.
+        """Return the workers that the names in a trace stand for.
 
         A name is a worker, a failure domain, `all`, or `running KEY` for the
         workers that run a task of that job now.
@@ -146,7 +148,7 @@
         return list(found.values())
 
     def owner_name(self) -> str:
-        """Return who holds the first partition's owner key, or nothing."""
+        """Return the owner of the first partition, or an empty name."""
         region = self.deployment.region
         partition = partitions_of(self.deployment.config, region)[0]
         return self._owner_of(partition)
@@ -175,9 +177,9 @@
         processes = {}
         for number, domain in enumerate(domains, start=1):
             name = f'p{number}'
-            own = process_settings(name, domain, self.deployment, settings)
+            document = process_settings(name, domain, self.deployment, settings)
             process = ReplayedProcess(
-                ProcessSettings.model_validate(own),
+                ProcessSettings.model_validate(document),
                 environment,
                 self.loop,
             )
@@ -192,7 +194,7 @@
     deployment: Deployment,
     changes: dict[str, Any],
 ) -> dict[str, Any]:
-    """Return the settings of one process, with the changes of the trace."""
+    """Return the settings of a process, merged with those of the trace."""
     document = {
         'process': name,
         'region': deployment.region,
@@ -202,22 +204,22 @@
         'store': {'url': 'store'},
         'host_list': {'url': 'host_list'},
     }
-    whole: dict[str, Any] = merge(document, changes)
-    return whole
+    merged: dict[str, Any] = merge(document, changes)
+    return merged
 
 
 def config_text(config: CellConfig) -> str:
-    """Return the text of a configuration as an operator writes it."""
+    """Return a configuration as the YAML text that operators submit."""
     return yaml.safe_dump(config.model_dump(mode='json'), sort_keys=False)
 
 
 def customer_names(config: CellConfig) -> list[CustomerId]:
-    """Return the customers of a configuration."""
+    """Return the customers that have a contract, in order."""
     return [contract.customer for contract in config.contracts]
 
 
 def worker_ids(workers: list[FakeWorker]) -> list[WorkerId]:
-    """Return the ids of workers."""
+    """Return the ids of workers in the same order."""
     return [WorkerId(worker.name) for worker in workers]
 
 
