--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -1,8 +1,8 @@
 """Every trace under traces/ meets its stated outcomes.
 
-KNOWN-RED.txt may name a trace with the outcomes that it doesn't meet:
-`trace: NAME: OUTCOME, OUTCOME`. Exactly these are passed over, and an entry
-that is met again fails, so that the list stays true.
+KNOWN-RED.txt may list a trace with the outcomes that it does not meet, as
+`trace: NAME: OUTCOME, OUTCOME`. Exactly these outcomes are expected to fail;
+the test fails when a listed outcome is met, so that the list stays current.
 """
 
 from pathlib import Path
@@ -30,7 +30,7 @@
 
 @pytest.mark.parametrize('path', _TRACES, ids=lambda path: path.stem)
 def test_trace(path: Path) -> None:
-    """Guards the outcomes that the trace states."""
+    """Guards against a change that violates a stated outcome of a trace."""
     replayed = replay(load_trace(path).unwrap())
     unmet = {
         found.outcome: str(found.violations[0]) for found in replayed.unmet
@@ -42,5 +42,5 @@
 
 
 def test_known_red_names_traces_that_exist() -> None:
-    """Guards against an entry that no run looks at."""
+    """Guards against an entry for a trace that is not run."""
     assert set(_known_red()) <= {path.stem for path in _TRACES}
--- a/tests/test_replay_runs.py
+++ b/tests/test_replay_runs.py
@@ -1,4 +1,4 @@
-"""Replays are repeatable, and an unmet outcome names what broke it."""
+"""Replays are repeatable, and an unmet outcome names the violating event."""
 
 from fuchsiarill.replay.runner import replay
 from fuchsiarill.replay.trace import Trace, parse_trace
@@ -25,19 +25,19 @@
 
 
 def test_same_trace_gives_same_log() -> None:
-    """Guards against a course that a seed does not fix."""
+    """Guards against a replay that is not determined by its seed."""
     logs = [replay(_trace(_BUSY)).log for _ in range(2)]
     assert logs[0].entries == logs[1].entries
 
 
 def test_other_seed_gives_other_log() -> None:
-    """Guards against a seed that is read and not used."""
+    """Guards against a seed that is read but not used."""
     other = _trace(_BUSY.replace('seed: 5', 'seed: 6'))
     assert replay(_trace(_BUSY)).log.digest() != replay(other).log.digest()
 
 
 def test_unmet_outcome_names_the_event() -> None:
-    """Guards against a verdict that nobody can trace."""
+    """Guards against an unmet outcome that cannot be traced to an event."""
     unmet = replay(_trace(_BUSY)).unmet
     late = [found for found in unmet if found.outcome == 'all_finished']
     assert late
--- a/tests/test_replay_trace.py
+++ b/tests/test_replay_trace.py
@@ -1,4 +1,4 @@
-"""Bad traces are refused with file, line and field."""
+"""Invalid traces are rejected with file, line and field."""
 
 from pathlib import Path
 
@@ -15,7 +15,7 @@
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_bad_trace_names_every_problem(case: dict[str, str]) -> None:
-    """Guards against a misspelt field that silently proves nothing."""
+    """Guards against a misspelt field that is ignored, so checks nothing."""
     match parse_trace('bad.yaml', case['text']):
         case Failure(problems):
             found = [str(problem) for problem in problems]
