Name start times and claims plainly in the replay checks

Cause: began and claimed did not say what they hold, and the doc comment of find_processes defined its names by negation.

Change: starts_ms and claim; doc comments of find_processes and of two outcomes.

--- a/fuchsiarill/replay/outcomes_config.py
+++ b/fuchsiarill/replay/outcomes_config.py
@@ -14,7 +14,7 @@
 
 @OUTCOME_KINDS.register('config_in_force_everywhere')
 class ConfigInForceEverywhere(OutcomeKind):
-    """An accepted generation is in force in every process `within_ms`.
+    """An accepted generation is in force in every process after `within_ms`.
 
     Processes named in `except_processes`, and those that do not run for all
     of that time, are left out. A later generation counts as well.
--- a/fuchsiarill/replay/outcomes_tasks.py
+++ b/fuchsiarill/replay/outcomes_tasks.py
@@ -24,7 +24,7 @@
     to_ms: _Time | None = None
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Find gaps between the runs of a job, and a final one."""
+        """Find gaps between the runs of a job and after its last run."""
         to_ms = evidence.duration_ms if self.to_ms is None else self.to_ms
         for key, submission in self.selected(evidence):
             runs = [run for run in evidence.runs if run.key == key]
@@ -58,20 +58,20 @@
         """Compare the first start times of the tasks of each job."""
         for key, submission in self.selected(evidence):
             tasks_count = submission.details['tasks_count']
-            began = _first_starts_ms(evidence, key, tasks_count)
-            if began:
-                yield from self._find_spread(began, tasks_count, submission)
+            starts_ms = _first_starts_ms(evidence, key, tasks_count)
+            if starts_ms:
+                yield from self._find_spread(starts_ms, tasks_count, submission)
 
     def _find_spread(
         self,
-        began: list[int],
+        starts_ms: list[int],
         tasks_count: int,
         submission: Observation,
     ) -> Iterator[Violation]:
-        if len(began) < tasks_count:
-            text = f'{len(began)} of {tasks_count} tasks started'
+        if len(starts_ms) < tasks_count:
+            text = f'{len(starts_ms)} of {tasks_count} tasks started'
             yield Violation(text, submission)
-        if max(began) - min(began) > self.ms:
+        if max(starts_ms) - min(starts_ms) > self.ms:
             yield Violation(
                 f'starts spread over more than {self.ms} ms', submission
             )
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -112,9 +112,9 @@
     def find_processes(self, name: str) -> list[ReplayedProcess]:
         """Return the processes that a name in a trace stands for.
 
-        `owner` is the current owner of the first partition, `standby` one
-        other process that is alive and `others` all others; `all` are those
-        that are alive; a failure domain stands for its processes.
+        `owner` is the current owner of the first partition, `standby` one of
+        the other live processes and `others` all of these; `all` stands for
+        all live processes and a failure domain for all of its processes.
         """
         alive = [
             process for process in self.processes.values() if process.is_alive
@@ -154,10 +154,10 @@
         return self._owner_of(partition)
 
     def _owner_of(self, partition: PartitionId) -> str:
-        claimed = self.store.read(owner_key(partition)).value
-        if claimed is None:
+        claim = self.store.read(owner_key(partition)).value
+        if claim is None:
             return ''
-        return OwnerClaim.model_validate_json(claimed).process
+        return OwnerClaim.model_validate_json(claim).process
 
     def _create_processes(
         self,
