Name locals and steps of the core tests by what they hold

Change: they are named by what they hold or do (`actual`, `workers_of`, `epoch_record`, `job_state`, `arguments`, `_end_attempts`); the harness no longer calls its reports exchanges. Step keys, cases and assertions are the same.

--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -1,4 +1,4 @@
-"""Drives a `PartitionCore` by the steps of a data-driven case.
+"""Passes the steps of a data-driven case to a `PartitionCore`.
 
 Records are committed at once. After every step, the workers that are not
 silent report all tasks that they run and comply with stops.
@@ -145,7 +145,7 @@
         return cell_config(self.contracts, self.policies, self.draining)
 
     def run(self, steps: list[dict[str, Any]]) -> None:
-        """Perform steps, with an exchange after each."""
+        """Perform steps, with decisions and reports after each."""
         for step in steps:
             for name, argument in step.items():
                 STEPS.lookup(name)(self, argument)
@@ -157,10 +157,10 @@
         self.core.hosts_listed(tuple(entries), self.now_ms)
 
     def exchange(self) -> None:
-        """Decide and exchange until no further effects follow."""
-        quiet_count = 0
+        """Decide, apply the effects and report until no effects follow."""
+        rounds_without_change_count = 0
         for _round in range(_ROUNDS_MAX_COUNT):  # noqa: WPS122
-            more = self.core.decide(self.now_ms)
+            has_more_steps = self.core.decide(self.now_ms)
             effects = self.core.take_effects()
             for effect in effects:
                 self._apply_effect(effect)
@@ -168,16 +168,18 @@
             for name in self.hosts:
                 if name not in self.silent:
                     self.report(name)
-            busy = more or effects or self.core.state.effects
-            quiet_count = 0 if busy else quiet_count + 1
-            if quiet_count > 1:
+            has_changed = has_more_steps or effects or self.core.state.effects
+            rounds_without_change_count = (
+                0 if has_changed else rounds_without_change_count + 1
+            )
+            if rounds_without_change_count > 1:
                 return
         raise AssertionError('decisions do not terminate')
 
     def report(self, name: str) -> None:
         """Report the running and the ended tasks of a worker."""
         tasks = [
-            self._task(attempt_id, start)
+            self._report_task(attempt_id, start)
             for attempt_id, start in tuple(self.running.items())
             if start.worker_id == name
         ]
@@ -187,7 +189,7 @@
         report = WorkerReport(WorkerId(name), Epoch(1), 0, tuple(tasks))
         self.core.worker_reported(report, self.now_ms)
 
-    def placed(self, job: str) -> list[str]:
+    def workers_of(self, job: str) -> list[str]:
         """Return the workers that run a job, sorted by name."""
         return sorted(
             start.worker_id
@@ -198,15 +200,15 @@
     def check_capacity(self) -> None:
         """Check that no worker has reservations above its capacity."""
         for worker in self.core.state.workers.values():
-            held = sum(
+            reserved = sum(
                 (
                     self.core.state.attempts[attempt_id].reserved
                     for attempt_id in worker.attempts
                 ),
                 start=NOTHING,
             )
-            assert held == worker.reserved
-            assert held.fits_in(worker.entry.capacity)
+            assert reserved == worker.reserved
+            assert reserved.fits_in(worker.entry.capacity)
 
     def _apply_effect(self, effect: object) -> None:
         if isinstance(effect, PersistRecord):
@@ -217,9 +219,9 @@
         elif isinstance(effect, StartTask):
             self.running[effect.attempt_id] = effect
         elif isinstance(effect, CommandTask):
-            self._command(effect)
+            self._apply_command(effect)
 
-    def _command(self, effect: CommandTask) -> None:
+    def _apply_command(self, effect: CommandTask) -> None:
         start = self.running.get(effect.attempt_id)
         if start is None or start.worker_id in self.silent:
             return
@@ -227,7 +229,9 @@
         if effect.kind is CommandKind.STOP:
             self.outcomes[effect.attempt_id] = TaskOutcome.STOPPED
 
-    def _task(self, attempt_id: AttemptId, start: StartTask) -> TaskReport:
+    def _report_task(
+        self, attempt_id: AttemptId, start: StartTask
+    ) -> TaskReport:
         return TaskReport(
             attempt_id,
             self.outcomes.get(attempt_id, TaskOutcome.RUNNING),
@@ -252,7 +256,7 @@
 
 
 @STEPS.register('end')
-def _end(cell: Cell, rows: dict[str, str]) -> None:
+def _end_attempts(cell: Cell, rows: dict[str, str]) -> None:
     for job, outcome in rows.items():
         for attempt_id, start in cell.running.items():
             if start.payload == job:
@@ -260,7 +264,7 @@
 
 
 @STEPS.register('end_one')
-def _end_one(cell: Cell, rows: dict[str, str]) -> None:
+def _end_first_attempt(cell: Cell, rows: dict[str, str]) -> None:
     for job, outcome in rows.items():
         attempt_id = next(_attempts_of(cell, job))
         cell.outcomes[attempt_id] = TaskOutcome(outcome)
@@ -291,7 +295,7 @@
 
 
 @STEPS.register('hosts')
-def _list(cell: Cell, rows: dict[str, Any]) -> None:
+def _change_host_list(cell: Cell, rows: dict[str, Any]) -> None:
     for name, row in rows.items():
         cell.hosts.pop(name, None)
         if row != 'unlisted':
@@ -308,8 +312,8 @@
 
 
 @STEPS.register('restrict')
-def _restrict(cell: Cell, wanted: bool) -> None:
-    if wanted:
+def _restrict(cell: Cell, is_restricted: bool) -> None:
+    if is_restricted:
         cell.core.restrict(cell.now_ms)
     else:
         cell.core.unrestrict(cell.now_ms)
@@ -329,38 +333,42 @@
 @STEPS.register('runs')
 def _expect_running(cell: Cell, rows: dict[str, Any]) -> None:
     for job, expected in rows.items():
-        placed = cell.placed(job)
-        found = len(placed) if isinstance(expected, int) else placed
-        assert found == expected, (job, placed)
+        worker_names = cell.workers_of(job)
+        actual = (
+            len(worker_names) if isinstance(expected, int) else worker_names
+        )
+        assert actual == expected, (job, worker_names)
 
 
 @STEPS.register('states')
 def _expect_states(cell: Cell, rows: dict[str, str]) -> None:
     jobs = cell.core.state.jobs
-    found = {job: jobs[cell.ids[job]].state.value for job in rows}
-    assert found == rows
+    actual = {job: jobs[cell.ids[job]].state.value for job in rows}
+    assert actual == rows
 
 
 @STEPS.register('worker_states')
 def _expect_worker_states(cell: Cell, rows: dict[str, str]) -> None:
     workers = cell.core.state.workers
-    found = {name: workers[WorkerId(name)].state.value for name in rows}
-    assert found == rows
+    actual = {name: workers[WorkerId(name)].state.value for name in rows}
+    assert actual == rows
 
 
 @STEPS.register('explained')
 def _expect_explained(cell: Cell, rows: dict[str, dict[str, Any]]) -> None:
     for job, expected in rows.items():
-        answer = cell.core.explain(cell.ids[job], cell.now_ms)
-        for name, wanted in expected.items():
-            found = getattr(answer, name)
-            assert getattr(found, 'value', found) == wanted, answer
+        explanation = cell.core.explain(cell.ids[job], cell.now_ms)
+        for name, expected_field in expected.items():
+            actual = getattr(explanation, name)
+            assert getattr(actual, 'value', actual) == expected_field, (
+                explanation
+            )
 
 
 @STEPS.register('commanded')
 def _expect_commands(cell: Cell, rows: list[list[str]]) -> None:
-    found = [[kind.value, job] for kind, job in cell.commands]
-    assert found == rows
+    actual = [[kind.value, job] for kind, job in cell.commands]
+    assert actual == rows
     cell.commands.clear()
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -46,12 +46,12 @@
             _EPOCH,
             cell(volatile=volatile, task_lease_ms=_LEASE_MS),
         )
-        old = ProcessId('old')
-        opened = records.EpochOpened(Epoch(2), old, _LEASE_MS)
-        self.core.restore((opened, *_parse(log)), 0)
+        old_process = ProcessId('old')
+        epoch_record = records.EpochOpened(Epoch(2), old_process, _LEASE_MS)
+        self.core.restore((epoch_record, *_parse_records(log)), 0)
         self.starts: list[str] = []
         self.stops: list[str] = []
-        self.settle(0)
+        self.run_decisions(0)
 
     def state_of(self, name: str) -> JobState:
         job = self.core.state.jobs[JobId(name)]
@@ -73,7 +73,7 @@
             now_ms,
         )
 
-    def settle(self, now_ms: int) -> None:
+    def run_decisions(self, now_ms: int) -> None:
         self.core.decide(now_ms)
         effects = self.core.take_effects()
         while effects:
@@ -92,18 +92,18 @@
                 self.stops.append(effect.attempt_id)
 
 
-def _parse(log: list[str]) -> Iterator[records.Record]:
+def _parse_records(log: list[str]) -> Iterator[records.Record]:
     for line in log:
-        kind, name, *rest = line.split()
+        kind, name, *arguments = line.split()
         job_id = JobId(name.partition('/')[0])
         match kind:
             case 'accepted':
-                yield records.JobAccepted(job_id, _spec_of(name, rest))
+                yield records.JobAccepted(job_id, _spec_of(name, arguments))
             case 'intent':
                 yield records.StartIntended(
                     job_id,
                     AttemptId(name),
-                    WorkerId(rest[0]),
+                    WorkerId(arguments[0]),
                 )
             case 'withdrawn':
                 yield records.StartWithdrawn(job_id, AttemptId(name))
@@ -113,13 +113,13 @@
             case 'cancel':
                 yield records.CancelRequested(job_id)
             case 'ended':
-                yield records.JobEnded(job_id, JobState(rest[0]))
+                yield records.JobEnded(job_id, JobState(arguments[0]))
 
 
-def _spec_of(name: str, rest: list[str]) -> Any:
+def _spec_of(name: str, arguments: list[str]) -> Any:
     execution = Execution.IDEMPOTENT
     tasks_count = 1
-    for word in rest:
+    for word in arguments:
         if word == 'at_most_once':
             execution = Execution.AT_MOST_ONCE
         elif word.startswith('tasks='):
@@ -133,34 +133,34 @@
     owner = _Owner(case['log'])
     owner.core.hosts_listed((host('w1'), host('w2')), 0)
     reports = case.get('reports', {})
-    first, *others = case['answering']
-    owner.report(first, reports.get(first, []), 10)
-    owner.settle(10)
+    first_worker, *other_workers = case['answering']
+    owner.report(first_worker, reports.get(first_worker, []), 10)
+    owner.run_decisions(10)
     assert owner.starts == case['early']
-    for name in others:
+    for name in other_workers:
         owner.report(name, reports.get(name, []), 20)
-    owner.settle(20)
+    owner.run_decisions(20)
     assert owner.starts == case['late']
     expected_starts = case.get('lapsed')
     if expected_starts is not None:
         lapsed_ms = _LEASE_MS * 2
-        owner.report(first, [], lapsed_ms)
+        owner.report(first_worker, [], lapsed_ms)
         owner.core.lapse(lapsed_ms)
-        owner.settle(lapsed_ms)
+        owner.run_decisions(lapsed_ms)
         assert owner.starts == expected_starts
     assert owner.stops == case.get('stops', [])
     for name, state in case['state'].items():
-        reached = owner.state_of(name)
-        if reached is JobState.QUEUED and owner.starts:
+        job_state = owner.state_of(name)
+        if job_state is JobState.QUEUED and owner.starts:
             # Sent, and not yet confirmed by its worker.
-            reached = JobState.RUNNING
-        assert reached is JobState(state)
+            job_state = JobState.RUNNING
+        assert job_state is JobState(state)
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_compaction_keeps_the_image(case: dict[str, Any]) -> None:
     """Guards against a snapshot that differs from its log."""
-    image = fold(_parse(case['log']))
+    image = fold(_parse_records(case['log']))
     assert fold(image.compacted()) == image
 
 
@@ -177,7 +177,7 @@
     """Guards against a second job for a key that an older owner accepted."""
     owner = _Owner([])
     submitted = owner.core.submit(spec('key'), 0).unwrap()
-    owner.settle(0)
+    owner.run_decisions(0)
     record = records.JobAccepted(submitted, spec('key'))
     successor = PartitionCore(PartitionId('r.0'), Epoch(4), cell())
     successor.restore((record,), 0)
@@ -192,10 +192,10 @@
     owner.report('w1', [], 1)
     urgent = spec('urgent', urgency=Urgency.URGENT)
     job_id = owner.core.submit(urgent, 2).unwrap()
-    owner.settle(2)
+    owner.run_decisions(2)
     assert not owner.starts
     owner.report('w2', [f'running {job_id}/0@1.1'], 3)
-    owner.settle(3)
+    owner.run_decisions(3)
     assert not owner.starts
     assert owner.state_of(job_id) is JobState.RUNNING
 
@@ -208,11 +208,11 @@
     other_core = PartitionCore(PartitionId('r.0'), _EPOCH, cell(volatile=True))
     job_id = other_core.submit(urgent, 0).unwrap()
     owner.report('w1', [f'running {job_id}/0@1.1'], 1)
-    owner.settle(1)
+    owner.run_decisions(1)
     assert owner.stops
     owner.core.submit(urgent, 2)
-    owner.settle(2)
+    owner.run_decisions(2)
     assert not owner.starts
     owner.report('w1', [f'stopped {job_id}/0@1.1'], 3)
-    owner.settle(3)
+    owner.run_decisions(3)
     assert owner.starts == [f'{job_id}/0']
