--- a/fuchsiarill/core/accelerators.py
+++ b/fuchsiarill/core/accelerators.py
@@ -1,8 +1,8 @@
 """Reserves workers with accelerators for the jobs that need them.
 
-While such a job waits, other jobs use these workers only within the
-entitlement of their customer: each slot that they occupy may leave an
-accelerator without a slot.
+While such a job waits, other jobs use these workers only within the guarantee
+of their customer, urgent jobs also within its weighted share: each slot that
+they occupy may leave an accelerator without a slot.
 """
 
 from fuchsiarill.core.accounts import Account
--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -1,7 +1,7 @@
 """Accounts of the customers, and the groups of their waiting jobs.
 
 Jobs of a customer with the same requirements wait in one group, so that a
-decision examines a few groups instead of all jobs.
+decision (one round of placing tasks) examines a few groups, not all jobs.
 """
 
 import sys
@@ -29,7 +29,7 @@
 class Obstacle(Enum):
     """Why a group of jobs cannot be placed."""
 
-    ROOM = 'room'
+    CAPACITY = 'room'
     QUOTA = 'quota'
     NO_CONTRACT = 'no_contract'
     OWNERSHIP = 'ownership'
@@ -59,8 +59,8 @@
     `first_order` and `first_at_ms` are the acceptance number and the time of
     acceptance of the oldest job.
     `blocked_size` is the size for which no worker had free capacity. `size` is
-    the reservation of one task, computed for `size_version`. Reclaiming is not
-    tried again before `reclaim_after_ms`. `served_at_ms` is the time of the
+    the size to reserve for one task, computed for `size_version`. Reclaiming is
+    not tried again before `reclaim_after_ms`. `served_at_ms` is the time of the
     last start.
     """
 
@@ -102,7 +102,7 @@
         else:
             self.first_order = NO_ORDER
 
-    def head(self) -> JobId:
+    def oldest_job_id(self) -> JobId:
         """Return the job that has waited longest."""
         return next(iter(self.jobs))
 
@@ -117,10 +117,10 @@
     """Resources, limits and waiting groups of one customer.
 
     `contract` is `None` if the configuration in force has none for the
-    customer. `held` is the sum of its reservations and `share` the weighted
-    dominant share of `held`. `urgent_held` is the part of `held` for urgent
-    jobs, `reclaimed` the part whose attempts are being stopped for other
-    jobs.
+    customer. `reserved` is the sum over its attempts and `share` its weighted
+    dominant share. `urgent_reserved` is the part for urgent jobs,
+    `being_reclaimed` the part whose attempts are being stopped for other jobs.
+    `served_at_ms` is the time of the last placement of an attempt.
     Of the `groups`, those in `ready` can be tried, those in `unplaceable` wait
     for free capacity on a worker, and those in `over_quota` wait until tasks
     of the same customer end.
@@ -136,10 +136,10 @@
     tokens: float = 0
     refilled_at_ms: int = 0
     retry_credit: float = 0
-    held: Resources = NOTHING
+    reserved: Resources = NOTHING
     share: float = 0
-    urgent_held: Resources = NOTHING
-    reclaimed: Resources = NOTHING
+    urgent_reserved: Resources = NOTHING
+    being_reclaimed: Resources = NOTHING
     waiting_count: int = 0
     accepting_count: int = 0
     served_at_ms: int = 0
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -37,6 +37,7 @@
     'accelerators_count',
     'slots_count',
 )
+# Delays after which a client may repeat a refused submission.
 _QUEUE_RETRY_MS: Final = 2_000
 _STORE_RETRY_MS: Final = 2_000
 
@@ -46,7 +47,10 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    """Return the refusal; `None` accepts the submission and counts it."""
+    """Return the refusal of a submission, or `None` if it is accepted.
+
+    An accepted submission takes a token of the customer's rate limit.
+    """
     account = state.accounts.get(spec.customer)
     if account is None or account.contract is None:
         return refuse(
@@ -80,8 +84,8 @@
     if not state.restricted:
         return None
     contract = account.contract
-    volatile = contract is not None and contract.volatile_accept
-    if volatile and starts_restricted(state, spec):
+    may_be_volatile = contract is not None and contract.volatile_accept
+    if may_be_volatile and starts_restricted(state, spec):
         return None
     return refuse(
         codes.STORE_UNAVAILABLE,
@@ -97,10 +101,10 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    needed = spec.task_size
+    size_at_once = spec.task_size
     if spec.workload is not Workload.BATCH:
-        needed = needed.times(spec.tasks_count)
-    excess = first_excess(needed, account.quota)
+        size_at_once = size_at_once.times(spec.tasks_count)
+    excess = first_excess(size_at_once, account.quota)
     if excess is None:
         return None
     return refuse(
@@ -167,15 +171,15 @@
     contract = account.contract
     if contract is None:
         return None
-    queued = account.waiting_count + account.accepting_count
-    if queued < contract.waiting_jobs_max_count:
+    waiting_count = account.waiting_count + account.accepting_count
+    if waiting_count < contract.waiting_jobs_max_count:
         return None
     return refuse(
         codes.QUEUE_FULL,
         texts.QUEUE_FULL,
         retry_after_ms=_QUEUE_RETRY_MS,
         customer=spec.customer,
-        queued=queued,
+        queued=waiting_count,
     )
 
 
--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -1,8 +1,10 @@
 """Takeover of running tasks: adoption, orphans and the end of the recovery.
 
-A worker answers the first exchange of a new owner with all tasks that it
-runs, and refuses older owners from then on. Each reported task becomes an
-attempt of this owner; a task that is not reported does not run there.
+A worker answers the first exchange (request and report) of a new owner with
+all tasks that it runs, and refuses older owners from then on. Each reported
+task that this owner expects becomes one of its attempts. Any other running
+task is an orphan: it is stopped, unless the commit of its job is pending. A
+task that is not reported does not run there.
 """
 
 from dataclasses import dataclass
@@ -41,12 +43,14 @@
 
 _ACTIVE_STATES: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
 # An unknown attempt with another outcome needs no adoption.
-_ADOPTED: Final = frozenset((TaskOutcome.RUNNING, TaskOutcome.SUCCEEDED))
+_ADOPTED_OUTCOMES: Final = frozenset(
+    (TaskOutcome.RUNNING, TaskOutcome.SUCCEEDED)
+)
 
 
 @dataclass(frozen=True, slots=True)
 class _ReportContext:
-    """The worker whose report is applied, and the time of the report."""
+    """The worker whose report is applied, and the present time."""
 
     worker: WorkerView
     now_ms: int
@@ -84,13 +88,13 @@
         attempt = state.attempts.get(task.attempt_id)
         if attempt is not None:
             _stop_if_cancelled(state, attempt, task)
-        elif task.outcome in _ADOPTED:
+        elif task.outcome in _ADOPTED_OUTCOMES:
             _adopt_task(state, context, task)
-    state.recovery.answered.add(worker.worker_id)
+    state.recovery.reported_workers.add(worker.worker_id)
 
 
-def hold_accepted(state: CoreState, job: JobRecord) -> None:
-    """Hold a new job that an older owner may have started without a record.
+def defer_accepted(state: CoreState, job: JobRecord) -> None:
+    """Defer a new job that an older owner may have started without a record.
 
     That is possible for urgent idempotent jobs of a `volatile_accept`
     contract, and for a job to which known orphans belong.
@@ -98,7 +102,7 @@
     if job.job_id not in state.recovery.orphans:
         if not state.recovery.is_open or not may_be_volatile(state, job.spec):
             return
-    state.recovery.held[job.job_id] = set(job.waiting)
+    state.recovery.deferred[job.job_id] = set(job.waiting)
     job.waiting.clear()
 
 
@@ -113,31 +117,32 @@
 
 
 def advance_recovery(state: CoreState, now_ms: int) -> None:
-    """Release held tasks once no unreported copy of them can run."""
+    """Release deferred tasks once no unreported copy of them can run."""
     recovery = state.recovery
-    if recovery.is_open and _is_complete(state, now_ms):
+    if recovery.is_open and _is_recovery_complete(state, now_ms):
         recovery.is_open = False
         recovery.intents.clear()
-        for cancelled_id in tuple(recovery.cancelled):
+        for cancelled_id in tuple(recovery.cancelled_jobs):
             _end_cancelled(state, state.jobs.get(cancelled_id), now_ms)
-        recovery.cancelled.clear()
+        recovery.cancelled_jobs.clear()
     if recovery.orphans:
         _drop_lapsed_orphans(state, now_ms)
-    if recovery.is_open or not recovery.held:
+    if recovery.is_open or not recovery.deferred:
         return
-    for job_id in tuple(recovery.held):
+    for job_id in tuple(recovery.deferred):
         if job_id not in recovery.orphans:
-            _release_held(state, job_id, now_ms)
+            _release_deferred(state, job_id, now_ms)
 
 
-def _is_complete(state: CoreState, now_ms: int) -> bool:
+def _is_recovery_complete(state: CoreState, now_ms: int) -> bool:
     recovery = state.recovery
     if now_ms >= recovery.ends_at_ms:
         return True
     if not state.hosts_read:
         return False
     return all(
-        worker_id in recovery.answered or worker.state is WorkerState.GONE
+        worker_id in recovery.reported_workers
+        or worker.state is WorkerState.GONE
         for worker_id, worker in state.workers.items()
     )
 
@@ -151,8 +156,8 @@
         step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
 
 
-def _release_held(state: CoreState, job_id: JobId, now_ms: int) -> None:
-    positions = state.recovery.held.pop(job_id)
+def _release_deferred(state: CoreState, job_id: JobId, now_ms: int) -> None:
+    positions = state.recovery.deferred.pop(job_id)
     job = state.jobs.get(job_id)
     if job is None or not positions:
         return
@@ -173,7 +178,7 @@
     task_id = task_of(task.attempt_id)
     job = state.jobs.get(job_of(task_id))
     if job is None or not _claim_position(state, job, position_of(task_id)):
-        _stop_orphan(state, context, task)
+        _stop_unadopted(state, context, task)
         return
     attempt = Attempt(
         attempt_id=task.attempt_id,
@@ -192,14 +197,14 @@
 
 
 def _claim_position(state: CoreState, job: JobRecord, position: int) -> bool:
-    """Claim a position for adoption; `False` if it is not awaited."""
+    """Claim a position for adoption; `False` if no attempt is expected."""
     if job.state is JobState.CANCELLING:
-        return job.job_id in state.recovery.cancelled
+        return job.job_id in state.recovery.cancelled_jobs
     if job.state not in _ACTIVE_STATES:
         return False
-    held = state.recovery.held.get(job.job_id, set())
-    if position in held:
-        held.discard(position)
+    deferred = state.recovery.deferred.get(job.job_id, set())
+    if position in deferred:
+        deferred.discard(position)
         return True
     if position in job.waiting:
         job.waiting.remove(position)
@@ -207,7 +212,7 @@
     return False
 
 
-def _stop_orphan(
+def _stop_unadopted(
     state: CoreState,
     context: _ReportContext,
     task: TaskReport,
@@ -251,7 +256,7 @@
 def _drop_ended_orphans(
     state: CoreState, report: WorkerReport, now_ms: int
 ) -> None:
-    running = {
+    running_ids = {
         task.attempt_id
         for task in report.tasks
         if task.outcome is TaskOutcome.RUNNING
@@ -260,7 +265,7 @@
         for attempt_id, orphan in tuple(orphans.items()):
             if orphan.worker_id != report.worker_id:
                 continue
-            if attempt_id not in running:
+            if attempt_id not in running_ids:
                 orphans.pop(attempt_id)
         if not orphans:
             state.recovery.orphans.pop(job_id)
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -5,7 +5,7 @@
 from fuchsiarill.core.probation import record_success
 from fuchsiarill.core.requeue import (
     advance_if_all_stopped,
-    position_of,
+    attempt_position,
     request_stop,
     requeue_task,
 )
@@ -38,7 +38,7 @@
 ) -> None:
     release_attempt(state, attempt, now_ms)
     job = state.jobs[attempt.job_id]
-    position = position_of(attempt)
+    position = attempt_position(attempt)
     if job.replaced_attempts.get(position) == attempt.attempt_id:
         job.replaced_attempts.pop(position)
 
@@ -56,7 +56,7 @@
     step_job(state, job, JobEvent.TASK_STARTED, now_ms)
     if attempt.replaces is None:
         return
-    job.replaced_attempts.pop(position_of(attempt), None)
+    job.replaced_attempts.pop(attempt_position(attempt), None)
     replaced = job.attempts.get(attempt.replaces)
     if replaced is not None:
         request_stop(state, replaced, StopReason.MOVED, now_ms)
@@ -74,7 +74,7 @@
     if _is_partly_run(job):
         step_job(state, job, JobEvent.GAVE_UP, now_ms)
         return
-    requeue_task(state, job, position_of(attempt), now_ms)
+    requeue_task(state, job, attempt_position(attempt), now_ms)
 
 
 @ATTEMPT_ACTIONS.register('retry_after_failure')
@@ -105,7 +105,7 @@
         restart_ended_replica(state, attempt, now_ms)
     else:
         output = '' if report is None else report.output
-        _record_output(state, job, position_of(attempt), output, now_ms)
+        _record_output(state, job, attempt_position(attempt), output, now_ms)
     advance_if_all_stopped(state, job, now_ms)
 
 
@@ -120,7 +120,7 @@
     if job.spec.execution is Execution.AT_MOST_ONCE:
         step_job(state, job, JobEvent.OUTCOME_LOST, now_ms)
     else:
-        requeue_task(state, job, position_of(attempt), now_ms)
+        requeue_task(state, job, attempt_position(attempt), now_ms)
     advance_if_all_stopped(state, job, now_ms)
 
 
@@ -159,9 +159,9 @@
         _persist_withdrawal(state, job, attempt, now_ms)
     advance_if_all_stopped(state, job, now_ms)
     if job.spec.workload is not Workload.GANG:
-        requeue_task(state, job, position_of(attempt), now_ms)
+        requeue_task(state, job, attempt_position(attempt), now_ms)
     elif attempt.stop_reason is not StopReason.GANG_RESTART:
-        requeue_task(state, job, position_of(attempt), now_ms)
+        requeue_task(state, job, attempt_position(attempt), now_ms)
 
 
 def _is_partly_run(job: JobRecord) -> bool:
@@ -170,11 +170,11 @@
         return False
     if job.spec.execution is not Execution.AT_MOST_ONCE:
         return False
-    started = any(
+    has_started_member = any(
         attempt.state is not AttemptState.PLACED
         for attempt in job.attempts.values()
     )
-    return started or bool(job.results)
+    return has_started_member or bool(job.results)
 
 
 def _persist_withdrawal(
@@ -184,8 +184,8 @@
     now_ms: int,
 ) -> None:
     if job.spec.execution is Execution.AT_MOST_ONCE:
-        withdrawn = StartWithdrawn(job.job_id, attempt.attempt_id)
-        state.persist_for(job, withdrawn, now_ms)
+        record = StartWithdrawn(job.job_id, attempt.attempt_id)
+        state.persist_for(job, record, now_ms)
 
 
 def _record_output(
@@ -198,25 +198,27 @@
     if job.job_id in state.gang_restarts:
         return
     job.results[position] = output
-    complete = len(job.results) == job.spec.tasks_count
-    for finished in _durable_positions(job, position, complete):
-        record = TaskFinished(job.job_id, finished, job.results[finished])
+    is_complete = len(job.results) == job.spec.tasks_count
+    for finished_position in _durable_positions(job, position, is_complete):
+        record = TaskFinished(
+            job.job_id, finished_position, job.results[finished_position]
+        )
         state.persist_for(job, record, now_ms)
-    if complete:
+    if is_complete:
         step_job(state, job, JobEvent.ALL_SUCCEEDED, now_ms)
 
 
 def _durable_positions(
     job: JobRecord,
     position: int,
-    complete: bool,
+    is_complete: bool,
 ) -> list[int]:
     # A restart of a gang discards its results, so they are recorded only once
     # no restart can follow.
-    restarts = (
+    may_restart = (
         job.spec.workload is Workload.GANG
         and job.spec.execution is Execution.IDEMPOTENT
     )
-    if not restarts:
+    if not may_restart:
         return [position]
-    return sorted(job.results) if complete else []
+    return sorted(job.results) if is_complete else []
--- a/fuchsiarill/core/avoidance.py
+++ b/fuchsiarill/core/avoidance.py
@@ -19,26 +19,30 @@
 # or the class is at fault.
 AVOIDANCE_MS: Final = 15_000
 # A class that fails on more workers is considered to be at fault itself.
-_FAILED_ON_MAX_COUNT: Final = 3
+_FAILED_WORKERS_MAX_COUNT: Final = 3
 
 
-def record_failure(
+def record_class_failure(
     state: CoreState,
     spec: JobSpec,
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    """Count a failure; after several, the class avoids the worker."""
+    """Count a failure of a class that has succeeded on no worker.
+
+    After `probation_failures_count` failures on the worker, the class avoids
+    it for `AVOIDANCE_MS`.
+    """
     estimate = estimate_of(state, spec)
-    if len(estimate.failed_on) > _FAILED_ON_MAX_COUNT:
+    if len(estimate.failed_on) > _FAILED_WORKERS_MAX_COUNT:
         return
     estimate.failed_on[worker.worker_id] += 1
     allowed_count = state.config.policies.probation_failures_count
     if estimate.failed_on[worker.worker_id] < allowed_count:
         return
     worker.avoided_by.add((spec.customer, spec.job_class))
-    end = partial(_end_avoidance, state, spec, worker.worker_id)
-    call_at(state, now_ms + AVOIDANCE_MS, end)
+    end_avoidance = partial(_end_avoidance, state, spec, worker.worker_id)
+    call_at(state, now_ms + AVOIDANCE_MS, end_avoidance)
 
 
 def _end_avoidance(
--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -1,4 +1,8 @@
-"""One round of decisions: which tasks start now, and on which workers."""
+"""A decision: one round that starts waiting tasks and chooses their workers.
+
+Each step tries the first group in rank; it starts a task or a gang, or blocks
+the group until its obstacle may have been removed.
+"""
 
 from itertools import islice
 from types import MappingProxyType
@@ -20,7 +24,11 @@
     find_worker,
 )
 from fuchsiarill.core.preemption import reclaim_for
-from fuchsiarill.core.quotas import is_guaranteed, is_owed_urgently, may_hold
+from fuchsiarill.core.quotas import (
+    is_guaranteed,
+    is_owed_urgently,
+    quota_permits,
+)
 from fuchsiarill.core.sizes import group_size, group_size_at_once
 from fuchsiarill.core.starting import start_next
 from fuchsiarill.core.state import CoreState
@@ -37,7 +45,7 @@
 from fuchsiarill.core.worker_holds import (
     drop_reservation,
     has_capacity,
-    is_valid,
+    is_reservation_valid,
 )
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import JobRecord
@@ -45,16 +53,20 @@
 
 # The account and the group to try next, and the rank of the account.
 _Candidate = tuple[Account, Group, Rank]
-# Steps of one call; the owner answers other messages in between.
+# Maximum number of steps of one call; between calls, the owner handles other
+# messages.
 STEPS_MAX_COUNT: Final = 32
+# Interval at which all blocked gangs are tried again.
 _GANG_RETRY_INTERVAL_MS: Final = 500
+# Maximum number of sizes recorded as fitting no worker.
 _FAILED_SEARCH_SIZES_MAX_COUNT: Final = 16
-# Delay before reclaiming is tried again for a group without a victim.
+# Delay before reclaiming is tried again for a group for which no attempt could
+# be stopped.
 _RECLAIM_INTERVAL_MS: Final = 100
-# Waiting jobs of one group for which capacity is reclaimed at a time.
-_RECLAIMED_JOBS_COUNT: Final = 8
+# Maximum number of jobs of one group for which capacity is reclaimed at a time.
+_RECLAIMING_JOBS_MAX_COUNT: Final = 8
 # A group without a start for this time is considered starved by smaller jobs.
-_STARVING_MS: Final = 20_000
+_STARVING_AFTER_MS: Final = 20_000
 # Wait of an older job after which smaller ones of its customer no longer use
 # the quota that it needs.
 _QUOTA_YIELD_AFTER_MS: Final = 10_000
@@ -66,7 +78,7 @@
 
 
 def decide(state: CoreState, now_ms: int) -> bool:
-    """Start waiting tasks; returns `True` if there may be more to do."""
+    """Start waiting tasks; `True` if it stopped after the maximum of steps."""
     run_due(state, now_ms)
     retry_unplaceable(state, now_ms)
     move_holds_to_released(state, now_ms)
@@ -111,7 +123,7 @@
 ) -> bool:
     """Start the next task or block its group; `False` ends the round."""
     account, group, rank = candidate
-    job = state.jobs[group.head()]
+    job = state.jobs[group.oldest_job_id()]
     if not job.waiting:
         # Its tasks were found running after a takeover.
         dequeue(state, job)
@@ -121,11 +133,11 @@
     if obstacle is not None:
         block(state, account, group, obstacle)
         if obstacle is Obstacle.QUOTA and group.urgent:
-            _reclaim(state, account, group, 'urgent', now_ms)
+            _reclaim_for_group(state, account, group, 'urgent', now_ms)
         return True
-    placed = _place(state, group, job, size, now_ms)
-    if placed is not None:
-        _after_start(state, account, group, placed)
+    started_job = _start_first_job(state, group, job, size, now_ms)
+    if started_job is not None:
+        _update_started_group(state, account, group, started_job)
         return True
     return _handle_failed_search(state, candidate, size, now_ms)
 
@@ -137,43 +149,43 @@
     now_ms: int,
 ) -> bool:
     account, group, rank = candidate
-    block(state, account, group, Obstacle.ROOM, size)
+    block(state, account, group, Obstacle.CAPACITY, size)
     ordering = ordering_of(state)
     if not ordering.strict and _is_starving(state, candidate, now_ms):
-        reserve_for_task(state, state.jobs[group.head()], size, now_ms)
+        reserve_for_task(state, state.jobs[group.oldest_job_id()], size, now_ms)
     if ordering.strict:
         unblock(state, account, group)
         return False
     policy = ordering.preemptions.get(int(rank[0]))
     if policy is not None:
-        _reclaim(state, account, group, policy, now_ms)
+        _reclaim_for_group(state, account, group, policy, now_ms)
     return True
 
 
 def _is_starving(state: CoreState, candidate: _Candidate, now_ms: int) -> bool:
-    """Tell whether the unplaceable group of the first rank is starving."""
+    """Tell whether the group starves and its customer has the first rank."""
     account, group, _rank = candidate
-    since_ms = max(group.first_at_ms, group.served_at_ms)
-    if group.is_gang or now_ms - since_ms < _STARVING_MS:
+    waiting_since_ms = max(group.first_at_ms, group.served_at_ms)
+    if group.is_gang or now_ms - waiting_since_ms < _STARVING_AFTER_MS:
         return False
     rank_accounts(state)
     return bool(state.unplaceable_order[0][1] == account.customer)
 
 
-def _after_start(
+def _update_started_group(
     state: CoreState,
     account: Account,
     group: Group,
-    placed: JobRecord,
+    started_job: JobRecord,
 ) -> None:
     """Keep the group ready, or block it if no further task of it fits.
 
     Urgent groups stay ready, as capacity may have to be reclaimed for them.
     """
-    if placed.waiting:
+    if started_job.waiting:
         mark_unranked(state, account)
     else:
-        dequeue(state, placed)
+        dequeue(state, started_job)
     if group.obstacle is not None:
         # Still blocked; released capacity may be offered to it again.
         state.offered.discard(group)
@@ -192,7 +204,7 @@
         for worker_id in state.released
     ):
         return
-    block(state, account, group, Obstacle.ROOM, size)
+    block(state, account, group, Obstacle.CAPACITY, size)
 
 
 def _find_obstacle(
@@ -205,28 +217,28 @@
         return Obstacle.NO_CONTRACT
     if state.restricted and not starts_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
-    if state.jobs[group.head()].replaced_attempts:
+    if state.jobs[group.oldest_job_id()].replaced_attempts:
         # A replacement and its replica are counted together until the replica
         # stops, which may exceed the quota.
         return None
-    if not may_hold(account, group_size_at_once(state, group)):
+    if not quota_permits(account, group_size_at_once(state, group)):
         return Obstacle.QUOTA
     if account.over_quota and not group.urgent:
-        if _yields_quota(state, account, group, now_ms):
+        if _must_yield_quota(state, account, group, now_ms):
             return Obstacle.QUOTA
     return None
 
 
-def _yields_quota(
+def _must_yield_quota(
     state: CoreState,
     account: Account,
     group: Group,
     now_ms: int,
 ) -> bool:
-    """Tell whether an older job of the customer has waited long for quota.
+    """Tell whether quota must be left to an older job of the customer.
 
-    Smaller jobs of the same customer would otherwise use up each part of the
-    quota that is released.
+    After `_QUOTA_YIELD_AFTER_MS`, smaller jobs would otherwise still use up
+    each part of the quota that is released.
     """
     for other in account.over_quota:
         if other.first_order > group.first_order:
@@ -238,18 +250,18 @@
     return False
 
 
-def _place(
+def _start_first_job(
     state: CoreState,
     group: Group,
     job: JobRecord,
     size: Resources,
     now_ms: int,
 ) -> JobRecord | None:
-    """Start a task or a gang; returns its job, `None` if it does not fit."""
+    """Start a task or a gang; returns its job, `None` if none fits."""
     if group.is_gang:
         return place_gang(state, group, size, now_ms)
     if not start_if_reserved(state, job, now_ms):
-        worker = _search(state, job, size, now_ms)
+        worker = _search_worker(state, job, size, now_ms)
         if worker is None:
             return None
         start_next(state, job, worker, size, now_ms)
@@ -258,7 +270,7 @@
     return job
 
 
-def _search(
+def _search_worker(
     state: CoreState,
     job: JobRecord,
     size: Resources,
@@ -296,18 +308,18 @@
 
 
 def _unblock_gangs(state: CoreState, now_ms: int) -> None:
-    """Unblock gangs whose held workers have capacity by now, or are lost.
+    """Unblock gangs whose held workers all have capacity, or are not all ready.
 
     All gangs are unblocked at intervals, as other workers may have capacity.
     """
-    retried = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
-    if retried:
+    is_retry_due = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
+    if is_retry_due:
         state.gangs_retried_at_ms = now_ms
-    if retried:
+    if is_retry_due:
         for group in tuple(state.blocked_gangs):
             unblock(state, state.accounts[group.customer], group)
     for job_id, reservation in tuple(state.reservations.items()):
-        if is_valid(state, reservation) and not has_capacity(
+        if is_reservation_valid(state, reservation) and not has_capacity(
             state, reservation
         ):
             continue
@@ -319,14 +331,18 @@
             unblock(state, account, account.groups[key])
 
 
-def _reclaim(
+def _reclaim_for_group(
     state: CoreState,
     account: Account,
     group: Group,
     policy: str,
     now_ms: int,
 ) -> None:
-    """Reclaim capacity for the first jobs, within the entitlement."""
+    """Reclaim capacity for the oldest jobs of a group.
+
+    The `urgent` policy covers them up to the guarantee or the weighted share
+    of the customer, the `guaranteed` policy up to the guarantee.
+    """
     if group.is_gang or now_ms < group.reclaim_after_ms:
         return
     preempt_after_ms = _PREEMPT_AFTER_MS[policy]
@@ -335,7 +351,7 @@
     size = group_size(state, group)
     is_entitled = is_owed_urgently if policy == 'urgent' else _is_guaranteed
     for number, job_id in enumerate(
-        islice(group.jobs, _RECLAIMED_JOBS_COUNT),
+        islice(group.jobs, _RECLAIMING_JOBS_MAX_COUNT),
         start=1,
     ):
         if not is_entitled(state, account, size.times(number)):
@@ -349,6 +365,6 @@
 def _is_guaranteed(
     state: CoreState,
     account: Account,
-    more: Resources,
+    additional: Resources,
 ) -> bool:
-    return is_guaranteed(account, more)
+    return is_guaranteed(account, additional)
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -2,25 +2,25 @@
 
 from collections import Counter, deque
 from dataclasses import dataclass, field
-
 from typing import Final
 
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import NOTHING, Resources
 
 _SAMPLES_MAX_COUNT: Final = 32
-# Enough to distinguish a faulty worker from a faulty class.
-_WORKERS_MAX_COUNT: Final = 3
+# Maximum number of workers recorded with a success; enough to distinguish a
+# faulty worker from a faulty class.
+_SUCCEEDED_WORKERS_MAX_COUNT: Final = 3
 
 
 @dataclass(slots=True)
 class Estimate:
     """Latest samples of a job class, and the estimates based on them.
 
-    `size` and `run_time_ms` are upper estimates, valid once there are enough
-    samples; `version` counts changes of `size`. `succeeded_on` holds a few
-    workers on which a task succeeded, `failed_on` how often tasks failed on
-    each worker.
+    `size` and `run_time_ms` are upper estimates; with few samples, `size` may
+    raise reservations only. `version` counts changes of `size`. `succeeded_on`
+    holds a few workers on which a task succeeded, `failed_on` how often tasks
+    failed on each worker.
     """
 
     peaks: deque[Resources] = field(
@@ -39,5 +39,5 @@
 
     def record_success_on(self, worker_id: WorkerId) -> None:
         """Add a worker on which a task succeeded, up to a limit."""
-        if len(self.succeeded_on) < _WORKERS_MAX_COUNT:
+        if len(self.succeeded_on) < _SUCCEEDED_WORKERS_MAX_COUNT:
             self.succeeded_on.add(worker_id)
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -21,7 +21,7 @@
     COMMIT = 'commit'
     BACKOFF = 'backoff'
     TURN = 'turn'
-    ROOM = 'room'
+    CAPACITY = 'room'
     QUOTA = 'quota'
     CONTRACT = 'contract'
     OWNERSHIP = 'ownership'
@@ -55,7 +55,7 @@
     JobState.CANCELLING: WaitReason.CONFIRMATION,
 }
 _REASON_OF_OBSTACLE = {
-    Obstacle.ROOM: WaitReason.ROOM,
+    Obstacle.CAPACITY: WaitReason.CAPACITY,
     Obstacle.QUOTA: WaitReason.QUOTA,
     Obstacle.NO_CONTRACT: WaitReason.CONTRACT,
     Obstacle.OWNERSHIP: WaitReason.OWNERSHIP,
@@ -105,8 +105,8 @@
 ) -> tuple[str | None, int, int]:
     if group.obstacle is Obstacle.QUOTA:
         wanted = group_size_at_once(state, group)
-        return _first_excess(wanted, account.quota - account.held)
-    if group.obstacle is not Obstacle.ROOM:
+        return _first_excess(wanted, account.quota - account.reserved)
+    if group.obstacle is not Obstacle.CAPACITY:
         return None, 0, 0
     size = group_size(state, group)
     nearest = min(
@@ -130,7 +130,8 @@
         if other.urgent is group.urgent:
             others = other.jobs.values()
             ahead_count += sum(
-                row.acceptance_number < job.acceptance_number for row in others
+                other_job.acceptance_number < job.acceptance_number
+                for other_job in others
             )
         elif other.urgent:
             ahead_count += len(other.jobs)
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -19,12 +19,12 @@
 from fuchsiarill.core.starting import start_next
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_holds import (
+    capacity_held_up_to,
     change_hold,
     drop_reservation,
     has_capacity,
-    held_up_to,
     hold_workers,
-    is_valid,
+    is_reservation_valid,
     worker_lacking_capacity,
 )
 from fuchsiarill.core.worker_view import WorkerView
@@ -33,22 +33,24 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import WorkerState
 
-# Limits of the reservations at a time: held capacity is idle until all of it
+# Limits of the number of reservations: held capacity is idle until all of it
 # is free, so a small cell permits few of them.
 _RESERVATIONS_MIN_COUNT: Final = 2
 _RESERVATIONS_MAX_COUNT: Final = 16
 _WORKERS_PER_RESERVATION_COUNT: Final = 50
-# Waiting gangs of one group that are examined in a decision.
-_GANGS_EXAMINED_COUNT: Final = 4
-# Oldest reservations that may move to workers with released capacity.
-_MOVED_RESERVATIONS_COUNT: Final = 2
+# Maximum number of waiting gangs of one group examined in a decision.
+_EXAMINED_GANGS_MAX_COUNT: Final = 4
+# Maximum number of reservations, oldest first, that may move to workers with
+# released capacity.
+_MOVED_RESERVATIONS_MAX_COUNT: Final = 2
 # Workers examined for each task of a gang, to bound the cost of a decision.
 _CANDIDATES_PER_TASK_COUNT: Final = 16
 _CANDIDATES_MIN_COUNT: Final = 512
 # Expected remaining run time of an attempt that runs longer than expected.
 _OVERDUE_END_MS: Final = 1_000
 
-_Slot = tuple[int, WorkerId]
+# The time at which a task can start, and its worker.
+_StartSlot = tuple[int, WorkerId]
 
 
 def place_gang(
@@ -76,7 +78,7 @@
     The task is treated as a gang of one.
     """
     if job.job_id not in state.reservations:
-        _reserve(state, job, size, 1, now_ms)
+        _reserve_workers(state, job, size, 1, now_ms)
 
 
 def start_if_reserved(state: CoreState, job: JobRecord, now_ms: int) -> bool:
@@ -89,14 +91,14 @@
 
 def first_gangs(group: Group) -> Iterator[JobId]:
     """Yield the gangs of a group that are examined in a decision."""
-    return islice(group.jobs, _GANGS_EXAMINED_COUNT)
+    return islice(group.jobs, _EXAMINED_GANGS_MAX_COUNT)
 
 
 def move_holds_to_released(state: CoreState, now_ms: int) -> None:
-    """Move holds of the oldest gangs to capacity released early.
+    """Move holds of the oldest reservations to released capacity.
 
-    The gang releases its hold on a worker that lacks capacity, so it never
-    holds more than it needs, and its start is never delayed.
+    The hold on a worker that lacks capacity is released instead, so a job
+    never holds more than it needs, and its start is never delayed.
     """
     if not state.reservations:
         return
@@ -105,7 +107,7 @@
         if worker.state is not WorkerState.READY:
             continue
         for reservation in islice(
-            state.reservations.values(), _MOVED_RESERVATIONS_COUNT
+            state.reservations.values(), _MOVED_RESERVATIONS_MAX_COUNT
         ):
             _move_hold(state, reservation, worker, now_ms)
 
@@ -117,14 +119,16 @@
     now_ms: int,
 ) -> None:
     job = state.jobs[reservation.job_id]
-    spare = worker.free - held_up_to(worker, None)
-    if not reservation.size.fits_in(spare) or not is_eligible(worker, job):
+    spare_capacity = worker.free - capacity_held_up_to(worker, None)
+    if not reservation.size.fits_in(spare_capacity) or not is_eligible(
+        worker, job
+    ):
         return
     full_worker = worker_lacking_capacity(state, reservation)
     if full_worker is None or full_worker is worker:
         return
-    for changed, change in ((full_worker, -1), (worker, 1)):
-        change_hold(state, reservation, changed, change, now_ms)
+    for changed_worker, change in ((full_worker, -1), (worker, 1)):
+        change_hold(state, reservation, changed_worker, change, now_ms)
 
 
 def _start_or_reserve(
@@ -135,15 +139,15 @@
 ) -> bool:
     if start_if_reserved(state, job, now_ms):
         return True
-    chosen = _choose_workers(state, job, size, now_ms)
-    if len(chosen) == len(job.waiting):
-        for worker in chosen:
+    chosen_workers = _choose_workers(state, job, size, now_ms)
+    if len(chosen_workers) == len(job.waiting):
+        for worker in chosen_workers:
             start_next(state, job, worker, size, now_ms)
         drop_reservation(state, job.job_id, now_ms)
         return True
     if job.job_id in state.reservations:
         return False
-    reservation = _reserve(state, job, size, len(job.waiting), now_ms)
+    reservation = _reserve_workers(state, job, size, len(job.waiting), now_ms)
     if reservation is None:
         return False
     return _start_on_reserved(state, job, reservation, now_ms)
@@ -155,7 +159,7 @@
     reservation: Reservation,
     now_ms: int,
 ) -> bool:
-    if not is_valid(state, reservation):
+    if not is_reservation_valid(state, reservation):
         drop_reservation(state, job.job_id, now_ms)
         return False
     if not has_capacity(state, reservation):
@@ -178,68 +182,68 @@
     Each choice is reserved until all are made, so that the next one takes it
     into account. No other decision is made in the meantime.
     """
-    chosen: list[WorkerView] = []
-    while len(chosen) < len(job.waiting):
+    chosen_workers: list[WorkerView] = []
+    while len(chosen_workers) < len(job.waiting):
         worker = find_worker(state, job, size)
         if worker is None:
             break
         worker.reserve(size)
         refresh_index(state, worker, now_ms)
-        chosen.append(worker)
-    for worker in chosen:
+        chosen_workers.append(worker)
+    for worker in chosen_workers:
         worker.reserve(NOTHING - size)
         refresh_index(state, worker, now_ms)
-    return chosen
+    return chosen_workers
 
 
-def _reserve(
+def _reserve_workers(
     state: CoreState,
     job: JobRecord,
     size: Resources,
     tasks_count: int,
     now_ms: int,
 ) -> Reservation | None:
-    if len(state.reservations) >= _allowed_count(state):
+    if len(state.reservations) >= _reservations_limit(state):
         return None
-    slots: list[_Slot] = []
-    for worker in _candidates(state, tasks_count, now_ms):
+    slots: list[_StartSlot] = []
+    for worker in _candidate_workers(state, tasks_count, now_ms):
         if is_eligible(worker, job):
             slots.extend(_start_slots_of(state, worker, size, now_ms))
     if len(slots) < tasks_count:
         return None
     slots.sort()
-    earliest = slots[:tasks_count]
+    earliest_slots = slots[:tasks_count]
     reservation = Reservation(
         job_id=job.job_id,
         size=size,
-        counts=dict(Counter(worker_id for _time, worker_id in earliest)),
-        starts_at_ms=earliest[-1][0],
+        counts=dict(Counter(worker_id for _time, worker_id in earliest_slots)),
+        starts_at_ms=earliest_slots[-1][0],
         made_at_ms=now_ms,
     )
     hold_workers(state, reservation, now_ms)
     return reservation
 
 
-def _allowed_count(state: CoreState) -> int:
-    by_size = len(state.workers) // _WORKERS_PER_RESERVATION_COUNT
+def _reservations_limit(state: CoreState) -> int:
+    limit_for_cell = len(state.workers) // _WORKERS_PER_RESERVATION_COUNT
     return min(
-        max(by_size, _RESERVATIONS_MIN_COUNT),
+        max(limit_for_cell, _RESERVATIONS_MIN_COUNT),
         _RESERVATIONS_MAX_COUNT,
     )
 
 
-def _candidates(
+def _candidate_workers(
     state: CoreState,
     tasks_count: int,
     now_ms: int,
 ) -> Iterator[WorkerView]:
-    usable = (
+    usable_workers = (
         worker
         for worker in state.workers.values()
         if can_get_tasks(worker, now_ms)
     )
     limit = tasks_count * _CANDIDATES_PER_TASK_COUNT
-    return islice(usable, max(limit, _CANDIDATES_MIN_COUNT))
+    return islice(usable_workers, max(limit, _CANDIDATES_MIN_COUNT))
 
 
 def _start_slots_of(
@@ -247,11 +251,11 @@
     worker: WorkerView,
     size: Resources,
     now_ms: int,
-) -> list[_Slot]:
+) -> list[_StartSlot]:
     """Return when the worker has capacity for one, two and more tasks."""
-    available = worker.free - held_up_to(worker, None)
-    now = (now_ms, worker.worker_id)
-    slots = list(repeat(now, copies_in(available, size)))
+    available = worker.free - capacity_held_up_to(worker, None)
+    slot_now = (now_ms, worker.worker_id)
+    slots = list(repeat(slot_now, copies_in(available, size)))
     for ends_at_ms, reserved in _expected_releases(state, worker, now_ms):
         available += reserved
         gained_count = copies_in(available, size) - len(slots)
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -28,9 +28,9 @@
     if not entries and state.workers:
         return
     state.hosts_read = True
-    listed = {entry.worker_id for entry in entries}
+    listed_ids = {entry.worker_id for entry in entries}
     for worker_id in tuple(state.workers):
-        if worker_id not in listed:
+        if worker_id not in listed_ids:
             _remove_unlisted(state, worker_id, now_ms)
     for entry in entries:
         _apply_entry(state, entry, now_ms)
@@ -39,9 +39,9 @@
 
 def apply_draining(state: CoreState, now_ms: int) -> None:
     """Start or end the draining of workers by the configuration."""
-    draining = set(state.config.draining_workers)
+    draining_ids = set(state.config.draining_workers)
     for worker in state.workers.values():
-        _step_listed(state, worker, worker.worker_id in draining, now_ms)
+        _step_listed(state, worker, worker.worker_id in draining_ids, now_ms)
 
 
 def _apply_entry(state: CoreState, entry: HostEntry, now_ms: int) -> None:
@@ -55,18 +55,18 @@
         state.index.remove(worker)
         worker.update_entry(entry)
         refresh_index(state, worker, now_ms)
-    draining = entry.worker_id in state.config.draining_workers
-    _step_listed(state, worker, draining, now_ms)
+    is_draining = entry.worker_id in state.config.draining_workers
+    _step_listed(state, worker, is_draining, now_ms)
 
 
 def _step_listed(
     state: CoreState,
     worker: WorkerView,
-    draining: bool,
+    is_draining: bool,
     now_ms: int,
 ) -> None:
     event = WorkerEvent.LISTED_LIVE
-    if draining or worker.entry.state is HostState.LEAVING:
+    if is_draining or worker.entry.state is HostState.LEAVING:
         event = WorkerEvent.LISTED_LEAVING
     step_worker(state, worker, event, now_ms)
 
--- a/fuchsiarill/core/job_actions.py
+++ b/fuchsiarill/core/job_actions.py
@@ -44,8 +44,10 @@
 
 @JOB_ACTIONS.register('persist_outcome')
 def _persist_outcome(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    ended = JobEnded(job.job_id, job.state)
-    state.persist_for(job, ended, now_ms, partial(_publish_outcome, state, job))
+    record = JobEnded(job.job_id, job.state)
+    state.persist_for(
+        job, record, now_ms, partial(_publish_outcome, state, job)
+    )
 
 
 def _publish_outcome(state: CoreState, job: JobRecord, now_ms: int) -> None:
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -11,10 +11,10 @@
 from fuchsiarill.core.requeue import request_stop
 from fuchsiarill.core.resource_accounting import resize_attempt
 from fuchsiarill.core.sizes import (
-    EVIDENCE_MIN_COUNT,
+    SAMPLES_MIN_COUNT,
     elementwise_max,
     estimate_of,
-    has_evidence,
+    has_enough_samples,
 )
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import (
@@ -42,7 +42,7 @@
 _USAGE_REPORTS_MIN_COUNT: Final = 3
 # Learned sizes are rounded up to this many binary digits, so that classes of
 # similar size share one search for a worker.
-_DIGITS_COUNT: Final = 6
+_SIZE_BITS_COUNT: Final = 6
 
 
 def record_usage(
@@ -60,7 +60,7 @@
         return
     attempt.usage_reports_count += 1
     if not used.fits_in(attempt.peak):
-        attempt.peak = elementwise_max(attempt.peak, _measured(used))
+        attempt.peak = elementwise_max(attempt.peak, _estimated_amounts(used))
     if not attempt.peak.fits_in(attempt.reserved):
         _grow_or_limit(state, attempt, now_ms)
         return
@@ -70,7 +70,7 @@
     if attempt.usage_reports_count == _USAGE_REPORTS_MIN_COUNT:
         _add_peak(estimate_of(state, spec), attempt.peak)
     if attempt.usage_reports_count >= _USAGE_REPORTS_MIN_COUNT:
-        _shrink(state, attempt, spec, now_ms)
+        _shrink_reservation(state, attempt, spec, now_ms)
 
 
 def learn_from_success(
@@ -87,7 +87,9 @@
             estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
     if report is not None and _is_measured(report.used):
         attempt.usage_reports_count += 1
-        attempt.peak = elementwise_max(attempt.peak, _measured(report.used))
+        attempt.peak = elementwise_max(
+            attempt.peak, _estimated_amounts(report.used)
+        )
     if attempt.usage_reports_count:
         _add_peak(estimate, attempt.peak)
 
@@ -96,7 +98,7 @@
     return used.processors_milli > 0 or used.memory_mb > 0
 
 
-def _measured(used: Resources) -> Resources:
+def _estimated_amounts(used: Resources) -> Resources:
     # Accelerators and slots are reserved as declared; only the others are
     # estimated.
     return Resources(used.processors_milli, used.memory_mb)
@@ -109,13 +111,13 @@
         return
     samples_count = len(estimate.peaks)
     ratio = SIZE_MARGIN_RATIO + _FEW_SAMPLES_MARGIN_RATIO / samples_count
-    processors_milli = max(one.processors_milli for one in estimate.peaks)
-    memory_mb = max(one.memory_mb for one in estimate.peaks)
+    processors_milli = max(peak.processors_milli for peak in estimate.peaks)
+    memory_mb = max(peak.memory_mb for peak in estimate.peaks)
     size = Resources(
-        _with_margin(processors_milli, ratio),
-        _with_margin(memory_mb, ratio),
+        _apply_margin(processors_milli, ratio),
+        _apply_margin(memory_mb, ratio),
     )
-    if size != estimate.size or len(estimate.peaks) <= EVIDENCE_MIN_COUNT:
+    if size != estimate.size or len(estimate.peaks) <= SAMPLES_MIN_COUNT:
         estimate.size = size
         estimate.version += 1
 
@@ -132,13 +134,13 @@
     return samples[round((len(samples) - 1) * _RUN_TIME_PERCENTILE)]
 
 
-def _with_margin(amount: int, ratio: float) -> int:
-    raised = int(amount * ratio)
-    step = 1 << max(raised.bit_length() - _DIGITS_COUNT, 0)
-    return -(-raised // step) * step
+def _apply_margin(amount: int, ratio: float) -> int:
+    amount_with_margin = int(amount * ratio)
+    step = 1 << max(amount_with_margin.bit_length() - _SIZE_BITS_COUNT, 0)
+    return -(-amount_with_margin // step) * step
 
 
-def _shrink(
+def _shrink_reservation(
     state: CoreState,
     attempt: Attempt,
     spec: JobSpec,
@@ -146,30 +148,36 @@
 ) -> None:
     """Release the part of a reservation that the attempt has not used."""
     estimate = estimate_of(state, spec)
-    if attempt.sized_version == estimate.version or not has_evidence(estimate):
+    if attempt.sized_version == estimate.version or not has_enough_samples(
+        estimate
+    ):
         return
     attempt.sized_version = estimate.version
-    needed = _usage_with_margin(attempt)
-    if needed != attempt.reserved and needed.fits_in(attempt.reserved):
-        resize_attempt(state, attempt, needed, now_ms)
+    reduced_size = _usage_with_margin(attempt)
+    if reduced_size != attempt.reserved and reduced_size.fits_in(
+        attempt.reserved
+    ):
+        resize_attempt(state, attempt, reduced_size, now_ms)
 
 
 def _usage_with_margin(attempt: Attempt) -> Resources:
     return Resources(
-        _with_margin(attempt.peak.processors_milli, ATTEMPT_MARGIN_RATIO),
-        _with_margin(attempt.peak.memory_mb, ATTEMPT_MARGIN_RATIO),
+        _apply_margin(attempt.peak.processors_milli, ATTEMPT_MARGIN_RATIO),
+        _apply_margin(attempt.peak.memory_mb, ATTEMPT_MARGIN_RATIO),
         attempt.reserved.accelerators_count,
         attempt.reserved.slots_count,
     )
 
 
 def _grow_or_limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    wanted = elementwise_max(attempt.reserved, _usage_with_margin(attempt))
-    needed = elementwise_max(attempt.reserved, attempt.peak)
+    size_with_margin = elementwise_max(
+        attempt.reserved, _usage_with_margin(attempt)
+    )
+    minimum_size = elementwise_max(attempt.reserved, attempt.peak)
     worker = state.workers.get(attempt.worker_id)
-    for size in (wanted, needed):
-        more = size - attempt.reserved
-        if worker is not None and more.fits_in(worker.free):
+    for size in (size_with_margin, minimum_size):
+        increase = size - attempt.reserved
+        if worker is not None and increase.fits_in(worker.free):
             resize_attempt(state, attempt, size, now_ms)
             return
     if not attempt.is_limited:
@@ -186,8 +194,8 @@
     # An at-most-once task may not be restarted; it continues from its
     # checkpoint. Without learning, a restarted task would reserve the same
     # size and be stopped again.
-    once = spec.execution is Execution.AT_MOST_ONCE
-    if once or not state.config.policies.learn_sizes:
+    at_most_once = spec.execution is Execution.AT_MOST_ONCE
+    if at_most_once or not state.config.policies.learn_sizes:
         _send_command(state, attempt, CommandKind.CHECKPOINT)
         return
     _add_peak(estimate_of(state, spec), attempt.peak)
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -1,4 +1,9 @@
-"""Upper bounds of the task leases that the workers hold."""
+"""Upper bounds of the task leases that the workers hold.
+
+A worker stops a task whose lease has lapsed, so an attempt whose bound has
+passed does not run. Leases are renewed in exchanges, which are requests to a
+worker that it answers with a report.
+"""
 
 from typing import Final
 
@@ -13,19 +18,19 @@
 
 
 def lease_end_ms(state: CoreState, requested_at_ms: int) -> int:
-    """Return the latest end of a lease granted in an exchange of that time."""
+    """Return the latest end of a lease granted by a request of that time."""
     lease_ms = state.config.policies.task_lease_ms
     return requested_at_ms + lease_ms + LEASE_MARGIN_MS
 
 
 def renew_leases(
     state: CoreState,
-    reported: set[AttemptId],
+    reported_ids: set[AttemptId],
     requested_at_ms: int,
 ) -> None:
     """Extend the leases of attempts that a worker has reported."""
     ends_at_ms = lease_end_ms(state, requested_at_ms)
-    for attempt_id in reported:
+    for attempt_id in reported_ids:
         attempt = state.attempts.get(attempt_id)
         if attempt is None:
             continue
@@ -48,7 +53,7 @@
 
 
 def lapse(state: CoreState, now_ms: int) -> None:
-    """Step the attempts that no worker can still run, as leases have ended."""
+    """Step the attempts without renewals whose leases have ended."""
     for attempt_id in tuple(state.unrenewed):
         attempt = state.attempts[attempt_id]
         if now_ms < attempt.lease_ends_at_ms:
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -1,8 +1,8 @@
-"""The durable part of a partition's state: the fold of its records.
+"""The durable part of a partition's state: computed from its records.
 
-`LedgerImage` folds records in journal order and yields the fewest records that
-fold to the same image, which form a snapshot. `restore` builds the state of a
-new owner from an image.
+`LedgerImage` applies records in journal order and yields the fewest records
+that give the same image, which form a snapshot of the journal. `restore` builds
+the state of a new owner from an image.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -20,7 +20,7 @@
 from fuchsiarill.states import AttemptState, JobEvent, JobState
 
 # Jobs that have ended are kept for repeated submissions and late queries;
-# the limit bounds the memory of an owner and the size of a snapshot.
+# the limit bounds the memory of an owner and the size of a journal snapshot.
 ENDED_MAX_COUNT: Final = 20_000
 # A worker measures its leases with its own clock, which may run 1% slow.
 _CLOCK_RATE: Final = 1.01
@@ -31,11 +31,11 @@
     """Durable state of one job."""
 
     spec: JobSpec
-    finished: dict[int, str] = field(default_factory=dict)
+    outputs: dict[int, str] = field(default_factory=dict)
     intents: dict[AttemptId, records.StartIntended] = field(
         default_factory=dict
     )
-    cancel_asked: bool = False
+    cancel_requested: bool = False
     ended: JobState | None = None
 
 
@@ -102,7 +102,7 @@
 
 
 def lapse_bound_ms(lease_ms: int) -> int:
-    """Return the longest duration of a lease, measured by this clock."""
+    """Return the longest duration of a lease by the clock of the owner."""
     return int(lease_ms * _CLOCK_RATE)
 
 
@@ -133,7 +133,7 @@
         accepted_at_ms=now_ms,
         state=image.ended or JobState.ACCEPTING,
         waiting=[],
-        results=dict(image.finished),
+        results=dict(image.outputs),
         acceptance_number=len(state.jobs) + 1,
     )
     state.jobs[job_id] = job
@@ -145,7 +145,7 @@
         return
     for intent in image.intents.values():
         _restore_intent(state, job, intent)
-    if image.cancel_asked:
+    if image.cancel_requested:
         _restore_cancelled(state, job, now_ms)
         return
     _restore_waiting(state, job, now_ms)
@@ -181,24 +181,24 @@
         step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
         return
     # Starts of idempotent tasks are not recorded; workers may report some.
-    state.recovery.cancelled[job.job_id] = None
+    state.recovery.cancelled_jobs[job.job_id] = None
 
 
 def _restore_waiting(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    settled = set(job.results)
-    settled.update(
+    occupied_positions = set(job.results)
+    occupied_positions.update(
         position_of(attempt.task_id) for attempt in job.attempts.values()
     )
     open_positions = [
         position
         for position in range(job.spec.tasks_count)
-        if position not in settled
+        if position not in occupied_positions
     ]
     if job.spec.execution is Execution.AT_MOST_ONCE:
         # No owner sends a start before its intent is committed.
         job.waiting.extend(open_positions)
     elif open_positions and state.recovery.is_open:
-        state.recovery.held[job.job_id] = set(open_positions)
+        state.recovery.deferred[job.job_id] = set(open_positions)
     step_job(state, job, JobEvent.COMMITTED, now_ms)
     if len(job.results) == job.spec.tasks_count:
         step_job(state, job, JobEvent.ALL_SUCCEEDED, now_ms)
@@ -240,7 +240,7 @@
     job = image.jobs.get(record.job_id)
     if job is None:
         return
-    job.finished.setdefault(record.position, record.output)
+    job.outputs.setdefault(record.position, record.output)
     for attempt_id in tuple(job.intents):
         if position_of(task_of(attempt_id)) == record.position:
             job.intents.pop(attempt_id)
@@ -250,7 +250,7 @@
 def _fold_cancel(image: LedgerImage, record: records.CancelRequested) -> None:
     job = image.jobs.get(record.job_id)
     if job is not None:
-        job.cancel_asked = True
+        job.cancel_requested = True
 
 
 @_FOLDS.register(records.JobEnded)
@@ -266,9 +266,9 @@
 def _records_of(job_id: JobId, image: JobImage) -> Iterator[records.Record]:
     yield records.JobAccepted(job_id, image.spec)
     yield from image.intents.values()
-    for position, output in image.finished.items():
+    for position, output in image.outputs.items():
         yield records.TaskFinished(job_id, position, output)
-    if image.cancel_asked:
+    if image.cancel_requested:
         yield records.CancelRequested(job_id)
     if image.ended is not None:
         yield records.JobEnded(job_id, image.ended)
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -22,6 +22,7 @@
 # After this time without a start, a customer that holds the whole cell ranks
 # equal to one that holds nothing and has just had a start, at a weight of 1.
 _AGEING_MS: Final = 300_000
+# Keeps ageing above zero, whatever weight is configured.
 _AGEING_WEIGHT_MIN: Final = 0.1
 
 URGENT_RANK: Final = 0
@@ -56,7 +57,11 @@
 
 @ORDERINGS.register('fair')
 class _Fair:
-    """Weighted dominant share, urgent jobs first within the entitlement."""
+    """Urgent, guaranteed and other jobs, each by weighted dominant share.
+
+    Urgent jobs come first while they are within the guarantee or the weighted
+    share of their customer.
+    """
 
     strict: bool = False
     preemptions: Mapping[int, str] = MappingProxyType(
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -1,7 +1,8 @@
 """Entry point to the decisions of one partition.
 
-`PartitionCore` is given events and the time by the owner, and returns effects.
-It does no I/O, so a replay can drive it in the same way as the owner actor.
+`PartitionCore` is given events and the time by the owner of the partition, and
+returns effects. It does no I/O, so a replay (a simulation of the cell) can use
+it in the same way as the owner actor.
 """
 
 import hashlib
@@ -17,7 +18,7 @@
 from fuchsiarill.core.admission import admit
 from fuchsiarill.core.adoption import (
     advance_recovery,
-    hold_accepted,
+    defer_accepted,
     may_be_volatile,
 )
 from fuchsiarill.core.decision_round import decide
@@ -29,7 +30,7 @@
 from fuchsiarill.core.ordering import apply_ageing
 from fuchsiarill.core.quotas import account_of, apply_contracts
 from fuchsiarill.core.reports import apply_report
-from fuchsiarill.core.snapshot import snapshot
+from fuchsiarill.core.snapshot import dump_state
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import (
     load_charts,
@@ -47,14 +48,14 @@
 
 # The modules whose import registers the actions of the charts.
 ACTION_MODULES = (attempt_actions, job_actions, worker_actions)
-_JOB_DIGEST_CHARACTERS = 20
+_JOB_DIGEST_CHARACTERS_COUNT = 20
 
 
 def job_id_of(partition: PartitionId, spec: JobSpec) -> JobId:
     """Return the job id of a submission, which is the same for every owner."""
     identity = f'{spec.customer}\n{spec.idempotency_key}'
     digest = hashlib.sha256(identity.encode()).hexdigest()
-    return JobId(f'{partition}-{digest[:_JOB_DIGEST_CHARACTERS]}')
+    return JobId(f'{partition}-{digest[:_JOB_DIGEST_CHARACTERS_COUNT]}')
 
 
 class PartitionCore:
@@ -66,7 +67,7 @@
         epoch: Epoch,
         config: CellConfig,
     ) -> None:
-        """Start with no jobs and no workers."""
+        """Create the state without jobs and workers."""
         load_charts()
         self.state = CoreState(partition, epoch, config)
         # Jitter differs between partitions, and a replay repeats it.
@@ -90,18 +91,18 @@
         A job accepted while ownership is not confirmed is marked `volatile`
         in its record and can start at once.
         """
-        existing = self.state.job_by_key.get(
+        existing_id = self.state.job_by_key.get(
             (spec.customer, spec.idempotency_key),
         )
-        if existing is not None:
-            return self._handle_repeated(existing, spec)
+        if existing_id is not None:
+            return self._handle_repeated(existing_id, spec)
         refusal = admit(self.state, spec, now_ms)
         if refusal is not None:
             return Failure(refusal)
         job = self._new_job(spec, now_ms)
         record = JobAccepted(job.job_id, spec)
-        then = partial(self._accepted, job)
-        self.state.persist_for(job, record, now_ms, then)
+        on_commit = partial(self._handle_accepted, job)
+        self.state.persist_for(job, record, now_ms, on_commit)
         return Success(job.job_id)
 
     def cancel(self, job_id: JobId, now_ms: int) -> bool:
@@ -115,7 +116,7 @@
         return True
 
     def committed(self, sequence: int, now_ms: int) -> None:
-        """Continue after the record with this sequence number is durable."""
+        """Run the follow-up of the record `sequence`, which is durable now."""
         follow_up = self.state.after_commit.pop(sequence, None)
         if follow_up is not None:
             follow_up(now_ms)
@@ -132,7 +133,8 @@
     ) -> None:
         """Apply the report of a worker about its attempts.
 
-        `requested_at_ms` is the time at which the exchange was sent.
+        `requested_at_ms` is the time at which the request was sent that the
+        report answers.
         """
         worker = self.state.workers.get(report.worker_id)
         if worker is None:
@@ -142,13 +144,13 @@
         apply_report(self.state, worker, report, now_ms, requested_at_ms)
 
     def worker_silent(self, worker_id: WorkerId, now_ms: int) -> None:
-        """Handle a worker that has not answered for too long."""
+        """Handle a worker whose exchanges have failed for `silent_after_ms`."""
         worker = self.state.workers.get(worker_id)
         if worker is not None:
             step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
 
     def leases_extended(self, worker_id: WorkerId, ends_at_ms: int) -> None:
-        """Extend the leases of all attempts of a worker."""
+        """Extend the leases of all attempts of a worker up to `ends_at_ms`."""
         extend_leases(self.state, worker_id, ends_at_ms)
 
     def start_withheld(self, attempt_id: AttemptId, now_ms: int) -> None:
@@ -169,7 +171,7 @@
                 continue
             if may_be_volatile(self.state, job.spec):
                 job.volatile = True
-                self._accepted(job, now_ms)
+                self._handle_accepted(job, now_ms)
 
     def unrestrict(self, now_ms: int) -> None:
         """Start all jobs again, as ownership is confirmed."""
@@ -177,31 +179,31 @@
         unblock_all(self.state)
 
     def lapse(self, now_ms: int) -> None:
-        """Step the attempts whose leases have certainly ended."""
+        """Step the attempts without renewals whose leases have ended."""
         lapse(self.state, now_ms)
 
     def decide(self, now_ms: int) -> bool:
         """Place the tasks that can be placed now.
 
-        The number of steps is bounded; returns `True` if there may be more to
-        do, so that the owner calls again after its other messages.
+        The number of steps is bounded; returns `True` if the bound was reached,
+        so that the owner calls again after its other messages.
         """
         advance_recovery(self.state, now_ms)
         return decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects requested since the last call."""
-        taken = self.state.effects
+        effects = self.state.effects
         self.state.effects = []
-        return taken
+        return effects
 
     def explain(self, job_id: JobId, now_ms: int) -> Explanation:
         """Return why a job waits; raises `KeyError` for an unknown job."""
         return explain(self.state, self.state.jobs[job_id], now_ms)
 
     def snapshot(self) -> dict[str, Any]:
-        """Return the state as plain values, for a dump."""
-        return snapshot(self.state)
+        """Return the state as plain values, for the dump of a process."""
+        return dump_state(self.state)
 
     def _apply_config(self) -> None:
         apply_ageing(self.state)
@@ -224,24 +226,24 @@
         account_of(self.state, spec.customer).accepting_count += 1
         return job
 
-    def _accepted(self, job: JobRecord, now_ms: int) -> None:
-        hold_accepted(self.state, job)
+    def _handle_accepted(self, job: JobRecord, now_ms: int) -> None:
+        defer_accepted(self.state, job)
         if step_job(self.state, job, JobEvent.COMMITTED, now_ms):
             account_of(self.state, job.spec.customer).accepting_count -= 1
 
     def _handle_repeated(
         self,
-        existing: JobId,
+        existing_id: JobId,
         spec: JobSpec,
     ) -> Result[JobId, Refusal]:
-        if self.state.jobs[existing].spec == spec:
-            return Success(existing)
+        if self.state.jobs[existing_id].spec == spec:
+            return Success(existing_id)
         return Failure(
             refuse(
                 codes.KEY_CONFLICT,
                 texts.KEY_CONFLICT,
                 field='idempotency_key',
                 key=spec.idempotency_key,
-                job=existing,
+                job=existing_id,
             ),
         )
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -14,7 +14,7 @@
 from fuchsiarill.core.resource_accounting import accepts_tasks
 from fuchsiarill.core.sizes import run_time_of
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.core.worker_holds import held_up_to
+from fuchsiarill.core.worker_holds import capacity_held_up_to
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import FailureDomain
 from fuchsiarill.job import Execution, JobRecord, Urgency, Workload
@@ -28,10 +28,11 @@
 ]
 
 PLACEMENTS: Final[Registry[str, PlacementPolicy]] = Registry('placements')
-# Eligible workers that are compared for the best choice.
-_COMPARED_COUNT: Final = 12
-_HELD_EXAMINED_COUNT: Final = 32
-_RELEASED_EXAMINED_COUNT: Final = 8
+# Limits that bound the cost of a search: eligible workers that are compared for
+# the best choice, held workers of one reservation, and released workers.
+_COMPARED_WORKERS_MAX_COUNT: Final = 12
+_EXAMINED_HELD_MAX_COUNT: Final = 32
+_EXAMINED_RELEASED_MAX_COUNT: Final = 8
 
 
 def find_worker(
@@ -78,8 +79,8 @@
     if job.spec.workload is Workload.SERVICE:
         return spread(state, job, size)
     for accelerated in _accelerator_options(state, job, size):
-        found = state.index.search(size, accelerated=accelerated)
-        worker = _best_fit(found, job, size)
+        candidates = state.index.search(size, accelerated=accelerated)
+        worker = _best_fit(candidates, job, size)
         if worker is not None:
             return worker
     return None
@@ -96,18 +97,18 @@
         return pack(state, job, size)
     domains, racks = _count_replicas(state, job)
     for accelerated in _accelerator_options(state, job, size):
-        ordered = sorted(
+        domains_in_order = sorted(
             state.index.domains(accelerated),
             key=domains.__getitem__,
         )
-        for domain in ordered:
-            found = state.index.search(
+        for domain in domains_in_order:
+            candidates = state.index.search(
                 size,
                 accelerated=accelerated,
                 domain=domain,
                 fullest_first=False,
             )
-            worker = _least_colocated(found, job, racks)
+            worker = _least_colocated(candidates, job, racks)
             if worker is not None:
                 return worker
     return None
@@ -151,13 +152,15 @@
 
 
 def _best_fit(
-    found: Iterable[WorkerView],
+    candidates: Iterable[WorkerView],
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    suitable = (worker for worker in found if is_eligible(worker, job))
+    eligible_workers = (
+        worker for worker in candidates if is_eligible(worker, job)
+    )
     return min(
-        islice(suitable, _COMPARED_COUNT),
+        islice(eligible_workers, _COMPARED_WORKERS_MAX_COUNT),
         key=lambda worker: _largest_free_ratio(worker, size),
         default=None,
     )
@@ -175,13 +178,15 @@
 
 
 def _least_colocated(
-    found: Iterable[WorkerView],
+    candidates: Iterable[WorkerView],
     job: JobRecord,
     racks: Counter[str],
 ) -> WorkerView | None:
-    suitable = (worker for worker in found if is_eligible(worker, job))
+    eligible_workers = (
+        worker for worker in candidates if is_eligible(worker, job)
+    )
     return min(
-        islice(suitable, _COMPARED_COUNT),
+        islice(eligible_workers, _COMPARED_WORKERS_MAX_COUNT),
         key=lambda worker: (
             racks[worker.entry.rack],
             racks[worker.worker_id],
@@ -216,18 +221,18 @@
     A search of the index examines a few workers of each bucket only, so
     workers with released capacity are examined separately.
     """
-    for worker_id in islice(state.released, _RELEASED_EXAMINED_COUNT):
+    for worker_id in islice(state.released, _EXAMINED_RELEASED_MAX_COUNT):
         worker = state.workers[worker_id]
         if worker.bucket is None or not size.fits_in(worker.free):
             continue
-        if is_eligible(worker, job) and _may_use_worker(
+        if is_eligible(worker, job) and _may_use_accelerators_of(
             state, worker, job, size
         ):
             return worker
     return None
 
 
-def _may_use_worker(
+def _may_use_accelerators_of(
     state: CoreState,
     worker: WorkerView,
     job: JobRecord,
@@ -244,7 +249,7 @@
     size: Resources,
     now_ms: int,
 ) -> WorkerView | None:
-    """Return a worker held for a gang that the task does not delay."""
+    """Return a worker held for a reservation that the task does not delay."""
     if not _may_use_accelerated(state, job, size):
         return None
     run_time_ms = run_time_of(state, job.spec)
@@ -253,11 +258,11 @@
             run_time_ms is not None
             and now_ms + run_time_ms <= reservation.starts_at_ms
         )
-        found = _held_worker_with_spare(
+        worker = _held_worker_with_spare(
             state, job, size, reservation, ends_in_time
         )
-        if found is not None:
-            return found
+        if worker is not None:
+            return worker
     return None
 
 
@@ -269,22 +274,22 @@
     ends_in_time: bool,
 ) -> WorkerView | None:
     """Return a held worker with capacity beyond what it must keep free."""
-    for worker_id in islice(reservation.counts, _HELD_EXAMINED_COUNT):
+    for worker_id in islice(reservation.counts, _EXAMINED_HELD_MAX_COUNT):
         worker = state.workers[worker_id]
         if worker.state is not WorkerState.READY or not is_eligible(
             worker, job
         ):
             continue
-        needed = size
+        required = size
         if not ends_in_time or len(worker.holds) > 1:
-            needed += held_up_to(worker, None)
-        if needed.fits_in(worker.free):
+            required += capacity_held_up_to(worker, None)
+        if required.fits_in(worker.free):
             return worker
     return None
 
 
 def can_get_tasks(worker: WorkerView, now_ms: int) -> bool:
-    """Tell whether a worker gets tasks, whether or not a gang holds it."""
+    """Tell whether a worker gets tasks, whether or not it is held for a job."""
     if worker.holds:
         return worker.state is WorkerState.READY
     return accepts_tasks(worker, now_ms)
--- a/fuchsiarill/core/preemption.py
+++ b/fuchsiarill/core/preemption.py
@@ -1,8 +1,9 @@
-"""Preemption: reclaims capacity for a customer within its entitlement.
+"""Preemption: stops attempts of some customers to start jobs of another.
 
-Borrowed capacity is reclaimed before a customer's own, and idempotent batch
-tasks are stopped before services, those that lose the least run time first.
-At-most-once tasks and urgent ones are never stopped.
+Capacity above the guarantee of its customer is borrowed; it is reclaimed before
+capacity of the customer to be served. Idempotent batch tasks are stopped before
+service replicas, in each case the most recently placed first, which lose the
+least run time. At-most-once tasks and urgent tasks are never stopped.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -21,12 +22,16 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import AttemptState
 
-Preemption = Callable[[CoreState, Account], Iterable[AttemptId]]
+PreemptionPolicy = Callable[[CoreState, Account], Iterable[AttemptId]]
 
-PREEMPTIONS: Final[Registry[str, Preemption]] = Registry('preemptions')
-# Attempts examined for one waiting task, to bound the cost of a decision.
-_ATTEMPTS_EXAMINED_COUNT: Final = 128
-# Time for a worker to confirm the stops before others are requested.
+PREEMPTION_POLICIES: Final[Registry[str, PreemptionPolicy]] = Registry(
+    'preemptions'
+)
+# Maximum number of attempts examined for one task, to bound the cost of a
+# decision.
+_EXAMINED_ATTEMPTS_MAX_COUNT: Final = 128
+# Time for a worker to confirm the stops before further stops are requested for
+# the same job.
 _STOP_CONFIRMATION_MS: Final = 2_000
 _PREEMPTIBLE_STATES: Final = frozenset(
     (AttemptState.STARTING, AttemptState.RUNNING)
@@ -40,63 +45,71 @@
     policy: str,
     now_ms: int,
 ) -> bool:
-    """Stop attempts so that a task of `size` fits; `False` if none qualify."""
+    """Request stops on one worker so that a task of `size` fits there.
+
+    Returns `False` if no worker has enough preemptible attempts, and `True`
+    without further stops while those requested earlier are pending.
+    """
     if now_ms < state.reclaim_pending_until_ms.get(job.job_id, 0):
         return True
     state.reclaim_pending_until_ms.pop(job.job_id, None)
     account = state.accounts[job.spec.customer]
-    order = PREEMPTIONS.lookup(policy)(state, account)
-    victims = _victims(state, job, size, order)
+    candidates = PREEMPTION_POLICIES.lookup(policy)(state, account)
+    victims = _victims(state, job, size, candidates)
     if not victims:
         return False
     state.reclaim_pending_until_ms[job.job_id] = now_ms + _STOP_CONFIRMATION_MS
     for attempt in victims:
-        _stop(state, attempt, now_ms)
+        _reclaim_from(state, attempt, now_ms)
     return True
 
 
-def _stop(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+def _reclaim_from(state: CoreState, attempt: Attempt, now_ms: int) -> None:
     customer = state.jobs[attempt.job_id].spec.customer
-    state.accounts[customer].reclaimed += attempt.reserved
+    state.accounts[customer].being_reclaimed += attempt.reserved
     request_stop(state, attempt, StopReason.RECLAIMED, now_ms)
 
 
-@PREEMPTIONS.register('urgent')
-def _for_urgent(state: CoreState, account: Account) -> Iterator[AttemptId]:
+@PREEMPTION_POLICIES.register('urgent')
+def _candidates_for_urgent(
+    state: CoreState, account: Account
+) -> Iterator[AttemptId]:
     """Yield attempts of borrowers, then those of the customer itself.
 
-    A customer that has used up its own share has only its own attempts
-    stopped.
+    If the customer exceeds both its guarantee and its weighted share, yield
+    only its own attempts.
     """
     if is_within_share(state, account, NOTHING):
-        yield from _borrowed(state, account)
+        yield from _attempts_of_borrowers(state, account)
     yield from reversed(account.preemptible_batch)
     yield from reversed(account.preemptible_services)
 
 
-@PREEMPTIONS.register('guaranteed')
-def _for_guaranteed(
+@PREEMPTION_POLICIES.register('guaranteed')
+def _candidates_for_guaranteed(
     state: CoreState,
     account: Account,
 ) -> Iterator[AttemptId]:
-    """Yield only attempts of customers that borrow."""
-    yield from _borrowed(state, account)
+    """Yield only attempts of borrowers."""
+    yield from _attempts_of_borrowers(state, account)
 
 
-def _borrowed(state: CoreState, account: Account) -> Iterator[AttemptId]:
+def _attempts_of_borrowers(
+    state: CoreState, account: Account
+) -> Iterator[AttemptId]:
     borrowers = [
         other
         for other in state.accounts.values()
         if other is not account and borrows(other)
     ]
-    borrowers.sort(key=_share, reverse=True)
+    borrowers.sort(key=_share_of_account, reverse=True)
     for other in borrowers:
         yield from reversed(other.preemptible_batch)
     for other in borrowers:
         yield from reversed(other.preemptible_services)
 
 
-def _share(account: Account) -> float:
+def _share_of_account(account: Account) -> float:
     return account.share
 
 
@@ -104,12 +117,12 @@
     state: CoreState,
     job: JobRecord,
     size: Resources,
-    order: Iterable[AttemptId],
+    candidates: Iterable[AttemptId],
 ) -> list[Attempt]:
     """Return attempts on one worker that together release enough for `size`."""
-    collected: dict[WorkerId, list[Attempt]] = {}
+    attempts_by_worker: dict[WorkerId, list[Attempt]] = {}
     free_by_worker: dict[WorkerId, Resources] = {}
-    for attempt_id in islice(order, _ATTEMPTS_EXAMINED_COUNT):
+    for attempt_id in islice(candidates, _EXAMINED_ATTEMPTS_MAX_COUNT):
         attempt = state.attempts[attempt_id]
         worker = state.workers.get(attempt.worker_id)
         if worker is None or not _may_stop(attempt, worker, job):
@@ -119,9 +132,11 @@
             free = worker.free
         free += attempt.reserved
         free_by_worker[worker.worker_id] = free
-        collected.setdefault(worker.worker_id, []).append(attempt)
+        attempts_by_worker.setdefault(worker.worker_id, []).append(attempt)
         if size.fits_in(free):
-            return _needed(collected[worker.worker_id], free, size)
+            return _necessary_attempts(
+                attempts_by_worker[worker.worker_id], free, size
+            )
     return []
 
 
@@ -133,23 +148,25 @@
     if attempt.state not in _PREEMPTIBLE_STATES:
         return False
     if worker.holds:
+        # The released capacity would be held for another job.
         return False
+    # The delay of the next probe is ignored for a worker on probation.
     return can_get_tasks(worker, worker.probe_after_ms) and is_eligible(
         worker, job
     )
 
 
-def _needed(
+def _necessary_attempts(
     attempts: list[Attempt],
     free: Resources,
     size: Resources,
 ) -> list[Attempt]:
-    """Leave out attempts that need not be stopped."""
-    needed = []
+    """Return the attempts without those that need not be stopped."""
+    necessary = []
     for attempt in attempts:
-        without = free - attempt.reserved
-        if size.fits_in(without):
-            free = without
+        free_without_stop = free - attempt.reserved
+        if size.fits_in(free_without_stop):
+            free = free_without_stop
         else:
-            needed.append(attempt)
-    return needed
+            necessary.append(attempt)
+    return necessary
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -1,6 +1,6 @@
 """Probation of workers on which tasks fail that succeed elsewhere.
 
-A failure counts against a worker only if the same job, or its class, has
+A failure is attributed to a worker only if the same job, or its class, has
 succeeded on another worker. On probation a worker gets single tasks that are
 cheap to repeat, and twice as many at once after each success.
 """
@@ -19,14 +19,19 @@
 from fuchsiarill.job import Attempt
 from fuchsiarill.states import WorkerEvent, WorkerState
 
+# Consecutive successes that end the probation.
 PROBES_NEEDED_COUNT: Final = 4
+# Delay before tasks are placed again, doubled with each failure on probation.
 PROBE_DELAY_FIRST_MS: Final = 2_000
 PROBE_DELAY_MAX_MS: Final = 300_000
 _DOUBLINGS_MAX_COUNT: Final = 8
 
 
 def record_failure(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Count a failure against the worker if the class succeeded elsewhere."""
+    """Attribute a failure to the worker if the class succeeded elsewhere.
+
+    On probation, every failure is attributed to the worker.
+    """
     job = state.jobs[attempt.job_id]
     estimate = estimate_of(state, job.spec)
     estimate.failed_count += 1
@@ -34,17 +39,17 @@
     if worker is None:
         return
     if not estimate.succeeded_on:
-        avoidance.record_failure(state, job.spec, worker, now_ms)
-    elsewhere = estimate.succeeded_on - {attempt.worker_id}
-    if elsewhere or worker.state is WorkerState.PROBATION:
+        avoidance.record_class_failure(state, job.spec, worker, now_ms)
+    succeeded_elsewhere = estimate.succeeded_on - {attempt.worker_id}
+    if succeeded_elsewhere or worker.state is WorkerState.PROBATION:
         _strike(state, worker, now_ms)
 
 
 def record_success(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Clear the failures of the worker.
+    """Reset the failures attributed to the worker.
 
     If the class had succeeded on no worker but those on which the job failed,
-    these failures count against their workers.
+    these failures are attributed to their workers.
     """
     job = state.jobs[attempt.job_id]
     estimate = estimate_of(state, job.spec)
@@ -55,9 +60,9 @@
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
-    worker.strikes_count = 0
+    worker.attributed_failures_count = 0
     if worker.state is WorkerState.PROBATION:
-        _probe_succeeded(state, worker, now_ms)
+        _record_probe_success(state, worker, now_ms)
 
 
 def _strike_all(
@@ -70,12 +75,12 @@
 
 
 def _strike(state: CoreState, worker: WorkerView, now_ms: int) -> None:
-    worker.strikes_count += 1
+    worker.attributed_failures_count += 1
     if worker.state is WorkerState.PROBATION:
         _delay_probe(state, worker, now_ms)
         return
     allowed_count = state.config.policies.probation_failures_count
-    if worker.strikes_count < allowed_count:
+    if worker.attributed_failures_count < allowed_count:
         return
     if step_worker(state, worker, WorkerEvent.FAILING, now_ms):
         worker.probe_failures_count = 0
@@ -97,7 +102,7 @@
     mark_released(state, worker)
 
 
-def _probe_succeeded(
+def _record_probe_success(
     state: CoreState,
     worker: WorkerView,
     now_ms: int,
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -1,4 +1,9 @@
-"""Quota, guarantee and weighted share of each customer."""
+"""Quota, guarantee and weighted share of each customer.
+
+The quota limits what a customer reserves. Up to its guarantee, it may reclaim
+capacity from customers that borrow, i.e. exceed their own guarantees. Its
+weighted share is the part of the total capacity in proportion to its weight.
+"""
 
 from fuchsiarill.cell_config import CellConfig, Contract
 from fuchsiarill.core.accounts import Account
@@ -19,10 +24,14 @@
 def apply_contracts(state: CoreState) -> None:
     """Apply the contracts of the configuration in force."""
     config = state.config
-    state.weights_sum = sum(row.weight for row in config.contracts) or 1.0
-    contracts = {row.customer: row for row in config.contracts}
-    for known in state.accounts.values():
-        _apply_contract(known, contracts.get(known.customer), config)
+    state.weights_sum = (
+        sum(contract.weight for contract in config.contracts) or 1.0
+    )
+    contracts = {contract.customer: contract for contract in config.contracts}
+    for known_account in state.accounts.values():
+        _apply_contract(
+            known_account, contracts.get(known_account.customer), config
+        )
     for customer, contract in contracts.items():
         if customer in state.accounts:
             continue
@@ -41,58 +50,64 @@
 
 def share_of(state: CoreState, account: Account) -> float:
     """Return the dominant share of a customer, divided by its weight."""
-    held = account.held.dominant_share(state.total_capacity)
-    return held / _weight_of(account)
+    dominant_share = account.reserved.dominant_share(state.total_capacity)
+    return dominant_share / _weight_of(account)
 
 
-def may_hold(account: Account, more: Resources) -> bool:
-    """Tell whether the quota permits `more` reservations."""
-    return (account.held + more).fits_in(account.quota)
+def quota_permits(account: Account, additional: Resources) -> bool:
+    """Tell whether the quota permits `additional` to be reserved."""
+    return (account.reserved + additional).fits_in(account.quota)
 
 
-def is_guaranteed(account: Account, more: Resources) -> bool:
-    """Tell whether the guarantee of the contract covers `more`."""
+def is_guaranteed(account: Account, additional: Resources) -> bool:
+    """Tell whether the guarantee of the contract covers `additional`."""
     if not account.guaranteed.slots_count:
         return False
-    return (account.held + more).fits_in(account.guaranteed)
+    return (account.reserved + additional).fits_in(account.guaranteed)
 
 
 def is_owed_urgently(
     state: CoreState,
     account: Account,
-    more: Resources,
+    additional: Resources,
 ) -> bool:
     """Tell whether urgent jobs are within the guarantee or weighted share.
 
-    Reservations of the customer for other jobs are not counted, as urgent jobs
-    come first.
+    What the customer reserves for jobs that are not urgent is not counted, as
+    urgent jobs come first.
     """
-    wanted = account.urgent_held + more
-    if wanted.fits_in(account.guaranteed):
+    reserved_in_total = account.urgent_reserved + additional
+    if reserved_in_total.fits_in(account.guaranteed):
         return True
-    return wanted.dominant_share(state.total_capacity) <= _entitled_share(
-        state, account
-    )
+    return reserved_in_total.dominant_share(
+        state.total_capacity
+    ) <= _entitled_share(state, account)
 
 
 def is_within_share(
     state: CoreState,
     account: Account,
-    more: Resources,
+    additional: Resources,
 ) -> bool:
-    """Tell whether all reservations are within guarantee or share."""
-    if is_guaranteed(account, more):
+    """Tell whether all jobs are within the guarantee or weighted share.
+
+    Attempts that are being stopped for other jobs are not counted.
+    """
+    if is_guaranteed(account, additional):
         return True
-    wanted = account.held - account.reclaimed + more
-    return wanted.dominant_share(state.total_capacity) <= _entitled_share(
-        state, account
-    )
+    reserved_in_total = account.reserved - account.being_reclaimed + additional
+    return reserved_in_total.dominant_share(
+        state.total_capacity
+    ) <= _entitled_share(state, account)
 
 
 def borrows(account: Account) -> bool:
-    """Tell whether the customer holds more than its guarantee."""
-    left = account.held - account.reclaimed
-    return not left.fits_in(account.guaranteed)
+    """Tell whether the customer reserves more than its guarantee.
+
+    Attempts that are being stopped for other jobs are not counted.
+    """
+    reserved_after_stops = account.reserved - account.being_reclaimed
+    return not reserved_after_stops.fits_in(account.guaranteed)
 
 
 def _apply_contract(
--- a/fuchsiarill/core/rate_limit.py
+++ b/fuchsiarill/core/rate_limit.py
@@ -24,8 +24,8 @@
     if account.tokens >= 1:
         account.tokens -= 1
         return None
-    missing = 1 - account.tokens
-    wait_ms = missing * _MS_PER_SECOND / contract.submit_rate_per_s
+    missing_tokens = 1 - account.tokens
+    wait_ms = missing_tokens * _MS_PER_SECOND / contract.submit_rate_per_s
     return refuse(
         codes.RATE_EXCEEDED,
         texts.RATE_EXCEEDED,
@@ -44,6 +44,6 @@
 ) -> None:
     elapsed_ms = now_ms - account.refilled_at_ms
     account.refilled_at_ms = now_ms
-    gained = elapsed_ms * rate_per_s / _MS_PER_SECOND
+    gained_tokens = elapsed_ms * rate_per_s / _MS_PER_SECOND
     # The minimum also discards tokens above a burst that was lowered.
-    account.tokens = min(account.tokens + gained, burst_count)
+    account.tokens = min(account.tokens + gained_tokens, burst_count)
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class Orphan:
-    """An attempt without a job of this owner, which a worker has to stop."""
+    """A running attempt that this owner does not expect, to be stopped."""
 
     worker_id: WorkerId
     lease_ends_at_ms: int
@@ -22,19 +22,21 @@
 class Recovery:
     """State from a takeover until no unreported task of older owners can run.
 
-    `answered`: workers that answered since the takeover.
-    `held`: positions of tasks that may run on a worker that has not answered.
+    `ends_at_ms`: time at which all task leases of older owners have ended.
+    `reported_workers`: workers that have reported since the takeover.
+    `deferred`: positions that are not placed yet, as the task may run on a
+    worker that has not reported, or as an orphan.
     `intents`: unresolved non-idempotent starts of older owners, each with the
     incarnation of its worker.
-    `cancelled`: cancelled jobs whose tasks workers may still report.
+    `cancelled_jobs`: cancelled jobs whose tasks workers may still report.
     `orphans`: kept until they are known to have ended, since the job that
     they belong to may be submitted again.
     """
 
     is_open: bool = False
     ends_at_ms: int = 0
-    answered: set[WorkerId] = field(default_factory=set)
-    held: dict[JobId, set[int]] = field(default_factory=dict)
+    reported_workers: set[WorkerId] = field(default_factory=set)
+    deferred: dict[JobId, set[int]] = field(default_factory=dict)
     intents: dict[AttemptId, str] = field(default_factory=dict)
-    cancelled: dict[JobId, None] = field(default_factory=dict)
+    cancelled_jobs: dict[JobId, None] = field(default_factory=dict)
     orphans: dict[JobId, dict[AttemptId, Orphan]] = field(default_factory=dict)
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -39,8 +39,8 @@
     worker.reported_at_ms = now_ms
     step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
     adopt_tasks(state, worker, report, now_ms)
-    reported = {task.attempt_id for task in report.tasks}
-    renew_leases(state, reported, requested_at_ms)
+    reported_ids = {task.attempt_id for task in report.tasks}
+    renew_leases(state, reported_ids, requested_at_ms)
     for task in report.tasks:
         _apply_task_report(state, task, now_ms)
     if worker.state is WorkerState.LEAVING:
@@ -59,8 +59,8 @@
     """
     if attempt.usage_reports_count or task.reserved.fits_in(attempt.reserved):
         return
-    needed = elementwise_max(task.reserved, attempt.reserved)
-    resize_attempt(state, attempt, needed, now_ms)
+    size = elementwise_max(task.reserved, attempt.reserved)
+    resize_attempt(state, attempt, size, now_ms)
 
 
 def _apply_task_report(state: CoreState, task: TaskReport, now_ms: int) -> None:
--- a/fuchsiarill/core/requeue.py
+++ b/fuchsiarill/core/requeue.py
@@ -12,7 +12,7 @@
 _ACTIVE_STATES: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
 
 
-def position_of(attempt: Attempt) -> int:
+def attempt_position(attempt: Attempt) -> int:
     """Return the position of the attempt's task within its job."""
     return int(attempt.task_id.rpartition('/')[2])
 
@@ -29,10 +29,10 @@
         _restart_gang(state, job, now_ms, delay_ms)
         return
     if delay_ms:
-        later = partial(_requeue, state, job, position)
-        call_at(state, now_ms + delay_ms, later)
+        requeue_position = partial(_requeue_position, state, job, position)
+        call_at(state, now_ms + delay_ms, requeue_position)
         return
-    _requeue(state, job, position, now_ms)
+    _requeue_position(state, job, position, now_ms)
 
 
 def request_replacement(
@@ -41,8 +41,8 @@
     attempt: Attempt,
     now_ms: int,
 ) -> None:
-    """Queue a replacement of a replica, which runs until that has started."""
-    position = position_of(attempt)
+    """Queue a replacement of a replica, to be stopped once that has started."""
+    position = attempt_position(attempt)
     if job.state not in _ACTIVE_STATES or position in job.replaced_attempts:
         return
     job.replaced_attempts[position] = attempt.attempt_id
@@ -83,23 +83,24 @@
     step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
 
 
-def _requeue(
+def _requeue_position(
     state: CoreState,
     job: JobRecord,
     position: int,
     now_ms: int,
 ) -> None:
-    if job.state not in _ACTIVE_STATES or not _is_needed(job, position):
+    if job.state not in _ACTIVE_STATES or not _needs_attempt(job, position):
         return
     job.waiting.append(position)
     step_job(state, job, JobEvent.REQUEUED, now_ms)
 
 
-def _is_needed(job: JobRecord, position: int) -> bool:
+def _needs_attempt(job: JobRecord, position: int) -> bool:
     if position in job.results or position in job.waiting:
         return False
     return all(
-        position_of(attempt) != position for attempt in job.attempts.values()
+        attempt_position(attempt) != position
+        for attempt in job.attempts.values()
     )
 
 
--- a/fuchsiarill/core/resource_accounting.py
+++ b/fuchsiarill/core/resource_accounting.py
@@ -22,8 +22,9 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.states import WorkerState
 
-# Tasks that a worker on probation runs at once, doubled with each success.
-_PROBES_FIRST_COUNT: Final = 1
+# Maximum number of tasks that a worker on probation runs at once, doubled with
+# each success.
+_FIRST_PROBES_MAX_COUNT: Final = 1
 
 
 def reserve_attempt(state: CoreState, job: JobRecord, attempt: Attempt) -> None:
@@ -67,10 +68,10 @@
     job = state.jobs[attempt.job_id]
     job.attempts.pop(attempt.attempt_id, None)
     account = account_of(state, job.spec.customer)
-    released = NOTHING - attempt.reserved
-    _add_to_account(state, account, job, released)
+    decrease = NOTHING - attempt.reserved
+    _add_to_account(state, account, job, decrease)
     if attempt.stop_reason is StopReason.RECLAIMED:
-        account.reclaimed -= attempt.reserved
+        account.being_reclaimed -= attempt.reserved
     account.preemptible_batch.pop(attempt.attempt_id, None)
     account.preemptible_services.pop(attempt.attempt_id, None)
     unblock_account(state, account)
@@ -79,7 +80,7 @@
     if worker is None or attempt.attempt_id not in worker.attempts:
         return
     worker.attempts.discard(attempt.attempt_id)
-    worker.reserve(released)
+    worker.reserve(decrease)
     refresh_index(state, worker, now_ms)
     mark_released(state, worker)
 
@@ -91,18 +92,18 @@
     now_ms: int,
 ) -> None:
     """Change the reservation of a running attempt."""
-    before = attempt.reserved
+    old_size = attempt.reserved
     attempt.reserved = size
     job = state.jobs[attempt.job_id]
     account = account_of(state, job.spec.customer)
-    _add_to_account(state, account, job, size - before)
+    _add_to_account(state, account, job, size - old_size)
     mark_unranked(state, account)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
-    worker.reserve(size - before)
+    worker.reserve(size - old_size)
     refresh_index(state, worker, now_ms)
-    if not before.fits_in(size):
+    if not old_size.fits_in(size):
         unblock_account(state, account)
         mark_released(state, worker)
 
@@ -132,7 +133,7 @@
         return False
     if now_ms < worker.probe_after_ms:
         return False
-    allowed_count = _PROBES_FIRST_COUNT << worker.probes_count
+    allowed_count = _FIRST_PROBES_MAX_COUNT << worker.probes_count
     return len(worker.attempts) < allowed_count
 
 
@@ -142,10 +143,10 @@
     job: JobRecord,
     change: Resources,
 ) -> None:
-    account.held += change
+    account.reserved += change
     account.share = share_of(state, account)
     if job.spec.urgency is Urgency.URGENT:
-        account.urgent_held += change
+        account.urgent_reserved += change
 
 
 def _add_preemptible(
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -9,22 +9,25 @@
 
 from fuchsiarill.core.probation import record_failure
 from fuchsiarill.core.quotas import account_of
-from fuchsiarill.core.requeue import position_of, requeue_task
+from fuchsiarill.core.requeue import attempt_position, requeue_task
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_job
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import Attempt, Execution, JobRecord, Workload
 from fuchsiarill.states import JobEvent, WorkerState
 
+# A job that has failed on this many ready workers fails. With fewer of them, it
+# fails after this many failures.
 HEALTHY_WORKERS_MAX_COUNT: Final = 3
 BACKOFF_FIRST_MS: Final = 500
 BACKOFF_MAX_MS: Final = 60_000
 # Retries that a customer has before its first success.
-_CREDIT_FLOOR: Final = 10.0
-_CREDIT_MAX: Final = 100.0
-# The backoff of a replica that ran this long starts again.
-_STABLE_MS: Final = 600_000
-_JITTER_MIN: Final = 0.5
+_RETRIES_BEFORE_SUCCESS_COUNT: Final = 10.0
+_RETRY_CREDIT_MAX: Final = 100.0
+# The backoff of a replica that fails after this run time starts again.
+_STABLE_RUN_TIME_MS: Final = 600_000
+# A delay is at least this ratio of its limit.
+_JITTER_MIN_RATIO: Final = 0.5
 
 
 def handle_failure(
@@ -44,8 +47,8 @@
     if at_most_once or _failed_on_healthy_workers(state, job):
         step_job(state, job, JobEvent.GAVE_UP, now_ms)
         return
-    delay_ms = _delay_ms(state, job)
-    requeue_task(state, job, position_of(attempt), now_ms, delay_ms)
+    delay_ms = _retry_delay_ms(state, job)
+    requeue_task(state, job, attempt_position(attempt), now_ms, delay_ms)
 
 
 def earn_retry_credit(state: CoreState, job: JobRecord) -> None:
@@ -53,8 +56,10 @@
     account = account_of(state, job.spec.customer)
     if account.contract is None:
         return
-    earned = account.retry_credit + account.contract.retry_budget_ratio
-    account.retry_credit = min(earned, _CREDIT_MAX)
+    increased_credit = (
+        account.retry_credit + account.contract.retry_budget_ratio
+    )
+    account.retry_credit = min(increased_credit, _RETRY_CREDIT_MAX)
 
 
 def restart_ended_replica(
@@ -70,7 +75,10 @@
     """Return the exponential delay after a number of failures, with jitter."""
     doublings = min(max(failures_count - 1, 0), BACKOFF_MAX_MS.bit_length())
     limit_ms = min(BACKOFF_FIRST_MS << doublings, BACKOFF_MAX_MS)
-    return int(limit_ms * (_JITTER_MIN + _JITTER_MIN * state.jitter.random()))
+    return int(
+        limit_ms
+        * (_JITTER_MIN_RATIO + _JITTER_MIN_RATIO * state.jitter.random())
+    )
 
 
 def _restart_replica(
@@ -79,27 +87,27 @@
     attempt: Attempt,
     now_ms: int,
 ) -> None:
-    if now_ms - attempt.placed_at_ms >= _STABLE_MS:
+    if now_ms - attempt.placed_at_ms >= _STABLE_RUN_TIME_MS:
         job.failures_count = 1
         job.failed_on.clear()
     if len(job.failed_on) >= HEALTHY_WORKERS_MAX_COUNT:
         job.failed_on.clear()
     delay_ms = backoff_ms(state, job.failures_count)
-    requeue_task(state, job, position_of(attempt), now_ms, delay_ms)
+    requeue_task(state, job, attempt_position(attempt), now_ms, delay_ms)
 
 
 def _failed_on_healthy_workers(state: CoreState, job: JobRecord) -> bool:
-    healthy = [
+    failed_healthy_ids = [
         worker_id
         for worker_id in job.failed_on
         if worker_id in state.workers
         and state.workers[worker_id].state is WorkerState.READY
     ]
-    ready = islice(
+    ready_workers = islice(
         filter(_is_ready, state.workers.values()),
         HEALTHY_WORKERS_MAX_COUNT,
     )
-    if len(healthy) < len(list(ready)):
+    if len(failed_healthy_ids) < len(list(ready_workers)):
         return False
     if job.failures_count >= HEALTHY_WORKERS_MAX_COUNT:
         return True
@@ -113,9 +121,10 @@
     return worker.state is WorkerState.READY
 
 
-def _delay_ms(state: CoreState, job: JobRecord) -> int:
+def _retry_delay_ms(state: CoreState, job: JobRecord) -> int:
+    """Return the backoff, the longest one if the retry budget is used up."""
     account = account_of(state, job.spec.customer)
-    if account.retry_credit < 1 - _CREDIT_FLOOR:
+    if account.retry_credit < 1 - _RETRIES_BEFORE_SUCCESS_COUNT:
         return BACKOFF_MAX_MS
     account.retry_credit -= 1
     return backoff_ms(state, job.failures_count)
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -1,4 +1,4 @@
-"""Reservation and expected run time of a task."""
+"""Reserved size and expected run time of a task."""
 
 from typing import Final
 
@@ -8,35 +8,37 @@
 from fuchsiarill.job import JobSpec, Workload
 from fuchsiarill.resources import Resources
 
-# Declared sizes are wrong by up to this factor. A class without evidence
-# reserves for the worst case, so that no host is overcommitted before usage is
-# reported.
+# Declared sizes are wrong by up to this factor. A class with too few
+# samples reserves for the worst case, so that no host is overcommitted before
+# usage is reported.
 DECLARED_ERROR_RATIO: Final = 4
-EVIDENCE_MIN_COUNT: Final = 3
+# From this many samples on, the learned size replaces the declared one.
+SAMPLES_MIN_COUNT: Final = 3
 RUN_TIME_MARGIN_RATIO: Final = 1.25
 # Callers choose the names of classes, so their number is limited; the oldest
 # estimates are evicted.
 _ESTIMATES_MAX_COUNT: Final = 10_000
-_MARGINS: Final = (DECLARED_ERROR_RATIO, 2, 1)
+# Margins tried for a gang until one fits.
+_DECLARED_SIZE_MARGINS: Final = (DECLARED_ERROR_RATIO, 2, 1)
 
 
 def size_of(state: CoreState, spec: JobSpec) -> Resources:
-    """Return the reservation of one task of a job."""
+    """Return the size to reserve for one task of a job."""
     if not state.config.policies.learn_sizes:
         return spec.task_size
     estimate = state.estimates.get((spec.customer, spec.job_class))
     if estimate is None:
-        return _size_without_evidence(state, spec)
-    if not has_evidence(estimate):
+        return _size_from_declaration(state, spec)
+    if not has_enough_samples(estimate):
         # Few samples may raise the size but not lower it.
-        needed = _with_counts(spec, estimate.size)
-        size = _size_without_evidence(state, spec)
-        return _capped(state, spec, elementwise_max(size, needed))
-    return _capped(state, spec, _with_counts(spec, estimate.size))
+        learned_size = _with_declared_counts(spec, estimate.size)
+        size = _size_from_declaration(state, spec)
+        return _cap_size(state, spec, elementwise_max(size, learned_size))
+    return _cap_size(state, spec, _with_declared_counts(spec, estimate.size))
 
 
 def group_size(state: CoreState, group: Group) -> Resources:
-    """Return the reservation of one task of a group, which is cached."""
+    """Return the size to reserve for one task of a group; it is cached."""
     version = (group.estimate.version, state.sizes_version)
     if group.size_version != version:
         group.size = size_of(state, group.spec)
@@ -72,18 +74,18 @@
     return spec.run_time_ms * DECLARED_ERROR_RATIO or None
 
 
-def has_evidence(estimate: Estimate) -> bool:
+def has_enough_samples(estimate: Estimate) -> bool:
     """Tell whether enough tasks of the class were measured."""
-    return len(estimate.peaks) >= EVIDENCE_MIN_COUNT
+    return len(estimate.peaks) >= SAMPLES_MIN_COUNT
 
 
-def elementwise_max(one: Resources, other: Resources) -> Resources:
+def elementwise_max(left: Resources, right: Resources) -> Resources:
     """Return the maximum of each resource."""
     return Resources(
-        max(one.processors_milli, other.processors_milli),
-        max(one.memory_mb, other.memory_mb),
-        max(one.accelerators_count, other.accelerators_count),
-        max(one.slots_count, other.slots_count),
+        max(left.processors_milli, right.processors_milli),
+        max(left.memory_mb, right.memory_mb),
+        max(left.accelerators_count, right.accelerators_count),
+        max(left.slots_count, right.slots_count),
     )
 
 
@@ -107,8 +109,8 @@
     return max(min(copies, default=0), 0)
 
 
-def _size_without_evidence(state: CoreState, spec: JobSpec) -> Resources:
-    for margin in _MARGINS:
+def _size_from_declaration(state: CoreState, spec: JobSpec) -> Resources:
+    for margin in _DECLARED_SIZE_MARGINS:
         declared = spec.task_size
         scaled = Resources(
             declared.processors_milli * margin,
@@ -116,7 +118,7 @@
             declared.accelerators_count,
             declared.slots_count,
         )
-        size = _capped(state, spec, scaled)
+        size = _cap_size(state, spec, scaled)
         if spec.workload is not Workload.GANG:
             return size
         # A gang that fits only with a smaller margin must be able to start.
@@ -133,7 +135,7 @@
     return total_copies_count(state, size) >= spec.tasks_count
 
 
-def _with_counts(spec: JobSpec, learned: Resources) -> Resources:
+def _with_declared_counts(spec: JobSpec, learned: Resources) -> Resources:
     # Accelerators and slots are counted exactly, never estimated.
     return Resources(
         learned.processors_milli,
@@ -143,26 +145,26 @@
     )
 
 
-def _capped(state: CoreState, spec: JobSpec, size: Resources) -> Resources:
+def _cap_size(state: CoreState, spec: JobSpec, size: Resources) -> Resources:
     account = state.accounts.get(spec.customer)
     if account is not None and account.contract is not None:
-        size = _clamped(size, account.quota, spec.task_size)
-    fitting = [
+        size = _clamp_size(size, account.quota, spec.task_size)
+    fitting_capacities = [
         capacity
         for capacity in state.capacities
         if spec.task_size.fits_in(capacity)
     ]
-    if not fitting:
+    if not fitting_capacities:
         return size
-    largest = max(fitting, key=_plain_amounts)
-    return _clamped(size, largest, spec.task_size)
+    largest = max(fitting_capacities, key=_processors_and_memory)
+    return _clamp_size(size, largest, spec.task_size)
 
 
-def _plain_amounts(capacity: Resources) -> tuple[int, int]:
+def _processors_and_memory(capacity: Resources) -> tuple[int, int]:
     return (capacity.processors_milli, capacity.memory_mb)
 
 
-def _clamped(
+def _clamp_size(
     size: Resources,
     limit: Resources,
     floor: Resources,
--- a/fuchsiarill/core/snapshot.py
+++ b/fuchsiarill/core/snapshot.py
@@ -1,28 +1,32 @@
-"""The state of a partition as plain values, for a dump."""
+"""The state of a partition as plain values, for the dump of a process."""
 
 from collections import Counter
 from typing import Any
 
 from fuchsiarill.core.accounts import Account
-from fuchsiarill.core.sizes import has_evidence
+from fuchsiarill.core.sizes import has_enough_samples
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.resources import Resources
 
 
-def snapshot(state: CoreState) -> dict[str, Any]:
-    """Describe the state; amounts are vectors in the order of `Resources`."""
+def dump_state(state: CoreState) -> dict[str, Any]:
+    """Describe the state; resources are lists in the order of `Resources`."""
     return {
         'partition': state.partition,
         'epoch': state.epoch,
         'restricted': state.restricted,
-        'total_capacity': _vector(state.total_capacity),
-        'jobs': _counts(job.state.value for job in state.jobs.values()),
-        'attempts': _counts(
+        'total_capacity': _list_amounts(state.total_capacity),
+        'jobs': _count_by_state(job.state.value for job in state.jobs.values()),
+        'attempts': _count_by_state(
             attempt.state.value for attempt in state.attempts.values()
         ),
-        'accounts': [_account(row) for row in state.accounts.values()],
-        'workers': [_worker(row) for row in state.workers.values()],
+        'accounts': [
+            _describe_account(account) for account in state.accounts.values()
+        ],
+        'workers': [
+            _describe_worker(worker) for worker in state.workers.values()
+        ],
         'reservations': {
             job_id: {
                 'starts_at_ms': reservation.starts_at_ms,
@@ -32,30 +36,30 @@
         },
         'estimates': {
             f'{customer}/{job_class}': {
-                'size': _vector(estimate.size),
+                'size': _list_amounts(estimate.size),
                 'run_time_ms': estimate.run_time_ms,
-                'in_use': has_evidence(estimate),
+                'in_use': has_enough_samples(estimate),
             }
             for (customer, job_class), estimate in state.estimates.items()
         },
     }
 
 
-def _counts(names: Any) -> dict[str, int]:
-    return dict(Counter(names))
+def _count_by_state(states: Any) -> dict[str, int]:
+    return dict(Counter(states))
 
 
-def _vector(amounts: Resources) -> list[int]:
+def _list_amounts(amounts: Resources) -> list[int]:
     return list(amounts.as_tuple())
 
 
-def _account(account: Account) -> dict[str, Any]:
+def _describe_account(account: Account) -> dict[str, Any]:
     return {
         'customer': account.customer,
         'has_contract': account.contract is not None,
-        'held': _vector(account.held),
-        'quota': _vector(account.quota),
-        'guaranteed': _vector(account.guaranteed),
+        'held': _list_amounts(account.reserved),
+        'quota': _list_amounts(account.quota),
+        'guaranteed': _list_amounts(account.guaranteed),
         'waiting': account.waiting_count,
         'groups': [
             {
@@ -69,13 +73,13 @@
     }
 
 
-def _worker(worker: WorkerView) -> dict[str, Any]:
+def _describe_worker(worker: WorkerView) -> dict[str, Any]:
     return {
         'worker': worker.worker_id,
         'state': worker.state.value,
-        'reserved': _vector(worker.reserved),
-        'free': _vector(worker.free),
+        'reserved': _list_amounts(worker.reserved),
+        'free': _list_amounts(worker.free),
         'attempts': len(worker.attempts),
         'held_for': list(worker.holds),
-        'strikes': worker.strikes_count,
+        'strikes': worker.attributed_failures_count,
     }
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -1,4 +1,7 @@
-"""Starts of attempts: reserve, commit the intent, send the start."""
+"""Starts of attempts: reserve, commit the intent, send the start.
+
+The intent is the record that a non-idempotent task may have been started.
+"""
 
 from functools import partial
 
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -48,12 +48,14 @@
     `unranked` customers are out of date.
     `released` holds workers whose free capacity has not been offered yet to
     all unplaceable groups, `offered` the groups that the first of them was
-    offered to. `failed_search_sizes` holds sizes for which no other worker
-    has capacity.
+    offered to. `failed_search_sizes` holds sizes for which no worker has
+    capacity, apart from those in `released`.
     `sizes_version` counts changes that all reserved sizes depend on.
     `ageing_per_ms` converts waiting time to a share, for ranks. `unrenewed`
-    holds attempts whose leases are not extended. `reclaim_pending_until_ms`
-    gives for a job the time until which requested stops may be confirmed.
+    holds attempts on workers without contact, whose leases are not renewed.
+    `reclaim_pending_until_ms` gives for a job the time until which requested
+    stops may be confirmed. With `restricted`, only urgent idempotent jobs
+    start.
     """
 
     partition: PartitionId
@@ -98,7 +100,7 @@
     timers: list[Timer] = field(default_factory=list)
     jitter: random.Random = field(default_factory=random.Random)
     timers_count: int = 0
-    retried_at_ms: int = 0
+    unplaceable_retried_at_ms: int = 0
     gangs_retried_at_ms: int = 0
     gang_restarts: dict[JobId, int] = field(default_factory=dict)
     hosts_read: bool = False
@@ -119,15 +121,15 @@
     def persist(
         self,
         record: Record,
-        then: Callable[[int], None] | None = None,
+        on_commit: Callable[[int], None] | None = None,
     ) -> int:
         """Request the commit of a record; returns its sequence number.
 
-        `then` is called with the time in milliseconds once it is committed.
+        `on_commit` is called with the time in milliseconds of the commit.
         """
         self.sequence += 1
-        if then is not None:
-            self.after_commit[self.sequence] = then
+        if on_commit is not None:
+            self.after_commit[self.sequence] = on_commit
         self.effects.append(PersistRecord(self.sequence, record))
         return self.sequence
 
@@ -136,16 +138,16 @@
         job: JobRecord,
         record: Record,
         now_ms: int,
-        then: Callable[[int], None] | None = None,
+        on_commit: Callable[[int], None] | None = None,
     ) -> None:
-        """Request the commit of a record of a job, then call `then`.
+        """Request the commit of a record of a job, then call `on_commit`.
 
-        For a volatile job, accepted while ownership is not confirmed, `then`
-        is called at once and does not wait for the commit.
+        For a volatile job, accepted while ownership is not confirmed,
+        `on_commit` is called at once and does not wait for the commit.
         """
         if not job.volatile:
-            self.persist(record, then)
+            self.persist(record, on_commit)
             return
         self.persist(record)
-        if then is not None:
-            then(now_ms)
+        if on_commit is not None:
+            on_commit(now_ms)
--- a/fuchsiarill/core/timers.py
+++ b/fuchsiarill/core/timers.py
@@ -1,4 +1,4 @@
-"""Timers, run at the start of each round of decisions."""
+"""Timers, run at the start of each decision."""
 
 import heapq
 from collections.abc import Callable
--- a/fuchsiarill/core/wait_queue.py
+++ b/fuchsiarill/core/wait_queue.py
@@ -1,4 +1,8 @@
-"""Queue of the waiting jobs, in groups that are ready or blocked."""
+"""Queue of the waiting jobs, in groups that are ready or blocked.
+
+Decisions try ready groups; a blocked one waits until its obstacle may have been
+removed. An unplaceable group is blocked because no worker has capacity.
+"""
 
 from itertools import islice
 from types import MappingProxyType
@@ -24,8 +28,9 @@
 from fuchsiarill.resources import NOTHING, Resources
 
 _RETRY_INTERVAL_MS: Final = 100
-# Groups that are tried again after every interval, by whether they are urgent.
-_RETRIED_COUNTS: Final = MappingProxyType({True: 32, False: 4})
+# Maximum number of unplaceable groups that are tried again after every
+# interval, by whether they are urgent.
+_RETRIED_GROUPS_MAX_COUNTS: Final = MappingProxyType({True: 32, False: 4})
 
 
 def enqueue(state: CoreState, job: JobRecord) -> None:
@@ -88,7 +93,7 @@
     account.ready.pop(group, None)
     if obstacle is Obstacle.QUOTA:
         account.over_quota[group] = None
-    if obstacle is Obstacle.ROOM:
+    if obstacle is Obstacle.CAPACITY:
         group.blocked_size = size
         if group.is_gang:
             state.blocked_gangs[group] = None
@@ -125,12 +130,12 @@
     A search examines only a part of the workers, and reservations of other
     customers may have become reclaimable.
     """
-    if now_ms - state.retried_at_ms < _RETRY_INTERVAL_MS:
+    if now_ms - state.unplaceable_retried_at_ms < _RETRY_INTERVAL_MS:
         return
-    state.retried_at_ms = now_ms
+    state.unplaceable_retried_at_ms = now_ms
     state.failed_search_sizes.clear()
     for urgent, groups in state.unplaceable.items():
-        for group in tuple(islice(groups, _RETRIED_COUNTS[urgent])):
+        for group in tuple(islice(groups, _RETRIED_GROUPS_MAX_COUNTS[urgent])):
             unblock(state, state.accounts[group.customer], group)
 
 
@@ -171,10 +176,10 @@
     """Compute the ranks that may have changed since the last call."""
     while state.unranked:
         customer = state.unranked.popitem()[0]
-        _rank(state, state.accounts[customer])
+        _update_ranks(state, state.accounts[customer])
 
 
-def _rank(state: CoreState, account: Account) -> None:
+def _update_ranks(state: CoreState, account: Account) -> None:
     """Update the ranks of an account by its ready and unplaceable groups."""
     ordering = ordering_of(state)
     rank = None
@@ -201,13 +206,13 @@
 def _reposition(
     ranking: 'SortedList[tuple[Rank, CustomerId]]',
     customer: CustomerId,
-    before: Rank | None,
-    after: Rank | None,
+    old_rank: Rank | None,
+    new_rank: Rank | None,
 ) -> None:
-    if before is not None:
-        ranking.remove((before, customer))
-    if after is not None:
-        ranking.add((after, customer))
+    if old_rank is not None:
+        ranking.remove((old_rank, customer))
+    if new_rank is not None:
+        ranking.add((new_rank, customer))
 
 
 def _first_group_for_worker(
@@ -217,40 +222,42 @@
     free = worker.free
     if not any(size.fits_in(free) for size in state.unplaceable_sizes):
         return None
-    found: tuple[Rank, Group] | None = None
+    best: tuple[Rank, Group] | None = None
     for account_rank, customer in state.unplaceable_order:
         # Later accounts have no group with a lower rank than this.
-        if found is not None and found[0] <= account_rank:
+        if best is not None and best[0] <= account_rank:
             break
-        candidate = _first_fitting(state, state.accounts[customer], worker)
-        found = _lower_ranked(found, candidate)
-    return None if found is None else found[1]
+        candidate = _first_fitting_group(
+            state, state.accounts[customer], worker
+        )
+        best = _lower_ranked(best, candidate)
+    return None if best is None else best[1]
 
 
 def _lower_ranked(
-    one: tuple[Rank, Group] | None,
-    other: tuple[Rank, Group] | None,
+    left: tuple[Rank, Group] | None,
+    right: tuple[Rank, Group] | None,
 ) -> tuple[Rank, Group] | None:
-    if one is None or other is None:
-        return one or other
-    return one if one[0] <= other[0] else other
+    if left is None or right is None:
+        return left or right
+    return left if left[0] <= right[0] else right
 
 
-def _first_fitting(
+def _first_fitting_group(
     state: CoreState,
     account: Account,
     worker: WorkerView,
 ) -> tuple[Rank, Group] | None:
     free = worker.free
-    fitting = [
+    fitting_groups = [
         group
         for group in account.unplaceable
         if group.blocked_size.fits_in(free) and group not in state.offered
     ]
     if worker.has_accelerators:
-        fitting = [
+        fitting_groups = [
             group
-            for group in fitting
+            for group in fitting_groups
             if may_use_accelerated(
                 state,
                 account,
@@ -258,10 +265,10 @@
                 group.urgent,
             )
         ]
-    if not fitting:
+    if not fitting_groups:
         return None
     ordering = ordering_of(state)
-    group = ordering.first_group(fitting)
+    group = ordering.first_group(fitting_groups)
     return ordering.rank(state, account, group), group
 
 
--- a/fuchsiarill/core/worker_holds.py
+++ b/fuchsiarill/core/worker_holds.py
@@ -1,4 +1,7 @@
-"""Holds the workers of reservations, and releases them."""
+"""Holds the workers of reservations, and releases them.
+
+A hold keeps free capacity of a worker for the job of a reservation.
+"""
 
 from fuchsiarill.core.reservation import Reservation
 from fuchsiarill.core.resource_accounting import mark_released, refresh_index
@@ -52,7 +55,9 @@
     """Return a held worker that lacks capacity, if there is one."""
     for worker_id in reservation.counts:
         worker = state.workers[worker_id]
-        if not held_up_to(worker, reservation.job_id).fits_in(worker.free):
+        if not capacity_held_up_to(worker, reservation.job_id).fits_in(
+            worker.free
+        ):
             return worker
     return None
 
@@ -68,8 +73,8 @@
     count = reservation.counts.pop(worker.worker_id, 0) + change
     if count:
         reservation.counts[worker.worker_id] = count
-        needed = reservation.size.times(count)
-        worker.holds[reservation.job_id] = needed
+        capacity = reservation.size.times(count)
+        worker.holds[reservation.job_id] = capacity
     else:
         worker.holds.pop(reservation.job_id)
     refresh_index(state, worker, now_ms)
@@ -77,17 +82,17 @@
         mark_released(state, worker)
 
 
-def held_up_to(worker: WorkerView, job_id: JobId | None) -> Resources:
-    """Return the resources held for jobs up to this one; `None`: for all."""
-    needed = NOTHING
-    for held_for, held in worker.holds.items():
-        needed += held
-        if held_for == job_id:
+def capacity_held_up_to(worker: WorkerView, job_id: JobId | None) -> Resources:
+    """Return what is held for jobs up to `job_id`; `None`: for all jobs."""
+    total = NOTHING
+    for holding_job_id, held_capacity in worker.holds.items():
+        total += held_capacity
+        if holding_job_id == job_id:
             break
-    return needed
+    return total
 
 
-def is_valid(state: CoreState, reservation: Reservation) -> bool:
+def is_reservation_valid(state: CoreState, reservation: Reservation) -> bool:
     """Tell whether all held workers are still listed and ready."""
     for worker_id in reservation.counts:
         worker = state.workers.get(worker_id)
--- a/fuchsiarill/core/worker_index.py
+++ b/fuchsiarill/core/worker_index.py
@@ -14,10 +14,12 @@
 
 _Bucket = dict[WorkerId, WorkerView]
 _Pool = dict[BucketKey, _Bucket]
-# Workers examined in one bucket. A worker that fits may be missed in a larger
-# bucket, but is offered separately when resources on it are released.
-_BUCKET_EXAMINED_COUNT = 12
-_SEARCH_MAX_COUNT = 96
+# Maximum number of workers examined in one bucket. A worker that fits may be
+# missed in a larger bucket, but is offered separately when resources on it are
+# released.
+_EXAMINED_PER_BUCKET_MAX_COUNT = 12
+# Maximum number of workers that a search yields.
+_FOUND_WORKERS_MAX_COUNT = 96
 
 
 def _bucket_of(free: Resources) -> BucketKey:
@@ -38,7 +40,7 @@
         self._domains: dict[tuple[FailureDomain, bool], _Pool] = {}
 
     def update(self, worker: WorkerView) -> None:
-        """Move a worker to its bucket; an exhausted one is removed."""
+        """Move a worker to its bucket, or remove one without free capacity."""
         free = worker.free
         bucket = _bucket_of(free)
         if worker.bucket == bucket:
@@ -55,18 +57,18 @@
         if worker.bucket is None:
             return
         for pool in self._pools_of(worker):
-            members = pool[worker.bucket]
-            members.pop(worker.worker_id)
-            if not members:
+            workers = pool[worker.bucket]
+            workers.pop(worker.worker_id)
+            if not workers:
                 pool.pop(worker.bucket)
         worker.bucket = None
 
     def domains(self, accelerated: bool) -> list[FailureDomain]:
-        """Return the domains that have such workers, sorted by name."""
+        """Return the domains with workers of a kind, sorted by name."""
         return sorted(
             domain
-            for (domain, kind), pool in self._domains.items()
-            if kind is accelerated and pool
+            for (domain, has_accelerators), pool in self._domains.items()
+            if has_accelerators is accelerated and pool
         )
 
     def search(
@@ -82,23 +84,25 @@
         if domain is not None:
             pool = self._domains.get((domain, accelerated), {})
         yield from islice(
-            _members(pool, size, fullest_first),
-            _SEARCH_MAX_COUNT,
+            _fitting_workers(pool, size, fullest_first),
+            _FOUND_WORKERS_MAX_COUNT,
         )
 
     def _pools_of(self, worker: WorkerView) -> tuple[_Pool, _Pool]:
         accelerated = worker.has_accelerators
-        update = (worker.entry.failure_domain, accelerated)
-        return self._pools[accelerated], self._domains.setdefault(update, {})
+        domain_key = (worker.entry.failure_domain, accelerated)
+        return self._pools[accelerated], self._domains.setdefault(
+            domain_key, {}
+        )
 
 
-def _members(
+def _fitting_workers(
     pool: _Pool,
     size: Resources,
     fullest_first: bool,
 ) -> Iterator[WorkerView]:
     processors, memory, accelerators, slots = _bucket_of(size)
-    fitting = [
+    fitting_keys = [
         (key[2], key[0] + key[1] + key[3], key)
         for key in pool
         if key[0] >= processors
@@ -106,9 +110,11 @@
         and key[2] >= accelerators
         and key[3] >= slots
     ]
-    fitting.sort(reverse=not fullest_first)
-    for _accelerators, _fullness, key in fitting:
+    fitting_keys.sort(reverse=not fullest_first)
+    for _accelerators, _fullness, key in fitting_keys:
         # Copied, as the caller may move the yielded workers to other buckets.
-        for worker in tuple(islice(pool[key].values(), _BUCKET_EXAMINED_COUNT)):
+        for worker in tuple(
+            islice(pool[key].values(), _EXAMINED_PER_BUCKET_MAX_COUNT)
+        ):
             if size.fits_in(worker.free):
                 yield worker
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -24,8 +24,9 @@
     `holds` maps each job with a reservation of the worker to the resources
     that it needs there, in the order of the reservations. `bucket` is the
     bucket of the worker in the index, `None` while it gets no tasks.
-    `strikes_count` counts failures of tasks that succeed elsewhere,
-    `probes_count` the consecutive successes on probation. Classes in
+    `attributed_failures_count` counts the failures since the last success that
+    are attributed to the worker, `probes_count` the consecutive successes on
+    probation. Classes in
     `avoided_by` use other workers.
     """
 
@@ -37,7 +38,7 @@
     reported_at_ms: int = 0
     holds: dict[JobId, Resources] = field(default_factory=dict)
     bucket: BucketKey | None = None
-    strikes_count: int = 0
+    attributed_failures_count: int = 0
     probes_count: int = 0
     probe_failures_count: int = 0
     probe_after_ms: int = 0
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -129,12 +129,12 @@
         for job in self.cell.core.state.jobs.values():
             if job.spec.workload is Workload.GANG and job.waiting:
                 assert not job.attempts
-        held = [
+        held_ids = [
             worker_id
             for row in self.cell.core.state.reservations.values()
             for worker_id in row.counts
         ]
-        assert len(held) == len(set(held))
+        assert len(held_ids) == len(set(held_ids))
 
     @invariant()
     def accounts_add_up(self) -> None:
@@ -142,24 +142,24 @@
         self.cell.check_capacity()
         state = self.cell.core.state
         for account in state.accounts.values():
-            held = [
+            reserved_amounts = [
                 attempt.reserved.processors_milli
                 for attempt in state.attempts.values()
                 if state.jobs[attempt.job_id].spec.customer == account.customer
             ]
-            assert account.held.processors_milli == sum(held)
-            assert account.reclaimed.processors_milli >= 0
+            assert account.reserved.processors_milli == sum(reserved_amounts)
+            assert account.being_reclaimed.processors_milli >= 0
 
     @invariant()
     def no_task_runs_twice(self) -> None:
         """Guards against two runs of a batch task or a gang member."""
-        seen: set[str] = set()
+        seen_tasks: set[str] = set()
         for attempt_id, start in self.cell.running.items():
             spec = self.spec_of(start.payload)
             task = attempt_id.rpartition('@')[0]
             if spec.workload is not Workload.SERVICE:
-                assert task not in seen
-            seen.add(task)
+                assert task not in seen_tasks
+            seen_tasks.add(task)
             assert size_of(self.cell.core.state, spec) is not None
 
     def perform(self, name: str, argument: Any) -> None:
