Name counts, groups and replica counters of the core

Cause: locals and fields without a noun (`counts`, `racks`, `floor`, `whole`, `nearest`, `oldest`) did not say what they hold, `racks` also counted workers, and `ended` named both the end state of a job and the ended jobs of a ledger image. Change: `tasks_count_by_worker`, `replicas_by_location`, `declared_size`, `nearest_capacity`, `oldest_id`, `JobImage.end_state`; the fields of a timer and the result of `_count_replicas` are described.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -35,7 +35,7 @@
     OWNERSHIP = 'ownership'
 
 
-def group_key_of(spec: JobSpec, retried: bool) -> GroupKey:
+def group_key_of(spec: JobSpec, is_retried: bool) -> GroupKey:
     """Return the key that all jobs of one group share.
 
     A retried job must avoid the workers on which it failed, so it is grouped
@@ -48,7 +48,7 @@
         (spec.urgency, spec.workload, spec.execution),
         spec.job_class,
         spec.task_size,
-        (at_once_count, retried),
+        (at_once_count, is_retried),
     )
 
 
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -18,7 +18,7 @@
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import Resources
 
-Check = Callable[[CoreState, Account, JobSpec, int], Refusal | None]
+AdmissionCheck = Callable[[CoreState, Account, JobSpec, int], Refusal | None]
 
 # The checks run in this order. The rate comes last, so that only accepted
 # submissions use up tokens.
@@ -30,7 +30,9 @@
     'queue',
     'rate',
 )
-ADMISSION_CHECKS: Final[Registry[str, Check]] = Registry('admission checks')
+ADMISSION_CHECKS: Final[Registry[str, AdmissionCheck]] = Registry(
+    'admission checks'
+)
 _FIELDS: Final = (
     'processors_milli',
     'memory_mb',
@@ -117,7 +119,7 @@
 
 
 @ADMISSION_CHECKS.register('task_size')
-def _check_task(
+def _check_task_size(
     state: CoreState,
     account: Account,
     spec: JobSpec,
@@ -128,7 +130,7 @@
     size = spec.task_size
     if any(size.fits_in(capacity) for capacity in state.capacities):
         return None
-    field, wanted, largest = _shortage(state, size)
+    field, wanted, largest = _find_shortage(state, size)
     return refuse(
         codes.NEVER_FITS,
         texts.TASK_NEVER_FITS,
@@ -140,7 +142,7 @@
 
 
 @ADMISSION_CHECKS.register('gang_size')
-def _check_gang(
+def _check_gang_size(
     state: CoreState,
     account: Account,
     spec: JobSpec,
@@ -214,7 +216,7 @@
             yield field, amount, largest
 
 
-def _shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
+def _find_shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
     """Return a field that no worker satisfies, alone or with the others."""
     largest = Resources(
         *(
@@ -229,8 +231,8 @@
     if excess is not None:
         return excess
     # Each amount fits some worker, but no worker fits all of them.
-    nearest = max(
+    nearest_capacity = max(
         state.capacities,
         key=lambda capacity: -len(list(excesses(size, capacity))),
     )
-    return next(excesses(size, nearest))
+    return next(excesses(size, nearest_capacity))
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -57,9 +57,9 @@
     if attempt.replaces is None:
         return
     job.replaced_attempts.pop(attempt_position(attempt), None)
-    replaced = job.attempts.get(attempt.replaces)
-    if replaced is not None:
-        request_stop(state, replaced, StopReason.MOVED, now_ms)
+    replaced_attempt = job.attempts.get(attempt.replaces)
+    if replaced_attempt is not None:
+        request_stop(state, replaced_attempt, StopReason.MOVED, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('retry_immediately')
--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -240,12 +240,12 @@
     After `_QUOTA_YIELD_AFTER_MS`, smaller jobs would otherwise still use up
     each part of the quota that is released.
     """
-    for other in account.over_quota:
-        if other.first_order > group.first_order:
+    for other_group in account.over_quota:
+        if other_group.first_order > group.first_order:
             continue
-        if now_ms - other.first_at_ms < _QUOTA_YIELD_AFTER_MS:
+        if now_ms - other_group.first_at_ms < _QUOTA_YIELD_AFTER_MS:
             continue
-        if group_size_at_once(state, other).fits_in(account.quota):
+        if group_size_at_once(state, other_group).fits_in(account.quota):
             return True
     return False
 
@@ -301,7 +301,9 @@
 
 def _record_failed_search(state: CoreState, size: Resources) -> None:
     state.failed_search_sizes = [
-        other for other in state.failed_search_sizes if not size.fits_in(other)
+        other_size
+        for other_size in state.failed_search_sizes
+        if not size.fits_in(other_size)
     ]
     if len(state.failed_search_sizes) < _FAILED_SEARCH_SIZES_MAX_COUNT:
         state.failed_search_sizes.append(size)
@@ -350,11 +352,11 @@
         return
     size = group_size(state, group)
     is_entitled = is_owed_urgently if policy == 'urgent' else _is_guaranteed
-    for number, job_id in enumerate(
+    for jobs_count, job_id in enumerate(
         islice(group.jobs, _RECLAIMING_JOBS_MAX_COUNT),
         start=1,
     ):
-        if not is_entitled(state, account, size.times(number)):
+        if not is_entitled(state, account, size.times(jobs_count)):
             break
         job = state.jobs[job_id]
         if not reclaim_for(state, job, size, policy, now_ms):
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -109,12 +109,12 @@
     if group.obstacle is not Obstacle.CAPACITY:
         return None, 0, 0
     size = group_size(state, group)
-    nearest = min(
+    nearest_free = min(
         (worker.free for worker in state.workers.values()),
         key=lambda free: len(list(excesses(size, free))),
         default=state.total_capacity,
     )
-    return _first_excess(size, nearest)
+    return _first_excess(size, nearest_free)
 
 
 def _first_excess(
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -127,8 +127,8 @@
     full_worker = worker_lacking_capacity(state, reservation)
     if full_worker is None or full_worker is worker:
         return
-    for changed_worker, change in ((full_worker, -1), (worker, 1)):
-        change_hold(state, reservation, changed_worker, change, now_ms)
+    for changed_worker, tasks_change in ((full_worker, -1), (worker, 1)):
+        change_hold(state, reservation, changed_worker, tasks_change, now_ms)
 
 
 def _start_or_reserve(
@@ -164,7 +164,7 @@
         return False
     if not has_capacity(state, reservation):
         return False
-    for worker_id, count in reservation.counts.items():
+    for worker_id, count in reservation.tasks_count_by_worker.items():
         for worker in repeat(state.workers[worker_id], count):
             start_next(state, job, worker, reservation.size, now_ms)
     drop_reservation(state, job.job_id, now_ms)
@@ -216,7 +216,9 @@
     reservation = Reservation(
         job_id=job.job_id,
         size=size,
-        counts=dict(Counter(worker_id for _time, worker_id in earliest_slots)),
+        tasks_count_by_worker=dict(
+            Counter(worker_id for _time, worker_id in earliest_slots)
+        ),
         starts_at_ms=earliest_slots[-1][0],
         made_at_ms=now_ms,
     )
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -55,12 +55,12 @@
 
     Adapts its reservation and adds a sample to the estimate of its class.
     """
-    used = report.used
-    if attempt.state is not AttemptState.RUNNING or not _is_measured(used):
+    usage = report.used
+    if attempt.state is not AttemptState.RUNNING or not _has_usage(usage):
         return
     attempt.usage_reports_count += 1
-    if not used.fits_in(attempt.peak):
-        attempt.peak = elementwise_max(attempt.peak, _estimated_amounts(used))
+    if not usage.fits_in(attempt.peak):
+        attempt.peak = elementwise_max(attempt.peak, _estimated_amounts(usage))
     if not attempt.peak.fits_in(attempt.reserved):
         _grow_or_limit(state, attempt, now_ms)
         return
@@ -84,8 +84,10 @@
     if report is not None and report.run_time_ms:
         estimate.run_times_ms.append(report.run_time_ms)
         if not _may_defer_update(estimate):
-            estimate.run_time_ms = _percentile(list(estimate.run_times_ms))
-    if report is not None and _is_measured(report.used):
+            estimate.run_time_ms = _run_time_percentile(
+                list(estimate.run_times_ms)
+            )
+    if report is not None and _has_usage(report.used):
         attempt.usage_reports_count += 1
         attempt.peak = elementwise_max(
             attempt.peak, _estimated_amounts(report.used)
@@ -94,14 +96,14 @@
         _add_peak(estimate, attempt.peak)
 
 
-def _is_measured(used: Resources) -> bool:
-    return used.processors_milli > 0 or used.memory_mb > 0
+def _has_usage(usage: Resources) -> bool:
+    return usage.processors_milli > 0 or usage.memory_mb > 0
 
 
-def _estimated_amounts(used: Resources) -> Resources:
+def _estimated_amounts(usage: Resources) -> Resources:
     # Accelerators and slots are reserved as declared; only the others are
     # estimated.
-    return Resources(used.processors_milli, used.memory_mb)
+    return Resources(usage.processors_milli, usage.memory_mb)
 
 
 def _add_peak(estimate: Estimate, peak: Resources) -> None:
@@ -129,15 +131,17 @@
     return bool(estimate.samples_count % _SAMPLES_PER_UPDATE_COUNT)
 
 
-def _percentile(samples: list[int]) -> int:
-    samples.sort()
-    return samples[round((len(samples) - 1) * _RUN_TIME_PERCENTILE)]
+def _run_time_percentile(run_times_ms: list[int]) -> int:
+    run_times_ms.sort()
+    return run_times_ms[round((len(run_times_ms) - 1) * _RUN_TIME_PERCENTILE)]
 
 
 def _apply_margin(amount: int, ratio: float) -> int:
     amount_with_margin = int(amount * ratio)
-    step = 1 << max(amount_with_margin.bit_length() - _SIZE_BITS_COUNT, 0)
-    return -(-amount_with_margin // step) * step
+    rounding_step = 1 << max(
+        amount_with_margin.bit_length() - _SIZE_BITS_COUNT, 0
+    )
+    return -(-amount_with_margin // rounding_step) * rounding_step
 
 
 def _shrink_reservation(
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -36,7 +36,7 @@
         default_factory=dict
     )
     cancel_requested: bool = False
-    ended: JobState | None = None
+    end_state: JobState | None = None
 
 
 @dataclass(slots=True)
@@ -60,15 +60,15 @@
         for job_id in self.ended:
             yield from _records_of(job_id, self.jobs[job_id])
         for live_id, image in self.jobs.items():
-            if image.ended is None:
+            if image.end_state is None:
                 yield from _records_of(live_id, image)
 
     def evict_ended_jobs(self) -> None:
         """Evict the jobs that ended first, down to the limit."""
         while len(self.ended) > ENDED_MAX_COUNT:
-            oldest = next(iter(self.ended))
-            self.ended.pop(oldest)
-            self.jobs.pop(oldest)
+            oldest_id = next(iter(self.ended))
+            self.ended.pop(oldest_id)
+            self.jobs.pop(oldest_id)
 
 
 _Fold = Callable[[LedgerImage, Any], None]
@@ -131,7 +131,7 @@
         job_id=job_id,
         spec=image.spec,
         accepted_at_ms=now_ms,
-        state=image.ended or JobState.ACCEPTING,
+        state=image.end_state or JobState.ACCEPTING,
         waiting=[],
         results=dict(image.outputs),
         acceptance_number=len(state.jobs) + 1,
@@ -140,7 +140,7 @@
     key = (image.spec.customer, image.spec.idempotency_key)
     state.job_by_key[key] = job_id
     state.jobs_count = len(state.jobs)
-    if image.ended is not None:
+    if image.end_state is not None:
         state.ended.append((now_ms, job_id))
         return
     for intent in image.intents.values():
@@ -256,9 +256,9 @@
 @_FOLDS.register(records.JobEnded)
 def _fold_ended(image: LedgerImage, record: records.JobEnded) -> None:
     job = image.jobs.get(record.job_id)
-    if job is None or job.ended is not None:
+    if job is None or job.end_state is not None:
         return
-    job.ended = record.state
+    job.end_state = record.state
     job.intents.clear()
     image.ended[record.job_id] = None
 
@@ -270,5 +270,5 @@
         yield records.TaskFinished(job_id, position, output)
     if image.cancel_requested:
         yield records.CancelRequested(job_id)
-    if image.ended is not None:
-        yield records.JobEnded(job_id, image.ended)
+    if image.end_state is not None:
+        yield records.JobEnded(job_id, image.end_state)
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -95,11 +95,11 @@
     """Spread services over failure domains and racks; pack other jobs."""
     if job.spec.workload is not Workload.SERVICE:
         return pack(state, job, size)
-    domains, racks = _count_replicas(state, job)
+    replicas_by_domain, replicas_by_location = _count_replicas(state, job)
     for accelerated in _accelerator_options(state, job, size):
         domains_in_order = sorted(
             state.index.domains(accelerated),
-            key=domains.__getitem__,
+            key=replicas_by_domain.__getitem__,
         )
         for domain in domains_in_order:
             candidates = state.index.search(
@@ -108,7 +108,7 @@
                 domain=domain,
                 fullest_first=False,
             )
-            worker = _least_colocated(candidates, job, racks)
+            worker = _least_colocated(candidates, job, replicas_by_location)
             if worker is not None:
                 return worker
     return None
@@ -180,7 +180,7 @@
 def _least_colocated(
     candidates: Iterable[WorkerView],
     job: JobRecord,
-    racks: Counter[str],
+    replicas_by_location: Counter[str],
 ) -> WorkerView | None:
     eligible_workers = (
         worker for worker in candidates if is_eligible(worker, job)
@@ -188,8 +188,8 @@
     return min(
         islice(eligible_workers, _COMPARED_WORKERS_MAX_COUNT),
         key=lambda worker: (
-            racks[worker.entry.rack],
-            racks[worker.worker_id],
+            replicas_by_location[worker.entry.rack],
+            replicas_by_location[worker.worker_id],
         ),
         default=None,
     )
@@ -199,16 +199,17 @@
     state: CoreState,
     job: JobRecord,
 ) -> tuple[Counter[FailureDomain], Counter[str]]:
-    domains: Counter[FailureDomain] = Counter()
-    racks: Counter[str] = Counter()
+    """Count the replicas per failure domain, and per rack and worker."""
+    replicas_by_domain: Counter[FailureDomain] = Counter()
+    replicas_by_location: Counter[str] = Counter()
     for attempt in job.attempts.values():
         worker = state.workers.get(attempt.worker_id)
         if worker is None:
             continue
-        domains[worker.entry.failure_domain] += 1
-        racks[worker.entry.rack] += 1
-        racks[worker.worker_id] += 1
-    return domains, racks
+        replicas_by_domain[worker.entry.failure_domain] += 1
+        replicas_by_location[worker.entry.rack] += 1
+        replicas_by_location[worker.worker_id] += 1
+    return replicas_by_domain, replicas_by_location
 
 
 def find_released_worker(
@@ -274,7 +275,9 @@
     ends_in_time: bool,
 ) -> WorkerView | None:
     """Return a held worker with capacity beyond what it must keep free."""
-    for worker_id in islice(reservation.counts, _EXAMINED_HELD_MAX_COUNT):
+    for worker_id in islice(
+        reservation.tasks_count_by_worker, _EXAMINED_HELD_MAX_COUNT
+    ):
         worker = state.workers[worker_id]
         if worker.state is not WorkerState.READY or not is_eligible(
             worker, job
--- a/fuchsiarill/core/preemption.py
+++ b/fuchsiarill/core/preemption.py
@@ -98,15 +98,15 @@
     state: CoreState, account: Account
 ) -> Iterator[AttemptId]:
     borrowers = [
-        other
-        for other in state.accounts.values()
-        if other is not account and borrows(other)
+        borrower
+        for borrower in state.accounts.values()
+        if borrower is not account and borrows(borrower)
     ]
     borrowers.sort(key=_share_of_account, reverse=True)
-    for other in borrowers:
-        yield from reversed(other.preemptible_batch)
-    for other in borrowers:
-        yield from reversed(other.preemptible_services)
+    for borrower in borrowers:
+        yield from reversed(borrower.preemptible_batch)
+    for borrower in borrowers:
+        yield from reversed(borrower.preemptible_services)
 
 
 def _share_of_account(account: Account) -> float:
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -120,9 +120,11 @@
         account.quota = NOTHING
         account.guaranteed = NOTHING
         return
-    count = _partitions_count(config, contract)
-    account.quota = _divide(contract.quota.as_resources(), count)
-    account.guaranteed = _divide(contract.guaranteed.as_resources(), count)
+    partitions_count = _partitions_count(config, contract)
+    account.quota = _divide(contract.quota.as_resources(), partitions_count)
+    account.guaranteed = _divide(
+        contract.guaranteed.as_resources(), partitions_count
+    )
 
 
 def _partitions_count(config: CellConfig, contract: Contract) -> int:
@@ -132,10 +134,12 @@
     return 1
 
 
-def _divide(amounts: Resources, count: int) -> Resources:
+def _divide(amounts: Resources, partitions_count: int) -> Resources:
     # Rounded down, so that the shares of all partitions never exceed the
     # quota of the contract.
-    return Resources(*(amount // count for amount in amounts.as_tuple()))
+    return Resources(
+        *(amount // partitions_count for amount in amounts.as_tuple())
+    )
 
 
 def _entitled_share(state: CoreState, account: Account) -> float:
--- a/fuchsiarill/core/reservation.py
+++ b/fuchsiarill/core/reservation.py
@@ -10,13 +10,13 @@
 class Reservation:
     """Where and when a waiting job is expected to start.
 
-    `counts` maps each held worker to the number of tasks that it will run.
+    `tasks_count_by_worker` tells how many tasks each held worker will run.
     Other tasks use a held worker only if they end before `starts_at_ms` or
     leave enough free capacity.
     """
 
     job_id: JobId
     size: Resources
-    counts: dict[WorkerId, int]
+    tasks_count_by_worker: dict[WorkerId, int]
     starts_at_ms: int
     made_at_ms: int
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -99,26 +99,26 @@
 
 def copies_in(available: Resources, size: Resources) -> int:
     """Return how many tasks of a size fit into `available`."""
-    copies = [
-        whole // part
-        for whole, part in zip(
+    copies_counts = [
+        available_amount // task_amount
+        for available_amount, task_amount in zip(
             available.as_tuple(), size.as_tuple(), strict=True
         )
-        if part
+        if task_amount
     ]
-    return max(min(copies, default=0), 0)
+    return max(min(copies_counts, default=0), 0)
 
 
 def _size_from_declaration(state: CoreState, spec: JobSpec) -> Resources:
     for margin in _DECLARED_SIZE_MARGINS:
         declared = spec.task_size
-        scaled = Resources(
+        size_with_margin = Resources(
             declared.processors_milli * margin,
             declared.memory_mb * margin,
             declared.accelerators_count,
             declared.slots_count,
         )
-        size = _cap_size(state, spec, scaled)
+        size = _cap_size(state, spec, size_with_margin)
         if spec.workload is not Workload.GANG:
             return size
         # A gang that fits only with a smaller margin must be able to start.
@@ -135,11 +135,11 @@
     return total_copies_count(state, size) >= spec.tasks_count
 
 
-def _with_declared_counts(spec: JobSpec, learned: Resources) -> Resources:
+def _with_declared_counts(spec: JobSpec, learned_size: Resources) -> Resources:
     # Accelerators and slots are counted exactly, never estimated.
     return Resources(
-        learned.processors_milli,
-        learned.memory_mb,
+        learned_size.processors_milli,
+        learned_size.memory_mb,
         spec.task_size.accelerators_count,
         spec.task_size.slots_count,
     )
@@ -167,20 +167,20 @@
 def _clamp_size(
     size: Resources,
     limit: Resources,
-    floor: Resources,
+    declared_size: Resources,
 ) -> Resources:
     return Resources(
         min(
             size.processors_milli,
-            _effective_limit(limit, floor).processors_milli,
+            _effective_limit(limit, declared_size).processors_milli,
         ),
-        min(size.memory_mb, _effective_limit(limit, floor).memory_mb),
+        min(size.memory_mb, _effective_limit(limit, declared_size).memory_mb),
         size.accelerators_count,
         size.slots_count,
     )
 
 
-def _effective_limit(limit: Resources, floor: Resources) -> Resources:
+def _effective_limit(limit: Resources, declared_size: Resources) -> Resources:
     # A declared size above the limit is not reduced, so that the job waits and
     # its reason can be explained.
-    return limit if floor.fits_in(limit) else floor
+    return limit if declared_size.fits_in(limit) else declared_size
--- a/fuchsiarill/core/snapshot.py
+++ b/fuchsiarill/core/snapshot.py
@@ -30,7 +30,7 @@
         'reservations': {
             job_id: {
                 'starts_at_ms': reservation.starts_at_ms,
-                'workers': dict(reservation.counts),
+                'workers': dict(reservation.tasks_count_by_worker),
             }
             for job_id, reservation in state.reservations.items()
         },
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -34,6 +34,7 @@
 
 __all__ = ('CoreState', 'Timer', 'WorkerView')  # noqa: WPS410
 
+# Due time in milliseconds, number in the order of creation, and callback.
 Timer = tuple[int, int, Callable[[int], None]]
 
 
--- a/fuchsiarill/core/wait_queue.py
+++ b/fuchsiarill/core/wait_queue.py
@@ -184,15 +184,15 @@
     ordering = ordering_of(state)
     rank = None
     if account.ready:
-        first = ordering.first_group(account.ready)
-        rank = ordering.rank(state, account, first)
+        first_group = ordering.first_group(account.ready)
+        rank = ordering.rank(state, account, first_group)
     if rank != account.rank:
         _reposition(state.ready_order, account.customer, account.rank, rank)
         account.rank = rank
     rank = None
     if account.unplaceable:
-        first = ordering.first_group(account.unplaceable)
-        rank = ordering.rank(state, account, first)
+        first_group = ordering.first_group(account.unplaceable)
+        rank = ordering.rank(state, account, first_group)
     if rank != account.unplaceable_rank:
         _reposition(
             state.unplaceable_order,
@@ -222,16 +222,16 @@
     free = worker.free
     if not any(size.fits_in(free) for size in state.unplaceable_sizes):
         return None
-    best: tuple[Rank, Group] | None = None
+    best_candidate: tuple[Rank, Group] | None = None
     for account_rank, customer in state.unplaceable_order:
         # Later accounts have no group with a lower rank than this.
-        if best is not None and best[0] <= account_rank:
+        if best_candidate is not None and best_candidate[0] <= account_rank:
             break
         candidate = _first_fitting_group(
             state, state.accounts[customer], worker
         )
-        best = _lower_ranked(best, candidate)
-    return None if best is None else best[1]
+        best_candidate = _lower_ranked(best_candidate, candidate)
+    return None if best_candidate is None else best_candidate[1]
 
 
 def _lower_ranked(
--- a/fuchsiarill/core/worker_holds.py
+++ b/fuchsiarill/core/worker_holds.py
@@ -19,9 +19,9 @@
 ) -> None:
     """Store a reservation and hold its workers."""
     state.reservations[reservation.job_id] = reservation
-    for worker_id in reservation.counts:
+    for worker_id in reservation.tasks_count_by_worker:
         worker = state.workers[worker_id]
-        count = reservation.counts[worker_id]
+        count = reservation.tasks_count_by_worker[worker_id]
         worker.holds[reservation.job_id] = reservation.size.times(count)
         refresh_index(state, worker, now_ms)
 
@@ -31,7 +31,7 @@
     reservation = state.reservations.pop(job_id, None)
     if reservation is None:
         return
-    for worker_id in reservation.counts:
+    for worker_id in reservation.tasks_count_by_worker:
         worker = state.workers.get(worker_id)
         if worker is None:
             continue
@@ -53,7 +53,7 @@
     reservation: Reservation,
 ) -> WorkerView | None:
     """Return a held worker that lacks capacity, if there is one."""
-    for worker_id in reservation.counts:
+    for worker_id in reservation.tasks_count_by_worker:
         worker = state.workers[worker_id]
         if not capacity_held_up_to(worker, reservation.job_id).fits_in(
             worker.free
@@ -66,19 +66,22 @@
     state: CoreState,
     reservation: Reservation,
     worker: WorkerView,
-    change: int,
+    tasks_change: int,
     now_ms: int,
 ) -> None:
-    """Hold a worker for `change` more tasks, or for fewer if negative."""
-    count = reservation.counts.pop(worker.worker_id, 0) + change
+    """Hold a worker for `tasks_change` more tasks, or fewer if negative."""
+    count = (
+        reservation.tasks_count_by_worker.pop(worker.worker_id, 0)
+        + tasks_change
+    )
     if count:
-        reservation.counts[worker.worker_id] = count
+        reservation.tasks_count_by_worker[worker.worker_id] = count
         capacity = reservation.size.times(count)
         worker.holds[reservation.job_id] = capacity
     else:
         worker.holds.pop(reservation.job_id)
     refresh_index(state, worker, now_ms)
-    if change < 0:
+    if tasks_change < 0:
         mark_released(state, worker)
 
 
@@ -94,7 +97,7 @@
 
 def is_reservation_valid(state: CoreState, reservation: Reservation) -> bool:
     """Tell whether all held workers are still listed and ready."""
-    for worker_id in reservation.counts:
+    for worker_id in reservation.tasks_count_by_worker:
         worker = state.workers.get(worker_id)
         if worker is None or worker.state is not WorkerState.READY:
             return False
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -132,7 +132,7 @@
         held_ids = [
             worker_id
             for row in self.cell.core.state.reservations.values()
-            for worker_id in row.counts
+            for worker_id in row.tasks_count_by_worker
         ]
         assert len(held_ids) == len(set(held_ids))
 
