State conditions of estimates, retries and preemption exactly

Cause: some doc comments of the core left out a condition: when few samples may change a reservation, which jobs the limit of failures ends, when a worker leaves the index, and who checks the entitlement before preemption. Change: the comments name these conditions as the code has them. Result: ruff, flake8 and mypy pass; test_core_cases, test_core_machine, test_ledger, test_examples, test_owner, test_ownership_machine and test_explain_logs pass.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -117,9 +117,10 @@
     """Resources, limits and waiting groups of one customer.
 
     `contract` is `None` if the configuration in force has none for the
-    customer. `reserved` is the sum over its attempts and `share` its weighted
-    dominant share. `urgent_reserved` is the part for urgent jobs,
-    `being_reclaimed` the part whose attempts are being stopped for other jobs.
+    customer. `reserved` is the sum of the sizes reserved for its attempts and
+    `share` its weighted dominant share. `urgent_reserved` is the part for
+    urgent jobs, `being_reclaimed` the part whose attempts are being stopped for
+    other jobs.
     `served_at_ms` is the time of the last placement of an attempt.
     Of the `groups`, those in `ready` can be tried, those in `unplaceable` wait
     for free capacity on a worker, and those in `over_quota` wait until tasks
--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _ReportContext:
-    """The worker whose report is applied, and the present time."""
+    """The worker whose report is applied, and the time of the report."""
 
     worker: WorkerView
     now_ms: int
--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -342,8 +342,8 @@
 ) -> None:
     """Reclaim capacity for the oldest jobs of a group.
 
-    The `urgent` policy covers them up to the guarantee or the weighted share
-    of the customer, the `guaranteed` policy up to the guarantee.
+    The `urgent` policy applies up to the guarantee or the weighted share of the
+    customer, the `guaranteed` policy up to the guarantee.
     """
     if group.is_gang or now_ms < group.reclaim_after_ms:
         return
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -17,10 +17,10 @@
 class Estimate:
     """Latest samples of a job class, and the estimates based on them.
 
-    `size` and `run_time_ms` are upper estimates; with few samples, `size` may
-    raise reservations only. `version` counts changes of `size`. `succeeded_on`
-    holds a few workers on which a task succeeded, `failed_on` how often tasks
-    failed on each worker.
+    `size` and `run_time_ms` are upper estimates; with fewer samples than
+    `SAMPLES_MIN_COUNT`, `size` can raise a reservation but not lower it.
+    `version` counts changes of `size`. `succeeded_on` holds a few workers on
+    which a task succeeded, `failed_on` how often tasks failed on each worker.
     """
 
     peaks: deque[Resources] = field(
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -1,4 +1,4 @@
-"""The durable part of a partition's state: computed from its records.
+"""The durable part of a partition's state, computed from its journal.
 
 `LedgerImage` applies records in journal order and yields the fewest records
 that give the same image, which form a snapshot of the journal. `restore` builds
--- a/fuchsiarill/core/preemption.py
+++ b/fuchsiarill/core/preemption.py
@@ -1,5 +1,6 @@
-"""Preemption: stops attempts of some customers to start jobs of another.
+"""Preemption: stops attempts to reclaim capacity for urgent or guaranteed jobs.
 
+The caller checks that the customer of the jobs is entitled to the capacity.
 Capacity above the guarantee of its customer is borrowed; it is reclaimed before
 capacity of the customer to be served. Idempotent batch tasks are stopped before
 service replicas, in each case the most recently placed first, which lose the
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -56,7 +56,7 @@
     had_succeeded_elsewhere = bool(estimate.succeeded_on - job.failed_on)
     estimate.record_success_on(attempt.worker_id)
     if not had_succeeded_elsewhere:
-        _strike_all(state, job.failed_on - {attempt.worker_id}, now_ms)
+        _strike_workers(state, job.failed_on - {attempt.worker_id}, now_ms)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
@@ -65,7 +65,7 @@
         _record_probe_success(state, worker, now_ms)
 
 
-def _strike_all(
+def _strike_workers(
     state: CoreState, worker_ids: set[WorkerId], now_ms: int
 ) -> None:
     for worker_id in sorted(worker_ids):
@@ -75,6 +75,7 @@
 
 
 def _strike(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+    """Attribute a failure; `probation_failures_count` start a probation."""
     worker.attributed_failures_count += 1
     if worker.state is WorkerState.PROBATION:
         _delay_probe(state, worker, now_ms)
--- a/fuchsiarill/core/requeue.py
+++ b/fuchsiarill/core/requeue.py
@@ -41,7 +41,10 @@
     attempt: Attempt,
     now_ms: int,
 ) -> None:
-    """Queue a replacement of a replica, to be stopped once that has started."""
+    """Queue a replacement of a replica.
+
+    The replica runs until its replacement has started.
+    """
     position = attempt_position(attempt)
     if job.state not in _ACTIVE_STATES or position in job.replaced_attempts:
         return
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -16,8 +16,8 @@
 from fuchsiarill.job import Attempt, Execution, JobRecord, Workload
 from fuchsiarill.states import JobEvent, WorkerState
 
-# A job that has failed on this many ready workers fails. With fewer of them, it
-# fails after this many failures.
+# An idempotent batch or gang job fails after failures on this many ready
+# workers or, if fewer are ready, on all of them and this often.
 HEALTHY_WORKERS_MAX_COUNT: Final = 3
 BACKOFF_FIRST_MS: Final = 500
 BACKOFF_MAX_MS: Final = 60_000
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -126,7 +126,8 @@
     ) -> int:
         """Request the commit of a record; returns its sequence number.
 
-        `on_commit` is called with the time in milliseconds of the commit.
+        `on_commit` is called once it is committed, with the time in
+        milliseconds.
         """
         self.sequence += 1
         if on_commit is not None:
--- a/fuchsiarill/core/worker_index.py
+++ b/fuchsiarill/core/worker_index.py
@@ -40,7 +40,10 @@
         self._domains: dict[tuple[FailureDomain, bool], _Pool] = {}
 
     def update(self, worker: WorkerView) -> None:
-        """Move a worker to its bucket, or remove one without free capacity."""
+        """Move a worker to its bucket.
+
+        A worker that is overcommitted or has no free slot is removed.
+        """
         free = worker.free
         bucket = _bucket_of(free)
         if worker.bucket == bucket:
