Name results and bounds of the ports by what they are

The module of the worker port explains an exchange. `CallFailure` states its condition in normal word order.

--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -37,7 +37,7 @@
 
 
 class CallFailure(Enum):
-    """Why a call failed; only after `NO_ANSWER` it may have taken effect."""
+    """Why a call failed; only after `NO_ANSWER` may it have taken effect."""
 
     NOT_SENT = 'not_sent'
     # No process listens at the address.
@@ -91,9 +91,11 @@
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Send one POST request without retries."""
-        answer = await self.call(HttpCall('POST', url, body), timeout_ms)
-        return answer.alt(_without_cause)
+        """Send one POST request; a refused connection counts as `NOT_SENT`."""
+        response_result = await self.call(
+            HttpCall('POST', url, body), timeout_ms
+        )
+        return response_result.alt(_refused_to_not_sent)
 
     async def post_long_poll(
         self,
@@ -101,10 +103,10 @@
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Send one POST request that the server answers on an event."""
+        """Send one POST request whose response is delayed until an event."""
         call = HttpCall('POST', url, body)
-        answer = await self.call_long_poll(call, timeout_ms)
-        return answer.alt(_without_cause)
+        response_result = await self.call_long_poll(call, timeout_ms)
+        return response_result.alt(_refused_to_not_sent)
 
     async def call(
         self,
@@ -112,15 +114,15 @@
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
         """Make one request without retries."""
-        return await self._run(self._calls, call, timeout_ms)
+        return await self._run_in_thread(self._calls, call, timeout_ms)
 
     async def call_long_poll(
         self,
         call: HttpCall,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Make one request that the server answers on an event."""
-        return await self._run(self._long_polls, call, timeout_ms)
+        """Make one request whose response is delayed until an event."""
+        return await self._run_in_thread(self._long_polls, call, timeout_ms)
 
     def close(self) -> None:
         """Close idle connections and let idle threads exit."""
@@ -128,7 +130,7 @@
         self._calls.close()
         self._long_polls.close()
 
-    async def _run(
+    async def _run_in_thread(
         self,
         threads: BoundedThreadPool,
         call: HttpCall,
@@ -137,23 +139,23 @@
         # The thread checks the deadline and has no event loop, so the deadline
         # uses `time.monotonic`.
         deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
-        running = threads.run(partial(self._request, call, deadline_s))
-        if running is None:
+        future = threads.run(partial(self._send_request, call, deadline_s))
+        if future is None:
             return Failure(CallFailure.NOT_SENT)
         try:
             async with asyncio.timeout(
                 (timeout_ms + _THREAD_RESULT_GRACE_MS) / MS_PER_SECOND,
             ):
-                return await asyncio.wrap_future(running)
+                return await asyncio.wrap_future(future)
         except TimeoutError:
             # Only a call that still waits for a thread can be cancelled; it
             # was not sent.
-            is_unsent = running.cancel()
+            is_unsent = future.cancel()
         return Failure(
             CallFailure.NOT_SENT if is_unsent else CallFailure.NO_ANSWER,
         )
 
-    def _request(
+    def _send_request(
         self,
         call: HttpCall,
         deadline_s: float,
@@ -170,17 +172,17 @@
                 timeout=urllib3.Timeout(total=remaining_s),
             )
         except _NOT_SENT_ERRORS as error:
-            return Failure(_unsent_cause(error))
+            return Failure(_failure_of_unsent_call(error))
         except urllib3.exceptions.ReadTimeoutError:
             # A device on the network path may have dropped the state of all
             # open connections, so none of the idle ones is reused.
-            self._drop_idle(call.url)
+            self._close_idle_connections(call.url)
             return Failure(CallFailure.NO_ANSWER)
         except urllib3.exceptions.HTTPError:
             return Failure(CallFailure.NO_ANSWER)
         return Success(HttpAnswer(response.status, response.data))
 
-    def _drop_idle(self, url: str) -> None:
+    def _close_idle_connections(self, url: str) -> None:
         """Close the idle connections to the address of `url`.
 
         A connection in use is closed at the end of its call.
@@ -193,14 +195,14 @@
                 pools.pop(key, None)
 
 
-def _unsent_cause(error: Exception) -> CallFailure:
+def _failure_of_unsent_call(error: Exception) -> CallFailure:
     cause = error.__cause__
     if isinstance(cause, OSError) and cause.errno == errno.ECONNREFUSED:
         return CallFailure.CONNECTION_REFUSED
     return CallFailure.NOT_SENT
 
 
-def _without_cause(failure: CallFailure) -> CallFailure:
+def _refused_to_not_sent(failure: CallFailure) -> CallFailure:
     if failure is CallFailure.CONNECTION_REFUSED:
         return CallFailure.NOT_SENT
     return failure
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -28,7 +28,7 @@
 
 _HTTP_OK: Final = 200
 _HTTP_GONE: Final = 410
-# The store rejects a value above its limit before it has any effect.
+# The store rejects a value above its size limit before the call has an effect.
 _HTTP_TOO_LARGE: Final = 413
 
 SWAPS: Final = TypeAdapter(Swap)
@@ -38,7 +38,7 @@
 REPORTS: Final = TypeAdapter(WorkerReport)
 HOST_ENTRIES: Final = TypeAdapter(tuple[HostEntry, ...])
 
-_Answer = TypeVar('_Answer')
+_Decoded = TypeVar('_Decoded')
 
 
 class KeyRequest(BaseModel):
@@ -74,15 +74,17 @@
 
     async def swap(self, swap: Swap) -> SwapResult:
         """Write a key if it still has the expected revision."""
-        answer = await self._client.post(
+        response_result = await self._client.post(
             f'{self._settings.url}/v1/swap',
             SWAPS.dump_json(swap),
             self._settings.call_timeout_ms,
         )
-        match answer:
+        match response_result:
             case Success(response) if response.status == _HTTP_OK:
-                malformed = SwapResult(SwapOutcome.UNKNOWN)
-                return _parse(SWAP_RESULTS, response.body).value_or(malformed)
+                unknown_outcome = SwapResult(SwapOutcome.UNKNOWN)
+                return _parse_body(SWAP_RESULTS, response.body).value_or(
+                    unknown_outcome
+                )
             case Success(response) if response.status == _HTTP_TOO_LARGE:
                 return SwapResult(SwapOutcome.NOT_SENT)
             case Failure(CallFailure.NOT_SENT):
@@ -119,37 +121,37 @@
     ) -> Result[Versioned, StoreFailure]:
         """Wait for a change of a key."""
         body = KeyRequest(key=key, after=after, wait_ms=wait_ms)
-        answer = await self._client.post_long_poll(
+        response_result = await self._client.post_long_poll(
             f'{self._settings.url}/v1/watch',
             body.model_dump_json().encode(),
             self._settings.call_timeout_ms + wait_ms,
         )
-        return _read_store_answer(VERSIONED, answer)
+        return _decode_store_response(VERSIONED, response_result)
 
     async def _lease_call(
         self,
         verb: str,
         request: LeaseRequest,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        answer: Result[LeaseRequest, StoreFailure] = await self._call(
+        response_result: Result[LeaseRequest, StoreFailure] = await self._call(
             verb,
             request,
             _LEASES,
         )
-        return answer.map(lambda lease: lease.lease_id)
+        return response_result.map(lambda lease: lease.lease_id)
 
     async def _call(
         self,
         verb: str,
         request: KeyRequest | LeaseRequest,
-        adapter: TypeAdapter[_Answer],
-    ) -> Result[_Answer, StoreFailure]:
-        answer = await self._client.post(
+        adapter: TypeAdapter[_Decoded],
+    ) -> Result[_Decoded, StoreFailure]:
+        response_result = await self._client.post(
             f'{self._settings.url}/v1/{verb}',
             request.model_dump_json().encode(),
             self._settings.call_timeout_ms,
         )
-        return _read_store_answer(adapter, answer)
+        return _decode_store_response(adapter, response_result)
 
 
 class HttpHostList:
@@ -162,12 +164,12 @@
 
     async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
         """Return all listed hosts of the cell."""
-        answer = await self._client.post(
+        response_result = await self._client.post(
             f'{self._settings.url}/v1/hosts',
             b'{}',
             self._settings.poll_interval_ms,
         )
-        return _read_store_answer(HOST_ENTRIES, answer)
+        return _decode_store_response(HOST_ENTRIES, response_result)
 
 
 class HttpWorkers:
@@ -184,14 +186,14 @@
         request: Exchange,
     ) -> Result[WorkerReport, ExchangeFailure]:
         """Send commands and renewals; returns the worker's report."""
-        answer = await self._client.post(
+        response_result = await self._client.post(
             f'http://{address}/v1/exchange',
             EXCHANGES.dump_json(request),
             self._settings.call_timeout_ms,
         )
-        match answer:
+        match response_result:
             case Success(response) if response.status == _HTTP_OK:
-                return _parse(REPORTS, response.body).alt(
+                return _parse_body(REPORTS, response.body).alt(
                     lambda _error: ExchangeFailure.NO_ANSWER,
                 )
             case Failure(CallFailure.NOT_SENT):
@@ -200,13 +202,13 @@
                 return Failure(ExchangeFailure.NO_ANSWER)
 
 
-def _read_store_answer(
-    adapter: TypeAdapter[_Answer],
-    answer: Result[HttpAnswer, CallFailure],
-) -> Result[_Answer, StoreFailure]:
-    match answer:
+def _decode_store_response(
+    adapter: TypeAdapter[_Decoded],
+    response_result: Result[HttpAnswer, CallFailure],
+) -> Result[_Decoded, StoreFailure]:
+    match response_result:
         case Success(response) if response.status == _HTTP_OK:
-            return _parse(adapter, response.body).alt(
+            return _parse_body(adapter, response.body).alt(
                 lambda _error: StoreFailure.UNREACHABLE,
             )
         case Success(response) if response.status == _HTTP_GONE:
@@ -217,10 +219,10 @@
             return Failure(StoreFailure.UNREACHABLE)
 
 
-def _parse(
-    adapter: TypeAdapter[_Answer],
+def _parse_body(
+    adapter: TypeAdapter[_Decoded],
     body: bytes,
-) -> Result[_Answer, ValidationError]:
+) -> Result[_Decoded, ValidationError]:
     try:
         return Success(adapter.validate_json(body))
     except ValidationError as error:
--- a/fuchsiarill/ports/store_health.py
+++ b/fuchsiarill/ports/store_health.py
@@ -1,4 +1,4 @@
-"""Tracks whether the last call to the store was answered."""
+"""Tracks whether the store responded to the last call."""
 
 from collections.abc import Callable
 from typing import TypeVar
@@ -15,9 +15,9 @@
     Versioned,
 )
 
-_Found = TypeVar('_Found')
+_Content = TypeVar('_Content')
 
-_ANSWERED = frozenset((SwapOutcome.SWAPPED, SwapOutcome.CONFLICT))
+_REACHABLE_OUTCOMES = frozenset((SwapOutcome.SWAPPED, SwapOutcome.CONFLICT))
 
 
 class HealthTrackingStore:
@@ -39,9 +39,9 @@
 
     async def swap(self, swap: Swap) -> SwapResult:
         """Write a key if it still has the expected revision."""
-        written = await self._store.swap(swap)
-        self._update(is_down=written.outcome not in _ANSWERED)
-        return written
+        swap_result = await self._store.swap(swap)
+        self._update(is_down=swap_result.outcome not in _REACHABLE_OUTCOMES)
+        return swap_result
 
     async def grant_lease(
         self,
@@ -75,13 +75,13 @@
 
     def _track(
         self,
-        answer: Result[_Found, StoreFailure],
-    ) -> Result[_Found, StoreFailure]:
-        is_down = isinstance(answer, Failure) and (
-            answer.failure() is not StoreFailure.LEASE_UNKNOWN
+        call_result: Result[_Content, StoreFailure],
+    ) -> Result[_Content, StoreFailure]:
+        is_down = isinstance(call_result, Failure) and (
+            call_result.failure() is not StoreFailure.LEASE_UNKNOWN
         )
         self._update(is_down=is_down)
-        return answer
+        return call_result
 
     def _update(self, *, is_down: bool) -> None:
         if is_down == self._is_down:
--- a/fuchsiarill/ports/thread_pool.py
+++ b/fuchsiarill/ports/thread_pool.py
@@ -34,9 +34,11 @@
         self._name = name
         self._threads_max = threads_count
         self._threads_count = 0
-        self._capacity = threading.BoundedSemaphore(in_progress_max)
-        self._items: queue.SimpleQueue[_WorkItem | None] = queue.SimpleQueue()
-        self._idle = threading.Semaphore(0)
+        self._free_slots = threading.BoundedSemaphore(in_progress_max)
+        self._work_items: queue.SimpleQueue[_WorkItem | None] = (
+            queue.SimpleQueue()
+        )
+        self._idle_threads = threading.Semaphore(0)
 
     def run(
         self,
@@ -48,20 +50,20 @@
         result is no longer awaited. It can be cancelled while it waits for a
         thread.
         """
-        if not self._capacity.acquire(blocking=False):
+        if not self._free_slots.acquire(blocking=False):
             return None
         future: Future[_Outcome] = Future()
-        self._items.put(_WorkItem(work, future))
+        self._work_items.put(_WorkItem(work, future))
         self._start_thread_if_needed()
         return future
 
     def close(self) -> None:
         """Let the threads exit once they are idle."""
         for _ in range(self._threads_count):
-            self._items.put(None)
+            self._work_items.put(None)
 
     def _start_thread_if_needed(self) -> None:
-        if self._idle.acquire(blocking=False):
+        if self._idle_threads.acquire(blocking=False):
             return
         if self._threads_count >= self._threads_max:
             return
@@ -74,20 +76,20 @@
 
     def _process_items(self) -> None:
         while True:
-            item = self._items.get()
+            item = self._work_items.get()
             if item is None:
                 return
             self._execute(item)
-            self._idle.release()
+            self._idle_threads.release()
 
     def _execute(self, item: _WorkItem) -> None:
-        started = item.future.set_running_or_notify_cancel()
+        is_started = item.future.set_running_or_notify_cancel()
         try:
-            outcome = item.work() if started else None
+            outcome = item.work() if is_started else None
         except Exception as error:
-            self._capacity.release()
+            self._free_slots.release()
             item.future.set_exception(error)
             return
-        self._capacity.release()
-        if started:
+        self._free_slots.release()
+        if is_started:
             item.future.set_result(outcome)
--- a/fuchsiarill/ports/workers.py
+++ b/fuchsiarill/ports/workers.py
@@ -1,4 +1,7 @@
-"""Interface to the workers."""
+"""Interface to the workers.
+
+An exchange is one request to a worker and the report that it returns.
+"""
 
 from enum import Enum
 from typing import Protocol
