--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -1,4 +1,4 @@
-"""The actor that campaigns for the ownership of one partition.
+"""The actor that acquires, keeps and releases the ownership of one partition.
 
 It interprets the partition chart, whose actions are registered below.
 Long-running work has actors of its own: the watch of the owner key, the lease
@@ -19,7 +19,7 @@
 from fuchsiarill.owner.campaign_state import ChildActors, ElectionTimer, Lease
 from fuchsiarill.owner.claims import (
     OwnerLocated,
-    acquire,
+    acquire_ownership,
     new_claim,
     parse_claim,
 )
@@ -35,15 +35,16 @@
 from fuchsiarill.state_chart import load_chart
 from fuchsiarill.states import PartitionEvent, PartitionState
 
-# The clocks of this process and of the store may differ by 1% in rate.
-_CLOCK_RATE: Final = 0.99
-# Delays after a failed takeover. Without them every process in turn would at
-# once try to read the same unreadable journal.
+# The clocks of this process and of the store may differ by 1% in rate, so a
+# lease counts as 1% shorter.
+_LEASE_LENGTH_RATIO: Final = 0.99
+# Delays of the next claim after a failed takeover. Without them every process
+# in turn would at once try to read the same unreadable journal.
 _TAKEOVER_RETRY_MS: Final = 2_000
 _UNREADABLE_JOURNAL_RETRY_MS: Final = 30_000
 # Several times the network latency between failure domains.
 _LATE_REQUESTS_GRACE_MS: Final = 300
-_UNREADABLE: Final = frozenset(
+_UNREADABLE_JOURNAL_FAULTS: Final = frozenset(
     (JournalFault.CORRUPT, JournalFault.NEWER_FORMAT),
 )
 
@@ -70,12 +71,12 @@
         self.lease = Lease()
         self.children = ChildActors()
         self.election = ElectionTimer()
-        self.reason = ''
+        self.step_down_reason = ''
 
     def start(self) -> None:
         """Run the actor and watch the owner key."""
         super().start()
-        self.watch()
+        self.start_owner_watch()
 
     async def stop(self) -> None:
         """Stop at once without a handover; the store lease lapses later."""
@@ -108,9 +109,9 @@
         events.emit(events.OWNER_ACTOR_DIED, actor=self.name, error=fault)
         if self.state is PartitionState.STANDBY:
             await self.children.stop()
-            self.watch()
+            self.start_owner_watch()
             return
-        self.reason = f'an actor has failed: {fault}'
+        self.step_down_reason = f'an actor has failed: {fault}'
         await self.step(PartitionEvent.DEPOSED)
 
     @handles(campaign_messages.OwnerKeyRead)
@@ -120,9 +121,9 @@
         """Update the router; schedule a claim if the partition is vacant."""
         if self.state is not PartitionState.STANDBY:
             return
-        claim = parse_claim(message.found)
+        claim = parse_claim(message.owner_value)
         self.router.send(OwnerLocated(self.partition, claim, mailbox=None))
-        if message.found.value is not None:
+        if message.owner_value.value is not None:
             self.election.cancel()
             return
         if self.election.is_withdrawn:
@@ -139,8 +140,8 @@
     ) -> None:
         """Store the candidates and forward them to the owner watch."""
         self.election.loads = message.loads
-        if self.children.watch is not None:
-            self.children.watch.mailbox.send(message)
+        if self.children.owner_watch is not None:
+            self.children.owner_watch.mailbox.send(message)
 
     @handles(campaign_messages.ElectionDue)
     async def on_election_due(
@@ -156,7 +157,7 @@
         self,
         message: campaign_messages.LeaseRenewed,
     ) -> None:
-        """Extend the deadline, counted from the sending of the renewal."""
+        """Extend the ownership deadline, counted from the renewal request."""
         if not self.lease.matches(message.token):
             return
         self.set_deadline(message.requested_at_ms)
@@ -167,9 +168,9 @@
         self,
         message: campaign_messages.DeadlinePassed,
     ) -> None:
-        """Restrict the owner or end a takeover unless extended meanwhile."""
+        """Restrict the owner or end a takeover if the deadline has passed."""
         if now_ms() >= self.lease.deadline_ms:
-            self.reason = 'the store lease was not renewed in time'
+            self.step_down_reason = 'the store lease was not renewed in time'
             await self.step(PartitionEvent.DEADLINE_PASSED)
 
     @handles(campaign_messages.OwnershipLost)
@@ -179,13 +180,13 @@
     ) -> None:
         """Step down because the store no longer holds the lease."""
         if self.lease.matches(message.token):
-            self.reason = 'the store lease lapsed'
+            self.step_down_reason = 'the store lease lapsed'
             await self.step(PartitionEvent.DEPOSED)
 
     @handles(messages.Deposed)
     async def on_deposed(self, message: messages.Deposed) -> None:
         """Step down because another process owns the partition."""
-        self.reason = message.reason
+        self.step_down_reason = message.reason
         await self.step(PartitionEvent.DEPOSED)
 
     @handles(campaign_messages.TakenOver)
@@ -209,14 +210,14 @@
         if not self.lease.matches(message.token):
             return
         self.election.pause(_TAKEOVER_RETRY_MS)
-        if message.fault in _UNREADABLE:
+        if message.fault in _UNREADABLE_JOURNAL_FAULTS:
             self.election.pause(_UNREADABLE_JOURNAL_RETRY_MS)
             events.emit(
                 events.JOURNAL_REFUSED,
                 partition=self.partition,
                 fault=message.fault.value,
             )
-        self.reason = f'takeover failed: {message.fault.value}'
+        self.step_down_reason = f'takeover failed: {message.fault.value}'
         await self.step(PartitionEvent.DEPOSED)
 
     @handles(messages.ConfigChanged)
@@ -235,11 +236,11 @@
     async def on_hand_over(self, message: messages.HandOver) -> None:
         """Finish pending work, release the partition and never claim again.
 
-        The reply tells whether all work was finished in time.
+        The reply tells whether the owner finished its work without a time-out.
         """
         self.election.is_withdrawn = True
         self.election.cancel()
-        self.reason = 'the process shuts down'
+        self.step_down_reason = 'the process shuts down'
         self.children.is_work_finished = True
         was_owner = self.children.service is not None
         await self.step(PartitionEvent.HANDOVER_ASKED)
@@ -260,22 +261,22 @@
             await CAMPAIGN_ACTIONS.lookup(action)(self)
 
     def set_deadline(self, requested_at_ms: int) -> None:
-        """Derive the deadline from the time at which a renewal was sent."""
+        """Set the ownership deadline, counted from the request of a lease."""
         store = self.settings.store
-        held_ms = int(store.owner_lease_ms * _CLOCK_RATE)
-        deadline_ms = requested_at_ms + held_ms - store.owner_margin_ms
+        lease_ms = int(store.owner_lease_ms * _LEASE_LENGTH_RATIO)
+        deadline_ms = requested_at_ms + lease_ms - store.owner_margin_ms
         self.lease.extend(deadline_ms, self.mailbox)
         self.children.set_deadline(deadline_ms)
 
-    def watch(self) -> None:
+    def start_owner_watch(self) -> None:
         """Start the watch of the owner key."""
-        self.children.watch = OwnerWatch(
+        self.children.owner_watch = OwnerWatch(
             self.ports.store,
             self.partition,
             self.settings.process,
             self.mailbox,
         )
-        self.children.watch.start()
+        self.children.owner_watch.start()
 
 
 CampaignAction = Callable[[Campaign], Awaitable[None]]
@@ -290,24 +291,24 @@
     store = campaign.ports.store
     # A read costs the store less than a lease and a swap that fail because
     # another process has claimed the partition first.
-    found = await store.get(owner_key(campaign.partition))
-    held = None
-    if isinstance(found, Success) and found.unwrap().value is None:
-        held = await acquire(
+    read_result = await store.get(owner_key(campaign.partition))
+    held_lease = None
+    if isinstance(read_result, Success) and read_result.unwrap().value is None:
+        held_lease = await acquire_ownership(
             store,
             campaign.partition,
             new_claim(campaign.settings),
             campaign.settings.store.owner_lease_ms,
         )
-    if held is None:
+    if held_lease is None:
         await campaign.step(PartitionEvent.NOT_ACQUIRED)
         return
     await campaign.children.stop()
-    campaign.lease.held = held
-    campaign.set_deadline(held.requested_at_ms)
+    campaign.lease.held_lease = held_lease
+    campaign.set_deadline(held_lease.requested_at_ms)
     campaign.children.renewer = LeaseRenewer(
         store,
-        held,
+        held_lease,
         campaign.settings.store.owner_renew_interval_ms,
         campaign.mailbox,
     )
@@ -317,13 +318,13 @@
 
 @CAMPAIGN_ACTIONS.register('replay')
 async def _replay(campaign: Campaign) -> None:
-    held = campaign.lease.held
-    if held is None:
+    held_lease = campaign.lease.held_lease
+    if held_lease is None:
         return
     campaign.children.takeover = Takeover(
         campaign.ports.store,
         campaign.partition,
-        held.token,
+        held_lease.token,
         campaign.lease.deadline_ms,
         campaign.mailbox,
     )
@@ -370,18 +371,18 @@
     events.emit(
         events.OWNERSHIP_LOST,
         partition=campaign.partition,
-        reason=campaign.reason,
+        reason=campaign.step_down_reason,
     )
     campaign.lease.cancel()
     await campaign.children.stop()
-    held = campaign.lease.held
-    campaign.lease.held = None
-    if held is not None:
+    held_lease = campaign.lease.held_lease
+    campaign.lease.held_lease = None
+    if held_lease is not None:
         # If the store still holds the lease, this frees the partition without
         # waiting for the lease to lapse.
-        await campaign.ports.store.revoke_lease(held.lease_id)
+        await campaign.ports.store.revoke_lease(held_lease.lease_id)
     if not campaign.election.is_withdrawn:
-        campaign.watch()
+        campaign.start_owner_watch()
 
 
 @CAMPAIGN_ACTIONS.register('restrict')
--- a/fuchsiarill/owner/campaign_messages.py
+++ b/fuchsiarill/owner/campaign_messages.py
@@ -18,19 +18,19 @@
 
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
-    """The deadline of the ownership may have passed."""
+    """The ownership deadline has passed, unless it was extended since."""
 
 
 @dataclass(frozen=True, slots=True)
 class OwnerKeyRead:
     """Result of a read or a watch of the owner key."""
 
-    found: Versioned
+    owner_value: Versioned
 
 
 @dataclass(frozen=True, slots=True)
 class ElectionDue:
-    """The delay before this process claims a vacant partition is over."""
+    """The delay before this process claims a vacant partition has passed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeoverFailed:
-    """The journal could not be read, or its next epoch not be opened."""
+    """The journal could not be read, or the next epoch not be opened."""
 
     token: str
     fault: JournalFault
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -17,23 +17,27 @@
 
 
 class Lease:
-    """The store lease of this process and the ownership deadline."""
+    """The store lease of this process and the ownership deadline.
+
+    Until the deadline the process is certain to own the partition, since the
+    store still holds its lease.
+    """
 
     def __init__(self) -> None:
         """Start without a lease."""
-        self.held: HeldLease | None = None
+        self.held_lease: HeldLease | None = None
         self.deadline_ms = 0
-        self._timer: asyncio.TimerHandle | None = None
+        self._deadline_timer: asyncio.TimerHandle | None = None
 
     def matches(self, token: str) -> bool:
         """Return whether the held lease belongs to the claim with `token`."""
-        return self.held is not None and self.held.token == token
+        return self.held_lease is not None and self.held_lease.token == token
 
     def extend(self, deadline_ms: int, campaign: Mailbox) -> None:
         """Set the deadline; `DeadlinePassed` is sent once it has passed."""
         self.cancel()
         self.deadline_ms = deadline_ms
-        self._timer = asyncio.get_running_loop().call_later(
+        self._deadline_timer = asyncio.get_running_loop().call_later(
             max(0, deadline_ms - now_ms() + 1) / MS_PER_SECOND,
             campaign.send,
             campaign_messages.DeadlinePassed(),
@@ -41,19 +45,23 @@
 
     def cancel(self) -> None:
         """Cancel the timer of the deadline."""
-        if self._timer is not None:
-            self._timer.cancel()
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
 
 
 class ElectionTimer:
-    """Timer for the next claim of the partition by this process."""
+    """Timer for the next claim of the partition by this process.
+
+    `loads` is the number of partitions that each live process of the region
+    owns. Once `is_withdrawn` is set, the process makes no further claim.
+    """
 
     def __init__(self) -> None:
         """Start without a scheduled claim."""
         self.loads: Mapping[ProcessId, int] = {}
         self.is_withdrawn = False
         self._not_before_ms = 0
-        self._timer: asyncio.TimerHandle | None = None
+        self._claim_timer: asyncio.TimerHandle | None = None
 
     def pause(self, pause_ms: int) -> None:
         """Delay all claims until `pause_ms` from now."""
@@ -61,10 +69,10 @@
 
     def schedule(self, delay_ms: float, campaign: Mailbox) -> None:
         """Schedule a claim after the delay unless one is scheduled."""
-        if self._timer is not None:
+        if self._claim_timer is not None:
             return
         due_ms = max(delay_ms, self._not_before_ms - now_ms())
-        self._timer = asyncio.get_running_loop().call_later(
+        self._claim_timer = asyncio.get_running_loop().call_later(
             due_ms / MS_PER_SECOND,
             self._expire,
             campaign,
@@ -72,12 +80,12 @@
 
     def cancel(self) -> None:
         """Cancel the scheduled claim."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        if self._claim_timer is not None:
+            self._claim_timer.cancel()
+            self._claim_timer = None
 
     def _expire(self, campaign: Mailbox) -> None:
-        self._timer = None
+        self._claim_timer = None
         campaign.send(campaign_messages.ElectionDue())
 
 
@@ -85,15 +93,15 @@
     """The child actors of a campaign; its state decides which of them run."""
 
     def __init__(self) -> None:
-        """Start without a running actor."""
-        self.watch: OwnerWatch | None = None
+        """Start without a child actor."""
+        self.owner_watch: OwnerWatch | None = None
         self.renewer: LeaseRenewer | None = None
         self.takeover: Takeover | None = None
         self.service: PartitionService | None = None
         self.journal: JournalRead | None = None
         self.is_work_finished = True
         self._config: messages.ConfigChanged | None = None
-        self._refusals: set[asyncio.Task[None]] = set()
+        self._refusal_tasks: set[asyncio.Task[None]] = set()
 
     def set_deadline(self, deadline_ms: int) -> None:
         """Forward the ownership deadline to the takeover and the owner."""
@@ -118,7 +126,7 @@
         """Return the error with which a child has ended by itself, if any."""
         faults = (
             child.fault()
-            for child in (self.watch, self.renewer, self.service)
+            for child in (self.owner_watch, self.renewer, self.service)
             if child is not None
         )
         return next(filter(None, faults), None)
@@ -126,18 +134,23 @@
     async def shut_down(self) -> None:
         """Stop all actors and the refusal of late requests."""
         await self.stop()
-        for refusal in tuple(self._refusals):
-            refusal.cancel()
-        await asyncio.gather(*self._refusals, return_exceptions=True)
+        for refusal_task in tuple(self._refusal_tasks):
+            refusal_task.cancel()
+        await asyncio.gather(*self._refusal_tasks, return_exceptions=True)
 
     async def stop(self) -> None:
         """Stop all actors; late requests to the owner are still refused."""
-        for child in (self.watch, self.renewer, self.takeover, self.service):
+        for child in (
+            self.owner_watch,
+            self.renewer,
+            self.takeover,
+            self.service,
+        ):
             if child is not None:
                 await child.stop()
         if self.service is not None:
             self._refuse_late_requests(self.service)
-        self.watch = None
+        self.owner_watch = None
         self.renewer = None
         self.takeover = None
         self.service = None
@@ -145,9 +158,9 @@
         self._config = None
 
     def _refuse_late_requests(self, service: PartitionService) -> None:
-        refusing = refuse_late_requests(
+        coroutine = refuse_late_requests(
             service.owner.mailbox, service.partition
         )
-        refusal = asyncio.create_task(refusing)
-        self._refusals.add(refusal)
-        refusal.add_done_callback(self._refusals.discard)
+        refusal_task = asyncio.create_task(coroutine)
+        self._refusal_tasks.add(refusal_task)
+        refusal_task.add_done_callback(self._refusal_tasks.discard)
--- a/fuchsiarill/owner/claims.py
+++ b/fuchsiarill/owner/claims.py
@@ -1,4 +1,8 @@
-"""The claim that a process writes to the owner key of a partition."""
+"""The claim that a process writes to the owner key of a partition.
+
+The process owns the partition while its claim is stored. The claim is attached
+to a store lease and is deleted when the lease lapses.
+"""
 
 import uuid
 from dataclasses import dataclass
@@ -57,7 +61,7 @@
     )
 
 
-async def acquire(
+async def acquire_ownership(
     store: StorePort,
     partition: PartitionId,
     claim: OwnerClaim,
@@ -70,11 +74,11 @@
     writes late.
     """
     requested_at_ms = now_ms()
-    granted = await store.grant_lease(lease_ms)
-    if not isinstance(granted, Success):
+    lease_result = await store.grant_lease(lease_ms)
+    if not isinstance(lease_result, Success):
         return None
-    lease_id = granted.unwrap()
-    written = await swap_until_resolved(
+    lease_id = lease_result.unwrap()
+    swap_result = await swap_until_resolved(
         store,
         Swap(
             owner_key(partition),
@@ -83,17 +87,17 @@
         ),
         lambda: now_ms() < requested_at_ms + lease_ms,
     )
-    if written.outcome is SwapOutcome.SWAPPED:
+    if swap_result.outcome is SwapOutcome.SWAPPED:
         return HeldLease(lease_id, requested_at_ms, claim.token)
     await store.revoke_lease(lease_id)
     return None
 
 
-def parse_claim(found: Versioned) -> OwnerClaim | None:
+def parse_claim(owner_value: Versioned) -> OwnerClaim | None:
     """Return the claim in the owner key; `None` if absent or malformed."""
-    if found.value is None:
+    if owner_value.value is None:
         return None
     try:
-        return OwnerClaim.model_validate_json(found.value)
+        return OwnerClaim.model_validate_json(owner_value.value)
     except ValidationError:
         return None
--- a/fuchsiarill/owner/decision_times.py
+++ b/fuchsiarill/owner/decision_times.py
@@ -1,4 +1,7 @@
-"""Histogram of the durations of an owner's decisions, for the metrics."""
+"""Histogram of the durations of an owner's decisions, for the metrics.
+
+A decision is one scheduling round of the `PartitionCore`.
+"""
 
 import asyncio
 from bisect import bisect_left
--- a/fuchsiarill/owner/durability.py
+++ b/fuchsiarill/owner/durability.py
@@ -11,9 +11,10 @@
 from fuchsiarill.owner import messages
 from fuchsiarill.records import JobEnded
 
-# More uncommitted records than a few group commits can hold count as a lag.
-_LAG_MAX_COUNT: Final = 4_000
-_APPEND_MAX_COUNT: Final = 500
+# More uncommitted records than a few group commits can hold count as a lag,
+# during which new jobs and cancellations are refused.
+_UNCOMMITTED_MAX_COUNT: Final = 4_000
+_RECORDS_PER_APPEND_MAX_COUNT: Final = 500
 
 
 class Durability:
@@ -26,49 +27,51 @@
     def __init__(self, journal: Mailbox) -> None:
         """Start before the first record of this owner."""
         self._journal = journal
-        self._committed = 0
-        self._appended = 0
-        self._unsent: deque[PersistRecord] = deque()
+        self._committed_sequence = 0
+        self._appended_sequence = 0
+        self._unsent_records: deque[PersistRecord] = deque()
         self._lagging_since_ms: int | None = None
         self._follow_ups: deque[tuple[int, Callable[[], object]]] = deque()
-        self._ending: dict[JobId, int] = {}
+        self._uncommitted_ends: dict[JobId, int] = {}
 
     def append(self, records: Iterable[PersistRecord], now_ms: int) -> None:
         """Send records to the journal, after those that are still unsent."""
         for record in records:
-            self._unsent.append(record)
-            self._appended = record.sequence
+            self._unsent_records.append(record)
+            self._appended_sequence = record.sequence
             if isinstance(record.record, JobEnded):
-                self._ending[record.record.job_id] = record.sequence
-        if self._unsent and self._lagging_since_ms is None:
+                self._uncommitted_ends[record.record.job_id] = record.sequence
+        if self._unsent_records and self._lagging_since_ms is None:
             self._lagging_since_ms = now_ms
-        while self._unsent:
-            batch = tuple(islice(self._unsent, _APPEND_MAX_COUNT))
+        while self._unsent_records:
+            batch = tuple(
+                islice(self._unsent_records, _RECORDS_PER_APPEND_MAX_COUNT)
+            )
             if not self._journal.send(messages.Append(batch)):
                 return
             for _ in batch:
-                self._unsent.popleft()
+                self._unsent_records.popleft()
 
-    def committed(self, sequence: int, now_ms: int) -> Iterator[int]:
+    def record_commit(self, sequence: int, now_ms: int) -> Iterator[int]:
         """Record a commit of all records up to `sequence`.
 
-        Yields the sequence numbers that became durable, then runs the
-        follow-ups that waited for them.
+        Yields the sequence numbers that became durable, then calls the
+        functions that waited for them.
         """
-        first = self._committed + 1
-        self._committed = max(sequence, self._committed)
+        first = self._committed_sequence + 1
+        self._committed_sequence = max(sequence, self._committed_sequence)
         self._lagging_since_ms = None
-        if self._committed < self._appended:
+        if self._committed_sequence < self._appended_sequence:
             self._lagging_since_ms = now_ms
-        for job_id, end_sequence in tuple(self._ending.items()):
+        for job_id, end_sequence in tuple(self._uncommitted_ends.items()):
             if end_sequence > sequence:
                 break
-            self._ending.pop(job_id)
+            self._uncommitted_ends.pop(job_id)
         yield from range(first, sequence + 1)
         while self._follow_ups and self._follow_ups[0][0] <= sequence:
             self._follow_ups.popleft()[1]()
 
-    def after_commit(
+    def call_after_commit(
         self, sequence: int, follow_up: Callable[[], object]
     ) -> None:
         """Call `follow_up` once all records up to `sequence` are durable."""
@@ -79,11 +82,14 @@
 
     def is_committed(self, sequence: int) -> bool:
         """Return whether the record with this sequence number is durable."""
-        return sequence <= self._committed
+        return sequence <= self._committed_sequence
 
     def is_lagging(self) -> bool:
-        """Return whether too many records wait for their commit."""
-        return self._appended - self._committed > _LAG_MAX_COUNT
+        """Return whether more records than the limit wait for a commit."""
+        return (
+            self._appended_sequence - self._committed_sequence
+            > _UNCOMMITTED_MAX_COUNT
+        )
 
     def lag_ms(self, now_ms: int) -> int:
         """Return how long records have waited without any commit."""
@@ -93,13 +99,13 @@
 
     def is_ending(self, job_id: JobId) -> bool:
         """Return whether the record of a job's end is not committed yet."""
-        return job_id in self._ending
+        return job_id in self._uncommitted_ends
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {
-            'committed_sequence': self._committed,
-            'appended_sequence': self._appended,
-            'unsent_count': len(self._unsent),
+            'committed_sequence': self._committed_sequence,
+            'appended_sequence': self._appended_sequence,
+            'unsent_count': len(self._unsent_records),
             'lagging_since_ms': self._lagging_since_ms,
         }
--- a/fuchsiarill/owner/election_delay.py
+++ b/fuchsiarill/owner/election_delay.py
@@ -11,11 +11,11 @@
 from fuchsiarill.ids import PartitionId, ProcessId
 from fuchsiarill.owner.hash_fraction import hash_fraction
 
-# One step covers a read and a claim. The longest delay keeps a takeover within
+# One step covers a read and a claim. The maximum delay keeps a takeover within
 # 5 s even if all processes of lower rank have failed too.
 _RANK_STEP_MS: Final = 100
-_LONGEST_DELAY_MS: Final = 1_000
-_UNRANKED_DELAY_MS: Final = 300
+_DELAY_MAX_MS: Final = 1_000
+_UNRANKED_DELAY_MAX_MS: Final = 300
 _SHORT_WATCH_MS: Final = 2_000
 _LONG_WATCH_MS: Final = 20_000
 _SHORT_WATCHERS_COUNT: Final = 3
@@ -29,12 +29,13 @@
     """Return how long to wait before a claim.
 
     Processes are ranked by the number of partitions they own, then by
-    rendezvous hash.
+    rendezvous hash. A process that is not in `loads` has no rank; its delay
+    depends only on its hash.
     """
     rank = _rank(partition, process, loads)
     if rank is None:
-        return _UNRANKED_DELAY_MS * hash_fraction(f'{partition} {process}')
-    return min(_RANK_STEP_MS * rank, _LONGEST_DELAY_MS)
+        return _UNRANKED_DELAY_MAX_MS * hash_fraction(f'{partition} {process}')
+    return min(_RANK_STEP_MS * rank, _DELAY_MAX_MS)
 
 
 def watch_wait_ms(
@@ -61,11 +62,11 @@
 ) -> int | None:
     if process not in loads:
         return None
-    ordered = sorted(
+    ranked_processes = sorted(
         loads,
         key=lambda candidate: (
             loads[candidate],
             hash_fraction(f'{partition} {candidate}'),
         ),
     )
-    return ordered.index(process)
+    return ranked_processes.index(process)
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -30,14 +30,14 @@
 class Expectations:
     """The attempts that the next report of one worker should list."""
 
-    def __init__(self, restored: Mapping[AttemptId, str]) -> None:
-        """Expect starts of earlier owners, with the worker's incarnation then.
+    def __init__(self, restored_starts: Mapping[AttemptId, str]) -> None:
+        """Expect starts of older owners, with the worker's incarnation then.
 
         The worker refuses such a start by its epoch if it arrives late.
         """
-        self._starts = {
+        self._unresolved_starts = {
             attempt_id: SentStart(incarnation)
-            for attempt_id, incarnation in restored.items()
+            for attempt_id, incarnation in restored_starts.items()
         }
         self._running: frozenset[AttemptId] = frozenset()
 
@@ -49,46 +49,48 @@
     @property
     def unanswered_count(self) -> int:
         """Return the number of starts that no report has resolved."""
-        return len(self._starts)
+        return len(self._unresolved_starts)
 
     def expect(self, attempt_id: AttemptId, start: SentStart) -> None:
         """Record a start that is about to be sent."""
-        self._starts[attempt_id] = start
+        self._unresolved_starts[attempt_id] = start
 
     def withdraw(self, attempt_id: AttemptId) -> None:
         """Remove a start that is known not to have been sent."""
-        self._starts.pop(attempt_id, None)
+        self._unresolved_starts.pop(attempt_id, None)
 
-    def observe(
+    def apply_report(
         self,
         report: WorkerReport,
         requested_at_ms: int,
     ) -> tuple[TaskReport, ...]:
-        """Return the outcomes of attempts that are missing from the report.
+        """Apply a report; return the outcomes of attempts missing from it.
 
         `requested_at_ms` is the time at which the exchange was requested.
         """
-        listed = {task.attempt_id for task in report.tasks}
-        missing = [
+        listed_attempts = {task.attempt_id for task in report.tasks}
+        missing_outcomes = [
             TaskReport(attempt_id, TaskOutcome.STOPPED, NOTHING)
-            for attempt_id in sorted(self._running - listed)
+            for attempt_id in sorted(self._running - listed_attempts)
         ]
-        for attempt_id, start in tuple(self._starts.items()):
-            outcome = _outcome_of(start, report, requested_at_ms)
-            if attempt_id in listed:
-                self._starts.pop(attempt_id)
+        for attempt_id, start in tuple(self._unresolved_starts.items()):
+            outcome = _outcome_of_missing_start(start, report, requested_at_ms)
+            if attempt_id in listed_attempts:
+                self._unresolved_starts.pop(attempt_id)
             elif outcome is not None:
-                self._starts.pop(attempt_id)
-                missing.append(TaskReport(attempt_id, outcome, NOTHING))
+                self._unresolved_starts.pop(attempt_id)
+                missing_outcomes.append(
+                    TaskReport(attempt_id, outcome, NOTHING)
+                )
         self._running = frozenset(
             task.attempt_id
             for task in report.tasks
             if task.outcome is TaskOutcome.RUNNING
         )
-        return tuple(missing)
+        return tuple(missing_outcomes)
 
 
-def _outcome_of(
+def _outcome_of_missing_start(
     start: SentStart,
     report: WorkerReport,
     requested_at_ms: int,
--- a/fuchsiarill/owner/fleet.py
+++ b/fuchsiarill/owner/fleet.py
@@ -8,28 +8,33 @@
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.ids import AttemptId, PartitionId, WorkerId
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.worker_link import LinkTerms, WorkerLink
+from fuchsiarill.owner.worker_link import LinkParameters, WorkerLink
 from fuchsiarill.ports.workers import WorkerPort
 from fuchsiarill.routing import partition_of_rack
 from fuchsiarill.workers import HostEntry
 
 
 @dataclass(frozen=True, slots=True)
-class FleetPorts:
+class WorkerLinkPorts:
     """The worker port and the owner's mailbox, which all links share."""
 
     workers: WorkerPort
     owner: Mailbox
 
 
-class Fleet:
-    """Keeps a link for each listed worker and stops unneeded ones."""
+class WorkerLinks:
+    """The links to the listed workers.
 
-    def __init__(self, ports: FleetPorts, terms: LinkTerms) -> None:
-        """Start without links; `terms` apply to all of them."""
+    The link of an unlisted worker is kept until it has no attempts left.
+    """
+
+    def __init__(
+        self, ports: WorkerLinkPorts, link_parameters: LinkParameters
+    ) -> None:
+        """Start without links; `link_parameters` apply to all."""
         self.links: dict[WorkerId, WorkerLink] = {}
         self._ports = ports
-        self._terms = terms
+        self._link_parameters = link_parameters
         self._unlisted: set[WorkerId] = set()
 
     async def update_hosts(
@@ -39,19 +44,21 @@
     ) -> None:
         """Create links to new workers; replace those with a new address."""
         self._unlisted.update(self.links)
-        listed = tuple(entries)
-        self._terms = replace(self._terms, workers_count=len(listed))
-        for entry in listed:
+        listed_entries = tuple(entries)
+        self._link_parameters = replace(
+            self._link_parameters, workers_count=len(listed_entries)
+        )
+        for entry in listed_entries:
             self._unlisted.discard(entry.worker_id)
             link = self.links.get(entry.worker_id)
             if link is not None and link.entry.address == entry.address:
                 continue
             if link is not None:
                 await link.stop()
-            restored = _restored_starts(entry.worker_id, state)
-            self._connect(entry, restored)
+            restored_starts = _restored_starts(entry.worker_id, state)
+            self._create_link(entry, restored_starts)
 
-    async def stop_unlisted(self, state: CoreState) -> None:
+    async def stop_unlisted_links(self, state: CoreState) -> None:
         """Stop the links of unlisted workers that have no attempts left."""
         for worker_id in tuple(self._unlisted):
             worker = state.workers.get(worker_id)
@@ -61,25 +68,27 @@
             await self.links.pop(worker_id).stop()
 
     def send(self, worker_id: WorkerId, message: object) -> bool:
-        """Send a message to a link; `False` if there is none or it is full."""
+        """Send to a link; `False` if there is none or its mailbox is full."""
         link = self.links.get(worker_id)
         return link is not None and link.mailbox.send(message)
 
     def change_lease(self, change: messages.LeaseChanged) -> None:
         """Apply a new lease length and exchange interval to all links."""
-        self._terms = replace(
-            self._terms,
+        self._link_parameters = replace(
+            self._link_parameters,
             task_lease_ms=change.task_lease_ms,
             exchange_interval_ms=change.exchange_interval_ms,
         )
         for link in self.links.values():
             link.mailbox.send(change)
 
-    def allow_renewals(self, allowed: messages.RenewalsAllowed) -> None:
+    def allow_renewals(self, message: messages.RenewalsAllowed) -> None:
         """Set for all links the time until which they may renew task leases."""
-        self._terms = replace(self._terms, renew_until_ms=allowed.until_ms)
+        self._link_parameters = replace(
+            self._link_parameters, renew_until_ms=message.until_ms
+        )
         for link in self.links.values():
-            link.mailbox.send(allowed)
+            link.mailbox.send(message)
 
     async def stop(self) -> None:
         """Stop all links."""
@@ -93,14 +102,14 @@
             worker_id: link.snapshot() for worker_id, link in self.links.items()
         }
 
-    def _connect(
+    def _create_link(
         self,
         entry: HostEntry,
-        restored: Mapping[AttemptId, str],
+        restored_starts: Mapping[AttemptId, str],
     ) -> None:
         link = WorkerLink(
             entry,
-            replace(self._terms, restored=restored),
+            replace(self._link_parameters, restored_starts=restored_starts),
             self._ports.workers,
             self._ports.owner,
         )
@@ -132,9 +141,9 @@
     worker_id: WorkerId,
     state: CoreState,
 ) -> dict[AttemptId, str]:
-    restored = {}
+    restored_starts = {}
     for attempt_id, incarnation in state.recovery.intents.items():
         attempt = state.attempts.get(attempt_id)
         if attempt is not None and attempt.worker_id == worker_id:
-            restored[attempt_id] = incarnation
-    return restored
+            restored_starts[attempt_id] = incarnation
+    return restored_starts
--- a/fuchsiarill/owner/job_replies.py
+++ b/fuchsiarill/owner/job_replies.py
@@ -16,10 +16,10 @@
     JobState.UNKNOWN: codes.JOB_UNKNOWN,
 }
 FINAL_STATES: Final = frozenset(CODE_OF_STATE)
-_RETRY_MS: Final = 1_000
+_RETRY_AFTER_MS: Final = 1_000
 
 
-def unknown_job(job_id: JobId) -> JobAnswer:
+def unknown_job_answer(job_id: JobId) -> JobAnswer:
     """Return the refusal for a job id that the customer does not have."""
     return refused(refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id))
 
@@ -31,7 +31,7 @@
     return JobAnswer(code, job.job_id, job.state, outputs)
 
 
-def unsettled_answer_of(job: JobRecord) -> JobAnswer:
+def unfinished_answer_of(job: JobRecord) -> JobAnswer:
     """Return the answer for a job whose end, if any, is not durable yet."""
     state = job.state
     if state in FINAL_STATES:
@@ -39,26 +39,28 @@
     return JobAnswer(codes.NOT_FINISHED, job.job_id, state)
 
 
-def overloaded() -> JobAnswer:
+def overloaded_answer() -> JobAnswer:
     """Return the refusal while too many records or clients await commits."""
     return refused(
-        refuse(codes.OVERLOADED, texts.OVERLOADED, retry_after_ms=_RETRY_MS),
+        refuse(
+            codes.OVERLOADED, texts.OVERLOADED, retry_after_ms=_RETRY_AFTER_MS
+        ),
     )
 
 
-def owner_unavailable(partition: PartitionId) -> JobAnswer:
-    """Return the refusal of an owner that is giving up its partition."""
+def owner_unavailable_answer(partition: PartitionId) -> JobAnswer:
+    """Return the refusal of an owner that stops or may have been replaced."""
     return refused(
         refuse(
             codes.OWNER_UNAVAILABLE,
             texts.OWNER_UNAVAILABLE,
-            retry_after_ms=_RETRY_MS,
+            retry_after_ms=_RETRY_AFTER_MS,
             partition=partition,
         ),
     )
 
 
-def uncertain(answer: JobAnswer, partition: PartitionId) -> JobAnswer:
+def uncertain_answer(answer: JobAnswer, partition: PartitionId) -> JobAnswer:
     """Return `OUTCOME_UNCERTAIN` in place of an answer; keep a refusal."""
     if answer.refusal is not None:
         return answer
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -1,6 +1,6 @@
 """Handles client requests that reach the owner of a partition.
 
-An acceptance is answered once its record is durable. Every wait is bounded.
+An acceptance is answered once its record is durable. Every wait has a limit.
 """
 
 from collections.abc import Callable
@@ -20,11 +20,11 @@
 from fuchsiarill.owner.job_replies import (
     FINAL_STATES,
     answer_of,
-    overloaded,
-    owner_unavailable,
-    uncertain,
-    unknown_job,
-    unsettled_answer_of,
+    overloaded_answer,
+    owner_unavailable_answer,
+    uncertain_answer,
+    unfinished_answer_of,
+    unknown_job_answer,
 )
 from fuchsiarill.owner.waiters import CommitWaiter, Waiters
 from fuchsiarill.states import JobState
@@ -54,24 +54,26 @@
             message.reply.answer(answers)
             return
         partition = self._core.state.partition
-        in_doubt = tuple(uncertain(answer, partition) for answer in answers)
+        uncertain_answers = tuple(
+            uncertain_answer(answer, partition) for answer in answers
+        )
         self._answer_when_durable(
             partial(message.reply.answer, answers),
-            partial(message.reply.answer, in_doubt),
+            partial(message.reply.answer, uncertain_answers),
             partial(self._answer_early, message, answers),
         )
 
     def query(self, message: messages.QueryJob) -> None:
         """Answer with the job's state at its end or when the wait expires."""
         query = message.query
-        job = self._job_of(query.customer, query.job_id)
+        job = self._customer_job(query.customer, query.job_id)
         if job is None:
             message.reply.answer(self._missing_job_answer(query.job_id))
             return
-        waits = query.wait_ms and not self.is_closed
-        if waits and not self._is_settled(job):
+        may_wait = query.wait_ms and not self.is_closed
+        if may_wait and not self._has_durable_end(job):
             waits_until_ms = now_ms() + query.wait_ms
-            if self.waiters.wait_for_end(
+            if self.waiters.add_end_waiter(
                 job.job_id,
                 message.reply,
                 waits_until_ms,
@@ -82,39 +84,39 @@
     def cancel(self, message: messages.CancelJob) -> None:
         """Cancel a job if it belongs to the customer."""
         cancel = message.cancel
-        job = self._job_of(cancel.customer, cancel.job_id)
+        job = self._customer_job(cancel.customer, cancel.job_id)
         if job is None:
             message.reply.answer(self._missing_job_answer(cancel.job_id))
             return
         if self._is_overloaded():
-            message.reply.answer(overloaded())
+            message.reply.answer(overloaded_answer())
             return
         self._core.cancel(job.job_id, now_ms())
         answer = JobAnswer(codes.CANCEL_STARTED, job.job_id, job.state)
-        in_doubt = uncertain(answer, self._core.state.partition)
+        uncertain_answers = uncertain_answer(answer, self._core.state.partition)
         self._answer_when_durable(
             partial(message.reply.answer, answer),
-            partial(message.reply.answer, in_doubt),
+            partial(message.reply.answer, uncertain_answers),
         )
 
     def list_jobs(self, message: messages.ListJobs) -> None:
         """List jobs of a customer, most recently accepted first."""
         query = message.query
-        found: list[JobAnswer] = []
+        answers: list[JobAnswer] = []
         for job in reversed(self._core.state.jobs.values()):
-            if len(found) >= query.limit:
+            if len(answers) >= query.limit:
                 break
             if job.spec.customer != query.customer:
                 continue
             answer = self.current_answer(job.job_id)
             if query.state in {None, answer.state}:
-                found.append(answer)
-        message.reply.answer(tuple(found))
+                answers.append(answer)
+        message.reply.answer(tuple(answers))
 
     def explain(self, message: messages.ExplainJob) -> None:
         """Explain what a job waits for if it belongs to the customer."""
         query = message.query
-        if self._job_of(query.customer, query.job_id) is None:
+        if self._customer_job(query.customer, query.job_id) is None:
             message.reply.answer(
                 JobExplanation(self._missing_job_answer(query.job_id))
             )
@@ -125,32 +127,32 @@
             JobExplanation(self.current_answer(query.job_id), reasons)
         )
 
-    def ended(self, job_id: JobId) -> None:
+    def answer_end_waiters(self, job_id: JobId) -> None:
         """Answer all clients that wait for the end of a job."""
-        self.waiters.ended(job_id, self.current_answer(job_id))
+        self.waiters.answer_end_waiters(job_id, self.current_answer(job_id))
 
-    def expire(self) -> None:
+    def expire_waits(self) -> None:
         """Answer all clients whose wait has expired."""
-        self.waiters.expire(now_ms(), self.current_answer)
+        self.waiters.expire_waits(now_ms(), self.current_answer)
 
     def close(self) -> None:
         """Refuse new jobs and answer all that wait for the end of a job."""
         self.is_closed = True
-        self.waiters.expire_ends(self.current_answer)
+        self.waiters.answer_all_end_waiters(self.current_answer)
 
     def current_answer(self, job_id: JobId) -> JobAnswer:
         """Return the answer for a job; an end counts once it is durable."""
         job = self._core.state.jobs.get(job_id)
         if job is None:
-            return unknown_job(job_id)
-        if self._is_settled(job):
+            return unknown_job_answer(job_id)
+        if self._has_durable_end(job):
             return answer_of(job)
-        return unsettled_answer_of(job)
+        return unfinished_answer_of(job)
 
     def abandon(self) -> None:
         """Answer all waiting clients; uncommitted outcomes are uncertain."""
         self.close()
-        self.waiters.give_up_commits()
+        self.waiters.answer_commits_uncertain()
 
     def _missing_job_answer(self, job_id: JobId) -> JobAnswer:
         """Return the refusal for a job that this owner does not have.
@@ -158,22 +160,22 @@
         Once the ownership has lapsed, a newer owner may have accepted it.
         """
         if now_ms() >= self.owned_until_ms:
-            return owner_unavailable(self._core.state.partition)
-        return unknown_job(job_id)
+            return owner_unavailable_answer(self._core.state.partition)
+        return unknown_job_answer(job_id)
 
     def _admit(self, spec: JobSpec) -> JobAnswer:
         state = self._core.state
         if self.is_closed:
-            return owner_unavailable(state.partition)
+            return owner_unavailable_answer(state.partition)
         is_known = (spec.customer, spec.idempotency_key) in state.job_by_key
         if self._is_overloaded() and not is_known:
-            return overloaded()
-        submitted = self._core.submit(spec, now_ms())
-        if not isinstance(submitted, Success):
-            return refused(submitted.failure())
-        return self._acceptance(submitted.unwrap())
+            return overloaded_answer()
+        submit_result = self._core.submit(spec, now_ms())
+        if not isinstance(submit_result, Success):
+            return refused(submit_result.failure())
+        return self._acceptance_answer(submit_result.unwrap())
 
-    def _acceptance(self, job_id: JobId) -> JobAnswer:
+    def _acceptance_answer(self, job_id: JobId) -> JobAnswer:
         job = self._core.state.jobs[job_id]
         code = codes.ACCEPTED_VOLATILE if job.volatile else codes.ACCEPTED
         return JobAnswer(code, job_id)
@@ -183,9 +185,11 @@
         message: messages.SubmitJobs,
         answers: tuple[JobAnswer, ...],
     ) -> bool:
-        """Answer a batch if none of its jobs awaits a commit any more."""
+        """Answer a batch unless a job of it still awaits a commit."""
         current = tuple(
-            answer if answer.job_id is None else self._acceptance(answer.job_id)
+            answer
+            if answer.job_id is None
+            else self._acceptance_answer(answer.job_id)
             for answer in answers
         )
         if not all(self._is_durable(answer) for answer in current):
@@ -202,12 +206,14 @@
         job = self._core.state.jobs[answer.job_id]
         return job.state is not JobState.ACCEPTING
 
-    def _is_settled(self, job: JobRecord) -> bool:
+    def _has_durable_end(self, job: JobRecord) -> bool:
         if job.state not in FINAL_STATES:
             return False
         return not self._durability.is_ending(job.job_id)
 
-    def _job_of(self, customer: CustomerId, job_id: JobId) -> JobRecord | None:
+    def _customer_job(
+        self, customer: CustomerId, job_id: JobId
+    ) -> JobRecord | None:
         job = self._core.state.jobs.get(job_id)
         if job is None or job.spec.customer != customer:
             return None
@@ -223,7 +229,7 @@
         if self._durability.is_committed(sequence):
             on_commit()
             return
-        self.waiters.wait_for_commit(
+        self.waiters.add_commit_waiter(
             CommitWaiter(
                 sequence,
                 now_ms() + self._commit_timeout_ms,
--- a/fuchsiarill/owner/journal.py
+++ b/fuchsiarill/owner/journal.py
@@ -17,7 +17,7 @@
 from fuchsiarill.owner.journal_format import (
     GROUP_MAX_COUNT,
     VALUE_MAX_BYTES,
-    Encoded,
+    EncodedRecord,
     encode,
     entry_value,
 )
@@ -33,7 +33,8 @@
 
     During a store outage a commit is retried with growing delays. Further
     records wait here and in the mailbox; once that is full, the owner keeps
-    them.
+    them. A snapshot of the journal replaces entries in the store; the method
+    `snapshot` returns the state for a dump.
     """
 
     def __init__(
@@ -51,20 +52,20 @@
             journal.head_revision,
             journal.next_index,
         )
-        self._log = journal.log
-        self._snapshots = SnapshotWriter(store, partition, self._position)
-        self._image = fold(journal.records)
+        self._log_writer = journal.log_writer
+        self._snapshot_writer = SnapshotWriter(store, partition, self._position)
+        self._ledger_image = fold(journal.records)
         self._commit_interval_ms = commit_interval_ms
-        self._pending: deque[Encoded] = deque()
+        self._pending_records: deque[EncodedRecord] = deque()
         self._last_commit_at_ms: int | None = None
-        self._snapshot: asyncio.Task[None] | None = None
+        self._snapshot_task: asyncio.Task[None] | None = None
         self._is_deposed = False
 
     async def stop(self) -> None:
         """Stop the actor and cancel a snapshot in progress."""
-        if self._snapshot is not None:
-            self._snapshot.cancel()
-            await asyncio.gather(self._snapshot, return_exceptions=True)
+        if self._snapshot_task is not None:
+            self._snapshot_task.cancel()
+            await asyncio.gather(self._snapshot_task, return_exceptions=True)
         await super().stop()
 
     def snapshot(self) -> dict[str, Any]:
@@ -75,14 +76,14 @@
             'first_index': head.first_index,
             'snapshot': head.snapshot,
             'chunks_count': len(head.chunk_revisions),
-            'pending_count': len(self._pending),
+            'pending_count': len(self._pending_records),
         }
 
     @handles(messages.Append)
     async def on_append(self, message: messages.Append) -> None:
         """Queue records for the next commit."""
         for effect in message.records:
-            self._pending.append(encode(effect.sequence, effect.record))
+            self._pending_records.append(encode(effect.sequence, effect.record))
         await self._commit_if_due()
 
     @handles(messages.Tick)
@@ -91,7 +92,7 @@
         await self._commit_if_due()
 
     async def _commit_if_due(self) -> None:
-        if not self._pending or self._is_deposed:
+        if not self._pending_records or self._is_deposed:
             return
         remaining_ms = 0
         if self._last_commit_at_ms is not None:
@@ -105,19 +106,19 @@
             )
             return
         self._last_commit_at_ms = now_ms()
-        await self._commit(self._next_group())
+        await self._commit(self._pop_next_group())
 
-    def _next_group(self) -> list[Encoded]:
-        group: list[Encoded] = []
+    def _pop_next_group(self) -> list[EncodedRecord]:
+        group: list[EncodedRecord] = []
         size_bytes = 0
-        while self._pending and len(group) < GROUP_MAX_COUNT:
-            size_bytes += self._pending[0].size_bytes + 1
+        while self._pending_records and len(group) < GROUP_MAX_COUNT:
+            size_bytes += self._pending_records[0].size_bytes + 1
             if group and size_bytes > VALUE_MAX_BYTES:
                 break
-            group.append(self._pending.popleft())
+            group.append(self._pending_records.popleft())
         return group
 
-    async def _commit(self, group: list[Encoded]) -> None:
+    async def _commit(self, group: list[EncodedRecord]) -> None:
         position = self._position
         while position.is_full() and not self._is_deposed:
             await self._wait_for_snapshot()
@@ -128,8 +129,8 @@
             position.next_index,
             (encoded.text for encoded in group),
         )
-        written = await self._log.write(position.next_index, text)
-        if written.outcome is not SwapOutcome.SWAPPED:
+        swap_result = await self._log_writer.write(position.next_index, text)
+        if swap_result.outcome is not SwapOutcome.SWAPPED:
             await self._notify_owner(
                 messages.Deposed('another owner took over')
             )
@@ -137,29 +138,29 @@
             return
         position.next_index += 1
         for encoded in group:
-            self._image.apply(encoded.record)
+            self._ledger_image.apply(encoded.record)
         await self._notify_owner(messages.Committed(group[-1].sequence))
-        self._snapshot_if_due()
+        self._start_snapshot_if_due()
         await self._commit_if_due()
 
     async def _wait_for_snapshot(self) -> None:
-        self._snapshot_if_due()
-        if self._snapshot is not None:
-            await asyncio.wait((self._snapshot,))
+        self._start_snapshot_if_due()
+        if self._snapshot_task is not None:
+            await asyncio.wait((self._snapshot_task,))
 
     async def _notify_owner(self, message: object) -> None:
         while self.owner is not None and not self.owner.send(message):
             await sleep_ms(_FULL_MAILBOX_RETRY_MS)
 
-    def _snapshot_if_due(self) -> None:
-        if self._snapshot is not None and not self._snapshot.done():
+    def _start_snapshot_if_due(self) -> None:
+        if self._snapshot_task is not None and not self._snapshot_task.done():
             return
         if not self._position.is_snapshot_due():
             return
-        self._snapshot = asyncio.create_task(self._write_snapshot())
+        self._snapshot_task = asyncio.create_task(self._write_snapshot())
 
     async def _write_snapshot(self) -> None:
-        if not await self._snapshots.write(self._image):
+        if not await self._snapshot_writer.write(self._ledger_image):
             await self._notify_owner(
                 messages.Deposed('another owner took the head')
             )
--- a/fuchsiarill/owner/journal_format.py
+++ b/fuchsiarill/owner/journal_format.py
@@ -12,13 +12,14 @@
 from fuchsiarill.records import RECORD, Record
 
 FORMAT: Final = 1
-# The service accepts 1 MB; half of it leaves space for one large record.
+# The store accepts values of up to 1 MB; half of it leaves space for one large
+# record.
 VALUE_MAX_BYTES: Final = 500_000
 GROUP_MAX_COUNT: Final = 1_000
 
 
 class JournalFault(Enum):
-    """Why a journal cannot be read."""
+    """Why a journal cannot be read, or its next entry not be written."""
 
     INTERRUPTED = 'interrupted'
     OVERTAKEN = 'overtaken'
@@ -62,7 +63,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Encoded:
+class EncodedRecord:
     """A record with its serialized form and size."""
 
     sequence: int
@@ -71,17 +72,17 @@
     size_bytes: int
 
 
-def encode(sequence: int, record: Record) -> Encoded:
+def encode(sequence: int, record: Record) -> EncodedRecord:
     """Serialize one record."""
     encoded = RECORD.dump_json(record)
-    return Encoded(sequence, record, encoded.decode(), len(encoded))
+    return EncodedRecord(sequence, record, encoded.decode(), len(encoded))
 
 
 def entry_value(token: str, index: int, texts: Iterable[str]) -> str:
     """Return the value of an entry or chunk with serialized records."""
-    front = f'"format":{FORMAT},"token":"{token}","index":{index}'
-    body = ','.join(texts)
-    return f'{{{front},"records":[{body}]}}'
+    fields_json = f'"format":{FORMAT},"token":"{token}","index":{index}'
+    records_json = ','.join(texts)
+    return f'{{{fields_json},"records":[{records_json}]}}'
 
 
 def chunk_values(token: str, records: Iterable[Record]) -> Iterator[str]:
@@ -106,37 +107,37 @@
 
 def parse_head(text: str) -> Result[Head, JournalFault]:
     """Parse the value of the head key."""
-    return _parse(_HEADS, text)
+    return _parse_value(_HEADS, text)
 
 
 def parse_entry(text: str) -> Result[JournalEntry, JournalFault]:
     """Parse the value of a log key or of a snapshot chunk."""
-    return _parse(_ENTRIES, text)
+    return _parse_value(_ENTRIES, text)
 
 
-def _parse(
+def _parse_value(
     adapter: TypeAdapter[Any],
     text: str,
 ) -> Result[Any, JournalFault]:
     """Parse a value; a newer format is distinguished from corruption."""
     try:
-        parsed = adapter.validate_json(text)
+        parsed_value = adapter.validate_json(text)
     except ValidationError:
-        return Failure(_fault_of(text))
-    if parsed.format != FORMAT:
+        return Failure(_fault_of_malformed(text))
+    if parsed_value.format != FORMAT:
         return Failure(JournalFault.NEWER_FORMAT)
-    return Success(parsed)
+    return Success(parsed_value)
 
 
 _DOCUMENTS: Final = TypeAdapter(dict[str, Any])
 
 
-def _fault_of(text: str) -> JournalFault:
+def _fault_of_malformed(text: str) -> JournalFault:
     try:
         document = _DOCUMENTS.validate_json(text)
     except ValidationError:
         return JournalFault.CORRUPT
-    number = document.get('format')
-    if isinstance(number, int) and number > FORMAT:
+    format_number = document.get('format')
+    if isinstance(format_number, int) and format_number > FORMAT:
         return JournalFault.NEWER_FORMAT
     return JournalFault.CORRUPT
--- a/fuchsiarill/owner/journal_reader.py
+++ b/fuchsiarill/owner/journal_reader.py
@@ -31,8 +31,10 @@
 from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome, Versioned
 from fuchsiarill.records import Record
 
-_FIRST_WINDOW_COUNT: Final = 4
-_WINDOW_MAX_COUNT: Final = 32
+# Number of keys that are read concurrently. For the log it doubles from the
+# first value to the maximum; a snapshot is read with the maximum.
+_FIRST_WINDOW_KEYS_COUNT: Final = 4
+_WINDOW_KEYS_MAX_COUNT: Final = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +56,7 @@
 
     head: Head
     head_revision: Revision
-    log: LogWriter
+    log_writer: LogWriter
     records: list[Record] = field(default_factory=list)
     entries_count: int = 0
 
@@ -74,11 +76,11 @@
     claim: JournalClaim,
 ) -> Result[JournalRead, JournalFault]:
     """Claim the head, then read the snapshot and all entries after it."""
-    claimed = await _claim_head(claim)
-    match claimed:
+    claim_result = await _claim_head(claim)
+    match claim_result:
         case Failure(fault):
             return Failure(fault)
-    journal = claimed.unwrap()
+    journal = claim_result.unwrap()
     read_fault = await _read_snapshot(claim, journal)
     if read_fault is None:
         read_fault = await _read_entries(claim, journal)
@@ -95,10 +97,12 @@
     """Write the next entry; `OVERTAKEN` if another owner has written it."""
     index = journal.next_index
     text = entry_value(claim.token, index, (encode(0, record).text,))
-    written = await journal.log.write(index, text, claim.may_continue)
-    if written.outcome is SwapOutcome.UNKNOWN:
+    swap_result = await journal.log_writer.write(
+        index, text, claim.may_continue
+    )
+    if swap_result.outcome is SwapOutcome.UNKNOWN:
         return JournalFault.INTERRUPTED
-    if written.outcome is SwapOutcome.CONFLICT:
+    if swap_result.outcome is SwapOutcome.CONFLICT:
         return JournalFault.OVERTAKEN
     journal.entries_count += 1
     journal.records.append(record)
@@ -109,21 +113,23 @@
     claim: JournalClaim,
 ) -> Result[JournalRead, JournalFault]:
     key = head_key(claim.partition)
-    found = await read_key(claim.store, key, claim.may_continue)
-    if found is None:
+    stored = await read_key(claim.store, key, claim.may_continue)
+    if stored is None:
         return Failure(JournalFault.INTERRUPTED)
     head = Head(FORMAT, claim.token)
-    if found.value is not None:
-        parsed = parse_head(found.value)
-        if not isinstance(parsed, Success):
-            return Failure(parsed.failure())
-        head = replace(parsed.unwrap(), writer=claim.token)
-    swap = Swap(key, head_value(head), found.revision)
-    written = await swap_until_resolved(claim.store, swap, claim.may_continue)
-    if written.outcome is SwapOutcome.SWAPPED:
-        log = LogWriter(claim.store, claim.partition)
-        return Success(JournalRead(head, written.revision, log))
-    if written.outcome is SwapOutcome.CONFLICT:
+    if stored.value is not None:
+        parse_result = parse_head(stored.value)
+        if not isinstance(parse_result, Success):
+            return Failure(parse_result.failure())
+        head = replace(parse_result.unwrap(), writer=claim.token)
+    swap = Swap(key, head_value(head), stored.revision)
+    swap_result = await swap_until_resolved(
+        claim.store, swap, claim.may_continue
+    )
+    if swap_result.outcome is SwapOutcome.SWAPPED:
+        log_writer = LogWriter(claim.store, claim.partition)
+        return Success(JournalRead(head, swap_result.revision, log_writer))
+    if swap_result.outcome is SwapOutcome.CONFLICT:
         return Failure(JournalFault.OVERTAKEN)
     return Failure(JournalFault.INTERRUPTED)
 
@@ -139,12 +145,12 @@
         for number in range(len(revisions))
     ]
     while keys:
-        window = keys[:_WINDOW_MAX_COUNT]
-        keys = keys[_WINDOW_MAX_COUNT:]
-        for found in await _read_all(claim, window):
-            if found is None:
+        window_keys = keys[:_WINDOW_KEYS_MAX_COUNT]
+        keys = keys[_WINDOW_KEYS_MAX_COUNT:]
+        for stored in await _read_keys(claim, window_keys):
+            if stored is None:
                 return JournalFault.INTERRUPTED
-            fault = _apply_chunk(journal, found, revisions[0])
+            fault = _apply_chunk(journal, stored, revisions[0])
             if fault is not None:
                 return fault
             revisions = revisions[1:]
@@ -155,23 +161,23 @@
     claim: JournalClaim,
     journal: JournalRead,
 ) -> JournalFault | None:
-    window_count = _FIRST_WINDOW_COUNT
+    window_keys_count = _FIRST_WINDOW_KEYS_COUNT
     while True:
         first = journal.next_index
-        window = [
+        window_keys = [
             entry_key(claim.partition, index)
-            for index in range(first, first + window_count)
+            for index in range(first, first + window_keys_count)
         ]
-        for found in await _read_all(claim, window):
-            if found is None:
+        for stored in await _read_keys(claim, window_keys):
+            if stored is None:
                 return JournalFault.INTERRUPTED
-            applied = _apply_entry(journal, found)
-            if applied.is_end or applied.fault is not None:
-                return applied.fault
-        window_count = min(2 * window_count, _WINDOW_MAX_COUNT)
+            entry_result = _apply_entry(journal, stored)
+            if entry_result.is_end or entry_result.fault is not None:
+                return entry_result.fault
+        window_keys_count = min(2 * window_keys_count, _WINDOW_KEYS_MAX_COUNT)
 
 
-async def _read_all(
+async def _read_keys(
     claim: JournalClaim,
     keys: list[StoreKey],
 ) -> list[Versioned | None]:
@@ -183,28 +189,28 @@
 
 def _apply_chunk(
     journal: JournalRead,
-    found: Versioned,
+    stored: Versioned,
     revision: Revision,
 ) -> JournalFault | None:
-    if found.value is None or found.revision != revision:
+    if stored.value is None or stored.revision != revision:
         return JournalFault.CORRUPT
-    parsed = parse_entry(found.value)
-    if not isinstance(parsed, Success):
-        return parsed.failure()
-    journal.records.extend(parsed.unwrap().records)
+    parse_result = parse_entry(stored.value)
+    if not isinstance(parse_result, Success):
+        return parse_result.failure()
+    journal.records.extend(parse_result.unwrap().records)
     return None
 
 
-def _apply_entry(journal: JournalRead, found: Versioned) -> _EntryResult:
+def _apply_entry(journal: JournalRead, stored: Versioned) -> _EntryResult:
     """Append the next entry; an empty key or an older entry ends the log."""
     index = journal.next_index
-    journal.log.record(index, found.revision)
-    if found.value is None:
+    journal.log_writer.record_revision(index, stored.revision)
+    if stored.value is None:
         return _EntryResult(is_end=True)
-    parsed = parse_entry(found.value)
-    if not isinstance(parsed, Success):
-        return _EntryResult(parsed.failure())
-    entry = parsed.unwrap()
+    parse_result = parse_entry(stored.value)
+    if not isinstance(parse_result, Success):
+        return _EntryResult(parse_result.failure())
+    entry = parse_result.unwrap()
     if entry.index < index:
         return _EntryResult(is_end=True)
     if entry.index > index:
--- a/fuchsiarill/owner/late_requests.py
+++ b/fuchsiarill/owner/late_requests.py
@@ -13,7 +13,7 @@
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.job_replies import owner_unavailable
+from fuchsiarill.owner.job_replies import owner_unavailable_answer
 from fuchsiarill.routing import answer_all
 
 _GRACE_PERIOD_MS: Final = 2_000
@@ -39,4 +39,4 @@
     while True:
         message = await mailbox.receive()
         if isinstance(message, _CLIENT_REQUESTS):
-            answer_all(message, owner_unavailable(partition))
+            answer_all(message, owner_unavailable_answer(partition))
--- a/fuchsiarill/owner/log_writer.py
+++ b/fuchsiarill/owner/log_writer.py
@@ -12,7 +12,7 @@
 from fuchsiarill.owner.keys import LOG_KEYS_COUNT, entry_key
 from fuchsiarill.owner.store_calls import (
     MayContinue,
-    always,
+    always_continue,
     read_key,
     swap_until_resolved,
 )
@@ -34,7 +34,7 @@
         self._partition = partition
         self._revisions: dict[int, Revision] = {}
 
-    def record(self, index: int, revision: Revision) -> None:
+    def record_revision(self, index: int, revision: Revision) -> None:
         """Record the revision of the key that an entry uses."""
         self._revisions[index % LOG_KEYS_COUNT] = revision
 
@@ -42,33 +42,33 @@
         self,
         index: int,
         text: str,
-        may_continue: MayContinue = always,
+        may_continue: MayContinue = always_continue,
     ) -> SwapResult:
         """Write an entry; conflicts unless its key is empty or older."""
         key = entry_key(self._partition, index)
-        expected = self._revisions.get(index % LOG_KEYS_COUNT)
-        if expected is None:
-            found = await read_key(self._store, key, may_continue)
-            if found is None:
+        expected_revision = self._revisions.get(index % LOG_KEYS_COUNT)
+        if expected_revision is None:
+            stored = await read_key(self._store, key, may_continue)
+            if stored is None:
                 return SwapResult(SwapOutcome.UNKNOWN)
-            if not is_older(found, index):
-                return SwapResult(SwapOutcome.CONFLICT, found.revision)
-            expected = found.revision
-        written = await swap_until_resolved(
+            if not is_older(stored, index):
+                return SwapResult(SwapOutcome.CONFLICT, stored.revision)
+            expected_revision = stored.revision
+        swap_result = await swap_until_resolved(
             self._store,
-            Swap(key, text, expected),
+            Swap(key, text, expected_revision),
             may_continue,
         )
-        if written.outcome is SwapOutcome.SWAPPED:
-            self.record(index, written.revision)
-        return written
+        if swap_result.outcome is SwapOutcome.SWAPPED:
+            self.record_revision(index, swap_result.revision)
+        return swap_result
 
 
-def is_older(found: Versioned, index: int) -> bool:
+def is_older(stored: Versioned, index: int) -> bool:
     """Return whether a log key is empty or has an entry before `index`."""
-    if found.value is None:
+    if stored.value is None:
         return True
-    parsed = parse_entry(found.value)
-    if not isinstance(parsed, Success):
+    parse_result = parse_entry(stored.value)
+    if not isinstance(parse_result, Success):
         return False
-    return bool(parsed.unwrap().index < index)
+    return bool(parse_result.unwrap().index < index)
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -52,7 +52,7 @@
 class WorkerReported:
     """A worker answered an exchange that was requested at `requested_at_ms`.
 
-    Attempts that the worker was told to run may run until `lease_ends_at_ms`.
+    Started attempts may run until `lease_ends_at_ms`.
     """
 
     report: WorkerReport
@@ -142,7 +142,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartWithheld:
-    """A start was not sent, for example because its deadline had passed."""
+    """A start was not sent, for example because `send_before_ms` had passed."""
 
     attempt_id: AttemptId
 
@@ -159,14 +159,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FinishWork:
-    """Refuse new work; reply once all is durable and answered."""
+    """Refuse new jobs; reply once all records are durable and answered."""
 
     reply: Reply[bool]
 
 
 @dataclass(frozen=True, slots=True)
 class ContinueDecision:
-    """Continue a decision that was interrupted to handle other messages."""
+    """Continue a decision that reached its step limit."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -1,4 +1,9 @@
-"""The actor that owns a partition: drives the core, executes its effects."""
+"""The actor that owns a partition.
+
+It passes events to the `PartitionCore`, which contains the scheduling logic,
+and executes the effects that the core returns. A decision is one scheduling
+round of the core; it places waiting tasks.
+"""
 
 from collections.abc import Callable
 from functools import partial
@@ -20,9 +25,13 @@
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.decision_times import DecisionTimes
 from fuchsiarill.owner.durability import Durability
-from fuchsiarill.owner.fleet import Fleet, FleetPorts, hosts_of_partition
+from fuchsiarill.owner.fleet import (
+    WorkerLinkPorts,
+    WorkerLinks,
+    hosts_of_partition,
+)
 from fuchsiarill.owner.job_requests import JobRequests
-from fuchsiarill.owner.worker_link import LinkTerms
+from fuchsiarill.owner.worker_link import LinkParameters
 from fuchsiarill.ports.workers import WorkerPort
 from fuchsiarill.records import TaskLeaseRaised
 from fuchsiarill.registry import Registry
@@ -33,9 +42,10 @@
 
 EFFECT_HANDLERS: Final[Registry[type, EffectHandler]] = Registry('effects')
 _DECIDE_INTERVAL_MS: Final = 100
-# Messages that may share one decision. A burst of reports from all workers of a
-# partition then needs only a few decisions.
-_BURST_MAX_COUNT: Final = 64
+# Consecutive messages after which a decision may be deferred while others wait.
+# A burst of reports from all workers of a partition then needs only a few
+# decisions.
+_DEFERRALS_MAX_COUNT: Final = 64
 
 
 class OwnerActor(Actor):
@@ -49,7 +59,7 @@
         journal: Mailbox,
         campaign: Mailbox,
     ) -> None:
-        """Create the owner; it may send no starts before its first deadline."""
+        """Create the owner; it sends no starts before `OwnershipDeadline`."""
         super().__init__(f'owner {core.state.partition}')
         policies = core.state.config.policies
         self.core = core
@@ -60,9 +70,9 @@
             self.durability,
             settings.http.request_timeout_ms,
         )
-        self.fleet = Fleet(
-            FleetPorts(worker_port, self.mailbox),
-            LinkTerms(
+        self.worker_links = WorkerLinks(
+            WorkerLinkPorts(worker_port, self.mailbox),
+            LinkParameters(
                 core.state.epoch,
                 policies.task_lease_ms,
                 policies.exchange_interval_ms,
@@ -70,16 +80,16 @@
             ),
         )
         self.decision_times = DecisionTimes()
-        self.deadline_ms = 0
+        self.owned_until_ms = 0
         self.outage_until_ms = 0
-        self.finishing: Reply[bool] | None = None
-        self._granted_lease_ms = policies.task_lease_ms
+        self.finish_reply: Reply[bool] | None = None
+        self._longest_lease_ms = policies.task_lease_ms
         self._campaign = campaign
-        self._deposed: messages.Deposed | None = None
-        self._undecided_count = 0
+        self._deposed_message: messages.Deposed | None = None
+        self._messages_since_decision_count = 0
 
     def start(self) -> None:
-        """Run the actor and decide at an interval."""
+        """Run the actor and make a decision at each interval."""
         super().start()
         self.tick_every(_DECIDE_INTERVAL_MS, messages.Tick())
 
@@ -87,28 +97,28 @@
         """Stop the actor and its links."""
         await super().stop()
         self.requests.abandon()
-        await self.fleet.stop()
+        await self.worker_links.stop()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return super().snapshot() | {
             'epoch': self.core.state.epoch,
-            'deadline_ms': self.deadline_ms,
+            'deadline_ms': self.owned_until_ms,
             'restricted': self.core.state.restricted,
             'waiting_for_commit_count': self.requests.waiters.commits_count,
             'waiting_for_end_count': self.requests.waiters.ends_count,
             'decision_times': self.decision_times.snapshot(),
             'durability': self.durability.snapshot(),
             'core': self.core.snapshot(),
-            'links': self.fleet.snapshot(),
+            'links': self.worker_links.snapshot(),
         }
 
     @handles(messages.SubmitJobs)
     async def on_submit(self, message: messages.SubmitJobs) -> None:
         """Admit a batch and answer once all of it is durable."""
-        if self._deposed is not None:
+        if self._deposed_message is not None:
             self.requests.close()
-        self._restrict_if_needed()
+        self._update_restriction()
         self.requests.submit(message)
         self._decide_or_defer()
 
@@ -138,7 +148,7 @@
         """Apply a new host list and create links to new workers."""
         entries = hosts_of_partition(message.entries, self.core.state)
         self.core.hosts_listed(entries, now_ms())
-        await self.fleet.update_hosts(entries, self.core.state)
+        await self.worker_links.update_hosts(entries, self.core.state)
         self._decide_or_defer()
 
     @handles(messages.WorkerReported)
@@ -147,19 +157,20 @@
         report = message.report
         self.core.worker_reported(report, now_ms(), message.requested_at_ms)
         self.core.leases_extended(report.worker_id, message.lease_ends_at_ms)
-        ended = tuple(
+        ended_attempts = tuple(
             task.attempt_id
             for task in report.tasks
             if task.outcome is not TaskOutcome.RUNNING
         )
-        if ended:
-            self.durability.after_commit(
+        if ended_attempts:
+            self.durability.call_after_commit(
                 self.core.state.sequence,
-                # A dropped acknowledgement follows the worker's next report.
+                # If the mailbox of the link is full, the acknowledgement is
+                # dropped. The worker's next report repeats the outcomes.
                 partial(
-                    self.fleet.send,
+                    self.worker_links.send,
                     report.worker_id,
-                    messages.OutcomesCommitted(ended),
+                    messages.OutcomesCommitted(ended_attempts),
                 ),
             )
         self._decide_or_defer()
@@ -174,7 +185,7 @@
 
     @handles(messages.StartWithheld)
     async def on_withheld(self, message: messages.StartWithheld) -> None:
-        """Undo a start that was not sent."""
+        """Withdraw an attempt whose start was not sent."""
         self.core.start_withheld(message.attempt_id, now_ms())
         self._decide_or_defer()
 
@@ -182,87 +193,92 @@
     async def on_committed(self, message: messages.Committed) -> None:
         """Apply a commit and answer the clients that waited for it."""
         current_ms = now_ms()
-        for sequence in self.durability.committed(message.sequence, current_ms):
+        for sequence in self.durability.record_commit(
+            message.sequence, current_ms
+        ):
             self.core.committed(sequence, current_ms)
-        self.requests.waiters.committed(message.sequence)
-        self._restrict_if_needed()
+        self.requests.waiters.answer_committed(message.sequence)
+        self._update_restriction()
         self._decide_or_defer()
 
     @handles(messages.OwnershipDeadline)
     async def on_deadline(self, message: messages.OwnershipDeadline) -> None:
         """Extend the time until which this process owns the partition."""
-        self.deadline_ms = message.deadline_ms
+        self.owned_until_ms = message.deadline_ms
         self.requests.owned_until_ms = message.deadline_ms
-        self._restrict_if_needed()
-        self._allow_renewals()
+        self._update_restriction()
+        self._update_renewal_limit()
 
     @handles(messages.StoreOutageConfirmed)
     async def on_outage(self, message: messages.StoreOutageConfirmed) -> None:
         """Continue to renew task leases while no process can take over."""
         self.outage_until_ms = message.until_ms
-        self._allow_renewals()
+        self._update_renewal_limit()
 
     @handles(messages.ConfigChanged)
     async def on_config(self, message: messages.ConfigChanged) -> None:
-        """Apply a newer configuration; longer leases wait for their commit."""
+        """Apply a newer configuration; a longer lease must first be durable."""
         self.core.configure(message.config, now_ms())
         policies = message.config.policies
         change = messages.LeaseChanged(
             policies.task_lease_ms,
             policies.exchange_interval_ms,
         )
-        if change.task_lease_ms > self._granted_lease_ms:
+        if change.task_lease_ms > self._longest_lease_ms:
             # A longer lease must be in the journal before a worker gets it, so
-            # that the next owner waits long enough.
-            self._granted_lease_ms = change.task_lease_ms
+            # that the next owner waits for leases of this length to lapse.
+            self._longest_lease_ms = change.task_lease_ms
             sequence = self.core.state.persist(
                 TaskLeaseRaised(change.task_lease_ms),
             )
-            self.durability.after_commit(
+            self.durability.call_after_commit(
                 sequence,
-                partial(self.fleet.change_lease, change),
+                partial(self.worker_links.change_lease, change),
             )
         else:
-            self.fleet.change_lease(change)
+            self.worker_links.change_lease(change)
         self._decide_or_defer()
 
     @handles(messages.Deposed)
     async def on_deposed(self, message: messages.Deposed) -> None:
         """Start no more tasks; the campaign stops this owner."""
-        self._deposed = message
+        self._deposed_message = message
         self._campaign.send(message)
 
     @handles(messages.FinishWork)
     async def on_finish(self, message: messages.FinishWork) -> None:
-        """Accept and place no more work; reply once all is answered."""
-        self.finishing = message.reply
+        """Accept and place no more jobs.
+
+        Replies once all records are durable and no client waits for a commit.
+        """
+        self.finish_reply = message.reply
         self.requests.close()
         self.decide_and_execute()
 
     @handles(messages.ContinueDecision)
     async def on_continue(self, message: messages.ContinueDecision) -> None:
-        """Continue an interrupted decision."""
+        """Continue a decision that reached its step limit."""
         self._decide_or_defer()
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Process timeouts, then decide."""
+        """Process timeouts, then make a decision."""
         current_ms = now_ms()
-        if self._deposed is not None:
-            self._campaign.send(self._deposed)
+        if self._deposed_message is not None:
+            self._campaign.send(self._deposed_message)
         self.core.lapse(current_ms)
-        await self.fleet.stop_unlisted(self.core.state)
-        self.requests.expire()
-        self._restrict_if_needed()
+        await self.worker_links.stop_unlisted_links(self.core.state)
+        self.requests.expire_waits()
+        self._update_restriction()
         self.decide_and_execute()
 
     def decide_and_execute(self) -> None:
-        """Decide, then execute all effects in their order."""
-        self._undecided_count = 0
-        if self._deposed is None and self.finishing is None:
+        """Place waiting tasks, then execute all effects in their order."""
+        self._messages_since_decision_count = 0
+        if self._deposed_message is None and self.finish_reply is None:
             with self.decision_times.measure():
-                is_interrupted = self.core.decide(now_ms())
-            if is_interrupted:
+                has_more_steps = self.core.decide(now_ms())
+            if has_more_steps:
                 self.mailbox.send(messages.ContinueDecision())
         records: list[PersistRecord] = []
         for effect in self.core.take_effects():
@@ -274,60 +290,67 @@
         self._finish_if_done()
 
     def _decide_or_defer(self) -> None:
-        """Decide, unless further messages wait that can share the decision."""
-        if len(self.mailbox) and self._undecided_count < _BURST_MAX_COUNT:
-            self._undecided_count += 1
+        """Make a decision, unless waiting messages can share a later one."""
+        if (
+            len(self.mailbox)
+            and self._messages_since_decision_count < _DEFERRALS_MAX_COUNT
+        ):
+            self._messages_since_decision_count += 1
             return
         self.decide_and_execute()
 
-    def _allow_renewals(self) -> None:
-        until_ms = max(self.deadline_ms, self.outage_until_ms)
-        self.fleet.allow_renewals(messages.RenewalsAllowed(until_ms))
+    def _update_renewal_limit(self) -> None:
+        until_ms = max(self.owned_until_ms, self.outage_until_ms)
+        self.worker_links.allow_renewals(messages.RenewalsAllowed(until_ms))
+
+    def _update_restriction(self) -> None:
+        """Restrict the core to urgent idempotent jobs or lift the restriction.
 
-    def _restrict_if_needed(self) -> None:
-        """Restrict the core while no new record can become durable in time."""
+        It applies while ownership is not confirmed, or while records have
+        waited without any commit for the time-out of a store call.
+        """
         current_ms = now_ms()
-        stalled_ms = self.settings.store.call_timeout_ms
-        needed = current_ms >= self.deadline_ms
-        if self.durability.lag_ms(current_ms) >= stalled_ms:
-            needed = True
-        if needed and not self.core.state.restricted:
+        lag_limit_ms = self.settings.store.call_timeout_ms
+        must_restrict = current_ms >= self.owned_until_ms
+        if self.durability.lag_ms(current_ms) >= lag_limit_ms:
+            must_restrict = True
+        if must_restrict and not self.core.state.restricted:
             self.core.restrict(current_ms)
             self.requests.waiters.answer_early()
-        elif self.core.state.restricted and not needed:
+        elif self.core.state.restricted and not must_restrict:
             self.core.unrestrict(current_ms)
 
     def _finish_if_done(self) -> None:
-        if self.finishing is None:
+        if self.finish_reply is None:
             return
         if self.requests.waiters.commits_count:
             return
         if self.durability.is_committed(self.core.state.sequence):
-            self.finishing.answer(True)
+            self.finish_reply.answer(True)
 
 
 @EFFECT_HANDLERS.register(StartTask)
-def _start(owner: OwnerActor, effect: StartTask) -> None:
-    send_before_ms = owner.deadline_ms
-    if _needs_no_store(owner.core.state, effect.attempt_id):
-        # A worker that knows a newer owner refuses the start by its epoch.
+def _send_start(owner: OwnerActor, effect: StartTask) -> None:
+    send_before_ms = owner.owned_until_ms
+    if _may_start_without_store(owner.core.state, effect.attempt_id):
+        # A worker that has seen a newer epoch refuses the start.
         send_before_ms = max(send_before_ms, owner.outage_until_ms)
     message = messages.SendStart(effect, send_before_ms)
-    if not owner.fleet.send(effect.worker_id, message):
+    if not owner.worker_links.send(effect.worker_id, message):
         owner.core.start_withheld(effect.attempt_id, now_ms())
 
 
 @EFFECT_HANDLERS.register(CommandTask)
-def _command(owner: OwnerActor, effect: CommandTask) -> None:
-    owner.fleet.send(effect.worker_id, messages.SendCommand(effect))
+def _send_command(owner: OwnerActor, effect: CommandTask) -> None:
+    owner.worker_links.send(effect.worker_id, messages.SendCommand(effect))
 
 
 @EFFECT_HANDLERS.register(JobSettled)
-def _settled(owner: OwnerActor, effect: JobSettled) -> None:
-    owner.requests.ended(effect.job_id)
+def _answer_end_waiters(owner: OwnerActor, effect: JobSettled) -> None:
+    owner.requests.answer_end_waiters(effect.job_id)
 
 
-def _needs_no_store(state: CoreState, attempt_id: AttemptId) -> bool:
+def _may_start_without_store(state: CoreState, attempt_id: AttemptId) -> bool:
     """Return whether a start is permitted while the store is unreachable."""
     attempt = state.attempts.get(attempt_id)
     if attempt is None or not state.restricted:
--- a/fuchsiarill/owner/owner_watch.py
+++ b/fuchsiarill/owner/owner_watch.py
@@ -50,15 +50,15 @@
         """Read or watch the key once and trigger the next call."""
         key = owner_key(self._partition)
         if self._revision is None:
-            answer = await self._store.get(key)
+            read_result = await self._store.get(key)
         else:
             wait_ms = watch_wait_ms(self._partition, self._process, self._loads)
-            answer = await self._store.watch(key, self._revision, wait_ms)
-        if isinstance(answer, Success):
-            found = answer.unwrap()
+            read_result = await self._store.watch(key, self._revision, wait_ms)
+        if isinstance(read_result, Success):
+            owner_value = read_result.unwrap()
             self._failures_count = 0
-            self._revision = found.revision
-            self._campaign.send(OwnerKeyRead(found))
+            self._revision = owner_value.revision
+            self._campaign.send(OwnerKeyRead(owner_value))
         else:
             # The key may have changed during the failure, so it is read again
             # unless it was absent.
--- a/fuchsiarill/owner/partition_service.py
+++ b/fuchsiarill/owner/partition_service.py
@@ -19,9 +19,9 @@
 from fuchsiarill.records import EpochOpened
 from fuchsiarill.settings import ProcessSettings
 
-# Limit for the commits of all partitions together. The target is 150 writes/s,
-# of which renewals and snapshots need the rest.
-_COMMITS_PER_S: Final = 90
+# Limit for the commits of all partitions together. The target is 150 writes/s;
+# lease renewals and snapshots need the rest of it.
+_COMMITS_MAX_PER_S: Final = 90
 _FINISH_TIMEOUT_MS: Final = 4_000
 
 
@@ -57,12 +57,12 @@
         deadline_ms: int,
     ) -> None:
         """Restore the state of the partition and start all actors."""
-        *older, opened = journal.records
+        *older_records, epoch_record = journal.records
         epoch = Epoch(0)
-        if isinstance(opened, EpochOpened):
-            epoch = opened.epoch
+        if isinstance(epoch_record, EpochOpened):
+            epoch = epoch_record.epoch
         core = PartitionCore(partition, epoch, self._config)
-        core.restore(older, now_ms())
+        core.restore(older_records, now_ms())
         self.epoch = epoch
         self.partition = partition
         self.journal = JournalActor(
@@ -97,7 +97,7 @@
         return self.owner.mailbox.send(message)
 
     async def finish(self) -> bool:
-        """Let the owner finish its work; `False` on a time-out."""
+        """Let the owner finish its work; `False` on failure or a time-out."""
         reply: Reply[bool] = Reply()
         if not self.notify_owner(messages.FinishWork(reply)):
             return False
@@ -131,5 +131,7 @@
 def commit_interval_ms(settings: ProcessSettings, config: CellConfig) -> int:
     """Return the minimum time between two commits of one partition."""
     partitions_count = sum(region.partitions_count for region in config.regions)
-    share_ms = partitions_count * MS_PER_SECOND // _COMMITS_PER_S
-    return max(settings.store.commit_interval_ms, share_ms)
+    interval_for_limit_ms = (
+        partitions_count * MS_PER_SECOND // _COMMITS_MAX_PER_S
+    )
+    return max(settings.store.commit_interval_ms, interval_for_limit_ms)
--- a/fuchsiarill/owner/snapshots.py
+++ b/fuchsiarill/owner/snapshots.py
@@ -1,4 +1,8 @@
-"""Writes snapshots of a journal, alternating between two sets of keys."""
+"""Writes snapshots of a journal, alternating between two sets of keys.
+
+A snapshot holds the compacted records of the journal entries that it covers, in
+chunks. Covered entries may be overwritten.
+"""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -25,8 +29,8 @@
 # of all writes. Half of the ring must remain free for commits.
 _ENTRIES_PER_CHUNK: Final = 16
 _ENTRIES_MAX_COUNT: Final = LOG_KEYS_COUNT // 2
-_FIRST_SET: Final = 'a'
-_SECOND_SET: Final = 'b'
+_FIRST_KEY_SET: Final = 'a'
+_SECOND_KEY_SET: Final = 'b'
 
 
 @dataclass(slots=True)
@@ -43,7 +47,7 @@
         return self.next_index - self.head.first_index
 
     def is_snapshot_due(self) -> bool:
-        """Return whether enough entries follow the last snapshot."""
+        """Return whether uncovered entries have reached the due number."""
         chunks_count = len(self.head.chunk_revisions)
         due_count = max(
             SNAPSHOT_ENTRIES_COUNT,
@@ -52,7 +56,7 @@
         return self.entries_count >= min(due_count, _ENTRIES_MAX_COUNT)
 
     def is_full(self) -> bool:
-        """Return whether the next entry would replace an uncovered one."""
+        """Return whether the next entry would overwrite an uncovered one."""
         return self.entries_count >= LOG_KEYS_COUNT
 
 
@@ -77,21 +81,21 @@
         Returns `False` when another owner has claimed the head.
         """
         previous = self._position.head
-        covered_index = self._position.next_index
-        chosen = _FIRST_SET
-        if previous.snapshot == _FIRST_SET:
-            chosen = _SECOND_SET
+        first_uncovered_index = self._position.next_index
+        key_set = _FIRST_KEY_SET
+        if previous.snapshot == _FIRST_KEY_SET:
+            key_set = _SECOND_KEY_SET
         image.evict_ended_jobs()
         records = tuple(image.compacted())
-        revisions = await self._write_chunks(chosen, records)
+        revisions = await self._write_chunks(key_set, records)
         if revisions is None:
             return False
         return await self._update_head(
             replace(
                 previous,
                 format=FORMAT,
-                first_index=covered_index,
-                snapshot=chosen,
+                first_index=first_uncovered_index,
+                snapshot=key_set,
                 chunk_revisions=revisions,
             ),
         )
@@ -118,31 +122,31 @@
         a later read shows that the head still belongs to this owner.
         """
         while True:
-            expected = self._revisions.pop(key, None)
-            if expected is None:
-                found = await read_key(self._store, key)
-                if found is None or not await self._holds_head():
+            expected_revision = self._revisions.pop(key, None)
+            if expected_revision is None:
+                stored = await read_key(self._store, key)
+                if stored is None or not await self._holds_head():
                     return None
-                expected = found.revision
-            written = await swap_until_resolved(
-                self._store, Swap(key, text, expected)
+                expected_revision = stored.revision
+            swap_result = await swap_until_resolved(
+                self._store, Swap(key, text, expected_revision)
             )
-            if written.outcome is SwapOutcome.SWAPPED:
-                self._revisions[key] = written.revision
-                return written.revision
+            if swap_result.outcome is SwapOutcome.SWAPPED:
+                self._revisions[key] = swap_result.revision
+                return swap_result.revision
 
     async def _holds_head(self) -> bool:
-        found = await read_key(self._store, head_key(self._partition))
-        if found is None or found.value is None:
+        stored = await read_key(self._store, head_key(self._partition))
+        if stored is None or stored.value is None:
             return False
-        head = parse_head(found.value)
+        head = parse_head(stored.value)
         if not isinstance(head, Success):
             return False
         return bool(head.unwrap().writer == self._position.head.writer)
 
     async def _update_head(self, head: Head) -> bool:
         position = self._position
-        updated = await swap_until_resolved(
+        swap_result = await swap_until_resolved(
             self._store,
             Swap(
                 head_key(self._partition),
@@ -150,8 +154,8 @@
                 position.head_revision,
             ),
         )
-        if updated.outcome is not SwapOutcome.SWAPPED:
+        if swap_result.outcome is not SwapOutcome.SWAPPED:
             return False
         position.head = head
-        position.head_revision = updated.revision
+        position.head_revision = swap_result.revision
         return True
--- a/fuchsiarill/owner/store_calls.py
+++ b/fuchsiarill/owner/store_calls.py
@@ -21,14 +21,15 @@
     Versioned,
 )
 
-_FIRST_DELAY_MS: Final = 50
-_LONGEST_DELAY_MS: Final = 2_000
+_FIRST_DELAY_MAX_MS: Final = 50
+_DELAY_MAX_MS: Final = 2_000
 _DOUBLINGS_MAX_COUNT: Final = 6
 
+# Returns whether a call may be attempted again.
 MayContinue = Callable[[], bool]
 
 
-def always() -> bool:
+def always_continue() -> bool:
     """Permit every further attempt."""
     return True
 
@@ -40,22 +41,22 @@
     on the seed, so that processes that fail together do not retry together.
     """
     doublings = min(attempts_count, _DOUBLINGS_MAX_COUNT)
-    delay_ms: float = min(_FIRST_DELAY_MS * 2**doublings, _LONGEST_DELAY_MS)
+    delay_ms: float = min(_FIRST_DELAY_MAX_MS * 2**doublings, _DELAY_MAX_MS)
     return delay_ms * (1 + hash_fraction(f'{seed} {attempts_count}')) / 2
 
 
 async def read_key(
     store: StorePort,
     key: StoreKey,
-    may_continue: MayContinue = always,
+    may_continue: MayContinue = always_continue,
 ) -> Versioned | None:
     """Read a key; returns `None` once no further attempt is permitted."""
     attempts_count = 0
     while may_continue():
-        answer = await store.get(key)
-        if isinstance(answer, Success):
-            found: Versioned = answer.unwrap()
-            return found
+        read_result = await store.get(key)
+        if isinstance(read_result, Success):
+            stored: Versioned = read_result.unwrap()
+            return stored
         await sleep_ms(backoff_ms(key, attempts_count))
         attempts_count += 1
     return None
@@ -64,7 +65,7 @@
 async def swap_until_resolved(
     store: StorePort,
     swap: Swap,
-    may_continue: MayContinue = always,
+    may_continue: MayContinue = always_continue,
 ) -> SwapResult:
     """Swap and determine the outcome.
 
@@ -73,17 +74,17 @@
     """
     attempts_count = 0
     while may_continue():
-        written = await store.swap(swap)
-        if written.outcome is SwapOutcome.SWAPPED:
-            return written
-        if written.outcome is SwapOutcome.UNKNOWN:
+        swap_result = await store.swap(swap)
+        if swap_result.outcome is SwapOutcome.SWAPPED:
+            return swap_result
+        if swap_result.outcome is SwapOutcome.UNKNOWN:
             await sleep_ms(backoff_ms(swap.key, attempts_count))
-        found = await read_key(store, swap.key, may_continue)
-        if found is None:
+        stored = await read_key(store, swap.key, may_continue)
+        if stored is None:
             break
-        if found.value == swap.value:
-            return SwapResult(SwapOutcome.SWAPPED, found.revision)
-        if found.revision != swap.expected:
-            return SwapResult(SwapOutcome.CONFLICT, found.revision)
+        if stored.value == swap.value:
+            return SwapResult(SwapOutcome.SWAPPED, stored.revision)
+        if stored.revision != swap.expected:
+            return SwapResult(SwapOutcome.CONFLICT, stored.revision)
         attempts_count += 1
     return SwapResult(SwapOutcome.UNKNOWN)
--- a/fuchsiarill/owner/takeover.py
+++ b/fuchsiarill/owner/takeover.py
@@ -23,7 +23,10 @@
 
 
 class Takeover(Actor):
-    """One takeover; it continues only until the ownership deadline."""
+    """One takeover; it continues only until the ownership deadline.
+
+    An epoch is the number of an ownership; each takeover increments it.
+    """
 
     def __init__(
         self,
@@ -62,27 +65,29 @@
                 actor=self.name,
                 error=repr(error),
             )
-            self._fail(JournalFault.INTERRUPTED)
+            self._report_failure(JournalFault.INTERRUPTED)
 
     async def _read_and_open(
         self,
         process: ProcessId,
         task_lease_ms: int,
     ) -> None:
-        outcome = await read_journal(self._claim)
-        if not isinstance(outcome, Success):
-            self._fail(outcome.failure())
+        read_result = await read_journal(self._claim)
+        if not isinstance(read_result, Success):
+            self._report_failure(read_result.failure())
             return
-        journal: JournalRead = outcome.unwrap()
-        image = fold(journal.records)
-        opened = EpochOpened(Epoch(image.epoch + 1), process, task_lease_ms)
-        fault = await append_entry(self._claim, journal, opened)
+        journal: JournalRead = read_result.unwrap()
+        ledger_image = fold(journal.records)
+        epoch_record = EpochOpened(
+            Epoch(ledger_image.epoch + 1), process, task_lease_ms
+        )
+        fault = await append_entry(self._claim, journal, epoch_record)
         if fault is None and not self._may_continue():
             fault = JournalFault.INTERRUPTED
         if fault is not None:
-            self._fail(fault)
+            self._report_failure(fault)
             return
         self._campaign.send(TakenOver(self._claim.token, journal))
 
-    def _fail(self, fault: JournalFault) -> None:
+    def _report_failure(self, fault: JournalFault) -> None:
         self._campaign.send(TakeoverFailed(self._claim.token, fault))
--- a/fuchsiarill/owner/waiters.py
+++ b/fuchsiarill/owner/waiters.py
@@ -12,8 +12,8 @@
 from fuchsiarill.answers import JobAnswer
 from fuchsiarill.ids import JobId
 
-_COMMITS_MAX_COUNT: Final = 10_000
-_ENDS_MAX_COUNT: Final = 10_000
+_COMMIT_WAITERS_MAX_COUNT: Final = 10_000
+_END_WAITERS_MAX_COUNT: Final = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,92 +42,102 @@
 
     def __init__(self) -> None:
         """Start without a waiting client."""
-        self._commits: deque[CommitWaiter] = deque()
-        self._ends: dict[JobId, list[_EndWaiter]] = {}
-        self._ends_count = 0
+        self._commit_waiters: deque[CommitWaiter] = deque()
+        self._end_waiters: dict[JobId, list[_EndWaiter]] = {}
+        self._end_waiters_count = 0
 
     @property
     def commits_count(self) -> int:
         """Return the number of clients that wait for a commit."""
-        return len(self._commits)
+        return len(self._commit_waiters)
 
     @property
     def ends_count(self) -> int:
         """Return the number of clients that wait for the end of a job."""
-        return self._ends_count
+        return self._end_waiters_count
 
     def is_full(self) -> bool:
         """Return whether the limit of clients that await commits is reached."""
-        return len(self._commits) >= _COMMITS_MAX_COUNT
+        return len(self._commit_waiters) >= _COMMIT_WAITERS_MAX_COUNT
 
-    def wait_for_commit(self, waiter: CommitWaiter) -> None:
+    def add_commit_waiter(self, waiter: CommitWaiter) -> None:
         """Add a client; sequence numbers must not decrease."""
-        self._commits.append(waiter)
+        self._commit_waiters.append(waiter)
 
-    def committed(self, sequence: int) -> None:
+    def answer_committed(self, sequence: int) -> None:
         """Answer all clients whose records are durable."""
-        while self._commits and self._commits[0].sequence <= sequence:
-            self._commits.popleft().on_commit()
+        while (
+            self._commit_waiters
+            and self._commit_waiters[0].sequence <= sequence
+        ):
+            self._commit_waiters.popleft().on_commit()
 
     def answer_early(self) -> None:
-        """Answer all clients that no longer need a commit."""
-        self._commits = deque(
-            waiter for waiter in self._commits if not waiter.try_early_answer()
+        """Answer all clients whose jobs no longer await a commit."""
+        self._commit_waiters = deque(
+            waiter
+            for waiter in self._commit_waiters
+            if not waiter.try_early_answer()
         )
 
-    def give_up_commits(self) -> None:
+    def answer_commits_uncertain(self) -> None:
         """Answer all that wait for a commit that the outcome is uncertain."""
-        while self._commits:
-            self._commits.popleft().on_uncertain()
+        while self._commit_waiters:
+            self._commit_waiters.popleft().on_uncertain()
 
-    def wait_for_end(
+    def add_end_waiter(
         self,
         job_id: JobId,
         reply: Reply[JobAnswer],
         waits_until_ms: int,
     ) -> bool:
-        """Add a client; `False` if too many are waiting."""
-        if self._ends_count >= _ENDS_MAX_COUNT:
+        """Add a client; `False` if the limit of waiting clients is reached."""
+        if self._end_waiters_count >= _END_WAITERS_MAX_COUNT:
             return False
         waiter = _EndWaiter(reply, waits_until_ms)
-        self._ends.setdefault(job_id, []).append(waiter)
-        self._ends_count += 1
+        self._end_waiters.setdefault(job_id, []).append(waiter)
+        self._end_waiters_count += 1
         return True
 
-    def ended(self, job_id: JobId, answer: JobAnswer) -> None:
+    def answer_end_waiters(self, job_id: JobId, answer: JobAnswer) -> None:
         """Answer all clients that wait for the end of a job."""
-        for waiter in self._ends.pop(job_id, ()):
-            self._ends_count -= 1
+        for waiter in self._end_waiters.pop(job_id, ()):
+            self._end_waiters_count -= 1
             waiter.reply.answer(answer)
 
-    def expire(
+    def expire_waits(
         self,
         now_ms: int,
         answer_of: Callable[[JobId], JobAnswer],
     ) -> None:
         """Answer all clients whose wait has expired."""
-        while self._commits and self._commits[0].waits_until_ms <= now_ms:
-            self._commits.popleft().on_uncertain()
-        self._expire_ends(now_ms, answer_of)
-
-    def expire_ends(self, answer_of: Callable[[JobId], JobAnswer]) -> None:
+        while (
+            self._commit_waiters
+            and self._commit_waiters[0].waits_until_ms <= now_ms
+        ):
+            self._commit_waiters.popleft().on_uncertain()
+        self._answer_end_waiters(now_ms, answer_of)
+
+    def answer_all_end_waiters(
+        self, answer_of: Callable[[JobId], JobAnswer]
+    ) -> None:
         """Answer all clients that wait for the end of any job."""
-        self._expire_ends(None, answer_of)
+        self._answer_end_waiters(None, answer_of)
 
-    def _expire_ends(
+    def _answer_end_waiters(
         self,
         now_ms: int | None,
         answer_of: Callable[[JobId], JobAnswer],
     ) -> None:
-        for job_id, waiters in tuple(self._ends.items()):
-            remaining = []
+        for job_id, waiters in tuple(self._end_waiters.items()):
+            remaining_waiters = []
             for waiter in waiters:
                 if now_ms is not None and waiter.waits_until_ms > now_ms:
-                    remaining.append(waiter)
+                    remaining_waiters.append(waiter)
                     continue
-                self._ends_count -= 1
+                self._end_waiters_count -= 1
                 waiter.reply.answer(answer_of(job_id))
-            if remaining:
-                self._ends[job_id] = remaining
+            if remaining_waiters:
+                self._end_waiters[job_id] = remaining_waiters
             else:
-                self._ends.pop(job_id)
+                self._end_waiters.pop(job_id)
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -1,7 +1,7 @@
 """The link to one worker: sends commands, renews leases, forwards reports.
 
-At most one exchange with the worker is in progress, so that reports arrive in
-the order of the exchanges.
+An exchange is one request to the worker and the report that it returns. At most
+one is in progress, so that reports arrive in the order of the exchanges.
 """
 
 from collections import deque
@@ -30,12 +30,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LinkTerms:
+class LinkParameters:
     """Parameters of a link.
 
-    `restored` holds the unresolved starts of older owners on the worker, with
-    its incarnation at that time. `workers_count` is the number of links that
-    share the owner's call rate. No lease is renewed from `renew_until_ms` on.
+    `restored_starts` holds the unresolved starts of older owners on the worker,
+    with its incarnation at that time. `workers_count` is the number of links
+    that share the owner's call rate. No lease is renewed from `renew_until_ms`
+    on.
     """
 
     epoch: Epoch
@@ -44,37 +45,40 @@
     silent_after_ms: int
     workers_count: int = 1
     renew_until_ms: int = 0
-    restored: Mapping[AttemptId, str] = field(default_factory=dict)
+    restored_starts: Mapping[AttemptId, str] = field(default_factory=dict)
 
 
 class WorkerLink(Actor):
-    """Exchanges commands and reports with one worker for one owner."""
+    """Exchanges commands and reports with one worker for one owner.
+
+    A worker is silent when its exchanges have failed for `silent_after_ms`.
+    """
 
     def __init__(
         self,
         entry: HostEntry,
-        terms: LinkTerms,
+        link_parameters: LinkParameters,
         port: WorkerPort,
         owner: Mailbox,
     ) -> None:
         """Create the link; `start` triggers the first exchange."""
         super().__init__(f'worker link {entry.worker_id}')
         self.entry = entry
-        self._terms = terms
+        self._link_parameters = link_parameters
         self._port = port
         self._owner = owner
         self._pacer = ExchangePacer(
             self.entry.worker_id,
-            terms.exchange_interval_ms,
-            terms.workers_count,
+            link_parameters.exchange_interval_ms,
+            link_parameters.workers_count,
             self._send_tick,
         )
-        self._starts: list[messages.SendStart] = []
-        self._commands: dict[tuple[AttemptId, CommandKind], None] = {}
-        self._acknowledged: set[AttemptId] = set()
-        self._expected = Expectations(terms.restored)
-        self._contact = _ContactState(terms.task_lease_ms)
-        self._renew_until_ms = terms.renew_until_ms
+        self._pending_starts: list[messages.SendStart] = []
+        self._pending_commands: dict[tuple[AttemptId, CommandKind], None] = {}
+        self._pending_acknowledgements: set[AttemptId] = set()
+        self._expectations = Expectations(link_parameters.restored_starts)
+        self._contact = _ContactState(link_parameters.task_lease_ms)
+        self._renew_until_ms = link_parameters.renew_until_ms
         self._outbox: deque[object] = deque()
 
     def start(self) -> None:
@@ -91,9 +95,9 @@
         """Return the state for a dump."""
         return super().snapshot() | {
             'address': self.entry.address,
-            'running_count': len(self._expected.running),
-            'unanswered_starts_count': self._expected.unanswered_count,
-            'starts_waiting_count': len(self._starts),
+            'running_count': len(self._expectations.running),
+            'unanswered_starts_count': self._expectations.unanswered_count,
+            'starts_waiting_count': len(self._pending_starts),
             'failing_since_ms': self._contact.failing_since_ms,
             'silent': self._contact.is_silent,
         }
@@ -101,14 +105,14 @@
     @handles(messages.SendStart)
     async def on_start(self, message: messages.SendStart) -> None:
         """Queue a start and trigger an exchange."""
-        self._starts.append(message)
+        self._pending_starts.append(message)
         self._pacer.request_tick()
 
     @handles(messages.SendCommand)
     async def on_command(self, message: messages.SendCommand) -> None:
         """Queue a command and trigger an exchange."""
         command = message.command
-        self._commands[(command.attempt_id, command.kind)] = None
+        self._pending_commands[(command.attempt_id, command.kind)] = None
         self._pacer.request_tick()
 
     @handles(messages.OutcomesCommitted)
@@ -116,16 +120,18 @@
         self, message: messages.OutcomesCommitted
     ) -> None:
         """Queue the acknowledgement of outcomes for the next exchange."""
-        self._acknowledged.update(message.attempt_ids)
+        self._pending_acknowledgements.update(message.attempt_ids)
 
     @handles(messages.LeaseChanged)
-    async def on_lease(self, message: messages.LeaseChanged) -> None:
+    async def on_lease_changed(self, message: messages.LeaseChanged) -> None:
         """Apply the lease length and interval from the next exchange on."""
         self._contact.task_lease_ms = message.task_lease_ms
-        self._pacer.interval_ms = message.exchange_interval_ms
+        self._pacer.interval_max_ms = message.exchange_interval_ms
 
     @handles(messages.RenewalsAllowed)
-    async def on_allowed(self, message: messages.RenewalsAllowed) -> None:
+    async def on_renewals_allowed(
+        self, message: messages.RenewalsAllowed
+    ) -> None:
         """Set the time until which task leases may be renewed."""
         self._renew_until_ms = message.until_ms
 
@@ -134,20 +140,22 @@
         """Perform one exchange with the worker and schedule the next."""
         self._pacer.tick_started()
         requested_at_ms = now_ms()
-        request = self._request(requested_at_ms)
-        answer = await self._port.exchange(self.entry.address, request)
-        match answer:
-            case Success(report) if report.highest_epoch > self._terms.epoch:
-                self._notify_owner(
+        request = self._build_request(requested_at_ms)
+        exchange_result = await self._port.exchange(self.entry.address, request)
+        match exchange_result:
+            case Success(report) if (
+                report.highest_epoch > self._link_parameters.epoch
+            ):
+                self._queue_for_owner(
                     messages.Deposed('a worker knows a newer owner')
                 )
             case Success(report):
-                self._pacer.record(request, report)
+                self._pacer.adapt_interval(request, report)
                 self._on_report(request, report, requested_at_ms)
             case Failure(failure):
                 self._on_failure(request, failure, requested_at_ms)
-        self._flush()
-        if self._starts:
+        self._flush_outbox()
+        if self._pending_starts:
             self._pacer.request_tick()
         else:
             self._pacer.schedule_tick()
@@ -155,35 +163,35 @@
     def _send_tick(self) -> bool:
         return self.mailbox.send(messages.Tick())
 
-    def _request(self, requested_at_ms: int) -> Exchange:
+    def _build_request(self, requested_at_ms: int) -> Exchange:
         # A silent worker gets no renewals, so that its leases lapse. An owner
-        # that may have been replaced renews nothing, because the next owner
-        # waits for these leases to lapse.
+        # that may have been replaced sends none, because the next owner waits
+        # for these leases to lapse.
         renewals: tuple[AttemptId, ...] = ()
         may_renew = requested_at_ms < self._renew_until_ms
         if may_renew and not self._contact.is_silent:
-            renewals = tuple(sorted(self._expected.running))
+            renewals = tuple(sorted(self._expectations.running))
         return Exchange(
-            epoch=self._terms.epoch,
+            epoch=self._link_parameters.epoch,
             lease_ms=self._contact.task_lease_ms,
             starts=self._prepare_starts(requested_at_ms),
             commands=tuple(
                 TaskCommand(kind, attempt_id)
-                for attempt_id, kind in self._commands
+                for attempt_id, kind in self._pending_commands
             ),
             renewals=renewals,
-            acknowledged=tuple(sorted(self._acknowledged)),
+            acknowledged=tuple(sorted(self._pending_acknowledgements)),
         )
 
     def _prepare_starts(self, requested_at_ms: int) -> tuple[StartCommand, ...]:
-        sent: list[StartCommand] = []
+        start_commands: list[StartCommand] = []
         offset_ms = self._contact.usable_offset_ms(
-            requested_at_ms - self._terms.silent_after_ms,
+            requested_at_ms - self._link_parameters.silent_after_ms,
         )
-        for pending in self._starts:
+        for pending in self._pending_starts:
             start = pending.start
             if offset_ms is None or requested_at_ms >= pending.send_before_ms:
-                self._notify_owner(messages.StartWithheld(start.attempt_id))
+                self._queue_for_owner(messages.StartWithheld(start.attempt_id))
                 continue
             command = StartCommand(
                 attempt_id=start.attempt_id,
@@ -192,15 +200,15 @@
                 payload=start.payload,
                 start_before_worker_clock_ms=pending.send_before_ms + offset_ms,
             )
-            expected = SentStart(
+            sent_start = SentStart(
                 self._contact.incarnation,
                 command.start_before_worker_clock_ms,
                 pending.send_before_ms,
             )
-            self._expected.expect(start.attempt_id, expected)
-            sent.append(command)
-        self._starts.clear()
-        return tuple(sent)
+            self._expectations.expect(start.attempt_id, sent_start)
+            start_commands.append(command)
+        self._pending_starts.clear()
+        return tuple(start_commands)
 
     def _on_report(
         self,
@@ -208,23 +216,25 @@
         report: WorkerReport,
         requested_at_ms: int,
     ) -> None:
-        self._contact.record_answer(report)
+        self._contact.record_report(report)
         self._contact.record_leases(request.lease_ms)
-        missing = self._expected.observe(report, requested_at_ms)
+        missing_outcomes = self._expectations.apply_report(
+            report, requested_at_ms
+        )
         for command in request.commands:
-            self._commands.pop((command.attempt_id, command.kind), None)
-        self._acknowledged.difference_update(request.acknowledged)
-        complete = replace(report, tasks=report.tasks + missing)
+            self._pending_commands.pop((command.attempt_id, command.kind), None)
+        self._pending_acknowledgements.difference_update(request.acknowledged)
+        complete_report = replace(report, tasks=report.tasks + missing_outcomes)
         message = messages.WorkerReported(
-            complete,
+            complete_report,
             requested_at_ms,
             self._contact.lease_ends_at_ms,
         )
-        self._flush()
+        self._flush_outbox()
         # A report may be dropped, since the next one repeats it. Missing
         # attempts are reported only once and must not be dropped.
-        if missing or self._outbox:
-            self._notify_owner(message)
+        if missing_outcomes or self._outbox:
+            self._queue_for_owner(message)
         else:
             self._owner.send(message)
 
@@ -236,23 +246,23 @@
     ) -> None:
         if failure is ExchangeFailure.NOT_SENT:
             for start in request.starts:
-                self._expected.withdraw(start.attempt_id)
-                self._notify_owner(messages.StartWithheld(start.attempt_id))
+                self._expectations.withdraw(start.attempt_id)
+                self._queue_for_owner(messages.StartWithheld(start.attempt_id))
         elif request.renewals or request.starts:
             self._contact.record_leases(request.lease_ms)
-        silent_after_ms = self._terms.silent_after_ms
+        silent_after_ms = self._link_parameters.silent_after_ms
         if self._contact.record_failure(requested_at_ms, silent_after_ms):
-            self._notify_owner(
+            self._queue_for_owner(
                 messages.WorkerSilent(
                     self.entry.worker_id,
                     self._contact.lease_ends_at_ms,
                 ),
             )
 
-    def _notify_owner(self, message: object) -> None:
+    def _queue_for_owner(self, message: object) -> None:
         self._outbox.append(message)
 
-    def _flush(self) -> None:
+    def _flush_outbox(self) -> None:
         while self._outbox and self._owner.send(self._outbox[0]):
             self._outbox.popleft()
 
@@ -267,24 +277,24 @@
         self.is_silent = False
         self.incarnation = ''
         self._offset_ms = 0
-        self._last_answer_at_ms: int | None = None
+        self._last_report_at_ms: int | None = None
 
     def usable_offset_ms(self, not_before_ms: int) -> int | None:
-        """Return the clock offset if it is not older than `not_before_ms`."""
-        if self._last_answer_at_ms is None:
+        """Return the clock offset if measured at `not_before_ms` or later."""
+        if self._last_report_at_ms is None:
             return None
-        if self._last_answer_at_ms < not_before_ms:
+        if self._last_report_at_ms < not_before_ms:
             return None
         return self._offset_ms
 
-    def record_answer(self, report: WorkerReport) -> None:
+    def record_report(self, report: WorkerReport) -> None:
         """Update the clock offset and the incarnation from a report.
 
         The worker read its clock before now, so the difference is at most the
         true offset, and a `start_before` derived from it is never too late.
         """
         current_ms = now_ms()
-        self._last_answer_at_ms = current_ms
+        self._last_report_at_ms = current_ms
         self._offset_ms = report.worker_clock_ms - current_ms
         self.incarnation = report.incarnation
         self.failing_since_ms = None
@@ -295,11 +305,13 @@
         ends_at_ms = now_ms() + lapse_bound_ms(lease_ms)
         self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
 
-    def record_failure(self, requested_at_ms: int, after_ms: int) -> bool:
+    def record_failure(
+        self, requested_at_ms: int, silent_after_ms: int
+    ) -> bool:
         """Record a failed exchange; `True` if the worker just became silent."""
         if self.failing_since_ms is None:
             self.failing_since_ms = requested_at_ms
-        if self.is_silent or now_ms() - self.failing_since_ms < after_ms:
+        if self.is_silent or now_ms() - self.failing_since_ms < silent_after_ms:
             return False
         self.is_silent = True
         return True
