Name call results in the tests of owner and ports

Cause: locals of these tests were bare participles or adjectives (`held`, `seen`, `missed`, `lost`, `patient`, `gone`), and the fakes called responses answers. Change: each local is named after the call or the result that it holds; the wait after a lost message states why it is longer than a call time-out. "Order" is "task" or "job" where a task or a job is meant. Assertions and bounds are unchanged.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -42,10 +42,10 @@
     WorkerReport,
 )
 
-_Answer = TypeVar('_Answer')
+_Response = TypeVar('_Response')
 _LATENCY_MS = 2
 _TIMEOUT_MS = 1_000
-_WATCH_STEP_MS = 20
+_POLL_INTERVAL_MS = 20
 
 
 class NetworkLink:
@@ -64,9 +64,9 @@
     async def call(
         self,
         name: str,
-        request: Callable[[], _Answer],
+        request: Callable[[], _Response],
         timeout_ms: int = _TIMEOUT_MS,
-    ) -> _Answer | None:
+    ) -> _Response | None:
         """Deliver a request; `None` if no response arrives in time."""
         self.calls[name] += 1
         self.is_held = self.is_held or name == self.hold_on_call
@@ -81,19 +81,19 @@
     async def _deliver(
         self,
         name: str,
-        request: Callable[[], _Answer],
-    ) -> _Answer | None:
+        request: Callable[[], _Response],
+    ) -> _Response | None:
         await sleep_ms(_LATENCY_MS)
         while self.is_held:
-            await sleep_ms(_WATCH_STEP_MS)
+            await sleep_ms(_POLL_INTERVAL_MS)
         if self.is_cut or _consume_fault(self.lost_requests, name):
             await sleep_ms(_TIMEOUT_MS)
             return None
-        answer = request()
+        response = request()
         if _consume_fault(self.lost_answers, name):
             await sleep_ms(_TIMEOUT_MS)
             return None
-        return answer
+        return response
 
 
 def _consume_fault(counts: Counter[str], name: str) -> bool:
@@ -137,9 +137,9 @@
         return Revision(self._revision)
 
     def swap(self, swap: Swap) -> SwapResult:
-        found = self.read(swap.key)
-        if found.revision != swap.expected:
-            return SwapResult(SwapOutcome.CONFLICT, found.revision)
+        stored = self.read(swap.key)
+        if stored.revision != swap.expected:
+            return SwapResult(SwapOutcome.CONFLICT, stored.revision)
         if swap.lease_id is not None:
             lease = self._leases.get(swap.lease_id)
             if lease is None:
@@ -187,26 +187,28 @@
         return await self._read('get', key)
 
     async def swap(self, swap: Swap) -> SwapResult:
-        answer = await self._call('swap', lambda: self._state.swap(swap))
-        return answer or SwapResult(SwapOutcome.UNKNOWN)
+        response = await self._call('swap', lambda: self._state.swap(swap))
+        return response or SwapResult(SwapOutcome.UNKNOWN)
 
     async def grant_lease(
         self,
         ttl_ms: int,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        answer = await self._call('lease', lambda: self._state.grant(ttl_ms))
-        if answer is None:
+        response = await self._call('lease', lambda: self._state.grant(ttl_ms))
+        if response is None:
             return Failure(StoreFailure.UNREACHABLE)
-        return Success(answer)
+        return Success(response)
 
     async def renew_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        known = await self._call('lease', lambda: self._state.renew(lease_id))
-        if known is None:
+        is_known = await self._call(
+            'lease', lambda: self._state.renew(lease_id)
+        )
+        if is_known is None:
             return Failure(StoreFailure.UNREACHABLE)
-        if not known:
+        if not is_known:
             return Failure(StoreFailure.LEASE_UNKNOWN)
         return Success(lease_id)
 
@@ -214,8 +216,10 @@
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
-        done = await self._call('lease', lambda: self._state.revoke(lease_id))
-        if done is None:
+        is_revoked = await self._call(
+            'lease', lambda: self._state.revoke(lease_id)
+        )
+        if is_revoked is None:
             return Failure(StoreFailure.UNREACHABLE)
         return Success(lease_id)
 
@@ -229,7 +233,7 @@
         while self._state.read(key).revision == after:
             if now_ms() >= waits_until_ms or self._link.is_cut:
                 break
-            await sleep_ms(_WATCH_STEP_MS)
+            await sleep_ms(_POLL_INTERVAL_MS)
         return await self._read('watch', key)
 
     async def _read(
@@ -237,16 +241,16 @@
         name: str,
         key: StoreKey,
     ) -> Result[Versioned, StoreFailure]:
-        found = await self._call(name, lambda: self._state.read(key))
-        if found is None:
+        stored = await self._call(name, lambda: self._state.read(key))
+        if stored is None:
             return Failure(StoreFailure.UNREACHABLE)
-        return Success(found)
+        return Success(stored)
 
     async def _call(
         self,
         name: str,
-        request: Callable[[], _Answer],
-    ) -> _Answer | None:
+        request: Callable[[], _Response],
+    ) -> _Response | None:
         if self._state.is_down:
             self._link.calls[name] += 1
             await sleep_ms(_TIMEOUT_MS)
@@ -318,12 +322,12 @@
 
     def _execute(self, request: Exchange) -> None:
         lease_ends_at_ms = now_ms() + request.lease_ms
-        for acknowledged in request.acknowledged:
-            self.tasks.pop(acknowledged, None)
+        for acknowledged_id in request.acknowledged:
+            self.tasks.pop(acknowledged_id, None)
         for attempt_id in request.renewals:
-            renewed = self.tasks.get(attempt_id)
-            if renewed is not None:
-                renewed.lease_ends_at_ms = lease_ends_at_ms
+            renewed_task = self.tasks.get(attempt_id)
+            if renewed_task is not None:
+                renewed_task.lease_ends_at_ms = lease_ends_at_ms
         for command in request.commands:
             task = self.tasks.get(command.attempt_id)
             if task is None or command.kind is not CommandKind.STOP:
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -22,12 +22,12 @@
 
     async def control(self, **settings: Any) -> dict[str, Any]:
         """Inject faults; returns the state of the stand-in."""
-        answer = await self.client.post(
+        response_result = await self.client.post(
             f'{self.url}/control',
             json.dumps(settings).encode(),
             5_000,
         )
-        state: dict[str, Any] = json.loads(answer.unwrap().body)
+        state: dict[str, Any] = json.loads(response_result.unwrap().body)
         return state
 
 
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -32,7 +32,7 @@
 from tests.serving import Served, serving
 
 _KEY = StoreKey('key')
-_LONG_MS = 20_000
+_LONG_TIMEOUT_MS = 20_000
 
 
 class _BadStore(StoreStandIn):
@@ -44,7 +44,7 @@
         return super()._dispatch(call)
 
 
-def _store(served: Served, timeout_ms: int = _LONG_MS) -> HttpStore:
+def _store(served: Served, timeout_ms: int = _LONG_TIMEOUT_MS) -> HttpStore:
     settings = StoreSettings(url=served.url, call_timeout_ms=timeout_ms)
     return HttpStore(settings, served.client)
 
@@ -56,11 +56,11 @@
         async with serving(StoreStandIn(), threads_count=1) as served:
             await served.control(put={'key': 'late', 'other': 'mine'})
             await served.control(slow_ms=300)
-            missed = await _store(served, 50).get(_KEY)
+            timed_out_read = await _store(served, 50).get(_KEY)
             await served.control(slow_ms=0)
-            found = await _store(served).get(StoreKey('other'))
-            assert missed == Failure(StoreFailure.UNREACHABLE)
-            assert found.unwrap().value == 'mine'
+            other_read = await _store(served).get(StoreKey('other'))
+            assert timed_out_read == Failure(StoreFailure.UNREACHABLE)
+            assert other_read.unwrap().value == 'mine'
 
     asyncio.run(main())
 
@@ -71,10 +71,10 @@
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
             await served.control(lose_swap_replies=1)
-            lost = await _store(served).swap(Swap(_KEY, 'written'))
-            found = await _store(served).get(_KEY)
-            assert lost.outcome is SwapOutcome.UNKNOWN
-            assert found.unwrap().value == 'written'
+            swap_result = await _store(served).swap(Swap(_KEY, 'written'))
+            read_result = await _store(served).get(_KEY)
+            assert swap_result.outcome is SwapOutcome.UNKNOWN
+            assert read_result.unwrap().value == 'written'
 
     asyncio.run(main())
 
@@ -84,9 +84,9 @@
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
-            gone = Served(1, served.client)
-            swapped = await _store(gone).swap(Swap(_KEY, 'value'))
-            lease = await _store(gone).grant_lease(1000)
+            unreachable = Served(1, served.client)
+            swapped = await _store(unreachable).swap(Swap(_KEY, 'value'))
+            lease = await _store(unreachable).grant_lease(1000)
             assert swapped.outcome is SwapOutcome.NOT_SENT
             assert lease == Failure(StoreFailure.NOT_SENT)
 
@@ -110,13 +110,13 @@
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
-            fits = await _store(served).swap(
+            accepted_swap = await _store(served).swap(
                 Swap(_KEY, 'x' * VALUE_MAX_BYTES),
             )
             larger = Swap(StoreKey('larger'), 'x' * (VALUE_MAX_BYTES + 1))
-            refused = await _store(served).swap(larger)
-            assert fits.outcome is SwapOutcome.SWAPPED
-            assert refused.outcome is SwapOutcome.NOT_SENT
+            refused_swap = await _store(served).swap(larger)
+            assert accepted_swap.outcome is SwapOutcome.SWAPPED
+            assert refused_swap.outcome is SwapOutcome.NOT_SENT
 
     asyncio.run(main())
 
@@ -128,7 +128,7 @@
         async with serving(StoreStandIn(), threads_count=1) as served:
             store = _store(served)
             watches = [
-                asyncio.create_task(store.watch(_KEY, ABSENT, _LONG_MS))
+                asyncio.create_task(store.watch(_KEY, ABSENT, _LONG_TIMEOUT_MS))
                 for _ in range(4)
             ]
             while True:
@@ -136,9 +136,11 @@
                 if state['waiting_watches_count'] == len(watches):
                     break
             await store.swap(Swap(_KEY, 'changed'))
-            seen = await asyncio.gather(*watches)
+            watch_results = await asyncio.gather(*watches)
             state = await served.control()
-            assert {found.unwrap().value for found in seen} == {'changed'}
+            assert {
+                watch_result.unwrap().value for watch_result in watch_results
+            } == {'changed'}
             assert state['calls_count'] == {'watch': 4, 'swap': 1}
 
     asyncio.run(main())
@@ -153,11 +155,15 @@
             store = _store(served)
             await asyncio.gather(*(store.get(_KEY) for _ in range(3)))
             await served.control(slow_ms=0, silence_open_connections=True)
-            missed = await _store(served, 200).get(_KEY)
-            assert missed == Failure(StoreFailure.UNREACHABLE)
-            patient = _store(served, 2_000)
-            found = await asyncio.gather(*(patient.get(_KEY) for _ in range(3)))
-            assert all(isinstance(read, Success) for read in found)
+            timed_out_read = await _store(served, 200).get(_KEY)
+            assert timed_out_read == Failure(StoreFailure.UNREACHABLE)
+            longer_timeout_store = _store(served, 2_000)
+            read_results = await asyncio.gather(
+                *(longer_timeout_store.get(_KEY) for _ in range(3))
+            )
+            assert all(
+                isinstance(read_result, Success) for read_result in read_results
+            )
 
     asyncio.run(main())
 
@@ -167,8 +173,8 @@
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
-            seen = await _store(served).watch(_KEY, ABSENT, 20)
-            assert seen.unwrap().revision == ABSENT
+            watch_result = await _store(served).watch(_KEY, ABSENT, 20)
+            assert watch_result.unwrap().revision == ABSENT
 
     asyncio.run(main())
 
@@ -182,17 +188,20 @@
             client = HttpClient(threads_count=1, in_progress_max=2)
             url = f'{served.url}/v1/get'
             body = b'{"key": "key"}'
-            held = [
-                asyncio.create_task(client.post(url, body, _LONG_MS))
+            pending_calls = [
+                asyncio.create_task(client.post(url, body, _LONG_TIMEOUT_MS))
                 for _ in range(2)
             ]
             await asyncio.sleep(0)
-            further = await client.post(url, body, _LONG_MS)
+            refused_call = await client.post(url, body, _LONG_TIMEOUT_MS)
             await served.control(paused=False)
-            answers = await asyncio.gather(*held)
+            responses = await asyncio.gather(*pending_calls)
             client.close()
-            assert further == Failure(CallFailure.NOT_SENT)
-            assert [answer.unwrap().status for answer in answers] == [200, 200]
+            assert refused_call == Failure(CallFailure.NOT_SENT)
+            assert [response.unwrap().status for response in responses] == [
+                200,
+                200,
+            ]
 
     asyncio.run(main())
 
@@ -206,14 +215,16 @@
             client = HttpClient(threads_count=1, in_progress_max=2)
             url = f'{served.url}/v1/get'
             body = b'{"key": "key"}'
-            first = asyncio.create_task(client.post(url, body, _LONG_MS))
+            first = asyncio.create_task(
+                client.post(url, body, _LONG_TIMEOUT_MS)
+            )
             await asyncio.sleep(0)
             second = await client.post(url, body, 100)
             await served.control(paused=False)
-            answered = await first
+            first_result = await first
             client.close()
             assert second == Failure(CallFailure.NOT_SENT)
-            assert answered.unwrap().status == 200
+            assert first_result.unwrap().status == 200
             state = await served.control()
             assert state['calls_count'] == {'get': 1}
 
@@ -223,7 +234,7 @@
 def test_answer_in_small_pieces_keeps_to_the_deadline() -> None:
     """Guards against a slow response that blocks its caller."""
 
-    async def drip(
+    async def send_slowly(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -233,13 +244,15 @@
             await asyncio.sleep(0.02)
 
     async def main() -> None:
-        server = await asyncio.start_server(drip, '127.0.0.1', 0)
+        server = await asyncio.start_server(send_slowly, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         client = HttpClient(threads_count=1, in_progress_max=1)
-        answer = await client.post(f'http://127.0.0.1:{port}/', b'', 500)
+        response_result = await client.post(
+            f'http://127.0.0.1:{port}/', b'', 500
+        )
         client.close()
         server.close()
-        assert answer == Failure(CallFailure.NO_ANSWER)
+        assert response_result == Failure(CallFailure.NO_ANSWER)
 
     asyncio.run(main())
 
@@ -279,15 +292,15 @@
             connections_count=64,
             state=HostState.LIVE,
         )
-        hosts = HostListStandIn((entry,), lag_ms=_LONG_MS)
+        hosts = HostListStandIn((entry,), lag_ms=_LONG_TIMEOUT_MS)
         async with serving(hosts) as served:
             settings = HostListSettings(url=served.url)
             port = HttpHostList(settings, served.client)
             await served.control(states={'w': 'leaving'})
             assert (await port.fetch()).unwrap() == (entry,)
             await served.control(lag_ms=0)
-            seen = (await port.fetch()).unwrap()
-            assert seen == (replace(entry, state=HostState.LEAVING),)
+            listed_hosts = (await port.fetch()).unwrap()
+            assert listed_hosts == (replace(entry, state=HostState.LEAVING),)
             await served.control(remove=['w'])
             assert not (await port.fetch()).unwrap()
 
@@ -301,12 +314,14 @@
         async with serving(StoreStandIn()) as served:
             store = _store(served)
             lease_id = (await store.grant_lease(3000)).unwrap()
-            held = Swap(_KEY, 'owner', lease_id=lease_id)
-            written = await store.swap(held)
-            seen = await store.watch(_KEY, written.revision, _LONG_MS)
-            renewed = await store.renew_lease(lease_id)
-            assert isinstance(seen, Success)
-            assert seen.unwrap().value is None
-            assert renewed == Failure(StoreFailure.LEASE_UNKNOWN)
+            owner_swap = Swap(_KEY, 'owner', lease_id=lease_id)
+            swap_result = await store.swap(owner_swap)
+            watch_result = await store.watch(
+                _KEY, swap_result.revision, _LONG_TIMEOUT_MS
+            )
+            renewal_result = await store.renew_lease(lease_id)
+            assert isinstance(watch_result, Success)
+            assert watch_result.unwrap().value is None
+            assert renewal_result == Failure(StoreFailure.LEASE_UNKNOWN)
 
     asyncio.run(main())
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -27,11 +27,11 @@
             job = spec(execution.value, execution, run_time_ms=1_000)
             answer = await world.submit_one(owner, job)
             assert is_accepted(answer)
-            early = await world.query(owner, job_id_of(answer), 300)
-            assert early.code is codes.NOT_FINISHED
-            ended = await world.query(owner, job_id_of(answer), 5_000)
-            assert ended.code is codes.JOB_SUCCEEDED
-            assert ended.outputs == (execution.value,)
+            early_answer = await world.query(owner, job_id_of(answer), 300)
+            assert early_answer.code is codes.NOT_FINISHED
+            end_answer = await world.query(owner, job_id_of(answer), 5_000)
+            assert end_answer.code is codes.JOB_SUCCEEDED
+            assert end_answer.outputs == (execution.value,)
         await world.stop()
 
     run_paused(main())
@@ -55,16 +55,18 @@
         killed_at_ms = now_ms()
         await world.kill(owner)
         successor = await world.until_owned()
-        probe = spec('probe', run_time_ms=100)
-        answer = await world.submit_one(successor, probe)
+        probe_spec = spec('probe', run_time_ms=100)
+        answer = await world.submit_one(successor, probe_spec)
         await world.cancel(successor, job_id_of(accepted[0]))
         while not world.starts_of(answer):
             await sleep_ms(10)
         takeover_ms = now_ms() - killed_at_ms
         for earlier in accepted[1:]:
             assert earlier.job_id is not None
-            ended = await world.query(successor, job_id_of(earlier), 120_000)
-            assert ended.code is codes.JOB_SUCCEEDED
+            end_answer = await world.query(
+                successor, job_id_of(earlier), 120_000
+            )
+            assert end_answer.code is codes.JOB_SUCCEEDED
         assert max(world.accepted_starts().values()) == 1
         await world.stop()
         return takeover_ms
@@ -82,13 +84,13 @@
         world.start()
         await sleep_ms(500)
         answer = await world.submit_one(owner, spec('job', run_time_ms=9_000))
-        began_ms = now_ms()
+        started_at_ms = now_ms()
         assert await world.hand_over(owner)
         await world.kill(owner)
         successor = await world.until_owned()
-        assert now_ms() - began_ms < 1_500
-        ended = await world.query(successor, job_id_of(answer), 20_000)
-        assert ended.code is codes.JOB_SUCCEEDED
+        assert now_ms() - started_at_ms < 1_500
+        end_answer = await world.query(successor, job_id_of(answer), 20_000)
+        assert end_answer.code is codes.JOB_SUCCEEDED
         assert max(world.accepted_starts().values()) == 1
         await world.stop()
 
@@ -107,7 +109,7 @@
         owner = await world.until_owned()
         await sleep_ms(500)
         running = spec('running', run_time_ms=60_000)
-        early = await world.submit_one(owner, running)
+        running_answer = await world.submit_one(owner, running)
         await sleep_ms(100)
         world.store.is_down = True
         # Membership sends this once all failure domains have lost the store.
@@ -115,11 +117,13 @@
         owner.campaign.mailbox.send(outage)
         await sleep_ms(20_000)
         urgent = spec('urgent', urgency=Urgency.URGENT, run_time_ms=500)
-        normal, volatile = await world.submit(owner, spec('normal'), urgent)
-        assert normal.code is codes.STORE_UNAVAILABLE
-        assert volatile.code is codes.ACCEPTED_VOLATILE
+        normal_answer, volatile_answer = await world.submit(
+            owner, spec('normal'), urgent
+        )
+        assert normal_answer.code is codes.STORE_UNAVAILABLE
+        assert volatile_answer.code is codes.ACCEPTED_VOLATILE
         await sleep_ms(2_000)
-        assert world.starts_of(volatile) == 1
+        assert world.starts_of(volatile_answer) == 1
         calls_before = owner.link.calls.total()
         await sleep_ms(3_600_000)
         store_calls = owner.link.calls.total() - calls_before
@@ -127,17 +131,21 @@
         assert store_calls - exchanges < 2 * 3_600
         world.store.is_down = False
         owner = await world.until_owned(20_000)
-        ended = await world.query(owner, job_id_of(early), 120_000)
-        assert ended.code is codes.JOB_SUCCEEDED
-        assert world.starts_of(early) == 1
+        end_answer = await world.query(
+            owner, job_id_of(running_answer), 120_000
+        )
+        assert end_answer.code is codes.JOB_SUCCEEDED
+        assert world.starts_of(running_answer) == 1
         await world.stop()
 
     run_paused(main())
 
 
 @pytest.mark.parametrize('execution', list(Execution))
-@pytest.mark.parametrize('lost', ['lost_requests', 'lost_answers'])
-def test_lost_start_is_resolved(lost: str, execution: Execution) -> None:
+@pytest.mark.parametrize('lost_message', ['lost_requests', 'lost_answers'])
+def test_lost_start_is_resolved(
+    lost_message: str, execution: Execution
+) -> None:
     """Guards against an unanswered start that blocks its job or runs twice."""
 
     async def main() -> None:
@@ -145,11 +153,11 @@
         world.start()
         owner = await world.until_owned()
         await sleep_ms(500)
-        getattr(owner.link, lost)['start'] = 1
+        getattr(owner.link, lost_message)['start'] = 1
         job = spec('job', execution, run_time_ms=1_000)
         answer = await world.submit_one(owner, job)
-        ended = await world.query(owner, job_id_of(answer), 30_000)
-        assert ended.code is codes.JOB_SUCCEEDED
+        end_answer = await world.query(owner, job_id_of(answer), 30_000)
+        assert end_answer.code is codes.JOB_SUCCEEDED
         assert max(world.accepted_starts().values()) == 1
         await world.stop()
 
@@ -214,8 +222,8 @@
         await sleep_ms(100)
         for worker in world.workers.values():
             worker.restart()
-        ended = await world.query(owner, job_id_of(answer), 30_000)
-        assert ended.code is codes.JOB_UNKNOWN
+        end_answer = await world.query(owner, job_id_of(answer), 30_000)
+        assert end_answer.code is codes.JOB_UNKNOWN
         assert world.starts_of(answer) == 1
         await world.stop()
 
@@ -223,7 +231,7 @@
 
 
 def test_restarted_worker_does_not_repeat_an_order() -> None:
-    """Guards against a second run of an order lost in a worker restart."""
+    """Guards against a second run of a task lost in a worker restart."""
 
     async def main() -> None:
         world = World()
@@ -236,10 +244,12 @@
         await sleep_ms(100)
         for worker in world.workers.values():
             worker.restart()
-        lost = await world.query(owner, job_id_of(answers[0]), 30_000)
-        assert lost.code is codes.JOB_UNKNOWN
-        repeated = await world.query(owner, job_id_of(answers[1]), 30_000)
-        assert repeated.code is codes.JOB_SUCCEEDED
+        lost_answer = await world.query(owner, job_id_of(answers[0]), 30_000)
+        assert lost_answer.code is codes.JOB_UNKNOWN
+        repeated_answer = await world.query(
+            owner, job_id_of(answers[1]), 30_000
+        )
+        assert repeated_answer.code is codes.JOB_SUCCEEDED
         await world.stop()
 
     run_paused(main())
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -35,7 +35,8 @@
     phases=(Phase.generate,),
 )
 
-_LOSS_MS = 1_500
+# Longer than the time-out of a call, so that a lost message is noticed.
+_LOSS_DETECTION_MS = 1_500
 _RUN_TIME_MS = 6_000
 _WATCH_INTERVAL_MS = 50
 
@@ -72,13 +73,13 @@
         """Record violations at any time, also while a rule runs."""
         while True:
             await sleep_ms(_WATCH_INTERVAL_MS)
-            owning = [
+            owners = [
                 process.name
                 for process in self.world.processes
                 if process.owns()
             ]
-            if len(owning) > 1:
-                self.violations.append(f'several owners: {owning}')
+            if len(owners) > 1:
+                self.violations.append(f'several owners: {owners}')
             for task_id, count in self.world.running_copies().items():
                 if count > 1:
                     self.violations.append(f'{count} copies of {task_id}')
@@ -95,7 +96,7 @@
             for _ in range(_PROCESSES_COUNT):
                 self.world.start()
             await self.world.until_owned()
-            await sleep_ms(_LOSS_MS)
+            await sleep_ms(_LOSS_DETECTION_MS)
             self.watcher = asyncio.create_task(self.watch())
 
         self.run(start())
@@ -124,12 +125,12 @@
         async def pause() -> None:
             self.submit_to_owners(numbers)
             await sleep_ms(sent_ms)
-            paused = self.owners()
-            for process in paused:
+            paused_processes = self.owners()
+            for process in paused_processes:
                 process.link.is_held = True
             await sleep_ms(pause_ms)
-            for resumed in paused:
-                resumed.link.is_held = False
+            for resumed_process in paused_processes:
+                resumed_process.link.is_held = False
             await sleep_ms(sent_ms)
 
         self.run(pause())
@@ -155,7 +156,7 @@
                 counts = link.lost_answers if answers else link.lost_requests
                 counts[name] += 1
             self.submit_to_owners(numbers)
-            await sleep_ms(_LOSS_MS)
+            await sleep_ms(_LOSS_DETECTION_MS)
 
         self.run(lose())
 
@@ -192,7 +193,7 @@
     def submit_to_owners(self, numbers: list[int]) -> None:
         """Submit to all processes that act as owner; record accepted jobs.
 
-        Odd numbers are non-idempotent orders.
+        Odd numbers are non-idempotent jobs.
         """
         specs = [
             spec(
@@ -205,8 +206,8 @@
         ]
         for process in self.owners():
             for job in specs:
-                submitting = self.world.submit_one(process, job)
-                submission = asyncio.create_task(submitting)
+                coroutine = self.world.submit_one(process, job)
+                submission = asyncio.create_task(coroutine)
                 submission.add_done_callback(self._record_answer)
                 self.submissions.append(submission)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -42,7 +42,7 @@
 )
 
 PARTITION = PartitionId('r.0')
-REPLY_MS = 12_000
+REPLY_TIMEOUT_MS = 12_000
 _CLOCKS_AHEAD_MS = (5_000, 70_000)
 
 
@@ -155,7 +155,7 @@
         assert mailbox is not None
         reply: Reply[tuple[JobAnswer, ...]] = Reply()
         mailbox.send(messages.SubmitJobs(specs, reply))
-        return await reply.wait(REPLY_MS)
+        return await reply.wait(REPLY_TIMEOUT_MS)
 
     async def submit_one(self, process: Process, job: JobSpec) -> JobAnswer:
         """Submit a single job."""
@@ -174,7 +174,7 @@
         reply: Reply[JobAnswer] = Reply()
         job_query = JobQuery(CUSTOMER, job_id, wait_ms)
         mailbox.send(messages.QueryJob(job_query, reply))
-        return await reply.wait(wait_ms + REPLY_MS)
+        return await reply.wait(wait_ms + REPLY_TIMEOUT_MS)
 
     async def cancel(self, process: Process, job_id: JobId) -> JobAnswer:
         """Cancel a job."""
@@ -182,13 +182,13 @@
         assert mailbox is not None
         reply: Reply[JobAnswer] = Reply()
         mailbox.send(messages.CancelJob(JobCancel(CUSTOMER, job_id), reply))
-        return await reply.wait(REPLY_MS)
+        return await reply.wait(REPLY_TIMEOUT_MS)
 
     async def hand_over(self, process: Process) -> bool:
         """Let a process release its partition; returns whether it finished."""
         reply: Reply[bool] = Reply()
         process.campaign.mailbox.send(messages.HandOver(reply))
-        return await reply.wait(REPLY_MS)
+        return await reply.wait(REPLY_TIMEOUT_MS)
 
     async def stop(self) -> None:
         """Stop all processes."""
