Explain orders, runs and commit waits where they first occur

Change: the module or class comment defines the word; `HandOver` says what its reply means; locals that hold the error of an actor are called errors.

--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -1,8 +1,8 @@
 """The actor that acquires, keeps and releases the ownership of one partition.
 
-It interprets the partition chart, whose actions are registered below.
-Long-running work has actors of its own: the watch of the owner key, the lease
-renewals, the takeover of the journal and the owner itself.
+It interprets the state chart `charts/partition.yaml`, whose actions are
+registered below. Long-running work has actors of its own: the watch of the
+owner key, the lease renewals, the takeover of the journal and the owner itself.
 """
 
 from collections.abc import Awaitable, Callable
@@ -98,20 +98,20 @@
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Resend a refused configuration; restart or step down on a fault."""
+        """Resend a refused configuration; recover from a failed child actor."""
         self.children.resend_config()
         # An acquisition completes while its message is handled, so a campaign
         # that is still acquiring at a tick has failed to acquire.
         await self.step(PartitionEvent.NOT_ACQUIRED)
-        fault = self.children.fault()
-        if fault is None:
+        error = self.children.fault()
+        if error is None:
             return
-        events.emit(events.OWNER_ACTOR_DIED, actor=self.name, error=fault)
+        events.emit(events.OWNER_ACTOR_DIED, actor=self.name, error=error)
         if self.state is PartitionState.STANDBY:
             await self.children.stop()
             self.start_owner_watch()
             return
-        self.step_down_reason = f'an actor has failed: {fault}'
+        self.step_down_reason = f'an actor has failed: {error}'
         await self.step(PartitionEvent.DEPOSED)
 
     @handles(campaign_messages.OwnerKeyRead)
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -124,12 +124,12 @@
 
     def fault(self) -> str | None:
         """Return the error with which a child has ended by itself, if any."""
-        faults = (
+        errors = (
             child.fault()
             for child in (self.owner_watch, self.renewer, self.service)
             if child is not None
         )
-        return next(filter(None, faults), None)
+        return next(filter(None, errors), None)
 
     async def shut_down(self) -> None:
         """Stop all actors and the refusal of late requests."""
--- a/fuchsiarill/owner/election_delay.py
+++ b/fuchsiarill/owner/election_delay.py
@@ -16,8 +16,8 @@
 _RANK_STEP_MS: Final = 100
 _DELAY_MAX_MS: Final = 1_000
 _UNRANKED_DELAY_MAX_MS: Final = 300
-_SHORT_WATCH_MS: Final = 2_000
-_LONG_WATCH_MS: Final = 20_000
+_SHORT_WATCH_WAIT_MS: Final = 2_000
+_LONG_WATCH_WAIT_MS: Final = 20_000
 _SHORT_WATCHERS_COUNT: Final = 3
 
 
@@ -51,8 +51,8 @@
     """
     rank = _rank(partition, process, loads)
     if rank is None or rank < _SHORT_WATCHERS_COUNT:
-        return _SHORT_WATCH_MS
-    return _LONG_WATCH_MS
+        return _SHORT_WATCH_WAIT_MS
+    return _LONG_WATCH_WAIT_MS
 
 
 def _rank(
--- a/fuchsiarill/owner/log_writer.py
+++ b/fuchsiarill/owner/log_writer.py
@@ -44,7 +44,7 @@
         text: str,
         may_continue: MayContinue = always_continue,
     ) -> SwapResult:
-        """Write an entry; conflicts unless its key is empty or older."""
+        """Write an entry if its key is empty or has an older entry."""
         key = entry_key(self._partition, index)
         expected_revision = self._revisions.get(index % LOG_KEYS_COUNT)
         if expected_revision is None:
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerSilent:
-    """A worker has not answered for `silent_after_ms` of the settings."""
+    """Exchanges have failed for `silent_after_ms` of the settings."""
 
     worker_id: WorkerId
     lease_ends_at_ms: int = 0
@@ -151,7 +151,8 @@
 class HandOver:
     """Release the partition and do not claim it again.
 
-    The reply tells whether all work in progress was finished.
+    The reply tells whether all records became durable and all clients that
+    waited for a commit were answered.
     """
 
     reply: Reply[bool]
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -41,7 +41,7 @@
 EffectHandler = Callable[['OwnerActor', Any], None]
 
 EFFECT_HANDLERS: Final[Registry[type, EffectHandler]] = Registry('effects')
-_DECIDE_INTERVAL_MS: Final = 100
+_DECISION_INTERVAL_MS: Final = 100
 # Consecutive messages after which a decision may be deferred while others wait.
 # A burst of reports from all workers of a partition then needs only a few
 # decisions.
@@ -91,7 +91,7 @@
     def start(self) -> None:
         """Run the actor and make a decision at each interval."""
         super().start()
-        self.tick_every(_DECIDE_INTERVAL_MS, messages.Tick())
+        self.tick_every(_DECISION_INTERVAL_MS, messages.Tick())
 
     async def stop(self) -> None:
         """Stop the actor and its links."""
--- a/fuchsiarill/owner/partition_service.py
+++ b/fuchsiarill/owner/partition_service.py
@@ -114,11 +114,11 @@
 
     def fault(self) -> str | None:
         """Return the error with which an actor has ended by itself, if any."""
-        faults = (
+        errors = (
             actor.fault()
             for actor in (self.owner, self.journal, self.host_poll)
         )
-        return next(filter(None, faults), None)
+        return next(filter(None, errors), None)
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
--- a/fuchsiarill/ports/agents.py
+++ b/fuchsiarill/ports/agents.py
@@ -1,4 +1,8 @@
-"""Interface to the agents on workers that run tasks of job graphs."""
+"""Interface to the agents on workers that run tasks of job graphs.
+
+An order is a command of an owner to a worker. A run is one attempt of a task on
+a worker.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -72,7 +72,10 @@
         in_progress_max: int,
         long_polls_max: int = _LONG_POLLS_MAX_COUNT,
     ) -> None:
-        """Create the thread pools and the connection pools."""
+        """Create the thread pools and the connection pools.
+
+        `in_progress_max` and `long_polls_max` limit the calls in progress.
+        """
         self._calls = BoundedThreadPool(
             'http-call', threads_count, in_progress_max
         )
@@ -91,7 +94,10 @@
         body: bytes,
         timeout_ms: int,
     ) -> Result[HttpAnswer, CallFailure]:
-        """Send one POST request; a refused connection counts as `NOT_SENT`."""
+        """Send one POST request without retries.
+
+        A refused connection counts as `NOT_SENT`.
+        """
         response_result = await self.call(
             HttpCall('POST', url, body), timeout_ms
         )
--- a/fuchsiarill/ports/key_value.py
+++ b/fuchsiarill/ports/key_value.py
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class KvItem:
-    """A key with its value; a deleted or absent key has no value."""
+    """A key with its value; a deleted or absent key has no value.
+
+    `created` is the revision at which the key was created.
+    """
 
     key: StoreKey
     value: bytes | None
