--- a/fuchsiarill/graphs/directory.py
+++ b/fuchsiarill/graphs/directory.py
@@ -8,12 +8,12 @@
 
 
 class WorkerDirectory:
-    """Parses worker entries; an unreadable entry counts as absent."""
+    """Holds the entries of a pool; an unreadable entry counts as absent."""
 
-    def __init__(self, pool: PoolId, directory: DocumentLayout) -> None:
-        """Start without entries."""
+    def __init__(self, pool: PoolId, documents: DocumentLayout) -> None:
+        """Create without entries; `documents` parses the entries of `pool`."""
         self._pool = pool
-        self._directory = directory
+        self._documents = documents
         self._entries: dict[WorkerId, WorkerEntry] = {}
 
     def entries(self) -> list[WorkerEntry]:
@@ -21,32 +21,34 @@
         return list(self._entries.values())
 
     def replace(self, items: tuple[KvItem, ...]) -> None:
-        """Replace all entries by a full list."""
+        """Replace all entries by those in a full list of store items."""
         self._entries.clear()
         self.apply_changes(items)
 
     def apply_changes(self, items: tuple[KvItem, ...]) -> bool:
-        """Apply changes; return whether any entry changed.
+        """Apply changed store items; return whether any entry changed.
 
         A heartbeat rewrites the document and leaves the entry equal.
         """
         is_changed = False
         for item in items:
             worker = WorkerId(
-                item.key.removeprefix(self._directory.workers_prefix),
+                item.key.removeprefix(self._documents.workers_prefix),
             )
-            before = self._entries.pop(worker, None)
-            entry = self._read(worker, item)
+            previous_entry = self._entries.pop(worker, None)
+            entry = self._parse_entry(worker, item)
             if entry is not None:
                 self._entries[worker] = entry
-            is_changed = is_changed or entry != before
+            is_changed = is_changed or entry != previous_entry
         return is_changed
 
-    def _read(self, worker: WorkerId, item: KvItem) -> WorkerEntry | None:
+    def _parse_entry(
+        self, worker: WorkerId, item: KvItem
+    ) -> WorkerEntry | None:
         if item.value is None:
             return None
         try:
-            entry = self._directory.read_worker(worker, item.value)
+            entry = self._documents.read_worker(worker, item.value)
         except DocumentError as error:
             events.emit(
                 events.DOCUMENT_UNREADABLE,
--- a/fuchsiarill/graphs/front.py
+++ b/fuchsiarill/graphs/front.py
@@ -13,8 +13,10 @@
 from fuchsiarill.graphs.settings import GraphSettings
 
 _DEFAULT_CALLER_TIMEOUT_MS = 3000
+# Limit of the requests in progress in all HTTP threads.
 _REQUESTS_MAX_COUNT = 400
-# The bridge times out later than the actor, which answers by the deadline.
+# The bridge times out later than the actor, which answers by the deadline of
+# the request.
 _BRIDGE_MARGIN_MS = 200
 
 
@@ -37,7 +39,7 @@
 
 
 class Front:
-    """Passes requests of HTTP threads to the actors, with a deadline."""
+    """Passes requests of HTTP threads to the actors, with a time limit."""
 
     def __init__(self, settings: GraphSettings, intake: Mailbox) -> None:
         """Pass requests to `intake` in the running loop."""
@@ -48,7 +50,7 @@
         self._intake = intake
 
     def deadline_ms(self, caller_timeout_ms: int | None) -> int:
-        """Return the deadline of an answer, by the runtime clock.
+        """Return the deadline for the answer to a caller, by the runtime clock.
 
         It precedes the caller's own deadline by the answer margin, but by at
         most half of the caller's time.
@@ -63,7 +65,7 @@
         build: Callable[[Reply[IntakeAnswer]], Any],
         deadline_ms: int,
     ) -> IntakeAnswer:
-        """Return the answer of the intake.
+        """Send the message of `build` to the intake; return its answer.
 
         Raises `NotSentError` or `TimeoutError`.
         """
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -2,7 +2,8 @@
 
 Any process serves them from the store alone, without the owner of the pool:
 a job is accepted when its key exists, and cancelled when the key of its
-cancellation exists.
+cancellation exists. The deadline of a request is the time, by the runtime
+clock, by which it is answered.
 """
 
 from dataclasses import dataclass, field
@@ -27,13 +28,13 @@
     KvWrite,
 )
 
-# Requests share a read for this time; counts may be up to 2 s old.
+# Requests share a read of the counts for this time; they may be 2 s old.
 _COUNTS_CACHE_MS: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
 class IntakeAnswer:
-    """Result of a request: its code and the state that was requested."""
+    """Answer to a request: its code and the state that was requested."""
 
     code: codes.ResultCode
     phase: JobPhase | None = None
@@ -88,14 +89,14 @@
 
 @dataclass(slots=True)
 class _RetryState:
-    """State of a request whose store calls are retried until a deadline."""
+    """State of a request whose store calls are retried until its deadline."""
 
     verb: str
     job: JobId
     started_ms: int
     deadline_ms: int
     failures_count: int = 0
-    # An attempt got no answer, so it may have taken effect.
+    # A write got no answer, so it may have taken effect.
     may_have_applied: bool = False
 
 
@@ -103,40 +104,40 @@
     """Serves the requests of callers of one process."""
 
     def __init__(self, store: KeyValuePort, settings: GraphSettings) -> None:
-        """Answer requests from `store`."""
+        """Serve the requests from `store`."""
         super().__init__('intake')
         self._store = store
         self._calls_settings = settings.calls
-        self._pending: dict[PoolId, _PendingCounts] = {}
+        self._counts_by_pool: dict[PoolId, _PendingCounts] = {}
 
     @handles(Submit)
     async def on_submit(self, message: Submit) -> None:
         """Accept a job in a task of its own."""
-        self.spawn(self._submit(message))
+        self.spawn(self._submit_job(message))
 
     @handles(LookUp)
     async def on_look_up(self, message: LookUp) -> None:
         """Look a job up in a task of its own."""
-        self.spawn(self._look_up(message))
+        self.spawn(self._look_up_job(message))
 
     @handles(Cancel)
     async def on_cancel(self, message: Cancel) -> None:
         """Cancel a job in a task of its own."""
-        self.spawn(self._cancel(message))
+        self.spawn(self._cancel_job(message))
 
     @handles(CountPending)
     async def on_count(self, message: CountPending) -> None:
-        """Count waiting jobs in a task of its own."""
+        """Count jobs that have not started, in a task of its own."""
         self.spawn(self._count_pending(message))
 
-    async def _submit(self, message: Submit) -> None:
+    async def _submit_job(self, message: Submit) -> None:
         graph = message.graph
         retry = _RetryState('submit', graph.job, now_ms(), message.deadline_ms)
         key = keys.graph_key(graph.pool, graph.job)
-        code = await self._create(key, records.encode_graph(graph), retry)
+        code = await self._create_key(key, records.encode_graph(graph), retry)
         message.reply.answer(IntakeAnswer(code))
 
-    async def _cancel(self, message: Cancel) -> None:
+    async def _cancel_job(self, message: Cancel) -> None:
         key = keys.graph_key(message.pool, message.job)
         retry = _RetryState(
             'cancel',
@@ -145,23 +146,23 @@
             message.deadline_ms,
         )
         while True:
-            found = await self._store.get(key, self._timeout_ms(retry))
-            if isinstance(found, Success):
+            read_result = await self._store.get(key, self._timeout_ms(retry))
+            if isinstance(read_result, Success):
                 break
             if not await self._may_retry(retry):
-                code = self._refuse(retry, codes.STORE_UNAVAILABLE)
+                code = self._log_refusal(retry, codes.STORE_UNAVAILABLE)
                 message.reply.answer(IntakeAnswer(code))
                 return
-        if found.unwrap().value is None:
+        if read_result.unwrap().value is None:
             message.reply.answer(IntakeAnswer(codes.UNKNOWN_JOB))
             return
         cancel_key = keys.cancel_key(message.pool, message.job)
-        code = await self._create(cancel_key, b'{}', retry)
+        code = await self._create_key(cancel_key, b'{}', retry)
         if code is codes.ACCEPTED:
             events.emit(events.GRAPH_CANCEL_ACCEPTED, job=message.job)
         message.reply.answer(IntakeAnswer(code))
 
-    async def _create(
+    async def _create_key(
         self,
         key: StoreKey,
         value: bytes,
@@ -173,20 +174,20 @@
         """
         transaction = KvTransaction(((key, ABSENT),), (KvWrite(key, value),))
         while True:
-            answered = await self._store.commit(
+            commit_result = await self._store.commit(
                 transaction,
                 self._timeout_ms(retry),
             )
-            if isinstance(answered, Success):
-                self._log_accepted(key, retry, answered.unwrap())
+            if isinstance(commit_result, Success):
+                self._log_accepted(key, retry, commit_result.unwrap())
                 return codes.ACCEPTED
-            if answered.failure() is not KvFailure.REFUSED:
+            if commit_result.failure() is not KvFailure.REFUSED:
                 retry.may_have_applied = True
             if not await self._may_retry(retry):
                 break
         if retry.may_have_applied:
-            return self._refuse(retry, codes.OUTCOME_UNCERTAIN)
-        return self._refuse(retry, codes.STORE_UNAVAILABLE)
+            return self._log_refusal(retry, codes.OUTCOME_UNCERTAIN)
+        return self._log_refusal(retry, codes.STORE_UNAVAILABLE)
 
     def _log_accepted(
         self,
@@ -209,21 +210,21 @@
         )
 
     async def _may_retry(self, retry: _RetryState) -> bool:
-        """Wait after a failed attempt; return whether another may follow."""
+        """Wait after a failed store call; return whether another may follow."""
         retry.failures_count += 1
         await sleep_ms(self._calls_settings.submit_retry_ms)
         now = now_ms()
         if retry.may_have_applied:
-            # Only a further attempt can settle the outcome for the caller.
+            # Only a further call can tell the caller the outcome.
             return now < retry.deadline_ms
-        limit_ms = self._calls_settings.submit_patience_ms
-        return now < min(retry.deadline_ms, retry.started_ms + limit_ms)
+        retry_limit_ms = self._calls_settings.submit_patience_ms
+        return now < min(retry.deadline_ms, retry.started_ms + retry_limit_ms)
 
     def _timeout_ms(self, retry: _RetryState) -> int:
         left_ms = retry.deadline_ms - now_ms()
         return max(1, min(self._calls_settings.store_timeout_ms, left_ms))
 
-    def _refuse(
+    def _log_refusal(
         self, retry: _RetryState, code: codes.ResultCode
     ) -> codes.ResultCode:
         events.emit(
@@ -236,7 +237,7 @@
         )
         return code
 
-    async def _look_up(self, message: LookUp) -> None:
+    async def _look_up_job(self, message: LookUp) -> None:
         retry = _RetryState(
             'look up',
             message.job,
@@ -249,7 +250,7 @@
                 message.reply.answer(answer)
                 return
             if not await self._may_retry(retry):
-                code = self._refuse(retry, codes.STORE_UNAVAILABLE)
+                code = self._log_refusal(retry, codes.STORE_UNAVAILABLE)
                 message.reply.answer(IntakeAnswer(code))
                 return
 
@@ -259,10 +260,10 @@
         timeout_ms: int,
     ) -> IntakeAnswer | None:
         key = keys.progress_key(message.pool, message.job)
-        found = await self._store.get(key, timeout_ms)
-        if isinstance(found, Failure):
+        read_result = await self._store.get(key, timeout_ms)
+        if isinstance(read_result, Failure):
             return None
-        value = found.unwrap().value
+        value = read_result.unwrap().value
         if value is not None:
             progress = records.decode_progress(value)
             return IntakeAnswer(
@@ -270,35 +271,38 @@
                 progress.phase,
                 progress.has_started,
             )
-        found = await self._store.get(
+        read_result = await self._store.get(
             keys.graph_key(message.pool, message.job),
             timeout_ms,
         )
-        if isinstance(found, Failure):
+        if isinstance(read_result, Failure):
             return None
-        if found.unwrap().value is None:
+        if read_result.unwrap().value is None:
             return IntakeAnswer(codes.UNKNOWN_JOB)
         return IntakeAnswer(codes.DONE, JobPhase.ACTIVE)
 
     async def _count_pending(self, message: CountPending) -> None:
-        cached = self._pending.get(message.pool)
-        if cached is None or now_ms() - cached.read_ms > _COUNTS_CACHE_MS:
-            found = await self._store.get(
+        cached_counts = self._counts_by_pool.get(message.pool)
+        if (
+            cached_counts is None
+            or now_ms() - cached_counts.read_ms > _COUNTS_CACHE_MS
+        ):
+            read_result = await self._store.get(
                 keys.pending_key(message.pool),
                 self._calls_settings.store_timeout_ms,
             )
-            if isinstance(found, Failure):
+            if isinstance(read_result, Failure):
                 message.reply.answer(IntakeAnswer(codes.STORE_UNAVAILABLE))
                 return
-            value = found.unwrap().value
-            cached = _PendingCounts(
+            value = read_result.unwrap().value
+            cached_counts = _PendingCounts(
                 now_ms(),
                 records.decode_pending(value) if value else {},
             )
-            self._pending[message.pool] = cached
+            self._counts_by_pool[message.pool] = cached_counts
         message.reply.answer(
             IntakeAnswer(
                 codes.DONE,
-                pending_count=cached.counts.get(message.queue, 0),
+                pending_count=cached_counts.counts.get(message.queue, 0),
             ),
         )
--- a/fuchsiarill/graphs/keys.py
+++ b/fuchsiarill/graphs/keys.py
@@ -48,12 +48,12 @@
 
 
 def pending_key(pool: PoolId) -> StoreKey:
-    """Return the key of the counts of jobs that have not begun."""
+    """Return the key of the counts of jobs that have not started."""
     return StoreKey(f'pending/{pool}')
 
 
 def jobs_prefix(pool: PoolId) -> str:
-    """Return the prefix of the jobs and cancellations of a pool."""
+    """Return the prefix of the jobs of a pool and of their cancellations."""
     return f'jobs/{pool}/'
 
 
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -1,4 +1,4 @@
-"""An HTTP listener that answers requests with a given function."""
+"""An HTTP listener that passes each request to a given function."""
 
 import threading
 from collections.abc import Callable, Iterable
@@ -11,8 +11,9 @@
 from fuchsiarill import events
 from fuchsiarill.graphs.settings import FrontSettings
 
-_RAW_REQUEST: Final = 'fuchsiarill.request'
-_TIMEOUT_S: Final = 15
+# Key of the cheroot request in the WSGI environment.
+_RAW_REQUEST_KEY: Final = 'fuchsiarill.request'
+_CONNECTION_TIMEOUT_S: Final = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +43,7 @@
 
     def __init__(self, req: Any) -> None:
         super().__init__(req)
-        self.env[_RAW_REQUEST] = req
+        self.env[_RAW_REQUEST_KEY] = req
 
 
 class Listener:
@@ -52,22 +53,22 @@
         self,
         address: str,
         settings: FrontSettings,
-        answer: Callable[[Request], Response],
+        handle_request: Callable[[Request], Response],
         threads_count: int,
     ) -> None:
-        """Prepare the listener; `start` opens it."""
+        """Create the listener of `address`; `start` opens it."""
         host, port = address.rsplit(':', 1)
-        self._answer = answer
+        self._handle_request = handle_request
         self.is_draining = False
         self._in_progress_count = 0
-        self._counting = threading.Lock()
+        self._count_lock = threading.Lock()
         self._server = wsgi.Server(
             (host, int(port)),
-            self._respond,
+            self._serve_request,
             numthreads=threads_count,
             request_queue_size=settings.connections_max_count,
             accepted_queue_size=settings.connections_max_count,
-            timeout=_TIMEOUT_S,
+            timeout=_CONNECTION_TIMEOUT_S,
             shutdown_timeout=1,
         )
         self._server.gateway = _Gateway
@@ -80,7 +81,7 @@
 
     @property
     def in_progress_count(self) -> int:
-        """Return the number of requests that have no answer yet."""
+        """Return the number of requests that have no response yet."""
         return self._in_progress_count
 
     def start(self) -> None:
@@ -92,18 +93,18 @@
         """Finish requests in progress, then close the listener."""
         self._server.stop()
 
-    def _respond(
+    def _serve_request(
         self,
         environ: dict[str, Any],
         start_response: Callable[[str, list[tuple[str, str]]], object],
     ) -> Iterable[bytes]:
-        with self._counting:
+        with self._count_lock:
             self._in_progress_count += 1
-        response = self._answer_safely(environ)
-        with self._counting:
+        response = self._handle_request_safely(environ)
+        with self._count_lock:
             self._in_progress_count -= 1
         if self.is_draining:
-            environ[_RAW_REQUEST].close_connection = True
+            environ[_RAW_REQUEST_KEY].close_connection = True
         headers = [
             ('Content-Type', response.content_type),
             ('Content-Length', str(len(response.body))),
@@ -113,9 +114,9 @@
         start_response(status, headers)
         return [response.body]
 
-    def _answer_safely(self, environ: dict[str, Any]) -> Response:
+    def _handle_request_safely(self, environ: dict[str, Any]) -> Response:
         try:
-            return self._answer(_request(environ))
+            return self._handle_request(_parse_request(environ))
         except (OSError, ValueError, errors.MaxSizeExceeded) as error:
             events.emit(
                 events.REQUEST_FAILED,
@@ -129,11 +130,11 @@
                 path=environ['PATH_INFO'],
                 error=repr(error),
             )
-            # The request may have taken effect, so it must not be refused.
+            # The request may have taken effect, so the response is no refusal.
             return Response(HTTPStatus.BAD_GATEWAY)
 
 
-def _request(environ: dict[str, Any]) -> Request:
+def _parse_request(environ: dict[str, Any]) -> Request:
     stream = environ['wsgi.input']
     if environ.get('HTTP_TRANSFER_ENCODING'):
         body = stream.read()
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -28,7 +28,7 @@
 
 _Answer = TypeVar('_Answer')
 
-_BUCKETS_S: Final = (0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
+_BUCKET_LIMITS_S: Final = (0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
 
 
 class GraphMetrics:
@@ -41,14 +41,14 @@
             'fuchsiarill_graph_request_seconds',
             'Time of requests of callers, by verb and code of the answer.',
             ('verb', 'code'),
-            buckets=_BUCKETS_S,
+            buckets=_BUCKET_LIMITS_S,
             registry=self.registry,
         )
         self.store_calls = Histogram(
             'fuchsiarill_graph_store_call_seconds',
             'Time of calls of the store, by kind and outcome.',
             ('kind', 'outcome'),
-            buckets=_BUCKETS_S,
+            buckets=_BUCKET_LIMITS_S,
             registry=self.registry,
         )
         self.ends = Counter(
@@ -61,7 +61,7 @@
             'fuchsiarill_graph_wait_seconds',
             'Time from acceptance to a start, by queue.',
             ('queue',),
-            buckets=_BUCKETS_S,
+            buckets=_BUCKET_LIMITS_S,
             registry=self.registry,
         )
         self.owned = Gauge(
@@ -85,7 +85,7 @@
         self.requests.labels(verb, code.name).observe(duration_s)
 
     def ended(self, kind: EndKind) -> None:
-        """Count a run that has ended."""
+        """Count the end of a run by its kind."""
         self.ends.labels(kind.value).inc()
 
     def waited(self, queue: QueueId, wait_ms: int) -> None:
@@ -112,8 +112,8 @@
     ) -> Result[KvItem, KvFailure]:
         """Read a key."""
         started_ms = now_ms()
-        answer = await self._store.get(key, timeout_ms)
-        return self._observe('get', started_ms, answer)
+        call_result = await self._store.get(key, timeout_ms)
+        return self._observe('get', started_ms, call_result)
 
     async def list_prefix(
         self,
@@ -123,8 +123,8 @@
     ) -> Result[KvPage, KvFailure]:
         """Read the items of a prefix that follow the key `after`."""
         started_ms = now_ms()
-        answer = await self._store.list_prefix(prefix, after, timeout_ms)
-        return self._observe('list', started_ms, answer)
+        call_result = await self._store.list_prefix(prefix, after, timeout_ms)
+        return self._observe('list', started_ms, call_result)
 
     async def watch_prefix(
         self,
@@ -134,8 +134,8 @@
     ) -> Result[KvChanges, KvFailure]:
         """Wait for changes of a prefix, for at most `wait_ms`."""
         started_ms = now_ms()
-        answer = await self._store.watch_prefix(prefix, after, wait_ms)
-        return self._observe('watch', started_ms, answer)
+        call_result = await self._store.watch_prefix(prefix, after, wait_ms)
+        return self._observe('watch', started_ms, call_result)
 
     async def commit(
         self,
@@ -144,8 +144,8 @@
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
         """Execute a transaction."""
         started_ms = now_ms()
-        answer = await self._store.commit(transaction, timeout_ms)
-        return self._observe('commit', started_ms, answer)
+        call_result = await self._store.commit(transaction, timeout_ms)
+        return self._observe('commit', started_ms, call_result)
 
     async def grant_lease(
         self,
@@ -154,8 +154,8 @@
     ) -> Result[StoreLeaseId, KvFailure]:
         """Create a lease."""
         started_ms = now_ms()
-        answer = await self._store.grant_lease(ttl_ms, timeout_ms)
-        return self._observe('grant_lease', started_ms, answer)
+        call_result = await self._store.grant_lease(ttl_ms, timeout_ms)
+        return self._observe('grant_lease', started_ms, call_result)
 
     async def renew_lease(
         self,
@@ -164,8 +164,8 @@
     ) -> Result[StoreLeaseId, KvFailure]:
         """Extend a lease."""
         started_ms = now_ms()
-        answer = await self._store.renew_lease(lease, timeout_ms)
-        return self._observe('renew_lease', started_ms, answer)
+        call_result = await self._store.renew_lease(lease, timeout_ms)
+        return self._observe('renew_lease', started_ms, call_result)
 
     async def end_lease(
         self,
@@ -174,18 +174,18 @@
     ) -> Result[StoreLeaseId, KvFailure]:
         """End a lease and delete its keys."""
         started_ms = now_ms()
-        answer = await self._store.end_lease(lease, timeout_ms)
-        return self._observe('end_lease', started_ms, answer)
+        call_result = await self._store.end_lease(lease, timeout_ms)
+        return self._observe('end_lease', started_ms, call_result)
 
     def _observe(
         self,
         kind: str,
         started_ms: int,
-        answer: Result[_Answer, KvFailure],
+        call_result: Result[_Answer, KvFailure],
     ) -> Result[_Answer, KvFailure]:
         outcome = 'answered'
-        if isinstance(answer, Failure):
-            outcome = answer.failure().value
+        if isinstance(call_result, Failure):
+            outcome = call_result.failure().value
         duration_s = (now_ms() - started_ms) / MS_PER_SECOND
         self._metrics.store_calls.labels(kind, outcome).observe(duration_s)
-        return answer
+        return call_result
--- a/fuchsiarill/graphs/owner_context.py
+++ b/fuchsiarill/graphs/owner_context.py
@@ -1,4 +1,4 @@
-"""Data and services that the owner of a pool works with."""
+"""Data and services that the owner of a pool uses."""
 
 from dataclasses import dataclass
 
@@ -14,7 +14,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Term:
-    """One term of a process as the owner of a pool."""
+    """One term of a process as the owner of a pool.
+
+    A term lasts from an election until the ownership is lost or handed over.
+    """
 
     pool: PoolId
     epoch: Epoch
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -12,7 +12,7 @@
 from fuchsiarill.ids import ProcessId, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import KeyValuePort, KvFailure, KvItem
 
-_RETRY_MS = 100
+_RETRY_DELAY_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,64 +30,64 @@
             loaded = await self._try_load()
             if loaded is not None:
                 return loaded
-            await sleep_ms(_RETRY_MS)
+            await sleep_ms(_RETRY_DELAY_MS)
 
     async def _try_load(self) -> PoolLoaded | None:
-        fleet = await self._get(keys.fleet_key(self.pool))
-        pending = await self._get(keys.pending_key(self.pool))
-        jobs = await self._list(keys.jobs_prefix(self.pool))
-        progress = await self._list(keys.progress_prefix(self.pool))
-        answers = (fleet, pending, jobs, progress)
-        if any(isinstance(answer, Failure) for answer in answers):
+        fleet = await self._get_item(keys.fleet_key(self.pool))
+        pending = await self._get_item(keys.pending_key(self.pool))
+        jobs = await self._list_items(keys.jobs_prefix(self.pool))
+        progress = await self._list_items(keys.progress_prefix(self.pool))
+        reads = (fleet, pending, jobs, progress)
+        if any(isinstance(read, Failure) for read in reads):
             return None
-        record = _fleet(fleet.unwrap())
+        fleet_record = _decode_fleet_record(fleet.unwrap())
         is_previous_owner_inactive = await self._is_previous_owner_inactive(
-            record.owner
+            fleet_record.owner
         )
         if is_previous_owner_inactive is None:
             return None
-        saved = progress.unwrap()[0]
-        items = (fleet.unwrap(), pending.unwrap(), *saved)
+        progress_items = progress.unwrap()[0]
+        items = (fleet.unwrap(), pending.unwrap(), *progress_items)
         return PoolLoaded(
-            record,
+            fleet_record,
             *jobs.unwrap(),
-            saved,
+            progress_items,
             {item.key: item.revision for item in items},
             is_previous_owner_inactive,
         )
 
     async def _is_previous_owner_inactive(
         self,
-        previous: records.OwnerRecord | None,
+        previous_owner: records.OwnerRecord | None,
     ) -> bool | None:
         """Return whether the previous owner can send no more orders.
 
         An earlier incarnation of this process has ended. Another process
-        stops before its lease expires; if only its key was deleted, it may
-        not have noticed, and its lease still exists. Ends that lease. Returns
-        `None` if the store does not answer.
+        stops before its lease expires; if only its owner key was deleted, it
+        may not have noticed, and its lease still exists. Ends the lease of the
+        other process. Returns `None` if the store does not answer.
         """
-        if previous is None or previous.process == self.process:
+        if previous_owner is None or previous_owner.process == self.process:
             return True
-        ended = await self.store.end_lease(
-            StoreLeaseId(previous.lease),
+        end_result = await self.store.end_lease(
+            StoreLeaseId(previous_owner.lease),
             self.timeout_ms,
         )
-        if ended == Failure(KvFailure.LEASE_GONE):
+        if end_result == Failure(KvFailure.LEASE_GONE):
             return True
-        return None if isinstance(ended, Failure) else False
+        return None if isinstance(end_result, Failure) else False
 
-    async def _get(self, key: StoreKey) -> Result[KvItem, KvFailure]:
+    async def _get_item(self, key: StoreKey) -> Result[KvItem, KvFailure]:
         return await self.store.get(key, self.timeout_ms)
 
-    async def _list(
+    async def _list_items(
         self,
         prefix: str,
     ) -> Result[tuple[tuple[KvItem, ...], Revision], KvFailure]:
         return await list_all(self.store, prefix, self.timeout_ms)
 
 
-def _fleet(found: KvItem) -> records.FleetRecord:
-    if found.value is None:
+def _decode_fleet_record(item: KvItem) -> records.FleetRecord:
+    if item.value is None:
         return records.FleetRecord()
-    return records.decode_fleet(found.value)
+    return records.decode_fleet(item.value)
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -27,10 +27,10 @@
     KvWrite,
 )
 
-# A transaction has at most 32 entries: the owner key, and an expectation and
-# a write for each record.
-_RECORDS_MAX_COUNT: Final = 15
-_RETRY_MS: Final = 120
+# A transaction has at most 32 entries: the expected revision of the owner key,
+# and an expected revision and a write for each record.
+_BATCH_RECORDS_MAX_COUNT: Final = 15
+_RETRY_DELAY_MS: Final = 120
 
 
 class RecordWriter(Actor):
@@ -53,35 +53,35 @@
         self._is_ownership_lost = False
 
     def add_revisions(self, revisions: dict[StoreKey, Revision]) -> None:
-        """Record the revisions of records that were loaded."""
+        """Set the revisions of records that were read from the store."""
         self._revisions.update(revisions)
 
     @handles(SaveRecords)
     async def on_save(self, message: SaveRecords) -> None:
         """Write all records of the message, then confirm it."""
-        rows = iter(message.records.items())
-        while batch := dict(islice(rows, _RECORDS_MAX_COUNT)):
-            await self._write(batch, ())
-        keys = iter(message.deletes)
-        while deletes := tuple(islice(keys, _RECORDS_MAX_COUNT)):
-            await self._write({}, deletes)
+        records = iter(message.records.items())
+        while batch := dict(islice(records, _BATCH_RECORDS_MAX_COUNT)):
+            await self._write_batch(batch, ())
+        deleted_keys = iter(message.deletes)
+        while deletes := tuple(islice(deleted_keys, _BATCH_RECORDS_MAX_COUNT)):
+            await self._write_batch({}, deletes)
         if not self._is_ownership_lost:
             self._owner.send(RecordsSaved(message))
 
-    async def _write(
+    async def _write_batch(
         self,
         batch: dict[StoreKey, bytes],
         deletes: tuple[StoreKey, ...],
     ) -> None:
         """Retry until the batch is applied or the ownership is lost."""
         while not self._is_ownership_lost:
-            answered = await self._store.commit(
-                self._transaction(batch, deletes),
+            commit_result = await self._store.commit(
+                self._build_transaction(batch, deletes),
                 self._timeout_ms,
             )
-            if isinstance(answered, Failure):
-                await sleep_ms(_RETRY_MS)
-            elif self._handle_outcome(batch, answered.unwrap()):
+            if isinstance(commit_result, Failure):
+                await sleep_ms(_RETRY_DELAY_MS)
+            elif self._handle_outcome(batch, commit_result.unwrap()):
                 return
 
     def _handle_outcome(
@@ -94,7 +94,7 @@
         self._revisions.update(dict.fromkeys(batch, outcome.revision))
         return True
 
-    def _transaction(
+    def _build_transaction(
         self,
         batch: dict[StoreKey, bytes],
         deletes: tuple[StoreKey, ...],
@@ -103,7 +103,7 @@
         expected.extend(
             (key, self._revisions.get(key, ABSENT)) for key in batch
         )
-        writes = tuple(KvWrite(key, text) for key, text in batch.items())
+        writes = tuple(KvWrite(key, content) for key, content in batch.items())
         return KvTransaction(tuple(expected), writes, deletes)
 
     def _resolve_conflict(
@@ -113,11 +113,12 @@
     ) -> bool:
         """Update revisions; return whether the batch is already applied.
 
-        A retry after a lost answer conflicts with its own earlier write.
+        A retry after a lost answer conflicts with its own earlier write. If
+        the owner key has changed, the ownership is lost.
         """
-        found = {item.key: item for item in conflict.items}
+        items_by_key = {item.key: item for item in conflict.items}
         fence_key, fence_revision = self._fence
-        fence = found.get(fence_key)
+        fence = items_by_key.get(fence_key)
         if fence is None or fence.revision != fence_revision:
             self._is_ownership_lost = True
             events.emit(
@@ -129,9 +130,9 @@
             self._owner.send(OwnershipLost('the owner key has changed'))
             return False
         is_applied = True
-        for key, text in batch.items():
-            item = found.get(key)
+        for key, content in batch.items():
+            item = items_by_key.get(key)
             self._revisions[key] = ABSENT if item is None else item.revision
-            if item is None or item.value != text:
+            if item is None or item.value != content:
                 is_applied = False
         return is_applied
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -38,10 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetRecord:
-    """Every worker that may have received work; `term` counts the owners.
+    """Every worker that may have received a start; `term` counts the owners.
 
-    A new owner needs an answer of each member, or waits until the member's
-    task leases have lapsed. `owner` is the owner that wrote the record.
+    A new owner needs a report of each member, or waits until the member's
+    task leases have expired. `owner` is the owner that wrote the record.
     """
 
     term: int = 0
@@ -51,7 +51,7 @@
 
 def encode_owner(record: OwnerRecord) -> bytes:
     """Return the JSON form of an owner record."""
-    return _encode(asdict(record))
+    return _encode_json(asdict(record))
 
 
 def decode_owner(content: bytes) -> OwnerRecord:
@@ -62,7 +62,7 @@
 def encode_fleet(record: FleetRecord) -> bytes:
     """Return the JSON form of a fleet record."""
     rows = [[member.worker, member.address] for member in record.members]
-    return _encode(
+    return _encode_json(
         {
             'term': record.term,
             'members': rows,
@@ -87,12 +87,12 @@
 
 
 def encode_pending(counts: dict[QueueId, int]) -> bytes:
-    """Return the JSON form of the counts of jobs that have not begun."""
-    return _encode(counts)
+    """Return the JSON form of the counts of jobs that have not started."""
+    return _encode_json(counts)
 
 
 def decode_pending(content: bytes) -> dict[QueueId, int]:
-    """Decode the counts of jobs that have not begun."""
+    """Decode the counts of jobs that have not started."""
     counts: dict[QueueId, int] = json.loads(content)
     return counts
 
@@ -106,7 +106,7 @@
     }
     if graph.schedule is not None:
         document['schedule'] = asdict(graph.schedule)
-    return _encode(document)
+    return _encode_json(document)
 
 
 def decode_graph(pool: PoolId, job: JobId, content: bytes) -> JobGraph:
@@ -125,7 +125,7 @@
 
 def encode_progress(progress: JobProgress) -> bytes:
     """Return the JSON form of a job's progress."""
-    return _encode(
+    return _encode_json(
         {
             'phase': progress.phase.value,
             'started': progress.has_started,
@@ -157,13 +157,13 @@
     )
 
 
-def _encode(document: object) -> bytes:
+def _encode_json(document: object) -> bytes:
     return json.dumps(document, separators=(',', ':')).encode()
 
 
 def _encode_step(step: Step) -> dict[str, Any]:
     row = {
-        name: _as_json(getattr(step, name))
+        name: _convert_to_json(getattr(step, name))
         for name in Step.__slots__
         if getattr(step, name) != _STEP_DEFAULTS.get(name)
     }
@@ -171,22 +171,24 @@
     return row
 
 
-def _as_json(entry: object) -> object:
-    return list(entry) if isinstance(entry, tuple) else entry
+def _convert_to_json(field: object) -> object:
+    return list(field) if isinstance(field, tuple) else field
 
 
 def _decode_step(row: dict[str, Any]) -> Step:
-    parts = dict(row)
-    parts['size'] = Resources(*row['size'])
-    parts['after'] = tuple(row.get('after', ()))
-    return Step(**parts)
+    fields = dict(row)
+    fields['size'] = Resources(*row['size'])
+    fields['after'] = tuple(row.get('after', ()))
+    return Step(**fields)
 
 
-def _defaults(names: Iterable[str]) -> dict[str, Any]:
-    plain = Step(1, Resources())
-    return {name: getattr(plain, name) for name in names if name != 'size'}
+def _step_defaults(names: Iterable[str]) -> dict[str, Any]:
+    default_step = Step(1, Resources())
+    return {
+        name: getattr(default_step, name) for name in names if name != 'size'
+    }
 
 
-_STEP_DEFAULTS: Final = _defaults(
+_STEP_DEFAULTS: Final = _step_defaults(
     name for name in Step.__slots__ if name != 'tasks_count'
 )
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -33,9 +33,9 @@
     advice: str = ''
 
 
-# Use of an owner of several hundred workers; see docs/CAPACITY.md.
-_OWNER_PROCESSORS: Final = 0.75
-_OWNER_LINK_MBPS: Final = 50.0
+# Needs of an owner of several hundred workers; see docs/CAPACITY.md.
+_OWNER_MIN_PROCESSORS: Final = 0.75
+_OWNER_MIN_LINK_MBPS: Final = 50.0
 
 
 class MachineSettings(_Section):
@@ -51,8 +51,8 @@
     def is_small(self) -> bool:
         """Return whether the machine is too small for an owner."""
         processors = self.processor_share * self.processor_speed
-        return processors < _OWNER_PROCESSORS or (
-            self.link_mbps < _OWNER_LINK_MBPS
+        return processors < _OWNER_MIN_PROCESSORS or (
+            self.link_mbps < _OWNER_MIN_LINK_MBPS
         )
 
 
@@ -78,9 +78,10 @@
     allowed_ms: int = 6000
     # Share by which a worker's clock may run slow.
     clock_slowness: float = 0.02
-    # A worker ends lapsed tasks within this time after it wakes up.
+    # A worker ends tasks with expired leases within this time after it
+    # wakes up.
     wake_ms: int = 300
-    # Longest time for which a worker holds a renewal to wait for an end.
+    # Longest time for which a worker holds a renewal to wait for a run end.
     renewal_wait_ms: int = 1000
 
     @property
@@ -90,7 +91,7 @@
 
     @property
     def longest_ms(self) -> int:
-        """Return the time after which runs without renewals have ended."""
+        """Return the time from the last renewal until all runs have ended."""
         slow_ms = self.duration_ms * (1 + self.clock_slowness)
         return int(slow_ms) + self.wake_ms
 
@@ -139,8 +140,8 @@
     calls: CallSettings = Field(default_factory=CallSettings)
     front: FrontSettings = Field(default_factory=FrontSettings)
     retention: RetentionSettings = Field(default_factory=RetentionSettings)
-    # A watch without changes is answered after this time, so that a dead
-    # connection is detected in time for new configurations.
+    # The store answers a watch without changes after this time, so that a
+    # dead connection delays new configurations only briefly.
     watch_wait_ms: int = 1000
     log_level: Level = Level.INFO
 
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -1,4 +1,7 @@
-"""Several processes of the graph scheduler, on models in simulated time."""
+"""Several processes of the graph scheduler in simulated time.
+
+The store and the workers are in-memory models.
+"""
 
 import json
 from collections.abc import Awaitable, Callable
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -1,4 +1,4 @@
-"""Jobs and workers of a pool under failures, on models in simulated time.
+"""Jobs and workers of a pool under failures, in simulated time.
 
 Each test ends with a check that no task ran twice or after its success, and
 that no worker exceeded its capacity.
@@ -40,8 +40,8 @@
 
     async def scenario(cell: GraphCell) -> None:
         await cell.submit(P0, 'a', TWO_STEPS, duration_ms=100)
-        again = await cell.submit(P1, 'a', TWO_STEPS, duration_ms=100)
-        assert again.code is codes.ACCEPTED
+        second_answer = await cell.submit(P1, 'a', TWO_STEPS, duration_ms=100)
+        assert second_answer.code is codes.ACCEPTED
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 3000)
         assert len(cell.fleet.starts) == 5
 
@@ -52,12 +52,12 @@
     """Guards against a lost worker whose tasks never start elsewhere."""
 
     async def scenario(cell: GraphCell) -> None:
-        lasting = (Step(2, TASK_SIZE, is_lasting=True, per_worker_max=1),)
-        await cell.submit(P0, 'a', lasting)
+        lasting_steps = (Step(2, TASK_SIZE, is_lasting=True, per_worker_max=1),)
+        await cell.submit(P0, 'a', lasting_steps)
         await sleep_ms(500)
-        lost = cell.fleet.starts[0][2]
-        cell.fleet.agents.pop(lost)
-        cell.unlist_worker(lost)
+        lost_worker = cell.fleet.starts[0][2]
+        cell.fleet.agents.pop(lost_worker)
+        cell.unlist_worker(lost_worker)
         await sleep_ms(9000)
         assert len(cell.fleet.starts) == 3
 
@@ -235,7 +235,7 @@
         single_task = (Step(1, TASK_SIZE),)
         await cell.submit(P0, 'a', single_task, duration_ms=50, fails=1)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
-        written = cell.metrics.render().decode()
+        metrics_text = cell.metrics.render().decode()
         for sample in (
             'fuchsiarill_graph_takeovers_total 1.0',
             'fuchsiarill_graph_run_ends_total{kind="failed"} 1.0',
@@ -243,6 +243,6 @@
             'fuchsiarill_graph_wait_seconds_count{queue="quotes"} 2.0',
             'fuchsiarill_graph_config_generation 1.0',
         ):
-            assert sample in written
+            assert sample in metrics_text
 
     run_scenario(scenario)
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -1,4 +1,4 @@
-"""Owners that are killed, drained and replaced, on models in simulated time.
+"""Owners that are killed, drained and replaced, in simulated time.
 
 Each test ends with a check that no task ran twice or after its success, and
 that no worker exceeded its capacity.
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -36,13 +36,13 @@
 
     async def main() -> bool:
         path = StorePath(StoreModel())
-        granted = await path.grant_lease(_TTL_MS, _TIMEOUT_MS)
+        lease_result = await path.grant_lease(_TTL_MS, _TIMEOUT_MS)
         owner = None
         if previous is not None:
             owner = records.OwnerRecord(
                 ProcessId(previous),
                 'x',
-                granted.unwrap(),
+                lease_result.unwrap(),
             )
         fleet = records.FleetRecord(3, (), owner)
         path.model.write(
