Say which limit each setting of job graphs enforces

Cause: the comment on the lease of an owner promised a replacement within the lease and no suspension in shorter store outages; the guard ends earlier, by the margin, and counts from the last renewal. Five settings and the time-out of HTTP connections had no comment.

Change: the comment names the deletion of the owner key and the suspension after the time to live less the margin; the other settings say what they bound. Comments only.

--- a/fuchsiarill/graphs/campaigner.py
+++ b/fuchsiarill/graphs/campaigner.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Campaigner:
-    """Writes the owner key of a pool if no process holds it."""
+    """Writes the owner key of a pool if the key does not exist."""
 
     store: KeyValuePort
     settings: GraphSettings
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -13,6 +13,7 @@
 
 # Key of the cheroot request in the WSGI environment.
 _RAW_REQUEST_KEY: Final = 'fuchsiarill.request'
+# A connection without traffic is closed after this time.
 _CONNECTION_TIMEOUT_S: Final = 15
 
 
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -59,12 +59,14 @@
 class OwnershipSettings(_Section):
     """Timing of the lease under which a process owns a pool."""
 
-    # A killed owner is replaced after this time at the latest; store
-    # outages that are shorter than this do not suspend the owner.
+    # The owner key of a killed owner is deleted after this time at the
+    # latest. An owner that can't renew its lease is suspended after this
+    # time, less `lease_margin_ms`.
     lease_ttl_ms: int = 1900
     renewal_interval_ms: int = 350
     # Covers the delay of links and the difference between clock rates.
     lease_margin_ms: int = 300
+    # Maximum random delay of a campaign.
     campaign_spread_ms: int = 40
 
 
@@ -103,9 +105,12 @@
     # Workers answer in one round trip, about 10 ms between domains.
     worker_timeout_ms: int = 350
     advice_timeout_ms: int = 5000
+    # Pause before a store call that failed for a caller is repeated.
     submit_retry_ms: int = 120
     # A submission that the store keeps refusing is refused after this time.
     submit_patience_ms: int = 700
+    # Maximum threads for calls of outside systems, and for calls that wait for
+    # an event.
     threads_max_count: int = 48
     waits_max_count: int = 400
 
@@ -115,9 +120,11 @@
 
     threads_count: int = 12
     connections_max_count: int = 1000
+    # Time by which an answer precedes the deadline of the caller.
     answer_margin_ms: int = 250
     # Time from a SIGTERM until the listener closes.
     drain_ms: int = 3500
+    # Value of the `Retry-After` header of a refusal.
     retry_after_s: int = 1
 
 
