--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -33,9 +33,9 @@
     advice: str = ''
 
 
-# Use of an owner of several hundred workers; see docs/CAPACITY.md.
-_OWNER_PROCESSORS: Final = 0.75
-_OWNER_LINK_MBPS: Final = 50.0
+# Needs of an owner of several hundred workers; see docs/CAPACITY.md.
+_OWNER_MIN_PROCESSORS: Final = 0.75
+_OWNER_MIN_LINK_MBPS: Final = 50.0
 
 
 class MachineSettings(_Section):
@@ -51,20 +51,22 @@
     def is_small(self) -> bool:
         """Return whether the machine is too small for an owner."""
         processors = self.processor_share * self.processor_speed
-        return processors < _OWNER_PROCESSORS or (
-            self.link_mbps < _OWNER_LINK_MBPS
+        return processors < _OWNER_MIN_PROCESSORS or (
+            self.link_mbps < _OWNER_MIN_LINK_MBPS
         )
 
 
 class OwnershipSettings(_Section):
     """Timing of the lease under which a process owns a pool."""
 
-    # A killed owner is replaced after this time at the latest; store
-    # outages that are shorter than this do not suspend the owner.
+    # The owner key of a killed owner is deleted after this time at the
+    # latest. An owner that can't renew its lease is suspended after this
+    # time, less `lease_margin_ms`.
     lease_ttl_ms: int = 1900
     renewal_interval_ms: int = 350
     # Covers the delay of links and the difference between clock rates.
     lease_margin_ms: int = 300
+    # Maximum random delay of a campaign.
     campaign_spread_ms: int = 40
 
 
@@ -78,9 +80,10 @@
     allowed_ms: int = 6000
     # Share by which a worker's clock may run slow.
     clock_slowness: float = 0.02
-    # A worker ends lapsed tasks within this time after it wakes up.
+    # A worker ends tasks with expired leases within this time after it
+    # wakes up.
     wake_ms: int = 300
-    # Longest time for which a worker holds a renewal to wait for an end.
+    # Longest time for which a worker holds a renewal to wait for a run end.
     renewal_wait_ms: int = 1000
 
     @property
@@ -90,7 +93,7 @@
 
     @property
     def longest_ms(self) -> int:
-        """Return the time after which runs without renewals have ended."""
+        """Return the time from the last renewal until all runs have ended."""
         slow_ms = self.duration_ms * (1 + self.clock_slowness)
         return int(slow_ms) + self.wake_ms
 
@@ -102,9 +105,12 @@
     # Workers answer in one round trip, about 10 ms between domains.
     worker_timeout_ms: int = 350
     advice_timeout_ms: int = 5000
+    # Pause before a store call that failed for a caller is repeated.
     submit_retry_ms: int = 120
     # A submission that the store keeps refusing is refused after this time.
     submit_patience_ms: int = 700
+    # Maximum threads for calls of outside systems, and for calls that wait for
+    # an event.
     threads_max_count: int = 48
     waits_max_count: int = 400
 
@@ -114,9 +120,11 @@
 
     threads_count: int = 12
     connections_max_count: int = 1000
+    # Time by which an answer precedes the deadline of the caller.
     answer_margin_ms: int = 250
     # Time from a SIGTERM until the listener closes.
     drain_ms: int = 3500
+    # Value of the `Retry-After` header of a refusal.
     retry_after_s: int = 1
 
 
@@ -139,8 +147,8 @@
     calls: CallSettings = Field(default_factory=CallSettings)
     front: FrontSettings = Field(default_factory=FrontSettings)
     retention: RetentionSettings = Field(default_factory=RetentionSettings)
-    # A watch without changes is answered after this time, so that a dead
-    # connection is detected in time for new configurations.
+    # The store answers a watch without changes after this time, so that a
+    # dead connection delays new configurations only briefly.
     watch_wait_ms: int = 1000
     log_level: Level = Level.INFO
 
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -1,4 +1,7 @@
-"""Several processes of the graph scheduler, on models in simulated time."""
+"""Several processes of the graph scheduler in simulated time.
+
+The store and the workers are in-memory models.
+"""
 
 import json
 from collections.abc import Awaitable, Callable
@@ -79,7 +82,7 @@
         return Failure(PeerFailure.NOT_SENT)
 
 
-class AllowAll:
+class GrantingAdvisor:
     """An advice service that grants a ticket to every worker."""
 
     async def advise(
@@ -121,7 +124,7 @@
         self.processes: dict[ProcessId, GraphProcess] = {}
         self.process_starts_count = 0
         # Processes on machines that are too small for an owner.
-        self.small: set[ProcessId] = set()
+        self.processes_on_small_machines: set[ProcessId] = set()
         self.config = GraphConfig(
             Generation(1),
             {QUEUE: queue_policy()},
@@ -176,13 +179,17 @@
                     'metrics': 'none:4',
                 },
                 'outside': {'store': 'none:5'},
-                'machine': {'link_mbps': 10 if name in self.small else 1000},
+                'machine': {
+                    'link_mbps': 10
+                    if name in self.processes_on_small_machines
+                    else 1000
+                },
             },
         )
         ports = GraphPorts(
             self.paths[name],
             self.fleet,
-            BusyTrackingAdvisor(AllowAll()),
+            BusyTrackingAdvisor(GrantingAdvisor()),
             DocumentLayout(
                 _CONFIG_KEY,
                 'settings/',
