--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -1,10 +1,14 @@
-"""Decides when to request advice on which workers may run a step."""
+"""Decides when to request advice on which workers may run a step.
+
+The advice service allows or denies a worker for a step. Its ticket, which is
+valid for a limited time, permits one worker to run the step.
+"""
 
 from typing import Final
 
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy
-from fuchsiarill.graphs.placement import Request, could_ever_fit
+from fuchsiarill.graphs.placement import PlacementRequest, could_ever_fit
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, expected_wait_ms
@@ -18,7 +22,7 @@
 
 def allowed_workers(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> list[WorkerView]:
     """Return the candidates that the advice service is known to allow.
@@ -36,12 +40,14 @@
 
 def request_advice(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> bool:
-    """Request tickets for candidates that have none.
+    """Request tickets for candidates that have no valid one.
 
-    Returns whether a request for the step is in progress.
+    The request names workers that should have room when the tickets arrive, and
+    workers without an answer so far. Returns whether a request for the step is
+    in progress or waits to be repeated after a failure.
     """
     policy = request.entry.policy.advice
     if policy is None:
@@ -54,22 +60,28 @@
         for view in candidates
         if state.tickets.ticket_for(step.key, view, request.now_ms) is None
     ]
-    soon = _soon_available(state, request, unticketed, policy)
-    unknown = _workers_without_answer(state, request, unticketed)
-    requested = ([view.worker for view in soon] + unknown)[:_WORKERS_MAX_COUNT]
-    if not requested:
+    soon_available = _soon_available(state, request, unticketed, policy)
+    without_answer = _workers_without_answer(state, request, unticketed)
+    requested_workers = (
+        [view.worker for view in soon_available] + without_answer
+    )[:_WORKERS_MAX_COUNT]
+    if not requested_workers:
         return False
-    _reserve_room(request, soon, _duration_ms(policy, len(requested)))
+    _reserve_room(
+        request,
+        soon_available,
+        _time_to_start_ms(policy, len(requested_workers)),
+    )
     state.tickets.request_sent(step.key, request.now_ms)
     state.effects.append(
-        RequestAdvice(step.key, tuple(requested), step.rank_ms)
+        RequestAdvice(step.key, tuple(requested_workers), step.rank_ms)
     )
     return True
 
 
 def _soon_available(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     views: list[WorkerView],
     policy: AdvicePolicy,
 ) -> list[WorkerView]:
@@ -77,44 +89,47 @@
 
     Sorted by the expected time until they have room.
     """
-    within_ms = _duration_ms(policy, 1)
+    time_to_start_ms = _time_to_start_ms(policy, 1)
     waits = {
         view.worker: expected_wait_ms(state, request, view)
         for view in allowed_workers(state, request, views)
     }
-    soon = [
-        view for view in views if waits.get(view.worker, NEVER_MS) <= within_ms
+    soon_available = [
+        view
+        for view in views
+        if waits.get(view.worker, NEVER_MS) <= time_to_start_ms
     ]
-    return sorted(soon, key=lambda view: waits[view.worker])
+    return sorted(soon_available, key=lambda view: waits[view.worker])
 
 
 def _workers_without_answer(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     views: list[WorkerView],
 ) -> list[WorkerId]:
     """Return workers that the advice service has not allowed so far.
 
-    Workers on which a task of the step can never fit are left out.
+    Candidates are not denied either, so these have no answer. Workers on which
+    a task of the step can never fit are left out.
     """
     step = request.step
     return [
         view.worker
         for view in views
         if not state.tickets.is_allowed(step.key, view.worker)
-        and could_ever_fit(step.step, view)
+        and could_ever_fit(step.spec, view)
     ]
 
 
 def _reserve_room(
-    request: Request,
+    request: PlacementRequest,
     views: list[WorkerView],
     duration_ms: int,
 ) -> None:
     """Reserve room for the step until its tickets arrive.
 
-    Without it, a step that is served later and happens to hold a ticket takes
-    the room repeatedly.
+    Otherwise a step that is scheduled later but already has a ticket would
+    take the room repeatedly.
     """
     step = request.step
     for view in views:
@@ -123,7 +138,7 @@
         view.reserve(step, request.now_ms + duration_ms)
 
 
-def _duration_ms(policy: AdvicePolicy, workers_count: int) -> int:
+def _time_to_start_ms(policy: AdvicePolicy, workers_count: int) -> int:
     """Return the expected time from a request to the start of a task."""
     service_ms = policy.decision_ms + policy.interval_ms * workers_count
     return int(service_ms) + _TRANSIT_MS
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -1,7 +1,8 @@
 """Decisions about one pool: jobs, workers and runs; no I/O.
 
-The owner passes in reports, answers and records, with the runtime clock in
-`now_ms`, and executes the effects that `take_effects` returns.
+The pool's owner, the process elected for it, passes in reports of workers,
+answers and records, with the runtime clock in `now_ms`, and executes the
+effects that `take_effects` returns.
 """
 
 from collections import Counter
@@ -10,7 +11,7 @@
 from fuchsiarill import events
 from fuchsiarill.graphs import decision_round, reports, worker_suspension
 from fuchsiarill.graphs.effects import Effect, RequestReport
-from fuchsiarill.graphs.job_actions import step_job
+from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
     BornMs,
@@ -26,7 +27,7 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.progress import JobProgress
-from fuchsiarill.graphs.run_actions import extend_leases, step_run
+from fuchsiarill.graphs.run_actions import apply_run_event, extend_leases
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
@@ -37,7 +38,7 @@
     RunEvent,
     RunState,
 )
-from fuchsiarill.graphs.ticking import TICKS
+from fuchsiarill.graphs.ticking import TICK_ACTIONS
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
@@ -111,22 +112,26 @@
         if graph.schedule is None:
             entry.open_occurrence(0)
         if entry.is_complete:
-            step_job(self.state, entry, JobPhaseEvent.ALL_SUCCEEDED, now_ms)
+            apply_job_event(
+                self.state, entry, JobPhaseEvent.ALL_SUCCEEDED, now_ms
+            )
 
     def cancel_job(self, job: JobId, now_ms: int) -> None:
         """Cancel a job and stop its runs."""
         entry = self.state.jobs.get(job)
         if entry is not None:
-            step_job(self.state, entry, JobPhaseEvent.CANCEL_SEEN, now_ms)
+            apply_job_event(
+                self.state, entry, JobPhaseEvent.CANCEL_SEEN, now_ms
+            )
 
     def remove_job(self, job: JobId) -> None:
-        """Remove a settled job."""
+        """Remove a job that has reached its final phase."""
         self.state.jobs.pop(job, None)
 
     def update_workers(
         self, entries: Iterable[WorkerEntry], now_ms: int
     ) -> None:
-        """Apply the directory's entries of the pool, the complete list."""
+        """Apply the complete list of the pool's entries in the directory."""
         for worker in self.state.workers.update_entries(entries):
             view = self.state.workers.find(worker)
             if view is not None and view.born_ms:
@@ -183,14 +188,15 @@
     ) -> None:
         """Mark a worker as unconfirmed after a failed renewal.
 
-        Its leases end at once if the failure proves that it has ended.
+        Its task leases are taken as expired at once if the failure proves that
+        the worker process has ended.
         """
         view = self.state.workers.find(worker)
         if view is None:
             return
-        before = view.availability
-        self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
-        if before is not view.availability:
+        previous_availability = view.availability
+        self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
+        if previous_availability is not view.availability:
             events.emit(
                 events.WORKER_UNCONFIRMED,
                 worker=worker,
@@ -208,17 +214,20 @@
         failure: AgentFailure | None,
         now_ms: int,
     ) -> None:
-        """Apply the outcome of a start order, started without a `failure`."""
+        """Apply the outcome of a start order.
+
+        It has started the run if `failure` is `None`.
+        """
         run = self._find_run(worker, task, attempt)
         if run is None:
             return
         if failure is None:
             if run.state is RunState.STARTING and run.visible_since_ms is None:
                 run.visible_since_ms = now_ms
-            step_run(self.state, run, RunEvent.CONFIRMED, now_ms)
+            apply_run_event(self.state, run, RunEvent.CONFIRMED, now_ms)
             return
         if failure is AgentFailure.UNKNOWN:
-            step_run(self.state, run, RunEvent.UNANSWERED, now_ms)
+            apply_run_event(self.state, run, RunEvent.UNANSWERED, now_ms)
             return
         self._handle_refusal(run, failure, now_ms)
 
@@ -230,9 +239,9 @@
         failure: AgentFailure | None,
         now_ms: int,
     ) -> None:
-        """Apply the outcome of a stop order, and request a report.
+        """Apply the outcome of a stop order; request a report on success.
 
-        Ticks repeat a failed order.
+        After a failure a periodic action repeats the order.
         """
         run = self._find_run(worker, task, attempt)
         if run is None or failure is not None:
@@ -248,10 +257,11 @@
         granted: dict[WorkerId, Ticket],
         expiry_ms: int,
     ) -> None:
-        """Store the tickets for a step, and which workers got none.
+        """Store the answer of the advice service for a step.
 
-        Workers that have restarted since the request are ignored: the answer
-        does not hold for the new incarnation.
+        It grants tickets and denies the other workers requested. Workers that
+        have restarted since the request are ignored: the answer does not hold
+        for the new incarnation.
         """
         requested = {
             worker: born_ms
@@ -267,21 +277,21 @@
             granted=len(granted),
             workers=','.join(sorted(granted)),
         )
-        self._unblock(step)
+        self._unblock_step(step)
 
     def advice_failed(self, step: StepKey, now_ms: int) -> None:
         """Allow a new request for advice after one without an answer."""
         self.state.tickets.request_failed(step, now_ms)
-        self._unblock(step)
+        self._unblock_step(step)
 
     def tick(self, now_ms: int) -> None:
         """Run all periodic actions."""
-        for name in TICKS:
-            TICKS.lookup(name)(self.state, now_ms)
+        for name in TICK_ACTIONS:
+            TICK_ACTIONS.lookup(name)(self.state, now_ms)
         self.state.free_version += 1
 
     def decide(self, now_ms: int) -> None:
-        """Place waiting units and start them."""
+        """Place waiting units, which are tasks or gangs, and start them."""
         decision_round.decide(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
@@ -297,7 +307,7 @@
         return dirty
 
     def pending_counts(self) -> dict[QueueId, int]:
-        """Return per queue the number of active jobs without any start."""
+        """Return per queue the number of active jobs without a started run."""
         counts: Counter[QueueId] = Counter()
         for entry in self.state.jobs.values():
             if entry.is_active and not entry.progress.has_started:
@@ -345,7 +355,7 @@
         if view is not None and failure is AgentFailure.UNHEALTHY:
             worker_suspension.record_failure(view, run.task, now_ms)
         if view is not None and failure in _AVAILABILITY_FAILURES:
-            self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
+            self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
         reports.end_unreported_run(self.state, run, RunEvent.REFUSED, now_ms)
 
     def _reset_if_restarted(self, view: WorkerView, now_ms: int) -> None:
@@ -353,12 +363,12 @@
             return
         reports.apply_restart(self.state, view, now_ms)
         view.born_ms = view.entry.born_ms
-        self.state.workers.step(view, AvailabilityEvent.WENT_SILENT)
+        self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
 
-    def _unblock(self, step: StepKey) -> None:
-        found = self.state.find_unfinished_step(step)
-        if found is not None:
-            found.blocked_version = -1
+    def _unblock_step(self, step: StepKey) -> None:
+        entry = self.state.find_unfinished_step(step)
+        if entry is not None:
+            entry.blocked_version = -1
 
 
 def _proves_worker_end(view: WorkerView, failure: AgentFailure) -> bool:
@@ -366,7 +376,8 @@
     if failure is AgentFailure.OTHER_WORKER:
         return True
     # A worker that leaves withdraws its entry and closes its port. A closed
-    # port alone proves nothing: a broken link can reset connections too.
+    # port alone proves nothing: a broken network link can reset connections
+    # too.
     has_left = (
         view.availability is AvailabilityState.LEAVING and not view.is_listed
     )
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -1,4 +1,4 @@
-"""Dump of a pool's state for operators."""
+"""State of a pool as plain values, for the dump that operators request."""
 
 from typing import Any
 
@@ -8,13 +8,13 @@
 
 
 def dump_core(core: GraphCore) -> dict[str, Any]:
-    """Return the state as a document of plain types."""
+    """Return the counts of the pool and the state of each worker."""
     state = core.state
     return {
         'jobs_count': len(state.jobs),
         'waiting_units_count': _waiting_units_count(state),
         'is_inheritance_settled': state.is_inheritance_settled,
-        'workers': [_worker_row(view) for view in state.workers],
+        'workers': [_dump_worker(view) for view in state.workers],
     }
 
 
@@ -27,7 +27,7 @@
     )
 
 
-def _worker_row(view: WorkerView) -> dict[str, Any]:
+def _dump_worker(view: WorkerView) -> dict[str, Any]:
     return {
         'worker': view.worker,
         'standing': view.availability.value,
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -1,4 +1,7 @@
-"""Decides which waiting units start, and where."""
+"""Decision round: which waiting units start, and on which workers.
+
+A unit is a task, or a gang whose tasks start together.
+"""
 
 from typing import NamedTuple
 
@@ -9,7 +12,7 @@
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
-from fuchsiarill.graphs.placement import Request
+from fuchsiarill.graphs.placement import PlacementRequest
 from fuchsiarill.graphs.preemption import preempt
 from fuchsiarill.graphs.run_actions import allocate_run, extend_leases
 from fuchsiarill.graphs.runs import Run
@@ -18,7 +21,7 @@
 from fuchsiarill.graphs.worker_table import WorkerView
 
 
-class _Ranked(NamedTuple):
+class _RankedStep(NamedTuple):
     """A step with units that can start, sorted by its rank."""
 
     rank_ms: int
@@ -29,19 +32,19 @@
 
 def decide(state: PoolState, now_ms: int) -> None:
     """Start waiting units in the order of the ranks of their steps."""
-    ranked = [
-        _Ranked(rank_ms(entry, step, now_ms), step.key, entry, step)
+    ranked_steps = [
+        _RankedStep(rank_ms(entry, step, now_ms), step.key, entry, step)
         for entry in state.jobs.values()
-        if _may_start(state, entry)
+        if _may_start_job(state, entry)
         for step in entry.steps.values()
         if _has_startable_units(state, step)
     ]
-    ranked.sort(key=lambda row: row[:2])
-    for row in ranked:
-        _schedule_step(state, row, now_ms)
+    ranked_steps.sort(key=lambda ranked: ranked[:2])
+    for ranked in ranked_steps:
+        _schedule_step(state, ranked, now_ms)
 
 
-def _may_start(state: PoolState, entry: JobEntry) -> bool:
+def _may_start_job(state: PoolState, entry: JobEntry) -> bool:
     if not entry.is_active:
         return False
     return state.is_inheritance_settled or not entry.is_inherited
@@ -53,55 +56,58 @@
     return step.blocked_version != state.free_version
 
 
-def _schedule_step(state: PoolState, row: _Ranked, now_ms: int) -> None:
-    step = row.step
-    step.rank_ms = row.rank_ms
+def _schedule_step(state: PoolState, ranked: _RankedStep, now_ms: int) -> None:
+    step = ranked.step
+    step.rank_ms = ranked.rank_ms
     placer = StepPlacer(state)
     for unit in list(step.waiting.values()):
-        request = Request(row.entry, step, unit, now_ms)
-        placed = placer.place(request)
-        if placed is None:
-            _handle_blocked(state, request, placer.usable(request))
+        request = PlacementRequest(ranked.entry, step, unit, now_ms)
+        workers = placer.place(request)
+        if workers is None:
+            _handle_unplaced_unit(
+                state, request, placer.usable_workers(request)
+            )
             return
-        _start(state, request, placed)
+        _start_unit(state, request, workers)
 
 
-def _handle_blocked(
+def _handle_unplaced_unit(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> None:
-    """Make room or request tickets for a unit that could not be placed.
+    """Make room and request tickets for a unit that could not be placed.
 
-    If neither is in progress, the step is skipped until capacity changes.
+    Unless it waits for tickets, the step is skipped until `free_version`
+    changes.
     """
     step = request.step
     allowed = advice_requests.allowed_workers(state, request, candidates)
-    if not preempt(state, request, allowed) and step.step.is_gang:
+    if not preempt(state, request, allowed) and step.spec.is_gang:
         reserve_for_gang(state, request, allowed)
     if not advice_requests.request_advice(state, request, candidates):
         step.blocked_version = state.free_version
 
 
-def _start(
+def _start_unit(
     state: PoolState,
-    request: Request,
-    placed: list[WorkerView],
+    request: PlacementRequest,
+    workers: list[WorkerView],
 ) -> None:
     entry, step, unit = request.entry, request.step, request.unit
     unit.last_attempt += 1
     step.activate(unit)
     if not entry.progress.has_started:
         entry.progress.has_started = True
-    for task, view in zip(step.tasks_of(unit.key), placed, strict=True):
+    for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
         run = Run(
             task,
             unit.last_attempt,
             unit.key,
             view.worker,
-            step.step.charge,
-            step.step.filler_milli,
-            ordered_ms=request.now_ms,
+            step.spec.charge,
+            step.spec.filler_milli,
+            start_ordered_ms=request.now_ms,
             progress_changed_ms=request.now_ms,
         )
         unit.runs[run.key] = run
@@ -114,7 +120,7 @@
 
 def _order_start(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     run: Run,
     view: WorkerView,
 ) -> None:
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -1,28 +1,29 @@
-"""Moves runs away from workers that leave."""
+"""Moves runs away from workers that are listed as leaving."""
 
 from typing import Final
 
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.placement import has_room
-from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState, RunEvent, RunState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
-# Without a stated notice, a leaving worker serves at least this long after it.
+# A leaving worker without a stated notice runs tasks for at least this long
+# after it has been listed as leaving.
 _DEFAULT_NOTICE_MS: Final = 2000
 # Time to stop a run, get its end reported and restore it on another worker.
 _MOVE_MS: Final = 700
 
 
 def drain_workers(state: PoolState, now_ms: int) -> None:
-    """Stop runs on leaving workers that would not end before the worker.
+    """Stop runs that are not expected to end before their leaving worker.
 
-    Lasting runs are stopped at once. Others are stopped as late as possible,
-    and only if they save checkpoints. A run without room on another worker is
-    left running.
+    Runs of lasting tasks are stopped at once. Others are stopped as late as
+    possible, and only if they save checkpoints. A run without room on another
+    worker is left running.
     """
     for view in state.workers:
         if view.availability is not AvailabilityState.LEAVING:
@@ -35,34 +36,34 @@
 
 def _drain_worker(state: PoolState, view: WorkerView, now_ms: int) -> None:
     for run in list(view.runs.values()):
-        found = state.find_step(run.task)
-        if found is None or run.state is not RunState.RUNNING:
+        job_and_step = state.find_step(run.task)
+        if job_and_step is None or run.state is not RunState.RUNNING:
             continue
-        if _must_move(state, view, run, found, now_ms):
-            step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+        if _must_move(state, view, run, job_and_step, now_ms):
+            apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 def _must_move(
     state: PoolState,
     view: WorkerView,
     run: Run,
-    found: tuple[JobEntry, StepEntry],
+    job_and_step: tuple[JobEntry, StepEntry],
     now_ms: int,
 ) -> bool:
-    entry, step = found
-    if not step.step.is_lasting:
-        if not step.step.is_checkpointing:
+    entry, step = job_and_step
+    if not step.spec.is_lasting:
+        if not step.spec.is_checkpointing:
             return False
-        expected_ms = state.run_times.expected_ms(entry.graph.queue, step.step)
-        remaining_ms = _remaining_ms(view, now_ms)
-        if expected_ms - (now_ms - run.ordered_ms) <= remaining_ms:
+        expected_ms = state.run_times.expected_ms(entry.graph.queue, step.spec)
+        remaining_ms = _worker_remaining_ms(view, now_ms)
+        if expected_ms - (now_ms - run.start_ordered_ms) <= remaining_ms:
             return False
         if remaining_ms >= _MOVE_MS:
             return False
     return _has_room_elsewhere(state, view, step)
 
 
-def _remaining_ms(view: WorkerView, now_ms: int) -> int:
+def _worker_remaining_ms(view: WorkerView, now_ms: int) -> int:
     """Return the minimum time until the worker ends."""
     notice_ms = _DEFAULT_NOTICE_MS
     if view.entry is not None and view.entry.notice_left_ms is not None:
--- a/fuchsiarill/graphs/gang_reservations.py
+++ b/fuchsiarill/graphs/gang_reservations.py
@@ -6,27 +6,30 @@
 
 from typing import Final
 
-from fuchsiarill.graphs.placement import Request
+from fuchsiarill.graphs.placement import PlacementRequest
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.worker_waits import NEVER_MS, expected_wait_ms
 
-# Renewed at each decision about the gang; ticks cause decisions more often.
+# Longer than the interval of the ticks, each of which causes a decision that
+# renews the reservations.
 _RESERVATION_MS: Final = 250
-# A gang that has not started by then releases the workers during a pause,
-# because a run that it waits for may never end. Most runs take less time.
+# A gang that has not started within this time releases the workers during a
+# pause, because a run that it waits for may never end. Most runs take less
+# time.
 _RESERVING_MAX_MS: Final = 6000
-_PAUSE_MS: Final = 2000
+_RESERVATION_PAUSE_MS: Final = 2000
 
 
 def reserve_for_gang(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> None:
     """Reserve room on the workers with the shortest expected wait.
 
-    Reserves nothing during a pause, or when too few workers can have room.
+    Reserves nothing during a pause, or with fewer candidates than tasks.
+    Workers that are never expected to have room are left out.
     """
     step = request.step
     for view in state.workers:
@@ -39,13 +42,16 @@
         (expected_wait_ms(state, request, candidate), position)
         for position, candidate in enumerate(candidates)
     )
-    if len(waits) < step.step.tasks_count:
+    if len(waits) < step.spec.tasks_count:
         return
-    for wait_ms, position in waits[: step.step.tasks_count]:
+    for wait_ms, position in waits[: step.spec.tasks_count]:
         if wait_ms >= NEVER_MS:
             return
         candidates[position].reserve(step, request.now_ms + _RESERVATION_MS)
 
 
 def _is_pausing(waited_ms: int) -> bool:
-    return waited_ms % (_RESERVING_MAX_MS + _PAUSE_MS) >= _RESERVING_MAX_MS
+    return (
+        waited_ms % (_RESERVING_MAX_MS + _RESERVATION_PAUSE_MS)
+        >= _RESERVING_MAX_MS
+    )
--- a/fuchsiarill/graphs/job_actions.py
+++ b/fuchsiarill/graphs/job_actions.py
@@ -5,7 +5,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs.job_entries import JobEntry
-from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import JobPhase, JobPhaseEvent, RunEvent
 from fuchsiarill.registry import Registry
@@ -20,12 +20,12 @@
 def stop_runs(state: PoolState, entry: JobEntry, now_ms: int) -> None:
     """Stop all runs of the job."""
     for run in list(entry.runs()):
-        step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+        apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 @JOB_ACTIONS.register('settle')
 def settle(state: PoolState, entry: JobEntry, now_ms: int) -> None:
-    """Record the final phase, which has to be made durable."""
+    """Record the time of the final phase; mark the phase to be made durable."""
     entry.settled_ms = now_ms
     state.mark_dirty(entry.job)
     events.emit(
@@ -41,7 +41,7 @@
 _CHART: Final = load_chart('job_phase', JobPhase, JobPhaseEvent, JOB_ACTIONS)
 
 
-def step_job(
+def apply_job_event(
     state: PoolState,
     entry: JobEntry,
     event: JobPhaseEvent,
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -47,17 +47,18 @@
     reported yet.
     """
 
-    def __init__(self, key: StepKey, step: Step) -> None:
+    def __init__(self, key: StepKey, spec: Step) -> None:
         """Create an entry without units that is not open."""
         self.key = key
-        self.step = step
+        self.spec = spec
         self.is_open = False
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
-        # Runs stopped for the step are expected to have ended by then.
+        # When runs that were stopped for the step should have ended.
         self.preempted_until_ms = 0
-        # When workers were first reserved for the step, if it is a gang.
+        # When workers were first reserved for the step since its last start, if
+        # it is a gang.
         self.reserving_since_ms: int | None = None
         # Rank at the last decision about the step.
         self.rank_ms = 0
@@ -67,14 +68,14 @@
     @cached_property
     def unit_keys(self) -> tuple[UnitKey, ...]:
         """Return the keys of all units of the step, succeeded ones too."""
-        return unit_keys(self.key, self.step)
+        return unit_keys(self.key, self.spec)
 
     def tasks_of(self, unit: UnitKey) -> list[TaskKey]:
         """Return the tasks that start together as `unit`."""
-        if not self.step.is_gang:
+        if not self.spec.is_gang:
             return [TaskKey(*self.key, unit.position)]
         return [
-            TaskKey(*self.key, index) for index in range(self.step.tasks_count)
+            TaskKey(*self.key, index) for index in range(self.spec.tasks_count)
         ]
 
     def find_unit(self, key: UnitKey) -> Unit | None:
@@ -115,12 +116,14 @@
         self.progress = progress
         self.accepted_ms = accepted_ms
         self._expected_ms = expected_ms
+        # When the job reached its final phase, or was loaded in it.
         self.settled_ms = accepted_ms
         self.steps: dict[tuple[int, int], StepEntry] = {}
         self.opened_occurrences = 0
         # Accepted before this owner was elected: the previous owner may have
         # started it on a worker that has not reported yet.
         self.is_inherited = False
+        # Attempts that this owner makes get higher numbers.
         self.attempt_floor = 0
 
     @property
@@ -142,15 +145,19 @@
         paths_ms = [0 for _ in self.graph.steps]
         for position, step in reversed(tuple(enumerate(self.graph.steps))):
             paths_ms[position] += int(self._expected_ms[position])
-            for earlier in step.after:
-                paths_ms[earlier] = max(paths_ms[earlier], paths_ms[position])
+            for earlier_position in step.after:
+                paths_ms[earlier_position] = max(
+                    paths_ms[earlier_position], paths_ms[position]
+                )
         return tuple(paths_ms)
 
     @cached_property
     def objective_ms(self) -> int:
         """Return the time after acceptance in which the job should succeed."""
-        longest = max(self.critical_paths_ms)
-        return int(self.policy.slack_factor * longest) + self.policy.target_ms
+        longest_ms = max(self.critical_paths_ms)
+        return (
+            int(self.policy.slack_factor * longest_ms) + self.policy.target_ms
+        )
 
     def latest_start_ms(self, step: StepEntry) -> int:
         """Return when a step has to start for the job to meet its objective."""
@@ -176,8 +183,8 @@
             return
         occurrence = step.key.occurrence
         self.steps.pop((occurrence, step.key.step), None)
-        for position, later in enumerate(self.graph.steps):
-            if step.key.step in later.after:
+        for position, later_step in enumerate(self.graph.steps):
+            if step.key.step in later_step.after:
                 self._open_if_ready(occurrence, position)
 
     @property
@@ -207,22 +214,22 @@
         for unit_key in entry.unit_keys:
             if unit_key in self.progress.succeeded:
                 continue
-            entry.waiting[unit_key] = self._unit(unit_key)
+            entry.waiting[unit_key] = self._create_unit(unit_key)
         if not entry.waiting:
             return None
         self.steps[occurrence, position] = entry
         return entry
 
     def _open_if_ready(self, occurrence: int, position: int) -> None:
-        for earlier in self.graph.steps[position].after:
-            if not self._is_step_done(occurrence, earlier):
+        for earlier_position in self.graph.steps[position].after:
+            if not self._is_step_done(occurrence, earlier_position):
                 return
         entry = self.ensure_step(occurrence, position)
         if entry is not None:
             entry.is_open = True
             return
-        for later_position, later in enumerate(self.graph.steps):
-            if position in later.after:
+        for later_position, later_step in enumerate(self.graph.steps):
+            if position in later_step.after:
                 self._open_if_ready(occurrence, later_position)
 
     def _is_step_done(self, occurrence: int, position: int) -> bool:
@@ -232,11 +239,11 @@
             for unit in unit_keys(key, self.graph.steps[position])
         )
 
-    def _unit(self, key: UnitKey) -> Unit:
-        failed = self.progress.failed_attempts.get(key, set())
+    def _create_unit(self, key: UnitKey) -> Unit:
+        failed_attempts = self.progress.failed_attempts.get(key, set())
         return Unit(
             key,
-            last_attempt=max(self.attempt_floor, *failed, 0),
+            last_attempt=max(self.attempt_floor, *failed_attempts, 0),
             checkpoint=self.progress.checkpoints.get(key, NO_CHECKPOINT),
         )
 
--- a/fuchsiarill/graphs/job_loading.py
+++ b/fuchsiarill/graphs/job_loading.py
@@ -8,31 +8,36 @@
 
 def load_jobs(
     core: GraphCore,
-    found: tuple[KvItem, ...],
-    progress_found: tuple[KvItem, ...],
+    job_items: tuple[KvItem, ...],
+    progress_items: tuple[KvItem, ...],
     now_ms: int,
 ) -> None:
-    """Add the jobs of the records with their progress; cancel jobs.
+    """Add the jobs with their progress, then apply the cancellations.
 
-    A job whose record was created before the owner was elected is inherited.
+    `job_items` holds the records of both. A job whose record was created
+    before the owner was elected is inherited.
     """
     progress = {
-        keys.job_of_progress(row.key): row.value for row in progress_found
+        keys.job_of_progress(item.key): item.value for item in progress_items
     }
-    present = [(row, row.value) for row in found if row.value is not None]
-    for row, content in present:
-        job = keys.job_of_key(row.key)
+    existing = [
+        (item, item.value) for item in job_items if item.value is not None
+    ]
+    for item, content in existing:
+        job = keys.job_of_key(item.key)
         # A full list after a gap in the watch contains known jobs too.
-        if keys.is_cancel(row.key) or job in core.state.jobs:
+        if keys.is_cancel(item.key) or job in core.state.jobs:
             continue
-        saved = progress.get(job)
+        saved_progress = progress.get(job)
         core.add_job(
             records.decode_graph(core.state.pool, job, content),
-            records.decode_progress(saved) if saved else JobProgress(),
+            records.decode_progress(saved_progress)
+            if saved_progress
+            else JobProgress(),
             now_ms,
-            is_inherited=row.created < core.state.epoch,
+            is_inherited=item.created < core.state.epoch,
         )
     # A cancellation may be listed before its job.
-    for row, _ in present:
-        if keys.is_cancel(row.key):
-            core.cancel_job(keys.job_of_key(row.key), now_ms)
+    for item, _ in existing:
+        if keys.is_cancel(item.key):
+            core.cancel_job(keys.job_of_key(item.key), now_ms)
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -63,11 +63,14 @@
     size: Resources
     estimate_ms: int = 0
     after: tuple[int, ...] = ()
+    # A later run resumes from the latest checkpoint.
     is_checkpointing: bool = False
+    # All tasks start together or none does.
     is_gang: bool = False
     # A gang spread over several racks takes `remote_penalty` times as long.
     is_rack_sensitive: bool = False
     is_speculative: bool = False
+    # Never succeeds: a run that ends is replaced until the job ends.
     is_lasting: bool = False
     # Uses processors that other tasks leave idle; it reserves none itself.
     is_filler: bool = False
@@ -166,7 +169,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """Bounds on requests of callers."""
+    """Upper limits on the HTTP requests of callers."""
 
     header_max_bytes: int = 16384
     body_max_bytes: int = 262144
@@ -183,13 +186,15 @@
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of `host` with the longest matching prefix."""
-        found: QueuePolicy | None = None
+        best_match: QueuePolicy | None = None
         for policy in self.queues.values():
             if policy.host != host or not path.startswith(policy.prefix):
                 continue
-            if found is None or len(policy.prefix) > len(found.prefix):
-                found = policy
-        return found
+            if best_match is None or len(policy.prefix) > len(
+                best_match.prefix
+            ):
+                best_match = policy
+        return best_match
 
 
 class WorkerListing(Enum):
@@ -221,6 +226,7 @@
     SUCCEEDED = 'succeeded'
     FAILED = 'failed'
     STOPPED = 'stopped'
+    # The task lease expired.
     LAPSED = 'lapsed'
     # Another member of the gang ended.
     BROKEN = 'broken'
--- a/fuchsiarill/graphs/ordering.py
+++ b/fuchsiarill/graphs/ordering.py
@@ -6,27 +6,31 @@
 
 # A late job has reduced value up to this multiple of its objective, and none
 # after it.
-_LATE_FACTOR: Final = 3
+_VALUE_END_FACTOR: Final = 3
 # Factors that separate the parts of a rank: a time of the runtime clock stays
-# below the first one, three years in ms.
-_PRIORITY_MS: Final = 100_000_000_000
-_LATENESS_MS: Final = 100 * _PRIORITY_MS
+# below the first factor, which is three years in ms.
+_PRIORITY_FACTOR_MS: Final = 100_000_000_000
+_LATENESS_FACTOR_MS: Final = 100 * _PRIORITY_FACTOR_MS
 
 
 def rank_ms(entry: JobEntry, step: StepEntry, now_ms: int) -> int:
     """Return the rank of a step; the lowest is scheduled first.
 
     Jobs within their objective precede late ones, and those precede jobs that
-    have no value any more. Equals are ordered by the priority of the queue,
-    then by the latest time at which the step has to start.
+    have no value any more. Within each class, steps are ordered by the
+    priority of the queue, then by the latest time at which they have to start.
     """
-    rank = entry.policy.priority * _PRIORITY_MS
-    if step.step.is_lasting:
+    rank = entry.policy.priority * _PRIORITY_FACTOR_MS
+    if step.spec.is_lasting:
         return rank + entry.accepted_ms
     age_ms = now_ms - entry.accepted_ms
-    lateness = 0
-    if age_ms > _LATE_FACTOR * entry.objective_ms:
-        lateness = 2
+    lateness_class = 0
+    if age_ms > _VALUE_END_FACTOR * entry.objective_ms:
+        lateness_class = 2
     elif age_ms > entry.objective_ms:
-        lateness = 1
-    return rank + lateness * _LATENESS_MS + entry.latest_start_ms(step)
+        lateness_class = 1
+    return (
+        rank
+        + lateness_class * _LATENESS_FACTOR_MS
+        + entry.latest_start_ms(step)
+    )
--- a/fuchsiarill/graphs/pacing.py
+++ b/fuchsiarill/graphs/pacing.py
@@ -1,4 +1,8 @@
-"""Slows filler tasks while they raise the latency of serving tasks."""
+"""Slows filler tasks while they raise the latency of serving tasks.
+
+A filler uses processors that other tasks leave idle. A serving task has a
+target for its tail latency.
+"""
 
 from typing import Final
 
@@ -12,9 +16,9 @@
 # A reported tail latency is a rough estimate over the last half second; a
 # change of pace shows in the second such interval after it.
 _ADJUSTMENT_INTERVAL_MS: Final = 900
-# Shares of the target latency above which fillers are stopped, and below which
+# Shares of the target latency above which fillers are paused, and below which
 # they are sped up.
-_SLOW_SHARE: Final = 0.9
+_PAUSE_SHARE: Final = 0.9
 _SPEED_UP_SHARE: Final = 0.6
 _PACES_PERCENT: Final = (0, 25, 50, 75, FULL_PACE_PERCENT)
 
@@ -24,12 +28,14 @@
     for view in state.workers:
         if not view.serving_count or not view.filler_milli:
             continue
-        shares = [_tail_share(state, run) for run in view.runs.values()]
+        latency_shares = [
+            _tail_latency_share(state, run) for run in view.runs.values()
+        ]
         for run in view.runs.values():
-            _adjust_pace(state, run, max(shares), now_ms)
+            _adjust_pace(state, run, max(latency_shares), now_ms)
 
 
-def _tail_share(state: PoolState, run: Run) -> float:
+def _tail_latency_share(state: PoolState, run: Run) -> float:
     """Return the tail latency of a task as a share of its target.
 
     Returns 0 for a task without a target or a reported latency.
@@ -46,12 +52,12 @@
 ) -> None:
     if not run.filler_milli or run.state is not RunState.RUNNING:
         return
-    if now_ms - run.paced_ms < _ADJUSTMENT_INTERVAL_MS:
+    if now_ms - run.pace_changed_ms < _ADJUSTMENT_INTERVAL_MS:
         return
     percent = run.pace_percent
-    if worst_share > _SLOW_SHARE:
-        # Violations of the target count from the first second, so a filler
-        # stops at once.
+    if worst_share > _PAUSE_SHARE:
+        # Violations of the target count from the first second, so a filler is
+        # paused at once.
         percent = _PACES_PERCENT[0]
     elif worst_share < _SPEED_UP_SHARE:
         position = _PACES_PERCENT.index(run.pace_percent)
@@ -59,7 +65,7 @@
     if percent == run.pace_percent:
         return
     run.pace_percent = percent
-    run.paced_ms = now_ms
+    run.pace_changed_ms = now_ms
     state.effects.append(PaceRun(run.worker, run.task, run.attempt, percent))
     events.emit(
         events.FILLER_PACED,
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -1,4 +1,8 @@
-"""Choice of workers for a unit by constraints, room and cost."""
+"""Choice of workers for a unit by constraints, room and cost.
+
+Room is capacity that is neither allocated to runs nor reserved for steps that
+are scheduled earlier.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -21,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Request:
+class PlacementRequest:
     """A unit to place, with its job and step, and the time of the decision."""
 
     entry: JobEntry
@@ -30,37 +34,39 @@
     now_ms: int
 
 
-_Cost = Callable[[PoolState, Request, WorkerView], float]
+_Cost = Callable[[PoolState, PlacementRequest, WorkerView], float]
 
 COSTS: Final[Registry[str, _Cost]] = Registry('placement costs')
 
 
 @COSTS.register('fit')
-def _fit_cost(state: PoolState, request: Request, view: WorkerView) -> float:
+def _fit_cost(
+    state: PoolState, request: PlacementRequest, view: WorkerView
+) -> float:
     """Prefer the fullest workers, so that others keep room for large tasks."""
     if view.entry is None:
         return 0
-    left = view.free - request.step.step.charge
-    share = left.dominant_share(view.entry.capacity)
+    remaining = view.free - request.step.spec.charge
+    share = remaining.dominant_share(view.entry.capacity)
     # Lasting tasks are spread, so that the loss of a worker affects few.
-    return 1 - share if request.step.step.is_lasting else share
+    return 1 - share if request.step.spec.is_lasting else share
 
 
 @COSTS.register('remote')
 def _remote_cost(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     view: WorkerView,
 ) -> float:
     """Prefer workers in the rack that holds the data."""
-    rack = request.step.step.data_rack
+    rack = request.step.spec.data_rack
     return _REMOTE_COST if rack and rack not in view.labels else 0
 
 
 @COSTS.register('failed_there')
-def _failed_cost(
+def _failed_there_cost(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     view: WorkerView,
 ) -> float:
     """Avoid workers on which the unit has failed."""
@@ -69,10 +75,10 @@
 
 @COSTS.register('harm')
 def _interference_cost(
-    state: PoolState, request: Request, view: WorkerView
+    state: PoolState, request: PlacementRequest, view: WorkerView
 ) -> float:
     """Keep filler tasks and serving tasks on different workers."""
-    step = request.step.step
+    step = request.step.spec
     if step.is_filler:
         contention = 0.0
         if view.entry is not None:
@@ -87,14 +93,16 @@
 @COSTS.register('slowness')
 def _slowness_cost(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     view: WorkerView,
 ) -> float:
     """Prefer workers on which tasks take less time."""
     return _SLOWNESS_COST * state.run_times.slowness(view.worker)
 
 
-def usable_workers(state: PoolState, request: Request) -> list[WorkerView]:
+def usable_workers(
+    state: PoolState, request: PlacementRequest
+) -> list[WorkerView]:
     """Return the workers that may run the unit, with or without room."""
     return [
         view
@@ -104,12 +112,12 @@
     ]
 
 
-def _is_usable(view: WorkerView, request: Request) -> bool:
+def _is_usable(view: WorkerView, request: PlacementRequest) -> bool:
     if view.availability is not AvailabilityState.READY:
         return False
     if not view.is_recorded or not view.is_listed:
         return False
-    label = request.step.step.required_label
+    label = request.step.spec.required_label
     if label is not None and label not in view.labels:
         return False
     return worker_suspension.may_receive_runs(view, request.now_ms)
@@ -123,23 +131,23 @@
 ) -> bool:
     """Tell whether a task fits on a worker.
 
-    Room that is allocated or reserved is not available. `tentative` is the
-    charge of `tentative_count` tasks of the step placed in the same decision.
+    `tentative` is the charge of `tentative_count` tasks of the step that are
+    placed on the worker in the same decision and not allocated yet.
     """
-    per_worker_max = step.step.per_worker_max
+    per_worker_max = step.spec.per_worker_max
     if per_worker_max is not None:
         runs_count = step.runs_per_worker[view.worker] + tentative_count
         if runs_count >= per_worker_max:
             return False
-    if not step.step.charge.fits_in(view.free):
+    if not step.spec.charge.fits_in(view.free):
         return False
-    free = view.free_for(step.key, step.rank_ms)
-    return (step.step.charge + tentative).fits_in(free)
+    free = view.free_for_step(step.key, step.rank_ms)
+    return (step.spec.charge + tentative).fits_in(free)
 
 
 def place_gang(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> list[WorkerView] | None:
     """Return a worker for each task of a gang, or `None` without room for all.
@@ -151,7 +159,7 @@
         candidates,
         key=lambda view: cost_of(state, request, view),
     )
-    if step.step.is_rack_sensitive:
+    if step.spec.is_rack_sensitive:
         for rack in _racks(ranked):
             in_rack = [view for view in ranked if view.rack == rack]
             placed = _place_gang(step, in_rack)
@@ -166,28 +174,30 @@
 ) -> list[WorkerView] | None:
     placed: list[WorkerView] = []
     for view in ranked:
-        wanted_count = step.step.tasks_count - len(placed)
-        placed.extend(_pack(step, view, wanted_count))
-    return placed if len(placed) == step.step.tasks_count else None
+        remaining_count = step.spec.tasks_count - len(placed)
+        placed.extend(_pack_worker(step, view, remaining_count))
+    return placed if len(placed) == step.spec.tasks_count else None
 
 
-def _pack(
+def _pack_worker(
     step: StepEntry,
     view: WorkerView,
-    wanted_count: int,
+    count_max: int,
 ) -> list[WorkerView]:
-    """Return the worker once per task that fits, at most `wanted_count`."""
+    """Return the worker once per task that fits, at most `count_max`."""
     tentative = NOTHING
     packed: list[WorkerView] = []
-    while len(packed) < wanted_count:
+    while len(packed) < count_max:
         if not has_room(step, view, tentative, len(packed)):
             break
         packed.append(view)
-        tentative += step.step.charge
+        tentative += step.spec.charge
     return packed
 
 
-def cost_of(state: PoolState, request: Request, view: WorkerView) -> float:
+def cost_of(
+    state: PoolState, request: PlacementRequest, view: WorkerView
+) -> float:
     """Return the cost of running a task on a worker; the lowest is best."""
     return sum(cost(state, request, view) for cost in _ALL_COSTS)
 
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -8,8 +8,8 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs.placement import Request
-from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.placement import PlacementRequest
+from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
@@ -17,16 +17,16 @@
 
 # A step preempts when it has to start within this time to meet the objective;
 # the stop, its report and the start take about as long.
-_URGENCY_MS: Final = 400
+_START_WITHIN_MS: Final = 400
 # Room is reserved until the stopped runs have ended and the step has started.
 _RESERVATION_MS: Final = 1500
 # A task preempted this often runs to its end, so that a series of urgent jobs
 # does not keep it from ever ending.
 _PREEMPTIONS_MAX_COUNT: Final = 3
 # A job later than this multiple of its objective has no value any more.
-_LATE_FACTOR: Final = 3
-# An accelerator costs as much as eight processors.
-_ACCELERATOR_MILLI: Final = 8000
+_VALUE_END_FACTOR: Final = 3
+# Cost of an accelerator, as much as eight processors.
+_ACCELERATOR_COST_MILLI: Final = 8000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,10 +40,10 @@
 
 def preempt(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> bool:
-    """Stop runs so that units of a blocked step can start.
+    """Stop runs so that the next unit of a blocked step can start.
 
     Returns whether runs are being stopped for the step, by this call or by an
     earlier one whose reservation is still valid.
@@ -52,7 +52,7 @@
         return True
     if not _may_preempt(request):
         return False
-    step = request.step.step
+    step = request.step.spec
     wanted_count = step.tasks_count if step.is_gang else 1
     options = [
         _cheapest_preemption(state, request, view) for view in candidates
@@ -65,21 +65,21 @@
         return False
     request.step.preempted_until_ms = request.now_ms + _RESERVATION_MS
     for preemption in preemptions[:wanted_count]:
-        _execute(state, request, preemption)
+        _execute_preemption(state, request, preemption)
     return True
 
 
-def _may_preempt(request: Request) -> bool:
+def _may_preempt(request: PlacementRequest) -> bool:
     entry = request.entry
-    if entry.latest_start_ms(request.step) - request.now_ms > _URGENCY_MS:
+    if entry.latest_start_ms(request.step) - request.now_ms > _START_WITHIN_MS:
         return False
-    worthless_ms = entry.accepted_ms + _LATE_FACTOR * entry.objective_ms
-    return request.step.step.is_lasting or request.now_ms < worthless_ms
+    value_end_ms = entry.accepted_ms + _VALUE_END_FACTOR * entry.objective_ms
+    return request.step.spec.is_lasting or request.now_ms < value_end_ms
 
 
 def _cheapest_preemption(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     view: WorkerView,
 ) -> _Preemption | None:
     """Return the cheapest runs whose end makes room for one task.
@@ -87,27 +87,27 @@
     Returns `None` if the end of all preemptible runs is not enough.
     """
     step = request.step
-    per_worker_max = step.step.per_worker_max
+    per_worker_max = step.spec.per_worker_max
     if per_worker_max is not None:
         if step.runs_per_worker[view.worker] >= per_worker_max:
             return None
-    free = view.free_for(step.key, step.rank_ms)
+    free = view.free_for_step(step.key, step.rank_ms)
     victims: list[Run] = []
     cost = 0.0
-    for run in sorted(_victims(state, request, view), key=_cost):
-        if step.step.charge.fits_in(free):
+    for run in sorted(_find_victims(state, request, view), key=_stop_cost):
+        if step.spec.charge.fits_in(free):
             break
         victims.append(run)
         free += run.charge
-        cost += _cost(run)
-    if not step.step.charge.fits_in(free):
+        cost += _stop_cost(run)
+    if not step.spec.charge.fits_in(free):
         return None
     return _Preemption(view, tuple(victims), cost)
 
 
-def _victims(
+def _find_victims(
     state: PoolState,
-    request: Request,
+    request: PlacementRequest,
     view: WorkerView,
 ) -> list[Run]:
     priority = request.entry.policy.priority
@@ -120,25 +120,25 @@
 
 
 def _may_be_preempted(state: PoolState, run: Run, priority: int) -> bool:
-    found = state.find_step(run.task)
-    if found is None or found[0].policy.priority <= priority:
+    job_and_step = state.find_step(run.task)
+    if job_and_step is None or job_and_step[0].policy.priority <= priority:
         return False
-    step = found[1].step
+    step = job_and_step[1].spec
     if step.is_lasting or step.is_gang or not step.is_checkpointing:
         return False
-    unit = found[1].active.get(run.unit)
+    unit = job_and_step[1].active.get(run.unit_key)
     return unit is None or unit.preemptions_count < _PREEMPTIONS_MAX_COUNT
 
 
-def _cost(run: Run) -> float:
+def _stop_cost(run: Run) -> float:
     """Return the cost of stopping a run, in thousandths of a processor."""
-    return run.charge.processors_milli + _ACCELERATOR_MILLI * (
+    return run.charge.processors_milli + _ACCELERATOR_COST_MILLI * (
         run.charge.accelerators_count
     )
 
 
-def _execute(
-    state: PoolState, request: Request, preemption: _Preemption
+def _execute_preemption(
+    state: PoolState, request: PlacementRequest, preemption: _Preemption
 ) -> None:
     preemption.view.reserve(request.step, request.now_ms + _RESERVATION_MS)
     for run in preemption.victims:
@@ -152,7 +152,7 @@
             for_job=request.entry.job,
             priority=request.entry.policy.priority,
         )
-        step_run(state, run, RunEvent.STOP_ASKED, request.now_ms)
+        apply_run_event(state, run, RunEvent.STOP_ASKED, request.now_ms)
 
 
 def _count_preemption(state: PoolState, run: Run) -> None:
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -14,8 +14,8 @@
 )
 from fuchsiarill.graphs.run_actions import (
     allocate_run,
+    apply_run_event,
     order_stop,
-    step_run,
     stop_attempt,
 )
 from fuchsiarill.graphs.run_ends import apply_run_end
@@ -25,7 +25,7 @@
 from fuchsiarill.graphs.worker_table import FailureRecord, WorkerView
 from fuchsiarill.resources import NOTHING
 
-_BEING_STOPPED: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
+_STOP_ORDERED_STATES: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
 _UNKNOWN_STEP: Final = Step(1, NOTHING)
 
 
@@ -45,12 +45,12 @@
         apply_restart(state, view, now_ms)
         view.born_ms = report.born_ms
     elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
-        # Answers on different connections can overtake each other.
+        # Reports on different connections can overtake each other.
         return
     view.clock_ms = report.clock_ms
     view.is_reconciled = True
     view.reported_ms = now_ms
-    state.workers.step(view, AvailabilityEvent.REPORTED)
+    state.workers.apply_event(view, AvailabilityEvent.REPORTED)
     for row in report.running:
         _apply_running_row(state, view, row, now_ms)
     for end in report.ended:
@@ -61,13 +61,13 @@
 def apply_restart(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Mark the runs of a worker's previous incarnation as lost.
 
-    A run that the previous incarnation has not reported may run in the new
-    one, because the start order can arrive after the restart. Such a run is
-    stopped instead.
+    A run that the previous incarnation has not reported is stopped instead: it
+    may run in the new one, because the start order can arrive after the
+    restart.
     """
     for run in list(view.runs.values()):
         if run.is_listed:
-            _mark_lost(state, view, run, now_ms)
+            _mark_run_lost(state, view, run, now_ms)
         else:
             _stop_unconfirmed_run(state, run, now_ms)
     view.seen_end = NO_END
@@ -81,10 +81,10 @@
 def mark_runs_lost(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Mark all runs on a worker as lost: they ended without a report."""
     for run in list(view.runs.values()):
-        _mark_lost(state, view, run, now_ms)
+        _mark_run_lost(state, view, run, now_ms)
 
 
-def _mark_lost(
+def _mark_run_lost(
     state: PoolState, view: WorkerView, run: Run, now_ms: int
 ) -> None:
     events.emit(
@@ -101,10 +101,10 @@
     """Stop a run that the worker may or may not have started."""
     run.visible_since_ms = None
     _stop_gang_members(state, run, now_ms)
-    if run.state in _BEING_STOPPED:
+    if run.state in _STOP_ORDERED_STATES:
         order_stop(state, run, now_ms)
     else:
-        step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+        apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 def end_unreported_run(
@@ -115,7 +115,7 @@
 ) -> None:
     """End a run whose end was not reported; stop the rest of its gang."""
     _stop_gang_members(state, run, now_ms)
-    step_run(state, run, event, now_ms)
+    apply_run_event(state, run, event, now_ms)
 
 
 def _stop_gang_members(state: PoolState, run: Run, now_ms: int) -> None:
@@ -133,7 +133,7 @@
 ) -> None:
     run = view.runs.get((row.task, row.attempt))
     if run is None:
-        run = _adopt(state, view, row, now_ms)
+        run = _adopt_run(state, view, row, now_ms)
     if run.progress_percent != row.progress_percent:
         run.progress_percent = row.progress_percent
         run.progress_changed_ms = now_ms
@@ -142,25 +142,29 @@
     run.usage = row.usage
     if run.visible_since_ms is None:
         run.visible_since_ms = now_ms
-    step_run(state, run, RunEvent.LISTED, now_ms)
-    found = state.find_step(row.task)
-    if found is None:
+    apply_run_event(state, run, RunEvent.LISTED, now_ms)
+    job_and_step = state.find_step(row.task)
+    if job_and_step is None:
         return
-    step = found[1]
-    unit = step.active.get(run.unit)
+    step = job_and_step[1]
+    unit = step.active.get(run.unit_key)
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
-    if step.step.is_lasting and row.progress_percent == INITIALIZED_PERCENT:
+    if step.spec.is_lasting and row.progress_percent == INITIALIZED_PERCENT:
         worker_suspension.record_initialized(view, run)
 
 
-def _adopt(
+def _adopt_run(
     state: PoolState,
     view: WorkerView,
     row: RunningRow,
     now_ms: int,
 ) -> Run:
-    """Adopt a run that a previous owner started; stop it if not needed."""
+    """Adopt a run that a previous owner started.
+
+    It is stopped if its job is not active, its unit has succeeded, or the unit
+    has another run of the task or runs of another attempt.
+    """
     entry = state.jobs.get(row.task.job)
     # The size of a run is unknown if its job has been removed.
     spec = entry.graph.steps[row.task.step] if entry else _UNKNOWN_STEP
@@ -171,24 +175,24 @@
         view.worker,
         spec.charge,
         spec.filler_milli,
-        ordered_ms=now_ms,
+        start_ordered_ms=now_ms,
         progress_changed_ms=now_ms,
         visible_since_ms=now_ms,
     )
     allocate_run(state, run)
-    adopted = _unit_for_adoption(state, entry, run)
+    step_and_unit = _unit_for_adoption(state, entry, run)
     events.emit(
         events.RUN_FOUND,
         job=row.task.job,
         task=row.task.label,
         attempt=row.attempt,
         worker=view.worker,
-        is_kept=adopted is not None,
+        is_kept=step_and_unit is not None,
     )
-    if adopted is None:
-        step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+    if step_and_unit is None:
+        apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
         return run
-    step, unit = adopted
+    step, unit = step_and_unit
     unit.runs[run.key] = run
     unit.last_attempt = max(unit.last_attempt, run.attempt)
     step.activate(unit)
@@ -205,18 +209,18 @@
         return None
     occurrence = run.task.occurrence
     if entry.graph.schedule is not None:
-        for due in range(entry.opened_occurrences, occurrence + 1):
-            entry.open_occurrence(due)
-    found = state.find_step(run.task)
-    if found is None:
+        for due_occurrence in range(entry.opened_occurrences, occurrence + 1):
+            entry.open_occurrence(due_occurrence)
+    job_and_step = state.find_step(run.task)
+    if job_and_step is None:
         return None
-    unit = found[1].find_unit(run.unit)
+    unit = job_and_step[1].find_unit(run.unit_key)
     if unit is None:
         return None
     for other in unit.runs.values():
         if other.task == run.task or other.attempt != run.attempt:
             return None
-    return found[1], unit
+    return job_and_step[1], unit
 
 
 def _apply_new_end(
@@ -225,6 +229,7 @@
     end: EndRow,
     now_ms: int,
 ) -> None:
+    """Apply an end unless an earlier report contained it."""
     if end.sequence <= view.seen_end:
         return
     view.seen_end = end.sequence
@@ -238,9 +243,10 @@
     requested_ms: int,
     now_ms: int,
 ) -> None:
-    listed = {(row.task, row.attempt) for row in report.running}
+    """End the runs that the report would list if they had not ended."""
+    reported_keys = {(row.task, row.attempt) for row in report.running}
     for run in list(view.runs.values()):
-        if run.key in listed or run.visible_since_ms is None:
+        if run.key in reported_keys or run.visible_since_ms is None:
             continue
         if (
             run.visible_since_ms >= requested_ms
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -27,17 +27,17 @@
 
 @RUN_ACTIONS.register('release')
 def release(state: PoolState, run: Run, now_ms: int) -> None:
-    """Release the run's capacity; requeue its unit if it has no other runs."""
+    """Release the run's capacity; requeue an active unit without other runs."""
     view = state.workers.find(run.worker)
-    found = state.find_step(run.task)
+    job_and_step = state.find_step(run.task)
     if view is not None:
         view.release(run, is_serving=_is_serving(state, run))
     state.free_version += 1
-    if found is None:
+    if job_and_step is None:
         return
-    _, step = found
+    _, step = job_and_step
     step.runs_per_worker[run.worker] -= 1
-    unit = step.active.get(run.unit)
+    unit = step.active.get(run.unit_key)
     if unit is None:
         return
     unit.runs.pop(run.key, None)
@@ -48,7 +48,9 @@
 _CHART: Final = load_chart('run', RunState, RunEvent, RUN_ACTIONS)
 
 
-def step_run(state: PoolState, run: Run, event: RunEvent, now_ms: int) -> None:
+def apply_run_event(
+    state: PoolState, run: Run, event: RunEvent, now_ms: int
+) -> None:
     """Apply an event to a run and run the actions of the transition.
 
     An event without a transition in the current state is ignored.
@@ -65,13 +67,13 @@
     state: PoolState,
     unit: Unit,
     attempt: int,
-    kept: Run | None,
+    excluded_run: Run | None,
     now_ms: int,
 ) -> None:
-    """Stop the runs of one attempt of a unit except `kept`."""
+    """Stop the runs of one attempt of a unit except `excluded_run`."""
     for other in list(unit.runs.values()):
-        if other is not kept and other.attempt == attempt:
-            step_run(state, other, RunEvent.STOP_ASKED, now_ms)
+        if other is not excluded_run and other.attempt == attempt:
+            apply_run_event(state, other, RunEvent.STOP_ASKED, now_ms)
 
 
 def allocate_run(state: PoolState, run: Run) -> None:
@@ -82,7 +84,7 @@
 
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
-    """Extend all task leases of a worker: an order that renews them is sent."""
+    """Extend all task leases of a worker, because a renewing order is sent."""
     view.lease_expiry_ms = now_ms + state.leases.longest_ms
 
 
--- a/fuchsiarill/graphs/run_times.py
+++ b/fuchsiarill/graphs/run_times.py
@@ -12,16 +12,18 @@
 from fuchsiarill.graphs.model import QueueId, Step
 from fuchsiarill.ids import WorkerId
 
-_SAMPLES_MIN: Final = 4
+_SAMPLES_MIN_COUNT: Final = 4
 # Beyond this number of samples, older ones have less weight than new ones.
 _WINDOW_COUNT: Final = 60
+# Lower bounds of the ratio that `slowness` returns, and of a variance, so that
+# weights are defined when all samples are equal.
 _SLOWNESS_MIN: Final = 0.1
 _VARIANCE_MIN: Final = 0.01
 
 
 @dataclass(slots=True)
 class _Samples:
-    """Running mean and variance of logarithms."""
+    """Running mean and variance of logarithms of times or of their ratios."""
 
     count: int = 0
     mean: float = 0
@@ -30,9 +32,9 @@
     def add(self, sample: float) -> None:
         self.count += 1
         weight = 1 / min(self.count, _WINDOW_COUNT)
-        distance = sample - self.mean
-        self.mean += weight * distance
-        self.variance = (1 - weight) * (self.variance + weight * distance**2)
+        deviation = sample - self.mean
+        self.mean += weight * deviation
+        self.variance = (1 - weight) * (self.variance + weight * deviation**2)
 
     @property
     def bounded_variance(self) -> float:
@@ -41,7 +43,7 @@
 
 @dataclass(slots=True)
 class RunTimes:
-    """Run times and estimate errors by queue, relative times by worker."""
+    """Run times and estimate errors by queue, slowness by worker."""
 
     durations: dict[QueueId, _Samples] = field(default_factory=dict)
     errors: dict[QueueId, _Samples] = field(default_factory=dict)
@@ -70,7 +72,7 @@
         It is the estimate until the queue has enough samples.
         """
         durations = self.durations.get(queue)
-        if durations is None or durations.count < _SAMPLES_MIN:
+        if durations is None or durations.count < _SAMPLES_MIN_COUNT:
             return step.estimate_ms
         errors = self.errors.get(queue)
         if errors is None or step.estimate_ms <= 0:
@@ -84,6 +86,6 @@
     def slowness(self, worker: WorkerId) -> float:
         """Return the ratio of actual to expected run times on a worker."""
         samples = self.workers.get(worker)
-        if samples is None or samples.count < _SAMPLES_MIN:
+        if samples is None or samples.count < _SAMPLES_MIN_COUNT:
             return 1.0
         return max(math.exp(samples.mean), _SLOWNESS_MIN)
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -14,7 +14,7 @@
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.resources import Resources
 
-# Progress that a lasting task reports once it has been initialized.
+# Progress of a lasting task that has been initialized.
 INITIALIZED_PERCENT: Final = 100
 
 
@@ -24,13 +24,13 @@
 
     task: TaskKey
     attempt: int
-    unit: UnitKey
+    unit_key: UnitKey
     worker: WorkerId
     charge: Resources
-    # Idle processors that a filler task can use.
+    # Idle processors that a filler task can use, in thousandths of one.
     filler_milli: int = 0
     state: RunState = RunState.STARTING
-    ordered_ms: int = 0
+    start_ordered_ms: int = 0
     # A report requested after this time lists the run unless it has ended;
     # `None` while neither the start nor a stop has been answered.
     visible_since_ms: int | None = None
@@ -43,7 +43,7 @@
     progress_changed_ms: int = 0
     usage: float | None = None
     pace_percent: int = FULL_PACE_PERCENT
-    paced_ms: int = 0
+    pace_changed_ms: int = 0
 
     @property
     def key(self) -> tuple[TaskKey, int]:
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -1,10 +1,10 @@
-"""Stops runs that make no progress on their worker."""
+"""Stops stalled runs, which make no progress on their worker."""
 
 from typing import Final
 
 from fuchsiarill import events
 from fuchsiarill.graphs import worker_suspension
-from fuchsiarill.graphs.run_actions import step_run
+from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
@@ -17,16 +17,18 @@
 def stop_stalled(state: PoolState, now_ms: int) -> None:
     """Stop runs that a worker keeps reporting without progress.
 
-    Time without reports does not count, so a silent worker is not taken as
-    stalled. Exempt are fillers, gangs, and lasting tasks once initialized.
+    Time without reports does not count, so runs on a silent worker are not
+    stopped. Exempt are fillers, gangs, and lasting tasks once initialized.
     """
     for view in state.workers:
         for run in list(view.runs.values()):
             if _is_stalled(state, view, run):
-                _stop(state, view, run, now_ms)
+                _stop_run(state, view, run, now_ms)
 
 
-def _stop(state: PoolState, view: WorkerView, run: Run, now_ms: int) -> None:
+def _stop_run(
+    state: PoolState, view: WorkerView, run: Run, now_ms: int
+) -> None:
     events.emit(
         events.RUN_STALLED,
         job=run.task.job,
@@ -36,14 +38,14 @@
         percent=run.progress_percent,
     )
     worker_suspension.record_failure(view, run.task, now_ms)
-    step_run(state, run, RunEvent.STOP_ASKED, now_ms)
+    apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
 def _is_stalled(state: PoolState, view: WorkerView, run: Run) -> bool:
     if run.state is not RunState.RUNNING or run.filler_milli:
         return False
-    found = state.find_step(run.task)
-    if found is None or found[1].step.is_gang:
+    job_and_step = state.find_step(run.task)
+    if job_and_step is None or job_and_step[1].spec.is_gang:
         return False
     if run.progress_percent >= INITIALIZED_PERCENT:
         return False
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -1,4 +1,4 @@
-"""State shared by the decisions about a pool."""
+"""State of a pool, on which all decisions about it work."""
 
 from dataclasses import dataclass, field
 
@@ -30,7 +30,8 @@
     effects: list[Effect] = field(default_factory=list)
     # Incremented whenever a placement that failed could succeed.
     free_version: int = 0
-    # Every worker of the previous owner has reported, or its leases have ended.
+    # Every worker of the previous owner has reported to this one, or all task
+    # leases of the worker have expired.
     is_inheritance_settled: bool = False
     # Unix time minus the runtime clock.
     unix_offset_ms: int = 0
@@ -49,8 +50,12 @@
 
     def active_unit(self, run: Run) -> Unit | None:
         """Return the unit of a run, or `None` if the unit is not active."""
-        found = self.find_step(run.task)
-        return None if found is None else found[1].active.get(run.unit)
+        job_and_step = self.find_step(run.task)
+        return (
+            None
+            if job_and_step is None
+            else job_and_step[1].active.get(run.unit_key)
+        )
 
     def find_unfinished_step(self, key: StepKey) -> StepEntry | None:
         """Return the step of a key if it has an entry."""
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -20,6 +20,7 @@
     CONFIRMED = 'confirmed'
     REFUSED = 'refused'
     UNANSWERED = 'unanswered'
+    # A report lists the run as running.
     LISTED = 'listed'
     # A report requested after the last answer does not list the run.
     ABSENT = 'absent'
@@ -40,12 +41,13 @@
 
 
 class AvailabilityEvent(Enum):
-    """Events that change whether a worker may get runs."""
+    """Events of the worker availability chart."""
 
     REPORTED = 'reported'
     WENT_SILENT = 'went_silent'
     LISTED_LIVE = 'listed_live'
     LISTED_LEAVING = 'listed_leaving'
+    # The task leases of an unlisted worker have expired.
     LAPSED = 'lapsed'
 
 
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -8,7 +8,7 @@
 import heapq
 
 from fuchsiarill.graphs.placement import (
-    Request,
+    PlacementRequest,
     cost_of,
     has_room,
     place_gang,
@@ -19,7 +19,7 @@
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NOTHING
 
-_Ranked = tuple[float, int, WorkerView]
+_RankedWorker = tuple[float, int, WorkerView]
 
 
 class StepPlacer:
@@ -28,61 +28,67 @@
     def __init__(self, state: PoolState) -> None:
         """Create a placer; the first request ranks the workers."""
         self._state = state
-        self._usable: list[WorkerView] | None = None
-        self._heap: list[_Ranked] | None = None
+        self._usable_workers: list[WorkerView] | None = None
+        self._heap: list[_RankedWorker] | None = None
         # The worker chosen last; its cost has changed since.
-        self._chosen: _Ranked | None = None
+        self._last_chosen: _RankedWorker | None = None
 
-    def usable(self, request: Request) -> list[WorkerView]:
+    def usable_workers(self, request: PlacementRequest) -> list[WorkerView]:
         """Return the workers that may run the step, with or without room."""
-        if self._usable is None:
-            self._usable = usable_workers(self._state, request)
-        return self._usable
+        if self._usable_workers is None:
+            self._usable_workers = usable_workers(self._state, request)
+        return self._usable_workers
 
-    def place(self, request: Request) -> list[WorkerView] | None:
+    def place(self, request: PlacementRequest) -> list[WorkerView] | None:
         """Return a worker for each task of the unit, or `None` without room."""
-        if request.step.step.is_gang:
-            return place_gang(self._state, request, self._permitted(request))
+        if request.step.spec.is_gang:
+            return place_gang(
+                self._state, request, self._permitted_workers(request)
+            )
         if request.unit.failed_on:
             return self._place_retry(request)
-        heap = self._ranked(request)
+        heap = self._ranked_workers(request)
         while heap:
             ranked = heap[0]
             if _can_start(request, ranked[-1]):
-                self._chosen = ranked
+                self._last_chosen = ranked
                 return [ranked[-1]]
             heapq.heappop(heap)
         return None
 
-    def _place_retry(self, request: Request) -> list[WorkerView] | None:
+    def _place_retry(
+        self, request: PlacementRequest
+    ) -> list[WorkerView] | None:
         """Place a unit that prefers workers on which it has not failed."""
-        permitted = self._permitted(request)
+        permitted = self._permitted_workers(request)
         views = [view for view in permitted if _can_start(request, view)]
         if not views:
             return None
         costs = [cost_of(self._state, request, view) for view in views]
         self._heap = None
-        self._chosen = None
+        self._last_chosen = None
         return [views[costs.index(min(costs))]]
 
-    def _ranked(self, request: Request) -> list[_Ranked]:
+    def _ranked_workers(self, request: PlacementRequest) -> list[_RankedWorker]:
         if self._heap is None:
             self._heap = [
                 (cost_of(self._state, request, view), position, view)
-                for position, view in enumerate(self._permitted(request))
+                for position, view in enumerate(
+                    self._permitted_workers(request)
+                )
                 if _can_start(request, view)
             ]
             heapq.heapify(self._heap)
-        elif self._chosen is not None:
-            _, position, view = self._chosen
+        elif self._last_chosen is not None:
+            _, position, view = self._last_chosen
             cost = cost_of(self._state, request, view)
             heapq.heapreplace(self._heap, (cost, position, view))
-        self._chosen = None
+        self._last_chosen = None
         return self._heap
 
-    def _permitted(self, request: Request) -> list[WorkerView]:
+    def _permitted_workers(self, request: PlacementRequest) -> list[WorkerView]:
         """Return the usable workers that need no ticket or have a valid one."""
-        usable = self.usable(request)
+        usable = self.usable_workers(request)
         if request.entry.policy.advice is None:
             return usable
         tickets = self._state.tickets
@@ -93,7 +99,7 @@
         ]
 
 
-def _can_start(request: Request, view: WorkerView) -> bool:
+def _can_start(request: PlacementRequest, view: WorkerView) -> bool:
     if not has_room(request.step, view, NOTHING):
         return False
     return may_receive_runs(view, request.now_ms)
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -11,12 +11,12 @@
 from fuchsiarill.ids import WorkerId
 
 # A start order reaches its worker at most this long after the decision.
-_USE_MARGIN_MS: Final = 250
+_VALIDITY_MARGIN_MS: Final = 250
 # A failed request is repeated after this time.
-_RETRY_MS: Final = 100
-# An answer that has not arrived by then is taken as lost. A request waits for
-# earlier ones, and their queue is longest just after a takeover.
-_ANSWER_LOST_MS: Final = 15_000
+_RETRY_INTERVAL_MS: Final = 100
+# An answer that has not arrived within this time is taken as lost. A request
+# waits for earlier ones, and their queue is longest just after a takeover.
+_ANSWER_TIMEOUT_MS: Final = 15_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +32,7 @@
     # Answers of the service: they never change for a step and a worker.
     allowed: set[WorkerId] = field(default_factory=set)
     denied: set[WorkerId] = field(default_factory=set)
-    # No request is sent earlier, since one is in progress or has failed.
+    # No request is sent before, since one is in progress or has just failed.
     next_request_ms: int = 0
 
 
@@ -55,17 +55,17 @@
         """
         advice = self._steps.get(step)
         cached = advice.tickets.get(view.worker) if advice else None
-        if cached is None or cached.expiry_ms < now_ms + _USE_MARGIN_MS:
+        if cached is None or cached.expiry_ms < now_ms + _VALIDITY_MARGIN_MS:
             return None
         return cached.ticket if cached.born_ms == view.born_ms else None
 
     def is_denied(self, step: StepKey, worker: WorkerId) -> bool:
-        """Tell whether the service has denied the worker."""
+        """Tell whether the service has denied the worker for the step."""
         advice = self._steps.get(step)
         return advice is not None and worker in advice.denied
 
     def is_allowed(self, step: StepKey, worker: WorkerId) -> bool:
-        """Tell whether the service has allowed the worker."""
+        """Tell whether the service has allowed the worker for the step."""
         advice = self._steps.get(step)
         return advice is not None and worker in advice.allowed
 
@@ -75,15 +75,15 @@
         return advice is None or advice.next_request_ms <= now_ms
 
     def request_sent(self, step: StepKey, now_ms: int) -> None:
-        """Block requests for the step until its answer or the time limit."""
+        """Block requests for the step until the answer or its timeout."""
         advice = self._steps.setdefault(step, _StepAdvice())
-        advice.next_request_ms = now_ms + _ANSWER_LOST_MS
+        advice.next_request_ms = now_ms + _ANSWER_TIMEOUT_MS
 
     def request_failed(self, step: StepKey, now_ms: int) -> None:
         """Allow a request for the step after the retry interval."""
         advice = self._steps.get(step)
         if advice is not None:
-            advice.next_request_ms = now_ms + _RETRY_MS
+            advice.next_request_ms = now_ms + _RETRY_INTERVAL_MS
 
     def store_answer(
         self,
@@ -119,5 +119,5 @@
             advice.denied.discard(worker)
 
     def remove_step(self, step: StepKey) -> None:
-        """Remove all answers for a step without units left to start."""
+        """Remove all answers for a step that has succeeded."""
         self._steps.pop(step, None)
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -12,20 +12,20 @@
 from fuchsiarill.graphs.states import AvailabilityEvent
 from fuchsiarill.registry import Registry
 
-_Tick = Callable[[PoolState, int], None]
+_TickAction = Callable[[PoolState, int], None]
 
 # Run in the order of their names, hence the numbers.
-TICKS: Final[Registry[str, _Tick]] = Registry('ticks')
+TICK_ACTIONS: Final[Registry[str, _TickAction]] = Registry('ticks')
 
 # A stop order without an answer is repeated after this time.
-_STOP_REPEAT_MS: Final = 400
+_STOP_REPEAT_INTERVAL_MS: Final = 400
 
-TICKS.register('4 drain workers')(draining.drain_workers)
-TICKS.register('5 pace fillers')(pacing.pace_fillers)
-TICKS.register('6 stop stalled runs')(stalls.stop_stalled)
+TICK_ACTIONS.register('4 drain workers')(draining.drain_workers)
+TICK_ACTIONS.register('5 pace fillers')(pacing.pace_fillers)
+TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
 
 
-@TICKS.register('1 expire leases')
+@TICK_ACTIONS.register('1 expire leases')
 def _expire_leases(state: PoolState, now_ms: int) -> None:
     """Mark runs as lost when the task leases of their worker have expired."""
     for view in state.workers:
@@ -35,11 +35,11 @@
         if view.runs:
             reports.mark_runs_lost(state, view, now_ms)
         if not view.is_listed:
-            state.workers.step(view, AvailabilityEvent.LAPSED)
+            state.workers.apply_event(view, AvailabilityEvent.LAPSED)
 
 
-@TICKS.register('2 open occurrences')
-def _open_due(state: PoolState, now_ms: int) -> None:
+@TICK_ACTIONS.register('2 open occurrences')
+def _open_due_occurrences(state: PoolState, now_ms: int) -> None:
     """Open the due occurrences of scheduled jobs."""
     unix_ms = now_ms + state.unix_offset_ms
     for entry in state.jobs.values():
@@ -58,9 +58,9 @@
         entry.open_occurrence(occurrence)
 
 
-@TICKS.register('3 repeat stops')
+@TICK_ACTIONS.register('3 repeat stops')
 def _repeat_stops(state: PoolState, now_ms: int) -> None:
-    """Repeat stop orders that got no answer."""
+    """Repeat stop orders without an answer."""
     for view in state.workers:
         for run in list(view.runs.values()):
             if _is_stop_overdue(run, now_ms):
@@ -70,14 +70,15 @@
 def _is_stop_overdue(run: Run, now_ms: int) -> bool:
     if run.stop_ordered_ms is None or run.is_stop_answered:
         return False
-    return now_ms - run.stop_ordered_ms >= _STOP_REPEAT_MS
+    return now_ms - run.stop_ordered_ms >= _STOP_REPEAT_INTERVAL_MS
 
 
-@TICKS.register('7 settle inheritance')
+@TICK_ACTIONS.register('7 settle inheritance')
 def _settle_inheritance(state: PoolState, now_ms: int) -> None:
-    """Allow inherited jobs to start once all their workers are reconciled.
+    """Allow inherited jobs to start once all recorded workers are reconciled.
 
-    Before that, a run of the previous owner may exist unknown to this one.
+    Before that, a run that the previous owner started may be unknown to this
+    one.
     """
     if state.is_inheritance_settled:
         return
@@ -92,8 +93,8 @@
     )
 
 
-@TICKS.register('8 drop reservations')
-def _drop_reservations(state: PoolState, now_ms: int) -> None:
+@TICK_ACTIONS.register('8 drop reservations')
+def _drop_expired_reservations(state: PoolState, now_ms: int) -> None:
     """Drop expired reservations."""
     for view in state.workers:
         if view.reservations:
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -9,17 +9,18 @@
 
 # Two consecutive failures of different tasks are rare on a healthy worker,
 # where at most a tenth of the runs fail through their own fault.
-_FAILURES_MAX_COUNT: Final = 2
-_SUSPENSION_MS: Final = 2000
+_FAILURES_TO_SUSPEND_COUNT: Final = 2
+_FIRST_SUSPENSION_MS: Final = 2000
 _SUSPENSION_MAX_MS: Final = 8000
-# A faulty worker fails its tasks within this time. If only one worker may run a
-# task, this is the longest time that the task waits there for another one.
-_PROOF_MS: Final = 2000
+# A faulty worker fails its tasks within this time, so a run of this age does
+# not keep a worker on probation from getting the next one. If only one worker
+# may run a task, this is the longest time that it waits there for another one.
+_PROBATION_RUN_AGE_MS: Final = 2000
 
 
 def record_success(view: WorkerView) -> None:
     """Reset the failures and end the probation after a success."""
-    view.failure_record.failures_in_row.clear()
+    view.failure_record.consecutive_failures.clear()
     view.failure_record.suspensions_count = 0
 
 
@@ -29,21 +30,24 @@
     Such a task never succeeds. A task that was started before the suspension
     proves nothing.
     """
-    if run.ordered_ms >= view.failure_record.suspended_until_ms:
+    if run.start_ordered_ms >= view.failure_record.suspended_until_ms:
         view.failure_record.suspensions_count = 0
 
 
 def record_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
-    """Suspend the worker after several consecutive failed tasks.
+    """Suspend the worker after consecutive failures of different tasks.
 
     Each suspension without a success in between doubles the time, up to a
     maximum.
     """
-    view.failure_record.failures_in_row.add(task)
-    if len(view.failure_record.failures_in_row) < _FAILURES_MAX_COUNT:
+    view.failure_record.consecutive_failures.add(task)
+    if (
+        len(view.failure_record.consecutive_failures)
+        < _FAILURES_TO_SUSPEND_COUNT
+    ):
         return
     duration_ms = min(
-        _SUSPENSION_MS * 2**view.failure_record.suspensions_count,
+        _FIRST_SUSPENSION_MS * 2**view.failure_record.suspensions_count,
         _SUSPENSION_MAX_MS,
     )
     view.failure_record.suspensions_count += 1
@@ -51,7 +55,7 @@
     events.emit(
         events.WORKER_SUSPENDED,
         worker=view.worker,
-        failures=len(view.failure_record.failures_in_row),
+        failures=len(view.failure_record.consecutive_failures),
         duration_ms=duration_ms,
     )
 
@@ -60,8 +64,8 @@
     """Tell whether the worker may get a run: not while it is suspended.
 
     After a suspension it is on probation: it gets one task at a time until one
-    succeeds. Tasks that have run for a while do not count, since a lasting or
-    long task would exclude the worker.
+    succeeds. Runs that are at least `_PROBATION_RUN_AGE_MS` old do not count,
+    since a lasting or long task would exclude the worker.
     """
     record = view.failure_record
     if now_ms < record.suspended_until_ms:
@@ -69,5 +73,6 @@
     if record.suspensions_count == 0:
         return True
     return all(
-        now_ms - run.ordered_ms >= _PROOF_MS for run in view.runs.values()
+        now_ms - run.start_ordered_ms >= _PROBATION_RUN_AGE_MS
+        for run in view.runs.values()
     )
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -21,8 +21,8 @@
 from fuchsiarill.resources import NOTHING, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
 
-_NOT_REPORTED: Final = BornMs(0)
-_RACK_LABELS_MIN: Final = 2
+_BORN_UNKNOWN_MS: Final = BornMs(0)
+_RACK_LABELS_MIN_COUNT: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,7 @@
 class FailureRecord:
     """Recent failures on a worker and its suspensions."""
 
-    failures_in_row: set[TaskKey] = field(default_factory=set)
+    consecutive_failures: set[TaskKey] = field(default_factory=set)
     suspensions_count: int = 0
     suspended_until_ms: int = 0
 
@@ -65,9 +65,11 @@
     # Capacity minus `allocated`.
     free: Resources = NOTHING
     reservations: list[Reservation] = field(default_factory=list)
+    # Idle processors that its fillers can use, in thousandths of a processor.
     filler_milli: int = 0
+    # Runs of tasks with a target for the tail latency.
     serving_count: int = 0
-    born_ms: BornMs = _NOT_REPORTED
+    born_ms: BornMs = _BORN_UNKNOWN_MS
     # Sequence number of the last end that has been applied.
     seen_end: EndSequence = NO_END
     # Ends up to this number are durable; the worker may delete them.
@@ -80,7 +82,7 @@
     leaving_since_ms: int | None = None
     failure_record: FailureRecord = field(default_factory=FailureRecord)
 
-    def free_for(self, step: StepKey, rank_ms: int) -> Resources:
+    def free_for_step(self, step: StepKey, rank_ms: int) -> Resources:
         """Return the room that a step of this rank can use.
 
         Reservations of steps that are scheduled earlier are subtracted.
@@ -95,7 +97,7 @@
     def reserve(self, step: StepEntry, expiry_ms: int) -> None:
         """Reserve room for one task of a step."""
         self.reservations.append(
-            Reservation(step.key, step.rank_ms, step.step.charge, expiry_ms),
+            Reservation(step.key, step.rank_ms, step.spec.charge, expiry_ms),
         )
 
     def drop_reservations(self, step: StepKey) -> None:
@@ -121,7 +123,7 @@
     @property
     def rack(self) -> Label | None:
         """Return the rack, which is the last of at least two labels."""
-        if len(self.labels) < _RACK_LABELS_MIN:
+        if len(self.labels) < _RACK_LABELS_MIN_COUNT:
             return None
         return self.labels[-1]
 
@@ -186,32 +188,35 @@
         """Remove a worker; an unknown one is ignored."""
         self._views.pop(worker, None)
 
-    def step(self, view: WorkerView, event: AvailabilityEvent) -> None:
-        """Apply an event to a worker; ignored without a transition."""
+    def apply_event(self, view: WorkerView, event: AvailabilityEvent) -> None:
+        """Apply an event to a worker.
+
+        An event without a transition in the present state is ignored.
+        """
         transition = self._chart.step(view.availability, event)
         if transition is not None:
             view.availability = transition.target
 
     def update_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
-        """Apply the complete directory.
+        """Apply the complete list of the pool's directory entries.
 
         Returns the workers that are new or have restarted.
         """
-        restarted: set[WorkerId] = set()
+        new_or_restarted: set[WorkerId] = set()
         listed: set[WorkerId] = set()
         for entry in entries:
             listed.add(entry.worker)
             view = self.add(entry.worker, entry.address)
             if view.born_ms < entry.born_ms:
-                restarted.add(entry.worker)
+                new_or_restarted.add(entry.worker)
             self._apply_listing(view, entry)
         for view in self._views.values():
             view.is_listed = view.worker in listed
-        return restarted
+        return new_or_restarted
 
     def _apply_listing(self, view: WorkerView, entry: WorkerEntry) -> None:
         view.apply_entry(entry)
         if entry.listing is WorkerListing.LEAVING:
-            self.step(view, AvailabilityEvent.LISTED_LEAVING)
+            self.apply_event(view, AvailabilityEvent.LISTED_LEAVING)
             return
-        self.step(view, AvailabilityEvent.LISTED_LIVE)
+        self.apply_event(view, AvailabilityEvent.LISTED_LIVE)
--- a/fuchsiarill/graphs/worker_waits.py
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -3,7 +3,7 @@
 from operator import itemgetter
 from typing import Final
 
-from fuchsiarill.graphs.placement import Request
+from fuchsiarill.graphs.placement import PlacementRequest
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
@@ -12,34 +12,36 @@
 
 
 def expected_wait_ms(
-    state: PoolState, request: Request, view: WorkerView
+    state: PoolState, request: PlacementRequest, view: WorkerView
 ) -> float:
     """Return the expected time until a task of the step fits on a worker.
 
     Returns `NEVER_MS` if it does not fit when all runs have ended.
     """
     step = request.step
-    free = view.free_for(step.key, step.rank_ms)
+    free = view.free_for_step(step.key, step.rank_ms)
     ends = [
-        (_remaining_ms(state, request, run), run.charge)
+        (_run_remaining_ms(state, request, run), run.charge)
         for run in view.runs.values()
     ]
-    latest_end_ms = 0.0
+    wait_ms = 0.0
     for remaining_ms, charge in sorted(ends, key=itemgetter(0)):
-        if step.step.charge.fits_in(free):
+        if step.spec.charge.fits_in(free):
             break
         free += charge
-        latest_end_ms = remaining_ms
-    return latest_end_ms if step.step.charge.fits_in(free) else NEVER_MS
+        wait_ms = remaining_ms
+    return wait_ms if step.spec.charge.fits_in(free) else NEVER_MS
 
 
-def _remaining_ms(state: PoolState, request: Request, run: Run) -> float:
+def _run_remaining_ms(
+    state: PoolState, request: PlacementRequest, run: Run
+) -> float:
     """Return the expected time until a run ends, `NEVER_MS` if lasting."""
-    found = state.find_step(run.task)
-    if found is None:
+    job_and_step = state.find_step(run.task)
+    if job_and_step is None:
         return 0
-    entry, step = found
-    if step.step.is_lasting:
+    entry, step = job_and_step
+    if step.spec.is_lasting:
         return NEVER_MS
-    expected_ms = state.run_times.expected_ms(entry.graph.queue, step.step)
-    return max(expected_ms - (request.now_ms - run.ordered_ms), 0)
+    expected_ms = state.run_times.expected_ms(entry.graph.queue, step.spec)
+    return max(expected_ms - (request.now_ms - run.start_ordered_ms), 0)
