Name what the tests of the graph decisions hold

Cause: locals and attributes were bare participles (`refused`, `ended`, `due`, `listed`, `done`), and four test names were figurative (`stands_still`, `tail_beside_it`, `blocks_nobody`, `gets_nothing_new`). Change: nouns such as `refused_attempts`, `unreported_ends`, `timed_out_starts`, `directory_entry` and `success`; the four test names say what is expected. Rules, assertions, bounds and examples are the same.

--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -36,11 +36,11 @@
 from tests.graph_owner import CAPACITY, Owner, entry
 
 _STEP_MS = 50
-_ADVICE_MS = 100
+_ADVICE_DELAY_MS = 100
 _LEASE_MS = 5000
 _HALF_PERCENT = 50
 
-_Key = tuple[TaskKey, int]
+_RunKey = tuple[TaskKey, int]
 
 
 @dataclass(slots=True)
@@ -58,24 +58,26 @@
 
     name: str
     born_ms: int
-    runs: dict[_Key, ModelRun] = field(default_factory=dict)
-    ended: list[EndRow] = field(default_factory=list)
+    runs: dict[_RunKey, ModelRun] = field(default_factory=dict)
+    unreported_ends: list[EndRow] = field(default_factory=list)
     ends_count: int = 0
-    refused: dict[TaskKey, int] = field(default_factory=dict)
+    refused_attempts: dict[TaskKey, int] = field(default_factory=dict)
     lease_until_ms: int = 0
     is_reachable: bool = True
     is_leaving: bool = False
     loses_answers: bool = False
     fails_all: bool = False
 
-    def end(self, key: _Key, kind: EndKind) -> None:
+    def end(self, key: _RunKey, kind: EndKind) -> None:
         """End a run, report the end and refuse the attempt from now on."""
         self.runs.pop(key)
         self.ends_count += 1
         task, attempt = key
-        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        self.refused_attempts[task] = max(
+            self.refused_attempts.get(task, 0), attempt
+        )
         sequence = EndSequence(self.ends_count)
-        self.ended.append(
+        self.unreported_ends.append(
             EndRow(sequence, task, attempt, kind, Checkpoint('')),
         )
 
@@ -87,7 +89,7 @@
             elif now_ms > self.lease_until_ms:
                 self.end(key, EndKind.LAPSED)
 
-    def used(self) -> Resources:
+    def used_resources(self) -> Resources:
         """Return the sum of the resources of all runs."""
         return sum((run.size for run in self.runs.values()), NOTHING)
 
@@ -104,13 +106,12 @@
         self.failures: dict[str, int] = {}
         self.succeeded: set[TaskKey] = set()
         self.violations: list[str] = []
-        self.advice: list[tuple[int, RequestAdvice]] = []
+        self.advice_in_transit: list[tuple[int, RequestAdvice]] = []
         self.loses_advice = False
-        # Start orders in transit; they reach the worker's incarnation of that
-        # time.
-        self.in_flight: list[StartRun] = []
+        # These start orders reach the incarnation that runs when they arrive.
+        self.starts_in_transit: list[StartRun] = []
         # Start orders without an answer, with the time at which they time out.
-        self.unanswered: list[tuple[int, StartRun]] = []
+        self.unanswered_starts: list[tuple[int, StartRun]] = []
 
     @property
     def now_ms(self) -> int:
@@ -121,16 +122,18 @@
         """Pass the current directory to the owner."""
         entries = []
         for worker in self.workers.values():
-            listed = replace(
+            directory_entry = replace(
                 entry(worker.name),
                 born_ms=BornMs(worker.born_ms),
             )
             if worker.is_leaving:
-                listed = replace(listed, listing=WorkerListing.LEAVING)
-            entries.append(listed)
+                directory_entry = replace(
+                    directory_entry, listing=WorkerListing.LEAVING
+                )
+            entries.append(directory_entry)
         self.owner.core.update_workers(entries, self.now_ms)
         self.owner.core.record_workers(
-            [listed.worker for listed in entries],
+            [directory_entry.worker for directory_entry in entries],
         )
 
     def submit(
@@ -157,10 +160,10 @@
         """Advance the clock in steps; run workers, advice and decisions."""
         for _ in range(duration_ms // _STEP_MS):
             self.owner.now_ms += _STEP_MS
-            arriving = self.in_flight
-            self.in_flight = []
-            for order in arriving:
-                self._start(order)
+            arriving_starts = self.starts_in_transit
+            self.starts_in_transit = []
+            for order in arriving_starts:
+                self._execute_start(order)
             for worker in self.workers.values():
                 worker.end_due_runs(self.now_ms)
                 self._renew(worker)
@@ -178,33 +181,35 @@
     def _execute(self, effect: Effect) -> None:
         match effect:
             case StartRun():
-                self.in_flight.append(effect)
+                self.starts_in_transit.append(effect)
                 core = self.owner.core
                 core.renewal_sent(effect.worker, self.now_ms)
             case StopRun():
-                self._stop(effect)
+                self._execute_stop(effect)
             case RequestAdvice():
-                self.advice.append((self.now_ms + _ADVICE_MS, effect))
+                self.advice_in_transit.append(
+                    (self.now_ms + _ADVICE_DELAY_MS, effect)
+                )
             case RequestReport():
                 self._renew(self.workers[effect.worker])
             case PaceRun():
                 pass
 
-    def _start(self, order: StartRun) -> None:
+    def _execute_start(self, order: StartRun) -> None:
         worker = self.workers[order.worker]
         if worker.is_reachable and self._deliver_start(worker, order):
             return
-        self.unanswered.append((self.now_ms + 7 * _STEP_MS, order))
+        self.unanswered_starts.append((self.now_ms + 7 * _STEP_MS, order))
 
     def _deliver_start(self, worker: ModelWorker, order: StartRun) -> bool:
         """Deliver a start order; returns whether it has been answered."""
         failure: AgentFailure | None = None
-        if order.attempt <= worker.refused.get(order.task, 0):
+        if order.attempt <= worker.refused_attempts.get(order.task, 0):
             failure = AgentFailure.SUPERSEDED
-        elif self._is_unadvised(order):
+        elif self._has_invalid_ticket(order):
             failure = AgentFailure.TICKET_INVALID
         else:
-            self._run(worker, order)
+            self._start_run(worker, order)
         if worker.loses_answers:
             return False
         self.owner.core.start_answered(
@@ -216,15 +221,15 @@
         )
         return True
 
-    def _is_unadvised(self, order: StartRun) -> bool:
+    def _has_invalid_ticket(self, order: StartRun) -> bool:
         return order.ticket is not None and order.ticket != Ticket(order.worker)
 
-    def _run(self, worker: ModelWorker, order: StartRun) -> None:
+    def _start_run(self, worker: ModelWorker, order: StartRun) -> None:
         task = order.task
         step = self.steps[task.job, task.step]
         self._check_start(worker, task)
-        failing = order.attempt <= self.failures.get(task.job, 0)
-        is_failing = worker.fails_all or failing
+        is_failing_attempt = order.attempt <= self.failures.get(task.job, 0)
+        is_failing = worker.fails_all or is_failing_attempt
         ends_ms: int | None = self.now_ms + self.run_ms[task.job]
         if step.is_lasting and not is_failing:
             ends_ms = None
@@ -234,7 +239,7 @@
             ends_ms,
             EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
         )
-        if not worker.used().fits_in(CAPACITY):
+        if not worker.used_resources().fits_in(CAPACITY):
             self.violations.append(f'{worker.name} is over its capacity')
 
     def _check_start(self, worker: ModelWorker, task: TaskKey) -> None:
@@ -244,12 +249,12 @@
             if any(running == task for running, _ in other.runs):
                 self.violations.append(f'{task} runs twice')
 
-    def _stop(self, order: StopRun) -> None:
+    def _execute_stop(self, order: StopRun) -> None:
         worker = self.workers[order.worker]
         if not worker.is_reachable:
             return
-        worker.refused[order.task] = max(
-            worker.refused.get(order.task, 0),
+        worker.refused_attempts[order.task] = max(
+            worker.refused_attempts.get(order.task, 0),
             order.attempt,
         )
         if (order.task, order.attempt) in worker.runs:
@@ -280,22 +285,24 @@
                 RunningRow(task, attempt, Checkpoint(''), _percent(run))
                 for (task, attempt), run in worker.runs.items()
             ),
-            tuple(worker.ended),
+            tuple(worker.unreported_ends),
         )
-        for end in worker.ended:
+        for end in worker.unreported_ends:
             if end.kind is EndKind.SUCCEEDED:
                 self.succeeded.add(end.task)
         core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
-        worker.ended.clear()
+        worker.unreported_ends.clear()
 
     def _deliver_answers(self) -> None:
-        due = [
-            order for at_ms, order in self.unanswered if at_ms <= self.now_ms
+        timed_out_starts = [
+            order
+            for at_ms, order in self.unanswered_starts
+            if at_ms <= self.now_ms
         ]
-        self.unanswered = [
-            row for row in self.unanswered if row[0] > self.now_ms
+        self.unanswered_starts = [
+            row for row in self.unanswered_starts if row[0] > self.now_ms
         ]
-        for order in due:
+        for order in timed_out_starts:
             self.owner.core.start_answered(
                 order.worker,
                 order.task,
@@ -304,9 +311,13 @@
                 self.now_ms,
             )
         requests = [
-            request for at_ms, request in self.advice if at_ms <= self.now_ms
+            request
+            for at_ms, request in self.advice_in_transit
+            if at_ms <= self.now_ms
+        ]
+        self.advice_in_transit = [
+            row for row in self.advice_in_transit if row[0] > self.now_ms
         ]
-        self.advice = [row for row in self.advice if row[0] > self.now_ms]
         for request in requests:
             self._advise(request)
 
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -27,12 +27,12 @@
     owner.core.add_inherited_worker(WorkerId('w1'), 'w1:1', 9000)
     steps = (Step(1, SIZE), Step(2, SIZE, after=(0,)))
     owner.add_job('a', *steps, is_inherited=True)
-    done = ended(task('a', 1, 1))
-    owner.report('w1', (running(task('a', 1, 0)),), (done,))
+    success = ended(task('a', 1, 1))
+    owner.report('w1', (running(task('a', 1, 0)),), (success,))
     assert not owner.decide()
     owner.report('w0', (), (ended(task('a')),))
     assert not owner.decide()
-    owner.report('w1', (), (done, ended(task('a', 1, 0), 2)))
+    owner.report('w1', (), (success, ended(task('a', 1, 0), 2)))
     entry_of_job = owner.core.state.jobs[JobId('a')]
     assert not entry_of_job.is_active
 
@@ -111,13 +111,15 @@
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE))
     owner.starts()
-    stale = WorkerReport(owner.now_ms, BornMs(1), (running(task('a')),), ())
+    stale_report = WorkerReport(
+        owner.now_ms, BornMs(1), (running(task('a')),), ()
+    )
     owner.report('w0', (), (ended(task('a'), kind=EndKind.FAILED),))
-    owner.core.worker_reported(WorkerId('w0'), stale, 1, owner.now_ms)
+    owner.core.worker_reported(WorkerId('w0'), stale_report, 1, owner.now_ms)
     assert [start.attempt for start in owner.starts()] == [2]
 
 
-def test_unlisted_worker_gets_nothing_new() -> None:
+def test_unlisted_worker_gets_no_new_run() -> None:
     """Guards against a start on a worker that has left the directory."""
     owner = Owner('w0', 'w1')
     owner.report('w0')
@@ -127,7 +129,7 @@
     assert {start.worker for start in owner.starts()} == {'w1'}
 
 
-def test_job_that_never_fits_blocks_nobody() -> None:
+def test_job_that_never_fits_blocks_no_other_job() -> None:
     """Guards against a job that fits no worker and holds up later jobs."""
     owner = Owner('w0')
     owner.report('w0')
@@ -155,18 +157,18 @@
     owner.report('w0')
     owner.add_job('watch', Step(1, SIZE, is_lasting=True))
     owner.starts()
-    watch = (running(task('watch')),)
-    owner.report('w0', watch)
+    watch_rows = (running(task('watch')),)
+    owner.report('w0', watch_rows)
     for number in (1, 2):
         owner.add_job(f'f{number}', Step(1, SIZE))
         assert len(owner.starts()) == 1
-        failed = ended(task(f'f{number}'), number, EndKind.FAILED)
-        owner.report('w0', watch, (failed,))
+        failure = ended(task(f'f{number}'), number, EndKind.FAILED)
+        owner.report('w0', watch_rows, (failure,))
         owner.core.cancel_job(JobId(f'f{number}'), owner.now_ms)
     owner.add_job('probe', Step(2, Resources(400, 400)))
     assert not owner.starts()
     owner.now_ms += 2500
-    owner.report('w0', watch)
+    owner.report('w0', watch_rows)
     assert len(owner.starts()) == 1
 
 
@@ -193,8 +195,8 @@
             owner.report('w0', (), (end,))
         for start in owner.starts():
             sequence += 1
-            done = ended(start.task, sequence, attempt=start.attempt)
-            owner.report('w0', (), (done,))
+            success = ended(start.task, sequence, attempt=start.attempt)
+            owner.report('w0', (), (success,))
     assert 0 < stops_count < 6
 
 
@@ -209,7 +211,10 @@
     owner.report('w1')
     owner.add_job('long', Step(1, CAPACITY, estimate_ms=500))
     start = owner.starts()[0]
-    busy, free = start.worker, {'w0': 'w1', 'w1': 'w0'}[start.worker]
+    busy_worker, free_worker = (
+        start.worker,
+        {'w0': 'w1', 'w1': 'w0'}[start.worker],
+    )
     gang = Step(2, CAPACITY, estimate_ms=100, is_gang=True)
     owner.add_job('gang', gang, queue=URGENT)
     owner.decide()
@@ -219,8 +224,8 @@
     started_count = 0
     for _ in range(100):
         owner.now_ms += 100
-        owner.report(busy, (running(start.task),))
-        owner.report(free)
+        owner.report(busy_worker, (running(start.task),))
+        owner.report(free_worker)
         started_count += len(owner.starts())
         if started_count:
             return
@@ -244,10 +249,10 @@
     owner.report('w0', (), ends)
     owner.now_ms += 2500
     owner.report('w0')
-    first = owner.starts()
-    assert len(first) == 1
+    starts = owner.starts()
+    assert len(starts) == 1
     owner.now_ms += 2500
-    owner.report('w0', (running(first[0].task, 2),))
+    owner.report('w0', (running(starts[0].task, 2),))
     assert len(owner.starts()) == 1
 
 
--- a/tests/test_graph_machine.py
+++ b/tests/test_graph_machine.py
@@ -14,9 +14,9 @@
 from tests.graph_owner import ADVISED, BATCH, URGENT
 from tests.graph_world import World
 
-_NAMES = ('w0', 'w1', 'w2')
-_RECOVERY_MS = 90_000
-_CHECK_MS = 1000
+_WORKER_NAMES = ('w0', 'w1', 'w2')
+_RECOVERY_MAX_MS = 90_000
+_CHECK_INTERVAL_MS = 1000
 
 
 def _step(tasks_count: int, processors: int, kind: str) -> Step:
@@ -50,7 +50,7 @@
     def __init__(self) -> None:
         """Start with live workers and no jobs."""
         super().__init__()
-        self.world = World(*_NAMES)
+        self.world = World(*_WORKER_NAMES)
         self.world.pass_time(100)
 
     @rule(
@@ -89,30 +89,30 @@
         job = JobId(f'j{number}')
         self.world.owner.core.cancel_job(job, self.world.now_ms)
 
-    @rule(name=st.sampled_from(_NAMES))
+    @rule(name=st.sampled_from(_WORKER_NAMES))
     def restart(self, name: str) -> None:
         """Restart a worker; its runs are lost."""
         self.world.restart(name)
 
-    @rule(name=st.sampled_from(_NAMES))
+    @rule(name=st.sampled_from(_WORKER_NAMES))
     def cut(self, name: str) -> None:
         """Disconnect a worker, or connect it again."""
         worker = self.world.workers[name]
         worker.is_reachable = not worker.is_reachable
 
-    @rule(name=st.sampled_from(_NAMES))
+    @rule(name=st.sampled_from(_WORKER_NAMES))
     def lose_answers(self, name: str) -> None:
         """Start or stop losing the answers of a worker to orders."""
         worker = self.world.workers[name]
         worker.loses_answers = not worker.loses_answers
 
-    @rule(name=st.sampled_from(_NAMES))
+    @rule(name=st.sampled_from(_WORKER_NAMES))
     def fail_all(self, name: str) -> None:
         """Start or stop failing all tasks on a worker."""
         worker = self.world.workers[name]
         worker.fails_all = not worker.fails_all
 
-    @rule(name=st.sampled_from(_NAMES))
+    @rule(name=st.sampled_from(_WORKER_NAMES))
     def leave(self, name: str) -> None:
         """Let a worker announce that it leaves, or withdraw the notice."""
         worker = self.world.workers[name]
@@ -148,31 +148,31 @@
             worker.fails_all = False
         self.world.publish_directory()
         waited_ms = 0
-        while self._unfinished() and waited_ms < _RECOVERY_MS:
-            self.world.pass_time(_CHECK_MS)
-            waited_ms += _CHECK_MS
-        assert not self._unfinished(), self._unfinished()
+        while self._unfinished_jobs() and waited_ms < _RECOVERY_MAX_MS:
+            self.world.pass_time(_CHECK_INTERVAL_MS)
+            waited_ms += _CHECK_INTERVAL_MS
+        assert not self._unfinished_jobs(), self._unfinished_jobs()
         assert not self.world.violations
 
-    def _unfinished(self) -> list[JobId]:
+    def _unfinished_jobs(self) -> list[JobId]:
         """Return active jobs that have not ended.
 
         A job of lasting tasks counts only while one of them does not run.
         """
-        running = {
+        running_tasks = {
             task
             for worker in self.world.workers.values()
             for task, _ in worker.runs
         }
-        unfinished = []
+        unfinished_jobs = []
         for job, entry in self.world.owner.core.state.jobs.items():
             if entry.progress.phase is not JobPhase.ACTIVE:
                 continue
             step = entry.graph.steps[0]
-            count = sum(task.job == job for task in running)
-            if not step.is_lasting or count < step.tasks_count:
-                unfinished.append(job)
-        return unfinished
+            running_count = sum(task.job == job for task in running_tasks)
+            if not step.is_lasting or running_count < step.tasks_count:
+                unfinished_jobs.append(job)
+        return unfinished_jobs
 
 
 TestGraphMachine = GraphMachine.TestCase
--- a/tests/test_graph_ticks.py
+++ b/tests/test_graph_ticks.py
@@ -53,7 +53,7 @@
         (FILLING, (10, 10), False),
     ],
 )
-def test_run_that_stands_still_is_stopped(
+def test_run_without_progress_is_stopped(
     step: Step,
     percents: tuple[int, int],
     *,
@@ -86,7 +86,7 @@
     assert not stops(owner.decide())
 
 
-def fill_beside_serving() -> Owner:
+def owner_with_serving_and_filler() -> Owner:
     """Return an owner whose worker runs a serving task and a filler."""
     owner = Owner('w0')
     owner.report('w0')
@@ -97,9 +97,9 @@
     return owner
 
 
-def test_filler_is_paced_by_the_tail_beside_it() -> None:
+def test_filler_pace_follows_the_tail_latency() -> None:
     """Guards against fillers that slow a serving task, or never resume."""
-    owner = fill_beside_serving()
+    owner = owner_with_serving_and_filler()
     rows = (row('serving', 100, 150), row('filling', 5, 1))
     owner.report('w0', rows)
     owner.now_ms += 1000
@@ -107,17 +107,17 @@
     # The reported tail latency still covers the time before the change.
     owner.report('w0', rows)
     assert not paces(owner.decide())
-    seen = []
+    percents = []
     for _ in range(8):
         owner.now_ms += 1000
         owner.report('w0', (row('serving', 100, 20), row('filling', 5, 1)))
-        seen.extend(paces(owner.decide()))
-    assert seen == [25, 50, 75, 100]
+        percents.extend(paces(owner.decide()))
+    assert percents == [25, 50, 75, 100]
 
 
 def test_filler_keeps_its_pace_near_the_target() -> None:
     """Guards against a pace that follows every small change of load."""
-    owner = fill_beside_serving()
+    owner = owner_with_serving_and_filler()
     owner.report('w0', (row('serving', 100, 75), row('filling', 5, 1)))
     owner.now_ms += 1000
     assert not paces(owner.decide())
@@ -143,8 +143,10 @@
     owner.report('w0', (running(task('watch')),))
     for other in others:
         owner.report(other)
-    leaving = replace(entry('w0'), listing=WorkerListing.LEAVING)
-    owner.core.update_workers([leaving, *map(entry, others)], owner.now_ms)
+    leaving_entry = replace(entry('w0'), listing=WorkerListing.LEAVING)
+    owner.core.update_workers(
+        [leaving_entry, *map(entry, others)], owner.now_ms
+    )
     assert bool(stops(owner.decide())) is is_moved
     if not is_moved:
         return
@@ -160,16 +162,16 @@
     owner.report('w1')
     owner.add_job('first', Step(1, CAPACITY, estimate_ms=1000))
     owner.add_job('second', Step(1, CAPACITY, estimate_ms=1000))
-    where = {start.task.job: start.worker for start in owner.starts()}
-    assert len(where) == 2
+    worker_of = {start.task.job: start.worker for start in owner.starts()}
+    assert len(worker_of) == 2
     gang = Step(2, CAPACITY, estimate_ms=100, is_gang=True)
     owner.add_job('gang', gang)
     owner.decide()
-    half = Resources(CAPACITY.processors_milli // 2, 100)
-    owner.add_job('small', Step(4, half, estimate_ms=5000))
+    half_size = Resources(CAPACITY.processors_milli // 2, 100)
+    owner.add_job('small', Step(4, half_size, estimate_ms=5000))
     for number, job in enumerate(('first', 'second')):
-        done = ended(task(job), 1)
-        owner.report(where[job], (), (done,))  # type: ignore[index]
+        success = ended(task(job), 1)
+        owner.report(worker_of[job], (), (success,))  # type: ignore[index]
         starts = owner.starts()
         assert len(starts) == 2 * number
     assert {start.task.job for start in starts} == {'gang'}
--- a/tests/test_step_placer.py
+++ b/tests/test_step_placer.py
@@ -14,17 +14,17 @@
 def count_costs(monkeypatch: pytest.MonkeyPatch) -> list[int]:
     """Count how often the cost of a worker is computed."""
     counts = [0]
-    compute = placement.cost_of
+    compute_cost = placement.cost_of
 
-    def counted(*arguments: object) -> float:
+    def count_and_compute(*arguments: object) -> float:
         counts[0] += 1
-        return compute(*arguments)  # type: ignore[arg-type]
+        return compute_cost(*arguments)  # type: ignore[arg-type]
 
-    monkeypatch.setattr(step_placer, 'cost_of', counted)
+    monkeypatch.setattr(step_placer, 'cost_of', count_and_compute)
     return counts
 
 
-def fleet() -> Owner:
+def owner_with_workers() -> Owner:
     """Return an owner to which many workers have reported."""
     names = [f'w{number}' for number in range(_WORKERS_COUNT)]
     owner = Owner(*names)
@@ -39,7 +39,7 @@
     With 126 workers it was 1.5 ms a start, half of a processor at 300 starts a
     second.
     """
-    owner = fleet()
+    owner = owner_with_workers()
     owner.add_job('wide', Step(_WORKERS_COUNT, SIZE))
     assert len(owner.starts()) == _WORKERS_COUNT
     assert costs[0] <= 2 * _WORKERS_COUNT
@@ -47,7 +47,7 @@
 
 def test_units_of_a_step_fill_workers_up() -> None:
     """Guards against costs that are not updated after a placement."""
-    owner = fleet()
+    owner = owner_with_workers()
     owner.add_job('a', Step(4, SIZE))
     per_worker = CAPACITY.processors_milli // SIZE.processors_milli
     assert len({start.worker for start in owner.starts()}) == 4 // per_worker
@@ -59,6 +59,6 @@
     owner.report('w0')
     owner.report('w1')
     owner.add_job('a', Step(1, Resources(500, 500)))
-    first = owner.starts()[0].worker
-    owner.report(first, (), (ended(task('a'), kind=EndKind.FAILED),))
-    assert owner.starts()[0].worker != first
+    first_worker = owner.starts()[0].worker
+    owner.report(first_worker, (), (ended(task('a'), kind=EndKind.FAILED),))
+    assert owner.starts()[0].worker != first_worker
