--- a/fuchsiarill/commands/client.py
+++ b/fuchsiarill/commands/client.py
@@ -1,6 +1,7 @@
 """HTTP client of the command line.
 
-It tries the entry processes in the given order until one answers. Repeating a
+It tries the entry processes (servers) in the given order until one responds
+with a result code whose HTTP status is neither 503 nor 504. Repeating a
 submission at another process is safe, since its idempotency key makes it the
 same job; a change of the configuration is safe since it names the generation
 that it expects.
@@ -15,7 +16,7 @@
 
 from fuchsiarill import codes
 
-_TIMEOUT_S: Final = 15.0
+_REQUEST_TIMEOUT_S: Final = 15.0
 _TRANSIENT_STATUSES: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT),
 )
@@ -25,13 +26,13 @@
 class ClientSettings:
     """URLs of the entry processes and the token of the caller."""
 
-    servers: tuple[str, ...]
+    server_urls: tuple[str, ...]
     token: str
 
 
 @dataclass(frozen=True, slots=True)
-class ServerAnswer:
-    """Decoded JSON body of an answer and its result code."""
+class ServerResponse:
+    """Decoded body of an HTTP response and its result code."""
 
     code: codes.ResultCode
     body: Any
@@ -43,18 +44,18 @@
 
 
 class ServersUnreachableError(Exception):
-    """No entry process answered."""
+    """No entry process responded."""
 
 
 class Client:
     """Sends requests to the entry processes of one cell."""
 
     def __init__(self, settings: ClientSettings) -> None:
-        """Use the servers and the token in the settings."""
+        """Create the client with its connection pool."""
         self._settings = settings
         self._connections = urllib3.PoolManager(
             retries=False,
-            timeout=urllib3.Timeout(_TIMEOUT_S),
+            timeout=urllib3.Timeout(_REQUEST_TIMEOUT_S),
         )
 
     def request(
@@ -62,28 +63,34 @@
         method: str,
         path: str,
         body: object | None = None,
-    ) -> ServerAnswer:
-        """Send one request; raises `ServersUnreachableError`."""
-        last: ServerAnswer | None = None
-        faults = []
-        for server in self._settings.servers:
+    ) -> ServerResponse:
+        """Send a request to the servers in turn.
+
+        If only transient refusals (503 or 504) arrive, the last one is
+        returned. Raises `ServersUnreachableError` if no server responds.
+        """
+        last_response: ServerResponse | None = None
+        errors = []
+        for server_url in self._settings.server_urls:
             try:
-                last = self._request_one(f'{server}{path}', method, body)
-            except urllib3.exceptions.HTTPError as fault:
-                faults.append(f'{server}: {fault}')
+                last_response = self._request_server(
+                    f'{server_url}{path}', method, body
+                )
+            except urllib3.exceptions.HTTPError as error:
+                errors.append(f'{server_url}: {error}')
                 continue
-            if last.code.http_status not in _TRANSIENT_STATUSES:
+            if last_response.code.http_status not in _TRANSIENT_STATUSES:
                 break
-        if last is None:
-            raise ServersUnreachableError('; '.join(faults))
-        return last
+        if last_response is None:
+            raise ServersUnreachableError('; '.join(errors))
+        return last_response
 
-    def _request_one(
+    def _request_server(
         self,
         url: str,
         method: str,
         body: object | None,
-    ) -> ServerAnswer:
+    ) -> ServerResponse:
         encoded = None if body is None else json.dumps(body).encode()
         response = self._connections.request(
             method,
@@ -94,15 +101,17 @@
                 'Content-Type': 'application/json',
             },
         )
-        return _read(response.status, response.data)
+        return _decode_response(response.status, response.data)
 
 
-def _read(status: int, raw: bytes) -> ServerAnswer:
+def _decode_response(status: int, raw: bytes) -> ServerResponse:
     try:
         body = json.loads(raw)
     except ValueError:
         body = {'text': raw.decode(errors='replace')}
-    default = codes.DONE if status < HTTPStatus.BAD_REQUEST else codes.MALFORMED
+    code_if_absent = (
+        codes.DONE if status < HTTPStatus.BAD_REQUEST else codes.MALFORMED
+    )
     if isinstance(body, dict) and isinstance(body.get('code'), int):
-        return ServerAnswer(codes.by_number(body['code']), body)
-    return ServerAnswer(default, body)
+        return ServerResponse(codes.by_number(body['code']), body)
+    return ServerResponse(code_if_absent, body)
--- a/fuchsiarill/commands/config_commands.py
+++ b/fuchsiarill/commands/config_commands.py
@@ -10,10 +10,10 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.commands import config_edit
-from fuchsiarill.commands.client import Client, ServerAnswer
+from fuchsiarill.commands.client import Client, ServerResponse
 from fuchsiarill.commands.command import CommandAnswer, command
 
-_WAIT_S: Final = 30.0
+_WAIT_DEFAULT_S: Final = 30.0
 
 
 def _file_argument(parser: ArgumentParser) -> None:
@@ -39,7 +39,7 @@
     parser.add_argument(
         '--wait-s',
         type=float,
-        default=_WAIT_S,
+        default=_WAIT_DEFAULT_S,
         help='longest wait in seconds (default: 30)',
     )
 
@@ -53,14 +53,14 @@
 def wait_if_requested(
     client: Client,
     options: Namespace,
-    written: CommandAnswer,
+    write_answer: CommandAnswer,
 ) -> CommandAnswer:
     """Wait until a written change is in force if `--wait` is given."""
-    if written.code != codes.DONE or not options.wait:
-        return written
+    if write_answer.code != codes.DONE or not options.wait:
+        return write_answer
     return config_edit.wait_for_spread(
         client,
-        written.content['generation'],
+        write_answer.content['generation'],
         options.wait_s,
     )
 
@@ -76,8 +76,8 @@
     text = options.file.read_text()
     problems = config_edit.check_text(text)
     if problems:
-        named = tuple(f'{options.file}: {problem}' for problem in problems)
-        return CommandAnswer(None, codes.CONFIG_INVALID, named)
+        notes = tuple(f'{options.file}: {problem}' for problem in problems)
+        return CommandAnswer(None, codes.CONFIG_INVALID, notes)
     contracts = len(yaml.safe_load(text)['contracts'])
     note = texts.CONFIG_VALID.format(path=options.file, contracts=contracts)
     return CommandAnswer(None, notes=(note,))
@@ -90,13 +90,13 @@
 )
 def show(options: Namespace, client: Client) -> CommandAnswer:
     """Print the document as it was written."""
-    found = config_edit.read_document(client)
-    if isinstance(found, ServerAnswer):
-        return config_edit.refused(found)
-    note = f'generation {found.generation}, written by {found.author}'
+    document = config_edit.read_document(client)
+    if isinstance(document, ServerResponse):
+        return config_edit.refusal_answer(document)
+    note = f'generation {document.generation}, written by {document.author}'
     if options.output == 'table':
-        return CommandAnswer(found.text.rstrip(), notes=(note,))
-    return CommandAnswer(yaml.safe_load(found.text), notes=(note,))
+        return CommandAnswer(document.text.rstrip(), notes=(note,))
+    return CommandAnswer(yaml.safe_load(document.text), notes=(note,))
 
 
 @command(
@@ -107,13 +107,13 @@
 )
 def diff(options: Namespace, client: Client) -> CommandAnswer:
     """Compare a file with the document in force."""
-    found = config_edit.read_document(client)
-    if isinstance(found, ServerAnswer):
-        return config_edit.refused(found)
-    lines = config_edit.diff_lines(found.text, options.file.read_text())
+    document = config_edit.read_document(client)
+    if isinstance(document, ServerResponse):
+        return config_edit.refusal_answer(document)
+    lines = config_edit.diff_lines(document.text, options.file.read_text())
     if lines:
         return CommandAnswer(list(lines))
-    note = texts.CONFIG_SAME.format(generation=found.generation)
+    note = texts.CONFIG_SAME.format(generation=document.generation)
     return CommandAnswer(None, notes=(note,))
 
 
@@ -130,10 +130,10 @@
     if problems:
         return CommandAnswer(None, codes.CONFIG_INVALID, problems)
     base = config_edit.read_document(client)
-    if isinstance(base, ServerAnswer):
-        return config_edit.refused(base)
-    written = config_edit.write_document(client, base, text, options.author)
-    answer = config_edit.write_result(written, base)
+    if isinstance(base, ServerResponse):
+        return config_edit.refusal_answer(base)
+    response = config_edit.write_document(client, base, text, options.author)
+    answer = config_edit.write_result(response, base)
     return wait_if_requested(client, options, answer)
 
 
@@ -154,7 +154,7 @@
 )
 def spread(options: Namespace, client: Client) -> CommandAnswer:
     """List every process with the generation that it reports."""
-    answer = client.request('GET', '/v1/config/spread')
-    if not answer.succeeded:
-        return config_edit.refused(answer)
-    return CommandAnswer(answer.body['processes'])
+    response = client.request('GET', '/v1/config/spread')
+    if not response.succeeded:
+        return config_edit.refusal_answer(response)
+    return CommandAnswer(response.body['processes'])
--- a/fuchsiarill/commands/config_edit.py
+++ b/fuchsiarill/commands/config_edit.py
@@ -1,7 +1,7 @@
 """Reading and changing the cell configuration through an entry process.
 
 A change names the generation that it was made from; if another operator has
-written a later one, the answer shows their changes.
+written a later one, the answer of the command shows their changes.
 """
 
 import difflib
@@ -15,10 +15,10 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.cell_config import parse_config
-from fuchsiarill.commands.client import Client, ServerAnswer
+from fuchsiarill.commands.client import Client, ServerResponse
 from fuchsiarill.commands.command import CommandAnswer
 
-_POLL_S: Final = 0.2
+_POLL_INTERVAL_S: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,25 +30,25 @@
     author: str
 
 
-def read_document(client: Client) -> Document | ServerAnswer:
+def read_document(client: Client) -> Document | ServerResponse:
     """Return the document in force, or the refusal by the server."""
-    answer = client.request('GET', '/v1/config')
-    if not answer.succeeded:
-        return answer
+    response = client.request('GET', '/v1/config')
+    if not response.succeeded:
+        return response
     return Document(
-        answer.body['generation'],
-        answer.body['text'],
-        answer.body['author'],
+        response.body['generation'],
+        response.body['text'],
+        response.body['author'],
     )
 
 
-def refused(answer: ServerAnswer) -> CommandAnswer:
-    """Return the command's answer for a refusal by the server."""
-    notes = tuple(answer.body.get('problems', ()))
-    text = answer.body.get('text')
+def refusal_answer(response: ServerResponse) -> CommandAnswer:
+    """Return the command's answer for a response that refuses a request."""
+    notes = tuple(response.body.get('problems', ()))
+    text = response.body.get('text')
     if text and not notes:
         notes = (str(text),)
-    return CommandAnswer(None, answer.code, notes)
+    return CommandAnswer(None, response.code, notes)
 
 
 def check_text(text: str) -> tuple[str, ...]:
@@ -77,7 +77,7 @@
     base: Document,
     text: str,
     author: str,
-) -> ServerAnswer:
+) -> ServerResponse:
     """Write a new document as the successor of `base`."""
     return client.request(
         'PUT',
@@ -91,15 +91,15 @@
 
 
 def write_result(
-    answer: ServerAnswer,
+    response: ServerResponse,
     base: Document,
 ) -> CommandAnswer:
-    """Return the command's answer to a write."""
-    if answer.code == codes.CONFIG_CONFLICT:
-        return _conflict_answer(answer, base)
-    if not answer.succeeded:
-        return refused(answer)
-    generation = answer.body['generation']
+    """Return the command's answer for the response to a write."""
+    if response.code == codes.CONFIG_CONFLICT:
+        return _conflict_answer(response, base)
+    if not response.succeeded:
+        return refusal_answer(response)
+    generation = response.body['generation']
     note = texts.CONFIG_APPLIED.format(generation=generation)
     return CommandAnswer({'generation': generation}, notes=(note,))
 
@@ -114,13 +114,13 @@
     Returns `None` when `change` returns `False`, since nothing has changed.
     """
     base = read_document(client)
-    if isinstance(base, ServerAnswer):
-        return refused(base)
+    if isinstance(base, ServerResponse):
+        return refusal_answer(base)
     document = yaml.safe_load(base.text)
     if not change(document):
         return None
-    text = yaml.safe_dump(document, sort_keys=False)
-    return write_result(write_document(client, base, text, author), base)
+    new_text = yaml.safe_dump(document, sort_keys=False)
+    return write_result(write_document(client, base, new_text, author), base)
 
 
 def wait_for_spread(
@@ -131,10 +131,10 @@
     """Wait until every process reports at least `generation` in force."""
     ends_at_s = time.monotonic() + wait_s
     while True:
-        answer = client.request('GET', '/v1/config/spread')
-        if not answer.succeeded:
-            return refused(answer)
-        processes = answer.body['processes']
+        response = client.request('GET', '/v1/config/spread')
+        if not response.succeeded:
+            return refusal_answer(response)
+        processes = response.body['processes']
         lagging = [
             row['process']
             for row in processes
@@ -152,15 +152,15 @@
                 processes=', '.join(lagging),
             )
             return CommandAnswer(processes, codes.WAIT_ENDED, (note,))
-        time.sleep(_POLL_S)
+        time.sleep(_POLL_INTERVAL_S)
 
 
-def _conflict_answer(answer: ServerAnswer, base: Document) -> CommandAnswer:
-    present = answer.body
-    head = texts.CONFIG_RACE.format(
+def _conflict_answer(response: ServerResponse, base: Document) -> CommandAnswer:
+    current = response.body
+    summary = texts.CONFIG_RACE.format(
         expected=base.generation,
-        author=present.get('author', 'another operator'),
-        present=present.get('generation', 'a later generation'),
+        author=current.get('author', 'another operator'),
+        present=current.get('generation', 'a later generation'),
     )
-    lines = diff_lines(base.text, present.get('document', ''))
-    return CommandAnswer(None, answer.code, (head, *lines))
+    lines = diff_lines(base.text, current.get('document', ''))
+    return CommandAnswer(None, response.code, (summary, *lines))
--- a/fuchsiarill/commands/contract_commands.py
+++ b/fuchsiarill/commands/contract_commands.py
@@ -9,7 +9,7 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.cell_config import Amounts, Contract
 from fuchsiarill.commands import config_edit
-from fuchsiarill.commands.client import Client, ServerAnswer
+from fuchsiarill.commands.client import Client, ServerResponse
 from fuchsiarill.commands.command import CommandAnswer, command
 from fuchsiarill.commands.config_commands import (
     add_author,
@@ -19,7 +19,7 @@
 
 
 class AssignmentError(ValueError):
-    """An argument of `contract set` does not name a field of a contract."""
+    """An argument of `contract set` has no `=` or names an unknown field."""
 
 
 def _customer_argument(parser: ArgumentParser) -> None:
@@ -45,11 +45,11 @@
 )
 def list_contracts(options: Namespace, client: Client) -> CommandAnswer:
     """Print one row for each contract, without token digests."""
-    found = config_edit.read_document(client)
-    if isinstance(found, ServerAnswer):
-        return config_edit.refused(found)
+    document = config_edit.read_document(client)
+    if isinstance(document, ServerResponse):
+        return config_edit.refusal_answer(document)
     return CommandAnswer(
-        [_without_digest(row) for row in _contracts(found.text)]
+        [_without_digest(row) for row in _contracts(document.text)]
     )
 
 
@@ -61,13 +61,13 @@
 )
 def show(options: Namespace, client: Client) -> CommandAnswer:
     """Print one contract, without its token digest."""
-    found = config_edit.read_document(client)
-    if isinstance(found, ServerAnswer):
-        return config_edit.refused(found)
-    for row in _contracts(found.text):
+    document = config_edit.read_document(client)
+    if isinstance(document, ServerResponse):
+        return config_edit.refusal_answer(document)
+    for row in _contracts(document.text):
         if row['customer'] == options.customer:
             return CommandAnswer(_without_digest(row))
-    return _unknown(options.customer)
+    return _unknown_customer_answer(options.customer)
 
 
 @command(
@@ -80,15 +80,15 @@
     """Write the configuration with changed fields of one contract."""
     try:
         changes = [_parse_assignment(text) for text in options.assignments]
-    except AssignmentError as fault:
-        return CommandAnswer(None, codes.CONFIG_INVALID, (str(fault),))
+    except AssignmentError as error:
+        return CommandAnswer(None, codes.CONFIG_INVALID, (str(error),))
     answer = config_edit.edit(
         client,
         options.author,
         partial(_apply_assignments, options.customer, changes),
     )
     if answer is None:
-        return _unknown(options.customer)
+        return _unknown_customer_answer(options.customer)
     return wait_if_requested(client, options, answer)
 
 
@@ -101,14 +101,14 @@
     return {name: row[name] for name in row if name != 'token_sha256'}
 
 
-def _unknown(customer: str) -> CommandAnswer:
+def _unknown_customer_answer(customer: str) -> CommandAnswer:
     note = texts.UNKNOWN_CUSTOMER.format(customer=customer)
     return CommandAnswer(None, codes.UNKNOWN_CUSTOMER, (note,))
 
 
 def _parse_assignment(text: str) -> tuple[tuple[str, ...], Any]:
-    name, found, written = text.partition('=')
-    if not found:
+    name, separator, value_text = text.partition('=')
+    if not separator:
         raise AssignmentError(texts.ASSIGNMENT_EXPECTED.format(text=text))
     path = tuple(name.split('.'))
     known = path[0] in Contract.model_fields
@@ -116,7 +116,7 @@
         known = known and path[1] in Amounts.model_fields
     if not known:
         raise AssignmentError(texts.UNKNOWN_FIELD.format(name=name))
-    return path, yaml.safe_load(written)
+    return path, yaml.safe_load(value_text)
 
 
 def _apply_assignments(
@@ -127,10 +127,10 @@
     for row in document['contracts']:
         if row['customer'] != customer:
             continue
-        for path, setting in changes:
+        for path, new_value in changes:
             target = row
             for part in path[:-1]:
                 target = target[part]
-            target[path[-1]] = setting
+            target[path[-1]] = new_value
         return True
     return False
--- a/fuchsiarill/commands/explain_command.py
+++ b/fuchsiarill/commands/explain_command.py
@@ -10,7 +10,7 @@
 from fuchsiarill.explain_logs import conclude, read_history
 
 
-def _arguments(parser: ArgumentParser) -> None:
+def _explain_arguments(parser: ArgumentParser) -> None:
     parser.add_argument('job', help='id of the job')
     parser.add_argument(
         'logs',
@@ -24,7 +24,7 @@
     'explain',
     'Say from logs what became of a job, and why.',
     'fuchsiarill explain 5c0e7a21d94b36f8 logs/*.jsonl',
-    _arguments,
+    _explain_arguments,
 )
 def explain(options: Namespace, client: Client) -> CommandAnswer:
     """Print the log lines of a job in order; the conclusion is a note.
--- a/fuchsiarill/commands/host_commands.py
+++ b/fuchsiarill/commands/host_commands.py
@@ -15,7 +15,7 @@
     wait_if_requested,
 )
 
-_DRAINING = 'draining_workers'
+_DRAINING_FIELD = 'draining_workers'
 
 
 def _worker_arguments(parser: ArgumentParser) -> None:
@@ -31,10 +31,10 @@
 )
 def list_hosts(options: Namespace, client: Client) -> CommandAnswer:
     """Print one row for each worker."""
-    answer = client.request('GET', '/v1/hosts')
-    if not answer.succeeded:
-        return config_edit.refused(answer)
-    return CommandAnswer(answer.body['hosts'])
+    response = client.request('GET', '/v1/hosts')
+    if not response.succeeded:
+        return config_edit.refusal_answer(response)
+    return CommandAnswer(response.body['hosts'])
 
 
 @command(
@@ -45,7 +45,7 @@
 )
 def drain(options: Namespace, client: Client) -> CommandAnswer:
     """Add the worker to the draining workers of the configuration."""
-    return _edit_draining(options, client, _add, texts.HOST_DRAINS)
+    return _edit_draining(options, client, _add_draining, texts.HOST_DRAINS)
 
 
 @command(
@@ -56,7 +56,7 @@
 )
 def undrain(options: Namespace, client: Client) -> CommandAnswer:
     """Remove the worker from the draining workers of the configuration."""
-    return _edit_draining(options, client, _remove, texts.HOST_RETURNS)
+    return _edit_draining(options, client, _remove_draining, texts.HOST_RETURNS)
 
 
 def _edit_draining(
@@ -82,16 +82,16 @@
     return wait_if_requested(client, options, answer)
 
 
-def _add(worker: str, document: Any) -> bool:
-    draining = document.setdefault(_DRAINING, [])
+def _add_draining(worker: str, document: Any) -> bool:
+    draining = document.setdefault(_DRAINING_FIELD, [])
     if worker in draining:
         return False
     draining.append(worker)
     return True
 
 
-def _remove(worker: str, document: Any) -> bool:
-    draining = document.get(_DRAINING, [])
+def _remove_draining(worker: str, document: Any) -> bool:
+    draining = document.get(_DRAINING_FIELD, [])
     if worker not in draining:
         return False
     draining.remove(worker)
--- a/fuchsiarill/commands/job_commands.py
+++ b/fuchsiarill/commands/job_commands.py
@@ -12,10 +12,10 @@
 from fuchsiarill import codes
 from fuchsiarill.commands.client import Client
 from fuchsiarill.commands.command import CommandAnswer, command
-from fuchsiarill.commands.config_edit import refused
+from fuchsiarill.commands.config_edit import refusal_answer
 
-_REQUEST_WAIT_MS: Final = 5000
-_DEFAULT_WAIT_S: Final = 3600.0
+_REQUEST_WAIT_MAX_MS: Final = 5000
+_WAIT_DEFAULT_S: Final = 3600.0
 
 
 def _job_argument(parser: ArgumentParser) -> None:
@@ -46,7 +46,7 @@
 
 def _wait_arguments(parser: ArgumentParser) -> None:
     _job_argument(parser)
-    parser.add_argument('--wait-s', type=float, default=_DEFAULT_WAIT_S)
+    parser.add_argument('--wait-s', type=float, default=_WAIT_DEFAULT_S)
 
 
 @command(
@@ -57,15 +57,17 @@
 )
 def submit(options: Namespace, client: Client) -> CommandAnswer:
     """Submit a batch; the result is the first code that is not success."""
-    text = _read(options.file)
-    loaded = yaml.safe_load(text)
-    if isinstance(loaded, dict) and 'jobs' in loaded:
-        loaded = loaded['jobs']
-    jobs = loaded if isinstance(loaded, list) else [loaded]
-    answer = client.request('POST', _path('/v1/jobs', options), {'jobs': jobs})
-    if not answer.succeeded:
-        return refused(answer)
-    rows = answer.body['answers']
+    text = _read_text(options.file)
+    content = yaml.safe_load(text)
+    if isinstance(content, dict) and 'jobs' in content:
+        content = content['jobs']
+    jobs = content if isinstance(content, list) else [content]
+    response = client.request(
+        'POST', _path_with_query('/v1/jobs', options), {'jobs': jobs}
+    )
+    if not response.succeeded:
+        return refusal_answer(response)
+    rows = response.body['answers']
     return CommandAnswer(rows, _first_failure(rows))
 
 
@@ -77,11 +79,13 @@
 )
 def list_jobs(options: Namespace, client: Client) -> CommandAnswer:
     """Print one row for each job."""
-    path = _path('/v1/jobs', options, state=options.state, limit=options.limit)
-    answer = client.request('GET', path)
-    if not answer.succeeded:
-        return refused(answer)
-    return CommandAnswer(answer.body['jobs'])
+    path = _path_with_query(
+        '/v1/jobs', options, state=options.state, limit=options.limit
+    )
+    response = client.request('GET', path)
+    if not response.succeeded:
+        return refusal_answer(response)
+    return CommandAnswer(response.body['jobs'])
 
 
 @command(
@@ -92,10 +96,12 @@
 )
 def show(options: Namespace, client: Client) -> CommandAnswer:
     """Print one job; the exit status does not depend on its outcome."""
-    answer = client.request('GET', _path(f'/v1/jobs/{options.job}', options))
-    if 'state' in answer.body:
-        return CommandAnswer(answer.body)
-    return refused(answer)
+    response = client.request(
+        'GET', _path_with_query(f'/v1/jobs/{options.job}', options)
+    )
+    if 'state' in response.body:
+        return CommandAnswer(response.body)
+    return refusal_answer(response)
 
 
 @command(
@@ -108,16 +114,18 @@
     """Wait in bounded requests; the exit status depends on the outcome."""
     ends_at_s = time.monotonic() + options.wait_s
     while True:
-        left_ms = int((ends_at_s - time.monotonic()) * 1000)
-        wait_ms = max(0, min(_REQUEST_WAIT_MS, left_ms))
-        path = _path(f'/v1/jobs/{options.job}', options, wait_ms=wait_ms)
-        answer = client.request('GET', path)
-        if answer.code != codes.NOT_FINISHED:
-            if 'state' in answer.body:
-                return CommandAnswer(answer.body, answer.code)
-            return refused(answer)
-        if left_ms <= 0:
-            return CommandAnswer(answer.body, codes.WAIT_ENDED)
+        remaining_ms = int((ends_at_s - time.monotonic()) * 1000)
+        wait_ms = max(0, min(_REQUEST_WAIT_MAX_MS, remaining_ms))
+        path = _path_with_query(
+            f'/v1/jobs/{options.job}', options, wait_ms=wait_ms
+        )
+        response = client.request('GET', path)
+        if response.code != codes.NOT_FINISHED:
+            if 'state' in response.body:
+                return CommandAnswer(response.body, response.code)
+            return refusal_answer(response)
+        if remaining_ms <= 0:
+            return CommandAnswer(response.body, codes.WAIT_ENDED)
 
 
 @command(
@@ -128,10 +136,12 @@
 )
 def cancel(options: Namespace, client: Client) -> CommandAnswer:
     """Cancel a job; its tasks are stopped in the background."""
-    answer = client.request('DELETE', _path(f'/v1/jobs/{options.job}', options))
-    if not answer.succeeded:
-        return refused(answer)
-    return CommandAnswer(answer.body)
+    response = client.request(
+        'DELETE', _path_with_query(f'/v1/jobs/{options.job}', options)
+    )
+    if not response.succeeded:
+        return refusal_answer(response)
+    return CommandAnswer(response.body)
 
 
 @command(
@@ -142,27 +152,29 @@
 )
 def explain(options: Namespace, client: Client) -> CommandAnswer:
     """Print the limit or resource that delays a job, and its position."""
-    answer = client.request(
-        'GET', _path(f'/v1/jobs/{options.job}/why', options)
+    response = client.request(
+        'GET', _path_with_query(f'/v1/jobs/{options.job}/why', options)
     )
-    if not answer.succeeded:
-        return refused(answer)
-    return CommandAnswer(answer.body['why'])
+    if not response.succeeded:
+        return refusal_answer(response)
+    return CommandAnswer(response.body['why'])
 
 
-def _read(name: str) -> str:
+def _read_text(name: str) -> str:
     return sys.stdin.read() if name == '-' else Path(name).read_text()
 
 
-def _path(path: str, options: Namespace, **query: object) -> str:
+def _path_with_query(path: str, options: Namespace, **query: object) -> str:
     query['customer'] = options.customer
-    given = {name: part for name, part in query.items() if part is not None}
-    return f'{path}?{urlencode(given)}' if given else path
+    query_values = {
+        name: value for name, value in query.items() if value is not None
+    }
+    return f'{path}?{urlencode(query_values)}' if query_values else path
 
 
 def _first_failure(rows: list[dict[str, Any]]) -> codes.ResultCode:
     for row in rows:
-        found = codes.by_number(row['code'])
-        if found.exit_status is not codes.ExitStatus.SUCCESS:
-            return found
+        code = codes.by_number(row['code'])
+        if code.exit_status is not codes.ExitStatus.SUCCESS:
+            return code
     return codes.DONE
--- a/fuchsiarill/commands/main.py
+++ b/fuchsiarill/commands/main.py
@@ -1,7 +1,7 @@
 """Entry point of the command line `fuchsiarill`.
 
-Builds the parsers from the registry of commands, runs one command and ends
-with the exit status of its result code.
+Builds the parsers from the registry of commands, runs one command and exits
+with the status of its result code.
 """
 
 import os
@@ -47,23 +47,23 @@
     """Run one command; returns its exit status."""
     options = build_parser().parse_args(words)
     try:
-        answer = _run_chosen(options)
-    except ServersUnreachableError as fault:
+        answer = _run_command(options)
+    except ServersUnreachableError as error:
         return _report_error(
-            texts.NO_SERVER.format(faults=fault),
+            texts.NO_SERVER.format(faults=error),
             codes.ExitStatus.UNAVAILABLE,
         )
-    except OSError as fault:
-        return _report_error(str(fault), codes.ExitStatus.BAD_REQUEST)
+    except OSError as error:
+        return _report_error(str(error), codes.ExitStatus.BAD_REQUEST)
     except KeyboardInterrupt:
         return _report_error(texts.INTERRUPTED, codes.ExitStatus.UNAVAILABLE)
-    _print(answer, options)
+    _print_answer(answer, options)
     return answer.exit_status
 
 
-def _run_chosen(options: Namespace) -> CommandAnswer:
+def _run_command(options: Namespace) -> CommandAnswer:
     chosen: Command = options.chosen
-    return chosen.run(options, _client(options))
+    return chosen.run(options, _create_client(options))
 
 
 def build_parser() -> ArgumentParser:
@@ -78,8 +78,10 @@
     for words in COMMANDS:
         group = words[:-1]
         if group not in groups:
-            sub = groups[()].add_parser(group[0], help=f'{group[0]} commands')
-            groups[group] = sub.add_subparsers(
+            subparser = groups[()].add_parser(
+                group[0], help=f'{group[0]} commands'
+            )
+            groups[group] = subparser.add_subparsers(
                 metavar='SUBCOMMAND',
                 required=True,
             )
@@ -88,54 +90,54 @@
 
 
 def _add_command(group: Any, chosen: Command) -> None:
-    sub = group.add_parser(
+    subparser = group.add_parser(
         chosen.words[-1],
         help=chosen.summary,
         description=chosen.summary,
         epilog=f'example:\n  {chosen.example}',
         formatter_class=RawDescriptionHelpFormatter,
     )
-    sub.add_argument(
+    subparser.add_argument(
         '--server',
         action='append',
         metavar='URL',
         help='entry process; may be repeated, tried in order '
         f'(default: ${_SERVERS_VARIABLE} or {_DEFAULT_SERVER})',
     )
-    sub.add_argument(
+    subparser.add_argument(
         '--token-file',
         type=Path,
         metavar='FILE',
         help=f'file with the bearer token (default: ${_TOKEN_FILE_VARIABLE})',
     )
-    sub.add_argument(
+    subparser.add_argument(
         '--output',
         choices=tuple(FORMATTERS),
         default='table',
         help='format of the answer (default: table)',
     )
-    chosen.arguments(sub)
-    sub.set_defaults(chosen=chosen)
+    chosen.arguments(subparser)
+    subparser.set_defaults(chosen=chosen)
 
 
-def _client(options: Namespace) -> Client:
-    listed = os.environ.get(_SERVERS_VARIABLE, _DEFAULT_SERVER).split(',')
-    servers = options.server or listed
-    path = options.token_file or os.environ.get(_TOKEN_FILE_VARIABLE)
-    token = Path(path).read_text().strip() if path else ''
-    trimmed = tuple(server.strip().rstrip('/') for server in servers)
-    return Client(ClientSettings(trimmed, token))
+def _create_client(options: Namespace) -> Client:
+    default_urls = os.environ.get(_SERVERS_VARIABLE, _DEFAULT_SERVER).split(',')
+    server_urls = options.server or default_urls
+    token_path = options.token_file or os.environ.get(_TOKEN_FILE_VARIABLE)
+    token = Path(token_path).read_text().strip() if token_path else ''
+    trimmed_urls = tuple(url.strip().rstrip('/') for url in server_urls)
+    return Client(ClientSettings(trimmed_urls, token))
 
 
-def _print(answer: CommandAnswer, options: Namespace) -> None:
+def _print_answer(answer: CommandAnswer, options: Namespace) -> None:
     if answer.content is not None:
         print(FORMATTERS.lookup(options.output)(answer.content))
     for note in answer.notes:
         print(note, file=sys.stderr)
     if answer.code.exit_status is not codes.ExitStatus.SUCCESS:
-        failed = answer.code
-        if failed not in {codes.JOB_FAILED, codes.JOB_CANCELLED}:
-            line = f'error {failed.number} {failed.name}: {failed.meaning}'
+        code = answer.code
+        if code not in {codes.JOB_FAILED, codes.JOB_CANCELLED}:
+            line = f'error {code.number} {code.name}: {code.meaning}'
             print(line, file=sys.stderr)
 
 
--- a/fuchsiarill/commands/output.py
+++ b/fuchsiarill/commands/output.py
@@ -29,15 +29,15 @@
 def as_table(content: Any) -> str:
     """Return aligned columns for a list, `name: value` lines otherwise."""
     if isinstance(content, list):
-        return _rows(content)
+        return _format_table(content)
     if isinstance(content, Mapping):
         return '\n'.join(
-            f'{name}: {_cell(entry)}' for name, entry in content.items()
+            f'{name}: {_format_cell(entry)}' for name, entry in content.items()
         )
     return str(content)
 
 
-def _rows(rows: list[Any]) -> str:
+def _format_table(rows: list[Any]) -> str:
     if not rows:
         return '(none)'
     if not isinstance(rows[0], Mapping):
@@ -47,26 +47,26 @@
         columns.update(dict.fromkeys(row))
     lines = [[name.upper() for name in columns]]
     for row in rows:
-        lines.append([_cell(row.get(name)) for name in columns])
+        lines.append([_format_cell(row.get(name)) for name in columns])
     widths = [
         max(len(line[position]) for line in lines)
         for position in range(len(columns))
     ]
-    return '\n'.join(_aligned(line, widths) for line in lines)
+    return '\n'.join(_align_cells(line, widths) for line in lines)
 
 
-def _aligned(line: list[str], widths: list[int]) -> str:
+def _align_cells(line: list[str], widths: list[int]) -> str:
     padded = [
         cell.ljust(width) for cell, width in zip(line, widths, strict=True)
     ]
     return '  '.join(padded).rstrip()
 
 
-def _cell(entry: Any) -> str:
+def _format_cell(entry: Any) -> str:
     if entry is None:
         return '-'
     if isinstance(entry, list):
-        return ','.join(_cell(part) for part in entry) or '-'
+        return ','.join(_format_cell(part) for part in entry) or '-'
     if isinstance(entry, Mapping):
         return json.dumps(entry, sort_keys=True)
     return str(entry)
--- a/fuchsiarill/commands/replay_command.py
+++ b/fuchsiarill/commands/replay_command.py
@@ -1,4 +1,4 @@
-"""The command that replays traces; it needs no running cell."""
+"""The command that simulates a cell from traces; it needs no running cell."""
 
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
@@ -26,9 +26,9 @@
     _files_argument,
 )
 def replay(options: Namespace, client: Client) -> CommandAnswer:
-    """Replay traces in paused time; prints unmet outcomes.
+    """Replay traces in simulated time; prints unmet outcomes.
 
-    The replay is imported here, since no other command needs it.
+    The simulation is imported here, since no other command needs it.
     """
     from fuchsiarill.replay.command import replay_files  # noqa: PLC0415
 
--- a/fuchsiarill/commands/status_commands.py
+++ b/fuchsiarill/commands/status_commands.py
@@ -4,7 +4,7 @@
 
 from fuchsiarill.commands.client import Client
 from fuchsiarill.commands.command import CommandAnswer, command
-from fuchsiarill.commands.config_edit import refused
+from fuchsiarill.commands.config_edit import refusal_answer
 
 
 def _process_argument(parser: ArgumentParser) -> None:
@@ -18,10 +18,10 @@
 )
 def status(options: Namespace, client: Client) -> CommandAnswer:
     """Print one row for each process; a note lists unreachable ones."""
-    answer = client.request('GET', '/v1/status')
-    if not answer.succeeded:
-        return refused(answer)
-    rows = answer.body['processes']
+    response = client.request('GET', '/v1/status')
+    if not response.succeeded:
+        return refusal_answer(response)
+    rows = response.body['processes']
     unreachable = [row['process'] for row in rows if not row['reachable']]
     notes = (f'out of reach: {", ".join(unreachable)}',) if unreachable else ()
     return CommandAnswer(rows, notes=notes)
@@ -35,7 +35,7 @@
 )
 def dump(options: Namespace, client: Client) -> CommandAnswer:
     """Print the state of every actor of a process."""
-    answer = client.request('GET', f'/v1/dump?process={options.process}')
-    if not answer.succeeded:
-        return refused(answer)
-    return CommandAnswer(answer.body)
+    response = client.request('GET', f'/v1/dump?process={options.process}')
+    if not response.succeeded:
+        return refusal_answer(response)
+    return CommandAnswer(response.body)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill import codes
 from fuchsiarill.commands import main as command_line
-from fuchsiarill.commands.client import Client, ClientSettings, ServerAnswer
+from fuchsiarill.commands.client import Client, ClientSettings, ServerResponse
 
 _CASES = yaml.safe_load(
     Path(__file__).with_name('cases').joinpath('commands.yaml').read_text(),
@@ -16,7 +16,7 @@
 
 
 class ScriptedClient(Client):
-    """Gives prepared answers and records the requests."""
+    """Returns prepared responses and records the requests."""
 
     def __init__(self, answers: list[Any]) -> None:
         """Answer in the order given."""
@@ -29,12 +29,12 @@
         method: str,
         path: str,
         body: object | None = None,
-    ) -> ServerAnswer:
-        """Return the next prepared answer."""
+    ) -> ServerResponse:
+        """Return the next prepared response."""
         self.requests.append(f'{method} {path}')
         answer = self._answers.pop(0)
         number = answer.get('code', codes.DONE.number)
-        return ServerAnswer(codes.by_number(number), answer)
+        return ServerResponse(codes.by_number(number), answer)
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
@@ -45,7 +45,7 @@
 ) -> None:
     """Guards against a wrong request, text or exit status of a command."""
     client = ScriptedClient(case['answers'])
-    monkeypatch.setattr(command_line, '_client', lambda options: client)
+    monkeypatch.setattr(command_line, '_create_client', lambda options: client)
     status = command_line.main(case['words'].split())
     printed = capsys.readouterr()
     assert status.value == case['exit']
