Name results, states and checks of the cluster modules

Locals and private methods in fuchsiarill/cluster were bare participles (`found`, `before`, `swapped`, `_sent`, `_try_once`, `_beat`, `_targets`), constants of maxima did not say so, and the membership and directory modules used round, view and exchange without explanation.

They are named by the value they hold or the step they take, flags start with `is` or `has`, maxima end in `_MAX_COUNT`, and the module comments explain the terms. The comment on ViewChanged states that it is also sent after each merge, as the code does.

--- a/fuchsiarill/cluster/config_change.py
+++ b/fuchsiarill/cluster/config_change.py
@@ -31,7 +31,7 @@
 from fuchsiarill.refusal import Refusal, refuse
 
 # Repeating the write is safe: at most one swap of a revision takes effect.
-_ATTEMPTS_COUNT: Final = 3
+_ATTEMPTS_MAX_COUNT: Final = 3
 _RETRY_AFTER_MS: Final = 1_000
 
 
@@ -81,68 +81,68 @@
         self,
         store: StorePort,
         request: ChangeRequest,
-        parse: ConfigParser,
+        parser: ConfigParser,
     ) -> None:
         """Prepare the change and generate its unique token."""
         self._store = store
         self._request = request
-        self._parse = parse
+        self._parser = parser
         self._token = uuid.uuid4().hex
-        self._sent = False
+        self._is_swap_sent = False
 
     async def execute(self) -> ChangeAnswer:
         """Validate the document, write it and return the result."""
-        parsed = await self._parse(self._request.text)
+        parsed = await self._parser(self._request.text)
         if isinstance(parsed, Failure):
             return ChangeAnswer(codes.CONFIG_INVALID, None, parsed.failure())
-        for _ in range(_ATTEMPTS_COUNT):
-            answer = await self._try_once(parsed.unwrap())
+        for _ in range(_ATTEMPTS_MAX_COUNT):
+            answer = await self._attempt_change(parsed.unwrap())
             if answer is not None:
                 return answer
-        return self._no_answer()
+        return self._missing_result_answer()
 
-    async def _try_once(self, config: CellConfig) -> ChangeAnswer | None:
+    async def _attempt_change(self, config: CellConfig) -> ChangeAnswer | None:
         """Read and swap once; returns `None` while the result is unknown."""
         match await self._store.get(CONFIG_KEY):
-            case Success(found):
-                return await self._write_over(found, config)
+            case Success(stored):
+                return await self._write_over(stored, config)
         return None
 
     async def _write_over(
         self,
-        found: Versioned,
+        stored: Versioned,
         config: CellConfig,
     ) -> ChangeAnswer | None:
-        present = read_document(found.value)
-        if isinstance(present, Failure):
-            problem = Refusal(codes.CONFIG_INVALID, present.failure())
+        decoded = read_document(stored.value)
+        if isinstance(decoded, Failure):
+            problem = Refusal(codes.CONFIG_INVALID, decoded.failure())
             return ChangeAnswer(codes.CONFIG_INVALID, None, (problem,))
-        before = present.unwrap()
-        if self._sent and self._token in before.tokens:
-            return ChangeAnswer(codes.DONE, self._own_document(before))
-        if before.generation != self._request.expected_generation:
-            return self._conflict(before)
-        problems = await self._partition_problems(before, config)
+        current = decoded.unwrap()
+        if self._is_swap_sent and self._token in current.tokens:
+            return ChangeAnswer(codes.DONE, self._own_document(current))
+        if current.generation != self._request.expected_generation:
+            return self._conflict_answer(current)
+        problems = await self._partition_problems(current, config)
         if problems:
             return ChangeAnswer(codes.CONFIG_INVALID, None, problems)
-        return await self._swap(found, before)
+        return await self._swap(stored, current)
 
     async def _swap(
         self,
-        found: Versioned,
-        before: ConfigDocument,
+        stored: Versioned,
+        current: ConfigDocument,
     ) -> ChangeAnswer | None:
-        after = before.successor(
+        successor = current.successor(
             self._request.text,
             self._request.author,
             self._token,
         )
-        self._sent = True
-        swapped = await self._store.swap(
-            Swap(CONFIG_KEY, after.model_dump_json(), found.revision),
+        self._is_swap_sent = True
+        swap_result = await self._store.swap(
+            Swap(CONFIG_KEY, successor.model_dump_json(), stored.revision),
         )
-        if swapped.outcome is SwapOutcome.SWAPPED:
-            return ChangeAnswer(codes.DONE, after)
+        if swap_result.outcome is SwapOutcome.SWAPPED:
+            return ChangeAnswer(codes.DONE, successor)
         # The conflict may be with the write of an earlier attempt.
         return None
 
@@ -159,31 +159,33 @@
 
     async def _partition_problems(
         self,
-        before: ConfigDocument,
-        after: CellConfig,
+        current: ConfigDocument,
+        new_config: CellConfig,
     ) -> tuple[Refusal, ...]:
-        if not before.generation:
+        if not current.generation:
             return ()
-        parsed = await self._parse(before.text)
+        parsed = await self._parser(current.text)
         if isinstance(parsed, Failure):
             return ()
-        return changed_partitions(self._request.text, parsed.unwrap(), after)
+        return changed_partitions(
+            self._request.text, parsed.unwrap(), new_config
+        )
 
-    def _conflict(self, present: ConfigDocument) -> ChangeAnswer:
+    def _conflict_answer(self, current: ConfigDocument) -> ChangeAnswer:
         problem = refuse(
             codes.CONFIG_CONFLICT,
             texts.CONFIG_CONFLICT,
             field='expected_generation',
-            generation=present.generation,
-            author=present.author,
+            generation=current.generation,
+            author=current.author,
             expected=self._request.expected_generation,
         )
-        return ChangeAnswer(codes.CONFIG_CONFLICT, present, (problem,))
+        return ChangeAnswer(codes.CONFIG_CONFLICT, current, (problem,))
 
-    def _no_answer(self) -> ChangeAnswer:
+    def _missing_result_answer(self) -> ChangeAnswer:
         code = codes.STORE_UNAVAILABLE
         text = texts.STORE_SILENT
-        if self._sent:
+        if self._is_swap_sent:
             code = codes.OUTCOME_UNCERTAIN
             text = texts.CHANGE_UNCERTAIN
         problem = refuse(code, text, retry_after_ms=_RETRY_AFTER_MS)
--- a/fuchsiarill/cluster/config_document.py
+++ b/fuchsiarill/cluster/config_document.py
@@ -12,7 +12,7 @@
 # This list tells whether a write whose reply was lost took effect, so it must
 # be longer than the number of changes that operators can make within one
 # call's deadline.
-_TOKENS_COUNT: Final = 16
+_TOKENS_MAX_COUNT: Final = 16
 
 
 class ConfigDocument(BaseModel):
@@ -37,7 +37,7 @@
             generation=Generation(self.generation + 1),
             author=author,
             text=text,
-            tokens=tokens[-_TOKENS_COUNT:],
+            tokens=tokens[-_TOKENS_MAX_COUNT:],
         )
 
 
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -27,7 +27,7 @@
 
 # Spreads the retries of many processes whose calls fail at the same time.
 _JITTER_RATIO: Final = 0.25
-_RETRY_GROWTH: Final = 2
+_RETRY_GROWTH_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,21 +52,21 @@
         self,
         settings: ConfigSettings,
         store: StorePort,
-        config: Mailbox,
+        config_mailbox: Mailbox,
         random_source: random.Random,
     ) -> None:
-        """Read from `store` and send documents to `config`."""
+        """Read from `store` and send documents to `config_mailbox`."""
         super().__init__('config source')
         self._settings = settings
         self._store = store
-        self._config = config
+        self._config_mailbox = config_mailbox
         self._random_source = random_source
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Run the actor and start polling."""
         super().start()
-        self.spawn(self._poll())
+        self.spawn(self._poll_store())
 
     @handles(SetWatching)
     async def on_set_watching(self, message: SetWatching) -> None:
@@ -81,46 +81,46 @@
         """Return the state for a dump."""
         return {**super().snapshot(), 'watching': self._watch is not None}
 
-    async def _poll(self) -> None:
+    async def _poll_store(self) -> None:
         """Poll the store; retry failed reads sooner, at growing intervals."""
         retry_ms = self._settings.retry_interval_ms
         while True:
             wait_ms = self._settings.poll_interval_ms
-            found = await self._store.get(CONFIG_KEY)
-            if isinstance(found, Success):
-                self._report(found.unwrap())
+            read_result = await self._store.get(CONFIG_KEY)
+            if isinstance(read_result, Success):
+                self._send_document(read_result.unwrap())
             else:
                 wait_ms = min(retry_ms, wait_ms)
-                retry_ms *= _RETRY_GROWTH
-            await sleep_ms(self._jittered(wait_ms))
+                retry_ms *= _RETRY_GROWTH_FACTOR
+            await sleep_ms(self._add_jitter(wait_ms))
 
     async def _watch_store(self) -> None:
         revision = ABSENT
         while True:
-            watched = await self._store.watch(
+            watch_result = await self._store.watch(
                 CONFIG_KEY,
                 revision,
                 self._settings.watch_wait_ms,
             )
-            revision = await self._report_if_changed(watched, revision)
+            revision = await self._send_if_changed(watch_result, revision)
 
-    async def _report_if_changed(
+    async def _send_if_changed(
         self,
-        watched: Result[Versioned, StoreFailure],
+        watch_result: Result[Versioned, StoreFailure],
         revision: Revision,
     ) -> Revision:
-        if isinstance(watched, Failure):
-            await sleep_ms(self._jittered(self._settings.retry_interval_ms))
+        if isinstance(watch_result, Failure):
+            await sleep_ms(self._add_jitter(self._settings.retry_interval_ms))
             return revision
-        found = watched.unwrap()
-        if found.revision != revision:
-            self._report(found)
-        return found.revision
+        stored = watch_result.unwrap()
+        if stored.revision != revision:
+            self._send_document(stored)
+        return stored.revision
 
-    def _report(self, found: Versioned) -> None:
-        document = read_document(found.value)
+    def _send_document(self, stored: Versioned) -> None:
+        document = read_document(stored.value)
         if isinstance(document, Success):
-            self._config.send(DocumentFetched(document.unwrap()))
+            self._config_mailbox.send(DocumentFetched(document.unwrap()))
             return
         events.emit(
             events.CONFIG_REJECTED,
@@ -129,7 +129,7 @@
             problem=document.failure(),
         )
 
-    def _jittered(self, wait_ms: float) -> float:
+    def _add_jitter(self, wait_ms: float) -> float:
         ratio = self._random_source.uniform(
             1 - _JITTER_RATIO, 1 + _JITTER_RATIO
         )
--- a/fuchsiarill/cluster/config_spread.py
+++ b/fuchsiarill/cluster/config_spread.py
@@ -72,18 +72,22 @@
 
 @dataclass(frozen=True, slots=True)
 class CollectingEnded:
-    """The period for comparing sources at start-up is over."""
+    """The collecting period after the start is over."""
 
 
 class ConfigSpread(SpawningActor):
-    """Owns the document in force and distributes newer documents."""
+    """Owns the document in force and distributes newer documents.
+
+    For `collect_ms` after the start it only collects documents, then it puts
+    the highest generation in force.
+    """
 
     def __init__(
         self,
         settings: ConfigSettings,
         store: StorePort,
         peers: PeerPort,
-        parse: ConfigParser,
+        parser: ConfigParser,
         random_source: random.Random,
     ) -> None:
         """Start without a configuration."""
@@ -93,16 +97,16 @@
         self.state = CONFIGURATION_CHART.initial
         self.document = NO_DOCUMENT
         self.source = ConfigSource(settings, store, self.mailbox, random_source)
-        self.parse = parse
-        self.rejected = NO_GENERATION
+        self.parser = parser
+        self.rejected_generation = NO_GENERATION
         self._settings = settings
         self._store = store
         self._peers = peers
         self._random_source = random_source
-        self._collecting = True
+        self._is_collecting = True
         self._candidate = NO_DOCUMENT
-        self._pulling = False
-        self._watching = False
+        self._is_pulling = False
+        self._is_watching = False
         self._domain_addresses: tuple[str, ...] = ()
 
     def start(self) -> None:
@@ -126,14 +130,14 @@
     async def on_fetched(self, message: DocumentFetched) -> None:
         """Put a fetched document in force if it is newer."""
         if message.from_peer:
-            self._pulling = False
+            self._is_pulling = False
         if message.document is not None:
             await self._handle_document(message.document)
 
     @handles(CollectingEnded)
     async def on_collected(self, message: CollectingEnded) -> None:
         """Put the highest generation collected so far in force."""
-        self._collecting = False
+        self._is_collecting = False
         await self._handle_document(self._candidate)
 
     @handles(GetDocument)
@@ -144,42 +148,44 @@
     @handles(ChangeConfig)
     async def on_change(self, message: ChangeConfig) -> None:
         """Carry out an operator's change concurrently with other messages."""
-        self.spawn(self._change(message))
+        self.spawn(self._carry_out_change(message))
 
     @handles(ViewChanged)
     async def on_view(self, message: ViewChanged) -> None:
-        """Start or stop the watch by the view, and pull a newer document."""
-        own = next(
+        """Watch the store if elected for it, and pull a newer document."""
+        own_member = next(
             member
             for member in message.members
             if member.detail.process == message.own
         )
-        domain = [
+        domain_members = [
             member
             for member in message.members
-            if member.detail.failure_domain == own.detail.failure_domain
+            if member.detail.failure_domain == own_member.detail.failure_domain
         ]
         self._domain_addresses = tuple(
-            member.detail.address for member in domain if member is not own
+            member.detail.address
+            for member in domain_members
+            if member is not own_member
         )
-        watching = _elect_watcher(domain) is own
-        if watching is not self._watching:
-            self._watching = watching
-            self.source.mailbox.send(SetWatching(watching))
+        is_watching = _elect_watcher(domain_members) is own_member
+        if is_watching is not self._is_watching:
+            self._is_watching = is_watching
+            self.source.mailbox.send(SetWatching(is_watching))
         self._pull_newer(message.members)
 
     def announce(self, document: ConfigDocument, config: CellConfig) -> None:
         """Put a document in force and notify subscribers and peers."""
         self.document = document
-        changed = ConfigChanged(config)
+        config_changed = ConfigChanged(config)
         for subscriber in self.subscribers:
-            subscriber.send(changed)
+            subscriber.send(config_changed)
         if self.membership is not None:
             self.membership.send(GenerationInForce(document.generation))
-        if not self._watching:
+        if not self._is_watching:
             return
         for address in self._domain_addresses:
-            self.spawn(self._offer(address, document))
+            self.spawn(self._offer_document(address, document))
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump, without the text."""
@@ -188,12 +194,12 @@
             'state': self.state.value,
             'generation': self.document.generation,
             'author': self.document.author,
-            'rejected_generation': self.rejected,
+            'rejected_generation': self.rejected_generation,
             'source': self.source.snapshot(),
         }
 
     async def _handle_document(self, document: ConfigDocument) -> None:
-        if self._collecting:
+        if self._is_collecting:
             if document.generation > self._candidate.generation:
                 self._candidate = document
             return
@@ -209,32 +215,38 @@
         self.state = step.target
 
     def _pull_newer(self, members: tuple[Member, ...]) -> None:
-        known = max(self.document.generation, self.rejected)
-        if self._collecting:
-            known = self._candidate.generation
-        newer = [
+        known_generation = max(
+            self.document.generation, self.rejected_generation
+        )
+        if self._is_collecting:
+            known_generation = self._candidate.generation
+        newer_addresses = [
             member.detail.address
             for member in members
-            if member.beat.generation > known
+            if member.beat.generation > known_generation
         ]
-        if newer and not self._pulling:
-            self._pulling = True
-            self.spawn(self._pull(self._random_source.choice(newer)))
+        if newer_addresses and not self._is_pulling:
+            self._is_pulling = True
+            self.spawn(
+                self._pull_document(self._random_source.choice(newer_addresses))
+            )
 
     async def _end_collecting(self) -> None:
         await sleep_ms(self._settings.collect_ms)
         self.mailbox.send(CollectingEnded())
 
-    async def _pull(self, address: str) -> None:
-        fetched = await self._peers.fetch_config(address)
-        found = DocumentFetched(fetched.value_or(None), from_peer=True)
-        self.mailbox.send(found)
+    async def _pull_document(self, address: str) -> None:
+        fetch_result = await self._peers.fetch_config(address)
+        message = DocumentFetched(fetch_result.value_or(None), from_peer=True)
+        self.mailbox.send(message)
 
-    async def _offer(self, address: str, document: ConfigDocument) -> None:
+    async def _offer_document(
+        self, address: str, document: ConfigDocument
+    ) -> None:
         await self._peers.offer_config(address, document)
 
-    async def _change(self, message: ChangeConfig) -> None:
-        change = ConfigChange(self._store, message.request, self.parse)
+    async def _carry_out_change(self, message: ChangeConfig) -> None:
+        change = ConfigChange(self._store, message.request, self.parser)
         answer = await change.execute()
         if answer.code is codes.DONE:
             self.mailbox.send(DocumentFetched(answer.document))
@@ -249,17 +261,19 @@
 
 
 @CONFIG_ACTIONS.register('put_in_force')
-async def _put_in_force(spread: ConfigSpread, document: ConfigDocument) -> bool:
+async def _put_in_force(
+    config_actor: ConfigSpread, document: ConfigDocument
+) -> bool:
     """Parse a document and announce it.
 
     Returns `False` for a document that this process can't parse; the document
     in force stays.
     """
-    if document.generation == spread.rejected:
+    if document.generation == config_actor.rejected_generation:
         return False
-    parsed = await spread.parse(document.text)
+    parsed = await config_actor.parser(document.text)
     if isinstance(parsed, Failure):
-        spread.rejected = document.generation
+        config_actor.rejected_generation = document.generation
         events.emit(
             events.CONFIG_REJECTED,
             generation=document.generation,
@@ -267,7 +281,7 @@
             problem=parsed.failure()[0].text,
         )
         return False
-    spread.announce(document, parsed.unwrap())
+    config_actor.announce(document, parsed.unwrap())
     events.emit(events.CONFIG_IN_FORCE, generation=document.generation)
     return True
 
@@ -284,10 +298,15 @@
 )
 
 
-def _elect_watcher(domain: list[Member]) -> Member | None:
-    """Return the live member with the lowest id that is not leaving."""
-    for member in sorted(domain, key=lambda other: other.detail.process):
-        leaving = member.detail.state in _LEAVING_STATES
-        if member.state is MemberState.LIVE and not leaving:
+def _elect_watcher(domain_members: list[Member]) -> Member | None:
+    """Return the live member with the lowest id that is not leaving.
+
+    It watches the store on behalf of its failure domain.
+    """
+    for member in sorted(
+        domain_members, key=lambda other: other.detail.process
+    ):
+        is_leaving = member.detail.state in _LEAVING_STATES
+        if member.state is MemberState.LIVE and not is_leaving:
             return member
     return None
--- a/fuchsiarill/cluster/directory.py
+++ b/fuchsiarill/cluster/directory.py
@@ -19,9 +19,10 @@
 
 DOMAINS_KEY: Final = StoreKey('members')
 
-# A killed process leaves its entry behind; the oldest entries are dropped.
+# Bounds the entries of one failure domain, since a killed process leaves its
+# entry behind; the oldest entries are dropped.
 _ENTRIES_MAX_COUNT: Final = 64
-_SWAP_ATTEMPTS_COUNT: Final = 8
+_SWAP_ATTEMPTS_MAX_COUNT: Final = 8
 
 
 class DirectoryEntry(BaseModel):
@@ -45,86 +46,89 @@
     """Reads and changes the directory through the store."""
 
     def __init__(self, store: StorePort) -> None:
-        """Use the given store."""
+        """Create a directory that is kept in `store`."""
         self._store = store
 
-    async def join(self, own: MemberDetail) -> bool:
+    async def join(self, detail: MemberDetail) -> bool:
         """Add a process; returns whether the store confirmed it."""
-        joined = await self._change(
-            members_key(own.failure_domain),
-            partial(_with_entry, own),
+        joined = await self._swap_value(
+            members_key(detail.failure_domain),
+            partial(_with_entry, detail),
         )
-        return joined and await self._change(
+        return joined and await self._swap_value(
             DOMAINS_KEY,
-            partial(_with_domain, own.failure_domain),
+            partial(_with_domain, detail.failure_domain),
         )
 
-    async def leave(self, own: MemberDetail) -> bool:
+    async def leave(self, detail: MemberDetail) -> bool:
         """Remove a process; the entry of a later incarnation stays."""
-        return await self._change(
-            members_key(own.failure_domain),
-            partial(_without_entry, own),
+        return await self._swap_value(
+            members_key(detail.failure_domain),
+            partial(_without_entry, detail),
         )
 
     async def addresses(self) -> dict[ProcessId, str]:
         """Return the addresses of all entries that can be read."""
-        found: dict[ProcessId, str] = {}
-        for domain in _read_domains(await self._value(DOMAINS_KEY)):
-            entries = _read_entries(await self._value(members_key(domain)))
+        addresses: dict[ProcessId, str] = {}
+        for domain in _read_domains(await self._read_value(DOMAINS_KEY)):
+            entries = _read_entries(await self._read_value(members_key(domain)))
             for process, entry in entries.items():
-                found[process] = entry.address
-        return found
+                addresses[process] = entry.address
+        return addresses
 
-    async def _value(self, key: StoreKey) -> str | None:
+    async def _read_value(self, key: StoreKey) -> str | None:
         match await self._store.get(key):
-            case Success(found):
-                encoded: str | None = found.value
+            case Success(stored):
+                encoded: str | None = stored.value
                 return encoded
         return None
 
-    async def _change(
+    async def _swap_value(
         self,
         key: StoreKey,
-        change: Callable[[str | None], str],
+        compute_value: Callable[[str | None], str],
     ) -> bool:
-        """Swap until the key has the changed value or the store fails.
+        """Swap the computed value into a key; return whether it is confirmed.
 
-        Every attempt reads first, so a swap whose answer was lost is
-        recognised by its effect.
+        Gives up when the store fails or the attempts are used up. Every
+        attempt reads first, so a swap whose answer was lost is recognised by
+        its effect.
         """
-        for _ in range(_SWAP_ATTEMPTS_COUNT):
+        for _ in range(_SWAP_ATTEMPTS_MAX_COUNT):
             match await self._store.get(key):
-                case Success(found):
-                    done = await self._try_once(found, change(found.value))
+                case Success(stored):
+                    is_written = await self._attempt_swap(
+                        stored, compute_value(stored.value)
+                    )
                 case _:
                     return False
-            if done:
+            if is_written:
                 return True
         return False
 
-    async def _try_once(self, found: Versioned, changed: str) -> bool:
-        if found.value == changed:
+    async def _attempt_swap(self, stored: Versioned, new_value: str) -> bool:
+        if stored.value == new_value:
             return True
-        swap = Swap(found.key, changed, expected=found.revision)
-        swapped = await self._store.swap(swap)
-        return swapped.outcome is SwapOutcome.SWAPPED
+        swap = Swap(stored.key, new_value, expected=stored.revision)
+        swap_result = await self._store.swap(swap)
+        return swap_result.outcome is SwapOutcome.SWAPPED
 
 
-def _with_entry(own: MemberDetail, encoded: str | None) -> str:
+def _with_entry(detail: MemberDetail, encoded: str | None) -> str:
     entries = _read_entries(encoded)
-    entries[own.process] = DirectoryEntry(
-        address=own.address,
-        incarnation=own.incarnation,
+    entries[detail.process] = DirectoryEntry(
+        address=detail.address,
+        incarnation=detail.incarnation,
     )
     latest = sorted(entries.items(), key=lambda item: item[1].incarnation)
     return _write_entries(dict(latest[-_ENTRIES_MAX_COUNT:]))
 
 
-def _without_entry(own: MemberDetail, encoded: str | None) -> str:
+def _without_entry(detail: MemberDetail, encoded: str | None) -> str:
     entries = _read_entries(encoded)
-    present = entries.get(own.process)
-    if present and present.incarnation <= own.incarnation:
-        entries.pop(own.process)
+    entry = entries.get(detail.process)
+    if entry and entry.incarnation <= detail.incarnation:
+        entries.pop(detail.process)
     return _write_entries(entries)
 
 
--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -2,8 +2,9 @@
 
 A table has two parts. Details (address, failure domain, partitions owned)
 change rarely; a beat has a fixed size of 16 bytes on the wire and changes
-each second. An exchange carries all beats, but only the details that the
-other side lacks, so its size stays small with hundreds of members.
+each second. An exchange, i.e. the gossip messages by which two processes merge
+their tables, carries all beats, but only the details that the other side
+lacks, so its size stays small with hundreds of members.
 """
 
 import zlib
@@ -45,15 +46,15 @@
     partitions: tuple[PartitionId, ...] = ()
 
     @property
-    def order(self) -> tuple[int, int]:
+    def version_order(self) -> tuple[int, int]:
         """Return the sort key by which a newer detail is recognised."""
         return (self.incarnation, self.version)
 
     @property
     def key(self) -> int:
         """Return the checksum by which beats refer to this detail."""
-        named = f'{self.process}\n{self.incarnation}\n{self.version}'
-        return zlib.crc32(named.encode())
+        identity = f'{self.process}\n{self.incarnation}\n{self.version}'
+        return zlib.crc32(identity.encode())
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +89,8 @@
     @property
     def reachable(self) -> bool:
         """Return whether the process is regarded as alive and listening."""
-        stopped = self.detail.state is ProcessState.STOPPED
-        return self.state is MemberState.LIVE and not stopped
+        is_stopped = self.detail.state is ProcessState.STOPPED
+        return self.state is MemberState.LIVE and not is_stopped
 
 
 class MemberTable:
@@ -122,9 +123,9 @@
     def update_own(self, detail: MemberDetail) -> None:
         """Publish a new version of the detail of this process."""
         own = self.own
-        changed = replace(detail, version=own.detail.version + 1)
-        beat = replace(own.beat, key=changed.key)
-        self._put(Member(changed, beat, own.heard_at_ms))
+        new_detail = replace(detail, version=own.detail.version + 1)
+        beat = replace(own.beat, key=new_detail.key)
+        self._put(Member(new_detail, beat, own.heard_at_ms))
 
     def beat(
         self,
@@ -139,14 +140,14 @@
         Returns the members that were removed from the view.
         """
         own = self.own
-        counted = Beat(
+        own_beat = Beat(
             own.detail.key,
             own.beat.heartbeat + 1,
             generation,
             load_permille,
             store_is_down,
         )
-        self._put(Member(own.detail, counted, now_ms))
+        self._put(Member(own.detail, own_beat, now_ms))
         for key, removed in tuple(self._removed.items()):
             if now_ms - removed.heard_at_ms > self._settings.forget_after_ms:
                 self._removed.pop(key)
@@ -156,7 +157,7 @@
             if self._check_silence(member, now_ms)
         )
 
-    def opening(self) -> Gossip:
+    def opening_message(self) -> Gossip:
         """Return the first message of an exchange."""
         return Gossip(tuple(member.beat for member in self.members()))
 
@@ -168,14 +169,18 @@
         for beat in received.beats:
             self._merge_beat(beat, now_ms)
         return Gossip(
-            beats=tuple(self._newer_than(beats)),
-            details=tuple(self._details_for(beats, received.wanted)),
-            wanted=tuple(key for key in beats if self._wants(beats[key])),
+            beats=tuple(self._newer_beats(beats)),
+            details=tuple(
+                self._requested_or_unknown_details(beats, received.wanted)
+            ),
+            wanted=tuple(
+                key for key in beats if self._lacks_detail(beats[key])
+            ),
         )
 
     def requested_details(self, wanted: Iterable[int]) -> Gossip:
         """Return the details that the other side requested."""
-        details = tuple(self._details_for({}, tuple(wanted)))
+        details = tuple(self._requested_or_unknown_details({}, tuple(wanted)))
         keys = {detail.key for detail in details}
         beats = (member.beat for member in self.members())
         return Gossip(
@@ -195,10 +200,10 @@
         """Return whether the member was removed for its silence."""
         if member.detail.process == self._own_id:
             return False
-        limit_ms = self._settings.suspect_after_ms
+        silence_limit_ms = self._settings.suspect_after_ms
         if member.state is MemberState.SUSPECTED:
-            limit_ms = self._settings.remove_after_ms
-        if now_ms - member.heard_at_ms < limit_ms:
+            silence_limit_ms = self._settings.remove_after_ms
+        if now_ms - member.heard_at_ms < silence_limit_ms:
             return False
         step = MEMBER_CHART.step(member.state, MemberEvent.SILENT)
         if step is None:
@@ -221,7 +226,10 @@
             self._supersede(detail)
             return
         known = self._members.get(detail.process)
-        if known is not None and known.detail.order >= detail.order:
+        if (
+            known is not None
+            and known.detail.version_order >= detail.version_order
+        ):
             return
         if beat is None or self._is_stale(beat):
             return
@@ -234,7 +242,7 @@
     def _supersede(self, detail: MemberDetail) -> None:
         """Supersede a detail of an earlier run whose clock was ahead."""
         own = self.own.detail
-        if detail.order > own.order:
+        if detail.version_order > own.version_order:
             self.update_own(replace(own, incarnation=detail.incarnation + 1))
 
     def _merge_beat(self, beat: Beat, now_ms: int) -> None:
@@ -248,13 +256,13 @@
         state = member.state if step is None else step.target
         self._members[name] = Member(member.detail, beat, now_ms, state)
 
-    def _newer_than(self, beats: dict[int, Beat]) -> Iterable[Beat]:
+    def _newer_beats(self, beats: dict[int, Beat]) -> Iterable[Beat]:
         for member in self.members():
             received = beats.get(member.detail.key)
             if received is None or received.heartbeat < member.beat.heartbeat:
                 yield member.beat
 
-    def _details_for(
+    def _requested_or_unknown_details(
         self,
         beats: dict[int, Beat],
         wanted: tuple[int, ...],
@@ -265,7 +273,7 @@
             if key in requested or (beats and key not in beats):
                 yield member.detail
 
-    def _wants(self, beat: Beat) -> bool:
+    def _lacks_detail(self, beat: Beat) -> bool:
         return beat.key not in self._ids and not self._is_stale(beat)
 
     def _is_stale(self, beat: Beat) -> bool:
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -1,7 +1,8 @@
 """The membership actor: directory, gossip and view of the processes.
 
-Each second it exchanges its table with a few random peers. The directory in
-the store is read while no peer is known and changed on join and on leave.
+In each round, one second apart by default, it exchanges its table with a few
+random peers. The directory in the store is read while no peer is known and
+changed on join and on leave. The view consists of all members of the table.
 """
 
 import random
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GossipReceived:
-    """Another process sent its message of an exchange."""
+    """Another process sent a message of an exchange of tables."""
 
     received: Gossip
     reply: Reply[Gossip]
@@ -114,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewChanged:
-    """Sent to subscribers after each round, changed or not.
+    """Sent to subscribers in each round and after each merge, changed or not.
 
     Until `outage_until_ms` the store is regarded as down for all processes.
     """
@@ -143,12 +144,12 @@
         self._directory = directory
         self._peers = peers
         self._random_source = random_source
-        self._joined = False
+        self._has_joined = False
         self._addresses: dict[ProcessId, str] = {}
         self._generation = NO_GENERATION
         self._load_permille = 0
         self._store_is_down = False
-        self._evidence = StoreEvidence()
+        self._outage_evidence = StoreEvidence()
         self._rounds_count = 0
 
     def update_store_state(self, is_down: bool) -> None:
@@ -164,21 +165,25 @@
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
         """Exchange tables with a few peers."""
-        self._beat()
+        self._record_beat()
         self._publish()
         self._rounds_count += 1
         if self._is_directory_due():
             self.spawn(self._join_and_read())
-        for address in self._targets():
-            self.spawn(self._exchange(address, self.table.opening()))
+        for address in self._choose_addresses():
+            self.spawn(
+                self._exchange_tables(address, self.table.opening_message())
+            )
 
     @handles(DirectoryRead)
     async def on_directory(self, message: DirectoryRead) -> None:
         """Keep the addresses of possible peers and call some at once."""
-        self._joined = self._joined or message.joined
+        self._has_joined = self._has_joined or message.joined
         self._keep_addresses(message.addresses)
-        for address in self._targets():
-            self.spawn(self._exchange(address, self.table.opening()))
+        for address in self._choose_addresses():
+            self.spawn(
+                self._exchange_tables(address, self.table.opening_message())
+            )
 
     @handles(GossipReceived)
     async def on_gossip(self, message: GossipReceived) -> None:
@@ -193,14 +198,14 @@
         if received is None:
             return
         self.table.merge(received, now_ms())
-        self._evidence.record_answer(
+        self._outage_evidence.record_answer(
             self.table.own,
             self.table.members(),
             (message.address, message.requested_at_ms),
         )
         wanted = self.table.requested_details(received.wanted)
         if wanted.details:
-            self.spawn(self._exchange(message.address, wanted))
+            self.spawn(self._exchange_tables(message.address, wanted))
         self._publish()
 
     @handles(StateChanged)
@@ -218,7 +223,7 @@
     async def on_generation(self, message: GenerationInForce) -> None:
         """Publish the generation in force with an immediate beat."""
         self._generation = message.generation
-        self._beat()
+        self._record_beat()
         self._publish()
 
     @handles(LoadMeasured)
@@ -233,7 +238,7 @@
         Gossip answers sent from now on must not carry the earlier state.
         """
         self._store_is_down = message.is_down
-        self._beat()
+        self._record_beat()
 
     @handles(GetView)
     async def on_view(self, message: GetView) -> None:
@@ -251,7 +256,7 @@
         """Return the state for a dump."""
         return {
             **super().snapshot(),
-            'joined': self._joined,
+            'joined': self._has_joined,
             'directory_count': len(self._addresses),
             'members': [
                 {
@@ -271,7 +276,7 @@
         self.table.update_own(detail)
         self._publish()
 
-    def _beat(self) -> None:
+    def _record_beat(self) -> None:
         removed = self.table.beat(
             self._generation,
             self._load_permille,
@@ -284,7 +289,7 @@
         view = ViewChanged(
             self.table.members(),
             self.table.own.detail.process,
-            self._evidence.outage_until_ms(),
+            self._outage_evidence.outage_until_ms(),
         )
         for subscriber in self.subscribers:
             subscriber.send(view)
@@ -306,51 +311,58 @@
 
     def _is_directory_due(self) -> bool:
         """Return whether to call the store: before joining or without peers."""
-        if self._joined and len(self.table.members()) > 1:
+        if self._has_joined and len(self.table.members()) > 1:
             return False
         return self._rounds_count % self._settings.directory_retry_rounds == 1
 
-    def _targets(self) -> list[str]:
+    def _choose_addresses(self) -> list[str]:
         own = self.table.own.detail
-        known = {
+        member_addresses = {
             member.detail.address
             for member in self.table.members()
             if member.detail.process != own.process
         }
-        lost = {*self._addresses.values(), *self._settings.seeds} - known
-        lost.discard(own.address)
+        lost_addresses = {
+            *self._addresses.values(),
+            *self._settings.seeds,
+        } - member_addresses
+        lost_addresses.discard(own.address)
         count = self._settings.gossip_peers_count
-        targets = self._sample(known, count)
-        if not known:
-            return self._sample(lost, count)
+        addresses = self._sample_addresses(member_addresses, count)
+        if not member_addresses:
+            return self._sample_addresses(lost_addresses, count)
         if self._rounds_count % _LOST_INTERVAL_ROUNDS == 0:
-            targets.extend(self._sample(lost, 1))
-        return targets
+            addresses.extend(self._sample_addresses(lost_addresses, 1))
+        return addresses
 
-    def _sample(self, addresses: set[str], count: int) -> list[str]:
+    def _sample_addresses(self, addresses: set[str], count: int) -> list[str]:
         return self._random_source.sample(
             sorted(addresses),
             min(count, len(addresses)),
         )
 
     async def _join_and_read(self) -> None:
-        joined = self._joined
-        if not joined:
-            joined = await self._directory.join(self.table.own.detail)
+        has_joined = self._has_joined
+        if not has_joined:
+            has_joined = await self._directory.join(self.table.own.detail)
         addresses = await self._directory.addresses()
-        self.mailbox.send(DirectoryRead(joined, addresses))
+        self.mailbox.send(DirectoryRead(has_joined, addresses))
 
-    async def _exchange(self, address: str, opening: Gossip) -> None:
+    async def _exchange_tables(
+        self, address: str, opening_message: Gossip
+    ) -> None:
         requested_at_ms = now_ms()
-        match await self._peers.gossip(address, opening):
+        match await self._peers.gossip(address, opening_message):
             case Success(answer):
-                answered = GossipAnswered(address, answer, requested_at_ms)
+                gossip_answered = GossipAnswered(
+                    address, answer, requested_at_ms
+                )
             case _:
-                answered = GossipAnswered(address, None, requested_at_ms)
-        self.mailbox.send(answered)
+                gossip_answered = GossipAnswered(address, None, requested_at_ms)
+        self.mailbox.send(gossip_answered)
 
     async def _leave(self, reply: Reply[None]) -> None:
-        for address in self._targets():
+        for address in self._choose_addresses():
             own = self.table.own
             last_message = Gossip((own.beat,), (own.detail,))
             await self._peers.gossip(address, last_message)
--- a/fuchsiarill/cluster/owner_link.py
+++ b/fuchsiarill/cluster/owner_link.py
@@ -29,7 +29,7 @@
 
 # An owner answers a submission after its group commit, so several calls in
 # progress keep it busy; more would only make the batches smaller.
-_SUBMITS_IN_PROGRESS_MAX: Final = 8
+_SUBMITS_IN_PROGRESS_MAX_COUNT: Final = 8
 _RETRY_AFTER_MS: Final = 500
 
 
@@ -41,7 +41,7 @@
         self._answers: dict[int, JobAnswer] = {}
         self._count = len(message.specs)
 
-    def put(self, position: int, answer: JobAnswer) -> None:
+    def add_answer(self, position: int, answer: JobAnswer) -> None:
         """Store one answer; the last answer completes the reply."""
         self._answers[position] = answer
         if len(self._answers) == self._count:
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Pending:
+class _PendingSpec:
     spec: JobSpec
     collector: _Collector
     position: int
@@ -74,47 +74,47 @@
         self._settings = settings
         self._peers = peers
         self._router = router
-        self._pending: deque[_Pending] = deque()
-        self._submits_count = 0
+        self._pending_specs: deque[_PendingSpec] = deque()
+        self._submits_in_progress_count = 0
 
     @handles(messages.SubmitJobs)
     async def on_submit(self, message: messages.SubmitJobs) -> None:
         """Submit, batched with the other pending submissions."""
         collector = _Collector(message)
-        self._pending.extend(
-            _Pending(spec, collector, position)
+        self._pending_specs.extend(
+            _PendingSpec(spec, collector, position)
             for position, spec in enumerate(message.specs)
         )
-        if self._submits_count < _SUBMITS_IN_PROGRESS_MAX:
-            self._submits_count += 1
+        if self._submits_in_progress_count < _SUBMITS_IN_PROGRESS_MAX_COUNT:
+            self._submits_in_progress_count += 1
             self.spawn(self._submit_pending())
 
     @handles(messages.QueryJob)
     async def on_query(self, message: messages.QueryJob) -> None:
         """Forward a query to the owner."""
-        self.spawn(self._query(message))
+        self.spawn(self._forward_query(message))
 
     @handles(messages.CancelJob)
     async def on_cancel(self, message: messages.CancelJob) -> None:
         """Forward a cancellation to the owner."""
-        self.spawn(self._cancel(message))
+        self.spawn(self._forward_cancel(message))
 
     @handles(messages.ListJobs)
     async def on_list(self, message: messages.ListJobs) -> None:
         """Forward a list request to the owner."""
-        self.spawn(self._list(message))
+        self.spawn(self._forward_list(message))
 
     @handles(messages.ExplainJob)
     async def on_explain(self, message: messages.ExplainJob) -> None:
         """Forward a request for an explanation to the owner."""
-        self.spawn(self._explain(message))
+        self.spawn(self._forward_explain(message))
 
     async def stop(self) -> None:
         """Refuse the pending submissions, then stop."""
-        unsent = self._refuse(PeerFailure.NOT_SENT)
-        for pending in self._pending:
-            pending.collector.put(pending.position, unsent)
-        self._pending.clear()
+        refusal = self._refusal_answer(PeerFailure.NOT_SENT)
+        for pending in self._pending_specs:
+            pending.collector.add_answer(pending.position, refusal)
+        self._pending_specs.clear()
         await super().stop()
 
     def snapshot(self) -> dict[str, Any]:
@@ -122,72 +122,76 @@
         return {
             **super().snapshot(),
             'address': self._address,
-            'pending_count': len(self._pending),
+            'pending_count': len(self._pending_specs),
         }
 
     async def _submit_pending(self) -> None:
-        while self._pending:
-            count = min(len(self._pending), self._settings.batch_max_count)
-            batch = [self._pending.popleft() for _ in range(count)]
-            answers = await self._submit([pending.spec for pending in batch])
+        while self._pending_specs:
+            count = min(
+                len(self._pending_specs), self._settings.batch_max_count
+            )
+            batch = [self._pending_specs.popleft() for _ in range(count)]
+            answers = await self._submit_batch(
+                [pending.spec for pending in batch]
+            )
             for pending, answer in zip(batch, answers, strict=True):
-                pending.collector.put(pending.position, answer)
-        self._submits_count -= 1
+                pending.collector.add_answer(pending.position, answer)
+        self._submits_in_progress_count -= 1
 
-    async def _submit(self, specs: list[JobSpec]) -> list[JobAnswer]:
+    async def _submit_batch(self, specs: list[JobSpec]) -> list[JobAnswer]:
         encoded = [spec_fields(spec) for spec in specs]
-        received = await self._call('submit', specs=encoded)
-        if isinstance(received, Failure):
-            refusal = self._refuse(received.failure())
+        call_result = await self._call('submit', specs=encoded)
+        if isinstance(call_result, Failure):
+            refusal = self._refusal_answer(call_result.failure())
             return [refusal for _ in specs]
-        return self._read_answers(received.unwrap().answers)
+        return self._read_answers(call_result.unwrap().answers)
 
-    async def _query(self, message: messages.QueryJob) -> None:
+    async def _forward_query(self, message: messages.QueryJob) -> None:
         query = message.query
-        received = await self._call(
+        call_result = await self._call(
             'query',
             wait_ms=query.wait_ms,
             customer=query.customer,
             jobId=query.job_id,
             waitMs=query.wait_ms,
         )
-        message.reply.answer(self._read_single(received))
+        message.reply.answer(self._read_single_answer(call_result))
 
-    async def _cancel(self, message: messages.CancelJob) -> None:
+    async def _forward_cancel(self, message: messages.CancelJob) -> None:
         cancel = message.cancel
-        received = await self._call(
+        call_result = await self._call(
             'cancel',
             customer=cancel.customer,
             jobId=cancel.job_id,
         )
-        message.reply.answer(self._read_single(received))
+        message.reply.answer(self._read_single_answer(call_result))
 
-    async def _list(self, message: messages.ListJobs) -> None:
+    async def _forward_list(self, message: messages.ListJobs) -> None:
         query = message.query
-        received = await self._call(
+        call_result = await self._call(
             'list',
             customer=query.customer,
             state='' if query.state is None else query.state.value,
             limit=query.limit,
         )
-        if isinstance(received, Failure):
-            message.reply.answer((self._refuse(received.failure()),))
+        if isinstance(call_result, Failure):
+            message.reply.answer((self._refusal_answer(call_result.failure()),))
             return
         message.reply.answer(
-            tuple(self._read_answers(received.unwrap().answers))
+            tuple(self._read_answers(call_result.unwrap().answers))
         )
 
-    async def _explain(self, message: messages.ExplainJob) -> None:
-        received = await self._call(
+    async def _forward_explain(self, message: messages.ExplainJob) -> None:
+        call_result = await self._call(
             'why',
             customer=message.query.customer,
             jobId=message.query.job_id,
         )
         reasons = '{}'
-        if isinstance(received, Success):
-            reasons = received.unwrap().reasons
+        if isinstance(call_result, Success):
+            reasons = call_result.unwrap().reasons
         explanation = JobExplanation(
-            self._read_single(received),
+            self._read_single_answer(call_result),
             json.loads(reasons),
         )
         message.reply.answer(explanation)
@@ -200,7 +204,7 @@
     ) -> Result[Any, PeerFailure]:
         request['partition'] = self._partition
         try:
-            received = await self._peers.call(
+            call_result = await self._peers.call(
                 self._address,
                 method,
                 request,
@@ -210,14 +214,16 @@
             # The link stops because the owner has changed; the caller is
             # answered at once instead of waiting for its own deadline.
             return Failure(PeerFailure.NO_ANSWER)
-        if isinstance(received, Failure):
+        if isinstance(call_result, Failure):
             self._report_stale()
-        return received
+        return call_result
 
-    def _read_single(self, received: Result[Any, PeerFailure]) -> JobAnswer:
-        if isinstance(received, Failure):
-            return self._refuse(received.failure())
-        return self._read_answers([received.unwrap().answer])[0]
+    def _read_single_answer(
+        self, call_result: Result[Any, PeerFailure]
+    ) -> JobAnswer:
+        if isinstance(call_result, Failure):
+            return self._refusal_answer(call_result.failure())
+        return self._read_answers([call_result.unwrap().answer])[0]
 
     def _read_answers(self, encoded: Any) -> list[JobAnswer]:
         answers = [read_answer(struct) for struct in encoded]
@@ -228,7 +234,7 @@
     def _report_stale(self) -> None:
         self._router.send(RouteStale(self._partition, self._address))
 
-    def _refuse(self, failure: PeerFailure) -> JobAnswer:
+    def _refusal_answer(self, failure: PeerFailure) -> JobAnswer:
         """Return a refusal; its code says if the call may have taken effect."""
         code = OUTCOME_UNCERTAIN
         text = texts.OUTCOME_UNCERTAIN
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -42,9 +42,9 @@
 
 _Answer = TypeVar('_Answer')
 
-# Share of the caller's deadline after which the server stops waiting for the
+# Part of the caller's deadline after which the server stops waiting for the
 # owner and answers that the outcome is uncertain.
-_DEADLINE_SHARE: Final = 0.8
+_DEADLINE_RATIO: Final = 0.8
 _RETRY_AFTER_MS: Final = 500
 
 
@@ -66,7 +66,7 @@
         reply: Reply[tuple[JobAnswer, ...]] = Reply()
         batch = tuple(read_spec(spec) for spec in specs)
         message = messages.SubmitJobs(batch, reply)
-        answers = await self._job_answer(partition, message, reply)
+        answers = await self._ask_owner(partition, message, reply)
         _context.results.answers = [answer_fields(answer) for answer in answers]
 
     async def query(
@@ -81,7 +81,7 @@
         reply: Reply[JobAnswer] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId), waitMs)
         message = messages.QueryJob(query, reply)
-        answer = await self._job_answer(partition, message, reply, waitMs)
+        answer = await self._ask_owner(partition, message, reply, waitMs)
         _context.results.answer = answer_fields(answer)
 
     async def cancel(
@@ -95,7 +95,7 @@
         reply: Reply[JobAnswer] = Reply()
         cancel = JobCancel(CustomerId(customer), JobId(jobId))
         message = messages.CancelJob(cancel, reply)
-        answer = await self._job_answer(partition, message, reply)
+        answer = await self._ask_owner(partition, message, reply)
         _context.results.answer = answer_fields(answer)
 
     async def list(
@@ -114,7 +114,7 @@
             limit,
         )
         message = messages.ListJobs(query, reply)
-        answers = await self._job_answer(partition, message, reply)
+        answers = await self._ask_owner(partition, message, reply)
         _context.results.answers = [answer_fields(answer) for answer in answers]
 
     async def why(
@@ -128,7 +128,7 @@
         reply: Reply[JobExplanation] = Reply()
         query = JobQuery(CustomerId(customer), JobId(jobId))
         message = messages.ExplainJob(query, reply)
-        explanation = await self._job_answer(partition, message, reply)
+        explanation = await self._ask_owner(partition, message, reply)
         _context.results.answer = answer_fields(explanation.answer)
         _context.results.reasons = json.dumps(dict(explanation.reasons))
 
@@ -147,8 +147,8 @@
         **_extra: Any,
     ) -> None:
         reply: Reply[Generation] = Reply()
-        offered = ConfigOffered(read_document_struct(document), reply)
-        self._receivers.config.send(offered)
+        message = ConfigOffered(read_document_struct(document), reply)
+        self._receivers.config.send(message)
         generation = await reply.wait(self._settings.call_timeout_ms)
         _context.results.generation = generation
 
@@ -169,7 +169,7 @@
             self._settings.call_timeout_ms,
         )
 
-    async def _job_answer(
+    async def _ask_owner(
         self,
         partition: str,
         message: JobMessage,
@@ -177,18 +177,20 @@
         wait_ms: int = 0,
     ) -> _Answer:
         """Return the owner's answer, or a refusal of the same type."""
-        name = PartitionId(partition)
+        partition_id = PartitionId(partition)
         if self._calls_count >= self._settings.calls_in_progress_max:
-            answer_all(message, _overloaded())
-        elif not self._receivers.router.send(Route(name, message, hops_left=0)):
-            answer_all(message, _overloaded())
+            answer_all(message, _overloaded_answer())
+        elif not self._receivers.router.send(
+            Route(partition_id, message, hops_left=0)
+        ):
+            answer_all(message, _overloaded_answer())
         self._calls_count += 1
         try:
             return await reply.wait(
-                _DEADLINE_SHARE * self._settings.call_timeout_ms + wait_ms,
+                _DEADLINE_RATIO * self._settings.call_timeout_ms + wait_ms,
             )
         except TimeoutError:
-            answer_all(message, _uncertain(name))
+            answer_all(message, _uncertain_answer(partition_id))
         finally:
             self._calls_count -= 1
         return await reply.wait(self._settings.call_timeout_ms)
@@ -213,7 +215,7 @@
     await server.on_disconnect()
 
 
-def _overloaded() -> JobAnswer:
+def _overloaded_answer() -> JobAnswer:
     return refused(
         refuse(
             codes.OVERLOADED,
@@ -223,7 +225,7 @@
     )
 
 
-def _uncertain(partition: PartitionId) -> JobAnswer:
+def _uncertain_answer(partition: PartitionId) -> JobAnswer:
     return refused(
         refuse(
             codes.OUTCOME_UNCERTAIN,
--- a/fuchsiarill/cluster/peers.py
+++ b/fuchsiarill/cluster/peers.py
@@ -23,7 +23,7 @@
 from fuchsiarill.settings import PeerSettings
 
 # The link waits at most twice for a connection and twice for an answer.
-_WAITS_COUNT: Final = 4
+_WAITS_MAX_COUNT: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +150,6 @@
         if not self._peers.send(CallPeer(address, call)):
             return Failure(PeerFailure.NOT_SENT)
         try:
-            return await reply.wait(_WAITS_COUNT * timeout_ms)
+            return await reply.wait(_WAITS_MAX_COUNT * timeout_ms)
         except TimeoutError:
             return Failure(PeerFailure.NO_ANSWER)
--- a/fuchsiarill/cluster/store_evidence.py
+++ b/fuchsiarill/cluster/store_evidence.py
@@ -17,8 +17,8 @@
 
     def __init__(self) -> None:
         """Start without evidence."""
-        self._down_at_ms: dict[str, int] = {}
-        self._up_at_ms = 0
+        self._reported_down_at_ms: dict[str, int] = {}
+        self._reported_up_at_ms = 0
 
     def record_answer(
         self,
@@ -40,22 +40,24 @@
                 continue
             if detail.region != own.detail.region:
                 continue
-            self._down_at_ms.setdefault(detail.failure_domain, 0)
+            self._reported_down_at_ms.setdefault(detail.failure_domain, 0)
             if detail.address == address:
-                self._record(member, requested_at_ms)
+                self._record_report(member, requested_at_ms)
 
     def outage_until_ms(self) -> int:
         """Return the end of the assumed outage; 0 without evidence."""
-        oldest_ms = min(self._down_at_ms.values(), default=0)
-        if oldest_ms <= self._up_at_ms:
+        oldest_ms = min(self._reported_down_at_ms.values(), default=0)
+        if oldest_ms <= self._reported_up_at_ms:
             return 0
         return oldest_ms + OUTAGE_EVIDENCE_VALID_MS
 
-    def _record(self, member: Member, requested_at_ms: int) -> None:
+    def _record_report(self, member: Member, requested_at_ms: int) -> None:
         if not member.beat.store_is_down:
-            self._up_at_ms = max(self._up_at_ms, requested_at_ms)
+            self._reported_up_at_ms = max(
+                self._reported_up_at_ms, requested_at_ms
+            )
             return
         domain = member.detail.failure_domain
-        self._down_at_ms[domain] = max(
-            self._down_at_ms[domain], requested_at_ms
+        self._reported_down_at_ms[domain] = max(
+            self._reported_down_at_ms[domain], requested_at_ms
         )
