Name requests, limits and refusals of the HTTP front end

Names in fuchsiarill/front had no noun (`found`, `named`, `own`, `_query`, `_list`, `_released`, `timed`, `parts`) or named a refusal by an adjective (`malformed`, `overloaded`, `_uncertain`).

They now name the value or the refusal they return, counters end in `_count`, and comments state the limits of the bridge, the event that requests wait for and how the customer of a request is determined. Metric names and labels are unchanged.

--- a/fuchsiarill/front/authentication.py
+++ b/fuchsiarill/front/authentication.py
@@ -26,13 +26,16 @@
 
 
 def identify(config: CellConfig, authorization: str) -> Identity | None:
-    """Return the holder of the token in an `Authorization` header."""
+    """Return the holder of the token in an `Authorization` header.
+
+    Returns `None` for an unknown token or another scheme than `Bearer`.
+    """
     scheme, _, token = authorization.partition(' ')
     digest = hashlib.sha256(token.strip().encode()).hexdigest()
-    found = None
+    identity = None
     for contract in config.contracts:
         if hmac.compare_digest(digest, contract.token_sha256):
-            found = Identity(contract.customer)
+            identity = Identity(contract.customer)
     if hmac.compare_digest(digest, config.operator_token_sha256):
-        found = OPERATOR
-    return found if scheme.lower() == _SCHEME else None
+        identity = OPERATOR
+    return identity if scheme.lower() == _SCHEME else None
--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -2,8 +2,8 @@
 
 A thread posts messages into the loop and blocks on their replies; the number
 of requests in progress is bounded and further requests are refused. Requests
-that wait for an event have a smaller limit of their own, so that threads
-remain for other requests.
+that wait for an event, such as the end of a job, have a smaller limit of their
+own, so that threads remain for other requests.
 """
 
 import asyncio
@@ -47,59 +47,59 @@
         in_progress_max: int,
         waits_max: int = 0,
     ) -> None:
-        """Admit at most `in_progress_max` requests at a time."""
+        """Limit the requests in progress and, among them, those that wait."""
         self.loop = loop
         self._in_progress_max = in_progress_max
         self._waits_max = waits_max
-        self._in_progress = 0
-        self._waits = 0
-        self._released = asyncio.Event()
-        self._counts = threading.Lock()
+        self._in_progress_count = 0
+        self._waits_count = 0
+        self._release_event = asyncio.Event()
+        self._counts_lock = threading.Lock()
 
     @property
     def in_progress(self) -> int:
         """Return the number of requests in progress."""
-        return self._in_progress
+        return self._in_progress_count
 
     def release(self) -> None:
         """End all waits for events; called in the loop."""
-        self._released.set()
+        self._release_event.set()
 
     def pause(self, duration_ms: int) -> None:
         """Block the calling thread, at most until the process drains."""
-        released = self._released.wait()
-        within = asyncio.wait_for(released, duration_ms / MS_PER_SECOND)
+        release = self._release_event.wait()
+        bounded_wait = asyncio.wait_for(release, duration_ms / MS_PER_SECOND)
         with suppress(TimeoutError):
-            asyncio.run_coroutine_threadsafe(within, self.loop).result()
+            asyncio.run_coroutine_threadsafe(bounded_wait, self.loop).result()
 
     @property
     def load_permille(self) -> int:
         """Return the requests in progress in thousandths of their limit."""
-        return _PERMILLE * self._in_progress // self._in_progress_max
+        return _PERMILLE * self._in_progress_count // self._in_progress_max
 
     @contextmanager
     def admitted(self) -> Iterator[bool]:
         """Count a request in progress; yields whether the limit allows it."""
-        with self._counts:
-            admitted = self._in_progress < self._in_progress_max
-            self._in_progress += int(admitted)
+        with self._counts_lock:
+            admitted = self._in_progress_count < self._in_progress_max
+            self._in_progress_count += int(admitted)
         try:
             yield admitted
         finally:
-            with self._counts:
-                self._in_progress -= int(admitted)
+            with self._counts_lock:
+                self._in_progress_count -= int(admitted)
 
     @contextmanager
     def waiting(self) -> Iterator[bool]:
         """Count a request that waits; yields whether the limit allows it."""
-        with self._counts:
-            admitted = self._waits < self._waits_max
-            self._waits += int(admitted)
+        with self._counts_lock:
+            admitted = self._waits_count < self._waits_max
+            self._waits_count += int(admitted)
         try:
             yield admitted
         finally:
-            with self._counts:
-                self._waits -= int(admitted)
+            with self._counts_lock:
+                self._waits_count -= int(admitted)
 
     def ask(
         self,
@@ -109,7 +109,8 @@
     ) -> _Answer:
         """Post one message and return its answer.
 
-        Raises `NotSentError`, or `TimeoutError` when no answer came in time.
+        Raises `NotSentError`, or `TimeoutError` when no answer came within
+        `timeout_ms`.
         """
         answer = self.ask_all([ActorRequest(mailbox, build)], timeout_ms)[0]
         if isinstance(answer, Exception):
@@ -127,31 +128,31 @@
         In place of an answer there may be a `NotSentError` or `TimeoutError`,
         and a `ReleasedError` where the messages wait for an event (`waits`).
         """
-        gathered = _gather(requests, timeout_ms)
+        gathering = _gather(requests, timeout_ms)
         if waits:
-            gathered = self._until_released(gathered, len(requests))
-        future = asyncio.run_coroutine_threadsafe(gathered, self.loop)
+            gathering = self._gather_until_released(gathering, len(requests))
+        future = asyncio.run_coroutine_threadsafe(gathering, self.loop)
         try:
             # The loop enforces the deadline; after twice as long it has ended.
             return future.result(2 * timeout_ms / MS_PER_SECOND)
         except (TimeoutError, CancelledError):
             return [TimeoutError() for _ in requests]
 
-    async def _until_released(
+    async def _gather_until_released(
         self,
-        gathered: Coroutine[Any, Any, list[Any]],
+        gathering: Coroutine[Any, Any, list[Any]],
         count: int,
     ) -> list[Any]:
-        answering = asyncio.ensure_future(gathered)
-        released = asyncio.ensure_future(self._released.wait())
+        gather_task = asyncio.ensure_future(gathering)
+        release_task = asyncio.ensure_future(self._release_event.wait())
         await asyncio.wait(
-            (answering, released),
+            (gather_task, release_task),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        released.cancel()
-        if answering.done():
-            return answering.result()
-        answering.cancel()
+        release_task.cancel()
+        if gather_task.done():
+            return gather_task.result()
+        gather_task.cancel()
         return [ReleasedError() for _ in range(count)]
 
 
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -24,7 +24,7 @@
     RETRY_AFTER_MS,
     HttpReply,
     QueryError,
-    malformed,
+    malformed_refusal,
     refusal_reply,
     reply_of,
 )
@@ -49,7 +49,7 @@
 _LIST_DEFAULT_COUNT: Final = 100
 _LIST_MAX_COUNT: Final = 1_000
 _RETRIED_CODES: Final = (codes.OWNER_UNAVAILABLE, codes.OUTCOME_UNCERTAIN)
-_JOB: Final = '/v1/jobs/([^/]+)'
+_JOB_PATTERN: Final = '/v1/jobs/([^/]+)'
 
 
 @route('POST', '/v1/jobs', Access.CALLER, 'customer')
@@ -60,7 +60,7 @@
     )
     if isinstance(parsed, Failure):
         return refusal_reply(parsed.failure())
-    answers = _submit(front, parsed.unwrap())
+    answers = _submit_by_partition(front, parsed.unwrap())
     for answer in answers:
         front.metrics.count_submission(answer.code)
     return HttpReply(
@@ -72,20 +72,20 @@
 @route('GET', '/v1/jobs', Access.CALLER, 'customer', 'state', 'limit')
 def list_jobs(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """List jobs of a customer, the latest accepted of each partition first."""
-    found = _customer_with_contract(front, request)
-    if isinstance(found, Failure):
-        return refusal_reply(found.failure())
+    customer = _customer_with_contract(front, request)
+    if isinstance(customer, Failure):
+        return refusal_reply(customer.failure())
     limit = request.count('limit', _LIST_DEFAULT_COUNT, _LIST_MAX_COUNT)
-    query = JobList(found.unwrap(), _state_of(request), limit)
-    jobs = _list(front, query)
+    query = JobList(customer.unwrap(), _state_of(request), limit)
+    jobs = _list_from_partitions(front, query)
     refusals = [job for job in jobs if job.refusal is not None]
     if refusals:
         return reply_of(refusals[0])
-    listed = [answer_object(job) for job in jobs[:limit]]
-    return HttpReply(HTTPStatus.OK, {'jobs': listed})
+    job_objects = [answer_object(job) for job in jobs[:limit]]
+    return HttpReply(HTTPStatus.OK, {'jobs': job_objects})
 
 
-@route('GET', _JOB, Access.CALLER, 'customer', 'wait_ms')
+@route('GET', _JOB_PATTERN, Access.CALLER, 'customer', 'wait_ms')
 def query_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Return the state of a job; `wait_ms=N` waits for its end.
 
@@ -96,14 +96,14 @@
     answer = _wait_for_end(front, request, wait_ms) if wait_ms else None
     if answer is not None and answer.code not in _RETRIED_CODES:
         return reply_of(answer)
-    answer = _query(front, request, 0)
+    answer = _ask_job_state(front, request, 0)
     body = answer_object(answer)
     if wait_ms and answer.code is codes.NOT_FINISHED:
         body['retry_after_ms'] = RETRY_AFTER_MS
     return HttpReply(answer.code.http_status, body)
 
 
-@route('GET', f'{_JOB}/why', Access.CALLER, 'customer')
+@route('GET', f'{_JOB_PATTERN}/why', Access.CALLER, 'customer')
 def explain_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Explain what a job waits for."""
     explanation = _ask_owner_of_job(
@@ -122,7 +122,7 @@
     return HttpReply(explanation.answer.code.http_status, body)
 
 
-@route('DELETE', _JOB, Access.CALLER, 'customer')
+@route('DELETE', _JOB_PATTERN, Access.CALLER, 'customer')
 def cancel_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Cancel a job."""
     return reply_of(
@@ -137,7 +137,7 @@
     )
 
 
-def _submit(
+def _submit_by_partition(
     front: 'HttpFront',
     specs: tuple[JobSpec, ...],
 ) -> list[JobAnswer]:
@@ -149,7 +149,7 @@
         [
             (
                 partition,
-                _submission([specs[index] for index in positions]),
+                _submission_builder([specs[index] for index in positions]),
             )
             for partition, positions in batches.items()
         ],
@@ -162,22 +162,24 @@
     return [answer for _, answer in sorted(answers.items())]
 
 
-def _list(front: 'HttpFront', query: JobList) -> list[JobAnswer]:
+def _list_from_partitions(
+    front: 'HttpFront', query: JobList
+) -> list[JobAnswer]:
     build = partial(messages.ListJobs, query)
     partitions = _partitions_of(front, query.customer)
-    listed: list[JobAnswer] = []
+    answers: list[JobAnswer] = []
     for answer in front.ask_owners([(name, build) for name in partitions]):
-        listed.extend([answer] if isinstance(answer, JobAnswer) else answer)
-    return listed
+        answers.extend([answer] if isinstance(answer, JobAnswer) else answer)
+    return answers
 
 
-def _submission(
+def _submission_builder(
     specs: list[JobSpec],
 ) -> Callable[[Reply[Any]], JobMessage]:
     return partial(messages.SubmitJobs, tuple(specs))
 
 
-def _query(
+def _ask_job_state(
     front: 'HttpFront',
     request: HttpRequest,
     wait_ms: int,
@@ -215,15 +217,15 @@
     wait_ms: int,
 ) -> JobAnswer:
     """Repeat the query while the owner changes, until the wait is over."""
-    clock = front.bridge.loop.time
-    ends_at_s = clock() + wait_ms / MS_PER_SECOND
-    answer = _query(front, request, wait_ms)
+    loop_time_s = front.bridge.loop.time
+    ends_at_s = loop_time_s() + wait_ms / MS_PER_SECOND
+    answer = _ask_job_state(front, request, wait_ms)
     while answer.code in _RETRIED_CODES:
         front.bridge.pause(RETRY_AFTER_MS)
-        left_ms = int(MS_PER_SECOND * (ends_at_s - clock()))
-        if left_ms <= 0:
+        remaining_ms = int(MS_PER_SECOND * (ends_at_s - loop_time_s()))
+        if remaining_ms <= 0:
             break
-        answer = _query(front, request, left_ms)
+        answer = _ask_job_state(front, request, remaining_ms)
     return answer
 
 
@@ -234,11 +236,11 @@
     wait_ms: int = 0,
 ) -> Any:
     """Send a message to the owner of the job that the path names."""
-    found = _customer_with_contract(front, request)
-    if isinstance(found, Failure):
-        return refused(found.failure())
-    customer = found.unwrap()
-    job_id = JobId(request.parts[0])
+    checked_customer = _customer_with_contract(front, request)
+    if isinstance(checked_customer, Failure):
+        return refused(checked_customer.failure())
+    customer = checked_customer.unwrap()
+    job_id = JobId(request.path_groups[0])
     partition = partition_of_job(job_id)
     if partition not in _partitions_of(front, customer):
         return refused(
@@ -255,10 +257,10 @@
     request: HttpRequest,
 ) -> Result[CustomerId, Refusal]:
     """Return the customer, or a refusal if it has no contract."""
-    found = request.customer()
-    if isinstance(found, Failure):
-        return found
-    customer = found.unwrap()
+    named_customer = request.customer()
+    if isinstance(named_customer, Failure):
+        return named_customer
+    customer = named_customer.unwrap()
     if _partitions_of(front, customer):
         return Success(customer)
     return Failure(
@@ -303,7 +305,9 @@
     try:
         return JobState(name)
     except ValueError:
-        raise QueryError(malformed('state', texts.UNKNOWN_STATE)) from None
+        raise QueryError(
+            malformed_refusal('state', texts.UNKNOWN_STATE)
+        ) from None
 
 
 def _common_status(answers: list[JobAnswer]) -> HTTPStatus:
--- a/fuchsiarill/front/front_actor.py
+++ b/fuchsiarill/front/front_actor.py
@@ -11,15 +11,16 @@
 from fuchsiarill.owner.messages import ConfigChanged, Tick
 
 _LOAD_INTERVAL_MS = 1_000
-_CHECK_INTERVAL_MS = 20
+_IDLE_CHECK_INTERVAL_MS = 20
 
 
 @dataclass(frozen=True, slots=True)
 class StopFront:
     """Finish answers in progress and close the listener.
 
-    Requests that wait for the end of a job may continue for half of the time.
-    The reply is whether all requests were answered within `within_ms`.
+    Requests that wait for the end of a job may continue for half of
+    `within_ms`. The reply is whether all requests were answered within
+    `within_ms`.
     """
 
     within_ms: int
@@ -53,7 +54,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Publish the load."""
+        """Report the load of the front to the membership actor."""
         load = LoadMeasured(self._front.bridge.load_permille)
         self._membership.send(load)
 
@@ -61,9 +62,9 @@
     async def on_stop(self, message: StopFront) -> None:
         """Wait for the answers in progress, then close."""
         bridge = self._front.bridge
-        await self._wait_idle(message.within_ms // 2)
+        await self._wait_until_idle(message.within_ms // 2)
         bridge.release()
-        await self._wait_idle(message.within_ms // 2)
+        await self._wait_until_idle(message.within_ms // 2)
         finished = not bridge.in_progress
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self._front.stop)
@@ -77,7 +78,7 @@
             'in_progress_count': self._front.bridge.in_progress,
         }
 
-    async def _wait_idle(self, within_ms: int) -> None:
+    async def _wait_until_idle(self, within_ms: int) -> None:
         ends_at_ms = now_ms() + within_ms
         while self._front.bridge.in_progress and now_ms() < ends_at_ms:
-            await sleep_ms(_CHECK_INTERVAL_MS)
+            await sleep_ms(_IDLE_CHECK_INTERVAL_MS)
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -30,7 +30,7 @@
     RETRY_AFTER_MS,
     HttpReply,
     QueryError,
-    overloaded,
+    overloaded_refusal,
     refusal_reply,
 )
 from fuchsiarill.front.routes import (
@@ -53,8 +53,8 @@
 
 # A body above the limit but below this multiple of it is read and refused on a
 # connection that stays open; on a larger body the server closes the connection.
-_READ_FACTOR: Final = 4
-_RAW_REQUEST: Final = 'fuchsiarill.request'
+_BODY_READ_FACTOR: Final = 4
+_REQUEST_KEY: Final = 'fuchsiarill.request'
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
 
     def __init__(self, req: Any) -> None:
         super().__init__(req)
-        self.env[_RAW_REQUEST] = req
+        self.env[_REQUEST_KEY] = req
 
 
 class HttpFront:
@@ -102,7 +102,7 @@
         self._server.gateway = _Gateway
         self._server.keep_alive_conn_limit = settings.connections_max_count
         self._server.max_request_body_size = (
-            _READ_FACTOR * settings.body_max_bytes
+            _BODY_READ_FACTOR * settings.body_max_bytes
         )
         self._server.max_request_header_size = settings.header_max_bytes
 
@@ -155,7 +155,7 @@
         if any(isinstance(answer, ReleasedError) for answer in answers):
             raise ReleasedError
         return [
-            _as_refusal(answer, partition)
+            _answer_or_refusal(answer, partition)
             for answer, (partition, _) in zip(answers, requests, strict=True)
         ]
 
@@ -165,28 +165,28 @@
         start_response: Callable[[str, list[tuple[str, str]]], object],
     ) -> Iterable[bytes]:
         with self.bridge.admitted() as admitted:
-            reply = self._reply_safely(environ, admitted)
+            reply = self._handle_request_safely(environ, admitted)
         if self.view.state is ProcessState.DRAINING:
-            environ[_RAW_REQUEST].close_connection = True
+            environ[_REQUEST_KEY].close_connection = True
         body, content_type = _encode_body(reply.body)
         headers = [
             ('Content-Type', content_type),
             ('Content-Length', str(len(body))),
         ]
-        headers.extend(_retry_header(reply.body))
+        headers.extend(_retry_headers(reply.body))
         status = f'{reply.status.value} {reply.status.phrase}'
         start_response(status, headers)
         return [body]
 
-    def _reply_safely(
+    def _handle_request_safely(
         self,
         environ: dict[str, Any],
         admitted: bool,
     ) -> HttpReply:
         try:
-            return self._reply(environ, admitted)
-        except QueryError as invalid:
-            return refusal_reply(invalid.refusal)
+            return self._handle_request(environ, admitted)
+        except QueryError as error:
+            return refusal_reply(error.refusal)
         except TimeoutError:
             return refusal_reply(
                 refuse(
@@ -205,21 +205,23 @@
                 refuse(codes.INTERNAL_FAULT, texts.INTERNAL_FAULT),
             )
 
-    def _reply(self, environ: dict[str, Any], admitted: bool) -> HttpReply:
+    def _handle_request(
+        self, environ: dict[str, Any], admitted: bool
+    ) -> HttpReply:
         method = environ['REQUEST_METHOD']
         body = _read_body(environ, self.settings.body_max_bytes)
-        found = find_route(method, environ['PATH_INFO'])
-        if found is None:
-            return refusal_reply(_unknown_route(environ))
-        endpoint, parts = found
+        matched_route = find_route(method, environ['PATH_INFO'])
+        if matched_route is None:
+            return refusal_reply(_unknown_route_refusal(environ))
+        endpoint, path_groups = matched_route
         identity = self._authorize(environ, endpoint, admitted)
         if isinstance(identity, Refusal):
             return refusal_reply(identity)
         if isinstance(body, Refusal):
             return refusal_reply(body)
         query = parse_query(environ.get('QUERY_STRING', ''), endpoint)
-        request = HttpRequest(identity, parts, query, body)
-        with self.metrics.timed(method, endpoint.handler.__name__):
+        request = HttpRequest(identity, path_groups, query, body)
+        with self.metrics.time_request(method, endpoint.handler.__name__):
             return _call_handler(self, endpoint, request)
 
     def _authorize(
@@ -232,7 +234,7 @@
         if endpoint.access is Access.OPEN:
             return OPERATOR
         if not admitted or self._is_overloaded():
-            return overloaded()
+            return overloaded_refusal()
         config = self.view.config
         if config is None:
             return refuse(
@@ -265,7 +267,7 @@
     try:
         return endpoint.handler(front, request)
     except NotSentError:
-        return refusal_reply(overloaded())
+        return refusal_reply(overloaded_refusal())
 
 
 def _route_builder(
@@ -275,15 +277,15 @@
     return lambda reply: Route(partition, build(reply))
 
 
-def _as_refusal(answer: Any, partition: PartitionId) -> Any:
+def _answer_or_refusal(answer: Any, partition: PartitionId) -> Any:
     if isinstance(answer, NotSentError):
-        return refused(overloaded())
+        return refused(overloaded_refusal())
     if isinstance(answer, Exception):
-        return _uncertain(partition)
+        return _uncertain_answer(partition)
     return answer
 
 
-def _uncertain(partition: PartitionId) -> JobAnswer:
+def _uncertain_answer(partition: PartitionId) -> JobAnswer:
     return refused(
         refuse(
             codes.OUTCOME_UNCERTAIN,
@@ -293,7 +295,7 @@
     )
 
 
-def _unknown_route(environ: dict[str, Any]) -> Refusal:
+def _unknown_route_refusal(environ: dict[str, Any]) -> Refusal:
     return refuse(
         codes.UNKNOWN_ROUTE,
         texts.UNKNOWN_ROUTE,
@@ -312,7 +314,7 @@
             body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
     except (OSError, ValueError, errors.MaxSizeExceeded) as error:
         # The rest of the body can't be distinguished from the next request.
-        environ[_RAW_REQUEST].close_connection = True
+        environ[_REQUEST_KEY].close_connection = True
         return refuse(codes.MALFORMED, texts.MALFORMED, problem=str(error))
     if len(body) <= limit_bytes:
         return bytes(body)
@@ -330,7 +332,7 @@
     return json.dumps(body).encode(), 'application/json'
 
 
-def _retry_header(body: Any) -> list[tuple[str, str]]:
+def _retry_headers(body: Any) -> list[tuple[str, str]]:
     """Return the delay in whole seconds, rounded up."""
     if not isinstance(body, dict) or not body.get('retry_after_ms'):
         return []
--- a/fuchsiarill/front/metrics.py
+++ b/fuchsiarill/front/metrics.py
@@ -36,8 +36,8 @@
 _Answer = TypeVar('_Answer')
 
 _CUSTOMERS_MAX_COUNT: Final = 100
-_OTHERS: Final = 'others'
-_SECONDS: Final = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60)
+_OTHER_CUSTOMERS: Final = 'others'
+_REQUEST_BUCKETS_S: Final = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60)
 
 
 class Metrics:
@@ -56,7 +56,7 @@
             'fuchsiarill_request_seconds',
             'Time of HTTP requests, waits included.',
             ('method', 'route'),
-            buckets=_SECONDS,
+            buckets=_REQUEST_BUCKETS_S,
             registry=self._registry,
         )
         self._store_calls = Counter(
@@ -70,18 +70,18 @@
             'Generation of the configuration in force.',
             registry=self._registry,
         )
-        self._owned = Gauge(
+        self._owned_partitions = Gauge(
             'fuchsiarill_owned_partitions',
             'Partitions that this process owns.',
             registry=self._registry,
         )
-        self._mailboxes = Gauge(
+        self._mailbox_messages = Gauge(
             'fuchsiarill_mailbox_messages',
             'Messages that wait for an actor.',
             ('actor',),
             registry=self._registry,
         )
-        self._queued = Gauge(
+        self._queued_jobs = Gauge(
             'fuchsiarill_queued_jobs',
             'Waiting jobs of a customer in the partitions owned here.',
             ('customer',),
@@ -94,10 +94,12 @@
         """Count the answer to one submitted job."""
         self._submissions.labels(code.name).inc()
 
-    def timed(self, method: str, name: str) -> AbstractContextManager[Any]:
+    def time_request(
+        self, method: str, route_name: str
+    ) -> AbstractContextManager[Any]:
         """Return a context manager that measures the time of a request."""
         timer: AbstractContextManager[Any]
-        timer = self._requests.labels(method, name).time()
+        timer = self._requests.labels(method, route_name).time()
         return timer
 
     def count_store_call(self, verb: str, answered: bool) -> None:
@@ -107,14 +109,16 @@
     def render(self, measures: Measures) -> bytes:
         """Return all metrics in the text format."""
         self._generation.set(measures.generation)
-        self._owned.set(measures.owned_partitions_count)
+        self._owned_partitions.set(measures.owned_partitions_count)
         self._decisions.measures = measures
-        self._mailboxes.clear()
+        self._mailbox_messages.clear()
         for actor, count in measures.mailbox_counts.items():
-            self._mailboxes.labels(actor).set(count)
-        self._queued.clear()
-        for customer, queued in _capped(measures.queued_counts).items():
-            self._queued.labels(customer).set(queued)
+            self._mailbox_messages.labels(actor).set(count)
+        self._queued_jobs.clear()
+        for customer, jobs_count in _cap_customers(
+            measures.queued_counts
+        ).items():
+            self._queued_jobs.labels(customer).set(jobs_count)
         return generate_latest(self._registry)
 
 
@@ -128,35 +132,41 @@
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
         """Read a key."""
-        return self._counted('get', await self._store.get(key))
+        return self._count_answer('get', await self._store.get(key))
 
     async def swap(self, swap: Swap) -> SwapResult:
         """Write a key if it still has the expected revision."""
-        swapped = await self._store.swap(swap)
-        answered = swapped.outcome is not SwapOutcome.UNKNOWN
+        swap_result = await self._store.swap(swap)
+        answered = swap_result.outcome is not SwapOutcome.UNKNOWN
         self._metrics.count_store_call('swap', answered)
-        return swapped
+        return swap_result
 
     async def grant_lease(
         self,
         ttl_ms: int,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """Create a lease."""
-        return self._counted('grant', await self._store.grant_lease(ttl_ms))
+        return self._count_answer(
+            'grant', await self._store.grant_lease(ttl_ms)
+        )
 
     async def renew_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """Extend a lease."""
-        return self._counted('renew', await self._store.renew_lease(lease_id))
+        return self._count_answer(
+            'renew', await self._store.renew_lease(lease_id)
+        )
 
     async def revoke_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """End a lease."""
-        return self._counted('revoke', await self._store.revoke_lease(lease_id))
+        return self._count_answer(
+            'revoke', await self._store.revoke_lease(lease_id)
+        )
 
     async def watch(
         self,
@@ -165,10 +175,10 @@
         wait_ms: int,
     ) -> Result[Versioned, StoreFailure]:
         """Wait for a change of a key."""
-        watched = await self._store.watch(key, after, wait_ms)
-        return self._counted('watch', watched)
+        watch_result = await self._store.watch(key, after, wait_ms)
+        return self._count_answer('watch', watch_result)
 
-    def _counted(
+    def _count_answer(
         self,
         verb: str,
         answer: Result[_Answer, StoreFailure],
@@ -196,11 +206,11 @@
         )
 
 
-def _capped(counts: dict[str, int]) -> dict[str, int]:
-    """Keep the customers with the longest queues; sum up the rest."""
+def _cap_customers(counts: dict[str, int]) -> dict[str, int]:
+    """Keep the customers with the most queued jobs; sum up the others."""
     ordered = sorted(counts.items(), key=lambda item: -item[1])
-    kept = dict(ordered[:_CUSTOMERS_MAX_COUNT])
-    rest = sum(count for _, count in ordered[_CUSTOMERS_MAX_COUNT:])
-    if rest:
-        kept[_OTHERS] = rest
-    return kept
+    capped = dict(ordered[:_CUSTOMERS_MAX_COUNT])
+    others_count = sum(count for _, count in ordered[_CUSTOMERS_MAX_COUNT:])
+    if others_count:
+        capped[_OTHER_CUSTOMERS] = others_count
+    return capped
--- a/fuchsiarill/front/operator_routes.py
+++ b/fuchsiarill/front/operator_routes.py
@@ -83,7 +83,7 @@
             'generation': row['generation'],
             'reachable': row['reachable'],
         }
-        for row in _rows(front)
+        for row in _member_rows(front)
     ]
     return HttpReply(HTTPStatus.OK, {'processes': rows})
 
@@ -91,7 +91,7 @@
 @route('GET', '/v1/status', Access.OPERATOR)
 def show_status(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Return one row for each process in the view."""
-    return HttpReply(HTTPStatus.OK, {'processes': _rows(front)})
+    return HttpReply(HTTPStatus.OK, {'processes': _member_rows(front)})
 
 
 @route('GET', '/v1/hosts', Access.OPERATOR)
@@ -112,11 +112,11 @@
 @route('GET', '/v1/dump', Access.OPERATOR, 'process')
 def dump(front: 'HttpFront', request: HttpRequest) -> HttpReply:
     """Return the state of every actor of this or another process."""
-    name = request.query.get('process')
+    process_name = request.query.get('process')
     answer = front.ask(
         front.receivers.process,
         lambda reply: ForwardDump(
-            None if name is None else ProcessId(name),
+            None if process_name is None else ProcessId(process_name),
             reply,
         ),
     )
@@ -147,12 +147,12 @@
     return body
 
 
-def _rows(front: 'HttpFront') -> list[dict[str, Any]]:
+def _member_rows(front: 'HttpFront') -> list[dict[str, Any]]:
     members = front.ask(front.receivers.membership, GetView)
-    return [_row(member) for member in members]
+    return [_member_row(member) for member in members]
 
 
-def _row(member: Member) -> dict[str, Any]:
+def _member_row(member: Member) -> dict[str, Any]:
     detail = member.detail
     return {
         'process': detail.process,
--- a/fuchsiarill/front/replies.py
+++ b/fuchsiarill/front/replies.py
@@ -30,7 +30,7 @@
         self.refusal = refusal
 
 
-def malformed(field: str, problem: str) -> Refusal:
+def malformed_refusal(field: str, problem: str) -> Refusal:
     """Return the refusal of an invalid field."""
     return refuse(
         codes.MALFORMED,
@@ -50,8 +50,8 @@
     return reply_of(refused(refusal))
 
 
-def overloaded() -> Refusal:
-    """Return the refusal of a request that is shed."""
+def overloaded_refusal() -> Refusal:
+    """Return the refusal of a request that is shed under overload."""
     return refuse(
         codes.OVERLOADED,
         texts.OVERLOADED,
--- a/fuchsiarill/front/routes.py
+++ b/fuchsiarill/front/routes.py
@@ -11,7 +11,7 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.front.authentication import Identity
-from fuchsiarill.front.replies import HttpReply, QueryError, malformed
+from fuchsiarill.front.replies import HttpReply, QueryError, malformed_refusal
 from fuchsiarill.ids import CustomerId
 from fuchsiarill.refusal import Refusal, refuse
 from fuchsiarill.registry import Registry
@@ -32,25 +32,28 @@
 class HttpRequest:
     """The parts of a request that handlers use.
 
-    `parts` are the groups matched in the path. Routes without authentication
-    get the identity of an operator, which they don't use.
+    `path_groups` are the groups matched in the path. Routes without
+    authentication get the identity of an operator, which they don't use.
     """
 
     identity: Identity
-    parts: tuple[str, ...]
+    path_groups: tuple[str, ...]
     query: Mapping[str, str]
     body: bytes
 
     def customer(self) -> Result[CustomerId, Refusal]:
-        """Return the customer that the request is for."""
-        named = self.query.get('customer')
-        own = self.identity.customer
-        if own is None and named:
-            return Success(CustomerId(named))
-        if own is not None and named in {None, own}:
-            return Success(own)
-        if own is None:
-            return Failure(malformed('customer', texts.CUSTOMER_NEEDED))
+        """Return the customer that the request is for.
+
+        An operator must name it in the query; a caller may only name itself.
+        """
+        named_customer = self.query.get('customer')
+        own_customer = self.identity.customer
+        if own_customer is None and named_customer:
+            return Success(CustomerId(named_customer))
+        if own_customer is not None and named_customer in {None, own_customer}:
+            return Success(own_customer)
+        if own_customer is None:
+            return Failure(malformed_refusal('customer', texts.CUSTOMER_NEEDED))
         return Failure(refuse(codes.FORBIDDEN, texts.FORBIDDEN))
 
     def count(self, name: str, default: int, limit: int) -> int:
@@ -59,7 +62,7 @@
         if text is None:
             return default
         if not re.fullmatch('[0-9]{1,9}', text):
-            raise QueryError(malformed(name, texts.NOT_A_COUNT))
+            raise QueryError(malformed_refusal(name, texts.NOT_A_COUNT))
         return min(int(text), limit)
 
 
@@ -98,22 +101,24 @@
     method: str,
     path: str,
 ) -> tuple[Endpoint, tuple[str, ...]] | None:
-    """Return the endpoint and the groups of the path."""
+    """Return the endpoint and the groups matched in the path."""
     for known_method, pattern in ROUTES:
         if known_method != method:
             continue
-        found = re.fullmatch(pattern, path)
-        if found is not None:
-            return ROUTES.lookup((method, pattern)), found.groups()
+        match = re.fullmatch(pattern, path)
+        if match is not None:
+            return ROUTES.lookup((method, pattern)), match.groups()
     return None
 
 
 def parse_query(text: str, endpoint: Endpoint) -> Mapping[str, str]:
     """Return the parameters; raises `QueryError` if unknown or repeated."""
-    named = parse_qsl(text, keep_blank_values=True)
-    for name, _value in named:
+    name_value_pairs = parse_qsl(text, keep_blank_values=True)
+    for name, _value in name_value_pairs:
         if name not in endpoint.known_parameters:
-            raise QueryError(malformed(name, texts.UNKNOWN_PARAMETER))
-    if len(dict(named)) != len(named):
-        raise QueryError(malformed(named[0][0], texts.REPEATED_PARAMETER))
-    return dict(named)
+            raise QueryError(malformed_refusal(name, texts.UNKNOWN_PARAMETER))
+    if len(dict(name_value_pairs)) != len(name_value_pairs):
+        raise QueryError(
+            malformed_refusal(name_value_pairs[0][0], texts.REPEATED_PARAMETER)
+        )
+    return dict(name_value_pairs)
--- a/fuchsiarill/front/submissions.py
+++ b/fuchsiarill/front/submissions.py
@@ -24,7 +24,7 @@
 _Text = Annotated[str, Field(min_length=1, max_length=200)]
 _Payload = Annotated[str, Field(max_length=100_000)]
 _Count = Annotated[int, Field(ge=0, le=10_000_000)]
-_Tasks = Annotated[int, Field(ge=1, le=10_000)]
+_TasksCount = Annotated[int, Field(ge=1, le=10_000)]
 
 BATCH_MAX_COUNT: Final = 1000
 
@@ -50,7 +50,7 @@
     execution: Execution = Execution.IDEMPOTENT
     urgency: Urgency = Urgency.NORMAL
     job_class: _Text = 'default'
-    tasks_count: _Tasks = 1
+    tasks_count: _TasksCount = 1
     task_size: TaskSize
     run_time_ms: Annotated[int, Field(ge=0, le=10_000_000_000)] = 0
     payload: _Payload = ''
@@ -89,7 +89,7 @@
     ]
 
 
-_BATCHES: Final = TypeAdapter(Batch)
+_BATCH_ADAPTER: Final = TypeAdapter(Batch)
 
 
 def parse_batch(
@@ -98,12 +98,12 @@
 ) -> Result[tuple[JobSpec, ...], Refusal]:
     """Read the body of a submission request."""
     try:
-        batch = _BATCHES.validate_json(body, strict=True)
+        batch = _BATCH_ADAPTER.validate_json(body, strict=True)
     except ValidationError as invalid:
         return Failure(first_problem(invalid))
-    repeated = _repeated_key(batch)
-    if repeated is not None:
-        return Failure(repeated)
+    refusal = _find_repeated_key(batch)
+    if refusal is not None:
+        return Failure(refusal)
     return Success(
         tuple(_as_spec(submission, customer) for submission in batch.jobs),
     )
@@ -129,9 +129,9 @@
 
 def first_problem(invalid: ValidationError) -> Refusal:
     """Return the refusal of a body, which names its first invalid field."""
-    found = invalid.errors()[0]
-    field = '.'.join(str(part) for part in found['loc'])
-    problem = f'{field}: {found["msg"]}' if field else found['msg']
+    error = invalid.errors()[0]
+    field = '.'.join(str(part) for part in error['loc'])
+    problem = f'{field}: {error["msg"]}' if field else error['msg']
     return refuse(
         codes.MALFORMED,
         texts.MALFORMED,
@@ -140,15 +140,15 @@
     )
 
 
-def _repeated_key(batch: Batch) -> Refusal | None:
+def _find_repeated_key(batch: Batch) -> Refusal | None:
     """Refuse two jobs with the same key, since only one could be answered."""
-    first: dict[str, str] = {}
+    first_fields: dict[str, str] = {}
     for position, submission in enumerate(batch.jobs):
         field = f'jobs.{position}.idempotency_key'
-        earlier = first.setdefault(submission.idempotency_key, field)
-        if earlier == field:
+        first_field = first_fields.setdefault(submission.idempotency_key, field)
+        if first_field == field:
             continue
-        problem = texts.REPEATED_JOB_KEY.format(first=earlier)
+        problem = texts.REPEATED_JOB_KEY.format(first=first_field)
         return refuse(
             codes.MALFORMED,
             texts.MALFORMED,
