--- a/fuchsiarill/commands/client.py
+++ b/fuchsiarill/commands/client.py
@@ -26,7 +26,7 @@
 class ClientSettings:
     """URLs of the entry processes and the token of the caller."""
 
-    server_urls: tuple[str, ...]
+    servers: tuple[str, ...]
     token: str
 
 
@@ -71,7 +71,7 @@
         """
         last_response: ServerResponse | None = None
         errors = []
-        for server_url in self._settings.server_urls:
+        for server_url in self._settings.servers:
             try:
                 last_response = self._request_server(
                     f'{server_url}{path}', method, body
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -43,8 +43,8 @@
 )
 from fuchsiarill.settings import ConfigSettings, MembershipSettings
 
-_CALL_MS = 2
-_DEADLINE_MS = 1_000
+_CALL_DURATION_MS = 2
+_CALL_DEADLINE_MS = 1_000
 
 
 @dataclass
@@ -87,12 +87,12 @@
         cell.revision += 1
         revision = Revision(cell.revision)
         cell.stored[swap.key] = Versioned(swap.key, swap.value, revision)
-        for key, changed in cell.watches:
+        for key, change_event in cell.watches:
             if key == swap.key:
-                changed.set()
+                change_event.set()
         if cell.replies_to_lose:
             cell.replies_to_lose -= 1
-            await sleep_ms(_DEADLINE_MS)
+            await sleep_ms(_CALL_DEADLINE_MS)
             return SwapResult(SwapOutcome.UNKNOWN)
         return SwapResult(SwapOutcome.SWAPPED, revision)
 
@@ -104,11 +104,11 @@
     ) -> Result[Versioned, StoreFailure]:
         if not await self._reaches_store():
             return Failure(StoreFailure.UNREACHABLE)
-        changed = asyncio.Event()
-        self._cell.watches.append((key, changed))
+        change_event = asyncio.Event()
+        self._cell.watches.append((key, change_event))
         if self._cell.read(key).revision == after:
-            await self._wait(changed, wait_ms)
-        self._cell.watches.remove((key, changed))
+            await self._wait_for_change(change_event, wait_ms)
+        self._cell.watches.remove((key, change_event))
         if not await self._reaches_store():
             return Failure(StoreFailure.UNREACHABLE)
         return Success(self._cell.read(key))
@@ -131,16 +131,18 @@
     ) -> Result[StoreLeaseId, StoreFailure]:
         raise NotImplementedError
 
-    async def _wait(self, changed: asyncio.Event, wait_ms: int) -> None:
+    async def _wait_for_change(
+        self, change_event: asyncio.Event, wait_ms: int
+    ) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_ms / 1000):
-                await changed.wait()
+                await change_event.wait()
 
     async def _reaches_store(self) -> bool:
-        await sleep_ms(_CALL_MS)
+        await sleep_ms(_CALL_DURATION_MS)
         if self._process not in self._cell.cut_from_store:
             return True
-        await sleep_ms(_DEADLINE_MS)
+        await sleep_ms(_CALL_DEADLINE_MS)
         return False
 
 
@@ -162,7 +164,7 @@
         self._cell.gossip_count += 1
         reply: Reply[Gossip] = Reply()
         peer.membership.mailbox.send(GossipReceived(message, reply))
-        return Success(await reply.wait(_DEADLINE_MS))
+        return Success(await reply.wait(_CALL_DEADLINE_MS))
 
     async def offer_config(
         self,
@@ -174,7 +176,7 @@
             return Failure(PeerFailure.NO_ANSWER)
         reply: Reply[Generation] = Reply()
         peer.config.mailbox.send(ConfigOffered(document, reply))
-        return Success(await reply.wait(_DEADLINE_MS))
+        return Success(await reply.wait(_CALL_DEADLINE_MS))
 
     async def fetch_config(
         self,
@@ -185,22 +187,22 @@
             return Failure(PeerFailure.NO_ANSWER)
         reply: Reply[ConfigDocument] = Reply()
         peer.config.mailbox.send(GetDocument(reply))
-        return Success(await reply.wait(_DEADLINE_MS))
+        return Success(await reply.wait(_CALL_DEADLINE_MS))
 
     async def dump(self, address: str) -> Result[str, PeerFailure]:
         return Failure(PeerFailure.NOT_SENT)
 
     async def _reach_peer(self, address: str) -> 'FakeProcess | None':
-        await sleep_ms(_CALL_MS)
+        await sleep_ms(_CALL_DURATION_MS)
         link = frozenset((self._process, address))
         peer = self._cell.running.get(address)
         if link not in self._cell.cut_links and peer is not None:
             return peer
-        await sleep_ms(_DEADLINE_MS)
+        await sleep_ms(_CALL_DEADLINE_MS)
         return None
 
 
-class _Recorder(Mailbox):
+class _GenerationRecorder(Mailbox):
     """Forwards messages and records each generation put in force."""
 
     def __init__(self, receiver: Mailbox) -> None:
@@ -250,7 +252,7 @@
             parse_in_loop,
             random_source,
         )
-        self.recorder = _Recorder(self.membership.mailbox)
+        self.recorder = _GenerationRecorder(self.membership.mailbox)
         self.config.membership = self.recorder
         self.membership.subscribers.append(self.config.mailbox)
 
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -84,13 +84,13 @@
                 if message.query.wait_ms:
                     self.waiting.append(message)
                     return
-                message.reply.answer(_running(message.query.job_id))
+                message.reply.answer(_running_answer(message.query.job_id))
             case messages.ListJobs():
                 job_id = JobId(f'{routed.partition}-{message.query.customer}')
-                message.reply.answer((_running(job_id),))
+                message.reply.answer((_running_answer(job_id),))
             case messages.ExplainJob():
                 explanation = JobExplanation(
-                    _running(message.query.job_id), {'reason': 'room'}
+                    _running_answer(message.query.job_id), {'reason': 'room'}
                 )
                 message.reply.answer(explanation)
             case messages.CancelJob():
@@ -102,7 +102,7 @@
     async def on_tick(self, message: messages.Tick) -> None:
         """Answer all queries that wait for the end of a job."""
         for waiting in self.waiting:
-            waiting.reply.answer(_running(waiting.query.job_id))
+            waiting.reply.answer(_running_answer(waiting.query.job_id))
 
     @handles(GetView)
     async def on_view(self, message: GetView) -> None:
@@ -177,10 +177,10 @@
     if not isinstance(body, bytes | str | None):
         raw = json.dumps(body)
     connection.request(method, path, raw, headers)
-    return read_answer(connection.getresponse())
+    return read_response(connection.getresponse())
 
 
-def read_answer(response: HTTPResponse) -> tuple[int, Any]:
+def read_response(response: HTTPResponse) -> tuple[int, Any]:
     return response.status, json.loads(response.read())
 
 
@@ -190,23 +190,23 @@
     loop = asyncio.new_event_loop()
     thread = threading.Thread(target=loop.run_forever)
     thread.start()
-    starting = _start(HttpSettings(port=0, **settings))
+    starting = _start_front(HttpSettings(port=0, **settings))
     running = asyncio.run_coroutine_threadsafe(starting, loop).result(30)
     try:
         yield running
     finally:
-        _end(running, loop)
+        _stop_front(running, loop)
         thread.join()
 
 
-def _end(running: RunningFront, loop: asyncio.AbstractEventLoop) -> None:
+def _stop_front(running: RunningFront, loop: asyncio.AbstractEventLoop) -> None:
     running.front.stop()
     stopping = asyncio.run_coroutine_threadsafe(running.actors.stop(), loop)
     stopping.result(30)
     loop.call_soon_threadsafe(loop.stop)
 
 
-async def _start(settings: HttpSettings) -> RunningFront:
+async def _start_front(settings: HttpSettings) -> RunningFront:
     actors = FakeActors()
     actors.start()
     mailbox = actors.mailbox
@@ -226,5 +226,5 @@
     return RunningFront(front, actors)
 
 
-def _running(job_id: JobId) -> JobAnswer:
+def _running_answer(job_id: JobId) -> JobAnswer:
     return JobAnswer(codes.NOT_FINISHED, job_id, JobState.RUNNING)
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -33,44 +33,48 @@
 _Outcome = TypeVar('_Outcome')
 _DOMAINS = ('pour-hall', 'cure-room', 'pack-shed')
 _NAMES = tuple(f'p{index}' for index in range(6))
-_CONVERGED_MS = 60_000
+_CONVERGENCE_MS = 60_000
 
 
-def _stored(cell: FakeCell) -> ConfigDocument:
+def _stored_document(cell: FakeCell) -> ConfigDocument:
     return read_document(cell.read(CONFIG_KEY).value).unwrap()
 
 
-def _text(mark: str) -> str:
+def _marked_text(mark: str) -> str:
     return f'{_CELL}# {mark}\n'
 
 
-async def _change(
+async def _request_change(
     process: FakeProcess,
     expected: int,
     mark: str,
     text: str | None = None,
 ) -> ChangeAnswer:
     reply: Reply[ChangeAnswer] = Reply()
-    request = ChangeRequest(text or _text(mark), Generation(expected), mark)
+    request = ChangeRequest(
+        text or _marked_text(mark), Generation(expected), mark
+    )
     process.config.mailbox.send(ChangeConfig(request, reply))
     return await reply.wait(60_000)
 
 
-def _process(cell: FakeCell, name: str, incarnation: int = 1) -> FakeProcess:
+def _create_process(
+    cell: FakeCell, name: str, incarnation: int = 1
+) -> FakeProcess:
     domain = _DOMAINS[_NAMES.index(name) % 3]
     return FakeProcess(cell, name, domain, incarnation)
 
 
-async def _reply() -> Reply[Any]:
+async def _create_reply() -> Reply[Any]:
     return Reply()
 
 
-async def _serve(cell: FakeCell) -> list[FakeProcess]:
-    processes = [_process(cell, name) for name in _NAMES]
+async def _start_cell(cell: FakeCell) -> list[FakeProcess]:
+    processes = [_create_process(cell, name) for name in _NAMES]
     for process in processes:
         process.start()
     await sleep_ms(5_000)
-    answer = await _change(processes[0], 0, 'first')
+    answer = await _request_change(processes[0], 0, 'first')
     assert answer.code is codes.DONE
     await sleep_ms(5_000)
     return processes
@@ -90,7 +94,7 @@
 
     @initialize()
     def begin(self) -> None:
-        self.runs = self._run(_serve(self.cell))
+        self.runs = self._run(_start_cell(self.cell))
         self.accepted[1] = 'first'
 
     @rule(
@@ -98,8 +102,8 @@
         stale=st.booleans(),
     )
     def operators_change(self, names: list[str], stale: bool) -> None:
-        expected = _stored(self.cell).generation - int(stale)
-        self._run(self._race(names, expected))
+        expected = _stored_document(self.cell).generation - int(stale)
+        self._run(self._race_changes(names, expected))
 
     @rule()
     def lose_a_reply(self) -> None:
@@ -119,7 +123,7 @@
         process = self.cell.running.get(name)
         if document is None or process is None:
             return
-        reply: Reply[Generation] = self._run(_reply())
+        reply: Reply[Generation] = self._run(_create_reply())
         process.config.mailbox.send(ConfigOffered(document, reply))
         self._run(sleep_ms(1))
 
@@ -129,7 +133,7 @@
         if running is not None:
             self._run(running.stop())
             return
-        self.runs.append(self._run(self._start(name)))
+        self.runs.append(self._run(self._start_process(name)))
 
     @rule(wait_ms=st.sampled_from((30, 700, 4_000, 40_000)))
     def wait(self, wait_ms: int) -> None:
@@ -137,7 +141,7 @@
 
     @invariant()
     def never_reverts(self) -> None:
-        stored = _stored(self.cell)
+        stored = _stored_document(self.cell)
         self.documents[stored.generation] = stored
         for process in self.runs:
             generations = process.recorder.generations
@@ -145,14 +149,16 @@
             document = process.config.document
             known = self.accepted.get(document.generation)
             assert known is None or known == document.author
-        assert _stored(self.cell).generation >= max(self.accepted, default=0)
+        assert _stored_document(self.cell).generation >= max(
+            self.accepted, default=0
+        )
 
     def teardown(self) -> None:
         self.cell.cut_from_store.clear()
         self.cell.cut_links.clear()
         self.cell.replies_to_lose = 0
-        self._run(sleep_ms(_CONVERGED_MS))
-        stored = _stored(self.cell)
+        self._run(sleep_ms(_CONVERGENCE_MS))
+        stored = _stored_document(self.cell)
         for process in self.cell.running.values():
             assert process.config.document == stored
         self.never_reverts()
@@ -160,14 +166,14 @@
             self._run(process.stop())
         self.loop.close()
 
-    async def _race(self, names: list[str], expected: int) -> None:
+    async def _race_changes(self, names: list[str], expected: int) -> None:
         running = [name for name in names if name in self.cell.running]
         changes = []
         for name in running:
             self.changes_count += 1
             mark = f'author {self.changes_count}'
             process = self.cell.running[name]
-            changes.append(_change(process, expected, mark))
+            changes.append(_request_change(process, expected, mark))
         first = self.changes_count - len(running)
         answers = await asyncio.gather(*changes)
         for position, answer in enumerate(answers, first + 1):
@@ -177,8 +183,8 @@
             assert expected + 1 not in self.accepted
             self.accepted[expected + 1] = f'author {position}'
 
-    async def _start(self, name: str) -> FakeProcess:
-        process = _process(self.cell, name, len(self.runs))
+    async def _start_process(self, name: str) -> FakeProcess:
+        process = _create_process(self.cell, name, len(self.runs))
         process.start()
         return process
 
@@ -200,9 +206,9 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = await _serve(cell)
+        processes = await _start_cell(cell)
         began_ms = now_ms()
-        await _change(processes[4], 1, 'second')
+        await _request_change(processes[4], 1, 'second')
         # Digests of tokens are part of the document, not of a dump.
         assert 'sha256' not in str(processes[4].config.snapshot())
         while {peer.config.document.generation for peer in processes} != {2}:
@@ -217,17 +223,17 @@
 
     async def main() -> None:
         cell = FakeCell()
-        await _serve(cell)
+        await _start_cell(cell)
         cell.cut_from_store.update((*_NAMES, 'new'))
-        alone = FakeProcess(cell, 'new', _DOMAINS[0], 1)
-        alone.start()
+        new_process = FakeProcess(cell, 'new', _DOMAINS[0], 1)
+        new_process.start()
         await sleep_ms(10_000)
         # The process knows no peer: nothing is in force, requests are refused.
-        assert alone.config.document.generation == 0
+        assert new_process.config.document.generation == 0
         cell.cut_from_store.discard('new')
         cell.stored.pop(CONFIG_KEY)
         await sleep_ms(10_000)
-        assert alone.config.document.generation == 1
+        assert new_process.config.document.generation == 1
 
     run_paused(main())
 
@@ -256,11 +262,11 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = await _serve(cell)
-        answer = await _change(processes[0], expected, 'second', text)
+        processes = await _start_cell(cell)
+        answer = await _request_change(processes[0], expected, 'second', text)
         assert answer.code is code
         assert answer.problems[0].text.startswith(problem)
-        assert _stored(cell).author == 'first'
+        assert _stored_document(cell).author == 'first'
 
     run_paused(main())
 
@@ -270,16 +276,20 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = await _serve(cell)
+        processes = await _start_cell(cell)
         cell.replies_to_lose = 1
-        slow = asyncio.ensure_future(_change(processes[0], 1, 'second'))
+        slow_change = asyncio.ensure_future(
+            _request_change(processes[0], 1, 'second')
+        )
         await sleep_ms(500)
-        assert (await _change(processes[1], 2, 'third')).code is codes.DONE
-        answer = await slow
+        assert (
+            await _request_change(processes[1], 2, 'third')
+        ).code is codes.DONE
+        answer = await slow_change
         assert answer.code is codes.DONE
         assert answer.document is not None
         assert answer.document.generation == 2
-        assert re.search('third', _stored(cell).author)
+        assert re.search('third', _stored_document(cell).author)
 
     run_paused(main())
 
@@ -289,13 +299,15 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = await _serve(cell)
-        written = _stored(cell).successor('cell: []', 'other', 'token')
+        processes = await _start_cell(cell)
+        document = _stored_document(cell).successor(
+            'cell: []', 'other', 'token'
+        )
         cell.revision += 1
         stored = cell.read(CONFIG_KEY)
         cell.stored[CONFIG_KEY] = type(stored)(
             CONFIG_KEY,
-            written.model_dump_json(),
+            document.model_dump_json(),
             stored.revision + 1,  # type: ignore[arg-type]
         )
         await sleep_ms(5_000)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -20,7 +20,7 @@
     STUDIO,
     RunningFront,
     ask_over,
-    read_answer,
+    read_response,
     running_front,
 )
 
@@ -37,12 +37,12 @@
 
 
 @pytest.fixture(scope='module')
-def shared() -> Iterator[RunningFront]:
+def shared_front() -> Iterator[RunningFront]:
     with running_front() as front:
         yield front
 
 
-def _body(case: dict[str, Any]) -> Any:
+def _build_body(case: dict[str, Any]) -> Any:
     if 'body' in case:
         return case['body']
     if 'payload_bytes' in case:
@@ -55,55 +55,59 @@
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
-def test_bad_submission(shared: RunningFront, case: dict[str, Any]) -> None:
+def test_bad_submission(
+    shared_front: RunningFront, case: dict[str, Any]
+) -> None:
     """Guards against a bad body that is accepted or breaks the connection."""
-    before_count = shared.actors.submits_count
-    connection = shared.connect()
-    status, answer = ask_over(connection, 'POST', '/v1/jobs', _body(case))
+    before_count = shared_front.actors.submits_count
+    connection = shared_front.connect()
+    status, answer = ask_over(connection, 'POST', '/v1/jobs', _build_body(case))
     assert answer['code'] == case['code']
     assert answer['field'] == case['field']
     assert status == codes.by_number(case['code']).http_status
-    assert shared.actors.submits_count == before_count
-    good = ask_over(connection, 'POST', '/v1/jobs', {'jobs': [_JOB]})
-    assert good[1]['answers'][0]['code'] == codes.ACCEPTED.number
+    assert shared_front.actors.submits_count == before_count
+    valid_response = ask_over(connection, 'POST', '/v1/jobs', {'jobs': [_JOB]})
+    assert valid_response[1]['answers'][0]['code'] == codes.ACCEPTED.number
     connection.close()
 
 
-def test_valid_combinations_are_accepted(shared: RunningFront) -> None:
+def test_valid_combinations_are_accepted(shared_front: RunningFront) -> None:
     """Guards against the refusal of a gang of one task or a plain service."""
-    for changed in ({'workload': 'gang'}, {'workload': 'service'}):
-        body = {'jobs': [_JOB | changed]}
-        assert shared.ask('POST', '/v1/jobs', body)[0] == 202
+    for changed_fields in ({'workload': 'gang'}, {'workload': 'service'}):
+        body = {'jobs': [_JOB | changed_fields]}
+        assert shared_front.ask('POST', '/v1/jobs', body)[0] == 202
 
 
-def test_batch_is_grouped_and_answered_in_order(shared: RunningFront) -> None:
+def test_batch_is_grouped_and_answered_in_order(
+    shared_front: RunningFront,
+) -> None:
     """Guards against answers in partition order, or one call for each job."""
     keys = [f'key-{number}' for number in range(50)]
-    before_count = shared.actors.submits_count
+    before_count = shared_front.actors.submits_count
     body = {'jobs': [_JOB | {'idempotency_key': key} for key in keys]}
-    _, answer = shared.ask('POST', '/v1/jobs', body, STUDIO)
+    _, answer = shared_front.ask('POST', '/v1/jobs', body, STUDIO)
     assert [job['job_id'] for job in answer['answers']] == keys
     # The region of the design studio has two partitions.
-    assert shared.actors.submits_count == before_count + 2
+    assert shared_front.actors.submits_count == before_count + 2
 
 
 @pytest.mark.parametrize('token', [None, '', 'desk', f'{DESK}x', '\xff'])
 @pytest.mark.parametrize('path', ['/v1/jobs', '/v1/config', '/v1/dump'])
 def test_unknown_token(
-    shared: RunningFront, path: str, token: str | None
+    shared_front: RunningFront, path: str, token: str | None
 ) -> None:
     """Guards against a route that lacks authentication by mistake."""
-    assert shared.ask('GET', path, None, token)[0] == 401
+    assert shared_front.ask('GET', path, None, token)[0] == 401
 
 
 @pytest.mark.parametrize(
     'path',
     ['config', 'config/spread', 'status', 'hosts', 'dump'],
 )
-def test_routes_of_operators(shared: RunningFront, path: str) -> None:
+def test_routes_of_operators(shared_front: RunningFront, path: str) -> None:
     """Guards against a caller that can read the state of other customers."""
-    assert shared.ask('GET', f'/v1/{path}')[0] == 403
-    assert shared.ask('GET', f'/v1/{path}', None, OPERATOR)[0] == 200
+    assert shared_front.ask('GET', f'/v1/{path}')[0] == 403
+    assert shared_front.ask('GET', f'/v1/{path}', None, OPERATOR)[0] == 200
 
 
 @pytest.mark.parametrize(
@@ -132,32 +136,34 @@
     ],
 )
 def test_routes_of_callers(
-    shared: RunningFront,
+    shared_front: RunningFront,
     method: str,
     path: str,
     token: str,
     code: int | None,
 ) -> None:
     """Guards against access to jobs of other customers, and bad parameters."""
-    status, answer = shared.ask(method, path, None, token)
+    status, answer = shared_front.ask(method, path, None, token)
     assert answer.get('code') == code
     expected = 200 if code is None else codes.by_number(code).http_status
     assert status == expected
 
 
-def test_conflict_carries_the_present_document(shared: RunningFront) -> None:
+def test_conflict_carries_the_present_document(
+    shared_front: RunningFront,
+) -> None:
     """Guards against an operator who can't see the changes of others."""
     body = {'text': '', 'expected_generation': 0, 'author': 'me'}
-    status, answer = shared.ask('PUT', '/v1/config', body, OPERATOR)
+    status, answer = shared_front.ask('PUT', '/v1/config', body, OPERATOR)
     assert (status, answer['generation'], answer['author']) == (409, 1, 'first')
     assert answer['document'] == CELL_TEXT
 
 
-def test_chunked_bodies(shared: RunningFront) -> None:
+def test_chunked_bodies(shared_front: RunningFront) -> None:
     """Guards against a chunked body that is ignored or never ends."""
     body = '{"jobs": [{"idempotency_key": "a", "task_size": {'
     rest = '"processors_milli": 1, "memory_mb": 1}}]}'
-    connection = shared.connect()
+    connection = shared_front.connect()
     connection.request(
         'POST',
         '/v1/jobs',
@@ -165,14 +171,18 @@
         {'Authorization': f'Bearer {DESK}', 'Transfer-Encoding': 'chunked'},
         encode_chunked=True,
     )
-    assert read_answer(connection.getresponse())[0] == 202
+    assert read_response(connection.getresponse())[0] == 202
     assert ask_over(connection, 'GET', '/v1/jobs')[0] == 200
     connection.close()
 
 
-def test_malformed_chunk_closes_the_connection(shared: RunningFront) -> None:
+def test_malformed_chunk_closes_the_connection(
+    shared_front: RunningFront,
+) -> None:
     """Guards against the rest of a malformed body that is read as a request."""
-    with socket.create_connection(('127.0.0.1', shared.front.port)) as raw:
+    with socket.create_connection(
+        ('127.0.0.1', shared_front.front.port)
+    ) as raw:
         raw.sendall(
             b'POST /v1/jobs HTTP/1.1\r\nHost: a\r\n'
             b'Transfer-Encoding: chunked\r\n\r\nxyz\r\n',
@@ -226,20 +236,20 @@
         connection.request('GET', '/v1/jobs')
         response = connection.getresponse()
         assert response.headers['Retry-After'] == '1'
-        answer = read_answer(response)[1]
+        answer = read_response(response)[1]
         assert answer['code'] == codes.NOT_CONFIGURED.number
         assert ask_over(connection, 'GET', '/readyz')[0] == 503
         front.front.view = FrontView(ProcessState.DRAINING)
         connection.request('GET', '/readyz')
         response = connection.getresponse()
         assert response.headers['Connection'] == 'close'
-        assert read_answer(response) == (503, {'state': 'draining'})
+        assert read_response(response) == (503, {'state': 'draining'})
         connection.close()
 
 
-def test_metrics_are_bounded(shared: RunningFront) -> None:
+def test_metrics_are_bounded(shared_front: RunningFront) -> None:
     """Guards against labels that grow with callers, and tokens in metrics."""
-    connection = shared.connect()
+    connection = shared_front.connect()
     connection.request('GET', '/metrics')
     text = connection.getresponse().read().decode()
     connection.close()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,7 +14,7 @@
 _REMOVED_AFTER_MS = MembershipSettings().remove_after_ms
 
 
-def _start(cell: FakeCell, count: int) -> list[FakeProcess]:
+def _start_processes(cell: FakeCell, count: int) -> list[FakeProcess]:
     processes = [
         FakeProcess(cell, f'p{index:03}', _DOMAINS[index % 3], 1)
         for index in range(count)
@@ -24,7 +24,7 @@
     return processes
 
 
-def _in_view(process: FakeProcess, reachable: bool = True) -> list[str]:
+def _ids_in_view(process: FakeProcess, reachable: bool = True) -> list[str]:
     return [
         member.detail.process
         for member in process.membership.table.members()
@@ -32,7 +32,7 @@
     ]
 
 
-def _names(processes: Iterable[FakeProcess]) -> list[str]:
+def _process_ids(processes: Iterable[FakeProcess]) -> list[str]:
     return [process.process for process in processes]
 
 
@@ -41,22 +41,22 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = _start(cell, 8)
+        processes = _start_processes(cell, 8)
         await sleep_ms(5_000)
         for process in processes:
-            assert _in_view(process) == _names(processes)
+            assert _ids_in_view(process) == _process_ids(processes)
         killed = processes.pop(3)
         await killed.stop()
         await sleep_ms(9_000)
         for process in processes:
-            assert _in_view(process, reachable=False) == [killed.process]
+            assert _ids_in_view(process, reachable=False) == [killed.process]
         await sleep_ms(2 * _REMOVED_AFTER_MS)
         for process in processes:
             assert len(process.membership.table.members()) == 7
         restarted = FakeProcess(cell, killed.process, _DOMAINS[0], 2)
         restarted.start()
         await sleep_ms(5_000)
-        assert _in_view(processes[0]) == _names(
+        assert _ids_in_view(processes[0]) == _process_ids(
             sorted(
                 [*processes, restarted], key=lambda process: process.process
             ),
@@ -70,7 +70,7 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = _start(cell, 3)
+        processes = _start_processes(cell, 3)
         await sleep_ms(5_000)
         await processes[1].stop()
         restarted = FakeProcess(cell, processes[1].process, _DOMAINS[1], 0)
@@ -78,8 +78,8 @@
         owned = PartitionsOwned((PartitionId('rajkot.0'),))
         restarted.membership.mailbox.send(owned)
         await sleep_ms(5_000)
-        seen = processes[0].membership.table.members()[1].detail
-        assert (seen.incarnation, seen.partitions) == (2, owned.partitions)
+        detail = processes[0].membership.table.members()[1].detail
+        assert (detail.incarnation, detail.partitions) == (2, owned.partitions)
 
     run_paused(main())
 
@@ -89,7 +89,7 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = _start(cell, 6)
+        processes = _start_processes(cell, 6)
         await sleep_ms(5_000)
         cell.cut_links = {
             frozenset((one.process, other.process))
@@ -97,11 +97,11 @@
             for other in processes[3:]
         }
         await sleep_ms(3 * _REMOVED_AFTER_MS)
-        assert _in_view(processes[0]) == _names(processes[:3])
+        assert _ids_in_view(processes[0]) == _process_ids(processes[:3])
         cell.cut_links.clear()
         await sleep_ms(2 * _REMOVED_AFTER_MS)
         for process in processes:
-            assert _in_view(process) == _names(processes)
+            assert _ids_in_view(process) == _process_ids(processes)
 
     run_paused(main())
 
@@ -111,7 +111,7 @@
 
     async def main() -> None:
         cell = FakeCell()
-        processes = _start(cell, 6)
+        processes = _start_processes(cell, 6)
         await sleep_ms(5_000)
         joined_count = cell.swaps_count
         await sleep_ms(600_000)
@@ -119,10 +119,10 @@
         reply: Reply[None] = Reply()
         processes[0].membership.mailbox.send(LeaveCluster(reply))
         await reply.wait(5_000)
-        entered = cell.read(members_key(FailureDomain(_DOMAINS[0]))).value
-        assert entered is not None
-        assert 'p000' not in entered
-        assert 'p003' in entered
+        entries = cell.read(members_key(FailureDomain(_DOMAINS[0]))).value
+        assert entries is not None
+        assert 'p000' not in entries
+        assert 'p003' in entries
         assert cell.swaps_count == joined_count + 1
 
     run_paused(main())
@@ -133,7 +133,7 @@
 
     async def main() -> None:
         cell = FakeCell(replies_to_lose=1)
-        process = _start(cell, 1)[0]
+        process = _start_processes(cell, 1)[0]
         await sleep_ms(5_000)
         assert process.membership.snapshot()['joined']
         assert cell.swaps_count == 2
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -22,7 +22,7 @@
 from fuchsiarill.settings import PeerSettings
 
 # The test also holds if the link has not noticed the lost connection by then.
-_NOTICED_MS: Final = 200
+_NOTICE_WAIT_MS: Final = 200
 _ANSWER_MS: Final = 20_000
 
 
@@ -40,12 +40,12 @@
         self._peer = peer
 
     async def query(self, _context: Any, **_extra: Any) -> None:
-        await self._peer.answering(self)
+        await self._peer.wait_if_silent(self)
         _context.results.answer = answer_fields(JobAnswer(codes.NOT_FINISHED))
 
     async def submit(self, specs: Any, _context: Any, **_extra: Any) -> None:
         self._peer.batches.append(len(specs))
-        await self._peer.answering(self)
+        await self._peer.wait_if_silent(self)
         _context.results.answers = [
             answer_fields(JobAnswer(codes.ACCEPTED, JobId(spec.idempotencyKey)))
             for spec in specs
@@ -79,7 +79,7 @@
 
     async def start(self) -> None:
         self._server = await capnp.AsyncIoStream.create_server(
-            self._connected,
+            self._serve_connection,
             '127.0.0.1',
             self.port,
         )
@@ -91,7 +91,7 @@
         await self.link.stop()
         await self.peers.stop()
 
-    async def answering(self, handler: _PeerHandler) -> None:
+    async def wait_if_silent(self, handler: _PeerHandler) -> None:
         """Never return on the first `silent_count` connections."""
         if len(self.silent) < self.silent_count:
             self.silent.add(handler)
@@ -111,7 +111,7 @@
         answers = await reply.wait(_ANSWER_MS)
         return [answer.job_id or '' for answer in answers]
 
-    async def _connected(self, stream: Any) -> None:
+    async def _serve_connection(self, stream: Any) -> None:
         server = capnp.TwoPartyServer(stream, bootstrap=_PeerHandler(self))
         await self.disconnect.wait()
         stream.close()
@@ -149,7 +149,7 @@
         await peer.start()
         answers = [await peer.query()]
         peer.disconnect.set()
-        await sleep_ms(_NOTICED_MS)
+        await sleep_ms(_NOTICE_WAIT_MS)
         answers.append(await peer.query())
         peer.disconnect.clear()
         answers.append(await peer.query())
@@ -200,16 +200,21 @@
         peer = _Peer(timeout_ms=_ANSWER_MS)
         peer.silent_count = 1
         await peer.start()
-        queried = asyncio.ensure_future(peer.query())
-        submitted: Reply[tuple[JobAnswer, ...]] = Reply()
+        query_task = asyncio.ensure_future(peer.query())
+        submit_reply: Reply[tuple[JobAnswer, ...]] = Reply()
         specs = tuple(_spec(str(number)) for number in range(50))
-        peer.link.mailbox.send(SubmitJobs(specs, submitted))
+        peer.link.mailbox.send(SubmitJobs(specs, submit_reply))
         while not peer.batches:
             await sleep_ms(1)
         await peer.link.stop()
-        assert (await queried).code is codes.OUTCOME_UNCERTAIN
-        answered = {answer.code for answer in await submitted.wait(_ANSWER_MS)}
-        assert answered <= {codes.OUTCOME_UNCERTAIN, codes.OWNER_UNAVAILABLE}
+        assert (await query_task).code is codes.OUTCOME_UNCERTAIN
+        answer_codes = {
+            answer.code for answer in await submit_reply.wait(_ANSWER_MS)
+        }
+        assert answer_codes <= {
+            codes.OUTCOME_UNCERTAIN,
+            codes.OWNER_UNAVAILABLE,
+        }
         await peer.stop()
 
     _run(main())
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -122,37 +122,40 @@
     )
     peers = Peers(settings)
     peers.start()
-    calls = RpcPeers(peers.mailbox, settings)
+    rpc_peers = RpcPeers(peers.mailbox, settings)
     address = f'127.0.0.1:{port}'
     router = Mailbox()
     partition = PartitionId('rajkot.0')
-    link = OwnerLink(partition, address, settings, calls, router)
+    link = OwnerLink(partition, address, settings, rpc_peers, router)
     link.start()
-    found: list[Any] = [
-        await calls.gossip(address, _GOSSIP),
-        await calls.offer_config(address, _DOCUMENT),
-        await calls.fetch_config(address),
-        await calls.dump(address),
+    call_results: list[Any] = [
+        await rpc_peers.gossip(address, _GOSSIP),
+        await rpc_peers.offer_config(address, _DOCUMENT),
+        await rpc_peers.fetch_config(address),
+        await rpc_peers.dump(address),
     ]
-    found.extend(await _make_job_calls(link))
-    found.append(len(router))
+    call_results.extend(await _make_job_calls(link))
+    call_results.append(len(router))
     server.close()
     await link.stop()
     await peers.stop()
     await receiver.stop()
-    return [*found, receiver.received]
+    return [*call_results, receiver.received]
 
 
 async def _make_job_calls(link: OwnerLink) -> list[Any]:
-    listed: Reply[Any] = Reply()
+    list_reply: Reply[Any] = Reply()
     query = JobList(CustomerId('a'), JobState.RUNNING, 7)
-    link.mailbox.send(messages.ListJobs(query, listed))
-    explained: Reply[Any] = Reply()
+    link.mailbox.send(messages.ListJobs(query, list_reply))
+    explain_reply: Reply[Any] = Reply()
     job_query = JobQuery(CustomerId('a'), JobId('b'))
-    link.mailbox.send(messages.ExplainJob(job_query, explained))
-    slow: Reply[Any] = Reply()
-    link.mailbox.send(messages.QueryJob(job_query, slow))
-    return [await reply.wait(20_000) for reply in (listed, explained, slow)]
+    link.mailbox.send(messages.ExplainJob(job_query, explain_reply))
+    slow_reply: Reply[Any] = Reply()
+    link.mailbox.send(messages.QueryJob(job_query, slow_reply))
+    return [
+        await reply.wait(20_000)
+        for reply in (list_reply, explain_reply, slow_reply)
+    ]
 
 
 @pytest.fixture(scope='module')
