Tell the member of this process from its detail

In the member table and the membership actor `own` named a MemberDetail, a Member and a process id in turn.

They are now `own_detail` and `own_member`; the id in ViewChanged keeps its name, since other modules use it.

--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -99,20 +99,20 @@
     def __init__(
         self,
         settings: MembershipSettings,
-        own: MemberDetail,
+        own_detail: MemberDetail,
         now_ms: int,
     ) -> None:
         """Start with this process only."""
         self._settings = settings
-        self._own_id = own.process
-        beat = Beat(own.key, 0, NO_GENERATION, 0)
-        self._members = {own.process: Member(own, beat, now_ms)}
-        self._ids = {own.key: own.process}
+        self._own_id = own_detail.process
+        beat = Beat(own_detail.key, 0, NO_GENERATION, 0)
+        self._members = {own_detail.process: Member(own_detail, beat, now_ms)}
+        self._ids = {own_detail.key: own_detail.process}
         # Removed members by key: older gossip must not add them again.
         self._removed: dict[int, Member] = {}
 
     @property
-    def own(self) -> Member:
+    def own_member(self) -> Member:
         """Return the member that stands for this process."""
         return self._members[self._own_id]
 
@@ -122,10 +122,10 @@
 
     def update_own(self, detail: MemberDetail) -> None:
         """Publish a new version of the detail of this process."""
-        own = self.own
-        new_detail = replace(detail, version=own.detail.version + 1)
-        beat = replace(own.beat, key=new_detail.key)
-        self._put(Member(new_detail, beat, own.heard_at_ms))
+        own_member = self.own_member
+        new_detail = replace(detail, version=own_member.detail.version + 1)
+        beat = replace(own_member.beat, key=new_detail.key)
+        self._put(Member(new_detail, beat, own_member.heard_at_ms))
 
     def beat(
         self,
@@ -139,15 +139,15 @@
 
         Returns the members that were removed from the view.
         """
-        own = self.own
+        own_member = self.own_member
         own_beat = Beat(
-            own.detail.key,
-            own.beat.heartbeat + 1,
+            own_member.detail.key,
+            own_member.beat.heartbeat + 1,
             generation,
             load_permille,
             store_is_down,
         )
-        self._put(Member(own.detail, own_beat, now_ms))
+        self._put(Member(own_member.detail, own_beat, now_ms))
         for key, removed in tuple(self._removed.items()):
             if now_ms - removed.heard_at_ms > self._settings.forget_after_ms:
                 self._removed.pop(key)
@@ -241,9 +241,11 @@
 
     def _supersede(self, detail: MemberDetail) -> None:
         """Supersede a detail of an earlier run whose clock was ahead."""
-        own = self.own.detail
-        if detail.version_order > own.version_order:
-            self.update_own(replace(own, incarnation=detail.incarnation + 1))
+        own_detail = self.own_member.detail
+        if detail.version_order > own_detail.version_order:
+            self.update_own(
+                replace(own_detail, incarnation=detail.incarnation + 1)
+            )
 
     def _merge_beat(self, beat: Beat, now_ms: int) -> None:
         name = self._ids.get(beat.key)
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -131,7 +131,7 @@
     def __init__(
         self,
         settings: MembershipSettings,
-        own: MemberDetail,
+        own_detail: MemberDetail,
         directory: Directory,
         peers: PeerPort,
         random_source: random.Random,
@@ -139,7 +139,7 @@
         """Start with this process only; needs a running loop."""
         super().__init__('membership')
         self.subscribers: list[Mailbox] = []
-        self.table = MemberTable(settings, own, now_ms())
+        self.table = MemberTable(settings, own_detail, now_ms())
         self._settings = settings
         self._directory = directory
         self._peers = peers
@@ -199,7 +199,7 @@
             return
         self.table.merge(received, now_ms())
         self._outage_evidence.record_answer(
-            self.table.own,
+            self.table.own_member,
             self.table.members(),
             (message.address, message.requested_at_ms),
         )
@@ -211,13 +211,15 @@
     @handles(StateChanged)
     async def on_state(self, message: StateChanged) -> None:
         """Publish the state of this process."""
-        self._update_own(replace(self.table.own.detail, state=message.state))
+        self._update_own(
+            replace(self.table.own_member.detail, state=message.state)
+        )
 
     @handles(PartitionsOwned)
     async def on_partitions(self, message: PartitionsOwned) -> None:
         """Publish the partitions that this process owns."""
-        own = self.table.own.detail
-        self._update_own(replace(own, partitions=message.partitions))
+        own_detail = self.table.own_member.detail
+        self._update_own(replace(own_detail, partitions=message.partitions))
 
     @handles(GenerationInForce)
     async def on_generation(self, message: GenerationInForce) -> None:
@@ -248,8 +250,10 @@
     @handles(LeaveCluster)
     async def on_leave(self, message: LeaveCluster) -> None:
         """Leave; a failure leaves only an entry that gossip ignores."""
-        own = replace(self.table.own.detail, state=ProcessState.STOPPED)
-        self._update_own(own)
+        own_detail = replace(
+            self.table.own_member.detail, state=ProcessState.STOPPED
+        )
+        self._update_own(own_detail)
         self.spawn(self._leave(message.reply))
 
     def snapshot(self) -> dict[str, Any]:
@@ -288,7 +292,7 @@
     def _publish(self) -> None:
         view = ViewChanged(
             self.table.members(),
-            self.table.own.detail.process,
+            self.table.own_member.detail.process,
             self._outage_evidence.outage_until_ms(),
         )
         for subscriber in self.subscribers:
@@ -316,17 +320,17 @@
         return self._rounds_count % self._settings.directory_retry_rounds == 1
 
     def _choose_addresses(self) -> list[str]:
-        own = self.table.own.detail
+        own_detail = self.table.own_member.detail
         member_addresses = {
             member.detail.address
             for member in self.table.members()
-            if member.detail.process != own.process
+            if member.detail.process != own_detail.process
         }
         lost_addresses = {
             *self._addresses.values(),
             *self._settings.seeds,
         } - member_addresses
-        lost_addresses.discard(own.address)
+        lost_addresses.discard(own_detail.address)
         count = self._settings.gossip_peers_count
         addresses = self._sample_addresses(member_addresses, count)
         if not member_addresses:
@@ -344,7 +348,9 @@
     async def _join_and_read(self) -> None:
         has_joined = self._has_joined
         if not has_joined:
-            has_joined = await self._directory.join(self.table.own.detail)
+            has_joined = await self._directory.join(
+                self.table.own_member.detail
+            )
         addresses = await self._directory.addresses()
         self.mailbox.send(DirectoryRead(has_joined, addresses))
 
@@ -363,8 +369,8 @@
 
     async def _leave(self, reply: Reply[None]) -> None:
         for address in self._choose_addresses():
-            own = self.table.own
-            last_message = Gossip((own.beat,), (own.detail,))
+            own_member = self.table.own_member
+            last_message = Gossip((own_member.beat,), (own_member.detail,))
             await self._peers.gossip(address, last_message)
-        await self._directory.leave(self.table.own.detail)
+        await self._directory.leave(self.table.own_member.detail)
         reply.answer(None)
--- a/fuchsiarill/cluster/store_evidence.py
+++ b/fuchsiarill/cluster/store_evidence.py
@@ -22,7 +22,7 @@
 
     def record_answer(
         self,
-        own: Member,
+        own_member: Member,
         members: tuple[Member, ...],
         call: tuple[str, int],
     ) -> None:
@@ -36,9 +36,9 @@
         address, requested_at_ms = call
         for member in members:
             detail = member.detail
-            if detail.process == own.detail.process:
+            if detail.process == own_member.detail.process:
                 continue
-            if detail.region != own.detail.region:
+            if detail.region != own_member.detail.region:
                 continue
             self._reported_down_at_ms.setdefault(detail.failure_domain, 0)
             if detail.address == address:
