Name responses and results in the platform adapter

Cause: the adapter called HTTP responses "answers", had results and parameters named by bare participles (`answered`, `parse`), and did not say what the platform consists of.

Change: `PlatformAnswer` becomes `PlatformResponse`, `read_answer` becomes `decode_response`, call results are `call_result`, tables are named by key and value (`_STATUS_BY_CODE`, `_CODE_BY_ERROR`). The package names the store, the advice service and the workers. The test server is `StubServer`.

--- a/fuchsiarill/platform/__init__.py
+++ b/fuchsiarill/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Adapter to the users' platform: translates messages, takes no decisions."""
+"""Adapter to the users' platform: its store, advice service and workers.
+
+It translates messages and takes no scheduling decisions.
+"""
--- a/fuchsiarill/platform/advice_client.py
+++ b/fuchsiarill/platform/advice_client.py
@@ -7,7 +7,7 @@
 
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.platform.answers import parse_body, read_answer
+from fuchsiarill.platform.answers import decode_response, parse_body
 from fuchsiarill.platform.task_names import step_name
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.ports.http_client import HttpCall, HttpClient
@@ -33,16 +33,16 @@
         """Return a ticket for each worker that may run the step.
 
         Fails with `UNHEALTHY` while the service is busy, and with `UNKNOWN`
-        when no readable answer arrives.
+        when no readable response arrives.
         """
         body = {'step_id': step_name(step), 'workers': list(workers)}
         call = HttpCall('POST', self._url, json.dumps(body).encode())
-        answer = read_answer(await self._client.call(call, timeout_ms))
-        if answer.status == _BUSY:
+        response = decode_response(await self._client.call(call, timeout_ms))
+        if response.status == _BUSY:
             return Failure(AgentFailure.UNHEALTHY)
-        if answer.status != _OK:
+        if response.status != _OK:
             return Failure(AgentFailure.UNKNOWN)
-        tickets = parse_body(answer, _tickets, 'the advice service')
+        tickets = parse_body(response, _tickets, 'the advice service')
         if tickets is None:
             return Failure(AgentFailure.UNKNOWN)
         return Success(tickets)
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -1,4 +1,4 @@
-"""Decodes HTTP answers of the platform and its workers."""
+"""Decodes HTTP responses of the users' platform and of its workers."""
 
 import json
 from collections.abc import Callable
@@ -16,8 +16,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlatformAnswer:
-    """Status and decoded body; `status` is `None` without a usable answer."""
+class PlatformResponse:
+    """Status and decoded body of a response.
+
+    `status` is `None` and `failure` is set if no response arrived, or if the
+    body of a 2xx response is not a JSON object.
+    """
 
     status: int | None
     body: dict[str, Any] = field(default_factory=dict)
@@ -32,35 +36,35 @@
         }
 
 
-def read_answer(
-    answered: Result[HttpAnswer, CallFailure],
-) -> PlatformAnswer:
-    """Decode an answer; a 2xx with an unreadable body counts as no answer.
+def decode_response(
+    call_result: Result[HttpAnswer, CallFailure],
+) -> PlatformResponse:
+    """Decode a response; a 2xx with an unreadable body counts as no response.
 
     Every body that the platform sends is a JSON object.
     """
-    if isinstance(answered, Failure):
-        return PlatformAnswer(None, failure=answered.failure())
-    answer = answered.unwrap()
-    body = _read_object(answer.body)
+    if isinstance(call_result, Failure):
+        return PlatformResponse(None, failure=call_result.failure())
+    response = call_result.unwrap()
+    body = _read_object(response.body)
     if body is not None:
-        return PlatformAnswer(answer.status, body)
-    if answer.status // _STATUSES_PER_CLASS == _SUCCESS_CLASS:
-        return PlatformAnswer(None, failure=CallFailure.NO_ANSWER)
-    return PlatformAnswer(answer.status)
+        return PlatformResponse(response.status, body)
+    if response.status // _STATUSES_PER_CLASS == _SUCCESS_CLASS:
+        return PlatformResponse(None, failure=CallFailure.NO_ANSWER)
+    return PlatformResponse(response.status)
 
 
 def parse_body(
-    answer: PlatformAnswer,
-    parse: Callable[[dict[str, Any]], _Parsed],
+    response: PlatformResponse,
+    parse_object: Callable[[dict[str, Any]], _Parsed],
     source: str,
 ) -> _Parsed | None:
-    """Parse the body of an answer; logs a failure and returns `None`.
+    """Parse the body of a response; logs an error and returns `None`.
 
-    `source` names the sender of the answer in the log line.
+    `source` names the sender of the response in the log line.
     """
     try:
-        return parse(answer.body)
+        return parse_object(response.body)
     except (KeyError, TypeError, ValueError) as error:
         events.emit(
             events.ANSWER_UNREADABLE,
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -1,4 +1,4 @@
-"""Translates requests of the platform's clients into intake messages."""
+"""Translates HTTP requests of clients into messages to the intake actor."""
 
 import json
 import time
@@ -38,7 +38,7 @@
 
 # A 429 or 503 guarantees that the job never runs. An unknown outcome is a 504,
 # after which the client retries with the same job id.
-_STATUSES: Final = {
+_STATUS_BY_CODE: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
     codes.UNKNOWN_JOB: HTTPStatus.GONE,
@@ -50,13 +50,13 @@
     codes.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OUTCOME_UNCERTAIN: HTTPStatus.GATEWAY_TIMEOUT,
 }
-_FAILURES: Final = {
+_CODE_BY_ERROR: Final = {
     DocumentError: codes.MALFORMED,
     NotSentError: codes.OVERLOADED,
     TimeoutError: codes.OUTCOME_UNCERTAIN,
 }
-_FAILURE_TYPES: Final = tuple(_FAILURES)
-_PHASES: Final = {
+_ERROR_TYPES: Final = tuple(_CODE_BY_ERROR)
+_STATE_BY_PHASE: Final = {
     JobPhase.SUCCEEDED: 'done',
     JobPhase.FAILED: 'failed',
     JobPhase.CANCELLED: 'cancelled',
@@ -74,25 +74,25 @@
     def answer(self, request: Request) -> Response:
         """Answer one request; called in a thread of the listener."""
         started_s = time.perf_counter()
-        outcome = self._outcome(request)
+        outcome = self._handle(request)
         duration_s = time.perf_counter() - started_s
         self._metrics.answered(request.method, outcome.code, duration_s)
-        return self._response(request, outcome)
+        return self._build_response(request, outcome)
 
     def call_intake(
         self,
         request: Request,
-        build: Callable[[int, Reply[IntakeAnswer]], Any],
+        build_message: Callable[[int, Reply[IntakeAnswer]], Any],
     ) -> IntakeAnswer:
         """Send a message to the intake and wait for its answer.
 
-        `build` creates the message from the deadline and the reply. Raises
-        `NotSentError` or `TimeoutError`.
+        `build_message` creates the message from the deadline and the reply.
+        Raises `NotSentError` or `TimeoutError`.
         """
         deadline_ms = self.front.deadline_ms(request.caller_timeout_ms)
-        return self.front.ask(partial(build, deadline_ms), deadline_ms)
+        return self.front.ask(partial(build_message, deadline_ms), deadline_ms)
 
-    def _outcome(self, request: Request) -> IntakeAnswer:
+    def _handle(self, request: Request) -> IntakeAnswer:
         config = self.front.view.config
         if config is None:
             return IntakeAnswer(codes.NOT_CONFIGURED)
@@ -103,31 +103,35 @@
             return IntakeAnswer(codes.TOO_LARGE)
         try:
             return self._dispatch(request, policy)
-        except _FAILURE_TYPES as error:
-            return IntakeAnswer(_FAILURES[type(error)])
+        except _ERROR_TYPES as error:
+            return IntakeAnswer(_CODE_BY_ERROR[type(error)])
 
     def _dispatch(self, request: Request, policy: QueuePolicy) -> IntakeAnswer:
         job = request.path.removeprefix(policy.prefix)
-        route = (request.method, bool(job))
-        if route not in REQUEST_HANDLERS:
+        handler_key = (request.method, bool(job))
+        if handler_key not in REQUEST_HANDLERS:
             return IntakeAnswer(codes.UNKNOWN_ROUTE)
-        return REQUEST_HANDLERS.lookup(route)(self, request, policy, job)
+        return REQUEST_HANDLERS.lookup(handler_key)(self, request, policy, job)
 
-    def _response(self, request: Request, outcome: IntakeAnswer) -> Response:
-        status = _STATUSES[outcome.code]
+    def _build_response(
+        self, request: Request, outcome: IntakeAnswer
+    ) -> Response:
+        status = _STATUS_BY_CODE[outcome.code]
         headers: tuple[tuple[str, str], ...] = ()
         if status is HTTPStatus.SERVICE_UNAVAILABLE:
             retry_after_s = self.front.settings.front.retry_after_s
             headers = (('Retry-After', str(retry_after_s)),)
-        return Response(status, _body(request, outcome), headers=headers)
+        return Response(
+            status, _encode_outcome(request, outcome), headers=headers
+        )
 
 
-def _body(request: Request, outcome: IntakeAnswer) -> bytes:
+def _encode_outcome(request: Request, outcome: IntakeAnswer) -> bytes:
     if outcome.code is not codes.DONE:
         return json.dumps({'error': outcome.code.name}).encode()
     if outcome.phase is None:
         return json.dumps({'pending': outcome.pending_count}).encode()
-    state = _PHASES.get(outcome.phase)
+    state = _STATE_BY_PHASE.get(outcome.phase)
     if state is None:
         state = 'running' if outcome.has_started else 'queued'
     return json.dumps({'state': state}).encode()
@@ -169,11 +173,11 @@
 
 
 @REQUEST_HANDLERS.register(('GET', False))
-def _count(
+def _count_pending(
     handler: CallerRequestHandler,
     request: Request,
     policy: QueuePolicy,
     job: str,
 ) -> IntakeAnswer:
-    build = partial(CountPending, policy.pool, policy.queue)
-    return handler.call_intake(request, build)
+    build_message = partial(CountPending, policy.pool, policy.queue)
+    return handler.call_intake(request, build_message)
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -1,7 +1,8 @@
 """Entry point of the daemon on the users' platform.
 
 The platform fills in the template `deploy/settings.yaml`, so this project
-defines the format. An environment variable holds the path of the result.
+defines the format. An environment variable holds the path of the filled-in
+file.
 """
 
 import asyncio
@@ -44,7 +45,7 @@
 from fuchsiarill.ports.http_client import HttpClient
 
 _SETTINGS_VARIABLE: Final = 'FUCHSIARILL_NODE_FILE'
-_CALLS_MAX_COUNT: Final = 2000
+_CALLS_IN_PROGRESS_MAX_COUNT: Final = 2000
 _POLL_INTERVAL_S: Final = 0.05
 # 20 polls of 50 ms: requests in progress get one second to finish.
 _FINISH_POLLS_COUNT: Final = 20
@@ -71,13 +72,15 @@
 def run() -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     # Signals can arrive before the loop runs.
-    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+    for signal_number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
         signal.signal(
-            number,
-            _ignore_reload if number is signal.SIGHUP else _exit_on_signal,
+            signal_number,
+            _ignore_reload
+            if signal_number is signal.SIGHUP
+            else _exit_on_signal,
         )
     path = Path(os.environ.get(_SETTINGS_VARIABLE, ''))
-    settings = _load_or_exit(path)
+    settings = _load_settings_or_exit(path)
     collect_seldom()
     sink = JsonLineSink()
     log_to_sink(sink, settings.log_level)
@@ -85,19 +88,19 @@
         runner.run(_main(settings, path, sink))
 
 
-def _load_or_exit(path: Path) -> GraphSettings:
-    loaded = load_graph_settings(path)
-    if isinstance(loaded, Failure):
-        sys.stderr.write('\n'.join((*loaded.failure(), '')))
+def _load_settings_or_exit(path: Path) -> GraphSettings:
+    load_result = load_graph_settings(path)
+    if isinstance(load_result, Failure):
+        sys.stderr.write('\n'.join((*load_result.failure(), '')))
         sys.exit(ExitStatus.BAD_REQUEST.value)
-    return loaded.unwrap()
+    return load_result.unwrap()
 
 
-def _ignore_reload(number: int, frame: Any) -> None:
+def _ignore_reload(signal_number: int, frame: Any) -> None:
     """Ignore a reload before the loop runs: the start reads the settings."""
 
 
-def _exit_on_signal(number: int, frame: Any) -> None:
+def _exit_on_signal(signal_number: int, frame: Any) -> None:
     sys.exit(0)
 
 
@@ -119,7 +122,7 @@
     metrics = GraphMetrics()
     client = HttpClient(
         settings.calls.threads_max_count,
-        _CALLS_MAX_COUNT,
+        _CALLS_IN_PROGRESS_MAX_COUNT,
         settings.calls.waits_max_count,
     )
     store = PlatformStore(settings.outside.store, client)
@@ -143,7 +146,7 @@
         settings.calls.advice_timeout_ms,
     )
     process.start()
-    listeners = _listeners(settings, process, metrics)
+    listeners = _create_listeners(settings, process, metrics)
     for listener in listeners:
         listener.start()
     await _wait_for_end(process, listeners[0])
@@ -163,16 +166,16 @@
 
 
 async def _finish_requests(listener: Listener) -> None:
-    """Wait until no request is in progress, or for a limited time."""
+    """Wait until no request is in progress, for at most one second."""
     for _ in range(_FINISH_POLLS_COUNT):
         if not listener.in_progress_count:
             break
         await asyncio.sleep(_POLL_INTERVAL_S)
-    # A request leaves the count before its answer has been sent.
+    # A request leaves the count before its response has been sent.
     await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-def _listeners(
+def _create_listeners(
     settings: GraphSettings,
     process: GraphProcess,
     metrics: GraphMetrics,
@@ -188,7 +191,7 @@
         Listener(
             settings.listen.readiness,
             settings.front,
-            partial(_readiness, process.front),
+            partial(_answer_readiness, process.front),
             _READINESS_THREADS_COUNT,
         ),
         Listener(
@@ -200,7 +203,7 @@
     )
 
 
-def _readiness(front: Front, request: Request) -> Response:
+def _answer_readiness(front: Front, request: Request) -> Response:
     """Answer the readiness check of the platform's load balancer."""
     if request.path != '/readyz':
         return Response(HTTPStatus.NOT_FOUND)
@@ -233,25 +236,25 @@
     settings: GraphSettings,
 ) -> None:
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.drain)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, process.drain)
+    loop.add_signal_handler(signal.SIGHUP, _check_settings, path, settings)
 
 
-def _reload(path: Path, settings: GraphSettings) -> None:
+def _check_settings(path: Path, settings: GraphSettings) -> None:
     """Check the settings file; changes take effect at the next start."""
-    loaded = load_graph_settings(path)
-    if isinstance(loaded, Failure):
+    load_result = load_graph_settings(path)
+    if isinstance(load_result, Failure):
         events.emit(
             events.DOCUMENT_UNREADABLE,
             key=str(path),
             revision=0,
-            problem='; '.join(loaded.failure()),
+            problem='; '.join(load_result.failure()),
         )
         return
     events.emit(
         events.SETTINGS_RELOADED,
-        is_changed=loaded.unwrap() != settings,
+        is_changed=load_result.unwrap() != settings,
     )
 
 
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -40,7 +40,7 @@
 
 def read_config(content: bytes) -> GraphConfig:
     """Parse the operator's configuration."""
-    document = _object(content)
+    document = _decode_object(content)
     try:
         return _config(document)
     except _PARSE_ERRORS as error:
@@ -49,7 +49,7 @@
 
 def read_worker(worker: WorkerId, content: bytes) -> WorkerEntry:
     """Parse a worker's entry, which the worker or another writer stored."""
-    document = _object(content)
+    document = _decode_object(content)
     try:
         return _worker(worker, document)
     except _PARSE_ERRORS as error:
@@ -60,7 +60,7 @@
     """Parse a submitted job; `job` must be an id of 16 hex digits."""
     if not _JOB_ID.fullmatch(job):
         raise DocumentError(f'{job!r} is not a job id of 16 hex digits')
-    document = _object(content)
+    document = _decode_object(content)
     try:
         return JobGraph(
             JobId(job),
@@ -74,7 +74,7 @@
         raise DocumentError(f'job {job}: {error!r}') from error
 
 
-def _object(content: bytes) -> dict[str, Any]:
+def _decode_object(content: bytes) -> dict[str, Any]:
     try:
         document = json.loads(content)
     except ValueError as error:
@@ -137,13 +137,13 @@
         _text(document['addr']),
         FailureDomain(_text(document['zone'])),
         Resources(
-            _count(capacity['cpu']),
-            _count(capacity['mem_mb']),
-            _count(capacity['gpu']),
+            _whole_number(capacity['cpu']),
+            _whole_number(capacity['mem_mb']),
+            _whole_number(capacity['gpu']),
         ),
         tuple(Label(_text(label)) for label in document['labels']),
         _LISTING_BY_STATE[document['state']],
-        BornMs(_count(document.get('born', 0))),
+        BornMs(_whole_number(document.get('born', 0))),
         document.get('drain_left_ms'),
     )
 
@@ -154,7 +154,7 @@
     return content
 
 
-def _count(content: object) -> int:
+def _whole_number(content: object) -> int:
     if not isinstance(content, int) or isinstance(content, bool):
         raise TypeError(f'{content!r} is not a whole number')
     return content
@@ -172,7 +172,7 @@
         raise ValueError('a job has no steps')
     steps = tuple(_step(row) for row in rows)
     for position, step in enumerate(steps):
-        if any(not 0 <= earlier < position for earlier in step.after):
+        if any(not 0 <= dependency < position for dependency in step.after):
             raise ValueError(
                 f'step {position} may depend on earlier steps only'
             )
@@ -180,15 +180,15 @@
 
 
 def _step(row: dict[str, Any]) -> Step:
-    count = _count(row.get('count', 1))
+    count = _whole_number(row.get('count', 1))
     if count < 1:
         raise ValueError('a step has no tasks')
     return Step(
         count,
         Resources(
-            _count(row.get('cpu', 0)),
-            _count(row.get('mem_mb', 0)),
-            _count(row.get('gpu', 0)),
+            _whole_number(row.get('cpu', 0)),
+            _whole_number(row.get('mem_mb', 0)),
+            _whole_number(row.get('gpu', 0)),
         ),
         estimate_ms=int(row.get('est_runtime_ms', 0)),
         after=tuple(row.get('after', ())),
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -1,7 +1,7 @@
 """`KeyValuePort` implemented by calls to the platform's key-value store.
 
 Values are base64 text on the wire. A 503 or 429 proves that a call had no
-effect; a call without an answer may have taken effect, or may still do so.
+effect; a call without a response may have taken effect, or may still do so.
 """
 
 import base64
@@ -14,7 +14,11 @@
 
 from fuchsiarill import events
 from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
-from fuchsiarill.platform.answers import PlatformAnswer, parse_body, read_answer
+from fuchsiarill.platform.answers import (
+    PlatformResponse,
+    decode_response,
+    parse_body,
+)
 from fuchsiarill.ports.http_client import HttpCall, HttpClient
 from fuchsiarill.ports.key_value import (
     KvChanges,
@@ -44,7 +48,7 @@
 
     def __init__(self, address: str, client: HttpClient) -> None:
         """Use the store at `address`, a host with a port."""
-        self._base = f'http://{address}'
+        self._base_url = f'http://{address}'
         self._client = client
 
     async def get(
@@ -52,12 +56,12 @@
         key: StoreKey,
         timeout_ms: int,
     ) -> Result[KvItem, KvFailure]:
-        """Read a key; an absent one has no value and revision `ABSENT`."""
+        """Read a key; an absent key has no value and revision `ABSENT`."""
         query = urlencode({'key': key})
-        answer = await self._call('GET', f'/kv-key?{query}', None, timeout_ms)
-        if answer.status == _NOT_FOUND:
+        response = await self._call('GET', f'/kv-key?{query}', None, timeout_ms)
+        if response.status == _NOT_FOUND:
             return Success(KvItem(key, None, ABSENT))
-        return _parse_answer(answer, _item)
+        return _parse_response(response, _item)
 
     async def list_prefix(
         self,
@@ -70,8 +74,8 @@
         if after is not None:
             query['after'] = after
         path = f'/kv-range?{urlencode(query)}'
-        answer = await self._call('GET', path, None, timeout_ms)
-        return _parse_answer(answer, _page)
+        response = await self._call('GET', path, None, timeout_ms)
+        return _parse_response(response, _page)
 
     async def watch_prefix(
         self,
@@ -79,19 +83,19 @@
         after: Revision,
         wait_ms: int,
     ) -> Result[KvChanges, KvFailure]:
-        """Wait for changes of a prefix, for at most `wait_ms`."""
+        """Wait up to `wait_ms` for changes of a prefix after a revision."""
         query = urlencode(
             {'prefix': prefix, 'after': after, 'wait_ms': wait_ms},
         )
-        call = HttpCall('GET', f'{self._base}/kv-watch?{query}')
-        answered = await self._client.call_long_poll(
+        call = HttpCall('GET', f'{self._base_url}/kv-watch?{query}')
+        call_result = await self._client.call_long_poll(
             call,
             wait_ms + _WATCH_MARGIN_MS,
         )
-        answer = read_answer(answered)
-        if answer.status == _GONE:
+        response = decode_response(call_result)
+        if response.status == _GONE:
             return Failure(KvFailure.COMPACTED)
-        return _parse_answer(answer, _changes)
+        return _parse_response(response, _changes)
 
     async def commit(
         self,
@@ -104,15 +108,15 @@
                 {'key': key, 'revision': revision}
                 for key, revision in transaction.expected
             ],
-            'writes': [_write(write) for write in transaction.writes],
+            'writes': [_encode_write(write) for write in transaction.writes],
             'deletes': list(transaction.deletes),
         }
-        answer = await self._call('POST', '/kv-txn', body, timeout_ms)
-        if answer.status == _NOT_FOUND:
+        response = await self._call('POST', '/kv-txn', body, timeout_ms)
+        if response.status == _NOT_FOUND:
             return Failure(KvFailure.LEASE_GONE)
-        if answer.status == _CONDITION_UNMET:
-            return _parsed_or_unknown(parse_body(answer, _conflict, _SOURCE))
-        return _parse_answer(answer, _committed)
+        if response.status == _CONDITION_UNMET:
+            return _success_or_unknown(parse_body(response, _conflict, _SOURCE))
+        return _parse_response(response, _committed)
 
     async def grant_lease(
         self,
@@ -121,8 +125,8 @@
     ) -> Result[StoreLeaseId, KvFailure]:
         """Create a lease that expires `ttl_ms` after its last renewal."""
         body = {'ttl_ms': ttl_ms}
-        answer = await self._call('POST', '/kv-lease', body, timeout_ms)
-        return _parse_answer(answer, _lease)
+        response = await self._call('POST', '/kv-lease', body, timeout_ms)
+        return _parse_response(response, _lease)
 
     async def renew_lease(
         self,
@@ -152,11 +156,11 @@
         lease: StoreLeaseId,
         timeout_ms: int,
     ) -> Result[StoreLeaseId, KvFailure]:
-        answer = await self._call(method, f'{path}/{lease}', None, timeout_ms)
-        if answer.status == _NOT_FOUND:
+        response = await self._call(method, f'{path}/{lease}', None, timeout_ms)
+        if response.status == _NOT_FOUND:
             return Failure(KvFailure.LEASE_GONE)
-        if answer.status not in _LEASE_OK_STATUSES:
-            return Failure(_failure(answer))
+        if response.status not in _LEASE_OK_STATUSES:
+            return Failure(_failure(response))
         return Success(lease)
 
     async def _call(
@@ -165,31 +169,31 @@
         path: str,
         body: dict[str, Any] | None,
         timeout_ms: int,
-    ) -> PlatformAnswer:
+    ) -> PlatformResponse:
         content = None if body is None else json.dumps(body).encode()
-        call = HttpCall(method, self._base + path, content)
-        return read_answer(await self._client.call(call, timeout_ms))
+        call = HttpCall(method, self._base_url + path, content)
+        return decode_response(await self._client.call(call, timeout_ms))
 
 
-def _failure(answer: PlatformAnswer) -> KvFailure:
-    if answer.status in _NO_EFFECT_STATUSES or answer.is_unsent:
+def _failure(response: PlatformResponse) -> KvFailure:
+    if response.status in _NO_EFFECT_STATUSES or response.is_unsent:
         return KvFailure.REFUSED
-    if answer.status is not None:
-        events.emit(events.STORE_ANSWER_UNEXPECTED, status=answer.status)
+    if response.status is not None:
+        events.emit(events.STORE_ANSWER_UNEXPECTED, status=response.status)
     return KvFailure.UNKNOWN
 
 
-def _parse_answer(
-    answer: PlatformAnswer,
-    parse: Callable[[dict[str, Any]], _Parsed],
+def _parse_response(
+    response: PlatformResponse,
+    parse_object: Callable[[dict[str, Any]], _Parsed],
 ) -> Result[_Parsed, KvFailure]:
-    if answer.status != _OK:
-        return Failure(_failure(answer))
-    return _parsed_or_unknown(parse_body(answer, parse, _SOURCE))
+    if response.status != _OK:
+        return Failure(_failure(response))
+    return _success_or_unknown(parse_body(response, parse_object, _SOURCE))
 
 
-def _parsed_or_unknown(parsed: _Parsed | None) -> Result[_Parsed, KvFailure]:
-    """Return the parsed answer; `UNKNOWN` for an unreadable one."""
+def _success_or_unknown(parsed: _Parsed | None) -> Result[_Parsed, KvFailure]:
+    """Return the parsed response; `UNKNOWN` for an unreadable response."""
     return Failure(KvFailure.UNKNOWN) if parsed is None else Success(parsed)
 
 
@@ -230,7 +234,7 @@
     )
 
 
-def _write(write: KvWrite) -> dict[str, Any]:
+def _encode_write(write: KvWrite) -> dict[str, Any]:
     return {
         'key': write.key,
         'value': base64.b64encode(write.value).decode(),
--- a/fuchsiarill/platform/task_names.py
+++ b/fuchsiarill/platform/task_names.py
@@ -1,4 +1,4 @@
-"""Names of tasks and steps on the wire: JOB.OCCURRENCE.STEP.INDEX."""
+"""Names of tasks and steps on the wire: JOB.OCCURRENCE.STEP.POSITION."""
 
 from fuchsiarill.graphs.model import StepKey, TaskKey
 from fuchsiarill.ids import JobId
@@ -16,5 +16,5 @@
 
 def parse_task(name: str) -> TaskKey:
     """Parse the wire name of a task; raises `ValueError`."""
-    job, occurrence, step, index = name.split('.')
-    return TaskKey(JobId(job), int(occurrence), int(step), int(index))
+    job, occurrence, step, position = name.split('.')
+    return TaskKey(JobId(job), int(occurrence), int(step), int(position))
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -1,4 +1,4 @@
-"""`AgentPort` implemented by calls to the platform's workers."""
+"""`AgentPort` implemented by HTTP calls to the agents on workers."""
 
 import json
 from typing import Any, Final
@@ -15,7 +15,11 @@
     StartOrder,
     WorkerReport,
 )
-from fuchsiarill.platform.answers import PlatformAnswer, parse_body, read_answer
+from fuchsiarill.platform.answers import (
+    PlatformResponse,
+    decode_response,
+    parse_body,
+)
 from fuchsiarill.platform.task_names import parse_task, task_name
 from fuchsiarill.ports.agents import (
     AgentAddress,
@@ -44,11 +48,11 @@
     429: AgentFailure.UNHEALTHY,
     503: AgentFailure.UNHEALTHY,
 }
-_CALL_FAILURES: Final = {
+_FAILURE_BY_CALL_FAILURE: Final = {
     CallFailure.CONNECTION_REFUSED: AgentFailure.CONNECTION_REFUSED,
     CallFailure.NOT_SENT: AgentFailure.NOT_SENT,
 }
-_END_KINDS: Final = {
+_END_KIND_BY_NAME: Final = {
     'done': EndKind.SUCCEEDED,
     'failed': EndKind.FAILED,
     'stopped': EndKind.STOPPED,
@@ -59,7 +63,7 @@
 
 
 class PlatformWorkers:
-    """HTTP client of the platform's workers."""
+    """HTTP client of the agents on the platform's workers."""
 
     def __init__(self, client: HttpClient) -> None:
         """Use the connections of `client`."""
@@ -105,7 +109,7 @@
         order: PaceOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Set the pace of a run; returns the worker's clock in ms."""
+        """Limit the speed of a run; returns the worker's clock in ms."""
         body = {
             'task': task_name(order.task),
             'attempt': order.attempt,
@@ -128,17 +132,17 @@
         }
         if order.expiry_ms is not None:
             body['deadline_ms'] = order.expiry_ms
-        call = _call(agent, '/hold', body)
+        call = _build_call(agent, '/hold', body)
         limit_ms = timeout_ms + order.wait_ms
         if order.wait_ms:
             limit_ms += _RENEWAL_MARGIN_MS
-            answered = await self._client.call_long_poll(call, limit_ms)
+            call_result = await self._client.call_long_poll(call, limit_ms)
         else:
-            answered = await self._client.call(call, limit_ms)
-        answer = read_answer(answered)
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        report = parse_body(answer, _report, agent.worker)
+            call_result = await self._client.call(call, limit_ms)
+        response = decode_response(call_result)
+        if response.status != _OK:
+            return Failure(_failure(response))
+        report = parse_body(response, _report, agent.worker)
         if report is None:
             return Failure(AgentFailure.MALFORMED)
         return Success(report)
@@ -150,20 +154,22 @@
         body: dict[str, Any],
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        answered = await self._client.call(
-            _call(agent, path, body),
+        call_result = await self._client.call(
+            _build_call(agent, path, body),
             timeout_ms,
         )
-        answer = read_answer(answered)
-        if answer.status != _OK:
-            return Failure(_failure(answer))
-        clock_ms = parse_body(answer, _clock_ms, agent.worker)
+        response = decode_response(call_result)
+        if response.status != _OK:
+            return Failure(_failure(response))
+        clock_ms = parse_body(response, _clock_ms, agent.worker)
         if clock_ms is None:
             return Failure(AgentFailure.UNKNOWN)
         return Success(clock_ms)
 
 
-def _call(agent: AgentAddress, path: str, body: dict[str, Any]) -> HttpCall:
+def _build_call(
+    agent: AgentAddress, path: str, body: dict[str, Any]
+) -> HttpCall:
     return HttpCall(
         'POST',
         f'http://{agent.address}{path}',
@@ -172,13 +178,15 @@
     )
 
 
-def _failure(answer: PlatformAnswer) -> AgentFailure:
-    if answer.failure is not None:
-        return _CALL_FAILURES.get(answer.failure, AgentFailure.UNKNOWN)
-    if answer.status == _CONFLICT:
-        reason = str(answer.body.get('reason'))
+def _failure(response: PlatformResponse) -> AgentFailure:
+    if response.failure is not None:
+        return _FAILURE_BY_CALL_FAILURE.get(
+            response.failure, AgentFailure.UNKNOWN
+        )
+    if response.status == _CONFLICT:
+        reason = str(response.body.get('reason'))
         return _FAILURE_BY_REASON.get(reason, AgentFailure.MALFORMED)
-    return _FAILURE_BY_STATUS.get(answer.status or 0, AgentFailure.UNKNOWN)
+    return _FAILURE_BY_STATUS.get(response.status or 0, AgentFailure.UNKNOWN)
 
 
 def _clock_ms(body: dict[str, Any]) -> int:
@@ -211,6 +219,6 @@
         EndSequence(sequence),
         parse_task(task),
         attempt,
-        _END_KINDS[kind],
+        _END_KIND_BY_NAME[kind],
         Checkpoint(checkpoint),
     )
--- a/tests/platform_server.py
+++ b/tests/platform_server.py
@@ -1,4 +1,4 @@
-"""A loopback HTTP server that sends the answer set by a test."""
+"""A loopback HTTP server that sends the response set by a test."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -11,8 +11,8 @@
 
 
 @dataclass(slots=True)
-class Canned:
-    """The answer to send, and the requests received."""
+class StubServer:
+    """The response to send, and the requests received."""
 
     status: int = 200
     body: Any = field(default_factory=dict)
@@ -21,8 +21,10 @@
     )
     address: str = ''
 
-    def respond(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
-        """Record the request and send the answer."""
+    def respond(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Record the request and send the response."""
         size = int(environ.get('CONTENT_LENGTH') or 0)
         content = environ['wsgi.input'].read(size)
         path = environ['PATH_INFO']
@@ -41,17 +43,19 @@
                 headers,
             ),
         )
-        raw = self.body
-        if not isinstance(raw, bytes):
-            raw = json.dumps(raw).encode()
-        start(f'{self.status} x', [('Content-Length', str(len(raw)))])
-        return [raw]
+        content_to_send = self.body
+        if not isinstance(content_to_send, bytes):
+            content_to_send = json.dumps(content_to_send).encode()
+        start_response(
+            f'{self.status} x', [('Content-Length', str(len(content_to_send)))]
+        )
+        return [content_to_send]
 
 
 @contextmanager
-def serve_canned() -> Iterator[Canned]:
+def serve_canned() -> Iterator[StubServer]:
     """Serve on a free port of the loopback interface."""
-    canned = Canned()
+    canned = StubServer()
     server = wsgi.Server(('127.0.0.1', 0), canned.respond, numthreads=2)
     server.prepare()
     thread = Thread(target=server.serve, daemon=True)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -39,7 +39,7 @@
     KvTransaction,
     KvWrite,
 )
-from tests.platform_server import Canned, serve_canned
+from tests.platform_server import StubServer, serve_canned
 
 KEY = StoreKey('jobs/p/1/graph')
 TASK = TaskKey(JobId('5c0e7a21d94b36f8'), 0, 1, 17)
@@ -56,8 +56,8 @@
 
 
 @pytest.fixture(name='canned')
-def serve() -> Iterator[Canned]:
-    """Serve the answer that a test sets."""
+def serve() -> Iterator[StubServer]:
+    """Serve the response that a test sets."""
     with serve_canned() as canned:
         yield canned
 
@@ -67,17 +67,17 @@
     return asyncio.run(call)
 
 
-def store(canned: Canned) -> PlatformStore:
+def store(canned: StubServer) -> PlatformStore:
     """Return a client that sends the calls of a store to `canned`."""
     return PlatformStore(canned.address, HttpClient(2, 4))
 
 
-def agent(canned: Canned) -> AgentAddress:
+def agent(canned: StubServer) -> AgentAddress:
     """Return the address of `canned` as that of worker i-1."""
     return AgentAddress(WorkerId('i-1'), canned.address)
 
 
-def test_item_is_decoded(canned: Canned) -> None:
+def test_item_is_decoded(canned: StubServer) -> None:
     """Guards against values that are returned in base64."""
     canned.body = {
         'key': KEY,
@@ -87,15 +87,17 @@
         'lease': 0,
         'at_rev': 530,
     }
-    found = run(store(canned).get(KEY, _TIMEOUT_MS))
-    assert found == Success(KvItem(KEY, b'node', Revision(412), Revision(400)))
+    read_result = run(store(canned).get(KEY, _TIMEOUT_MS))
+    assert read_result == Success(
+        KvItem(KEY, b'node', Revision(412), Revision(400))
+    )
 
 
-def test_absent_key_is_an_answer(canned: Canned) -> None:
+def test_absent_key_is_an_answer(canned: StubServer) -> None:
     """Guards against an absent key that is reported as a failure."""
     canned.status = 404
-    found = run(store(canned).get(KEY, _TIMEOUT_MS))
-    assert found == Success(KvItem(KEY, None, ABSENT))
+    read_result = run(store(canned).get(KEY, _TIMEOUT_MS))
+    assert read_result == Success(KvItem(KEY, None, ABSENT))
 
 
 @pytest.mark.parametrize(
@@ -108,7 +110,7 @@
     ],
 )
 def test_failed_transaction(
-    canned: Canned,
+    canned: StubServer,
     status: int,
     failure: KvFailure,
 ) -> None:
@@ -118,21 +120,21 @@
     assert outcome == Failure(failure)
 
 
-def test_unreachable_store_has_done_nothing() -> None:
+def test_unsent_transaction_is_refused() -> None:
     """Guards against an unknown outcome of a call that was never sent."""
     unreachable = PlatformStore('127.0.0.1:1', HttpClient(2, 4))
     outcome = run(unreachable.commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.REFUSED)
 
 
-def test_unreadable_success_is_no_answer(canned: Canned) -> None:
+def test_unreadable_success_is_no_answer(canned: StubServer) -> None:
     """Guards against a truncated body that is reported as a refusal."""
     canned.body = b'{"revi'
     outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.UNKNOWN)
 
 
-def test_transaction_on_the_wire(canned: Canned) -> None:
+def test_transaction_on_the_wire(canned: StubServer) -> None:
     """Guards against conditions or leases that are missing from the request."""
     canned.body = {'revision': 9}
     transaction = KvTransaction(
@@ -153,7 +155,7 @@
     )
 
 
-def test_conflict_shows_the_keys(canned: Canned) -> None:
+def test_conflict_shows_the_keys(canned: StubServer) -> None:
     """Guards against a conflict without the present items."""
     canned.status = 412
     canned.body = {'items': [{'key': KEY, 'value': 'eA==', 'revision': 3}]}
@@ -163,7 +165,7 @@
     )
 
 
-def test_watch(canned: Canned) -> None:
+def test_watch(canned: StubServer) -> None:
     """Guards against deletions that are read as writes."""
     canned.body = {
         'events': [
@@ -176,11 +178,11 @@
     assert [item.value for item in changes.items] == [b'x', None]
     assert canned.requests[0][1] == '/kv-watch?prefix=x%2F&after=3&wait_ms=100'
     canned.status = 410
-    gone = run(store(canned).watch_prefix('x/', Revision(3), 100))
-    assert gone == Failure(KvFailure.COMPACTED)
+    watch_result = run(store(canned).watch_prefix('x/', Revision(3), 100))
+    assert watch_result == Failure(KvFailure.COMPACTED)
 
 
-def test_start_on_the_wire(canned: Canned) -> None:
+def test_start_on_the_wire(canned: StubServer) -> None:
     """Guards against an order that another worker at the address accepts."""
     canned.body = {'clock_ms': 482113}
     workers = PlatformWorkers(HttpClient(2, 4))
@@ -216,7 +218,7 @@
     ],
 )
 def test_refused_start(
-    canned: Canned,
+    canned: StubServer,
     status: int,
     reason: str,
     failure: AgentFailure,
@@ -229,16 +231,16 @@
     assert outcome == Failure(failure)
 
 
-def test_report(canned: Canned) -> None:
-    """Guards against ends that are mapped to the wrong kind."""
-    name = '5c0e7a21d94b36f8.0.1.17'
+def test_report(canned: StubServer) -> None:
+    """Guards against ends of runs that are mapped to the wrong kind."""
+    task = '5c0e7a21d94b36f8.0.1.17'
     canned.body = {
         'clock_ms': 5,
         'born': 99,
-        'running': [[name, 2, 'c', 41, 12.5], [name, 3, '', 100]],
+        'running': [[task, 2, 'c', 41, 12.5], [task, 3, '', 100]],
         'finished': [
-            [number, name, 1, how, '']
-            for number, how in enumerate(
+            [number, task, 1, kind_name, '']
+            for number, kind_name in enumerate(
                 ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'),
                 start=1,
             )
@@ -257,7 +259,7 @@
     }
 
 
-def test_unreadable_report_is_no_report(canned: Canned) -> None:
+def test_unreadable_report_is_no_report(canned: StubServer) -> None:
     """Guards against a malformed report that raises in the calling actor."""
     canned.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
     workers = PlatformWorkers(HttpClient(2, 4))
@@ -266,7 +268,7 @@
     assert outcome == Failure(AgentFailure.MALFORMED)
 
 
-def test_advice(canned: Canned) -> None:
+def test_advice(canned: StubServer) -> None:
     """Guards against tickets that are assigned to the wrong worker."""
     canned.body = {'granted': [['i-1', 'c81e'], ['i-2', 'c82e']]}
     advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
@@ -279,8 +281,8 @@
         'workers': ['i-1', 'i-2', 'i-3'],
     }
     canned.status = 429
-    busy = run(advisor.advise(step, workers, _TIMEOUT_MS))
-    assert busy == Failure(AgentFailure.UNHEALTHY)
+    advice_result = run(advisor.advise(step, workers, _TIMEOUT_MS))
+    assert advice_result == Failure(AgentFailure.UNHEALTHY)
 
 
 @pytest.mark.parametrize(
@@ -288,20 +290,20 @@
     [b'[]', b'3', b'{"revision": null}', b'{"items": 1}'],
 )
 def test_success_of_another_shape_is_no_answer(
-    canned: Canned,
+    canned: StubServer,
     body: bytes,
 ) -> None:
     """Guards against a malformed body that raises in the calling task."""
     canned.body = body
     outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.UNKNOWN)
-    found = run(store(canned).list_prefix('jobs/', None, _TIMEOUT_MS))
-    assert found == Failure(KvFailure.UNKNOWN)
+    read_result = run(store(canned).list_prefix('jobs/', None, _TIMEOUT_MS))
+    assert read_result == Failure(KvFailure.UNKNOWN)
 
 
 @pytest.mark.parametrize('body', [b'[]', b'{}', b'{"clock_ms": "soon"}'])
 def test_start_with_an_unreadable_answer_may_run(
-    canned: Canned,
+    canned: StubServer,
     body: bytes,
 ) -> None:
     """Guards against a second start after an unreadable confirmation."""
@@ -311,7 +313,7 @@
     assert outcome == Failure(AgentFailure.UNKNOWN)
 
 
-def test_refusal_without_an_object_is_a_refusal(canned: Canned) -> None:
+def test_refusal_without_an_object_is_a_refusal(canned: StubServer) -> None:
     """Guards against a refusal whose body is no JSON object and raises."""
     canned.status = 409
     canned.body = b'"fence"'
@@ -320,7 +322,7 @@
     assert outcome == Failure(AgentFailure.MALFORMED)
 
 
-def test_advice_of_another_shape_is_no_answer(canned: Canned) -> None:
+def test_advice_of_another_shape_is_no_answer(canned: StubServer) -> None:
     """Guards against a malformed answer that raises and loses the request."""
     canned.body = {'granted': [1]}
     advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
