--- a/fuchsiarill/actor.py
+++ b/fuchsiarill/actor.py
@@ -107,8 +107,8 @@
 
         A tick that finds the mailbox full is dropped.
         """
-        ticks = self._tick(interval_ms, message)
-        self._tasks.append(asyncio.create_task(ticks, name=self.name))
+        sending_ticks = self._send_ticks(interval_ms, message)
+        self._tasks.append(asyncio.create_task(sending_ticks, name=self.name))
 
     async def stop(self) -> None:
         """Cancel the actor's tasks and wait for their end."""
@@ -128,7 +128,7 @@
                 return repr(task.exception())
         return None
 
-    async def _tick(self, interval_ms: float, message: object) -> None:
+    async def _send_ticks(self, interval_ms: float, message: object) -> None:
         while True:
             await asyncio.sleep(interval_ms / MS_PER_SECOND)
             self.mailbox.send(message)
--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -1,4 +1,7 @@
-"""Connects the actors of one process; the daemon and the replay both use it."""
+"""Connects the actors of one process.
+
+The daemon and the simulation of a cell in `replay` both use it.
+"""
 
 import random
 from dataclasses import dataclass, replace
@@ -32,10 +35,10 @@
     """Identity, settings and outside dependencies of a process."""
 
     settings: ProcessSettings
-    own: MemberDetail
+    own_member: MemberDetail
     ports: Ports
-    calls: RpcPeers
-    parse: ConfigParser
+    peers: RpcPeers
+    config_parser: ConfigParser
     random_source: random.Random
 
 
@@ -45,42 +48,47 @@
     def __init__(
         self,
         environment: Environment,
-        links: tuple[Actor, ...] = (),
+        extra_actors: tuple[Actor, ...] = (),
     ) -> None:
-        """Create the actors; the process checks `links` for failures too."""
+        """Create the actors.
+
+        The `Process` actor checks `extra_actors` for failures too.
+        """
         settings = environment.settings
         store = HealthTrackingStore(environment.ports.store)
         self._settings = settings
         self._ports = replace(environment.ports, store=store)
-        self._calls = environment.calls
+        self._peers = environment.peers
         self.membership = Membership(
             settings.membership,
-            environment.own,
+            environment.own_member,
             Directory(store),
-            environment.calls,
+            environment.peers,
             environment.random_source,
         )
         store.changed = self.membership.update_store_state
-        self.config = ConfigSpread(
+        self.config_actor = ConfigSpread(
             settings.config,
             store,
-            environment.calls,
-            environment.parse,
+            environment.peers,
+            environment.config_parser,
             environment.random_source,
         )
-        self.router = Router(settings.peers, self._link, self._look_up)
+        self.router = Router(
+            settings.peers, self._create_owner_link, self._look_up_owner
+        )
         own_actors = (
             self.membership,
-            self.config,
-            self.config.source,
+            self.config_actor,
+            self.config_actor.source,
             self.router,
         )
         self.process = Process(
             settings,
             ProcessContext(
                 self.membership.mailbox,
-                (*links, *own_actors),
-                environment.calls,
+                (*extra_actors, *own_actors),
+                environment.peers,
                 self._ports.host_list,
             ),
             self._open_campaign,
@@ -88,19 +96,24 @@
         self.receivers = Receivers(
             self.router.mailbox,
             self.membership.mailbox,
-            self.config.mailbox,
+            self.config_actor.mailbox,
             self.process.mailbox,
         )
 
     def attach_front(self, front: Actor) -> tuple[Actor, ...]:
-        """Connect the front end; returns all actors in the order of start."""
+        """Connect the front end.
+
+        Returns the actors that the caller must start, in this order.
+        """
         self.process.front = front
         self.router.membership = self.membership.mailbox
-        self.config.membership = self.membership.mailbox
-        self.config.subscribers.extend((front.mailbox, self.process.mailbox))
+        self.config_actor.membership = self.membership.mailbox
+        self.config_actor.subscribers.extend(
+            (front.mailbox, self.process.mailbox)
+        )
         self.membership.subscribers.extend(
             (
-                self.config.mailbox,
+                self.config_actor.mailbox,
                 self.router.mailbox,
                 self.process.mailbox,
             ),
@@ -110,10 +123,10 @@
             self.process,
             front,
             self.membership,
-            self.config,
+            self.config_actor,
         )
 
-    def _link(
+    def _create_owner_link(
         self,
         partition: PartitionId,
         address: str,
@@ -123,15 +136,17 @@
             partition,
             address,
             settings,
-            self._calls,
+            self._peers,
             self.router.mailbox,
         )
 
-    async def _look_up(self, partition: PartitionId) -> OwnerLocated | None:
+    async def _look_up_owner(
+        self, partition: PartitionId
+    ) -> OwnerLocated | None:
         """Read the owner key; `None` when the store does not answer."""
         match await self._ports.store.get(owner_key(partition)):
-            case Success(found):
-                return OwnerLocated(partition, parse_claim(found), mailbox=None)
+            case Success(item):
+                return OwnerLocated(partition, parse_claim(item), mailbox=None)
         return None
 
     def _open_campaign(
--- a/fuchsiarill/cell_checks.py
+++ b/fuchsiarill/cell_checks.py
@@ -1,7 +1,7 @@
 """Checks of a cell configuration that span several of its fields.
 
 They run on the parts whose own fields are valid, so that one answer reports
-faults of single fields together with those that span several.
+problems of single fields together with those that span several.
 """
 
 from collections.abc import Callable, Hashable, Iterator
@@ -22,8 +22,9 @@
     'accelerators_count',
     'slots_count',
 )
-# A lease must last through two lost exchanges.
-_EXCHANGES_PER_LEASE: Final = 3
+# A lease must last through two lost exchanges: requests to a worker, each of
+# which renews the leases of its tasks.
+_EXCHANGES_PER_LEASE_MIN_COUNT: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,15 +50,15 @@
 
 
 @CHECKS.register('duplicates')
-def _duplicates(parts: ValidParts) -> Iterator[Problem]:
-    yield from _duplicate_names(
+def _check_duplicates(parts: ValidParts) -> Iterator[Problem]:
+    yield from _duplicate_name_problems(
         parts.document,
         {
             ('regions', position, 'name'): region.name
             for position, region in parts.regions.items()
         },
     )
-    yield from _duplicate_names(
+    yield from _duplicate_name_problems(
         parts.document,
         {
             ('contracts', position, 'customer'): contract.customer
@@ -67,20 +68,20 @@
 
 
 @CHECKS.register('tokens')
-def _tokens(parts: ValidParts) -> Iterator[Problem]:
+def _check_tokens(parts: ValidParts) -> Iterator[Problem]:
     """Report shared tokens: a request would not identify its sender."""
     holders = {parts.operator_token_sha256: 'the operators'}
     for position, contract in sorted(parts.contracts.items()):
-        other = holders.setdefault(contract.token_sha256, contract.customer)
-        if other != contract.customer:
+        holder = holders.setdefault(contract.token_sha256, contract.customer)
+        if holder != contract.customer:
             yield parts.document.problem(
                 ('contracts', position, 'token_sha256'),
-                texts.SAME_TOKEN.format(other=other),
+                texts.SAME_TOKEN.format(other=holder),
             )
 
 
 @CHECKS.register('references')
-def _references(parts: ValidParts) -> Iterator[Problem]:
+def _check_references(parts: ValidParts) -> Iterator[Problem]:
     names = {region.name for region in parts.regions.values()}
     for position, contract in parts.contracts.items():
         if contract.region not in names:
@@ -91,7 +92,7 @@
 
 
 @CHECKS.register('quotas')
-def _quotas(parts: ValidParts) -> Iterator[Problem]:
+def _check_quotas(parts: ValidParts) -> Iterator[Problem]:
     for position, contract in parts.contracts.items():
         for field in _AMOUNT_FIELDS:
             guaranteed = getattr(contract.guaranteed, field)
@@ -112,7 +113,7 @@
 
 
 @CHECKS.register('sums')
-def _sums(parts: ValidParts) -> Iterator[Problem]:
+def _check_guarantee_sums(parts: ValidParts) -> Iterator[Problem]:
     for position, region in parts.regions.items():
         if region.capacity is None:
             continue
@@ -135,7 +136,7 @@
 
 
 @CHECKS.register('policies')
-def _policies(parts: ValidParts) -> Iterator[Problem]:
+def _check_policies(parts: ValidParts) -> Iterator[Problem]:
     names_by_path: dict[FieldPath, tuple[str, str]] = {
         ('contracts', position, 'placement'): ('placement', contract.placement)
         for position, contract in parts.contracts.items()
@@ -146,21 +147,23 @@
             parts.policies.ordering,
         )
     for path, (kind, name) in names_by_path.items():
-        known = _registered_names(kind)
-        if known is None or name in known:
+        registered_names = _registered_names(kind)
+        if registered_names is None or name in registered_names:
             continue
         yield parts.document.problem(
             path,
-            texts.UNKNOWN_POLICY.format(name=name, known=', '.join(known)),
+            texts.UNKNOWN_POLICY.format(
+                name=name, known=', '.join(registered_names)
+            ),
         )
 
 
 @CHECKS.register('leases')
-def _leases(parts: ValidParts) -> Iterator[Problem]:
+def _check_leases(parts: ValidParts) -> Iterator[Problem]:
     policies = parts.policies
     if policies is None:
         return
-    shortest_ms = _EXCHANGES_PER_LEASE * policies.exchange_interval_ms
+    shortest_ms = _EXCHANGES_PER_LEASE_MIN_COUNT * policies.exchange_interval_ms
     if policies.task_lease_ms < shortest_ms:
         yield parts.document.problem(
             ('policies', 'task_lease_ms'),
@@ -171,16 +174,16 @@
         )
 
 
-def _duplicate_names(
+def _duplicate_name_problems(
     document: YamlDocument,
     names_by_path: dict[FieldPath, str],
 ) -> Iterator[Problem]:
-    first: dict[str, FieldPath] = {}
+    first_paths: dict[str, FieldPath] = {}
     for path, name in names_by_path.items():
-        earlier = first.setdefault(name, path)
-        if earlier == path:
+        first_path = first_paths.setdefault(name, path)
+        if first_path == path:
             continue
-        line = document.problem(earlier, '').line
+        line = document.problem(first_path, '').line
         yield document.problem(
             path,
             texts.DUPLICATE_NAME.format(name=name, line=line),
--- a/fuchsiarill/cell_config.py
+++ b/fuchsiarill/cell_config.py
@@ -31,9 +31,9 @@
 _TITLE_MAX_LENGTH: Final = 200
 
 _Count = Annotated[int, Field(ge=0, le=_AMOUNT_MAX)]
-_Positive = Annotated[int, Field(gt=0, le=_AMOUNT_MAX)]
+_PositiveInt = Annotated[int, Field(gt=0, le=_AMOUNT_MAX)]
 _DurationMs = Annotated[int, Field(gt=0, le=_DURATION_MAX_MS)]
-_Partitions = Annotated[int, Field(gt=0, le=_PARTITIONS_MAX_COUNT)]
+_PartitionsCount = Annotated[int, Field(gt=0, le=_PARTITIONS_MAX_COUNT)]
 # Names are parts of store keys, job ids and metric labels.
 _NAME: Final = Field(pattern='^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$')
 _TITLE: Final = Field(min_length=1, max_length=_TITLE_MAX_LENGTH)
@@ -86,9 +86,9 @@
     quota: Amounts
     guaranteed: Amounts
     weight: _Weight = 1
-    submit_rate_per_s: _Positive
-    submit_burst_count: _Positive
-    waiting_jobs_max_count: _Positive = 10_000
+    submit_rate_per_s: _PositiveInt
+    submit_burst_count: _PositiveInt
+    waiting_jobs_max_count: _PositiveInt = 10_000
     retry_budget_ratio: _Fraction = 0.1
     placement: str = 'spread'
     volatile_accept: bool = False
@@ -103,7 +103,7 @@
     learn_sizes: bool = True
     task_lease_ms: _DurationMs = 15_000
     exchange_interval_ms: _DurationMs = 1_000
-    probation_failures_count: _Positive = 3
+    probation_failures_count: _PositiveInt = 3
 
 
 class Region(_Model):
@@ -113,7 +113,7 @@
     """
 
     name: _Region
-    partitions_count: _Partitions = 1
+    partitions_count: _PartitionsCount = 1
     capacity: Amounts | None = None
 
 
@@ -139,7 +139,7 @@
     """Read a configuration document; fails with every problem found."""
     match read_yaml(text, MAX_CONFIG_BYTES):
         case Success(document):
-            return _check(document)
+            return _check_document(document)
         case Failure(problems):
             return Failure(_refusals(problems))
     raise AssertionError(texts.NO_RESULT)
@@ -147,25 +147,29 @@
 
 def changed_partitions(
     text: str,
-    before: CellConfig,
-    after: CellConfig,
+    old_config: CellConfig,
+    new_config: CellConfig,
 ) -> tuple[Refusal, ...]:
     """Return the partition changes that would leave jobs without partition.
 
-    `text` is the document of `after` and gives the line of each field.
+    `text` is the document of `new_config` and gives the line of each field.
     """
     document = read_yaml(text, MAX_CONFIG_BYTES).unwrap()
     positions = {
-        region.name: position for position, region in enumerate(after.regions)
+        region.name: position
+        for position, region in enumerate(new_config.regions)
     }
     problems = []
-    for region in before.regions:
+    for region in old_config.regions:
         position = positions.get(region.name)
         if position is None:
-            removed = texts.REGION_REMOVED.format(region=region.name)
-            problems.append(document.problem(('regions',), removed))
+            problem_text = texts.REGION_REMOVED.format(region=region.name)
+            problems.append(document.problem(('regions',), problem_text))
             continue
-        if after.regions[position].partitions_count == region.partitions_count:
+        if (
+            new_config.regions[position].partitions_count
+            == region.partitions_count
+        ):
             continue
         problems.append(
             document.problem(
@@ -191,20 +195,20 @@
     return hashlib.sha256(canonical.encode()).hexdigest()
 
 
-def _check(
+def _check_document(
     document: YamlDocument,
 ) -> Result[CellConfig, tuple[Refusal, ...]]:
-    checked = document.check_model(CellConfig)
-    problems = list(checked.failure()) if _is_failure(checked) else []
+    check_result = document.check_model(CellConfig)
+    problems = list(check_result.failure()) if _is_failure(check_result) else []
     problems.extend(cross_field_problems(_valid_parts(document)))
     if problems:
         problems.sort(key=lambda problem: problem.line)
         return Failure(_refusals(problems))
-    return Success(checked.unwrap())
+    return Success(check_result.unwrap())
 
 
-def _is_failure(checked: Result[CellConfig, tuple[Problem, ...]]) -> bool:
-    return isinstance(checked, Failure)
+def _is_failure(check_result: Result[CellConfig, tuple[Problem, ...]]) -> bool:
+    return isinstance(check_result, Failure)
 
 
 def _valid_parts(document: YamlDocument) -> ValidParts:
@@ -214,14 +218,14 @@
     digest = content.get('operator_token_sha256')
     return ValidParts(
         document=document,
-        regions=_valid_items(Region, content.get('regions')),
-        contracts=_valid_items(Contract, content.get('contracts')),
-        policies=_valid_item(Policies, content.get('policies', {})),
+        regions=_build_valid_items(Region, content.get('regions')),
+        contracts=_build_valid_items(Contract, content.get('contracts')),
+        policies=_build_if_valid(Policies, content.get('policies', {})),
         operator_token_sha256=digest if isinstance(digest, str) else None,
     )
 
 
-def _valid_items(
+def _build_valid_items(
     model: type[_Part],
     content: Any,
 ) -> dict[int, _Part]:
@@ -229,13 +233,13 @@
         return {}
     valid = {}
     for position, entry in enumerate(content):
-        built = _valid_item(model, entry)
-        if built is not None:
-            valid[position] = built
+        item = _build_if_valid(model, entry)
+        if item is not None:
+            valid[position] = item
     return valid
 
 
-def _valid_item(model: type[_Part], content: Any) -> _Part | None:
+def _build_if_valid(model: type[_Part], content: Any) -> _Part | None:
     try:
         return build_strictly(model, content)
     except ValidationError:
--- a/fuchsiarill/clock.py
+++ b/fuchsiarill/clock.py
@@ -1,7 +1,7 @@
 """The clock of the runtime, and an event loop with virtual time.
 
 All code takes time from the running loop, never from `time`, so that a test or
-a replay under `PausedLoop` covers hours in milliseconds.
+a simulation under `PausedLoop` covers hours in milliseconds.
 """
 
 import asyncio
@@ -45,19 +45,19 @@
 
 
 class PausedLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time moves only to the next timer.
+    """Event loop whose time is virtual and moves only to the next timer.
 
     It never blocks, so every run has the same sequence of events.
     """
 
     def __init__(self) -> None:
         """Start at time zero."""
-        self._advancing = _AdvancingSelector()
-        super().__init__(self._advancing)
+        self._advancing_selector = _AdvancingSelector()
+        super().__init__(self._advancing_selector)
 
     def time(self) -> float:
         """Return the virtual time in seconds."""
-        return self._advancing.elapsed_s
+        return self._advancing_selector.elapsed_s
 
 
 def run_paused(main: Coroutine[Any, Any, _Outcome]) -> _Outcome:
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -1,7 +1,7 @@
 """The daemon `fuchsiarilld`: reads settings, runs the actors.
 
-Every entry host runs the same program; which partitions it owns is decided
-by the campaigns.
+Every entry host runs the same program. For each partition a campaign, the
+actor that competes for its ownership, decides whether this process owns it.
 """
 
 import argparse
@@ -42,7 +42,7 @@
 from fuchsiarill.settings import ProcessSettings, load_settings
 
 _CLIENT_THREADS_COUNT = 32
-_CLIENT_CALLS_MAX_COUNT = 512
+_CALLS_IN_PROGRESS_MAX_COUNT = 512
 _NS_PER_MS = 1_000_000
 
 
@@ -52,13 +52,13 @@
     parser.add_argument('--config', type=Path, required=True)
     parser.add_argument('--check', action='store_true')
     options = parser.parse_args()
-    loaded = load_settings(options.config)
-    if isinstance(loaded, Failure):
-        sys.stderr.write('\n'.join((*loaded.failure(), '')))
+    load_result = load_settings(options.config)
+    if isinstance(load_result, Failure):
+        sys.stderr.write('\n'.join((*load_result.failure(), '')))
         sys.exit(ExitStatus.BAD_REQUEST.value)
     if options.check:
         return
-    settings = loaded.unwrap()
+    settings = load_result.unwrap()
     collect_seldom()
     log_to_stderr(settings.log_format, settings.log_level)
     sys.exit(asyncio.run(_main(settings)))
@@ -80,7 +80,7 @@
 
 async def _serve(settings: ProcessSettings) -> int:
     """Run all actors until the process ends; returns the exit status."""
-    client = HttpClient(_CLIENT_THREADS_COUNT, _CLIENT_CALLS_MAX_COUNT)
+    client = HttpClient(_CLIENT_THREADS_COUNT, _CALLS_IN_PROGRESS_MAX_COUNT)
     parser_pool = ThreadPoolExecutor(1, 'config-parser')
     metrics = Metrics()
     ports = Ports(
@@ -88,8 +88,8 @@
         HttpHostList(settings.host_list, client),
         HttpWorkers(settings.workers, client),
     )
-    parse = partial(_parse_in_thread, parser_pool)
-    daemon = _assemble(settings, ports, metrics, parse)
+    config_parser = partial(_parse_in_thread, parser_pool)
+    daemon = _create_daemon(settings, ports, metrics, config_parser)
     server = await serve_peers(daemon.receivers, settings.peers)
     for actor in daemon.actors:
         actor.start()
@@ -104,30 +104,30 @@
     return int(daemon.process.has_failed)
 
 
-def _assemble(
+def _create_daemon(
     settings: ProcessSettings,
     ports: Ports,
     metrics: Metrics,
-    parse: ConfigParser,
+    config_parser: ConfigParser,
 ) -> _Daemon:
     peers = Peers(settings.peers)
     assembly = Assembly(
         Environment(
             settings,
-            _own_detail(settings),
+            _own_member(settings),
             ports,
             RpcPeers(peers.mailbox, settings.peers),
-            parse,
+            config_parser,
             random.Random(),
         ),
-        links=(peers,),
+        extra_actors=(peers,),
     )
-    front = _front(settings, assembly.receivers, metrics)
-    started = (peers, *assembly.attach_front(front))
-    return _Daemon(assembly.process, assembly.receivers, started)
+    front = _create_front(settings, assembly.receivers, metrics)
+    actors = (peers, *assembly.attach_front(front))
+    return _Daemon(assembly.process, assembly.receivers, actors)
 
 
-def _front(
+def _create_front(
     settings: ProcessSettings,
     receivers: Receivers,
     metrics: Metrics,
@@ -141,7 +141,7 @@
     return FrontActor(front, receivers.membership)
 
 
-def _own_detail(settings: ProcessSettings) -> MemberDetail:
+def _own_member(settings: ProcessSettings) -> MemberDetail:
     return MemberDetail(
         settings.process,
         settings.region,
@@ -165,8 +165,10 @@
 
 def _drain_on_signals(process: Process) -> None:
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.mailbox.send, DrainRequested())
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(
+            signal_number, process.mailbox.send, DrainRequested()
+        )
 
 
 if __name__ == '__main__':
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill import events, texts
 
-_LINE_START: Final = '{'
+_OBJECT_START: Final = '{'
 
 
 @dataclass(slots=True)
@@ -35,34 +35,34 @@
 def conclude(history: JobHistory) -> str:
     """Return a sentence that states the outcome of the job and its cause."""
     by_event = {line['event']: line for line in history.lines}
-    kinds = Counter(
+    end_counts = Counter(
         line.get('kind')
         for line in history.lines
-        if _is(line, events.RUN_ENDED)
+        if _has_event(line, events.RUN_ENDED)
     )
-    settled = by_event.get(events.GRAPH_SETTLED.number)
-    placed = _first(history, events.RUN_PLACED)
-    if settled is not None and settled['phase'] == 'failed':
-        return texts.JOB_USED_UP_ATTEMPTS.format(failed=kinds['failed'])
-    if settled is not None:
-        wait_ms = None if placed is None else placed['waited_ms']
+    settled_line = by_event.get(events.GRAPH_SETTLED.number)
+    placed_line = _first_line(history, events.RUN_PLACED)
+    if settled_line is not None and settled_line['phase'] == 'failed':
+        return texts.JOB_USED_UP_ATTEMPTS.format(failed=end_counts['failed'])
+    if settled_line is not None:
+        wait_ms = None if placed_line is None else placed_line['waited_ms']
         return texts.JOB_SETTLED.format(
             wait_ms=wait_ms,
-            lost=_count(history, events.RUN_LOST),
-            failed=kinds['failed'],
-            stopped=kinds['stopped'],
-            **settled,
+            lost=_count_events(history, events.RUN_LOST),
+            failed=end_counts['failed'],
+            stopped=end_counts['stopped'],
+            **settled_line,
         )
-    refused = by_event.get(events.GRAPH_REFUSED.number)
+    refused_line = by_event.get(events.GRAPH_REFUSED.number)
     if events.GRAPH_ACCEPTED.number not in by_event:
-        if refused is not None:
-            return texts.JOB_REFUSED.format(**refused)
+        if refused_line is not None:
+            return texts.JOB_REFUSED.format(**refused_line)
         return texts.JOB_UNSEEN
-    if placed is None:
+    if placed_line is None:
         return texts.JOB_NOT_PLACED
     return texts.JOB_UNFINISHED.format(
-        placed=_count(history, events.RUN_PLACED),
-        ended=sum(kinds.values()),
+        placed=_count_events(history, events.RUN_PLACED),
+        ended=sum(end_counts.values()),
     )
 
 
@@ -70,7 +70,7 @@
     if job not in text:
         return
     try:
-        line = json.loads(text[text.index(_LINE_START) :])
+        line = json.loads(text[text.index(_OBJECT_START) :])
     except ValueError:
         history.unreadable_count += 1
         return
@@ -78,18 +78,18 @@
         history.lines.append(line)
 
 
-def _is(line: dict[str, Any], event: events.LogEvent) -> bool:
+def _has_event(line: dict[str, Any], event: events.LogEvent) -> bool:
     return bool(line['event'] == event.number)
 
 
-def _count(history: JobHistory, event: events.LogEvent) -> int:
-    return sum(_is(line, event) for line in history.lines)
+def _count_events(history: JobHistory, event: events.LogEvent) -> int:
+    return sum(_has_event(line, event) for line in history.lines)
 
 
-def _first(
+def _first_line(
     history: JobHistory, event: events.LogEvent
 ) -> dict[str, Any] | None:
     for line in history.lines:
-        if _is(line, event):
+        if _has_event(line, event):
             return line
     return None
--- a/fuchsiarill/log_sink.py
+++ b/fuchsiarill/log_sink.py
@@ -12,7 +12,7 @@
 
 from fuchsiarill.events import LOG_LINES_DROPPED
 
-_CAPACITY: Final = 5000
+_QUEUED_LINES_MAX_COUNT: Final = 5000
 _FLUSH_INTERVAL_S: Final = 0.2
 _MS_PER_SECOND: Final = 1000
 
@@ -30,7 +30,7 @@
 
     def __call__(self, message: Any) -> None:
         """Queue a message of loguru; drops it when the queue is full."""
-        if len(self._lines) >= _CAPACITY:
+        if len(self._lines) >= _QUEUED_LINES_MAX_COUNT:
             self._dropped_count += 1
             return
         record = message.record
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -1,7 +1,8 @@
 """Actor for the lifecycle of a process, with states of `charts/process.yaml`.
 
-It starts a campaign for each partition in the configuration, drains the
-process on request, and ends it when one of its actors has failed.
+For each partition of its region it starts a campaign, the actor that competes
+for its ownership. It drains the process on request, and ends it when one of its
+actors has failed.
 """
 
 import asyncio
@@ -85,7 +86,7 @@
         self._config: CellConfig | None = None
         self._campaigns: dict[PartitionId, Campaign] = {}
         self._addresses: dict[ProcessId, str] = {}
-        self._loads: dict[ProcessId, int] = {}
+        self._candidate_loads: dict[ProcessId, int] = {}
 
     def start(self) -> None:
         """Run the actor; checks the others for failures at an interval."""
@@ -95,8 +96,8 @@
     async def stop(self) -> None:
         """Stop the campaigns at once; leases not handed over expire."""
         await super().stop()
-        stopping = [campaign.stop() for campaign in self._campaigns.values()]
-        await asyncio.gather(*stopping)
+        stop_calls = [campaign.stop() for campaign in self._campaigns.values()]
+        await asyncio.gather(*stop_calls)
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
@@ -113,9 +114,9 @@
                     message.config,
                 )
                 self._campaigns[partition].mailbox.send(
-                    CandidatesUpdated(self._loads),
+                    CandidatesUpdated(self._candidate_loads),
                 )
-        self._step(ProcessEvent.CONFIGURED)
+        self._apply_event(ProcessEvent.CONFIGURED)
 
     @handles(ViewChanged)
     async def on_view(self, message: ViewChanged) -> None:
@@ -124,38 +125,38 @@
             member.detail.process: member.detail.address
             for member in message.members
         }
-        loads = {
+        candidate_loads = {
             member.detail.process: len(member.detail.partitions)
             for member in message.members
             if self._is_candidate(member)
         }
         if message.outage_until_ms:
             outage = StoreOutageConfirmed(message.outage_until_ms)
-            for notified in self._campaigns.values():
-                notified.mailbox.send(outage)
-        if loads == self._loads:
+            for notified_campaign in self._campaigns.values():
+                notified_campaign.mailbox.send(outage)
+        if candidate_loads == self._candidate_loads:
             return
-        self._loads = loads
+        self._candidate_loads = candidate_loads
         for campaign in self._campaigns.values():
-            campaign.mailbox.send(CandidatesUpdated(loads))
+            campaign.mailbox.send(CandidatesUpdated(candidate_loads))
 
     @handles(DrainRequested)
     async def on_drain(self, message: DrainRequested) -> None:
-        """Drain once, within the time in the settings."""
+        """Drain once, within the times of `DrainSettings`."""
         if self.state is ProcessState.DRAINING:
             return
         events.emit(events.PROCESS_DRAINING, process=self._settings.process)
-        self._step(ProcessEvent.DRAIN_ASKED)
-        self.spawn(self._drain())
+        self._apply_event(ProcessEvent.DRAIN_ASKED)
+        self.spawn(self._run_drain())
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
         """End the process if an actor has failed: its state is lost."""
         for actor in self._actors():
-            fault = actor.fault()
-            if fault is None:
+            error = actor.fault()
+            if error is None:
                 continue
-            events.emit(events.ACTOR_DIED, actor=actor.name, error=fault)
+            events.emit(events.ACTOR_DIED, actor=actor.name, error=error)
             self.has_failed = True
             self.ended.set()
 
@@ -170,7 +171,7 @@
         if message.process in {None, self._settings.process}:
             message.reply.answer(Success(self._dump()))
             return
-        self.spawn(self._forward(message))
+        self.spawn(self._forward_dump(message))
 
     @handles(GetHosts)
     async def on_hosts(self, message: GetHosts) -> None:
@@ -180,8 +181,8 @@
     @handles(GetMeasures)
     async def on_measures(self, message: GetMeasures) -> None:
         """Return the measures that the metrics export."""
-        snapshots = [actor.snapshot() for actor in self._actors()]
-        message.reply.answer(sum_measures(snapshots))
+        actor_states = [actor.snapshot() for actor in self._actors()]
+        message.reply.answer(sum_measures(actor_states))
 
     def _actors(self) -> tuple[Actor, ...]:
         fronts = () if self.front is None else (self.front,)
@@ -190,9 +191,9 @@
     def _is_candidate(self, member: Member) -> bool:
         """Return whether a process may become owner of local partitions."""
         detail = member.detail
-        in_region = detail.region == self._settings.region
-        serving = detail.state is ProcessState.SERVING
-        return in_region and serving and member.reachable
+        is_in_region = detail.region == self._settings.region
+        is_serving = detail.state is ProcessState.SERVING
+        return is_in_region and is_serving and member.reachable
 
     def _dump(self) -> str:
         state = {
@@ -204,24 +205,28 @@
         }
         return json.dumps(state, default=str)
 
-    def _step(self, event: ProcessEvent) -> None:
-        step = PROCESS_CHART.step(self.state, event)
-        if step is None:
+    def _apply_event(self, event: ProcessEvent) -> None:
+        transition = PROCESS_CHART.step(self.state, event)
+        if transition is None:
             return
-        self.state = step.target
-        changed = StateChanged(step.target)
-        self._context.membership.send(changed)
+        self.state = transition.target
+        state_change = StateChanged(transition.target)
+        self._context.membership.send(state_change)
         if self.front is not None:
-            self.front.mailbox.send(changed)
-        if step.target is ProcessState.SERVING:
+            self.front.mailbox.send(state_change)
+        if transition.target is ProcessState.SERVING:
             events.emit(
                 events.PROCESS_STARTED,
                 process=self._settings.process,
                 failure_domain=self._settings.failure_domain,
             )
 
-    async def _drain(self) -> None:
-        """Wait for the load balancer, hand over, finish answers, leave."""
+    async def _run_drain(self) -> None:
+        """Drain the process in the steps that `DrainSettings` limits.
+
+        Wait for the load balancer, hand over the partitions, finish open
+        requests, leave the cluster.
+        """
         drain = self._settings.drain
         await sleep_ms(drain.notice_ms)
         await asyncio.gather(
@@ -241,10 +246,10 @@
         await _request_and_wait(
             self._context.membership, LeaveCluster, drain.leave_ms
         )
-        self._step(ProcessEvent.DRAINED)
+        self._apply_event(ProcessEvent.DRAINED)
         self.ended.set()
 
-    async def _forward(self, message: ForwardDump) -> None:
+    async def _forward_dump(self, message: ForwardDump) -> None:
         address = self._addresses.get(message.process or ProcessId(''))
         if address is None:
             message.reply.answer(
@@ -257,8 +262,8 @@
                 ),
             )
             return
-        dumped = await self._context.peers.dump(address)
-        answer: Result[str, Refusal] = dumped.alt(
+        dump_result = await self._context.peers.dump(address)
+        answer: Result[str, Refusal] = dump_result.alt(
             lambda failure: refuse(
                 codes.PROCESS_UNREACHABLE,
                 texts.PROCESS_UNREACHABLE,
@@ -268,12 +273,12 @@
         message.reply.answer(answer)
 
     async def _read_hosts(self, message: GetHosts) -> None:
-        found = await self._context.host_list.fetch()
-        if isinstance(found, Failure):
+        fetch_result = await self._context.host_list.fetch()
+        if isinstance(fetch_result, Failure):
             message.reply.answer(None)
             return
         draining = () if self._config is None else self._config.draining_workers
-        message.reply.answer(host_rows(found.unwrap(), draining))
+        message.reply.answer(host_rows(fetch_result.unwrap(), draining))
 
 
 _ENDING_STATES: Final = frozenset(
@@ -283,12 +288,12 @@
 
 async def _request_and_wait(
     mailbox: Mailbox,
-    build: Callable[[Reply[Any]], object],
+    build_message: Callable[[Reply[Any]], object],
     timeout_ms: int,
 ) -> None:
     """Send a message and wait for its reply; a time-out is ignored."""
     reply: Reply[Any] = Reply()
-    mailbox.send(build(reply))
+    mailbox.send(build_message(reply))
     try:
         await reply.wait(timeout_ms)
     except TimeoutError:
--- a/fuchsiarill/process_measures.py
+++ b/fuchsiarill/process_measures.py
@@ -9,35 +9,37 @@
 from fuchsiarill.workers import HostEntry
 
 
-def sum_measures(snapshots: Iterable[dict[str, Any]]) -> Measures:
-    """Add up the measures in the snapshots of all actors.
+def sum_measures(actor_states: Iterable[dict[str, Any]]) -> Measures:
+    """Add up the measures in the state dumps of all actors.
 
     Mailboxes of actors of one kind, whose names share their first word, are
     counted together.
     """
     measures = Measures()
-    for snapshot in snapshots:
-        kind = snapshot['actor'].split()[0]
-        measures.mailbox_counts[kind] += snapshot['mailbox_count']
-        generation = snapshot.get('generation', 0)
+    for actor_state in actor_states:
+        kind = actor_state['actor'].split()[0]
+        measures.mailbox_counts[kind] += actor_state['mailbox_count']
+        generation = actor_state.get('generation', 0)
         measures.generation = max(measures.generation, generation)
-        owner = snapshot.get('owner')
+        owner = actor_state.get('owner')
         if owner is not None:
-            _add_owner(measures, owner)
+            _add_owner_measures(measures, owner)
     return measures
 
 
-def _add_owner(measures: Measures, owner: dict[str, Any]) -> None:
+def _add_owner_measures(measures: Measures, owner: dict[str, Any]) -> None:
     measures.owned_partitions_count += 1
     measures.mailbox_counts['owner'] += owner['mailbox_count']
     for account in owner['core']['accounts']:
         measures.queued_counts[account['customer']] += account['waiting']
-    times = owner['decision_times']
-    measures.decisions_ms += times['sum_ms']
+    decision_times = owner['decision_times']
+    measures.decisions_ms += decision_times['sum_ms']
     measures.decision_counts = tuple(
         map(
             sum,
-            zip_longest(measures.decision_counts, times['counts'], fillvalue=0),
+            zip_longest(
+                measures.decision_counts, decision_times['counts'], fillvalue=0
+            ),
         ),
     )
 
--- a/fuchsiarill/process_messages.py
+++ b/fuchsiarill/process_messages.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GetHosts:
-    """Requests the host list as rows; `None` when it can't be read."""
+    """Requests the host list as rows; `None` means that it can't be read."""
 
     reply: Reply[list[dict[str, Any]] | None]
 
@@ -53,7 +53,7 @@
     """Values that a scrape of the metrics reads from the actors.
 
     `decision_counts` has one count for each upper bound of decision times, and
-    one for longer times.
+    one for longer times; `decisions_ms` is the sum of all decision times.
     """
 
     generation: int = 0
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -1,4 +1,9 @@
-"""Maps jobs to partitions, and forwards messages to partition owners."""
+"""Maps jobs to partitions, and forwards messages to partition owners.
+
+An owner in another process is reached through a link, the actor that sends it
+the calls. A message is parked, that is kept in the router, while the owner of
+its partition is looked up.
+"""
 
 import zlib
 from collections.abc import Awaitable, Callable
@@ -34,10 +39,10 @@
 )
 OwnerLookUp = Callable[[PartitionId], Awaitable[OwnerLocated | None]]
 
-_PARKED_MAX_COUNT: Final = 256
+_PARKED_MESSAGES_MAX_COUNT: Final = 256
 _RETRY_AFTER_MS: Final = 500
-# Longer than the deadline of any call except a query that waits.
-_RETIRE_AFTER_MS: Final = 10_000
+# Longer than the deadline of any call except a query that waits for a job end.
+_LINK_STOP_DELAY_MS: Final = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerLookedUp:
-    """The owner key was read; `location` is `None` if the store was silent."""
+    """Result of a lookup; `location` is `None` if the store did not answer."""
 
     partition: PartitionId
     location: OwnerLocated | None
@@ -126,53 +131,53 @@
     def __init__(
         self,
         settings: PeerSettings,
-        connect: Callable[[PartitionId, str, PeerSettings], Actor],
-        look_up: OwnerLookUp | None = None,
+        create_link: Callable[[PartitionId, str, PeerSettings], Actor],
+        look_up_owner: OwnerLookUp | None = None,
     ) -> None:
         """Start with no owner known.
 
-        `connect` creates links to owners in other processes; `look_up` reads
-        the owner key when a route is missing or stale.
+        `create_link` creates links to owners in other processes;
+        `look_up_owner` reads the owner key when a route is missing or stale.
         """
         super().__init__('router')
         self.membership: Mailbox | None = None
         self._settings = settings
-        self._connect = connect
-        self._look_up = look_up
+        self._create_link = create_link
+        self._look_up_owner = look_up_owner
         self._routes: dict[PartitionId, OwnerRoute] = {}
         self._lookups: set[PartitionId] = set()
-        self._parked: list[Route] = []
+        self._parked_messages: list[Route] = []
 
     @handles(OwnerLocated)
     async def on_located(self, message: OwnerLocated) -> None:
         """Record the location of an owner; forward parked messages."""
-        known = self._routes.get(message.partition)
-        if known is not None and known.location == message:
+        route = self._routes.get(message.partition)
+        if route is not None and route.location == message:
             return
-        if known is not None and known.link is not None:
-            self.spawn(self._retire(known.link))
+        if route is not None and route.link is not None:
+            self.spawn(self._stop_link_later(route.link))
         link = None
         if message.mailbox is None and message.claim is not None:
-            link = self._connect(
+            link = self._create_link(
                 message.partition,
                 message.claim.peer_address,
                 self._settings,
             )
             link.start()
         self._routes[message.partition] = OwnerRoute(message, link)
-        self._publish_owned()
-        self._release(message.partition)
+        self._publish_owned_partitions()
+        self._release_parked(message.partition)
 
     @handles(Route)
     async def on_route(self, message: Route) -> None:
         """Forward a message, park it during a lookup, or refuse it."""
         route = self._routes.get(message.partition)
-        if route is not None and self._forward(route, message):
+        if route is not None and self._forward_message(route, message):
             return
         if message.hops_left and self._start_lookup(message.partition):
-            self._park(message)
+            self._park_message(message)
             return
-        answer_all(message.message, _unavailable(message.partition))
+        answer_all(message.message, _unavailable_answer(message.partition))
 
     @handles(RouteStale)
     async def on_stale(self, message: RouteStale) -> None:
@@ -187,10 +192,10 @@
         """Use the owner that was read, unless this process is the owner."""
         self._lookups.discard(message.partition)
         route = self._routes.get(message.partition)
-        is_here = route is not None and route.location.mailbox is not None
-        if message.location is not None and not is_here:
+        is_owned_here = route is not None and route.location.mailbox is not None
+        if message.location is not None and not is_owned_here:
             await self.on_located(message.location)
-        self._release(message.partition)
+        self._release_parked(message.partition)
 
     @handles(ViewChanged)
     async def on_view(self, message: ViewChanged) -> None:
@@ -218,14 +223,14 @@
         return {
             **super().snapshot(),
             'owners': {
-                partition: _owner_of(known)
-                for partition, known in self._routes.items()
+                partition: _owner_of(route)
+                for partition, route in self._routes.items()
             },
-            'parked_count': len(self._parked),
+            'parked_count': len(self._parked_messages),
             'links': [
-                known.link.snapshot()
-                for known in self._routes.values()
-                if known.link is not None
+                route.link.snapshot()
+                for route in self._routes.values()
+                if route.link is not None
             ],
         }
 
@@ -233,66 +238,74 @@
         route = self._routes.get(partition)
         return None if route is None else route.location.claim
 
-    def _forward(self, route: OwnerRoute, message: Route) -> bool:
-        receiver = route.location.mailbox
-        if receiver is None and route.link is not None and message.hops_left:
-            receiver = route.link.mailbox
-        if receiver is None:
+    def _forward_message(self, route: OwnerRoute, message: Route) -> bool:
+        mailbox = route.location.mailbox
+        if mailbox is None and route.link is not None and message.hops_left:
+            mailbox = route.link.mailbox
+        if mailbox is None:
             return False
-        if not receiver.send(message.message):
-            answer_all(message.message, _overloaded())
+        if not mailbox.send(message.message):
+            answer_all(message.message, _overloaded_answer())
         return True
 
     def _start_lookup(self, partition: PartitionId) -> bool:
-        """Start a lookup of an owner; returns `False` without `look_up`."""
-        if self._look_up is None:
+        """Start a lookup of an owner; `False` without `look_up_owner`."""
+        if self._look_up_owner is None:
             return False
         if partition not in self._lookups:
             self._lookups.add(partition)
-            self.spawn(self._read_owner(self._look_up, partition))
+            self.spawn(self._read_owner(self._look_up_owner, partition))
         return True
 
     async def _read_owner(
-        self, look_up: OwnerLookUp, partition: PartitionId
+        self, look_up_owner: OwnerLookUp, partition: PartitionId
     ) -> None:
-        location = await look_up(partition)
+        location = await look_up_owner(partition)
         self.mailbox.send(OwnerLookedUp(partition, location))
 
-    def _park(self, message: Route) -> None:
-        if len(self._parked) >= _PARKED_MAX_COUNT:
-            answer_all(message.message, _overloaded())
+    def _park_message(self, message: Route) -> None:
+        if len(self._parked_messages) >= _PARKED_MESSAGES_MAX_COUNT:
+            answer_all(message.message, _overloaded_answer())
             return
-        self._parked.append(message)
+        self._parked_messages.append(message)
 
-    def _release(self, partition: PartitionId) -> None:
+    def _release_parked(self, partition: PartitionId) -> None:
         """Forward or refuse the messages parked for a partition."""
-        waiting = [
-            parked for parked in self._parked if parked.partition == partition
+        messages_to_release = [
+            parked_message
+            for parked_message in self._parked_messages
+            if parked_message.partition == partition
         ]
-        self._parked = [
-            parked for parked in self._parked if parked.partition != partition
+        self._parked_messages = [
+            parked_message
+            for parked_message in self._parked_messages
+            if parked_message.partition != partition
         ]
         route = self._routes.get(partition)
-        for released in waiting:
-            if route is None or not self._forward(route, released):
-                answer_all(released.message, _unavailable(partition))
-
-    async def _retire(self, link: Actor) -> None:
+        for released_message in messages_to_release:
+            if route is None or not self._forward_message(
+                route, released_message
+            ):
+                answer_all(
+                    released_message.message, _unavailable_answer(partition)
+                )
+
+    async def _stop_link_later(self, link: Actor) -> None:
         """Stop a link after a delay in which its calls in progress end."""
         try:
-            await sleep_ms(_RETIRE_AFTER_MS)
+            await sleep_ms(_LINK_STOP_DELAY_MS)
         finally:
             await link.stop()
 
-    def _publish_owned(self) -> None:
+    def _publish_owned_partitions(self) -> None:
         if self.membership is None:
             return
-        owned = sorted(
+        owned_partitions = sorted(
             partition
-            for partition, known in self._routes.items()
-            if known.location.mailbox is not None
+            for partition, route in self._routes.items()
+            if route.location.mailbox is not None
         )
-        self.membership.send(PartitionsOwned(tuple(owned)))
+        self.membership.send(PartitionsOwned(tuple(owned_partitions)))
 
 
 def answer_all(message: JobMessage, answer: JobAnswer) -> None:
@@ -313,7 +326,7 @@
     return None if claim is None else claim.process
 
 
-def _unavailable(partition: PartitionId) -> JobAnswer:
+def _unavailable_answer(partition: PartitionId) -> JobAnswer:
     return refused(
         refuse(
             codes.OWNER_UNAVAILABLE,
@@ -324,7 +337,7 @@
     )
 
 
-def _overloaded() -> JobAnswer:
+def _overloaded_answer() -> JobAnswer:
     return refused(
         refuse(
             codes.OVERLOADED,
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -16,7 +16,7 @@
 from fuchsiarill.yaml_document import read_yaml
 
 _SETTINGS_MAX_BYTES: Final = 100_000
-_Positive = Annotated[int, Field(gt=0)]
+_PositiveInt = Annotated[int, Field(gt=0)]
 _Count = Annotated[int, Field(ge=0)]
 _PORT_MAX: Final = 65_535
 _Port = Annotated[int, Field(ge=0, le=_PORT_MAX)]
@@ -31,11 +31,11 @@
     """Address of the store, and times of its calls and ownership leases."""
 
     url: str
-    call_timeout_ms: _Positive = 1_000
-    owner_lease_ms: _Positive = 3_000
-    owner_renew_interval_ms: _Positive = 1_000
-    owner_margin_ms: _Positive = 300
-    commit_interval_ms: _Positive = 20
+    call_timeout_ms: _PositiveInt = 1_000
+    owner_lease_ms: _PositiveInt = 3_000
+    owner_renew_interval_ms: _PositiveInt = 1_000
+    owner_margin_ms: _PositiveInt = 300
+    commit_interval_ms: _PositiveInt = 20
 
 
 class HttpSettings(_Model):
@@ -43,14 +43,14 @@
 
     host: str = '127.0.0.1'
     port: _Port
-    threads_count: _Positive = 16
-    body_max_bytes: _Positive = 1_000_000
-    header_max_bytes: _Positive = 16_000
-    request_timeout_ms: _Positive = 10_000
-    connections_max_count: _Positive = 256
-    requests_max_count: _Positive = 64
+    threads_count: _PositiveInt = 16
+    body_max_bytes: _PositiveInt = 1_000_000
+    header_max_bytes: _PositiveInt = 16_000
+    request_timeout_ms: _PositiveInt = 10_000
+    connections_max_count: _PositiveInt = 256
+    requests_max_count: _PositiveInt = 64
     waits_max_count: _Count = 8
-    messages_waiting_max_count: _Positive = 2_048
+    messages_waiting_max_count: _PositiveInt = 2_048
 
 
 class PeerSettings(_Model):
@@ -58,10 +58,10 @@
 
     host: str = '127.0.0.1'
     port: _Port
-    call_timeout_ms: _Positive = 2_000
-    calls_in_progress_max: _Positive = 512
-    batch_max_count: _Positive = 256
-    idle_after_ms: _Positive = 60_000
+    call_timeout_ms: _PositiveInt = 2_000
+    calls_in_progress_max: _PositiveInt = 512
+    batch_max_count: _PositiveInt = 256
+    idle_after_ms: _PositiveInt = 60_000
 
 
 class MembershipSettings(_Model):
@@ -72,11 +72,11 @@
     processes.
     """
 
-    gossip_interval_ms: _Positive = 1_000
-    gossip_peers_count: _Positive = 3
-    suspect_after_ms: _Positive = 5_000
-    remove_after_ms: _Positive = 15_000
-    forget_after_ms: _Positive = 120_000
+    gossip_interval_ms: _PositiveInt = 1_000
+    gossip_peers_count: _PositiveInt = 3
+    suspect_after_ms: _PositiveInt = 5_000
+    remove_after_ms: _PositiveInt = 15_000
+    forget_after_ms: _PositiveInt = 120_000
     directory_retry_rounds: _Retries = 3
     seeds: tuple[str, ...] = ()
 
@@ -89,10 +89,10 @@
     its peers before it uses the highest generation found.
     """
 
-    watch_wait_ms: _Positive = 20_000
-    poll_interval_ms: _Positive = 30_000
-    retry_interval_ms: _Positive = 500
-    collect_ms: _Positive = 1_500
+    watch_wait_ms: _PositiveInt = 20_000
+    poll_interval_ms: _PositiveInt = 30_000
+    retry_interval_ms: _PositiveInt = 500
+    collect_ms: _PositiveInt = 1_500
 
 
 class DrainSettings(_Model):
@@ -103,23 +103,23 @@
     """
 
     notice_ms: _Count = 2_000
-    hand_over_ms: _Positive = 5_000
-    answers_ms: _Positive = 10_000
-    leave_ms: _Positive = 2_000
+    hand_over_ms: _PositiveInt = 5_000
+    answers_ms: _PositiveInt = 10_000
+    leave_ms: _PositiveInt = 2_000
 
 
 class HostListSettings(_Model):
     """Address of the host list, and the interval of reading it."""
 
     url: str
-    poll_interval_ms: _Positive = 1_000
+    poll_interval_ms: _PositiveInt = 1_000
 
 
 class WorkerSettings(_Model):
     """Time limits of calls to workers."""
 
-    call_timeout_ms: _Positive = 2_000
-    silent_after_ms: _Positive = 5_000
+    call_timeout_ms: _PositiveInt = 2_000
+    silent_after_ms: _PositiveInt = 5_000
 
 
 class ProcessSettings(_Model):
@@ -148,10 +148,10 @@
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as error:
         return Failure((f'{path}: {error}',))
-    checked = read_yaml(text, _SETTINGS_MAX_BYTES).bind(
+    check_result = read_yaml(text, _SETTINGS_MAX_BYTES).bind(
         lambda document: document.check_model(ProcessSettings),
     )
-    return checked.alt(
+    return check_result.alt(
         lambda problems: tuple(
             f'{path}: {problem.sentence}' for problem in problems
         ),
--- a/fuchsiarill/state_chart.py
+++ b/fuchsiarill/state_chart.py
@@ -38,7 +38,7 @@
         initial: _State,
         table: dict[tuple[_State, _Event], Transition[_State]],
     ) -> None:
-        """Create a chart without checks; `load_chart` makes them."""
+        """Create a chart without checks; `parse_chart` makes them."""
         self.initial = initial
         self._table = table
         self.final = frozenset(type(initial)) - {state for state, _ in table}
@@ -82,7 +82,7 @@
     table: dict[tuple[_State, _Event], Transition[_State]] = {}
     for row in document['transitions']:
         transition = Transition(
-            _member(name, states, row['to']),
+            _parse_member(name, states, row['to']),
             tuple(row.get('actions', ())),
         )
         for source, event in product(
@@ -90,18 +90,20 @@
             _as_list(row['event']),
         ):
             key = (
-                _member(name, states, source),
-                _member(name, events, event),
+                _parse_member(name, states, source),
+                _parse_member(name, events, event),
             )
             if key in table:
                 raise ChartError(f'{name}: two transitions for {key}')
             table[key] = transition
-    chart = StateChart(_member(name, states, document['initial']), table)
+    chart = StateChart(_parse_member(name, states, document['initial']), table)
     _check_reachable(name, chart.initial, table, states)
     _check_events(name, table, events)
-    unknown = chart.action_names() - frozenset(actions)
-    if unknown:
-        raise ChartError(f'{name}: no handler for actions {sorted(unknown)}')
+    unknown_actions = chart.action_names() - frozenset(actions)
+    if unknown_actions:
+        raise ChartError(
+            f'{name}: no handler for actions {sorted(unknown_actions)}'
+        )
     return chart
 
 
@@ -109,7 +111,7 @@
     return [entry] if isinstance(entry, str) else entry
 
 
-def _member(name: str, kind: type[_State], text: str) -> _State:
+def _parse_member(name: str, kind: type[_State], text: str) -> _State:
     try:
         return kind(text)
     except ValueError:
@@ -124,18 +126,18 @@
     table: dict[tuple[_State, _Event], Transition[_State]],
     states: type[_State],
 ) -> None:
-    reached = {initial}
-    pending = [initial]
-    while pending:
-        current = pending.pop()
+    reached_states = {initial}
+    pending_states = [initial]
+    while pending_states:
+        current = pending_states.pop()
         for (source, _event), transition in table.items():
-            if source is not current or transition.target in reached:
+            if source is not current or transition.target in reached_states:
                 continue
-            reached.add(transition.target)
-            pending.append(transition.target)
-    unreached = set(states) - reached
-    if unreached:
-        names = sorted(str(state.value) for state in unreached)
+            reached_states.add(transition.target)
+            pending_states.append(transition.target)
+    unreached_states = set(states) - reached_states
+    if unreached_states:
+        names = sorted(str(state.value) for state in unreached_states)
         raise ChartError(f'{name}: unreachable states {names}')
 
 
@@ -144,7 +146,7 @@
     table: dict[tuple[_State, _Event], Transition[_State]],
     events: type[_Event],
 ) -> None:
-    unused = set(events) - {event for _, event in table}
-    if unused:
-        names = sorted(str(event.value) for event in unused)
+    unused_events = set(events) - {event for _, event in table}
+    if unused_events:
+        names = sorted(str(event.value) for event in unused_events)
         raise ChartError(f'{name}: events without transition {names}')
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """One request to a worker.
+    """One request to a worker, which answers it with a `WorkerReport`.
 
     Every attempt in `renewals` and every start gets a lease of `lease_ms`.
     The worker may discard the outcomes in `acknowledged`.
--- a/fuchsiarill/yaml_document.py
+++ b/fuchsiarill/yaml_document.py
@@ -16,7 +16,7 @@
 from fuchsiarill import texts
 
 # Deeper documents would exhaust the stack of the recursive YAML composer.
-_DEPTH_MAX: Final = 20
+_NESTING_DEPTH_MAX: Final = 20
 
 # libyaml reads 1,600 lines about eight times as fast as the Python loader.
 _LOADER: Final[Any] = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
@@ -36,10 +36,10 @@
     @property
     def sentence(self) -> str:
         """Return `line N: FIELD: TEXT`, the form that operators read."""
-        place = f'line {self.line}'
+        location = f'line {self.line}'
         if self.field:
-            place = f'{place}: {self.field}'
-        return f'{place}: {self.text}'
+            location = f'{location}: {self.field}'
+        return f'{location}: {self.text}'
 
 
 class YamlDocument:
@@ -57,13 +57,15 @@
 
     def repeated_keys(self) -> Iterator[Problem]:
         """Yield keys that occur twice; YAML silently keeps the last one."""
-        pending: list[tuple[FieldPath, yaml.Node | None]] = [((), self._root)]
-        while pending:
-            path, node = pending.pop()
+        pending_nodes: list[tuple[FieldPath, yaml.Node | None]] = [
+            ((), self._root)
+        ]
+        while pending_nodes:
+            path, node = pending_nodes.pop()
             if node is None:
                 continue
-            yield from _repeated(path, node)
-            pending.extend(_children(path, node))
+            yield from _repeated_key_problems(path, node)
+            pending_nodes.extend(_child_paths(path, node))
 
     def check_model(
         self,
@@ -72,10 +74,10 @@
         """Build the model from the content; fails with every problem."""
         try:
             return Success(build_strictly(model, self.content))
-        except ValidationError as invalid:
+        except ValidationError as validation_error:
             problems = [
                 self.problem(error['loc'], error['msg'])
-                for error in invalid.errors()
+                for error in validation_error.errors()
             ]
             problems.sort(key=lambda problem: problem.line)
             return Failure(tuple(problems))
@@ -89,7 +91,7 @@
             if child is None:
                 break
             node = child
-        return _line(node.start_mark)
+        return _line_of_mark(node.start_mark)
 
 
 def build_strictly(model: type[_Model], content: Any) -> _Model:
@@ -110,9 +112,9 @@
     try:
         size_bytes = len(text.encode())
     except UnicodeEncodeError as error:
-        return _one_problem(1, error.reason)
+        return _single_problem(1, error.reason)
     if size_bytes > size_max_bytes:
-        return _one_problem(
+        return _single_problem(
             1,
             texts.TOO_LARGE.format(
                 size_bytes=size_bytes,
@@ -120,27 +122,29 @@
             ),
         )
     try:
-        return _read_checked(text)
+        return _read_document(text)
     except yaml.MarkedYAMLError as error:
-        line = _line(error.problem_mark or error.context_mark)
-        return _one_problem(line, error.problem or str(error))
+        line = _line_of_mark(error.problem_mark or error.context_mark)
+        return _single_problem(line, error.problem or str(error))
     except (yaml.YAMLError, ValueError) as error:
-        return _one_problem(1, ' '.join(str(error).split()))
+        return _single_problem(1, ' '.join(str(error).split()))
 
 
-def _read_checked(text: str) -> Result[YamlDocument, tuple[Problem, ...]]:
+def _read_document(text: str) -> Result[YamlDocument, tuple[Problem, ...]]:
     depth = 0
     for event in yaml.parse(text, Loader=_LOADER):
         if isinstance(event, yaml.CollectionStartEvent):
             depth += 1
         if isinstance(event, yaml.CollectionEndEvent):
             depth -= 1
-        line = _line(event.start_mark)
-        if depth > _DEPTH_MAX:
-            return _one_problem(line, texts.TOO_DEEP.format(limit=_DEPTH_MAX))
+        line = _line_of_mark(event.start_mark)
+        if depth > _NESTING_DEPTH_MAX:
+            return _single_problem(
+                line, texts.TOO_DEEP.format(limit=_NESTING_DEPTH_MAX)
+            )
         if isinstance(event, yaml.AliasEvent):
             # A few nested aliases expand to billions of values.
-            return _one_problem(line, texts.ALIAS)
+            return _single_problem(line, texts.ALIAS)
     loader = _LOADER(text)
     try:
         root = loader.get_single_node()
@@ -148,36 +152,38 @@
     finally:
         loader.dispose()
     document = YamlDocument(root, content)
-    repeated = tuple(document.repeated_keys())
-    return Failure(repeated) if repeated else Success(document)
+    key_problems = tuple(document.repeated_keys())
+    return Failure(key_problems) if key_problems else Success(document)
 
 
-def _line(mark: Any) -> int:
+def _line_of_mark(mark: Any) -> int:
     """Return the line of a mark, counted from 1."""
     return 1 if mark is None else int(mark.line) + 1
 
 
-def _one_problem(
+def _single_problem(
     line: int,
     text: str,
 ) -> Result[YamlDocument, tuple[Problem, ...]]:
     return Failure((Problem(line, '', text),))
 
 
-def _repeated(path: FieldPath, node: yaml.Node) -> Iterator[Problem]:
+def _repeated_key_problems(
+    path: FieldPath, node: yaml.Node
+) -> Iterator[Problem]:
     if not isinstance(node, yaml.MappingNode):
         return
-    seen: set[str] = set()
+    seen_names: set[str] = set()
     for key, _child in node.value:
         name = str(key.value)
-        if name in seen:
+        if name in seen_names:
             field = '.'.join(str(part) for part in (*path, name))
-            line = _line(key.start_mark)
+            line = _line_of_mark(key.start_mark)
             yield Problem(line, field, texts.REPEATED_KEY)
-        seen.add(name)
+        seen_names.add(name)
 
 
-def _children(
+def _child_paths(
     path: FieldPath,
     node: yaml.Node,
 ) -> Iterable[tuple[FieldPath, yaml.Node]]:
--- a/tests/test_cell_config.py
+++ b/tests/test_cell_config.py
@@ -1,4 +1,4 @@
-"""Faulty configurations and settings are refused with all their problems."""
+"""Invalid configurations and settings are refused with all their problems."""
 
 from pathlib import Path
 from typing import Any
@@ -24,19 +24,19 @@
     return yaml.safe_load((_CASES / name).read_text())
 
 
-def _with_lines(text: str, replaced: dict[int, str]) -> str:
+def _with_lines(text: str, new_lines: dict[int, str]) -> str:
     lines = text.splitlines()
-    for number, line in replaced.items():
+    for number, line in new_lines.items():
         lines[number - 1] = line
     return '\n'.join(lines)
 
 
-def _check(found: list[str], expected: list[str]) -> None:
+def _check_problems(sentences: list[str], expected: list[str]) -> None:
     starts = [
         sentence[: len(start)]
-        for sentence, start in zip(found, expected, strict=False)
+        for sentence, start in zip(sentences, expected, strict=False)
     ]
-    assert (starts, len(found)) == (expected, len(expected)), found
+    assert (starts, len(sentences)) == (expected, len(expected)), sentences
 
 
 @pytest.mark.parametrize(
@@ -45,12 +45,12 @@
     ids=lambda case: case['name'],
 )
 def test_faulty_configuration_is_refused(case: dict[str, Any]) -> None:
-    """Guards against a faulty document in force, or a fault hiding others."""
+    """Guards against invalid documents in force, and unreported problems."""
     text = case.get('text')
     if text is None:
         text = _with_lines(_CELL, case['lines'])
     refusals = parse_config(text).failure()
-    _check([refusal.text for refusal in refusals], case['problems'])
+    _check_problems([refusal.text for refusal in refusals], case['problems'])
 
 
 @pytest.mark.parametrize(
@@ -66,7 +66,7 @@
     path = tmp_path / 'settings.yaml'
     path.write_text(_with_lines(_SETTINGS, case['lines']))
     expected = [f'{path}: {problem}' for problem in case['problems']]
-    _check(list(load_settings(path).failure()), expected)
+    _check_problems(list(load_settings(path).failure()), expected)
 
 
 def test_right_documents_are_read(tmp_path: Path) -> None:
@@ -101,9 +101,9 @@
 )
 def test_partitions_stay(line: str, start: str) -> None:
     """Guards against a change after which jobs belong to no partition."""
-    before = parse_config(_CELL).unwrap()
+    old_config = parse_config(_CELL).unwrap()
     text = _with_lines(_CELL, {5: line, 17: '    region: rajkot'})
-    after = parse_config(text).unwrap()
-    problems = changed_partitions(text, before, after)
-    _check([problem.text for problem in problems], [start])
-    assert not changed_partitions(_CELL, before, before)
+    new_config = parse_config(text).unwrap()
+    problems = changed_partitions(text, old_config, new_config)
+    _check_problems([problem.text for problem in problems], [start])
+    assert not changed_partitions(_CELL, old_config, old_config)
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -29,14 +29,14 @@
 }
 
 
-def line(number: int, parts: dict[str, Any]) -> str:
+def line(number: int, fields: dict[str, Any]) -> str:
     """Return a log line as a process writes it."""
     common = {'time': number, 'level': 'INFO', 'job': JOB, 'text': 't'}
-    return json.dumps(common | parts)
+    return json.dumps(common | fields)
 
 
 @pytest.mark.parametrize(
-    ('logged', 'words'),
+    ('log_fields', 'words'),
     [
         ([REFUSED], 'refused with store_unavailable after 700 ms'),
         ([ACCEPTED], 'no run was placed'),
@@ -52,14 +52,16 @@
         ),
     ],
 )
-def test_conclusion(logged: list[dict[str, Any]], words: str) -> None:
+def test_conclusion(log_fields: list[dict[str, Any]], words: str) -> None:
     """Guards against an explanation that names the wrong cause."""
-    lines = [line(number, parts) for number, parts in enumerate(logged)]
+    lines = [line(number, fields) for number, fields in enumerate(log_fields)]
     # Lines of several processes arrive in any order and with prefixes.
     sources = [[f'  1.2 entry-1 {text}'] for text in reversed(lines)]
-    found = read_history(JOB, sources)
-    assert [entry['time'] for entry in found.lines] == list(range(len(logged)))
-    assert words in conclude(found)
+    history = read_history(JOB, sources)
+    assert [entry['time'] for entry in history.lines] == list(
+        range(len(log_fields))
+    )
+    assert words in conclude(history)
 
 
 def test_command(
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Lifecycle of a process: configuration, drain in order, end on a fault."""
+"""Lifecycle of a process: configuration, drain in order, end on an error."""
 
 import asyncio
 import sys
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -107,7 +107,7 @@
     _run(store, scenario)
 
 
-def test_silent_store_is_told() -> None:
+def test_message_is_refused_without_a_store_answer() -> None:
     """Guards against a caller that waits until its own time-out."""
     store = _Store(None)
 
@@ -118,7 +118,7 @@
     _run(store, scenario)
 
 
-def test_call_of_another_process_goes_no_further() -> None:
+def test_call_of_another_process_is_not_forwarded() -> None:
     """Guards against a call that two stale routes forward in a loop."""
     store = _Store('other')
 
