--- a/fuchsiarill/answers.py
+++ b/fuchsiarill/answers.py
@@ -69,6 +69,6 @@
     reasons: Mapping[str, Any] = field(default_factory=dict)
 
 
-def refused(refusal: Refusal) -> JobAnswer:
+def refusal_answer(refusal: Refusal) -> JobAnswer:
     """Return the answer that carries a refusal."""
     return JobAnswer(refusal.code, refusal=refusal)
--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -11,8 +11,8 @@
 from fuchsiarill.actor import Actor
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.cluster.config_change import ConfigParser
-from fuchsiarill.cluster.config_spread import ConfigSpread
-from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.config_distribution import ConfigDistributor
+from fuchsiarill.cluster.directory import ProcessDirectory
 from fuchsiarill.cluster.member_table import MemberDetail
 from fuchsiarill.cluster.membership import Membership
 from fuchsiarill.cluster.owner_link import OwnerLink
@@ -62,12 +62,12 @@
         self.membership = Membership(
             settings.membership,
             environment.own_member,
-            Directory(store),
+            ProcessDirectory(store),
             environment.peers,
             environment.random_source,
         )
         store.changed = self.membership.update_store_state
-        self.config_actor = ConfigSpread(
+        self.config_actor = ConfigDistributor(
             settings.config,
             store,
             environment.peers,
--- a/fuchsiarill/cell_config.py
+++ b/fuchsiarill/cell_config.py
@@ -145,7 +145,7 @@
     raise AssertionError(texts.NO_RESULT)
 
 
-def changed_partitions(
+def partition_change_problems(
     text: str,
     old_config: CellConfig,
     new_config: CellConfig,
--- a/fuchsiarill/cluster/config_change.py
+++ b/fuchsiarill/cluster/config_change.py
@@ -13,8 +13,8 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.cell_config import (
     CellConfig,
-    changed_partitions,
     parse_config,
+    partition_change_problems,
 )
 from fuchsiarill.cluster.config_document import (
     CONFIG_KEY,
@@ -167,7 +167,7 @@
         parsed = await self._parser(current.text)
         if isinstance(parsed, Failure):
             return ()
-        return changed_partitions(
+        return partition_change_problems(
             self._request.text, parsed.unwrap(), new_config
         )
 
--- a/fuchsiarill/cluster/config_spread.py
+++ b/fuchsiarill/cluster/config_distribution.py
@@ -32,7 +32,7 @@
 from fuchsiarill.cluster.member_table import NO_GENERATION, Member
 from fuchsiarill.cluster.membership import GenerationInForce, ViewChanged
 from fuchsiarill.cluster.peer_port import PeerPort
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import Generation
 from fuchsiarill.owner.messages import ConfigChanged
 from fuchsiarill.ports.store import StorePort
@@ -75,7 +75,7 @@
     """The collecting period after the start is over."""
 
 
-class ConfigSpread(SpawningActor):
+class ConfigDistributor(SpawningActor):
     """Owns the document in force and distributes newer documents.
 
     For `collect_ms` after the start it only collects documents, then it puts
@@ -253,7 +253,7 @@
         message.reply.answer(answer)
 
 
-ConfigAction = Callable[[ConfigSpread, ConfigDocument], Awaitable[bool]]
+ConfigAction = Callable[[ConfigDistributor, ConfigDocument], Awaitable[bool]]
 
 CONFIG_ACTIONS: Final[Registry[str, ConfigAction]] = Registry(
     'configuration actions',
@@ -262,7 +262,7 @@
 
 @CONFIG_ACTIONS.register('put_in_force')
 async def _put_in_force(
-    config_actor: ConfigSpread, document: ConfigDocument
+    config_actor: ConfigDistributor, document: ConfigDocument
 ) -> bool:
     """Parse a document and announce it.
 
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -20,7 +20,7 @@
     read_document,
 )
 from fuchsiarill.cluster.member_table import NO_GENERATION
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import ABSENT, Revision
 from fuchsiarill.ports.store import StoreFailure, StorePort, Versioned
 from fuchsiarill.settings import ConfigSettings
--- a/fuchsiarill/cluster/directory.py
+++ b/fuchsiarill/cluster/directory.py
@@ -42,7 +42,7 @@
     return StoreKey(f'members/{domain}')
 
 
-class Directory:
+class ProcessDirectory:
     """Reads and changes the directory through the store."""
 
     def __init__(self, store: StorePort) -> None:
--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -83,7 +83,7 @@
 
     detail: MemberDetail
     beat: Beat
-    heard_at_ms: int
+    last_heartbeat_at_ms: int
     state: MemberState = MemberState.LIVE
 
     @property
@@ -125,7 +125,7 @@
         own_member = self.own_member
         new_detail = replace(detail, version=own_member.detail.version + 1)
         beat = replace(own_member.beat, key=new_detail.key)
-        self._put(Member(new_detail, beat, own_member.heard_at_ms))
+        self._put(Member(new_detail, beat, own_member.last_heartbeat_at_ms))
 
     def beat(
         self,
@@ -149,7 +149,10 @@
         )
         self._put(Member(own_member.detail, own_beat, now_ms))
         for key, removed in tuple(self._removed.items()):
-            if now_ms - removed.heard_at_ms > self._settings.forget_after_ms:
+            if (
+                now_ms - removed.last_heartbeat_at_ms
+                > self._settings.forget_after_ms
+            ):
                 self._removed.pop(key)
         return tuple(
             member
@@ -203,7 +206,7 @@
         silence_limit_ms = self._settings.suspect_after_ms
         if member.state is MemberState.SUSPECTED:
             silence_limit_ms = self._settings.remove_after_ms
-        if now_ms - member.heard_at_ms < silence_limit_ms:
+        if now_ms - member.last_heartbeat_at_ms < silence_limit_ms:
             return False
         step = MEMBER_CHART.step(member.state, MemberEvent.SILENT)
         if step is None:
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -14,7 +14,7 @@
 from fuchsiarill import events
 from fuchsiarill.actor import Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms
-from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.directory import ProcessDirectory
 from fuchsiarill.cluster.member_table import (
     NO_GENERATION,
     Gossip,
@@ -23,7 +23,7 @@
     MemberTable,
 )
 from fuchsiarill.cluster.peer_port import PeerPort
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.cluster.store_evidence import StoreEvidence
 from fuchsiarill.ids import Generation, PartitionId, ProcessId
 from fuchsiarill.owner.messages import Tick
@@ -132,7 +132,7 @@
         self,
         settings: MembershipSettings,
         own_detail: MemberDetail,
-        directory: Directory,
+        directory: ProcessDirectory,
         peers: PeerPort,
         random_source: random.Random,
     ) -> None:
@@ -270,7 +270,7 @@
                     'heartbeat': member.beat.heartbeat,
                     'generation': member.beat.generation,
                     'state': member.state.value,
-                    'heard_at_ms': member.heard_at_ms,
+                    'heard_at_ms': member.last_heartbeat_at_ms,
                 }
                 for member in self.table.members()
             ],
--- a/fuchsiarill/cluster/owner_link.py
+++ b/fuchsiarill/cluster/owner_link.py
@@ -14,11 +14,11 @@
 
 from fuchsiarill import texts
 from fuchsiarill.actor import Mailbox, handles
-from fuchsiarill.answers import JobAnswer, JobExplanation, refused
-from fuchsiarill.cluster.encoding import read_answer, spec_fields
+from fuchsiarill.answers import JobAnswer, JobExplanation, refusal_answer
+from fuchsiarill.cluster.job_encoding import read_answer, spec_fields
 from fuchsiarill.cluster.peer_port import PeerFailure
 from fuchsiarill.cluster.peers import RpcPeers
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.codes import OUTCOME_UNCERTAIN, OWNER_UNAVAILABLE
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.job import JobSpec
@@ -241,7 +241,7 @@
         if failure is PeerFailure.NOT_SENT:
             code = OWNER_UNAVAILABLE
             text = texts.OWNER_UNAVAILABLE
-        return refused(
+        return refusal_answer(
             refuse(
                 code,
                 text,
--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -15,9 +15,9 @@
 
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import MS_PER_SECOND
-from fuchsiarill.cluster.encoding import SCHEMA
+from fuchsiarill.cluster.job_encoding import SCHEMA
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.settings import PeerSettings
 from fuchsiarill.state_chart import load_chart
 from fuchsiarill.states import ConnectionEvent, ConnectionState
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -19,7 +19,7 @@
     JobExplanation,
     JobList,
     JobQuery,
-    refused,
+    refusal_answer,
 )
 from fuchsiarill.cluster.cluster_encoding import (
     document_fields,
@@ -27,9 +27,9 @@
     read_document_struct,
     read_gossip,
 )
+from fuchsiarill.cluster.config_distribution import ConfigOffered, GetDocument
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import ConfigOffered, GetDocument
-from fuchsiarill.cluster.encoding import SCHEMA, answer_fields, read_spec
+from fuchsiarill.cluster.job_encoding import SCHEMA, answer_fields, read_spec
 from fuchsiarill.cluster.member_table import Gossip
 from fuchsiarill.cluster.membership import GossipReceived
 from fuchsiarill.ids import CustomerId, Generation, JobId, PartitionId
@@ -216,7 +216,7 @@
 
 
 def _overloaded_answer() -> JobAnswer:
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OVERLOADED,
             texts.OVERLOADED,
@@ -226,7 +226,7 @@
 
 
 def _uncertain_answer(partition: PartitionId) -> JobAnswer:
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OUTCOME_UNCERTAIN,
             texts.OUTCOME_UNCERTAIN,
--- a/fuchsiarill/cluster/peers.py
+++ b/fuchsiarill/cluster/peers.py
@@ -17,7 +17,7 @@
 from fuchsiarill.cluster.member_table import Gossip
 from fuchsiarill.cluster.peer_link import PeerCall, PeerLink
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import Generation
 from fuchsiarill.owner.messages import Tick
 from fuchsiarill.settings import PeerSettings
--- a/fuchsiarill/collector.py
+++ b/fuchsiarill/collector.py
@@ -12,7 +12,7 @@
 _MIDDLE_COLLECTIONS_COUNT: Final = 100
 
 
-def collect_seldom() -> None:
+def raise_gc_thresholds() -> None:
     """Let the collector run far less often than by default."""
     gc.set_threshold(
         _YOUNG_ALLOCATIONS_COUNT,
--- a/fuchsiarill/commands/explain_command.py
+++ b/fuchsiarill/commands/explain_command.py
@@ -7,7 +7,7 @@
 from fuchsiarill import codes, texts
 from fuchsiarill.commands.client import Client
 from fuchsiarill.commands.command import CommandAnswer, command
-from fuchsiarill.explain_logs import conclude, read_history
+from fuchsiarill.explain_logs import read_history, summarize_outcome
 
 
 def _explain_arguments(parser: ArgumentParser) -> None:
@@ -39,7 +39,7 @@
     if not history.lines:
         notes.append(texts.JOB_UNSEEN)
         return CommandAnswer(None, codes.UNKNOWN_JOB, tuple(notes))
-    notes.append(conclude(history))
+    notes.append(summarize_outcome(history))
     rows = [
         {
             'time': line['time'],
--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -14,7 +14,7 @@
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.ids import AttemptId, CustomerId, JobClass, JobId
 from fuchsiarill.job import Execution, JobRecord, JobSpec, Urgency, Workload
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 GroupKey = tuple[
     tuple[Urgency, Workload, Execution],
@@ -76,10 +76,10 @@
     first_at_ms: int = 0
     urgent_then_order: tuple[bool, int] = (False, NO_ORDER)
     obstacle: Obstacle | None = None
-    blocked_size: Resources = NOTHING
+    blocked_size: Resources = NO_RESOURCES
     reclaim_after_ms: int = 0
     served_at_ms: int = 0
-    size: Resources = NOTHING
+    size: Resources = NO_RESOURCES
     size_version: tuple[int, int] = (-1, -1)
 
     def __post_init__(self) -> None:
@@ -132,15 +132,15 @@
 
     customer: CustomerId
     contract: Contract | None
-    quota: Resources = NOTHING
-    guaranteed: Resources = NOTHING
+    quota: Resources = NO_RESOURCES
+    guaranteed: Resources = NO_RESOURCES
     tokens: float = 0
     refilled_at_ms: int = 0
     retry_credit: float = 0
-    reserved: Resources = NOTHING
+    reserved: Resources = NO_RESOURCES
     share: float = 0
-    urgent_reserved: Resources = NOTHING
-    being_reclaimed: Resources = NOTHING
+    urgent_reserved: Resources = NO_RESOURCES
+    being_reclaimed: Resources = NO_RESOURCES
     waiting_count: int = 0
     accepting_count: int = 0
     served_at_ms: int = 0
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 _SAMPLES_MAX_COUNT: Final = 32
 # Maximum number of workers recorded with a success; enough to distinguish a
@@ -29,7 +29,7 @@
     run_times_ms: deque[int] = field(
         default_factory=lambda: deque(maxlen=_SAMPLES_MAX_COUNT),
     )
-    size: Resources = NOTHING
+    size: Resources = NO_RESOURCES
     run_time_ms: int = 0
     failed_count: int = 0
     version: int = 0
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -30,7 +30,7 @@
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.job import JobRecord
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import WorkerState
 
 # Limits of the number of reservations: held capacity is idle until all of it
@@ -191,7 +191,7 @@
         refresh_index(state, worker, now_ms)
         chosen_workers.append(worker)
     for worker in chosen_workers:
-        worker.reserve(NOTHING - size)
+        worker.reserve(NO_RESOURCES - size)
         refresh_index(state, worker, now_ms)
     return chosen_workers
 
@@ -220,7 +220,7 @@
             Counter(worker_id for _time, worker_id in earliest_slots)
         ),
         starts_at_ms=earliest_slots[-1][0],
-        made_at_ms=now_ms,
+        created_at_ms=now_ms,
     )
     hold_workers(state, reservation, now_ms)
     return reservation
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -10,7 +10,7 @@
 from fuchsiarill.core.wait_queue import unblock_all
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 from fuchsiarill.states import WorkerEvent, WorkerState
 from fuchsiarill.workers import HostEntry, HostState
 
@@ -94,7 +94,7 @@
     state.sizes_version += 1
     state.total_capacity = sum(
         (capacity.times(count) for capacity, count in capacities.items()),
-        start=NOTHING,
+        start=NO_RESOURCES,
     )
     refresh_shares(state)
     unblock_all(state)
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -52,7 +52,7 @@
         attempt.lease_ends_at_ms = max(attempt.lease_ends_at_ms, ends_at_ms)
 
 
-def lapse(state: CoreState, now_ms: int) -> None:
+def expire_leases(state: CoreState, now_ms: int) -> None:
     """Step the attempts without renewals whose leases have ended."""
     for attempt_id in tuple(state.unrenewed):
         attempt = state.attempts[attempt_id]
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -25,7 +25,7 @@
 from fuchsiarill.core.effects import Effect
 from fuchsiarill.core.explain import Explanation, explain
 from fuchsiarill.core.hosts import apply_draining, apply_host_list
-from fuchsiarill.core.leases import extend_leases, lapse
+from fuchsiarill.core.leases import expire_leases, extend_leases
 from fuchsiarill.core.ledger import restore
 from fuchsiarill.core.ordering import apply_ageing
 from fuchsiarill.core.quotas import account_of, apply_contracts
@@ -178,9 +178,9 @@
         self.state.restricted = False
         unblock_all(self.state)
 
-    def lapse(self, now_ms: int) -> None:
+    def expire_leases(self, now_ms: int) -> None:
         """Step the attempts without renewals whose leases have ended."""
-        lapse(self.state, now_ms)
+        expire_leases(self.state, now_ms)
 
     def decide(self, now_ms: int) -> bool:
         """Place the tasks that can be placed now.
--- a/fuchsiarill/core/preemption.py
+++ b/fuchsiarill/core/preemption.py
@@ -20,7 +20,7 @@
 from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.job import Attempt, JobRecord, StopReason
 from fuchsiarill.registry import Registry
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import AttemptState
 
 PreemptionPolicy = Callable[[CoreState, Account], Iterable[AttemptId]]
@@ -80,7 +80,7 @@
     If the customer exceeds both its guarantee and its weighted share, yield
     only its own attempts.
     """
-    if is_within_share(state, account, NOTHING):
+    if is_within_share(state, account, NO_RESOURCES):
         yield from _attempts_of_borrowers(state, account)
     yield from reversed(account.preemptible_batch)
     yield from reversed(account.preemptible_services)
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -9,7 +9,7 @@
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.ids import CustomerId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 
 def account_of(state: CoreState, customer: CustomerId) -> Account:
@@ -117,8 +117,8 @@
 ) -> None:
     account.contract = contract
     if contract is None:
-        account.quota = NOTHING
-        account.guaranteed = NOTHING
+        account.quota = NO_RESOURCES
+        account.guaranteed = NO_RESOURCES
         return
     partitions_count = _partitions_count(config, contract)
     account.quota = _divide(contract.quota.as_resources(), partitions_count)
--- a/fuchsiarill/core/reservation.py
+++ b/fuchsiarill/core/reservation.py
@@ -19,4 +19,4 @@
     size: Resources
     tasks_count_by_worker: dict[WorkerId, int]
     starts_at_ms: int
-    made_at_ms: int
+    created_at_ms: int
--- a/fuchsiarill/core/resource_accounting.py
+++ b/fuchsiarill/core/resource_accounting.py
@@ -19,7 +19,7 @@
     Urgency,
     Workload,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import WorkerState
 
 # Maximum number of tasks that a worker on probation runs at once, doubled with
@@ -68,7 +68,7 @@
     job = state.jobs[attempt.job_id]
     job.attempts.pop(attempt.attempt_id, None)
     account = account_of(state, job.spec.customer)
-    decrease = NOTHING - attempt.reserved
+    decrease = NO_RESOURCES - attempt.reserved
     _add_to_account(state, account, job, decrease)
     if attempt.stop_reason is StopReason.RECLAIMED:
         account.being_reclaimed -= attempt.reserved
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -30,7 +30,7 @@
 )
 from fuchsiarill.job import Attempt, JobRecord
 from fuchsiarill.records import Record
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 __all__ = ('CoreState', 'Timer', 'WorkerView')  # noqa: WPS410
 
@@ -71,7 +71,7 @@
     accounts: dict[CustomerId, Account] = field(default_factory=dict)
     index: WorkerIndex = field(default_factory=WorkerIndex)
     capacities: Counter[Resources] = field(default_factory=Counter)
-    total_capacity: Resources = NOTHING
+    total_capacity: Resources = NO_RESOURCES
     weights_sum: float = 1.0
     sizes_version: int = 0
     ageing_per_ms: float = 0
--- a/fuchsiarill/core/wait_queue.py
+++ b/fuchsiarill/core/wait_queue.py
@@ -25,7 +25,7 @@
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import CustomerId
 from fuchsiarill.job import JobRecord
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 _RETRY_INTERVAL_MS: Final = 100
 # Maximum number of unplaceable groups that are tried again after every
@@ -84,7 +84,7 @@
     account: Account,
     group: Group,
     obstacle: Obstacle,
-    size: Resources = NOTHING,
+    size: Resources = NO_RESOURCES,
 ) -> None:
     """Block a group until `obstacle` may have been removed."""
     if group.obstacle is not None:
--- a/fuchsiarill/core/worker_holds.py
+++ b/fuchsiarill/core/worker_holds.py
@@ -8,7 +8,7 @@
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.ids import JobId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import WorkerState
 
 
@@ -87,7 +87,7 @@
 
 def capacity_held_up_to(worker: WorkerView, job_id: JobId | None) -> Resources:
     """Return what is held for jobs up to `job_id`; `None`: for all jobs."""
-    total = NOTHING
+    total = NO_RESOURCES
     for holding_job_id, held_capacity in worker.holds.items():
         total += held_capacity
         if holding_job_id == job_id:
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -9,7 +9,7 @@
     JobId,
     WorkerId,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import WorkerState
 from fuchsiarill.workers import HostEntry
 
@@ -32,8 +32,8 @@
 
     entry: HostEntry
     state: WorkerState
-    reserved: Resources = NOTHING
-    free: Resources = NOTHING
+    reserved: Resources = NO_RESOURCES
+    free: Resources = NO_RESOURCES
     attempts: set[AttemptId] = field(default_factory=set)
     reported_at_ms: int = 0
     holds: dict[JobId, Resources] = field(default_factory=dict)
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -27,7 +27,7 @@
 from fuchsiarill.cluster.peer_server import serve_peers
 from fuchsiarill.cluster.peers import Peers, RpcPeers
 from fuchsiarill.codes import ExitStatus
-from fuchsiarill.collector import collect_seldom
+from fuchsiarill.collector import raise_gc_thresholds
 from fuchsiarill.front.bridge import Bridge
 from fuchsiarill.front.front_actor import FrontActor
 from fuchsiarill.front.http_front import HttpFront
@@ -59,7 +59,7 @@
     if options.check:
         return
     settings = load_result.unwrap()
-    collect_seldom()
+    raise_gc_thresholds()
     log_to_stderr(settings.log_format, settings.log_level)
     sys.exit(asyncio.run(_main(settings)))
 
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -32,7 +32,7 @@
     return history
 
 
-def conclude(history: JobHistory) -> str:
+def summarize_outcome(history: JobHistory) -> str:
     """Return a sentence that states the outcome of the job and its cause."""
     by_event = {line['event']: line for line in history.lines}
     end_counts = Counter(
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -16,7 +16,7 @@
     JobExplanation,
     JobList,
     JobQuery,
-    refused,
+    refusal_answer,
 )
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.front.bridge import ReleasedError
@@ -238,12 +238,12 @@
     """Send a message to the owner of the job that the path names."""
     checked_customer = _customer_with_contract(front, request)
     if isinstance(checked_customer, Failure):
-        return refused(checked_customer.failure())
+        return refusal_answer(checked_customer.failure())
     customer = checked_customer.unwrap()
     job_id = JobId(request.path_groups[0])
     partition = partition_of_job(job_id)
     if partition not in _partitions_of(front, customer):
-        return refused(
+        return refusal_answer(
             refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id),
         )
     return front.ask_owners(
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -14,7 +14,7 @@
 
 from fuchsiarill import codes, events, texts
 from fuchsiarill.actor import Mailbox, Reply
-from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.answers import JobAnswer, refusal_answer
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.front import caller_routes, health_routes, operator_routes
@@ -279,14 +279,14 @@
 
 def _answer_or_refusal(answer: Any, partition: PartitionId) -> Any:
     if isinstance(answer, NotSentError):
-        return refused(overloaded_refusal())
+        return refusal_answer(overloaded_refusal())
     if isinstance(answer, Exception):
         return _uncertain_answer(partition)
     return answer
 
 
 def _uncertain_answer(partition: PartitionId) -> JobAnswer:
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OUTCOME_UNCERTAIN,
             texts.OUTCOME_UNCERTAIN,
--- a/fuchsiarill/front/operator_routes.py
+++ b/fuchsiarill/front/operator_routes.py
@@ -9,8 +9,8 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.cluster.config_change import ChangeAnswer, ChangeRequest
+from fuchsiarill.cluster.config_distribution import ChangeConfig, GetDocument
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.cluster.member_table import Member
 from fuchsiarill.cluster.membership import GetView
 from fuchsiarill.front.replies import (
--- a/fuchsiarill/front/replies.py
+++ b/fuchsiarill/front/replies.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from fuchsiarill import codes, texts
-from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.answers import JobAnswer, refusal_answer
 from fuchsiarill.front.submissions import answer_object
 from fuchsiarill.refusal import Refusal, refuse
 
@@ -47,7 +47,7 @@
 
 def refusal_reply(refusal: Refusal) -> HttpReply:
     """Return the reply that carries a refusal."""
-    return reply_of(refused(refusal))
+    return reply_of(refusal_answer(refusal))
 
 
 def overloaded_refusal() -> Refusal:
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -14,7 +14,7 @@
 
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import BornMs, Ticket
 from fuchsiarill.graphs.owner_messages import AdviceAnswered
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -3,13 +3,13 @@
 from typing import Final
 
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
-from fuchsiarill.graphs.placement import has_room
+from fuchsiarill.graphs.placement import has_capacity
 from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState, RunEvent, RunState
 from fuchsiarill.graphs.worker_table import WorkerView
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 
 # A leaving worker without a stated notice runs tasks for at least this long
 # after it has been listed as leaving.
@@ -77,7 +77,7 @@
     step: StepEntry,
 ) -> bool:
     return any(
-        has_room(step, other, NOTHING)
+        has_capacity(step, other, NO_RESOURCES)
         for other in state.workers
         if other is not view
         and other.is_listed
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -14,7 +14,7 @@
 from fuchsiarill import codes, events
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.model import JobGraph, PoolId, QueueId
 from fuchsiarill.graphs.settings import GraphSettings
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -80,15 +80,17 @@
             registry=self.registry,
         )
 
-    def answered(self, verb: str, code: ResultCode, duration_s: float) -> None:
+    def count_request(
+        self, verb: str, code: ResultCode, duration_s: float
+    ) -> None:
         """Record the code and the duration of a caller's request."""
         self.requests.labels(verb, code.name).observe(duration_s)
 
-    def ended(self, kind: EndKind) -> None:
+    def count_run_end(self, kind: EndKind) -> None:
         """Count the end of a run by its kind."""
         self.ends.labels(kind.value).inc()
 
-    def waited(self, queue: QueueId, wait_ms: int) -> None:
+    def observe_wait(self, queue: QueueId, wait_ms: int) -> None:
         """Record how long a started job has waited."""
         self.waits.labels(queue).observe(wait_ms / MS_PER_SECOND)
 
--- a/fuchsiarill/graphs/peer_links.py
+++ b/fuchsiarill/graphs/peer_links.py
@@ -11,7 +11,7 @@
 from fuchsiarill.clock import now_ms
 from fuchsiarill.cluster.peer_link import PeerCall, PeerLink
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.settings import PeerSettings
 
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -12,7 +12,7 @@
 import capnp
 from returns.result import Failure, Success
 
-from fuchsiarill.cluster.encoding import SCHEMA
+from fuchsiarill.cluster.job_encoding import SCHEMA
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.ports import GraphPorts
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -15,7 +15,7 @@
 from fuchsiarill.graphs.states import AvailabilityState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 # Weights of the parts of a candidate's cost; the fit is at most 1.
 _REMOTE_COST: Final = 4.0
@@ -123,7 +123,7 @@
     return worker_suspension.may_receive_runs(view, request.now_ms)
 
 
-def has_room(
+def has_capacity(
     step: StepEntry,
     view: WorkerView,
     tentative: Resources,
@@ -185,10 +185,10 @@
     count_max: int,
 ) -> list[WorkerView]:
     """Return the worker once per task that fits, at most `count_max`."""
-    tentative = NOTHING
+    tentative = NO_RESOURCES
     packed: list[WorkerView] = []
     while len(packed) < count_max:
-        if not has_room(step, view, tentative, len(packed)):
+        if not has_capacity(step, view, tentative, len(packed)):
             break
         packed.append(view)
         tentative += step.spec.charge
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -12,7 +12,7 @@
 from fuchsiarill import events
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms, sleep_ms
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
 from fuchsiarill.graphs.advice import AdviceRequest
@@ -183,7 +183,7 @@
         view = self.core.state.workers.find(message.worker)
         for end in message.report.ended:
             if view is not None and end.sequence > view.seen_end:
-                self._context.metrics.ended(end.kind)
+                self._context.metrics.count_run_end(end.kind)
         self.core.worker_reported(
             message.worker,
             message.report,
@@ -301,7 +301,7 @@
         entry = self.core.state.jobs.get(start.task.job)
         if entry is not None:
             wait_ms = now_ms() - entry.accepted_ms
-            self._context.metrics.waited(entry.graph.queue, wait_ms)
+            self._context.metrics.observe_wait(entry.graph.queue, wait_ms)
 
     def request_advice(self, request: RequestAdvice) -> None:
         """Send a request for advice to the advisor of the process."""
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -14,7 +14,7 @@
 from fuchsiarill import events
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.advice import Advisor
 from fuchsiarill.graphs.front import Front
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -23,10 +23,10 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityEvent, RunEvent, RunState
 from fuchsiarill.graphs.worker_table import FailureRecord, WorkerView
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 
 _STOP_ORDERED_STATES: Final = frozenset((RunState.UNCERTAIN, RunState.STOPPING))
-_UNKNOWN_STEP: Final = Step(1, NOTHING)
+_UNKNOWN_STEP: Final = Step(1, NO_RESOURCES)
 
 
 def apply_report(
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -10,14 +10,14 @@
 from fuchsiarill.graphs.placement import (
     PlacementRequest,
     cost_of,
-    has_room,
+    has_capacity,
     place_gang,
     usable_workers,
 )
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_suspension import may_receive_runs
 from fuchsiarill.graphs.worker_table import WorkerView
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 
 _RankedWorker = tuple[float, int, WorkerView]
 
@@ -100,6 +100,6 @@
 
 
 def _can_start(request: PlacementRequest, view: WorkerView) -> bool:
-    if not has_room(request.step, view, NOTHING):
+    if not has_capacity(request.step, view, NO_RESOURCES):
         return False
     return may_receive_runs(view, request.now_ms)
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -18,7 +18,7 @@
 from fuchsiarill import events
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms, sleep_ms
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.campaigner import Campaigner, Election
 from fuchsiarill.graphs.lease_guard import LeaseGuard
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -13,7 +13,7 @@
 
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import now_ms, sleep_ms
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import (
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -18,7 +18,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.states import AvailabilityEvent, AvailabilityState
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
 
 _BORN_UNKNOWN_MS: Final = BornMs(0)
@@ -61,9 +61,9 @@
     # Has reported to this owner, or all its task leases have expired.
     is_reconciled: bool = False
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
-    allocated: Resources = NOTHING
+    allocated: Resources = NO_RESOURCES
     # Capacity minus `allocated`.
-    free: Resources = NOTHING
+    free: Resources = NO_RESOURCES
     reservations: list[Reservation] = field(default_factory=list)
     # Idle processors that its fillers can use, in thousandths of a processor.
     filler_milli: int = 0
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -11,7 +11,7 @@
     TaskId,
     WorkerId,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import AttemptState, JobState
 
 
@@ -84,7 +84,7 @@
     state: AttemptState
     placed_at_ms: int
     lease_ends_at_ms: int
-    peak: Resources = NOTHING
+    peak: Resources = NO_RESOURCES
     usage_reports_count: int = 0
     sized_version: int = -1
     is_limited: bool = False
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from fuchsiarill.ids import AttemptId
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 from fuchsiarill.workers import TaskOutcome, TaskReport, WorkerReport
 
 
@@ -70,7 +70,7 @@
         """
         listed_attempts = {task.attempt_id for task in report.tasks}
         missing_outcomes = [
-            TaskReport(attempt_id, TaskOutcome.STOPPED, NOTHING)
+            TaskReport(attempt_id, TaskOutcome.STOPPED, NO_RESOURCES)
             for attempt_id in sorted(self._running - listed_attempts)
         ]
         for attempt_id, start in tuple(self._unresolved_starts.items()):
@@ -80,7 +80,7 @@
             elif outcome is not None:
                 self._unresolved_starts.pop(attempt_id)
                 missing_outcomes.append(
-                    TaskReport(attempt_id, outcome, NOTHING)
+                    TaskReport(attempt_id, outcome, NO_RESOURCES)
                 )
         self._running = frozenset(
             task.attempt_id
--- a/fuchsiarill/owner/job_replies.py
+++ b/fuchsiarill/owner/job_replies.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from fuchsiarill import codes, texts
-from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.answers import JobAnswer, refusal_answer
 from fuchsiarill.ids import JobId, PartitionId
 from fuchsiarill.job import JobRecord
 from fuchsiarill.refusal import refuse
@@ -21,7 +21,9 @@
 
 def unknown_job_answer(job_id: JobId) -> JobAnswer:
     """Return the refusal for a job id that the customer does not have."""
-    return refused(refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id))
+    return refusal_answer(
+        refuse(codes.UNKNOWN_JOB, texts.UNKNOWN_JOB, job=job_id)
+    )
 
 
 def answer_of(job: JobRecord) -> JobAnswer:
@@ -41,7 +43,7 @@
 
 def overloaded_answer() -> JobAnswer:
     """Return the refusal while too many records or clients await commits."""
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OVERLOADED, texts.OVERLOADED, retry_after_ms=_RETRY_AFTER_MS
         ),
@@ -50,7 +52,7 @@
 
 def owner_unavailable_answer(partition: PartitionId) -> JobAnswer:
     """Return the refusal of an owner that stops or may have been replaced."""
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OWNER_UNAVAILABLE,
             texts.OWNER_UNAVAILABLE,
@@ -64,7 +66,7 @@
     """Return `OUTCOME_UNCERTAIN` in place of an answer; keep a refusal."""
     if answer.refusal is not None:
         return answer
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OUTCOME_UNCERTAIN,
             texts.OUTCOME_UNCERTAIN,
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from fuchsiarill import codes
-from fuchsiarill.answers import JobAnswer, JobExplanation, refused
+from fuchsiarill.answers import JobAnswer, JobExplanation, refusal_answer
 from fuchsiarill.clock import now_ms
 from fuchsiarill.core.partition import PartitionCore
 from fuchsiarill.ids import CustomerId, JobId
@@ -172,7 +172,7 @@
             return overloaded_answer()
         submit_result = self._core.submit(spec, now_ms())
         if not isinstance(submit_result, Success):
-            return refused(submit_result.failure())
+            return refusal_answer(submit_result.failure())
         return self._acceptance_answer(submit_result.unwrap())
 
     def _acceptance_answer(self, job_id: JobId) -> JobAnswer:
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -266,7 +266,7 @@
         current_ms = now_ms()
         if self._deposed_message is not None:
             self._campaign.send(self._deposed_message)
-        self.core.lapse(current_ms)
+        self.core.expire_leases(current_ms)
         await self.worker_links.stop_unlisted_links(self.core.state)
         self.requests.expire_waits()
         self._update_restriction()
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -76,7 +76,7 @@
         started_s = time.perf_counter()
         outcome = self._handle(request)
         duration_s = time.perf_counter() - started_s
-        self._metrics.answered(request.method, outcome.code, duration_s)
+        self._metrics.count_request(request.method, outcome.code, duration_s)
         return self._build_response(request, outcome)
 
     def call_intake(
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -22,7 +22,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.codes import ExitStatus
-from fuchsiarill.collector import collect_seldom
+from fuchsiarill.collector import raise_gc_thresholds
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.listener import Listener, Request, Response
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
@@ -81,7 +81,7 @@
         )
     path = Path(os.environ.get(_SETTINGS_VARIABLE, ''))
     settings = _load_settings_or_exit(path)
-    collect_seldom()
+    raise_gc_thresholds()
     sink = JsonLineSink()
     log_to_sink(sink, settings.log_level)
     with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -24,7 +24,7 @@
     ViewChanged,
 )
 from fuchsiarill.cluster.peer_port import PeerPort
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.front.front_actor import StopFront
 from fuchsiarill.ids import PartitionId, ProcessId
 from fuchsiarill.owner.campaign import Campaign
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -8,10 +8,10 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.actor import Actor, Reply, handles
-from fuchsiarill.answers import refused
+from fuchsiarill.answers import refusal_answer
 from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.cluster.config_distribution import GetDocument
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import GetDocument
 from fuchsiarill.cluster.membership import StateChanged
 from fuchsiarill.front.front_actor import StopFront
 from fuchsiarill.owner.messages import ConfigChanged
@@ -83,7 +83,7 @@
         if not self._has_config:
             answer_all(
                 route.message,
-                refused(
+                refusal_answer(
                     refuse(
                         codes.NOT_CONFIGURED,
                         texts.NOT_CONFIGURED,
@@ -94,7 +94,7 @@
         elif not self._receivers.router.send(route):
             answer_all(
                 route.message,
-                refused(refuse(codes.OVERLOADED, texts.OVERLOADED)),
+                refusal_answer(refuse(codes.OVERLOADED, texts.OVERLOADED)),
             )
         return await self._wait_for_answer(route, wait_ms)
 
@@ -117,7 +117,7 @@
                 texts.OUTCOME_UNCERTAIN,
                 partition=route.partition,
             )
-            answer_all(route.message, refused(uncertain))
+            answer_all(route.message, refusal_answer(uncertain))
         finally:
             self._in_progress -= 1
         return await reply.wait(self._settings.http.request_timeout_ms)
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -19,7 +19,7 @@
 from fuchsiarill.ports.workers import ExchangeFailure
 from fuchsiarill.replay.network import Endpoint, Network
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.settings import WorkerSettings
 from fuchsiarill.workers import (
     CommandKind,
@@ -47,7 +47,7 @@
     `fails_count` runs fail.
     """
 
-    used: Resources = NOTHING
+    used: Resources = NO_RESOURCES
     run_time_factor: float = 1
     fails_count: int = 0
 
@@ -361,7 +361,7 @@
 
 
 def _report_of(task: _Task) -> TaskReport:
-    used = NOTHING
+    used = NO_RESOURCES
     has_ended = task.outcome is not TaskOutcome.RUNNING
     if has_ended or now_ms() - task.started_at_ms >= _USAGE_LAG_MS:
         used = task.used
--- a/fuchsiarill/replay/faults_links.py
+++ b/fuchsiarill/replay/faults_links.py
@@ -5,7 +5,7 @@
 
 from pydantic import Field
 
-from fuchsiarill.replay.fakes import ReplyLoss
+from fuchsiarill.replay.fake_store import ReplyLoss
 from fuchsiarill.replay.kinds import (
     FAULT_KINDS,
     FaultKind,
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -11,8 +11,8 @@
 from fuchsiarill import codes
 from fuchsiarill.actor import Reply
 from fuchsiarill.cluster.config_change import ChangeAnswer, ChangeRequest
+from fuchsiarill.cluster.config_distribution import ChangeConfig, GetDocument
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.replay.deployment import merge
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
--- a/fuchsiarill/replay/outcomes_safety.py
+++ b/fuchsiarill/replay/outcomes_safety.py
@@ -10,7 +10,7 @@
 from fuchsiarill.replay.fake_workers import output_of
 from fuchsiarill.replay.kinds import OUTCOME_KINDS, OutcomeKind, Violation
 from fuchsiarill.replay.observations import Observation, ObservationKind
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 _Time = Annotated[int, Field(ge=0)]
 
@@ -44,9 +44,9 @@
             )
             tasks = used.setdefault(event.who, {})
             tasks[event.details['attempt']] = Resources(
-                *event.details.get('used', NOTHING.as_tuple()),
+                *event.details.get('used', NO_RESOURCES.as_tuple()),
             )
-            total = sum(tasks.values(), NOTHING)
+            total = sum(tasks.values(), NO_RESOURCES)
             if total.fits_in(evidence.capacities[event.who]):
                 overloaded_since.pop(event.who, None)
                 continue
--- a/fuchsiarill/replay/simulated_environment.py
+++ b/fuchsiarill/replay/simulated_environment.py
@@ -5,8 +5,8 @@
 from fuchsiarill.cluster.member_table import MemberDetail
 from fuchsiarill.owner.partition_service import Ports
 from fuchsiarill.replay.fake_host_list import FakeHostList, ProcessHostList
+from fuchsiarill.replay.fake_store import FakeStore, ProcessStore
 from fuchsiarill.replay.fake_workers import FakeWorker, ProcessWorkers
-from fuchsiarill.replay.fakes import FakeStore, ProcessStore
 from fuchsiarill.replay.network import Endpoint, Network
 from fuchsiarill.replay.observations import ObservationLog
 from fuchsiarill.replay.peer_calls import Listener
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -15,8 +15,8 @@
 from fuchsiarill.replay.callers import Callers
 from fuchsiarill.replay.deployment import Deployment, merge
 from fuchsiarill.replay.fake_host_list import FakeHostList
+from fuchsiarill.replay.fake_store import FakeStore
 from fuchsiarill.replay.fake_workers import FakeWorker, TaskProfile
-from fuchsiarill.replay.fakes import FakeStore
 from fuchsiarill.replay.loop import ReplayLoop
 from fuchsiarill.replay.network import Network
 from fuchsiarill.replay.observations import ObservationLog
--- a/fuchsiarill/resources.py
+++ b/fuchsiarill/resources.py
@@ -75,4 +75,4 @@
         )
 
 
-NOTHING: Final = Resources()
+NO_RESOURCES: Final = Resources()
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -12,11 +12,11 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.actor import Actor, Mailbox, handles
-from fuchsiarill.answers import JobAnswer, JobExplanation, refused
+from fuchsiarill.answers import JobAnswer, JobExplanation, refusal_answer
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.membership import PartitionsOwned, ViewChanged
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import (
     CustomerId,
     JobId,
@@ -327,7 +327,7 @@
 
 
 def _unavailable_answer(partition: PartitionId) -> JobAnswer:
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OWNER_UNAVAILABLE,
             texts.OWNER_UNAVAILABLE,
@@ -338,7 +338,7 @@
 
 
 def _overloaded_answer() -> JobAnswer:
-    return refused(
+    return refusal_answer(
         refuse(
             codes.OVERLOADED,
             texts.OVERLOADED,
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -15,7 +15,7 @@
     RegionId,
     WorkerId,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 
 class HostState(Enum):
@@ -106,7 +106,7 @@
     attempt_id: AttemptId
     outcome: TaskOutcome
     reserved: Resources
-    used: Resources = NOTHING
+    used: Resources = NO_RESOURCES
     run_time_ms: int = 0
     output: str = ''
 
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -33,7 +33,7 @@
     RenewalOrder,
     StopOrder,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 _NETWORK_DELAY_MS = 5
 _POLL_INTERVAL_MS = 5
@@ -113,7 +113,7 @@
 
     def used(self) -> Resources:
         """Return the sum of the resources that the runs use."""
-        return sum((run.size for run in self.runs.values()), NOTHING)
+        return sum((run.size for run in self.runs.values()), NO_RESOURCES)
 
 
 class Fleet:
@@ -291,7 +291,7 @@
     ) -> Resources:
         size_in_payload = behaviour.get('size')
         if size_in_payload is None:
-            return self.sizes.get(order.task, NOTHING)
+            return self.sizes.get(order.task, NO_RESOURCES)
         return Resources(*size_in_payload)
 
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -51,7 +51,7 @@
 
     def observations(self) -> dict[str, Any]:
         """Return the violations, the started jobs and the current owner."""
-        owner = self.store.found.get(StoreKey(f'control/owner/{POOL}'))
+        owner = self.store.items.get(StoreKey(f'control/owner/{POOL}'))
         return {
             'violations': self.fleet.violations,
             'started_jobs': sorted(
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -54,7 +54,7 @@
 class StoreModel:
     """The items, their history since the last compaction, and the leases."""
 
-    found: dict[StoreKey, KvItem] = field(default_factory=dict)
+    items: dict[StoreKey, KvItem] = field(default_factory=dict)
     lease_by_key: dict[StoreKey, StoreLeaseId] = field(default_factory=dict)
     history: list[KvItem] = field(default_factory=list)
     leases: dict[StoreLeaseId, _Lease] = field(default_factory=dict)
@@ -72,7 +72,7 @@
         """Commit a transaction if all expected revisions match."""
         self.expire()
         current = [
-            self.found.get(key, KvItem(key, None, ABSENT))
+            self.items.get(key, KvItem(key, None, ABSENT))
             for key, _ in transaction.expected
         ]
         for item, (_, revision) in zip(
@@ -91,7 +91,7 @@
 
     def remove(self, key: StoreKey) -> None:
         """Delete a key at the current revision, as the end of a lease does."""
-        if self.found.pop(key, None) is None:
+        if self.items.pop(key, None) is None:
             return
         self.lease_by_key.pop(key, None)
         self.history.append(KvItem(key, None, self.revision))
@@ -116,7 +116,7 @@
     def read(self, key: StoreKey) -> Result[KvItem, KvFailure]:
         """Return the item of a key, without a value if it is not set."""
         self.expire()
-        return Success(self.found.get(key, KvItem(key, None, ABSENT)))
+        return Success(self.items.get(key, KvItem(key, None, ABSENT)))
 
     def page(
         self,
@@ -126,8 +126,8 @@
         """Return the next items of a prefix, at most one page of them."""
         self.expire()
         rows = [
-            self.found[key]
-            for key in sorted(self.found)
+            self.items[key]
+            for key in sorted(self.items)
             if key.startswith(prefix) and (after is None or key > after)
         ]
         page = tuple(rows[:_PAGE_MAX_COUNT])
@@ -160,10 +160,10 @@
         self.history.clear()
 
     def _put(self, write: KvWrite) -> None:
-        previous = self.found.get(write.key)
+        previous = self.items.get(write.key)
         created = self.revision if previous is None else previous.created
         item = KvItem(write.key, write.value, self.revision, created)
-        self.found[write.key] = item
+        self.items[write.key] = item
         self.lease_by_key.pop(write.key, None)
         if write.lease is not None:
             self.lease_by_key[write.key] = write.lease
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -21,7 +21,7 @@
 from fuchsiarill.ids import NO_EPOCH, AttemptId, TaskId
 from fuchsiarill.ports.http_ports import EXCHANGES, REPORTS
 from fuchsiarill.registry import Registry
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.state_chart import parse_chart
 from fuchsiarill.workers import (
     CommandKind,
@@ -37,7 +37,7 @@
 from standins.task import Task, TaskEvent, TaskState, real_load
 from standins.worker_log import LogKind, LogLine, WorkerLog
 from standins.worker_settings import (
-    OneWorker,
+    WorkerDefinition,
     WorkerProcessSettings,
     load_worker_settings,
 )
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        worker: OneWorker,
+        worker: WorkerDefinition,
         settings: WorkerProcessSettings,
     ) -> None:
         """Start without tasks, and log the capacity."""
@@ -134,7 +134,7 @@
         """Carry out an exchange, or refuse all of it if its epoch is old."""
         if request.epoch < self.highest_epoch:
             for start in request.starts:
-                self._log_line(LogKind.REFUSED, start, NOTHING, 'epoch')
+                self._log_line(LogKind.REFUSED, start, NO_RESOURCES, 'epoch')
             return
         self.highest_epoch = request.epoch
         for attempt_id in request.acknowledged:
@@ -240,7 +240,7 @@
             attempt_id=task.start.attempt_id,
             outcome=TaskOutcome(task.state.value),
             reserved=task.start.reserved,
-            used=task.real if task.is_measured or is_ended else NOTHING,
+            used=task.real if task.is_measured or is_ended else NO_RESOURCES,
             run_time_ms=elapsed_ms,
             output=task.start.payload,
         )
--- a/standins/worker_log.py
+++ b/standins/worker_log.py
@@ -11,7 +11,7 @@
 from pydantic.dataclasses import dataclass
 
 from fuchsiarill.ids import AttemptId, WorkerId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 
 class LogKind(Enum):
@@ -38,8 +38,8 @@
     worker: WorkerId
     kind: LogKind
     attempt: AttemptId = AttemptId('')
-    reserved: Resources = NOTHING
-    real: Resources = NOTHING
+    reserved: Resources = NO_RESOURCES
+    real: Resources = NO_RESOURCES
     detail: str = ''
 
 
--- a/standins/worker_settings.py
+++ b/standins/worker_settings.py
@@ -30,7 +30,7 @@
     run_time_factor_max: _Factor = 1
 
 
-class OneWorker(_Model):
+class WorkerDefinition(_Model):
     """Location, capacity and clock of one worker.
 
     `clock_offset_ms` is added to the system clock to get the worker's clock.
@@ -50,7 +50,7 @@
     """All workers of one process; each writes `<log_folder>/<id>.jsonl`."""
 
     log_folder: Path
-    workers: tuple[OneWorker, ...]
+    workers: tuple[WorkerDefinition, ...]
     usage_lag_ms: _Count = 1_000
     deviation: Deviation = Deviation()
 
@@ -65,7 +65,7 @@
     )
 
 
-def host_entry(worker: OneWorker) -> HostEntry:
+def host_entry(worker: WorkerDefinition) -> HostEntry:
     """Return the host list entry of a live worker."""
     return HostEntry(
         worker_id=worker.worker_id,
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -10,13 +10,13 @@
 from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.config_change import parse_in_loop
-from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import (
+from fuchsiarill.cluster.config_distribution import (
+    ConfigDistributor,
     ConfigOffered,
-    ConfigSpread,
     GetDocument,
 )
-from fuchsiarill.cluster.directory import Directory
+from fuchsiarill.cluster.config_document import ConfigDocument
+from fuchsiarill.cluster.directory import ProcessDirectory
 from fuchsiarill.cluster.member_table import Gossip, MemberDetail
 from fuchsiarill.cluster.membership import (
     GenerationInForce,
@@ -241,11 +241,11 @@
                 process,
                 incarnation,
             ),
-            Directory(store),
+            ProcessDirectory(store),
             peers,
             random_source,
         )
-        self.config = ConfigSpread(
+        self.config = ConfigDistributor(
             ConfigSettings(),
             store,
             peers,
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -26,7 +26,7 @@
 )
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
 from fuchsiarill.registry import Registry
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.workers import (
     CommandKind,
     HostEntry,
@@ -205,7 +205,7 @@
                     self.core.state.attempts[attempt_id].reserved
                     for attempt_id in worker.attempts
                 ),
-                start=NOTHING,
+                start=NO_RESOURCES,
             )
             assert reserved == worker.reserved
             assert reserved.fits_in(worker.entry.capacity)
@@ -236,7 +236,7 @@
             attempt_id,
             self.outcomes.get(attempt_id, TaskOutcome.RUNNING),
             start.reserved,
-            self.used.get(start.payload, NOTHING),
+            self.used.get(start.payload, NO_RESOURCES),
             output=start.payload,
         )
 
@@ -279,7 +279,7 @@
 @STEPS.register('advance_ms')
 def _advance(cell: Cell, duration_ms: int) -> None:
     cell.now_ms += duration_ms
-    cell.core.lapse(cell.now_ms)
+    cell.core.expire_leases(cell.now_ms)
 
 
 @STEPS.register('silent')
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -18,8 +18,8 @@
 from fuchsiarill.answers import JobAnswer, JobExplanation
 from fuchsiarill.cell_config import parse_config
 from fuchsiarill.cluster.config_change import ChangeAnswer
+from fuchsiarill.cluster.config_distribution import ChangeConfig, GetDocument
 from fuchsiarill.cluster.config_document import ConfigDocument
-from fuchsiarill.cluster.config_spread import ChangeConfig, GetDocument
 from fuchsiarill.cluster.member_table import Beat, Member, MemberDetail
 from fuchsiarill.cluster.membership import GetView
 from fuchsiarill.front.bridge import Bridge
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -209,7 +209,7 @@
     def owner(self) -> ProcessId | None:
         """Return the process in the owner key, if there is one."""
         self.store.expire()
-        item = self.store.found.get(keys.owner_key(POOL))
+        item = self.store.items.get(keys.owner_key(POOL))
         if item is None or item.value is None:
             return None
         return records.decode_owner(item.value).process
@@ -251,7 +251,7 @@
 
     def phase(self, job: str) -> JobPhase | None:
         """Return the durable phase of a job."""
-        item = self.store.found.get(keys.progress_key(POOL, JobId(job)))
+        item = self.store.items.get(keys.progress_key(POOL, JobId(job)))
         if item is None or item.value is None:
             return None
         return records.decode_progress(item.value).phase
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -32,7 +32,7 @@
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.ports.agents import AgentFailure
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from tests.graph_owner import CAPACITY, Owner, entry
 
 _STEP_MS = 50
@@ -91,7 +91,7 @@
 
     def used_resources(self) -> Resources:
         """Return the sum of the resources of all runs."""
-        return sum((run.size for run in self.runs.values()), NOTHING)
+        return sum((run.size for run in self.runs.values()), NO_RESOURCES)
 
 
 class World:
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -9,10 +9,10 @@
 
 from fuchsiarill.ids import ProcessId, WorkerId
 from standins.worker_log import LogKind, LogLine
-from tools.caller import Caller, JobNote
+from tools.caller import Caller, SubmittedJob
 from tools.cell import Cell
 from tools.processes import wait_until
-from tools.tally import Run, Tally, runs_of, tally
+from tools.tally import Run, Tally, count_outcomes, group_runs_by_task
 
 _SIZE = {'processors_milli': 1000, 'memory_mb': 500}
 
@@ -76,8 +76,12 @@
 
     def tally(self) -> Tally:
         """Count the outcomes of the jobs of all callers."""
-        notes = [note for caller in self._callers for note in caller.notes]
-        return tally(notes, self.cell.worker_logs())
+        submitted_jobs = [
+            submitted_job
+            for caller in self._callers
+            for submitted_job in caller.submitted_jobs
+        ]
+        return count_outcomes(submitted_jobs, self.cell.worker_logs())
 
     def wait_settled(self) -> None:
         """Wait until all jobs are settled, then check all guarantees."""
@@ -89,23 +93,23 @@
         counted = self.tally()
         assert counted.is_good, counted
 
-    def runs(self, note: JobNote) -> list[Run]:
+    def runs(self, submitted_job: SubmittedJob) -> list[Run]:
         """Return the runs of the first task of a job."""
-        all_runs = runs_of(self.cell.worker_logs())
+        all_runs = group_runs_by_task(self.cell.worker_logs())
         return [
             run
             for task, task_runs in all_runs.items()
-            if task == f'{note.job_id}/0'
+            if task == f'{submitted_job.job_id}/0'
             for run in task_runs
         ]
 
-    def wait_running(self, note: JobNote) -> Run:
+    def wait_running(self, submitted_job: SubmittedJob) -> Run:
         """Wait until the first task of a job runs, and return its last run."""
         wait_until(
-            lambda: any(not run.outcome for run in self.runs(note)),
-            f'{note.job_id} is not running',
+            lambda: any(not run.outcome for run in self.runs(submitted_job)),
+            f'{submitted_job.job_id} is not running',
         )
-        return self.runs(note)[-1]
+        return self.runs(submitted_job)[-1]
 
     def refusals(self) -> list[LogLine]:
         """Return the log lines of all starts that workers refused."""
--- a/tests/process/test_graceful_shutdown.py
+++ b/tests/process/test_graceful_shutdown.py
@@ -18,14 +18,14 @@
 def test_answer_in_progress_is_completed(harness: Harness, role: str) -> None:
     """Guards against a shutdown that drops a request in progress."""
     caller = harness.caller()
-    note = caller.submit([job('slow', 3000)])[0]
-    harness.wait_running(note)
+    submitted_job = caller.submit([job('slow', 3000)])[0]
+    harness.wait_running(submitted_job)
     owner = harness.owner()
     leaving = owner if role == 'owner' else harness.other_processes(owner)[0]
     address = urlsplit(harness.cell.entry_urls[leaving]).netloc
     connection = HTTPConnection(address, timeout=_TIMEOUT_S)
     headers = {'Authorization': f'Bearer {caller.token}'}
-    path = f'/v1/jobs/{note.job_id}?wait_ms=8000'
+    path = f'/v1/jobs/{submitted_job.job_id}?wait_ms=8000'
     connection.request('GET', path, headers=headers)
     # Connections are accepted in order: once a later one has been answered,
     # the waiting request has reached the process.
@@ -33,7 +33,7 @@
     harness.cell.processes.send_signal(leaving, signal.SIGTERM)
     answer = json.loads(connection.getresponse().read())
     connection.close()
-    assert answer['job_id'] == note.job_id
+    assert answer['job_id'] == submitted_job.job_id
     assert answer['code'] in {
         codes.JOB_SUCCEEDED.number,
         codes.NOT_FINISHED.number,
--- a/tests/process/test_owner_failures.py
+++ b/tests/process/test_owner_failures.py
@@ -28,7 +28,9 @@
     survivors = harness.caller(*harness.other_processes(owner))
     again = survivors.submit(bodies)
     later = survivors.submit([job('later')])
-    assert [note.job_id for note in again] == [note.job_id for note in before]
+    assert [submitted_job.job_id for submitted_job in again] == [
+        submitted_job.job_id for submitted_job in before
+    ]
     assert later[0].is_accepted
     harness.wait_settled()
 
--- a/tests/test_cell_config.py
+++ b/tests/test_cell_config.py
@@ -9,9 +9,9 @@
 
 from fuchsiarill.cell_config import (
     MAX_CONFIG_BYTES,
-    changed_partitions,
     config_digest,
     parse_config,
+    partition_change_problems,
 )
 from fuchsiarill.settings import load_settings
 
@@ -104,6 +104,6 @@
     old_config = parse_config(_CELL).unwrap()
     text = _with_lines(_CELL, {5: line, 17: '    region: rajkot'})
     new_config = parse_config(text).unwrap()
-    problems = changed_partitions(text, old_config, new_config)
+    problems = partition_change_problems(text, old_config, new_config)
     _check_problems([problem.text for problem in problems], [start])
-    assert not changed_partitions(_CELL, old_config, old_config)
+    assert not partition_change_problems(_CELL, old_config, old_config)
--- a/tests/test_config_spread.py
+++ b/tests/test_config_distribution.py
@@ -20,12 +20,12 @@
 from fuchsiarill.actor import Reply
 from fuchsiarill.clock import PausedLoop, now_ms, run_paused, sleep_ms
 from fuchsiarill.cluster.config_change import ChangeAnswer, ChangeRequest
+from fuchsiarill.cluster.config_distribution import ChangeConfig, ConfigOffered
 from fuchsiarill.cluster.config_document import (
     CONFIG_KEY,
     ConfigDocument,
     read_document,
 )
-from fuchsiarill.cluster.config_spread import ChangeConfig, ConfigOffered
 from fuchsiarill.ids import Generation
 from tests.cluster_fakes import FakeCell, FakeProcess
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,7 +7,7 @@
 
 from fuchsiarill.cell_config import parse_config
 from fuchsiarill.core.placement import PLACEMENTS
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 from fuchsiarill.settings import ProcessSettings
 from tools.deployment import EXAMPLES, load_deployment
 
@@ -24,11 +24,11 @@
         deployment.shapes[rack.shape].as_resources()
         for _, rack in deployment.workers()
     ]
-    capacity = sum(shapes, start=NOTHING)
+    capacity = sum(shapes, start=NO_RESOURCES)
     guarantees = [
         contract.guaranteed.as_resources() for contract in config.contracts
     ]
-    assert sum(guarantees, start=NOTHING).fits_in(capacity)
+    assert sum(guarantees, start=NO_RESOURCES).fits_in(capacity)
     for contract in config.contracts:
         assert contract.placement in PLACEMENTS
         assert contract.guaranteed.as_resources().fits_in(
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill.codes import ExitStatus
 from fuchsiarill.commands.main import main
-from fuchsiarill.explain_logs import conclude, read_history
+from fuchsiarill.explain_logs import read_history, summarize_outcome
 
 JOB = '5c0e7a21d94b36f8'
 ACCEPTED = {'event': 701, 'queue': 'q', 'revision': 3, 'took_ms': 20}
@@ -61,7 +61,7 @@
     assert [entry['time'] for entry in history.lines] == list(
         range(len(log_fields))
     )
-    assert words in conclude(history)
+    assert words in summarize_outcome(history)
 
 
 def test_command(
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -19,7 +19,7 @@
 from fuchsiarill.ports.http_ports import HttpHostList, HttpStore, HttpWorkers
 from fuchsiarill.ports.store import StoreFailure, Swap, SwapOutcome
 from fuchsiarill.ports.workers import ExchangeFailure
-from fuchsiarill.resources import NOTHING
+from fuchsiarill.resources import NO_RESOURCES
 from fuchsiarill.settings import (
     HostListSettings,
     StoreSettings,
@@ -288,7 +288,7 @@
             region=RegionId('r'),
             failure_domain=FailureDomain('d'),
             rack=RackId('k'),
-            capacity=NOTHING,
+            capacity=NO_RESOURCES,
             connections_count=64,
             state=HostState.LIVE,
         )
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -145,7 +145,7 @@
     if expected_starts is not None:
         lapsed_ms = _LEASE_MS * 2
         owner.report(first_worker, [], lapsed_ms)
-        owner.core.lapse(lapsed_ms)
+        owner.core.expire_leases(lapsed_ms)
         owner.run_decisions(lapsed_ms)
         assert owner.starts == expected_starts
     assert owner.stops == case.get('stops', [])
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -11,7 +11,7 @@
 from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.answers import JobAnswer, JobQuery
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.cluster.encoding import SCHEMA, answer_fields
+from fuchsiarill.cluster.job_encoding import SCHEMA, answer_fields
 from fuchsiarill.cluster.owner_link import OwnerLink
 from fuchsiarill.cluster.peers import Peers, RpcPeers
 from fuchsiarill.ids import CustomerId, JobClass, JobId, PartitionId
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -12,8 +12,8 @@
 from fuchsiarill import codes
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.answers import JobAnswer, JobExplanation, JobList, JobQuery
+from fuchsiarill.cluster.config_distribution import ConfigOffered, GetDocument
 from fuchsiarill.cluster.config_document import NO_DOCUMENT, ConfigDocument
-from fuchsiarill.cluster.config_spread import ConfigOffered, GetDocument
 from fuchsiarill.cluster.member_table import Beat, Gossip, MemberDetail
 from fuchsiarill.cluster.membership import GossipReceived
 from fuchsiarill.cluster.owner_link import OwnerLink
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -137,7 +137,7 @@
         transaction = KvTransaction(((KEY, ABSENT),), (KvWrite(KEY, b'1'),))
         commit_result = await cell.store.commit(transaction, _TIMEOUT_MS)
         assert commit_result == Failure(KvFailure.UNKNOWN)
-        assert KEY in cell.model.found
+        assert KEY in cell.model.items
 
     run_scenario(scenario)
 
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -2,10 +2,10 @@
 
 from fuchsiarill import codes
 from fuchsiarill.ids import AttemptId, WorkerId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.worker_log import LogKind, LogLine
-from tools.caller import JobNote
-from tools.tally import Outcome, tally
+from tools.caller import SubmittedJob
+from tools.tally import Outcome, count_outcomes
 
 _ONE = WorkerId('one')
 _TWO = WorkerId('two')
@@ -19,7 +19,7 @@
     attempt: str = '',
     reserved: Resources = _SIZE,
     worker: WorkerId = _ONE,
-    real: Resources = NOTHING,
+    real: Resources = NO_RESOURCES,
 ) -> LogLine:
     detail = 'succeeded' if kind is LogKind.END else ''
     return LogLine(
@@ -33,20 +33,20 @@
     )
 
 
-def _note(**changes: str) -> JobNote:
+def _job(**changes: str) -> SubmittedJob:
     body = {'idempotency_key': 'key'} | changes
-    return JobNote(body, 'job', codes.ACCEPTED.number)
+    return SubmittedJob(body, 'job', codes.ACCEPTED.number)
 
 
 def test_job_without_outcome_is_lost() -> None:
     """Guards against a demo that passes although a job is lost."""
     logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
-    assert tally([_note()], logs).outcomes == {Outcome.LOST: 1}
-    service = _note(workload='service')
-    assert tally([service], logs).outcomes == {Outcome.FINISHED: 1}
+    assert count_outcomes([_job()], logs).outcomes == {Outcome.LOST: 1}
+    service = _job(workload='service')
+    assert count_outcomes([service], logs).outcomes == {Outcome.FINISHED: 1}
     logs[_ONE].append(_line(2, LogKind.END, 'job/0@1.1'))
-    assert tally([_note()], logs).outcomes == {Outcome.FINISHED: 1}
-    assert tally([service], logs).outcomes == {Outcome.LOST: 1}
+    assert count_outcomes([_job()], logs).outcomes == {Outcome.FINISHED: 1}
+    assert count_outcomes([service], logs).outcomes == {Outcome.LOST: 1}
 
 
 def test_overlapping_attempts_are_doubled() -> None:
@@ -56,11 +56,11 @@
         _line(5, LogKind.END, 'job/0@1.1'),
     ]
     two = [_line(4, LogKind.START, 'job/0@2.1', worker=_TWO)]
-    assert tally([_note()], {_ONE: one, _TWO: two}).doubled == ['job/0']
+    assert count_outcomes([_job()], {_ONE: one, _TWO: two}).doubled == ['job/0']
     two = [_line(5, LogKind.START, 'job/0@2.1', worker=_TWO)]
-    assert not tally([_note()], {_ONE: one, _TWO: two}).doubled
-    once = _note(execution='at_most_once')
-    assert tally([once], {_ONE: one, _TWO: two}).doubled == ['job/0']
+    assert not count_outcomes([_job()], {_ONE: one, _TWO: two}).doubled
+    once = _job(execution='at_most_once')
+    assert count_outcomes([once], {_ONE: one, _TWO: two}).doubled == ['job/0']
 
 
 def test_overcommitted_worker_is_seen() -> None:
@@ -69,15 +69,15 @@
     lines.extend(
         _line(1, LogKind.START, f'job/{number}@1.1') for number in range(2)
     )
-    assert not tally([], {_ONE: lines}).overcommitted
+    assert not count_outcomes([], {_ONE: lines}).overcommitted
     after_end = [
         *lines,
         _line(2, LogKind.END, 'job/0@1.1'),
         _line(2, LogKind.START, 'job/2@1.1'),
     ]
-    assert not tally([], {_ONE: after_end}).overcommitted
+    assert not count_outcomes([], {_ONE: after_end}).overcommitted
     lines.append(_line(2, LogKind.START, 'job/2@1.1'))
-    assert tally([], {_ONE: lines}).overcommitted == [_ONE]
+    assert count_outcomes([], {_ONE: lines}).overcommitted == [_ONE]
 
 
 def test_measured_size_counts_from_its_report_on() -> None:
@@ -86,22 +86,24 @@
     measured = _line(2, LogKind.MEASURED, 'job/0@1.1', _CAPACITY, real=_SIZE)
     second = _line(3, LogKind.START, 'job/1@1.1')
     ready = _line(0, LogKind.READY, reserved=_CAPACITY)
-    early = tally([], {_ONE: [ready, oversized, second, measured]})
+    early = count_outcomes([], {_ONE: [ready, oversized, second, measured]})
     assert early.overcommitted == [_ONE]
-    late = tally([], {_ONE: [ready, oversized, measured, second]})
+    late = count_outcomes([], {_ONE: [ready, oversized, measured, second]})
     assert not late.overcommitted
     assert late.first_reserved_exceeded == [_ONE]
     third = _line(4, LogKind.START, 'job/2@1.1')
-    third_start = tally([], {_ONE: [ready, oversized, measured, second, third]})
+    third_start = count_outcomes(
+        [], {_ONE: [ready, oversized, measured, second, third]}
+    )
     assert third_start.overcommitted == [_ONE]
 
 
 def test_refused_and_cancelled_jobs_must_not_run() -> None:
     """Guards against missing runs of refused or cancelled jobs."""
     logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
-    refused = _note()
+    refused = _job()
     refused.code = codes.NEVER_FITS.number
-    assert tally([refused], logs).ran_though_refused == ['job']
-    cancelled = _note()
+    assert count_outcomes([refused], logs).ran_though_refused == ['job']
+    cancelled = _job()
     cancelled.cancel_acknowledged = True
-    assert tally([cancelled], logs).running_though_cancelled == ['job']
+    assert count_outcomes([cancelled], logs).running_though_cancelled == ['job']
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -32,7 +32,7 @@
 from standins.worker_log import LogKind, read_log
 from standins.worker_settings import (
     Deviation,
-    OneWorker,
+    WorkerDefinition,
     WorkerProcessSettings,
 )
 from tests.serving import Served, serving
@@ -49,7 +49,7 @@
 def _worker(folder: Path, **changes: Any) -> WorkerStandIn:
     capacity = Amounts(processors_milli=4000, memory_mb=8000, slots_count=8)
     deviation = changes.pop('deviation', Deviation())
-    worker = OneWorker(
+    worker = WorkerDefinition(
         worker_id=WorkerId('w'),
         port=0,
         region=RegionId('r'),
--- a/tools/bench_cell.py
+++ b/tools/bench_cell.py
@@ -22,7 +22,7 @@
 from tools.deployment import EXAMPLES, load_deployment
 from tools.measures import Measure
 from tools.processes import wait_until
-from tools.tally import runs_of
+from tools.tally import group_runs_by_task
 
 _DEPLOYMENTS: Final = ('frostwick', 'cooperative')
 _IDLE_S: Final = 10.0
@@ -178,7 +178,7 @@
 
 def _submit_until_deadline(caller: Caller, number: int) -> None:
     deadline_s = time.monotonic() + _LOAD_S
-    sent_count = len(caller.notes)
+    sent_count = len(caller.submitted_jobs)
     while time.monotonic() < deadline_s:
         bodies = [
             _job(f'bench-{number}-{sent_count + offset}')
@@ -203,7 +203,7 @@
 def _start_rate(cell: Cell, began_ms: int, costs: Costs) -> Measure:
     started = [
         run
-        for task_runs in runs_of(cell.worker_logs()).values()
+        for task_runs in group_runs_by_task(cell.worker_logs()).values()
         for run in task_runs
         if run.started_at_ms >= began_ms
     ]
@@ -240,7 +240,7 @@
 
 
 def _takeover_ms(cell: Cell, killed_at_ms: int) -> int | None:
-    return takeover_ms(runs_of(cell.worker_logs()), killed_at_ms)
+    return takeover_ms(group_runs_by_task(cell.worker_logs()), killed_at_ms)
 
 
 def _processor_time_s(process_id: int) -> float:
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -13,7 +13,7 @@
 from typing import Final
 
 from fuchsiarill.cell_config import CellConfig
-from fuchsiarill.collector import collect_seldom
+from fuchsiarill.collector import raise_gc_thresholds
 from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
 from fuchsiarill.core.partition import PartitionCore
 from fuchsiarill.ids import (
@@ -225,7 +225,7 @@
 
 def run() -> Iterator[Measure]:
     """Measure every cell size, then the growth from 1000 workers on."""
-    collect_seldom()
+    raise_gc_thresholds()
     p99s: dict[str, float] = {}
     for workers_count in _WORKERS_COUNTS:
         for measured in measure(workers_count):
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -41,7 +41,7 @@
 
 
 @dataclass(slots=True)
-class JobNote:
+class SubmittedJob:
     """A submitted job and its answer; times are of `clock_ms`.
 
     `code` is 0 until an entry host accepts the job or refuses it for good.
@@ -85,29 +85,29 @@
     token: str
     entry_urls: list[str]
     give_up_after_s: float = 30
-    notes: list[JobNote] = field(default_factory=list)
+    submitted_jobs: list[SubmittedJob] = field(default_factory=list)
     _http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(retries=False, maxsize=8),
     )
 
-    def submit(self, bodies: list[dict[str, Any]]) -> list[JobNote]:
+    def submit(self, bodies: list[dict[str, Any]]) -> list[SubmittedJob]:
         """Submit a batch; jobs without a final answer are sent again."""
-        sent = [JobNote(body, sent_at_ms=clock_ms()) for body in bodies]
-        self.notes.extend(sent)
+        sent = [SubmittedJob(body, sent_at_ms=clock_ms()) for body in bodies]
+        self.submitted_jobs.extend(sent)
         for url in self._urls_until_deadline():
-            open_notes = [note for note in sent if not note.code]
-            if not open_notes:
+            open_jobs = [job for job in sent if not job.code]
+            if not open_jobs:
                 break
-            self._submit_once(url, open_notes)
+            self._submit_once(url, open_jobs)
         return sent
 
-    def cancel(self, note: JobNote) -> None:
+    def cancel(self, job: SubmittedJob) -> None:
         """Cancel a job; retried until there is a final answer."""
-        path = f'/v1/jobs/{note.job_id}'
+        path = f'/v1/jobs/{job.job_id}'
         for url in self._urls_until_deadline():
             answer = self.request('DELETE', url + path)
             if answer is not None and answer['code'] not in _RETRIABLE:
-                note.cancel_acknowledged = (
+                job.cancel_acknowledged = (
                     answer['code'] == codes.CANCEL_STARTED.number
                 )
                 return
@@ -142,17 +142,17 @@
             return None
         return document
 
-    def _submit_once(self, url: str, notes: list[JobNote]) -> None:
+    def _submit_once(self, url: str, jobs: list[SubmittedJob]) -> None:
         bodies = []
-        for open_note in notes:
-            open_note.attempts_count += 1
-            bodies.append(open_note.body)
+        for open_job in jobs:
+            open_job.attempts_count += 1
+            bodies.append(open_job.body)
         body = {'jobs': bodies}
         answer = self.request('POST', f'{url}/v1/jobs', body=body)
         if answer is None or 'answers' not in answer:
             return
-        for note, job_answer in zip(notes, answer['answers'], strict=True):
-            note.apply_answer(job_answer)
+        for job, job_answer in zip(jobs, answer['answers'], strict=True):
+            job.apply_answer(job_answer)
 
     def _urls_until_deadline(self) -> Iterator[str]:
         deadline_s = time.monotonic() + self.give_up_after_s
--- a/tools/cell.py
+++ b/tools/cell.py
@@ -13,7 +13,7 @@
 from fuchsiarill.workers import HostEntry
 from standins.worker_log import LogLine, read_log
 from standins.worker_settings import (
-    OneWorker,
+    WorkerDefinition,
     WorkerProcessSettings,
     host_entry,
 )
@@ -134,7 +134,7 @@
             self.store_url.rpartition(':')[2],
         )
         workers = [
-            OneWorker(
+            WorkerDefinition(
                 worker_id=worker_id,
                 port=next(self._ports),
                 region=self.deployment.region,
@@ -157,7 +157,9 @@
             self._wait_answering(url)
         self.control(self.store_url, put={CONFIG_KEY: self._document()})
 
-    def _start_workers(self, name: str, workers: tuple[OneWorker, ...]) -> None:
+    def _start_workers(
+        self, name: str, workers: tuple[WorkerDefinition, ...]
+    ) -> None:
         settings = WorkerProcessSettings(
             log_folder=self._folder,
             workers=workers,
--- a/tools/cell_loop.py
+++ b/tools/cell_loop.py
@@ -16,7 +16,7 @@
 from fuchsiarill.core.partition import PartitionCore
 from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
 from fuchsiarill.job import Urgency, Workload
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.workers import (
     CommandKind,
     HostEntry,
@@ -190,7 +190,7 @@
                 for run in self._runs[worker_id].values()
                 if run.outcome is None
             ),
-            start=NOTHING,
+            start=NO_RESOURCES,
         )
         if not load.fits_in(self._entries[worker_id].capacity):
             self.tally.overcommitted.add(worker_id)
@@ -271,7 +271,7 @@
         self._decide()
 
     def _report(self, run: Run) -> TaskReport:
-        used = NOTHING
+        used = NO_RESOURCES
         if self.now_ms - run.began_ms >= _USAGE_LAG_MS or run.outcome:
             used = run.load()
         return TaskReport(
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,7 +15,7 @@
 
 from fuchsiarill.clock import MS_PER_SECOND, sleep_ms
 from fuchsiarill.ports.thread_pool import BoundedThreadPool
-from tools.caller import Caller, JobNote, clock_ms
+from tools.caller import Caller, SubmittedJob, clock_ms
 from tools.cell import Cell
 from tools.demo_load import Team, make_jobs
 from tools.demo_table import (
@@ -27,7 +27,7 @@
 )
 from tools.deployment import EXAMPLES, load_deployment
 from tools.processes import end_on_signals
-from tools.tally import Tally, runs_of, tally
+from tools.tally import Tally, count_outcomes, group_runs_by_task
 
 _RUN_MAX_MS: Final = 45_000
 _BATCH_COUNT: Final = 8
@@ -72,10 +72,12 @@
                 self._load_shares.append(_LoadShare(caller, own_jobs))
 
     @property
-    def notes(self) -> list[JobNote]:
+    def notes(self) -> list[SubmittedJob]:
         """Return the records of all jobs that callers submitted."""
         return [
-            note for share in self._load_shares for note in share.caller.notes
+            job
+            for share in self._load_shares
+            for job in share.caller.submitted_jobs
         ]
 
     async def run(self) -> Tally:
@@ -98,10 +100,10 @@
         sent_count = 0
         for first in range(0, len(share.jobs), _BATCH_COUNT):
             batch = share.jobs[first : first + _BATCH_COUNT]
-            for note in await self._call(partial(share.caller.submit, batch)):
+            for job in await self._call(partial(share.caller.submit, batch)):
                 sent_count += 1
-                if note.is_accepted and sent_count % _CANCEL_EVERY == 0:
-                    await self._call(partial(share.caller.cancel, note))
+                if job.is_accepted and sent_count % _CANCEL_EVERY == 0:
+                    await self._call(partial(share.caller.cancel, job))
             await sleep_ms(_BATCH_PAUSE_MS)
 
     async def _kill_owner(self) -> None:
@@ -115,7 +117,7 @@
 
     async def _wait_settled(self) -> Tally:
         while True:
-            counted = tally(self.notes, self._cell.worker_logs())
+            counted = count_outcomes(self.notes, self._cell.worker_logs())
             spent_ms = clock_ms() - self._started_at_ms
             if counted.is_settled or spent_ms > _RUN_MAX_MS:
                 return counted
@@ -130,7 +132,7 @@
         return await asyncio.wrap_future(future)
 
     def _print(self, counted: Tally) -> None:
-        runs = runs_of(self._cell.worker_logs())
+        runs = group_runs_by_task(self._cell.worker_logs())
         for row in job_rows(self.notes, counted):
             _print_line(row)
         _print_line(wait_row('urgent', self.notes, runs))
--- a/tools/demo_table.py
+++ b/tools/demo_table.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from fuchsiarill.ids import TaskId
-from tools.caller import JobNote
+from tools.caller import SubmittedJob
 from tools.tally import Outcome, Run, Tally
 
 _COLUMNS: Final = (
@@ -17,12 +17,12 @@
 )
 
 
-def job_rows(notes: Iterable[JobNote], counted: Tally) -> list[str]:
+def job_rows(jobs: Iterable[SubmittedJob], counted: Tally) -> list[str]:
     """Return a header and, for each job class, the count of each outcome."""
     by_class: dict[str, Counter[Outcome]] = {}
-    for note in notes:
-        outcome = counted.outcome_of[note.body['idempotency_key']]
-        by_class.setdefault(note.body['job_class'], Counter())[outcome] += 1
+    for job in jobs:
+        outcome = counted.outcome_of[job.body['idempotency_key']]
+        by_class.setdefault(job.body['job_class'], Counter())[outcome] += 1
     titles = ''.join(f'{outcome.value:>11}' for outcome in _COLUMNS)
     rows = [f'{"jobs":<24}{"submitted":>10}{titles}']
     for job_class in sorted(by_class):
@@ -34,15 +34,15 @@
 
 def wait_row(
     urgency: str,
-    notes: Iterable[JobNote],
+    jobs: Iterable[SubmittedJob],
     runs: dict[TaskId, list[Run]],
 ) -> str:
     """Return median and maximum time from submission to the first start."""
     waits = []
-    for note in notes:
-        first = runs.get(TaskId(f'{note.job_id}/0'))
-        if first and note.body.get('urgency', 'normal') == urgency:
-            waits.append(max(0, first[0].started_at_ms - note.sent_at_ms))
+    for job in jobs:
+        first = runs.get(TaskId(f'{job.job_id}/0'))
+        if first and job.body.get('urgency', 'normal') == urgency:
+            waits.append(max(0, first[0].started_at_ms - job.sent_at_ms))
     if not waits:
         return f'{urgency} jobs: none started'
     waits.sort()
--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -19,7 +19,7 @@
 from fuchsiarill.workers import HostState
 from tools.mutation import Patch, mutation
 
-_ORIGINAL_LAPSE: Final = leases.lapse
+_ORIGINAL_EXPIRE_LEASES: Final = leases.expire_leases
 _ORIGINAL_SUBMIT: Final = partition.PartitionCore.submit
 
 
@@ -28,7 +28,7 @@
     'i2_costing_run_waits_for_the_lease_of_a_lost_host',
 )
 def _no_lease_wait() -> tuple[Patch, ...]:
-    return (mock.patch.object(partition, 'lapse', _expire_at_once),)
+    return (mock.patch.object(partition, 'expire_leases', _expire_at_once),)
 
 
 @mutation(
@@ -130,4 +130,4 @@
 def _expire_at_once(state: Any, now_ms: int) -> None:
     for attempt_id in tuple(state.unrenewed):
         state.attempts[attempt_id].lease_ends_at_ms = now_ms
-    _ORIGINAL_LAPSE(state, now_ms)
+    _ORIGINAL_EXPIRE_LEASES(state, now_ms)
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -4,15 +4,15 @@
 from typing import Any, Final
 from unittest import mock
 
-from fuchsiarill.cluster import config_spread
+from fuchsiarill.cluster import config_distribution
 from fuchsiarill.cluster.config_change import ConfigChange
 from fuchsiarill.cluster.config_document import read_document
 from fuchsiarill.cluster.store_evidence import StoreEvidence
 from fuchsiarill.owner import fleet, store_calls
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.ports.store import SwapResult, Versioned
+from fuchsiarill.replay.fake_store import FakeStore, StoreCall
 from fuchsiarill.replay.fake_workers import FakeWorker
-from fuchsiarill.replay.fakes import FakeStore, StoreCall
 from fuchsiarill.states import ConfigurationEvent
 from tools.mutation import Patch, mutation
 
@@ -93,7 +93,7 @@
     newer = ConfigurationEvent.NEWER_OFFERED
     return (
         mock.patch.object(
-            config_spread,
+            config_distribution,
             'ConfigurationEvent',
             mock.Mock(NEWER_OFFERED=newer, OLDER_OFFERED=newer),
         ),
--- a/tools/slope_core_measures.py
+++ b/tools/slope_core_measures.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.cluster.cluster_encoding import gossip_fields
-from fuchsiarill.cluster.encoding import SCHEMA
+from fuchsiarill.cluster.job_encoding import SCHEMA
 from fuchsiarill.cluster.member_table import (
     Beat,
     Gossip,
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -18,9 +18,9 @@
 from itertools import combinations
 
 from fuchsiarill.ids import AttemptId, TaskId, WorkerId
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.worker_log import LogKind, LogLine
-from tools.caller import JobNote
+from tools.caller import SubmittedJob
 
 WorkerLogs = dict[WorkerId, list[LogLine]]
 
@@ -74,7 +74,7 @@
     tasks, whether an owner released a part of them or not.
     """
 
-    capacity: Resources = NOTHING
+    capacity: Resources = NO_RESOURCES
     overcommitted_count: int = 0
     really_exceeded_count: int = 0
     first_reserved_exceeded_count: int = 0
@@ -118,7 +118,7 @@
         )
 
 
-def runs_of(logs: WorkerLogs) -> dict[TaskId, list[Run]]:
+def group_runs_by_task(logs: WorkerLogs) -> dict[TaskId, list[Run]]:
     """Return the runs of each task in the order of their start."""
     runs: dict[TaskId, list[Run]] = defaultdict(list)
     for worker, lines in logs.items():
@@ -136,23 +136,23 @@
     return runs
 
 
-def tally(notes: Iterable[JobNote], logs: WorkerLogs) -> Tally:
+def count_outcomes(jobs: Iterable[SubmittedJob], logs: WorkerLogs) -> Tally:
     """Count the outcomes of the jobs and the faults in the logs."""
     counted = Tally()
-    runs = runs_of(logs)
+    runs = group_runs_by_task(logs)
     at_most_once_ids: set[str] = set()
-    for note in notes:
+    for job in jobs:
         counted.submitted_count += 1
-        if note.body.get('execution') == 'at_most_once':
-            at_most_once_ids.add(note.job_id)
-        _count_job(counted, note, runs)
+        if job.body.get('execution') == 'at_most_once':
+            at_most_once_ids.add(job.job_id)
+        _count_job(counted, job, runs)
     counted.doubled.extend(
         task
         for task, task_runs in runs.items()
         if _is_doubled(task_runs, task.rpartition('/')[0] in at_most_once_ids)
     )
     for worker, lines in logs.items():
-        _count_worker(counted, worker, load_of(lines))
+        _count_worker(counted, worker, measure_load(lines))
     return counted
 
 
@@ -178,7 +178,7 @@
     start: LogLine
 
 
-def load_of(lines: list[LogLine]) -> WorkerLoad:
+def measure_load(lines: list[LogLine]) -> WorkerLoad:
     """Compare the tasks of a worker with its capacity after each line."""
     load = WorkerLoad()
     running: dict[AttemptId, _RunningTask] = {}
@@ -203,9 +203,9 @@
 
 
 def _count_exceeded(load: WorkerLoad, running: Iterable[_RunningTask]) -> None:
-    in_force = NOTHING
-    real = NOTHING
-    first_reserved = NOTHING
+    in_force = NO_RESOURCES
+    real = NO_RESOURCES
+    first_reserved = NO_RESOURCES
     for task in running:
         in_force += task.in_force
         real += task.start.real
@@ -220,32 +220,34 @@
 
 def _count_job(
     counted: Tally,
-    note: JobNote,
+    job: SubmittedJob,
     runs: dict[TaskId, list[Run]],
 ) -> None:
-    tasks_count = note.body.get('tasks_count', 1)
+    tasks_count = job.body.get('tasks_count', 1)
     runs_of_tasks = [
-        runs.get(TaskId(f'{note.job_id}/{position}'), [])
+        runs.get(TaskId(f'{job.job_id}/{position}'), [])
         for position in range(tasks_count)
     ]
-    outcome = _outcome_of_job(note, runs_of_tasks)
+    outcome = _outcome_of_job(job, runs_of_tasks)
     counted.outcomes[outcome] += 1
-    counted.outcome_of[note.body['idempotency_key']] = outcome
-    if outcome is Outcome.REFUSED and note.job_id and any(runs_of_tasks):
-        counted.ran_though_refused.append(note.job_id)
+    counted.outcome_of[job.body['idempotency_key']] = outcome
+    if outcome is Outcome.REFUSED and job.job_id and any(runs_of_tasks):
+        counted.ran_though_refused.append(job.job_id)
     if outcome is Outcome.CANCELLED and any(map(_is_running, runs_of_tasks)):
-        counted.running_though_cancelled.append(note.job_id)
+        counted.running_though_cancelled.append(job.job_id)
 
 
-def _outcome_of_job(note: JobNote, runs_of_tasks: list[list[Run]]) -> Outcome:
-    if note.is_refused:
+def _outcome_of_job(
+    job: SubmittedJob, runs_of_tasks: list[list[Run]]
+) -> Outcome:
+    if job.is_refused:
         return Outcome.REFUSED
-    if not note.is_accepted:
+    if not job.is_accepted:
         return Outcome.UNANSWERED
     is_complete = _has_succeeded
-    if note.body.get('workload') == 'service':
+    if job.body.get('workload') == 'service':
         is_complete = _is_running
-    if note.cancel_acknowledged:
+    if job.cancel_acknowledged:
         finished = is_complete is _has_succeeded and all(
             map(_has_succeeded, runs_of_tasks),
         )
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -15,7 +15,7 @@
     WorkerId,
 )
 from fuchsiarill.job import Execution, JobSpec, Urgency, Workload
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.workers import HostEntry, HostState
 
 _DOMAINS_COUNT: Final = 3
@@ -76,7 +76,7 @@
         """Return the total capacity of all workers."""
         return sum(
             (shape.capacity.times(shape.count) for shape in self.shapes),
-            start=NOTHING,
+            start=NO_RESOURCES,
         )
 
     def hosts(self) -> Iterator[HostEntry]:
@@ -107,13 +107,13 @@
                 service.size.times(service.tasks_count)
                 for service in self.services
             ),
-            start=NOTHING,
+            start=NO_RESOURCES,
         )
         capacity = (self.capacity() - service_use).as_tuple()
         total_share = sum(kind.share for kind in self.kinds)
         demand = sum(
             (_scaled(kind.resource_time(), kind.share) for kind in self.kinds),
-            start=NOTHING,
+            start=NO_RESOURCES,
         )
         return load * min(
             available * total_share / amount
