--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -62,27 +62,19 @@
     """Owns one pool for one term, which begins with an election."""
 
     def __init__(
-        self,
-        term: Term,
-        context: OwnerContext,
-        loaded: messages.PoolRecords,
+        self, term: Term, context: OwnerContext, loaded: messages.PoolRecords
     ) -> None:
         """Create the owner from the records of earlier owners."""
         super().__init__(f'owner {term.pool}')
         settings = context.settings
         self._term = term
         self._context = context
-        self._fleet_record = replace(
-            loaded.fleet,
-            term=loaded.fleet.term + 1,
-            owner=term.owner,
+        self._fleet = replace(
+            loaded.fleet, term=loaded.fleet.term + 1, owner=term.owner
         )
         self._is_previous_owner_inactive = loaded.is_previous_owner_inactive
         self.core = GraphCore(
-            term.pool,
-            term.epoch,
-            settings.task_lease,
-            self._fleet_record.term,
+            term.pool, term.epoch, settings.task_lease, self._fleet.term
         )
         self.core.configure(term.config)
         self._directory = WorkerDirectory(term.pool, context.ports.documents)
@@ -94,10 +86,7 @@
         )
         self._writer.add_revisions(loaded.revisions)
         self._saver = ProgressSaver(
-            self.core,
-            self._writer.mailbox,
-            self._fleet_record,
-            settings.retention,
+            self.core, self._writer.mailbox, self._fleet, settings.retention
         )
         self.channels = PoolChannels(
             self.core,
@@ -119,11 +108,9 @@
         super().start()
         self.tick_every(_TICK_INTERVAL_MS, messages.PoolTick())
         self._writer.start()
-        for member in self._fleet_record.members:
+        for member in self._fleet.members:
             self.core.add_inherited_worker(
-                member.worker,
-                member.address,
-                now_ms() + self._inherited_lease_max_ms(),
+                member.worker, member.address, now_ms() + self._prior_lease_ms()
             )
             self.channels.open_channel(member.worker, member.address)
         self._saver.save_fleet()
@@ -185,10 +172,7 @@
             if view is not None and end.sequence > view.seen_end:
                 self._context.metrics.count_run_end(end.kind)
         self.core.worker_reported(
-            message.worker,
-            message.report,
-            message.requested_ms,
-            now_ms(),
+            message.worker, message.report, message.requested_ms, now_ms()
         )
         self._schedule_decision()
 
@@ -284,10 +268,7 @@
         self._save_records()
 
     async def hand_over(self, timeout_ms: int) -> None:
-        """Send no more orders, and wait until all progress is durable.
-
-        Gives up after `timeout_ms`.
-        """
+        """Send no more orders; wait up to `timeout_ms` to save all progress."""
         self._term.guard.revoke()
         deadline_ms = now_ms() + timeout_ms
         while now_ms() < deadline_ms:
@@ -326,8 +307,8 @@
             pool=self._term.pool,
             epoch=self._term.epoch,
             jobs=len(self.core.state.jobs),
-            workers=len(self._fleet_record.members),
-            term=self._fleet_record.term,
+            workers=len(self._fleet.members),
+            term=self._fleet.term,
         )
 
     def _is_advice_wanted(self, request: RequestAdvice) -> bool:
@@ -345,11 +326,10 @@
             return 0
         return entry.policy.advice.validity_ms
 
-    def _inherited_lease_max_ms(self) -> int:
+    def _prior_lease_ms(self) -> int:
         """Return for how long task leases of the previous owner may last.
 
-        While it may still send orders, it may renew them until its own lease
-        expires.
+        While it may send orders, it may renew them until its own lease expires.
         """
         leases = self._context.settings.task_lease
         longest_ms = leases.longest_ms
@@ -357,16 +337,14 @@
             longest_ms += self._context.settings.ownership.lease_ttl_ms
         return longest_ms
 
-    def _make_watchers(
-        self, jobs_revision: Revision
-    ) -> tuple[PrefixWatcher, ...]:
+    def _make_watchers(self, revision: Revision) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
         timeout_ms = self._context.settings.calls.store_timeout_ms
         jobs = PrefixWatchSettings(
             keys.jobs_prefix(self._term.pool),
             wait_ms,
             timeout_ms,
-            after_revision=jobs_revision,
+            after_revision=revision,
         )
         workers = PrefixWatchSettings(
             self._context.ports.documents.workers_prefix,
@@ -381,9 +359,7 @@
         )
 
     def _apply_jobs(
-        self,
-        job_items: tuple[KvItem, ...],
-        progress_items: tuple[KvItem, ...],
+        self, job_items: tuple[KvItem, ...], progress_items: tuple[KvItem, ...]
     ) -> None:
         load_jobs(self.core, job_items, progress_items, now_ms())
         self._schedule_decision()
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -69,10 +69,7 @@
     """Campaigns to own one pool, and renews the lease of the ownership."""
 
     def __init__(
-        self,
-        pool: PoolId,
-        config: GraphConfig,
-        candidate: Candidate,
+        self, pool: PoolId, config: GraphConfig, candidate: Candidate
     ) -> None:
         """Start as a follower."""
         super().__init__(f'tenure {pool}')
@@ -85,10 +82,7 @@
         self._settings = candidate.context.settings
         self._store = candidate.context.ports.store
         self._campaigner = Campaigner(
-            self._store,
-            self._settings,
-            pool,
-            candidate.incarnation,
+            self._store, self._settings, pool, candidate.incarnation
         )
         self._started_ms = now_ms()
         self._key_revision = ABSENT
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -135,8 +135,7 @@
 
     @handles(campaign_messages.CandidatesUpdated)
     async def on_candidates(
-        self,
-        message: campaign_messages.CandidatesUpdated,
+        self, message: campaign_messages.CandidatesUpdated
     ) -> None:
         """Store the candidates and forward them to the owner watch."""
         self.election.loads = message.loads
@@ -145,18 +144,14 @@
 
     @handles(campaign_messages.ElectionDue)
     async def on_election_due(
-        self,
-        message: campaign_messages.ElectionDue,
+        self, message: campaign_messages.ElectionDue
     ) -> None:
         """Claim the partition if it is still vacant."""
         if not self.election.is_withdrawn:
             await self.step(PartitionEvent.VACANT)
 
     @handles(campaign_messages.LeaseRenewed)
-    async def on_renewed(
-        self,
-        message: campaign_messages.LeaseRenewed,
-    ) -> None:
+    async def on_renewed(self, message: campaign_messages.LeaseRenewed) -> None:
         """Extend the ownership deadline, counted from the renewal request."""
         if not self.lease.matches(message.token):
             return
@@ -165,8 +160,7 @@
 
     @handles(campaign_messages.DeadlinePassed)
     async def on_deadline(
-        self,
-        message: campaign_messages.DeadlinePassed,
+        self, message: campaign_messages.DeadlinePassed
     ) -> None:
         """Restrict the owner or end a takeover if the deadline has passed."""
         if now_ms() >= self.lease.deadline_ms:
@@ -175,8 +169,7 @@
 
     @handles(campaign_messages.OwnershipLost)
     async def on_lease_lost(
-        self,
-        message: campaign_messages.OwnershipLost,
+        self, message: campaign_messages.OwnershipLost
     ) -> None:
         """Step down because the store no longer holds the lease."""
         if self.lease.matches(message.token):
@@ -199,8 +192,7 @@
 
     @handles(campaign_messages.TakeoverFailed)
     async def on_takeover_failed(
-        self,
-        message: campaign_messages.TakeoverFailed,
+        self, message: campaign_messages.TakeoverFailed
     ) -> None:
         """Release the partition and delay the next claim.
 
@@ -329,8 +321,7 @@
         campaign.mailbox,
     )
     campaign.children.takeover.begin(
-        campaign.settings.process,
-        campaign.config.policies.task_lease_ms,
+        campaign.settings.process, campaign.config.policies.task_lease_ms
     )
 
 
@@ -340,16 +331,9 @@
     if journal is None:
         return
     service = PartitionService(
-        campaign.settings,
-        campaign.config,
-        campaign.ports,
-        campaign.mailbox,
-    )
-    service.begin(
-        campaign.partition,
-        journal,
-        campaign.lease.deadline_ms,
+        campaign.settings, campaign.config, campaign.ports, campaign.mailbox
     )
+    service.begin(campaign.partition, journal, campaign.lease.deadline_ms)
     campaign.children.service = service
     events.emit(
         events.OWNERSHIP_ACQUIRED,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -191,8 +191,7 @@
         return response or SwapResult(SwapOutcome.UNKNOWN)
 
     async def grant_lease(
-        self,
-        ttl_ms: int,
+        self, ttl_ms: int
     ) -> Result[StoreLeaseId, StoreFailure]:
         response = await self._call('lease', lambda: self._state.grant(ttl_ms))
         if response is None:
@@ -200,8 +199,7 @@
         return Success(response)
 
     async def renew_lease(
-        self,
-        lease_id: StoreLeaseId,
+        self, lease_id: StoreLeaseId
     ) -> Result[StoreLeaseId, StoreFailure]:
         is_known = await self._call(
             'lease', lambda: self._state.renew(lease_id)
@@ -213,8 +211,7 @@
         return Success(lease_id)
 
     async def revoke_lease(
-        self,
-        lease_id: StoreLeaseId,
+        self, lease_id: StoreLeaseId
     ) -> Result[StoreLeaseId, StoreFailure]:
         is_revoked = await self._call(
             'lease', lambda: self._state.revoke(lease_id)
@@ -224,10 +221,7 @@
         return Success(lease_id)
 
     async def watch(
-        self,
-        key: StoreKey,
-        after: Revision,
-        wait_ms: int,
+        self, key: StoreKey, after: Revision, wait_ms: int
     ) -> Result[Versioned, StoreFailure]:
         waits_until_ms = now_ms() + wait_ms
         while self._state.read(key).revision == after:
