Correct doc comments that no longer match the code

Cause: several doc comments in the core, the ports, the owner and the replay described earlier behaviour. The store fake's call argument left out the revision of a watch, the overuse branch in learning.py left out the checkpoint without a stop, and a ticket cache comment said that answers never change although a restart of the worker discards them. Some private names were vague: `_read` also grants leases, `Build` is the type of a message factory, `is_limited` covers three actions.

Change: doc comments state the conditions that the code checks. Renamed `OWNER_KEYS` to `OWNER_KEY_PREFIX`, `_read` to `_call_or_unreachable`, `is_limited` to `is_overuse_handled`, `_grow_or_limit` and `_limit_attempt` to `_grow_or_handle_overuse` and `_handle_overuse`, `_record_refusal` to `_record_failure`, the type `Build` to `MessageFactory`, `parse_in_loop` to `parse_on_event_loop`, `received` to `as_received`, and `own_detail` of the simulated environment to `own_member_detail`. Behaviour, log kinds and recorded codes are unchanged.

--- a/fuchsiarill/cluster/config_change.py
+++ b/fuchsiarill/cluster/config_change.py
@@ -45,7 +45,7 @@
         """Return the configuration, or all problems of the document."""
 
 
-async def parse_in_loop(
+async def parse_on_event_loop(
     text: str,
 ) -> Result[CellConfig, tuple[Refusal, ...]]:
     """Parse in the running event loop, which is blocked meanwhile."""
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -1,7 +1,8 @@
 """Learns the size and the run time of each job class from usage reports.
 
-The reservation of an attempt that uses more is raised if its worker has free
-capacity. Otherwise the attempt itself is limited, never other attempts.
+If an attempt uses more than its reservation, the reservation is raised if its
+worker has free capacity. Otherwise that attempt is throttled, checkpointed or
+stopped, never other attempts.
 """
 
 from typing import Final
@@ -35,13 +36,14 @@
 _FEW_SAMPLES_MARGIN_RATIO: Final = 0.6
 ATTEMPT_MARGIN_RATIO: Final = 1.02
 _RUN_TIME_PERCENTILE: Final = 0.95
-# From this many samples on, only every fourth updates the estimates.
+# From this many run times on, an estimate is updated only at every fourth usage
+# sample; its size also if a peak exceeds it.
 _DEFERRED_UPDATES_MIN_COUNT: Final = 16
 _SAMPLES_PER_UPDATE_COUNT: Final = 4
 # Usage lags: the first reports of a task may not show its full size.
 _USAGE_REPORTS_MIN_COUNT: Final = 3
 # Learned sizes are rounded up to this many binary digits, so that classes of
-# similar size share one search for a worker.
+# similar usage have equal sizes: a failed search for a worker holds for all.
 _SIZE_BITS_COUNT: Final = 6
 
 
@@ -62,7 +64,7 @@
     if not usage.fits_in(attempt.peak):
         attempt.peak = elementwise_max(attempt.peak, _estimated_amounts(usage))
     if not attempt.peak.fits_in(attempt.reserved):
-        _grow_or_limit(state, attempt, now_ms)
+        _grow_or_handle_overuse(state, attempt, now_ms)
         return
     if not state.config.policies.learn_sizes:
         return
@@ -173,7 +175,9 @@
     )
 
 
-def _grow_or_limit(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+def _grow_or_handle_overuse(
+    state: CoreState, attempt: Attempt, now_ms: int
+) -> None:
     size_with_margin = elementwise_max(
         attempt.reserved, _usage_with_margin(attempt)
     )
@@ -184,18 +188,23 @@
         if worker is not None and increase.fits_in(worker.free):
             resize_attempt(state, attempt, size, now_ms)
             return
-    if not attempt.is_limited:
-        attempt.is_limited = True
-        _limit_attempt(state, attempt, now_ms)
+    if not attempt.is_overuse_handled:
+        attempt.is_overuse_handled = True
+        _handle_overuse(state, attempt, now_ms)
+
 
+def _handle_overuse(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Throttle, checkpoint or stop an attempt that exceeds its reservation.
 
-def _limit_attempt(state: CoreState, attempt: Attempt, now_ms: int) -> None:
-    """Throttle an excess of processors; restart for an excess of memory."""
+    Throttles if only the processors are exceeded. If memory is, stops the
+    attempt for a restart, or only requests a checkpoint if a restart is not
+    allowed or would not help.
+    """
     spec = state.jobs[attempt.job_id].spec
     if attempt.peak.memory_mb <= attempt.reserved.memory_mb:
         _send_command(state, attempt, CommandKind.THROTTLE)
         return
-    # An at-most-once task may not be restarted; it continues from its
+    # An at-most-once task may not be restarted; it keeps running after the
     # checkpoint. Without learning, a restarted task would reserve the same
     # size and be stopped again.
     at_most_once = spec.execution is Execution.AT_MOST_ONCE
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -10,7 +10,8 @@
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 
-# A start order reaches its worker at most this long after the decision.
+# Assumed longest time from the decision to the arrival of a start order. A
+# ticket must remain valid for it.
 _VALIDITY_MARGIN_MS: Final = 250
 # A failed request is repeated after this time.
 _RETRY_INTERVAL_MS: Final = 100
@@ -29,7 +30,8 @@
 @dataclass(slots=True)
 class _StepAdvice:
     tickets: dict[WorkerId, _CachedTicket] = field(default_factory=dict)
-    # Answers of the service: they never change for a step and a worker.
+    # Answers of the service: they do not change for a step and one incarnation
+    # of a worker.
     allowed: set[WorkerId] = field(default_factory=set)
     denied: set[WorkerId] = field(default_factory=set)
     # No request is sent before, since one is in progress or has just failed.
@@ -119,5 +121,5 @@
             advice.denied.discard(worker)
 
     def remove_step(self, step: StepKey) -> None:
-        """Remove all answers for a step that has succeeded."""
+        """Remove all answers for a step with no waiting or active unit."""
         self._steps.pop(step, None)
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -87,7 +87,7 @@
     peak: Resources = NO_RESOURCES
     usage_reports_count: int = 0
     sized_version: int = -1
-    is_limited: bool = False
+    is_overuse_handled: bool = False
     stop_reason: StopReason | None = None
     replaces: AttemptId | None = None
 
--- a/fuchsiarill/owner/claims.py
+++ b/fuchsiarill/owner/claims.py
@@ -35,7 +35,8 @@
 class OwnerLocated:
     """Tells the router where a partition's owner is.
 
-    `mailbox` is set when the owner is in this process.
+    `claim` is `None` if the partition has no known owner. `mailbox` is set when
+    the owner is in this process.
     """
 
     partition: PartitionId
@@ -45,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldLease:
-    """The store lease to which the owner key of this process is attached."""
+    """The store lease to which the claim of an owned partition is attached."""
 
     lease_id: StoreLeaseId
     requested_at_ms: int
@@ -70,8 +71,8 @@
     """Claim a vacant partition under a new lease, or return `None`.
 
     The lease is counted from before its grant was requested. If the claim
-    fails, the lease is revoked, which also deletes a claim that the store
-    writes late.
+    fails, the lease is revoked. This deletes a claim that was stored although
+    its response was lost, and makes a later write of it fail.
     """
     requested_at_ms = now_ms()
     lease_result = await store.grant_lease(lease_ms)
--- a/fuchsiarill/ports/agents.py
+++ b/fuchsiarill/ports/agents.py
@@ -22,7 +22,7 @@
 
 
 class AgentFailure(Enum):
-    """Why a worker did not, or possibly did not, execute an order."""
+    """Why a call to a worker or the advice service failed, or may have."""
 
     # The worker has seen a higher epoch.
     FENCED = 'fenced'
@@ -32,7 +32,8 @@
     EXPIRED = 'expired'
     NO_ROOM = 'no_room'
     TICKET_INVALID = 'ticket_invalid'
-    # The worker is unhealthy and has not executed the order.
+    # The worker is unhealthy and has not executed the order, or the advice
+    # service is busy.
     UNHEALTHY = 'unhealthy'
     # A worker with another id or incarnation listens at the address.
     OTHER_WORKER = 'other_worker'
@@ -76,8 +77,9 @@
     """Extends the leases of all runs on a worker.
 
     `expiry_ms` is in the worker's clock; if it is `None`, no lease is
-    extended. The worker discards run ends up to `acknowledged`. It may delay
-    its response by up to `wait_ms` until a run ends.
+    extended. The worker discards the records of ended runs with sequence
+    numbers up to `acknowledged`. It may delay its response by up to `wait_ms`
+    until a run ends.
     """
 
     epoch: Epoch
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -6,15 +6,15 @@
 
 from fuchsiarill.actor import Reply
 from fuchsiarill.assembly import Assembly, Environment
-from fuchsiarill.cluster.config_change import parse_in_loop
+from fuchsiarill.cluster.config_change import parse_on_event_loop
 from fuchsiarill.cluster.peer_server import PeerCallServer
 from fuchsiarill.process_messages import DrainRequested
-from fuchsiarill.replay.fake_front import Build, FakeFront
+from fuchsiarill.replay.fake_front import FakeFront, MessageFactory
 from fuchsiarill.replay.network import Endpoint
-from fuchsiarill.replay.peer_calls import CallContext, PeerCalls, received
+from fuchsiarill.replay.peer_calls import CallContext, PeerCalls, as_received
 from fuchsiarill.replay.simulated_environment import (
     SimulatedEnvironment,
-    own_detail,
+    own_member_detail,
     process_ports,
 )
 from fuchsiarill.settings import ProcessSettings
@@ -40,10 +40,10 @@
         assembly = Assembly(
             Environment(
                 settings,
-                own_detail(settings, incarnation),
+                own_member_detail(settings, incarnation),
                 process_ports(settings, endpoint, environment),
                 calls,
-                parse_in_loop,
+                parse_on_event_loop,
                 random.Random(
                     f'{environment.seed} {settings.process} {incarnation}',
                 ),
@@ -74,7 +74,7 @@
     ) -> None:
         """Run a method of the peer server; a time-out gives no answer."""
         context = CallContext()
-        arguments = {name: received(request[name]) for name in request}
+        arguments = {name: as_received(request[name]) for name in request}
         try:
             await getattr(self._peer_server, method)(
                 **arguments, _context=context
@@ -85,14 +85,16 @@
 
     async def call_owner(
         self,
-        build: Build,
+        build: MessageFactory,
         wait_ms: int,
         reply: Reply[Any],
     ) -> None:
         """Pass a caller's request to a partition owner and its answer back."""
         reply.answer(await self.front.call_owner(build, wait_ms))
 
-    async def call_config(self, build: Build, reply: Reply[Any]) -> None:
+    async def call_config(
+        self, build: MessageFactory, reply: Reply[Any]
+    ) -> None:
         """Pass on an operator's request; a time-out gives no answer."""
         try:
             answer = await self.front.call_config(build)
@@ -102,5 +104,8 @@
 
 
 def run_composition(composition: Composition) -> asyncio.Task[None]:
-    """Run the actors in a task of the current context."""
+    """Run the actors in a task that inherits the current context.
+
+    The context (`contextvars`) holds the incarnation.
+    """
     return asyncio.create_task(composition.run())
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -24,7 +24,8 @@
 
 _CHECK_INTERVAL_MS = 20
 
-Build = Callable[[Reply[Any]], Any]
+# Makes a message from the `Reply` that its receiver answers.
+MessageFactory = Callable[[Reply[Any]], Any]
 
 
 class FakeFront(Actor):
@@ -73,7 +74,7 @@
         self._is_open = False
         message.reply.answer(not self._in_progress)
 
-    async def call_owner(self, build: Build, wait_ms: int) -> Any:
+    async def call_owner(self, build: MessageFactory, wait_ms: int) -> Any:
         """Route a request to a partition owner and return the answer.
 
         Without an answer within the request time-out plus `wait_ms`, the
@@ -98,7 +99,7 @@
             )
         return await self._wait_for_answer(route, wait_ms)
 
-    async def call_config(self, build: Build) -> Any:
+    async def call_config(self, build: MessageFactory) -> Any:
         """Return the configuration actor's answer; raises `TimeoutError`."""
         reply: Reply[Any] = Reply()
         self._receivers.config.send(build(reply))
--- a/fuchsiarill/replay/fake_store.py
+++ b/fuchsiarill/replay/fake_store.py
@@ -24,14 +24,15 @@
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.settings import StoreSettings
 
-OWNER_KEYS: Final = 'partition/'
+OWNER_KEY_PREFIX: Final = 'partition/'
 
 
 @dataclass(frozen=True, slots=True)
 class StoreCall:
     """One call as it arrives at the store.
 
-    `argument` is a `Swap`, a lease id or a time to live, by `operation`.
+    `argument` depends on `operation`: a `Swap`, a lease id, a time to live in
+    ms, or the revision from which a watch starts.
     """
 
     operation: str
@@ -90,7 +91,11 @@
 
     @handles(StoreCall)
     async def on_call(self, call: StoreCall) -> None:
-        """Execute a call and answer it, unless a fault loses the reply."""
+        """Execute a call and answer it.
+
+        A silent store does not execute calls; a reply loss drops only the
+        answer.
+        """
         self._end_expired_leases()
         if self.is_silent:
             self._record(call, 'silent')
@@ -116,7 +121,7 @@
             self._end_lease(lease_id)
 
     def put(self, key: StoreKey, text: str) -> None:
-        """Write a key directly, to prepare the state before a trace."""
+        """Write a key directly, to set the state before a replay."""
         self._write(key, text)
 
     def _get(self, call: StoreCall) -> Result[Versioned, StoreFailure]:
@@ -234,7 +239,7 @@
 
     async def get(self, key: StoreKey) -> Result[Versioned, StoreFailure]:
         """Read the value and revision of a key."""
-        return await self._read('get', key)
+        return await self._call_or_unreachable('get', key)
 
     async def swap(self, swap: Swap) -> SwapResult:
         """Write a key if it still has the expected revision.
@@ -254,21 +259,21 @@
         ttl_ms: int,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """Create a lease that expires after `ttl_ms` unless renewed."""
-        return await self._read('grant', StoreKey(''), ttl_ms)
+        return await self._call_or_unreachable('grant', StoreKey(''), ttl_ms)
 
     async def renew_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """Extend a lease by its time to live from now."""
-        return await self._read('renew', StoreKey(''), lease_id)
+        return await self._call_or_unreachable('renew', StoreKey(''), lease_id)
 
     async def revoke_lease(
         self,
         lease_id: StoreLeaseId,
     ) -> Result[StoreLeaseId, StoreFailure]:
         """End a lease and delete its keys."""
-        return await self._read('revoke', StoreKey(''), lease_id)
+        return await self._call_or_unreachable('revoke', StoreKey(''), lease_id)
 
     async def watch(
         self,
@@ -277,9 +282,9 @@
         wait_ms: int,
     ) -> Result[Versioned, StoreFailure]:
         """Wait up to `wait_ms` for a revision of a key other than `after`."""
-        return await self._read('watch', key, after, wait_ms)
+        return await self._call_or_unreachable('watch', key, after, wait_ms)
 
-    async def _read(
+    async def _call_or_unreachable(
         self,
         operation: str,
         key: StoreKey,
@@ -289,8 +294,8 @@
         answer = await self._call(operation, key, argument, wait_ms)
         match answer:
             case Success(outcome):
-                read: Result[Any, StoreFailure] = outcome
-                return read
+                call_result: Result[Any, StoreFailure] = outcome
+                return call_result
             case _:
                 return Failure(StoreFailure.UNREACHABLE)
 
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -59,7 +59,7 @@
         if via is not None:
             available = [self._processes[via]]
         if not available:
-            self._record_refusal(author, _NO_ANSWER)
+            self._record_failure(author, _NO_ANSWER)
             return
         process = self._random_source.choice(available)
         task = asyncio.create_task(
@@ -88,13 +88,14 @@
                 answer = await self._call(process, build)
                 self._record(answer, author)
                 return
-        self._record_refusal(author, _NO_ANSWER)
+        self._record_failure(author, _NO_ANSWER)
 
     async def _call(
         self,
         process: ReplayedProcess,
         build: Any,
     ) -> Result[Any, Any]:
+        """Send the message that `build` makes from the `Reply` of the call."""
         return await self._network.call(
             self._endpoint,
             process.endpoint,
@@ -112,9 +113,9 @@
                 )
                 self._record_draining(written)
             case Success(refused):
-                self._record_refusal(author, refused.code.name)
+                self._record_failure(author, refused.code.name)
             case _:
-                self._record_refusal(author, _NO_ANSWER)
+                self._record_failure(author, _NO_ANSWER)
 
     def _record_draining(self, document: ConfigDocument) -> None:
         draining = set(yaml.safe_load(document.text)['draining_workers'])
@@ -124,7 +125,7 @@
             self._log.record(ObservationKind.HOST_BACK, restored)
         self._draining = draining
 
-    def _record_refusal(self, author: str, code: str) -> None:
+    def _record_failure(self, author: str, code: str) -> None:
         self._log.record(ObservationKind.CONFIG_REFUSED, author, code=code)
 
 
--- a/fuchsiarill/replay/peer_calls.py
+++ b/fuchsiarill/replay/peer_calls.py
@@ -20,15 +20,15 @@
         self._fields = fields
 
     def __getattr__(self, name: str) -> Any:
-        return received(self._fields.get(name, ''))
+        return as_received(self._fields.get(name, ''))
 
 
-def received(field: Any) -> Any:
+def as_received(field: Any) -> Any:
     """Return a field as the receiver of a struct reads it."""
     if isinstance(field, dict):
         return Struct(field)
     if isinstance(field, list):
-        return [received(element) for element in field]
+        return [as_received(element) for element in field]
     return field
 
 
@@ -104,7 +104,7 @@
         )
         match answer:
             case Success(fields):
-                return Success(received(fields))
+                return Success(as_received(fields))
             case Failure(CallFailure.NOT_SENT):
                 return Failure(PeerFailure.NOT_SENT)
             case _:
--- a/fuchsiarill/replay/process.py
+++ b/fuchsiarill/replay/process.py
@@ -10,7 +10,7 @@
 from fuchsiarill.actor import Reply
 from fuchsiarill.registry import Registry
 from fuchsiarill.replay.composition import Composition, run_composition
-from fuchsiarill.replay.fake_front import Build
+from fuchsiarill.replay.fake_front import MessageFactory
 from fuchsiarill.replay.loop import INCARNATION, Incarnation, ReplayLoop
 from fuchsiarill.replay.network import Endpoint
 from fuchsiarill.replay.observations import ObservationKind
@@ -119,7 +119,7 @@
 
     def call_owner(
         self,
-        build: Build,
+        build: MessageFactory,
         wait_ms: int,
         reply: Reply[Any],
     ) -> bool:
@@ -128,7 +128,7 @@
             lambda current: current.call_owner(build, wait_ms, reply),
         )
 
-    def call_config(self, build: Build, reply: Reply[Any]) -> bool:
+    def call_config(self, build: MessageFactory, reply: Reply[Any]) -> bool:
         """Accept an operator's request; `False` when dead."""
         return self._spawn(lambda current: current.call_config(build, reply))
 
--- a/fuchsiarill/replay/simulated_environment.py
+++ b/fuchsiarill/replay/simulated_environment.py
@@ -53,7 +53,9 @@
     )
 
 
-def own_detail(settings: ProcessSettings, incarnation: int) -> MemberDetail:
+def own_member_detail(
+    settings: ProcessSettings, incarnation: int
+) -> MemberDetail:
     """Return the member detail that one incarnation publishes."""
     return MemberDetail(
         settings.process,
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -1,8 +1,8 @@
 """The JSON-over-HTTP server of the stand-ins.
 
-Each connection is a task that owns its socket, applies the faults and passes
-calls to the stand-in as messages. Supports only HTTP/1.1 with keep-alive and
-bodies with a `Content-Length`.
+Each connection is a task that owns its socket, applies the injected faults
+(`stand_in.Faults`) and passes calls to the stand-in as messages. Supports only
+HTTP/1.1 with keep-alive and bodies with a `Content-Length`.
 """
 
 import asyncio
@@ -30,7 +30,7 @@
 
 
 class _Connection:
-    """Serves one connection until its peer closes it."""
+    """Serves one connection until either side closes it."""
 
     def __init__(
         self,
--- a/tests/cluster_fakes.py
+++ b/tests/cluster_fakes.py
@@ -9,7 +9,7 @@
 
 from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.cluster.config_change import parse_in_loop
+from fuchsiarill.cluster.config_change import parse_on_event_loop
 from fuchsiarill.cluster.config_distribution import (
     ConfigDistributor,
     ConfigOffered,
@@ -249,7 +249,7 @@
             ConfigSettings(),
             store,
             peers,
-            parse_in_loop,
+            parse_on_event_loop,
             random_source,
         )
         self.recorder = _GenerationRecorder(self.membership.mailbox)
