--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -1,9 +1,9 @@
 """The link to one other process: one connection, a deadline for each call.
 
-A connection that misses a deadline is closed and never used again: a late
-answer would show that the connection is slow, not that it works. Calls run
-concurrently, and capnp matches answers to calls. A call that is safe to
-repeat is repeated once over a new connection.
+A connection on which a call misses its deadline is closed and never used
+again: a late answer would show that the connection is slow, not that it works.
+Calls run concurrently, and capnp matches answers to calls. A call that is safe
+to repeat is repeated once over a new connection.
 """
 
 import asyncio
@@ -15,9 +15,9 @@
 
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import MS_PER_SECOND
-from fuchsiarill.cluster.encoding import SCHEMA
+from fuchsiarill.cluster.job_encoding import SCHEMA
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.cluster.spawning import SpawningActor
+from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.settings import PeerSettings
 from fuchsiarill.state_chart import load_chart
 from fuchsiarill.states import ConnectionEvent, ConnectionState
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -18,7 +18,7 @@
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import Resources
 
-Check = Callable[[CoreState, Account, JobSpec, int], Refusal | None]
+AdmissionCheck = Callable[[CoreState, Account, JobSpec, int], Refusal | None]
 
 # The checks run in this order. The rate comes last, so that only accepted
 # submissions use up tokens.
@@ -30,13 +30,16 @@
     'queue',
     'rate',
 )
-ADMISSION_CHECKS: Final[Registry[str, Check]] = Registry('admission checks')
+ADMISSION_CHECKS: Final[Registry[str, AdmissionCheck]] = Registry(
+    'admission checks'
+)
 _FIELDS: Final = (
     'processors_milli',
     'memory_mb',
     'accelerators_count',
     'slots_count',
 )
+# Delays after which a client may repeat a refused submission.
 _QUEUE_RETRY_MS: Final = 2_000
 _STORE_RETRY_MS: Final = 2_000
 
@@ -46,7 +49,10 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    """Return the refusal; `None` accepts the submission and counts it."""
+    """Return the refusal of a submission, or `None` if it is accepted.
+
+    An accepted submission takes a token of the customer's rate limit.
+    """
     account = state.accounts.get(spec.customer)
     if account is None or account.contract is None:
         return refuse(
@@ -80,8 +86,8 @@
     if not state.restricted:
         return None
     contract = account.contract
-    volatile = contract is not None and contract.volatile_accept
-    if volatile and starts_restricted(state, spec):
+    may_be_volatile = contract is not None and contract.volatile_accept
+    if may_be_volatile and starts_restricted(state, spec):
         return None
     return refuse(
         codes.STORE_UNAVAILABLE,
@@ -97,10 +103,10 @@
     spec: JobSpec,
     now_ms: int,
 ) -> Refusal | None:
-    needed = spec.task_size
+    size_at_once = spec.task_size
     if spec.workload is not Workload.BATCH:
-        needed = needed.times(spec.tasks_count)
-    excess = first_excess(needed, account.quota)
+        size_at_once = size_at_once.times(spec.tasks_count)
+    excess = first_excess(size_at_once, account.quota)
     if excess is None:
         return None
     return refuse(
@@ -113,7 +119,7 @@
 
 
 @ADMISSION_CHECKS.register('task_size')
-def _check_task(
+def _check_task_size(
     state: CoreState,
     account: Account,
     spec: JobSpec,
@@ -124,7 +130,7 @@
     size = spec.task_size
     if any(size.fits_in(capacity) for capacity in state.capacities):
         return None
-    field, wanted, largest = _shortage(state, size)
+    field, wanted, largest = _find_shortage(state, size)
     return refuse(
         codes.NEVER_FITS,
         texts.TASK_NEVER_FITS,
@@ -136,7 +142,7 @@
 
 
 @ADMISSION_CHECKS.register('gang_size')
-def _check_gang(
+def _check_gang_size(
     state: CoreState,
     account: Account,
     spec: JobSpec,
@@ -167,15 +173,15 @@
     contract = account.contract
     if contract is None:
         return None
-    queued = account.waiting_count + account.accepting_count
-    if queued < contract.waiting_jobs_max_count:
+    waiting_count = account.waiting_count + account.accepting_count
+    if waiting_count < contract.waiting_jobs_max_count:
         return None
     return refuse(
         codes.QUEUE_FULL,
         texts.QUEUE_FULL,
         retry_after_ms=_QUEUE_RETRY_MS,
         customer=spec.customer,
-        queued=queued,
+        queued=waiting_count,
     )
 
 
@@ -210,7 +216,7 @@
             yield field, amount, largest
 
 
-def _shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
+def _find_shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
     """Return a field that no worker satisfies, alone or with the others."""
     largest = Resources(
         *(
@@ -225,8 +231,8 @@
     if excess is not None:
         return excess
     # Each amount fits some worker, but no worker fits all of them.
-    nearest = max(
+    nearest_capacity = max(
         state.capacities,
         key=lambda capacity: -len(list(excesses(size, capacity))),
     )
-    return next(excesses(size, nearest))
+    return next(excesses(size, nearest_capacity))
--- a/fuchsiarill/front/replies.py
+++ b/fuchsiarill/front/replies.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from fuchsiarill import codes, texts
-from fuchsiarill.answers import JobAnswer, refused
+from fuchsiarill.answers import JobAnswer, refusal_answer
 from fuchsiarill.front.submissions import answer_object
 from fuchsiarill.refusal import Refusal, refuse
 
@@ -30,7 +30,7 @@
         self.refusal = refusal
 
 
-def malformed(field: str, problem: str) -> Refusal:
+def malformed_refusal(field: str, problem: str) -> Refusal:
     """Return the refusal of an invalid field."""
     return refuse(
         codes.MALFORMED,
@@ -47,11 +47,11 @@
 
 def refusal_reply(refusal: Refusal) -> HttpReply:
     """Return the reply that carries a refusal."""
-    return reply_of(refused(refusal))
+    return reply_of(refusal_answer(refusal))
 
 
-def overloaded() -> Refusal:
-    """Return the refusal of a request that is shed."""
+def overloaded_refusal() -> Refusal:
+    """Return the refusal of a request that is shed under overload."""
     return refuse(
         codes.OVERLOADED,
         texts.OVERLOADED,
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -15,7 +15,7 @@
     RegionId,
     WorkerId,
 )
-from fuchsiarill.resources import NOTHING, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 
 class HostState(Enum):
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """One request to a worker.
+    """One request to a worker, which answers it with a `WorkerReport`.
 
     Every attempt in `renewals` and every start gets a lease of `lease_ms`.
     The worker may discard the outcomes in `acknowledged`.
@@ -106,7 +106,7 @@
     attempt_id: AttemptId
     outcome: TaskOutcome
     reserved: Resources
-    used: Resources = NOTHING
+    used: Resources = NO_RESOURCES
     run_time_ms: int = 0
     output: str = ''
 
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -1,4 +1,7 @@
-"""Several processes of the graph scheduler, on models in simulated time."""
+"""Several processes of the graph scheduler in simulated time.
+
+The store and the workers are in-memory models.
+"""
 
 import json
 from collections.abc import Awaitable, Callable
@@ -79,7 +82,7 @@
         return Failure(PeerFailure.NOT_SENT)
 
 
-class AllowAll:
+class GrantingAdvisor:
     """An advice service that grants a ticket to every worker."""
 
     async def advise(
@@ -121,7 +124,7 @@
         self.processes: dict[ProcessId, GraphProcess] = {}
         self.process_starts_count = 0
         # Processes on machines that are too small for an owner.
-        self.small: set[ProcessId] = set()
+        self.processes_on_small_machines: set[ProcessId] = set()
         self.config = GraphConfig(
             Generation(1),
             {QUEUE: queue_policy()},
@@ -176,13 +179,17 @@
                     'metrics': 'none:4',
                 },
                 'outside': {'store': 'none:5'},
-                'machine': {'link_mbps': 10 if name in self.small else 1000},
+                'machine': {
+                    'link_mbps': 10
+                    if name in self.processes_on_small_machines
+                    else 1000
+                },
             },
         )
         ports = GraphPorts(
             self.paths[name],
             self.fleet,
-            BusyTrackingAdvisor(AllowAll()),
+            BusyTrackingAdvisor(GrantingAdvisor()),
             DocumentLayout(
                 _CONFIG_KEY,
                 'settings/',
@@ -202,7 +209,7 @@
     def owner(self) -> ProcessId | None:
         """Return the process in the owner key, if there is one."""
         self.store.expire()
-        item = self.store.found.get(keys.owner_key(POOL))
+        item = self.store.items.get(keys.owner_key(POOL))
         if item is None or item.value is None:
             return None
         return records.decode_owner(item.value).process
@@ -244,7 +251,7 @@
 
     def phase(self, job: str) -> JobPhase | None:
         """Return the durable phase of a job."""
-        item = self.store.found.get(keys.progress_key(POOL, JobId(job)))
+        item = self.store.items.get(keys.progress_key(POOL, JobId(job)))
         if item is None or item.value is None:
             return None
         return records.decode_progress(item.value).phase
