Clarify the comments of the graph decisions and their tests

Cause: several comments left the reader to guess: pronouns without a clear referent ("by then", "this one", "the next one"), the direction of `priority`, fields that no decision reads, and the rank of lasting steps, which differs from the other steps. `preempted_until_ms` belongs to the step that preempts, not to one that is preempted. "Harm" and "interference", "saving" and "checkpointing", "filling" and "filler", "model" and "simulated" were two words for one thing.

Change: reworded comments and doc comments of the decision modules and of their tests; doc comments of the rank, the expected wait, the stalled runs and the probation now say what the code does. Renamed `preempted_until_ms` to `preempting_until_ms`, `_stop_copy` to `_stop_unless_gang`, the placement cost `harm` to `interference` (the key of an internal registry, whose order stays the same), and names of tests, test jobs and test classes. Locals that hold a `Step` beside a `StepEntry` are named `spec`.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -26,6 +26,7 @@
 _LOCAL_ROUTE: Final = ProcessId('')
 # Pause before a route that another process was using is retried.
 _BUSY_RETRY_DELAY_MS: Final = 60
+# `None` without an answer from the service.
 _Tickets = dict[WorkerId, Ticket] | None
 
 
@@ -48,7 +49,7 @@
     route: ProcessId
     advice_request: AdviceRequest
     tickets: _Tickets
-    # The peer gave no answer of the service; the request is queued again.
+    # The peer returned no answer from the service; the request is queued again.
     is_retried: bool = False
 
 
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -109,8 +109,8 @@
 ) -> list[WorkerId]:
     """Return workers that the advice service has not allowed so far.
 
-    Candidates are not denied either, so these have no answer. Workers on which
-    a task of the step can never fit are left out.
+    The service has not denied any candidate, so it has not answered for these
+    workers. Workers on which a task of the step can never fit are left out.
     """
     step = request.step
     return [
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -1,8 +1,8 @@
 """Decisions about one pool: jobs, workers and runs; no I/O.
 
-The pool's owner, the process elected for it, passes in reports of workers,
-answers and records, with the runtime clock in `now_ms`, and executes the
-effects that `take_effects` returns.
+The pool's owner, the process elected for it, passes in worker reports, answers
+to its calls and durable records, with the runtime clock in `now_ms`, and
+executes the effects that `take_effects` returns.
 """
 
 from collections import Counter
@@ -65,7 +65,7 @@
         leases: TaskLeaseSettings,
         term: int,
     ) -> None:
-        """Create the state of a new owner; `term` counts the pool's owners."""
+        """Create the state of a new owner; `term` is its number, from 1."""
         self.state = PoolState(pool, epoch, leases)
         self._term = term
 
@@ -216,7 +216,7 @@
     ) -> None:
         """Apply the outcome of a start order.
 
-        It has started the run if `failure` is `None`.
+        The order has started the run if `failure` is `None`.
         """
         run = self._find_run(worker, task, attempt)
         if run is None:
@@ -259,9 +259,9 @@
     ) -> None:
         """Store the answer of the advice service for a step.
 
-        It grants tickets and denies the other workers requested. Workers that
-        have restarted since the request are ignored: the answer does not hold
-        for the new incarnation.
+        The answer allows the workers in `granted` and denies the other workers
+        in `requested`. Workers that have restarted since the request are
+        ignored: the answer does not hold for the new incarnation.
         """
         requested = {
             worker: born_ms
@@ -280,7 +280,7 @@
         self._unblock_step(step)
 
     def advice_failed(self, step: StepKey, now_ms: int) -> None:
-        """Allow a new request for advice after one without an answer."""
+        """Allow a new request for advice after a request that failed."""
         self.state.tickets.request_failed(step, now_ms)
         self._unblock_step(step)
 
@@ -319,7 +319,7 @@
         return view is not None and view.born_ms == born_ms
 
     def _policy(self, graph: JobGraph) -> QueuePolicy:
-        """Return the queue's policy, a default one if the queue was removed.
+        """Return the queue's policy, or a default if the queue was removed.
 
         Jobs of a removed queue still run.
         """
@@ -366,18 +366,18 @@
         self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
 
     def _unblock_step(self, step: StepKey) -> None:
-        entry = self.state.find_unfinished_step(step)
-        if entry is not None:
-            entry.blocked_version = -1
+        step_entry = self.state.find_unfinished_step(step)
+        if step_entry is not None:
+            step_entry.blocked_version = -1
 
 
 def _proves_worker_end(view: WorkerView, failure: AgentFailure) -> bool:
     """Tell whether a failure proves that the worker process has ended."""
     if failure is AgentFailure.OTHER_WORKER:
         return True
-    # A worker that leaves withdraws its entry and closes its port. A closed
-    # port alone proves nothing: a broken network link can reset connections
-    # too.
+    # A leaving worker withdraws its directory entry and closes its port. A
+    # refused connection alone proves nothing: a broken network link can reset
+    # connections too.
     has_left = (
         view.availability is AvailabilityState.LEAVING and not view.is_listed
     )
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -78,7 +78,7 @@
 ) -> None:
     """Make room and request tickets for a unit that could not be placed.
 
-    Unless it waits for tickets, the step is skipped until `free_version`
+    Unless the step waits for tickets, it is skipped until `free_version`
     changes.
     """
     step = request.step
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAdvice:
-    """Request tickets for a step; a lower `rank_ms` is more urgent."""
+    """Request tickets for a step; the lowest `rank_ms` is handled first."""
 
     step: StepKey
     workers: tuple[WorkerId, ...]
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReport:
-    """Request a report of a worker without waiting for its next renewal."""
+    """Request a report from a worker before its next renewal is due."""
 
     worker: WorkerId
 
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -20,8 +20,9 @@
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
 
-# Offset of the attempt numbers of each further owner. It exceeds the number of
-# attempts that the previous owner can have made of a task without a record.
+# Each owner numbers its attempts of inherited jobs from a floor that is this
+# much higher than that of the previous owner. It exceeds the number of attempts
+# that an owner can make of a task without a durable record.
 ATTEMPTS_PER_TERM: Final = 100
 
 
@@ -41,10 +42,9 @@
 class StepEntry:
     """A step of one occurrence with units that have not succeeded.
 
-    A step that is not open waits for the steps that it depends on. Its entry
-    exists before it is open only if a worker reports runs that a previous
-    owner has started, while the ends that opened the step have not been
-    reported yet.
+    A step that is not open waits for the steps that it depends on. It has an
+    entry only if a worker reports a run, or the end of a run, that a previous
+    owner started, before the successes that opened the step are reported.
     """
 
     def __init__(self, key: StepKey, spec: Step) -> None:
@@ -55,10 +55,9 @@
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
-        # When runs that were stopped for the step should have ended.
-        self.preempted_until_ms = 0
-        # When workers were first reserved for the step since its last start, if
-        # it is a gang.
+        # When the runs that were preempted for the step should have ended.
+        self.preempting_until_ms = 0
+        # When reservations for a gang step began; reset when it starts.
         self.reserving_since_ms: int | None = None
         # Rank at the last decision about the step.
         self.rank_ms = 0
@@ -86,7 +85,7 @@
         """Move a unit from `waiting` to `active`: it gets runs."""
         self.waiting.pop(unit.key, None)
         self.active[unit.key] = unit
-        self.preempted_until_ms = 0
+        self.preempting_until_ms = 0
         self.reserving_since_ms = None
 
     def requeue(self, unit: Unit) -> None:
@@ -116,12 +115,12 @@
         self.progress = progress
         self.accepted_ms = accepted_ms
         self._expected_ms = expected_ms
-        # When the job reached its final phase, or was loaded in it.
+        # When the job reached its final phase, or was loaded in that phase.
         self.settled_ms = accepted_ms
         self.steps: dict[tuple[int, int], StepEntry] = {}
         self.opened_occurrences = 0
-        # Accepted before this owner was elected: the previous owner may have
-        # started it on a worker that has not reported yet.
+        # Accepted before this owner was elected: a previous owner may have
+        # started its tasks on a worker that has not reported yet.
         self.is_inherited = False
         # Attempts that this owner makes get higher numbers.
         self.attempt_floor = 0
@@ -138,9 +137,9 @@
 
     @cached_property
     def critical_paths_ms(self) -> tuple[int, ...]:
-        """Return for each step the longest expected time to the job's end.
+        """Return the expected time from each step's start to the job's end.
 
-        It counts from the start of the step.
+        It is the time of the longest chain of steps that begins with the step.
         """
         paths_ms = [0 for _ in self.graph.steps]
         for position, step in reversed(tuple(enumerate(self.graph.steps))):
@@ -202,31 +201,31 @@
                 yield from unit.runs.values()
 
     def ensure_step(self, occurrence: int, position: int) -> StepEntry | None:
-        """Return a step entry, created if needed.
+        """Return the entry of a step, which is created if needed.
 
         Returns `None` when all units of the step have succeeded.
         """
-        entry = self.steps.get((occurrence, position))
-        if entry is not None:
-            return entry
-        step = self.graph.steps[position]
-        entry = StepEntry(StepKey(self.job, occurrence, position), step)
-        for unit_key in entry.unit_keys:
+        step = self.steps.get((occurrence, position))
+        if step is not None:
+            return step
+        spec = self.graph.steps[position]
+        step = StepEntry(StepKey(self.job, occurrence, position), spec)
+        for unit_key in step.unit_keys:
             if unit_key in self.progress.succeeded:
                 continue
-            entry.waiting[unit_key] = self._create_unit(unit_key)
-        if not entry.waiting:
+            step.waiting[unit_key] = self._create_unit(unit_key)
+        if not step.waiting:
             return None
-        self.steps[occurrence, position] = entry
-        return entry
+        self.steps[occurrence, position] = step
+        return step
 
     def _open_if_ready(self, occurrence: int, position: int) -> None:
         for earlier_position in self.graph.steps[position].after:
             if not self._is_step_done(occurrence, earlier_position):
                 return
-        entry = self.ensure_step(occurrence, position)
-        if entry is not None:
-            entry.is_open = True
+        step = self.ensure_step(occurrence, position)
+        if step is not None:
+            step.is_open = True
             return
         for later_position, later_step in enumerate(self.graph.steps):
             if position in later_step.after:
@@ -249,7 +248,7 @@
 
 
 def unit_of(step: Step, task: TaskKey) -> UnitKey:
-    """Return the unit that a task belongs to."""
+    """Return the key of the unit that a task belongs to."""
     position = 0 if step.is_gang else task.position
     return UnitKey(task.occurrence, task.step, position)
 
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -19,8 +19,11 @@
 Label = NewType('Label', str)
 Checkpoint = NewType('Checkpoint', str)
 Ticket = NewType('Ticket', str)
-# Start time of a worker; identifies its incarnation after a restart.
+# Start time of a worker process; each restart under the same worker id is a
+# new incarnation with a later time.
 BornMs = NewType('BornMs', int)
+# Number of a run end, above `NO_END`; increases with each end that one worker
+# incarnation reports.
 EndSequence = NewType('EndSequence', int)
 
 NO_CHECKPOINT: Final = Checkpoint('')
@@ -57,22 +60,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Tasks of one size, their constraints and how they run."""
+    """Tasks of one size, their constraints and how they run.
+
+    `is_speculative`, `image` and `disruptions_max` affect no decision.
+    """
 
     tasks_count: int
     size: Resources
+    # The caller's estimate of the run time of a task; 0 without an estimate.
     estimate_ms: int = 0
+    # Positions of the earlier steps that must succeed before this step.
     after: tuple[int, ...] = ()
     # A later run resumes from the latest checkpoint.
     is_checkpointing: bool = False
     # All tasks start together or none does.
     is_gang: bool = False
-    # A gang spread over several racks takes `remote_penalty` times as long.
+    # A gang takes longer when it is spread over several racks (the factor
+    # `remote_penalty` of the platform), so a single rack is preferred.
     is_rack_sensitive: bool = False
     is_speculative: bool = False
-    # Never succeeds: a run that ends is replaced until the job ends.
+    # The tasks never succeed: a run that ends is replaced until the job ends.
     is_lasting: bool = False
-    # Uses processors that other tasks leave idle; it reserves none itself.
+    # The tasks use processors that other tasks leave idle; none are charged.
     is_filler: bool = False
     required_label: Label | None = None
     data_rack: Label | None = None
@@ -101,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Schedule:
-    """When the occurrences of a job are due, in Unix milliseconds."""
+    """When the occurrences of a job are due; `start_at_ms` is Unix time."""
 
     start_at_ms: int
     period_ms: int
@@ -129,8 +138,8 @@
 class AdvicePolicy:
     """Timing of the advice service that decides which workers may run a step.
 
-    A request takes `decision_ms` and `interval_ms` for each worker; a ticket
-    is valid for `validity_ms`.
+    The service takes `decision_ms` for a request plus `interval_ms` for each
+    worker in it. A ticket is valid for `validity_ms`.
     """
 
     decision_ms: float
@@ -142,7 +151,10 @@
 class QueuePolicy:
     """Objectives and limits of a queue's jobs.
 
-    Requests are assigned to the queue by `host` and path `prefix`.
+    HTTP requests are assigned to the queue by `host` and path `prefix`. A lower
+    `priority` is more urgent. A job should succeed within `slack_factor` times
+    the expected time of its critical path plus `target_ms`. `timeout_ms`
+    affects no decision.
     """
 
     queue: QueueId
@@ -159,7 +171,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolPolicy:
-    """Properties of a pool: workers that run the same queues."""
+    """Properties of a pool: workers that run the same queues.
+
+    They affect no decision.
+    """
 
     pool: PoolId
     # Workers of the pool refuse a task that exceeds their free capacity.
@@ -272,7 +287,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Order to run a task; the lease ends at `expiry_ms`, worker's clock."""
+    """Order to run a task.
+
+    The task lease ends at `expiry_ms` by the worker's clock.
+    """
 
     task: TaskKey
     attempt: int
--- a/fuchsiarill/graphs/ordering.py
+++ b/fuchsiarill/graphs/ordering.py
@@ -16,9 +16,11 @@
 def rank_ms(entry: JobEntry, step: StepEntry, now_ms: int) -> int:
     """Return the rank of a step; the lowest is scheduled first.
 
-    Jobs within their objective precede late ones, and those precede jobs that
-    have no value any more. Within each class, steps are ordered by the
-    priority of the queue, then by the latest time at which they have to start.
+    Jobs within their objective precede late jobs, which precede jobs that have
+    no value any more. Within each class, steps are ordered by the priority of
+    the queue, then by the latest time at which they have to start. Steps of
+    lasting tasks are never late; their last criterion is the time at which the
+    job was accepted.
     """
     rank = entry.policy.priority * _PRIORITY_FACTOR_MS
     if step.spec.is_lasting:
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -17,7 +17,7 @@
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NO_RESOURCES, Resources
 
-# Weights of the parts of a candidate's cost; the fit is at most 1.
+# Weights of the costs of a worker; the cost `fit`, at most 1, has no weight.
 _REMOTE_COST: Final = 4.0
 _FAILED_THERE_COST: Final = 8.0
 _INTERFERENCE_COST: Final = 2.0
@@ -73,19 +73,19 @@
     return _FAILED_THERE_COST * (view.worker in request.unit.failed_on)
 
 
-@COSTS.register('harm')
+@COSTS.register('interference')
 def _interference_cost(
     state: PoolState, request: PlacementRequest, view: WorkerView
 ) -> float:
     """Keep filler tasks and serving tasks on different workers."""
-    step = request.step.spec
-    if step.is_filler:
+    spec = request.step.spec
+    if spec.is_filler:
         contention = 0.0
         if view.entry is not None:
             spare_milli = view.free.processors_milli - view.filler_milli
-            contention = float(spare_milli < step.size.processors_milli)
+            contention = float(spare_milli < spec.size.processors_milli)
         return _INTERFERENCE_COST * (bool(view.serving_count) + contention)
-    if step.target_tail_ms is not None:
+    if spec.target_tail_ms is not None:
         return _INTERFERENCE_COST * bool(view.filler_milli)
     return 0
 
@@ -150,7 +150,7 @@
     request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> list[WorkerView] | None:
-    """Return a worker for each task of a gang, or `None` without room for all.
+    """Return a worker for each task of a gang, or `None` if not all fit.
 
     A rack-sensitive gang is placed in a single rack if possible.
     """
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -1,7 +1,8 @@
 """Makes room for urgent steps by stopping runs of lower priority.
 
-A queue may preempt queues of lower priority. Only runs that save checkpoints
-are stopped: they lose little work and resume on another worker.
+A queue may preempt queues of lower priority, which have a higher `priority`
+value. Only runs that save checkpoints are stopped: they lose little work and
+resume on another worker.
 """
 
 from dataclasses import dataclass
@@ -20,12 +21,13 @@
 _START_WITHIN_MS: Final = 400
 # Room is reserved until the stopped runs have ended and the step has started.
 _RESERVATION_MS: Final = 1500
-# A task preempted this often runs to its end, so that a series of urgent jobs
-# does not keep it from ever ending.
+# A task that has been preempted this often is not preempted again, so that a
+# series of urgent jobs cannot prevent it from ever ending.
 _PREEMPTIONS_MAX_COUNT: Final = 3
 # A job later than this multiple of its objective has no value any more.
 _VALUE_END_FACTOR: Final = 3
-# Cost of an accelerator, as much as eight processors.
+# Cost that each accelerator adds to the stop of a run, as much as eight
+# processors.
 _ACCELERATOR_COST_MILLI: Final = 8000
 
 
@@ -48,12 +50,12 @@
     Returns whether runs are being stopped for the step, by this call or by an
     earlier one whose reservation is still valid.
     """
-    if request.now_ms < request.step.preempted_until_ms:
+    if request.now_ms < request.step.preempting_until_ms:
         return True
     if not _may_preempt(request):
         return False
-    step = request.step.spec
-    wanted_count = step.tasks_count if step.is_gang else 1
+    spec = request.step.spec
+    wanted_count = spec.tasks_count if spec.is_gang else 1
     options = [
         _cheapest_preemption(state, request, view) for view in candidates
     ]
@@ -63,7 +65,7 @@
     preemptions.sort(key=lambda preemption: preemption.cost)
     if len(preemptions) < wanted_count:
         return False
-    request.step.preempted_until_ms = request.now_ms + _RESERVATION_MS
+    request.step.preempting_until_ms = request.now_ms + _RESERVATION_MS
     for preemption in preemptions[:wanted_count]:
         _execute_preemption(state, request, preemption)
     return True
@@ -123,8 +125,8 @@
     job_and_step = state.find_step(run.task)
     if job_and_step is None or job_and_step[0].policy.priority <= priority:
         return False
-    step = job_and_step[1].spec
-    if step.is_lasting or step.is_gang or not step.is_checkpointing:
+    spec = job_and_step[1].spec
+    if spec.is_lasting or spec.is_gang or not spec.is_checkpointing:
         return False
     unit = job_and_step[1].active.get(run.unit_key)
     return unit is None or unit.preemptions_count < _PREEMPTIONS_MAX_COUNT
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -24,7 +24,7 @@
     """Durable progress of a job; the defaults are those of a new job."""
 
     phase: JobPhase = JobPhase.ACTIVE
-    # Units of which a successful end has been reported.
+    # Units whose success has been reported.
     succeeded: set[UnitKey] = field(default_factory=set)
     # Numbers of the failed attempts.
     failed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -84,7 +84,7 @@
 
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
-    """Extend all task leases of a worker, because a renewing order is sent."""
+    """Extend all task leases of a worker: a renewal or start is sent to it."""
     view.lease_expiry_ms = now_ms + state.leases.longest_ms
 
 
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -42,7 +42,7 @@
     row: EndRow,
     now_ms: int,
 ) -> None:
-    """Apply a run end that a worker reports; to be called once for each."""
+    """Apply a reported run end; callers must pass each end only once."""
     run = view.runs.get((row.task, row.attempt))
     context = _find_context(state, view, row, run, now_ms)
     _log_end(state, view, row, run, now_ms)
@@ -87,19 +87,19 @@
     state.mark_dirty(entry.job)
     if not step.waiting and not step.active:
         state.tickets.remove_step(step.key)
-    # The members of a gang end by themselves, at the same time. Other copies
-    # of a single task are stopped.
+    # The members of a gang end by themselves, at the same time. Other runs of a
+    # single task are stopped.
     for other in list(context.unit.runs.values()):
         if other is context.run:
             continue
-        _stop_copy(context, other)
+        _stop_unless_gang(context, other)
     if entry.is_complete:
         apply_job_event(
             state, entry, JobPhaseEvent.ALL_SUCCEEDED, context.now_ms
         )
 
 
-def _stop_copy(context: EndContext, other: Run) -> None:
+def _stop_unless_gang(context: EndContext, other: Run) -> None:
     if not context.step.spec.is_gang:
         apply_run_event(
             context.state,
@@ -138,8 +138,8 @@
     if row.checkpoint and context.step.spec.is_checkpointing:
         unit.checkpoint = row.checkpoint
         context.entry.progress.checkpoints[unit.key] = row.checkpoint
-    # The other members of a gang make no progress without this one, and their
-    # capacity is needed.
+    # The other members of a gang make no progress without this member, and
+    # their capacity is needed.
     stop_attempt(
         context.state,
         unit,
--- a/fuchsiarill/graphs/run_times.py
+++ b/fuchsiarill/graphs/run_times.py
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True)
 class _Samples:
-    """Running mean and variance of logarithms of times or of their ratios."""
+    """Running mean and variance of logarithms of run times or of ratios."""
 
     count: int = 0
     mean: float = 0
@@ -84,7 +84,10 @@
         return math.exp(weight * estimate + (1 - weight) * durations.mean)
 
     def slowness(self, worker: WorkerId) -> float:
-        """Return the ratio of actual to expected run times on a worker."""
+        """Return the ratio of actual to expected run times on a worker.
+
+        It is 1 until the worker has enough samples.
+        """
         samples = self.workers.get(worker)
         if samples is None or samples.count < _SAMPLES_MIN_COUNT:
             return 1.0
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -20,14 +20,14 @@
 
 @dataclass(slots=True)
 class Run:
-    """State of a run; `charge` is allocated on the worker until it ends."""
+    """State of a run; its `charge` stays allocated until the run ends."""
 
     task: TaskKey
     attempt: int
     unit_key: UnitKey
     worker: WorkerId
     charge: Resources
-    # Idle processors that a filler task can use, in thousandths of one.
+    # Idle processors that a filler task can use, in thousandths of a processor.
     filler_milli: int = 0
     state: RunState = RunState.STARTING
     start_ordered_ms: int = 0
@@ -41,6 +41,7 @@
     checkpoint: Checkpoint = NO_CHECKPOINT
     progress_percent: int = 0
     progress_changed_ms: int = 0
+    # As in `RunningRow`.
     usage: float | None = None
     pace_percent: int = FULL_PACE_PERCENT
     pace_changed_ms: int = 0
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -1,4 +1,4 @@
-"""State of a pool, on which all decisions about it work."""
+"""State of a pool, which all decisions about the pool read and change."""
 
 from dataclasses import dataclass, field
 
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class PoolState:
-    """State of a pool in its owner."""
+    """State that the owner of a pool keeps about it."""
 
     pool: PoolId
     epoch: Epoch
@@ -28,10 +28,10 @@
     # Jobs whose progress differs from their durable record.
     dirty: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
-    # Incremented whenever a placement that failed could succeed.
+    # Incremented whenever a placement that has failed may succeed if retried.
     free_version: int = 0
-    # Every worker of the previous owner has reported to this one, or all task
-    # leases of the worker have expired.
+    # Each worker on which a previous owner may have started runs has reported
+    # to this owner, or all task leases of the worker have expired.
     is_inheritance_settled: bool = False
     # Unix time minus the runtime clock.
     unix_offset_ms: int = 0
@@ -39,8 +39,9 @@
     def find_step(self, task: TaskKey) -> tuple[JobEntry, StepEntry] | None:
         """Return the job and the step of a task.
 
-        Returns `None` if the job is unknown or the step has succeeded. A
-        missing step entry is created; it need not be open, see `StepEntry`.
+        Returns `None` if the job is unknown or has no such step, or if the step
+        has succeeded. A missing step entry is created and is not open, see
+        `StepEntry`.
         """
         entry = self.jobs.get(task.job)
         if entry is None or task.step >= len(entry.graph.steps):
@@ -58,7 +59,7 @@
         )
 
     def find_unfinished_step(self, key: StepKey) -> StepEntry | None:
-        """Return the step of a key if it has an entry."""
+        """Return the entry of a step, or `None` without an entry."""
         entry = self.jobs.get(key.job)
         if entry is None:
             return None
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -8,7 +8,8 @@
 
     STARTING = 'starting'
     RUNNING = 'running'
-    # The start order got no answer; a stop makes sure that it does not run.
+    # The start order got no answer, so the run may have started; a stop order
+    # ends the run or prevents a late start.
     UNCERTAIN = 'uncertain'
     STOPPING = 'stopping'
     ENDED = 'ended'
@@ -32,11 +33,12 @@
 class AvailabilityState(Enum):
     """Whether the owner of a pool may start runs on a worker."""
 
-    # Not fenced yet, or the last request got no answer: no starts.
+    # No starts before the next report: the worker may still accept orders of
+    # the previous owner (it is not fenced yet), or a call to it has failed.
     UNCONFIRMED = 'unconfirmed'
     READY = 'ready'
     LEAVING = 'leaving'
-    # Neither listed nor answering, and all its task leases have expired.
+    # Not listed, and all its task leases have expired.
     GONE = 'gone'
 
 
@@ -58,7 +60,7 @@
     CAMPAIGNING = 'campaigning'
     LOADING = 'loading'
     OWNING = 'owning'
-    # The lease could not be renewed in time: no orders are sent.
+    # The ownership lease was not renewed in time: no orders are sent.
     SUSPENDED = 'suspended'
     RELEASED = 'released'
 
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -1,4 +1,4 @@
-"""Places the units of one step on the workers of the lowest cost.
+"""Places the units of one step on the workers with the lowest costs.
 
 Costs are computed once for each worker that has room, and again only for a
 worker that got a unit, so that a step with many tasks takes little more time
@@ -40,7 +40,7 @@
         return self._usable_workers
 
     def place(self, request: PlacementRequest) -> list[WorkerView] | None:
-        """Return a worker for each task of the unit, or `None` without room."""
+        """Return a worker for each task, or `None` if the unit does not fit."""
         if request.step.spec.is_gang:
             return place_gang(
                 self._state, request, self._permitted_workers(request)
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -1,6 +1,7 @@
 """Cache of tickets, which allow a worker to run a step.
 
-Queues with advice need them; the advice service issues them.
+The advice service issues them. Starts of jobs in a queue with an advice policy
+need them.
 """
 
 from dataclasses import dataclass, field
@@ -16,7 +17,8 @@
 # A failed request is repeated after this time.
 _RETRY_INTERVAL_MS: Final = 100
 # An answer that has not arrived within this time is taken as lost. A request
-# waits for earlier ones, and their queue is longest just after a takeover.
+# waits for earlier requests, whose queue is longest just after the election of
+# a new owner.
 _ANSWER_TIMEOUT_MS: Final = 15_000
 
 
@@ -30,11 +32,12 @@
 @dataclass(slots=True)
 class _StepAdvice:
     tickets: dict[WorkerId, _CachedTicket] = field(default_factory=dict)
-    # Answers of the service: they do not change for a step and one incarnation
-    # of a worker.
+    # The service does not change its answer for a step and one incarnation of a
+    # worker.
     allowed: set[WorkerId] = field(default_factory=set)
     denied: set[WorkerId] = field(default_factory=set)
-    # No request is sent before, since one is in progress or has just failed.
+    # No request is sent before this time, since a request is in progress or has
+    # just failed.
     next_request_ms: int = 0
 
 
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -78,7 +78,7 @@
     """Allow inherited jobs to start once all recorded workers are reconciled.
 
     Before that, a run that the previous owner started may be unknown to this
-    one.
+    owner, which would start its task again.
     """
     if state.is_inheritance_settled:
         return
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -12,9 +12,9 @@
 _FAILURES_TO_SUSPEND_COUNT: Final = 2
 _FIRST_SUSPENSION_MS: Final = 2000
 _SUSPENSION_MAX_MS: Final = 8000
-# A faulty worker fails its tasks within this time, so a run of this age does
-# not keep a worker on probation from getting the next one. If only one worker
-# may run a task, this is the longest time that it waits there for another one.
+# A faulty worker fails its tasks within this time, so a worker on probation may
+# get another run when all its runs are this old. A task that only one worker
+# may run waits at most this long for an earlier run on that worker.
 _PROBATION_RUN_AGE_MS: Final = 2000
 
 
@@ -27,8 +27,8 @@
 def record_initialized(view: WorkerView, run: Run) -> None:
     """End the probation when a lasting task has been initialized.
 
-    Such a task never succeeds. A task that was started before the suspension
-    proves nothing.
+    A lasting task never succeeds, so its initialization ends the probation
+    instead. A task that was started before the suspension proves nothing.
     """
     if run.start_ordered_ms >= view.failure_record.suspended_until_ms:
         view.failure_record.suspensions_count = 0
@@ -63,9 +63,10 @@
 def may_receive_runs(view: WorkerView, now_ms: int) -> bool:
     """Tell whether the worker may get a run: not while it is suspended.
 
-    After a suspension it is on probation: it gets one task at a time until one
-    succeeds. Runs that are at least `_PROBATION_RUN_AGE_MS` old do not count,
-    since a lasting or long task would exclude the worker.
+    After a suspension it is on probation: it gets one task at a time until a
+    task succeeds or a lasting task has been initialized. Runs that are at least
+    `_PROBATION_RUN_AGE_MS` old do not count, since a lasting or long task would
+    exclude the worker from all other tasks.
     """
     record = view.failure_record
     if now_ms < record.suspended_until_ms:
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -65,16 +65,18 @@
     # Capacity minus `allocated`.
     free: Resources = NO_RESOURCES
     reservations: list[Reservation] = field(default_factory=list)
-    # Idle processors that its fillers can use, in thousandths of a processor.
+    # Idle processors that its filler tasks can use, in thousandths of a
+    # processor.
     filler_milli: int = 0
-    # Runs of tasks with a target for the tail latency.
+    # Number of runs of tasks with a target for the tail latency.
     serving_count: int = 0
     born_ms: BornMs = _BORN_UNKNOWN_MS
     # Sequence number of the last end that has been applied.
     seen_end: EndSequence = NO_END
     # Ends up to this number are durable; the worker may delete them.
     durable_end: EndSequence = NO_END
-    # All task leases have expired by then unless a renewal is sent.
+    # All task leases have expired after this time; each renewal and each start
+    # order extends it.
     lease_expiry_ms: int = 0
     reported_ms: int = 0
     # The worker's clock in the latest report.
@@ -117,7 +119,7 @@
 
     @property
     def labels(self) -> tuple[Label, ...]:
-        """Return the labels of the directory, none without an entry."""
+        """Return the labels in the directory entry, none without an entry."""
         return self.entry.labels if self.entry else ()
 
     @property
@@ -136,7 +138,7 @@
         self.serving_count += int(is_serving)
 
     def release(self, run: Run, is_serving: bool) -> None:
-        """Remove a run and release its charge; does nothing if unknown."""
+        """Remove a run and release its charge; an unknown run is ignored."""
         if self.runs.pop(run.key, None) is None:
             return
         self.allocated -= run.charge
--- a/fuchsiarill/graphs/worker_waits.py
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -16,7 +16,8 @@
 ) -> float:
     """Return the expected time until a task of the step fits on a worker.
 
-    Returns `NEVER_MS` if it does not fit when all runs have ended.
+    Returns `NEVER_MS` if the task fits only after a lasting run has ended, or
+    not even when all runs have ended.
     """
     step = request.step
     free = view.free_for_step(step.key, step.rank_ms)
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -1,4 +1,4 @@
-"""Test harness: a core whose workers report on request of a test."""
+"""Test harness: a `GraphCore` with worker reports that tests construct."""
 
 from typing import Final
 
@@ -66,7 +66,7 @@
 
 
 class Owner:
-    """A core, its clock and the reports of its workers."""
+    """A `GraphCore` and its clock; tests deliver the worker reports."""
 
     def __init__(self, *workers: str, term: int = 1) -> None:
         """Create a core with listed and recorded workers, without reports."""
@@ -100,7 +100,7 @@
         ended: tuple[EndRow, ...] = (),
         born_ms: int = 1,
     ) -> None:
-        """Deliver a report of a worker, 10 ms later."""
+        """Advance the clock by 10 ms and deliver a worker's report."""
         self.now_ms += 10
         report = WorkerReport(self.now_ms, BornMs(born_ms), running, ended)
         requested_ms = self.now_ms - 5
@@ -145,7 +145,7 @@
 
 
 def running(key: TaskKey, attempt: int = 1) -> RunningRow:
-    """Return a reported run at 50 percent."""
+    """Return the row of a report for a run at 50 percent of its progress."""
     return RunningRow(key, attempt, Checkpoint(''), 50)
 
 
@@ -155,5 +155,5 @@
     kind: EndKind = EndKind.SUCCEEDED,
     attempt: int = 1,
 ) -> EndRow:
-    """Return a reported end."""
+    """Return the row of a report for a run that ended."""
     return EndRow(EndSequence(sequence), key, attempt, kind, Checkpoint(''))
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -1,4 +1,4 @@
-"""Simulation of a core with its workers and an advice service.
+"""Simulation of a `GraphCore` with its workers and an advice service.
 
 Time advances in steps. Workers end runs, expire leases and report. Start orders
 arrive a step later, perhaps at a restarted worker; orders to unreachable
@@ -44,8 +44,8 @@
 
 
 @dataclass(slots=True)
-class ModelRun:
-    """A run on a simulated worker; without `ends_ms` it never ends."""
+class SimulatedRun:
+    """A run on a simulated worker; with `ends_ms` as `None` it never ends."""
 
     size: Resources
     ends_ms: int | None
@@ -53,12 +53,12 @@
 
 
 @dataclass(slots=True)
-class ModelWorker:
+class SimulatedWorker:
     """One incarnation of a simulated worker."""
 
     name: str
     born_ms: int
-    runs: dict[_RunKey, ModelRun] = field(default_factory=dict)
+    runs: dict[_RunKey, SimulatedRun] = field(default_factory=dict)
     unreported_ends: list[EndRow] = field(default_factory=list)
     ends_count: int = 0
     refused_attempts: dict[TaskKey, int] = field(default_factory=dict)
@@ -100,7 +100,9 @@
     def __init__(self, *names: str) -> None:
         """Create live workers."""
         self.owner = Owner(*names)
-        self.workers = {name: ModelWorker(name, born_ms=1) for name in names}
+        self.workers = {
+            name: SimulatedWorker(name, born_ms=1) for name in names
+        }
         self.steps: dict[tuple[str, int], Step] = {}
         self.run_ms: dict[str, int] = {}
         self.failures: dict[str, int] = {}
@@ -153,7 +155,7 @@
 
     def restart(self, name: str) -> None:
         """Restart a worker under its id; all its runs are lost."""
-        self.workers[name] = ModelWorker(name, born_ms=self.now_ms)
+        self.workers[name] = SimulatedWorker(name, born_ms=self.now_ms)
         self.publish_directory()
 
     def pass_time(self, duration_ms: int) -> None:
@@ -201,7 +203,7 @@
             return
         self.unanswered_starts.append((self.now_ms + 7 * _STEP_MS, order))
 
-    def _deliver_start(self, worker: ModelWorker, order: StartRun) -> bool:
+    def _deliver_start(self, worker: SimulatedWorker, order: StartRun) -> bool:
         """Deliver a start order; returns whether it has been answered."""
         failure: AgentFailure | None = None
         if order.attempt <= worker.refused_attempts.get(order.task, 0):
@@ -224,7 +226,7 @@
     def _has_invalid_ticket(self, order: StartRun) -> bool:
         return order.ticket is not None and order.ticket != Ticket(order.worker)
 
-    def _start_run(self, worker: ModelWorker, order: StartRun) -> None:
+    def _start_run(self, worker: SimulatedWorker, order: StartRun) -> None:
         task = order.task
         step = self.steps[task.job, task.step]
         self._check_start(worker, task)
@@ -234,7 +236,7 @@
         if step.is_lasting and not is_failing:
             ends_ms = None
         worker.lease_until_ms = self.now_ms + _LEASE_MS
-        worker.runs[task, order.attempt] = ModelRun(
+        worker.runs[task, order.attempt] = SimulatedRun(
             step.charge,
             ends_ms,
             EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
@@ -242,7 +244,7 @@
         if not worker.used_resources().fits_in(CAPACITY):
             self.violations.append(f'{worker.name} is over its capacity')
 
-    def _check_start(self, worker: ModelWorker, task: TaskKey) -> None:
+    def _check_start(self, worker: SimulatedWorker, task: TaskKey) -> None:
         if task in self.succeeded:
             self.violations.append(f'{task} starts after its success')
         for other in self.workers.values():
@@ -269,7 +271,7 @@
             self.now_ms,
         )
 
-    def _renew(self, worker: ModelWorker) -> None:
+    def _renew(self, worker: SimulatedWorker) -> None:
         name = WorkerId(worker.name)
         core = self.owner.core
         if not worker.is_reachable:
@@ -349,5 +351,5 @@
     return worker == f'w{number % 3}'
 
 
-def _percent(run: ModelRun) -> int:
+def _percent(run: SimulatedRun) -> int:
     return INITIALIZED_PERCENT if run.ends_ms is None else _HALF_PERCENT
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -1,4 +1,4 @@
-"""Requests for advice: when they are made, and through which process."""
+"""Requests for advice: when they are sent, and through which process."""
 
 import asyncio
 from typing import Any
@@ -37,7 +37,7 @@
 INCARNATIONS = {W0: BornMs(1)}
 STEP = StepKey(JobId('a'), 0, 0)
 _VALID_MS = 60_000
-_LOST_ANSWER_TIMEOUT_MS = 30_000
+_AFTER_ANSWER_TIMEOUT_MS = 30_000
 
 
 def advice_requests(owner: Owner) -> list[RequestAdvice]:
@@ -52,7 +52,7 @@
     step: StepKey = STEP,
     valid_ms: int = _VALID_MS,
 ) -> None:
-    """Grant a ticket to the worker."""
+    """Grant `W0` a ticket for a step."""
     owner.core.advice_received(
         step, INCARNATIONS, GRANT, owner.now_ms + valid_ms
     )
@@ -65,13 +65,13 @@
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
     assert len(advice_requests(owner)) == 1
     assert not advice_requests(owner)
-    owner.now_ms += _LOST_ANSWER_TIMEOUT_MS
+    owner.now_ms += _AFTER_ANSWER_TIMEOUT_MS
     owner.report('w0')
     assert len(advice_requests(owner)) == 1
 
 
 def test_answer_for_an_earlier_incarnation_is_ignored() -> None:
-    """Guards against excluding a restarted worker by an outdated answer."""
+    """Guards against an outdated answer that denies a restarted worker."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
@@ -82,7 +82,10 @@
 
 
 def test_preempted_task_starts_again_on_its_only_worker() -> None:
-    """Guards against a task that never starts again after a preemption."""
+    """Guards against a task that never starts again after a preemption.
+
+    The ticket of the worker is still valid, so no new request is needed.
+    """
     owner = Owner('w0')
     owner.report('w0')
     checkpointing_step = Step(1, SIZE, estimate_ms=60000, is_checkpointing=True)
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -1,4 +1,4 @@
-"""Decisions about a pool on reports that each test makes."""
+"""Decisions of `GraphCore` on worker reports that each test constructs."""
 
 from fuchsiarill.graphs.effects import StopRun
 from fuchsiarill.graphs.model import BornMs, EndKind, Step, WorkerReport
@@ -33,11 +33,11 @@
     owner.report('w0', (), (ended(task('a')),))
     assert not owner.decide()
     owner.report('w1', (), (success, ended(task('a', 1, 0), 2)))
-    entry_of_job = owner.core.state.jobs[JobId('a')]
-    assert not entry_of_job.is_active
+    job_entry = owner.core.state.jobs[JobId('a')]
+    assert not job_entry.is_active
 
 
-def test_inherited_job_waits_for_every_worker() -> None:
+def test_inherited_job_waits_for_reports_of_all_workers() -> None:
     """Guards against a second run of a job that a silent worker still runs."""
     owner = Owner('w0', 'w1', term=2)
     for worker in ('w0', 'w1'):
@@ -52,10 +52,11 @@
     assert [start.task.job for start in owner.starts()] == ['old']
 
 
-def test_attempts_of_a_new_owner_are_above_those_before() -> None:
-    """Guards against an attempt number that a previous owner has used.
+def test_new_owner_uses_higher_attempt_numbers() -> None:
+    """Guards against reusing an attempt number of a previous owner.
 
-    The previous owner may have started attempts without a durable record.
+    The previous owner may have started attempts without a durable record, and a
+    worker refuses the start of an attempt that was stopped or has ended there.
     """
     owner = Owner('w0', term=3)
     owner.core.add_inherited_worker(WorkerId('w0'), 'w0:1', 9000)
@@ -64,7 +65,7 @@
     assert [start.attempt for start in owner.starts()] == [201]
 
 
-def test_room_is_free_only_after_the_end() -> None:
+def test_capacity_is_released_only_after_the_end() -> None:
     """Guards against a start on a worker whose stopped run has not ended."""
     owner = Owner('w0')
     owner.report('w0')
@@ -83,30 +84,37 @@
     assert [start.task.job for start in owner.starts()] == ['b']
 
 
-def test_urgent_step_preempts_a_run_that_saves_its_progress() -> None:
-    """Guards against an urgent job that waits for batch jobs."""
+def test_urgent_step_preempts_a_run_that_saves_checkpoints() -> None:
+    """Guards against an urgent job that waits until a batch job has ended.
+
+    Only the run that saves checkpoints is stopped, and its capacity is kept for
+    the urgent job.
+    """
     owner = Owner('w0')
     owner.report('w0')
-    saving = Step(1, SIZE, estimate_ms=60000, is_checkpointing=True)
+    checkpointing = Step(1, SIZE, estimate_ms=60000, is_checkpointing=True)
     plain = Step(1, SIZE, estimate_ms=60000)
     owner.add_job('plain', plain)
-    owner.add_job('saving', saving)
+    owner.add_job('checkpointing', checkpointing)
     assert len(owner.starts()) == 2
-    owner.report('w0', (running(task('plain')), running(task('saving'))))
+    owner.report('w0', (running(task('plain')), running(task('checkpointing'))))
     owner.add_job('quote', Step(1, SIZE, estimate_ms=100), queue=URGENT)
     stops = [effect for effect in owner.decide() if isinstance(effect, StopRun)]
-    assert [stop.task.job for stop in stops] == ['saving']
+    assert [stop.task.job for stop in stops] == ['checkpointing']
     owner.add_job('later', Step(1, SIZE, estimate_ms=10))
     owner.report(
         'w0',
         (running(task('plain')),),
-        (ended(task('saving'), kind=EndKind.STOPPED),),
+        (ended(task('checkpointing'), kind=EndKind.STOPPED),),
     )
     assert [start.task.job for start in owner.starts()] == ['quote']
 
 
 def test_older_report_changes_nothing() -> None:
-    """Guards against a report overtaken by a newer one on a connection."""
+    """Guards against an overtaken report that restores a run that has ended.
+
+    Reports on different connections can overtake each other.
+    """
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE))
@@ -130,7 +138,7 @@
 
 
 def test_job_that_never_fits_blocks_no_other_job() -> None:
-    """Guards against a job that fits no worker and holds up later jobs."""
+    """Guards against a job that fits no worker and blocks less urgent jobs."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('huge', Step(1, Resources(99000, 1)), queue=URGENT)
@@ -138,7 +146,7 @@
     assert [start.task.job for start in owner.starts()] == ['small']
 
 
-def test_limit_of_tasks_on_a_worker_holds() -> None:
+def test_step_respects_its_limit_of_tasks_per_worker() -> None:
     """Guards against more tasks of a step on a worker than its limit."""
     owner = Owner('w0', 'w1')
     owner.report('w0')
@@ -148,7 +156,7 @@
 
 
 def test_suspended_worker_with_a_lasting_task_is_tried_again() -> None:
-    """Guards against a worker that a lasting task excludes for ever.
+    """Guards against a worker that never gets a run beside a lasting task.
 
     After a suspension a worker gets one task at a time; a task started before
     the suspension must not count.
@@ -172,12 +180,12 @@
     assert len(owner.starts()) == 1
 
 
-def test_task_is_not_preempted_without_end() -> None:
-    """Guards against a task that every urgent job preempts again."""
+def test_task_is_preempted_a_limited_number_of_times() -> None:
+    """Guards against a task that never ends since urgent jobs preempt it."""
     owner = Owner('w0')
     owner.report('w0')
-    saving = Step(1, CAPACITY, estimate_ms=60000, is_checkpointing=True)
-    owner.add_job('saving', saving)
+    checkpointing = Step(1, CAPACITY, estimate_ms=60000, is_checkpointing=True)
+    owner.add_job('checkpointing', checkpointing)
     sequence = 0
     stops_count = 0
     for round_number in range(8):
@@ -201,7 +209,7 @@
 
 
 def test_gang_that_does_not_start_releases_its_reservations() -> None:
-    """Guards against workers reserved without end for a gang.
+    """Guards against workers that stay reserved for a gang forever.
 
     One of the two workers that the gang needs is used by a run that takes far
     longer than expected. Both jobs are so late that they have no value.
@@ -284,7 +292,7 @@
 
 
 def test_run_listed_before_a_restart_has_ended() -> None:
-    """Guards against a task that is never restarted after its worker was."""
+    """Guards against a task that does not start again on a restarted worker."""
     owner = Owner('w0')
     owner.report('w0')
     owner.add_job('a', Step(1, SIZE))
--- a/tests/test_graph_ticks.py
+++ b/tests/test_graph_ticks.py
@@ -1,4 +1,4 @@
-"""Periodic decisions: stalls, pacing of fillers, leaving workers, gangs."""
+"""Periodic actions: stalled runs, filler pace, leaving workers, and gangs."""
 
 from dataclasses import replace
 
@@ -25,7 +25,7 @@
 
 _TARGET_MS = 100
 SERVING = Step(1, SIZE, is_lasting=True, target_tail_ms=_TARGET_MS)
-FILLING = Step(1, SIZE, estimate_ms=60000, is_filler=True)
+FILLER = Step(1, SIZE, estimate_ms=60000, is_filler=True)
 
 
 def row(job: str, percent: int, usage: float | None = None) -> RunningRow:
@@ -50,7 +50,7 @@
         (Step(1, SIZE), (10, 20), False),
         (Step(1, SIZE, is_lasting=True), (40, 40), True),
         (Step(1, SIZE, is_lasting=True), (100, 100), False),
-        (FILLING, (10, 10), False),
+        (FILLER, (10, 10), False),
     ],
 )
 def test_run_without_progress_is_stopped(
@@ -59,7 +59,7 @@
     *,
     is_stopped: bool,
 ) -> None:
-    """Guards against a task that hangs on its worker for ever.
+    """Guards against a task that hangs on its worker forever.
 
     A lasting task stays at 100 percent once initialized, and the progress of a
     filler depends on the processors that other tasks leave idle.
@@ -75,7 +75,7 @@
     assert bool(stops(owner.decide())) is is_stopped
 
 
-def test_silent_worker_is_not_taken_as_stalled() -> None:
+def test_run_on_a_silent_worker_is_not_taken_as_stalled() -> None:
     """Guards against a stop of runs only because reports are missing."""
     owner = Owner('w0')
     owner.report('w0')
@@ -92,7 +92,7 @@
     owner.report('w0')
     owner.add_job('serving', SERVING)
     owner.starts()
-    owner.add_job('filling', FILLING)
+    owner.add_job('filler', FILLER)
     owner.starts()
     return owner
 
@@ -100,7 +100,7 @@
 def test_filler_pace_follows_the_tail_latency() -> None:
     """Guards against fillers that slow a serving task, or never resume."""
     owner = owner_with_serving_and_filler()
-    rows = (row('serving', 100, 150), row('filling', 5, 1))
+    rows = (row('serving', 100, 150), row('filler', 5, 1))
     owner.report('w0', rows)
     owner.now_ms += 1000
     assert paces(owner.decide()) == [0]
@@ -110,15 +110,15 @@
     percents = []
     for _ in range(8):
         owner.now_ms += 1000
-        owner.report('w0', (row('serving', 100, 20), row('filling', 5, 1)))
+        owner.report('w0', (row('serving', 100, 20), row('filler', 5, 1)))
         percents.extend(paces(owner.decide()))
     assert percents == [25, 50, 75, 100]
 
 
 def test_filler_keeps_its_pace_near_the_target() -> None:
-    """Guards against a pace that follows every small change of load."""
+    """Guards against a pace that changes with every small change of latency."""
     owner = owner_with_serving_and_filler()
-    owner.report('w0', (row('serving', 100, 75), row('filling', 5, 1)))
+    owner.report('w0', (row('serving', 100, 75), row('filler', 5, 1)))
     owner.now_ms += 1000
     assert not paces(owner.decide())
 
@@ -127,14 +127,15 @@
     ('others', 'is_moved'),
     [(('w1',), True), ((), False)],
 )
-def test_lasting_task_leaves_a_leaving_worker(
+def test_lasting_task_moves_away_from_a_leaving_worker(
     others: tuple[str, ...],
     *,
     is_moved: bool,
 ) -> None:
     """Guards against a lasting task that runs until its worker ends.
 
-    Without room on another worker it stays, so that it runs as long as it can.
+    Without room on another worker the task stays, so that it runs as long as it
+    can.
     """
     owner = Owner('w0', *others)
     owner.report('w0')
--- a/tests/test_step_placer.py
+++ b/tests/test_step_placer.py
@@ -34,10 +34,10 @@
 
 
 def test_wide_step_computes_few_costs(costs: list[int]) -> None:
-    """Guards against a cost of decisions that grows with tasks times workers.
+    """Guards against a decision time that grows with tasks times workers.
 
-    With 126 workers it was 1.5 ms a start, half of a processor at 300 starts a
-    second.
+    With 126 workers each start took 1.5 ms, which at 300 starts a second used
+    half of a processor.
     """
     owner = owner_with_workers()
     owner.add_job('wide', Step(_WORKERS_COUNT, SIZE))
@@ -45,8 +45,11 @@
     assert costs[0] <= 2 * _WORKERS_COUNT
 
 
-def test_units_of_a_step_fill_workers_up() -> None:
-    """Guards against costs that are not updated after a placement."""
+def test_units_of_a_step_use_the_fullest_workers() -> None:
+    """Guards against costs that are not updated after a placement.
+
+    The units must fill one worker before they use the next.
+    """
     owner = owner_with_workers()
     owner.add_job('a', Step(4, SIZE))
     per_worker = CAPACITY.processors_milli // SIZE.processors_milli
