State what the report and tick actions of graph jobs do

Cause: some doc comments said less than the code or something else: a request that a peer could not answer may go through the same route again, workers with expired leases also count as reconciled, and the opening of occurrences for an adopted run had no reason. The "last answer" of a run event and "requested_ms" had to be looked up elsewhere.

Change: reworded these comments in advice, pacing, reports, states, ticking and worker_table; removed one doc comment that repeated its function's name. The test of inherited jobs says that the silent worker's leases have to expire, and its name no longer claims that all workers report.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -117,7 +117,7 @@
 
     @handles(_RouteReleased)
     async def on_route_released(self, message: _RouteReleased) -> None:
-        """Forward the answer, or retry through another route."""
+        """Forward the answer, or queue the request again."""
         self._busy_routes.discard(message.route)
         if message.is_retried:
             await self.on_request(message.advice_request)
--- a/fuchsiarill/graphs/pacing.py
+++ b/fuchsiarill/graphs/pacing.py
@@ -14,7 +14,7 @@
 from fuchsiarill.graphs.states import RunState
 
 # A reported tail latency is a rough estimate over the last half second; a
-# change of pace shows in the second such interval after it.
+# change of pace shows in the second such interval after the change.
 _ADJUSTMENT_INTERVAL_MS: Final = 900
 # Shares of the target latency above which fillers are paused, and below which
 # they are sped up.
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -38,8 +38,8 @@
 ) -> None:
     """Update a worker and its runs from a report.
 
-    `requested_ms` is when the renewal was sent that the report answers. A
-    report older than the last one is ignored.
+    `requested_ms` is the time at which the renewal that the report answers was
+    sent. A report older than the last applied report is ignored.
     """
     if report.born_ms > view.born_ms:
         apply_restart(state, view, now_ms)
@@ -205,6 +205,11 @@
     entry: JobEntry | None,
     run: Run,
 ) -> tuple[StepEntry, Unit] | None:
+    """Return the step and the unit of a run, or `None` to stop the run.
+
+    Opens the occurrences of a schedule up to that of the run, since the owner
+    that started the run has found them due.
+    """
     if entry is None or not entry.is_active:
         return None
     occurrence = run.task.occurrence
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -23,7 +23,8 @@
     UNANSWERED = 'unanswered'
     # A report lists the run as running.
     LISTED = 'listed'
-    # A report requested after the last answer does not list the run.
+    # A report requested after the latest answer to a start or stop order does
+    # not list the run.
     ABSENT = 'absent'
     STOP_ASKED = 'stop_asked'
     END_REPORTED = 'end_reported'
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -27,7 +27,10 @@
 
 @TICK_ACTIONS.register('1 expire leases')
 def _expire_leases(state: PoolState, now_ms: int) -> None:
-    """Mark runs as lost when the task leases of their worker have expired."""
+    """Mark runs as lost when the task leases of their worker have expired.
+
+    Such a worker counts as reconciled; it is gone if it is not listed either.
+    """
     for view in state.workers:
         if now_ms <= view.lease_expiry_ms:
             continue
@@ -95,7 +98,6 @@
 
 @TICK_ACTIONS.register('8 drop reservations')
 def _drop_expired_reservations(state: PoolState, now_ms: int) -> None:
-    """Drop expired reservations."""
     for view in state.workers:
         if view.reservations:
             view.reservations = [
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -1,4 +1,4 @@
-"""State of the workers of a pool in its owner."""
+"""State that the owner of a pool keeps about the workers."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -193,7 +193,7 @@
     def apply_event(self, view: WorkerView, event: AvailabilityEvent) -> None:
         """Apply an event to a worker.
 
-        An event without a transition in the present state is ignored.
+        An event without a transition in the current state is ignored.
         """
         transition = self._chart.step(view.availability, event)
         if transition is not None:
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -37,8 +37,11 @@
     assert not job_entry.is_active
 
 
-def test_inherited_job_waits_for_reports_of_all_workers() -> None:
-    """Guards against a second run of a job that a silent worker still runs."""
+def test_inherited_job_waits_until_all_workers_are_reconciled() -> None:
+    """Guards against a second run of a job that a silent worker still runs.
+
+    The job starts only when the task leases of the silent worker have expired.
+    """
     owner = Owner('w0', 'w1', term=2)
     for worker in ('w0', 'w1'):
         owner.core.add_inherited_worker(WorkerId(worker), f'{worker}:1', 9000)
@@ -267,8 +270,8 @@
 def test_start_that_may_have_reached_a_restarted_worker_is_stopped() -> None:
     """Guards against a second run of a task whose worker has restarted.
 
-    The start order was in transit when the worker restarted under its id, so
-    the new incarnation may run the task. Found by the soak, seed 1.
+    The start order was in transit when the worker restarted under the same id,
+    so the new incarnation may run the task. Found by the soak, seed 1.
     """
     owner = Owner('w0', 'w1')
     owner.report('w0')
