Clarify comments and names in the core, its charts and its tests

Cause: some doc comments claimed other things than the code does (jobs of a group oldest first, shares without waiting time, `version` counting changes of size), some left fields unexplained, and some names and texts were figurative or had two meanings: strike, start slot beside resource slots, non-idempotent beside at-most-once, an order that is placed twice.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -23,6 +23,7 @@
     tuple[int, bool],
 ]
 Rank = tuple[float, ...]
+# Value of `first_order` in a group without jobs.
 NO_ORDER: Final = sys.maxsize
 
 
@@ -54,14 +55,17 @@
 
 @dataclass(slots=True, eq=False)
 class Group:
-    """Waiting jobs of a customer with the same requirements, oldest first.
+    """Waiting jobs of a customer with the same requirements.
 
+    `jobs` are in the order in which they are tried. `spec` is the submission of
+    the job for which the group was created.
     `first_order` and `first_at_ms` are the acceptance number and the time of
-    acceptance of the oldest job.
+    acceptance of the first job. `urgent_then_order` sorts urgent groups before
+    others, and both by `first_order`.
     `blocked_size` is the size for which no worker had free capacity. `size` is
-    the size to reserve for one task, computed for `size_version`. Reclaiming is
-    not tried again before `reclaim_after_ms`. `served_at_ms` is the time of the
-    last start.
+    the size to reserve for one task, computed for `size_version`. Reclaiming of
+    capacity is not tried again before `reclaim_after_ms`. `served_at_ms` is the
+    time of the last start.
     """
 
     customer: CustomerId
@@ -88,7 +92,7 @@
         self.is_gang = self.spec.workload is Workload.GANG
 
     def add(self, job: JobRecord) -> None:
-        """Append a job, or put it first if it was accepted earlier."""
+        """Append a job, or put it first if accepted before the first one."""
         self.jobs[job.job_id] = job
         if job.acceptance_number < self.first_order:
             self.jobs.move_to_end(job.job_id, last=False)
@@ -102,8 +106,8 @@
         else:
             self.first_order = NO_ORDER
 
-    def oldest_job_id(self) -> JobId:
-        """Return the job that has waited longest."""
+    def first_job_id(self) -> JobId:
+        """Return the id of the job that is tried first."""
         return next(iter(self.jobs))
 
     def _update_first(self, job: JobRecord) -> None:
@@ -117,14 +121,20 @@
     """Resources, limits and waiting groups of one customer.
 
     `contract` is `None` if the configuration in force has none for the
-    customer. `reserved` is the sum of the sizes reserved for its attempts and
+    customer. `quota` and `guaranteed` are the part of the contract that applies
+    to this partition. `tokens` and `refilled_at_ms` are the state of the rate
+    limit, `retry_credit` is the balance of the retry budget.
+    `reserved` is the sum of the sizes reserved for its attempts and
     `share` its weighted dominant share. `urgent_reserved` is the part for
     urgent jobs, `being_reclaimed` the part whose attempts are being stopped for
     other jobs.
+    `waiting_count` counts the jobs in the groups, `accepting_count` the jobs
+    whose acceptance is not committed yet.
     `served_at_ms` is the time of the last placement of an attempt.
     Of the `groups`, those in `ready` can be tried, those in `unplaceable` wait
     for free capacity on a worker, and those in `over_quota` wait until tasks
-    of the same customer end.
+    of the same customer end. `rank` and `unplaceable_rank` are the ranks of the
+    first group in `ready` and in `unplaceable`, `None` if there is none.
     `preemptible_batch` holds idempotent batch attempts and
     `preemptible_services` idempotent replicas, oldest first. Neither holds
     urgent attempts.
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -1,8 +1,8 @@
 """Admission of submissions: contract, size, queue length and rate.
 
 A job that can never run is refused at once, with the field that exceeds its
-limit. The size of the workers is known from the host list; until it has been
-read, no job is refused for its size.
+limit. The sizes of the workers are known from the host list; until the list has
+been read, no job is refused because no worker is large enough.
 """
 
 from collections.abc import Callable, Iterator
@@ -68,7 +68,7 @@
     return None
 
 
-def starts_restricted(state: CoreState, spec: JobSpec) -> bool:
+def may_start_while_restricted(state: CoreState, spec: JobSpec) -> bool:
     """Tell whether a job may start while ownership is not confirmed."""
     return (
         spec.urgency is Urgency.URGENT
@@ -87,7 +87,7 @@
         return None
     contract = account.contract
     may_be_volatile = contract is not None and contract.volatile_accept
-    if may_be_volatile and starts_restricted(state, spec):
+    if may_be_volatile and may_start_while_restricted(state, spec):
         return None
     return refuse(
         codes.STORE_UNAVAILABLE,
@@ -199,7 +199,7 @@
     wanted: Resources,
     limit: Resources,
 ) -> tuple[str, int, int] | None:
-    """Return the first field above its limit, with both amounts."""
+    """Return the first field above its limit, the amount and the limit."""
     if wanted.fits_in(limit):
         return None
     return next(excesses(wanted, limit), None)
@@ -209,7 +209,7 @@
     wanted: Resources,
     limit: Resources,
 ) -> Iterator[tuple[str, int, int]]:
-    """Yield every field above its limit, with both amounts."""
+    """Yield every field above its limit, the amount and the limit."""
     rows = zip(_FIELDS, wanted.as_tuple(), limit.as_tuple(), strict=True)
     for field, amount, largest in rows:
         if amount > largest:
@@ -217,7 +217,11 @@
 
 
 def _find_shortage(state: CoreState, size: Resources) -> tuple[str, int, int]:
-    """Return a field that no worker satisfies, alone or with the others."""
+    """Return the field to name in a refusal, the amount and the limit.
+
+    If an amount exceeds that of every worker, its field is named; otherwise a
+    field that does not fit the worker on which the fewest fields do not fit.
+    """
     largest = Resources(
         *(
             max(amounts, default=0)
--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -42,7 +42,8 @@
 )
 
 _ACTIVE_STATES: Final = frozenset((JobState.QUEUED, JobState.RUNNING))
-# An unknown attempt with another outcome needs no adoption.
+# An unknown attempt with another outcome needs no adoption: it neither runs nor
+# has a result.
 _ADOPTED_OUTCOMES: Final = frozenset(
     (TaskOutcome.RUNNING, TaskOutcome.SUCCEEDED)
 )
@@ -61,7 +62,7 @@
     worker: WorkerView,
     now_ms: int,
 ) -> None:
-    """Reserve the restored attempts of a worker once it is listed."""
+    """Reserve resources on a newly listed worker for its restored attempts."""
     for attempt_id in state.recovery.intents:
         attempt = state.attempts.get(attempt_id)
         if attempt is None or attempt.worker_id != worker.worker_id:
@@ -79,7 +80,8 @@
 ) -> None:
     """Adopt the unknown tasks of a report as attempts, or stop them.
 
-    Must run before the outcomes of the report are applied.
+    Must run before the outcomes of the report are applied, as these are applied
+    to known attempts only.
     """
     worker.incarnation = report.incarnation
     _drop_ended_orphans(state, report, now_ms)
@@ -117,7 +119,11 @@
 
 
 def advance_recovery(state: CoreState, now_ms: int) -> None:
-    """Release deferred tasks once no unreported copy of them can run."""
+    """End a complete recovery, and queue the deferred tasks.
+
+    A task is queued once no unreported copy of it and no orphan of its job can
+    run.
+    """
     recovery = state.recovery
     if recovery.is_open and _is_recovery_complete(state, now_ms):
         recovery.is_open = False
@@ -197,7 +203,11 @@
 
 
 def _claim_position(state: CoreState, job: JobRecord, position: int) -> bool:
-    """Claim a position for adoption; `False` if no attempt is expected."""
+    """Claim a position for adoption; `False` if no attempt is expected there.
+
+    An attempt is expected while the position waits for a start or is deferred,
+    or if the job was cancelled before the takeover.
+    """
     if job.state is JobState.CANCELLING:
         return job.job_id in state.recovery.cancelled_jobs
     if job.state not in _ACTIVE_STATES:
@@ -226,7 +236,7 @@
     orphans[task.attempt_id] = Orphan(worker_id, context.now_ms + lease_ms)
     job = state.jobs.get(job_id)
     if job is not None and job.state is JobState.ACCEPTING:
-        # Adopted from a later report, once the job is durable.
+        # The task is adopted from a later report, once the job is durable.
         return
     state.effects.append(
         CommandTask(worker_id, task.attempt_id, CommandKind.STOP),
--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -70,7 +70,7 @@
     now_ms: int,
 ) -> None:
     job = state.jobs[attempt.job_id]
-    _persist_withdrawal(state, job, attempt, now_ms)
+    _record_withdrawal(state, job, attempt, now_ms)
     if _is_partly_run(job):
         step_job(state, job, JobEvent.GAVE_UP, now_ms)
         return
@@ -86,7 +86,7 @@
 ) -> None:
     job = state.jobs[attempt.job_id]
     if job.spec.workload is Workload.SERVICE:
-        _persist_withdrawal(state, job, attempt, now_ms)
+        _record_withdrawal(state, job, attempt, now_ms)
     handle_failure(state, attempt, now_ms)
 
 
@@ -137,13 +137,13 @@
 
 
 @ATTEMPT_ACTIONS.register('persist_withdrawal')
-def _withdraw_start(
+def _persist_withdrawal(
     state: CoreState,
     attempt: Attempt,
     report: TaskReport | None,
     now_ms: int,
 ) -> None:
-    _persist_withdrawal(state, state.jobs[attempt.job_id], attempt, now_ms)
+    _record_withdrawal(state, state.jobs[attempt.job_id], attempt, now_ms)
 
 
 @ATTEMPT_ACTIONS.register('handle_stopped')
@@ -156,7 +156,7 @@
     job = state.jobs[attempt.job_id]
     if job.spec.workload is Workload.SERVICE:
         # A later owner must be able to tell that this replica has stopped.
-        _persist_withdrawal(state, job, attempt, now_ms)
+        _record_withdrawal(state, job, attempt, now_ms)
     advance_if_all_stopped(state, job, now_ms)
     if job.spec.workload is not Workload.GANG:
         requeue_task(state, job, attempt_position(attempt), now_ms)
@@ -177,7 +177,7 @@
     return has_started_member or bool(job.results)
 
 
-def _persist_withdrawal(
+def _record_withdrawal(
     state: CoreState,
     job: JobRecord,
     attempt: Attempt,
--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -10,7 +10,7 @@
 
 from fuchsiarill.core.accelerators import accelerator_jobs_wait
 from fuchsiarill.core.accounts import Account, Group, Obstacle, Rank
-from fuchsiarill.core.admission import starts_restricted
+from fuchsiarill.core.admission import may_start_while_restricted
 from fuchsiarill.core.gangs import (
     move_holds_to_released,
     place_gang,
@@ -70,15 +70,16 @@
 # Wait of an older job after which smaller ones of its customer no longer use
 # the quota that it needs.
 _QUOTA_YIELD_AFTER_MS: Final = 10_000
-# Capacity that is released by ending tasks within this time costs no lost work.
-# Urgent jobs have to start within 1,100 ms, which includes the stops.
+# Wait of a group before attempts are stopped for it, by preemption policy: if
+# tasks end within this time, their capacity is used and no work is lost. Urgent
+# jobs have to start within 1,100 ms, which includes the stops.
 _PREEMPT_AFTER_MS: Final = MappingProxyType(
     {'urgent': 300, 'guaranteed': 5_000}
 )
 
 
 def decide(state: CoreState, now_ms: int) -> bool:
-    """Start waiting tasks; `True` if it stopped after the maximum of steps."""
+    """Start waiting tasks; `True` if `STEPS_MAX_COUNT` was reached."""
     run_due(state, now_ms)
     retry_unplaceable(state, now_ms)
     move_holds_to_released(state, now_ms)
@@ -123,7 +124,7 @@
 ) -> bool:
     """Start the next task or block its group; `False` ends the round."""
     account, group, rank = candidate
-    job = state.jobs[group.oldest_job_id()]
+    job = state.jobs[group.first_job_id()]
     if not job.waiting:
         # Its tasks were found running after a takeover.
         dequeue(state, job)
@@ -152,7 +153,7 @@
     block(state, account, group, Obstacle.CAPACITY, size)
     ordering = ordering_of(state)
     if not ordering.strict and _is_starving(state, candidate, now_ms):
-        reserve_for_task(state, state.jobs[group.oldest_job_id()], size, now_ms)
+        reserve_for_task(state, state.jobs[group.first_job_id()], size, now_ms)
     if ordering.strict:
         unblock(state, account, group)
         return False
@@ -215,9 +216,9 @@
 ) -> Obstacle | None:
     if account.contract is None:
         return Obstacle.NO_CONTRACT
-    if state.restricted and not starts_restricted(state, group.spec):
+    if state.restricted and not may_start_while_restricted(state, group.spec):
         return Obstacle.OWNERSHIP
-    if state.jobs[group.oldest_job_id()].replaced_attempts:
+    if state.jobs[group.first_job_id()].replaced_attempts:
         # A replacement and its replica are counted together until the replica
         # stops, which may exceed the quota.
         return None
@@ -310,9 +311,10 @@
 
 
 def _unblock_gangs(state: CoreState, now_ms: int) -> None:
-    """Unblock gangs whose held workers all have capacity, or are not all ready.
+    """Unblock gangs whose held workers have capacity or are not all ready.
 
-    All gangs are unblocked at intervals, as other workers may have capacity.
+    Also unblocks single tasks with a reservation. All gangs are unblocked at
+    intervals, as other workers may have capacity.
     """
     is_retry_due = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
     if is_retry_due:
@@ -340,7 +342,7 @@
     policy: str,
     now_ms: int,
 ) -> None:
-    """Reclaim capacity for the oldest jobs of a group.
+    """Reclaim capacity for the first jobs of a group.
 
     The `urgent` policy applies up to the guarantee or the weighted share of the
     customer, the `guaranteed` policy up to the guarantee.
--- a/fuchsiarill/core/effects.py
+++ b/fuchsiarill/core/effects.py
@@ -13,7 +13,8 @@
 class PersistRecord:
     """Add a record to the next group commit.
 
-    The owner passes `sequence` to `PartitionCore.committed`, in rising order.
+    Once it is durable, the owner passes `sequence` to
+    `PartitionCore.committed`, in ascending order.
     """
 
     sequence: int
@@ -33,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandTask:
-    """Send a stop, checkpoint or throttle of an attempt to a worker."""
+    """Command the worker of an attempt to stop, checkpoint or throttle it."""
 
     worker_id: WorkerId
     attempt_id: AttemptId
--- a/fuchsiarill/core/estimate.py
+++ b/fuchsiarill/core/estimate.py
@@ -19,8 +19,10 @@
 
     `size` and `run_time_ms` are upper estimates; with fewer samples than
     `SAMPLES_MIN_COUNT`, `size` can raise a reservation but not lower it.
-    `version` counts changes of `size`. `succeeded_on` holds a few workers on
-    which a task succeeded, `failed_on` how often tasks failed on each worker.
+    `version` rises when the size to reserve for a task may have changed.
+    `samples_count` also counts the samples that `peaks` no longer holds.
+    `succeeded_on` holds a few workers on which a task succeeded, `failed_on`
+    how often tasks failed on each worker.
     """
 
     peaks: deque[Resources] = field(
--- a/fuchsiarill/core/explain.py
+++ b/fuchsiarill/core/explain.py
@@ -33,8 +33,9 @@
     """Why a job waits, and how many jobs and customers precede it.
 
     `field` is the limiting resource, of which the job needs `wanted` and
-    only `available` is left. `ahead_own_count` counts earlier jobs of the same
-    customer, `ahead_customers_count` customers with a lower rank.
+    only `available` is left. `ahead_own_count` counts the jobs of the same
+    customer that precede this one, `ahead_customers_count` the customers that
+    rank before this one.
     `starts_at_ms` is the expected start if workers are held for the job.
     """
 
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -50,7 +50,7 @@
 _OVERDUE_END_MS: Final = 1_000
 
 # The time at which a task can start, and its worker.
-_StartSlot = tuple[int, WorkerId]
+_PossibleStart = tuple[int, WorkerId]
 
 
 def place_gang(
@@ -59,7 +59,7 @@
     size: Resources,
     now_ms: int,
 ) -> JobRecord | None:
-    """Start one of the oldest gangs of a group, or make reservations."""
+    """Start one of the first gangs of a group, or make reservations."""
     for job_id in first_gangs(group):
         job = state.jobs[job_id]
         if _start_or_reserve(state, job, size, now_ms):
@@ -82,7 +82,10 @@
 
 
 def start_if_reserved(state: CoreState, job: JobRecord, now_ms: int) -> bool:
-    """Start all tasks of a job once its reservation has capacity."""
+    """Start the tasks of a job if its reserved workers have the capacity.
+
+    Returns whether the tasks were started.
+    """
     reservation = state.reservations.get(job.job_id)
     if reservation is None:
         return False
@@ -97,7 +100,7 @@
 def move_holds_to_released(state: CoreState, now_ms: int) -> None:
     """Move holds of the oldest reservations to released capacity.
 
-    The hold on a worker that lacks capacity is released instead, so a job
+    In exchange, the hold on a worker that lacks capacity is released, so a job
     never holds more than it needs, and its start is never delayed.
     """
     if not state.reservations:
@@ -205,21 +208,21 @@
 ) -> Reservation | None:
     if len(state.reservations) >= _reservations_limit(state):
         return None
-    slots: list[_StartSlot] = []
+    starts: list[_PossibleStart] = []
     for worker in _candidate_workers(state, tasks_count, now_ms):
         if is_eligible(worker, job):
-            slots.extend(_start_slots_of(state, worker, size, now_ms))
-    if len(slots) < tasks_count:
+            starts.extend(_possible_starts_on(state, worker, size, now_ms))
+    if len(starts) < tasks_count:
         return None
-    slots.sort()
-    earliest_slots = slots[:tasks_count]
+    starts.sort()
+    earliest_starts = starts[:tasks_count]
     reservation = Reservation(
         job_id=job.job_id,
         size=size,
         tasks_count_by_worker=dict(
-            Counter(worker_id for _time, worker_id in earliest_slots)
+            Counter(worker_id for _time, worker_id in earliest_starts)
         ),
-        starts_at_ms=earliest_slots[-1][0],
+        starts_at_ms=earliest_starts[-1][0],
         created_at_ms=now_ms,
     )
     hold_workers(state, reservation, now_ms)
@@ -248,21 +251,21 @@
     return islice(usable_workers, max(limit, _CANDIDATES_MIN_COUNT))
 
 
-def _start_slots_of(
+def _possible_starts_on(
     state: CoreState,
     worker: WorkerView,
     size: Resources,
     now_ms: int,
-) -> list[_StartSlot]:
+) -> list[_PossibleStart]:
     """Return when the worker has capacity for one, two and more tasks."""
     available = worker.free - capacity_held_up_to(worker, None)
-    slot_now = (now_ms, worker.worker_id)
-    slots = list(repeat(slot_now, copies_in(available, size)))
+    start_now = (now_ms, worker.worker_id)
+    starts = list(repeat(start_now, copies_in(available, size)))
     for ends_at_ms, reserved in _expected_releases(state, worker, now_ms):
         available += reserved
-        gained_count = copies_in(available, size) - len(slots)
-        slots.extend(repeat((ends_at_ms, worker.worker_id), gained_count))
-    return slots
+        gained_count = copies_in(available, size) - len(starts)
+        starts.extend(repeat((ends_at_ms, worker.worker_id), gained_count))
+    return starts
 
 
 def _expected_releases(
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -43,7 +43,8 @@
 # Usage lags: the first reports of a task may not show its full size.
 _USAGE_REPORTS_MIN_COUNT: Final = 3
 # Learned sizes are rounded up to this many binary digits, so that classes of
-# similar usage have equal sizes: a failed search for a worker holds for all.
+# similar usage have equal sizes and a failed search for a worker is not
+# repeated for each of them.
 _SIZE_BITS_COUNT: Final = 6
 
 
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -18,7 +18,7 @@
 
 
 def lease_end_ms(state: CoreState, requested_at_ms: int) -> int:
-    """Return the latest end of a lease granted by a request of that time."""
+    """Return the latest end of a lease requested at `requested_at_ms`."""
     lease_ms = state.config.policies.task_lease_ms
     return requested_at_ms + lease_ms + LEASE_MARGIN_MS
 
@@ -43,7 +43,7 @@
     worker_id: WorkerId,
     ends_at_ms: int,
 ) -> None:
-    """Extend the leases of all attempts of a worker up to `ends_at_ms`."""
+    """Extend leases on a worker that end before `ends_at_ms` to that time."""
     worker = state.workers.get(worker_id)
     if worker is None:
         return
@@ -53,7 +53,7 @@
 
 
 def expire_leases(state: CoreState, now_ms: int) -> None:
-    """Step the attempts without renewals whose leases have ended."""
+    """Apply `LEASE_LAPSED` to unrenewed attempts whose leases have ended."""
     for attempt_id in tuple(state.unrenewed):
         attempt = state.attempts[attempt_id]
         if now_ms < attempt.lease_ends_at_ms:
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -180,7 +180,8 @@
     if job.spec.execution is Execution.AT_MOST_ONCE:
         step_job(state, job, JobEvent.ALL_STOPPED, now_ms)
         return
-    # Starts of idempotent tasks are not recorded; workers may report some.
+    # Starts of idempotent tasks are not recorded, so workers may still report
+    # running tasks of the job.
     state.recovery.cancelled_jobs[job.job_id] = None
 
 
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -20,7 +20,8 @@
 from fuchsiarill.registry import Registry
 
 # After this time without a start, a customer that holds the whole cell ranks
-# equal to one that holds nothing and has just had a start, at a weight of 1.
+# equal to one that holds nothing and has just had a start, if `waiting_weight`
+# and the weights of both customers are 1.
 _AGEING_MS: Final = 300_000
 # Keeps ageing above zero, whatever weight is configured.
 _AGEING_WEIGHT_MIN: Final = 0.1
@@ -57,8 +58,9 @@
 
 @ORDERINGS.register('fair')
 class _Fair:
-    """Urgent, guaranteed and other jobs, each by weighted dominant share.
+    """Urgent, guaranteed and other jobs, each by share and waiting time.
 
+    The share is the weighted dominant share of the customer.
     Urgent jobs come first while they are within the guarantee or the weighted
     share of their customer.
     """
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -88,8 +88,8 @@
     def submit(self, spec: JobSpec, now_ms: int) -> Result[JobId, Refusal]:
         """Admit a job; it is durable once its record is committed.
 
-        A job accepted while ownership is not confirmed is marked `volatile`
-        in its record and can start at once.
+        A job accepted while ownership is not confirmed is `volatile` and can
+        start before the commit.
         """
         existing_id = self.state.job_by_key.get(
             (spec.customer, spec.idempotency_key),
@@ -150,7 +150,7 @@
             step_worker(self.state, worker, WorkerEvent.WENT_SILENT, now_ms)
 
     def leases_extended(self, worker_id: WorkerId, ends_at_ms: int) -> None:
-        """Extend the leases of all attempts of a worker up to `ends_at_ms`."""
+        """Extend leases on a worker to `ends_at_ms`; later ends are kept."""
         extend_leases(self.state, worker_id, ends_at_ms)
 
     def start_withheld(self, attempt_id: AttemptId, now_ms: int) -> None:
@@ -179,7 +179,7 @@
         unblock_all(self.state)
 
     def expire_leases(self, now_ms: int) -> None:
-        """Step the attempts without renewals whose leases have ended."""
+        """Handle unrenewed attempts whose leases have ended."""
         expire_leases(self.state, now_ms)
 
     def decide(self, now_ms: int) -> bool:
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -40,7 +40,10 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return the worker for a task by the policy of its contract."""
+    """Return the worker for a task by the placement policy of the contract.
+
+    If the policy finds none, workers with released capacity are examined.
+    """
     contract = state.accounts[job.spec.customer].contract
     if contract is None:
         return None
@@ -56,7 +59,7 @@
     job: JobRecord,
     size: Resources,
 ) -> WorkerView | None:
-    """Return the first worker with capacity; a linear scan as a baseline."""
+    """Return the first worker with capacity; a baseline that scans them all."""
     for worker in state.workers.values():
         if worker.bucket is None or not is_eligible(worker, job):
             continue
--- a/fuchsiarill/core/preemption.py
+++ b/fuchsiarill/core/preemption.py
@@ -3,7 +3,7 @@
 The caller checks that the customer of the jobs is entitled to the capacity.
 Capacity above the guarantee of its customer is borrowed; it is reclaimed before
 capacity of the customer to be served. Idempotent batch tasks are stopped before
-service replicas, in each case the most recently placed first, which lose the
+service replicas, in each case the most recently placed first, as they lose the
 least run time. At-most-once tasks and urgent tasks are never stopped.
 """
 
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -1,8 +1,8 @@
 """Probation of workers on which tasks fail that succeed elsewhere.
 
 A failure is attributed to a worker only if the same job, or its class, has
-succeeded on another worker. On probation a worker gets single tasks that are
-cheap to repeat, and twice as many at once after each success.
+succeeded on another worker. On probation a worker gets only tasks that are
+cheap to repeat: one at first, and twice as many at once after each success.
 """
 
 from functools import partial
@@ -42,7 +42,7 @@
         avoidance.record_class_failure(state, job.spec, worker, now_ms)
     succeeded_elsewhere = estimate.succeeded_on - {attempt.worker_id}
     if succeeded_elsewhere or worker.state is WorkerState.PROBATION:
-        _strike(state, worker, now_ms)
+        _attribute_failure(state, worker, now_ms)
 
 
 def record_success(state: CoreState, attempt: Attempt, now_ms: int) -> None:
@@ -56,7 +56,7 @@
     had_succeeded_elsewhere = bool(estimate.succeeded_on - job.failed_on)
     estimate.record_success_on(attempt.worker_id)
     if not had_succeeded_elsewhere:
-        _strike_workers(state, job.failed_on - {attempt.worker_id}, now_ms)
+        _attribute_failures(state, job.failed_on - {attempt.worker_id}, now_ms)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
         return
@@ -65,16 +65,18 @@
         _record_probe_success(state, worker, now_ms)
 
 
-def _strike_workers(
+def _attribute_failures(
     state: CoreState, worker_ids: set[WorkerId], now_ms: int
 ) -> None:
     for worker_id in sorted(worker_ids):
         worker = state.workers.get(worker_id)
         if worker is not None:
-            _strike(state, worker, now_ms)
+            _attribute_failure(state, worker, now_ms)
 
 
-def _strike(state: CoreState, worker: WorkerView, now_ms: int) -> None:
+def _attribute_failure(
+    state: CoreState, worker: WorkerView, now_ms: int
+) -> None:
     """Attribute a failure; `probation_failures_count` start a probation."""
     worker.attributed_failures_count += 1
     if worker.state is WorkerState.PROBATION:
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -91,7 +91,8 @@
 ) -> bool:
     """Tell whether all jobs are within the guarantee or weighted share.
 
-    Attempts that are being stopped for other jobs are not counted.
+    Attempts that are being stopped for other jobs do not count towards the
+    weighted share.
     """
     if is_guaranteed(account, additional):
         return True
@@ -135,8 +136,8 @@
 
 
 def _divide(amounts: Resources, partitions_count: int) -> Resources:
-    # Rounded down, so that the shares of all partitions never exceed the
-    # quota of the contract.
+    # Rounded down, so that the parts of all partitions together never exceed
+    # the amount in the contract.
     return Resources(
         *(amount // partitions_count for amount in amounts.as_tuple())
     )
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -26,7 +26,7 @@
     `reported_workers`: workers that have reported since the takeover.
     `deferred`: positions that are not placed yet, as the task may run on a
     worker that has not reported, or as an orphan.
-    `intents`: unresolved non-idempotent starts of older owners, each with the
+    `intents`: unresolved at-most-once starts of older owners, each with the
     incarnation of its worker.
     `cancelled_jobs`: cancelled jobs whose tasks workers may still report.
     `orphans`: kept until they are known to have ended, since the job that
--- a/fuchsiarill/core/requeue.py
+++ b/fuchsiarill/core/requeue.py
@@ -1,4 +1,4 @@
-"""Requeues tasks: single ones, or a gang as a whole."""
+"""Requeues single tasks, or a gang as a whole."""
 
 from functools import partial
 from typing import Final
@@ -66,7 +66,7 @@
 
 
 def stop_all(state: CoreState, job: JobRecord, now_ms: int) -> None:
-    """Stop every attempt of a job that has ended."""
+    """Stop every attempt of a job that has ended or is being cancelled."""
     for attempt in tuple(job.attempts.values()):
         request_stop(state, attempt, StopReason.JOB_ENDED, now_ms)
     advance_if_all_stopped(state, job, now_ms)
@@ -77,7 +77,7 @@
     job: JobRecord,
     now_ms: int,
 ) -> None:
-    """Requeue a restarting gang, or step the job, if no attempt is left."""
+    """Requeue a restarting gang, or apply `ALL_STOPPED`, if all have ended."""
     if job.attempts:
         return
     if job.job_id in state.gang_restarts:
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -16,17 +16,18 @@
 from fuchsiarill.job import Attempt, Execution, JobRecord, Workload
 from fuchsiarill.states import JobEvent, WorkerState
 
-# An idempotent batch or gang job fails after failures on this many ready
-# workers or, if fewer are ready, on all of them and this often.
+# An idempotent batch or gang job fails after this many failures, if it has
+# failed on as many ready workers or, when fewer are ready, on all of them.
 HEALTHY_WORKERS_MAX_COUNT: Final = 3
 BACKOFF_FIRST_MS: Final = 500
 BACKOFF_MAX_MS: Final = 60_000
 # Retries that a customer has before its first success.
 _RETRIES_BEFORE_SUCCESS_COUNT: Final = 10.0
 _RETRY_CREDIT_MAX: Final = 100.0
-# The backoff of a replica that fails after this run time starts again.
+# The backoff of a replica that fails after this run time starts again from the
+# first delay.
 _STABLE_RUN_TIME_MS: Final = 600_000
-# A delay is at least this ratio of its limit.
+# Lower bound of a delay with jitter, relative to the delay without.
 _JITTER_MIN_RATIO: Final = 0.5
 
 
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -15,10 +15,11 @@
 # From this many samples on, the learned size replaces the declared one.
 SAMPLES_MIN_COUNT: Final = 3
 RUN_TIME_MARGIN_RATIO: Final = 1.25
-# Callers choose the names of classes, so their number is limited; the oldest
-# estimates are evicted.
+# Clients choose the names of job classes, so the number of estimates is
+# limited; the oldest are evicted.
 _ESTIMATES_MAX_COUNT: Final = 10_000
-# Margins tried for a gang until one fits.
+# Factors on the declared size: the first one applies, except that for a gang
+# they are tried in order until the gang fits.
 _DECLARED_SIZE_MARGINS: Final = (DECLARED_ERROR_RATIO, 2, 1)
 
 
@@ -65,7 +66,7 @@
 
 
 def run_time_of(state: CoreState, spec: JobSpec) -> int | None:
-    """Return the expected run time in milliseconds; `None` if unlimited."""
+    """Return the expected run time in ms; `None` if unlimited or unknown."""
     if spec.workload is Workload.SERVICE:
         return None
     estimate = state.estimates.get((spec.customer, spec.job_class))
@@ -90,7 +91,7 @@
 
 
 def total_copies_count(state: CoreState, size: Resources) -> int:
-    """Return how many tasks of a size fit all listed workers when empty."""
+    """Return how many tasks of a size fit on all listed workers when empty."""
     return sum(
         count * copies_in(capacity, size)
         for capacity, count in state.capacities.items()
@@ -182,5 +183,5 @@
 
 def _effective_limit(limit: Resources, declared_size: Resources) -> Resources:
     # A declared size above the limit is not reduced, so that the job waits and
-    # its reason can be explained.
+    # the reason can be explained.
     return limit if declared_size.fits_in(limit) else declared_size
--- a/fuchsiarill/core/starting.py
+++ b/fuchsiarill/core/starting.py
@@ -1,6 +1,6 @@
 """Starts of attempts: reserve, commit the intent, send the start.
 
-The intent is the record that a non-idempotent task may have been started.
+The intent is the record that an at-most-once task may have been started.
 """
 
 from functools import partial
@@ -27,7 +27,7 @@
 ) -> None:
     """Place the next waiting task of a job on a worker and start it.
 
-    A non-idempotent task is sent only once its intent is durable.
+    An at-most-once task is sent only once its intent is durable.
     """
     position = job.waiting.pop(0)
     state.attempts_count += 1
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -42,16 +42,20 @@
 class CoreState:
     """State of one partition, as known to its owner.
 
+    `capacities` counts the listed workers by capacity.
     `group_keys` maps each waiting job to its group within the account.
     `ready_order` ranks the customers with ready groups. `unplaceable` holds the
     groups that wait for capacity, by urgency; `unplaceable_sizes` counts their
     sizes and `unplaceable_order` ranks their customers. The ranks of
     `unranked` customers are out of date.
     `released` holds workers whose free capacity has not been offered yet to
-    all unplaceable groups, `offered` the groups that the first of them was
-    offered to. `failed_search_sizes` holds sizes for which no worker has
-    capacity, apart from those in `released`.
+    all unplaceable groups, `offered` the groups to which the first of these
+    workers was offered. `failed_search_sizes` holds sizes for which no worker
+    has capacity, apart from those in `released`.
     `sizes_version` counts changes that all reserved sizes depend on.
+    `gang_restarts` maps each gang that is being stopped for a restart to the
+    time of the restart. `ended` holds the jobs that have ended, with the time,
+    `after_commit` the callbacks by the sequence number of their record.
     `ageing_per_ms` converts waiting time to a share, for ranks. `unrenewed`
     holds attempts on workers without contact, whose leases are not renewed.
     `reclaim_pending_until_ms` gives for a job the time until which requested
--- a/fuchsiarill/core/wait_queue.py
+++ b/fuchsiarill/core/wait_queue.py
@@ -29,7 +29,7 @@
 
 _RETRY_INTERVAL_MS: Final = 100
 # Maximum number of unplaceable groups that are tried again after every
-# interval, by whether they are urgent.
+# interval; the key tells whether the groups are urgent.
 _RETRIED_GROUPS_MAX_COUNTS: Final = MappingProxyType({True: 32, False: 4})
 
 
@@ -140,7 +140,7 @@
 
 
 def unblock_account(state: CoreState, account: Account) -> None:
-    """Make the groups of a customer ready that its quota had blocked."""
+    """Make the groups of a customer ready again that its quota blocked."""
     for group in tuple(account.over_quota):
         unblock(state, account, group)
 
@@ -224,7 +224,7 @@
         return None
     best_candidate: tuple[Rank, Group] | None = None
     for account_rank, customer in state.unplaceable_order:
-        # Later accounts have no group with a lower rank than this.
+        # Later accounts have no group with a rank below `account_rank`.
         if best_candidate is not None and best_candidate[0] <= account_rank:
             break
         candidate = _first_fitting_group(
--- a/fuchsiarill/core/worker_holds.py
+++ b/fuchsiarill/core/worker_holds.py
@@ -86,7 +86,10 @@
 
 
 def capacity_held_up_to(worker: WorkerView, job_id: JobId | None) -> Resources:
-    """Return what is held for jobs up to `job_id`; `None`: for all jobs."""
+    """Return the capacity held for jobs up to and including `job_id`.
+
+    With `None`, return the capacity held for all jobs.
+    """
     total = NO_RESOURCES
     for holding_job_id, held_capacity in worker.holds.items():
         total += held_capacity
--- a/fuchsiarill/core/worker_index.py
+++ b/fuchsiarill/core/worker_index.py
@@ -82,7 +82,11 @@
         domain: FailureDomain | None = None,
         fullest_first: bool = True,
     ) -> Iterator[WorkerView]:
-        """Yield workers that `size` fits, by how full their buckets are."""
+        """Yield workers that `size` fits, bucket by bucket.
+
+        Workers with fewer free accelerators come first, and among equals the
+        fuller ones; the reverse if not `fullest_first`.
+        """
         pool = self._pools[accelerated]
         if domain is not None:
             pool = self._domains.get((domain, accelerated), {})
@@ -114,7 +118,7 @@
         and key[3] >= slots
     ]
     fitting_keys.sort(reverse=not fullest_first)
-    for _accelerators, _fullness, key in fitting_keys:
+    for _accelerators, _free_magnitude, key in fitting_keys:
         # Copied, as the caller may move the yielded workers to other buckets.
         for worker in tuple(
             islice(pool[key].values(), _EXAMINED_PER_BUCKET_MAX_COUNT)
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -26,8 +26,9 @@
     bucket of the worker in the index, `None` while it gets no tasks.
     `attributed_failures_count` counts the failures since the last success that
     are attributed to the worker, `probes_count` the consecutive successes on
-    probation. Classes in
-    `avoided_by` use other workers.
+    probation and `probe_failures_count` the failures that began or prolonged
+    the probation. On probation, no task is placed before `probe_after_ms`.
+    Classes in `avoided_by` use other workers.
     """
 
     entry: HostEntry
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -21,7 +21,7 @@
     f'w{number}': {'domain': f'd{number % 3}', 'rack': f'k{number}'}
     for number in range(4)
 }
-_GANG_WAITS_MAX_COUNT = 40
+_DRAIN_ROUNDS_COUNT = 40
 
 
 class CoreMachine(RuleBasedStateMachine):
@@ -65,7 +65,9 @@
     @rule(pick=st.randoms(use_true_random=False), ends=st.booleans())
     def end_job(self, pick: Any, ends: bool) -> None:
         """End all running tasks of a job."""
-        running = sorted({row.payload for row in self.cell.running.values()})
+        running = sorted(
+            {start.payload for start in self.cell.running.values()}
+        )
         if running:
             outcome = 'succeeded' if ends else 'failed'
             self.perform('end', {pick.choice(running): outcome})
@@ -99,14 +101,14 @@
 
     @rule()
     def drain_queue(self) -> None:
-        """End all tasks repeatedly; guards against jobs that never start."""
+        """End all tasks repeatedly; guards against jobs that never end."""
         if self.cell.silent:
             self.return_workers()
-        for _turn in range(_GANG_WAITS_MAX_COUNT):  # noqa: WPS122
+        for _round in range(_DRAIN_ROUNDS_COUNT):  # noqa: WPS122
             batch = {
-                row.payload: 'succeeded'
-                for row in self.cell.running.values()
-                if self.spec_of(row.payload).workload is not Workload.SERVICE
+                start.payload: 'succeeded'
+                for start in self.cell.running.values()
+                if self.spec_of(start.payload).workload is not Workload.SERVICE
             }
             services = [
                 name
@@ -131,8 +133,8 @@
                 assert not job.attempts
         held_ids = [
             worker_id
-            for row in self.cell.core.state.reservations.values()
-            for worker_id in row.tasks_count_by_worker
+            for reservation in self.cell.core.state.reservations.values()
+            for worker_id in reservation.tasks_count_by_worker
         ]
         assert len(held_ids) == len(set(held_ids))
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -40,7 +40,7 @@
 class _Owner:
     """A restored core whose commits succeed at once."""
 
-    def __init__(self, log: list[str], *, volatile: bool = False) -> None:
+    def __init__(self, journal: list[str], *, volatile: bool = False) -> None:
         self.core = PartitionCore(
             PartitionId('r.0'),
             _EPOCH,
@@ -48,7 +48,7 @@
         )
         old_process = ProcessId('old')
         epoch_record = records.EpochOpened(Epoch(2), old_process, _LEASE_MS)
-        self.core.restore((epoch_record, *_parse_records(log)), 0)
+        self.core.restore((epoch_record, *_parse_records(journal)), 0)
         self.starts: list[str] = []
         self.stops: list[str] = []
         self.run_decisions(0)
@@ -92,8 +92,8 @@
                 self.stops.append(effect.attempt_id)
 
 
-def _parse_records(log: list[str]) -> Iterator[records.Record]:
-    for line in log:
+def _parse_records(journal: list[str]) -> Iterator[records.Record]:
+    for line in journal:
         kind, name, *arguments = line.split()
         job_id = JobId(name.partition('/')[0])
         match kind:
@@ -152,20 +152,24 @@
     for name, state in case['state'].items():
         job_state = owner.state_of(name)
         if job_state is JobState.QUEUED and owner.starts:
-            # Sent, and not yet confirmed by its worker.
+            # The start was sent, but its worker has not confirmed it yet.
             job_state = JobState.RUNNING
         assert job_state is JobState(state)
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_compaction_keeps_the_image(case: dict[str, Any]) -> None:
-    """Guards against a snapshot that differs from its log."""
+    """Guards against a snapshot that differs from its journal."""
     image = fold(_parse_records(case['log']))
     assert fold(image.compacted()) == image
 
 
 def test_adopted_attempt_is_reserved() -> None:
-    """Guards against a new owner that overcommits a worker."""
+    """Guards against a new owner that overcommits a worker.
+
+    The resources of an attempt that the journal names must be reserved before
+    its worker reports, and not a second time with the report.
+    """
     owner = _Owner(['accepted b at_most_once', 'intent b/0@1.1 w2'])
     owner.core.hosts_listed((host('w1'), host('w2')), 0)
     assert owner.reserved_on('w2') == SIZE
@@ -201,7 +205,7 @@
 
 
 def test_orphan_delays_its_resubmitted_job() -> None:
-    """Guards against a start while an orphan is still being stopped."""
+    """Guards against a second run of a task while its orphan still runs."""
     owner = _Owner([], volatile=True)
     owner.core.hosts_listed((host('w1'),), 0)
     urgent = spec('urgent', urgency=Urgency.URGENT)
