Describe the keys of the core cases; correct comments of the core

Cause: the harness didn't say what a case may set and what `runs` expects; a few comments of the core were still vague.

--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -311,10 +311,10 @@
 
 
 def _unblock_gangs(state: CoreState, now_ms: int) -> None:
-    """Unblock gangs whose held workers have capacity or are not all ready.
+    """Unblock gangs whose held workers all have capacity, or are not all ready.
 
-    Also unblocks single tasks with a reservation. All gangs are unblocked at
-    intervals, as other workers may have capacity.
+    Single tasks with a reservation are handled in the same way. All gangs are
+    unblocked at intervals, as other workers may have capacity.
     """
     is_retry_due = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
     if is_retry_due:
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -21,7 +21,7 @@
 
 # After this time without a start, a customer that holds the whole cell ranks
 # equal to one that holds nothing and has just had a start, if `waiting_weight`
-# and the weights of both customers are 1.
+# and the weight of the former are 1.
 _AGEING_MS: Final = 300_000
 # Keeps ageing above zero, whatever weight is configured.
 _AGEING_WEIGHT_MIN: Final = 0.1
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -35,7 +35,7 @@
     now_ms: int,
     requested_at_ms: int,
 ) -> None:
-    """Renew leases and step attempts by the report of a worker."""
+    """Renew leases, and apply the reported outcomes and usage to attempts."""
     worker.reported_at_ms = now_ms
     step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
     adopt_tasks(state, worker, report, now_ms)
--- a/fuchsiarill/core/reservation.py
+++ b/fuchsiarill/core/reservation.py
@@ -10,7 +10,8 @@
 class Reservation:
     """Where and when a waiting job is expected to start.
 
-    `tasks_count_by_worker` tells how many tasks each held worker will run.
+    `tasks_count_by_worker` tells how many tasks each held worker will run, and
+    `size` the size to reserve for each of them.
     Other tasks use a held worker only if they end before `starts_at_ms` or
     leave enough free capacity.
     """
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -1,5 +1,10 @@
 """Passes the steps of a data-driven case to a `PartitionCore`.
 
+A case sets `contracts`, `policies` and `workers`, all with defaults, and lists
+its `steps`; the functions registered in `STEPS` perform them. Some steps check
+the state, for instance `runs`, which expects for each job the number of its
+running tasks or the list of their workers.
+
 Records are committed at once. After every step, the workers that are not
 silent report all tasks that they run and comply with stops.
 """
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -40,7 +40,7 @@
 class _Owner:
     """A restored core whose commits succeed at once."""
 
-    def __init__(self, journal: list[str], *, volatile: bool = False) -> None:
+    def __init__(self, log: list[str], *, volatile: bool = False) -> None:
         self.core = PartitionCore(
             PartitionId('r.0'),
             _EPOCH,
@@ -48,7 +48,7 @@
         )
         old_process = ProcessId('old')
         epoch_record = records.EpochOpened(Epoch(2), old_process, _LEASE_MS)
-        self.core.restore((epoch_record, *_parse_records(journal)), 0)
+        self.core.restore((epoch_record, *_parse_records(log)), 0)
         self.starts: list[str] = []
         self.stops: list[str] = []
         self.run_decisions(0)
@@ -92,8 +92,8 @@
                 self.stops.append(effect.attempt_id)
 
 
-def _parse_records(journal: list[str]) -> Iterator[records.Record]:
-    for line in journal:
+def _parse_records(log: list[str]) -> Iterator[records.Record]:
+    for line in log:
         kind, name, *arguments = line.split()
         job_id = JobId(name.partition('/')[0])
         match kind:
