--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -152,20 +152,24 @@
     for name, state in case['state'].items():
         job_state = owner.state_of(name)
         if job_state is JobState.QUEUED and owner.starts:
-            # Sent, and not yet confirmed by its worker.
+            # The start was sent, but its worker has not confirmed it yet.
             job_state = JobState.RUNNING
         assert job_state is JobState(state)
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_compaction_keeps_the_image(case: dict[str, Any]) -> None:
-    """Guards against a snapshot that differs from its log."""
+    """Guards against a snapshot that differs from its journal."""
     image = fold(_parse_records(case['log']))
     assert fold(image.compacted()) == image
 
 
 def test_adopted_attempt_is_reserved() -> None:
-    """Guards against a new owner that overcommits a worker."""
+    """Guards against a new owner that overcommits a worker.
+
+    The resources of an attempt that the journal names must be reserved before
+    its worker reports, and not a second time with the report.
+    """
     owner = _Owner(['accepted b at_most_once', 'intent b/0@1.1 w2'])
     owner.core.hosts_listed((host('w1'), host('w2')), 0)
     assert owner.reserved_on('w2') == SIZE
@@ -201,7 +205,7 @@
 
 
 def test_orphan_delays_its_resubmitted_job() -> None:
-    """Guards against a start while an orphan is still being stopped."""
+    """Guards against a second run of a task while its orphan still runs."""
     owner = _Owner([], volatile=True)
     owner.core.hosts_listed((host('w1'),), 0)
     urgent = spec('urgent', urgency=Urgency.URGENT)
