Correct comments and reword texts of the core modules

Cause: some doc comments claimed what the code does not do: the paused loop ("all code" took time from it, though the incarnation is wall-clock time), borrowed capacity ("guaranteed to nobody else", though free guaranteed capacity is lent and reclaimed), `collect_ms` ("bounds"), the jitter (only retries), `Refusal` ("every fallible operation"), and the policies. Some texts read badly ("can not", "met a fault of the program", "operators name a customer", "there are first_fit, pack") or left the reason of a refusal to guess at (service run time, at_most_once).

Change: those comments and texts; `_Retries` in settings is now `_IntervalRounds` with the reason for its minimum of 2; events 102, 303, 732, 744, 746 and 748 are reworded with the same fields. test_right_documents_are_read is now test_valid_documents_are_read.

--- a/fuchsiarill/cell_checks.py
+++ b/fuchsiarill/cell_checks.py
@@ -1,7 +1,7 @@
 """Checks of a cell configuration that span several of its fields.
 
-They run on the parts whose own fields are valid, so that one answer reports
-problems of single fields together with those that span several.
+They run on the regions, contracts and policies whose own fields are valid, so
+that one answer reports problems of single fields and those of several fields.
 """
 
 from collections.abc import Callable, Hashable, Iterator
@@ -22,14 +22,18 @@
     'accelerators_count',
     'slots_count',
 )
-# A lease must last through two lost exchanges: requests to a worker, each of
-# which renews the leases of its tasks.
+# Each exchange, a request to a worker, renews the leases of the tasks there. A
+# lease of three intervals lasts through two lost exchanges.
 _EXCHANGES_PER_LEASE_MIN_COUNT: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
 class ValidParts:
-    """The valid parts of a document; items of lists by their position."""
+    """The valid parts of a document; lists are mappings by position.
+
+    `operator_token_sha256` is the content of the field if it is a string, and
+    may not be a digest.
+    """
 
     document: YamlDocument
     regions: 'dict[int, Region]'
@@ -69,7 +73,7 @@
 
 @CHECKS.register('tokens')
 def _check_tokens(parts: ValidParts) -> Iterator[Problem]:
-    """Report shared tokens: a request would not identify its sender."""
+    """Report shared tokens, which would not identify the sender."""
     holders = {parts.operator_token_sha256: 'the operators'}
     for position, contract in sorted(parts.contracts.items()):
         holder = holders.setdefault(contract.token_sha256, contract.customer)
@@ -194,8 +198,8 @@
     return sum(getattr(amount, field) for amount in amounts)
 
 
-# Imported at the time of a check to avoid a cycle: the modules of the policies
-# import the configuration.
+# Imported when the check runs, to avoid an import cycle: the modules of the
+# policies import the configuration.
 _POLICY_REGISTRIES: Final = {
     'placement': ('fuchsiarill.core.placement', 'PLACEMENTS'),
     'ordering': ('fuchsiarill.core.ordering', 'ORDERINGS'),
--- a/fuchsiarill/cell_config.py
+++ b/fuchsiarill/cell_config.py
@@ -1,7 +1,7 @@
 """Configuration of the cell: contracts, policies and limits.
 
-Operators change only this document. `parse_config` reports every problem at
-once, each with its line and field.
+Operators change the cell only through this document. `parse_config` reports
+every problem at once, each with its line and field.
 """
 
 import hashlib
@@ -76,9 +76,9 @@
     """Entitlements and limits of one customer.
 
     `guaranteed` stays available to the customer when the cell is full. Between
-    `guaranteed` and `quota` the customer borrows capacity that is guaranteed to
-    nobody else, in proportion to `weight`. `token_sha256` is the hex digest of
-    the bearer token of the customer.
+    `guaranteed` and `quota` the customer borrows free capacity, in proportion
+    to `weight`; a customer within its own guarantee may reclaim that capacity.
+    `token_sha256` is the hex digest of the bearer token of the customer.
     """
 
     customer: _Customer
@@ -96,7 +96,10 @@
 
 
 class Policies(_Model):
-    """Names of registered policies, and their parameters."""
+    """The ordering policy by its registered name, and scheduling parameters.
+
+    `waiting_weight` is the weight of waiting time in the order of customers.
+    """
 
     ordering: str = 'fair'
     waiting_weight: _Fraction = 0.5
@@ -150,7 +153,7 @@
     old_config: CellConfig,
     new_config: CellConfig,
 ) -> tuple[Refusal, ...]:
-    """Return the partition changes that would leave jobs without partition.
+    """Return the partition changes that would leave jobs without a partition.
 
     `text` is the document of `new_config` and gives the line of each field.
     """
--- a/fuchsiarill/clock.py
+++ b/fuchsiarill/clock.py
@@ -1,7 +1,8 @@
 """The clock of the runtime, and an event loop with virtual time.
 
-All code takes time from the running loop, never from `time`, so that a test or
-a simulation under `PausedLoop` covers hours in milliseconds.
+Delays and deadlines are measured in the time of the running loop, never with
+the module `time`, so that a test or a simulation under `PausedLoop` covers
+hours in milliseconds.
 """
 
 import asyncio
--- a/fuchsiarill/cluster/config_change.py
+++ b/fuchsiarill/cluster/config_change.py
@@ -143,7 +143,8 @@
         )
         if swap_result.outcome is SwapOutcome.SWAPPED:
             return ChangeAnswer(codes.DONE, successor)
-        # The conflict may be with the write of an earlier attempt.
+        # The next attempt reads the key again: after a conflict or a lost
+        # answer, it may hold the write of this or an earlier attempt.
         return None
 
     def _own_document(self, later: ConfigDocument) -> ConfigDocument:
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -25,14 +25,15 @@
 from fuchsiarill.ports.store import StoreFailure, StorePort, Versioned
 from fuchsiarill.settings import ConfigSettings
 
-# Spreads the retries of many processes whose calls fail at the same time.
+# Spreads the polls of many processes, and their retries when all calls fail at
+# the same time.
 _JITTER_RATIO: Final = 0.25
 _RETRY_GROWTH_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
 class SetWatching:
-    """Start or stop the watch on behalf of the failure domain."""
+    """Requests to start or stop the watch for the failure domain."""
 
     watching: bool
 
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -164,7 +164,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Exchange tables with a few peers."""
+        """Record a beat, publish the view and exchange tables with peers."""
         self._record_beat()
         self._publish()
         self._rounds_count += 1
@@ -249,7 +249,11 @@
 
     @handles(LeaveCluster)
     async def on_leave(self, message: LeaveCluster) -> None:
-        """Leave; a failure leaves only an entry that gossip ignores."""
+        """Publish the stop of this process and leave the directory.
+
+        If the store fails, the entry stays in the directory, which is harmless:
+        an entry alone does not make a process a member.
+        """
         own_detail = replace(
             self.table.own_member.detail, state=ProcessState.STOPPED
         )
@@ -314,7 +318,11 @@
         self._addresses = dict(latest)
 
     def _is_directory_due(self) -> bool:
-        """Return whether to call the store: before joining or without peers."""
+        """Return whether to call the store in this round.
+
+        Before joining or without peers, it is called every
+        `directory_retry_rounds` rounds.
+        """
         if self._has_joined and len(self.table.members()) > 1:
             return False
         return self._rounds_count % self._settings.directory_retry_rounds == 1
--- a/fuchsiarill/cluster/peer.capnp
+++ b/fuchsiarill/cluster/peer.capnp
@@ -1,5 +1,6 @@
 @0xd5b6cf0a3a1e7f21;
-# Messages between processes of the system. Enum values are encoded by name.
+# Messages between processes of the system. Members of Python enums are encoded
+# as text, by their values.
 
 struct Resources {
   processorsMilli @0 :Int64;
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -176,7 +176,7 @@
         reply: Reply[_Answer],
         wait_ms: int = 0,
     ) -> _Answer:
-        """Return the owner's answer, or a refusal of the same type."""
+        """Return the owner's answer, or a refusal as the same answer type."""
         partition_id = PartitionId(partition)
         if self._calls_count >= self._settings.calls_in_progress_max:
             answer_all(message, _overloaded_answer())
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -72,7 +72,7 @@
 PROCESS_DRAINING: Final = LogEvent(
     102,
     Level.INFO,
-    'process {process} drains',
+    'process {process} is draining',
     _NO_ACTION,
 )
 PROCESS_STOPPED: Final = LogEvent(
@@ -133,7 +133,7 @@
 JOURNAL_REFUSED: Final = LogEvent(
     303,
     Level.ERROR,
-    'the journal of partition {partition} can not be read: {fault}',
+    'the journal of partition {partition} cannot be read: {fault}',
     'Run a version that supports the format, or restore the keys of the '
     'partition; they are not changed meanwhile.',
 )
@@ -266,7 +266,7 @@
 POOL_LOADED: Final = LogEvent(
     732,
     Level.INFO,
-    'pool {pool} is loaded in epoch {epoch}: {jobs} keys of jobs, '
+    'pool {pool} is loaded in epoch {epoch}: {jobs} job keys, '
     '{workers} workers to query, term {term}',
     _NO_ACTION,
 )
@@ -329,7 +329,7 @@
 DOCUMENT_UNREADABLE: Final = LogEvent(
     744,
     Level.WARNING,
-    '{key} at revision {revision} can not be used: {problem}',
+    '{key} at revision {revision} cannot be used: {problem}',
     'Correct the document; until then it is ignored.',
 )
 SETTINGS_RELOADED: Final = LogEvent(
@@ -341,7 +341,7 @@
 LOG_LINES_DROPPED: Final = LogEvent(
     746,
     Level.WARNING,
-    '{count} log lines were dropped, the output does not keep up',
+    '{count} log lines were dropped because the output does not keep up',
     'Read the output faster or raise the log level.',
 )
 STORE_RELAYED: Final = LogEvent(
@@ -360,7 +360,7 @@
 ANSWER_UNREADABLE: Final = LogEvent(
     748,
     Level.ERROR,
-    'an answer of {source} can not be read: {problem}',
+    'an answer of {source} cannot be read: {problem}',
     'Check its version; the outcome of the call counts as unknown.',
 )
 STEP_ADVISED: Final = LogEvent(
--- a/fuchsiarill/ids.py
+++ b/fuchsiarill/ids.py
@@ -24,7 +24,9 @@
 Generation = NewType('Generation', int)
 Revision = NewType('Revision', int)
 
+# Below the epoch of every owner.
 NO_EPOCH: Final = Epoch(0)
+# The revision of a key that is not in the store.
 ABSENT: Final = Revision(0)
 
 
--- a/fuchsiarill/process_messages.py
+++ b/fuchsiarill/process_messages.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GetHosts:
-    """Requests the host list as rows; `None` means that it can't be read."""
+    """Requests the host list as rows; the reply is `None` on a failed read."""
 
     reply: Reply[list[dict[str, Any]] | None]
 
--- a/fuchsiarill/refusal.py
+++ b/fuchsiarill/refusal.py
@@ -1,4 +1,4 @@
-"""The typed refusal that every fallible operation returns."""
+"""Refusals of requests, each with a result code and a text."""
 
 from dataclasses import dataclass
 
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -1,7 +1,7 @@
 """Maps jobs to partitions, and forwards messages to partition owners.
 
-An owner in another process is reached through a link, the actor that sends it
-the calls. A message is parked, that is kept in the router, while the owner of
+An owner in another process is reached through a link, the actor that makes the
+calls to it. A message is parked, that is kept in the router, while the owner of
 its partition is looked up.
 """
 
@@ -249,7 +249,10 @@
         return True
 
     def _start_lookup(self, partition: PartitionId) -> bool:
-        """Start a lookup of an owner; `False` without `look_up_owner`."""
+        """Look the owner up unless a lookup is in progress already.
+
+        Returns `False` without `look_up_owner`.
+        """
         if self._look_up_owner is None:
             return False
         if partition not in self._lookups:
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -20,7 +20,9 @@
 _Count = Annotated[int, Field(ge=0)]
 _PORT_MAX: Final = 65_535
 _Port = Annotated[int, Field(ge=0, le=_PORT_MAX)]
-_Retries = Annotated[int, Field(ge=2)]
+# `Membership` acts when the round number modulo the interval is 1, which never
+# happens with an interval of one round.
+_IntervalRounds = Annotated[int, Field(ge=2)]
 
 
 class _Model(BaseModel):
@@ -77,7 +79,7 @@
     suspect_after_ms: _PositiveInt = 5_000
     remove_after_ms: _PositiveInt = 15_000
     forget_after_ms: _PositiveInt = 120_000
-    directory_retry_rounds: _Retries = 3
+    directory_retry_rounds: _IntervalRounds = 3
     seeds: tuple[str, ...] = ()
 
 
@@ -85,8 +87,8 @@
     """How the cell configuration reaches this process.
 
     Polling is the fallback for the watch, offers and gossip.
-    `collect_ms` bounds how long a starting process compares the store and
-    its peers before it uses the highest generation found.
+    For `collect_ms` a starting process collects documents from the store and
+    its peers; then it puts the highest generation found in force.
     """
 
     watch_wait_ms: _PositiveInt = 20_000
@@ -116,7 +118,10 @@
 
 
 class WorkerSettings(_Model):
-    """Time limits of calls to workers."""
+    """Time limits of calls to workers.
+
+    A worker is silent when its calls have failed for `silent_after_ms`.
+    """
 
     call_timeout_ms: _PositiveInt = 2_000
     silent_after_ms: _PositiveInt = 5_000
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -16,10 +16,10 @@
 )
 GANG_NEVER_FITS: Final = (
     'a gang of {wanted} tasks does not fit: all workers of partition '
-    '{partition} together carry {largest}'
+    '{partition} together have room for {largest}'
 )
 QUOTA_NEVER_FITS: Final = (
-    'the job needs {field}={wanted} at once; the contract holds {largest}'
+    'the job needs {field}={wanted} at once; its quota is {largest}'
 )
 RATE_EXCEEDED: Final = (
     'customer {customer!r} may submit {rate} jobs a second, burst {burst}'
@@ -78,7 +78,7 @@
     'the guarantees of all contracts sum up to {total}; '
     'the region has {capacity}'
 )
-UNKNOWN_POLICY: Final = 'no policy {name!r}; there are {known}'
+UNKNOWN_POLICY: Final = 'unknown policy {name!r}; known policies: {known}'
 LEASE_TOO_SHORT: Final = (
     'a lease of {lease_ms} ms is less than three exchanges of {exchange_ms} ms'
 )
@@ -100,18 +100,22 @@
 STORE_SILENT: Final = 'the store does not answer; nothing was changed'
 NO_RESULT: Final = 'a result is neither success nor failure'
 ALIAS: Final = 'aliases are not allowed'
-CUSTOMER_NEEDED: Final = 'operators name a customer'
+CUSTOMER_NEEDED: Final = 'a request of an operator must name a customer'
 NOT_A_COUNT: Final = 'a number of at most nine digits is needed'
 UNKNOWN_PARAMETER: Final = 'the route has no such parameter'
 REPEATED_PARAMETER: Final = 'a parameter occurs twice'
-UNKNOWN_STATE: Final = 'there is no such state of a job'
+UNKNOWN_STATE: Final = 'there is no such job state'
 NO_ANSWER: Final = 'the process did not answer in time'
-INTERNAL_FAULT: Final = 'the request met a fault of the program'
+INTERNAL_FAULT: Final = 'the request failed because of an internal error'
 HOST_LIST_SILENT: Final = 'the host list does not answer'
 UNKNOWN_PROCESS: Final = 'process {process!r} is not in the view'
 PROCESS_UNREACHABLE: Final = 'process {process!r} does not answer'
-SERVICE_RUN_TIME: Final = 'a service runs until it is cancelled'
-SERVICE_AT_MOST_ONCE: Final = 'a service is started again when it ends'
+SERVICE_RUN_TIME: Final = (
+    'a service has no run time: it runs until it is cancelled'
+)
+SERVICE_AT_MOST_ONCE: Final = (
+    'a service cannot be at_most_once: it is started again when it ends'
+)
 REPEATED_JOB_KEY: Final = 'the key occurs twice, first at {first}'
 JOB_USED_UP_ATTEMPTS: Final = (
     'The job failed: {failed} runs ended as failed, and a task has no attempt '
@@ -126,12 +130,14 @@
     'The request to {verb} the job was refused with {code} after {took_ms} '
     'ms: {reason}.'
 )
-JOB_UNSEEN: Final = 'No log names the job: no process has decided about it.'
+JOB_UNSEEN: Final = (
+    'No log line accepts or refuses the job: no process has decided about it.'
+)
 JOB_NOT_PLACED: Final = (
-    'The job is accepted and no run was placed: look for the owner of its '
-    'pool (events 731 to 738) and for the answers to its asks (719).'
+    'The job is accepted and no run was placed: look for log events of the '
+    'owner of its pool (731 to 738) and of the advice service (719).'
 )
 JOB_UNFINISHED: Final = (
     'The job is not settled: {placed} runs were placed and {ended} have ended.'
 )
-LINES_UNREADABLE: Final = '{} log lines that name the job can not be read.'
+LINES_UNREADABLE: Final = '{} log lines that name the job cannot be read.'
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -45,7 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """One row of the host list."""
+    """One row of the host list.
+
+    `connections_count` is the number of connections of the worker; each running
+    task occupies one of them.
+    """
 
     worker_id: WorkerId
     address: str
--- a/fuchsiarill/yaml_document.py
+++ b/fuchsiarill/yaml_document.py
@@ -43,7 +43,7 @@
 
 
 class YamlDocument:
-    """A document of valid syntax, with the line of each field."""
+    """A document with valid syntax, with the line of each field."""
 
     def __init__(self, root: yaml.Node | None, content: Any) -> None:
         """Create a document from its node tree and its plain content."""
@@ -56,7 +56,10 @@
         return Problem(self._line_of(path), field, text)
 
     def repeated_keys(self) -> Iterator[Problem]:
-        """Yield keys that occur twice; YAML silently keeps the last one."""
+        """Yield a problem for each repeated key.
+
+        The YAML loader would silently keep only the last value.
+        """
         pending_nodes: list[tuple[FieldPath, yaml.Node | None]] = [
             ((), self._root)
         ]
--- a/tests/test_cell_config.py
+++ b/tests/test_cell_config.py
@@ -69,7 +69,7 @@
     _check_problems(list(load_settings(path).failure()), expected)
 
 
-def test_right_documents_are_read(tmp_path: Path) -> None:
+def test_valid_documents_are_read(tmp_path: Path) -> None:
     """Guards against checks that refuse valid documents."""
     assert isinstance(parse_config(_CELL), Success)
     path = tmp_path / 'settings.yaml'
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -81,7 +81,11 @@
 
 
 class ConfigurationSpread(RuleBasedStateMachine):
-    """Concurrent changes, lost replies, restarts and failed links."""
+    """Concurrent changes, lost replies, restarts and failed links.
+
+    Guards against a process that reverts to a lower generation, and against a
+    generation that two operators were told they wrote.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -295,7 +299,10 @@
 
 
 def test_invalid_document_is_not_put_in_force() -> None:
-    """Guards against an older release that stops at a newer one's document."""
+    """Guards against a process that drops its document for an invalid one.
+
+    An older release may be unable to parse the document of a newer release.
+    """
 
     async def main() -> None:
         cell = FakeCell()
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -74,7 +74,7 @@
     assert main(['explain', JOB, str(log)]) is ExitStatus.SUCCESS
     printed = capsys.readouterr()
     assert '701' in printed.out
-    assert '1 log lines that name the job can not be read' in printed.err
+    assert '1 log lines that name the job cannot be read' in printed.err
     assert main(['explain', 'other', str(log)]) is not ExitStatus.SUCCESS
     missing = str(tmp_path / 'none')
     assert main(['explain', JOB, missing]) is ExitStatus.BAD_REQUEST
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -132,7 +132,7 @@
 
 
 def test_stale_route_is_replaced_once() -> None:
-    """Guards against a route to a dead owner that is kept, or many reads."""
+    """Guards against a stale route that is kept, or a store read per report."""
     store = _Store('new')
 
     async def scenario(router: Router, links: _Links) -> None:
