Explain limits, workloads and urgency where they are declared

Cause: a reader had to look up elsewhere what `waits_max_count`, `messages_waiting_max_count`, the workloads and urgency mean; the member table called a process id both `name` and `process`; "its quota" was the quota of the job's contract; "processors (milli)" in event 711 is no usual unit; the answer of a merge also holds the keys of missing details.

--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -107,7 +107,7 @@
         self._own_id = own_detail.process
         beat = Beat(own_detail.key, 0, NO_GENERATION, 0)
         self._members = {own_detail.process: Member(own_detail, beat, now_ms)}
-        self._ids = {own_detail.key: own_detail.process}
+        self._process_by_key = {own_detail.key: own_detail.process}
         # Removed members by key: older gossip must not add them again.
         self._removed: dict[int, Member] = {}
 
@@ -118,7 +118,9 @@
 
     def members(self) -> tuple[Member, ...]:
         """Return all members in the order of their ids."""
-        return tuple(self._members[name] for name in sorted(self._members))
+        return tuple(
+            self._members[process] for process in sorted(self._members)
+        )
 
     def update_own(self, detail: MemberDetail) -> None:
         """Publish a new version of the detail of this process."""
@@ -165,7 +167,11 @@
         return Gossip(tuple(member.beat for member in self.members()))
 
     def merge(self, received: Gossip, now_ms: int) -> Gossip:
-        """Merge newer beats and details; return those that the sender lacks."""
+        """Merge newer beats and details, and return the answer to the sender.
+
+        The answer holds the beats and details that the sender lacks, and the
+        keys of the details that this process lacks.
+        """
         beats = {beat.key: beat for beat in received.beats}
         for detail in received.details:
             self._merge_detail(detail, beats.get(detail.key), now_ms)
@@ -192,12 +198,12 @@
         )
 
     def _put(self, member: Member) -> None:
-        name = member.detail.process
-        known = self._members.get(name)
+        process = member.detail.process
+        known = self._members.get(process)
         if known is not None:
-            self._ids.pop(known.detail.key, None)
-        self._members[name] = member
-        self._ids[member.detail.key] = name
+            self._process_by_key.pop(known.detail.key, None)
+        self._members[process] = member
+        self._process_by_key[member.detail.key] = process
 
     def _check_silence(self, member: Member, now_ms: int) -> bool:
         """Return whether the member was removed for its silence."""
@@ -213,7 +219,7 @@
             return False
         if step.target is MemberState.REMOVED:
             self._members.pop(member.detail.process)
-            self._ids.pop(member.detail.key)
+            self._process_by_key.pop(member.detail.key)
             self._removed[member.detail.key] = member
             return True
         self._put(replace(member, state=step.target))
@@ -251,15 +257,15 @@
             )
 
     def _merge_beat(self, beat: Beat, now_ms: int) -> None:
-        name = self._ids.get(beat.key)
-        if name is None or name == self._own_id:
+        process = self._process_by_key.get(beat.key)
+        if process is None or process == self._own_id:
             return
-        member = self._members[name]
+        member = self._members[process]
         if beat.heartbeat <= member.beat.heartbeat:
             return
         step = MEMBER_CHART.step(member.state, MemberEvent.HEARD)
         state = member.state if step is None else step.target
-        self._members[name] = Member(member.detail, beat, now_ms, state)
+        self._members[process] = Member(member.detail, beat, now_ms, state)
 
     def _newer_beats(self, beats: dict[int, Beat]) -> Iterable[Beat]:
         for member in self.members():
@@ -279,7 +285,7 @@
                 yield member.detail
 
     def _lacks_detail(self, beat: Beat) -> bool:
-        return beat.key not in self._ids and not self._is_stale(beat)
+        return beat.key not in self._process_by_key and not self._is_stale(beat)
 
     def _is_stale(self, beat: Beat) -> bool:
         removed = self._removed.get(beat.key)
--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -1,7 +1,7 @@
 """The link to one other process: one connection, a deadline for each call.
 
 A connection on which a call misses its deadline is closed and never used
-again: a late answer would show that the connection is slow, not that it works.
+again: even a late answer would not show that later calls are answered in time.
 Calls run concurrently, and capnp matches answers to calls. A call that is safe
 to repeat is repeated once over a new connection.
 """
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -199,7 +199,7 @@
     711,
     Level.INFO,
     'attempt {attempt} of task {task} of job {job} goes to {worker} after '
-    '{waited_ms} ms, {free_milli} processors (milli) stay free, epoch '
+    '{waited_ms} ms, {free_milli}/1000 processors stay free, epoch '
     '{epoch}',
     _NO_ACTION,
 )
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -16,7 +16,11 @@
 
 
 class Workload(Enum):
-    """How the tasks of a job relate to each other."""
+    """How the tasks of a job relate to each other.
+
+    The tasks of a service run until the job is cancelled, those of a batch run
+    independently, and those of a gang run only together.
+    """
 
     SERVICE = 'service'
     BATCH = 'batch'
@@ -31,7 +35,11 @@
 
 
 class Urgency(Enum):
-    """How a job is ordered within the contract of its customer."""
+    """Whether a job comes before jobs that are not urgent.
+
+    With the `fair` ordering it does so while the urgent jobs of its customer
+    are within the guarantee or the weighted share of that customer.
+    """
 
     URGENT = 'urgent'
     NORMAL = 'normal'
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -41,7 +41,12 @@
 
 
 class HttpSettings(_Model):
-    """The HTTP listener and its limits."""
+    """The HTTP listener and its limits.
+
+    `waits_max_count` bounds the requests that wait for an event, such as the
+    end of a job. Requests that need a token are refused while more than
+    `messages_waiting_max_count` messages wait for the router.
+    """
 
     host: str = '127.0.0.1'
     port: _Port
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -19,7 +19,8 @@
     '{partition} together have room for {largest}'
 )
 QUOTA_NEVER_FITS: Final = (
-    'the job needs {field}={wanted} at once; its quota is {largest}'
+    'the job needs {field}={wanted} at once; '
+    'the quota of its contract is {largest}'
 )
 RATE_EXCEEDED: Final = (
     'customer {customer!r} may submit {rate} jobs a second, burst {burst}'
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -151,8 +151,8 @@
             generations = process.recorder.generations
             assert generations == sorted(set(generations))
             document = process.config.document
-            known = self.accepted.get(document.generation)
-            assert known is None or known == document.author
+            author = self.accepted.get(document.generation)
+            assert author is None or author == document.author
         assert _stored_document(self.cell).generation >= max(
             self.accepted, default=0
         )
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -29,7 +29,10 @@
 
 
 class _Recorder(Actor):
-    """Replaces all other actors; records the time of each message."""
+    """Replaces all other actors and the host list.
+
+    Records the time at which the first message of each kind arrives.
+    """
 
     def __init__(self, answering: bool = True) -> None:
         super().__init__('recorder')
