State the results and limits in doc comments of cluster messages

Cause: messages for results were described as if one outcome had happened ("The directory was joined or read, or the store did not answer"), requests as if they were the action ("Make a call"); the comment on polling did not say that the retry interval is never reset; two names stood for the same pair of process states; epoch, generation and revision were nowhere told apart.

Change: those doc comments; `_LEAVING_STATES` is now `_ENDING_STATES` as in process.py; three tests say more exactly what they guard against.

--- a/fuchsiarill/cluster/config_distribution.py
+++ b/fuchsiarill/cluster/config_distribution.py
@@ -293,20 +293,20 @@
     CONFIG_ACTIONS,
 )
 
-_LEAVING_STATES: Final = frozenset(
+_ENDING_STATES: Final = frozenset(
     (ProcessState.DRAINING, ProcessState.STOPPED),
 )
 
 
 def _elect_watcher(domain_members: list[Member]) -> Member | None:
-    """Return the live member with the lowest id that is not leaving.
+    """Return the live member with the lowest id that is not in an ending state.
 
     It watches the store on behalf of its failure domain.
     """
     for member in sorted(
         domain_members, key=lambda other: other.detail.process
     ):
-        is_leaving = member.detail.state in _LEAVING_STATES
-        if member.state is MemberState.LIVE and not is_leaving:
+        is_ending = member.detail.state in _ENDING_STATES
+        if member.state is MemberState.LIVE and not is_ending:
             return member
     return None
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentFetched:
-    """The store or a peer answered with a document; `None` for no answer."""
+    """A document of the store or a peer; `None` if the peer did not answer."""
 
     document: ConfigDocument | None
     from_peer: bool = False
@@ -83,7 +83,11 @@
         return {**super().snapshot(), 'watching': self._watch is not None}
 
     async def _poll_store(self) -> None:
-        """Poll the store; retry failed reads sooner, at growing intervals."""
+        """Poll the store; retry a failed read sooner than the next poll.
+
+        The retry interval doubles with each failure since the start of the
+        process, up to the poll interval; a success does not reset it.
+        """
         retry_ms = self._settings.retry_interval_ms
         while True:
             wait_ms = self._settings.poll_interval_ms
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GossipAnswered:
-    """Another process answered an exchange; `None` for no answer."""
+    """Result of an exchange; `received` is `None` without an answer."""
 
     address: str
     received: Gossip | None
@@ -58,7 +58,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryRead:
-    """The directory was joined or read, or the store did not answer."""
+    """Result of joining the directory, if necessary, and reading it.
+
+    `joined` is whether the store has confirmed the entry of this process.
+    """
 
     joined: bool
     addresses: dict[ProcessId, str]
@@ -73,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartitionsOwned:
-    """This process owns these partitions."""
+    """This process owns these partitions and no others."""
 
     partitions: tuple[PartitionId, ...]
 
--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerCall:
-    """Call a method of the schema; the reply holds the received struct.
+    """Requests a call of a schema method; the reply holds the received struct.
 
     `timeout_ms` bounds each of the at most two attempts.
     """
--- a/fuchsiarill/cluster/peers.py
+++ b/fuchsiarill/cluster/peers.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallPeer:
-    """Make a call to the process at an address."""
+    """Requests a call to the process at `address`."""
 
     address: str
     call: PeerCall
--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -53,7 +53,7 @@
 
 
 def by_number(number: int) -> ResultCode:
-    """Return the code of a number; raises `KeyError`."""
+    """Return the code of a number; raises `KeyError` if there is none."""
     return _BY_NUMBER[number]
 
 
--- a/fuchsiarill/ids.py
+++ b/fuchsiarill/ids.py
@@ -1,7 +1,8 @@
 """Identifiers of everything that messages and records refer to.
 
 Each identifier is its own type, so that the type checker rejects a worker id
-where a task id is expected.
+where a task id is expected. An epoch numbers the ownerships of a partition or
+pool, a generation the cell configurations, a revision the writes to the store.
 """
 
 from typing import Final, NewType
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -47,7 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerRoute:
-    """Where to send messages for the owner of a partition."""
+    """Where to send messages for the owner of a partition.
+
+    `link` is `None` if the owner is in this process or not known.
+    """
 
     location: OwnerLocated
     link: Actor | None
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -68,7 +68,10 @@
     tmp_path: Path,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    """Guards against an unreadable line that hides all others."""
+    """Guards against an unreadable line that hides all others.
+
+    Also guards against success for a job or a file that does not exist.
+    """
     log = tmp_path / 'log'
     log.write_text('\n'.join((line(1, ACCEPTED), f'{{"job": "{JOB}"')))
     assert main(['explain', JOB, str(log)]) is ExitStatus.SUCCESS
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -21,7 +21,8 @@
 from fuchsiarill.routing import RouteStale
 from fuchsiarill.settings import PeerSettings
 
-# The test also holds if the link has not noticed the lost connection by then.
+# Time for the link to notice the lost connection; the next call fails either
+# way.
 _NOTICE_WAIT_MS: Final = 200
 _ANSWER_MS: Final = 20_000
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -184,7 +184,7 @@
     monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    """Guards against a daemon that accepts invalid settings, or is silent."""
+    """Guards against invalid settings that are accepted, or not reported."""
     path = tmp_path / 'settings.yaml'
     text = (_CASES / 'settings.yaml').read_text()
     path.write_text(text.replace('log_format: json', line))
