--- a/fuchsiarill/ids.py
+++ b/fuchsiarill/ids.py
@@ -1,7 +1,8 @@
 """Identifiers of everything that messages and records refer to.
 
 Each identifier is its own type, so that the type checker rejects a worker id
-where a task id is expected.
+where a task id is expected. An epoch numbers the ownerships of a partition or
+pool, a generation the cell configurations, a revision the writes to the store.
 """
 
 from typing import Final, NewType
@@ -24,7 +25,9 @@
 Generation = NewType('Generation', int)
 Revision = NewType('Revision', int)
 
+# Below the epoch of every owner.
 NO_EPOCH: Final = Epoch(0)
+# The revision of a key that is not in the store.
 ABSENT: Final = Revision(0)
 
 
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -1,7 +1,7 @@
 """Maps jobs to partitions, and forwards messages to partition owners.
 
-An owner in another process is reached through a link, the actor that sends it
-the calls. A message is parked, that is kept in the router, while the owner of
+An owner in another process is reached through a link, the actor that makes the
+calls to it. A message is parked, that is kept in the router, while the owner of
 its partition is looked up.
 """
 
@@ -47,7 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerRoute:
-    """Where to send messages for the owner of a partition."""
+    """Where to send messages for the owner of a partition.
+
+    `link` is `None` if the owner is in this process or not known.
+    """
 
     location: OwnerLocated
     link: Actor | None
@@ -249,7 +252,10 @@
         return True
 
     def _start_lookup(self, partition: PartitionId) -> bool:
-        """Start a lookup of an owner; `False` without `look_up_owner`."""
+        """Look the owner up unless a lookup is in progress already.
+
+        Returns `False` without `look_up_owner`.
+        """
         if self._look_up_owner is None:
             return False
         if partition not in self._lookups:
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -68,13 +68,16 @@
     tmp_path: Path,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    """Guards against an unreadable line that hides all others."""
+    """Guards against an unreadable line that hides all others.
+
+    Also guards against success for a job or a file that does not exist.
+    """
     log = tmp_path / 'log'
     log.write_text('\n'.join((line(1, ACCEPTED), f'{{"job": "{JOB}"')))
     assert main(['explain', JOB, str(log)]) is ExitStatus.SUCCESS
     printed = capsys.readouterr()
     assert '701' in printed.out
-    assert '1 log lines that name the job can not be read' in printed.err
+    assert '1 log lines that name the job cannot be read' in printed.err
     assert main(['explain', 'other', str(log)]) is not ExitStatus.SUCCESS
     missing = str(tmp_path / 'none')
     assert main(['explain', JOB, missing]) is ExitStatus.BAD_REQUEST
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -29,7 +29,10 @@
 
 
 class _Recorder(Actor):
-    """Replaces all other actors; records the time of each message."""
+    """Replaces all other actors and the host list.
+
+    Records the time at which the first message of each kind arrives.
+    """
 
     def __init__(self, answering: bool = True) -> None:
         super().__init__('recorder')
@@ -181,7 +184,7 @@
     monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    """Guards against a daemon that accepts invalid settings, or is silent."""
+    """Guards against invalid settings that are accepted, or not reported."""
     path = tmp_path / 'settings.yaml'
     text = (_CASES / 'settings.yaml').read_text()
     path.write_text(text.replace('log_format: json', line))
