Say in the owner, store and platform modules what the code does

Cause: several comments claimed something other than the code does: the time for handovers in a drain, the request deadline of a count, the drain time, the retry limit of requests, the clock of the lease guard and the renewal of task leases. Others left a referent open ("they", "both", "others", "it"). Names: "canned" and "stub" stood for one thing, `ask_process` asks any actor, `_expired_keys` removes jobs, `_unacknowledged_ends` returns processed ends.

--- a/fuchsiarill/graphs/campaigner.py
+++ b/fuchsiarill/graphs/campaigner.py
@@ -93,7 +93,7 @@
         lease: StoreLeaseId,
         requested_ms: int,
     ) -> Election:
-        """Determine whether a write without an answer took effect."""
+        """Determine whether a write whose call failed has taken effect."""
         read_result = await self.store.get(
             write.key,
             self.settings.calls.store_timeout_ms,
@@ -105,7 +105,7 @@
             return Election(
                 Epoch(read_result.unwrap().revision), lease, requested_ms
             )
-        # A write that takes effect later fails once its lease has ended.
+        # Once its lease has ended, a late write can't take effect any more.
         await self.end_lease(lease)
         await sleep_ms(_RETRY_DELAY_MS)
         return Election(None)
--- a/fuchsiarill/graphs/directory.py
+++ b/fuchsiarill/graphs/directory.py
@@ -28,7 +28,7 @@
     def apply_changes(self, items: tuple[KvItem, ...]) -> bool:
         """Apply changed store items; return whether any entry changed.
 
-        A heartbeat rewrites the document and leaves the entry equal.
+        A heartbeat rewrites the document without changing the entry.
         """
         is_changed = False
         for item in items:
--- a/fuchsiarill/graphs/front.py
+++ b/fuchsiarill/graphs/front.py
@@ -53,7 +53,7 @@
         """Return the deadline for the answer to a caller, by the runtime clock.
 
         It precedes the caller's own deadline by the answer margin, but by at
-        most half of the caller's time.
+        most half of the caller's time-out.
         """
         allowed_ms = caller_timeout_ms or _DEFAULT_CALLER_TIMEOUT_MS
         margin_ms = self.settings.front.answer_margin_ms
@@ -73,10 +73,10 @@
         timeout_ms = deadline_ms - now + _BRIDGE_MARGIN_MS
         return self._bridge.ask(self._intake, build, timeout_ms)
 
-    def ask_process(
+    def ask_actor(
         self,
         mailbox: Mailbox,
         build: Callable[[Reply[Any]], Any],
     ) -> Any:
-        """Return the answer of another actor, for metrics and dumps."""
+        """Return the answer of another actor to the message of `build`."""
         return self._bridge.ask(mailbox, build, _DEFAULT_CALLER_TIMEOUT_MS)
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -3,7 +3,8 @@
 Any process serves them from the store alone, without the owner of the pool:
 a job is accepted when its key exists, and cancelled when the key of its
 cancellation exists. The deadline of a request is the time, by the runtime
-clock, by which it is answered.
+clock, by which it is answered. A count ignores its deadline: it makes at most
+one store call, with the usual time-out.
 """
 
 from dataclasses import dataclass, field
@@ -28,13 +29,14 @@
     KvWrite,
 )
 
-# Requests share a read of the counts for this time; they may be 2 s old.
+# Requests share one read of the counts for this time. The counts in an answer
+# may be 2 s old.
 _COUNTS_CACHE_MS: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
 class IntakeAnswer:
-    """Answer to a request: its code and the state that was requested."""
+    """Answer to a request: its result code and the requested state."""
 
     code: codes.ResultCode
     phase: JobPhase | None = None
--- a/fuchsiarill/graphs/job_loading.py
+++ b/fuchsiarill/graphs/job_loading.py
@@ -14,8 +14,8 @@
 ) -> None:
     """Add the jobs with their progress, then apply the cancellations.
 
-    `job_items` holds the records of both. A job whose record was created
-    before the owner was elected is inherited.
+    `job_items` holds the records of jobs and of cancellations. A job whose
+    record was created before the owner was elected is inherited.
     """
     progress = {
         keys.job_of_progress(item.key): item.value for item in progress_items
--- a/fuchsiarill/graphs/lease_guard.py
+++ b/fuchsiarill/graphs/lease_guard.py
@@ -7,8 +7,8 @@
     """Time until which an owner may send orders, by the runtime clock.
 
     The tenure extends this deadline after each renewal of the lease; senders
-    check it right before each order.
-    The daemon's clock includes the time for which a machine was suspended.
+    check it right before each order. The daemon's clock keeps running while the
+    machine is suspended, so the deadline passes in a suspension as well.
     """
 
     def __init__(self, deadline_ms: int) -> None:
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -25,7 +25,8 @@
     host: str
     path: str
     body: bytes
-    # How long the caller waits; `None` when the header is missing.
+    # How long the caller waits, from the header `X-Deadline-Ms`; `None` when
+    # the header is missing.
     caller_timeout_ms: int | None
 
 
--- a/fuchsiarill/graphs/owner_context.py
+++ b/fuchsiarill/graphs/owner_context.py
@@ -28,7 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerContext:
-    """Parts of the process that its pool owners share."""
+    """Parts of the process that a pool owner uses.
+
+    `tenure` belongs to this pool; all other parts are shared by all owners.
+    """
 
     settings: GraphSettings
     ports: GraphPorts
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolRecords:
-    """Records of earlier owners, as read from the store."""
+    """Jobs of a pool and records of its earlier owners, read from the store."""
 
     fleet: FleetRecord
     jobs: tuple[KvItem, ...]
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalSent:
-    """A renewal or a start, which extend all leases of a worker, is sent."""
+    """A renewal or start that extends all leases of a worker is being sent."""
 
     worker: WorkerId
 
@@ -98,7 +98,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessedEnds:
-    """Last run end of a worker's incarnation that the owner has processed."""
+    """The owner has processed the run ends of a worker up to `sequence`.
+
+    `born_ms` identifies the incarnation of the worker.
+    """
 
     worker: WorkerId
     born_ms: BornMs
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -1,8 +1,9 @@
 """Calls between processes of the graph scheduler.
 
-The advice service serves one call at a time for each calling machine, so an
-owner distributes its requests over all processes. A process that can't reach
-the store calls it through another process. The other processes are its peers.
+The peers of a process are the other processes. The advice service serves one
+call at a time for each calling machine, so an owner distributes its requests
+over all processes. A process that can't reach the store calls it through a
+peer.
 """
 
 from dataclasses import dataclass
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -26,7 +26,8 @@
 class PoolChannels:
     """Opens a channel to each worker that is listed or inherited.
 
-    Closes it once the worker is unlisted, has no runs, and its grace time or
+    An inherited worker is in the fleet record of an earlier owner. A channel is
+    closed once the worker is unlisted, has no runs, and its grace time or
     its leases have expired.
     """
 
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -1,4 +1,4 @@
-"""Reads the records that earlier owners of a pool wrote to the store."""
+"""Reads the jobs of a pool and the records of its earlier owners."""
 
 from dataclasses import dataclass
 
@@ -62,10 +62,11 @@
     ) -> bool | None:
         """Return whether the previous owner can send no more orders.
 
-        An earlier incarnation of this process has ended. Another process
-        stops before its lease expires; if only its owner key was deleted, it
-        may not have noticed, and its lease still exists. Ends the lease of the
-        other process. Returns `None` if the store does not answer.
+        An earlier incarnation of this process has ended. Another process stops
+        sending orders before its lease expires. It may still send orders if
+        its lease exists, since it may not have noticed that its owner key was
+        deleted. This call ends such a lease, and so finds out whether it
+        existed. Returns `None` if the store does not answer.
         """
         if previous_owner is None or previous_owner.process == self.process:
             return True
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -64,7 +64,7 @@
     def __init__(
         self, term: Term, context: OwnerContext, loaded: messages.PoolRecords
     ) -> None:
-        """Create the owner from the records of earlier owners."""
+        """Create the owner from the jobs and records in the store."""
         super().__init__(f'owner {term.pool}')
         settings = context.settings
         self._term = term
@@ -144,7 +144,7 @@
 
     @handles(PrefixListed)
     async def on_listed(self, message: PrefixListed) -> None:
-        """Apply a full list, as read at the start or after a gap."""
+        """Apply a full list, read at the start or after a gap in the watch."""
         if message.prefix == self._context.ports.documents.workers_prefix:
             self._directory.replace(message.items)
             self._update_workers()
@@ -183,7 +183,7 @@
 
     @handles(messages.RenewalFailed)
     async def on_renewal_failed(self, message: messages.RenewalFailed) -> None:
-        """Record that a worker did not answer a renewal."""
+        """Record that a worker did not answer a renewal with a report."""
         self.core.worker_failed(message.worker, message.failure, now_ms())
 
     @handles(messages.StartAnswered)
@@ -239,7 +239,7 @@
 
     @handles(messages.OwnershipLost)
     async def on_ownership_lost(self, message: messages.OwnershipLost) -> None:
-        """Send no more orders, and let the tenure step down."""
+        """Send no more orders, and tell the tenure to step down."""
         self._term.guard.revoke()
         self._context.tenure.send(message)
 
@@ -258,7 +258,7 @@
     async def on_decide(self, message: messages.Decide) -> None:
         """Run a decision round, execute its effects and save the records.
 
-        Without valid ownership only the effects requested before are executed.
+        Without valid ownership no round runs, but queued effects are executed.
         """
         self._is_decision_due = False
         if self._term.guard.may_send_orders():
@@ -329,7 +329,7 @@
     def _prior_lease_ms(self) -> int:
         """Return for how long task leases of the previous owner may last.
 
-        While it may send orders, it may renew them until its own lease expires.
+        If it still sends orders, it can renew them until its own lease expires.
         """
         leases = self._context.settings.task_lease
         longest_ms = leases.longest_ms
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -42,7 +42,8 @@
 # Interval of the checks of the actors, and of the attempts to publish the
 # address of the process.
 _CHECK_INTERVAL_MS: Final = 500
-# Time allowed for the handover of each pool in a drain.
+# Time allowed for each handover in a drain. After one time-out, the drain
+# waits for no further handover.
 _HANDOVER_TIMEOUT_MS: Final = 2500
 
 
@@ -75,7 +76,7 @@
     ) -> None:
         """Create the actors; `start` runs them.
 
-        The store in `ports` is called directly, without a relay.
+        `ports` has a store client without a relay; the relay is added here.
         """
         super().__init__('process')
         self._links = links or PeerLinks()
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -43,7 +43,10 @@
         return self._is_saving
 
     def mark_saved(self, message: SaveRecords) -> None:
-        """Record that the records of a message are durable."""
+        """Allow the next `save` once the records of a message are durable.
+
+        A message with fleet workers is ignored: `save` does not wait for it.
+        """
         if not message.fleet_workers:
             self._is_saving = False
 
@@ -62,8 +65,8 @@
             self._scanned_ms = now
             changed.update(self._changed_counts())
             oldest_ms = now - self._retention.settled_job_ms
-            deletes = self._expired_keys(oldest_ms)
-        ends = self._unacknowledged_ends()
+            deletes = self._remove_expired_jobs(oldest_ms)
+        ends = self._processed_ends()
         if not changed and not deletes:
             return ends
         self._is_saving = True
@@ -71,7 +74,7 @@
         return ()
 
     def save_fleet(self) -> None:
-        """Write the fleet record; workers receive no starts before that."""
+        """Write the fleet record; a worker gets no starts until it is saved."""
         members = tuple(
             records.FleetMember(view.worker, view.address)
             for view in self._core.state.workers
@@ -106,14 +109,14 @@
         key = keys.pending_key(self._pool)
         return {key: records.encode_pending(counts)}
 
-    def _unacknowledged_ends(self) -> tuple[ProcessedEnds, ...]:
+    def _processed_ends(self) -> tuple[ProcessedEnds, ...]:
         return tuple(
             ProcessedEnds(view.worker, view.born_ms, view.seen_end)
             for view in self._core.state.workers
             if view.seen_end > view.durable_end
         )
 
-    def _expired_keys(self, oldest_ms: int) -> tuple[StoreKey, ...]:
+    def _remove_expired_jobs(self, oldest_ms: int) -> tuple[StoreKey, ...]:
         """Remove jobs that settled before `oldest_ms`; return their keys."""
         expired: list[StoreKey] = []
         for entry in list(self._core.state.jobs.values()):
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -1,8 +1,9 @@
 """Writes an owner's records, fenced by the owner key.
 
-Each transaction expects the owner key at its revision of the election, so
-that a previous owner can write nothing, and the revision of each record, so
-that a transaction that is applied late does not undo a newer one.
+Each transaction requires that the owner key has the revision of the election,
+so that a previous owner can write nothing, and that each written record has
+its last known revision, so that a transaction that is applied late does not
+undo a newer one.
 """
 
 from itertools import islice
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -38,10 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetRecord:
-    """Every worker that may have received a start; `term` counts the owners.
+    """Every worker that may have received a start.
 
     A new owner needs a report of each member, or waits until the member's
-    task leases have expired. `owner` is the owner that wrote the record.
+    task leases have expired. `owner` is the owner that wrote the record, and
+    `term` is the number of terms so far, including its own.
     """
 
     term: int = 0
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -1,9 +1,9 @@
 """A store that is called through a peer when it can't be reached directly.
 
 A peer is another process of the scheduler, which relays the call. The store
-may refuse or be unreachable for single processes while it serves others. All
-calls made here are safe to repeat: transactions carry conditions or write the
-same value again.
+may refuse calls of single processes, or be unreachable for them, while it
+serves others. All calls made here are safe to repeat: transactions carry
+conditions or write the same value again.
 """
 
 from collections.abc import Awaitable, Callable
@@ -31,8 +31,8 @@
 _Answer = TypeVar('_Answer')
 _AnswerDecoder = Callable[[Any], _Answer]
 
-# Leaves time for a relayed call. The store answers within 300 ms even when it
-# is 60 times slower than usual.
+# Limit of a direct call, which leaves time for a relayed call. The store
+# answers within 300 ms even when it is 60 times slower than usual.
 _DIRECT_TIMEOUT_MAX_MS: Final = 450
 # A relayed watch is short, so that the direct path is soon retried.
 _RELAYED_WATCH_MAX_MS: Final = 300
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -74,7 +74,7 @@
     """Timing of the leases under which tasks run on workers."""
 
     # Longer than the replacement of an owner and than a store outage of
-    # four seconds; tasks of a lost worker start elsewhere after it.
+    # four seconds. Tasks of a lost worker start elsewhere after this time.
     wanted_ms: int = 5000
     # Workers reduce longer leases to this.
     allowed_ms: int = 6000
@@ -83,7 +83,8 @@
     # A worker ends tasks with expired leases within this time after it
     # wakes up.
     wake_ms: int = 300
-    # Longest time for which a worker holds a renewal to wait for a run end.
+    # Longest time for which a worker delays its answer to a renewal while it
+    # waits for a run to end.
     renewal_wait_ms: int = 1000
 
     @property
@@ -99,7 +100,7 @@
 
 
 class CallSettings(_Section):
-    """Deadlines of calls."""
+    """Time-outs of calls, and limits of the threads that make them."""
 
     store_timeout_ms: int = 700
     # Workers answer in one round trip, about 10 ms between domains.
@@ -107,10 +108,11 @@
     advice_timeout_ms: int = 5000
     # Pause before a store call that failed for a caller is repeated.
     submit_retry_ms: int = 120
-    # A submission that the store keeps refusing is refused after this time.
+    # A request of a caller whose store calls fail is refused after this time,
+    # unless a write may have taken effect.
     submit_patience_ms: int = 700
-    # Maximum threads for calls of outside systems, and for calls that wait for
-    # an event.
+    # Maximum numbers of threads: for short calls of outside systems, and for
+    # long polls, such as watches of the store and renewals.
     threads_max_count: int = 48
     waits_max_count: int = 400
 
@@ -122,7 +124,8 @@
     connections_max_count: int = 1000
     # Time by which an answer precedes the deadline of the caller.
     answer_margin_ms: int = 250
-    # Time from a SIGTERM until the listener closes.
+    # Minimum time from a SIGTERM until the process ends. Callers are served
+    # until then.
     drain_ms: int = 3500
     # Value of the `Retry-After` header of a refusal.
     retry_after_s: int = 1
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -5,7 +5,7 @@
 written is the epoch: it rises with each owner and fences both the store and
 the workers. The key is bound to a lease. The owner sends no orders once the
 lease's time to live, less a margin, has passed since it requested the last
-renewal.
+renewal that succeeded.
 """
 
 import random
@@ -46,13 +46,14 @@
 from fuchsiarill.state_chart import load_chart
 
 _TICK_INTERVAL_MS: Final = 100
-# Delay for each pool that the process owns, so that others campaign first.
+# Delay for each pool that the process owns, so that other processes campaign
+# first.
 _OWNED_POOL_DELAY_MS: Final = 150
 # Larger machines campaign before small ones. The delay exceeds the duration of
-# a campaign, with the difference in speed.
+# a campaign, allowing for the difference in speed of the machines.
 _SMALL_MACHINE_DELAY_MS: Final = 250
-# In a rolling restart, processes that started last are not restarted again, so
-# the delay grows with the uptime, which counts up to one minute.
+# A rolling restart stops each process once, so processes that started last
+# campaign first: the delay grows with the uptime, up to one minute of it.
 _UPTIME_DELAY_RATIO: Final = 0.002
 _COUNTED_UPTIME_MAX_MS: Final = 60_000
 # Time allowed for the last records to become durable in a handover.
@@ -210,7 +211,7 @@
 
     @handles(Drain)
     async def on_drain(self, message: Drain) -> None:
-        """Hand the pool over and end its lease, so that nobody waits for it."""
+        """Hand the pool over; end its lease, so that no owner waits for it."""
         self._apply_event(TenureEvent.DRAIN_ASKED)
         if self.owner is not None:
             await self.owner.hand_over(_HANDOVER_TIMEOUT_MS)
@@ -229,7 +230,7 @@
         self.spawn(self._run_campaign())
 
     def load_records(self) -> None:
-        """Read the records of earlier owners, in a task of its own."""
+        """Read the jobs and earlier records, in a task of its own."""
         election = self._election
         self._guard = LeaseGuard(
             self._ownership_deadline_ms(election.requested_ms)
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -194,6 +194,8 @@
             self._durable_end = NO_END
             self._clock_offset_ms = None
         self._is_confirmed = True
+        # The time that a report takes to arrive lowers the computed offset, so
+        # the largest offset is the most exact.
         clock_offset_ms = report.clock_ms - now_ms()
         if (
             self._clock_offset_ms is None
--- a/fuchsiarill/platform/advice_client.py
+++ b/fuchsiarill/platform/advice_client.py
@@ -33,7 +33,7 @@
         """Return a ticket for each worker that may run the step.
 
         Fails with `UNHEALTHY` while the service is busy, and with `UNKNOWN`
-        when no readable response arrives.
+        after any other status or without a readable response.
         """
         body = {'step_id': step_name(step), 'workers': list(workers)}
         call = HttpCall('POST', self._url, json.dumps(body).encode())
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -59,7 +59,7 @@
     parse_object: Callable[[dict[str, Any]], _Parsed],
     source: str,
 ) -> _Parsed | None:
-    """Parse the body of a response; logs an error and returns `None`.
+    """Parse the body of a response; on an error, log it and return `None`.
 
     `source` names the sender of the response in the log line.
     """
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -1,4 +1,4 @@
-"""Translates HTTP requests of clients into messages to the intake actor."""
+"""Translates HTTP requests of callers into messages to the intake actor."""
 
 import json
 import time
@@ -37,7 +37,7 @@
 )
 
 # A 429 or 503 guarantees that the job never runs. An unknown outcome is a 504,
-# after which the client retries with the same job id.
+# after which the caller retries with the same job id.
 _STATUS_BY_CODE: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
@@ -64,7 +64,7 @@
 
 
 class CallerRequestHandler:
-    """Answers HTTP requests of clients; maps result codes to statuses."""
+    """Answers HTTP requests of callers; maps result codes to statuses."""
 
     def __init__(self, front: Front, metrics: GraphMetrics) -> None:
         """Create a handler that sends messages through `front`."""
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -56,8 +56,8 @@
 class BootTimeLoop(asyncio.SelectorEventLoop):
     """Event loop whose clock includes the time the machine is suspended.
 
-    The monotonic clock stops during a suspension: after it an owner would
-    treat a lease as valid that has expired meanwhile.
+    The monotonic clock stops during a suspension. With it, an owner would treat
+    a lease as valid that expired while the machine was suspended.
     """
 
     def __init__(self) -> None:
@@ -225,7 +225,7 @@
             'text/plain; version=0.0.4',
         )
     if request.path == '/dump':
-        state = process.front.ask_process(process.mailbox, GetDump)
+        state = process.front.ask_actor(process.mailbox, GetDump)
         return Response(HTTPStatus.OK, json.dumps(state, default=str).encode())
     return Response(HTTPStatus.NOT_FOUND)
 
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -48,7 +48,7 @@
 
 
 def read_worker(worker: WorkerId, content: bytes) -> WorkerEntry:
-    """Parse a worker's entry, which the worker or another writer stored."""
+    """Parse the entry of a worker, which any writer may have stored."""
     document = _decode_object(content)
     try:
         return _worker(worker, document)
@@ -150,7 +150,7 @@
 
 def _text(content: object) -> str:
     if not isinstance(content, str):
-        raise TypeError(f'{content!r} is not a text')
+        raise TypeError(f'{content!r} is not a string')
     return content
 
 
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -124,7 +124,7 @@
         order: RenewalOrder,
         timeout_ms: int,
     ) -> Result[WorkerReport, AgentFailure]:
-        """Renew the task leases; returns the running and the ended runs."""
+        """Request a report; renews the task leases if `expiry_ms` is set."""
         body = {
             'fence_token': order.epoch,
             'acked_seq': order.acknowledged,
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -130,7 +130,9 @@
             {QUEUE: queue_policy()},
             {POOL: PoolPolicy(POOL)},
         )
-        self._names = [ProcessId(f'p{name}') for name in range(processes_count)]
+        self._names = [
+            ProcessId(f'p{number}') for number in range(processes_count)
+        ]
         self._workers_count = workers_count
 
     async def start(self) -> None:
--- a/tests/platform_server.py
+++ b/tests/platform_server.py
@@ -53,17 +53,17 @@
 
 
 @contextmanager
-def serve_canned() -> Iterator[StubServer]:
+def serve_stub() -> Iterator[StubServer]:
     """Serve on a free port of the loopback interface."""
-    canned = StubServer()
-    server = wsgi.Server(('127.0.0.1', 0), canned.respond, numthreads=2)
+    stub = StubServer()
+    server = wsgi.Server(('127.0.0.1', 0), stub.respond, numthreads=2)
     server.prepare()
     thread = Thread(target=server.serve, daemon=True)
     thread.start()
     host, port = server.bind_addr
-    canned.address = f'{host}:{port}'
+    stub.address = f'{host}:{port}'
     try:
-        yield canned
+        yield stub
     finally:
         server.stop()
         thread.join()
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -23,7 +23,7 @@
 
 
 def test_steps_run_in_order() -> None:
-    """Guards against a step that starts before the step it follows."""
+    """Guards against a step that starts before its dependency has ended."""
 
     async def scenario(cell: GraphCell) -> None:
         answer = await cell.submit(P0, 'a', TWO_STEPS, duration_ms=300)
@@ -49,7 +49,7 @@
 
 
 def test_lost_tasks_start_again_when_their_leases_have_lapsed() -> None:
-    """Guards against a lost worker whose tasks never start elsewhere."""
+    """Guards against tasks of a lost worker that never start elsewhere."""
 
     async def scenario(cell: GraphCell) -> None:
         lasting_steps = (Step(2, TASK_SIZE, is_lasting=True, per_worker_max=1),)
@@ -125,7 +125,7 @@
 
 
 def test_refused_submission_never_runs() -> None:
-    """Guards against a refusal of a job that the store has accepted."""
+    """Guards against tasks of a job whose submission was refused."""
 
     async def scenario(cell: GraphCell) -> None:
         name = follower_of(cell)
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -84,7 +84,7 @@
 
 
 def test_all_processes_killed_lose_nothing() -> None:
-    """Guards against accepted jobs that are not in the store."""
+    """Guards against an accepted job that is lost when all processes end."""
 
     async def scenario(cell: GraphCell) -> None:
         names = list(cell.processes)
@@ -138,7 +138,11 @@
 
 
 def test_small_machine_owns_only_without_a_larger_one() -> None:
-    """Guards against an owner on a machine that is too small for it."""
+    """Guards against a wrong choice between small and larger machines.
+
+    A small machine must not own the pool while a larger one runs, and must own
+    it when only small machines are left.
+    """
 
     async def main() -> None:
         cell = GraphCell(4, 1)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -39,7 +39,7 @@
     KvTransaction,
     KvWrite,
 )
-from tests.platform_server import StubServer, serve_canned
+from tests.platform_server import StubServer, serve_stub
 
 KEY = StoreKey('jobs/p/1/graph')
 TASK = TaskKey(JobId('5c0e7a21d94b36f8'), 0, 1, 17)
@@ -55,11 +55,11 @@
 _TIMEOUT_MS = 5000
 
 
-@pytest.fixture(name='canned')
+@pytest.fixture(name='stub')
 def serve() -> Iterator[StubServer]:
     """Serve the response that a test sets."""
-    with serve_canned() as canned:
-        yield canned
+    with serve_stub() as stub:
+        yield stub
 
 
 def run(call: Coroutine[Any, Any, Any]) -> Any:
@@ -67,19 +67,19 @@
     return asyncio.run(call)
 
 
-def store(canned: StubServer) -> PlatformStore:
-    """Return a client that sends the calls of a store to `canned`."""
-    return PlatformStore(canned.address, HttpClient(2, 4))
+def store(stub: StubServer) -> PlatformStore:
+    """Return a client that sends the calls of a store to `stub`."""
+    return PlatformStore(stub.address, HttpClient(2, 4))
 
 
-def agent(canned: StubServer) -> AgentAddress:
-    """Return the address of `canned` as that of worker i-1."""
-    return AgentAddress(WorkerId('i-1'), canned.address)
+def agent(stub: StubServer) -> AgentAddress:
+    """Return the address of `stub` as that of worker i-1."""
+    return AgentAddress(WorkerId('i-1'), stub.address)
 
 
-def test_item_is_decoded(canned: StubServer) -> None:
-    """Guards against values that are returned in base64."""
-    canned.body = {
+def test_item_is_decoded(stub: StubServer) -> None:
+    """Guards against values that are returned without base64 decoding."""
+    stub.body = {
         'key': KEY,
         'value': base64.b64encode(b'node').decode(),
         'revision': 412,
@@ -87,16 +87,16 @@
         'lease': 0,
         'at_rev': 530,
     }
-    read_result = run(store(canned).get(KEY, _TIMEOUT_MS))
+    read_result = run(store(stub).get(KEY, _TIMEOUT_MS))
     assert read_result == Success(
         KvItem(KEY, b'node', Revision(412), Revision(400))
     )
 
 
-def test_absent_key_is_an_answer(canned: StubServer) -> None:
+def test_absent_key_is_an_answer(stub: StubServer) -> None:
     """Guards against an absent key that is reported as a failure."""
-    canned.status = 404
-    read_result = run(store(canned).get(KEY, _TIMEOUT_MS))
+    stub.status = 404
+    read_result = run(store(stub).get(KEY, _TIMEOUT_MS))
     assert read_result == Success(KvItem(KEY, None, ABSENT))
 
 
@@ -110,41 +110,41 @@
     ],
 )
 def test_failed_transaction(
-    canned: StubServer,
+    stub: StubServer,
     status: int,
     failure: KvFailure,
 ) -> None:
     """Guards against an unknown outcome that is reported as a refusal."""
-    canned.status = status
-    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    stub.status = status
+    outcome = run(store(stub).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(failure)
 
 
 def test_unsent_transaction_is_refused() -> None:
-    """Guards against an unknown outcome of a call that was never sent."""
+    """Guards against an unsent call that is reported as an unknown outcome."""
     unreachable = PlatformStore('127.0.0.1:1', HttpClient(2, 4))
     outcome = run(unreachable.commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.REFUSED)
 
 
-def test_unreadable_success_is_no_answer(canned: StubServer) -> None:
+def test_unreadable_success_is_no_answer(stub: StubServer) -> None:
     """Guards against a truncated body that is reported as a refusal."""
-    canned.body = b'{"revi'
-    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    stub.body = b'{"revi'
+    outcome = run(store(stub).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.UNKNOWN)
 
 
-def test_transaction_on_the_wire(canned: StubServer) -> None:
+def test_transaction_on_the_wire(stub: StubServer) -> None:
     """Guards against conditions or leases that are missing from the request."""
-    canned.body = {'revision': 9}
+    stub.body = {'revision': 9}
     transaction = KvTransaction(
         ((KEY, ABSENT),),
         (KvWrite(KEY, b'x', StoreLeaseId('77')),),
         (StoreKey('old'),),
     )
-    outcome = run(store(canned).commit(transaction, _TIMEOUT_MS))
+    outcome = run(store(stub).commit(transaction, _TIMEOUT_MS))
     assert outcome == Success(KvCommitted(Revision(9)))
-    assert canned.requests[0][:3] == (
+    assert stub.requests[0][:3] == (
         'POST',
         '/kv-txn',
         {
@@ -155,40 +155,40 @@
     )
 
 
-def test_conflict_shows_the_keys(canned: StubServer) -> None:
+def test_conflict_shows_the_keys(stub: StubServer) -> None:
     """Guards against a conflict without the present items."""
-    canned.status = 412
-    canned.body = {'items': [{'key': KEY, 'value': 'eA==', 'revision': 3}]}
-    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    stub.status = 412
+    stub.body = {'items': [{'key': KEY, 'value': 'eA==', 'revision': 3}]}
+    outcome = run(store(stub).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Success(
         KvConflict((KvItem(KEY, b'x', Revision(3)),)),
     )
 
 
-def test_watch(canned: StubServer) -> None:
+def test_watch(stub: StubServer) -> None:
     """Guards against deletions that are read as writes."""
-    canned.body = {
+    stub.body = {
         'events': [
             {'key': 'a', 'value': 'eA==', 'revision': 4, 'created': 4},
             {'key': 'b', 'revision': 5, 'compacted': True},
         ],
         'at_rev': 6,
     }
-    changes = run(store(canned).watch_prefix('x/', Revision(3), 100)).unwrap()
+    changes = run(store(stub).watch_prefix('x/', Revision(3), 100)).unwrap()
     assert [item.value for item in changes.items] == [b'x', None]
-    assert canned.requests[0][1] == '/kv-watch?prefix=x%2F&after=3&wait_ms=100'
-    canned.status = 410
-    watch_result = run(store(canned).watch_prefix('x/', Revision(3), 100))
+    assert stub.requests[0][1] == '/kv-watch?prefix=x%2F&after=3&wait_ms=100'
+    stub.status = 410
+    watch_result = run(store(stub).watch_prefix('x/', Revision(3), 100))
     assert watch_result == Failure(KvFailure.COMPACTED)
 
 
-def test_start_on_the_wire(canned: StubServer) -> None:
+def test_start_on_the_wire(stub: StubServer) -> None:
     """Guards against an order that another worker at the address accepts."""
-    canned.body = {'clock_ms': 482113}
+    stub.body = {'clock_ms': 482113}
     workers = PlatformWorkers(HttpClient(2, 4))
-    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    outcome = run(workers.start(agent(stub), ORDER, _TIMEOUT_MS))
     assert outcome == Success(482113)
-    method, path, body, headers = canned.requests[0]
+    method, path, body, headers = stub.requests[0]
     assert (method, path) == ('POST', '/run-start')
     assert headers['HTTP_X_EXPECT_INSTANCE'] == 'i-1'
     assert body == {
@@ -218,23 +218,23 @@
     ],
 )
 def test_refused_start(
-    canned: StubServer,
+    stub: StubServer,
     status: int,
     reason: str,
     failure: AgentFailure,
 ) -> None:
     """Guards against a refusal that is mapped to the wrong failure."""
-    canned.status = status
-    canned.body = {'clock_ms': 1, 'reason': reason}
+    stub.status = status
+    stub.body = {'clock_ms': 1, 'reason': reason}
     workers = PlatformWorkers(HttpClient(2, 4))
-    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    outcome = run(workers.start(agent(stub), ORDER, _TIMEOUT_MS))
     assert outcome == Failure(failure)
 
 
-def test_report(canned: StubServer) -> None:
+def test_report(stub: StubServer) -> None:
     """Guards against ends of runs that are mapped to the wrong kind."""
     task = '5c0e7a21d94b36f8.0.1.17'
-    canned.body = {
+    stub.body = {
         'clock_ms': 5,
         'born': 99,
         'running': [[task, 2, 'c', 41, 12.5], [task, 3, '', 100]],
@@ -248,39 +248,39 @@
     }
     workers = PlatformWorkers(HttpClient(2, 4))
     order = RenewalOrder(Epoch(7), EndSequence(57), None, 0)
-    report = run(workers.renew(agent(canned), order, _TIMEOUT_MS)).unwrap()
+    report = run(workers.renew(agent(stub), order, _TIMEOUT_MS)).unwrap()
     assert [row.usage for row in report.running] == [12.5, None]
     assert [end.kind for end in report.ended] == list(EndKind)
     assert report.born_ms == 99
-    assert canned.requests[0][2] == {
+    assert stub.requests[0][2] == {
         'fence_token': 7,
         'acked_seq': 57,
         'wait_ms': 0,
     }
 
 
-def test_unreadable_report_is_no_report(canned: StubServer) -> None:
-    """Guards against a malformed report that raises in the calling actor."""
-    canned.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
+def test_unreadable_report_is_no_report(stub: StubServer) -> None:
+    """Guards against an exception in the actor that requested the report."""
+    stub.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
     workers = PlatformWorkers(HttpClient(2, 4))
     order = RenewalOrder(Epoch(7), EndSequence(0), None, 0)
-    outcome = run(workers.renew(agent(canned), order, _TIMEOUT_MS))
+    outcome = run(workers.renew(agent(stub), order, _TIMEOUT_MS))
     assert outcome == Failure(AgentFailure.MALFORMED)
 
 
-def test_advice(canned: StubServer) -> None:
+def test_advice(stub: StubServer) -> None:
     """Guards against tickets that are assigned to the wrong worker."""
-    canned.body = {'granted': [['i-1', 'c81e'], ['i-2', 'c82e']]}
-    advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
+    stub.body = {'granted': [['i-1', 'c81e'], ['i-2', 'c82e']]}
+    advisor = PlatformAdvisor(stub.address, HttpClient(2, 4))
     step = StepKey(JobId('5c0e7a21d94b36f8'), 0, 1)
     workers = (WorkerId('i-1'), WorkerId('i-2'), WorkerId('i-3'))
     tickets = run(advisor.advise(step, workers, _TIMEOUT_MS)).unwrap()
     assert tickets == {'i-1': 'c81e', 'i-2': 'c82e'}
-    assert canned.requests[0][2] == {
+    assert stub.requests[0][2] == {
         'step_id': '5c0e7a21d94b36f8.0.1',
         'workers': ['i-1', 'i-2', 'i-3'],
     }
-    canned.status = 429
+    stub.status = 429
     advice_result = run(advisor.advise(step, workers, _TIMEOUT_MS))
     assert advice_result == Failure(AgentFailure.UNHEALTHY)
 
@@ -290,42 +290,42 @@
     [b'[]', b'3', b'{"revision": null}', b'{"items": 1}'],
 )
 def test_success_of_another_shape_is_no_answer(
-    canned: StubServer,
+    stub: StubServer,
     body: bytes,
 ) -> None:
-    """Guards against a malformed body that raises in the calling task."""
-    canned.body = body
-    outcome = run(store(canned).commit(KvTransaction(), _TIMEOUT_MS))
+    """Guards against an exception in the caller for a malformed body."""
+    stub.body = body
+    outcome = run(store(stub).commit(KvTransaction(), _TIMEOUT_MS))
     assert outcome == Failure(KvFailure.UNKNOWN)
-    read_result = run(store(canned).list_prefix('jobs/', None, _TIMEOUT_MS))
+    read_result = run(store(stub).list_prefix('jobs/', None, _TIMEOUT_MS))
     assert read_result == Failure(KvFailure.UNKNOWN)
 
 
 @pytest.mark.parametrize('body', [b'[]', b'{}', b'{"clock_ms": "soon"}'])
 def test_start_with_an_unreadable_answer_may_run(
-    canned: StubServer,
+    stub: StubServer,
     body: bytes,
 ) -> None:
     """Guards against a second start after an unreadable confirmation."""
-    canned.body = body
+    stub.body = body
     workers = PlatformWorkers(HttpClient(2, 4))
-    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    outcome = run(workers.start(agent(stub), ORDER, _TIMEOUT_MS))
     assert outcome == Failure(AgentFailure.UNKNOWN)
 
 
-def test_refusal_without_an_object_is_a_refusal(canned: StubServer) -> None:
-    """Guards against a refusal whose body is no JSON object and raises."""
-    canned.status = 409
-    canned.body = b'"fence"'
+def test_refusal_without_an_object_is_a_refusal(stub: StubServer) -> None:
+    """Guards against an exception when the body is not a JSON object."""
+    stub.status = 409
+    stub.body = b'"fence"'
     workers = PlatformWorkers(HttpClient(2, 4))
-    outcome = run(workers.start(agent(canned), ORDER, _TIMEOUT_MS))
+    outcome = run(workers.start(agent(stub), ORDER, _TIMEOUT_MS))
     assert outcome == Failure(AgentFailure.MALFORMED)
 
 
-def test_advice_of_another_shape_is_no_answer(canned: StubServer) -> None:
-    """Guards against a malformed answer that raises and loses the request."""
-    canned.body = {'granted': [1]}
-    advisor = PlatformAdvisor(canned.address, HttpClient(2, 4))
+def test_advice_of_another_shape_is_no_answer(stub: StubServer) -> None:
+    """Guards against an exception that leaves the request unanswered."""
+    stub.body = {'granted': [1]}
+    advisor = PlatformAdvisor(stub.address, HttpClient(2, 4))
     step = StepKey(JobId('5c0e7a21d94b36f8'), 0, 1)
     outcome = run(advisor.advise(step, (WorkerId('i-1'),), _TIMEOUT_MS))
     assert outcome == Failure(AgentFailure.UNKNOWN)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,4 +1,4 @@
-"""Parsing of platform documents, and their records in the store."""
+"""Parsing of platform documents, and encoding of jobs for the store."""
 
 import json
 from typing import Any
@@ -87,7 +87,7 @@
 
 @pytest.mark.parametrize('content', [b'\xff\x00', b'[]', b'{}', b'{"state"'])
 def test_unreadable_entry_is_refused(content: bytes) -> None:
-    """Guards against bytes of another writer that raise an unexpected error."""
+    """Guards against an error other than `DocumentError` for any content."""
     with pytest.raises(DocumentError):
         read_worker(WorkerId('i-1'), content)
 
@@ -179,7 +179,7 @@
 
 
 def test_progress_survives_the_store() -> None:
-    """Guards against an end or a failure that is lost in its record."""
+    """Guards against a success or failed attempt that is lost in its record."""
     progress = JobProgress(
         JobPhase.ACTIVE,
         {UnitKey(0, 0, 1)},
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -54,12 +54,12 @@
 
     def ports(self) -> GraphPorts:
         """Return the outside systems of the peer."""
-        directory = DocumentLayout(KEY, '', '', _read_config, _read_worker)
+        documents = DocumentLayout(KEY, '', '', _read_config, _read_worker)
         return GraphPorts(
             self.peer_path,
             Fleet(),
             BusyTrackingAdvisor(GrantingAdvisor()),
-            directory,
+            documents,
         )
 
 
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize('fault', [PathFault.REFUSED, PathFault.SILENT])
 def test_calls_go_through_a_peer(fault: PathFault) -> None:
-    """Guards against a process that fails without a direct path."""
+    """Guards against failed store calls while only the direct path fails."""
 
     async def scenario(cell: _RelayedCell) -> None:
         cell.direct.fault = fault
