Define orders, revisions and omitted fields where a reader meets them

Cause: the head of the worker channel told orders and renewals apart, while a renewal is an order in the agent port and in the lease guard; the revisions of the loaded records and "without default values of steps" needed other code to understand. Change: comments and doc comments in worker_channel, owner_messages, records, settings and the platform package; no name.

--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -35,8 +35,10 @@
 
     fleet: FleetRecord
     jobs: tuple[KvItem, ...]
+    # Revision after which the watch of the jobs starts.
     jobs_revision: Revision
     progress: tuple[KvItem, ...]
+    # Revisions of the records that the owner writes.
     revisions: dict[StoreKey, Revision]
     # The previous owner can send no more orders.
     is_previous_owner_inactive: bool
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -99,7 +99,7 @@
 
 
 def encode_graph(graph: JobGraph) -> bytes:
-    """Return the JSON form of a job, without default values of steps."""
+    """Return the JSON form of a job; steps omit fields with default values."""
     document: dict[str, Any] = {
         'queue': graph.queue,
         'payload': graph.payload,
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -41,8 +41,8 @@
 class MachineSettings(_Section):
     """Resources of the machine of the process."""
 
-    # Share of each processor that the process gets, and the speed as a
-    # multiple of a usual processor.
+    # Share of each processor that the process gets, and the speed of each as
+    # a multiple of that of a usual processor.
     processor_share: float = 1.0
     processor_speed: float = 1.0
     link_mbps: float = 1000.0
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -1,8 +1,8 @@
-"""Sends orders to one worker and renews its task leases.
+"""Sends the orders of a pool's owner to one worker.
 
-An order starts, stops or paces a run. A renewal requests a report and may
-extend all task leases of the worker. The worker may hold its answer, for at
-most `wait_ms`, until a run ends.
+An order starts, stops or paces a run, or is a renewal. A renewal requests a
+report and may extend all task leases of the worker. The worker may hold its
+answer to a renewal, for at most `wait_ms`, until a run ends.
 """
 
 import asyncio
@@ -111,7 +111,7 @@
 
     @handles(RequestReport)
     async def on_request_report(self, message: RequestReport) -> None:
-        """Request a report at once; the worker may still hold a renewal."""
+        """Request a report at once, even while the worker holds a renewal."""
         self.spawn(self._request_report())
 
     @handles(RunEndsDurable)
--- a/fuchsiarill/platform/__init__.py
+++ b/fuchsiarill/platform/__init__.py
@@ -1,4 +1,4 @@
 """Adapter to the users' platform: its store, advice service and workers.
 
-It translates messages and takes no scheduling decisions.
+It translates messages and makes no scheduling decisions.
 """
