--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -31,12 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolRecords:
-    """Records of earlier owners, as read from the store."""
+    """Jobs of a pool and records of its earlier owners, read from the store."""
 
     fleet: FleetRecord
     jobs: tuple[KvItem, ...]
+    # Revision after which the watch of the jobs starts.
     jobs_revision: Revision
     progress: tuple[KvItem, ...]
+    # Revisions of the records that the owner writes.
     revisions: dict[StoreKey, Revision]
     # The previous owner can send no more orders.
     is_previous_owner_inactive: bool
@@ -53,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalSent:
-    """A renewal or a start, which extend all leases of a worker, is sent."""
+    """A renewal or start that extends all leases of a worker is being sent."""
 
     worker: WorkerId
 
@@ -98,7 +100,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessedEnds:
-    """Last run end of a worker's incarnation that the owner has processed."""
+    """The owner has processed the run ends of a worker up to `sequence`.
+
+    `born_ms` identifies the incarnation of the worker.
+    """
 
     worker: WorkerId
     born_ms: BornMs
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -38,10 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetRecord:
-    """Every worker that may have received a start; `term` counts the owners.
+    """Every worker that may have received a start.
 
     A new owner needs a report of each member, or waits until the member's
-    task leases have expired. `owner` is the owner that wrote the record.
+    task leases have expired. `owner` is the owner that wrote the record, and
+    `term` is the number of terms so far, including its own.
     """
 
     term: int = 0
@@ -98,7 +99,7 @@
 
 
 def encode_graph(graph: JobGraph) -> bytes:
-    """Return the JSON form of a job, without default values of steps."""
+    """Return the JSON form of a job; steps omit fields with default values."""
     document: dict[str, Any] = {
         'queue': graph.queue,
         'payload': graph.payload,
