--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -1,8 +1,8 @@
 """The actor that acquires, keeps and releases the ownership of one partition.
 
 It interprets the state chart `charts/partition.yaml`, whose actions are
-registered below. Long-running work has actors of its own: the watch of the
-owner key, the lease renewals, the takeover of the journal and the owner itself.
+registered below. Separate actors do the long-running work: they watch the owner
+key, renew the store lease, take over the journal and serve the partition.
 """
 
 from collections.abc import Awaitable, Callable
@@ -38,11 +38,12 @@
 # The clocks of this process and of the store may differ by 1% in rate, so a
 # lease counts as 1% shorter.
 _LEASE_LENGTH_RATIO: Final = 0.99
-# Delays of the next claim after a failed takeover. Without them every process
-# in turn would at once try to read the same unreadable journal.
+# Delays of the next claim after a failed takeover. Without them all processes
+# in turn would immediately try to read the same unreadable journal.
 _TAKEOVER_RETRY_MS: Final = 2_000
 _UNREADABLE_JOURNAL_RETRY_MS: Final = 30_000
-# Several times the network latency between failure domains.
+# Time after a handover in which requests in transit may still arrive; several
+# times the network latency between failure domains.
 _LATE_REQUESTS_GRACE_MS: Final = 300
 _UNREADABLE_JOURNAL_FAULTS: Final = frozenset(
     (JournalFault.CORRUPT, JournalFault.NEWER_FORMAT),
@@ -98,10 +99,10 @@
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Resend a refused configuration; recover from a failed child actor."""
+        """Resend a refused configuration; recover from failed actors."""
         self.children.resend_config()
-        # An acquisition completes while its message is handled, so a campaign
-        # that is still acquiring at a tick has failed to acquire.
+        # An acquisition runs within the handling of one message. A campaign
+        # that is still acquiring at a tick was interrupted by an error.
         await self.step(PartitionEvent.NOT_ACQUIRED)
         error = self.children.fault()
         if error is None:
@@ -171,7 +172,7 @@
     async def on_lease_lost(
         self, message: campaign_messages.OwnershipLost
     ) -> None:
-        """Step down because the store no longer holds the lease."""
+        """Step down because the store no longer holds the owner's lease."""
         if self.lease.matches(message.token):
             self.step_down_reason = 'the store lease lapsed'
             await self.step(PartitionEvent.DEPOSED)
@@ -220,7 +221,7 @@
 
     @handles(messages.StoreOutageConfirmed)
     async def on_outage(self, message: messages.StoreOutageConfirmed) -> None:
-        """Forward the outage, during which task leases may be renewed."""
+        """Tell the owner that it may renew task leases during the outage."""
         if self.children.service is not None:
             self.children.service.notify_owner(message)
 
@@ -239,7 +240,8 @@
         if self.state is PartitionState.REPLAYING:
             await self.step(PartitionEvent.DEPOSED)
         if was_owner:
-            # Requests that are already in transit still get an answer here.
+            # Requests in transit are refused in this time. Once the process
+            # has exited, they get no answer.
             await sleep_ms(_LATE_REQUESTS_GRACE_MS)
         message.reply.answer(self.children.is_work_finished)
 
@@ -253,7 +255,7 @@
             await CAMPAIGN_ACTIONS.lookup(action)(self)
 
     def set_deadline(self, requested_at_ms: int) -> None:
-        """Set the ownership deadline, counted from the request of a lease."""
+        """Set the ownership deadline, counted from the lease request."""
         store = self.settings.store
         lease_ms = int(store.owner_lease_ms * _LEASE_LENGTH_RATIO)
         deadline_ms = requested_at_ms + lease_ms - store.owner_margin_ms
--- a/fuchsiarill/owner/campaign_messages.py
+++ b/fuchsiarill/owner/campaign_messages.py
@@ -1,4 +1,8 @@
-"""Messages to a campaign from its child actors and from membership."""
+"""Messages to a campaign from its child actors and from membership.
+
+`token` is that of the claim to which a message refers; the campaign ignores
+messages about earlier claims.
+"""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -42,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRenewed:
-    """The lease of the owner was renewed."""
+    """The lease was renewed by a call made at `requested_at_ms`."""
 
     token: str
     requested_at_ms: int
@@ -58,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeoverFailed:
-    """The journal could not be read, or the next epoch not be opened."""
+    """The journal could not be read or its next epoch not opened."""
 
     token: str
     fault: JournalFault
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -68,12 +68,12 @@
         self._not_before_ms = now_ms() + pause_ms
 
     def schedule(self, delay_ms: float, campaign: Mailbox) -> None:
-        """Schedule a claim after the delay unless one is scheduled."""
+        """Schedule a claim after the delay unless one is already scheduled."""
         if self._claim_timer is not None:
             return
-        due_ms = max(delay_ms, self._not_before_ms - now_ms())
+        effective_delay_ms = max(delay_ms, self._not_before_ms - now_ms())
         self._claim_timer = asyncio.get_running_loop().call_later(
-            due_ms / MS_PER_SECOND,
+            effective_delay_ms / MS_PER_SECOND,
             self._expire,
             campaign,
         )
@@ -116,14 +116,17 @@
         self.resend_config()
 
     def resend_config(self) -> None:
-        """Send again a configuration that a full mailbox has refused."""
+        """Send the owner a configuration that it has not received yet."""
         if self.service is None or self._config is None:
             return
         if self.service.notify_owner(self._config):
             self._config = None
 
     def fault(self) -> str | None:
-        """Return the error with which a child has ended by itself, if any."""
+        """Return the error that ended a child actor, if any.
+
+        A takeover is not checked, since it reports its own failure.
+        """
         errors = (
             child.fault()
             for child in (self.owner_watch, self.renewer, self.service)
@@ -132,14 +135,14 @@
         return next(filter(None, errors), None)
 
     async def shut_down(self) -> None:
-        """Stop all actors and the refusal of late requests."""
+        """Stop all child actors and no longer refuse late requests."""
         await self.stop()
         for refusal_task in tuple(self._refusal_tasks):
             refusal_task.cancel()
         await asyncio.gather(*self._refusal_tasks, return_exceptions=True)
 
     async def stop(self) -> None:
-        """Stop all actors; late requests to the owner are still refused."""
+        """Stop all child actors; late requests are still refused."""
         for child in (
             self.owner_watch,
             self.renewer,
--- a/fuchsiarill/owner/claims.py
+++ b/fuchsiarill/owner/claims.py
@@ -22,8 +22,8 @@
 class OwnerClaim(BaseModel):
     """Value of the owner key: who owns the partition and where it listens.
 
-    `token` is unique to each takeover, so that a claim whose response was
-    lost is recognized when the key is read.
+    `token` is unique to each claim, so that a process recognizes its own
+    claim in the key if the response to the write was lost.
     """
 
     process: ProcessId
@@ -46,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldLease:
-    """The store lease to which the claim of an owned partition is attached."""
+    """The store lease to which the claim of an owned partition is attached.
+
+    The grant was requested at `requested_at_ms`. `token` is that of the claim.
+    """
 
     lease_id: StoreLeaseId
     requested_at_ms: int
@@ -68,11 +71,11 @@
     claim: OwnerClaim,
     lease_ms: int,
 ) -> HeldLease | None:
-    """Claim a vacant partition under a new lease, or return `None`.
+    """Claim a vacant partition under a new lease; `None` if that fails.
 
     The lease is counted from before its grant was requested. If the claim
     fails, the lease is revoked. This deletes a claim that was stored although
-    its response was lost, and makes a later write of it fail.
+    its response was lost, and makes a delayed write of the claim fail.
     """
     requested_at_ms = now_ms()
     lease_result = await store.grant_lease(lease_ms)
--- a/fuchsiarill/owner/decision_times.py
+++ b/fuchsiarill/owner/decision_times.py
@@ -11,7 +11,7 @@
 
 from fuchsiarill.clock import MS_PER_SECOND
 
-# The target for the 99th percentile is 5 ms.
+# Upper bounds of the buckets. The target for the 99th percentile is 5 ms.
 BOUNDS_MS: Final = (0.25, 0.5, 1, 2, 5, 10, 25, 100)
 
 
--- a/fuchsiarill/owner/durability.py
+++ b/fuchsiarill/owner/durability.py
@@ -92,7 +92,7 @@
         )
 
     def lag_ms(self, now_ms: int) -> int:
-        """Return how long records have waited without any commit."""
+        """Return how long uncommitted records have waited without a commit."""
         if self._lagging_since_ms is None:
             return 0
         return now_ms - self._lagging_since_ms
--- a/fuchsiarill/owner/exchange_pacer.py
+++ b/fuchsiarill/owner/exchange_pacer.py
@@ -25,10 +25,10 @@
 # Limit of one owner. A process can make about 700 calls per second; the limit
 # leaves most of its processor time for scheduling decisions.
 _CALLS_MAX_PER_S: Final = 200
-# An exchange takes about 670 bytes and 330 more for each reported task. With
-# these minimum intervals the control traffic of a worker is about 10 KB/s,
-# below its limit of 14 KB/s.
-_EXCHANGE_INTERVAL_MIN_MS: Final = 67
+# An exchange takes about 670 bytes and 330 more for each reported task. An
+# interval that is the sum of these values limits the control traffic of a
+# worker to about 10 KB/s, below its limit of 14 KB/s.
+_INTERVAL_PER_EXCHANGE_MS: Final = 67
 _INTERVAL_PER_TASK_MS: Final = 33
 
 
@@ -77,7 +77,7 @@
             shortest_ms = max(
                 _INTERVAL_MIN_MS,
                 self._interval_for_call_limit_ms,
-                _EXCHANGE_INTERVAL_MIN_MS + _INTERVAL_PER_TASK_MS * tasks_count,
+                _INTERVAL_PER_EXCHANGE_MS + _INTERVAL_PER_TASK_MS * tasks_count,
             )
             self._current_interval_ms = min(shortest_ms, self.interval_max_ms)
             return
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -31,9 +31,10 @@
     """The attempts that the next report of one worker should list."""
 
     def __init__(self, restored_starts: Mapping[AttemptId, str]) -> None:
-        """Expect starts of older owners, with the worker's incarnation then.
+        """Expect the unresolved starts that older owners have sent.
 
-        The worker refuses such a start by its epoch if it arrives late.
+        Each is mapped to the incarnation that the worker had at that time. If
+        such a start arrives late, the worker refuses its lower epoch.
         """
         self._unresolved_starts = {
             attempt_id: SentStart(incarnation)
@@ -47,7 +48,7 @@
         return self._running
 
     @property
-    def unanswered_count(self) -> int:
+    def unresolved_count(self) -> int:
         """Return the number of starts that no report has resolved."""
         return len(self._unresolved_starts)
 
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -1,6 +1,7 @@
 """Handles client requests that reach the owner of a partition.
 
-An acceptance is answered once its record is durable. Every wait has a limit.
+An acceptance is answered once its record is durable, or at once if the job is
+volatile. Every wait has a time limit.
 """
 
 from collections.abc import Callable
@@ -31,7 +32,7 @@
 
 
 class JobRequests:
-    """Executes client requests and holds the clients that wait."""
+    """Executes client requests and keeps track of waiting clients."""
 
     def __init__(
         self,
@@ -93,10 +94,12 @@
             return
         self._core.cancel(job.job_id, now_ms())
         answer = JobAnswer(codes.CANCEL_STARTED, job.job_id, job.state)
-        uncertain_answers = uncertain_answer(answer, self._core.state.partition)
+        answer_if_uncertain = uncertain_answer(
+            answer, self._core.state.partition
+        )
         self._answer_when_durable(
             partial(message.reply.answer, answer),
-            partial(message.reply.answer, uncertain_answers),
+            partial(message.reply.answer, answer_if_uncertain),
         )
 
     def list_jobs(self, message: messages.ListJobs) -> None:
@@ -136,7 +139,7 @@
         self.waiters.expire_waits(now_ms(), self.current_answer)
 
     def close(self) -> None:
-        """Refuse new jobs and answer all that wait for the end of a job."""
+        """Refuse new jobs; answer all clients that wait for a job to end."""
         self.is_closed = True
         self.waiters.answer_all_end_waiters(self.current_answer)
 
@@ -150,14 +153,14 @@
         return unfinished_answer_of(job)
 
     def abandon(self) -> None:
-        """Answer all waiting clients; uncommitted outcomes are uncertain."""
+        """Close and answer all clients; uncommitted outcomes are uncertain."""
         self.close()
         self.waiters.answer_commits_uncertain()
 
     def _missing_job_answer(self, job_id: JobId) -> JobAnswer:
         """Return the refusal for a job that this owner does not have.
 
-        Once the ownership has lapsed, a newer owner may have accepted it.
+        Once the ownership has lapsed, a newer owner may have accepted the job.
         """
         if now_ms() >= self.owned_until_ms:
             return owner_unavailable_answer(self._core.state.partition)
@@ -185,7 +188,11 @@
         message: messages.SubmitJobs,
         answers: tuple[JobAnswer, ...],
     ) -> bool:
-        """Answer a batch unless a job of it still awaits a commit."""
+        """Answer a batch unless a job of it still awaits a commit.
+
+        A restriction of the core can make accepted jobs volatile, so that they
+        no longer await a commit.
+        """
         current = tuple(
             answer
             if answer.job_id is None
--- a/fuchsiarill/owner/journal.py
+++ b/fuchsiarill/owner/journal.py
@@ -1,8 +1,9 @@
-"""The journal of a partition: group commits to a chain of store keys.
+"""The journal of a partition: a log of entries in the store.
 
-Each commit is a compare-and-swap of the next entry's key against its last
-known revision. A new owner first writes the next entry, with its epoch, so
-that a commit of an older owner conflicts: the chain itself fences.
+Records are committed in groups, each as one entry. A commit is a
+compare-and-swap of the next entry's key against the last known revision of the
+key. A new owner first writes the next entry, with its epoch. A commit of an
+older owner then conflicts, so no other fencing of the log is needed.
 """
 
 import asyncio
@@ -44,7 +45,7 @@
         journal: JournalRead,
         commit_interval_ms: int,
     ) -> None:
-        """Continue the chain after the last entry of `journal`."""
+        """Continue the log after the last entry of `journal`."""
         super().__init__(f'journal {partition}')
         self.owner: Mailbox | None = None
         self._position = JournalPosition(
@@ -162,6 +163,6 @@
     async def _write_snapshot(self) -> None:
         if not await self._snapshot_writer.write(self._ledger_image):
             await self._notify_owner(
-                messages.Deposed('another owner took the head')
+                messages.Deposed('another owner claimed the journal')
             )
             self._is_deposed = True
--- a/fuchsiarill/owner/journal_format.py
+++ b/fuchsiarill/owner/journal_format.py
@@ -12,14 +12,18 @@
 from fuchsiarill.records import RECORD, Record
 
 FORMAT: Final = 1
-# The store accepts values of up to 1 MB; half of it leaves space for one large
-# record.
+# The store accepts values of up to 1 MB. Several records in one value are
+# limited to half of that, which leaves space for a single larger record.
 VALUE_MAX_BYTES: Final = 500_000
 GROUP_MAX_COUNT: Final = 1_000
 
 
 class JournalFault(Enum):
-    """Why a journal cannot be read, or its next entry not be written."""
+    """Why a journal cannot be read or its next entry cannot be written.
+
+    `INTERRUPTED`: the ownership deadline passed or an error occurred first.
+    `OVERTAKEN`: another owner has claimed the journal or written an entry.
+    """
 
     INTERRUPTED = 'interrupted'
     OVERTAKEN = 'overtaken'
@@ -46,9 +50,9 @@
     """Value of the head key.
 
     `writer` is the token of the owner that claimed the journal: while the head
-    contains it, no other owner has taken over. The snapshot covers the entries
-    before `first_index`; `chunk_revisions` holds the revision of each of its
-    chunks.
+    contains this token, no other owner has taken over. The snapshot covers the
+    entries before `first_index`. `snapshot` is the name of its set of keys, and
+    `chunk_revisions` holds the revision of each of its chunks.
     """
 
     format: int
--- a/fuchsiarill/owner/journal_reader.py
+++ b/fuchsiarill/owner/journal_reader.py
@@ -94,7 +94,11 @@
     journal: JournalRead,
     record: Record,
 ) -> JournalFault | None:
-    """Write the next entry; `OVERTAKEN` if another owner has written it."""
+    """Write the next entry, or return why it was not written.
+
+    The fault is `OVERTAKEN` if another owner has written an entry with this
+    index.
+    """
     index = journal.next_index
     text = entry_value(claim.token, index, (encode(0, record).text,))
     swap_result = await journal.log_writer.write(
--- a/fuchsiarill/owner/keys.py
+++ b/fuchsiarill/owner/keys.py
@@ -4,8 +4,8 @@
 
 from fuchsiarill.ids import PartitionId, StoreKey
 
-# The log is a ring of keys: an entry overwrites one that a snapshot covers,
-# which saves a write to delete that one.
+# The log is a ring of keys: a new entry overwrites one that a snapshot covers,
+# which saves the write that would delete the covered entry.
 LOG_KEYS_COUNT: Final = 256
 
 
--- a/fuchsiarill/owner/lease_renewer.py
+++ b/fuchsiarill/owner/lease_renewer.py
@@ -1,4 +1,4 @@
-"""Renews the store lease of an owner, independent of its other work."""
+"""Renews the store lease of an owner, independently of its other work."""
 
 from returns.result import Failure, Success
 
--- a/fuchsiarill/owner/log_writer.py
+++ b/fuchsiarill/owner/log_writer.py
@@ -1,8 +1,8 @@
 """Writes entries to the ring of log keys of a partition.
 
 An entry replaces the previous one under its key only at the revision that the
-writer has read or written. An older owner has none of the revisions that a
-newer owner wrote, so that its commits conflict.
+writer has read or written. An older owner does not know the revisions that a
+newer owner has written, so its commits conflict.
 """
 
 from returns.result import Success
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -62,7 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerSilent:
-    """Exchanges have failed for `silent_after_ms` of the settings."""
+    """Exchanges with a worker have failed for `silent_after_ms`.
+
+    Started attempts may run until `lease_ends_at_ms`.
+    """
 
     worker_id: WorkerId
     lease_ends_at_ms: int = 0
@@ -85,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipDeadline:
-    """Commands that need ownership must not be sent after this time."""
+    """The process is certain to own the partition only until this time."""
 
     deadline_ms: int
 
@@ -99,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalsAllowed:
-    """Task leases may be granted or renewed only until this time."""
+    """Task leases may be renewed only until this time."""
 
     until_ms: int
 
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -42,9 +42,9 @@
 
 EFFECT_HANDLERS: Final[Registry[type, EffectHandler]] = Registry('effects')
 _DECISION_INTERVAL_MS: Final = 100
-# Consecutive messages after which a decision may be deferred while others wait.
-# A burst of reports from all workers of a partition then needs only a few
-# decisions.
+# Number of consecutive messages that may be handled without a decision while
+# further messages wait. A burst of reports from all workers of a partition then
+# needs only a few decisions.
 _DEFERRALS_MAX_COUNT: Final = 64
 
 
@@ -105,8 +105,10 @@
             'epoch': self.core.state.epoch,
             'deadline_ms': self.owned_until_ms,
             'restricted': self.core.state.restricted,
-            'waiting_for_commit_count': self.requests.waiters.commits_count,
-            'waiting_for_end_count': self.requests.waiters.ends_count,
+            'waiting_for_commit_count': (
+                self.requests.waiters.commit_waiters_count
+            ),
+            'waiting_for_end_count': self.requests.waiters.end_waiters_count,
             'decision_times': self.decision_times.snapshot(),
             'durability': self.durability.snapshot(),
             'core': self.core.snapshot(),
@@ -262,9 +264,10 @@
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Process timeouts, then make a decision."""
+        """Process time-outs, then make a decision."""
         current_ms = now_ms()
         if self._deposed_message is not None:
+            # The campaign's full mailbox may have refused the first message.
             self._campaign.send(self._deposed_message)
         self.core.expire_leases(current_ms)
         await self.worker_links.stop_unlisted_links(self.core.state)
@@ -306,8 +309,8 @@
     def _update_restriction(self) -> None:
         """Restrict the core to urgent idempotent jobs or lift the restriction.
 
-        It applies while ownership is not confirmed, or while records have
-        waited without any commit for the time-out of a store call.
+        The restriction applies while ownership is not confirmed, or while
+        records have waited without any commit for the time-out of a store call.
         """
         current_ms = now_ms()
         lag_limit_ms = self.settings.store.call_timeout_ms
@@ -323,7 +326,7 @@
     def _finish_if_done(self) -> None:
         if self.finish_reply is None:
             return
-        if self.requests.waiters.commits_count:
+        if self.requests.waiters.commit_waiters_count:
             return
         if self.durability.is_committed(self.core.state.sequence):
             self.finish_reply.answer(True)
@@ -333,7 +336,8 @@
 def _send_start(owner: OwnerActor, effect: StartTask) -> None:
     send_before_ms = owner.owned_until_ms
     if _may_start_without_store(owner.core.state, effect.attempt_id):
-        # A worker that has seen a newer epoch refuses the start.
+        # If another process has taken over, a worker that has seen the newer
+        # epoch refuses the start.
         send_before_ms = max(send_before_ms, owner.outage_until_ms)
     message = messages.SendStart(effect, send_before_ms)
     if not owner.worker_links.send(effect.worker_id, message):
--- a/fuchsiarill/owner/owner_watch.py
+++ b/fuchsiarill/owner/owner_watch.py
@@ -16,7 +16,7 @@
 
 
 class OwnerWatch(Actor):
-    """Reports the value of the owner key to the campaign, and each change."""
+    """Reports the owner key's value, and each change, to the campaign."""
 
     def __init__(
         self,
@@ -60,8 +60,9 @@
             self._revision = owner_value.revision
             self._campaign.send(OwnerKeyRead(owner_value))
         else:
-            # The key may have changed during the failure, so it is read again
-            # unless it was absent.
+            # The key may have changed during the failure, so it is read again.
+            # If it was absent, the watch is repeated instead; it returns at
+            # once if the key exists by then.
             self._revision = ABSENT if self._revision == ABSENT else None
             await sleep_ms(backoff_ms(key, self._failures_count))
             self._failures_count += 1
--- a/fuchsiarill/owner/partition_service.py
+++ b/fuchsiarill/owner/partition_service.py
@@ -19,15 +19,15 @@
 from fuchsiarill.records import EpochOpened
 from fuchsiarill.settings import ProcessSettings
 
-# Limit for the commits of all partitions together. The target is 150 writes/s;
-# lease renewals and snapshots need the rest of it.
+# Limit for the commits of all partitions together. The target for all store
+# writes is 150/s; lease renewals and snapshots need the remainder.
 _COMMITS_MAX_PER_S: Final = 90
 _FINISH_TIMEOUT_MS: Final = 4_000
 
 
 @dataclass(frozen=True, slots=True)
 class Ports:
-    """The interfaces of one process to the outside systems."""
+    """The interfaces of one process to external systems."""
 
     store: StorePort
     host_list: HostListPort
@@ -89,7 +89,7 @@
             actor.start()
 
     def set_deadline(self, deadline_ms: int) -> None:
-        """Send the owner the time until which it may start tasks."""
+        """Send the owner the ownership deadline."""
         self.notify_owner(messages.OwnershipDeadline(deadline_ms))
 
     def notify_owner(self, message: object) -> bool:
@@ -97,7 +97,11 @@
         return self.owner.mailbox.send(message)
 
     async def finish(self) -> bool:
-        """Let the owner finish its work; `False` on failure or a time-out."""
+        """Let the owner finish its work.
+
+        Returns `False` if the owner's mailbox is full or it does not finish in
+        time.
+        """
         reply: Reply[bool] = Reply()
         if not self.notify_owner(messages.FinishWork(reply)):
             return False
@@ -113,7 +117,7 @@
         await self.journal.stop()
 
     def fault(self) -> str | None:
-        """Return the error with which an actor has ended by itself, if any."""
+        """Return the error that ended an actor, if any."""
         errors = (
             actor.fault()
             for actor in (self.owner, self.journal, self.host_poll)
--- a/fuchsiarill/owner/snapshots.py
+++ b/fuchsiarill/owner/snapshots.py
@@ -24,6 +24,7 @@
 from fuchsiarill.ports.store import StorePort, Swap, SwapOutcome
 from fuchsiarill.records import Record
 
+# Minimum number of uncovered entries at which a snapshot is due.
 SNAPSHOT_ENTRIES_COUNT: Final = 64
 # Larger snapshots are written less often, so that chunks remain a small share
 # of all writes. Half of the ring must remain free for commits.
@@ -47,13 +48,13 @@
         return self.next_index - self.head.first_index
 
     def is_snapshot_due(self) -> bool:
-        """Return whether uncovered entries have reached the due number."""
+        """Return whether enough entries are uncovered for a new snapshot."""
         chunks_count = len(self.head.chunk_revisions)
-        due_count = max(
+        required_count = max(
             SNAPSHOT_ENTRIES_COUNT,
             _ENTRIES_PER_CHUNK * chunks_count,
         )
-        return self.entries_count >= min(due_count, _ENTRIES_MAX_COUNT)
+        return self.entries_count >= min(required_count, _ENTRIES_MAX_COUNT)
 
     def is_full(self) -> bool:
         """Return whether the next entry would overwrite an uncovered one."""
@@ -76,7 +77,7 @@
         self._revisions: dict[StoreKey, Revision] = {}
 
     async def write(self, image: LedgerImage) -> bool:
-        """Write a snapshot of `image` as of the next index.
+        """Write a snapshot of `image` that covers all current entries.
 
         Returns `False` when another owner has claimed the head.
         """
@@ -139,10 +140,10 @@
         stored = await read_key(self._store, head_key(self._partition))
         if stored is None or stored.value is None:
             return False
-        head = parse_head(stored.value)
-        if not isinstance(head, Success):
+        parse_result = parse_head(stored.value)
+        if not isinstance(parse_result, Success):
             return False
-        return bool(head.unwrap().writer == self._position.head.writer)
+        return bool(parse_result.unwrap().writer == self._position.head.writer)
 
     async def _update_head(self, head: Head) -> bool:
         position = self._position
--- a/fuchsiarill/owner/store_calls.py
+++ b/fuchsiarill/owner/store_calls.py
@@ -2,7 +2,8 @@
 
 A swap whose response was lost is resolved by a read of the key, since values
 contain the token of their writer. The swap is sent again only after a read
-that found the key unchanged, so that it cannot hide another writer's swap.
+that found the key unchanged, so that it cannot overwrite the value of another
+writer.
 """
 
 from collections.abc import Callable
@@ -38,7 +39,8 @@
     """Return the delay before a further attempt.
 
     The delay doubles up to its limit. Its second half is jitter that depends
-    on the seed, so that processes that fail together do not retry together.
+    on the seed, so that calls that fail together but have different seeds do
+    not retry together.
     """
     doublings = min(attempts_count, _DOUBLINGS_MAX_COUNT)
     delay_ms: float = min(_FIRST_DELAY_MAX_MS * 2**doublings, _DELAY_MAX_MS)
--- a/fuchsiarill/owner/waiters.py
+++ b/fuchsiarill/owner/waiters.py
@@ -21,7 +21,8 @@
     """Callbacks for a client that waits until `sequence` is durable.
 
     Exactly one of `on_commit` and `on_uncertain` is called, unless
-    `try_early_answer` has answered without the commit and returned `True`.
+    `try_early_answer` has answered without the commit and returned `True`. The
+    default, `bool`, returns `False` and answers nothing.
     """
 
     sequence: int
@@ -47,12 +48,12 @@
         self._end_waiters_count = 0
 
     @property
-    def commits_count(self) -> int:
+    def commit_waiters_count(self) -> int:
         """Return the number of clients that wait for a commit."""
         return len(self._commit_waiters)
 
     @property
-    def ends_count(self) -> int:
+    def end_waiters_count(self) -> int:
         """Return the number of clients that wait for the end of a job."""
         return self._end_waiters_count
 
@@ -61,7 +62,7 @@
         return len(self._commit_waiters) >= _COMMIT_WAITERS_MAX_COUNT
 
     def add_commit_waiter(self, waiter: CommitWaiter) -> None:
-        """Add a client; sequence numbers must not decrease."""
+        """Add a client; its sequence number must not be below earlier ones."""
         self._commit_waiters.append(waiter)
 
     def answer_committed(self, sequence: int) -> None:
@@ -81,7 +82,7 @@
         )
 
     def answer_commits_uncertain(self) -> None:
-        """Answer all that wait for a commit that the outcome is uncertain."""
+        """Tell clients that wait for a commit that its outcome is uncertain."""
         while self._commit_waiters:
             self._commit_waiters.popleft().on_uncertain()
 
@@ -129,6 +130,7 @@
         now_ms: int | None,
         answer_of: Callable[[JobId], JobAnswer],
     ) -> None:
+        """Answer clients whose wait has expired; all if `now_ms` is `None`."""
         for job_id, waiters in tuple(self._end_waiters.items()):
             remaining_waiters = []
             for waiter in waiters:
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -33,10 +33,10 @@
 class LinkParameters:
     """Parameters of a link.
 
-    `restored_starts` holds the unresolved starts of older owners on the worker,
-    with its incarnation at that time. `workers_count` is the number of links
-    that share the owner's call rate. No lease is renewed from `renew_until_ms`
-    on.
+    `restored_starts` holds the unresolved non-idempotent starts that older
+    owners sent to the worker, each with the incarnation that the worker had at
+    that time. `workers_count` is the number of links that share the owner's
+    call rate. No lease is renewed from `renew_until_ms` on.
     """
 
     epoch: Epoch
@@ -96,7 +96,7 @@
         return super().snapshot() | {
             'address': self.entry.address,
             'running_count': len(self._expectations.running),
-            'unanswered_starts_count': self._expectations.unanswered_count,
+            'unanswered_starts_count': self._expectations.unresolved_count,
             'starts_waiting_count': len(self._pending_starts),
             'failing_since_ms': self._contact.failing_since_ms,
             'silent': self._contact.is_silent,
@@ -268,7 +268,10 @@
 
 
 class _ContactState:
-    """Last contact with the worker, its clock offset and lease bounds."""
+    """Last contact with the worker, its clock offset and its last lease end.
+
+    The clock offset is the worker's clock minus the owner's clock.
+    """
 
     def __init__(self, task_lease_ms: int) -> None:
         self.task_lease_ms = task_lease_ms
@@ -291,7 +294,7 @@
         """Update the clock offset and the incarnation from a report.
 
         The worker read its clock before now, so the difference is at most the
-        true offset, and a `start_before` derived from it is never too late.
+        true offset, and a start time limit derived from it is never too late.
         """
         current_ms = now_ms()
         self._last_report_at_ms = current_ms
@@ -301,7 +304,7 @@
         self.is_silent = False
 
     def record_leases(self, lease_ms: int) -> None:
-        """Record leases that the worker may count from now at the latest."""
+        """Record leases that may have been granted or renewed until now."""
         ends_at_ms = now_ms() + lapse_bound_ms(lease_ms)
         self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
 
--- a/fuchsiarill/ports/__init__.py
+++ b/fuchsiarill/ports/__init__.py
@@ -1,1 +1,1 @@
-"""Narrow interfaces to the outside systems and their HTTP clients."""
+"""Interfaces to external systems, and HTTP clients of these systems."""
--- a/fuchsiarill/ports/agents.py
+++ b/fuchsiarill/ports/agents.py
@@ -22,7 +22,7 @@
 
 
 class AgentFailure(Enum):
-    """Why a call to a worker or the advice service failed, or may have."""
+    """Why a call to a worker or the advice service was not confirmed."""
 
     # The worker has seen a higher epoch.
     FENCED = 'fenced'
@@ -30,6 +30,7 @@
     SUPERSEDED = 'superseded'
     # The order reached the worker after its expiry.
     EXPIRED = 'expired'
+    # The worker lacks free resources for the run.
     NO_ROOM = 'no_room'
     TICKET_INVALID = 'ticket_invalid'
     # The worker is unhealthy and has not executed the order, or the advice
@@ -37,6 +38,7 @@
     UNHEALTHY = 'unhealthy'
     # A worker with another id or incarnation listens at the address.
     OTHER_WORKER = 'other_worker'
+    # The worker rejected the order as malformed or returned a malformed report.
     MALFORMED = 'malformed'
     # No process listens at the address.
     CONNECTION_REFUSED = 'connection_refused'
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -1,11 +1,11 @@
 """Blocking `urllib3` calls for asyncio tasks, made in threads.
 
 The number of calls in progress is bounded; a further call fails at once as
-not sent. The deadline of a call includes its wait for a thread. It also holds
-if a response arrives in small pieces, each within the socket time-out. If a
-call misses its deadline, `urllib3` closes its connection, since the late
-response would otherwise be read by the next request. Long polls have their
-own threads.
+not sent. The deadline of a call includes its wait for a thread. The deadline
+also holds if a response arrives in small pieces, each within the socket
+time-out. If a read times out, `urllib3` closes the connection, since the late
+response would otherwise be read by the next request. Long polls have their own
+threads.
 """
 
 import asyncio
@@ -24,7 +24,7 @@
 
 # One pool per address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
-# A process watches the configuration and the owner of each partition.
+# A process watches the configuration and the owner key of each partition.
 _LONG_POLLS_MAX_COUNT: Final = 16
 # Time past the deadline in which the thread may still report whether a late
 # call was sent, which only the thread knows for certain.
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -1,7 +1,7 @@
 """HTTP clients of the store, the host list and the workers.
 
-Requests and responses are JSON objects of the message types of this package.
-A malformed response counts as a missing one: the call may have taken effect.
+Requests and responses are JSON encodings of the types that the ports use. A
+malformed response counts as a missing one: the call may have taken effect.
 """
 
 from typing import Final, TypeVar
--- a/fuchsiarill/ports/key_value.py
+++ b/fuchsiarill/ports/key_value.py
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KvConflict:
-    """An expected revision did not match; `items` holds the actual keys."""
+    """An expected revision did not match; `items` holds the actual items."""
 
     items: tuple[KvItem, ...]
 
--- a/fuchsiarill/ports/store.py
+++ b/fuchsiarill/ports/store.py
@@ -1,8 +1,8 @@
 """Interface to the platform's key-value service.
 
 Every call, including a pending watch, counts against the rate limits of the
-service. After `SwapOutcome.UNKNOWN`, as on a time-out, a swap may have taken
-effect: the caller reads the key and looks for its own unique token.
+service. After `SwapOutcome.UNKNOWN`, for example on a time-out, a swap may have
+taken effect: the caller reads the key and looks for its own unique token.
 `NOT_SENT` proves that a call had no effect, so that it can be repeated.
 """
 
--- a/fuchsiarill/ports/store_health.py
+++ b/fuchsiarill/ports/store_health.py
@@ -21,7 +21,7 @@
 
 
 class HealthTrackingStore:
-    """`StorePort` that reports when the store becomes (un)reachable.
+    """`StorePort` that reports when the store goes down or is reachable again.
 
     `changed` is called on each change; its argument is `True` if the store is
     down.
--- a/fuchsiarill/ports/thread_pool.py
+++ b/fuchsiarill/ports/thread_pool.py
@@ -30,7 +30,7 @@
         threads_count: int,
         in_progress_max: int,
     ) -> None:
-        """Allow `in_progress_max` calls, including those without a thread."""
+        """Allow `in_progress_max` calls, including calls without a thread."""
         self._name = name
         self._threads_max = threads_count
         self._threads_count = 0
@@ -47,8 +47,8 @@
         """Run a function in a thread; returns `None` if the bound is reached.
 
         The function counts as in progress until it has ended, even if its
-        result is no longer awaited. It can be cancelled while it waits for a
-        thread.
+        result is no longer awaited. The returned future can be cancelled while
+        the function waits for a thread.
         """
         if not self._free_slots.acquire(blocking=False):
             return None
--- a/fuchsiarill/ports/workers.py
+++ b/fuchsiarill/ports/workers.py
@@ -23,7 +23,7 @@
 
 
 class WorkerPort(Protocol):
-    """The only call that the system makes to a worker."""
+    """The call that an owner makes to a worker."""
 
     async def exchange(
         self,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -49,7 +49,7 @@
 
 
 class NetworkLink:
-    """Connection of one process to the store and the workers."""
+    """Connection of one process; a call named `hold_on_call` holds the link."""
 
     def __init__(self) -> None:
         self.is_cut = False
@@ -253,8 +253,8 @@
 
 
 @dataclass
-class RunningTask:
-    """One attempt on a worker."""
+class _AttemptState:
+    """An attempt that a worker has received and that is not acknowledged."""
 
     start: StartCommand
     outcome: TaskOutcome
@@ -269,7 +269,7 @@
         self.worker_id = WorkerId(name)
         self.is_cut = False
         self.highest_epoch = NO_EPOCH
-        self.tasks: dict[AttemptId, RunningTask] = {}
+        self.tasks: dict[AttemptId, _AttemptState] = {}
         self.accepted: list[tuple[AttemptId, Epoch]] = []
         self.refused: list[AttemptId] = []
         self._clock_ahead_ms = clock_ahead_ms
@@ -345,7 +345,7 @@
             self.refused.append(start.attempt_id)
         else:
             self.accepted.append((start.attempt_id, epoch))
-        self.tasks[start.attempt_id] = RunningTask(
+        self.tasks[start.attempt_id] = _AttemptState(
             start,
             outcome,
             now_ms() + start.run_time_ms,
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -36,7 +36,7 @@
 
 
 class _BadStore(StoreStandIn):
-    """Answers every call with a malformed body."""
+    """Answers every store call with a malformed body."""
 
     def _dispatch(self, call: Call) -> StandInReply | None:
         if call.path in ROUTES:
@@ -147,7 +147,7 @@
 
 
 def test_silent_connections_cost_one_call() -> None:
-    """Guards against a failed call for each idle connection gone silent."""
+    """Guards against a failed call for each idle connection that is silent."""
 
     async def main() -> None:
         async with serving(StoreStandIn()) as served:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -75,7 +75,7 @@
 
 
 def test_hand_over_is_faster_than_a_lease() -> None:
-    """Guards against a shutdown that drops answers or awaits a lease."""
+    """Guards against a shutdown that loses jobs or takes as long as a lease."""
 
     async def main() -> None:
         world = World()
@@ -146,7 +146,7 @@
 def test_lost_start_is_resolved(
     lost_message: str, execution: Execution
 ) -> None:
-    """Guards against an unanswered start that blocks its job or runs twice."""
+    """Guards against a lost start or response that blocks or repeats a job."""
 
     async def main() -> None:
         world = World()
@@ -209,7 +209,10 @@
 
 
 def test_unanswered_order_lost_in_a_restart_is_unknown() -> None:
-    """Guards against a second start after a lost response and a restart."""
+    """Guards against a second start of a non-idempotent task.
+
+    The response to its first start is lost, and the worker then restarts.
+    """
 
     async def main() -> None:
         world = World()
@@ -231,7 +234,10 @@
 
 
 def test_restarted_worker_does_not_repeat_an_order() -> None:
-    """Guards against a second run of a task lost in a worker restart."""
+    """Guards against a second run of a non-idempotent task after a restart.
+
+    An idempotent task that is lost in the restart of its worker runs again.
+    """
 
     async def main() -> None:
         world = World()
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -1,7 +1,7 @@
 """State machine tests with processes that pause, crash or lose messages.
 
-Both run in simulated time and with derandomized input, so that a failure is
-reproducible.
+Both machines run in simulated time and with derandomized input, so that a
+failure is reproducible.
 """
 
 import asyncio
@@ -70,7 +70,7 @@
         return self.runner.run(step)
 
     async def watch(self) -> None:
-        """Record violations at any time, also while a rule runs."""
+        """Check for violations at an interval, also while a rule runs."""
         while True:
             await sleep_ms(_WATCH_INTERVAL_MS)
             owners = [
@@ -85,7 +85,7 @@
                     self.violations.append(f'{count} copies of {task_id}')
 
     async def clear_faults(self) -> None:
-        """Clear all pending faults."""
+        """Cancel the message losses that have not occurred yet."""
         for process in self.world.processes:
             process.link.lost_answers.clear()
             process.link.lost_requests.clear()
@@ -120,7 +120,7 @@
         sent_ms: int,
         pause_ms: int,
     ) -> None:
-        """Pause every owner after its last check; its requests arrive late."""
+        """Hold the requests of every owner, as if it paused after a check."""
 
         async def pause() -> None:
             self.submit_to_owners(numbers)
@@ -236,7 +236,7 @@
 
 
 class OwnershipMachine(_PartitionMachine):
-    """Guards against two owners whose starts a worker accepts at once."""
+    """Guards against two owners whose starts are accepted at the same time."""
 
     @invariant()
     def starts_come_from_rising_epochs(self) -> None:
--- a/tests/test_store_evidence.py
+++ b/tests/test_store_evidence.py
@@ -31,7 +31,7 @@
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_evidence_of_an_outage(case: dict[str, Any]) -> None:
-    """Guards against an owner behind a failed link that renews task leases."""
+    """Guards against renewals by an owner whose own link has failed."""
     own = _member('p1', 'north')
     evidence = StoreEvidence()
     for process, domain, requested_at_ms, is_down in case['answers']:
