--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -90,7 +90,11 @@
 
 
 class ChildActors:
-    """The child actors of a campaign; its state decides which of them run."""
+    """The child actors of a campaign; its actions start and stop them.
+
+    `journal` holds the contents that the takeover has read. After a handover
+    `is_work_finished` tells whether the owner finished its work in time.
+    """
 
     def __init__(self) -> None:
         """Start without a child actor."""
--- a/fuchsiarill/owner/durability.py
+++ b/fuchsiarill/owner/durability.py
@@ -35,7 +35,7 @@
         self._uncommitted_ends: dict[JobId, int] = {}
 
     def append(self, records: Iterable[PersistRecord], now_ms: int) -> None:
-        """Send records to the journal, after those that are still unsent."""
+        """Send records to the journal, after earlier unsent records."""
         for record in records:
             self._unsent_records.append(record)
             self._appended_sequence = record.sequence
--- a/fuchsiarill/owner/fleet.py
+++ b/fuchsiarill/owner/fleet.py
@@ -42,7 +42,7 @@
         entries: Iterable[HostEntry],
         state: CoreState,
     ) -> None:
-        """Create links to new workers; replace those with a new address."""
+        """Create links to new workers; replace links whose address changed."""
         self._unlisted.update(self.links)
         listed_entries = tuple(entries)
         self._link_parameters = replace(
--- a/fuchsiarill/owner/journal.py
+++ b/fuchsiarill/owner/journal.py
@@ -33,9 +33,9 @@
     """Commits the records of one owner in groups.
 
     During a store outage a commit is retried with growing delays. Further
-    records wait here and in the mailbox; once that is full, the owner keeps
-    them. A snapshot of the journal replaces entries in the store; the method
-    `snapshot` returns the state for a dump.
+    records wait here and in the mailbox; while the mailbox is full, the owner
+    keeps them. A snapshot of the journal replaces entries in the store; the
+    method `snapshot` returns the state for a dump.
     """
 
     def __init__(
--- a/fuchsiarill/owner/partition_service.py
+++ b/fuchsiarill/owner/partition_service.py
@@ -57,6 +57,7 @@
         deadline_ms: int,
     ) -> None:
         """Restore the state of the partition and start all actors."""
+        # The takeover has appended the record of the new epoch.
         *older_records, epoch_record = journal.records
         epoch = Epoch(0)
         if isinstance(epoch_record, EpochOpened):
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -213,6 +213,7 @@
 
     @invariant()
     def no_violation_was_recorded(self) -> None:
+        """Guards against two owners or two running copies of a task."""
         assert not self.violations, self.violations[:3]
 
     @invariant()
