Name the referents in replay comments and trace descriptions

Change: descriptions and comments of the traces say what the trace states and checks. undo_switch becomes set_attribute, undo_all combine_undos, read_named read_deployment, Evidence.cancelled cancel_requested, Call.is_unanswered is_answer_lost, FakeStore.losses reply_losses, _WorkerSwitch _WorkerAttributeFault, its method switch set_on_workers; private names and locals likewise. Texts of violations name the violation.

--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -34,10 +34,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerOptions:
-    """Whether a caller retries and waits, and which process it calls.
+    """Whether a caller retries its calls and waits for the result.
 
-    `via` names the only process that it calls; by default the load balancer
-    chooses one for each call.
+    `via` names the only process that the caller calls; by default the load
+    balancer chooses a process for each call.
     """
 
     retries: bool = True
@@ -56,7 +56,7 @@
         config: CellConfig,
         random_source: random.Random,
     ) -> None:
-        """Call `processes`, chosen by `random_source` as load balancer."""
+        """Call `processes`; `random_source` acts as the load balancer."""
         self.config = config
         self.job_ids: dict[str, JobId] = {}
         self._log = log
@@ -64,7 +64,7 @@
         self._processes = processes
         self._random_source = random_source
         self._endpoint = Endpoint('caller', CLIENT_DOMAIN)
-        self._volatile: set[str] = set()
+        self._volatile_keys: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def submit(self, spec: JobSpec, options: CallerOptions) -> None:
@@ -86,8 +86,8 @@
         """Start a task that cancels a job, once its id is known."""
         self._start_task(self._cancel(spec, options))
 
-    def _start_task(self, call: Any) -> None:
-        task = asyncio.create_task(call)
+    def _start_task(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -129,7 +129,7 @@
         self, spec: JobSpec, answer: JobAnswer
     ) -> JobId | None:
         if answer.code is ACCEPTED_VOLATILE:
-            self._volatile.add(spec.idempotency_key)
+            self._volatile_keys.add(spec.idempotency_key)
         return answer.job_id
 
     async def _wait_for_result(
@@ -165,7 +165,7 @@
                 await sleep_ms(_RETRY_MS)
 
     def _is_lost_volatile(self, spec: JobSpec, answer: JobAnswer) -> bool:
-        is_volatile = spec.idempotency_key in self._volatile
+        is_volatile = spec.idempotency_key in self._volatile_keys
         return is_volatile and answer.code is UNKNOWN_JOB
 
     def _record_end(self, spec: JobSpec, answer: JobAnswer) -> None:
--- a/fuchsiarill/replay/command.py
+++ b/fuchsiarill/replay/command.py
@@ -16,12 +16,12 @@
 from fuchsiarill.replay.runner import ReplayResult, replay
 from fuchsiarill.replay.trace import Trace, load_trace
 
-_SHOWN_COUNT: Final = 3
+_SHOWN_VIOLATIONS_COUNT: Final = 3
 _DIGEST_CHARACTERS: Final = 12
 
 
 class ReplayStatus(Enum):
-    """Exit status of a replay; the highest one of all files counts."""
+    """Exit status of a replay; of several files, the highest one counts."""
 
     MET = 0
     UNMET = 1
@@ -52,9 +52,9 @@
 def _replay_trace(trace: Trace) -> ReplayStatus:
     replayed = replay(trace)
     for unmet in replayed.unmet:
-        for violation in unmet.violations[:_SHOWN_COUNT]:
+        for violation in unmet.violations[:_SHOWN_VIOLATIONS_COUNT]:
             print(f'  {unmet.outcome}: {violation}')
-        more_count = len(unmet.violations) - _SHOWN_COUNT
+        more_count = len(unmet.violations) - _SHOWN_VIOLATIONS_COUNT
         if more_count > 0:
             print(f'  {unmet.outcome}: and {more_count} more')
     print(_summary(trace, replayed))
--- a/fuchsiarill/replay/composition.py
+++ b/fuchsiarill/replay/composition.py
@@ -89,13 +89,13 @@
         wait_ms: int,
         reply: Reply[Any],
     ) -> None:
-        """Pass a caller's request to a partition owner and its answer back."""
+        """Answer a caller's request with the answer of a partition owner."""
         reply.answer(await self.front.call_owner(build, wait_ms))
 
     async def call_config(
         self, build: MessageFactory, reply: Reply[Any]
     ) -> None:
-        """Pass on an operator's request; a time-out gives no answer."""
+        """Answer an operator's request; a time-out gives no answer."""
         try:
             answer = await self.front.call_config(build)
         except TimeoutError:
--- a/fuchsiarill/replay/deployment.py
+++ b/fuchsiarill/replay/deployment.py
@@ -12,7 +12,9 @@
 from fuchsiarill.workers import HostEntry, HostState
 
 _Positive = Annotated[int, Field(gt=0)]
-_NAMED: Final = resources.files('fuchsiarill.replay').joinpath('deployments')
+_DEPLOYMENTS_FOLDER: Final = resources.files('fuchsiarill.replay').joinpath(
+    'deployments'
+)
 
 
 class TraceModel(BaseModel):
@@ -76,14 +78,14 @@
     """Return the names of the deployments in the package, sorted."""
     return sorted(
         entry.name.removesuffix('.yaml')
-        for entry in _NAMED.iterdir()
+        for entry in _DEPLOYMENTS_FOLDER.iterdir()
         if entry.name.endswith('.yaml')
     )
 
 
-def read_named(name: str) -> dict[str, Any]:
+def read_deployment(name: str) -> dict[str, Any]:
     """Load the YAML document of a named deployment."""
-    text = _NAMED.joinpath(f'{name}.yaml').read_text()
+    text = _DEPLOYMENTS_FOLDER.joinpath(f'{name}.yaml').read_text()
     document: dict[str, Any] = yaml.safe_load(text)
     return document
 
--- a/fuchsiarill/replay/event_kinds.py
+++ b/fuchsiarill/replay/event_kinds.py
@@ -100,7 +100,7 @@
 
 @EVENT_KINDS.register('stream')
 class Stream(JobTemplate):
-    """Submit `count` jobs at `rate_per_s` with keys `<prefix>-<n>` from 1.
+    """Submit `count` jobs at `rate_per_s`, with keys from `<prefix>-1` on.
 
     Intervals are exponentially distributed, or equal when `regular`. Run
     times are uniform between `run_time_ms` and `run_time_max_ms`, if given.
@@ -115,18 +115,22 @@
     def apply(self, world: World) -> None:
         """Start a task that submits the jobs."""
         random_source = random.Random(world.random_source.random())
-        world.track_task(asyncio.create_task(self._emit(world, random_source)))
+        world.track_task(
+            asyncio.create_task(self._submit_jobs(world, random_source))
+        )
 
-    async def _emit(self, world: World, random_source: random.Random) -> None:
+    async def _submit_jobs(
+        self, world: World, random_source: random.Random
+    ) -> None:
         for number in range(1, self.count + 1):
-            drawn = self
+            template = self
             if self.run_time_max_ms is not None:
                 run_time_ms = random_source.randint(
                     self.run_time_ms,
                     self.run_time_max_ms,
                 )
-                drawn = self.model_copy(update={'run_time_ms': run_time_ms})
-            drawn.submit(world, f'{self.prefix}-{number}')
+                template = self.model_copy(update={'run_time_ms': run_time_ms})
+            template.submit(world, f'{self.prefix}-{number}')
             gap_s = 1 / self.rate_per_s
             if not self.regular:
                 gap_s = random_source.expovariate(self.rate_per_s)
@@ -189,7 +193,7 @@
     workers: tuple[str, ...]
 
     def apply(self, world: World) -> None:
-        """Remove the workers from the list and end their tasks."""
+        """Remove the workers from the list, then crash them."""
         workers = world.find_workers(self.workers)
         world.host_list.unlist(worker_ids(workers))
         for worker in workers:
@@ -198,7 +202,7 @@
 
 @EVENT_KINDS.register('configure')
 class Configure(EventKind):
-    """An operator changes the configuration or a contract.
+    """An operator changes the cell configuration.
 
     `changes` are merged into the current document: mappings merge by key, and
     `contracts` is a mapping of customers. `text` replaces the document.
@@ -228,7 +232,10 @@
 
 @EVENT_KINDS.register('shutdown')
 class Shutdown(EventKind):
-    """SIGTERM: processes drain and end; names as in `find_processes`."""
+    """SIGTERM: processes drain and end.
+
+    `process` is a name as in `World.find_processes`.
+    """
 
     process: str
 
--- a/fuchsiarill/replay/evidence.py
+++ b/fuchsiarill/replay/evidence.py
@@ -62,15 +62,15 @@
 
     @cached_property
     def ends(self) -> dict[str, Observation]:
-        """Return the final answer that the caller got, by key."""
+        """Return the final answer that the caller of each key received."""
         return {
             entry.details['key']: entry
             for entry in self.log.of(ObservationKind.JOB_ENDED)
         }
 
     @cached_property
-    def cancelled(self) -> frozenset[str]:
-        """Return the keys of jobs whose cancellation was requested."""
+    def cancel_requested(self) -> frozenset[str]:
+        """Return the keys of jobs that their callers asked to cancel."""
         return frozenset(
             entry.details['key']
             for entry in self.log.of(ObservationKind.CANCEL_ASKED)
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -49,7 +49,7 @@
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
-        """Record the generation in force, as operators can query it."""
+        """Record the generation that the configuration actor reports."""
         self._has_config = True
         reply: Reply[ConfigDocument] = Reply()
         self._receivers.config.send(GetDocument(reply))
@@ -67,7 +67,7 @@
 
     @handles(StopFront)
     async def on_stop(self, message: StopFront) -> None:
-        """Wait for the answers in progress, then close the front end."""
+        """Wait up to `within_ms` for answers; reply whether all were sent."""
         ends_at_ms = now_ms() + message.within_ms
         while self._in_progress and now_ms() < ends_at_ms:
             await sleep_ms(_CHECK_INTERVAL_MS)
--- a/fuchsiarill/replay/fake_host_list.py
+++ b/fuchsiarill/replay/fake_host_list.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostsRequested:
-    """One read of the host list, as it arrives there."""
+    """A request of a process for the host list."""
 
     process: str
     reply: Reply[Any]
@@ -88,14 +88,17 @@
         source: Endpoint,
         host_list: FakeHostList,
     ) -> None:
-        """Read `host_list` from `source`."""
+        """Call `host_list` from the endpoint `source`."""
         self._settings = settings
         self._network = network
         self._source = source
         self._host_list = host_list
 
     async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
-        """Return all listed hosts, or a failure after the poll interval."""
+        """Return all listed hosts.
+
+        Without an answer within the poll interval, the result is a failure.
+        """
         build_request = partial(HostsRequested, self._source.name)
         answer = await self._network.call(
             self._source,
--- a/fuchsiarill/replay/fake_store.py
+++ b/fuchsiarill/replay/fake_store.py
@@ -1,6 +1,6 @@
 """Fake of the store, and the `StorePort` that calls it.
 
-It records each call in the log. Faults set its public attributes.
+The fake records each call in the log. Faults set its public attributes.
 """
 
 import asyncio
@@ -32,7 +32,7 @@
     """One call as it arrives at the store.
 
     `argument` depends on `operation`: a `Swap`, a lease id, a time to live in
-    ms, or the revision from which a watch starts.
+    ms, or the revision that the caller of a watch already has.
     """
 
     operation: str
@@ -81,7 +81,7 @@
         self.is_silent = False
         self.is_watch_stuck = False
         self.delay_ms = 0
-        self.losses: list[ReplyLoss] = []
+        self.reply_losses: list[ReplyLoss] = []
         self.stored: dict[StoreKey, Versioned] = {}
         self._log = log
         self._leases: dict[StoreLeaseId, _Lease] = {}
@@ -187,7 +187,7 @@
         )
 
     def _loses_reply(self, call: StoreCall) -> bool:
-        return any(loss.applies_to(call) for loss in self.losses)
+        return any(loss.applies_to(call) for loss in self.reply_losses)
 
     def _write(self, key: StoreKey, text: str | None) -> None:
         self._revision += 1
@@ -231,7 +231,7 @@
         source: Endpoint,
         store: FakeStore,
     ) -> None:
-        """Call `store` from `source`."""
+        """Call `store` from the endpoint `source`."""
         self._settings = settings
         self._network = network
         self._source = source
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -1,7 +1,7 @@
 """Fake of a worker, and the `WorkerPort` that calls it.
 
-Tasks are timers under leases. The fake follows the rules that the system
-relies on: it refuses exchanges of a lower epoch and starts after their
+A task is a timer that holds a lease. The fake follows the rules that the
+system relies on: it refuses exchanges of a lower epoch and starts after their
 deadline, and stops a task whose lease has expired.
 """
 
@@ -32,10 +32,12 @@
     WorkerReport,
 )
 
-# Usage is measured over a window, so reports on running tasks lag behind.
+# Real workers measure usage over a window: a report shows no usage of a task
+# that has run for less than this time.
 _USAGE_LAG_MS: Final = 2_000
 _FAILS_AFTER_MS: Final = 50
-# Clocks of workers differ so that a mixed-up clock shows; any value works.
+# Clocks of workers differ, so that a trace fails if the system confuses them;
+# any value works.
 _CLOCK_STEP_MS: Final = 1_000_000
 
 
@@ -43,8 +45,8 @@
 class TaskProfile:
     """Actual behaviour of a job's tasks: usage, run time and failures.
 
-    Usage depends on the declared size, never on what is reserved. The next
-    `fails_count` runs fail.
+    Usage depends on the declared size, never on the reserved size. The
+    next `fails_count` runs fail.
     """
 
     used: Resources = NO_RESOURCES
@@ -93,7 +95,7 @@
         self._clock_offset_ms = number * _CLOCK_STEP_MS
         self._profiles = profiles
         self._attempts: dict[AttemptId, _Task] = {}
-        self._held: list[ExchangeRequested] = []
+        self._queued: list[ExchangeRequested] = []
         self._highest_epoch = NO_EPOCH
         self._restarts_count = 0
 
@@ -101,7 +103,7 @@
     async def on_exchange(self, message: ExchangeRequested) -> None:
         """Execute an exchange, or queue it while the host is paused."""
         if self.is_paused:
-            self._held.append(message)
+            self._queued.append(message)
             return
         if not self.endpoint.refusing:
             self._apply_exchange(message)
@@ -119,7 +121,7 @@
         for task in tuple(self._attempts.values()):
             self._end_task(task, TaskOutcome.STOPPED, 'worker died')
         self._attempts.clear()
-        self._held.clear()
+        self._queued.clear()
         self._highest_epoch = NO_EPOCH
 
     def restart(self) -> None:
@@ -141,9 +143,9 @@
         for task in tuple(self._attempts.values()):
             if task.is_due:
                 self._complete(task)
-        held = self._held
-        self._held = []
-        for message in held:
+        queued = self._queued
+        self._queued = []
+        for message in queued:
             self._apply_exchange(message)
 
     def _apply_exchange(self, message: ExchangeRequested) -> None:
@@ -313,7 +315,7 @@
         source: Endpoint,
         workers: dict[str, FakeWorker],
     ) -> None:
-        """Call `workers`, a mapping by address, from `source`."""
+        """Call `workers`, a mapping by address, from the endpoint `source`."""
         self._settings = settings
         self._network = network
         self._source = source
--- a/fuchsiarill/replay/faults_hosts.py
+++ b/fuchsiarill/replay/faults_hosts.py
@@ -10,8 +10,8 @@
     FAULT_KINDS,
     FaultKind,
     Undo,
-    undo_all,
-    undo_switch,
+    combine_undos,
+    set_attribute,
 )
 from fuchsiarill.replay.network import CLIENT_DOMAIN, SERVICE_DOMAIN
 from fuchsiarill.replay.process import LifecycleEvent, ReplayedProcess
@@ -19,7 +19,8 @@
 
 _Factor = Annotated[float, Field(gt=0)]
 
-# Long enough that a tick and the starts it causes are sent before the pause.
+# Long enough for a periodic decision of the owner; the gate holds the starts
+# that it sends.
 _GATE_MS: Final = 150
 _DOMAINS_WITHOUT_WORKERS: Final = frozenset((SERVICE_DOMAIN, CLIENT_DOMAIN))
 
@@ -73,7 +74,7 @@
 
 @FAULT_KINDS.register('worker_dies')
 class WorkerDies(FaultKind):
-    """Hosts crash with all their tasks and restart empty at the end."""
+    """Hosts crash with all their tasks; at the end they restart empty."""
 
     workers: tuple[str, ...]
 
@@ -83,12 +84,12 @@
         for worker in workers:
             worker.crash()
             world.network.reset(worker.endpoint)
-        return undo_all([host.restart for host in workers])
+        return combine_undos([host.restart for host in workers])
 
 
 @FAULT_KINDS.register('worker_pauses')
 class WorkerPauses(FaultKind):
-    """Hosts freeze; exchanges that reach them are queued until the end."""
+    """Hosts freeze; exchanges that arrive are queued until the end."""
 
     workers: tuple[str, ...]
 
@@ -97,64 +98,66 @@
         workers = world.find_workers(self.workers)
         for worker in workers:
             worker.pause()
-        return undo_all([host.resume for host in workers])
+        return combine_undos([host.resume for host in workers])
 
 
-class _WorkerSwitch(FaultKind):
+class _WorkerAttributeFault(FaultKind):
     """Base of faults that set one attribute of workers."""
 
     workers: tuple[str, ...]
 
-    def switch(self, world: World, attribute: str, setting: Any) -> Undo:
-        """Set an attribute; the returned call restores its old value."""
-        return undo_all(
+    def set_on_workers(
+        self, world: World, attribute: str, setting: Any
+    ) -> Undo:
+        """Set an attribute; the returned function restores its old values."""
+        return combine_undos(
             [
-                undo_switch(worker, attribute, setting)
+                set_attribute(worker, attribute, setting)
                 for worker in world.find_workers(self.workers)
             ],
         )
 
 
 @FAULT_KINDS.register('worker_fails_all')
-class WorkerFailsAll(_WorkerSwitch):
+class WorkerFailsAll(_WorkerAttributeFault):
     """Every task that the workers start fails after 50 ms."""
 
     def begin(self, world: World) -> Undo:
         """Make tasks fail."""
-        return self.switch(world, 'fails_all', setting=True)
+        return self.set_on_workers(world, 'fails_all', setting=True)
 
 
 @FAULT_KINDS.register('worker_uses_more')
-class WorkerUsesMore(_WorkerSwitch):
-    """Tasks that start there use `factor` times as much as elsewhere."""
+class WorkerUsesMore(_WorkerAttributeFault):
+    """Tasks that start on the workers use `factor` times their usual usage."""
 
     factor: _Factor
 
     def begin(self, world: World) -> Undo:
         """Set the factor of the workers."""
-        return self.switch(world, 'size_factor', self.factor)
+        return self.set_on_workers(world, 'size_factor', self.factor)
 
 
 @FAULT_KINDS.register('worker_runs_longer')
-class WorkerRunsLonger(_WorkerSwitch):
-    """Tasks that start there run `factor` times as long as elsewhere."""
+class WorkerRunsLonger(_WorkerAttributeFault):
+    """Tasks that start on the workers run `factor` times as long as usual."""
 
     factor: _Factor
 
     def begin(self, world: World) -> Undo:
         """Set the factor of the workers."""
-        return self.switch(world, 'run_time_factor', self.factor)
+        return self.set_on_workers(world, 'run_time_factor', self.factor)
 
 
 @FAULT_KINDS.register('worker_clock_rate')
-class WorkerClockRate(_WorkerSwitch):
+class WorkerClockRate(_WorkerAttributeFault):
     """The clocks of workers run at `rate` times the true rate."""
 
     rate: _Factor
 
     def begin(self, world: World) -> Undo:
         """Set the clock rate of the workers."""
-        return self.switch(world, 'clock_rate', self.rate)
+        return self.set_on_workers(world, 'clock_rate', self.rate)
 
 
 def _step_all(processes: list[ReplayedProcess], event: LifecycleEvent) -> None:
--- a/fuchsiarill/replay/faults_links.py
+++ b/fuchsiarill/replay/faults_links.py
@@ -10,8 +10,8 @@
     FAULT_KINDS,
     FaultKind,
     Undo,
-    undo_all,
-    undo_switch,
+    combine_undos,
+    set_attribute,
 )
 from fuchsiarill.replay.network import AnswerDelay, Link, SilentLink
 from fuchsiarill.replay.world import World
@@ -22,8 +22,8 @@
 class _LinkFault(FaultKind):
     """Base of faults that affect calls between two sets of endpoints.
 
-    Each set names processes, workers, failure domains, `store`,
-    `host_list` or `client`.
+    Each set holds names as in `World.find_processes` or
+    `World.find_workers`, failure domains, `store`, `host_list` or `client`.
     """
 
     calls_from: tuple[str, ...]
@@ -38,7 +38,10 @@
 
 @FAULT_KINDS.register('cut')
 class Cut(_LinkFault):
-    """Messages are lost; with `one_way`, only those from `calls_from`."""
+    """Messages between the sets are lost.
+
+    With `one_way`, only messages from `calls_from` to `calls_to` are lost.
+    """
 
     one_way: bool = False
 
@@ -48,7 +51,7 @@
         if self.one_way:
             cuts.pop()
         world.network.cuts += cuts
-        return undo_all(
+        return combine_undos(
             [partial(world.network.cuts.remove, cut) for cut in cuts]
         )
 
@@ -57,8 +60,8 @@
 class ConnectionSilent(_LinkFault):
     """Open connections never answer again; new connections work.
 
-    The next call of each pair of endpoints gets no answer; with `reaches` it
-    takes effect all the same.
+    The next call of each pair of endpoints gets no answer; with `reaches` the
+    call still takes effect.
     """
 
     reaches: bool = False
@@ -73,7 +76,7 @@
 
 @FAULT_KINDS.register('answers_late')
 class AnswersLate(_LinkFault):
-    """Every `every`-th answer arrives `delay_ms` late, after later ones."""
+    """Every `every`-th answer is `delay_ms` late, after later answers."""
 
     delay_ms: _Positive
     every: _Positive = 2
@@ -99,8 +102,8 @@
         """Make the store unavailable."""
         if self.mode == 'refusing':
             world.network.reset(world.store.endpoint)
-            return undo_switch(world.store.endpoint, 'refusing', setting=True)
-        return undo_switch(world.store, 'is_silent', setting=True)
+            return set_attribute(world.store.endpoint, 'refusing', setting=True)
+        return set_attribute(world.store, 'is_silent', setting=True)
 
 
 @FAULT_KINDS.register('store_slow')
@@ -111,7 +114,7 @@
 
     def begin(self, world: World) -> Undo:
         """Delay the store's answers."""
-        return undo_switch(world.store, 'delay_ms', self.delay_ms)
+        return set_attribute(world.store, 'delay_ms', self.delay_ms)
 
 
 @FAULT_KINDS.register('store_loses_reply')
@@ -129,8 +132,8 @@
     def begin(self, world: World) -> Undo:
         """Drop the replies."""
         loss = ReplyLoss(self.operation, self.prefix, self.count)
-        world.store.losses.append(loss)
-        return partial(world.store.losses.remove, loss)
+        world.store.reply_losses.append(loss)
+        return partial(world.store.reply_losses.remove, loss)
 
 
 @FAULT_KINDS.register('store_drops_leases')
@@ -140,7 +143,7 @@
     def begin(self, world: World) -> Undo:
         """End the leases; there is nothing to undo."""
         world.store.drop_leases()
-        return undo_all([])
+        return combine_undos([])
 
 
 @FAULT_KINDS.register('watch_stuck')
@@ -149,7 +152,7 @@
 
     def begin(self, world: World) -> Undo:
         """Stop answering watches."""
-        return undo_switch(world.store, 'is_watch_stuck', setting=True)
+        return set_attribute(world.store, 'is_watch_stuck', setting=True)
 
 
 @FAULT_KINDS.register('host_list_lags')
@@ -160,7 +163,7 @@
 
     def begin(self, world: World) -> Undo:
         """Set the lag of the host list."""
-        return undo_switch(world.host_list, 'lag_ms', self.lag_ms)
+        return set_attribute(world.host_list, 'lag_ms', self.lag_ms)
 
 
 @FAULT_KINDS.register('host_list_down')
@@ -169,7 +172,7 @@
 
     def begin(self, world: World) -> Undo:
         """Stop answering reads of the host list."""
-        return undo_switch(world.host_list, 'is_silent', setting=True)
+        return set_attribute(world.host_list, 'is_silent', setting=True)
 
 
 def _endpoint_names(world: World, names: tuple[str, ...]) -> frozenset[str]:
--- a/fuchsiarill/replay/kinds.py
+++ b/fuchsiarill/replay/kinds.py
@@ -1,6 +1,7 @@
 """Registries of the event, fault and outcome kinds that traces can use.
 
-Each kind is a model of its parameters with a method that applies them.
+Each kind is a model of its parameters. A method performs the event, starts the
+fault or checks the outcome.
 """
 
 from collections.abc import Callable, Iterator
@@ -28,10 +29,10 @@
 
 
 class FaultKind(TraceModel):
-    """A failure with a limited duration, or until the end of the trace."""
+    """A failure that ends after a given duration or with the trace."""
 
     def begin(self, world: 'World') -> Undo:
-        """Start the fault and return the call that ends it."""
+        """Start the fault and return the function that ends it."""
         raise NotImplementedError
 
 
@@ -63,15 +64,15 @@
 )
 
 
-def undo_switch(target: Any, attribute: str, setting: Any) -> Undo:
-    """Set an attribute; the returned call restores its old value."""
+def set_attribute(target: Any, attribute: str, setting: Any) -> Undo:
+    """Set an attribute; the returned function restores its old value."""
     old_setting = getattr(target, attribute)
     setattr(target, attribute, setting)
     return partial(setattr, target, attribute, old_setting)
 
 
-def undo_all(calls: list[Undo]) -> Undo:
-    """Return a call that makes all given calls in order."""
+def combine_undos(calls: list[Undo]) -> Undo:
+    """Return a function that calls all given functions in order."""
     return partial(_call_all, calls)
 
 
--- a/fuchsiarill/replay/loop.py
+++ b/fuchsiarill/replay/loop.py
@@ -1,4 +1,4 @@
-"""An event loop that can stop single processes of a replay.
+"""An event loop that can suspend single processes of a replay.
 
 Several processes share the loop. Each task carries the incarnation of its
 process in its context; while an incarnation is held, none of its callbacks
@@ -49,7 +49,7 @@
 
 
 def process_name() -> str:
-    """Return the name of the running process, empty outside of one."""
+    """Return the name of the running process, or an empty string."""
     incarnation = INCARNATION.get()
     return '' if incarnation is None else incarnation.process
 
@@ -120,8 +120,8 @@
     arguments: tuple[Any, ...],
     context: Context | None,
 ) -> _Callback | None:
-    own = copy_context() if context is None else context
-    incarnation = own.get(INCARNATION)
+    own_context = copy_context() if context is None else context
+    incarnation = own_context.get(INCARNATION)
     if incarnation is None:
         return None
-    return _Callback(incarnation, callback, arguments, own)
+    return _Callback(incarnation, callback, arguments, own_context)
--- a/fuchsiarill/replay/network.py
+++ b/fuchsiarill/replay/network.py
@@ -36,7 +36,7 @@
 
     `gate` holds outgoing messages while it is closed; `None` means open.
     Messages to the domains in `gate_exempt` pass. A `refusing` endpoint
-    resets new connections.
+    refuses connections.
     """
 
     name: str
@@ -89,7 +89,8 @@
     def applies_to(self, source: Endpoint, target: Endpoint) -> bool:
         """Return whether a call uses a silent connection.
 
-        It does so once for each pair: later calls use a new connection.
+        Only the first call of each pair does: later calls use a new
+        connection.
         """
         pair = (source.name, target.name)
         if pair in self.affected_pairs or not self.link.covers(source, target):
@@ -125,7 +126,7 @@
         self.source = source
         self.target = target
         self.deliver = deliver
-        self.is_unanswered = False
+        self.is_answer_lost = False
         loop = asyncio.get_running_loop()
         self.outcome: asyncio.Future[Result[Any, CallFailure]] = (
             loop.create_future()
@@ -191,8 +192,8 @@
     def send_answer(self, call: Call, outcome: Any) -> None:
         """Send an answer back to the source of a call."""
         if call.target.gate is not None and call.target.holds(call.source):
-            # It is sent when the process resumes; if it is killed instead,
-            # the connection is reset.
+            # The answer is sent when the process resumes; if the process is
+            # killed instead, the connection is reset.
             call.target.gate.append(_held_answer(call, outcome))
             return
         delay_ms = self._latency_ms(call.target, call.source)
@@ -217,11 +218,11 @@
             call.deliver(_WireReply(self, call))
 
     def drop_held(self, endpoint: Endpoint) -> None:
-        """Drop the messages that the gate held, after the process died."""
+        """Drop the messages that the gate of a killed process held."""
         endpoint.gate = None
 
     def reset(self, endpoint: Endpoint) -> None:
-        """Break the connections to an endpoint whose process died."""
+        """Break the connections to an endpoint; open calls get no answer."""
         for call in tuple(self._calls):
             if call.target is endpoint:
                 failure = Failure(CallFailure.NO_ANSWER)
@@ -237,7 +238,7 @@
         self.silent_links.append(silent_link)
         for call in tuple(self._calls):
             if silent_link.applies_to(call.source, call.target):
-                call.is_unanswered = True
+                call.is_answer_lost = True
 
     def _send(self, call: Call) -> None:
         if call.source.gate is not None and call.source.holds(call.target):
@@ -260,12 +261,12 @@
     def _is_silent(self, call: Call) -> bool:
         for silent_link in self.silent_links:
             if silent_link.applies_to(call.source, call.target):
-                call.is_unanswered = True
+                call.is_answer_lost = True
                 return not silent_link.reaches
         return False
 
     def _on_return(self, call: Call, outcome: Result[Any, CallFailure]) -> None:
-        if call.is_unanswered or self._is_cut(call.target, call.source):
+        if call.is_answer_lost or self._is_cut(call.target, call.source):
             return
         call.end(outcome)
 
@@ -298,9 +299,10 @@
 
 
 def _held_answer(call: Call, outcome: Any) -> Call:
+    """Return a copy of a call; delivering it sends the held answer."""
     held = Call(call.source, call.target, call.deliver)
     held.outcome = call.outcome
-    held.is_unanswered = call.is_unanswered
+    held.is_answer_lost = call.is_answer_lost
     held.deliver = partial(_answer_at_once, outcome)
     return held
 
--- a/fuchsiarill/replay/observations.py
+++ b/fuchsiarill/replay/observations.py
@@ -1,4 +1,4 @@
-"""Log of what the fakes and the callers observed in a replay."""
+"""Log of the events that fakes and callers observe in a replay."""
 
 import hashlib
 import json
@@ -67,7 +67,7 @@
             self.entries.append(Observation(now_ms(), kind, who, details))
 
     def close(self) -> None:
-        """Ignore further events, which only the end of the replay causes."""
+        """Ignore further events: only the end of the replay causes them."""
         self._is_open = False
 
     def of(self, *kinds: ObservationKind) -> list[Observation]:
--- a/fuchsiarill/replay/operators.py
+++ b/fuchsiarill/replay/operators.py
@@ -31,7 +31,7 @@
         processes: dict[str, ReplayedProcess],
         random_source: random.Random,
     ) -> None:
-        """Call `processes`, chosen by `random_source` if none is named."""
+        """Call one of `processes`, by default chosen by `random_source`."""
         self._log = log
         self._network = network
         self._processes = processes
@@ -47,7 +47,7 @@
         author: str,
         via: str | None,
     ) -> None:
-        """Merge changes into the current document, or replace its text.
+        """Merge `changes` into the current document, or replace it by `text`.
 
         `via` names the process that is called.
         """
--- a/fuchsiarill/replay/outcomes_config.py
+++ b/fuchsiarill/replay/outcomes_config.py
@@ -14,17 +14,17 @@
 
 @OUTCOME_KINDS.register('config_in_force_everywhere')
 class ConfigInForceEverywhere(OutcomeKind):
-    """An accepted generation is in force in every process after `within_ms`.
+    """Every accepted generation is in force everywhere after `within_ms`.
 
-    Processes named in `except_processes`, and those that do not run for all
-    of that time, are left out. A later generation counts as well.
+    Processes named in `except_processes`, and processes that do not run for
+    all of that time, are left out. A later generation counts as well.
     """
 
     within_ms: _Time
     except_processes: tuple[str, ...] = ()
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Find the processes that lack an accepted change when it is due."""
+        """Find the processes that lack an accepted change after `within_ms`."""
         written = evidence.log.of(ObservationKind.CONFIG_WRITTEN)
         if not written:
             yield Violation('no change was accepted')
@@ -66,7 +66,9 @@
                 continue
             generation = event.details['generation']
             if generation < latest.get(event.who, 0):
-                yield Violation(f'had {latest[event.who]} before', event)
+                yield Violation(
+                    f'had generation {latest[event.who]} before', event
+                )
             latest[event.who] = generation
 
 
--- a/fuchsiarill/replay/outcomes_jobs.py
+++ b/fuchsiarill/replay/outcomes_jobs.py
@@ -31,7 +31,7 @@
                 yield Violation('never finished', submission)
                 continue
             allowed = {JobState.SUCCEEDED.value}
-            if key in evidence.cancelled:
+            if key in evidence.cancel_requested:
                 allowed.add(JobState.CANCELLED.value)
             if end.details['state'] not in allowed:
                 yield Violation('did not succeed', end)
@@ -41,9 +41,10 @@
 
 @OUTCOME_KINDS.register('job_state')
 class JobStateAtEnd(JobOutcome):
-    """The final state that the callers of the selected jobs received.
+    """The callers of the selected jobs received the final state `state`.
 
-    `open` means that no final state was received.
+    With `by_ms` they received it by that time. The state `open` means that
+    they received none.
     """
 
     state: str
@@ -58,9 +59,9 @@
             end = evidence.ends.get(key)
             state = 'open' if end is None else end.details['state']
             if state != self.state:
-                yield Violation(f'is {state}', end or submission)
+                yield Violation(f'its state is {state}', end or submission)
             elif end is not None and self._is_late(end.time_ms):
-                yield Violation(f'after {self.by_ms} ms', end)
+                yield Violation(f'ended after {self.by_ms} ms', end)
 
     def _is_late(self, time_ms: int) -> bool:
         return self.by_ms is not None and time_ms > self.by_ms
@@ -72,21 +73,21 @@
     def waits(self, evidence: Evidence) -> dict[str, float]:
         """Return the wait of each job in ms; infinite if it never started.
 
-        A job that is cancelled before its start is left out.
+        A job that never started is left out if its cancellation was requested.
         """
         waits = {}
         for key, submission in self.selected(evidence):
             run = evidence.first_runs.get(key)
             if run is not None:
                 waits[key] = float(run.began_ms - submission.time_ms)
-            elif key not in evidence.cancelled:
+            elif key not in evidence.cancel_requested:
                 waits[key] = math.inf
         return waits
 
 
 @OUTCOME_KINDS.register('started_within')
 class StartedWithin(_WaitOutcome):
-    """Every selected job has its first start within `ms`.
+    """Every selected job first starts within `ms` of its submission.
 
     Jobs submitted before `from_ms` or after `to_ms` are left out.
     """
@@ -114,7 +115,7 @@
     percentile: _Percentile = 99
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
-        """Compare the percentile, by the nearest-rank method."""
+        """Compute the percentile by the nearest-rank method and compare it."""
         waits = self.waits(evidence)
         if not waits:
             yield Violation('no job is selected')
--- a/fuchsiarill/replay/outcomes_load.py
+++ b/fuchsiarill/replay/outcomes_load.py
@@ -1,4 +1,4 @@
-"""Outcomes about the load of the store, shares and event counts."""
+"""Outcomes about store load, customers' shares and event counts."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -14,7 +14,7 @@
 _Positive = Annotated[int, Field(gt=0)]
 _Count = Annotated[int, Field(ge=0)]
 
-# The platform's limits count the calls of the store in these two groups.
+# The platform limits store calls in these two groups.
 _GROUP_OF_OPERATION: Final = {
     'get': 'reads',
     'watch': 'reads',
@@ -29,8 +29,8 @@
 class StoreCallsAtMost(OutcomeKind):
     """The store gets at most the given numbers of reads and writes a second.
 
-    Averaged over consecutive windows of `window_ms` from time 0; calls
-    before `from_ms` do not count.
+    The numbers are averages over consecutive windows of `window_ms` from
+    time 0; calls before `from_ms` do not count.
     """
 
     reads_per_s: _Positive | None = None
@@ -90,7 +90,7 @@
 
 @OUTCOME_KINDS.register('count')
 class CountOf(OutcomeKind):
-    """The number of events of a kind that have the details in `where`.
+    """`at_least` to `at_most` events of a kind have the details in `where`.
 
     The key `who` of `where` is compared with the event's `who`.
     """
--- a/fuchsiarill/replay/outcomes_safety.py
+++ b/fuchsiarill/replay/outcomes_safety.py
@@ -16,7 +16,7 @@
 
 # After these codes the request may or may not have been carried out.
 _UNCERTAIN_CODES: Final = frozenset((codes.OUTCOME_UNCERTAIN.name,))
-# An exchange in progress when a process ends fails up to this much later.
+# A call in progress when a process ends fails up to this much later.
 _LATE_FAILURE_MS: Final = 1_000
 
 
@@ -25,7 +25,7 @@
     """The tasks on a worker never use more than its capacity (I1).
 
     Actual usage counts, not declared or reserved sizes; it includes slots and
-    accelerators. It may exceed the capacity for up to `used_within_ms`.
+    accelerators. Usage may exceed the capacity for up to `used_within_ms`.
     """
 
     used_within_ms: _Time = 0
@@ -71,7 +71,7 @@
 
 @OUTCOME_KINDS.register('never_twice_at_once')
 class NeverTwiceAtOnce(JobOutcome):
-    """No task runs in two places at the same time (I2)."""
+    """No two runs of a task overlap in time (I2)."""
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
         """Compare each run of a task with the runs before it."""
@@ -108,12 +108,15 @@
             if key not in selected_keys:
                 continue
             for run in runs[1:]:
-                yield Violation('runs again', run.start)
+                yield Violation('started again', run.start)
 
 
 @OUTCOME_KINDS.register('every_answer_whole')
 class EveryAnswerWhole(JobOutcome):
-    """Each caller gets the complete result of its own job (I3)."""
+    """Each caller gets the complete result of its own job (I3).
+
+    All answers for a key name the same job.
+    """
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
         """Compare each result with the outputs of the job's own tasks."""
@@ -150,13 +153,14 @@
         refused = selected_keys - _possibly_accepted(evidence)
         for run in evidence.runs:
             if run.key in refused:
-                yield Violation('was refused', run.start)
+                yield Violation('ran after a refusal', run.start)
             end = evidence.ends.get(run.key)
             if end is not None and end.details['code'] == 'job_not_run':
-                yield Violation('ended as not run', run.start)
+                yield Violation('ran but ended as not run', run.start)
 
 
 def _possibly_accepted(evidence: Evidence) -> set[str]:
+    """Return the keys of jobs that got not only definite refusals."""
     accepted = set()
     answered = set()
     for event in evidence.log.of(
@@ -194,7 +198,9 @@
                 code == codes.UNKNOWN_JOB.name
                 and key in acknowledged & selected_keys
             ):
-                yield Violation('was acknowledged', event)
+                yield Violation(
+                    'became unknown after its acknowledgement', event
+                )
 
 
 @OUTCOME_KINDS.register('no_work_after_retiring')
@@ -241,11 +247,13 @@
             if event.kind is ObservationKind.PROCESS_ENDED:
                 ended_ms[event.who] = event.time_ms
             if _is_lost_answer(event, requested_ms):
-                yield Violation('the process shut down', event)
+                yield Violation(
+                    'no answer from a process that shut down', event
+                )
             if _is_uncertain(event) and _is_during_shutdown(
                 event, requested_ms, ended_ms
             ):
-                yield Violation('a process shut down', event)
+                yield Violation('uncertain answer during a shutdown', event)
 
 
 def _is_lost_answer(event: Observation, requested_ms: dict[str, int]) -> bool:
@@ -276,12 +284,15 @@
 
 @OUTCOME_KINDS.register('no_actor_failed')
 class NoActorFailed(OutcomeKind):
-    """No handler of an actor raised; checked in every trace."""
+    """No actor or task raised an exception that nothing handled.
+
+    The outcome is checked in every trace.
+    """
 
     def violations(self, evidence: Evidence) -> Iterator[Violation]:
         """Report every failure in the log."""
         for event in evidence.log.of(ObservationKind.ACTOR_FAILED):
-            yield Violation('a handler raised', event)
+            yield Violation('an actor or task failed', event)
 
 
 @OUTCOME_KINDS.register('safe')
--- a/fuchsiarill/replay/outcomes_tasks.py
+++ b/fuchsiarill/replay/outcomes_tasks.py
@@ -14,10 +14,10 @@
 
 @OUTCOME_KINDS.register('stays_alive')
 class StaysAlive(JobOutcome):
-    """Each selected job always has a running task, but for short gaps.
+    """Each selected job always has a running task, except for short gaps.
 
-    Checked from its first start to `to_ms`, by default the end of the replay;
-    gaps last at most `gap_at_most_ms`.
+    Gaps last at most `gap_at_most_ms`. They are checked from the first start
+    of the job to `to_ms`, by default the end of the replay.
     """
 
     gap_at_most_ms: _Time
@@ -49,7 +49,7 @@
 
 @OUTCOME_KINDS.register('gang_together')
 class GangTogether(JobOutcome):
-    """The first runs of all tasks of a gang start within `ms`, or none do."""
+    """All tasks of a gang first start within `ms` of each other, or none."""
 
     ms: _Time
     workload: str | None = 'gang'
--- a/fuchsiarill/replay/peer_calls.py
+++ b/fuchsiarill/replay/peer_calls.py
@@ -13,7 +13,7 @@
 
 
 class Struct:
-    """A received struct: fields are attributes, empty text when absent."""
+    """A received capnp struct; absent fields read as empty text."""
 
     def __init__(self, fields: dict[str, Any]) -> None:
         """Wrap the fields that the encoding wrote."""
@@ -42,7 +42,7 @@
 
 
 class _Results:
-    """Stores attributes that are set as fields of the answer."""
+    """Stores each attribute that is set as a field of the answer."""
 
     _fields: dict[str, Any]
 
@@ -79,7 +79,7 @@
     ) -> None:
         """Call from `source`; the mailbox of the link actor is unused."""
         super().__init__(Mailbox(), settings)
-        self._deadline_ms = settings.call_timeout_ms
+        self._call_timeout_ms = settings.call_timeout_ms
         self._network = network
         self._source = source
         self._listeners = listeners
@@ -100,7 +100,7 @@
             self._source,
             listener.endpoint,
             lambda reply: listener.serve(method, request, reply),
-            self._deadline_ms + wait_ms,
+            self._call_timeout_ms + wait_ms,
         )
         match answer:
             case Success(fields):
--- a/fuchsiarill/replay/runner.py
+++ b/fuchsiarill/replay/runner.py
@@ -32,7 +32,7 @@
 
 def replay(trace: Trace) -> ReplayResult:
     """Run a trace; equal traces give equal logs."""
-    # The code under replay draws its jitter from the module-wide generator.
+    # The code under replay draws its jitter from the global generator.
     random.seed(trace.header.seed)
     loop = ReplayLoop()
     try:
--- a/fuchsiarill/replay/trace.py
+++ b/fuchsiarill/replay/trace.py
@@ -1,8 +1,7 @@
 """The trace format: YAML that is validated with pydantic.
 
-Problems are reported with file, line and field.
-
-`docs/TRACES.md` describes it for people who write traces.
+Problems are reported with file, line and field. `docs/TRACES.md` describes the
+format for people who write traces.
 """
 
 from dataclasses import dataclass
@@ -31,7 +30,7 @@
     TraceModel,
     merge,
     named_deployments,
-    read_named,
+    read_deployment,
 )
 from fuchsiarill.replay.kinds import (
     EVENT_KINDS,
@@ -158,7 +157,7 @@
         header = self._validate(_TraceFile, document, ())
         if header is None:
             return None
-        deployment = self._deployment(header)
+        deployment = self._read_deployment(header)
         events = self._read_timed_entries(header.events, EVENT_KINDS, 'events')
         faults = self._read_timed_entries(header.faults, FAULT_KINDS, 'faults')
         outcomes = self._read_outcomes(header.outcomes)
@@ -182,14 +181,14 @@
             tuple(outcomes),
         )
 
-    def _deployment(self, header: _TraceFile) -> Deployment | None:
+    def _read_deployment(self, header: _TraceFile) -> Deployment | None:
         document = header.deployment
         if isinstance(document, str):
             known = named_deployments()
             if document not in known:
-                self._add(('deployment',), f'is not one of {known}')
+                self._add_problem(('deployment',), f'is not one of {known}')
                 return None
-            document = read_named(document)
+            document = read_deployment(document)
         merged = dict(document)
         merged['config'] = merge(document.get('config', {}), header.config)
         deployment = self._validate(Deployment, merged, ('deployment',))
@@ -202,8 +201,10 @@
         match parse_config(config_text(deployment.config)):
             case Failure(refusals):
                 for refusal in refusals:
+                    # Drops the line number, which counts lines of the merged
+                    # configuration and not of the trace file.
                     _, _, text = refusal.text.partition(': ')
-                    self._add(('config', *_path_of(refusal)), text)
+                    self._add_problem(('config', *_path_of(refusal)), text)
 
     def _read_timed_entries(
         self,
@@ -215,7 +216,7 @@
         for index, entry in enumerate(entries):
             path = (section, index)
             if isinstance(entry, str):
-                self._add(path, 'needs at_ms')
+                self._add_problem(path, 'needs at_ms')
                 continue
             timing_fields = {
                 name: entry[name] for name in entry if name in _TIMING_FIELDS
@@ -257,11 +258,13 @@
         path: _Path,
     ) -> TraceEntry[_Kind] | None:
         if len(entry) != 1:
-            self._add(path, f'needs exactly one kind, found {sorted(entry)}')
+            self._add_problem(
+                path, f'needs exactly one kind, found {sorted(entry)}'
+            )
             return None
         name, fields = next(iter(entry.items()))
         if name not in registry:
-            self._add((*path, name), f'is not one of {list(registry)}')
+            self._add_problem((*path, name), f'is not one of {list(registry)}')
             return None
         kind = self._validate(
             registry.lookup(name),
@@ -280,10 +283,10 @@
             return model.model_validate(document)
         except ValidationError as invalid:
             for error in invalid.errors():
-                self._add((*path, *error['loc']), error['msg'])
+                self._add_problem((*path, *error['loc']), error['msg'])
         return None
 
-    def _add(self, path: _Path, text: str) -> None:
+    def _add_problem(self, path: _Path, text: str) -> None:
         field = '.'.join(str(part) for part in path) or 'trace'
         line = _line_of(self._root, path)
         self.problems.append(TraceProblem(self._file, line, field, text))
--- a/fuchsiarill/replay/world.py
+++ b/fuchsiarill/replay/world.py
@@ -113,7 +113,7 @@
         """Return the processes that a name in a trace stands for.
 
         `owner` is the current owner of the first partition, `standby` one of
-        the other live processes and `others` all of these; `all` stands for
+        the other live processes and `others` all of them; `all` stands for
         all live processes and a failure domain for all of its processes.
         """
         alive = [
@@ -138,7 +138,7 @@
         """Return the workers that the names in a trace stand for.
 
         A name is a worker, a failure domain, `all`, or `running KEY` for the
-        workers that run a task of that job now.
+        workers that now run a task of the job with that key.
         """
         found: dict[str, FakeWorker] = {}
         for name in names:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -15,15 +15,15 @@
 
 _ROOT: Final = Path(__file__).parents[1]
 _TRACES: Final = sorted((_ROOT / 'traces').glob('*.yaml'))
-_MARK: Final = 'trace: '
+_ENTRY_PREFIX: Final = 'trace: '
 
 
 def _known_red() -> dict[str, set[str]]:
     known: dict[str, set[str]] = {}
     for line in (_ROOT / 'KNOWN-RED.txt').read_text().splitlines():
-        if not line.startswith(_MARK):
+        if not line.startswith(_ENTRY_PREFIX):
             continue
-        name, _, outcomes = line.removeprefix(_MARK).partition(': ')
+        name, _, outcomes = line.removeprefix(_ENTRY_PREFIX).partition(': ')
         known[name] = {part.strip() for part in outcomes.split(',')}
     return known
 
--- a/tests/test_replay_runs.py
+++ b/tests/test_replay_runs.py
@@ -3,7 +3,7 @@
 from fuchsiarill.replay.runner import replay
 from fuchsiarill.replay.trace import Trace, parse_trace
 
-_BUSY = """
+_STREAM_WITH_KILL = """
 about: a stream with a fault
 duration_ms: 12000
 seed: 5
@@ -26,19 +26,22 @@
 
 def test_same_trace_gives_same_log() -> None:
     """Guards against a replay that is not determined by its seed."""
-    logs = [replay(_trace(_BUSY)).log for _ in range(2)]
+    logs = [replay(_trace(_STREAM_WITH_KILL)).log for _ in range(2)]
     assert logs[0].entries == logs[1].entries
 
 
 def test_other_seed_gives_other_log() -> None:
     """Guards against a seed that is read but not used."""
-    other = _trace(_BUSY.replace('seed: 5', 'seed: 6'))
-    assert replay(_trace(_BUSY)).log.digest() != replay(other).log.digest()
+    other = _trace(_STREAM_WITH_KILL.replace('seed: 5', 'seed: 6'))
+    assert (
+        replay(_trace(_STREAM_WITH_KILL)).log.digest()
+        != replay(other).log.digest()
+    )
 
 
 def test_unmet_outcome_names_the_event() -> None:
-    """Guards against an unmet outcome that cannot be traced to an event."""
-    unmet = replay(_trace(_BUSY)).unmet
+    """Guards against an unmet outcome that does not show its event."""
+    unmet = replay(_trace(_STREAM_WITH_KILL)).unmet
     late = [found for found in unmet if found.outcome == 'all_finished']
     assert late
     event = late[-1].violations[-1].event
--- a/tests/test_replay_trace.py
+++ b/tests/test_replay_trace.py
@@ -15,7 +15,7 @@
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case['name'])
 def test_bad_trace_names_every_problem(case: dict[str, str]) -> None:
-    """Guards against a misspelt field that is ignored, so checks nothing."""
+    """Guards against a misspelt field or kind that is silently ignored."""
     match parse_trace('bad.yaml', case['text']):
         case Failure(problems):
             found = [str(problem) for problem in problems]
