--- a/fuchsiarill/replay/network.py
+++ b/fuchsiarill/replay/network.py
@@ -222,7 +222,7 @@
         endpoint.gate = None
 
     def reset(self, endpoint: Endpoint) -> None:
-        """Break the connections to an endpoint; open calls get no answer."""
+        """Break the connections to an endpoint; calls there get no answer."""
         for call in tuple(self._calls):
             if call.target is endpoint:
                 failure = Failure(CallFailure.NO_ANSWER)
--- a/fuchsiarill/replay/outcomes_safety.py
+++ b/fuchsiarill/replay/outcomes_safety.py
@@ -160,7 +160,7 @@
 
 
 def _possibly_accepted(evidence: Evidence) -> set[str]:
-    """Return the keys of jobs that got not only definite refusals."""
+    """Return the keys that may be accepted or that got no answer."""
     accepted = set()
     answered = set()
     for event in evidence.log.of(
