Correct doc comments of the stand-ins and their tests

Cause: some comments claimed what the code does not do. The emulator's port comment said that advice is reached on the first port only, the comment on UNANSWERED that its caller has always timed out, and the payload comment that no real size follows the reserved one, though accelerators and slots do. Others had pronouns without a clear referent, or left out a field such as `slow_ms`. Change: comments of the agent, store and host list models, the task, the log, the emulator and the base of the stand-ins. `holder` in the store model is now `lease_of_key`, `kind` in `real_load` is `class_seed`, and `_set_deaf` is `_lose_start_answers`. Test comments say which failure they guard against.

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the outside systems for tests and the demo."""
+"""Stand-ins for external systems, for tests, benchmarks and the demo."""
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -1,10 +1,12 @@
 """In-memory model of the agents on the workers, timed by the runtime clock.
 
-It implements the guarantees of workers (fencing, leases, ends that are listed
-until they are acknowledged) and records violations that no owner may cause.
-The payload of a job controls its tasks: `duration_ms`; `fails`, the number of
-attempts of each task that end as failed; and `size`, the resources that a
-task uses. Without `size`, the entry of the task in `sizes` applies.
+It implements the guarantees of workers: fencing, leases, and ends of runs that
+are reported until they are acknowledged. It also records violations: a task
+that runs twice or starts after its success, or a worker over its capacity.
+The payload of a job controls its tasks: `duration_ms`, without which a run
+lasts until it is stopped or its lease ends; `fails`, the number up to which
+attempts end as failed; and `size`, the resources that a task uses. Without
+`size`, the entry of the task in `Fleet.sizes` applies.
 """
 
 import json
@@ -65,8 +67,9 @@
     ended: list[EndRow] = field(default_factory=list)
     ends_count: int = 0
     highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
+    # Calls have no effect and are not answered.
     is_silent: bool = False
-    # Starts are carried out, but not answered.
+    # Starts are executed, but not answered.
     loses_answers: bool = False
     # Every run fails as soon as it starts.
     fails_all: bool = False
@@ -104,7 +107,11 @@
         )
 
     def extend_leases(self, expiry_ms: int | None) -> None:
-        """Extend the leases; an earlier expiry does not shorten them."""
+        """Extend the leases up to `expiry_ms` of the worker's clock.
+
+        An earlier expiry does not shorten them; one more than `_LEASE_MAX_MS`
+        ahead is reduced to that maximum.
+        """
         if expiry_ms is not None:
             longest_ms = self.clock_ms() + _LEASE_MAX_MS
             self.lease_expiry_ms = max(
@@ -117,7 +124,7 @@
 
 
 class Fleet:
-    """An `AgentPort` to all workers, which also records violations."""
+    """Implements `AgentPort` for all workers and records violations."""
 
     def __init__(self) -> None:
         """Start without workers."""
@@ -185,7 +192,7 @@
         order: PaceOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Accept a change of pace; the model ignores it."""
+        """Accept an order that limits the speed; the model ignores it."""
         model = await self._reach(agent, timeout_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
@@ -306,8 +313,8 @@
     def _must_success_be_recorded(self, task: TaskKey) -> bool:
         """Tell whether an owner must record, or have recorded, a success.
 
-        It need not when the worker's leases lapsed before the success was
-        acknowledged: the report may have reached no owner.
+        A success need not be recorded when the worker's leases expired before
+        it was acknowledged: the report may have reached no owner.
         """
         worker = self.succeeded.get(task)
         if worker is None:
--- a/standins/emulator/__main__.py
+++ b/standins/emulator/__main__.py
@@ -1,8 +1,8 @@
 """Runs the emulator until SIGTERM or SIGINT.
 
-Each scheduler process uses a separate store port, so that its path to the
-store can fail alone. All ports serve the same routes; workers and advice are
-reached on the first.
+Each scheduler process uses a separate store port, so that a fault can affect
+the store calls of this process only. All ports serve the same routes; the
+workers' entries have the address of the first port.
 """
 
 import argparse
--- a/standins/emulator/calls.py
+++ b/standins/emulator/calls.py
@@ -24,6 +24,7 @@
     path: str
     query: dict[str, str]
     document: dict[str, Any]
+    # Worker that the call is for, from the header `X-Expect-Instance`.
     instance: str
     # Path to the store that belongs to the port of the call.
     store_path: StorePath
@@ -34,7 +35,7 @@
         return self.path.rpartition('/')[2]
 
 
-# For a call whose caller has already timed out; its content is not used.
+# For a call with an unknown outcome; its caller has usually timed out.
 UNANSWERED: Final = Answer(500)
 
 Route = Callable[[EmulatedCell, Call], Awaitable[Answer]]
--- a/standins/emulator/controls.py
+++ b/standins/emulator/controls.py
@@ -45,13 +45,13 @@
 
 @CONTROLS.register('silent_workers')
 def _set_silent(cell: EmulatedCell, setting: list[str]) -> None:
-    """Let exactly these workers leave every call unanswered."""
+    """Make exactly these workers ignore every call and not answer."""
     for agent in cell.fleet.agents.values():
         agent.is_silent = agent.worker in setting
 
 
 @CONTROLS.register('deaf_workers')
-def _set_deaf(cell: EmulatedCell, setting: list[str]) -> None:
-    """Let exactly these workers carry out starts without an answer."""
+def _lose_start_answers(cell: EmulatedCell, setting: list[str]) -> None:
+    """Make exactly these workers execute starts without an answer."""
     for agent in cell.fleet.agents.values():
         agent.loses_answers = agent.worker in setting
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's list of hosts, which shows changes late.
+"""Stand-in for the platform's host list, which shows changes after a delay.
 
 Controls: `lag_ms` is the delay until a change is visible, `states` sets
 workers to `live` or `leaving`, `remove` removes workers, `entries` replaces
@@ -58,7 +58,7 @@
     def visible(self) -> _Entries:
         """Return the newest version that is at least as old as the lag.
 
-        Drops the versions that are older than that.
+        Drops the versions older than the returned one.
         """
         visible_before_ms = now_ms() - self.lag_ms
         while (
--- a/standins/stand_in.py
+++ b/standins/stand_in.py
@@ -41,8 +41,9 @@
     """Faults that the connections apply before a call is handled.
 
     While `is_down` is set, each call closes its connection without a reply.
-    While `is_paused` is set, calls wait and are handled later. Connections
-    with a serial number up to `last_silent_serial` read but never reply.
+    While `is_paused` is set, calls wait and are handled later. Each call is
+    delayed by `slow_ms`. Connections with a serial number up to
+    `last_silent_serial` read but never reply.
     """
 
     is_down: bool = False
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,8 +1,8 @@
-"""Stand-in of the platform's key-value service, run as a process.
+"""Stand-in for the platform's key-value service, run as a process.
 
 Calls are counted by verb; a watch counts as one call however long it waits.
 Controls besides the common ones: `lose_swap_replies` drops the replies to the
-next N swaps after they took effect, `put` writes keys unconditionally, as an
+next N swaps that take effect, `put` writes keys unconditionally, as an
 operator of the platform would.
 """
 
@@ -49,14 +49,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseDue:
-    """The lease expires at this time unless it has been renewed."""
+    """Sent when a lease would expire; it may have been renewed since."""
 
     lease_id: StoreLeaseId
 
 
 @dataclass(frozen=True, slots=True)
 class WatchDue:
-    """The wait time of a watch is over."""
+    """Sent when the wait time of a watch is over."""
 
     watch: Call
     key: StoreKey
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -108,8 +108,8 @@
         if self.leases.pop(lease, None) is None:
             return False
         self.revision = Revision(self.revision + 1)
-        for key, holder in list(self.lease_by_key.items()):
-            if holder == lease:
+        for key, lease_of_key in list(self.lease_by_key.items()):
+            if lease_of_key == lease:
                 self.remove(key)
         return True
 
@@ -123,7 +123,7 @@
         prefix: str,
         after: StoreKey | None,
     ) -> Result[KvPage, KvFailure]:
-        """Return the next items of a prefix, at most one page of them."""
+        """Return one page of the items of a prefix that follow `after`."""
         self.expire()
         rows = [
             self.items[key]
@@ -203,7 +203,10 @@
         after: Revision,
         wait_ms: int,
     ) -> Result[KvChanges, KvFailure]:
-        """Return the changes of a prefix; wait up to `wait_ms` for one."""
+        """Return the changes of a prefix after a revision.
+
+        Without a change yet, waits up to `wait_ms` for one.
+        """
         failure = await self._transmit(wait_ms)
         if failure is not None:
             return Failure(failure)
--- a/standins/task.py
+++ b/standins/task.py
@@ -1,9 +1,10 @@
 """An attempt on a worker stand-in, simulated by a timer and a size.
 
 A payload may be a JSON object with `class`, which selects the factors of the
-deviation, and `declared`, the size that its submitter declared. A task without
-a declared size is small. Its real size must not depend on the reserved one:
-otherwise an owner that learns sizes would keep raising its reservations.
+deviation, and `declared`, the processors and memory that its submitter
+declared; both have small defaults. The real processors and memory must not
+depend on the reserved ones: otherwise an owner that learns sizes would keep
+raising its reservations. Accelerators and slots are used as reserved.
 """
 
 import json
@@ -46,7 +47,11 @@
 
 @dataclass(slots=True)
 class Task:
-    """One attempt; `ends_at_ms` is `None` for a service."""
+    """One attempt; `ends_at_ms` is `None` for a service.
+
+    `real` is the size that it uses, `is_measured` whether this size has been
+    reported while it runs.
+    """
 
     start: StartCommand
     real: Resources
@@ -108,9 +113,9 @@
     declared = payload.get('declared', {})
     processors_milli = declared.get('processors_milli', _SMALL_PROCESSORS_MILLI)
     memory_mb = declared.get('memory_mb', _SMALL_MEMORY_MB)
-    kind = f'{deviation.seed}/{payload.get("class", start.payload)}'
-    class_random = random.Random(kind)
-    attempt_random = random.Random(f'{kind}/{start.attempt_id}')
+    class_seed = f'{deviation.seed}/{payload.get("class", start.payload)}'
+    class_random = random.Random(class_seed)
+    attempt_random = random.Random(f'{class_seed}/{start.attempt_id}')
     size = _factor(deviation.size_factor_max, class_random, attempt_random)
     run_time = _factor(
         deviation.run_time_factor_max, class_random, attempt_random
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,8 +1,8 @@
-"""Stand-in of a worker that runs tasks under leases by its own clock.
+"""Stand-in for a worker: runs tasks under leases, timed by its own clock.
 
 It does not enforce its capacity, but logs the size of each task, so that
 overcommitment by the scheduler can be detected. Controls besides the common
-ones: `fail_starts` makes all tasks fail that are started from then on;
+ones: while `fail_starts` is true, all tasks that are started fail;
 `hold_starts` delays exchanges with start commands, as a slow network would,
 until it is set to false.
 """
@@ -167,7 +167,7 @@
         )
 
     def log(self, kind: LogKind, task: Task, detail: str) -> None:
-        """Write a line on a task to the log."""
+        """Write a line about a task to the log."""
         self._log_line(kind, task.start, task.real, detail)
 
     def report(self) -> WorkerReport:
--- a/standins/worker_log.py
+++ b/standins/worker_log.py
@@ -30,8 +30,9 @@
     """One line of the log.
 
     A `READY` line has the capacity in `reserved`. A `MEASURED` line marks the
-    first report of real usage to an owner. `detail` is the outcome in an `END`
-    line, the reason in a `REFUSED` and the kind in a `COMMAND` line.
+    first report of real usage to an owner. `detail` is the outcome or `lease
+    lapsed` in an `END` line, the reason in a `REFUSED` line and the kind of
+    command in a `COMMAND` line.
     """
 
     time_ms: int
@@ -47,7 +48,7 @@
 
 
 class WorkerLog:
-    """Appends lines without buffering, so before the worker replies."""
+    """Appends lines unbuffered: a line is in the file before the reply."""
 
     def __init__(self, path: Path) -> None:
         """Open the file for appending."""
--- a/standins/worker_settings.py
+++ b/standins/worker_settings.py
@@ -47,7 +47,11 @@
 
 
 class WorkerProcessSettings(_Model):
-    """All workers of one process; each writes `<log_folder>/<id>.jsonl`."""
+    """All workers of one process; each writes `<log_folder>/<id>.jsonl`.
+
+    A worker reports the real usage of a task once the task has run for
+    `usage_lag_ms` or has ended.
+    """
 
     log_folder: Path
     workers: tuple[WorkerDefinition, ...]
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -21,7 +21,7 @@
         self.client = client
 
     async def control(self, **settings: Any) -> dict[str, Any]:
-        """Inject faults; returns the state of the stand-in."""
+        """Set faults; returns the state of the stand-in."""
         response_result = await self.client.post(
             f'{self.url}/control',
             json.dumps(settings).encode(),
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -94,7 +94,7 @@
 
 
 def test_lapsed_lease_stops_a_task(tmp_path: Path) -> None:
-    """Guards against a task that runs on when no owner renews its lease."""
+    """Guards against a task that keeps running without lease renewals."""
 
     async def main() -> None:
         async with serving(_worker(tmp_path)) as served:
@@ -199,7 +199,7 @@
 
 
 def test_commands_and_failing_worker(tmp_path: Path) -> None:
-    """Guards against commands that are accepted but not carried out."""
+    """Guards against commands and injected failures without an effect."""
 
     async def main() -> None:
         worker = _worker(tmp_path)
@@ -243,7 +243,7 @@
 
 
 def test_real_size_differs_by_the_seed(tmp_path: Path) -> None:
-    """Guards against real sizes that vary for a seed or exceed the factor."""
+    """Guards against real sizes that vary for one seed or exceed the factor."""
 
     async def real(seed: int) -> Resources:
         deviation = Deviation(seed=seed, size_factor_max=4)
--- a/tests/world.py
+++ b/tests/world.py
@@ -68,12 +68,12 @@
     campaign: Campaign
 
     def owner_mailbox(self) -> Mailbox | None:
-        """Return the mailbox of the owner, if there is one."""
+        """Return the mailbox of this process as owner, `None` if it is not."""
         service = self.campaign.children.service
         return None if service is None else service.owner.mailbox
 
     def at_most_once_jobs(self) -> list[JobId]:
-        """Return the non-idempotent jobs that the process knows as owner."""
+        """Return the at-most-once jobs that the process knows as owner."""
         service = self.campaign.children.service
         if service is None:
             return []
@@ -136,7 +136,10 @@
         await process.campaign.stop()
 
     async def until_owned(self, limit_ms: int = 10_000) -> Process:
-        """Wait until a process owns the partition; fails after `limit_ms`."""
+        """Return the process that owns the partition, once there is one.
+
+        Fails after `limit_ms`.
+        """
         ends_at_ms = now_ms() + limit_ms
         while now_ms() < ends_at_ms:
             for process in self.processes:
