Correct doc comments of the tools and the process tests

Cause: the benchmark of waiting times said that it runs the policies of the deployments, which it does not; `gossip_bytes` said packed bytes for unpacked ones; the demo and the soak named only some of the conditions of their exit status. `Team`, `notes`, `what` and `present` had to be guessed at, and the cell simulation did not say what a confined task is. Change: these comments. `Team` is now `DemoCustomer`, `Demo.notes` is `submitted_jobs`, the parameter `what` of `wait_until` is `problem`, `present` is `current`, `_customers` is `_customers_count`, `_jobs_waiting` is `_waiting_jobs_count`, and the sets `_STALE` and `_SETTLED` of a process test have the suffixes `_REASONS` and `_CODES`. Printed texts: `queue of today` is `queue of 200`, `red` and `not red` of the mutations are `unmet` and `not detected`, `(most)` in the demo is `(maximum)`. The process tests were not run.

--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -1,7 +1,7 @@
 """Harness of the tests with real processes.
 
-It waits by polling a condition. The deadlines are far above the usual wait,
-so that a slow machine does not fail a test.
+The harness waits by polling conditions. The time limits are far above the
+usual wait, so that no test fails because the machine is slow.
 """
 
 import json
@@ -34,7 +34,7 @@
 
 
 class Harness:
-    """A cell with its callers, and queries on its state and logs."""
+    """A cell with its callers, and queries about its state and logs."""
 
     def __init__(self, cell: Cell) -> None:
         """Start without callers."""
@@ -89,7 +89,7 @@
         self.check()
 
     def check(self) -> None:
-        """Check that no job was lost or doubled, no worker overcommitted."""
+        """Check that no guarantee was violated; see `Tally.is_good`."""
         counted = self.tally()
         assert counted.is_good, counted
 
--- a/tests/process/test_launcher.py
+++ b/tests/process/test_launcher.py
@@ -1,4 +1,4 @@
-"""Tests that the launcher of processes ends all of them."""
+"""Tests that a launcher ends all processes that it started."""
 
 import os
 import signal
--- a/tests/process/test_owner_failures.py
+++ b/tests/process/test_owner_failures.py
@@ -6,8 +6,8 @@
 from tests.process.harness import Harness, job, service
 from tools.processes import wait_until
 
-_STALE = {'late', 'epoch'}
-_SETTLED = {codes.JOB_SUCCEEDED.number, codes.JOB_UNKNOWN.number}
+_STALE_REASONS = {'late', 'epoch'}
+_SETTLED_CODES = {codes.JOB_SUCCEEDED.number, codes.JOB_UNKNOWN.number}
 
 
 def test_owner_killed(harness: Harness) -> None:
@@ -75,9 +75,9 @@
     harness.control_workers(hold_starts=False)
     wait_until(lambda: bool(harness.refusals()), 'no start was refused')
     harness.cell.processes.send_signal(owner, signal.SIGCONT)
-    assert {line.detail for line in harness.refusals()} <= _STALE
+    assert {line.detail for line in harness.refusals()} <= _STALE_REASONS
     wait_until(
-        lambda: caller.query(order.job_id)['code'] in _SETTLED,
+        lambda: caller.query(order.job_id)['code'] in _SETTLED_CODES,
         'the order is not settled',
     )
     settled = caller.query(order.job_id)
--- a/tests/process/test_platform_failures.py
+++ b/tests/process/test_platform_failures.py
@@ -35,7 +35,10 @@
 
 
 def test_worker_connections_go_silent(harness: Harness) -> None:
-    """Guards against waiting for ever on a connection that went silent."""
+    """Guards against waiting for ever on a connection that went silent.
+
+    Tasks must keep running, and new jobs start, over new connections.
+    """
     caller = harness.caller()
     services = caller.submit(
         [service(f'watch-{number}') for number in range(8)]
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -1,4 +1,4 @@
-"""The demo counts job outcomes and detects faults in worker logs."""
+"""Tests of the demo's count of job outcomes and faults from logs."""
 
 from fuchsiarill import codes
 from fuchsiarill.ids import AttemptId, WorkerId
@@ -39,7 +39,10 @@
 
 
 def test_job_without_outcome_is_lost() -> None:
-    """Guards against a demo that passes although a job is lost."""
+    """Guards against a demo that passes although a job is lost.
+
+    A batch job is lost while its task has not ended, a service once it has.
+    """
     logs = {_ONE: [_line(1, LogKind.START, 'job/0@1.1')]}
     assert count_outcomes([_job()], logs).outcomes == {Outcome.LOST: 1}
     service = _job(workload='service')
--- a/tools/attached.py
+++ b/tools/attached.py
@@ -1,7 +1,7 @@
 """Runs a module that ends with the process that launched it.
 
-A launcher that is killed can't end its processes. Each of them polls the id of
-its parent, and ends when that is no longer the launcher.
+A launcher that is killed can't end its processes. Therefore each process polls
+the id of its parent, and ends when its parent is no longer the launcher.
 """
 
 import os
--- a/tools/bench_cell.py
+++ b/tools/bench_cell.py
@@ -2,7 +2,8 @@
 
 Runs the cell of each example on loopback: idle, during a change of the
 configuration, under a bounded load, and after a kill of the owner. Starts and
-takeover are read from the workers' logs, calls from the store's counters.
+takeover are read from the workers' logs, store calls from the counters of the
+store stand-in.
 """
 
 import json
@@ -129,10 +130,10 @@
         list(cell.entry_urls.values()),
     )
     first = operator.entry_urls[0]
-    present = operator.request('GET', f'{first}/v1/config') or {}
+    current = operator.request('GET', f'{first}/v1/config') or {}
     change = {
-        'text': f'{present["text"]}\n# changed by the benchmark\n',
-        'expected_generation': present['generation'],
+        'text': f'{current["text"]}\n# changed by the benchmark\n',
+        'expected_generation': current['generation'],
         'author': 'tools.bench_cell',
     }
     began_s = time.monotonic()
@@ -244,7 +245,7 @@
 
 
 def _processor_time_s(process_id: int) -> float:
-    """Return user and system time of a process, fields of proc(5) stat."""
+    """Return the user plus system time of a process; see proc(5), `stat`."""
     text = Path(f'/proc/{process_id}/stat').read_text()
     fields = text.rpartition(')')[2].split()
     user_ticks, system_ticks = fields[11:13]
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -2,7 +2,7 @@
 
 The cell is full; each step submits one job, ends one task and decides. The
 latency covers the report that ends the task and the decision that places the
-next one; the rate is by the processor time of whole steps.
+next task; the rate divides the number of steps by their processor time.
 """
 
 import gc
@@ -39,14 +39,14 @@
 from tools.measures import Measure, percentile
 
 _WORKERS_COUNTS: Final = (25, 1_000, 8_000, 32_000)
-_QUEUES: Final = (('queue of today', 200), ('queue of 10,000', 10_000))
+_QUEUES: Final = (('queue of 200', 200), ('queue of 10,000', 10_000))
 _STEPS_COUNT: Final = 3_000
 _CAPACITIES: Final = (
     Resources(32_000, 128_000, 0, 8),
     Resources(16_000, 32_000, 0, 8),
     Resources(64_000, 128_000, 8, 8),
 )
-# Processors and memory of one task by class; each takes two slots.
+# Processors and memory of one task by class; each task takes two slots.
 _SIZES: Final = (
     (1_000, 4_000),
     (2_000, 2_000),
@@ -72,17 +72,17 @@
         """List the workers and submit jobs until 100 of them wait."""
         self.now_ms = 0
         self._random = random.Random(workers_count)
-        self._customers = 4 if workers_count < 100 else 79
+        self._customers_count = 4 if workers_count < 100 else 79
         self.core = PartitionCore(
             PartitionId('bench'),
             Epoch(1),
-            _config(self._customers),
+            _config(self._customers_count),
         )
         self._numbers = itertools.count()
         self._running: list[StartTask] = []
         self._stopped: list[CommandTask] = []
         self._ended: set[AttemptId] = set()
-        self._jobs_waiting = 0
+        self._waiting_jobs_count = 0
         entries = tuple(_entries(workers_count))
         self.core.hosts_listed(entries, self.now_ms)
         for entry in entries:
@@ -92,7 +92,7 @@
 
     def fill_queue(self, jobs_count: int) -> None:
         """Submit jobs until `jobs_count` of them wait."""
-        while self._jobs_waiting < jobs_count:
+        while self._waiting_jobs_count < jobs_count:
             self.submit()
             self.decide()
 
@@ -104,7 +104,7 @@
         if not self._random.randrange(_JOBS_PER_URGENT_JOB):
             urgency = Urgency.URGENT
         spec = JobSpec(
-            CustomerId(f'c{self._random.randrange(self._customers)}'),
+            CustomerId(f'c{self._random.randrange(self._customers_count)}'),
             f'k{number}',
             Workload.BATCH,
             Execution.IDEMPOTENT,
@@ -116,7 +116,7 @@
             '',
         )
         self.core.submit(spec, self.now_ms).unwrap()
-        self._jobs_waiting += 1
+        self._waiting_jobs_count += 1
         self._apply_effects()
 
     def decide(self) -> bool:
@@ -186,12 +186,12 @@
                 self.core.committed(effect.sequence, self.now_ms)
             elif isinstance(effect, StartTask):
                 self._running.append(effect)
-                self._jobs_waiting -= 1
+                self._waiting_jobs_count -= 1
             elif isinstance(effect, CommandTask):
                 self._stopped.append(effect)
 
     def _fill(self) -> None:
-        while self._jobs_waiting < 100:
+        while self._waiting_jobs_count < 100:
             self.submit()
             self.submit()
             self.decide()
--- a/tools/bench_waiting.py
+++ b/tools/bench_waiting.py
@@ -1,8 +1,8 @@
 """Waiting time and packing of both deployments, in virtual time.
 
-Three sets of policies run with the same arrivals: those of the deployment,
-the same without learned sizes, and the baseline: first come, first fit at
-declared sizes.
+Three sets of policies run with the same arrivals: fair ordering with learned
+sizes, fair ordering at declared sizes, and the baseline, first come, first fit
+at declared sizes.
 """
 
 from collections.abc import Iterator
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunMeasures:
-    """Measures of one run within the window."""
+    """Measures of one run, from the end of the warm-up on."""
 
     wait_p50_ms: float
     wait_p99_ms: float
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -102,7 +102,7 @@
         return sent
 
     def cancel(self, job: SubmittedJob) -> None:
-        """Cancel a job; retried until there is a final answer."""
+        """Cancel a job; retries until a final answer or the time limit."""
         path = f'/v1/jobs/{job.job_id}'
         for url in self._urls_until_deadline():
             answer = self.request('DELETE', url + path)
@@ -113,7 +113,7 @@
                 return
 
     def query(self, job_id: str, wait_ms: int = 0) -> dict[str, Any]:
-        """Return the answer about a job; `{}` when none came in time."""
+        """Return the answer about a job; `{}` if no final one came in time."""
         path = f'/v1/jobs/{job_id}?wait_ms={wait_ms}'
         for url in self._urls_until_deadline():
             answer = self.request('GET', url + path, wait_ms / 1000)
@@ -128,7 +128,7 @@
         wait_s: float = 0,
         body: dict[str, Any] | None = None,
     ) -> dict[str, Any] | None:
-        """Send one request; returns `None` without a JSON answer."""
+        """Send one request; returns `None` if no JSON answer arrives."""
         try:
             answer = self._http.request(
                 method,
--- a/tools/cell_loop.py
+++ b/tools/cell_loop.py
@@ -1,8 +1,10 @@
 """Simulates a cell in virtual time: the real core with modelled workers.
 
-Messages take the latency of the deployments, commits that of the store.
-Workers run tasks at their true size; a task that is throttled or confined runs
-more slowly. Usage is reported with a lag.
+Messages take `_LATENCY_MS` and commits `_COMMIT_MS`. Workers run tasks at their
+real size until the core sends a command. A command other than a stop confines
+the task: it uses no more processors and memory than reserved, and runs more
+slowly. Usage is reported `_USAGE_LAG_MS` after the start of a task, or at its
+end.
 """
 
 import heapq
@@ -34,7 +36,11 @@
 
 @dataclass(slots=True)
 class Run:
-    """A task on a worker; `remaining_ms` is the rest at full speed."""
+    """A task on a worker.
+
+    `remaining_ms` is the rest of the run time at full speed as of `since_ms`.
+    A task with a `speed` below 1 is confined to its reservation.
+    """
 
     start: StartTask
     arrival: Arrival
@@ -46,7 +52,7 @@
     counted_work_ms: float = 0
 
     def load(self) -> Resources:
-        """Return the present usage; a confined task stays in its limits."""
+        """Return the current usage, at most the reservation if confined."""
         if self.speed >= 1:
             return self.arrival.size
         size = self.arrival.size
@@ -75,7 +81,7 @@
 
 
 class CellLoop:
-    """Event loop of arrivals, commits, exchanges and ends of tasks."""
+    """Simulated events: arrivals, commits, exchanges and ends of tasks."""
 
     def __init__(
         self,
@@ -241,6 +247,7 @@
         run.speed = min(
             limit.processors_milli / max(size.processors_milli, 1),
             limit.memory_mb / max(size.memory_mb, 1),
+            # Below 1 in any case, which marks the task as confined.
             1 - 1e-9,
         )
         if run.arrival.spec.workload is not Workload.SERVICE:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,7 +1,7 @@
 """Runs a small cell, kills the owner under load and counts job outcomes.
 
-The exit status is 0 only when no job was lost, no task doubled and no worker
-overcommitted.
+The exit status is 0 only when no job was lost, no task doubled, no worker
+overcommitted, no refused job ran and no cancelled job still runs.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 from fuchsiarill.ports.thread_pool import BoundedThreadPool
 from tools.caller import Caller, SubmittedJob, clock_ms
 from tools.cell import Cell
-from tools.demo_load import Team, make_jobs
+from tools.demo_load import DemoCustomer, make_jobs
 from tools.demo_table import (
     fault_rows,
     job_rows,
@@ -61,7 +61,7 @@
         self._load_shares: list[_LoadShare] = []
         urls = list(cell.entry_urls.values())
         for number, customer in enumerate(cell.deployment.customers):
-            jobs = make_jobs(Team(customer, number, seed=number))
+            jobs = make_jobs(DemoCustomer(customer, number, seed=number))
             for part in range(_CALLERS_PER_CUSTOMER):
                 first = (number + 2 * part) % len(urls)
                 caller = Caller(
@@ -72,8 +72,8 @@
                 self._load_shares.append(_LoadShare(caller, own_jobs))
 
     @property
-    def notes(self) -> list[SubmittedJob]:
-        """Return the records of all jobs that callers submitted."""
+    def submitted_jobs(self) -> list[SubmittedJob]:
+        """Return the jobs that all callers submitted."""
         return [
             job
             for share in self._load_shares
@@ -117,7 +117,9 @@
 
     async def _wait_settled(self) -> Tally:
         while True:
-            counted = count_outcomes(self.notes, self._cell.worker_logs())
+            counted = count_outcomes(
+                self.submitted_jobs, self._cell.worker_logs()
+            )
             spent_ms = clock_ms() - self._started_at_ms
             if counted.is_settled or spent_ms > _RUN_MAX_MS:
                 return counted
@@ -133,10 +135,10 @@
 
     def _print(self, counted: Tally) -> None:
         runs = group_runs_by_task(self._cell.worker_logs())
-        for row in job_rows(self.notes, counted):
+        for row in job_rows(self.submitted_jobs, counted):
             _print_line(row)
-        _print_line(wait_row('urgent', self.notes, runs))
-        _print_line(wait_row('normal', self.notes, runs))
+        _print_line(wait_row('urgent', self.submitted_jobs, runs))
+        _print_line(wait_row('normal', self.submitted_jobs, runs))
         _print_line(takeover_row(runs, self._killed_at_ms))
         _print_line(self._store_row())
         for fault in fault_rows(counted):
--- a/tools/demo_table.py
+++ b/tools/demo_table.py
@@ -37,7 +37,10 @@
     jobs: Iterable[SubmittedJob],
     runs: dict[TaskId, list[Run]],
 ) -> str:
-    """Return median and maximum time from submission to the first start."""
+    """Return a row with the times from submission to the first start.
+
+    The row has their median and maximum.
+    """
     waits = []
     for job in jobs:
         first = runs.get(TaskId(f'{job.job_id}/0'))
@@ -47,7 +50,9 @@
         return f'{urgency} jobs: none started'
     waits.sort()
     median = waits[len(waits) // 2]
-    return f'{urgency} jobs waited {median} ms (median), {waits[-1]} ms (most)'
+    return (
+        f'{urgency} jobs waited {median} ms (median), {waits[-1]} ms (maximum)'
+    )
 
 
 def takeover_ms(
@@ -71,7 +76,7 @@
 
 
 def takeover_row(runs: dict[TaskId, list[Run]], killed_at_ms: int) -> str:
-    """Return the time until the next owner placed a task after the kill."""
+    """Return a row on the time from the kill to the next start of a task."""
     pause_ms = takeover_ms(runs, killed_at_ms)
     if pause_ms is None:
         return 'nothing was placed after the owner was killed'
@@ -79,7 +84,7 @@
 
 
 def fault_rows(counted: Tally) -> list[str]:
-    """Return the workers whose usage exceeded capacity, and all faults."""
+    """Return a row on exceeded capacities, and one for each fault."""
     rows = [
         f'workers whose real use went beyond capacity: '
         f'{len(counted.really_exceeded)}; by the sizes at the start of tasks: '
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -66,7 +66,10 @@
 
     @property
     def customers(self) -> tuple[CustomerId, ...]:
-        """Return the customers; the file lists the larger team first."""
+        """Return the customers in the order of the file.
+
+        The demo requests accelerators for all but the first.
+        """
         return tuple(
             CustomerId(name) for name in self.tokens if name != 'operator'
         )
--- a/tools/graph_decisions.py
+++ b/tools/graph_decisions.py
@@ -1,9 +1,9 @@
 """Processor time of the decisions of one owner of job graphs, without I/O.
 
 A load of jobs with many tasks runs in virtual time; a worker model reports
-only runs and their ends. Printed are the processor time of all decisions
-divided by the number of starts, and the starts per second that would use up
-one processor.
+only runs and their ends. Prints the processor time of all decisions divided
+by the number of starts, and the starts per second that would use up one
+processor.
 """
 
 import random
@@ -71,7 +71,7 @@
         is_checkpointing=True,
     ),
 )
-# Jobs per second and worker; the second load leaves jobs waiting.
+# Jobs per second for each worker; the second load leaves jobs waiting.
 _JOBS_PER_S_PER_WORKER: Final = (0.14, 0.3)
 _WORKERS_COUNTS: Final = (18, 63, 126, 400)
 
@@ -80,7 +80,7 @@
 
 @dataclass(slots=True)
 class _Worker:
-    """Running runs with the times of their ends, and ends not reported."""
+    """Runs in progress with their end times, and ends not yet reported."""
 
     ends_ms: dict[_RunKey, int] = field(default_factory=dict)
     ended: list[EndRow] = field(default_factory=list)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,7 +1,7 @@
 """Mutation tests: disables one mechanism at a time and replays its trace.
 
-A mutation patches the loaded code in memory. The trace that tests the
-mechanism must then have an unmet outcome that it meets without the mutation.
+A mutation patches the loaded code in memory. With it, the trace that tests
+the mechanism must fail to reach an expected outcome that it reaches without.
 """
 
 import sys
@@ -33,7 +33,9 @@
             after = {found.outcome for found in replay(trace).unmet}
         detected = sorted(after - before)
         is_undetected = is_undetected or not detected
-        verdict = f'red: {", ".join(detected)}' if detected else 'not red'
+        verdict = (
+            f'unmet: {", ".join(detected)}' if detected else 'not detected'
+        )
         print(f'{name} | {mutation.trace} | {verdict}')
     return int(is_undetected)
 
--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -1,4 +1,4 @@
-"""Mutations of the decisions in `core/`."""
+"""Mutations that disable decisions of `fuchsiarill/core/`."""
 
 from typing import Any, Final
 from unittest import mock
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -1,4 +1,4 @@
-"""Mutations of ownership, journal, links and configuration."""
+"""Mutations of ownership, journal, worker exchanges and configuration."""
 
 from dataclasses import replace
 from typing import Any, Final
@@ -122,7 +122,7 @@
 
 
 def _swap_always(store: FakeStore, call: StoreCall) -> SwapResult:
-    """Swap log keys whatever revision the writer expects."""
+    """Swap log keys regardless of the revision that the writer expects."""
     swap = call.argument
     if '/log/' in swap.key:
         swap = replace(swap, expected=store.read(swap.key).revision)
@@ -135,11 +135,11 @@
 
 
 async def _write_over_any(change: Any, stored: Versioned, config: Any) -> Any:
-    """Overwrite the document whatever its present generation."""
-    present = read_document(stored.value).unwrap()
+    """Overwrite the document regardless of its current generation."""
+    current = read_document(stored.value).unwrap()
     change._request = replace(
         change._request,
-        expected_generation=present.generation,
+        expected_generation=current.generation,
     )
     return await _ORIGINAL_WRITE_OVER(change, stored, config)
 
--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -28,7 +28,7 @@
     CANCELLED = 'cancelled'
     REFUSED = 'refused'
     LOST = 'lost'
-    # No attempt was acknowledged, and not every one was refused.
+    # No attempt was acknowledged, but not all attempts were refused.
     UNKNOWN = 'unknown'
 
 
@@ -41,7 +41,9 @@
     is_acknowledged: bool = False
     # Every attempt to submit was answered by a refusal.
     is_refused: bool = False
+    # The cancellation was acknowledged.
     is_cancelled: bool = False
+    # State in the last answer to a query; `gone` after status 410.
     state: str = ''
 
     @property
@@ -51,7 +53,11 @@
 
     @property
     def outcome(self) -> Outcome:
-        """Classify the job; acknowledged and unfinished counts as lost."""
+        """Classify the job.
+
+        An acknowledged job is lost unless it is done or was cancelled at the
+        request of its caller.
+        """
         if self.state == 'done':
             return Outcome.FINISHED
         if self.state == 'cancelled' and self.is_cancelled:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,8 +1,8 @@
-"""Starts processes for the demo and the tests, and ends only those.
+"""Starts processes for tests and tools, and ends only those.
 
 Each process runs in a session of its own, so that Ctrl-C reaches only the
-launcher, which then ends all of them by their ids. When the launcher itself
-is killed, they end by themselves (`tools/attached.py`).
+launcher, which then ends all processes by their ids. When the launcher itself
+is killed, `tools/attached.py` ends each process.
 """
 
 import os
@@ -44,14 +44,17 @@
 
 def wait_until(
     condition: Callable[[], bool],
-    what: str,
+    problem: str,
     timeout_s: float = 60,
 ) -> None:
-    """Poll a condition; raises `TimeoutError` that names `what`."""
+    """Poll a condition; raises `TimeoutError` with `problem` in its text.
+
+    `problem` states which condition was not met.
+    """
     deadline_s = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > deadline_s:
-            raise TimeoutError(f'after {timeout_s} s: {what}')
+            raise TimeoutError(f'after {timeout_s} s: {problem}')
         time.sleep(_POLL_INTERVAL_S)
 
 
@@ -116,9 +119,9 @@
         return self._running[name].pid
 
     def is_running(self, name: str) -> bool:
-        """Tell whether a process was started and not ended by this object.
+        """Tell whether a process was started and not ended by `kill` or `stop`.
 
-        Stays true when the process ends by itself.
+        Stays true when the process ends by itself or by another signal.
         """
         return name in self._running
 
@@ -133,7 +136,7 @@
         process.wait()
 
     def has_ended(self, name: str) -> bool:
-        """Tell whether a process has ended by itself."""
+        """Tell whether a process has ended; `kill` must not have ended it."""
         return self._running[name].poll() is not None
 
     def exit_status(self, name: str) -> int:
@@ -165,7 +168,7 @@
     """A cell whose processes run until its context is left."""
 
     def __init__(self, processes: Processes) -> None:
-        """Launch with `processes`, none of which has been started."""
+        """Keep the launcher of the processes; nothing is started yet."""
         self.processes = processes
 
     def __enter__(self) -> Self:
--- a/tools/slope_core_measures.py
+++ b/tools/slope_core_measures.py
@@ -154,7 +154,7 @@
 
 @measurement('gossip_bytes', 'bytes', 'member', _MEMBERS_COUNTS)
 def gossip_bytes(members_count: int) -> float:
-    """Return the packed capnp bytes of one gossip message of beats."""
+    """Return the capnp bytes, not packed, of one gossip message of beats."""
     encoded = SCHEMA.Gossip.new_message(**gossip_fields(_beats(members_count)))
     return len(encoded.to_bytes())
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,7 +3,8 @@
 A seed determines the schedule of jobs and faults. Faults overlap. During the
 run, the workers of the emulator check that no task runs twice or after its
 success, and that no worker is over its capacity. Afterwards every
-acknowledged job must be finished, and no refused job may have run.
+acknowledged job must be finished or cancelled, and no refused job may have
+run.
 """
 
 import argparse
@@ -32,10 +33,10 @@
 _JOBS_MAX_COUNT: Final = 100_000
 _SUBMIT_INTERVAL_S: Final = 0.15
 _CANCEL_EVERY: Final = 9
-# Maximum time between the starts of faults, and maximum duration of one.
+# Maximum time between the starts of two faults, and maximum duration of each.
 _FAULT_INTERVAL_MAX_S: Final = 2.5
 _FAULT_DURATION_MAX_S: Final = 5.0
-# Until leases have expired and restarted daemons have taken over.
+# Time for leases to expire and for restarted daemons to take over.
 _RECOVERY_S: Final = 12.0
 _POLL_INTERVAL_S: Final = 0.05
 _FAILED_STATUS: Final = 1
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -4,11 +4,12 @@
 its tasks exceeds its capacity, or when the sizes in force do. The size in
 force of a task is its reserved size until the worker has reported its usage
 to an owner, and from then on that usage if it is less, since an owner may
-release resources that a task reserved and does not use. Sizes at the start of
-tasks are counted separately. A task is doubled when two of its attempts run
-at the same time, or when a task that may run at most once is started twice. A
-job is lost when it was acknowledged, not cancelled, and neither finished nor,
-for a service, running with all replicas.
+release resources that a task reserved and does not use. Workers whose capacity
+is exceeded by the sizes reserved at the start of tasks are listed separately.
+A task is doubled when two of its attempts run at the same time, or when a task
+that may run at most once is started twice. A job is lost when it was
+acknowledged, not cancelled, and neither finished nor, for a service, running
+with all replicas.
 """
 
 from collections import Counter, defaultdict
@@ -70,8 +71,8 @@
 class WorkerLoad:
     """Capacity of a worker and how many log lines show it exceeded.
 
-    `first_reserved_exceeded_count` counts with the sizes at the start of
-    tasks, whether an owner released a part of them or not.
+    `first_reserved_exceeded_count` adds up the sizes reserved at the start of
+    tasks, even if an owner has released a part of them.
     """
 
     capacity: Resources = NO_RESOURCES
@@ -111,7 +112,10 @@
 
     @property
     def is_settled(self) -> bool:
-        """Tell whether no acknowledged job is open or runs after its cancel."""
+        """Tell whether no acknowledged job is open.
+
+        A job that still runs after its cancellation counts as open.
+        """
         return (
             not self.outcomes[Outcome.LOST]
             and not self.running_though_cancelled
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """Capacity of one kind of workers, their number and those per rack."""
+    """Capacity of one kind of workers, their number and number per rack."""
 
     count: int
     per_rack: int
@@ -35,10 +35,11 @@
 
 @dataclass(frozen=True, slots=True)
 class JobKind:
-    """One class of jobs: its true size, and its weight among submissions.
+    """One class of jobs: its mean real size, and its share of submissions.
 
-    The declared processors and memory are the true ones times
-    `declared_ratio`, the declared run time is `run_time_ms` times it.
+    `share` is relative to the sum over all classes. The declared processors,
+    memory and run time are those of `size` and `run_time_ms` times
+    `declared_ratio`.
     """
 
     customer: str
@@ -53,7 +54,7 @@
     tasks_count: int = 1
 
     def resource_time(self) -> Resources:
-        """Return the resources times milliseconds of one job."""
+        """Return the resources of one job times its run time in ms."""
         return self.size.times(self.tasks_count * self.run_time_ms)
 
 
@@ -124,7 +125,7 @@
         )
 
     def config(self, policies: dict[str, Any], placement: str) -> CellConfig:
-        """Return a configuration with these policies and one placement."""
+        """Return a configuration; all contracts have the same placement."""
         total = self.capacity()
         return CellConfig.model_validate(
             {
@@ -157,7 +158,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """One submission, with its true size and run time."""
+    """One submission, with its real size and run time."""
 
     at_ms: int
     spec: JobSpec
@@ -171,7 +172,10 @@
     until_ms: int,
     seed: int,
 ) -> list[Arrival]:
-    """Return services, once all workers are known, and jobs at random times."""
+    """Return the submissions: services first, then jobs at random times.
+
+    Services are submitted at `_SERVICES_AT_MS`, when all workers are known.
+    """
     random_source = random.Random(seed)
     scheduled = [
         _arrival(_SERVICES_AT_MS, kind, 0, random_source)
