--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -75,7 +75,7 @@
     fails_all: bool = False
 
     def clock_ms(self) -> int:
-        """Return the worker's clock, which starts at zero with the worker."""
+        """Return the worker's clock, the time since `born_ms`."""
         return now_ms() - self.born_ms
 
     def end_due_runs(self) -> None:
@@ -139,6 +139,7 @@
         agent = AgentModel(
             WorkerId(worker),
             capacity,
+            # Not 0, which stands for an unknown start time.
             BornMs(now_ms() + 1),
             self.sizes,
         )
--- a/standins/emulator/http_endpoint.py
+++ b/standins/emulator/http_endpoint.py
@@ -26,7 +26,7 @@
 
 
 class HttpEndpoint:
-    """Serves one port; its threads pass calls to the loop of the models."""
+    """Serves one port; its threads pass calls to the models' event loop."""
 
     def __init__(
         self,
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -120,7 +120,7 @@
         self._apply_effects()
 
     def decide(self) -> bool:
-        """Decide and apply the effects; tells whether more may be decided."""
+        """Decide and apply the effects; tells whether to decide again."""
         is_unfinished = self.core.decide(self.now_ms)
         self._apply_effects()
         return is_unfinished
@@ -224,7 +224,7 @@
 
 
 def run() -> Iterator[Measure]:
-    """Measure every cell size, then the growth from 1000 workers on."""
+    """Measure every cell size, then the growth from 1000 to 32000 workers."""
     raise_gc_thresholds()
     p99s: dict[str, float] = {}
     for workers_count in _WORKERS_COUNTS:
--- a/tools/demo_load.py
+++ b/tools/demo_load.py
@@ -10,7 +10,7 @@
 _URGENT_COUNT: Final = 12
 _SERVICES_COUNT: Final = 5
 _GANGS_COUNT: Final = 6
-# More processors than any worker has, so that it is refused.
+# More processors than any worker has, so that the job is refused.
 _OVERSIZED_MILLI: Final = 9_000_000
 
 
--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -120,7 +120,7 @@
 
 
 def _do_nothing(*_arguments: object) -> None:
-    """Does nothing."""
+    """Takes the place of a function whose effect is disabled."""
 
 
 def _no_victims(*_arguments: object) -> tuple[()]:
