--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -1,4 +1,4 @@
-"""Mutations of the decisions in `core/`."""
+"""Mutations that disable decisions of `fuchsiarill/core/`."""
 
 from typing import Any, Final
 from unittest import mock
@@ -120,7 +120,7 @@
 
 
 def _do_nothing(*_arguments: object) -> None:
-    """Does nothing."""
+    """Takes the place of a function whose effect is disabled."""
 
 
 def _no_victims(*_arguments: object) -> tuple[()]:
