Clarify comments and two names of the HTTP front end

Cause: some doc comments said less or other than the code does. The module comment of http_front left out that the threads authenticate and refuse requests; ask_all did not say that a release ends the whole wait; the refusal of a repeated key gave a reason that the core does not have. `_common_status`, `_state_of`, `first_problem` and `earlier` had to be guessed at.

Change: reworded doc comments in all modules of fuchsiarill/front. Renamed `_common_status` to `_submission_status`, `_state_of` to `_parse_state`, `first_problem` to `invalid_body_refusal`, `earlier` to `info` and `totals` to `cumulative_counts`.

--- a/fuchsiarill/front/authentication.py
+++ b/fuchsiarill/front/authentication.py
@@ -1,7 +1,8 @@
 """Identification of the sender of a request by its bearer token.
 
-The configuration holds digests only. A token is compared with all of them,
-each in constant time, so that the time taken reveals nothing of a match.
+The configuration holds only digests of the tokens. The digest of a received
+token is compared with all of them, each in constant time, so that the response
+time does not reveal whether and where digests match.
 """
 
 import hashlib
@@ -28,7 +29,7 @@
 def identify(config: CellConfig, authorization: str) -> Identity | None:
     """Return the holder of the token in an `Authorization` header.
 
-    Returns `None` for an unknown token or another scheme than `Bearer`.
+    Returns `None` for an unknown token or a scheme other than `Bearer`.
     """
     scheme, _, token = authorization.partition(' ')
     digest = hashlib.sha256(token.strip().encode()).hexdigest()
--- a/fuchsiarill/front/bridge.py
+++ b/fuchsiarill/front/bridge.py
@@ -1,9 +1,9 @@
 """The bridge from HTTP threads to the actors.
 
-A thread posts messages into the loop and blocks on their replies; the number
-of requests in progress is bounded and further requests are refused. Requests
-that wait for an event, such as the end of a job, have a smaller limit of their
-own, so that threads remain for other requests.
+A thread posts messages to actors in the event loop and blocks until the replies
+arrive; the number of requests in progress is bounded and further requests are
+refused. Requests that wait for an event, such as the end of a job, have a
+smaller limit of their own, so that threads remain for other requests.
 """
 
 import asyncio
@@ -24,14 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ActorRequest:
-    """A message to post; `build` creates it for a given reply."""
+    """A message for `mailbox`; `build` creates it with a given reply."""
 
     mailbox: Mailbox
     build: Callable[[Reply[Any]], object]
 
 
 class ReleasedError(Exception):
-    """The process is draining and no longer waits for the event."""
+    """A wait for an event ended early because the process drains."""
 
 
 class NotSentError(Exception):
@@ -47,7 +47,7 @@
         in_progress_max: int,
         waits_max: int = 0,
     ) -> None:
-        """Limit the requests in progress and, among them, those that wait."""
+        """Limit the requests in progress and how many of them may wait."""
         self.loop = loop
         self._in_progress_max = in_progress_max
         self._waits_max = waits_max
@@ -62,11 +62,11 @@
         return self._in_progress_count
 
     def release(self) -> None:
-        """End all waits for events; called in the loop."""
+        """End all waits for events; must be called in the event loop."""
         self._release_event.set()
 
     def pause(self, duration_ms: int) -> None:
-        """Block the calling thread, at most until the process drains."""
+        """Block the calling thread for a time, or until `release` is called."""
         release = self._release_event.wait()
         bounded_wait = asyncio.wait_for(release, duration_ms / MS_PER_SECOND)
         with suppress(TimeoutError):
@@ -125,15 +125,17 @@
     ) -> list[Any]:
         """Post several messages at once; return an answer for each.
 
-        In place of an answer there may be a `NotSentError` or `TimeoutError`,
-        and a `ReleasedError` where the messages wait for an event (`waits`).
+        In place of an answer there may be a `NotSentError` or `TimeoutError`.
+        With `waits`, the messages wait for an event: if `release` ends the
+        wait, the result has a `ReleasedError` for each message.
         """
         gathering = _gather(requests, timeout_ms)
         if waits:
             gathering = self._gather_until_released(gathering, len(requests))
         future = asyncio.run_coroutine_threadsafe(gathering, self.loop)
         try:
-            # The loop enforces the deadline; after twice as long it has ended.
+            # The loop enforces `timeout_ms`; if no result comes in twice that
+            # time, the loop has ended.
             return future.result(2 * timeout_ms / MS_PER_SECOND)
         except (TimeoutError, CancelledError):
             return [TimeoutError() for _ in requests]
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -64,19 +64,19 @@
     for answer in answers:
         front.metrics.count_submission(answer.code)
     return HttpReply(
-        _common_status(answers),
+        _submission_status(answers),
         {'answers': [answer_object(item) for item in answers]},
     )
 
 
 @route('GET', '/v1/jobs', Access.CALLER, 'customer', 'state', 'limit')
 def list_jobs(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """List jobs of a customer, the latest accepted of each partition first."""
+    """List jobs of a customer, the latest accepted first in each partition."""
     customer = _customer_with_contract(front, request)
     if isinstance(customer, Failure):
         return refusal_reply(customer.failure())
     limit = request.count('limit', _LIST_DEFAULT_COUNT, _LIST_MAX_COUNT)
-    query = JobList(customer.unwrap(), _state_of(request), limit)
+    query = JobList(customer.unwrap(), _parse_state(request), limit)
     jobs = _list_from_partitions(front, query)
     refusals = [job for job in jobs if job.refusal is not None]
     if refusals:
@@ -87,10 +87,10 @@
 
 @route('GET', _JOB_PATTERN, Access.CALLER, 'customer', 'wait_ms')
 def query_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return the state of a job; `wait_ms=N` waits for its end.
+    """Return the state of a job; `wait_ms=N` waits up to N ms for its end.
 
-    If the wait ends early, because too many requests wait, this process drains
-    or the owner changes, the answer is the current state.
+    If too many requests wait, this process drains or the owner changes, the
+    wait ends early and the reply has the current state.
     """
     wait_ms = request.count('wait_ms', 0, _WAIT_MAX_MS)
     answer = _wait_for_end(front, request, wait_ms) if wait_ms else None
@@ -124,7 +124,7 @@
 
 @route('DELETE', _JOB_PATTERN, Access.CALLER, 'customer')
 def cancel_job(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Cancel a job."""
+    """Cancel a job; the reply does not wait for its tasks to stop."""
     return reply_of(
         _ask_owner_of_job(
             front,
@@ -201,7 +201,10 @@
     request: HttpRequest,
     wait_ms: int,
 ) -> JobAnswer | None:
-    """Return the answer to a waiting query, or `None` if it can't wait."""
+    """Return the answer to a query that waits for the end of the job.
+
+    Returns `None` when too many requests wait or this process drains.
+    """
     with front.bridge.waiting() as admitted:
         if not admitted:
             return None
@@ -216,7 +219,10 @@
     request: HttpRequest,
     wait_ms: int,
 ) -> JobAnswer:
-    """Repeat the query while the owner changes, until the wait is over."""
+    """Repeat the query until an owner answers or `wait_ms` is over.
+
+    Queries fail while the ownership of the partition changes.
+    """
     loop_time_s = front.bridge.loop.time
     ends_at_s = loop_time_s() + wait_ms / MS_PER_SECOND
     answer = _ask_job_state(front, request, wait_ms)
@@ -284,9 +290,10 @@
 
 
 def _partition_of(front: 'HttpFront', spec: JobSpec) -> PartitionId:
-    """Return the partition of a job, or an empty id.
+    """Return the partition of a job, or an empty id if there is no contract.
 
-    The contract may have been removed since the request was checked.
+    The contract may have been removed since the request was checked; an empty
+    id has no owner, so the job is refused.
     """
     partition = None
     if front.view.config is not None:
@@ -298,7 +305,7 @@
     return PartitionId('') if partition is None else partition
 
 
-def _state_of(request: HttpRequest) -> JobState | None:
+def _parse_state(request: HttpRequest) -> JobState | None:
     name = request.query.get('state')
     if name is None:
         return None
@@ -310,8 +317,8 @@
         ) from None
 
 
-def _common_status(answers: list[JobAnswer]) -> HTTPStatus:
-    """Return the status of a single answer, and that of success for a batch."""
+def _submission_status(answers: list[JobAnswer]) -> HTTPStatus:
+    """Return the status of a single answer, or 200 for several answers."""
     statuses = {answer.code.http_status for answer in answers}
     if len(statuses) == 1 and len(answers) == 1:
         return statuses.pop()
--- a/fuchsiarill/front/front_actor.py
+++ b/fuchsiarill/front/front_actor.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopFront:
-    """Finish answers in progress and close the listener.
+    """Finish the requests in progress, then close the listener.
 
     Requests that wait for the end of a job may continue for half of
     `within_ms`. The reply is whether all requests were answered within
@@ -28,7 +28,7 @@
 
 
 class FrontActor(Actor):
-    """Replaces the view of the threads when configuration or state changes."""
+    """Updates the view of the HTTP threads, reports their load, stops them."""
 
     def __init__(self, front: HttpFront, membership: Mailbox) -> None:
         """Serve through `front`; report its load to `membership`."""
@@ -37,14 +37,17 @@
         self._membership = membership
 
     def start(self) -> None:
-        """Run the actor and open the listener; raises `OSError`."""
+        """Run the actor and open the listener.
+
+        Raises `OSError` when the address can't be used.
+        """
         super().start()
         self._front.start()
         self.tick_every(_LOAD_INTERVAL_MS, Tick())
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
-        """Authenticate and route by the new configuration."""
+        """Authenticate and route requests by the new configuration."""
         self._front.view = replace(self._front.view, config=message.config)
 
     @handles(StateChanged)
@@ -60,7 +63,7 @@
 
     @handles(StopFront)
     async def on_stop(self, message: StopFront) -> None:
-        """Wait for the answers in progress, then close."""
+        """Wait for the requests in progress, then close the listener."""
         bridge = self._front.bridge
         await self._wait_until_idle(message.within_ms // 2)
         bridge.release()
--- a/fuchsiarill/front/health_routes.py
+++ b/fuchsiarill/front/health_routes.py
@@ -14,13 +14,13 @@
 
 @route('GET', '/healthz', Access.OPEN)
 def liveness(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Answer as long as a thread of the server can respond."""
+    """Return status 200 as long as a thread of the server can respond."""
     return HttpReply(HTTPStatus.OK, {'state': front.view.state.value})
 
 
 @route('GET', '/readyz', Access.OPEN)
 def readiness(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return whether the load balancer should send requests here."""
+    """Return status 200 if the load balancer should send requests here."""
     status = HTTPStatus.SERVICE_UNAVAILABLE
     if front.view.state is ProcessState.SERVING:
         status = HTTPStatus.OK
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -1,7 +1,8 @@
 """HTTP front end: routes are registered functions, run by cheroot's threads.
 
-The threads only parse, post messages through the bridge and wait; every
-decision is made by the actors.
+The threads authenticate and parse requests, refuse requests that are invalid or
+exceed the load limits, post messages through the bridge and wait. The actors
+make all decisions about jobs, hosts and the configuration.
 """
 
 import json
@@ -49,6 +50,7 @@
 
 _BuildMessage = Callable[[Reply[Any]], JobMessage]
 
+# Importing these modules registers their routes.
 ROUTE_GROUPS: Final = (caller_routes, health_routes, operator_routes)
 
 # A body above the limit but below this multiple of it is read and refused on a
@@ -66,7 +68,11 @@
 
 
 class _Gateway(wsgi.Gateway_10):
-    """Lets the application close the connection after its reply."""
+    """Passes cheroot's request to the application.
+
+    The application sets `close_connection` in it to close the connection after
+    the reply.
+    """
 
     def __init__(self, req: Any) -> None:
         super().__init__(req)
@@ -74,7 +80,7 @@
 
 
 class HttpFront:
-    """Serves the callers and operators of one process."""
+    """Serves HTTP requests of callers and operators in one process."""
 
     def __init__(
         self,
@@ -112,7 +118,10 @@
         return int(self._server.bind_addr[1])
 
     def start(self) -> None:
-        """Listen and serve in threads of the server; raises `OSError`."""
+        """Listen and serve in threads of the server.
+
+        Raises `OSError` when the address can't be used.
+        """
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
@@ -125,7 +134,7 @@
         mailbox: Mailbox,
         build: Callable[[Reply[Any]], object],
     ) -> Any:
-        """Ask an actor; raises `NotSentError` or `TimeoutError`."""
+        """Return an actor's answer; raises `NotSentError` or `TimeoutError`."""
         return self.bridge.ask(
             mailbox,
             build,
@@ -139,8 +148,8 @@
     ) -> list[Any]:
         """Send requests to partition owners; each answer may be a refusal.
 
-        `wait_ms` is how long the requests may wait for an event; raises
-        `ReleasedError` when the process drains meanwhile.
+        `wait_ms` is how long the requests may wait for an event. Raises
+        `ReleasedError` when the process drains during the wait.
         """
         answers = self.bridge.ask_all(
             [
@@ -252,8 +261,8 @@
     def _is_overloaded(self) -> bool:
         """Return whether too many messages wait for the router.
 
-        Further requests are shed before parsing, since they would be answered
-        too late.
+        Further requests are refused before their query and body are parsed,
+        since they would be answered too late.
         """
         waiting_count = len(self.receivers.router)
         return waiting_count > self.settings.messages_waiting_max_count
@@ -333,7 +342,7 @@
 
 
 def _retry_headers(body: Any) -> list[tuple[str, str]]:
-    """Return the delay in whole seconds, rounded up."""
+    """Return the `Retry-After` header, if any, in whole seconds, rounded up."""
     if not isinstance(body, dict) or not body.get('retry_after_ms'):
         return []
     seconds = -(-body['retry_after_ms'] // MS_PER_SECOND)
--- a/fuchsiarill/front/metrics.py
+++ b/fuchsiarill/front/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of one process, in a registry of its own.
 
-Labels are bounded: routes, codes and verbs are known names, and customers
-beyond a cap are counted together.
+The number of label values is bounded: routes, codes and verbs are known names,
+and the customers beyond a limit share one label value.
 """
 
 from collections.abc import Iterator
@@ -41,7 +41,7 @@
 
 
 class Metrics:
-    """Counters and gauges, written by threads and by the loop."""
+    """Counters, gauges and histograms, set by threads and the event loop."""
 
     def __init__(self) -> None:
         """Register all metrics."""
@@ -103,11 +103,11 @@
         return timer
 
     def count_store_call(self, verb: str, answered: bool) -> None:
-        """Count one call of the store."""
+        """Count one call of the store, and whether the store answered."""
         self._store_calls.labels(verb, str(answered).lower()).inc()
 
     def render(self, measures: Measures) -> bytes:
-        """Return all metrics in the text format."""
+        """Set the gauges from `measures`; return all metrics as text."""
         self._generation.set(measures.generation)
         self._owned_partitions.set(measures.owned_partitions_count)
         self._decisions.measures = measures
@@ -189,19 +189,21 @@
 
 
 class _DecisionTimes:
-    """Collector of the decision times that the owners have measured."""
+    """Collector of the decision times measured by the partition owners."""
 
     def __init__(self) -> None:
         self.measures = Measures()
 
     def collect(self) -> Iterator[HistogramMetricFamily]:
-        """Yield the only metric of this collector."""
+        """Yield the histogram, which is the only metric of this collector."""
         bounds = [str(bound / MS_PER_SECOND) for bound in BOUNDS_MS]
-        totals = accumulate(self.measures.decision_counts)
+        cumulative_counts = accumulate(self.measures.decision_counts)
         yield HistogramMetricFamily(
             'fuchsiarill_decision_seconds',
             'Time of decisions in the partitions owned here.',
-            buckets=list(zip((*bounds, '+Inf'), totals, strict=False)),
+            buckets=list(
+                zip((*bounds, '+Inf'), cumulative_counts, strict=False)
+            ),
             sum_value=self.measures.decisions_ms / MS_PER_SECOND,
         )
 
--- a/fuchsiarill/front/operator_routes.py
+++ b/fuchsiarill/front/operator_routes.py
@@ -19,7 +19,7 @@
     refusal_reply,
 )
 from fuchsiarill.front.routes import Access, HttpRequest, route
-from fuchsiarill.front.submissions import first_problem
+from fuchsiarill.front.submissions import invalid_body_refusal
 from fuchsiarill.ids import Generation, ProcessId
 from fuchsiarill.process_messages import ForwardDump, GetHosts
 from fuchsiarill.refusal import refuse
@@ -32,7 +32,7 @@
 
 
 class _Change(BaseModel):
-    """Body of a change of the configuration."""
+    """Body of a request to change the configuration."""
 
     model_config = ConfigDict(extra='forbid')
 
@@ -43,7 +43,7 @@
 
 @route('GET', '/v1/config', Access.OPERATOR)
 def show_config(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return the document in force in this process."""
+    """Return the configuration document in force in this process."""
     document: ConfigDocument = front.ask(front.receivers.config, GetDocument)
     return HttpReply(
         HTTPStatus.OK,
@@ -61,7 +61,7 @@
     try:
         change = _Change.model_validate_json(request.body, strict=True)
     except ValidationError as invalid:
-        return refusal_reply(first_problem(invalid))
+        return refusal_reply(invalid_body_refusal(invalid))
     change_request = ChangeRequest(
         change.text,
         Generation(change.expected_generation),
@@ -90,7 +90,7 @@
 
 @route('GET', '/v1/status', Access.OPERATOR)
 def show_status(front: 'HttpFront', request: HttpRequest) -> HttpReply:
-    """Return one row for each process in the view."""
+    """Return one row for each process in the membership view."""
     return HttpReply(HTTPStatus.OK, {'processes': _member_rows(front)})
 
 
--- a/fuchsiarill/front/replies.py
+++ b/fuchsiarill/front/replies.py
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """Status and body of a reply; a `bytes` body is sent as plain text."""
+    """Status and body of a reply.
+
+    A `bytes` body is sent as plain text, any other body as JSON.
+    """
 
     status: HTTPStatus
     body: Any
@@ -31,7 +34,7 @@
 
 
 def malformed_refusal(field: str, problem: str) -> Refusal:
-    """Return the refusal of an invalid field."""
+    """Return the refusal of a request with an invalid field or parameter."""
     return refuse(
         codes.MALFORMED,
         texts.MALFORMED,
@@ -51,7 +54,7 @@
 
 
 def overloaded_refusal() -> Refusal:
-    """Return the refusal of a request that is shed under overload."""
+    """Return the refusal of a request under overload."""
     return refuse(
         codes.OVERLOADED,
         texts.OVERLOADED,
--- a/fuchsiarill/front/routes.py
+++ b/fuchsiarill/front/routes.py
@@ -44,7 +44,8 @@
     def customer(self) -> Result[CustomerId, Refusal]:
         """Return the customer that the request is for.
 
-        An operator must name it in the query; a caller may only name itself.
+        An operator must name a customer in the query; a customer may only name
+        itself.
         """
         named_customer = self.query.get('customer')
         own_customer = self.identity.customer
@@ -57,7 +58,10 @@
         return Failure(refuse(codes.FORBIDDEN, texts.FORBIDDEN))
 
     def count(self, name: str, default: int, limit: int) -> int:
-        """Return a count, capped at `limit`; raises `QueryError`."""
+        """Return a query parameter as a count of at most `limit`.
+
+        Raises `QueryError` when the parameter is not a count.
+        """
         text = self.query.get(name)
         if text is None:
             return default
@@ -87,7 +91,10 @@
     access: Access,
     *known_parameters: str,
 ) -> Callable[[Handler], Handler]:
-    """Register a handler; `known_parameters` are allowed in its query."""
+    """Register the decorated handler of a route.
+
+    `known_parameters` are the parameters that its query may have.
+    """
 
     def decorator(handler: Handler) -> Handler:
         endpoint = Endpoint(access, handler, frozenset(known_parameters))
@@ -112,7 +119,10 @@
 
 
 def parse_query(text: str, endpoint: Endpoint) -> Mapping[str, str]:
-    """Return the parameters; raises `QueryError` if unknown or repeated."""
+    """Return the query parameters.
+
+    Raises `QueryError` for an unknown or repeated parameter.
+    """
     name_value_pairs = parse_qsl(text, keep_blank_values=True)
     for name, _value in name_value_pairs:
         if name not in endpoint.known_parameters:
--- a/fuchsiarill/front/submissions.py
+++ b/fuchsiarill/front/submissions.py
@@ -1,4 +1,4 @@
-"""JSON encoding and validation of submissions, and encoding of answers."""
+"""Decoding and validation of submissions in JSON; encoding of answers."""
 
 from typing import Annotated, Any, Final
 
@@ -30,7 +30,7 @@
 
 
 class TaskSize(BaseModel):
-    """Declared size of one task; a task always holds one slot."""
+    """Declared size of one task, which always takes one slot."""
 
     model_config = ConfigDict(extra='forbid', strict=True)
 
@@ -44,7 +44,8 @@
 
     model_config = ConfigDict(extra='forbid')
 
-    # The order matters: a validator sees only the fields before its own.
+    # The order of the fields matters: a validator sees only the fields before
+    # its own.
     idempotency_key: _Text
     workload: Workload = Workload.BATCH
     execution: Execution = Execution.IDEMPOTENT
@@ -60,19 +61,19 @@
     def check_execution(
         cls,
         execution: Execution,
-        earlier: ValidationInfo,
+        info: ValidationInfo,
     ) -> Execution:
         """Refuse `at_most_once` for a service, since services are restarted."""
-        is_service = earlier.data.get('workload') is Workload.SERVICE
+        is_service = info.data.get('workload') is Workload.SERVICE
         if is_service and execution is Execution.AT_MOST_ONCE:
             raise PydanticCustomError('service', texts.SERVICE_AT_MOST_ONCE)
         return execution
 
     @field_validator('run_time_ms')
     @classmethod
-    def check_run_time(cls, run_time_ms: int, earlier: ValidationInfo) -> int:
+    def check_run_time(cls, run_time_ms: int, info: ValidationInfo) -> int:
         """Refuse a run time for a service, which has none."""
-        is_service = earlier.data.get('workload') is Workload.SERVICE
+        is_service = info.data.get('workload') is Workload.SERVICE
         if is_service and run_time_ms:
             raise PydanticCustomError('service', texts.SERVICE_RUN_TIME)
         return run_time_ms
@@ -96,11 +97,11 @@
     body: bytes,
     customer: CustomerId,
 ) -> Result[tuple[JobSpec, ...], Refusal]:
-    """Read the body of a submission request."""
+    """Return the jobs in the body of a submission request, or its refusal."""
     try:
         batch = _BATCH_ADAPTER.validate_json(body, strict=True)
     except ValidationError as invalid:
-        return Failure(first_problem(invalid))
+        return Failure(invalid_body_refusal(invalid))
     refusal = _find_repeated_key(batch)
     if refusal is not None:
         return Failure(refusal)
@@ -127,8 +128,8 @@
     return encoded
 
 
-def first_problem(invalid: ValidationError) -> Refusal:
-    """Return the refusal of a body, which names its first invalid field."""
+def invalid_body_refusal(invalid: ValidationError) -> Refusal:
+    """Return the refusal of a body; it names the first invalid field."""
     error = invalid.errors()[0]
     field = '.'.join(str(part) for part in error['loc'])
     problem = f'{field}: {error["msg"]}' if field else error['msg']
@@ -141,7 +142,7 @@
 
 
 def _find_repeated_key(batch: Batch) -> Refusal | None:
-    """Refuse two jobs with the same key, since only one could be answered."""
+    """Refuse two jobs with the same key, since a key identifies one job."""
     first_fields: dict[str, str] = {}
     for position, submission in enumerate(batch.jobs):
         field = f'jobs.{position}.idempotency_key'
