--- a/fuchsiarill/commands/__init__.py
+++ b/fuchsiarill/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Command line of operators and callers."""
+"""Command line for operators and callers."""
--- a/fuchsiarill/commands/command.py
+++ b/fuchsiarill/commands/command.py
@@ -1,7 +1,8 @@
 """Commands of the command line: a registry that decorators fill.
 
-A command is a function from its parsed arguments to an answer; the main
-module parses, calls it, prints the answer and ends with its exit status.
+A command is a function that takes the parsed arguments and a client, and
+returns an answer. The `main` module parses the arguments, calls the function,
+prints the answer and exits with its exit status.
 """
 
 from argparse import ArgumentParser, Namespace
@@ -18,8 +19,9 @@
 class CommandAnswer:
     """Output and result of a command.
 
-    `content` is a mapping or a list of mappings; `notes` are messages for
-    the user, printed to standard error.
+    `content` is a mapping, a list of mappings or lines, a text, or `None` if
+    there is no output. `notes` are messages for the user, printed to standard
+    error.
     """
 
     content: Any
--- a/fuchsiarill/commands/config_commands.py
+++ b/fuchsiarill/commands/config_commands.py
@@ -1,4 +1,4 @@
-"""Commands on the cell configuration."""
+"""Commands that check, show and change the cell configuration."""
 
 import getpass
 from argparse import ArgumentParser, Namespace
@@ -34,7 +34,7 @@
     parser.add_argument(
         '--wait',
         action='store_true',
-        help='end when every process has the change in force',
+        help='wait until the change is in force in every process',
     )
     parser.add_argument(
         '--wait-s',
@@ -89,7 +89,7 @@
     'fuchsiarill config show',
 )
 def show(options: Namespace, client: Client) -> CommandAnswer:
-    """Print the document as it was written."""
+    """Print the document; the table format shows its text unchanged."""
     document = config_edit.read_document(client)
     if isinstance(document, ServerResponse):
         return config_edit.refusal_answer(document)
@@ -153,7 +153,7 @@
     'fuchsiarill config spread',
 )
 def spread(options: Namespace, client: Client) -> CommandAnswer:
-    """List every process with the generation that it reports."""
+    """Print one row for each process, with the generation that it reports."""
     response = client.request('GET', '/v1/config/spread')
     if not response.succeeded:
         return config_edit.refusal_answer(response)
--- a/fuchsiarill/commands/config_edit.py
+++ b/fuchsiarill/commands/config_edit.py
@@ -1,7 +1,7 @@
 """Reading and changing the cell configuration through an entry process.
 
-A change names the generation that it was made from; if another operator has
-written a later one, the answer of the command shows their changes.
+A change names the generation that it was made from. If another operator has
+written a later generation, the answer of the command shows how it differs.
 """
 
 import difflib
@@ -52,7 +52,7 @@
 
 
 def check_text(text: str) -> tuple[str, ...]:
-    """Return all problems of a document, none when it is valid."""
+    """Return all problems of a document; none if the document is valid."""
     parsed = parse_config(text)
     if isinstance(parsed, Failure):
         return tuple(problem.text for problem in parsed.failure())
@@ -109,9 +109,10 @@
     author: str,
     change: Callable[[Any], bool],
 ) -> CommandAnswer | None:
-    """Change the parsed document in place and write it.
+    """Read the document in force, change it and write the result.
 
-    Returns `None` when `change` returns `False`, since nothing has changed.
+    `change` modifies the parsed document in place and returns whether it did;
+    if it did not, nothing is written and `edit` returns `None`.
     """
     base = read_document(client)
     if isinstance(base, ServerResponse):
@@ -128,7 +129,10 @@
     generation: int,
     wait_s: float,
 ) -> CommandAnswer:
-    """Wait until every process reports at least `generation` in force."""
+    """Wait until every process reports at least `generation` in force.
+
+    After `wait_s`, the answer names the processes that lack it.
+    """
     ends_at_s = time.monotonic() + wait_s
     while True:
         response = client.request('GET', '/v1/config/spread')
--- a/fuchsiarill/commands/contract_commands.py
+++ b/fuchsiarill/commands/contract_commands.py
@@ -1,4 +1,4 @@
-"""Commands on the contracts of customers."""
+"""Commands that show and change the contracts of customers."""
 
 from argparse import ArgumentParser, Namespace
 from functools import partial
@@ -32,7 +32,7 @@
         'assignments',
         nargs='+',
         metavar='FIELD=VALUE',
-        help='for example weight=2 or quota.memory_mb=64000',
+        help='new value of a field, such as weight=2 or quota.memory_mb=64000',
     )
     add_author(parser)
     add_wait(parser)
@@ -77,7 +77,7 @@
     _set_arguments,
 )
 def set_fields(options: Namespace, client: Client) -> CommandAnswer:
-    """Write the configuration with changed fields of one contract."""
+    """Write the configuration with the changed fields of one contract."""
     try:
         changes = [_parse_assignment(text) for text in options.assignments]
     except AssignmentError as error:
--- a/fuchsiarill/commands/explain_command.py
+++ b/fuchsiarill/commands/explain_command.py
@@ -22,12 +22,12 @@
 
 @command(
     'explain',
-    'Say from logs what became of a job, and why.',
+    'Explain from logs the outcome of a job and its cause.',
     'fuchsiarill explain 5c0e7a21d94b36f8 logs/*.jsonl',
     _explain_arguments,
 )
 def explain(options: Namespace, client: Client) -> CommandAnswer:
-    """Print the log lines of a job in order; the conclusion is a note.
+    """Print the log lines of a job by time, and its outcome as a note.
 
     Raises `OSError` for a file that can't be read.
     """
--- a/fuchsiarill/commands/host_commands.py
+++ b/fuchsiarill/commands/host_commands.py
@@ -39,7 +39,7 @@
 
 @command(
     'host drain',
-    'Give a worker no new tasks and move its services away.',
+    'Start no new tasks on a worker and move its services to other workers.',
     'fuchsiarill host drain pour-hall-r1-w3 --wait',
     _worker_arguments,
 )
@@ -50,7 +50,7 @@
 
 @command(
     'host undrain',
-    'Let a drained worker get tasks again.',
+    'Allow new tasks on a drained worker again.',
     'fuchsiarill host undrain pour-hall-r1-w3',
     _worker_arguments,
 )
--- a/fuchsiarill/commands/job_commands.py
+++ b/fuchsiarill/commands/job_commands.py
@@ -1,4 +1,4 @@
-"""Commands on jobs."""
+"""Commands that submit, list, show, wait for, cancel and explain jobs."""
 
 import sys
 import time
@@ -26,7 +26,7 @@
 def _customer_option(parser: ArgumentParser) -> None:
     parser.add_argument(
         '--customer',
-        help='customer to act for; with the operator token only',
+        help='customer to act for; only with the operator token',
     )
 
 
@@ -56,7 +56,7 @@
     _submit_arguments,
 )
 def submit(options: Namespace, client: Client) -> CommandAnswer:
-    """Submit a batch; the result is the first code that is not success."""
+    """Submit a batch; the exit status is that of the first refused job."""
     text = _read_text(options.file)
     content = yaml.safe_load(text)
     if isinstance(content, dict) and 'jobs' in content:
@@ -68,7 +68,7 @@
     if not response.succeeded:
         return refusal_answer(response)
     rows = response.body['answers']
-    return CommandAnswer(rows, _first_failure(rows))
+    return CommandAnswer(rows, _batch_code(rows))
 
 
 @command(
@@ -111,7 +111,7 @@
     _wait_arguments,
 )
 def wait(options: Namespace, client: Client) -> CommandAnswer:
-    """Wait in bounded requests; the exit status depends on the outcome."""
+    """Wait in requests of limited length; the exit status tells the outcome."""
     ends_at_s = time.monotonic() + options.wait_s
     while True:
         remaining_ms = int((ends_at_s - time.monotonic()) * 1000)
@@ -146,12 +146,12 @@
 
 @command(
     'job why',
-    'Tell what a job waits for.',
+    'Show what a job waits for.',
     'fuchsiarill job why rajkot.0-4f1c',
     _job_argument,
 )
 def explain(options: Namespace, client: Client) -> CommandAnswer:
-    """Print the limit or resource that delays a job, and its position."""
+    """Print why a job waits, and how many jobs and customers precede it."""
     response = client.request(
         'GET', _path_with_query(f'/v1/jobs/{options.job}/why', options)
     )
@@ -172,7 +172,7 @@
     return f'{path}?{urlencode(query_values)}' if query_values else path
 
 
-def _first_failure(rows: list[dict[str, Any]]) -> codes.ResultCode:
+def _batch_code(rows: list[dict[str, Any]]) -> codes.ResultCode:
     for row in rows:
         code = codes.by_number(row['code'])
         if code.exit_status is not codes.ExitStatus.SUCCESS:
--- a/fuchsiarill/commands/main.py
+++ b/fuchsiarill/commands/main.py
@@ -1,7 +1,7 @@
 """Entry point of the command line `fuchsiarill`.
 
-Builds the parsers from the registry of commands, runs one command and exits
-with the status of its result code.
+Imports the command modules, which fill the registry of commands, builds the
+parsers from it, runs one command and exits with the status of its result code.
 """
 
 import os
--- a/fuchsiarill/commands/output.py
+++ b/fuchsiarill/commands/output.py
@@ -1,4 +1,4 @@
-"""How answers are printed: a registry of output formats."""
+"""Formats in which answers are printed, in a registry."""
 
 import json
 from collections.abc import Callable, Mapping
--- a/fuchsiarill/commands/replay_command.py
+++ b/fuchsiarill/commands/replay_command.py
@@ -21,12 +21,12 @@
 
 @command(
     'replay',
-    'Replay traces against their stated outcomes.',
+    'Replay traces and check their stated outcomes.',
     'fuchsiarill replay traces/*.yaml',
     _files_argument,
 )
 def replay(options: Namespace, client: Client) -> CommandAnswer:
-    """Replay traces in simulated time; prints unmet outcomes.
+    """Replay traces in simulated time; prints results and unmet outcomes.
 
     The simulation is imported here, since no other command needs it.
     """
--- a/fuchsiarill/commands/status_commands.py
+++ b/fuchsiarill/commands/status_commands.py
@@ -17,13 +17,13 @@
     'fuchsiarill status',
 )
 def status(options: Namespace, client: Client) -> CommandAnswer:
-    """Print one row for each process; a note lists unreachable ones."""
+    """Print one row for each process; a note lists unreachable processes."""
     response = client.request('GET', '/v1/status')
     if not response.succeeded:
         return refusal_answer(response)
     rows = response.body['processes']
     unreachable = [row['process'] for row in rows if not row['reachable']]
-    notes = (f'out of reach: {", ".join(unreachable)}',) if unreachable else ()
+    notes = (f'unreachable: {", ".join(unreachable)}',) if unreachable else ()
     return CommandAnswer(rows, notes=notes)
 
 
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -1,4 +1,4 @@
-"""An HTTP front on a free port, with fake actors that answer at once."""
+"""An HTTP front on a free port, with one actor that fakes all others."""
 
 import asyncio
 import json
@@ -53,7 +53,11 @@
 
 
 class FakeActors(Actor):
-    """Replaces the router, membership, configuration and process actors."""
+    """Fakes the router, membership, configuration and process actors.
+
+    Answers at once, but holds queries that wait for the end of a job until a
+    `Tick`.
+    """
 
     def __init__(self) -> None:
         super().__init__('fake')
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""The command line: requests made, texts printed, exit status."""
+"""The requests, the printed texts and the exit status of each command."""
 
 from pathlib import Path
 from typing import Any
@@ -19,7 +19,7 @@
     """Returns prepared responses and records the requests."""
 
     def __init__(self, answers: list[Any]) -> None:
-        """Answer in the order given."""
+        """Return `answers` in the order given."""
         super().__init__(ClientSettings((), ''))
         self.requests: list[str] = []
         self._answers = list(answers)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -16,7 +16,7 @@
 
 @pytest.mark.parametrize('name', _NAMES)
 def test_example_fits_its_workers(name: str) -> None:
-    """Guards against guarantees beyond the capacity of the workers."""
+    """Guards against guarantees or quotas above the workers' capacity."""
     deployment = load_deployment(EXAMPLES / f'{name}-hosts.yaml')
     text = (EXAMPLES / deployment.configuration).read_text()
     config = parse_config(text).unwrap()
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize('name', _NAMES)
 def test_demo_tokens_are_those_of_the_example(name: str) -> None:
-    """Guards against tokens of the demo that the configuration rejects."""
+    """Guards against demo tokens that don't match the configured digests."""
     deployment = load_deployment(EXAMPLES / f'{name}-hosts.yaml')
     text = (EXAMPLES / deployment.configuration).read_text()
     config = parse_config(text).unwrap()
@@ -55,7 +55,7 @@
 
 
 def test_daemon_settings_are_valid() -> None:
-    """Guards against an example with which the daemon does not start."""
+    """Guards against example settings with which the daemon does not start."""
     text = (EXAMPLES / 'fuchsiarilld.yaml').read_text()
     settings = ProcessSettings.model_validate(yaml.safe_load(text))
     assert settings.process == 'pour-hall-1'
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -72,7 +72,7 @@
 
 
 def test_valid_combinations_are_accepted(shared_front: RunningFront) -> None:
-    """Guards against the refusal of a gang of one task or a plain service."""
+    """Guards against the refusal of a one-task gang or of a valid service."""
     for changed_fields in ({'workload': 'gang'}, {'workload': 'service'}):
         body = {'jobs': [_JOB | changed_fields]}
         assert shared_front.ask('POST', '/v1/jobs', body)[0] == 202
@@ -105,7 +105,7 @@
     ['config', 'config/spread', 'status', 'hosts', 'dump'],
 )
 def test_routes_of_operators(shared_front: RunningFront, path: str) -> None:
-    """Guards against a caller that can read the state of other customers."""
+    """Guards against a customer that can read the state of other customers."""
     assert shared_front.ask('GET', f'/v1/{path}')[0] == 403
     assert shared_front.ask('GET', f'/v1/{path}', None, OPERATOR)[0] == 200
 
@@ -142,7 +142,7 @@
     token: str,
     code: int | None,
 ) -> None:
-    """Guards against access to jobs of other customers, and bad parameters."""
+    """Guards against access to others' jobs, and accepted bad parameters."""
     status, answer = shared_front.ask(method, path, None, token)
     assert answer.get('code') == code
     expected = 200 if code is None else codes.by_number(code).http_status
@@ -152,7 +152,7 @@
 def test_conflict_carries_the_present_document(
     shared_front: RunningFront,
 ) -> None:
-    """Guards against an operator who can't see the changes of others."""
+    """Guards against a conflict reply that omits the document in force."""
     body = {'text': '', 'expected_generation': 0, 'author': 'me'}
     status, answer = shared_front.ask('PUT', '/v1/config', body, OPERATOR)
     assert (status, answer['generation'], answer['author']) == (409, 1, 'first')
@@ -225,7 +225,11 @@
 
 
 def test_overload_and_missing_configuration() -> None:
-    """Guards against work that starts when it would be answered too late."""
+    """Guards against requests that a process accepts while it can't serve them.
+
+    It may be overloaded, have no configuration or be draining; a draining
+    process must also close the connection.
+    """
     with running_front(requests_max_count=1) as front:
         with front.front.bridge.admitted():
             status, answer = front.ask('GET', '/v1/jobs')
@@ -248,7 +252,7 @@
 
 
 def test_metrics_are_bounded(shared_front: RunningFront) -> None:
-    """Guards against labels that grow with callers, and tokens in metrics."""
+    """Guards against an unbounded number of labels, and tokens in metrics."""
     connection = shared_front.connect()
     connection.request('GET', '/metrics')
     text = connection.getresponse().read().decode()
