State what single refusals and the table format do

Cause: the comment of as_table left out lists of lines; nothing said why a partition's reply to a batch may be one answer, or what _ask_owner_of_job returns.

Change: three doc comments in caller_routes and output.

--- a/fuchsiarill/commands/output.py
+++ b/fuchsiarill/commands/output.py
@@ -27,7 +27,10 @@
 
 @FORMATTERS.register('table')
 def as_table(content: Any) -> str:
-    """Return aligned columns for a list, `name: value` lines otherwise."""
+    """Return aligned columns for a list of mappings, and lines otherwise.
+
+    A mapping gives `name: value` lines, any other list a line for each item.
+    """
     if isinstance(content, list):
         return _format_table(content)
     if isinstance(content, Mapping):
--- a/fuchsiarill/front/caller_routes.py
+++ b/fuchsiarill/front/caller_routes.py
@@ -141,7 +141,10 @@
     front: 'HttpFront',
     specs: tuple[JobSpec, ...],
 ) -> list[JobAnswer]:
-    """Send one message to each partition; return answers in spec order."""
+    """Send one message to each partition; return answers in spec order.
+
+    A single refusal from a partition answers for each of its jobs.
+    """
     batches: dict[PartitionId, list[int]] = defaultdict(list)
     for position, spec in enumerate(specs):
         batches[_partition_of(front, spec)].append(position)
@@ -241,7 +244,7 @@
     build: Callable[[CustomerId, JobId, Reply[Any]], JobMessage],
     wait_ms: int = 0,
 ) -> Any:
-    """Send a message to the owner of the job that the path names."""
+    """Return the answer of the owner of the job in the path, or a refusal."""
     checked_customer = _customer_with_contract(front, request)
     if isinstance(checked_customer, Failure):
         return refusal_answer(checked_customer.failure())
