Name messages and the HTTP response after what they are

Cause: `Route` read like an entry of the routing table, but it requests that a message is forwarded to the owner of a partition. `HttpAnswer` is what HTTP calls a response. `ViewChanged` did not say that the members of the cell are meant.

Change: `Route` in fuchsiarill/routing.py is `ForwardToOwner`, `HttpAnswer` is `HttpResponse` and `ViewChanged` is `MembershipChanged`, with all uses. An ACTOR_FAILED event shows the type of the message in `message_type` and so has the new names.

The 77 tests of test_routing, test_peer_server, test_http_ports, test_platform_clients, test_membership, test_config_distribution and test_process passed.

--- a/fuchsiarill/cluster/config_distribution.py
+++ b/fuchsiarill/cluster/config_distribution.py
@@ -30,7 +30,7 @@
     SetWatching,
 )
 from fuchsiarill.cluster.member_table import NO_GENERATION, Member
-from fuchsiarill.cluster.membership import GenerationInForce, ViewChanged
+from fuchsiarill.cluster.membership import GenerationInForce, MembershipChanged
 from fuchsiarill.cluster.peer_port import PeerPort
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import Generation
@@ -150,8 +150,8 @@
         """Carry out an operator's change concurrently with other messages."""
         self.spawn(self._carry_out_change(message))
 
-    @handles(ViewChanged)
-    async def on_view(self, message: ViewChanged) -> None:
+    @handles(MembershipChanged)
+    async def on_view(self, message: MembershipChanged) -> None:
         """Watch the store if elected for it, and pull a newer document."""
         own_member = next(
             member
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -117,7 +117,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ViewChanged:
+class MembershipChanged:
     """Sent to subscribers in each round and after each merge, changed or not.
 
     Until `outage_until_ms` the store is regarded as down for all processes.
@@ -297,7 +297,7 @@
         self._report_removed(removed)
 
     def _publish(self) -> None:
-        view = ViewChanged(
+        view = MembershipChanged(
             self.table.members(),
             self.table.own_member.detail.process,
             self._outage_evidence.outage_until_ms(),
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -36,7 +36,7 @@
 from fuchsiarill.owner import messages
 from fuchsiarill.process_messages import GetDump, Receivers
 from fuchsiarill.refusal import refuse
-from fuchsiarill.routing import JobMessage, Route, answer_all
+from fuchsiarill.routing import ForwardToOwner, JobMessage, answer_all
 from fuchsiarill.settings import PeerSettings
 from fuchsiarill.states import JobState
 
@@ -181,7 +181,7 @@
         if self._calls_count >= self._settings.calls_in_progress_max:
             answer_all(message, _overloaded_answer())
         elif not self._receivers.router.send(
-            Route(partition_id, message, hops_left=0)
+            ForwardToOwner(partition_id, message, hops_left=0)
         ):
             answer_all(message, _overloaded_answer())
         self._calls_count += 1
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -43,7 +43,7 @@
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.refusal import Refusal, refuse
-from fuchsiarill.routing import JobMessage, Route
+from fuchsiarill.routing import ForwardToOwner, JobMessage
 from fuchsiarill.settings import HttpSettings
 from fuchsiarill.states import ProcessState
 
@@ -273,8 +273,8 @@
 def _route_builder(
     partition: PartitionId,
     build: _BuildMessage,
-) -> Callable[[Reply[Any]], Route]:
-    return lambda reply: Route(partition, build(reply))
+) -> Callable[[Reply[Any]], ForwardToOwner]:
+    return lambda reply: ForwardToOwner(partition, build(reply))
 
 
 def _answer_or_refusal(answer: Any, partition: PartitionId) -> Any:
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result
 
 from fuchsiarill import events
-from fuchsiarill.ports.http_client import CallFailure, HttpAnswer
+from fuchsiarill.ports.http_client import CallFailure, HttpResponse
 
 _SUCCESS_CLASS: Final = 2
 _STATUSES_PER_CLASS: Final = 100
@@ -37,7 +37,7 @@
 
 
 def decode_response(
-    call_result: Result[HttpAnswer, CallFailure],
+    call_result: Result[HttpResponse, CallFailure],
 ) -> PlatformResponse:
     """Decode a response; a 2xx with an unreadable body counts as no response.
 
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpResponse:
     """Status and body of a response."""
 
     status: int
@@ -93,7 +93,7 @@
         url: str,
         body: bytes,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Send one POST request without retries.
 
         A refused connection counts as `NOT_SENT`.
@@ -108,7 +108,7 @@
         url: str,
         body: bytes,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Send one POST request whose response is delayed until an event."""
         call = HttpCall('POST', url, body)
         response_result = await self.call_long_poll(call, timeout_ms)
@@ -118,7 +118,7 @@
         self,
         call: HttpCall,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Make one request without retries."""
         return await self._run_in_thread(self._calls, call, timeout_ms)
 
@@ -126,7 +126,7 @@
         self,
         call: HttpCall,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Make one request whose response is delayed until an event."""
         return await self._run_in_thread(self._long_polls, call, timeout_ms)
 
@@ -141,7 +141,7 @@
         threads: BoundedThreadPool,
         call: HttpCall,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         # The thread checks the deadline and has no event loop, so the deadline
         # uses `time.monotonic`.
         deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
@@ -165,7 +165,7 @@
         self,
         call: HttpCall,
         deadline_s: float,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         remaining_s = deadline_s - time.monotonic()
         if remaining_s <= 0:
             return Failure(CallFailure.NOT_SENT)
@@ -186,7 +186,7 @@
             return Failure(CallFailure.NO_ANSWER)
         except urllib3.exceptions.HTTPError:
             return Failure(CallFailure.NO_ANSWER)
-        return Success(HttpAnswer(response.status, response.data))
+        return Success(HttpResponse(response.status, response.data))
 
     def _close_idle_connections(self, url: str) -> None:
         """Close the idle connections to the address of `url`.
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
-from fuchsiarill.ports.http_client import CallFailure, HttpAnswer, HttpClient
+from fuchsiarill.ports.http_client import CallFailure, HttpClient, HttpResponse
 from fuchsiarill.ports.store import (
     StoreFailure,
     Swap,
@@ -204,7 +204,7 @@
 
 def _decode_store_response(
     adapter: TypeAdapter[_Decoded],
-    response_result: Result[HttpAnswer, CallFailure],
+    response_result: Result[HttpResponse, CallFailure],
 ) -> Result[_Decoded, StoreFailure]:
     match response_result:
         case Success(response) if response.status == _HTTP_OK:
--- a/fuchsiarill/process.py
+++ b/fuchsiarill/process.py
@@ -20,8 +20,8 @@
 from fuchsiarill.cluster.member_table import Member
 from fuchsiarill.cluster.membership import (
     LeaveCluster,
+    MembershipChanged,
     StateChanged,
-    ViewChanged,
 )
 from fuchsiarill.cluster.peer_port import PeerPort
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -118,8 +118,8 @@
                 )
         self._apply_event(ProcessEvent.CONFIGURED)
 
-    @handles(ViewChanged)
-    async def on_view(self, message: ViewChanged) -> None:
+    @handles(MembershipChanged)
+    async def on_view(self, message: MembershipChanged) -> None:
         """Forward candidates for ownership and store outages to campaigns."""
         self._addresses = {
             member.detail.process: member.detail.address
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -25,7 +25,11 @@
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.replay.process import ReplayedProcess
-from fuchsiarill.routing import Route, partition_of_job, partition_of_key
+from fuchsiarill.routing import (
+    ForwardToOwner,
+    partition_of_job,
+    partition_of_key,
+)
 
 _RETRY_MS: Final = 200
 _ANSWER_MARGIN_MS: Final = 1_000
@@ -197,7 +201,7 @@
         self,
         spec: JobSpec,
         call: str,
-        build: Callable[[Any], Route],
+        build: Callable[[Any], ForwardToOwner],
         options: CallerOptions,
         wait_ms: int = 0,
     ) -> Any:
@@ -273,19 +277,21 @@
     return answer.refusal.retry_after_ms or _RETRY_MS
 
 
-def _submit_route(partition: PartitionId, spec: JobSpec, reply: Any) -> Route:
-    return Route(partition, messages.SubmitJobs((spec,), reply))
+def _submit_route(
+    partition: PartitionId, spec: JobSpec, reply: Any
+) -> ForwardToOwner:
+    return ForwardToOwner(partition, messages.SubmitJobs((spec,), reply))
 
 
-def _query_route(query: JobQuery, reply: Any) -> Route:
-    return Route(
+def _query_route(query: JobQuery, reply: Any) -> ForwardToOwner:
+    return ForwardToOwner(
         partition_of_job(query.job_id),
         messages.QueryJob(query, reply),
     )
 
 
-def _cancel_route(cancel: JobCancel, reply: Any) -> Route:
-    return Route(
+def _cancel_route(cancel: JobCancel, reply: Any) -> ForwardToOwner:
+    return ForwardToOwner(
         partition_of_job(cancel.job_id),
         messages.CancelJob(cancel, reply),
     )
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -18,7 +18,7 @@
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.refusal import refuse
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
-from fuchsiarill.routing import Route, answer_all
+from fuchsiarill.routing import ForwardToOwner, answer_all
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.states import ProcessState
 
@@ -80,7 +80,7 @@
         Without an answer within the request time-out plus `wait_ms`, the
         answer is that the outcome is uncertain.
         """
-        route: Route = build(Reply())
+        route: ForwardToOwner = build(Reply())
         if not self._has_config:
             answer_all(
                 route.message,
@@ -105,7 +105,9 @@
         self._receivers.config.send(build(reply))
         return await reply.wait(self._settings.http.request_timeout_ms)
 
-    async def _wait_for_answer(self, route: Route, wait_ms: int) -> Any:
+    async def _wait_for_answer(
+        self, route: ForwardToOwner, wait_ms: int
+    ) -> Any:
         reply: Reply[Any] = route.message.reply
         self._in_progress += 1
         try:
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -15,7 +15,7 @@
 from fuchsiarill.answers import JobAnswer, JobExplanation, refusal_answer
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.cluster.membership import PartitionsOwned, ViewChanged
+from fuchsiarill.cluster.membership import MembershipChanged, PartitionsOwned
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import (
     CustomerId,
@@ -57,7 +57,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Route:
+class ForwardToOwner:
     """Requests that a message is forwarded to the owner of a partition.
 
     The router answers the reply of `message` itself when no owner is known. A
@@ -149,7 +149,7 @@
         self._look_up_owner = look_up_owner
         self._routes: dict[PartitionId, OwnerRoute] = {}
         self._lookups: set[PartitionId] = set()
-        self._parked_messages: list[Route] = []
+        self._parked_messages: list[ForwardToOwner] = []
 
     @handles(OwnerLocated)
     async def on_located(self, message: OwnerLocated) -> None:
@@ -171,8 +171,8 @@
         self._publish_owned_partitions()
         self._release_parked(message.partition)
 
-    @handles(Route)
-    async def on_route(self, message: Route) -> None:
+    @handles(ForwardToOwner)
+    async def on_route(self, message: ForwardToOwner) -> None:
         """Forward a message, park it during a lookup, or refuse it."""
         route = self._routes.get(message.partition)
         if route is not None and self._forward_message(route, message):
@@ -200,8 +200,8 @@
             await self.on_located(message.location)
         self._release_parked(message.partition)
 
-    @handles(ViewChanged)
-    async def on_view(self, message: ViewChanged) -> None:
+    @handles(MembershipChanged)
+    async def on_view(self, message: MembershipChanged) -> None:
         """Take owners from gossip for partitions without a known claim."""
         for member in message.members:
             if member.detail.process == message.own or not member.reachable:
@@ -241,7 +241,9 @@
         route = self._routes.get(partition)
         return None if route is None else route.location.claim
 
-    def _forward_message(self, route: OwnerRoute, message: Route) -> bool:
+    def _forward_message(
+        self, route: OwnerRoute, message: ForwardToOwner
+    ) -> bool:
         mailbox = route.location.mailbox
         if mailbox is None and route.link is not None and message.hops_left:
             mailbox = route.link.mailbox
@@ -269,7 +271,7 @@
         location = await look_up_owner(partition)
         self.mailbox.send(OwnerLookedUp(partition, location))
 
-    def _park_message(self, message: Route) -> None:
+    def _park_message(self, message: ForwardToOwner) -> None:
         if len(self._parked_messages) >= _PARKED_MESSAGES_MAX_COUNT:
             answer_all(message.message, _overloaded_answer())
             return
--- a/tests/front_fakes.py
+++ b/tests/front_fakes.py
@@ -42,7 +42,7 @@
     Measures,
     Receivers,
 )
-from fuchsiarill.routing import Route
+from fuchsiarill.routing import ForwardToOwner
 from fuchsiarill.settings import HttpSettings
 from fuchsiarill.states import JobState, ProcessState
 
@@ -66,8 +66,8 @@
             text=CELL_TEXT,
         )
 
-    @handles(Route)
-    async def on_route(self, routed: Route) -> None:
+    @handles(ForwardToOwner)
+    async def on_route(self, routed: ForwardToOwner) -> None:
         message = routed.message
         match message:
             case messages.SubmitJobs():
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -31,7 +31,7 @@
 from fuchsiarill.owner import messages
 from fuchsiarill.process_messages import GetDump, Receivers
 from fuchsiarill.refusal import Refusal
-from fuchsiarill.routing import Route
+from fuchsiarill.routing import ForwardToOwner
 from fuchsiarill.settings import PeerSettings
 from fuchsiarill.states import JobState, ProcessState
 
@@ -90,8 +90,8 @@
     async def on_dump(self, message: GetDump) -> None:
         message.reply.answer('{}')
 
-    @handles(Route)
-    async def on_route(self, routed: Route) -> None:
+    @handles(ForwardToOwner)
+    async def on_route(self, routed: ForwardToOwner) -> None:
         message = routed.message
         assert routed.hops_left == 0
         match message:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,7 +14,7 @@
     Member,
     MemberDetail,
 )
-from fuchsiarill.cluster.membership import PartitionsOwned, ViewChanged
+from fuchsiarill.cluster.membership import MembershipChanged, PartitionsOwned
 from fuchsiarill.ids import (
     CustomerId,
     FailureDomain,
@@ -25,7 +25,7 @@
 )
 from fuchsiarill.owner.claims import OwnerClaim, OwnerLocated
 from fuchsiarill.owner.messages import QueryJob
-from fuchsiarill.routing import Route, Router, RouteStale
+from fuchsiarill.routing import ForwardToOwner, Router, RouteStale
 from fuchsiarill.settings import PeerSettings
 
 _PARTITION = PartitionId('rajkot.0')
@@ -88,7 +88,7 @@
 async def _route(router: Router, hops_left: int = 1) -> Reply[JobAnswer]:
     reply: Reply[JobAnswer] = Reply()
     query = QueryJob(JobQuery(CustomerId('a'), JobId('rajkot.0-1')), reply)
-    router.mailbox.send(Route(_PARTITION, query, hops_left))
+    router.mailbox.send(ForwardToOwner(_PARTITION, query, hops_left))
     await asyncio.sleep(0)
     return reply
 
@@ -180,7 +180,7 @@
     member = Member(detail, Beat(detail.key, 1, NO_GENERATION, 0), 0)
 
     async def scenario(router: Router, links: _Links) -> None:
-        router.mailbox.send(ViewChanged((member,), ProcessId('own')))
+        router.mailbox.send(MembershipChanged((member,), ProcessId('own')))
         await _route(router)
         await sleep_ms(1)
         assert links.counts() == {'other': 1}
