Name the detail of the own process `own_detail`

Cause: `Environment.own_member` and `_own_member` in the daemon hold a `MemberDetail`; elsewhere `own_member` is a `Member`.

Change: `Environment.own_detail` and `_own_member_detail`.

Result: ruff format changed nothing; mypy and flake8 of both files printed no fault.

--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -35,7 +35,7 @@
     """Identity, settings and outside dependencies of a process."""
 
     settings: ProcessSettings
-    own_member: MemberDetail
+    own_detail: MemberDetail
     ports: Ports
     peers: RpcPeers
     config_parser: ConfigParser
@@ -61,7 +61,7 @@
         self._peers = environment.peers
         self.membership = Membership(
             settings.membership,
-            environment.own_member,
+            environment.own_detail,
             ProcessDirectory(store),
             environment.peers,
             environment.random_source,
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -114,7 +114,7 @@
     assembly = Assembly(
         Environment(
             settings,
-            _own_member(settings),
+            _own_member_detail(settings),
             ports,
             RpcPeers(peers.mailbox, settings.peers),
             config_parser,
@@ -141,7 +141,7 @@
     return FrontActor(front, receivers.membership)
 
 
-def _own_member(settings: ProcessSettings) -> MemberDetail:
+def _own_member_detail(settings: ProcessSettings) -> MemberDetail:
     return MemberDetail(
         settings.process,
         settings.region,
