Name the module of the links to workers after its class

Cause: fuchsiarill/owner/fleet.py defines `WorkerLinks`, while a fleet is the record of the workers of a pool in fuchsiarill/graphs.

Change: the module is fuchsiarill/owner/worker_links.py; the owner actor and the mutation that patches `partition_of_rack` import it under that name.

--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -25,13 +25,13 @@
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.decision_times import DecisionTimes
 from fuchsiarill.owner.durability import Durability
-from fuchsiarill.owner.fleet import (
+from fuchsiarill.owner.job_requests import JobRequests
+from fuchsiarill.owner.worker_link import LinkParameters
+from fuchsiarill.owner.worker_links import (
     WorkerLinkPorts,
     WorkerLinks,
     hosts_of_partition,
 )
-from fuchsiarill.owner.job_requests import JobRequests
-from fuchsiarill.owner.worker_link import LinkParameters
 from fuchsiarill.ports.workers import WorkerPort
 from fuchsiarill.records import TaskLeaseRaised
 from fuchsiarill.registry import Registry
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -8,7 +8,7 @@
 from fuchsiarill.cluster.config_change import ConfigChange
 from fuchsiarill.cluster.config_document import read_document
 from fuchsiarill.cluster.store_evidence import StoreEvidence
-from fuchsiarill.owner import fleet, store_calls
+from fuchsiarill.owner import store_calls, worker_links
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.ports.store import SwapResult, Versioned
 from fuchsiarill.replay.fake_store import FakeStore, StoreCall
@@ -114,7 +114,11 @@
 
 @mutation('hosts of other partitions', 'i1_two_partitions_share_no_host')
 def _no_partition_of_hosts() -> tuple[Patch, ...]:
-    return (mock.patch.object(fleet, 'partition_of_rack', lambda *_: mock.ANY),)
+    return (
+        mock.patch.object(
+            worker_links, 'partition_of_rack', lambda *_: mock.ANY
+        ),
+    )
 
 
 def _return_false(*_arguments: object) -> bool:
