Keep the name of the prefix watcher in the state dump

Cause: changed the actor name to `watcher PREFIX`, but the dump of the process shows the names of its actors, so an operator may search for it.

Change: the name is `feed PREFIX` again.

--- a/fuchsiarill/graphs/prefix_watch.py
+++ b/fuchsiarill/graphs/prefix_watch.py
@@ -71,7 +71,7 @@
         receiver: Mailbox,
     ) -> None:
         """Create the watcher; it sends its messages to `receiver`."""
-        super().__init__(f'watcher {settings.prefix}')
+        super().__init__(f'feed {settings.prefix}')
         self._settings = settings
         self._store = store
         self._receiver = receiver
