State which part of the quota a refused job exceeds

Cause: `QUOTA_NEVER_FITS` named its limit as the quota of the contract, but the core compares with the part of that quota that applies to one partition (`Account.quota`), so the number in the message may differ from the contract.

Change: the message names that part. The placeholders are the same.

No test or trace matches the text.

--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -20,7 +20,8 @@
 )
 QUOTA_NEVER_FITS: Final = (
     'the job needs {field}={wanted} at once; '
-    'the quota of its contract is {largest}'
+    "the part of its contract's quota that applies to one partition is "
+    '{largest}'
 )
 RATE_EXCEEDED: Final = (
     'customer {customer!r} may submit {rate} jobs a second, burst {burst}'
