Call at-most-once work so in comments, as the code does

Cause: some comments say "non-idempotent" where the code beside them and other comments say at most once (`Execution.AT_MOST_ONCE`, `at_most_once_jobs`).

Change: doc comments in fuchsiarill/records.py, fuchsiarill/owner/worker_link.py and three modules of tests.

--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -33,7 +33,7 @@
 class LinkParameters:
     """Parameters of a link.
 
-    `restored_starts` holds the unresolved non-idempotent starts that older
+    `restored_starts` holds the unresolved at-most-once starts that older
     owners sent to the worker, each with the incarnation that the worker had at
     that time. `workers_count` is the number of links that share the owner's
     call rate. No lease is renewed from `renew_until_ms` on.
--- a/fuchsiarill/records.py
+++ b/fuchsiarill/records.py
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartIntended:
-    """A non-idempotent attempt may be started from now on.
+    """An at-most-once attempt may be started from now on.
 
     `incarnation` is that of the worker at the time. A worker that still has
     it and does not report the attempt has never started it.
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -209,7 +209,7 @@
 
 
 def test_unanswered_order_lost_in_a_restart_is_unknown() -> None:
-    """Guards against a second start of a non-idempotent task.
+    """Guards against a second start of an at-most-once task.
 
     The response to its first start is lost, and the worker then restarts.
     """
@@ -234,7 +234,7 @@
 
 
 def test_restarted_worker_does_not_repeat_an_order() -> None:
-    """Guards against a second run of a non-idempotent task after a restart.
+    """Guards against a second run of an at-most-once task after a restart.
 
     An idempotent task that is lost in the restart of its worker runs again.
     """
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -193,7 +193,7 @@
     def submit_to_owners(self, numbers: list[int]) -> None:
         """Submit to all processes that act as owner; record accepted jobs.
 
-        Odd numbers are non-idempotent jobs.
+        Odd numbers are at-most-once jobs.
         """
         specs = [
             spec(
@@ -218,7 +218,7 @@
 
     @invariant()
     def no_order_is_started_twice(self) -> None:
-        """Guards against a second start of a non-idempotent task."""
+        """Guards against a second start of an at-most-once task."""
         at_most_once = {
             job_id
             for process in self.world.processes
--- a/tests/world.py
+++ b/tests/world.py
@@ -73,7 +73,7 @@
         return None if service is None else service.owner.mailbox
 
     def at_most_once_jobs(self) -> list[JobId]:
-        """Return the non-idempotent jobs that the process knows as owner."""
+        """Return the at-most-once jobs that the process knows as owner."""
         service = self.campaign.children.service
         if service is None:
             return []
