Follow the rename of probation._strike in the mutations

Cause: tools/mutations_core.py patches a function of probation by its name in a string, `_strike`, which is now `_attribute_failure`, so tools.mutations failed.

Change: the patch names `_attribute_failure`. No other string, comment, chart, trace or setting names an identifier that was renamed since.

The rest of the tests was not run.

--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -68,7 +68,7 @@
 
 @mutation('probation', 'worker_fails_all_and_wrong_declarations')
 def _no_probation() -> tuple[Patch, ...]:
-    return (mock.patch.object(probation, '_strike', _do_nothing),)
+    return (mock.patch.object(probation, '_attribute_failure', _do_nothing),)
 
 
 @mutation('urgent first', 'frostwick_urgent_costing_starts_in_a_full_cell')
