--- a/fuchsiarill/cluster/config_distribution.py
+++ b/fuchsiarill/cluster/config_distribution.py
@@ -30,7 +30,7 @@
     SetWatching,
 )
 from fuchsiarill.cluster.member_table import NO_GENERATION, Member
-from fuchsiarill.cluster.membership import GenerationInForce, ViewChanged
+from fuchsiarill.cluster.membership import GenerationInForce, MembershipChanged
 from fuchsiarill.cluster.peer_port import PeerPort
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import Generation
@@ -150,8 +150,8 @@
         """Carry out an operator's change concurrently with other messages."""
         self.spawn(self._carry_out_change(message))
 
-    @handles(ViewChanged)
-    async def on_view(self, message: ViewChanged) -> None:
+    @handles(MembershipChanged)
+    async def on_view(self, message: MembershipChanged) -> None:
         """Watch the store if elected for it, and pull a newer document."""
         own_member = next(
             member
@@ -293,20 +293,20 @@
     CONFIG_ACTIONS,
 )
 
-_LEAVING_STATES: Final = frozenset(
+_ENDING_STATES: Final = frozenset(
     (ProcessState.DRAINING, ProcessState.STOPPED),
 )
 
 
 def _elect_watcher(domain_members: list[Member]) -> Member | None:
-    """Return the live member with the lowest id that is not leaving.
+    """Return the live member with the lowest id that is not in an ending state.
 
     It watches the store on behalf of its failure domain.
     """
     for member in sorted(
         domain_members, key=lambda other: other.detail.process
     ):
-        is_leaving = member.detail.state in _LEAVING_STATES
-        if member.state is MemberState.LIVE and not is_leaving:
+        is_ending = member.detail.state in _ENDING_STATES
+        if member.state is MemberState.LIVE and not is_ending:
             return member
     return None
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -25,21 +25,22 @@
 from fuchsiarill.ports.store import StoreFailure, StorePort, Versioned
 from fuchsiarill.settings import ConfigSettings
 
-# Spreads the retries of many processes whose calls fail at the same time.
+# Spreads the polls of many processes, and their retries when all calls fail at
+# the same time.
 _JITTER_RATIO: Final = 0.25
 _RETRY_GROWTH_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
 class SetWatching:
-    """Start or stop the watch on behalf of the failure domain."""
+    """Requests to start or stop the watch for the failure domain."""
 
     watching: bool
 
 
 @dataclass(frozen=True, slots=True)
 class DocumentFetched:
-    """The store or a peer answered with a document; `None` for no answer."""
+    """A document of the store or a peer; `None` if the peer did not answer."""
 
     document: ConfigDocument | None
     from_peer: bool = False
@@ -82,7 +83,11 @@
         return {**super().snapshot(), 'watching': self._watch is not None}
 
     async def _poll_store(self) -> None:
-        """Poll the store; retry failed reads sooner, at growing intervals."""
+        """Poll the store; retry a failed read sooner than the next poll.
+
+        The retry interval doubles with each failure since the start of the
+        process, up to the poll interval; a success does not reset it.
+        """
         retry_ms = self._settings.retry_interval_ms
         while True:
             wait_ms = self._settings.poll_interval_ms
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -26,6 +26,7 @@
 _LOCAL_ROUTE: Final = ProcessId('')
 # Pause before a route that another process was using is retried.
 _BUSY_RETRY_DELAY_MS: Final = 60
+# `None` without an answer from the service.
 _Tickets = dict[WorkerId, Ticket] | None
 
 
@@ -48,7 +49,7 @@
     route: ProcessId
     advice_request: AdviceRequest
     tickets: _Tickets
-    # The peer gave no answer of the service; the request is queued again.
+    # The peer returned no answer from the service; the request is queued again.
     is_retried: bool = False
 
 
@@ -116,7 +117,7 @@
 
     @handles(_RouteReleased)
     async def on_route_released(self, message: _RouteReleased) -> None:
-        """Forward the answer, or retry through another route."""
+        """Forward the answer, or queue the request again."""
         self._busy_routes.discard(message.route)
         if message.is_retried:
             await self.on_request(message.advice_request)
--- a/fuchsiarill/owner/journal.py
+++ b/fuchsiarill/owner/journal.py
@@ -1,8 +1,9 @@
-"""The journal of a partition: group commits to a chain of store keys.
+"""The journal of a partition: a log of entries in the store.
 
-Each commit is a compare-and-swap of the next entry's key against its last
-known revision. A new owner first writes the next entry, with its epoch, so
-that a commit of an older owner conflicts: the chain itself fences.
+Records are committed in groups, each as one entry. A commit is a
+compare-and-swap of the next entry's key against the last known revision of the
+key. A new owner first writes the next entry, with its epoch. A commit of an
+older owner then conflicts, so no other fencing of the log is needed.
 """
 
 import asyncio
@@ -32,9 +33,9 @@
     """Commits the records of one owner in groups.
 
     During a store outage a commit is retried with growing delays. Further
-    records wait here and in the mailbox; once that is full, the owner keeps
-    them. A snapshot of the journal replaces entries in the store; the method
-    `snapshot` returns the state for a dump.
+    records wait here and in the mailbox; while the mailbox is full, the owner
+    keeps them. A snapshot of the journal replaces entries in the store; the
+    method `snapshot` returns the state for a dump.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         journal: JournalRead,
         commit_interval_ms: int,
     ) -> None:
-        """Continue the chain after the last entry of `journal`."""
+        """Continue the log after the last entry of `journal`."""
         super().__init__(f'journal {partition}')
         self.owner: Mailbox | None = None
         self._position = JournalPosition(
@@ -162,6 +163,6 @@
     async def _write_snapshot(self) -> None:
         if not await self._snapshot_writer.write(self._ledger_image):
             await self._notify_owner(
-                messages.Deposed('another owner took the head')
+                messages.Deposed('another owner claimed the journal')
             )
             self._is_deposed = True
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -1,11 +1,11 @@
 """Blocking `urllib3` calls for asyncio tasks, made in threads.
 
 The number of calls in progress is bounded; a further call fails at once as
-not sent. The deadline of a call includes its wait for a thread. It also holds
-if a response arrives in small pieces, each within the socket time-out. If a
-call misses its deadline, `urllib3` closes its connection, since the late
-response would otherwise be read by the next request. Long polls have their
-own threads.
+not sent. The deadline of a call includes its wait for a thread. The deadline
+also holds if a response arrives in small pieces, each within the socket
+time-out. If a read times out, `urllib3` closes the connection, since the late
+response would otherwise be read by the next request. Long polls have their own
+threads.
 """
 
 import asyncio
@@ -24,7 +24,7 @@
 
 # One pool per address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
-# A process watches the configuration and the owner of each partition.
+# A process watches the configuration and the owner key of each partition.
 _LONG_POLLS_MAX_COUNT: Final = 16
 # Time past the deadline in which the thread may still report whether a late
 # call was sent, which only the thread knows for certain.
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpResponse:
     """Status and body of a response."""
 
     status: int
@@ -93,7 +93,7 @@
         url: str,
         body: bytes,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Send one POST request without retries.
 
         A refused connection counts as `NOT_SENT`.
@@ -108,7 +108,7 @@
         url: str,
         body: bytes,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Send one POST request whose response is delayed until an event."""
         call = HttpCall('POST', url, body)
         response_result = await self.call_long_poll(call, timeout_ms)
@@ -118,7 +118,7 @@
         self,
         call: HttpCall,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Make one request without retries."""
         return await self._run_in_thread(self._calls, call, timeout_ms)
 
@@ -126,7 +126,7 @@
         self,
         call: HttpCall,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         """Make one request whose response is delayed until an event."""
         return await self._run_in_thread(self._long_polls, call, timeout_ms)
 
@@ -141,7 +141,7 @@
         threads: BoundedThreadPool,
         call: HttpCall,
         timeout_ms: int,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         # The thread checks the deadline and has no event loop, so the deadline
         # uses `time.monotonic`.
         deadline_s = time.monotonic() + timeout_ms / MS_PER_SECOND
@@ -165,7 +165,7 @@
         self,
         call: HttpCall,
         deadline_s: float,
-    ) -> Result[HttpAnswer, CallFailure]:
+    ) -> Result[HttpResponse, CallFailure]:
         remaining_s = deadline_s - time.monotonic()
         if remaining_s <= 0:
             return Failure(CallFailure.NOT_SENT)
@@ -186,7 +186,7 @@
             return Failure(CallFailure.NO_ANSWER)
         except urllib3.exceptions.HTTPError:
             return Failure(CallFailure.NO_ANSWER)
-        return Success(HttpAnswer(response.status, response.data))
+        return Success(HttpResponse(response.status, response.data))
 
     def _close_idle_connections(self, url: str) -> None:
         """Close the idle connections to the address of `url`.
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -1,7 +1,7 @@
 """HTTP clients of the store, the host list and the workers.
 
-Requests and responses are JSON objects of the message types of this package.
-A malformed response counts as a missing one: the call may have taken effect.
+Requests and responses are JSON encodings of the types that the ports use. A
+malformed response counts as a missing one: the call may have taken effect.
 """
 
 from typing import Final, TypeVar
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
-from fuchsiarill.ports.http_client import CallFailure, HttpAnswer, HttpClient
+from fuchsiarill.ports.http_client import CallFailure, HttpClient, HttpResponse
 from fuchsiarill.ports.store import (
     StoreFailure,
     Swap,
@@ -204,7 +204,7 @@
 
 def _decode_store_response(
     adapter: TypeAdapter[_Decoded],
-    response_result: Result[HttpAnswer, CallFailure],
+    response_result: Result[HttpResponse, CallFailure],
 ) -> Result[_Decoded, StoreFailure]:
     match response_result:
         case Success(response) if response.status == _HTTP_OK:
--- a/fuchsiarill/replay/callers.py
+++ b/fuchsiarill/replay/callers.py
@@ -25,7 +25,11 @@
 from fuchsiarill.replay.network import CLIENT_DOMAIN, Endpoint, Network
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
 from fuchsiarill.replay.process import ReplayedProcess
-from fuchsiarill.routing import Route, partition_of_job, partition_of_key
+from fuchsiarill.routing import (
+    ForwardToOwner,
+    partition_of_job,
+    partition_of_key,
+)
 
 _RETRY_MS: Final = 200
 _ANSWER_MARGIN_MS: Final = 1_000
@@ -34,10 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerOptions:
-    """Whether a caller retries and waits, and which process it calls.
+    """Whether a caller retries its calls and waits for the result.
 
-    `via` names the only process that it calls; by default the load balancer
-    chooses one for each call.
+    `via` names the only process that the caller calls; by default the load
+    balancer chooses a process for each call.
     """
 
     retries: bool = True
@@ -56,7 +60,7 @@
         config: CellConfig,
         random_source: random.Random,
     ) -> None:
-        """Call `processes`, chosen by `random_source` as load balancer."""
+        """Call `processes`; `random_source` acts as the load balancer."""
         self.config = config
         self.job_ids: dict[str, JobId] = {}
         self._log = log
@@ -64,7 +68,7 @@
         self._processes = processes
         self._random_source = random_source
         self._endpoint = Endpoint('caller', CLIENT_DOMAIN)
-        self._volatile: set[str] = set()
+        self._volatile_keys: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def submit(self, spec: JobSpec, options: CallerOptions) -> None:
@@ -86,8 +90,8 @@
         """Start a task that cancels a job, once its id is known."""
         self._start_task(self._cancel(spec, options))
 
-    def _start_task(self, call: Any) -> None:
-        task = asyncio.create_task(call)
+    def _start_task(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -129,7 +133,7 @@
         self, spec: JobSpec, answer: JobAnswer
     ) -> JobId | None:
         if answer.code is ACCEPTED_VOLATILE:
-            self._volatile.add(spec.idempotency_key)
+            self._volatile_keys.add(spec.idempotency_key)
         return answer.job_id
 
     async def _wait_for_result(
@@ -165,7 +169,7 @@
                 await sleep_ms(_RETRY_MS)
 
     def _is_lost_volatile(self, spec: JobSpec, answer: JobAnswer) -> bool:
-        is_volatile = spec.idempotency_key in self._volatile
+        is_volatile = spec.idempotency_key in self._volatile_keys
         return is_volatile and answer.code is UNKNOWN_JOB
 
     def _record_end(self, spec: JobSpec, answer: JobAnswer) -> None:
@@ -197,7 +201,7 @@
         self,
         spec: JobSpec,
         call: str,
-        build: Callable[[Any], Route],
+        build: Callable[[Any], ForwardToOwner],
         options: CallerOptions,
         wait_ms: int = 0,
     ) -> Any:
@@ -273,19 +277,21 @@
     return answer.refusal.retry_after_ms or _RETRY_MS
 
 
-def _submit_route(partition: PartitionId, spec: JobSpec, reply: Any) -> Route:
-    return Route(partition, messages.SubmitJobs((spec,), reply))
+def _submit_route(
+    partition: PartitionId, spec: JobSpec, reply: Any
+) -> ForwardToOwner:
+    return ForwardToOwner(partition, messages.SubmitJobs((spec,), reply))
 
 
-def _query_route(query: JobQuery, reply: Any) -> Route:
-    return Route(
+def _query_route(query: JobQuery, reply: Any) -> ForwardToOwner:
+    return ForwardToOwner(
         partition_of_job(query.job_id),
         messages.QueryJob(query, reply),
     )
 
 
-def _cancel_route(cancel: JobCancel, reply: Any) -> Route:
-    return Route(
+def _cancel_route(cancel: JobCancel, reply: Any) -> ForwardToOwner:
+    return ForwardToOwner(
         partition_of_job(cancel.job_id),
         messages.CancelJob(cancel, reply),
     )
--- a/fuchsiarill/replay/fake_front.py
+++ b/fuchsiarill/replay/fake_front.py
@@ -18,7 +18,7 @@
 from fuchsiarill.process_messages import Receivers
 from fuchsiarill.refusal import refuse
 from fuchsiarill.replay.observations import ObservationKind, ObservationLog
-from fuchsiarill.routing import Route, answer_all
+from fuchsiarill.routing import ForwardToOwner, answer_all
 from fuchsiarill.settings import ProcessSettings
 from fuchsiarill.states import ProcessState
 
@@ -49,7 +49,7 @@
 
     @handles(ConfigChanged)
     async def on_config(self, message: ConfigChanged) -> None:
-        """Record the generation in force, as operators can query it."""
+        """Record the generation that the configuration actor reports."""
         self._has_config = True
         reply: Reply[ConfigDocument] = Reply()
         self._receivers.config.send(GetDocument(reply))
@@ -67,7 +67,7 @@
 
     @handles(StopFront)
     async def on_stop(self, message: StopFront) -> None:
-        """Wait for the answers in progress, then close the front end."""
+        """Wait up to `within_ms` for answers; reply whether all were sent."""
         ends_at_ms = now_ms() + message.within_ms
         while self._in_progress and now_ms() < ends_at_ms:
             await sleep_ms(_CHECK_INTERVAL_MS)
@@ -80,7 +80,7 @@
         Without an answer within the request time-out plus `wait_ms`, the
         answer is that the outcome is uncertain.
         """
-        route: Route = build(Reply())
+        route: ForwardToOwner = build(Reply())
         if not self._has_config:
             answer_all(
                 route.message,
@@ -105,7 +105,9 @@
         self._receivers.config.send(build(reply))
         return await reply.wait(self._settings.http.request_timeout_ms)
 
-    async def _wait_for_answer(self, route: Route, wait_ms: int) -> Any:
+    async def _wait_for_answer(
+        self, route: ForwardToOwner, wait_ms: int
+    ) -> Any:
         reply: Reply[Any] = route.message.reply
         self._in_progress += 1
         try:
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -1,7 +1,7 @@
 """Maps jobs to partitions, and forwards messages to partition owners.
 
-An owner in another process is reached through a link, the actor that sends it
-the calls. A message is parked, that is kept in the router, while the owner of
+An owner in another process is reached through a link, the actor that makes the
+calls to it. A message is parked, that is kept in the router, while the owner of
 its partition is looked up.
 """
 
@@ -15,7 +15,7 @@
 from fuchsiarill.answers import JobAnswer, JobExplanation, refusal_answer
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.cluster.membership import PartitionsOwned, ViewChanged
+from fuchsiarill.cluster.membership import MembershipChanged, PartitionsOwned
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.ids import (
     CustomerId,
@@ -47,14 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerRoute:
-    """Where to send messages for the owner of a partition."""
+    """Where to send messages for the owner of a partition.
+
+    `link` is `None` if the owner is in this process or not known.
+    """
 
     location: OwnerLocated
     link: Actor | None
 
 
 @dataclass(frozen=True, slots=True)
-class Route:
+class ForwardToOwner:
     """Requests that a message is forwarded to the owner of a partition.
 
     The router answers the reply of `message` itself when no owner is known. A
@@ -146,7 +149,7 @@
         self._look_up_owner = look_up_owner
         self._routes: dict[PartitionId, OwnerRoute] = {}
         self._lookups: set[PartitionId] = set()
-        self._parked_messages: list[Route] = []
+        self._parked_messages: list[ForwardToOwner] = []
 
     @handles(OwnerLocated)
     async def on_located(self, message: OwnerLocated) -> None:
@@ -168,8 +171,8 @@
         self._publish_owned_partitions()
         self._release_parked(message.partition)
 
-    @handles(Route)
-    async def on_route(self, message: Route) -> None:
+    @handles(ForwardToOwner)
+    async def on_route(self, message: ForwardToOwner) -> None:
         """Forward a message, park it during a lookup, or refuse it."""
         route = self._routes.get(message.partition)
         if route is not None and self._forward_message(route, message):
@@ -197,8 +200,8 @@
             await self.on_located(message.location)
         self._release_parked(message.partition)
 
-    @handles(ViewChanged)
-    async def on_view(self, message: ViewChanged) -> None:
+    @handles(MembershipChanged)
+    async def on_view(self, message: MembershipChanged) -> None:
         """Take owners from gossip for partitions without a known claim."""
         for member in message.members:
             if member.detail.process == message.own or not member.reachable:
@@ -238,7 +241,9 @@
         route = self._routes.get(partition)
         return None if route is None else route.location.claim
 
-    def _forward_message(self, route: OwnerRoute, message: Route) -> bool:
+    def _forward_message(
+        self, route: OwnerRoute, message: ForwardToOwner
+    ) -> bool:
         mailbox = route.location.mailbox
         if mailbox is None and route.link is not None and message.hops_left:
             mailbox = route.link.mailbox
@@ -249,7 +254,10 @@
         return True
 
     def _start_lookup(self, partition: PartitionId) -> bool:
-        """Start a lookup of an owner; `False` without `look_up_owner`."""
+        """Look the owner up unless a lookup is in progress already.
+
+        Returns `False` without `look_up_owner`.
+        """
         if self._look_up_owner is None:
             return False
         if partition not in self._lookups:
@@ -263,7 +271,7 @@
         location = await look_up_owner(partition)
         self.mailbox.send(OwnerLookedUp(partition, location))
 
-    def _park_message(self, message: Route) -> None:
+    def _park_message(self, message: ForwardToOwner) -> None:
         if len(self._parked_messages) >= _PARKED_MESSAGES_MAX_COUNT:
             answer_all(message.message, _overloaded_answer())
             return
--- a/tools/mutations_core.py
+++ b/tools/mutations_core.py
@@ -1,4 +1,4 @@
-"""Mutations of the decisions in `core/`."""
+"""Mutations that disable decisions of `fuchsiarill/core/`."""
 
 from typing import Any, Final
 from unittest import mock
@@ -68,7 +68,7 @@
 
 @mutation('probation', 'worker_fails_all_and_wrong_declarations')
 def _no_probation() -> tuple[Patch, ...]:
-    return (mock.patch.object(probation, '_strike', _do_nothing),)
+    return (mock.patch.object(probation, '_attribute_failure', _do_nothing),)
 
 
 @mutation('urgent first', 'frostwick_urgent_costing_starts_in_a_full_cell')
@@ -120,7 +120,7 @@
 
 
 def _do_nothing(*_arguments: object) -> None:
-    """Does nothing."""
+    """Takes the place of a function whose effect is disabled."""
 
 
 def _no_victims(*_arguments: object) -> tuple[()]:
--- a/tools/mutations_owner.py
+++ b/tools/mutations_owner.py
@@ -1,4 +1,4 @@
-"""Mutations of ownership, journal, links and configuration."""
+"""Mutations of ownership, journal, worker exchanges and configuration."""
 
 from dataclasses import replace
 from typing import Any, Final
@@ -8,7 +8,7 @@
 from fuchsiarill.cluster.config_change import ConfigChange
 from fuchsiarill.cluster.config_document import read_document
 from fuchsiarill.cluster.store_evidence import StoreEvidence
-from fuchsiarill.owner import fleet, store_calls
+from fuchsiarill.owner import store_calls, worker_links
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.ports.store import SwapResult, Versioned
 from fuchsiarill.replay.fake_store import FakeStore, StoreCall
@@ -114,7 +114,11 @@
 
 @mutation('hosts of other partitions', 'i1_two_partitions_share_no_host')
 def _no_partition_of_hosts() -> tuple[Patch, ...]:
-    return (mock.patch.object(fleet, 'partition_of_rack', lambda *_: mock.ANY),)
+    return (
+        mock.patch.object(
+            worker_links, 'partition_of_rack', lambda *_: mock.ANY
+        ),
+    )
 
 
 def _return_false(*_arguments: object) -> bool:
@@ -122,7 +126,7 @@
 
 
 def _swap_always(store: FakeStore, call: StoreCall) -> SwapResult:
-    """Swap log keys whatever revision the writer expects."""
+    """Swap log keys regardless of the revision that the writer expects."""
     swap = call.argument
     if '/log/' in swap.key:
         swap = replace(swap, expected=store.read(swap.key).revision)
@@ -135,11 +139,11 @@
 
 
 async def _write_over_any(change: Any, stored: Versioned, config: Any) -> Any:
-    """Overwrite the document whatever its present generation."""
-    present = read_document(stored.value).unwrap()
+    """Overwrite the document regardless of its current generation."""
+    current = read_document(stored.value).unwrap()
     change._request = replace(
         change._request,
-        expected_generation=present.generation,
+        expected_generation=current.generation,
     )
     return await _ORIGINAL_WRITE_OVER(change, stored, config)
 
