Make the comments of the core decisions agree with the code

Cause: several comments of fuchsiarill/core contradicted the code or left out cases. `PartitionCore.cancel` also returns `False` for a job that is being cancelled; `unplaceable` holds no gangs; quota is yielded to an older job by all later ones and not only by smaller ones; ranks also depend on the configuration, the capacities and unplaceable groups; an at-most-once replica whose lease lapses is not started again; preemption never stops gangs; some pronouns had no clear referent.

Change: comments and doc comments of 24 modules follow the code. Two private names said something false: `_stop_if_cancelled` of adoption is now `_send_pending_stop`, as it repeats any pending stop of a restored attempt, and `limit_for_cell` of gangs is `limit_by_workers`, as it counts the workers of one partition. No behaviour changes.

--- a/fuchsiarill/core/accounts.py
+++ b/fuchsiarill/core/accounts.py
@@ -65,7 +65,7 @@
     `blocked_size` is the size for which no worker had free capacity. `size` is
     the size to reserve for one task, computed for `size_version`. Reclaiming of
     capacity is not tried again before `reclaim_after_ms`. `served_at_ms` is the
-    time of the last start.
+    time of the last start; it is not updated for gangs.
     """
 
     customer: CustomerId
@@ -132,9 +132,11 @@
     whose acceptance is not committed yet.
     `served_at_ms` is the time of the last placement of an attempt.
     Of the `groups`, those in `ready` can be tried, those in `unplaceable` wait
-    for free capacity on a worker, and those in `over_quota` wait until tasks
-    of the same customer end. `rank` and `unplaceable_rank` are the ranks of the
-    first group in `ready` and in `unplaceable`, `None` if there is none.
+    for free capacity on a worker, and those in `over_quota` wait until the
+    customer reserves less. Other groups are gangs that wait for capacity, or
+    wait for a contract or the confirmation of ownership. `rank` and
+    `unplaceable_rank` are the ranks of the first group in `ready` and in
+    `unplaceable`, `None` if there is none.
     `preemptible_batch` holds idempotent batch attempts and
     `preemptible_services` idempotent replicas, oldest first. Neither holds
     urgent attempts.
--- a/fuchsiarill/core/admission.py
+++ b/fuchsiarill/core/admission.py
@@ -1,8 +1,9 @@
-"""Admission of submissions: contract, size, queue length and rate.
+"""Admission of submissions.
 
-A job that can never run is refused at once, with the field that exceeds its
-limit. The sizes of the workers are known from the host list; until the list has
-been read, no job is refused because no worker is large enough.
+Checks the contract, ownership, quota, size, queue length and rate. A job that
+can never run is refused at once, with the field that exceeds its limit. The
+sizes of the workers are known from the host list; until the list has been read,
+no job is refused because no worker is large enough.
 """
 
 from collections.abc import Callable, Iterator
--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -4,7 +4,7 @@
 all tasks that it runs, and refuses older owners from then on. Each reported
 task that this owner expects becomes one of its attempts. Any other running
 task is an orphan: it is stopped, unless the commit of its job is pending. A
-task that is not reported does not run there.
+task that is not reported does not run on that worker.
 """
 
 from dataclasses import dataclass
@@ -80,8 +80,9 @@
 ) -> None:
     """Adopt the unknown tasks of a report as attempts, or stop them.
 
-    Must run before the outcomes of the report are applied, as these are applied
-    to known attempts only.
+    Also sends the pending stops of restored attempts. Must run before the
+    outcomes of the report are applied, as these are applied to known attempts
+    only.
     """
     worker.incarnation = report.incarnation
     _drop_ended_orphans(state, report, now_ms)
@@ -89,7 +90,7 @@
     for task in report.tasks:
         attempt = state.attempts.get(task.attempt_id)
         if attempt is not None:
-            _stop_if_cancelled(state, attempt, task)
+            _send_pending_stop(state, attempt, task)
         elif task.outcome in _ADOPTED_OUTCOMES:
             _adopt_task(state, context, task)
     state.recovery.reported_workers.add(worker.worker_id)
@@ -98,8 +99,9 @@
 def defer_accepted(state: CoreState, job: JobRecord) -> None:
     """Defer a new job that an older owner may have started without a record.
 
-    That is possible for urgent idempotent jobs of a `volatile_accept`
-    contract, and for a job to which known orphans belong.
+    Until the recovery ends, that is possible for urgent idempotent jobs of a
+    `volatile_accept` contract; at any time for a job to which known orphans
+    belong.
     """
     if job.job_id not in state.recovery.orphans:
         if not state.recovery.is_open or not may_be_volatile(state, job.spec):
@@ -206,7 +208,7 @@
     """Claim a position for adoption; `False` if no attempt is expected there.
 
     An attempt is expected while the position waits for a start or is deferred,
-    or if the job was cancelled before the takeover.
+    and until the recovery ends if the job was cancelled before the takeover.
     """
     if job.state is JobState.CANCELLING:
         return job.job_id in state.recovery.cancelled_jobs
@@ -243,12 +245,16 @@
     )
 
 
-def _stop_if_cancelled(
+def _send_pending_stop(
     state: CoreState,
     attempt: Attempt,
     task: TaskReport,
 ) -> None:
-    """Stop a restored attempt if its job was cancelled before the takeover."""
+    """Send the stop of a restored attempt that runs but is to be stopped.
+
+    If its job was cancelled before the takeover, this owner has not sent a stop
+    yet; otherwise the stop is repeated.
+    """
     if attempt.attempt_id not in state.recovery.intents:
         return
     if attempt.state is not AttemptState.STOPPING:
--- a/fuchsiarill/core/decision_round.py
+++ b/fuchsiarill/core/decision_round.py
@@ -1,7 +1,9 @@
 """A decision: one round that starts waiting tasks and chooses their workers.
 
-Each step tries the first group in rank; it starts a task or a gang, or blocks
-the group until its obstacle may have been removed.
+Each step tries one group, the first in rank or one that fits released capacity.
+It starts a task or a gang, or blocks the group until its obstacle may have been
+removed. With a strict ordering, a group that lacks capacity stays ready and
+ends the round.
 """
 
 from itertools import islice
@@ -51,28 +53,29 @@
 from fuchsiarill.job import JobRecord
 from fuchsiarill.resources import Resources
 
-# The account and the group to try next, and the rank of the account.
+# The account and the group to try next, and the rank of that group.
 _Candidate = tuple[Account, Group, Rank]
-# Maximum number of steps of one call; between calls, the owner handles other
-# messages.
+# Maximum number of steps of one call of `decide`; between calls, the owner
+# handles other messages.
 STEPS_MAX_COUNT: Final = 32
 # Interval at which all blocked gangs are tried again.
 _GANG_RETRY_INTERVAL_MS: Final = 500
 # Maximum number of sizes recorded as fitting no worker.
 _FAILED_SEARCH_SIZES_MAX_COUNT: Final = 16
-# Delay before reclaiming is tried again for a group for which no attempt could
-# be stopped.
+# Delay before reclaiming is tried again for a group after no attempts to stop
+# were found for one of its jobs.
 _RECLAIM_INTERVAL_MS: Final = 100
 # Maximum number of jobs of one group for which capacity is reclaimed at a time.
 _RECLAIMING_JOBS_MAX_COUNT: Final = 8
 # A group without a start for this time is considered starved by smaller jobs.
 _STARVING_AFTER_MS: Final = 20_000
-# Wait of an older job after which smaller ones of its customer no longer use
-# the quota that it needs.
+# Wait of an older job after which later jobs of its customer, apart from urgent
+# ones, no longer use the quota that the older job needs.
 _QUOTA_YIELD_AFTER_MS: Final = 10_000
-# Wait of a group before attempts are stopped for it, by preemption policy: if
-# tasks end within this time, their capacity is used and no work is lost. Urgent
-# jobs have to start within 1,100 ms, which includes the stops.
+# Wait of the first job of a group before attempts are stopped for the group, by
+# preemption policy: if tasks end within this time, their capacity is used and
+# no work is lost. Urgent jobs have to start within 1,100 ms, which includes the
+# stops.
 _PREEMPT_AFTER_MS: Final = MappingProxyType(
     {'urgent': 300, 'guaranteed': 5_000}
 )
@@ -126,7 +129,7 @@
     account, group, rank = candidate
     job = state.jobs[group.first_job_id()]
     if not job.waiting:
-        # Its tasks were found running after a takeover.
+        # The tasks of the job were found running after a takeover.
         dequeue(state, job)
         return True
     size = group_size(state, group)
@@ -164,7 +167,10 @@
 
 
 def _is_starving(state: CoreState, candidate: _Candidate, now_ms: int) -> bool:
-    """Tell whether the group starves and its customer has the first rank."""
+    """Tell whether the group starves and its customer has the first rank.
+
+    Only customers with unplaceable groups are compared. `False` for gangs.
+    """
     account, group, _rank = candidate
     waiting_since_ms = max(group.first_at_ms, group.served_at_ms)
     if group.is_gang or now_ms - waiting_since_ms < _STARVING_AFTER_MS:
@@ -179,16 +185,19 @@
     group: Group,
     started_job: JobRecord,
 ) -> None:
-    """Keep the group ready, or block it if no further task of it fits.
+    """Keep the group ready, or block it if a failed search shows no capacity.
 
     Urgent groups stay ready, as capacity may have to be reclaimed for them.
+    Gangs also stay ready, and all groups do with a strict ordering or while
+    there are reservations.
     """
     if started_job.waiting:
         mark_unranked(state, account)
     else:
         dequeue(state, started_job)
     if group.obstacle is not None:
-        # Still blocked; released capacity may be offered to it again.
+        # The group is still blocked; released capacity may be offered to it
+        # again.
         state.offered.discard(group)
         return
     size = group_size(state, group)
@@ -238,8 +247,9 @@
 ) -> bool:
     """Tell whether quota must be left to an older job of the customer.
 
-    After `_QUOTA_YIELD_AFTER_MS`, smaller jobs would otherwise still use up
-    each part of the quota that is released.
+    That is so once the older job has waited for `_QUOTA_YIELD_AFTER_MS`, if the
+    whole quota is enough for it. Later jobs that need less could otherwise use
+    up each part of the quota that is released.
     """
     for other_group in account.over_quota:
         if other_group.first_order > group.first_order:
@@ -313,8 +323,9 @@
 def _unblock_gangs(state: CoreState, now_ms: int) -> None:
     """Unblock gangs whose held workers all have capacity, or are not all ready.
 
-    Single tasks with a reservation are handled in the same way. All gangs are
-    unblocked at intervals, as other workers may have capacity.
+    Single tasks with a reservation are handled in the same way; the reservation
+    of a job that no longer waits is dropped. All gangs are unblocked at
+    intervals, as other workers may have capacity.
     """
     is_retry_due = now_ms - state.gangs_retried_at_ms >= _GANG_RETRY_INTERVAL_MS
     if is_retry_due:
@@ -345,7 +356,8 @@
     """Reclaim capacity for the first jobs of a group.
 
     The `urgent` policy applies up to the guarantee or the weighted share of the
-    customer, the `guaranteed` policy up to the guarantee.
+    customer, the `guaranteed` policy up to the guarantee. Nothing is reclaimed
+    for gangs.
     """
     if group.is_gang or now_ms < group.reclaim_after_ms:
         return
--- a/fuchsiarill/core/gangs.py
+++ b/fuchsiarill/core/gangs.py
@@ -1,9 +1,9 @@
 """Gang scheduling: all tasks of a job are placed together or none is.
 
 A gang that does not fit yet reserves the workers on which it can start
-earliest. Reservations on the same worker are served in the order in which
-they were made, so that no two gangs wait for each other. Other tasks use a
-held worker only if that delays no gang.
+earliest, up to a limited number of reservations. Holds on the same worker are
+served in the order in which they were made, so that no two gangs wait for each
+other. Other tasks use a held worker only if that is expected to delay no gang.
 """
 
 from collections import Counter
@@ -34,19 +34,21 @@
 from fuchsiarill.states import WorkerState
 
 # Limits of the number of reservations: held capacity is idle until all of it
-# is free, so a small cell permits few of them.
+# is free, so a partition with few workers permits few reservations.
 _RESERVATIONS_MIN_COUNT: Final = 2
 _RESERVATIONS_MAX_COUNT: Final = 16
 _WORKERS_PER_RESERVATION_COUNT: Final = 50
-# Maximum number of waiting gangs of one group examined in a decision.
+# Maximum number of waiting gangs of one group examined in a decision step.
 _EXAMINED_GANGS_MAX_COUNT: Final = 4
-# Maximum number of reservations, oldest first, that may move to workers with
-# released capacity.
+# Maximum number of reservations, oldest first, of which a hold may move to a
+# worker with released capacity.
 _MOVED_RESERVATIONS_MAX_COUNT: Final = 2
-# Workers examined for each task of a gang, to bound the cost of a decision.
+# Workers examined for each task of a reservation, but at least the minimum in
+# total, to bound the cost of a decision.
 _CANDIDATES_PER_TASK_COUNT: Final = 16
 _CANDIDATES_MIN_COUNT: Final = 512
-# Expected remaining run time of an attempt that runs longer than expected.
+# Shortest expected remaining run time of an attempt, also of an attempt that
+# runs longer than expected.
 _OVERDUE_END_MS: Final = 1_000
 
 # The time at which a task can start, and its worker.
@@ -93,15 +95,16 @@
 
 
 def first_gangs(group: Group) -> Iterator[JobId]:
-    """Yield the gangs of a group that are examined in a decision."""
+    """Yield the gangs of a group that are examined in a decision step."""
     return islice(group.jobs, _EXAMINED_GANGS_MAX_COUNT)
 
 
 def move_holds_to_released(state: CoreState, now_ms: int) -> None:
     """Move holds of the oldest reservations to released capacity.
 
-    In exchange, the hold on a worker that lacks capacity is released, so a job
-    never holds more than it needs, and its start is never delayed.
+    In exchange, the hold for one task on a worker that lacks capacity is
+    released, so a job never holds more than it needs, and its start is never
+    delayed.
     """
     if not state.reservations:
         return
@@ -182,8 +185,9 @@
 ) -> list[WorkerView]:
     """Return a worker for each task, or fewer if capacity does not suffice.
 
-    Each choice is reserved until all are made, so that the next one takes it
-    into account. No other decision is made in the meantime.
+    The size is reserved on each chosen worker until all are chosen, so that
+    the next choice takes it into account. No other decision is made in the
+    meantime.
     """
     chosen_workers: list[WorkerView] = []
     while len(chosen_workers) < len(job.waiting):
@@ -230,9 +234,9 @@
 
 
 def _reservations_limit(state: CoreState) -> int:
-    limit_for_cell = len(state.workers) // _WORKERS_PER_RESERVATION_COUNT
+    limit_by_workers = len(state.workers) // _WORKERS_PER_RESERVATION_COUNT
     return min(
-        max(limit_for_cell, _RESERVATIONS_MIN_COUNT),
+        max(limit_by_workers, _RESERVATIONS_MIN_COUNT),
         _RESERVATIONS_MAX_COUNT,
     )
 
@@ -273,7 +277,10 @@
     worker: WorkerView,
     now_ms: int,
 ) -> list[tuple[int, Resources]]:
-    """Return when attempts are expected to end; services are left out."""
+    """Return when attempts are expected to end, and what they release.
+
+    Attempts with an unlimited or unknown run time are left out.
+    """
     releases = []
     for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
@@ -281,7 +288,7 @@
         if run_time_ms is None:
             continue
         ends_at_ms = attempt.placed_at_ms + run_time_ms
-        # An overdue attempt is expected to end soon.
+        # An attempt that is overdue or almost so is expected to end soon.
         ends_at_ms = max(ends_at_ms, now_ms + _OVERDUE_END_MS)
         releases.append((ends_at_ms, attempt.reserved))
     releases.sort(key=_release_time)
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -37,7 +37,7 @@
 ATTEMPT_MARGIN_RATIO: Final = 1.02
 _RUN_TIME_PERCENTILE: Final = 0.95
 # From this many run times on, an estimate is updated only at every fourth usage
-# sample; its size also if a peak exceeds it.
+# sample; the estimated size also if a peak exceeds that size.
 _DEFERRED_UPDATES_MIN_COUNT: Final = 16
 _SAMPLES_PER_UPDATE_COUNT: Final = 4
 # Usage lags: the first reports of a task may not show its full size.
@@ -56,7 +56,8 @@
 ) -> None:
     """Apply the measured usage of a running attempt.
 
-    Adapts its reservation and adds a sample to the estimate of its class.
+    Adapts the reservation of the attempt, and adds its peak once as a sample to
+    the estimate of its class.
     """
     usage = report.used
     if attempt.state is not AttemptState.RUNNING or not _has_usage(usage):
@@ -81,7 +82,7 @@
     attempt: Attempt,
     report: TaskReport | None,
 ) -> None:
-    """Add run time and usage of a succeeded attempt to the estimate."""
+    """Add run time and usage of a succeeded attempt to its class's estimate."""
     spec = state.jobs[attempt.job_id].spec
     estimate = estimate_of(state, spec)
     if report is not None and report.run_time_ms:
@@ -153,7 +154,10 @@
     spec: JobSpec,
     now_ms: int,
 ) -> None:
-    """Release the part of a reservation that the attempt has not used."""
+    """Reduce a reservation to the peak of the attempt and a margin.
+
+    That is done at most once for each version of the estimate of its class.
+    """
     estimate = estimate_of(state, spec)
     if attempt.sized_version == estimate.version or not has_enough_samples(
         estimate
@@ -198,8 +202,8 @@
     """Throttle, checkpoint or stop an attempt that exceeds its reservation.
 
     Throttles if only the processors are exceeded. If memory is, stops the
-    attempt for a restart, or only requests a checkpoint if a restart is not
-    allowed or would not help.
+    attempt for a restart, in a batch after a request for a checkpoint. If a
+    restart is not allowed or would not help, only requests a checkpoint.
     """
     spec = state.jobs[attempt.job_id].spec
     if attempt.peak.memory_mb <= attempt.reserved.memory_mb:
--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -2,7 +2,7 @@
 
 A worker stops a task whose lease has lapsed, so an attempt whose bound has
 passed does not run. Leases are renewed in exchanges, which are requests to a
-worker that it answers with a report.
+worker that the worker answers with a report.
 """
 
 from typing import Final
@@ -12,8 +12,8 @@
 from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.states import AttemptEvent
 
-# A renewal reaches a worker at most one call time-out (2,000 ms) after it was
-# sent; the rest covers clocks that differ by 1% over a lease.
+# A renewal reaches a worker at most one call time-out (by default 2,000 ms)
+# after it was sent; the rest covers clocks that differ by 1% over a lease.
 LEASE_MARGIN_MS: Final = 2_500
 
 
--- a/fuchsiarill/core/ledger.py
+++ b/fuchsiarill/core/ledger.py
@@ -50,7 +50,10 @@
     ended: dict[JobId, None] = field(default_factory=dict)
 
     def apply(self, record: records.Record) -> None:
-        """Fold one record; records of evicted jobs change nothing."""
+        """Fold one record.
+
+        For a job that is not in the image, only `JobAccepted` has an effect.
+        """
         _FOLDS.lookup(type(record))(self, record)
 
     def compacted(self) -> Iterator[records.Record]:
@@ -196,7 +199,8 @@
         if position not in occupied_positions
     ]
     if job.spec.execution is Execution.AT_MOST_ONCE:
-        # No owner sends a start before its intent is committed.
+        # No owner sends the start of an at-most-once task before the intent is
+        # committed, so the tasks without an intent do not run.
         job.waiting.extend(open_positions)
     elif open_positions and state.recovery.is_open:
         state.recovery.deferred[job.job_id] = set(open_positions)
--- a/fuchsiarill/core/ordering.py
+++ b/fuchsiarill/core/ordering.py
@@ -1,8 +1,9 @@
 """Ordering policies: which customer's job is tried next.
 
-A policy ranks the customers that have jobs ready to be placed; the lowest
-rank comes first. Ranks do not depend on the current time, so they change only
-with the reservations and the waiting jobs of a customer.
+A policy ranks the customers that have ready or unplaceable groups; the lowest
+rank comes first. Ranks do not depend on the current time, so they are computed
+again only when the reserved resources or the waiting groups of a customer
+change, and for all customers when the configuration or the capacities do.
 """
 
 from collections.abc import Collection, Mapping
@@ -19,9 +20,9 @@
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.registry import Registry
 
-# After this time without a start, a customer that holds the whole cell ranks
-# equal to one that holds nothing and has just had a start, if `waiting_weight`
-# and the weight of the former are 1.
+# After this time without a start, a customer that reserves all capacity of the
+# partition ranks equal to a customer that reserves nothing and has just had a
+# start, if `waiting_weight` and the weight of the former are 1.
 _AGEING_MS: Final = 300_000
 # Keeps ageing above zero, whatever weight is configured.
 _AGEING_WEIGHT_MIN: Final = 0.1
--- a/fuchsiarill/core/partition.py
+++ b/fuchsiarill/core/partition.py
@@ -88,8 +88,9 @@
     def submit(self, spec: JobSpec, now_ms: int) -> Result[JobId, Refusal]:
         """Admit a job; it is durable once its record is committed.
 
-        A job accepted while ownership is not confirmed is `volatile` and can
-        start before the commit.
+        A repeated submission returns the id of the existing job, or a refusal
+        if the submissions differ. A job accepted while ownership is not
+        confirmed is `volatile` and can start before the commit.
         """
         existing_id = self.state.job_by_key.get(
             (spec.customer, spec.idempotency_key),
@@ -106,7 +107,7 @@
         return Success(job.job_id)
 
     def cancel(self, job_id: JobId, now_ms: int) -> bool:
-        """Cancel a job; returns `False` if it is in a final state."""
+        """Cancel a job; `False` if it has ended or is being cancelled."""
         job = self.state.jobs[job_id]
         was_accepting = job.state is JobState.ACCEPTING
         if not step_job(self.state, job, JobEvent.CANCEL_ASKED, now_ms):
@@ -183,7 +184,7 @@
         expire_leases(self.state, now_ms)
 
     def decide(self, now_ms: int) -> bool:
-        """Place the tasks that can be placed now.
+        """Advance the recovery, and place the tasks that can be placed now.
 
         The number of steps is bounded; returns `True` if the bound was reached,
         so that the owner calls again after its other messages.
--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -76,8 +76,9 @@
 ) -> WorkerView | None:
     """Return the worker that would have the least free resources left.
 
-    Replicas of a service are spread: being small, they would be packed on one
-    worker and use up its slots.
+    Only the first eligible workers of a search are compared. Replicas of a
+    service are spread: being small, they would be packed on one worker and use
+    up its slots.
     """
     if job.spec.workload is Workload.SERVICE:
         return spread(state, job, size)
@@ -137,7 +138,10 @@
     job: JobRecord,
     size: Resources,
 ) -> Iterator[bool]:
-    """Yield whether to search workers with accelerators, in order."""
+    """Yield the kinds of workers to search, in order.
+
+    `True` stands for workers with accelerators, `False` for those without.
+    """
     if not size.accelerators_count:
         yield False
     if _may_use_accelerated(state, job, size):
@@ -253,7 +257,11 @@
     size: Resources,
     now_ms: int,
 ) -> WorkerView | None:
-    """Return a worker held for a reservation that the task does not delay."""
+    """Return a worker held for a reservation that the task does not delay.
+
+    No worker is returned, with accelerators or without, to a task that may not
+    use workers with accelerators.
+    """
     if not _may_use_accelerated(state, job, size):
         return None
     run_time_ms = run_time_of(state, job.spec)
@@ -277,7 +285,11 @@
     reservation: Reservation,
     ends_in_time: bool,
 ) -> WorkerView | None:
-    """Return a held worker with capacity beyond what it must keep free."""
+    """Return a held worker with capacity beyond what it must keep free.
+
+    All held capacity must stay free, unless the task ends in time and only
+    this reservation holds the worker.
+    """
     for worker_id in islice(
         reservation.tasks_count_by_worker, _EXAMINED_HELD_MAX_COUNT
     ):
--- a/fuchsiarill/core/preemption.py
+++ b/fuchsiarill/core/preemption.py
@@ -2,9 +2,11 @@
 
 The caller checks that the customer of the jobs is entitled to the capacity.
 Capacity above the guarantee of its customer is borrowed; it is reclaimed before
-capacity of the customer to be served. Idempotent batch tasks are stopped before
-service replicas, in each case the most recently placed first, as they lose the
-least run time. At-most-once tasks and urgent tasks are never stopped.
+capacity of the customer to be served, which only urgent jobs reclaim. Of the
+borrowers, the one with the largest share comes first. Idempotent batch tasks
+are considered before service replicas, of each customer the most recently
+placed first, as they lose the least run time. At-most-once tasks, urgent tasks
+and gangs are never stopped.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -48,8 +50,8 @@
 ) -> bool:
     """Request stops on one worker so that a task of `size` fits there.
 
-    Returns `False` if no worker has enough preemptible attempts, and `True`
-    without further stops while those requested earlier are pending.
+    Returns `False` if no worker with enough preemptible attempts is found, and
+    `True` without further stops for `_STOP_CONFIRMATION_MS` after a request.
     """
     if now_ms < state.reclaim_pending_until_ms.get(job.job_id, 0):
         return True
@@ -120,7 +122,10 @@
     size: Resources,
     candidates: Iterable[AttemptId],
 ) -> list[Attempt]:
-    """Return attempts on one worker that together release enough for `size`."""
+    """Return attempts on one worker whose stops release enough for `size`.
+
+    The list is empty if no worker is found.
+    """
     attempts_by_worker: dict[WorkerId, list[Attempt]] = {}
     free_by_worker: dict[WorkerId, Resources] = {}
     for attempt_id in islice(candidates, _EXAMINED_ATTEMPTS_MAX_COUNT):
@@ -149,7 +154,7 @@
     if attempt.state not in _PREEMPTIBLE_STATES:
         return False
     if worker.holds:
-        # The released capacity would be held for another job.
+        # The released capacity might be held for another job.
         return False
     # The delay of the next probe is ignored for a worker on probation.
     return can_get_tasks(worker, worker.probe_after_ms) and is_eligible(
--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -1,8 +1,9 @@
 """Probation of workers on which tasks fail that succeed elsewhere.
 
-A failure is attributed to a worker only if the same job, or its class, has
-succeeded on another worker. On probation a worker gets only tasks that are
-cheap to repeat: one at first, and twice as many at once after each success.
+A failure is attributed to a worker that is not on probation only if the same
+job, or its class, has succeeded on another worker. On probation, every failure
+is attributed to the worker, and it gets only tasks that are cheap to repeat:
+one at first, and twice as many at once after each success.
 """
 
 from functools import partial
@@ -30,7 +31,8 @@
 def record_failure(state: CoreState, attempt: Attempt, now_ms: int) -> None:
     """Attribute a failure to the worker if the class succeeded elsewhere.
 
-    On probation, every failure is attributed to the worker.
+    On probation, every failure is attributed to the worker. Failures of a class
+    that has succeeded on no worker may make the class avoid the worker.
     """
     job = state.jobs[attempt.job_id]
     estimate = estimate_of(state, job.spec)
@@ -49,7 +51,7 @@
     """Reset the failures attributed to the worker.
 
     If the class had succeeded on no worker but those on which the job failed,
-    these failures are attributed to their workers.
+    one failure is attributed to each of these, except the worker of `attempt`.
     """
     job = state.jobs[attempt.job_id]
     estimate = estimate_of(state, job.spec)
@@ -77,7 +79,10 @@
 def _attribute_failure(
     state: CoreState, worker: WorkerView, now_ms: int
 ) -> None:
-    """Attribute a failure; `probation_failures_count` start a probation."""
+    """Attribute a failure; `probation_failures_count` of them start probation.
+
+    A failure on probation delays the next task of the worker instead.
+    """
     worker.attributed_failures_count += 1
     if worker.state is WorkerState.PROBATION:
         _delay_probe(state, worker, now_ms)
--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -1,8 +1,9 @@
 """Quota, guarantee and weighted share of each customer.
 
-The quota limits what a customer reserves. Up to its guarantee, it may reclaim
-capacity from customers that borrow, i.e. exceed their own guarantees. Its
-weighted share is the part of the total capacity in proportion to its weight.
+The quota limits what a customer reserves. Up to its guarantee, a customer may
+reclaim capacity from customers that borrow, i.e. exceed their own guarantees.
+The weighted share of a customer is the part of the total capacity in proportion
+to its weight; urgent jobs may reclaim capacity up to this share as well.
 """
 
 from fuchsiarill.cell_config import CellConfig, Contract
@@ -73,8 +74,9 @@
 ) -> bool:
     """Tell whether urgent jobs are within the guarantee or weighted share.
 
-    What the customer reserves for jobs that are not urgent is not counted, as
-    urgent jobs come first.
+    `additional` is counted as reserved for urgent jobs. What the customer
+    reserves for jobs that are not urgent is not counted, as urgent jobs come
+    first.
     """
     reserved_in_total = account.urgent_reserved + additional
     if reserved_in_total.fits_in(account.guaranteed):
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -26,9 +26,10 @@
     `reported_workers`: workers that have reported since the takeover.
     `deferred`: positions that are not placed yet, as the task may run on a
     worker that has not reported, or as an orphan.
-    `intents`: unresolved at-most-once starts of older owners, each with the
-    incarnation of its worker.
-    `cancelled_jobs`: cancelled jobs whose tasks workers may still report.
+    `intents`: at-most-once starts of older owners that were unresolved at the
+    takeover, each with the incarnation of its worker.
+    `cancelled_jobs`: idempotent jobs that were cancelled before the takeover;
+    workers may still report tasks of these jobs.
     `orphans`: kept until they are known to have ended, since the job that
     they belong to may be submitted again.
     """
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -35,7 +35,10 @@
     now_ms: int,
     requested_at_ms: int,
 ) -> None:
-    """Renew leases, and apply the reported outcomes and usage to attempts."""
+    """Adopt unknown tasks, renew leases, and apply outcomes and usage.
+
+    The services of a leaving worker are moved to other workers.
+    """
     worker.reported_at_ms = now_ms
     step_worker(state, worker, WorkerEvent.REPORTED, now_ms)
     adopt_tasks(state, worker, report, now_ms)
--- a/fuchsiarill/core/requeue.py
+++ b/fuchsiarill/core/requeue.py
@@ -1,4 +1,4 @@
-"""Requeues single tasks, or a gang as a whole."""
+"""Requeues single tasks, or a gang as a whole, and stops attempts."""
 
 from functools import partial
 from typing import Final
@@ -77,7 +77,10 @@
     job: JobRecord,
     now_ms: int,
 ) -> None:
-    """Requeue a restarting gang, or apply `ALL_STOPPED`, if all have ended."""
+    """Requeue a restarting gang, or apply `ALL_STOPPED` to another job.
+
+    Nothing happens while the job has attempts that have not ended.
+    """
     if job.attempts:
         return
     if job.job_id in state.gang_restarts:
--- a/fuchsiarill/core/resource_accounting.py
+++ b/fuchsiarill/core/resource_accounting.py
@@ -22,7 +22,7 @@
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.states import WorkerState
 
-# Maximum number of tasks that a worker on probation runs at once, doubled with
+# Maximum number of tasks that a worker on probation gets at once, doubled with
 # each success.
 _FIRST_PROBES_MAX_COUNT: Final = 1
 
@@ -91,7 +91,7 @@
     size: Resources,
     now_ms: int,
 ) -> None:
-    """Change the reservation of a running attempt."""
+    """Change the reservation of an attempt."""
     old_size = attempt.reserved
     attempt.reserved = size
     job = state.jobs[attempt.job_id]
@@ -109,7 +109,7 @@
 
 
 def refresh_index(state: CoreState, worker: WorkerView, now_ms: int) -> None:
-    """Update the index entry of a worker; one that gets no tasks has none."""
+    """Update the index entry of a worker, or remove it if it gets no tasks."""
     if accepts_tasks(worker, now_ms):
         state.index.update(worker)
     else:
@@ -117,14 +117,20 @@
 
 
 def mark_released(state: CoreState, worker: WorkerView) -> None:
-    """Let the next decision offer the free capacity of a worker."""
+    """Let the next decision offer the free capacity of a worker.
+
+    Only workers in `READY` or `PROBATION` are offered.
+    """
     if worker.state not in {WorkerState.READY, WorkerState.PROBATION}:
         return
     state.released[worker.worker_id] = None
 
 
 def accepts_tasks(worker: WorkerView, now_ms: int) -> bool:
-    """Tell whether a worker may get further tasks of any job."""
+    """Tell whether a worker belongs in the index, apart from its capacity.
+
+    Held workers do not; `placement.find_held_worker` examines them.
+    """
     if worker.holds:
         return False
     if worker.state is WorkerState.READY:
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -21,11 +21,12 @@
 HEALTHY_WORKERS_MAX_COUNT: Final = 3
 BACKOFF_FIRST_MS: Final = 500
 BACKOFF_MAX_MS: Final = 60_000
-# Retries that a customer has before its first success.
+# Retries with the usual backoff that a customer has before its first success;
+# further retries are delayed by `BACKOFF_MAX_MS`.
 _RETRIES_BEFORE_SUCCESS_COUNT: Final = 10.0
 _RETRY_CREDIT_MAX: Final = 100.0
-# The backoff of a replica that fails after this run time starts again from the
-# first delay.
+# The backoff of a service starts again from the first delay after a replica has
+# failed or ended at least this long after its placement.
 _STABLE_RUN_TIME_MS: Final = 600_000
 # Lower bound of a delay with jitter, relative to the delay without.
 _JITTER_MIN_RATIO: Final = 0.5
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -8,9 +8,9 @@
 from fuchsiarill.job import JobSpec, Workload
 from fuchsiarill.resources import Resources
 
-# Declared sizes are wrong by up to this factor. A class with too few
-# samples reserves for the worst case, so that no host is overcommitted before
-# usage is reported.
+# Declared sizes and run times are wrong by up to this factor. A class with too
+# few samples reserves for the worst case, so that no host is overcommitted
+# before usage is reported.
 DECLARED_ERROR_RATIO: Final = 4
 # From this many samples on, the learned size replaces the declared one.
 SAMPLES_MIN_COUNT: Final = 3
@@ -76,7 +76,10 @@
 
 
 def has_enough_samples(estimate: Estimate) -> bool:
-    """Tell whether enough tasks of the class were measured."""
+    """Tell whether there are enough samples to replace the declared size.
+
+    One task can add several samples.
+    """
     return len(estimate.peaks) >= SAMPLES_MIN_COUNT
 
 
--- a/fuchsiarill/core/state.py
+++ b/fuchsiarill/core/state.py
@@ -1,7 +1,7 @@
 """State that the decision modules of one partition share.
 
-Only `PartitionCore` keeps a reference to it. The modules of `core` get it as
-an argument and have no state of their own.
+A `CoreState` belongs to one `PartitionCore`. The modules of `core` get it as an
+argument and have no state of their own.
 """
 
 import random
@@ -43,21 +43,26 @@
     """State of one partition, as known to its owner.
 
     `capacities` counts the listed workers by capacity.
-    `group_keys` maps each waiting job to its group within the account.
+    `group_keys` maps each waiting job to the key of its group in the account.
     `ready_order` ranks the customers with ready groups. `unplaceable` holds the
-    groups that wait for capacity, by urgency; `unplaceable_sizes` counts their
-    sizes and `unplaceable_order` ranks their customers. The ranks of
-    `unranked` customers are out of date.
+    groups of single tasks that wait for capacity, by urgency;
+    `unplaceable_sizes` counts their sizes and `unplaceable_order` ranks their
+    customers. `blocked_gangs` holds the groups of gangs that wait for capacity.
+    The ranks of `unranked` customers may be out of date.
     `released` holds workers whose free capacity has not been offered yet to
     all unplaceable groups, `offered` the groups to which the first of these
-    workers was offered. `failed_search_sizes` holds sizes for which no worker
-    has capacity, apart from those in `released`.
-    `sizes_version` counts changes that all reserved sizes depend on.
+    workers was offered. `failed_search_sizes` holds sizes for which a search
+    found no worker; single tasks of these or larger sizes are tried only on
+    released and held workers.
+    `sizes_version` counts the changes of contracts and of `capacities`, on
+    which the sizes to reserve depend.
     `gang_restarts` maps each gang that is being stopped for a restart to the
-    time of the restart. `ended` holds the jobs that have ended, with the time,
-    `after_commit` the callbacks by the sequence number of their record.
+    earliest time of the restart. `ended` holds the ended jobs, with the time at
+    which their final state was published or restored. `after_commit` holds the
+    callbacks by the sequence number of their record.
     `ageing_per_ms` converts waiting time to a share, for ranks. `unrenewed`
-    holds attempts on workers without contact, whose leases are not renewed.
+    holds attempts whose leases are not renewed until their worker reports them:
+    those on workers without contact and those restored after a takeover.
     `reclaim_pending_until_ms` gives for a job the time until which requested
     stops may be confirmed. With `restricted`, only urgent idempotent jobs
     start.
@@ -130,7 +135,7 @@
     ) -> int:
         """Request the commit of a record; returns its sequence number.
 
-        `on_commit` is called once it is committed, with the time in
+        `on_commit` is called once the record is committed, with the time in
         milliseconds.
         """
         self.sequence += 1
@@ -146,10 +151,10 @@
         now_ms: int,
         on_commit: Callable[[int], None] | None = None,
     ) -> None:
-        """Request the commit of a record of a job, then call `on_commit`.
+        """Request the commit of a record of a job.
 
-        For a volatile job, accepted while ownership is not confirmed,
-        `on_commit` is called at once and does not wait for the commit.
+        `on_commit` is called once the record is committed. For a volatile job,
+        accepted while ownership is not confirmed, it is called at once.
         """
         if not job.volatile:
             self.persist(record, on_commit)
--- a/fuchsiarill/core/steps.py
+++ b/fuchsiarill/core/steps.py
@@ -1,8 +1,8 @@
 """Transitions of the job, attempt and worker charts.
 
 The actions that the charts name are registered in `job_actions`,
-`attempt_actions` and `worker_actions`; a chart is loaded, and checked against
-them, when a `PartitionCore` is created.
+`attempt_actions` and `worker_actions`; the charts are loaded, and checked
+against these actions, when the first `PartitionCore` is created.
 """
 
 from collections.abc import Callable
--- a/fuchsiarill/core/wait_queue.py
+++ b/fuchsiarill/core/wait_queue.py
@@ -1,7 +1,8 @@
 """Queue of the waiting jobs, in groups that are ready or blocked.
 
-Decisions try ready groups; a blocked one waits until its obstacle may have been
-removed. An unplaceable group is blocked because no worker has capacity.
+Decisions try ready groups; a blocked group waits until its obstacle may have
+been removed. An unplaceable group is one of single tasks that is blocked
+because no worker was found with capacity; blocked gangs are kept separately.
 """
 
 from itertools import islice
@@ -127,8 +128,9 @@
 def retry_unplaceable(state: CoreState, now_ms: int) -> None:
     """Make a few unplaceable groups ready again, longest blocked first.
 
-    A search examines only a part of the workers, and reservations of other
-    customers may have become reclaimable.
+    A search examines only a part of the workers, and attempts of other
+    customers may have become reclaimable. Calls within `_RETRY_INTERVAL_MS`
+    after a retry change nothing.
     """
     if now_ms - state.unplaceable_retried_at_ms < _RETRY_INTERVAL_MS:
         return
@@ -146,9 +148,11 @@
 
 
 def group_for_released_capacity(state: CoreState) -> Group | None:
-    """Return the first unplaceable group that fits a released worker.
+    """Return the next unplaceable group that fits a released worker.
 
-    A worker that no further group fits is removed from the released ones.
+    Workers are taken in the order of their release; groups to which a worker
+    was offered already are left out. A worker that no further group fits is
+    removed from `released`.
     """
     while state.released:
         worker = state.workers[next(iter(state.released))]
@@ -218,13 +222,18 @@
 def _first_group_for_worker(
     state: CoreState, worker: WorkerView
 ) -> Group | None:
-    """Return the first in rank of the unplaceable groups that fit a worker."""
+    """Return the first in rank of the unplaceable groups that fit a worker.
+
+    Groups in `offered` are left out.
+    """
     free = worker.free
     if not any(size.fits_in(free) for size in state.unplaceable_sizes):
         return None
     best_candidate: tuple[Rank, Group] | None = None
     for account_rank, customer in state.unplaceable_order:
-        # Later accounts have no group with a rank below `account_rank`.
+        # `account_rank` is the rank of the first group of the account. Another
+        # group of this or a later account may rank lower, for instance a
+        # smaller group within the guarantee; such groups are not considered.
         if best_candidate is not None and best_candidate[0] <= account_rank:
             break
         candidate = _first_fitting_group(
--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -46,8 +46,8 @@
     """Request replacements on other workers for the running replicas.
 
     An at-most-once replica is stopped before it is replaced. A replica that
-    the worker does not confirm may have ended; it is started again once its
-    lease has lapsed.
+    is not known to run is left alone: it is moved after a report that it runs,
+    or lost once its lease has lapsed, and then started again if idempotent.
     """
     for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
