Say when a replica on a leaving worker is replaced

Cause: the doc comment of `move_services` said that a replica that is not known to run "is left alone", though it is handled by a later event.

Change: the comment says that the replica is not replaced yet, and names the report or the lapsed lease after which it is. No code changes.

No tests were run.

--- a/fuchsiarill/core/worker_actions.py
+++ b/fuchsiarill/core/worker_actions.py
@@ -45,9 +45,10 @@
 ) -> None:
     """Request replacements on other workers for the running replicas.
 
-    An at-most-once replica is stopped before it is replaced. A replica that
-    is not known to run is left alone: it is moved after a report that it runs,
-    or lost once its lease has lapsed, and then started again if idempotent.
+    An at-most-once replica is stopped before it is replaced. A replica that is
+    not known to run is not replaced yet: it is replaced after a report that it
+    runs, or becomes lost once its lease has lapsed, and is then started again
+    if idempotent.
     """
     for attempt_id in sorted(worker.attempts):
         attempt = state.attempts[attempt_id]
