Correct statements of the graph scheduler that contradict its code

Cause: comments of fuchsiarill/graphs and fuchsiarill/platform left out cases or said something else than the code does. Among others, the job entry called the time at which an owner adds a job its acceptance, the relayed store claimed that the time-out covers both paths, the listener was said to finish requests before it closes, and the lease guard was said to be checked before every order. Some pronouns had no clear referent.

Change: only doc comments and comments of 41 modules; no name, message text or constant changes. The syntax trees without doc comments equal those of the parent.

--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -45,9 +45,9 @@
 ) -> bool:
     """Request tickets for candidates that have no valid one.
 
-    The request names workers that should have room when the tickets arrive, and
-    workers without an answer so far. Returns whether a request for the step is
-    in progress or waits to be repeated after a failure.
+    The request names workers that should have room when a task with a new
+    ticket can start, and workers without an answer so far. Returns whether a
+    request for the step is in progress or waits to be repeated after a failure.
     """
     policy = request.entry.policy.advice
     if policy is None:
@@ -85,9 +85,10 @@
     views: list[WorkerView],
     policy: AdvicePolicy,
 ) -> list[WorkerView]:
-    """Return the allowed workers expected to have room when tickets arrive.
+    """Return the allowed workers expected to have room at the earliest start.
 
-    Sorted by the expected time until they have room.
+    That is the start of a task after a request that names one worker. The
+    workers are sorted by the expected time until they have room.
     """
     time_to_start_ms = _time_to_start_ms(policy, 1)
     waits = {
@@ -126,10 +127,10 @@
     views: list[WorkerView],
     duration_ms: int,
 ) -> None:
-    """Reserve room for the step until its tickets arrive.
+    """Reserve room on `views` until tasks of the step are expected to start.
 
     Otherwise a step that is scheduled later but already has a ticket would
-    take the room repeatedly.
+    take the room repeatedly. Reserves at most one worker per waiting unit.
     """
     step = request.step
     for view in views:
--- a/fuchsiarill/graphs/campaigner.py
+++ b/fuchsiarill/graphs/campaigner.py
@@ -105,7 +105,7 @@
             return Election(
                 Epoch(read_result.unwrap().revision), lease, requested_ms
             )
-        # Once its lease has ended, a late write can't take effect any more.
+        # Once the lease has ended, a late write under it can't take effect.
         await self.end_lease(lease)
         await sleep_ms(_RETRY_DELAY_MS)
         return Election(None)
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -43,8 +43,8 @@
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
-# A worker that refuses a start for one of these reasons gets no new run until
-# it has reported again.
+# After a start that failed for one of these reasons, the worker gets no new run
+# until it has reported again.
 _AVAILABILITY_FAILURES = frozenset(
     (
         AgentFailure.UNHEALTHY,
@@ -65,7 +65,7 @@
         leases: TaskLeaseSettings,
         term: int,
     ) -> None:
-        """Create the state of a new owner; `term` is its number, from 1."""
+        """Create the state of a new owner; its term has number `term` >= 1."""
         self.state = PoolState(pool, epoch, leases)
         self._term = term
 
@@ -146,7 +146,8 @@
     ) -> None:
         """Add a worker on which a previous owner may have started runs.
 
-        Task leases granted by that owner have ended after `lease_expiry_ms`.
+        Task leases granted by that owner expire at `lease_expiry_ms` at the
+        latest.
         """
         view = self.state.workers.add(worker, address)
         view.is_recorded = True
@@ -161,7 +162,7 @@
         self.state.free_version += 1
 
     def renewal_sent(self, worker: WorkerId, now_ms: int) -> None:
-        """Extend the task leases of a worker: a renewal has been sent."""
+        """Extend a worker's task leases: a renewal or start is being sent."""
         view = self.state.workers.find(worker)
         if view is not None:
             extend_leases(self.state, view, now_ms)
@@ -186,10 +187,10 @@
         failure: AgentFailure,
         now_ms: int,
     ) -> None:
-        """Mark a worker as unconfirmed after a failed renewal.
+        """Mark a ready worker as unconfirmed after a `RenewalFailed` message.
 
-        Its task leases are taken as expired at once if the failure proves that
-        the worker process has ended.
+        The task leases of any worker are taken as expired at once if the
+        failure proves that the worker process has ended.
         """
         view = self.state.workers.find(worker)
         if view is None:
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -22,7 +22,7 @@
 
 
 class _RankedStep(NamedTuple):
-    """A step with units that can start, sorted by its rank."""
+    """An open step with waiting units; sorted by rank, then by key."""
 
     rank_ms: int
     key: StepKey
@@ -78,8 +78,8 @@
 ) -> None:
     """Make room and request tickets for a unit that could not be placed.
 
-    Unless the step waits for tickets, it is skipped until `free_version`
-    changes.
+    Unless the step waits for an answer about tickets, decision rounds skip it
+    until `free_version` changes or one of its units is requeued.
     """
     step = request.step
     allowed = advice_requests.allowed_workers(state, request, candidates)
--- a/fuchsiarill/graphs/directory.py
+++ b/fuchsiarill/graphs/directory.py
@@ -8,10 +8,13 @@
 
 
 class WorkerDirectory:
-    """Holds the entries of a pool; an unreadable entry counts as absent."""
+    """Holds the entries of a pool.
+
+    An unreadable entry and an entry of another pool count as absent.
+    """
 
     def __init__(self, pool: PoolId, documents: DocumentLayout) -> None:
-        """Create without entries; `documents` parses the entries of `pool`."""
+        """Create without entries; `documents` parses those of all pools."""
         self._pool = pool
         self._documents = documents
         self._entries: dict[WorkerId, WorkerEntry] = {}
--- a/fuchsiarill/graphs/gang_reservations.py
+++ b/fuchsiarill/graphs/gang_reservations.py
@@ -28,8 +28,9 @@
 ) -> None:
     """Reserve room on the workers with the shortest expected wait.
 
-    Reserves nothing during a pause, or with fewer candidates than tasks.
-    Workers that are never expected to have room are left out.
+    Replaces all earlier reservations of the step. Reserves nothing during a
+    pause, or with fewer candidates than tasks. Workers that are never expected
+    to have room are left out.
     """
     step = request.step
     for view in state.workers:
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -21,8 +21,8 @@
 from fuchsiarill.ids import JobId, WorkerId
 
 # Each owner numbers its attempts of inherited jobs from a floor that is this
-# much higher than that of the previous owner. It exceeds the number of attempts
-# that an owner can make of a task without a durable record.
+# much higher than that of the previous owner. The difference exceeds the number
+# of attempts that an owner can make of a task without a durable record.
 ATTEMPTS_PER_TERM: Final = 100
 
 
@@ -42,9 +42,10 @@
 class StepEntry:
     """A step of one occurrence with units that have not succeeded.
 
-    A step that is not open waits for the steps that it depends on. It has an
-    entry only if a worker reports a run, or the end of a run, that a previous
-    owner started, before the successes that opened the step are reported.
+    A step that is not open waits for the steps that it depends on. Such a step
+    has an entry only if a worker reports a run, or the end of a run, that a
+    previous owner started, before the successes that opened the step are
+    reported.
     """
 
     def __init__(self, key: StepKey, spec: Step) -> None:
@@ -55,9 +56,9 @@
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
-        # When the runs that were preempted for the step should have ended.
+        # No further runs are preempted for the step before this time.
         self.preempting_until_ms = 0
-        # When reservations for a gang step began; reset when it starts.
+        # When reservations for a gang step began; reset when the gang starts.
         self.reserving_since_ms: int | None = None
         # Rank at the last decision about the step.
         self.rank_ms = 0
@@ -113,6 +114,8 @@
         self.graph = graph
         self.policy = policy
         self.progress = progress
+        # When this owner added the job; an inherited job may have been accepted
+        # long before.
         self.accepted_ms = accepted_ms
         self._expected_ms = expected_ms
         # When the job reached its final phase, or was loaded in that phase.
@@ -122,7 +125,7 @@
         # Accepted before this owner was elected: a previous owner may have
         # started its tasks on a worker that has not reported yet.
         self.is_inherited = False
-        # Attempts that this owner makes get higher numbers.
+        # Attempts that this owner makes get higher numbers than this.
         self.attempt_floor = 0
 
     @property
@@ -152,7 +155,7 @@
 
     @cached_property
     def objective_ms(self) -> int:
-        """Return the time after acceptance in which the job should succeed."""
+        """Return the time after `accepted_ms` until the job should succeed."""
         longest_ms = max(self.critical_paths_ms)
         return (
             int(self.policy.slack_factor * longest_ms) + self.policy.target_ms
@@ -195,7 +198,11 @@
         )
 
     def runs(self) -> Iterator[Run]:
-        """Return all runs that have not ended."""
+        """Return the runs of all active units.
+
+        Runs of units that have succeeded, and runs that were not adopted, are
+        left out.
+        """
         for step in self.steps.values():
             for unit in step.active.values():
                 yield from unit.runs.values()
--- a/fuchsiarill/graphs/lease_guard.py
+++ b/fuchsiarill/graphs/lease_guard.py
@@ -6,9 +6,10 @@
 class LeaseGuard:
     """Time until which an owner may send orders, by the runtime clock.
 
-    The tenure extends this deadline after each renewal of the lease; senders
-    check it right before each order. The daemon's clock keeps running while the
-    machine is suspended, so the deadline passes in a suspension as well.
+    The tenure extends this deadline after each renewal of the lease. Senders
+    check it right before each order, except for a renewal that requests a
+    report out of turn. The daemon's clock keeps running while the machine is
+    suspended, so the deadline passes in a suspension as well.
     """
 
     def __init__(self, deadline_ms: int) -> None:
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -19,9 +19,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """HTTP request of a caller."""
+    """An HTTP request."""
 
     method: str
+    # Without the port.
     host: str
     path: str
     body: bytes
@@ -32,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """HTTP response to a caller."""
+    """An HTTP response."""
 
     status: HTTPStatus
     body: bytes = b''
@@ -83,7 +84,7 @@
 
     @property
     def in_progress_count(self) -> int:
-        """Return the number of requests that have no response yet."""
+        """Return the number of requests whose response is not ready yet."""
         return self._in_progress_count
 
     def start(self) -> None:
@@ -92,7 +93,10 @@
         threading.Thread(target=self._server.serve, daemon=True).start()
 
     def stop(self) -> None:
-        """Finish requests in progress, then close the listener."""
+        """Close the listener, then wait for the requests in progress.
+
+        Connections that are still open after 1 s are closed.
+        """
         self._server.stop()
 
     def _serve_request(
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -184,7 +184,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """Upper limits on the HTTP requests of callers."""
+    """Upper limits on the HTTP requests of callers.
+
+    `header_max_bytes` is not enforced.
+    """
 
     header_max_bytes: int = 16384
     body_max_bytes: int = 262144
@@ -274,7 +277,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """Answer of a worker to a renewal of its task leases.
+    """Answer of a worker to a renewal, whether or not leases are extended.
 
     `clock_ms` is the time of the answer in the worker's clock.
     """
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewalFailed:
-    """A worker did not answer a renewal with a report."""
+    """A renewal failed, or a start was refused because of a later epoch."""
 
     worker: WorkerId
     failure: AgentFailure
@@ -90,7 +90,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceAnswered:
-    """Outcome of a request for advice; `tickets` is `None` if it failed."""
+    """Outcome of a request for advice.
+
+    `tickets` is `None` if the request failed, or was dropped because the owner
+    no longer needed it.
+    """
 
     step: StepKey
     # Incarnation of each worker when the request was made.
@@ -112,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SaveRecords:
-    """Request to write records, with the run ends that led to them."""
+    """Request to write and delete records, with the ends that led to them."""
 
     records: dict[StoreKey, bytes]
     deletes: tuple[StoreKey, ...] = ()
--- a/fuchsiarill/graphs/pacing.py
+++ b/fuchsiarill/graphs/pacing.py
@@ -24,7 +24,10 @@
 
 
 def pace_fillers(state: PoolState, now_ms: int) -> None:
-    """Set the pace of fillers by the worst tail latency on their worker."""
+    """Set the pace of fillers by the worst tail latency on their worker.
+
+    Fillers on a worker without serving tasks keep their pace.
+    """
     for view in state.workers:
         if not view.serving_count or not view.filler_milli:
             continue
--- a/fuchsiarill/graphs/peer_links.py
+++ b/fuchsiarill/graphs/peer_links.py
@@ -15,7 +15,8 @@
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.settings import PeerSettings
 
-# Processes that failed to answer are left out of `processes` for this time.
+# Processes are left out of `processes` for this time after a call over their
+# link failed, or after they could not reach the store for a relayed call.
 _SUSPENSION_MS: Final = 1500
 # The callee reaches its own deadline before the caller's time-out.
 _ANSWER_MARGIN_MS: Final = 250
@@ -87,7 +88,7 @@
         request: dict[str, Any],
         timeout_ms: int,
     ) -> Result[Any, PeerFailure]:
-        """Call a process; suspend it if it does not answer."""
+        """Call a process; suspend it if the call over its link fails."""
         link = self._links.get(process)
         if link is None:
             return Failure(PeerFailure.NOT_SENT)
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -70,7 +70,7 @@
 async def serve_graph_peers(
     address: str, ports: GraphPorts, timeout_ms: int
 ) -> Any:
-    """Listen for calls of peers; the caller must close the server."""
+    """Listen for calls of peers; returns the server."""
     host, port = address.rsplit(':', 1)
     return await capnp.AsyncIoStream.create_server(
         partial(_serve_connection, ports, timeout_ms),
@@ -81,7 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAdvice:
-    """Answer of a peer; `tickets` is `None` if the service gave none."""
+    """Answer of a peer; `tickets` is `None` if the service gave no answer."""
 
     tickets: dict[WorkerId, Ticket] | None = None
     is_busy: bool = False
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -77,7 +77,7 @@
 def _interference_cost(
     state: PoolState, request: PlacementRequest, view: WorkerView
 ) -> float:
-    """Keep filler tasks and serving tasks on different workers."""
+    """Keep filler and serving tasks apart, and fillers on idle processors."""
     spec = request.step.spec
     if spec.is_filler:
         contention = 0.0
@@ -211,5 +211,5 @@
     return view.entry is not None and step.charge.fits_in(view.entry.capacity)
 
 
-# Looked up once, since costs are summed for each candidate of each unit.
+# Looked up once, since each decision sums the costs of many workers.
 _ALL_COSTS: Final = tuple(COSTS.lookup(name) for name in COSTS)
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -62,11 +62,13 @@
     ) -> bool | None:
         """Return whether the previous owner can send no more orders.
 
-        An earlier incarnation of this process has ended. Another process stops
-        sending orders before its lease expires. It may still send orders if
+        This process sends no more orders of an earlier term, whose incarnation
+        has ended or whose guard is revoked. Another process stops sending
+        orders before its lease expires. That process may still send orders if
         its lease exists, since it may not have noticed that its owner key was
-        deleted. This call ends such a lease, and so finds out whether it
-        existed. Returns `None` if the store does not answer.
+        deleted. This call ends such a lease, and so finds out whether the lease
+        existed. An earlier call that ended the lease, but whose answer was
+        lost, makes the lease look expired. Returns `None` if the call fails.
         """
         if previous_owner is None or previous_owner.process == self.process:
             return True
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -183,7 +183,7 @@
 
     @handles(messages.RenewalFailed)
     async def on_renewal_failed(self, message: messages.RenewalFailed) -> None:
-        """Record that a worker did not answer a renewal with a report."""
+        """Apply a failed renewal, or a start that met a later epoch."""
         self.core.worker_failed(message.worker, message.failure, now_ms())
 
     @handles(messages.StartAnswered)
@@ -278,7 +278,7 @@
             await sleep_ms(_HANDOVER_CHECK_INTERVAL_MS)
 
     def observe_start(self, start: StartRun) -> None:
-        """Record the time from the acceptance of a job to this start."""
+        """Record the time from the arrival of a job here to this start."""
         entry = self.core.state.jobs.get(start.task.job)
         if entry is not None:
             wait_ms = now_ms() - entry.accepted_ms
@@ -329,7 +329,7 @@
     def _prior_lease_ms(self) -> int:
         """Return for how long task leases of the previous owner may last.
 
-        If it still sends orders, it can renew them until its own lease expires.
+        Unless that owner is inactive, it may renew them for `lease_ttl_ms`.
         """
         leases = self._context.settings.task_lease
         longest_ms = leases.longest_ms
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -2,7 +2,7 @@
 
 A queue may preempt queues of lower priority, which have a higher `priority`
 value. Only runs that save checkpoints are stopped: they lose little work and
-resume on another worker.
+resume later, on any worker.
 """
 
 from dataclasses import dataclass
@@ -19,7 +19,8 @@
 # A step preempts when it has to start within this time to meet the objective;
 # the stop, its report and the start take about as long.
 _START_WITHIN_MS: Final = 400
-# Room is reserved until the stopped runs have ended and the step has started.
+# Room is reserved for this time, in which the stopped runs should end and the
+# unit should start.
 _RESERVATION_MS: Final = 1500
 # A task that has been preempted this often is not preempted again, so that a
 # series of urgent jobs cannot prevent it from ever ending.
@@ -45,10 +46,10 @@
     request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> bool:
-    """Stop runs so that the next unit of a blocked step can start.
+    """Stop runs and reserve their room for the next unit of a blocked step.
 
-    Returns whether runs are being stopped for the step, by this call or by an
-    earlier one whose reservation is still valid.
+    Returns whether room is reserved, by this call or by an earlier one whose
+    reservation is still valid. No run is stopped on a worker that has room.
     """
     if request.now_ms < request.step.preempting_until_ms:
         return True
@@ -84,9 +85,10 @@
     request: PlacementRequest,
     view: WorkerView,
 ) -> _Preemption | None:
-    """Return the cheapest runs whose end makes room for one task.
+    """Return runs whose end makes room for one task, the cheapest first.
 
-    Returns `None` if the end of all preemptible runs is not enough.
+    Returns `None` if the end of all preemptible runs is not enough, or if the
+    worker has as many runs of the step as are allowed.
     """
     step = request.step
     per_worker_max = step.spec.per_worker_max
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -186,7 +186,7 @@
 
     @handles(GetDump)
     async def on_dump(self, message: GetDump) -> None:
-        """Return the state of all actors."""
+        """Return the state of the actors of the process and its owners."""
         message.reply.answer(
             {
                 'process': self._settings.process,
@@ -198,7 +198,11 @@
 
     @handles(_CheckActors)
     async def on_check(self, message: _CheckActors) -> None:
-        """Count owned pools; end the process if an actor has died."""
+        """Count owned pools; end the process if an actor has died.
+
+        Checks the actors that `_actors` returns, which do not include the
+        writer, the watchers and the channels of an owner.
+        """
         owned_tenures = [
             tenure for tenure in self._tenures.values() if tenure.is_owner
         ]
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -18,7 +18,10 @@
 
 
 class ProgressSaver:
-    """Sends changed records once the writer has confirmed earlier ones."""
+    """Sends changed records once the writer has confirmed earlier ones.
+
+    The fleet record is sent without waiting.
+    """
 
     def __init__(
         self,
@@ -51,7 +54,7 @@
             self._is_saving = False
 
     def save(self) -> tuple[ProcessedEnds, ...]:
-        """Send changed records to the writer, unless it is busy.
+        """Send changed records, unless earlier ones are not confirmed.
 
         Returns the run ends that workers may discard at once, since no record
         has to be written.
@@ -74,7 +77,10 @@
         return ()
 
     def save_fleet(self) -> None:
-        """Write the fleet record; a worker gets no starts until it is saved."""
+        """Write the fleet record.
+
+        A worker gets no start until a record that lists it has been saved.
+        """
         members = tuple(
             records.FleetMember(view.worker, view.address)
             for view in self._core.state.workers
@@ -117,7 +123,7 @@
         )
 
     def _remove_expired_jobs(self, oldest_ms: int) -> tuple[StoreKey, ...]:
-        """Remove jobs that settled before `oldest_ms`; return their keys."""
+        """Remove jobs settled by `oldest_ms`; return their records' keys."""
         expired: list[StoreKey] = []
         for entry in list(self._core.state.jobs.values()):
             if entry.is_active or entry.settled_ms > oldest_ms:
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -59,7 +59,7 @@
 
     @handles(SaveRecords)
     async def on_save(self, message: SaveRecords) -> None:
-        """Write all records of the message, then confirm it."""
+        """Write and delete the message's records, then confirm the message."""
         records = iter(message.records.items())
         while batch := dict(islice(records, _BATCH_RECORDS_MAX_COUNT)):
             await self._write_batch(batch, ())
@@ -114,8 +114,8 @@
     ) -> bool:
         """Update revisions; return whether the batch is already applied.
 
-        A retry after a lost answer conflicts with its own earlier write. If
-        the owner key has changed, the ownership is lost.
+        A retry after a lost answer conflicts with the write of the first try.
+        If the owner key has changed, the ownership is lost.
         """
         items_by_key = {item.key: item for item in conflict.items}
         fence_key, fence_revision = self._fence
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -31,8 +31,9 @@
 _Answer = TypeVar('_Answer')
 _AnswerDecoder = Callable[[Any], _Answer]
 
-# Limit of a direct call, which leaves time for a relayed call. The store
-# answers within 300 ms even when it is 60 times slower than usual.
+# Limit of a direct call that is neither a list nor a watch, so that a relayed
+# call starts soon. The store answers within 300 ms even when it is 60 times
+# slower than usual.
 _DIRECT_TIMEOUT_MAX_MS: Final = 450
 # A relayed watch is short, so that the direct path is soon retried.
 _RELAYED_WATCH_MAX_MS: Final = 300
@@ -71,7 +72,7 @@
         after: StoreKey | None,
         timeout_ms: int,
     ) -> Result[KvPage, KvFailure]:
-        """Read the items of a prefix that follow the key `after`."""
+        """Read a page of the items of a prefix that follow the key `after`."""
         return await self._call(
             lambda: self._store.list_prefix(prefix, after, timeout_ms),
             encoding.encode_list(prefix, after, timeout_ms),
@@ -152,7 +153,10 @@
         call_fields: dict[str, Any],
         decode_answer: _AnswerDecoder[_Answer],
     ) -> Result[_Answer, KvFailure]:
-        """Shorten the direct call, so that time is left for a relayed call."""
+        """Limit the direct call, so that a relayed call starts soon.
+
+        The relayed call may take `timeout_ms` in addition.
+        """
         direct_timeout_ms = min(timeout_ms, _DIRECT_TIMEOUT_MAX_MS)
         return await self._call(
             partial(call_direct, direct_timeout_ms), call_fields, decode_answer
@@ -176,7 +180,7 @@
         if relayed_result is None:
             return Failure(failure)
         if relayed_result == Failure(KvFailure.REFUSED):
-            # The direct call may still take effect: keep its own failure.
+            # The direct call may still take effect, so its failure is returned.
             return Failure(failure)
         if relayed_result != Failure(KvFailure.UNKNOWN):
             self._suspend_direct(failure)
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -113,7 +113,7 @@
     event: RunEvent,
     now_ms: int,
 ) -> None:
-    """End a run whose end was not reported; stop the rest of its gang."""
+    """End a refused, lost or absent run; stop the rest of its gang."""
     _stop_gang_members(state, run, now_ms)
     apply_run_event(state, run, event, now_ms)
 
@@ -160,10 +160,10 @@
     row: RunningRow,
     now_ms: int,
 ) -> Run:
-    """Adopt a run that a previous owner started.
+    """Adopt a reported run that is unknown, such as one of a previous owner.
 
-    It is stopped if its job is not active, its unit has succeeded, or the unit
-    has another run of the task or runs of another attempt.
+    The run is stopped if its job is not active, its unit has succeeded, or the
+    unit has another run of the task or runs of another attempt.
     """
     entry = state.jobs.get(row.task.job)
     # The size of a run is unknown if its job has been removed.
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -32,7 +32,8 @@
     state: RunState = RunState.STARTING
     start_ordered_ms: int = 0
     # A report requested after this time lists the run unless it has ended;
-    # `None` while neither the start nor a stop has been answered.
+    # `None` while the worker's present incarnation has neither confirmed a
+    # start or a stop of the run nor listed the run in a report.
     visible_since_ms: int | None = None
     # A report of the worker's present incarnation has listed the run.
     is_listed: bool = False
@@ -41,7 +42,7 @@
     checkpoint: Checkpoint = NO_CHECKPOINT
     progress_percent: int = 0
     progress_changed_ms: int = 0
-    # As in `RunningRow`.
+    # Tail latency in ms of a serving task, else processors in use.
     usage: float | None = None
     pace_percent: int = FULL_PACE_PERCENT
     pace_changed_ms: int = 0
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -111,7 +111,7 @@
     # A request of a caller whose store calls fail is refused after this time,
     # unless a write may have taken effect.
     submit_patience_ms: int = 700
-    # Maximum numbers of threads: for short calls of outside systems, and for
+    # Maximum numbers of threads: for short calls to outside systems, and for
     # long polls, such as watches of the store and renewals.
     threads_max_count: int = 48
     waits_max_count: int = 400
@@ -122,7 +122,8 @@
 
     threads_count: int = 12
     connections_max_count: int = 1000
-    # Time by which an answer precedes the deadline of the caller.
+    # Time by which an answer precedes the deadline of the caller; at most half
+    # of the caller's time-out is used.
     answer_margin_ms: int = 250
     # Minimum time from a SIGTERM until the process ends. Callers are served
     # until then.
@@ -157,7 +158,7 @@
 
 
 def parse_graph_settings(text: str) -> Result[GraphSettings, tuple[str, ...]]:
-    """Parse settings; a failure has one line for each problem."""
+    """Parse settings; a failure has one text for each problem."""
     try:
         document = yaml.safe_load(text)
         return Success(GraphSettings.model_validate(document))
@@ -175,7 +176,7 @@
 def load_graph_settings(
     path: Path,
 ) -> Result[GraphSettings, tuple[str, ...]]:
-    """Read a settings file; a failure has one line for each problem."""
+    """Read a settings file; a failure has one text for each problem."""
     try:
         text = path.read_text()
     except OSError as error:
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -17,9 +17,10 @@
 def stop_stalled(state: PoolState, now_ms: int) -> None:
     """Stop runs that a worker keeps reporting without progress.
 
-    Time without reports does not count, so runs on a silent worker are not
-    stopped. Exempt are fillers, gangs, and runs that report full progress, as
-    lasting tasks do once they are initialized.
+    Each stop counts as a failure on the worker. Time without reports does not
+    count, so runs on a silent worker are not stopped. Exempt are fillers,
+    gangs, and runs that report full progress, as lasting tasks do once they are
+    initialized.
     """
     for view in state.workers:
         for run in list(view.runs.values()):
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -25,7 +25,7 @@
     workers: WorkerTable = field(default_factory=WorkerTable)
     tickets: TicketCache = field(default_factory=TicketCache)
     run_times: RunTimes = field(default_factory=RunTimes)
-    # Jobs whose progress differs from their durable record.
+    # Jobs whose progress is written by the next save.
     dirty: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
     # Incremented whenever a placement that has failed may succeed if retried.
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -2,7 +2,8 @@
 
 Costs are computed once for each worker that has room, and again only for a
 worker that got a unit, so that a step with many tasks takes little more time
-than one with few.
+than one with few. They are computed anew for each gang and for each unit that
+has failed on a worker.
 """
 
 import heapq
--- a/fuchsiarill/graphs/store_encoding.py
+++ b/fuchsiarill/graphs/store_encoding.py
@@ -27,7 +27,8 @@
     [KeyValuePort, Any], Awaitable[Result[Any, KvFailure]]
 ]
 
-# Handlers that run a relayed call on the local store, by its kind.
+# Handlers that run a relayed call on the store client of the relaying process,
+# by the kind of the call.
 STORE_CALL_HANDLERS: Final[Registry[str, _StoreCallHandler]] = Registry(
     'relayed calls'
 )
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -124,7 +124,7 @@
 
     @handles(OwnerKeySeen)
     async def on_key_seen(self, message: OwnerKeySeen) -> None:
-        """Detect a vacancy, or that the pool has a later owner."""
+        """Detect a vacancy, or a change of the owner key since the election."""
         item = message.item
         if item.revision and item.revision < self._key_revision:
             return
@@ -200,7 +200,7 @@
 
     @handles(TenureTick)
     async def on_tick(self, message: TenureTick) -> None:
-        """Campaign for a vacant pool; renew the lease or suspend the owner."""
+        """Campaign if vacant; suspend an overdue owner; renew a due lease."""
         if self.state is TenureState.FOLLOWING and self._is_vacant:
             self._apply_event(TenureEvent.VACANCY_SEEN)
         if self._guard is None:
@@ -211,7 +211,7 @@
 
     @handles(Drain)
     async def on_drain(self, message: Drain) -> None:
-        """Hand the pool over; end its lease, so that no owner waits for it."""
+        """Hand the pool over; end its lease, so that others campaign now."""
         self._apply_event(TenureEvent.DRAIN_ASKED)
         if self.owner is not None:
             await self.owner.hand_over(_HANDOVER_TIMEOUT_MS)
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -97,7 +97,10 @@
         granted: dict[WorkerId, Ticket],
         expiry_ms: int,
     ) -> None:
-        """Store an answer; workers without a ticket are denied."""
+        """Store an answer; workers without a ticket are denied.
+
+        An answer for a step that has been removed is ignored.
+        """
         advice = self._steps.get(step)
         if advice is None:
             return
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -17,7 +17,7 @@
 # Run in the order of their names, hence the numbers.
 TICK_ACTIONS: Final[Registry[str, _TickAction]] = Registry('ticks')
 
-# A stop order without an answer is repeated after this time.
+# A stop order that the worker has not confirmed is repeated after this time.
 _STOP_REPEAT_INTERVAL_MS: Final = 400
 
 TICK_ACTIONS.register('4 drain workers')(draining.drain_workers)
@@ -63,7 +63,7 @@
 
 @TICK_ACTIONS.register('3 repeat stops')
 def _repeat_stops(state: PoolState, now_ms: int) -> None:
-    """Repeat stop orders without an answer."""
+    """Repeat stop orders that were not confirmed."""
     for view in state.workers:
         for run in list(view.runs.values()):
             if _is_stop_overdue(run, now_ms):
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -28,7 +28,8 @@
     """End the probation when a lasting task has been initialized.
 
     A lasting task never succeeds, so its initialization ends the probation
-    instead. A task that was started before the suspension proves nothing.
+    instead. A task that was started before the end of the suspension proves
+    nothing.
     """
     if run.start_ordered_ms >= view.failure_record.suspended_until_ms:
         view.failure_record.suspensions_count = 0
@@ -37,8 +38,9 @@
 def record_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
     """Suspend the worker after consecutive failures of different tasks.
 
-    Each suspension without a success in between doubles the time, up to a
-    maximum.
+    Every further failure without a success suspends it again. Each suspension
+    lasts twice as long as the one before, up to a maximum, unless the probation
+    has ended in between.
     """
     view.failure_record.consecutive_failures.add(task)
     if (
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -62,7 +62,7 @@
     is_reconciled: bool = False
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
     allocated: Resources = NO_RESOURCES
-    # Capacity minus `allocated`.
+    # Capacity minus `allocated`; nothing without a directory entry.
     free: Resources = NO_RESOURCES
     reservations: list[Reservation] = field(default_factory=list)
     # Idle processors that its filler tasks can use, in thousandths of a
@@ -75,8 +75,8 @@
     seen_end: EndSequence = NO_END
     # Ends up to this number are durable; the worker may delete them.
     durable_end: EndSequence = NO_END
-    # All task leases have expired after this time; each renewal and each start
-    # order extends it.
+    # All task leases have expired after this time; each start order, and each
+    # renewal that extends the leases, moves it.
     lease_expiry_ms: int = 0
     reported_ms: int = 0
     # The worker's clock in the latest report.
@@ -202,7 +202,8 @@
     def update_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
         """Apply the complete list of the pool's directory entries.
 
-        Returns the workers that are new or have restarted.
+        Returns the workers whose entry is of a later incarnation than the known
+        one, if any.
         """
         new_or_restarted: set[WorkerId] = set()
         listed: set[WorkerId] = set()
--- a/fuchsiarill/graphs/worker_waits.py
+++ b/fuchsiarill/graphs/worker_waits.py
@@ -37,7 +37,10 @@
 def _run_remaining_ms(
     state: PoolState, request: PlacementRequest, run: Run
 ) -> float:
-    """Return the expected time until a run ends, `NEVER_MS` if lasting."""
+    """Return the expected time until a run ends, `NEVER_MS` if lasting.
+
+    It is 0 for a run whose job is unknown or whose step has succeeded.
+    """
     job_and_step = state.find_step(run.task)
     if job_and_step is None:
         return 0
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -20,7 +20,8 @@
     """Status and decoded body of a response.
 
     `status` is `None` and `failure` is set if no response arrived, or if the
-    body of a 2xx response is not a JSON object.
+    body of a 2xx response is neither empty nor a JSON object. An empty body
+    counts as an empty object.
     """
 
     status: int | None
@@ -41,7 +42,7 @@
 ) -> PlatformResponse:
     """Decode a response; a 2xx with an unreadable body counts as no response.
 
-    Every body that the platform sends is a JSON object.
+    Every body that the platform sends is empty or a JSON object.
     """
     if isinstance(call_result, Failure):
         return PlatformResponse(None, failure=call_result.failure())
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -36,8 +36,9 @@
     'request handlers by HTTP method and presence of a job id',
 )
 
-# A 429 or 503 guarantees that the job never runs. An unknown outcome is a 504,
-# after which the caller retries with the same job id.
+# A 429, which is not used here, or a 503 guarantees that a submitted job never
+# runs. An unknown outcome is a 504, after which the caller retries with the
+# same job id.
 _STATUS_BY_CODE: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -70,7 +70,7 @@
 
 
 def run() -> None:
-    """Run the daemon until SIGTERM or SIGINT."""
+    """Run the daemon until SIGTERM or SIGINT, or until an actor has died."""
     # Signals can arrive before the loop runs.
     for signal_number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
         signal.signal(
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -57,7 +57,7 @@
 
 
 def read_job(job: str, policy: QueuePolicy, content: bytes) -> JobGraph:
-    """Parse a submitted job; `job` must be an id of 16 hex digits."""
+    """Parse a submitted job; `job` must have 16 lower-case hex digits."""
     if not _JOB_ID.fullmatch(job):
         raise DocumentError(f'{job!r} is not a job id of 16 hex digits')
     document = _decode_object(content)
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -69,7 +69,7 @@
         after: StoreKey | None,
         timeout_ms: int,
     ) -> Result[KvPage, KvFailure]:
-        """Read the items of a prefix that follow the key `after`."""
+        """Read a page of the items of a prefix that follow the key `after`."""
         query = {'prefix': prefix}
         if after is not None:
             query['after'] = after
@@ -102,7 +102,10 @@
         transaction: KvTransaction,
         timeout_ms: int,
     ) -> Result[KvCommitted | KvConflict, KvFailure]:
-        """Apply a transaction; an unmet condition yields a `KvConflict`."""
+        """Apply a transaction; an unmet condition yields a `KvConflict`.
+
+        Fails with `LEASE_GONE` if a write names a lease that does not exist.
+        """
         body = {
             'expected': [
                 {'key': key, 'revision': revision}
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -32,7 +32,8 @@
 
 _OK: Final = 200
 _CONFLICT: Final = 409
-# A worker may answer a long poll this much later than `wait_ms`.
+# Allowance for the answer to a long poll, beyond `wait_ms` and the time-out of
+# a short call.
 _RENEWAL_MARGIN_MS: Final = 700
 
 _FAILURE_BY_REASON: Final = {
