Correct comments of owner, ports, cluster and the base modules

Cause: some doc comments contradicted the code or left out cases. Some pronouns had no clear referent.

Change: words of comments and doc comments in owner, ports, cluster and the modules directly in fuchsiarill. No name is changed. The syntax trees without doc comments are equal to those before.

The rest of the tests were not run.

--- a/fuchsiarill/actor.py
+++ b/fuchsiarill/actor.py
@@ -23,7 +23,7 @@
 class Reply(Generic[_Answer]):
     """Holds the answer to one message.
 
-    An answer that arrives after the sender stopped waiting is ignored.
+    An answer for which nobody waits any longer has no effect.
     """
 
     def __init__(self) -> None:
--- a/fuchsiarill/answers.py
+++ b/fuchsiarill/answers.py
@@ -18,8 +18,8 @@
 class JobAnswer:
     """Answer to one submission, query or cancellation.
 
-    `outputs` holds the results of all tasks by position once the job has
-    succeeded.
+    Once the job's end is durable, `outputs` holds the results of the tasks that
+    succeeded, in the order of their positions.
     """
 
     code: ResultCode
--- a/fuchsiarill/assembly.py
+++ b/fuchsiarill/assembly.py
@@ -1,6 +1,6 @@
 """Connects the actors of one process.
 
-The daemon and the simulation of a cell in `replay` both use it.
+The daemon and the simulation of a cell in `replay` both use `Assembly`.
 """
 
 import random
--- a/fuchsiarill/clock.py
+++ b/fuchsiarill/clock.py
@@ -1,8 +1,9 @@
 """The clock of the runtime, and an event loop with virtual time.
 
-Delays and deadlines are measured in the time of the running loop, never with
-the module `time`, so that a test or a simulation under `PausedLoop` covers
-hours in milliseconds.
+Delays and deadlines of tasks are measured in the time of the running loop, not
+with the module `time`, so that a test or a simulation under `PausedLoop` covers
+hours in milliseconds. Only deadlines that a thread or the command line checks
+use `time.monotonic`.
 """
 
 import asyncio
--- a/fuchsiarill/cluster/config_change.py
+++ b/fuchsiarill/cluster/config_change.py
@@ -1,6 +1,6 @@
 """An operator's change of the configuration, as one compare-and-swap.
 
-The document carries a unique token for each generation, so a write whose
+The document carries the unique tokens of its last generations, so a write whose
 answer was lost is recognised when the key is read again.
 """
 
@@ -144,7 +144,7 @@
         if swap_result.outcome is SwapOutcome.SWAPPED:
             return ChangeAnswer(codes.DONE, successor)
         # The next attempt reads the key again: after a conflict or a lost
-        # answer, it may hold the write of this or an earlier attempt.
+        # answer, the key may hold the write of this or an earlier attempt.
         return None
 
     def _own_document(self, later: ConfigDocument) -> ConfigDocument:
--- a/fuchsiarill/cluster/config_distribution.py
+++ b/fuchsiarill/cluster/config_distribution.py
@@ -1,9 +1,9 @@
 """The actor that holds the cell configuration of its process.
 
-A newer document comes from the store (see `config_source`), from an offer by
-the process that watches the store for the failure domain, or from a peer
-whose gossip reports a higher generation. A lower generation is never put in
-force.
+A newer document comes from the store (see `config_source`), from an operator's
+change through this process, from an offer by the process that watches the store
+for the failure domain, or from a peer whose gossip reports a higher generation.
+A lower generation is never put in force.
 """
 
 import random
@@ -175,7 +175,11 @@
         self._pull_newer(message.members)
 
     def announce(self, document: ConfigDocument, config: CellConfig) -> None:
-        """Put a document in force and notify subscribers and peers."""
+        """Put a document in force; notify the subscribers and membership.
+
+        A process that watches the store also offers the document to the other
+        processes of its failure domain.
+        """
         self.document = document
         config_changed = ConfigChanged(config)
         for subscriber in self.subscribers:
@@ -266,8 +270,8 @@
 ) -> bool:
     """Parse a document and announce it.
 
-    Returns `False` for a document that this process can't parse; the document
-    in force stays.
+    Returns `False` for a document that this process can't parse, also when the
+    document comes again; the document in force stays.
     """
     if document.generation == config_actor.rejected_generation:
         return False
@@ -301,7 +305,7 @@
 def _elect_watcher(domain_members: list[Member]) -> Member | None:
     """Return the live member with the lowest id that is not in an ending state.
 
-    It watches the store on behalf of its failure domain.
+    This member watches the store on behalf of its failure domain.
     """
     for member in sorted(
         domain_members, key=lambda other: other.detail.process
--- a/fuchsiarill/cluster/config_document.py
+++ b/fuchsiarill/cluster/config_document.py
@@ -9,9 +9,9 @@
 
 CONFIG_KEY: Final = StoreKey('config/current')
 
-# This list tells whether a write whose reply was lost took effect, so it must
-# be longer than the number of changes that operators can make within one
-# call's deadline.
+# `ConfigDocument.tokens` tells whether a write whose reply was lost took
+# effect, so the list must be longer than the number of changes that operators
+# can make within one call's deadline.
 _TOKENS_MAX_COUNT: Final = 16
 
 
--- a/fuchsiarill/cluster/config_source.py
+++ b/fuchsiarill/cluster/config_source.py
@@ -1,7 +1,7 @@
 """The actor that reads the configuration from the store by poll and watch.
 
-Only one process of each failure domain keeps a watch, since a pending watch
-counts as a store call; the others poll at a long interval.
+Every process polls at a long interval. Only one process of each failure domain
+also keeps a watch, since a pending watch counts as a store call.
 """
 
 import asyncio
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentFetched:
-    """A document of the store or a peer; `None` if the peer did not answer."""
+    """A document of the store, of a peer or of an operator's change.
+
+    `document` is `None` if the peer did not answer.
+    """
 
     document: ConfigDocument | None
     from_peer: bool = False
--- a/fuchsiarill/cluster/directory.py
+++ b/fuchsiarill/cluster/directory.py
@@ -90,7 +90,7 @@
     ) -> bool:
         """Swap the computed value into a key; return whether it is confirmed.
 
-        Gives up when the store fails or the attempts are used up. Every
+        Gives up when a read fails or the attempts are used up. Every
         attempt reads first, so a swap whose answer was lost is recognised by
         its effect.
         """
--- a/fuchsiarill/cluster/member_table.py
+++ b/fuchsiarill/cluster/member_table.py
@@ -1,10 +1,11 @@
 """Table of the known processes, and the merge of two tables by gossip.
 
 A table has two parts. Details (address, failure domain, partitions owned)
-change rarely; a beat has a fixed size of 16 bytes on the wire and changes
-each second. An exchange, i.e. the gossip messages by which two processes merge
-their tables, carries all beats, but only the details that the other side
-lacks, so its size stays small with hundreds of members.
+change rarely; a beat has a fixed size of 16 bytes on the wire and changes in
+each round of gossip, by default each second. An exchange, i.e. the gossip
+messages by which two processes merge their tables, opens with all beats, but
+carries only the details that the other side lacks, so its size stays small
+with hundreds of members.
 """
 
 import zlib
@@ -70,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """One message of an exchange; `wanted` holds keys of missing details."""
+    """One message of an exchange; its sender lacks the details in `wanted`."""
 
     beats: tuple[Beat, ...]
     details: tuple[MemberDetail, ...] = ()
@@ -123,7 +124,7 @@
         )
 
     def update_own(self, detail: MemberDetail) -> None:
-        """Publish a new version of the detail of this process."""
+        """Store a new version of the detail of this process."""
         own_member = self.own_member
         new_detail = replace(detail, version=own_member.detail.version + 1)
         beat = replace(own_member.beat, key=new_detail.key)
@@ -169,8 +170,9 @@
     def merge(self, received: Gossip, now_ms: int) -> Gossip:
         """Merge newer beats and details, and return the answer to the sender.
 
-        The answer holds the beats and details that the sender lacks, and the
-        keys of the details that this process lacks.
+        The answer holds the beats that the sender lacks, the details that the
+        sender lacks or has requested, and the keys of the details that this
+        process lacks.
         """
         beats = {beat.key: beat for beat in received.beats}
         for detail in received.details:
--- a/fuchsiarill/cluster/membership.py
+++ b/fuchsiarill/cluster/membership.py
@@ -1,8 +1,9 @@
 """The membership actor: directory, gossip and view of the processes.
 
-In each round, one second apart by default, it exchanges its table with a few
-random peers. The directory in the store is read while no peer is known and
-changed on join and on leave. The view consists of all members of the table.
+In each round, one second apart by default, the actor exchanges its table with a
+few random peers. The directory in the store is read before joining and while no
+peer is known, and changed on join and on leave. The view consists of all
+members of the table.
 """
 
 import random
@@ -34,8 +35,8 @@
 # never return.
 _ADDRESSES_MAX_COUNT: Final = 256
 
-# Interval at which a process that is no longer in the view is called, so that
-# both sides of a network split find each other again.
+# Interval at which a known address outside the view is called, so that both
+# sides of a network split find each other again.
 _LOST_INTERVAL_ROUNDS: Final = 5
 
 
@@ -111,15 +112,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaveCluster:
-    """Requests to leave the directory and to notify a few peers."""
+    """Requests to notify a few peers and then to leave the directory."""
 
     reply: Reply[None]
 
 
 @dataclass(frozen=True, slots=True)
 class MembershipChanged:
-    """Sent to subscribers in each round and after each merge, changed or not.
+    """The view, sent to subscribers whether or not it has changed.
 
+    It is sent in each round, after each merge, and when the state, partitions
+    or generation of this process change.
     Until `outage_until_ms` the store is regarded as down for all processes.
     """
 
@@ -323,7 +326,7 @@
     def _is_directory_due(self) -> bool:
         """Return whether to call the store in this round.
 
-        Before joining or without peers, it is called every
+        Before joining or without peers, the store is called every
         `directory_retry_rounds` rounds.
         """
         if self._has_joined and len(self.table.members()) > 1:
--- a/fuchsiarill/cluster/peer_link.py
+++ b/fuchsiarill/cluster/peer_link.py
@@ -2,8 +2,8 @@
 
 A connection on which a call misses its deadline is closed and never used
 again: even a late answer would not show that later calls are answered in time.
-Calls run concurrently, and capnp matches answers to calls. A call that is safe
-to repeat is repeated once over a new connection.
+Calls run concurrently, and capnp matches answers to calls. A call that got no
+answer and is safe to repeat is repeated once over another connection.
 """
 
 import asyncio
@@ -27,7 +27,8 @@
 class PeerCall:
     """Requests a call of a schema method; the reply holds the received struct.
 
-    `timeout_ms` bounds each of the at most two attempts.
+    In each of at most two attempts, `timeout_ms` bounds the wait for a
+    connection and, separately, the wait for the answer.
     """
 
     method: str
@@ -113,7 +114,7 @@
         self.spawn(self._execute(message))
 
     async def stop(self) -> None:
-        """Fail the calls in progress and close the connection."""
+        """Cancel the calls in progress, unanswered; close the connection."""
         await super().stop()
         if self._connection is not None:
             self._connection.step(ConnectionEvent.CLOSED)
--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -1,8 +1,9 @@
 """The listener for calls from other processes.
 
-A job call names a partition; if this process does not own it, the answer is
-a refusal and the call had no effect. The server answers before the caller's
-deadline, so that a slow owner does not make the caller close the connection.
+A job call names a partition; if this process does not own the partition, the
+answer is a refusal and the call had no effect. The server answers a job call
+before the caller's deadline, so that a slow owner does not make the caller
+close the connection.
 """
 
 import json
@@ -43,7 +44,8 @@
 _Answer = TypeVar('_Answer')
 
 # Part of the caller's deadline after which the server stops waiting for the
-# owner and answers that the outcome is uncertain.
+# owner and answers that the outcome is uncertain. The wait of a query is added
+# in full.
 _DEADLINE_RATIO: Final = 0.8
 _RETRY_AFTER_MS: Final = 500
 
--- a/fuchsiarill/cluster/store_evidence.py
+++ b/fuchsiarill/cluster/store_evidence.py
@@ -3,9 +3,9 @@
 An owner that loses the store can't distinguish a store outage from a failure
 of its own link. In an outage it may continue to renew task leases; behind a
 failed link a new owner waits for these leases to expire, so renewals must
-stop. The evidence of an outage is that a process in every failure domain has
-reported, in an answer to a call of this process, that it can't reach the
-store either. Relayed reports don't count, since they may be outdated.
+stop. The evidence of an outage is that a process in every failure domain of
+the region has reported, in an answer to a call of this process, that it can't
+reach the store either. Relayed reports don't count, since they may be outdated.
 """
 
 from fuchsiarill.cluster.member_table import Member
--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -2,8 +2,8 @@
 
 Numbers never change their meaning: 1xx is success, 2xx a fault of the
 request, 3xx a limit of the contract, 4xx a temporary condition, 5xx an
-outcome of a job, 6xx a fault in configuration. `docs/ERRORS.md` is written
-from this registry.
+outcome of a job, 6xx a fault in a configuration or a trace. `docs/ERRORS.md`
+is written from this registry.
 """
 
 from dataclasses import dataclass
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -47,7 +47,7 @@
 
 
 def run() -> None:
-    """Run the daemon until SIGTERM or SIGINT."""
+    """Run the daemon until SIGTERM or SIGINT drains it or an actor fails."""
     parser = argparse.ArgumentParser(prog='fuchsiarilld')
     parser.add_argument('--config', type=Path, required=True)
     parser.add_argument('--check', action='store_true')
@@ -149,7 +149,7 @@
         f'{settings.peers.host}:{settings.peers.port}',
         # Distinguishes the runs of one process. If the clock was set back,
         # membership raises the value above that of the earlier run, which
-        # it learns from the other processes.
+        # membership learns from the other processes.
         incarnation=time.time_ns() // _NS_PER_MS,
     )
 
@@ -158,7 +158,10 @@
     threads: ThreadPoolExecutor,
     text: str,
 ) -> Result[CellConfig, tuple[Refusal, ...]]:
-    """Parse off the loop, which a large document blocks for tens of ms."""
+    """Parse in a thread.
+
+    A large document would block the event loop for tens of milliseconds.
+    """
     loop = asyncio.get_running_loop()
     return await loop.run_in_executor(threads, parse_config, text)
 
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -13,7 +13,11 @@
 
 @dataclass(slots=True)
 class JobHistory:
-    """Log lines of a job by time, and the number of unreadable lines."""
+    """Log lines of a job by time.
+
+    `unreadable_count` is the number of lines that contain the id of the job but
+    no valid JSON.
+    """
 
     lines: list[dict[str, Any]] = field(default_factory=list)
     unreadable_count: int = 0
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -38,7 +38,8 @@
     """Whether a job comes before jobs that are not urgent.
 
     With the `fair` ordering it does so while the urgent jobs of its customer
-    are within the guarantee or the weighted share of that customer.
+    are within the guarantee or the weighted share of that customer. The
+    `first_come` ordering ignores urgency.
     """
 
     URGENT = 'urgent'
@@ -109,7 +110,7 @@
     the jobs of an owner in the order of their acceptance. `failed_on` holds the
     workers on which an attempt failed. `replaced_attempts` maps the position of
     a replica to the attempt that stops once its replacement runs. A `volatile`
-    job is not in the journal.
+    job was accepted before its record in the journal was durable.
     """
 
     job_id: JobId
--- a/fuchsiarill/owner/campaign.py
+++ b/fuchsiarill/owner/campaign.py
@@ -99,7 +99,7 @@
 
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
-        """Resend a refused configuration; recover from failed actors."""
+        """Resend a refused configuration; recover from errors of actors."""
         self.children.resend_config()
         # An acquisition runs within the handling of one message. A campaign
         # that is still acquiring at a tick was interrupted by an error.
@@ -119,7 +119,7 @@
     async def on_owner_key(
         self, message: campaign_messages.OwnerKeyRead
     ) -> None:
-        """Update the router; schedule a claim if the partition is vacant."""
+        """Update the router; schedule a claim if vacant, else cancel it."""
         if self.state is not PartitionState.STANDBY:
             return
         claim = parse_claim(message.owner_value)
@@ -229,7 +229,7 @@
     async def on_hand_over(self, message: messages.HandOver) -> None:
         """Finish pending work, release the partition and never claim again.
 
-        The reply tells whether the owner finished its work without a time-out.
+        The reply is `False` if the owner did not finish its work in time.
         """
         self.election.is_withdrawn = True
         self.election.cancel()
--- a/fuchsiarill/owner/campaign_messages.py
+++ b/fuchsiarill/owner/campaign_messages.py
@@ -1,4 +1,4 @@
-"""Messages to a campaign from its child actors and from membership.
+"""Messages to a campaign from its child actors, its timers and `Process`.
 
 `token` is that of the claim to which a message refers; the campaign ignores
 messages about earlier claims.
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CandidatesUpdated:
-    """The live processes of the region and how many partitions each owns."""
+    """The live, serving processes of the region and each one's load.
+
+    The load of a process is the number of partitions that it owns.
+    """
 
     loads: Mapping[ProcessId, int]
 
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -52,8 +52,8 @@
 class ElectionTimer:
     """Timer for the next claim of the partition by this process.
 
-    `loads` is the number of partitions that each live process of the region
-    owns. Once `is_withdrawn` is set, the process makes no further claim.
+    `loads` is the number of partitions that each live, serving process of the
+    region owns. Once `is_withdrawn` is set, the process makes no further claim.
     """
 
     def __init__(self) -> None:
@@ -64,7 +64,7 @@
         self._claim_timer: asyncio.TimerHandle | None = None
 
     def pause(self, pause_ms: int) -> None:
-        """Delay all claims until `pause_ms` from now."""
+        """Let claims scheduled from now on wait for at least `pause_ms`."""
         self._not_before_ms = now_ms() + pause_ms
 
     def schedule(self, delay_ms: float, campaign: Mailbox) -> None:
--- a/fuchsiarill/owner/election_delay.py
+++ b/fuchsiarill/owner/election_delay.py
@@ -12,7 +12,7 @@
 from fuchsiarill.owner.hash_fraction import hash_fraction
 
 # One step covers a read and a claim. The maximum delay keeps a takeover within
-# 5 s even if all processes of lower rank have failed too.
+# 5 s even if all processes that rank earlier have failed too.
 _RANK_STEP_MS: Final = 100
 _DELAY_MAX_MS: Final = 1_000
 _UNRANKED_DELAY_MAX_MS: Final = 300
@@ -46,8 +46,8 @@
     """Return the duration of one watch of the owner key.
 
     A watch on a silently broken connection notices no change before it ends.
-    The processes of lowest rank therefore use short watches; the others use
-    long ones to save calls.
+    The first processes by rank, and any process without a rank, therefore use
+    short watches; the others use long ones to save calls.
     """
     rank = _rank(partition, process, loads)
     if rank is None or rank < _SHORT_WATCHERS_COUNT:
--- a/fuchsiarill/owner/exchange_pacer.py
+++ b/fuchsiarill/owner/exchange_pacer.py
@@ -35,7 +35,8 @@
 class ExchangePacer:
     """Sends the ticks that trigger the exchanges of a link.
 
-    `workers_count` is the number of links that share the owner's call rate.
+    `workers_count` is the number of links that share the owner's call rate at
+    the creation of this link.
     `send_tick` returns `False` if the mailbox of the link is full.
     """
 
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -31,7 +31,7 @@
     """The attempts that the next report of one worker should list."""
 
     def __init__(self, restored_starts: Mapping[AttemptId, str]) -> None:
-        """Expect the unresolved starts that older owners have sent.
+        """Expect the unresolved starts that older owners may have sent.
 
         Each is mapped to the incarnation that the worker had at that time. If
         such a start arrives late, the worker refuses its lower epoch.
--- a/fuchsiarill/owner/host_poll.py
+++ b/fuchsiarill/owner/host_poll.py
@@ -31,7 +31,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Read the list; if that fails, the previous list stays in use."""
+        """Read and send the list; if that fails, the previous list stays."""
         match await self._port.fetch():
             case Success(entries):
                 self._owner.send(HostsListed(entries))
--- a/fuchsiarill/owner/job_requests.py
+++ b/fuchsiarill/owner/job_requests.py
@@ -65,7 +65,11 @@
         )
 
     def query(self, message: messages.QueryJob) -> None:
-        """Answer with the job's state at its end or when the wait expires."""
+        """Answer with the job's state at its end or when the wait expires.
+
+        Without a wait, once closed or while too many clients wait, the answer
+        is given at once.
+        """
         query = message.query
         job = self._customer_job(query.customer, query.job_id)
         if job is None:
@@ -83,7 +87,10 @@
         message.reply.answer(self.current_answer(query.job_id))
 
     def cancel(self, message: messages.CancelJob) -> None:
-        """Cancel a job if it belongs to the customer."""
+        """Cancel a job of the customer; answer once that is durable.
+
+        Refused while too many records or clients await commits.
+        """
         cancel = message.cancel
         job = self._customer_job(cancel.customer, cancel.job_id)
         if job is None:
@@ -158,7 +165,7 @@
         self.waiters.answer_commits_uncertain()
 
     def _missing_job_answer(self, job_id: JobId) -> JobAnswer:
-        """Return the refusal for a job that this owner does not have.
+        """Return the refusal for a job that is absent or another customer's.
 
         Once the ownership has lapsed, a newer owner may have accepted the job.
         """
@@ -208,6 +215,10 @@
         return self._durability.is_lagging() or self.waiters.is_full()
 
     def _is_durable(self, answer: JobAnswer) -> bool:
+        """Return whether an answer need not wait for a commit.
+
+        Refusals and acceptances of volatile jobs never wait.
+        """
         if answer.code is not codes.ACCEPTED or answer.job_id is None:
             return True
         job = self._core.state.jobs[answer.job_id]
--- a/fuchsiarill/owner/lease_renewer.py
+++ b/fuchsiarill/owner/lease_renewer.py
@@ -36,7 +36,7 @@
 
     @handles(Tick)
     async def on_tick(self, message: Tick) -> None:
-        """Wait, renew once and schedule the next renewal."""
+        """Wait, renew once and, unless the lease is lost, tick again."""
         delay_ms: float = self._interval_ms
         if self._failures_count:
             delay_ms = backoff_ms(self._lease.lease_id, self._failures_count)
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseChanged:
-    """The length of task leases or the exchange interval has changed."""
+    """Sets the length of task leases and the longest exchange interval."""
 
     task_lease_ms: int
     exchange_interval_ms: int
@@ -163,7 +163,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FinishWork:
-    """Refuse new jobs; reply once all records are durable and answered."""
+    """Refuse new jobs and place no more tasks.
+
+    Replies once all records are durable and no client waits for a commit.
+    """
 
     reply: Reply[bool]
 
--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -94,7 +94,7 @@
         self.tick_every(_DECISION_INTERVAL_MS, messages.Tick())
 
     async def stop(self) -> None:
-        """Stop the actor and its links."""
+        """Stop the actor, answer all waiting clients and stop the links."""
         await super().stop()
         self.requests.abandon()
         await self.worker_links.stop()
@@ -276,7 +276,10 @@
         self.decide_and_execute()
 
     def decide_and_execute(self) -> None:
-        """Place waiting tasks, then execute all effects in their order."""
+        """Place waiting tasks; execute the effects, the journal records last.
+
+        Once deposed or asked to finish, the owner places no tasks.
+        """
         self._messages_since_decision_count = 0
         if self._deposed_message is None and self.finish_reply is None:
             with self.decision_times.measure():
--- a/fuchsiarill/owner/owner_watch.py
+++ b/fuchsiarill/owner/owner_watch.py
@@ -16,7 +16,7 @@
 
 
 class OwnerWatch(Actor):
-    """Reports the owner key's value, and each change, to the campaign."""
+    """Reports the owner key to the campaign after each read or watch."""
 
     def __init__(
         self,
--- a/fuchsiarill/owner/partition_service.py
+++ b/fuchsiarill/owner/partition_service.py
@@ -100,8 +100,8 @@
     async def finish(self) -> bool:
         """Let the owner finish its work.
 
-        Returns `False` if the owner's mailbox is full or it does not finish in
-        time.
+        Returns `False` if the owner's mailbox is full or the owner does not
+        finish within `_FINISH_TIMEOUT_MS`.
         """
         reply: Reply[bool] = Reply()
         if not self.notify_owner(messages.FinishWork(reply)):
--- a/fuchsiarill/owner/store_calls.py
+++ b/fuchsiarill/owner/store_calls.py
@@ -26,7 +26,7 @@
 _DELAY_MAX_MS: Final = 2_000
 _DOUBLINGS_MAX_COUNT: Final = 6
 
-# Returns whether a call may be attempted again.
+# Asked before each attempt of a call; returns whether it may be made.
 MayContinue = Callable[[], bool]
 
 
--- a/fuchsiarill/owner/waiters.py
+++ b/fuchsiarill/owner/waiters.py
@@ -1,6 +1,8 @@
 """Clients that wait for a commit or for the end of a job.
 
-Every wait is limited in time, and the number of waiting clients is bounded.
+Every wait is limited in time. The number of clients that wait for the end of a
+job is bounded. At the limit of clients that wait for a commit, the owner
+refuses new jobs and cancellations.
 """
 
 from collections import deque
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -33,10 +33,11 @@
 class LinkParameters:
     """Parameters of a link.
 
-    `restored_starts` holds the unresolved at-most-once starts that older
-    owners sent to the worker, each with the incarnation that the worker had at
-    that time. `workers_count` is the number of links that share the owner's
-    call rate. No lease is renewed from `renew_until_ms` on.
+    `restored_starts` holds the unresolved at-most-once starts that older owners
+    may have sent to the worker, each with the incarnation that the worker had
+    at that time. `workers_count` is the number of links that share the owner's
+    call rate. No lease is renewed from `renew_until_ms` on, unless a
+    `RenewalsAllowed` message changes this time.
     """
 
     epoch: Epoch
@@ -124,7 +125,7 @@
 
     @handles(messages.LeaseChanged)
     async def on_lease_changed(self, message: messages.LeaseChanged) -> None:
-        """Apply the lease length and interval from the next exchange on."""
+        """Set the lease length and the longest interval between exchanges."""
         self._contact.task_lease_ms = message.task_lease_ms
         self._pacer.interval_max_ms = message.exchange_interval_ms
 
--- a/fuchsiarill/owner/worker_links.py
+++ b/fuchsiarill/owner/worker_links.py
@@ -25,7 +25,7 @@
 class WorkerLinks:
     """The links to the listed workers.
 
-    The link of an unlisted worker is kept until it has no attempts left.
+    The link of an unlisted worker is kept until the worker has no attempts.
     """
 
     def __init__(
--- a/fuchsiarill/ports/agents.py
+++ b/fuchsiarill/ports/agents.py
@@ -38,7 +38,8 @@
     UNHEALTHY = 'unhealthy'
     # A worker with another id or incarnation listens at the address.
     OTHER_WORKER = 'other_worker'
-    # The worker rejected the order as malformed or returned a malformed report.
+    # The worker rejected the order as malformed or for an unknown reason, or
+    # returned a malformed report.
     MALFORMED = 'malformed'
     # No process listens at the address.
     CONNECTION_REFUSED = 'connection_refused'
@@ -66,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceOrder:
-    """Limits a task to a percentage of its full speed."""
+    """Limits the speed of a run to a percentage of its full speed."""
 
     task: TaskKey
     attempt: int
--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -24,7 +24,8 @@
 
 # One pool per address; a partition has up to about 400 workers.
 _CONNECTION_POOLS_COUNT: Final = 512
-# A process watches the configuration and the owner key of each partition.
+# A process may watch the configuration and the owner key of each partition of
+# its region.
 _LONG_POLLS_MAX_COUNT: Final = 16
 # Time past the deadline in which the thread may still report whether a late
 # call was sent, which only the thread knows for certain.
--- a/fuchsiarill/ports/http_ports.py
+++ b/fuchsiarill/ports/http_ports.py
@@ -50,7 +50,7 @@
 
 
 class LeaseRequest(BaseModel):
-    """Body of a lease call; only a grant uses `ttl_ms`."""
+    """Body of a lease call and of its response; `ttl_ms` is for a grant."""
 
     lease_id: StoreLeaseId = StoreLeaseId('')
     ttl_ms: int = 0
--- a/fuchsiarill/ports/store.py
+++ b/fuchsiarill/ports/store.py
@@ -16,10 +16,11 @@
 
 
 class StoreFailure(Enum):
-    """Why a read, a watch or a lease call failed.
+    """Why a read, a watch, a lease call or a read of the host list failed.
 
     After `NOT_SENT` nothing reached the service; after `UNREACHABLE` a lease
-    call may have taken effect.
+    call may have taken effect. After `LEASE_UNKNOWN` the service no longer
+    holds the lease.
     """
 
     NOT_SENT = 'not_sent'
--- a/fuchsiarill/ports/thread_pool.py
+++ b/fuchsiarill/ports/thread_pool.py
@@ -30,7 +30,7 @@
         threads_count: int,
         in_progress_max: int,
     ) -> None:
-        """Allow `in_progress_max` calls, including calls without a thread."""
+        """Allow `in_progress_max` calls; some of them may wait for a thread."""
         self._name = name
         self._threads_max = threads_count
         self._threads_count = 0
--- a/fuchsiarill/records.py
+++ b/fuchsiarill/records.py
@@ -18,8 +18,9 @@
 class EpochOpened:
     """A new owner starts an epoch; the next commit of an older owner fails.
 
-    `task_lease_ms` is the longest task lease that the owner grants, so that
-    the next owner knows how long tasks of this one may still run.
+    `task_lease_ms` is the longest task lease that the owner grants before a
+    `TaskLeaseRaised`, so that the next owner knows how long tasks of this one
+    may still run.
     """
 
     epoch: Epoch
@@ -38,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
-    """A job is acknowledged once this record is committed."""
+    """A job is acknowledged once this record is committed, unless volatile."""
 
     job_id: JobId
     spec: JobSpec
@@ -50,7 +51,7 @@
     """An at-most-once attempt may be started from now on.
 
     `incarnation` is that of the worker at the time. A worker that still has
-    it and does not report the attempt has never started it.
+    this incarnation and does not report the attempt has never started it.
     """
 
     job_id: JobId
--- a/fuchsiarill/refusal.py
+++ b/fuchsiarill/refusal.py
@@ -10,7 +10,8 @@
     """Why a request was not carried out.
 
     `field` names the offending field of the request, if there is one.
-    `retry_after_ms` is set where the code says that a delay helps.
+    `retry_after_ms` is set where a delay before a repetition helps, also with
+    some codes that permit a repetition at once.
     """
 
     code: ResultCode
--- a/fuchsiarill/resources.py
+++ b/fuchsiarill/resources.py
@@ -50,6 +50,7 @@
     def dominant_share(self, total: Self) -> float:
         """Return the largest fraction that any component has of `total`.
 
+        A component whose total is zero is left out.
         Source: dominant resource fairness, Ghodsi et al., NSDI 2011.
         """
         # No loop, for speed: every decision computes several shares.
--- a/fuchsiarill/routing.py
+++ b/fuchsiarill/routing.py
@@ -60,9 +60,10 @@
 class ForwardToOwner:
     """Requests that a message is forwarded to the owner of a partition.
 
-    The router answers the reply of `message` itself when no owner is known. A
-    call from another process has no `hops_left`: two processes with stale
-    routes must not forward it to each other in a loop.
+    The router itself answers `message` when no owner is known or the mailbox of
+    the owner or its link is full. A call from another process has no
+    `hops_left`: two processes with stale routes must not forward the call to
+    each other in a loop.
     """
 
     partition: PartitionId
@@ -153,7 +154,10 @@
 
     @handles(OwnerLocated)
     async def on_located(self, message: OwnerLocated) -> None:
-        """Record the location of an owner; forward parked messages."""
+        """Record the location of an owner if the location is new.
+
+        Parked messages for the partition are then forwarded or refused.
+        """
         route = self._routes.get(message.partition)
         if route is not None and route.location == message:
             return
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -74,7 +74,8 @@
 class MembershipSettings(_Model):
     """How processes discover each other and detect silent ones.
 
-    `seeds` are addresses to try while the store is unreachable.
+    `seeds` are addresses to try besides those in the directory, for example
+    when the store is unreachable at start.
     `suspect_after_ms` is several times as long as gossip takes to reach 200
     processes.
     """
@@ -106,7 +107,8 @@
     """Longest duration of each step of a drain, in the order of the steps.
 
     `notice_ms` is the time in which the load balancer detects that the
-    readiness check fails.
+    readiness check fails. `answers_ms` bounds the requests in progress; closing
+    the front end may take as long again.
     """
 
     notice_ms: _Count = 2_000
--- a/fuchsiarill/state_chart.py
+++ b/fuchsiarill/state_chart.py
@@ -1,8 +1,9 @@
 """Interpreter of the state charts in `charts/*.yaml`.
 
-A chart file names its states and transitions. Loading checks the file against
-the `Enum` classes of states and events, so a misspelt name, an unreachable
-state or an event that no transition uses is reported at start, not at run time.
+A chart file names the initial state and the transitions. Loading checks the
+file against the `Enum` classes of states and events and the registered actions,
+so a misspelt name, an unreachable state or an event that no transition uses is
+reported at start, not at run time.
 """
 
 from collections.abc import Iterable
--- a/fuchsiarill/states.py
+++ b/fuchsiarill/states.py
@@ -1,4 +1,4 @@
-"""States and events of every state chart.
+"""States and events of the charts, except those of `graphs` and `replay`.
 
 The values equal the names used in `charts/*.yaml`.
 """
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -1,6 +1,6 @@
 """Messages between the owner of a partition and a worker.
 
-Their encoding is separate, in `ports.workers`.
+Their encoding is separate, in `ports.http_ports`.
 Times named `*_worker_clock_ms` are in the monotonic clock of the worker.
 """
 
--- a/fuchsiarill/yaml_document.py
+++ b/fuchsiarill/yaml_document.py
@@ -111,7 +111,10 @@
     text: str,
     size_max_bytes: int,
 ) -> Result[YamlDocument, tuple[Problem, ...]]:
-    """Read one document; fails on invalid syntax or excess size or depth."""
+    """Read one document without checking it against a model.
+
+    Fails on invalid syntax, excess size or depth, an alias or a repeated key.
+    """
     try:
         size_bytes = len(text.encode())
     except UnicodeEncodeError as error:
