--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -34,7 +34,7 @@
     PrefixListed,
     PrefixWatcher,
     PrefixWatchSettings,
-    PrefixWatchState,
+    StoreReachabilityChanged,
 )
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
@@ -45,12 +45,10 @@
 
 _TICK_INTERVAL_MS: Final = 100
 _HANDOVER_CHECK_INTERVAL_MS: Final = 10
-# Pause between reads of changed worker entries. Heartbeats rewrite entries
-# continuously, so changes are read in batches.
+# Batches the reads of worker entries, which heartbeats rewrite continuously.
 _DIRECTORY_PAUSE_MS: Final = 150
 _NS_PER_MS: Final = 1_000_000
 
-
 _EffectHandler = Callable[['PoolOwner', Any], None]
 
 EFFECT_HANDLERS: Final[Registry[type, _EffectHandler]] = Registry(
@@ -160,8 +158,10 @@
             return
         self._apply_jobs(message.items, ())
 
-    @handles(PrefixWatchState)
-    async def on_watch_state(self, message: PrefixWatchState) -> None:
+    @handles(StoreReachabilityChanged)
+    async def on_reachability_changed(
+        self, message: StoreReachabilityChanged
+    ) -> None:
         """Ignore store outages; the watches recover by themselves."""
 
     @handles(messages.WorkerReported)
@@ -183,7 +183,7 @@
 
     @handles(messages.RenewalFailed)
     async def on_renewal_failed(self, message: messages.RenewalFailed) -> None:
-        """Record that a worker did not answer a renewal with a report."""
+        """Apply a failed renewal, or a start that met a later epoch."""
         self.core.worker_failed(message.worker, message.failure, now_ms())
 
     @handles(messages.StartAnswered)
@@ -278,7 +278,7 @@
             await sleep_ms(_HANDOVER_CHECK_INTERVAL_MS)
 
     def observe_start(self, start: StartRun) -> None:
-        """Record the time from the acceptance of a job to this start."""
+        """Record the time from the arrival of a job here to this start."""
         entry = self.core.state.jobs.get(start.task.job)
         if entry is not None:
             wait_ms = now_ms() - entry.accepted_ms
@@ -329,7 +329,7 @@
     def _prior_lease_ms(self) -> int:
         """Return for how long task leases of the previous owner may last.
 
-        If it still sends orders, it can renew them until its own lease expires.
+        Unless that owner is inactive, it may renew them for `lease_ttl_ms`.
         """
         leases = self._context.settings.task_lease
         longest_ms = leases.longest_ms
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -30,7 +30,7 @@
     PrefixListed,
     PrefixWatcher,
     PrefixWatchSettings,
-    PrefixWatchState,
+    StoreReachabilityChanged,
 )
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
@@ -165,8 +165,10 @@
             return
         self._apply_config_items(message.items)
 
-    @handles(PrefixWatchState)
-    async def on_watch_state(self, message: PrefixWatchState) -> None:
+    @handles(StoreReachabilityChanged)
+    async def on_reachability_changed(
+        self, message: StoreReachabilityChanged
+    ) -> None:
         """Report not ready to the load balancer during a store outage."""
         if message.is_unreachable:
             self._unreachable_prefixes.add(message.prefix)
@@ -186,7 +188,7 @@
 
     @handles(GetDump)
     async def on_dump(self, message: GetDump) -> None:
-        """Return the state of all actors."""
+        """Return the state of the actors of the process and its owners."""
         message.reply.answer(
             {
                 'process': self._settings.process,
@@ -198,7 +200,11 @@
 
     @handles(_CheckActors)
     async def on_check(self, message: _CheckActors) -> None:
-        """Count owned pools; end the process if an actor has died."""
+        """Count owned pools; end the process if an actor has died.
+
+        Checks the actors that `_actors` returns, which do not include the
+        writer, the watchers and the channels of an owner.
+        """
         owned_tenures = [
             tenure for tenure in self._tenures.values() if tenure.is_owner
         ]
--- a/fuchsiarill/owner/campaign_messages.py
+++ b/fuchsiarill/owner/campaign_messages.py
@@ -1,4 +1,4 @@
-"""Messages to a campaign from its child actors and from membership.
+"""Messages to a campaign from its child actors, its timers and `Process`.
 
 `token` is that of the claim to which a message refers; the campaign ignores
 messages about earlier claims.
@@ -9,7 +9,7 @@
 
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.owner.journal_format import JournalFault
-from fuchsiarill.owner.journal_reader import JournalRead
+from fuchsiarill.owner.journal_reader import JournalContents
 from fuchsiarill.ports.store import Versioned
 
 
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CandidatesUpdated:
-    """The live processes of the region and how many partitions each owns."""
+    """The live, serving processes of the region and each one's load.
+
+    The load of a process is the number of partitions that it owns.
+    """
 
     loads: Mapping[ProcessId, int]
 
@@ -57,7 +60,7 @@
     """The journal was read and a new epoch was opened in it."""
 
     token: str
-    journal: JournalRead
+    journal: JournalContents
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/owner/campaign_state.py
+++ b/fuchsiarill/owner/campaign_state.py
@@ -8,7 +8,7 @@
 from fuchsiarill.ids import ProcessId
 from fuchsiarill.owner import campaign_messages, messages
 from fuchsiarill.owner.claims import HeldLease
-from fuchsiarill.owner.journal_reader import JournalRead
+from fuchsiarill.owner.journal_reader import JournalContents
 from fuchsiarill.owner.late_requests import refuse_late_requests
 from fuchsiarill.owner.lease_renewer import LeaseRenewer
 from fuchsiarill.owner.owner_watch import OwnerWatch
@@ -52,8 +52,8 @@
 class ElectionTimer:
     """Timer for the next claim of the partition by this process.
 
-    `loads` is the number of partitions that each live process of the region
-    owns. Once `is_withdrawn` is set, the process makes no further claim.
+    `loads` is the number of partitions that each live, serving process of the
+    region owns. Once `is_withdrawn` is set, the process makes no further claim.
     """
 
     def __init__(self) -> None:
@@ -64,7 +64,7 @@
         self._claim_timer: asyncio.TimerHandle | None = None
 
     def pause(self, pause_ms: int) -> None:
-        """Delay all claims until `pause_ms` from now."""
+        """Let claims scheduled from now on wait for at least `pause_ms`."""
         self._not_before_ms = now_ms() + pause_ms
 
     def schedule(self, delay_ms: float, campaign: Mailbox) -> None:
@@ -102,7 +102,7 @@
         self.renewer: LeaseRenewer | None = None
         self.takeover: Takeover | None = None
         self.service: PartitionService | None = None
-        self.journal: JournalRead | None = None
+        self.journal: JournalContents | None = None
         self.is_work_finished = True
         self._config: messages.ConfigChanged | None = None
         self._refusal_tasks: set[asyncio.Task[None]] = set()
