Log why a step waits for workers, and how old advice is

The log could not tell why: event 719 counted only those named workers that still lived, and nothing told how long a request for advice had waited.

Event 719 now has the number of workers that the request named and its age.

--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -367,6 +367,17 @@
     719,
     Level.INFO,
     'the advice service grants step {step} of job {job} {granted} of {asked} '
-    'requested workers',
+    'requested workers; {named} were named {waited_ms} ms ago, the others have '
+    'ended',
     _NO_ACTION,
 )
+STEP_BLOCKED: Final = LogEvent(
+    705,
+    Level.WARNING,
+    'step {step} of job {job} has waited {waited_ms} ms for a worker: of '
+    '{listed} listed {ready} are ready, {suspended} of these are suspended, '
+    '{denied} denied, {with_room} have room, {unreserved} have room that is '
+    'not reserved, {ticketed} have a ticket; advice is pending for '
+    '{advice_pending_ms} ms',
+    'See "Late" in OPERATIONS.md.',
+)
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -260,6 +260,7 @@
         requested: dict[WorkerId, BornMs],
         granted: dict[WorkerId, Ticket],
         expiry_ms: int,
+        now_ms: int,
     ) -> None:
         """Store the answer of the advice service for a step.
 
@@ -267,6 +268,8 @@
         in `requested`. Workers that have restarted since the request are
         ignored: the answer does not hold for the new incarnation.
         """
+        named_count = len(requested)
+        waited_ms = self.state.tickets.pending_ms(step, now_ms)
         requested = {
             worker: born_ms
             for worker, born_ms in requested.items()
@@ -279,6 +282,8 @@
             step=f'{step.occurrence}.{step.step}',
             asked=len(requested),
             granted=len(granted),
+            named=named_count,
+            waited_ms=waited_ms,
             workers=','.join(sorted(granted)),
         )
         self._unblock_step(step)
@@ -371,7 +376,7 @@
     def _unblock_step(self, step: StepKey) -> None:
         step_entry = self.state.find_unfinished_step(step)
         if step_entry is not None:
-            step_entry.is_due = True
+            step_entry.wait.is_due = True
 
 
 def _can_receive_runs(view: WorkerView, now_ms: int) -> bool:
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -51,7 +51,7 @@
     usable = UsableWorkers(state, now_ms)
     for ranked in ranked_steps:
         if not _schedule_step(state, ranked, usable, now_ms):
-            _block_step(state, ranked.step, recheck_ms)
+            _block_step(state, ranked.step, now_ms, recheck_ms)
 
 
 def _find_waiting_steps(state: PoolState) -> list[tuple[JobEntry, StepEntry]]:
@@ -80,15 +80,15 @@
 def _is_due(
     state: PoolState, entry: JobEntry, step: StepEntry, now_ms: int
 ) -> bool:
-    if step.is_due or now_ms >= step.recheck_ms:
+    if step.wait.is_due or now_ms >= step.wait.recheck_ms:
         return True
-    changed = state.room_changes.since(step.blocked_position)
+    changed = state.room_changes.since(step.wait.blocked_position)
     if changed is None:
         return True
     for worker in changed:
         if _may_have_room(state, entry, step, worker):
             return True
-    step.blocked_position = state.room_changes.position
+    step.wait.blocked_position = state.room_changes.position
     return False
 
 
@@ -103,10 +103,15 @@
     return worker in state.tickets.allowed_workers(step.key)
 
 
-def _block_step(state: PoolState, step: StepEntry, recheck_ms: int) -> None:
-    step.is_due = False
-    step.blocked_position = state.room_changes.position
-    step.recheck_ms = recheck_ms
+def _block_step(
+    state: PoolState, step: StepEntry, now_ms: int, recheck_ms: int
+) -> None:
+    wait = step.wait
+    wait.is_due = False
+    wait.blocked_position = state.room_changes.position
+    wait.recheck_ms = recheck_ms
+    if wait.since_ms is None:
+        wait.since_ms = now_ms
 
 
 def _schedule_step(
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -39,6 +39,21 @@
     preemptions_count: int = 0
 
 
+@dataclass(slots=True)
+class PlacementWait:
+    """When a step with waiting units is considered and logged again."""
+
+    # The next decision round considers the step. Otherwise it waits for room
+    # after `blocked_position` in `PoolState.room_changes`, or for `recheck_ms`.
+    is_due: bool = True
+    blocked_position: int = 0
+    recheck_ms: int = 0
+    # Since when no unit of the step could be placed; `None` after a start.
+    since_ms: int | None = None
+    # The reason for which the step waits is not logged before this time.
+    next_report_ms: int = 0
+
+
 class StepEntry:
     """A step of one occurrence with units that have not succeeded.
 
@@ -62,12 +77,7 @@
         self.reserving_since_ms: int | None = None
         # Rank at the last decision about the step.
         self.rank_ms = 0
-        # The next decision round considers the step. Otherwise it waits for
-        # room after `blocked_position` in `PoolState.room_changes`, or for
-        # `recheck_ms`.
-        self.is_due = True
-        self.blocked_position = 0
-        self.recheck_ms = 0
+        self.wait = PlacementWait()
 
     @property
     def expected_end_ms(self) -> float:
@@ -102,12 +112,13 @@
         self.active[unit.key] = unit
         self.preempting_until_ms = 0
         self.reserving_since_ms = None
+        self.wait.since_ms = None
 
     def requeue(self, unit: Unit) -> None:
         """Move a unit without runs from `active` back to `waiting`."""
         self.active.pop(unit.key, None)
         self.waiting[unit.key] = unit
-        self.is_due = True
+        self.wait.is_due = True
 
 
 class JobEntry:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -224,6 +224,7 @@
                 message.incarnations,
                 message.tickets,
                 now_ms() + self._advice_validity_ms(message.step.job),
+                now_ms(),
             )
         self._schedule_decision()
 
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -41,6 +41,8 @@
     # No request is sent before this time, since a request is in progress or has
     # just failed.
     next_request_ms: int = 0
+    # When the request in progress was sent, `None` without one.
+    requested_ms: int | None = None
 
 
 class TicketCache:
@@ -104,12 +106,21 @@
         """Block requests for the step until the answer or its timeout."""
         advice = self._steps.setdefault(step, _StepAdvice())
         advice.next_request_ms = now_ms + _ANSWER_TIMEOUT_MS
+        advice.requested_ms = now_ms
+
+    def pending_ms(self, step: StepKey, now_ms: int) -> int:
+        """Return how long a request is in progress, 0 without one."""
+        advice = self._steps.get(step)
+        if advice is None or advice.requested_ms is None:
+            return 0
+        return now_ms - advice.requested_ms
 
     def request_failed(self, step: StepKey, now_ms: int) -> None:
         """Allow a request for the step after the retry interval."""
         advice = self._steps.get(step)
         if advice is not None:
             advice.next_request_ms = now_ms + _RETRY_INTERVAL_MS
+            advice.requested_ms = None
 
     def store_answer(
         self,
@@ -126,6 +137,7 @@
         if advice is None:
             return
         advice.next_request_ms = 0
+        advice.requested_ms = None
         for worker, born_ms in requested.items():
             ticket = granted.get(worker)
             if ticket is None:
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -6,6 +6,7 @@
 from fuchsiarill import events
 from fuchsiarill.graphs import (
     advice_prefetch,
+    blocked_steps,
     draining,
     pacing,
     reports,
@@ -30,6 +31,7 @@
 TICK_ACTIONS.register('5 pace fillers')(pacing.pace_fillers)
 TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
 TICK_ACTIONS.register('9 prefetch advice')(advice_prefetch.prefetch_advice)
+TICK_ACTIONS.register('9 report blocked steps')(blocked_steps.report_blocked)
 
 
 @TICK_ACTIONS.register('1 expire leases')
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -342,6 +342,7 @@
             born_ms_of,
             granted,
             self.now_ms + 2000,
+            self.now_ms,
         )
 
 
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -54,7 +54,7 @@
 ) -> None:
     """Grant `W0` a ticket for a step."""
     owner.core.advice_received(
-        step, INCARNATIONS, GRANT, owner.now_ms + valid_ms
+        step, INCARNATIONS, GRANT, owner.now_ms + valid_ms, owner.now_ms
     )
 
 
@@ -77,7 +77,9 @@
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
     assert len(advice_requests(owner)) == 1
     owner.report('w0', born_ms=9)
-    owner.core.advice_received(STEP, INCARNATIONS, {}, owner.now_ms + _VALID_MS)
+    owner.core.advice_received(
+        STEP, INCARNATIONS, {}, owner.now_ms + _VALID_MS, owner.now_ms
+    )
     assert len(advice_requests(owner)) == 1
 
 
