Choose the workers of a request for advice when the service is called

Cause: a request for advice named its workers when it was queued. While workers crashed in turn, requests waited up to 13 s for a call of the service, and most of the named workers had ended when it answered. The step then asked again for the few workers that had come meanwhile, behind the same queue.

Change: the advisor asks the owner for the workers just before it calls the service. The queued request has only the step and its rank. Requests that pile up behind a slow call now name every worker that has come since, so fewer calls are made.

The simulated advice service of tests/graph_world.py now fixes the incarnations at the call, as the real one does.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -16,7 +16,7 @@
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs.effects import RequestAdvice
-from fuchsiarill.graphs.model import BornMs, Ticket
+from fuchsiarill.graphs.model import BornMs, StepKey, Ticket
 from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.peers import request_advice_from_peer
@@ -28,6 +28,7 @@
 _BUSY_RETRY_DELAY_MS: Final = 60
 # `None` without an answer from the service.
 _Tickets = dict[WorkerId, Ticket] | None
+Incarnations = dict[WorkerId, BornMs]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,11 +36,35 @@
     """A request for advice, and the mailbox that receives the answer."""
 
     request: RequestAdvice
-    # Incarnation of each worker when the request was made.
-    incarnations: dict[WorkerId, BornMs]
     receiver: Mailbox
-    # Returns whether the owner may still start waiting tasks of the step.
-    is_wanted: Callable[[], bool]
+    # Returns the workers to name and their incarnations, none if the owner
+    # needs no advice for the step any more. Called just before the service is,
+    # since workers may end while a request is queued.
+    choose_workers: Callable[[], Incarnations]
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A call of the service for a request, and the workers that it names."""
+
+    advice_request: AdviceRequest
+    incarnations: Incarnations
+
+    @property
+    def step(self) -> StepKey:
+        """Return the step that the workers may run."""
+        return self.advice_request.request.step
+
+    @property
+    def workers(self) -> tuple[WorkerId, ...]:
+        """Return the named workers."""
+        return tuple(self.incarnations)
+
+    def answer(self, tickets: _Tickets) -> None:
+        """Send the outcome of the call to the owner."""
+        self.advice_request.receiver.send(
+            AdviceAnswered(self.step, self.incarnations, tickets)
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +72,7 @@
     """A call through a route has ended."""
 
     route: ProcessId
-    advice_request: AdviceRequest
+    call: _Call
     tickets: _Tickets
     # The peer returned no answer from the service; the request is queued again.
     is_retried: bool = False
@@ -120,16 +145,9 @@
         """Forward the answer, or queue the request again."""
         self._busy_routes.discard(message.route)
         if message.is_retried:
-            await self.on_request(message.advice_request)
+            await self.on_request(message.call.advice_request)
             return
-        advice_request = message.advice_request
-        advice_request.receiver.send(
-            AdviceAnswered(
-                advice_request.request.step,
-                advice_request.incarnations,
-                message.tickets,
-            ),
-        )
+        message.call.answer(message.tickets)
         self._assign_routes()
 
     def _assign_routes(self) -> None:
@@ -145,10 +163,10 @@
             self._busy_routes.add(route)
             self.spawn(self._retry_route_later(route))
             return
-        advice_request = self._pop_wanted_request()
-        if advice_request is not None:
+        call = self._pop_call()
+        if call is not None:
             self._busy_routes.add(route)
-            self.spawn(self._call_through(route, advice_request))
+            self.spawn(self._call_through(route, call))
 
     def _routes(self) -> list[ProcessId]:
         """Return the routes in order of preference.
@@ -161,62 +179,51 @@
         earlier_processes = [name for name in ring if name < self._process]
         return [_LOCAL_ROUTE, *later_processes, *earlier_processes]
 
-    def _pop_wanted_request(self) -> AdviceRequest | None:
+    def _pop_call(self) -> _Call | None:
+        """Return a call for the most urgent request that is still wanted."""
         while self._queue:
             advice_request = heapq.heappop(self._queue).advice_request
-            if advice_request.is_wanted():
-                return advice_request
-            advice_request.receiver.send(
-                AdviceAnswered(
-                    advice_request.request.step,
-                    advice_request.incarnations,
-                    None,
-                ),
-            )
+            call = _Call(advice_request, advice_request.choose_workers())
+            if call.incarnations:
+                return call
+            call.answer(None)
         return None
 
-    async def _call_through(
-        self, route: ProcessId, advice_request: AdviceRequest
-    ) -> None:
+    async def _call_through(self, route: ProcessId, call: _Call) -> None:
         try:
-            await self._request_advice(route, advice_request)
+            await self._request_advice(route, call)
         except Exception:
-            self.mailbox.send(_RouteReleased(route, advice_request, None))
+            self.mailbox.send(_RouteReleased(route, call, None))
             raise
 
     async def _retry_route_later(self, route: ProcessId) -> None:
         await sleep_ms(_BUSY_RETRY_DELAY_MS)
         self.mailbox.send(_RouteRetryDue(route))
 
-    async def _request_advice(
-        self, route: ProcessId, advice_request: AdviceRequest
-    ) -> None:
-        request = advice_request.request
+    async def _request_advice(self, route: ProcessId, call: _Call) -> None:
         if route == _LOCAL_ROUTE:
-            tickets = await self._call_service(request)
-            self.mailbox.send(_RouteReleased(route, advice_request, tickets))
+            tickets = await self._call_service(call)
+            self.mailbox.send(_RouteReleased(route, call, tickets))
             return
         advice = await request_advice_from_peer(
             self._links,
             route,
-            request.step,
-            request.workers,
+            call.step,
+            call.workers,
             self._timeout_ms,
         )
         if not advice.is_busy:
             tickets = advice.tickets
             self.mailbox.send(
-                _RouteReleased(route, advice_request, tickets, tickets is None),
+                _RouteReleased(route, call, tickets, tickets is None),
             )
             return
-        self.mailbox.send(advice_request)
+        self.mailbox.send(call.advice_request)
         await self._retry_route_later(route)
 
-    async def _call_service(self, request: RequestAdvice) -> _Tickets:
+    async def _call_service(self, call: _Call) -> _Tickets:
         call_result = await self._port.advise(
-            request.step,
-            request.workers,
-            self._timeout_ms,
+            call.step, call.workers, self._timeout_ms
         )
         match call_result:
             case Success(tickets):
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -9,8 +9,12 @@
 
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.job_entries import StepEntry
-from fuchsiarill.graphs.model import AdvicePolicy
-from fuchsiarill.graphs.placement import PlacementRequest, could_ever_fit
+from fuchsiarill.graphs.model import AdvicePolicy, BornMs, StepKey
+from fuchsiarill.graphs.placement import (
+    PlacementRequest,
+    UsableWorkers,
+    could_ever_fit,
+)
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.graphs.runs import NEVER_MS
@@ -48,16 +52,58 @@
 ) -> bool:
     """Request tickets for candidates that have no valid one.
 
-    The request names workers that should have room when a task with a new
-    ticket can start, and workers without an answer so far. Returns whether a
-    request for the step is in progress or waits to be repeated after a failure.
+    Returns whether a request for the step is in progress or waits to be
+    repeated after a failure. The request may wait for the service, so
+    `choose_workers` chooses the workers again when the service is called.
     """
-    policy = request.entry.policy.advice
-    if policy is None:
+    if request.entry.policy.advice is None:
         return False
     step = request.step
     if not state.tickets.may_request(step.key, request.now_ms):
         return True
+    if not _choose_candidates(state, request, candidates):
+        return False
+    state.tickets.request_sent(step.key, request.now_ms)
+    state.effects.append(RequestAdvice(step.key, step.rank_ms))
+    return True
+
+
+def choose_workers(
+    state: PoolState, step_key: StepKey, now_ms: int
+) -> dict[WorkerId, BornMs]:
+    """Return the workers to name in a call that is about to be made.
+
+    Empty if the step has no waiting unit or no worker needs a ticket.
+    """
+    entry = state.jobs.get(step_key.job)
+    step = state.find_unfinished_step(step_key)
+    if entry is None or step is None or not entry.is_active:
+        return {}
+    unit = next(iter(step.waiting.values()), None)
+    if unit is None:
+        return {}
+    request = PlacementRequest(entry, step, unit, now_ms)
+    candidates = UsableWorkers(state, now_ms).for_step(step)
+    return {
+        view.worker: view.born_ms
+        for view in _choose_candidates(state, request, candidates)
+    }
+
+
+def _choose_candidates(
+    state: PoolState,
+    request: PlacementRequest,
+    candidates: list[WorkerView],
+) -> list[WorkerView]:
+    """Return the workers that a request names now, and reserve their room.
+
+    These are workers that should have room when a task with a new ticket can
+    start, and workers without an answer so far.
+    """
+    policy = request.entry.policy.advice
+    if policy is None:
+        return []
+    step = request.step
     ticketed = {
         view.worker
         for view in state.tickets.ticketed_workers(
@@ -67,21 +113,12 @@
     unticketed = [view for view in candidates if view.worker not in ticketed]
     soon_available = _soon_available(state, request, unticketed, policy)
     without_answer = _workers_without_answer(state, request, unticketed)
-    requested_workers = (
-        [view.worker for view in soon_available] + without_answer
-    )[: _wanted_count(step)]
-    if not requested_workers:
-        return False
-    _reserve_room(
-        request,
-        soon_available,
-        time_to_start_ms(policy, len(requested_workers)),
-    )
-    state.tickets.request_sent(step.key, request.now_ms)
-    state.effects.append(
-        RequestAdvice(step.key, tuple(requested_workers), step.rank_ms)
-    )
-    return True
+    chosen = (soon_available + without_answer)[: _wanted_count(step)]
+    if chosen:
+        _reserve_room(
+            request, soon_available, time_to_start_ms(policy, len(chosen))
+        )
+    return chosen
 
 
 def _soon_available(
@@ -112,7 +149,7 @@
     state: PoolState,
     request: PlacementRequest,
     views: list[WorkerView],
-) -> list[WorkerId]:
+) -> list[WorkerView]:
     """Return workers that the advice service has not allowed so far.
 
     The service has not denied any candidate, so it has not answered for these
@@ -134,7 +171,7 @@
     rotated = unanswered[first:] + unanswered[:first]
     charge = step.spec.charge
     rotated.sort(key=lambda view: not charge.fits_in(view.free))
-    return [view.worker for view in rotated]
+    return rotated
 
 
 def _wanted_count(step: StepEntry) -> int:
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -39,10 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAdvice:
-    """Request tickets for a step; the lowest `rank_ms` is handled first."""
+    """Request tickets for a step; the lowest `rank_ms` is handled first.
+
+    The workers are chosen when the service is called.
+    """
 
     step: StepKey
-    workers: tuple[WorkerId, ...]
     rank_ms: int
 
 
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -97,7 +97,7 @@
     """
 
     step: StepKey
-    # Incarnation of each worker when the request was made.
+    # Incarnation of each named worker when the service was called.
     incarnations: dict[WorkerId, BornMs]
     tickets: dict[WorkerId, Ticket] | None
 
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -16,6 +16,7 @@
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
 from fuchsiarill.graphs.advice import AdviceRequest
+from fuchsiarill.graphs.advice_requests import choose_workers
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
@@ -27,6 +28,7 @@
     StopRun,
 )
 from fuchsiarill.graphs.job_loading import load_jobs
+from fuchsiarill.graphs.model import BornMs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
 from fuchsiarill.graphs.prefix_watch import (
@@ -39,7 +41,7 @@
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
 from fuchsiarill.graphs.worker_channel import ChannelContext
-from fuchsiarill.ids import JobId, Revision
+from fuchsiarill.ids import JobId, Revision, WorkerId
 from fuchsiarill.ports.key_value import KvItem
 from fuchsiarill.registry import Registry
 
@@ -287,17 +289,11 @@
 
     def request_advice(self, request: RequestAdvice) -> None:
         """Send a request for advice to the advisor of the process."""
-        incarnations = {}
-        for worker in request.workers:
-            view = self.core.state.workers.find(worker)
-            if view is not None:
-                incarnations[worker] = view.born_ms
         self._context.advisor.send(
             AdviceRequest(
                 request,
-                incarnations,
                 self.mailbox,
-                lambda: self._is_advice_wanted(request),
+                lambda: self._choose_advised_workers(request),
             ),
         )
 
@@ -312,14 +308,12 @@
             term=self._fleet.term,
         )
 
-    def _is_advice_wanted(self, request: RequestAdvice) -> bool:
-        entry = self.core.state.jobs.get(request.step.job)
-        if entry is None or not entry.is_active:
-            return False
-        step = self.core.state.find_unfinished_step(request.step)
-        if step is None or not step.waiting:
-            return False
-        return self._term.guard.may_send_orders()
+    def _choose_advised_workers(
+        self, request: RequestAdvice
+    ) -> dict[WorkerId, BornMs]:
+        if not self._term.guard.may_send_orders():
+            return {}
+        return choose_workers(self.core.state, request.step, now_ms())
 
     def _advice_validity_ms(self, job: JobId) -> int:
         entry = self.core.state.jobs.get(job)
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -46,7 +46,7 @@
     StoreKey,
     WorkerId,
 )
-from fuchsiarill.ports.agents import AgentFailure
+from fuchsiarill.ports.agents import AdvisorPort, AgentFailure
 from fuchsiarill.ports.key_value import KvWrite
 from fuchsiarill.resources import Resources
 from standins.agent_model import Fleet
@@ -141,6 +141,7 @@
         self.paths: dict[ProcessId, StorePath] = {}
         self.processes: dict[ProcessId, GraphProcess] = {}
         self.process_starts_count = 0
+        self.advisor: AdvisorPort = GrantingAdvisor()
         # Processes on machines that are too small for an owner.
         self.processes_on_small_machines: set[ProcessId] = set()
         self.config = GraphConfig(
@@ -194,7 +195,7 @@
         ports = GraphPorts(
             self.paths[name],
             self.fleet,
-            BusyTrackingAdvisor(GrantingAdvisor()),
+            BusyTrackingAdvisor(self.advisor),
             DocumentLayout(
                 _CONFIG_KEY,
                 'settings/',
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field, replace
 
+from fuchsiarill.graphs.advice_requests import choose_workers
 from fuchsiarill.graphs.effects import (
     Effect,
     PaceRun,
@@ -24,6 +25,7 @@
     QueueId,
     RunningRow,
     Step,
+    StepKey,
     TaskKey,
     Ticket,
     WorkerListing,
@@ -94,6 +96,15 @@
         return sum((run.size for run in self.runs.values()), NO_RESOURCES)
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceCall:
+    """A call of the advice service, with the incarnations that it names."""
+
+    answered_ms: int
+    step: StepKey
+    incarnations: dict[WorkerId, BornMs]
+
+
 class World:
     """An owner's core, simulated workers and the advice service."""
 
@@ -108,7 +119,8 @@
         self.failures: dict[str, int] = {}
         self.succeeded: set[TaskKey] = set()
         self.violations: list[str] = []
-        self.advice_in_transit: list[tuple[int, RequestAdvice]] = []
+        # Calls of the advice service: when it answers, and what it was asked.
+        self.advice_in_transit: list[AdviceCall] = []
         self.loses_advice = False
         # These start orders reach the incarnation that runs when they arrive.
         self.starts_in_transit: list[StartRun] = []
@@ -189,8 +201,15 @@
             case StopRun():
                 self._execute_stop(effect)
             case RequestAdvice():
+                incarnations = choose_workers(
+                    self.owner.core.state, effect.step, self.now_ms
+                )
                 self.advice_in_transit.append(
-                    (self.now_ms + _ADVICE_DELAY_MS, effect)
+                    AdviceCall(
+                        self.now_ms + _ADVICE_DELAY_MS,
+                        effect.step,
+                        incarnations,
+                    )
                 )
             case RequestReport():
                 self._renew(self.workers[effect.worker])
@@ -312,34 +331,30 @@
                 AgentFailure.UNKNOWN,
                 self.now_ms,
             )
-        requests = [
-            request
-            for at_ms, request in self.advice_in_transit
-            if at_ms <= self.now_ms
+        calls = [
+            call
+            for call in self.advice_in_transit
+            if call.answered_ms <= self.now_ms
         ]
         self.advice_in_transit = [
-            row for row in self.advice_in_transit if row[0] > self.now_ms
+            call
+            for call in self.advice_in_transit
+            if call.answered_ms > self.now_ms
         ]
-        for request in requests:
-            self._advise(request)
+        for call in calls:
+            self._advise(call)
 
-    def _advise(self, request: RequestAdvice) -> None:
+    def _advise(self, call: AdviceCall) -> None:
         if self.loses_advice:
             return
-        views = self.owner.core.state.workers
-        born_ms_of = {
-            worker: view.born_ms
-            for worker in request.workers
-            if (view := views.find(worker)) is not None
-        }
         granted = {
             worker: Ticket(worker)
-            for worker in born_ms_of
-            if is_allowed(request.step.job, worker)
+            for worker in call.incarnations
+            if is_allowed(call.step.job, worker)
         }
         self.owner.core.advice_received(
-            request.step,
-            born_ms_of,
+            call.step,
+            call.incarnations,
             granted,
             self.now_ms + 2000,
             self.now_ms,
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -9,6 +9,7 @@
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
 from fuchsiarill.graphs.advice import AdviceRequest, Advisor
+from fuchsiarill.graphs.advice_requests import choose_workers
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import (
     BornMs,
@@ -47,6 +48,11 @@
     ]
 
 
+def named_workers(owner: Owner, request: RequestAdvice) -> set[WorkerId]:
+    """Return the workers that a call for the request names now."""
+    return set(choose_workers(owner.core.state, request.step, owner.now_ms))
+
+
 def grant(
     owner: Owner,
     step: StepKey = STEP,
@@ -177,9 +183,7 @@
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
     advisor.mailbox.send(
-        AdviceRequest(
-            RequestAdvice(STEP, (W0,), 0), INCARNATIONS, receiver, lambda: True
-        ),
+        AdviceRequest(RequestAdvice(STEP, 0), receiver, lambda: INCARNATIONS),
     )
     return advisor
 
@@ -287,9 +291,9 @@
     for name in names[110:]:
         owner.report(name)
     owner.add_job('a', Step(1, SIZE), queue=ADVISED)
-    request = advice_requests(owner)[0]
-    assert set(names[110:]) <= set(request.workers)
-    assert len(request.workers) <= 30
+    named = named_workers(owner, advice_requests(owner)[0])
+    assert set(names[110:]) <= named
+    assert len(named) <= 30
 
 
 def test_requests_of_steps_name_different_workers() -> None:
@@ -301,5 +305,9 @@
     for number in range(20):
         owner.add_job(f'job-{number}', Step(1, SIZE), queue=ADVISED)
     requests = advice_requests(owner)
-    named = {worker for request in requests for worker in request.workers}
+    named = {
+        worker
+        for request in requests
+        for worker in named_workers(owner, request)
+    }
     assert len(named) > 100
