Make a call for advice again that a silent process does not answer

Callers saw jobs that started seconds late, or lasting tasks that did not come back, while a process of the system was frozen or cut off.

Cause: the service handles one call at a time for each machine, so an owner sends its calls through the other processes. A call through a process that had stopped answering was given up after 5.25 s, and only then queued again; the step had no ticket meanwhile. With 41 processes of which some are frozen, a lasting task that lost its worker waits for its leases and then for such a call.

Change: a call is overdue after twice the time that the policy of the queue gives for it, and 0.5 s. The request is then queued again for another route while the first call goes on; the first answer counts, a later one is dropped. At most two calls of a request are in progress, so a service that is slow for all gets at most twice the calls. Event 749 names the process.

tests/test_graph_advice.py::test_request_through_a_silent_process_is_sent_through_another fails on the parent with a time-out.

--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -371,6 +371,13 @@
     'ended',
     _NO_ACTION,
 )
+ADVICE_OVERDUE: Final = LogEvent(
+    749,
+    Level.WARNING,
+    'a call for advice for job {job} through {route} has no answer after '
+    '{waited_ms} ms; it is made again through another process',
+    'Check the process, and its link to the advice service.',
+)
 STEP_BLOCKED: Final = LogEvent(
     705,
     Level.WARNING,
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -2,7 +2,9 @@
 
 Advice is a ticket for each worker on which the step may run. The service
 handles one call at a time for each calling machine. Each reachable process,
-including this one, is a route with at most one call in progress.
+including this one, is a route with at most one call in progress. A call without
+an answer after the usual time is made again through another route, and the
+first answer counts.
 """
 
 import heapq
@@ -12,11 +14,12 @@
 
 from returns.result import Success
 
+from fuchsiarill import events
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs.effects import RequestAdvice
-from fuchsiarill.graphs.model import BornMs, StepKey, Ticket
+from fuchsiarill.graphs.model import AdvicePolicy, BornMs, StepKey, Ticket
 from fuchsiarill.graphs.owner_messages import AdviceAnswered
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.peers import request_advice_from_peer
@@ -26,6 +29,12 @@
 _LOCAL_ROUTE: Final = ProcessId('')
 # Pause before a route that another process was using is retried.
 _BUSY_RETRY_DELAY_MS: Final = 60
+# A call is overdue after twice the time that the service takes for it, and this
+# time for the network and for other calls of the machine.
+_OVERDUE_FACTOR: Final = 2
+_OVERDUE_MARGIN_MS: Final = 500
+# A request has at most this many calls in progress.
+_CALLS_MAX_COUNT: Final = 2
 # `None` without an answer from the service.
 _Tickets = dict[WorkerId, Ticket] | None
 Incarnations = dict[WorkerId, BornMs]
@@ -36,6 +45,7 @@
     """A request for advice, and the mailbox that receives the answer."""
 
     request: RequestAdvice
+    policy: AdvicePolicy
     receiver: Mailbox
     # Returns the workers to name and their incarnations, none if the owner
     # needs no advice for the step any more. Called just before the service is,
@@ -43,28 +53,48 @@
     choose_workers: Callable[[], Incarnations]
 
 
-@dataclass(frozen=True, slots=True)
-class _Call:
-    """A call of the service for a request, and the workers that it names."""
+@dataclass(slots=True)
+class _Pending:
+    """A request until one of its calls is answered."""
 
     advice_request: AdviceRequest
-    incarnations: Incarnations
+    calls_count: int = 0
+    is_queued: bool = False
+    is_answered: bool = False
 
     @property
     def step(self) -> StepKey:
-        """Return the step that the workers may run."""
+        """Return the step that needs advice."""
         return self.advice_request.request.step
 
+    def answer(self, incarnations: Incarnations, tickets: _Tickets) -> None:
+        """Send the outcome to the owner, unless one has been sent."""
+        if self.is_answered:
+            return
+        self.is_answered = True
+        self.advice_request.receiver.send(
+            AdviceAnswered(self.step, incarnations, tickets)
+        )
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Call:
+    """One call of the service, and the workers that it names."""
+
+    pending: _Pending
+    incarnations: Incarnations
+
     @property
     def workers(self) -> tuple[WorkerId, ...]:
         """Return the named workers."""
         return tuple(self.incarnations)
 
-    def answer(self, tickets: _Tickets) -> None:
-        """Send the outcome of the call to the owner."""
-        self.advice_request.receiver.send(
-            AdviceAnswered(self.step, self.incarnations, tickets)
-        )
+    @property
+    def overdue_ms(self) -> float:
+        """Return the time after which another route is tried."""
+        policy = self.pending.advice_request.policy
+        service_ms = policy.service_ms(len(self.incarnations))
+        return _OVERDUE_FACTOR * service_ms + _OVERDUE_MARGIN_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +108,21 @@
     is_retried: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _CallDeclined:
+    """The process of a route is calling the service for another process."""
+
+    call: _Call
+
+
+@dataclass(frozen=True, slots=True)
+class _CallOverdue:
+    """A call has taken longer than usual."""
+
+    route: ProcessId
+    call: _Call
+
+
 @dataclass(frozen=True, slots=True)
 class _RouteRetryDue:
     """A route that another process was using may be retried."""
@@ -89,7 +134,7 @@
 class _QueuedRequest:
     rank_ms: int
     sequence: int
-    advice_request: AdviceRequest = field(compare=False)
+    pending: _Pending = field(compare=False)
 
 
 class Advisor(SpawningActor):
@@ -114,6 +159,7 @@
         self._queue: list[_QueuedRequest] = []
         self._requests_count = 0
         self._busy_routes: set[ProcessId] = set()
+        self._open_calls: set[_Call] = set()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -127,12 +173,7 @@
     @handles(AdviceRequest)
     async def on_request(self, message: AdviceRequest) -> None:
         """Queue a request."""
-        self._requests_count += 1
-        queued = _QueuedRequest(
-            message.request.rank_ms, self._requests_count, message
-        )
-        heapq.heappush(self._queue, queued)
-        self._assign_routes()
+        self._enqueue(_Pending(message))
 
     @handles(_RouteRetryDue)
     async def on_route_retry_due(self, message: _RouteRetryDue) -> None:
@@ -142,14 +183,53 @@
 
     @handles(_RouteReleased)
     async def on_route_released(self, message: _RouteReleased) -> None:
-        """Forward the answer, or queue the request again."""
+        """Forward the first answer, or queue the request again."""
         self._busy_routes.discard(message.route)
+        self._end_call(message.call)
+        pending = message.call.pending
+        has_other_call = bool(pending.calls_count) or pending.is_queued
         if message.is_retried:
-            await self.on_request(message.call.advice_request)
+            self._enqueue(pending)
+        elif message.tickets is not None or not has_other_call:
+            pending.answer(message.call.incarnations, message.tickets)
+        self._assign_routes()
+
+    @handles(_CallDeclined)
+    async def on_call_declined(self, message: _CallDeclined) -> None:
+        """Queue a request again that a busy process has declined."""
+        self._end_call(message.call)
+        self._enqueue(message.call.pending)
+
+    @handles(_CallOverdue)
+    async def on_call_overdue(self, message: _CallOverdue) -> None:
+        """Queue the request of a call that is still in progress again."""
+        pending = message.call.pending
+        if message.call not in self._open_calls or pending.is_answered:
+            return
+        events.emit(
+            events.ADVICE_OVERDUE,
+            job=pending.step.job,
+            route=message.route or self._process,
+            waited_ms=int(message.call.overdue_ms),
+        )
+        if pending.calls_count < _CALLS_MAX_COUNT:
+            self._enqueue(pending)
+
+    def _enqueue(self, pending: _Pending) -> None:
+        if pending.is_queued or pending.is_answered:
             return
-        message.call.answer(message.tickets)
+        pending.is_queued = True
+        self._requests_count += 1
+        rank_ms = pending.advice_request.request.rank_ms
+        heapq.heappush(
+            self._queue, _QueuedRequest(rank_ms, self._requests_count, pending)
+        )
         self._assign_routes()
 
+    def _end_call(self, call: _Call) -> None:
+        self._open_calls.discard(call)
+        call.pending.calls_count -= 1
+
     def _assign_routes(self) -> None:
         for route in self._routes():
             if not self._queue:
@@ -182,20 +262,31 @@
     def _pop_call(self) -> _Call | None:
         """Return a call for the most urgent request that is still wanted."""
         while self._queue:
-            advice_request = heapq.heappop(self._queue).advice_request
-            call = _Call(advice_request, advice_request.choose_workers())
+            pending = heapq.heappop(self._queue).pending
+            pending.is_queued = False
+            if pending.is_answered:
+                continue
+            call = _Call(pending, pending.advice_request.choose_workers())
             if call.incarnations:
+                pending.calls_count += 1
+                self._open_calls.add(call)
                 return call
-            call.answer(None)
+            if not pending.calls_count:
+                pending.answer(call.incarnations, None)
         return None
 
     async def _call_through(self, route: ProcessId, call: _Call) -> None:
+        self.spawn(self._watch_call(route, call))
         try:
             await self._request_advice(route, call)
         except Exception:
             self.mailbox.send(_RouteReleased(route, call, None))
             raise
 
+    async def _watch_call(self, route: ProcessId, call: _Call) -> None:
+        await sleep_ms(call.overdue_ms)
+        self.mailbox.send(_CallOverdue(route, call))
+
     async def _retry_route_later(self, route: ProcessId) -> None:
         await sleep_ms(_BUSY_RETRY_DELAY_MS)
         self.mailbox.send(_RouteRetryDue(route))
@@ -208,7 +299,7 @@
         advice = await request_advice_from_peer(
             self._links,
             route,
-            call.step,
+            call.pending.step,
             call.workers,
             self._timeout_ms,
         )
@@ -218,12 +309,12 @@
                 _RouteReleased(route, call, tickets, tickets is None),
             )
             return
-        self.mailbox.send(call.advice_request)
+        self.mailbox.send(_CallDeclined(call))
         await self._retry_route_later(route)
 
     async def _call_service(self, call: _Call) -> _Tickets:
         call_result = await self._port.advise(
-            call.step, call.workers, self._timeout_ms
+            call.pending.step, call.workers, self._timeout_ms
         )
         match call_result:
             case Success(tickets):
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -208,5 +208,4 @@
 
     The request names `workers_count` workers.
     """
-    service_ms = policy.decision_ms + policy.interval_ms * workers_count
-    return int(service_ms) + _TRANSIT_MS
+    return int(policy.service_ms(workers_count)) + _TRANSIT_MS
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -146,6 +146,10 @@
     interval_ms: float
     validity_ms: int
 
+    def service_ms(self, workers_count: int) -> float:
+        """Return how long the service takes for a request."""
+        return self.decision_ms + self.interval_ms * workers_count
+
 
 @dataclass(frozen=True, slots=True)
 class QueuePolicy:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -28,7 +28,7 @@
     StopRun,
 )
 from fuchsiarill.graphs.job_loading import load_jobs
-from fuchsiarill.graphs.model import BornMs
+from fuchsiarill.graphs.model import AdvicePolicy, BornMs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
 from fuchsiarill.graphs.prefix_watch import (
@@ -221,11 +221,13 @@
         if message.tickets is None:
             self.core.advice_failed(message.step, now_ms())
         else:
+            policy = self._advice_policy(message.step.job)
+            validity_ms = 0 if policy is None else policy.validity_ms
             self.core.advice_received(
                 message.step,
                 message.incarnations,
                 message.tickets,
-                now_ms() + self._advice_validity_ms(message.step.job),
+                now_ms() + validity_ms,
                 now_ms(),
             )
         self._schedule_decision()
@@ -289,9 +291,13 @@
 
     def request_advice(self, request: RequestAdvice) -> None:
         """Send a request for advice to the advisor of the process."""
+        policy = self._advice_policy(request.step.job)
+        if policy is None:
+            return
         self._context.advisor.send(
             AdviceRequest(
                 request,
+                policy,
                 self.mailbox,
                 lambda: self._choose_advised_workers(request),
             ),
@@ -315,11 +321,9 @@
             return {}
         return choose_workers(self.core.state, request.step, now_ms())
 
-    def _advice_validity_ms(self, job: JobId) -> int:
+    def _advice_policy(self, job: JobId) -> AdvicePolicy | None:
         entry = self.core.state.jobs.get(job)
-        if entry is None or entry.policy.advice is None:
-            return 0
-        return entry.policy.advice.validity_ms
+        return None if entry is None else entry.policy.advice
 
     def _prior_lease_ms(self) -> int:
         """Return for how long task leases of the previous owner may last.
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -12,6 +12,7 @@
 from fuchsiarill.graphs.advice_requests import choose_workers
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import (
+    AdvicePolicy,
     BornMs,
     EndKind,
     Step,
@@ -174,6 +175,20 @@
         return Failure(PeerFailure.NO_ANSWER)
 
 
+class _SilentLinks(_Links):
+    """Links to processes that answer after 5 s, as frozen ones do."""
+
+    async def call(
+        self,
+        process: ProcessId,
+        method: str,
+        request: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[Any, PeerFailure]:
+        await sleep_ms(5000)
+        return Failure(PeerFailure.NO_ANSWER)
+
+
 def start_with_request(
     links: PeerLinks,
     port: BusyTrackingAdvisor,
@@ -183,7 +198,12 @@
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
     advisor.mailbox.send(
-        AdviceRequest(RequestAdvice(STEP, 0), receiver, lambda: INCARNATIONS),
+        AdviceRequest(
+            RequestAdvice(STEP, 0),
+            AdvicePolicy(100, 0, 2000),
+            receiver,
+            lambda: INCARNATIONS,
+        ),
     )
     return advisor
 
@@ -232,6 +252,27 @@
     run_paused(main())
 
 
+def test_request_through_a_silent_process_is_sent_through_another() -> None:
+    """Guards against urgent steps that wait seconds for a frozen process."""
+
+    async def main() -> None:
+        port = BusyTrackingAdvisor(_Service())
+        other_call = asyncio.create_task(port.advise(STEP, (W0,), 1000))
+        await sleep_ms(10)
+        receiver = Mailbox()
+        advisor = start_with_request(_SilentLinks('p1'), port, receiver)
+        await other_call
+        async with asyncio.timeout(2):
+            assert await receiver.receive() == AdviceAnswered(
+                STEP, INCARNATIONS, GRANT
+            )
+        await sleep_ms(6000)
+        assert not len(receiver)
+        await advisor.stop()
+
+    run_paused(main())
+
+
 def test_advice_for_the_next_step_is_requested_early() -> None:
     """Guards against a chain that waits for advice at each of its steps.
 
