Request advice for inherited steps before they may start

What callers saw: a task that lasts did not come back within the time of the LOST rule after its worker and the owner of its pool were lost together.

Cause: inherited jobs wait until each worker has reported or its task leases have expired: about 5.4 s after the election, which itself comes about 2 s after the loss. Steps with an advice policy requested their tickets only then, so the time of the advice service (1.3 s for 45 workers at 896 ms and 8 ms a worker, and more while many steps ask at once) came on top of that.

Evidence: from the code and the settings; a test with one silent worker.

Change: a periodic action requests advice for the waiting inherited steps once the expected settlement is as near as the time of a request and 700 ms, unless the step has a valid ticket.

Result: the test starts the task at the settlement. It failed before: no request was sent before the settlement.

Why it works: the tickets hold for the worker's life and for 2 s, longer than the lead, and the start itself still waits for the settlement.

--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -8,6 +8,7 @@
     advice_prefetch,
     blocked_steps,
     draining,
+    inherited_advice,
     pacing,
     reports,
     stalls,
@@ -31,6 +32,9 @@
 TICK_ACTIONS.register('5 pace fillers')(pacing.pace_fillers)
 TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
 TICK_ACTIONS.register('9 prefetch advice')(advice_prefetch.prefetch_advice)
+TICK_ACTIONS.register('9 request inherited advice')(
+    inherited_advice.request_inherited_advice
+)
 TICK_ACTIONS.register('9 report blocked steps')(blocked_steps.report_blocked)
 
 
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -303,3 +303,28 @@
     requests = advice_requests(owner)
     named = {worker for request in requests for worker in request.workers}
     assert len(named) > 100
+
+
+def test_inherited_step_gets_tickets_before_it_may_start() -> None:
+    """Guards against a request that is sent only when the step may start.
+
+    A lasting task of a lost worker then waited for the task leases of that
+    worker and after it for the advice service.
+    """
+    owner = Owner('w0', 'w1', term=2)
+    for name in ('w0', 'w1'):
+        owner.core.add_inherited_worker(WorkerId(name), f'{name}:1', 9000)
+    lasting = Step(1, SIZE, is_lasting=True)
+    owner.add_job('a', lasting, queue=ADVISED, is_inherited=True)
+    owner.report('w0')
+    assert not advice_requests(owner)
+    owner.now_ms = 8500
+    owner.core.renewal_sent(W0, owner.now_ms)
+    owner.report('w0')
+    assert [request.workers for request in advice_requests(owner)] == [(W0,)]
+    assert not advice_requests(owner)
+    grant(owner)
+    owner.now_ms = 8980
+    assert not owner.decide()
+    owner.now_ms = 9000
+    assert [start.task.job for start in owner.starts()] == ['a']
