Count the wait for a previous owner's task leases from its end

What callers saw: a task that lasts came back later than the LOST rule allows after its worker and the owner of its pool were lost together.

Cause: a new owner assumed that the previous owner could have renewed task leases until the records were loaded, although it had found out before that the lease of that owner had expired. It found out last of all reads.

Change: the previous owner is examined before the jobs are read, once, and the wait counts from the answer. A retry of the other reads no longer repeats the call that ends the lease of that owner, which made the lease look expired.

Result: with lists that take 400 ms each, the wait counts from the check and not from the end of the load.

Why it works: an owner sends no order after its lease has expired, and a task lease ends at a time of the worker's clock that is fixed when the order is sent.

Test: test_previous_owner now checks the time at which the previous owner stops instead of the flag that this time replaces; its cases are the same.

--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -40,8 +40,8 @@
     progress: tuple[KvItem, ...]
     # Revisions of the records that the owner writes.
     revisions: dict[StoreKey, Revision]
-    # The previous owner can send no more orders.
-    is_previous_owner_inactive: bool
+    # The previous owner sends no orders after this time.
+    previous_owner_stop_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
-from fuchsiarill.clock import sleep_ms
+from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.graphs.owner_messages import PoolRecords
@@ -17,50 +17,65 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLoader:
-    """Reads the records of a pool for its new owner."""
+    """Reads the records of a pool for its new owner.
+
+    `ownership_ttl_ms` is the time to live of the lease of an owner.
+    """
 
     store: KeyValuePort
     pool: PoolId
     process: ProcessId
     timeout_ms: int
+    ownership_ttl_ms: int
 
     async def load(self) -> PoolRecords:
-        """Read all records; retries until every read succeeds."""
+        """Read all records; retries until every read succeeds.
+
+        The previous owner is examined before the jobs are read, since the wait
+        for its task leases counts from then on.
+        """
+        fleet = await self._read_fleet()
+        fleet_record = _decode_fleet_record(fleet)
+        stop_ms = await self._find_previous_owner_stop(fleet_record.owner)
         while True:
-            loaded = await self._try_load()
+            loaded = await self._try_load(fleet, fleet_record, stop_ms)
             if loaded is not None:
                 return loaded
             await sleep_ms(_RETRY_DELAY_MS)
 
-    async def _try_load(self) -> PoolRecords | None:
-        fleet = await self._get_item(keys.fleet_key(self.pool))
+    async def _try_load(
+        self,
+        fleet: KvItem,
+        fleet_record: records.FleetRecord,
+        previous_owner_stop_ms: int,
+    ) -> PoolRecords | None:
         pending = await self._get_item(keys.pending_key(self.pool))
         jobs = await self._list_items(keys.jobs_prefix(self.pool))
         progress = await self._list_items(keys.progress_prefix(self.pool))
-        reads = (fleet, pending, jobs, progress)
-        if any(isinstance(read, Failure) for read in reads):
-            return None
-        fleet_record = _decode_fleet_record(fleet.unwrap())
-        is_previous_owner_inactive = await self._is_previous_owner_inactive(
-            fleet_record.owner
-        )
-        if is_previous_owner_inactive is None:
+        if any(isinstance(read, Failure) for read in (pending, jobs, progress)):
             return None
         progress_items = progress.unwrap()[0]
-        items = (fleet.unwrap(), pending.unwrap(), *progress_items)
+        items = (fleet, pending.unwrap(), *progress_items)
         return PoolRecords(
             fleet_record,
             *jobs.unwrap(),
             progress_items,
             {item.key: item.revision for item in items},
-            is_previous_owner_inactive,
+            previous_owner_stop_ms,
         )
 
-    async def _is_previous_owner_inactive(
+    async def _read_fleet(self) -> KvItem:
+        while True:
+            match await self._get_item(keys.fleet_key(self.pool)):
+                case Success(KvItem() as item):
+                    return item
+            await sleep_ms(_RETRY_DELAY_MS)
+
+    async def _find_previous_owner_stop(
         self,
         previous_owner: records.OwnerRecord | None,
-    ) -> bool | None:
-        """Return whether the previous owner can send no more orders.
+    ) -> int:
+        """Return a time after which the previous owner sends no orders.
 
         This process sends no more orders of an earlier term, whose incarnation
         has ended or whose guard is revoked. Another process stops sending
@@ -68,17 +83,20 @@
         its lease exists, since it may not have noticed that its owner key was
         deleted. This call ends such a lease, and so finds out whether the lease
         existed. An earlier call that ended the lease, but whose answer was
-        lost, makes the lease look expired. Returns `None` if the call fails.
+        lost, makes the lease look expired. Retries until a call succeeds.
         """
         if previous_owner is None or previous_owner.process == self.process:
-            return True
-        end_result = await self.store.end_lease(
-            StoreLeaseId(previous_owner.lease),
-            self.timeout_ms,
-        )
-        if end_result == Failure(KvFailure.LEASE_GONE):
-            return True
-        return None if isinstance(end_result, Failure) else False
+            return now_ms()
+        while True:
+            end_result = await self.store.end_lease(
+                StoreLeaseId(previous_owner.lease),
+                self.timeout_ms,
+            )
+            if end_result == Failure(KvFailure.LEASE_GONE):
+                return now_ms()
+            if isinstance(end_result, Success):
+                return now_ms() + self.ownership_ttl_ms
+            await sleep_ms(_RETRY_DELAY_MS)
 
     async def _get_item(self, key: StoreKey) -> Result[KvItem, KvFailure]:
         return await self.store.get(key, self.timeout_ms)
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -70,7 +70,7 @@
         self._fleet = replace(
             loaded.fleet, term=loaded.fleet.term + 1, owner=term.owner
         )
-        self._is_previous_owner_inactive = loaded.is_previous_owner_inactive
+        self._previous_owner_stop_ms = loaded.previous_owner_stop_ms
         self.core = GraphCore(
             term.pool, term.epoch, settings.task_lease, self._fleet.term
         )
@@ -108,7 +108,7 @@
         self._writer.start()
         for member in self._fleet.members:
             self.core.add_inherited_worker(
-                member.worker, member.address, now_ms() + self._prior_lease_ms()
+                member.worker, member.address, self._prior_lease_expiry_ms()
             )
             self.channels.open_channel(member.worker, member.address)
         self._saver.save_fleet()
@@ -327,16 +327,10 @@
             return 0
         return entry.policy.advice.validity_ms
 
-    def _prior_lease_ms(self) -> int:
-        """Return for how long task leases of the previous owner may last.
-
-        Unless that owner is inactive, it may renew them for `lease_ttl_ms`.
-        """
+    def _prior_lease_expiry_ms(self) -> int:
+        """Return until when task leases of the previous owner may last."""
         leases = self._context.settings.task_lease
-        longest_ms = leases.longest_ms
-        if not self._is_previous_owner_inactive:
-            longest_ms += self._context.settings.ownership.lease_ttl_ms
-        return longest_ms
+        return self._previous_owner_stop_ms + leases.longest_ms
 
     def _make_watchers(self, revision: Revision) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -349,6 +349,7 @@
             self.pool,
             self._settings.process,
             self._settings.calls.store_timeout_ms,
+            self._settings.ownership.lease_ttl_ms,
         )
         loaded = await loader.load()
         self.mailbox.send(PoolRecordsRead(election, loaded))
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -1,17 +1,32 @@
 """Whether a new owner has to wait for the previous owner."""
 
 import pytest
+from returns.result import Result
 
-from fuchsiarill.clock import run_paused, sleep_ms
+from fuchsiarill.clock import now_ms, run_paused, sleep_ms
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.pool_loading import PoolLoader
-from fuchsiarill.ids import ProcessId
-from fuchsiarill.ports.key_value import KvWrite
+from fuchsiarill.ids import ProcessId, StoreKey
+from fuchsiarill.ports.key_value import KvFailure, KvPage, KvWrite
 from standins.store_model import StoreModel, StorePath
 from tests.graph_cell import POOL
 
 _TTL_MS = 1900
 _TIMEOUT_MS = 500
+_LIST_MS = 400
+# Two calls of the store, each of which takes 10 ms.
+_CHECK_MAX_MS = 100
+
+
+class _SlowLists(StorePath):
+    """A path on which lists of items take long."""
+
+    async def list_prefix(
+        self, prefix: str, after: StoreKey | None, timeout_ms: int
+    ) -> Result[KvPage, KvFailure]:
+        """Return a page after a delay."""
+        await sleep_ms(_LIST_MS)
+        return await super().list_prefix(prefix, after, timeout_ms)
 
 
 @pytest.mark.parametrize(
@@ -49,9 +64,41 @@
             KvWrite(keys.fleet_key(POOL), records.encode_fleet(fleet)),
         )
         await sleep_ms(waited_ms)
-        loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS)
+        started_ms = now_ms()
+        loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS, _TTL_MS)
         loaded = await loader.load()
         assert loaded.fleet == fleet
-        return loaded.is_previous_owner_inactive
+        stop_ms = loaded.previous_owner_stop_ms
+        if is_inactive:
+            return started_ms <= stop_ms <= now_ms()
+        return started_ms + _TTL_MS <= stop_ms <= now_ms() + _TTL_MS
+
+    assert run_paused(main())
+
+
+def test_slow_reads_do_not_extend_the_wait_for_the_previous_owner() -> None:
+    """Guards against a wait for task leases that begins only after the load.
+
+    Inherited tasks without a run wait until the task leases of the previous
+    owner have expired. While the store lost answers, loads took over a second,
+    by which the tasks then started later.
+    """
+
+    async def main() -> None:
+        path = _SlowLists(StoreModel())
+        lease_result = await path.grant_lease(_TTL_MS, _TIMEOUT_MS)
+        owner = records.OwnerRecord(
+            ProcessId('other'), 'x', lease_result.unwrap()
+        )
+        fleet = records.FleetRecord(3, (), owner)
+        path.model.write(
+            KvWrite(keys.fleet_key(POOL), records.encode_fleet(fleet)),
+        )
+        await sleep_ms(_TTL_MS + 1)
+        started_ms = now_ms()
+        loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS, _TTL_MS)
+        loaded = await loader.load()
+        assert now_ms() >= started_ms + _LIST_MS
+        assert loaded.previous_owner_stop_ms <= started_ms + _CHECK_MAX_MS
 
-    assert run_paused(main()) is is_inactive
+    run_paused(main())
