Keep the policy of a queue with each job that it accepted

What callers saw: a job was failed at its first failed task, or never started, after its queue had been removed from the configuration and the owner of the pool had changed.

Cause: an owner looks the policy of a job up in the configuration. An owner that is elected after the queue was removed, or that does not have the configuration with a new queue yet, took a default policy: one attempt, and no advice, so that workers refuse the starts without a ticket.

Evidence: test_job_of_a_removed_queue_keeps_its_policy; it failed before with "job a of queue quotes is failed".

Change: the record of a job contains the fields of the policy that affect decisions. The owner uses them while its configuration has no such queue. Records without a policy are still read and get the default as before.

Why it works: the policy is written in the transaction that accepts the job, so every later owner has it.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -327,14 +327,18 @@
         return view is not None and view.born_ms == born_ms
 
     def _policy(self, graph: JobGraph) -> QueuePolicy:
-        """Return the queue's policy, or a default if the queue was removed.
+        """Return the queue's policy, or that of the acceptance of the job.
 
-        Jobs of a removed queue still run.
+        Jobs of a removed queue still run. A process may accept a job of a new
+        queue before the owner has the configuration with the queue. A job
+        without a recorded policy gets a default.
         """
         config = self.state.config
         policy = config.queues.get(graph.queue) if config else None
         if policy is not None:
             return policy
+        if graph.accepted_policy is not None:
+            return graph.accepted_policy
         return QueuePolicy(graph.queue, '', '', graph.pool, 0)
 
     def _find_run(
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -127,6 +127,9 @@
     payload: str
     steps: tuple[Step, ...]
     schedule: Schedule | None = None
+    # Policy of the queue when the job was accepted, without its route. It
+    # applies while the owner's configuration does not contain the queue.
+    accepted_policy: 'QueuePolicy | None' = None
 
     @property
     def occurrences_count(self) -> int:
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -6,10 +6,12 @@
 from typing import Any, Final
 
 from fuchsiarill.graphs.model import (
+    AdvicePolicy,
     Checkpoint,
     JobGraph,
     PoolId,
     QueueId,
+    QueuePolicy,
     Schedule,
     Step,
 )
@@ -107,6 +109,8 @@
     }
     if graph.schedule is not None:
         document['schedule'] = asdict(graph.schedule)
+    if graph.accepted_policy is not None:
+        document['policy'] = _encode_policy(graph.accepted_policy)
     return _encode_json(document)
 
 
@@ -114,13 +118,16 @@
     """Decode a job."""
     document = json.loads(content)
     schedule = document.get('schedule')
+    queue = QueueId(document['queue'])
+    policy = document.get('policy')
     return JobGraph(
         job,
-        QueueId(document['queue']),
+        queue,
         pool,
         document['payload'],
         tuple(_decode_step(row) for row in document['steps']),
         Schedule(**schedule) if schedule else None,
+        _decode_policy(queue, pool, policy) if policy else None,
     )
 
 
@@ -162,6 +169,34 @@
     return json.dumps(document, separators=(',', ':')).encode()
 
 
+def _encode_policy(policy: QueuePolicy) -> list[Any]:
+    """Return the fields of a policy that affect decisions about a job."""
+    advice = policy.advice
+    return [
+        policy.priority,
+        policy.attempts_max,
+        policy.slack_factor,
+        policy.target_ms,
+        list(asdict(advice).values()) if advice else None,
+    ]
+
+
+def _decode_policy(queue: QueueId, pool: PoolId, row: list[Any]) -> QueuePolicy:
+    priority, attempts_max, slack_factor, target_ms, advice = row
+    return QueuePolicy(
+        queue,
+        '',
+        '',
+        pool,
+        0,
+        priority,
+        attempts_max,
+        slack_factor,
+        target_ms,
+        AdvicePolicy(*advice) if advice else None,
+    )
+
+
 def _encode_step(step: Step) -> dict[str, Any]:
     row = {
         name: _convert_to_json(getattr(step, name))
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -5,6 +5,7 @@
 
 import json
 import re
+from dataclasses import replace
 from typing import Any, Final
 
 from fuchsiarill.graphs.model import (
@@ -69,6 +70,7 @@
             _payload(document.get('spec', '')),
             _steps(document['phases']),
             _schedule(document),
+            replace(policy, host='', prefix='', timeout_ms=0),
         )
     except _PARSE_ERRORS as error:
         raise DocumentError(f'job {job}: {error!r}') from error
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -207,6 +207,11 @@
         self.processes[name] = process
         process.start()
 
+    def remove_queue(self) -> None:
+        """Put a configuration in force that does not contain the queue."""
+        self.config = replace(self.config, generation=Generation(2), queues={})
+        self.store.write(KvWrite(_CONFIG_KEY, b'2'))
+
     async def kill(self, name: ProcessId) -> None:
         """Stop a process without a drain."""
         await self.processes.pop(name).stop()
@@ -233,6 +238,7 @@
             POOL,
             json.dumps(behaviour),
             steps,
+            accepted_policy=self.config.queues[QUEUE],
         )
         for position, step in enumerate(steps):
             for index in range(step.tasks_count):
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -67,6 +67,27 @@
     run_scenario(scenario)
 
 
+def test_job_of_a_removed_queue_keeps_its_policy() -> None:
+    """Guards against a job that a new owner fails, or never starts.
+
+    An owner elected after the removal of a queue does not find its policy in
+    the configuration. Without it the first failure was the last one allowed,
+    and starts had no ticket, so workers refused them.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        single_task = (Step(1, TASK_SIZE),)
+        await cell.submit(P0, 'a', single_task, duration_ms=2000, fails=1)
+        await sleep_ms(500)
+        cell.remove_queue()
+        await sleep_ms(500)
+        await cell.kill(owner_of(cell))
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 20000)
+        assert len(cell.fleet.starts) == 2
+
+    run_scenario(scenario)
+
+
 def test_owner_that_drains_hands_over_at_once() -> None:
     """Guards against waiting for the lease of an owner that was drained."""
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,6 +1,7 @@
 """Parsing of platform documents, and encoding of jobs for the store."""
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -171,9 +172,14 @@
         'start_at_ms': 1000,
         'period_ms': 500,
     }
-    graph = read_job(JOB, POLICY, encoded(body))
+    advice = AdvicePolicy(880.5, 7.9, 2000)
+    policy = replace(POLICY, priority=1, attempts_max=4, advice=advice)
+    graph = read_job(JOB, policy, encoded(body))
     assert graph.occurrences_count == 3
     assert graph.steps[1].charge == Resources(0, 256, 2)
+    assert graph.accepted_policy is not None
+    assert graph.accepted_policy.attempts_max == 4
+    assert graph.accepted_policy.advice == advice
     decoded = decode_graph(graph.pool, graph.job, encode_graph(graph))
     assert decoded == graph
 
