Allow lists of a slow link more time after repeated failures

What callers saw: no task of a pool starts any more, and jobs wait without end, while the owner of the pool reads its records again and again.

Cause: a page of a list has up to 500 items or 1 MB. A page that takes longer on the link of the machine failed at every attempt, so the load of a pool, and the list after a gap in a watch, never ended. The grown site has machines with 5 and 10 Mbit/s; 1 MB takes 0.8 s at 10 Mbit/s.

Evidence: from the code; a test with pages that take three time-outs.

Change: after five failures in a row the time-out doubles with each further failure, up to 5 s. A success resets it.

Result: the test loads the pool and the watcher sends its list. Before, both repeated the call for the whole minute that the test allows.

Why it works: the time-out exceeds the time of the largest page after at most three more failures. Outages of the store of a few seconds are over before, and their calls keep the usual time-out, so that the first call after them is soon.

--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -8,8 +8,8 @@
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.graphs.owner_messages import PoolRecords
-from fuchsiarill.graphs.prefix_watch import list_all
-from fuchsiarill.ids import ProcessId, Revision, StoreKey, StoreLeaseId
+from fuchsiarill.graphs.prefix_watch import list_all, list_timeout_ms
+from fuchsiarill.ids import ProcessId, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import KeyValuePort, KvFailure, KvItem
 
 _RETRY_DELAY_MS = 100
@@ -37,10 +37,15 @@
         fleet = await self._read_fleet()
         fleet_record = _decode_fleet_record(fleet)
         stop_ms = await self._find_previous_owner_stop(fleet_record.owner)
+        failures_count = 0
         while True:
-            loaded = await self._try_load(fleet, fleet_record, stop_ms)
+            timeout_ms = list_timeout_ms(self.timeout_ms, failures_count)
+            loaded = await self._try_load(
+                fleet, fleet_record, stop_ms, timeout_ms
+            )
             if loaded is not None:
                 return loaded
+            failures_count += 1
             await sleep_ms(_RETRY_DELAY_MS)
 
     async def _try_load(
@@ -48,10 +53,15 @@
         fleet: KvItem,
         fleet_record: records.FleetRecord,
         previous_owner_stop_ms: int,
+        timeout_ms: int,
     ) -> PoolRecords | None:
         pending = await self._get_item(keys.pending_key(self.pool))
-        jobs = await self._list_items(keys.jobs_prefix(self.pool))
-        progress = await self._list_items(keys.progress_prefix(self.pool))
+        jobs = await list_all(
+            self.store, keys.jobs_prefix(self.pool), timeout_ms
+        )
+        progress = await list_all(
+            self.store, keys.progress_prefix(self.pool), timeout_ms
+        )
         if any(isinstance(read, Failure) for read in (pending, jobs, progress)):
             return None
         progress_items = progress.unwrap()[0]
@@ -101,12 +111,6 @@
     async def _get_item(self, key: StoreKey) -> Result[KvItem, KvFailure]:
         return await self.store.get(key, self.timeout_ms)
 
-    async def _list_items(
-        self,
-        prefix: str,
-    ) -> Result[tuple[tuple[KvItem, ...], Revision], KvFailure]:
-        return await list_all(self.store, prefix, self.timeout_ms)
-
 
 def _decode_fleet_record(item: KvItem) -> records.FleetRecord:
     if item.value is None:
--- a/fuchsiarill/graphs/prefix_watch.py
+++ b/fuchsiarill/graphs/prefix_watch.py
@@ -18,6 +18,12 @@
 from fuchsiarill.ports.key_value import KeyValuePort, KvFailure, KvItem
 
 _RETRY_DELAY_MS: Final = 100
+# A page of a list has up to 1 MB, which takes 0.8 s on a link of 10 Mbit/s. The
+# time-out of a list is doubled after each failure that follows these, up to
+# this. A short outage of the store ends before: a longer time-out would delay
+# the first call after it.
+_FAILURES_WITH_USUAL_TIMEOUT_COUNT: Final = 5
+_LIST_TIMEOUT_MAX_MS: Final = 5000
 # The store is reported unreachable when calls have failed for this long.
 _UNREACHABLE_AFTER_MS: Final = 1000
 
@@ -58,7 +64,7 @@
     prefix: str
     # The store answers a watch without changes after this time.
     watch_wait_ms: int
-    # Time-out of the call for each page of a list.
+    # Time-out of the call for each page of a list; longer after a failure.
     list_timeout_ms: int
     # Pause after each answer to a watch, so that changes arrive in batches.
     pause_ms: int = 0
@@ -84,6 +90,7 @@
         self._store = store
         self._receiver = receiver
         self._after_revision = settings.after_revision
+        self._failed_lists_count = 0
         self._failing_since_ms: int | None = None
         self._is_unreachable = False
 
@@ -107,12 +114,16 @@
         list_result = await list_all(
             self._store,
             self._settings.prefix,
-            self._settings.list_timeout_ms,
+            list_timeout_ms(
+                self._settings.list_timeout_ms, self._failed_lists_count
+            ),
         )
         if isinstance(list_result, Failure):
+            self._failed_lists_count += 1
             await self._handle_failure(list_result.failure())
             return
         items, revision = list_result.unwrap()
+        self._failed_lists_count = 0
         self._record_success()
         self._after_revision = revision
         self._receiver.send(
@@ -179,6 +190,18 @@
         self._failing_since_ms = None
 
 
+def list_timeout_ms(usual_ms: int, failures_count: int) -> int:
+    """Return the time-out of a list after a number of failed ones.
+
+    A page that needs more time than the usual time-out would never arrive.
+    """
+    doublings_count = failures_count - _FAILURES_WITH_USUAL_TIMEOUT_COUNT
+    timeout_ms = usual_ms
+    for _ in range(doublings_count):
+        timeout_ms = min(2 * timeout_ms, _LIST_TIMEOUT_MAX_MS)
+    return max(usual_ms, timeout_ms)
+
+
 async def list_all(
     store: KeyValuePort,
     prefix: str,
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -1,12 +1,20 @@
 """Whether a new owner has to wait for the previous owner."""
 
+import asyncio
+
 import pytest
-from returns.result import Result
+from returns.result import Failure, Result
 
+from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import now_ms, run_paused, sleep_ms
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.pool_loading import PoolLoader
-from fuchsiarill.ids import ProcessId, StoreKey
+from fuchsiarill.graphs.prefix_watch import (
+    PrefixListed,
+    PrefixWatcher,
+    PrefixWatchSettings,
+)
+from fuchsiarill.ids import JobId, ProcessId, StoreKey
 from fuchsiarill.ports.key_value import KvFailure, KvPage, KvWrite
 from standins.store_model import StoreModel, StorePath
 from tests.graph_cell import POOL
@@ -19,13 +27,19 @@
 
 
 class _SlowLists(StorePath):
-    """A path on which lists of items take long."""
+    """A path on which a page of a list takes a fixed time."""
+
+    def __init__(self, model: StoreModel, duration_ms: int = _LIST_MS) -> None:
+        super().__init__(model)
+        self._duration_ms = duration_ms
 
     async def list_prefix(
         self, prefix: str, after: StoreKey | None, timeout_ms: int
     ) -> Result[KvPage, KvFailure]:
-        """Return a page after a delay."""
-        await sleep_ms(_LIST_MS)
+        """Return a page after a delay, or time out."""
+        await sleep_ms(min(self._duration_ms, timeout_ms))
+        if self._duration_ms > timeout_ms:
+            return Failure(KvFailure.UNKNOWN)
         return await super().list_prefix(prefix, after, timeout_ms)
 
 
@@ -102,3 +116,31 @@
         assert loaded.previous_owner_stop_ms <= started_ms + _CHECK_MAX_MS
 
     run_paused(main())
+
+
+def test_page_that_takes_longer_than_a_call_is_read() -> None:
+    """Guards against an owner that never loads its pool.
+
+    A page of a list may take longer than the usual time-out of a store call on
+    a machine with a slow link.
+    """
+
+    async def main() -> None:
+        path = _SlowLists(StoreModel(), 3 * _TIMEOUT_MS)
+        path.model.write(KvWrite(keys.graph_key(POOL, JobId('a')), b'{}'))
+        loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS, _TTL_MS)
+        async with asyncio.timeout(60):
+            loaded = await loader.load()
+        assert len(loaded.jobs) == 1
+        settings = PrefixWatchSettings('jobs/', _TIMEOUT_MS, _TIMEOUT_MS)
+        receiver = Mailbox()
+        watcher = PrefixWatcher(settings, path, receiver)
+        watcher.start()
+        async with asyncio.timeout(60):
+            message = await receiver.receive()
+            while not isinstance(message, PrefixListed):
+                message = await receiver.receive()
+        await watcher.stop()
+        assert len(message.items) == 1
+
+    run_paused(main())
