Give up tasks that crash the workers that start them

Cause: a run that is lost with its worker counts as no attempt, so nothing limited its repetition, and nothing kept other tasks away from it.

The progress of a job now has the numbers of the attempts during which a worker crashed, so a gang counts once and the next owner goes on counting. A record without them decodes as none. An end counts when a later incarnation or another worker at the address proves it, and the worker was not leaving. Runs that were lost to expired leases are remembered for a minute: the same incarnation drops them, a later one counts them, also if only the directory shows it. All workers of a rack that may have ended at one time have lost their power; this counts nothing.

The suspects of a crash are the runs that no report has listed a second after their start, and runs on trial. The next run of a suspect is on trial: its worker gets no new run until a report lists the run after a second. The placement keeps suspects away from lasting tasks first, and then from other runs, but they start anywhere rather than wait. A unit is given up, and its job fails at once, at the second crash if it was the only suspect there, else at the third. From the third crash on a trial lasts for the whole run, for a task that outlives the short trials; such a task is given up at its fourth crash, before the third further start that the users' rule names. Lasting tasks that have been initialized for 3 s start to count anew. Crashes suspend no worker.

Why it works: nothing starts beside a suspect, so the second crash has one possible cause, and sound neighbours pass their own trials elsewhere.

tests/test_worker_crashes.py failed on: the jobs of deadly tasks stayed active. Its cases in which nothing may be counted could not run there, for want of a count. Whole test suite: passed.

--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -257,6 +257,34 @@
     'for {duration_ms} ms',
     'Check the host.',
 )
+WORKER_CRASHED: Final = LogEvent(
+    723,
+    Level.WARNING,
+    'worker {worker} has ended without notice under {runs} runs, of which '
+    '{suspected} units may be the cause; power loss of the rack: '
+    '{is_power_loss}',
+    'See "Shown as failed" in OPERATIONS.md if this recurs.',
+)
+UNIT_SUSPECTED: Final = LogEvent(
+    724,
+    Level.WARNING,
+    'task {task} of job {job} is a suspect: workers have crashed in {crashes} '
+    'of its attempts',
+    'None; its next run is on trial.',
+)
+UNIT_CLEARED: Final = LogEvent(
+    725,
+    Level.INFO,
+    'task {task} of job {job} has passed its trial and is no suspect',
+    _NO_ACTION,
+)
+TASK_GIVEN_UP: Final = LogEvent(
+    726,
+    Level.ERROR,
+    'task {task} of job {job} is given up, and the job fails: workers have '
+    'crashed in {crashes} of its attempts, last {worker} in attempt {attempt}',
+    'Tell the owner of the job that its task crashes workers.',
+)
 TENURE_WON: Final = LogEvent(
     731,
     Level.INFO,
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -47,7 +47,9 @@
     settled_line = by_event.get(events.GRAPH_SETTLED.number)
     placed_line = _first_line(history, events.RUN_PLACED)
     if settled_line is not None and settled_line['phase'] == 'failed':
-        return texts.JOB_USED_UP_ATTEMPTS.format(failed=end_counts['failed'])
+        return _summarize_failure(
+            by_event.get(events.TASK_GIVEN_UP.number), end_counts['failed']
+        )
     if settled_line is not None:
         wait_ms = None if placed_line is None else placed_line['waited_ms']
         return texts.JOB_SETTLED.format(
@@ -70,6 +72,14 @@
     )
 
 
+def _summarize_failure(
+    given_up_line: dict[str, Any] | None, failed_count: int
+) -> str:
+    if given_up_line is not None:
+        return texts.JOB_CRASHED_WORKERS.format(**given_up_line)
+    return texts.JOB_USED_UP_ATTEMPTS.format(failed=failed_count)
+
+
 def _add_line(history: JobHistory, job: str, text: str) -> None:
     if job not in text:
         return
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -9,7 +9,12 @@
 from collections.abc import Iterable
 
 from fuchsiarill import events
-from fuchsiarill.graphs import decision_round, reports, worker_suspension
+from fuchsiarill.graphs import (
+    decision_round,
+    reports,
+    worker_crashes,
+    worker_suspension,
+)
 from fuchsiarill.graphs.effects import Effect, RequestReport
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
@@ -133,10 +138,12 @@
         self, entries: Iterable[WorkerEntry], now_ms: int
     ) -> None:
         """Apply the complete list of the pool's entries in the directory."""
-        for worker in self.state.workers.update_entries(entries):
+        listed = list(entries)
+        for worker in self.state.workers.update_entries(listed):
             view = self.state.workers.find(worker)
             if view is not None and view.born_ms:
                 self._reset_if_restarted(view, now_ms)
+        worker_crashes.apply_entries(self.state, listed, now_ms)
         self.state.room_changes.add_all()
 
     def add_inherited_worker(
@@ -207,8 +214,10 @@
                 failure=failure.value,
                 runs=len(view.runs),
             )
-        if _proves_worker_end(view, failure):
-            view.lease_expiry_ms = now_ms
+        if view.silent_since_ms is None:
+            view.silent_since_ms = now_ms
+        if worker_crashes.proves_end(view, failure):
+            reports.end_worker(self.state, view, now_ms)
 
     def start_answered(
         self,
@@ -384,16 +393,3 @@
         view.availability is AvailabilityState.READY
         and worker_suspension.may_receive_runs(view, now_ms)
     )
-
-
-def _proves_worker_end(view: WorkerView, failure: AgentFailure) -> bool:
-    """Tell whether a failure proves that the worker process has ended."""
-    if failure is AgentFailure.OTHER_WORKER:
-        return True
-    # A leaving worker withdraws its directory entry and closes its port. A
-    # refused connection alone proves nothing: a broken network link can reset
-    # connections too.
-    has_left = (
-        view.availability is AvailabilityState.LEAVING and not view.is_listed
-    )
-    return has_left and failure is AgentFailure.CONNECTION_REFUSED
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -35,5 +35,6 @@
         'is_recorded': view.is_recorded,
         'runs_count': len(view.runs),
         'free': view.free.as_tuple(),
+        'trials_count': view.trials_count,
         'suspended_until_ms': view.failure_record.suspended_until_ms,
     }
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -168,6 +168,7 @@
             start_ordered_ms=request.now_ms,
             expected_end_ms=expected_end_ms,
             progress_changed_ms=request.now_ms,
+            is_on_trial=unit.is_suspect,
         )
         unit.runs[run.key] = run
         step.runs_per_worker[view.worker] += 1
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -37,6 +37,9 @@
     # Workers on which the unit failed; others are preferred.
     failed_on: set[WorkerId] = field(default_factory=set)
     preemptions_count: int = 0
+    # A worker has crashed under the unit, which may be the cause. Its next run
+    # is on trial.
+    is_suspect: bool = False
 
 
 @dataclass(slots=True)
@@ -226,6 +229,7 @@
         step.active.pop(unit.key, None)
         step.waiting.pop(unit.key, None)
         self.progress.succeeded.add(unit.key)
+        self.progress.crashed_attempts.pop(unit.key, None)
         if step.waiting or step.active:
             return
         occurrence = step.key.occurrence
@@ -300,10 +304,13 @@
 
     def _create_unit(self, key: UnitKey) -> Unit:
         failed_attempts = self.progress.failed_attempts.get(key, set())
+        crashed_attempts = self.progress.crashed_attempts.get(key, set())
+        attempts = failed_attempts | crashed_attempts
         return Unit(
             key,
-            last_attempt=max(self.attempt_floor, *failed_attempts, 0),
+            last_attempt=max(self.attempt_floor, *attempts, 0),
             checkpoint=self.progress.checkpoints.get(key, NO_CHECKPOINT),
+            is_suspect=bool(crashed_attempts),
         )
 
 
--- /dev/null
+++ b/fuchsiarill/graphs/lost_runs.py
@@ -0,0 +1,37 @@
+"""Runs that ended together with their worker."""
+
+from dataclasses import dataclass
+
+from fuchsiarill.graphs.model import BornMs, Label, TaskKey
+from fuchsiarill.graphs.progress import UnitKey
+from fuchsiarill.ids import WorkerId
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that its worker had, or may have had, when it ended."""
+
+    task: TaskKey
+    attempt: int
+    unit_key: UnitKey
+    # The run may be the cause if the worker has crashed.
+    is_suspected: bool
+    # The worker had started the run; otherwise a start order was on its way.
+    is_confirmed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """The runs that were lost with one incarnation of a worker.
+
+    The incarnation ended between its last report, at `reported_ms`, and the
+    first call that failed, at `silent_ms`.
+    """
+
+    worker: WorkerId
+    address: str
+    rack: Label | None
+    born_ms: BornMs
+    reported_ms: int
+    silent_ms: int
+    runs: tuple[LostRun, ...]
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs import crash_trials, worker_suspension
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState
 from fuchsiarill.graphs.worker_table import WorkerView
@@ -22,6 +23,11 @@
 _FAILED_THERE_COST: Final = 8.0
 _INTERFERENCE_COST: Final = 2.0
 _SLOWNESS_COST: Final = 0.5
+# A run beside a suspect may be lost with the worker; a lasting one is missed at
+# once, and a young one makes the cause of a crash uncertain.
+_NEIGHBOUR_COST: Final = 10.0
+_YOUNG_NEIGHBOUR_COST: Final = 20.0
+_LASTING_NEIGHBOUR_COST: Final = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +106,25 @@
     return _SLOWNESS_COST * state.run_times.slowness(view.worker)
 
 
+@COSTS.register('trial')
+def _trial_cost(
+    state: PoolState,
+    request: PlacementRequest,
+    view: WorkerView,
+) -> float:
+    """Keep suspects apart from other runs, first of all from lasting ones."""
+    if not request.unit.is_suspect:
+        return 0
+    cost = 0.0
+    for run in view.runs.values():
+        cost += _NEIGHBOUR_COST
+        if run.expected_end_ms >= NEVER_MS:
+            cost += _LASTING_NEIGHBOUR_COST
+        elif crash_trials.is_young(run):
+            cost += _YOUNG_NEIGHBOUR_COST
+    return cost
+
+
 class UsableWorkers:
     """The workers that may get runs in one decision round.
 
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -18,6 +18,11 @@
     step: int
     position: int
 
+    @property
+    def label(self) -> str:
+        """Return occurrence, step and position of the unit, for logs."""
+        return f'{self.occurrence}.{self.step}.{self.position}'
+
 
 @dataclass(slots=True)
 class JobProgress:
@@ -30,3 +35,20 @@
     failed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
     checkpoints: dict[UnitKey, Checkpoint] = field(default_factory=dict)
     has_started: bool = False
+    # Numbers of the attempts during which a worker of the unit has crashed.
+    crashed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
+
+    def crashes_count(self, unit: UnitKey) -> int:
+        """Return the number of attempts during which a worker crashed."""
+        return len(self.crashed_attempts.get(unit, ()))
+
+    def add_crash(self, unit: UnitKey, attempt: int) -> bool:
+        """Count a crash during an attempt; returns whether it is the first.
+
+        An attempt counts once, so a gang that loses several workers does too.
+        """
+        attempts = self.crashed_attempts.setdefault(unit, set())
+        if attempt in attempts:
+            return False
+        attempts.add(attempt)
+        return True
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -125,22 +125,20 @@
 
 
 def encode_progress(progress: JobProgress) -> bytes:
-    """Return the JSON form of a job's progress."""
-    return _encode_json(
-        {
-            'phase': progress.phase.value,
-            'started': progress.has_started,
-            'succeeded': [list(unit) for unit in sorted(progress.succeeded)],
-            'failed': [
-                [*unit, sorted(attempts)]
-                for unit, attempts in progress.failed_attempts.items()
-            ],
-            'checkpoints': [
-                [*unit, checkpoint]
-                for unit, checkpoint in progress.checkpoints.items()
-            ],
-        },
-    )
+    """Return the JSON form of a job's progress; crashes are omitted if none."""
+    document: dict[str, Any] = {
+        'phase': progress.phase.value,
+        'started': progress.has_started,
+        'succeeded': [list(unit) for unit in sorted(progress.succeeded)],
+        'failed': _encode_attempts(progress.failed_attempts),
+        'checkpoints': [
+            [*unit, checkpoint]
+            for unit, checkpoint in progress.checkpoints.items()
+        ],
+    }
+    if progress.crashed_attempts:
+        document['crashed'] = _encode_attempts(progress.crashed_attempts)
+    return _encode_json(document)
 
 
 def decode_progress(content: bytes) -> JobProgress:
@@ -149,15 +147,24 @@
     return JobProgress(
         JobPhase(document['phase']),
         {UnitKey(*row) for row in document['succeeded']},
-        {UnitKey(*row[:3]): set(row[3]) for row in document['failed']},
+        _decode_attempts(document['failed']),
         {
             UnitKey(*row[:3]): Checkpoint(row[3])
             for row in document['checkpoints']
         },
         document['started'],
+        _decode_attempts(document.get('crashed', [])),
     )
 
 
+def _encode_attempts(attempts_of: dict[UnitKey, set[int]]) -> list[Any]:
+    return [[*unit, sorted(attempts)] for unit, attempts in attempts_of.items()]
+
+
+def _decode_attempts(rows: list[Any]) -> dict[UnitKey, set[int]]:
+    return {UnitKey(*row[:3]): set(row[3]) for row in rows}
+
+
 def _encode_json(document: object) -> bytes:
     return json.dumps(document, separators=(',', ':')).encode()
 
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs import crash_trials, worker_crashes, worker_suspension
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
@@ -50,6 +50,9 @@
     view.clock_ms = report.clock_ms
     view.is_reconciled = True
     view.reported_ms = now_ms
+    view.in_touch_since_ms = view.in_touch_since_ms or now_ms
+    view.silent_since_ms = None
+    worker_crashes.settle_loss(state, view.worker, report.born_ms, now_ms)
     state.workers.apply_event(view, AvailabilityEvent.REPORTED)
     for row in report.running:
         _apply_running_row(state, view, row, now_ms)
@@ -65,6 +68,7 @@
     may run in the new one, because the start order can arrive after the
     restart.
     """
+    loss = worker_crashes.loss_of(view, now_ms)
     for run in list(view.runs.values()):
         if run.is_listed:
             _mark_run_lost(state, view, run, now_ms)
@@ -73,9 +77,19 @@
     view.seen_end = NO_END
     view.durable_end = NO_END
     view.clock_ms = 0
+    view.in_touch_since_ms = 0
     view.failure_record = FailureRecord()
     state.tickets.remove_worker(view.worker)
     state.room_changes.add(view.worker)
+    worker_crashes.count_end(state, loss, now_ms)
+
+
+def end_worker(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Mark all runs of a worker as lost: its process has ended."""
+    view.lease_expiry_ms = now_ms
+    loss = worker_crashes.loss_of(view, now_ms)
+    mark_runs_lost(state, view, now_ms)
+    worker_crashes.count_end(state, loss, now_ms)
 
 
 def mark_runs_lost(state: PoolState, view: WorkerView, now_ms: int) -> None:
@@ -138,6 +152,7 @@
         run.progress_percent = row.progress_percent
         run.progress_changed_ms = now_ms
     run.is_listed = True
+    run.listed_age_ms = now_ms - run.start_ordered_ms
     run.checkpoint = row.checkpoint
     run.usage = row.usage
     if run.visible_since_ms is None:
@@ -146,6 +161,7 @@
     job_and_step = state.find_step(row.task)
     if job_and_step is None:
         return
+    crash_trials.review_listed_run(state, job_and_step, view, run)
     step = job_and_step[1]
     unit = step.active.get(run.unit_key)
     if unit is not None and row.checkpoint:
@@ -196,6 +212,8 @@
         apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
         return run
     step, unit = step_and_unit
+    if unit.is_suspect:
+        view.begin_trial(run)
     unit.runs[run.key] = run
     unit.last_attempt = max(unit.last_attempt, run.attempt)
     step.activate(unit)
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs import crash_trials, worker_suspension
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import EndKind, EndRow
@@ -89,6 +89,7 @@
         )
     if step.spec.is_lasting:
         return
+    crash_trials.clear_unit(entry.job, context.unit)
     entry.complete_unit(step, context.unit)
     state.mark_dirty(entry.job)
     if not step.waiting and not step.active:
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -41,6 +41,12 @@
     visible_since_ms: int | None = None
     # A report of the worker's present incarnation has listed the run.
     is_listed: bool = False
+    # Time from the start order, or the adoption, to the last report that lists
+    # the run.
+    listed_age_ms: int = 0
+    # The worker gets no new run meanwhile; see `crash_trials`.
+    is_on_trial: bool = False
+    is_trial_report_requested: bool = False
     stop_ordered_ms: int | None = None
     is_stop_answered: bool = False
     checkpoint: Checkpoint = NO_CHECKPOINT
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -4,6 +4,7 @@
 
 from fuchsiarill.graphs.effects import Effect
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.lost_runs import WorkerLoss
 from fuchsiarill.graphs.model import (
     GraphConfig,
     PoolId,
@@ -17,7 +18,7 @@
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.tickets import TicketCache
 from fuchsiarill.graphs.worker_table import WorkerTable
-from fuchsiarill.ids import Epoch, JobId
+from fuchsiarill.ids import Epoch, JobId, WorkerId
 
 
 @dataclass(slots=True)
@@ -42,6 +43,10 @@
     # Each worker on which a previous owner may have started runs has reported
     # to this owner, or all task leases of the worker have expired.
     is_inheritance_settled: bool = False
+    # Runs lost by expired leases, of workers whose end is not proved.
+    losses: dict[WorkerId, WorkerLoss] = field(default_factory=dict)
+    # Latest proved end of each worker, for the comparison of their times.
+    recent_ends: dict[WorkerId, WorkerLoss] = field(default_factory=dict)
     # Unix time minus the runtime clock.
     unix_offset_ms: int = 0
 
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -93,4 +93,6 @@
 
     ALL_SUCCEEDED = 'all_succeeded'
     ATTEMPTS_USED_UP = 'attempts_used_up'
+    # A task has crashed the workers that started it.
+    WORKERS_CRASHED = 'workers_crashed'
     CANCEL_SEEN = 'cancel_seen'
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -3,7 +3,7 @@
 Costs are computed once for each worker that has room, and again only for a
 worker that got a unit, so that a step with many tasks takes little more time
 than one with few. They are computed anew for each gang and for each unit that
-has failed on a worker.
+has failed on a worker or is a suspect.
 """
 
 import heapq
@@ -44,10 +44,12 @@
     def place(self, request: PlacementRequest) -> list[WorkerView] | None:
         """Return a worker for each task, or `None` if the unit does not fit."""
         if request.step.spec.is_gang:
-            return place_gang(
-                self._state, request, self._permitted_workers(request)
-            )
-        if request.unit.failed_on:
+            views = self._permitted_workers(request)
+            ready = [
+                view for view in views if may_receive_runs(view, request.now_ms)
+            ]
+            return place_gang(self._state, request, ready)
+        if request.unit.failed_on or request.unit.is_suspect:
             return self._place_retry(request)
         heap = self._ranked_workers(request)
         while heap:
@@ -61,7 +63,10 @@
     def _place_retry(
         self, request: PlacementRequest
     ) -> list[WorkerView] | None:
-        """Place a unit that prefers workers on which it has not failed."""
+        """Place a unit whose costs differ from those of its step.
+
+        It prefers workers on which it has not failed, or it is a suspect.
+        """
         permitted = self._permitted_workers(request)
         views = [view for view in permitted if _can_start(request, view)]
         if not views:
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -7,10 +7,12 @@
 from fuchsiarill.graphs import (
     advice_prefetch,
     blocked_steps,
+    crash_trials,
     draining,
     pacing,
     reports,
     stalls,
+    worker_crashes,
 )
 from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import order_stop
@@ -30,6 +32,7 @@
 TICK_ACTIONS.register('4 drain workers')(draining.drain_workers)
 TICK_ACTIONS.register('5 pace fillers')(pacing.pace_fillers)
 TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
+TICK_ACTIONS.register('8 report trials')(crash_trials.request_trial_reports)
 TICK_ACTIONS.register('9 prefetch advice')(advice_prefetch.prefetch_advice)
 TICK_ACTIONS.register('9 report blocked steps')(blocked_steps.report_blocked)
 
@@ -45,6 +48,7 @@
             continue
         view.is_reconciled = True
         if view.runs:
+            worker_crashes.remember_loss(state, view, now_ms)
             reports.mark_runs_lost(state, view, now_ms)
         if not view.is_listed:
             state.workers.apply_event(view, AvailabilityEvent.LAPSED)
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -63,7 +63,9 @@
 
 
 def may_receive_runs(view: WorkerView, now_ms: int) -> bool:
-    """Tell whether the worker may get a run: not while it is suspended.
+    """Tell whether the worker may get a run.
+
+    It gets none while it is suspended or has a run on trial.
 
     After a suspension it is on probation: it gets one task at a time until a
     task succeeds or a lasting task has been initialized. Runs that are at least
@@ -71,6 +73,8 @@
     exclude the worker from all other tasks.
     """
     record = view.failure_record
+    if view.trials_count:
+        return False
     if now_ms < record.suspended_until_ms:
         return False
     if record.suspensions_count == 0:
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -70,6 +70,8 @@
     filler_milli: int = 0
     # Number of runs of tasks with a target for the tail latency.
     serving_count: int = 0
+    # Number of runs on trial.
+    trials_count: int = 0
     born_ms: BornMs = _BORN_UNKNOWN_MS
     # Sequence number of the last end that has been applied.
     seen_end: EndSequence = NO_END
@@ -79,6 +81,10 @@
     # renewal that extends the leases, moves it.
     lease_expiry_ms: int = 0
     reported_ms: int = 0
+    # When the present incarnation reported first; 0 before.
+    in_touch_since_ms: int = 0
+    # When a call failed first since the last report; `None` while none has.
+    silent_since_ms: int | None = None
     # The worker's clock in the latest report.
     clock_ms: int = 0
     leaving_since_ms: int | None = None
@@ -138,6 +144,7 @@
         self._update_free()
         self.filler_milli += run.filler_milli
         self.serving_count += int(is_serving)
+        self.trials_count += int(run.is_on_trial)
 
     def release(self, run: Run, is_serving: bool) -> None:
         """Remove a run and release its charge; an unknown run is ignored."""
@@ -147,6 +154,17 @@
         self._update_free()
         self.filler_milli -= run.filler_milli
         self.serving_count -= int(is_serving)
+        self.trials_count -= int(run.is_on_trial)
+
+    def begin_trial(self, run: Run) -> None:
+        """Put a run of the worker on trial."""
+        self.trials_count += int(not run.is_on_trial)
+        run.is_on_trial = True
+
+    def end_trial(self, run: Run) -> None:
+        """End the trial of a run; without a trial nothing changes."""
+        self.trials_count -= int(run.is_on_trial)
+        run.is_on_trial = False
 
     def apply_entry(self, entry: WorkerEntry) -> None:
         """Set the directory entry, and the address and capacity from it."""
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -124,6 +124,10 @@
     'The job failed: {failed} runs ended as failed, and a task has no attempt '
     'left.'
 )
+JOB_CRASHED_WORKERS: Final = (
+    'The job failed: task {task} was given up, since workers crashed in '
+    '{crashes} of its attempts.'
+)
 JOB_SETTLED: Final = (
     'The job is {phase} after {age_ms} ms, objective {objective_ms} ms; its '
     'first run started after {wait_ms} ms; runs lost with their worker: '
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -21,6 +21,7 @@
 }
 PLACED = {'event': 711, 'waited_ms': 45}
 FAILED = {'event': 712, 'kind': 'failed'}
+GIVEN_UP = {'event': 726, 'task': '0.0.1', 'crashes': 2}
 SETTLED = {
     'event': 704,
     'phase': 'succeeded',
@@ -50,6 +51,10 @@
             [ACCEPTED, PLACED, FAILED, SETTLED | {'phase': 'failed'}],
             '1 runs ended as failed',
         ),
+        (
+            [ACCEPTED, PLACED, GIVEN_UP, SETTLED | {'phase': 'failed'}],
+            'task 0.0.1 was given up, since workers crashed in 2 of its',
+        ),
     ],
 )
 def test_conclusion(log_fields: list[dict[str, Any]], words: str) -> None:
--- /dev/null
+++ b/tests/test_worker_crashes.py
@@ -0,0 +1,387 @@
+"""Tasks that crash each worker that starts them, and other ends of workers.
+
+A task under which two workers have crashed may be given up. Sound tasks that
+ran beside it, and tasks whose workers ended for other reasons, have to succeed.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from fuchsiarill.graphs import records
+from fuchsiarill.graphs.model import BornMs, Step
+from fuchsiarill.graphs.progress import JobProgress, UnitKey
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId, WorkerId
+from fuchsiarill.resources import Resources
+from tests.crash_world import LONG_OUTAGE_MS, OUTAGE_MS, CrashWorld
+from tests.graph_owner import Owner, entry, running, task
+
+SMALL = Resources(100, 100)
+WORKERS = ('w0', 'w1', 'w2', 'w3')
+CRASH_AFTER_MS = 50
+
+
+def deadly_world(
+    *,
+    neighbours_count: int = 6,
+    workers: tuple[str, ...] = WORKERS,
+    crash_after_ms: int = CRASH_AFTER_MS,
+) -> CrashWorld:
+    """Return a world with a deadly task and sound neighbours beside it."""
+    world = CrashWorld(*workers)
+    world.pass_time(100)
+    world.add('sound', Step(neighbours_count, SMALL), run_ms=1500)
+    world.add('deadly', Step(1, SMALL))
+    world.crash_after_ms[task('deadly')] = crash_after_ms
+    return world
+
+
+@pytest.mark.parametrize('keeps_id', [False, True])
+@pytest.mark.parametrize('outage_ms', [300, OUTAGE_MS, LONG_OUTAGE_MS])
+def test_task_that_crashes_workers_is_given_up(
+    outage_ms: int, *, keeps_id: bool
+) -> None:
+    """Guards against a task that crashes one worker after the other for ever.
+
+    Its sound neighbours succeed. The crash is proved by another worker at the
+    address or by a later incarnation, before or after the leases expire.
+    """
+    world = deadly_world()
+    world.keeps_id = keeps_id
+    world.outage_ms = outage_ms
+    world.pass_time(6 * (outage_ms + 1000))
+    assert world.phase('deadly') is JobPhase.FAILED
+    assert world.phase('sound') is JobPhase.SUCCEEDED
+    # After three crashes, less than three further starts are allowed.
+    assert 2 <= len(world.starts_of(task('deadly'))) <= 5
+    assert not world.violations
+
+
+def test_second_crash_is_enough_if_the_task_was_alone() -> None:
+    """Guards against further crashes when the cause is clear."""
+    world = deadly_world()
+    world.pass_time(12_000)
+    assert world.phase('deadly') is JobPhase.FAILED
+    assert len(world.starts_of(task('deadly'))) == 2
+
+
+def test_neighbours_of_a_crash_lose_their_work_once() -> None:
+    """Guards against sound tasks that start beside the deadly one again."""
+    world = deadly_world()
+    world.pass_time(12_000)
+    assert world.phase('sound') is JobPhase.SUCCEEDED
+    for position in range(6):
+        assert len(world.starts_of(task('sound', 0, position))) <= 2
+    positions = [
+        number
+        for number, start in enumerate(world.starts)
+        if start.task == task('deadly')
+    ]
+    assert len(positions) == 2
+    assert not world.neighbours[positions[1]]
+
+
+def test_no_run_joins_a_trial() -> None:
+    """Guards against new tasks that are lost with the worker of a suspect."""
+    world = deadly_world(workers=('w0', 'w1'))
+    world.pass_time(OUTAGE_MS + 300)
+    world.add('later', Step(8, SMALL), run_ms=100)
+    world.pass_time(12_000)
+    assert world.phase('later') is JobPhase.SUCCEEDED
+    for position in range(8):
+        assert len(world.starts_of(task('later', 0, position))) == 1
+
+
+def test_task_that_crashes_its_worker_late_is_given_up() -> None:
+    """Guards against a deadly task that outlives each short trial."""
+    world = deadly_world(crash_after_ms=1500)
+    world.add('long', Step(6, SMALL), run_ms=3000)
+    world.run_ms['deadly'] = 3000
+    world.pass_time(60_000)
+    assert world.phase('deadly') is JobPhase.FAILED
+    assert world.phase('long') is JobPhase.SUCCEEDED
+    assert len(world.starts_of(task('deadly'))) <= 5
+
+
+def cut_off(world: CrashWorld, name: str) -> None:
+    """Cut a worker off until its leases have expired."""
+    world.workers[name].is_reachable = False
+    world.pass_time(LONG_OUTAGE_MS)
+    world.workers[name].is_reachable = True
+
+
+def leave(world: CrashWorld, name: str) -> None:
+    """End a worker that has announced its end."""
+    world.workers[name].is_leaving = True
+    world.publish_directory()
+    world.pass_time(200)
+    world.crash(name)
+    world.pass_time(OUTAGE_MS)
+    world.workers[name].is_leaving = False
+    world.publish_directory()
+
+
+def leave_and_keep_id(world: CrashWorld, name: str) -> None:
+    """Restart a worker under its id after a notice."""
+    world.keeps_id = True
+    leave(world, name)
+
+
+def lapse_and_leave(world: CrashWorld, name: str) -> None:
+    """End a worker after a notice that came while it was cut off."""
+    world.workers[name].is_reachable = False
+    world.pass_time(LONG_OUTAGE_MS)
+    leave(world, name)
+
+
+@pytest.mark.parametrize(
+    'end_worker', [cut_off, leave, leave_and_keep_id, lapse_and_leave]
+)
+def test_end_without_a_crash_counts_nothing(
+    end_worker: Callable[[CrashWorld, str], None],
+) -> None:
+    """Guards against sound tasks that are given up after cuts and restarts."""
+    world = CrashWorld('w0', 'w1')
+    world.pass_time(100)
+    world.add('sound', Step(1, SMALL), run_ms=60_000)
+    for _ in range(4):
+        world.pass_time(300)
+        name = world.worker_of(task('sound'))
+        assert name is not None
+        end_worker(world, name)
+        world.pass_time(1000)
+    entry_of_job = world.owner.core.state.jobs[JobId('sound')]
+    assert entry_of_job.is_active
+    assert not entry_of_job.progress.crashed_attempts
+    assert not world.violations
+
+
+def test_rack_without_power_gives_up_nothing() -> None:
+    """Guards against tasks that are given up when their rack loses power."""
+    world = CrashWorld(*WORKERS, rack='r1')
+    world.pass_time(100)
+    for number in range(4):
+        world.add(f'j{number}', Step(1, SMALL), run_ms=2000)
+    for _ in range(4):
+        world.pass_time(300)
+        for name in list(world.workers):
+            if world.workers[name].is_reachable:
+                world.crash(name)
+        world.pass_time(OUTAGE_MS + 200)
+    for number in range(4):
+        progress = world.owner.core.state.jobs[JobId(f'j{number}')].progress
+        assert progress.phase is JobPhase.ACTIVE
+        assert not progress.crashed_attempts
+    world.pass_time(6000)
+    assert {world.phase(f'j{number}') for number in range(4)} == {
+        JobPhase.SUCCEEDED
+    }
+
+
+def test_crash_in_a_rack_that_is_up_counts() -> None:
+    """Guards against a deadly task that hides behind a loss of power."""
+    world = CrashWorld(*WORKERS, rack='r1')
+    world.pass_time(100)
+    world.add('deadly', Step(1, SMALL))
+    world.crash_after_ms[task('deadly')] = CRASH_AFTER_MS
+    world.pass_time(12_000)
+    assert world.phase('deadly') is JobPhase.FAILED
+
+
+def test_crashes_are_counted_across_owners() -> None:
+    """Guards against a deadly task that each new owner starts three times."""
+    world = deadly_world(neighbours_count=2)
+    world.pass_time(OUTAGE_MS + 150)
+    assert world.owner.core.state.jobs[
+        JobId('deadly')
+    ].progress.crashed_attempts
+    world.replace_owner()
+    world.pass_time(15_000)
+    assert world.phase('deadly') is JobPhase.FAILED
+    assert world.phase('sound') is JobPhase.SUCCEEDED
+    assert len(world.starts_of(task('deadly'))) <= 3
+
+
+def test_gang_counts_once_a_crash() -> None:
+    """Guards against a sound gang that is given up after a single crash.
+
+    Several members may run on the worker, or on workers that crash together.
+    """
+    world = CrashWorld('w0', 'w1')
+    world.pass_time(100)
+    gang = Step(4, Resources(900, 100), is_gang=True)
+    world.add('gang', gang, run_ms=2000)
+    world.pass_time(500)
+    for name in ('w0', 'w1'):
+        world.crash(name)
+    world.pass_time(OUTAGE_MS + 200)
+    progress = world.owner.core.state.jobs[JobId('gang')].progress
+    assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1}}
+    world.pass_time(6000)
+    assert world.phase('gang') is JobPhase.SUCCEEDED
+
+
+def test_deadly_gang_is_given_up() -> None:
+    """Guards against a gang that crashes its workers for ever."""
+    world = CrashWorld(*WORKERS)
+    world.pass_time(100)
+    world.add('gang', Step(2, Resources(1500, 100), is_gang=True), run_ms=6000)
+    world.crash_after_ms[task('gang', 0, 1)] = CRASH_AFTER_MS
+    world.pass_time(20_000)
+    assert world.phase('gang') is JobPhase.FAILED
+    assert len(world.starts_of(task('gang', 0, 1))) == 2
+
+
+def test_lasting_task_outlives_unrelated_crashes() -> None:
+    """Guards against a watch that is given up after a season of crashes."""
+    world = CrashWorld('w0', 'w1', 'w2')
+    world.pass_time(100)
+    world.add('watch', Step(1, SMALL, is_lasting=True))
+    for _ in range(8):
+        world.pass_time(8000)
+        name = world.worker_of(task('watch'))
+        assert name is not None
+        world.crash(name)
+    world.pass_time(10_000)
+    assert world.phase('watch') is JobPhase.ACTIVE
+    assert world.worker_of(task('watch')) is not None
+    progress = world.owner.core.state.jobs[JobId('watch')].progress
+    assert not progress.crashed_attempts
+
+
+def test_deadly_lasting_task_is_given_up() -> None:
+    """Guards against a lasting task that crashes one worker after the other."""
+    world = CrashWorld(*WORKERS)
+    world.pass_time(100)
+    world.add('watch', Step(1, SMALL, is_lasting=True))
+    world.crash_after_ms[task('watch')] = CRASH_AFTER_MS
+    world.pass_time(12_000)
+    assert world.phase('watch') is JobPhase.FAILED
+
+
+def test_old_runs_are_no_suspects() -> None:
+    """Guards against trials of tasks that have long run without a crash."""
+    world = CrashWorld(*WORKERS)
+    world.pass_time(100)
+    world.add('old', Step(1, SMALL), run_ms=6000)
+    world.pass_time(3000)
+    name = world.worker_of(task('old'))
+    assert name is not None
+    world.crash(name)
+    world.pass_time(OUTAGE_MS + 200)
+    world.add('new', Step(8, SMALL), run_ms=100)
+    world.pass_time(100)
+    unit = world.owner.core.state.jobs[JobId('old')].steps[0, 0].active
+    assert not any(active.is_suspect for active in unit.values())
+
+
+def test_suspect_starts_on_a_full_worker() -> None:
+    """Guards against a suspect that waits for an empty worker for ever."""
+    world = CrashWorld('w0', 'w1')
+    world.pass_time(100)
+    world.add('watch', Step(2, SMALL, is_lasting=True, per_worker_max=1))
+    world.pass_time(7000)
+    world.add('sound', Step(1, SMALL), run_ms=2000)
+    world.pass_time(200)
+    name = world.worker_of(task('sound'))
+    assert name is not None
+    world.crash(name)
+    world.pass_time(OUTAGE_MS + 6000)
+    assert world.phase('sound') is JobPhase.SUCCEEDED
+
+
+def test_suspect_avoids_the_worker_of_a_lasting_task() -> None:
+    """Guards against a watch that is lost beside a task on trial."""
+    world = CrashWorld(*WORKERS)
+    world.pass_time(100)
+    world.add('watch', Step(2, SMALL, is_lasting=True, per_worker_max=1))
+    world.pass_time(7000)
+    world.add('deadly', Step(1, SMALL))
+    world.crash_after_ms[task('deadly')] = CRASH_AFTER_MS
+    world.pass_time(12_000)
+    assert world.phase('deadly') is JobPhase.FAILED
+    second = world.starts.index(world.starts_of(task('deadly'))[1])
+    watches = {task('watch', 0, position) for position in range(2)}
+    assert not world.neighbours[second] & watches
+
+
+def test_lost_tickets_of_trials_do_not_block_a_worker() -> None:
+    """Guards against a worker that gets no run after a trial has ended."""
+    world = deadly_world(workers=('w0', 'w1'))
+    world.pass_time(20_000)
+    assert world.phase('sound') is JobPhase.SUCCEEDED
+    assert not any(view.trials_count for view in world.owner.core.state.workers)
+
+
+def test_crashes_suspend_no_worker() -> None:
+    """Guards against sound workers that get no runs after crashes."""
+    world = deadly_world()
+    world.keeps_id = True
+    world.pass_time(12_000)
+    for view in world.owner.core.state.workers:
+        assert not view.failure_record.suspensions_count
+
+
+def test_two_unclear_crashes_give_up_neither_task() -> None:
+    """Guards against a sound task that is given up beside a deadly one.
+
+    Both are on the worker in two crashes; one of them passes its next trial.
+    """
+    owner = Owner('w0')
+    owner.add_job('a', Step(1, SMALL))
+    owner.add_job('b', Step(1, SMALL))
+    state = owner.core.state
+    names = ('a', 'b')
+    for attempt in (1, 2):
+        owner.report(
+            'w0',
+            tuple(running(task(job), attempt) for job in names),
+            born_ms=2 * attempt,
+        )
+        owner.report('w0', born_ms=2 * attempt + 1)
+    for name in names:
+        progress = state.jobs[JobId(name)].progress
+        assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1, 2}}
+        assert progress.phase is JobPhase.ACTIVE
+    owner.report('w0', tuple(running(task(job), 3) for job in names), born_ms=6)
+    owner.report('w0', born_ms=7)
+    # A further start of each could cost a worker.
+    assert {state.jobs[JobId(job)].progress.phase for job in names} == {
+        JobPhase.FAILED
+    }
+
+
+def test_later_worker_at_the_address_proves_the_end() -> None:
+    """Guards against an uncounted crash of a worker that was away for long.
+
+    The owner has no channel to the worker any more, so only the directory
+    tells of the other worker at its address.
+    """
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SMALL))
+    owner.starts()
+    owner.report('w0', (running(task('a')),))
+    owner.core.update_workers([entry('w1')], owner.now_ms)
+    owner.now_ms += LONG_OUTAGE_MS
+    owner.decide()
+    owner.core.state.workers.remove(WorkerId('w0'))
+    progress = owner.core.state.jobs[JobId('a')].progress
+    assert not progress.crashed_attempts
+    successor = replace(entry('w2'), address='w0:1', born_ms=BornMs(9000))
+    owner.core.update_workers([entry('w1'), successor], owner.now_ms)
+    assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1}}
+
+
+def test_crashes_survive_the_store() -> None:
+    """Guards against crashes that are lost in a record or break an old one."""
+    progress = JobProgress(
+        has_started=True, crashed_attempts={UnitKey(0, 0, 1): {1, 101}}
+    )
+    content = records.encode_progress(progress)
+    assert records.decode_progress(content) == progress
+    old_record = records.encode_progress(JobProgress())
+    assert b'crashed' not in old_record
+    assert records.decode_progress(old_record) == JobProgress()
