--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -6,15 +6,15 @@
 from fuchsiarill import events
 from fuchsiarill.graphs import (
     advice_prefetch,
-    blocked_steps,
     crash_trials,
     draining,
-    inherited_advice,
     pacing,
     reports,
     stalls,
     worker_crashes,
 )
+from fuchsiarill.graphs.blocked_steps import report_blocked
+from fuchsiarill.graphs.inherited_advice import request_inherited_advice
 from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import order_stop
 from fuchsiarill.graphs.runs import Run
@@ -35,10 +35,8 @@
 TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
 TICK_ACTIONS.register('8 report trials')(crash_trials.request_trial_reports)
 TICK_ACTIONS.register('9 prefetch advice')(advice_prefetch.prefetch_advice)
-TICK_ACTIONS.register('9 request inherited advice')(
-    inherited_advice.request_inherited_advice
-)
-TICK_ACTIONS.register('9 report blocked steps')(blocked_steps.report_blocked)
+TICK_ACTIONS.register('9 request inherited advice')(request_inherited_advice)
+TICK_ACTIONS.register('9 report blocked steps')(report_blocked)
 
 
 @TICK_ACTIONS.register('1 expire leases')
