Find out by a renewal whether a previous owner's lease exists

What callers saw: accepted jobs stood still for over 7 s after the owner of their pool and some workers were lost, and tasks that last came back too late.

Cause: a new owner ended the lease of the previous owner and took the answer "no such lease" as proof that it had expired. The users' store confirms the end of a lease that has expired, so each owner that is elected on another machine waited for the task leases and for the lease of the previous owner.

Change: a renewal, for which the store answers 404 after the end, tells whether the lease exists. Only a lease that exists is ended, and waited for.

Result: test_previous_owner uses a store that confirms the end of any lease and failed before.

Why it works: a renewal and the end of a lease are applied in order, so a lease that can't be renewed has ended, and its owner sends no orders.

--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -91,23 +91,33 @@
         has ended or whose guard is revoked. Another process stops sending
         orders before its lease expires. That process may still send orders if
         its lease exists, since it may not have noticed that its owner key was
-        deleted. This call ends such a lease, and so finds out whether the lease
-        existed. An earlier call that ended the lease, but whose answer was
-        lost, makes the lease look expired. Retries until a call succeeds.
+        deleted; such a lease is ended. Whether the lease exists is found out by
+        a renewal: the store may confirm the end of a lease that has expired.
         """
         if previous_owner is None or previous_owner.process == self.process:
             return now_ms()
+        lease = StoreLeaseId(previous_owner.lease)
+        if not await self._does_lease_exist(lease):
+            return now_ms()
         while True:
-            end_result = await self.store.end_lease(
-                StoreLeaseId(previous_owner.lease),
-                self.timeout_ms,
-            )
-            if end_result == Failure(KvFailure.LEASE_GONE):
-                return now_ms()
-            if isinstance(end_result, Success):
+            end_result = await self.store.end_lease(lease, self.timeout_ms)
+            is_gone = end_result == Failure(KvFailure.LEASE_GONE)
+            if is_gone or isinstance(end_result, Success):
                 return now_ms() + self.ownership_ttl_ms
             await sleep_ms(_RETRY_DELAY_MS)
 
+    async def _does_lease_exist(self, lease: StoreLeaseId) -> bool:
+        """Renew a lease; retries until a call succeeds."""
+        while True:
+            renewal_result = await self.store.renew_lease(
+                lease, self.timeout_ms
+            )
+            if renewal_result == Failure(KvFailure.LEASE_GONE):
+                return False
+            if isinstance(renewal_result, Success):
+                return True
+            await sleep_ms(_RETRY_DELAY_MS)
+
     async def _get_item(self, key: StoreKey) -> Result[KvItem, KvFailure]:
         return await self.store.get(key, self.timeout_ms)
 
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import now_ms, run_paused, sleep_ms
@@ -14,7 +14,7 @@
     PrefixWatcher,
     PrefixWatchSettings,
 )
-from fuchsiarill.ids import JobId, ProcessId, StoreKey
+from fuchsiarill.ids import JobId, ProcessId, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import KvFailure, KvPage, KvWrite
 from standins.store_model import StoreModel, StorePath
 from tests.graph_cell import POOL
@@ -26,6 +26,17 @@
 _CHECK_MAX_MS = 100
 
 
+class _ConfirmingStore(StorePath):
+    """A path on which the end of a lease that does not exist succeeds."""
+
+    async def end_lease(
+        self, lease: StoreLeaseId, timeout_ms: int
+    ) -> Result[StoreLeaseId, KvFailure]:
+        """End a lease and confirm it."""
+        await super().end_lease(lease, timeout_ms)
+        return Success(lease)
+
+
 class _SlowLists(StorePath):
     """A path on which a page of a list takes a fixed time."""
 
@@ -60,11 +71,12 @@
     """Guards against a takeover while the previous owner still sends orders.
 
     The key of an owner may be deleted while its lease, and so its right to
-    send orders, is still valid.
+    send orders, is still valid. Guards also against a wait for an owner whose
+    lease has expired: the store confirms the end of any lease.
     """
 
     async def main() -> bool:
-        path = StorePath(StoreModel())
+        path = _ConfirmingStore(StoreModel())
         lease_result = await path.grant_lease(_TTL_MS, _TIMEOUT_MS)
         owner = None
         if previous is not None:
