Hand a pool over from a small machine to a larger one

Cause: a machine of half a processor that is elected owner keeps the pool, though larger machines run. It could be elected: the delays of a larger machine, up to 175 ms for later starts and 150 ms for a pool that it owns, and its campaign of 30 to 110 ms exceed the 250 ms of a small one.

Change: each process publishes whether its machine is small. A process on a small machine that owns a pool probes a larger one, which has to answer and to read the store; it then saves its records, ends its lease and follows. A small machine campaigns after 450 ms.

Why it works: the handover is that of a drain, fenced by the epoch, and a larger machine that answers the probe campaigns before all small ones.

--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -344,6 +344,12 @@
     '{count} log lines were dropped because the output does not keep up',
     'Read the output faster or raise the log level.',
 )
+POOL_HANDED_OVER: Final = LogEvent(
+    739,
+    Level.INFO,
+    'pool {pool} is handed over, since {process} runs on a larger machine',
+    _NO_ACTION,
+)
 STORE_RELAYED: Final = LogEvent(
     747,
     Level.WARNING,
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -14,10 +14,15 @@
 from returns.result import Failure, Success
 
 from fuchsiarill.cluster.job_encoding import SCHEMA
+from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.ports import GraphPorts
-from fuchsiarill.graphs.store_encoding import STORE_CALL_HANDLERS, encode_answer
+from fuchsiarill.graphs.store_encoding import (
+    STORE_CALL_HANDLERS,
+    encode_answer,
+    encode_get,
+)
 from fuchsiarill.ids import JobId, ProcessId, WorkerId
 
 
@@ -115,6 +120,19 @@
     )
 
 
+async def can_peer_reach_store(
+    links: PeerLinks, process: ProcessId, timeout_ms: int
+) -> bool:
+    """Tell whether a peer answers and can read the store."""
+    read = encode_get(keys.process_key(process), timeout_ms)
+    call_result = await links.call(
+        process, 'callStore', {'call': read}, timeout_ms
+    )
+    if isinstance(call_result, Failure):
+        return False
+    return not call_result.unwrap().answer.failure
+
+
 async def _serve_connection(
     ports: GraphPorts, timeout_ms: int, stream: Any
 ) -> None:
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -15,9 +15,10 @@
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
-from fuchsiarill.graphs import keys
+from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.advice import Advisor
 from fuchsiarill.graphs.front import Front
+from fuchsiarill.graphs.handover import Handover, LargerProcessesListed
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.model import GraphConfig, PoolId
@@ -94,8 +95,11 @@
         self._intake = Intake(ports.store, settings)
         self.front = Front(settings, self._intake.mailbox)
         self._tenures: dict[PoolId, Tenure] = {}
+        self._handover = Handover(
+            settings.machine, self._links, self._tenures.values
+        )
         self._owner_items: dict[PoolId, KvItem] = {}
-        self._peer_addresses: dict[ProcessId, str] = {}
+        self._peers: dict[ProcessId, records.ProcessRecord] = {}
         # Revision at which each process published its address.
         self._process_revisions: dict[ProcessId, Revision] = {}
         self._control_revision = Revision(0)
@@ -121,6 +125,7 @@
             self._links,
             self._advisor,
             self._intake,
+            self._handover,
             *self._watchers,
         ):
             actor.start()
@@ -146,7 +151,7 @@
         if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
             self._owner_items.clear()
-            self._peer_addresses.clear()
+            self._peers.clear()
             self._process_revisions.clear()
             self._apply_control_items(message.items)
             if not self._is_address_published:
@@ -239,7 +244,7 @@
             for tenure in self._tenures.values()
             if tenure.owner is not None
         ]
-        services = (self._links, self._advisor, self._intake)
+        services = (self._links, self._advisor, self._intake, self._handover)
         return (*services, *self._watchers, *self._tenures.values(), *owners)
 
     def _update_front_view(self, **changes: Any) -> None:
@@ -322,7 +327,7 @@
         return KvItem(key, None, self._control_revision)
 
     def _apply_control_items(self, items: Iterable[KvItem]) -> None:
-        previous_peers = dict(self._peer_addresses)
+        previous_peers = dict(self._peers)
         for item in items:
             process = keys.listed_process(item.key)
             if process is not None:
@@ -337,8 +342,9 @@
                 tenure.mailbox.send(OwnerKeySeen(item))
         # Sent once for all items: a process that is missing from a partial
         # list would lose its link and the calls on it.
-        if self._peer_addresses != previous_peers:
-            self._links.mailbox.send(PeersListed(self._peer_addresses))
+        if self._peers != previous_peers:
+            self._links.mailbox.send(PeersListed(_addresses(self._peers)))
+            self._handover.mailbox.send(LargerProcessesListed(self._peers))
 
     def _apply_peer(self, process: ProcessId, item: KvItem) -> None:
         self._process_revisions[process] = item.revision
@@ -346,14 +352,17 @@
             self._process_revisions.pop(process)
         if process == self._settings.process:
             return
-        self._peer_addresses.pop(process, None)
+        self._peers.pop(process, None)
         if item.value is not None:
-            self._peer_addresses[process] = item.value.decode()
+            self._peers[process] = records.decode_process(item.value)
 
     async def _publish_address(self) -> None:
         """Publish the peer address of this process in the store."""
         key = keys.process_key(self._settings.process)
-        write = KvWrite(key, self._settings.listen.peers.encode())
+        record = records.ProcessRecord(
+            self._settings.listen.peers, self._settings.machine.is_small
+        )
+        write = KvWrite(key, records.encode_process(record))
         while not self._is_draining:
             commit_result = await self._ports.store.commit(
                 KvTransaction(writes=(write,)),
@@ -386,3 +395,9 @@
         drain_ms = self._settings.front.drain_ms
         await sleep_ms(max(0, drain_ms - (now_ms() - started_ms)))
         self.exit_status = 0
+
+
+def _addresses(
+    peers: dict[ProcessId, records.ProcessRecord],
+) -> dict[ProcessId, str]:
+    return {process: record.address for process, record in peers.items()}
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -30,6 +30,14 @@
     lease: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessRecord:
+    """Peer address of a process, and whether its machine is small."""
+
+    address: str
+    is_small: bool
+
+
 @dataclass(frozen=True, slots=True)
 class FleetMember:
     """A worker that may run tasks of the pool."""
@@ -62,6 +70,16 @@
     return OwnerRecord(**json.loads(content))
 
 
+def encode_process(record: ProcessRecord) -> bytes:
+    """Return the JSON form of a process record."""
+    return _encode_json(asdict(record))
+
+
+def decode_process(content: bytes) -> ProcessRecord:
+    """Decode a process record."""
+    return ProcessRecord(**json.loads(content))
+
+
 def encode_fleet(record: FleetRecord) -> bytes:
     """Return the JSON form of a fleet record."""
     rows = [[member.worker, member.address] for member in record.members]
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -77,6 +77,7 @@
     LEASE_RENEWED = 'lease_renewed'
     OWNERSHIP_LOST = 'ownership_lost'
     DRAIN_ASKED = 'drain_asked'
+    LARGER_MACHINE_FOUND = 'larger_machine_found'
 
 
 class JobPhase(Enum):
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -35,6 +35,7 @@
 from fuchsiarill.graphs.tenure_messages import (
     Candidate,
     Drain,
+    HandOverToLarger,
     LeaseRenewalAnswered,
     OwnerKeySeen,
     PoolRecordsRead,
@@ -49,9 +50,10 @@
 # Delay for each pool that the process owns, so that other processes campaign
 # first.
 _OWNED_POOL_DELAY_MS: Final = 150
-# Larger machines campaign before small ones. The delay exceeds the duration of
-# a campaign, allowing for the difference in speed of the machines.
-_SMALL_MACHINE_DELAY_MS: Final = 250
+# Larger machines campaign before small ones. The delay exceeds the sum of the
+# other delays of a larger machine and the duration of its campaign, up to
+# 110 ms while the store loses answers.
+_SMALL_MACHINE_DELAY_MS: Final = 450
 # A rolling restart stops each process once, so processes that started last
 # campaign first. The delay for each process that started later exceeds the
 # duration of a campaign and the random delay.
@@ -213,18 +215,16 @@
     async def on_drain(self, message: Drain) -> None:
         """Hand the pool over; end its lease, so that others campaign now."""
         self._apply_event(TenureEvent.DRAIN_ASKED)
-        if self.owner is not None:
-            await self.owner.hand_over(_HANDOVER_TIMEOUT_MS)
-            owner = self.owner
-            self.owner = None
-            await owner.stop()
-        self._guard = None
-        lease = self._election.lease
-        self._election = Election(None)
-        if lease is not None:
-            await self._campaigner.end_lease(lease)
+        await self._release_pool()
         message.reply.answer(None)
 
+    @handles(HandOverToLarger)
+    async def on_hand_over(self, message: HandOverToLarger) -> None:
+        """Hand the pool over, and take part in the election again."""
+        if self.state is TenureState.OWNING:
+            self._apply_event(TenureEvent.LARGER_MACHINE_FOUND)
+            await self._release_pool()
+
     def campaign(self) -> None:
         """Try to become the owner, in a task of its own."""
         self.spawn(self._run_campaign())
@@ -282,6 +282,19 @@
         """Log an event with the pool and the epoch."""
         events.emit(event, pool=self.pool, epoch=self._election.epoch)
 
+    async def _release_pool(self) -> None:
+        """Save the last records, then end the lease."""
+        if self.owner is not None:
+            await self.owner.hand_over(_HANDOVER_TIMEOUT_MS)
+            owner = self.owner
+            self.owner = None
+            await owner.stop()
+        self._guard = None
+        lease = self._election.lease
+        self._election = Election(None)
+        if lease is not None:
+            await self._campaigner.end_lease(lease)
+
     def _apply_event(self, event: TenureEvent) -> None:
         transition = _CHART.step(self.state, event)
         if transition is None:
@@ -395,7 +408,7 @@
 
 @TENURE_ACTIONS.register('hand_over')
 def _hand_over(tenure: Tenure) -> None:
-    """Do nothing: the handler of `Drain` waits for the last records."""
+    """Do nothing: the handler of the message waits for the last records."""
 
 
 _CHART: Final = load_chart('tenure', TenureState, TenureEvent, TENURE_ACTIONS)
--- a/fuchsiarill/graphs/tenure_messages.py
+++ b/fuchsiarill/graphs/tenure_messages.py
@@ -27,6 +27,11 @@
     reply: Reply[None]
 
 
+@dataclass(frozen=True, slots=True)
+class HandOverToLarger:
+    """Request to end the term, since a larger machine can own the pool."""
+
+
 @dataclass(frozen=True, slots=True)
 class PoolRecordsRead:
     """The records of the pool have been read for the term of an election."""
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -4,8 +4,9 @@
 """
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -82,6 +83,27 @@
         return Failure(PeerFailure.NOT_SENT)
 
 
+class AnsweringPeers(NoPeers):
+    """Links over which each running process answers that it has the store."""
+
+    def __init__(self, running: Mapping[ProcessId, GraphProcess]) -> None:
+        """Answer for the processes in `running`."""
+        super().__init__()
+        self._running = running
+
+    async def call(
+        self,
+        process: ProcessId,
+        method: str,
+        request: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[Any, PeerFailure]:
+        """Return an answer without a failure if the process runs."""
+        if process not in self._running:
+            return Failure(PeerFailure.NO_ANSWER)
+        return Success(SimpleNamespace(answer=SimpleNamespace(failure='')))
+
+
 class GrantingAdvisor:
     """An advice service that grants a ticket to every worker."""
 
@@ -143,6 +165,7 @@
         self.process_starts_count = 0
         # Processes on machines that are too small for an owner.
         self.processes_on_small_machines: set[ProcessId] = set()
+        self.are_peers_connected = False
         self.config = GraphConfig(
             Generation(1),
             {QUEUE: queue_policy()},
@@ -203,7 +226,10 @@
                 lambda worker, _: self.entries[worker],
             ),
         )
-        process = GraphProcess(settings, ports, self.metrics, NoPeers())
+        links = NoPeers()
+        if self.are_peers_connected:
+            links = AnsweringPeers(self.processes)
+        process = GraphProcess(settings, ports, self.metrics, links)
         self.processes[name] = process
         process.start()
 
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -4,6 +4,8 @@
 that no worker exceeded its capacity.
 """
 
+import pytest
+
 from fuchsiarill import codes
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.graphs.model import Step
@@ -179,6 +181,42 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize('is_larger_running', [True, False])
+def test_small_machine_hands_over_to_a_larger_one(
+    *, is_larger_running: bool
+) -> None:
+    """Guards against a pool that stays with a small machine.
+
+    Such an owner may be too slow for the load, so that most tasks are lost. A
+    larger machine that is listed but does not run gets no pool, since the
+    small machines would only replace each other.
+    """
+
+    async def main() -> None:
+        cell = GraphCell(3, 3)
+        cell.are_peers_connected = True
+        cell.processes_on_small_machines = {P0, P1, ProcessId('p2')}
+        await cell.start()
+        await sleep_ms(1500)
+        first_owner = owner_of(cell)
+        assert first_owner in cell.processes_on_small_machines
+        await cell.submit(P0, 'a', TWO_STEPS, duration_ms=2500)
+        await sleep_ms(500)
+        larger = ProcessId('p3')
+        expected_owner = larger
+        cell.run_process(larger)
+        await sleep_ms(100)
+        if not is_larger_running:
+            await cell.kill(larger)
+            expected_owner = first_owner
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 12000)
+        assert owner_of(cell) == expected_owner
+        assert len(cell.fleet.starts) == 5
+        await cell.stop()
+
+    run_paused(main())
+
+
 def test_worker_that_was_silent_keeps_its_runs() -> None:
     """Guards against tasks that start elsewhere after a short silence.
 
