Count found runs that are stopped towards the limit per worker

What callers saw: more tasks of a step on a worker than max_per_server allows (ROUTE), after a change of the owner.

Cause: a run that a new owner finds and does not keep was not counted on its worker, but its end was subtracted, so the count fell below the truth.

Evidence: from the code; test_stopped_run_of_a_previous_owner_leaves_the_limit_ per_worker.

Change: each found run of an unfinished step is counted, whether it is kept or stopped.

Result: the test failed before with a second start beside the run that is being stopped, and passes.

Why it works: the end of a run is subtracted under the same condition as it is now counted: the step is known and not finished.

--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -183,6 +183,10 @@
         visible_since_ms=now_ms,
     )
     allocate_run(state, run)
+    job_and_step = state.find_step(row.task)
+    if job_and_step is not None:
+        # Its end subtracts it, whether the run is kept or stopped.
+        job_and_step[1].runs_per_worker[view.worker] += 1
     step_and_unit = _unit_for_adoption(state, entry, run)
     events.emit(
         events.RUN_FOUND,
@@ -199,7 +203,6 @@
     unit.runs[run.key] = run
     unit.last_attempt = max(unit.last_attempt, run.attempt)
     step.activate(unit)
-    step.runs_per_worker[view.worker] += 1
     return run
 
 
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -303,3 +303,22 @@
     owner.report('w0', (running(task('a')),))
     owner.report('w0', born_ms=9)
     assert [start.attempt for start in owner.starts()] == [2]
+
+
+def test_stopped_run_of_a_previous_owner_leaves_the_limit_per_worker() -> None:
+    """Guards against more tasks of a step on a worker than its limit allows.
+
+    A run that is found but not kept was not counted on its worker, but its end
+    was, so that one task more than the limit could start there.
+    """
+    owner = Owner('w0', 'w1', term=2)
+    for name in ('w0', 'w1'):
+        owner.core.add_inherited_worker(WorkerId(name), f'{name}:1', 9000)
+    step = Step(4, Resources(100, 100), per_worker_max=1)
+    owner.add_job('a', step, is_inherited=True)
+    owner.report('w0', (running(task('a'), 101),))
+    owner.report('w1', (running(task('a'), 102),))
+    assert not owner.starts()
+    stopped = ended(task('a'), kind=EndKind.STOPPED, attempt=102)
+    owner.report('w1', (), (stopped,))
+    assert [start.worker for start in owner.starts()] == ['w1']
