Elect different owners for pools that are vacant together

What callers saw: starts were late while one process owned all pools, with the risk of the collapse that an overloaded owner brings (LOST).

Cause: a process campaigned for all vacant pools at the same time. The delay for each pool that it owns did not apply, since it owned none yet, so after a start of all processes one process was elected for all pools.

Change: a process campaigns for vacant pools one after the other, 150 ms apart, and 300 ms later once it has been elected for one. The delay of a small machine exceeds that, 600 instead of 450 ms.

The new test failed before with one owner for both pools.

Why it works: the campaign for the first pool ends within the 150 ms; a process that lost it campaigns for the second before the one that won.

--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -36,7 +36,13 @@
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Tenure
-from fuchsiarill.graphs.tenure_messages import Candidate, Drain, OwnerKeySeen
+from fuchsiarill.graphs.states import TenureState
+from fuchsiarill.graphs.tenure_messages import (
+    Candidate,
+    Drain,
+    OtherPools,
+    OwnerKeySeen,
+)
 from fuchsiarill.ids import ProcessId, Revision
 from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
@@ -294,7 +300,7 @@
                     self._metrics,
                 ),
                 self._incarnation,
-                self._count_owned_pools,
+                self._count_other_pools,
                 self._count_later_processes,
             ),
         )
@@ -306,8 +312,18 @@
             )
             tenure.mailbox.send(OwnerKeySeen(owner_item))
 
-    def _count_owned_pools(self) -> int:
-        return sum(tenure.is_owner for tenure in self._tenures.values())
+    def _count_other_pools(self, pool: PoolId) -> OtherPools:
+        """Count pools that are owned, or campaigned for before `pool`."""
+        others = [
+            tenure for tenure in self._tenures.values() if tenure.pool != pool
+        ]
+        return OtherPools(
+            sum(tenure.is_elected for tenure in others),
+            sum(
+                tenure.state is TenureState.CAMPAIGNING and tenure.pool < pool
+                for tenure in others
+            ),
+        )
 
     def _count_later_processes(self) -> int:
         """Count the processes that published their address after this one.
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -47,13 +47,16 @@
 from fuchsiarill.state_chart import load_chart
 
 _TICK_INTERVAL_MS: Final = 100
-# Delay for each pool that the process owns, so that other processes campaign
-# first.
-_OWNED_POOL_DELAY_MS: Final = 150
-# Larger machines campaign before small ones. The delay exceeds the sum of the
-# other delays of a larger machine and the duration of its campaign, up to
-# 110 ms while the store loses answers.
-_SMALL_MACHINE_DELAY_MS: Final = 450
+# Delay for each other pool for which the process campaigns first. It exceeds
+# the duration of a campaign, up to 110 ms while the store loses answers.
+_CAMPAIGNED_POOL_DELAY_MS: Final = 150
+# Delay for each other pool that the process owns, so that other processes
+# campaign first. When all pools are vacant, a process that has just been
+# elected for one pool lets processes without a pool campaign for the next.
+_OWNED_POOL_DELAY_MS: Final = 300
+# Larger machines campaign before small ones. The delay exceeds the other delays
+# of a larger machine that owns one pool and the duration of its campaign.
+_SMALL_MACHINE_DELAY_MS: Final = 600
 # A rolling restart stops each process once, so processes that started last
 # campaign first. The delay for each process that started later exceeds the
 # duration of a campaign and the random delay.
@@ -112,6 +115,11 @@
         """Return whether this process owns the pool."""
         return self.owner is not None
 
+    @property
+    def is_elected(self) -> bool:
+        """Return whether this process has been elected as the owner."""
+        return self._election.epoch is not None
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         snapshot = {
@@ -311,17 +319,34 @@
         ownership = self._settings.ownership
         # Random, so that most processes see the winner before they campaign.
         delay_ms = random.random() * ownership.campaign_spread_ms
-        delay_ms += self._candidate.count_owned_pools() * _OWNED_POOL_DELAY_MS
         delay_ms += self._settings.machine.is_small * _SMALL_MACHINE_DELAY_MS
         later_count = self._candidate.count_later_processes()
         later_count = min(later_count, _COUNTED_PROCESSES_MAX_COUNT)
         delay_ms += later_count * _LATER_PROCESS_DELAY_MS
-        await sleep_ms(delay_ms)
+        await self._wait_for_other_pools(delay_ms)
         if not self._is_vacant:
             self.mailbox.send(Election(None))
             return
         self.mailbox.send(await self._campaigner.run())
 
+    async def _wait_for_other_pools(self, delay_ms: float) -> None:
+        """Wait for `delay_ms`, and longer for the other pools of the process.
+
+        While it waits, the process may be elected for another pool.
+        """
+        waited_ms = 0.0
+        while True:
+            other_pools = self._candidate.count_other_pools(self.pool)
+            wanted_ms = (
+                delay_ms
+                + other_pools.owned_count * _OWNED_POOL_DELAY_MS
+                + other_pools.campaigned_count * _CAMPAIGNED_POOL_DELAY_MS
+            )
+            if wanted_ms <= waited_ms:
+                return
+            await sleep_ms(wanted_ms - waited_ms)
+            waited_ms = wanted_ms
+
     def _renew_lease_if_due(self) -> None:
         interval_ms = self._settings.ownership.renewal_interval_ms
         if (
--- a/fuchsiarill/graphs/tenure_messages.py
+++ b/fuchsiarill/graphs/tenure_messages.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from returns.result import Result
 
 from fuchsiarill.actor import Reply
 from fuchsiarill.graphs.campaigner import Election
+from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.graphs.owner_context import OwnerContext
 from fuchsiarill.graphs.owner_messages import PoolRecords
 from fuchsiarill.ids import StoreLeaseId
@@ -56,13 +58,21 @@
     """Periodic tick of the tenure."""
 
 
+class OtherPools(NamedTuple):
+    """Numbers of pools of a process other than the pool in question."""
+
+    owned_count: int
+    campaigned_count: int
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A process that takes part in elections."""
 
     context: OwnerContext
     incarnation: str
-    # Returns the number of pools that the process owns.
-    count_owned_pools: Callable[[], int]
+    # Returns how many other pools the process owns, and for how many it
+    # campaigns before it campaigns for this pool.
+    count_other_pools: Callable[[PoolId], OtherPools]
     # Returns the number of listed processes that started after this one.
     count_later_processes: Callable[[], int]
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -242,10 +242,10 @@
         """Stop a process without a drain."""
         await self.processes.pop(name).stop()
 
-    def owner(self) -> ProcessId | None:
+    def owner(self, pool: PoolId = POOL) -> ProcessId | None:
         """Return the process in the owner key, if there is one."""
         self.store.expire()
-        item = self.store.items.get(keys.owner_key(POOL))
+        item = self.store.items.get(keys.owner_key(pool))
         if item is None or item.value is None:
             return None
         return records.decode_owner(item.value).process
--- a/tests/test_graph_ownership.py
+++ b/tests/test_graph_ownership.py
@@ -4,17 +4,20 @@
 that no worker exceeded its capacity.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from fuchsiarill import codes
 from fuchsiarill.clock import run_paused, sleep_ms
-from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.model import PoolId, PoolPolicy, Step
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import ProcessId
 from standins.store_model import PathFault
 from tests.graph_cell import (
     P0,
     P1,
+    POOL,
     TASK_SIZE,
     TWO_STEPS,
     GraphCell,
@@ -217,6 +220,29 @@
     run_paused(main())
 
 
+def test_pools_that_are_vacant_together_get_different_owners() -> None:
+    """Guards against one owner of all pools, which is too slow under load.
+
+    After a start of all processes, one that campaigned for all pools at once
+    was elected for all of them.
+    """
+
+    async def main() -> None:
+        cell = GraphCell(4, 1)
+        other_pool = PoolId('design')
+        pools = {pool: PoolPolicy(pool) for pool in (POOL, other_pool)}
+        cell.config = replace(cell.config, pools=pools)
+        await cell.start()
+        await sleep_ms(1500)
+        owners = {cell.owner(), cell.owner(other_pool)}
+        assert None not in owners
+        assert len(owners) == 2
+        await cell.stop()
+
+    for _ in range(10):
+        run_paused(main())
+
+
 def test_worker_that_was_silent_keeps_its_runs() -> None:
     """Guards against tasks that start elsewhere after a short silence.
 
