--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -15,9 +15,10 @@
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
-from fuchsiarill.graphs import keys
+from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.advice import Advisor
 from fuchsiarill.graphs.front import Front
+from fuchsiarill.graphs.handover import Handover, LargerProcessesListed
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.model import GraphConfig, PoolId
@@ -35,7 +36,13 @@
 from fuchsiarill.graphs.relayed_store import RelayedStore
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.tenure import Tenure
-from fuchsiarill.graphs.tenure_messages import Candidate, Drain, OwnerKeySeen
+from fuchsiarill.graphs.states import TenureState
+from fuchsiarill.graphs.tenure_messages import (
+    Candidate,
+    Drain,
+    OtherPools,
+    OwnerKeySeen,
+)
 from fuchsiarill.ids import ProcessId, Revision
 from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
@@ -94,8 +101,11 @@
         self._intake = Intake(ports.store, settings)
         self.front = Front(settings, self._intake.mailbox)
         self._tenures: dict[PoolId, Tenure] = {}
+        self._handover = Handover(
+            settings.machine, self._links, self._tenures.values
+        )
         self._owner_items: dict[PoolId, KvItem] = {}
-        self._peer_addresses: dict[ProcessId, str] = {}
+        self._peers: dict[ProcessId, records.ProcessRecord] = {}
         # Revision at which each process published its address.
         self._process_revisions: dict[ProcessId, Revision] = {}
         self._control_revision = Revision(0)
@@ -121,6 +131,7 @@
             self._links,
             self._advisor,
             self._intake,
+            self._handover,
             *self._watchers,
         ):
             actor.start()
@@ -146,7 +157,7 @@
         if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
             self._owner_items.clear()
-            self._peer_addresses.clear()
+            self._peers.clear()
             self._process_revisions.clear()
             self._apply_control_items(message.items)
             if not self._is_address_published:
@@ -239,7 +250,7 @@
             for tenure in self._tenures.values()
             if tenure.owner is not None
         ]
-        services = (self._links, self._advisor, self._intake)
+        services = (self._links, self._advisor, self._intake, self._handover)
         return (*services, *self._watchers, *self._tenures.values(), *owners)
 
     def _update_front_view(self, **changes: Any) -> None:
@@ -289,7 +300,7 @@
                     self._metrics,
                 ),
                 self._incarnation,
-                self._count_owned_pools,
+                self._count_other_pools,
                 self._count_later_processes,
             ),
         )
@@ -301,8 +312,18 @@
             )
             tenure.mailbox.send(OwnerKeySeen(owner_item))
 
-    def _count_owned_pools(self) -> int:
-        return sum(tenure.is_owner for tenure in self._tenures.values())
+    def _count_other_pools(self, pool: PoolId) -> OtherPools:
+        """Count pools that are owned, or campaigned for before `pool`."""
+        others = [
+            tenure for tenure in self._tenures.values() if tenure.pool != pool
+        ]
+        return OtherPools(
+            sum(tenure.is_elected for tenure in others),
+            sum(
+                tenure.state is TenureState.CAMPAIGNING and tenure.pool < pool
+                for tenure in others
+            ),
+        )
 
     def _count_later_processes(self) -> int:
         """Count the processes that published their address after this one.
@@ -322,7 +343,7 @@
         return KvItem(key, None, self._control_revision)
 
     def _apply_control_items(self, items: Iterable[KvItem]) -> None:
-        previous_peers = dict(self._peer_addresses)
+        previous_peers = dict(self._peers)
         for item in items:
             process = keys.listed_process(item.key)
             if process is not None:
@@ -337,8 +358,9 @@
                 tenure.mailbox.send(OwnerKeySeen(item))
         # Sent once for all items: a process that is missing from a partial
         # list would lose its link and the calls on it.
-        if self._peer_addresses != previous_peers:
-            self._links.mailbox.send(PeersListed(self._peer_addresses))
+        if self._peers != previous_peers:
+            self._links.mailbox.send(PeersListed(_addresses(self._peers)))
+            self._handover.mailbox.send(LargerProcessesListed(self._peers))
 
     def _apply_peer(self, process: ProcessId, item: KvItem) -> None:
         self._process_revisions[process] = item.revision
@@ -346,14 +368,17 @@
             self._process_revisions.pop(process)
         if process == self._settings.process:
             return
-        self._peer_addresses.pop(process, None)
+        self._peers.pop(process, None)
         if item.value is not None:
-            self._peer_addresses[process] = item.value.decode()
+            self._peers[process] = records.decode_process(item.value)
 
     async def _publish_address(self) -> None:
         """Publish the peer address of this process in the store."""
         key = keys.process_key(self._settings.process)
-        write = KvWrite(key, self._settings.listen.peers.encode())
+        record = records.ProcessRecord(
+            self._settings.listen.peers, self._settings.machine.is_small
+        )
+        write = KvWrite(key, records.encode_process(record))
         while not self._is_draining:
             commit_result = await self._ports.store.commit(
                 KvTransaction(writes=(write,)),
@@ -386,3 +411,9 @@
         drain_ms = self._settings.front.drain_ms
         await sleep_ms(max(0, drain_ms - (now_ms() - started_ms)))
         self.exit_status = 0
+
+
+def _addresses(
+    peers: dict[ProcessId, records.ProcessRecord],
+) -> dict[ProcessId, str]:
+    return {process: record.address for process, record in peers.items()}
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -35,6 +35,7 @@
 from fuchsiarill.graphs.tenure_messages import (
     Candidate,
     Drain,
+    HandOverToLarger,
     LeaseRenewalAnswered,
     OwnerKeySeen,
     PoolRecordsRead,
@@ -46,12 +47,16 @@
 from fuchsiarill.state_chart import load_chart
 
 _TICK_INTERVAL_MS: Final = 100
-# Delay for each pool that the process owns, so that other processes campaign
-# first.
-_OWNED_POOL_DELAY_MS: Final = 150
-# Larger machines campaign before small ones. The delay exceeds the duration of
-# a campaign, allowing for the difference in speed of the machines.
-_SMALL_MACHINE_DELAY_MS: Final = 250
+# Delay for each other pool for which the process campaigns first. It exceeds
+# the duration of a campaign, up to 110 ms while the store loses answers.
+_CAMPAIGNED_POOL_DELAY_MS: Final = 150
+# Delay for each other pool that the process owns, so that other processes
+# campaign first. When all pools are vacant, a process that has just been
+# elected for one pool lets processes without a pool campaign for the next.
+_OWNED_POOL_DELAY_MS: Final = 300
+# Larger machines campaign before small ones. The delay exceeds the other delays
+# of a larger machine that owns one pool and the duration of its campaign.
+_SMALL_MACHINE_DELAY_MS: Final = 600
 # A rolling restart stops each process once, so processes that started last
 # campaign first. The delay for each process that started later exceeds the
 # duration of a campaign and the random delay.
@@ -110,6 +115,11 @@
         """Return whether this process owns the pool."""
         return self.owner is not None
 
+    @property
+    def is_elected(self) -> bool:
+        """Return whether this process has been elected as the owner."""
+        return self._election.epoch is not None
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         snapshot = {
@@ -213,18 +223,16 @@
     async def on_drain(self, message: Drain) -> None:
         """Hand the pool over; end its lease, so that others campaign now."""
         self._apply_event(TenureEvent.DRAIN_ASKED)
-        if self.owner is not None:
-            await self.owner.hand_over(_HANDOVER_TIMEOUT_MS)
-            owner = self.owner
-            self.owner = None
-            await owner.stop()
-        self._guard = None
-        lease = self._election.lease
-        self._election = Election(None)
-        if lease is not None:
-            await self._campaigner.end_lease(lease)
+        await self._release_pool()
         message.reply.answer(None)
 
+    @handles(HandOverToLarger)
+    async def on_hand_over(self, message: HandOverToLarger) -> None:
+        """Hand the pool over, and take part in the election again."""
+        if self.state is TenureState.OWNING:
+            self._apply_event(TenureEvent.LARGER_MACHINE_FOUND)
+            await self._release_pool()
+
     def campaign(self) -> None:
         """Try to become the owner, in a task of its own."""
         self.spawn(self._run_campaign())
@@ -282,6 +290,19 @@
         """Log an event with the pool and the epoch."""
         events.emit(event, pool=self.pool, epoch=self._election.epoch)
 
+    async def _release_pool(self) -> None:
+        """Save the last records, then end the lease."""
+        if self.owner is not None:
+            await self.owner.hand_over(_HANDOVER_TIMEOUT_MS)
+            owner = self.owner
+            self.owner = None
+            await owner.stop()
+        self._guard = None
+        lease = self._election.lease
+        self._election = Election(None)
+        if lease is not None:
+            await self._campaigner.end_lease(lease)
+
     def _apply_event(self, event: TenureEvent) -> None:
         transition = _CHART.step(self.state, event)
         if transition is None:
@@ -298,17 +319,34 @@
         ownership = self._settings.ownership
         # Random, so that most processes see the winner before they campaign.
         delay_ms = random.random() * ownership.campaign_spread_ms
-        delay_ms += self._candidate.count_owned_pools() * _OWNED_POOL_DELAY_MS
         delay_ms += self._settings.machine.is_small * _SMALL_MACHINE_DELAY_MS
         later_count = self._candidate.count_later_processes()
         later_count = min(later_count, _COUNTED_PROCESSES_MAX_COUNT)
         delay_ms += later_count * _LATER_PROCESS_DELAY_MS
-        await sleep_ms(delay_ms)
+        await self._wait_for_other_pools(delay_ms)
         if not self._is_vacant:
             self.mailbox.send(Election(None))
             return
         self.mailbox.send(await self._campaigner.run())
 
+    async def _wait_for_other_pools(self, delay_ms: float) -> None:
+        """Wait for `delay_ms`, and longer for the other pools of the process.
+
+        While it waits, the process may be elected for another pool.
+        """
+        waited_ms = 0.0
+        while True:
+            other_pools = self._candidate.count_other_pools(self.pool)
+            wanted_ms = (
+                delay_ms
+                + other_pools.owned_count * _OWNED_POOL_DELAY_MS
+                + other_pools.campaigned_count * _CAMPAIGNED_POOL_DELAY_MS
+            )
+            if wanted_ms <= waited_ms:
+                return
+            await sleep_ms(wanted_ms - waited_ms)
+            waited_ms = wanted_ms
+
     def _renew_lease_if_due(self) -> None:
         interval_ms = self._settings.ownership.renewal_interval_ms
         if (
@@ -395,7 +433,7 @@
 
 @TENURE_ACTIONS.register('hand_over')
 def _hand_over(tenure: Tenure) -> None:
-    """Do nothing: the handler of `Drain` waits for the last records."""
+    """Do nothing: the handler of the message waits for the last records."""
 
 
 _CHART: Final = load_chart('tenure', TenureState, TenureEvent, TENURE_ACTIONS)
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -4,8 +4,9 @@
 """
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -82,6 +83,27 @@
         return Failure(PeerFailure.NOT_SENT)
 
 
+class AnsweringPeers(NoPeers):
+    """Links over which each running process answers that it has the store."""
+
+    def __init__(self, running: Mapping[ProcessId, GraphProcess]) -> None:
+        """Answer for the processes in `running`."""
+        super().__init__()
+        self._running = running
+
+    async def call(
+        self,
+        process: ProcessId,
+        method: str,
+        request: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[Any, PeerFailure]:
+        """Return an answer without a failure if the process runs."""
+        if process not in self._running:
+            return Failure(PeerFailure.NO_ANSWER)
+        return Success(SimpleNamespace(answer=SimpleNamespace(failure='')))
+
+
 class GrantingAdvisor:
     """An advice service that grants a ticket to every worker."""
 
@@ -144,6 +166,7 @@
         self.advisor: AdvisorPort = GrantingAdvisor()
         # Processes on machines that are too small for an owner.
         self.processes_on_small_machines: set[ProcessId] = set()
+        self.are_peers_connected = False
         self.config = GraphConfig(
             Generation(1),
             {QUEUE: queue_policy()},
@@ -204,7 +227,10 @@
                 lambda worker, _: self.entries[worker],
             ),
         )
-        process = GraphProcess(settings, ports, self.metrics, NoPeers())
+        links = NoPeers()
+        if self.are_peers_connected:
+            links = AnsweringPeers(self.processes)
+        process = GraphProcess(settings, ports, self.metrics, links)
         self.processes[name] = process
         process.start()
 
@@ -217,10 +243,10 @@
         """Stop a process without a drain."""
         await self.processes.pop(name).stop()
 
-    def owner(self) -> ProcessId | None:
+    def owner(self, pool: PoolId = POOL) -> ProcessId | None:
         """Return the process in the owner key, if there is one."""
         self.store.expire()
-        item = self.store.items.get(keys.owner_key(POOL))
+        item = self.store.items.get(keys.owner_key(pool))
         if item is None or item.value is None:
             return None
         return records.decode_owner(item.value).process
