--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -1,6 +1,7 @@
 """Requests for advice: when they are sent, and through which process."""
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -175,6 +176,23 @@
         return Failure(PeerFailure.NO_ANSWER)
 
 
+class _RefusedLinks(_Links):
+    """Links to processes whose calls the service refuses at once."""
+
+    calls_count = 0
+
+    async def call(
+        self,
+        process: ProcessId,
+        method: str,
+        request: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[Any, PeerFailure]:
+        self.calls_count += 1
+        await sleep_ms(10)
+        return Success(SimpleNamespace(answered=False, isBusy=False))
+
+
 class _SilentLinks(_Links):
     """Links to processes that answer after 5 s, as frozen ones do."""
 
@@ -273,6 +291,33 @@
     run_paused(main())
 
 
+def test_refused_calls_through_a_process_are_spaced() -> None:
+    """Guards against calls that follow each other at once while all fail.
+
+    The service refuses calls while too many of other processes wait. Each call
+    costs time of both processes, and the owner chooses the workers anew.
+    """
+
+    async def main() -> None:
+        port = BusyTrackingAdvisor(_Service())
+        links = _RefusedLinks('p1')
+        other_calls = asyncio.create_task(_call_in_turn(port, 10))
+        await sleep_ms(10)
+        receiver = Mailbox()
+        advisor = start_with_request(links, port, receiver)
+        await sleep_ms(900)
+        assert 5 <= links.calls_count <= 20
+        await other_calls
+        await advisor.stop()
+
+    run_paused(main())
+
+
+async def _call_in_turn(port: BusyTrackingAdvisor, count: int) -> None:
+    for _ in range(count):
+        await port.advise(STEP, (W0,), 1000)
+
+
 def test_advice_for_the_next_step_is_requested_early() -> None:
     """Guards against a chain that waits for advice at each of its steps.
 
--- a/tests/test_pool_loading.py
+++ b/tests/test_pool_loading.py
@@ -102,3 +102,19 @@
         assert loaded.previous_owner_stop_ms <= started_ms + _CHECK_MAX_MS
 
     run_paused(main())
+
+
+def test_records_are_read_at_the_same_time() -> None:
+    """Guards against a takeover that takes the sum of all slow reads.
+
+    Inherited jobs get no run, and new ones none either, until the load ends.
+    """
+
+    async def main() -> None:
+        path = _SlowLists(StoreModel())
+        started_ms = now_ms()
+        loader = PoolLoader(path, POOL, ProcessId('own'), _TIMEOUT_MS, _TTL_MS)
+        await loader.load()
+        assert now_ms() - started_ms <= _LIST_MS + _CHECK_MAX_MS
+
+    run_paused(main())
