Win an election whose answer was lost

The pool has no owner for another campaign.

Cause: after a lost answer the write of the owner key is repeated through a peer, and conflicts with the first one. The campaigner took that as the key of another process, ended its own lease, and so deleted its key.

Evidence: tests/test_silent_relay.py::test_election_with_a_lost_answer_is_won failed with epoch None.

Change: a conflict with the very value that the campaigner wrote wins. The value contains the lease and the incarnation, so no other process writes it.

Result: the test passes.

--- a/fuchsiarill/graphs/campaigner.py
+++ b/fuchsiarill/graphs/campaigner.py
@@ -14,6 +14,7 @@
     KeyValuePort,
     KvCommitted,
     KvConflict,
+    KvItem,
     KvTransaction,
     KvWrite,
 )
@@ -66,7 +67,12 @@
         match commit_result:
             case Success(KvCommitted(revision)):
                 return Election(Epoch(revision), lease, requested_ms)
-            case Success(KvConflict()):
+            case Success(KvConflict(items)):
+                written = _find_written(items, write)
+                if written is not None:
+                    return Election(
+                        Epoch(written.revision), lease, requested_ms
+                    )
                 await self.end_lease(lease)
                 return Election(None)
             case _:
@@ -109,3 +115,15 @@
         await self.end_lease(lease)
         await sleep_ms(_RETRY_DELAY_MS)
         return Election(None)
+
+
+def _find_written(items: tuple[KvItem, ...], write: KvWrite) -> KvItem | None:
+    """Return the item that an earlier try of a write has written, if any.
+
+    The store repeats a call through a peer after a lost answer, and a repeated
+    write conflicts with the first one.
+    """
+    for item in items:
+        if item.key == write.key and item.value == write.value:
+            return item
+    return None
