Read the records of a pool at the same time

Until a new owner has loaded the records, no job of the pool starts.

Cause: the loader took five calls of the store one after the other: the fleet record, the end of the previous lease, the counts, the jobs and the progress. With a slow store their times add up. A failed read also repeated the others.

Change: the previous owner is examined while the other records are read. Each read is retried alone. Why it is safe: a former owner can write no record any more, since each of its transactions requires its own owner key, so the order of the reads has no meaning.

--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -1,6 +1,10 @@
 """Reads the jobs of a pool and the records of its earlier owners."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
+from typing import NamedTuple, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -14,6 +18,15 @@
 
 _RETRY_DELAY_MS = 100
 
+_Content = TypeVar('_Content')
+
+
+class _LoadedFleet(NamedTuple):
+    item: KvItem
+    record: records.FleetRecord
+    # The owner in the record sends no orders after this time.
+    previous_owner_stop_ms: int
+
 
 @dataclass(frozen=True, slots=True)
 class PoolLoader:
@@ -29,47 +42,39 @@
     ownership_ttl_ms: int
 
     async def load(self) -> PoolRecords:
-        """Read all records; retries until every read succeeds.
+        """Read all records at the same time; retries each until it succeeds.
 
-        The previous owner is examined before the jobs are read, since the wait
-        for its task leases counts from then on.
+        An earlier owner can write no record any more, so the reads need no
+        order. The wait for its task leases counts from its examination, which
+        needs the fleet record only.
         """
-        fleet = await self._read_fleet()
-        fleet_record = _decode_fleet_record(fleet)
-        stop_ms = await self._find_previous_owner_stop(fleet_record.owner)
-        while True:
-            loaded = await self._try_load(fleet, fleet_record, stop_ms)
-            if loaded is not None:
-                return loaded
-            await sleep_ms(_RETRY_DELAY_MS)
-
-    async def _try_load(
-        self,
-        fleet: KvItem,
-        fleet_record: records.FleetRecord,
-        previous_owner_stop_ms: int,
-    ) -> PoolRecords | None:
-        pending = await self._get_item(keys.pending_key(self.pool))
-        jobs = await self._list_items(keys.jobs_prefix(self.pool))
-        progress = await self._list_items(keys.progress_prefix(self.pool))
-        if any(isinstance(read, Failure) for read in (pending, jobs, progress)):
-            return None
-        progress_items = progress.unwrap()[0]
-        items = (fleet, pending.unwrap(), *progress_items)
+        async with asyncio.TaskGroup() as group:
+            examining = group.create_task(self._examine_previous_owner())
+            pending_reading = group.create_task(
+                self._read_item(keys.pending_key(self.pool))
+            )
+            jobs_reading = group.create_task(
+                self._read_items(keys.jobs_prefix(self.pool))
+            )
+            progress_reading = group.create_task(
+                self._read_items(keys.progress_prefix(self.pool))
+            )
+        fleet = examining.result()
+        progress_items = progress_reading.result()[0]
+        items = (fleet.item, pending_reading.result(), *progress_items)
         return PoolRecords(
-            fleet_record,
-            *jobs.unwrap(),
+            fleet.record,
+            *jobs_reading.result(),
             progress_items,
             {item.key: item.revision for item in items},
-            previous_owner_stop_ms,
+            fleet.previous_owner_stop_ms,
         )
 
-    async def _read_fleet(self) -> KvItem:
-        while True:
-            match await self._get_item(keys.fleet_key(self.pool)):
-                case Success(KvItem() as item):
-                    return item
-            await sleep_ms(_RETRY_DELAY_MS)
+    async def _examine_previous_owner(self) -> _LoadedFleet:
+        fleet = await self._read_item(keys.fleet_key(self.pool))
+        fleet_record = _decode_fleet_record(fleet)
+        stop_ms = await self._find_previous_owner_stop(fleet_record.owner)
+        return _LoadedFleet(fleet, fleet_record, stop_ms)
 
     async def _find_previous_owner_stop(
         self,
@@ -98,14 +103,28 @@
                 return now_ms() + self.ownership_ttl_ms
             await sleep_ms(_RETRY_DELAY_MS)
 
-    async def _get_item(self, key: StoreKey) -> Result[KvItem, KvFailure]:
-        return await self.store.get(key, self.timeout_ms)
+    async def _read_item(self, key: StoreKey) -> KvItem:
+        return await _read_until_success(
+            partial(self.store.get, key, self.timeout_ms)
+        )
 
-    async def _list_items(
-        self,
-        prefix: str,
-    ) -> Result[tuple[tuple[KvItem, ...], Revision], KvFailure]:
-        return await list_all(self.store, prefix, self.timeout_ms)
+    async def _read_items(
+        self, prefix: str
+    ) -> tuple[tuple[KvItem, ...], Revision]:
+        return await _read_until_success(
+            partial(list_all, self.store, prefix, self.timeout_ms)
+        )
+
+
+async def _read_until_success(
+    read: Callable[[], Awaitable[Result[_Content, KvFailure]]],
+) -> _Content:
+    while True:
+        read_result = await read()
+        if isinstance(read_result, Success):
+            content: _Content = read_result.unwrap()
+            return content
+        await sleep_ms(_RETRY_DELAY_MS)
 
 
 def _decode_fleet_record(item: KvItem) -> records.FleetRecord:
