Pause before a call for advice is made again through a refused process

Cause: a process that the advice service refused, or that could not reach it, answered at once without tickets. The request was queued again and went through the same process without a pause. Since the workers are chosen for each call, that also costs the owner the choice each time.

Change: such a process is treated as a busy one: its route is retried after 60 ms, and the request goes through the others at once.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -27,7 +27,8 @@
 from fuchsiarill.ids import ProcessId, WorkerId
 
 _LOCAL_ROUTE: Final = ProcessId('')
-# Pause before a route that another process was using is retried.
+# Pause before a route is retried that another process was using, or through
+# which a call failed.
 _BUSY_RETRY_DELAY_MS: Final = 60
 # A call is overdue after twice the time that the service takes for it, and this
 # time for the network and for other calls of the machine.
@@ -104,13 +105,15 @@
     route: ProcessId
     call: _Call
     tickets: _Tickets
-    # The peer returned no answer from the service; the request is queued again.
-    is_retried: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class _CallDeclined:
-    """The process of a route is calling the service for another process."""
+    """The process of a route returned no answer from the service.
+
+    It may be calling the service for another process. The route stays busy
+    until a `_RouteRetryDue`.
+    """
 
     call: _Call
 
@@ -125,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _RouteRetryDue:
-    """A route that another process was using may be retried."""
+    """A route that gave no answer may be retried."""
 
     route: ProcessId
 
@@ -183,20 +186,18 @@
 
     @handles(_RouteReleased)
     async def on_route_released(self, message: _RouteReleased) -> None:
-        """Forward the first answer, or queue the request again."""
+        """Forward the first answer, or the failure of the last call."""
         self._busy_routes.discard(message.route)
         self._end_call(message.call)
         pending = message.call.pending
         has_other_call = bool(pending.calls_count) or pending.is_queued
-        if message.is_retried:
-            self._enqueue(pending)
-        elif message.tickets is not None or not has_other_call:
+        if message.tickets is not None or not has_other_call:
             pending.answer(message.call.incarnations, message.tickets)
         self._assign_routes()
 
     @handles(_CallDeclined)
     async def on_call_declined(self, message: _CallDeclined) -> None:
-        """Queue a request again that a busy process has declined."""
+        """Queue a request again that a process has not passed on."""
         self._end_call(message.call)
         self._enqueue(message.call.pending)
 
@@ -303,11 +304,8 @@
             call.workers,
             self._timeout_ms,
         )
-        if not advice.is_busy:
-            tickets = advice.tickets
-            self.mailbox.send(
-                _RouteReleased(route, call, tickets, tickets is None),
-            )
+        if advice.tickets is not None:
+            self.mailbox.send(_RouteReleased(route, call, advice.tickets))
             return
         self.mailbox.send(_CallDeclined(call))
         await self._retry_route_later(route)
