--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -18,7 +18,7 @@
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
-from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs import graph_records, keys, records
 from fuchsiarill.graphs.model import JobGraph, PoolId, QueueId
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
@@ -147,7 +147,9 @@
         graph = message.graph
         retry = _RetryState('submit', graph.job, now_ms(), message.deadline_ms)
         key = keys.graph_key(graph.pool, graph.job)
-        code = await self._create_key(key, records.encode_graph(graph), retry)
+        code = await self._create_key(
+            key, graph_records.encode_graph(graph), retry
+        )
         message.reply.answer(IntakeAnswer(code))
 
     async def _cancel_job(self, message: Cancel) -> None:
--- a/fuchsiarill/graphs/job_loading.py
+++ b/fuchsiarill/graphs/job_loading.py
@@ -1,6 +1,6 @@
 """Loads records of jobs and cancellations into the core."""
 
-from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs import graph_records, keys, records
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.progress import JobProgress
 from fuchsiarill.ports.key_value import KvItem
@@ -30,7 +30,7 @@
             continue
         saved_progress = progress.get(job)
         core.add_job(
-            records.decode_graph(core.state.pool, job, content),
+            graph_records.decode_graph(core.state.pool, job, content),
             records.decode_progress(saved_progress)
             if saved_progress
             else JobProgress(),
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -20,6 +20,7 @@
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.handover import Handover, LargerProcessesListed
 from fuchsiarill.graphs.intake import Intake
+from fuchsiarill.graphs.listed_processes import ListedProcesses
 from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.model import GraphConfig, PoolId
 from fuchsiarill.graphs.owner_context import OwnerContext
@@ -43,7 +44,7 @@
     OtherPools,
     OwnerKeySeen,
 )
-from fuchsiarill.ids import ProcessId, Revision
+from fuchsiarill.ids import Revision
 from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
 # Interval of the checks of the actors, and of the attempts to publish the
@@ -105,9 +106,7 @@
             settings.machine, self._links, self._tenures.values
         )
         self._owner_items: dict[PoolId, KvItem] = {}
-        self._peers: dict[ProcessId, records.ProcessRecord] = {}
-        # Revision at which each process published its address.
-        self._process_revisions: dict[ProcessId, Revision] = {}
+        self._listed = ListedProcesses(settings.process)
         self._control_revision = Revision(0)
         self._config: GraphConfig | None = None
         self._watchers = tuple(
@@ -157,8 +156,7 @@
         if message.prefix == keys.CONTROL_PREFIX:
             self._control_revision = message.revision
             self._owner_items.clear()
-            self._peers.clear()
-            self._process_revisions.clear()
+            self._listed.clear()
             self._apply_control_items(message.items)
             if not self._is_address_published:
                 self._is_address_published = True
@@ -301,7 +299,7 @@
                 ),
                 self._incarnation,
                 self._count_other_pools,
-                self._count_later_processes,
+                self._listed.count_later,
             ),
         )
         self._tenures[pool] = tenure
@@ -325,29 +323,16 @@
             ),
         )
 
-    def _count_later_processes(self) -> int:
-        """Count the processes that published their address after this one.
-
-        Each process publishes it once, when it starts.
-        """
-        own_revision = self._process_revisions.get(self._settings.process)
-        if own_revision is None:
-            return 0
-        return sum(
-            revision > own_revision
-            for revision in self._process_revisions.values()
-        )
-
     def _absent_owner_item(self, pool: PoolId) -> KvItem:
         key = keys.owner_key(pool)
         return KvItem(key, None, self._control_revision)
 
     def _apply_control_items(self, items: Iterable[KvItem]) -> None:
-        previous_peers = dict(self._peers)
+        previous_peers = dict(self._listed.peers)
         for item in items:
             process = keys.listed_process(item.key)
             if process is not None:
-                self._apply_peer(process, item)
+                self._listed.apply_item(process, item)
                 continue
             pool = keys.owned_pool(item.key)
             if pool is None:
@@ -358,19 +343,10 @@
                 tenure.mailbox.send(OwnerKeySeen(item))
         # Sent once for all items: a process that is missing from a partial
         # list would lose its link and the calls on it.
-        if self._peers != previous_peers:
-            self._links.mailbox.send(PeersListed(_addresses(self._peers)))
-            self._handover.mailbox.send(LargerProcessesListed(self._peers))
-
-    def _apply_peer(self, process: ProcessId, item: KvItem) -> None:
-        self._process_revisions[process] = item.revision
-        if item.value is None:
-            self._process_revisions.pop(process)
-        if process == self._settings.process:
-            return
-        self._peers.pop(process, None)
-        if item.value is not None:
-            self._peers[process] = records.decode_process(item.value)
+        peers = self._listed.peers
+        if peers != previous_peers:
+            self._links.mailbox.send(PeersListed(self._listed.addresses()))
+            self._handover.mailbox.send(LargerProcessesListed(peers))
 
     async def _publish_address(self) -> None:
         """Publish the peer address of this process in the store."""
@@ -411,9 +387,3 @@
         drain_ms = self._settings.front.drain_ms
         await sleep_ms(max(0, drain_ms - (now_ms() - started_ms)))
         self.exit_status = 0
-
-
-def _addresses(
-    peers: dict[ProcessId, records.ProcessRecord],
-) -> dict[ProcessId, str]:
-    return {process: record.address for process, record in peers.items()}
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -1,24 +1,13 @@
-"""JSON encoding of the records in the store."""
+"""JSON encoding of the records in the store, except those of jobs."""
 
 import json
-from collections.abc import Iterable
 from dataclasses import asdict, dataclass
-from typing import Any, Final
-
-from fuchsiarill.graphs.model import (
-    AdvicePolicy,
-    Checkpoint,
-    JobGraph,
-    PoolId,
-    QueueId,
-    QueuePolicy,
-    Schedule,
-    Step,
-)
+from typing import Any
+
+from fuchsiarill.graphs.model import Checkpoint, QueueId
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import JobId, ProcessId, WorkerId
-from fuchsiarill.resources import Resources
+from fuchsiarill.ids import ProcessId, WorkerId
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +51,7 @@
 
 def encode_owner(record: OwnerRecord) -> bytes:
     """Return the JSON form of an owner record."""
-    return _encode_json(asdict(record))
+    return encode_json(asdict(record))
 
 
 def decode_owner(content: bytes) -> OwnerRecord:
@@ -72,18 +61,23 @@
 
 def encode_process(record: ProcessRecord) -> bytes:
     """Return the JSON form of a process record."""
-    return _encode_json(asdict(record))
+    return encode_json(asdict(record))
 
 
 def decode_process(content: bytes) -> ProcessRecord:
-    """Decode a process record."""
+    """Decode a process record.
+
+    Processes of an earlier version publish only their address.
+    """
+    if not content.startswith(b'{'):
+        return ProcessRecord(content.decode(), is_small=False)
     return ProcessRecord(**json.loads(content))
 
 
 def encode_fleet(record: FleetRecord) -> bytes:
     """Return the JSON form of a fleet record."""
     rows = [[member.worker, member.address] for member in record.members]
-    return _encode_json(
+    return encode_json(
         {
             'term': record.term,
             'members': rows,
@@ -109,7 +103,7 @@
 
 def encode_pending(counts: dict[QueueId, int]) -> bytes:
     """Return the JSON form of the counts of jobs that have not started."""
-    return _encode_json(counts)
+    return encode_json(counts)
 
 
 def decode_pending(content: bytes) -> dict[QueueId, int]:
@@ -118,37 +112,6 @@
     return counts
 
 
-def encode_graph(graph: JobGraph) -> bytes:
-    """Return the JSON form of a job; steps omit fields with default values."""
-    document: dict[str, Any] = {
-        'queue': graph.queue,
-        'payload': graph.payload,
-        'steps': [_encode_step(step) for step in graph.steps],
-    }
-    if graph.schedule is not None:
-        document['schedule'] = asdict(graph.schedule)
-    if graph.accepted_policy is not None:
-        document['policy'] = _encode_policy(graph.accepted_policy)
-    return _encode_json(document)
-
-
-def decode_graph(pool: PoolId, job: JobId, content: bytes) -> JobGraph:
-    """Decode a job."""
-    document = json.loads(content)
-    schedule = document.get('schedule')
-    queue = QueueId(document['queue'])
-    policy = document.get('policy')
-    return JobGraph(
-        job,
-        queue,
-        pool,
-        document['payload'],
-        tuple(_decode_step(row) for row in document['steps']),
-        Schedule(**schedule) if schedule else None,
-        _decode_policy(queue, pool, policy) if policy else None,
-    )
-
-
 def encode_progress(progress: JobProgress) -> bytes:
     """Return the JSON form of a job's progress; crashes are omitted if none."""
     document: dict[str, Any] = {
@@ -163,7 +126,7 @@
     }
     if progress.crashed_attempts:
         document['crashed'] = _encode_attempts(progress.crashed_attempts)
-    return _encode_json(document)
+    return encode_json(document)
 
 
 def decode_progress(content: bytes) -> JobProgress:
@@ -190,66 +153,6 @@
     return {UnitKey(*row[:3]): set(row[3]) for row in rows}
 
 
-def _encode_json(document: object) -> bytes:
+def encode_json(document: object) -> bytes:
+    """Return the compact JSON form of a document."""
     return json.dumps(document, separators=(',', ':')).encode()
-
-
-def _encode_policy(policy: QueuePolicy) -> list[Any]:
-    """Return the fields of a policy that affect decisions about a job."""
-    advice = policy.advice
-    return [
-        policy.priority,
-        policy.attempts_max,
-        policy.slack_factor,
-        policy.target_ms,
-        list(asdict(advice).values()) if advice else None,
-    ]
-
-
-def _decode_policy(queue: QueueId, pool: PoolId, row: list[Any]) -> QueuePolicy:
-    priority, attempts_max, slack_factor, target_ms, advice = row
-    return QueuePolicy(
-        queue,
-        '',
-        '',
-        pool,
-        0,
-        priority,
-        attempts_max,
-        slack_factor,
-        target_ms,
-        AdvicePolicy(*advice) if advice else None,
-    )
-
-
-def _encode_step(step: Step) -> dict[str, Any]:
-    row = {
-        name: _convert_to_json(getattr(step, name))
-        for name in Step.__slots__
-        if getattr(step, name) != _STEP_DEFAULTS.get(name)
-    }
-    row['size'] = step.size.as_tuple()
-    return row
-
-
-def _convert_to_json(field: object) -> object:
-    return list(field) if isinstance(field, tuple) else field
-
-
-def _decode_step(row: dict[str, Any]) -> Step:
-    fields = dict(row)
-    fields['size'] = Resources(*row['size'])
-    fields['after'] = tuple(row.get('after', ()))
-    return Step(**fields)
-
-
-def _step_defaults(names: Iterable[str]) -> dict[str, Any]:
-    default_step = Step(1, Resources())
-    return {
-        name: getattr(default_step, name) for name in names if name != 'size'
-    }
-
-
-_STEP_DEFAULTS: Final = _step_defaults(
-    name for name in Step.__slots__ if name != 'tasks_count'
-)
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -8,7 +8,6 @@
 renewal that succeeded.
 """
 
-import random
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Final
@@ -17,9 +16,10 @@
 
 from fuchsiarill import events
 from fuchsiarill.actor import handles
-from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.clock import now_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import keys, records
+from fuchsiarill.graphs.campaign_delay import wait_for_campaign
 from fuchsiarill.graphs.campaigner import Campaigner, Election
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import GraphConfig, PoolId
@@ -47,21 +47,6 @@
 from fuchsiarill.state_chart import load_chart
 
 _TICK_INTERVAL_MS: Final = 100
-# Delay for each other pool for which the process campaigns first. It exceeds
-# the duration of a campaign, up to 110 ms while the store loses answers.
-_CAMPAIGNED_POOL_DELAY_MS: Final = 150
-# Delay for each other pool that the process owns, so that other processes
-# campaign first. When all pools are vacant, a process that has just been
-# elected for one pool lets processes without a pool campaign for the next.
-_OWNED_POOL_DELAY_MS: Final = 300
-# Larger machines campaign before small ones. The delay exceeds the other delays
-# of a larger machine that owns one pool and the duration of its campaign.
-_SMALL_MACHINE_DELAY_MS: Final = 600
-# A rolling restart stops each process once, so processes that started last
-# campaign first. The delay for each process that started later exceeds the
-# duration of a campaign and the random delay.
-_LATER_PROCESS_DELAY_MS: Final = 35
-_COUNTED_PROCESSES_MAX_COUNT: Final = 5
 # Time allowed for the last records to become durable in a handover.
 _HANDOVER_TIMEOUT_MS: Final = 1500
 _RETRY_MS: Final = 150
@@ -316,37 +301,12 @@
         return requested_ms + ownership.lease_ttl_ms - ownership.lease_margin_ms
 
     async def _run_campaign(self) -> None:
-        ownership = self._settings.ownership
-        # Random, so that most processes see the winner before they campaign.
-        delay_ms = random.random() * ownership.campaign_spread_ms
-        delay_ms += self._settings.machine.is_small * _SMALL_MACHINE_DELAY_MS
-        later_count = self._candidate.count_later_processes()
-        later_count = min(later_count, _COUNTED_PROCESSES_MAX_COUNT)
-        delay_ms += later_count * _LATER_PROCESS_DELAY_MS
-        await self._wait_for_other_pools(delay_ms)
+        await wait_for_campaign(self.pool, self._candidate)
         if not self._is_vacant:
             self.mailbox.send(Election(None))
             return
         self.mailbox.send(await self._campaigner.run())
 
-    async def _wait_for_other_pools(self, delay_ms: float) -> None:
-        """Wait for `delay_ms`, and longer for the other pools of the process.
-
-        While it waits, the process may be elected for another pool.
-        """
-        waited_ms = 0.0
-        while True:
-            other_pools = self._candidate.count_other_pools(self.pool)
-            wanted_ms = (
-                delay_ms
-                + other_pools.owned_count * _OWNED_POOL_DELAY_MS
-                + other_pools.campaigned_count * _CAMPAIGNED_POOL_DELAY_MS
-            )
-            if wanted_ms <= waited_ms:
-                return
-            await sleep_ms(wanted_ms - waited_ms)
-            waited_ms = wanted_ms
-
     def _renew_lease_if_due(self) -> None:
         interval_ms = self._settings.ownership.renewal_interval_ms
         if (
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fuchsiarill.graphs.graph_records import decode_graph, encode_graph
 from fuchsiarill.graphs.model import (
     AdvicePolicy,
     PoolId,
@@ -15,12 +16,7 @@
 )
 from fuchsiarill.graphs.ports import DocumentError
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
-from fuchsiarill.graphs.records import (
-    decode_graph,
-    decode_progress,
-    encode_graph,
-    encode_progress,
-)
+from fuchsiarill.graphs.records import decode_progress, encode_progress
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import WorkerId
 from fuchsiarill.platform.documents import read_config, read_job, read_worker
