Skip inherited steps whose request for advice is pending

Each tick chose the workers of every inherited step, also while a request for it was in progress, which then was not sent. Nothing that callers saw; found in a review.

--- a/fuchsiarill/graphs/inherited_advice.py
+++ b/fuchsiarill/graphs/inherited_advice.py
@@ -57,6 +57,8 @@
     usable: UsableWorkers,
     now_ms: int,
 ) -> None:
+    if not state.tickets.may_request(step.key, now_ms):
+        return
     candidates = usable.for_step(step)
     if state.tickets.ticketed_workers(step.key, candidates, now_ms):
         return
