Start suspects apart from new runs and clear the others by the cause

Cause: any young run beside a trial made the crash unclear, since a suspect that had waited long for a ticket started beside tasks of the same decision. So the second crash often settled nothing, and a third followed. Crashes also added up under tasks that had nothing to do with them, up to trials that last for a whole run.

Only a run on trial can be given up. A suspect starts where no run has started for 150 ms, three times what a deadly task takes to crash its worker, and waits at most a second for this from the time at which it first found room. In a crash during a trial only the run on trial and those that started within these 150 ms are suspects. When the cause of a crash is the only suspect and is given up, its crashes of the last minute are taken off the other units, whose trials end. A member of a gang that is being stopped after a crash no longer clears it.

New tests in tests/test_worker_crashes.py: a task that was not on trial, a run that started well before a trial, a crash with a known cause. Whole test suite: passed.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -44,6 +44,7 @@
     RunState,
 )
 from fuchsiarill.graphs.ticking import TICK_ACTIONS
+from fuchsiarill.graphs.worker_ends import proves_end
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
@@ -216,7 +217,7 @@
             )
         if view.silent_since_ms is None:
             view.silent_since_ms = now_ms
-        if worker_crashes.proves_end(view, failure):
+        if proves_end(view, failure):
             reports.end_worker(self.state, view, now_ms)
 
     def start_answered(
--- a/fuchsiarill/graphs/crash_trials.py
+++ b/fuchsiarill/graphs/crash_trials.py
@@ -16,15 +16,20 @@
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import JobId
 
-# A task that crashes its worker does so within 50 ms of its start. The rest
-# covers calls that take long to be answered.
-TRIAL_MS: Final = 1000
+# Tasks that crash their workers do so 10 to 50 ms after the start; the rest
+# covers the delays of the start order and of the report. A longer trial makes
+# suspects of many more neighbours and keeps more workers from other tasks.
+TRIAL_MS: Final = 400
 # From this number of crashes on, a trial lasts for the whole run, because the
 # task may crash its worker late.
 WHOLE_RUN_CRASHES_COUNT: Final = 3
 # A lasting task that has been initialized, and has run for this long, does not
 # crash its worker. Over a season unrelated crashes end many of its runs.
 _LASTING_PROOF_MS: Final = 3000
+# A suspect starts where no other run has started for this time, so that a crash
+# has a single possible cause. It waits at most `_QUIET_WAIT_MS` for that.
+QUIET_MS: Final = 150
+_QUIET_WAIT_MS: Final = 1000
 _STARTED_STATES: Final = frozenset((RunState.STARTING, RunState.RUNNING))
 
 
@@ -33,6 +38,23 @@
     return run.listed_age_ms < TRIAL_MS
 
 
+def is_quiet(view: WorkerView, now_ms: int) -> bool:
+    """Tell whether no run has just started on a worker."""
+    return all(
+        now_ms - run.start_ordered_ms >= QUIET_MS for run in view.runs.values()
+    )
+
+
+def has_waited_for_quiet(unit: Unit, now_ms: int) -> bool:
+    """Tell whether a suspect may start beside runs that have just started.
+
+    The wait begins with the first call and ends with the start of the unit.
+    """
+    if unit.trial_wait_since_ms is None:
+        unit.trial_wait_since_ms = now_ms
+    return now_ms - unit.trial_wait_since_ms >= _QUIET_WAIT_MS
+
+
 def suspect_unit(state: PoolState, entry: JobEntry, unit: Unit) -> None:
     """Make a unit a suspect and put its present runs on trial."""
     if not unit.is_suspect:
@@ -57,6 +79,16 @@
     events.emit(events.UNIT_CLEARED, job=job, task=unit.key.label)
 
 
+def end_trials(state: PoolState, entry: JobEntry, unit: Unit) -> None:
+    """End the trials of a unit that has caused no crash."""
+    for run in unit.runs.values():
+        view = state.workers.find(run.worker)
+        if view is not None and run.is_on_trial:
+            view.end_trial(run)
+            state.room_changes.add(run.worker)
+    clear_unit(entry.job, unit)
+
+
 def review_listed_run(
     state: PoolState,
     job_and_step: tuple[JobEntry, StepEntry],
@@ -72,6 +104,9 @@
     crashes_count = entry.progress.crashes_count(run.unit_key)
     if unit is None or not (crashes_count or unit.is_suspect):
         return
+    if run.attempt in entry.progress.crashed_attempts.get(unit.key, ()):
+        # Another member of the gang was lost in a crash.
+        return
     if step.spec.is_lasting and _is_proved_sound(run):
         entry.progress.crashed_attempts.pop(run.unit_key, None)
         state.mark_dirty(entry.job)
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -40,6 +40,9 @@
     # A worker has crashed under the unit, which may be the cause. Its next run
     # is on trial.
     is_suspect: bool = False
+    # Since when a suspect has found room only beside runs that have just
+    # started; `None` otherwise.
+    trial_wait_since_ms: int | None = None
 
 
 @dataclass(slots=True)
--- a/fuchsiarill/graphs/lost_runs.py
+++ b/fuchsiarill/graphs/lost_runs.py
@@ -4,7 +4,7 @@
 
 from fuchsiarill.graphs.model import BornMs, Label, TaskKey
 from fuchsiarill.graphs.progress import UnitKey
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import JobId, WorkerId
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,11 +14,18 @@
     task: TaskKey
     attempt: int
     unit_key: UnitKey
-    # The run may be the cause if the worker has crashed.
-    is_suspected: bool
+    start_ordered_ms: int
+    # No report shows that the run has outlived a trial.
+    is_young: bool
+    is_on_trial: bool
     # The worker had started the run; otherwise a start order was on its way.
     is_confirmed: bool
 
+    @property
+    def unit_id(self) -> tuple[JobId, UnitKey]:
+        """Return the job and the key of the unit."""
+        return (self.task.job, self.unit_key)
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerLoss:
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -52,3 +52,13 @@
             return False
         attempts.add(attempt)
         return True
+
+    def remove_crash(self, unit: UnitKey, attempt: int) -> bool:
+        """Take back a crash; returns whether it was counted."""
+        attempts = self.crashed_attempts.get(unit, set())
+        if attempt not in attempts:
+            return False
+        attempts.remove(attempt)
+        if not attempts:
+            self.crashed_attempts.pop(unit)
+        return True
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -22,6 +22,7 @@
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityEvent, RunEvent, RunState
+from fuchsiarill.graphs.worker_ends import loss_of
 from fuchsiarill.graphs.worker_table import FailureRecord, WorkerView
 from fuchsiarill.resources import NO_RESOURCES
 
@@ -68,7 +69,7 @@
     may run in the new one, because the start order can arrive after the
     restart.
     """
-    loss = worker_crashes.loss_of(view, now_ms)
+    loss = loss_of(view, now_ms)
     for run in list(view.runs.values()):
         if run.is_listed:
             _mark_run_lost(state, view, run, now_ms)
@@ -87,7 +88,7 @@
 def end_worker(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Mark all runs of a worker as lost: its process has ended."""
     view.lease_expiry_ms = now_ms
-    loss = worker_crashes.loss_of(view, now_ms)
+    loss = loss_of(view, now_ms)
     mark_runs_lost(state, view, now_ms)
     worker_crashes.count_end(state, loss, now_ms)
 
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -6,6 +6,7 @@
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.lost_runs import WorkerLoss
 from fuchsiarill.graphs.model import (
+    BornMs,
     GraphConfig,
     PoolId,
     Step,
@@ -45,8 +46,10 @@
     is_inheritance_settled: bool = False
     # Runs lost by expired leases, of workers whose end is not proved.
     losses: dict[WorkerId, WorkerLoss] = field(default_factory=dict)
-    # Latest proved end of each worker, for the comparison of their times.
-    recent_ends: dict[WorkerId, WorkerLoss] = field(default_factory=dict)
+    # Proved ends of the last minute.
+    recent_ends: dict[tuple[WorkerId, BornMs], WorkerLoss] = field(
+        default_factory=dict
+    )
     # Unix time minus the runtime clock.
     unix_offset_ms: int = 0
 
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -8,6 +8,7 @@
 
 import heapq
 
+from fuchsiarill.graphs import crash_trials
 from fuchsiarill.graphs.placement import (
     PlacementRequest,
     UsableWorkers,
@@ -43,14 +44,10 @@
 
     def place(self, request: PlacementRequest) -> list[WorkerView] | None:
         """Return a worker for each task, or `None` if the unit does not fit."""
-        if request.step.spec.is_gang:
-            views = self._permitted_workers(request)
-            ready = [
-                view for view in views if may_receive_runs(view, request.now_ms)
-            ]
-            return place_gang(self._state, request, ready)
-        if request.unit.failed_on or request.unit.is_suspect:
-            return self._place_retry(request)
+        if request.unit.is_suspect:
+            return self._place_suspect(request)
+        if request.step.spec.is_gang or request.unit.failed_on:
+            return self._place_on(request, self._ready_workers(request))
         heap = self._ranked_workers(request)
         while heap:
             ranked = heap[0]
@@ -60,21 +57,45 @@
             heapq.heappop(heap)
         return None
 
-    def _place_retry(
+    def _place_suspect(
         self, request: PlacementRequest
     ) -> list[WorkerView] | None:
-        """Place a unit whose costs differ from those of its step.
+        """Place a suspect where no other run has just started.
+
+        If such a worker is not found for a while, any other one will do.
+        """
+        ready = self._ready_workers(request)
+        quiet = [
+            view
+            for view in ready
+            if crash_trials.is_quiet(view, request.now_ms)
+        ]
+        placed = self._place_on(request, quiet)
+        if placed is None:
+            placed = self._place_on(request, ready)
+            if placed is None or not crash_trials.has_waited_for_quiet(
+                request.unit, request.now_ms
+            ):
+                return None
+        request.unit.trial_wait_since_ms = None
+        return placed
+
+    def _place_on(
+        self, request: PlacementRequest, views: list[WorkerView]
+    ) -> list[WorkerView] | None:
+        """Place a unit whose costs differ from those of its step, or a gang.
 
-        It prefers workers on which it has not failed, or it is a suspect.
+        The unit prefers workers on which it has not failed, or is a suspect.
         """
-        permitted = self._permitted_workers(request)
-        views = [view for view in permitted if _can_start(request, view)]
-        if not views:
+        if request.step.spec.is_gang:
+            return place_gang(self._state, request, views)
+        with_room = [view for view in views if _can_start(request, view)]
+        if not with_room:
             return None
-        costs = [cost_of(self._state, request, view) for view in views]
+        costs = [cost_of(self._state, request, view) for view in with_room]
         self._heap = None
         self._last_chosen = None
-        return [views[costs.index(min(costs))]]
+        return [with_room[costs.index(min(costs))]]
 
     def _ranked_workers(self, request: PlacementRequest) -> list[_RankedWorker]:
         if self._heap is None:
@@ -93,6 +114,14 @@
         self._last_chosen = None
         return self._heap
 
+    def _ready_workers(self, request: PlacementRequest) -> list[WorkerView]:
+        """Return the permitted workers that may still get runs."""
+        return [
+            view
+            for view in self._permitted_workers(request)
+            if may_receive_runs(view, request.now_ms)
+        ]
+
     def _permitted_workers(self, request: PlacementRequest) -> list[WorkerView]:
         """Return the usable workers that need no ticket or have a valid one."""
         usable = self.usable_workers(request)
--- /dev/null
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -0,0 +1,131 @@
+"""Ends of workers: what proves them, what is lost, and losses of power."""
+
+from typing import Final
+
+from fuchsiarill.graphs.crash_trials import is_young
+from fuchsiarill.graphs.lost_runs import LostRun, WorkerLoss
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import AvailabilityState
+from fuchsiarill.graphs.worker_table import WorkerView
+from fuchsiarill.ports.agents import AgentFailure
+
+# Covers the delay of reports and of failed calls in the comparison of the times
+# at which workers ended.
+_TIME_SLACK_MS: Final = 50
+
+
+def proves_end(view: WorkerView, failure: AgentFailure) -> bool:
+    """Tell whether a failure proves that the worker process has ended."""
+    if failure is AgentFailure.OTHER_WORKER:
+        return True
+    # A leaving worker withdraws its directory entry and closes its port. A
+    # refused connection alone proves nothing: a broken network link can reset
+    # connections too.
+    has_left = (
+        view.availability is AvailabilityState.LEAVING and not view.is_listed
+    )
+    return has_left and failure is AgentFailure.CONNECTION_REFUSED
+
+
+def loss_of(view: WorkerView, now_ms: int) -> WorkerLoss:
+    """Return the runs that are lost if the worker's incarnation has ended.
+
+    A leaving worker loses none: its end is planned.
+    """
+    runs: tuple[LostRun, ...] = ()
+    if not _is_leaving(view):
+        runs = tuple(
+            _lost_run(view, run)
+            for run in view.runs.values()
+            if _may_have_started(view, run)
+        )
+    return WorkerLoss(
+        view.worker,
+        view.address,
+        view.rack,
+        view.born_ms,
+        view.reported_ms,
+        now_ms if view.silent_since_ms is None else view.silent_since_ms,
+        runs,
+    )
+
+
+def is_power_loss(state: PoolState, loss: WorkerLoss) -> bool:
+    """Tell whether all workers of the rack may have ended at one time.
+
+    Workers that had been silent before, or have reported first since then, are
+    left out.
+    """
+    if loss.rack is None:
+        return False
+    ended_together = any(
+        end.rack == loss.rack
+        and _is_simultaneous(loss, end.reported_ms, end.silent_ms)
+        for end in state.recent_ends.values()
+        if end.worker != loss.worker
+    )
+    for view in state.workers:
+        if view.rack != loss.rack or not _was_in_touch(view, loss):
+            continue
+        if view.silent_since_ms is None:
+            return False
+        if not _is_simultaneous(loss, view.reported_ms, view.silent_since_ms):
+            return False
+        ended_together = True
+    return ended_together
+
+
+def _is_leaving(view: WorkerView) -> bool:
+    # The directory may have listed the next incarnation as live already.
+    return (
+        view.leaving_since_ms is not None
+        or view.availability is AvailabilityState.LEAVING
+    )
+
+
+def _may_have_started(view: WorkerView, run: Run) -> bool:
+    if view.silent_since_ms is None:
+        return True
+    return run.start_ordered_ms <= view.silent_since_ms
+
+
+def _lost_run(view: WorkerView, run: Run) -> LostRun:
+    return LostRun(
+        run.task,
+        run.attempt,
+        run.unit_key,
+        run.start_ordered_ms,
+        is_young(run),
+        run.is_on_trial,
+        run.is_listed or _is_confirmed_before_silence(view, run),
+    )
+
+
+def _is_confirmed_before_silence(view: WorkerView, run: Run) -> bool:
+    """Tell whether the incarnation that has ended confirmed the start.
+
+    An answer without a later failure may be of the next incarnation.
+    """
+    if run.visible_since_ms is None or view.silent_since_ms is None:
+        return False
+    return run.visible_since_ms <= view.silent_since_ms
+
+
+def _was_in_touch(view: WorkerView, loss: WorkerLoss) -> bool:
+    """Tell whether another worker was in touch until the loss."""
+    if view.worker == loss.worker:
+        return False
+    if not 0 < view.in_touch_since_ms <= loss.reported_ms:
+        return False
+    silent_ms = view.silent_since_ms
+    return silent_ms is None or silent_ms + _TIME_SLACK_MS >= loss.reported_ms
+
+
+def _is_simultaneous(
+    loss: WorkerLoss, reported_ms: int, silent_ms: int
+) -> bool:
+    """Tell whether a worker silent since then may have ended with the lost."""
+    return max(reported_ms, loss.reported_ms) <= _TIME_SLACK_MS + min(
+        silent_ms, loss.silent_ms
+    )
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -16,7 +16,7 @@
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.resources import Resources
 from tests.crash_world import LONG_OUTAGE_MS, OUTAGE_MS, CrashWorld
-from tests.graph_owner import Owner, entry, running, task
+from tests.graph_owner import URGENT, Owner, entry, running, task
 
 SMALL = Resources(100, 100)
 WORKERS = ('w0', 'w1', 'w2', 'w3')
@@ -307,7 +307,7 @@
     assert not world.neighbours[second] & watches
 
 
-def test_lost_tickets_of_trials_do_not_block_a_worker() -> None:
+def test_worker_gets_runs_after_a_trial() -> None:
     """Guards against a worker that gets no run after a trial has ended."""
     world = deadly_world(workers=('w0', 'w1'))
     world.pass_time(20_000)
@@ -324,6 +324,64 @@
         assert not view.failure_record.suspensions_count
 
 
+def test_task_that_was_not_on_trial_is_not_given_up() -> None:
+    """Guards against a long task that is given up at its third crash.
+
+    It had long run in the first two, and had started by chance just before the
+    third.
+    """
+    owner = Owner('w0')
+    owner.add_job('long', Step(1, SMALL))
+    row = (running(task('long'), 1),)
+    progress = owner.core.state.jobs[JobId('long')].progress
+    for born_ms in (2, 4, 6):
+        row = (running(task('long'), born_ms),)
+        owner.report('w0', row, born_ms=born_ms)
+        if born_ms < 6:
+            owner.now_ms += 3000
+            owner.report('w0', row, born_ms=born_ms)
+        owner.report('w0', born_ms=born_ms + 1)
+    assert progress.crashes_count(UnitKey(0, 0, 0)) == 3
+    assert progress.phase is JobPhase.ACTIVE
+
+
+def test_run_that_started_well_before_a_trial_is_no_suspect() -> None:
+    """Guards against a deadly task that is not recognised beside others.
+
+    A run that has started longer before the trial than a deadly task takes to
+    crash its worker is not the cause.
+    """
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('deadly', Step(1, SMALL))
+    owner.starts()
+    owner.report('w0', (running(task('deadly')),))
+    owner.report('w0', born_ms=2)
+    owner.add_job('sound', Step(1, SMALL), queue=URGENT)
+    assert [start.task.job for start in owner.starts()] == ['sound']
+    owner.now_ms += 200
+    assert [start.task.job for start in owner.starts()] == ['deadly']
+    rows = (running(task('sound')), running(task('deadly'), 2))
+    owner.report('w0', rows, born_ms=2)
+    owner.report('w0', born_ms=3)
+    jobs = owner.core.state.jobs
+    assert jobs[JobId('deadly')].progress.phase is JobPhase.FAILED
+    assert jobs[JobId('sound')].progress.phase is JobPhase.ACTIVE
+    assert not jobs[JobId('sound')].progress.crashed_attempts
+
+
+def test_crash_with_a_known_cause_counts_for_no_other_task() -> None:
+    """Guards against sound tasks that collect the crashes of deadly ones."""
+    world = deadly_world()
+    world.add('long', Step(2, SMALL), run_ms=60_000)
+    world.pass_time(2 * OUTAGE_MS)
+    long_entry = world.owner.core.state.jobs[JobId('long')]
+    assert long_entry.progress.crashed_attempts
+    world.pass_time(2000)
+    assert world.phase('deadly') is JobPhase.FAILED
+    assert not long_entry.progress.crashed_attempts
+
+
 def test_two_unclear_crashes_give_up_neither_task() -> None:
     """Guards against a sound task that is given up beside a deadly one.
 
