Keep the runs of a crashed worker after further failed calls

Sound tasks kept the crashes of a task that had been given up.

Cause: each call to a replaced worker proves its end again. The second proof, which finds no runs, replaced the record from which crashes are taken off the other units.

A record with runs is no longer replaced by one without. The simulated workers now fail two calls, and test_crash_with_a_known_cause_counts_for_no_other_task failed with that before the change.

--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -119,7 +119,10 @@
 
 
 def _record_end(state: PoolState, loss: WorkerLoss) -> None:
-    state.recent_ends[loss.worker, loss.born_ms] = loss
+    # An end is proved by each call until the channel closes; only the first
+    # finds runs.
+    if loss.runs or (loss.worker, loss.born_ms) not in state.recent_ends:
+        state.recent_ends[loss.worker, loss.born_ms] = loss
     for key, end in list(state.recent_ends.items()):
         if end.reported_ms < loss.reported_ms - _LOSS_RETENTION_MS:
             state.recent_ends.pop(key)
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -157,9 +157,13 @@
         view = core.state.workers.find(worker)
         if view is None:
             return
-        core.worker_failed(worker, AgentFailure.OTHER_WORKER, self.now_ms)
-        if not view.runs and not view.is_listed:
+        is_idle = not view.runs and not view.is_listed
+        if is_idle and self.now_ms > view.lease_expiry_ms:
             core.state.workers.remove(worker)
+            return
+        # Several calls fail before the channel to the worker closes.
+        for _ in range(2):
+            core.worker_failed(worker, AgentFailure.OTHER_WORKER, self.now_ms)
 
     def _entry(self, worker: SimulatedWorker) -> WorkerEntry:
         listing = WorkerListing.LIVE
