Let worker models crash under deadly tasks and change their capacity

Cause: on the users' platform a task may crash each worker that starts it, and a worker's capacity may shrink and grow while it runs. No stand-in did either. Change: the payload of a job may mark one task as deadly. Its worker then stops answering or refuses calls, and returns after some seconds without runs, under its id or under a new id at the same address. The ways of failing and of returning are registries, the times are in CrashSettings. A worker model has a capacity that a call changes; the emulator writes it to the directory with the next heartbeat and removes the entries of silent workers. The model of an incarnation has moved to a module of its own.

--- /dev/null
+++ b/standins/agent_incarnation.py
@@ -0,0 +1,128 @@
+"""Model of one incarnation of a worker: its runs, ends and leases."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from fuchsiarill.clock import now_ms
+from fuchsiarill.graphs.model import (
+    BornMs,
+    Checkpoint,
+    EndKind,
+    EndRow,
+    EndSequence,
+    RunningRow,
+    TaskKey,
+    WorkerReport,
+)
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.resources import NO_RESOURCES, Resources
+from standins.changing_capacity import ChangingCapacity
+from standins.outages import Outage
+
+_LEASE_MAX_MS: Final = 6000
+_FULL_PERCENT: Final = 100
+
+
+@dataclass(slots=True)
+class ModelRun:
+    """A run on a worker model; it never ends by itself without `ends_ms`."""
+
+    task: TaskKey
+    attempt: int
+    started_ms: int
+    ends_ms: int | None
+    kind: EndKind
+    size: Resources
+
+
+@dataclass(slots=True)
+class AgentModel:
+    """One incarnation of a worker, from its start to its restart."""
+
+    worker: WorkerId
+    # Key of the worker in its fleet, which later incarnations share.
+    address: str
+    capacity: ChangingCapacity
+    born_ms: BornMs
+    sizes: dict[TaskKey, Resources]
+    epoch: int = 0
+    lease_expiry_ms: int = 0
+    runs: dict[tuple[TaskKey, int], ModelRun] = field(default_factory=dict)
+    ended: list[EndRow] = field(default_factory=list)
+    ends_count: int = 0
+    # The last end that a report has listed.
+    reported_end: int = 0
+    highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
+    # Set once the incarnation has crashed.
+    outage: Outage | None = None
+    # Calls have no effect and are not answered.
+    is_silent: bool = False
+    # Starts are executed, but not answered.
+    loses_answers: bool = False
+    # Every run fails as soon as it starts.
+    fails_all: bool = False
+
+    def clock_ms(self) -> int:
+        """Return the worker's clock, the time since `born_ms`."""
+        return now_ms() - self.born_ms
+
+    def end_due_runs(self) -> None:
+        """End the runs whose duration or lease is over."""
+        now = now_ms()
+        for run in list(self.runs.values()):
+            if run.ends_ms is not None and run.ends_ms <= now:
+                self.end(run, run.kind)
+        if self.clock_ms() > self.lease_expiry_ms:
+            for run in list(self.runs.values()):
+                self.end(run, EndKind.LAPSED)
+
+    def end(self, run: ModelRun, kind: EndKind) -> None:
+        """End a run, list its end, and refuse the attempt from then on."""
+        self.runs.pop((run.task, run.attempt))
+        self.ends_count += 1
+        self.highest_refused_attempt[run.task] = max(
+            self.highest_refused_attempt.get(run.task, 0),
+            run.attempt,
+        )
+        self.ended.append(
+            EndRow(
+                EndSequence(self.ends_count),
+                run.task,
+                run.attempt,
+                kind,
+                Checkpoint(''),
+            ),
+        )
+
+    def extend_leases(self, expiry_ms: int | None) -> None:
+        """Extend the leases up to `expiry_ms` of the worker's clock.
+
+        An earlier expiry does not shorten them; one more than `_LEASE_MAX_MS`
+        ahead is reduced to that maximum.
+        """
+        if expiry_ms is not None:
+            longest_ms = self.clock_ms() + _LEASE_MAX_MS
+            self.lease_expiry_ms = max(
+                self.lease_expiry_ms, min(expiry_ms, longest_ms)
+            )
+
+    def used(self) -> Resources:
+        """Return the sum of the resources that the runs use."""
+        return sum((run.size for run in self.runs.values()), NO_RESOURCES)
+
+    def report(self) -> WorkerReport:
+        """Return the running and the ended attempts."""
+        return WorkerReport(
+            self.clock_ms(),
+            self.born_ms,
+            tuple(
+                RunningRow(
+                    run.task,
+                    run.attempt,
+                    Checkpoint(''),
+                    _FULL_PERCENT,
+                )
+                for run in self.runs.values()
+            ),
+            tuple(self.ended),
+        )
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -6,11 +6,13 @@
 The payload of a job controls its tasks: `duration_ms`, without which a run
 lasts until it is stopped or its lease ends; `fails`, the number up to which
 attempts end as failed; and `size`, the resources that a task uses. Without
-`size`, the entry of the task in `Fleet.sizes` applies.
+`size`, the entry of the task in `Fleet.sizes` applies. `worker_crashes.py`
+describes deadly tasks.
 """
 
 import json
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -18,16 +20,12 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.graphs.model import (
     BornMs,
-    Checkpoint,
     EndKind,
-    EndRow,
-    EndSequence,
-    RunningRow,
     StartOrder,
     TaskKey,
     WorkerReport,
 )
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import Epoch, WorkerId
 from fuchsiarill.ports.agents import (
     AgentAddress,
     AgentFailure,
@@ -36,121 +34,101 @@
     StopOrder,
 )
 from fuchsiarill.resources import NO_RESOURCES, Resources
+from standins.agent_incarnation import AgentModel, ModelRun
+from standins.changing_capacity import ChangingCapacity
+from standins.outages import OUTAGES
+from standins.worker_crashes import CrashSettings, WorkerCrashes
 
 _NETWORK_DELAY_MS = 5
 _POLL_INTERVAL_MS = 5
-_LEASE_MAX_MS = 6000
-_FULL_PERCENT = 100
 
+# The arguments are the crashed and the new incarnation.
+OnRestart = Callable[[AgentModel, AgentModel], None]
 
-@dataclass(slots=True)
-class _ModelRun:
-    task: TaskKey
-    attempt: int
-    started_ms: int
-    ends_ms: int | None
-    kind: EndKind
-    size: Resources
 
+@dataclass(frozen=True, slots=True)
+class LateOverload:
+    """A start over a capacity that had shrunk long before.
 
-@dataclass(slots=True)
-class AgentModel:
-    """One incarnation of a worker, from its start to its restart."""
+    `shrunk_ms` is when the last capacity ended that the start would have fit.
+    """
 
     worker: WorkerId
-    capacity: Resources
-    born_ms: BornMs
-    sizes: dict[TaskKey, Resources]
-    epoch: int = 0
-    lease_expiry_ms: int = 0
-    runs: dict[tuple[TaskKey, int], _ModelRun] = field(default_factory=dict)
-    ended: list[EndRow] = field(default_factory=list)
-    ends_count: int = 0
-    # The last end that a report has listed.
-    reported_end: int = 0
-    highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
-    # Calls have no effect and are not answered.
-    is_silent: bool = False
-    # Starts are executed, but not answered.
-    loses_answers: bool = False
-    # Every run fails as soon as it starts.
-    fails_all: bool = False
-
-    def clock_ms(self) -> int:
-        """Return the worker's clock, the time since `born_ms`."""
-        return now_ms() - self.born_ms
-
-    def end_due_runs(self) -> None:
-        """End the runs whose duration or lease is over."""
-        now = now_ms()
-        for run in list(self.runs.values()):
-            if run.ends_ms is not None and run.ends_ms <= now:
-                self.end(run, run.kind)
-        if self.clock_ms() > self.lease_expiry_ms:
-            for run in list(self.runs.values()):
-                self.end(run, EndKind.LAPSED)
-
-    def end(self, run: _ModelRun, kind: EndKind) -> None:
-        """End a run, list its end, and refuse the attempt from then on."""
-        self.runs.pop((run.task, run.attempt))
-        self.ends_count += 1
-        self.highest_refused_attempt[run.task] = max(
-            self.highest_refused_attempt.get(run.task, 0),
-            run.attempt,
-        )
-        self.ended.append(
-            EndRow(
-                EndSequence(self.ends_count),
-                run.task,
-                run.attempt,
-                kind,
-                Checkpoint(''),
-            ),
-        )
-
-    def extend_leases(self, expiry_ms: int | None) -> None:
-        """Extend the leases up to `expiry_ms` of the worker's clock.
-
-        An earlier expiry does not shorten them; one more than `_LEASE_MAX_MS`
-        ahead is reduced to that maximum.
-        """
-        if expiry_ms is not None:
-            longest_ms = self.clock_ms() + _LEASE_MAX_MS
-            self.lease_expiry_ms = max(
-                self.lease_expiry_ms, min(expiry_ms, longest_ms)
-            )
-
-    def used(self) -> Resources:
-        """Return the sum of the resources that the runs use."""
-        return sum((run.size for run in self.runs.values()), NO_RESOURCES)
+    epoch: Epoch
+    shrunk_ms: int
+    at_ms: int
 
 
 class Fleet:
     """Implements `AgentPort` for all workers and records violations."""
 
-    def __init__(self) -> None:
-        """Start without workers."""
+    def __init__(
+        self,
+        crash_settings: CrashSettings | None = None,
+        on_restart: OnRestart | None = None,
+    ) -> None:
+        """Start without workers.
+
+        After each restart that follows a crash, `on_restart` gets the crashed
+        and the new incarnation.
+        """
+        # Keys are addresses.
         self.agents: dict[str, AgentModel] = {}
+        self.crashes = WorkerCrashes(crash_settings or CrashSettings(), self)
+        self.late_overloads: list[LateOverload] = []
         self.sizes: dict[TaskKey, Resources] = {}
         self.violations: list[str] = []
         self.starts: list[tuple[TaskKey, int, WorkerId]] = []
         self.succeeded: dict[TaskKey, WorkerId] = {}
+        self._on_restart = on_restart
+
+    def add(
+        self,
+        address: str,
+        capacity: Resources,
+        worker: WorkerId | None = None,
+    ) -> AgentModel:
+        """Add a worker, or replace it by a new incarnation without runs.
 
-    def add(self, worker: str, capacity: Resources) -> AgentModel:
-        """Add a worker, or replace it by a new incarnation without runs."""
-        previous = self.agents.get(worker)
+        Without `worker`, its id is the address.
+        """
+        previous = self.agents.get(address)
         if previous is not None:
             self._forget_unreported_ends(previous)
         agent = AgentModel(
-            WorkerId(worker),
-            capacity,
+            worker or WorkerId(address),
+            address,
+            ChangingCapacity(capacity),
             # Not 0, which stands for an unknown start time.
             BornMs(now_ms() + 1),
             self.sizes,
         )
-        self.agents[worker] = agent
+        self.agents[address] = agent
         return agent
 
+    def find(self, worker: WorkerId) -> AgentModel | None:
+        """Return the current incarnation with this id, if there is one."""
+        for model in self.agents.values():
+            if model.worker == worker:
+                return model
+        return None
+
+    def change_capacity(self, address: str, capacity: Resources) -> None:
+        """Change the capacity of a worker that keeps running."""
+        self.agents[address].capacity.change(capacity)
+
+    def worker_crashed(self, crashed: AgentModel) -> None:
+        """Drop what no report of the crashed worker has listed."""
+        self._forget_unreported_ends(crashed)
+
+    def worker_restarts(self, crashed: AgentModel, worker: WorkerId) -> None:
+        """Replace a crashed worker, unless it has been replaced already."""
+        if self.agents.get(crashed.address) is not crashed:
+            return
+        restarted = self.add(crashed.address, crashed.capacity.current, worker)
+        if self._on_restart is not None:
+            self._on_restart(crashed, restarted)
+
     async def start(
         self,
         agent: AgentAddress,
@@ -165,6 +143,8 @@
         if failure is not None:
             return Failure(failure)
         self._start_run(model, order)
+        if model.outage is not None:
+            return Failure(AgentFailure.UNKNOWN)
         if model.loses_answers:
             await sleep_ms(timeout_ms)
             return Failure(AgentFailure.UNKNOWN)
@@ -226,12 +206,16 @@
         ]
         deadline_ms = now_ms() + order.wait_ms
         while not model.ended and now_ms() < deadline_ms:
+            if model.outage is not None:
+                return Failure(AgentFailure.UNKNOWN)
             await sleep_ms(_POLL_INTERVAL_MS)
             model.end_due_runs()
         await sleep_ms(_NETWORK_DELAY_MS)
         model.end_due_runs()
+        if model.outage is not None:
+            return Failure(AgentFailure.UNKNOWN)
         model.reported_end = model.ends_count
-        return Success(self._report(model))
+        return Success(model.report())
 
     async def _reach(
         self,
@@ -244,7 +228,11 @@
         if model.is_silent:
             await sleep_ms(timeout_ms)
             return AgentFailure.UNKNOWN
+        if model.outage is not None:
+            return await OUTAGES.lookup(model.outage)(timeout_ms)
         await sleep_ms(_NETWORK_DELAY_MS)
+        if model.outage is not None:
+            return AgentFailure.UNKNOWN
         if model.worker != agent.worker:
             return AgentFailure.OTHER_WORKER
         self._end_all_due_runs()
@@ -294,7 +282,7 @@
         behaviour: dict[str, Any] = json.loads(order.payload or '{}')
         duration_ms = behaviour.get('duration_ms')
         is_failing = order.attempt <= behaviour.get('fails', 0)
-        run = _ModelRun(
+        run = ModelRun(
             order.task,
             order.attempt,
             now_ms(),
@@ -306,8 +294,21 @@
             run.ends_ms = now_ms()
             run.kind = EndKind.FAILED
         model.runs[order.task, order.attempt] = run
-        if not model.used().fits_in(model.capacity):
+        self._check_load(model, order)
+        self.crashes.start_seen(model, order, behaviour)
+
+    def _check_load(self, model: AgentModel, order: StartOrder) -> None:
+        """Record a start that brings a worker over its capacity."""
+        used = model.used()
+        if model.capacity.admits(used):
+            return
+        shrunk_ms = model.capacity.last_admitted_ms(used)
+        if shrunk_ms is None:
             self.violations.append(f'{model.worker} is over its capacity')
+            return
+        self.late_overloads.append(
+            LateOverload(model.worker, order.epoch, shrunk_ms, now_ms())
+        )
 
     def _size(
         self,
@@ -337,22 +338,8 @@
         worker = self.succeeded.get(task)
         if worker is None:
             return False
-        model = self.agents[worker]
+        model = self.find(worker)
+        if model is None:
+            return True
         is_listed = any(end.task == task for end in model.ended)
         return not is_listed or model.clock_ms() <= model.lease_expiry_ms
-
-    def _report(self, model: AgentModel) -> WorkerReport:
-        return WorkerReport(
-            model.clock_ms(),
-            model.born_ms,
-            tuple(
-                RunningRow(
-                    run.task,
-                    run.attempt,
-                    Checkpoint(''),
-                    _FULL_PERCENT,
-                )
-                for run in model.runs.values()
-            ),
-            tuple(model.ended),
-        )
--- a/standins/emulator/calls.py
+++ b/standins/emulator/calls.py
@@ -37,6 +37,9 @@
 
 # For a call with an unknown outcome; its caller has usually timed out.
 UNANSWERED: Final = Answer(500)
+# For a crashed worker. All workers share a port, which stays open, so a refused
+# connection appears as one that breaks before the answer.
+BROKEN: Final = Answer(500)
 
 Route = Callable[[EmulatedCell, Call], Awaitable[Answer]]
 
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -4,18 +4,23 @@
 from typing import Any, Final
 
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.ids import StoreKey
-from fuchsiarill.ports.key_value import KvWrite
+from fuchsiarill.ids import StoreKey, WorkerId
+from fuchsiarill.platform.task_names import task_name
+from fuchsiarill.ports.key_value import KvTransaction, KvWrite
 from fuchsiarill.resources import Resources
-from standins.agent_model import AgentModel, Fleet
+from standins.agent_incarnation import AgentModel
+from standins.agent_model import Fleet
 from standins.store_model import StoreModel, StorePath
 
 POOL: Final = 'costing'
 QUEUE_HOST: Final = 'quotes.example'
 QUEUE_PREFIX: Final = '/quotes/'
 CAPACITY: Final = Resources(8000, 16_000)
+_OWNER_KEY: Final = StoreKey(f'control/owner/{POOL}')
 _RACK_SIZE: Final = 3
 _HEARTBEAT_MS: Final = 500
+# The platform removes the entry of a worker after this many missed heartbeats.
+_MISSED_MAX_COUNT: Final = 3
 
 
 class EmulatedCell:
@@ -30,6 +35,10 @@
         ]
         self._workers_count = workers_count
         self._heartbeats_count = 0
+        # Heartbeat in which each listed worker has written its entry last.
+        self._written_in: dict[WorkerId, int] = {}
+        # The process that owned the pool in each epoch.
+        self._owners: dict[int, str] = {}
 
     async def run(self, address: str) -> None:
         """Write the configuration, then the workers' entries periodically.
@@ -42,24 +51,63 @@
         while True:
             self._heartbeats_count += 1
             for number, agent in enumerate(self.fleet.agents.values()):
-                self._write_worker_entry(agent, number, address)
+                if agent.outage is None:
+                    self._write_worker_entry(agent, number, address)
+            self._remove_silent_entries()
+            self.note_owner()
             await sleep_ms(_HEARTBEAT_MS)
 
     def restart(self, name: str) -> None:
         """Replace a worker by a new incarnation, which runs nothing."""
         self.fleet.add(name, CAPACITY)
 
+    def note_owner(self) -> None:
+        """Record the epoch of the current owner, the revision of its key."""
+        item = self.store.items.get(_OWNER_KEY)
+        if item is not None and item.value is not None:
+            owner = json.loads(item.value)
+            self._owners[item.revision] = owner['process']
+
     def observations(self) -> dict[str, Any]:
-        """Return the violations, the started jobs and the current owner."""
-        owner = self.store.items.get(StoreKey(f'control/owner/{POOL}'))
+        """Return what the workers have seen, and the current owner."""
+        owner = self.store.items.get(_OWNER_KEY)
+        crashes = self.fleet.crashes
         return {
             'violations': self.fleet.violations,
             'started_jobs': sorted(
                 {task.job for task, _, _ in self.fleet.starts},
             ),
             'owner': owner and owner.value and json.loads(owner.value),
+            'deadly_starts': [
+                {
+                    'task': task_name(start.task),
+                    'process': self._owners.get(start.epoch),
+                    'at_ms': start.at_ms,
+                }
+                for start in crashes.starts
+            ],
+            'crashes': [
+                {'task': task_name(crash.task), 'at_ms': crash.at_ms}
+                for crash in crashes.crashes
+            ],
+            'late_overloads': [
+                {
+                    'worker': overload.worker,
+                    'process': self._owners.get(overload.epoch),
+                    'shrunk_ms': overload.shrunk_ms,
+                    'at_ms': overload.at_ms,
+                }
+                for overload in self.fleet.late_overloads
+            ],
         }
 
+    def _remove_silent_entries(self) -> None:
+        for worker, written_in in list(self._written_in.items()):
+            if self._heartbeats_count - written_in >= _MISSED_MAX_COUNT:
+                key = StoreKey(f'servers/{worker}')
+                self.store.apply(KvTransaction(deletes=(key,)))
+                self._written_in.pop(worker)
+
     def _put(self, key: str, document: object) -> None:
         content = json.dumps(document).encode()
         self.store.write(KvWrite(StoreKey(key), content))
@@ -67,6 +115,8 @@
     def _write_worker_entry(
         self, agent: AgentModel, number: int, address: str
     ) -> None:
+        self._written_in[agent.worker] = self._heartbeats_count
+        capacity = agent.capacity.current
         self._put(
             f'servers/{agent.worker}',
             {
@@ -78,9 +128,9 @@
                 'state': 'ready',
                 'cold_left_ms': 0,
                 'capacity': {
-                    'cpu': CAPACITY.processors_milli,
-                    'mem_mb': CAPACITY.memory_mb,
-                    'gpu': 0,
+                    'cpu': capacity.processors_milli,
+                    'mem_mb': capacity.memory_mb,
+                    'gpu': capacity.accelerators_count,
                 },
                 'labels': ['a', f'r{number // _RACK_SIZE}'],
                 'seq_no': self._heartbeats_count,
--- a/standins/emulator/controls.py
+++ b/standins/emulator/controls.py
@@ -1,13 +1,14 @@
 """Faults of the emulator, set by `POST /control`.
 
-The body maps names of faults to settings. The answer has the violations, the
-started jobs and the current owner.
+The body maps names of faults to settings, which name workers by their
+addresses. The answer has the observations of the cell.
 """
 
 from collections.abc import Callable
 from typing import Any, Final
 
 from fuchsiarill.registry import Registry
+from fuchsiarill.resources import Resources
 from standins.emulator.calls import ROUTES, Answer, Call
 from standins.emulator.cell import EmulatedCell
 from standins.store_model import PathFault
@@ -46,12 +47,21 @@
 @CONTROLS.register('silent_workers')
 def _set_silent(cell: EmulatedCell, setting: list[str]) -> None:
     """Make exactly these workers ignore every call and not answer."""
-    for agent in cell.fleet.agents.values():
-        agent.is_silent = agent.worker in setting
+    for address, agent in cell.fleet.agents.items():
+        agent.is_silent = address in setting
 
 
 @CONTROLS.register('deaf_workers')
 def _lose_start_answers(cell: EmulatedCell, setting: list[str]) -> None:
     """Make exactly these workers execute starts without an answer."""
-    for agent in cell.fleet.agents.values():
-        agent.loses_answers = agent.worker in setting
+    for address, agent in cell.fleet.agents.items():
+        agent.loses_answers = address in setting
+
+
+@CONTROLS.register('capacities')
+def _set_capacities(
+    cell: EmulatedCell, setting: dict[str, dict[str, int]]
+) -> None:
+    """Change capacities, which the next heartbeats write to the directory."""
+    for address, capacity in setting.items():
+        cell.fleet.change_capacity(address, Resources(**capacity))
--- a/standins/emulator/worker_routes.py
+++ b/standins/emulator/worker_routes.py
@@ -23,8 +23,14 @@
     RenewalOrder,
     StopOrder,
 )
-from standins.agent_model import AgentModel
-from standins.emulator.calls import ROUTES, UNANSWERED, Answer, Call
+from standins.agent_incarnation import AgentModel
+from standins.emulator.calls import (
+    BROKEN,
+    ROUTES,
+    UNANSWERED,
+    Answer,
+    Call,
+)
 from standins.emulator.cell import EmulatedCell
 
 _TIMEOUT_MS: Final = 5000
@@ -59,7 +65,8 @@
         Checkpoint(body.get('checkpoint', '')),
         Ticket(body['ticket']) if 'ticket' in body else None,
     )
-    started = await cell.fleet.start(_agent(call), order, _TIMEOUT_MS)
+    cell.note_owner()
+    started = await cell.fleet.start(_agent(cell, call), order, _TIMEOUT_MS)
     return _agent_answer(cell, call, started, _clock)
 
 
@@ -71,7 +78,7 @@
         body['attempt'],
         Epoch(body['fence_token']),
     )
-    stopped = await cell.fleet.stop(_agent(call), order, _TIMEOUT_MS)
+    stopped = await cell.fleet.stop(_agent(cell, call), order, _TIMEOUT_MS)
     return _agent_answer(cell, call, stopped, _clock)
 
 
@@ -84,7 +91,7 @@
         body['percent'],
         Epoch(body['fence_token']),
     )
-    paced = await cell.fleet.pace(_agent(call), order, _TIMEOUT_MS)
+    paced = await cell.fleet.pace(_agent(cell, call), order, _TIMEOUT_MS)
     return _agent_answer(cell, call, paced, _clock)
 
 
@@ -97,7 +104,7 @@
         body.get('deadline_ms'),
         body.get('wait_ms', 0),
     )
-    reported = await cell.fleet.renew(_agent(call), order, _TIMEOUT_MS)
+    reported = await cell.fleet.renew(_agent(cell, call), order, _TIMEOUT_MS)
     return _agent_answer(cell, call, reported, _report)
 
 
@@ -108,8 +115,16 @@
     return Answer(200, {'granted': rows})
 
 
-def _agent(call: Call) -> AgentAddress:
-    return AgentAddress(WorkerId(call.instance), call.instance)
+def _agent(cell: EmulatedCell, call: Call) -> AgentAddress:
+    """Return the worker that a call is for.
+
+    An id that is no longer in use begins with its address.
+    """
+    worker = WorkerId(call.instance)
+    model = cell.fleet.find(worker)
+    if model is not None:
+        return AgentAddress(worker, model.address)
+    return AgentAddress(worker, call.instance.partition('-')[0])
 
 
 def _clock(model: AgentModel, _: object) -> dict[str, Any]:
@@ -148,7 +163,7 @@
     answered: Result[Any, AgentFailure],
     encode: Callable[[AgentModel, Any], dict[str, Any]],
 ) -> Answer:
-    model = cell.fleet.agents.get(call.instance)
+    model = cell.fleet.find(WorkerId(call.instance))
     if model is None:
         return Answer(421)
     if isinstance(answered, Success):
@@ -159,4 +174,6 @@
         return Answer(409, {'clock_ms': model.clock_ms(), 'reason': reason})
     if failure is AgentFailure.UNKNOWN:
         return UNANSWERED
+    if failure is AgentFailure.CONNECTION_REFUSED:
+        return BROKEN
     return Answer(503)
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -49,8 +49,10 @@
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.ports.key_value import KvWrite
 from fuchsiarill.resources import Resources
+from standins.agent_incarnation import AgentModel
 from standins.agent_model import Fleet
 from standins.store_model import StoreModel, StorePath
+from standins.worker_crashes import CrashSettings
 
 POOL = PoolId('costing')
 QUEUE = QueueId('quotes')
@@ -132,10 +134,15 @@
 class GraphCell:
     """Processes, workers and a store in one loop with simulated time."""
 
-    def __init__(self, processes_count: int, workers_count: int) -> None:
+    def __init__(
+        self,
+        processes_count: int,
+        workers_count: int,
+        crash_settings: CrashSettings | None = None,
+    ) -> None:
         """Create the cell; `start` runs it."""
         self.store = StoreModel()
-        self.fleet = Fleet()
+        self.fleet = Fleet(crash_settings, self._list_restarted)
         self.metrics = GraphMetrics()
         self.entries: dict[str, WorkerEntry] = {}
         self.paths: dict[ProcessId, StorePath] = {}
@@ -163,18 +170,12 @@
 
     def add_worker(self, name: str) -> None:
         """Start or restart a worker and list it."""
-        agent = self.fleet.add(name, CAPACITY)
-        self.entries[name] = WorkerEntry(
-            WorkerId(name),
-            POOL,
-            name,
-            FailureDomain('d'),
-            CAPACITY,
-            (),
-            WorkerListing.LIVE,
-            agent.born_ms,
-        )
-        self.list_worker(name)
+        self._list_agent(self.fleet.add(name, CAPACITY))
+
+    def change_capacity(self, name: str, capacity: Resources) -> None:
+        """Change the capacity of a worker and its directory entry."""
+        self.fleet.change_capacity(name, capacity)
+        self._list_agent(self.fleet.agents[name])
 
     def list_worker(self, name: str) -> None:
         """Write the directory entry of a worker."""
@@ -278,6 +279,25 @@
         for name in list(self.processes):
             await self.kill(name)
         assert self.fleet.violations == []
+        assert self.fleet.late_overloads == []
+
+    def _list_restarted(self, crashed: AgentModel, agent: AgentModel) -> None:
+        if crashed.worker != agent.worker:
+            self.unlist_worker(crashed.worker)
+        self._list_agent(agent)
+
+    def _list_agent(self, agent: AgentModel) -> None:
+        self.entries[agent.worker] = WorkerEntry(
+            agent.worker,
+            POOL,
+            agent.address,
+            FailureDomain('d'),
+            agent.capacity.current,
+            (),
+            WorkerListing.LIVE,
+            agent.born_ms,
+        )
+        self.list_worker(agent.worker)
 
 
 Scenario = Callable[[GraphCell], Awaitable[None]]
@@ -287,11 +307,12 @@
     scenario: Scenario,
     processes_count: int = 3,
     workers_count: int = 3,
+    crash_settings: CrashSettings | None = None,
 ) -> None:
     """Run a scenario on a cell after the election of an owner."""
 
     async def main() -> None:
-        cell = GraphCell(processes_count, workers_count)
+        cell = GraphCell(processes_count, workers_count, crash_settings)
         await cell.start()
         await sleep_ms(1500)
         await scenario(cell)
