Let the soak shrink workers and submit deadly tasks

Cause: the soak neither changed the capacity of workers nor had tasks that crash the workers that start them. Change: a fault kind shrinks a worker to a quarter up to three quarters of its capacity. Jobs without a deadly task are lost, as before, unless they are done or cancelled; the soak does not wait for the others. tools/tally.py, which reads the logs of the other stand-in workers, stays as it is.

--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -2,9 +2,11 @@
 
 import random
 import signal
+from dataclasses import asdict
 from types import SimpleNamespace
 from typing import Any
 
+from standins.emulator.cell import CAPACITY
 from tools.soak_faults import FAULTS
 
 
@@ -61,3 +63,24 @@
     cell = _make_cell()
     FAULTS.lookup('restart')(cell, random.Random(1))()
     assert cell.processes.waited_ids == [1]
+
+
+def test_daemon_fault_names_the_daemon_that_it_disrupts() -> None:
+    """Guards against starts of a paused daemon that count as in touch."""
+    cell = _make_cell()
+    assert FAULTS.lookup('pause')(cell, random.Random(1)).daemons == ('p0',)
+
+
+def test_capacity_fault_ends_with_the_full_capacity() -> None:
+    """Guards against workers that stay small after the faults of a soak."""
+    controls: list[dict[str, Any]] = []
+    cell: Any = SimpleNamespace(
+        workers=['w0'], control=lambda **faults: controls.append(faults)
+    )
+    end = FAULTS.lookup('capacity')(cell, random.Random(1))
+    assert not end.daemons
+    end()
+    shrunken, restored = (row['capacities']['w0'] for row in controls)
+    assert restored == asdict(CAPACITY)
+    assert 0 < shrunken['processors_milli'] < CAPACITY.processors_milli
+    assert 0 < shrunken['memory_mb'] < CAPACITY.memory_mb
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -14,6 +14,7 @@
 from tools.platform_cell import PlatformCell
 from tools.platform_load import (
     CallerLoad,
+    LoadSettings,
     Outcome,
     start_loads,
     wait_for_final_states,
@@ -23,9 +24,7 @@
 _DAEMONS_COUNT: Final = 3
 _WORKERS_COUNT: Final = 6
 _CALLERS_COUNT: Final = 3
-_JOBS_COUNT: Final = 20
-_SUBMIT_INTERVAL_S: Final = 0.2
-_CANCEL_EVERY: Final = 7
+_SETTINGS: Final = LoadSettings(jobs_count=20, interval_s=0.2, cancel_every=7)
 _KILL_AFTER_S: Final = 2.0
 _FAILED_STATUS: Final = 1
 
@@ -46,10 +45,7 @@
 def _run(cell: PlatformCell) -> int:
     loads, threads = start_loads(
         cell,
-        range(_CALLERS_COUNT),
-        _JOBS_COUNT,
-        _SUBMIT_INTERVAL_S,
-        _CANCEL_EVERY,
+        dict.fromkeys(range(_CALLERS_COUNT), _SETTINGS),
     )
     time.sleep(_KILL_AFTER_S)
     owner = cell.owner()
--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -1,5 +1,6 @@
 """Callers of a cell on the emulated platform, and outcomes of their jobs."""
 
+import json
 import random
 import threading
 import time
@@ -17,6 +18,11 @@
 _POLL_INTERVAL_S: Final = 0.5
 _GONE: Final = 410
 _FINAL_STATES: Final = frozenset(('done', 'failed', 'cancelled'))
+_UNFINISHED_STATES: Final = frozenset(('queued', 'running', 'failed'))
+# A deadly task never ends by itself before it crashes its worker.
+_DEADLY_DURATION_MS: Final = 1500
+# With `None` the worker crashes before it answers the start.
+_CRASH_DELAYS_MS: Final = (None, 50, 500)
 _ID_DIGITS: Final = 16
 _SIZES: Final = ((1000, 500, 0), (2000, 1000, 0), (3000, 2000, 0))
 
@@ -28,6 +34,8 @@
     CANCELLED = 'cancelled'
     REFUSED = 'refused'
     LOST = 'lost'
+    # A job with a deadly task that was shown as failed or did not end.
+    UNFINISHED = 'unfinished'
     # No attempt was acknowledged, but not all attempts were refused.
     UNKNOWN = 'unknown'
 
@@ -38,6 +46,8 @@
 
     name: str
     document: dict[str, Any]
+    # One of its tasks crashes each worker that starts it.
+    is_deadly: bool = False
     is_acknowledged: bool = False
     # Every attempt to submit was answered by a refusal.
     is_refused: bool = False
@@ -56,7 +66,7 @@
         """Classify the job.
 
         An acknowledged job is lost unless it is done or was cancelled at the
-        request of its caller.
+        request of its caller. A job with a deadly task can't be done.
         """
         if self.state == 'done':
             return Outcome.FINISHED
@@ -64,9 +74,25 @@
             return Outcome.CANCELLED
         if self.is_refused:
             return Outcome.REFUSED
+        if self.is_deadly and self.state in _UNFINISHED_STATES:
+            return Outcome.UNFINISHED
         return Outcome.LOST if self.is_acknowledged else Outcome.UNKNOWN
 
 
+@dataclass(frozen=True, slots=True)
+class LoadSettings:
+    """How many jobs each caller submits, and how.
+
+    One job in `cancel_every` is cancelled, one in `deadly_every` has a deadly
+    task; 0 stands for none.
+    """
+
+    jobs_count: int
+    interval_s: float
+    cancel_every: int
+    deadly_every: int = 0
+
+
 @dataclass(slots=True)
 class CallerLoad:
     """Jobs that one thread submits to daemons chosen at random."""
@@ -76,28 +102,37 @@
     jobs: list[Job] = field(default_factory=list)
     stopping: threading.Event = field(default_factory=threading.Event)
 
-    def run(
-        self, jobs_count: int, interval_s: float, cancel_every: int
-    ) -> None:
-        """Submit jobs one after the other; cancel one in `cancel_every`."""
+    def run(self, settings: LoadSettings) -> None:
+        """Submit jobs one after the other until all are or it is stopped."""
         random_source = random.Random(self.seed)
-        for number in range(jobs_count):
+        for number in range(settings.jobs_count):
             if self.stopping.is_set():
                 return
             job = Job(self._name(random_source), _document(random_source))
+            if _is_chosen(number, settings.deadly_every):
+                _make_deadly(job, random_source)
             self.jobs.append(job)
             self._submit(job, random_source)
-            if job.is_acknowledged and number % cancel_every == 1:
+            if job.is_acknowledged and _is_chosen(
+                number, settings.cancel_every
+            ):
                 self._cancel(job, random_source)
-            time.sleep(interval_s)
+            time.sleep(settings.interval_s)
 
     def poll_states(self) -> bool:
-        """Query open jobs; tells whether all acknowledged ones are final."""
+        """Query open jobs; tells whether all acknowledged ones are final.
+
+        Jobs with a deadly task are left out, since they may never end.
+        """
         random_source = random.Random(self.seed)
         for open_job in self.jobs:
             if not open_job.is_final:
                 self._query(open_job, random_source)
-        return all(job.is_final for job in self.jobs if job.is_acknowledged)
+        return all(
+            job.is_final
+            for job in self.jobs
+            if job.is_acknowledged and not job.is_deadly
+        )
 
     def _query(self, job: Job, random_source: random.Random) -> None:
         daemon = self._daemon(random_source)
@@ -145,13 +180,13 @@
 
 def start_loads(
     cell: PlatformCell,
-    seeds: range,
-    *options: float,
+    settings_by_seed: dict[int, LoadSettings],
 ) -> tuple[list[CallerLoad], list[threading.Thread]]:
-    """Start a thread for each seed with the options of `CallerLoad.run`."""
-    loads = [CallerLoad(cell, seed) for seed in seeds]
+    """Start a caller in a thread for each seed."""
+    loads = [CallerLoad(cell, seed) for seed in settings_by_seed]
     threads = [
-        threading.Thread(target=load.run, args=options) for load in loads
+        threading.Thread(target=load.run, args=[settings_by_seed[load.seed]])
+        for load in loads
     ]
     for thread in threads:
         thread.start()
@@ -185,3 +220,21 @@
     if random_source.randrange(2):
         phases.append(phase | {'count': 1, 'after': [0]})
     return {'spec': spec, 'phases': phases}
+
+
+def _is_chosen(number: int, every: int) -> bool:
+    return bool(every) and number % every == 1
+
+
+def _make_deadly(job: Job, random_source: random.Random) -> None:
+    """Make one task of the first step crash each worker that starts it."""
+    first_phase = job.document['phases'][0]
+    behaviour = json.loads(job.document['spec']) | {
+        'duration_ms': _DEADLY_DURATION_MS,
+        'deadly_task': [0, random_source.randrange(first_phase['count'])],
+    }
+    after_ms = random_source.choice(_CRASH_DELAYS_MS)
+    if after_ms is not None:
+        behaviour['crash_after_ms'] = after_ms
+    job.document['spec'] = json.dumps(behaviour)
+    job.is_deadly = True
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,10 +1,11 @@
 """Randomized soak test of real processes on the emulated platform.
 
-A seed determines the schedule of jobs and faults. Faults overlap. During the
+A seed determines the schedule of jobs and faults. Faults overlap, and a few
+jobs have a deadly task, which crashes each worker that starts it. During the
 run, the workers of the emulator check that no task runs twice or after its
-success, and that no worker is over its capacity. Afterwards every
-acknowledged job must be finished or cancelled, and no refused job may have
-run.
+success, and that no worker is over its capacity. Afterwards every acknowledged
+job without a deadly task must be finished or cancelled, no refused job may have
+run, and deadly tasks must have been given up.
 """
 
 import argparse
@@ -13,19 +14,20 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Final
 
 from tools.platform_cell import PlatformCell
 from tools.platform_load import (
-    CallerLoad,
+    LoadSettings,
     Outcome,
     start_loads,
     wait_for_final_states,
 )
 from tools.processes import end_on_signals
 from tools.soak_faults import FAULTS, EndFault
+from tools.soak_tally import Disruptions, SoakRecord, find_faults
 
 _DAEMONS_COUNT: Final = 4
 _WORKERS_COUNT: Final = 6
@@ -33,6 +35,8 @@
 _JOBS_MAX_COUNT: Final = 100_000
 _SUBMIT_INTERVAL_S: Final = 0.15
 _CANCEL_EVERY: Final = 9
+# Only one caller submits such jobs, so that the crashes leave room for others.
+_DEADLY_EVERY: Final = 25
 # Maximum time between the starts of two faults, and maximum duration of each.
 _FAULT_INTERVAL_MAX_S: Final = 2.5
 _FAULT_DURATION_MAX_S: Final = 5.0
@@ -48,6 +52,7 @@
 
     ends_at_s: float
     number: int
+    began_at_s: float = field(compare=False)
     end: EndFault = field(compare=False)
 
 
@@ -60,6 +65,7 @@
         self._random_source = random.Random(seed)
         self._active: list[_ActiveFault] = []
         self._injected_count = 0
+        self.disruptions = Disruptions()
 
     def run(self, duration_s: float) -> None:
         """Inject faults for a time, then end those still active."""
@@ -80,16 +86,26 @@
         name = self._random_source.choice(list(FAULTS))
         lasts_s = self._random_source.random() * _FAULT_DURATION_MAX_S
         _print_line(f'{elapsed_s:6.2f} s: {name} for {lasts_s:.1f} s')
+        began_at_s = time.monotonic()
         end = FAULTS.lookup(name)(self._cell, self._random_source)
         self._injected_count += 1
-        due_s = time.monotonic() + lasts_s
         heapq.heappush(
-            self._active, _ActiveFault(due_s, self._injected_count, end)
+            self._active,
+            _ActiveFault(
+                time.monotonic() + lasts_s,
+                self._injected_count,
+                began_at_s,
+                end,
+            ),
         )
 
     def _end_due(self, now_s: float) -> None:
         while self._active and self._active[0].ends_at_s <= now_s:
-            heapq.heappop(self._active).end()
+            fault = heapq.heappop(self._active)
+            fault.end()
+            self.disruptions.add(
+                fault.end.daemons, fault.began_at_s, time.monotonic()
+            )
 
 
 def main() -> int:
@@ -109,15 +125,10 @@
 
 def run_soak(cell: PlatformCell, seed: int, duration_s: float) -> int:
     """Run load and faults on a cell that is ready; returns the exit status."""
-    loads, threads = start_loads(
-        cell,
-        range(1000 * seed, 1000 * seed + _CALLERS_COUNT),
-        _JOBS_MAX_COUNT,
-        _SUBMIT_INTERVAL_S,
-        _CANCEL_EVERY,
-    )
+    schedule = FaultSchedule(cell, seed)
+    loads, threads = start_loads(cell, _settings_by_seed(seed))
     try:
-        FaultSchedule(cell, seed).run(duration_s)
+        schedule.run(duration_s)
     finally:
         for load in loads:
             load.stopping.set()
@@ -125,34 +136,32 @@
             load_thread.join()
     time.sleep(_RECOVERY_S)
     wait_for_final_states(loads)
-    return _report(cell, seed, loads)
+    jobs = [job for caller in loads for job in caller.jobs]
+    return _report(seed, SoakRecord(cell.control(), jobs, schedule.disruptions))
 
 
-def _report(cell: PlatformCell, seed: int, loads: list[CallerLoad]) -> int:
-    state = cell.control()
-    jobs = [job for load in loads for job in load.jobs]
-    faults = list(state['violations'])
-    faults.extend(
-        f'job {job.name} is lost, its state is {job.state!r}'
-        for job in jobs
-        if job.outcome is Outcome.LOST
-    )
-    started = set(state['started_jobs'])
-    faults.extend(
-        f'job {job.name} ran, though every attempt to submit it was refused'
-        for job in jobs
-        if job.is_refused and job.name in started
-    )
+def _settings_by_seed(seed: int) -> dict[int, LoadSettings]:
+    sound = LoadSettings(_JOBS_MAX_COUNT, _SUBMIT_INTERVAL_S, _CANCEL_EVERY)
+    first_seed = 1000 * seed
+    return dict.fromkeys(
+        range(first_seed, first_seed + _CALLERS_COUNT), sound
+    ) | {first_seed: replace(sound, deadly_every=_DEADLY_EVERY)}
+
+
+def _report(seed: int, record: SoakRecord) -> int:
+    faults = find_faults(record)
     for fault in faults:
         _print_line(fault)
     counts = {outcome: 0 for outcome in Outcome}
-    for job in jobs:
+    for job in record.jobs:
         counts[job.outcome] += 1
     parts = ' '.join(
         f'{outcome.value}={count}' for outcome, count in counts.items()
     )
+    crashes_count = len(record.observations['crashes'])
     _print_line(
-        f'soak: seed={seed} jobs={len(jobs)} {parts} faults={len(faults)}'
+        f'soak: seed={seed} jobs={len(record.jobs)} {parts} '
+        f'crashes={crashes_count} faults={len(faults)}'
     )
     return _FAILED_STATUS if faults else 0
 
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -1,23 +1,39 @@
 """Faults that the soak test injects.
 
-A registered function begins a fault and returns the function that ends it.
-Faults of daemons use signals or act on the path to the store; the others are
-set in the emulator.
+A registered function begins a fault and returns its end, which also names the
+daemons that the fault disrupts. Faults of daemons use signals or act on the
+path to the store; the others are set in the emulator.
 """
 
 import random
 import signal
 from collections.abc import Callable
+from dataclasses import asdict, dataclass
 from functools import partial, wraps
 from typing import Any, Final
 
 from fuchsiarill.registry import Registry
+from fuchsiarill.resources import Resources
+from standins.emulator.cell import CAPACITY
 from standins.store_model import PathFault
 from tools.platform_cell import PlatformCell
 
-EndFault = Callable[[], None]
+
+@dataclass(frozen=True, slots=True)
+class EndFault:
+    """Ends a fault when called."""
+
+    action: Callable[[], None]
+    # Names of the daemons that are disrupted until then.
+    daemons: tuple[str, ...] = ()
+
+    def __call__(self) -> None:
+        """End the fault."""
+        self.action()
+
+
 _Fault = Callable[[PlatformCell, random.Random], EndFault]
-_DaemonFault = Callable[[PlatformCell, str], EndFault]
+_DaemonFault = Callable[[PlatformCell, str], Callable[[], None]]
 
 FAULTS: Final[Registry[str, _Fault]] = Registry('faults of the soak')
 
@@ -26,7 +42,16 @@
     """Ends a fault that needs no action to end."""
 
 
-def _set_faults(cell: PlatformCell, **faults: Any) -> None:
+_NO_END: Final = EndFault(_do_nothing)
+
+
+def _end_by_control(
+    cell: PlatformCell, *daemons: str, **faults: Any
+) -> EndFault:
+    return EndFault(partial(_control, cell, faults), daemons)
+
+
+def _control(cell: PlatformCell, faults: dict[str, Any]) -> None:
     cell.control(**faults)
 
 
@@ -66,21 +91,23 @@
     @wraps(daemon_fault)
     def wrapper(cell: PlatformCell, random_source: random.Random) -> EndFault:
         name = _draw_running_daemon(cell, random_source)
-        return _do_nothing if name is None else daemon_fault(cell, name)
+        if name is None:
+            return _NO_END
+        return EndFault(daemon_fault(cell, name), (name,))
 
     return wrapper
 
 
 @FAULTS.register('kill')
 @_on_running_daemon
-def _kill(cell: PlatformCell, name: str) -> EndFault:
+def _kill(cell: PlatformCell, name: str) -> Callable[[], None]:
     cell.processes.kill(name)
     return partial(cell.start_daemon, name)
 
 
 @FAULTS.register('restart')
 @_on_running_daemon
-def _restart(cell: PlatformCell, name: str) -> EndFault:
+def _restart(cell: PlatformCell, name: str) -> Callable[[], None]:
     """Stop a daemon with SIGTERM; the end of the fault restarts it."""
     process_id = cell.processes.id_of(name)
     cell.processes.send_signal(name, signal.SIGTERM)
@@ -89,7 +116,7 @@
 
 @FAULTS.register('pause')
 @_on_running_daemon
-def _pause(cell: PlatformCell, name: str) -> EndFault:
+def _pause(cell: PlatformCell, name: str) -> Callable[[], None]:
     cell.processes.send_signal(name, signal.SIGSTOP)
     return partial(_resume, cell, name)
 
@@ -100,18 +127,20 @@
 ) -> EndFault:
     """Break the path to the store for one daemon, or for all."""
     fault = random_source.choice((PathFault.REFUSED, PathFault.ANSWER_LOST))
-    numbers = [daemon.number for daemon in cell.daemons.values()]
+    daemons = list(cell.daemons.values())
     if random_source.randrange(3):
-        numbers = [random_source.choice(numbers)]
-    cell.control(store_fault=dict.fromkeys(map(str, numbers), fault.value))
-    cleared = dict.fromkeys(map(str, numbers), PathFault.NONE.value)
-    return partial(_set_faults, cell, store_fault=cleared)
+        daemons = [random_source.choice(daemons)]
+    numbers = [str(daemon.number) for daemon in daemons]
+    cell.control(store_fault=dict.fromkeys(numbers, fault.value))
+    cleared = dict.fromkeys(numbers, PathFault.NONE.value)
+    names = [daemon.name for daemon in daemons]
+    return _end_by_control(cell, *names, store_fault=cleared)
 
 
 @FAULTS.register('compact')
 def _compact(cell: PlatformCell, random_source: random.Random) -> EndFault:
     cell.control(compact=True)
-    return _do_nothing
+    return _NO_END
 
 
 @FAULTS.register('worker_restart')
@@ -119,7 +148,7 @@
     cell: PlatformCell, random_source: random.Random
 ) -> EndFault:
     cell.control(restart_worker=random_source.choice(cell.workers))
-    return _do_nothing
+    return _NO_END
 
 
 @FAULTS.register('worker_silent')
@@ -127,7 +156,7 @@
     cell: PlatformCell, random_source: random.Random
 ) -> EndFault:
     cell.control(silent_workers=[random_source.choice(cell.workers)])
-    return partial(_set_faults, cell, silent_workers=[])
+    return _end_by_control(cell, silent_workers=[])
 
 
 @FAULTS.register('worker_deaf')
@@ -136,4 +165,19 @@
 ) -> EndFault:
     """Make a worker execute starts without an answer."""
     cell.control(deaf_workers=[random_source.choice(cell.workers)])
-    return partial(_set_faults, cell, deaf_workers=[])
+    return _end_by_control(cell, deaf_workers=[])
+
+
+@FAULTS.register('capacity')
+def _change_capacity(
+    cell: PlatformCell, random_source: random.Random
+) -> EndFault:
+    """Shrink a worker to a quarter up to three quarters of its capacity."""
+    worker = random_source.choice(cell.workers)
+    quarters = random_source.randint(1, 3)
+    shrunken = Resources(
+        CAPACITY.processors_milli * quarters // 4,
+        CAPACITY.memory_mb * quarters // 4,
+    )
+    cell.control(capacities={worker: asdict(shrunken)})
+    return _end_by_control(cell, capacities={worker: asdict(CAPACITY)})
