Keep shrunken workers small for 8 s in the soak

Change: the end of a fault states how long the fault lasts at least, 8 s for a shrink. The tests of the faults and of the tally pass.

--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -9,6 +9,9 @@
 from standins.emulator.cell import CAPACITY
 from tools.soak_faults import FAULTS
 
+# After this time a start over a shrunken capacity counts.
+_BOUND_S = 3.5
+
 
 class _FakeProcesses:
     """Records which processes are waited for; a start gives a new id."""
@@ -72,13 +75,17 @@
 
 
 def test_capacity_fault_ends_with_the_full_capacity() -> None:
-    """Guards against workers that stay small after the faults of a soak."""
+    """Guards against workers that stay small after the faults of a soak.
+
+    A shrink that ends before starts over it count checks nothing.
+    """
     controls: list[dict[str, Any]] = []
     cell: Any = SimpleNamespace(
         workers=['w0'], control=lambda **faults: controls.append(faults)
     )
     end = FAULTS.lookup('capacity')(cell, random.Random(1))
     assert not end.daemons
+    assert end.lasts_min_s > _BOUND_S
     end()
     shrunken, restored = (row['capacities']['w0'] for row in controls)
     assert restored == asdict(CAPACITY)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -85,9 +85,10 @@
     def _inject(self, elapsed_s: float) -> None:
         name = self._random_source.choice(list(FAULTS))
         lasts_s = self._random_source.random() * _FAULT_DURATION_MAX_S
-        _print_line(f'{elapsed_s:6.2f} s: {name} for {lasts_s:.1f} s')
         began_at_s = time.monotonic()
         end = FAULTS.lookup(name)(self._cell, self._random_source)
+        lasts_s = max(lasts_s, end.lasts_min_s)
+        _print_line(f'{elapsed_s:6.2f} s: {name} for {lasts_s:.1f} s')
         self._injected_count += 1
         heapq.heappush(
             self._active,
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -26,6 +26,8 @@
     action: Callable[[], None]
     # Names of the daemons that are disrupted until then.
     daemons: tuple[str, ...] = ()
+    # The fault has no effect that the soak checks before this time.
+    lasts_min_s: float = 0
 
     def __call__(self) -> None:
         """End the fault."""
@@ -35,6 +37,9 @@
 _Fault = Callable[[PlatformCell, random.Random], EndFault]
 _DaemonFault = Callable[[PlatformCell, str], Callable[[], None]]
 
+# Starts over a shrunken capacity count after 3.5 s.
+_SHRUNKEN_MIN_S: Final = 8
+
 FAULTS: Final[Registry[str, _Fault]] = Registry('faults of the soak')
 
 
@@ -180,4 +185,7 @@
         CAPACITY.memory_mb * quarters // 4,
     )
     cell.control(capacities={worker: asdict(shrunken)})
-    return _end_by_control(cell, capacities={worker: asdict(CAPACITY)})
+    restored = {'capacities': {worker: asdict(CAPACITY)}}
+    return EndFault(
+        partial(_control, cell, restored), lasts_min_s=_SHRUNKEN_MIN_S
+    )
