Record all successes on the worker models, and break calls at a restart

Cause: a success that a waiting renewal reported was not recorded, so a later start of its task was no violation; most successes are reported that way. A renewal that waited during a restart still reported the ends of the former incarnation. Change: renewals record the successes of all workers as other calls do. A replaced incarnation ends as a crashed one does: its runs end without a report and its calls fail.

--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -53,7 +53,7 @@
     # The last end that a report has listed.
     reported_end: int = 0
     highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
-    # Set once the incarnation has crashed.
+    # Set once the incarnation has crashed or has been replaced.
     outage: Outage | None = None
     # Calls have no effect and are not answered.
     is_silent: bool = False
@@ -66,6 +66,11 @@
         """Return the worker's clock, the time since `born_ms`."""
         return now_ms() - self.born_ms
 
+    def crash(self, outage: Outage) -> None:
+        """End the incarnation, and its runs without a report."""
+        self.outage = outage
+        self.runs.clear()
+
     def end_due_runs(self) -> None:
         """End the runs whose duration or lease is over."""
         now = now_ms()
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -36,7 +36,7 @@
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.agent_incarnation import AgentModel, ModelRun
 from standins.changing_capacity import ChangingCapacity
-from standins.outages import OUTAGES
+from standins.outages import OUTAGES, Outage
 from standins.worker_crashes import CrashSettings, WorkerCrashes
 
 _NETWORK_DELAY_MS = 5
@@ -94,6 +94,7 @@
         """
         previous = self.agents.get(address)
         if previous is not None:
+            previous.crash(Outage.REFUSED)
             self._forget_unreported_ends(previous)
         agent = AgentModel(
             worker or WorkerId(address),
@@ -209,9 +210,9 @@
             if model.outage is not None:
                 return Failure(AgentFailure.UNKNOWN)
             await sleep_ms(_POLL_INTERVAL_MS)
-            model.end_due_runs()
+            self._end_all_due_runs()
         await sleep_ms(_NETWORK_DELAY_MS)
-        model.end_due_runs()
+        self._end_all_due_runs()
         if model.outage is not None:
             return Failure(AgentFailure.UNKNOWN)
         model.reported_end = model.ends_count
--- a/standins/worker_crashes.py
+++ b/standins/worker_crashes.py
@@ -126,8 +126,7 @@
 
     def _crash(self, model: AgentModel, task: TaskKey) -> None:
         settings = self._settings
-        model.outage = self._random_source.choice(settings.outages)
-        model.runs.clear()
+        model.crash(self._random_source.choice(settings.outages))
         self._observer.worker_crashed(model)
         self.crashes.append(Crash(task, model.worker, now_ms()))
         down_ms = self._random_source.randint(
--- a/tests/test_agent_model.py
+++ b/tests/test_agent_model.py
@@ -1,13 +1,22 @@
 """Which starts the model of the workers counts as violations."""
 
+import asyncio
+
+from returns.result import Failure, Result
+
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.graphs.model import (
     NO_CHECKPOINT,
     NO_END,
     StartOrder,
+    WorkerReport,
 )
 from fuchsiarill.ids import Epoch, WorkerId
-from fuchsiarill.ports.agents import AgentAddress, RenewalOrder
+from fuchsiarill.ports.agents import (
+    AgentAddress,
+    AgentFailure,
+    RenewalOrder,
+)
 from fuchsiarill.resources import Resources
 from standins.agent_model import Fleet
 from tests.graph_owner import task
@@ -31,9 +40,11 @@
     await fleet.start(_AGENT, order, _TIMEOUT_MS)
 
 
-async def _report(fleet: Fleet) -> None:
-    order = RenewalOrder(Epoch(1), NO_END, None, 0)
-    await fleet.renew(_AGENT, order, _TIMEOUT_MS)
+async def _report(
+    fleet: Fleet, wait_ms: int = 0
+) -> Result[WorkerReport, AgentFailure]:
+    order = RenewalOrder(Epoch(1), NO_END, None, wait_ms)
+    return await fleet.renew(_AGENT, order, _TIMEOUT_MS)
 
 
 def test_success_that_no_report_listed_may_be_repeated() -> None:
@@ -71,3 +82,32 @@
         assert fleet.violations
 
     run_paused(scenario())
+
+
+def test_success_within_a_waiting_renewal_must_not_be_repeated() -> None:
+    """Guards against a model that misses the ends that most reports have."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await _report(fleet, wait_ms=1000)
+        await _start(fleet, 2)
+        assert fleet.violations
+
+    run_paused(scenario())
+
+
+def test_restart_breaks_a_waiting_renewal() -> None:
+    """Guards against a success that a worker reports after its restart."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        renewal = asyncio.create_task(_report(fleet, wait_ms=1000))
+        await sleep_ms(50)
+        fleet.add('w0', _CAPACITY)
+        assert await renewal == Failure(AgentFailure.UNKNOWN)
+
+    run_paused(scenario())
