Let a later owner repeat a success that no owner has acknowledged

The log shows that it is allowed: the owner got the report at 24.09 s, but its path to the store was broken from 22.88 s on, so the record never became durable and the end was never acknowledged; it gave the pool up at 25.66 s. The worker had then crashed, which left no trace of the end, and the owner of the next epoch started the task again at 28.42 s. Change: when an incarnation ends, the model keeps which owner has got the report of a success that was not acknowledged. Only an owner of a later epoch may start the task again, and only once per success. Result: the checks for the same owner, and for an acknowledged success, stay violations; the first has a test already, the second and the allowed case get one.

--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -14,7 +14,7 @@
     TaskKey,
     WorkerReport,
 )
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import Epoch, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.changing_capacity import ChangingCapacity
 from standins.outages import Outage
@@ -52,6 +52,8 @@
     ends_count: int = 0
     # The last end that a report has listed.
     reported_end: int = 0
+    # Epoch of the owner that has got the last report.
+    reported_epoch: Epoch = Epoch(0)
     highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
     # Set once the incarnation has crashed or has been replaced.
     outage: Outage | None = None
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -80,6 +80,9 @@
         self.violations: list[str] = []
         self.starts: list[tuple[TaskKey, int, WorkerId]] = []
         self.succeeded: dict[TaskKey, WorkerId] = {}
+        # Latest owner that was told of a success which the end of its worker
+        # has left without an acknowledgement.
+        self._informed_epochs: dict[TaskKey, Epoch] = {}
         self._on_restart = on_restart
 
     def add(
@@ -95,7 +98,7 @@
         previous = self.agents.get(address)
         if previous is not None:
             previous.crash(Outage.REFUSED)
-            self._forget_unreported_ends(previous)
+            self._forget_lost_ends(previous)
         agent = AgentModel(
             worker or WorkerId(address),
             address,
@@ -120,7 +123,7 @@
 
     def worker_crashed(self, crashed: AgentModel) -> None:
         """Drop what no report of the crashed worker has listed."""
-        self._forget_unreported_ends(crashed)
+        self._forget_lost_ends(crashed)
 
     def worker_restarts(self, crashed: AgentModel, worker: WorkerId) -> None:
         """Replace a crashed worker, unless it has been replaced already."""
@@ -216,6 +219,7 @@
         if model.outage is not None:
             return Failure(AgentFailure.UNKNOWN)
         model.reported_end = model.ends_count
+        model.reported_epoch = order.epoch
         return Success(model.report())
 
     async def _reach(
@@ -239,16 +243,21 @@
         self._end_all_due_runs()
         return model
 
-    def _forget_unreported_ends(self, model: AgentModel) -> None:
-        """Drop the successes of an ended incarnation that no report listed.
+    def _forget_lost_ends(self, model: AgentModel) -> None:
+        """Drop the successes that an ended incarnation takes with it.
 
-        No owner can know of them, so their tasks have to run again.
+        If no report listed a success, no owner can know of it and its task has
+        to run again. If a report did, but no owner acknowledged it, the owner
+        may have ended before its record was durable, so that a later owner
+        can't know of it.
         """
         for end in model.ended:
-            if end.sequence <= model.reported_end:
+            if self.succeeded.get(end.task) != model.worker:
                 continue
-            if self.succeeded.get(end.task) == model.worker:
+            if end.sequence > model.reported_end:
                 self.succeeded.pop(end.task)
+            else:
+                self._informed_epochs[end.task] = model.reported_epoch
 
     def _end_all_due_runs(self) -> None:
         for model in self.agents.values():
@@ -324,6 +333,9 @@
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
         """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
+        if order.epoch > self._informed_epochs.get(order.task, order.epoch):
+            self._informed_epochs.pop(order.task)
+            self.succeeded.pop(order.task, None)
         if self._must_success_be_recorded(order.task):
             self.violations.append(f'{order.task} starts after its success')
         for other in self.agents.values():
--- a/tests/test_agent_model.py
+++ b/tests/test_agent_model.py
@@ -8,6 +8,7 @@
 from fuchsiarill.graphs.model import (
     NO_CHECKPOINT,
     NO_END,
+    EndSequence,
     StartOrder,
     WorkerReport,
 )
@@ -26,13 +27,13 @@
 _CAPACITY = Resources(8000, 16000)
 
 
-async def _start(fleet: Fleet, attempt: int) -> None:
+async def _start(fleet: Fleet, attempt: int, epoch: int = 1) -> None:
     expiry_ms = fleet.agents['w0'].clock_ms() + 5000
     order = StartOrder(
         task('a'),
         attempt,
         '{"duration_ms": 100}',
-        Epoch(1),
+        Epoch(epoch),
         expiry_ms,
         NO_CHECKPOINT,
         None,
@@ -41,9 +42,9 @@
 
 
 async def _report(
-    fleet: Fleet, wait_ms: int = 0
+    fleet: Fleet, wait_ms: int = 0, acknowledged: EndSequence = NO_END
 ) -> Result[WorkerReport, AgentFailure]:
-    order = RenewalOrder(Epoch(1), NO_END, None, wait_ms)
+    order = RenewalOrder(Epoch(1), acknowledged, None, wait_ms)
     return await fleet.renew(_AGENT, order, _TIMEOUT_MS)
 
 
@@ -111,3 +112,41 @@
         assert await renewal == Failure(AgentFailure.UNKNOWN)
 
     run_paused(scenario())
+
+
+def test_later_owner_may_repeat_a_success_that_nobody_acknowledged() -> None:
+    """Guards against a violation that the later owner cannot avoid.
+
+    The owner that got the report ended before its record was durable, and then
+    the worker crashed (soak seed 4105). The repeated success counts again.
+    """
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await _report(fleet, wait_ms=1000)
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 2, epoch=2)
+        assert not fleet.violations
+        await sleep_ms(200)
+        await _start(fleet, 3, epoch=3)
+        assert fleet.violations
+
+    run_paused(scenario())
+
+
+def test_acknowledged_success_must_not_be_repeated() -> None:
+    """Guards against a model that forgives a later owner any repetition."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await _report(fleet, wait_ms=1000)
+        await _report(fleet, acknowledged=EndSequence(1))
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 2, epoch=2)
+        assert fleet.violations
+
+    run_paused(scenario())
