--- a/tests/test_agent_model.py
+++ b/tests/test_agent_model.py
@@ -1,13 +1,23 @@
 """Which starts the model of the workers counts as violations."""
 
+import asyncio
+
+from returns.result import Failure, Result
+
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.graphs.model import (
     NO_CHECKPOINT,
     NO_END,
+    EndSequence,
     StartOrder,
+    WorkerReport,
 )
 from fuchsiarill.ids import Epoch, WorkerId
-from fuchsiarill.ports.agents import AgentAddress, RenewalOrder
+from fuchsiarill.ports.agents import (
+    AgentAddress,
+    AgentFailure,
+    RenewalOrder,
+)
 from fuchsiarill.resources import Resources
 from standins.agent_model import Fleet
 from tests.graph_owner import task
@@ -17,13 +27,13 @@
 _CAPACITY = Resources(8000, 16000)
 
 
-async def _start(fleet: Fleet, attempt: int) -> None:
+async def _start(fleet: Fleet, attempt: int, epoch: int = 1) -> None:
     expiry_ms = fleet.agents['w0'].clock_ms() + 5000
     order = StartOrder(
         task('a'),
         attempt,
         '{"duration_ms": 100}',
-        Epoch(1),
+        Epoch(epoch),
         expiry_ms,
         NO_CHECKPOINT,
         None,
@@ -31,9 +41,11 @@
     await fleet.start(_AGENT, order, _TIMEOUT_MS)
 
 
-async def _report(fleet: Fleet) -> None:
-    order = RenewalOrder(Epoch(1), NO_END, None, 0)
-    await fleet.renew(_AGENT, order, _TIMEOUT_MS)
+async def _report(
+    fleet: Fleet, wait_ms: int = 0, acknowledged: EndSequence = NO_END
+) -> Result[WorkerReport, AgentFailure]:
+    order = RenewalOrder(Epoch(1), acknowledged, None, wait_ms)
+    return await fleet.renew(_AGENT, order, _TIMEOUT_MS)
 
 
 def test_success_that_no_report_listed_may_be_repeated() -> None:
@@ -71,3 +83,70 @@
         assert fleet.violations
 
     run_paused(scenario())
+
+
+def test_success_within_a_waiting_renewal_must_not_be_repeated() -> None:
+    """Guards against a model that misses the ends that most reports have."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await _report(fleet, wait_ms=1000)
+        await _start(fleet, 2)
+        assert fleet.violations
+
+    run_paused(scenario())
+
+
+def test_restart_breaks_a_waiting_renewal() -> None:
+    """Guards against a success that a worker reports after its restart."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        renewal = asyncio.create_task(_report(fleet, wait_ms=1000))
+        await sleep_ms(50)
+        fleet.add('w0', _CAPACITY)
+        assert await renewal == Failure(AgentFailure.UNKNOWN)
+
+    run_paused(scenario())
+
+
+def test_later_owner_may_repeat_a_success_that_nobody_acknowledged() -> None:
+    """Guards against a violation that the later owner cannot avoid.
+
+    The owner that got the report ended before its record was durable, and then
+    the worker crashed (soak seed 4105). The repeated success counts again.
+    """
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await _report(fleet, wait_ms=1000)
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 2, epoch=2)
+        assert not fleet.violations
+        await sleep_ms(200)
+        await _start(fleet, 3, epoch=3)
+        assert fleet.violations
+
+    run_paused(scenario())
+
+
+def test_acknowledged_success_must_not_be_repeated() -> None:
+    """Guards against a model that forgives a later owner any repetition."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await _report(fleet, wait_ms=1000)
+        await _report(fleet, acknowledged=EndSequence(1))
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 2, epoch=2)
+        assert fleet.violations
+
+    run_paused(scenario())
