--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from fuchsiarill.graphs.effects import RequestAdvice, StopRun
+from fuchsiarill.graphs.effects import StopRun
 from fuchsiarill.graphs.model import (
     BornMs,
     EndKind,
@@ -20,6 +20,7 @@
 )
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
+from tests.advised_owner import advice_requests, named_workers
 from tests.graph_owner import (
     ADVISED,
     CAPACITY,
@@ -211,12 +212,8 @@
     )
     owner.core.record_workers([WorkerId('w1')])
     owner.report('w1')
-    requested = [
-        effect.workers
-        for effect in owner.decide()
-        if isinstance(effect, RequestAdvice)
-    ]
-    assert requested == [('w1',)]
+    requests = advice_requests(owner)
+    assert [named_workers(owner, request) for request in requests] == [{'w1'}]
 
 
 def test_lasting_task_is_not_moved_to_a_shrunken_worker() -> None:
