Let the owner choose the workers of a call by a message

The advisor called into the state of the owner, which also reserved room there. Found by a review of: actors own their state and talk by messages, and a request of a stopped owner was found out only through its revoked guard.

The advisor now sends `ChooseAdvisedWorkers` and waits for the reply; an owner that stops withdraws its requests. The watch of a call ends with the call, so no list of open calls is needed.

tests/test_advisor.py::test_requests_of_a_stopped_owner_hold_up_no_other covers the withdrawal: without it each request of the former owner would hold a route for a second.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -8,19 +8,21 @@
 """
 
 import heapq
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 from returns.result import Success
 
 from fuchsiarill import events
-from fuchsiarill.actor import Mailbox, handles
+from fuchsiarill.actor import Mailbox, Reply, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy, BornMs, StepKey, Ticket
-from fuchsiarill.graphs.owner_messages import AdviceAnswered
+from fuchsiarill.graphs.owner_messages import (
+    AdviceAnswered,
+    ChooseAdvisedWorkers,
+)
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.peers import request_advice_from_peer
 from fuchsiarill.graphs.ports import BusyTrackingAdvisor
@@ -34,24 +36,33 @@
 # time for the network and for other calls of the machine.
 _OVERDUE_FACTOR: Final = 2
 _OVERDUE_MARGIN_MS: Final = 500
+# An owner that has not chosen workers by then has stopped.
+_CHOICE_TIMEOUT_MS: Final = 1000
 # A request has at most this many calls in progress.
 _CALLS_MAX_COUNT: Final = 2
 # `None` without an answer from the service.
 _Tickets = dict[WorkerId, Ticket] | None
-Incarnations = dict[WorkerId, BornMs]
+_Incarnations = dict[WorkerId, BornMs]
 
 
 @dataclass(frozen=True, slots=True)
 class AdviceRequest:
-    """A request for advice, and the mailbox that receives the answer."""
+    """A request of an owner for advice.
+
+    The owner gets a `ChooseAdvisedWorkers` before each call of the service, and
+    an `AdviceAnswered` once.
+    """
 
     request: RequestAdvice
     policy: AdvicePolicy
-    receiver: Mailbox
-    # Returns the workers to name and their incarnations, none if the owner
-    # needs no advice for the step any more. Called just before the service is,
-    # since workers may end while a request is queued.
-    choose_workers: Callable[[], Incarnations]
+    owner: Mailbox
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerStopped:
+    """The owner with this mailbox needs no advice any more."""
+
+    owner: Mailbox
 
 
 @dataclass(slots=True)
@@ -68,22 +79,22 @@
         """Return the step that needs advice."""
         return self.advice_request.request.step
 
-    def answer(self, incarnations: Incarnations, tickets: _Tickets) -> None:
+    def answer(self, incarnations: _Incarnations, tickets: _Tickets) -> None:
         """Send the outcome to the owner, unless one has been sent."""
         if self.is_answered:
             return
         self.is_answered = True
-        self.advice_request.receiver.send(
+        self.advice_request.owner.send(
             AdviceAnswered(self.step, incarnations, tickets)
         )
 
 
-@dataclass(frozen=True, slots=True, eq=False)
+@dataclass(frozen=True, slots=True)
 class _Call:
     """One call of the service, and the workers that it names."""
 
     pending: _Pending
-    incarnations: Incarnations
+    incarnations: _Incarnations
 
     @property
     def workers(self) -> tuple[WorkerId, ...]:
@@ -162,7 +173,6 @@
         self._queue: list[_QueuedRequest] = []
         self._requests_count = 0
         self._busy_routes: set[ProcessId] = set()
-        self._open_calls: set[_Call] = set()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -178,6 +188,13 @@
         """Queue a request."""
         self._enqueue(_Pending(message))
 
+    @handles(OwnerStopped)
+    async def on_owner_stopped(self, message: OwnerStopped) -> None:
+        """Drop the queued requests of an owner."""
+        for queued in self._queue:
+            if queued.pending.advice_request.owner is message.owner:
+                queued.pending.is_answered = True
+
     @handles(_RouteRetryDue)
     async def on_route_retry_due(self, message: _RouteRetryDue) -> None:
         """Allow calls through a route again."""
@@ -188,8 +205,8 @@
     async def on_route_released(self, message: _RouteReleased) -> None:
         """Forward the first answer, or the failure of the last call."""
         self._busy_routes.discard(message.route)
-        self._end_call(message.call)
         pending = message.call.pending
+        pending.calls_count -= 1
         has_other_call = bool(pending.calls_count) or pending.is_queued
         if message.tickets is not None or not has_other_call:
             pending.answer(message.call.incarnations, message.tickets)
@@ -198,14 +215,14 @@
     @handles(_CallDeclined)
     async def on_call_declined(self, message: _CallDeclined) -> None:
         """Queue a request again that a process has not passed on."""
-        self._end_call(message.call)
+        message.call.pending.calls_count -= 1
         self._enqueue(message.call.pending)
 
     @handles(_CallOverdue)
     async def on_call_overdue(self, message: _CallOverdue) -> None:
         """Queue the request of a call that is still in progress again."""
         pending = message.call.pending
-        if message.call not in self._open_calls or pending.is_answered:
+        if pending.is_answered:
             return
         events.emit(
             events.ADVICE_OVERDUE,
@@ -227,10 +244,6 @@
         )
         self._assign_routes()
 
-    def _end_call(self, call: _Call) -> None:
-        self._open_calls.discard(call)
-        call.pending.calls_count -= 1
-
     def _assign_routes(self) -> None:
         for route in self._routes():
             if not self._queue:
@@ -244,10 +257,11 @@
             self._busy_routes.add(route)
             self.spawn(self._retry_route_later(route))
             return
-        call = self._pop_call()
-        if call is not None:
+        pending = self._pop_pending()
+        if pending is not None:
+            pending.calls_count += 1
             self._busy_routes.add(route)
-            self.spawn(self._call_through(route, call))
+            self.spawn(self._call_through(route, pending))
 
     def _routes(self) -> list[ProcessId]:
         """Return the routes in order of preference.
@@ -260,29 +274,28 @@
         earlier_processes = [name for name in ring if name < self._process]
         return [_LOCAL_ROUTE, *later_processes, *earlier_processes]
 
-    def _pop_call(self) -> _Call | None:
-        """Return a call for the most urgent request that is still wanted."""
+    def _pop_pending(self) -> _Pending | None:
+        """Return the most urgent request without an answer."""
         while self._queue:
             pending = heapq.heappop(self._queue).pending
             pending.is_queued = False
-            if pending.is_answered:
-                continue
-            call = _Call(pending, pending.advice_request.choose_workers())
-            if call.incarnations:
-                pending.calls_count += 1
-                self._open_calls.add(call)
-                return call
-            if not pending.calls_count:
-                pending.answer(call.incarnations, None)
+            if not pending.is_answered:
+                return pending
         return None
 
-    async def _call_through(self, route: ProcessId, call: _Call) -> None:
-        self.spawn(self._watch_call(route, call))
+    async def _call_through(self, route: ProcessId, pending: _Pending) -> None:
+        call = _Call(pending, await _choose_workers(pending))
+        if not call.incarnations:
+            self.mailbox.send(_RouteReleased(route, call, None))
+            return
+        watch = self.spawn(self._watch_call(route, call))
         try:
             await self._request_advice(route, call)
         except Exception:
             self.mailbox.send(_RouteReleased(route, call, None))
             raise
+        finally:
+            watch.cancel()
 
     async def _watch_call(self, route: ProcessId, call: _Call) -> None:
         await sleep_ms(call.overdue_ms)
@@ -318,3 +331,17 @@
             case Success(tickets):
                 return dict(tickets)
         return None
+
+
+async def _choose_workers(pending: _Pending) -> _Incarnations:
+    """Return the workers to name in a call, none if it is not wanted.
+
+    The owner chooses them just before the call, since workers may end while a
+    request is queued.
+    """
+    reply: Reply[_Incarnations] = Reply()
+    pending.advice_request.owner.send(ChooseAdvisedWorkers(pending.step, reply))
+    try:
+        return await reply.wait(_CHOICE_TIMEOUT_MS)
+    except TimeoutError:
+        return {}
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from fuchsiarill.actor import Reply
 from fuchsiarill.graphs.model import (
     BornMs,
     EndSequence,
@@ -88,6 +89,18 @@
     failure: AgentFailure | None
 
 
+@dataclass(frozen=True, slots=True)
+class ChooseAdvisedWorkers:
+    """The advice service is about to be called for a step.
+
+    The reply has the workers to name, and the incarnation of each; none if the
+    step needs no advice any more.
+    """
+
+    step: StepKey
+    reply: Reply[dict[WorkerId, BornMs]]
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceAnswered:
     """Outcome of a request for advice.
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -15,7 +15,7 @@
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs import owner_messages as messages
-from fuchsiarill.graphs.advice import AdviceRequest
+from fuchsiarill.graphs.advice import AdviceRequest, OwnerStopped
 from fuchsiarill.graphs.advice_requests import choose_workers
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
@@ -124,6 +124,7 @@
             await watcher.stop()
         await self.channels.stop()
         await self._writer.stop()
+        self._context.advisor.send(OwnerStopped(self.mailbox))
         await super().stop()
 
     def snapshot(self) -> dict[str, Any]:
@@ -213,6 +214,18 @@
         )
         self._schedule_decision()
 
+    @handles(messages.ChooseAdvisedWorkers)
+    async def on_choose_workers(
+        self, message: messages.ChooseAdvisedWorkers
+    ) -> None:
+        """Choose the workers of a call of the advice service."""
+        incarnations: dict[WorkerId, BornMs] = {}
+        if self._term.guard.may_send_orders():
+            incarnations = choose_workers(
+                self.core.state, message.step, now_ms()
+            )
+        message.reply.answer(incarnations)
+
     @handles(messages.AdviceAnswered)
     async def on_advice_answered(
         self, message: messages.AdviceAnswered
@@ -299,7 +312,6 @@
                 request,
                 policy,
                 self.mailbox,
-                lambda: self._choose_advised_workers(request),
             ),
         )
 
@@ -314,13 +326,6 @@
             term=self._fleet.term,
         )
 
-    def _choose_advised_workers(
-        self, request: RequestAdvice
-    ) -> dict[WorkerId, BornMs]:
-        if not self._term.guard.may_send_orders():
-            return {}
-        return choose_workers(self.core.state, request.step, now_ms())
-
     def _advice_policy(self, job: JobId) -> AdvicePolicy | None:
         entry = self.core.state.jobs.get(job)
         return None if entry is None else entry.policy.advice
--- a/tests/test_advisor.py
+++ b/tests/test_advisor.py
@@ -9,10 +9,13 @@
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
-from fuchsiarill.graphs.advice import AdviceRequest, Advisor
+from fuchsiarill.graphs.advice import AdviceRequest, Advisor, OwnerStopped
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy, StepKey, Ticket
-from fuchsiarill.graphs.owner_messages import AdviceAnswered
+from fuchsiarill.graphs.owner_messages import (
+    AdviceAnswered,
+    ChooseAdvisedWorkers,
+)
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.ports import BusyTrackingAdvisor
 from fuchsiarill.ids import ProcessId, WorkerId
@@ -20,6 +23,16 @@
 from tests.advised_owner import GRANT, INCARNATIONS, STEP, W0
 
 
+class _OwnerMailbox(Mailbox):
+    """Mailbox of an owner that names the same worker in each call."""
+
+    def send(self, message: object) -> bool:
+        if isinstance(message, ChooseAdvisedWorkers):
+            message.reply.answer(INCARNATIONS)
+            return True
+        return super().send(message)
+
+
 class _Service:
     """An advice service that answers after 100 ms."""
 
@@ -103,17 +116,15 @@
     """Start an advisor and send it one request."""
     advisor = Advisor(ProcessId('p0'), port, links, 1000)
     advisor.start()
-    advisor.mailbox.send(
-        AdviceRequest(
-            RequestAdvice(STEP, 0),
-            AdvicePolicy(100, 0, 2000),
-            receiver,
-            lambda: INCARNATIONS,
-        ),
-    )
+    advisor.mailbox.send(_request(receiver))
     return advisor
 
 
+def _request(owner: Mailbox) -> AdviceRequest:
+    policy = AdvicePolicy(100, 0, 2000)
+    return AdviceRequest(RequestAdvice(STEP, 0), policy, owner)
+
+
 def test_request_waits_until_the_local_route_is_free() -> None:
     """Guards against a request that is lost while no route is free.
 
@@ -124,7 +135,7 @@
         port = BusyTrackingAdvisor(_Service())
         other_call = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
-        receiver = Mailbox()
+        receiver = _OwnerMailbox()
         advisor = start_with_request(_Links(), port, receiver)
         await other_call
         async with asyncio.timeout(2):
@@ -140,7 +151,7 @@
     """Guards against an unexpected error that loses a request and its route."""
 
     async def main() -> None:
-        receiver = Mailbox()
+        receiver = _OwnerMailbox()
         service = _Service()
         port = BusyTrackingAdvisor(service)
         links = _Links('p1', is_failing=True)
@@ -165,7 +176,7 @@
         port = BusyTrackingAdvisor(_Service())
         other_call = asyncio.create_task(port.advise(STEP, (W0,), 1000))
         await sleep_ms(10)
-        receiver = Mailbox()
+        receiver = _OwnerMailbox()
         advisor = start_with_request(_SilentLinks('p1'), port, receiver)
         await other_call
         async with asyncio.timeout(2):
@@ -191,7 +202,7 @@
         links = _RefusedLinks('p1')
         other_calls = asyncio.create_task(_call_in_turn(port, 10))
         await sleep_ms(10)
-        receiver = Mailbox()
+        receiver = _OwnerMailbox()
         advisor = start_with_request(links, port, receiver)
         await sleep_ms(900)
         assert 5 <= links.refusals_count <= 20
@@ -204,3 +215,24 @@
 async def _call_in_turn(port: BusyTrackingAdvisor, count: int) -> None:
     for _ in range(count):
         await port.advise(STEP, (W0,), 1000)
+
+
+def test_requests_of_a_stopped_owner_hold_up_no_other() -> None:
+    """Guards against a new owner that waits for the requests of the former."""
+
+    async def main() -> None:
+        port = BusyTrackingAdvisor(_Service())
+        former_owner = Mailbox()
+        advisor = start_with_request(_Links(), port, former_owner)
+        for _ in range(20):
+            advisor.mailbox.send(_request(former_owner))
+        advisor.mailbox.send(OwnerStopped(former_owner))
+        receiver = _OwnerMailbox()
+        advisor.mailbox.send(_request(receiver))
+        async with asyncio.timeout(2):
+            assert await receiver.receive() == AdviceAnswered(
+                STEP, INCARNATIONS, GRANT
+            )
+        await advisor.stop()
+
+    run_paused(main())
