Count a crash whose worker returns after the owner has forgotten it

A crashed worker leaves the directory after three heartbeats, and the owner forgets it once its leases have expired. When it then reported under its old id, the new view had no incarnation: count_end removed the remembered loss for its other born_ms and counted nothing. A deadly task whose workers were away for longer than the leases was started without end.

count_end now removes only a loss of the same incarnation; settle_loss counts the other one.

test_return_under_the_id_proves_the_end_of_a_forgotten_worker failed before (no crash was counted) and passes now.

--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -84,8 +84,11 @@
     The runs that were lost must have been marked as such before. An end that a
     loss of power explains is not counted.
     """
-    remembered = state.losses.pop(loss.worker, None)
+    # A remembered loss of another incarnation is kept: the owner forgets an
+    # unlisted worker, and then knows no incarnation when it reports again.
+    remembered = state.losses.get(loss.worker)
     if remembered is not None and remembered.born_ms == loss.born_ms:
+        state.losses.pop(loss.worker)
         loss = replace(loss, runs=(*loss.runs, *remembered.runs))
     _record_end(state, loss)
     if not loss.runs:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -433,6 +433,28 @@
     assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1}}
 
 
+def test_return_under_the_id_proves_the_end_of_a_forgotten_worker() -> None:
+    """Guards against an uncounted crash of a worker that left the directory.
+
+    The owner has forgotten the worker when a later incarnation reports under
+    the same id.
+    """
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SMALL))
+    owner.starts()
+    owner.report('w0', (running(task('a')),))
+    owner.core.update_workers([entry('w1')], owner.now_ms)
+    owner.now_ms += LONG_OUTAGE_MS
+    owner.decide()
+    owner.core.state.workers.remove(WorkerId('w0'))
+    returned = replace(entry('w0'), born_ms=BornMs(9000))
+    owner.core.update_workers([entry('w1'), returned], owner.now_ms)
+    owner.report('w0', born_ms=9000)
+    progress = owner.core.state.jobs[JobId('a')].progress
+    assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1}}
+
+
 def test_crashes_survive_the_store() -> None:
     """Guards against crashes that are lost in a record or break an old one."""
     progress = JobProgress(
