Count crashes of a whole rack that one job may have caused

The workers of a rack that end at one time pass for a loss of power, which counts for no unit. A job with a deadly task on each worker of its rack, or a deadly gang in it, ends them at one time too. Its tasks became no suspects, were started together again and never given up: 12 starts a task in 40 s on a rack of two workers.

A loss of power is no longer assumed if one job had a young run on each of the workers. A sound job in that place counts one crash, and is cleared in its next run.

test_deadly_job_on_a_whole_rack_is_given_up failed before in all its twelve cases. The case of a sound job is test_sound_job_on_a_whole_rack_survives_a_loss_of_power.

--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -8,6 +8,7 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState
 from fuchsiarill.graphs.worker_table import WorkerView
+from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
 # Covers the delay of reports and of failed calls in the comparison of the times
@@ -52,28 +53,60 @@
 
 
 def is_power_loss(state: PoolState, loss: WorkerLoss) -> bool:
-    """Tell whether all workers of the rack may have ended at one time.
+    """Tell whether all workers of the rack have ended by a loss of power.
 
-    Workers that had been silent before, or have reported first since then, are
-    left out.
+    They have to have ended at one time. If a job had a young run on each of
+    them, its tasks may have crashed them instead.
     """
-    if loss.rack is None:
+    others = _ended_together(state, loss)
+    if not others:
         return False
-    ended_together = any(
-        end.rack == loss.rack
-        and _is_simultaneous(loss, end.reported_ms, end.silent_ms)
+    jobs = _young_jobs(loss.runs)
+    return not jobs.intersection(*map(_young_jobs, others.values()))
+
+
+def _ended_together(
+    state: PoolState, loss: WorkerLoss
+) -> dict[WorkerId, tuple[LostRun, ...]]:
+    """Return the other workers of the rack, with their runs.
+
+    Returns none unless all of them may have ended at one time. Workers that had
+    been silent before, or have reported first since then, are left out.
+    """
+    if loss.rack is None:
+        return {}
+    ended = {
+        end.worker: end.runs
         for end in state.recent_ends.values()
         if end.worker != loss.worker
-    )
+        and end.rack == loss.rack
+        and _is_simultaneous(loss, end.reported_ms, end.silent_ms)
+    }
     for view in state.workers:
         if view.rack != loss.rack or not _was_in_touch(view, loss):
             continue
         if view.silent_since_ms is None:
-            return False
+            return {}
         if not _is_simultaneous(loss, view.reported_ms, view.silent_since_ms):
-            return False
-        ended_together = True
-    return ended_together
+            return {}
+        ended.setdefault(
+            view.worker, _runs_at_end(state, view, view.silent_since_ms)
+        )
+    return ended
+
+
+def _runs_at_end(
+    state: PoolState, view: WorkerView, silent_ms: int
+) -> tuple[LostRun, ...]:
+    """Return the runs of a silent worker, also after its leases expired."""
+    remembered = state.losses.get(view.worker)
+    if remembered is not None and remembered.born_ms == view.born_ms:
+        return remembered.runs
+    return loss_of(view, silent_ms).runs
+
+
+def _young_jobs(runs: tuple[LostRun, ...]) -> set[JobId]:
+    return {run.task.job for run in runs if run.is_young}
 
 
 def _is_leaving(view: WorkerView) -> bool:
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -180,6 +180,51 @@
     }
 
 
+@pytest.mark.parametrize('keeps_id', [False, True])
+@pytest.mark.parametrize('outage_ms', [OUTAGE_MS, LONG_OUTAGE_MS])
+@pytest.mark.parametrize(
+    'step',
+    [
+        Step(2, Resources(1500, 100)),
+        Step(4, Resources(900, 100)),
+        Step(2, Resources(1500, 100), is_gang=True),
+    ],
+    ids=['a task a worker', 'two tasks a worker', 'gang'],
+)
+def test_deadly_job_on_a_whole_rack_is_given_up(
+    step: Step, outage_ms: int, *, keeps_id: bool
+) -> None:
+    """Guards against a deadly job that passes for a loss of power.
+
+    Its tasks crash all workers of their rack at one time, again and again.
+    """
+    world = CrashWorld('w0', 'w1', rack='r1')
+    world.keeps_id = keeps_id
+    world.outage_ms = outage_ms
+    world.pass_time(100)
+    world.add('deadly', step)
+    for position in range(step.tasks_count):
+        world.crash_after_ms[task('deadly', 0, position)] = CRASH_AFTER_MS
+    world.pass_time(6 * (outage_ms + 1000))
+    assert world.phase('deadly') is JobPhase.FAILED
+    for position in range(step.tasks_count):
+        assert len(world.starts_of(task('deadly', 0, position))) <= 5
+    assert not world.violations
+
+
+def test_sound_job_on_a_whole_rack_survives_a_loss_of_power() -> None:
+    """Guards against a wide job that is given up when its rack loses power."""
+    world = CrashWorld('w0', 'w1', rack='r1')
+    world.pass_time(100)
+    world.add('wide', Step(4, Resources(900, 100)), run_ms=1000)
+    world.pass_time(200)
+    assert all(worker.runs for worker in world.workers.values())
+    for name in list(world.workers):
+        world.crash(name)
+    world.pass_time(OUTAGE_MS + 8000)
+    assert world.phase('wide') is JobPhase.SUCCEEDED
+
+
 def test_crash_in_a_rack_that_is_up_counts() -> None:
     """Guards against a deadly task that hides behind a loss of power."""
     world = CrashWorld(*WORKERS, rack='r1')
