Let suspects wait for quiet workers together

The first suspect of a step that found no quiet worker ended the round of the step. The wait of the next one began only after its start, so each suspect waited up to a second, one after the other, and the other units of the step behind them.

The round goes on with the other units of the step; later suspects of the step begin their wait and are not placed in this round, which keeps the cost of a round as it was.

test_suspects_wait_together_on_busy_workers failed before.

--- a/fuchsiarill/graphs/crash_trials.py
+++ b/fuchsiarill/graphs/crash_trials.py
@@ -55,6 +55,17 @@
     return now_ms - unit.trial_wait_since_ms >= _QUIET_WAIT_MS
 
 
+def must_wait(unit: Unit, now_ms: int) -> bool:
+    """Tell whether a unit is a suspect that may not start beside such runs."""
+    return unit.is_suspect and not has_waited_for_quiet(unit, now_ms)
+
+
+def is_waiting_for_quiet(unit: Unit, now_ms: int) -> bool:
+    """Tell whether a unit has begun to wait and has not waited long enough."""
+    since_ms = unit.trial_wait_since_ms
+    return since_ms is not None and now_ms - since_ms < _QUIET_WAIT_MS
+
+
 def suspect_unit(state: PoolState, entry: JobEntry, unit: Unit) -> None:
     """Make a unit a suspect and put its present runs on trial."""
     if not unit.is_suspect:
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiarill import events
-from fuchsiarill.graphs import advice_requests
+from fuchsiarill.graphs import advice_requests, crash_trials
 from fuchsiarill.graphs.effects import StartRun
 from fuchsiarill.graphs.gang_reservations import reserve_for_gang
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
@@ -117,20 +117,29 @@
 def _schedule_step(
     state: PoolState, ranked: _RankedStep, usable: UsableWorkers, now_ms: int
 ) -> bool:
-    """Start the units of a step; returns whether all could be placed."""
+    """Start the units of a step; returns whether all could be placed.
+
+    Suspects that wait for a quiet worker do so together and delay no other
+    unit.
+    """
     step = ranked.step
     step.rank_ms = ranked.rank_ms
     placer = StepPlacer(state, usable)
+    has_waiting_suspect = False
     for unit in list(step.waiting.values()):
+        # The others are not placed either, which saves the time to find out.
+        if has_waiting_suspect and crash_trials.must_wait(unit, now_ms):
+            continue
         request = PlacementRequest(ranked.entry, step, unit, now_ms)
         workers = placer.place(request)
-        if workers is None:
-            _handle_unplaced_unit(
-                state, request, placer.usable_workers(request)
-            )
+        if workers is not None:
+            _start_unit(state, request, workers)
+            continue
+        _handle_unplaced_unit(state, request, placer.usable_workers(request))
+        if not crash_trials.is_waiting_for_quiet(unit, now_ms):
             return False
-        _start_unit(state, request, workers)
-    return True
+        has_waiting_suspect = True
+    return not has_waiting_suspect
 
 
 def _handle_unplaced_unit(
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -337,6 +337,25 @@
     assert world.phase('sound') is JobPhase.SUCCEEDED
 
 
+def test_suspects_wait_together_on_busy_workers() -> None:
+    """Guards against suspects that wait a second each, one after the other.
+
+    On each worker a run has just started, so that none is quiet.
+    """
+    world = CrashWorld('w0', 'w1', 'w2')
+    world.pass_time(100)
+    world.add('wide', Step(20, SMALL), run_ms=1000)
+    world.pass_time(200)
+    name = world.worker_of(task('wide'))
+    assert name is not None
+    world.crash(name)
+    world.pass_time(OUTAGE_MS)
+    for number in range(200):
+        world.add(f'busy{number}', Step(2, Resources(1100, 100)), run_ms=100)
+        world.pass_time(50)
+    assert world.phase('wide') is JobPhase.SUCCEEDED
+
+
 def test_suspect_avoids_the_worker_of_a_lasting_task() -> None:
     """Guards against a watch that is lost beside a task on trial."""
     world = CrashWorld(*WORKERS)
