Delay a task of the product's core that is lost again and again

A lost attempt of an idempotent job was requeued at once, however often it had been lost before. Failures have backoff and a limit; a loss counted as neither, so a task that crashes its host made one host after the other unavailable, as fast as the leases lapsed.

Losses after a stable run of ten minutes don't add up. The job isn't failed: a limit would be a new promise to callers.

--- a/fuchsiarill/core/attempt_actions.py
+++ b/fuchsiarill/core/attempt_actions.py
@@ -13,6 +13,7 @@
 from fuchsiarill.core.retries import (
     earn_retry_credit,
     handle_failure,
+    requeue_lost,
     restart_ended_replica,
 )
 from fuchsiarill.core.state import CoreState
@@ -120,7 +121,7 @@
     if job.spec.execution is Execution.AT_MOST_ONCE:
         step_job(state, job, JobEvent.OUTCOME_LOST, now_ms)
     else:
-        requeue_task(state, job, attempt_position(attempt), now_ms)
+        requeue_lost(state, attempt, now_ms)
     advance_if_all_stopped(state, job, now_ms)
 
 
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -28,6 +28,9 @@
 # The backoff of a service starts again from the first delay after a replica has
 # failed or ended at least this long after its placement.
 _STABLE_RUN_TIME_MS: Final = 600_000
+# So many losses of a task in a row are common, with one host or with its
+# replacement too. A task that is lost more often may crash its hosts.
+_LOSSES_WITHOUT_DELAY_COUNT: Final = 2
 # Lower bound of a delay with jitter, relative to the delay without.
 _JITTER_MIN_RATIO: Final = 0.5
 
@@ -53,6 +56,25 @@
     requeue_task(state, job, attempt_position(attempt), now_ms, delay_ms)
 
 
+def requeue_lost(state: CoreState, attempt: Attempt, now_ms: int) -> None:
+    """Requeue the task of a lost attempt, with backoff after repeated losses.
+
+    A task may crash each host that starts it; the delay limits how many hosts
+    it makes unavailable. Losses after a stable run don't add up.
+    """
+    job = state.jobs[attempt.job_id]
+    position = attempt_position(attempt)
+    losses_count = job.losses_counts.get(position, 0)
+    if now_ms - attempt.placed_at_ms >= _STABLE_RUN_TIME_MS:
+        losses_count = 0
+    job.losses_counts[position] = losses_count + 1
+    delay_ms = 0
+    if losses_count >= _LOSSES_WITHOUT_DELAY_COUNT:
+        delayed_count = losses_count + 1 - _LOSSES_WITHOUT_DELAY_COUNT
+        delay_ms = backoff_ms(state, delayed_count)
+    requeue_task(state, job, position, now_ms, delay_ms)
+
+
 def earn_retry_credit(state: CoreState, job: JobRecord) -> None:
     """Add the credit of one success to the retry budget of the customer."""
     account = account_of(state, job.spec.customer)
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -109,8 +109,10 @@
     output of each task that succeeded, by position. `acceptance_number` numbers
     the jobs of an owner in the order of their acceptance. `failed_on` holds the
     workers on which an attempt failed. `replaced_attempts` maps the position of
-    a replica to the attempt that stops once its replacement runs. A `volatile`
-    job was accepted before its record in the journal was durable.
+    a replica to the attempt that stops once its replacement runs.
+    `losses_counts` maps a position to the number of its attempts that were lost
+    one after the other. A `volatile` job was accepted before its record in the
+    journal was durable.
     """
 
     job_id: JobId
@@ -125,4 +127,5 @@
     acceptance_number: int = 0
     failed_on: set[WorkerId] = field(default_factory=set)
     replaced_attempts: dict[int, AttemptId] = field(default_factory=dict)
+    losses_counts: dict[int, int] = field(default_factory=dict)
     volatile: bool = False
