Refuse jobs at which the owner of a pool would fail

The parser took several fields of a step as they came. A job with after [0.5] or an estimate of 400 digits was accepted and stored, and then raised an error when the owner of the pool added it; one with a string as max_per_server raised in each decision. As the job is durable, each later owner would fail at it too, and the pool would start nothing. A negative size enlarged the free capacity of its worker.

Numbers and labels are now checked when a job is submitted, and a job may have at most 100,000 tasks. An infinite estimate is answered as a malformed job, not with 502.

test_job_that_its_owner_cannot_run_is_refused and test_schedule_with_a_negative_period_is_refused failed before in all their cases.

--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -36,7 +36,17 @@
     'draining': WorkerListing.LEAVING,
 }
 _QUEUE_TIMEOUT_DEFAULT_MS: Final = 60_000
-_PARSE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
+_PARSE_ERRORS: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
+# Bounds of an accepted job. The owner keeps each task of an open step in memory
+# and adds up estimates as floating-point numbers.
+_TASKS_MAX_COUNT: Final = 100_000
+_AMOUNT_MAX: Final = 1_000_000_000_000
 
 
 def read_config(content: bytes) -> GraphConfig:
@@ -162,6 +172,18 @@
     return content
 
 
+def _amount(content: object) -> int:
+    """Return a whole number that the owner can add up."""
+    amount = _whole_number(content)
+    if not 0 <= amount <= _AMOUNT_MAX:
+        raise ValueError(f'{amount} is not between 0 and {_AMOUNT_MAX}')
+    return amount
+
+
+def _label(content: object) -> Label | None:
+    return Label(_text(content)) if content else None
+
+
 def _payload(payload: object) -> str:
     text = _text(payload)
     if len(text.encode()) > _PAYLOAD_MAX_BYTES:
@@ -173,6 +195,8 @@
     if not rows:
         raise ValueError('a job has no steps')
     steps = tuple(_step(row) for row in rows)
+    if sum(step.tasks_count for step in steps) > _TASKS_MAX_COUNT:
+        raise ValueError(f'a job has over {_TASKS_MAX_COUNT} tasks')
     for position, step in enumerate(steps):
         if any(not 0 <= dependency < position for dependency in step.after):
             raise ValueError(
@@ -188,24 +212,24 @@
     return Step(
         count,
         Resources(
-            _whole_number(row.get('cpu', 0)),
-            _whole_number(row.get('mem_mb', 0)),
-            _whole_number(row.get('gpu', 0)),
+            _amount(row.get('cpu', 0)),
+            _amount(row.get('mem_mb', 0)),
+            _amount(row.get('gpu', 0)),
         ),
-        estimate_ms=int(row.get('est_runtime_ms', 0)),
-        after=tuple(row.get('after', ())),
+        estimate_ms=_amount(int(row.get('est_runtime_ms', 0))),
+        after=tuple(_whole_number(number) for number in row.get('after', ())),
         is_checkpointing=bool(row.get('checkpointing')),
         is_gang=bool(row.get('gang')),
         is_rack_sensitive=bool(row.get('rack_sensitive')),
         is_speculative=bool(row.get('speculative')),
         is_lasting=bool(row.get('long_running')),
         is_filler=bool(row.get('fills')),
-        required_label=row.get('required_label') or None,
-        data_rack=row.get('data_rack') or None,
-        per_worker_max=row.get('max_per_server') or None,
-        image=ImageId(row['image']) if row.get('image') else None,
-        target_tail_ms=row.get('target_ms') or None,
-        disruptions_max=row.get('max_disruptions') or None,
+        required_label=_label(row.get('required_label')),
+        data_rack=_label(row.get('data_rack')),
+        per_worker_max=_amount(row.get('max_per_server') or 0) or None,
+        image=ImageId(_text(row['image'])) if row.get('image') else None,
+        target_tail_ms=_amount(int(row.get('target_ms') or 0)) or None,
+        disruptions_max=_amount(row.get('max_disruptions') or 0) or None,
     )
 
 
@@ -215,6 +239,6 @@
         return None
     return Schedule(
         int(document['start_at_ms']),
-        int(document.get('period_ms', 0)),
+        _amount(int(document.get('period_ms', 0))),
         count,
     )
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -208,3 +208,46 @@
     """Guards against accepting a job that can't be run."""
     with pytest.raises(DocumentError):
         read_job(job, POLICY, encoded(body))
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'after': [0.5]},
+        {'after': [False]},
+        {'max_per_server': 'x'},
+        {'max_per_server': [1]},
+        {'max_per_server': -1},
+        {'max_disruptions': 'x'},
+        {'required_label': ['a']},
+        {'data_rack': {'a': 1}},
+        {'image': ['a']},
+        {'target_ms': 'x'},
+        {'cpu': -100},
+        {'est_runtime_ms': float('inf')},
+        {'est_runtime_ms': 10**400},
+        {'count': 100_001},
+    ],
+)
+def test_job_that_its_owner_cannot_run_is_refused(
+    changes: dict[str, Any],
+) -> None:
+    """Guards against a job at which the owner of the pool fails.
+
+    The job is durable once it is accepted, so each later owner would fail at it
+    as well, and no job of the pool would start.
+    """
+    with pytest.raises(DocumentError):
+        read_job(JOB, POLICY, encoded({'phases': [STEP, STEP | changes]}))
+
+
+def test_schedule_with_a_negative_period_is_refused() -> None:
+    """Guards against occurrences that are due before the first one."""
+    body = {
+        'phases': [STEP],
+        'repeat_count': 3,
+        'start_at_ms': 1000,
+        'period_ms': -5,
+    }
+    with pytest.raises(DocumentError):
+        read_job(JOB, POLICY, encoded(body))
