Stop a unit that has stalled twice only after a longer time

A run whose percentage did not change for 3.5 s was stopped as stalled, without a limit and without backoff. The percentage of a task of over 350 s changes less often, so such a task was stopped on every worker, and each stop counted as a failure of a worker.

After two stalls of a unit the time doubles with each further one, up to 56 s. The first two stalls, which a faulty worker causes, are found as early as before.

test_task_that_shows_progress_seldom_succeeds failed before: the task had not ended after 60 s, and four workers were at hand.

--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -37,6 +37,7 @@
     # Workers on which the unit failed; others are preferred.
     failed_on: set[WorkerId] = field(default_factory=set)
     preemptions_count: int = 0
+    stalls_count: int = 0
     # A worker has crashed under the unit, which may be the cause. Its next run
     # is on trial.
     is_suspect: bool = False
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -4,6 +4,7 @@
 
 from fuchsiarill import events
 from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs.job_entries import Unit
 from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
@@ -12,6 +13,11 @@
 
 # Reports arrive at least once a second; progress shows within two reports.
 _STALL_MS: Final = 3500
+# A unit that has stalled this often may be one that shows progress seldom, such
+# as a task of over 350 s, whose percentage changes every 3.5 s. The time is
+# doubled for each further stall, up to this number of times.
+_STALLS_WITH_USUAL_TIME_COUNT: Final = 2
+_DOUBLINGS_MAX_COUNT: Final = 4
 
 
 def stop_stalled(state: PoolState, now_ms: int) -> None:
@@ -40,6 +46,9 @@
         percent=run.progress_percent,
     )
     worker_suspension.record_failure(view, run.task, now_ms)
+    unit = state.active_unit(run)
+    if unit is not None:
+        unit.stalls_count += 1
     apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
@@ -51,4 +60,12 @@
         return False
     if run.progress_percent >= INITIALIZED_PERCENT:
         return False
-    return view.reported_ms - run.progress_changed_ms > _STALL_MS
+    unchanged_ms = view.reported_ms - run.progress_changed_ms
+    return unchanged_ms > _stall_ms(state.active_unit(run))
+
+
+def _stall_ms(unit: Unit | None) -> int:
+    """Return for how long the progress of a unit may stay unchanged."""
+    stalls_count = 0 if unit is None else unit.stalls_count
+    doublings = max(0, stalls_count + 1 - _STALLS_WITH_USUAL_TIME_COUNT)
+    return _STALL_MS << min(doublings, _DOUBLINGS_MAX_COUNT)
--- a/tests/test_graph_ticks.py
+++ b/tests/test_graph_ticks.py
@@ -12,6 +12,8 @@
     Step,
     WorkerListing,
 )
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId
 from fuchsiarill.resources import Resources
 from tests.graph_owner import (
     CAPACITY,
@@ -22,6 +24,7 @@
     running,
     task,
 )
+from tests.graph_world import World
 
 _TARGET_MS = 100
 SERVING = Step(1, SIZE, is_lasting=True, target_tail_ms=_TARGET_MS)
@@ -176,3 +179,18 @@
         starts = owner.starts()
         assert len(starts) == 2 * number
     assert {start.task.job for start in starts} == {'gang'}
+
+
+def test_task_that_shows_progress_seldom_succeeds() -> None:
+    """Guards against a task that is stopped as stalled again and again.
+
+    Its percentage changes only every 4 s, as that of a task of 400 s does.
+    """
+    world = World('w0', 'w1', 'w2', 'w3')
+    world.pass_time(100)
+    world.steps['slow', 0] = Step(1, SIZE)
+    world.run_ms['slow'] = 4000
+    world.owner.add_job('slow', Step(1, SIZE))
+    world.pass_time(60_000)
+    entry_of_job = world.owner.core.state.jobs[JobId('slow')]
+    assert entry_of_job.progress.phase is JobPhase.SUCCEEDED
