Give a worker without room no start until it reports

Each refusal has its price and uses up an attempt number of the term.

Cause: a refusal for want of room did not change the worker's availability.

Change: `NO_ROOM` counts among the failures after which a worker gets no run before its next report. The check of availability and suspension, which stood twice, moves to `worker_suspension.can_receive_runs`.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -38,7 +38,6 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import (
     AvailabilityEvent,
-    AvailabilityState,
     JobPhaseEvent,
     RunEvent,
     RunState,
@@ -57,6 +56,8 @@
         AgentFailure.NOT_SENT,
         AgentFailure.CONNECTION_REFUSED,
         AgentFailure.OTHER_WORKER,
+        # Its capacity has shrunk, which its directory entry does not show yet.
+        AgentFailure.NO_ROOM,
     ),
 )
 
@@ -187,9 +188,11 @@
         view = self.state.workers.find(worker)
         if view is None:
             return
-        could_receive_runs = _can_receive_runs(view, now_ms)
+        could_receive_runs = worker_suspension.can_receive_runs(view, now_ms)
         reports.apply_report(self.state, view, report, requested_ms, now_ms)
-        if not could_receive_runs and _can_receive_runs(view, now_ms):
+        if not could_receive_runs and worker_suspension.can_receive_runs(
+            view, now_ms
+        ):
             self.state.room_changes.add(worker)
 
     def worker_failed(
@@ -391,10 +394,3 @@
         step_entry = self.state.find_unfinished_step(step)
         if step_entry is not None:
             step_entry.wait.is_due = True
-
-
-def _can_receive_runs(view: WorkerView, now_ms: int) -> bool:
-    return (
-        view.availability is AvailabilityState.READY
-        and worker_suspension.may_receive_runs(view, now_ms)
-    )
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -13,7 +13,6 @@
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import AvailabilityState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NO_RESOURCES, Resources
@@ -153,11 +152,9 @@
         return [view for view in views if view.worker not in denied]
 
     def _is_usable(self, view: WorkerView) -> bool:
-        if view.availability is not AvailabilityState.READY:
-            return False
         if not view.is_recorded or not view.is_listed:
             return False
-        return worker_suspension.may_receive_runs(view, self._now_ms)
+        return worker_suspension.can_receive_runs(view, self._now_ms)
 
 
 def has_capacity(
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -5,6 +5,7 @@
 from fuchsiarill import events
 from fuchsiarill.graphs.model import TaskKey
 from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.states import AvailabilityState
 from fuchsiarill.graphs.worker_table import WorkerView
 
 # Two consecutive failures of different tasks are rare on a healthy worker,
@@ -83,3 +84,10 @@
         now_ms - run.start_ordered_ms >= _PROBATION_RUN_AGE_MS
         for run in view.runs.values()
     )
+
+
+def can_receive_runs(view: WorkerView, now_ms: int) -> bool:
+    """Tell whether the worker is ready and not suspended."""
+    return view.availability is AvailabilityState.READY and may_receive_runs(
+        view, now_ms
+    )
