Probe all larger processes at once before a handover

What callers saw: jobs were late while a small machine owned their pool and did not hand it over, though larger machines ran.

Cause: not shown. Suspected: the answer to a probe may be later than 350 ms while the small machine is overloaded, and a listed process that does not run took one of the probes, which were made one after the other.

Change: all larger processes are probed at the same time, with 1.5 s each.

--- a/fuchsiarill/graphs/handover.py
+++ b/fuchsiarill/graphs/handover.py
@@ -23,7 +23,8 @@
 from fuchsiarill.ids import ProcessId
 
 _CHECK_INTERVAL_MS: Final = 500
-_PROBE_TIMEOUT_MS: Final = 350
+# The answer may be late while this process is overloaded.
+_PROBE_TIMEOUT_MS: Final = 1500
 # A larger machine that answers may still lose the election, so the time until
 # the next handover of a pool doubles with each.
 _FIRST_PAUSE_MS: Final = 4000
@@ -67,7 +68,6 @@
         self._list_tenures = list_tenures
         self._processes: tuple[ProcessId, ...] = ()
         self._probes_count = 0
-        self._is_probing = False
         self._pauses: dict[PoolId, _Pause] = {}
 
     def start(self) -> None:
@@ -82,17 +82,16 @@
 
     @handles(_CheckPools)
     async def on_check(self, message: _CheckPools) -> None:
-        """Probe a larger process if a pool can be handed over."""
+        """Probe all larger processes if a pool can be handed over."""
         if not self._machine.is_small or not self._processes:
             return
-        if self._is_probing:
+        if self._probes_count:
             return
         if not any(self._can_hand_over(row) for row in self._list_tenures()):
             return
-        self._is_probing = True
-        self._probes_count += 1
-        position = self._probes_count % len(self._processes)
-        self.spawn(self._probe(self._processes[position]))
+        self._probes_count = len(self._processes)
+        for process in self._processes:
+            self.spawn(self._probe(process))
 
     async def _probe(self, process: ProcessId) -> None:
         """Hand pools over if a process answers and reaches the store."""
@@ -101,7 +100,7 @@
                 self._links, process, _PROBE_TIMEOUT_MS
             )
         finally:
-            self._is_probing = False
+            self._probes_count -= 1
         if not is_ready:
             return
         for tenure in self._list_tenures():
