--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -17,12 +17,16 @@
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
-from tests.graph_owner import BATCH, POOL, Owner, entry
+from fuchsiarill.resources import Resources
+from tests.graph_owner import BATCH, POOL, Owner, entry, task
 from tests.graph_world import SimulatedWorker, World
 
 OUTAGE_MS: Final = 3300
 # Longer than the task leases.
 LONG_OUTAGE_MS: Final = 8000
+SMALL: Final = Resources(100, 100)
+WORKERS: Final = ('w0', 'w1', 'w2', 'w3')
+CRASH_AFTER_MS: Final = 50
 
 
 @dataclass(slots=True)
@@ -187,3 +191,18 @@
             self._fatal_runs.append(
                 (self.now_ms + crash_after_ms, worker.name, key)
             )
+
+
+def deadly_world(
+    *,
+    neighbours_count: int = 6,
+    workers: tuple[str, ...] = WORKERS,
+    crash_after_ms: int = CRASH_AFTER_MS,
+) -> CrashWorld:
+    """Return a world with a deadly task and sound neighbours beside it."""
+    world = CrashWorld(*workers)
+    world.pass_time(100)
+    world.add('sound', Step(neighbours_count, SMALL), run_ms=1500)
+    world.add('deadly', Step(1, SMALL))
+    world.crash_after_ms[task('deadly')] = crash_after_ms
+    return world
--- /dev/null
+++ b/tests/test_worker_ends.py
@@ -0,0 +1,103 @@
+"""Ends of workers that are no crash of a task: cuts, notices, loss of power."""
+
+from collections.abc import Callable
+
+import pytest
+
+from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import JobId
+from tests.crash_world import (
+    CRASH_AFTER_MS,
+    LONG_OUTAGE_MS,
+    OUTAGE_MS,
+    SMALL,
+    WORKERS,
+    CrashWorld,
+)
+from tests.graph_owner import task
+
+
+def cut_off(world: CrashWorld, name: str) -> None:
+    """Cut a worker off until its leases have expired."""
+    world.workers[name].is_reachable = False
+    world.pass_time(LONG_OUTAGE_MS)
+    world.workers[name].is_reachable = True
+
+
+def leave(world: CrashWorld, name: str) -> None:
+    """End a worker that has announced its end."""
+    world.workers[name].is_leaving = True
+    world.publish_directory()
+    world.pass_time(200)
+    world.crash(name)
+    world.pass_time(OUTAGE_MS)
+    world.workers[name].is_leaving = False
+    world.publish_directory()
+
+
+def leave_and_keep_id(world: CrashWorld, name: str) -> None:
+    """Restart a worker under its id after a notice."""
+    world.keeps_id = True
+    leave(world, name)
+
+
+def lapse_and_leave(world: CrashWorld, name: str) -> None:
+    """End a worker after a notice that came while it was cut off."""
+    world.workers[name].is_reachable = False
+    world.pass_time(LONG_OUTAGE_MS)
+    leave(world, name)
+
+
+@pytest.mark.parametrize(
+    'end_worker', [cut_off, leave, leave_and_keep_id, lapse_and_leave]
+)
+def test_end_without_a_crash_counts_nothing(
+    end_worker: Callable[[CrashWorld, str], None],
+) -> None:
+    """Guards against sound tasks that are given up after cuts and restarts."""
+    world = CrashWorld('w0', 'w1')
+    world.pass_time(100)
+    world.add('sound', Step(1, SMALL), run_ms=60_000)
+    for _ in range(4):
+        world.pass_time(300)
+        name = world.worker_of(task('sound'))
+        assert name is not None
+        end_worker(world, name)
+        world.pass_time(1000)
+    entry_of_job = world.owner.core.state.jobs[JobId('sound')]
+    assert entry_of_job.is_active
+    assert not entry_of_job.progress.crashed_attempts
+    assert not world.violations
+
+
+def test_rack_without_power_gives_up_nothing() -> None:
+    """Guards against tasks that are given up when their rack loses power."""
+    world = CrashWorld(*WORKERS, rack='r1')
+    world.pass_time(100)
+    for number in range(4):
+        world.add(f'j{number}', Step(1, SMALL), run_ms=2000)
+    for _ in range(4):
+        world.pass_time(300)
+        for name in list(world.workers):
+            if world.workers[name].is_reachable:
+                world.crash(name)
+        world.pass_time(OUTAGE_MS + 200)
+    for number in range(4):
+        progress = world.owner.core.state.jobs[JobId(f'j{number}')].progress
+        assert progress.phase is JobPhase.ACTIVE
+        assert not progress.crashed_attempts
+    world.pass_time(6000)
+    assert {world.phase(f'j{number}') for number in range(4)} == {
+        JobPhase.SUCCEEDED
+    }
+
+
+def test_crash_in_a_rack_that_is_up_counts() -> None:
+    """Guards against a deadly task that hides behind a loss of power."""
+    world = CrashWorld(*WORKERS, rack='r1')
+    world.pass_time(100)
+    world.add('deadly', Step(1, SMALL))
+    world.crash_after_ms[task('deadly')] = CRASH_AFTER_MS
+    world.pass_time(12_000)
+    assert world.phase('deadly') is JobPhase.FAILED
