--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -5,54 +5,16 @@
 72x workers, 73x ownership of pools, 74x outside systems.
 """
 
-from dataclasses import dataclass
-from enum import Enum
 from typing import Final
 
 from loguru import logger
 
-_BY_NUMBER: Final[dict[int, 'LogEvent']] = {}
-
-
-class Level(Enum):
-    """Severity, with the names that loguru uses."""
-
-    DEBUG = 'DEBUG'
-    INFO = 'INFO'
-    WARNING = 'WARNING'
-    ERROR = 'ERROR'
-
-
-class LogFormat(Enum):
-    """How log lines are written."""
-
-    TEXT = 'text'
-    JSON = 'json'
-
-
-@dataclass(frozen=True, slots=True)
-class LogEvent:
-    """One numbered event; creating it adds it to the registry.
-
-    `template` is filled with the fields given to `emit`. `advice` tells an
-    operator what to do.
-    """
-
-    number: int
-    level: Level
-    template: str
-    advice: str
-
-    def __post_init__(self) -> None:
-        """Register the event; raises `ValueError` when its number is taken."""
-        if self.number in _BY_NUMBER:
-            raise ValueError(f'log event {self.number} is registered twice')
-        _BY_NUMBER[self.number] = self
+from fuchsiarill.log_event import EVENTS_BY_NUMBER, Level, LogEvent
 
 
 def all_events() -> list[LogEvent]:
     """Return every event in the order of its number."""
-    return [_BY_NUMBER[number] for number in sorted(_BY_NUMBER)]
+    return [EVENTS_BY_NUMBER[number] for number in sorted(EVENTS_BY_NUMBER)]
 
 
 def emit(event: LogEvent, **fields: object) -> None:
--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from fuchsiarill import events, texts
+from fuchsiarill.log_event import LogEvent
 
 _OBJECT_START: Final = '{'
 
@@ -92,17 +93,15 @@
         history.lines.append(line)
 
 
-def _has_event(line: dict[str, Any], event: events.LogEvent) -> bool:
+def _has_event(line: dict[str, Any], event: LogEvent) -> bool:
     return bool(line['event'] == event.number)
 
 
-def _count_events(history: JobHistory, event: events.LogEvent) -> int:
+def _count_events(history: JobHistory, event: LogEvent) -> int:
     return sum(_has_event(line, event) for line in history.lines)
 
 
-def _first_line(
-    history: JobHistory, event: events.LogEvent
-) -> dict[str, Any] | None:
+def _first_line(history: JobHistory, event: LogEvent) -> dict[str, Any] | None:
     for line in history.lines:
         if _has_event(line, event):
             return line
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -8,8 +8,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
-from fuchsiarill.events import Level
 from fuchsiarill.ids import FailureDomain, ProcessId
+from fuchsiarill.log_event import Level
 
 
 class _Section(BaseModel):
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -42,6 +42,7 @@
     TenureTick,
 )
 from fuchsiarill.ids import ABSENT, StoreLeaseId
+from fuchsiarill.log_event import LogEvent
 from fuchsiarill.ports.key_value import KvFailure
 from fuchsiarill.registry import Registry
 from fuchsiarill.state_chart import load_chart
@@ -271,7 +272,7 @@
         self._guard = None
         self._election = Election(None)
 
-    def log_event(self, event: events.LogEvent) -> None:
+    def log_event(self, event: LogEvent) -> None:
         """Log an event with the pool and the epoch."""
         events.emit(event, pool=self.pool, epoch=self._election.epoch)
 
--- a/fuchsiarill/log_setup.py
+++ b/fuchsiarill/log_setup.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from fuchsiarill.events import Level, LogFormat
+from fuchsiarill.log_event import Level, LogFormat
 
 _TEXT_FORMAT: Final = (
     '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[event]} {message}'
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -11,8 +11,8 @@
 from pydantic import BaseModel, ConfigDict, Field
 from returns.result import Failure, Result
 
-from fuchsiarill.events import Level, LogFormat
 from fuchsiarill.ids import FailureDomain, ProcessId, RegionId
+from fuchsiarill.log_event import Level, LogFormat
 from fuchsiarill.yaml_document import read_yaml
 
 _SETTINGS_MAX_BYTES: Final = 100_000
--- a/tests/test_blocked_steps.py
+++ b/tests/test_blocked_steps.py
@@ -5,6 +5,7 @@
 from fuchsiarill import events
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.ids import JobId
+from fuchsiarill.log_event import LogEvent
 from tests.graph_owner import ADVISED, CAPACITY, SIZE, Owner
 
 _BLOCKED_MS = 3000
@@ -16,7 +17,7 @@
     def __init__(self) -> None:
         self.fields: list[dict[str, Any]] = []
 
-    def emit(self, event: events.LogEvent, **fields: Any) -> None:
+    def emit(self, event: LogEvent, **fields: Any) -> None:
         if event is events.STEP_BLOCKED:
             event.template.format(**fields)
             self.fields.append(fields)
