--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -195,6 +195,25 @@
     assert world.phase('sound') is JobPhase.SUCCEEDED
 
 
+def test_suspects_wait_together_on_busy_workers() -> None:
+    """Guards against suspects that wait a second each, one after the other.
+
+    On each worker a run has just started, so that none is quiet.
+    """
+    world = CrashWorld('w0', 'w1', 'w2')
+    world.pass_time(100)
+    world.add('wide', Step(20, SMALL), run_ms=1000)
+    world.pass_time(200)
+    name = world.worker_of(task('wide'))
+    assert name is not None
+    world.crash(name)
+    world.pass_time(OUTAGE_MS)
+    for number in range(200):
+        world.add(f'busy{number}', Step(2, Resources(1100, 100)), run_ms=100)
+        world.pass_time(50)
+    assert world.phase('wide') is JobPhase.SUCCEEDED
+
+
 def test_suspect_avoids_the_worker_of_a_lasting_task() -> None:
     """Guards against a watch that is lost beside a task on trial."""
     world = CrashWorld(*WORKERS)
@@ -336,6 +355,28 @@
     assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1}}
 
 
+def test_return_under_the_id_proves_the_end_of_a_forgotten_worker() -> None:
+    """Guards against an uncounted crash of a worker that left the directory.
+
+    The owner has forgotten the worker when a later incarnation reports under
+    the same id.
+    """
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SMALL))
+    owner.starts()
+    owner.report('w0', (running(task('a')),))
+    owner.core.update_workers([entry('w1')], owner.now_ms)
+    owner.now_ms += LONG_OUTAGE_MS
+    owner.decide()
+    owner.core.state.workers.remove(WorkerId('w0'))
+    returned = replace(entry('w0'), born_ms=BornMs(9000))
+    owner.core.update_workers([entry('w1'), returned], owner.now_ms)
+    owner.report('w0', born_ms=9000)
+    progress = owner.core.state.jobs[JobId('a')].progress
+    assert progress.crashed_attempts == {UnitKey(0, 0, 0): {1}}
+
+
 def test_crashes_survive_the_store() -> None:
     """Guards against crashes that are lost in a record or break an old one."""
     progress = JobProgress(
