Call the early request for advice from one place; plainer names for crashes

The rank, unit and request of an early request stood in two modules, and the failures of an unreachable store in two more. Stalls take the unit from the step at hand, since they look at each run in every tick. Behaviour is unchanged: lint and 123 tests of these modules pass.

--- a/fuchsiarill/graphs/advice_prefetch.py
+++ b/fuchsiarill/graphs/advice_prefetch.py
@@ -10,13 +10,12 @@
 
 from fuchsiarill.graphs.advice_requests import (
     USUAL_WORKERS_COUNT,
-    request_advice,
+    request_early_advice,
     time_to_start_ms,
 )
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import AdvicePolicy
-from fuchsiarill.graphs.ordering import rank_ms
-from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
+from fuchsiarill.graphs.placement import UsableWorkers
 from fuchsiarill.graphs.state import PoolState
 
 # Time by which the tickets should arrive before the step opens.
@@ -54,7 +53,4 @@
 ) -> None:
     if state.tickets.has_answer(step.key):
         return
-    step.rank_ms = rank_ms(entry, step, now_ms)
-    unit = next(iter(step.waiting.values()))
-    request = PlacementRequest(entry, step, unit, now_ms)
-    request_advice(state, request, usable.for_step(step))
+    request_early_advice(state, entry, step, usable, now_ms)
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -8,8 +8,9 @@
 from typing import Final
 
 from fuchsiarill.graphs.effects import RequestAdvice
-from fuchsiarill.graphs.job_entries import StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import AdvicePolicy, BornMs, StepKey
+from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import (
     PlacementRequest,
     UsableWorkers,
@@ -68,6 +69,20 @@
     return True
 
 
+def request_early_advice(
+    state: PoolState,
+    entry: JobEntry,
+    step: StepEntry,
+    usable: UsableWorkers,
+    now_ms: int,
+) -> None:
+    """Request tickets for a step before its units may start."""
+    step.rank_ms = rank_ms(entry, step, now_ms)
+    unit = next(iter(step.waiting.values()))
+    request = PlacementRequest(entry, step, unit, now_ms)
+    request_advice(state, request, usable.for_step(step))
+
+
 def choose_workers(
     state: PoolState, step_key: StepKey, now_ms: int
 ) -> dict[WorkerId, BornMs]:
--- a/fuchsiarill/graphs/inherited_advice.py
+++ b/fuchsiarill/graphs/inherited_advice.py
@@ -9,12 +9,11 @@
 
 from fuchsiarill.graphs.advice_requests import (
     USUAL_WORKERS_COUNT,
-    request_advice,
+    request_early_advice,
     time_to_start_ms,
 )
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
-from fuchsiarill.graphs.ordering import rank_ms
-from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
+from fuchsiarill.graphs.placement import UsableWorkers
 from fuchsiarill.graphs.state import PoolState
 
 # Time by which the tickets should arrive before the inheritance is settled.
@@ -62,7 +61,4 @@
     candidates = usable.for_step(step)
     if state.tickets.ticketed_workers(step.key, candidates, now_ms):
         return
-    step.rank_ms = rank_ms(entry, step, now_ms)
-    unit = next(iter(step.waiting.values()))
-    request = PlacementRequest(entry, step, unit, now_ms)
-    request_advice(state, request, candidates)
+    request_early_advice(state, entry, step, usable, now_ms)
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -16,7 +16,7 @@
 from fuchsiarill.clock import now_ms
 from fuchsiarill.graphs import store_encoding as encoding
 from fuchsiarill.graphs.peer_links import PeerLinks
-from fuchsiarill.graphs.store_relay import StoreRelay
+from fuchsiarill.graphs.store_relay import UNREACHABLE_FAILURES, StoreRelay
 from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import (
     KeyValuePort,
@@ -41,7 +41,6 @@
 # After the store has answered only through a peer, the direct path is not used
 # for this time.
 _DIRECT_SUSPENSION_MS: Final = 1000
-_UNREACHABLE_FAILURES: Final = frozenset((KvFailure.REFUSED, KvFailure.UNKNOWN))
 
 
 class RelayedStore:
@@ -174,7 +173,7 @@
             if isinstance(call_result, Success):
                 return call_result
             failure = call_result.failure()
-            if failure not in _UNREACHABLE_FAILURES:
+            if failure not in UNREACHABLE_FAILURES:
                 return call_result
         answer_result = await self._relay.call(call_fields)
         if answer_result is None:
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -61,7 +61,7 @@
     if run.progress_percent >= INITIALIZED_PERCENT:
         return False
     unchanged_ms = view.reported_ms - run.progress_changed_ms
-    return unchanged_ms > _stall_ms(state.active_unit(run))
+    return unchanged_ms > _stall_ms(job_and_step[1].active.get(run.unit_key))
 
 
 def _stall_ms(unit: Unit | None) -> int:
--- a/fuchsiarill/graphs/store_relay.py
+++ b/fuchsiarill/graphs/store_relay.py
@@ -24,7 +24,7 @@
 # Peers answer within the time-out of the call and this margin.
 _ANSWER_MARGIN_MS: Final = 500
 # Another peer may reach the store after one of these failures.
-_UNREACHABLE_FAILURES: Final = frozenset((KvFailure.REFUSED, KvFailure.UNKNOWN))
+UNREACHABLE_FAILURES: Final = frozenset((KvFailure.REFUSED, KvFailure.UNKNOWN))
 # A watch is answered late by design. A repeated end of a lease would find the
 # lease gone, which tells a new owner that the lease had expired before.
 _UNREPEATED_KINDS: Final = frozenset(('watch', 'end'))
@@ -102,7 +102,7 @@
         if not answer.failure:
             return Success(answer)
         failure = KvFailure(answer.failure)
-        if failure in _UNREACHABLE_FAILURES:
+        if failure in UNREACHABLE_FAILURES:
             self._links.suspend(process)
         return Failure(failure)
 
@@ -121,7 +121,7 @@
 def _is_conclusive(outcome: _RelayResult) -> bool:
     if isinstance(outcome, Success):
         return True
-    return outcome.failure() not in _UNREACHABLE_FAILURES
+    return outcome.failure() not in UNREACHABLE_FAILURES
 
 
 def _conclude(calls: _Calls) -> _RelayResult | None:
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -23,7 +23,7 @@
 
 # A unit that was the only suspect of a crash is given up at the second one: the
 # first may have had another cause.
-_CONVICTING_CRASHES_COUNT: Final = 2
+_SOLE_SUSPECT_CRASHES_MAX_COUNT: Final = 2
 # A unit that has just started on trial is given up at this number of crashes in
 # any case, since each further start may cost a worker.
 _CRASHES_MAX_COUNT: Final = 3
@@ -106,13 +106,13 @@
         return
     # A gang counts once.
     units = {run.unit_id: run for run in loss.runs}
-    guilty = [
+    given_up = [
         run for run in units.values() if _count_crash(state, run, suspects)
     ]
-    for run in guilty:
+    for run in given_up:
         _give_up(state, loss, run, now_ms)
         if len(suspects) == 1:
-            _acquit_others(state, run)
+            _discount_other_crashes(state, run)
 
 
 def _is_successor(entry: WorkerEntry, loss: WorkerLoss) -> bool:
@@ -162,21 +162,21 @@
         return False
     state.mark_dirty(entry.job)
     count = entry.progress.crashes_count(unit.key)
-    if _is_guilty(run, count, suspects == {run.unit_id}):
+    if _must_give_up(run, count, suspects == {run.unit_id}):
         return True
     if run.unit_id in suspects or count >= crash_trials.WHOLE_RUN_CRASHES_COUNT:
         crash_trials.suspect_unit(state, entry, unit)
     return False
 
 
-def _is_guilty(run: LostRun, count: int, is_only_suspect: bool) -> bool:
+def _must_give_up(run: LostRun, count: int, is_only_suspect: bool) -> bool:
     if not run.is_on_trial:
         return False
     if run.is_young and count >= _CRASHES_MAX_COUNT:
         return True
     if not is_only_suspect or not run.is_confirmed:
         return False
-    return count >= _CONVICTING_CRASHES_COUNT
+    return count >= _SOLE_SUSPECT_CRASHES_MAX_COUNT
 
 
 def _find_unit(state: PoolState, run: LostRun) -> tuple[JobEntry, Unit] | None:
@@ -204,15 +204,15 @@
     apply_job_event(state, entry, JobPhaseEvent.WORKERS_CRASHED, now_ms)
 
 
-def _acquit_others(state: PoolState, run: LostRun) -> None:
+def _discount_other_crashes(state: PoolState, run: LostRun) -> None:
     """Take the crashes that a run's unit has caused off the other units."""
     for end in state.recent_ends.values():
         if run.unit_id in _suspects_of(end):
             for other in end.runs:
-                _acquit(state, other)
+                _discount_crash(state, other)
 
 
-def _acquit(state: PoolState, run: LostRun) -> None:
+def _discount_crash(state: PoolState, run: LostRun) -> None:
     entry_and_unit = _find_unit(state, run)
     if entry_and_unit is None:
         return
