--- /dev/null
+++ b/review/stand_in/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its workers and its clients, on loopback."""
