--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,8 @@
 
 _CPU = 32000
 _MEM_MB = 128000
-_KIND = Kind(SERVICE, 'pour-hall', ('a', 'r0-1'), _CPU, _MEM_MB)
+_SLOTS = 1000
+_KIND = Kind(SERVICE, 'pour-hall', ('a', 'r0-1'), _CPU, _MEM_MB, slots=_SLOTS)
 _JOBS_COUNT = 20
 _WORK_MS = 3500
 _TASK = {'count': 40, 'cpu': 40, 'mem_mb': 100, 'est_runtime_ms': _WORK_MS}
