--- a/review/stand_in/worker.py
+++ b/review/stand_in/worker.py
@@ -80,6 +80,7 @@
         self.kind = kind
         # Answers each start with 503 and does nothing.
         self.is_unhealthy = False
+        self._is_dark = False
         self._address = address
         self._record = record
         self._server = HttpServer(*address, self._answer)
@@ -95,6 +96,9 @@
     async def start(self, store: Store) -> None:
         """Begin a life, and register in the store at once."""
         self._store = store
+        if self._is_dark:
+            self._server.close()
+            self._is_dark = False
         self._life = _Life(int(time.time() * _MS_PER_SECOND), time.monotonic())
         await self._server.open()
         self._tasks = [
@@ -103,9 +107,15 @@
         ]
         self._record.note(f'{self.name} starts: {self.kind}')
 
-    def crash(self) -> None:
-        """End the life without a word; all that runs is lost."""
-        self._server.close()
+    def crash(self, *, is_dark: bool = False) -> None:
+        """End the life without a word; all that runs is lost.
+
+        A dark worker has lost power: its connections stay open, and nothing
+        answers until it starts again.
+        """
+        self._is_dark = is_dark
+        if not is_dark:
+            self._server.close()
         for task in self._tasks:
             task.cancel()
         if self._life is not None:
@@ -113,7 +123,8 @@
                 run.start.ended_ms = self._record.now_ms()
                 run.start.how = 'lost'
         self._life = None
-        self._record.note(f'{self.name} crashes')
+        shown = 'loses power' if is_dark else 'crashes'
+        self._record.note(f'{self.name} {shown}')
 
     async def _beat(self) -> None:
         while self._store is not None and self._life is not None:
@@ -179,6 +190,8 @@
         life.refused[task] = max(life.refused.get(task, 0), attempt)
 
     async def _answer(self, request: Request) -> Answer:
+        while self._is_dark:
+            await asyncio.sleep(_WORK_STEP_S)
         life = self._life
         if life is None:
             return Answer(_UNAVAILABLE)
