--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
 """The store is down for seconds while many short tasks end on one worker."""
 
+import os
 import sys
 from pathlib import Path
 
@@ -22,10 +23,12 @@
 _TASKS_COUNT = 800
 # One job each 50 ms: 800 tasks a second.
 _JOBS_INTERVAL_S = 0.05
-# The longest `platform_down` of the site file.
-_OUTAGE_S = 4.5
+# `platform_down`, busy, of the site file.
+_OUTAGE_S = 4.2
 _WAIT_S = 60
 _SHOWN_COUNT = 20
+# With TROUBLE=0 the case does the same without the disruption.
+_IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
 
 
 async def _submit_jobs(cell: Cell) -> list[str]:
@@ -45,7 +48,7 @@
         await cell.wait_for(
             lambda: len(record.starts) >= _TASKS_COUNT, 'all tasks run'
         )
-        if cell.is_troubled:
+        if _IS_TROUBLED:
             record.note('the store is down: 503 to all calls')
             await cell.store.go_down(_OUTAGE_S)
             record.note('the store is back')
