--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
 """A job that lasts fails whatever it starts; other jobs have to run."""
 
+import os
 import sys
 from pathlib import Path
 
@@ -35,12 +36,14 @@
 _CHECKED_MS = 20000
 _QUIET_MS = 3000
 _CHECK_S = 0.1
+# With TROUBLE=0 the case does the same without the disruption.
+_IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
 
 
 async def _case(record: Record) -> None:
     kinds = [_KIND for _ in range(_WORKERS_COUNT)]
     async with Cell(record, 3, kinds) as cell:
-        spec = _POISON_SPEC if cell.is_troubled else _SOUND_SPEC
+        spec = _POISON_SPEC if _IS_TROUBLED else _SOUND_SPEC
         await cell.submit([_LASTING], spec)
         jobs: list[str] = []
         for _ in range(_JOBS_COUNT):
