--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -286,13 +286,17 @@
 class WorkerReport:
     """Answer of a worker to a renewal, whether or not leases are extended.
 
-    `clock_ms` is the time of the answer in the worker's clock.
+    `clock_ms` is the time of the answer in the worker's clock. `running` is
+    complete. `ended` may be the first page of the ends that the worker keeps;
+    it lists the others once these have been acknowledged.
     """
 
     clock_ms: int
     born_ms: BornMs
     running: tuple[RunningRow, ...]
     ended: tuple[EndRow, ...]
+    # Further ends may follow: a run in neither list has an unknown outcome.
+    has_more_ends: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -49,16 +49,15 @@
         # Reports on different connections can overtake each other.
         return
     view.clock_ms = report.clock_ms
-    view.is_reconciled = True
     view.reported_ms = now_ms
     view.in_touch_since_ms = view.in_touch_since_ms or now_ms
     view.silent_since_ms = None
     worker_crashes.settle_loss(state, view.worker, report.born_ms, now_ms)
-    state.workers.apply_event(view, AvailabilityEvent.REPORTED)
     for row in report.running:
         _apply_running_row(state, view, row, now_ms)
     for end in report.ended:
         _apply_new_end(state, view, end, now_ms)
+    _apply_completeness(state, view, report)
     _end_absent_runs(state, view, report, requested_ms, now_ms)
 
 
@@ -266,6 +265,20 @@
     apply_run_end(state, view, end, now_ms)
 
 
+def _apply_completeness(
+    state: PoolState, view: WorkerView, report: WorkerReport
+) -> None:
+    """Take the worker as reconciled and ready if the report is complete.
+
+    Until then an inherited task may have succeeded there without a sign.
+    """
+    if report.has_more_ends:
+        state.workers.apply_event(view, AvailabilityEvent.REPORTED_IN_PART)
+        return
+    view.is_reconciled = True
+    state.workers.apply_event(view, AvailabilityEvent.REPORTED)
+
+
 def _end_absent_runs(
     state: PoolState,
     view: WorkerView,
@@ -273,14 +286,22 @@
     requested_ms: int,
     now_ms: int,
 ) -> None:
-    """End the runs that the report would list if they had not ended."""
+    """End the runs that the report would list if they had not ended.
+
+    A report that lacks some ends shows only that a run does not run any more.
+    """
     reported_keys = {(row.task, row.attempt) for row in report.running}
     for run in list(view.runs.values()):
-        if run.key in reported_keys or run.visible_since_ms is None:
+        if run.key in reported_keys or not _is_visible(run, requested_ms):
             continue
-        if (
-            run.visible_since_ms >= requested_ms
-            or run.state is RunState.STARTING
-        ):
+        if report.has_more_ends:
+            apply_run_event(state, run, RunEvent.NOT_RUNNING, now_ms)
             continue
         end_unreported_run(state, run, RunEvent.ABSENT, now_ms)
+
+
+def _is_visible(run: Run, requested_ms: int) -> bool:
+    """Tell whether a report requested then lists the run while it runs."""
+    if run.visible_since_ms is None or run.state is RunState.STARTING:
+        return False
+    return run.visible_since_ms < requested_ms
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -12,6 +12,9 @@
     # ends the run or prevents a late start.
     UNCERTAIN = 'uncertain'
     STOPPING = 'stopping'
+    # The run does not run any more, but the report that shows this lacks some
+    # ends. The run keeps its room and its unit until its end is listed.
+    END_UNSEEN = 'end_unseen'
     ENDED = 'ended'
 
 
@@ -26,6 +29,8 @@
     # A report requested after the latest answer to a start or stop order does
     # not list the run.
     ABSENT = 'absent'
+    # As `ABSENT`, by a report that lacks some ends.
+    NOT_RUNNING = 'not_running'
     STOP_ASKED = 'stop_asked'
     END_REPORTED = 'end_reported'
     WORKER_LOST = 'worker_lost'
@@ -34,8 +39,10 @@
 class AvailabilityState(Enum):
     """Whether the owner of a pool may start runs on a worker."""
 
-    # No starts before the next report: the worker may still accept orders of
-    # the previous owner (it is not fenced yet), or a call to it has failed.
+    # No starts before the next complete report: the worker may still accept
+    # orders of the previous owner (it is not fenced yet), a call to it has
+    # failed, or its last report lacked some ends. The end of a run that started
+    # now would be listed after those.
     UNCONFIRMED = 'unconfirmed'
     READY = 'ready'
     LEAVING = 'leaving'
@@ -47,6 +54,8 @@
     """Events of the worker availability chart."""
 
     REPORTED = 'reported'
+    # The report lacks some ends.
+    REPORTED_IN_PART = 'reported_in_part'
     WENT_SILENT = 'went_silent'
     LISTED_LIVE = 'listed_live'
     LISTED_LEAVING = 'listed_leaving'
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -78,6 +78,8 @@
         self._reported_clock_ms = 0
         # Whether the worker answered the last renewal with a report.
         self._is_confirmed = False
+        # The last report lacked some ends.
+        self._has_more_ends = False
         self._starts_in_progress_count = 0
         # A report requested before this time may be of an incarnation that has
         # ended; `None` while nothing tells of a restart.
@@ -98,6 +100,7 @@
             'durable_end': self._durable_end,
             'seen_end': self._reported_end,
             'is_confirmed': self._is_confirmed,
+            'has_more_ends': self._has_more_ends,
         }
 
     @handles(StartRun)
@@ -162,7 +165,7 @@
                 return
 
     async def _send_renewal(self, wait_ms: int) -> bool:
-        if self._durable_end < self._reported_end:
+        if self._has_more_ends or self._durable_end < self._reported_end:
             wait_ms = 0
         requested_ms = now_ms()
         order = RenewalOrder(
@@ -212,6 +215,7 @@
             self._durable_end = NO_END
             self._reported_clock_ms = 0
         self._is_confirmed = True
+        self._has_more_ends = report.has_more_ends
         suspected_ms = self._restart_suspected_ms
         if suspected_ms is not None and suspected_ms <= requested_ms:
             self._restart_suspected_ms = None
--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -6,7 +6,7 @@
 from fuchsiarill.graphs.lost_runs import LostRun, WorkerLoss
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import AvailabilityState
+from fuchsiarill.graphs.states import AvailabilityState, RunState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
@@ -118,6 +118,8 @@
 
 
 def _may_have_started(view: WorkerView, run: Run) -> bool:
+    if run.state is RunState.END_UNSEEN:
+        return False
     if view.silent_since_ms is None:
         return True
     return run.start_ordered_ms <= view.silent_since_ms
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -35,6 +35,9 @@
 # Allowance for the answer to a long poll, beyond `wait_ms` and the time-out of
 # a short call.
 _RENEWAL_MARGIN_MS: Final = 700
+# A worker lists at most this many ends in one answer (PROTOCOL.md, "Running
+# tasks").
+ENDS_PAGE_MAX_COUNT: Final = 500
 
 _FAILURE_BY_REASON: Final = {
     'fence': AgentFailure.FENCED,
@@ -200,6 +203,7 @@
         BornMs(body.get('born', 0)),
         tuple(_running(row) for row in body['running']),
         tuple(_end(row) for row in body['finished']),
+        has_more_ends=len(body['finished']) >= ENDS_PAGE_MAX_COUNT,
     )
 
 
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -121,7 +121,8 @@
 
     A `highest_epoch` above that of the exchange means that the worker refused
     the whole exchange. `tasks` holds all running attempts and all outcomes not
-    yet acknowledged. `incarnation` changes when the worker restarts and loses
+    yet acknowledged; unlike the report of a platform's worker, it is never
+    split into pages. `incarnation` changes when the worker restarts and loses
     its tasks; if it is empty, the worker may have restarted in any gap between
     reports.
     """
--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -63,6 +63,8 @@
     loses_answers: bool = False
     # Every run fails as soon as it starts.
     fails_all: bool = False
+    # A report lists at most this many ends.
+    ends_page_count: int = 500
 
     def clock_ms(self) -> int:
         """Return the worker's clock, the time since `born_ms`."""
@@ -118,7 +120,7 @@
         return sum((run.size for run in self.runs.values()), NO_RESOURCES)
 
     def report(self) -> WorkerReport:
-        """Return the running and the ended attempts."""
+        """Return the running and the first ended attempts."""
         return WorkerReport(
             self.clock_ms(),
             self.born_ms,
@@ -131,5 +133,6 @@
                 )
                 for run in self.runs.values()
             ),
-            tuple(self.ended),
+            tuple(self.ended[: self.ends_page_count]),
+            has_more_ends=len(self.ended) >= self.ends_page_count,
         )
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -218,9 +218,12 @@
         self._end_all_due_runs()
         if model.outage is not None:
             return Failure(AgentFailure.UNKNOWN)
-        model.reported_end = model.ends_count
+        report = model.report()
+        model.reported_end = max(
+            (end.sequence for end in report.ended), default=model.ends_count
+        )
         model.reported_epoch = order.epoch
-        return Success(model.report())
+        return Success(report)
 
     async def _reach(
         self,
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -1,5 +1,6 @@
 """Test harness: a `GraphCore` with worker reports that tests construct."""
 
+from dataclasses import replace
 from typing import Final
 
 from fuchsiarill.graphs.core import GraphCore
@@ -99,10 +100,14 @@
         running: tuple[RunningRow, ...] = (),
         ended: tuple[EndRow, ...] = (),
         born_ms: int = 1,
+        *,
+        has_more_ends: bool = False,
     ) -> None:
         """Advance the clock by 10 ms and deliver a worker's report."""
         self.now_ms += 10
-        report = WorkerReport(self.now_ms, BornMs(born_ms), running, ended)
+        report = WorkerReport(
+            self.now_ms, BornMs(born_ms), running, ended, has_more_ends
+        )
         requested_ms = self.now_ms - 5
         self.core.worker_reported(
             WorkerId(worker),
@@ -111,6 +116,12 @@
             self.now_ms,
         )
 
+    def entries(
+        self, *workers: str, listing: WorkerListing = WorkerListing.LIVE
+    ) -> list[WorkerEntry]:
+        """Return directory entries of workers."""
+        return [replace(entry(name), listing=listing) for name in workers]
+
     def decide(self) -> list[Effect]:
         """Advance the clock by 10 ms, tick, decide and return the effects."""
         self.now_ms += 10
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -259,6 +259,29 @@
     }
 
 
+@pytest.mark.parametrize(
+    ('ends_count', 'has_more'), [(0, False), (499, False), (500, True)]
+)
+def test_full_page_of_ends_may_have_a_successor(
+    stub: StubServer, ends_count: int, *, has_more: bool
+) -> None:
+    """Guards against a page of ends that is taken for all ends."""
+    task = '5c0e7a21d94b36f8.0.1.17'
+    stub.body = {
+        'clock_ms': 5,
+        'born': 99,
+        'running': [],
+        'finished': [
+            [number, task, number, 'done', '']
+            for number in range(1, ends_count + 1)
+        ],
+    }
+    workers = PlatformWorkers(HttpClient(2, 4))
+    order = RenewalOrder(Epoch(7), EndSequence(0), None, 0)
+    report = run(workers.renew(agent(stub), order, _TIMEOUT_MS)).unwrap()
+    assert report.has_more_ends is has_more
+
+
 def test_unreadable_report_is_no_report(stub: StubServer) -> None:
     """Guards against an exception in the actor that requested the report."""
     stub.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -44,6 +44,7 @@
     # Clock rate of the worker relative to the runtime clock.
     clock_rate: float = 1.0
     ends_count: int = 0
+    ends_page_count: int = 500
     reports_count: int = 0
     loses_start_answers: bool = False
     renewals: list[tuple[int, RenewalOrder]] = field(default_factory=list)
@@ -91,7 +92,15 @@
             ended(task('a', position=sequence), sequence)
             for sequence in range(order.acknowledged + 1, self.ends_count + 1)
         )
-        return Success(WorkerReport(self.clock_ms(), self.born_ms, (), rows))
+        page = rows[: self.ends_page_count]
+        report = WorkerReport(
+            self.clock_ms(),
+            self.born_ms,
+            (),
+            page,
+            has_more_ends=len(rows) >= self.ends_page_count,
+        )
+        return Success(report)
 
 
 def _open_channel(
@@ -219,3 +228,22 @@
         assert agent.renewals[-1][1].expiry_ms is None
 
     run_paused(scenario())
+
+
+def test_next_page_of_ends_is_requested_at_once() -> None:
+    """Guards against a worker that is caught up with by a page a second."""
+
+    async def scenario() -> None:
+        agent = _ScriptedAgent(ends_count=50, ends_page_count=5)
+        channel = _open_channel(agent)
+        started_ms = now_ms()
+        for listed in range(5, 55, 5):
+            await _wait_for_report(agent)
+            sequence = EndSequence(min(listed, 50))
+            channel.mailbox.send(RunEndsDurable(agent.born_ms, sequence))
+        await _wait_for_report(agent)
+        await channel.stop()
+        assert agent.renewals[-1][1].acknowledged == 50
+        assert now_ms() - started_ms < 200
+
+    run_paused(scenario())
