--- a/fuchsiarill/core/placement.py
+++ b/fuchsiarill/core/placement.py
@@ -127,6 +127,9 @@
     if worker.state is not WorkerState.PROBATION:
         return True
     # A task on a worker on probation may fail, so it must be cheap to repeat.
+    # That of a job that fails everywhere would show nothing about the worker.
+    if job.is_to_blame:
+        return False
     return (
         job.spec.execution is Execution.IDEMPOTENT
         and job.spec.workload is Workload.BATCH
--- a/fuchsiarill/core/retries.py
+++ b/fuchsiarill/core/retries.py
@@ -7,7 +7,7 @@
 from itertools import islice
 from typing import Final
 
-from fuchsiarill.core.probation import record_failure
+from fuchsiarill.core.probation import clear_blame, record_failure
 from fuchsiarill.core.quotas import account_of
 from fuchsiarill.core.requeue import attempt_position, requeue_task
 from fuchsiarill.core.state import CoreState
@@ -114,6 +114,7 @@
     if now_ms - attempt.placed_at_ms >= _STABLE_RUN_TIME_MS:
         job.failures_count = 1
         job.failed_on.clear()
+        clear_blame(job)
     if len(job.failed_on) >= HEALTHY_WORKERS_MAX_COUNT:
         job.failed_on.clear()
     delay_ms = backoff_ms(state, job.failures_count)
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -1,5 +1,6 @@
 """State of a worker as known to the owner of its partition."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from fuchsiarill.ids import (
@@ -25,11 +26,13 @@
     that it needs there, in the order in which the holds were added: a moved
     hold goes last. `bucket` is the bucket of the worker in the index, `None`
     while it gets no tasks.
-    `attributed_failures_count` counts the failures since the last success that
-    are attributed to the worker, `probes_count` the consecutive successes on
-    probation and `probe_failures_count` the failures that began or prolonged
-    the probation. On probation, no task is placed before `probe_after_ms`.
-    Classes in `avoided_by` use other workers.
+    `attributed_failures` counts, by job, the failures since the last success
+    that are attributed to the worker. The worker is `is_unproven` while nothing
+    has succeeded there since such failures were withdrawn. `probes_count` is
+    the number of consecutive successes on probation and `probe_failures_count`
+    that of the failures that began or prolonged the probation. On probation, no
+    task is placed before `probe_after_ms`. Classes in `avoided_by` use other
+    workers.
     """
 
     entry: HostEntry
@@ -40,13 +43,19 @@
     reported_at_ms: int = 0
     holds: dict[JobId, Resources] = field(default_factory=dict)
     bucket: BucketKey | None = None
-    attributed_failures_count: int = 0
+    attributed_failures: Counter[JobId] = field(default_factory=Counter)
+    is_unproven: bool = False
     probes_count: int = 0
     probe_failures_count: int = 0
     probe_after_ms: int = 0
     incarnation: str = ''
     avoided_by: set[ClassKey] = field(default_factory=set)
 
+    @property
+    def attributed_failures_count(self) -> int:
+        """Return the number of failures attributed to the worker."""
+        return self.attributed_failures.total()
+
     @property
     def worker_id(self) -> WorkerId:
         """Return the id of the worker."""
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -247,6 +247,21 @@
     'crashed in {crashes} of its attempts, last {worker} in attempt {attempt}',
     'Tell the owner of the job that its task crashes workers.',
 )
+TASKS_BLAMED: Final = LogEvent(
+    727,
+    Level.WARNING,
+    'task {task} of job {job} is to blame for its failures on {workers} '
+    'workers, up to {longest_ms} ms after the start; whole step: '
+    '{is_whole_step}',
+    'Tell the owner of the job that its task fails wherever it runs.',
+)
+SUSPENSION_ENDED: Final = LogEvent(
+    728,
+    Level.INFO,
+    'worker {worker} may get one run at a time again: the tasks that failed '
+    'there are to blame',
+    _NO_ACTION,
+)
 TENURE_WON: Final = LogEvent(
     731,
     Level.INFO,
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -6,10 +6,15 @@
 from typing import Final, NamedTuple
 
 from fuchsiarill import events
-from fuchsiarill.graphs import advice_requests, crash_trials
+from fuchsiarill.graphs import (
+    advice_requests,
+    crash_trials,
+    failure_blame,
+    restart_backoff,
+)
 from fuchsiarill.graphs.effects import StartRun
 from fuchsiarill.graphs.gang_reservations import reserve_for_gang
-from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
@@ -126,7 +131,9 @@
     step.rank_ms = ranked.rank_ms
     placer = StepPlacer(state, usable)
     has_waiting_suspect = False
-    for unit in list(step.waiting.values()):
+    due = _due_units(step, now_ms)
+    has_delayed = len(due) < len(step.waiting)
+    for unit in due:
         # The others are not placed either, which saves the time to find out.
         if has_waiting_suspect and crash_trials.must_wait(unit, now_ms):
             continue
@@ -139,7 +146,18 @@
         if not crash_trials.is_waiting_for_quiet(unit, now_ms):
             return False
         has_waiting_suspect = True
-    return not has_waiting_suspect
+    return not has_waiting_suspect and not has_delayed
+
+
+def _due_units(step: StepEntry, now_ms: int) -> list[Unit]:
+    """Return the units whose start is due, last those to blame for failures."""
+    due = [
+        unit
+        for unit in step.waiting.values()
+        if not restart_backoff.is_delayed(unit, now_ms)
+    ]
+    due.sort(key=lambda unit: unit.failures.is_to_blame)
+    return due
 
 
 def _handle_unplaced_unit(
@@ -147,11 +165,15 @@
     request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> None:
-    """Make room and request tickets for a unit that could not be placed."""
+    """Make room and request tickets for a unit that could not be placed.
+
+    No task makes room for one that is to blame for its failures.
+    """
     step = request.step
-    allowed = advice_requests.allowed_workers(state, request, candidates)
-    if not preempt(state, request, allowed) and step.spec.is_gang:
-        reserve_for_gang(state, request, allowed)
+    if not failure_blame.is_to_blame(step, request.unit):
+        allowed = advice_requests.allowed_workers(state, request, candidates)
+        if not preempt(state, request, allowed) and step.spec.is_gang:
+            reserve_for_gang(state, request, allowed)
     advice_requests.request_advice(state, request, candidates)
 
 
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -26,6 +26,33 @@
 ATTEMPTS_PER_TERM: Final = 100
 
 
+@dataclass(slots=True)
+class FailureHistory:
+    """Failures since the last proof that a step or a unit is sound."""
+
+    workers: set[WorkerId] = field(default_factory=set)
+    # Those of them that were neither suspended nor on probation.
+    unsuspended_workers: set[WorkerId] = field(default_factory=set)
+    # The longest time from a start order to the failure of its run.
+    longest_ms: int = 0
+    # The failures show nothing about the workers; see `failure_blame`.
+    is_to_blame: bool = False
+
+    def add(self, worker: WorkerId, ran_ms: int, *, is_suspended: bool) -> None:
+        """Add the failure of a run."""
+        self.workers.add(worker)
+        if not is_suspended:
+            self.unsuspended_workers.add(worker)
+        self.longest_ms = max(self.longest_ms, ran_ms)
+
+    def clear(self) -> None:
+        """Forget all failures."""
+        self.workers.clear()
+        self.unsuspended_workers.clear()
+        self.longest_ms = 0
+        self.is_to_blame = False
+
+
 @dataclass(slots=True)
 class Unit:
     """A task or a gang that has not succeeded, with its runs."""
@@ -38,6 +65,10 @@
     failed_on: set[WorkerId] = field(default_factory=set)
     preemptions_count: int = 0
     stalls_count: int = 0
+    failures: FailureHistory = field(default_factory=FailureHistory)
+    # Early ends in a row of a lasting task, and when its next start is due.
+    early_ends_count: int = 0
+    start_after_ms: int = 0
     # A worker has crashed under the unit, which may be the cause. Its next run
     # is on trial.
     is_suspect: bool = False
@@ -85,6 +116,7 @@
         # Rank at the last decision about the step.
         self.rank_ms = 0
         self.wait = PlacementWait()
+        self.failures = FailureHistory()
 
     @property
     def expected_end_ms(self) -> float:
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -3,7 +3,12 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import crash_trials, worker_crashes, worker_suspension
+from fuchsiarill.graphs import (
+    crash_trials,
+    failure_blame,
+    worker_crashes,
+    worker_suspension,
+)
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
@@ -163,6 +168,7 @@
         return
     crash_trials.review_listed_run(state, job_and_step, view, run)
     step = job_and_step[1]
+    failure_blame.review_listed_run(step, run)
     unit = step.active.get(run.unit_key)
     if unit is not None and row.checkpoint:
         unit.checkpoint = row.checkpoint
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -5,7 +5,11 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import crash_trials, worker_suspension
+from fuchsiarill.graphs import (
+    crash_trials,
+    failure_blame,
+    restart_backoff,
+)
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import EndKind, EndRow
@@ -33,6 +37,11 @@
     run: Run | None
     now_ms: int
 
+    @property
+    def ran_ms(self) -> int | None:
+        """Return the time from the start order to the report of the end."""
+        return _ran_ms(self.run, self.now_ms)
+
 
 _Handler = Callable[[EndContext], None]
 
@@ -77,17 +86,16 @@
 @END_HANDLERS.register(EndKind.SUCCEEDED)
 def _apply_success(context: EndContext) -> None:
     state, entry, step = context.state, context.entry, context.step
-    worker_suspension.record_success(context.view)
-    if context.run is not None:
-        # Includes the delivery of the start order and of the report.
-        duration_ms = context.now_ms - context.run.start_ordered_ms
+    failure_blame.record_success(context.view, step)
+    if context.ran_ms is not None:
         state.run_times.add(
             entry.graph.queue,
             step.spec,
             context.view.worker,
-            duration_ms,
+            context.ran_ms,
         )
     if step.spec.is_lasting:
+        _delay_restart(context)
         return
     crash_trials.clear_unit(entry.job, context.unit)
     entry.complete_unit(step, context.unit)
@@ -107,6 +115,11 @@
         )
 
 
+def _delay_restart(context: EndContext) -> None:
+    if context.ran_ms is not None:
+        restart_backoff.record_end(context.unit, context.ran_ms, context.now_ms)
+
+
 def _stop_unless_gang(context: EndContext, other: Run) -> None:
     if not context.step.spec.is_gang:
         apply_run_event(
@@ -120,12 +133,18 @@
 @END_HANDLERS.register(EndKind.FAILED)
 def _apply_failure(context: EndContext) -> None:
     state, entry, unit = context.state, context.entry, context.unit
-    worker_suspension.record_failure(
-        context.view, context.row.task, context.now_ms
+    failure_blame.record_failure(
+        state,
+        context.view,
+        failure_blame.RunFailure(
+            context.step, unit, context.row.task, context.ran_ms or 0
+        ),
+        context.now_ms,
     )
     unit.failed_on.add(context.view.worker)
     _apply_end_without_success(context)
     if context.step.spec.is_lasting:
+        _delay_restart(context)
         return
     # A set, since several members of one attempt of a gang count once.
     failed_attempts = entry.progress.failed_attempts.setdefault(unit.key, set())
@@ -172,7 +191,14 @@
         attempt=row.attempt,
         worker=view.worker,
         kind=row.kind.value,
-        # Includes the delivery of the start order and of the report.
-        ran_ms=None if run is None else now_ms - run.start_ordered_ms,
+        ran_ms=_ran_ms(run, now_ms),
         epoch=state.epoch,
     )
+
+
+def _ran_ms(run: Run | None, now_ms: int) -> int | None:
+    """Return for how long a run seems to have run, `None` if it is unknown.
+
+    Includes the delivery of the start order and of the report.
+    """
+    return None if run is None else now_ms - run.start_ordered_ms
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from fuchsiarill import events
-from fuchsiarill.graphs import worker_suspension
+from fuchsiarill.graphs import failure_blame
 from fuchsiarill.graphs.job_entries import Unit
 from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
@@ -45,10 +45,15 @@
         worker=view.worker,
         percent=run.progress_percent,
     )
-    worker_suspension.record_failure(view, run.task, now_ms)
+    job_and_step = state.find_step(run.task)
     unit = state.active_unit(run)
-    if unit is not None:
+    if job_and_step is not None and unit is not None:
         unit.stalls_count += 1
+        ran_ms = now_ms - run.start_ordered_ms
+        failure = failure_blame.RunFailure(
+            job_and_step[1], unit, run.task, ran_ms
+        )
+        failure_blame.record_failure(state, view, failure, now_ms)
     apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
 
 
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -9,6 +9,7 @@
 import heapq
 
 from fuchsiarill.graphs import crash_trials
+from fuchsiarill.graphs.failure_blame import may_receive_unit
 from fuchsiarill.graphs.placement import (
     PlacementRequest,
     UsableWorkers,
@@ -17,7 +18,6 @@
     place_gang,
 )
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.worker_suspension import may_receive_runs
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NO_RESOURCES
 
@@ -119,7 +119,9 @@
         return [
             view
             for view in self._permitted_workers(request)
-            if may_receive_runs(view, request.now_ms)
+            if may_receive_unit(
+                view, request.step, request.unit, request.now_ms
+            )
         ]
 
     def _permitted_workers(self, request: PlacementRequest) -> list[WorkerView]:
@@ -135,4 +137,4 @@
 def _can_start(request: PlacementRequest, view: WorkerView) -> bool:
     if not has_capacity(request.step, view, NO_RESOURCES):
         return False
-    return may_receive_runs(view, request.now_ms)
+    return may_receive_unit(view, request.step, request.unit, request.now_ms)
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -39,15 +39,15 @@
 def record_failure(view: WorkerView, task: TaskKey, now_ms: int) -> None:
     """Suspend the worker after consecutive failures of different tasks.
 
-    Every further failure without a success suspends it again. Each suspension
+    Every further failure without a success, and any failure on probation,
+    suspends it again. Each suspension
     lasts twice as long as the one before, up to a maximum, unless the probation
     has ended in between.
     """
-    view.failure_record.consecutive_failures.add(task)
-    if (
-        len(view.failure_record.consecutive_failures)
-        < _FAILURES_TO_SUSPEND_COUNT
-    ):
+    record = view.failure_record
+    record.consecutive_failures.add(task)
+    is_suspect = len(record.consecutive_failures) >= _FAILURES_TO_SUSPEND_COUNT
+    if not is_suspect and not is_on_probation(view):
         return
     duration_ms = min(
         _FIRST_SUSPENSION_MS * 2**view.failure_record.suspensions_count,
@@ -63,6 +63,32 @@
     )
 
 
+def is_on_probation(view: WorkerView) -> bool:
+    """Tell whether the worker is suspended, or has proved nothing since."""
+    return view.failure_record.suspensions_count > 0
+
+
+def withdraw_failures(
+    view: WorkerView, tasks: set[TaskKey], now_ms: int
+) -> bool:
+    """Take failures off a worker that the tasks have caused.
+
+    Returns whether that ends a suspension, because the failures that are left
+    do not justify it. The worker stays on probation: nothing has shown yet that
+    it is sound, and several faulty workers can fail the same tasks.
+    """
+    record = view.failure_record
+    record.consecutive_failures -= tasks
+    if len(record.consecutive_failures) >= _FAILURES_TO_SUSPEND_COUNT:
+        return False
+    if now_ms >= record.suspended_until_ms:
+        return False
+    record.suspensions_count = 1
+    record.suspended_until_ms = now_ms
+    events.emit(events.SUSPENSION_ENDED, worker=view.worker)
+    return True
+
+
 def may_receive_runs(view: WorkerView, now_ms: int) -> bool:
     """Tell whether the worker may get a run.
 
@@ -78,7 +104,7 @@
         return False
     if now_ms < record.suspended_until_ms:
         return False
-    if record.suspensions_count == 0:
+    if not is_on_probation(view):
         return True
     return all(
         now_ms - run.start_ordered_ms >= _PROBATION_RUN_AGE_MS
--- a/fuchsiarill/job.py
+++ b/fuchsiarill/job.py
@@ -111,8 +111,10 @@
     workers on which an attempt failed. `replaced_attempts` maps the position of
     a replica to the attempt that stops once its replacement runs.
     `losses_counts` maps a position to the number of its attempts that were lost
-    one after the other. A `volatile` job was accepted before its record in the
-    journal was durable.
+    one after the other. `failure_witnesses` holds the workers that seemed sound
+    when an attempt failed there, since the last success of the job. Once they
+    are several, the job `is_to_blame` for its failures. A `volatile` job was
+    accepted before its record in the journal was durable.
     """
 
     job_id: JobId
@@ -128,4 +130,6 @@
     failed_on: set[WorkerId] = field(default_factory=set)
     replaced_attempts: dict[int, AttemptId] = field(default_factory=dict)
     losses_counts: dict[int, int] = field(default_factory=dict)
+    failure_witnesses: set[WorkerId] = field(default_factory=set)
+    is_to_blame: bool = False
     volatile: bool = False
--- a/fuchsiarill/states.py
+++ b/fuchsiarill/states.py
@@ -83,6 +83,8 @@
     UNLISTED = 'unlisted'
     FAILING = 'failing'
     PROVED_GOOD = 'proved_good'
+    # A job that fails everywhere caused the failures.
+    FAILURES_WITHDRAWN = 'failures_withdrawn'
 
 
 class PartitionState(Enum):
