--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -222,9 +222,9 @@
 WORKER_CRASHED: Final = LogEvent(
     723,
     Level.WARNING,
-    'worker {worker} has ended without notice under {runs} runs, of which '
-    '{suspected} units may be the cause; power loss of the rack: '
-    '{is_power_loss}',
+    'worker {worker} has ended without notice under {runs} runs, {confirmed} '
+    'of which it is known to have started; {suspected} units may be the cause; '
+    'power loss of the rack: {is_power_loss}',
     'See "Shown as failed" in OPERATIONS.md if this recurs.',
 )
 UNIT_SUSPECTED: Final = LogEvent(
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -239,6 +239,7 @@
         if run is None:
             return
         if failure is None:
+            run.is_start_confirmed = True
             if run.state is RunState.STARTING and run.visible_since_ms is None:
                 run.visible_since_ms = now_ms
             apply_run_event(self.state, run, RunEvent.CONFIRMED, now_ms)
--- a/fuchsiarill/graphs/crash_trials.py
+++ b/fuchsiarill/graphs/crash_trials.py
@@ -87,6 +87,7 @@
     if not unit.is_suspect:
         return
     unit.is_suspect = False
+    unit.unconfirmed_losses.clear()
     events.emit(events.UNIT_CLEARED, job=job, task=unit.key.label)
 
 
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -72,6 +72,9 @@
     # A worker has crashed under the unit, which may be the cause. Its next run
     # is on trial.
     is_suspect: bool = False
+    # Attempts that were lost with a worker which may not have started them,
+    # since the unit became a suspect.
+    unconfirmed_losses: set[int] = field(default_factory=set)
     # Since when a suspect has found room only beside runs that have just
     # started; `None` otherwise.
     trial_wait_since_ms: int | None = None
--- a/fuchsiarill/graphs/lost_runs.py
+++ b/fuchsiarill/graphs/lost_runs.py
@@ -18,7 +18,8 @@
     # No report shows that the run has outlived a trial.
     is_young: bool
     is_on_trial: bool
-    # The worker had started the run; otherwise a start order was on its way.
+    # The incarnation that ended had started the run. Otherwise nothing shows
+    # that the start order reached it.
     is_confirmed: bool
 
     @property
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -119,6 +119,7 @@
 def _stop_unconfirmed_run(state: PoolState, run: Run, now_ms: int) -> None:
     """Stop a run that the worker may or may not have started."""
     run.visible_since_ms = None
+    run.is_start_confirmed = False
     _stop_gang_members(state, run, now_ms)
     if run.state in _STOP_ORDERED_STATES:
         order_stop(state, run, now_ms)
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -39,6 +39,8 @@
     # `None` while the worker's present incarnation has neither confirmed a
     # start or a stop of the run nor listed the run in a report.
     visible_since_ms: int | None = None
+    # The worker's present incarnation has answered the start order.
+    is_start_confirmed: bool = False
     # A report of the worker's present incarnation has listed the run.
     is_listed: bool = False
     # Time from the start order, or the adoption, to the last report that lists
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -278,6 +278,7 @@
             message.ticket,
         )
         self._context.owner.send(RenewalSent(self.agent.worker))
+        earliest_clock_ms = self._reported_clock_ms
         self._starts_in_progress_count += 1
         try:
             call_result = await self._context.agents.start(
@@ -290,6 +291,9 @@
         match call_result:
             case Success(clock_ms):
                 self._suspect_restart(clock_ms < self._reported_clock_ms)
+                if clock_ms < earliest_clock_ms:
+                    # A later incarnation has answered, whose clock began anew.
+                    return AgentFailure.UNKNOWN
             case Failure(AgentFailure() as failure):
                 self._suspect_restart(failure is AgentFailure.UNKNOWN)
                 return failure
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -2,10 +2,13 @@
 
 The end of a worker is proved by a later incarnation under the same id, or by
 another worker at its address. The end is a crash unless the worker was leaving
-or its rack lost power.
+or its rack lost power. It counts for the runs that the worker is known to have
+started. A start order that may not have reached the worker makes its unit a
+suspect, whose next run is on trial, and no more.
 """
 
 from dataclasses import replace
+from operator import attrgetter
 from typing import Final
 
 from fuchsiarill import events
@@ -27,6 +30,9 @@
 # A unit that has just started on trial is given up at this number of crashes in
 # any case, since each further start may cost a worker.
 _CRASHES_MAX_COUNT: Final = 3
+# A task that ends its worker before the answer to the start is never known to
+# have started. Its unit is given up at this number of losses of either kind.
+_LOSSES_MAX_COUNT: Final = 4
 # How long a worker may stay away for a loss of its runs to count as a crash,
 # and how long crashes are kept to be taken off the units that did not cause
 # them.
@@ -99,13 +105,15 @@
         events.WORKER_CRASHED,
         worker=loss.worker,
         runs=len(loss.runs),
+        confirmed=sum(run.is_confirmed for run in loss.runs),
         suspected=len(suspects),
         is_power_loss=has_no_power,
     )
     if has_no_power:
         return
-    # A gang counts once.
-    units = {run.unit_id: run for run in loss.runs}
+    # A gang counts once, as confirmed if one of its members is.
+    by_certainty = sorted(loss.runs, key=attrgetter('is_confirmed'))
+    units = {run.unit_id: run for run in by_certainty}
     given_up = [
         run for run in units.values() if _count_crash(state, run, suspects)
     ]
@@ -158,6 +166,8 @@
     if entry_and_unit is None:
         return False
     entry, unit = entry_and_unit
+    if not run.is_confirmed:
+        return _count_unconfirmed_loss(state, run, suspects)
     if not entry.progress.add_crash(unit.key, run.attempt):
         return False
     state.mark_dirty(entry.job)
@@ -169,12 +179,27 @@
     return False
 
 
+def _count_unconfirmed_loss(
+    state: PoolState, run: LostRun, suspects: set[_UnitId]
+) -> bool:
+    """Count a loss that may be no crash; returns whether to give up."""
+    entry_and_unit = _find_unit(state, run)
+    if entry_and_unit is None or run.unit_id not in suspects:
+        return False
+    entry, unit = entry_and_unit
+    crash_trials.suspect_unit(state, entry, unit)
+    unit.unconfirmed_losses.add(run.attempt)
+    losses_count = len(unit.unconfirmed_losses)
+    losses_count += entry.progress.crashes_count(unit.key)
+    return run.is_on_trial and losses_count >= _LOSSES_MAX_COUNT
+
+
 def _must_give_up(run: LostRun, count: int, is_only_suspect: bool) -> bool:
     if not run.is_on_trial:
         return False
     if run.is_young and count >= _CRASHES_MAX_COUNT:
         return True
-    if not is_only_suspect or not run.is_confirmed:
+    if not is_only_suspect:
         return False
     return count >= _SOLE_SUSPECT_CRASHES_MAX_COUNT
 
@@ -217,8 +242,8 @@
     if entry_and_unit is None:
         return
     entry, unit = entry_and_unit
-    if not entry.progress.remove_crash(unit.key, run.attempt):
-        return
-    state.mark_dirty(entry.job)
+    unit.unconfirmed_losses.discard(run.attempt)
+    if entry.progress.remove_crash(unit.key, run.attempt):
+        state.mark_dirty(entry.job)
     if not entry.progress.crashes_count(unit.key):
         crash_trials.end_trials(state, entry, unit)
--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -106,7 +106,8 @@
 
 
 def _young_jobs(runs: tuple[LostRun, ...]) -> set[JobId]:
-    return {run.task.job for run in runs if run.is_young}
+    """Return the jobs with runs that had just started, for certain."""
+    return {run.task.job for run in runs if run.is_young and run.is_confirmed}
 
 
 def _is_leaving(view: WorkerView) -> bool:
@@ -133,20 +134,10 @@
         run.start_ordered_ms,
         is_young(run),
         run.is_on_trial,
-        run.is_listed or _is_confirmed_before_silence(view, run),
+        run.is_listed or run.is_start_confirmed,
     )
 
 
-def _is_confirmed_before_silence(view: WorkerView, run: Run) -> bool:
-    """Tell whether the incarnation that has ended confirmed the start.
-
-    An answer without a later failure may be of the next incarnation.
-    """
-    if run.visible_since_ms is None or view.silent_since_ms is None:
-        return False
-    return run.visible_since_ms <= view.silent_since_ms
-
-
 def _was_in_touch(view: WorkerView, loss: WorkerLoss) -> bool:
     """Tell whether another worker was in touch until the loss."""
     if view.worker == loss.worker:
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -243,6 +243,11 @@
             self._start_run(worker, order)
         if worker.loses_answers:
             return False
+        view = self.owner.core.state.workers.find(order.worker)
+        clock_ms = self.now_ms - worker.born_ms
+        if view is not None and clock_ms < view.clock_ms:
+            # The channel reports that another incarnation has answered.
+            failure = AgentFailure.UNKNOWN
         self.owner.core.start_answered(
             order.worker,
             order.task,
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import pytest
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.actor import Mailbox
@@ -16,7 +17,7 @@
     StartOrder,
     WorkerReport,
 )
-from fuchsiarill.graphs.owner_messages import RunEndsDurable
+from fuchsiarill.graphs.owner_messages import RunEndsDurable, StartAnswered
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.worker_channel import ChannelContext, WorkerChannel
 from fuchsiarill.ids import Epoch, WorkerId
@@ -104,14 +105,16 @@
 
 
 def _open_channel(
-    agent: _ScriptedAgent, guard: LeaseGuard | None = None
+    agent: _ScriptedAgent,
+    guard: LeaseGuard | None = None,
+    owner: Mailbox | None = None,
 ) -> WorkerChannel:
     context = ChannelContext(
         settings_of('p0'),
         agent,
         Epoch(1),
         guard or LeaseGuard(_FOREVER_MS),
-        Mailbox(),
+        Mailbox() if owner is None else owner,
     )
     channel = WorkerChannel(AgentAddress(_WORKER, 'w0:1'), context)
     channel.start()
@@ -247,3 +250,29 @@
         assert now_ms() - started_ms < 200
 
     run_paused(scenario())
+
+
+@pytest.mark.parametrize(
+    ('restarts', 'failure'), [(False, None), (True, AgentFailure.UNKNOWN)]
+)
+def test_answer_of_a_later_incarnation_confirms_no_start(
+    failure: AgentFailure | None, *, restarts: bool
+) -> None:
+    """Guards against a crash counted for a start that came after it."""
+
+    async def scenario() -> None:
+        agent = _ScriptedAgent()
+        owner = Mailbox()
+        channel = _open_channel(agent, owner=owner)
+        await sleep_ms(2500)
+        if restarts:
+            agent.restart()
+        channel.mailbox.send(_start_order())
+        while True:
+            message = await owner.receive()
+            if isinstance(message, StartAnswered):
+                break
+        await channel.stop()
+        assert message.failure is failure
+
+    run_paused(scenario())
