--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -175,7 +175,9 @@
 RUN_LOST: Final = LogEvent(
     713,
     Level.WARNING,
-    'attempt {attempt} of task {task} of job {job} is lost with {worker}',
+    'attempt {attempt} of task {task} of job {job} is lost with {worker}: '
+    '{cause}; last report {report_age_ms} ms and first failed call '
+    '{silence_ms} ms ago, leases end in {lease_left_ms} ms',
     'None; the task starts again.',
 )
 RUN_FOUND: Final = LogEvent(
@@ -262,6 +264,14 @@
     'there are to blame',
     _NO_ACTION,
 )
+RUN_ABSENT: Final = LogEvent(
+    729,
+    Level.INFO,
+    'attempt {attempt} of task {task} of job {job} is not in a report of '
+    '{worker} that was requested {request_age_ms} ms ago; it would be since '
+    '{visible_ms} ms; ends complete: {is_complete}',
+    _NO_ACTION,
+)
 TENURE_WON: Final = LogEvent(
     731,
     Level.INFO,
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -220,7 +220,7 @@
             )
         if view.silent_since_ms is None:
             view.silent_since_ms = now_ms
-        if proves_end(view, failure):
+        if proves_end(failure):
             reports.end_worker(self.state, view, now_ms)
 
     def start_answered(
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -26,7 +26,12 @@
 from fuchsiarill.graphs.run_ends import apply_run_end
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import AvailabilityEvent, RunEvent, RunState
+from fuchsiarill.graphs.states import (
+    AvailabilityEvent,
+    LossCause,
+    RunEvent,
+    RunState,
+)
 from fuchsiarill.graphs.worker_ends import loss_of
 from fuchsiarill.graphs.worker_table import FailureRecord, WorkerView
 from fuchsiarill.resources import NO_RESOURCES
@@ -76,7 +81,7 @@
     loss = loss_of(view, now_ms)
     for run in list(view.runs.values()):
         if run.is_listed:
-            _mark_run_lost(state, view, run, now_ms)
+            _mark_run_lost(state, view, run, LossCause.RESTARTED, now_ms)
         else:
             _stop_unconfirmed_run(state, run, now_ms)
     view.seen_end = NO_END
@@ -91,27 +96,40 @@
 
 def end_worker(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Mark all runs of a worker as lost: its process has ended."""
-    view.lease_expiry_ms = now_ms
     loss = loss_of(view, now_ms)
-    mark_runs_lost(state, view, now_ms)
+    mark_runs_lost(state, view, LossCause.REPLACED, now_ms)
+    view.lease_expiry_ms = now_ms
     worker_crashes.count_end(state, loss, now_ms)
 
 
-def mark_runs_lost(state: PoolState, view: WorkerView, now_ms: int) -> None:
+def mark_runs_lost(
+    state: PoolState, view: WorkerView, cause: LossCause, now_ms: int
+) -> None:
     """Mark all runs on a worker as lost: they ended without a report."""
     for run in list(view.runs.values()):
-        _mark_run_lost(state, view, run, now_ms)
+        _mark_run_lost(state, view, run, cause, now_ms)
 
 
 def _mark_run_lost(
-    state: PoolState, view: WorkerView, run: Run, now_ms: int
+    state: PoolState,
+    view: WorkerView,
+    run: Run,
+    cause: LossCause,
+    now_ms: int,
 ) -> None:
+    silent_since_ms = view.silent_since_ms
     events.emit(
         events.RUN_LOST,
         job=run.task.job,
         task=run.task.label,
         attempt=run.attempt,
         worker=view.worker,
+        cause=cause.value,
+        report_age_ms=now_ms - view.reported_ms,
+        silence_ms=None
+        if silent_since_ms is None
+        else now_ms - silent_since_ms,
+        lease_left_ms=view.lease_expiry_ms - now_ms,
     )
     end_unreported_run(state, run, RunEvent.WORKER_LOST, now_ms)
 
@@ -301,6 +319,16 @@
     for run in list(view.runs.values()):
         if run.key in reported_keys or not _is_visible(run, requested_ms):
             continue
+        events.emit(
+            events.RUN_ABSENT,
+            job=run.task.job,
+            task=run.task.label,
+            attempt=run.attempt,
+            worker=view.worker,
+            request_age_ms=now_ms - requested_ms,
+            visible_ms=now_ms - (run.visible_since_ms or 0),
+            is_complete=not report.has_more_ends,
+        )
         if report.has_more_ends:
             apply_run_event(state, run, RunEvent.NOT_RUNNING, now_ms)
             continue
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -36,6 +36,16 @@
     WORKER_LOST = 'worker_lost'
 
 
+class LossCause(Enum):
+    """Why the owner takes the runs of a worker as ended without a report."""
+
+    LEASE_EXPIRED = 'lease_expired'
+    # A later incarnation has reported, or is in the directory.
+    RESTARTED = 'restarted'
+    # Another worker answers at its address.
+    REPLACED = 'replaced'
+
+
 class AvailabilityState(Enum):
     """Whether the owner of a pool may start runs on a worker."""
 
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -19,7 +19,7 @@
 from fuchsiarill.graphs.run_actions import order_stop
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import AvailabilityEvent
+from fuchsiarill.graphs.states import AvailabilityEvent, LossCause
 from fuchsiarill.registry import Registry
 
 _TickAction = Callable[[PoolState, int], None]
@@ -51,7 +51,7 @@
         view.is_reconciled = True
         if view.runs:
             worker_crashes.remember_loss(state, view, now_ms)
-            reports.mark_runs_lost(state, view, now_ms)
+            reports.mark_runs_lost(state, view, LossCause.LEASE_EXPIRED, now_ms)
         if not view.is_listed:
             state.workers.apply_event(view, AvailabilityEvent.LAPSED)
 
--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -16,17 +16,14 @@
 _TIME_SLACK_MS: Final = 50
 
 
-def proves_end(view: WorkerView, failure: AgentFailure) -> bool:
-    """Tell whether a failure proves that the worker process has ended."""
-    if failure is AgentFailure.OTHER_WORKER:
-        return True
-    # A leaving worker withdraws its directory entry and closes its port. A
-    # refused connection alone proves nothing: a broken network link can reset
-    # connections too.
-    has_left = (
-        view.availability is AvailabilityState.LEAVING and not view.is_listed
-    )
-    return has_left and failure is AgentFailure.CONNECTION_REFUSED
+def proves_end(failure: AgentFailure) -> bool:
+    """Tell whether a failure proves that the worker process has ended.
+
+    A refused connection does not, not even of a leaving worker without an entry
+    in the directory: it may have closed its port and still run its tasks, and a
+    broken network link refuses connections too. Its task leases bound the wait.
+    """
+    return failure is AgentFailure.OTHER_WORKER
 
 
 def loss_of(view: WorkerView, now_ms: int) -> WorkerLoss:
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -1,8 +1,19 @@
 """Decisions of `GraphCore` on worker reports that each test constructs."""
 
+import pytest
+
 from fuchsiarill.graphs.effects import StopRun
-from fuchsiarill.graphs.model import BornMs, EndKind, Step, WorkerReport
+from fuchsiarill.graphs.model import (
+    BornMs,
+    EndKind,
+    Step,
+    WorkerListing,
+    WorkerReport,
+)
+from fuchsiarill.graphs.settings import TaskLeaseSettings
+from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
+from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import Resources
 from tests.graph_owner import (
     CAPACITY,
@@ -322,3 +333,35 @@
     stopped = ended(task('a'), kind=EndKind.STOPPED, attempt=102)
     owner.report('w1', (), (stopped,))
     assert [start.worker for start in owner.starts()] == ['w1']
+
+
+@pytest.mark.parametrize('reports_later', [True, False])
+def test_refused_connection_of_a_departed_worker_ends_no_run(
+    *, reports_later: bool
+) -> None:
+    """Guards against two runs at once on a worker that closed its port.
+
+    It is leaving and not in the directory any more, but still runs its tasks.
+    Without a further report they may run until their leases have expired.
+    """
+    owner = Owner('w0', 'w1')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SIZE))
+    assert len(owner.starts()) == 1
+    owner.report('w0', (running(task('a')),))
+    owner.report('w1')
+    owner.core.renewal_sent(WorkerId('w0'), owner.now_ms)
+    leaving = owner.entries('w0', listing=WorkerListing.LEAVING)
+    owner.core.update_workers([*leaving, entry('w1')], owner.now_ms)
+    owner.core.update_workers([entry('w1')], owner.now_ms)
+    owner.core.worker_failed(
+        WorkerId('w0'), AgentFailure.CONNECTION_REFUSED, owner.now_ms
+    )
+    assert not owner.starts()
+    if reports_later:
+        owner.report('w0', ended=(ended(task('a')),))
+        entry_of_job = owner.core.state.jobs[JobId('a')]
+        assert entry_of_job.progress.phase is JobPhase.SUCCEEDED
+        return
+    owner.now_ms += TaskLeaseSettings().longest_ms
+    assert [start.worker for start in owner.starts()] == ['w1']
