--- a/fuchsiarill/core/probation.py
+++ b/fuchsiarill/core/probation.py
@@ -21,6 +21,7 @@
 from fuchsiarill.core.steps import step_worker
 from fuchsiarill.core.timers import call_at
 from fuchsiarill.core.worker_view import WorkerView
+from fuchsiarill.ids import WorkerId
 from fuchsiarill.job import Attempt, JobRecord
 from fuchsiarill.states import WorkerEvent, WorkerState
 
@@ -66,10 +67,8 @@
     had_succeeded_elsewhere = bool(estimate.succeeded_on - job.failed_on)
     estimate.record_success_on(attempt.worker_id)
     if not had_succeeded_elsewhere:
-        for worker_id in sorted(job.failed_on - {attempt.worker_id}):
-            failed_worker = state.workers.get(worker_id)
-            if failed_worker is not None:
-                _attribute_failure(state, failed_worker, job, now_ms)
+        others = job.failed_on - {attempt.worker_id}
+        _attribute_failures(state, others, job, now_ms)
     clear_blame(job)
     worker = state.workers.get(attempt.worker_id)
     if worker is None:
@@ -115,6 +114,15 @@
     step_worker(state, worker, WorkerEvent.FAILURES_WITHDRAWN, now_ms)
 
 
+def _attribute_failures(
+    state: CoreState, worker_ids: set[WorkerId], job: JobRecord, now_ms: int
+) -> None:
+    for worker_id in sorted(worker_ids):
+        worker = state.workers.get(worker_id)
+        if worker is not None:
+            _attribute_failure(state, worker, job, now_ms)
+
+
 def _attribute_failure(
     state: CoreState, worker: WorkerView, job: JobRecord, now_ms: int
 ) -> None:
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -268,8 +268,9 @@
     729,
     Level.INFO,
     'attempt {attempt} of task {task} of job {job} is not in a report of '
-    '{worker} that was requested {request_age_ms} ms ago; it would be since '
-    '{visible_ms} ms; ends complete: {is_complete}',
+    '{worker} requested at {requested_ms} ms of the process clock; one '
+    'requested after {visible_since_ms} ms would list it while it runs; ends '
+    'complete: {is_complete}',
     _NO_ACTION,
 )
 TENURE_WON: Final = LogEvent(
--- a/fuchsiarill/graphs/failure_blame.py
+++ b/fuchsiarill/graphs/failure_blame.py
@@ -23,7 +23,7 @@
 from fuchsiarill.graphs.worker_table import WorkerView
 
 # It is unlikely that this many workers began to be faulty at one time.
-_WORKERS_TO_BLAME_COUNT: Final = 3
+_WITNESSES_TO_BLAME_COUNT: Final = 3
 # More than half of the ready workers are enough, whether suspended or not.
 _MAJORITY_MIN_COUNT: Final = 2
 # A run has outlived the failed ones if a report still lists it at this multiple
@@ -59,7 +59,7 @@
         history.add(
             view.worker,
             failure.ran_ms,
-            is_suspended=worker_suspension.is_on_probation(view),
+            is_on_probation=worker_suspension.is_on_probation(view),
         )
     if was_to_blame:
         return
@@ -127,7 +127,7 @@
 
 
 def _has_failed_widely(history: FailureHistory, majority_count: int) -> bool:
-    if len(history.unsuspended_workers) >= _WORKERS_TO_BLAME_COUNT:
+    if len(history.witnesses) >= _WITNESSES_TO_BLAME_COUNT:
         return True
     return len(history.workers) >= majority_count
 
@@ -144,22 +144,23 @@
     state: PoolState, step: StepEntry, unit: Unit, now_ms: int
 ) -> None:
     """Take the failures of a step, or of only one unit, off the workers."""
-    blamed = step.failures if step.failures.is_to_blame else unit.failures
+    is_whole_step = step.failures.is_to_blame
+    blamed = step.failures if is_whole_step else unit.failures
     events.emit(
         events.TASKS_BLAMED,
         job=step.key.job,
         task=unit.key.label,
-        is_whole_step=blamed is step.failures,
+        is_whole_step=is_whole_step,
         workers=len(blamed.workers),
         longest_ms=blamed.longest_ms,
     )
-    blamed_tasks = set(step.tasks_of(unit.key))
+    unit_tasks = step.tasks_of(unit.key)
     for view in state.workers:
         withdrawn = {
             task
             for task in view.failure_record.consecutive_failures
-            if task in blamed_tasks
-            or (blamed is step.failures and task.step_key == step.key)
+            if task in unit_tasks
+            or (is_whole_step and task.step_key == step.key)
         }
         if withdrawn and worker_suspension.withdraw_failures(
             view, withdrawn, now_ms
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -31,24 +31,26 @@
     """Failures since the last proof that a step or a unit is sound."""
 
     workers: set[WorkerId] = field(default_factory=set)
-    # Those of them that were neither suspended nor on probation.
-    unsuspended_workers: set[WorkerId] = field(default_factory=set)
+    # Those of them that were neither suspended nor on probation then.
+    witnesses: set[WorkerId] = field(default_factory=set)
     # The longest time from a start order to the failure of its run.
     longest_ms: int = 0
     # The failures show nothing about the workers; see `failure_blame`.
     is_to_blame: bool = False
 
-    def add(self, worker: WorkerId, ran_ms: int, *, is_suspended: bool) -> None:
+    def add(
+        self, worker: WorkerId, ran_ms: int, *, is_on_probation: bool
+    ) -> None:
         """Add the failure of a run."""
         self.workers.add(worker)
-        if not is_suspended:
-            self.unsuspended_workers.add(worker)
+        if not is_on_probation:
+            self.witnesses.add(worker)
         self.longest_ms = max(self.longest_ms, ran_ms)
 
     def clear(self) -> None:
         """Forget all failures."""
         self.workers.clear()
-        self.unsuspended_workers.clear()
+        self.witnesses.clear()
         self.longest_ms = 0
         self.is_to_blame = False
 
@@ -61,7 +63,7 @@
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
     last_attempt: int = 0
     checkpoint: Checkpoint = NO_CHECKPOINT
-    # Workers on which the unit failed; others are preferred.
+    # Workers on which the unit ever failed; others are preferred.
     failed_on: set[WorkerId] = field(default_factory=set)
     preemptions_count: int = 0
     stalls_count: int = 0
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -320,25 +320,23 @@
         if run.key in reported_keys or not _is_visible(run, requested_ms):
             continue
         if not report.has_more_ends:
-            _log_absence(run, report, requested_ms, now_ms)
+            _log_absence(run, report, requested_ms)
             end_unreported_run(state, run, RunEvent.ABSENT, now_ms)
             continue
         if run.state is not RunState.END_UNSEEN:
-            _log_absence(run, report, requested_ms, now_ms)
+            _log_absence(run, report, requested_ms)
         apply_run_event(state, run, RunEvent.NOT_RUNNING, now_ms)
 
 
-def _log_absence(
-    run: Run, report: WorkerReport, requested_ms: int, now_ms: int
-) -> None:
+def _log_absence(run: Run, report: WorkerReport, requested_ms: int) -> None:
     events.emit(
         events.RUN_ABSENT,
         job=run.task.job,
         task=run.task.label,
         attempt=run.attempt,
         worker=run.worker,
-        request_age_ms=now_ms - requested_ms,
-        visible_ms=now_ms - (run.visible_since_ms or 0),
+        visible_since_ms=run.visible_since_ms,
+        requested_ms=requested_ms,
         is_complete=not report.has_more_ends,
     )
 
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -166,28 +166,24 @@
     if entry_and_unit is None:
         return False
     entry, unit = entry_and_unit
+    is_suspect = run.unit_id in suspects
     if not run.is_confirmed:
-        return _count_unconfirmed_loss(state, run, suspects)
+        if is_suspect:
+            crash_trials.suspect_unit(state, entry, unit)
+        return is_suspect and _count_unconfirmed_loss(entry, unit, run)
     if not entry.progress.add_crash(unit.key, run.attempt):
         return False
     state.mark_dirty(entry.job)
     count = entry.progress.crashes_count(unit.key)
     if _must_give_up(run, count, suspects == {run.unit_id}):
         return True
-    if run.unit_id in suspects or count >= crash_trials.WHOLE_RUN_CRASHES_COUNT:
+    if is_suspect or count >= crash_trials.WHOLE_RUN_CRASHES_COUNT:
         crash_trials.suspect_unit(state, entry, unit)
     return False
 
 
-def _count_unconfirmed_loss(
-    state: PoolState, run: LostRun, suspects: set[_UnitId]
-) -> bool:
+def _count_unconfirmed_loss(entry: JobEntry, unit: Unit, run: LostRun) -> bool:
     """Count a loss that may be no crash; returns whether to give up."""
-    entry_and_unit = _find_unit(state, run)
-    if entry_and_unit is None or run.unit_id not in suspects:
-        return False
-    entry, unit = entry_and_unit
-    crash_trials.suspect_unit(state, entry, unit)
     unit.unconfirmed_losses.add(run.attempt)
     losses_count = len(unit.unconfirmed_losses)
     losses_count += entry.progress.crashes_count(unit.key)
--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -34,7 +34,7 @@
     runs: tuple[LostRun, ...] = ()
     if not _is_leaving(view):
         runs = tuple(
-            _lost_run(view, run)
+            _lost_run(run)
             for run in view.runs.values()
             if _may_have_started(view, run)
         )
@@ -123,7 +123,7 @@
     return run.start_ordered_ms <= view.silent_since_ms
 
 
-def _lost_run(view: WorkerView, run: Run) -> LostRun:
+def _lost_run(run: Run) -> LostRun:
     return LostRun(
         run.task,
         run.attempt,
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -40,9 +40,8 @@
     """Suspend the worker after consecutive failures of different tasks.
 
     Every further failure without a success, and any failure on probation,
-    suspends it again. Each suspension
-    lasts twice as long as the one before, up to a maximum, unless the probation
-    has ended in between.
+    suspends it again. Each suspension lasts twice as long as the one before, up
+    to a maximum, unless the probation has ended in between.
     """
     record = view.failure_record
     record.consecutive_failures.add(task)
@@ -50,15 +49,15 @@
     if not is_suspect and not is_on_probation(view):
         return
     duration_ms = min(
-        _FIRST_SUSPENSION_MS * 2**view.failure_record.suspensions_count,
+        _FIRST_SUSPENSION_MS * 2**record.suspensions_count,
         _SUSPENSION_MAX_MS,
     )
-    view.failure_record.suspensions_count += 1
-    view.failure_record.suspended_until_ms = now_ms + duration_ms
+    record.suspensions_count += 1
+    record.suspended_until_ms = now_ms + duration_ms
     events.emit(
         events.WORKER_SUSPENDED,
         worker=view.worker,
-        failures=len(view.failure_record.consecutive_failures),
+        failures=len(record.consecutive_failures),
         duration_ms=duration_ms,
     )
 
@@ -71,7 +70,7 @@
 def withdraw_failures(
     view: WorkerView, tasks: set[TaskKey], now_ms: int
 ) -> bool:
-    """Take failures off a worker that the tasks have caused.
+    """Take failures off a worker that are the fault of the tasks.
 
     Returns whether that ends a suspension, because the failures that are left
     do not justify it. The worker stays on probation: nothing has shown yet that
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -27,6 +27,7 @@
 )
 from fuchsiarill.graphs.progress import JobProgress
 from fuchsiarill.graphs.settings import TaskLeaseSettings
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import (
     Epoch,
     FailureDomain,
@@ -122,6 +123,12 @@
         """Return directory entries of workers."""
         return [replace(entry(name), listing=listing) for name in workers]
 
+    def view(self, worker: str) -> WorkerView:
+        """Return the owner's state of a worker that it knows."""
+        view = self.core.state.workers.find(WorkerId(worker))
+        assert view is not None
+        return view
+
     def decide(self) -> list[Effect]:
         """Advance the clock by 10 ms, tick, decide and return the effects."""
         self.now_ms += 10
--- a/tests/test_failure_blame.py
+++ b/tests/test_failure_blame.py
@@ -1,21 +1,24 @@
 """Tasks that fail everywhere, beside sound tasks and faulty workers."""
 
+from itertools import pairwise
+from typing import Final
+
 import pytest
 
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.graphs.model import EndKind, Step
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.graphs.worker_suspension import is_on_probation
-from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.resources import Resources
 from tests.graph_cell import P0, GraphCell, run_scenario
 from tests.graph_owner import SIZE, Owner, ended, running, task
 
-_ALWAYS = 10**6
-_SMALL = Resources(500, 200)
-_SOUND = (Step(8, Resources(1000, 500)),)
-_SOUND_MS = 1500
+# Number of the last attempt that fails.
+_ALWAYS: Final = 10**6
+_SMALL: Final = Resources(500, 200)
+_SOUND: Final = (Step(8, Resources(1000, 500)),)
+_SOUND_MS: Final = 1500
 
 
 async def _submit_failing_jobs(cell: GraphCell) -> None:
@@ -57,10 +60,7 @@
             await sleep_ms(10)
             if len(cell.fleet.starts) > len(starts_ms):
                 starts_ms.append(now_ms())
-        pauses_ms = [
-            later - earlier
-            for earlier, later in zip(starts_ms, starts_ms[1:], strict=False)
-        ]
+        pauses_ms = [later - earlier for earlier, later in pairwise(starts_ms)]
         assert pauses_ms[0] < 500
         assert max(pauses_ms) < 6000
         assert len(starts_ms) < 15
@@ -80,13 +80,15 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize('sick_count', [1, 2, 4])
-def test_faulty_workers_are_found_beside_failing_jobs(sick_count: int) -> None:
+@pytest.mark.parametrize('faulty_count', [1, 2, 4])
+def test_faulty_workers_are_found_beside_failing_jobs(
+    faulty_count: int,
+) -> None:
     """Guards against faulty workers that pass for sound beside such jobs."""
 
     async def scenario(cell: GraphCell) -> None:
-        sick = {f'w{number}' for number in range(sick_count)}
-        for name in sick:
+        faulty = {f'w{number}' for number in range(faulty_count)}
+        for name in faulty:
             cell.fleet.agents[name].fails_all = True
         await _submit_failing_jobs(cell)
         for number in range(10):
@@ -97,20 +99,14 @@
         wasted = [
             row
             for row in cell.fleet.starts
-            if row[2] in sick and row[0].job.startswith('j')
+            if row[2] in faulty and row[0].job.startswith('j')
         ]
         # The eight tasks of a job may start together, one more on probation.
-        assert len(wasted) <= 9 * sick_count
+        assert len(wasted) <= 9 * faulty_count
 
     run_scenario(scenario, workers_count=9)
 
 
-def _view(owner: Owner, worker: str) -> WorkerView:
-    view = owner.core.state.workers.find(WorkerId(worker))
-    assert view is not None
-    return view
-
-
 def _fail_both_tasks(owner: Owner, worker: str, attempt: int) -> None:
     """Report failures of the two tasks of job `a` on a worker."""
     for position in range(2):
@@ -120,7 +116,7 @@
 
 
 def _is_suspended(owner: Owner, worker: str) -> bool:
-    return _view(owner, worker).failure_record.suspended_until_ms > owner.now_ms
+    return owner.view(worker).failure_record.suspended_until_ms > owner.now_ms
 
 
 def test_failures_of_a_task_to_blame_are_withdrawn() -> None:
@@ -139,8 +135,8 @@
     _fail_both_tasks(owner, 'w2', 3)
     for name in ('w0', 'w1', 'w2'):
         assert not _is_suspended(owner, name)
-    assert is_on_probation(_view(owner, 'w0'))
-    assert not is_on_probation(_view(owner, 'w3'))
+    assert is_on_probation(owner.view('w0'))
+    assert not is_on_probation(owner.view('w3'))
 
 
 def test_failure_on_probation_suspends_at_once() -> None:
@@ -150,7 +146,7 @@
     """
     owner = Owner('w0', 'w1', 'w2')
     owner.report('w0')
-    _view(owner, 'w0').failure_record.suspensions_count = 1
+    owner.view('w0').failure_record.suspensions_count = 1
     owner.add_job('a', Step(1, SIZE))
     assert len(owner.starts()) == 1
     owner.report('w0', ended=(ended(task('a'), 1, EndKind.FAILED),))
@@ -189,9 +185,9 @@
     step = next(iter(owner.core.state.jobs[JobId('a')].steps.values()))
     owner.report('w0', ended=(ended(task('a'), 1, EndKind.FAILED),))
     assert step.failures.workers == {'w0'}
-    step.failures.add(WorkerId('w2'), 100, is_suspended=False)
+    step.failures.add(WorkerId('w2'), 100, is_on_probation=False)
     for name in ('w0', 'w1'):
-        record = _view(owner, name).failure_record
+        record = owner.view(name).failure_record
         record.suspensions_count = 1
         record.suspended_until_ms = owner.now_ms
     owner.now_ms += 600
--- a/tests/test_report_pages.py
+++ b/tests/test_report_pages.py
@@ -5,7 +5,6 @@
 nor as ended may have succeeded.
 """
 
-from collections.abc import Callable
 from typing import Final
 
 import pytest
@@ -14,11 +13,17 @@
 from fuchsiarill.graphs.effects import StopRun
 from fuchsiarill.graphs.model import Step, WorkerListing
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import JobId, ProcessId, WorkerId
+from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import Resources
 from standins.store_model import PathFault
-from tests.graph_cell import P0, GraphCell, run_scenario
+from tests.graph_cell import (
+    P0,
+    GraphCell,
+    Scenario,
+    owner_of,
+    run_scenario,
+)
 from tests.graph_owner import SIZE, Owner, ended, running, task
 
 _PAGE_COUNT: Final = 5
@@ -73,8 +78,7 @@
     owner = _owner_with_an_unseen_end()
     owner.add_job('b', Step(1, SIZE))
     assert not owner.starts()
-    view = owner.core.state.workers.find(WorkerId('w0'))
-    assert view is not None
+    view = owner.view('w0')
     assert view.allocated == SIZE
     owner.report('w0', ended=(ended(task('a', position=1), 2),))
     assert [start.task for start in owner.starts()] == [task('b')]
@@ -94,8 +98,7 @@
             order.worker, order.task, order.attempt, None, owner.now_ms
         )
     owner.report('w0', ended=(ended(task('a')),), has_more_ends=True)
-    view = owner.core.state.workers.find(WorkerId('w0'))
-    assert view is not None
+    view = owner.view('w0')
     assert view.allocated == SIZE
     owner.report('w0')
     assert not view.runs
@@ -153,16 +156,13 @@
 
 
 async def _kill_owner(cell: GraphCell) -> None:
-    owner = cell.owner()
-    assert owner is not None
     # The ends come while no process owns the pool.
     await sleep_ms(300)
-    await cell.kill(ProcessId(owner))
+    await cell.kill(owner_of(cell))
 
 
 async def _drain_owner(cell: GraphCell) -> None:
-    owner = cell.owner()
-    assert owner is not None
+    owner = owner_of(cell)
     cell.paths[owner].fault = PathFault.REFUSED
     await sleep_ms(1600)
     cell.processes[owner].drain()
@@ -172,7 +172,7 @@
     'disrupt', [_refuse_store_calls, _kill_owner, _drain_owner]
 )
 def test_tasks_with_many_unacknowledged_ends_run_once(
-    disrupt: Callable[[GraphCell], object],
+    disrupt: Scenario,
 ) -> None:
     """Guards against second runs while ends can't be acknowledged.
 
@@ -185,7 +185,7 @@
         await cell.submit(P0, 'a', _SMALL_TASKS, duration_ms=1500)
         await sleep_ms(500)
         assert len(cell.fleet.starts) == _TASKS_COUNT
-        await disrupt(cell)  # type: ignore[misc]
+        await disrupt(cell)
         recovered_ms = now_ms()
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 9000)
         assert len(cell.fleet.starts) == _TASKS_COUNT
--- a/tests/test_unconfirmed_starts.py
+++ b/tests/test_unconfirmed_starts.py
@@ -7,12 +7,7 @@
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
-from tests.crash_world import (
-    OUTAGE_MS,
-    SMALL,
-    WORKERS,
-    CrashWorld,
-)
+from tests.crash_world import OUTAGE_MS, SMALL, WORKERS, CrashWorld
 from tests.graph_owner import SIZE, Owner, task
 
 
