Split the log events of job graphs from events.py

Change: 7xx move to graph_events.py, in the order of their numbers; 748, which the log sink itself uses, stays. The page generator imports both modules, which registers their events.

The catalogue has the same rows; only the line that names its sources changed. Lint and the suite without tests/process passed.

--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from fuchsiarill import events, texts
+from fuchsiarill import graph_events, texts
 from fuchsiarill.log_event import LogEvent
 
 _OBJECT_START: Final = '{'
@@ -43,32 +43,33 @@
     end_counts = Counter(
         line.get('kind')
         for line in history.lines
-        if _has_event(line, events.RUN_ENDED)
+        if _has_event(line, graph_events.RUN_ENDED)
     )
-    settled_line = by_event.get(events.GRAPH_SETTLED.number)
-    placed_line = _first_line(history, events.RUN_PLACED)
+    settled_line = by_event.get(graph_events.GRAPH_SETTLED.number)
+    placed_line = _first_line(history, graph_events.RUN_PLACED)
     if settled_line is not None and settled_line['phase'] == 'failed':
         return _summarize_failure(
-            by_event.get(events.TASK_GIVEN_UP.number), end_counts['failed']
+            by_event.get(graph_events.TASK_GIVEN_UP.number),
+            end_counts['failed'],
         )
     if settled_line is not None:
         wait_ms = None if placed_line is None else placed_line['waited_ms']
         return texts.JOB_SETTLED.format(
             wait_ms=wait_ms,
-            lost=_count_events(history, events.RUN_LOST),
+            lost=_count_events(history, graph_events.RUN_LOST),
             failed=end_counts['failed'],
             stopped=end_counts['stopped'],
             **settled_line,
         )
-    refused_line = by_event.get(events.GRAPH_REFUSED.number)
-    if events.GRAPH_ACCEPTED.number not in by_event:
+    refused_line = by_event.get(graph_events.GRAPH_REFUSED.number)
+    if graph_events.GRAPH_ACCEPTED.number not in by_event:
         if refused_line is not None:
             return texts.JOB_REFUSED.format(**refused_line)
         return texts.JOB_UNSEEN
     if placed_line is None:
         return texts.JOB_NOT_PLACED
     return texts.JOB_UNFINISHED.format(
-        placed=_count_events(history, events.RUN_PLACED),
+        placed=_count_events(history, graph_events.RUN_PLACED),
         ended=sum(end_counts.values()),
     )
 
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -13,7 +13,7 @@
 
 from returns.result import Success
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Mailbox, Reply, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -225,7 +225,7 @@
         if pending.is_answered:
             return
         events.emit(
-            events.ADVICE_OVERDUE,
+            graph_events.ADVICE_OVERDUE,
             job=pending.step.job,
             route=message.route or self._process,
             waited_ms=int(message.call.overdue_ms),
--- a/fuchsiarill/graphs/blocked_steps.py
+++ b/fuchsiarill/graphs/blocked_steps.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState
@@ -56,7 +56,7 @@
         if charge.fits_in(view.free_for_step(step.key, step.rank_ms))
     ]
     events.emit(
-        events.STEP_BLOCKED,
+        graph_events.STEP_BLOCKED,
         job=step.key.job,
         step=f'{step.key.occurrence}.{step.key.step}',
         queue=entry.graph.queue,
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     decision_round,
     reports,
@@ -213,7 +213,7 @@
         self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
         if previous_availability is not view.availability:
             events.emit(
-                events.WORKER_UNCONFIRMED,
+                graph_events.WORKER_UNCONFIRMED,
                 worker=worker,
                 failure=failure.value,
                 runs=len(view.runs),
@@ -291,7 +291,7 @@
         }
         self.state.tickets.store_answer(step, requested, granted, expiry_ms)
         events.emit(
-            events.STEP_ADVISED,
+            graph_events.STEP_ADVISED,
             job=step.job,
             step=f'{step.occurrence}.{step.step}',
             asked=len(requested),
@@ -368,7 +368,7 @@
         self, run: Run, failure: AgentFailure, now_ms: int
     ) -> None:
         events.emit(
-            events.START_REFUSED,
+            graph_events.START_REFUSED,
             job=run.task.job,
             task=run.task.label,
             attempt=run.attempt,
--- a/fuchsiarill/graphs/crash_trials.py
+++ b/fuchsiarill/graphs/crash_trials.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.effects import RequestReport
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
@@ -71,7 +71,7 @@
     if not unit.is_suspect:
         unit.is_suspect = True
         events.emit(
-            events.UNIT_SUSPECTED,
+            graph_events.UNIT_SUSPECTED,
             job=entry.job,
             task=unit.key.label,
             crashes=entry.progress.crashes_count(unit.key),
@@ -88,7 +88,7 @@
         return
     unit.is_suspect = False
     unit.unconfirmed_losses.clear()
-    events.emit(events.UNIT_CLEARED, job=job, task=unit.key.label)
+    events.emit(graph_events.UNIT_CLEARED, job=job, task=unit.key.label)
 
 
 def end_trials(state: PoolState, entry: JobEntry, unit: Unit) -> None:
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -5,7 +5,7 @@
 
 from typing import Final, NamedTuple
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     advice_requests,
     crash_trials,
@@ -233,7 +233,7 @@
         ),
     )
     events.emit(
-        events.RUN_PLACED,
+        graph_events.RUN_PLACED,
         job=run.task.job,
         task=run.task.label,
         attempt=run.attempt,
--- a/fuchsiarill/graphs/directory.py
+++ b/fuchsiarill/graphs/directory.py
@@ -1,6 +1,6 @@
 """Entries of the workers of one pool, as listed in the store."""
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.model import PoolId, WorkerEntry
 from fuchsiarill.graphs.ports import DocumentError, DocumentLayout
 from fuchsiarill.ids import WorkerId
@@ -54,7 +54,7 @@
             entry = self._documents.read_worker(worker, item.value)
         except DocumentError as error:
             events.emit(
-                events.DOCUMENT_UNREADABLE,
+                graph_events.DOCUMENT_UNREADABLE,
                 key=item.key,
                 revision=item.revision,
                 problem=str(error),
--- a/fuchsiarill/graphs/failure_blame.py
+++ b/fuchsiarill/graphs/failure_blame.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import worker_suspension
 from fuchsiarill.graphs.job_entries import FailureHistory, StepEntry, Unit
 from fuchsiarill.graphs.model import TaskKey
@@ -147,7 +147,7 @@
     is_whole_step = step.failures.is_to_blame
     blamed = step.failures if is_whole_step else unit.failures
     events.emit(
-        events.TASKS_BLAMED,
+        graph_events.TASKS_BLAMED,
         job=step.key.job,
         task=unit.key.label,
         is_whole_step=is_whole_step,
--- a/fuchsiarill/graphs/handover.py
+++ b/fuchsiarill/graphs/handover.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -123,5 +123,7 @@
         pause = self._pauses.setdefault(tenure.pool, _Pause())
         pause.until_ms = now_ms() + pause.duration_ms
         pause.duration_ms = min(2 * pause.duration_ms, _PAUSE_MAX_MS)
-        events.emit(events.POOL_HANDED_OVER, pool=tenure.pool, process=process)
+        events.emit(
+            graph_events.POOL_HANDED_OVER, pool=tenure.pool, process=process
+        )
         tenure.mailbox.send(HandOverToLarger())
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -14,7 +14,7 @@
 
 from returns.result import Failure, Success
 
-from fuchsiarill import codes, events
+from fuchsiarill import codes, events, graph_events
 from fuchsiarill.actor import Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -174,7 +174,7 @@
         cancel_key = keys.cancel_key(message.pool, message.job)
         code = await self._create_key(cancel_key, b'{}', retry)
         if code is codes.ACCEPTED:
-            events.emit(events.GRAPH_CANCEL_ACCEPTED, job=message.job)
+            events.emit(graph_events.GRAPH_CANCEL_ACCEPTED, job=message.job)
         message.reply.answer(IntakeAnswer(code))
 
     async def _create_key(
@@ -216,7 +216,7 @@
         if isinstance(outcome, KvCommitted):
             revision = outcome.revision
         events.emit(
-            events.GRAPH_ACCEPTED,
+            graph_events.GRAPH_ACCEPTED,
             job=retry.job,
             queue=key.split('/')[1],
             revision=revision,
@@ -243,7 +243,7 @@
         self, retry: _RetryState, code: codes.ResultCode
     ) -> codes.ResultCode:
         events.emit(
-            events.GRAPH_REFUSED,
+            graph_events.GRAPH_REFUSED,
             verb=retry.verb,
             job=retry.job,
             code=code.name,
--- a/fuchsiarill/graphs/job_actions.py
+++ b/fuchsiarill/graphs/job_actions.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.state import PoolState
@@ -29,7 +29,7 @@
     entry.settled_ms = now_ms
     state.mark_dirty(entry.job)
     events.emit(
-        events.GRAPH_SETTLED,
+        graph_events.GRAPH_SETTLED,
         job=entry.job,
         queue=entry.graph.queue,
         phase=entry.progress.phase.value,
--- a/fuchsiarill/graphs/pacing.py
+++ b/fuchsiarill/graphs/pacing.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.effects import PaceRun
 from fuchsiarill.graphs.model import FULL_PACE_PERCENT
 from fuchsiarill.graphs.runs import Run
@@ -71,7 +71,7 @@
     run.pace_changed_ms = now_ms
     state.effects.append(PaceRun(run.worker, run.task, run.attempt, percent))
     events.emit(
-        events.FILLER_PACED,
+        graph_events.FILLER_PACED,
         job=run.task.job,
         worker=run.worker,
         percent=percent,
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import Any, Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -318,7 +318,7 @@
     def _report_takeover(self) -> None:
         self._context.metrics.takeovers.inc()
         events.emit(
-            events.POOL_LOADED,
+            graph_events.POOL_LOADED,
             pool=self._term.pool,
             epoch=self._term.epoch,
             jobs=len(self.core.state.jobs),
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.placement import PlacementRequest
 from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import Run
@@ -148,7 +148,7 @@
     for run in preemption.victims:
         _count_preemption(state, run)
         events.emit(
-            events.RUN_PREEMPTED,
+            graph_events.RUN_PREEMPTED,
             job=run.task.job,
             task=run.task.label,
             attempt=run.attempt,
--- a/fuchsiarill/graphs/prefix_watch.py
+++ b/fuchsiarill/graphs/prefix_watch.py
@@ -11,7 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Actor, Mailbox
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.ids import Revision, StoreKey
@@ -162,7 +162,7 @@
         if not self._is_unreachable and failing_ms >= _UNREACHABLE_AFTER_MS:
             self._is_unreachable = True
             events.emit(
-                events.STORE_LOST,
+                graph_events.STORE_LOST,
                 prefix=self._settings.prefix,
                 failure=failure.value,
                 failing_ms=failing_ms,
@@ -177,7 +177,7 @@
     def _record_success(self) -> None:
         if self._is_unreachable and self._failing_since_ms is not None:
             events.emit(
-                events.STORE_REGAINED,
+                graph_events.STORE_REGAINED,
                 prefix=self._settings.prefix,
                 lost_ms=now_ms() - self._failing_since_ms,
             )
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -11,7 +11,7 @@
 
 from returns.result import Success
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Actor, Mailbox, Reply, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -267,7 +267,7 @@
             config = self._ports.documents.read_config(content)
         except DocumentError as error:
             events.emit(
-                events.DOCUMENT_UNREADABLE,
+                graph_events.DOCUMENT_UNREADABLE,
                 key=item.key,
                 revision=item.revision,
                 problem=str(error),
--- a/fuchsiarill/graphs/record_writer.py
+++ b/fuchsiarill/graphs/record_writer.py
@@ -13,7 +13,7 @@
 
 from returns.result import Failure
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.graphs.owner_messages import (
@@ -151,7 +151,7 @@
         self._is_ownership_lost = True
         fence_key, fence_revision = self._fence
         events.emit(
-            events.WRITE_FENCED,
+            graph_events.WRITE_FENCED,
             key=fence_key,
             expected=fence_revision,
             found=None if fence is None else fence.revision,
--- a/fuchsiarill/graphs/relayed_store.py
+++ b/fuchsiarill/graphs/relayed_store.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure, Result, Success
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.clock import now_ms
 from fuchsiarill.graphs import store_encoding as encoding
 from fuchsiarill.graphs.peer_links import PeerLinks
@@ -191,6 +191,6 @@
     def _suspend_direct(self, failure: KvFailure) -> None:
         now = now_ms()
         if now > self._suspended_until_ms + _DIRECT_SUSPENSION_MS:
-            events.emit(events.STORE_RELAYED, failure=failure.value)
+            events.emit(graph_events.STORE_RELAYED, failure=failure.value)
         if now > self._suspended_until_ms:
             self._suspended_until_ms = now + _DIRECT_SUSPENSION_MS
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     crash_trials,
     failure_blame,
@@ -119,7 +119,7 @@
 ) -> None:
     silent_since_ms = view.silent_since_ms
     events.emit(
-        events.RUN_LOST,
+        graph_events.RUN_LOST,
         job=run.task.job,
         task=run.task.label,
         attempt=run.attempt,
@@ -230,7 +230,7 @@
         job_and_step[1].runs_per_worker[view.worker] += 1
     step_and_unit = _unit_for_adoption(state, entry, run)
     events.emit(
-        events.RUN_FOUND,
+        graph_events.RUN_FOUND,
         job=row.task.job,
         task=row.task.label,
         attempt=row.attempt,
@@ -330,7 +330,7 @@
 
 def _log_absence(run: Run, report: WorkerReport, requested_ms: int) -> None:
     events.emit(
-        events.RUN_ABSENT,
+        graph_events.RUN_ABSENT,
         job=run.task.job,
         task=run.task.label,
         attempt=run.attempt,
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     crash_trials,
     failure_blame,
@@ -185,7 +185,7 @@
     now_ms: int,
 ) -> None:
     events.emit(
-        events.RUN_ENDED,
+        graph_events.RUN_ENDED,
         job=row.task.job,
         task=row.task.label,
         attempt=row.attempt,
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import failure_blame
 from fuchsiarill.graphs.job_entries import Unit
 from fuchsiarill.graphs.run_actions import apply_run_event
@@ -38,7 +38,7 @@
     state: PoolState, view: WorkerView, run: Run, now_ms: int
 ) -> None:
     events.emit(
-        events.RUN_STALLED,
+        graph_events.RUN_STALLED,
         job=run.task.job,
         task=run.task.label,
         attempt=run.attempt,
--- a/fuchsiarill/graphs/tenure.py
+++ b/fuchsiarill/graphs/tenure.py
@@ -14,7 +14,7 @@
 
 from returns.result import Failure, Success
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -143,7 +143,7 @@
     async def on_ownership_lost(self, message: OwnershipLost) -> None:
         """Step down: the pool has a later owner, or the owner key changed."""
         events.emit(
-            events.TENURE_REFUTED,
+            graph_events.TENURE_REFUTED,
             pool=self.pool,
             epoch=self._election.epoch,
             reason=message.reason,
@@ -180,7 +180,7 @@
         is_lease_gone = message.outcome == Failure(KvFailure.LEASE_GONE)
         if message.is_key_lost or is_lease_gone:
             events.emit(
-                events.TENURE_REFUTED,
+                graph_events.TENURE_REFUTED,
                 pool=self.pool,
                 epoch=self._election.epoch,
                 reason='the lease or the owner key is gone',
@@ -231,7 +231,7 @@
         )
         self._renewal_requested_ms = election.requested_ms
         events.emit(
-            events.TENURE_WON,
+            graph_events.TENURE_WON,
             pool=self.pool,
             epoch=election.epoch,
             campaign_ms=now_ms() - election.requested_ms,
@@ -258,7 +258,7 @@
     def step_down(self) -> None:
         """End the term; the owner key has another holder or none."""
         events.emit(
-            events.TENURE_LOST,
+            graph_events.TENURE_LOST,
             pool=self.pool,
             epoch=self._election.epoch,
         )
@@ -379,12 +379,12 @@
 
 @TENURE_ACTIONS.register('suspend')
 def _suspend(tenure: Tenure) -> None:
-    tenure.log_event(events.TENURE_SUSPENDED)
+    tenure.log_event(graph_events.TENURE_SUSPENDED)
 
 
 @TENURE_ACTIONS.register('resume')
 def _resume(tenure: Tenure) -> None:
-    tenure.log_event(events.TENURE_RESUMED)
+    tenure.log_event(graph_events.TENURE_RESUMED)
 
 
 @TENURE_ACTIONS.register('step_down')
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     advice_prefetch,
     crash_trials,
@@ -105,7 +105,7 @@
             return
     state.is_inheritance_settled = True
     events.emit(
-        events.INHERITANCE_SETTLED,
+        graph_events.INHERITANCE_SETTLED,
         pool=state.pool,
         epoch=state.epoch,
     )
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -11,7 +11,7 @@
 from operator import attrgetter
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import crash_trials
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import JobEntry, Unit
@@ -102,7 +102,7 @@
     has_no_power = is_power_loss(state, loss)
     suspects = _suspects_of(loss)
     events.emit(
-        events.WORKER_CRASHED,
+        graph_events.WORKER_CRASHED,
         worker=loss.worker,
         runs=len(loss.runs),
         confirmed=sum(run.is_confirmed for run in loss.runs),
@@ -215,7 +215,7 @@
     """Let the job of a unit fail."""
     entry = state.jobs[run.task.job]
     events.emit(
-        events.TASK_GIVEN_UP,
+        graph_events.TASK_GIVEN_UP,
         job=entry.job,
         task=run.task.label,
         attempt=run.attempt,
--- a/fuchsiarill/graphs/worker_suspension.py
+++ b/fuchsiarill/graphs/worker_suspension.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.model import TaskKey
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.states import AvailabilityState
@@ -55,7 +55,7 @@
     record.suspensions_count += 1
     record.suspended_until_ms = now_ms + duration_ms
     events.emit(
-        events.WORKER_SUSPENDED,
+        graph_events.WORKER_SUSPENDED,
         worker=view.worker,
         failures=len(record.consecutive_failures),
         duration_ms=duration_ms,
@@ -84,7 +84,7 @@
         return False
     record.suspensions_count = 1
     record.suspended_until_ms = now_ms
-    events.emit(events.SUSPENSION_ENDED, worker=view.worker)
+    events.emit(graph_events.SUSPENSION_ENDED, worker=view.worker)
     return True
 
 
--- a/fuchsiarill/log_event.py
+++ b/fuchsiarill/log_event.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 EVENTS_BY_NUMBER: Final[dict[int, 'LogEvent']] = {}
+# Advice of an event on which an operator need not act.
+NO_ACTION: Final = 'None.'
 
 
 class Level(Enum):
--- a/fuchsiarill/platform/answers.py
+++ b/fuchsiarill/platform/answers.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.ports.http_client import CallFailure, HttpResponse
 
 _SUCCESS_CLASS: Final = 2
@@ -68,7 +68,7 @@
         return parse_object(response.body)
     except (KeyError, TypeError, ValueError) as error:
         events.emit(
-            events.ANSWER_UNREADABLE,
+            graph_events.ANSWER_UNREADABLE,
             source=source,
             problem=repr(error),
         )
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -20,7 +20,7 @@
 import capnp
 from returns.result import Failure
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.codes import ExitStatus
 from fuchsiarill.collector import raise_gc_thresholds
 from fuchsiarill.graphs.front import Front
@@ -246,14 +246,14 @@
     load_result = load_graph_settings(path)
     if isinstance(load_result, Failure):
         events.emit(
-            events.DOCUMENT_UNREADABLE,
+            graph_events.DOCUMENT_UNREADABLE,
             key=str(path),
             revision=0,
             problem='; '.join(load_result.failure()),
         )
         return
     events.emit(
-        events.SETTINGS_RELOADED,
+        graph_events.SETTINGS_RELOADED,
         is_changed=load_result.unwrap() != settings,
     )
 
--- a/fuchsiarill/platform/store_client.py
+++ b/fuchsiarill/platform/store_client.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure, Result, Success
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.ids import ABSENT, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.platform.answers import (
     PlatformResponse,
@@ -182,7 +182,9 @@
     if response.status in _NO_EFFECT_STATUSES or response.is_unsent:
         return KvFailure.REFUSED
     if response.status is not None:
-        events.emit(events.STORE_ANSWER_UNEXPECTED, status=response.status)
+        events.emit(
+            graph_events.STORE_ANSWER_UNEXPECTED, status=response.status
+        )
     return KvFailure.UNKNOWN
 
 
--- a/tests/test_blocked_steps.py
+++ b/tests/test_blocked_steps.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from fuchsiarill import events
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.ids import JobId
 from fuchsiarill.log_event import LogEvent
@@ -18,7 +18,7 @@
         self.fields: list[dict[str, Any]] = []
 
     def emit(self, event: LogEvent, **fields: Any) -> None:
-        if event is events.STEP_BLOCKED:
+        if event is graph_events.STEP_BLOCKED:
             event.template.format(**fields)
             self.fields.append(fields)
 
--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -10,12 +10,14 @@
 from pathlib import Path
 from typing import Final
 
+from fuchsiarill import events, graph_events
 from fuchsiarill.codes import all_codes
-from fuchsiarill.events import all_events
 from fuchsiarill.registry import Registry
 
 DOCS: Final = Path(__file__).parent.parent / 'docs'
 
+# Their import registers the events.
+_EVENT_MODULES: Final = (events, graph_events)
 PAGES: Final[Registry[str, Callable[[], str]]] = Registry('generated pages')
 
 
@@ -46,16 +48,17 @@
 @PAGES.register('EVENTS.md')
 def events_page() -> str:
     """Return the catalogue of log events."""
+    sources = ' and '.join(f'`{module.__name__}`' for module in _EVENT_MODULES)
     lines = [
         '# Log events',
         '',
-        'Written by `make docs` from `fuchsiarill/events.py`. A JSON log line',
+        f'Written by `make docs` from {sources}. A JSON log line',
         'has the number in `record.extra.event` and each field beside it.',
         '',
         '| number | level | text | what to do |',
         '|---|---|---|---|',
     ]
-    for event in all_events():
+    for event in events.all_events():
         cells = (
             str(event.number),
             event.level.value,
