Let the soak play larger cells

The soak played four daemons and six workers in every run, so no run came near the limits of a machine.

No behaviour of the product changes. Lint passes, and the tests of the soak's checks and faults.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 INTERFACE ?= own
 SEED ?= 1
 MINUTES ?= 1
+# Such as `--daemons 60 --workers 100`.
+SOAK_OPTIONS ?=
 DEMO_own = $(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
 DEMO_platform = $(BIN)/python -m tools.platform_demo
 
@@ -22,7 +24,7 @@
 	$(DEMO_$(INTERFACE))
 
 soak: $(VENV)/.installed
-	$(BIN)/python -m tools.soak --seed $(SEED) --minutes $(MINUTES)
+	$(BIN)/python -m tools.soak --seed $(SEED) --minutes $(MINUTES) $(SOAK_OPTIONS)
 
 cell: $(VENV)/.installed
 	$(BIN)/python -m tools.run_cell --deployment $(DEPLOYMENT)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -29,9 +29,6 @@
 from tools.soak_faults import FAULTS, EndFault
 from tools.soak_tally import Disruptions, SoakRecord, find_faults
 
-_DAEMONS_COUNT: Final = 4
-_WORKERS_COUNT: Final = 6
-_CALLERS_COUNT: Final = 3
 _JOBS_MAX_COUNT: Final = 100_000
 _SUBMIT_INTERVAL_S: Final = 0.15
 _CANCEL_EVERY: Final = 9
@@ -43,9 +40,21 @@
 # Time for leases to expire and for restarted daemons to take over.
 _RECOVERY_S: Final = 12.0
 _POLL_INTERVAL_S: Final = 0.05
+_S_PER_MINUTE: Final = 60
 _FAILED_STATUS: Final = 1
 
 
+@dataclass(frozen=True, slots=True)
+class SoakSettings:
+    """Seed and duration of a soak, and the size of its cell."""
+
+    seed: int = 1
+    duration_minutes: float = 1
+    daemons_count: int = 4
+    workers_count: int = 6
+    callers_count: int = 3
+
+
 @dataclass(order=True, slots=True)
 class _ActiveFault:
     """An injected fault with the time of its end."""
@@ -111,25 +120,44 @@
 
 def main() -> int:
     """Run the soak test with one seed; returns the exit status."""
-    parser = argparse.ArgumentParser(prog='tools.soak')
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--minutes', type=float, default=1)
-    parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
-    options = parser.parse_args()
+    options = _parse_options()
+    settings = SoakSettings(
+        options.seed,
+        options.minutes,
+        options.daemons,
+        options.workers,
+        options.callers,
+    )
     end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-soak-') as folder:
         logs = options.logs or Path(folder)
         logs.mkdir(parents=True, exist_ok=True)
-        with PlatformCell(logs, _DAEMONS_COUNT, _WORKERS_COUNT) as cell:
-            return run_soak(cell, options.seed, options.minutes * 60)
+        with PlatformCell(
+            logs, settings.daemons_count, settings.workers_count
+        ) as cell:
+            return run_soak(cell, settings)
 
 
-def run_soak(cell: PlatformCell, seed: int, duration_s: float) -> int:
+def _parse_options() -> argparse.Namespace:
+    defaults = SoakSettings()
+    parser = argparse.ArgumentParser(prog='tools.soak')
+    parser.add_argument('--seed', type=int, default=defaults.seed)
+    parser.add_argument(
+        '--minutes', type=float, default=defaults.duration_minutes
+    )
+    parser.add_argument('--daemons', type=int, default=defaults.daemons_count)
+    parser.add_argument('--workers', type=int, default=defaults.workers_count)
+    parser.add_argument('--callers', type=int, default=defaults.callers_count)
+    parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
+    return parser.parse_args()
+
+
+def run_soak(cell: PlatformCell, settings: SoakSettings) -> int:
     """Run load and faults on a cell that is ready; returns the exit status."""
-    schedule = FaultSchedule(cell, seed)
-    loads, threads = start_loads(cell, _settings_by_seed(seed))
+    schedule = FaultSchedule(cell, settings.seed)
+    loads, threads = start_loads(cell, _load_by_caller_seed(settings))
     try:
-        schedule.run(duration_s)
+        schedule.run(settings.duration_minutes * _S_PER_MINUTE)
     finally:
         for load in loads:
             load.stopping.set()
@@ -138,14 +166,16 @@
     time.sleep(_RECOVERY_S)
     wait_for_final_states(loads)
     jobs = [job for caller in loads for job in caller.jobs]
-    return _report(seed, SoakRecord(cell.control(), jobs, schedule.disruptions))
+    return _report(
+        settings.seed, SoakRecord(cell.control(), jobs, schedule.disruptions)
+    )
 
 
-def _settings_by_seed(seed: int) -> dict[int, LoadSettings]:
+def _load_by_caller_seed(settings: SoakSettings) -> dict[int, LoadSettings]:
     sound = LoadSettings(_JOBS_MAX_COUNT, _SUBMIT_INTERVAL_S, _CANCEL_EVERY)
-    first_seed = 1000 * seed
+    first_seed = 1000 * settings.seed
     return dict.fromkeys(
-        range(first_seed, first_seed + _CALLERS_COUNT), sound
+        range(first_seed, first_seed + settings.callers_count), sound
     ) | {first_seed: replace(sound, deadly_every=_DEADLY_EVERY)}
 
 
