--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 INTERFACE ?= own
 SEED ?= 1
 MINUTES ?= 1
-# Such as `--daemons 60 --workers 100`.
+# Such as `--daemons 10 --workers 16`.
 SOAK_OPTIONS ?=
 DEMO_own = $(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
 DEMO_platform = $(BIN)/python -m tools.platform_demo
