Look at waiting units only until one finds no place; tidy after reading

No decision changes.

Cause: filtered and sorted all waiting units of a step in each decision, though a decision about a step without room ends at its first unit.

Once the loop has ended, the units that could not start are just those that still wait, so no second list is kept to compare with.

No test failed before, since nothing was decided wrongly.

Also: `entries` of tests/graph_owner.py used nothing of its class, so it is a function beside `entry`, and the constructor calls it.

--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -3,6 +3,7 @@
 A unit is a task, or a gang whose tasks start together.
 """
 
+from collections.abc import Iterator
 from typing import Final, NamedTuple
 
 from fuchsiarill import events, graph_events
@@ -131,9 +132,7 @@
     step.rank_ms = ranked.rank_ms
     placer = StepPlacer(state, usable)
     has_waiting_suspect = False
-    due = _due_units(step, now_ms)
-    has_delayed = len(due) < len(step.waiting)
-    for unit in due:
+    for unit in _due_units(step, now_ms):
         # The others are not placed either, which saves the time to find out.
         if has_waiting_suspect and crash_trials.must_wait(unit, now_ms):
             continue
@@ -146,18 +145,24 @@
         if not crash_trials.is_waiting_for_quiet(unit, now_ms):
             return False
         has_waiting_suspect = True
-    return not has_waiting_suspect and not has_delayed
+    return not step.waiting
 
 
-def _due_units(step: StepEntry, now_ms: int) -> list[Unit]:
-    """Return the units whose start is due, last those to blame for failures."""
-    due = [
-        unit
-        for unit in step.waiting.values()
-        if not restart_backoff.is_delayed(unit, now_ms)
-    ]
-    due.sort(key=lambda unit: unit.failures.is_to_blame)
-    return due
+def _due_units(step: StepEntry, now_ms: int) -> Iterator[Unit]:
+    """Yield the units whose start is due, last those to blame for failures.
+
+    Looks at each unit only when it is asked for, since a decision often ends at
+    the first unit of a wide step.
+    """
+    to_blame: list[Unit] = []
+    for unit in list(step.waiting.values()):
+        if restart_backoff.is_delayed(unit, now_ms):
+            continue
+        if unit.failures.is_to_blame:
+            to_blame.append(unit)
+            continue
+        yield unit
+    yield from to_blame
 
 
 def _handle_unplaced_unit(
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -75,7 +75,7 @@
         self.now_ms = 1000
         self.core = GraphCore(POOL, Epoch(7), TaskLeaseSettings(), term)
         self.core.configure(CONFIG)
-        self.core.update_workers([entry(name) for name in workers], self.now_ms)
+        self.core.update_workers(entries(*workers), self.now_ms)
         self.core.record_workers([WorkerId(name) for name in workers])
         self.ends_count = 0
 
@@ -117,12 +117,6 @@
             self.now_ms,
         )
 
-    def entries(
-        self, *workers: str, listing: WorkerListing = WorkerListing.LIVE
-    ) -> list[WorkerEntry]:
-        """Return directory entries of workers."""
-        return [replace(entry(name), listing=listing) for name in workers]
-
     def view(self, worker: str) -> WorkerView:
         """Return the owner's state of a worker that it knows."""
         view = self.core.state.workers.find(WorkerId(worker))
@@ -143,6 +137,13 @@
         ]
 
 
+def entries(
+    *workers: str, listing: WorkerListing = WorkerListing.LIVE
+) -> list[WorkerEntry]:
+    """Return the directory entries of workers."""
+    return [replace(entry(name), listing=listing) for name in workers]
+
+
 def entry(worker: str) -> WorkerEntry:
     """Return the directory entry of a live worker."""
     return WorkerEntry(
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -21,6 +21,7 @@
     URGENT,
     Owner,
     ended,
+    entries,
     entry,
     running,
     task,
@@ -351,7 +352,7 @@
     owner.report('w0', (running(task('a')),))
     owner.report('w1')
     owner.core.renewal_sent(WorkerId('w0'), owner.now_ms)
-    leaving = owner.entries('w0', listing=WorkerListing.LEAVING)
+    leaving = entries('w0', listing=WorkerListing.LEAVING)
     owner.core.update_workers([*leaving, entry('w1')], owner.now_ms)
     owner.core.update_workers([entry('w1')], owner.now_ms)
     owner.core.worker_failed(
--- a/tests/test_report_pages.py
+++ b/tests/test_report_pages.py
@@ -24,7 +24,7 @@
     owner_of,
     run_scenario,
 )
-from tests.graph_owner import SIZE, Owner, ended, running, task
+from tests.graph_owner import SIZE, Owner, ended, entries, running, task
 
 _PAGE_COUNT: Final = 5
 _TASKS_COUNT: Final = 40
@@ -53,7 +53,7 @@
 def test_run_whose_end_is_not_listed_yet_does_not_start_again() -> None:
     """Guards against a second run of a task whose success came a page later."""
     owner = _owner_with_an_unseen_end()
-    owner.core.update_workers(owner.entries('w0', 'w1'), owner.now_ms)
+    owner.core.update_workers(entries('w0', 'w1'), owner.now_ms)
     owner.core.record_workers([WorkerId('w1')])
     owner.report('w1')
     assert not owner.starts()
@@ -141,7 +141,7 @@
     """Guards against starts on a leaving worker once its last page came."""
     owner = _owner_with_an_unseen_end()
     owner.core.update_workers(
-        owner.entries('w0', listing=WorkerListing.LEAVING), owner.now_ms
+        entries('w0', listing=WorkerListing.LEAVING), owner.now_ms
     )
     owner.report('w0')
     assert not owner.starts()
