Give orders a fencing token of epoch and sequence number

No change of behaviour: the sequence number is 0 so far. Orders to workers carried the epoch as their fencing token, so that an order for a former incarnation of a worker has the same token as one for the present incarnation. A token with a second part can rise within an epoch. Its encoding as a number belongs to platform/.

--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -10,7 +10,13 @@
 from enum import Enum
 from typing import Final, NamedTuple, NewType
 
-from fuchsiarill.ids import Epoch, FailureDomain, Generation, JobId, WorkerId
+from fuchsiarill.ids import (
+    FailureDomain,
+    FencingToken,
+    Generation,
+    JobId,
+    WorkerId,
+)
 from fuchsiarill.resources import Resources
 
 QueueId = NewType('QueueId', str)
@@ -309,7 +315,7 @@
     task: TaskKey
     attempt: int
     payload: str
-    epoch: Epoch
+    token: FencingToken
     expiry_ms: int
     checkpoint: Checkpoint = NO_CHECKPOINT
     ticket: Ticket | None = None
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -34,7 +34,7 @@
     WorkerReported,
 )
 from fuchsiarill.graphs.settings import GraphSettings
-from fuchsiarill.ids import Epoch
+from fuchsiarill.ids import Epoch, FencingToken
 from fuchsiarill.ports.agents import (
     AgentAddress,
     AgentFailure,
@@ -69,6 +69,7 @@
         super().__init__(f'channel {agent.worker}')
         self.agent = agent
         self._context = context
+        self._token = FencingToken(context.epoch)
         self._born_ms = BornMs(0)
         self._reported_end = NO_END
         self._durable_end = NO_END
@@ -169,7 +170,7 @@
             wait_ms = 0
         requested_ms = now_ms()
         order = RenewalOrder(
-            self._context.epoch,
+            self._token,
             self._acknowledged_end(),
             self._lease_expiry_ms(),
             wait_ms,
@@ -272,7 +273,7 @@
             message.task,
             message.attempt,
             message.payload,
-            self._context.epoch,
+            self._token,
             expiry_ms,
             message.checkpoint,
             message.ticket,
@@ -309,7 +310,7 @@
             return
         call_result = await self._context.agents.stop(
             self.agent,
-            StopOrder(message.task, message.attempt, self._context.epoch),
+            StopOrder(message.task, message.attempt, self._token),
             self._context.settings.calls.worker_timeout_ms,
         )
         failure = None
@@ -333,7 +334,7 @@
                 message.task,
                 message.attempt,
                 message.percent,
-                self._context.epoch,
+                self._token,
             ),
             self._context.settings.calls.worker_timeout_ms,
         )
--- a/fuchsiarill/ids.py
+++ b/fuchsiarill/ids.py
@@ -5,6 +5,7 @@
 pool, a generation the cell configurations, a revision the writes to the store.
 """
 
+from dataclasses import dataclass
 from typing import Final, NewType
 
 CustomerId = NewType('CustomerId', str)
@@ -25,12 +26,29 @@
 Generation = NewType('Generation', int)
 Revision = NewType('Revision', int)
 
+# Number of fencing tokens of an epoch.
+TOKENS_PER_EPOCH: Final = 1_000_000
 # Below the epoch of every owner.
 NO_EPOCH: Final = Epoch(0)
 # The revision of a key that is not in the store.
 ABSENT: Final = Revision(0)
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class FencingToken:
+    """Token of an order to a worker, which ignores orders with a lower one.
+
+    Tokens rise with the epoch of the owner, and within an epoch with
+    `sequence`, which is below `TOKENS_PER_EPOCH`.
+    """
+
+    epoch: Epoch
+    sequence: int = 0
+
+
+NO_TOKEN: Final = FencingToken(NO_EPOCH)
+
+
 def task_id(job: JobId, position: int) -> TaskId:
     """Return the id of the task at `position` within its job."""
     return TaskId(f'{job}/{position}')
--- a/fuchsiarill/platform/worker_client.py
+++ b/fuchsiarill/platform/worker_client.py
@@ -20,6 +20,7 @@
     decode_response,
     parse_body,
 )
+from fuchsiarill.platform.fencing import encode_token
 from fuchsiarill.platform.task_names import parse_task, task_name
 from fuchsiarill.ports.agents import (
     AgentAddress,
@@ -85,7 +86,7 @@
             'attempt': order.attempt,
             'spec': order.payload,
             'deadline_ms': order.expiry_ms,
-            'fence_token': order.epoch,
+            'fence_token': encode_token(order.token),
         }
         if order.checkpoint:
             body['checkpoint'] = order.checkpoint
@@ -103,7 +104,7 @@
         body = {
             'task': task_name(order.task),
             'attempt': order.attempt,
-            'fence_token': order.epoch,
+            'fence_token': encode_token(order.token),
         }
         return await self._send_order(agent, '/run-stop', body, timeout_ms)
 
@@ -118,7 +119,7 @@
             'task': task_name(order.task),
             'attempt': order.attempt,
             'percent': order.percent,
-            'fence_token': order.epoch,
+            'fence_token': encode_token(order.token),
         }
         return await self._send_order(agent, '/pace', body, timeout_ms)
 
@@ -130,7 +131,7 @@
     ) -> Result[WorkerReport, AgentFailure]:
         """Request a report; renews the task leases if `expiry_ms` is set."""
         body = {
-            'fence_token': order.epoch,
+            'fence_token': encode_token(order.token),
             'acked_seq': order.acknowledged,
             'wait_ms': order.wait_ms,
         }
--- a/fuchsiarill/ports/agents.py
+++ b/fuchsiarill/ports/agents.py
@@ -18,13 +18,13 @@
     Ticket,
     WorkerReport,
 )
-from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.ids import FencingToken, WorkerId
 
 
 class AgentFailure(Enum):
     """Why a call to a worker or the advice service was not confirmed."""
 
-    # The worker has seen a higher epoch.
+    # The worker has seen a higher fencing token.
     FENCED = 'fenced'
     # The attempt was stopped or has ended on the worker.
     SUPERSEDED = 'superseded'
@@ -62,7 +62,7 @@
 
     task: TaskKey
     attempt: int
-    epoch: Epoch
+    token: FencingToken
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +72,7 @@
     task: TaskKey
     attempt: int
     percent: int
-    epoch: Epoch
+    token: FencingToken
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +85,7 @@
     until a run ends.
     """
 
-    epoch: Epoch
+    token: FencingToken
     acknowledged: EndSequence
     expiry_ms: int | None
     wait_ms: int
--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -14,7 +14,7 @@
     TaskKey,
     WorkerReport,
 )
-from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.ids import NO_TOKEN, Epoch, FencingToken, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.changing_capacity import ChangingCapacity
 from standins.outages import Outage
@@ -45,7 +45,7 @@
     capacity: ChangingCapacity
     born_ms: BornMs
     sizes: dict[TaskKey, Resources]
-    epoch: int = 0
+    token: FencingToken = NO_TOKEN
     lease_expiry_ms: int = 0
     runs: dict[tuple[TaskKey, int], ModelRun] = field(default_factory=dict)
     ended: list[EndRow] = field(default_factory=list)
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -164,9 +164,9 @@
         model = await self._reach(agent, timeout_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        if order.epoch < model.epoch:
+        if order.token < model.token:
             return Failure(AgentFailure.FENCED)
-        model.epoch = order.epoch
+        model.token = order.token
         model.highest_refused_attempt[order.task] = max(
             model.highest_refused_attempt.get(order.task, 0),
             order.attempt,
@@ -201,9 +201,9 @@
         model = await self._reach(agent, timeout_ms + order.wait_ms)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        if order.epoch < model.epoch:
+        if order.token < model.token:
             return Failure(AgentFailure.FENCED)
-        model.epoch = order.epoch
+        model.token = order.token
         model.extend_leases(order.expiry_ms)
         model.ended = [
             end for end in model.ended if end.sequence > order.acknowledged
@@ -222,7 +222,7 @@
         model.reported_end = max(
             (end.sequence for end in report.ended), default=model.ends_count
         )
-        model.reported_epoch = order.epoch
+        model.reported_epoch = order.token.epoch
         return Success(report)
 
     async def _reach(
@@ -278,9 +278,9 @@
         model: AgentModel,
         order: StartOrder,
     ) -> AgentFailure | None:
-        if order.epoch < model.epoch:
+        if order.token < model.token:
             return AgentFailure.FENCED
-        model.epoch = order.epoch
+        model.token = order.token
         if order.attempt <= model.highest_refused_attempt.get(order.task, 0):
             return AgentFailure.SUPERSEDED
         if order.expiry_ms < model.clock_ms():
@@ -320,7 +320,7 @@
             self.violations.append(f'{model.worker} is over its capacity')
             return
         self.late_overloads.append(
-            LateOverload(model.worker, order.epoch, shrunk_ms, now_ms())
+            LateOverload(model.worker, order.token.epoch, shrunk_ms, now_ms())
         )
 
     def _size(
@@ -336,7 +336,9 @@
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
         """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
-        if order.epoch > self._informed_epochs.get(order.task, order.epoch):
+        if order.token.epoch > self._informed_epochs.get(
+            order.task, order.token.epoch
+        ):
             self._informed_epochs.pop(order.task)
             self.succeeded.pop(order.task, None)
         if self._must_success_be_recorded(order.task):
--- a/standins/emulator/worker_routes.py
+++ b/standins/emulator/worker_routes.py
@@ -14,7 +14,8 @@
     Ticket,
     WorkerReport,
 )
-from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.ids import WorkerId
+from fuchsiarill.platform.fencing import decode_token
 from fuchsiarill.platform.task_names import parse_task, task_name
 from fuchsiarill.ports.agents import (
     AgentAddress,
@@ -60,7 +61,7 @@
         parse_task(body['task']),
         body['attempt'],
         body['spec'],
-        Epoch(body['fence_token']),
+        decode_token(body['fence_token']),
         body['deadline_ms'],
         Checkpoint(body.get('checkpoint', '')),
         Ticket(body['ticket']) if 'ticket' in body else None,
@@ -76,7 +77,7 @@
     order = StopOrder(
         parse_task(body['task']),
         body['attempt'],
-        Epoch(body['fence_token']),
+        decode_token(body['fence_token']),
     )
     stopped = await cell.fleet.stop(_agent(cell, call), order, _TIMEOUT_MS)
     return _agent_answer(cell, call, stopped, _clock)
@@ -89,7 +90,7 @@
         parse_task(body['task']),
         body['attempt'],
         body['percent'],
-        Epoch(body['fence_token']),
+        decode_token(body['fence_token']),
     )
     paced = await cell.fleet.pace(_agent(cell, call), order, _TIMEOUT_MS)
     return _agent_answer(cell, call, paced, _clock)
@@ -99,7 +100,7 @@
 async def _hold(cell: EmulatedCell, call: Call) -> Answer:
     body = call.document
     order = RenewalOrder(
-        Epoch(body['fence_token']),
+        decode_token(body['fence_token']),
         EndSequence(body['acked_seq']),
         body.get('deadline_ms'),
         body.get('wait_ms', 0),
--- a/standins/worker_crashes.py
+++ b/standins/worker_crashes.py
@@ -110,7 +110,7 @@
         task = order.task
         if behaviour.get('deadly_task') != [task.step, task.position]:
             return
-        self.starts.append(DeadlyStart(task, order.epoch, now_ms()))
+        self.starts.append(DeadlyStart(task, order.token.epoch, now_ms()))
         after_ms = behaviour.get('crash_after_ms')
         if after_ms is None:
             self._crash(model, task)
--- a/tests/test_agent_crashes.py
+++ b/tests/test_agent_crashes.py
@@ -17,7 +17,7 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.ids import Epoch, FencingToken, WorkerId
 from fuchsiarill.ports.agents import AgentAddress, AgentFailure, RenewalOrder
 from fuchsiarill.resources import Resources
 from standins.agent_model import Fleet
@@ -56,7 +56,7 @@
         task('a', 0, position),
         1,
         payload,
-        Epoch(1),
+        FencingToken(Epoch(1)),
         fleet.agents['w0'].clock_ms() + 5000,
         NO_CHECKPOINT,
         None,
@@ -68,7 +68,7 @@
 async def _renew(
     fleet: Fleet, agent: AgentAddress = _W0
 ) -> WorkerReport | AgentFailure:
-    order = RenewalOrder(Epoch(1), NO_END, None, 0)
+    order = RenewalOrder(FencingToken(Epoch(1)), NO_END, None, 0)
     answer = await fleet.renew(agent, order, _TIMEOUT_MS)
     return answer.value_or(None) or answer.failure()
 
--- a/tests/test_agent_model.py
+++ b/tests/test_agent_model.py
@@ -12,7 +12,7 @@
     StartOrder,
     WorkerReport,
 )
-from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.ids import Epoch, FencingToken, WorkerId
 from fuchsiarill.ports.agents import (
     AgentAddress,
     AgentFailure,
@@ -33,7 +33,7 @@
         task('a'),
         attempt,
         '{"duration_ms": 100}',
-        Epoch(epoch),
+        FencingToken(Epoch(epoch)),
         expiry_ms,
         NO_CHECKPOINT,
         None,
@@ -44,7 +44,7 @@
 async def _report(
     fleet: Fleet, wait_ms: int = 0, acknowledged: EndSequence = NO_END
 ) -> Result[WorkerReport, AgentFailure]:
-    order = RenewalOrder(Epoch(1), acknowledged, None, wait_ms)
+    order = RenewalOrder(FencingToken(Epoch(1)), acknowledged, None, wait_ms)
     return await fleet.renew(_AGENT, order, _TIMEOUT_MS)
 
 
--- a/tests/test_emulated_cell.py
+++ b/tests/test_emulated_cell.py
@@ -7,7 +7,7 @@
 
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.graphs.model import StartOrder
-from fuchsiarill.ids import Epoch, StoreKey, WorkerId
+from fuchsiarill.ids import Epoch, FencingToken, StoreKey, WorkerId
 from fuchsiarill.ports.agents import AgentAddress, AgentFailure
 from fuchsiarill.resources import Resources
 
@@ -43,7 +43,11 @@
 
 async def _crash(cell: EmulatedCell) -> None:
     order = StartOrder(
-        task('a'), 1, '{"deadly_task": [0, 0]}', Epoch(1), _TIMEOUT_MS
+        task('a'),
+        1,
+        '{"deadly_task": [0, 0]}',
+        FencingToken(Epoch(1)),
+        _TIMEOUT_MS,
     )
     agent = AgentAddress(_W0, 'w0')
     failure = (await cell.fleet.start(agent, order, _TIMEOUT_MS)).failure()
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -20,6 +20,7 @@
 from fuchsiarill.ids import (
     ABSENT,
     Epoch,
+    FencingToken,
     JobId,
     Revision,
     StoreKey,
@@ -43,11 +44,12 @@
 
 KEY = StoreKey('jobs/p/1/graph')
 TASK = TaskKey(JobId('5c0e7a21d94b36f8'), 0, 1, 17)
+_TOKEN = FencingToken(Epoch(7), 3)
 ORDER = StartOrder(
     TASK,
     2,
     'text',
-    Epoch(7),
+    _TOKEN,
     486000,
     Checkpoint('c'),
     Ticket('t'),
@@ -196,7 +198,7 @@
         'attempt': 2,
         'spec': 'text',
         'deadline_ms': 486000,
-        'fence_token': 7,
+        'fence_token': 7_000_003,
         'checkpoint': 'c',
         'ticket': 't',
     }
@@ -247,13 +249,13 @@
         ],
     }
     workers = PlatformWorkers(HttpClient(2, 4))
-    order = RenewalOrder(Epoch(7), EndSequence(57), None, 0)
+    order = RenewalOrder(_TOKEN, EndSequence(57), None, 0)
     report = run(workers.renew(agent(stub), order, _TIMEOUT_MS)).unwrap()
     assert [row.usage for row in report.running] == [12.5, None]
     assert [end.kind for end in report.ended] == list(EndKind)
     assert report.born_ms == 99
     assert stub.requests[0][2] == {
-        'fence_token': 7,
+        'fence_token': 7_000_003,
         'acked_seq': 57,
         'wait_ms': 0,
     }
@@ -277,7 +279,7 @@
         ],
     }
     workers = PlatformWorkers(HttpClient(2, 4))
-    order = RenewalOrder(Epoch(7), EndSequence(0), None, 0)
+    order = RenewalOrder(_TOKEN, EndSequence(0), None, 0)
     report = run(workers.renew(agent(stub), order, _TIMEOUT_MS)).unwrap()
     assert report.has_more_ends is has_more
 
@@ -286,7 +288,7 @@
     """Guards against an exception in the actor that requested the report."""
     stub.body = {'clock_ms': 5, 'running': [['x']], 'finished': []}
     workers = PlatformWorkers(HttpClient(2, 4))
-    order = RenewalOrder(Epoch(7), EndSequence(0), None, 0)
+    order = RenewalOrder(_TOKEN, EndSequence(0), None, 0)
     outcome = run(workers.renew(agent(stub), order, _TIMEOUT_MS))
     assert outcome == Failure(AgentFailure.MALFORMED)
 
