--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -13,6 +13,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -36,12 +37,15 @@
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.agent_incarnation import AgentModel, ModelRun
 from standins.changing_capacity import ChangingCapacity
+from standins.delayed_calls import DelayedCalls
 from standins.outages import OUTAGES, Outage
 from standins.worker_crashes import CrashSettings, WorkerCrashes
 
 _NETWORK_DELAY_MS = 5
 _POLL_INTERVAL_MS = 5
 
+# Executes a call on the incarnation that runs when the call takes effect.
+_Execution = Callable[[AgentModel], object]
 # The arguments are the crashed and the new incarnation.
 OnRestart = Callable[[AgentModel, AgentModel], None]
 
@@ -75,6 +79,7 @@
         # Keys are addresses.
         self.agents: dict[str, AgentModel] = {}
         self.crashes = WorkerCrashes(crash_settings or CrashSettings(), self)
+        self.delayed_calls = DelayedCalls()
         self.late_overloads: list[LateOverload] = []
         self.sizes: dict[TaskKey, Resources] = {}
         self.violations: list[str] = []
@@ -90,14 +95,16 @@
         address: str,
         capacity: Resources,
         worker: WorkerId | None = None,
+        outage: Outage = Outage.REFUSED,
     ) -> AgentModel:
         """Add a worker, or replace it by a new incarnation without runs.
 
-        Without `worker`, its id is the address.
+        Without `worker`, its id is the address. `outage` tells how the calls
+        that the previous incarnation has not answered fail.
         """
         previous = self.agents.get(address)
         if previous is not None:
-            previous.crash(Outage.REFUSED)
+            previous.crash(outage)
             self._forget_lost_ends(previous)
         agent = AgentModel(
             worker or WorkerId(address),
@@ -140,13 +147,13 @@
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
         """Start a run unless the same attempt is already running."""
-        model = await self._reach(agent, timeout_ms)
+        execute = partial(self._execute_start, order=order)
+        model = await self._reach(agent, timeout_ms, execute)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        failure = self._find_rejection(model, order)
+        failure = self._execute_start(model, order)
         if failure is not None:
             return Failure(failure)
-        self._start_run(model, order)
         if model.outage is not None:
             return Failure(AgentFailure.UNKNOWN)
         if model.loses_answers:
@@ -161,19 +168,13 @@
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
         """Stop a run, and refuse later starts of its attempt."""
-        model = await self._reach(agent, timeout_ms)
+        execute = partial(_execute_stop, order=order)
+        model = await self._reach(agent, timeout_ms, execute)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        if order.token < model.token:
-            return Failure(AgentFailure.FENCED)
-        model.token = order.token
-        model.highest_refused_attempt[order.task] = max(
-            model.highest_refused_attempt.get(order.task, 0),
-            order.attempt,
-        )
-        run = model.runs.get((order.task, order.attempt))
-        if run is not None:
-            model.end(run, EndKind.STOPPED)
+        failure = _execute_stop(model, order)
+        if failure is not None:
+            return Failure(failure)
         return Success(model.clock_ms())
 
     async def pace(
@@ -198,18 +199,19 @@
 
         Waits up to `order.wait_ms` for an end that is not acknowledged.
         """
-        model = await self._reach(agent, timeout_ms + order.wait_ms)
+        execute = partial(_execute_renewal, order=order)
+        limit_ms = timeout_ms + order.wait_ms
+        model = await self._reach(agent, limit_ms, execute)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        if order.token < model.token:
-            return Failure(AgentFailure.FENCED)
-        model.token = order.token
-        model.extend_leases(order.expiry_ms)
-        model.ended = [
-            end for end in model.ended if end.sequence > order.acknowledged
-        ]
+        failure = _execute_renewal(model, order)
+        if failure is not None:
+            return Failure(failure)
         deadline_ms = now_ms() + order.wait_ms
         while not model.ended and now_ms() < deadline_ms:
+            if model.outage is Outage.SILENT:
+                # The connection stays open and nothing answers on it.
+                await sleep_ms(deadline_ms - now_ms() + timeout_ms)
             if model.outage is not None:
                 return Failure(AgentFailure.UNKNOWN)
             await sleep_ms(_POLL_INTERVAL_MS)
@@ -229,11 +231,19 @@
         self,
         agent: AgentAddress,
         timeout_ms: int,
+        execute: _Execution | None = None,
     ) -> AgentModel | AgentFailure:
+        """Return the worker, or why the call gets no other answer.
+
+        A call that is delayed runs `execute` later.
+        """
         model = self.agents.get(agent.address)
         if model is None:
             return AgentFailure.CONNECTION_REFUSED
-        if model.is_silent:
+        is_delayed = execute is not None and self.delayed_calls.delay(
+            agent.address, partial(self._execute_late, agent, execute)
+        )
+        if model.is_silent or is_delayed:
             await sleep_ms(timeout_ms)
             return AgentFailure.UNKNOWN
         if model.outage is not None:
@@ -246,6 +256,14 @@
         self._end_all_due_runs()
         return model
 
+    def _execute_late(self, agent: AgentAddress, execute: _Execution) -> None:
+        model = self.agents.get(agent.address)
+        if model is None or model.outage is not None:
+            return
+        if model.worker == agent.worker:
+            self._end_all_due_runs()
+            execute(model)
+
     def _forget_lost_ends(self, model: AgentModel) -> None:
         """Drop the successes that an ended incarnation takes with it.
 
@@ -273,7 +291,7 @@
                 if end.kind is EndKind.SUCCEEDED and end.task in before:
                     self.succeeded.setdefault(end.task, model.worker)
 
-    def _find_rejection(
+    def _execute_start(
         self,
         model: AgentModel,
         order: StartOrder,
@@ -282,9 +300,12 @@
             return AgentFailure.FENCED
         model.token = order.token
         if order.attempt <= model.highest_refused_attempt.get(order.task, 0):
+            # Its expiry applies to the other runs all the same.
+            model.extend_leases(order.expiry_ms)
             return AgentFailure.SUPERSEDED
         if order.expiry_ms < model.clock_ms():
             return AgentFailure.EXPIRED
+        self._start_run(model, order)
         return None
 
     def _start_run(self, model: AgentModel, order: StartOrder) -> None:
@@ -361,3 +382,30 @@
             return True
         is_listed = any(end.task == task for end in model.ended)
         return not is_listed or model.clock_ms() <= model.lease_expiry_ms
+
+
+def _execute_stop(model: AgentModel, order: StopOrder) -> AgentFailure | None:
+    if order.token < model.token:
+        return AgentFailure.FENCED
+    model.token = order.token
+    model.highest_refused_attempt[order.task] = max(
+        model.highest_refused_attempt.get(order.task, 0),
+        order.attempt,
+    )
+    run = model.runs.get((order.task, order.attempt))
+    if run is not None:
+        model.end(run, EndKind.STOPPED)
+    return None
+
+
+def _execute_renewal(
+    model: AgentModel, order: RenewalOrder
+) -> AgentFailure | None:
+    if order.token < model.token:
+        return AgentFailure.FENCED
+    model.token = order.token
+    model.extend_leases(order.expiry_ms)
+    model.ended = [
+        end for end in model.ended if end.sequence > order.acknowledged
+    ]
+    return None
--- /dev/null
+++ b/tests/test_reused_worker_ids.py
@@ -0,0 +1,126 @@
+"""Workers that restart under their ids, and calls for former incarnations.
+
+A call without an answer may be executed seconds later, by an incarnation that
+has seen no fencing token and whose clock has begun anew. Each test ends with a
+check that no task ran twice or after its success.
+"""
+
+from typing import Final
+
+from fuchsiarill.clock import sleep_ms
+from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.resources import Resources
+from standins.outages import Outage
+from tests.graph_cell import CAPACITY, P0, TASK_SIZE, GraphCell, run_scenario
+
+_WORKER: Final = 'w0'
+_OTHER_WORKER: Final = 'w1'
+_STEP: Final = (Step(1, TASK_SIZE),)
+# The clock of the first incarnation is then ahead of that of the second one by
+# more than the longest lease.
+_FIRST_LIFE_MS: Final = 10_000
+_RUN_MS: Final = 20_000
+_DELAY_MS: Final = 4000
+_TOO_SMALL: Final = Resources(100, 100)
+
+
+async def _restart(cell: GraphCell) -> None:
+    """Restart the worker; open connections to it stay without an answer."""
+    cell.fleet.add(_WORKER, CAPACITY, outage=Outage.SILENT)
+
+
+async def _wait_for_starts(cell: GraphCell, count: int) -> None:
+    for _ in range(2000):
+        if len(cell.fleet.starts) >= count:
+            return
+        await sleep_ms(5)
+    raise AssertionError(f'only {len(cell.fleet.starts)} starts')
+
+
+async def _cut_off(cell: GraphCell) -> None:
+    """Cut the worker off, and offer another one."""
+    cell.fleet.agents[_WORKER].is_silent = True
+    cell.add_worker(_OTHER_WORKER)
+
+
+def test_order_with_expiry_of_former_clock_keeps_runs_single() -> None:
+    """Guards against leases that outlast the owner's bound after a restart.
+
+    A start with an expiry on the former incarnation's clock gets the longest
+    lease that a worker allows, and the worker is cut off after the next run has
+    started.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(_FIRST_LIFE_MS)
+        await _restart(cell)
+        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        await _wait_for_starts(cell, 2)
+        await sleep_ms(50)
+        await _cut_off(cell)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
+
+    run_scenario(scenario, processes_count=1, workers_count=1)
+
+
+def test_delayed_start_extends_no_lease_of_next_incarnation() -> None:
+    """Guards against the same excess by a start that is executed late.
+
+    The next incarnation executes it after the worker has been cut off.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(_FIRST_LIFE_MS)
+        cell.fleet.delayed_calls.delays_ms[_WORKER] = _DELAY_MS
+        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        await sleep_ms(50)
+        await _restart(cell)
+        cell.fleet.delayed_calls.delays_ms.clear()
+        await sleep_ms(_DELAY_MS - 300)
+        await _cut_off(cell)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
+
+    run_scenario(scenario, processes_count=1, workers_count=1)
+
+
+def test_delayed_start_runs_in_no_later_incarnation() -> None:
+    """Guards against a second run by a start that the owner has settled.
+
+    The incarnation that refused the start has ended before it is executed.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(_FIRST_LIFE_MS)
+        cell.fleet.delayed_calls.delays_ms[_WORKER] = _DELAY_MS
+        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        await sleep_ms(50)
+        await _restart(cell)
+        cell.fleet.delayed_calls.delays_ms.clear()
+        cell.add_worker(_OTHER_WORKER)
+        # The next attempt does not fit there.
+        cell.change_capacity(_WORKER, _TOO_SMALL)
+        await _wait_for_starts(cell, 1)
+        await _restart(cell)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
+
+    run_scenario(scenario, processes_count=1, workers_count=1)
+
+
+def test_unanswered_start_is_not_repeated_before_its_longest_lease() -> None:
+    """Guards against a second run beside one that no report has listed.
+
+    The start is executed by an incarnation of which the owner learns nothing,
+    since the worker is cut off before it has answered.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(_FIRST_LIFE_MS)
+        await _restart(cell)
+        cell.fleet.agents[_WORKER].loses_answers = True
+        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        await _wait_for_starts(cell, 1)
+        await _cut_off(cell)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
+
+    run_scenario(scenario, processes_count=1, workers_count=1)
