--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -1,7 +1,7 @@
 """Numbered log events of job graphs; `events.emit` writes them.
 
 70x requests, 71x runs, 72x workers, 73x ownership of pools, 74x outside
-systems.
+systems, 75x incarnations of workers.
 """
 
 from typing import Final
@@ -65,7 +65,8 @@
     Level.WARNING,
     'attempt {attempt} of task {task} of job {job} is lost with {worker}: '
     '{cause}; last report {report_age_ms} ms and first failed call '
-    '{silence_ms} ms ago, leases end in {lease_left_ms} ms',
+    '{silence_ms} ms ago, leases end in {lease_left_ms} ms; listed by '
+    'incarnation {born_ms}: {is_listed}',
     'None; the task starts again.',
 )
 RUN_FOUND: Final = LogEvent(
@@ -282,3 +283,19 @@
     '{waited_ms} ms; it is made again through another process',
     'Check the process, and its link to the advice service.',
 )
+WORKER_RESTARTED: Final = LogEvent(
+    751,
+    Level.WARNING,
+    'worker {worker} has restarted: incarnation {born_ms} follows '
+    '{previous_born_ms}, learned from {source}; last report {report_age_ms} '
+    'ms ago, {listed} runs listed, {unlisted} unlisted',
+    'None; the listed runs start again, the others are stopped first.',
+)
+ORDER_MISDIRECTED: Final = LogEvent(
+    752,
+    Level.WARNING,
+    'a later incarnation of {worker} answers a call that was sent to the one '
+    'before: clock {clock_ms} ms is below {earliest_clock_ms} ms, expiry of '
+    'leases in the call {expiry_ms} ms',
+    'None; the leases last for the longest time that the worker allows.',
+)
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -39,6 +39,7 @@
 from fuchsiarill.graphs.states import (
     AvailabilityEvent,
     JobPhaseEvent,
+    RestartSource,
     RunEvent,
     RunState,
 )
@@ -387,8 +388,13 @@
     def _reset_if_restarted(self, view: WorkerView, now_ms: int) -> None:
         if view.entry is None or view.entry.born_ms <= view.born_ms:
             return
-        reports.apply_restart(self.state, view, now_ms)
-        view.born_ms = view.entry.born_ms
+        reports.apply_restart(
+            self.state,
+            view,
+            view.entry.born_ms,
+            RestartSource.DIRECTORY,
+            now_ms,
+        )
         self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
 
     def _unblock_step(self, step: StepKey) -> None:
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -12,6 +12,7 @@
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
 from fuchsiarill.graphs.model import (
     NO_END,
+    BornMs,
     EndRow,
     RunningRow,
     Step,
@@ -29,6 +30,7 @@
 from fuchsiarill.graphs.states import (
     AvailabilityEvent,
     LossCause,
+    RestartSource,
     RunEvent,
     RunState,
 )
@@ -53,8 +55,7 @@
     sent. A report older than the last applied report is ignored.
     """
     if report.born_ms > view.born_ms:
-        apply_restart(state, view, now_ms)
-        view.born_ms = report.born_ms
+        apply_restart(state, view, report.born_ms, RestartSource.REPORT, now_ms)
     elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
         # Reports on different connections can overtake each other.
         return
@@ -71,19 +72,27 @@
     _end_absent_runs(state, view, report, requested_ms, now_ms)
 
 
-def apply_restart(state: PoolState, view: WorkerView, now_ms: int) -> None:
+def apply_restart(
+    state: PoolState,
+    view: WorkerView,
+    born_ms: BornMs,
+    source: RestartSource,
+    now_ms: int,
+) -> None:
     """Mark the runs of a worker's previous incarnation as lost.
 
     A run that the previous incarnation has not reported is stopped instead: it
     may run in the new one, because the start order can arrive after the
     restart.
     """
+    _log_restart(view, born_ms, source, now_ms)
     loss = loss_of(view, now_ms)
     for run in list(view.runs.values()):
         if run.is_listed:
             _mark_run_lost(state, view, run, LossCause.RESTARTED, now_ms)
         else:
             _stop_unconfirmed_run(state, run, now_ms)
+    view.born_ms = born_ms
     view.seen_end = NO_END
     view.durable_end = NO_END
     view.clock_ms = 0
@@ -130,10 +139,31 @@
         if silent_since_ms is None
         else now_ms - silent_since_ms,
         lease_left_ms=view.lease_expiry_ms - now_ms,
+        born_ms=view.born_ms,
+        is_listed=run.is_listed,
     )
     end_unreported_run(state, run, RunEvent.WORKER_LOST, now_ms)
 
 
+def _log_restart(
+    view: WorkerView, born_ms: BornMs, source: RestartSource, now_ms: int
+) -> None:
+    """Log a restart; the first incarnation that the owner sees is none."""
+    if not view.born_ms:
+        return
+    listed_count = sum(run.is_listed for run in view.runs.values())
+    events.emit(
+        graph_events.WORKER_RESTARTED,
+        worker=view.worker,
+        born_ms=born_ms,
+        previous_born_ms=view.born_ms,
+        source=source.value,
+        report_age_ms=now_ms - view.reported_ms,
+        listed=listed_count,
+        unlisted=len(view.runs) - listed_count,
+    )
+
+
 def _stop_unconfirmed_run(state: PoolState, run: Run, now_ms: int) -> None:
     """Stop a run that the worker may or may not have started."""
     run.visible_since_ms = None
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -46,6 +46,13 @@
     REPLACED = 'replaced'
 
 
+class RestartSource(Enum):
+    """How the owner has learned of a later incarnation of a worker."""
+
+    REPORT = 'report'
+    DIRECTORY = 'directory'
+
+
 class AvailabilityState(Enum):
     """Whether the owner of a pool may start runs on a worker."""
 
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -12,6 +12,7 @@
 
 from returns.result import Failure, Success
 
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
@@ -294,12 +295,26 @@
                 self._suspect_restart(clock_ms < self._reported_clock_ms)
                 if clock_ms < earliest_clock_ms:
                     # A later incarnation has answered, whose clock began anew.
+                    self._log_misdirected(
+                        clock_ms, earliest_clock_ms, expiry_ms
+                    )
                     return AgentFailure.UNKNOWN
             case Failure(AgentFailure() as failure):
                 self._suspect_restart(failure is AgentFailure.UNKNOWN)
                 return failure
         return None
 
+    def _log_misdirected(
+        self, clock_ms: int, earliest_clock_ms: int, expiry_ms: int
+    ) -> None:
+        events.emit(
+            graph_events.ORDER_MISDIRECTED,
+            worker=self.agent.worker,
+            clock_ms=clock_ms,
+            earliest_clock_ms=earliest_clock_ms,
+            expiry_ms=expiry_ms,
+        )
+
     def _suspect_restart(self, is_suspected: bool) -> None:
         """Note that a run may have started in a new incarnation."""
         if is_suspected:
