--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -295,7 +295,14 @@
     752,
     Level.WARNING,
     'a later incarnation of {worker} answers a call that was sent to the one '
-    'before: clock {clock_ms} ms is below {earliest_clock_ms} ms, expiry of '
-    'leases in the call {expiry_ms} ms',
-    'None; the leases last for the longest time that the worker allows.',
+    'before: clock {clock_ms} ms is below {earliest_clock_ms} ms',
+    'None; the worker gets no starts until it has answered with a new token.',
+)
+INCARNATION_FENCED: Final = LogEvent(
+    753,
+    Level.INFO,
+    'incarnation {born_ms} of {worker} has answered a renewal with token '
+    '{epoch}.{sequence}, after incarnation {previous_born_ms}: {running} runs '
+    'and {ended} ends listed; earlier calls have no effect any more',
+    NO_ACTION,
 )
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -15,7 +15,7 @@
     worker_crashes,
     worker_suspension,
 )
-from fuchsiarill.graphs.effects import Effect, RequestReport
+from fuchsiarill.graphs.effects import Effect, FenceIncarnation, RequestReport
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
@@ -162,7 +162,7 @@
         """
         view = self.state.workers.add(worker, address)
         view.is_recorded = True
-        view.lease_expiry_ms = max(view.lease_expiry_ms, lease_expiry_ms)
+        view.set_expiry(max(view.lease_expiry_ms, lease_expiry_ms))
 
     def record_workers(self, workers: Iterable[WorkerId]) -> None:
         """Mark workers as contained in the durable fleet record."""
@@ -395,6 +395,15 @@
             RestartSource.DIRECTORY,
             now_ms,
         )
+        # A start order without an answer may still run in the new incarnation,
+        # until that has answered.
+        leases = self.state.leases
+        view.unlisted_expiry_ms = (
+            now_ms + leases.late_call_ms + leases.longest_allowed_ms
+        )
+        self.state.effects.append(
+            FenceIncarnation(view.worker, view.entry.born_ms)
+        )
         self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
 
     def _unblock_step(self, step: StepKey) -> None:
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-from fuchsiarill.graphs.model import Checkpoint, StepKey, TaskKey, Ticket
+from fuchsiarill.graphs.model import (
+    BornMs,
+    Checkpoint,
+    StepKey,
+    TaskKey,
+    Ticket,
+)
 from fuchsiarill.ids import WorkerId
 
 
@@ -55,4 +61,22 @@
     worker: WorkerId
 
 
-Effect = StartRun | StopRun | PaceRun | RequestAdvice | RequestReport
+@dataclass(frozen=True, slots=True)
+class FenceIncarnation:
+    """Request a report from an incarnation that the directory lists.
+
+    Calls for earlier incarnations have no effect on it after its answer.
+    """
+
+    worker: WorkerId
+    born_ms: BornMs
+
+
+Effect = (
+    StartRun
+    | StopRun
+    | PaceRun
+    | RequestAdvice
+    | RequestReport
+    | FenceIncarnation
+)
--- a/fuchsiarill/graphs/pool_channels.py
+++ b/fuchsiarill/graphs/pool_channels.py
@@ -4,7 +4,13 @@
 from typing import Any, Final
 
 from fuchsiarill.graphs.core import GraphCore
-from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
+from fuchsiarill.graphs.effects import (
+    FenceIncarnation,
+    PaceRun,
+    RequestReport,
+    StartRun,
+    StopRun,
+)
 from fuchsiarill.graphs.model import WorkerEntry
 from fuchsiarill.graphs.owner_messages import (
     ProcessedEnds,
@@ -21,7 +27,7 @@
 # again before that.
 _UNLISTED_GRACE_MS: Final = 3000
 
-Order = StartRun | StopRun | PaceRun | RequestReport
+Order = StartRun | StopRun | PaceRun | RequestReport | FenceIncarnation
 
 
 class PoolChannels:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -21,12 +21,14 @@
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
 from fuchsiarill.graphs.effects import (
+    FenceIncarnation,
     PaceRun,
     RequestAdvice,
     RequestReport,
     StartRun,
     StopRun,
 )
+from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.job_loading import load_jobs
 from fuchsiarill.graphs.model import AdvicePolicy, BornMs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
@@ -93,7 +95,7 @@
             ChannelContext(
                 settings,
                 context.ports.agents,
-                term.epoch,
+                FencingTokenSource(term.epoch),
                 term.guard,
                 self.mailbox,
             ),
@@ -333,7 +335,7 @@
     def _prior_lease_expiry_ms(self) -> int:
         """Return until when task leases of the previous owner may last."""
         leases = self._context.settings.task_lease
-        return self._previous_owner_stop_ms + leases.longest_ms
+        return self._previous_owner_stop_ms + leases.longest_allowed_ms
 
     def _make_watchers(self, revision: Revision) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
@@ -389,6 +391,7 @@
 @EFFECT_HANDLERS.register(StopRun)
 @EFFECT_HANDLERS.register(PaceRun)
 @EFFECT_HANDLERS.register(RequestReport)
+@EFFECT_HANDLERS.register(FenceIncarnation)
 def _send_order(owner: PoolOwner, effect: Order) -> None:
     owner.channels.send_order(effect)
 
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -59,6 +59,8 @@
     elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
         # Reports on different connections can overtake each other.
         return
+    if not view.in_touch_since_ms:
+        _bound_leases_of_incarnation(state, view, now_ms)
     view.clock_ms = report.clock_ms
     view.reported_ms = now_ms
     view.in_touch_since_ms = view.in_touch_since_ms or now_ms
@@ -72,6 +74,17 @@
     _end_absent_runs(state, view, report, requested_ms, now_ms)
 
 
+def _bound_leases_of_incarnation(
+    state: PoolState, view: WorkerView, now_ms: int
+) -> None:
+    """Bound the leases on an incarnation that has just reported first.
+
+    Calls for earlier incarnations may have extended them until then.
+    """
+    expiry_ms = now_ms + state.leases.longest_allowed_ms
+    view.set_expiry(max(view.listed_expiry_ms, expiry_ms))
+
+
 def apply_restart(
     state: PoolState,
     view: WorkerView,
@@ -89,7 +102,7 @@
     loss = loss_of(view, now_ms)
     for run in list(view.runs.values()):
         if run.is_listed:
-            _mark_run_lost(state, view, run, LossCause.RESTARTED, now_ms)
+            mark_run_lost(state, view, run, LossCause.RESTARTED, now_ms)
         else:
             _stop_unconfirmed_run(state, run, now_ms)
     view.born_ms = born_ms
@@ -106,26 +119,20 @@
 def end_worker(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Mark all runs of a worker as lost: its process has ended."""
     loss = loss_of(view, now_ms)
-    mark_runs_lost(state, view, LossCause.REPLACED, now_ms)
-    view.lease_expiry_ms = now_ms
-    worker_crashes.count_end(state, loss, now_ms)
-
-
-def mark_runs_lost(
-    state: PoolState, view: WorkerView, cause: LossCause, now_ms: int
-) -> None:
-    """Mark all runs on a worker as lost: they ended without a report."""
     for run in list(view.runs.values()):
-        _mark_run_lost(state, view, run, cause, now_ms)
+        mark_run_lost(state, view, run, LossCause.REPLACED, now_ms)
+    view.set_expiry(now_ms)
+    worker_crashes.count_end(state, loss, now_ms)
 
 
-def _mark_run_lost(
+def mark_run_lost(
     state: PoolState,
     view: WorkerView,
     run: Run,
     cause: LossCause,
     now_ms: int,
 ) -> None:
+    """Mark a run as lost: it has ended without a report."""
     silent_since_ms = view.silent_since_ms
     events.emit(
         graph_events.RUN_LOST,
@@ -138,7 +145,7 @@
         silence_ms=None
         if silent_since_ms is None
         else now_ms - silent_since_ms,
-        lease_left_ms=view.lease_expiry_ms - now_ms,
+        lease_left_ms=view.expiry_of(run) - now_ms,
         born_ms=view.born_ms,
         is_listed=run.is_listed,
     )
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -86,7 +86,12 @@
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Extend all task leases of a worker: a renewal or start is sent to it."""
-    view.lease_expiry_ms = now_ms + state.leases.longest_ms
+    view.listed_expiry_ms = max(
+        view.listed_expiry_ms, now_ms + state.leases.longest_ms
+    )
+    view.unlisted_expiry_ms = max(
+        view.unlisted_expiry_ms, now_ms + state.leases.longest_allowed_ms
+    )
 
 
 def _is_serving(state: PoolState, run: Run) -> bool:
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -84,6 +84,9 @@
     # A worker ends tasks with expired leases within this time after it
     # wakes up.
     wake_ms: int = 300
+    # Time within which the platform may still execute a call without an
+    # answer; its pages give no bound.
+    late_call_ms: int = 12_000
     # Longest time for which a worker delays its answer to a renewal while it
     # waits for a run to end.
     renewal_wait_ms: int = 1000
@@ -96,7 +99,19 @@
     @property
     def longest_ms(self) -> int:
         """Return the time from the last renewal until all runs have ended."""
-        slow_ms = self.duration_ms / (1 - self.clock_slowness)
+        return self._until_end_ms(self.duration_ms)
+
+    @property
+    def longest_allowed_ms(self) -> int:
+        """Return the same time after a call that may act on any incarnation.
+
+        Its expiry may be far ahead of the clock there, so that the worker
+        reduces the lease to the longest that it allows.
+        """
+        return self._until_end_ms(self.allowed_ms)
+
+    def _until_end_ms(self, duration_ms: int) -> int:
+        slow_ms = duration_ms / (1 - self.clock_slowness)
         return math.ceil(slow_ms) + self.wake_ms
 
 
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -80,6 +80,27 @@
     LAPSED = 'lapsed'
 
 
+class ContactState(Enum):
+    """States of the worker contact chart: a channel and an incarnation."""
+
+    # The incarnation has not answered a renewal with the present token, so
+    # that calls with an earlier one may still be executed.
+    UNFENCED = 'unfenced'
+    CONFIRMED = 'confirmed'
+    # Fenced, but the last renewal got no report.
+    UNCONFIRMED = 'unconfirmed'
+
+
+class ContactEvent(Enum):
+    """Events of the worker contact chart."""
+
+    ANSWERED = 'answered'
+    CALL_FAILED = 'call_failed'
+    # Another incarnation than the one that was called may have answered, or is
+    # in the directory.
+    OTHER_INCARNATION = 'other_incarnation'
+
+
 class TenureState(Enum):
     """States of the tenure chart: ownership of a pool by a process."""
 
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -20,6 +20,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityEvent, LossCause
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.registry import Registry
 
 _TickAction = Callable[[PoolState, int], None]
@@ -41,21 +42,31 @@
 
 @TICK_ACTIONS.register('1 expire leases')
 def _expire_leases(state: PoolState, now_ms: int) -> None:
-    """Mark runs as lost when the task leases of their worker have expired.
+    """Mark runs as lost when their task leases have expired.
 
-    Such a worker counts as reconciled; it is gone if it is not listed either.
+    A worker without leases counts as reconciled; it is gone if it is not listed
+    either.
     """
     for view in state.workers:
+        _expire_runs(state, view, now_ms)
         if now_ms <= view.lease_expiry_ms:
             continue
         view.is_reconciled = True
-        if view.runs:
-            worker_crashes.remember_loss(state, view, now_ms)
-            reports.mark_runs_lost(state, view, LossCause.LEASE_EXPIRED, now_ms)
         if not view.is_listed:
             state.workers.apply_event(view, AvailabilityEvent.LAPSED)
 
 
+def _expire_runs(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    expired = [
+        run for run in view.runs.values() if now_ms > view.expiry_of(run)
+    ]
+    if not expired:
+        return
+    worker_crashes.remember_loss(state, view, expired, now_ms)
+    for run in expired:
+        reports.mark_run_lost(state, view, run, LossCause.LEASE_EXPIRED, now_ms)
+
+
 @TICK_ACTIONS.register('2 open occurrences')
 def _open_due_occurrences(state: PoolState, now_ms: int) -> None:
     """Open the due occurrences of scheduled jobs."""
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -10,13 +10,19 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
-from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Mailbox, handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
-from fuchsiarill.graphs.effects import PaceRun, RequestReport, StartRun, StopRun
+from fuchsiarill.graphs.effects import (
+    FenceIncarnation,
+    PaceRun,
+    RequestReport,
+    StartRun,
+    StopRun,
+)
+from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import (
     NO_END,
@@ -35,7 +41,8 @@
     WorkerReported,
 )
 from fuchsiarill.graphs.settings import GraphSettings
-from fuchsiarill.ids import Epoch, FencingToken
+from fuchsiarill.graphs.worker_contact import ReportVerdict, WorkerContact
+from fuchsiarill.ids import FencingToken
 from fuchsiarill.ports.agents import (
     AgentAddress,
     AgentFailure,
@@ -57,7 +64,7 @@
 
     settings: GraphSettings
     agents: AgentPort
-    epoch: Epoch
+    tokens: FencingTokenSource
     guard: LeaseGuard
     owner: Mailbox
 
@@ -70,26 +77,23 @@
         super().__init__(f'channel {agent.worker}')
         self.agent = agent
         self._context = context
-        self._token = FencingToken(context.epoch)
-        self._born_ms = BornMs(0)
+        self._contact = WorkerContact(agent.worker, context.tokens)
+        # The incarnation that `_reported_end` and `_durable_end` are of.
+        self._applied_born_ms = BornMs(0)
         self._reported_end = NO_END
         self._durable_end = NO_END
         self._ends_durable_event = asyncio.Event()
-        # Worker's clock minus the runtime clock; `None` before a report.
-        self._clock_offset_ms: int | None = None
-        self._reported_clock_ms = 0
-        # Whether the worker answered the last renewal with a report.
-        self._is_confirmed = False
         # The last report lacked some ends.
         self._has_more_ends = False
         self._starts_in_progress_count = 0
-        # A report requested before this time may be of an incarnation that has
-        # ended; `None` while nothing tells of a restart.
-        self._restart_suspected_ms: int | None = None
+        # A report requested before this time may lack an end that has the
+        # number of a durable one; `None` while nothing tells of that.
+        self._start_unconfirmed_ms: int | None = None
 
     def start(self) -> None:
         """Run the actor, and the renewals in a task of their own."""
         super().start()
+        self._stop_if_exhausted()
         self._tasks.append(
             asyncio.create_task(self._renew_forever(), name=self.name),
         )
@@ -101,7 +105,8 @@
             'address': self.agent.address,
             'durable_end': self._durable_end,
             'seen_end': self._reported_end,
-            'is_confirmed': self._is_confirmed,
+            'contact': self._contact.state.value,
+            'token': str(self._contact.token),
             'has_more_ends': self._has_more_ends,
         }
 
@@ -125,10 +130,16 @@
         """Request a report at once, even while the worker holds a renewal."""
         self.spawn(self._request_report())
 
+    @handles(FenceIncarnation)
+    async def on_fence(self, message: FenceIncarnation) -> None:
+        """Call a later incarnation under a token of its own, at once."""
+        self._contact.incarnation_listed(message.born_ms)
+        self.spawn(self._request_report())
+
     @handles(RunEndsDurable)
     async def on_ends_durable(self, message: RunEndsDurable) -> None:
         """Let the worker discard run ends, unless it has restarted since."""
-        if message.born_ms == self._born_ms:
+        if message.born_ms == self._applied_born_ms:
             self._durable_end = max(self._durable_end, message.sequence)
             self._ends_durable_event.set()
 
@@ -167,33 +178,50 @@
                 return
 
     async def _send_renewal(self, wait_ms: int) -> bool:
+        """Renew the leases; returns whether a report has been applied.
+
+        Repeats the renewal with a new token if another incarnation answers.
+        """
+        while True:
+            token = self._contact.token
+            requested_ms = now_ms()
+            call_result = await self._call_renewal(wait_ms)
+            if isinstance(call_result, Failure):
+                if not self._contact.is_outdated(token):
+                    self._contact.call_failed()
+                    self._handle_failure(call_result.failure())
+                return False
+            report = call_result.unwrap()
+            verdict = self._contact.judge(report, token)
+            if verdict is ReportVerdict.UNFENCED:
+                self._stop_if_exhausted()
+                wait_ms = 0
+                continue
+            if verdict is ReportVerdict.FENCED:
+                self._apply_report(report, requested_ms)
+                self._context.owner.send(
+                    WorkerReported(self.agent.worker, report, requested_ms),
+                )
+            return verdict is ReportVerdict.FENCED
+
+    async def _call_renewal(
+        self, wait_ms: int
+    ) -> Result[WorkerReport, AgentFailure]:
         if self._has_more_ends or self._durable_end < self._reported_end:
             wait_ms = 0
-        requested_ms = now_ms()
         order = RenewalOrder(
-            self._token,
+            self._contact.token,
             self._acknowledged_end(),
             self._lease_expiry_ms(),
-            wait_ms,
+            wait_ms if self._contact.is_confirmed else 0,
         )
         if order.expiry_ms is not None:
             self._context.owner.send(RenewalSent(self.agent.worker))
-        call_result = await self._context.agents.renew(
+        return await self._context.agents.renew(
             self.agent,
             order,
             self._context.settings.calls.worker_timeout_ms,
         )
-        if isinstance(call_result, Failure):
-            self._is_confirmed = False
-            self._handle_failure(call_result.failure())
-            return False
-        self._apply_report(call_result.unwrap(), requested_ms)
-        self._context.owner.send(
-            WorkerReported(
-                self.agent.worker, call_result.unwrap(), requested_ms
-            ),
-        )
-        return True
 
     def _acknowledged_end(self) -> EndSequence:
         """Return up to which number the worker may discard its run ends.
@@ -202,30 +230,21 @@
         restarted and run a task since its last report keeps all ends, since it
         would discard one that no report has listed.
         """
-        if not self._is_confirmed or self._starts_in_progress_count:
+        if not self._contact.is_confirmed or self._starts_in_progress_count:
             return NO_END
-        if self._restart_suspected_ms is not None:
+        if self._start_unconfirmed_ms is not None:
             return NO_END
         return self._durable_end
 
     def _apply_report(self, report: WorkerReport, requested_ms: int) -> None:
-        if report.born_ms < self._born_ms:
-            return
-        if report.born_ms > self._born_ms:
-            self._born_ms = report.born_ms
+        if report.born_ms != self._applied_born_ms:
+            self._applied_born_ms = report.born_ms
             self._reported_end = NO_END
             self._durable_end = NO_END
-            self._reported_clock_ms = 0
-        self._is_confirmed = True
         self._has_more_ends = report.has_more_ends
-        suspected_ms = self._restart_suspected_ms
-        if suspected_ms is not None and suspected_ms <= requested_ms:
-            self._restart_suspected_ms = None
-        # The delay of the report makes the offset too low, which shortens the
-        # leases. An older, larger offset would lengthen them beyond
-        # `longest_ms` on a worker whose clock is slow.
-        self._clock_offset_ms = report.clock_ms - now_ms()
-        self._reported_clock_ms = max(self._reported_clock_ms, report.clock_ms)
+        unconfirmed_ms = self._start_unconfirmed_ms
+        if unconfirmed_ms is not None and unconfirmed_ms <= requested_ms:
+            self._start_unconfirmed_ms = None
         for end in report.ended:
             self._reported_end = EndSequence(
                 max(self._reported_end, end.sequence)
@@ -238,6 +257,12 @@
             )
         self._context.owner.send(RenewalFailed(self.agent.worker, failure))
 
+    def _stop_if_exhausted(self) -> None:
+        if self._context.tokens.is_exhausted:
+            self._context.owner.send(
+                OwnershipLost('the fencing tokens of the epoch are used up'),
+            )
+
     def _lease_expiry_ms(self) -> int | None:
         """Return the expiry of leases renewed now, by the worker's clock.
 
@@ -246,17 +271,15 @@
         the leases of its runs have expired. A process that may have lost the
         pool extends no lease either, since the next owner counts on its end.
         """
-        if self._clock_offset_ms is None or not self._is_confirmed:
+        if not self._contact.is_confirmed:
             return None
         if not self._context.guard.may_send_orders():
             return None
-        duration_ms = self._context.settings.task_lease.duration_ms
-        return now_ms() + self._clock_offset_ms + duration_ms
+        task_lease = self._context.settings.task_lease
+        return self._contact.expiry_ms(task_lease.duration_ms)
 
     async def _send_start(self, message: StartRun) -> None:
         failure = await self._order_start(message)
-        if failure is AgentFailure.FENCED:
-            self._handle_failure(failure)
         self._context.owner.send(
             StartAnswered(
                 self.agent.worker,
@@ -268,19 +291,20 @@
 
     async def _order_start(self, message: StartRun) -> AgentFailure | None:
         expiry_ms = self._lease_expiry_ms()
-        if expiry_ms is None or not self._context.guard.may_send_orders():
+        if expiry_ms is None:
             return AgentFailure.NOT_SENT
+        token = self._contact.token
         order = StartOrder(
             message.task,
             message.attempt,
             message.payload,
-            self._token,
+            token,
             expiry_ms,
             message.checkpoint,
             message.ticket,
         )
         self._context.owner.send(RenewalSent(self.agent.worker))
-        earliest_clock_ms = self._reported_clock_ms
+        earliest_clock_ms = self._contact.reported_clock_ms
         self._starts_in_progress_count += 1
         try:
             call_result = await self._context.agents.start(
@@ -292,45 +316,56 @@
             self._starts_in_progress_count -= 1
         match call_result:
             case Success(clock_ms):
-                self._suspect_restart(clock_ms < self._reported_clock_ms)
-                if clock_ms < earliest_clock_ms:
-                    # A later incarnation has answered, whose clock began anew.
-                    self._log_misdirected(
-                        clock_ms, earliest_clock_ms, expiry_ms
-                    )
+                # An answer that a report has overtaken is of an earlier time.
+                self._keep_ends_if(clock_ms < self._contact.reported_clock_ms)
+                if not self._check_answer(token, clock_ms, earliest_clock_ms):
                     return AgentFailure.UNKNOWN
             case Failure(AgentFailure() as failure):
-                self._suspect_restart(failure is AgentFailure.UNKNOWN)
+                self._keep_ends_if(failure is AgentFailure.UNKNOWN)
+                if failure is AgentFailure.FENCED:
+                    self._check_fence(token)
                 return failure
         return None
 
-    def _log_misdirected(
-        self, clock_ms: int, earliest_clock_ms: int, expiry_ms: int
-    ) -> None:
-        events.emit(
-            graph_events.ORDER_MISDIRECTED,
-            worker=self.agent.worker,
-            clock_ms=clock_ms,
-            earliest_clock_ms=earliest_clock_ms,
-            expiry_ms=expiry_ms,
-        )
+    def _check_answer(
+        self, token: FencingToken, clock_ms: int, earliest_clock_ms: int
+    ) -> bool:
+        """Return whether the incarnation that was called has answered.
+
+        The answer of another one triggers a renewal with a new token.
+        """
+        if self._contact.order_answered(token, clock_ms, earliest_clock_ms):
+            return True
+        self._stop_if_exhausted()
+        self.spawn(self._request_report())
+        return False
 
-    def _suspect_restart(self, is_suspected: bool) -> None:
-        """Note that a run may have started in a new incarnation."""
-        if is_suspected:
-            self._restart_suspected_ms = now_ms()
+    def _check_fence(self, token: FencingToken) -> None:
+        """Handle a refused order; one with an outdated token is no news."""
+        if not self._contact.is_outdated(token):
+            self._handle_failure(AgentFailure.FENCED)
+
+    def _keep_ends_if(self, is_unconfirmed: bool) -> None:
+        """Note that a start may have been executed without a sign of it."""
+        if is_unconfirmed:
+            self._start_unconfirmed_ms = now_ms()
 
     async def _send_stop(self, message: StopRun) -> None:
         if not self._context.guard.may_send_orders():
             return
+        token = self._contact.token
+        earliest_clock_ms = self._contact.reported_clock_ms
         call_result = await self._context.agents.stop(
             self.agent,
-            StopOrder(message.task, message.attempt, self._token),
+            StopOrder(message.task, message.attempt, token),
             self._context.settings.calls.worker_timeout_ms,
         )
         failure = None
-        if isinstance(call_result, Failure):
-            failure = call_result.failure()
+        match call_result:
+            case Success(clock_ms):
+                self._check_answer(token, clock_ms, earliest_clock_ms)
+            case Failure(AgentFailure() as call_failure):
+                failure = call_failure
         self._context.owner.send(
             StopAnswered(
                 self.agent.worker,
@@ -343,13 +378,12 @@
     async def _send_pace(self, message: PaceRun) -> None:
         if not self._context.guard.may_send_orders():
             return
-        await self._context.agents.pace(
+        token = self._contact.token
+        earliest_clock_ms = self._contact.reported_clock_ms
+        call_result = await self._context.agents.pace(
             self.agent,
-            PaceOrder(
-                message.task,
-                message.attempt,
-                message.percent,
-                self._token,
-            ),
+            PaceOrder(message.task, message.attempt, message.percent, token),
             self._context.settings.calls.worker_timeout_ms,
         )
+        if isinstance(call_result, Success):
+            self._check_answer(token, call_result.unwrap(), earliest_clock_ms)
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -18,6 +18,7 @@
 from fuchsiarill.graphs.lost_runs import LostRun, WorkerLoss
 from fuchsiarill.graphs.model import BornMs, WorkerEntry, WorkerListing
 from fuchsiarill.graphs.progress import UnitKey
+from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import JobPhaseEvent
 from fuchsiarill.graphs.worker_ends import is_power_loss, loss_of
@@ -41,14 +42,22 @@
 _UnitId = tuple[JobId, UnitKey]
 
 
-def remember_loss(state: PoolState, view: WorkerView, now_ms: int) -> None:
+def remember_loss(
+    state: PoolState, view: WorkerView, expired: list[Run], now_ms: int
+) -> None:
     """Keep the runs of a worker whose leases have expired.
 
     The worker may have crashed or may only be cut off.
     """
+    keys = {run.key for run in expired}
     loss = loss_of(view, now_ms)
-    if loss.runs:
-        state.losses[view.worker] = loss
+    runs = tuple(run for run in loss.runs if (run.task, run.attempt) in keys)
+    if not runs:
+        return
+    remembered = state.losses.get(view.worker)
+    if remembered is not None and remembered.born_ms == loss.born_ms:
+        runs = (*remembered.runs, *runs)
+    state.losses[view.worker] = replace(loss, runs=runs)
 
 
 def settle_loss(
