--- a/tests/test_reused_worker_ids.py
+++ b/tests/test_reused_worker_ids.py
@@ -8,11 +8,20 @@
 from typing import Final
 
 from fuchsiarill.clock import sleep_ms
+from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.resources import Resources
 from standins.outages import Outage
-from tests.graph_cell import CAPACITY, P0, TASK_SIZE, GraphCell, run_scenario
+from tests.graph_cell import (
+    CAPACITY,
+    P0,
+    POOL,
+    TASK_SIZE,
+    GraphCell,
+    owner_of,
+    run_scenario,
+)
 
 _WORKER: Final = 'w0'
 _OTHER_WORKER: Final = 'w1'
@@ -124,3 +133,25 @@
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
 
     run_scenario(scenario, processes_count=1, workers_count=1)
+
+
+def test_next_owner_waits_for_longest_lease_of_unknown_incarnation() -> None:
+    """Guards against a second run by an owner that inherits the worker.
+
+    The former owner's start was executed by an incarnation of which neither
+    owner has a sign, and the store has taken the pool from it at once.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await sleep_ms(_FIRST_LIFE_MS)
+        await _restart(cell)
+        cell.fleet.agents[_WORKER].loses_answers = True
+        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        await _wait_for_starts(cell, 1)
+        await _cut_off(cell)
+        former_owner = owner_of(cell)
+        cell.store.end(cell.store.lease_by_key[keys.owner_key(POOL)])
+        await cell.kill(former_owner)
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
+
+    run_scenario(scenario, processes_count=2, workers_count=1)
--- a/tests/test_unconfirmed_starts.py
+++ b/tests/test_unconfirmed_starts.py
@@ -4,11 +4,12 @@
 """
 
 from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from tests.crash_world import OUTAGE_MS, SMALL, WORKERS, CrashWorld
-from tests.graph_owner import SIZE, Owner, task
+from tests.graph_owner import SIZE, Owner, running, task
 
 
 def _owner(*workers: str) -> Owner:
@@ -158,3 +159,33 @@
     assert progress.phase is JobPhase.ACTIVE
     assert not progress.crashed_attempts
     assert world.worker_of(task('a')) is not None
+
+
+def test_crash_counts_runs_whose_leases_expired_apart() -> None:
+    """Guards against a crash that counts only the runs that were lost last.
+
+    The lease of a run that no report has listed counts as longer.
+    """
+    owner = _owner('w0')
+    owner.add_job('a', Step(1, SMALL))
+    worker, attempt = _start(owner, 'a')
+    owner.core.start_answered(worker, task('a'), attempt, None, owner.now_ms)
+    leases = TaskLeaseSettings()
+    owner.now_ms += leases.longest_allowed_ms
+    owner.core.renewal_sent(worker, owner.now_ms)
+    owner.report('w0', (running(task('a')),))
+    owner.add_job('b', Step(1, SMALL))
+    _start(owner, 'b')
+    owner.core.renewal_sent(worker, owner.now_ms)
+    owner.core.worker_failed(worker, AgentFailure.UNKNOWN, owner.now_ms)
+    view = owner.view('w0')
+    owner.now_ms += leases.longest_ms + 1
+    owner.core.tick(owner.now_ms)
+    assert [run.task.job for run in view.runs.values()] == ['b']
+    owner.now_ms += leases.longest_allowed_ms - leases.longest_ms
+    owner.core.tick(owner.now_ms)
+    assert not view.runs
+    owner.report('w0', born_ms=2)
+    progress = owner.core.state.jobs[JobId('a')].progress
+    unit_key = next(iter(progress.crashed_attempts))
+    assert progress.crashes_count(unit_key) == 1
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -1,14 +1,18 @@
 """Renewals and starts that the channel to a worker sends, in paused time."""
 
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, TypeVar
 
 import pytest
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import now_ms, run_paused, sleep_ms
-from fuchsiarill.graphs.effects import RequestReport, StartRun
+from fuchsiarill.graphs.effects import (
+    FenceIncarnation,
+    RequestReport,
+    StartRun,
+)
 from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.lease_guard import LeaseGuard
 from fuchsiarill.graphs.model import (
@@ -18,10 +22,21 @@
     StartOrder,
     WorkerReport,
 )
-from fuchsiarill.graphs.owner_messages import RunEndsDurable, StartAnswered
+from fuchsiarill.graphs.owner_messages import (
+    OwnershipLost,
+    RunEndsDurable,
+    StartAnswered,
+    WorkerReported,
+)
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.worker_channel import ChannelContext, WorkerChannel
-from fuchsiarill.ids import Epoch, WorkerId
+from fuchsiarill.ids import (
+    NO_TOKEN,
+    TOKENS_PER_EPOCH,
+    Epoch,
+    FencingToken,
+    WorkerId,
+)
 from fuchsiarill.ports.agents import (
     AgentAddress,
     AgentFailure,
@@ -36,6 +51,8 @@
 _FOREVER_MS: Final = 10**9
 _DELAY_MS: Final = 5
 
+_Message = TypeVar('_Message')
+
 
 @dataclass(slots=True)
 class _ScriptedAgent:
@@ -49,6 +66,7 @@
     ends_page_count: int = 500
     reports_count: int = 0
     loses_start_answers: bool = False
+    token: FencingToken = NO_TOKEN
     renewals: list[tuple[int, RenewalOrder]] = field(default_factory=list)
 
     def clock_ms(self) -> int:
@@ -60,12 +78,15 @@
         self.born_ms = BornMs(self.born_ms + 1)
         self.started_ms = now_ms()
         self.ends_count = 0
+        self.token = NO_TOKEN
 
     async def start(
         self, agent: AgentAddress, order: StartOrder, timeout_ms: int
     ) -> Result[int, AgentFailure]:
         """Execute a start."""
         await sleep_ms(_DELAY_MS)
+        if order.token < self.token:
+            return Failure(AgentFailure.FENCED)
         if self.loses_start_answers:
             await sleep_ms(timeout_ms)
             return Failure(AgentFailure.UNKNOWN)
@@ -89,6 +110,9 @@
         """Answer after `wait_ms` with all ends that are not acknowledged."""
         self.renewals.append((now_ms(), order))
         await sleep_ms(_DELAY_MS + order.wait_ms)
+        if order.token < self.token:
+            return Failure(AgentFailure.FENCED)
+        self.token = order.token
         self.reports_count += 1
         rows = tuple(
             ended(task('a', position=sequence), sequence)
@@ -109,11 +133,12 @@
     agent: _ScriptedAgent,
     guard: LeaseGuard | None = None,
     owner: Mailbox | None = None,
+    tokens: FencingTokenSource | None = None,
 ) -> WorkerChannel:
     context = ChannelContext(
         settings_of('p0'),
         agent,
-        FencingTokenSource(Epoch(1)),
+        tokens or FencingTokenSource(Epoch(1)),
         guard or LeaseGuard(_FOREVER_MS),
         Mailbox() if owner is None else owner,
     )
@@ -277,3 +302,113 @@
         assert message.failure is failure
 
     run_paused(scenario())
+
+
+async def _next_message(owner: Mailbox, kind: type[_Message]) -> _Message:
+    while True:
+        message = await owner.receive()
+        if isinstance(message, kind):
+            return message
+
+
+def test_incarnation_gets_no_effect_before_its_own_token() -> None:
+    """Guards against calls for a former incarnation that act on the next one.
+
+    The first renewal that the next incarnation answers was meant for the former
+    one. The owner gets only the report that answers a higher token.
+    """
+
+    async def scenario() -> None:
+        agent = _ScriptedAgent()
+        owner = Mailbox()
+        channel = _open_channel(agent, owner=owner)
+        await sleep_ms(2500)
+        sent_count = len(agent.renewals)
+        former = agent.renewals[-1][1]
+        agent.restart()
+        while True:
+            message = await _next_message(owner, WorkerReported)
+            if message.report.born_ms == agent.born_ms:
+                break
+        await channel.stop()
+        fencing = agent.renewals[sent_count][1]
+        assert fencing.token > former.token
+        assert fencing.expiry_ms is None
+        assert not fencing.acknowledged
+        assert agent.token == fencing.token
+
+    run_paused(scenario())
+
+
+def test_no_start_before_listed_incarnation_is_fenced() -> None:
+    """Guards against a start with the clock of a former incarnation."""
+
+    async def scenario() -> None:
+        agent = _ScriptedAgent()
+        owner = Mailbox()
+        channel = _open_channel(agent, owner=owner)
+        await sleep_ms(2500)
+        agent.restart()
+        channel.mailbox.send(FenceIncarnation(_WORKER, agent.born_ms))
+        channel.mailbox.send(_start_order())
+        answer = await _next_message(owner, StartAnswered)
+        assert answer.failure is AgentFailure.NOT_SENT
+        await sleep_ms(100)
+        channel.mailbox.send(_start_order())
+        answer = await _next_message(owner, StartAnswered)
+        assert answer.failure is None
+        await channel.stop()
+
+    run_paused(scenario())
+
+
+@pytest.mark.parametrize('is_outdated', [True, False])
+def test_refused_token_ends_ownership_unless_outdated(
+    *, is_outdated: bool
+) -> None:
+    """Guards against an owner that steps down for its own higher token."""
+
+    async def scenario() -> None:
+        agent = _ScriptedAgent()
+        owner = Mailbox()
+        channel = _open_channel(agent, owner=owner)
+        await sleep_ms(2500)
+        channel.mailbox.send(_start_order())
+        # The order is on its way.
+        await sleep_ms(1)
+        if is_outdated:
+            next_born_ms = BornMs(agent.born_ms + 1)
+            channel.mailbox.send(FenceIncarnation(_WORKER, next_born_ms))
+        agent.token = FencingToken(Epoch(1), 1)
+        await sleep_ms(100)
+        await channel.stop()
+        messages = [await owner.receive() for _ in range(len(owner))]
+        failures = [
+            message.failure
+            for message in messages
+            if isinstance(message, StartAnswered)
+        ]
+        assert failures == [AgentFailure.FENCED]
+        losses = [
+            message
+            for message in messages
+            if isinstance(message, OwnershipLost)
+        ]
+        assert bool(losses) is not is_outdated
+
+    run_paused(scenario())
+
+
+def test_owner_without_further_tokens_steps_down() -> None:
+    """Guards against a token that two incarnations of a worker share."""
+
+    async def scenario() -> None:
+        tokens = FencingTokenSource(Epoch(1))
+        for _ in range(TOKENS_PER_EPOCH - 1):
+            tokens.take()
+        owner = Mailbox()
+        channel = _open_channel(_ScriptedAgent(), owner=owner, tokens=tokens)
+        await _next_message(owner, OwnershipLost)
+        await channel.stop()
+
+    run_paused(scenario())
