--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -398,7 +398,7 @@
         # A start order without an answer may still run in the new incarnation,
         # until that has answered.
         leases = self.state.leases
-        view.unlisted_expiry_ms = (
+        view.unconfirmed_expiry_ms = (
             now_ms + leases.late_call_ms + leases.longest_allowed_ms
         )
         self.state.effects.append(
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -82,7 +82,7 @@
     Calls for earlier incarnations may have extended them until then.
     """
     expiry_ms = now_ms + state.leases.longest_allowed_ms
-    view.set_expiry(max(view.listed_expiry_ms, expiry_ms))
+    view.set_expiry(max(view.confirmed_expiry_ms, expiry_ms))
 
 
 def apply_restart(
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -86,11 +86,11 @@
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
     """Extend all task leases of a worker: a renewal or start is sent to it."""
-    view.listed_expiry_ms = max(
-        view.listed_expiry_ms, now_ms + state.leases.longest_ms
+    view.confirmed_expiry_ms = max(
+        view.confirmed_expiry_ms, now_ms + state.leases.longest_ms
     )
-    view.unlisted_expiry_ms = max(
-        view.unlisted_expiry_ms, now_ms + state.leases.longest_allowed_ms
+    view.unconfirmed_expiry_ms = max(
+        view.unconfirmed_expiry_ms, now_ms + state.leases.longest_allowed_ms
     )
 
 
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -63,3 +63,8 @@
     def key(self) -> tuple[TaskKey, int]:
         """Return the task key and the attempt number."""
         return (self.task, self.attempt)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the worker's present incarnation has started it."""
+        return self.is_listed or self.is_start_confirmed
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -77,7 +77,9 @@
         super().__init__(f'channel {agent.worker}')
         self.agent = agent
         self._context = context
-        self._contact = WorkerContact(agent.worker, context.tokens)
+        self._contact = WorkerContact(
+            agent.worker, context.tokens, context.settings.task_lease
+        )
         # The incarnation that `_reported_end` and `_durable_end` are of.
         self._applied_born_ms = BornMs(0)
         self._reported_end = NO_END
@@ -304,7 +306,7 @@
             message.ticket,
         )
         self._context.owner.send(RenewalSent(self.agent.worker))
-        earliest_clock_ms = self._contact.reported_clock_ms
+        earliest_clock_ms = self._contact.earliest_clock_ms
         self._starts_in_progress_count += 1
         try:
             call_result = await self._context.agents.start(
@@ -354,7 +356,7 @@
         if not self._context.guard.may_send_orders():
             return
         token = self._contact.token
-        earliest_clock_ms = self._contact.reported_clock_ms
+        earliest_clock_ms = self._contact.earliest_clock_ms
         call_result = await self._context.agents.stop(
             self.agent,
             StopOrder(message.task, message.attempt, token),
@@ -379,7 +381,7 @@
         if not self._context.guard.may_send_orders():
             return
         token = self._contact.token
-        earliest_clock_ms = self._contact.reported_clock_ms
+        earliest_clock_ms = self._contact.earliest_clock_ms
         call_result = await self._context.agents.pace(
             self.agent,
             PaceOrder(message.task, message.attempt, message.percent, token),
--- a/fuchsiarill/graphs/worker_contact.py
+++ b/fuchsiarill/graphs/worker_contact.py
@@ -18,12 +18,17 @@
 from fuchsiarill.clock import now_ms
 from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.model import BornMs, WorkerReport
+from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.states import ContactEvent, ContactState
 from fuchsiarill.ids import FencingToken, WorkerId
 from fuchsiarill.registry import Registry
 from fuchsiarill.state_chart import load_chart
 
 
+# Both clocks are read in whole milliseconds.
+_ROUNDING_MS: Final = 2
+
+
 class ReportVerdict(Enum):
     """Whether a report is of an incarnation that earlier calls can't reach."""
 
@@ -37,16 +42,22 @@
 class WorkerContact:
     """Contact of one channel to a worker, across incarnations of it."""
 
-    def __init__(self, worker: WorkerId, tokens: FencingTokenSource) -> None:
+    def __init__(
+        self,
+        worker: WorkerId,
+        tokens: FencingTokenSource,
+        leases: TaskLeaseSettings,
+    ) -> None:
         """Take a token; the worker has not been called yet."""
         self.state = _CHART.initial
         self.token = tokens.take()
         self.born_ms = BornMs(0)
-        # The worker's clock in the last report; a later call to the same
-        # incarnation is answered with no lower one.
+        # The worker's clock in the last report, which came at `_reported_ms`.
         self.reported_clock_ms = 0
+        self._reported_ms = 0
         self._worker = worker
         self._tokens = tokens
+        self._clock_rate_min = 1 - leases.clock_slowness
         # Worker's clock minus the runtime clock.
         self._clock_offset_ms = 0
 
@@ -55,6 +66,15 @@
         """Return whether calls that depend on the incarnation may be sent."""
         return self.state is ContactState.CONFIRMED
 
+    @property
+    def earliest_clock_ms(self) -> int:
+        """Return the lowest clock with which a call sent now is answered.
+
+        An incarnation that started after the last report has a lower clock.
+        """
+        passed_ms = now_ms() - self._reported_ms - _ROUNDING_MS
+        return self.reported_clock_ms + int(passed_ms * self._clock_rate_min)
+
     def expiry_ms(self, duration_ms: int) -> int:
         """Return when leases renewed now expire, by the worker's clock."""
         return now_ms() + self._clock_offset_ms + duration_ms
@@ -93,7 +113,7 @@
     ) -> bool:
         """Check which incarnation has answered an order.
 
-        `earliest_clock_ms` is `reported_clock_ms` when the order was sent.
+        `earliest_clock_ms` is that of the time when the order was sent.
         Returns whether the incarnation that it was meant for has answered.
         """
         if self.is_outdated(token):
@@ -133,7 +153,9 @@
         # leases. An older, larger offset would lengthen them beyond
         # `longest_ms` on a worker whose clock is slow.
         self._clock_offset_ms = report.clock_ms - now_ms()
-        self.reported_clock_ms = max(self.reported_clock_ms, report.clock_ms)
+        if report.clock_ms >= self.reported_clock_ms:
+            self.reported_clock_ms = report.clock_ms
+            self._reported_ms = now_ms()
 
     def _apply_event(self, event: ContactEvent) -> None:
         transition = _CHART.step(self.state, event)
--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -131,7 +131,7 @@
         run.start_ordered_ms,
         is_young(run),
         run.is_on_trial,
-        run.is_listed or run.is_start_confirmed,
+        run.is_confirmed,
     )
 
 
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -77,13 +77,12 @@
     seen_end: EndSequence = NO_END
     # Ends up to this number are durable; the worker may delete them.
     durable_end: EndSequence = NO_END
-    # The task leases of runs that a report of the present incarnation has
-    # listed have expired after this time; each start order, and each renewal
-    # that extends the leases, moves it.
-    listed_expiry_ms: int = 0
+    # The task leases of confirmed runs have expired after this time; each start
+    # order, and each renewal that extends the leases, moves it.
+    confirmed_expiry_ms: int = 0
     # The same for other runs. A later incarnation, of which the owner does not
     # know, may have executed their start orders.
-    unlisted_expiry_ms: int = 0
+    unconfirmed_expiry_ms: int = 0
     reported_ms: int = 0
     # When the present incarnation reported first; 0 before.
     in_touch_since_ms: int = 0
@@ -132,18 +131,18 @@
     @property
     def lease_expiry_ms(self) -> int:
         """Return the time after which all task leases have expired."""
-        return max(self.listed_expiry_ms, self.unlisted_expiry_ms)
+        return max(self.confirmed_expiry_ms, self.unconfirmed_expiry_ms)
 
     def expiry_of(self, run: Run) -> int:
         """Return the time after which the task lease of a run has expired."""
-        if run.is_listed:
-            return self.listed_expiry_ms
-        return self.unlisted_expiry_ms
+        if run.is_confirmed:
+            return self.confirmed_expiry_ms
+        return self.unconfirmed_expiry_ms
 
     def set_expiry(self, expiry_ms: int) -> None:
         """Set the time after which all task leases have expired."""
-        self.listed_expiry_ms = expiry_ms
-        self.unlisted_expiry_ms = expiry_ms
+        self.confirmed_expiry_ms = expiry_ms
+        self.unconfirmed_expiry_ms = expiry_ms
 
     @property
     def labels(self) -> tuple[Label, ...]:
--- a/tests/test_unconfirmed_starts.py
+++ b/tests/test_unconfirmed_starts.py
@@ -164,7 +164,7 @@
 def test_crash_counts_runs_whose_leases_expired_apart() -> None:
     """Guards against a crash that counts only the runs that were lost last.
 
-    The lease of a run that no report has listed counts as longer.
+    The lease of a run counts as longer if nothing confirms its start.
     """
     owner = _owner('w0')
     owner.add_job('a', Step(1, SMALL))
@@ -176,6 +176,9 @@
     owner.report('w0', (running(task('a')),))
     owner.add_job('b', Step(1, SMALL))
     _start(owner, 'b')
+    owner.add_job('c', Step(1, SMALL))
+    worker, attempt = _start(owner, 'c')
+    owner.core.start_answered(worker, task('c'), attempt, None, owner.now_ms)
     owner.core.renewal_sent(worker, owner.now_ms)
     owner.core.worker_failed(worker, AgentFailure.UNKNOWN, owner.now_ms)
     view = owner.view('w0')
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -278,21 +278,27 @@
     run_paused(scenario())
 
 
+@pytest.mark.parametrize('age_ms', [500, 2500])
 @pytest.mark.parametrize(
     ('restarts', 'failure'), [(False, None), (True, AgentFailure.UNKNOWN)]
 )
 def test_answer_of_a_later_incarnation_confirms_no_start(
-    failure: AgentFailure | None, *, restarts: bool
+    age_ms: int, failure: AgentFailure | None, *, restarts: bool
 ) -> None:
-    """Guards against a crash counted for a start that came after it."""
+    """Guards against a crash counted for a start that came after it.
+
+    The clock of a later incarnation may be ahead of the last report of a young
+    one.
+    """
 
     async def scenario() -> None:
-        agent = _ScriptedAgent()
+        agent = _ScriptedAgent(clock_rate=0.98)
         owner = Mailbox()
         channel = _open_channel(agent, owner=owner)
-        await sleep_ms(2500)
+        await sleep_ms(age_ms)
         if restarts:
             agent.restart()
+            await sleep_ms(100)
         channel.mailbox.send(_start_order())
         while True:
             message = await owner.receive()
