--- a/fuchsiarill/graphs/worker_ends.py
+++ b/fuchsiarill/graphs/worker_ends.py
@@ -96,10 +96,11 @@
     state: PoolState, view: WorkerView, silent_ms: int
 ) -> tuple[LostRun, ...]:
     """Return the runs of a silent worker, also after its leases expired."""
+    runs = loss_of(view, silent_ms).runs
     remembered = state.losses.get(view.worker)
     if remembered is not None and remembered.born_ms == view.born_ms:
-        return remembered.runs
-    return loss_of(view, silent_ms).runs
+        return (*remembered.runs, *runs)
+    return runs
 
 
 def _young_jobs(runs: tuple[LostRun, ...]) -> set[JobId]:
--- a/standins/delayed_calls.py
+++ b/standins/delayed_calls.py
@@ -21,6 +21,11 @@
         # The loop holds only weak references to its tasks.
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def calls_count(self) -> int:
+        """Return the number of calls that are still to be executed."""
+        return len(self._tasks)
+
     def delay(self, address: str, execute: Callable[[], None]) -> bool:
         """Execute a call later if calls to the address are delayed.
 
