--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -88,6 +88,8 @@
         # The last report lacked some ends.
         self._has_more_ends = False
         self._starts_in_progress_count = 0
+        # The last report listed ends, which the worker keeps.
+        self._lists_ends = False
         # A report requested before this time may lack an end that has the
         # number of a durable one; `None` while nothing tells of that.
         self._start_unconfirmed_ms: int | None = None
@@ -236,7 +238,9 @@
             return NO_END
         if self._start_unconfirmed_ms is not None:
             return NO_END
-        return self._durable_end
+        # A renewal may be executed by a later incarnation, so none repeats an
+        # acknowledgement that the worker has got.
+        return self._durable_end if self._lists_ends else NO_END
 
     def _apply_report(self, report: WorkerReport, requested_ms: int) -> None:
         if report.born_ms != self._applied_born_ms:
@@ -245,6 +249,7 @@
             self._durable_end = NO_END
         self._has_more_ends = report.has_more_ends
         unconfirmed_ms = self._start_unconfirmed_ms
+        self._lists_ends = bool(report.ended)
         if unconfirmed_ms is not None and unconfirmed_ms <= requested_ms:
             self._start_unconfirmed_ms = None
         for end in report.ended:
