Settle a start whose channel is replaced before the answer

A unit waited for ever when the address of its worker changed while the start was out: the channel that was replaced sent no outcome.

--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -286,15 +286,19 @@
         return self._contact.expiry_ms(task_lease.duration_ms)
 
     async def _send_start(self, message: StartRun) -> None:
-        failure = await self._order_start(message)
-        self._context.owner.send(
-            StartAnswered(
-                self.agent.worker,
-                message.task,
-                message.attempt,
-                failure,
-            ),
-        )
+        failure: AgentFailure | None = AgentFailure.UNKNOWN
+        try:
+            failure = await self._order_start(message)
+        finally:
+            # Also if the channel is replaced before the answer.
+            self._context.owner.send(
+                StartAnswered(
+                    self.agent.worker,
+                    message.task,
+                    message.attempt,
+                    failure,
+                ),
+            )
 
     async def _order_start(self, message: StartRun) -> AgentFailure | None:
         expiry_ms = self._lease_expiry_ms()
