--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -7,15 +7,17 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from typing import Final
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     decision_round,
+    incarnations,
     reports,
     worker_crashes,
     worker_suspension,
 )
-from fuchsiarill.graphs.effects import Effect, FenceIncarnation, RequestReport
+from fuchsiarill.graphs.effects import Effect, RequestReport
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
@@ -39,16 +41,16 @@
 from fuchsiarill.graphs.states import (
     AvailabilityEvent,
     JobPhaseEvent,
-    RestartSource,
     RunEvent,
     RunState,
 )
 from fuchsiarill.graphs.ticking import TICK_ACTIONS
 from fuchsiarill.graphs.worker_ends import proves_end
-from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
+_NO_INCARNATION: Final = BornMs(0)
+
 # After a start that failed for one of these reasons, the worker gets no new run
 # until it has reported again.
 _AVAILABILITY_FAILURES = frozenset(
@@ -143,9 +145,7 @@
         """Apply the complete list of the pool's entries in the directory."""
         listed = list(entries)
         for worker in self.state.workers.update_entries(listed):
-            view = self.state.workers.find(worker)
-            if view is not None and view.born_ms:
-                self._reset_if_restarted(view, now_ms)
+            incarnations.apply_listed(self.state, worker, now_ms)
         worker_crashes.apply_entries(self.state, listed, now_ms)
         self.state.room_changes.add_all()
 
@@ -154,14 +154,17 @@
         worker: WorkerId,
         address: str,
         lease_expiry_ms: int,
+        recorded_born_ms: BornMs = _NO_INCARNATION,
     ) -> None:
         """Add a worker on which a previous owner may have started runs.
 
         Task leases granted by that owner expire at `lease_expiry_ms` at the
-        latest.
+        latest, unless late calls act on an incarnation later than the recorded
+        one.
         """
         view = self.state.workers.add(worker, address)
         view.is_recorded = True
+        view.recorded_born_ms = recorded_born_ms
         view.set_expiry(max(view.lease_expiry_ms, lease_expiry_ms))
 
     def record_workers(self, workers: Iterable[WorkerId]) -> None:
@@ -196,6 +199,12 @@
         ):
             self.state.room_changes.add(worker)
 
+    def restart_suspected(self, worker: WorkerId, now_ms: int) -> None:
+        """Expect late calls on a later incarnation that is not fenced yet."""
+        view = self.state.workers.find(worker)
+        if view is not None:
+            incarnations.expect_late_calls(self.state, view, now_ms)
+
     def worker_failed(
         self,
         worker: WorkerId,
@@ -246,6 +255,7 @@
             apply_run_event(self.state, run, RunEvent.CONFIRMED, now_ms)
             return
         if failure is AgentFailure.UNKNOWN:
+            incarnations.bound_unanswered_start(self.state, worker, now_ms)
             apply_run_event(self.state, run, RunEvent.UNANSWERED, now_ms)
             return
         self._handle_refusal(run, failure, now_ms)
@@ -385,27 +395,6 @@
             self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
         reports.end_unreported_run(self.state, run, RunEvent.REFUSED, now_ms)
 
-    def _reset_if_restarted(self, view: WorkerView, now_ms: int) -> None:
-        if view.entry is None or view.entry.born_ms <= view.born_ms:
-            return
-        reports.apply_restart(
-            self.state,
-            view,
-            view.entry.born_ms,
-            RestartSource.DIRECTORY,
-            now_ms,
-        )
-        # A start order without an answer may still run in the new incarnation,
-        # until that has answered.
-        leases = self.state.leases
-        view.unconfirmed_expiry_ms = (
-            now_ms + leases.late_call_ms + leases.longest_allowed_ms
-        )
-        self.state.effects.append(
-            FenceIncarnation(view.worker, view.entry.born_ms)
-        )
-        self.state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
-
     def _unblock_step(self, step: StepKey) -> None:
         step_entry = self.state.find_unfinished_step(step)
         if step_entry is not None:
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -61,6 +61,13 @@
     worker: WorkerId
 
 
+@dataclass(frozen=True, slots=True)
+class RestartSuspected:
+    """A later incarnation of a worker has answered; it is not fenced yet."""
+
+    worker: WorkerId
+
+
 @dataclass(frozen=True, slots=True)
 class RenewalFailed:
     """A renewal failed, or a start was refused because of a later epoch."""
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -112,7 +112,10 @@
         self._writer.start()
         for member in self._fleet.members:
             self.core.add_inherited_worker(
-                member.worker, member.address, self._prior_lease_expiry_ms()
+                member.worker,
+                member.address,
+                self._prior_lease_expiry_ms(),
+                member.born_ms,
             )
             self.channels.open_channel(member.worker, member.address)
         self._saver.save_fleet()
@@ -186,6 +189,13 @@
         """Record that the leases on a worker are extended."""
         self.core.renewal_sent(message.worker, now_ms())
 
+    @handles(messages.RestartSuspected)
+    async def on_restart_suspected(
+        self, message: messages.RestartSuspected
+    ) -> None:
+        """Record that late calls may act on a later incarnation."""
+        self.core.restart_suspected(message.worker, now_ms())
+
     @handles(messages.RenewalFailed)
     async def on_renewal_failed(self, message: messages.RenewalFailed) -> None:
         """Apply a failed renewal, or a start that met a later epoch."""
@@ -270,7 +280,8 @@
         # The wall clock may jump, so its offset is computed at each tick.
         self.core.state.unix_offset_ms = time.time_ns() // _NS_PER_MS - now
         self.core.tick(now)
-        if self.channels.remove_unlisted_workers(now):
+        is_any_removed = self.channels.remove_unlisted_workers(now)
+        if is_any_removed or self._saver.is_fleet_outdated():
             self._saver.save_fleet()
         self._schedule_decision()
 
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -10,6 +10,7 @@
 from fuchsiarill.graphs.model import QueueId
 from fuchsiarill.graphs.owner_messages import ProcessedEnds, SaveRecords
 from fuchsiarill.graphs.settings import RetentionSettings
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import StoreKey
 
 # Interval of the scans of all jobs; the counts of jobs that have not started
@@ -76,15 +77,19 @@
         self._writer.send(SaveRecords(changed, deletes, ends))
         return ()
 
+    def is_fleet_outdated(self) -> bool:
+        """Tell whether the record lacks an incarnation that has reported."""
+        return any(
+            view.reported_born_ms != view.recorded_born_ms
+            for view in self._core.state.workers
+        )
+
     def save_fleet(self) -> None:
         """Write the fleet record.
 
         A worker gets no start until a record that lists it has been saved.
         """
-        members = tuple(
-            records.FleetMember(view.worker, view.address)
-            for view in self._core.state.workers
-        )
+        members = tuple(map(_record_member, self._core.state.workers))
         fleet_record = replace(self._fleet_record, members=members)
         self._writer.send(
             SaveRecords(
@@ -137,3 +142,8 @@
                 ),
             )
         return tuple(expired)
+
+
+def _record_member(view: WorkerView) -> records.FleetMember:
+    view.recorded_born_ms = view.reported_born_ms
+    return records.FleetMember(view.worker, view.address, view.recorded_born_ms)
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from fuchsiarill.graphs.model import Checkpoint, QueueId
+from fuchsiarill.graphs.model import BornMs, Checkpoint, QueueId
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import ProcessId, WorkerId
@@ -33,6 +33,8 @@
 
     worker: WorkerId
     address: str
+    # The last incarnation that has reported; 0 before.
+    born_ms: BornMs = BornMs(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +83,11 @@
         {
             'term': record.term,
             'members': rows,
+            'born_ms': {
+                member.worker: member.born_ms
+                for member in record.members
+                if member.born_ms
+            },
             'owner': asdict(record.owner) if record.owner else None,
         },
     )
@@ -89,8 +96,10 @@
 def decode_fleet(content: bytes) -> FleetRecord:
     """Decode a fleet record."""
     document = json.loads(content)
+    # A record of an earlier version has no such field.
+    born_ms = document.get('born_ms', {})
     members = tuple(
-        FleetMember(WorkerId(worker), address)
+        FleetMember(WorkerId(worker), address, BornMs(born_ms.get(worker, 0)))
         for worker, address in document['members']
     )
     owner = document['owner']
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -88,7 +88,7 @@
     UNFENCED = 'unfenced'
     CONFIRMED = 'confirmed'
     # Fenced, but the last renewal got no report.
-    UNCONFIRMED = 'unconfirmed'
+    SILENT = 'silent'
 
 
 class ContactEvent(Enum):
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -35,13 +35,14 @@
     OwnershipLost,
     RenewalFailed,
     RenewalSent,
+    RestartSuspected,
     RunEndsDurable,
     StartAnswered,
     StopAnswered,
     WorkerReported,
 )
 from fuchsiarill.graphs.settings import GraphSettings
-from fuchsiarill.graphs.worker_contact import ReportVerdict, WorkerContact
+from fuchsiarill.graphs.worker_contact import ReportOutcome, WorkerContact
 from fuchsiarill.ids import FencingToken
 from fuchsiarill.ports.agents import (
     AgentAddress,
@@ -87,9 +88,9 @@
         self._ends_durable_event = asyncio.Event()
         # The last report lacked some ends.
         self._has_more_ends = False
-        self._starts_in_progress_count = 0
         # The last report listed ends, which the worker keeps.
         self._lists_ends = False
+        self._starts_in_progress_count = 0
         # A report requested before this time may lack an end that has the
         # number of a durable one; `None` while nothing tells of that.
         self._start_unconfirmed_ms: int | None = None
@@ -196,17 +197,17 @@
                     self._handle_failure(call_result.failure())
                 return False
             report = call_result.unwrap()
-            verdict = self._contact.judge(report, token)
-            if verdict is ReportVerdict.UNFENCED:
-                self._stop_if_exhausted()
+            outcome = self._contact.apply_report(report, token)
+            if outcome is ReportOutcome.UNFENCED:
+                self._report_restart()
                 wait_ms = 0
                 continue
-            if verdict is ReportVerdict.FENCED:
+            if outcome is ReportOutcome.FENCED:
                 self._apply_report(report, requested_ms)
                 self._context.owner.send(
                     WorkerReported(self.agent.worker, report, requested_ms),
                 )
-            return verdict is ReportVerdict.FENCED
+            return outcome is ReportOutcome.FENCED
 
     async def _call_renewal(
         self, wait_ms: int
@@ -248,8 +249,8 @@
             self._reported_end = NO_END
             self._durable_end = NO_END
         self._has_more_ends = report.has_more_ends
-        unconfirmed_ms = self._start_unconfirmed_ms
         self._lists_ends = bool(report.ended)
+        unconfirmed_ms = self._start_unconfirmed_ms
         if unconfirmed_ms is not None and unconfirmed_ms <= requested_ms:
             self._start_unconfirmed_ms = None
         for end in report.ended:
@@ -264,6 +265,11 @@
             )
         self._context.owner.send(RenewalFailed(self.agent.worker, failure))
 
+    def _report_restart(self) -> None:
+        """Tell the owner of an incarnation that is not fenced yet."""
+        self._context.owner.send(RestartSuspected(self.agent.worker))
+        self._stop_if_exhausted()
+
     def _stop_if_exhausted(self) -> None:
         if self._context.tokens.is_exhausted:
             self._context.owner.send(
@@ -328,35 +334,35 @@
         match call_result:
             case Success(clock_ms):
                 # An answer that a report has overtaken is of an earlier time.
-                self._keep_ends_if(clock_ms < self._contact.reported_clock_ms)
-                if not self._check_answer(token, clock_ms, earliest_clock_ms):
+                self._note_unconfirmed_start(
+                    clock_ms < self._contact.reported_clock_ms
+                )
+                if not self._apply_answer(token, clock_ms, earliest_clock_ms):
                     return AgentFailure.UNKNOWN
             case Failure(AgentFailure() as failure):
-                self._keep_ends_if(failure is AgentFailure.UNKNOWN)
-                if failure is AgentFailure.FENCED:
-                    self._check_fence(token)
+                self._note_unconfirmed_start(failure is AgentFailure.UNKNOWN)
+                is_news = not self._contact.is_outdated(token)
+                if failure is AgentFailure.FENCED and is_news:
+                    self._handle_failure(failure)
                 return failure
         return None
 
-    def _check_answer(
+    def _apply_answer(
         self, token: FencingToken, clock_ms: int, earliest_clock_ms: int
     ) -> bool:
         """Return whether the incarnation that was called has answered.
 
-        The answer of another one triggers a renewal with a new token.
+        The first answer of another one triggers a renewal with a new token.
         """
+        present_token = self._contact.token
         if self._contact.order_answered(token, clock_ms, earliest_clock_ms):
             return True
-        self._stop_if_exhausted()
-        self.spawn(self._request_report())
+        if self._contact.is_outdated(present_token):
+            self._report_restart()
+            self.spawn(self._request_report())
         return False
 
-    def _check_fence(self, token: FencingToken) -> None:
-        """Handle a refused order; one with an outdated token is no news."""
-        if not self._contact.is_outdated(token):
-            self._handle_failure(AgentFailure.FENCED)
-
-    def _keep_ends_if(self, is_unconfirmed: bool) -> None:
+    def _note_unconfirmed_start(self, is_unconfirmed: bool) -> None:
         """Note that a start may have been executed without a sign of it."""
         if is_unconfirmed:
             self._start_unconfirmed_ms = now_ms()
@@ -374,7 +380,7 @@
         failure = None
         match call_result:
             case Success(clock_ms):
-                self._check_answer(token, clock_ms, earliest_clock_ms)
+                self._apply_answer(token, clock_ms, earliest_clock_ms)
             case Failure(AgentFailure() as call_failure):
                 failure = call_failure
         self._context.owner.send(
@@ -397,4 +403,4 @@
             self._context.settings.calls.worker_timeout_ms,
         )
         if isinstance(call_result, Success):
-            self._check_answer(token, call_result.unwrap(), earliest_clock_ms)
+            self._apply_answer(token, call_result.unwrap(), earliest_clock_ms)
--- a/fuchsiarill/graphs/worker_contact.py
+++ b/fuchsiarill/graphs/worker_contact.py
@@ -29,7 +29,7 @@
 _ROUNDING_MS: Final = 2
 
 
-class ReportVerdict(Enum):
+class ReportOutcome(Enum):
     """Whether a report is of an incarnation that earlier calls can't reach."""
 
     FENCED = 'fenced'
@@ -83,21 +83,25 @@
         """Tell whether another incarnation may have answered a call."""
         return token != self.token
 
-    def judge(self, report: WorkerReport, token: FencingToken) -> ReportVerdict:
+    def apply_report(
+        self, report: WorkerReport, token: FencingToken
+    ) -> ReportOutcome:
         """Apply a report that answers a renewal with `token`."""
         if self.is_outdated(token):
-            return ReportVerdict.OUTDATED
+            return ReportOutcome.OUTDATED
         if report.born_ms < self.born_ms:
-            # Its time of day has been set back: no order of incarnations.
+            # The time of day of its host has been set back. Its leases expire,
+            # and it gets no starts in this term.
             self.call_failed()
-            return ReportVerdict.OUTDATED
+            return ReportOutcome.OUTDATED
         if report.born_ms > self.born_ms:
-            # Without an effect while no call depends on the incarnation.
+            # The chart ignores this in `unfenced`, where no call with the
+            # present token depends on the incarnation.
             self._apply_event(ContactEvent.OTHER_INCARNATION)
             if self.is_outdated(token):
-                return ReportVerdict.UNFENCED
+                return ReportOutcome.UNFENCED
         self._apply_fenced(report)
-        return ReportVerdict.FENCED
+        return ReportOutcome.FENCED
 
     def call_failed(self) -> None:
         """Note that a renewal got no report."""
@@ -132,6 +136,9 @@
     def take_token(self) -> None:
         """Take a higher token, which later calls carry."""
         self.token = self._tokens.take()
+        # Nothing is known of the clock of the incarnation that is called now.
+        self.reported_clock_ms = 0
+        self._reported_ms = now_ms()
 
     def _apply_fenced(self, report: WorkerReport) -> None:
         if self.state is ContactState.UNFENCED and self.born_ms:
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -58,6 +58,8 @@
     is_listed: bool = False
     # In the durable fleet record, so that the next owner contacts it too.
     is_recorded: bool = False
+    # The incarnation in that record; 0 before the first report.
+    recorded_born_ms: BornMs = _BORN_UNKNOWN_MS
     # Has reported to this owner, or all its task leases have expired.
     is_reconciled: bool = False
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
@@ -128,6 +130,11 @@
                 self.reservations.remove(reservation)
                 return
 
+    @property
+    def reported_born_ms(self) -> BornMs:
+        """Return the last incarnation that has reported, also to others."""
+        return self.born_ms if self.in_touch_since_ms else self.recorded_born_ms
+
     @property
     def lease_expiry_ms(self) -> int:
         """Return the time after which all task leases have expired."""
--- a/tests/test_incarnation_bounds.py
+++ b/tests/test_incarnation_bounds.py
@@ -47,7 +47,7 @@
         agent: AgentAddress, order: RenewalOrder, timeout_ms: int
     ) -> Result[WorkerReport, AgentFailure]:
         answer = await renew(agent, order, timeout_ms)
-        if isinstance(answer, Success):
+        if isinstance(answer, Success) and agent.worker == model.worker:
             model.is_silent |= answer.unwrap().born_ms == model.born_ms
         return answer
 
