Name the incarnation of the worker in each exchange

What callers would see: an idempotent task ran on two workers at once, an at-most-once task ran after its job had ended as unknown, or ran twice after a takeover. Only after a worker had restarted while a start was under way to it.

Cause: an exchange that is delayed until its worker has restarted was executed by the next incarnation. That one has seen no epoch, and its clock begins anew, so that `start_before_worker_clock_ms` of the former clock lies far ahead. By then the owner had resolved the start: as lost once its own deadline had passed, as never run from a report of the former incarnation, or by the bound on the lease, which counts from the call and not from its execution.

Evidence: the worker stand-in can restart and then executes what it had delayed.

Change: an exchange names the incarnation that it is meant for, and a worker executes nothing of one that names another or none. When another incarnation answers, the starts are withheld and placed again, and commands and acknowledgements stay queued for the next exchange. A report must name an incarnation. A start for an ended incarnation is resolved by the first report of the next one, without waiting for the deadline.

Why it works: the worker itself decides by a name that no two of its incarnations share, so neither the owner's knowledge nor a clock or an epoch of the former incarnation matters.

--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from fuchsiarill.ids import AttemptId, JobId, WorkerId
+from fuchsiarill.ids import AttemptId, IncarnationId, JobId, WorkerId
 
 # How long an older owner may renew task leases after it last had evidence of
 # an outage of the store; a new owner adds this to the longest task lease.
@@ -38,6 +38,6 @@
     ends_at_ms: int = 0
     reported_workers: set[WorkerId] = field(default_factory=set)
     deferred: dict[JobId, set[int]] = field(default_factory=dict)
-    intents: dict[AttemptId, str] = field(default_factory=dict)
+    intents: dict[AttemptId, IncarnationId] = field(default_factory=dict)
     cancelled_jobs: dict[JobId, None] = field(default_factory=dict)
     orphans: dict[JobId, dict[AttemptId, Orphan]] = field(default_factory=dict)
--- a/fuchsiarill/core/worker_view.py
+++ b/fuchsiarill/core/worker_view.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass, field
 
 from fuchsiarill.ids import (
+    NO_INCARNATION,
     AttemptId,
     CustomerId,
+    IncarnationId,
     JobClass,
     JobId,
     WorkerId,
@@ -48,7 +50,7 @@
     probes_count: int = 0
     probe_failures_count: int = 0
     probe_after_ms: int = 0
-    incarnation: str = ''
+    incarnation: IncarnationId = NO_INCARNATION
     avoided_by: set[ClassKey] = field(default_factory=set)
 
     @property
--- a/fuchsiarill/ids.py
+++ b/fuchsiarill/ids.py
@@ -1,7 +1,8 @@
 """Identifiers of everything that messages and records refer to.
 
 Each identifier is its own type, so that the type checker rejects a worker id
-where a task id is expected. An epoch numbers the ownerships of a partition or
+where a task id is expected. An incarnation is one run of a worker, between two
+restarts. An epoch numbers the ownerships of a partition or
 pool, a generation the cell configurations, a revision the writes to the store.
 """
 
@@ -17,6 +18,7 @@
 JobId = NewType('JobId', str)
 TaskId = NewType('TaskId', str)
 AttemptId = NewType('AttemptId', str)
+IncarnationId = NewType('IncarnationId', str)
 JobClass = NewType('JobClass', str)
 RequestId = NewType('RequestId', str)
 StoreKey = NewType('StoreKey', str)
@@ -27,6 +29,8 @@
 
 # Below the epoch of every owner.
 NO_EPOCH: Final = Epoch(0)
+# Names no incarnation: the worker has not reported yet.
+NO_INCARNATION: Final = IncarnationId('')
 # The revision of a key that is not in the store.
 ABSENT: Final = Revision(0)
 
--- a/fuchsiarill/owner/expectations.py
+++ b/fuchsiarill/owner/expectations.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from fuchsiarill.ids import AttemptId
+from fuchsiarill.ids import AttemptId, IncarnationId
 from fuchsiarill.resources import NO_RESOURCES
 from fuchsiarill.workers import TaskOutcome, TaskReport, WorkerReport
 
@@ -17,20 +17,19 @@
 class SentStart:
     """A start command that no report has resolved yet.
 
-    The worker refuses it after `start_before_worker_clock_ms`. A restart of
-    the worker resets that clock; then `send_before_ms`, in the owner's clock,
-    applies instead.
+    Only `incarnation` executes it, until `start_before_worker_clock_ms`.
     """
 
-    incarnation: str
+    incarnation: IncarnationId
     start_before_worker_clock_ms: int = 0
-    send_before_ms: int = 0
 
 
 class Expectations:
     """The attempts that the next report of one worker should list."""
 
-    def __init__(self, restored_starts: Mapping[AttemptId, str]) -> None:
+    def __init__(
+        self, restored_starts: Mapping[AttemptId, IncarnationId]
+    ) -> None:
         """Expect the unresolved starts that older owners may have sent.
 
         Each is mapped to the incarnation that the worker had at that time. If
@@ -63,19 +62,15 @@
     def apply_report(
         self,
         report: WorkerReport,
-        requested_at_ms: int,
     ) -> tuple[TaskReport, ...]:
-        """Apply a report; return the outcomes of attempts missing from it.
-
-        `requested_at_ms` is the time at which the exchange was requested.
-        """
+        """Apply a report; return the outcomes of attempts missing from it."""
         listed_attempts = {task.attempt_id for task in report.tasks}
         missing_outcomes = [
             TaskReport(attempt_id, TaskOutcome.STOPPED, NO_RESOURCES)
             for attempt_id in sorted(self._running - listed_attempts)
         ]
         for attempt_id, start in tuple(self._unresolved_starts.items()):
-            outcome = _outcome_of_missing_start(start, report, requested_at_ms)
+            outcome = _outcome_of_missing_start(start, report)
             if attempt_id in listed_attempts:
                 self._unresolved_starts.pop(attempt_id)
             elif outcome is not None:
@@ -94,14 +89,11 @@
 def _outcome_of_missing_start(
     start: SentStart,
     report: WorkerReport,
-    requested_at_ms: int,
 ) -> TaskOutcome | None:
     """Return the outcome of a missing start; `None` if it may still arrive."""
-    if report.incarnation and start.incarnation == report.incarnation:
-        if report.worker_clock_ms > start.start_before_worker_clock_ms:
-            return TaskOutcome.REFUSED
-        return None
-    # The worker may have run the attempt and lost it in a restart.
-    if requested_at_ms > start.send_before_ms:
+    if start.incarnation != report.incarnation:
+        # The incarnation that may have run the attempt has ended.
         return TaskOutcome.STOPPED
+    if report.worker_clock_ms > start.start_before_worker_clock_ms:
+        return TaskOutcome.REFUSED
     return None
--- a/fuchsiarill/owner/messages.py
+++ b/fuchsiarill/owner/messages.py
@@ -145,7 +145,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartWithheld:
-    """A start was not sent, for example because `send_before_ms` had passed."""
+    """A start never takes effect, for example as it was not sent in time."""
 
     attempt_id: AttemptId
 
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -14,7 +14,12 @@
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.clock import now_ms
 from fuchsiarill.core.ledger import lapse_bound_ms
-from fuchsiarill.ids import AttemptId, Epoch
+from fuchsiarill.ids import (
+    NO_INCARNATION,
+    AttemptId,
+    Epoch,
+    IncarnationId,
+)
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.exchange_pacer import ExchangePacer
 from fuchsiarill.owner.expectations import Expectations, SentStart
@@ -46,7 +51,9 @@
     silent_after_ms: int
     workers_count: int = 1
     renew_until_ms: int = 0
-    restored_starts: Mapping[AttemptId, str] = field(default_factory=dict)
+    restored_starts: Mapping[AttemptId, IncarnationId] = field(
+        default_factory=dict
+    )
 
 
 class WorkerLink(Actor):
@@ -99,6 +106,7 @@
             'running_count': len(self._expectations.running),
             'unanswered_starts_count': self._expectations.unresolved_count,
             'starts_waiting_count': len(self._pending_starts),
+            'commands_waiting_count': len(self._pending_commands),
             'failing_since_ms': self._contact.failing_since_ms,
             'silent': self._contact.is_silent,
         }
@@ -182,6 +190,7 @@
             ),
             renewals=renewals,
             acknowledged=tuple(sorted(self._pending_acknowledgements)),
+            incarnation=self._contact.incarnation,
         )
 
     def _prepare_starts(self, requested_at_ms: int) -> tuple[StartCommand, ...]:
@@ -204,7 +213,6 @@
             sent_start = SentStart(
                 self._contact.incarnation,
                 command.start_before_worker_clock_ms,
-                pending.send_before_ms,
             )
             self._expectations.expect(start.attempt_id, sent_start)
             start_commands.append(command)
@@ -219,12 +227,11 @@
     ) -> None:
         self._contact.record_report(report)
         self._contact.record_leases(request.lease_ms)
-        missing_outcomes = self._expectations.apply_report(
-            report, requested_at_ms
-        )
-        for command in request.commands:
-            self._pending_commands.pop((command.attempt_id, command.kind), None)
-        self._pending_acknowledgements.difference_update(request.acknowledged)
+        if report.incarnation == request.incarnation:
+            self._on_executed(request)
+        else:
+            self._withhold(request.starts)
+        missing_outcomes = self._expectations.apply_report(report)
         complete_report = replace(report, tasks=report.tasks + missing_outcomes)
         message = messages.WorkerReported(
             complete_report,
@@ -239,6 +246,17 @@
         else:
             self._owner.send(message)
 
+    def _on_executed(self, request: Exchange) -> None:
+        for command in request.commands:
+            self._pending_commands.pop((command.attempt_id, command.kind), None)
+        self._pending_acknowledgements.difference_update(request.acknowledged)
+
+    def _withhold(self, starts: tuple[StartCommand, ...]) -> None:
+        """Report starts of which it is certain that they never take effect."""
+        for start in starts:
+            self._expectations.withdraw(start.attempt_id)
+            self._queue_for_owner(messages.StartWithheld(start.attempt_id))
+
     def _on_failure(
         self,
         request: Exchange,
@@ -246,9 +264,7 @@
         requested_at_ms: int,
     ) -> None:
         if failure is ExchangeFailure.NOT_SENT:
-            for start in request.starts:
-                self._expectations.withdraw(start.attempt_id)
-                self._queue_for_owner(messages.StartWithheld(start.attempt_id))
+            self._withhold(request.starts)
         elif request.renewals or request.starts:
             self._contact.record_leases(request.lease_ms)
         silent_after_ms = self._link_parameters.silent_after_ms
@@ -279,7 +295,7 @@
         self.lease_ends_at_ms = 0
         self.failing_since_ms: int | None = None
         self.is_silent = False
-        self.incarnation = ''
+        self.incarnation = NO_INCARNATION
         self._offset_ms = 0
         self._last_report_at_ms: int | None = None
 
--- a/fuchsiarill/owner/worker_links.py
+++ b/fuchsiarill/owner/worker_links.py
@@ -6,7 +6,12 @@
 
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.core.state import CoreState
-from fuchsiarill.ids import AttemptId, PartitionId, WorkerId
+from fuchsiarill.ids import (
+    AttemptId,
+    IncarnationId,
+    PartitionId,
+    WorkerId,
+)
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.worker_link import LinkParameters, WorkerLink
 from fuchsiarill.ports.workers import WorkerPort
@@ -105,7 +110,7 @@
     def _create_link(
         self,
         entry: HostEntry,
-        restored_starts: Mapping[AttemptId, str],
+        restored_starts: Mapping[AttemptId, IncarnationId],
     ) -> None:
         link = WorkerLink(
             entry,
@@ -140,7 +145,7 @@
 def _restored_starts(
     worker_id: WorkerId,
     state: CoreState,
-) -> dict[AttemptId, str]:
+) -> dict[AttemptId, IncarnationId]:
     restored_starts = {}
     for attempt_id, incarnation in state.recovery.intents.items():
         attempt = state.attempts.get(attempt_id)
--- a/fuchsiarill/records.py
+++ b/fuchsiarill/records.py
@@ -9,7 +9,15 @@
 
 from pydantic import Field, TypeAdapter
 
-from fuchsiarill.ids import AttemptId, Epoch, JobId, ProcessId, WorkerId
+from fuchsiarill.ids import (
+    NO_INCARNATION,
+    AttemptId,
+    Epoch,
+    IncarnationId,
+    JobId,
+    ProcessId,
+    WorkerId,
+)
 from fuchsiarill.job import JobSpec
 from fuchsiarill.states import JobState
 
@@ -57,7 +65,7 @@
     job_id: JobId
     attempt_id: AttemptId
     worker_id: WorkerId
-    incarnation: str = ''
+    incarnation: IncarnationId = NO_INCARNATION
     kind: Literal['start_intended'] = 'start_intended'
 
 
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -1,8 +1,9 @@
 """Fake of a worker, and the `WorkerPort` that calls it.
 
 A task is a timer that holds a lease. The fake follows the rules that the
-system relies on: it refuses exchanges of a lower epoch and starts after their
-deadline, and stops a task whose lease has expired.
+system relies on: it refuses exchanges of a lower epoch or for another
+incarnation and starts after their deadline, and stops a task whose lease has
+expired.
 """
 
 import asyncio
@@ -14,7 +15,7 @@
 
 from fuchsiarill.actor import Actor, Reply, handles
 from fuchsiarill.clock import MS_PER_SECOND, now_ms
-from fuchsiarill.ids import NO_EPOCH, AttemptId, WorkerId
+from fuchsiarill.ids import NO_EPOCH, AttemptId, IncarnationId, WorkerId
 from fuchsiarill.ports.http_client import CallFailure
 from fuchsiarill.ports.workers import ExchangeFailure
 from fuchsiarill.replay.network import Endpoint, Network
@@ -150,12 +151,13 @@
 
     def _apply_exchange(self, message: ExchangeRequested) -> None:
         request = message.request
-        if self._is_stale(request):
-            for start in request.starts:
-                self._refuse(start, message, 'epoch')
+        refusal_reason = self._find_refusal_reason(request)
+        self._highest_epoch = max(self._highest_epoch, request.epoch)
+        if refusal_reason is not None:
+            for refused_start in request.starts:
+                self._refuse(refused_start, message, refusal_reason)
             message.reply.answer(self._report())
             return
-        self._highest_epoch = request.epoch
         for attempt_id in request.acknowledged:
             self._attempts.pop(attempt_id, None)
         lease_ms = request.lease_ms / self.clock_rate
@@ -197,6 +199,14 @@
             factor = profile.run_time_factor * self.run_time_factor
             self._schedule(start.run_time_ms * factor, self._complete, task)
 
+    def _find_refusal_reason(self, request: Exchange) -> str | None:
+        """Return why nothing of an exchange may be executed, if so."""
+        if self._is_stale(request):
+            return 'epoch'
+        if request.incarnation != self._incarnation:
+            return 'incarnation'
+        return None
+
     def _is_stale(self, request: Exchange) -> bool:
         return request.epoch < self._highest_epoch
 
@@ -291,9 +301,13 @@
             self._highest_epoch,
             int(self._clock_ms()),
             tuple(_report_of(task) for task in self._attempts.values()),
-            f'{self.name} {self._restarts_count}',
+            self._incarnation,
         )
 
+    @property
+    def _incarnation(self) -> IncarnationId:
+        return IncarnationId(f'{self.name} {self._restarts_count}')
+
     def _clock_ms(self) -> float:
         return now_ms() * self.clock_rate + self._clock_offset_ms
 
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -6,11 +6,16 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Annotated
+
+from pydantic import Field
 
 from fuchsiarill.ids import (
+    NO_INCARNATION,
     AttemptId,
     Epoch,
     FailureDomain,
+    IncarnationId,
     RackId,
     RegionId,
     WorkerId,
@@ -90,6 +95,11 @@
 
     Every attempt in `renewals` and every start gets a lease of `lease_ms`.
     The worker may discard the outcomes in `acknowledged`.
+
+    The worker executes the exchange only if `incarnation` is its own; it
+    answers any other with a report. An exchange may be delayed until the worker
+    has restarted, and the next incarnation has seen no epoch and has another
+    clock, so it cannot tell by these that the exchange is an old one.
     """
 
     epoch: Epoch
@@ -98,6 +108,7 @@
     commands: tuple[TaskCommand, ...] = ()
     renewals: tuple[AttemptId, ...] = ()
     acknowledged: tuple[AttemptId, ...] = ()
+    incarnation: IncarnationId = NO_INCARNATION
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,12 +134,12 @@
     the whole exchange. `tasks` holds all running attempts and all outcomes not
     yet acknowledged; unlike the report of a platform's worker, it is never
     split into pages. `incarnation` changes when the worker restarts and loses
-    its tasks; if it is empty, the worker may have restarted in any gap between
-    reports.
+    its tasks. If it is not the one that the exchange named, nothing of the
+    exchange was executed.
     """
 
     worker_id: WorkerId
     highest_epoch: Epoch
     worker_clock_ms: int
     tasks: tuple[TaskReport, ...]
-    incarnation: str = ''
+    incarnation: Annotated[IncarnationId, Field(min_length=1)]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -4,7 +4,8 @@
 overcommitment by the scheduler can be detected. Controls besides the common
 ones: while `fail_starts` is true, all tasks that are started fail;
 `hold_starts` delays exchanges with start commands, as a slow network would,
-until it is set to false.
+until it is set to false; `restart` begins the next incarnation, which executes
+the exchanges that were delayed before.
 """
 
 import argparse
@@ -18,7 +19,7 @@
 
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import MS_PER_SECOND, now_ms
-from fuchsiarill.ids import NO_EPOCH, AttemptId, TaskId
+from fuchsiarill.ids import NO_EPOCH, AttemptId, IncarnationId, TaskId
 from fuchsiarill.ports.http_ports import EXCHANGES, REPORTS
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NO_RESOURCES, Resources
@@ -70,7 +71,7 @@
         super().__init__(f'worker stand-in {worker.worker_id}')
         self.worker = worker
         self.settings = settings
-        self.incarnation = uuid.uuid4().hex
+        self.incarnation = _new_incarnation()
         self.fails_starts = False
         self.holds_starts = False
         self.held: list[Call] = []
@@ -78,6 +79,7 @@
         self.tasks: dict[AttemptId, Task] = {}
         self.checkpoints_ms: dict[TaskId, int] = {}
         self._received: set[AttemptId] = set()
+        self._clock_zero_ms = -worker.clock_offset_ms
         self._log = WorkerLog(
             settings.log_folder / f'{worker.worker_id}.jsonl',
         )
@@ -94,7 +96,7 @@
     @property
     def clock_ms(self) -> int:
         """Return the time of the worker's clock, which may be offset."""
-        return now_ms() + self.worker.clock_offset_ms
+        return now_ms() - self._clock_zero_ms
 
     @property
     def running_count(self) -> int:
@@ -131,12 +133,17 @@
             self.schedule_due_check(task)
 
     def carry_out(self, request: Exchange) -> None:
-        """Carry out an exchange, or refuse all of it if its epoch is old."""
+        """Carry out an exchange, or refuse all of it.
+
+        An old epoch is refused, and an exchange for another incarnation.
+        """
         if request.epoch < self.highest_epoch:
-            for start in request.starts:
-                self._log_line(LogKind.REFUSED, start, NO_RESOURCES, 'epoch')
+            self._refuse_all(request, 'epoch')
             return
         self.highest_epoch = request.epoch
+        if request.incarnation != self.incarnation:
+            self._refuse_all(request, 'incarnation')
+            return
         for attempt_id in request.acknowledged:
             self._drop_acknowledged(attempt_id)
         for command in request.commands:
@@ -149,6 +156,18 @@
         for start in request.starts:
             self._start(start, lease_ends_at_ms)
 
+    def restart(self) -> None:
+        """Begin the next incarnation without tasks; its clock begins anew."""
+        for task in self.tasks.values():
+            if task.state is TaskState.RUNNING:
+                self.log(LogKind.END, task, 'worker restarted')
+        self.tasks.clear()
+        self.checkpoints_ms.clear()
+        self._received.clear()
+        self.highest_epoch = NO_EPOCH
+        self.incarnation = _new_incarnation()
+        self._clock_zero_ms = now_ms()
+
     def step(self, task: Task, event: TaskEvent, detail: str = '') -> None:
         """Apply an event of the chart and run its actions."""
         transition = TASK_CHART.step(task.state, event)
@@ -180,6 +199,10 @@
             self.incarnation,
         )
 
+    def _refuse_all(self, request: Exchange, reason: str) -> None:
+        for start in request.starts:
+            self._log_line(LogKind.REFUSED, start, NO_RESOURCES, reason)
+
     def _start(self, start: StartCommand, lease_ends_at_ms: int) -> None:
         if start.attempt_id in self._received:
             return
@@ -265,6 +288,10 @@
         )
 
 
+def _new_incarnation() -> IncarnationId:
+    return IncarnationId(uuid.uuid4().hex)
+
+
 @ROUTES.register('/v1/exchange')
 def _exchange(worker: WorkerStandIn, call: Call) -> StandInReply | None:
     request = EXCHANGES.validate_json(call.body)
@@ -294,6 +321,12 @@
             call.reply.answer(reply)
 
 
+@CONTROLS.register('restart')
+def _restart(worker: WorkerStandIn, setting: bool) -> None:
+    if setting:
+        worker.restart()
+
+
 TaskAction = Callable[[WorkerStandIn, Task, str], None]
 TASK_ACTIONS: Final[Registry[str, TaskAction]] = Registry('task actions')
 
--- a/standins/worker_settings.py
+++ b/standins/worker_settings.py
@@ -33,7 +33,8 @@
 class WorkerDefinition(_Model):
     """Location, capacity and clock of one worker.
 
-    `clock_offset_ms` is added to the system clock to get the worker's clock.
+    `clock_offset_ms` is added to the system clock to get the clock of the first
+    incarnation; that of a later one begins at zero.
     """
 
     worker_id: WorkerId
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -22,6 +22,7 @@
     CustomerId,
     Epoch,
     FailureDomain,
+    IncarnationId,
     JobClass,
     JobId,
     PartitionId,
@@ -191,7 +192,9 @@
         for task in tasks:
             if task.outcome is not TaskOutcome.RUNNING:
                 self.running.pop(task.attempt_id)
-        report = WorkerReport(WorkerId(name), Epoch(1), 0, tuple(tasks))
+        report = WorkerReport(
+            WorkerId(name), Epoch(1), 0, tuple(tasks), IncarnationId('first')
+        )
         self.core.worker_reported(report, self.now_ms)
 
     def workers_of(self, job: str) -> list[str]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,6 +19,7 @@
     NO_EPOCH,
     AttemptId,
     Epoch,
+    IncarnationId,
     Revision,
     StoreKey,
     StoreLeaseId,
@@ -49,7 +50,11 @@
 
 
 class NetworkLink:
-    """Connection of one process; a call named `hold_on_call` holds the link."""
+    """Connection of one process; a call named `hold_on_call` holds the link.
+
+    A late request is delivered `late_by_ms` later, also if nobody waits for the
+    response any longer.
+    """
 
     def __init__(self) -> None:
         self.is_cut = False
@@ -58,6 +63,8 @@
         self.unreachable: set[str] = set()
         self.lost_answers: Counter[str] = Counter()
         self.lost_requests: Counter[str] = Counter()
+        self.late_requests: Counter[str] = Counter()
+        self.late_by_ms = 0
         self.calls: Counter[str] = Counter()
         self._deliveries: set[asyncio.Task[Any]] = set()
 
@@ -84,6 +91,8 @@
         request: Callable[[], _Response],
     ) -> _Response | None:
         await sleep_ms(_LATENCY_MS)
+        if _consume_fault(self.late_requests, name):
+            await sleep_ms(self.late_by_ms)
         while self.is_held:
             await sleep_ms(_POLL_INTERVAL_MS)
         if self.is_cut or _consume_fault(self.lost_requests, name):
@@ -273,13 +282,19 @@
         self.accepted: list[tuple[AttemptId, Epoch]] = []
         self.refused: list[AttemptId] = []
         self._clock_ahead_ms = clock_ahead_ms
-        self._incarnation = 1
+        self._restarts_count = 0
+
+    @property
+    def incarnation(self) -> IncarnationId:
+        return IncarnationId(f'{self.worker_id}-{self._restarts_count}')
 
     def clock_ms(self) -> int:
         return now_ms() + self._clock_ahead_ms
 
     def restart(self) -> None:
-        self._incarnation += 1
+        self._restarts_count += 1
+        # Times of the former clock are ahead of the next one.
+        self._clock_ahead_ms = 0
         self.tasks.clear()
         self.highest_epoch = NO_EPOCH
 
@@ -293,8 +308,9 @@
 
     def exchange(self, request: Exchange) -> WorkerReport:
         self._advance()
-        if request.epoch >= self.highest_epoch:
-            self.highest_epoch = request.epoch
+        is_current = request.epoch >= self.highest_epoch
+        self.highest_epoch = max(self.highest_epoch, request.epoch)
+        if is_current and request.incarnation == self.incarnation:
             self._execute(request)
         else:
             self.refused.extend(start.attempt_id for start in request.starts)
@@ -311,7 +327,7 @@
                 )
                 for attempt_id, task in self.tasks.items()
             ),
-            f'{self.worker_id}-{self._incarnation}',
+            self.incarnation,
         )
 
     def _execute(self, request: Exchange) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,6 +14,7 @@
 from fuchsiarill.ids import (
     AttemptId,
     Epoch,
+    IncarnationId,
     JobId,
     PartitionId,
     ProcessId,
@@ -35,6 +36,7 @@
 )
 _LEASE_MS = 15_000
 _EPOCH = Epoch(3)
+_INCARNATION = IncarnationId('first')
 
 
 class _Owner:
@@ -69,7 +71,9 @@
                 TaskReport(AttemptId(name), TaskOutcome(outcome), SIZE),
             )
         self.core.worker_reported(
-            WorkerReport(WorkerId(worker), _EPOCH, 0, tuple(tasks)),
+            WorkerReport(
+                WorkerId(worker), _EPOCH, 0, tuple(tasks), _INCARNATION
+            ),
             now_ms,
         )
 
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -1,6 +1,6 @@
 """State machine tests with processes that pause, crash or lose messages.
 
-Both machines run in simulated time and with derandomized input, so that a
+All machines run in simulated time and with derandomized input, so that a
 failure is reproducible.
 """
 
@@ -18,9 +18,11 @@
 
 from fuchsiarill.answers import JobAnswer
 from fuchsiarill.clock import PausedLoop, sleep_ms
+from fuchsiarill.core.ledger import job_of
 from fuchsiarill.ids import JobId
 from fuchsiarill.job import Execution, Urgency
 from fuchsiarill.owner.job_replies import FINAL_STATES
+from fuchsiarill.states import JobState
 from tests.builders import cell, spec
 from tests.world import Process, World, is_accepted, job_id_of
 
@@ -41,6 +43,9 @@
 _WATCH_INTERVAL_MS = 50
 
 _numbers = strategies.lists(strategies.integers(0, 40), max_size=4)
+_some_numbers = strategies.lists(
+    strategies.integers(0, 40), min_size=1, max_size=4
+)
 _pauses = strategies.integers(1, _LONGEST_PAUSE_MS)
 _workers = strategies.sampled_from(('w1', 'w2'))
 _short_delays = strategies.sampled_from((0, 1, 2, 3, 5, 12))
@@ -280,7 +285,57 @@
             super().teardown()
 
 
+class IncarnationMachine(_PartitionMachine):
+    """Guards against calls that act in a later incarnation of their worker."""
+
+    @rule(
+        numbers=_some_numbers,
+        late_ms=_pauses,
+        down_ms=_short_delays,
+        cut_ms=_pauses,
+    )
+    def delay_across_restart(
+        self, numbers: list[int], late_ms: int, down_ms: int, cut_ms: int
+    ) -> None:
+        """Deliver starts and renewals to restarted workers, then cut these."""
+
+        async def delay() -> None:
+            for process in self.world.processes:
+                process.link.late_by_ms = late_ms
+                for name in ('start', 'exchange'):
+                    process.link.late_requests[name] += 2
+            self.submit_to_owners(numbers)
+            await sleep_ms(_WATCH_INTERVAL_MS + down_ms)
+            for worker in self.world.workers.values():
+                worker.restart()
+            await sleep_ms(late_ms)
+            self.world.workers['w1'].is_cut = True
+            await sleep_ms(cut_ms)
+            self.world.workers['w1'].is_cut = False
+
+        self.run(delay())
+
+    async def watch(self) -> None:
+        await asyncio.gather(super().watch(), self.watch_unknown_jobs())
+
+    async def watch_unknown_jobs(self) -> None:
+        """Check that no task runs after its job has ended as unknown."""
+        while True:
+            await sleep_ms(_WATCH_INTERVAL_MS)
+            unknown = {
+                job.job_id
+                for process in self.world.processes
+                for job in process.jobs()
+                if job.state is JobState.UNKNOWN
+            }
+            for task_id in self.world.running_copies():
+                if job_of(task_id) in unknown:
+                    self.violations.append(f'{task_id} runs after its end')
+
+
 OwnershipMachine.TestCase.settings = _SETTINGS
 DurabilityMachine.TestCase.settings = _SETTINGS
+IncarnationMachine.TestCase.settings = _SETTINGS
 TestOwnership = OwnershipMachine.TestCase
 TestDurability = DurabilityMachine.TestCase
+TestIncarnation = IncarnationMachine.TestCase
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,10 +18,11 @@
     TaskId,
     task_id,
 )
-from fuchsiarill.job import Execution, JobSpec
+from fuchsiarill.job import Execution, JobRecord, JobSpec
 from fuchsiarill.owner import messages
 from fuchsiarill.owner.campaign import Campaign
 from fuchsiarill.owner.partition_service import Ports
+from fuchsiarill.ports.workers import WorkerPort
 from fuchsiarill.settings import (
     HostListSettings,
     HttpSettings,
@@ -74,16 +75,19 @@
 
     def at_most_once_jobs(self) -> list[JobId]:
         """Return the at-most-once jobs that the process knows as owner."""
-        service = self.campaign.children.service
-        if service is None:
-            return []
-        jobs = service.owner.core.state.jobs
         return [
             job.job_id
-            for job in jobs.values()
+            for job in self.jobs()
             if job.spec.execution is Execution.AT_MOST_ONCE
         ]
 
+    def jobs(self) -> list[JobRecord]:
+        """Return the jobs that the process knows as owner."""
+        service = self.campaign.children.service
+        if service is None:
+            return []
+        return list(service.owner.core.state.jobs.values())
+
     def owns(self) -> bool:
         """Return whether the process may act as owner now."""
         if self.campaign.state is not PartitionState.OWNING:
@@ -92,9 +96,16 @@
 
 
 class World:
-    """Store, workers and processes of one partition."""
+    """Store, workers and processes of one partition.
 
-    def __init__(self, config: CellConfig | None = None) -> None:
+    All processes reach other workers than the fake ones by `worker_port`.
+    """
+
+    def __init__(
+        self,
+        config: CellConfig | None = None,
+        worker_port: WorkerPort | None = None,
+    ) -> None:
         self.config = config or cell()
         self.store = StoreState()
         self.workers = {
@@ -106,6 +117,7 @@
             )
         }
         self.processes: list[Process] = []
+        self._worker_port = worker_port
         self._started_count = 0
 
     def start(self) -> Process:
@@ -116,7 +128,7 @@
         ports = Ports(
             FakeStore(self.store, link),
             FakeHostList(tuple(host(worker) for worker in self.workers)),
-            FakeWorkers(self.workers, link),
+            self._worker_port or FakeWorkers(self.workers, link),
         )
         campaign = Campaign(
             settings_of(name),
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -21,6 +21,7 @@
     CustomerId,
     Epoch,
     FailureDomain,
+    IncarnationId,
     JobClass,
     PartitionId,
     RackId,
@@ -40,6 +41,7 @@
 
 _WORKERS_COUNTS: Final = (25, 1_000, 8_000, 32_000)
 _QUEUES: Final = (('queue of 200', 200), ('queue of 10,000', 10_000))
+_INCARNATION: Final = IncarnationId('first')
 _STEPS_COUNT: Final = 3_000
 _CAPACITIES: Final = (
     Resources(32_000, 128_000, 0, 8),
@@ -86,7 +88,9 @@
         entries = tuple(_entries(workers_count))
         self.core.hosts_listed(entries, self.now_ms)
         for entry in entries:
-            report = WorkerReport(entry.worker_id, Epoch(1), 0, ())
+            report = WorkerReport(
+                entry.worker_id, Epoch(1), 0, (), _INCARNATION
+            )
             self.core.worker_reported(report, self.now_ms)
         self._fill()
 
@@ -154,7 +158,7 @@
             )
             for attempt_id in state.workers[worker_id].attempts
         )
-        report = WorkerReport(worker_id, Epoch(1), 0, tasks)
+        report = WorkerReport(worker_id, Epoch(1), 0, tasks, _INCARNATION)
         self.core.worker_reported(report, self.now_ms)
 
     def _task_report(
--- a/tools/cell_loop.py
+++ b/tools/cell_loop.py
@@ -16,7 +16,14 @@
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.core.effects import CommandTask, PersistRecord, StartTask
 from fuchsiarill.core.partition import PartitionCore
-from fuchsiarill.ids import AttemptId, Epoch, JobId, PartitionId, WorkerId
+from fuchsiarill.ids import (
+    AttemptId,
+    Epoch,
+    IncarnationId,
+    JobId,
+    PartitionId,
+    WorkerId,
+)
 from fuchsiarill.job import Urgency, Workload
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.workers import (
@@ -28,6 +35,7 @@
 )
 from tools.workloads import Arrival, Deployment
 
+_INCARNATION: Final = IncarnationId('first')
 _LATENCY_MS: Final = 4
 _COMMIT_MS: Final = 20
 _EXCHANGE_MS: Final = 1_000
@@ -273,7 +281,9 @@
         for task in tasks:
             if task.outcome is not TaskOutcome.RUNNING:
                 runs.pop(task.attempt_id)
-        report = WorkerReport(worker_id, Epoch(1), self.now_ms, tasks)
+        report = WorkerReport(
+            worker_id, Epoch(1), self.now_ms, tasks, _INCARNATION
+        )
         self.core.worker_reported(report, self.now_ms)
         self._decide()
 
--- a/tools/slope_measures.py
+++ b/tools/slope_measures.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiarill.cell_config import parse_config
-from fuchsiarill.ids import AttemptId, Epoch, WorkerId
+from fuchsiarill.ids import AttemptId, Epoch, IncarnationId, WorkerId
 from fuchsiarill.ports.http_ports import EXCHANGES, REPORTS
 from fuchsiarill.resources import Resources
 from fuchsiarill.workers import (
@@ -15,6 +15,7 @@
 )
 from tools.measurement import measurement, processor_ms
 
+_INCARNATION: Final = IncarnationId('0' * 32)
 _TASKS_COUNTS: Final = (4, 8, 16, 32, 64)
 _CONTRACTS_COUNTS: Final = (2, 10, 40, 80, 160)
 _REPEATS: Final = 20
@@ -37,7 +38,12 @@
 def _request(tasks_count: int) -> bytes:
     renewals = tuple(_attempt(number) for number in range(tasks_count))
     return EXCHANGES.dump_json(
-        Exchange(Epoch(17), lease_ms=15_000, renewals=renewals),
+        Exchange(
+            Epoch(17),
+            lease_ms=15_000,
+            renewals=renewals,
+            incarnation=_INCARNATION,
+        ),
     )
 
 
@@ -58,6 +64,7 @@
         Epoch(17),
         worker_clock_ms=86_400_000,
         tasks=tasks,
+        incarnation=_INCARNATION,
     )
     return REPORTS.dump_json(report)
 
