Grant task leases until a time of the worker's clock

What callers would see: an idempotent task ran on two workers at once. Only where a worker executed renewals 8 s or more after they were sent (with the default lease of 15 s) and was then cut off; it need not have restarted.

Cause: a lease was a duration from the execution of the exchange. The owner counted its bound from the moment at which it gave up the last call with renewals, so a renewal that was executed later than that, while the lease still ran, let the task outlast the bound.

Evidence: test_late_renewal_extends_no_lease_past_its_bound fails on: the second copy starts while the first still runs.

Change: an exchange has the end of its leases in the worker's clock, counted from the request, instead of a duration. A lease never shortens, and a start is not executed once its lease would have expired. The link counts its bound from the request as well, by the clock offset from which the end was derived; it was later by the duration of a failed call.

Why it works: the end of a lease does not depend on when the exchange is executed, so the bound holds for any delay. The price: the clock offset comes from the last report, so a slow response shortens the next lease by its delay, at most one call time-out.

--- a/fuchsiarill/core/leases.py
+++ b/fuchsiarill/core/leases.py
@@ -12,8 +12,9 @@
 from fuchsiarill.ids import AttemptId, WorkerId
 from fuchsiarill.states import AttemptEvent
 
-# A renewal reaches a worker at most one call time-out (by default 2,000 ms)
-# after it was sent; the rest covers clocks that differ by 1% over a lease.
+# A start waits in its link while an exchange is in progress, at most one call
+# time-out (by default 2,000 ms); the rest covers clocks that differ by 1% over
+# a lease.
 LEASE_MARGIN_MS: Final = 2_500
 
 
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -180,10 +180,12 @@
         may_renew = requested_at_ms < self._renew_until_ms
         if may_renew and not self._contact.is_silent:
             renewals = tuple(sorted(self._expectations.running))
+        lease_until_ms = requested_at_ms + self._contact.task_lease_ms
         return Exchange(
             epoch=self._link_parameters.epoch,
-            lease_ms=self._contact.task_lease_ms,
-            starts=self._prepare_starts(requested_at_ms),
+            lease_until_worker_clock_ms=lease_until_ms
+            + self._contact.offset_ms,
+            starts=self._prepare_starts(requested_at_ms, lease_until_ms),
             commands=tuple(
                 TaskCommand(kind, attempt_id)
                 for attempt_id, kind in self._pending_commands
@@ -193,22 +195,28 @@
             incarnation=self._contact.incarnation,
         )
 
-    def _prepare_starts(self, requested_at_ms: int) -> tuple[StartCommand, ...]:
+    def _prepare_starts(
+        self, requested_at_ms: int, lease_until_ms: int
+    ) -> tuple[StartCommand, ...]:
         start_commands: list[StartCommand] = []
-        offset_ms = self._contact.usable_offset_ms(
+        has_contact = self._contact.has_report_since(
             requested_at_ms - self._link_parameters.silent_after_ms,
         )
         for pending in self._pending_starts:
             start = pending.start
-            if offset_ms is None or requested_at_ms >= pending.send_before_ms:
+            if not has_contact or requested_at_ms >= pending.send_before_ms:
                 self._queue_for_owner(messages.StartWithheld(start.attempt_id))
                 continue
+            # A start is not executed once its lease would have expired.
+            start_before_ms = min(pending.send_before_ms, lease_until_ms)
             command = StartCommand(
                 attempt_id=start.attempt_id,
                 reserved=start.reserved,
                 run_time_ms=start.run_time_ms,
                 payload=start.payload,
-                start_before_worker_clock_ms=pending.send_before_ms + offset_ms,
+                start_before_worker_clock_ms=(
+                    start_before_ms + self._contact.offset_ms
+                ),
             )
             sent_start = SentStart(
                 self._contact.incarnation,
@@ -225,8 +233,8 @@
         report: WorkerReport,
         requested_at_ms: int,
     ) -> None:
+        self._contact.record_leases(request)
         self._contact.record_report(report)
-        self._contact.record_leases(request.lease_ms)
         if report.incarnation == request.incarnation:
             self._on_executed(request)
         else:
@@ -265,8 +273,8 @@
     ) -> None:
         if failure is ExchangeFailure.NOT_SENT:
             self._withhold(request.starts)
-        elif request.renewals or request.starts:
-            self._contact.record_leases(request.lease_ms)
+        else:
+            self._contact.record_leases(request)
         silent_after_ms = self._link_parameters.silent_after_ms
         if self._contact.record_failure(requested_at_ms, silent_after_ms):
             self._queue_for_owner(
@@ -296,34 +304,45 @@
         self.failing_since_ms: int | None = None
         self.is_silent = False
         self.incarnation = NO_INCARNATION
-        self._offset_ms = 0
+        self.offset_ms = 0
         self._last_report_at_ms: int | None = None
 
-    def usable_offset_ms(self, not_before_ms: int) -> int | None:
-        """Return the clock offset if measured at `not_before_ms` or later."""
+    def has_report_since(self, not_before_ms: int) -> bool:
+        """Tell whether the worker reported at `not_before_ms` or later."""
         if self._last_report_at_ms is None:
-            return None
-        if self._last_report_at_ms < not_before_ms:
-            return None
-        return self._offset_ms
+            return False
+        return self._last_report_at_ms >= not_before_ms
 
     def record_report(self, report: WorkerReport) -> None:
         """Update the clock offset and the incarnation from a report.
 
         The worker read its clock before now, so the difference is at most the
-        true offset, and a start time limit derived from it is never too late.
+        true offset, and a time limit derived from it is never too late. Tasks
+        of an older owner may hold leases that it granted just before.
         """
         current_ms = now_ms()
         self._last_report_at_ms = current_ms
-        self._offset_ms = report.worker_clock_ms - current_ms
+        self.offset_ms = report.worker_clock_ms - current_ms
+        self._extend_bound(current_ms + lapse_bound_ms(self.task_lease_ms))
         self.incarnation = report.incarnation
         self.failing_since_ms = None
         self.is_silent = False
 
-    def record_leases(self, lease_ms: int) -> None:
-        """Record leases that may have been granted or renewed until now."""
-        ends_at_ms = now_ms() + lapse_bound_ms(lease_ms)
-        self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
+    def record_leases(self, request: Exchange) -> None:
+        """Record the leases that an exchange grants whenever it is executed.
+
+        Must precede `record_report`: the leases end at a time that was derived
+        from the report before. The worker's clock may run slow since then.
+        """
+        if self._last_report_at_ms is None:
+            return
+        if not request.renewals and not request.starts:
+            return
+        ends_at_ms = request.lease_until_worker_clock_ms - self.offset_ms
+        since_report_ms = ends_at_ms - self._last_report_at_ms
+        self._extend_bound(
+            self._last_report_at_ms + lapse_bound_ms(since_report_ms)
+        )
 
     def record_failure(
         self, requested_at_ms: int, silent_after_ms: int
@@ -335,3 +354,6 @@
             return False
         self.is_silent = True
         return True
+
+    def _extend_bound(self, ends_at_ms: int) -> None:
+        self.lease_ends_at_ms = max(self.lease_ends_at_ms, ends_at_ms)
--- a/fuchsiarill/replay/fake_workers.py
+++ b/fuchsiarill/replay/fake_workers.py
@@ -160,7 +160,9 @@
             return
         for attempt_id in request.acknowledged:
             self._attempts.pop(attempt_id, None)
-        lease_ms = request.lease_ms / self.clock_rate
+        lease_ms = (
+            request.lease_until_worker_clock_ms - self._clock_ms()
+        ) / self.clock_rate
         for start in request.starts:
             self._start_task(start, message)
             self._renew(start.attempt_id, lease_ms)
@@ -246,7 +248,10 @@
         task = self._attempts.get(attempt_id)
         if task is None or task.outcome is not TaskOutcome.RUNNING:
             return
-        task.lease_ends_at_ms = now_ms() + lease_ms
+        lease_ends_at_ms = now_ms() + lease_ms
+        if lease_ends_at_ms <= task.lease_ends_at_ms:
+            return
+        task.lease_ends_at_ms = lease_ends_at_ms
         self._schedule(lease_ms, self._check_lease, task)
 
     def _check_lease(self, task: _Task) -> None:
--- a/fuchsiarill/workers.py
+++ b/fuchsiarill/workers.py
@@ -93,8 +93,10 @@
 class Exchange:
     """One request to a worker, which answers it with a `WorkerReport`.
 
-    Every attempt in `renewals` and every start gets a lease of `lease_ms`.
-    The worker may discard the outcomes in `acknowledged`.
+    Every attempt in `renewals` and every start gets a lease until
+    `lease_until_worker_clock_ms`, so that a delayed exchange grants no longer
+    lease than a timely one; a lease never shortens. The worker may discard the
+    outcomes in `acknowledged`.
 
     The worker executes the exchange only if `incarnation` is its own; it
     answers any other with a report. An exchange may be delayed until the worker
@@ -103,7 +105,7 @@
     """
 
     epoch: Epoch
-    lease_ms: int
+    lease_until_worker_clock_ms: int
     starts: tuple[StartCommand, ...] = ()
     commands: tuple[TaskCommand, ...] = ()
     renewals: tuple[AttemptId, ...] = ()
--- a/standins/task.py
+++ b/standins/task.py
@@ -75,6 +75,10 @@
             return self.lease_ends_at_ms
         return min(self.ends_at_ms, self.lease_ends_at_ms)
 
+    def renew(self, lease_ends_at_ms: int) -> None:
+        """Extend the lease; a late renewal does not shorten it."""
+        self.lease_ends_at_ms = max(self.lease_ends_at_ms, lease_ends_at_ms)
+
     def throttle(self, current_ms: int) -> None:
         """Limit the processors to the reserved ones.
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -4,8 +4,8 @@
 overcommitment by the scheduler can be detected. Controls besides the common
 ones: while `fail_starts` is true, all tasks that are started fail;
 `hold_starts` delays exchanges with start commands, as a slow network would,
-until it is set to false; `restart` begins the next incarnation, which executes
-the exchanges that were delayed before.
+until it is set to false, `hold_exchanges` all exchanges; `restart` begins the
+next incarnation, which executes the exchanges that were delayed before.
 """
 
 import argparse
@@ -74,6 +74,7 @@
         self.incarnation = _new_incarnation()
         self.fails_starts = False
         self.holds_starts = False
+        self.holds_exchanges = False
         self.held: list[Call] = []
         self.highest_epoch = NO_EPOCH
         self.tasks: dict[AttemptId, Task] = {}
@@ -148,11 +149,13 @@
             self._drop_acknowledged(attempt_id)
         for command in request.commands:
             self._execute_command(command)
-        lease_ends_at_ms = now_ms() + request.lease_ms
+        lease_ends_at_ms = (
+            request.lease_until_worker_clock_ms + self._clock_zero_ms
+        )
         for attempt_id in request.renewals:
             task = self.tasks.get(attempt_id)
             if task is not None:
-                task.lease_ends_at_ms = lease_ends_at_ms
+                task.renew(lease_ends_at_ms)
         for start in request.starts:
             self._start(start, lease_ends_at_ms)
 
@@ -295,7 +298,8 @@
 @ROUTES.register('/v1/exchange')
 def _exchange(worker: WorkerStandIn, call: Call) -> StandInReply | None:
     request = EXCHANGES.validate_json(call.body)
-    if worker.holds_starts and request.starts:
+    must_hold = worker.holds_starts and bool(request.starts)
+    if must_hold or worker.holds_exchanges:
         worker.held.append(call)
         return None
     worker.carry_out(request)
@@ -311,8 +315,18 @@
 @CONTROLS.register('hold_starts')
 def _hold_starts(worker: WorkerStandIn, setting: bool) -> None:
     worker.holds_starts = setting
-    if setting:
-        return
+    if not setting:
+        _release_held(worker)
+
+
+@CONTROLS.register('hold_exchanges')
+def _hold_exchanges(worker: WorkerStandIn, setting: bool) -> None:
+    worker.holds_exchanges = setting
+    if not setting:
+        _release_held(worker)
+
+
+def _release_held(worker: WorkerStandIn) -> None:
     held = worker.held
     worker.held = []
     for call in held:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -331,13 +331,17 @@
         )
 
     def _execute(self, request: Exchange) -> None:
-        lease_ends_at_ms = now_ms() + request.lease_ms
+        lease_ends_at_ms = (
+            request.lease_until_worker_clock_ms - self._clock_ahead_ms
+        )
         for acknowledged_id in request.acknowledged:
             self.tasks.pop(acknowledged_id, None)
         for attempt_id in request.renewals:
             renewed_task = self.tasks.get(attempt_id)
             if renewed_task is not None:
-                renewed_task.lease_ends_at_ms = lease_ends_at_ms
+                renewed_task.lease_ends_at_ms = max(
+                    renewed_task.lease_ends_at_ms, lease_ends_at_ms
+                )
         for command in request.commands:
             task = self.tasks.get(command.attempt_id)
             if task is None or command.kind is not CommandKind.STOP:
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -266,7 +266,7 @@
             workers = HttpWorkers(WorkerSettings(), served.client)
             report = await workers.exchange(
                 f'{served.address}/v1/get?',
-                Exchange(Epoch(1), 1000),
+                Exchange(Epoch(1), lease_until_worker_clock_ms=1000),
             )
             swapped = await store.swap(Swap(_KEY, 'value'))
             assert swapped.outcome is SwapOutcome.UNKNOWN
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -29,6 +29,8 @@
 _CALL_TIMEOUT_MS: Final = 2_000
 _RUN_TIME_MS: Final = 20_000
 _TASK_LEASE_MS: Final = 4_000
+_LONG_LEASE_MS: Final = 15_000
+_LONG_RUN_TIME_MS: Final = 120_000
 # The owner resolves a lost start within this time.
 _RESOLUTION_MS: Final = 6_000
 _POLL_INTERVAL_MS: Final = 10
@@ -59,11 +61,11 @@
 class _Cell:
     """One owner and two worker stand-ins, one of which delays a start."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, task_lease_ms: int) -> None:
         self._folder = folder
         self.workers = {name: _worker(folder, name) for name in ('w1', 'w2')}
         self.port = _StandInPort(self.workers)
-        self.world = World(cell(task_lease_ms=_TASK_LEASE_MS), self.port)
+        self.world = World(cell(task_lease_ms=task_lease_ms), self.port)
 
     async def delay_start(
         self, execution: Execution
@@ -86,9 +88,9 @@
         assert holder.held
         await _control(holder, hold_starts=False)
 
-    async def until_started(self) -> None:
-        """Wait for the first start."""
-        while not self.starts():
+    async def until_started(self, count: int = 1) -> None:
+        """Wait for a number of starts."""
+        while len(self.starts()) < count:
             await sleep_ms(_POLL_INTERVAL_MS)
 
     def starts(self) -> list[WorkerId]:
@@ -143,8 +145,10 @@
 
 
 @asynccontextmanager
-async def _running_cell(folder: Path) -> AsyncIterator[_Cell]:
-    running_cell = _Cell(folder)
+async def _running_cell(
+    folder: Path, task_lease_ms: int = _TASK_LEASE_MS
+) -> AsyncIterator[_Cell]:
+    running_cell = _Cell(folder, task_lease_ms)
     for worker in running_cell.workers.values():
         worker.start()
     running_cell.world.start()
@@ -288,3 +292,31 @@
             )
 
     run_paused(main())
+
+
+def test_late_renewal_extends_no_lease_past_its_bound(tmp_path: Path) -> None:
+    """Guards against two copies of a task after a delayed renewal.
+
+    The worker has not restarted; it executes the renewals seconds after the
+    owner has sent the last one, and is then cut off.
+    """
+
+    async def main() -> None:
+        async with _running_cell(tmp_path, _LONG_LEASE_MS) as running_cell:
+            owner = await running_cell.world.until_owned()
+            job = spec('job', run_time_ms=_LONG_RUN_TIME_MS)
+            await running_cell.world.submit_one(owner, job)
+            await running_cell.until_started()
+            first = running_cell.workers[running_cell.starts()[0]]
+            await sleep_ms(_CALL_TIMEOUT_MS)
+            await _control(first, hold_exchanges=True)
+            await sleep_ms(_LONG_LEASE_MS - 3 * _CALL_TIMEOUT_MS)
+            running_cell.port.unreachable.add(first.worker.worker_id)
+            # No answer is awaited any longer, and the lease has not expired.
+            await sleep_ms(2 * _CALL_TIMEOUT_MS)
+            await _control(first, hold_exchanges=False)
+            assert first.running_count == 1
+            await running_cell.until_started(2)
+            assert not first.running_count
+
+    run_paused(main())
--- a/tests/test_worker_standin.py
+++ b/tests/test_worker_standin.py
@@ -79,7 +79,9 @@
 
 
 def _request(worker: WorkerStandIn, **changes: Any) -> Exchange:
-    request = Exchange(_EPOCH, _LONG_MS, incarnation=worker.incarnation)
+    request = Exchange(
+        _EPOCH, _NO_TIME_LIMIT_MS, incarnation=worker.incarnation
+    )
     return replace(request, **changes)
 
 
@@ -93,7 +95,7 @@
     condition: Callable[[WorkerReport], bool],
 ) -> WorkerReport:
     while True:
-        report = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+        report = await _exchange(served, Exchange(_EPOCH, _NO_TIME_LIMIT_MS))
         if condition(report):
             return report
 
@@ -109,7 +111,11 @@
         worker = _worker(tmp_path)
         async with serving(worker) as served:
             starts = (_start(), _start(_SECOND))
-            request = _request(worker, lease_ms=2000, starts=starts)
+            request = _request(
+                worker,
+                lease_until_worker_clock_ms=worker.clock_ms + 2000,
+                starts=starts,
+            )
             await _exchange(served, request)
             await _exchange(served, _request(worker, renewals=(_SECOND,)))
             report = await _exchange_until(
@@ -135,7 +141,7 @@
                 served,
                 lambda got: got.tasks[0].outcome is TaskOutcome.SUCCEEDED,
             )
-            again = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+            again = await _exchange(served, Exchange(_EPOCH, _NO_TIME_LIMIT_MS))
             after_acknowledgement = await _exchange(
                 served, _request(worker, acknowledged=(_FIRST,))
             )
@@ -157,7 +163,7 @@
     async def main() -> None:
         worker = _worker(tmp_path, connections_count=1, clock_offset_ms=-5000)
         async with serving(worker, threads_count=1) as served:
-            first = await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+            first = await _exchange(served, Exchange(_EPOCH, _NO_TIME_LIMIT_MS))
             late = _start(before_ms=first.worker_clock_ms - 1)
             refused = await _exchange(served, _request(worker, starts=(late,)))
             stale_request = _request(
@@ -197,7 +203,10 @@
         starts = (_start(), _start(_SECOND, run_time_ms=1))
         former = worker.incarnation
         worker.restart()
-        worker.carry_out(_request(worker, lease_ms=2000, starts=starts))
+        request = _request(
+            worker, lease_until_worker_clock_ms=2000, starts=starts
+        )
+        worker.carry_out(request)
         await sleep_ms(1000)
         await worker.on_due(TaskDue(_SECOND))
         stop = TaskCommand(CommandKind.STOP, _FIRST)
@@ -227,7 +236,7 @@
     async def main() -> None:
         worker = _worker(tmp_path)
         async with serving(worker, threads_count=1) as served:
-            await _exchange(served, Exchange(_EPOCH, _LONG_MS))
+            await _exchange(served, Exchange(_EPOCH, _NO_TIME_LIMIT_MS))
             await served.control(silence_open_connections=True)
             settings = WorkerSettings(call_timeout_ms=50)
             port = HttpWorkers(settings, served.client)
--- a/tools/slope_measures.py
+++ b/tools/slope_measures.py
@@ -40,7 +40,7 @@
     return EXCHANGES.dump_json(
         Exchange(
             Epoch(17),
-            lease_ms=15_000,
+            lease_until_worker_clock_ms=86_415_000,
             renewals=renewals,
             incarnation=_INCARNATION,
         ),
