Count only the present owner's jobs in the machine of incarnations

What callers would see: nothing; a check was wrong.

Cause: IncarnationMachine took a job as ended when any process held it as unknown. An owner that was paused and replaced takes leases as expired that its successor renews; its state is neither durable nor answered.

Change: the check reads the jobs of the process that owns the partition. Two copies of a task are still counted whoever ordered them.

--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -319,12 +319,18 @@
         await asyncio.gather(super().watch(), self.watch_unknown_jobs())
 
     async def watch_unknown_jobs(self) -> None:
-        """Check that no task runs after its job has ended as unknown."""
+        """Check that no task runs after its job has ended as unknown.
+
+        Only the present owner's state counts: one that was replaced may take
+        leases as expired that its successor renews, and nothing of this state
+        is durable or answered.
+        """
         while True:
             await sleep_ms(_WATCH_INTERVAL_MS)
             unknown = {
                 job.job_id
                 for process in self.world.processes
+                if process.owns()
                 for job in process.jobs()
                 if job.state is JobState.UNKNOWN
             }
