--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -15,11 +15,12 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import JobId, WorkerId
+from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import Resources
 from tests.graph_owner import BATCH, POOL, Owner, entry, task
-from tests.graph_world import SimulatedWorker, World
+from tests.graph_world import World
+from tests.simulated_worker import SimulatedWorker
 
 OUTAGE_MS: Final = 3300
 # Longer than the task leases.
@@ -101,14 +102,15 @@
             for name, worker in self.workers.items()
             if name not in self._replaced
         ]
-        self.owner.core.update_workers(entries, self.now_ms)
-        self.owner.core.record_workers([row.worker for row in entries])
+        self.apply_directory(entries)
 
     def replace_owner(self) -> None:
         """Continue with a new owner that reads the records of the old one."""
         previous = self.owner.core.state
         now_ms = self.now_ms
         self.owner = Owner(term=2)
+        self.epoch = Epoch(self.epoch + 1)
+        self.channels.clear()
         self.owner.now_ms = now_ms
         for view in previous.workers:
             self.owner.core.add_inherited_worker(
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -1,15 +1,15 @@
 """Simulation of a `GraphCore` with its workers and an advice service.
 
-Time advances in steps. Workers end runs, expire leases and report. Start orders
-arrive a step later, perhaps at a restarted worker; orders to unreachable
-workers get no answer.
+Time advances in steps. Workers end runs, expire leases and report. See
+`SimulatedCalls` for the calls to workers.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from fuchsiarill.graphs.advice_requests import choose_workers
 from fuchsiarill.graphs.effects import (
     Effect,
+    FenceIncarnation,
     PaceRun,
     RequestAdvice,
     RequestReport,
@@ -18,85 +18,21 @@
 )
 from fuchsiarill.graphs.model import (
     BornMs,
-    Checkpoint,
     EndKind,
-    EndRow,
-    EndSequence,
     QueueId,
-    RunningRow,
     Step,
     StepKey,
     TaskKey,
     Ticket,
     WorkerListing,
-    WorkerReport,
 )
-from fuchsiarill.graphs.runs import INITIALIZED_PERCENT
 from fuchsiarill.ids import WorkerId
-from fuchsiarill.ports.agents import AgentFailure
-from fuchsiarill.resources import NO_RESOURCES, Resources
-from tests.graph_owner import CAPACITY, Owner, entry
+from fuchsiarill.resources import Resources
+from tests.graph_owner import entry
+from tests.simulated_calls import STEP_MS, SimulatedCalls
+from tests.simulated_worker import SimulatedRun, SimulatedWorker
 
-_STEP_MS = 50
 _ADVICE_DELAY_MS = 100
-_LEASE_MS = 5000
-_HALF_PERCENT = 50
-
-_RunKey = tuple[TaskKey, int]
-
-
-@dataclass(slots=True)
-class SimulatedRun:
-    """A run on a simulated worker; with `ends_ms` as `None` it never ends."""
-
-    size: Resources
-    ends_ms: int | None
-    kind: EndKind
-
-
-@dataclass(slots=True)
-class SimulatedWorker:
-    """One incarnation of a simulated worker."""
-
-    name: str
-    born_ms: int
-    capacity: Resources = CAPACITY
-    # The capacity at the last decision, which sent the starts in transit.
-    decided_capacity: Resources = CAPACITY
-    runs: dict[_RunKey, SimulatedRun] = field(default_factory=dict)
-    unreported_ends: list[EndRow] = field(default_factory=list)
-    ends_count: int = 0
-    refused_attempts: dict[TaskKey, int] = field(default_factory=dict)
-    lease_until_ms: int = 0
-    is_reachable: bool = True
-    is_leaving: bool = False
-    loses_answers: bool = False
-    fails_all: bool = False
-
-    def end(self, key: _RunKey, kind: EndKind) -> None:
-        """End a run, report the end and refuse the attempt from now on."""
-        self.runs.pop(key)
-        self.ends_count += 1
-        task, attempt = key
-        self.refused_attempts[task] = max(
-            self.refused_attempts.get(task, 0), attempt
-        )
-        sequence = EndSequence(self.ends_count)
-        self.unreported_ends.append(
-            EndRow(sequence, task, attempt, kind, Checkpoint('')),
-        )
-
-    def end_due_runs(self, now_ms: int) -> None:
-        """End the runs whose run time is over or whose lease has expired."""
-        for key, run in list(self.runs.items()):
-            if run.ends_ms is not None and run.ends_ms <= now_ms:
-                self.end(key, run.kind)
-            elif now_ms > self.lease_until_ms:
-                self.end(key, EndKind.LAPSED)
-
-    def used_resources(self) -> Resources:
-        """Return the sum of the resources of all runs."""
-        return sum((run.size for run in self.runs.values()), NO_RESOURCES)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,15 +44,12 @@
     incarnations: dict[WorkerId, BornMs]
 
 
-class World:
+class World(SimulatedCalls):
     """An owner's core, simulated workers and the advice service."""
 
     def __init__(self, *names: str) -> None:
         """Create live workers."""
-        self.owner = Owner(*names)
-        self.workers = {
-            name: SimulatedWorker(name, born_ms=1) for name in names
-        }
+        super().__init__(*names)
         self.steps: dict[tuple[str, int], Step] = {}
         self.run_ms: dict[str, int] = {}
         self.failures: dict[str, int] = {}
@@ -125,15 +58,6 @@
         # Calls of the advice service: when it answers, and what it was asked.
         self.advice_in_transit: list[AdviceCall] = []
         self.loses_advice = False
-        # These start orders reach the incarnation that runs when they arrive.
-        self.starts_in_transit: list[StartRun] = []
-        # Start orders without an answer, with the time at which they time out.
-        self.unanswered_starts: list[tuple[int, StartRun]] = []
-
-    @property
-    def now_ms(self) -> int:
-        """Return the runtime clock."""
-        return self.owner.now_ms
 
     def publish_directory(self) -> None:
         """Pass the current directory to the owner."""
@@ -149,10 +73,7 @@
                     directory_entry, listing=WorkerListing.LEAVING
                 )
             entries.append(directory_entry)
-        self.owner.core.update_workers(entries, self.now_ms)
-        self.owner.core.record_workers(
-            [directory_entry.worker for directory_entry in entries],
-        )
+        self.apply_directory(entries)
 
     def submit(
         self,
@@ -171,7 +92,7 @@
 
     def restart(self, name: str) -> None:
         """Restart a worker under its id; all its runs are lost."""
-        self.workers[name] = SimulatedWorker(name, born_ms=self.now_ms)
+        self.replace_incarnation(name)
         self.publish_directory()
 
     def resize(self, name: str, capacity: Resources) -> None:
@@ -181,16 +102,14 @@
 
     def pass_time(self, duration_ms: int) -> None:
         """Advance the clock in steps; run workers, advice and decisions."""
-        for _ in range(duration_ms // _STEP_MS):
-            self.owner.now_ms += _STEP_MS
-            arriving_starts = self.starts_in_transit
-            self.starts_in_transit = []
-            for order in arriving_starts:
-                self._execute_start(order)
+        for _ in range(duration_ms // STEP_MS):
+            self.owner.now_ms += STEP_MS
+            self._execute_due_calls()
             for worker in self.workers.values():
                 worker.decided_capacity = worker.capacity
                 worker.end_due_runs(self.now_ms)
                 self._renew(worker)
+            self._time_out_starts()
             self._deliver_answers()
             self._decide()
 
@@ -205,11 +124,9 @@
     def _execute(self, effect: Effect) -> None:
         match effect:
             case StartRun():
-                self.starts_in_transit.append(effect)
-                core = self.owner.core
-                core.renewal_sent(effect.worker, self.now_ms)
+                self._send_start(effect)
             case StopRun():
-                self._execute_stop(effect)
+                self._send_stop(effect)
             case RequestAdvice():
                 incarnations = choose_workers(
                     self.owner.core.state, effect.step, self.now_ms
@@ -221,45 +138,13 @@
                         incarnations,
                     )
                 )
+            case FenceIncarnation():
+                self._fence(effect)
             case RequestReport():
-                self._renew(self.workers[effect.worker])
+                self._send_renewal(self.workers[effect.worker])
             case PaceRun():
                 pass
 
-    def _execute_start(self, order: StartRun) -> None:
-        worker = self.workers[order.worker]
-        if worker.is_reachable and self._deliver_start(worker, order):
-            return
-        self.unanswered_starts.append((self.now_ms + 7 * _STEP_MS, order))
-
-    def _deliver_start(self, worker: SimulatedWorker, order: StartRun) -> bool:
-        """Deliver a start order; returns whether it has been answered."""
-        failure: AgentFailure | None = None
-        if order.attempt <= worker.refused_attempts.get(order.task, 0):
-            failure = AgentFailure.SUPERSEDED
-        elif self._has_invalid_ticket(order):
-            failure = AgentFailure.TICKET_INVALID
-        else:
-            self._start_run(worker, order)
-        if worker.loses_answers:
-            return False
-        view = self.owner.core.state.workers.find(order.worker)
-        clock_ms = self.now_ms - worker.born_ms
-        if view is not None and clock_ms < view.clock_ms:
-            # The channel reports that another incarnation has answered.
-            failure = AgentFailure.UNKNOWN
-        self.owner.core.start_answered(
-            order.worker,
-            order.task,
-            order.attempt,
-            failure,
-            self.now_ms,
-        )
-        return True
-
-    def _has_invalid_ticket(self, order: StartRun) -> bool:
-        return order.ticket is not None and order.ticket != Ticket(order.worker)
-
     def _start_run(self, worker: SimulatedWorker, order: StartRun) -> None:
         task = order.task
         step = self.steps[task.job, task.step]
@@ -269,9 +154,9 @@
         ends_ms: int | None = self.now_ms + self.run_ms[task.job]
         if step.is_lasting and not is_failing:
             ends_ms = None
-        worker.lease_until_ms = self.now_ms + _LEASE_MS
         worker.runs[task, order.attempt] = SimulatedRun(
             step.charge,
+            self.now_ms,
             ends_ms,
             EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
         )
@@ -287,67 +172,7 @@
             if any(running == task for running, _ in other.runs):
                 self.violations.append(f'{task} runs twice')
 
-    def _execute_stop(self, order: StopRun) -> None:
-        worker = self.workers[order.worker]
-        if not worker.is_reachable:
-            return
-        worker.refused_attempts[order.task] = max(
-            worker.refused_attempts.get(order.task, 0),
-            order.attempt,
-        )
-        if (order.task, order.attempt) in worker.runs:
-            worker.end((order.task, order.attempt), EndKind.STOPPED)
-        if worker.loses_answers:
-            return
-        self.owner.core.stop_answered(
-            order.worker,
-            order.task,
-            order.attempt,
-            None,
-            self.now_ms,
-        )
-
-    def _renew(self, worker: SimulatedWorker) -> None:
-        name = WorkerId(worker.name)
-        core = self.owner.core
-        if not worker.is_reachable:
-            core.worker_failed(name, AgentFailure.UNKNOWN, self.now_ms)
-            return
-        core.renewal_sent(name, self.now_ms)
-        if worker.runs:
-            worker.lease_until_ms = self.now_ms + _LEASE_MS
-        report = WorkerReport(
-            self.now_ms - worker.born_ms,
-            BornMs(worker.born_ms),
-            tuple(
-                RunningRow(task, attempt, Checkpoint(''), _percent(run))
-                for (task, attempt), run in worker.runs.items()
-            ),
-            tuple(worker.unreported_ends),
-        )
-        for end in worker.unreported_ends:
-            if end.kind is EndKind.SUCCEEDED:
-                self.succeeded.add(end.task)
-        core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
-        worker.unreported_ends.clear()
-
     def _deliver_answers(self) -> None:
-        timed_out_starts = [
-            order
-            for at_ms, order in self.unanswered_starts
-            if at_ms <= self.now_ms
-        ]
-        self.unanswered_starts = [
-            row for row in self.unanswered_starts if row[0] > self.now_ms
-        ]
-        for order in timed_out_starts:
-            self.owner.core.start_answered(
-                order.worker,
-                order.task,
-                order.attempt,
-                AgentFailure.UNKNOWN,
-                self.now_ms,
-            )
         calls = [
             call
             for call in self.advice_in_transit
@@ -377,12 +202,14 @@
             self.now_ms,
         )
 
+    def _record_ends(self, worker: SimulatedWorker) -> None:
+        """Note the successes that the owner learns of."""
+        for end in worker.unreported_ends:
+            if end.kind is EndKind.SUCCEEDED:
+                self.succeeded.add(end.task)
+
 
 def is_allowed(job: str, worker: str) -> bool:
     """Tell whether the advice service allows a worker for a job."""
     number = int(job.removeprefix('j'))
     return worker == f'w{number % 3}'
-
-
-def _percent(run: SimulatedRun) -> int:
-    return INITIALIZED_PERCENT if run.ends_ms is None else _HALF_PERCENT
