--- a/tests/simulated_calls.py
+++ b/tests/simulated_calls.py
@@ -144,13 +144,21 @@
             timeout_ms = self.now_ms + _CALL_TIMEOUT_MS
             self.unanswered_starts.append((timeout_ms, call.order))
             return
+        self._check_clock(worker)
         channel = self.channel(worker.name)
-        channel.clock_seen(worker.clock_ms(self.now_ms))
         if failure is None and call.token != channel.token:
             # Another incarnation may have answered.
             failure = AgentFailure.UNKNOWN
         self._answer_start(call.order, failure)
 
+    def _check_clock(self, worker: SimulatedWorker) -> None:
+        """Tell the owner if a later incarnation has answered an order."""
+        clock_ms = worker.clock_ms(self.now_ms)
+        if self.channel(worker.name).clock_seen(clock_ms):
+            self.owner.core.restart_suspected(
+                WorkerId(worker.name), self.now_ms
+            )
+
     def _answer_start(
         self, order: StartRun, failure: AgentFailure | None
     ) -> None:
@@ -190,8 +198,7 @@
         self._execute_stop(worker, call)
         if worker.loses_answers:
             return
-        channel = self.channel(order.worker)
-        channel.clock_seen(worker.clock_ms(self.now_ms))
+        self._check_clock(worker)
         self.owner.core.stop_answered(
             order.worker,
             order.task,
@@ -233,6 +240,7 @@
         self._execute_renewal(worker, call)
         report = worker.report(self.now_ms)
         if not channel.report_received(report, self.now_ms):
+            core.restart_suspected(name, self.now_ms)
             return
         self._record_ends(worker)
         core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
--- a/tests/simulated_channel.py
+++ b/tests/simulated_channel.py
@@ -100,10 +100,15 @@
         if born_ms > self.born_ms:
             self.restart_seen()
 
-    def clock_seen(self, clock_ms: int) -> None:
-        """Take a higher token if the clock of an answer has begun anew."""
-        if clock_ms < self.reported_clock_ms:
-            self.restart_seen()
+    def clock_seen(self, clock_ms: int) -> bool:
+        """Take a higher token if the clock of an answer has begun anew.
+
+        Returns whether it has.
+        """
+        if clock_ms >= self.reported_clock_ms:
+            return False
+        self.restart_seen()
+        return True
 
     def restart_seen(self) -> None:
         """Take a higher token, unless no call has used the present one."""
@@ -111,6 +116,8 @@
             return
         self.token = replace(self.token, sequence=self.token.sequence + 1)
         self.is_fenced = False
+        # Nothing is known of the clock of the incarnation that runs now.
+        self.reported_clock_ms = 0
         # The renewal with the new token does not wait for this one.
         self.pending_until_ms = None
 
