Play restarts under old ids, held calls and cuts in the soak

The soak restarted workers at once with refused connections, held no calls, and had no task that outlasts a lease.

In the emulator, faults are set by name, so that overlapping ones end on their own and last across restarts; before, a restart ended the silence of a worker. Held are renewals, starts, stops and paces, and a pace brings its token as the other calls do. A cut also loses the answers of renewals that wait. A restart keeps the history of a worker's capacity: owners need the same time to notice a change as without a restart. A third of the jobs run 10 to 14 s. Violations name the incarnation, the attempts and the time.

Attempt 1 of a task is held on w1, which restarts; the owner takes it as not started, and attempt 2 succeeds on w4; w1 restarts again and executes attempt 1 in that incarnation, 3.5 s after the success.

--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -1,7 +1,7 @@
 """Model of one incarnation of a worker: its runs, ends and leases."""
 
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 from fuchsiarill.clock import now_ms
 from fuchsiarill.graphs.model import (
@@ -11,10 +11,17 @@
     EndRow,
     EndSequence,
     RunningRow,
+    StartOrder,
     TaskKey,
     WorkerReport,
 )
 from fuchsiarill.ids import NO_TOKEN, Epoch, FencingToken, WorkerId
+from fuchsiarill.ports.agents import (
+    AgentFailure,
+    PaceOrder,
+    RenewalOrder,
+    StopOrder,
+)
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from standins.changing_capacity import ChangingCapacity
 from standins.outages import Outage
@@ -75,6 +82,24 @@
         self.outage = outage
         self.runs.clear()
 
+    def add_run(self, order: StartOrder, behaviour: dict[str, Any]) -> None:
+        """Add the run of a start, as the payload of its job tells."""
+        duration_ms = behaviour.get('duration_ms')
+        is_failing = order.attempt <= behaviour.get('fails', 0)
+        size = behaviour.get('size')
+        run = ModelRun(
+            order.task,
+            order.attempt,
+            now_ms(),
+            None if duration_ms is None else now_ms() + duration_ms,
+            EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
+            Resources(*size) if size else self._listed_size(order.task),
+        )
+        if self.fails_all:
+            run.ends_ms = now_ms()
+            run.kind = EndKind.FAILED
+        self.runs[order.task, order.attempt] = run
+
     def end_due_runs(self) -> None:
         """End the runs whose duration or lease is over."""
         now = now_ms()
@@ -115,6 +140,35 @@
                 self.lease_expiry_ms, min(expiry_ms, longest_ms)
             )
 
+    def execute_stop(self, order: StopOrder) -> AgentFailure | None:
+        """Stop a run, and refuse later starts of its attempt."""
+        failure = self._check_token(order.token)
+        if failure is not None:
+            return failure
+        self.highest_refused_attempt[order.task] = max(
+            self.highest_refused_attempt.get(order.task, 0),
+            order.attempt,
+        )
+        run = self.runs.get((order.task, order.attempt))
+        if run is not None:
+            self.end(run, EndKind.STOPPED)
+        return None
+
+    def execute_pace(self, order: PaceOrder) -> AgentFailure | None:
+        """Note the token; runs keep their speed."""
+        return self._check_token(order.token)
+
+    def execute_renewal(self, order: RenewalOrder) -> AgentFailure | None:
+        """Extend the leases and discard acknowledged ends."""
+        failure = self._check_token(order.token)
+        if failure is not None:
+            return failure
+        self.extend_leases(order.expiry_ms)
+        self.ended = [
+            end for end in self.ended if end.sequence > order.acknowledged
+        ]
+        return None
+
     def used(self) -> Resources:
         """Return the sum of the resources that the runs use."""
         return sum((run.size for run in self.runs.values()), NO_RESOURCES)
@@ -136,3 +190,13 @@
             tuple(self.ended[: self.ends_page_count]),
             has_more_ends=len(self.ended) >= self.ends_page_count,
         )
+
+    def _listed_size(self, task: TaskKey) -> Resources:
+        return self.sizes.get(task, NO_RESOURCES)
+
+    def _check_token(self, token: FencingToken) -> AgentFailure | None:
+        """Note the token of an order, which a lower one does not replace."""
+        if token < self.token:
+            return AgentFailure.FENCED
+        self.token = token
+        return None
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -34,8 +34,8 @@
     RenewalOrder,
     StopOrder,
 )
-from fuchsiarill.resources import NO_RESOURCES, Resources
-from standins.agent_incarnation import AgentModel, ModelRun
+from fuchsiarill.resources import Resources
+from standins.agent_incarnation import AgentModel
 from standins.changing_capacity import ChangingCapacity
 from standins.delayed_calls import DelayedCalls
 from standins.outages import OUTAGES, Outage
@@ -45,7 +45,7 @@
 _POLL_INTERVAL_MS = 5
 
 # Executes a call on the incarnation that runs when the call takes effect.
-_Execution = Callable[[AgentModel], object]
+_Execution = Callable[[AgentModel], AgentFailure | None]
 # The arguments are the crashed and the new incarnation.
 OnRestart = Callable[[AgentModel, AgentModel], None]
 
@@ -80,6 +80,8 @@
         self.agents: dict[str, AgentModel] = {}
         self.crashes = WorkerCrashes(crash_settings or CrashSettings(), self)
         self.delayed_calls = DelayedCalls()
+        # Workers that are silent, whichever incarnation runs.
+        self.silent_addresses: frozenset[str] = frozenset()
         self.late_overloads: list[LateOverload] = []
         self.sizes: dict[TaskKey, Resources] = {}
         self.violations: list[str] = []
@@ -136,7 +138,14 @@
         """Replace a crashed worker, unless it has been replaced already."""
         if self.agents.get(crashed.address) is not crashed:
             return
-        restarted = self.add(crashed.address, crashed.capacity.current, worker)
+        restarted = self.add(
+            crashed.address,
+            crashed.capacity.current,
+            worker,
+            crashed.outage or Outage.REFUSED,
+        )
+        # Owners need the same time to notice a change as without a restart.
+        restarted.capacity = crashed.capacity
         if self._on_restart is not None:
             self._on_restart(crashed, restarted)
 
@@ -168,14 +177,9 @@
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
         """Stop a run, and refuse later starts of its attempt."""
-        execute = partial(_execute_stop, order=order)
-        model = await self._reach(agent, timeout_ms, execute)
-        if isinstance(model, AgentFailure):
-            return Failure(model)
-        failure = _execute_stop(model, order)
-        if failure is not None:
-            return Failure(failure)
-        return Success(model.clock_ms())
+        return await self._order(
+            agent, timeout_ms, partial(AgentModel.execute_stop, order=order)
+        )
 
     async def pace(
         self,
@@ -183,11 +187,10 @@
         order: PaceOrder,
         timeout_ms: int,
     ) -> Result[int, AgentFailure]:
-        """Accept an order that limits the speed; the model ignores it."""
-        model = await self._reach(agent, timeout_ms)
-        if isinstance(model, AgentFailure):
-            return Failure(model)
-        return Success(model.clock_ms())
+        """Accept an order that limits the speed, which has no effect."""
+        return await self._order(
+            agent, timeout_ms, partial(AgentModel.execute_pace, order=order)
+        )
 
     async def renew(
         self,
@@ -199,19 +202,20 @@
 
         Waits up to `order.wait_ms` for an end that is not acknowledged.
         """
-        execute = partial(_execute_renewal, order=order)
+        execute = partial(AgentModel.execute_renewal, order=order)
         limit_ms = timeout_ms + order.wait_ms
         model = await self._reach(agent, limit_ms, execute)
         if isinstance(model, AgentFailure):
             return Failure(model)
-        failure = _execute_renewal(model, order)
+        failure = model.execute_renewal(order)
         if failure is not None:
             return Failure(failure)
         deadline_ms = now_ms() + order.wait_ms
         while not model.ended and now_ms() < deadline_ms:
-            if model.outage is Outage.SILENT:
+            if model.outage is Outage.SILENT or self._is_silent(model):
                 # The connection stays open and nothing answers on it.
                 await sleep_ms(deadline_ms - now_ms() + timeout_ms)
+                return Failure(AgentFailure.UNKNOWN)
             if model.outage is not None:
                 return Failure(AgentFailure.UNKNOWN)
             await sleep_ms(_POLL_INTERVAL_MS)
@@ -227,11 +231,20 @@
         model.reported_epoch = order.token.epoch
         return Success(report)
 
+    async def _order(
+        self, agent: AgentAddress, timeout_ms: int, execute: _Execution
+    ) -> Result[int, AgentFailure]:
+        """Execute an order that is answered with the worker's clock."""
+        model = await self._reach(agent, timeout_ms, execute)
+        if isinstance(model, AgentFailure):
+            return Failure(model)
+        failure = execute(model)
+        if failure is not None:
+            return Failure(failure)
+        return Success(model.clock_ms())
+
     async def _reach(
-        self,
-        agent: AgentAddress,
-        timeout_ms: int,
-        execute: _Execution | None = None,
+        self, agent: AgentAddress, timeout_ms: int, execute: _Execution
     ) -> AgentModel | AgentFailure:
         """Return the worker, or why the call gets no other answer.
 
@@ -240,10 +253,10 @@
         model = self.agents.get(agent.address)
         if model is None:
             return AgentFailure.CONNECTION_REFUSED
-        is_delayed = execute is not None and self.delayed_calls.delay(
+        is_delayed = self.delayed_calls.delay(
             agent.address, partial(self._execute_late, agent, execute)
         )
-        if model.is_silent or is_delayed:
+        if is_delayed or self._is_silent(model):
             await sleep_ms(timeout_ms)
             return AgentFailure.UNKNOWN
         if model.outage is not None:
@@ -256,6 +269,9 @@
         self._end_all_due_runs()
         return model
 
+    def _is_silent(self, model: AgentModel) -> bool:
+        return model.is_silent or model.address in self.silent_addresses
+
     def _execute_late(self, agent: AgentAddress, execute: _Execution) -> None:
         model = self.agents.get(agent.address)
         if model is None or model.outage is not None:
@@ -314,20 +330,7 @@
         self._record_start(model, order)
         model.extend_leases(order.expiry_ms)
         behaviour: dict[str, Any] = json.loads(order.payload or '{}')
-        duration_ms = behaviour.get('duration_ms')
-        is_failing = order.attempt <= behaviour.get('fails', 0)
-        run = ModelRun(
-            order.task,
-            order.attempt,
-            now_ms(),
-            None if duration_ms is None else now_ms() + duration_ms,
-            EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
-            self._size(order, behaviour),
-        )
-        if model.fails_all:
-            run.ends_ms = now_ms()
-            run.kind = EndKind.FAILED
-        model.runs[order.task, order.attempt] = run
+        model.add_run(order, behaviour)
         self._check_load(model, order)
         self.crashes.start_seen(model, order, behaviour)
 
@@ -338,22 +341,12 @@
             return
         shrunk_ms = model.capacity.last_admitted_ms(used)
         if shrunk_ms is None:
-            self.violations.append(f'{model.worker} is over its capacity')
+            self._record_violation(model, order, 'exceeds the capacity')
             return
         self.late_overloads.append(
             LateOverload(model.worker, order.token.epoch, shrunk_ms, now_ms())
         )
 
-    def _size(
-        self,
-        order: StartOrder,
-        behaviour: dict[str, Any],
-    ) -> Resources:
-        size_in_payload = behaviour.get('size')
-        if size_in_payload is None:
-            return self.sizes.get(order.task, NO_RESOURCES)
-        return Resources(*size_in_payload)
-
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
         """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
@@ -363,10 +356,28 @@
             self._informed_epochs.pop(order.task)
             self.succeeded.pop(order.task, None)
         if self._must_success_be_recorded(order.task):
-            self.violations.append(f'{order.task} starts after its success')
+            self._record_violation(
+                model,
+                order,
+                f'starts after its success on {self.succeeded[order.task]}',
+            )
         for other in self.agents.values():
-            if any(task == order.task for task, _ in other.runs):
-                self.violations.append(f'{order.task} runs twice')
+            for task, attempt in other.runs:
+                if task == order.task:
+                    self._record_violation(
+                        model,
+                        order,
+                        f'runs twice, as attempt {attempt} on {other.worker}',
+                    )
+
+    def _record_violation(
+        self, model: AgentModel, order: StartOrder, violation: str
+    ) -> None:
+        self.violations.append(
+            f'{order.task} {violation}: {model.worker}, born at '
+            f'{model.born_ms} ms, starts attempt {order.attempt} of epoch '
+            f'{order.token.epoch} at {now_ms()} ms'
+        )
 
     def _must_success_be_recorded(self, task: TaskKey) -> bool:
         """Tell whether an owner must record, or have recorded, a success.
@@ -382,30 +393,3 @@
             return True
         is_listed = any(end.task == task for end in model.ended)
         return not is_listed or model.clock_ms() <= model.lease_expiry_ms
-
-
-def _execute_stop(model: AgentModel, order: StopOrder) -> AgentFailure | None:
-    if order.token < model.token:
-        return AgentFailure.FENCED
-    model.token = order.token
-    model.highest_refused_attempt[order.task] = max(
-        model.highest_refused_attempt.get(order.task, 0),
-        order.attempt,
-    )
-    run = model.runs.get((order.task, order.attempt))
-    if run is not None:
-        model.end(run, EndKind.STOPPED)
-    return None
-
-
-def _execute_renewal(
-    model: AgentModel, order: RenewalOrder
-) -> AgentFailure | None:
-    if order.token < model.token:
-        return AgentFailure.FENCED
-    model.token = order.token
-    model.extend_leases(order.expiry_ms)
-    model.ended = [
-        end for end in model.ended if end.sequence > order.acknowledged
-    ]
-    return None
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -1,6 +1,7 @@
 """State of the emulator: the models and the documents in the store."""
 
 import json
+from itertools import chain
 from typing import Any, Final
 
 from fuchsiarill.clock import sleep_ms
@@ -33,6 +34,11 @@
         self.store_paths = [
             StorePath(self.store) for _ in range(store_paths_count)
         ]
+        # Keys of the next three are names of faults, so that overlapping
+        # faults end on their own; workers are named by their addresses.
+        self.silent_workers: dict[str, list[str]] = {}
+        self.unlisted_workers: dict[str, list[str]] = {}
+        self.delays_ms: dict[str, dict[str, int]] = {}
         self._workers_count = workers_count
         self._heartbeats_count = 0
         # Heartbeat in which each listed worker has written its entry last.
@@ -50,8 +56,9 @@
             self.fleet.add(f'w{number}', CAPACITY)
         while True:
             self._heartbeats_count += 1
+            unlisted = set(chain.from_iterable(self.unlisted_workers.values()))
             for number, agent in enumerate(self.fleet.agents.values()):
-                if agent.outage is None:
+                if agent.outage is None and agent.address not in unlisted:
                     self._write_worker_entry(agent, number, address)
             self._remove_silent_entries()
             self.note_owner()
--- a/standins/emulator/controls.py
+++ b/standins/emulator/controls.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import Callable
+from itertools import chain
 from typing import Any, Final
 
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import Resources
 from standins.emulator.calls import ROUTES, Answer, Call
 from standins.emulator.cell import EmulatedCell
+from standins.outages import Outage
 from standins.store_model import PathFault
 
 _Control = Callable[[EmulatedCell, Any], None]
@@ -45,10 +47,52 @@
 
 
 @CONTROLS.register('silent_workers')
-def _set_silent(cell: EmulatedCell, setting: list[str]) -> None:
-    """Make exactly these workers ignore every call and not answer."""
-    for address, agent in cell.fleet.agents.items():
-        agent.is_silent = address in setting
+def _set_silent(cell: EmulatedCell, setting: dict[str, list[str]]) -> None:
+    """Make workers ignore every call and not answer, across restarts.
+
+    Replaces the workers of each named fault.
+    """
+    cell.silent_workers.update(setting)
+    cell.fleet.silent_addresses = frozenset(
+        chain.from_iterable(cell.silent_workers.values())
+    )
+
+
+@CONTROLS.register('unlisted_workers')
+def _set_unlisted(cell: EmulatedCell, setting: dict[str, list[str]]) -> None:
+    """Stop updates of workers' entries, across restarts.
+
+    Replaces the workers of each named fault.
+    """
+    cell.unlisted_workers.update(setting)
+
+
+@CONTROLS.register('delayed_calls')
+def _delay_calls(
+    cell: EmulatedCell, setting: dict[str, dict[str, int]]
+) -> None:
+    """Leave calls to workers without an answer and execute them later.
+
+    Replaces the delays of each named fault, by worker in ms. The longest delay
+    of a worker applies to calls that arrive from now on.
+    """
+    cell.delays_ms.update(setting)
+    merged: dict[str, int] = {}
+    for delays_ms in cell.delays_ms.values():
+        for address, delay_ms in delays_ms.items():
+            merged[address] = max(delay_ms, merged.get(address, 0))
+    cell.fleet.delayed_calls.delays_ms = merged
+
+
+@CONTROLS.register('crash_workers')
+def _crash_workers(cell: EmulatedCell, setting: dict[str, int]) -> None:
+    """Crash workers, which restart under their ids after the given ms.
+
+    Open connections get no answer.
+    """
+    for address, down_ms in setting.items():
+        agent = cell.fleet.agents[address]
+        cell.fleet.crashes.crash_briefly(agent, Outage.SILENT, down_ms)
 
 
 @CONTROLS.register('deaf_workers')
--- a/standins/emulator/http_endpoint.py
+++ b/standins/emulator/http_endpoint.py
@@ -23,8 +23,7 @@
 # Each long poll occupies a thread: at most six watches of a scheduler process,
 # and one renewal to each worker. The other threads serve short calls.
 _THREADS_COUNT: Final = 96
-# Longer than the longest wait in a model, that of a renewal to a silent worker:
-# its time-out of 5 s plus its `wait_ms`.
+# Longer than the longest wait in a model, that of a call to the store.
 _ANSWER_TIMEOUT_S: Final = 40
 
 
--- a/standins/emulator/worker_routes.py
+++ b/standins/emulator/worker_routes.py
@@ -34,7 +34,9 @@
 )
 from standins.emulator.cell import EmulatedCell
 
-_TIMEOUT_MS: Final = 5000
+# Longer than the time-out of any caller. A call that is not answered occupies a
+# thread until then.
+_TIMEOUT_MS: Final = 1500
 _ADVICE_DELAY_MS: Final = 20
 _CONFLICT_REASONS: Final = {
     AgentFailure.FENCED: 'fence',
--- a/standins/worker_crashes.py
+++ b/standins/worker_crashes.py
@@ -117,6 +117,19 @@
         else:
             self._spawn(self._crash_later(model, order, after_ms))
 
+    def crash_briefly(
+        self, model: AgentModel, outage: Outage, down_ms: int
+    ) -> None:
+        """Crash a worker, unless it is down, and restart it under its id.
+
+        No task is the cause.
+        """
+        if model.outage is not None:
+            return
+        model.crash(outage)
+        self._observer.worker_crashed(model)
+        self._spawn(self._restart_later(model, model.worker, down_ms))
+
     async def _crash_later(
         self, model: AgentModel, order: StartOrder, after_ms: int
     ) -> None:
--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -23,6 +23,10 @@
 _DEADLY_DURATION_MS: Final = 1500
 # With `None` the worker crashes before it answers the start.
 _CRASH_DELAYS_MS: Final = (None, 50, 500)
+# Two runs of a task that overlap after a lease of 6 s are seen.
+_LONG_MIN_MS: Final = 10_000
+_LONG_MAX_MS: Final = 14_000
+_LONG_SIZE: Final = (250, 125, 0)
 _ID_DIGITS: Final = 16
 _SIZES: Final = ((1000, 500, 0), (2000, 1000, 0), (3000, 2000, 0))
 
@@ -84,13 +88,15 @@
     """How many jobs each caller submits, and how.
 
     One job in `cancel_every` is cancelled, one in `deadly_every` has a deadly
-    task; 0 stands for none.
+    task, and one in `long_every` runs longer than leases last; 0 stands for
+    none.
     """
 
     jobs_count: int
     interval_s: float
     cancel_every: int
     deadly_every: int = 0
+    long_every: int = 0
 
 
 @dataclass(slots=True)
@@ -109,6 +115,8 @@
             if self.stopping.is_set():
                 return
             job = Job(self._name(random_source), _document(random_source))
+            if _is_chosen(number, settings.long_every):
+                _make_long(job, random_source)
             if _is_chosen(number, settings.deadly_every):
                 _make_deadly(job, random_source)
             self.jobs.append(job)
@@ -226,6 +234,23 @@
     return bool(every) and number % every == 1
 
 
+def _make_long(job: Job, random_source: random.Random) -> None:
+    """Let the job have one step of a few small, long tasks."""
+    duration_ms = random_source.randint(_LONG_MIN_MS, _LONG_MAX_MS)
+    job.document['spec'] = json.dumps(
+        {'duration_ms': duration_ms, 'size': list(_LONG_SIZE)}
+    )
+    job.document['phases'] = [
+        {
+            'cpu': _LONG_SIZE[0],
+            'mem_mb': _LONG_SIZE[1],
+            'gpu': _LONG_SIZE[2],
+            'est_runtime_ms': duration_ms,
+            'count': random_source.randint(1, 2),
+        }
+    ]
+
+
 def _make_deadly(job: Job, random_source: random.Random) -> None:
     """Make one task of the first step crash each worker that starts it."""
     first_phase = job.document['phases'][0]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,17 +26,19 @@
     wait_for_final_states,
 )
 from tools.processes import end_on_signals
+
+# Imported because it registers faults.
+from tools import soak_incarnations  # noqa: F401
 from tools.soak_faults import FAULTS, EndFault
 from tools.soak_tally import Disruptions, SoakRecord, find_faults
 
 _JOBS_MAX_COUNT: Final = 100_000
 _SUBMIT_INTERVAL_S: Final = 0.15
 _CANCEL_EVERY: Final = 9
-# Only one caller submits such jobs, so that the crashes leave room for others.
-_DEADLY_EVERY: Final = 25
-# Maximum time between the starts of two faults, and maximum duration of each.
-_FAULT_INTERVAL_MAX_S: Final = 2.5
+_LONG_EVERY: Final = 3
 _FAULT_DURATION_MAX_S: Final = 5.0
+# Ends all faults, and series before their next step.
+_END_OF_RUN_S: Final = float('inf')
 # Time for leases to expire and for restarted daemons to take over.
 _RECOVERY_S: Final = 12.0
 _POLL_INTERVAL_S: Final = 0.05
@@ -46,13 +48,20 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakSettings:
-    """Seed and duration of a soak, and the size of its cell."""
+    """Seed, duration and faults of a soak, and the size of its cell."""
 
     seed: int = 1
     duration_minutes: float = 1
     daemons_count: int = 4
     workers_count: int = 6
     callers_count: int = 3
+    # Names of the faults to choose from.
+    faults: tuple[str, ...] = tuple(FAULTS)
+    # Maximum time between the starts of two faults.
+    interval_max_s: float = 2.5
+    # One job of the first caller in so many has a deadly task; 0 for none. The
+    # crashes leave room for others, since only one caller submits such jobs.
+    deadly_every: int = 25
 
 
 @dataclass(order=True, slots=True)
@@ -61,6 +70,7 @@
 
     ends_at_s: float
     number: int
+    name: str = field(compare=False)
     began_at_s: float = field(compare=False)
     end: EndFault = field(compare=False)
 
@@ -68,42 +78,52 @@
 class FaultSchedule:
     """Injects faults at random times, each for a random duration."""
 
-    def __init__(self, cell: PlatformCell, seed: int) -> None:
+    def __init__(self, cell: PlatformCell, settings: SoakSettings) -> None:
         """Seed the random choice of faults and times."""
         self._cell = cell
-        self._random_source = random.Random(seed)
+        self._settings = settings
+        self._random_source = random.Random(settings.seed)
         self._active: list[_ActiveFault] = []
         self._injected_count = 0
+        self._started_s = time.monotonic()
         self.disruptions = Disruptions()
 
     def run(self, duration_s: float) -> None:
         """Inject faults for a time, then end those still active."""
-        started_s = time.monotonic()
-        next_s = started_s
-        while time.monotonic() - started_s < duration_s:
+        self._started_s = time.monotonic()
+        next_s = self._started_s
+        while time.monotonic() - self._started_s < duration_s:
             now_s = time.monotonic()
             if next_s <= now_s:
-                self._inject(now_s - started_s)
-                next_s = (
-                    now_s + self._random_source.random() * _FAULT_INTERVAL_MAX_S
+                self._inject()
+                next_s = now_s + self._random_source.uniform(
+                    0, self._settings.interval_max_s
                 )
             self._end_due(now_s)
             time.sleep(_POLL_INTERVAL_S)
-        self._end_due(float('inf'))
+        self._end_due(_END_OF_RUN_S)
 
-    def _inject(self, elapsed_s: float) -> None:
-        name = self._random_source.choice(list(FAULTS))
+    def _inject(self) -> None:
+        name = self._random_source.choice(self._settings.faults)
         lasts_s = self._random_source.random() * _FAULT_DURATION_MAX_S
         began_at_s = time.monotonic()
         end = FAULTS.lookup(name)(self._cell, self._random_source)
-        lasts_s = max(lasts_s, end.lasts_min_s)
-        _print_line(f'{elapsed_s:6.2f} s: {name} for {lasts_s:.1f} s')
+        if end.lasts_s is None:
+            end = replace(end, lasts_s=max(lasts_s, end.lasts_min_s))
+        self._activate(name, began_at_s, end)
+
+    def _activate(self, name: str, began_at_s: float, end: EndFault) -> None:
+        lasts_s = end.lasts_s or 0
+        elapsed_s = began_at_s - self._started_s
+        note = f', {end.note}' if end.note else ''
+        _print_line(f'{elapsed_s:6.2f} s: {name} for {lasts_s:.1f} s{note}')
         self._injected_count += 1
         heapq.heappush(
             self._active,
             _ActiveFault(
                 time.monotonic() + lasts_s,
                 self._injected_count,
+                name,
                 began_at_s,
                 end,
             ),
@@ -112,10 +132,17 @@
     def _end_due(self, now_s: float) -> None:
         while self._active and self._active[0].ends_at_s <= now_s:
             fault = heapq.heappop(self._active)
-            fault.end()
+            ended_at_s = time.monotonic()
+            next_end = None
+            if now_s == _END_OF_RUN_S or fault.end.proceed is None:
+                fault.end()
+            else:
+                next_end = fault.end.proceed()
             self.disruptions.add(
                 fault.end.daemons, fault.began_at_s, time.monotonic()
             )
+            if next_end is not None:
+                self._activate(fault.name, ended_at_s, next_end)
 
 
 def main() -> int:
@@ -127,6 +154,9 @@
         options.daemons,
         options.workers,
         options.callers,
+        tuple(options.faults),
+        options.interval,
+        options.deadly_every,
     )
     end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-soak-') as folder:
@@ -148,13 +178,22 @@
     parser.add_argument('--daemons', type=int, default=defaults.daemons_count)
     parser.add_argument('--workers', type=int, default=defaults.workers_count)
     parser.add_argument('--callers', type=int, default=defaults.callers_count)
+    parser.add_argument(
+        '--faults', nargs='+', choices=FAULTS, default=defaults.faults
+    )
+    parser.add_argument(
+        '--interval', type=float, default=defaults.interval_max_s
+    )
+    parser.add_argument(
+        '--deadly-every', type=int, default=defaults.deadly_every
+    )
     parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
     return parser.parse_args()
 
 
 def run_soak(cell: PlatformCell, settings: SoakSettings) -> int:
     """Run load and faults on a cell that is ready; returns the exit status."""
-    schedule = FaultSchedule(cell, settings.seed)
+    schedule = FaultSchedule(cell, settings)
     loads, threads = start_loads(cell, _load_by_caller_seed(settings))
     try:
         schedule.run(settings.duration_minutes * _S_PER_MINUTE)
@@ -172,11 +211,16 @@
 
 
 def _load_by_caller_seed(settings: SoakSettings) -> dict[int, LoadSettings]:
-    sound = LoadSettings(_JOBS_MAX_COUNT, _SUBMIT_INTERVAL_S, _CANCEL_EVERY)
+    sound = LoadSettings(
+        _JOBS_MAX_COUNT,
+        _SUBMIT_INTERVAL_S,
+        _CANCEL_EVERY,
+        long_every=_LONG_EVERY,
+    )
     first_seed = 1000 * settings.seed
     return dict.fromkeys(
         range(first_seed, first_seed + settings.callers_count), sound
-    ) | {first_seed: replace(sound, deadly_every=_DEADLY_EVERY)}
+    ) | {first_seed: replace(sound, deadly_every=settings.deadly_every)}
 
 
 def _report(seed: int, record: SoakRecord) -> int:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -28,19 +28,27 @@
     daemons: tuple[str, ...] = ()
     # The fault has no effect that the soak checks before this time.
     lasts_min_s: float = 0
+    # Replaces the random duration.
+    lasts_s: float | None = None
+    # What the fault has begun, for the output of the soak.
+    note: str = ''
+    # Begins the next step of a series, which has ended if it returns `None`.
+    # Without it the fault ends after its duration.
+    proceed: Callable[[], 'EndFault | None'] | None = None
 
     def __call__(self) -> None:
-        """End the fault."""
+        """End the fault, with all steps of its series."""
         self.action()
 
 
-_Fault = Callable[[PlatformCell, random.Random], EndFault]
+Fault = Callable[[PlatformCell, random.Random], EndFault]
 _DaemonFault = Callable[[PlatformCell, str], Callable[[], None]]
 
 # Starts over a shrunken capacity count after 3.5 s.
 _SHRUNKEN_MIN_S: Final = 8
+_LABEL_BITS: Final = 32
 
-FAULTS: Final[Registry[str, _Fault]] = Registry('faults of the soak')
+FAULTS: Final[Registry[str, Fault]] = Registry('faults of the soak')
 
 
 def _do_nothing() -> None:
@@ -50,6 +58,11 @@
 _NO_END: Final = EndFault(_do_nothing)
 
 
+def draw_label(random_source: random.Random) -> str:
+    """Return a name under which a fault sets and ends its own controls."""
+    return f'{random_source.getrandbits(_LABEL_BITS):x}'
+
+
 def _end_by_control(
     cell: PlatformCell, *daemons: str, **faults: Any
 ) -> EndFault:
@@ -90,7 +103,7 @@
     return random_source.choice(names) if names else None
 
 
-def _on_running_daemon(daemon_fault: _DaemonFault) -> _Fault:
+def _on_running_daemon(daemon_fault: _DaemonFault) -> Fault:
     """Apply the decorated fault to a running daemon, if there is one."""
 
     @wraps(daemon_fault)
@@ -160,8 +173,9 @@
 def _make_worker_silent(
     cell: PlatformCell, random_source: random.Random
 ) -> EndFault:
-    cell.control(silent_workers=[random_source.choice(cell.workers)])
-    return _end_by_control(cell, silent_workers=[])
+    label = draw_label(random_source)
+    cell.control(silent_workers={label: [random_source.choice(cell.workers)]})
+    return _end_by_control(cell, silent_workers={label: []})
 
 
 @FAULTS.register('worker_deaf')
