Separate the soak series that hold calls from those that only restart

`held_return_and_cut` holds calls before the restarts, which may come twice; `return_and_cut` does not. Calls are held for at least 0.3 s, so that starts are among them.

--- a/tests/test_soak_incarnations.py
+++ b/tests/test_soak_incarnations.py
@@ -11,16 +11,16 @@
 from tools.soak import FaultSchedule, SoakSettings
 from tools.soak_faults import FAULTS, EndFault
 
-_SERIES: Final = ('calls_held', 'return_and_cut', 'workers_return')
+_CUTS: Final = ('return_and_cut', 'held_return_and_cut')
+_SERIES: Final = ('calls_held', 'workers_return', *_CUTS)
 _WORKERS: Final = [f'w{number}' for number in range(6)]
 _THIRD_COUNT: Final = 2
 _SEEDS: Final = range(20)
 # Numbers of steps after which the soak ends; the last ends no series.
 _STEPS_COUNTS: Final = (0, 1, 2, 3, 5, 8, 100)
 _OWNER: Final = 'p1'
-# A series of this seed holds calls, then restarts workers 0.6 s later at most.
-_HOLDING_SEED: Final = 2
-_SCHEDULE_S: Final = 0.7
+# A series that holds calls restarts workers 1 s later at most.
+_SCHEDULE_S: Final = 1.1
 _LEASE_MAX_MS: Final = 6000
 
 
@@ -93,16 +93,17 @@
     other = {'worker_silent': [_WORKERS[0]]}
     cell.control(silent_workers=other, delayed_calls={'x': {'w0': 700}})
     for seed in _SEEDS:
-        _run_steps(cell, 'return_and_cut', seed, _STEPS_COUNTS[-1])
+        _run_steps(cell, 'held_return_and_cut', seed, _STEPS_COUNTS[-1])
     assert cell.active('silent_workers') == [[_WORKERS[0]]]
     assert cell.active('delayed_calls') == [{'w0': 700}]
 
 
-def test_cut_follows_the_restart_of_the_same_workers() -> None:
+@pytest.mark.parametrize('name', _CUTS)
+def test_cut_follows_the_restart_of_the_same_workers(name: str) -> None:
     """Guards against series in which no new incarnation is cut off."""
     for seed in _SEEDS:
         cell: Any = _FakeCell()
-        step: EndFault | None = _begin(cell, 'return_and_cut', seed)
+        step: EndFault | None = _begin(cell, name, seed)
         cuts_count = 0
         while step is not None:
             cut = cell.active('silent_workers')
@@ -114,16 +115,15 @@
         assert 0 < cuts_count <= len(cell.crashed)
 
 
-def test_calls_are_held_before_some_restarts() -> None:
+def test_calls_are_held_before_restarts() -> None:
     """Guards against series in which no call spans a restart."""
-    held_counts = []
     for seed in _SEEDS:
         cell: Any = _FakeCell()
-        # A series ends with its last reference.
-        step = _begin(cell, 'return_and_cut', seed)
-        held_counts.append(len(cell.active('delayed_calls')))
-        step()
-    assert 0 < sum(held_counts) < len(_SEEDS)
+        step = _begin(cell, 'held_return_and_cut', seed)
+        held = list(cell.active('delayed_calls')[0])
+        assert not cell.crashed
+        _proceed(step)
+        assert list(cell.crashed[0]) == held
 
 
 def test_kill_of_the_owner_names_the_daemon_until_it_is_started() -> None:
@@ -146,7 +146,7 @@
     """Guards against series that stop after a step, or outlast the soak."""
     cell: Any = _FakeCell()
     settings = SoakSettings(
-        seed=_HOLDING_SEED, faults=('return_and_cut',), interval_max_s=1000
+        faults=('held_return_and_cut',), interval_max_s=1000
     )
     FaultSchedule(cell, settings).run(_SCHEDULE_S)
     assert 'delayed_calls' in cell.settings
--- a/tools/soak_incarnations.py
+++ b/tools/soak_incarnations.py
@@ -20,8 +20,9 @@
 _DELAY_MIN_MS: Final = 500
 _DELAY_MAX_MS: Final = 8000
 # Time in which calls to a worker are held. Its owner sends no starts after the
-# first call that fails.
-_HOLD_MAX_S: Final = 0.6
+# first call that fails, which it sends 1 s after the last answer at the latest.
+_HOLD_MIN_S: Final = 0.3
+_HOLD_MAX_S: Final = 1.0
 # Time from the restart of a worker to its cut.
 _CUT_AFTER_MIN_S: Final = 0.1
 _CUT_AFTER_MAX_S: Final = 2.5
@@ -32,7 +33,7 @@
 # The platform removes an entry that is not updated for 1.5 s.
 _UNLISTED_MAX_S: Final = 1.4
 _PAUSE_MAX_S: Final = 2.0
-_REPETITIONS_MAX_COUNT: Final = 3
+_REPETITIONS_MAX_COUNT: Final = 2
 _MS_PER_S: Final = 1000
 
 
@@ -92,7 +93,8 @@
         }
         self._control(delayed_calls=delays_ms)
         return _Step(
-            f'calls are held: {delays_ms}', self._draw_s(0, _HOLD_MAX_S)
+            f'calls are held: {delays_ms}',
+            self._draw_s(_HOLD_MIN_S, _HOLD_MAX_S),
         )
 
     def stop_holding(self) -> None:
@@ -182,32 +184,53 @@
 def _return_and_cut(cell: PlatformCell, random_source: random.Random) -> _Steps:
     """Restart workers and cut them off, some times in a row.
 
-    Calls may be held before the restart, which may come twice, and the owner
-    may be killed between the restart and the cut.
+    The owner may be killed between the restart and the cut.
     """
     returning = _draw_third(cell, random_source)
     try:
         for _ in range(random_source.randint(1, _REPETITIONS_MAX_COUNT)):
-            yield from _return_and_cut_once(returning)
+            yield from _restart_before_cut(returning)
+            yield from _cut_and_heal(returning)
     finally:
         returning.heal()
 
 
-def _return_and_cut_once(returning: _Returning) -> _Steps:
+@FAULTS.register('held_return_and_cut')
+@_in_series
+def _hold_return_and_cut(
+    cell: PlatformCell, random_source: random.Random
+) -> _Steps:
+    """Hold calls before the same restarts, which may come twice.
+
+    A held call may then be executed by an incarnation that began after the
+    owner has settled the run of the call.
+    """
+    returning = _draw_third(cell, random_source)
+    try:
+        for _ in range(random_source.randint(1, _REPETITIONS_MAX_COUNT)):
+            yield returning.hold_calls()
+            yield from _restart_while_calls_are_held(returning)
+            yield from _cut_and_heal(returning)
+    finally:
+        returning.heal()
+
+
+def _cut_and_heal(returning: _Returning) -> _Steps:
+    yield returning.cut()
+    returning.heal()
+    yield returning.pause()
+
+
+def _restart_while_calls_are_held(returning: _Returning) -> _Steps:
     random_source = returning.random_source
     if random_source.randrange(2):
-        yield returning.hold_calls()
-        if random_source.randrange(2):
-            returning.stop_holding()
+        returning.stop_holding()
     if random_source.randrange(2):
         down_s = returning.crash()
         up_s = random_source.uniform(_CUT_AFTER_MIN_S, _CUT_AFTER_MAX_S)
         yield _Step(f'{returning.workers} restart', down_s + up_s)
         returning.stop_holding()
     yield from _restart_before_cut(returning)
-    yield returning.cut()
-    returning.heal()
-    yield returning.pause()
 
 
 def _restart_before_cut(returning: _Returning) -> _Steps:
