--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -144,8 +144,6 @@
             worker,
             crashed.outage or Outage.REFUSED,
         )
-        # Owners need the same time to notice a change as without a restart.
-        restarted.capacity = crashed.capacity
         if self._on_restart is not None:
             self._on_restart(crashed, restarted)
 
