Do not log the first answer of a worker as misdirected

A channel that had got no report compared the clock of the answer to a stop with the runtime clock, and wrote event 752 for a worker that was younger than the process. Its clock is compared with the age of the channel now. The case of test_stop_with_the_present_token_is_not_misdirected failed before.

--- a/fuchsiarill/graphs/worker_contact.py
+++ b/fuchsiarill/graphs/worker_contact.py
@@ -54,7 +54,7 @@
         self.born_ms = BornMs(0)
         # The worker's clock in the last report, which came at `_reported_ms`.
         self.reported_clock_ms = 0
-        self._reported_ms = 0
+        self._reported_ms = now_ms()
         self._worker = worker
         self._tokens = tokens
         self._clock_rate_min = 1 - leases.clock_slowness
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -432,20 +432,24 @@
     run_paused(scenario())
 
 
+@pytest.mark.parametrize('is_first_contact', [True, False])
 def test_stop_with_the_present_token_is_not_misdirected(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, *, is_first_contact: bool
 ) -> None:
     """Guards against a log line that names a wrong incarnation, and a probe.
 
-    The stop is sent to the next incarnation before that has reported.
+    The stop is sent to an incarnation before that has reported.
     """
     lines: list[object] = []
     monkeypatch.setattr(events, 'emit', lambda event, **_: lines.append(event))
 
     async def scenario() -> None:
         agent = _ScriptedAgent()
-        channel = _open_channel(agent)
         await sleep_ms(2500)
+        agent.loses_reports = is_first_contact
+        channel = _open_channel(agent)
+        if not is_first_contact:
+            await sleep_ms(2500)
         agent.restart()
         agent.loses_reports = True
         channel.mailbox.send(FenceIncarnation(_WORKER, agent.born_ms))
