--- a/tests/test_world_incarnations.py
+++ b/tests/test_world_incarnations.py
@@ -137,7 +137,7 @@
     _cut_off(world)
 
 
-def test_delayed_start_behind_cut_outlasts_no_bound_if_listed() -> None:
+def test_delayed_start_in_listed_incarnation_outlasts_no_bound() -> None:
     """Guards against a second run beside one that starts behind a cut."""
     world = _world()
     _restart_before_delayed_start(world)
