--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -7,7 +7,6 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from typing import Final
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
@@ -21,6 +20,7 @@
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
+    BORN_UNKNOWN_MS,
     BornMs,
     GraphConfig,
     JobGraph,
@@ -49,8 +49,6 @@
 from fuchsiarill.ids import Epoch, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
-_NO_INCARNATION: Final = BornMs(0)
-
 # After a start that failed for one of these reasons, the worker gets no new run
 # until it has reported again.
 _AVAILABILITY_FAILURES = frozenset(
@@ -154,7 +152,7 @@
         worker: WorkerId,
         address: str,
         lease_expiry_ms: int,
-        recorded_born_ms: BornMs = _NO_INCARNATION,
+        recorded_born_ms: BornMs = BORN_UNKNOWN_MS,
     ) -> None:
         """Add a worker on which a previous owner may have started runs.
 
--- a/fuchsiarill/graphs/incarnations.py
+++ b/fuchsiarill/graphs/incarnations.py
@@ -36,9 +36,8 @@
     The calls were sent until `sent_until_ms`.
     """
     leases = state.leases
-    view.unconfirmed_expiry_ms = max(
-        view.unconfirmed_expiry_ms,
-        sent_until_ms + leases.late_call_ms + leases.longest_allowed_ms,
+    view.extend_unconfirmed(
+        sent_until_ms + leases.late_call_ms + leases.longest_allowed_ms
     )
 
 
@@ -48,20 +47,17 @@
     """Bound the lease of a start that was executed by its time-out."""
     view = state.workers.find(worker)
     if view is not None:
-        view.unconfirmed_expiry_ms = max(
-            view.unconfirmed_expiry_ms,
-            now_ms + state.leases.longest_allowed_ms,
-        )
+        view.extend_unconfirmed(now_ms + state.leases.longest_allowed_ms)
 
 
 def _expect_inherited_calls(state: PoolState, view: WorkerView) -> None:
     """Expect late calls of previous owners on an incarnation unknown to them.
 
-    Their leases count until `confirmed_expiry_ms`, from which the time of their
-    last call follows.
+    `confirmed_expiry_ms` is the longest lease after the last of these calls.
     """
     if view.entry is None or not view.recorded_born_ms:
         return
     if view.entry.born_ms > view.recorded_born_ms:
-        longest_ms = state.leases.longest_allowed_ms
-        expect_late_calls(state, view, view.confirmed_expiry_ms - longest_ms)
+        view.extend_unconfirmed(
+            view.confirmed_expiry_ms + state.leases.late_call_ms
+        )
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -4,7 +4,12 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from fuchsiarill.graphs.model import BornMs, Checkpoint, QueueId
+from fuchsiarill.graphs.model import (
+    BORN_UNKNOWN_MS,
+    BornMs,
+    Checkpoint,
+    QueueId,
+)
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import ProcessId, WorkerId
@@ -34,7 +39,7 @@
     worker: WorkerId
     address: str
     # The last incarnation that has reported; 0 before.
-    born_ms: BornMs = BornMs(0)
+    born_ms: BornMs = BORN_UNKNOWN_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -89,9 +89,7 @@
     view.confirmed_expiry_ms = max(
         view.confirmed_expiry_ms, now_ms + state.leases.longest_ms
     )
-    view.unconfirmed_expiry_ms = max(
-        view.unconfirmed_expiry_ms, now_ms + state.leases.longest_allowed_ms
-    )
+    view.extend_unconfirmed(now_ms + state.leases.longest_allowed_ms)
 
 
 def _is_serving(state: PoolState, run: Run) -> bool:
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -81,8 +81,6 @@
         self._contact = WorkerContact(
             agent.worker, context.tokens, context.settings.task_lease
         )
-        # The incarnation that `_reported_end` and `_durable_end` are of.
-        self._applied_born_ms = BornMs(0)
         self._reported_end = NO_END
         self._durable_end = NO_END
         self._ends_durable_event = asyncio.Event()
@@ -144,7 +142,7 @@
     @handles(RunEndsDurable)
     async def on_ends_durable(self, message: RunEndsDurable) -> None:
         """Let the worker discard run ends, unless it has restarted since."""
-        if message.born_ms == self._applied_born_ms:
+        if message.born_ms == self._contact.born_ms:
             self._durable_end = max(self._durable_end, message.sequence)
             self._ends_durable_event.set()
 
@@ -197,13 +195,14 @@
                     self._handle_failure(call_result.failure())
                 return False
             report = call_result.unwrap()
+            former_born_ms = self._contact.born_ms
             outcome = self._contact.apply_report(report, token)
             if outcome is ReportOutcome.UNFENCED:
                 self._report_restart()
                 wait_ms = 0
                 continue
             if outcome is ReportOutcome.FENCED:
-                self._apply_report(report, requested_ms)
+                self._apply_report(report, requested_ms, former_born_ms)
                 self._context.owner.send(
                     WorkerReported(self.agent.worker, report, requested_ms),
                 )
@@ -243,9 +242,10 @@
         # acknowledgement that the worker has got.
         return self._durable_end if self._lists_ends else NO_END
 
-    def _apply_report(self, report: WorkerReport, requested_ms: int) -> None:
-        if report.born_ms != self._applied_born_ms:
-            self._applied_born_ms = report.born_ms
+    def _apply_report(
+        self, report: WorkerReport, requested_ms: int, former_born_ms: BornMs
+    ) -> None:
+        if report.born_ms != former_born_ms:
             self._reported_end = NO_END
             self._durable_end = NO_END
         self._has_more_ends = report.has_more_ends
--- a/fuchsiarill/graphs/worker_contact.py
+++ b/fuchsiarill/graphs/worker_contact.py
@@ -17,14 +17,13 @@
 from fuchsiarill import events, graph_events
 from fuchsiarill.clock import now_ms
 from fuchsiarill.graphs.fencing import FencingTokenSource
-from fuchsiarill.graphs.model import BornMs, WorkerReport
+from fuchsiarill.graphs.model import BORN_UNKNOWN_MS, BornMs, WorkerReport
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.states import ContactEvent, ContactState
 from fuchsiarill.ids import FencingToken, WorkerId
 from fuchsiarill.registry import Registry
 from fuchsiarill.state_chart import load_chart
 
-
 # Both clocks are read in whole milliseconds.
 _ROUNDING_MS: Final = 2
 
@@ -51,7 +50,7 @@
         """Take a token; the worker has not been called yet."""
         self.state = _CHART.initial
         self.token = tokens.take()
-        self.born_ms = BornMs(0)
+        self.born_ms = BORN_UNKNOWN_MS
         # The worker's clock in the last report, which came at `_reported_ms`.
         self.reported_clock_ms = 0
         self._reported_ms = now_ms()
@@ -152,9 +151,7 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
-        if report.born_ms > self.born_ms:
-            self.born_ms = report.born_ms
-            self.reported_clock_ms = 0
+        self.born_ms = report.born_ms
         self._apply_event(ContactEvent.ANSWERED)
         # The delay of the report makes the offset too low, which shortens the
         # leases. An older, larger offset would lengthen them beyond
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -6,6 +6,7 @@
 
 from fuchsiarill.graphs.job_entries import StepEntry
 from fuchsiarill.graphs.model import (
+    BORN_UNKNOWN_MS,
     NO_END,
     BornMs,
     EndSequence,
@@ -21,7 +22,6 @@
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
 
-_BORN_UNKNOWN_MS: Final = BornMs(0)
 _RACK_LABELS_MIN_COUNT: Final = 2
 
 
@@ -59,7 +59,7 @@
     # In the durable fleet record, so that the next owner contacts it too.
     is_recorded: bool = False
     # The incarnation in that record; 0 before the first report.
-    recorded_born_ms: BornMs = _BORN_UNKNOWN_MS
+    recorded_born_ms: BornMs = BORN_UNKNOWN_MS
     # Has reported to this owner, or all its task leases have expired.
     is_reconciled: bool = False
     runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
@@ -74,7 +74,7 @@
     serving_count: int = 0
     # Number of runs on trial.
     trials_count: int = 0
-    born_ms: BornMs = _BORN_UNKNOWN_MS
+    born_ms: BornMs = BORN_UNKNOWN_MS
     # Sequence number of the last end that has been applied.
     seen_end: EndSequence = NO_END
     # Ends up to this number are durable; the worker may delete them.
@@ -146,6 +146,10 @@
             return self.confirmed_expiry_ms
         return self.unconfirmed_expiry_ms
 
+    def extend_unconfirmed(self, expiry_ms: int) -> None:
+        """Move the expiry of the task leases of unconfirmed runs, never back."""
+        self.unconfirmed_expiry_ms = max(self.unconfirmed_expiry_ms, expiry_ms)
+
     def set_expiry(self, expiry_ms: int) -> None:
         """Set the time after which all task leases have expired."""
         self.confirmed_expiry_ms = expiry_ms
--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -142,7 +142,7 @@
 
     def execute_stop(self, order: StopOrder) -> AgentFailure | None:
         """Stop a run, and refuse later starts of its attempt."""
-        failure = self._check_token(order.token)
+        failure = self.check_token(order.token)
         if failure is not None:
             return failure
         self.highest_refused_attempt[order.task] = max(
@@ -156,11 +156,11 @@
 
     def execute_pace(self, order: PaceOrder) -> AgentFailure | None:
         """Note the token; runs keep their speed."""
-        return self._check_token(order.token)
+        return self.check_token(order.token)
 
     def execute_renewal(self, order: RenewalOrder) -> AgentFailure | None:
         """Extend the leases and discard acknowledged ends."""
-        failure = self._check_token(order.token)
+        failure = self.check_token(order.token)
         if failure is not None:
             return failure
         self.extend_leases(order.expiry_ms)
@@ -191,12 +191,12 @@
             has_more_ends=len(self.ended) >= self.ends_page_count,
         )
 
-    def _listed_size(self, task: TaskKey) -> Resources:
-        return self.sizes.get(task, NO_RESOURCES)
-
-    def _check_token(self, token: FencingToken) -> AgentFailure | None:
+    def check_token(self, token: FencingToken) -> AgentFailure | None:
         """Note the token of an order, which a lower one does not replace."""
         if token < self.token:
             return AgentFailure.FENCED
         self.token = token
         return None
+
+    def _listed_size(self, task: TaskKey) -> Resources:
+        return self.sizes.get(task, NO_RESOURCES)
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -310,9 +310,9 @@
         model: AgentModel,
         order: StartOrder,
     ) -> AgentFailure | None:
-        if order.token < model.token:
-            return AgentFailure.FENCED
-        model.token = order.token
+        failure = model.check_token(order.token)
+        if failure is not None:
+            return failure
         if order.attempt <= model.highest_refused_attempt.get(order.task, 0):
             # Its expiry applies to the other runs all the same.
             model.extend_leases(order.expiry_ms)
