Define the unknown incarnation beside the fencing tokens

The constant stands in fencing.py now. No behaviour changes; formatter, linter, type checker and the tests of channels, cores and restarts pass.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -17,10 +17,10 @@
     worker_suspension,
 )
 from fuchsiarill.graphs.effects import Effect, RequestReport
+from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import ATTEMPTS_PER_TERM, JobEntry
 from fuchsiarill.graphs.model import (
-    BORN_UNKNOWN_MS,
     BornMs,
     GraphConfig,
     JobGraph,
--- a/fuchsiarill/graphs/fencing.py
+++ b/fuchsiarill/graphs/fencing.py
@@ -1,7 +1,13 @@
-"""Source of the fencing tokens of one owner."""
+"""Incarnations of workers, and the fencing tokens of one owner for them."""
 
+from typing import Final
+
+from fuchsiarill.graphs.model import BornMs
 from fuchsiarill.ids import TOKENS_PER_EPOCH, Epoch, FencingToken
 
+# Stands for an incarnation that is not known.
+BORN_UNKNOWN_MS: Final = BornMs(0)
+
 
 class FencingTokenSource:
     """Hands out the tokens of an epoch in rising order.
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -33,8 +33,6 @@
 EndSequence = NewType('EndSequence', int)
 
 NO_CHECKPOINT: Final = Checkpoint('')
-# Stands for an incarnation that is not known.
-BORN_UNKNOWN_MS: Final = BornMs(0)
 NO_END: Final = EndSequence(0)
 FULL_PACE_PERCENT: Final = 100
 
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -4,12 +4,8 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from fuchsiarill.graphs.model import (
-    BORN_UNKNOWN_MS,
-    BornMs,
-    Checkpoint,
-    QueueId,
-)
+from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS
+from fuchsiarill.graphs.model import BornMs, Checkpoint, QueueId
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import ProcessId, WorkerId
--- a/fuchsiarill/graphs/worker_contact.py
+++ b/fuchsiarill/graphs/worker_contact.py
@@ -16,8 +16,8 @@
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.clock import now_ms
-from fuchsiarill.graphs.fencing import FencingTokenSource
-from fuchsiarill.graphs.model import BORN_UNKNOWN_MS, BornMs, WorkerReport
+from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS, FencingTokenSource
+from fuchsiarill.graphs.model import BornMs, WorkerReport
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.states import ContactEvent, ContactState
 from fuchsiarill.ids import FencingToken, WorkerId
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS
 from fuchsiarill.graphs.job_entries import StepEntry
 from fuchsiarill.graphs.model import (
-    BORN_UNKNOWN_MS,
     NO_END,
     BornMs,
     EndSequence,
@@ -147,7 +147,7 @@
         return self.unconfirmed_expiry_ms
 
     def extend_unconfirmed(self, expiry_ms: int) -> None:
-        """Move the expiry of the task leases of unconfirmed runs, never back."""
+        """Move the expiry for unconfirmed runs forward, never back."""
         self.unconfirmed_expiry_ms = max(self.unconfirmed_expiry_ms, expiry_ms)
 
     def set_expiry(self, expiry_ms: int) -> None:
