Share the setting of the tests of restarted workers

Two test files had the same names, times and steps, and three copies of the submission of a job whose start is executed late. They stand in tests/worker_restarts.py now.

--- a/tests/test_incarnation_bounds.py
+++ b/tests/test_incarnation_bounds.py
@@ -4,12 +4,10 @@
 twice or after its success.
 """
 
-from typing import Final
-
 from returns.result import Result, Success
 
 from fuchsiarill.clock import sleep_ms
-from fuchsiarill.graphs.model import BornMs, Step, WorkerReport
+from fuchsiarill.graphs.model import BornMs, WorkerReport
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ports.agents import AgentAddress, AgentFailure, RenewalOrder
 from standins.agent_incarnation import AgentModel
@@ -17,26 +15,17 @@
 from tests.graph_cell import (
     CAPACITY,
     P0,
-    TASK_SIZE,
     GraphCell,
     owner_of,
     run_scenario,
 )
-
-_WORKER: Final = 'w0'
-_OTHER_WORKER: Final = 'w1'
-_STEP: Final = (Step(1, TASK_SIZE),)
-_FIRST_LIFE_MS: Final = 10_000
-_RUN_MS: Final = 20_000
-
-
-async def _submit_delayed(cell: GraphCell, delay_ms: int) -> None:
-    """Submit a job whose start is executed after `delay_ms`."""
-    await sleep_ms(_FIRST_LIFE_MS)
-    cell.fleet.delayed_calls.delays_ms[_WORKER] = delay_ms
-    await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
-    await sleep_ms(50)
-    cell.fleet.delayed_calls.delays_ms.clear()
+from tests.worker_restarts import (
+    FIRST_LIFE_MS,
+    OTHER_WORKER,
+    STEP,
+    WORKER,
+    submit_delayed,
+)
 
 
 def _cut_off_after_report(cell: GraphCell, model: AgentModel) -> None:
@@ -55,11 +44,11 @@
 
 
 async def _restart_cut_off(cell: GraphCell, *, is_listed: bool) -> None:
-    agent = cell.fleet.add(_WORKER, CAPACITY, outage=Outage.SILENT)
+    agent = cell.fleet.add(WORKER, CAPACITY, outage=Outage.SILENT)
     agent.is_silent = True
     if is_listed:
-        cell.change_capacity(_WORKER, CAPACITY)
-    cell.add_worker(_OTHER_WORKER)
+        cell.change_capacity(WORKER, CAPACITY)
+    cell.add_worker(OTHER_WORKER)
 
 
 def test_new_owner_waits_for_delayed_start_in_listed_incarnation() -> None:
@@ -69,7 +58,7 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await _submit_delayed(cell, 8000)
+        await submit_delayed(cell, 8000)
         await _restart_cut_off(cell, is_listed=True)
         await sleep_ms(300)
         await cell.kill(owner_of(cell))
@@ -82,7 +71,7 @@
     """Guards against the same with one owner."""
 
     async def scenario(cell: GraphCell) -> None:
-        await _submit_delayed(cell, 8000)
+        await submit_delayed(cell, 8000)
         await _restart_cut_off(cell, is_listed=True)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 60_000)
 
@@ -97,9 +86,9 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await _submit_delayed(cell, 4000)
-        _cut_off_after_report(cell, cell.fleet.add(_WORKER, CAPACITY))
-        cell.add_worker(_OTHER_WORKER)
+        await submit_delayed(cell, 4000)
+        _cut_off_after_report(cell, cell.fleet.add(WORKER, CAPACITY))
+        cell.add_worker(OTHER_WORKER)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 60_000)
 
     run_scenario(scenario, processes_count=1, workers_count=1)
@@ -112,7 +101,7 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await _submit_delayed(cell, 800)
+        await submit_delayed(cell, 800)
         await _restart_cut_off(cell, is_listed=False)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 60_000)
 
@@ -126,18 +115,18 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await cell.submit(P0, 'b', _STEP, duration_ms=100)
+        await cell.submit(P0, 'b', STEP, duration_ms=100)
         await cell.wait_phase('b', JobPhase.SUCCEEDED, 10_000)
-        await sleep_ms(_FIRST_LIFE_MS)
+        await sleep_ms(FIRST_LIFE_MS)
         delayed = cell.fleet.delayed_calls
-        delayed.delays_ms[_WORKER] = 1100
+        delayed.delays_ms[WORKER] = 1100
         while not delayed.calls_count:
             await sleep_ms(1)
         delayed.delays_ms.clear()
         await sleep_ms(850)
-        agent = cell.fleet.add(_WORKER, CAPACITY, outage=Outage.SILENT)
+        agent = cell.fleet.add(WORKER, CAPACITY, outage=Outage.SILENT)
         agent.loses_answers = True
-        await cell.submit(P0, 'a', _STEP, duration_ms=20)
+        await cell.submit(P0, 'a', STEP, duration_ms=20)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 30_000)
 
     run_scenario(scenario, processes_count=1, workers_count=1)
@@ -151,13 +140,13 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(_FIRST_LIFE_MS)
-        cell.add_worker(_WORKER)
+        await sleep_ms(FIRST_LIFE_MS)
+        cell.add_worker(WORKER)
         await sleep_ms(2000)
-        cell.add_worker(_WORKER)
-        cell.fleet.agents[_WORKER].born_ms = BornMs(5000)
-        cell.change_capacity(_WORKER, CAPACITY)
-        await cell.submit(P0, 'a', _STEP, duration_ms=20)
+        cell.add_worker(WORKER)
+        cell.fleet.agents[WORKER].born_ms = BornMs(5000)
+        cell.change_capacity(WORKER, CAPACITY)
+        await cell.submit(P0, 'a', STEP, duration_ms=20)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 60_000)
 
     run_scenario(scenario, processes_count=1, workers_count=1)
--- a/tests/test_reused_worker_ids.py
+++ b/tests/test_reused_worker_ids.py
@@ -9,7 +9,6 @@
 
 from fuchsiarill.clock import sleep_ms
 from fuchsiarill.graphs import keys
-from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.resources import Resources
 from standins.outages import Outage
@@ -17,26 +16,26 @@
     CAPACITY,
     P0,
     POOL,
-    TASK_SIZE,
     GraphCell,
     owner_of,
     run_scenario,
 )
+from tests.worker_restarts import (
+    FIRST_LIFE_MS,
+    OTHER_WORKER,
+    RUN_MS,
+    STEP,
+    WORKER,
+    submit_delayed,
+)
 
-_WORKER: Final = 'w0'
-_OTHER_WORKER: Final = 'w1'
-_STEP: Final = (Step(1, TASK_SIZE),)
-# The clock of the first incarnation is then ahead of that of the second one by
-# more than the longest lease.
-_FIRST_LIFE_MS: Final = 10_000
-_RUN_MS: Final = 20_000
 _DELAY_MS: Final = 4000
 _TOO_SMALL: Final = Resources(100, 100)
 
 
 async def _restart(cell: GraphCell) -> None:
     """Restart the worker; open connections to it stay without an answer."""
-    cell.fleet.add(_WORKER, CAPACITY, outage=Outage.SILENT)
+    cell.fleet.add(WORKER, CAPACITY, outage=Outage.SILENT)
 
 
 async def _wait_for_starts(cell: GraphCell, count: int) -> None:
@@ -49,8 +48,8 @@
 
 async def _cut_off(cell: GraphCell) -> None:
     """Cut the worker off, and offer another one."""
-    cell.fleet.agents[_WORKER].is_silent = True
-    cell.add_worker(_OTHER_WORKER)
+    cell.fleet.agents[WORKER].is_silent = True
+    cell.add_worker(OTHER_WORKER)
 
 
 def test_order_with_expiry_of_former_clock_keeps_runs_single() -> None:
@@ -62,9 +61,9 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(_FIRST_LIFE_MS)
+        await sleep_ms(FIRST_LIFE_MS)
         await _restart(cell)
-        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        await cell.submit(P0, 'a', STEP, duration_ms=RUN_MS)
         await _wait_for_starts(cell, 2)
         await sleep_ms(50)
         await _cut_off(cell)
@@ -80,12 +79,8 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(_FIRST_LIFE_MS)
-        cell.fleet.delayed_calls.delays_ms[_WORKER] = _DELAY_MS
-        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
-        await sleep_ms(50)
+        await submit_delayed(cell, _DELAY_MS)
         await _restart(cell)
-        cell.fleet.delayed_calls.delays_ms.clear()
         await sleep_ms(_DELAY_MS - 300)
         await _cut_off(cell)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
@@ -100,15 +95,11 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(_FIRST_LIFE_MS)
-        cell.fleet.delayed_calls.delays_ms[_WORKER] = _DELAY_MS
-        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
-        await sleep_ms(50)
+        await submit_delayed(cell, _DELAY_MS)
         await _restart(cell)
-        cell.fleet.delayed_calls.delays_ms.clear()
-        cell.add_worker(_OTHER_WORKER)
+        cell.add_worker(OTHER_WORKER)
         # The next attempt does not fit there.
-        cell.change_capacity(_WORKER, _TOO_SMALL)
+        cell.change_capacity(WORKER, _TOO_SMALL)
         await _wait_for_starts(cell, 1)
         await _restart(cell)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
@@ -124,10 +115,10 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(_FIRST_LIFE_MS)
+        await sleep_ms(FIRST_LIFE_MS)
         await _restart(cell)
-        cell.fleet.agents[_WORKER].loses_answers = True
-        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        cell.fleet.agents[WORKER].loses_answers = True
+        await cell.submit(P0, 'a', STEP, duration_ms=RUN_MS)
         await _wait_for_starts(cell, 1)
         await _cut_off(cell)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 40_000)
@@ -143,10 +134,10 @@
     """
 
     async def scenario(cell: GraphCell) -> None:
-        await sleep_ms(_FIRST_LIFE_MS)
+        await sleep_ms(FIRST_LIFE_MS)
         await _restart(cell)
-        cell.fleet.agents[_WORKER].loses_answers = True
-        await cell.submit(P0, 'a', _STEP, duration_ms=_RUN_MS)
+        cell.fleet.agents[WORKER].loses_answers = True
+        await cell.submit(P0, 'a', STEP, duration_ms=RUN_MS)
         await _wait_for_starts(cell, 1)
         await _cut_off(cell)
         former_owner = owner_of(cell)
