--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -298,6 +298,13 @@
     'before: clock {clock_ms} ms is below {earliest_clock_ms} ms',
     'None; the worker gets no starts until it has answered with a new token.',
 )
+START_UNANSWERED: Final = LogEvent(
+    754,
+    Level.INFO,
+    'attempt {attempt} of task {task} of job {job}: the start order to '
+    '{worker} has got no answer after {ordered_ms} ms',
+    'None; the task starts elsewhere once the order has no effect any more.',
+)
 INCARNATION_FENCED: Final = LogEvent(
     753,
     Level.INFO,
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -253,6 +253,14 @@
             apply_run_event(self.state, run, RunEvent.CONFIRMED, now_ms)
             return
         if failure is AgentFailure.UNKNOWN:
+            events.emit(
+                graph_events.START_UNANSWERED,
+                job=task.job,
+                task=task.label,
+                attempt=attempt,
+                worker=worker,
+                ordered_ms=now_ms - run.start_ordered_ms,
+            )
             incarnations.bound_unanswered_start(self.state, worker, now_ms)
             apply_run_event(self.state, run, RunEvent.UNANSWERED, now_ms)
             return
