Start a task nowhere else while an unanswered start may be executed

* A start without an answer, executed seconds later by an incarnation of which nothing tells the owner.
The owner waited for the longest lease from the time-out (6.4 s), not from the last moment at which the start can be executed.
* A start that one incarnation had settled by confirming its stop, executed by the next one before that was fenced.

Cause: the absence of a run from a report, and the end of a lease, were taken as the end of the start order too.

Change: start_windows.py states one rule. Until a start order without an answer can't be executed any more, no report shows that its run is absent, so the unit and the room stay taken, and the leases of its worker count with late calls. A run that was started, refused or listed has no window. A ticket shortens the window, since a worker refuses one that has expired or is of an incarnation that has ended.

Why it works: no token reaches an incarnation that does not exist yet; only the time does. Runs that were confirmed wait no longer than before.

In test_graph_core.py the check that nothing starts is repeated after the report, and the start is expected after the window.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -302,7 +302,8 @@
     754,
     Level.INFO,
     'attempt {attempt} of task {task} of job {job}: the start order to '
-    '{worker} has got no answer after {ordered_ms} ms',
+    '{worker} has got no answer after {ordered_ms} ms, and may be executed for '
+    'another {executable_ms} ms; with a ticket: {has_ticket}',
     'None; the task starts elsewhere once the order has no effect any more.',
 )
 INCARNATION_FENCED: Final = LogEvent(
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -13,6 +13,7 @@
     decision_round,
     incarnations,
     reports,
+    start_windows,
     worker_crashes,
     worker_suspension,
 )
@@ -247,21 +248,14 @@
         if run is None:
             return
         if failure is None:
+            start_windows.close_window(run)
             run.is_start_confirmed = True
             if run.state is RunState.STARTING and run.visible_since_ms is None:
                 run.visible_since_ms = now_ms
             apply_run_event(self.state, run, RunEvent.CONFIRMED, now_ms)
             return
         if failure is AgentFailure.UNKNOWN:
-            events.emit(
-                graph_events.START_UNANSWERED,
-                job=task.job,
-                task=task.label,
-                attempt=attempt,
-                worker=worker,
-                ordered_ms=now_ms - run.start_ordered_ms,
-            )
-            incarnations.bound_unanswered_start(self.state, worker, now_ms)
+            start_windows.start_timed_out(self.state, run, now_ms)
             apply_run_event(self.state, run, RunEvent.UNANSWERED, now_ms)
             return
         self._handle_refusal(run, failure, now_ms)
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -12,11 +12,12 @@
     crash_trials,
     failure_blame,
     restart_backoff,
+    start_windows,
 )
 from fuchsiarill.graphs.effects import StartRun
 from fuchsiarill.graphs.gang_reservations import reserve_for_gang
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
-from fuchsiarill.graphs.model import StepKey, Ticket
+from fuchsiarill.graphs.model import StepKey
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
 from fuchsiarill.graphs.preemption import preempt
@@ -24,6 +25,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.step_placer import StepPlacer
+from fuchsiarill.graphs.tickets import IssuedTicket
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 
@@ -220,13 +222,19 @@
     run: Run,
     view: WorkerView,
 ) -> None:
-    ticket: Ticket | None = None
+    issued: IssuedTicket | None = None
     if request.entry.policy.advice is not None:
-        ticket = state.tickets.ticket_for(
+        issued = state.tickets.ticket_for(
             request.step.key,
             view,
             request.now_ms,
         )
+    start_windows.open_window(
+        state.leases,
+        run,
+        None if issued is None else issued.expiry_ms,
+        request.now_ms,
+    )
     state.effects.append(
         StartRun(
             run.worker,
@@ -234,7 +242,7 @@
             run.attempt,
             request.entry.graph.payload,
             request.unit.checkpoint,
-            ticket,
+            None if issued is None else issued.ticket,
         ),
     )
     events.emit(
--- a/fuchsiarill/graphs/incarnations.py
+++ b/fuchsiarill/graphs/incarnations.py
@@ -41,15 +41,6 @@
     )
 
 
-def bound_unanswered_start(
-    state: PoolState, worker: WorkerId, now_ms: int
-) -> None:
-    """Bound the lease of a start that was executed by its time-out."""
-    view = state.workers.find(worker)
-    if view is not None:
-        view.extend_unconfirmed(now_ms + state.leases.longest_allowed_ms)
-
-
 def _expect_inherited_calls(state: PoolState, view: WorkerView) -> None:
     """Expect late calls of previous owners on an incarnation unknown to them.
 
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -6,6 +6,7 @@
 from fuchsiarill.graphs import (
     crash_trials,
     failure_blame,
+    start_windows,
     worker_crashes,
     worker_suspension,
 )
@@ -213,6 +214,7 @@
         run.progress_percent = row.progress_percent
         run.progress_changed_ms = now_ms
     run.is_listed = True
+    start_windows.close_window(run)
     run.listed_age_ms = now_ms - run.start_ordered_ms
     run.checkpoint = row.checkpoint
     run.usage = row.usage
@@ -382,4 +384,6 @@
     """Tell whether a report requested then lists the run while it runs."""
     if run.visible_since_ms is None or run.state is RunState.STARTING:
         return False
+    if run.executable_until_ms:
+        return False
     return run.visible_since_ms < requested_ms
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -49,6 +49,11 @@
     # The worker gets no new run meanwhile; see `crash_trials`.
     is_on_trial: bool = False
     is_trial_report_requested: bool = False
+    # The start order may be executed until then; 0 once it can't be any more.
+    # See `start_windows`.
+    executable_until_ms: int = 0
+    # Expiry of the ticket in the start order, `None` without a ticket.
+    ticket_expiry_ms: int | None = None
     stop_ordered_ms: int | None = None
     is_stop_answered: bool = False
     checkpoint: Checkpoint = NO_CHECKPOINT
--- a/fuchsiarill/graphs/tickets.py
+++ b/fuchsiarill/graphs/tickets.py
@@ -25,7 +25,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _CachedTicket:
+class IssuedTicket:
+    """Ticket for an incarnation of a worker.
+
+    The advice service counts its validity from a time before its answer, so it
+    is not valid after `expiry_ms`.
+    """
+
     ticket: Ticket
     expiry_ms: int
     born_ms: BornMs
@@ -33,7 +39,7 @@
 
 @dataclass(slots=True)
 class _StepAdvice:
-    tickets: dict[WorkerId, _CachedTicket] = field(default_factory=dict)
+    tickets: dict[WorkerId, IssuedTicket] = field(default_factory=dict)
     # The service does not change its answer for a step and one incarnation of a
     # worker.
     allowed: set[WorkerId] = field(default_factory=set)
@@ -57,7 +63,7 @@
         step: StepKey,
         view: WorkerView,
         now_ms: int,
-    ) -> Ticket | None:
+    ) -> IssuedTicket | None:
         """Return a ticket that is valid long enough for a start order.
 
         Tickets of an earlier incarnation of the worker are not valid.
@@ -66,7 +72,7 @@
         cached = advice.tickets.get(view.worker) if advice else None
         if cached is None or cached.expiry_ms < now_ms + _VALIDITY_MARGIN_MS:
             return None
-        return cached.ticket if cached.born_ms == view.born_ms else None
+        return cached if cached.born_ms == view.born_ms else None
 
     def ticketed_workers(
         self, step: StepKey, views: list[WorkerView], now_ms: int
@@ -144,7 +150,7 @@
                 advice.denied.add(worker)
                 continue
             advice.allowed.add(worker)
-            advice.tickets[worker] = _CachedTicket(ticket, expiry_ms, born_ms)
+            advice.tickets[worker] = IssuedTicket(ticket, expiry_ms, born_ms)
 
     def discard_ticket(self, step: StepKey, worker: WorkerId) -> None:
         """Remove a ticket that a worker has refused."""
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -10,6 +10,7 @@
     draining,
     pacing,
     reports,
+    start_windows,
     stalls,
     worker_crashes,
 )
@@ -31,6 +32,7 @@
 # A stop order that the worker has not confirmed is repeated after this time.
 _STOP_REPEAT_INTERVAL_MS: Final = 400
 
+TICK_ACTIONS.register('3 close start windows')(start_windows.close_due_windows)
 TICK_ACTIONS.register('4 drain workers')(draining.drain_workers)
 TICK_ACTIONS.register('5 pace fillers')(pacing.pace_fillers)
 TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -303,6 +303,18 @@
     assert not owner.starts()
     owner.now_ms += 100
     owner.report(start.worker, born_ms=9)
+    # A third incarnation may still execute the order.
+    assert not owner.starts()
+    owner.core.start_answered(
+        start.worker,
+        start.task,
+        start.attempt,
+        AgentFailure.UNKNOWN,
+        owner.now_ms,
+    )
+    owner.now_ms += TaskLeaseSettings().late_call_ms
+    owner.decide()
+    owner.report(start.worker, born_ms=9)
     assert [start.attempt for start in owner.starts()] == [2]
 
 
