Keep the windows of unanswered starts across owners

An owner that had a start without an answer knew how long it might be executed; the next owner did not, and waited only for the leases that the previous one had granted.

Cause: a bound that only the former owner knew.

Change: the progress of a job records which workers may still execute a start of which unit. A new owner starts such a unit once the window has ended and the workers have reported to it, or once the longest lease after a late call has ended. Only these units wait; a longer wait for every inherited worker would hold all jobs of the pool for 12 s more after an owner was killed beside a crashed worker.

Not covered: a start that is under way when the owner is killed, for which no record can be written in time.

--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -21,7 +21,11 @@
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
 from fuchsiarill.graphs.preemption import preempt
-from fuchsiarill.graphs.run_actions import allocate_run, extend_leases
+from fuchsiarill.graphs.run_actions import (
+    allocate_run,
+    extend_leases,
+    forget_unanswered_start,
+)
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.step_placer import StepPlacer
@@ -134,7 +138,7 @@
     step.rank_ms = ranked.rank_ms
     placer = StepPlacer(state, usable)
     has_waiting_suspect = False
-    for unit in _due_units(step, now_ms):
+    for unit in _due_units(state, ranked, now_ms):
         # The others are not placed either, which saves the time to find out.
         if has_waiting_suspect and crash_trials.must_wait(unit, now_ms):
             continue
@@ -150,14 +154,18 @@
     return not step.waiting
 
 
-def _due_units(step: StepEntry, now_ms: int) -> Iterator[Unit]:
+def _due_units(
+    state: PoolState, ranked: _RankedStep, now_ms: int
+) -> Iterator[Unit]:
     """Yield the units whose start is due, last those to blame for failures.
 
     Looks at each unit only when it is asked for, since a decision often ends at
     the first unit of a wide step.
     """
     to_blame: list[Unit] = []
-    for unit in list(step.waiting.values()):
+    for unit in list(ranked.step.waiting.values()):
+        if start_windows.is_inherited_open(state, ranked.entry, unit, now_ms):
+            continue
         if restart_backoff.is_delayed(unit, now_ms):
             continue
         if unit.failures.is_to_blame:
@@ -191,6 +199,7 @@
 ) -> None:
     entry, step, unit = request.entry, request.step, request.unit
     unit.last_attempt += 1
+    forget_unanswered_start(state, entry, unit)
     step.activate(unit)
     if not entry.progress.has_started:
         entry.progress.has_started = True
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -42,6 +42,7 @@
 )
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
+from fuchsiarill.graphs.start_windows import has_open_starts
 from fuchsiarill.graphs.worker_channel import ChannelContext
 from fuchsiarill.ids import JobId, Revision, WorkerId
 from fuchsiarill.ports.key_value import KvItem
@@ -74,10 +75,10 @@
         self._fleet = replace(
             loaded.fleet, term=loaded.fleet.term + 1, owner=term.owner
         )
-        self._previous_owner_stop_ms = loaded.previous_owner_stop_ms
         self.core = GraphCore(
             term.pool, term.epoch, settings.task_lease, self._fleet.term
         )
+        self.core.state.previous_owner_stop_ms = loaded.previous_owner_stop_ms
         self.core.configure(term.config)
         self._directory = WorkerDirectory(term.pool, context.ports.documents)
         self._writer = RecordWriter(
@@ -299,12 +300,17 @@
         self._save_records()
 
     async def hand_over(self, timeout_ms: int) -> None:
-        """Send no more orders; wait up to `timeout_ms` to save all progress."""
+        """Send no more orders; wait up to `timeout_ms` to save all progress.
+
+        Starts that are under way may get no answer, which is recorded then.
+        """
         self._term.guard.revoke()
         deadline_ms = now_ms() + timeout_ms
         while now_ms() < deadline_ms:
             self._save_records()
-            if not self._saver.is_saving:
+            if not self._saver.is_saving and not has_open_starts(
+                self.core.state
+            ):
                 return
             await sleep_ms(_HANDOVER_CHECK_INTERVAL_MS)
 
@@ -345,8 +351,8 @@
 
     def _prior_lease_expiry_ms(self) -> int:
         """Return until when task leases of the previous owner may last."""
-        leases = self._context.settings.task_lease
-        return self._previous_owner_stop_ms + leases.longest_allowed_ms
+        state = self.core.state
+        return state.previous_owner_stop_ms + state.leases.longest_allowed_ms
 
     def _make_watchers(self, revision: Revision) -> tuple[PrefixWatcher, ...]:
         wait_ms = self._context.settings.watch_wait_ms
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -5,6 +5,7 @@
 
 from fuchsiarill.graphs.model import Checkpoint
 from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import WorkerId
 
 
 class UnitKey(NamedTuple):
@@ -37,6 +38,11 @@
     has_started: bool = False
     # Numbers of the attempts during which a worker of the unit has crashed.
     crashed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
+    # Workers that may still execute a start order of the unit without an
+    # answer; see `start_windows`.
+    unanswered_starts: dict[UnitKey, set[WorkerId]] = field(
+        default_factory=dict
+    )
 
     def crashes_count(self, unit: UnitKey) -> int:
         """Return the number of attempts during which a worker crashed."""
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -123,7 +123,7 @@
 
 
 def encode_progress(progress: JobProgress) -> bytes:
-    """Return the JSON form of a job's progress; crashes are omitted if none."""
+    """Return the JSON form of a job's progress, without rare empty fields."""
     document: dict[str, Any] = {
         'phase': progress.phase.value,
         'started': progress.has_started,
@@ -134,6 +134,11 @@
             for unit, checkpoint in progress.checkpoints.items()
         ],
     }
+    if progress.unanswered_starts:
+        document['unanswered'] = [
+            [*unit, sorted(workers)]
+            for unit, workers in progress.unanswered_starts.items()
+        ]
     if progress.crashed_attempts:
         document['crashed'] = _encode_attempts(progress.crashed_attempts)
     return encode_json(document)
@@ -152,6 +157,10 @@
         },
         document['started'],
         _decode_attempts(document.get('crashed', [])),
+        {
+            UnitKey(*row[:3]): {WorkerId(worker) for worker in row[3]}
+            for row in document.get('unanswered', [])
+        },
     )
 
 
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiarill.graphs.effects import StopRun
-from fuchsiarill.graphs.job_entries import Unit
+from fuchsiarill.graphs.job_entries import JobEntry, Unit
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
@@ -36,16 +36,25 @@
     state.room_changes.add(run.worker)
     if job_and_step is None:
         return
-    _, step = job_and_step
+    entry, step = job_and_step
     step.runs_per_worker[run.worker] -= 1
     unit = step.active.get(run.unit_key)
     if unit is None:
         return
     unit.runs.pop(run.key, None)
     if not unit.runs:
+        forget_unanswered_start(state, entry, unit)
         step.requeue(unit)
 
 
+def forget_unanswered_start(
+    state: PoolState, entry: JobEntry, unit: Unit
+) -> None:
+    """Remove the record of start orders that can't be executed any more."""
+    if entry.progress.unanswered_starts.pop(unit.key, None) is not None:
+        state.mark_dirty(entry.job)
+
+
 _CHART: Final = load_chart('run', RunState, RunEvent, RUN_ACTIONS)
 
 
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -6,15 +6,19 @@
 can't be executed any more, no report shows that its run is absent, and the
 task starts nowhere else. A run that a worker has started, refused or listed has
 no such order. A ticket bounds the time: a worker refuses one that has expired,
-also one of an incarnation that has ended.
+also one of an incarnation that has ended. The rule holds for the next owner of
+the pool too, which finds the unanswered starts in the progress of the jobs.
 """
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import incarnations
 from fuchsiarill.graphs.effects import RequestReport
+from fuchsiarill.graphs.job_entries import JobEntry, Unit
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import RunState
+from fuchsiarill.ids import WorkerId
 
 
 def open_window(
@@ -39,6 +43,7 @@
     view = state.workers.find(run.worker)
     if view is not None:
         incarnations.expect_late_calls(state, view, now_ms)
+    _record(state, run)
     events.emit(
         graph_events.START_UNANSWERED,
         job=run.task.job,
@@ -64,6 +69,54 @@
                 _close_due_window(state, run, now_ms)
 
 
+def is_inherited_open(
+    state: PoolState, entry: JobEntry, unit: Unit, now_ms: int
+) -> bool:
+    """Tell whether a start order of the previous owner may still act.
+
+    It may be executed until the end of its window, and its run may last on a
+    worker that has not reported since.
+    """
+    workers = entry.progress.unanswered_starts.get(unit.key)
+    if workers is None:
+        return False
+    leases = state.leases
+    window_ms = leases.late_call_ms
+    if entry.policy.advice is not None:
+        window_ms = min(window_ms, entry.policy.advice.validity_ms)
+    if now_ms <= state.previous_owner_stop_ms + window_ms:
+        return True
+    longest_ms = leases.late_call_ms + leases.longest_allowed_ms
+    if now_ms > state.previous_owner_stop_ms + longest_ms:
+        return False
+    return not all(_is_in_touch(state, worker) for worker in workers)
+
+
+def has_open_starts(state: PoolState) -> bool:
+    """Tell whether a start order has got neither an answer nor a time-out."""
+    return any(
+        run.state is RunState.STARTING
+        for view in state.workers
+        for run in view.runs.values()
+    )
+
+
+def _is_in_touch(state: PoolState, worker: WorkerId) -> bool:
+    view = state.workers.find(worker)
+    return view is not None and view.in_touch_since_ms > 0
+
+
+def _record(state: PoolState, run: Run) -> None:
+    """Record an unanswered start for the next owner of the pool."""
+    job_and_step = state.find_step(run.task)
+    if job_and_step is None:
+        return
+    entry = job_and_step[0]
+    starts = entry.progress.unanswered_starts
+    starts.setdefault(run.unit_key, set()).add(run.worker)
+    state.mark_dirty(entry.job)
+
+
 def _close_due_window(state: PoolState, run: Run, now_ms: int) -> None:
     close_window(run)
     if run.visible_since_ms is not None:
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -44,6 +44,8 @@
     # Each worker on which a previous owner may have started runs has reported
     # to this owner, or all task leases of the worker have expired.
     is_inheritance_settled: bool = False
+    # The previous owner has sent no orders after this time.
+    previous_owner_stop_ms: int = 0
     # Runs lost by expired leases, of workers whose end is not proved.
     losses: dict[WorkerId, WorkerLoss] = field(default_factory=dict)
     # Proved ends of the last minute.
--- a/tests/test_incarnation_bounds.py
+++ b/tests/test_incarnation_bounds.py
@@ -67,6 +67,22 @@
     run_scenario(scenario, processes_count=2, workers_count=1)
 
 
+def test_new_owner_waits_for_unanswered_start_of_former_owner() -> None:
+    """Guards against a bound that only the former owner knows.
+
+    Nothing tells either owner of the incarnation that executes the start.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await submit_delayed(cell, 8000)
+        await _restart_cut_off(cell, is_listed=False)
+        await sleep_ms(1000)
+        await cell.kill(owner_of(cell))
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 60_000)
+
+    run_scenario(scenario, processes_count=2, workers_count=1)
+
+
 def test_owner_waits_for_delayed_start_in_listed_incarnation() -> None:
     """Guards against the same with one owner."""
 
