Keep the link of a worker whose address changes

Cause: the owner replaced the link. The attempts of the last report, the starts without an answer, the queued starts and commands and the bound on the leases were known to the former link only, and an attempt ends only when a link that knows of it finds it missing, or without contact. The next link reported the worker without them, which renewed the contact.

Change: a link outlives a change of address. It gets a message with the address and uses it from its next exchange on.

Why it works: a change of address is now no event for attempts at all. They end by the rule of a restart at the same address, by the report of another incarnation or with their leases. A start that names the former incarnation is refused at the new address and placed again.

The fakes of the host list and of the workers take entries and addresses that change; no check of an existing test has changed.

--- a/fuchsiarill/owner/owner_actor.py
+++ b/fuchsiarill/owner/owner_actor.py
@@ -150,7 +150,7 @@
         """Apply a new host list and create links to new workers."""
         entries = hosts_of_partition(message.entries, self.core.state)
         self.core.hosts_listed(entries, now_ms())
-        await self.worker_links.update_hosts(entries, self.core.state)
+        self.worker_links.update_hosts(entries, self.core.state)
         self._decide_or_defer()
 
     @handles(messages.WorkerReported)
--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -56,6 +56,13 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class AddressChanged:
+    """The worker is listed at another address."""
+
+    address: str
+
+
 class WorkerLink(Actor):
     """Exchanges commands and reports with one worker for one owner.
 
@@ -71,12 +78,13 @@
     ) -> None:
         """Create the link; `start` triggers the first exchange."""
         super().__init__(f'worker link {entry.worker_id}')
-        self.entry = entry
+        self._worker_id = entry.worker_id
+        self._address = entry.address
         self._link_parameters = link_parameters
         self._port = port
         self._owner = owner
         self._pacer = ExchangePacer(
-            self.entry.worker_id,
+            entry.worker_id,
             link_parameters.exchange_interval_ms,
             link_parameters.workers_count,
             self._send_tick,
@@ -102,7 +110,7 @@
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return super().snapshot() | {
-            'address': self.entry.address,
+            'address': self._address,
             'running_count': len(self._expectations.running),
             'unanswered_starts_count': self._expectations.unresolved_count,
             'starts_waiting_count': len(self._pending_starts),
@@ -144,13 +152,23 @@
         """Set the time until which task leases may be renewed."""
         self._renew_until_ms = message.until_ms
 
+    @handles(AddressChanged)
+    async def on_address_changed(self, message: AddressChanged) -> None:
+        """Use the new address from the next exchange on, which is due now.
+
+        The attempts that were sent to the former address stay expected: only a
+        report of the worker or the end of their leases resolves them.
+        """
+        self._address = message.address
+        self._pacer.request_tick()
+
     @handles(messages.Tick)
     async def on_tick(self, message: messages.Tick) -> None:
         """Perform one exchange with the worker and schedule the next."""
         self._pacer.tick_started()
         requested_at_ms = now_ms()
         request = self._build_request(requested_at_ms)
-        exchange_result = await self._port.exchange(self.entry.address, request)
+        exchange_result = await self._port.exchange(self._address, request)
         match exchange_result:
             case Success(report) if (
                 report.highest_epoch > self._link_parameters.epoch
@@ -279,7 +297,7 @@
         if self._contact.record_failure(requested_at_ms, silent_after_ms):
             self._queue_for_owner(
                 messages.WorkerSilent(
-                    self.entry.worker_id,
+                    self._worker_id,
                     self._contact.lease_ends_at_ms,
                 ),
             )
--- a/fuchsiarill/owner/worker_links.py
+++ b/fuchsiarill/owner/worker_links.py
@@ -13,7 +13,11 @@
     WorkerId,
 )
 from fuchsiarill.owner import messages
-from fuchsiarill.owner.worker_link import LinkParameters, WorkerLink
+from fuchsiarill.owner.worker_link import (
+    AddressChanged,
+    LinkParameters,
+    WorkerLink,
+)
 from fuchsiarill.ports.workers import WorkerPort
 from fuchsiarill.routing import partition_of_rack
 from fuchsiarill.workers import HostEntry
@@ -38,16 +42,21 @@
     ) -> None:
         """Start without links; `link_parameters` apply to all."""
         self.links: dict[WorkerId, WorkerLink] = {}
+        self._addresses: dict[WorkerId, str] = {}
         self._ports = ports
         self._link_parameters = link_parameters
         self._unlisted: set[WorkerId] = set()
 
-    async def update_hosts(
+    def update_hosts(
         self,
         entries: Iterable[HostEntry],
         state: CoreState,
     ) -> None:
-        """Create links to new workers; replace links whose address changed."""
+        """Create links to new workers; notify links whose address changed.
+
+        A link outlives a change of address, since it knows which attempts are
+        under way and until when their leases last.
+        """
         self._unlisted.update(self.links)
         listed_entries = tuple(entries)
         self._link_parameters = replace(
@@ -55,11 +64,9 @@
         )
         for entry in listed_entries:
             self._unlisted.discard(entry.worker_id)
-            link = self.links.get(entry.worker_id)
-            if link is not None and link.entry.address == entry.address:
+            if entry.worker_id in self.links:
+                self._update_address(entry)
                 continue
-            if link is not None:
-                await link.stop()
             restored_starts = _restored_starts(entry.worker_id, state)
             self._create_link(entry, restored_starts)
 
@@ -70,6 +77,7 @@
             if worker is not None and worker.attempts:
                 continue
             self._unlisted.discard(worker_id)
+            self._addresses.pop(worker_id)
             await self.links.pop(worker_id).stop()
 
     def send(self, worker_id: WorkerId, message: object) -> bool:
@@ -100,6 +108,7 @@
         for link in self.links.values():
             await link.stop()
         self.links.clear()
+        self._addresses.clear()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state of each link for a dump, by worker."""
@@ -107,6 +116,13 @@
             worker_id: link.snapshot() for worker_id, link in self.links.items()
         }
 
+    def _update_address(self, entry: HostEntry) -> None:
+        if self._addresses[entry.worker_id] == entry.address:
+            return
+        # If the mailbox is full, the next host list repeats the message.
+        if self.send(entry.worker_id, AddressChanged(entry.address)):
+            self._addresses[entry.worker_id] = entry.address
+
     def _create_link(
         self,
         entry: HostEntry,
@@ -119,6 +135,7 @@
             self._ports.owner,
         )
         self.links[entry.worker_id] = link
+        self._addresses[entry.worker_id] = entry.address
         link.start()
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -396,7 +396,11 @@
         address: str,
         request: Exchange,
     ) -> Result[WorkerReport, ExchangeFailure]:
-        worker = self._workers[address]
+        worker = self._workers.get(address)
+        if worker is None:
+            # Nothing answers at the former address of a worker.
+            await sleep_ms(_TIMEOUT_MS)
+            return Failure(ExchangeFailure.NO_ANSWER)
         if worker.is_cut or address in self._link.unreachable:
             await sleep_ms(_TIMEOUT_MS)
             return Failure(ExchangeFailure.NO_ANSWER)
@@ -410,10 +414,10 @@
 
 
 class FakeHostList:
-    """`HostListPort` with a fixed list."""
+    """`HostListPort` with a list that tests may change."""
 
-    def __init__(self, entries: tuple[HostEntry, ...]) -> None:
+    def __init__(self, entries: Mapping[str, HostEntry]) -> None:
         self._entries = entries
 
     async def fetch(self) -> Result[tuple[HostEntry, ...], StoreFailure]:
-        return Success(self._entries)
+        return Success(tuple(self._entries.values()))
--- a/tests/world.py
+++ b/tests/world.py
@@ -98,7 +98,8 @@
 class World:
     """Store, workers and processes of one partition.
 
-    All processes reach other workers than the fake ones by `worker_port`.
+    All processes reach other workers than the fake ones by `worker_port`. The
+    fake workers are keyed by address, the host list in `hosts` by worker id.
     """
 
     def __init__(
@@ -116,6 +117,7 @@
                 strict=True,
             )
         }
+        self.hosts = {name: host(name) for name in self.workers}
         self.processes: list[Process] = []
         self._worker_port = worker_port
         self._started_count = 0
@@ -127,7 +129,7 @@
         link = NetworkLink()
         ports = Ports(
             FakeStore(self.store, link),
-            FakeHostList(tuple(host(worker) for worker in self.workers)),
+            FakeHostList(self.hosts),
             self._worker_port or FakeWorkers(self.workers, link),
         )
         campaign = Campaign(
