--- a/tests/test_replaced_links.py
+++ b/tests/test_replaced_links.py
@@ -13,6 +13,7 @@
 from fuchsiarill.answers import JobAnswer
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.job import Execution
+from fuchsiarill.workers import HostState
 from tests.builders import cell, spec
 from tests.world import World, job_id_of
 
@@ -20,6 +21,8 @@
 _TASK_LEASE_MS: Final = 4_000
 # Longer than the interval of reading the host list.
 _LIST_DELAY_MS: Final = 1_500
+# Longer than a worker may be without contact before it counts as silent.
+_SILENCE_MS: Final = 7_000
 _SETTLED_MS: Final = 20_000
 
 
@@ -91,6 +94,22 @@
     _change_address(world, name)
 
 
+async def _end_unlisted(world: World, name: str) -> None:
+    """End a worker that has reported since it left the host list."""
+    world.hosts.pop(name)
+    await sleep_ms(_SILENCE_MS)
+    world.workers[name].is_cut = True
+
+
+async def _end_after_relisting(world: World, name: str) -> None:
+    """End a worker after the notice of its end was withdrawn."""
+    entry = world.hosts[name]
+    world.hosts[name] = replace(entry, state=HostState.LEAVING)
+    await sleep_ms(_LIST_DELAY_MS)
+    world.workers[name].is_cut = True
+    world.hosts[name] = entry
+
+
 async def _restart_elsewhere_under_new_owner(world: World, name: str) -> None:
     """Restart a worker at a new address while the owner changes."""
     await world.kill(await world.until_owned())
@@ -108,6 +127,8 @@
         _restart_elsewhere_after_cut,
         _return_restarted,
         _return_elsewhere,
+        _end_unlisted,
+        _end_after_relisting,
         _restart_elsewhere_under_new_owner,
     ],
 )
