Repeat the stop of a task that started after it

What callers saw: a cancelled job ran to its end, and a cancelled service would have run without one.

Cause: a start whose exchange is delayed beyond the call time-out may be executed after the exchange with the stop, by the same incarnation and up to its own time limit. The worker executes the stop without effect, and the link takes it as done. Later reports list the attempt as running, which renews its lease; only stops of inherited attempts were repeated.

Change: a report that lists a running attempt in the state stopping repeats its stop.

Why it works: a start takes effect at most once, so after the late start the next report lists the attempt and the next exchange stops it.

The port of the worker stand-ins in the test takes addresses that change; no check of an existing test has changed.

--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -80,7 +80,7 @@
 ) -> None:
     """Adopt the unknown tasks of a report as attempts, or stop them.
 
-    Also sends the pending stops of restored attempts. Must run before the
+    Also repeats the stops of attempts that still run. Must run before the
     outcomes of the report are applied, as these are applied to known attempts
     only.
     """
@@ -90,7 +90,7 @@
     for task in report.tasks:
         attempt = state.attempts.get(task.attempt_id)
         if attempt is not None:
-            _send_pending_stop(state, attempt, task)
+            _repeat_stop(state, attempt, task)
         elif task.outcome in _ADOPTED_OUTCOMES:
             _adopt_task(state, context, task)
     state.recovery.reported_workers.add(worker.worker_id)
@@ -245,18 +245,17 @@
     )
 
 
-def _send_pending_stop(
+def _repeat_stop(
     state: CoreState,
     attempt: Attempt,
     task: TaskReport,
 ) -> None:
-    """Send the stop of a restored attempt that runs but is to be stopped.
+    """Repeat the stop of an attempt that runs but is to be stopped.
 
-    If its job was cancelled before the takeover, this owner has not sent a stop
-    yet; otherwise the stop is repeated.
+    The worker executes a stop without effect if the start is delayed and
+    follows it. If the job was cancelled before the takeover, this owner has not
+    sent a stop yet.
     """
-    if attempt.attempt_id not in state.recovery.intents:
-        return
     if attempt.state is not AttemptState.STOPPING:
         return
     if task.outcome is TaskOutcome.RUNNING:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final
 
@@ -42,17 +43,18 @@
 
     def __init__(self, workers: dict[str, WorkerStandIn]) -> None:
         self.unreachable: set[str] = set()
-        self._workers = workers
+        self.workers_by_address = dict(workers)
 
     async def exchange(
         self, address: str, request: Exchange
     ) -> Result[WorkerReport, ExchangeFailure]:
-        if address in self.unreachable:
+        worker = self.workers_by_address.get(address)
+        if worker is None or address in self.unreachable:
             await sleep_ms(_CALL_TIMEOUT_MS)
             return Failure(ExchangeFailure.NO_ANSWER)
         body = EXCHANGES.dump_json(request)
         try:
-            answer = await _call(self._workers[address], '/v1/exchange', body)
+            answer = await _call(worker, '/v1/exchange', body)
         except TimeoutError:
             return Failure(ExchangeFailure.NO_ANSWER)
         return Success(REPORTS.validate_json(answer.body))
@@ -88,6 +90,14 @@
         assert holder.held
         await _control(holder, hold_starts=False)
 
+    def change_address(self, worker: WorkerStandIn) -> None:
+        """List a worker at another address."""
+        name = worker.worker.worker_id
+        by_address = self.port.workers_by_address
+        by_address['elsewhere'] = by_address.pop(name)
+        hosts = self.world.hosts
+        hosts[name] = replace(hosts[name], address='elsewhere')
+
     async def until_started(self, count: int = 1) -> None:
         """Wait for a number of starts."""
         while len(self.starts()) < count:
@@ -320,3 +330,131 @@
             assert not first.running_count
 
     run_paused(main())
+
+
+@pytest.mark.parametrize('execution', list(Execution))
+@pytest.mark.parametrize('restarts_count', [1, 2])
+@pytest.mark.parametrize('changes_address', [False, True])
+def test_start_is_refused_by_each_later_incarnation(
+    tmp_path: Path,
+    execution: Execution,
+    restarts_count: int,
+    changes_address: bool,
+) -> None:
+    """Guards against a run after its start was settled by a restart.
+
+    The worker may restart once more before it gets the delayed start, and
+    return under another address.
+    """
+
+    async def main() -> None:
+        async with _running_cell(tmp_path) as running_cell:
+            answer, holder = await running_cell.delay_start(execution)
+            for _ in range(restarts_count):
+                await _control(holder, restart=True)
+                await sleep_ms(_CALL_TIMEOUT_MS)
+            if changes_address:
+                running_cell.change_address(holder)
+            await sleep_ms(_RESOLUTION_MS)
+            starts = running_cell.starts()
+            await running_cell.release(holder)
+            await sleep_ms(_CALL_TIMEOUT_MS)
+            assert running_cell.starts() == starts
+            assert running_cell.refusals() == ['incarnation']
+            owner = await running_cell.world.until_owned()
+            settled = await running_cell.world.query(
+                owner, job_id_of(answer), _RUN_TIME_MS
+            )
+            if execution is Execution.AT_MOST_ONCE:
+                assert settled.code is codes.JOB_UNKNOWN
+                assert not starts
+            else:
+                assert settled.code is codes.JOB_SUCCEEDED
+                assert len(starts) == 1
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('execution', list(Execution))
+def test_start_settled_by_a_report_is_refused(
+    tmp_path: Path, execution: Execution
+) -> None:
+    """Guards against two runs in one incarnation of the worker.
+
+    The worker has answered later exchanges without the start, so it is placed
+    again, also that of an at-most-once task.
+    """
+
+    async def main() -> None:
+        async with _running_cell(tmp_path) as running_cell:
+            answer, holder = await running_cell.delay_start(execution)
+            await running_cell.until_started()
+            await running_cell.release(holder)
+            assert len(running_cell.starts()) == 1
+            assert running_cell.refusals() == ['late']
+            owner = await running_cell.world.until_owned()
+            settled = await running_cell.world.query(
+                owner, job_id_of(answer), _RUN_TIME_MS + _RESOLUTION_MS
+            )
+            assert settled.code is codes.JOB_SUCCEEDED
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('execution', list(Execution))
+def test_start_settled_by_its_lease_is_refused(
+    tmp_path: Path, execution: Execution
+) -> None:
+    """Guards against a run after its lease must have expired.
+
+    The worker is cut off and does not restart.
+    """
+
+    async def main() -> None:
+        async with _running_cell(tmp_path) as running_cell:
+            answer, holder = await running_cell.delay_start(execution)
+            running_cell.port.unreachable.add(holder.worker.worker_id)
+            await sleep_ms(_TASK_LEASE_MS + 2 * _RESOLUTION_MS)
+            starts = running_cell.starts()
+            await running_cell.release(holder)
+            assert running_cell.starts() == starts
+            assert running_cell.refusals() == ['late']
+            owner = await running_cell.world.until_owned()
+            settled = await running_cell.world.query(
+                owner, job_id_of(answer), _RUN_TIME_MS + _RESOLUTION_MS
+            )
+            if execution is Execution.AT_MOST_ONCE:
+                assert settled.code is codes.JOB_UNKNOWN
+                assert not starts
+            else:
+                assert settled.code is codes.JOB_SUCCEEDED
+                assert len(starts) == 1
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('execution', list(Execution))
+def test_start_that_is_executed_after_its_stop_is_stopped(
+    tmp_path: Path, execution: Execution
+) -> None:
+    """Guards against a task of a cancelled job that runs to its end.
+
+    The worker has executed the stop before the start, which was delayed.
+    """
+
+    async def main() -> None:
+        async with _running_cell(tmp_path) as running_cell:
+            answer, holder = await running_cell.delay_start(execution)
+            owner = await running_cell.world.until_owned()
+            await running_cell.world.cancel(owner, job_id_of(answer))
+            # The next exchange, with the stop, follows the time-out of the
+            # first; the start is not late yet.
+            await sleep_ms(_CALL_TIMEOUT_MS + 100)
+            await running_cell.release(holder)
+            assert len(running_cell.starts()) == 1
+            await sleep_ms(_RESOLUTION_MS)
+            assert not holder.running_count
+            settled = await running_cell.world.query(owner, job_id_of(answer))
+            assert settled.code is codes.JOB_CANCELLED
+
+    run_paused(main())
