Keep inherited starts of workers that are listed late

What callers saw: an at-most-once job stayed running without an end if its worker was not in the host list at a takeover, came back to it while the task ran and then ended. The resources of the task were offered to other tasks meanwhile.

Cause: the recovery ends once each listed worker has reported, and dropped all inherited starts then. A worker that was listed after that got no attempts in its view, and its link expected none. Its report confirmed the attempt and renewed the lease; silence and a restart ended nothing.

Change: the end of the recovery drops only the inherited starts that a report has listed or resolved.

Why it works: the view and the link of a worker that is listed late are made from the same data as those of a worker that is listed at the takeover. A start that no worker reports is settled by the end of its lease, as before.

--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -129,7 +129,7 @@
     recovery = state.recovery
     if recovery.is_open and _is_recovery_complete(state, now_ms):
         recovery.is_open = False
-        recovery.intents.clear()
+        _drop_reported_intents(state)
         for cancelled_id in tuple(recovery.cancelled_jobs):
             _end_cancelled(state, state.jobs.get(cancelled_id), now_ms)
         recovery.cancelled_jobs.clear()
@@ -155,6 +155,13 @@
     )
 
 
+def _drop_reported_intents(state: CoreState) -> None:
+    """Keep the intents of workers that may be listed later and report them."""
+    for attempt_id in tuple(state.recovery.intents):
+        if attempt_id not in state.unrenewed:
+            state.recovery.intents.pop(attempt_id)
+
+
 def _end_cancelled(
     state: CoreState,
     job: JobRecord | None,
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -27,7 +27,8 @@
     `deferred`: positions that are not placed yet, as the task may run on a
     worker that has not reported, or as an orphan.
     `intents`: at-most-once starts of older owners that were unresolved at the
-    takeover, each with the incarnation of its worker.
+    takeover, each with the incarnation of its worker. After the recovery, only
+    those that their workers have not reported.
     `cancelled_jobs`: idempotent jobs that were cancelled before the takeover;
     workers may still report tasks of these jobs.
     `orphans`: kept until they are known to have ended, since the job that
--- a/tests/test_replaced_links.py
+++ b/tests/test_replaced_links.py
@@ -19,6 +19,8 @@
 
 _RUN_TIME_MS: Final = 60_000
 _TASK_LEASE_MS: Final = 4_000
+# Longer than a takeover.
+_LONG_LEASE_MS: Final = 15_000
 # Longer than the interval of reading the host list.
 _LIST_DELAY_MS: Final = 1_500
 # Longer than a worker may be without contact before it counts as silent.
@@ -26,8 +28,10 @@
 _SETTLED_MS: Final = 20_000
 
 
-async def _start_world(processes_count: int = 1) -> World:
-    world = World(cell(task_lease_ms=_TASK_LEASE_MS))
+async def _start_world(
+    processes_count: int = 1, task_lease_ms: int = _TASK_LEASE_MS
+) -> World:
+    world = World(cell(task_lease_ms=task_lease_ms))
     for _ in range(processes_count):
         world.start()
     await world.until_owned()
@@ -218,3 +222,59 @@
         await world.stop()
 
     run_paused(main())
+
+
+async def _take_over_without(world: World, name: str) -> None:
+    """Let another owner take over while a worker is not in the host list."""
+    world.hosts.pop(name)
+    await sleep_ms(_LIST_DELAY_MS)
+    await world.kill(await world.until_owned())
+    await world.until_owned()
+    # The other worker has reported, which ends the recovery.
+    await sleep_ms(_LIST_DELAY_MS)
+
+
+def test_restored_attempt_of_a_returned_worker_is_settled() -> None:
+    """Guards against an inherited order that stays running without an end.
+
+    Its worker returns to the host list once the recovery has ended, reports
+    the task, and then ends.
+    """
+
+    async def main() -> None:
+        world = await _start_world(2, _LONG_LEASE_MS)
+        answer, name = await _run_job(world, Execution.AT_MOST_ONCE)
+        entry = world.hosts[name]
+        await _take_over_without(world, name)
+        world.hosts[name] = entry
+        await sleep_ms(_LIST_DELAY_MS)
+        assert world.workers[name].running()
+        world.workers[name].is_cut = True
+        await sleep_ms(2 * _LONG_LEASE_MS)
+        owner = await world.until_owned()
+        settled = await world.query(owner, job_id_of(answer))
+        assert settled.code is codes.JOB_UNKNOWN
+        assert world.starts_of(answer) == 1
+        await world.stop()
+
+    run_paused(main())
+
+
+def test_restored_attempt_of_a_returned_worker_holds_its_resources() -> None:
+    """Guards against a worker that is overcommitted after a takeover."""
+
+    async def main() -> None:
+        world = await _start_world(2, _LONG_LEASE_MS)
+        _answer, name = await _run_job(world, Execution.AT_MOST_ONCE)
+        entry = world.hosts[name]
+        await _take_over_without(world, name)
+        world.hosts[name] = entry
+        await sleep_ms(_LIST_DELAY_MS)
+        owner = await world.until_owned()
+        service = owner.campaign.children.service
+        assert service is not None
+        view = service.owner.core.state.workers[entry.worker_id]
+        assert len(view.attempts) == 1
+        await world.stop()
+
+    run_paused(main())
