--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -80,7 +80,7 @@
 ) -> None:
     """Adopt the unknown tasks of a report as attempts, or stop them.
 
-    Also sends the pending stops of restored attempts. Must run before the
+    Also repeats the stops of attempts that still run. Must run before the
     outcomes of the report are applied, as these are applied to known attempts
     only.
     """
@@ -90,7 +90,7 @@
     for task in report.tasks:
         attempt = state.attempts.get(task.attempt_id)
         if attempt is not None:
-            _send_pending_stop(state, attempt, task)
+            _repeat_stop(state, attempt, task)
         elif task.outcome in _ADOPTED_OUTCOMES:
             _adopt_task(state, context, task)
     state.recovery.reported_workers.add(worker.worker_id)
@@ -129,7 +129,7 @@
     recovery = state.recovery
     if recovery.is_open and _is_recovery_complete(state, now_ms):
         recovery.is_open = False
-        recovery.intents.clear()
+        _drop_reported_intents(state)
         for cancelled_id in tuple(recovery.cancelled_jobs):
             _end_cancelled(state, state.jobs.get(cancelled_id), now_ms)
         recovery.cancelled_jobs.clear()
@@ -155,6 +155,13 @@
     )
 
 
+def _drop_reported_intents(state: CoreState) -> None:
+    """Keep the intents of workers that may be listed later and report them."""
+    for attempt_id in tuple(state.recovery.intents):
+        if attempt_id not in state.unrenewed:
+            state.recovery.intents.pop(attempt_id)
+
+
 def _end_cancelled(
     state: CoreState,
     job: JobRecord | None,
@@ -245,18 +252,17 @@
     )
 
 
-def _send_pending_stop(
+def _repeat_stop(
     state: CoreState,
     attempt: Attempt,
     task: TaskReport,
 ) -> None:
-    """Send the stop of a restored attempt that runs but is to be stopped.
+    """Repeat the stop of an attempt that runs but is to be stopped.
 
-    If its job was cancelled before the takeover, this owner has not sent a stop
-    yet; otherwise the stop is repeated.
+    The worker executes a stop without effect if the start is delayed and
+    follows it. If the job was cancelled before the takeover, this owner has not
+    sent a stop yet.
     """
-    if attempt.attempt_id not in state.recovery.intents:
-        return
     if attempt.state is not AttemptState.STOPPING:
         return
     if task.outcome is TaskOutcome.RUNNING:
