Let the worker models check tickets, and play an advised queue in the soak

What callers saw: nothing; the stand-ins accepted what the users' workers refuse. Since a start window ends with its ticket (start_windows.py), the models have to refuse a late start whose ticket has expired or is of an incarnation that has ended; otherwise no soak or in-process cell can show that a window is too short or that an owner sends old tickets.

Cause: the emulator and GrantingAdvisor granted the constant `ticket`, and nothing checked it. The soak had no queue with an advice policy.

Change: standins/granted_tickets.py grants tickets and checks them for the step, the incarnation and the validity. Fleet refuses others after the checks of the token, the attempt and the expiry, and then extends no lease; the emulator answers 409 `ticket`. Jobs of a queue with an advice policy carry `needs_ticket`, so that a start without a ticket is refused too. Every second job of the soak is in such a queue (`--advised-every`).

test_advice_is_requested_through_a_peer expected the constant ticket for both workers; it expects a different one for each now, and its workers exist, since no ticket is granted to others.

--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -6,12 +6,14 @@
 The payload of a job controls its tasks: `duration_ms`, without which a run
 lasts until it is stopped or its lease ends; `fails`, the number up to which
 attempts end as failed; and `size`, the resources that a task uses. Without
-`size`, the entry of the task in `Fleet.sizes` applies. `worker_crashes.py`
-describes deadly tasks.
+`size`, the entry of the task in `Fleet.sizes` applies. A job of a queue with
+an advice policy has `needs_ticket`: without a valid ticket its starts are
+refused, as are starts of any job that carry an invalid one.
+`worker_crashes.py` describes deadly tasks.
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -23,7 +25,9 @@
     BornMs,
     EndKind,
     StartOrder,
+    StepKey,
     TaskKey,
+    Ticket,
     WorkerReport,
 )
 from fuchsiarill.ids import Epoch, WorkerId
@@ -38,6 +42,7 @@
 from standins.agent_incarnation import AgentModel
 from standins.changing_capacity import ChangingCapacity
 from standins.delayed_calls import DelayedCalls
+from standins.granted_tickets import GrantedTickets
 from standins.outages import OUTAGES, Outage
 from standins.worker_crashes import CrashSettings, WorkerCrashes
 
@@ -90,6 +95,7 @@
         # Latest owner that was told of a success which the end of its worker
         # has left without an acknowledgement.
         self._informed_epochs: dict[TaskKey, Epoch] = {}
+        self._tickets = GrantedTickets()
         self._on_restart = on_restart
 
     def add(
@@ -126,6 +132,17 @@
                 return model
         return None
 
+    def grant_tickets(
+        self, step: StepKey, workers: Iterable[WorkerId], validity_ms: int
+    ) -> dict[WorkerId, Ticket]:
+        """Grant a ticket to the current incarnation of each known worker."""
+        models = {worker: self.find(worker) for worker in workers}
+        return {
+            worker: self._tickets.grant(step, model, validity_ms)
+            for worker, model in models.items()
+            if model is not None
+        }
+
     def change_capacity(self, address: str, capacity: Resources) -> None:
         """Change the capacity of a worker that keeps running."""
         self.agents[address].capacity.change(capacity)
@@ -319,15 +336,20 @@
             return AgentFailure.SUPERSEDED
         if order.expiry_ms < model.clock_ms():
             return AgentFailure.EXPIRED
-        self._start_run(model, order)
+        behaviour: dict[str, Any] = json.loads(order.payload or '{}')
+        needs_ticket = behaviour.get('needs_ticket', False)
+        if not self._tickets.admit(model, order, needs_ticket=needs_ticket):
+            return AgentFailure.TICKET_INVALID
+        self._start_run(model, order, behaviour)
         return None
 
-    def _start_run(self, model: AgentModel, order: StartOrder) -> None:
+    def _start_run(
+        self, model: AgentModel, order: StartOrder, behaviour: dict[str, Any]
+    ) -> None:
         if (order.task, order.attempt) in model.runs:
             return
         self._record_start(model, order)
         model.extend_leases(order.expiry_ms)
-        behaviour: dict[str, Any] = json.loads(order.payload or '{}')
         model.add_run(order, behaviour)
         self._check_load(model, order)
         self.crashes.start_seen(model, order, behaviour)
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -16,6 +16,11 @@
 POOL: Final = 'costing'
 QUEUE_HOST: Final = 'quotes.example'
 QUEUE_PREFIX: Final = '/quotes/'
+# Prefix of the queue with an advice policy.
+ADVISED_PREFIX: Final = '/appraisals/'
+ADVICE_DELAY_MS: Final = 20
+# Shorter than many delays of held calls, whose tickets then expire.
+TICKET_VALIDITY_MS: Final = 3000
 CAPACITY: Final = Resources(8000, 16_000)
 _OWNER_KEY: Final = StoreKey(f'control/owner/{POOL}')
 _RACK_SIZE: Final = 3
@@ -151,17 +156,29 @@
         'version': 1,
         'services': [{'name': POOL, 'rejects_overload': False}],
         'routes': [
-            {
-                'name': 'quotes',
-                'host': QUEUE_HOST,
-                'prefix': QUEUE_PREFIX,
-                'service': POOL,
-                'timeout_ms': 3000,
-                'priority': 0,
-                'max_attempts': 4,
-                'slack_factor': 2,
-                'target_runtime_ms': 500,
+            _route('quotes', QUEUE_PREFIX),
+            _route('appraisals', ADVISED_PREFIX)
+            | {
+                'advice': {
+                    'decision_ms': ADVICE_DELAY_MS,
+                    'interval_ms': 0,
+                    'validity_ms': TICKET_VALIDITY_MS,
+                },
             },
         ],
         'limits': {},
     }
+
+
+def _route(name: str, prefix: str) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': QUEUE_HOST,
+        'prefix': prefix,
+        'service': POOL,
+        'timeout_ms': 3000,
+        'priority': 0,
+        'max_attempts': 4,
+        'slack_factor': 2,
+        'target_runtime_ms': 500,
+    }
--- a/standins/emulator/worker_routes.py
+++ b/standins/emulator/worker_routes.py
@@ -32,17 +32,21 @@
     Answer,
     Call,
 )
-from standins.emulator.cell import EmulatedCell
+from standins.emulator.cell import (
+    ADVICE_DELAY_MS,
+    TICKET_VALIDITY_MS,
+    EmulatedCell,
+)
 
 # Longer than the time-out of any caller. A call that is not answered occupies a
 # thread until then.
 _TIMEOUT_MS: Final = 1500
-_ADVICE_DELAY_MS: Final = 20
 _CONFLICT_REASONS: Final = {
     AgentFailure.FENCED: 'fence',
     AgentFailure.SUPERSEDED: 'old',
     AgentFailure.EXPIRED: 'late',
     AgentFailure.NO_ROOM: 'room',
+    AgentFailure.TICKET_INVALID: 'ticket',
 }
 
 
@@ -113,9 +117,12 @@
 
 @ROUTES.register('POST /advise')
 async def _advise(cell: EmulatedCell, call: Call) -> Answer:
-    await sleep_ms(_ADVICE_DELAY_MS)
-    rows = [[worker, 'ticket'] for worker in call.document['workers']]
-    return Answer(200, {'granted': rows})
+    await sleep_ms(ADVICE_DELAY_MS)
+    step = parse_task(f'{call.document["step_id"]}.0').step_key
+    granted = cell.fleet.grant_tickets(
+        step, call.document['workers'], TICKET_VALIDITY_MS
+    )
+    return Answer(200, {'granted': list(granted.items())})
 
 
 def _agent(cell: EmulatedCell, call: Call) -> AgentAddress:
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -107,7 +107,12 @@
 
 
 class GrantingAdvisor:
-    """An advice service that grants a ticket to every worker."""
+    """An advice service that grants a ticket to every worker of a fleet."""
+
+    def __init__(self, fleet: Fleet, validity_ms: int = 5000) -> None:
+        """Grant tickets that `fleet` checks."""
+        self._fleet = fleet
+        self._validity_ms = validity_ms
 
     async def advise(
         self,
@@ -117,7 +122,9 @@
     ) -> Result[dict[WorkerId, Ticket], AgentFailure]:
         """Return a ticket for each worker."""
         await sleep_ms(20)
-        return Success({worker: Ticket('ticket') for worker in workers})
+        return Success(
+            self._fleet.grant_tickets(step, workers, self._validity_ms)
+        )
 
 
 def queue_policy(**changes: Any) -> QueuePolicy:
@@ -170,7 +177,7 @@
         self.paths: dict[ProcessId, StorePath] = {}
         self.processes: dict[ProcessId, GraphProcess] = {}
         self.process_starts_count = 0
-        self.advisor: AdvisorPort = GrantingAdvisor()
+        self.advisor: AdvisorPort = GrantingAdvisor(self.fleet)
         # Processes on machines that are too small for an owner.
         self.processes_on_small_machines: set[ProcessId] = set()
         self.are_peers_connected = False
@@ -260,6 +267,8 @@
         **behaviour: Any,
     ) -> intake.IntakeAnswer:
         """Submit a job to a process; `behaviour` controls its tasks."""
+        if self.config.queues[QUEUE].advice is not None:
+            behaviour['needs_ticket'] = True
         graph = JobGraph(
             JobId(job),
             QUEUE,
--- a/tests/test_advice_of_ended_workers.py
+++ b/tests/test_advice_of_ended_workers.py
@@ -28,12 +28,14 @@
 
 _CALL_MS: Final = 800
 _REPLACEMENT_INTERVAL_MS: Final = 400
+_VALIDITY_MS: Final = 2000
 
 
 class _SlowAdvisor(GrantingAdvisor):
     """Answers after `_CALL_MS`; records named workers that have ended."""
 
     def __init__(self, cell: GraphCell) -> None:
+        super().__init__(cell.fleet, _VALIDITY_MS)
         self._cell = cell
         self.ended_workers: set[WorkerId] = set()
 
@@ -66,7 +68,7 @@
         cell = GraphCell(1, 1)
         advisor = _SlowAdvisor(cell)
         cell.advisor = advisor
-        advice = AdvicePolicy(_CALL_MS, 0, 2000)
+        advice = AdvicePolicy(_CALL_MS, 0, _VALIDITY_MS)
         cell.config = GraphConfig(
             Generation(1),
             {QUEUE: queue_policy(advice=advice)},
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -39,7 +39,7 @@
 )
 from standins.agent_model import Fleet
 from standins.store_model import PathFault, StoreModel, StorePath
-from tests.graph_cell import GrantingAdvisor
+from tests.graph_cell import CAPACITY, GrantingAdvisor
 
 KEY = StoreKey('jobs/a')
 PEER = ProcessId('p1')
@@ -55,14 +55,15 @@
         self.peer_path = StorePath(self.model)
         self.links = PeerLinks()
         self.store = RelayedStore(self.direct, self.links)
+        self.fleet = Fleet()
 
     def ports(self) -> GraphPorts:
         """Return the outside systems of the peer."""
         documents = DocumentLayout(KEY, '', '', _read_config, _read_worker)
         return GraphPorts(
             self.peer_path,
-            Fleet(),
-            BusyTrackingAdvisor(GrantingAdvisor()),
+            self.fleet,
+            BusyTrackingAdvisor(GrantingAdvisor(self.fleet)),
             documents,
         )
 
@@ -152,12 +153,14 @@
     async def scenario(cell: _RelayedCell) -> None:
         step = StepKey(JobId('a'), 0, 1)
         workers = (WorkerId('w0'), WorkerId('w1'))
+        for worker in workers:
+            cell.fleet.add(worker, CAPACITY)
         advice = await request_advice_from_peer(
             cell.links, PEER, step, workers, 1000
         )
         assert advice.tickets == {
-            WorkerId('w0'): Ticket('ticket'),
-            WorkerId('w1'): Ticket('ticket'),
+            WorkerId('w0'): Ticket('t1'),
+            WorkerId('w1'): Ticket('t2'),
         }
 
     run_scenario(scenario)
--- a/tests/test_soak_incarnations.py
+++ b/tests/test_soak_incarnations.py
@@ -1,5 +1,6 @@
 """Faults of the soak that restart workers under their ids, in series."""
 
+import json
 import random
 from itertools import product
 from types import SimpleNamespace
@@ -171,3 +172,28 @@
         )
     ]
     assert long_jobs == [load.jobs[1].name, load.jobs[13].name]
+
+
+def test_jobs_of_the_advised_queue_need_tickets() -> None:
+    """Guards against starts that workers accept without the check of tickets.
+
+    Deadly jobs and long ones must be in both queues.
+    """
+    paths: set[str] = set()
+
+    def call(daemon: str, method: str, path: str, *document: Any) -> Any:
+        paths.add(path)
+        return 200, {}
+
+    cell: Any = SimpleNamespace(daemons={'p0': None}, call=call)
+    load = CallerLoad(cell, seed=1)
+    load.run(
+        LoadSettings(6, 0, 0, long_every=3, deadly_every=3, advised_every=2)
+    )
+    for number, job in enumerate(load.jobs):
+        is_advised = number % 2 == 1
+        behaviour = json.loads(job.document['spec'])
+        assert behaviour.get('needs_ticket', False) is is_advised
+        assert job.path in paths
+        assert job.path.startswith('/appraisals/') is is_advised
+        assert ('deadly_task' in behaviour) is (number in {1, 4})
--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -8,7 +8,7 @@
 import urllib3
 import yaml
 
-from standins.emulator.cell import QUEUE_HOST, QUEUE_PREFIX
+from standins.emulator.cell import QUEUE_HOST
 from tools.processes import (
     LaunchedCell,
     Processes,
@@ -107,7 +107,7 @@
         self,
         daemon: str,
         method: str,
-        job: str,
+        path: str,
         document: dict[str, Any] | None = None,
     ) -> tuple[int | None, dict[str, Any]]:
         """Send a caller's request; without a response the status is `None`."""
@@ -115,7 +115,7 @@
         try:
             answer = self._http.request(
                 method,
-                f'http://127.0.0.1:{port}{QUEUE_PREFIX}{job}',
+                f'http://127.0.0.1:{port}{path}',
                 body=None if document is None else json.dumps(document),
                 headers={'Host': QUEUE_HOST, 'X-Deadline-Ms': '3000'},
             )
--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import Any, Final
 
+from standins.emulator.cell import ADVISED_PREFIX, QUEUE_PREFIX
 from tools.platform_cell import PlatformCell
 
 _ATTEMPTS_MAX_COUNT: Final = 8
@@ -50,6 +51,8 @@
 
     name: str
     document: dict[str, Any]
+    # Prefix of its queue.
+    prefix: str = QUEUE_PREFIX
     # One of its tasks crashes each worker that starts it.
     is_deadly: bool = False
     is_acknowledged: bool = False
@@ -60,6 +63,11 @@
     # State in the last answer to a query; `gone` after status 410.
     state: str = ''
 
+    @property
+    def path(self) -> str:
+        """Return the path of the calls for the job."""
+        return self.prefix + self.name
+
     @property
     def is_final(self) -> bool:
         """Tell whether the state of the job can no longer change."""
@@ -88,8 +96,8 @@
     """How many jobs each caller submits, and how.
 
     One job in `cancel_every` is cancelled, one in `deadly_every` has a deadly
-    task, and one in `long_every` runs longer than leases last; 0 stands for
-    none.
+    task, one in `long_every` runs longer than leases last, and one in
+    `advised_every` is in the queue with an advice policy; 0 stands for none.
     """
 
     jobs_count: int
@@ -97,6 +105,7 @@
     cancel_every: int
     deadly_every: int = 0
     long_every: int = 0
+    advised_every: int = 0
 
 
 @dataclass(slots=True)
@@ -119,6 +128,8 @@
                 _make_long(job, random_source)
             if _is_chosen(number, settings.deadly_every):
                 _make_deadly(job, random_source)
+            if _is_chosen(number, settings.advised_every):
+                _make_advised(job)
             self.jobs.append(job)
             self._submit(job, random_source)
             if job.is_acknowledged and _is_chosen(
@@ -144,7 +155,7 @@
 
     def _query(self, job: Job, random_source: random.Random) -> None:
         daemon = self._daemon(random_source)
-        status, document = self.cell.call(daemon, 'GET', job.name)
+        status, document = self.cell.call(daemon, 'GET', job.path)
         if status in _ACCEPTED:
             job.state = str(document['state'])
         elif status == _GONE:
@@ -156,7 +167,7 @@
             status, _document = self.cell.call(
                 self._daemon(random_source),
                 'POST',
-                job.name,
+                job.path,
                 job.document,
             )
             if status in _ACCEPTED:
@@ -172,7 +183,7 @@
             status, _document = self.cell.call(
                 self._daemon(random_source),
                 'DELETE',
-                job.name,
+                job.path,
             )
             if status in _ACCEPTED:
                 job.is_cancelled = True
@@ -263,3 +274,10 @@
         behaviour['crash_after_ms'] = after_ms
     job.document['spec'] = json.dumps(behaviour)
     job.is_deadly = True
+
+
+def _make_advised(job: Job) -> None:
+    """Let workers start the tasks of a job only with tickets."""
+    behaviour = json.loads(job.document['spec']) | {'needs_ticket': True}
+    job.document['spec'] = json.dumps(behaviour)
+    job.prefix = ADVISED_PREFIX
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -62,6 +62,8 @@
     # One job of the first caller in so many has a deadly task; 0 for none. The
     # crashes leave room for others, since only one caller submits such jobs.
     deadly_every: int = 25
+    # One job in so many is in the queue with an advice policy; 0 for none.
+    advised_every: int = 2
 
 
 @dataclass(order=True, slots=True)
@@ -157,6 +159,7 @@
         tuple(options.faults),
         options.interval,
         options.deadly_every,
+        options.advised_every,
     )
     end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-soak-') as folder:
@@ -175,9 +178,9 @@
     parser.add_argument(
         '--minutes', type=float, default=defaults.duration_minutes
     )
-    parser.add_argument('--daemons', type=int, default=defaults.daemons_count)
-    parser.add_argument('--workers', type=int, default=defaults.workers_count)
-    parser.add_argument('--callers', type=int, default=defaults.callers_count)
+    for name in ('daemons', 'workers', 'callers'):
+        default_count = getattr(defaults, f'{name}_count')
+        parser.add_argument(f'--{name}', type=int, default=default_count)
     parser.add_argument(
         '--faults', nargs='+', choices=FAULTS, default=defaults.faults
     )
@@ -187,6 +190,9 @@
     parser.add_argument(
         '--deadly-every', type=int, default=defaults.deadly_every
     )
+    parser.add_argument(
+        '--advised-every', type=int, default=defaults.advised_every
+    )
     parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
     return parser.parse_args()
 
@@ -216,6 +222,7 @@
         _SUBMIT_INTERVAL_S,
         _CANCEL_EVERY,
         long_every=_LONG_EVERY,
+        advised_every=settings.advised_every,
     )
     first_seed = 1000 * settings.seed
     return dict.fromkeys(
