Tell in the soak when a repeated success was listed, and to whom

The logs of the daemons don't tell whether its owner had got the report with these ends.

Cause: the worker model counts a report as received once it has been made, also if the caller no longer waits. The message of the violation didn't tell when the ends were listed and when the worker ended.

Evidence: epoch 132 is loaded at 3.47 s of the soak, the four workers that keep running give their ends at 4.08 s, which fits a call without an answer in 350 ms and one more after 150 ms, and w3 and w5 crash at 3.9 s. No end of w3 is logged. No event 754 names these tasks in that term: it is no late start.

Change: the violation names the first listing, the epoch of the last report and the end of the incarnation, if the success was never acknowledged. What counts as a violation is unchanged.

--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -57,13 +57,15 @@
     runs: dict[tuple[TaskKey, int], ModelRun] = field(default_factory=dict)
     ended: list[EndRow] = field(default_factory=list)
     ends_count: int = 0
-    # The last end that a report has listed.
-    reported_end: int = 0
+    # When a report has first listed each end.
+    listed_ms: dict[EndSequence, int] = field(default_factory=dict)
     # Epoch of the owner that has got the last report.
     reported_epoch: Epoch = Epoch(0)
     highest_refused_attempt: dict[TaskKey, int] = field(default_factory=dict)
     # Set once the incarnation has crashed or has been replaced.
     outage: Outage | None = None
+    # When the incarnation has ended, 0 before.
+    ended_ms: int = 0
     # Calls have no effect and are not answered.
     is_silent: bool = False
     # Starts are executed, but not answered.
@@ -79,6 +81,8 @@
 
     def crash(self, outage: Outage) -> None:
         """End the incarnation, and its runs without a report."""
+        if self.outage is None:
+            self.ended_ms = now_ms()
         self.outage = outage
         self.runs.clear()
 
@@ -191,6 +195,12 @@
             has_more_ends=len(self.ended) >= self.ends_page_count,
         )
 
+    def note_report(self, report: WorkerReport, epoch: Epoch) -> None:
+        """Note a report that answers an owner."""
+        self.reported_epoch = epoch
+        for end in report.ended:
+            self.listed_ms.setdefault(end.sequence, now_ms())
+
     def check_token(self, token: FencingToken) -> AgentFailure | None:
         """Note the token of an order, which a lower one does not replace."""
         if token < self.token:
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -68,6 +68,26 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class _UnacknowledgedSuccess:
+    """A listed success that the end of its worker left unacknowledged."""
+
+    # Latest owner that was told of it.
+    epoch: Epoch
+    listed_ms: int
+    ended_ms: int
+
+
+def _describe(unacknowledged: _UnacknowledgedSuccess | None) -> str:
+    if unacknowledged is None:
+        return ''
+    return (
+        f', first listed at {unacknowledged.listed_ms} ms and last to the '
+        f'owner of epoch {unacknowledged.epoch}, but not acknowledged when '
+        f'the worker ended at {unacknowledged.ended_ms} ms'
+    )
+
+
 class Fleet:
     """Implements `AgentPort` for all workers and records violations."""
 
@@ -92,9 +112,7 @@
         self.violations: list[str] = []
         self.starts: list[tuple[TaskKey, int, WorkerId]] = []
         self.succeeded: dict[TaskKey, WorkerId] = {}
-        # Latest owner that was told of a success which the end of its worker
-        # has left without an acknowledgement.
-        self._informed_epochs: dict[TaskKey, Epoch] = {}
+        self._unacknowledged: dict[TaskKey, _UnacknowledgedSuccess] = {}
         self._tickets = GrantedTickets()
         self._on_restart = on_restart
 
@@ -240,10 +258,7 @@
         if model.outage is not None:
             return Failure(AgentFailure.UNKNOWN)
         report = model.report()
-        model.reported_end = max(
-            (end.sequence for end in report.ended), default=model.ends_count
-        )
-        model.reported_epoch = order.token.epoch
+        model.note_report(report, order.token.epoch)
         return Success(report)
 
     async def _order(
@@ -306,10 +321,14 @@
         for end in model.ended:
             if self.succeeded.get(end.task) != model.worker:
                 continue
-            if end.sequence > model.reported_end:
+            if end.sequence not in model.listed_ms:
                 self.succeeded.pop(end.task)
-            else:
-                self._informed_epochs[end.task] = model.reported_epoch
+                continue
+            self._unacknowledged[end.task] = _UnacknowledgedSuccess(
+                model.reported_epoch,
+                model.listed_ms[end.sequence],
+                model.ended_ms,
+            )
 
     def _end_all_due_runs(self) -> None:
         for model in self.agents.values():
@@ -370,16 +389,16 @@
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
         """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
-        if order.token.epoch > self._informed_epochs.get(
-            order.task, order.token.epoch
-        ):
-            self._informed_epochs.pop(order.task)
+        unacknowledged = self._unacknowledged.get(order.task)
+        if unacknowledged and order.token.epoch > unacknowledged.epoch:
+            self._unacknowledged.pop(order.task)
             self.succeeded.pop(order.task, None)
         if self._must_success_be_recorded(order.task):
             self._record_violation(
                 model,
                 order,
-                f'starts after its success on {self.succeeded[order.task]}',
+                f'starts after its success on {self.succeeded[order.task]}'
+                + _describe(unacknowledged),
             )
         for other in self.agents.values():
             for task, attempt in other.runs:
--- a/tests/test_agent_model.py
+++ b/tests/test_agent_model.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Result
 
-from fuchsiarill.clock import run_paused, sleep_ms
+from fuchsiarill.clock import now_ms, run_paused, sleep_ms
 from fuchsiarill.graphs.model import (
     NO_CHECKPOINT,
     NO_END,
@@ -20,6 +20,7 @@
 )
 from fuchsiarill.resources import Resources
 from standins.agent_model import Fleet
+from standins.outages import Outage
 from tests.graph_owner import task
 
 _AGENT = AgentAddress(WorkerId('w0'), 'w0')
@@ -85,6 +86,33 @@
     run_paused(scenario())
 
 
+def test_violation_tells_when_a_lost_success_was_listed() -> None:
+    """Guards against a start after a success that the logs can't explain.
+
+    An answer that its caller no longer waits for counts as a report too (soak
+    seed 7223).
+    """
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 1)
+        await sleep_ms(200)
+        await _report(fleet)
+        listed_ms = now_ms()
+        await sleep_ms(50)
+        fleet.agents['w0'].crash(Outage.SILENT)
+        ended_ms = now_ms()
+        await sleep_ms(1000)
+        fleet.add('w0', _CAPACITY)
+        await _start(fleet, 2)
+        assert f'first listed at {listed_ms} ms' in fleet.violations[0]
+        assert 'owner of epoch 1, but' in fleet.violations[0]
+        assert f'ended at {ended_ms} ms' in fleet.violations[0]
+
+    run_paused(scenario())
+
+
 def test_success_within_a_waiting_renewal_must_not_be_repeated() -> None:
     """Guards against a model that misses the ends that most reports have."""
 
