--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -6,12 +6,14 @@
 The payload of a job controls its tasks: `duration_ms`, without which a run
 lasts until it is stopped or its lease ends; `fails`, the number up to which
 attempts end as failed; and `size`, the resources that a task uses. Without
-`size`, the entry of the task in `Fleet.sizes` applies. `worker_crashes.py`
-describes deadly tasks.
+`size`, the entry of the task in `Fleet.sizes` applies. A job of a queue with
+an advice policy has `needs_ticket`: without a valid ticket its starts are
+refused, as are starts of any job that carry an invalid one.
+`worker_crashes.py` describes deadly tasks.
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -23,7 +25,9 @@
     BornMs,
     EndKind,
     StartOrder,
+    StepKey,
     TaskKey,
+    Ticket,
     WorkerReport,
 )
 from fuchsiarill.ids import Epoch, WorkerId
@@ -38,6 +42,7 @@
 from standins.agent_incarnation import AgentModel
 from standins.changing_capacity import ChangingCapacity
 from standins.delayed_calls import DelayedCalls
+from standins.granted_tickets import GrantedTickets
 from standins.outages import OUTAGES, Outage
 from standins.worker_crashes import CrashSettings, WorkerCrashes
 
@@ -63,6 +68,26 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class _UnacknowledgedSuccess:
+    """A listed success that the end of its worker left unacknowledged."""
+
+    # Latest owner that was told of it.
+    epoch: Epoch
+    listed_ms: int
+    ended_ms: int
+
+
+def _describe(unacknowledged: _UnacknowledgedSuccess | None) -> str:
+    if unacknowledged is None:
+        return ''
+    return (
+        f', first listed at {unacknowledged.listed_ms} ms and last to the '
+        f'owner of epoch {unacknowledged.epoch}, but not acknowledged when '
+        f'the worker ended at {unacknowledged.ended_ms} ms'
+    )
+
+
 class Fleet:
     """Implements `AgentPort` for all workers and records violations."""
 
@@ -87,9 +112,8 @@
         self.violations: list[str] = []
         self.starts: list[tuple[TaskKey, int, WorkerId]] = []
         self.succeeded: dict[TaskKey, WorkerId] = {}
-        # Latest owner that was told of a success which the end of its worker
-        # has left without an acknowledgement.
-        self._informed_epochs: dict[TaskKey, Epoch] = {}
+        self._unacknowledged: dict[TaskKey, _UnacknowledgedSuccess] = {}
+        self._tickets = GrantedTickets()
         self._on_restart = on_restart
 
     def add(
@@ -126,6 +150,17 @@
                 return model
         return None
 
+    def grant_tickets(
+        self, step: StepKey, workers: Iterable[WorkerId], validity_ms: int
+    ) -> dict[WorkerId, Ticket]:
+        """Grant a ticket to the current incarnation of each known worker."""
+        models = {worker: self.find(worker) for worker in workers}
+        return {
+            worker: self._tickets.grant(step, model, validity_ms)
+            for worker, model in models.items()
+            if model is not None
+        }
+
     def change_capacity(self, address: str, capacity: Resources) -> None:
         """Change the capacity of a worker that keeps running."""
         self.agents[address].capacity.change(capacity)
@@ -223,10 +258,7 @@
         if model.outage is not None:
             return Failure(AgentFailure.UNKNOWN)
         report = model.report()
-        model.reported_end = max(
-            (end.sequence for end in report.ended), default=model.ends_count
-        )
-        model.reported_epoch = order.token.epoch
+        model.note_report(report, order.token.epoch)
         return Success(report)
 
     async def _order(
@@ -289,10 +321,14 @@
         for end in model.ended:
             if self.succeeded.get(end.task) != model.worker:
                 continue
-            if end.sequence > model.reported_end:
+            if end.sequence not in model.listed_ms:
                 self.succeeded.pop(end.task)
-            else:
-                self._informed_epochs[end.task] = model.reported_epoch
+                continue
+            self._unacknowledged[end.task] = _UnacknowledgedSuccess(
+                model.reported_epoch,
+                model.listed_ms[end.sequence],
+                model.ended_ms,
+            )
 
     def _end_all_due_runs(self) -> None:
         for model in self.agents.values():
@@ -319,15 +355,20 @@
             return AgentFailure.SUPERSEDED
         if order.expiry_ms < model.clock_ms():
             return AgentFailure.EXPIRED
-        self._start_run(model, order)
+        behaviour: dict[str, Any] = json.loads(order.payload or '{}')
+        needs_ticket = behaviour.get('needs_ticket', False)
+        if not self._tickets.admit(model, order, needs_ticket=needs_ticket):
+            return AgentFailure.TICKET_INVALID
+        self._start_run(model, order, behaviour)
         return None
 
-    def _start_run(self, model: AgentModel, order: StartOrder) -> None:
+    def _start_run(
+        self, model: AgentModel, order: StartOrder, behaviour: dict[str, Any]
+    ) -> None:
         if (order.task, order.attempt) in model.runs:
             return
         self._record_start(model, order)
         model.extend_leases(order.expiry_ms)
-        behaviour: dict[str, Any] = json.loads(order.payload or '{}')
         model.add_run(order, behaviour)
         self._check_load(model, order)
         self.crashes.start_seen(model, order, behaviour)
@@ -348,16 +389,16 @@
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
         """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
-        if order.token.epoch > self._informed_epochs.get(
-            order.task, order.token.epoch
-        ):
-            self._informed_epochs.pop(order.task)
+        unacknowledged = self._unacknowledged.get(order.task)
+        if unacknowledged and order.token.epoch > unacknowledged.epoch:
+            self._unacknowledged.pop(order.task)
             self.succeeded.pop(order.task, None)
         if self._must_success_be_recorded(order.task):
             self._record_violation(
                 model,
                 order,
-                f'starts after its success on {self.succeeded[order.task]}',
+                f'starts after its success on {self.succeeded[order.task]}'
+                + _describe(unacknowledged),
             )
         for other in self.agents.values():
             for task, attempt in other.runs:
