Take the start time of a worker as an identity, not as an order

What callers saw: a worker whose host had its time of day set back before it restarted under its id got no starts until the owner changed. Jobs that only this worker could run waited (58 s and more in paused time).

Cause: `born_ms` was compared with < and > wherever two incarnations met. A report with a lower start time was taken as one of an ended incarnation, in the channel and in the core. An entry of the directory with a lower one was ignored, and one with a higher one ended the runs of the worker at once. A crash counted only if the next start time was higher.

The same comparisons stood in worker_contact, reports, worker_table, incarnations and worker_crashes.

Change: one rule, stated in worker_contact. The incarnation that answers the newest fencing token is the present one; its start time tells it apart and orders nothing. - The channel takes a new token when a report or an entry is of another incarnation than the present one. - WorkerReported carries the token. The core ignores a report that answers an older token than one before, such as one of a channel that was replaced. - An entry of another incarnation ends no runs. The worker is called under a new token, once for each listed incarnation (event 755), and the answer decides. - An end of which only the address tells is proved by the time since which the owner has seen the other worker there, not by the start times of two workers. - A planned end stays planned until the next incarnation has reported, which may now be later than its entry.

Tests: the models of the channel in tests/ follow the same rule, and the harness of the core gives each incarnation a token of its own. Two calls of worker_reported in tests got the new argument; no assertion has changed.

Why it works: an incarnation that has answered a token was alive after the token was taken. Once another one has answered a lower token, it has ended before the higher one is taken, so answers in the order of their tokens are in the order of the incarnations, whatever the clocks say.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -298,6 +298,13 @@
     'before: clock {clock_ms} ms is below {earliest_clock_ms} ms',
     'None; the worker gets no starts until it has answered with a new token.',
 )
+INCARNATION_LISTED: Final = LogEvent(
+    755,
+    Level.INFO,
+    'the directory lists incarnation {born_ms} of {worker}, which is not '
+    '{present_born_ms}, the one that has reported: either may have ended',
+    'None; the worker gets no starts until it has answered with a new token.',
+)
 START_UNANSWERED: Final = LogEvent(
     754,
     Level.INFO,
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -47,7 +47,7 @@
 )
 from fuchsiarill.graphs.ticking import TICK_ACTIONS
 from fuchsiarill.graphs.worker_ends import proves_end
-from fuchsiarill.ids import Epoch, JobId, WorkerId
+from fuchsiarill.ids import Epoch, FencingToken, JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 
 # After a start that failed for one of these reasons, the worker gets no new run
@@ -143,8 +143,8 @@
     ) -> None:
         """Apply the complete list of the pool's entries in the directory."""
         listed = list(entries)
-        for worker in self.state.workers.update_entries(listed):
-            incarnations.apply_listed(self.state, worker, now_ms)
+        for view in self.state.workers.update_entries(listed, now_ms):
+            incarnations.apply_listed(self.state, view, now_ms)
         worker_crashes.apply_entries(self.state, listed, now_ms)
         self.state.room_changes.add_all()
 
@@ -158,7 +158,7 @@
         """Add a worker on which a previous owner may have started runs.
 
         Task leases granted by that owner expire at `lease_expiry_ms` at the
-        latest, unless late calls act on an incarnation later than the recorded
+        latest, unless late calls act on another incarnation than the recorded
         one.
         """
         view = self.state.workers.add(worker, address)
@@ -184,13 +184,20 @@
         self,
         worker: WorkerId,
         report: WorkerReport,
+        token: FencingToken,
         requested_ms: int,
         now_ms: int,
     ) -> None:
-        """Apply the report that answers the renewal sent at `requested_ms`."""
+        """Apply the report that answers the renewal sent at `requested_ms`.
+
+        A report that answers an older token than a report before is ignored:
+        its incarnation may have ended. A channel that has been replaced may
+        have received it.
+        """
         view = self.state.workers.find(worker)
-        if view is None:
+        if view is None or token < view.token:
             return
+        view.token = token
         could_receive_runs = worker_suspension.can_receive_runs(view, now_ms)
         reports.apply_report(self.state, view, report, requested_ms, now_ms)
         if not could_receive_runs and worker_suspension.can_receive_runs(
@@ -199,7 +206,7 @@
             self.state.room_changes.add(worker)
 
     def restart_suspected(self, worker: WorkerId, now_ms: int) -> None:
-        """Expect late calls on a later incarnation that is not fenced yet."""
+        """Expect late calls on an incarnation that is not fenced yet."""
         view = self.state.workers.find(worker)
         if view is not None:
             incarnations.expect_late_calls(self.state, view, now_ms)
--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -27,7 +27,8 @@
     """
     for view in state.workers:
         if view.availability is not AvailabilityState.LEAVING:
-            view.leaving_since_ms = None
+            if not view.lists_other_incarnation:
+                view.leaving_since_ms = None
             continue
         if view.leaving_since_ms is None:
             view.leaving_since_ms = now_ms
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -63,9 +63,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FenceIncarnation:
-    """Request a report from an incarnation that the directory lists.
+    """Request a report under a new token: the directory lists an incarnation.
 
-    Calls for earlier incarnations have no effect on it after its answer.
+    The incarnation that answers is the present one; calls for others have no
+    effect on it from then on.
     """
 
     worker: WorkerId
--- a/fuchsiarill/graphs/incarnations.py
+++ b/fuchsiarill/graphs/incarnations.py
@@ -1,30 +1,41 @@
-"""Later incarnations of workers that are not fenced yet.
+"""Incarnations of workers that are not fenced yet.
 
 Until such an incarnation has answered a renewal with a token of its own, it may
 execute calls that were sent before. See `worker_contact.py`.
 """
 
-from fuchsiarill.graphs import reports
+from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.effects import FenceIncarnation
+from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import AvailabilityEvent, RestartSource
+from fuchsiarill.graphs.states import AvailabilityEvent
 from fuchsiarill.graphs.worker_table import WorkerView
-from fuchsiarill.ids import WorkerId
 
 
-def apply_listed(state: PoolState, worker: WorkerId, now_ms: int) -> None:
-    """Apply a directory entry with a later incarnation than the known one."""
-    view = state.workers.find(worker)
-    if view is None or view.entry is None:
+def apply_listed(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Apply a directory entry that is not of the present incarnation.
+
+    The entry may be of a later incarnation or of one that has ended, so the
+    worker is called under a new token, once for each listed incarnation. The
+    answer tells which incarnation runs, and whether runs are lost.
+    """
+    if view.entry is None or view.entry.born_ms == BORN_UNKNOWN_MS:
         return
-    if not view.born_ms:
+    if view.born_ms == BORN_UNKNOWN_MS:
         _expect_inherited_calls(state, view)
         return
-    reports.apply_restart(
-        state, view, view.entry.born_ms, RestartSource.DIRECTORY, now_ms
+    born_ms = view.entry.born_ms
+    if born_ms in view.known_incarnations:
+        return
+    view.known_incarnations.add(born_ms)
+    events.emit(
+        graph_events.INCARNATION_LISTED,
+        worker=view.worker,
+        born_ms=born_ms,
+        present_born_ms=view.born_ms,
     )
     expect_late_calls(state, view, now_ms)
-    state.effects.append(FenceIncarnation(worker, view.entry.born_ms))
+    state.effects.append(FenceIncarnation(view.worker, born_ms))
     state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
 
 
@@ -48,7 +59,7 @@
     """
     if view.entry is None or not view.recorded_born_ms:
         return
-    if view.entry.born_ms > view.recorded_born_ms:
+    if view.entry.born_ms != view.recorded_born_ms:
         view.extend_unconfirmed(
             view.confirmed_expiry_ms + state.leases.late_call_ms
         )
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -18,7 +18,7 @@
     WorkerReport,
 )
 from fuchsiarill.graphs.records import FleetRecord
-from fuchsiarill.ids import Revision, StoreKey, WorkerId
+from fuchsiarill.ids import FencingToken, Revision, StoreKey, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.ports.key_value import KvItem
 
@@ -47,10 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """A worker answered a renewal that was sent at `requested_ms`."""
+    """A worker answered a renewal with `token`, sent at `requested_ms`."""
 
     worker: WorkerId
     report: WorkerReport
+    token: FencingToken
     requested_ms: int
 
 
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -180,7 +180,11 @@
             if view is not None and end.sequence > view.seen_end:
                 self._context.metrics.count_run_end(end.kind)
         self.core.worker_reported(
-            message.worker, message.report, message.requested_ms, now_ms()
+            message.worker,
+            message.report,
+            message.token,
+            message.requested_ms,
+            now_ms(),
         )
         self._schedule_decision()
 
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -53,11 +53,13 @@
     """Update a worker and its runs from a report.
 
     `requested_ms` is the time at which the renewal that the report answers was
-    sent. A report older than the last applied report is ignored.
+    sent. A report of another incarnation than the known one is of a later one,
+    see `worker_contact`. One of the same incarnation that is older than the
+    last applied report is ignored.
     """
-    if report.born_ms > view.born_ms:
-        apply_restart(state, view, report.born_ms, RestartSource.REPORT, now_ms)
-    elif report.born_ms < view.born_ms or report.clock_ms < view.clock_ms:
+    if report.born_ms != view.born_ms:
+        _apply_restart(state, view, report.born_ms, now_ms)
+    elif report.clock_ms < view.clock_ms:
         # Reports on different connections can overtake each other.
         return
     if not view.in_touch_since_ms:
@@ -86,12 +88,8 @@
     view.set_expiry(max(view.confirmed_expiry_ms, expiry_ms))
 
 
-def apply_restart(
-    state: PoolState,
-    view: WorkerView,
-    born_ms: BornMs,
-    source: RestartSource,
-    now_ms: int,
+def _apply_restart(
+    state: PoolState, view: WorkerView, born_ms: BornMs, now_ms: int
 ) -> None:
     """Mark the runs of a worker's previous incarnation as lost.
 
@@ -99,18 +97,20 @@
     may run in the new one, because the start order can arrive after the
     restart.
     """
-    _log_restart(view, born_ms, source, now_ms)
+    _log_restart(view, born_ms, now_ms)
     loss = loss_of(view, now_ms)
     for run in list(view.runs.values()):
         if run.is_listed:
             mark_run_lost(state, view, run, LossCause.RESTARTED, now_ms)
         else:
             _stop_unconfirmed_run(state, run, now_ms)
+    view.known_incarnations |= {view.born_ms, born_ms}
     view.born_ms = born_ms
     view.seen_end = NO_END
     view.durable_end = NO_END
     view.clock_ms = 0
     view.in_touch_since_ms = 0
+    view.leaving_since_ms = None
     view.failure_record = FailureRecord()
     state.tickets.remove_worker(view.worker)
     state.room_changes.add(view.worker)
@@ -153,12 +153,13 @@
     end_unreported_run(state, run, RunEvent.WORKER_LOST, now_ms)
 
 
-def _log_restart(
-    view: WorkerView, born_ms: BornMs, source: RestartSource, now_ms: int
-) -> None:
+def _log_restart(view: WorkerView, born_ms: BornMs, now_ms: int) -> None:
     """Log a restart; the first incarnation that the owner sees is none."""
     if not view.born_ms:
         return
+    source = RestartSource.REPORT
+    if born_ms in view.known_incarnations:
+        source = RestartSource.DIRECTORY
     listed_count = sum(run.is_listed for run in view.runs.values())
     events.emit(
         graph_events.WORKER_RESTARTED,
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -40,14 +40,14 @@
     """Why the owner takes the runs of a worker as ended without a report."""
 
     LEASE_EXPIRED = 'lease_expired'
-    # A later incarnation has reported, or is in the directory.
+    # A later incarnation has reported.
     RESTARTED = 'restarted'
     # Another worker answers at its address.
     REPLACED = 'replaced'
 
 
 class RestartSource(Enum):
-    """How the owner has learned of a later incarnation of a worker."""
+    """What has told the owner first of an incarnation that has reported."""
 
     REPORT = 'report'
     DIRECTORY = 'directory'
--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -135,7 +135,7 @@
 
     @handles(FenceIncarnation)
     async def on_fence(self, message: FenceIncarnation) -> None:
-        """Call a later incarnation under a token of its own, at once."""
+        """Call a listed incarnation under a token of its own, at once."""
         self._contact.incarnation_listed(message.born_ms)
         self.spawn(self._request_report())
 
@@ -204,7 +204,9 @@
             if outcome is ReportOutcome.FENCED:
                 self._apply_report(report, requested_ms, former_born_ms)
                 self._context.owner.send(
-                    WorkerReported(self.agent.worker, report, requested_ms),
+                    WorkerReported(
+                        self.agent.worker, report, token, requested_ms
+                    ),
                 )
             return outcome is ReportOutcome.FENCED
 
--- a/fuchsiarill/graphs/worker_contact.py
+++ b/fuchsiarill/graphs/worker_contact.py
@@ -8,6 +8,11 @@
 sent only after it has answered a renewal with a fencing token of its own. That
 answer lists what earlier calls have started, and no earlier call has an effect
 after it.
+
+The same token tells which incarnation is the present one: that which has
+answered the newest token. Its start time, `born_ms`, tells it apart from others
+and orders nothing, since the time of day of its host may be set back, and since
+an entry in the directory or a report may be older than what is known.
 """
 
 from collections.abc import Callable
@@ -88,12 +93,7 @@
         """Apply a report that answers a renewal with `token`."""
         if self.is_outdated(token):
             return ReportOutcome.OUTDATED
-        if report.born_ms < self.born_ms:
-            # The time of day of its host has been set back. Its leases expire,
-            # and it gets no starts in this term.
-            self.call_failed()
-            return ReportOutcome.OUTDATED
-        if report.born_ms > self.born_ms:
+        if report.born_ms != self.born_ms:
             # The chart ignores this in `unfenced`, where no call with the
             # present token depends on the incarnation.
             self._apply_event(ContactEvent.OTHER_INCARNATION)
@@ -108,7 +108,7 @@
 
     def incarnation_listed(self, born_ms: BornMs) -> None:
         """Note an incarnation in the directory."""
-        if born_ms > self.born_ms:
+        if born_ms != self.born_ms:
             self._apply_event(ContactEvent.OTHER_INCARNATION)
 
     def order_answered(
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -1,10 +1,10 @@
 """Counts the crashes of workers under units and gives up those that cause them.
 
-The end of a worker is proved by a later incarnation under the same id, or by
-another worker at its address. The end is a crash unless the worker was leaving
-or its rack lost power. It counts for the runs that the worker is known to have
-started. A start order that may not have reached the worker makes its unit a
-suspect, whose next run is on trial, and no more.
+The end of a worker is proved by a report of another incarnation under its id,
+or by another worker at its address. The end is a crash unless the worker was
+leaving or its rack lost power. It counts for the runs that the worker is known
+to have started. A start order that may not have reached the worker makes its
+unit a suspect, whose next run is on trial, and no more.
 """
 
 from dataclasses import replace
@@ -65,10 +65,10 @@
 ) -> None:
     """Count or drop a remembered loss when the worker reports again.
 
-    It has crashed only if it reports as a later incarnation.
+    It has crashed only if another incarnation reports.
     """
     loss = state.losses.pop(worker, None)
-    if loss is not None and born_ms > loss.born_ms:
+    if loss is not None and born_ms != loss.born_ms:
         count_end(state, loss, now_ms)
 
 
@@ -89,7 +89,7 @@
         if entry.listing is WorkerListing.LEAVING:
             state.losses.pop(entry.worker, None)
         for loss in list(state.losses.values()):
-            if _is_successor(entry, loss):
+            if _is_successor(state, entry, loss):
                 count_end(state, state.losses.pop(loss.worker), now_ms)
 
 
@@ -132,10 +132,14 @@
             _discount_other_crashes(state, run)
 
 
-def _is_successor(entry: WorkerEntry, loss: WorkerLoss) -> bool:
+def _is_successor(
+    state: PoolState, entry: WorkerEntry, loss: WorkerLoss
+) -> bool:
+    """Tell whether another worker has come to the address since the loss."""
     if entry.worker == loss.worker or entry.address != loss.address:
         return False
-    return entry.born_ms > loss.born_ms
+    view = state.workers.find(entry.worker)
+    return view is not None and view.at_address_since_ms > loss.reported_ms
 
 
 def _record_end(state: PoolState, loss: WorkerLoss) -> None:
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -18,7 +18,7 @@
 )
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.states import AvailabilityEvent, AvailabilityState
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import NO_TOKEN, FencingToken, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
 
@@ -56,6 +56,8 @@
     entry: WorkerEntry | None = None
     availability: AvailabilityState = AvailabilityState.UNCONFIRMED
     is_listed: bool = False
+    # When the directory has listed it first at its address.
+    at_address_since_ms: int = 0
     # In the durable fleet record, so that the next owner contacts it too.
     is_recorded: bool = False
     # The incarnation in that record; 0 before the first report.
@@ -75,6 +77,11 @@
     # Number of runs on trial.
     trials_count: int = 0
     born_ms: BornMs = BORN_UNKNOWN_MS
+    # The present incarnation, earlier ones, and those that the directory has
+    # listed and that have been called since.
+    known_incarnations: set[BornMs] = field(default_factory=set)
+    # The newest token that a report has answered.
+    token: FencingToken = NO_TOKEN
     # Sequence number of the last end that has been applied.
     seen_end: EndSequence = NO_END
     # Ends up to this number are durable; the worker may delete them.
@@ -92,6 +99,7 @@
     silent_since_ms: int | None = None
     # The worker's clock in the latest report.
     clock_ms: int = 0
+    # When the present incarnation was listed as leaving first.
     leaving_since_ms: int | None = None
     failure_record: FailureRecord = field(default_factory=FailureRecord)
 
@@ -196,8 +204,23 @@
         self.trials_count -= int(run.is_on_trial)
         run.is_on_trial = False
 
-    def apply_entry(self, entry: WorkerEntry) -> None:
+    @property
+    def lists_other_incarnation(self) -> bool:
+        """Tell whether the entry is not of the incarnation that has reported.
+
+        Either may be the later one.
+        """
+        if self.entry is None or BORN_UNKNOWN_MS in {
+            self.entry.born_ms,
+            self.born_ms,
+        }:
+            return False
+        return self.entry.born_ms != self.born_ms
+
+    def apply_entry(self, entry: WorkerEntry, now_ms: int) -> None:
         """Set the directory entry, and the address and capacity from it."""
+        if self.entry is None or self.address != entry.address:
+            self.at_address_since_ms = now_ms
         self.entry = entry
         self.address = entry.address
         self._update_free()
@@ -249,26 +272,29 @@
         if transition is not None:
             view.availability = transition.target
 
-    def update_entries(self, entries: Iterable[WorkerEntry]) -> set[WorkerId]:
+    def update_entries(
+        self, entries: Iterable[WorkerEntry], now_ms: int
+    ) -> list[WorkerView]:
         """Apply the complete list of the pool's directory entries.
 
-        Returns the workers whose entry is of a later incarnation than the known
-        one, if any.
+        Returns the workers whose entry is not of the present incarnation.
         """
-        new_or_restarted: set[WorkerId] = set()
+        unmatched: list[WorkerView] = []
         listed: set[WorkerId] = set()
         for entry in entries:
             listed.add(entry.worker)
             view = self.add(entry.worker, entry.address)
-            if view.born_ms < entry.born_ms:
-                new_or_restarted.add(entry.worker)
-            self._apply_listing(view, entry)
+            self._apply_listing(view, entry, now_ms)
+            if view.born_ms != entry.born_ms:
+                unmatched.append(view)
         for view in self._views.values():
             view.is_listed = view.worker in listed
-        return new_or_restarted
+        return unmatched
 
-    def _apply_listing(self, view: WorkerView, entry: WorkerEntry) -> None:
-        view.apply_entry(entry)
+    def _apply_listing(
+        self, view: WorkerView, entry: WorkerEntry, now_ms: int
+    ) -> None:
+        view.apply_entry(entry, now_ms)
         if entry.listing is WorkerListing.LEAVING:
             self.apply_event(view, AvailabilityEvent.LISTED_LEAVING)
             return
--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -66,6 +66,8 @@
     outage: Outage | None = None
     # Calls have no effect and are not answered.
     is_silent: bool = False
+    # How far the time of day was set back before `born_ms` was read.
+    set_back_ms: int = 0
     # Starts are executed, but not answered.
     loses_answers: bool = False
     # Every run fails as soon as it starts.
@@ -74,8 +76,13 @@
     ends_page_count: int = 500
 
     def clock_ms(self) -> int:
-        """Return the worker's clock, the time since `born_ms`."""
-        return now_ms() - self.born_ms
+        """Return the worker's clock, the time since its start."""
+        return now_ms() - self.born_ms - self.set_back_ms
+
+    def set_back(self, set_back_ms: int) -> None:
+        """Set the time of day back, as if before the start."""
+        self.set_back_ms += set_back_ms
+        self.born_ms = BornMs(self.born_ms - set_back_ms)
 
     def crash(self, outage: Outage) -> None:
         """End the incarnation, and its runs without a report."""
--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -5,6 +5,7 @@
 
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.effects import Effect, StartRun
+from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.model import (
     AdvicePolicy,
     BornMs,
@@ -31,6 +32,7 @@
 from fuchsiarill.ids import (
     Epoch,
     FailureDomain,
+    FencingToken,
     Generation,
     JobId,
     WorkerId,
@@ -73,11 +75,14 @@
     def __init__(self, *workers: str, term: int = 1) -> None:
         """Create a core with listed and recorded workers, without reports."""
         self.now_ms = 1000
-        self.core = GraphCore(POOL, Epoch(7), TaskLeaseSettings(), term)
+        self._epoch = Epoch(7)
+        self.core = GraphCore(POOL, self._epoch, TaskLeaseSettings(), term)
         self.core.configure(CONFIG)
         self.core.update_workers(entries(*workers), self.now_ms)
         self.core.record_workers([WorkerId(name) for name in workers])
         self.ends_count = 0
+        self._tokens = FencingTokenSource(self._epoch)
+        self._token_by_incarnation: dict[tuple[str, int], FencingToken] = {}
 
     def add_job(
         self,
@@ -104,7 +109,10 @@
         *,
         has_more_ends: bool = False,
     ) -> None:
-        """Advance the clock by 10 ms and deliver a worker's report."""
+        """Advance the clock by 10 ms and deliver a worker's report.
+
+        A report of an incarnation that another one has followed is late.
+        """
         self.now_ms += 10
         report = WorkerReport(
             self.now_ms, BornMs(born_ms), running, ended, has_more_ends
@@ -113,10 +121,18 @@
         self.core.worker_reported(
             WorkerId(worker),
             report,
+            self.token(worker, born_ms),
             requested_ms,
             self.now_ms,
         )
 
+    def token(self, worker: str, born_ms: int = 1) -> FencingToken:
+        """Return the token that an incarnation answers, first a new one."""
+        key = (worker, born_ms)
+        if key not in self._token_by_incarnation:
+            self._token_by_incarnation[key] = self._tokens.take()
+        return self._token_by_incarnation[key]
+
     def view(self, worker: str) -> WorkerView:
         """Return the owner's state of a worker that it knows."""
         view = self.core.state.workers.find(WorkerId(worker))
--- a/tests/scripted_agent.py
+++ b/tests/scripted_agent.py
@@ -56,6 +56,8 @@
     token: FencingToken = NO_TOKEN
     discarded_end: int = 0
     loses_reports: bool = False
+    # Delays of the next reports after their renewals have been executed.
+    report_delays_ms: list[int] = field(default_factory=list)
     renewals: list[tuple[int, RenewalOrder]] = field(default_factory=list)
 
     def clock_ms(self) -> int:
@@ -64,11 +66,11 @@
 
     def restart(self) -> None:
         """Begin an incarnation without run ends."""
-        self.born_ms = BornMs(self.born_ms + 1)
-        self.started_ms = now_ms()
-        self.ends_count = 0
-        self.discarded_end = 0
-        self.token = NO_TOKEN
+        self._begin(self.born_ms + 1)
+
+    def restart_set_back(self) -> None:
+        """Begin an incarnation whose start time is below that of the former."""
+        self._begin(self.born_ms - 1)
 
     async def start(
         self, agent: AgentAddress, order: StartOrder, timeout_ms: int
@@ -119,8 +121,17 @@
             page,
             has_more_ends=len(rows) >= self.ends_page_count,
         )
+        if self.report_delays_ms:
+            await sleep_ms(self.report_delays_ms.pop(0))
         return Success(report)
 
+    def _begin(self, born_ms: int) -> None:
+        self.born_ms = BornMs(born_ms)
+        self.started_ms = now_ms()
+        self.ends_count = 0
+        self.discarded_end = 0
+        self.token = NO_TOKEN
+
 
 def open_channel(
     agent: ScriptedAgent,
--- a/tests/simulated_calls.py
+++ b/tests/simulated_calls.py
@@ -269,7 +269,9 @@
             core.restart_suspected(name, self.now_ms)
             return
         self._record_ends(worker)
-        core.worker_reported(name, report, self.now_ms - 1, self.now_ms)
+        core.worker_reported(
+            name, report, call.token, self.now_ms - 1, self.now_ms
+        )
         worker.unreported_ends.clear()
 
     def _fail_renewal(self, worker: SimulatedWorker) -> None:
--- a/tests/simulated_channel.py
+++ b/tests/simulated_channel.py
@@ -96,8 +96,8 @@
         return now_ms + self.clock_offset_ms + _LEASE_MS
 
     def incarnation_seen(self, born_ms: int) -> None:
-        """Take a higher token if the directory lists a later incarnation."""
-        if born_ms > self.born_ms:
+        """Take a higher token if the directory lists another incarnation."""
+        if born_ms != self.born_ms:
             self.restart_seen()
 
     def clock_seen(self, clock_ms: int) -> bool:
@@ -124,11 +124,11 @@
     def report_received(self, report: WorkerReport, now_ms: int) -> bool:
         """Tell whether the report is that of a fenced incarnation.
 
-        The first report of a later incarnation is not, if it answers a renewal
+        The first report of another incarnation is not, if it answers a renewal
         with a token that calls to the former incarnation may carry.
         """
         self.is_confirmed = True
-        if self.is_fenced and report.born_ms > self.born_ms:
+        if self.is_fenced and report.born_ms != self.born_ms:
             self.restart_seen()
             return False
         self.born_ms = BornMs(report.born_ms)
--- a/tests/test_channel_fencing.py
+++ b/tests/test_channel_fencing.py
@@ -9,6 +9,7 @@
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.graphs.effects import (
     FenceIncarnation,
+    RequestReport,
     StopRun,
 )
 from fuchsiarill.graphs.fencing import FencingTokenSource
@@ -98,6 +99,83 @@
     run_paused(scenario())
 
 
+def _second_life_agent() -> ScriptedAgent:
+    """Return an agent whose start time can be set back."""
+    return ScriptedAgent(BornMs(1000))
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_set_back_incarnation_is_fenced(*, is_listed: bool) -> None:
+    """Guards against start times that are taken as the order of incarnations.
+
+    The later one gets starts once it has answered a token of its own, whether
+    its report or the directory tells of it.
+    """
+
+    async def scenario() -> None:
+        agent = _second_life_agent()
+        owner = Mailbox()
+        channel = open_channel(agent, owner=owner)
+        await sleep_ms(2500)
+        former = agent.renewals[-1][1]
+        agent.restart_set_back()
+        if is_listed:
+            channel.mailbox.send(FenceIncarnation(WORKER, agent.born_ms))
+        await sleep_ms(100 if is_listed else 2500)
+        channel.mailbox.send(start_order())
+        answer = await _next_message(owner, StartAnswered)
+        assert answer.failure is None
+        assert agent.token > former.token
+        await channel.stop()
+
+    run_paused(scenario())
+
+
+@pytest.mark.parametrize('is_set_back', [False, True])
+@pytest.mark.parametrize('is_late', [False, True])
+def test_overtaking_reports_keep_the_present_incarnation(
+    *, is_set_back: bool, is_late: bool
+) -> None:
+    """Guards against a report of an ended incarnation that comes last.
+
+    Both answer the first token. The owner gets the report of the ended one only
+    if it comes first, and the present one answers a token of its own.
+    """
+
+    async def scenario() -> None:
+        agent = _second_life_agent()
+        former_born_ms = agent.born_ms
+        agent.report_delays_ms = [400 if is_late else 100, 200]
+        owner = Mailbox()
+        channel = open_channel(agent, owner=owner)
+        await sleep_ms(20)
+        if is_set_back:
+            agent.restart_set_back()
+        else:
+            agent.restart()
+        channel.mailbox.send(RequestReport(WORKER))
+        await sleep_ms(5000)
+        await channel.stop()
+        messages = [await owner.receive() for _ in range(len(owner))]
+        answers = [
+            message
+            for message in messages
+            if isinstance(message, WorkerReported)
+        ]
+        incarnations = [message.report.born_ms for message in answers]
+        tokens = [message.token for message in answers]
+        former_count = 0 if is_late else 1
+        assert incarnations.count(former_born_ms) == former_count
+        assert set(incarnations[former_count:]) == {agent.born_ms}
+        assert tokens == sorted(tokens)
+        assert tokens[-1] > tokens[0]
+        assert not any(
+            isinstance(message, OwnershipLost) for message in messages
+        )
+
+    run_paused(scenario())
+
+
 @pytest.mark.parametrize('is_outdated', [True, False])
 def test_refused_token_ends_ownership_unless_outdated(
     *, is_outdated: bool
--- a/tests/test_graph_core.py
+++ b/tests/test_graph_core.py
@@ -138,7 +138,9 @@
         owner.now_ms, BornMs(1), (running(task('a')),), ()
     )
     owner.report('w0', (), (ended(task('a'), kind=EndKind.FAILED),))
-    owner.core.worker_reported(WorkerId('w0'), stale_report, 1, owner.now_ms)
+    owner.core.worker_reported(
+        WorkerId('w0'), stale_report, owner.token('w0'), 1, owner.now_ms
+    )
     assert [start.attempt for start in owner.starts()] == [2]
 
 
