Count a job as started once a start of it is confirmed, listed or ended

Cause: `has_started` was set when a start was ordered, and nothing took it back. A start that is refused, gets no answer or is lost with its worker left the job counted as begun for good, also in the record for the next owner.

Change: `PoolState.record_start` is called when a worker answers a start with success, lists a run or reports the end of one; the order sets nothing. The flag is only ever set, so retries do not change the record, whose form is the same. A new owner sets it from the reports too; before, it counted a running job as waiting. Until then it may count too many.

Why it works: each of the three signs comes from the worker that has begun the task, and a refused or lost order produces none of them.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -250,6 +250,7 @@
         if failure is None:
             start_windows.close_window(run)
             run.is_start_confirmed = True
+            self.state.record_start(task.job)
             if run.state is RunState.STARTING and run.visible_since_ms is None:
                 run.visible_since_ms = now_ms
             apply_run_event(self.state, run, RunEvent.CONFIRMED, now_ms)
@@ -340,7 +341,7 @@
         return dirty
 
     def pending_counts(self) -> dict[QueueId, int]:
-        """Return per queue the number of active jobs without a started run."""
+        """Return per queue the number of active jobs without a started task."""
         counts: Counter[QueueId] = Counter()
         for entry in self.state.jobs.values():
             if entry.is_active and not entry.progress.has_started:
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -192,8 +192,6 @@
     entry, step, unit = request.entry, request.step, request.unit
     unit.last_attempt += 1
     step.activate(unit)
-    if not entry.progress.has_started:
-        entry.progress.has_started = True
     expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
         run = Run(
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -34,6 +34,9 @@
     # Numbers of the failed attempts.
     failed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
     checkpoints: dict[UnitKey, Checkpoint] = field(default_factory=dict)
+    # A worker has confirmed or listed a run of the job, or has reported the end
+    # of one. Saved with the next other change: a new owner learns of a start
+    # that was not saved when the worker reports.
     has_started: bool = False
     # Numbers of the attempts during which a worker of the unit has crashed.
     crashed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -214,6 +214,7 @@
         run.progress_percent = row.progress_percent
         run.progress_changed_ms = now_ms
     run.is_listed = True
+    state.record_start(run.task.job)
     start_windows.close_window(run)
     run.listed_age_ms = now_ms - run.start_ordered_ms
     run.checkpoint = row.checkpoint
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -58,6 +58,7 @@
     run = view.runs.get((row.task, row.attempt))
     context = _find_context(state, view, row, run, now_ms)
     _log_end(state, view, row, run, now_ms)
+    state.record_start(row.task.job)
     # The handler runs first, so that a unit that it completes is not requeued
     # by the `release` action of `END_REPORTED`.
     if context is not None:
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -91,6 +91,16 @@
             return None
         return entry.steps.get((key.occurrence, key.step))
 
+    def record_start(self, job: JobId) -> None:
+        """Record that a worker has started a task of a job.
+
+        An order alone shows no start: the worker may refuse it, or end before
+        it arrives.
+        """
+        entry = self.jobs.get(job)
+        if entry is not None:
+            entry.progress.has_started = True
+
     def mark_dirty(self, job: JobId) -> None:
         """Mark a job whose progress has to be made durable."""
         self.dirty.add(job)
