--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -201,8 +201,6 @@
     unit.last_attempt += 1
     forget_unanswered_start(state, entry, unit)
     step.activate(unit)
-    if not entry.progress.has_started:
-        entry.progress.has_started = True
     expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
         run = Run(
