Await workers that leave the list during a recovery

What callers saw: two copies of an idempotent task. A new owner that had not reached the worker of the first copy started the task again as soon as that worker left the host list, while the first copy still held its lease.

Cause: the recovery took a worker that had left the list as one that had reported. Leaving the list does not end a worker: it may be cut off.

Change: the recovery awaits each worker that was listed since the takeover and has not reported, or the end of all leases of older owners.

Why it works: an unreported task may run on such a worker until its lease must have expired, and until then its position is not queued. New jobs are not delayed. A worker that had left the list before the takeover is still unknown to the new owner; this is listed as open.

--- a/fuchsiarill/core/adoption.py
+++ b/fuchsiarill/core/adoption.py
@@ -33,7 +33,7 @@
     Urgency,
     Workload,
 )
-from fuchsiarill.states import AttemptState, JobEvent, JobState, WorkerState
+from fuchsiarill.states import AttemptState, JobEvent, JobState
 from fuchsiarill.workers import (
     CommandKind,
     TaskOutcome,
@@ -93,7 +93,7 @@
             _repeat_stop(state, attempt, task)
         elif task.outcome in _ADOPTED_OUTCOMES:
             _adopt_task(state, context, task)
-    state.recovery.reported_workers.add(worker.worker_id)
+    state.recovery.awaited_workers.discard(worker.worker_id)
 
 
 def defer_accepted(state: CoreState, job: JobRecord) -> None:
@@ -146,13 +146,7 @@
     recovery = state.recovery
     if now_ms >= recovery.ends_at_ms:
         return True
-    if not state.hosts_read:
-        return False
-    return all(
-        worker_id in recovery.reported_workers
-        or worker.state is WorkerState.GONE
-        for worker_id, worker in state.workers.items()
-    )
+    return state.hosts_read and not recovery.awaited_workers
 
 
 def _drop_reported_intents(state: CoreState) -> None:
--- a/fuchsiarill/core/hosts.py
+++ b/fuchsiarill/core/hosts.py
@@ -49,6 +49,7 @@
     if worker is None:
         worker = WorkerView(entry, WorkerState.UNSEEN)
         state.workers[entry.worker_id] = worker
+        state.recovery.awaited_workers.add(entry.worker_id)
         reserve_restored_attempts(state, worker, now_ms)
     elif worker.entry != entry:
         # The index locates a worker by its entry.
--- a/fuchsiarill/core/recovery.py
+++ b/fuchsiarill/core/recovery.py
@@ -23,7 +23,8 @@
     """State from a takeover until no unreported task of older owners can run.
 
     `ends_at_ms`: time at which all task leases of older owners have ended.
-    `reported_workers`: workers that have reported since the takeover.
+    `awaited_workers`: workers that were listed since the takeover, also if they
+    have left the list again, and have not reported.
     `deferred`: positions that are not placed yet, as the task may run on a
     worker that has not reported, or as an orphan.
     `intents`: at-most-once starts of older owners that were unresolved at the
@@ -37,7 +38,7 @@
 
     is_open: bool = False
     ends_at_ms: int = 0
-    reported_workers: set[WorkerId] = field(default_factory=set)
+    awaited_workers: set[WorkerId] = field(default_factory=set)
     deferred: dict[JobId, set[int]] = field(default_factory=dict)
     intents: dict[AttemptId, IncarnationId] = field(default_factory=dict)
     cancelled_jobs: dict[JobId, None] = field(default_factory=dict)
--- a/tests/test_replaced_links.py
+++ b/tests/test_replaced_links.py
@@ -278,3 +278,26 @@
         await world.stop()
 
     run_paused(main())
+
+
+def test_task_on_a_worker_that_left_in_the_recovery_runs_once() -> None:
+    """Guards against two copies of a task that a new owner does not know of.
+
+    The new owner can't reach the worker of the first copy, which leaves the
+    host list before its leases must have expired.
+    """
+
+    async def main() -> None:
+        world = await _start_world(2, _LONG_LEASE_MS)
+        answer, name = await _run_job(world, Execution.IDEMPOTENT)
+        await world.kill(await world.until_owned())
+        world.processes[0].link.unreachable.add(name)
+        await world.until_owned()
+        await sleep_ms(_LIST_DELAY_MS)
+        world.hosts.pop(name)
+        while world.starts_of(answer) == 1:
+            await sleep_ms(_LIST_DELAY_MS)
+        assert max(world.running_copies().values()) == 1
+        await world.stop()
+
+    run_paused(main())
