List a takeover that does not know an unlisted worker

What callers see: two copies of an idempotent task. A new owner starts it again while the first copy holds its lease, if the worker of the first copy had left the host list before the takeover.

Cause: placements of idempotent tasks are not durable, so a new owner learns of them from the listed workers only.

No change of decisions.

--- a/tests/test_replaced_links.py
+++ b/tests/test_replaced_links.py
@@ -301,3 +301,20 @@
         await world.stop()
 
     run_paused(main())
+
+
+def test_task_on_an_unlisted_worker_runs_once_after_a_takeover() -> None:
+    """Guards against two copies of a task that a new owner does not know of.
+
+    The worker of the first copy has left the host list before the takeover.
+    """
+
+    async def main() -> None:
+        world = await _start_world(2, _LONG_LEASE_MS)
+        await _run_job(world, Execution.IDEMPOTENT)
+        world_runner = _runner(world)
+        await _take_over_without(world, world_runner)
+        assert max(world.running_copies().values()) == 1
+        await world.stop()
+
+    run_paused(main())
