Ignore reports of another worker at the address

What callers saw: an idempotent task ran twice, or an at-most-once job ended as unknown, while the task still ran. Its worker had moved, the host list lagged, and another listed worker answered at the former address.

Cause: the link took that report as one of the next incarnation of its own worker, and resolved all its attempts with it.

Change: a report that names another worker counts as an exchange that did not reach the worker.

Why it works: an attempt ends only by a report of its worker, or with its lease. The other worker executes nothing of the exchange, which names an incarnation of this one, so the starts in it are certain not to run and are placed again.

--- a/fuchsiarill/owner/worker_link.py
+++ b/fuchsiarill/owner/worker_link.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from fuchsiarill.actor import Actor, Mailbox, handles
 from fuchsiarill.clock import now_ms
@@ -168,7 +168,7 @@
         self._pacer.tick_started()
         requested_at_ms = now_ms()
         request = self._build_request(requested_at_ms)
-        exchange_result = await self._port.exchange(self._address, request)
+        exchange_result = await self._exchange(request)
         match exchange_result:
             case Success(report) if (
                 report.highest_epoch > self._link_parameters.epoch
@@ -187,6 +187,21 @@
         else:
             self._pacer.schedule_tick()
 
+    async def _exchange(
+        self, request: Exchange
+    ) -> Result[WorkerReport, ExchangeFailure]:
+        """Perform an exchange; only a report of this worker counts.
+
+        While the host list lags, another worker may have the address. It
+        executes nothing of an exchange that names an incarnation of this one.
+        """
+        exchange_result = await self._port.exchange(self._address, request)
+        match exchange_result:
+            case Success(report) if report.worker_id != self._worker_id:
+                return Failure(ExchangeFailure.NOT_SENT)
+            case _:
+                return exchange_result
+
     def _send_tick(self) -> bool:
         return self.mailbox.send(messages.Tick())
 
--- a/tests/test_replaced_links.py
+++ b/tests/test_replaced_links.py
@@ -14,7 +14,8 @@
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.job import Execution
 from fuchsiarill.workers import HostState
-from tests.builders import cell, spec
+from tests.builders import cell, host, spec
+from tests.fakes import FakeWorker
 from tests.world import World, job_id_of
 
 _RUN_TIME_MS: Final = 60_000
@@ -224,6 +225,40 @@
     run_paused(main())
 
 
+@pytest.mark.parametrize('execution', list(Execution))
+def test_report_of_another_worker_at_the_address_ends_nothing(
+    execution: Execution,
+) -> None:
+    """Guards against a second start of a task that still runs.
+
+    The host list lags: the address of a running worker already belongs to
+    another one, whose reports do not list the task.
+    """
+
+    async def main() -> None:
+        world = await _start_world(task_lease_ms=_LONG_LEASE_MS)
+        answer, name = await _run_job(world, execution)
+        entry = world.hosts[name]
+        world.workers['w3'] = FakeWorker('w3', 0)
+        world.hosts['w3'] = host('w3')
+        await sleep_ms(_LIST_DELAY_MS)
+        _change_address(world, name, restarts=False)
+        moved_entry = world.hosts[name]
+        world.hosts[name] = entry
+        world.workers[name] = world.workers.pop('w3')
+        await sleep_ms(_SILENCE_MS)
+        world.hosts[name] = moved_entry
+        owner = await world.until_owned()
+        settled = await world.query(
+            owner, job_id_of(answer), _RUN_TIME_MS + _SETTLED_MS
+        )
+        assert settled.code is codes.JOB_SUCCEEDED
+        assert world.starts_of(answer) == 1
+        await world.stop()
+
+    run_paused(main())
+
+
 async def _take_over_without(world: World, name: str) -> None:
     """Let another owner take over while a worker is not in the host list."""
     world.hosts.pop(name)
