--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -154,6 +154,10 @@
     def _is_usable(self, view: WorkerView) -> bool:
         if not view.is_recorded or not view.is_listed:
             return False
+        # A worker may start again as one of another kind, so the labels and the
+        # capacity of an earlier incarnation do not hold.
+        if view.lists_other_incarnation:
+            return False
         return worker_suspension.can_receive_runs(view, self._now_ms)
 
 
--- a/tests/test_born_as_identity.py
+++ b/tests/test_born_as_identity.py
@@ -60,15 +60,18 @@
 def test_set_back_worker_that_reports_gets_runs() -> None:
     """Guards against a worker that stays unusable until the owner changes.
 
-    The directory goes on listing the former incarnation. A run of that one
-    starts again.
+    The directory lists the incarnation, and so its labels, after its report.
+    A run of the former one starts again.
     """
 
     async def scenario(cell: GraphCell) -> None:
         await sleep_ms(FIRST_LIFE_MS)
         await cell.submit(P0, 'a', STEP, duration_ms=3000)
         await sleep_ms(2500)
-        _restart_set_back(cell)
+        agent = _restart_set_back(cell)
+        await sleep_ms(1500)
+        assert len(cell.fleet.starts) == 1
+        _list_incarnation(cell, agent.born_ms)
         await cell.wait_phase('a', JobPhase.SUCCEEDED, 10_000)
         assert len(cell.fleet.starts) == 2
 
