Log requests for advice that wait long for a call

Event 705 names tasks of lasting steps that wait with room and a request for advice pending for 7 s, in the fourth owner's term. Nothing told whether the request was queued or in progress, and who used the routes.

Event 755 names, each second while a request has waited for 2 s or more, the request that has waited longest, its rank, the length of the queue, and how many routes have a call of this process or of another one. No change of decisions. Lint and the tests of the advisor pass.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -314,3 +314,11 @@
     'and {ended} ends listed; earlier calls have no effect any more',
     NO_ACTION,
 )
+ADVICE_QUEUED: Final = LogEvent(
+    755,
+    Level.WARNING,
+    '{queued} requests for advice wait for a call, that for step {step} of '
+    'job {job} the longest, {waited_ms} ms with rank {rank_ms}; of {routes} '
+    'routes, {calls} have a call of this process and {others} one of another',
+    'See "Late" in OPERATIONS.md if this recurs.',
+)
--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -9,13 +9,14 @@
 
 import heapq
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import Any, Final
 
 from returns.result import Success
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Mailbox, Reply, handles
-from fuchsiarill.clock import sleep_ms
+from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.model import AdvicePolicy, BornMs, StepKey, Ticket
@@ -40,6 +41,9 @@
 _CHOICE_TIMEOUT_MS: Final = 1000
 # A request has at most this many calls in progress.
 _CALLS_MAX_COUNT: Final = 2
+# A queue is logged once an interval while a request has waited for so long.
+_LOGGED_WAIT_MIN_MS: Final = 2000
+_LOG_INTERVAL_MS: Final = 1000
 # `None` without an answer from the service.
 _Tickets = dict[WorkerId, Ticket] | None
 _Incarnations = dict[WorkerId, BornMs]
@@ -70,6 +74,7 @@
     """A request until one of its calls is answered."""
 
     advice_request: AdviceRequest
+    requested_ms: int
     calls_count: int = 0
     is_queued: bool = False
     is_answered: bool = False
@@ -144,6 +149,11 @@
     route: ProcessId
 
 
+@dataclass(frozen=True, slots=True)
+class _LogQueue:
+    """Periodic tick: log requests that have waited long for a call."""
+
+
 @dataclass(order=True, slots=True)
 class _QueuedRequest:
     rank_ms: int
@@ -172,7 +182,14 @@
         self._timeout_ms = timeout_ms
         self._queue: list[_QueuedRequest] = []
         self._requests_count = 0
+        # Routes with a call of any process, and the calls of this one.
         self._busy_routes: set[ProcessId] = set()
+        self._calls_count = 0
+
+    def start(self) -> None:
+        """Run the actor, and log long waits."""
+        super().start()
+        self.tick_every(_LOG_INTERVAL_MS, _LogQueue())
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -186,7 +203,7 @@
     @handles(AdviceRequest)
     async def on_request(self, message: AdviceRequest) -> None:
         """Queue a request."""
-        self._enqueue(_Pending(message))
+        self._enqueue(_Pending(message, now_ms()))
 
     @handles(OwnerStopped)
     async def on_owner_stopped(self, message: OwnerStopped) -> None:
@@ -205,6 +222,7 @@
     async def on_route_released(self, message: _RouteReleased) -> None:
         """Forward the first answer, or the failure of the last call."""
         self._busy_routes.discard(message.route)
+        self._calls_count -= 1
         pending = message.call.pending
         pending.calls_count -= 1
         has_other_call = bool(pending.calls_count) or pending.is_queued
@@ -215,6 +233,7 @@
     @handles(_CallDeclined)
     async def on_call_declined(self, message: _CallDeclined) -> None:
         """Queue a request again that a process has not passed on."""
+        self._calls_count -= 1
         message.call.pending.calls_count -= 1
         self._enqueue(message.call.pending)
 
@@ -233,6 +252,32 @@
         if pending.calls_count < _CALLS_MAX_COUNT:
             self._enqueue(pending)
 
+    @handles(_LogQueue)
+    async def on_log_queue(self, message: _LogQueue) -> None:
+        """Log the queue if a request has waited long for a call."""
+        waiting = [
+            queued.pending
+            for queued in self._queue
+            if not queued.pending.is_answered
+        ]
+        longest = min(waiting, key=attrgetter('requested_ms'), default=None)
+        if longest is None:
+            return
+        waited_ms = now_ms() - longest.requested_ms
+        if waited_ms < _LOGGED_WAIT_MIN_MS:
+            return
+        events.emit(
+            graph_events.ADVICE_QUEUED,
+            job=longest.step.job,
+            step=f'{longest.step.occurrence}.{longest.step.step}',
+            rank_ms=longest.advice_request.request.rank_ms,
+            queued=len(waiting),
+            waited_ms=waited_ms,
+            routes=len(self._routes()),
+            calls=self._calls_count,
+            others=len(self._busy_routes) - self._calls_count,
+        )
+
     def _enqueue(self, pending: _Pending) -> None:
         if pending.is_queued or pending.is_answered:
             return
@@ -260,6 +305,7 @@
         pending = self._pop_pending()
         if pending is not None:
             pending.calls_count += 1
+            self._calls_count += 1
             self._busy_routes.add(route)
             self.spawn(self._call_through(route, pending))
 
--- a/tests/test_advisor.py
+++ b/tests/test_advisor.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
@@ -18,7 +19,8 @@
 )
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.ports import BusyTrackingAdvisor
-from fuchsiarill.ids import ProcessId, WorkerId
+from fuchsiarill.ids import JobId, ProcessId, WorkerId
+from fuchsiarill.log_event import LogEvent
 from fuchsiarill.ports.agents import AgentFailure
 from tests.advised_owner import GRANT, INCARNATIONS, STEP, W0
 
@@ -236,3 +238,28 @@
         await advisor.stop()
 
     run_paused(main())
+
+
+def test_long_wait_for_a_call_is_logged(monkeypatch: Any) -> None:
+    """Guards against steps that wait for advice while no line tells why."""
+    lines: list[dict[str, Any]] = []
+
+    def emit(event: LogEvent, **fields: Any) -> None:
+        if event is graph_events.ADVICE_QUEUED:
+            event.template.format(**fields)
+            lines.append(fields)
+
+    async def main() -> None:
+        port = BusyTrackingAdvisor(_Service())
+        other_calls = asyncio.create_task(_call_in_turn(port, 40))
+        await sleep_ms(10)
+        advisor = start_with_request(_Links(), port, _OwnerMailbox())
+        await other_calls
+        await sleep_ms(2000)
+        await advisor.stop()
+
+    monkeypatch.setattr(events, 'emit', emit)
+    run_paused(main())
+    assert [line['job'] for line in lines] == [JobId('a'), JobId('a')]
+    assert lines[0]['waited_ms'] >= 2000
+    assert [lines[0][name] for name in ('calls', 'others')] == [0, 1]
