Call for advice on lasting tasks within a second of the request

Cause: the queue of requests for advice. A request is ordered by the rank that its step had when it was made, by priority first. A lasting task is never late, so its rank does not improve, and each request of a more urgent queue goes before its own. Once an owner has settled its inheritance, all inherited steps ask at once; the jobs count as new then, so none of the urgent ones is late.

Change: a request of a lasting step is due 1 s after it is made, and a due request goes before those that are not. The core sets the time, the advisor only keeps the order. Other requests are ordered as before.

Why it works: the wait for a call no longer depends on how many urgent requests arrive. A lasting step waits 1 s for one, which with the leases, the call and the start fits into the 9 s after which the task counts as lost.

--- a/fuchsiarill/graphs/advice.py
+++ b/fuchsiarill/graphs/advice.py
@@ -1,4 +1,4 @@
-"""Requests advice from the advice service, the most urgent step first.
+"""Requests advice from the advice service, due and urgent steps first.
 
 Advice is a ticket for each worker on which the step may run. The service
 handles one call at a time for each calling machine. Each reachable process,
@@ -8,6 +8,7 @@
 """
 
 import heapq
+import math
 from dataclasses import dataclass, field
 from operator import attrgetter
 from typing import Any, Final
@@ -27,6 +28,7 @@
 from fuchsiarill.graphs.peer_links import PeerLinks
 from fuchsiarill.graphs.peers import request_advice_from_peer
 from fuchsiarill.graphs.ports import BusyTrackingAdvisor
+from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.ids import ProcessId, WorkerId
 
 _LOCAL_ROUTE: Final = ProcessId('')
@@ -156,7 +158,8 @@
 
 @dataclass(order=True, slots=True)
 class _QueuedRequest:
-    rank_ms: int
+    # Rank, or the time at which the request is due.
+    position_ms: float
     sequence: int
     pending: _Pending = field(compare=False)
 
@@ -180,7 +183,10 @@
         self._port = port
         self._links = links
         self._timeout_ms = timeout_ms
+        # Requests by rank until they are due, and those that become due by that
+        # time.
         self._queue: list[_QueuedRequest] = []
+        self._due_queue: list[_QueuedRequest] = []
         self._requests_count = 0
         # Routes with a call of any process, and the calls of this one.
         self._busy_routes: set[ProcessId] = set()
@@ -195,7 +201,7 @@
         """Return the state for a dump."""
         return {
             **super().snapshot(),
-            'waiting_count': len(self._queue),
+            'waiting_count': len(self._waiting()),
             'asked_count': self._requests_count,
             'busy_lanes_count': len(self._busy_routes),
         }
@@ -208,9 +214,9 @@
     @handles(OwnerStopped)
     async def on_owner_stopped(self, message: OwnerStopped) -> None:
         """Drop the queued requests of an owner."""
-        for queued in self._queue:
-            if queued.pending.advice_request.owner is message.owner:
-                queued.pending.is_answered = True
+        for pending in self._waiting():
+            if pending.advice_request.owner is message.owner:
+                pending.is_answered = True
 
     @handles(_RouteRetryDue)
     async def on_route_retry_due(self, message: _RouteRetryDue) -> None:
@@ -255,11 +261,7 @@
     @handles(_LogQueue)
     async def on_log_queue(self, message: _LogQueue) -> None:
         """Log the queue if a request has waited long for a call."""
-        waiting = [
-            queued.pending
-            for queued in self._queue
-            if not queued.pending.is_answered
-        ]
+        waiting = self._waiting()
         longest = min(waiting, key=attrgetter('requested_ms'), default=None)
         if longest is None:
             return
@@ -283,15 +285,31 @@
             return
         pending.is_queued = True
         self._requests_count += 1
-        rank_ms = pending.advice_request.request.rank_ms
-        heapq.heappush(
-            self._queue, _QueuedRequest(rank_ms, self._requests_count, pending)
-        )
+        request = pending.advice_request.request
+        if request.due_ms < NEVER_MS:
+            heapq.heappush(
+                self._due_queue,
+                _QueuedRequest(request.due_ms, self._requests_count, pending),
+            )
+        if now_ms() < request.due_ms:
+            heapq.heappush(
+                self._queue,
+                _QueuedRequest(request.rank_ms, self._requests_count, pending),
+            )
         self._assign_routes()
 
+    def _waiting(self) -> list[_Pending]:
+        """Return the queued requests without an answer."""
+        waiting: dict[int, _Pending] = {}
+        for queued in (*self._queue, *self._due_queue):
+            pending = queued.pending
+            if pending.is_queued and not pending.is_answered:
+                waiting[id(pending)] = pending
+        return list(waiting.values())
+
     def _assign_routes(self) -> None:
         for route in self._routes():
-            if not self._queue:
+            if not self._queue and not self._due_queue:
                 return
             if route not in self._busy_routes:
                 self._assign_route(route)
@@ -321,13 +339,9 @@
         return [_LOCAL_ROUTE, *later_processes, *earlier_processes]
 
     def _pop_pending(self) -> _Pending | None:
-        """Return the most urgent request without an answer."""
-        while self._queue:
-            pending = heapq.heappop(self._queue).pending
-            pending.is_queued = False
-            if not pending.is_answered:
-                return pending
-        return None
+        """Return the request to handle next, `None` without any."""
+        due = _pop_queued(self._due_queue, now_ms())
+        return due or _pop_queued(self._queue, math.inf)
 
     async def _call_through(self, route: ProcessId, pending: _Pending) -> None:
         call = _Call(pending, await _choose_workers(pending))
@@ -379,6 +393,22 @@
         return None
 
 
+def _pop_queued(
+    queue: list[_QueuedRequest], position_max_ms: float
+) -> _Pending | None:
+    """Return the first request of a queue up to a position.
+
+    A request that has been answered, or has left the other queue, is skipped.
+    """
+    while queue and queue[0].position_ms <= position_max_ms:
+        pending = heapq.heappop(queue).pending
+        is_waiting = pending.is_queued and not pending.is_answered
+        pending.is_queued = False
+        if is_waiting:
+            return pending
+    return None
+
+
 async def _choose_workers(pending: _Pending) -> _Incarnations:
     """Return the workers to name in a call, none if it is not wanted.
 
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -27,6 +27,10 @@
 # Workers that a request for a narrow step names.
 USUAL_WORKERS_COUNT: Final = 30
 _WORKERS_PER_TASK_COUNT: Final = 3
+# Time after which a request for lasting tasks goes before more urgent ones. The
+# leases of a lost run, this time, the call and the start have to fit into 9 s,
+# after which the task counts as lost.
+_LASTING_QUEUE_MAX_MS: Final = 1000
 # Network time of a request and of the start order that follows it.
 _TRANSIT_MS: Final = 150
 
@@ -65,7 +69,9 @@
     if not _choose_candidates(state, request, candidates):
         return False
     state.tickets.request_sent(step.key, request.now_ms)
-    state.effects.append(RequestAdvice(step.key, step.rank_ms))
+    state.effects.append(
+        RequestAdvice(step.key, step.rank_ms, _due_ms(step, request.now_ms))
+    )
     return True
 
 
@@ -105,6 +111,18 @@
     }
 
 
+def _due_ms(step: StepEntry, now_ms: int) -> float:
+    """Return when a request has to be handled before more urgent ones.
+
+    Lasting tasks are never late, so their rank does not improve with time.
+    Without this time, requests of more urgent queues would delay theirs as long
+    as the service is overloaded.
+    """
+    if step.spec.is_lasting:
+        return now_ms + _LASTING_QUEUE_MAX_MS
+    return NEVER_MS
+
+
 def _choose_candidates(
     state: PoolState,
     request: PlacementRequest,
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -9,6 +9,7 @@
     TaskKey,
     Ticket,
 )
+from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.ids import WorkerId
 
 
@@ -47,11 +48,13 @@
 class RequestAdvice:
     """Request tickets for a step; the lowest `rank_ms` is handled first.
 
-    The workers are chosen when the service is called.
+    From `due_ms` on the request goes before those that are not due. The workers
+    are chosen when the service is called.
     """
 
     step: StepKey
     rank_ms: int
+    due_ms: float = NEVER_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_advisor.py
+++ b/tests/test_advisor.py
@@ -8,7 +8,7 @@
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.actor import Mailbox
-from fuchsiarill.clock import run_paused, sleep_ms
+from fuchsiarill.clock import now_ms, run_paused, sleep_ms
 from fuchsiarill.cluster.peer_port import PeerFailure
 from fuchsiarill.graphs.advice import AdviceRequest, Advisor, OwnerStopped
 from fuchsiarill.graphs.effects import RequestAdvice
@@ -24,6 +24,8 @@
 from fuchsiarill.ports.agents import AgentFailure
 from tests.advised_owner import GRANT, INCARNATIONS, STEP, W0
 
+_POLICY = AdvicePolicy(100, 0, 2000)
+
 
 class _OwnerMailbox(Mailbox):
     """Mailbox of an owner that names the same worker in each call."""
@@ -123,8 +125,7 @@
 
 
 def _request(owner: Mailbox) -> AdviceRequest:
-    policy = AdvicePolicy(100, 0, 2000)
-    return AdviceRequest(RequestAdvice(STEP, 0), policy, owner)
+    return AdviceRequest(RequestAdvice(STEP, 0), _POLICY, owner)
 
 
 def test_request_waits_until_the_local_route_is_free() -> None:
@@ -263,3 +264,55 @@
     assert [line['job'] for line in lines] == [JobId('a'), JobId('a')]
     assert lines[0]['waited_ms'] >= 2000
     assert [lines[0][name] for name in ('calls', 'others')] == [0, 1]
+
+
+def test_due_request_goes_before_more_urgent_ones() -> None:
+    """Guards against a lasting task that waits as long as others ask first.
+
+    On frostwick-rill-grown, 500 requests of a more urgent queue went first, and
+    lasting tasks lost with their workers did not run again for 20 s.
+    """
+
+    async def main() -> None:
+        port = BusyTrackingAdvisor(_Service())
+        urgent_owner = _OwnerMailbox()
+        advisor = start_with_request(_Links(), port, urgent_owner)
+        receiver = _OwnerMailbox()
+        started_ms = now_ms()
+        lasting = RequestAdvice(STEP, rank_ms=1, due_ms=started_ms + 1000)
+        advisor.mailbox.send(AdviceRequest(lasting, _POLICY, receiver))
+        for _ in range(30):
+            advisor.mailbox.send(_request(urgent_owner))
+            advisor.mailbox.send(_request(urgent_owner))
+            await sleep_ms(100)
+            if len(receiver):
+                break
+        # Due after 1000 ms; the call before it and its own take 100 ms each.
+        assert 1000 <= now_ms() - started_ms <= 1300
+        await advisor.stop()
+
+    run_paused(main())
+
+
+def test_request_that_is_not_due_keeps_its_rank() -> None:
+    """Guards against lasting tasks that delay urgent ones without need."""
+
+    async def main() -> None:
+        port = BusyTrackingAdvisor(_Service())
+        urgent_owner = _OwnerMailbox()
+        advisor = start_with_request(_Links(), port, urgent_owner)
+        receiver = _OwnerMailbox()
+        lasting = RequestAdvice(STEP, rank_ms=1, due_ms=now_ms() + 1000)
+        advisor.mailbox.send(AdviceRequest(lasting, _POLICY, receiver))
+        advisor.mailbox.send(_request(urgent_owner))
+        await sleep_ms(250)
+        assert len(urgent_owner) == 2
+        assert not len(receiver)
+        await sleep_ms(100)
+        assert len(receiver) == 1
+        await sleep_ms(1000)
+        # The request is not handled again when it would have become due.
+        assert len(receiver) == 1
+        await advisor.stop()
+
+    run_paused(main())
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -1,6 +1,7 @@
 """Requests for advice: when they are sent, and which workers they name."""
 
 from fuchsiarill.graphs.model import EndKind, Step, StepKey
+from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.ids import JobId, WorkerId
 from tests.advised_owner import (
     INCARNATIONS,
@@ -197,3 +198,19 @@
     assert not owner.decide()
     owner.now_ms = 9000
     assert [start.task.job for start in owner.starts()] == ['a']
+
+
+def test_only_requests_of_lasting_tasks_become_due() -> None:
+    """Guards against a lasting task that waits while others ask first.
+
+    A task that ends by itself becomes more urgent with time, a lasting one
+    does not.
+    """
+    owner = Owner('w0')
+    owner.report('w0')
+    owner.add_job('a', Step(1, SIZE, is_lasting=True), queue=ADVISED)
+    owner.add_job('b', Step(1, SIZE), queue=ADVISED)
+    lasting, other = advice_requests(owner)
+    assert lasting.step.job == 'a'
+    assert lasting.due_ms == owner.now_ms + 1000
+    assert other.due_ms >= NEVER_MS
