Let no other sign end the window of an unanswered start

Cause: other paths ended a window early. The report of a second incarnation moved the bound on unconfirmed leases back, so that a third one could execute the start. A new owner took any report as proof, also one before the window had ended. The end of an adopted member dropped the record of its gang. A handover did not wait for a start whose run was being stopped already. A record stayed for the next owner after it was settled.

Change: the bound on unconfirmed leases is never moved back; the report has to be requested after the end of the window; only runs of this owner's own starts drop a record, or its end; starts that are under way have a flag of their own; the end of a ticket allows for a slow clock.

Why it works: each of these signs tells of an incarnation that may have ended, and only time tells that the start can't be executed any more.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -254,6 +254,7 @@
         run = self._find_run(worker, task, attempt)
         if run is None:
             return
+        run.is_start_pending = False
         if failure is None:
             start_windows.close_window(run)
             run.is_start_confirmed = True
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -21,11 +21,7 @@
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
 from fuchsiarill.graphs.preemption import preempt
-from fuchsiarill.graphs.run_actions import (
-    allocate_run,
-    extend_leases,
-    forget_unanswered_start,
-)
+from fuchsiarill.graphs.run_actions import allocate_run, extend_leases
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.step_placer import StepPlacer
@@ -166,6 +162,7 @@
     for unit in list(ranked.step.waiting.values()):
         if start_windows.is_inherited_open(state, ranked.entry, unit, now_ms):
             continue
+        start_windows.forget(state, ranked.entry, unit)
         if restart_backoff.is_delayed(unit, now_ms):
             continue
         if unit.failures.is_to_blame:
@@ -199,7 +196,7 @@
 ) -> None:
     entry, step, unit = request.entry, request.step, request.unit
     unit.last_attempt += 1
-    forget_unanswered_start(state, entry, unit)
+    start_windows.forget(state, entry, unit)
     step.activate(unit)
     expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -66,6 +66,7 @@
         _bound_leases_of_incarnation(state, view, now_ms)
     view.clock_ms = report.clock_ms
     view.reported_ms = now_ms
+    view.report_requested_ms = requested_ms
     view.in_touch_since_ms = view.in_touch_since_ms or now_ms
     view.silent_since_ms = None
     worker_crashes.settle_loss(state, view.worker, report.born_ms, now_ms)
@@ -85,7 +86,9 @@
     Calls for earlier incarnations may have extended them until then.
     """
     expiry_ms = now_ms + state.leases.longest_allowed_ms
-    view.set_expiry(max(view.confirmed_expiry_ms, expiry_ms))
+    view.confirmed_expiry_ms = max(view.confirmed_expiry_ms, expiry_ms)
+    # A later incarnation may still execute a start without an answer.
+    view.extend_unconfirmed(expiry_ms)
 
 
 def _apply_restart(
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from typing import Final
 
+from fuchsiarill.graphs import start_windows
 from fuchsiarill.graphs.effects import StopRun
-from fuchsiarill.graphs.job_entries import JobEntry, Unit
+from fuchsiarill.graphs.job_entries import Unit
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
@@ -43,18 +44,13 @@
         return
     unit.runs.pop(run.key, None)
     if not unit.runs:
-        forget_unanswered_start(state, entry, unit)
+        # The end of an adopted run tells nothing of starts by its owner that
+        # other workers got.
+        if run.attempt > entry.attempt_floor:
+            start_windows.forget(state, entry, unit)
         step.requeue(unit)
 
 
-def forget_unanswered_start(
-    state: PoolState, entry: JobEntry, unit: Unit
-) -> None:
-    """Remove the record of start orders that can't be executed any more."""
-    if entry.progress.unanswered_starts.pop(unit.key, None) is not None:
-        state.mark_dirty(entry.job)
-
-
 _CHART: Final = load_chart('run', RunState, RunEvent, RUN_ACTIONS)
 
 
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -49,6 +49,8 @@
     # The worker gets no new run meanwhile; see `crash_trials`.
     is_on_trial: bool = False
     is_trial_report_requested: bool = False
+    # The start order has got neither an answer nor a time-out.
+    is_start_pending: bool = False
     # The start order may be executed until then; 0 once it can't be any more.
     # See `start_windows`.
     executable_until_ms: int = 0
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -4,12 +4,16 @@
 answered a stop refuses it then, but may end before, and the next one knows
 nothing of the stop. So one rule covers all unanswered starts: until the order
 can't be executed any more, no report shows that its run is absent, and the
-task starts nowhere else. A run that a worker has started, refused or listed has
-no such order. A ticket bounds the time: a worker refuses one that has expired,
-also one of an incarnation that has ended. The rule holds for the next owner of
-the pool too, which finds the unanswered starts in the progress of the jobs.
+task starts nowhere else. If the worker stops reporting, the leases that the
+order may grant have to end too. A run that a worker has started, refused or
+listed has no such order. A ticket bounds the time: a worker refuses one that
+has expired, also one of an incarnation that has ended. The rule holds for the
+next owner of the pool too, which finds the unanswered starts in the progress
+of the jobs.
 """
 
+import math
+
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import incarnations
 from fuchsiarill.graphs.effects import RequestReport
@@ -17,7 +21,6 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import RunState
 from fuchsiarill.ids import WorkerId
 
 
@@ -31,6 +34,7 @@
 
     `ticket_expiry_ms` is `None` for an order without a ticket.
     """
+    run.is_start_pending = True
     run.ticket_expiry_ms = ticket_expiry_ms
     _extend(leases, run, now_ms)
 
@@ -84,26 +88,43 @@
     window_ms = leases.late_call_ms
     if entry.policy.advice is not None:
         window_ms = min(window_ms, entry.policy.advice.validity_ms)
-    if now_ms <= state.previous_owner_stop_ms + window_ms:
+    window_end_ms = state.previous_owner_stop_ms + window_ms
+    if now_ms <= window_end_ms:
         return True
     longest_ms = leases.late_call_ms + leases.longest_allowed_ms
     if now_ms > state.previous_owner_stop_ms + longest_ms:
         return False
-    return not all(_is_in_touch(state, worker) for worker in workers)
+    return not all(
+        _has_reported_since(state, worker, window_end_ms) for worker in workers
+    )
 
 
 def has_open_starts(state: PoolState) -> bool:
     """Tell whether a start order has got neither an answer nor a time-out."""
     return any(
-        run.state is RunState.STARTING
+        run.is_start_pending
         for view in state.workers
         for run in view.runs.values()
     )
 
 
-def _is_in_touch(state: PoolState, worker: WorkerId) -> bool:
+def forget(state: PoolState, entry: JobEntry, unit: Unit) -> None:
+    """Remove the record of start orders that can't be executed any more."""
+    if entry.progress.unanswered_starts.pop(unit.key, None) is not None:
+        state.mark_dirty(entry.job)
+
+
+def _has_reported_since(
+    state: PoolState, worker: WorkerId, since_ms: int
+) -> bool:
+    """Tell whether the present incarnation was asked for a report since then.
+
+    One that reported before may have ended, and the next one executed a start.
+    """
     view = state.workers.find(worker)
-    return view is not None and view.in_touch_since_ms > 0
+    if view is None or not view.in_touch_since_ms:
+        return False
+    return view.report_requested_ms > since_ms
 
 
 def _record(state: PoolState, run: Run) -> None:
@@ -127,5 +148,7 @@
 def _extend(leases: TaskLeaseSettings, run: Run, now_ms: int) -> None:
     until_ms = now_ms + leases.late_call_ms
     if run.ticket_expiry_ms is not None:
-        until_ms = min(until_ms, run.ticket_expiry_ms)
+        # The worker's clock may be slow.
+        slack_ms = math.ceil(leases.late_call_ms * leases.clock_slowness)
+        until_ms = min(until_ms, run.ticket_expiry_ms + slack_ms)
     run.executable_until_ms = max(run.executable_until_ms, until_ms)
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -93,6 +93,8 @@
     # know, may have executed their start orders.
     unconfirmed_expiry_ms: int = 0
     reported_ms: int = 0
+    # When the renewal that the last report answers was sent.
+    report_requested_ms: int = 0
     # When the present incarnation reported first; 0 before.
     in_touch_since_ms: int = 0
     # When a call failed first since the last report; `None` while none has.
