Answer the starts that a replaced channel has not sent

If the address of the worker changes in the moment of the order, the channel is stopped before the call of the start has begun.

Cause: a call that is cancelled before its first step does not reach the `finally` that answers the owner, and an order in the mailbox is dropped. The run stays in `starting`, where no report ends it.

Change: a stopped channel answers `not_sent` for the starts whose calls have not begun.

--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -89,6 +89,8 @@
         # The last report listed ends, which the worker keeps.
         self._lists_ends = False
         self._starts_in_progress_count = 0
+        # Orders that have been taken, and whose calls have not begun.
+        self._unsent_starts: list[StartRun] = []
         # A report requested before this time may lack an end that has the
         # number of a durable one; `None` while nothing tells of that.
         self._start_unconfirmed_ms: int | None = None
@@ -101,6 +103,19 @@
             asyncio.create_task(self._renew_forever(), name=self.name),
         )
 
+    async def stop(self) -> None:
+        """Cancel the calls; tell the owner which starts have not been sent."""
+        await super().stop()
+        while len(self.mailbox):
+            message = await self.mailbox.receive()
+            if isinstance(message, StartRun):
+                self._unsent_starts.append(message)
+        for start in self._unsent_starts:
+            self._context.owner.send(
+                _start_answered(start, AgentFailure.NOT_SENT)
+            )
+        self._unsent_starts.clear()
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {
@@ -116,6 +131,7 @@
     @handles(StartRun)
     async def on_start(self, message: StartRun) -> None:
         """Send a start order."""
+        self._unsent_starts.append(message)
         self.spawn(self._send_start(message))
 
     @handles(StopRun)
@@ -294,19 +310,13 @@
         return self._contact.expiry_ms(task_lease.duration_ms)
 
     async def _send_start(self, message: StartRun) -> None:
+        self._unsent_starts.remove(message)
         failure: AgentFailure | None = AgentFailure.UNKNOWN
         try:
             failure = await self._order_start(message)
         finally:
             # Also if the channel is replaced before the answer.
-            self._context.owner.send(
-                StartAnswered(
-                    self.agent.worker,
-                    message.task,
-                    message.attempt,
-                    failure,
-                ),
-            )
+            self._context.owner.send(_start_answered(message, failure))
 
     async def _order_start(self, message: StartRun) -> AgentFailure | None:
         expiry_ms = self._lease_expiry_ms()
@@ -336,13 +346,13 @@
         match call_result:
             case Success(clock_ms):
                 # An answer that a report has overtaken is of an earlier time.
-                self._note_unconfirmed_start(
-                    clock_ms < self._contact.reported_clock_ms
-                )
+                if clock_ms < self._contact.reported_clock_ms:
+                    self._start_unconfirmed_ms = now_ms()
                 if not self._apply_answer(token, clock_ms, earliest_clock_ms):
                     return AgentFailure.UNKNOWN
             case Failure(AgentFailure() as failure):
-                self._note_unconfirmed_start(failure is AgentFailure.UNKNOWN)
+                if failure is AgentFailure.UNKNOWN:
+                    self._start_unconfirmed_ms = now_ms()
                 is_news = not self._contact.is_outdated(token)
                 if failure is AgentFailure.FENCED and is_news:
                     self._handle_failure(failure)
@@ -364,11 +374,6 @@
             self.spawn(self._request_report())
         return False
 
-    def _note_unconfirmed_start(self, is_unconfirmed: bool) -> None:
-        """Note that a start may have been executed without a sign of it."""
-        if is_unconfirmed:
-            self._start_unconfirmed_ms = now_ms()
-
     async def _send_stop(self, message: StopRun) -> None:
         if not self._context.guard.may_send_orders():
             return
@@ -406,3 +411,9 @@
         )
         if isinstance(call_result, Success):
             self._apply_answer(token, call_result.unwrap(), earliest_clock_ms)
+
+
+def _start_answered(
+    start: StartRun, failure: AgentFailure | None
+) -> StartAnswered:
+    return StartAnswered(start.worker, start.task, start.attempt, failure)
