Allow for slow clocks in the windows of inherited starts too

The window of a start with a ticket ended later at the owner that sent it than at the next owner, which did not allow for a worker whose clock is slow. Both use the same slack now. The record of unanswered starts is removed by forget_starts, a name that tells what is forgotten.

--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -162,7 +162,7 @@
     for unit in list(ranked.step.waiting.values()):
         if start_windows.is_inherited_open(state, ranked.entry, unit, now_ms):
             continue
-        start_windows.forget(state, ranked.entry, unit)
+        start_windows.forget_starts(state, ranked.entry, unit)
         if restart_backoff.is_delayed(unit, now_ms):
             continue
         if unit.failures.is_to_blame:
@@ -196,7 +196,7 @@
 ) -> None:
     entry, step, unit = request.entry, request.step, request.unit
     unit.last_attempt += 1
-    start_windows.forget(state, entry, unit)
+    start_windows.forget_starts(state, entry, unit)
     step.activate(unit)
     expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -47,7 +47,7 @@
         # The end of an adopted run tells nothing of starts by its owner that
         # other workers got.
         if run.attempt > entry.attempt_floor:
-            start_windows.forget(state, entry, unit)
+            start_windows.forget_starts(state, entry, unit)
         step.requeue(unit)
 
 
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -87,7 +87,8 @@
     leases = state.leases
     window_ms = leases.late_call_ms
     if entry.policy.advice is not None:
-        window_ms = min(window_ms, entry.policy.advice.validity_ms)
+        ticket_ms = entry.policy.advice.validity_ms + _clock_slack_ms(leases)
+        window_ms = min(window_ms, ticket_ms)
     window_end_ms = state.previous_owner_stop_ms + window_ms
     if now_ms <= window_end_ms:
         return True
@@ -108,7 +109,7 @@
     )
 
 
-def forget(state: PoolState, entry: JobEntry, unit: Unit) -> None:
+def forget_starts(state: PoolState, entry: JobEntry, unit: Unit) -> None:
     """Remove the record of start orders that can't be executed any more."""
     if entry.progress.unanswered_starts.pop(unit.key, None) is not None:
         state.mark_dirty(entry.job)
@@ -148,7 +149,11 @@
 def _extend(leases: TaskLeaseSettings, run: Run, now_ms: int) -> None:
     until_ms = now_ms + leases.late_call_ms
     if run.ticket_expiry_ms is not None:
-        # The worker's clock may be slow.
-        slack_ms = math.ceil(leases.late_call_ms * leases.clock_slowness)
-        until_ms = min(until_ms, run.ticket_expiry_ms + slack_ms)
+        expiry_ms = run.ticket_expiry_ms + _clock_slack_ms(leases)
+        until_ms = min(until_ms, expiry_ms)
     run.executable_until_ms = max(run.executable_until_ms, until_ms)
+
+
+def _clock_slack_ms(leases: TaskLeaseSettings) -> int:
+    """Return by how much a slow clock of a worker may prolong a ticket."""
+    return math.ceil(leases.late_call_ms * leases.clock_slowness)
