--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -298,12 +298,13 @@
     'before: clock {clock_ms} ms is below {earliest_clock_ms} ms',
     'None; the worker gets no starts until it has answered with a new token.',
 )
-INCARNATION_LISTED: Final = LogEvent(
-    755,
+INCARNATION_FENCED: Final = LogEvent(
+    753,
     Level.INFO,
-    'the directory lists incarnation {born_ms} of {worker}, which is not '
-    '{present_born_ms}, the one that has reported: either may have ended',
-    'None; the worker gets no starts until it has answered with a new token.',
+    'incarnation {born_ms} of {worker} has answered a renewal with token '
+    '{epoch}.{sequence}, after incarnation {previous_born_ms}: {running} runs '
+    'and {ended} ends listed; earlier calls have no effect any more',
+    NO_ACTION,
 )
 START_UNANSWERED: Final = LogEvent(
     754,
@@ -313,13 +314,12 @@
     'another {executable_ms} ms; with a ticket: {has_ticket}',
     'None; the task starts elsewhere once the order has no effect any more.',
 )
-INCARNATION_FENCED: Final = LogEvent(
-    753,
+INCARNATION_LISTED: Final = LogEvent(
+    755,
     Level.INFO,
-    'incarnation {born_ms} of {worker} has answered a renewal with token '
-    '{epoch}.{sequence}, after incarnation {previous_born_ms}: {running} runs '
-    'and {ended} ends listed; earlier calls have no effect any more',
-    NO_ACTION,
+    'the directory lists incarnation {born_ms} of {worker}, which is not '
+    '{present_born_ms}, the one that has reported: either may have ended',
+    'None; the worker gets no starts until it has answered with a new token.',
 )
 ADVICE_QUEUED: Final = LogEvent(
     756,
--- a/tests/test_late_start_findings.py
+++ b/tests/test_late_start_findings.py
@@ -6,20 +6,21 @@
 
 import asyncio
 
+import pytest
+
 from fuchsiarill.actor import Mailbox
 from fuchsiarill.clock import run_paused, sleep_ms
 from fuchsiarill.graphs.effects import FenceIncarnation, StartRun
 from fuchsiarill.graphs.owner_messages import StartAnswered
-from fuchsiarill.graphs.start_windows import has_open_starts
 from fuchsiarill.graphs.model import BornMs, EndKind, JobGraph, Step
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
+from fuchsiarill.graphs.start_windows import has_open_starts
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.ports.agents import AgentFailure
 from standins.outages import Outage
 from standins.store_model import PathFault
-import pytest
 from tests.graph_cell import (
     CAPACITY,
     P0,
