Ask for the API key of a customer, and record whose job it is

Change: contracts/ has contracts and the authorization by key digests; queues may be public; jobs and runs carry their customer, and each pool counts what a customer has allocated. Without contracts no key is asked for.

--- /dev/null
+++ b/fuchsiarill/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of customers, and the limits that follow from them."""
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -207,6 +207,7 @@
             view.worker,
             step.spec.charge,
             step.spec.filler_milli,
+            entry.graph.customer,
             start_ordered_ms=request.now_ms,
             expected_end_ms=expected_end_ms,
             progress_changed_ms=request.now_ms,
--- a/fuchsiarill/graphs/graph_records.py
+++ b/fuchsiarill/graphs/graph_records.py
@@ -30,6 +30,8 @@
         document['schedule'] = asdict(graph.schedule)
     if graph.accepted_policy is not None:
         document['policy'] = _encode_policy(graph.accepted_policy)
+    if graph.customer is not None:
+        document['customer'] = graph.customer
     return encode_json(document)
 
 
@@ -47,6 +49,7 @@
         tuple(_decode_step(row) for row in document['steps']),
         Schedule(**schedule) if schedule else None,
         _decode_policy(queue, pool, policy) if policy else None,
+        document.get('customer'),
     )
 
 
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -29,6 +29,8 @@
     # How long the caller waits, from the header `X-Deadline-Ms`; `None` when
     # the header is missing.
     caller_timeout_ms: int | None
+    # Value of the header `Authorization`.
+    authorization: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,4 +155,5 @@
         environ['PATH_INFO'],
         body,
         int(float(deadline_header)) if deadline_header else None,
+        environ.get('HTTP_AUTHORIZATION'),
     )
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -10,7 +10,9 @@
 from enum import Enum
 from typing import Final, NamedTuple, NewType
 
+from fuchsiarill.contracts.contract import CustomerContracts
 from fuchsiarill.ids import (
+    CustomerId,
     FailureDomain,
     FencingToken,
     Generation,
@@ -136,6 +138,9 @@
     # Policy of the queue when the job was accepted, without its route. It
     # applies while the owner's configuration does not contain the queue.
     accepted_policy: 'QueuePolicy | None' = None
+    # Whose key the submission carried; `None` on a public queue without a known
+    # key, and where no contracts are configured.
+    customer: CustomerId | None = None
 
     @property
     def occurrences_count(self) -> int:
@@ -180,6 +185,8 @@
     slack_factor: float = 1.0
     target_ms: int = 0
     advice: AdvicePolicy | None = None
+    # Requests need no key of a customer.
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +221,7 @@
     queues: Mapping[QueueId, QueuePolicy]
     pools: Mapping[PoolId, PoolPolicy]
     limits: RequestLimits = field(default_factory=RequestLimits)
+    contracts: CustomerContracts = field(default_factory=CustomerContracts)
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of `host` with the longest matching prefix."""
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -260,6 +260,7 @@
         view.worker,
         spec.charge,
         spec.filler_milli,
+        entry.graph.customer if entry else None,
         start_ordered_ms=now_ms,
         expected_end_ms=(
             state.expected_end_ms(entry, spec, now_ms) if entry else now_ms
--- a/fuchsiarill/graphs/run_actions.py
+++ b/fuchsiarill/graphs/run_actions.py
@@ -32,8 +32,9 @@
     """Release the run's capacity; requeue an active unit without other runs."""
     view = state.workers.find(run.worker)
     job_and_step = state.find_step(run.task)
-    if view is not None:
+    if view is not None and run.key in view.runs:
         view.release(run, is_serving=_is_serving(state, run))
+        state.customers.release(run)
     state.room_changes.add(run.worker)
     if job_and_step is None:
         return
@@ -87,6 +88,7 @@
     view = state.workers.find(run.worker)
     if view is not None:
         view.allocate(run, is_serving=_is_serving(state, run))
+        state.customers.allocate(run)
 
 
 def extend_leases(state: PoolState, view: WorkerView, now_ms: int) -> None:
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -11,7 +11,7 @@
 )
 from fuchsiarill.graphs.progress import UnitKey
 from fuchsiarill.graphs.states import RunState
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import CustomerId, WorkerId
 from fuchsiarill.resources import Resources
 
 # Expected end of a lasting run, which does not end by itself.
@@ -31,6 +31,8 @@
     charge: Resources
     # Idle processors that a filler task can use, in thousandths of a processor.
     filler_milli: int = 0
+    # Whose allocation the run counts for.
+    customer: CustomerId | None = None
     state: RunState = RunState.STARTING
     start_ordered_ms: int = 0
     # When the run is expected to end by itself.
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from fuchsiarill.graphs.customers import CustomerTable
 from fuchsiarill.graphs.effects import Effect
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.lost_runs import WorkerLoss
@@ -34,6 +35,7 @@
     workers: WorkerTable = field(default_factory=WorkerTable)
     tickets: TicketCache = field(default_factory=TicketCache)
     run_times: RunTimes = field(default_factory=RunTimes)
+    customers: CustomerTable = field(default_factory=CustomerTable)
     # Jobs whose progress is written by the next save.
     dirty: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -3,12 +3,14 @@
 import json
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
 
 from fuchsiarill import codes
 from fuchsiarill.actor import Reply
+from fuchsiarill.contracts.authorization import authorize
 from fuchsiarill.front.bridge import NotSentError
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.intake import (
@@ -23,14 +25,25 @@
 from fuchsiarill.graphs.model import QueuePolicy
 from fuchsiarill.graphs.ports import DocumentError
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import JobId
+from fuchsiarill.ids import CustomerId, JobId
 from fuchsiarill.platform.documents import read_job
 from fuchsiarill.registry import Registry
 
-_Handler = Callable[
-    ['CallerRequestHandler', Request, QueuePolicy, str],
-    IntakeAnswer,
-]
+
+@dataclass(frozen=True, slots=True)
+class QueueRequest:
+    """An authorized request to a queue.
+
+    `job` is empty for a request to the queue as a whole.
+    """
+
+    request: Request
+    policy: QueuePolicy
+    job: str
+    customer: CustomerId | None
+
+
+_Handler = Callable[['CallerRequestHandler', QueueRequest], IntakeAnswer]
 
 REQUEST_HANDLERS: Final[Registry[tuple[str, bool], _Handler]] = Registry(
     'request handlers by HTTP method and presence of a job id',
@@ -44,6 +57,7 @@
     codes.DONE: HTTPStatus.OK,
     codes.UNKNOWN_JOB: HTTPStatus.GONE,
     codes.UNKNOWN_ROUTE: HTTPStatus.NOT_FOUND,
+    codes.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     codes.MALFORMED: HTTPStatus.BAD_REQUEST,
     codes.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     codes.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -100,19 +114,28 @@
         policy = config.find_queue(request.host, request.path)
         if policy is None:
             return IntakeAnswer(codes.UNKNOWN_ROUTE)
+        authorization = authorize(
+            config.contracts,
+            request.authorization,
+            is_public=policy.is_public,
+        )
+        if not authorization.is_granted:
+            return IntakeAnswer(codes.UNAUTHENTICATED)
         if len(request.body) > config.limits.body_max_bytes:
             return IntakeAnswer(codes.TOO_LARGE)
+        job = request.path.removeprefix(policy.prefix)
         try:
-            return self._dispatch(request, policy)
+            return self._dispatch(
+                QueueRequest(request, policy, job, authorization.customer)
+            )
         except _ERROR_TYPES as error:
             return IntakeAnswer(_CODE_BY_ERROR[type(error)])
 
-    def _dispatch(self, request: Request, policy: QueuePolicy) -> IntakeAnswer:
-        job = request.path.removeprefix(policy.prefix)
-        handler_key = (request.method, bool(job))
+    def _dispatch(self, queue_request: QueueRequest) -> IntakeAnswer:
+        handler_key = (queue_request.request.method, bool(queue_request.job))
         if handler_key not in REQUEST_HANDLERS:
             return IntakeAnswer(codes.UNKNOWN_ROUTE)
-        return REQUEST_HANDLERS.lookup(handler_key)(self, request, policy, job)
+        return REQUEST_HANDLERS.lookup(handler_key)(self, queue_request)
 
     def _build_response(
         self, request: Request, outcome: IntakeAnswer
@@ -140,45 +163,42 @@
 
 @REQUEST_HANDLERS.register(('POST', True))
 def _submit(
-    handler: CallerRequestHandler,
-    request: Request,
-    policy: QueuePolicy,
-    job: str,
+    handler: CallerRequestHandler, queue_request: QueueRequest
 ) -> IntakeAnswer:
-    graph = read_job(job, policy, request.body)
+    request = queue_request.request
+    graph = read_job(
+        queue_request.job,
+        queue_request.policy,
+        request.body,
+        queue_request.customer,
+    )
     return handler.call_intake(request, partial(Submit, graph))
 
 
 @REQUEST_HANDLERS.register(('GET', True))
 def _look_up(
-    handler: CallerRequestHandler,
-    request: Request,
-    policy: QueuePolicy,
-    job: str,
+    handler: CallerRequestHandler, queue_request: QueueRequest
 ) -> IntakeAnswer:
-    return handler.call_intake(
-        request, partial(LookUp, policy.pool, JobId(job))
+    build_message = partial(
+        LookUp, queue_request.policy.pool, JobId(queue_request.job)
     )
+    return handler.call_intake(queue_request.request, build_message)
 
 
 @REQUEST_HANDLERS.register(('DELETE', True))
 def _cancel(
-    handler: CallerRequestHandler,
-    request: Request,
-    policy: QueuePolicy,
-    job: str,
+    handler: CallerRequestHandler, queue_request: QueueRequest
 ) -> IntakeAnswer:
-    return handler.call_intake(
-        request, partial(Cancel, policy.pool, JobId(job))
+    build_message = partial(
+        Cancel, queue_request.policy.pool, JobId(queue_request.job)
     )
+    return handler.call_intake(queue_request.request, build_message)
 
 
 @REQUEST_HANDLERS.register(('GET', False))
 def _count_pending(
-    handler: CallerRequestHandler,
-    request: Request,
-    policy: QueuePolicy,
-    job: str,
+    handler: CallerRequestHandler, queue_request: QueueRequest
 ) -> IntakeAnswer:
+    policy = queue_request.policy
     build_message = partial(CountPending, policy.pool, policy.queue)
-    return handler.call_intake(request, build_message)
+    return handler.call_intake(queue_request.request, build_message)
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -8,6 +8,11 @@
 from dataclasses import replace
 from typing import Any, Final
 
+from fuchsiarill.contracts.contract import (
+    CustomerContract,
+    CustomerContracts,
+    digest_key,
+)
 from fuchsiarill.graphs.model import (
     AdvicePolicy,
     BornMs,
@@ -26,7 +31,13 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.ports import DocumentError
-from fuchsiarill.ids import FailureDomain, Generation, JobId, WorkerId
+from fuchsiarill.ids import (
+    CustomerId,
+    FailureDomain,
+    Generation,
+    JobId,
+    WorkerId,
+)
 from fuchsiarill.resources import Resources
 
 _JOB_ID: Final = re.compile('[0-9a-f]{16}')
@@ -67,8 +78,13 @@
         raise DocumentError(f'entry of {worker}: {error!r}') from error
 
 
-def read_job(job: str, policy: QueuePolicy, content: bytes) -> JobGraph:
-    """Parse a submitted job; `job` must have 16 lower-case hex digits."""
+def read_job(
+    job: str,
+    policy: QueuePolicy,
+    content: bytes,
+    customer: CustomerId | None = None,
+) -> JobGraph:
+    """Parse a job of a customer; `job` must have 16 lower-case hex digits."""
     if not _JOB_ID.fullmatch(job):
         raise DocumentError(f'{job!r} is not a job id of 16 hex digits')
     document = _decode_object(content)
@@ -81,6 +97,7 @@
             _steps(document['phases']),
             _schedule(document),
             replace(policy, host='', prefix='', timeout_ms=0),
+            customer,
         )
     except _PARSE_ERRORS as error:
         raise DocumentError(f'job {job}: {error!r}') from error
@@ -109,6 +126,9 @@
             limits.get('max_header_bytes', defaults.header_max_bytes),
             limits.get('max_body_bytes', defaults.body_max_bytes),
         ),
+        CustomerContracts(
+            _contract(row) for row in document.get('tenants', ())
+        ),
     )
 
 
@@ -130,6 +150,24 @@
             float(advice['interval_ms']),
             int(advice['validity_ms']),
         ),
+        bool(row.get('public', False)),
+    )
+
+
+def _contract(row: dict[str, Any]) -> CustomerContract:
+    ceiling = row.get('max_count', {})
+    weight = float(row.get('weight') or 1)
+    if not 0 < weight <= _AMOUNT_MAX:
+        raise ValueError(f'weight {weight} is not a positive number')
+    return CustomerContract(
+        CustomerId(_text(row['name'])),
+        tuple(digest_key(_text(key)) for key in row.get('api_keys', ())),
+        weight,
+        Resources(
+            _amount(ceiling.get('cpu', 0)),
+            _amount(ceiling.get('mem_mb', 0)),
+            _amount(ceiling.get('gpu', 0)),
+        ),
     )
 
 
