Keep each customer within its ceiling over all pools

One customer had 1,330,050 millicores allocated with a ceiling of 1,179,794, since the ceiling was not applied. The owner of each pool now holds a durable claim in claims/POOL and starts a run only within it. A write that raises a claim requires the known revisions of the owner key, of all claims and of the configuration, so that the sum stays within the ceiling whichever owner is late. A write without an answer counts with its lowest possible value.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -1,7 +1,7 @@
 """Numbered log events of job graphs; `events.emit` writes them.
 
 70x requests, 71x runs, 72x workers, 73x ownership of pools, 74x outside
-systems, 75x incarnations of workers.
+systems, 75x incarnations of workers, 76x customers.
 """
 
 from typing import Final
@@ -42,7 +42,8 @@
     '{listed} listed {ready} are ready, {suspended} of these are suspended, '
     '{denied} denied, {with_room} have room, {unreserved} have room that is '
     'not reserved, {ticketed} have a ticket; advice is pending for '
-    '{advice_pending_ms} ms',
+    '{advice_pending_ms} ms; it waits for the ceiling of its customer for '
+    '{ceiling_ms} ms',
     'See "Late" in OPERATIONS.md.',
 )
 RUN_PLACED: Final = LogEvent(
@@ -329,3 +330,11 @@
     'routes, {calls} have a call of this process and {others} one of another',
     'See "Late" in OPERATIONS.md if this recurs.',
 )
+CUSTOMER_AT_CEILING: Final = LogEvent(
+    761,
+    Level.INFO,
+    'customer {customer} waits for its ceiling in pool {pool} for {waited_ms} '
+    'ms: step {step} of job {job} needs {charge}; of the ceiling {ceiling}, '
+    '{used} is in use here, {claimed} claimed here and {others} by other pools',
+    'None; raise the ceiling of the customer if this should not happen.',
+)
--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -7,6 +7,7 @@
 import zlib
 from typing import Final
 
+from fuchsiarill.graphs import ceiling_limits
 from fuchsiarill.graphs.effects import RequestAdvice
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import AdvicePolicy, BornMs, StepKey
@@ -94,14 +95,15 @@
 ) -> dict[WorkerId, BornMs]:
     """Return the workers to name in a call that is about to be made.
 
-    Empty if the step has no waiting unit or no worker needs a ticket.
+    Empty if the step has no waiting unit, waits for the ceiling of its
+    customer, or no worker needs a ticket.
     """
     entry = state.jobs.get(step_key.job)
     step = state.find_unfinished_step(step_key)
     if entry is None or step is None or not entry.is_active:
         return {}
     unit = next(iter(step.waiting.values()), None)
-    if unit is None:
+    if unit is None or not ceiling_limits.may_start_soon(state, entry, step):
         return {}
     request = PlacementRequest(entry, step, unit, now_ms)
     candidates = UsableWorkers(state, now_ms).for_step(step)
--- a/fuchsiarill/graphs/blocked_steps.py
+++ b/fuchsiarill/graphs/blocked_steps.py
@@ -1,7 +1,8 @@
 """Logs why a step has waited long for workers.
 
 The counts tell apart a step without allowed workers, one whose workers are
-full, suspended or reserved, and one that waits for the advice service.
+full, suspended or reserved, one that waits for the advice service, and one
+that waits for the ceiling of its customer.
 """
 
 from typing import Final
@@ -70,6 +71,9 @@
         ticketed=len(
             state.tickets.ticketed_workers(step.key, ready, now_ms),
         ),
+        ceiling_ms=0
+        if step.wait.ceiling_since_ms is None
+        else now_ms - step.wait.ceiling_since_ms,
         advice_pending_ms=state.tickets.pending_ms(step.key, now_ms),
         epoch=state.epoch,
     )
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -10,6 +10,7 @@
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
+    ceiling_limits,
     decision_round,
     incarnations,
     reports,
@@ -85,6 +86,7 @@
         the queue has been removed.
         """
         self.state.config = config
+        self.state.ceilings.configure(config)
         for entry in self.state.jobs.values():
             policy = config.queues.get(entry.graph.queue)
             if policy is not None:
@@ -335,6 +337,7 @@
     def decide(self, now_ms: int) -> None:
         """Place waiting units, which are tasks or gangs, and start them."""
         decision_round.decide(self.state, now_ms)
+        ceiling_limits.review_claims(self.state, now_ms)
 
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects of the calls so far."""
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from fuchsiarill.graphs.ceiling_reports import dump_ceilings
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
@@ -14,6 +15,7 @@
         'jobs_count': len(state.jobs),
         'waiting_units_count': _waiting_units_count(state),
         'is_inheritance_settled': state.is_inheritance_settled,
+        'ceilings': dump_ceilings(state),
         'workers': [_dump_worker(view) for view in state.workers],
     }
 
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -9,6 +9,7 @@
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
     advice_requests,
+    ceiling_limits,
     crash_trials,
     failure_blame,
     restart_backoff,
@@ -87,6 +88,14 @@
 
 def _is_due(
     state: PoolState, entry: JobEntry, step: StepEntry, now_ms: int
+) -> bool:
+    if step.wait.ceiling_since_ms is not None:
+        return ceiling_limits.has_room(state, entry, step)
+    return _is_due_for_workers(state, entry, step, now_ms)
+
+
+def _is_due_for_workers(
+    state: PoolState, entry: JobEntry, step: StepEntry, now_ms: int
 ) -> bool:
     if step.wait.is_due or now_ms >= step.wait.recheck_ms:
         return True
@@ -134,7 +143,7 @@
     step.rank_ms = ranked.rank_ms
     placer = StepPlacer(state, usable)
     has_waiting_suspect = False
-    for unit in _due_units(state, ranked, now_ms):
+    for unit in _admitted_units(state, ranked, placer, now_ms):
         # The others are not placed either, which saves the time to find out.
         if has_waiting_suspect and crash_trials.must_wait(unit, now_ms):
             continue
@@ -150,6 +159,26 @@
     return not step.waiting
 
 
+def _admitted_units(
+    state: PoolState, ranked: _RankedStep, placer: StepPlacer, now_ms: int
+) -> Iterator[Unit]:
+    """Yield the due units that may start under the ceiling of the customer.
+
+    Without room under it, room on a worker would not help. Only tickets are
+    requested, while the claim of the pool is being raised.
+    """
+    entry, step = ranked.entry, ranked.step
+    for unit in _due_units(state, ranked, now_ms):
+        if ceiling_limits.admit(state, entry, step, now_ms):
+            yield unit
+            continue
+        if ceiling_limits.may_start_soon(state, entry, step):
+            request = PlacementRequest(entry, step, unit, now_ms)
+            candidates = placer.usable_workers(request)
+            advice_requests.request_advice(state, request, candidates)
+        return
+
+
 def _due_units(
     state: PoolState, ranked: _RankedStep, now_ms: int
 ) -> Iterator[Unit]:
--- a/fuchsiarill/graphs/effects.py
+++ b/fuchsiarill/graphs/effects.py
@@ -2,15 +2,17 @@
 
 from dataclasses import dataclass
 
+from fuchsiarill.graphs.claim_records import ClaimRecord
 from fuchsiarill.graphs.model import (
     BornMs,
     Checkpoint,
+    PoolId,
     StepKey,
     TaskKey,
     Ticket,
 )
 from fuchsiarill.graphs.runs import NEVER_MS
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import Revision, WorkerId
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,25 @@
     born_ms: BornMs
 
 
+@dataclass(frozen=True, slots=True)
+class ListClaims:
+    """Read the claims of all pools."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteClaims:
+    """Write the claims of the pool, in place of the record at a revision.
+
+    A write that raises a claim also requires that the records of the other
+    pools and the configuration have the given revisions.
+    """
+
+    record: ClaimRecord
+    own_revision: Revision
+    others: tuple[tuple[PoolId, Revision], ...] = ()
+    config_revision: Revision | None = None
+
+
 Effect = (
     StartRun
     | StopRun
@@ -83,4 +104,6 @@
     | RequestAdvice
     | RequestReport
     | FenceIncarnation
+    | ListClaims
+    | WriteClaims
 )
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -93,6 +93,9 @@
     recheck_ms: int = 0
     # Since when no unit of the step could be placed; `None` after a start.
     since_ms: int | None = None
+    # Since when the step waits for the ceiling of its customer; `None` if it
+    # does not.
+    ceiling_since_ms: int | None = None
     # The reason for which the step waits is not logged before this time.
     next_report_ms: int = 0
 
@@ -202,6 +205,10 @@
         """Return the id of the job."""
         return self.graph.job
 
+    def is_inherited_attempt(self, attempt: int) -> bool:
+        """Tell whether a previous owner has made an attempt."""
+        return self.is_inherited and attempt <= self.attempt_floor
+
     @property
     def is_active(self) -> bool:
         """Tell whether the job has not reached its final phase."""
--- a/fuchsiarill/graphs/keys.py
+++ b/fuchsiarill/graphs/keys.py
@@ -2,8 +2,8 @@
 
 `control/owner/POOL` (ephemeral) and `control/process/PROCESS` are watched by
 every process, `jobs/POOL/JOB/graph` and `jobs/POOL/JOB/cancel` by the owner
-of the pool. `fleet/POOL`, `pending/POOL` and `progress/POOL/JOB` are written
-by the owner.
+of the pool. `fleet/POOL`, `pending/POOL`, `claims/POOL` and
+`progress/POOL/JOB` are written by the owner.
 """
 
 from typing import Final
@@ -12,6 +12,7 @@
 from fuchsiarill.ids import JobId, ProcessId, StoreKey
 
 CONTROL_PREFIX: Final = 'control/'
+CLAIMS_PREFIX: Final = 'claims/'
 _OWNER_PREFIX: Final = 'control/owner/'
 _PROCESS_PREFIX: Final = 'control/process/'
 _GRAPH: Final = 'graph'
@@ -52,6 +53,18 @@
     return StoreKey(f'pending/{pool}')
 
 
+def claims_key(pool: PoolId) -> StoreKey:
+    """Return the key of the pool's claims on the ceilings of customers."""
+    return StoreKey(f'{CLAIMS_PREFIX}{pool}')
+
+
+def claiming_pool(key: StoreKey) -> PoolId | None:
+    """Return the pool of a key of claims, `None` for other keys."""
+    if not key.startswith(CLAIMS_PREFIX):
+        return None
+    return PoolId(key.removeprefix(CLAIMS_PREFIX))
+
+
 def jobs_prefix(pool: PoolId) -> str:
     """Return the prefix of the jobs of a pool and of their cancellations."""
     return f'jobs/{pool}/'
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a process that serves job graphs."""
 
+from collections.abc import Mapping
 from typing import Final, TypeVar
 
 from prometheus_client import (
@@ -13,8 +14,8 @@
 
 from fuchsiarill.clock import MS_PER_SECOND, now_ms
 from fuchsiarill.codes import ResultCode
-from fuchsiarill.graphs.model import EndKind, QueueId
-from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
+from fuchsiarill.graphs.model import EndKind, PoolId, QueueId
+from fuchsiarill.ids import CustomerId, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import (
     KeyValuePort,
     KvChanges,
@@ -25,9 +26,11 @@
     KvPage,
     KvTransaction,
 )
+from fuchsiarill.resources import Resources
 
 _Answer = TypeVar('_Answer')
 
+_RESOURCE_NAMES: Final = ('processors_milli', 'memory_mb', 'accelerators')
 _BUCKET_LIMITS_S: Final = (0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
 
 
@@ -80,6 +83,13 @@
             registry=self.registry,
         )
 
+        self.customers = Gauge(
+            'fuchsiarill_graph_customer_resources',
+            'Use, claim and ceiling of a customer in a pool, by resource.',
+            ('pool', 'customer', 'amount', 'resource'),
+            registry=self.registry,
+        )
+
     def count_request(
         self, verb: str, code: ResultCode, duration_s: float
     ) -> None:
@@ -94,6 +104,24 @@
         """Record how long a started job has waited."""
         self.waits.labels(queue).observe(wait_ms / MS_PER_SECOND)
 
+    def set_customer(
+        self,
+        pool: PoolId,
+        customer: CustomerId,
+        amounts: Mapping[str, Resources],
+    ) -> None:
+        """Set the use, claim and ceiling of a customer in an owned pool."""
+        for amount, resources in amounts.items():
+            rows = zip(_RESOURCE_NAMES, resources.as_tuple(), strict=False)
+            for resource, count in rows:
+                self.customers.labels(pool, customer, amount, resource).set(
+                    count
+                )
+
+    def forget_pool(self, pool: PoolId) -> None:
+        """Remove the customers of a pool that is no longer owned."""
+        self.customers.remove_by_labels({'pool': pool})
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -17,6 +17,7 @@
     FencingToken,
     Generation,
     JobId,
+    Revision,
     WorkerId,
 )
 from fuchsiarill.resources import Resources
@@ -222,6 +223,8 @@
     pools: Mapping[PoolId, PoolPolicy]
     limits: RequestLimits = field(default_factory=RequestLimits)
     contracts: CustomerContracts = field(default_factory=CustomerContracts)
+    # Revision of the document in the store.
+    revision: Revision = Revision(0)
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of `host` with the longest matching prefix."""
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -17,16 +17,25 @@
 from fuchsiarill.graphs import owner_messages as messages
 from fuchsiarill.graphs.advice import AdviceRequest, OwnerStopped
 from fuchsiarill.graphs.advice_requests import choose_workers
+from fuchsiarill.graphs.ceiling_reports import customer_uses
+from fuchsiarill.graphs.claim_answers import apply_claims_answer
+from fuchsiarill.graphs.claim_keeper import (
+    ClaimFence,
+    ClaimKeeper,
+    ClaimsAnswered,
+)
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
 from fuchsiarill.graphs.effects import (
     FenceIncarnation,
+    ListClaims,
     PaceRun,
     RequestAdvice,
     RequestReport,
     StartRun,
     StopRun,
+    WriteClaims,
 )
 from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.job_loading import load_jobs
@@ -88,6 +97,17 @@
             self.mailbox,
         )
         self._writer.add_revisions(loaded.revisions)
+        self._claim_keeper = ClaimKeeper(
+            context.ports.store,
+            ClaimFence(
+                term.pool,
+                Revision(term.epoch),
+                context.ports.documents.config_key,
+            ),
+            settings.calls.store_timeout_ms,
+            self.mailbox,
+        )
+        self._store_writers = (self._writer, self._claim_keeper)
         self._saver = ProgressSaver(
             self.core, self._writer.mailbox, self._fleet, settings.retention
         )
@@ -110,7 +130,8 @@
         """Contact the workers in the fleet record and start to decide."""
         super().start()
         self.tick_every(_TICK_INTERVAL_MS, messages.PoolTick())
-        self._writer.start()
+        for writer in self._store_writers:
+            writer.start()
         for member in self._fleet.members:
             self.core.add_inherited_worker(
                 member.worker,
@@ -126,10 +147,12 @@
 
     async def stop(self) -> None:
         """Stop the watches, the channels and the record writer."""
+        self._context.metrics.forget_pool(self._term.pool)
         for watcher in self._watchers:
             await watcher.stop()
         await self.channels.stop()
-        await self._writer.stop()
+        for writer in self._store_writers:
+            await writer.stop()
         self._context.advisor.send(OwnerStopped(self.mailbox))
         await super().stop()
 
@@ -272,6 +295,12 @@
             self.core.record_workers(message.request.fleet_workers)
         self._schedule_decision()
 
+    @handles(ClaimsAnswered)
+    async def on_claims_answered(self, message: ClaimsAnswered) -> None:
+        """Apply the outcome of a call for the claims of the pool."""
+        apply_claims_answer(self.core.state, message.answer, now_ms())
+        self._schedule_decision()
+
     @handles(messages.OwnershipLost)
     async def on_ownership_lost(self, message: messages.OwnershipLost) -> None:
         """Send no more orders, and tell the tenure to step down."""
@@ -288,6 +317,7 @@
         is_any_removed = self.channels.remove_unlisted_workers(now)
         if is_any_removed or self._saver.is_fleet_outdated():
             self._saver.save_fleet()
+        self._observe_customers()
         self._schedule_decision()
 
     @handles(messages.Decide)
@@ -338,6 +368,22 @@
             ),
         )
 
+    def send_claims_call(self, call: ListClaims | WriteClaims) -> None:
+        """Let the keeper of the claims make a call of the store."""
+        self._claim_keeper.mailbox.send(call)
+
+    def _observe_customers(self) -> None:
+        for row in customer_uses(self.core.state):
+            self._context.metrics.set_customer(
+                self._term.pool,
+                row.customer,
+                {
+                    'used': row.used,
+                    'claimed': row.claimed,
+                    'ceiling': row.ceiling,
+                },
+            )
+
     def _report_takeover(self) -> None:
         self._context.metrics.takeovers.inc()
         events.emit(
@@ -420,3 +466,11 @@
 @EFFECT_HANDLERS.register(RequestAdvice)
 def _request_advice(owner: PoolOwner, effect: RequestAdvice) -> None:
     owner.request_advice(effect)
+
+
+@EFFECT_HANDLERS.register(ListClaims)
+@EFFECT_HANDLERS.register(WriteClaims)
+def _call_for_claims(
+    owner: PoolOwner, effect: ListClaims | WriteClaims
+) -> None:
+    owner.send_claims_call(effect)
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -44,7 +44,7 @@
     OtherPools,
     OwnerKeySeen,
 )
-from fuchsiarill.ids import Revision
+from fuchsiarill.ids import ABSENT, Revision
 from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
 # Interval of the checks of the actors, and of the attempts to publish the
@@ -259,6 +259,7 @@
             if item.key != self._ports.documents.config_key:
                 continue
             if item.value is None:
+                self._apply_config_revision(item)
                 continue
             self._apply_config(item, item.value)
 
@@ -272,8 +273,11 @@
                 revision=item.revision,
                 problem=str(error),
             )
+            self._apply_config_revision(item)
             return
+        config = replace(config, revision=item.revision)
         if self._config and config.generation <= self._config.generation:
+            self._apply_config_revision(item)
             return
         self._config = config
         self._metrics.generation.set(config.generation)
@@ -285,6 +289,18 @@
             if pool not in self._tenures:
                 self._open_tenure(pool, config)
 
+    def _apply_config_revision(self, item: KvItem) -> None:
+        """Note a document that does not come into force.
+
+        Claims on ceilings are raised only under the present revision.
+        """
+        if self._config is None:
+            return
+        revision = ABSENT if item.value is None else item.revision
+        self._config = replace(self._config, revision=revision)
+        for tenure in self._tenures.values():
+            tenure.mailbox.send(ConfigInForce(self._config))
+
     def _open_tenure(self, pool: PoolId, config: GraphConfig) -> None:
         tenure = Tenure(
             pool,
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -261,6 +261,8 @@
         spec.charge,
         spec.filler_milli,
         entry.graph.customer if entry else None,
+        is_inherited=entry is not None
+        and entry.is_inherited_attempt(row.attempt),
         start_ordered_ms=now_ms,
         expected_end_ms=(
             state.expected_end_ms(entry, spec, now_ms) if entry else now_ms
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -33,6 +33,8 @@
     filler_milli: int = 0
     # Whose allocation the run counts for.
     customer: CustomerId | None = None
+    # A previous owner of the pool has started it.
+    is_inherited: bool = False
     state: RunState = RunState.STARTING
     start_ordered_ms: int = 0
     # When the run is expected to end by itself.
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from fuchsiarill.graphs.claim_ledger import ClaimLedger
 from fuchsiarill.graphs.customers import CustomerTable
 from fuchsiarill.graphs.effects import Effect
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
@@ -14,6 +15,7 @@
     StepKey,
     TaskKey,
 )
+from fuchsiarill.graphs.pool_ceilings import PoolCeilings
 from fuchsiarill.graphs.room_changes import RoomChanges
 from fuchsiarill.graphs.run_times import RunTimes
 from fuchsiarill.graphs.runs import NEVER_MS, Run
@@ -36,6 +38,7 @@
     tickets: TicketCache = field(default_factory=TicketCache)
     run_times: RunTimes = field(default_factory=RunTimes)
     customers: CustomerTable = field(default_factory=CustomerTable)
+    ceilings: PoolCeilings = field(init=False)
     # Jobs whose progress is written by the next save.
     dirty: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
@@ -57,6 +60,10 @@
     # Unix time minus the runtime clock.
     unix_offset_ms: int = 0
 
+    def __post_init__(self) -> None:
+        """Create the ceilings without claims."""
+        self.ceilings = PoolCeilings(ClaimLedger(self.pool))
+
     def find_step(self, task: TaskKey) -> tuple[JobEntry, StepEntry] | None:
         """Return the job and the step of a task.
 
--- a/fuchsiarill/graphs/ticking.py
+++ b/fuchsiarill/graphs/ticking.py
@@ -15,6 +15,8 @@
     worker_crashes,
 )
 from fuchsiarill.graphs.blocked_steps import report_blocked
+from fuchsiarill.graphs.ceiling_limits import count_late_starts
+from fuchsiarill.graphs.ceiling_reports import report_waits
 from fuchsiarill.graphs.inherited_advice import request_inherited_advice
 from fuchsiarill.graphs.job_entries import JobEntry
 from fuchsiarill.graphs.run_actions import order_stop
@@ -36,10 +38,12 @@
 TICK_ACTIONS.register('4 drain workers')(draining.drain_workers)
 TICK_ACTIONS.register('5 pace fillers')(pacing.pace_fillers)
 TICK_ACTIONS.register('6 stop stalled runs')(stalls.stop_stalled)
+TICK_ACTIONS.register('8 count late starts')(count_late_starts)
 TICK_ACTIONS.register('8 report trials')(crash_trials.request_trial_reports)
 TICK_ACTIONS.register('9 prefetch advice')(advice_prefetch.prefetch_advice)
 TICK_ACTIONS.register('9 request inherited advice')(request_inherited_advice)
 TICK_ACTIONS.register('9 report blocked steps')(report_blocked)
+TICK_ACTIONS.register('9 report waits for ceilings')(report_waits)
 
 
 @TICK_ACTIONS.register('1 expire leases')
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -97,7 +97,12 @@
         self.history.append(KvItem(key, None, self.revision))
 
     def expire(self) -> None:
-        """End the leases whose deadline has passed."""
+        """End the leases whose deadline has passed.
+
+        Without leases no clock is needed, nor a running loop.
+        """
+        if not self.leases:
+            return
         now = now_ms()
         for lease, state in list(self.leases.items()):
             if state.deadline_ms <= now:
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -40,6 +40,7 @@
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import (
+    CustomerId,
     FailureDomain,
     Generation,
     JobId,
@@ -190,6 +191,7 @@
             ProcessId(f'p{number}') for number in range(processes_count)
         ]
         self._workers_count = workers_count
+        self._pool_by_worker: dict[str, PoolId] = {}
 
     async def start(self) -> None:
         """Start all processes and workers, and list the workers."""
@@ -199,8 +201,9 @@
         for name in self._names:
             self.run_process(name)
 
-    def add_worker(self, name: str) -> None:
-        """Start or restart a worker and list it."""
+    def add_worker(self, name: str, pool: PoolId = POOL) -> None:
+        """Start or restart a worker and list it in a pool."""
+        self._pool_by_worker[name] = pool
         self._list_agent(self.fleet.add(name, CAPACITY))
 
     def change_capacity(self, name: str, capacity: Resources) -> None:
@@ -264,18 +267,22 @@
         name: ProcessId,
         job: str,
         steps: tuple[Step, ...],
+        queue: QueueId = QUEUE,
+        customer: CustomerId | None = None,
         **behaviour: Any,
     ) -> intake.IntakeAnswer:
         """Submit a job to a process; `behaviour` controls its tasks."""
-        if self.config.queues[QUEUE].advice is not None:
+        policy = self.config.queues[queue]
+        if policy.advice is not None:
             behaviour['needs_ticket'] = True
         graph = JobGraph(
             JobId(job),
-            QUEUE,
-            POOL,
+            queue,
+            policy.pool,
             json.dumps(behaviour),
             steps,
-            accepted_policy=self.config.queues[QUEUE],
+            accepted_policy=policy,
+            customer=customer,
         )
         for position, step in enumerate(steps):
             for index in range(step.tasks_count):
@@ -331,7 +338,7 @@
     def _list_agent(self, agent: AgentModel) -> None:
         self.entries[agent.worker] = WorkerEntry(
             agent.worker,
-            POOL,
+            self._pool_by_worker.get(agent.address, POOL),
             agent.address,
             FailureDomain('d'),
             agent.capacity.current,
