--- a/tests/graph_owner.py
+++ b/tests/graph_owner.py
@@ -30,6 +30,7 @@
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import (
+    CustomerId,
     Epoch,
     FailureDomain,
     FencingToken,
@@ -90,9 +91,10 @@
         *steps: Step,
         queue: QueueId = BATCH,
         is_inherited: bool = False,
+        customer: CustomerId | None = None,
     ) -> None:
         """Accept a job."""
-        graph = JobGraph(JobId(job), queue, POOL, '', steps)
+        graph = JobGraph(JobId(job), queue, POOL, '', steps, customer=customer)
         self.core.add_job(
             graph,
             JobProgress(),
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -26,7 +26,7 @@
     Ticket,
     WorkerListing,
 )
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import CustomerId, WorkerId
 from fuchsiarill.resources import Resources
 from tests.graph_owner import entry
 from tests.simulated_calls import STEP_MS, Grant, SimulatedCalls
@@ -89,7 +89,11 @@
             self.steps[job, position] = step
         self.run_ms[job] = run_ms
         self.failures[job] = failures
-        self.owner.add_job(job, *steps, queue=queue)
+        # One job in three has no customer.
+        customer = (None, CustomerId('c1'), CustomerId('c2'))[
+            len(self.run_ms) % 3
+        ]
+        self.owner.add_job(job, *steps, queue=queue, customer=customer)
 
     def restart(self, name: str) -> None:
         """Restart a worker under its id; all its runs are lost."""
--- a/tests/test_graph_machine.py
+++ b/tests/test_graph_machine.py
@@ -1,5 +1,6 @@
 """Decisions about job graphs under random sequences of jobs and faults."""
 
+from collections import defaultdict
 from dataclasses import replace
 from typing import Final
 
@@ -7,9 +8,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from fuchsiarill.graphs.customers import held_by
 from fuchsiarill.graphs.model import QueueId, Step
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import JobId
+from fuchsiarill.ids import CustomerId, JobId
 from fuchsiarill.resources import Resources
 from tests.graph_owner import ADVISED, BATCH, URGENT
 from tests.graph_world import World
@@ -138,6 +140,17 @@
             )
             assert view.allocated.processors_milli == allocated
 
+    @invariant()
+    def use_of_customers_matches_runs(self) -> None:
+        """The use of a customer is the sum of its runs, none without runs."""
+        state = self.world.owner.core.state
+        uses: defaultdict[CustomerId, Resources] = defaultdict(Resources)
+        for view in state.workers:
+            for run in view.runs.values():
+                if run.customer is not None:
+                    uses[run.customer] += held_by(run)
+        assert state.customers.uses() == uses
+
     def teardown(self) -> None:
         """Repair all faults; all jobs must end within the recovery time."""
         self.world.loses_advice = False
