Refuse jobs with a unit above the whole ceiling

A gang or a single task that is larger than the ceiling of its customer can never start, but was accepted and waited forever. The callers' handler now answers NEVER_FITS with 429, unless the job was accepted under an earlier ceiling, which a read of its key shows.

Measured: the tests in tests/test_customer_keys.py pass.

--- a/fuchsiarill/contracts/ceilings.py
+++ b/fuchsiarill/contracts/ceilings.py
@@ -5,7 +5,7 @@
 no limit, and claims do not count it.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -66,9 +66,11 @@
     return higher_of(amount - limit, NO_RESOURCES)
 
 
-def never_fits(contract: CustomerContract | None, wanted: Resources) -> bool:
-    """Tell whether an amount that starts at once is above the whole ceiling."""
-    return contract is not None and contract.exceeds_ceiling(wanted)
+def never_fits(
+    contract: CustomerContract | None, units: Iterable[Resources]
+) -> bool:
+    """Tell whether a unit, which starts at once, is above the whole ceiling."""
+    return contract is not None and any(map(contract.exceeds_ceiling, units))
 
 
 def divide(
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -11,7 +11,9 @@
 from fuchsiarill import codes
 from fuchsiarill.actor import Reply
 from fuchsiarill.contracts.authorization import authorize
+from fuchsiarill.contracts.ceilings import never_fits
 from fuchsiarill.front.bridge import NotSentError
+from fuchsiarill.graphs.customers import unit_hold
 from fuchsiarill.graphs.front import Front
 from fuchsiarill.graphs.intake import (
     Cancel,
@@ -22,7 +24,7 @@
 )
 from fuchsiarill.graphs.listener import Request, Response
 from fuchsiarill.graphs.metrics import GraphMetrics
-from fuchsiarill.graphs.model import QueuePolicy
+from fuchsiarill.graphs.model import JobGraph, QueuePolicy
 from fuchsiarill.graphs.ports import DocumentError
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import CustomerId, JobId
@@ -49,9 +51,8 @@
     'request handlers by HTTP method and presence of a job id',
 )
 
-# A 429, which is not used here, or a 503 guarantees that a submitted job never
-# runs. An unknown outcome is a 504, after which the caller retries with the
-# same job id.
+# A 429 or a 503 guarantees that a submitted job never runs. An unknown outcome
+# is a 504, after which the caller retries with the same job id.
 _STATUS_BY_CODE: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
@@ -60,6 +61,7 @@
     codes.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     codes.MALFORMED: HTTPStatus.BAD_REQUEST,
     codes.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    codes.NEVER_FITS: HTTPStatus.TOO_MANY_REQUESTS,
     codes.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.NOT_CONFIGURED: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -172,9 +174,36 @@
         request.body,
         queue_request.customer,
     )
+    if _never_fits(handler, graph):
+        return _refuse_unless_accepted(handler, request, graph)
     return handler.call_intake(request, partial(Submit, graph))
 
 
+def _never_fits(handler: CallerRequestHandler, graph: JobGraph) -> bool:
+    """Tell whether a unit of a job is above the ceiling of its customer."""
+    config = handler.front.view.config
+    if config is None or graph.customer is None:
+        return False
+    contract = config.contracts.find(graph.customer)
+    return never_fits(contract, map(unit_hold, graph.steps))
+
+
+def _refuse_unless_accepted(
+    handler: CallerRequestHandler, request: Request, graph: JobGraph
+) -> IntakeAnswer:
+    """Refuse a job that never fits.
+
+    One that was accepted under a higher ceiling stays accepted: its submission
+    may have been repeated.
+    """
+    found = handler.call_intake(request, partial(LookUp, graph.pool, graph.job))
+    if found.code is codes.DONE:
+        return IntakeAnswer(codes.ACCEPTED)
+    if found.code is codes.UNKNOWN_JOB:
+        return IntakeAnswer(codes.NEVER_FITS)
+    return found
+
+
 @REQUEST_HANDLERS.register(('GET', True))
 def _look_up(
     handler: CallerRequestHandler, queue_request: QueueRequest
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -16,7 +16,7 @@
 )
 from fuchsiarill.graphs.front import Front, FrontView
 from fuchsiarill.graphs.graph_records import decode_graph, encode_graph
-from fuchsiarill.graphs.intake import IntakeAnswer, Submit
+from fuchsiarill.graphs.intake import IntakeAnswer, LookUp, Submit
 from fuchsiarill.graphs.listener import Request
 from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.model import PoolId, QueueId
@@ -25,6 +25,7 @@
 from fuchsiarill.platform.callers import CallerRequestHandler
 from fuchsiarill.platform.documents import read_config
 from fuchsiarill.resources import Resources
+from tests.graph_cell import settings_of
 
 JOB = '5c0e7a21d94b36f8'
 MASON = CustomerId('mason')
@@ -63,6 +64,9 @@
         """Put a configuration in force."""
         self.view = FrontView(read_config(content))
         self.submitted: list[Submit] = []
+        self.settings = settings_of('p0')
+        # Answer to a look-up of a job.
+        self.found = IntakeAnswer(codes.UNKNOWN_JOB)
 
     def deadline_ms(self, caller_timeout_ms: int | None) -> int:
         """Return some deadline."""
@@ -71,17 +75,23 @@
     def ask(
         self, build: Callable[[Reply[IntakeAnswer]], Any], deadline_ms: int
     ) -> IntakeAnswer:
-        """Keep the message and accept it."""
-        self.submitted.append(build(cast('Reply[IntakeAnswer]', None)))
+        """Keep a submission and accept it; answer a look-up."""
+        message = build(cast('Reply[IntakeAnswer]', None))
+        if isinstance(message, LookUp):
+            return self.found
+        self.submitted.append(message)
         return IntakeAnswer(codes.ACCEPTED)
 
 
 def submit(
-    front: RecordingFront, header: str | None, prefix: str = '/quotes/'
+    front: RecordingFront,
+    header: str | None,
+    prefix: str = '/quotes/',
+    body: bytes = BODY,
 ) -> int:
     """Submit a job and return the status."""
     handler = CallerRequestHandler(cast(Front, front), GraphMetrics())
-    request = Request('POST', 'h.example', f'{prefix}{JOB}', BODY, None, header)
+    request = Request('POST', 'h.example', f'{prefix}{JOB}', body, None, header)
     return handler.answer(request).status.value
 
 
@@ -179,3 +189,41 @@
     assert b'key-1' not in content
     graph = decode_graph(PoolId('desk'), JobId(JOB), content)
     assert (graph.customer, graph.queue) == (MASON, QueueId('quotes'))
+
+
+@pytest.mark.parametrize(
+    ('phase', 'status'),
+    [
+        ({'count': 9, 'cpu': 8000}, 202),
+        ({'count': 1, 'cpu': 64000}, 202),
+        ({'count': 1, 'cpu': 64001}, 429),
+        ({'count': 9, 'cpu': 8000, 'gang': True}, 429),
+        ({'count': 1, 'cpu': 1, 'gpu': 9}, 429),
+    ],
+)
+def test_unit_above_the_whole_ceiling_is_refused(
+    phase: dict[str, Any], status: int
+) -> None:
+    """Guards against accepted jobs that can never start.
+
+    A step wider than the ceiling runs in waves, a gang does not.
+    """
+    front = RecordingFront(document(TENANT))
+    body = json.dumps({'phases': [phase]}).encode()
+    assert submit(front, 'Bearer key-1', body=body) == status
+    assert len(front.submitted) == (status == 202)
+
+
+@pytest.mark.parametrize(
+    ('found', 'status'),
+    [(codes.DONE, 202), (codes.STORE_UNAVAILABLE, 503)],
+)
+def test_repeated_submission_keeps_an_accepted_job(
+    found: codes.ResultCode, status: int
+) -> None:
+    """Guards against a refusal of a job that runs under an earlier ceiling."""
+    front = RecordingFront(document(TENANT))
+    front.found = IntakeAnswer(found)
+    body = json.dumps({'phases': [{'count': 1, 'cpu': 64001}]}).encode()
+    assert submit(front, 'Bearer key-1', body=body) == status
+    assert not front.submitted
