Make room for all waiting tasks of an urgent step in one decision

Cause: a step stopped runs for one task at a time and waited for each stop (up to 400 ms) and its report, so a step of 10 tasks took seconds; runs were stopped that would have ended sooner than their stop and restart.

--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -20,7 +20,7 @@
 from fuchsiarill.graphs.model import StepKey
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
-from fuchsiarill.graphs.preemption import preempt
+from fuchsiarill.graphs.preemption import preempt, release_room
 from fuchsiarill.graphs.run_actions import allocate_run, extend_leases
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
@@ -147,7 +147,10 @@
         if not crash_trials.is_waiting_for_quiet(unit, now_ms):
             return False
         has_waiting_suspect = True
-    return not step.waiting
+    if step.waiting:
+        return False
+    release_room(state, step)
+    return True
 
 
 def _due_units(
@@ -216,6 +219,7 @@
         unit.runs[run.key] = run
         step.runs_per_worker[view.worker] += 1
         view.consume_reservation(step.key)
+        step.consume_room(view.worker)
         allocate_run(state, run)
         extend_leases(state, view, request.now_ms)
         _order_start(state, request, run, view)
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
-from typing import Final
+from typing import Final, NamedTuple
 
 from fuchsiarill.graphs.model import (
     NO_CHECKPOINT,
@@ -97,6 +97,13 @@
     next_report_ms: int = 0
 
 
+class ExpectedRoom(NamedTuple):
+    """Room for one task that a preemption should free on a worker."""
+
+    worker: WorkerId
+    expiry_ms: int
+
+
 class StepEntry:
     """A step of one occurrence with units that have not succeeded.
 
@@ -114,8 +121,10 @@
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
+        # Room that is being made for waiting units and is reserved for them.
+        self.expected_room: list[ExpectedRoom] = []
         # No further runs are preempted for the step before this time.
-        self.preempting_until_ms = 0
+        self.next_preemption_ms = 0
         # When reservations for a gang step began; reset when the gang starts.
         self.reserving_since_ms: int | None = None
         # Rank at the last decision about the step.
@@ -154,10 +163,16 @@
         """Move a unit from `waiting` to `active`: it gets runs."""
         self.waiting.pop(unit.key, None)
         self.active[unit.key] = unit
-        self.preempting_until_ms = 0
         self.reserving_since_ms = None
         self.wait.since_ms = None
 
+    def consume_room(self, worker: WorkerId) -> None:
+        """Remove the expected room of a task that starts on a worker."""
+        for room in self.expected_room:
+            if room.worker == worker:
+                self.expected_room.remove(room)
+                return
+
     def requeue(self, unit: Unit) -> None:
         """Move a unit without runs from `active` back to `waiting`."""
         self.active.pop(unit.key, None)
@@ -207,6 +222,10 @@
         """Tell whether the job has not reached its final phase."""
         return self.progress.phase is JobPhase.ACTIVE
 
+    def expected_ms(self, step: StepEntry) -> float:
+        """Return the expected run time of a task of a step."""
+        return self._expected_ms[step.key.step]
+
     @cached_property
     def critical_paths_ms(self) -> tuple[int, ...]:
         """Return the expected time from each step's start to the job's end.
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -1,44 +1,62 @@
 """Makes room for urgent steps by stopping runs of lower priority.
 
+Load: a burst of urgent steps with many tasks each while all workers are full.
 A queue may preempt queues of lower priority, which have a higher `priority`
 value. Only runs that save checkpoints are stopped: they lose little work and
-resume later, on any worker.
+resume later, on any worker. One decision makes room for all waiting units of a
+step, since each stop takes up to 400 ms until its report. Room that is about to
+be free without a stop is reserved instead.
 """
 
+import heapq
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Final
 
 from fuchsiarill import events, graph_events
+from fuchsiarill.graphs import stop_costs
+from fuchsiarill.graphs.failure_blame import may_receive_unit
+from fuchsiarill.graphs.job_entries import ExpectedRoom, StepEntry
 from fuchsiarill.graphs.placement import PlacementRequest
 from fuchsiarill.graphs.run_actions import apply_run_event
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import RunEvent, RunState
+from fuchsiarill.graphs.states import RunEvent
 from fuchsiarill.graphs.worker_table import WorkerView
+from fuchsiarill.resources import Resources
 
-# A step preempts when it has to start within this time to meet the objective;
-# the stop, its report and the start take about as long.
-_START_WITHIN_MS: Final = 400
+# A step preempts when it has to start within this time to meet the objective:
+# a stop takes up to 400 ms, its report and the start the rest.
+_START_WITHIN_MS: Final = stop_costs.STOP_AND_RESTART_MS
 # Room is reserved for this time, in which the stopped runs should end and the
 # unit should start.
 _RESERVATION_MS: Final = 1500
-# A task that has been preempted this often is not preempted again, so that a
-# series of urgent jobs cannot prevent it from ever ending.
-_PREEMPTIONS_MAX_COUNT: Final = 3
+# The rounds of choices in one decision: the first may await the ends of runs on
+# a worker, and the second stop others there.
+_CHOICES_COUNT: Final = 2
+# A step that could not get room for all units tries again after this time, the
+# interval of the ticks.
+_RETRY_MS: Final = 100
 # A job later than this multiple of its objective has no value any more.
 _VALUE_END_FACTOR: Final = 3
-# Cost that each accelerator adds to the stop of a run, as much as eight
-# processors.
-_ACCELERATOR_COST_MILLI: Final = 8000
 
 
 @dataclass(frozen=True, slots=True)
 class _Preemption:
-    """Runs to stop on a worker, and the cost of stopping them."""
+    """Runs to stop on a worker, and the number of tasks that then fit."""
 
     view: WorkerView
     victims: tuple[Run, ...]
     cost: float
+    tasks_count: int
+
+    @property
+    def cost_per_task(self) -> float:
+        """Return the cost for each task that gets room."""
+        return self.cost / self.tasks_count
+
+
+_by_cost_per_task: Final = attrgetter('cost_per_task')
 
 
 def preempt(
@@ -46,30 +64,55 @@
     request: PlacementRequest,
     candidates: list[WorkerView],
 ) -> bool:
-    """Stop runs and reserve their room for the next unit of a blocked step.
+    """Stop runs and reserve their room for the waiting units of a step.
 
     Returns whether room is reserved, by this call or by an earlier one whose
-    reservation is still valid. No run is stopped on a worker that has room.
+    reservation is still valid. No run is stopped on a worker that has room. A
+    gang gets room for all of its tasks or for none.
     """
-    if request.now_ms < request.step.preempting_until_ms:
-        return True
-    if not _may_preempt(request):
-        return False
-    spec = request.step.spec
-    wanted_count = spec.tasks_count if spec.is_gang else 1
-    options = [
-        _cheapest_preemption(state, request, view) for view in candidates
-    ]
-    preemptions = [
-        preemption for preemption in options if preemption is not None
+    step = request.step
+    step.expected_room = [
+        room for room in step.expected_room if room.expiry_ms > request.now_ms
     ]
-    preemptions.sort(key=lambda preemption: preemption.cost)
-    if len(preemptions) < wanted_count:
-        return False
-    request.step.preempting_until_ms = request.now_ms + _RESERVATION_MS
-    for preemption in preemptions[:wanted_count]:
+    if request.now_ms < step.next_preemption_ms:
+        return bool(step.expected_room)
+    if not _may_preempt(request):
+        return bool(step.expected_room)
+    step.next_preemption_ms = request.now_ms + _RETRY_MS
+    for _ in range(_CHOICES_COUNT):
+        missing_count = _tasks_count(step) - len(step.expected_room)
+        if missing_count <= 0:
+            break
+        _make_room(state, request, candidates, missing_count)
+    return bool(step.expected_room)
+
+
+def _make_room(
+    state: PoolState,
+    request: PlacementRequest,
+    candidates: list[WorkerView],
+    missing_count: int,
+) -> None:
+    preemptions = _choose_preemptions(state, request, candidates, missing_count)
+    found_count = sum(preemption.tasks_count for preemption in preemptions)
+    if request.step.spec.is_gang and found_count < missing_count:
+        return
+    for preemption in preemptions:
         _execute_preemption(state, request, preemption)
-    return True
+
+
+def release_room(state: PoolState, step: StepEntry) -> None:
+    """Release the room that a step without waiting units does not need."""
+    for room in step.expected_room:
+        view = state.workers.find(room.worker)
+        if view is not None:
+            view.drop_reservations(step.key)
+            state.room_changes.add(room.worker)
+    step.expected_room = []
+
+
+def _tasks_count(step: StepEntry) -> int:
+    return step.spec.tasks_count if step.spec.is_gang else len(step.waiting)
 
 
 def _may_preempt(request: PlacementRequest) -> bool:
@@ -80,71 +123,154 @@
     return request.step.spec.is_lasting or request.now_ms < value_end_ms
 
 
-def _cheapest_preemption(
+def _choose_preemptions(
+    state: PoolState,
+    request: PlacementRequest,
+    candidates: list[WorkerView],
+    missing_count: int,
+) -> list[_Preemption]:
+    """Return the cheapest preemptions, at most one for each worker.
+
+    The cost for each task rises as fewer tasks are left, so an option whose
+    count has to be reduced is put back with its new cost.
+    """
+    found = [
+        _find_preemption(state, request, view, missing_count)
+        for view in candidates
+    ]
+    options = [
+        (preemption.cost_per_task, position, preemption)
+        for position, preemption in enumerate(found)
+        if preemption is not None
+    ]
+    heapq.heapify(options)
+    chosen: list[_Preemption] = []
+    while options and missing_count > 0:
+        _, rank, option = heapq.heappop(options)
+        if option.tasks_count <= missing_count:
+            chosen.append(option)
+            missing_count -= option.tasks_count
+            continue
+        fewer = _find_preemption(state, request, option.view, missing_count)
+        if fewer is not None:
+            heapq.heappush(options, (fewer.cost_per_task, rank, fewer))
+    return chosen
+
+
+def _find_preemption(
     state: PoolState,
     request: PlacementRequest,
     view: WorkerView,
+    count_max: int,
 ) -> _Preemption | None:
-    """Return runs whose end makes room for one task, the cheapest first.
+    """Return the runs whose end makes room on a worker at the lowest cost.
 
-    Returns `None` if the end of all preemptible runs is not enough, or if the
-    worker has as many runs of the step as are allowed.
+    Stops as few runs as one task needs and counts all tasks that then fit, or
+    stops more where the cost for each task is lower. Returns `None` if the end
+    of all preemptible runs is not enough, or if the worker has as many runs of
+    the step as are allowed.
     """
+    count_max = min(count_max, _permitted_count(request, view))
+    if count_max <= 0:
+        return None
+    charge = request.step.spec.charge
+    free = _soon_free(request, view)
+    tasks_count = _fitting_count(charge, free, count_max)
+    if tasks_count:
+        return _Preemption(view, (), 0, tasks_count)
+    victims = stop_costs.find_victims(state, request, view)
+    options: list[_Preemption] = []
+    for position, victim in enumerate(victims, 1):
+        free += victim[1].charge
+        tasks_count = _fitting_count(charge, free, count_max)
+        if not tasks_count:
+            continue
+        surplus = free - charge.times(tasks_count)
+        options.append(
+            _without_surplus(view, victims[:position], surplus, tasks_count)
+        )
+        if tasks_count == count_max:
+            break
+    return min(options, key=_by_cost_per_task, default=None)
+
+
+def _permitted_count(request: PlacementRequest, view: WorkerView) -> int:
+    """Return how many more tasks of the step the worker may be given."""
+    step = request.step
+    if not step.spec.is_gang and not may_receive_unit(
+        view, step, request.unit, request.now_ms
+    ):
+        return 0
+    if step.spec.per_worker_max is None:
+        return step.spec.tasks_count
+    runs_count = step.runs_per_worker[view.worker]
+    return step.spec.per_worker_max - runs_count - _expected_count(step, view)
+
+
+def _expected_count(step: StepEntry, view: WorkerView) -> int:
+    return sum(room.worker == view.worker for room in step.expected_room)
+
+
+def _soon_free(request: PlacementRequest, view: WorkerView) -> Resources:
+    """Return the room that a further task can soon use without a stop."""
     step = request.step
-    per_worker_max = step.spec.per_worker_max
-    if per_worker_max is not None:
-        if step.runs_per_worker[view.worker] >= per_worker_max:
-            return None
     free = view.free_for_step(step.key, step.rank_ms)
-    victims: list[Run] = []
-    cost = 0.0
-    for run in sorted(_find_victims(state, request, view), key=_stop_cost):
-        if step.spec.charge.fits_in(free):
-            break
-        victims.append(run)
-        free += run.charge
-        cost += _stop_cost(run)
-    if not step.spec.charge.fits_in(free):
-        return None
-    return _Preemption(view, tuple(victims), cost)
+    if step.expected_room:
+        free -= step.spec.charge.times(_expected_count(step, view))
+    for run in view.runs.values():
+        if stop_costs.is_freeing_soon(run, request.now_ms):
+            free += run.charge
+    return free
 
 
-def _find_victims(
-    state: PoolState,
-    request: PlacementRequest,
-    view: WorkerView,
-) -> list[Run]:
-    priority = request.entry.policy.priority
-    return [
-        run
-        for run in view.runs.values()
-        if run.state is RunState.RUNNING
-        and _may_be_preempted(state, run, priority)
+def _fitting_count(charge: Resources, free: Resources, count_max: int) -> int:
+    """Return how many tasks fit, at most `count_max`."""
+    counts = [
+        available // amount
+        for amount, available in zip(
+            charge.as_tuple(), free.as_tuple(), strict=True
+        )
+        if amount
     ]
+    if not charge.fits_in(free):
+        return 0
+    return min([count_max, *counts])
 
 
-def _may_be_preempted(state: PoolState, run: Run, priority: int) -> bool:
-    job_and_step = state.find_step(run.task)
-    if job_and_step is None or job_and_step[0].policy.priority <= priority:
-        return False
-    spec = job_and_step[1].spec
-    if spec.is_lasting or spec.is_gang or not spec.is_checkpointing:
-        return False
-    unit = job_and_step[1].active.get(run.unit_key)
-    return unit is None or unit.preemptions_count < _PREEMPTIONS_MAX_COUNT
-
+def _without_surplus(
+    view: WorkerView,
+    victims: list[tuple[float, Run]],
+    surplus: Resources,
+    tasks_count: int,
+) -> _Preemption:
+    """Return a preemption without the victims whose room is not needed.
 
-def _stop_cost(run: Run) -> float:
-    """Return the cost of stopping a run, in thousandths of a processor."""
-    return run.charge.processors_milli + _ACCELERATOR_COST_MILLI * (
-        run.charge.accelerators_count
-    )
+    The victims are taken from the cheapest on, so that a dear one may have made
+    cheaper ones unnecessary. `surplus` is what all of them free beyond need.
+    """
+    needed: list[Run] = []
+    total_cost: float = 0
+    for cost, run in reversed(victims):
+        if run.charge.fits_in(surplus):
+            surplus -= run.charge
+            continue
+        needed.append(run)
+        total_cost += cost
+    return _Preemption(view, tuple(needed), total_cost, tasks_count)
 
 
 def _execute_preemption(
     state: PoolState, request: PlacementRequest, preemption: _Preemption
 ) -> None:
-    preemption.view.reserve(request.step, request.now_ms + _RESERVATION_MS)
+    duration_ms = stop_costs.AWAITED_MAX_MS
+    if preemption.victims:
+        duration_ms = _RESERVATION_MS
+    step, view = request.step, preemption.view
+    room = ExpectedRoom(view.worker, request.now_ms + duration_ms)
+    for _ in range(preemption.tasks_count):
+        step.expected_room.append(room)
+        view.reserve(step, room.expiry_ms)
+    stop_costs.await_ends(view, request.now_ms)
     for run in preemption.victims:
         _count_preemption(state, run)
         events.emit(
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -37,6 +37,9 @@
     start_ordered_ms: int = 0
     # When the run is expected to end by itself.
     expected_end_ms: float = 0
+    # Until then a step awaits the end of the run instead of stopping it; `None`
+    # unless one has.
+    awaited_until_ms: int | None = None
     # A report requested after this time lists the run unless it has ended;
     # `None` while the worker's present incarnation has neither confirmed a
     # start or a stop of the run nor listed the run in a report.
