Give customers their rate and their share of a full pool first

Cause: a customer that sent several times its rate made the jobs of all others late, and one with much work took the whole of a full pool. Change: jobs beyond weight jobs a second are marked when their owner first sees them and get room only while no guaranteed work of others waits for room; customers below their weighted dominant share go first. contracts/shares.py has the arithmetic, which core/quotas.py uses too. Without contracts nothing changes.

--- a/fuchsiarill/core/quotas.py
+++ b/fuchsiarill/core/quotas.py
@@ -7,6 +7,7 @@
 """
 
 from fuchsiarill.cell_config import CellConfig, Contract
+from fuchsiarill.contracts import shares
 from fuchsiarill.core.accounts import Account
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.ids import CustomerId
@@ -51,8 +52,9 @@
 
 def share_of(state: CoreState, account: Account) -> float:
     """Return the dominant share of a customer, divided by its weight."""
-    dominant_share = account.reserved.dominant_share(state.total_capacity)
-    return dominant_share / _weight_of(account)
+    return shares.weighted_share(
+        account.reserved, state.total_capacity, _weight_of(account)
+    )
 
 
 def quota_permits(account: Account, additional: Resources) -> bool:
@@ -81,9 +83,7 @@
     reserved_in_total = account.urgent_reserved + additional
     if reserved_in_total.fits_in(account.guaranteed):
         return True
-    return reserved_in_total.dominant_share(
-        state.total_capacity
-    ) <= _entitled_share(state, account)
+    return _is_entitled(state, account, reserved_in_total)
 
 
 def is_within_share(
@@ -99,9 +99,7 @@
     if is_guaranteed(account, additional):
         return True
     reserved_in_total = account.reserved - account.being_reclaimed + additional
-    return reserved_in_total.dominant_share(
-        state.total_capacity
-    ) <= _entitled_share(state, account)
+    return _is_entitled(state, account, reserved_in_total)
 
 
 def borrows(account: Account) -> bool:
@@ -145,8 +143,12 @@
     )
 
 
-def _entitled_share(state: CoreState, account: Account) -> float:
-    return _weight_of(account) / state.weights_sum
+def _is_entitled(
+    state: CoreState, account: Account, reserved: Resources
+) -> bool:
+    return shares.is_within_share(
+        reserved, state.total_capacity, _weight_of(account), state.weights_sum
+    )
 
 
 def _weight_of(account: Account) -> float:
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -10,6 +10,7 @@
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import (
+    customer_order,
     decision_round,
     incarnations,
     reports,
@@ -118,6 +119,10 @@
         self.state.jobs[graph.job] = entry
         if not entry.is_active:
             return
+        if not is_inherited:
+            entry.is_beyond_rate = customer_order.is_beyond_rate(
+                self.state, graph, now_ms
+            )
         self.state.active_jobs[graph.job] = entry
         if graph.schedule is None:
             entry.open_occurrence(0)
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -15,6 +15,11 @@
     restart_backoff,
     start_windows,
 )
+from fuchsiarill.graphs.customer_order import (
+    is_excess,
+    may_have_room,
+    update_shares,
+)
 from fuchsiarill.graphs.effects import StartRun
 from fuchsiarill.graphs.gang_reservations import reserve_ahead
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
@@ -56,10 +61,12 @@
     """Start waiting units in the order of the ranks of their steps."""
     waiting = _find_waiting_steps(state)
     recheck_ms = now_ms + _recheck_interval_ms(len(waiting))
+    update_shares(state)
     ranked_steps = [
         _RankedStep(rank_ms(state, entry, step, now_ms), step.key, entry, step)
         for entry, step in waiting
         if _is_due(state, entry, step, now_ms)
+        and may_have_room(state, entry, step, now_ms)
     ]
     ranked_steps.sort(key=lambda ranked: ranked[:2])
     usable = UsableWorkers(state, now_ms)
@@ -198,10 +205,12 @@
 ) -> None:
     """Make room and request tickets for a unit that could not be placed.
 
-    No task makes room for one that is to blame for its failures.
+    No task makes room for one that is to blame for its failures, or for excess
+    work of a customer.
     """
     step = request.step
-    if not failure_blame.is_to_blame(step, request.unit):
+    is_to_blame = failure_blame.is_to_blame(step, request.unit)
+    if not is_to_blame and not is_excess(request.entry, step, request.now_ms):
         allowed = advice_requests.allowed_workers(state, request, candidates)
         if not preempt(state, request, allowed):
             reserve_ahead(state, request, allowed)
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -213,6 +213,8 @@
         # Accepted before this owner was elected: a previous owner may have
         # started its tasks on a worker that has not reported yet.
         self.is_inherited = False
+        # Sent beyond the rate that the contract of the customer guarantees.
+        self.is_beyond_rate = False
         # Attempts that this owner makes get higher numbers than this.
         self.attempt_floor = 0
 
--- a/fuchsiarill/graphs/order_state.py
+++ b/fuchsiarill/graphs/order_state.py
@@ -5,6 +5,7 @@
 
 from fuchsiarill.graphs.model import QueueId, Step
 from fuchsiarill.ids import CustomerId
+from fuchsiarill.resources import NO_RESOURCES, Resources
 
 
 class WorkKind(NamedTuple):
@@ -25,6 +26,15 @@
     late_priority: int | None = None
     # Last start of a unit of each kind that was waiting at the last survey.
     served_ms: dict[WorkKind, int] = field(default_factory=dict)
+    # Capacity of the listed workers, and the sum of the weights of the
+    # customers with waiting steps or runs; 0 without contracts.
+    total_capacity: Resources = NO_RESOURCES
+    weights_sum: float = 0
+    # Customers that use more than their share, as of the present round.
+    over_share: frozenset[CustomerId] = frozenset()
+    # Customers whose guaranteed work waits for room while excess work waits; at
+    # most two of them.
+    wanting_room: frozenset[CustomerId | None] = frozenset()
 
 
 def kind_of(
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from fuchsiarill.contracts.rates import JobRates
 from fuchsiarill.graphs.customers import CustomerTable
 from fuchsiarill.graphs.effects import Effect
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
@@ -37,6 +38,7 @@
     tickets: TicketCache = field(default_factory=TicketCache)
     run_times: RunTimes = field(default_factory=RunTimes)
     customers: CustomerTable = field(default_factory=CustomerTable)
+    job_rates: JobRates = field(default_factory=JobRates)
     order: OrderState = field(default_factory=OrderState)
     # Jobs whose progress is written by the next save.
     dirty: set[JobId] = field(default_factory=set)
--- a/fuchsiarill/graphs/waiting_survey.py
+++ b/fuchsiarill/graphs/waiting_survey.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from fuchsiarill.graphs.customer_order import survey_customers
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.order_state import WorkKind, kind_of
 from fuchsiarill.graphs.ordering import OrderClass, class_of
@@ -19,18 +20,36 @@
 
 def survey_waiting(state: PoolState, now_ms: int) -> None:
     """Find the late work to which other work gives way, and starving work."""
-    late_priorities: set[int] = set()
+    waiting = list(_waiting_steps(state))
+    classes = [class_of(state, *row, now_ms) for row in waiting]
+    state.order.late_priority = min(
+        (
+            entry.policy.priority
+            for (entry, _), order_class in zip(waiting, classes, strict=True)
+            if order_class is OrderClass.LATE_SHORT
+        ),
+        default=None,
+    )
+    guaranteed = [
+        row
+        for row, order_class in zip(waiting, classes, strict=True)
+        if order_class is not OrderClass.BEYOND_RATE
+    ]
+    _promote_starving(state, _oldest_of_kinds(guaranteed, now_ms), now_ms)
+    survey_customers(state, waiting, now_ms)
+
+
+def _oldest_of_kinds(
+    rows: list[tuple[JobEntry, StepEntry]], now_ms: int
+) -> dict[WorkKind, StepEntry]:
     oldest: dict[WorkKind, tuple[int, StepEntry]] = {}
-    for entry, step in _waiting_steps(state):
-        if _is_late_short(state, entry, step, now_ms):
-            late_priorities.add(entry.policy.priority)
+    for entry, step in rows:
         if _has_had_floor(step, now_ms):
             continue
         kind = kind_of(entry.graph.queue, entry.graph.customer, step.spec)
         if kind not in oldest or entry.accepted_ms < oldest[kind][0]:
             oldest[kind] = (entry.accepted_ms, step)
-    state.order.late_priority = min(late_priorities, default=None)
-    _promote_starving(state, oldest, now_ms)
+    return {kind: row[1] for kind, row in oldest.items()}
 
 
 def _waiting_steps(state: PoolState) -> Iterator[tuple[JobEntry, StepEntry]]:
@@ -46,13 +65,6 @@
                 yield entry, step
 
 
-def _is_late_short(
-    state: PoolState, entry: JobEntry, step: StepEntry, now_ms: int
-) -> bool:
-    order_class = class_of(state, entry, step, now_ms)
-    return order_class is OrderClass.LATE_SHORT
-
-
 def _has_had_floor(step: StepEntry, now_ms: int) -> bool:
     """Tell whether a step ranked first could not start all the same.
 
@@ -64,7 +76,7 @@
 
 def _promote_starving(
     state: PoolState,
-    oldest: dict[WorkKind, tuple[int, StepEntry]],
+    oldest: dict[WorkKind, StepEntry],
     now_ms: int,
 ) -> None:
     served_ms = state.order.served_ms
@@ -72,7 +84,7 @@
     state.order.served_ms = {
         kind: served_ms[kind] for kind in oldest if kind in served_ms
     }
-    for kind, (_, step) in oldest.items():
+    for kind, step in oldest.items():
         wait = step.wait
         if wait.floor_since_ms is not None or wait.since_ms is None:
             continue
