--- a/fuchsiarill/graphs/ceiling_limits.py
+++ b/fuchsiarill/graphs/ceiling_limits.py
@@ -62,6 +62,30 @@
     return (unit_hold(step.spec) + used_of(state, customer)).fits_in(limit)
 
 
+def tasks_with_room(state: PoolState, entry: JobEntry, step: StepEntry) -> int:
+    """Return how many waiting tasks of a step fit in the customer's claim."""
+    spec = step.spec
+    tasks_count = spec.tasks_count if spec.is_gang else len(step.waiting)
+    customer = entry.graph.customer
+    limit = None if customer is None else state.ceilings.limit_of(customer)
+    if customer is None or limit is None:
+        return tasks_count
+    free = limit - used_of(state, customer)
+    hold = unit_hold(spec)
+    if not hold.fits_in(free):
+        return 0
+    if spec.is_gang:
+        return tasks_count
+    counts = [
+        available // amount
+        for amount, available in zip(
+            hold.as_tuple(), free.as_tuple(), strict=True
+        )
+        if amount
+    ]
+    return min([tasks_count, *counts])
+
+
 def may_start_soon(state: PoolState, entry: JobEntry, step: StepEntry) -> bool:
     """Tell whether a step waits only until its claim has been raised."""
     customer = entry.graph.customer
@@ -162,7 +186,9 @@
     """Waiting work of a customer, and its first step at the ceiling."""
 
     waiting: Resources = NO_RESOURCES
-    largest: Resources = NO_RESOURCES
+    # The part of the most urgent queue among those of the waiting work.
+    urgent: Resources = NO_RESOURCES
+    urgent_priority: int | None = None
     wait: CeilingWait | None = None
 
 
@@ -211,10 +237,10 @@
 ) -> CustomerNeed:
     """Return the need of a customer with waiting work.
 
-    More than what is free in the pool can't start, except that one unit may
-    get room by a preemption.
+    More than what is free in the pool can't start, except that the most urgent
+    work may get room by preemptions.
     """
-    waiting = lower_of(demand.waiting, higher_of(free, demand.largest))
+    waiting = lower_of(demand.waiting, higher_of(free, demand.urgent))
     if wait is None:
         return CustomerNeed(used, waiting)
     return CustomerNeed(used, waiting, wait.charge, wait.since_unix_ms)
@@ -229,7 +255,7 @@
         if customer not in state.ceilings.known:
             continue
         for step in entry.waiting_steps():
-            _add_step(demands[customer], step, state.unix_offset_ms)
+            _add_step(demands[customer], entry, step, state.unix_offset_ms)
     return demands
 
 
@@ -239,10 +265,18 @@
     return entry.is_active
 
 
-def _add_step(demand: _Demand, step: StepEntry, unix_offset_ms: int) -> None:
+def _add_step(
+    demand: _Demand, entry: JobEntry, step: StepEntry, unix_offset_ms: int
+) -> None:
     charge = unit_hold(step.spec)
-    demand.waiting += charge.times(len(step.waiting))
-    demand.largest = higher_of(demand.largest, charge)
+    waiting = charge.times(len(step.waiting))
+    demand.waiting += waiting
+    priority = entry.policy.priority
+    if demand.urgent_priority is None or priority < demand.urgent_priority:
+        demand.urgent_priority = priority
+        demand.urgent = NO_RESOURCES
+    if priority == demand.urgent_priority:
+        demand.urgent += waiting
     since_ms = step.wait.ceiling_since_ms
     if since_ms is None:
         return
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterator
+from itertools import islice
 from typing import Final, NamedTuple
 
 from fuchsiarill import events, graph_events
@@ -15,13 +16,23 @@
     restart_backoff,
     start_windows,
 )
+from fuchsiarill.graphs.customer_order import (
+    is_excess,
+    may_have_room,
+    update_shares,
+)
 from fuchsiarill.graphs.effects import StartRun
-from fuchsiarill.graphs.gang_reservations import reserve_for_gang
+from fuchsiarill.graphs.gang_reservations import reserve_ahead
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.model import StepKey
+from fuchsiarill.graphs.order_state import kind_of
 from fuchsiarill.graphs.ordering import rank_ms
 from fuchsiarill.graphs.placement import PlacementRequest, UsableWorkers
-from fuchsiarill.graphs.preemption import preempt
+from fuchsiarill.graphs.preemption import (
+    preempt,
+    release_room,
+    update_rank,
+)
 from fuchsiarill.graphs.run_actions import allocate_run, extend_leases
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
@@ -51,10 +62,12 @@
     """Start waiting units in the order of the ranks of their steps."""
     waiting = _find_waiting_steps(state)
     recheck_ms = now_ms + _recheck_interval_ms(len(waiting))
+    update_shares(state)
     ranked_steps = [
-        _RankedStep(rank_ms(entry, step, now_ms), step.key, entry, step)
+        _RankedStep(rank_ms(state, entry, step, now_ms), step.key, entry, step)
         for entry, step in waiting
         if _is_due(state, entry, step, now_ms)
+        and may_have_room(state, entry, step, now_ms)
     ]
     ranked_steps.sort(key=lambda ranked: ranked[:2])
     usable = UsableWorkers(state, now_ms)
@@ -140,7 +153,7 @@
     unit.
     """
     step = ranked.step
-    step.rank_ms = ranked.rank_ms
+    update_rank(state, step, ranked.rank_ms)
     placer = StepPlacer(state, usable)
     has_waiting_suspect = False
     for unit in _admitted_units(state, ranked, placer, now_ms):
@@ -156,7 +169,20 @@
         if not crash_trials.is_waiting_for_quiet(unit, now_ms):
             return False
         has_waiting_suspect = True
-    return not step.waiting
+    if step.waiting:
+        return False
+    release_room(state, step)
+    return True
+
+
+def _units_at_rank(
+    state: PoolState, ranked: _RankedStep, now_ms: int
+) -> Iterator[Unit]:
+    """Return the due units; of a starving step one, the others rank lower."""
+    due_units = _due_units(state, ranked, now_ms)
+    if ranked.step.wait.floor_since_ms is None:
+        return due_units
+    return islice(due_units, 1)
 
 
 def _admitted_units(
@@ -168,7 +194,7 @@
     requested, while the claim of the pool is being raised.
     """
     entry, step = ranked.entry, ranked.step
-    for unit in _due_units(state, ranked, now_ms):
+    for unit in _units_at_rank(state, ranked, now_ms):
         if ceiling_limits.admit(state, entry, step, now_ms):
             yield unit
             continue
@@ -208,13 +234,15 @@
 ) -> None:
     """Make room and request tickets for a unit that could not be placed.
 
-    No task makes room for one that is to blame for its failures.
+    No task makes room for one that is to blame for its failures, or for excess
+    work of a customer.
     """
     step = request.step
-    if not failure_blame.is_to_blame(step, request.unit):
+    is_to_blame = failure_blame.is_to_blame(step, request.unit)
+    if not is_to_blame and not is_excess(request.entry, step, request.now_ms):
         allowed = advice_requests.allowed_workers(state, request, candidates)
-        if not preempt(state, request, allowed) and step.spec.is_gang:
-            reserve_for_gang(state, request, allowed)
+        if not preempt(state, request, allowed):
+            reserve_ahead(state, request, allowed)
     advice_requests.request_advice(state, request, candidates)
 
 
@@ -227,6 +255,8 @@
     unit.last_attempt += 1
     start_windows.forget_starts(state, entry, unit)
     step.activate(unit)
+    kind = kind_of(entry.graph.queue, entry.graph.customer, step.spec)
+    state.order.served_ms[kind] = request.now_ms
     expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
         run = Run(
@@ -245,6 +275,7 @@
         unit.runs[run.key] = run
         step.runs_per_worker[view.worker] += 1
         view.consume_reservation(step.key)
+        step.consume_room(view.worker)
         allocate_run(state, run)
         extend_leases(state, view, request.now_ms)
         _order_start(state, request, run, view)
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
-from typing import Final
+from typing import Final, NamedTuple
 
 from fuchsiarill.graphs.model import (
     NO_CHECKPOINT,
@@ -98,6 +98,16 @@
     ceiling_since_ms: int | None = None
     # The reason for which the step waits is not logged before this time.
     next_report_ms: int = 0
+    # Since when the step is ranked first, for one start, since its kind of work
+    # has had none for long; `None` otherwise.
+    floor_since_ms: int | None = None
+
+
+class ExpectedRoom(NamedTuple):
+    """Room for one task that a preemption should free on a worker."""
+
+    worker: WorkerId
+    expiry_ms: int
 
 
 class StepEntry:
@@ -117,8 +127,10 @@
         self.waiting: dict[UnitKey, Unit] = {}
         self.active: dict[UnitKey, Unit] = {}
         self.runs_per_worker: Counter[WorkerId] = Counter()
+        # Room that is being made for waiting units and is reserved for them.
+        self.expected_room: list[ExpectedRoom] = []
         # No further runs are preempted for the step before this time.
-        self.preempting_until_ms = 0
+        self.next_preemption_ms = 0
         # When reservations for a gang step began; reset when the gang starts.
         self.reserving_since_ms: int | None = None
         # Rank at the last decision about the step.
@@ -157,9 +169,16 @@
         """Move a unit from `waiting` to `active`: it gets runs."""
         self.waiting.pop(unit.key, None)
         self.active[unit.key] = unit
-        self.preempting_until_ms = 0
         self.reserving_since_ms = None
         self.wait.since_ms = None
+        self.wait.floor_since_ms = None
+
+    def consume_room(self, worker: WorkerId) -> None:
+        """Remove the expected room of a task that starts on a worker."""
+        for room in self.expected_room:
+            if room.worker == worker:
+                self.expected_room.remove(room)
+                return
 
     def requeue(self, unit: Unit) -> None:
         """Move a unit without runs from `active` back to `waiting`."""
@@ -197,6 +216,8 @@
         # Accepted before this owner was elected: a previous owner may have
         # started its tasks on a worker that has not reported yet.
         self.is_inherited = False
+        # Sent beyond the rate that the contract of the customer guarantees.
+        self.is_beyond_rate = False
         # Attempts that this owner makes get higher numbers than this.
         self.attempt_floor = 0
 
@@ -214,6 +235,10 @@
         """Tell whether the job has not reached its final phase."""
         return self.progress.phase is JobPhase.ACTIVE
 
+    def expected_ms(self, step: StepEntry) -> float:
+        """Return the expected run time of a task of a step."""
+        return self._expected_ms[step.key.step]
+
     @cached_property
     def critical_paths_ms(self) -> tuple[int, ...]:
         """Return the expected time from each step's start to the job's end.
@@ -246,6 +271,15 @@
             due_ms += occurrence * schedule.period_ms
         return due_ms + self.objective_ms - self.critical_paths_ms[position]
 
+    def path_ms(self, step: StepEntry) -> int:
+        """Return the expected time from a step's start to the job's end."""
+        return self.critical_paths_ms[step.key.step]
+
+    def age_ms(self, step: StepEntry, now_ms: int) -> int:
+        """Return the time since the occurrence of a step was due."""
+        latest_end_ms = self.latest_start_ms(step) + self.path_ms(step)
+        return now_ms - latest_end_ms + self.objective_ms
+
     def open_occurrence(self, occurrence: int) -> None:
         """Open the steps of an occurrence whose dependencies have succeeded."""
         self.opened_occurrences = max(self.opened_occurrences, occurrence + 1)
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from fuchsiarill.contracts.rates import JobRates
 from fuchsiarill.graphs.claim_ledger import ClaimLedger
 from fuchsiarill.graphs.customers import CustomerTable
 from fuchsiarill.graphs.effects import Effect
@@ -15,6 +16,7 @@
     StepKey,
     TaskKey,
 )
+from fuchsiarill.graphs.order_state import OrderState
 from fuchsiarill.graphs.pool_ceilings import PoolCeilings
 from fuchsiarill.graphs.room_changes import RoomChanges
 from fuchsiarill.graphs.run_times import RunTimes
@@ -39,6 +41,8 @@
     run_times: RunTimes = field(default_factory=RunTimes)
     customers: CustomerTable = field(default_factory=CustomerTable)
     ceilings: PoolCeilings = field(init=False)
+    job_rates: JobRates = field(default_factory=JobRates)
+    order: OrderState = field(default_factory=OrderState)
     # Jobs whose progress is written by the next save.
     dirty: set[JobId] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
