Measure the load of a pool and decide about new jobs

The owner's state gives a lower bound of the wait of a new job of each queue (fluid model of the capacity that gets free, work that precedes the job by its rank); a job is refused only if even half of that wait (a quarter without learned run times) leaves it no value.

--- a/fuchsiarill/contracts/rates.py
+++ b/fuchsiarill/contracts/rates.py
@@ -5,6 +5,7 @@
 short bursts pass and marks the jobs beyond it.
 """
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -22,6 +23,8 @@
 class _Bucket:
     tokens: float
     filled_ms: int
+    # Jobs of the last seconds, with exponential decay, as of `filled_ms`.
+    recent_count: float = 0
 
 
 class JobRates:
@@ -44,18 +47,24 @@
         it sends more.
         """
         bucket = self._refill(customer, weight, now_ms)
+        bucket.recent_count += 1
         if bucket.tokens < 1:
             return False
         bucket.tokens -= 1
         return True
 
-    def is_exhausted(
+    def within_share(
         self, customer: CustomerId, weight: float, now_ms: int
-    ) -> bool:
-        """Return whether a job now would be beyond the customer's rate."""
+    ) -> float:
+        """Return which share of the next second's jobs is within the rate.
+
+        The customer is expected to send as many jobs as lately.
+        """
         if customer not in self._buckets:
-            return False
-        return self._refill(customer, weight, now_ms).tokens < 1
+            return 1.0
+        bucket = self._refill(customer, weight, now_ms)
+        expected_count = bucket.recent_count / self._burst_s
+        return min((bucket.tokens + weight) / max(expected_count, weight), 1.0)
 
     def _refill(
         self, customer: CustomerId, weight: float, now_ms: int
@@ -70,5 +79,7 @@
         gained = elapsed_ms * weight / MS_PER_SECOND
         # The minimum also discards tokens above a burst that was lowered.
         bucket.tokens = min(bucket.tokens + gained, capacity)
+        burst_ms = self._burst_s * MS_PER_SECOND
+        bucket.recent_count *= math.exp(-elapsed_ms / burst_ms)
         bucket.filled_ms = max(bucket.filled_ms, now_ms)
         return bucket
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -116,6 +116,10 @@
         if is_inherited:
             entry.attempt_floor = (self._term - 1) * ATTEMPTS_PER_TERM
         self.state.jobs[graph.job] = entry
+        if not is_inherited and self.state.config is not None:
+            self.state.customers.count_job(
+                self.state.config.contracts, graph.customer, now_ms
+            )
         if not entry.is_active:
             return
         self.state.active_jobs[graph.job] = entry
--- a/fuchsiarill/graphs/customers.py
+++ b/fuchsiarill/graphs/customers.py
@@ -2,6 +2,8 @@
 
 from collections import defaultdict
 
+from fuchsiarill.contracts.contract import CustomerContracts
+from fuchsiarill.contracts.rates import JobRates
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.ids import CustomerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
@@ -21,6 +23,8 @@
     def __init__(self) -> None:
         """Create the table of a pool without runs."""
         self._uses: defaultdict[CustomerId, Resources] = defaultdict(Resources)
+        # Jobs that this owner has seen accepted.
+        self.rates = JobRates()
 
     def use_of(self, customer: CustomerId) -> Resources:
         """Return what a customer has allocated in the pool."""
@@ -30,6 +34,19 @@
         """Return what each customer with runs has allocated in the pool."""
         return dict(self._uses)
 
+    def count_job(
+        self,
+        contracts: CustomerContracts,
+        customer: CustomerId | None,
+        now_ms: int,
+    ) -> None:
+        """Count a new job in the rate of its customer's contract."""
+        if customer is None:
+            return
+        contract = contracts.find(customer)
+        if contract is not None:
+            self.rates.count(customer, contract.weight, now_ms)
+
     def allocate(self, run: Run) -> None:
         """Count a new run; one without a customer is not counted."""
         if run.customer is not None:
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -154,6 +154,22 @@
     settled_job_ms: int = 150_000
 
 
+class LoadSettings(_Section):
+    """Admission by the load of the pools, and what it needs."""
+
+    # Admission also without contracts of customers in the configuration.
+    is_enabled: bool = False
+    # Interval at which an owner publishes the load while work waits.
+    publish_interval_ms: int = 500
+    # A submission reads the published load again if its copy is older.
+    cache_ms: int = 500
+    # An older state of load counts as unknown. Covers the interval, the cache,
+    # a slow write and a slow read.
+    record_max_age_ms: int = 2000
+    # Maximum difference between the wall clocks of two machines.
+    clock_skew_max_ms: int = 5000
+
+
 class GraphSettings(_Section):
     """Contents of the settings file of a process."""
 
@@ -167,6 +183,7 @@
     calls: CallSettings = Field(default_factory=CallSettings)
     front: FrontSettings = Field(default_factory=FrontSettings)
     retention: RetentionSettings = Field(default_factory=RetentionSettings)
+    load: LoadSettings = Field(default_factory=LoadSettings)
     # Time within which a configuration has to be in force everywhere.
     config_apply_ms: int = 2000
     log_level: Level = Level.INFO
--- /dev/null
+++ b/fuchsiarill/load/measuring.py
@@ -0,0 +1,299 @@
+"""Measures the load of a pool, in one pass over its jobs and runs.
+
+Load handled: hundreds of waiting steps and thousands of runs, measured twice a
+second beside the decisions of the owner.
+"""
+
+from bisect import bisect_left
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import accumulate
+from typing import Final, NamedTuple
+
+from fuchsiarill.clock import MS_PER_SECOND
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
+from fuchsiarill.graphs.model import (
+    JobGraph,
+    QueueId,
+    QueuePolicy,
+    Step,
+    StepKey,
+    WorkerListing,
+)
+from fuchsiarill.graphs.ordering import rank_ms
+from fuchsiarill.graphs.progress import JobProgress
+from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.states import AvailabilityState
+from fuchsiarill.graphs.worker_table import WorkerView
+from fuchsiarill.ids import CustomerId, JobId
+from fuchsiarill.load import pool_load
+from fuchsiarill.load.drain_rates import DrainRates
+from fuchsiarill.load.waits import HeldCapacity, earliest_start_ms
+from fuchsiarill.resources import NO_RESOURCES
+
+# A late job has reduced value up to this multiple of its objective.
+VALUE_END_FACTOR: Final = 3
+_PERMILLE: Final = 1000
+_NEWCOMER: Final = Step(1, NO_RESOURCES)
+
+
+class _WaitingWork(NamedTuple):
+    rank_ms: int
+    work_ms: int
+
+
+@dataclass(slots=True)
+class _QueueTally:
+    jobs_count: int = 0
+    work_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Tally:
+    """What waits, and what runs hold."""
+
+    queues: dict[QueueId, _QueueTally] = field(default_factory=dict)
+    # Work that can run wherever any other work can.
+    general_work: list[_WaitingWork] = field(default_factory=list)
+    # The part of it that precedes jobs beyond their customer's rate.
+    preferred_work_ms: int = 0
+    held: HeldCapacity = field(default_factory=HeldCapacity)
+    capacity_milli: int = 0
+    free_milli: int = 0
+    active_queues: set[QueueId] = field(default_factory=set)
+
+
+def measure_pool(
+    state: PoolState, drains: DrainRates, now_ms: int
+) -> pool_load.PoolLoad:
+    """Return the state of load of a pool."""
+    beyond = find_beyond(state, now_ms)
+    tally = _Tally()
+    for entry in state.active_jobs.values():
+        if entry.is_active:
+            _add_job(state, tally, entry, now_ms, frozenset(beyond))
+    if tally.queues:
+        _add_workers(state, tally, now_ms)
+    curves = {
+        queue: _run_time_curve(state, queue)
+        for queue in _policies(state).keys() | tally.active_queues
+    }
+    return pool_load.PoolLoad(
+        state.pool,
+        state.epoch,
+        now_ms + state.unix_offset_ms,
+        _queue_loads(state, tally, drains, curves, now_ms),
+        beyond,
+        pool_load.maximal(
+            view.entry.capacity
+            for view in state.workers
+            if view.entry is not None and view.is_listed
+        ),
+        pool_load.maximal(
+            view.free for view in state.workers if _is_ready(view)
+        ),
+        max(
+            (curves[queue].error_factor for queue in tally.active_queues),
+            default=pool_load.LEARNED_ERROR_FACTOR,
+        ),
+    )
+
+
+def find_beyond(state: PoolState, now_ms: int) -> dict[CustomerId, int]:
+    """Return the customers that exceed the rate of their contract.
+
+    With each goes the share of its jobs that is within the rate.
+    """
+    if state.config is None:
+        return {}
+    shares: dict[CustomerId, int] = {}
+    for customer in state.config.contracts.customers:
+        contract = state.config.contracts.find(customer)
+        if contract is None:
+            continue
+        share = state.customers.rates.within_share(
+            customer, contract.weight, now_ms
+        )
+        if share < 1:
+            shares[customer] = int(share * _PERMILLE)
+    return shares
+
+
+def _add_job(
+    state: PoolState,
+    tally: _Tally,
+    entry: JobEntry,
+    now_ms: int,
+    beyond: frozenset[CustomerId],
+) -> None:
+    queue = entry.graph.queue
+    if not all(step.is_lasting for step in entry.graph.steps):
+        tally.active_queues.add(queue)
+    # Jobs of an earlier owner do not start before its runs are known.
+    if entry.is_inherited and not state.is_inheritance_settled:
+        return
+    waiting = entry.waiting_steps()
+    if not waiting:
+        return
+    queue_tally = tally.queues.setdefault(queue, _QueueTally())
+    queue_tally.jobs_count += 1
+    value_end_ms = entry.accepted_ms + VALUE_END_FACTOR * entry.objective_ms
+    is_preferred = entry.graph.customer not in beyond and now_ms < value_end_ms
+    for step in waiting:
+        work_ms = _work_ms(state, queue, step)
+        queue_tally.work_ms += work_ms
+        if not _is_general(entry, step.spec):
+            continue
+        rank = rank_ms(entry, step, now_ms)
+        tally.general_work.append(_WaitingWork(rank, work_ms))
+        tally.preferred_work_ms += work_ms if is_preferred else 0
+
+
+def _work_ms(state: PoolState, queue: QueueId, step: StepEntry) -> int:
+    spec = step.spec
+    # Lasting tasks hold their room once they run; they have no work.
+    if spec.is_lasting:
+        return 0
+    tasks_count = len(step.waiting)
+    if spec.is_gang:
+        tasks_count *= spec.tasks_count
+    expected_ms = state.run_times.expected_ms(queue, spec)
+    charge_milli = spec.charge.processors_milli
+    return int(tasks_count * charge_milli * expected_ms / MS_PER_SECOND)
+
+
+def _is_general(entry: JobEntry, spec: Step) -> bool:
+    """Tell whether the work needs nothing but usual workers.
+
+    Other work may wait while usual workers have room, so that a new job does
+    not wait for it.
+    """
+    if entry.policy.advice is not None or spec.is_gang:
+        return False
+    has_constraint = spec.required_label is not None or spec.per_worker_max
+    return not has_constraint and not spec.charge.accelerators_count
+
+
+def _add_workers(state: PoolState, tally: _Tally, now_ms: int) -> None:
+    for view in state.workers:
+        if _is_sound(view) and view.entry is not None:
+            tally.capacity_milli += view.entry.capacity.processors_milli
+            _add_runs(state, tally, view, now_ms)
+        if _is_ready(view):
+            tally.free_milli += max(view.free.processors_milli, 0)
+
+
+def _add_runs(
+    state: PoolState, tally: _Tally, view: WorkerView, now_ms: int
+) -> None:
+    """Add the runs of a worker; the most frequent step of a measurement."""
+    for run in view.runs.values():
+        entry = state.jobs.get(run.task.job)
+        displaceable_at = None
+        if entry is not None and run.task.step < len(entry.graph.steps):
+            spec = entry.graph.steps[run.task.step]
+            if spec.is_checkpointing and not spec.is_gang:
+                displaceable_at = entry.policy.priority
+        tally.held.add(
+            run.charge.processors_milli,
+            run.expected_end_ms - now_ms,
+            displaceable_at,
+        )
+
+
+def _is_sound(view: WorkerView) -> bool:
+    """Tell whether the capacity of a worker may serve waiting work."""
+    return (
+        view.is_listed
+        and view.entry is not None
+        and view.entry.listing is WorkerListing.LIVE
+    )
+
+
+def _is_ready(view: WorkerView) -> bool:
+    return view.is_listed and view.availability is AvailabilityState.READY
+
+
+def _policies(state: PoolState) -> dict[QueueId, QueuePolicy]:
+    if state.config is None:
+        return {}
+    return {
+        policy.queue: policy
+        for policy in state.config.queues.values()
+        if policy.pool == state.pool
+    }
+
+
+class _WorkByRank:
+    """General work in the order of its ranks, with running sums."""
+
+    def __init__(self, work: list[_WaitingWork]) -> None:
+        work.sort()
+        self._ranks = [row.rank_ms for row in work]
+        self._sums_ms = [0, *accumulate(row.work_ms for row in work)]
+
+    def before_ms(self, rank: int) -> int:
+        """Return the work that precedes a rank."""
+        return self._sums_ms[bisect_left(self._ranks, rank)]
+
+
+def _queue_loads(
+    state: PoolState,
+    tally: _Tally,
+    drains: DrainRates,
+    curves: dict[QueueId, pool_load.RunTimeCurve],
+    now_ms: int,
+) -> dict[QueueId, pool_load.QueueLoad]:
+    general_work = _WorkByRank(tally.general_work)
+    loads: dict[QueueId, pool_load.QueueLoad] = {}
+    for queue, policy in _policies(state).items():
+        queue_tally = tally.queues.get(queue, _QueueTally())
+        rank = _newcomer_rank_ms(state, policy, now_ms)
+        ahead_ms = general_work.before_ms(rank)
+        held = tally.held.held_before(policy.priority)
+        loads[queue] = pool_load.QueueLoad(
+            queue_tally.jobs_count,
+            queue_tally.work_ms,
+            tally.free_milli + tally.held.displaceable_milli(policy.priority),
+            drains.rate_milli(queue, now_ms),
+            _wait_ms(tally, ahead_ms, held),
+            _wait_ms(tally, max(ahead_ms, tally.preferred_work_ms), held),
+            curves[queue],
+        )
+    return loads
+
+
+def _wait_ms(tally: _Tally, ahead_ms: int, held: 'Counter[int]') -> int:
+    if not tally.queues:
+        return 0
+    capacity_milli = tally.capacity_milli - tally.held.lasting_milli
+    return earliest_start_ms(ahead_ms, capacity_milli, held)
+
+
+def _newcomer_rank_ms(
+    state: PoolState, policy: QueuePolicy, now_ms: int
+) -> int:
+    """Return the rank of the most urgent new job of a queue.
+
+    It has the shortest run time, so that its latest start is the earliest.
+    """
+    job = JobId('')
+    graph = JobGraph(job, policy.queue, state.pool, '', (_NEWCOMER,))
+    entry = JobEntry(graph, policy, JobProgress(), now_ms, (0.0,))
+    return rank_ms(entry, StepEntry(StepKey(job, 0, 0), _NEWCOMER), now_ms)
+
+
+def _run_time_curve(state: PoolState, queue: QueueId) -> pool_load.RunTimeCurve:
+    times_ms = [
+        int(
+            state.run_times.expected_ms(
+                queue, Step(1, NO_RESOURCES, estimate_ms=estimate_ms)
+            )
+        )
+        for estimate_ms in (
+            0,
+            pool_load.SHORT_ESTIMATE_MS,
+            pool_load.LONG_ESTIMATE_MS,
+        )
+    ]
+    return pool_load.RunTimeCurve(*times_ms)
--- /dev/null
+++ b/fuchsiarill/load/pool_load.py
@@ -0,0 +1,141 @@
+"""State of load of a pool, computed by its owner in one pass.
+
+Load handled: more work than the workers can do in time. The owner alone knows
+the order of the waiting work and the expected ends of the runs, so it works
+out how long a new job of each queue would wait.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from fuchsiarill.graphs.model import PoolId, QueueId
+from fuchsiarill.ids import CustomerId, Epoch
+from fuchsiarill.load.waits import WAIT_MAX_MS
+from fuchsiarill.resources import Resources
+
+# Estimates of callers are off by up to this factor.
+ESTIMATE_ERROR_FACTOR: Final = 4
+# Learned times are medians: nearly all tasks take less than twice as long.
+LEARNED_ERROR_FACTOR: Final = 2
+# Two estimates at which the owner tells the run time that it expects.
+SHORT_ESTIMATE_MS: Final = 100
+LONG_ESTIMATE_MS: Final = 100_000
+_MAXIMA_MAX_COUNT: Final = 16
+
+
+@dataclass(frozen=True, slots=True)
+class RunTimeCurve:
+    """Expected run times of the tasks of a queue, by the caller's estimate.
+
+    Between the estimates `SHORT_ESTIMATE_MS` and `LONG_ESTIMATE_MS`, and beyond
+    them, the logarithm of the expected time is linear in that of the estimate.
+    """
+
+    # Without an estimate; 0 if not known.
+    unestimated_ms: int = 0
+    short_ms: int = SHORT_ESTIMATE_MS
+    long_ms: int = LONG_ESTIMATE_MS
+
+    @property
+    def is_learned(self) -> bool:
+        """Return whether ended runs have changed the callers' estimates."""
+        return self.long_ms != LONG_ESTIMATE_MS
+
+    @property
+    def error_factor(self) -> int:
+        """Return how many times longer than expected a task may take."""
+        if self.is_learned:
+            return LEARNED_ERROR_FACTOR
+        return ESTIMATE_ERROR_FACTOR
+
+    def expected_ms(self, estimate_ms: int) -> float:
+        """Return the expected run time of a task; 0 if it is not known."""
+        if estimate_ms <= 0:
+            return self.unestimated_ms
+        slope = math.log(max(self.long_ms, 1) / max(self.short_ms, 1)) / (
+            math.log(LONG_ESTIMATE_MS / SHORT_ESTIMATE_MS)
+        )
+        relative_estimate: float = estimate_ms / SHORT_ESTIMATE_MS
+        return float(self.short_ms * relative_estimate**slope)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLoad:
+    """Load of one queue; work is in ms of one processor."""
+
+    waiting_jobs_count: int = 0
+    waiting_work_ms: int = 0
+    # Processors that are free, or held by runs that the queue may displace, in
+    # thousandths.
+    free_milli: int = 0
+    # Work of the queue started lately, in thousandths of processors.
+    drain_milli: int = 0
+    # Until a new job of the queue could start, as far as is known now.
+    expected_wait_ms: int = 0
+    # The same for a job beyond its customer's rate: all other work is first.
+    excess_wait_ms: int = 0
+    run_times: RunTimeCurve = field(default_factory=RunTimeCurve)
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """State of load of a pool, as its owner publishes it.
+
+    `error_factor` is the factor by which the waits may be too long.
+    """
+
+    pool: PoolId
+    epoch: Epoch
+    # Unix time at which the state was computed.
+    written_unix_ms: int
+    queues: Mapping[QueueId, QueueLoad] = field(default_factory=dict)
+    # Customers that send more than their contract guarantees, with the share of
+    # their jobs that is within it, in thousandths.
+    beyond: Mapping[CustomerId, int] = field(default_factory=dict)
+    # Capacities that no other worker exceeds; empty if they are not known.
+    largest: tuple[Resources, ...] = ()
+    # The same of the free room.
+    largest_free: tuple[Resources, ...] = ()
+    error_factor: int = ESTIMATE_ERROR_FACTOR
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether any work waits."""
+        return any(queue.waiting_jobs_count for queue in self.queues.values())
+
+    @property
+    def drain_milli(self) -> int:
+        """Return the work of all queues started lately."""
+        return sum(queue.drain_milli for queue in self.queues.values())
+
+    def least_wait_ms(self, queue: QueueId, *, is_excess: bool) -> int:
+        """Return a lower bound of the wait of a new job."""
+        load = self.queues.get(queue)
+        if load is None:
+            return 0
+        wait_ms = load.excess_wait_ms if is_excess else load.expected_wait_ms
+        return min(wait_ms, WAIT_MAX_MS) // self.error_factor
+
+
+def maximal(vectors: Iterable[Resources]) -> tuple[Resources, ...]:
+    """Return the vectors that no other one exceeds in every component.
+
+    If there are more than a record should hold, returns one vector that all of
+    them fit in.
+    """
+    maxima: list[Resources] = []
+    for vector in vectors:
+        if any(vector.fits_in(other) for other in maxima):
+            continue
+        maxima = [other for other in maxima if not other.fits_in(vector)]
+        maxima.append(vector)
+        if len(maxima) > _MAXIMA_MAX_COUNT:
+            maxima = [_enclosing(maxima)]
+    return tuple(maxima)
+
+
+def _enclosing(vectors: list[Resources]) -> Resources:
+    rows = zip(*(vector.as_tuple() for vector in vectors), strict=True)
+    return Resources(*(max(row) for row in rows))
