Refuse at once what the load or a lost store leaves no use in

A submission during overload or a known outage of the store was accepted or refused only after all waits. The owner now writes load/POOL with its other records twice a second while work waits; the intake reads it with a cache of 500 ms and refuses by the pure decision, after a read that shows that the job is not accepted yet. A record counts only if it is of the present owner and the reads prove it at most 2 s old. Callers get 429 or 503 with a computed Retry-After. All of it is off without contracts or load.is_enabled.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -1,7 +1,7 @@
 """Numbered log events of job graphs; `events.emit` writes them.
 
 70x requests, 71x runs, 72x workers, 73x ownership of pools, 74x outside
-systems, 75x incarnations of workers.
+systems, 75x incarnations of workers, 76x load.
 """
 
 from typing import Final
@@ -329,3 +329,12 @@
     'routes, {calls} have a call of this process and {others} one of another',
     'See "Late" in OPERATIONS.md if this recurs.',
 )
+SUBMISSION_REFUSED: Final = LogEvent(
+    761,
+    Level.WARNING,
+    'job {job} of queue {queue} and customer {customer} is refused with {code} '
+    'because of {cause}: it would wait {least_wait_ms} ms at least, '
+    '{allowed_wait_ms} ms are allowed, by the load of {age_ms} ms ago at '
+    'revision {revision}; to return after {retry_after_ms} ms',
+    'See "Refused because of load" in OPERATIONS.md.',
+)
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -10,7 +10,7 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 from returns.result import Failure, Success
 
@@ -19,6 +19,8 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
 from fuchsiarill.graphs import graph_records, keys, records
+from fuchsiarill.graphs.load_gate import LoadContext, LoadGate
+from fuchsiarill.graphs.load_metrics import LoadMetrics
 from fuchsiarill.graphs.model import JobGraph, PoolId, QueueId
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
@@ -42,13 +44,14 @@
     """Answer to a request.
 
     It has the result code, with the state of a job or the number of jobs that
-    have not started.
+    have not started. A refusal for load tells when to repeat the request.
     """
 
     code: codes.ResultCode
     phase: JobPhase | None = None
     has_started: bool = False
     pending_count: int = 0
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,9 +119,15 @@
 class Intake(SpawningActor):
     """Serves the requests of callers of one process."""
 
-    def __init__(self, store: KeyValuePort, settings: GraphSettings) -> None:
+    def __init__(
+        self,
+        store: KeyValuePort,
+        settings: GraphSettings,
+        metrics: LoadMetrics,
+    ) -> None:
         """Serve the requests from `store`."""
         super().__init__('intake')
+        self._gate = LoadGate(store, settings, metrics, self.spawn)
         self._store = store
         self._call_settings = settings.calls
         self._counts_by_pool: dict[PoolId, _PendingCounts] = {}
@@ -128,6 +137,11 @@
         """Accept a job in a task of its own."""
         self.spawn(self._submit_job(message))
 
+    @handles(LoadContext)
+    async def on_load_context(self, message: LoadContext) -> None:
+        """Take note of owners, peers and the reachability of the store."""
+        self._gate.update_context(message)
+
     @handles(LookUp)
     async def on_look_up(self, message: LookUp) -> None:
         """Look a job up in a task of its own."""
@@ -143,8 +157,20 @@
         """Count jobs that have not started, in a task of its own."""
         self.spawn(self._count_pending(message))
 
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        return {**super().snapshot(), 'load': self._gate.snapshot()}
+
     async def _submit_job(self, message: Submit) -> None:
         graph = message.graph
+        refused = await self._gate.refusal_of(graph, message.deadline_ms)
+        if refused is not None:
+            message.reply.answer(
+                IntakeAnswer(
+                    refused.code, retry_after_ms=refused.retry_after_ms
+                )
+            )
+            return
         retry = _RetryState('submit', graph.job, now_ms(), message.deadline_ms)
         key = keys.graph_key(graph.pool, graph.job)
         code = await self._create_key(
@@ -193,7 +219,9 @@
                 transaction,
                 self._timeout_ms(retry),
             )
-            if isinstance(commit_result, Success):
+            is_answered = isinstance(commit_result, Success)
+            self._gate.note_store_call(is_answered=is_answered)
+            if is_answered:
                 self._log_submission(key, retry, commit_result.unwrap())
                 return codes.ACCEPTED
             if commit_result.failure() is not KvFailure.REFUSED:
@@ -232,6 +260,8 @@
         if retry.may_have_applied:
             # Only a further call can tell the caller the outcome.
             return now < retry.deadline_ms
+        if retry.verb == 'submit' and self._gate.is_store_lost:
+            return False
         retry_limit_ms = self._call_settings.submit_patience_ms
         return now < min(retry.deadline_ms, retry.started_ms + retry_limit_ms)
 
--- a/fuchsiarill/graphs/load_records.py
+++ b/fuchsiarill/graphs/load_records.py
@@ -26,20 +26,21 @@
 
 def encode_load(load: PoolLoad) -> bytes:
     """Return the JSON form of a state of load."""
-    return encode_json(
-        {
-            'pool': load.pool,
-            'epoch': load.epoch,
-            'written': load.written_unix_ms,
-            'queues': {
-                queue: asdict(row) for queue, row in load.queues.items()
-            },
-            'beyond': dict(load.beyond),
-            'largest': [vector.as_tuple() for vector in load.largest],
-            'free': [vector.as_tuple() for vector in load.largest_free],
-            'error_factor': load.error_factor,
-        }
-    )
+    return encode_json(load_document(load))
+
+
+def load_document(load: PoolLoad) -> dict[str, Any]:
+    """Return a state of load as plain values."""
+    return {
+        'pool': load.pool,
+        'epoch': load.epoch,
+        'written': load.written_unix_ms,
+        'queues': {queue: asdict(row) for queue, row in load.queues.items()},
+        'beyond': dict(load.beyond),
+        'largest': [vector.as_tuple() for vector in load.largest],
+        'free': [vector.as_tuple() for vector in load.largest_free],
+        'error_factor': load.error_factor,
+    }
 
 
 def decode_load(content: bytes) -> PoolLoad | None:
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -13,6 +13,7 @@
 
 from fuchsiarill.clock import MS_PER_SECOND, now_ms
 from fuchsiarill.codes import ResultCode
+from fuchsiarill.graphs.load_metrics import LoadMetrics
 from fuchsiarill.graphs.model import EndKind, QueueId
 from fuchsiarill.ids import Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import (
@@ -79,6 +80,7 @@
             'Generation of the configuration in force.',
             registry=self.registry,
         )
+        self.load = LoadMetrics(self.registry)
 
     def count_request(
         self, verb: str, code: ResultCode, duration_s: float
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -30,6 +30,7 @@
 )
 from fuchsiarill.graphs.fencing import FencingTokenSource
 from fuchsiarill.graphs.job_loading import load_jobs
+from fuchsiarill.graphs.load_publisher import LoadPublisher
 from fuchsiarill.graphs.model import AdvicePolicy, BornMs
 from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.pool_channels import Order, PoolChannels
@@ -88,8 +89,15 @@
             self.mailbox,
         )
         self._writer.add_revisions(loaded.revisions)
+        self._load_publisher = LoadPublisher(
+            self.core, settings.load, context.metrics.load
+        )
         self._saver = ProgressSaver(
-            self.core, self._writer.mailbox, self._fleet, settings.retention
+            self.core,
+            self._writer.mailbox,
+            self._fleet,
+            settings.retention,
+            self._load_publisher,
         )
         self.channels = PoolChannels(
             self.core,
@@ -130,6 +138,7 @@
             await watcher.stop()
         await self.channels.stop()
         await self._writer.stop()
+        self._load_publisher.stop()
         self._context.advisor.send(OwnerStopped(self.mailbox))
         await super().stop()
 
@@ -141,6 +150,7 @@
             'epoch': self._term.epoch,
             'channels': self.channels.snapshot(),
             'core': dump_core(self.core),
+            'load': self._load_publisher.snapshot(),
         }
 
     @handles(messages.ConfigInForce)
@@ -324,6 +334,7 @@
         if entry is not None:
             wait_ms = now_ms() - entry.accepted_ms
             self._context.metrics.observe_wait(entry.graph.queue, wait_ms)
+            self._load_publisher.count_start(start.task, now_ms())
 
     def request_advice(self, request: RequestAdvice) -> None:
         """Send a request for advice to the advisor of the process."""
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -21,6 +21,7 @@
 from fuchsiarill.graphs.handover import Handover, LargerProcessesListed
 from fuchsiarill.graphs.intake import Intake
 from fuchsiarill.graphs.listed_processes import ListedProcesses
+from fuchsiarill.graphs.load_gate import LoadContext
 from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.model import GraphConfig, PoolId
 from fuchsiarill.graphs.owner_context import OwnerContext
@@ -44,7 +45,7 @@
     OtherPools,
     OwnerKeySeen,
 )
-from fuchsiarill.ids import Revision
+from fuchsiarill.ids import Epoch, Revision
 from fuchsiarill.ports.key_value import KvItem, KvTransaction, KvWrite
 
 # Interval of the checks of the actors, and of the attempts to publish the
@@ -99,7 +100,7 @@
             self._links,
             settings.calls.advice_timeout_ms,
         )
-        self._intake = Intake(ports.store, settings)
+        self._intake = Intake(ports.store, settings, metrics.load)
         self.front = Front(settings, self._intake.mailbox)
         self._tenures: dict[PoolId, Tenure] = {}
         self._handover = Handover(
@@ -187,6 +188,7 @@
         else:
             self._unreachable_prefixes.discard(message.prefix)
         self._update_front_view(is_store_lost=bool(self._unreachable_prefixes))
+        self._inform_intake()
 
     @handles(DrainProcess)
     async def on_drain(self, message: DrainProcess) -> None:
@@ -254,6 +256,20 @@
     def _update_front_view(self, **changes: Any) -> None:
         self.front.view = replace(self.front.view, **changes)
 
+    def _inform_intake(self) -> None:
+        """Tell the intake what admission by load depends on."""
+        context = LoadContext(
+            {
+                pool: Epoch(item.revision)
+                for pool, item in self._owner_items.items()
+                if item.value is not None
+            },
+            self.front.view.is_store_lost,
+            len(self._listed.peers) + 1,
+            bool(self._config and self._config.contracts),
+        )
+        self._intake.mailbox.send(context)
+
     def _apply_config_items(self, items: Iterable[KvItem]) -> None:
         for item in items:
             if item.key != self._ports.documents.config_key:
@@ -278,6 +294,7 @@
         self._config = config
         self._metrics.generation.set(config.generation)
         self._update_front_view(config=config)
+        self._inform_intake()
         events.emit(events.CONFIG_IN_FORCE, generation=config.generation)
         for tenure in self._tenures.values():
             tenure.mailbox.send(ConfigInForce(config))
@@ -341,6 +358,7 @@
             tenure = self._tenures.get(pool)
             if tenure is not None:
                 tenure.mailbox.send(OwnerKeySeen(item))
+        self._inform_intake()
         # Sent once for all items: a process that is missing from a partial
         # list would lose its link and the calls on it.
         peers = self._listed.peers
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -7,6 +7,7 @@
 from fuchsiarill.clock import now_ms
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.core import GraphCore
+from fuchsiarill.graphs.load_publisher import LoadPublisher
 from fuchsiarill.graphs.model import QueueId
 from fuchsiarill.graphs.owner_messages import ProcessedEnds, SaveRecords
 from fuchsiarill.graphs.settings import RetentionSettings
@@ -30,8 +31,10 @@
         writer: Mailbox,
         fleet_record: records.FleetRecord,
         retention: RetentionSettings,
+        load_publisher: LoadPublisher,
     ) -> None:
         """Send the changed records of `core` to `writer`."""
+        self._load_publisher = load_publisher
         self._core = core
         self._pool = core.state.pool
         self._writer = writer
@@ -65,6 +68,7 @@
         changed = self._changed_progress()
         deletes: tuple[StoreKey, ...] = ()
         now = now_ms()
+        changed.update(self._load_publisher.changed_record(now))
         if now - self._scanned_ms >= _SCAN_INTERVAL_MS:
             self._scanned_ms = now
             changed.update(self._changed_counts())
--- a/fuchsiarill/load/admission.py
+++ b/fuchsiarill/load/admission.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from fuchsiarill import codes
+from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.graphs.model import JobGraph, QueuePolicy
 from fuchsiarill.load.measuring import VALUE_END_FACTOR
 from fuchsiarill.load.pool_load import PoolLoad, RunTimeCurve
@@ -102,6 +103,20 @@
     return hash_fraction(graph.job) * _PERMILLE >= within_permille
 
 
+def work_ms(load: PoolLoad, graph: JobGraph) -> float:
+    """Return the expected work of a job, in ms of one processor."""
+    queue = load.queues.get(graph.queue)
+    if queue is None:
+        return 0
+    return sum(
+        step.tasks_count
+        * step.charge.processors_milli
+        * queue.run_times.expected_ms(step.estimate_ms)
+        / MS_PER_SECOND
+        for step in graph.steps
+    )
+
+
 def _never_fits(load: PoolLoad, graph: JobGraph) -> bool:
     """Tell whether a task exceeds every worker; no workers prove nothing."""
     if not load.largest:
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -1,6 +1,7 @@
 """Translates HTTP requests of callers into messages to the intake actor."""
 
 import json
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +11,7 @@
 
 from fuchsiarill import codes
 from fuchsiarill.actor import Reply
+from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.contracts.authorization import authorize
 from fuchsiarill.front.bridge import NotSentError
 from fuchsiarill.graphs.front import Front
@@ -49,9 +51,9 @@
     'request handlers by HTTP method and presence of a job id',
 )
 
-# A 429, which is not used here, or a 503 guarantees that a submitted job never
-# runs. An unknown outcome is a 504, after which the caller retries with the
-# same job id.
+# A 429 or a 503 guarantees that a submitted job never runs. An unknown outcome
+# is a 504, after which the caller retries with the same job id. A job that fits
+# on no worker gets a 503, since workers may be added.
 _STATUS_BY_CODE: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
@@ -62,9 +64,14 @@
     codes.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     codes.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.NOT_CONFIGURED: HTTPStatus.SERVICE_UNAVAILABLE,
+    codes.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
+    codes.NEVER_FITS: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OUTCOME_UNCERTAIN: HTTPStatus.GATEWAY_TIMEOUT,
 }
+_REFUSALS: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
 _CODE_BY_ERROR: Final = {
     DocumentError: codes.MALFORMED,
     NotSentError: codes.OVERLOADED,
@@ -142,8 +149,11 @@
     ) -> Response:
         status = _STATUS_BY_CODE[outcome.code]
         headers: tuple[tuple[str, str], ...] = ()
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        if status in _REFUSALS:
             retry_after_s = self.front.settings.front.retry_after_s
+            if outcome.retry_after_ms:
+                delay_s = outcome.retry_after_ms / MS_PER_SECOND
+                retry_after_s = math.ceil(delay_s)
             headers = (('Retry-After', str(retry_after_s)),)
         return Response(
             status, _encode_outcome(request, outcome), headers=headers
