Estimate the wait so that no new task starts before it

A new task starts once those ahead of it have started, not ended, it passes wider ones, and the first of several runs ends far before its expected end. The estimate took none of this into account and was above the real wait: in random arrivals on three workers a task started after 500 ms, with a bound of 512 ms. Waits are now by the width of the new task, without the work that may still run when it starts, and held capacity gets free evenly until the expected ends.

--- a/fuchsiarill/graphs/load_metrics.py
+++ b/fuchsiarill/graphs/load_metrics.py
@@ -44,7 +44,7 @@
         )
         self._waits = Gauge(
             'fuchsiarill_graph_load_expected_wait_seconds',
-            'Expected time until a new job of the queue starts.',
+            'Expected time until a new wide task of the queue starts.',
             _LABELS,
             registry=registry,
         )
@@ -63,9 +63,8 @@
             self._jobs.labels(*labels).set(row.waiting_jobs_count)
             self._work.labels(*labels).set(row.waiting_work_ms / MS_PER_SECOND)
             self._drain.labels(*labels).set(row.drain_milli / _MILLI)
-            self._waits.labels(*labels).set(
-                row.expected_wait_ms / MS_PER_SECOND
-            )
+            wait_ms = max(row.waits_ms)
+            self._waits.labels(*labels).set(wait_ms / MS_PER_SECOND)
 
     def forget(self, load: PoolLoad) -> None:
         """Stop to show the load of a pool that is not owned any more."""
--- a/fuchsiarill/graphs/load_records.py
+++ b/fuchsiarill/graphs/load_records.py
@@ -8,6 +8,7 @@
 from fuchsiarill.graphs.model import QueueId
 from fuchsiarill.graphs.records import encode_json
 from fuchsiarill.ids import CustomerId
+from fuchsiarill.load.ahead import WIDTHS_MILLI
 from fuchsiarill.load.pool_load import PoolLoad, QueueLoad, RunTimeCurve
 from fuchsiarill.resources import Resources
 
@@ -75,14 +76,24 @@
 def _decode_queue(row: dict[str, Any]) -> QueueLoad:
     amounts = dict(row)
     run_times = amounts.pop('run_times')
+    waits_ms = _decode_waits(amounts.pop('waits_ms'))
+    excess_waits_ms = _decode_waits(amounts.pop('excess_waits_ms'))
     return QueueLoad(
         **{name: _amount(number) for name, number in amounts.items()},
+        waits_ms=waits_ms,
+        excess_waits_ms=excess_waits_ms,
         run_times=RunTimeCurve(
             **{name: _amount(number) for name, number in run_times.items()}
         ),
     )
 
 
+def _decode_waits(row: list[Any]) -> tuple[int, ...]:
+    if len(row) != len(WIDTHS_MILLI):
+        raise ValueError('waits of other widths')
+    return tuple(_amount(number) for number in row)
+
+
 def _decode_vector(row: list[Any]) -> Resources:
     return Resources(*(_number(amount) for amount in row))
 
--- a/fuchsiarill/load/admission.py
+++ b/fuchsiarill/load/admission.py
@@ -83,7 +83,9 @@
         return None
     is_excess = is_beyond_rate(load, graph)
     # Waiting work has been served since the state was measured.
-    wait_ms = load.least_wait_ms(graph.queue, is_excess=is_excess)
+    wait_ms = load.least_wait_ms(
+        graph.queue, _least_width_milli(graph), is_excess=is_excess
+    )
     wait_ms -= known.age_ms
     if wait_ms <= allowed_ms:
         return None
@@ -137,6 +139,13 @@
     )
 
 
+def _least_width_milli(graph: JobGraph) -> int:
+    """Return the width of the narrowest task that could start first."""
+    return min(
+        step.charge.processors_milli for step in graph.steps if not step.after
+    )
+
+
 def _allowed_wait_ms(load: PoolLoad, graph: JobGraph) -> int | None:
     """Return how long the job may wait and still be done with some value.
 
--- a/fuchsiarill/load/measuring.py
+++ b/fuchsiarill/load/measuring.py
@@ -4,13 +4,10 @@
 second beside the decisions of the owner.
 """
 
-from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
-from itertools import accumulate
-from typing import Final, NamedTuple
+from typing import Final
 
-from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import (
     JobGraph,
@@ -27,6 +24,12 @@
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import CustomerId, JobId
 from fuchsiarill.load import pool_load
+from fuchsiarill.load.ahead import (
+    WaitingTasks,
+    task_group,
+    work_before_start_ms,
+    work_ms,
+)
 from fuchsiarill.load.drain_rates import DrainRates
 from fuchsiarill.load.waits import HeldCapacity, earliest_start_ms
 from fuchsiarill.resources import NO_RESOURCES
@@ -37,15 +40,10 @@
 _NEWCOMER: Final = Step(1, NO_RESOURCES)
 
 
-class _WaitingWork(NamedTuple):
-    rank_ms: int
-    work_ms: int
-
-
 @dataclass(slots=True)
 class _QueueTally:
     jobs_count: int = 0
-    work_ms: int = 0
+    work_ms: float = 0
 
 
 @dataclass(slots=True)
@@ -53,15 +51,20 @@
     """What waits, and what runs hold."""
 
     queues: dict[QueueId, _QueueTally] = field(default_factory=dict)
-    # Work that can run wherever any other work can.
-    general_work: list[_WaitingWork] = field(default_factory=list)
-    # The part of it that precedes jobs beyond their customer's rate.
-    preferred_work_ms: int = 0
+    # Tasks that can run wherever any others can.
+    general_tasks: list[WaitingTasks] = field(default_factory=list)
+    # Those of them that precede jobs beyond their customer's rate.
+    preferred_tasks: list[WaitingTasks] = field(default_factory=list)
     held: HeldCapacity = field(default_factory=HeldCapacity)
     capacity_milli: int = 0
     free_milli: int = 0
     active_queues: set[QueueId] = field(default_factory=set)
 
+    @property
+    def usable_milli(self) -> int:
+        """Return the capacity that is not held for ever."""
+        return self.capacity_milli - self.held.lasting_milli
+
 
 def measure_pool(
     state: PoolState, drains: DrainRates, now_ms: int
@@ -132,34 +135,48 @@
     # Jobs of an earlier owner do not start before its runs are known.
     if entry.is_inherited and not state.is_inheritance_settled:
         return
-    waiting = entry.waiting_steps()
-    if not waiting:
-        return
-    queue_tally = tally.queues.setdefault(queue, _QueueTally())
+    if entry.waiting_steps():
+        _add_waiting(state, tally, entry, now_ms, beyond)
+
+
+def _add_waiting(
+    state: PoolState,
+    tally: _Tally,
+    entry: JobEntry,
+    now_ms: int,
+    beyond: frozenset[CustomerId],
+) -> None:
+    queue_tally = tally.queues.setdefault(entry.graph.queue, _QueueTally())
     queue_tally.jobs_count += 1
     value_end_ms = entry.accepted_ms + VALUE_END_FACTOR * entry.objective_ms
     is_preferred = entry.graph.customer not in beyond and now_ms < value_end_ms
-    for step in waiting:
-        work_ms = _work_ms(state, queue, step)
-        queue_tally.work_ms += work_ms
-        if not _is_general(entry, step.spec):
+    for step in entry.waiting_steps():
+        # Lasting tasks hold their room once they run; they have no work.
+        if step.spec.is_lasting:
             continue
-        rank = rank_ms(entry, step, now_ms)
-        tally.general_work.append(_WaitingWork(rank, work_ms))
-        tally.preferred_work_ms += work_ms if is_preferred else 0
+        tasks = _waiting_tasks(state, entry, step, now_ms)
+        queue_tally.work_ms += tasks.work_ms
+        if _is_general(entry, step.spec):
+            tally.general_tasks.append(tasks)
+            tally.preferred_tasks.extend([tasks] if is_preferred else ())
 
 
-def _work_ms(state: PoolState, queue: QueueId, step: StepEntry) -> int:
+def _waiting_tasks(
+    state: PoolState, entry: JobEntry, step: StepEntry, now_ms: int
+) -> WaitingTasks:
     spec = step.spec
-    # Lasting tasks hold their room once they run; they have no work.
-    if spec.is_lasting:
-        return 0
     tasks_count = len(step.waiting)
     if spec.is_gang:
         tasks_count *= spec.tasks_count
-    expected_ms = state.run_times.expected_ms(queue, spec)
-    charge_milli = spec.charge.processors_milli
-    return int(tasks_count * charge_milli * expected_ms / MS_PER_SECOND)
+    width_milli = spec.charge.processors_milli
+    expected_ms = state.run_times.expected_ms(entry.graph.queue, spec)
+    total_milli = tasks_count * width_milli
+    return WaitingTasks(
+        task_group(expected_ms, width_milli),
+        total_milli,
+        work_ms(total_milli, expected_ms),
+        rank_ms(entry, step, now_ms),
+    )
 
 
 def _is_general(entry: JobEntry, spec: Step) -> bool:
@@ -224,19 +241,6 @@
     }
 
 
-class _WorkByRank:
-    """General work in the order of its ranks, with running sums."""
-
-    def __init__(self, work: list[_WaitingWork]) -> None:
-        work.sort()
-        self._ranks = [row.rank_ms for row in work]
-        self._sums_ms = [0, *accumulate(row.work_ms for row in work)]
-
-    def before_ms(self, rank: int) -> int:
-        """Return the work that precedes a rank."""
-        return self._sums_ms[bisect_left(self._ranks, rank)]
-
-
 def _queue_loads(
     state: PoolState,
     tally: _Tally,
@@ -244,30 +248,39 @@
     curves: dict[QueueId, pool_load.RunTimeCurve],
     now_ms: int,
 ) -> dict[QueueId, pool_load.QueueLoad]:
-    general_work = _WorkByRank(tally.general_work)
+    usable_milli = tally.usable_milli
+    preferred_ms = work_before_start_ms(tally.preferred_tasks, usable_milli)
     loads: dict[QueueId, pool_load.QueueLoad] = {}
     for queue, policy in _policies(state).items():
         queue_tally = tally.queues.get(queue, _QueueTally())
         rank = _newcomer_rank_ms(state, policy, now_ms)
-        ahead_ms = general_work.before_ms(rank)
         held = tally.held.held_before(policy.priority)
+        ahead_ms = work_before_start_ms(
+            (tasks for tasks in tally.general_tasks if tasks.rank_ms < rank),
+            usable_milli,
+        )
         loads[queue] = pool_load.QueueLoad(
             queue_tally.jobs_count,
-            queue_tally.work_ms,
+            int(queue_tally.work_ms),
             tally.free_milli + tally.held.displaceable_milli(policy.priority),
             drains.rate_milli(queue, now_ms),
-            _wait_ms(tally, ahead_ms, held),
-            _wait_ms(tally, max(ahead_ms, tally.preferred_work_ms), held),
+            _waits_ms(tally, ahead_ms, held),
+            _waits_ms(tally, preferred_ms, held),
             curves[queue],
         )
     return loads
 
 
-def _wait_ms(tally: _Tally, ahead_ms: int, held: 'Counter[int]') -> int:
+def _waits_ms(
+    tally: _Tally, works_ms: tuple[int, ...], held: 'Counter[int]'
+) -> tuple[int, ...]:
+    """Return the waits of new tasks by the work that precedes them."""
     if not tally.queues:
-        return 0
-    capacity_milli = tally.capacity_milli - tally.held.lasting_milli
-    return earliest_start_ms(ahead_ms, capacity_milli, held)
+        return pool_load.NO_WAITS_MS
+    return tuple(
+        earliest_start_ms(before_ms, tally.usable_milli, held)
+        for before_ms in works_ms
+    )
 
 
 def _newcomer_rank_ms(
--- a/fuchsiarill/load/pool_load.py
+++ b/fuchsiarill/load/pool_load.py
@@ -12,6 +12,7 @@
 
 from fuchsiarill.graphs.model import PoolId, QueueId
 from fuchsiarill.ids import CustomerId, Epoch
+from fuchsiarill.load.ahead import WIDTHS_MILLI, width_class
 from fuchsiarill.load.waits import WAIT_MAX_MS
 from fuchsiarill.resources import Resources
 
@@ -61,6 +62,9 @@
         return float(self.short_ms * relative_estimate**slope)
 
 
+NO_WAITS_MS: Final = tuple(0 for _ in WIDTHS_MILLI)
+
+
 @dataclass(frozen=True, slots=True)
 class QueueLoad:
     """Load of one queue; work is in ms of one processor."""
@@ -72,10 +76,11 @@
     free_milli: int = 0
     # Work of the queue started lately, in thousandths of processors.
     drain_milli: int = 0
-    # Until a new job of the queue could start, as far as is known now.
-    expected_wait_ms: int = 0
+    # Until a new task of the queue could start, by the classes of its width in
+    # `ahead`, as far as is known now.
+    waits_ms: tuple[int, ...] = NO_WAITS_MS
     # The same for a job beyond its customer's rate: all other work is first.
-    excess_wait_ms: int = 0
+    excess_waits_ms: tuple[int, ...] = NO_WAITS_MS
     run_times: RunTimeCurve = field(default_factory=RunTimeCurve)
 
 
@@ -110,12 +115,16 @@
         """Return the work of all queues started lately."""
         return sum(queue.drain_milli for queue in self.queues.values())
 
-    def least_wait_ms(self, queue: QueueId, *, is_excess: bool) -> int:
-        """Return a lower bound of the wait of a new job."""
-        load = self.queues.get(queue)
-        if load is None:
+    def least_wait_ms(
+        self, queue: QueueId, width_milli: int, *, is_excess: bool
+    ) -> int:
+        """Return a lower bound of the wait of a new task of this width."""
+        load, number = self.queues.get(queue), width_class(width_milli)
+        if load is None or number is None:
             return 0
-        wait_ms = load.excess_wait_ms if is_excess else load.expected_wait_ms
+        wait_ms = load.waits_ms[number]
+        if is_excess:
+            wait_ms = max(wait_ms, load.excess_waits_ms[number])
         return min(wait_ms, WAIT_MAX_MS) // self.error_factor
 
 
--- a/fuchsiarill/load/waits.py
+++ b/fuchsiarill/load/waits.py
@@ -6,6 +6,7 @@
 and jobs that arrive later only add to.
 """
 
+import math
 from collections import Counter, defaultdict
 from typing import Final
 
@@ -15,7 +16,7 @@
 WAIT_MAX_MS: Final = 3_600_000
 # Runs are grouped by the time until their expected end, so that an estimate
 # costs the same for any number of runs. The groups begin at 0, 256, 512, 1024
-# ms and so on; each run counts as ending at the beginning of its group.
+# ms and so on; each run counts as ending by the beginning of its group.
 _FIRST_GROUP_BITS: Final = 8
 
 
@@ -75,21 +76,46 @@
 def earliest_start_ms(
     work_ms: int, capacity_milli: int, held: 'Counter[int]'
 ) -> int:
-    """Return when `work_ms` is done, in ms of one processor.
+    """Return when `work_ms` can be done, in ms of one processor.
 
-    `capacity_milli` is the capacity that is not held for ever; `held` gets free
-    at its times. Without any capacity, the longest wait is returned.
+    `capacity_milli` is the capacity that is not held for ever. What is held
+    gets free evenly from now until its time: a run may end at any moment, and
+    the first end of several is far earlier than each is expected to end.
+    Without any capacity, the longest wait is returned.
     """
-    remaining = work_ms * MS_PER_SECOND
-    free_milli = capacity_milli - held.total()
+    if capacity_milli <= 0:
+        return WAIT_MAX_MS
+    remaining = float(work_ms * MS_PER_SECOND)
     reached_ms = 0
-    for end_ms in sorted(held):
-        served = max(free_milli, 0) * (end_ms - reached_ms)
-        if free_milli > 0 and served >= remaining:
+    free_milli = float(max(capacity_milli - held.total() + held[0], 0))
+    gain_milli = sum(
+        held_milli / end_ms for end_ms, held_milli in held.items() if end_ms
+    )
+    for end_ms in sorted(end_ms for end_ms in held if end_ms):
+        duration_ms = end_ms - reached_ms
+        gained_milli = gain_milli * duration_ms
+        served = (free_milli + gained_milli / 2) * duration_ms
+        if served >= remaining:
             break
         remaining -= served
         reached_ms = end_ms
-        free_milli += held[end_ms]
-    if free_milli <= 0:
+        free_milli += gained_milli
+        gain_milli -= held[end_ms] / end_ms
+    reached_ms += int(_time_to_serve_ms(remaining, free_milli, gain_milli))
+    return min(reached_ms, WAIT_MAX_MS)
+
+
+def _time_to_serve_ms(
+    work: float, free_milli: float, gain_milli: float
+) -> float:
+    """Return in which time work is done while capacity grows evenly.
+
+    It is the positive root of `gain / 2 * t**2 + free * t - work`, written so
+    that it is exact without a gain too.
+    """
+    if work <= 0:
+        return 0
+    root = math.sqrt(free_milli**2 + 2 * max(gain_milli, 0) * work)
+    if free_milli + root <= 0:
         return WAIT_MAX_MS
-    return min(reached_ms + remaining // free_milli, WAIT_MAX_MS)
+    return 2 * work / (free_milli + root)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -21,6 +21,7 @@
     RefusalCause,
     decide,
 )
+from fuchsiarill.load.ahead import WIDTHS_MILLI
 from fuchsiarill.load.pool_load import PoolLoad, QueueLoad, RunTimeCurve
 from fuchsiarill.load.return_times import ReturnRequest, ReturnTimes
 from fuchsiarill.resources import Resources
@@ -45,6 +46,11 @@
     return replace(graph, **changes)
 
 
+def waits(wait_ms: int) -> tuple[int, ...]:
+    """Return the waits of a pool where all waiting tasks have 2 processors."""
+    return tuple(wait_ms if width >= 2000 else 0 for width in WIDTHS_MILLI)
+
+
 def full_pool(
     wait_ms: int, excess_wait_ms: int = 0, **changes: Any
 ) -> PoolLoad:
@@ -52,8 +58,8 @@
     queue = QueueLoad(
         40,
         80_000,
-        expected_wait_ms=wait_ms,
-        excess_wait_ms=max(wait_ms, excess_wait_ms),
+        waits_ms=waits(wait_ms),
+        excess_waits_ms=waits(excess_wait_ms),
         run_times=LEARNED,
     )
     load = PoolLoad(
@@ -92,17 +98,17 @@
 
 def test_unlearned_run_times_refuse_later() -> None:
     """Guards against a refusal by estimates that are four times too low."""
-    queue = QueueLoad(40, 80_000, expected_wait_ms=60_000)
+    queue = QueueLoad(40, 80_000, waits_ms=waits(60_000))
     load = full_pool(0, queues={QUOTES: queue}, error_factor=4)
     assert answer(load, job()) is None
-    queue = replace(queue, expected_wait_ms=120_000)
+    queue = replace(queue, waits_ms=waits(120_000))
     load = replace(load, queues={QUOTES: queue})
     assert answer(load, job()) is codes.OVERLOADED
 
 
 def test_job_of_unknown_length_is_accepted() -> None:
     """Guards against a refusal without knowledge of the objective."""
-    queue = QueueLoad(40, 80_000, expected_wait_ms=600_000)
+    queue = QueueLoad(40, 80_000, waits_ms=waits(600_000))
     load = full_pool(0, queues={QUOTES: queue})
     assert answer(load, job(replace(TASK, estimate_ms=0))) is None
 
@@ -114,6 +120,12 @@
     assert answer(load, job(replace(TASK, size=Resources(3000)))) is not None
 
 
+def test_narrow_tasks_pass_wider_ones() -> None:
+    """Guards against refusals of tasks that start beside waiting wider ones."""
+    graph = job(replace(TASK, size=Resources(1900, 6000)))
+    assert answer(full_pool(600_000), graph) is None
+
+
 @pytest.mark.parametrize(
     'graph',
     [
