Compare the rank of a usual new job, and show the load end to end

The wait was that of the shortest possible job, which precedes nearly all work of its own queue, so that a burst within one queue was never refused. The owner now takes a critical path that three quarters of the waiting jobs reach, and shorter jobs are not refused.

--- a/fuchsiarill/load/admission.py
+++ b/fuchsiarill/load/admission.py
@@ -13,7 +13,7 @@
 
 from fuchsiarill import codes
 from fuchsiarill.clock import MS_PER_SECOND
-from fuchsiarill.graphs.model import JobGraph, QueuePolicy
+from fuchsiarill.graphs.model import JobGraph
 from fuchsiarill.load.measuring import VALUE_END_FACTOR
 from fuchsiarill.load.pool_load import PoolLoad, RunTimeCurve
 from fuchsiarill.owner.hash_fraction import hash_fraction
@@ -149,23 +149,19 @@
 def _allowed_wait_ms(load: PoolLoad, graph: JobGraph) -> int | None:
     """Return how long the job may wait and still be done with some value.
 
-    The run times are taken at both ends of their error, and the longer wait
-    counts. Returns `None` if nothing is known about the run times.
+    The job may take longer than expected, and has a later objective then.
+    Returns `None` if its run time, or its rank among the others, is not known.
     """
     policy, queue = graph.accepted_policy, load.queues.get(graph.queue)
     if policy is None or queue is None:
         return None
     path_ms = _critical_path_ms(graph, queue.run_times)
-    if path_ms <= 0:
+    if path_ms <= 0 or path_ms < queue.least_path_ms:
         return None
-    factor = queue.run_times.error_factor
-    return max(
-        _value_wait_ms(policy, path_ms * factor),
-        _value_wait_ms(policy, path_ms / factor),
-    )
-
-
-def _value_wait_ms(policy: QueuePolicy, path_ms: float) -> int:
+    # Without slack a longer job has to start earlier than a short one.
+    if policy.slack_factor < 1:
+        return None
+    path_ms *= queue.run_times.error_factor
     objective_ms = policy.slack_factor * path_ms + policy.target_ms
     return int(VALUE_END_FACTOR * objective_ms - path_ms)
 
--- a/fuchsiarill/load/measuring.py
+++ b/fuchsiarill/load/measuring.py
@@ -42,8 +42,16 @@
 
 @dataclass(slots=True)
 class _QueueTally:
-    jobs_count: int = 0
     work_ms: float = 0
+    # Expected times of the critical paths of the jobs that wait.
+    paths_ms: list[int] = field(default_factory=list)
+
+    @property
+    def least_path_ms(self) -> int:
+        """Return a time that three quarters of the jobs take at least."""
+        if not self.paths_ms:
+            return 0
+        return sorted(self.paths_ms)[len(self.paths_ms) // 4]
 
 
 @dataclass(slots=True)
@@ -147,7 +155,7 @@
     beyond: frozenset[CustomerId],
 ) -> None:
     queue_tally = tally.queues.setdefault(entry.graph.queue, _QueueTally())
-    queue_tally.jobs_count += 1
+    queue_tally.paths_ms.append(max(entry.critical_paths_ms))
     value_end_ms = entry.accepted_ms + VALUE_END_FACTOR * entry.objective_ms
     is_preferred = entry.graph.customer not in beyond and now_ms < value_end_ms
     for step in entry.waiting_steps():
@@ -253,17 +261,18 @@
     loads: dict[QueueId, pool_load.QueueLoad] = {}
     for queue, policy in _policies(state).items():
         queue_tally = tally.queues.get(queue, _QueueTally())
-        rank = _newcomer_rank_ms(state, policy, now_ms)
+        rank = _newcomer_rank_ms(policy, queue_tally.least_path_ms, now_ms)
         held = tally.held.held_before(policy.priority)
         ahead_ms = work_before_start_ms(
             (tasks for tasks in tally.general_tasks if tasks.rank_ms < rank),
             usable_milli,
         )
         loads[queue] = pool_load.QueueLoad(
-            queue_tally.jobs_count,
+            len(queue_tally.paths_ms),
             int(queue_tally.work_ms),
             tally.free_milli + tally.held.displaceable_milli(policy.priority),
             drains.rate_milli(queue, now_ms),
+            queue_tally.least_path_ms,
             _waits_ms(tally, ahead_ms, held),
             _waits_ms(tally, preferred_ms, held),
             curves[queue],
@@ -283,16 +292,15 @@
     )
 
 
-def _newcomer_rank_ms(
-    state: PoolState, policy: QueuePolicy, now_ms: int
-) -> int:
-    """Return the rank of the most urgent new job of a queue.
+def _newcomer_rank_ms(policy: QueuePolicy, path_ms: int, now_ms: int) -> int:
+    """Return the rank of a new job of a queue with this critical path.
 
-    It has the shortest run time, so that its latest start is the earliest.
+    A longer job may start later to meet its objective, so it ranks behind.
     """
     job = JobId('')
-    graph = JobGraph(job, policy.queue, state.pool, '', (_NEWCOMER,))
-    entry = JobEntry(graph, policy, JobProgress(), now_ms, (0.0,))
+    graph = JobGraph(job, policy.queue, policy.pool, '', (_NEWCOMER,))
+    expected_ms = (float(path_ms),)
+    entry = JobEntry(graph, policy, JobProgress(), now_ms, expected_ms)
     return rank_ms(entry, StepEntry(StepKey(job, 0, 0), _NEWCOMER), now_ms)
 
 
--- a/fuchsiarill/load/pool_load.py
+++ b/fuchsiarill/load/pool_load.py
@@ -76,6 +76,8 @@
     free_milli: int = 0
     # Work of the queue started lately, in thousandths of processors.
     drain_milli: int = 0
+    # The waits are those of jobs whose critical path takes this time at least.
+    least_path_ms: int = 0
     # Until a new task of the queue could start, by the classes of its width in
     # `ahead`, as far as is known now.
     waits_ms: tuple[int, ...] = NO_WAITS_MS
--- /dev/null
+++ b/tests/test_load_publishing.py
@@ -0,0 +1,186 @@
+"""The load from the owner's state to the answer of another process."""
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, cast
+
+import pytest
+
+from fuchsiarill import codes
+from fuchsiarill.actor import Reply
+from fuchsiarill.clock import now_ms, sleep_ms
+from fuchsiarill.contracts.contract import CustomerContract, CustomerContracts
+from fuchsiarill.graphs import keys
+from fuchsiarill.graphs.front import Front, FrontView
+from fuchsiarill.graphs.intake import IntakeAnswer
+from fuchsiarill.graphs.listener import Request, Response
+from fuchsiarill.graphs.load_records import decode_load
+from fuchsiarill.graphs.metrics import GraphMetrics
+from fuchsiarill.graphs.model import Step
+from fuchsiarill.ids import CustomerId, Generation, StoreKey
+from fuchsiarill.load.pool_load import PoolLoad
+from fuchsiarill.platform.callers import CallerRequestHandler
+from fuchsiarill.platform.documents import read_config
+from fuchsiarill.ports.key_value import KvWrite
+from tests.graph_cell import (
+    POOL,
+    QUEUE,
+    TASK_SIZE,
+    GraphCell,
+    follower_of,
+    owner_of,
+    run_scenario,
+    settings_of,
+)
+from tests.test_customer_keys import BODY, JOB, document
+
+CONTRACTS = CustomerContracts((CustomerContract(CustomerId('mason')),))
+# 200 s of work for the only worker.
+BULK = (Step(400, TASK_SIZE, estimate_ms=2000),)
+QUOTE = (Step(1, TASK_SIZE, estimate_ms=2000),)
+
+
+@pytest.fixture(autouse=True)
+def _virtual_wall_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        time, 'time_ns', lambda: (10**12 + now_ms()) * 1_000_000
+    )
+
+
+async def put_contracts_in_force(cell: GraphCell) -> None:
+    """Write a configuration with a customer."""
+    cell.config = replace(
+        cell.config, generation=Generation(2), contracts=CONTRACTS
+    )
+    cell.store.write(KvWrite(StoreKey('settings/config'), b'2'))
+    await sleep_ms(200)
+
+
+async def add_bulk(cell: GraphCell) -> None:
+    """Submit work, and again, as a caller without an answer does."""
+    for _ in range(3):
+        answer = await cell.submit(
+            follower_of(cell), 'bulk', BULK, duration_ms=2000
+        )
+        assert answer.code is codes.ACCEPTED
+        await sleep_ms(500)
+
+
+def published(cell: GraphCell) -> PoolLoad | None:
+    """Return the load in the store, `None` without a record."""
+    item = cell.store.items.get(keys.load_key(POOL))
+    return None if item is None else decode_load(item.value or b'')
+
+
+def test_follower_refuses_by_the_load_of_the_owner() -> None:
+    """Guards against a load that does not reach the accepting processes.
+
+    When the owner is gone, and after that with a new owner that has not
+    measured yet, jobs are accepted.
+    """
+
+    async def scenario(cell: GraphCell) -> None:
+        await put_contracts_in_force(cell)
+        await add_bulk(cell)
+        load = published(cell)
+        assert load is not None
+        assert load.queues[QUEUE].waiting_jobs_count == 1
+        # The rate is low at first: it is a mean over some seconds.
+        assert 2000 <= load.drain_milli <= 8000
+        follower = follower_of(cell)
+        answer = await cell.submit(follower, 'quote', QUOTE, duration_ms=10)
+        assert answer.code is codes.OVERLOADED
+        assert cell.phase('quote') is None
+        await cell.kill(owner_of(cell))
+        answer = await cell.submit(
+            follower_of(cell), 'other', QUOTE, duration_ms=10
+        )
+        # Its last record is still fresh.
+        assert answer.code is codes.OVERLOADED
+        await sleep_ms(2600)
+        answer = await cell.submit(
+            follower_of(cell), 'quote', QUOTE, duration_ms=10
+        )
+        assert answer.code is codes.ACCEPTED
+
+    run_scenario(scenario, workers_count=1)
+
+
+def test_record_when_nothing_waits_any_more() -> None:
+    """Guards against a last record that tells of a load that has gone."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await put_contracts_in_force(cell)
+        assert published(cell) is None
+        steps = (Step(8, TASK_SIZE, estimate_ms=1000),)
+        await cell.submit(follower_of(cell), 'a', steps, duration_ms=900)
+        await sleep_ms(800)
+        busy = published(cell)
+        assert busy is not None
+        assert busy.is_waiting
+        await sleep_ms(2500)
+        idle = published(cell)
+        assert idle is not None
+        assert not idle.is_waiting
+        await sleep_ms(5000)
+        assert published(cell) == idle
+
+    run_scenario(scenario, workers_count=1)
+
+
+def test_no_record_without_contracts() -> None:
+    """Guards against new writes and refusals in earlier deployments."""
+
+    async def scenario(cell: GraphCell) -> None:
+        await add_bulk(cell)
+        answer = await cell.submit(
+            follower_of(cell), 'quote', QUOTE, duration_ms=10
+        )
+        assert answer.code is codes.ACCEPTED
+        assert published(cell) is None
+
+    run_scenario(scenario, workers_count=1)
+
+
+class AnsweringFront:
+    """A front whose intake gives one answer."""
+
+    def __init__(self, answer: IntakeAnswer) -> None:
+        """Give this answer."""
+        self.view = FrontView(read_config(document()))
+        self.settings = settings_of('p0')
+        self._answer = answer
+
+    def deadline_ms(self, caller_timeout_ms: int | None) -> int:
+        """Return some deadline."""
+        return 1000
+
+    def ask(
+        self, build: Callable[[Reply[IntakeAnswer]], Any], deadline_ms: int
+    ) -> IntakeAnswer:
+        """Return the answer."""
+        return self._answer
+
+
+@pytest.mark.parametrize(
+    ('answer', 'status', 'retry_after'),
+    [
+        (IntakeAnswer(codes.RATE_EXCEEDED, retry_after_ms=7000), 429, '7'),
+        (IntakeAnswer(codes.OVERLOADED, retry_after_ms=1001), 503, '2'),
+        (IntakeAnswer(codes.NEVER_FITS, retry_after_ms=30_000), 503, '30'),
+        (IntakeAnswer(codes.STORE_UNAVAILABLE), 503, '1'),
+        (IntakeAnswer(codes.OUTCOME_UNCERTAIN), 504, None),
+        (IntakeAnswer(codes.ACCEPTED), 202, None),
+    ],
+)
+def test_statuses_and_delays_of_refusals(
+    answer: IntakeAnswer, status: int, retry_after: str | None
+) -> None:
+    """Guards against a refusal that reads as accepted or as uncertain."""
+    front = cast(Front, AnsweringFront(answer))
+    handler = CallerRequestHandler(front, GraphMetrics())
+    request = Request('POST', 'h.example', f'/quotes/{JOB}', BODY, None, None)
+    response: Response = handler.answer(request)
+    assert response.status.value == status
+    assert dict(response.headers).get('Retry-After') == retry_after
