Explain refusals because of load to operators

Operators could not see why a job was refused at once. The setting load.is_enabled also switches refusals off where contracts ask for them.

--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -61,11 +61,8 @@
             stopped=end_counts['stopped'],
             **settled_line,
         )
-    refused_line = by_event.get(graph_events.GRAPH_REFUSED.number)
     if graph_events.GRAPH_ACCEPTED.number not in by_event:
-        if refused_line is not None:
-            return texts.JOB_REFUSED.format(**refused_line)
-        return texts.JOB_UNSEEN
+        return _summarize_refusal(by_event)
     if placed_line is None:
         return texts.JOB_NOT_PLACED
     return texts.JOB_UNFINISHED.format(
@@ -74,6 +71,16 @@
     )
 
 
+def _summarize_refusal(by_event: dict[int, dict[str, Any]]) -> str:
+    refused_line = by_event.get(graph_events.GRAPH_REFUSED.number)
+    if refused_line is not None:
+        return texts.JOB_REFUSED.format(**refused_line)
+    refused_line = by_event.get(graph_events.SUBMISSION_REFUSED.number)
+    if refused_line is not None:
+        return texts.JOB_REFUSED_AT_ONCE.format(**refused_line)
+    return texts.JOB_UNSEEN
+
+
 def _summarize_failure(
     given_up_line: dict[str, Any] | None, failed_count: int
 ) -> str:
--- a/fuchsiarill/graphs/load_gate.py
+++ b/fuchsiarill/graphs/load_gate.py
@@ -98,7 +98,9 @@
     @property
     def is_enabled(self) -> bool:
         """Return whether submissions may be refused."""
-        return self._context.has_contracts or self._settings.load.is_enabled
+        return self._settings.load.applies(
+            has_contracts=self._context.has_contracts
+        )
 
     @property
     def is_store_lost(self) -> bool:
--- a/fuchsiarill/graphs/load_publisher.py
+++ b/fuchsiarill/graphs/load_publisher.py
@@ -36,9 +36,9 @@
     def is_enabled(self) -> bool:
         """Return whether the load is measured."""
         config = self._core.state.config
-        if config is not None and config.contracts:
-            return True
-        return self._settings.is_enabled
+        return self._settings.applies(
+            has_contracts=config is not None and bool(config.contracts)
+        )
 
     def count_start(self, task: TaskKey, now_ms: int) -> None:
         """Count the work of a task that is being started."""
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -157,8 +157,9 @@
 class LoadSettings(_Section):
     """Admission by the load of the pools, and what it needs."""
 
-    # Admission also without contracts of customers in the configuration.
-    is_enabled: bool = False
+    # Whether submissions are refused because of load; without a value, where
+    # the configuration has contracts of customers.
+    is_enabled: bool | None = None
     # Interval at which an owner publishes the load while work waits.
     publish_interval_ms: int = 500
     # A submission reads the published load again if its copy is older.
@@ -169,6 +170,10 @@
     # Maximum difference between the wall clocks of two machines.
     clock_skew_max_ms: int = 5000
 
+    def applies(self, *, has_contracts: bool) -> bool:
+        """Return whether the load is published and submissions are refused."""
+        return has_contracts if self.is_enabled is None else self.is_enabled
+
 
 class GraphSettings(_Section):
     """Contents of the settings file of a process."""
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -137,6 +137,11 @@
     'The request to {verb} the job was refused with {code} after {took_ms} '
     'ms: {reason}.'
 )
+JOB_REFUSED_AT_ONCE: Final = (
+    'The request to submit the job was refused with {code} because of {cause}: '
+    'it would have waited {least_wait_ms} ms at least, {allowed_wait_ms} ms '
+    'were allowed.'
+)
 JOB_UNSEEN: Final = (
     'No log line accepts or refuses the job: no process has decided about it.'
 )
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -19,6 +19,13 @@
     'took_ms': 700,
     'reason': '6 calls of the store failed',
 }
+REFUSED_AT_ONCE = {
+    'event': 761,
+    'code': 'overloaded',
+    'cause': 'wait',
+    'least_wait_ms': 9000,
+    'allowed_wait_ms': 7000,
+}
 PLACED = {'event': 711, 'waited_ms': 45}
 FAILED = {'event': 712, 'kind': 'failed'}
 GIVEN_UP = {'event': 726, 'task': '0.0.1', 'crashes': 2}
@@ -40,6 +47,7 @@
     ('log_fields', 'words'),
     [
         ([REFUSED], 'refused with store_unavailable after 700 ms'),
+        ([REFUSED_AT_ONCE], 'refused with overloaded because of wait'),
         ([ACCEPTED], 'no run was placed'),
         ([ACCEPTED, PLACED], '1 runs were placed and 0 have ended'),
         (
