--- a/fuchsiarill/graphs/load_publisher.py
+++ b/fuchsiarill/graphs/load_publisher.py
@@ -9,8 +9,7 @@
 from fuchsiarill.graphs.model import TaskKey
 from fuchsiarill.graphs.settings import LoadSettings
 from fuchsiarill.ids import StoreKey
-from fuchsiarill.load.drain_rates import DrainRates
-from fuchsiarill.load.measuring import measure_pool
+from fuchsiarill.load.measuring import LoadMemory, measure_pool
 from fuchsiarill.load.pool_load import PoolLoad
 
 
@@ -28,7 +27,7 @@
         self._core = core
         self._settings = settings
         self._metrics = metrics
-        self._drains = DrainRates()
+        self._memory = LoadMemory()
         self._measured_ms = 0
         self._measured: PoolLoad | None = None
 
@@ -53,7 +52,7 @@
         work = spec.charge.processors_milli * state.run_times.expected_ms(
             queue, spec
         )
-        self._drains.add(queue, work / MS_PER_SECOND, now_ms)
+        self._memory.drains.add(queue, work / MS_PER_SECOND, now_ms)
 
     def changed_record(self, now_ms: int) -> dict[StoreKey, bytes]:
         """Return the record to write, by its key; mostly there is none.
@@ -65,7 +64,7 @@
             return {}
         self._measured_ms = now_ms
         previous = self._measured
-        load = measure_pool(self._core.state, self._drains, now_ms)
+        load = measure_pool(self._core.state, self._memory, now_ms)
         self._measured = load
         self._metrics.show(load)
         if not load.is_waiting and (
--- a/fuchsiarill/load/measuring.py
+++ b/fuchsiarill/load/measuring.py
@@ -31,6 +31,7 @@
     work_ms,
 )
 from fuchsiarill.load.drain_rates import DrainRates
+from fuchsiarill.load.largest import LargestWorkers, maximal
 from fuchsiarill.load.waits import HeldCapacity, earliest_start_ms
 from fuchsiarill.resources import NO_RESOURCES
 
@@ -74,8 +75,16 @@
         return self.capacity_milli - self.held.lasting_milli
 
 
+@dataclass(frozen=True, slots=True)
+class LoadMemory:
+    """What an owner remembers from one measurement to the next."""
+
+    drains: DrainRates = field(default_factory=DrainRates)
+    largest: LargestWorkers = field(default_factory=LargestWorkers)
+
+
 def measure_pool(
-    state: PoolState, drains: DrainRates, now_ms: int
+    state: PoolState, memory: LoadMemory, now_ms: int
 ) -> pool_load.PoolLoad:
     """Return the state of load of a pool."""
     beyond = find_beyond(state, now_ms)
@@ -83,8 +92,7 @@
     for entry in state.active_jobs.values():
         if entry.is_active:
             _add_job(state, tally, entry, now_ms, frozenset(beyond))
-    if tally.queues:
-        _add_workers(state, tally, now_ms)
+    _add_workers(state, tally, now_ms)
     curves = {
         queue: _run_time_curve(state, queue)
         for queue in _policies(state).keys() | tally.active_queues
@@ -93,16 +101,17 @@
         state.pool,
         state.epoch,
         now_ms + state.unix_offset_ms,
-        _queue_loads(state, tally, drains, curves, now_ms),
+        _queue_loads(state, tally, memory.drains, curves, now_ms),
         beyond,
-        pool_load.maximal(
-            view.entry.capacity
-            for view in state.workers
-            if view.entry is not None and view.is_listed
-        ),
-        pool_load.maximal(
-            view.free for view in state.workers if _is_ready(view)
+        memory.largest.add(
+            (
+                view.entry.capacity
+                for view in state.workers
+                if view.entry is not None and view.is_listed
+            ),
+            now_ms,
         ),
+        maximal(view.free for view in state.workers if _is_ready(view)),
         max(
             (curves[queue].error_factor for queue in tally.active_queues),
             default=pool_load.LEARNED_ERROR_FACTOR,
@@ -203,7 +212,9 @@
     for view in state.workers:
         if _is_sound(view) and view.entry is not None:
             tally.capacity_milli += view.entry.capacity.processors_milli
-            _add_runs(state, tally, view, now_ms)
+            # Without waiting work nobody asks when the runs end.
+            if tally.queues:
+                _add_runs(state, tally, view, now_ms)
         if _is_ready(view):
             tally.free_milli += max(view.free.processors_milli, 0)
 
--- a/fuchsiarill/load/pool_load.py
+++ b/fuchsiarill/load/pool_load.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -23,7 +23,6 @@
 # Two estimates at which the owner tells the run time that it expects.
 SHORT_ESTIMATE_MS: Final = 100
 LONG_ESTIMATE_MS: Final = 100_000
-_MAXIMA_MAX_COUNT: Final = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,25 +127,3 @@
         if is_excess:
             wait_ms = max(wait_ms, load.excess_waits_ms[number])
         return min(wait_ms, WAIT_MAX_MS) // self.error_factor
-
-
-def maximal(vectors: Iterable[Resources]) -> tuple[Resources, ...]:
-    """Return the vectors that no other one exceeds in every component.
-
-    If there are more than a record should hold, returns one vector that all of
-    them fit in.
-    """
-    maxima: list[Resources] = []
-    for vector in vectors:
-        if any(vector.fits_in(other) for other in maxima):
-            continue
-        maxima = [other for other in maxima if not other.fits_in(vector)]
-        maxima.append(vector)
-        if len(maxima) > _MAXIMA_MAX_COUNT:
-            maxima = [_enclosing(maxima)]
-    return tuple(maxima)
-
-
-def _enclosing(vectors: list[Resources]) -> Resources:
-    rows = zip(*(vector.as_tuple() for vector in vectors), strict=True)
-    return Resources(*(max(row) for row in rows))
