--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -192,6 +192,15 @@
     Retry.NEVER,
     'No process with this id is in the view of the process asked.',
 )
+ABOVE_CEILING: Final = ResultCode(
+    303,
+    'above_ceiling',
+    HTTPStatus.TOO_MANY_REQUESTS,
+    ExitStatus.REFUSED,
+    Retry.NEVER,
+    'A task or gang of the job needs more than the whole ceiling of the '
+    'customer.',
+)
 RATE_EXCEEDED: Final = ResultCode(
     301,
     'rate_exceeded',
--- a/fuchsiarill/graphs/keys.py
+++ b/fuchsiarill/graphs/keys.py
@@ -2,7 +2,7 @@
 
 `control/owner/POOL` (ephemeral) and `control/process/PROCESS` are watched by
 every process, `jobs/POOL/JOB/graph` and `jobs/POOL/JOB/cancel` by the owner
-of the pool. `fleet/POOL`, `pending/POOL`, `claims/POOL` and
+of the pool. `fleet/POOL`, `pending/POOL`, `claims/POOL`, `load/POOL` and
 `progress/POOL/JOB` are written by the owner.
 """
 
@@ -65,6 +65,11 @@
     return PoolId(key.removeprefix(CLAIMS_PREFIX))
 
 
+def load_key(pool: PoolId) -> StoreKey:
+    """Return the key of the pool's state of load."""
+    return StoreKey(f'load/{pool}')
+
+
 def jobs_prefix(pool: PoolId) -> str:
     """Return the prefix of the jobs of a pool and of their cancellations."""
     return f'jobs/{pool}/'
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -14,6 +14,7 @@
 
 from fuchsiarill.clock import MS_PER_SECOND, now_ms
 from fuchsiarill.codes import ResultCode
+from fuchsiarill.graphs.load_metrics import LoadMetrics
 from fuchsiarill.graphs.model import EndKind, PoolId, QueueId
 from fuchsiarill.ids import CustomerId, Revision, StoreKey, StoreLeaseId
 from fuchsiarill.ports.key_value import (
@@ -82,6 +83,7 @@
             'Generation of the configuration in force.',
             registry=self.registry,
         )
+        self.load = LoadMetrics(self.registry)
 
         self.customers = Gauge(
             'fuchsiarill_graph_customer_resources',
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -1,6 +1,7 @@
 """Translates HTTP requests of callers into messages to the intake actor."""
 
 import json
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +11,7 @@
 
 from fuchsiarill import codes
 from fuchsiarill.actor import Reply
+from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.contracts.authorization import authorize
 from fuchsiarill.contracts.ceilings import never_fits
 from fuchsiarill.front.bridge import NotSentError
@@ -52,7 +54,8 @@
 )
 
 # A 429 or a 503 guarantees that a submitted job never runs. An unknown outcome
-# is a 504, after which the caller retries with the same job id.
+# is a 504, after which the caller retries with the same job id. A job that fits
+# on no worker gets a 503, since workers may be added.
 _STATUS_BY_CODE: Final = {
     codes.ACCEPTED: HTTPStatus.ACCEPTED,
     codes.DONE: HTTPStatus.OK,
@@ -61,12 +64,17 @@
     codes.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     codes.MALFORMED: HTTPStatus.BAD_REQUEST,
     codes.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    codes.NEVER_FITS: HTTPStatus.TOO_MANY_REQUESTS,
+    codes.ABOVE_CEILING: HTTPStatus.TOO_MANY_REQUESTS,
     codes.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.NOT_CONFIGURED: HTTPStatus.SERVICE_UNAVAILABLE,
+    codes.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
+    codes.NEVER_FITS: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     codes.OUTCOME_UNCERTAIN: HTTPStatus.GATEWAY_TIMEOUT,
 }
+_REFUSALS: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
 _CODE_BY_ERROR: Final = {
     DocumentError: codes.MALFORMED,
     NotSentError: codes.OVERLOADED,
@@ -144,8 +152,11 @@
     ) -> Response:
         status = _STATUS_BY_CODE[outcome.code]
         headers: tuple[tuple[str, str], ...] = ()
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        if status in _REFUSALS:
             retry_after_s = self.front.settings.front.retry_after_s
+            if outcome.retry_after_ms:
+                delay_s = outcome.retry_after_ms / MS_PER_SECOND
+                retry_after_s = math.ceil(delay_s)
             headers = (('Retry-After', str(retry_after_s)),)
         return Response(
             status, _encode_outcome(request, outcome), headers=headers
@@ -200,7 +211,7 @@
     if found.code is codes.DONE:
         return IntakeAnswer(codes.ACCEPTED)
     if found.code is codes.UNKNOWN_JOB:
-        return IntakeAnswer(codes.NEVER_FITS)
+        return IntakeAnswer(codes.ABOVE_CEILING)
     return found
 
 
