Learn run times by image, queue and customer, with quantiles and factors

The former model kept a mean of logarithms by queue. One run in thirty that takes seven times as long pulls that mean, runs of different images are mixed, stopped runs and runs inherited from an earlier owner count as nothing or as short ones, and samples never expire by time.

The package run_times keeps a decaying histogram of logarithms by image, queue and customer, each shrunk towards the wider one; the expected time is a median. Workers and work away from its data have factors. Ends without success, resumed and adopted runs are lower bounds.

--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -107,7 +107,7 @@
         if graph.job in self.state.jobs:
             return
         expected_ms = tuple(
-            self.state.run_times.expected_ms(graph.queue, step)
+            self.state.run_times.expected_ms(graph.queue, step, graph.customer)
             for step in graph.steps
         )
         policy = self._policy(graph)
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -198,7 +198,6 @@
     unit.last_attempt += 1
     start_windows.forget_starts(state, entry, unit)
     step.activate(unit)
-    expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
         run = Run(
             task,
@@ -209,8 +208,11 @@
             step.spec.filler_milli,
             entry.graph.customer,
             start_ordered_ms=request.now_ms,
-            expected_end_ms=expected_end_ms,
+            expected_end_ms=state.expected_end_ms(
+                entry, step.spec, request.now_ms, view
+            ),
             progress_changed_ms=request.now_ms,
+            is_partial=bool(unit.checkpoint),
             is_on_trial=unit.is_suspect,
         )
         unit.runs[run.key] = run
--- a/fuchsiarill/graphs/gang_reservations.py
+++ b/fuchsiarill/graphs/gang_reservations.py
@@ -46,10 +46,26 @@
     )
     if len(waits) < step.spec.tasks_count:
         return
-    for wait_ms, position in waits[: step.spec.tasks_count]:
+    chosen = waits[: step.spec.tasks_count]
+    start_ms = _usable_until_ms(request, chosen[-1][0])
+    for wait_ms, position in chosen:
         if wait_ms >= NEVER_MS:
             return
-        candidates[position].reserve(step, request.now_ms + _RESERVATION_MS)
+        candidates[position].reserve(
+            step, request.now_ms + _RESERVATION_MS, start_ms
+        )
+
+
+def _usable_until_ms(request: PlacementRequest, wait_ms: float) -> float:
+    """Return until when tasks of other steps may use the reserved room.
+
+    They may only while the first reservations last, so that a gang is delayed
+    by one such task at most if run times are longer than expected.
+    """
+    since_ms = request.step.reserving_since_ms or request.now_ms
+    if request.now_ms - since_ms >= _RESERVING_MAX_MS:
+        return 0
+    return 0 if wait_ms >= NEVER_MS else request.now_ms + wait_ms
 
 
 def _is_pausing(waited_ms: int) -> bool:
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -166,8 +166,9 @@
     view: WorkerView,
     tentative: Resources,
     tentative_count: int = 0,
+    end_ms: float = NEVER_MS,
 ) -> bool:
-    """Tell whether a task fits on a worker.
+    """Tell whether a task fits on a worker that it leaves by `end_ms`.
 
     `tentative` is the charge of `tentative_count` tasks of the step that are
     placed on the worker in the same decision and not allocated yet.
@@ -179,7 +180,7 @@
             return False
     if not step.spec.charge.fits_in(view.free):
         return False
-    free = view.free_for_step(step.key, step.rank_ms)
+    free = view.free_for_step(step.key, step.rank_ms, end_ms)
     return (step.spec.charge + tentative).fits_in(free)
 
 
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -6,6 +6,7 @@
 from fuchsiarill.graphs import (
     crash_trials,
     failure_blame,
+    run_samples,
     start_windows,
     worker_crashes,
     worker_suspension,
@@ -153,6 +154,7 @@
         born_ms=view.born_ms,
         is_listed=run.is_listed,
     )
+    run_samples.record_loss(state, run, now_ms)
     end_unreported_run(state, run, RunEvent.WORKER_LOST, now_ms)
 
 
@@ -263,8 +265,11 @@
         entry.graph.customer if entry else None,
         start_ordered_ms=now_ms,
         expected_end_ms=(
-            state.expected_end_ms(entry, spec, now_ms) if entry else now_ms
+            state.expected_end_ms(entry, spec, now_ms, view)
+            if entry
+            else now_ms
         ),
+        is_partial=True,
         progress_changed_ms=now_ms,
         visible_since_ms=now_ms,
     )
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -9,6 +9,7 @@
     crash_trials,
     failure_blame,
     restart_backoff,
+    run_samples,
 )
 from fuchsiarill.graphs.job_actions import apply_job_event
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit, unit_of
@@ -62,6 +63,10 @@
     # The handler runs first, so that a unit that it completes is not requeued
     # by the `release` action of `END_REPORTED`.
     if context is not None:
+        if run is not None:
+            run_samples.record_reported_end(
+                state, run, (context.entry, context.step), row.kind, now_ms
+            )
         END_HANDLERS.lookup(row.kind)(context)
     if run is not None:
         apply_run_event(state, run, RunEvent.END_REPORTED, now_ms)
@@ -88,13 +93,6 @@
 def _apply_success(context: EndContext) -> None:
     state, entry, step = context.state, context.entry, context.step
     failure_blame.record_success(context.view, step)
-    if context.ran_ms is not None:
-        state.run_times.add(
-            entry.graph.queue,
-            step.spec,
-            context.view.worker,
-            context.ran_ms,
-        )
     if step.spec.is_lasting:
         _delay_restart(context)
         return
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -35,6 +35,9 @@
     customer: CustomerId | None = None
     state: RunState = RunState.STARTING
     start_ordered_ms: int = 0
+    # Part of the work was done before `start_ordered_ms`: the run resumed from
+    # a checkpoint, or an earlier owner started it.
+    is_partial: bool = False
     # When the run is expected to end by itself.
     expected_end_ms: float = 0
     # A report requested after this time lists the run unless it has ended;
--- a/fuchsiarill/graphs/stalls.py
+++ b/fuchsiarill/graphs/stalls.py
@@ -4,9 +4,9 @@
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs import failure_blame
-from fuchsiarill.graphs.job_entries import Unit
+from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
 from fuchsiarill.graphs.run_actions import apply_run_event
-from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
+from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, NEVER_MS, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent, RunState
 from fuchsiarill.graphs.worker_table import WorkerView
@@ -18,6 +18,10 @@
 # doubled for each further stall, up to this number of times.
 _STALLS_WITH_USUAL_TIME_COUNT: Final = 2
 _DOUBLINGS_MAX_COUNT: Final = 4
+# A run shows progress at each percent. Two such intervals of a run that takes
+# longer than nearly all others show that it does not move.
+_SLOW_SHARE: Final = 0.99
+_SLOW_INTERVALS_COUNT: Final = 2
 
 
 def stop_stalled(state: PoolState, now_ms: int) -> None:
@@ -66,7 +70,10 @@
     if run.progress_percent >= INITIALIZED_PERCENT:
         return False
     unchanged_ms = view.reported_ms - run.progress_changed_ms
-    return unchanged_ms > _stall_ms(job_and_step[1].active.get(run.unit_key))
+    unit = job_and_step[1].active.get(run.unit_key)
+    if unchanged_ms <= _stall_ms(unit):
+        return False
+    return unchanged_ms > _slow_interval_ms(state, view, job_and_step)
 
 
 def _stall_ms(unit: Unit | None) -> int:
@@ -74,3 +81,23 @@
     stalls_count = 0 if unit is None else unit.stalls_count
     doublings = max(0, stalls_count + 1 - _STALLS_WITH_USUAL_TIME_COUNT)
     return _STALL_MS << min(doublings, _DOUBLINGS_MAX_COUNT)
+
+
+def _slow_interval_ms(
+    state: PoolState,
+    view: WorkerView,
+    job_and_step: tuple[JobEntry, StepEntry],
+) -> float:
+    """Return the time in which a very slow run still shows progress.
+
+    It is 0 while nothing has been learned about the queue, and bounded, so that
+    a stalled run is found even if the learned times are far too long.
+    """
+    entry, step = job_and_step
+    high_ms = state.quantile_ms(_SLOW_SHARE, entry, step.spec, view)
+    if high_ms >= NEVER_MS:
+        return 0
+    return min(
+        _SLOW_INTERVALS_COUNT * high_ms / INITIALIZED_PERCENT,
+        _STALL_MS << _DOUBLINGS_MAX_COUNT,
+    )
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -15,12 +15,12 @@
     TaskKey,
 )
 from fuchsiarill.graphs.room_changes import RoomChanges
-from fuchsiarill.graphs.run_times import RunTimes
 from fuchsiarill.graphs.runs import NEVER_MS, Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.tickets import TicketCache
-from fuchsiarill.graphs.worker_table import WorkerTable
+from fuchsiarill.graphs.worker_table import WorkerTable, WorkerView
 from fuchsiarill.ids import Epoch, JobId, WorkerId
+from fuchsiarill.run_times.run_times import RunTimes
 
 
 @dataclass(slots=True)
@@ -71,13 +71,39 @@
         return None if step is None else (entry, step)
 
     def expected_end_ms(
-        self, entry: JobEntry, spec: Step, started_ms: int
+        self,
+        entry: JobEntry,
+        spec: Step,
+        started_ms: int,
+        view: WorkerView | None = None,
     ) -> float:
-        """Return when a run that starts at `started_ms` should end."""
+        """Return when a run that starts at `started_ms` should end.
+
+        Without a worker it is the time on a usual one, beside the data.
+        """
         if spec.is_lasting:
             return NEVER_MS
-        queue = entry.graph.queue
-        return started_ms + self.run_times.expected_ms(queue, spec)
+        graph = entry.graph
+        expected_ms = self.run_times.expected_ms(
+            graph.queue, spec, graph.customer
+        )
+        return started_ms + expected_ms * self._slowing(entry, spec, view)
+
+    def quantile_ms(
+        self, share: float, entry: JobEntry, spec: Step, view: WorkerView
+    ) -> float:
+        """Return the time within which a share of such runs end on a worker.
+
+        It is `NEVER_MS` for a lasting run, and while nothing has been learned
+        about the queue.
+        """
+        graph = entry.graph
+        if spec.is_lasting or not self.run_times.is_learned(graph.queue):
+            return NEVER_MS
+        usual_ms = self.run_times.quantile_ms(
+            share, graph.queue, spec, graph.customer
+        )
+        return usual_ms * self._slowing(entry, spec, view)
 
     def active_unit(self, run: Run) -> Unit | None:
         """Return the unit of a run, or `None` if the unit is not active."""
@@ -108,3 +134,14 @@
     def mark_dirty(self, job: JobId) -> None:
         """Mark a job whose progress has to be made durable."""
         self.dirty.add(job)
+
+    def _slowing(
+        self, entry: JobEntry, spec: Step, view: WorkerView | None
+    ) -> float:
+        """Return the factor on run times on a worker."""
+        if view is None:
+            return 1
+        factor = self.run_times.slowness(view.worker)
+        if view.is_away_from(spec.data_rack):
+            factor *= self.run_times.remoteness(entry.graph.queue)
+        return factor
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -20,6 +20,7 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.resources import NO_RESOURCES
+from fuchsiarill.run_times.run_times import HIGH_SHARE
 
 _RankedWorker = tuple[float, int, WorkerView]
 
@@ -51,7 +52,7 @@
         heap = self._ranked_workers(request)
         while heap:
             ranked = heap[0]
-            if _can_start(request, ranked[-1]):
+            if _can_start(self._state, request, ranked[-1]):
                 self._last_chosen = ranked
                 return [ranked[-1]]
             heapq.heappop(heap)
@@ -89,7 +90,9 @@
         """
         if request.step.spec.is_gang:
             return place_gang(self._state, request, views)
-        with_room = [view for view in views if _can_start(request, view)]
+        with_room = [
+            view for view in views if _can_start(self._state, request, view)
+        ]
         if not with_room:
             return None
         costs = [cost_of(self._state, request, view) for view in with_room]
@@ -104,7 +107,7 @@
                 for position, view in enumerate(
                     self._permitted_workers(request)
                 )
-                if _can_start(request, view)
+                if _can_start(self._state, request, view)
             ]
             heapq.heapify(self._heap)
         elif self._last_chosen is not None:
@@ -134,7 +137,28 @@
         )
 
 
-def _can_start(request: PlacementRequest, view: WorkerView) -> bool:
-    if not has_capacity(request.step, view, NO_RESOURCES):
+def _can_start(
+    state: PoolState, request: PlacementRequest, view: WorkerView
+) -> bool:
+    if not has_capacity(
+        request.step, view, NO_RESOURCES
+    ) and not _fits_before_reservations(state, request, view):
         return False
     return may_receive_unit(view, request.step, request.unit, request.now_ms)
+
+
+def _fits_before_reservations(
+    state: PoolState, request: PlacementRequest, view: WorkerView
+) -> bool:
+    """Tell whether a task would end before reserved room is needed."""
+    if not any(
+        reservation.start_ms > request.now_ms
+        for reservation in view.reservations
+    ):
+        return False
+    high_ms = state.quantile_ms(
+        HIGH_SHARE, request.entry, request.step.spec, view
+    )
+    return has_capacity(
+        request.step, view, NO_RESOURCES, end_ms=request.now_ms + high_ms
+    )
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -16,7 +16,7 @@
     WorkerEntry,
     WorkerListing,
 )
-from fuchsiarill.graphs.runs import Run
+from fuchsiarill.graphs.runs import NEVER_MS, Run
 from fuchsiarill.graphs.states import AvailabilityEvent, AvailabilityState
 from fuchsiarill.ids import NO_TOKEN, FencingToken, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
@@ -36,6 +36,9 @@
     rank_ms: int
     charge: Resources
     expiry_ms: int
+    # The step is not expected to start before, so that others may use the room
+    # until then.
+    start_ms: float = 0
 
 
 @dataclass(slots=True)
@@ -105,24 +108,37 @@
     leaving_since_ms: int | None = None
     failure_record: FailureRecord = field(default_factory=FailureRecord)
 
-    def free_for_step(self, step: StepKey, rank_ms: int) -> Resources:
+    def free_for_step(
+        self, step: StepKey, rank_ms: int, end_ms: float = NEVER_MS
+    ) -> Resources:
         """Return the room that a step of this rank can use.
 
-        Reservations of steps that are scheduled earlier are subtracted.
+        Reservations of steps that are scheduled earlier are subtracted, unless
+        a task of the step would end, at `end_ms`, before they are needed.
         """
         free = self.free
         for reservation in self.reservations:
             if reservation.step == step or reservation.rank_ms > rank_ms:
                 continue
+            if end_ms <= reservation.start_ms:
+                continue
             free -= reservation.charge
         return free
 
-    def reserve(self, step: StepEntry, expiry_ms: int) -> None:
-        """Reserve room for one task of a step."""
+    def reserve(
+        self, step: StepEntry, expiry_ms: int, start_ms: float = 0
+    ) -> None:
+        """Reserve room for one task of a step that may start at `start_ms`."""
         self.reservations.append(
-            Reservation(step.key, step.rank_ms, step.spec.charge, expiry_ms),
+            Reservation(
+                step.key, step.rank_ms, step.spec.charge, expiry_ms, start_ms
+            ),
         )
 
+    def is_away_from(self, data_rack: Label | None) -> bool:
+        """Tell whether the worker is outside the rack that holds the data."""
+        return data_rack is not None and data_rack not in self.labels
+
     def drop_reservations(self, step: StepKey) -> None:
         """Remove all reservations of a step."""
         if not self.reservations:
--- /dev/null
+++ b/fuchsiarill/run_times/__init__.py
@@ -0,0 +1,1 @@
+"""Expected run times of tasks, learned from the runs that have ended."""
--- a/fuchsiarill/graphs/run_times.py
+++ b/tools/baseline_run_times.py
@@ -1,4 +1,4 @@
-"""Expected run times learned from ended runs, since estimates are inaccurate.
+"""The former model of run times, as the baseline of the benchmarks.
 
 The logarithms of run times and of their ratios to the estimates are assumed to
 be normally distributed. An expected run time combines the queue's mean and the
