Keep learned run times across owners, in metrics and in the dump

A new owner started without any learned run time.

Missing and unknown fields and damaged rows are skipped.

Histograms by queue show the ratio of actual and expected times, and a counter the runs within the expected p90. The dump lists the expected time, the p90 and the number of runs of the 50 groups used last.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -329,3 +329,9 @@
     'routes, {calls} have a call of this process and {others} one of another',
     'See "Late" in OPERATIONS.md if this recurs.',
 )
+RUN_TIMES_UNUSABLE: Final = LogEvent(
+    785,
+    Level.WARNING,
+    'the learned run times of pool {pool} cannot be used: {problem}',
+    'None; run times are learned anew, and estimates hold until then.',
+)
--- a/fuchsiarill/graphs/core_dump.py
+++ b/fuchsiarill/graphs/core_dump.py
@@ -1,10 +1,16 @@
 """State of a pool as plain values, for the dump that operators request."""
 
-from typing import Any
+import math
+from itertools import islice
+from typing import Any, Final
 
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
+from fuchsiarill.run_times.models import Model
+from fuchsiarill.run_times.run_times import HIGH_SHARE, MEDIAN, GroupKey
+
+_MODELS_MAX_COUNT: Final = 50
 
 
 def dump_core(core: GraphCore) -> dict[str, Any]:
@@ -14,7 +20,13 @@
         'jobs_count': len(state.jobs),
         'waiting_units_count': _waiting_units_count(state),
         'is_inheritance_settled': state.is_inheritance_settled,
-        'workers': [_dump_worker(view) for view in state.workers],
+        'workers': [_dump_worker(state, view) for view in state.workers],
+        'run_times': [
+            _dump_model(group, model)
+            for group, model in islice(
+                reversed(state.run_times.models.items()), _MODELS_MAX_COUNT
+            )
+        ],
     }
 
 
@@ -27,7 +39,18 @@
     )
 
 
-def _dump_worker(view: WorkerView) -> dict[str, Any]:
+def _dump_model(group: GroupKey, model: Model) -> dict[str, Any]:
+    """Return what is expected of a group of tasks, and from how many runs."""
+    return {
+        'group': '/'.join(group),
+        'expected_ms': round(math.exp(model.sketch.quantile(MEDIAN))),
+        'p90_ms': round(math.exp(model.sketch.quantile(HIGH_SHARE))),
+        'runs_count': round(model.count),
+        'estimate_slope': round(model.moments.slope, 2),
+    }
+
+
+def _dump_worker(state: PoolState, view: WorkerView) -> dict[str, Any]:
     return {
         'worker': view.worker,
         'standing': view.availability.value,
@@ -35,6 +58,7 @@
         'is_recorded': view.is_recorded,
         'runs_count': len(view.runs),
         'free': view.free.as_tuple(),
+        'slowness': round(state.run_times.slowness(view.worker), 2),
         'trials_count': view.trials_count,
         'suspended_until_ms': view.failure_record.suspended_until_ms,
     }
--- a/fuchsiarill/graphs/keys.py
+++ b/fuchsiarill/graphs/keys.py
@@ -2,8 +2,8 @@
 
 `control/owner/POOL` (ephemeral) and `control/process/PROCESS` are watched by
 every process, `jobs/POOL/JOB/graph` and `jobs/POOL/JOB/cancel` by the owner
-of the pool. `fleet/POOL`, `pending/POOL` and `progress/POOL/JOB` are written
-by the owner.
+of the pool. `fleet/POOL`, `pending/POOL`, `run_times/POOL` and
+`progress/POOL/JOB` are written by the owner.
 """
 
 from typing import Final
@@ -52,6 +52,11 @@
     return StoreKey(f'pending/{pool}')
 
 
+def run_times_key(pool: PoolId) -> StoreKey:
+    """Return the key of the run times that owners of the pool have learned."""
+    return StoreKey(f'run_times/{pool}')
+
+
 def jobs_prefix(pool: PoolId) -> str:
     """Return the prefix of the jobs of a pool and of their cancellations."""
     return f'jobs/{pool}/'
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -25,10 +25,12 @@
     KvPage,
     KvTransaction,
 )
+from fuchsiarill.run_times.run_times import Score
 
 _Answer = TypeVar('_Answer')
 
 _BUCKET_LIMITS_S: Final = (0.005, 0.02, 0.05, 0.1, 0.3, 1, 3, 10, 30)
+_BUCKET_LIMITS_RATIO: Final = (1.1, 1.25, 1.5, 2, 3, 5, 10)
 
 
 class GraphMetrics:
@@ -64,6 +66,19 @@
             buckets=_BUCKET_LIMITS_S,
             registry=self.registry,
         )
+        self.run_time_errors = Histogram(
+            'fuchsiarill_graph_run_time_error_ratio',
+            'Run time over the expected median, or the inverse, by queue.',
+            ('queue',),
+            buckets=_BUCKET_LIMITS_RATIO,
+            registry=self.registry,
+        )
+        self.run_times = Counter(
+            'fuchsiarill_graph_run_times',
+            'Successful runs, by queue and whether within the expected p90.',
+            ('queue', 'within_p90'),
+            registry=self.registry,
+        )
         self.owned = Gauge(
             'fuchsiarill_graph_owned_pools',
             'Pools that this process owns.',
@@ -94,6 +109,12 @@
         """Record how long a started job has waited."""
         self.waits.labels(queue).observe(wait_ms / MS_PER_SECOND)
 
+    def observe_run_time(self, score: Score) -> None:
+        """Record how the run time of a run compares with the expected one."""
+        self.run_time_errors.labels(score.queue).observe(score.error_ratio)
+        is_covered = str(score.is_covered).lower()
+        self.run_times.labels(score.queue, is_covered).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/fuchsiarill/graphs/owner_messages.py
+++ b/fuchsiarill/graphs/owner_messages.py
@@ -43,6 +43,8 @@
     revisions: dict[StoreKey, Revision]
     # The previous owner sends no orders after this time.
     previous_owner_stop_ms: int
+    # Snapshot of the learned run times; `None` if it could not be read in time.
+    run_times: KvItem | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/pool_loading.py
+++ b/fuchsiarill/graphs/pool_loading.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from fuchsiarill import events, graph_events
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.graphs import keys, records
 from fuchsiarill.graphs.model import PoolId
@@ -47,6 +48,19 @@
         order. The wait for its task leases counts from its examination, which
         needs the fleet record only.
         """
+        # Without the learned run times decisions are less accurate, so nothing
+        # waits for them.
+        learned_reading = asyncio.create_task(
+            self.store.get(keys.run_times_key(self.pool), self.timeout_ms)
+        )
+        try:
+            return await self._load_beside(learned_reading)
+        finally:
+            learned_reading.cancel()
+
+    async def _load_beside(
+        self, learned_reading: asyncio.Task[Result[KvItem, KvFailure]]
+    ) -> PoolRecords:
         async with asyncio.TaskGroup() as group:
             examining = group.create_task(self._examine_previous_owner())
             pending_reading = group.create_task(
@@ -60,14 +74,33 @@
             )
         fleet = examining.result()
         progress_items = progress_reading.result()[0]
-        items = (fleet.item, pending_reading.result(), *progress_items)
+        items = [fleet.item, pending_reading.result(), *progress_items]
+        run_times = self._run_times_item(learned_reading)
+        if run_times is not None:
+            items.append(run_times)
         return PoolRecords(
             fleet.record,
             *jobs_reading.result(),
             progress_items,
             {item.key: item.revision for item in items},
             fleet.previous_owner_stop_ms,
+            run_times,
+        )
+
+    def _run_times_item(
+        self, reading: asyncio.Task[Result[KvItem, KvFailure]]
+    ) -> KvItem | None:
+        problem = 'the store has not answered in time'
+        if reading.done():
+            read_result = reading.result()
+            if isinstance(read_result, Success):
+                item: KvItem = read_result.unwrap()
+                return item
+            problem = read_result.failure().value
+        events.emit(
+            graph_events.RUN_TIMES_UNUSABLE, pool=self.pool, problem=problem
         )
+        return None
 
     async def _examine_previous_owner(self) -> _LoadedFleet:
         fleet = await self._read_item(keys.fleet_key(self.pool))
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -4,7 +4,6 @@
 executes the effects that it returns.
 """
 
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Final
@@ -42,6 +41,7 @@
 )
 from fuchsiarill.graphs.progress_saver import ProgressSaver
 from fuchsiarill.graphs.record_writer import RecordWriter
+from fuchsiarill.graphs.run_time_records import restore_run_times, unix_ms
 from fuchsiarill.graphs.start_windows import has_open_starts
 from fuchsiarill.graphs.worker_channel import ChannelContext
 from fuchsiarill.ids import JobId, Revision, WorkerId
@@ -52,7 +52,6 @@
 _HANDOVER_CHECK_INTERVAL_MS: Final = 10
 # Batches the reads of worker entries, which heartbeats rewrite continuously.
 _DIRECTORY_PAUSE_MS: Final = 150
-_NS_PER_MS: Final = 1_000_000
 
 _EffectHandler = Callable[['PoolOwner', Any], None]
 
@@ -80,6 +79,7 @@
         )
         self.core.state.previous_owner_stop_ms = loaded.previous_owner_stop_ms
         self.core.configure(term.config)
+        restore_run_times(self.core.state, loaded.run_times, now_ms())
         self._directory = WorkerDirectory(term.pool, context.ports.documents)
         self._writer = RecordWriter(
             context.ports.store,
@@ -283,11 +283,13 @@
         """Advance timers; remove unlisted workers without runs or leases."""
         now = now_ms()
         # The wall clock may jump, so its offset is computed at each tick.
-        self.core.state.unix_offset_ms = time.time_ns() // _NS_PER_MS - now
+        self.core.state.unix_offset_ms = unix_ms() - now
         self.core.tick(now)
         is_any_removed = self.channels.remove_unlisted_workers(now)
         if is_any_removed or self._saver.is_fleet_outdated():
             self._saver.save_fleet()
+        for score in self.core.state.run_times.take_scores():
+            self._context.metrics.observe_run_time(score)
         self._schedule_decision()
 
     @handles(messages.Decide)
--- a/fuchsiarill/graphs/progress_saver.py
+++ b/fuchsiarill/graphs/progress_saver.py
@@ -9,6 +9,7 @@
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.model import QueueId
 from fuchsiarill.graphs.owner_messages import ProcessedEnds, SaveRecords
+from fuchsiarill.graphs.run_time_records import RunTimeSnapshots
 from fuchsiarill.graphs.settings import RetentionSettings
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import StoreKey
@@ -40,6 +41,7 @@
         self._is_saving = False
         self._saved_counts: dict[QueueId, int] = {}
         self._scanned_ms = 0
+        self._run_times = RunTimeSnapshots(core.state, now_ms())
 
     @property
     def is_saving(self) -> bool:
@@ -68,6 +70,7 @@
         if now - self._scanned_ms >= _SCAN_INTERVAL_MS:
             self._scanned_ms = now
             changed.update(self._changed_counts())
+            changed.update(self._run_times.take_due(now))
             oldest_ms = now - self._retention.settled_job_ms
             deletes = self._remove_expired_jobs(oldest_ms)
         ends = self._processed_ends()
--- a/fuchsiarill/run_times/run_times.py
+++ b/fuchsiarill/run_times/run_times.py
@@ -30,7 +30,7 @@
 # Samples that the wider model counts as, where both models spread alike.
 _WIDER_COUNT: Final = 4.0
 _SPREAD_MIN: Final = 0.1
-_MODELS_MAX_COUNT: Final = 256
+MODELS_MAX_COUNT: Final = 256
 _SCORES_MAX_COUNT: Final = 1000
 # Lower bound of the ratio that `slowness` returns.
 _SLOWNESS_MIN: Final = 0.1
@@ -97,7 +97,7 @@
             self.workers.add(run.worker, duration - remote - expected, now_ms)
             if run.is_remote:
                 factor = use_row(
-                    self.remote, run.queue, Factor(), _MODELS_MAX_COUNT
+                    self.remote, run.queue, Factor, MODELS_MAX_COUNT
                 )
                 factor.add(duration - worker - expected, now_ms)
         usual = duration - worker - remote
@@ -220,7 +220,7 @@
         return 0 if factor is None else factor.value
 
     def _use_model(self, group: GroupKey) -> Model:
-        return use_row(self.models, group, Model(), _MODELS_MAX_COUNT)
+        return use_row(self.models, group, Model, MODELS_MAX_COUNT)
 
 
 class _Blend:
--- a/fuchsiarill/run_times/sketch.py
+++ b/fuchsiarill/run_times/sketch.py
@@ -7,6 +7,7 @@
 """
 
 from array import array
+from bisect import bisect_left
 from collections.abc import Iterable
 from itertools import accumulate
 from typing import Final
@@ -22,12 +23,20 @@
 # The histogram is moved when its median is so close to one of its ends.
 _MARGIN_COUNT: Final = 12
 _MEDIAN: Final = 0.5
+_WEIGHT_MIN: Final = 1e-9
 
 
 class LogSketch:
     """A histogram of logarithms with decaying weights."""
 
-    __slots__ = ('_quantiles', '_total', '_unit', '_weights', 'origin')
+    __slots__ = (
+        '_quantiles',
+        '_sums',
+        '_total',
+        '_unit',
+        '_weights',
+        'origin',
+    )
 
     def __init__(
         self, origin: float = 0, weights: Iterable[float] | None = None
@@ -38,6 +47,8 @@
         self._weights = array('f', weights or bytes(4 * BUCKETS_COUNT))
         self._total = sum(self._weights)
         self._unit = 1.0
+        # Sums of the weights up to each bucket, and quantiles, once asked for.
+        self._sums: list[float] | None = None
         self._quantiles: dict[float, float] = {}
 
     @property
@@ -59,8 +70,12 @@
         """Add a sample; those beyond the buckets count for the outermost."""
         if not self._total:
             self.origin = sample - BUCKET_WIDTH * (_CENTRE + _MEDIAN)
-        self._add_weight(self._bucket_of(sample), self._unit)
-        self._keep_centred()
+        bucket = self._bucket_of(sample)
+        self._weights[bucket] += self._unit
+        self._total += self._unit
+        self._forget_quantiles()
+        if not _MARGIN_COUNT <= bucket < BUCKETS_COUNT - _MARGIN_COUNT:
+            self._keep_centred()
 
     def add_above(self, bound: float) -> bool:
         """Add a sample of which only a lower bound is known.
@@ -77,7 +92,7 @@
         for bucket in range(first, BUCKETS_COUNT):
             self._weights[bucket] *= factor
         self._total += self._unit
-        self._quantiles.clear()
+        self._forget_quantiles()
         return True
 
     def quantile(self, share: float) -> float:
@@ -89,29 +104,32 @@
         return known
 
     def _compute_quantile(self, share: float) -> float:
-        sought = share * sum(self._weights)
-        for bucket, reached in enumerate(accumulate(self._weights)):
-            weight = self._weights[bucket]
-            if reached < sought or not weight:
-                continue
-            position = bucket + 1 - (reached - sought) / weight
-            return self.origin + BUCKET_WIDTH * position
-        return self.origin + BUCKET_WIDTH * BUCKETS_COUNT
+        sums = self._sums
+        if sums is None:
+            sums = list(accumulate(self._weights))
+            self._sums = sums
+        sought = share * sums[-1]
+        bucket = min(bisect_left(sums, sought), BUCKETS_COUNT - 1)
+        position = (
+            bucket
+            + 1
+            - (sums[bucket] - sought) / max(self._weights[bucket], _WEIGHT_MIN)
+        )
+        return self.origin + BUCKET_WIDTH * position
 
     def _bucket_of(self, sample: float) -> int:
         bucket = int((sample - self.origin) // BUCKET_WIDTH)
         return min(max(bucket, 0), BUCKETS_COUNT - 1)
 
-    def _add_weight(self, bucket: int, weight: float) -> None:
-        self._weights[bucket] += weight
-        self._total += weight
+    def _forget_quantiles(self) -> None:
+        self._sums = None
         self._quantiles.clear()
 
     def _set_weights(self, weights: Iterable[float]) -> None:
         self._weights = array('f', weights)
         self._total = sum(self._weights)
         self._unit = 1.0
-        self._quantiles.clear()
+        self._forget_quantiles()
 
     def _keep_centred(self) -> None:
         """Move the buckets along with a median that nears one of the ends."""
--- a/fuchsiarill/run_times/worker_factors.py
+++ b/fuchsiarill/run_times/worker_factors.py
@@ -41,7 +41,7 @@
     def add(self, worker: WorkerId, deviation: float, now_ms: int) -> None:
         """Add the deviation of a run time from that on a usual worker."""
         is_new = worker not in self.rows
-        factor = use_row(self.rows, worker, Factor(), _WORKERS_MAX_COUNT)
+        factor = use_row(self.rows, worker, Factor, _WORKERS_MAX_COUNT)
         self._sum -= factor.value
         factor.add(deviation, now_ms)
         self._sum += factor.value
