--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -138,8 +138,8 @@
     def _slowing(
         self, entry: JobEntry, spec: Step, view: WorkerView | None
     ) -> float:
-        """Return the factor on run times on a worker."""
-        if view is None:
+        """Return the factor on run times on a worker, 1 if not learned."""
+        if view is None or not self.run_times.is_learned(entry.graph.queue):
             return 1
         factor = self.run_times.slowness(view.worker)
         if view.is_away_from(spec.data_rack):
