Check configurations of the platform, and list what callers notice

A key that is a number by mistake was part of the text of the error, and so of the log; it is not any more.

--- a/fuchsiarill/codes.py
+++ b/fuchsiarill/codes.py
@@ -338,6 +338,14 @@
     Retry.NEVER,
     'Another operator changed the configuration since it was read.',
 )
+CONFIG_CONTRADICTORY: Final = ResultCode(
+    605,
+    'config_contradictory',
+    HTTPStatus.OK,
+    ExitStatus.UNMET,
+    Retry.NEVER,
+    'Parts of a valid configuration contradict each other.',
+)
 TRACES_MET: Final = ResultCode(
     107,
     'traces_met',
--- a/fuchsiarill/commands/config_commands.py
+++ b/fuchsiarill/commands/config_commands.py
@@ -16,7 +16,8 @@
 _WAIT_DEFAULT_S: Final = 30.0
 
 
-def _file_argument(parser: ArgumentParser) -> None:
+def add_file(parser: ArgumentParser) -> None:
+    """Declare the argument for the configuration file."""
     parser.add_argument('file', type=Path, help='configuration in YAML')
 
 
@@ -45,7 +46,7 @@
 
 
 def _apply_arguments(parser: ArgumentParser) -> None:
-    _file_argument(parser)
+    add_file(parser)
     add_author(parser)
     add_wait(parser)
 
@@ -65,24 +66,6 @@
     )
 
 
-@command(
-    'config check',
-    'Check a configuration file without writing it.',
-    'fuchsiarill config check examples/frostwick.yaml',
-    _file_argument,
-)
-def check(options: Namespace, client: Client) -> CommandAnswer:
-    """Check a file and report every problem with its line and field."""
-    text = options.file.read_text()
-    problems = config_edit.check_text(text)
-    if problems:
-        notes = tuple(f'{options.file}: {problem}' for problem in problems)
-        return CommandAnswer(None, codes.CONFIG_INVALID, notes)
-    contracts = len(yaml.safe_load(text)['contracts'])
-    note = texts.CONFIG_VALID.format(path=options.file, contracts=contracts)
-    return CommandAnswer(None, notes=(note,))
-
-
 @command(
     'config show',
     'Show the configuration in force.',
@@ -103,7 +86,7 @@
     'config diff',
     'Show what a file would change.',
     'fuchsiarill config diff cell.yaml',
-    _file_argument,
+    add_file,
 )
 def diff(options: Namespace, client: Client) -> CommandAnswer:
     """Compare a file with the document in force."""
--- a/fuchsiarill/commands/main.py
+++ b/fuchsiarill/commands/main.py
@@ -17,6 +17,7 @@
 
 from fuchsiarill import codes, texts
 from fuchsiarill.commands import (  # noqa: F401
+    config_check,
     config_commands,
     contract_commands,
     explain_command,
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -161,7 +161,7 @@
         raise ValueError(f'weight {weight} is not a positive number')
     return CustomerContract(
         CustomerId(_text(row['name'])),
-        tuple(digest_key(_text(key)) for key in row.get('api_keys', ())),
+        tuple(digest_key(_key(key)) for key in row.get('api_keys', ())),
         weight,
         Resources(
             _amount(ceiling.get('cpu', 0)),
@@ -204,6 +204,13 @@
     return content
 
 
+def _key(content: object) -> str:
+    """Return a key; the text of the error does not contain it."""
+    if not isinstance(content, str):
+        raise TypeError('a key is not a string')
+    return content
+
+
 def _whole_number(content: object) -> int:
     if not isinstance(content, int) or isinstance(content, bool):
         raise TypeError(f'{content!r} is not a whole number')
