--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -347,3 +347,9 @@
     'revision {revision}; to return after {retry_after_ms} ms',
     'See "Refused because of load" in OPERATIONS.md.',
 )
+RUN_TIMES_UNUSABLE: Final = LogEvent(
+    785,
+    Level.WARNING,
+    'the learned run times of pool {pool} cannot be used: {problem}',
+    'None; run times are learned anew, and estimates hold until then.',
+)
--- a/fuchsiarill/graphs/keys.py
+++ b/fuchsiarill/graphs/keys.py
@@ -2,8 +2,8 @@
 
 `control/owner/POOL` (ephemeral) and `control/process/PROCESS` are watched by
 every process, `jobs/POOL/JOB/graph` and `jobs/POOL/JOB/cancel` by the owner
-of the pool. `fleet/POOL`, `pending/POOL`, `claims/POOL`, `load/POOL` and
-`progress/POOL/JOB` are written by the owner.
+of the pool. `fleet/POOL`, `pending/POOL`, `claims/POOL`, `load/POOL`,
+`run_times/POOL` and `progress/POOL/JOB` are written by the owner.
 """
 
 from typing import Final
@@ -70,6 +70,11 @@
     return StoreKey(f'load/{pool}')
 
 
+def run_times_key(pool: PoolId) -> StoreKey:
+    """Return the key of the run times that owners of the pool have learned."""
+    return StoreKey(f'run_times/{pool}')
+
+
 def jobs_prefix(pool: PoolId) -> str:
     """Return the prefix of the jobs of a pool and of their cancellations."""
     return f'jobs/{pool}/'
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -37,6 +37,9 @@
     is_inherited: bool = False
     state: RunState = RunState.STARTING
     start_ordered_ms: int = 0
+    # Part of the work was done before `start_ordered_ms`: the run resumed from
+    # a checkpoint, or an earlier owner started it.
+    is_partial: bool = False
     # When the run is expected to end by itself.
     expected_end_ms: float = 0
     # Until then a step awaits the end of the run instead of stopping it; `None`
