--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -44,10 +44,15 @@
         folder: Path,
         daemons_count: int,
         workers_count: int,
+        settings: dict[str, Any] | None = None,
     ) -> None:
-        """Allocate ports; entering the context starts all processes."""
+        """Allocate ports; entering the context starts all processes.
+
+        `settings` override the settings of each daemon.
+        """
         super().__init__(Processes(folder))
         self._folder = folder
+        self._changed_settings = settings or {}
         self.workers = [f'w{number}' for number in range(workers_count)]
         ports = iter(free_ports(daemons_count * _PORTS_PER_DAEMON))
         self.daemons = {
@@ -152,4 +157,5 @@
                 'metrics': f'127.0.0.1:{daemon.metrics}',
             },
             'outside': {'store': store, 'advice': store},
+            **self._changed_settings,
         }
