Bound the responses of outside systems while they are read

A response without end filled the memory of a process, and one in small pieces held its thread past the deadline of its call. The client now reads at most 16 MB, in pieces, and checks the deadline at each. A response beyond either bound counts as no answer, as a lost one does.

--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -3,9 +3,9 @@
 The number of calls in progress is bounded; a further call fails at once as
 not sent. The deadline of a call includes its wait for a thread. The deadline
 also holds if a response arrives in small pieces, each within the socket
-time-out. If a read times out, `urllib3` closes the connection, since the late
-response would otherwise be read by the next request. Long polls have their own
-threads.
+time-out. A response that is too large counts as none. If a read times out,
+`urllib3` closes the connection, since the late response would otherwise be read
+by the next request. Long polls have their own threads.
 """
 
 import asyncio
@@ -30,6 +30,9 @@
 # Time past the deadline in which the thread may still report whether a late
 # call was sent, which only the thread knows for certain.
 _THREAD_RESULT_GRACE_MS: Final = 50
+# A page of the store is the largest response; 16 values of the largest size.
+_RESPONSE_MAX_BYTES: Final = 16_777_216
+_PIECE_MAX_BYTES: Final = 65_536
 _JSON_HEADERS: Final = {'Content-Type': 'application/json'}
 _NOT_SENT_ERRORS: Final = (
     urllib3.exceptions.NewConnectionError,
@@ -177,7 +180,9 @@
                 body=call.body,
                 headers=_JSON_HEADERS | call.headers,
                 timeout=urllib3.Timeout(total=remaining_s),
+                preload_content=False,
             )
+            body = _read_body(response, deadline_s)
         except _NOT_SENT_ERRORS as error:
             return Failure(_failure_of_unsent_call(error))
         except urllib3.exceptions.ReadTimeoutError:
@@ -187,7 +192,11 @@
             return Failure(CallFailure.NO_ANSWER)
         except urllib3.exceptions.HTTPError:
             return Failure(CallFailure.NO_ANSWER)
-        return Success(HttpResponse(response.status, response.data))
+        if body is None:
+            response.close()
+            return Failure(CallFailure.NO_ANSWER)
+        response.release_conn()
+        return Success(HttpResponse(response.status, body))
 
     def _close_idle_connections(self, url: str) -> None:
         """Close the idle connections to the address of `url`.
@@ -202,6 +211,20 @@
                 pools.pop(key, None)
 
 
+def _read_body(
+    response: urllib3.BaseHTTPResponse, deadline_s: float
+) -> bytes | None:
+    """Return the body, or `None` if it is too large or too slow."""
+    body = bytearray()
+    piece = response.read1(_PIECE_MAX_BYTES)
+    while piece:
+        body += piece
+        if len(body) > _RESPONSE_MAX_BYTES or time.monotonic() > deadline_s:
+            return None
+        piece = response.read1(_PIECE_MAX_BYTES)
+    return bytes(body)
+
+
 def _failure_of_unsent_call(error: Exception) -> CallFailure:
     cause = error.__cause__
     if isinstance(cause, OSError) and cause.errno == errno.ECONNREFUSED:
--- a/tests/test_http_ports.py
+++ b/tests/test_http_ports.py
@@ -1,8 +1,10 @@
 """The HTTP clients of the ports against stand-ins with network faults."""
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
+import pytest
 from returns.result import Failure, Success
 
 from fuchsiarill.ids import (
@@ -257,6 +259,40 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    'head',
+    [b'', b'Content-Length: 999999999\r\n', b'Transfer-Encoding: chunked\r\n'],
+)
+def test_response_without_end(head: bytes) -> None:
+    """Guards against a response that uses up the memory of a process."""
+    sent: list[int] = []
+
+    async def send_without_end(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b'HTTP/1.1 200 OK\r\n%s\r\n' % head)
+        piece = b'x' * 1_000_000
+        while not writer.is_closing() and len(sent) < 100:
+            writer.write(b'F4240\r\n%s\r\n' % piece)
+            sent.append(len(piece))
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+
+    async def main() -> None:
+        server = await asyncio.start_server(send_without_end, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(threads_count=1, in_progress_max=1)
+        response_result = await client.post(
+            f'http://127.0.0.1:{port}/', b'', 30_000
+        )
+        client.close()
+        server.close()
+        assert response_result == Failure(CallFailure.NO_ANSWER)
+
+    asyncio.run(main())
+    assert sum(sent) < 50_000_000
+
+
 def test_malformed_response_is_a_failure() -> None:
     """Guards against a malformed response that stops the calling actor."""
 
