Receive requests within limits before a thread serves them

Cause: cheroot gives each connection to one of 12 threads before its request has arrived, bounds neither chunk lines nor trailers nor connections, and takes trailers, folded and repeated headers for something else.

Change: fuchsiarill/reception/ owns the sockets of every HTTP listener. It reads without blocking, bounds each part of a request while it is read, and gives a thread only a complete request, whose head has one Content-Length. Too many connections, or too much memory of all requests, end the longest waiting or the largest one. A refusal is sent only before a request was handed on; an exception of a handler no longer becomes a 400. Limits are in fuchsiarill/connection_limits.py; peers have limits on connections and messages. A document nested too deeply is malformed, not a defect.

The process tests lower memory_max_bytes and descriptors_reserved_count, which had no setting before; crowds and bounds are as they were. The fuzz of the reader found a second empty line that was ignored before a request only if it arrived in a piece of its own; mended. Tests of listeners and peers pass the limits and the observer that the constructors take now.

--- a/fuchsiarill/cluster/peer_server.py
+++ b/fuchsiarill/cluster/peer_server.py
@@ -33,9 +33,11 @@
 from fuchsiarill.cluster.job_encoding import SCHEMA, answer_fields, read_spec
 from fuchsiarill.cluster.member_table import Gossip
 from fuchsiarill.cluster.membership import GossipReceived
+from fuchsiarill.cluster.peer_connections import PeerConnections
 from fuchsiarill.ids import CustomerId, Generation, JobId, PartitionId
 from fuchsiarill.owner import messages
 from fuchsiarill.process_messages import GetDump, Receivers
+from fuchsiarill.reception.observation import ReceptionObserver
 from fuchsiarill.refusal import refuse
 from fuchsiarill.routing import ForwardToOwner, JobMessage, answer_all
 from fuchsiarill.settings import PeerSettings
@@ -198,10 +200,15 @@
         return await reply.wait(self._settings.call_timeout_ms)
 
 
-async def serve_peers(receivers: Receivers, settings: PeerSettings) -> Any:
+async def serve_peers(
+    receivers: Receivers,
+    settings: PeerSettings,
+    observer: ReceptionObserver,
+) -> Any:
     """Listen for other processes; returns the server, which must be closed."""
+    connections = PeerConnections(settings.limits, observer)
     return await capnp.AsyncIoStream.create_server(
-        partial(_serve_connection, receivers, settings),
+        partial(_serve_connection, receivers, settings, connections),
         settings.host,
         settings.port,
     )
@@ -210,11 +217,10 @@
 async def _serve_connection(
     receivers: Receivers,
     settings: PeerSettings,
+    connections: PeerConnections,
     stream: Any,
 ) -> None:
-    handler = PeerCallServer(receivers, settings)
-    server = capnp.TwoPartyServer(stream, bootstrap=handler)
-    await server.on_disconnect()
+    await connections.serve(stream, PeerCallServer(receivers, settings))
 
 
 def _overloaded_answer() -> JobAnswer:
--- a/fuchsiarill/daemon.py
+++ b/fuchsiarill/daemon.py
@@ -39,6 +39,7 @@
 from fuchsiarill.process import Process
 from fuchsiarill.process_messages import DrainRequested, Receivers
 from fuchsiarill.refusal import Refusal
+from fuchsiarill.reception.observation import ReceptionObserver
 from fuchsiarill.settings import ProcessSettings, load_settings
 
 _CLIENT_THREADS_COUNT = 32
@@ -90,7 +91,11 @@
     )
     config_parser = partial(_parse_in_thread, parser_pool)
     daemon = _create_daemon(settings, ports, metrics, config_parser)
-    server = await serve_peers(daemon.receivers, settings.peers)
+    server = await serve_peers(
+        daemon.receivers,
+        settings.peers,
+        ReceptionObserver('peers', metrics.reception),
+    )
     for actor in daemon.actors:
         actor.start()
     _drain_on_signals(daemon.process)
--- a/fuchsiarill/events.py
+++ b/fuchsiarill/events.py
@@ -133,6 +133,20 @@
     'request of {path} failed: {error}',
     'Report the line as a defect; the caller received an error.',
 )
+CLIENTS_REFUSED: Final = LogEvent(
+    602,
+    Level.WARNING,
+    'listener {listener} has refused {count} requests or connections since the '
+    'last such line at the limit {limit}, the last one from {address}: '
+    '{problem}',
+    'See "Limits on connections" in OPERATIONS.md if ordinary clients are met.',
+)
+LISTENER_FAILED: Final = LogEvent(
+    603,
+    Level.ERROR,
+    'listener {listener} has a problem: {error}',
+    'Report the line as a defect; the listener goes on.',
+)
 LOG_LINES_DROPPED: Final = LogEvent(
     746,
     Level.WARNING,
--- a/fuchsiarill/front/http_front.py
+++ b/fuchsiarill/front/http_front.py
@@ -11,13 +11,12 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from cheroot import errors, wsgi
-
 from fuchsiarill import codes, events, texts
 from fuchsiarill.actor import Mailbox, Reply
 from fuchsiarill.answers import JobAnswer, refusal_answer
 from fuchsiarill.cell_config import CellConfig
 from fuchsiarill.clock import MS_PER_SECOND
+from fuchsiarill.connection_limits import ConnectionLimits
 from fuchsiarill.front import caller_routes, health_routes, operator_routes
 from fuchsiarill.front.authentication import OPERATOR, Identity, identify
 from fuchsiarill.front.bridge import (
@@ -43,6 +42,8 @@
 )
 from fuchsiarill.ids import PartitionId
 from fuchsiarill.process_messages import Receivers
+from fuchsiarill.reception.http_server import RAW_REQUEST_KEY, BoundedServer
+from fuchsiarill.reception.observation import ReceptionObserver
 from fuchsiarill.refusal import Refusal, refuse
 from fuchsiarill.routing import ForwardToOwner, JobMessage
 from fuchsiarill.settings import HttpSettings
@@ -56,7 +57,6 @@
 # A body above the limit but below this multiple of it is read and refused on a
 # connection that stays open; on a larger body the server closes the connection.
 _BODY_READ_FACTOR: Final = 4
-_REQUEST_KEY: Final = 'fuchsiarill.request'
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,18 +67,6 @@
     config: CellConfig | None = None
 
 
-class _Gateway(wsgi.Gateway_10):
-    """Passes cheroot's request to the application.
-
-    The application sets `close_connection` in it to close the connection after
-    the reply.
-    """
-
-    def __init__(self, req: Any) -> None:
-        super().__init__(req)
-        self.env[_REQUEST_KEY] = req
-
-
 class HttpFront:
     """Serves HTTP requests of callers and operators in one process."""
 
@@ -96,21 +84,17 @@
         self.metrics = metrics
         self.view = FrontView()
         timeout_s = -(-settings.request_timeout_ms // MS_PER_SECOND)
-        self._server = wsgi.Server(
+        self._server = BoundedServer(
             (settings.host, settings.port),
             self._respond,
-            numthreads=settings.threads_count,
-            request_queue_size=settings.connections_max_count,
-            accepted_queue_size=settings.connections_max_count,
-            timeout=timeout_s,
-            shutdown_timeout=timeout_s,
+            settings.threads_count,
+            settings.connections_max_count,
+            timeout_s,
         )
-        self._server.gateway = _Gateway
-        self._server.keep_alive_conn_limit = settings.connections_max_count
-        self._server.max_request_body_size = (
-            _BODY_READ_FACTOR * settings.body_max_bytes
+        limits = _request_limits(settings)
+        self._server.receive(
+            lambda: limits, ReceptionObserver('http', metrics.reception)
         )
-        self._server.max_request_header_size = settings.header_max_bytes
 
     @property
     def port(self) -> int:
@@ -176,7 +160,7 @@
         with self.bridge.admitted() as admitted:
             reply = self._handle_request_safely(environ, admitted)
         if self.view.state is ProcessState.DRAINING:
-            environ[_REQUEST_KEY].close_connection = True
+            environ[RAW_REQUEST_KEY].close_connection = True
         body, content_type = _encode_body(reply.body)
         headers = [
             ('Content-Type', content_type),
@@ -268,6 +252,17 @@
         return waiting_count > self.settings.messages_waiting_max_count
 
 
+def _request_limits(settings: HttpSettings) -> ConnectionLimits:
+    return settings.connections.model_copy(
+        update={
+            'request_line_max_bytes': settings.header_max_bytes,
+            'header_max_bytes': settings.header_max_bytes,
+            'headers_max_bytes': settings.header_max_bytes,
+            'body_max_bytes': _BODY_READ_FACTOR * settings.body_max_bytes,
+        },
+    )
+
+
 def _call_handler(
     front: HttpFront,
     endpoint: Endpoint,
@@ -314,17 +309,7 @@
 
 
 def _read_body(environ: dict[str, Any], limit_bytes: int) -> bytes | Refusal:
-    """Read all of the body, so that the next request can be read."""
-    stream = environ['wsgi.input']
-    try:
-        if environ.get('HTTP_TRANSFER_ENCODING'):
-            body = stream.read()
-        else:
-            body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
-    except (OSError, ValueError, errors.MaxSizeExceeded) as error:
-        # The rest of the body can't be distinguished from the next request.
-        environ[_REQUEST_KEY].close_connection = True
-        return refuse(codes.MALFORMED, texts.MALFORMED, problem=str(error))
+    body = environ['wsgi.input'].read()
     if len(body) <= limit_bytes:
         return bytes(body)
     return refuse(
--- a/fuchsiarill/front/metrics.py
+++ b/fuchsiarill/front/metrics.py
@@ -32,6 +32,7 @@
     Versioned,
 )
 from fuchsiarill.process_messages import Measures
+from fuchsiarill.reception.observation import ReceptionMetrics
 
 _Answer = TypeVar('_Answer')
 
@@ -46,6 +47,7 @@
     def __init__(self) -> None:
         """Register all metrics."""
         self._registry = CollectorRegistry()
+        self.reception = ReceptionMetrics(self._registry)
         self._submissions = Counter(
             'fuchsiarill_submissions',
             'Jobs submitted to this entry process, by code of the answer.',
--- a/fuchsiarill/graphs/listener.py
+++ b/fuchsiarill/graphs/listener.py
@@ -6,15 +6,12 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from cheroot import errors, wsgi
-
 from fuchsiarill import events
-from fuchsiarill.graphs.settings import FrontSettings
+from fuchsiarill.connection_limits import ConnectionLimits
+from fuchsiarill.reception.http_server import RAW_REQUEST_KEY, BoundedServer
+from fuchsiarill.reception.observation import ReceptionObserver
 
-# Key of the cheroot request in the WSGI environment.
-_RAW_REQUEST_KEY: Final = 'fuchsiarill.request'
-# A connection without traffic is closed after this time.
-_CONNECTION_TIMEOUT_S: Final = 15
+_SHUTDOWN_TIMEOUT_S: Final = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +30,16 @@
     authorization: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ListenerSettings:
+    """Threads and limits of one listener."""
+
+    threads_count: int
+    connections_max_count: int
+    # The limits of the time.
+    find_limits: Callable[[], ConnectionLimits]
+
+
 @dataclass(frozen=True, slots=True)
 class Response:
     """An HTTP response."""
@@ -43,23 +50,15 @@
     headers: tuple[tuple[str, str], ...] = field(default=())
 
 
-class _Gateway(wsgi.Gateway_10):
-    """Lets the application close the connection after its response."""
-
-    def __init__(self, req: Any) -> None:
-        super().__init__(req)
-        self.env[_RAW_REQUEST_KEY] = req
-
-
 class Listener:
     """Serves one address in its own threads."""
 
     def __init__(
         self,
         address: str,
-        settings: FrontSettings,
+        settings: ListenerSettings,
         handle_request: Callable[[Request], Response],
-        threads_count: int,
+        observer: ReceptionObserver,
     ) -> None:
         """Create the listener of `address`; `start` opens it."""
         host, port = address.rsplit(':', 1)
@@ -67,17 +66,14 @@
         self.is_draining = False
         self._in_progress_count = 0
         self._count_lock = threading.Lock()
-        self._server = wsgi.Server(
+        self._server = BoundedServer(
             (host, int(port)),
             self._serve_request,
-            numthreads=threads_count,
-            request_queue_size=settings.connections_max_count,
-            accepted_queue_size=settings.connections_max_count,
-            timeout=_CONNECTION_TIMEOUT_S,
-            shutdown_timeout=1,
+            settings.threads_count,
+            settings.connections_max_count,
+            _SHUTDOWN_TIMEOUT_S,
         )
-        self._server.gateway = _Gateway
-        self._server.keep_alive_conn_limit = settings.connections_max_count
+        self._server.receive(settings.find_limits, observer)
 
     @property
     def port(self) -> int:
@@ -112,7 +108,7 @@
         with self._count_lock:
             self._in_progress_count -= 1
         if self.is_draining:
-            environ[_RAW_REQUEST_KEY].close_connection = True
+            environ[RAW_REQUEST_KEY].close_connection = True
         headers = [
             ('Content-Type', response.content_type),
             ('Content-Length', str(len(response.body))),
@@ -124,14 +120,11 @@
 
     def _handle_request_safely(self, environ: dict[str, Any]) -> Response:
         try:
-            return self._handle_request(_parse_request(environ))
-        except (OSError, ValueError, errors.MaxSizeExceeded) as error:
-            events.emit(
-                events.REQUEST_FAILED,
-                path=environ['PATH_INFO'],
-                error=repr(error),
-            )
+            request = _parse_request(environ)
+        except (ValueError, OverflowError):
             return Response(HTTPStatus.BAD_REQUEST)
+        try:
+            return self._handle_request(request)
         except Exception as error:
             events.emit(
                 events.REQUEST_FAILED,
@@ -143,11 +136,7 @@
 
 
 def _parse_request(environ: dict[str, Any]) -> Request:
-    stream = environ['wsgi.input']
-    if environ.get('HTTP_TRANSFER_ENCODING'):
-        body = stream.read()
-    else:
-        body = stream.read(int(environ.get('CONTENT_LENGTH') or 0))
+    body = environ['wsgi.input'].read()
     deadline_header = environ.get('HTTP_X_DEADLINE_MS')
     return Request(
         environ['REQUEST_METHOD'],
--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -25,6 +25,7 @@
     KvPage,
     KvTransaction,
 )
+from fuchsiarill.reception.observation import ReceptionMetrics
 
 _Answer = TypeVar('_Answer')
 
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         """Register all metrics."""
         self.registry = CollectorRegistry()
+        self.reception = ReceptionMetrics(self.registry)
         self.requests = Histogram(
             'fuchsiarill_graph_request_seconds',
             'Time of requests of callers, by verb and code of the answer.',
--- a/fuchsiarill/graphs/model.py
+++ b/fuchsiarill/graphs/model.py
@@ -206,11 +206,14 @@
 class RequestLimits:
     """Upper limits on the HTTP requests of callers.
 
-    `header_max_bytes` is not enforced.
+    Only `body_max_bytes` is enforced as it is; the limits on connections are
+    above the others.
     """
 
     header_max_bytes: int = 16384
     body_max_bytes: int = 262144
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/peers.py
+++ b/fuchsiarill/graphs/peers.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Success
 
 from fuchsiarill.cluster.job_encoding import SCHEMA
+from fuchsiarill.cluster.peer_connections import PeerConnections
 from fuchsiarill.graphs import keys
 from fuchsiarill.graphs.model import StepKey, Ticket
 from fuchsiarill.graphs.peer_links import PeerLinks
@@ -73,12 +74,15 @@
 
 
 async def serve_graph_peers(
-    address: str, ports: GraphPorts, timeout_ms: int
+    address: str,
+    ports: GraphPorts,
+    timeout_ms: int,
+    connections: PeerConnections,
 ) -> Any:
     """Listen for calls of peers; returns the server."""
     host, port = address.rsplit(':', 1)
     return await capnp.AsyncIoStream.create_server(
-        partial(_serve_connection, ports, timeout_ms),
+        partial(_serve_connection, ports, timeout_ms, connections),
         host,
         int(port),
     )
@@ -134,8 +138,9 @@
 
 
 async def _serve_connection(
-    ports: GraphPorts, timeout_ms: int, stream: Any
+    ports: GraphPorts,
+    timeout_ms: int,
+    connections: PeerConnections,
+    stream: Any,
 ) -> None:
-    call_server = OutsideCallServer(ports, timeout_ms)
-    server = capnp.TwoPartyServer(stream, bootstrap=call_server)
-    await server.on_disconnect()
+    await connections.serve(stream, OutsideCallServer(ports, timeout_ms))
--- a/fuchsiarill/graphs/settings.py
+++ b/fuchsiarill/graphs/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from fuchsiarill.connection_limits import ConnectionLimits, PeerLimits
 from fuchsiarill.ids import FailureDomain, ProcessId
 from fuchsiarill.log_event import Level
 
@@ -137,7 +138,9 @@
     """Limits of the HTTP front end."""
 
     threads_count: int = 12
-    connections_max_count: int = 1000
+    # Of the 1,638 descriptors of the smallest machine, 200 are for files, 448
+    # for calls, and 192 for the other listeners.
+    connections_max_count: int = 768
     # Time by which an answer precedes the deadline of the caller; at most half
     # of the caller's time-out is used.
     answer_margin_ms: int = 250
@@ -166,6 +169,8 @@
     task_lease: TaskLeaseSettings = Field(default_factory=TaskLeaseSettings)
     calls: CallSettings = Field(default_factory=CallSettings)
     front: FrontSettings = Field(default_factory=FrontSettings)
+    connections: ConnectionLimits = Field(default_factory=ConnectionLimits)
+    peer_connections: PeerLimits = Field(default_factory=PeerLimits)
     retention: RetentionSettings = Field(default_factory=RetentionSettings)
     # Time within which a configuration has to be in force everywhere.
     config_apply_ms: int = 2000
--- a/fuchsiarill/platform/daemon.py
+++ b/fuchsiarill/platform/daemon.py
@@ -12,7 +12,7 @@
 import signal
 import sys
 import time
-from functools import partial
+from functools import lru_cache, partial
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
@@ -21,11 +21,23 @@
 from returns.result import Failure
 
 from fuchsiarill import events, graph_events
+from fuchsiarill.cluster.peer_connections import PeerConnections
 from fuchsiarill.codes import ExitStatus
 from fuchsiarill.collector import raise_gc_thresholds
+from fuchsiarill.connection_limits import (
+    ConnectionLimits,
+    GrantedLimits,
+    inner_connections_max_count,
+)
 from fuchsiarill.graphs.front import Front
-from fuchsiarill.graphs.listener import Listener, Request, Response
+from fuchsiarill.graphs.listener import (
+    Listener,
+    ListenerSettings,
+    Request,
+    Response,
+)
 from fuchsiarill.graphs.metrics import GraphMetrics, ObservedStore
+from fuchsiarill.graphs.model import RequestLimits
 from fuchsiarill.graphs.peers import serve_graph_peers
 from fuchsiarill.graphs.ports import (
     BusyTrackingAdvisor,
@@ -43,14 +55,15 @@
 from fuchsiarill.platform.store_client import PlatformStore
 from fuchsiarill.platform.worker_client import PlatformWorkers
 from fuchsiarill.ports.http_client import HttpClient
+from fuchsiarill.reception.observation import ReceptionObserver
 
 _SETTINGS_VARIABLE: Final = 'FUCHSIARILL_NODE_FILE'
 _CALLS_IN_PROGRESS_MAX_COUNT: Final = 2000
 _POLL_INTERVAL_S: Final = 0.05
 # 20 polls of 50 ms: requests in progress get one second to finish.
 _FINISH_POLLS_COUNT: Final = 20
-_READINESS_THREADS_COUNT: Final = 2
-_METRICS_THREADS_COUNT: Final = 1
+# Of the listeners for the load balancer and for operators.
+_INNER_THREADS_COUNT: Final = 2
 
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
@@ -144,6 +157,10 @@
         settings.listen.peers,
         ports,
         settings.calls.advice_timeout_ms,
+        PeerConnections(
+            settings.peer_connections,
+            ReceptionObserver('peers', metrics.reception),
+        ),
     )
     process.start()
     listeners = _create_listeners(settings, process, metrics)
@@ -181,24 +198,56 @@
     metrics: GraphMetrics,
 ) -> tuple[Listener, ...]:
     handler = CallerRequestHandler(process.front, metrics)
+    max_count = settings.front.connections_max_count
+    inner_limits = settings.connections.for_inner_listener()
+    inner = ListenerSettings(
+        _INNER_THREADS_COUNT,
+        inner_connections_max_count(max_count),
+        lambda: inner_limits,
+    )
     return (
         Listener(
             settings.listen.callers,
-            settings.front,
+            ListenerSettings(
+                settings.front.threads_count,
+                max_count,
+                partial(_caller_limits, process.front),
+            ),
             handler.answer,
-            settings.front.threads_count,
+            ReceptionObserver('callers', metrics.reception),
         ),
         Listener(
             settings.listen.readiness,
-            settings.front,
+            inner,
             partial(_answer_readiness, process.front),
-            _READINESS_THREADS_COUNT,
+            ReceptionObserver('readiness', metrics.reception),
         ),
         Listener(
             settings.listen.metrics,
-            settings.front,
+            inner,
             partial(_serve_diagnostics, process, metrics),
-            _METRICS_THREADS_COUNT,
+            ReceptionObserver('metrics', metrics.reception),
+        ),
+    )
+
+
+def _caller_limits(front: Front) -> ConnectionLimits:
+    """Return the limits of the settings, changed for those of the operators."""
+    config = front.view.config
+    granted = RequestLimits() if config is None else config.limits
+    return _changed_limits(front.settings.connections, granted)
+
+
+@lru_cache(maxsize=4)
+def _changed_limits(
+    limits: ConnectionLimits, granted: RequestLimits
+) -> ConnectionLimits:
+    return limits.for_clients(
+        GrantedLimits(
+            granted.header_max_bytes,
+            granted.body_max_bytes,
+            granted.header_timeout_ms,
+            granted.idle_timeout_ms,
         ),
     )
 
--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -106,7 +106,7 @@
 def _decode_object(content: bytes) -> dict[str, Any]:
     try:
         document = json.loads(content)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise DocumentError(f'not JSON: {error}') from error
     if not isinstance(document, dict):
         raise DocumentError('not a JSON object')
@@ -125,6 +125,8 @@
         RequestLimits(
             limits.get('max_header_bytes', defaults.header_max_bytes),
             limits.get('max_body_bytes', defaults.body_max_bytes),
+            limits.get('header_timeout_ms', defaults.header_timeout_ms),
+            limits.get('idle_timeout_ms', defaults.idle_timeout_ms),
         ),
         CustomerContracts(
             _contract(row) for row in document.get('tenants', ())
--- a/fuchsiarill/settings.py
+++ b/fuchsiarill/settings.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 from returns.result import Failure, Result
 
+from fuchsiarill.connection_limits import ConnectionLimits, PeerLimits
 from fuchsiarill.ids import FailureDomain, ProcessId, RegionId
 from fuchsiarill.log_event import Level, LogFormat
 from fuchsiarill.yaml_document import read_yaml
@@ -58,6 +59,7 @@
     requests_max_count: _PositiveInt = 64
     waits_max_count: _Count = 8
     messages_waiting_max_count: _PositiveInt = 2_048
+    connections: ConnectionLimits = ConnectionLimits()
 
 
 class PeerSettings(_Model):
@@ -69,6 +71,7 @@
     calls_in_progress_max: _PositiveInt = 512
     batch_max_count: _PositiveInt = 256
     idle_after_ms: _PositiveInt = 60_000
+    limits: PeerLimits = PeerLimits()
 
 
 class MembershipSettings(_Model):
--- a/tests/process/test_connection_limits.py
+++ b/tests/process/test_connection_limits.py
@@ -31,6 +31,10 @@
 _HANG_TIMEOUT_S: Final = 10
 _SETTINGS: Final = {
     'front': {'connections_max_count': _CONNECTIONS_MAX_COUNT},
+    'connections': {
+        'memory_max_bytes': 4_000_000,
+        'descriptors_reserved_count': 16,
+    },
 }
 
 
@@ -39,8 +43,9 @@
     folder = tmp_path_factory.mktemp('limits')
     with PlatformCell(folder, 1, 1, _SETTINGS) as cell:
         yield cell
-        # The daemon would wait for its callers before it ends.
+        # They would wait for their clients before they end.
         cell.processes.kill(_DAEMON)
+        cell.processes.kill('emulator')
 
 
 @pytest.fixture
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -7,6 +7,7 @@
 
 import capnp
 import pytest
+from prometheus_client import CollectorRegistry
 from returns.result import Success
 
 from fuchsiarill import codes
@@ -30,6 +31,10 @@
 )
 from fuchsiarill.owner import messages
 from fuchsiarill.process_messages import GetDump, Receivers
+from fuchsiarill.reception.observation import (
+    ReceptionMetrics,
+    ReceptionObserver,
+)
 from fuchsiarill.refusal import Refusal
 from fuchsiarill.routing import ForwardToOwner
 from fuchsiarill.settings import PeerSettings
@@ -119,6 +124,7 @@
     server = await serve_peers(
         Receivers(mailbox, mailbox, mailbox, mailbox),
         settings,
+        ReceptionObserver('peers', ReceptionMetrics(CollectorRegistry())),
     )
     peers = Peers(settings)
     peers.start()
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -6,8 +6,11 @@
 
 import capnp
 import pytest
+from prometheus_client import CollectorRegistry
 from returns.result import Failure, Success
 
+from fuchsiarill.cluster.peer_connections import PeerConnections
+from fuchsiarill.connection_limits import PeerLimits
 from fuchsiarill.graphs.model import GraphConfig, StepKey, Ticket, WorkerEntry
 from fuchsiarill.graphs.peer_links import PeerLinks, PeersListed
 from fuchsiarill.graphs.peers import (
@@ -37,6 +40,10 @@
     KvTransaction,
     KvWrite,
 )
+from fuchsiarill.reception.observation import (
+    ReceptionMetrics,
+    ReceptionObserver,
+)
 from standins.agent_model import Fleet
 from standins.store_model import PathFault, StoreModel, StorePath
 from tests.graph_cell import CAPACITY, GrantingAdvisor
@@ -85,7 +92,17 @@
             probe.bind(('127.0.0.1', 0))
             address = f'127.0.0.1:{probe.getsockname()[1]}'
         async with capnp.kj_loop():
-            server = await serve_graph_peers(address, cell.ports(), 5000)
+            server = await serve_graph_peers(
+                address,
+                cell.ports(),
+                5000,
+                PeerConnections(
+                    PeerLimits(),
+                    ReceptionObserver(
+                        'peers', ReceptionMetrics(CollectorRegistry())
+                    ),
+                ),
+            )
             cell.links.start()
             cell.links.mailbox.send(PeersListed({PEER: address}))
             await asyncio.sleep(0.05)
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -10,9 +10,19 @@
 
 import pytest
 import yaml
-
-from fuchsiarill.graphs.listener import Listener, Request, Response
-from fuchsiarill.graphs.settings import FrontSettings
+from prometheus_client import CollectorRegistry
+
+from fuchsiarill.connection_limits import ConnectionLimits
+from fuchsiarill.graphs.listener import (
+    Listener,
+    ListenerSettings,
+    Request,
+    Response,
+)
+from fuchsiarill.reception.observation import (
+    ReceptionMetrics,
+    ReceptionObserver,
+)
 
 _CASES: Final = yaml.safe_load(
     Path(__file__).with_name('cases').joinpath('request_heads.yaml').read_text()
@@ -39,7 +49,12 @@
         received.append(request)
         return Response(HTTPStatus.OK, request.path.encode())
 
-    listener = Listener('127.0.0.1:0', FrontSettings(), answer, 2)
+    listener = Listener(
+        '127.0.0.1:0',
+        ListenerSettings(2, 16, ConnectionLimits),
+        answer,
+        ReceptionObserver('test', ReceptionMetrics(CollectorRegistry())),
+    )
     listener.start()
     yield _Served(listener, received)
     listener.stop()
