Split the reception, and wake its thread once for many returns

Change: accepting.py and waker.py; a wake is sent only if none is under way; refusals by time are guarded for each connection.

--- a/fuchsiarill/reception/reception.py
+++ b/fuchsiarill/reception/reception.py
@@ -6,8 +6,6 @@
 `ConnectionManager`. Worker threads hand connections back through a queue.
 """
 
-import errno
-import resource
 import selectors
 import socket
 from collections import deque
@@ -17,7 +15,13 @@
 from threading import Event
 from typing import Any, Final
 
+from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.connection_limits import ConnectionLimits
+from fuchsiarill.reception.accepting import (
+    Acceptor,
+    free_descriptors_count,
+    move_down,
+)
 from fuchsiarill.reception.connection import ClientConnection
 from fuchsiarill.reception.observation import ReceptionObserver, monotonic_ms
 from fuchsiarill.reception.places import Places
@@ -32,17 +36,14 @@
     ClientEvent,
     ClientState,
 )
+from fuchsiarill.reception.waker import Waker
 from fuchsiarill.registry import Registry
 
 _READ_MAX_BYTES: Final = 65_536
-_ACCEPTED_MAX_COUNT: Final = 32
-# Pause after a failure to accept, which would otherwise fail again at once.
-_ACCEPT_PAUSE_S: Final = 0.1
+# Interval of the checks of time limits, and the pause after a failure to
+# accept.
+_SWEEP_INTERVAL_MS: Final = 100
 _CONSENT: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_SHORTAGES: Final = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
-)
-
 _Action = Callable[['Reception', ClientConnection], None]
 ACTIONS: Final[Registry[str, _Action]] = Registry('actions of a reception')
 
@@ -66,16 +67,14 @@
         self._observer = observer
         self._returned: deque[tuple[ClientConnection, ClientEvent]] = deque()
         self._selector = selectors.DefaultSelector()
-        wake_reader, wake_writer = socket.socketpair()
-        self._wake_reader = wake_reader
-        self._wake_writer = wake_writer
-        self._wake_reader.setblocking(False)
-        self._wake_writer.setblocking(False)
-        self._selector.register(
-            self._wake_reader, selectors.EVENT_READ, self._take_back
+        self._waker = Waker(self._selector, self._take_back)
+        self._acceptor = Acceptor(
+            http_server.socket,
+            self._selector,
+            self._admit,
+            self._handle_shortage,
         )
-        self._is_accepting = False
-        self._accept_again()
+        self._acceptor.resume()
         self._is_stopping = False
         self._is_closed = False
         self._has_stopped = Event()
@@ -102,8 +101,7 @@
         if self._is_closed:
             self._close_returned()
             return
-        with suppress(OSError):
-            self._wake_writer.send(b'\0')
+        self._waker.wake()
 
     def run(self, expiration_interval_s: float) -> None:
         """Serve until `stop` is called."""
@@ -117,8 +115,7 @@
     def stop(self) -> None:
         """Make `run` return, and wait until it has."""
         self._is_stopping = True
-        with suppress(OSError):
-            self._wake_writer.send(b'\0')
+        self._waker.wake()
         self._has_stopped.wait()
 
     def close(self) -> None:
@@ -129,8 +126,7 @@
             if connection.state is not ClientState.SERVING:
                 connection.close_after_response()
         self._selector.close()
-        self._wake_reader.close()
-        self._wake_writer.close()
+        self._waker.close()
 
     def step(self, connection: ClientConnection, event: ClientEvent) -> None:
         """Change the state of a connection and do what its chart says."""
@@ -195,18 +191,18 @@
         self.step(connection, ClientEvent.REFUSED)
 
     def _turn(self, timeout_s: float) -> None:
-        if not self._is_accepting:
-            timeout_s = _ACCEPT_PAUSE_S
+        if self._acceptor.is_paused:
+            timeout_s = _SWEEP_INTERVAL_MS / MS_PER_SECOND
         for key, _ in self._selector.select(timeout_s):
             if isinstance(key.data, ClientConnection):
                 self._handle_ready(key.data)
             else:
                 key.data()
         now_ms = monotonic_ms()
-        if now_ms - self._swept_at_ms < _ACCEPT_PAUSE_S * 1000:
+        if now_ms - self._swept_at_ms < _SWEEP_INTERVAL_MS:
             return
         self._swept_at_ms = now_ms
-        self._accept_again()
+        self._acceptor.resume()
         self._expire(now_ms)
         self._observer.show(len(self.places), self.places.held_bytes)
 
@@ -258,25 +254,9 @@
             connection.send_some()
         self.step(connection, ClientEvent.HEAD_READ)
 
-    def _accept(self) -> None:
-        for _ in range(_ACCEPTED_MAX_COUNT):
-            try:
-                client_socket, address = self.server.socket.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                if error.errno in _SHORTAGES:
-                    self._pause_accepting(str(error))
-                    return
-                continue
-            self._admit(client_socket, address[0])
-
     def _admit(self, client_socket: socket.socket, address: str) -> None:
-        # The lowest free descriptor is taken, so its number tells how many are
-        # in use as long as connections move down to the numbers of closed ones.
-        allowed_count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         limit = self.places.limit_met_by(
-            address, allowed_count - client_socket.fileno()
+            address, free_descriptors_count(client_socket)
         )
         if limit is not None and not self._make_place(limit, address):
             self._observer.count_refusal(limit, 'no place', address)
@@ -285,7 +265,7 @@
             client_socket.close()
             return
         if limit is Limit.DESCRIPTORS:
-            client_socket = _move_down(client_socket)
+            client_socket = move_down(client_socket)
         client_socket.setblocking(False)
         connection = ClientConnection(
             self.server,
@@ -321,24 +301,12 @@
                 return
             self._drop(largest, Limit.MEMORY)
 
-    def _pause_accepting(self, problem: str) -> None:
+    def _handle_shortage(self, problem: str) -> None:
         self._observer.count_refusal(Limit.DESCRIPTORS, problem, '')
         self._make_place(Limit.DESCRIPTORS, '')
-        self._selector.unregister(self.server.socket)
-        self._is_accepting = False
-
-    def _accept_again(self) -> None:
-        if self._is_accepting:
-            return
-        self.server.socket.setblocking(False)
-        self._selector.register(
-            self.server.socket, selectors.EVENT_READ, self._accept
-        )
-        self._is_accepting = True
 
     def _take_back(self) -> None:
-        with suppress(BlockingIOError):
-            self._wake_reader.recv(_READ_MAX_BYTES)
+        self._waker.reset()
         while self._returned:
             connection, event = self._returned.popleft()
             connection.unload_request()
@@ -358,24 +326,17 @@
                 continue
             if time_limit.limit in {Limit.IDLE_TIME, Limit.LINGER}:
                 self.step(connection, ClientEvent.ENDED)
-            else:
-                self.refuse(connection, time_limit.limit, 'too slow')
+                continue
+            refuse = partial(
+                self.refuse, limit=time_limit.limit, problem='too slow'
+            )
+            self._guard(connection, refuse)
 
     def _close_returned(self) -> None:
         while self._returned:
             self._returned.popleft()[0].close_after_response()
 
 
-def _move_down(client_socket: socket.socket) -> socket.socket:
-    """Return the socket with the lowest free descriptor."""
-    try:
-        moved = client_socket.dup()
-    except OSError:
-        return client_socket
-    client_socket.close()
-    return moved
-
-
 @ACTIONS.register('serve')
 def _serve(reception: Reception, connection: ClientConnection) -> None:
     reception.watch(connection, 0)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -261,3 +261,17 @@
     assert 'fuchsiarill_config_generation 1.0' in text
     assert 'fuchsiarill_decision_seconds_bucket{le="0.0005"} 3.0' in text
     assert 'token' not in text
+
+
+def test_slow_bodies_hold_no_thread() -> None:
+    """Guards against slow clients that take all threads from the others."""
+    head = b'POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\na'
+    with running_front(threads_count=2) as front:
+        address = ('127.0.0.1', front.front.port)
+        clients = [socket.create_connection(address) for _ in range(40)]
+        for client in clients:
+            client.sendall(head)
+        body = {'jobs': [_JOB]}
+        assert front.ask('POST', '/v1/jobs', body)[0] == 202
+        for slow_client in clients:
+            slow_client.close()
