--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -27,6 +27,7 @@
     KvPage,
     KvTransaction,
 )
+from fuchsiarill.reception.observation import ReceptionMetrics
 from fuchsiarill.resources import Resources
 from fuchsiarill.run_times.run_times import Score
 
@@ -43,6 +44,7 @@
     def __init__(self) -> None:
         """Register all metrics."""
         self.registry = CollectorRegistry()
+        self.reception = ReceptionMetrics(self.registry)
         self.requests = Histogram(
             'fuchsiarill_graph_request_seconds',
             'Time of requests of callers, by verb and code of the answer.',
@@ -70,14 +72,14 @@
             buckets=_BUCKET_LIMITS_S,
             registry=self.registry,
         )
-        self.run_time_errors = Histogram(
+        self._run_time_errors = Histogram(
             'fuchsiarill_graph_run_time_error_ratio',
             'Run time over the expected median, or the inverse, by queue.',
             ('queue',),
             buckets=_BUCKET_LIMITS_RATIO,
             registry=self.registry,
         )
-        self.run_times = Counter(
+        self._run_times = Counter(
             'fuchsiarill_graph_run_times',
             'Successful runs, by queue and whether within the expected p90.',
             ('queue', 'within_p90'),
@@ -141,9 +143,9 @@
 
     def observe_run_time(self, score: Score) -> None:
         """Record how the run time of a run compares with the expected one."""
-        self.run_time_errors.labels(score.queue).observe(score.error_ratio)
+        self._run_time_errors.labels(score.queue).observe(score.error_ratio)
         is_covered = str(score.is_covered).lower()
-        self.run_times.labels(score.queue, is_covered).inc()
+        self._run_times.labels(score.queue, is_covered).inc()
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
