--- a/fuchsiarill/graphs/ceiling_limits.py
+++ b/fuchsiarill/graphs/ceiling_limits.py
@@ -100,7 +100,10 @@
 
 def count_late_starts(state: PoolState, now_ms: int) -> None:
     """Count the start orders of the previous owner that may still act."""
-    if not state.is_inheritance_settled or not state.ceilings.has_late_starts:
+    ceilings = state.ceilings
+    if not ceilings.known or not ceilings.has_late_starts:
+        return
+    if not state.is_inheritance_settled:
         return
     uses: defaultdict[CustomerId, Resources] = defaultdict(Resources)
     for entry in state.jobs.values():
@@ -110,9 +113,9 @@
     uses_of_customers = {
         customer: use for customer, use in uses.items() if use != NO_RESOURCES
     }
-    state.ceilings.late_uses = uses_of_customers
+    ceilings.late_uses = uses_of_customers
     # No such order is recorded after the settlement.
-    state.ceilings.has_late_starts = bool(uses_of_customers)
+    ceilings.has_late_starts = bool(uses_of_customers)
 
 
 def review_claims(state: PoolState, now_ms: int) -> None:
--- a/fuchsiarill/graphs/pool_ceilings.py
+++ b/fuchsiarill/graphs/pool_ceilings.py
@@ -65,6 +65,7 @@
     next_review_ms: int = 0
     next_list_ms: int = 0
     next_report_ms: int = 0
+    next_observation_ms: int = 0
     _limits: dict[CustomerId, Resources] = field(default_factory=dict)
 
     def configure(self, config: GraphConfig) -> None:
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -58,6 +58,8 @@
 from fuchsiarill.registry import Registry
 
 _TICK_INTERVAL_MS: Final = 100
+# Metrics are scraped at longer intervals.
+_OBSERVATION_INTERVAL_MS: Final = 1000
 _HANDOVER_CHECK_INTERVAL_MS: Final = 10
 # Batches the reads of worker entries, which heartbeats rewrite continuously.
 _DIRECTORY_PAUSE_MS: Final = 150
@@ -317,7 +319,7 @@
         is_any_removed = self.channels.remove_unlisted_workers(now)
         if is_any_removed or self._saver.is_fleet_outdated():
             self._saver.save_fleet()
-        self._observe_customers()
+        self._observe_customers(now)
         self._schedule_decision()
 
     @handles(messages.Decide)
@@ -372,7 +374,11 @@
         """Let the keeper of the claims make a call of the store."""
         self._claim_keeper.mailbox.send(call)
 
-    def _observe_customers(self) -> None:
+    def _observe_customers(self, now: int) -> None:
+        ceilings = self.core.state.ceilings
+        if now < ceilings.next_observation_ms:
+            return
+        ceilings.next_observation_ms = now + _OBSERVATION_INTERVAL_MS
         for row in customer_uses(self.core.state):
             self._context.metrics.set_customer(
                 self._term.pool,
--- a/fuchsiarill/graphs/process.py
+++ b/fuchsiarill/graphs/process.py
@@ -294,7 +294,7 @@
 
         Claims on ceilings are raised only under the present revision.
         """
-        if self._config is None:
+        if self._config is None or item.revision <= self._config.revision:
             return
         revision = ABSENT if item.value is None else item.revision
         self._config = replace(self._config, revision=revision)
