--- a/fuchsiarill/graphs/ceiling_reports.py
+++ b/fuchsiarill/graphs/ceiling_reports.py
@@ -5,11 +5,14 @@
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.ceiling_limits import used_of
+from fuchsiarill.graphs.metrics import GraphMetrics
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.ids import CustomerId
 from fuchsiarill.resources import Resources
 
 _REPORT_INTERVAL_MS: Final = 3000
+# Metrics are scraped at longer intervals.
+_OBSERVATION_INTERVAL_MS: Final = 1000
 # Most waits for a ceiling end with the next write of the claims.
 _REPORTED_AFTER_MS: Final = 1000
 
@@ -35,6 +38,22 @@
         )
 
 
+def observe_customers(
+    state: PoolState, metrics: GraphMetrics, now_ms: int
+) -> None:
+    """Set the metrics of the customers, once an interval."""
+    if now_ms < state.ceilings.next_observation_ms:
+        return
+    state.ceilings.next_observation_ms = now_ms + _OBSERVATION_INTERVAL_MS
+    for row in customer_uses(state):
+        amounts = {
+            'used': row.used,
+            'claimed': row.claimed,
+            'ceiling': row.ceiling,
+        }
+        metrics.set_customer(state.pool, row.customer, amounts)
+
+
 def report_waits(state: PoolState, now_ms: int) -> None:
     """Log the customers that wait for their ceilings, once an interval."""
     ceilings = state.ceilings
--- a/fuchsiarill/graphs/claim_keeper.py
+++ b/fuchsiarill/graphs/claim_keeper.py
@@ -22,6 +22,7 @@
 )
 from fuchsiarill.graphs.effects import ListClaims, WriteClaims
 from fuchsiarill.graphs.model import PoolId
+from fuchsiarill.graphs.owner_context import OwnerContext, Term
 from fuchsiarill.graphs.owner_messages import OwnershipLost
 from fuchsiarill.graphs.prefix_watch import list_all
 from fuchsiarill.ids import Revision, StoreKey
@@ -141,6 +142,17 @@
             self._owner.send(OwnershipLost('the owner key has changed'))
 
 
+def create_keeper(
+    term: Term, context: OwnerContext, owner: Mailbox
+) -> ClaimKeeper:
+    """Create the keeper of the claims of one term."""
+    fence = ClaimFence(
+        term.pool, Revision(term.epoch), context.ports.documents.config_key
+    )
+    timeout_ms = context.settings.calls.store_timeout_ms
+    return ClaimKeeper(context.ports.store, fence, timeout_ms, owner)
+
+
 def build_transaction(fence: ClaimFence, message: WriteClaims) -> KvTransaction:
     """Return the transaction of a write, with its conditions."""
     own_key = keys.claims_key(fence.pool)
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -17,13 +17,9 @@
 from fuchsiarill.graphs import owner_messages as messages
 from fuchsiarill.graphs.advice import AdviceRequest, OwnerStopped
 from fuchsiarill.graphs.advice_requests import choose_workers
-from fuchsiarill.graphs.ceiling_reports import customer_uses
+from fuchsiarill.graphs.ceiling_reports import observe_customers
 from fuchsiarill.graphs.claim_answers import apply_claims_answer
-from fuchsiarill.graphs.claim_keeper import (
-    ClaimFence,
-    ClaimKeeper,
-    ClaimsAnswered,
-)
+from fuchsiarill.graphs.claim_keeper import ClaimsAnswered, create_keeper
 from fuchsiarill.graphs.core import GraphCore
 from fuchsiarill.graphs.core_dump import dump_core
 from fuchsiarill.graphs.directory import WorkerDirectory
@@ -58,8 +54,6 @@
 from fuchsiarill.registry import Registry
 
 _TICK_INTERVAL_MS: Final = 100
-# Metrics are scraped at longer intervals.
-_OBSERVATION_INTERVAL_MS: Final = 1000
 _HANDOVER_CHECK_INTERVAL_MS: Final = 10
 # Batches the reads of worker entries, which heartbeats rewrite continuously.
 _DIRECTORY_PAUSE_MS: Final = 150
@@ -99,16 +93,7 @@
             self.mailbox,
         )
         self._writer.add_revisions(loaded.revisions)
-        self._claim_keeper = ClaimKeeper(
-            context.ports.store,
-            ClaimFence(
-                term.pool,
-                Revision(term.epoch),
-                context.ports.documents.config_key,
-            ),
-            settings.calls.store_timeout_ms,
-            self.mailbox,
-        )
+        self._claim_keeper = create_keeper(term, context, self.mailbox)
         self._store_writers = (self._writer, self._claim_keeper)
         self._saver = ProgressSaver(
             self.core, self._writer.mailbox, self._fleet, settings.retention
@@ -319,7 +304,7 @@
         is_any_removed = self.channels.remove_unlisted_workers(now)
         if is_any_removed or self._saver.is_fleet_outdated():
             self._saver.save_fleet()
-        self._observe_customers(now)
+        observe_customers(self.core.state, self._context.metrics, now)
         self._schedule_decision()
 
     @handles(messages.Decide)
@@ -374,22 +359,6 @@
         """Let the keeper of the claims make a call of the store."""
         self._claim_keeper.mailbox.send(call)
 
-    def _observe_customers(self, now: int) -> None:
-        ceilings = self.core.state.ceilings
-        if now < ceilings.next_observation_ms:
-            return
-        ceilings.next_observation_ms = now + _OBSERVATION_INTERVAL_MS
-        for row in customer_uses(self.core.state):
-            self._context.metrics.set_customer(
-                self._term.pool,
-                row.customer,
-                {
-                    'used': row.used,
-                    'claimed': row.claimed,
-                    'ceiling': row.ceiling,
-                },
-            )
-
     def _report_takeover(self) -> None:
         self._context.metrics.takeovers.inc()
         events.emit(
