--- a/standins/agent_incarnation.py
+++ b/standins/agent_incarnation.py
@@ -40,6 +40,8 @@
     ends_ms: int | None
     kind: EndKind
     size: Resources
+    # Whose job it is, if its payload tells.
+    customer: str | None = None
 
 
 @dataclass(slots=True)
@@ -105,6 +107,7 @@
             None if duration_ms is None else now_ms() + duration_ms,
             EndKind.FAILED if is_failing else EndKind.SUCCEEDED,
             Resources(*size) if size else self._listed_size(order.task),
+            behaviour.get('customer'),
         )
         if self.fails_all:
             run.ends_ms = now_ms()
--- a/standins/agent_model.py
+++ b/standins/agent_model.py
@@ -40,6 +40,7 @@
 )
 from fuchsiarill.resources import Resources
 from standins.agent_incarnation import AgentModel
+from standins.ceiling_checks import find_excess
 from standins.changing_capacity import ChangingCapacity
 from standins.delayed_calls import DelayedCalls
 from standins.granted_tickets import GrantedTickets
@@ -109,6 +110,8 @@
         self.silent_addresses: frozenset[str] = frozenset()
         self.late_overloads: list[LateOverload] = []
         self.sizes: dict[TaskKey, Resources] = {}
+        # Ceilings of customers, by the names in the payloads of jobs.
+        self.ceilings: dict[str, Resources] = {}
         self.violations: list[str] = []
         self.starts: list[tuple[TaskKey, int, WorkerId]] = []
         self.succeeded: dict[TaskKey, WorkerId] = {}
@@ -371,6 +374,7 @@
         model.extend_leases(order.expiry_ms)
         model.add_run(order, behaviour)
         self._check_load(model, order)
+        self._check_ceiling(model, order, behaviour.get('customer'))
         self.crashes.start_seen(model, order, behaviour)
 
     def _check_load(self, model: AgentModel, order: StartOrder) -> None:
@@ -386,6 +390,14 @@
             LateOverload(model.worker, order.token.epoch, shrunk_ms, now_ms())
         )
 
+    def _check_ceiling(
+        self, model: AgentModel, order: StartOrder, customer: str | None
+    ) -> None:
+        """Record a start that brings a customer over its ceiling."""
+        excess = find_excess(self.agents.values(), customer, self.ceilings)
+        if excess is not None:
+            self._record_violation(model, order, excess)
+
     def _record_start(self, model: AgentModel, order: StartOrder) -> None:
         """Record a start and the violations that it causes."""
         self.starts.append((order.task, order.attempt, model.worker))
--- a/standins/emulator/cell.py
+++ b/standins/emulator/cell.py
@@ -22,6 +22,9 @@
 # Shorter than many delays of held calls, whose tickets then expire.
 TICKET_VALIDITY_MS: Final = 3000
 CAPACITY: Final = Resources(8000, 16_000)
+# A little lower than what the jobs of one caller of a soak use, so that they
+# wait for it and are done in time.
+CEILING: Final = Resources(14_000)
 _OWNER_KEY: Final = StoreKey(f'control/owner/{POOL}')
 _RACK_SIZE: Final = 3
 _HEARTBEAT_MS: Final = 500
@@ -32,7 +35,12 @@
 class EmulatedCell:
     """Holds the models and writes the documents of workers and operators."""
 
-    def __init__(self, workers_count: int, store_paths_count: int) -> None:
+    def __init__(
+        self,
+        workers_count: int,
+        store_paths_count: int,
+        customers_count: int = 0,
+    ) -> None:
         """Create the models; `run` adds the workers and their entries."""
         self.store = StoreModel()
         self.fleet = Fleet()
@@ -45,6 +53,8 @@
         self.unlisted_workers: dict[str, list[str]] = {}
         self.delays_ms: dict[str, dict[str, int]] = {}
         self._workers_count = workers_count
+        self._customers = customer_names(customers_count)
+        self.fleet.ceilings = dict.fromkeys(self._customers, CEILING)
         self._heartbeats_count = 0
         # Heartbeat in which each listed worker has written its entry last.
         self._written_in: dict[WorkerId, int] = {}
@@ -56,7 +66,7 @@
 
         All workers share `address`; a header of each call names the worker.
         """
-        self._put('op/config', _configuration())
+        self._put('op/config', _configuration(self._customers))
         for number in range(self._workers_count):
             self.fleet.add(f'w{number}', CAPACITY)
         while True:
@@ -151,8 +161,27 @@
         )
 
 
-def _configuration() -> dict[str, Any]:
+def customer_names(count: int) -> tuple[str, ...]:
+    """Return the names of a number of customers."""
+    return tuple(f'c{number}' for number in range(count))
+
+
+def key_of(customer: str) -> str:
+    """Return the API key of a customer of the emulator."""
+    return f'key-of-{customer}'
+
+
+def _configuration(customers: tuple[str, ...]) -> dict[str, Any]:
     return {
+        'tenants': [
+            {
+                'name': customer,
+                'api_keys': [key_of(customer)],
+                'weight': 10,
+                'max_count': {'cpu': CEILING.processors_milli},
+            }
+            for customer in customers
+        ],
         'version': 1,
         'services': [{'name': POOL, 'rejects_overload': False}],
         'routes': [
--- a/tests/test_emulated_cell.py
+++ b/tests/test_emulated_cell.py
@@ -22,12 +22,13 @@
 # Imported because it registers the routes of workers.
 from standins.emulator import worker_routes  # noqa: F401
 from standins.emulator.calls import ROUTES, Call
-from standins.emulator.cell import CAPACITY, EmulatedCell
+from standins.emulator.cell import CAPACITY, CEILING, EmulatedCell
 from standins.emulator.controls import CONTROLS
 from tests.graph_owner import task
 
 _W0 = WorkerId('w0')
 _TIMEOUT_MS = 350
+_LONG_MS = 10_000
 _HEARTBEAT_MS = 500
 # Ahead of any clock here; workers shorten it to their longest lease.
 _LONG_EXPIRY_MS = 100_000
@@ -35,9 +36,12 @@
 _RESTARTED_MS = 6000
 
 
-def _run(scenario: Callable[[EmulatedCell], Awaitable[None]]) -> None:
+def _run(
+    scenario: Callable[[EmulatedCell], Awaitable[None]],
+    customers_count: int = 0,
+) -> None:
     async def main() -> None:
-        cell = EmulatedCell(workers_count=2, store_paths_count=1)
+        cell = EmulatedCell(2, 1, customers_count)
         running = asyncio.create_task(cell.run('127.0.0.1:1'))
         await sleep_ms(10)
         await scenario(cell)
@@ -46,6 +50,37 @@
     run_paused(main())
 
 
+async def _start_for(
+    cell: EmulatedCell, job: str, worker: str, milli: int
+) -> None:
+    spec = {'customer': 'c0', 'size': [milli, 0], 'duration_ms': _LONG_MS}
+    await cell.fleet.start(
+        AgentAddress(WorkerId(worker), worker),
+        StartOrder(
+            task(job),
+            1,
+            json.dumps(spec),
+            FencingToken(Epoch(1)),
+            _LONG_EXPIRY_MS,
+        ),
+        _TIMEOUT_MS,
+    )
+
+
+def test_start_above_the_ceiling_is_a_violation() -> None:
+    """Guards against a soak that sees no start above a ceiling."""
+
+    async def scenario(cell: EmulatedCell) -> None:
+        half_milli = CEILING.processors_milli // 2
+        await _start_for(cell, 'a', 'w0', half_milli)
+        await _start_for(cell, 'b', 'w1', half_milli)
+        assert not cell.fleet.violations
+        await _start_for(cell, 'c', 'w1', 1)
+        assert 'over its ceiling' in cell.fleet.violations[0]
+
+    _run(scenario, customers_count=1)
+
+
 def _entry(cell: EmulatedCell, worker: str) -> Any:
     item = cell.store.items.get(StoreKey(f'servers/{worker}'))
     return item and item.value and json.loads(item.value)
--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -8,7 +8,7 @@
 import urllib3
 import yaml
 
-from standins.emulator.cell import QUEUE_HOST
+from standins.emulator.cell import QUEUE_HOST, customer_names, key_of
 from tools.processes import (
     LaunchedCell,
     Processes,
@@ -44,10 +44,12 @@
         folder: Path,
         daemons_count: int,
         workers_count: int,
+        customers_count: int = 0,
     ) -> None:
         """Allocate ports; entering the context starts all processes."""
         super().__init__(Processes(folder))
         self._folder = folder
+        self.customers = customer_names(customers_count)
         self.workers = [f'w{number}' for number in range(workers_count)]
         ports = iter(free_ports(daemons_count * _PORTS_PER_DAEMON))
         self.daemons = {
@@ -109,15 +111,19 @@
         method: str,
         path: str,
         document: dict[str, Any] | None = None,
+        customer: str | None = None,
     ) -> tuple[int | None, dict[str, Any]]:
         """Send a caller's request; without a response the status is `None`."""
         port = self.daemons[daemon].callers
+        headers = {'Host': QUEUE_HOST, 'X-Deadline-Ms': '3000'}
+        if customer is not None:
+            headers['Authorization'] = f'Bearer {key_of(customer)}'
         try:
             answer = self._http.request(
                 method,
                 f'http://127.0.0.1:{port}{path}',
                 body=None if document is None else json.dumps(document),
-                headers={'Host': QUEUE_HOST, 'X-Deadline-Ms': '3000'},
+                headers=headers,
             )
         except urllib3.exceptions.HTTPError:
             return None, {}
@@ -129,6 +135,8 @@
             'standins.emulator',
             '--workers',
             len(self.workers),
+            '--customers',
+            len(self.customers),
             '--ports',
             *self._store_ports,
         )
--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import cycle
 from typing import Any, Final
 
 from standins.emulator.cell import ADVISED_PREFIX, QUEUE_PREFIX
@@ -14,7 +15,7 @@
 _ATTEMPTS_MAX_COUNT: Final = 8
 _RETRY_PAUSE_S: Final = 0.25
 _ACCEPTED: Final = frozenset((200, 202))
-_REFUSED: Final = frozenset((400, 404, 413, 429, 503))
+_REFUSED: Final = frozenset((400, 401, 404, 413, 429, 503))
 _SETTLE_TIMEOUT_S: Final = 40.0
 _POLL_INTERVAL_S: Final = 0.5
 _GONE: Final = 410
@@ -116,6 +117,8 @@
     seed: int
     jobs: list[Job] = field(default_factory=list)
     stopping: threading.Event = field(default_factory=threading.Event)
+    # The customer of all jobs, if the cell has customers.
+    customer: str | None = None
 
     def run(self, settings: LoadSettings) -> None:
         """Submit jobs one after the other until all are or it is stopped."""
@@ -130,6 +133,7 @@
                 _make_deadly(job, random_source)
             if _is_chosen(number, settings.advised_every):
                 _make_advised(job)
+            _name_customer(job, self.customer)
             self.jobs.append(job)
             self._submit(job, random_source)
             if job.is_acknowledged and _is_chosen(
@@ -155,7 +159,9 @@
 
     def _query(self, job: Job, random_source: random.Random) -> None:
         daemon = self._daemon(random_source)
-        status, document = self.cell.call(daemon, 'GET', job.path)
+        status, document = self.cell.call(
+            daemon, 'GET', job.path, customer=self.customer
+        )
         if status in _ACCEPTED:
             job.state = str(document['state'])
         elif status == _GONE:
@@ -169,6 +175,7 @@
                 'POST',
                 job.path,
                 job.document,
+                self.customer,
             )
             if status in _ACCEPTED:
                 job.is_acknowledged = True
@@ -184,6 +191,7 @@
                 self._daemon(random_source),
                 'DELETE',
                 job.path,
+                customer=self.customer,
             )
             if status in _ACCEPTED:
                 job.is_cancelled = True
@@ -201,8 +209,13 @@
     cell: PlatformCell,
     settings_by_seed: dict[int, LoadSettings],
 ) -> tuple[list[CallerLoad], list[threading.Thread]]:
-    """Start a caller in a thread for each seed."""
+    """Start a caller in a thread for each seed.
+
+    The callers belong to the customers of the cell in turn.
+    """
     loads = [CallerLoad(cell, seed) for seed in settings_by_seed]
+    for caller, customer in zip(loads, cycle(cell.customers), strict=False):
+        caller.customer = customer
     threads = [
         threading.Thread(target=load.run, args=[settings_by_seed[load.seed]])
         for load in loads
@@ -281,3 +294,11 @@
     behaviour = json.loads(job.document['spec']) | {'needs_ticket': True}
     job.document['spec'] = json.dumps(behaviour)
     job.prefix = ADVISED_PREFIX
+
+
+def _name_customer(job: Job, customer: str | None) -> None:
+    """Let workers know whose ceiling the tasks of a job count for."""
+    if customer is None:
+        return
+    behaviour = json.loads(job.document['spec']) | {'customer': customer}
+    job.document['spec'] = json.dumps(behaviour)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,9 +3,10 @@
 A seed determines the schedule of jobs and faults. Faults overlap, and a few
 jobs have a deadly task, which crashes each worker that starts it. During the
 run, the workers of the emulator check that no task runs twice or after its
-success, and that no worker is over its capacity. Afterwards every acknowledged
-job without a deadly task must be finished or cancelled, no refused job may have
-run, and deadly tasks must have been given up.
+success, that no worker is over its capacity, and no customer over its ceiling.
+Afterwards every acknowledged job without a deadly task must be finished or
+cancelled, no refused job may have run, and deadly tasks must have been given
+up.
 """
 
 import argparse
@@ -64,6 +65,8 @@
     deadly_every: int = 25
     # One job in so many is in the queue with an advice policy; 0 for none.
     advised_every: int = 2
+    # Callers belong to that many customers in turn; 0 for no contracts.
+    customers_count: int = 0
 
 
 @dataclass(order=True, slots=True)
@@ -160,13 +163,17 @@
         options.interval,
         options.deadly_every,
         options.advised_every,
+        options.customers,
     )
     end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-soak-') as folder:
         logs = options.logs or Path(folder)
         logs.mkdir(parents=True, exist_ok=True)
         with PlatformCell(
-            logs, settings.daemons_count, settings.workers_count
+            logs,
+            settings.daemons_count,
+            settings.workers_count,
+            settings.customers_count,
         ) as cell:
             return run_soak(cell, settings)
 
@@ -178,7 +185,7 @@
     parser.add_argument(
         '--minutes', type=float, default=defaults.duration_minutes
     )
-    for name in ('daemons', 'workers', 'callers'):
+    for name in ('daemons', 'workers', 'callers', 'customers'):
         default_count = getattr(defaults, f'{name}_count')
         parser.add_argument(f'--{name}', type=int, default=default_count)
     parser.add_argument(
