--- a/tests/process/test_connection_limits.py
+++ b/tests/process/test_connection_limits.py
@@ -41,7 +41,7 @@
 @pytest.fixture(scope='module')
 def shared_cell(tmp_path_factory: pytest.TempPathFactory) -> Iterator[object]:
     folder = tmp_path_factory.mktemp('limits')
-    with PlatformCell(folder, 1, 1, _SETTINGS) as cell:
+    with PlatformCell(folder, 1, 1, settings=_SETTINGS) as cell:
         yield cell
         # They would wait for their clients before they end.
         cell.processes.kill(_DAEMON)
--- a/tools/platform_cell.py
+++ b/tools/platform_cell.py
@@ -44,8 +44,8 @@
         folder: Path,
         daemons_count: int,
         workers_count: int,
-        settings: dict[str, Any] | None = None,
         customers_count: int = 0,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         """Allocate ports; entering the context starts all processes.
 
