Name workers ahead of need in requests for advice

Change: a request that is needed anyway also names allowed workers that get room within half of the validity of a ticket, as far as the service adds 25 ms for them.

--- a/fuchsiarill/graphs/advice_requests.py
+++ b/fuchsiarill/graphs/advice_requests.py
@@ -32,6 +32,8 @@
 # leases of a lost run, this time, the call and the start have to fit into 9 s,
 # after which the task counts as lost.
 _LASTING_QUEUE_MAX_MS: Final = 1000
+# Time that a request may take longer so that it names workers ahead of need.
+_AHEAD_SERVICE_MS: Final = 25
 # Network time of a request and of the start order that follows it.
 _TRANSIT_MS: Final = 150
 
@@ -150,6 +152,7 @@
     without_answer = _workers_without_answer(state, request, unticketed)
     chosen = (soon_available + without_answer)[: _wanted_count(step)]
     if chosen:
+        chosen += _available_later(state, request, unticketed, chosen)
         _reserve_room(
             request, soon_available, time_to_start_ms(policy, len(chosen))
         )
@@ -180,6 +183,46 @@
     return sorted(soon_available, key=lambda view: waits[view.worker])
 
 
+def _available_later(
+    state: PoolState,
+    request: PlacementRequest,
+    views: list[WorkerView],
+    chosen: list[WorkerView],
+) -> list[WorkerView]:
+    """Return allowed workers that get room while a new ticket is valid.
+
+    Load: a full pool, in which a step gets the room of one worker after the
+    other. With a request for each of them, the requests of hundreds of waiting
+    steps used up the service, and urgent steps waited seconds for theirs. Only
+    as many are named as the service can add in little time.
+    """
+    policy = request.entry.policy.advice
+    if policy is None:
+        return []
+    named = {view.worker for view in chosen}
+    # Of a ticket that is used later, less than half of the validity is left.
+    horizon_ms = policy.validity_ms // 2
+    waits: list[tuple[float, int, WorkerView]] = []
+    allowed = allowed_workers(state, request, views)
+    for position, view in enumerate(allowed):
+        if view.worker in named:
+            continue
+        wait_ms = expected_wait_ms(request, view)
+        if wait_ms <= horizon_ms:
+            waits.append((wait_ms, position, view))
+    waits.sort()
+    count = _ahead_count(policy, len(chosen))
+    return [row[-1] for row in waits[:count]]
+
+
+def _ahead_count(policy: AdvicePolicy, named_count: int) -> int:
+    """Return how many workers a request may name ahead of need."""
+    count_max = _WORKERS_MAX_COUNT - named_count
+    if not policy.interval_ms:
+        return count_max
+    return min(count_max, int(_AHEAD_SERVICE_MS / policy.interval_ms))
+
+
 def _workers_without_answer(
     state: PoolState,
     request: PlacementRequest,
--- a/tests/test_graph_advice.py
+++ b/tests/test_graph_advice.py
@@ -1,6 +1,6 @@
 """Requests for advice: when they are sent, and which workers they name."""
 
-from fuchsiarill.graphs.model import EndKind, Step, StepKey
+from fuchsiarill.graphs.model import BornMs, EndKind, Step, StepKey, Ticket
 from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.ids import JobId, WorkerId
 from tests.advised_owner import (
@@ -158,6 +158,36 @@
     assert len(named) <= 30
 
 
+def test_request_names_workers_that_get_room_later() -> None:
+    """Guards against a request for each worker that becomes free.
+
+    In a burst on 128 workers a step made up to 24 requests, and the first
+    request of an urgent step waited 6 s for the service.
+    """
+    owner = Owner('w0', 'w1', 'w2')
+    workers = [WorkerId(name) for name in ('w0', 'w1', 'w2')]
+    for worker in workers:
+        owner.report(worker)
+    owner.add_job('busy', Step(3, CAPACITY, estimate_ms=60_000))
+    assert len(owner.starts()) == 3
+    owner.add_job('a', Step(3, CAPACITY, estimate_ms=100), queue=ADVISED)
+    assert len(advice_requests(owner)) == 1
+    owner.core.advice_received(
+        STEP,
+        dict.fromkeys(workers, BornMs(1)),
+        dict.fromkeys(workers, Ticket('t')),
+        owner.now_ms + 300,
+        owner.now_ms,
+    )
+    owner.now_ms += 400
+    for name, left_ms in (('w0', 0), ('w1', 1500), ('w2', 9000)):
+        for run in owner.view(name).runs.values():
+            run.expected_end_ms = owner.now_ms + left_ms
+    requests = advice_requests(owner)
+    assert len(requests) == 1
+    assert named_workers(owner, requests[0]) == {'w0', 'w1'}
+
+
 def test_requests_of_steps_name_different_workers() -> None:
     """Guards against steps that compete for the same few workers."""
     names = [f'w{number:03}' for number in range(120)]
