Find the workers with room once a round for each size of tasks

Cause: each waiting step looked for room on all workers, although most steps of a round have tasks of few sizes; most of the time of a decision under overload went there. tools/graph_decisions.py did not run: worker_reported has a token. Change: a round keeps the workers that have room for a charge; steps with the same charge look at these only. The choice of workers is the same.

--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -14,6 +14,7 @@
 from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.worker_table import WorkerView
+from fuchsiarill.ids import WorkerId
 from fuchsiarill.registry import Registry
 from fuchsiarill.resources import NO_RESOURCES, Resources
 
@@ -135,14 +136,13 @@
         self._state = state
         self._now_ms = now_ms
         self._views: list[WorkerView] | None = None
+        # For each charge of tasks, the workers that had room when it was asked
+        # for first.
+        self._with_room: dict[Resources, set[WorkerId]] = {}
 
     def for_step(self, step: StepEntry) -> list[WorkerView]:
         """Return the workers that may run a step, with or without room."""
-        if self._views is None:
-            self._views = [
-                view for view in self._state.workers if self._is_usable(view)
-            ]
-        views = self._views
+        views = self._all_usable()
         label = step.spec.required_label
         if label is not None:
             views = [view for view in views if label in view.labels]
@@ -151,6 +151,29 @@
             return views
         return [view for view in views if view.worker not in denied]
 
+    def with_room(self, charge: Resources) -> set[WorkerId]:
+        """Return the workers on which a task may fit, apart from reservations.
+
+        Room only shrinks during a round, so the workers are found once for all
+        steps whose tasks have this charge, and none may be left of them.
+        """
+        workers = self._with_room.get(charge)
+        if workers is None:
+            workers = {
+                view.worker
+                for view in self._all_usable()
+                if charge.fits_in(view.free)
+            }
+            self._with_room[charge] = workers
+        return workers
+
+    def _all_usable(self) -> list[WorkerView]:
+        if self._views is None:
+            self._views = [
+                view for view in self._state.workers if self._is_usable(view)
+            ]
+        return self._views
+
     def _is_usable(self, view: WorkerView) -> bool:
         if not view.is_recorded or not view.is_listed:
             return False
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -101,9 +101,7 @@
         if self._heap is None:
             self._heap = [
                 (cost_of(self._state, request, view), position, view)
-                for position, view in enumerate(
-                    self._permitted_workers(request)
-                )
+                for position, view in enumerate(self._with_room(request))
                 if _can_start(request, view)
             ]
             heapq.heapify(self._heap)
@@ -114,6 +112,17 @@
         self._last_chosen = None
         return self._heap
 
+    def _with_room(self, request: PlacementRequest) -> list[WorkerView]:
+        """Return the permitted workers that may have room."""
+        with_room = self._usable.with_room(request.step.spec.charge)
+        if not with_room:
+            return []
+        return [
+            view
+            for view in self._permitted_workers(request)
+            if view.worker in with_room
+        ]
+
     def _ready_workers(self, request: PlacementRequest) -> list[WorkerView]:
         """Return the permitted workers that may still get runs."""
         return [
--- a/tools/graph_decisions.py
+++ b/tools/graph_decisions.py
@@ -41,6 +41,7 @@
 from fuchsiarill.ids import (
     Epoch,
     FailureDomain,
+    FencingToken,
     Generation,
     JobId,
     WorkerId,
@@ -48,6 +49,7 @@
 from fuchsiarill.resources import Resources
 
 _POOL: Final = PoolId('pool')
+_TOKEN: Final = FencingToken(Epoch(1))
 _URGENT: Final = QueueId('urgent')
 _BATCH: Final = QueueId('batch')
 _CAPACITY: Final = Resources(32_000, 131_072)
@@ -183,6 +185,7 @@
             self._core.worker_reported,
             worker,
             model.report(now_ms),
+            _TOKEN,
             now_ms - 1,
             now_ms,
         )
