Divide expected times by their own error, not all by the largest

In a trial with 12 times more work than capacity for 4 s no job was refused. Each time is now divided by the error of its queue: 4 unlearned, 1.5 learned.

--- a/fuchsiarill/graphs/load_records.py
+++ b/fuchsiarill/graphs/load_records.py
@@ -40,7 +40,6 @@
         'beyond': dict(load.beyond),
         'largest': [vector.as_tuple() for vector in load.largest],
         'free': [vector.as_tuple() for vector in load.largest_free],
-        'error_factor': load.error_factor,
     }
 
 
@@ -69,7 +68,6 @@
         },
         tuple(_decode_vector(row) for row in document['largest']),
         tuple(_decode_vector(row) for row in document['free']),
-        max(_amount(document['error_factor']), 1),
     )
 
 
--- a/fuchsiarill/load/measuring.py
+++ b/fuchsiarill/load/measuring.py
@@ -38,6 +38,7 @@
 # A late job has reduced value up to this multiple of its objective.
 VALUE_END_FACTOR: Final = 3
 _PERMILLE: Final = 1000
+_UNKNOWN_RUN_TIMES: Final = pool_load.RunTimeCurve()
 _NEWCOMER: Final = Step(1, NO_RESOURCES)
 
 
@@ -67,13 +68,20 @@
     held: HeldCapacity = field(default_factory=HeldCapacity)
     capacity_milli: int = 0
     free_milli: int = 0
-    active_queues: set[QueueId] = field(default_factory=set)
+    run_times: dict[QueueId, pool_load.RunTimeCurve] = field(
+        default_factory=dict
+    )
 
     @property
     def usable_milli(self) -> int:
         """Return the capacity that is not held for ever."""
         return self.capacity_milli - self.held.lasting_milli
 
+    def least_ms(self, queue: QueueId, expected_ms: float) -> float:
+        """Return a lower bound of a run time from the expected one."""
+        run_times = self.run_times.get(queue, _UNKNOWN_RUN_TIMES)
+        return expected_ms / run_times.error_factor
+
 
 @dataclass(frozen=True, slots=True)
 class LoadMemory:
@@ -88,20 +96,20 @@
 ) -> pool_load.PoolLoad:
     """Return the state of load of a pool."""
     beyond = find_beyond(state, now_ms)
-    tally = _Tally()
+    queues = {entry.graph.queue for entry in state.active_jobs.values()}
+    queues.update(_policies(state))
+    tally = _Tally(
+        run_times={queue: _run_time_curve(state, queue) for queue in queues}
+    )
     for entry in state.active_jobs.values():
         if entry.is_active:
             _add_job(state, tally, entry, now_ms, frozenset(beyond))
     _add_workers(state, tally, now_ms)
-    curves = {
-        queue: _run_time_curve(state, queue)
-        for queue in _policies(state).keys() | tally.active_queues
-    }
     return pool_load.PoolLoad(
         state.pool,
         state.epoch,
         now_ms + state.unix_offset_ms,
-        _queue_loads(state, tally, memory.drains, curves, now_ms),
+        _queue_loads(state, tally, memory.drains, now_ms),
         beyond,
         memory.largest.add(
             (
@@ -112,10 +120,6 @@
             now_ms,
         ),
         maximal(view.free for view in state.workers if _is_ready(view)),
-        max(
-            (curves[queue].error_factor for queue in tally.active_queues),
-            default=pool_load.LEARNED_ERROR_FACTOR,
-        ),
     )
 
 
@@ -146,9 +150,6 @@
     now_ms: int,
     beyond: frozenset[CustomerId],
 ) -> None:
-    queue = entry.graph.queue
-    if not all(step.is_lasting for step in entry.graph.steps):
-        tally.active_queues.add(queue)
     # Jobs of an earlier owner do not start before its runs are known.
     if entry.is_inherited and not state.is_inheritance_settled:
         return
@@ -171,29 +172,29 @@
         # Lasting tasks hold their room once they run; they have no work.
         if step.spec.is_lasting:
             continue
-        tasks = _waiting_tasks(state, entry, step, now_ms)
-        queue_tally.work_ms += tasks.work_ms
-        if _is_general(entry, step.spec):
-            tally.general_tasks.append(tasks)
-            tally.preferred_tasks.extend([tasks] if is_preferred else ())
+        queue = entry.graph.queue
+        total_milli = _total_milli(step)
+        expected_ms = state.run_times.expected_ms(queue, step.spec)
+        queue_tally.work_ms += work_ms(total_milli, expected_ms)
+        if not _is_general(entry, step.spec):
+            continue
+        least_ms = tally.least_ms(queue, expected_ms)
+        tasks = WaitingTasks(
+            task_group(least_ms, step.spec.charge.processors_milli),
+            total_milli,
+            work_ms(total_milli, least_ms),
+            rank_ms(entry, step, now_ms),
+        )
+        tally.general_tasks.append(tasks)
+        tally.preferred_tasks.extend([tasks] if is_preferred else ())
 
 
-def _waiting_tasks(
-    state: PoolState, entry: JobEntry, step: StepEntry, now_ms: int
-) -> WaitingTasks:
-    spec = step.spec
+def _total_milli(step: StepEntry) -> int:
+    """Return the width of all waiting tasks of a step together."""
     tasks_count = len(step.waiting)
-    if spec.is_gang:
-        tasks_count *= spec.tasks_count
-    width_milli = spec.charge.processors_milli
-    expected_ms = state.run_times.expected_ms(entry.graph.queue, spec)
-    total_milli = tasks_count * width_milli
-    return WaitingTasks(
-        task_group(expected_ms, width_milli),
-        total_milli,
-        work_ms(total_milli, expected_ms),
-        rank_ms(entry, step, now_ms),
-    )
+    if step.spec.is_gang:
+        tasks_count *= step.spec.tasks_count
+    return tasks_count * step.spec.charge.processors_milli
 
 
 def _is_general(entry: JobEntry, spec: Step) -> bool:
@@ -226,13 +227,16 @@
     for run in view.runs.values():
         entry = state.jobs.get(run.task.job)
         displaceable_at = None
+        left_ms = run.expected_end_ms - now_ms
+        if entry is not None:
+            left_ms = tally.least_ms(entry.graph.queue, left_ms)
         if entry is not None and run.task.step < len(entry.graph.steps):
             spec = entry.graph.steps[run.task.step]
             if spec.is_checkpointing and not spec.is_gang:
                 displaceable_at = entry.policy.priority
         tally.held.add(
             run.charge.processors_milli,
-            run.expected_end_ms - now_ms,
+            left_ms,
             displaceable_at,
         )
 
@@ -264,7 +268,6 @@
     state: PoolState,
     tally: _Tally,
     drains: DrainRates,
-    curves: dict[QueueId, pool_load.RunTimeCurve],
     now_ms: int,
 ) -> dict[QueueId, pool_load.QueueLoad]:
     usable_milli = tally.usable_milli
@@ -286,7 +289,7 @@
             queue_tally.least_path_ms,
             _waits_ms(tally, ahead_ms, held),
             _waits_ms(tally, preferred_ms, held),
-            curves[queue],
+            tally.run_times[queue],
         )
     return loads
 
--- a/fuchsiarill/load/pool_load.py
+++ b/fuchsiarill/load/pool_load.py
@@ -13,13 +13,13 @@
 from fuchsiarill.graphs.model import PoolId, QueueId
 from fuchsiarill.ids import CustomerId, Epoch
 from fuchsiarill.load.ahead import WIDTHS_MILLI, width_class
-from fuchsiarill.load.waits import WAIT_MAX_MS
 from fuchsiarill.resources import Resources
 
 # Estimates of callers are off by up to this factor.
-ESTIMATE_ERROR_FACTOR: Final = 4
-# Learned times are medians: nearly all tasks take less than twice as long.
-LEARNED_ERROR_FACTOR: Final = 2
+ESTIMATE_ERROR_FACTOR: Final = 4.0
+# The mean of the logarithms of four run times, the fewest that are learned
+# from, is seldom off by more than this factor.
+LEARNED_ERROR_FACTOR: Final = 1.5
 # Two estimates at which the owner tells the run time that it expects.
 SHORT_ESTIMATE_MS: Final = 100
 LONG_ESTIMATE_MS: Final = 100_000
@@ -44,8 +44,8 @@
         return self.long_ms != LONG_ESTIMATE_MS
 
     @property
-    def error_factor(self) -> int:
-        """Return how many times longer than expected a task may take."""
+    def error_factor(self) -> float:
+        """Return by which factor an expected time may be wrong."""
         if self.is_learned:
             return LEARNED_ERROR_FACTOR
         return ESTIMATE_ERROR_FACTOR
@@ -77,8 +77,8 @@
     drain_milli: int = 0
     # The waits are those of jobs whose critical path takes this time at least.
     least_path_ms: int = 0
-    # Until a new task of the queue could start, by the classes of its width in
-    # `ahead`, as far as is known now.
+    # Lower bounds of the time until a new task of the queue starts, by the
+    # classes of its width in `ahead`.
     waits_ms: tuple[int, ...] = NO_WAITS_MS
     # The same for a job beyond its customer's rate: all other work is first.
     excess_waits_ms: tuple[int, ...] = NO_WAITS_MS
@@ -87,10 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """State of load of a pool, as its owner publishes it.
-
-    `error_factor` is the factor by which the waits may be too long.
-    """
+    """State of load of a pool, as its owner publishes it."""
 
     pool: PoolId
     epoch: Epoch
@@ -104,7 +101,6 @@
     largest: tuple[Resources, ...] = ()
     # The same of the free room.
     largest_free: tuple[Resources, ...] = ()
-    error_factor: int = ESTIMATE_ERROR_FACTOR
 
     @property
     def is_waiting(self) -> bool:
@@ -126,4 +122,4 @@
         wait_ms = load.waits_ms[number]
         if is_excess:
             wait_ms = max(wait_ms, load.excess_waits_ms[number])
-        return min(wait_ms, WAIT_MAX_MS) // self.error_factor
+        return wait_ms
