Ignore a read of the load that is answered from before another one

A read through a peer could replace a newer copy of the load by an older one, whose age the later read had proved.

After this change tests/test_load_gate.py, test_load_publishing.py, test_admission.py: passed.

--- a/fuchsiarill/graphs/load_gate.py
+++ b/fuchsiarill/graphs/load_gate.py
@@ -261,6 +261,9 @@
     """Update a copy; a missing or damaged record leaves no knowledge."""
     if item.value is None:
         copy.load = None
+    elif item.revision < copy.revision:
+        # A read through a peer may be answered from before another one.
+        return
     elif item.revision != copy.revision:
         copy.load = load_records.decode_load(item.value)
     copy.revision = item.revision
