Use the learned speed of a worker for tight steps and for expected ends

Cause: steps near their latest start went to slow workers that they fit better, and the expected end of a run ignored the speed of its worker. Change: the expected end includes the learned slowness, and a step whose slack is below its run time weighs slowness above fit. Waiting for the data rack or paying its penalty is not decided yet.

--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -228,7 +228,6 @@
     step.activate(unit)
     kind = kind_of(entry.graph.queue, entry.graph.customer, step.spec)
     state.order.served_ms[kind] = request.now_ms
-    expected_end_ms = state.expected_end_ms(entry, step.spec, request.now_ms)
     for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
         run = Run(
             task,
@@ -239,7 +238,9 @@
             step.spec.filler_milli,
             entry.graph.customer,
             start_ordered_ms=request.now_ms,
-            expected_end_ms=expected_end_ms,
+            expected_end_ms=state.expected_end_ms(
+                entry, step.spec, request.now_ms, view.worker
+            ),
             progress_changed_ms=request.now_ms,
             is_on_trial=unit.is_suspect,
         )
--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -23,6 +23,9 @@
 _FAILED_THERE_COST: Final = 8.0
 _INTERFERENCE_COST: Final = 2.0
 _SLOWNESS_COST: Final = 0.5
+# A step near its latest start may be late on a slow worker. The difference
+# between usual speeds (0.55 to 1.25) outweighs how well the task fits.
+_NEAR_SLOWNESS_COST: Final = 3.0
 # A run beside a suspect may be lost with the worker; a lasting one is missed at
 # once, and a young one makes the cause of a crash uncertain.
 _NEIGHBOUR_COST: Final = 10.0
@@ -102,8 +105,18 @@
     request: PlacementRequest,
     view: WorkerView,
 ) -> float:
-    """Prefer workers on which tasks take less time."""
-    return _SLOWNESS_COST * state.run_times.slowness(view.worker)
+    """Prefer workers on which tasks take less time.
+
+    A step whose latest start is nearer than its run time, so that a run twice
+    as long would be late, prefers them above a better fit.
+    """
+    entry, step = request.entry, request.step
+    weight = _SLOWNESS_COST
+    if not step.spec.is_lasting:
+        slack_ms = entry.latest_start_ms(step) - request.now_ms
+        if slack_ms < entry.expected_ms(step):
+            weight = _NEAR_SLOWNESS_COST
+    return weight * state.run_times.slowness(view.worker)
 
 
 @COSTS.register('trial')
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -263,7 +263,9 @@
         entry.graph.customer if entry else None,
         start_ordered_ms=now_ms,
         expected_end_ms=(
-            state.expected_end_ms(entry, spec, now_ms) if entry else now_ms
+            state.expected_end_ms(entry, spec, now_ms, view.worker)
+            if entry
+            else now_ms
         ),
         progress_changed_ms=now_ms,
         visible_since_ms=now_ms,
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -75,13 +75,17 @@
         return None if step is None else (entry, step)
 
     def expected_end_ms(
-        self, entry: JobEntry, spec: Step, started_ms: int
+        self, entry: JobEntry, spec: Step, started_ms: int, worker: WorkerId
     ) -> float:
-        """Return when a run that starts at `started_ms` should end."""
+        """Return when a run that starts at `started_ms` should end.
+
+        Workers of unlike speed take unlike time.
+        """
         if spec.is_lasting:
             return NEVER_MS
         queue = entry.graph.queue
-        return started_ms + self.run_times.expected_ms(queue, spec)
+        expected_ms = self.run_times.expected_ms(queue, spec)
+        return started_ms + expected_ms * self.run_times.slowness(worker)
 
     def active_unit(self, run: Run) -> Unit | None:
         """Return the unit of a run, or `None` if the unit is not active."""
