Look for runs to stop once a tick for all steps of one size

Cause: with hundreds of urgent steps waiting, each looked at all runs of all workers for some to stop, although those before it had found none. Change: a step that finds no room to make is remembered for 100 ms by priority and size of its tasks, and others of the same kind do not look.

--- a/fuchsiarill/graphs/order_state.py
+++ b/fuchsiarill/graphs/order_state.py
@@ -26,6 +26,11 @@
     late_priority: int | None = None
     # Last start of a unit of each kind that was waiting at the last survey.
     served_ms: dict[WorkKind, int] = field(default_factory=dict)
+    # Until when no room can be made for tasks, by the priority of the queue and
+    # the charge.
+    no_room_until_ms: dict[tuple[int, Resources], int] = field(
+        default_factory=dict
+    )
     # Capacity of the listed workers, and the sum of the weights of the
     # customers with waiting steps or runs; 0 without contracts.
     total_capacity: Resources = NO_RESOURCES
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -78,15 +78,39 @@
     if not _may_preempt(request):
         return bool(step.expected_room)
     step.next_preemption_ms = request.now_ms + _RETRY_MS
+    if _is_known_in_vain(state, request):
+        return bool(step.expected_room)
     for _ in range(_CHOICES_COUNT):
         missing_count = _tasks_count(step) - len(step.expected_room)
         if missing_count <= 0:
             break
         if not _make_room(state, request, candidates, missing_count):
+            _note_in_vain(state, request)
             break
     return bool(step.expected_room)
 
 
+def _is_known_in_vain(state: PoolState, request: PlacementRequest) -> bool:
+    """Tell whether a step of the same size has just found no runs to stop.
+
+    Under overload hundreds of steps of few sizes would look at all runs.
+    """
+    key = (request.entry.policy.priority, request.step.spec.charge)
+    return request.now_ms < state.order.no_room_until_ms.get(key, 0)
+
+
+def _note_in_vain(state: PoolState, request: PlacementRequest) -> None:
+    """Note that no room can be made for a step that may use any worker."""
+    spec = request.step.spec
+    policy = request.entry.policy
+    if request.step.expected_room or spec.is_gang or policy.advice is not None:
+        return
+    if spec.required_label is None and spec.per_worker_max is None:
+        key = (policy.priority, spec.charge)
+        until_ms = request.now_ms + _RETRY_MS
+        state.order.no_room_until_ms[key] = until_ms
+
+
 def _make_room(
     state: PoolState,
     request: PlacementRequest,
--- a/fuchsiarill/graphs/waiting_survey.py
+++ b/fuchsiarill/graphs/waiting_survey.py
@@ -20,9 +20,15 @@
 
 def survey_waiting(state: PoolState, now_ms: int) -> None:
     """Find the late work to which other work gives way, and starving work."""
+    order = state.order
+    order.no_room_until_ms = {
+        key: until_ms
+        for key, until_ms in order.no_room_until_ms.items()
+        if until_ms > now_ms
+    }
     waiting = list(_waiting_steps(state))
     classes = [class_of(state, *row, now_ms) for row in waiting]
-    state.order.late_priority = min(
+    order.late_priority = min(
         (
             entry.policy.priority
             for (entry, _), order_class in zip(waiting, classes, strict=True)
