Bound expected run times, and keep those of a step between changes

Expected times are at most 1e10 ms now, and a model without weight is refused.

The tasks of a step start together and ask for the same quantiles, which are kept until the next change. One run in four is scored for the metrics.

--- a/fuchsiarill/graphs/metrics.py
+++ b/fuchsiarill/graphs/metrics.py
@@ -68,14 +68,14 @@
         )
         self.run_time_errors = Histogram(
             'fuchsiarill_graph_run_time_error_ratio',
-            'Run time over the expected median, or the inverse, by queue.',
+            'Run time over expected median, or the inverse; one run in four.',
             ('queue',),
             buckets=_BUCKET_LIMITS_RATIO,
             registry=self.registry,
         )
         self.run_times = Counter(
             'fuchsiarill_graph_run_times',
-            'Successful runs, by queue and whether within the expected p90.',
+            'One successful run in four, by whether within the expected p90.',
             ('queue', 'within_p90'),
             registry=self.registry,
         )
--- a/fuchsiarill/run_times/run_times.py
+++ b/fuchsiarill/run_times/run_times.py
@@ -32,6 +32,11 @@
 _SPREAD_MIN: Final = 0.1
 MODELS_MAX_COUNT: Final = 256
 _SCORES_MAX_COUNT: Final = 1000
+# One end in four is scored: a p90 is needed for the score alone.
+_ENDS_PER_SCORE_COUNT: Final = 4
+# Ranks and `NEVER_MS` need times far below 1e11 ms, also after a damage of the
+# snapshot; this is over 100 days.
+_EXPECTED_MAX_MS: Final = 10_000_000_000.0
 # Lower bound of the ratio that `slowness` returns.
 _SLOWNESS_MIN: Final = 0.1
 
@@ -72,6 +77,9 @@
     # Time of the latest change.
     now_ms: int = 0
     _scores: list[Score] = field(default_factory=list)
+    # Quantiles that have been asked for since the latest change; the tasks of
+    # a step start together.
+    _quantiles_ms: dict[tuple[object, ...], float] = field(default_factory=dict)
 
     def add(
         self,
@@ -93,7 +101,8 @@
         remote = self._remote_factor(run.queue) if run.is_remote else 0.0
         if self.is_learned(run.queue):
             expected = self._quantile(MEDIAN, run.queue, run.step, run.customer)
-            self._score(run, duration - worker - remote, expected)
+            if self.revision % _ENDS_PER_SCORE_COUNT == 0:
+                self._score(run, duration - worker - remote, expected)
             self.workers.add(run.worker, duration - remote - expected, now_ms)
             if run.is_remote:
                 factor = use_row(
@@ -159,7 +168,13 @@
         """
         if not self.is_learned(queue):
             return step.estimate_ms
-        return math.exp(self._quantile(share, queue, step, customer))
+        key = (share, queue, customer, step.image, step.estimate_ms)
+        known_ms = self._quantiles_ms.get(key)
+        if known_ms is None:
+            expected = self._quantile(share, queue, step, customer)
+            known_ms = min(math.exp(expected), _EXPECTED_MAX_MS)
+            self._quantiles_ms[key] = known_ms
+        return known_ms
 
     def slowness(self, worker: WorkerId) -> float:
         """Return the ratio of actual to expected run times on a worker.
@@ -213,6 +228,7 @@
 
     def _note_change(self, now_ms: int) -> None:
         self.revision += 1
+        self._quantiles_ms.clear()
         self.now_ms = max(self.now_ms, now_ms)
 
     def _remote_factor(self, queue: QueueId) -> float:
--- a/fuchsiarill/run_times/sketch.py
+++ b/fuchsiarill/run_times/sketch.py
@@ -110,11 +110,9 @@
             self._sums = sums
         sought = share * sums[-1]
         bucket = min(bisect_left(sums, sought), BUCKETS_COUNT - 1)
-        position = (
-            bucket
-            + 1
-            - (sums[bucket] - sought) / max(self._weights[bucket], _WEIGHT_MIN)
-        )
+        below = sums[bucket - 1] if bucket else 0
+        weight = max(sums[bucket] - below, _WEIGHT_MIN)
+        position = bucket + (sought - below) / weight
         return self.origin + BUCKET_WIDTH * position
 
     def _bucket_of(self, sample: float) -> int:
--- a/fuchsiarill/run_times/snapshot.py
+++ b/fuchsiarill/run_times/snapshot.py
@@ -38,6 +38,7 @@
 _Log = Annotated[float, Field(ge=-_LOG_MAX, le=_LOG_MAX)]
 _Count = Annotated[float, Field(ge=0, le=_COUNT_MAX)]
 _Variance = Annotated[float, Field(gt=0, le=_LOG_MAX)]
+_Positive = Annotated[float, Field(gt=0, le=_COUNT_MAX)]
 _Age = Annotated[int, Field(ge=0, le=_AGE_MAX_MS)]
 
 
@@ -53,7 +54,7 @@
     origin: _Log
     # Total of the weights; each byte of `shares` is that of a bucket, relative
     # to the largest, beginning with the bucket `first`.
-    weight: _Count
+    weight: _Positive
     shares: str
     first: int = Field(default=0, ge=0, lt=BUCKETS_COUNT)
     estimates_count: _Count = 0
--- a/tests/test_run_time_snapshots.py
+++ b/tests/test_run_time_snapshots.py
@@ -16,6 +16,7 @@
 from fuchsiarill.graphs.model import ImageId, QueueId, Step
 from fuchsiarill.graphs.pool_loading import PoolLoader
 from fuchsiarill.graphs.process import GetDump
+from fuchsiarill.graphs.runs import NEVER_MS
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import CustomerId, ProcessId, Revision, StoreKey, WorkerId
 from fuchsiarill.ports.key_value import KvFailure, KvItem
@@ -142,6 +143,19 @@
     assert not state.run_times.models
 
 
+def test_damaged_numbers_keep_times_in_bounds() -> None:
+    """Guards against a run that counts as one that never ends by itself."""
+    run_times, trace = _taught()
+    document = json.loads(encode_run_times(run_times, trace.now_ms, _UNIX_MS))
+    for row in document['models']:
+        row.update(origin=40, estimates_mean=-40, time_variance=40)
+    run = trace.sample().run
+    restored = _decoded(document)
+    assert restored.is_learned(run.queue)
+    expected_ms = restored.expected_ms(run.queue, run.step, run.customer)
+    assert expected_ms < NEVER_MS
+
+
 def test_snapshot_is_written_seldom_and_only_if_changed() -> None:
     """Guards against a store that is used up by snapshots."""
     state = Owner('w0').core.state
