Claim enough for a gang while urgent work waits

Cause: the claim of a pool covered at most the free workers or the most urgent waiting work. A gang larger than both waited for its ceiling although there was room under it. It got no reservation of workers, so each worker that became free went to others, and it kept later steps of its customer from starting as well.

Change: the claim also covers the largest unit that waits.

Result: test_gang_gets_its_claim_while_urgent_work_waits fails before the change (the gang still waits for its ceiling) and passes with it, as do the 24 other tests of ceilings and claims.

--- a/fuchsiarill/graphs/ceiling_limits.py
+++ b/fuchsiarill/graphs/ceiling_limits.py
@@ -192,6 +192,7 @@
     # The part of the most urgent queue among those of the waiting work.
     urgent: Resources = NO_RESOURCES
     urgent_priority: int | None = None
+    largest_unit: Resources = NO_RESOURCES
     wait: CeilingWait | None = None
 
 
@@ -241,9 +242,11 @@
     """Return the need of a customer with waiting work.
 
     More than what is free in the pool can't start, except that the most urgent
-    work may get room by preemptions.
+    work may get room by preemptions, and a large unit by reservations, which it
+    gets only while the claim allows it to start.
     """
-    waiting = lower_of(demand.waiting, higher_of(free, demand.urgent))
+    room = higher_of(free, demand.urgent + demand.largest_unit)
+    waiting = lower_of(demand.waiting, room)
     if wait is None:
         return CustomerNeed(used, waiting)
     return CustomerNeed(used, waiting, wait.charge, wait.since_unix_ms)
@@ -274,6 +277,8 @@
     charge = unit_hold(step.spec)
     waiting = charge.times(len(step.waiting))
     demand.waiting += waiting
+    if step.waiting:
+        demand.largest_unit = higher_of(demand.largest_unit, charge)
     priority = entry.policy.priority
     if demand.urgent_priority is None or priority < demand.urgent_priority:
         demand.urgent_priority = priority
--- a/tests/test_ceiling_limits.py
+++ b/tests/test_ceiling_limits.py
@@ -29,7 +29,7 @@
     StopRun,
     WriteClaims,
 )
-from fuchsiarill.graphs.model import PoolId, QueueId, Step
+from fuchsiarill.graphs.model import Label, PoolId, QueueId, Step
 from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.ids import CustomerId, Generation, JobId, Revision, WorkerId
 from fuchsiarill.log_event import LogEvent
@@ -252,6 +252,27 @@
     assert len(owner.starts()) == 2
 
 
+def test_gang_gets_its_claim_while_urgent_work_waits() -> None:
+    """Guards against a gang that waits for its ceiling though it has room.
+
+    Its claim was limited to the free workers and the urgent work that waits,
+    so that it never got a reservation, and each free worker went to others.
+    """
+    owner = _CeilingOwner(SIZE.times(8), 'w0', 'w1')
+    owner.add_job('fill', Step(3, SIZE), customer=_TILER)
+    running_starts = owner.starts()
+    assert len(running_starts) == 3
+    unplaceable = Step(1, SIZE, required_label=Label('nowhere'))
+    owner.add('urgent', unplaceable, URGENT)
+    owner.add('gang', Step(3, SIZE, is_gang=True))
+    gang = next(iter(owner.core.state.jobs[JobId('gang')].waiting_steps()))
+    owner.decide()
+    # An excess claim is lowered after 2 s.
+    for _ in range(8):
+        owner.decide()
+        assert gang.wait.ceiling_since_ms is None
+
+
 def test_claims_of_other_pools_leave_the_rest() -> None:
     """Guards against a raise beyond what other pools have claimed."""
     store = _Store()
