Limit removed customers from the start of a new owner

Cause: a new owner took the ceilings of customers without a contract only from its own record, and only once it had listed the claims. Until then, and if the record had no row or no customer with a ceiling was left in the configuration, the inherited jobs of such a customer started without a limit, beside its runs in other pools.

Change: the ceiling also comes from the records of other pools. Inherited jobs of customers without a contract wait for the first list, which is requested also if no ceiling is known.

Result: test_removed_customer_keeps_its_ceiling_after_a_takeover fails before the change (3 starts with a ceiling of 2 that another pool had claimed) and passes with it. The other tests of ceilings, claims and the core machine pass.

--- a/fuchsiarill/graphs/ceiling_limits.py
+++ b/fuchsiarill/graphs/ceiling_limits.py
@@ -145,7 +145,9 @@
 def review_claims(state: PoolState, now_ms: int) -> None:
     """Find what the customers need, and request the next call of the store."""
     ceilings = state.ceilings
-    if not ceilings.known or state.config is None or ceilings.is_call_pending:
+    if not ceilings.known and ceilings.unlisted <= ceilings.configured:
+        return
+    if state.config is None or ceilings.is_call_pending:
         return
     if now_ms < ceilings.next_call_ms:
         return
--- a/fuchsiarill/graphs/claim_ledger.py
+++ b/fuchsiarill/graphs/claim_ledger.py
@@ -60,6 +60,13 @@
         item = self.others.get(pool)
         return ABSENT if item is None else item.revision
 
+    def latest_first(self) -> list[ClaimRecord]:
+        """Return the own record, then those of the others, the latest first."""
+        others = sorted(
+            self.others.values(), key=lambda item: item.revision, reverse=True
+        )
+        return [self.own, *(item.record for item in others)]
+
     def apply_list(
         self, items: Iterable[ClaimItem], revision: Revision
     ) -> None:
--- a/fuchsiarill/graphs/pool_ceilings.py
+++ b/fuchsiarill/graphs/pool_ceilings.py
@@ -42,6 +42,11 @@
     ledger: ClaimLedger
     # Ceilings of the configuration, and the last ones of removed customers.
     known: dict[CustomerId, Resources] = field(default_factory=dict)
+    # Customers with a contract.
+    configured: frozenset[CustomerId] = frozenset()
+    # Customers of inherited jobs. Without a contract, their work waits for the
+    # first list, which may show their last ceiling.
+    unlisted: set[CustomerId] = field(default_factory=set)
     # Claims of the previous owner of the pool, which may have runs that this
     # owner does not know yet.
     inherited: dict[CustomerId, Resources] = field(default_factory=dict)
@@ -73,6 +78,7 @@
 
         A customer without a contract keeps its ceiling for its remaining work.
         """
+        self.configured = frozenset(config.contracts.customers)
         for customer in config.contracts.customers:
             contract = config.contracts.find(customer)
             if contract is not None and contract.has_ceiling:
@@ -83,11 +89,18 @@
         self.forget_limits()
 
     def inherit(self, config: GraphConfig) -> None:
-        """Take over the claims in the record of the previous owner."""
+        """Take over the claims in the record of the previous owner.
+
+        The ceiling of a removed customer that is not in it may be in the record
+        of another pool; the latest one tells it.
+        """
+        self.unlisted.clear()
         for customer, row in self.ledger.own.rows.items():
             self.inherited[customer] = row.claimed
-            if config.contracts.find(customer) is None:
-                self.known.setdefault(customer, row.ceiling)
+        for record in self.ledger.latest_first():
+            for customer, row in record.rows.items():
+                if config.contracts.find(customer) is None:
+                    self.known.setdefault(customer, row.ceiling)
 
     def limit_of(self, customer: CustomerId) -> Resources | None:
         """Return up to which use runs of a customer may start in the pool.
@@ -97,13 +110,19 @@
         """
         ceiling = self.known.get(customer)
         if ceiling is None:
-            return None
+            is_unlisted = customer in self.unlisted - self.configured
+            return NO_RESOURCES if is_unlisted else None
         limit = self._limits.get(customer)
         if limit is None:
             limit = self._compute_limit(customer, ceiling)
             self._limits[customer] = limit
         return limit
 
+    def add_inherited(self, customer: CustomerId | None) -> None:
+        """Take note of the customer of an inherited job."""
+        if customer is not None and not self.ledger.listed_revision:
+            self.unlisted.add(customer)
+
     def room_beside_others(self, customer: CustomerId) -> Resources:
         """Return what the other pools leave of a customer's ceiling."""
         claimed = self.ledger.claimed_by_others(customer)
--- a/tests/test_ceiling_limits.py
+++ b/tests/test_ceiling_limits.py
@@ -273,6 +273,24 @@
         assert gang.wait.ceiling_since_ms is None
 
 
+def test_removed_customer_keeps_its_ceiling_after_a_takeover() -> None:
+    """Guards against work of a removed customer that runs without a limit.
+
+    The record of the previous owner may have no row of the customer, and no
+    ceiling at all may be configured. Nothing starts before the first list.
+    """
+    store = _Store()
+    store.records[_OTHER_POOL] = _record(SIZE.times(2))
+    owner = _CeilingOwner(NO_RESOURCES, 'w0', 'w1', store=store)
+    owner.configure(CustomerContracts([CustomerContract(_TILER)]))
+    owner.add('old', Step(3, SIZE), is_inherited=True)
+    assert not owner.starts()
+    store.records[_OTHER_POOL] = ClaimRecord()
+    store.revision = Revision(store.revision + 1)
+    owner.decide()
+    assert used_of(owner.core.state, _MASON) == SIZE.times(2)
+
+
 def test_claims_of_other_pools_leave_the_rest() -> None:
     """Guards against a raise beyond what other pools have claimed."""
     store = _Store()
