Treat an empty API key as unknown

Cause: with an empty string among the keys of a customer, a call with the header "Bearer" and no key was granted as that customer.

Change: no customer holds the empty key.

--- a/fuchsiarill/contracts/contract.py
+++ b/fuchsiarill/contracts/contract.py
@@ -83,8 +83,11 @@
         """Return the holder of an API key, `None` for an unknown key.
 
         All digests are compared, each in constant time, so that the time of an
-        answer does not reveal whether and where a digest matches.
+        answer does not reveal whether and where a digest matches. An empty key
+        is unknown: a call without a key would carry it.
         """
+        if not key:
+            return None
         received = digest_key(key)
         holder: CustomerId | None = None
         for contract in self._by_customer.values():
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -227,3 +227,11 @@
     body = json.dumps({'phases': [{'count': 1, 'cpu': 64001}]}).encode()
     assert submit(front, 'Bearer key-1', body=body) == status
     assert not front.submitted
+
+
+@pytest.mark.parametrize('header', ['Bearer', 'Bearer ', 'bearer  \t'])
+def test_empty_key_is_no_key(header: str) -> None:
+    """Guards against calls without a key that an empty row lets in."""
+    contracts = read_config(document({**TENANT, 'api_keys': ['']})).contracts
+    granted = authorize(contracts, header, is_public=False)
+    assert not granted.is_granted
