Keep a broken API key out of the error of its document

Cause: a key with a lone surrogate can't be encoded, and the text of that error contains the key. It went into the error of the configuration, which is logged.

Change: the key is checked before it is digested, and the error does not name it.

Result: test_error_of_a_broken_key_does_not_tell_it fails before the change (the text contains the key) and passes with it, as do the other tests of customer keys.

--- a/fuchsiarill/platform/documents.py
+++ b/fuchsiarill/platform/documents.py
@@ -210,6 +210,10 @@
     """Return a key; the text of the error does not contain it."""
     if not isinstance(content, str):
         raise TypeError('a key is not a string')
+    try:
+        content.encode()
+    except UnicodeEncodeError:
+        raise ValueError('a key is not valid Unicode') from None
     return content
 
 
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -235,3 +235,11 @@
     contracts = read_config(document({**TENANT, 'api_keys': ['']})).contracts
     granted = authorize(contracts, header, is_public=False)
     assert not granted.is_granted
+
+
+def test_error_of_a_broken_key_does_not_tell_it() -> None:
+    """Guards against a key in a log line: a lone surrogate can't be encoded."""
+    broken = {**TENANT, 'api_keys': ['private\ud800']}
+    with pytest.raises(DocumentError) as raised:
+        read_config(document(broken))
+    assert 'private' not in str(raised.value)
