Write the claims again when a ceiling changes

Cause: the record of claims tells the next owner the ceiling of a customer that is removed from the configuration. It was written again only when a claim or the demand changed, so the next owner could apply an earlier, higher ceiling.

Change: a changed ceiling, or a row that is added or removed, is worth a write.

Result: test_record_tells_the_latest_ceiling fails before the change (the record has a ceiling of 3 units after it was lowered to 2) and passes with it, as do the other tests of ceilings and claims.

--- a/fuchsiarill/graphs/claim_planning.py
+++ b/fuchsiarill/graphs/claim_planning.py
@@ -245,6 +245,9 @@
     for customer in customers:
         if record.claimed(customer) != ledger.own.claimed(customer):
             return True
+        # The next owner reads the ceiling here if the contract is removed.
+        if record.ceiling(customer) != ledger.own.ceiling(customer):
+            return True
         if _has_demand_changed(
             ledger.own.demand(customer), record.demand(customer)
         ):
--- a/fuchsiarill/graphs/claim_records.py
+++ b/fuchsiarill/graphs/claim_records.py
@@ -42,6 +42,11 @@
         row = self.rows.get(customer)
         return NO_RESOURCES if row is None else row.claimed
 
+    def ceiling(self, customer: CustomerId) -> Resources | None:
+        """Return the recorded ceiling of a customer, `None` without a row."""
+        row = self.rows.get(customer)
+        return None if row is None else row.ceiling
+
     def demand(self, customer: CustomerId) -> PoolDemand:
         """Return the claim and the demand for a customer."""
         row = self.rows.get(customer)
--- a/tests/test_ceiling_limits.py
+++ b/tests/test_ceiling_limits.py
@@ -291,6 +291,20 @@
     assert used_of(owner.core.state, _MASON) == SIZE.times(2)
 
 
+def test_record_tells_the_latest_ceiling() -> None:
+    """Guards against a successor that applies an earlier ceiling.
+
+    It reads the ceiling of a removed customer from the record, which was not
+    written again when only the ceiling had changed.
+    """
+    owner = _CeilingOwner(SIZE.times(3), 'w0', 'w1')
+    owner.add('a', Step(1, SIZE))
+    assert len(owner.starts()) == 1
+    owner.set_ceiling(SIZE.times(2))
+    owner.decide()
+    assert owner.store.records[POOL].rows[_MASON].ceiling == SIZE.times(2)
+
+
 def test_claims_of_other_pools_leave_the_rest() -> None:
     """Guards against a raise beyond what other pools have claimed."""
     store = _Store()
