Let pools claim their use before a new ceiling is divided

Cause: runs without a ceiling are not claimed. When a configuration gave an existing customer its first limit on a resource, the first owner that had it claimed the whole ceiling and started work beside the runs of other pools.

Change: for 2 s after such a configuration, an owner claims only its use of the customer, so that no more starts. An owner that gets the configuration later than that, or takes over within this time, is not covered.

Result: test_new_ceiling_waits_for_the_use_of_other_pools fails before the change (a start beside 8 units, with 6 claimed of a ceiling of 10) and passes with it, as do the other tests of ceilings, claims and the core machine.

--- a/fuchsiarill/graphs/claim_planning.py
+++ b/fuchsiarill/graphs/claim_planning.py
@@ -33,6 +33,9 @@
 # often, and more often while it waits itself.
 _LIST_INTERVAL_MS: Final = 500
 _WAITING_LIST_INTERVAL_MS: Final = 200
+# When a customer gets its first limit, nothing is claimed yet for its runs in
+# other pools. Their owners have this time to get the configuration and claim.
+_INTRODUCTION_MS: Final = 2000
 # A change of the demand by less than this share of it is not written alone.
 _DEMAND_CHANGE_SHARE: Final = 4
 
@@ -165,6 +168,8 @@
     waiting = limited(need.waiting, ceiling)
     target = lower_of(used + waiting, higher_of(ceiling, used))
     goal = _apply_share(ceilings, customer, used, target)
+    if _is_introduced(ceilings, customer, now_ms):
+        goal = used
     claimed = limited(ceilings.ledger.counted(customer), ceiling)
     # The use is claimed in any case: it may come from a time without a ceiling.
     room = higher_of(ceilings.room_beside_others(customer), used)
@@ -184,6 +189,22 @@
     )
 
 
+def _is_introduced(
+    ceilings: PoolCeilings, customer: CustomerId, now_ms: int
+) -> bool:
+    """Tell whether the other pools may still have to claim their use."""
+    if customer not in ceilings.introduced:
+        return False
+    until_ms = ceilings.introduced[customer]
+    if until_ms is None:
+        until_ms = now_ms + _INTRODUCTION_MS
+        ceilings.introduced[customer] = until_ms
+    if now_ms < until_ms:
+        return True
+    ceilings.introduced.pop(customer)
+    return False
+
+
 def _apply_share(
     ceilings: PoolCeilings,
     customer: CustomerId,
--- a/fuchsiarill/graphs/pool_ceilings.py
+++ b/fuchsiarill/graphs/pool_ceilings.py
@@ -8,6 +8,7 @@
     lower_of,
     without_limit,
 )
+from fuchsiarill.contracts.contract import CustomerContract
 from fuchsiarill.graphs.claim_ledger import ClaimLedger
 from fuchsiarill.graphs.model import GraphConfig, StepKey
 from fuchsiarill.ids import ABSENT, CustomerId, Revision
@@ -59,6 +60,9 @@
     # Customers whose ceiling was lowered. Nothing of them starts before the
     # claims that the others made until then are known.
     lowered: set[CustomerId] = field(default_factory=set)
+    # Customers that got a limit while they may have had runs without it, and
+    # until when (`None` before the next plan) only the use is claimed.
+    introduced: dict[CustomerId, int | None] = field(default_factory=dict)
     config_revision: Revision = ABSENT
     waits: dict[CustomerId, CeilingWait] = field(default_factory=dict)
     # When the claim of a customer became larger than its demand.
@@ -78,10 +82,13 @@
 
         A customer without a contract keeps its ceiling for its remaining work.
         """
+        earlier = self.configured
         self.configured = frozenset(config.contracts.customers)
         for customer in config.contracts.customers:
             contract = config.contracts.find(customer)
             if contract is not None and contract.has_ceiling:
+                if customer in earlier and self._adds_limit(contract):
+                    self.introduced[customer] = None
                 self._set_ceiling(customer, contract.ceiling)
             else:
                 self.known.pop(customer, None)
@@ -145,6 +152,11 @@
             return True
         return ledger.listed_revision < self.config_revision
 
+    def _adds_limit(self, contract: CustomerContract) -> bool:
+        """Tell whether a component gets a limit that it did not have."""
+        previous = self.known.get(contract.customer, NO_RESOURCES)
+        return limited(contract.ceiling, previous) != contract.ceiling
+
     def _set_ceiling(self, customer: CustomerId, ceiling: Resources) -> None:
         previous = self.known.get(customer)
         self.known[customer] = ceiling
--- a/tests/test_claim_writes.py
+++ b/tests/test_claim_writes.py
@@ -5,8 +5,12 @@
 import pytest
 
 from fuchsiarill.contracts.ceilings import PoolDemand, divide
+from fuchsiarill.graphs.model import TaskKey
+from fuchsiarill.graphs.progress import UnitKey
+from fuchsiarill.graphs.runs import Run
+from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
-from tests.claim_world import ClaimWorld, Pool
+from tests.claim_world import CUSTOMER, ClaimWorld, Pool
 
 _UNIT: Final = Resources(10, 10)
 _CEILING: Final = _UNIT.times(10)
@@ -52,6 +56,33 @@
     assert world.claims_total() == _LOWERED
 
 
+def test_new_ceiling_waits_for_the_use_of_other_pools() -> None:
+    """Guards against a start beside runs from a time without a ceiling.
+
+    Nothing is claimed for them until their owner has the configuration.
+    """
+    world = ClaimWorld(['east', 'north'], NO_RESOURCES)
+    east, north = world.pools
+    task = TaskKey(JobId('earlier'), 0, 0, 0)
+    run = Run(
+        task, 1, UnitKey(0, 0, 0), WorkerId('w'), _UNIT.times(8), 0, CUSTOMER
+    )
+    north.runs.append(run)
+    north.owner.state.customers.allocate(run)
+    world.set_ceiling(_CEILING)
+    world.configure(east)
+    _claim(world, east, 6)
+    assert not world.start(east)
+    world.configure(north)
+    for _ in range(30):
+        for pool in (east, north):
+            world.plan(pool)
+            world.execute(pool)
+            world.start(pool)
+    assert not world.violations
+    assert world.total() == _CEILING
+
+
 @pytest.mark.parametrize(
     ('wanted', 'shares'),
     [
