--- a/fuchsiarill/graphs/pool_ceilings.py
+++ b/fuchsiarill/graphs/pool_ceilings.py
@@ -8,6 +8,7 @@
     lower_of,
     without_limit,
 )
+from fuchsiarill.contracts.contract import CustomerContract
 from fuchsiarill.graphs.claim_ledger import ClaimLedger
 from fuchsiarill.graphs.model import GraphConfig, StepKey
 from fuchsiarill.ids import ABSENT, CustomerId, Revision
@@ -42,6 +43,11 @@
     ledger: ClaimLedger
     # Ceilings of the configuration, and the last ones of removed customers.
     known: dict[CustomerId, Resources] = field(default_factory=dict)
+    # Customers with a contract.
+    configured: frozenset[CustomerId] = frozenset()
+    # Customers of inherited jobs. Without a contract, their work waits for the
+    # first list, which may show their last ceiling.
+    unlisted: set[CustomerId] = field(default_factory=set)
     # Claims of the previous owner of the pool, which may have runs that this
     # owner does not know yet.
     inherited: dict[CustomerId, Resources] = field(default_factory=dict)
@@ -54,6 +60,9 @@
     # Customers whose ceiling was lowered. Nothing of them starts before the
     # claims that the others made until then are known.
     lowered: set[CustomerId] = field(default_factory=set)
+    # Customers that got a limit while they may have had runs without it, and
+    # until when (`None` before the next plan) only the use is claimed.
+    introduced: dict[CustomerId, int | None] = field(default_factory=dict)
     config_revision: Revision = ABSENT
     waits: dict[CustomerId, CeilingWait] = field(default_factory=dict)
     # When the claim of a customer became larger than its demand.
@@ -73,9 +82,13 @@
 
         A customer without a contract keeps its ceiling for its remaining work.
         """
+        earlier = self.configured
+        self.configured = frozenset(config.contracts.customers)
         for customer in config.contracts.customers:
             contract = config.contracts.find(customer)
             if contract is not None and contract.has_ceiling:
+                if customer in earlier and self._adds_limit(contract):
+                    self.introduced[customer] = None
                 self._set_ceiling(customer, contract.ceiling)
             else:
                 self.known.pop(customer, None)
@@ -83,11 +96,18 @@
         self.forget_limits()
 
     def inherit(self, config: GraphConfig) -> None:
-        """Take over the claims in the record of the previous owner."""
+        """Take over the claims in the record of the previous owner.
+
+        The ceiling of a removed customer that is not in it may be in the record
+        of another pool; the latest one tells it.
+        """
+        self.unlisted.clear()
         for customer, row in self.ledger.own.rows.items():
             self.inherited[customer] = row.claimed
-            if config.contracts.find(customer) is None:
-                self.known.setdefault(customer, row.ceiling)
+        for record in self.ledger.latest_first():
+            for customer, row in record.rows.items():
+                if config.contracts.find(customer) is None:
+                    self.known.setdefault(customer, row.ceiling)
 
     def limit_of(self, customer: CustomerId) -> Resources | None:
         """Return up to which use runs of a customer may start in the pool.
@@ -97,13 +117,19 @@
         """
         ceiling = self.known.get(customer)
         if ceiling is None:
-            return None
+            is_unlisted = customer in self.unlisted - self.configured
+            return NO_RESOURCES if is_unlisted else None
         limit = self._limits.get(customer)
         if limit is None:
             limit = self._compute_limit(customer, ceiling)
             self._limits[customer] = limit
         return limit
 
+    def add_inherited(self, customer: CustomerId | None) -> None:
+        """Take note of the customer of an inherited job."""
+        if customer is not None and not self.ledger.listed_revision:
+            self.unlisted.add(customer)
+
     def room_beside_others(self, customer: CustomerId) -> Resources:
         """Return what the other pools leave of a customer's ceiling."""
         claimed = self.ledger.claimed_by_others(customer)
@@ -126,6 +152,11 @@
             return True
         return ledger.listed_revision < self.config_revision
 
+    def _adds_limit(self, contract: CustomerContract) -> bool:
+        """Tell whether a component gets a limit that it did not have."""
+        previous = self.known.get(contract.customer, NO_RESOURCES)
+        return limited(contract.ceiling, previous) != contract.ceiling
+
     def _set_ceiling(self, customer: CustomerId, ceiling: Resources) -> None:
         previous = self.known.get(customer)
         self.known[customer] = ceiling
--- a/tests/test_pool_load.py
+++ b/tests/test_pool_load.py
@@ -29,9 +29,19 @@
 NOTHING = tuple(0 for _ in WIDTHS_MILLI)
 
 
+def _give_slack(owner: Owner) -> None:
+    """Give the jobs of all queues slack: late ones go after new ones."""
+    queues = {
+        queue: replace(policy, target_ms=500)
+        for queue, policy in CONFIG.queues.items()
+    }
+    owner.core.configure(replace(CONFIG, queues=queues))
+
+
 def full_owner(**changes: Any) -> Owner:
     """Return an owner of two workers that are full for 8 s."""
     owner = Owner('w0', 'w1')
+    _give_slack(owner)
     for worker in ('w0', 'w1'):
         owner.report(worker)
     step = replace(SECOND, tasks_count=4, estimate_ms=8000, **changes)
