--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -24,7 +24,7 @@
 from fuchsiarill.graphs.model import JobGraph, PoolId, QueueId
 from fuchsiarill.graphs.settings import GraphSettings
 from fuchsiarill.graphs.states import JobPhase
-from fuchsiarill.ids import ABSENT, JobId, StoreKey
+from fuchsiarill.ids import ABSENT, CustomerId, JobId, StoreKey
 from fuchsiarill.ports.key_value import (
     KeyValuePort,
     KvCommitted,
@@ -75,10 +75,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Request to cancel a job."""
+    """Request to cancel a job of a customer.
+
+    Without a customer the request may cancel any job.
+    """
 
     pool: PoolId
     job: JobId
+    customer: CustomerId | None
     deadline_ms: int
     reply: Reply[IntakeAnswer]
 
@@ -194,7 +198,8 @@
                 code = self._log_failed_request(retry, codes.STORE_UNAVAILABLE)
                 message.reply.answer(IntakeAnswer(code))
                 return
-        if read_result.unwrap().value is None:
+        content = read_result.unwrap().value
+        if content is None or _is_of_other_customer(message, content):
             message.reply.answer(IntakeAnswer(codes.UNKNOWN_JOB))
             return
         cancel_key = keys.cancel_key(message.pool, message.job)
@@ -352,3 +357,10 @@
                 pending_count=cached_counts.counts.get(message.queue, 0),
             ),
         )
+
+
+def _is_of_other_customer(message: Cancel, content: bytes) -> bool:
+    graph = graph_records.decode_graph(message.pool, message.job, content)
+    if message.customer is None or graph.customer is None:
+        return False
+    return graph.customer != message.customer
--- a/fuchsiarill/platform/callers.py
+++ b/fuchsiarill/platform/callers.py
@@ -230,7 +230,10 @@
     handler: CallerRequestHandler, queue_request: QueueRequest
 ) -> IntakeAnswer:
     build_message = partial(
-        Cancel, queue_request.policy.pool, JobId(queue_request.job)
+        Cancel,
+        queue_request.policy.pool,
+        JobId(queue_request.job),
+        queue_request.customer,
     )
     return handler.call_intake(queue_request.request, build_message)
 
--- a/tests/graph_cell.py
+++ b/tests/graph_cell.py
@@ -294,12 +294,21 @@
         )
         return await reply.wait(2 * _CALLER_TIMEOUT_MS)
 
-    async def cancel(self, name: ProcessId, job: str) -> intake.IntakeAnswer:
+    async def cancel(
+        self,
+        name: ProcessId,
+        job: str,
+        customer: CustomerId | None = None,
+    ) -> intake.IntakeAnswer:
         """Send the cancellation of a job to a process."""
         reply: Reply[intake.IntakeAnswer] = Reply()
         self.processes[name].intake.send(
             intake.Cancel(
-                POOL, JobId(job), now_ms() + _CALLER_TIMEOUT_MS, reply
+                POOL,
+                JobId(job),
+                customer,
+                now_ms() + _CALLER_TIMEOUT_MS,
+                reply,
             ),
         )
         return await reply.wait(2 * _CALLER_TIMEOUT_MS)
--- a/tests/test_graph_cell.py
+++ b/tests/test_graph_cell.py
@@ -10,6 +10,7 @@
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.graphs.model import Step
 from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import CustomerId
 from standins.store_model import PathFault
 from tests.graph_cell import (
     P0,
@@ -246,3 +247,22 @@
             assert sample in metrics_text
 
     run_scenario(scenario)
+
+
+def test_only_the_customer_of_a_job_cancels_it() -> None:
+    """Guards against customers that cancel the jobs of others."""
+
+    async def scenario(cell: GraphCell) -> None:
+        steps = (Step(1, TASK_SIZE, estimate_ms=1000),)
+        follower = follower_of(cell)
+        mason, tiler = CustomerId('mason'), CustomerId('tiler')
+        await cell.submit(follower, 'a', steps, customer=mason, duration_ms=500)
+        answer = await cell.cancel(follower, 'a', tiler)
+        assert answer.code is codes.UNKNOWN_JOB
+        await sleep_ms(1500)
+        assert cell.phase('a') is JobPhase.SUCCEEDED
+        await cell.submit(follower, 'b', steps, customer=mason, duration_ms=500)
+        answer = await cell.cancel(follower, 'b', mason)
+        assert answer.code is codes.ACCEPTED
+
+    run_scenario(scenario)
