Send no interim response to HTTP/1.0

Cause: the expectation of 100-continue was honoured whatever the version, though HTTP/1.0 has no interim responses and a client takes one for the final response. Change: the header is ignored for HTTP/1.0, as RFC 9110 requires. Result: the new test in test_request_heads.py fails before and passes after.

--- a/fuchsiarill/reception/heads.py
+++ b/fuchsiarill/reception/heads.py
@@ -81,7 +81,10 @@
     return Head(
         CRLF.join(kept_lines),
         _parse_framing(single, version),
-        single.get(b'expect', b'').lower() == b'100-continue',
+        # HTTP/1.0 has no interim responses; a client would take one for the
+        # final response.
+        version == b'1'
+        and single.get(b'expect', b'').lower() == b'100-continue',
     )
 
 
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -27,6 +27,8 @@
 _CASES: Final = yaml.safe_load(
     Path(__file__).with_name('cases').joinpath('request_heads.yaml').read_text()
 )
+# Within this time an interim response would arrive.
+_QUIET_S: Final = 0.5
 _TIMEOUT_S: Final = 30
 _CHUNKED: Final = (
     b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -129,6 +131,23 @@
     assert served.received[0].body == b'hello'
 
 
+def test_consent_is_not_sent_to_http_1_0(served: _Served) -> None:
+    """Guards against an interim response that is taken for the final one."""
+    head = (
+        b'POST /a HTTP/1.0\r\nHost: h\r\nContent-Length: 5\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+    address = ('127.0.0.1', served.listener.port)
+    with socket.create_connection(address, _TIMEOUT_S) as client:
+        client.sendall(head)
+        client.settimeout(_QUIET_S)
+        with pytest.raises(TimeoutError):
+            client.recv(100)
+        client.settimeout(_TIMEOUT_S)
+        client.sendall(b'hello')
+        assert client.recv(100).startswith(b'HTTP/1.1 200 OK\r\n')
+
+
 def test_largest_allowed_request(served: _Served) -> None:
     """Guards against limits below those that the platform grants clients."""
     lines = b''.join(b'%d:\r\n' % number for number in range(2_000))
