Bound the end of a listener with unread responses as a whole

Cause: at the end of a listener each connection with an unsent response was given 1 s, one after the other, so clients that do not read could delay the end of the process without bound. Six of them delayed it by 5.0 s. Change: all unsent responses are sent together, within 1 s. Clients that read get theirs whatever the others do.

--- a/fuchsiarill/reception/reception.py
+++ b/fuchsiarill/reception/reception.py
@@ -23,6 +23,7 @@
     move_down,
 )
 from fuchsiarill.reception.connection import ClientConnection
+from fuchsiarill.reception.last_responses import send_last
 from fuchsiarill.reception.observation import ReceptionObserver, monotonic_ms
 from fuchsiarill.reception.places import Places
 from fuchsiarill.reception.refusals import Limit, RefusedError, encode_refusal
@@ -122,9 +123,13 @@
         """Close all connections, those in use after their responses."""
         self._is_closed = True
         self._close_returned()
+        sending = []
         for connection in self.places:
-            if connection.state is not ClientState.SERVING:
-                connection.close_after_response()
+            if connection.state in SENDING_STATES:
+                sending.append(connection)
+            elif connection.state is not ClientState.SERVING:
+                connection.close_socket()
+        send_last(sending)
         self._selector.close()
         self._waker.close()
 
