Bound the head and the chunk lines of a response in time

Cause: the time-out of a socket bounds each read. A worker or other server that sends a header or a chunk extension in single bytes kept a thread of the client after the deadline of the call: with one thread, a later call was not sent within 2 s, and the connection was still open after 6 s. Change: the time-out that urllib3 sets before it reads a response bounds all reads of it together. Result: test_deadline_connections.py, in which the second call fails as not sent before and succeeds after; test_http_ports.py passes.

--- a/fuchsiarill/ports/http_client.py
+++ b/fuchsiarill/ports/http_client.py
@@ -20,6 +20,7 @@
 from returns.result import Failure, Result, Success
 
 from fuchsiarill.clock import MS_PER_SECOND
+from fuchsiarill.ports.deadline_connections import DeadlinePoolManager
 from fuchsiarill.ports.thread_pool import BoundedThreadPool
 
 # One pool per address; a partition has up to about 400 workers.
@@ -86,7 +87,7 @@
         self._long_polls = BoundedThreadPool(
             'http-wait', long_polls_max, long_polls_max
         )
-        self._connections = urllib3.PoolManager(
+        self._connections = DeadlinePoolManager(
             num_pools=_CONNECTION_POOLS_COUNT,
             maxsize=threads_count + long_polls_max,
             retries=False,
