Send no body in a response to HEAD

Cause: cheroot writes the body of each response, also to HEAD, so a client that keeps its connection took the body for the start of the next response. Change: the request drops the body; Content-Length still tells its size. Result: the new test in test_request_heads.py fails before and passes after.

--- a/fuchsiarill/reception/connection.py
+++ b/fuchsiarill/reception/connection.py
@@ -43,6 +43,11 @@
             self.simple_response('400 Bad Request', 'Malformed Request-URI')
         return False
 
+    def write(self, chunk: bytes) -> None:
+        """Write a part of the body, which a response to HEAD does not have."""
+        if self.method != b'HEAD':
+            super().write(chunk)
+
 
 class ClientConnection(server.HTTPConnection):
     """One connection; the reception owns it except while it is served."""
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -131,6 +131,19 @@
     assert served.received[0].body == b'hello'
 
 
+def test_head_has_no_body(shared_served: _Served) -> None:
+    """Guards against a body that is taken for the next response."""
+    listener = shared_served.listener
+    query = b'%s /a HTTP/1.1\r\nHost: h\r\n\r\n'
+    head, answer = (
+        _exchange(listener, query % method) for method in (b'HEAD', b'GET')
+    )
+    assert answer.endswith(b'\r\n\r\n/a')
+    assert head.startswith(b'HTTP/1.1 200 OK\r\n')
+    assert b'Content-Length: 2\r\n' in head
+    assert head.endswith(b'\r\n\r\n')
+
+
 def test_consent_is_not_sent_to_http_1_0(served: _Served) -> None:
     """Guards against an interim response that is taken for the final one."""
     head = (
