Let clients read a last response while they send

Cause: after a last response that is no refusal, for example while the listener drains, the connection was closed at once. The next request of a client that pipelines then led to a reset, which destroyed what the client had not read of the response (ConnectionResetError in the test). Change: a connection lingers after each last response, until the client closes it or linger_ms ends. Result: the new test in test_request_heads.py fails before and passes after.

--- a/fuchsiarill/reception/connection.py
+++ b/fuchsiarill/reception/connection.py
@@ -75,7 +75,6 @@
         self.counted_bytes = 0
         # Events of the selector that the connection waits for.
         self.awaited = 0
-        self.is_refused = False
         self.lingered_bytes = 0
         self.wfile = Outgoing()
         self._request_bytes = 0
--- a/fuchsiarill/reception/reception.py
+++ b/fuchsiarill/reception/reception.py
@@ -190,7 +190,6 @@
         ):
             self.step(connection, ClientEvent.ENDED)
             return
-        connection.is_refused = True
         connection.reader.drop()
         connection.wfile.write(encode_refusal(limit))
         self.step(connection, ClientEvent.REFUSED)
@@ -371,13 +370,17 @@
 
 @ACTIONS.register('linger')
 def _linger(reception: Reception, connection: ClientConnection) -> None:
-    """Close, but let a client that goes on sending read the response first."""
+    """Close, but let a client that goes on sending read the response first.
+
+    A client that pipelines may send its next request before it has read that
+    this response is the last; a reset would then destroy the response.
+    """
     connection.reader.drop()
     try:
-        is_waiting = bool(connection.socket.recv(_READ_MAX_BYTES))
+        has_ended = not connection.socket.recv(_READ_MAX_BYTES)
     except BlockingIOError:
-        is_waiting = connection.is_refused
-    if not is_waiting:
+        has_ended = False
+    if has_ended:
         reception.step(connection, ClientEvent.ENDED)
         return
     with suppress(OSError):
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -29,6 +30,8 @@
 )
 # Within this time an interim response would arrive.
 _QUIET_S: Final = 0.5
+# Fits into the send buffer of a socket.
+_LAST_BYTES: Final = 100_000
 _TIMEOUT_S: Final = 30
 _CHUNKED: Final = (
     b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -172,3 +175,29 @@
     )
     assert answer.startswith(b'HTTP/1.1 200 OK')
     assert served.received[0].body == body
+
+
+def test_pipelining_client_reads_the_last_response() -> None:
+    """Guards against a reset by a request that crosses the last response."""
+    listener = Listener(
+        '127.0.0.1:0',
+        ListenerSettings(2, 16, ConnectionLimits),
+        lambda _request: Response(HTTPStatus.OK, bytes(_LAST_BYTES)),
+        ReceptionObserver('test', ReceptionMetrics(CollectorRegistry())),
+    )
+    listener.start()
+    listener.is_draining = True
+    query = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+    with socket.socket() as client:
+        client.settimeout(_TIMEOUT_S)
+        # Most of the response waits in the kernel at the other end.
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        client.connect(('127.0.0.1', listener.port))
+        client.sendall(query)
+        answer = client.recv(1)
+        time.sleep(_QUIET_S)
+        client.sendall(query)
+        while latest := client.recv(65_536):
+            answer += latest
+    listener.stop()
+    assert answer.endswith(bytes(_LAST_BYTES))
