Discount the samples of a model once for each new one

A sample discounted the sketch of each of its models twice, by its age and by the window, and computed a power even where no time had passed. Both discounts are one now.

--- a/fuchsiarill/run_times/models.py
+++ b/fuchsiarill/run_times/models.py
@@ -28,7 +28,10 @@
 
 def decay_factor(elapsed_ms: float) -> float:
     """Return the weight that a sample of that age still has."""
-    return float(_MEDIAN ** (max(elapsed_ms, 0) / _HALF_LIFE_MS))
+    # Runs that end in a burst are often reported in one message.
+    if elapsed_ms <= 0:
+        return 1
+    return float(_MEDIAN ** (elapsed_ms / _HALF_LIFE_MS))
 
 
 @dataclass(slots=True)
@@ -118,9 +121,11 @@
         """Discount the samples in the sketch; return the decay by time."""
         decay = decay_factor(now_ms - self.updated_ms)
         self.updated_ms = now_ms
-        self.sketch.decay(decay)
-        if self.sketch.weight > _WINDOW_COUNT - 1:
-            self.sketch.decay((_WINDOW_COUNT - 1) / self.sketch.weight)
+        weight = self.sketch.weight * decay
+        factor = decay
+        if weight > _WINDOW_COUNT - 1:
+            factor *= (_WINDOW_COUNT - 1) / weight
+        self.sketch.decay(factor)
         return decay
 
 
