Count the speed of a leaving worker for the ends of its runs

A run on a leaving worker stayed if it would have ended in time on a usual worker, by the models without those of its customer. The runs of a slow worker were lost with it. The expected end of the run counts the customer, the worker and the data, as everywhere else.

test_run_on_a_slow_leaving_worker_is_moved fails without the change and passes with it.

--- a/fuchsiarill/graphs/draining.py
+++ b/fuchsiarill/graphs/draining.py
@@ -55,9 +55,11 @@
     if not step.spec.is_lasting:
         if not step.spec.is_checkpointing:
             return False
-        expected_ms = state.run_times.expected_ms(entry.graph.queue, step.spec)
         remaining_ms = _worker_remaining_ms(view, now_ms)
-        if expected_ms - (now_ms - run.start_ordered_ms) <= remaining_ms:
+        end_ms = state.expected_end_ms(
+            entry, step.spec, run.start_ordered_ms, view
+        )
+        if end_ms - now_ms <= remaining_ms:
             return False
         if remaining_ms >= _MOVE_MS:
             return False
--- a/tests/test_run_time_uses.py
+++ b/tests/test_run_time_uses.py
@@ -16,6 +16,7 @@
     Label,
     RunningRow,
     Step,
+    WorkerListing,
 )
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
@@ -187,6 +188,32 @@
     assert state.expected_end_ms(job, away, 0, view) > 1.5 * near_ms
 
 
+def test_run_on_a_slow_leaving_worker_is_moved() -> None:
+    """Guards against a run that is lost with a slow worker.
+
+    On a usual worker it would end before the worker does.
+    """
+    owner = Owner('w0', 'w1')
+    run_times = owner.core.state.run_times
+    for duration_ms, worker in ((1000, 'w1'), (4000, 'w0')) * 20:
+        _teach(run_times, duration_ms, worker=worker)
+    owner.report('w0')
+    owner.add_job('a', replace(_STEP, is_checkpointing=True))
+    assert [start.worker for start in owner.starts()] == ['w0']
+    owner.report('w0', (running(task('a')),))
+    owner.report('w1')
+    leaving = replace(entry('w0'), listing=WorkerListing.LEAVING)
+    owner.core.update_workers([leaving, entry('w1')], owner.now_ms)
+    owner.decide()
+    owner.now_ms += 1400
+    owner.report('w0', (running(task('a')),))
+    owner.report('w1')
+    stops = [
+        effect for effect in owner.decide() if isinstance(effect, StopRun)
+    ]
+    assert [stop.worker for stop in stops] == ['w0']
+
+
 def _stops(owner: Owner, silence_ms: int) -> list[StopRun]:
     """Return the stops after a run has shown no progress for a time."""
     owner.report('w0')
