Reserve no room where a starving task may not run

A starving task reserved the worker with the shortest wait, also one that ran as many tasks of the step as are allowed, or that may not get the unit after failures. The room was kept from all others and renewed at each decision, and no room was reserved where the task could have started.

--- a/fuchsiarill/graphs/gang_reservations.py
+++ b/fuchsiarill/graphs/gang_reservations.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from fuchsiarill.graphs.failure_blame import may_receive_unit
 from fuchsiarill.graphs.job_entries import StepEntry
 from fuchsiarill.graphs.placement import PlacementRequest
 from fuchsiarill.graphs.state import PoolState
@@ -49,6 +50,7 @@
     waits = [
         (expected_wait_ms(request, candidate), position)
         for position, candidate in enumerate(candidates)
+        if _may_get_task(request, candidate)
     ]
     wait_ms, first = min(waits, default=(NEVER_MS, 0))
     if wait_ms < NEVER_MS:
@@ -56,6 +58,16 @@
         candidates[first].reserve(step, expiry_ms)
 
 
+def _may_get_task(request: PlacementRequest, view: WorkerView) -> bool:
+    """Tell whether room on a worker would be of use for the task."""
+    step = request.step
+    per_worker_max = step.spec.per_worker_max
+    if per_worker_max is not None:
+        if step.runs_per_worker[view.worker] >= per_worker_max:
+            return False
+    return may_receive_unit(view, step, request.unit, request.now_ms)
+
+
 def _reserve_for_gang(
     state: PoolState,
     request: PlacementRequest,
