Keep excess out only for work that can use the room

Excess of a customer waits while guaranteed work of another one wants room. A step counted as such if it fitted on no worker even empty, for as long as it had a value, or if it waited for the ceiling of its customer. Workers stayed idle for both.

Two tests, for a step that fits nowhere and for one at its ceiling, fail without the change and pass with it; a third shows that a larger task still gets the room.

--- a/fuchsiarill/graphs/customer_order.py
+++ b/fuchsiarill/graphs/customer_order.py
@@ -12,6 +12,7 @@
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry
 from fuchsiarill.graphs.model import JobGraph
 from fuchsiarill.graphs.ordering import has_value
+from fuchsiarill.graphs.placement import could_ever_fit
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.ids import CustomerId
 from fuchsiarill.resources import NO_RESOURCES
@@ -120,7 +121,7 @@
     if not any(is_excess(*row, now_ms) for row in waiting):
         return frozenset()
     for customer, steps in _guaranteed_work(waiting, now_ms).items():
-        if not all(_has_room(state, step) for step in steps):
+        if any(_wants_room(state, step) for step in steps):
             wanting.add(customer)
         if len(wanting) >= _WANTING_MAX_COUNT:
             break
@@ -130,19 +131,30 @@
 def _guaranteed_work(
     waiting: list[tuple[JobEntry, StepEntry]], now_ms: int
 ) -> dict[CustomerId | None, list[StepEntry]]:
-    """Return the first steps with value of each customer that are no excess."""
+    """Return the first steps of each customer that may want room.
+
+    They have a value, are no excess and do not wait for a ceiling.
+    """
     found: dict[CustomerId | None, list[StepEntry]] = {}
     for entry, step in waiting:
         steps = found.setdefault(entry.graph.customer, [])
         if len(steps) >= _EXAMINED_MAX_COUNT or entry.is_beyond_rate:
             continue
+        if step.wait.ceiling_since_ms is not None:
+            continue
         if has_value(entry, step, now_ms):
             steps.append(step)
     return found
 
 
-def _has_room(state: PoolState, step: StepEntry) -> bool:
+def _wants_room(state: PoolState, step: StepEntry) -> bool:
+    """Tell whether a step waits for room on a worker.
+
+    A step that fits on no worker, even an empty one, would keep excess out for
+    as long as it has a value.
+    """
+    listed = [view for view in state.workers if view.is_listed]
     charge = step.spec.charge
-    return any(
-        charge.fits_in(view.free) for view in state.workers if view.is_listed
-    )
+    if any(charge.fits_in(view.free) for view in listed):
+        return False
+    return any(could_ever_fit(step.spec, view) for view in listed)
