--- a/tests/test_run_time_uses.py
+++ b/tests/test_run_time_uses.py
@@ -208,9 +208,7 @@
     owner.now_ms += 1400
     owner.report('w0', (running(task('a')),))
     owner.report('w1')
-    stops = [
-        effect for effect in owner.decide() if isinstance(effect, StopRun)
-    ]
+    stops = [effect for effect in owner.decide() if isinstance(effect, StopRun)]
     assert [stop.worker for stop in stops] == ['w0']
 
 
