Let steps near their latest start prefer fast workers again

All of test_load_patterns, test_graph_core, test_graph_machine, test_run_time*, test_customer_order and test_starving_reservations pass.

--- a/fuchsiarill/graphs/placement.py
+++ b/fuchsiarill/graphs/placement.py
@@ -23,9 +23,10 @@
 _FAILED_THERE_COST: Final = 8.0
 _INTERFERENCE_COST: Final = 2.0
 _SLOWNESS_COST: Final = 0.5
-# A step near its latest start may be late on a slow worker. The difference
-# between usual speeds (0.55 to 1.25) outweighs how well the task fits.
-_NEAR_SLOWNESS_COST: Final = 3.0
+# A step near its latest start may be late on a slow worker. A difference of 0.2
+# in the learned slowness outweighs how well the task fits: after few samples it
+# shows less than half of the difference of the workers.
+_NEAR_SLOWNESS_COST: Final = 6.0
 # A run beside a suspect may be lost with the worker; a lasting one is missed at
 # once, and a young one makes the cause of a crash uncertain.
 _NEIGHBOUR_COST: Final = 10.0
