Take four samples as enough although they decay

The counts of samples decay with a half-life of ten minutes, and were compared with 4. So four samples at different times never were enough, and queues and workers with few runs were taken as unknown until the fifth. The bound is 3.5.

test_four_samples_at_different_times_are_enough fails without the change and passes with it.

--- a/fuchsiarill/run_times/run_times.py
+++ b/fuchsiarill/run_times/run_times.py
@@ -25,8 +25,9 @@
 POOL_GROUP: Final = GroupKey(('pool',))
 MEDIAN: Final = 0.5
 HIGH_SHARE: Final = 0.9
-# The estimate is used alone until the queue has this many samples.
-_SAMPLES_MIN_COUNT: Final = 4
+# The estimate is used alone until the queue has about four samples, which may
+# have decayed since the first one.
+_SAMPLES_MIN_COUNT: Final = 3.5
 # Samples that the wider model counts as, where both models spread alike.
 _WIDER_COUNT: Final = 4.0
 _SPREAD_MIN: Final = 0.1
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -135,6 +135,20 @@
     assert run_times.expected_ms(_QUEUE, _STEP) < 1.5 * _USUAL_MS
 
 
+def test_four_samples_at_different_times_are_enough() -> None:
+    """Guards against times and speeds that are ignored since samples decay."""
+    run_times = RunTimes()
+    for number in range(4):
+        assert not run_times.is_learned(_QUEUE)
+        run_times.add_success(_run(1000), 1000 * number)
+    assert run_times.is_learned(_QUEUE)
+    for number in range(4):
+        assert run_times.slowness(WorkerId('slow')) == 1
+        run_times.add_success(_run(1000), 4000 + 1000 * number)
+        run_times.add_success(_run(3000, 'slow'), 4000 + 1000 * number)
+    assert run_times.slowness(WorkerId('slow')) > 1.1
+
+
 def test_models_are_bounded_in_number() -> None:
     """Guards against memory that grows with each new image or worker."""
     run_times = RunTimes()
