--- a/fuchsiarill/ports/deadline_connections.py
+++ b/fuchsiarill/ports/deadline_connections.py
@@ -16,7 +16,10 @@
 class _DeadlineSocket(socket.socket):
     """A socket whose time-out counts from when it was set, over all reads."""
 
-    _deadline_s: float | None = None
+    def __init__(self, connected: socket.socket) -> None:
+        """Take over the connection of `connected`, which is detached."""
+        self._deadline_s: float | None = None
+        super().__init__(fileno=connected.detach())
 
     def settimeout(self, timeout_s: float | None, /) -> None:
         """Bound all reads together until this is called again."""
@@ -31,7 +34,7 @@
             remaining_s = self._deadline_s - time.monotonic()
             if remaining_s <= 0:
                 raise TimeoutError('timed out')
-            super().settimeout(remaining_s)
+            socket.socket.settimeout(self, remaining_s)
         return super().recv_into(*arguments, **options)
 
 
@@ -43,7 +46,7 @@
 
     def _new_conn(self) -> socket.socket:
         connected = super()._new_conn()
-        return _DeadlineSocket(fileno=connected.detach())
+        return _DeadlineSocket(connected)
 
 
 class _DeadlinePool(urllib3.HTTPConnectionPool):
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -20,7 +20,7 @@
     'reason': '6 calls of the store failed',
 }
 REFUSED_AT_ONCE = {
-    'event': 761,
+    'event': 762,
     'code': 'overloaded',
     'cause': 'wait',
     'least_wait_ms': 9000,
