Use one arithmetic of resources, and remove what the change wrote again

Cause: the parts repeated each other: the maximum of resources stood in core/sizes.py and contracts/ceilings.py, the number of tasks that fit in preemption.py and ceiling_limits.py, the end of a job's value and a unit in two modules; callers looked each contract up by its customer; JobRates had a method that only a test called; a cancellation without a customer decoded the job for nothing; two names told nothing to a newcomer. Change: lower_of, higher_of and fitting_count stand in resources.py, the contracts are iterated, the constants stand once. Behaviour is unchanged; the two assertions on the removed method ask count instead, in the same place.

--- a/fuchsiarill/contracts/ceilings.py
+++ b/fuchsiarill/contracts/ceilings.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from fuchsiarill.contracts.contract import CustomerContract
-from fuchsiarill.resources import NO_RESOURCES, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources, higher_of, lower_of
 
 # Stands for no limit; more than any sum of resources.
 _UNLIMITED: Final = 1 << 60
@@ -49,18 +49,6 @@
     return Resources(*(part if top else _UNLIMITED for part, top in rows))
 
 
-def lower_of(one: Resources, other: Resources) -> Resources:
-    """Return the lower value of each component."""
-    rows = zip(one.as_tuple(), other.as_tuple(), strict=True)
-    return Resources(*(min(pair) for pair in rows))
-
-
-def higher_of(one: Resources, other: Resources) -> Resources:
-    """Return the higher value of each component."""
-    rows = zip(one.as_tuple(), other.as_tuple(), strict=True)
-    return Resources(*(max(pair) for pair in rows))
-
-
 def excess(amount: Resources, limit: Resources) -> Resources:
     """Return by how much each component is above a limit, 0 if it is not."""
     return higher_of(amount - limit, NO_RESOURCES)
--- a/fuchsiarill/contracts/contract.py
+++ b/fuchsiarill/contracts/contract.py
@@ -6,7 +6,7 @@
 
 import hashlib
 import hmac
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import NewType
 
@@ -70,10 +70,9 @@
         """Return a hash of the customers, which equal contracts share."""
         return hash(frozenset(self._by_customer))
 
-    @property
-    def customers(self) -> tuple[CustomerId, ...]:
-        """Return the customers that have a contract."""
-        return tuple(self._by_customer)
+    def __iter__(self) -> Iterator[CustomerContract]:
+        """Iterate over the contracts."""
+        return iter(self._by_customer.values())
 
     def find(self, customer: CustomerId) -> CustomerContract | None:
         """Return the contract of a customer, if there is one."""
@@ -90,7 +89,7 @@
             return None
         received = digest_key(key)
         holder: CustomerId | None = None
-        for contract in self._by_customer.values():
+        for contract in self:
             for digest in contract.key_digests:
                 if hmac.compare_digest(received, digest):
                     holder = contract.customer
--- a/fuchsiarill/contracts/rates.py
+++ b/fuchsiarill/contracts/rates.py
@@ -53,14 +53,6 @@
         bucket.tokens -= 1
         return True
 
-    def is_exhausted(
-        self, customer: CustomerId, weight: float, now_ms: int
-    ) -> bool:
-        """Return whether a job now would be beyond the customer's rate."""
-        if customer not in self._buckets:
-            return False
-        return self._refill(customer, weight, now_ms).tokens < 1
-
     def within_share(
         self, customer: CustomerId, weight: float, now_ms: int
     ) -> float:
--- a/fuchsiarill/core/learning.py
+++ b/fuchsiarill/core/learning.py
@@ -13,7 +13,6 @@
 from fuchsiarill.core.resource_accounting import resize_attempt
 from fuchsiarill.core.sizes import (
     SAMPLES_MIN_COUNT,
-    elementwise_max,
     estimate_of,
     has_enough_samples,
 )
@@ -25,7 +24,7 @@
     StopReason,
     Workload,
 )
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import Resources, higher_of
 from fuchsiarill.states import AttemptState
 from fuchsiarill.workers import CommandKind, TaskReport
 
@@ -64,7 +63,7 @@
         return
     attempt.usage_reports_count += 1
     if not usage.fits_in(attempt.peak):
-        attempt.peak = elementwise_max(attempt.peak, _estimated_amounts(usage))
+        attempt.peak = higher_of(attempt.peak, _estimated_amounts(usage))
     if not attempt.peak.fits_in(attempt.reserved):
         _grow_or_handle_overuse(state, attempt, now_ms)
         return
@@ -93,9 +92,7 @@
             )
     if report is not None and _has_usage(report.used):
         attempt.usage_reports_count += 1
-        attempt.peak = elementwise_max(
-            attempt.peak, _estimated_amounts(report.used)
-        )
+        attempt.peak = higher_of(attempt.peak, _estimated_amounts(report.used))
     if attempt.usage_reports_count:
         _add_peak(estimate, attempt.peak)
 
@@ -183,10 +180,8 @@
 def _grow_or_handle_overuse(
     state: CoreState, attempt: Attempt, now_ms: int
 ) -> None:
-    size_with_margin = elementwise_max(
-        attempt.reserved, _usage_with_margin(attempt)
-    )
-    minimum_size = elementwise_max(attempt.reserved, attempt.peak)
+    size_with_margin = higher_of(attempt.reserved, _usage_with_margin(attempt))
+    minimum_size = higher_of(attempt.reserved, attempt.peak)
     worker = state.workers.get(attempt.worker_id)
     for size in (size_with_margin, minimum_size):
         increase = size - attempt.reserved
--- a/fuchsiarill/core/reports.py
+++ b/fuchsiarill/core/reports.py
@@ -6,12 +6,12 @@
 from fuchsiarill.core.learning import record_usage
 from fuchsiarill.core.leases import renew_leases
 from fuchsiarill.core.resource_accounting import resize_attempt
-from fuchsiarill.core.sizes import elementwise_max
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.core.steps import step_attempt, step_worker
 from fuchsiarill.core.worker_actions import move_services
 from fuchsiarill.core.worker_view import WorkerView
 from fuchsiarill.job import Attempt
+from fuchsiarill.resources import higher_of
 from fuchsiarill.states import (
     AttemptEvent,
     AttemptState,
@@ -62,7 +62,7 @@
     """
     if attempt.usage_reports_count or task.reserved.fits_in(attempt.reserved):
         return
-    size = elementwise_max(task.reserved, attempt.reserved)
+    size = higher_of(task.reserved, attempt.reserved)
     resize_attempt(state, attempt, size, now_ms)
 
 
--- a/fuchsiarill/core/sizes.py
+++ b/fuchsiarill/core/sizes.py
@@ -6,7 +6,7 @@
 from fuchsiarill.core.estimate import Estimate
 from fuchsiarill.core.state import CoreState
 from fuchsiarill.job import JobSpec, Workload
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import Resources, higher_of
 
 # Declared sizes and run times are wrong by up to this factor. A class with too
 # few samples reserves for the worst case, so that no host is overcommitted
@@ -34,7 +34,7 @@
         # Few samples may raise the size but not lower it.
         learned_size = _with_declared_counts(spec, estimate.size)
         size = _size_from_declaration(state, spec)
-        return _cap_size(state, spec, elementwise_max(size, learned_size))
+        return _cap_size(state, spec, higher_of(size, learned_size))
     return _cap_size(state, spec, _with_declared_counts(spec, estimate.size))
 
 
@@ -83,16 +83,6 @@
     return len(estimate.peaks) >= SAMPLES_MIN_COUNT
 
 
-def elementwise_max(left: Resources, right: Resources) -> Resources:
-    """Return the maximum of each resource."""
-    return Resources(
-        max(left.processors_milli, right.processors_milli),
-        max(left.memory_mb, right.memory_mb),
-        max(left.accelerators_count, right.accelerators_count),
-        max(left.slots_count, right.slots_count),
-    )
-
-
 def total_copies_count(state: CoreState, size: Resources) -> int:
     """Return how many tasks of a size fit on all listed workers when empty."""
     return sum(
--- a/fuchsiarill/graphs/ceiling_limits.py
+++ b/fuchsiarill/graphs/ceiling_limits.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from fuchsiarill.contracts.ceilings import excess, higher_of, lower_of
+from fuchsiarill.contracts.ceilings import excess
 from fuchsiarill.graphs import start_windows
 from fuchsiarill.graphs.claim_planning import (
     CALL_INTERVAL_MS,
@@ -24,7 +24,13 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState
 from fuchsiarill.ids import CustomerId
-from fuchsiarill.resources import NO_RESOURCES, Resources
+from fuchsiarill.resources import (
+    NO_RESOURCES,
+    Resources,
+    fitting_count,
+    higher_of,
+    lower_of,
+)
 
 # A step that has waited for this long for its ceiling keeps room under it from
 # steps that are scheduled later. Otherwise small tasks would take each part of
@@ -71,19 +77,9 @@
     if customer is None or limit is None:
         return tasks_count
     free = limit - used_of(state, customer)
-    hold = unit_hold(spec)
-    if not hold.fits_in(free):
-        return 0
     if spec.is_gang:
-        return tasks_count
-    counts = [
-        available // amount
-        for amount, available in zip(
-            hold.as_tuple(), free.as_tuple(), strict=True
-        )
-        if amount
-    ]
-    return min([tasks_count, *counts])
+        return tasks_count if unit_hold(spec).fits_in(free) else 0
+    return fitting_count(unit_hold(spec), free, tasks_count)
 
 
 def may_start_soon(state: PoolState, entry: JobEntry, step: StepEntry) -> bool:
--- a/fuchsiarill/graphs/claim_ledger.py
+++ b/fuchsiarill/graphs/claim_ledger.py
@@ -10,11 +10,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fuchsiarill.contracts.ceilings import lower_of
 from fuchsiarill.graphs.claim_records import NO_CLAIMS, ClaimRecord
 from fuchsiarill.graphs.model import PoolId
 from fuchsiarill.ids import ABSENT, CustomerId, Revision
-from fuchsiarill.resources import NO_RESOURCES, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources, lower_of
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/graphs/claim_planning.py
+++ b/fuchsiarill/graphs/claim_planning.py
@@ -14,16 +14,14 @@
     PoolDemand,
     divide,
     excess,
-    higher_of,
     limited,
-    lower_of,
 )
 from fuchsiarill.graphs.claim_records import ClaimRecord, ClaimRow
 from fuchsiarill.graphs.effects import ListClaims, WriteClaims
 from fuchsiarill.graphs.model import GraphConfig
 from fuchsiarill.graphs.pool_ceilings import PoolCeilings
 from fuchsiarill.ids import CustomerId
-from fuchsiarill.resources import NO_RESOURCES, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources, higher_of, lower_of
 
 CALL_INTERVAL_MS: Final = 100
 # A claim without use is kept for this time if no other pool waits, so that the
--- a/fuchsiarill/graphs/config_rules.py
+++ b/fuchsiarill/graphs/config_rules.py
@@ -203,8 +203,4 @@
 
 
 def _contracts(config: GraphConfig) -> dict[str, CustomerContract]:
-    rows = (
-        config.contracts.find(customer)
-        for customer in config.contracts.customers
-    )
-    return {row.customer: row for row in rows if row is not None}
+    return {contract.customer: contract for contract in config.contracts}
--- a/fuchsiarill/graphs/intake.py
+++ b/fuchsiarill/graphs/intake.py
@@ -360,7 +360,7 @@
 
 
 def _is_of_other_customer(message: Cancel, content: bytes) -> bool:
-    graph = graph_records.decode_graph(message.pool, message.job, content)
-    if message.customer is None or graph.customer is None:
+    if message.customer is None:
         return False
-    return graph.customer != message.customer
+    graph = graph_records.decode_graph(message.pool, message.job, content)
+    return graph.customer not in {None, message.customer}
--- a/fuchsiarill/graphs/ordering.py
+++ b/fuchsiarill/graphs/ordering.py
@@ -13,7 +13,7 @@
 
 # A late job has reduced value up to this multiple of its objective, and none
 # after it.
-_VALUE_END_FACTOR: Final = 3
+VALUE_END_FACTOR: Final = 3
 # Work whose latest start is farther away gives way to late work that ends much
 # sooner: its room is free again long before that latest start.
 _FAR_MS: Final = 10_000
@@ -87,7 +87,7 @@
     """Tell whether a success of the job still has a value."""
     if step.spec.is_lasting:
         return True
-    return entry.age_ms(step, now_ms) <= _VALUE_END_FACTOR * entry.objective_ms
+    return entry.age_ms(step, now_ms) <= VALUE_END_FACTOR * entry.objective_ms
 
 
 def _gives_way(state: PoolState, entry: JobEntry) -> bool:
--- a/fuchsiarill/graphs/pool_ceilings.py
+++ b/fuchsiarill/graphs/pool_ceilings.py
@@ -5,14 +5,13 @@
 from fuchsiarill.contracts.ceilings import (
     excess,
     limited,
-    lower_of,
     without_limit,
 )
 from fuchsiarill.contracts.contract import CustomerContract
 from fuchsiarill.graphs.claim_ledger import ClaimLedger
 from fuchsiarill.graphs.model import GraphConfig, StepKey
 from fuchsiarill.ids import ABSENT, CustomerId, Revision
-from fuchsiarill.resources import NO_RESOURCES, Resources
+from fuchsiarill.resources import NO_RESOURCES, Resources, lower_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,10 +82,12 @@
         A customer without a contract keeps its ceiling for its remaining work.
         """
         earlier = self.configured
-        self.configured = frozenset(config.contracts.customers)
-        for customer in config.contracts.customers:
-            contract = config.contracts.find(customer)
-            if contract is not None and contract.has_ceiling:
+        self.configured = frozenset(
+            contract.customer for contract in config.contracts
+        )
+        for contract in config.contracts:
+            customer = contract.customer
+            if contract.has_ceiling:
                 if customer in earlier and self._adds_limit(contract):
                     self.introduced[customer] = None
                 self._set_ceiling(customer, contract.ceiling)
--- a/fuchsiarill/graphs/preemption.py
+++ b/fuchsiarill/graphs/preemption.py
@@ -24,7 +24,7 @@
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunEvent
 from fuchsiarill.graphs.worker_table import WorkerView
-from fuchsiarill.resources import Resources
+from fuchsiarill.resources import Resources, fitting_count
 
 # A step preempts when it has to start within this time to meet the objective:
 # a stop takes up to 400 ms, its report and the start the rest.
@@ -78,7 +78,7 @@
     if not _may_preempt(request):
         return bool(step.expected_room)
     step.next_preemption_ms = request.now_ms + _RETRY_MS
-    if _is_known_in_vain(state, request):
+    if _lacked_room_lately(state, request):
         return bool(step.expected_room)
     for _ in range(_CHOICES_COUNT):
         tasks_count = ceiling_limits.tasks_with_room(state, request.entry, step)
@@ -86,13 +86,13 @@
         if missing_count <= 0:
             break
         if not _make_room(state, request, candidates, missing_count):
-            _note_in_vain(state, request)
+            _note_lack_of_room(state, request)
             break
     return bool(step.expected_room)
 
 
-def _is_known_in_vain(state: PoolState, request: PlacementRequest) -> bool:
-    """Tell whether a step of the same size has just found no runs to stop.
+def _lacked_room_lately(state: PoolState, request: PlacementRequest) -> bool:
+    """Tell whether a step of the same size found no runs to stop just before.
 
     Under overload hundreds of steps of few sizes would look at all runs.
     """
@@ -100,7 +100,7 @@
     return request.now_ms < state.order.no_room_until_ms.get(key, 0)
 
 
-def _note_in_vain(state: PoolState, request: PlacementRequest) -> None:
+def _note_lack_of_room(state: PoolState, request: PlacementRequest) -> None:
     """Note that no room can be made for a step that may use any worker."""
     spec = request.step.spec
     policy = request.entry.policy
@@ -212,14 +212,14 @@
         return None
     charge = request.step.spec.charge
     free = _soon_free(state, request, view)
-    tasks_count = _fitting_count(charge, free, count_max)
+    tasks_count = fitting_count(charge, free, count_max)
     if tasks_count:
         return _Preemption(view, (), 0, tasks_count)
     victims = stop_costs.find_victims(state, request, view)
     options: list[_Preemption] = []
     for position, victim in enumerate(victims, 1):
         free += victim[1].charge
-        tasks_count = _fitting_count(charge, free, count_max)
+        tasks_count = fitting_count(charge, free, count_max)
         if not tasks_count:
             continue
         surplus = free - charge.times(tasks_count)
@@ -259,20 +259,6 @@
     return free + stop_costs.soon_freed(state, request, view)
 
 
-def _fitting_count(charge: Resources, free: Resources, count_max: int) -> int:
-    """Return how many tasks fit, at most `count_max`."""
-    counts = [
-        available // amount
-        for amount, available in zip(
-            charge.as_tuple(), free.as_tuple(), strict=True
-        )
-        if amount
-    ]
-    if not charge.fits_in(free):
-        return 0
-    return min([count_max, *counts])
-
-
 def _without_surplus(
     view: WorkerView,
     victims: list[tuple[float, Run]],
--- a/fuchsiarill/graphs/stop_costs.py
+++ b/fuchsiarill/graphs/stop_costs.py
@@ -88,11 +88,8 @@
     if run.awaited_until_ms is not None and now_ms > run.awaited_until_ms:
         return False
     remaining_ms = _latest_end_ms(run) - now_ms
-    return (
-        STOP_AND_RESTART_MS - AWAITED_MAX_MS
-        <= remaining_ms
-        <= (STOP_AND_RESTART_MS)
-    )
+    earliest_ms = STOP_AND_RESTART_MS - AWAITED_MAX_MS
+    return earliest_ms <= remaining_ms <= STOP_AND_RESTART_MS
 
 
 def await_ends(view: WorkerView, now_ms: int) -> None:
--- a/fuchsiarill/load/admission.py
+++ b/fuchsiarill/load/admission.py
@@ -14,12 +14,10 @@
 from fuchsiarill import codes
 from fuchsiarill.clock import MS_PER_SECOND
 from fuchsiarill.graphs.model import JobGraph
-from fuchsiarill.load.measuring import VALUE_END_FACTOR
-from fuchsiarill.load.pool_load import PoolLoad, RunTimeCurve
+from fuchsiarill.graphs.ordering import VALUE_END_FACTOR
+from fuchsiarill.load.pool_load import PERMILLE, PoolLoad, RunTimeCurve
 from fuchsiarill.owner.hash_fraction import hash_fraction
 
-_PERMILLE: Final = 1000
-
 
 class RefusalCause(Enum):
     """Why a submission is refused before anything is written."""
@@ -102,7 +100,7 @@
     if graph.customer is None or graph.customer not in load.beyond:
         return False
     within_permille = load.beyond[graph.customer]
-    return hash_fraction(graph.job) * _PERMILLE >= within_permille
+    return hash_fraction(graph.job) * PERMILLE >= within_permille
 
 
 def work_ms(load: PoolLoad, graph: JobGraph) -> float:
--- a/fuchsiarill/load/measuring.py
+++ b/fuchsiarill/load/measuring.py
@@ -17,7 +17,7 @@
     StepKey,
     WorkerListing,
 )
-from fuchsiarill.graphs.ordering import rank_ms
+from fuchsiarill.graphs.ordering import VALUE_END_FACTOR, rank_ms
 from fuchsiarill.graphs.progress import JobProgress
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityState
@@ -35,9 +35,6 @@
 from fuchsiarill.load.waits import HeldCapacity, earliest_start_ms
 from fuchsiarill.resources import NO_RESOURCES
 
-# A late job has reduced value up to this multiple of its objective.
-VALUE_END_FACTOR: Final = 3
-_PERMILLE: Final = 1000
 _UNKNOWN_RUN_TIMES: Final = pool_load.RunTimeCurve()
 # The path of a new job is interpolated and comes from later samples than those
 # of waiting jobs. In a queue of equal jobs it was 2 ms below theirs of 2010 ms,
@@ -136,13 +133,12 @@
     if state.config is None:
         return {}
     shares: dict[CustomerId, int] = {}
-    for customer in state.config.contracts.customers:
-        contract = state.config.contracts.find(customer)
-        if contract is None:
-            continue
-        share = state.job_rates.within_share(customer, contract.weight, now_ms)
+    for contract in state.config.contracts:
+        share = state.job_rates.within_share(
+            contract.customer, contract.weight, now_ms
+        )
         if share < 1:
-            shares[customer] = int(share * _PERMILLE)
+            shares[contract.customer] = int(share * pool_load.PERMILLE)
     return shares
 
 
--- a/fuchsiarill/load/pool_load.py
+++ b/fuchsiarill/load/pool_load.py
@@ -23,6 +23,8 @@
 # Two estimates at which the owner tells the run time that it expects.
 SHORT_ESTIMATE_MS: Final = 100
 LONG_ESTIMATE_MS: Final = 100_000
+# Unit of the shares of jobs within the rate of their customer.
+PERMILLE: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiarill/resources.py
+++ b/fuchsiarill/resources.py
@@ -77,3 +77,37 @@
 
 
 NO_RESOURCES: Final = Resources()
+
+
+def lower_of(one: Resources, other: Resources) -> Resources:
+    """Return the lower value of each component."""
+    return Resources(
+        min(one.processors_milli, other.processors_milli),
+        min(one.memory_mb, other.memory_mb),
+        min(one.accelerators_count, other.accelerators_count),
+        min(one.slots_count, other.slots_count),
+    )
+
+
+def higher_of(one: Resources, other: Resources) -> Resources:
+    """Return the higher value of each component."""
+    return Resources(
+        max(one.processors_milli, other.processors_milli),
+        max(one.memory_mb, other.memory_mb),
+        max(one.accelerators_count, other.accelerators_count),
+        max(one.slots_count, other.slots_count),
+    )
+
+
+def fitting_count(size: Resources, free: Resources, count_max: int) -> int:
+    """Return how many times `size` fits into `free`, at most `count_max`."""
+    if not size.fits_in(free):
+        return 0
+    counts = [
+        available // amount
+        for amount, available in zip(
+            size.as_tuple(), free.as_tuple(), strict=True
+        )
+        if amount
+    ]
+    return min([count_max, *counts])
--- a/tests/test_job_rates.py
+++ b/tests/test_job_rates.py
@@ -33,7 +33,7 @@
     rates = JobRates()
     burst = sum(rates.count(MASON, 2, 0) for _ in range(20))
     assert burst == 6
-    assert rates.is_exhausted(MASON, 2, 0)
+    assert not rates.count(MASON, 2, 0)
     assert not rates.count(MASON, 2, -5000)
     assert rates.count(MASON, 2, 500)
     assert sum(rates.count(MASON, 2, 3_600_000) for _ in range(20)) == 6
@@ -45,7 +45,7 @@
     assert rates.count(MASON, 0.1, 0)
     assert not rates.count(MASON, 0.1, 1)
     assert rates.count(TILER, 0.1, 1)
-    assert not rates.is_exhausted(CustomerId('new'), 1, 0)
+    assert rates.count(CustomerId('new'), 1, 0)
 
 
 def test_share_within_the_rate_at_four_times_the_rate() -> None:
