--- a/review/cell_2/launcher.py
+++ b/review/cell_2/launcher.py
@@ -111,6 +111,12 @@
         path.write_text(yaml.safe_dump(self._settings(name)))
         self._launch(name, list(_DAEMON), settings=str(path))
 
+    def kill(self, name: str) -> None:
+        """Send SIGKILL to a daemon and wait for its end."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
     def terminate(self, name: str) -> None:
         """Send SIGTERM to a daemon; `restart_ended` starts it again."""
         self.processes[name].terminate()
