--- a/review/cell_2/platform.py
+++ b/review/cell_2/platform.py
@@ -9,6 +9,8 @@
 import contextlib
 import signal
 import time
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
@@ -26,12 +28,48 @@
 from fuchsiarill.resources import Resources
 from standins.agent_incarnation import AgentModel
 from standins.agent_model import Fleet
+from standins.delayed_calls import DelayedCalls
 from standins.emulator.cell import EmulatedCell
+from standins.emulator.controls import CONTROLS
 from standins.emulator.http_endpoint import LOOPBACK, HttpEndpoint
 
 _MS: Final = 1000
 
 
+class LateStarts(DelayedCalls):
+    """Leaves a start order without an answer and executes it late."""
+
+    def __init__(self, note: Callable[[str], None]) -> None:
+        """Write what is late to the record."""
+        super().__init__()
+        self._note = note
+        # How late the next start order is executed; 0: at once.
+        self.next_late_ms = 0
+        self._armed_name = ''
+
+    def arm(self, name: str) -> None:
+        """Make the call that is made next late, before any other is made."""
+        self._armed_name = name
+
+    def delay(self, address: str, execute: Callable[[], None]) -> bool:
+        """Execute the armed call later; returns whether this is the one."""
+        name = self._armed_name
+        self._armed_name = ''
+        if not name:
+            return False
+        self._note(f'{name}: arrives and gets no answer')
+        late_ms = self.next_late_ms
+        self.next_late_ms = 0
+        self._spawn(self._execute_later(execute, late_ms))
+        self._spawn(
+            self._execute_later(
+                partial(self._note, f'{name}: executed, {late_ms} ms late'),
+                late_ms,
+            )
+        )
+        return True
+
+
 class RecordedFleet(Fleet):
     """Workers that write their starts, ends and crashes to the record."""
 
@@ -41,6 +79,8 @@
         self._record = record
         self._gang_step = gang_step
         self._noted: set[tuple[int, int]] = set()
+        self.late_calls = LateStarts(self.note)
+        self.delayed_calls = self.late_calls
 
     def note(self, text: str) -> None:
         """Append a line with the time of day."""
@@ -71,11 +111,13 @@
         self, agent: AgentAddress, order: StartOrder, timeout_ms: int
     ) -> Result[int, AgentFailure]:
         """Start a run and note it."""
+        run = f'{task_name(order.task)} attempt {order.attempt}'
+        if self.late_calls.next_late_ms:
+            self.late_calls.arm(f'start of {run} at {agent.worker}')
         answered = await super().start(agent, order, timeout_ms)
         outcome = 'started' if isinstance(answered, Success) else 'not started'
         if not isinstance(answered, Success):
             outcome = f'{outcome}: {answered.failure().name}'
-        run = f'{task_name(order.task)} attempt {order.attempt}'
         self.note(f'start of {run} at {agent.worker}: {outcome}')
         return answered
 
@@ -98,6 +140,13 @@
             self.note(f'end of {run} at {worker}: {end.kind.name}')
 
 
+@CONTROLS.register('late_start')
+def _delay_next_start(cell: EmulatedCell, setting: int) -> None:
+    """Execute the next start order so many ms late, without an answer."""
+    if isinstance(cell.fleet, RecordedFleet):
+        cell.fleet.late_calls.next_late_ms = setting
+
+
 def main() -> None:
     """Serve until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(prog='review.cell_2.platform')
