--- a/review/cell_2/launcher.py
+++ b/review/cell_2/launcher.py
@@ -44,6 +44,18 @@
     """The case could not be played."""
 
 
+def run_case(play: Callable[[], int]) -> int:
+    """Return the exit status of a case, which is 2 if it could not be played.
+
+    Python would end with 1 after an error, which stands for a broken rule.
+    """
+    try:
+        return play()
+    except Exception as problem:
+        sys.stderr.write(f'{type(problem).__name__}: {problem}\n')
+        return 2
+
+
 class Cell:
     """Processes of one case; leaving the context ends them all."""
 
