--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 
 _PATH: Final = '/quotes/5c0e7a21d94b36f8'
 _TASK: Final = '5c0e7a21d94b36f8.0.0.'
-_WORKERS_COUNT: Final = 7
+_WORKERS_COUNT: Final = 8
 _DAEMONS_COUNT: Final = 3
 _JOB: Final = {
     'spec': '{"duration_ms":9000}',
