Log each crash that counts against a task

Event 723 names the worker and 726 the job that is given up. Nothing tells which crashes were counted for that job, under which task, how long the run had run and whether it was on trial.

Event 720 has these inputs, one line for each task and crash. On a gang of eight in paused time, whose workers crash in turn 2 s after each start, it shows tasks 0.0.0, 0.0.3, 0.0.5 and 0.0.1 counted as 1 to 4, the last one as the only suspect in a trial, and then event 726.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -126,6 +126,14 @@
     'for {duration_ms} ms',
     'Check the host.',
 )
+CRASH_COUNTED: Final = LogEvent(
+    720,
+    Level.WARNING,
+    'the crash of worker {worker} counts against task {task} of job {job}, '
+    'attempt {attempt}: at most {ran_ms} ms after its start; on trial: '
+    '{is_on_trial}, suspect: {is_suspect}; crashes counted: {crashes}',
+    'See "Shown as failed" in OPERATIONS.md if this recurs.',
+)
 WORKER_CRASHED: Final = LogEvent(
     723,
     Level.WARNING,
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -124,7 +124,9 @@
     by_certainty = sorted(loss.runs, key=attrgetter('is_confirmed'))
     units = {run.unit_id: run for run in by_certainty}
     given_up = [
-        run for run in units.values() if _count_crash(state, run, suspects)
+        run
+        for run in units.values()
+        if _count_crash(state, loss, run, suspects)
     ]
     for run in given_up:
         _give_up(state, loss, run, now_ms)
@@ -172,7 +174,7 @@
 
 
 def _count_crash(
-    state: PoolState, run: LostRun, suspects: set[_UnitId]
+    state: PoolState, loss: WorkerLoss, run: LostRun, suspects: set[_UnitId]
 ) -> bool:
     """Count a crash for a unit; returns whether the unit is to be given up."""
     entry_and_unit = _find_unit(state, run)
@@ -188,6 +190,7 @@
         return False
     state.mark_dirty(entry.job)
     count = entry.progress.crashes_count(unit.key)
+    _log_crash(loss, run, is_suspect, count)
     if _must_give_up(run, count, suspects == {run.unit_id}):
         return True
     if is_suspect or count >= crash_trials.WHOLE_RUN_CRASHES_COUNT:
@@ -213,6 +216,22 @@
     return count >= _SOLE_SUSPECT_CRASHES_MAX_COUNT
 
 
+def _log_crash(
+    loss: WorkerLoss, run: LostRun, is_suspect: bool, count: int
+) -> None:
+    events.emit(
+        graph_events.CRASH_COUNTED,
+        job=run.task.job,
+        task=run.task.label,
+        attempt=run.attempt,
+        worker=loss.worker,
+        ran_ms=max(loss.silent_ms - run.start_ordered_ms, 0),
+        is_on_trial=run.is_on_trial,
+        is_suspect=is_suspect,
+        crashes=count,
+    )
+
+
 def _find_unit(state: PoolState, run: LostRun) -> tuple[JobEntry, Unit] | None:
     """Return the unit of a lost run, or `None` if it has been settled."""
     job_and_step = state.find_step(run.task)
