Count crashes for each member of a gang

Cause: crashes were counted for the unit, and a gang is one unit. After the third, all members were on trial for their whole run, and the next crash found the gang as the only suspect of its trial.

Change: the progress of a job records the attempt and the position of each run whose worker crashed. Counts, suspicion, unconfirmed losses, trials and verdicts are those of a task. Only suspects are on trial; they get the quiet workers and the fewest neighbours, and the other members need no quiet worker. A deadly member still collects each of its crashes, so it is given up at the same start as before.

Records: the attempts of a unit are written as before, the runs in a field of their own. In a rolling restart a process of the former version reads the attempts, counts for the whole gang as it always did, and drops the runs when it saves. The new version then knows the attempts but no member: they count for each, and a member is given up only after two crashes of its own. A deadly member is so started at most twice after three crashes recorded by the former version.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -142,14 +142,14 @@
     'power loss of the rack: {is_power_loss}',
     'See "Shown as failed" in OPERATIONS.md if this recurs.',
 )
-UNIT_SUSPECTED: Final = LogEvent(
+TASK_SUSPECTED: Final = LogEvent(
     724,
     Level.WARNING,
     'task {task} of job {job} is a suspect: workers have crashed in {crashes} '
     'of its attempts',
     'None; its next run is on trial.',
 )
-UNIT_CLEARED: Final = LogEvent(
+TASK_CLEARED: Final = LogEvent(
     725,
     Level.INFO,
     'task {task} of job {job} has passed its trial and is no suspect',
@@ -159,7 +159,8 @@
     726,
     Level.ERROR,
     'task {task} of job {job} is given up, and the job fails: workers have '
-    'crashed in {crashes} of its attempts, last {worker} in attempt {attempt}',
+    'crashed in {crashes} of its attempts, last {worker} in attempt {attempt}; '
+    'evidence: {verdict}',
     'Tell the owner of the job that its task crashes workers.',
 )
 TASKS_BLAMED: Final = LogEvent(
--- a/fuchsiarill/graphs/crash_trials.py
+++ b/fuchsiarill/graphs/crash_trials.py
@@ -1,20 +1,23 @@
-"""Trials of suspects: units under which a worker has crashed.
+"""Trials of suspects: tasks under which a worker has crashed.
 
 A run of a suspect is on trial: its worker gets no new run until the trial has
 passed or the run has ended. If the worker crashes in the trial, the suspect is
-the only run that can be the cause.
+the only run that can be the cause. The other members of a gang are on trial
+only if they are suspects themselves.
 """
 
+from collections import Counter
+from collections.abc import Iterator
 from typing import Final
 
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.effects import RequestReport
 from fuchsiarill.graphs.job_entries import JobEntry, StepEntry, Unit
+from fuchsiarill.graphs.model import TaskKey
 from fuchsiarill.graphs.runs import INITIALIZED_PERCENT, Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import RunState
 from fuchsiarill.graphs.worker_table import WorkerView
-from fuchsiarill.ids import JobId
 
 # Tasks that crash their workers do so 10 to 50 ms after the start; the rest
 # covers the delays of the start order and of the report. A longer trial makes
@@ -46,7 +49,7 @@
 
 
 def has_waited_for_quiet(unit: Unit, now_ms: int) -> bool:
-    """Tell whether a suspect may start beside runs that have just started.
+    """Tell whether suspects may start beside runs that have just started.
 
     The wait begins with the first call and ends with the start of the unit.
     """
@@ -56,7 +59,7 @@
 
 
 def must_wait(unit: Unit, now_ms: int) -> bool:
-    """Tell whether a unit is a suspect that may not start beside such runs."""
+    """Tell whether a unit has suspects that may not start beside such runs."""
     return unit.is_suspect and not has_waited_for_quiet(unit, now_ms)
 
 
@@ -66,39 +69,73 @@
     return since_ms is not None and now_ms - since_ms < _QUIET_WAIT_MS
 
 
-def suspect_unit(state: PoolState, entry: JobEntry, unit: Unit) -> None:
-    """Make a unit a suspect and put its present runs on trial."""
-    if not unit.is_suspect:
-        unit.is_suspect = True
+def assign_workers(
+    unit: Unit, tasks: list[TaskKey], workers: list[WorkerView], now_ms: int
+) -> Iterator[tuple[TaskKey, WorkerView]]:
+    """Pair the tasks of a unit with the workers chosen for it.
+
+    Suspects get workers where nothing has just started, with the fewest other
+    runs, so that a crash hits few and has few possible causes.
+    """
+    if not unit.suspects:
+        return zip(tasks, workers, strict=True)
+    members = Counter(view.worker for view in workers)
+    return zip(
+        sorted(tasks, key=lambda task: task not in unit.suspects),
+        sorted(
+            workers,
+            key=lambda view: (
+                not is_quiet(view, now_ms),
+                members[view.worker] + len(view.runs),
+            ),
+        ),
+        strict=True,
+    )
+
+
+def suspect_task(
+    state: PoolState, entry: JobEntry, unit: Unit, task: TaskKey
+) -> None:
+    """Make a task a suspect and put its present runs on trial."""
+    if task not in unit.suspects:
+        unit.suspects.add(task)
         events.emit(
-            graph_events.UNIT_SUSPECTED,
+            graph_events.TASK_SUSPECTED,
             job=entry.job,
-            task=unit.key.label,
-            crashes=entry.progress.crashes_count(unit.key),
+            task=task.label,
+            crashes=entry.progress.crashes_under(unit.key, task.position),
         )
-    for run in unit.runs.values():
+    for run in _runs_of(unit, task):
         view = state.workers.find(run.worker)
         if view is not None and run.state in _STARTED_STATES:
             view.begin_trial(run)
 
 
-def clear_unit(job: JobId, unit: Unit) -> None:
-    """End the suspicion of a unit; one that is no suspect is ignored."""
-    if not unit.is_suspect:
+def clear_task(unit: Unit, task: TaskKey) -> None:
+    """End the suspicion of a task; one that is no suspect is ignored."""
+    if task not in unit.suspects:
         return
-    unit.is_suspect = False
-    unit.unconfirmed_losses.clear()
-    events.emit(graph_events.UNIT_CLEARED, job=job, task=unit.key.label)
+    unit.suspects.remove(task)
+    unit.unconfirmed_losses = {
+        lost for lost in unit.unconfirmed_losses if lost[0] != task
+    }
+    events.emit(graph_events.TASK_CLEARED, job=task.job, task=task.label)
 
 
-def end_trials(state: PoolState, entry: JobEntry, unit: Unit) -> None:
-    """End the trials of a unit that has caused no crash."""
-    for run in unit.runs.values():
+def clear_unit(unit: Unit) -> None:
+    """End the suspicion of all tasks of a unit."""
+    for task in sorted(unit.suspects):
+        clear_task(unit, task)
+
+
+def end_trials(state: PoolState, unit: Unit, task: TaskKey) -> None:
+    """End the trials of a task that has caused no crash."""
+    for run in _runs_of(unit, task):
         view = state.workers.find(run.worker)
         if view is not None and run.is_on_trial:
             view.end_trial(run)
             state.room_changes.add(run.worker)
-    clear_unit(entry.job, unit)
+    clear_task(unit, task)
 
 
 def review_listed_run(
@@ -109,25 +146,28 @@
 ) -> None:
     """End the trial of a run that a report lists, if it has passed.
 
-    The unit is cleared once all its runs have passed.
+    The task is cleared once all its runs have passed.
     """
     entry, step = job_and_step
+    progress = entry.progress
     unit = step.active.get(run.unit_key)
-    crashes_count = entry.progress.crashes_count(run.unit_key)
-    if unit is None or not (crashes_count or unit.is_suspect):
+    if unit is None:
+        return
+    if unit.key not in progress.crashed_attempts and not unit.suspects:
         return
-    if run.attempt in entry.progress.crashed_attempts.get(unit.key, ()):
+    if run.attempt in progress.crashed_attempts.get(unit.key, ()):
         # Another member of the gang was lost in a crash.
         return
+    position = run.task.position
     if step.spec.is_lasting and _is_proved_sound(run):
-        entry.progress.crashed_attempts.pop(run.unit_key, None)
+        progress.clear_crashes(unit.key, position)
         state.mark_dirty(entry.job)
-        crashes_count = 0
+    crashes_count = progress.crashes_under(unit.key, position)
     if is_young(run) or crashes_count >= WHOLE_RUN_CRASHES_COUNT:
         return
     view.end_trial(run)
-    if not any(is_young(other) for other in unit.runs.values()):
-        clear_unit(entry.job, unit)
+    if not any(is_young(other) for other in _runs_of(unit, run.task)):
+        clear_task(unit, run.task)
 
 
 def request_trial_reports(state: PoolState, now_ms: int) -> None:
@@ -145,6 +185,10 @@
                 state.effects.append(RequestReport(view.worker))
 
 
+def _runs_of(unit: Unit, task: TaskKey) -> list[Run]:
+    return [run for run in unit.runs.values() if run.task == task]
+
+
 def _is_proved_sound(run: Run) -> bool:
     return (
         run.progress_percent == INITIALIZED_PERCENT
--- a/fuchsiarill/graphs/decision_round.py
+++ b/fuchsiarill/graphs/decision_round.py
@@ -257,7 +257,9 @@
     step.activate(unit)
     kind = kind_of(entry.graph.queue, entry.graph.customer, step.spec)
     state.order.served_ms[kind] = request.now_ms
-    for task, view in zip(step.tasks_of(unit.key), workers, strict=True):
+    for task, view in crash_trials.assign_workers(
+        unit, step.tasks_of(unit.key), workers, request.now_ms
+    ):
         run = Run(
             task,
             unit.last_attempt,
@@ -272,7 +274,7 @@
             ),
             progress_changed_ms=request.now_ms,
             is_partial=bool(unit.checkpoint),
-            is_on_trial=unit.is_suspect,
+            is_on_trial=task in unit.suspects,
         )
         unit.runs[run.key] = run
         step.runs_per_worker[view.worker] += 1
--- a/fuchsiarill/graphs/job_entries.py
+++ b/fuchsiarill/graphs/job_entries.py
@@ -71,16 +71,21 @@
     # Early ends in a row of a lasting task, and when its next start is due.
     early_ends_count: int = 0
     start_after_ms: int = 0
-    # A worker has crashed under the unit, which may be the cause. Its next run
-    # is on trial.
-    is_suspect: bool = False
-    # Attempts that were lost with a worker which may not have started them,
-    # since the unit became a suspect.
-    unconfirmed_losses: set[int] = field(default_factory=set)
+    # Tasks of the unit under which a worker has crashed and which may be the
+    # cause. The next run of each is on trial.
+    suspects: set[TaskKey] = field(default_factory=set)
+    # Runs that were lost with a worker which may not have started them, since
+    # their task became a suspect.
+    unconfirmed_losses: set[tuple[TaskKey, int]] = field(default_factory=set)
     # Since when a suspect has found room only beside runs that have just
     # started; `None` otherwise.
     trial_wait_since_ms: int | None = None
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether a task of the unit is a suspect."""
+        return bool(self.suspects)
+
 
 @dataclass(slots=True)
 class PlacementWait:
@@ -154,7 +159,7 @@
         return unit_keys(self.key, self.spec)
 
     def tasks_of(self, unit: UnitKey) -> list[TaskKey]:
-        """Return the tasks that start together as `unit`."""
+        """Return the tasks that start together as the unit with this key."""
         if not self.spec.is_gang:
             return [TaskKey(*self.key, unit.position)]
         return [
@@ -311,7 +316,7 @@
         step.active.pop(unit.key, None)
         step.waiting.pop(unit.key, None)
         self.progress.succeeded.add(unit.key)
-        self.progress.crashed_attempts.pop(unit.key, None)
+        self.progress.forget_crashes(unit.key)
         if step.waiting or step.active:
             return
         occurrence = step.key.occurrence
@@ -359,7 +364,7 @@
         for unit_key in step.unit_keys:
             if unit_key in self.progress.succeeded:
                 continue
-            step.waiting[unit_key] = self._create_unit(unit_key)
+            step.waiting[unit_key] = self._create_unit(step, unit_key)
         if not step.waiting:
             return None
         self.steps[occurrence, position] = step
@@ -384,7 +389,7 @@
             for unit in unit_keys(key, self.graph.steps[position])
         )
 
-    def _create_unit(self, key: UnitKey) -> Unit:
+    def _create_unit(self, step: StepEntry, key: UnitKey) -> Unit:
         failed_attempts = self.progress.failed_attempts.get(key, set())
         crashed_attempts = self.progress.crashed_attempts.get(key, set())
         attempts = failed_attempts | crashed_attempts
@@ -392,7 +397,11 @@
             key,
             last_attempt=max(self.attempt_floor, *attempts, 0),
             checkpoint=self.progress.checkpoints.get(key, NO_CHECKPOINT),
-            is_suspect=bool(crashed_attempts),
+            suspects={
+                task
+                for task in step.tasks_of(key)
+                if self.progress.crashes_under(key, task.position)
+            },
         )
 
 
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -25,6 +25,14 @@
         return f'{self.occurrence}.{self.step}.{self.position}'
 
 
+class CrashedRun(NamedTuple):
+    """A run whose worker crashed."""
+
+    attempt: int
+    # Of the task in its step; the members of a gang have different ones.
+    position: int
+
+
 @dataclass(slots=True)
 class JobProgress:
     """Durable progress of a job; the defaults are those of a new job."""
@@ -41,6 +49,9 @@
     has_started: bool = False
     # Numbers of the attempts during which a worker of the unit has crashed.
     crashed_attempts: dict[UnitKey, set[int]] = field(default_factory=dict)
+    # The runs whose workers crashed in these attempts. An attempt without one
+    # was recorded by a version that did not record them.
+    crashed_runs: dict[UnitKey, set[CrashedRun]] = field(default_factory=dict)
     # Workers that may still execute a start order of the unit without an
     # answer; see `start_windows`.
     unanswered_starts: dict[UnitKey, set[WorkerId]] = field(
@@ -51,23 +62,60 @@
         """Return the number of attempts during which a worker crashed."""
         return len(self.crashed_attempts.get(unit, ()))
 
-    def add_crash(self, unit: UnitKey, attempt: int) -> bool:
-        """Count a crash during an attempt; returns whether it is the first.
+    def known_crashes_under(self, unit: UnitKey, position: int) -> int:
+        """Return in how many attempts the worker of a task has crashed."""
+        return sum(
+            run.position == position for run in self.crashed_runs.get(unit, ())
+        )
+
+    def crashes_under(self, unit: UnitKey, position: int) -> int:
+        """Return in how many attempts the worker of a task may have crashed.
 
-        An attempt counts once, so a gang that loses several workers does too.
+        A crash without a recorded run may have hit any member of a gang.
         """
-        attempts = self.crashed_attempts.setdefault(unit, set())
-        if attempt in attempts:
+        attributed_count = self.known_crashes_under(unit, position)
+        return attributed_count + len(self.unattributed_crashes(unit))
+
+    def unattributed_crashes(self, unit: UnitKey) -> set[int]:
+        """Return the attempts with a crash of which no run is recorded."""
+        attempts = {run.attempt for run in self.crashed_runs.get(unit, ())}
+        return self.crashed_attempts.get(unit, set()) - attempts
+
+    def add_crash(self, unit: UnitKey, crashed: CrashedRun) -> bool:
+        """Count a crash for one task of a unit; returns whether it is new."""
+        runs = self.crashed_runs.setdefault(unit, set())
+        if crashed in runs:
             return False
-        attempts.add(attempt)
+        runs.add(crashed)
+        self.crashed_attempts.setdefault(unit, set()).add(crashed.attempt)
         return True
 
-    def remove_crash(self, unit: UnitKey, attempt: int) -> bool:
+    def remove_crash(self, unit: UnitKey, crashed: CrashedRun) -> bool:
         """Take back a crash; returns whether it was counted."""
-        attempts = self.crashed_attempts.get(unit, set())
-        if attempt not in attempts:
+        runs = self.crashed_runs.get(unit, set())
+        if crashed not in runs:
             return False
-        attempts.remove(attempt)
-        if not attempts:
-            self.crashed_attempts.pop(unit)
+        runs.remove(crashed)
+        if all(run.attempt != crashed.attempt for run in runs):
+            self.crashed_attempts[unit].discard(crashed.attempt)
+        self._drop_empty(unit)
         return True
+
+    def clear_crashes(self, unit: UnitKey, position: int) -> None:
+        """Take back the crashes of a task, and those without a recorded run."""
+        unattributed = self.unattributed_crashes(unit)
+        self.crashed_attempts.get(unit, set()).difference_update(unattributed)
+        for crashed in list(self.crashed_runs.get(unit, ())):
+            if crashed.position == position:
+                self.remove_crash(unit, crashed)
+        self._drop_empty(unit)
+
+    def forget_crashes(self, unit: UnitKey) -> None:
+        """Forget all crashes of a unit, which has succeeded."""
+        self.crashed_attempts.pop(unit, None)
+        self.crashed_runs.pop(unit, None)
+
+    def _drop_empty(self, unit: UnitKey) -> None:
+        for by_unit in (self.crashed_attempts, self.crashed_runs):
+            if not by_unit.get(unit):
+                by_unit.pop(unit, None)
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -6,7 +6,7 @@
 
 from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS
 from fuchsiarill.graphs.model import BornMs, Checkpoint, QueueId
-from fuchsiarill.graphs.progress import JobProgress, UnitKey
+from fuchsiarill.graphs.progress import CrashedRun, JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import ProcessId, WorkerId
 
@@ -141,6 +141,14 @@
         ]
     if progress.crashed_attempts:
         document['crashed'] = _encode_attempts(progress.crashed_attempts)
+    if progress.crashed_runs:
+        # A version that does not know these rows drops them when it saves the
+        # progress. The attempts above are complete without them.
+        document['crashed_runs'] = [
+            [*unit, *run]
+            for unit, runs in progress.crashed_runs.items()
+            for run in sorted(runs)
+        ]
     return encode_json(document)
 
 
@@ -157,6 +165,7 @@
         },
         document['started'],
         _decode_attempts(document.get('crashed', [])),
+        _decode_crashed_runs(document.get('crashed_runs', [])),
         {
             UnitKey(*row[:3]): {WorkerId(worker) for worker in row[3]}
             for row in document.get('unanswered', [])
@@ -172,6 +181,14 @@
     return {UnitKey(*row[:3]): set(row[3]) for row in rows}
 
 
+def _decode_crashed_runs(rows: list[Any]) -> dict[UnitKey, set[CrashedRun]]:
+    runs_of: dict[UnitKey, set[CrashedRun]] = {}
+    for *unit, attempt, position in rows:
+        runs = runs_of.setdefault(UnitKey(*unit), set())
+        runs.add(CrashedRun(attempt, position))
+    return runs_of
+
+
 def encode_json(document: object) -> bytes:
     """Return the compact JSON form of a document."""
     return json.dumps(document, separators=(',', ':')).encode()
--- a/fuchsiarill/graphs/reports.py
+++ b/fuchsiarill/graphs/reports.py
@@ -293,7 +293,7 @@
         apply_run_event(state, run, RunEvent.STOP_ASKED, now_ms)
         return run
     step, unit = step_and_unit
-    if unit.is_suspect:
+    if run.task in unit.suspects:
         view.begin_trial(run)
     unit.runs[run.key] = run
     unit.last_attempt = max(unit.last_attempt, run.attempt)
--- a/fuchsiarill/graphs/run_ends.py
+++ b/fuchsiarill/graphs/run_ends.py
@@ -96,7 +96,7 @@
     if step.spec.is_lasting:
         _delay_restart(context)
         return
-    crash_trials.clear_unit(entry.job, context.unit)
+    crash_trials.clear_unit(context.unit)
     entry.complete_unit(step, context.unit)
     state.mark_dirty(entry.job)
     if not step.waiting and not step.active:
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -144,3 +144,14 @@
     # A task has crashed the workers that started it.
     WORKERS_CRASHED = 'workers_crashed'
     CANCEL_SEEN = 'cancel_seen'
+
+
+class CrashVerdict(Enum):
+    """Why a task under which workers have crashed is given up."""
+
+    # In a crash that ended its trial, nothing else can be the cause.
+    ONLY_SUSPECT = 'only suspect of a crash in its trial'
+    # Other tasks may be the cause, but a further start could cost a worker.
+    REPEATED_EARLY = 'third crash or later, early in its trial'
+    # Workers end in its trials without an answer to the start.
+    UNCONFIRMED_LOSSES = 'losses before an answer to the start, in trials'
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -61,9 +61,10 @@
     def _place_suspect(
         self, request: PlacementRequest
     ) -> list[WorkerView] | None:
-        """Place a suspect where no other run has just started.
+        """Place a unit with suspects where no other run has just started.
 
-        If such a worker is not found for a while, any other one will do.
+        The other members of a gang may start anywhere. If not enough such
+        workers are found for a while, any others will do.
         """
         ready = self._ready_workers(request)
         quiet = [
@@ -74,7 +75,12 @@
         placed = self._place_on(request, quiet)
         if placed is None:
             placed = self._place_on(request, ready)
-            if placed is None or not crash_trials.has_waited_for_quiet(
+            if placed is None:
+                return None
+            quiet_count = sum(view in quiet for view in placed)
+            if quiet_count < len(
+                request.unit.suspects
+            ) and not crash_trials.has_waited_for_quiet(
                 request.unit, request.now_ms
             ):
                 return None
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -1,14 +1,16 @@
-"""Counts the crashes of workers under units and gives up those that cause them.
+"""Counts the crashes of workers under tasks and gives up those that cause them.
 
 The end of a worker is proved by a report of another incarnation under its id,
 or by another worker at its address. The end is a crash unless the worker was
 leaving or its rack lost power. It counts for the runs that the worker is known
 to have started. A start order that may not have reached the worker makes its
-unit a suspect, whose next run is on trial, and no more.
+task a suspect, whose next run is on trial, and no more.
+
+Each member of a gang has a count of its own. A crash under one member breaks
+the runs of the others, which shows nothing about them.
 """
 
 from dataclasses import replace
-from operator import attrgetter
 from typing import Final
 
 from fuchsiarill import events, graph_events
@@ -17,22 +19,22 @@
 from fuchsiarill.graphs.job_entries import JobEntry, Unit
 from fuchsiarill.graphs.lost_runs import LostRun, WorkerLoss
 from fuchsiarill.graphs.model import BornMs, WorkerEntry, WorkerListing
-from fuchsiarill.graphs.progress import UnitKey
+from fuchsiarill.graphs.progress import CrashedRun, UnitKey
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
-from fuchsiarill.graphs.states import JobPhaseEvent
+from fuchsiarill.graphs.states import CrashVerdict, JobPhaseEvent
 from fuchsiarill.graphs.worker_ends import is_power_loss, loss_of
 from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import JobId, WorkerId
 
-# A unit that was the only suspect of a crash is given up at the second one: the
-# first may have had another cause.
-_SOLE_SUSPECT_CRASHES_MAX_COUNT: Final = 2
-# A unit that has just started on trial is given up at this number of crashes in
+# A task whose unit was the only suspect of a crash is given up at the second
+# one, and no task is given up before.
+_KNOWN_CRASHES_MIN_COUNT: Final = 2
+# A task that has just started on trial is given up at this number of crashes in
 # any case, since each further start may cost a worker.
 _CRASHES_MAX_COUNT: Final = 3
 # A task that ends its worker before the answer to the start is never known to
-# have started. Its unit is given up at this number of losses of either kind.
+# have started. It is given up at this number of losses of either kind.
 _LOSSES_MAX_COUNT: Final = 4
 # How long a worker may stay away for a loss of its runs to count as a crash,
 # and how long crashes are kept to be taken off the units that did not cause
@@ -94,7 +96,7 @@
 
 
 def count_end(state: PoolState, loss: WorkerLoss, now_ms: int) -> None:
-    """Count the proved end of a worker for the units that it ran.
+    """Count the proved end of a worker for the tasks that it ran.
 
     The runs that were lost must have been marked as such before. An end that a
     loss of power explains is not counted.
@@ -115,22 +117,20 @@
         worker=loss.worker,
         runs=len(loss.runs),
         confirmed=sum(run.is_confirmed for run in loss.runs),
-        suspected=len(suspects),
+        suspected=len(_units_of(suspects)),
         is_power_loss=has_no_power,
     )
     if has_no_power:
         return
-    # A gang counts once, as confirmed if one of its members is.
-    by_certainty = sorted(loss.runs, key=attrgetter('is_confirmed'))
-    units = {run.unit_id: run for run in by_certainty}
-    given_up = [
-        run
-        for run in units.values()
-        if _count_crash(state, loss, run, suspects)
+    verdicts = [
+        (run, _count_crash(state, loss, run, suspects)) for run in loss.runs
     ]
-    for run in given_up:
-        _give_up(state, loss, run, now_ms)
-        if len(suspects) == 1:
+    for run, verdict in verdicts:
+        # The job may have been given up for another task.
+        if verdict is None or _find_unit(state, run) is None:
+            continue
+        _give_up(state, loss, run, verdict, now_ms)
+        if len(_units_of(suspects)) == 1:
             _discount_other_crashes(state, run)
 
 
@@ -154,66 +154,99 @@
             state.recent_ends.pop(key)
 
 
-def _suspects_of(loss: WorkerLoss) -> set[_UnitId]:
-    """Return the units that may have caused a crash.
+def _suspects_of(loss: WorkerLoss) -> set[LostRun]:
+    """Return the runs that may have caused a crash.
 
     Runs that had started well before a trial would have crashed the worker
     earlier, and none starts during a trial.
     """
     trials = [run for run in loss.runs if run.is_on_trial]
     if not trials:
-        return {run.unit_id for run in loss.runs if run.is_young}
+        return {run for run in loss.runs if run.is_young}
     quiet_since_ms = min(run.start_ordered_ms for run in trials)
     quiet_since_ms -= crash_trials.QUIET_MS
     return {
-        run.unit_id
+        run
         for run in loss.runs
         if run.is_on_trial
         or (run.is_young and run.start_ordered_ms > quiet_since_ms)
     }
 
 
+def _units_of(runs: set[LostRun]) -> set[_UnitId]:
+    return {run.unit_id for run in runs}
+
+
 def _count_crash(
-    state: PoolState, loss: WorkerLoss, run: LostRun, suspects: set[_UnitId]
-) -> bool:
-    """Count a crash for a unit; returns whether the unit is to be given up."""
+    state: PoolState, loss: WorkerLoss, run: LostRun, suspects: set[LostRun]
+) -> CrashVerdict | None:
+    """Count a crash for a task; returns why to give it up, or `None`."""
     entry_and_unit = _find_unit(state, run)
     if entry_and_unit is None:
-        return False
+        return None
     entry, unit = entry_and_unit
-    is_suspect = run.unit_id in suspects
     if not run.is_confirmed:
-        if is_suspect:
-            crash_trials.suspect_unit(state, entry, unit)
-        return is_suspect and _count_unconfirmed_loss(entry, unit, run)
-    if not entry.progress.add_crash(unit.key, run.attempt):
-        return False
+        if run not in suspects:
+            return None
+        crash_trials.suspect_task(state, entry, unit, run.task)
+        return _count_unconfirmed_loss(entry, unit, run)
+    crashed = CrashedRun(run.attempt, run.task.position)
+    if not entry.progress.add_crash(unit.key, crashed):
+        return None
     state.mark_dirty(entry.job)
-    count = entry.progress.crashes_count(unit.key)
-    _log_crash(loss, run, is_suspect, count)
-    if _must_give_up(run, count, suspects == {run.unit_id}):
-        return True
-    if is_suspect or count >= crash_trials.WHOLE_RUN_CRASHES_COUNT:
-        crash_trials.suspect_unit(state, entry, unit)
-    return False
-
+    count = entry.progress.crashes_under(unit.key, run.task.position)
+    _log_crash(loss, run, run in suspects, count)
+    verdict = _verdict_on(entry, run, _units_of(suspects))
+    if verdict is not None:
+        return verdict
+    if run in suspects or count >= crash_trials.WHOLE_RUN_CRASHES_COUNT:
+        crash_trials.suspect_task(state, entry, unit, run.task)
+    return None
+
+
+def _count_unconfirmed_loss(
+    entry: JobEntry, unit: Unit, run: LostRun
+) -> CrashVerdict | None:
+    """Count a loss that may be no crash; returns why to give up, or `None`."""
+    unit.unconfirmed_losses.add((run.task, run.attempt))
+    losses_count = sum(task == run.task for task, _ in unit.unconfirmed_losses)
+    known_count = losses_count + _known_crashes_count(entry, run)
+    if not run.is_on_trial or known_count < _KNOWN_CRASHES_MIN_COUNT:
+        return None
+    count = entry.progress.crashes_under(unit.key, run.task.position)
+    if losses_count + count >= _LOSSES_MAX_COUNT:
+        return CrashVerdict.UNCONFIRMED_LOSSES
+    return None
 
-def _count_unconfirmed_loss(entry: JobEntry, unit: Unit, run: LostRun) -> bool:
-    """Count a loss that may be no crash; returns whether to give up."""
-    unit.unconfirmed_losses.add(run.attempt)
-    losses_count = len(unit.unconfirmed_losses)
-    losses_count += entry.progress.crashes_count(unit.key)
-    return run.is_on_trial and losses_count >= _LOSSES_MAX_COUNT
 
+def _verdict_on(
+    entry: JobEntry, run: LostRun, suspected_units: set[_UnitId]
+) -> CrashVerdict | None:
+    """Return why a task on trial is to be given up, or `None`.
 
-def _must_give_up(run: LostRun, count: int, is_only_suspect: bool) -> bool:
-    if not run.is_on_trial:
-        return False
+    The first crash may have had another cause.
+    """
+    known_count = _known_crashes_count(entry, run)
+    if not run.is_on_trial or known_count < _KNOWN_CRASHES_MIN_COUNT:
+        return None
+    if suspected_units == {run.unit_id}:
+        return CrashVerdict.ONLY_SUSPECT
+    count = entry.progress.crashes_under(run.unit_key, run.task.position)
     if run.is_young and count >= _CRASHES_MAX_COUNT:
-        return True
-    if not is_only_suspect:
-        return False
-    return count >= _SOLE_SUSPECT_CRASHES_MAX_COUNT
+        return CrashVerdict.REPEATED_EARLY
+    return None
+
+
+def _known_crashes_count(entry: JobEntry, run: LostRun) -> int:
+    """Return how many crashes are known to have hit workers of the task.
+
+    Crashes without a recorded run may all have hit other members of a gang.
+    """
+    if entry.graph.steps[run.task.step].is_gang:
+        return entry.progress.known_crashes_under(
+            run.unit_key, run.task.position
+        )
+    return entry.progress.crashes_count(run.unit_key)
 
 
 def _log_crash(
@@ -242,9 +275,13 @@
 
 
 def _give_up(
-    state: PoolState, loss: WorkerLoss, run: LostRun, now_ms: int
+    state: PoolState,
+    loss: WorkerLoss,
+    run: LostRun,
+    verdict: CrashVerdict,
+    now_ms: int,
 ) -> None:
-    """Let the job of a unit fail."""
+    """Let the job of a task fail."""
     entry = state.jobs[run.task.job]
     events.emit(
         graph_events.TASK_GIVEN_UP,
@@ -252,7 +289,8 @@
         task=run.task.label,
         attempt=run.attempt,
         worker=loss.worker,
-        crashes=entry.progress.crashes_count(run.unit_key),
+        crashes=entry.progress.crashes_under(run.unit_key, run.task.position),
+        verdict=verdict.value,
     )
     apply_job_event(state, entry, JobPhaseEvent.WORKERS_CRASHED, now_ms)
 
@@ -260,7 +298,7 @@
 def _discount_other_crashes(state: PoolState, run: LostRun) -> None:
     """Take the crashes that a run's unit has caused off the other units."""
     for end in state.recent_ends.values():
-        if run.unit_id in _suspects_of(end):
+        if run.unit_id in _units_of(_suspects_of(end)):
             for other in end.runs:
                 _discount_crash(state, other)
 
@@ -270,8 +308,10 @@
     if entry_and_unit is None:
         return
     entry, unit = entry_and_unit
-    unit.unconfirmed_losses.discard(run.attempt)
-    if entry.progress.remove_crash(unit.key, run.attempt):
+    position = run.task.position
+    unit.unconfirmed_losses.discard((run.task, run.attempt))
+    crashed = CrashedRun(run.attempt, position)
+    if entry.progress.remove_crash(unit.key, crashed):
         state.mark_dirty(entry.job)
-    if not entry.progress.crashes_count(unit.key):
-        crash_trials.end_trials(state, entry, unit)
+    if not entry.progress.crashes_under(unit.key, position):
+        crash_trials.end_trials(state, unit, run.task)
