Count crashes anew after a run of a minute

Callers with a task that runs for hours would see their job as failed after four crashes of unrelated cause, however far apart: nothing but a success took back the crashes of a task that does not last. In paused time a task of two minutes, and a gang with such a member, were given up after four runs of 68 s each.

A run that has been listed for a minute shows that its task does not crash its worker, as three seconds after the initialization do for a lasting task. Its crashes are taken back and its trial ends. A task that crashes its worker within a minute collects its crashes as before. Shorter runs are no evidence: the same work may take several times as long on a slow worker, and the members of a gang wait for each other.

Both forms of test_long_task_outlives_unrelated_crashes failed before.

--- a/fuchsiarill/graphs/crash_trials.py
+++ b/fuchsiarill/graphs/crash_trials.py
@@ -29,6 +29,10 @@
 # A lasting task that has been initialized, and has run for this long, does not
 # crash its worker. Over a season unrelated crashes end many of its runs.
 _LASTING_PROOF_MS: Final = 3000
+# Any run that has been listed for this long does not crash its worker either.
+# Shorter runs prove nothing: the same work may take several times as long on
+# another worker, and the members of a gang wait for each other.
+_LONG_PROOF_MS: Final = 60_000
 # A suspect starts where no other run has started for this time, so that a crash
 # has a single possible cause. It waits at most `_QUIET_WAIT_MS` for that.
 QUIET_MS: Final = 150
@@ -159,10 +163,11 @@
         # Another member of the gang was lost in a crash.
         return
     position = run.task.position
-    if step.spec.is_lasting and _is_proved_sound(run):
+    crashes_count = progress.crashes_under(unit.key, position)
+    if crashes_count and _is_proved_sound(step, run):
         progress.clear_crashes(unit.key, position)
         state.mark_dirty(entry.job)
-    crashes_count = progress.crashes_under(unit.key, position)
+        crashes_count = 0
     if is_young(run) or crashes_count >= WHOLE_RUN_CRASHES_COUNT:
         return
     view.end_trial(run)
@@ -189,7 +194,9 @@
     return [run for run in unit.runs.values() if run.task == task]
 
 
-def _is_proved_sound(run: Run) -> bool:
+def _is_proved_sound(step: StepEntry, run: Run) -> bool:
+    if not step.spec.is_lasting:
+        return run.listed_age_ms >= _LONG_PROOF_MS
     return (
         run.progress_percent == INITIALIZED_PERCENT
         and run.listed_age_ms >= _LASTING_PROOF_MS
--- a/tests/test_worker_crashes.py
+++ b/tests/test_worker_crashes.py
@@ -154,6 +154,28 @@
     assert not progress.crashed_attempts
 
 
+@pytest.mark.parametrize('is_gang', [False, True])
+def test_long_task_outlives_unrelated_crashes(*, is_gang: bool) -> None:
+    """Guards against a task of hours that is given up after four crashes.
+
+    Each run lasts for over a minute before the worker crashes.
+    """
+    world = CrashWorld('w0', 'w1', 'w2')
+    world.pass_time(100)
+    step = Step(2, Resources(1500, 100), is_gang=is_gang)
+    world.add('long', step, run_ms=120_000)
+    for _ in range(5):
+        world.pass_time(68_000)
+        name = world.worker_of(task('long', 0, 1))
+        assert name is not None
+        world.crash(name)
+        world.pass_time(OUTAGE_MS + 1000)
+        assert world.phase('long') is JobPhase.ACTIVE
+    world.pass_time(125_000)
+    assert world.phase('long') is JobPhase.SUCCEEDED
+    assert not any(view.trials_count for view in world.owner.core.state.workers)
+
+
 def test_deadly_lasting_task_is_given_up() -> None:
     """Guards against a lasting task that crashes one worker after the other."""
     world = CrashWorld(*WORKERS)
