Test the quietness of chosen workers directly

The search in the list of quiet workers compared all fields of workers, and the placement of suspects needed a reader's second look. No change in behaviour; the tests of trials pass.

--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -63,18 +63,18 @@
         return len(self.crashed_attempts.get(unit, ()))
 
     def known_crashes_under(self, unit: UnitKey, position: int) -> int:
-        """Return in how many attempts the worker of a task has crashed."""
+        """Return how many crashes are known to have hit a task's worker."""
         return sum(
             run.position == position for run in self.crashed_runs.get(unit, ())
         )
 
     def crashes_under(self, unit: UnitKey, position: int) -> int:
-        """Return in how many attempts the worker of a task may have crashed.
+        """Return how many crashes may have hit a task's worker.
 
         A crash without a recorded run may have hit any member of a gang.
         """
-        attributed_count = self.known_crashes_under(unit, position)
-        return attributed_count + len(self.unattributed_crashes(unit))
+        known_count = self.known_crashes_under(unit, position)
+        return known_count + len(self.unattributed_crashes(unit))
 
     def unattributed_crashes(self, unit: UnitKey) -> set[int]:
         """Return the attempts with a crash of which no run is recorded."""
--- a/fuchsiarill/graphs/step_placer.py
+++ b/fuchsiarill/graphs/step_placer.py
@@ -75,14 +75,7 @@
         placed = self._place_on(request, quiet)
         if placed is None:
             placed = self._place_on(request, ready)
-            if placed is None:
-                return None
-            quiet_count = sum(view in quiet for view in placed)
-            if quiet_count < len(
-                request.unit.suspects
-            ) and not crash_trials.has_waited_for_quiet(
-                request.unit, request.now_ms
-            ):
+            if placed is None or not _may_start_trials(request, placed):
                 return None
         request.unit.trial_wait_since_ms = None
         return placed
@@ -152,6 +145,17 @@
         )
 
 
+def _may_start_trials(
+    request: PlacementRequest, placed: list[WorkerView]
+) -> bool:
+    """Tell whether suspects get quiet workers, or have waited long enough."""
+    now_ms = request.now_ms
+    quiet_count = sum(crash_trials.is_quiet(view, now_ms) for view in placed)
+    if quiet_count >= len(request.unit.suspects):
+        return True
+    return crash_trials.has_waited_for_quiet(request.unit, now_ms)
+
+
 def _can_start(
     state: PoolState, request: PlacementRequest, view: WorkerView
 ) -> bool:
