--- a/tools/platform_load.py
+++ b/tools/platform_load.py
@@ -29,6 +29,7 @@
 _LONG_MIN_MS: Final = 10_000
 _LONG_MAX_MS: Final = 14_000
 _LONG_SIZE: Final = (250, 125, 0)
+_GANG_TASKS_COUNT: Final = 3
 _ID_DIGITS: Final = 16
 _SIZES: Final = ((1000, 500, 0), (2000, 1000, 0), (3000, 2000, 0))
 
@@ -97,8 +98,9 @@
     """How many jobs each caller submits, and how.
 
     One job in `cancel_every` is cancelled, one in `deadly_every` has a deadly
-    task, one in `long_every` runs longer than leases last, and one in
-    `advised_every` is in the queue with an advice policy; 0 stands for none.
+    task, one in `long_every` runs longer than leases last, one in
+    `advised_every` is in the queue with an advice policy, and one in
+    `gang_every` begins with a gang; 0 stands for none.
     """
 
     jobs_count: int
@@ -107,6 +109,7 @@
     deadly_every: int = 0
     long_every: int = 0
     advised_every: int = 0
+    gang_every: int = 0
 
 
 @dataclass(slots=True)
@@ -126,14 +129,7 @@
         for number in range(settings.jobs_count):
             if self.stopping.is_set():
                 return
-            job = Job(self._name(random_source), _document(random_source))
-            if _is_chosen(number, settings.long_every):
-                _make_long(job, random_source)
-            if _is_chosen(number, settings.deadly_every):
-                _make_deadly(job, random_source)
-            if _is_chosen(number, settings.advised_every):
-                _make_advised(job)
-            _name_customer(job, self.customer)
+            job = self._create_job(number, settings, random_source)
             self.jobs.append(job)
             self._submit(job, random_source)
             if job.is_acknowledged and _is_chosen(
@@ -157,6 +153,24 @@
             if job.is_acknowledged and not job.is_deadly
         )
 
+    def _create_job(
+        self,
+        number: int,
+        settings: LoadSettings,
+        random_source: random.Random,
+    ) -> Job:
+        job = Job(self._name(random_source), _document(random_source))
+        if _is_chosen(number, settings.long_every):
+            _make_long(job, random_source)
+        if _is_chosen(number, settings.deadly_every):
+            _make_deadly(job, random_source)
+        if _is_chosen(number, settings.advised_every):
+            _make_advised(job)
+        if _is_chosen(number, settings.gang_every):
+            _make_gang(job)
+        _name_customer(job, self.customer)
+        return job
+
     def _query(self, job: Job, random_source: random.Random) -> None:
         daemon = self._daemon(random_source)
         status, document = self.cell.call(
@@ -289,6 +303,11 @@
     job.is_deadly = True
 
 
+def _make_gang(job: Job) -> None:
+    """Let the tasks of the first step start together."""
+    job.document['phases'][0] |= {'count': _GANG_TASKS_COUNT, 'gang': True}
+
+
 def _make_advised(job: Job) -> None:
     """Let workers start the tasks of a job only with tickets."""
     behaviour = json.loads(job.document['spec']) | {'needs_ticket': True}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -67,6 +67,8 @@
     advised_every: int = 2
     # Callers belong to that many customers in turn; 0 for no contracts.
     customers_count: int = 0
+    # One job in so many begins with a gang; 0 for none.
+    gang_every: int = 0
 
 
 @dataclass(order=True, slots=True)
@@ -164,6 +166,7 @@
         options.deadly_every,
         options.advised_every,
         options.customers,
+        options.gang_every,
     )
     end_on_signals()
     with tempfile.TemporaryDirectory(prefix='fuchsiarill-soak-') as folder:
@@ -200,6 +203,7 @@
     parser.add_argument(
         '--advised-every', type=int, default=defaults.advised_every
     )
+    parser.add_argument('--gang-every', type=int, default=defaults.gang_every)
     parser.add_argument('--logs', type=Path, help='folder that keeps the logs')
     return parser.parse_args()
 
@@ -230,6 +234,7 @@
         _CANCEL_EVERY,
         long_every=_LONG_EVERY,
         advised_every=settings.advised_every,
+        gang_every=settings.gang_every,
     )
     first_seed = 1000 * settings.seed
     return dict.fromkeys(
