--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -130,8 +130,9 @@
     720,
     Level.WARNING,
     'the crash of worker {worker} counts against task {task} of job {job}, '
-    'attempt {attempt}: at most {ran_ms} ms after its start; on trial: '
-    '{is_on_trial}, suspect: {is_suspect}; crashes counted: {crashes}',
+    'attempt {attempt}: at most {ran_ms} ms after its start; start confirmed: '
+    '{is_confirmed}, on trial: {is_on_trial}, suspect: {is_suspect}; crashes '
+    'counted: {crashes}',
     'See "Shown as failed" in OPERATIONS.md if this recurs.',
 )
 WORKER_CRASHED: Final = LogEvent(
--- a/fuchsiarill/graphs/worker_crashes.py
+++ b/fuchsiarill/graphs/worker_crashes.py
@@ -126,8 +126,7 @@
         (run, _count_crash(state, loss, run, suspects)) for run in loss.runs
     ]
     for run, verdict in verdicts:
-        # The job may have been given up for another task.
-        if verdict is None or _find_unit(state, run) is None:
+        if verdict is None:
             continue
         _give_up(state, loss, run, verdict, now_ms)
         if len(_units_of(suspects)) == 1:
@@ -189,13 +188,15 @@
         if run not in suspects:
             return None
         crash_trials.suspect_task(state, entry, unit, run.task)
-        return _count_unconfirmed_loss(entry, unit, run)
+        unit.unconfirmed_losses.add((run.task, run.attempt))
+        _log_crash(loss, run, _losses_count(entry, unit, run), is_suspect=True)
+        return _verdict_on_unconfirmed_loss(entry, unit, run)
     crashed = CrashedRun(run.attempt, run.task.position)
     if not entry.progress.add_crash(unit.key, crashed):
         return None
     state.mark_dirty(entry.job)
     count = entry.progress.crashes_under(unit.key, run.task.position)
-    _log_crash(loss, run, run in suspects, count)
+    _log_crash(loss, run, count, is_suspect=run in suspects)
     verdict = _verdict_on(entry, run, _units_of(suspects))
     if verdict is not None:
         return verdict
@@ -204,21 +205,30 @@
     return None
 
 
-def _count_unconfirmed_loss(
+def _verdict_on_unconfirmed_loss(
     entry: JobEntry, unit: Unit, run: LostRun
 ) -> CrashVerdict | None:
-    """Count a loss that may be no crash; returns why to give up, or `None`."""
-    unit.unconfirmed_losses.add((run.task, run.attempt))
-    losses_count = sum(task == run.task for task, _ in unit.unconfirmed_losses)
-    known_count = losses_count + _known_crashes_count(entry, run)
+    """Return why a task with a loss that may be no crash is to be given up."""
+    known_count = _known_crashes_count(entry, run)
+    known_count += _unconfirmed_losses_count(unit, run)
     if not run.is_on_trial or known_count < _KNOWN_CRASHES_MIN_COUNT:
         return None
-    count = entry.progress.crashes_under(unit.key, run.task.position)
-    if losses_count + count >= _LOSSES_MAX_COUNT:
+    if _losses_count(entry, unit, run) >= _LOSSES_MAX_COUNT:
         return CrashVerdict.UNCONFIRMED_LOSSES
     return None
 
 
+def _losses_count(entry: JobEntry, unit: Unit, run: LostRun) -> int:
+    """Return the number of crashes and unconfirmed losses under the task."""
+    return _unconfirmed_losses_count(unit, run) + entry.progress.crashes_under(
+        unit.key, run.task.position
+    )
+
+
+def _unconfirmed_losses_count(unit: Unit, run: LostRun) -> int:
+    return sum(task == run.task for task, _ in unit.unconfirmed_losses)
+
+
 def _verdict_on(
     entry: JobEntry, run: LostRun, suspected_units: set[_UnitId]
 ) -> CrashVerdict | None:
@@ -250,7 +260,7 @@
 
 
 def _log_crash(
-    loss: WorkerLoss, run: LostRun, is_suspect: bool, count: int
+    loss: WorkerLoss, run: LostRun, count: int, *, is_suspect: bool
 ) -> None:
     events.emit(
         graph_events.CRASH_COUNTED,
@@ -259,6 +269,7 @@
         attempt=run.attempt,
         worker=loss.worker,
         ran_ms=max(loss.silent_ms - run.start_ordered_ms, 0),
+        is_confirmed=run.is_confirmed,
         is_on_trial=run.is_on_trial,
         is_suspect=is_suspect,
         crashes=count,
@@ -281,15 +292,18 @@
     verdict: CrashVerdict,
     now_ms: int,
 ) -> None:
-    """Let the job of a task fail."""
-    entry = state.jobs[run.task.job]
+    """Let the job of a task fail, unless another task has ended it."""
+    entry_and_unit = _find_unit(state, run)
+    if entry_and_unit is None:
+        return
+    entry, unit = entry_and_unit
     events.emit(
         graph_events.TASK_GIVEN_UP,
         job=entry.job,
         task=run.task.label,
         attempt=run.attempt,
         worker=loss.worker,
-        crashes=entry.progress.crashes_under(run.unit_key, run.task.position),
+        crashes=_losses_count(entry, unit, run),
         verdict=verdict.value,
     )
     apply_job_event(state, entry, JobPhaseEvent.WORKERS_CRASHED, now_ms)
