Test that each crash that counted is in the log of its job

On-call gets from the id of a job that was given up to the member, the attempt and the count of each crash.

--- a/tests/test_gang_crashes.py
+++ b/tests/test_gang_crashes.py
@@ -5,14 +5,18 @@
 """
 
 import json
+from typing import Any
 
 import pytest
+from loguru import logger
 
+from fuchsiarill import graph_events
 from fuchsiarill.graphs import records
 from fuchsiarill.graphs.model import EndKind, JobGraph, Step, TaskKey
 from fuchsiarill.graphs.progress import CrashedRun, JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
+from fuchsiarill.log_event import LogEvent
 from fuchsiarill.ports.agents import AgentFailure
 from fuchsiarill.resources import Resources
 from tests.crash_world import CRASH_AFTER_MS, OUTAGE_MS, SMALL, CrashWorld
@@ -227,6 +231,30 @@
     assert [view.trials_count for view in owner.core.state.workers] == [1, 0, 0]
 
 
+def _log_of_gang(extras: list[dict[str, Any]], event: LogEvent) -> list[Any]:
+    return [
+        (extra['task'], extra['attempt'], extra['crashes'])
+        for extra in extras
+        if extra['event'] == event.number and extra['job'] == _GANG
+    ]
+
+
+def test_each_crash_that_counted_is_logged_with_its_member() -> None:
+    """Guards against a job that fails without a line on what counted."""
+    extras: list[dict[str, Any]] = []
+    handler = logger.add(
+        lambda message: extras.append(dict(message.record['extra']))
+    )
+    world = _gang_world()
+    world.crash_after_ms[_member(5)] = 1500
+    world.pass_time(20_000)
+    logger.remove(handler)
+    assert _log_of_gang(extras, graph_events.CRASH_COUNTED) == [
+        ('0.0.5', attempt, attempt) for attempt in range(1, 5)
+    ]
+    assert _log_of_gang(extras, graph_events.TASK_GIVEN_UP) == [('0.0.5', 4, 4)]
+
+
 def _record_of_former_version(attempts: list[int]) -> bytes:
     document = json.loads(records.encode_progress(JobProgress()))
     return json.dumps(document | {'crashed': [[0, 0, 0, attempts]]}).encode()
