Test deadly gang members after power losses and lost starts

A deadly member is given up at the same start with workers that return under their ids, after a rack without power, and when its starts get no answer. Lost starts of different members are not added up.

--- a/tests/test_gang_crashes.py
+++ b/tests/test_gang_crashes.py
@@ -137,6 +137,7 @@
     ('crash_after_ms', 'starts_count'), [(CRASH_AFTER_MS, 2), (1500, 4)]
 )
 @pytest.mark.parametrize('size', [SMALL, Resources(600, 100), _WIDE])
+@pytest.mark.parametrize('keeps_id', [False, True])
 @pytest.mark.parametrize('is_replaced', [False, True])
 def test_deadly_member_is_given_up(
     size: Resources,
@@ -144,12 +145,14 @@
     starts_count: int,
     *,
     is_replaced: bool,
+    keeps_id: bool,
 ) -> None:
     """Guards against a member that crashes one worker after the other.
 
     It runs alone on its worker, or beside other members.
     """
     world = _gang_world(size=size)
+    world.keeps_id = keeps_id
     world.crash_after_ms[_member(5)] = crash_after_ms
     world.add('sound', Step(2, SMALL), run_ms=20_000)
     if is_replaced:
@@ -175,6 +178,70 @@
     assert len(world.starts_of(_member(5))) == 6
 
 
+def test_power_loss_hides_no_deadly_member() -> None:
+    """Guards against a count that a rack without power resets or raises."""
+    world = CrashWorld(*_NAMES, rack='r1')
+    world.outage_ms = 1000
+    world.pass_time(100)
+    world.add(_GANG, Step(8, _WIDE, is_gang=True), run_ms=9000)
+    world.crash_after_ms[_member(5)] = 1500
+    _await_start(world, 5)
+    world.pass_time(1000)
+    for name in _NAMES:
+        world.crash(name)
+    world.pass_time(2000)
+    assert not _progress(world).crashed_attempts
+    world.pass_time(60_000)
+    assert world.phase(_GANG) is JobPhase.FAILED
+    # One start before the loss of power, and four crashes.
+    assert len(world.starts_of(_member(5))) == 5
+
+
+@pytest.mark.parametrize(
+    ('positions', 'phase'),
+    [
+        ((3, 3, 3), JobPhase.ACTIVE),
+        ((3, 3, 3, 3), JobPhase.FAILED),
+        ((3, 2, 1, 0, 3, 2, 1, 0), JobPhase.ACTIVE),
+    ],
+)
+def test_unconfirmed_losses_count_for_each_member(
+    positions: tuple[int, ...], phase: JobPhase
+) -> None:
+    """Guards against lost start orders of members that are added up.
+
+    A member that crashes its worker before the answer is still found.
+    """
+    names = tuple(f'w{number}' for number in range(4 + len(positions)))
+    owner = Owner(*names)
+    for name in names:
+        owner.report(name)
+    owner.add_job(_GANG, Step(4, _WIDE, is_gang=True))
+    for position in positions:
+        starts = {start.task.position: start for start in owner.starts()}
+        lost = starts.pop(position)
+        owner.core.start_answered(
+            lost.worker,
+            lost.task,
+            lost.attempt,
+            AgentFailure.UNKNOWN,
+            owner.now_ms,
+        )
+        owner.core.worker_failed(
+            lost.worker, AgentFailure.OTHER_WORKER, owner.now_ms
+        )
+        for start in starts.values():
+            owner.ends_count += 1
+            end = ended(
+                start.task, owner.ends_count, EndKind.BROKEN, start.attempt
+            )
+            owner.report(start.worker, (), (end,))
+        owner.now_ms += 500
+    progress = owner.core.state.jobs[JobId(_GANG)].progress
+    assert progress.phase is phase
+    assert not progress.crashed_attempts
+
+
 def test_only_the_member_of_a_crash_is_on_trial() -> None:
     """Guards against workers that get no runs beside sound members."""
     world = _gang_world()
