--- a/tests/test_gang_crashes.py
+++ b/tests/test_gang_crashes.py
@@ -12,7 +12,14 @@
 
 from fuchsiarill import graph_events
 from fuchsiarill.graphs import records
-from fuchsiarill.graphs.model import EndKind, JobGraph, Step, TaskKey
+from fuchsiarill.graphs.model import (
+    Checkpoint,
+    EndKind,
+    JobGraph,
+    RunningRow,
+    Step,
+    TaskKey,
+)
 from fuchsiarill.graphs.progress import CrashedRun, JobProgress, UnitKey
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import JobId, WorkerId
@@ -115,6 +122,41 @@
     assert world.phase(_GANG) is JobPhase.SUCCEEDED
 
 
+def test_sound_gang_with_checkpoint_outlives_crashes() -> None:
+    """Guards against crashes that add up while a gang makes progress.
+
+    Each attempt resumes from the checkpoint of the one before, and the worker
+    of the other member crashes.
+    """
+    names = ('w0', 'w1')
+    owner = Owner(*names)
+    for name in names:
+        owner.report(name)
+    spec = Step(2, Resources(1100, 100), is_gang=True, is_checkpointing=True)
+    owner.add_job(_GANG, spec)
+    born_ms = dict.fromkeys(names, 1)
+    checkpoint = Checkpoint('')
+    for number in range(6):
+        starts = {start.worker: start for start in owner.starts()}
+        assert {start.checkpoint for start in starts.values()} == {checkpoint}
+        checkpoint = Checkpoint(f'c{number}')
+        owner.now_ms += 600
+        for name, start in starts.items():
+            row = RunningRow(start.task, start.attempt, checkpoint, 50)
+            owner.report(name, (row,), born_ms=born_ms[name])
+        crashed, other = names[number % 2], names[1 - number % 2]
+        born_ms[crashed] += 1
+        owner.report(crashed, born_ms=born_ms[crashed])
+        owner.list_incarnation(crashed, born_ms[crashed])
+        lost = starts[WorkerId(other)]
+        owner.ends_count += 1
+        end = ended(lost.task, owner.ends_count, EndKind.BROKEN, lost.attempt)
+        owner.report(other, (), (end,), born_ms=born_ms[other])
+    progress = owner.core.state.jobs[JobId(_GANG)].progress
+    assert progress.phase is JobPhase.ACTIVE
+    assert progress.crashes_count(_UNIT) == 6
+
+
 def test_two_crashes_at_once_count_for_two_members() -> None:
     """Guards against a gang that is given up after two crashes in one run."""
     world = _gang_world()
