Log until when a start without an answer holds its task

Change: event 754 has the time for which the task is held (held_ms), 757 the rest once the order can't be executed any more, 758 that of starts of the previous owner. explain names a task whose last line is 754 or 757. No decision changes.

--- a/fuchsiarill/explain_logs.py
+++ b/fuchsiarill/explain_logs.py
@@ -10,6 +10,10 @@
 from fuchsiarill.log_event import LogEvent
 
 _OBJECT_START: Final = '{'
+# Events of a task that is held by a start without an answer.
+_HELD_EVENTS: Final = frozenset(
+    (graph_events.START_UNANSWERED.number, graph_events.START_EXPIRED.number)
+)
 
 
 @dataclass(slots=True)
@@ -65,10 +69,23 @@
         return _summarize_refusal(by_event)
     if placed_line is None:
         return texts.JOB_NOT_PLACED
-    return texts.JOB_UNFINISHED.format(
+    unfinished = texts.JOB_UNFINISHED.format(
         placed=_count_events(history, graph_events.RUN_PLACED),
         ended=sum(end_counts.values()),
     )
+    return ' '.join((unfinished, *_summarize_held_starts(history)))
+
+
+def _summarize_held_starts(history: JobHistory) -> list[str]:
+    """Tell of each task whose last line is of a start without an answer."""
+    last_lines = {
+        line['task']: line for line in history.lines if 'task' in line
+    }
+    return [
+        texts.START_HELD.format(**line)
+        for line in last_lines.values()
+        if line['event'] in _HELD_EVENTS
+    ]
 
 
 def _summarize_refusal(by_event: dict[int, dict[str, Any]]) -> str:
--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -322,7 +322,8 @@
     Level.INFO,
     'attempt {attempt} of task {task} of job {job}: the start order to '
     '{worker} has got no answer after {ordered_ms} ms, and may be executed for '
-    'another {executable_ms} ms; with a ticket: {has_ticket}',
+    'another {executable_ms} ms; with a ticket: {has_ticket}; unless the '
+    'worker reports, the task starts elsewhere in {held_ms} ms at the earliest',
     'None; the task starts elsewhere once the order has no effect any more.',
 )
 INCARNATION_LISTED: Final = LogEvent(
@@ -340,6 +341,23 @@
     'routes, {calls} have a call of this process and {others} one of another',
     'See "Late" in OPERATIONS.md if this recurs.',
 )
+START_EXPIRED: Final = LogEvent(
+    757,
+    Level.INFO,
+    'attempt {attempt} of task {task} of job {job}: the start order to '
+    '{worker}, which has got no answer, cannot be executed any more; a run '
+    'that it has started may hold its lease for another {held_ms} ms, last '
+    'report {report_age_ms} ms ago',
+    'None; the task starts elsewhere after that, or once the worker reports.',
+)
+INHERITED_START_UNANSWERED: Final = LogEvent(
+    758,
+    Level.INFO,
+    'unit {unit} of job {job} has a start order of the previous owner without '
+    'an answer, to {workers}; unless the workers report, it starts again in '
+    '{held_ms} ms at the earliest',
+    'None; the unit starts once the order has no effect any more.',
+)
 CUSTOMER_AT_CEILING: Final = LogEvent(
     761,
     Level.INFO,
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -117,6 +117,7 @@
         entry = JobEntry(graph, policy, progress, now_ms, expected_ms)
         entry.is_inherited = is_inherited
         if is_inherited:
+            start_windows.log_inherited(self.state, entry, now_ms)
             self.state.ceilings.add_inherited(graph.customer)
             entry.attempt_floor = (self._term - 1) * ATTEMPTS_PER_TERM
         self.state.jobs[graph.job] = entry
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -21,6 +21,7 @@
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
+from fuchsiarill.graphs.worker_table import WorkerView
 from fuchsiarill.ids import WorkerId
 
 
@@ -57,6 +58,7 @@
         ordered_ms=now_ms - run.start_ordered_ms,
         executable_ms=run.executable_until_ms - now_ms,
         has_ticket=run.ticket_expiry_ms is not None,
+        held_ms=_held_ms(view, run, now_ms),
     )
 
 
@@ -70,7 +72,7 @@
     for view in state.workers:
         for run in view.runs.values():
             if 0 < run.executable_until_ms <= now_ms:
-                _close_due_window(state, run, now_ms)
+                _close_due_window(state, view, run, now_ms)
 
 
 def is_inherited_open(
@@ -84,22 +86,28 @@
     workers = entry.progress.unanswered_starts.get(unit.key)
     if workers is None:
         return False
-    leases = state.leases
-    window_ms = leases.late_call_ms
-    if entry.policy.advice is not None:
-        ticket_ms = entry.policy.advice.validity_ms + _clock_slack_ms(leases)
-        window_ms = min(window_ms, ticket_ms)
-    window_end_ms = state.previous_owner_stop_ms + window_ms
+    window_end_ms = _inherited_window_end_ms(state, entry)
     if now_ms <= window_end_ms:
         return True
-    longest_ms = leases.late_call_ms + leases.longest_allowed_ms
-    if now_ms > state.previous_owner_stop_ms + longest_ms:
+    if now_ms > _inherited_expiry_ms(state):
         return False
     return not all(
         _has_reported_since(state, worker, window_end_ms) for worker in workers
     )
 
 
+def log_inherited(state: PoolState, entry: JobEntry, now_ms: int) -> None:
+    """Log the units of a job whose starts the previous owner left open."""
+    for unit_key, workers in entry.progress.unanswered_starts.items():
+        events.emit(
+            graph_events.INHERITED_START_UNANSWERED,
+            job=entry.job,
+            unit=unit_key.label,
+            workers=','.join(sorted(workers)),
+            held_ms=_inherited_expiry_ms(state) - now_ms,
+        )
+
+
 def has_open_starts(state: PoolState) -> bool:
     """Tell whether a start order has got neither an answer nor a time-out."""
     return any(
@@ -115,6 +123,23 @@
         state.mark_dirty(entry.job)
 
 
+def _inherited_window_end_ms(state: PoolState, entry: JobEntry) -> int:
+    """Return until when a start order of the previous owner may be executed."""
+    leases = state.leases
+    window_ms = leases.late_call_ms
+    if entry.policy.advice is not None:
+        ticket_ms = entry.policy.advice.validity_ms + _clock_slack_ms(leases)
+        window_ms = min(window_ms, ticket_ms)
+    return state.previous_owner_stop_ms + window_ms
+
+
+def _inherited_expiry_ms(state: PoolState) -> int:
+    """Return until when a run that such an order has started may last."""
+    leases = state.leases
+    longest_ms = leases.late_call_ms + leases.longest_allowed_ms
+    return state.previous_owner_stop_ms + longest_ms
+
+
 def _has_reported_since(
     state: PoolState, worker: WorkerId, since_ms: int
 ) -> bool:
@@ -139,13 +164,31 @@
     state.mark_dirty(entry.job)
 
 
-def _close_due_window(state: PoolState, run: Run, now_ms: int) -> None:
+def _close_due_window(
+    state: PoolState, view: WorkerView, run: Run, now_ms: int
+) -> None:
     close_window(run)
+    events.emit(
+        graph_events.START_EXPIRED,
+        job=run.task.job,
+        task=run.task.label,
+        attempt=run.attempt,
+        worker=run.worker,
+        held_ms=_held_ms(view, run, now_ms),
+        report_age_ms=now_ms - view.reported_ms,
+    )
     if run.visible_since_ms is not None:
         run.visible_since_ms = max(run.visible_since_ms, now_ms)
         state.effects.append(RequestReport(run.worker))
 
 
+def _held_ms(view: WorkerView | None, run: Run, now_ms: int) -> int:
+    """Return for how long a run counts as present if nothing is reported."""
+    if view is None:
+        return 0
+    return max(run.executable_until_ms, view.expiry_of(run)) - now_ms
+
+
 def _extend(leases: TaskLeaseSettings, run: Run, now_ms: int) -> None:
     until_ms = now_ms + leases.late_call_ms
     if run.ticket_expiry_ms is not None:
--- a/fuchsiarill/texts.py
+++ b/fuchsiarill/texts.py
@@ -152,4 +152,8 @@
 JOB_UNFINISHED: Final = (
     'The job is not settled: {placed} runs were placed and {ended} have ended.'
 )
+START_HELD: Final = (
+    'Task {task} has a start without an answer on {worker}; at {time} it was '
+    'held for another {held_ms} ms, unless the worker reports.'
+)
 LINES_UNREADABLE: Final = '{} log lines that name the job cannot be read.'
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -29,6 +29,14 @@
 PLACED = {'event': 711, 'waited_ms': 45}
 FAILED = {'event': 712, 'kind': 'failed'}
 GIVEN_UP = {'event': 726, 'task': '0.0.1', 'crashes': 2}
+UNANSWERED = {
+    'event': 754,
+    'task': '0.0.1',
+    'worker': 'w3',
+    'held_ms': 8700,
+}
+EXPIRED = {'event': 757, 'task': '0.0.1', 'worker': 'w3', 'held_ms': 6500}
+LOST = {'event': 713, 'task': '0.0.1', 'worker': 'w3'}
 SETTLED = {
     'event': 704,
     'phase': 'succeeded',
@@ -50,6 +58,15 @@
         ([REFUSED_AT_ONCE], 'refused with overloaded because of wait'),
         ([ACCEPTED], 'no run was placed'),
         ([ACCEPTED, PLACED], '1 runs were placed and 0 have ended'),
+        (
+            [ACCEPTED, PLACED, UNANSWERED],
+            'Task 0.0.1 has a start without an answer on w3; at 2 it was held '
+            'for another 8700 ms',
+        ),
+        (
+            [ACCEPTED, PLACED, UNANSWERED, EXPIRED],
+            'at 3 it was held for another 6500 ms',
+        ),
         (
             [ACCEPTED, PLACED, FAILED, SETTLED],
             'succeeded after 900 ms, objective 800 ms; its first run started '
@@ -77,6 +94,13 @@
     assert words in summarize_outcome(history)
 
 
+def test_held_start_of_a_lost_run_is_not_named() -> None:
+    """Guards against a bound that is named after it has ended."""
+    fields: list[dict[str, Any]] = [PLACED, UNANSWERED, EXPIRED, LOST]
+    lines = [line(number, row) for number, row in enumerate(fields)]
+    assert 'held' not in summarize_outcome(read_history(JOB, [lines]))
+
+
 def test_command(
     tmp_path: Path,
     capsys: pytest.CaptureFixture[str],
