Bound the lease of a start with a ticket by its ticket

Cause: the lease of a run without a confirmed start had one bound for the whole worker, late_call_ms (12 s) and the longest lease (6.4 s) after the last order without an answer, whether or not an order named a ticket. A ticket is refused once it has expired and by any other incarnation, so such an order can't act after 2.2 s. One order also held the runs of other jobs.

Change: an unanswered order with a ticket holds its run until its window has ended and then for the longest lease: the ticket may be of an incarnation that the owner did not know, on whose clock the expiry is far ahead. If the directory or an answer tells of such an incarnation before the order is settled, the run waits for late calls as before, since they may extend its lease there. Orders without a ticket wait as before, and hold no run with one.

--- a/fuchsiarill/graph_events.py
+++ b/fuchsiarill/graph_events.py
@@ -323,7 +323,8 @@
     'attempt {attempt} of task {task} of job {job}: the start order to '
     '{worker} has got no answer after {ordered_ms} ms, and may be executed for '
     'another {executable_ms} ms; with a ticket: {has_ticket}; unless the '
-    'worker reports, the task starts elsewhere in {held_ms} ms at the earliest',
+    'worker reports, the task starts elsewhere in {held_ms} ms at the '
+    'earliest, bound: {bound}',
     'None; the task starts elsewhere once the order has no effect any more.',
 )
 INCARNATION_LISTED: Final = LogEvent(
@@ -346,8 +347,8 @@
     Level.INFO,
     'attempt {attempt} of task {task} of job {job}: the start order to '
     '{worker}, which has got no answer, cannot be executed any more; a run '
-    'that it has started may hold its lease for another {held_ms} ms, last '
-    'report {report_age_ms} ms ago',
+    'that it has started may hold its lease for another {held_ms} ms, bound: '
+    '{bound}, last report {report_age_ms} ms ago',
     'None; the task starts elsewhere after that, or once the worker reports.',
 )
 INHERITED_START_UNANSWERED: Final = LogEvent(
--- a/fuchsiarill/graphs/core.py
+++ b/fuchsiarill/graphs/core.py
@@ -206,6 +206,8 @@
         view = self.state.workers.find(worker)
         if view is None or token < view.token:
             return
+        if token > view.token:
+            incarnations.settle_suspicion(view)
         view.token = token
         could_receive_runs = worker_suspension.can_receive_runs(view, now_ms)
         reports.apply_report(self.state, view, report, requested_ms, now_ms)
@@ -218,7 +220,7 @@
         """Expect late calls on an incarnation that is not fenced yet."""
         view = self.state.workers.find(worker)
         if view is not None:
-            incarnations.expect_late_calls(self.state, view, now_ms)
+            incarnations.suspect_restart(self.state, view, now_ms)
 
     def worker_failed(
         self,
--- a/fuchsiarill/graphs/incarnations.py
+++ b/fuchsiarill/graphs/incarnations.py
@@ -34,11 +34,30 @@
         born_ms=born_ms,
         present_born_ms=view.born_ms,
     )
-    expect_late_calls(state, view, now_ms)
+    suspect_restart(state, view, now_ms)
     state.effects.append(FenceIncarnation(view.worker, born_ms))
     state.workers.apply_event(view, AvailabilityEvent.WENT_SILENT)
 
 
+def suspect_restart(state: PoolState, view: WorkerView, now_ms: int) -> None:
+    """Expect late calls, sent until now, on an incarnation that is not fenced.
+
+    The tickets of starts without an answer may be of that incarnation.
+    """
+    expect_late_calls(state, view, now_ms)
+    for run in view.runs.values():
+        run.is_restart_suspected = True
+
+
+def settle_suspicion(view: WorkerView) -> None:
+    """Note that the incarnation which has answered is fenced.
+
+    A report lists the runs that calls with earlier tokens have started there.
+    """
+    for run in view.runs.values():
+        run.is_restart_suspected = False
+
+
 def expect_late_calls(
     state: PoolState, view: WorkerView, sent_until_ms: int
 ) -> None:
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -66,6 +66,9 @@
     executable_until_ms: int = 0
     # Expiry of the ticket in the start order, `None` without a ticket.
     ticket_expiry_ms: int | None = None
+    # The worker may have restarted before the order, so that the ticket may be
+    # of another incarnation than the one that the owner knew.
+    is_restart_suspected: bool = False
     stop_ordered_ms: int | None = None
     is_stop_answered: bool = False
     checkpoint: Checkpoint = NO_CHECKPOINT
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -47,7 +47,7 @@
     _extend(state.leases, run, now_ms)
     view = state.workers.find(run.worker)
     if view is not None:
-        incarnations.expect_late_calls(state, view, now_ms)
+        _bound_leases(state, view, run, now_ms)
     _record(state, run)
     events.emit(
         graph_events.START_UNANSWERED,
@@ -59,6 +59,7 @@
         executable_ms=run.executable_until_ms - now_ms,
         has_ticket=run.ticket_expiry_ms is not None,
         held_ms=_held_ms(view, run, now_ms),
+        bound=_bound_name(view, run),
     )
 
 
@@ -175,6 +176,7 @@
         attempt=run.attempt,
         worker=run.worker,
         held_ms=_held_ms(view, run, now_ms),
+        bound=_bound_name(view, run),
         report_age_ms=now_ms - view.reported_ms,
     )
     if run.visible_since_ms is not None:
@@ -182,6 +184,20 @@
         state.effects.append(RequestReport(run.worker))
 
 
+def _bound_leases(
+    state: PoolState, view: WorkerView, run: Run, now_ms: int
+) -> None:
+    """Bound the leases that a start order without an answer may grant."""
+    if run.ticket_expiry_ms is None:
+        incarnations.expect_late_calls(state, view, now_ms)
+        return
+    # The clock of the incarnation that executes the order is not known, so the
+    # worker may grant the longest lease.
+    view.extend_ticketed(
+        run.executable_until_ms + state.leases.longest_allowed_ms
+    )
+
+
 def _held_ms(view: WorkerView | None, run: Run, now_ms: int) -> int:
     """Return for how long a run counts as present if nothing is reported."""
     if view is None:
@@ -189,6 +205,10 @@
     return max(run.executable_until_ms, view.expiry_of(run)) - now_ms
 
 
+def _bound_name(view: WorkerView | None, run: Run) -> str | None:
+    return None if view is None else view.lease_bound(run).value
+
+
 def _extend(leases: TaskLeaseSettings, run: Run, now_ms: int) -> None:
     until_ms = now_ms + leases.late_call_ms
     if run.ticket_expiry_ms is not None:
--- a/fuchsiarill/graphs/states.py
+++ b/fuchsiarill/graphs/states.py
@@ -46,6 +46,17 @@
     REPLACED = 'replaced'
 
 
+class LeaseBound(Enum):
+    """What bounds the task lease of a run, if its worker stays silent."""
+
+    # The last call that the incarnation which has started the run got.
+    CALLS = 'calls'
+    # The starts with tickets that it may have executed late.
+    TICKETS = 'tickets'
+    # All calls that a later incarnation may have executed late.
+    LATE_CALLS = 'late_calls'
+
+
 class RestartSource(Enum):
     """What has told the owner first of an incarnation that has reported."""
 
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -17,7 +17,11 @@
     WorkerListing,
 )
 from fuchsiarill.graphs.runs import NEVER_MS, Run
-from fuchsiarill.graphs.states import AvailabilityEvent, AvailabilityState
+from fuchsiarill.graphs.states import (
+    AvailabilityEvent,
+    AvailabilityState,
+    LeaseBound,
+)
 from fuchsiarill.ids import NO_TOKEN, FencingToken, WorkerId
 from fuchsiarill.resources import NO_RESOURCES, Resources
 from fuchsiarill.state_chart import StateChart, load_chart
@@ -95,6 +99,8 @@
     # The same for other runs. A later incarnation, of which the owner does not
     # know, may have executed their start orders.
     unconfirmed_expiry_ms: int = 0
+    # The same for runs whose start orders named a ticket, see `lease_bound`.
+    ticketed_expiry_ms: int = 0
     reported_ms: int = 0
     # When the renewal that the last report answers was sent.
     report_requested_ms: int = 0
@@ -173,13 +179,38 @@
     @property
     def lease_expiry_ms(self) -> int:
         """Return the time after which all task leases have expired."""
-        return max(self.confirmed_expiry_ms, self.unconfirmed_expiry_ms)
+        return max(
+            self.confirmed_expiry_ms,
+            self.ticketed_expiry_ms,
+            self.unconfirmed_expiry_ms,
+        )
+
+    def lease_bound(self, run: Run) -> LeaseBound:
+        """Return what bounds the task lease of a run.
+
+        A ticket is of one incarnation, which refuses other calls for earlier
+        ones. It can't be taken for the present one if the worker may have
+        restarted before the order.
+        """
+        if run.is_confirmed:
+            return LeaseBound.CALLS
+        if run.ticket_expiry_ms is None or run.is_restart_suspected:
+            return LeaseBound.LATE_CALLS
+        return LeaseBound.TICKETS
 
     def expiry_of(self, run: Run) -> int:
         """Return the time after which the task lease of a run has expired."""
-        if run.is_confirmed:
-            return self.confirmed_expiry_ms
-        return self.unconfirmed_expiry_ms
+        match self.lease_bound(run):
+            case LeaseBound.CALLS:
+                return self.confirmed_expiry_ms
+            case LeaseBound.TICKETS:
+                return max(self.confirmed_expiry_ms, self.ticketed_expiry_ms)
+            case LeaseBound.LATE_CALLS:
+                return max(self.unconfirmed_expiry_ms, self.ticketed_expiry_ms)
+
+    def extend_ticketed(self, expiry_ms: int) -> None:
+        """Move the expiry for starts with tickets forward, never back."""
+        self.ticketed_expiry_ms = max(self.ticketed_expiry_ms, expiry_ms)
 
     def extend_unconfirmed(self, expiry_ms: int) -> None:
         """Move the expiry for unconfirmed runs forward, never back."""
@@ -188,6 +219,7 @@
     def set_expiry(self, expiry_ms: int) -> None:
         """Set the time after which all task leases have expired."""
         self.confirmed_expiry_ms = expiry_ms
+        self.ticketed_expiry_ms = expiry_ms
         self.unconfirmed_expiry_ms = expiry_ms
 
     @property
--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -105,6 +105,10 @@
         self.workers[name].capacity = capacity
         self.publish_directory()
 
+    def may_run(self, job: str, worker: WorkerId) -> bool:
+        """Tell whether the advice service allows a worker for a job."""
+        return is_allowed(job, worker)
+
     def pass_time(self, duration_ms: int) -> None:
         """Advance the clock in steps; run workers, advice and decisions."""
         for _ in range(duration_ms // STEP_MS):
@@ -197,7 +201,7 @@
         granted = {
             worker: self._grant(worker)
             for worker in call.incarnations
-            if is_allowed(call.step.job, worker)
+            if self.may_run(call.step.job, worker)
         }
         self.owner.core.advice_received(
             call.step,
--- a/tests/test_gone_workers.py
+++ b/tests/test_gone_workers.py
@@ -1,20 +1,27 @@
 """Starts on workers that are gone for good."""
 
+from operator import attrgetter
 from typing import Any
 
 import pytest
 
 from fuchsiarill import events, graph_events
-from fuchsiarill.graphs.effects import StartRun
-from fuchsiarill.graphs.model import Step
+from fuchsiarill.graphs.effects import RequestAdvice, StartRun
+from fuchsiarill.graphs.model import BornMs, EndKind, Step, Ticket
+from fuchsiarill.graphs.settings import TaskLeaseSettings
+from fuchsiarill.ids import WorkerId
 from fuchsiarill.log_event import LogEvent
 from fuchsiarill.ports.agents import AgentFailure
-from tests.advised_owner import W0, advice_requests, grant
-from tests.graph_owner import ADVISED, SIZE, Owner
+from tests.advised_owner import STEP, W0, advice_requests, grant
+from tests.graph_owner import ADVISED, CAPACITY, SIZE, Owner, ended
 
 _TIMEOUT_MS = 350
 _VALID_MS = 2000
 _TICK_MS = 200
+_W1 = WorkerId('w1')
+# Within this time after the end of the traffic no task may wait for a worker
+# while most of the room is free.
+_FINISH_MS = 14_000
 
 
 def _advised_start() -> tuple[Owner, StartRun]:
@@ -41,13 +48,87 @@
     )
 
 
-def _pass_time(owner: Owner, duration_ms: int) -> None:
-    """Let the other worker report and the owner decide meanwhile."""
+def _next_starts(owner: Owner, duration_ms: int) -> dict[str, int]:
+    """Return when each job starts next, on `w1`.
+
+    `w0` is silent, and the advice service grants each request at once.
+    """
+    started_ms: dict[str, int] = {}
     until_ms = owner.now_ms + duration_ms
     while owner.now_ms < until_ms:
         owner.now_ms += _TICK_MS
         owner.report('w1')
+        owner.core.worker_failed(W0, AgentFailure.UNKNOWN, owner.now_ms)
+        for effect in owner.decide():
+            if isinstance(effect, StartRun):
+                assert effect.worker == _W1
+                started_ms.setdefault(effect.task.job, owner.now_ms)
+            if isinstance(effect, RequestAdvice):
+                _grant_other_worker(owner, effect)
+    return started_ms
+
+
+def _grant_other_worker(owner: Owner, request: RequestAdvice) -> None:
+    owner.core.advice_received(
+        request.step,
+        {_W1: BornMs(1)},
+        {_W1: Ticket('t1')},
+        owner.now_ms + _VALID_MS,
+        owner.now_ms,
+    )
+
+
+def test_start_with_a_ticket_on_a_gone_worker_moves_in_time() -> None:
+    """Guards against a task that is held for 18 s after its ticket expired."""
+    owner, start = _advised_start()
+    _time_out(owner, start)
+    timed_out_ms = owner.now_ms
+    next_ms = _next_starts(owner, 30_000)['a']
+    assert next_ms - timed_out_ms < _FINISH_MS
+
+
+def test_start_without_a_ticket_holds_no_other_run() -> None:
+    """Guards against a bound of one order that holds runs of other jobs."""
+    owner, start = _advised_start()
+    owner.add_job('b', Step(1, SIZE))
+    other = next(row for row in owner.starts() if row.worker == W0)
+    _time_out(owner, start)
+    timed_out_ms = owner.now_ms
+    owner.now_ms += 5000
+    _time_out(owner, other)
+    next_ms = _next_starts(owner, 40_000)
+    assert next_ms['a'] - timed_out_ms < _FINISH_MS
+    leases = TaskLeaseSettings()
+    held_ms = leases.late_call_ms + leases.longest_allowed_ms
+    assert next_ms['b'] - timed_out_ms > 5000 + held_ms
+
+
+def test_gang_with_a_member_on_a_gone_worker_moves_in_time() -> None:
+    """Guards against members that wait for one start without an answer."""
+    owner = Owner('w0', 'w1', 'w2')
+    for name in ('w0', 'w1', 'w2'):
+        owner.report(name)
+    owner.add_job('a', Step(2, CAPACITY, is_gang=True), queue=ADVISED)
+    advice_requests(owner)
+    both = {W0: Ticket('t0'), _W1: Ticket('t1')}
+    owner.core.advice_received(
+        STEP, {W0: BornMs(1), _W1: BornMs(1)}, both, owner.now_ms + _VALID_MS, 0
+    )
+    first, second = sorted(owner.starts(), key=attrgetter('worker'))
+    owner.core.start_answered(
+        second.worker, second.task, second.attempt, None, owner.now_ms
+    )
+    _time_out(owner, first)
+    alone = ended(second.task, kind=EndKind.ALONE)
+    owner.report('w1', ended=(alone,))
+    timed_out_ms = owner.now_ms
+    while owner.view('w0').runs:
+        owner.now_ms += _TICK_MS
         owner.decide()
+    assert owner.now_ms - timed_out_ms < _FINISH_MS
+    step = owner.core.state.find_unfinished_step(STEP)
+    assert step is not None
+    assert not step.active
 
 
 def test_log_names_the_bound_of_an_expired_start(
@@ -60,7 +141,7 @@
     )
     owner, start = _advised_start()
     _time_out(owner, start)
-    _pass_time(owner, 30_000)
+    _next_starts(owner, 30_000)
     by_event = {event: fields for event, fields in lines}
     unanswered = by_event[graph_events.START_UNANSWERED]
     expired = by_event[graph_events.START_EXPIRED]
