Record for how long the next owner has to wait for a start

Callers saw inherited tasks that did not start again for 18.4 s after the end of an owner whose start order a lost worker had not answered.

Cause: the record of unanswered starts names unit and worker only, so the next owner held the unit for late_call_ms and the longest lease after the end of the former owner, with a ticket too. That the order had a ticket was guessed from the present policy of the queue, which may have changed since the order.

Evidence: read in is_inherited_open; in paused time the task had not started 14 s after the kill.

Change: the progress of a job has the time for which the orders of a unit may be executed (unanswered_ms). The next owner counts it from the end of the former owner, and then the longest lease. Without a time, or if the directory lists an incarnation that the former owner did not know, it counts late_call_ms. If a restart is suspected, the owner drops the time from the record.

Rolling restart: 'unanswered' is written as before. A process of the former version reads it, ignores unanswered_ms and drops it when it saves; it waits as it did. A process of this version that finds a unit without a time waits for the longest one, 18.4 s, also if the queue has advice. A unit that had a record without a time gets none from a later start.

--- a/fuchsiarill/graphs/incarnations.py
+++ b/fuchsiarill/graphs/incarnations.py
@@ -7,6 +7,7 @@
 from fuchsiarill import events, graph_events
 from fuchsiarill.graphs.effects import FenceIncarnation
 from fuchsiarill.graphs.fencing import BORN_UNKNOWN_MS
+from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.state import PoolState
 from fuchsiarill.graphs.states import AvailabilityEvent
 from fuchsiarill.graphs.worker_table import WorkerView
@@ -47,6 +48,7 @@
     expect_late_calls(state, view, now_ms)
     for run in view.runs.values():
         run.is_restart_suspected = True
+        _drop_recorded_window(state, run)
 
 
 def settle_suspicion(view: WorkerView) -> None:
@@ -71,6 +73,15 @@
     )
 
 
+def _drop_recorded_window(state: PoolState, run: Run) -> None:
+    """Let the next owner wait for the longest time for an unanswered start."""
+    entry = state.jobs.get(run.task.job)
+    if entry is None:
+        return
+    if entry.progress.unanswered_ms.pop(run.unit_key, None) is not None:
+        state.mark_dirty(entry.job)
+
+
 def _expect_inherited_calls(state: PoolState, view: WorkerView) -> None:
     """Expect late calls of previous owners on an incarnation unknown to them.
 
--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -57,6 +57,24 @@
     unanswered_starts: dict[UnitKey, set[WorkerId]] = field(
         default_factory=dict
     )
+    # For how long after the last save these orders may be executed. A unit
+    # without a time was saved by a version that did not save it.
+    unanswered_ms: dict[UnitKey, int] = field(default_factory=dict)
+
+    def add_unanswered(
+        self, unit: UnitKey, worker: WorkerId, executable_ms: int
+    ) -> None:
+        """Record a start order that may be executed for `executable_ms`."""
+        is_new = unit not in self.unanswered_starts
+        self.unanswered_starts.setdefault(unit, set()).add(worker)
+        if is_new or unit in self.unanswered_ms:
+            longest_ms = max(self.unanswered_ms.get(unit, 0), executable_ms)
+            self.unanswered_ms[unit] = longest_ms
+
+    def forget_unanswered(self, unit: UnitKey) -> bool:
+        """Remove the start orders of a unit; returns whether it had any."""
+        self.unanswered_ms.pop(unit, None)
+        return self.unanswered_starts.pop(unit, None) is not None
 
     def crashes_count(self, unit: UnitKey) -> int:
         """Return the number of attempts during which a worker crashed."""
--- a/fuchsiarill/graphs/records.py
+++ b/fuchsiarill/graphs/records.py
@@ -139,6 +139,13 @@
             [*unit, sorted(workers)]
             for unit, workers in progress.unanswered_starts.items()
         ]
+    if progress.unanswered_ms:
+        # A version that does not know these rows drops them when it saves the
+        # progress. The next owner then waits for the longest time.
+        document['unanswered_ms'] = [
+            [*unit, executable_ms]
+            for unit, executable_ms in progress.unanswered_ms.items()
+        ]
     if progress.crashed_attempts:
         document['crashed'] = _encode_attempts(progress.crashed_attempts)
     if progress.crashed_runs:
@@ -170,6 +177,10 @@
             UnitKey(*row[:3]): {WorkerId(worker) for worker in row[3]}
             for row in document.get('unanswered', [])
         },
+        {
+            UnitKey(*row[:3]): row[3]
+            for row in document.get('unanswered_ms', [])
+        },
     )
 
 
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -18,6 +18,7 @@
 from fuchsiarill.graphs import incarnations
 from fuchsiarill.graphs.effects import RequestReport
 from fuchsiarill.graphs.job_entries import JobEntry, Unit
+from fuchsiarill.graphs.progress import UnitKey
 from fuchsiarill.graphs.runs import Run
 from fuchsiarill.graphs.settings import TaskLeaseSettings
 from fuchsiarill.graphs.state import PoolState
@@ -48,7 +49,7 @@
     view = state.workers.find(run.worker)
     if view is not None:
         _bound_leases(state, view, run, now_ms)
-    _record(state, run)
+    _record(state, run, now_ms)
     events.emit(
         graph_events.START_UNANSWERED,
         job=run.task.job,
@@ -87,10 +88,10 @@
     workers = entry.progress.unanswered_starts.get(unit.key)
     if workers is None:
         return False
-    window_end_ms = _inherited_window_end_ms(state, entry)
+    window_end_ms = _inherited_window_end_ms(state, entry, unit.key)
     if now_ms <= window_end_ms:
         return True
-    if now_ms > _inherited_expiry_ms(state):
+    if now_ms > window_end_ms + state.leases.longest_allowed_ms:
         return False
     return not all(
         _has_reported_since(state, worker, window_end_ms) for worker in workers
@@ -105,7 +106,9 @@
             job=entry.job,
             unit=unit_key.label,
             workers=','.join(sorted(workers)),
-            held_ms=_inherited_expiry_ms(state) - now_ms,
+            held_ms=_inherited_window_end_ms(state, entry, unit_key)
+            + state.leases.longest_allowed_ms
+            - now_ms,
         )
 
 
@@ -120,25 +123,33 @@
 
 def forget_starts(state: PoolState, entry: JobEntry, unit: Unit) -> None:
     """Remove the record of start orders that can't be executed any more."""
-    if entry.progress.unanswered_starts.pop(unit.key, None) is not None:
+    if entry.progress.forget_unanswered(unit.key):
         state.mark_dirty(entry.job)
 
 
-def _inherited_window_end_ms(state: PoolState, entry: JobEntry) -> int:
-    """Return until when a start order of the previous owner may be executed."""
-    leases = state.leases
-    window_ms = leases.late_call_ms
-    if entry.policy.advice is not None:
-        ticket_ms = entry.policy.advice.validity_ms + _clock_slack_ms(leases)
-        window_ms = min(window_ms, ticket_ms)
+def _inherited_window_end_ms(
+    state: PoolState, entry: JobEntry, unit: UnitKey
+) -> int:
+    """Return until when a start order of the previous owner may be executed.
+
+    Its ticket may be of an incarnation that the previous owner did not know.
+    """
+    progress = entry.progress
+    window_ms = progress.unanswered_ms.get(unit)
+    if window_ms is None or any(
+        _lists_later_incarnation(state, worker)
+        for worker in progress.unanswered_starts[unit]
+    ):
+        window_ms = state.leases.late_call_ms
     return state.previous_owner_stop_ms + window_ms
 
 
-def _inherited_expiry_ms(state: PoolState) -> int:
-    """Return until when a run that such an order has started may last."""
-    leases = state.leases
-    longest_ms = leases.late_call_ms + leases.longest_allowed_ms
-    return state.previous_owner_stop_ms + longest_ms
+def _lists_later_incarnation(state: PoolState, worker: WorkerId) -> bool:
+    """Tell whether the directory lists one that the previous owner missed."""
+    view = state.workers.find(worker)
+    if view is None or view.entry is None or not view.recorded_born_ms:
+        return False
+    return view.entry.born_ms != view.recorded_born_ms
 
 
 def _has_reported_since(
@@ -154,14 +165,16 @@
     return view.report_requested_ms > since_ms
 
 
-def _record(state: PoolState, run: Run) -> None:
+def _record(state: PoolState, run: Run, now_ms: int) -> None:
     """Record an unanswered start for the next owner of the pool."""
     job_and_step = state.find_step(run.task)
     if job_and_step is None:
         return
     entry = job_and_step[0]
-    starts = entry.progress.unanswered_starts
-    starts.setdefault(run.unit_key, set()).add(run.worker)
+    executable_ms = run.executable_until_ms - now_ms
+    if run.is_restart_suspected:
+        executable_ms = state.leases.late_call_ms
+    entry.progress.add_unanswered(run.unit_key, run.worker, executable_ms)
     state.mark_dirty(entry.job)
 
 
--- a/tests/test_gone_workers.py
+++ b/tests/test_gone_workers.py
@@ -6,14 +6,16 @@
 import pytest
 
 from fuchsiarill import events, graph_events
+from fuchsiarill.graphs import records
 from fuchsiarill.graphs.effects import RequestAdvice, StartRun
-from fuchsiarill.graphs.model import BornMs, EndKind, Step, Ticket
+from fuchsiarill.graphs.model import BornMs, EndKind, JobGraph, Step, Ticket
+from fuchsiarill.graphs.progress import JobProgress, UnitKey
 from fuchsiarill.graphs.settings import TaskLeaseSettings
-from fuchsiarill.ids import WorkerId
+from fuchsiarill.ids import JobId, WorkerId
 from fuchsiarill.log_event import LogEvent
 from fuchsiarill.ports.agents import AgentFailure
 from tests.advised_owner import STEP, W0, advice_requests, grant
-from tests.graph_owner import ADVISED, CAPACITY, SIZE, Owner, ended
+from tests.graph_owner import ADVISED, CAPACITY, POOL, SIZE, Owner, ended
 
 _TIMEOUT_MS = 350
 _VALID_MS = 2000
@@ -103,6 +105,69 @@
     assert next_ms['b'] - timed_out_ms > 5000 + held_ms
 
 
+@pytest.mark.parametrize(
+    ('unanswered_ms', 'window_ms'),
+    [({}, TaskLeaseSettings().late_call_ms), ({UnitKey(0, 0, 0): 1800}, 1800)],
+)
+def test_inherited_start_is_held_for_its_window_and_a_lease(
+    unanswered_ms: dict[UnitKey, int], window_ms: int
+) -> None:
+    """Guards against a unit that the next owner holds too long or too short.
+
+    A record of the former version has no time.
+    """
+    owner = Owner('w0', 'w1', term=2)
+    stop_ms = owner.now_ms
+    owner.core.state.previous_owner_stop_ms = stop_ms
+    owner.core.add_job(
+        JobGraph(JobId('a'), ADVISED, POOL, '', (Step(1, SIZE),)),
+        JobProgress(
+            unanswered_starts={UnitKey(0, 0, 0): {W0}},
+            unanswered_ms=unanswered_ms,
+        ),
+        owner.now_ms,
+        is_inherited=True,
+    )
+    next_ms = _next_starts(owner, 30_000)['a']
+    held_ms = window_ms + TaskLeaseSettings().longest_allowed_ms
+    assert held_ms < next_ms - stop_ms < held_ms + _TICK_MS * 3
+
+
+def test_inherited_ticket_may_be_of_a_listed_incarnation() -> None:
+    """Guards against a ticket that is taken for the recorded incarnation."""
+    owner = Owner('w0', 'w1', term=2)
+    owner.core.state.previous_owner_stop_ms = owner.now_ms
+    owner.core.add_inherited_worker(W0, 'w0:1', owner.now_ms, BornMs(1))
+    owner.list_incarnation('w0', 9)
+    owner.core.add_job(
+        JobGraph(JobId('a'), ADVISED, POOL, '', (Step(1, SIZE),)),
+        JobProgress(
+            unanswered_starts={UnitKey(0, 0, 0): {W0}},
+            unanswered_ms={UnitKey(0, 0, 0): 1800},
+        ),
+        owner.now_ms,
+        is_inherited=True,
+    )
+    started_ms = _next_starts(owner, 30_000)['a']
+    leases = TaskLeaseSettings()
+    assert started_ms > 1000 + leases.late_call_ms + leases.longest_allowed_ms
+
+
+def test_progress_keeps_the_windows_of_unanswered_starts() -> None:
+    """Guards against a record that loses a start, or the time of one."""
+    unit, former_unit = UnitKey(0, 0, 0), UnitKey(0, 0, 1)
+    saved = JobProgress(unanswered_starts={former_unit: {W0}})
+    saved.add_unanswered(unit, W0, 1888)
+    saved.add_unanswered(unit, _W1, 1700)
+    # The time of a start in a record of the former version is not known.
+    saved.add_unanswered(former_unit, _W1, 1700)
+    loaded = records.decode_progress(records.encode_progress(saved))
+    assert loaded.unanswered_starts == {unit: {W0, _W1}, former_unit: {W0, _W1}}
+    assert loaded.unanswered_ms == {unit: 1888}
+    assert loaded.forget_unanswered(unit)
+    assert not loaded.unanswered_ms
+
+
 def test_gang_with_a_member_on_a_gone_worker_moves_in_time() -> None:
     """Guards against members that wait for one start without an answer."""
     owner = Owner('w0', 'w1', 'w2')
--- a/tests/test_late_ticketed_starts.py
+++ b/tests/test_late_ticketed_starts.py
@@ -5,9 +5,30 @@
 
 import pytest
 
-from fuchsiarill.graphs.model import Step
+from fuchsiarill.clock import run_paused, sleep_ms
+from fuchsiarill.graphs import progress, records
+from fuchsiarill.graphs.model import (
+    AdvicePolicy,
+    GraphConfig,
+    PoolPolicy,
+    Step,
+)
+from fuchsiarill.graphs.states import JobPhase
+from fuchsiarill.ids import Generation
+from standins.outages import Outage
 from tests.advised_world import AdvisedWorld
+from tests.graph_cell import (
+    CAPACITY,
+    P0,
+    POOL,
+    QUEUE,
+    GraphCell,
+    GrantingAdvisor,
+    owner_of,
+    queue_policy,
+)
 from tests.graph_owner import ADVISED, SIZE
+from tests.worker_restarts import OTHER_WORKER, RUN_MS, STEP, WORKER
 
 # The clock of the first incarnation is then ahead of that of the next one by
 # more than the longest lease.
@@ -18,6 +39,7 @@
 _CUT_AFTER_MS = 400
 # See `test_gone_workers.py`.
 _FINISH_MS = 14_000
+_VALIDITY_MS = 2000
 
 _slow_clocks = pytest.mark.parametrize(
     ('clock_slowness', 'lapse_delay_ms'), [(0, 0), (0.02, 250)]
@@ -95,3 +117,61 @@
     world.publish_directory()
     world.pass_time(2 * _LONG_RUN_MS)
     assert not world.violations
+
+
+def _run_takeover(
+    *, delay_ms: int, kill_after_ms: int, within_ms: int | None
+) -> None:
+    """Kill the owner of a start that a later incarnation executes late."""
+
+    async def main() -> None:
+        cell = GraphCell(2, 1)
+        cell.advisor = GrantingAdvisor(cell.fleet, _VALIDITY_MS)
+        advice = AdvicePolicy(20, 0, _VALIDITY_MS)
+        cell.config = GraphConfig(
+            Generation(1),
+            {QUEUE: queue_policy(advice=advice)},
+            {POOL: PoolPolicy(POOL)},
+        )
+        await cell.start()
+        await sleep_ms(10_000)
+        cell.fleet.add(WORKER, CAPACITY, outage=Outage.SILENT)
+        cell.fleet.delayed_calls.delays_ms[WORKER] = delay_ms
+        await cell.submit(P0, 'a', STEP, duration_ms=RUN_MS)
+        await sleep_ms(100)
+        cell.fleet.agents[WORKER].is_silent = True
+        cell.fleet.delayed_calls.delays_ms.clear()
+        cell.add_worker(OTHER_WORKER)
+        await sleep_ms(kill_after_ms)
+        await cell.kill(owner_of(cell))
+        if within_ms is not None:
+            await sleep_ms(within_ms)
+            assert cell.fleet.agents[OTHER_WORKER].runs
+        await cell.wait_phase('a', JobPhase.SUCCEEDED, 90_000)
+        await cell.stop()
+
+    run_paused(main())
+
+
+@pytest.mark.parametrize('delay_ms', [500, 1000, 1800])
+def test_next_owner_starts_the_task_elsewhere_in_time(delay_ms: int) -> None:
+    """Guards against an inherited start that is held for 18 s.
+
+    Its order named a ticket, as the record of the job tells.
+    """
+    _run_takeover(delay_ms=delay_ms, kill_after_ms=800, within_ms=_FINISH_MS)
+
+
+@pytest.mark.parametrize('delay_ms', [500, 1000, 1800])
+def test_record_of_the_former_version_holds_the_task(
+    delay_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a time that is guessed for a record without one."""
+    encode = records.encode_progress
+
+    def encode_as_before(saved: progress.JobProgress) -> bytes:
+        saved.unanswered_ms.clear()
+        return encode(saved)
+
+    monkeypatch.setattr(records, 'encode_progress', encode_as_before)
+    _run_takeover(delay_ms=delay_ms, kill_after_ms=800, within_ms=None)
