Extend no lease after a start without an answer

Callers would see a task run twice if a later incarnation of a worker executed a start with a ticket late and then a renewal that was sent after the time-out of the start: the renewal extends the lease beyond the bound of the start.

Cause: the channel goes on extending all leases of a worker that leaves starts unanswered, until a renewal fails.

Change: after the time-out of a start the channel sends renewals that extend no lease and do not wait, until one requested since then is answered. The answer shows that the incarnation with the ticket is the known one. The simulated channel does the same.

--- a/fuchsiarill/graphs/worker_channel.py
+++ b/fuchsiarill/graphs/worker_channel.py
@@ -94,6 +94,10 @@
         # A report requested before this time may lack an end that has the
         # number of a durable one; `None` while nothing tells of that.
         self._start_unconfirmed_ms: int | None = None
+        # When a start has got no answer last; `None` once a report requested
+        # since then has come. A later incarnation may execute the start, and
+        # then a renewal, so that none extends leases meanwhile.
+        self._start_unanswered_ms: int | None = None
 
     def start(self) -> None:
         """Run the actor, and the renewals in a task of their own."""
@@ -231,11 +235,14 @@
     ) -> Result[WorkerReport, AgentFailure]:
         if self._has_more_ends or self._durable_end < self._reported_end:
             wait_ms = 0
+        extends_leases = (
+            self._contact.is_confirmed and self._start_unanswered_ms is None
+        )
         order = RenewalOrder(
             self._contact.token,
             self._acknowledged_end(),
-            self._lease_expiry_ms(),
-            wait_ms if self._contact.is_confirmed else 0,
+            self._lease_expiry_ms() if extends_leases else None,
+            wait_ms if extends_leases else 0,
         )
         if order.expiry_ms is not None:
             self._context.owner.send(RenewalSent(self.agent.worker))
@@ -271,6 +278,9 @@
         unconfirmed_ms = self._start_unconfirmed_ms
         if unconfirmed_ms is not None and unconfirmed_ms <= requested_ms:
             self._start_unconfirmed_ms = None
+        unanswered_ms = self._start_unanswered_ms
+        if unanswered_ms is not None and unanswered_ms <= requested_ms:
+            self._start_unanswered_ms = None
         for end in report.ended:
             self._reported_end = EndSequence(
                 max(self._reported_end, end.sequence)
@@ -353,6 +363,7 @@
             case Failure(AgentFailure() as failure):
                 if failure is AgentFailure.UNKNOWN:
                     self._start_unconfirmed_ms = now_ms()
+                    self._start_unanswered_ms = now_ms()
                 is_news = not self._contact.is_outdated(token)
                 if failure is AgentFailure.FENCED and is_news:
                     self._handle_failure(failure)
--- a/tests/simulated_calls.py
+++ b/tests/simulated_calls.py
@@ -256,7 +256,9 @@
         if not worker.is_reachable:
             self._fail_renewal(worker)
             return
-        call = RenewalCall(name, channel.token, channel.expiry_ms(self.now_ms))
+        call = RenewalCall(
+            name, channel.token, channel.renewal_expiry_ms(self.now_ms)
+        )
         if call.expiry_ms is not None:
             core.renewal_sent(name, self.now_ms)
         if self._delay(call):
@@ -296,6 +298,7 @@
             row for row in self.unanswered_starts if row[0] > self.now_ms
         ]
         for order in timed_out_starts:
+            self.channel(order.worker).has_unanswered_start = True
             self._answer_start(order, AgentFailure.UNKNOWN)
 
     def _start_run(self, worker: SimulatedWorker, order: StartRun) -> None:
--- a/tests/simulated_channel.py
+++ b/tests/simulated_channel.py
@@ -83,6 +83,8 @@
     # Worker's clock minus the runtime clock in the last report.
     clock_offset_ms: int = 0
     reported_clock_ms: int = 0
+    # A start has got no answer since the last report.
+    has_unanswered_start: bool = False
     # When the renewal that has got no answer is taken as failed.
     pending_until_ms: int | None = None
 
@@ -95,6 +97,10 @@
             return None
         return now_ms + self.clock_offset_ms + _LEASE_MS
 
+    def renewal_expiry_ms(self, now_ms: int) -> int | None:
+        """Return the same for a renewal, which waits for unanswered starts."""
+        return None if self.has_unanswered_start else self.expiry_ms(now_ms)
+
     def incarnation_seen(self, born_ms: int) -> None:
         """Take a higher token if the directory lists another incarnation."""
         if born_ms != self.born_ms:
@@ -128,6 +134,7 @@
         with a token that calls to the former incarnation may carry.
         """
         self.is_confirmed = True
+        self.has_unanswered_start = False
         if self.is_fenced and report.born_ms != self.born_ms:
             self.restart_seen()
             return False
--- a/tests/test_worker_channel.py
+++ b/tests/test_worker_channel.py
@@ -118,6 +118,41 @@
     run_paused(scenario())
 
 
+def test_no_renewal_extends_leases_after_an_unanswered_start() -> None:
+    """Guards against a lease that outlasts the bound of a late start.
+
+    A later incarnation may execute the start and then the renewal. Leases are
+    extended again once the worker has answered.
+    """
+
+    async def scenario() -> None:
+        agent = ScriptedAgent()
+        channel = open_channel(agent)
+        await sleep_ms(1500)
+        agent.loses_start_answers = True
+        agent.loses_reports = True
+        channel.mailbox.send(start_order())
+        await sleep_ms(400)
+        unanswered_ms = now_ms()
+        channel.mailbox.send(RequestReport(WORKER))
+        await sleep_ms(2000)
+        agent.loses_reports = False
+        answers_ms = now_ms()
+        await sleep_ms(2000)
+        await channel.stop()
+        expiries = {
+            sent_ms: order.expiry_ms
+            for sent_ms, order in agent.renewals
+            if sent_ms >= unanswered_ms
+        }
+        before = [at_ms for at_ms in expiries if at_ms < answers_ms]
+        assert before
+        assert not any(expiries[at_ms] for at_ms in before)
+        assert any(expiries.values())
+
+    run_paused(scenario())
+
+
 def test_former_owner_extends_no_lease() -> None:
     """Guards against task leases that a former owner extends.
 
