Expect a restart that an unreachable directory can't tell of

Callers would see a task run twice if a worker restarted unnoticed, the ticket of a start was of the later incarnation, and a renewal that was under way at the restart was executed there seconds later.

Cause: a start with a ticket is held for its window and one lease as long as nothing tells of a later incarnation. The directory does, unless it can't be read.

Change: while the watch of the directory fails, starts with tickets that have got no answer are held for late calls, as with a listed restart. The next owner counts the longest window then.

Measured: test_late_renewal_is_waited_for_without_the_directory failed in both of its cases without a suspicion.

--- a/fuchsiarill/graphs/incarnations.py
+++ b/fuchsiarill/graphs/incarnations.py
@@ -51,6 +51,31 @@
         _drop_recorded_window(state, run)
 
 
+def apply_reachability(state: PoolState, *, is_directory_lost: bool) -> None:
+    """Note whether the directory is read.
+
+    While it is not, each worker with an unanswered start may have restarted:
+    only its entry tells of an incarnation that can't be called.
+    """
+    state.is_directory_lost = is_directory_lost
+    if not is_directory_lost:
+        return
+    for view in state.workers:
+        for run in view.runs.values():
+            suspect_without_directory(state, view, run)
+
+
+def suspect_without_directory(
+    state: PoolState, view: WorkerView, run: Run
+) -> None:
+    """Suspect a restart before an unanswered start with a ticket."""
+    if run.is_confirmed or not run.late_calls_expiry_ms:
+        return
+    run.is_restart_suspected = True
+    view.extend_unconfirmed(run.late_calls_expiry_ms)
+    _drop_recorded_window(state, run)
+
+
 def settle_suspicion(view: WorkerView) -> None:
     """Note that the incarnation which has answered is fenced.
 
--- a/fuchsiarill/graphs/pool_owner.py
+++ b/fuchsiarill/graphs/pool_owner.py
@@ -12,7 +12,7 @@
 from fuchsiarill.actor import handles
 from fuchsiarill.clock import now_ms, sleep_ms
 from fuchsiarill.cluster.spawning_actor import SpawningActor
-from fuchsiarill.graphs import keys
+from fuchsiarill.graphs import incarnations, keys
 from fuchsiarill.graphs import owner_messages as messages
 from fuchsiarill.graphs.advice import AdviceRequest, OwnerStopped
 from fuchsiarill.graphs.advice_requests import choose_workers
@@ -191,7 +191,15 @@
     async def on_reachability_changed(
         self, message: StoreReachabilityChanged
     ) -> None:
-        """Ignore store outages; the watches recover by themselves."""
+        """Tell the core whether the directory is read.
+
+        The watches recover from outages of the store by themselves.
+        """
+        if message.prefix != self._context.ports.documents.workers_prefix:
+            return
+        incarnations.apply_reachability(
+            self.core.state, is_directory_lost=message.is_unreachable
+        )
 
     @handles(messages.WorkerReported)
     async def on_reported(self, message: messages.WorkerReported) -> None:
--- a/fuchsiarill/graphs/runs.py
+++ b/fuchsiarill/graphs/runs.py
@@ -69,6 +69,9 @@
     # The worker may have restarted before the order, so that the ticket may be
     # of another incarnation than the one that the owner knew.
     is_restart_suspected: bool = False
+    # The leases that calls sent before the time-out of the start grant late
+    # have expired after this time; 0 before the time-out.
+    late_calls_expiry_ms: int = 0
     stop_ordered_ms: int | None = None
     is_stop_answered: bool = False
     checkpoint: Checkpoint = NO_CHECKPOINT
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -136,10 +136,11 @@
     """
     progress = entry.progress
     window_ms = progress.unanswered_ms.get(unit)
-    if window_ms is None or any(
+    is_restart_excluded = not state.is_directory_lost and not any(
         _lists_later_incarnation(state, worker)
         for worker in progress.unanswered_starts[unit]
-    ):
+    )
+    if window_ms is None or not is_restart_excluded:
         window_ms = state.leases.late_call_ms
     return state.previous_owner_stop_ms + window_ms
 
@@ -204,11 +205,15 @@
     if run.ticket_expiry_ms is None:
         incarnations.expect_late_calls(state, view, now_ms)
         return
+    leases = state.leases
     # The clock of the incarnation that executes the order is not known, so the
     # worker may grant the longest lease.
-    view.extend_ticketed(
-        run.executable_until_ms + state.leases.longest_allowed_ms
+    view.extend_ticketed(run.executable_until_ms + leases.longest_allowed_ms)
+    run.late_calls_expiry_ms = (
+        now_ms + leases.late_call_ms + leases.longest_allowed_ms
     )
+    if state.is_directory_lost:
+        incarnations.suspect_without_directory(state, view, run)
 
 
 def _held_ms(view: WorkerView | None, run: Run, now_ms: int) -> int:
--- a/fuchsiarill/graphs/state.py
+++ b/fuchsiarill/graphs/state.py
@@ -55,6 +55,8 @@
     is_inheritance_settled: bool = False
     # The previous owner has sent no orders after this time.
     previous_owner_stop_ms: int = 0
+    # The directory is out of reach, so that it tells of no restarts.
+    is_directory_lost: bool = False
     # Runs lost by expired leases, of workers whose end is not proved.
     losses: dict[WorkerId, WorkerLoss] = field(default_factory=dict)
     # Proved ends of the last minute.
--- a/tests/test_late_ticketed_starts.py
+++ b/tests/test_late_ticketed_starts.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fuchsiarill.clock import run_paused, sleep_ms
-from fuchsiarill.graphs import progress, records
+from fuchsiarill.graphs import incarnations, progress, records
 from fuchsiarill.graphs.model import (
     AdvicePolicy,
     GraphConfig,
@@ -119,6 +119,30 @@
     assert not world.violations
 
 
+@_slow_clocks
+@pytest.mark.parametrize('is_lost_before', [True, False])
+def test_late_renewal_is_waited_for_without_the_directory(
+    clock_slowness: float, lapse_delay_ms: int, *, is_lost_before: bool
+) -> None:
+    """Guards against the same while the directory is out of reach.
+
+    It can't tell of the incarnation that has executed the start.
+    """
+    world = _world(clock_slowness, lapse_delay_ms)
+    world.delays_ms['w0'] = 7000
+    world.pass_time(100)
+    world.replace_incarnation('w0')
+    state = world.owner.core.state
+    if is_lost_before:
+        incarnations.apply_reachability(state, is_directory_lost=True)
+    _submit_late(world, 1000)
+    world.pass_time(2000)
+    if not is_lost_before:
+        incarnations.apply_reachability(state, is_directory_lost=True)
+    world.pass_time(2 * _LONG_RUN_MS)
+    assert not world.violations
+
+
 def _run_takeover(
     *, delay_ms: int, kill_after_ms: int, within_ms: int | None
 ) -> None:
