Count the recorded time of a start from its order

Cause: the record had the rest of the window at the time-out.

Change: the record has the time from the order to the end of its window.

--- a/fuchsiarill/graphs/progress.py
+++ b/fuchsiarill/graphs/progress.py
@@ -57,8 +57,8 @@
     unanswered_starts: dict[UnitKey, set[WorkerId]] = field(
         default_factory=dict
     )
-    # For how long after the last save these orders may be executed. A unit
-    # without a time was saved by a version that did not save it.
+    # For how long after it was sent such an order may be executed. Missing in
+    # records of a former version, and if the worker may have restarted.
     unanswered_ms: dict[UnitKey, int] = field(default_factory=dict)
 
     def add_unanswered(
--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -49,7 +49,7 @@
     view = state.workers.find(run.worker)
     if view is not None:
         _bound_leases(state, view, run, now_ms)
-    _record(state, run, now_ms)
+    _record(state, run)
     events.emit(
         graph_events.START_UNANSWERED,
         job=run.task.job,
@@ -166,13 +166,17 @@
     return view.report_requested_ms > since_ms
 
 
-def _record(state: PoolState, run: Run, now_ms: int) -> None:
-    """Record an unanswered start for the next owner of the pool."""
+def _record(state: PoolState, run: Run) -> None:
+    """Record an unanswered start for the next owner of the pool.
+
+    Its time counts from the order: until this owner ends, other starts may be
+    sent to the worker, which extend the lease as late.
+    """
     job_and_step = state.find_step(run.task)
     if job_and_step is None:
         return
     entry = job_and_step[0]
-    executable_ms = run.executable_until_ms - now_ms
+    executable_ms = run.executable_until_ms - run.start_ordered_ms
     if run.is_restart_suspected:
         executable_ms = state.leases.late_call_ms
     entry.progress.add_unanswered(run.unit_key, run.worker, executable_ms)
