--- a/tests/test_late_ticketed_starts.py
+++ b/tests/test_late_ticketed_starts.py
@@ -143,6 +143,20 @@
     assert not world.violations
 
 
+def test_late_renewal_in_unlisted_incarnation_is_waited_for() -> None:
+    """Guards against the same where the directory never lists it.
+
+    KNOWN-RED.txt names it.
+    """
+    world = _world(0, 0)
+    world.delays_ms['w0'] = 7000
+    world.pass_time(100)
+    world.replace_incarnation('w0')
+    _submit_late(world, 1000)
+    world.pass_time(2 * _LONG_RUN_MS)
+    assert not world.violations
+
+
 def _run_takeover(
     *, delay_ms: int, kill_after_ms: int, within_ms: int | None
 ) -> None:
