Test that an owner learns of an unreachable directory

Cause: only the decision was tested, not that the watch reaches it.

Change: test_owner_learns_that_the_directory_is_out_of_reach.

--- a/tests/test_late_ticketed_starts.py
+++ b/tests/test_late_ticketed_starts.py
@@ -16,6 +16,7 @@
 from fuchsiarill.graphs.states import JobPhase
 from fuchsiarill.ids import Generation
 from standins.outages import Outage
+from standins.store_model import PathFault
 from tests.advised_world import AdvisedWorld
 from tests.graph_cell import (
     CAPACITY,
@@ -26,6 +27,7 @@
     GrantingAdvisor,
     owner_of,
     queue_policy,
+    run_scenario,
 )
 from tests.graph_owner import ADVISED, SIZE
 from tests.worker_restarts import OTHER_WORKER, RUN_MS, STEP, WORKER
@@ -143,6 +145,28 @@
     assert not world.violations
 
 
+def test_owner_learns_that_the_directory_is_out_of_reach(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a watch that fails without the owner's knowledge."""
+    changes: list[bool] = []
+    monkeypatch.setattr(
+        incarnations,
+        'apply_reachability',
+        lambda _, *, is_directory_lost: changes.append(is_directory_lost),
+    )
+
+    async def scenario(cell: GraphCell) -> None:
+        path = cell.paths[owner_of(cell)]
+        path.fault = PathFault.REFUSED
+        await sleep_ms(1400)
+        path.fault = PathFault.NONE
+        await sleep_ms(2000)
+
+    run_scenario(scenario, processes_count=1, workers_count=1)
+    assert changes == [True, False]
+
+
 def test_late_renewal_in_unlisted_incarnation_is_waited_for() -> None:
     """Guards against the same where the directory never lists it.
 
