Wait no longer than a ticket for inherited starts on live workers

Callers would wait 12 s instead of 2.2 s for an inherited task with an unanswered start, though all its workers report, if a restart had been suspected or the record was of the former version.

Cause: took the longest window where the record has no time. The ticket ends the window in any incarnation; only the lease on a worker that does not report may last longer.

Change: without a time the window is that of the policy, as before, and the lease ends after late_call_ms and the longest lease, also if the directory lists another incarnation or can't be read.

--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -91,7 +91,7 @@
     window_end_ms = _inherited_window_end_ms(state, entry, unit.key)
     if now_ms <= window_end_ms:
         return True
-    if now_ms > window_end_ms + state.leases.longest_allowed_ms:
+    if now_ms > _inherited_expiry_ms(state, entry, unit.key):
         return False
     return not all(
         _has_reported_since(state, worker, window_end_ms) for worker in workers
@@ -106,9 +106,7 @@
             job=entry.job,
             unit=unit_key.label,
             workers=','.join(sorted(workers)),
-            held_ms=_inherited_window_end_ms(state, entry, unit_key)
-            + state.leases.longest_allowed_ms
-            - now_ms,
+            held_ms=_inherited_expiry_ms(state, entry, unit_key) - now_ms,
         )
 
 
@@ -132,17 +130,37 @@
 ) -> int:
     """Return until when a start order of the previous owner may be executed.
 
-    Its ticket may be of an incarnation that the previous owner did not know.
+    Without a recorded time the present policy tells whether it had a ticket.
+    """
+    leases = state.leases
+    window_ms = entry.progress.unanswered_ms.get(unit)
+    if window_ms is None:
+        window_ms = leases.late_call_ms
+        if entry.policy.advice is not None:
+            validity_ms = entry.policy.advice.validity_ms
+            ticket_ms = validity_ms + _clock_slack_ms(leases)
+            window_ms = min(window_ms, ticket_ms)
+    return state.previous_owner_stop_ms + window_ms
+
+
+def _inherited_expiry_ms(
+    state: PoolState, entry: JobEntry, unit: UnitKey
+) -> int:
+    """Return until when a run that such an order has started may last.
+
+    A recorded time is that of a ticket, which may be of an incarnation that the
+    previous owner did not know. Late calls extend the leases of one that is
+    listed.
     """
     progress = entry.progress
-    window_ms = progress.unanswered_ms.get(unit)
+    window_end_ms = state.previous_owner_stop_ms + state.leases.late_call_ms
     is_restart_excluded = not state.is_directory_lost and not any(
         _lists_later_incarnation(state, worker)
         for worker in progress.unanswered_starts[unit]
     )
-    if window_ms is None or not is_restart_excluded:
-        window_ms = state.leases.late_call_ms
-    return state.previous_owner_stop_ms + window_ms
+    if unit in progress.unanswered_ms and is_restart_excluded:
+        window_end_ms = _inherited_window_end_ms(state, entry, unit)
+    return window_end_ms + state.leases.longest_allowed_ms
 
 
 def _lists_later_incarnation(state: PoolState, worker: WorkerId) -> bool:
--- a/tests/test_gone_workers.py
+++ b/tests/test_gone_workers.py
@@ -15,7 +15,15 @@
 from fuchsiarill.log_event import LogEvent
 from fuchsiarill.ports.agents import AgentFailure
 from tests.advised_owner import STEP, W0, advice_requests, grant
-from tests.graph_owner import ADVISED, CAPACITY, POOL, SIZE, Owner, ended
+from tests.graph_owner import (
+    ADVISED,
+    CAPACITY,
+    CONFIG,
+    POOL,
+    SIZE,
+    Owner,
+    ended,
+)
 
 _TIMEOUT_MS = 350
 _VALID_MS = 2000
@@ -153,6 +161,34 @@
     assert started_ms > 1000 + leases.late_call_ms + leases.longest_allowed_ms
 
 
+def test_inherited_start_of_a_worker_that_reports_is_held_for_its_ticket() -> (
+    None
+):
+    """Guards against a unit that waits for late calls to a live worker.
+
+    A suspected restart has dropped the time from the record, or a process of
+    the former version has.
+    """
+    owner = Owner('w0', 'w1', term=2)
+    stop_ms = owner.now_ms
+    owner.core.state.previous_owner_stop_ms = stop_ms
+    owner.core.add_job(
+        JobGraph(JobId('a'), ADVISED, POOL, '', (Step(1, SIZE),)),
+        JobProgress(unanswered_starts={UnitKey(0, 0, 0): {W0}}),
+        owner.now_ms,
+        is_inherited=True,
+    )
+    while not any(
+        isinstance(effect, RequestAdvice) for effect in owner.decide()
+    ):
+        owner.now_ms += _TICK_MS
+        owner.report('w0')
+        owner.report('w1')
+    policy = CONFIG.queues[ADVISED].advice
+    assert policy is not None
+    assert owner.now_ms - stop_ms < policy.validity_ms + 1000
+
+
 def test_progress_keeps_the_windows_of_unanswered_starts() -> None:
     """Guards against a record that loses a start, or the time of one."""
     unit, former_unit = UnitKey(0, 0, 0), UnitKey(0, 0, 1)
