--- a/fuchsiarill/graphs/start_windows.py
+++ b/fuchsiarill/graphs/start_windows.py
@@ -187,8 +187,8 @@
 def _record(state: PoolState, run: Run) -> None:
     """Record an unanswered start for the next owner of the pool.
 
-    Its time counts from the order: until this owner ends, other starts may be
-    sent to the worker, which extend the lease as late.
+    Its time counts from the order, not from the time-out: this owner may send
+    other starts to the worker, whose late execution extends the lease too.
     """
     job_and_step = state.find_step(run.task)
     if job_and_step is None:
--- a/fuchsiarill/graphs/worker_table.py
+++ b/fuchsiarill/graphs/worker_table.py
@@ -99,7 +99,8 @@
     # The same for other runs. A later incarnation, of which the owner does not
     # know, may have executed their start orders.
     unconfirmed_expiry_ms: int = 0
-    # The same for runs whose start orders named a ticket, see `lease_bound`.
+    # The same for unconfirmed runs whose start orders named a ticket; see
+    # `lease_bound`.
     ticketed_expiry_ms: int = 0
     reported_ms: int = 0
     # When the renewal that the last report answers was sent.
@@ -188,9 +189,9 @@
     def lease_bound(self, run: Run) -> LeaseBound:
         """Return what bounds the task lease of a run.
 
-        A ticket is of one incarnation, which refuses other calls for earlier
-        ones. It can't be taken for the present one if the worker may have
-        restarted before the order.
+        Only the incarnation that has the ticket executes an order with one. It
+        may be a later one than the owner knows. If the worker may have
+        restarted before the order, late calls may extend the lease there.
         """
         if run.is_confirmed:
             return LeaseBound.CALLS
